--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded benches; figures are counts or simulated time."""
--- /dev/null
+++ b/sycamorehollow/__init__.py
@@ -0,0 +1,3 @@
+"""Model-aware router for versions and cascades."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/sycamorehollow/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision rules without I/O."""
--- /dev/null
+++ b/sycamorehollow/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes and typed failures that every other part shares."""
--- /dev/null
+++ b/sycamorehollow/model/failures.py
@@ -0,0 +1,127 @@
+"""Typed failures, used as sentinel results that carry a reason."""
+
+import dataclasses
+import enum
+from typing import ClassVar
+
+
+class Run(enum.Enum):
+    """Whether the refused work was started at a back end."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """Base of every failure.
+
+    Attributes:
+        reason: One sentence for the person who reads the answer or the log.
+        run: Whether the work may have been started.
+        retry_after_s: Seconds until another try makes sense; `None` when a
+            repeat cannot succeed.
+    """
+
+    code: ClassVar[str] = "failure"
+    status: ClassVar[int] = 500
+
+    reason: str
+    run: Run = Run.NO
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class InvalidRequest(Failure):
+    """The request is malformed."""
+
+    code: ClassVar[str] = "invalid_request"
+    status: ClassVar[int] = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class Unauthorized(Failure):
+    """The API key is missing or unknown."""
+
+    code: ClassVar[str] = "unauthorized"
+    status: ClassVar[int] = 401
+
+
+@dataclasses.dataclass(frozen=True)
+class NotAllowed(Failure):
+    """The workspace may not use the model, version or service."""
+
+    code: ClassVar[str] = "not_allowed"
+    status: ClassVar[int] = 403
+
+
+@dataclasses.dataclass(frozen=True)
+class NotFound(Failure):
+    """The model, version, service or path does not exist."""
+
+    code: ClassVar[str] = "not_found"
+    status: ClassVar[int] = 404
+
+
+@dataclasses.dataclass(frozen=True)
+class BodyTooLarge(Failure):
+    """The request body is over the limit."""
+
+    code: ClassVar[str] = "body_too_large"
+    status: ClassVar[int] = 413
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionWithdrawn(Failure):
+    """The version was withdrawn and takes no new work."""
+
+    code: ClassVar[str] = "version_withdrawn"
+    status: ClassVar[int] = 410
+
+
+@dataclasses.dataclass(frozen=True)
+class NoConfiguration(Failure):
+    """The node has no configuration yet."""
+
+    code: ClassVar[str] = "no_configuration"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class NoUpstream(Failure):
+    """No upstream can take the work now."""
+
+    code: ClassVar[str] = "no_upstream"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class DeadlineExceeded(Failure):
+    """The work cannot be finished before its deadline."""
+
+    code: ClassVar[str] = "deadline_exceeded"
+    status: ClassVar[int] = 504
+
+
+@dataclasses.dataclass(frozen=True)
+class Draining(Failure):
+    """The process is shutting down and takes no new work."""
+
+    code: ClassVar[str] = "draining"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamFailed(Failure):
+    """The upstream failed before a piece of the answer was delivered."""
+
+    code: ClassVar[str] = "upstream_failed"
+    status: ClassVar[int] = 502
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerTruncated(Failure):
+    """The answer broke off after at least one piece was delivered."""
+
+    code: ClassVar[str] = "answer_truncated"
+    status: ClassVar[int] = 502
--- /dev/null
+++ b/sycamorehollow/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Wire messages between entry processes."""
--- /dev/null
+++ b/sycamorehollow/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries of the router."""
--- /dev/null
+++ b/sycamorehollow/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of settings, the settings tree and request bodies."""
--- /dev/null
+++ b/sycamorehollow/shells/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets."""
--- /dev/null
+++ b/sycamorehollow/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that the router talks to."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools of the repository."""
--- /dev/null
+++ b/tools/known_red.py
@@ -0,0 +1,47 @@
+"""Test runner plugin that passes over exactly the cases in KNOWN-RED.txt.
+
+An entry of KNOWN-RED.txt starts with a line `test: <dotted test id>`. A listed
+test still runs; its failure is printed and does not change the exit status.
+"""
+
+import pathlib
+import sys
+
+from nose2 import events
+from nose2 import result
+
+KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+ENTRY_PREFIX = "test: "
+
+
+def read_known_red(path: pathlib.Path) -> set[str]:
+    """Returns the test ids that are listed as failing."""
+    if not path.exists():
+        return set()
+    ids = set()
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.startswith(ENTRY_PREFIX):
+            ids.add(line[len(ENTRY_PREFIX) :].strip())
+    return ids
+
+
+class KnownRed(events.Plugin):
+    """Turns the failure of a listed test into an expected failure."""
+
+    configSection = "known-red"  # noqa: N815
+    alwaysOn = True  # noqa: N815
+
+    def __init__(self):
+        self._known = read_known_red(KNOWN_RED)
+
+    def setTestOutcome(self, event):  # noqa: N802
+        """Marks the failure of a listed test as expected."""
+        name = event.test.id().split("\n")[0]
+        if name not in self._known:
+            return
+        if event.outcome not in (result.FAIL, result.ERROR):
+            print(f"known red, passes now: {name}", file=sys.stderr)
+            return
+        print(f"known red, still failing: {name}", file=sys.stderr)
+        event.outcome = result.FAIL
+        event.expected = True
