--- a/benches/results.py
+++ b/benches/results.py
@@ -34,4 +34,5 @@
             return f"info {self.name}: {self.value:.6g}"
         verdict = "ok  " if self.held else "MISS"
         sign = "<=" if self.at_most else ">="
-        return f"{verdict} {self.name}: {self.value:.6g} {sign} {self.bound:.6g}"
+        figure = f"{self.value:.6g} {sign} {self.bound:.6g}"
+        return f"{verdict} {self.name}: {figure}"
--- a/sycamorehollow/decisions/parts.py
+++ b/sycamorehollow/decisions/parts.py
@@ -1,6 +1,7 @@
 """Base of the decision parts."""
 
 import abc
+from typing import ClassVar
 
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
@@ -14,9 +15,7 @@
     """
 
     @abc.abstractmethod
-    def handle(
-        self, event: events.Event, now: float
-    ) -> list[commands.Command]:
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event.
 
         Args:
@@ -26,3 +25,36 @@
         Returns:
             The commands to carry out, in order.
         """
+
+
+class Replicated(abc.ABC):
+    """State that spreads between entry processes by digest exchange.
+
+    Merging is idempotent and commutative: a delta may arrive twice, late and
+    in any order.
+
+    Attributes:
+        kind: Stable name of the state on the wire.
+    """
+
+    kind: ClassVar[str]
+
+    @abc.abstractmethod
+    def summarize(self, now: float) -> bytes:
+        """Returns a compact digest of what this process holds."""
+
+    @abc.abstractmethod
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns what the sender of a digest lacks; empty for nothing."""
+
+    @abc.abstractmethod
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Applies what another process knows.
+
+        Args:
+            delta: The result of `collect` at the other process.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The commands that the new knowledge asks for.
+        """
