--- a/sycamorehollow/model/failures.py
+++ b/sycamorehollow/model/failures.py
@@ -125,3 +125,19 @@
 
     code: ClassVar[str] = "answer_truncated"
     status: ClassVar[int] = 502
+
+
+@dataclasses.dataclass(frozen=True)
+class MethodNotAllowed(Failure):
+    """The path does not take the method."""
+
+    code: ClassVar[str] = "method_not_allowed"
+    status: ClassVar[int] = 405
+
+
+@dataclasses.dataclass(frozen=True)
+class Overloaded(Failure):
+    """The node has no worker or memory for the request."""
+
+    code: ClassVar[str] = "overloaded"
+    status: ClassVar[int] = 503
--- /dev/null
+++ b/sycamorehollow/model/lifecycle.py
@@ -0,0 +1,211 @@
+"""Events and commands of the life of one model request."""
+
+import dataclasses
+import enum
+
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.model import requests
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt at an upstream ended without a whole answer."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    REJECTED = "rejected"
+    BROKEN = "broken"
+    SILENT = "silent"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestArrived(events.Event):
+    """A valid request of a known workspace arrived."""
+
+    request: requests.ModelRequest
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerGone(events.Event):
+    """The caller closed its connection or was disconnected.
+
+    Attributes:
+        delivered_tokens: Output tokens that were written to the caller.
+    """
+
+    request_id: str
+    delivered_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptProduced(events.Event):
+    """The first chunk of an attempt arrived."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptCompleted(events.Event):
+    """An attempt gave a whole answer.
+
+    Attributes:
+        answer: Text of the answer when the attempt was held back, else empty.
+    """
+
+    request_id: str
+    attempt: int
+    prompt_tokens: int
+    output_tokens: int
+    answer: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptFailed(events.Event):
+    """An attempt ended without a whole answer.
+
+    Attributes:
+        code: Failure code that the upstream gave, or empty.
+        chunks: Chunks that were received so far, over all resumes.
+        retry_after_s: When the upstream takes work again, if it said so.
+    """
+
+    request_id: str
+    attempt: int
+    end: AttemptEnd
+    code: str = ""
+    chunks: int = 0
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class BillSecured(events.Event):
+    """The bill of a request survives the loss of this process."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerRated(events.Event):
+    """The rating service rated an answer.
+
+    Attributes:
+        score: Rating in [0, 1].
+    """
+
+    request_id: str
+    score: float
+
+
+@dataclasses.dataclass(frozen=True)
+class StartAttempt(commands.Command):
+    """Send a request to an upstream, or resume its stream there.
+
+    Attributes:
+        url: Base URL of the upstream.
+        hold: Whether chunks are kept back until the request is finished.
+        resume_from: Number of chunks already received; `None` for a new run.
+        reason: Why this upstream and version were chosen, for the log.
+    """
+
+    request_id: str
+    attempt: int
+    upstream: str
+    url: str
+    version: str
+    priority: int
+    deadline: float
+    hold: bool
+    resume_from: int | None = None
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelAttempt(commands.Command):
+    """Stop an attempt and tell the upstream to cancel its stream."""
+
+    request_id: str
+    attempt: int
+    url: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RefuseRequest(commands.Command):
+    """Give the caller its final failure now."""
+
+    request_id: str
+    failure: failures.Failure
+
+
+@dataclasses.dataclass(frozen=True)
+class FinishRequest(commands.Command):
+    """Deliver the held end of the answer and close the request.
+
+    Attributes:
+        session: Session token to return, or empty.
+    """
+
+    request_id: str
+    upstream: str
+    version: str
+    session: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestRating(commands.Command):
+    """Ask the rating service for the quality of an answer."""
+
+    request_id: str
+    workspace: str
+    kind: str
+    version: str
+    answer: str
+
+
+@dataclasses.dataclass(frozen=True)
+class DiscardedAttempt:
+    """Internal cost of an attempt whose answer was not delivered.
+
+    Attributes:
+        cost: Cost in micro-units of currency.
+    """
+
+    version: str
+    upstream: str
+    cost: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Bill:
+    """What a workspace pays for one delivered answer.
+
+    Attributes:
+        identity: The caller's idempotency key, or the request id.
+        amount: Price in micro-units of currency.
+        discarded: Attempts that were not delivered and are not billed.
+    """
+
+    workspace: str
+    identity: str
+    request_id: str
+    version: str
+    upstream: str
+    prompt_tokens: int
+    output_tokens: int
+    amount: int
+    discarded: tuple[DiscardedAttempt, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class SecureBill(commands.Command):
+    """Make a bill survive the loss of this process.
+
+    Attributes:
+        urgent: Whether the end of an answer waits for it.
+    """
+
+    request_id: str
+    bill: Bill
+    urgent: bool = True
--- /dev/null
+++ b/sycamorehollow/settings/bodies.py
@@ -0,0 +1,72 @@
+"""Validated models of the request bodies of callers."""
+
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+# One token is about four characters of ordinary text.
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_MAX_OUTPUT_TOKENS = 1024
+
+
+class Message(pydantic.BaseModel):
+    """One message of a conversation."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+class StreamOptions(pydantic.BaseModel):
+    """Options of a streamed answer."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    include_usage: bool = False
+
+
+class ChatBody(pydantic.BaseModel):
+    """Body of a chat-completions request.
+
+    Fields that the router does not use are passed on to the engine.
+    """
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    model: Annotated[str, pydantic.Field(min_length=1)]
+    messages: Annotated[list[Message], pydantic.Field(min_length=1)]
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    max_tokens: Annotated[int | None, pydantic.Field(gt=0)] = None
+    max_completion_tokens: Annotated[int | None, pydantic.Field(gt=0)] = None
+    metadata: dict[str, str] | None = None
+
+    def count_prompt_tokens(self) -> int:
+        """Returns an estimate of the prompt length in tokens."""
+        characters = 0
+        for message in self.messages:
+            if isinstance(message.content, str):
+                characters += len(message.content)
+                continue
+            for part in message.content or ():
+                characters += len(str(part.get("text", "")))
+        return characters // CHARACTERS_PER_TOKEN + 1
+
+    def limit_output_tokens(self) -> int:
+        """Returns the largest answer in tokens."""
+        return (
+            self.max_completion_tokens
+            or self.max_tokens
+            or DEFAULT_MAX_OUTPUT_TOKENS
+        )
+
+
+def describe_faults(error: pydantic.ValidationError) -> str:
+    """Returns one sentence that names each faulty field."""
+    faults = []
+    for fault in error.errors():
+        path = ".".join(str(part) for part in fault["loc"]) or "body"
+        faults.append(f"{path}: {fault['msg']}")
+    return "; ".join(faults)
--- /dev/null
+++ b/sycamorehollow/shells/chat.py
@@ -0,0 +1,188 @@
+"""Chat-completions requests of callers."""
+
+from collections.abc import Callable
+import hashlib
+import json
+import queue
+import re
+import time
+import uuid
+
+import pydantic
+
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.model import lifecycle
+from sycamorehollow.model import requests
+from sycamorehollow.settings import bodies
+from sycamorehollow.shells import completions
+from sycamorehollow.shells import exchange as exchanges
+from sycamorehollow.shells import front
+from sycamorehollow.shells import relay as relays
+from sycamorehollow.shells import streams
+
+DEFAULT_DEADLINE_S = 60.0
+MAX_DEADLINE_S = 3600.0
+SESSION_HEADER = "X-Session"
+VERSION_HEADER = "X-Model-Version"
+UPSTREAM_HEADER = "X-Upstream"
+REQUEST_HEADER = "X-Request-Id"
+
+
+class ChatHandler(front.Handler):
+    """Answers `POST /v1/chat/completions`."""
+
+    method = "POST"
+    pattern = "/v1/chat/completions"
+
+    def __init__(
+        self,
+        snapshot: front.Snapshot,
+        relay: relays.Relay,
+        report: Callable[[events.Event], None],
+    ):
+        self._snapshot = snapshot
+        self._relay = relay
+        self._report = report
+
+    def respond(
+        self, exchange: exchanges.Exchange, match: re.Match[str]
+    ) -> None:
+        """Serves one request to its final answer."""
+        arrived = time.monotonic()
+        request = self._read_request(exchange, arrived)
+        if isinstance(request, failures.Failure):
+            exchange.send_failure(request)
+            return
+        reply: queue.SimpleQueue[streams.Reply] = queue.SimpleQueue()
+        caller = streams.CallerSide(
+            exchange.connection.socket, reply, request.stream, request.body
+        )
+        # The relay must know the caller before the router can start an
+        # attempt.
+        self._relay.post(relays.Attach(request.request_id, caller))
+        self._report(lifecycle.RequestArrived(request))
+        self._await_end(exchange, request, reply)
+
+    def _await_end(
+        self,
+        exchange: exchanges.Exchange,
+        request: requests.ModelRequest,
+        reply: "queue.SimpleQueue[streams.Reply]",
+    ) -> None:
+        while True:
+            message = reply.get()
+            if isinstance(message, streams.SendHead):
+                exchange.send_stream_head(
+                    self._build_headers(
+                        request, message.upstream, message.version, ""
+                    )
+                )
+                self._relay.post(relays.HeadSent(request.request_id))
+                continue
+            if isinstance(message, streams.StreamClosed):
+                if not message.whole:
+                    exchange.cut()
+                return
+            if isinstance(message, streams.Refusal):
+                exchange.send_failure(message.failure)
+                return
+            headers = self._build_headers(
+                request, message.upstream, message.version, message.session
+            )
+            exchange.send_json(
+                200, completions.build_completion(message.events), headers
+            )
+            return
+
+    def _build_headers(
+        self,
+        request: requests.ModelRequest,
+        upstream: str,
+        version: str,
+        session: str,
+    ) -> dict[str, str]:
+        headers = {
+            REQUEST_HEADER: request.request_id,
+            UPSTREAM_HEADER: upstream,
+            VERSION_HEADER: version,
+        }
+        if session:
+            headers[SESSION_HEADER] = session
+        return headers
+
+    def _read_request(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> requests.ModelRequest | failures.Failure:
+        data = exchange.read_body()
+        if isinstance(data, failures.Failure):
+            return data
+        workspace = self._snapshot.authenticate(
+            exchange.get_header("Authorization")
+        )
+        if isinstance(workspace, failures.Failure):
+            return workspace
+        try:
+            body = bodies.ChatBody.model_validate_json(data)
+        except pydantic.ValidationError as error:
+            return failures.InvalidRequest(bodies.describe_faults(error))
+        kind = exchange.get_header("X-Request-Kind")
+        if kind and workspace.kinds and kind not in workspace.kinds:
+            return failures.InvalidRequest(
+                f"The workspace has no request kind {kind}."
+            )
+        deadline_s = read_deadline(exchange, workspace, kind)
+        if isinstance(deadline_s, failures.Failure):
+            return deadline_s
+        return build_request(exchange, workspace, body, kind, now + deadline_s)
+
+
+def read_deadline(
+    exchange: exchanges.Exchange, workspace: deployment.Workspace, kind: str
+) -> float | failures.Failure:
+    """Returns the time in seconds that the caller allows."""
+    header = exchange.get_header("X-Deadline-Ms")
+    if not header:
+        policy = workspace.kinds.get(kind)
+        return policy.deadline_s if policy is not None else DEFAULT_DEADLINE_S
+    if not header.isdigit() or int(header) == 0:
+        return failures.InvalidRequest(
+            "X-Deadline-Ms must be a positive number of milliseconds."
+        )
+    return min(int(header) / 1000, MAX_DEADLINE_S)
+
+
+def build_request(
+    exchange: exchanges.Exchange,
+    workspace: deployment.Workspace,
+    body: bodies.ChatBody,
+    kind: str,
+    deadline: float,
+) -> requests.ModelRequest:
+    """Returns the request that the router serves."""
+    fields = body.model_dump(mode="json", exclude_unset=True)
+    fields.pop("model")
+    # The engine always streams: progress can then be seen, and a broken
+    # answer can be resumed.
+    fields["stream"] = True
+    fields["stream_options"] = {"include_usage": True}
+    rest = json.dumps(fields).encode()[1:]
+    content = f"{workspace.name}\n{json.dumps(fields['messages'])}"
+    session = exchange.get_header(SESSION_HEADER)
+    if not session and body.metadata is not None:
+        session = body.metadata.get("session", "")
+    return requests.ModelRequest(
+        request_id=uuid.uuid4().hex,
+        workspace=workspace.name,
+        model=body.model,
+        kind=kind,
+        body=rest,
+        fingerprint=hashlib.sha256(content.encode()).hexdigest(),
+        prompt_tokens=body.count_prompt_tokens(),
+        max_output_tokens=body.limit_output_tokens(),
+        stream=body.stream,
+        deadline=deadline,
+        session=session,
+        idempotency_key=exchange.get_header("Idempotency-Key"),
+    )
--- /dev/null
+++ b/sycamorehollow/shells/completions.py
@@ -0,0 +1,44 @@
+"""Whole chat completions, built from the chunks of an engine."""
+
+import json
+from typing import Any
+
+
+def build_completion(events: list[str]) -> dict[str, Any]:
+    """Returns the chat completion that the chunks add up to.
+
+    Args:
+        events: Data fields of the chunks, in order.
+    """
+    completion: dict[str, Any] = {"object": "chat.completion", "choices": []}
+    choices: dict[int, dict[str, Any]] = {}
+    for data in events:
+        chunk = json.loads(data)
+        for name in ("id", "created", "model", "usage"):
+            if chunk.get(name) is not None:
+                completion[name] = chunk[name]
+        for part in chunk.get("choices", ()):
+            _extend_choice(choices, part)
+    completion["choices"] = [choices[index] for index in sorted(choices)]
+    return completion
+
+
+def _extend_choice(
+    choices: dict[int, dict[str, Any]], part: dict[str, Any]
+) -> None:
+    index = part.get("index", 0)
+    choice = choices.setdefault(
+        index,
+        {
+            "index": index,
+            "message": {"role": "assistant", "content": ""},
+            "finish_reason": None,
+        },
+    )
+    delta = part.get("delta", {})
+    message = choice["message"]
+    message["content"] += delta.get("content") or ""
+    if delta.get("role"):
+        message["role"] = delta["role"]
+    if part.get("finish_reason") is not None:
+        choice["finish_reason"] = part["finish_reason"]
--- /dev/null
+++ b/sycamorehollow/shells/engines.py
@@ -0,0 +1,260 @@
+"""The engine side of the relay."""
+
+import dataclasses
+import errno
+import json
+import selectors
+import socket
+import time
+import urllib.parse
+
+from sycamorehollow.model import lifecycle
+from sycamorehollow.shells import framing
+from sycamorehollow.shells import streams
+
+CONNECT_TIMEOUT_S = 1.0
+# A stream without a byte for this long is resumed on a new connection, which
+# is harmless when the engine is only slow.
+SILENCE_TIMEOUT_S = 3.0
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True)
+class Registration:
+    """What the selector returns for a socket."""
+
+    stream: streams.Stream
+    side: streams.CallerSide | streams.EngineSide
+
+
+@dataclasses.dataclass(frozen=True)
+class Batch:
+    """Events that were received together.
+
+    Attributes:
+        closed: Whether the response or the connection is over.
+    """
+
+    events: list[str]
+    closed: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Loss:
+    """Why an attempt is over."""
+
+    end: lifecycle.AttemptEnd
+    code: str = ""
+    retry_after_s: float | None = None
+
+
+class EngineReader:
+    """Sends requests to engines and reads their streams."""
+
+    def __init__(self, selector: selectors.BaseSelector):
+        self._selector = selector
+
+    def open(
+        self,
+        stream: streams.Stream,
+        command: lifecycle.StartAttempt,
+        now: float,
+    ) -> Loss | None:
+        """Starts an attempt; returns why it could not start."""
+        engine = streams.EngineSide(command, now)
+        stream.begin_attempt(engine)
+        parts = urllib.parse.urlsplit(command.url)
+        address = (parts.hostname or "", parts.port or 80)
+        engine.outgoing = self._build_request(stream, command, parts.netloc)
+        try:
+            engine.sock = connect(address)
+        except OSError:
+            return Loss(lifecycle.AttemptEnd.NOT_SENT)
+        self._set_mask(stream, engine, selectors.EVENT_WRITE)
+        return None
+
+    def send(self, stream: streams.Stream, now: float) -> bool:
+        """Writes the request; returns `False` when the connection failed."""
+        engine = stream.engine
+        assert engine is not None and engine.sock is not None
+        error = engine.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            return False
+        try:
+            sent = engine.sock.send(engine.outgoing)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        engine.sent_bytes += sent
+        engine.outgoing = engine.outgoing[sent:]
+        engine.last_progress = now
+        if not engine.outgoing:
+            self._set_mask(stream, engine, selectors.EVENT_READ)
+        return True
+
+    def receive(self, stream: streams.Stream, now: float) -> Batch:
+        """Reads what the engine sent.
+
+        Raises:
+            OSError: The connection failed.
+            httptools.HttpParserError: The engine sent no valid response.
+        """
+        engine = stream.engine
+        assert engine is not None and engine.sock is not None
+        try:
+            data = engine.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return Batch([], closed=False)
+        if not data:
+            return Batch([], closed=True)
+        engine.last_progress = now
+        body = engine.response.feed(data)
+        closed = engine.response.complete
+        if engine.response.status != 200:
+            engine.append_error_body(body)
+            return Batch([], closed)
+        return Batch(engine.events.feed(body) if body else [], closed)
+
+    def keep(self, stream: streams.Stream, data: list[str]) -> list[str]:
+        """Counts events and returns those that may go to the caller now.
+
+        The usage chunk and the end marker stay back until the request is
+        finished, so that no answer looks whole before its bill is safe.
+        """
+        forward = []
+        for item in data:
+            if item == framing.END_MARKER:
+                stream.completed = True
+                break
+            stream.chunks += 1
+            usage = framing.parse_usage(item)
+            if usage is not None:
+                stream.usage = usage
+                stream.chunks -= 1
+            if stream.hold or usage is not None:
+                stream.held.append(item)
+                continue
+            forward.append(item)
+        return forward
+
+    def pause(self, stream: streams.Stream, paused: bool, now: float) -> None:
+        """Stops or restarts reading from the engine."""
+        engine = stream.engine
+        if engine is None or engine.outgoing or engine.paused == paused:
+            return
+        engine.paused = paused
+        engine.last_progress = now
+        self._set_mask(stream, engine, 0 if paused else selectors.EVENT_READ)
+
+    def close(self, stream: streams.Stream) -> None:
+        """Ends the engine side."""
+        engine = stream.engine
+        stream.engine = None
+        if engine is None or engine.sock is None:
+            return
+        self._set_mask(stream, engine, 0)
+        engine.sock.close()
+
+    def find_silence(self, stream: streams.Stream, now: float) -> Loss | None:
+        """Returns why an attempt without progress is over, if it is."""
+        engine = stream.engine
+        if engine is None or engine.paused:
+            return None
+        waited_s = now - engine.last_progress
+        if engine.sent_bytes == 0:
+            if waited_s > CONNECT_TIMEOUT_S:
+                return Loss(lifecycle.AttemptEnd.NOT_SENT)
+            return None
+        if waited_s > SILENCE_TIMEOUT_S:
+            return Loss(lifecycle.AttemptEnd.SILENT)
+        return None
+
+    def describe_loss(self, stream: streams.Stream) -> Loss:
+        """Returns why the connection of an attempt is over."""
+        engine = stream.engine
+        assert engine is not None
+        if engine.sent_bytes == 0:
+            return Loss(lifecycle.AttemptEnd.NOT_SENT)
+        if engine.response.status in (0, 200):
+            return Loss(lifecycle.AttemptEnd.BROKEN)
+        return describe_refusal(engine)
+
+    def _set_mask(
+        self, stream: streams.Stream, engine: streams.EngineSide, mask: int
+    ) -> None:
+        if engine.mask == mask or engine.sock is None:
+            return
+        if mask == 0:
+            self._selector.unregister(engine.sock)
+        elif engine.mask == 0:
+            self._selector.register(
+                engine.sock, mask, Registration(stream, engine)
+            )
+        else:
+            self._selector.modify(
+                engine.sock, mask, Registration(stream, engine)
+            )
+        engine.mask = mask
+
+    def _build_request(
+        self,
+        stream: streams.Stream,
+        command: lifecycle.StartAttempt,
+        host: str,
+    ) -> bytes:
+        if command.resume_from is not None:
+            target = (
+                f"/v1/streams/{stream.request_id}?from={command.resume_from}"
+            )
+            return framing.build_request("GET", host, target, {}, b"")
+        left_ms = max(0, int((command.deadline - time.monotonic()) * 1000))
+        headers = {
+            "X-Request-Id": stream.request_id,
+            "X-Priority": str(command.priority),
+            "X-Deadline-Ms": str(left_ms),
+        }
+        return framing.build_request(
+            "POST",
+            host,
+            "/v1/chat/completions",
+            headers,
+            stream.caller.build_body(command.version),
+        )
+
+
+def connect(address: tuple[str, int]) -> socket.socket:
+    """Starts a connection without waiting for it.
+
+    A new connection per attempt costs one round trip, and no attempt can meet
+    an idle connection that something on the path has forgotten.
+
+    Raises:
+        OSError: The connection failed at once.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    error = sock.connect_ex(address)
+    if error in (0, errno.EINPROGRESS):
+        return sock
+    sock.close()
+    raise OSError(error, "connection failed")
+
+
+def describe_refusal(engine: streams.EngineSide) -> Loss:
+    """Returns what a response other than 200 says about the run."""
+    try:
+        error = json.loads(engine.error_body)["error"]
+        code = str(error["code"])
+        run = error.get("run")
+        retry_after_s = error.get("retry_after_s")
+    except (ValueError, KeyError, TypeError):
+        return Loss(lifecycle.AttemptEnd.BROKEN)
+    if engine.response.status in (400, 404, 413, 422):
+        if engine.command.resume_from is not None:
+            return Loss(lifecycle.AttemptEnd.LOST, code)
+        return Loss(lifecycle.AttemptEnd.REJECTED, code)
+    if run == "no":
+        return Loss(lifecycle.AttemptEnd.REFUSED, code, retry_after_s)
+    return Loss(lifecycle.AttemptEnd.BROKEN, code, retry_after_s)
--- /dev/null
+++ b/sycamorehollow/shells/exchange.py
@@ -0,0 +1,113 @@
+"""One HTTP request of a caller and the response to it."""
+
+import http
+import json
+import math
+from typing import Any
+import urllib.parse
+
+from cheroot import server
+
+from sycamorehollow.model import failures
+from sycamorehollow.shells import streams
+
+# Long dossiers fit; anything larger is refused before it is read.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class Exchange:
+    """Reads a request and writes its response through the HTTP library."""
+
+    def __init__(self, request: server.HTTPRequest):
+        self._request = request
+        path = request.path.decode("latin-1")
+        self.path = urllib.parse.unquote(path)
+        self.method = request.method.decode("latin-1")
+        self.query = urllib.parse.parse_qs(request.qs.decode("latin-1"))
+
+    @property
+    def connection(self) -> server.HTTPConnection:
+        """The connection that carries this exchange."""
+        return self._request.conn
+
+    def get_header(self, name: str) -> str:
+        """Returns a request header, or an empty string."""
+        value = self._request.inheaders.get(name.title().encode(), b"")
+        return value.decode("latin-1")
+
+    def read_body(self) -> bytes | failures.Failure:
+        """Returns the request body, or why it is refused."""
+        encoding = self.get_header("Content-Encoding")
+        if encoding not in ("", "identity"):
+            self._request.close_connection = True
+            return failures.InvalidRequest(
+                f"The content encoding {encoding} is not supported."
+            )
+        length = self.get_header("Content-Length") or "0"
+        if not length.isdigit():
+            self._request.close_connection = True
+            return failures.InvalidRequest("Content-Length is not a number.")
+        if int(length) > MAX_BODY_BYTES:
+            self._request.close_connection = True
+            return self._describe_too_large()
+        body = self._request.rfile.read(MAX_BODY_BYTES + 1)
+        if len(body) > MAX_BODY_BYTES:
+            self._request.close_connection = True
+            return self._describe_too_large()
+        return body
+
+    def send_json(
+        self, status: int, body: Any, headers: dict[str, str] | None = None
+    ) -> None:
+        """Sends a JSON response."""
+        data = json.dumps(body).encode()
+        fields = {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(data)),
+            **(headers or {}),
+        }
+        self._send_head(status, fields)
+        if self.method != "HEAD":
+            self._request.write(data)
+
+    def send_failure(self, failure: failures.Failure) -> None:
+        """Sends a failure, with the time to come back when there is one."""
+        headers = {}
+        if failure.retry_after_s is not None:
+            headers["Retry-After"] = str(math.ceil(failure.retry_after_s))
+        self.send_json(
+            failure.status, streams.build_failure_body(failure), headers
+        )
+
+    def send_stream_head(self, headers: dict[str, str]) -> None:
+        """Sends the head of a streamed answer."""
+        fields = {"Content-Type": "text/event-stream", **headers}
+        fields["Cache-Control"] = "no-store"
+        self._send_head(200, fields)
+
+    def cut(self) -> None:
+        """Ends the connection without the end of the response."""
+        self._request.close_connection = True
+        self._request.chunked_write = False
+
+    def _send_head(self, status: int, fields: dict[str, str]) -> None:
+        # The HTTP library writes the status line from bytes.
+        line = f"{status} {_describe(status)}".encode()
+        self._request.status = line  # type: ignore[assignment]
+        for name, value in fields.items():
+            self._request.outheaders.append(
+                (name.encode("latin-1"), value.encode("latin-1", "replace"))
+            )
+        self._request.ensure_headers_sent()
+
+    def _describe_too_large(self) -> failures.Failure:
+        return failures.BodyTooLarge(
+            f"The request body is over {MAX_BODY_BYTES} bytes."
+        )
+
+
+def _describe(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Error"
--- /dev/null
+++ b/sycamorehollow/shells/framing.py
@@ -0,0 +1,115 @@
+"""Framing of responses and event streams that the relay reads."""
+
+import json
+from typing import Any
+
+import h11
+import httptools
+import sseclient
+
+END_MARKER = "[DONE]"
+
+
+class EventReader:
+    """Splits a byte stream into server-sent events."""
+
+    def __init__(self):
+        self._tail = b""
+
+    def feed(self, data: bytes) -> list[str]:
+        """Returns the data fields of the events that are complete now."""
+        tail = self._tail + data
+        end = max(tail.rfind(b"\n\n") + 2, tail.rfind(b"\r\n\r\n") + 4)
+        if end < 4 and not tail.endswith(b"\n\n"):
+            self._tail = tail
+            return []
+        self._tail = tail[end:]
+        client = sseclient.SSEClient(iter([tail[:end]]))
+        return [event.data for event in client.events()]
+
+
+class ResponseReader:
+    """Parses one HTTP response.
+
+    Attributes:
+        status: Status code, 0 before the head was read.
+        headers: Header fields with lower-case names.
+        complete: Whether the whole response was read.
+        keep_alive: Whether the connection can carry another request.
+    """
+
+    def __init__(self):
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.complete = False
+        self.keep_alive = False
+        self._body: list[bytes] = []
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> bytes:
+        """Parses received bytes and returns the body bytes in them.
+
+        Raises:
+            httptools.HttpParserError: The bytes are no HTTP response.
+        """
+        self._parser.feed_data(data)
+        if not self._body:
+            return b""
+        body = b"".join(self._body)
+        self._body.clear()
+        return body
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header field."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Keeps the status."""
+        self.status = self._parser.get_status_code()
+        self.keep_alive = self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        """Keeps body bytes until `feed` returns."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Marks the end of the response."""
+        self.complete = True
+
+
+def build_request(
+    method: str, host: str, target: str, headers: dict[str, str], body: bytes
+) -> bytes:
+    """Returns the bytes of one HTTP/1.1 request."""
+    connection = h11.Connection(h11.CLIENT)
+    fields = [("Host", host), *headers.items()]
+    if body:
+        fields.append(("Content-Type", "application/json"))
+        fields.append(("Content-Length", str(len(body))))
+    head = connection.send(
+        h11.Request(method=method, target=target, headers=fields)
+    )
+    payload = connection.send(h11.Data(data=body)) if body else b""
+    return (head or b"") + (payload or b"")
+
+
+def encode_event(data: str) -> bytes:
+    """Returns one server-sent event."""
+    if "\n" in data:
+        data = data.replace("\n", "\ndata: ")
+    return b"data: " + data.encode("utf-8") + b"\n\n"
+
+
+def encode_chunk(payload: bytes) -> bytes:
+    """Returns one chunk of the chunked transfer coding."""
+    return b"%x\r\n%b\r\n" % (len(payload), payload)
+
+
+def parse_usage(data: str) -> dict[str, Any] | None:
+    """Returns the usage field of a chunk, or `None`."""
+    if '"usage"' not in data:
+        return None
+    try:
+        return json.loads(data).get("usage")
+    except (ValueError, AttributeError):
+        return None
--- /dev/null
+++ b/sycamorehollow/shells/loop.py
@@ -0,0 +1,97 @@
+"""The task that drives the decision parts of a process."""
+
+from collections.abc import Callable
+import queue
+import time
+from typing import Any
+
+import loguru
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.shells import tasks
+
+TICK_S = 0.05
+
+
+class DecisionLoop(tasks.Task):
+    """Owns all decision state of a process.
+
+    Every event goes to every part; the commands go to the shells that were
+    registered for their types. Only this thread touches the parts.
+    """
+
+    def __init__(self):
+        super().__init__("router")
+        self._queue: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self._parts: list[parts.Part] = []
+        self._performers: dict[type, Callable[[Any], None]] = {}
+
+    def add_part(self, part: parts.Part) -> None:
+        """Adds a part before the start."""
+        self._parts.append(part)
+
+    def perform_with(
+        self, command_type: type, performer: Callable[[Any], None]
+    ) -> None:
+        """Sets the shell that carries out a type of command."""
+        self._performers[command_type] = performer
+
+    def post(self, message: Any) -> None:
+        """Adds an event, or a callable to run in this thread."""
+        self._queue.put(message)
+
+    def ask(self, query: Callable[[], Any], timeout_s: float = 2.0) -> Any:
+        """Runs a query in this thread and returns its result.
+
+        Raises:
+            queue.Empty: The loop did not answer in time.
+        """
+        answer: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self.post(lambda: answer.put(query()))
+        return answer.get(timeout=timeout_s)
+
+    def _wake(self) -> None:
+        self._queue.put(None)
+
+    def _run(self) -> None:
+        next_tick = time.monotonic()
+        while not self._stopping:
+            now = time.monotonic()
+            if now >= next_tick:
+                next_tick = now + TICK_S
+                self._handle(events.Tick(), now)
+            try:
+                message = self._queue.get(timeout=next_tick - now)
+            except (queue.Empty, ValueError):
+                continue
+            if isinstance(message, events.Event):
+                self._handle(message, time.monotonic())
+            elif callable(message):
+                self._guard(message)
+
+    def _handle(self, event: events.Event, now: float) -> None:
+        for part in self._parts:
+            try:
+                result = part.handle(event, now)
+            except Exception:
+                # One faulty request must not stop the others.
+                loguru.logger.exception("router: {} failed", type(event))
+                continue
+            for command in result:
+                self.perform(command)
+
+    def perform(self, command: commands.Command) -> None:
+        """Hands a command to its shell; only for this thread."""
+        performer = self._performers.get(type(command))
+        if performer is None:
+            loguru.logger.warning("router: nothing performs {}", command)
+            return
+        self._guard(lambda: performer(command))
+
+    def _guard(self, action: Callable[[], Any]) -> None:
+        try:
+            action()
+        except Exception:
+            loguru.logger.exception("router: action failed")
--- /dev/null
+++ b/sycamorehollow/shells/relay.py
@@ -0,0 +1,245 @@
+"""The task that relays answers from engines to callers."""
+
+from collections.abc import Callable
+import selectors
+import time
+from typing import Any
+
+import httptools
+
+from sycamorehollow.model import events
+from sycamorehollow.model import lifecycle
+from sycamorehollow.shells import callers
+from sycamorehollow.shells import engines
+from sycamorehollow.shells import streams
+from sycamorehollow.shells import tasks
+
+POLL_S = 0.25
+
+
+class Attach:
+    """Hands a caller's socket to the relay."""
+
+    def __init__(self, request_id: str, caller: streams.CallerSide):
+        self.request_id = request_id
+        self.caller = caller
+
+
+class HeadSent:
+    """Tells the relay that the HTTP worker has sent the head."""
+
+    def __init__(self, request_id: str):
+        self.request_id = request_id
+
+
+class Relay(tasks.SelectingTask):
+    """Owns the sockets of all requests between their head and their end.
+
+    One thread serves all streams, because a thread per stream costs several
+    times the processor time per token.
+    """
+
+    def __init__(self, report: Callable[[events.Event], None]):
+        super().__init__("relay")
+        self._report = report
+        self._streams: dict[str, streams.Stream] = {}
+        self._callers = callers.CallerWriter(self._selector, report)
+        self._engines = engines.EngineReader(self._selector)
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            Attach: self._attach,
+            HeadSent: self._continue_after_head,
+            lifecycle.StartAttempt: self._start_attempt,
+            lifecycle.CancelAttempt: self._cancel_attempt,
+            lifecycle.RefuseRequest: self._refuse,
+            lifecycle.FinishRequest: self._finish,
+        }
+
+    def _run(self) -> None:
+        next_check = time.monotonic() + POLL_S
+        while not self._stopping:
+            for key, mask in self._selector.select(POLL_S):
+                if key.data is None:
+                    self._drain_wake()
+                    continue
+                self._serve(key.data, mask)
+            while self._inbox:
+                message = self._inbox.popleft()
+                self._handlers[type(message)](message)
+            now = time.monotonic()
+            if now < next_check:
+                continue
+            next_check = now + POLL_S
+            self._check_progress(now)
+
+    def _serve(self, registration: engines.Registration, mask: int) -> None:
+        stream = registration.stream
+        if self._streams.get(stream.request_id) is not stream:
+            return
+        if registration.side is stream.caller:
+            self._serve_caller(stream, mask)
+            return
+        if registration.side is stream.engine:
+            self._serve_engine(stream, mask)
+
+    def _serve_caller(self, stream: streams.Stream, mask: int) -> None:
+        if mask & selectors.EVENT_READ and self._callers.is_gone(stream):
+            self._drop_caller(stream)
+            return
+        if mask & selectors.EVENT_WRITE:
+            self._flush_caller(stream)
+
+    def _serve_engine(self, stream: streams.Stream, mask: int) -> None:
+        now = time.monotonic()
+        if mask & selectors.EVENT_WRITE:
+            if not self._engines.send(stream, now):
+                self._fail_attempt(stream, self._engines.describe_loss(stream))
+                return
+        if not mask & selectors.EVENT_READ:
+            return
+        try:
+            batch = self._engines.receive(stream, now)
+        except (OSError, httptools.HttpParserError):
+            self._fail_attempt(stream, self._engines.describe_loss(stream))
+            return
+        self._take_events(stream, batch)
+
+    def _take_events(
+        self, stream: streams.Stream, batch: engines.Batch
+    ) -> None:
+        if batch.events and stream.chunks == 0:
+            self._report(
+                lifecycle.AttemptProduced(stream.request_id, stream.attempt)
+            )
+        forward = self._engines.keep(stream, batch.events)
+        if forward:
+            self._deliver(stream, forward)
+        if stream.completed:
+            self._complete_attempt(stream)
+            return
+        if batch.closed:
+            self._fail_attempt(stream, self._engines.describe_loss(stream))
+
+    def _deliver(self, stream: streams.Stream, data: list[str]) -> None:
+        stream.delivered_chunks += len(data)
+        self._callers.append(stream, data)
+        self._flush_caller(stream)
+
+    def _flush_caller(self, stream: streams.Stream) -> None:
+        now = time.monotonic()
+        if not self._callers.flush(stream, now):
+            self._drop_caller(stream)
+            return
+        self._engines.pause(stream, self._callers.is_full(stream), now)
+        if stream.caller.closing is None or stream.caller.buffer:
+            return
+        self._detach(stream, stream.caller.closing)
+
+    def _complete_attempt(self, stream: streams.Stream) -> None:
+        self._engines.close(stream)
+        hold = stream.hold
+        answer = streams.join_answer(stream.held) if hold else ""
+        self._report(
+            lifecycle.AttemptCompleted(
+                stream.request_id,
+                stream.attempt,
+                stream.count_prompt_tokens(),
+                stream.count_output_tokens(),
+                answer,
+            )
+        )
+
+    def _fail_attempt(self, stream: streams.Stream, loss: engines.Loss) -> None:
+        self._engines.close(stream)
+        self._report(
+            lifecycle.AttemptFailed(
+                stream.request_id,
+                stream.attempt,
+                loss.end,
+                loss.code,
+                stream.chunks,
+                loss.retry_after_s,
+            )
+        )
+
+    def _check_progress(self, now: float) -> None:
+        for stream in list(self._streams.values()):
+            if self._callers.is_stalled(stream, now):
+                self._drop_caller(stream)
+                continue
+            loss = self._engines.find_silence(stream, now)
+            if loss is not None:
+                self._fail_attempt(stream, loss)
+
+    def _attach(self, message: Attach) -> None:
+        stream = streams.Stream(message.request_id, message.caller)
+        self._streams[message.request_id] = stream
+        self._callers.watch(stream)
+
+    def _continue_after_head(self, message: HeadSent) -> None:
+        stream = self._streams.get(message.request_id)
+        if stream is None:
+            return
+        stream.caller.head_sent = True
+        self._flush_caller(stream)
+
+    def _start_attempt(self, command: lifecycle.StartAttempt) -> None:
+        stream = self._streams.get(command.request_id)
+        if stream is None:
+            return
+        loss = self._engines.open(stream, command, time.monotonic())
+        if loss is not None:
+            self._fail_attempt(stream, loss)
+
+    def _cancel_attempt(self, command: lifecycle.CancelAttempt) -> None:
+        stream = self._streams.get(command.request_id)
+        if stream is not None and stream.attempt == command.attempt:
+            self._engines.close(stream)
+
+    def _refuse(self, command: lifecycle.RefuseRequest) -> None:
+        stream = self._streams.get(command.request_id)
+        if stream is None:
+            return
+        self._engines.close(stream)
+        if not stream.caller.head_requested:
+            self._release(stream)
+            stream.caller.reply.put(streams.Refusal(command.failure))
+            return
+        self._callers.append_failure(stream, command.failure)
+        stream.caller.closing = streams.StreamClosed(whole=False)
+        self._flush_caller(stream)
+
+    def _finish(self, command: lifecycle.FinishRequest) -> None:
+        stream = self._streams.get(command.request_id)
+        if stream is None:
+            return
+        if not stream.caller.streamed:
+            self._release(stream)
+            stream.caller.reply.put(
+                streams.WholeAnswer(
+                    stream.held,
+                    command.upstream,
+                    command.version,
+                    command.session,
+                )
+            )
+            return
+        self._callers.append_end(stream, command.session)
+        stream.caller.closing = streams.StreamClosed(whole=True)
+        self._flush_caller(stream)
+
+    def _drop_caller(self, stream: streams.Stream) -> None:
+        self._engines.close(stream)
+        self._report(
+            lifecycle.CallerGone(stream.request_id, stream.delivered_chunks)
+        )
+        self._detach(stream, streams.StreamClosed(whole=False))
+
+    def _detach(
+        self, stream: streams.Stream, closed: streams.StreamClosed
+    ) -> None:
+        self._release(stream)
+        stream.caller.reply.put(closed)
+
+    def _release(self, stream: streams.Stream) -> None:
+        self._callers.unwatch(stream)
+        self._streams.pop(stream.request_id, None)
--- /dev/null
+++ b/sycamorehollow/shells/streams.py
@@ -0,0 +1,169 @@
+"""State of one request in the relay: its caller side and its engine side."""
+
+import dataclasses
+import json
+import queue
+import socket
+from typing import Any
+
+from sycamorehollow.model import failures
+from sycamorehollow.model import lifecycle
+from sycamorehollow.shells import framing
+
+ERROR_BODY_LIMIT_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class SendHead:
+    """Asks the HTTP worker to send the head of a streamed answer."""
+
+    upstream: str
+    version: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamClosed:
+    """Tells the HTTP worker that the stream is over.
+
+    Attributes:
+        whole: Whether the caller received the whole answer.
+    """
+
+    whole: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class WholeAnswer:
+    """Gives the HTTP worker a whole answer that was held back.
+
+    Attributes:
+        events: Data fields of the chunks, in order.
+    """
+
+    events: list[str]
+    upstream: str
+    version: str
+    session: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """Gives the HTTP worker the final failure."""
+
+    failure: failures.Failure
+
+
+Reply = SendHead | StreamClosed | WholeAnswer | Refusal
+
+
+class EngineSide:
+    """One connection to an engine for one attempt."""
+
+    def __init__(self, command: lifecycle.StartAttempt, now: float):
+        self.command = command
+        self.sock: socket.socket | None = None
+        self.outgoing = b""
+        self.sent_bytes = 0
+        self.response = framing.ResponseReader()
+        self.events = framing.EventReader()
+        self.error_body = b""
+        self.last_progress = now
+        self.paused = False
+        self.mask = 0
+
+    def append_error_body(self, body: bytes) -> None:
+        """Keeps the body of a refusal, up to a limit."""
+        room = ERROR_BODY_LIMIT_BYTES - len(self.error_body)
+        self.error_body += body[:room]
+
+
+class CallerSide:
+    """The connection to a caller while the relay owns it."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        reply: "queue.SimpleQueue[Reply]",
+        streamed: bool,
+        body_rest: bytes,
+    ):
+        self.sock = sock
+        self.reply = reply
+        self.streamed = streamed
+        self.body_rest = body_rest
+        self.buffer = bytearray()
+        self.head_requested = False
+        self.head_sent = False
+        self.watched = False
+        self.stalled_since: float | None = None
+        self.closing: StreamClosed | None = None
+
+    def build_body(self, version: str) -> bytes:
+        """Returns the request body with the version as its model."""
+        model = json.dumps(version).encode()
+        return b'{"model": ' + model + b", " + self.body_rest
+
+
+class Stream:
+    """One request in the relay."""
+
+    def __init__(self, request_id: str, caller: CallerSide):
+        self.request_id = request_id
+        self.caller = caller
+        self.engine: EngineSide | None = None
+        self.attempt = 0
+        self.upstream = ""
+        self.version = ""
+        self.hold = False
+        self.chunks = 0
+        self.delivered_chunks = 0
+        self.held: list[str] = []
+        self.usage: dict[str, Any] | None = None
+        self.completed = False
+
+    def begin_attempt(self, engine: EngineSide) -> None:
+        """Takes a new attempt; a new run forgets the chunks of the last one."""
+        command = engine.command
+        self.engine = engine
+        self.attempt = command.attempt
+        self.upstream = command.upstream
+        self.version = command.version
+        self.hold = command.hold or not self.caller.streamed
+        if command.resume_from is None:
+            self.chunks = 0
+            self.held.clear()
+            self.usage = None
+
+    def count_output_tokens(self) -> int:
+        """Returns the output tokens of the answer as far as it is known."""
+        if self.usage is not None:
+            return int(self.usage.get("completion_tokens", self.chunks))
+        return self.chunks
+
+    def count_prompt_tokens(self) -> int:
+        """Returns the prompt tokens that the engine reported, or 0."""
+        if self.usage is None:
+            return 0
+        return int(self.usage.get("prompt_tokens", 0))
+
+
+def build_failure_body(failure: failures.Failure) -> dict[str, Any]:
+    """Returns the JSON object that describes a failure to a caller."""
+    return {
+        "error": {
+            "code": failure.code,
+            "type": failure.code,
+            "message": failure.reason,
+            "run": failure.run.value,
+            "retry_after_s": failure.retry_after_s,
+        }
+    }
+
+
+def join_answer(events: list[str]) -> str:
+    """Returns the text of the chunks of an answer."""
+    parts = []
+    for data in events:
+        for choice in json.loads(data).get("choices", ()):
+            parts.append(choice.get("delta", {}).get("content") or "")
+    return "".join(parts)
