--- /dev/null
+++ b/sycamorehollow/decisions/effect_messages.py
@@ -0,0 +1,305 @@
+"""Events, commands and failures of non-idempotent calls."""
+
+import dataclasses
+from typing import ClassVar
+
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.model import requests
+
+
+@dataclasses.dataclass(frozen=True)
+class Process:
+    """Identity of one run of an entry process."""
+
+    address: str
+    data_centre: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The response of the service to a call that ran."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreDown(failures.Failure):
+    """The key cannot be claimed now.
+
+    Attributes:
+        ticket: Fresh ticket. A caller that has seen only `run: no` responses
+            may resend the call with it as the key.
+    """
+
+    code: ClassVar[str] = "store_down"
+    status: ClassVar[int] = 503
+
+    ticket: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyConflict(failures.Failure):
+    """The key belongs to a call with different content."""
+
+    code: ClassVar[str] = "key_conflict"
+    status: ClassVar[int] = 409
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRun(failures.Failure):
+    """The call did not reach the service."""
+
+    code: ClassVar[str] = "not_run"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class UnknownOutcome(failures.Failure):
+    """The call may have run, and the service does not report an outcome."""
+
+    code: ClassVar[str] = "unknown_outcome"
+    status: ClassVar[int] = 504
+
+    run: failures.Run = failures.Run.UNKNOWN
+
+
+@dataclasses.dataclass(frozen=True)
+class NotHeld(failures.Failure):
+    """The asked process has no call under this key in memory."""
+
+    code: ClassVar[str] = "not_held"
+    status: ClassVar[int] = 404
+
+    run: failures.Run = failures.Run.UNKNOWN
+
+
+@dataclasses.dataclass(frozen=True)
+class WrongIncarnation(failures.Failure):
+    """The process that was asked for does not exist any more."""
+
+    code: ClassVar[str] = "wrong_incarnation"
+    status: ClassVar[int] = 410
+
+    run: failures.Run = failures.Run.UNKNOWN
+
+
+@dataclasses.dataclass(frozen=True)
+class InvalidTicket(failures.Failure):
+    """The ticket is forged, expired or from another workspace."""
+
+    code: ClassVar[str] = "invalid_ticket"
+    status: ClassVar[int] = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class Overloaded(failures.Failure):
+    """The process holds as many calls as its memory allows."""
+
+    code: ClassVar[str] = "overloaded"
+    status: ClassVar[int] = 503
+
+
+Result = Outcome | failures.Failure
+
+
+@dataclasses.dataclass(frozen=True)
+class CallArrived(events.Event):
+    """A caller asks for a non-idempotent call."""
+
+    call: requests.ServiceCall
+
+
+@dataclasses.dataclass(frozen=True)
+class OutcomeAsked(events.Event):
+    """A caller asks for the outcome of a key and never for a run.
+
+    Attributes:
+        service: Service of the call, or empty; needed only for a ticket whose
+            owner is gone.
+    """
+
+    request_id: str
+    workspace: str
+    key: str
+    deadline: float
+    service: str = ""
+    operation: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerAsked(events.Event):
+    """Another process asks about a key that this process owns.
+
+    Attributes:
+        ask: Id to answer under.
+        incarnation: Incarnation that the asking process wants to reach.
+        call: The call itself if the key is a ticket that may be run.
+        deadline: On the clock of this process, in seconds.
+    """
+
+    ask: str
+    incarnation: int
+    workspace: str
+    key: str
+    call: requests.ServiceCall | None
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordRead(events.Event):
+    """A `ReadRecord` succeeded; `value` is `None` for an absent key."""
+
+    op: str
+    value: str | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordWritten(events.Event):
+    """A `WriteRecord` took effect."""
+
+    op: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordConflict(events.Event):
+    """A `WriteRecord` found another revision and wrote nothing."""
+
+    op: str
+    revision: int
+    value: str | None
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswered(events.Event):
+    """The service responded to a `Dispatch`."""
+
+    op: str
+    outcome: Outcome
+
+
+@dataclasses.dataclass(frozen=True)
+class LookedUp(events.Event):
+    """The service responded to a `LookUp`; `None` means absent."""
+
+    op: str
+    outcome: Outcome | None
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerAnswered(events.Event):
+    """The owner responded to an `AskOwner`."""
+
+    op: str
+    result: Result
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused(events.Event):
+    """The other side refused an operation in a typed way; no effect."""
+
+    op: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class NotSent(events.Event):
+    """No byte of the operation was sent; no effect."""
+
+    op: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class InDoubt(events.Event):
+    """The operation may have taken effect."""
+
+    op: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadRecord(commands.Command):
+    """Read a record from the store."""
+
+    op: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteRecord(commands.Command):
+    """Write a record to the store by compare-and-swap, exactly once."""
+
+    op: str
+    key: str
+    value: str
+    expect: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Dispatch(commands.Command):
+    """Send a call to its service, at most once.
+
+    Attributes:
+        service_key: Idempotency key at the service, with the workspace in it
+            so that equal keys of two workspaces do not meet.
+        not_after: Monotonic time in seconds from which no byte may be sent;
+            the shell then reports `NotSent`.
+    """
+
+    op: str
+    call: requests.ServiceCall
+    service_key: str
+    not_after: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LookUp(commands.Command):
+    """Ask the service for the outcome of a key."""
+
+    op: str
+    service: str
+    operation: str
+    service_key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AskOwner(commands.Command):
+    """Ask the process that owns a key; carries the call for a ticket."""
+
+    op: str
+    address: str
+    incarnation: int
+    workspace: str
+    key: str
+    call: requests.ServiceCall | None
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply(commands.Command):
+    """Send the result to a caller."""
+
+    request_id: str
+    result: Result
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerPeer(commands.Command):
+    """Send the result to the process that asked."""
+
+    ask: str
+    result: Result
+
+
+@dataclasses.dataclass(frozen=True)
+class SpoolOutcome(commands.Command):
+    """Keep the outcome of a ticket in the spool of a peer."""
+
+    key: str
+    value: str
--- /dev/null
+++ b/sycamorehollow/decisions/tickets.py
@@ -0,0 +1,69 @@
+"""Tickets: idempotency keys that only the issuing process runs."""
+
+import dataclasses
+
+from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions import keyrings
+
+TICKET_PREFIX = "tkt1"
+TICKET_FIELDS = 5
+# A ticket is used for the first time within this time or never, so that its
+# owner may forget it afterwards.
+TICKET_LIFE_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Ticket:
+    """A verified ticket.
+
+    Attributes:
+        owner: Process that issued it and alone may run it.
+        sequence: Number that the owner gave it.
+        issued_s: Monotonic time of the owner in seconds.
+    """
+
+    owner: messages.Process
+    sequence: int
+    issued_s: float
+
+
+class TicketIssuer:
+    """Issues the tickets of one process."""
+
+    def __init__(self, process: messages.Process, ring: keyrings.KeyRing):
+        self._process = process
+        self._ring = ring
+        self._sequence = 0
+
+    def issue(self, workspace: str, now: float) -> str:
+        """Returns a fresh ticket for a workspace."""
+        self._sequence += 1
+        fields = (
+            workspace,
+            f"{self._process.address} {self._process.data_centre}",
+            str(self._process.incarnation),
+            str(self._sequence),
+            repr(now),
+        )
+        return keyrings.encode_token(TICKET_PREFIX, fields, self._ring)
+
+
+def is_ticket(key: str) -> bool:
+    """Tells whether a key claims to be a ticket."""
+    return key.startswith(TICKET_PREFIX + ".")
+
+
+def parse_ticket(
+    token: str, workspace: str, ring: keyrings.KeyRing
+) -> Ticket | messages.InvalidTicket:
+    """Returns the ticket in a token, or why it is refused."""
+    fields = keyrings.decode_token(TICKET_PREFIX, token, TICKET_FIELDS, ring)
+    if fields is None:
+        return messages.InvalidTicket(reason="the ticket is not genuine")
+    if fields[0] != workspace:
+        return messages.InvalidTicket(
+            reason="the ticket belongs to another workspace"
+        )
+    address, _, data_centre = fields[1].partition(" ")
+    owner = messages.Process(address, data_centre, int(fields[2]))
+    return Ticket(owner, int(fields[3]), float(fields[4]))
