--- /dev/null
+++ b/sycamorehollow/standins/arguments.py
@@ -0,0 +1,56 @@
+"""Command line shared by the stand-ins."""
+
+import argparse
+from collections.abc import Callable
+import json
+import os
+import signal
+import sys
+import threading
+
+import sycamorehollow
+from sycamorehollow.standins import server
+from sycamorehollow.standins import settings as standin_settings
+
+
+def run_program(
+    name: str,
+    model: type[standin_settings.AnySettings],
+    build: Callable[[standin_settings.AnySettings], server.StandIn],
+    argv: list[str] | None,
+) -> int:
+    """Runs a stand-in as a program and returns its exit status."""
+    parser = argparse.ArgumentParser(prog=name)
+    parser.add_argument("--version", action="version", version=_version())
+    parser.add_argument("--check", action="store_true")
+    parser.add_argument("--settings", default="", help="INI file")
+    parser.add_argument(
+        "--set", action="append", default=[], metavar="SECTION.KEY=VALUE"
+    )
+    parser.add_argument(
+        "--exit-after", type=float, default=None, metavar="SECONDS"
+    )
+    arguments = parser.parse_args(argv)
+    try:
+        settings = standin_settings.read_settings(
+            model, arguments.settings, arguments.set
+        )
+    except standin_settings.SettingsError as failure:
+        for line in failure.errors:
+            print(line, file=sys.stderr)
+        return 2
+    if arguments.check:
+        return 0
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    stand_in = build(settings)
+    stand_in.start()
+    print(json.dumps({"url": stand_in.url, "pid": os.getpid()}), flush=True)
+    ended.wait(arguments.exit_after)
+    stand_in.stop()
+    return 0
+
+
+def _version() -> str:
+    return getattr(sycamorehollow, "__version__", "0.1.0")
