--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/python tools/check_imports.py
-	$(BIN)/mypy sycamorehollow tools benches
+	$(BIN)/mypy --cache-dir=/dev/null sycamorehollow tools benches
 
 format: $(STAMP)
 	$(BIN)/ruff check --fix .
--- a/sycamorehollow/decisions/recovery.py
+++ b/sycamorehollow/decisions/recovery.py
@@ -83,7 +83,7 @@
 def _can_resume(event: lifecycle.AttemptFailed) -> bool:
     if event.end is lifecycle.AttemptEnd.SILENT:
         return True
-    return event.end is lifecycle.AttemptEnd.BROKEN and event.chunks > 0
+    return event.end is lifecycle.AttemptEnd.BROKEN and event.received > 0
 
 
 def _describe_run(event: lifecycle.AttemptFailed) -> failures.Run:
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -45,11 +45,13 @@
         self._current: deployment.Deployment | None = None
         self._admitting = True
         self._active: dict[str, actives.ActiveRequest] = {}
+        self._cut: dict[str, actives.ActiveRequest] = {}
         self._handlers: dict[type, Callable] = {
             DeploymentChanged: self._apply_deployment,
             AdmissionStopped: self._stop_admission,
             lifecycle.RequestArrived: self._admit,
             lifecycle.CallerGone: self._drop,
+            lifecycle.AnswerCut: self._bill_cut,
             lifecycle.AttemptProduced: self._note_production,
             lifecycle.AttemptCompleted: self._complete,
             lifecycle.AttemptFailed: self._recover,
@@ -122,7 +124,7 @@
             if isinstance(placed, placements.Placed):
                 break
             if not active.has_dearer_step:
-                return self._refuse(active, placed, now)
+                return self._refuse(active, placed)
             active.step += 1
         active.attempt += 1
         active.upstream = placed.upstream
@@ -266,31 +268,34 @@
             active.resumes += 1
             active.attempt += 1
             return [
-                self._build_start(active, "resume after a loss", event.chunks)
+                self._build_start(active, "resume after a loss", event.received)
             ]
         self._placement.release(event.request_id, False, now)
         if step is recovery.Step.GIVE_UP:
             failure = recovery.describe_failure(event, progress)
-            return self._refuse(active, failure, now, event.chunks)
+            return self._refuse(active, failure)
         active.retries += 1
         assert active.upstream is not None
         active.tried |= {active.upstream.name}
         return self._start(active, now)
 
     def _refuse(
-        self,
-        active: actives.ActiveRequest,
-        failure: failures.Failure,
-        now: float,
-        delivered_tokens: int = 0,
+        self, active: actives.ActiveRequest, failure: failures.Failure
     ) -> list[commands.Command]:
-        """Gives the final failure; delivered tokens are billed."""
+        """Gives the final failure; delivered tokens are billed once known."""
         request_id = active.request.request_id
         self._active.pop(request_id, None)
-        refusal = lifecycle.RefuseRequest(request_id, failure)
-        if not active.delivered or delivered_tokens == 0:
-            return [refusal]
-        return [self._bill_delivered(active, delivered_tokens), refusal]
+        if active.delivered:
+            self._cut[request_id] = active
+        return [lifecycle.RefuseRequest(request_id, failure)]
+
+    def _bill_cut(
+        self, event: lifecycle.AnswerCut, now: float
+    ) -> list[commands.Command]:
+        active = self._cut.pop(event.request_id, None)
+        if active is None or event.delivered_tokens == 0:
+            return []
+        return [self._bill_delivered(active, event.delivered_tokens)]
 
     def _bill_delivered(
         self, active: actives.ActiveRequest, delivered_tokens: int
@@ -307,6 +312,9 @@
     def _drop(
         self, event: lifecycle.CallerGone, now: float
     ) -> list[commands.Command]:
+        cut = self._cut.pop(event.request_id, None)
+        if cut is not None and event.delivered_tokens:
+            return [self._bill_delivered(cut, event.delivered_tokens)]
         active = self._active.pop(event.request_id, None)
         if active is None:
             return []
@@ -352,7 +360,7 @@
         cancel = lifecycle.CancelAttempt(
             active.request.request_id, active.attempt, active.upstream.url
         )
-        return [cancel, *self._refuse(active, failure, now)]
+        return [cancel, *self._refuse(active, failure)]
 
     def _find(
         self, request_id: str, attempt: int
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -39,6 +39,18 @@
     delivered_tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class AnswerCut(events.Event):
+    """The relay gave the caller its final failure.
+
+    Attributes:
+        delivered_tokens: Output tokens that went to the caller before it.
+    """
+
+    request_id: str
+    delivered_tokens: int
+
+
 @dataclasses.dataclass(frozen=True)
 class AttemptProduced(events.Event):
     """The first chunk of an attempt arrived."""
@@ -68,7 +80,7 @@
 
     Attributes:
         code: Failure code that the upstream gave, or empty.
-        chunks: Chunks that were received so far, over all resumes.
+        received: Events that were received so far, over all resumes.
         retry_after_s: When the upstream takes work again, if it said so.
     """
 
@@ -76,7 +88,7 @@
     attempt: int
     end: AttemptEnd
     code: str = ""
-    chunks: int = 0
+    received: int = 0
     retry_after_s: float | None = None
 
 
@@ -106,7 +118,7 @@
     Attributes:
         url: Base URL of the upstream.
         hold: Whether chunks are kept back until the request is finished.
-        resume_from: Number of chunks already received; `None` for a new run.
+        resume_from: Number of events already received; `None` for a new run.
         reason: Why this upstream and version were chosen, for the log.
     """
 
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -127,11 +127,12 @@
             if item == framing.END_MARKER:
                 stream.completed = True
                 break
-            stream.chunks += 1
+            stream.received += 1
             usage = framing.parse_usage(item)
             if usage is not None:
                 stream.usage = usage
-                stream.chunks -= 1
+            elif framing.has_content(item):
+                stream.tokens += 1
             if stream.hold or usage is not None:
                 stream.held.append(item)
                 continue
--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -105,9 +105,21 @@
     return b"%x\r\n%b\r\n" % (len(payload), payload)
 
 
+def has_content(data: str) -> bool:
+    """Tells whether a chunk carries a piece of the answer's text.
+
+    A token is one chunk. Parsing the JSON of each chunk would cost several
+    times the rest of the relay's work, so the text is searched instead.
+    """
+    start = data.find('"content":')
+    if start < 0:
+        return False
+    return not data[start + 10 : start + 14].lstrip().startswith(('""', "nu"))
+
+
 def parse_usage(data: str) -> dict[str, Any] | None:
     """Returns the usage field of a chunk, or `None`."""
-    if '"usage"' not in data:
+    if '"usage"' not in data or '"usage":null' in data:
         return None
     try:
         return json.loads(data).get("usage")
--- /dev/null
+++ b/sycamorehollow/shells/metrics.py
@@ -0,0 +1,55 @@
+"""Metrics, sent by statsd."""
+
+import abc
+
+import statsd
+
+PREFIX = "sycamore"
+
+
+class Meter(abc.ABC):
+    """Takes counts, times and levels."""
+
+    @abc.abstractmethod
+    def count(self, name: str, by: int = 1) -> None:
+        """Adds to a counter."""
+
+    @abc.abstractmethod
+    def time(self, name: str, seconds: float) -> None:
+        """Reports a duration."""
+
+    @abc.abstractmethod
+    def set_level(self, name: str, value: float) -> None:
+        """Reports a level."""
+
+
+class StatsdMeter(Meter):
+    """Sends each figure as a datagram to a statsd server."""
+
+    def __init__(self, host: str, port: int):
+        self._client = statsd.StatsClient(host, port, prefix=PREFIX)
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Adds to a counter."""
+        self._client.incr(name, by)
+
+    def time(self, name: str, seconds: float) -> None:
+        """Reports a duration in milliseconds."""
+        self._client.timing(name, seconds * 1000)
+
+    def set_level(self, name: str, value: float) -> None:
+        """Reports a level."""
+        self._client.gauge(name, value)
+
+
+class NullMeter(Meter):
+    """Drops every figure."""
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Does nothing."""
+
+    def time(self, name: str, seconds: float) -> None:
+        """Does nothing."""
+
+    def set_level(self, name: str, value: float) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/sycamorehollow/shells/pages.py
@@ -0,0 +1,90 @@
+"""Paths that answer from what the process knows, without an upstream."""
+
+from collections.abc import Callable
+import queue
+import re
+from typing import Any
+
+from sycamorehollow.decisions import fence
+from sycamorehollow.model import failures
+from sycamorehollow.shells import exchange as exchanges
+from sycamorehollow.shells import front
+
+
+class ModelsHandler(front.Handler):
+    """Answers `GET /v1/models` with what the workspace may use."""
+
+    method = "GET"
+    pattern = "/v1/models"
+
+    def __init__(self, snapshot: front.Snapshot):
+        self._snapshot = snapshot
+
+    def respond(
+        self, exchange: exchanges.Exchange, match: re.Match[str]
+    ) -> None:
+        """Lists versions, models and cascades."""
+        workspace = self._snapshot.authenticate(
+            exchange.get_header("Authorization")
+        )
+        if isinstance(workspace, failures.Failure):
+            exchange.send_failure(workspace)
+            return
+        current = self._snapshot.current
+        assert current is not None
+        names = set()
+        for version in current.versions.values():
+            if fence.check(current, frozenset(), workspace.name, version.name):
+                continue
+            names.add(version.name)
+            names.add(version.model)
+        for cascade in current.cascades.values():
+            if names.intersection(cascade.steps):
+                names.add(cascade.name)
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "router"}
+            for name in sorted(names)
+        ]
+        exchange.send_json(200, {"object": "list", "data": data})
+
+
+class HealthHandler(front.Handler):
+    """Answers `GET /healthz` for the load balancer."""
+
+    method = "GET"
+    pattern = "/healthz"
+
+    def __init__(self, check: Callable[[], str]):
+        self._check = check
+
+    def respond(
+        self, exchange: exchanges.Exchange, match: re.Match[str]
+    ) -> None:
+        """Sends 200 while the process admits requests, else 503."""
+        problem = self._check()
+        status = 503 if problem else 200
+        exchange.send_json(status, {"state": problem or "ok"})
+
+
+class StatusHandler(front.Handler):
+    """Answers `GET /v1/status` for operators."""
+
+    method = "GET"
+    pattern = "/v1/status"
+
+    def __init__(self, describe: Callable[[], dict[str, Any]]):
+        self._describe = describe
+
+    def respond(
+        self, exchange: exchanges.Exchange, match: re.Match[str]
+    ) -> None:
+        """Sends what is in force here and why."""
+        try:
+            exchange.send_json(200, self._describe())
+        except queue.Empty:
+            exchange.send_failure(
+                failures.Overloaded(
+                    "The router task did not answer in time.",
+                    retry_after_s=1.0,
+                )
+            )
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -106,7 +106,7 @@
     def _take_events(
         self, stream: streams.Stream, batch: engines.Batch
     ) -> None:
-        if batch.events and stream.chunks == 0:
+        if batch.events and stream.received == 0:
             self._report(
                 lifecycle.AttemptProduced(stream.request_id, stream.attempt)
             )
@@ -120,7 +120,6 @@
             self._fail_attempt(stream, self._engines.describe_loss(stream))
 
     def _deliver(self, stream: streams.Stream, data: list[str]) -> None:
-        stream.delivered_chunks += len(data)
         self._callers.append(stream, data)
         self._flush_caller(stream)
 
@@ -156,7 +155,7 @@
                 stream.attempt,
                 loss.end,
                 loss.code,
-                stream.chunks,
+                stream.received,
                 loss.retry_after_s,
             )
         )
@@ -202,8 +201,10 @@
         self._engines.close(stream)
         if not stream.caller.head_requested:
             self._release(stream)
+            self._report(lifecycle.AnswerCut(stream.request_id, 0))
             stream.caller.reply.put(streams.Refusal(command.failure))
             return
+        self._report(lifecycle.AnswerCut(stream.request_id, stream.tokens))
         self._callers.append_failure(stream, command.failure)
         stream.caller.closing = streams.StreamClosed(whole=False)
         self._flush_caller(stream)
@@ -229,9 +230,7 @@
 
     def _drop_caller(self, stream: streams.Stream) -> None:
         self._engines.close(stream)
-        self._report(
-            lifecycle.CallerGone(stream.request_id, stream.delivered_chunks)
-        )
+        self._report(lifecycle.CallerGone(stream.request_id, stream.tokens))
         self._detach(stream, streams.StreamClosed(whole=False))
 
     def _detach(
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -115,8 +115,8 @@
         self.upstream = ""
         self.version = ""
         self.hold = False
-        self.chunks = 0
-        self.delivered_chunks = 0
+        self.received = 0
+        self.tokens = 0
         self.held: list[str] = []
         self.usage: dict[str, Any] | None = None
         self.completed = False
@@ -130,15 +130,16 @@
         self.version = command.version
         self.hold = command.hold or not self.caller.streamed
         if command.resume_from is None:
-            self.chunks = 0
+            self.received = 0
+            self.tokens = 0
             self.held.clear()
             self.usage = None
 
     def count_output_tokens(self) -> int:
         """Returns the output tokens of the answer as far as it is known."""
         if self.usage is not None:
-            return int(self.usage.get("completion_tokens", self.chunks))
-        return self.chunks
+            return int(self.usage.get("completion_tokens", self.tokens))
+        return self.tokens
 
     def count_prompt_tokens(self) -> int:
         """Returns the prompt tokens that the engine reported, or 0."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,170 @@
+"""A small deployment of real processes on loopback."""
+
+import hashlib
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import urllib3
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+API_KEY = "test-key"
+LIFETIME_S = 60
+HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
+
+
+def find_port() -> int:
+    """Returns a free loopback port."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Processes:
+    """Starts binaries and ends exactly those that it started."""
+
+    def __init__(self):
+        self._children: list[subprocess.Popen] = []
+        self._folder = tempfile.TemporaryDirectory()
+
+    def start(self, module: str, *arguments: str) -> tuple[Any, str]:
+        """Starts a binary; returns the process and its URL."""
+        child = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            cwd=ROOT,
+            text=True,
+        )
+        self._children.append(child)
+        assert child.stdout is not None
+        return child, json.loads(child.stdout.readline())["url"]
+
+    def start_stand_in(self, name: str, *settings: str) -> tuple[Any, str]:
+        """Starts a stand-in on a free port."""
+        arguments = ["--set", "server.port=0", "--exit-after", str(LIFETIME_S)]
+        for item in settings:
+            arguments += ["--set", item]
+        return self.start(f"sycamorehollow.standins.{name}", *arguments)
+
+    def start_entry(
+        self, name: str, store: str, data_centre: str = "dc-1", **sections: str
+    ) -> tuple[Any, str]:
+        """Starts an entry router and waits until it is healthy."""
+        path = pathlib.Path(self._folder.name) / f"{name}.ini"
+        path.write_text(
+            f"[process]\nname={name}\naddress=127.0.0.1:{find_port()}\n"
+            f"peer_address=127.0.0.1:{sections.get('peer', find_port())}\n"
+            f"data_centre={data_centre}\nregion=region\n"
+            f"slot={sections.get('slot', '0')}\n"
+            f"slots={sections.get('slots', '1')}\n"
+            f"[store]\nurl={store}\n"
+            f"[peers]\nseeds={sections.get('seeds', '')}\n"
+            f"[vms]\nurl={sections.get('vms', store)}\n"
+            f"[ratings]\nurl={sections.get('ratings', store)}\n"
+            f"[sessions]\nkeys=k1:{'ab' * 32}\n"
+        )
+        child, url = self.start(
+            "sycamorehollow.programs.entry", "--settings", str(path)
+        )
+        wait_for(lambda: HTTP.request("GET", f"{url}/healthz").status == 200)
+        return child, url
+
+    def stop(self) -> None:
+        """Ends every process that was started."""
+        for child in self._children:
+            if child.poll() is None:
+                child.kill()
+            child.wait(10)
+            assert child.stdout is not None
+            child.stdout.close()
+        self._folder.cleanup()
+
+
+def wait_for(check: Any, limit_s: float = 15.0) -> None:
+    """Waits until a check holds.
+
+    Raises:
+        TimeoutError: The check did not hold in time.
+    """
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        try:
+            if check():
+                return
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"{check} did not hold in {limit_s} s")
+
+
+def put_branch(store: str, name: str, branch: dict[str, Any]) -> int:
+    """Writes a branch of the settings tree and returns its revision."""
+    answer = HTTP.request(
+        "PUT",
+        f"{store}/v1/kv/config/{name}",
+        json={"value": json.dumps(branch), "expect": None},
+    )
+    return answer.json()["revision"]
+
+
+def build_platform(engines: dict[str, str], **changes: Any) -> dict[str, Any]:
+    """Returns a platform branch with one model and the given engines."""
+    upstreams = {
+        name: {
+            "url": url,
+            "data_centre": "dc-1",
+            "versions": ["small-1", "large-1"],
+            "capacity_tokens": 100_000,
+            "bearable": 4,
+            "checks_fence": True,
+            "presence": "in",
+        }
+        for name, url in engines.items()
+    }
+    return {
+        "nonce": "platform",
+        "models": {
+            "atlas": {
+                "versions": {
+                    "small-1": {
+                        "prompt_price": 1000,
+                        "output_price": 2000,
+                        "state": "serving",
+                    },
+                    "large-1": {
+                        "prompt_price": 5000,
+                        "output_price": 9000,
+                        "state": "serving",
+                    },
+                }
+            }
+        },
+        "data_centres": {"dc-1": {"region": "region", "presence": "in"}},
+        "upstreams": upstreams,
+        "services": {},
+        **changes,
+    }
+
+
+def build_team(**changes: Any) -> dict[str, Any]:
+    """Returns a team branch with one workspace."""
+    workspace = {
+        "key_hashes": [hashlib.sha256(API_KEY.encode()).hexdigest()],
+        "versions": ["small-1"],
+        "services": [],
+        "weight": 1,
+        "kinds": {},
+        **changes,
+    }
+    return {
+        "nonce": "team",
+        "workspaces": {"maps": workspace},
+        "cascades": {},
+        "rollouts": {},
+    }
