Pass event blocks through the relay without parsing each event

Cause: a profile of the relay with 300 streams at 20 events/s showed that parsing every event took a third of its processor time. Change: blocks without usage or end marker are passed on as received; only the end of an answer is parsed. Answers that were held back are parsed by the worker that sends them, not by the relay. Ruled out: the selector and the sockets; their calls took under 30%.

--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -64,14 +64,14 @@
     """An attempt gave a whole answer.
 
     Attributes:
-        answer: Text of the answer when the attempt was held back, else empty.
+        answer: Events of the answer when the attempt was held, else empty.
     """
 
     request_id: str
     attempt: int
     prompt_tokens: int
     output_tokens: int
-    answer: str = ""
+    answer: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,13 +167,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestRating(commands.Command):
-    """Ask the rating service for the quality of an answer."""
+    """Ask the rating service for the quality of an answer.
+
+    Attributes:
+        answer: Events of the answer.
+    """
 
     request_id: str
     workspace: str
     kind: str
     version: str
-    answer: str
+    answer: bytes
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -62,21 +62,21 @@
         self._set_mask(stream, selectors.EVENT_WRITE)
         return False
 
-    def append(self, stream: streams.Stream, data: list[str]) -> None:
+    def append(self, stream: streams.Stream, block: bytes) -> None:
         """Adds events to the buffer of the caller."""
-        payload = b"".join([framing.encode_event(item) for item in data])
-        stream.caller.buffer += framing.encode_chunk(payload)
+        stream.caller.buffer += framing.encode_chunk(block)
 
-    def append_end(self, stream: streams.Stream, session: str) -> None:
+    def append_end(self, stream: streams.Stream) -> None:
         """Adds the held events and the end marker."""
-        self.append(stream, [*stream.held, framing.END_MARKER])
+        end = framing.encode_event(framing.END_MARKER)
+        self.append(stream, stream.join_held() + end)
 
     def append_failure(
         self, stream: streams.Stream, failure: failures.Failure
     ) -> None:
         """Adds the event that ends a truncated answer."""
         body = json.dumps(streams.build_failure_body(failure))
-        self.append(stream, [body])
+        self.append(stream, framing.encode_event(body))
 
     def flush(self, stream: streams.Stream, now: float) -> bool:
         """Writes what the socket takes.
--- a/sycamorehollow/shells/chat.py
+++ b/sycamorehollow/shells/chat.py
@@ -92,7 +92,7 @@
                 request, message.upstream, message.version, message.session
             )
             exchange.send_json(
-                200, completions.build_completion(message.events), headers
+                200, completions.build_completion(message.block), headers
             )
             return
 
--- a/sycamorehollow/shells/completions.py
+++ b/sycamorehollow/shells/completions.py
@@ -3,16 +3,27 @@
 import json
 from typing import Any
 
+from sycamorehollow.shells import framing
 
-def build_completion(events: list[str]) -> dict[str, Any]:
+
+def join_text(block: bytes) -> str:
+    """Returns the text of the answer in a block of events."""
+    parts = []
+    for data in framing.parse_events(block):
+        for choice in json.loads(data).get("choices", ()):
+            parts.append(choice.get("delta", {}).get("content") or "")
+    return "".join(parts)
+
+
+def build_completion(block: bytes) -> dict[str, Any]:
     """Returns the chat completion that the chunks add up to.
 
     Args:
-        events: Data fields of the chunks, in order.
+        block: All events of the answer but the end marker.
     """
     completion: dict[str, Any] = {"object": "chat.completion", "choices": []}
     choices: dict[int, dict[str, Any]] = {}
-    for data in events:
+    for data in framing.parse_events(block):
         chunk = json.loads(data)
         for name in ("id", "created", "model", "usage"):
             if chunk.get(name) is not None:
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -32,10 +32,11 @@
     """Events that were received together.
 
     Attributes:
+        block: Whole events as they were received.
         closed: Whether the response or the connection is over.
     """
 
-    events: list[str]
+    block: bytes
     closed: bool
 
 
@@ -105,39 +106,50 @@
         try:
             data = engine.sock.recv(READ_BYTES)
         except BlockingIOError:
-            return Batch([], closed=False)
+            return Batch(b"", closed=False)
         if not data:
-            return Batch([], closed=True)
+            return Batch(b"", closed=True)
         engine.last_progress = now
         body = engine.response.feed(data)
         closed = engine.response.complete
         if engine.response.status != 200:
             engine.append_error_body(body)
-            return Batch([], closed)
-        return Batch(engine.events.feed(body) if body else [], closed)
+            return Batch(b"", closed)
+        return Batch(engine.events.feed(body) if body else b"", closed)
 
-    def keep(self, stream: streams.Stream, data: list[str]) -> list[str]:
+    def keep(self, stream: streams.Stream, block: bytes) -> bytes:
         """Counts events and returns those that may go to the caller now.
 
         The usage chunk and the end marker stay back until the request is
         finished, so that no answer looks whole before its bill is safe.
         """
+        if framing.needs_parsing(block):
+            block = self._keep_end(stream, block)
+        else:
+            stream.received += framing.count_events(block)
+            stream.tokens += framing.count_tokens(block)
+        if not stream.hold:
+            return block
+        if block:
+            stream.held.append(block)
+        return b""
+
+    def _keep_end(self, stream: streams.Stream, block: bytes) -> bytes:
         forward = []
-        for item in data:
+        for item in framing.parse_events(block):
             if item == framing.END_MARKER:
                 stream.completed = True
                 break
             stream.received += 1
+            event = framing.encode_event(item)
             usage = framing.parse_usage(item)
-            if usage is not None:
-                stream.usage = usage
-            elif framing.has_content(item):
-                stream.tokens += 1
-            if stream.hold or usage is not None:
-                stream.held.append(item)
+            if usage is None:
+                stream.tokens += framing.count_tokens(event)
+                forward.append(event)
                 continue
-            forward.append(item)
-        return forward
+            stream.usage = usage
+            stream.end = event
+        return b"".join(forward)
 
     def pause(self, stream: streams.Stream, paused: bool, now: float) -> None:
         """Stops or restarts reading from the engine."""
--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -11,21 +11,50 @@
 
 
 class EventReader:
-    """Splits a byte stream into server-sent events."""
+    """Cuts a byte stream after whole server-sent events."""
 
     def __init__(self):
         self._tail = b""
 
-    def feed(self, data: bytes) -> list[str]:
-        """Returns the data fields of the events that are complete now."""
+    def feed(self, data: bytes) -> bytes:
+        """Returns the events that are whole now, as they were received."""
         tail = self._tail + data
-        end = max(tail.rfind(b"\n\n") + 2, tail.rfind(b"\r\n\r\n") + 4)
-        if end < 4 and not tail.endswith(b"\n\n"):
-            self._tail = tail
-            return []
+        end = tail.rfind(b"\n\n") + 2
+        if end < 2:
+            end = tail.rfind(b"\r\n\r\n") + 4
+            if end < 4:
+                self._tail = tail
+                return b""
         self._tail = tail[end:]
-        client = sseclient.SSEClient(iter([tail[:end]]))
-        return [event.data for event in client.events()]
+        return tail[:end]
+
+
+def parse_events(block: bytes) -> list[str]:
+    """Returns the data fields of the events in a block."""
+    client = sseclient.SSEClient(iter([block]))
+    return [event.data for event in client.events()]
+
+
+def needs_parsing(block: bytes) -> bool:
+    """Tells whether a block may hold the usage or the end marker.
+
+    Other blocks are passed on as they are: parsing each of them took a third
+    of the relay's processor time.
+    """
+    return b"[DONE]" in block or b'"usage":' in block or b"\r" in block
+
+
+def count_events(block: bytes) -> int:
+    """Returns the number of events in a block that needs no parsing."""
+    return block.count(b"\n\n")
+
+
+def count_tokens(block: bytes) -> int:
+    """Returns the number of chunks that carry text; a chunk is a token."""
+    found = block.count(b'"content":')
+    for empty in (b'"content":""', b'"content": ""', b'"content":null'):
+        found -= block.count(empty)
+    return found
 
 
 class ResponseReader:
@@ -105,18 +134,6 @@
     return b"%x\r\n%b\r\n" % (len(payload), payload)
 
 
-def has_content(data: str) -> bool:
-    """Tells whether a chunk carries a piece of the answer's text.
-
-    A token is one chunk. Parsing the JSON of each chunk would cost several
-    times the rest of the relay's work, so the text is searched instead.
-    """
-    start = data.find('"content":')
-    if start < 0:
-        return False
-    return not data[start + 10 : start + 14].lstrip().startswith(('""', "nu"))
-
-
 def parse_usage(data: str) -> dict[str, Any] | None:
     """Returns the usage field of a chunk, or `None`."""
     if '"usage"' not in data or '"usage":null' in data:
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -106,11 +106,13 @@
     def _take_events(
         self, stream: streams.Stream, batch: engines.Batch
     ) -> None:
-        if batch.events and stream.received == 0:
+        if batch.block and stream.received == 0:
             self._report(
                 lifecycle.AttemptProduced(stream.request_id, stream.attempt)
             )
-        forward = self._engines.keep(stream, batch.events)
+        forward = b""
+        if batch.block:
+            forward = self._engines.keep(stream, batch.block)
         if forward:
             self._deliver(stream, forward)
         if stream.completed:
@@ -119,8 +121,8 @@
         if batch.closed:
             self._fail_attempt(stream, self._engines.describe_loss(stream))
 
-    def _deliver(self, stream: streams.Stream, data: list[str]) -> None:
-        self._callers.append(stream, data)
+    def _deliver(self, stream: streams.Stream, block: bytes) -> None:
+        self._callers.append(stream, block)
         self._flush_caller(stream)
 
     def _flush_caller(self, stream: streams.Stream) -> None:
@@ -135,8 +137,7 @@
 
     def _complete_attempt(self, stream: streams.Stream) -> None:
         self._engines.close(stream)
-        hold = stream.hold
-        answer = streams.join_answer(stream.held) if hold else ""
+        answer = stream.join_held() if stream.hold else b""
         self._report(
             lifecycle.AttemptCompleted(
                 stream.request_id,
@@ -217,14 +218,14 @@
             self._release(stream)
             stream.caller.reply.put(
                 streams.WholeAnswer(
-                    stream.held,
+                    stream.join_held(),
                     command.upstream,
                     command.version,
                     command.session,
                 )
             )
             return
-        self._callers.append_end(stream, command.session)
+        self._callers.append_end(stream)
         stream.caller.closing = streams.StreamClosed(whole=True)
         self._flush_caller(stream)
 
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -37,10 +37,10 @@
     """Gives the HTTP worker a whole answer that was held back.
 
     Attributes:
-        events: Data fields of the chunks, in order.
+        block: All events of the answer but the end marker.
     """
 
-    events: list[str]
+    block: bytes
     upstream: str
     version: str
     session: str
@@ -117,7 +117,8 @@
         self.hold = False
         self.received = 0
         self.tokens = 0
-        self.held: list[str] = []
+        self.held: list[bytes] = []
+        self.end = b""
         self.usage: dict[str, Any] | None = None
         self.completed = False
 
@@ -133,8 +134,13 @@
             self.received = 0
             self.tokens = 0
             self.held.clear()
+            self.end = b""
             self.usage = None
 
+    def join_held(self) -> bytes:
+        """Returns the events that were held back, with the usage."""
+        return b"".join([*self.held, self.end])
+
     def count_output_tokens(self) -> int:
         """Returns the output tokens of the answer as far as it is known."""
         if self.usage is not None:
@@ -159,12 +165,3 @@
             "retry_after_s": failure.retry_after_s,
         }
     }
-
-
-def join_answer(events: list[str]) -> str:
-    """Returns the text of the chunks of an answer."""
-    parts = []
-    for data in events:
-        for choice in json.loads(data).get("choices", ()):
-            parts.append(choice.get("delta", {}).get("content") or "")
-    return "".join(parts)
