Report cascade faults once, at the cascade that holds them

A shared step was walked once per path to it, which takes exponential time for nested cascades, and its fault was reported under every cascade above. Results are now kept per cascade, and nesting has an exact limit.

--- a/sycamorehollow/settings/tree.py
+++ b/sycamorehollow/settings/tree.py
@@ -202,6 +202,7 @@
         self._team = team
         self._branch = branch
         self._resolved: dict[str, list[str]] = {}
+        self._depths: dict[str, int] = {}
 
     def read(self) -> None:
         """Converts every entry that has no fault."""
@@ -262,34 +263,36 @@
         path = f"cascades.{name}"
         if not self._claim("cascade", name, path):
             return
-        steps = self._flatten(name, (name,), path)
+        steps = self._flatten(name, (name,))
         if steps:
             self.cascades[name] = deployment.Cascade(
                 name, self._team, tuple(steps)
             )
 
-    def _flatten(
-        self, name: str, trail: tuple[str, ...], path: str
-    ) -> list[str]:
+    def _flatten(self, name: str, trail: tuple[str, ...]) -> list[str]:
         # Without the memory, nested cascades take exponential time.
         if name in self._resolved:
             return self._resolved[name]
         steps: list[str] = []
+        depth = 0
         for step in self._branch.cascades[name].steps:
             reason = ""
             if step in trail:
                 cycle = " -> ".join((*trail, step))
                 reason = f"the cascade is a cycle: {cycle}"
-            elif len(trail) > MAX_NESTING:
-                reason = f"cascades nest more than {MAX_NESTING} deep"
             elif step in self._branch.cascades:
-                steps.extend(self._flatten(step, (*trail, step), path))
+                if len(trail) <= MAX_NESTING:
+                    steps.extend(self._flatten(step, (*trail, step)))
+                depth = max(depth, self._depths.get(step, MAX_NESTING) + 1)
+                if depth > MAX_NESTING:
+                    reason = f"cascades nest more than {MAX_NESTING} deep"
             elif self._context.find_missing("version", [step]):
                 reason = f"no version or cascade is named {step}"
             else:
                 steps.append(step)
             if reason:
-                self._fault(f"{path}.steps", reason)
+                self._fault(f"cascades.{name}.steps", reason)
+        self._depths[name] = depth
         self._resolved[name] = list(dict.fromkeys(steps))
         return self._resolved[name]
 
