--- /dev/null
+++ b/sycamorehollow/settings/process.py
@@ -0,0 +1,247 @@
+"""The INI settings of an entry process."""
+
+from collections.abc import Mapping
+import configparser
+import dataclasses
+import ipaddress
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import TypeAlias
+import urllib.parse
+
+import pydantic
+
+# An HMAC-SHA256 key shorter than the hash weakens the signature.
+MIN_KEY_BYTES = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A setting that is missing or wrong.
+
+    Attributes:
+        section: Section of the INI file; empty for a fault of the whole file.
+        key: Key in the section; empty for a fault of the whole section.
+        value: What was found; empty for a missing setting or a secret.
+        expectation: What is expected instead.
+    """
+
+    section: str
+    key: str
+    value: str
+    expectation: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}] {self.key}".strip()
+        return f"{place} = {self.value!r}: {self.expectation}"
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        known = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    except ValueError:
+        known = False
+    if not known:
+        raise ValueError("expected an IP address and a port as in 10.0.0.1:80")
+    return value
+
+
+def _check_url(value: str) -> str:
+    parts = urllib.parse.urlsplit(value)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError("expected a URL as in http://10.0.0.1:80")
+    return value.rstrip("/")
+
+
+def _split(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    return [part.strip() for part in value.split(",") if part.strip()]
+
+
+def _read_keys(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    keys: dict[str, bytes] = {}
+    for entry in _split(value):
+        key_id, colon, digits = entry.partition(":")
+        key_id = key_id.strip()
+        try:
+            secret = bytes.fromhex(digits)
+        except ValueError:
+            secret = b""
+        if not colon or not key_id or len(secret) < MIN_KEY_BYTES:
+            raise ValueError(
+                "expected id:hex, id:hex with at least"
+                f" {MIN_KEY_BYTES} bytes in each key"
+            )
+        if key_id in keys:
+            raise ValueError(f"expected each id once, found {key_id} twice")
+        keys[key_id] = secret
+    return keys
+
+
+Address: TypeAlias = Annotated[str, pydantic.AfterValidator(_check_address)]
+Url: TypeAlias = Annotated[str, pydantic.AfterValidator(_check_url)]
+Name: TypeAlias = Annotated[str, pydantic.Field(min_length=1)]
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, hide_input_in_errors=True
+    )
+
+
+class ProcessSection(_Section):
+    """Identity and addresses of the process.
+
+    Attributes:
+        name: Name of the process in logs and status.
+        address: Host and port of the HTTP front end.
+        peer_address: Host and port for other entry processes.
+        data_centre: Name of the own data centre.
+        region: Name of the own region.
+        slot: Number of this process among the slots of the data centre.
+        slots: Number of slots of the data centre.
+    """
+
+    name: Name
+    address: Address
+    peer_address: Address
+    data_centre: Name
+    region: Name
+    slot: int = pydantic.Field(ge=0)
+    slots: int = pydantic.Field(ge=1)
+
+    @pydantic.model_validator(mode="after")
+    def _check_slot(self) -> "ProcessSection":
+        if self.slot >= self.slots:
+            raise ValueError("expected slot to be lower than slots")
+        return self
+
+
+class UrlSection(_Section):
+    """A service of the platform."""
+
+    url: Url
+
+
+class PeersSection(_Section):
+    """Other entry processes to contact first."""
+
+    seeds: Annotated[list[Address], pydantic.BeforeValidator(_split)] = []
+
+
+class SessionsSection(_Section):
+    """Key ring of session tokens; the first key signs."""
+
+    keys: Annotated[
+        dict[str, bytes],
+        pydantic.BeforeValidator(_read_keys),
+        pydantic.Field(min_length=1),
+    ]
+
+
+class MetricsSection(_Section):
+    """The statsd server."""
+
+    host: Name = "127.0.0.1"
+    port: int = pydantic.Field(default=8125, ge=1, le=65535)
+
+
+class LogsSection(_Section):
+    """Logging."""
+
+    level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class Settings(_Section):
+    """Every setting of an entry process."""
+
+    process: ProcessSection
+    store: UrlSection
+    peers: PeersSection = PeersSection()
+    vms: UrlSection
+    ratings: UrlSection
+    sessions: SessionsSection
+    metrics: MetricsSection = MetricsSection()
+    logs: LogsSection = LogsSection()
+
+
+def read_settings(path: str) -> Settings | list[Fault]:
+    """Reads and validates an INI file.
+
+    Returns:
+        The settings, or every fault of the file.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return [Fault("", "", path, f"expected a readable file: {error}")]
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings | list[Fault]:
+    """Validates the content of an INI file.
+
+    Returns:
+        The settings, or every fault of the content.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        reason = " ".join(str(error).split())
+        return [Fault("", "", "", f"expected an INI file: {reason}")]
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    if parser.defaults():
+        sections["DEFAULT"] = dict(parser.defaults())
+    try:
+        return Settings.model_validate(sections)
+    except pydantic.ValidationError as error:
+        return [
+            _read_fault(sections, entry) for entry in _expand(sections, error)
+        ]
+
+
+def _expand(
+    sections: Mapping[str, Mapping[str, str]], error: pydantic.ValidationError
+) -> list[Any]:
+    """Returns the errors, with a missing section as its missing keys."""
+    entries: list[Any] = []
+    for entry in error.errors(include_input=False):
+        name = str(entry["loc"][0])
+        if len(entry["loc"]) > 1 or entry["type"] != "missing":
+            entries.append(entry)
+            continue
+        section = Settings.model_fields[name].annotation
+        try:
+            assert section is not None
+            section.model_validate({})
+        except pydantic.ValidationError as inner:
+            for missing in inner.errors(include_input=False):
+                missing["loc"] = (name, *missing["loc"])
+                entries.append(missing)
+    return entries
+
+
+def _read_fault(sections: Mapping[str, Mapping[str, str]], entry: Any) -> Fault:
+    location = [str(part) for part in entry["loc"]]
+    section = location[0]
+    key = location[1] if len(location) > 1 else ""
+    value = sections.get(section, {}).get(key, "")
+    if section == "sessions" and value:
+        value = "(secret)"
+    if section == "process" and not key:
+        key, value = "slot", sections[section].get("slot", "")
+    if entry["type"] == "missing":
+        return Fault(section, key, "", "expected a value, it is missing")
+    if entry["type"] == "extra_forbidden":
+        what = "key" if key else "section"
+        return Fault(section, key, value, f"unknown {what}, expected none")
+    message = str(entry["msg"]).removeprefix("Value error, ")
+    return Fault(section, key, value, message)
