--- /dev/null
+++ b/sycamorehollow/shells/stores.py
@@ -0,0 +1,196 @@
+"""Interface of a client of the platform's key-value store."""
+
+import abc
+import dataclasses
+from typing import ClassVar
+
+from sycamorehollow.model import failures
+
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """A stored value."""
+
+    key: str
+    value: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Absent:
+    """The key has no value."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """A write took effect at a revision."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Deleted:
+    """The key has no value any more."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """The values under a prefix, ordered by key.
+
+    Attributes:
+        items: The values.
+        revision: Store revision at which the list was taken.
+    """
+
+    items: tuple[Found, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One change of a key; `value` is `None` after a deletion."""
+
+    key: str
+    value: str | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """What a watch reported; `changes` is empty when its timeout passed.
+
+    Attributes:
+        changes: Changes in the order of their revisions.
+        revision: Revision to pass as `after` in the next watch.
+    """
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """A granted or renewed lease."""
+
+    lease: str
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Released:
+    """A lease that has ended."""
+
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Unreachable(failures.Failure):
+    """No byte of the call was sent, so it has no effect."""
+
+    code: ClassVar[str] = "store_unreachable"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class InDoubt(failures.Failure):
+    """The response is missing; a write may have taken effect."""
+
+    code: ClassVar[str] = "store_in_doubt"
+    status: ClassVar[int] = 503
+
+    run: failures.Run = failures.Run.UNKNOWN
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflict(failures.Failure):
+    """The key is not at the expected revision, so nothing was written.
+
+    Attributes:
+        revision: Current revision of the key; 0 when it has no value.
+        value: Current value, or `None` when the key has no value.
+    """
+
+    code: ClassVar[str] = "store_conflict"
+    status: ClassVar[int] = 409
+
+    revision: int = 0
+    value: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class RateLimited(failures.Failure):
+    """The store refused the call, so it has no effect."""
+
+    code: ClassVar[str] = "store_rate_limited"
+    status: ClassVar[int] = 429
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseGone(failures.Failure):
+    """The lease does not exist or has expired."""
+
+    code: ClassVar[str] = "lease_gone"
+    status: ClassVar[int] = 404
+
+
+CallFailure = Unreachable | InDoubt | RateLimited
+
+
+class Store(abc.ABC):
+    """A client of the store; every call returns a result or a failure."""
+
+    @abc.abstractmethod
+    def read(self, key: str) -> Found | Absent | CallFailure:
+        """Returns the value of a key."""
+
+    @abc.abstractmethod
+    def write(
+        self, key: str, value: str, expect: int | None, lease: str = ""
+    ) -> Written | Conflict | CallFailure:
+        """Writes a value by compare-and-swap.
+
+        Args:
+            key: Key of the value.
+            value: New value, at most 1 MB.
+            expect: Revision that the key must have; 0 creates the key if it
+                is absent and `None` writes at any revision.
+            lease: Lease that the value ends with; empty for none.
+        """
+
+    @abc.abstractmethod
+    def delete(
+        self, key: str, expect: int | None = None
+    ) -> Deleted | Conflict | CallFailure:
+        """Deletes a key, at any revision if `expect` is `None`."""
+
+    @abc.abstractmethod
+    def list_range(self, prefix: str) -> Listing | CallFailure:
+        """Returns all values whose keys start with a prefix."""
+
+    @abc.abstractmethod
+    def watch(
+        self, prefix: str, after: int, timeout_s: float
+    ) -> Changes | CallFailure:
+        """Waits for changes under a prefix.
+
+        Args:
+            prefix: Start of the keys to report.
+            after: Only changes with a higher revision are reported.
+            timeout_s: Longest wait in seconds.
+        """
+
+    @abc.abstractmethod
+    def grant_lease(self, ttl_s: float) -> Lease | CallFailure:
+        """Creates a lease that ends after `ttl_s` seconds unless renewed."""
+
+    @abc.abstractmethod
+    def renew_lease(self, lease: str) -> Lease | LeaseGone | CallFailure:
+        """Starts the lifetime of a lease afresh."""
+
+    @abc.abstractmethod
+    def release_lease(self, lease: str) -> Released | LeaseGone | CallFailure:
+        """Ends a lease and deletes the values that are tied to it."""
