Add the HTTP client of the store

A failed connection attempt is reported as unreachable, everything that goes wrong after the request may have left as in doubt, and a typed refusal as without effect. The client never repeats a call by itself, because a repeat of a write that took effect would look like a lost race. The time limit covers the whole body: a socket timeout alone restarts with each byte.

A write under an ended lease gives a conflict with an absent key, since the interface has no other failure for it and the tied value has ended as well.

--- /dev/null
+++ b/sycamorehollow/shells/storeclient.py
@@ -0,0 +1,317 @@
+"""HTTP client of the platform's key-value store."""
+
+import dataclasses
+import json
+import time
+from typing import Any
+import urllib.parse
+
+import urllib3
+
+from sycamorehollow.model import failures
+from sycamorehollow.shells import stores
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+# A watch that is overdue by more than this is on a silent connection.
+WATCH_MARGIN_S = 3.0
+# Idle connections that are kept; a watch holds one for its whole length.
+MAX_IDLE_CONNECTIONS = 8
+# A range holds many values of up to 1 MB each.
+MAX_RESPONSE_BYTES = 256 * 1024 * 1024
+CHUNK_BYTES = 256 * 1024
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Response:
+    status: int
+    document: dict[str, Any]
+    retry_after_s: float
+
+
+class StoreClient(stores.Store):
+    """Calls the store over HTTP; safe to use from several threads.
+
+    A call is never repeated here: whether a repeat is safe is known only to
+    the caller.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ):
+        self._call_timeout_s = call_timeout_s
+        self._connect_timeout_s = connect_timeout_s
+        self._path = urllib.parse.urlsplit(url).path.rstrip("/")
+        self._pool = urllib3.connection_from_url(
+            url, maxsize=MAX_IDLE_CONNECTIONS, retries=False
+        )
+        # The store does not repeat the lifetime when it renews a lease.
+        self._lifetimes_s: dict[str, float] = {}
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+    def read(
+        self, key: str
+    ) -> stores.Found | stores.Absent | stores.CallFailure:
+        """Returns the value of a key."""
+        answer = self._call("GET", _key_path(key))
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 404:
+            return stores.Absent(key)
+        if answer.status != 200:
+            return _judge(answer)
+        return _read_item(answer.document | {"key": key})
+
+    def write(
+        self, key: str, value: str, expect: int | None, lease: str = ""
+    ) -> stores.Written | stores.Conflict | stores.CallFailure:
+        """Writes a value by compare-and-swap.
+
+        A lease that has ended gives a conflict with an absent key, because
+        the value that was tied to it has ended as well.
+        """
+        body = {"value": value, "expect": expect, "lease": lease or None}
+        answer = self._call("PUT", _key_path(key), body=body)
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 409:
+            return _read_conflict(key, answer)
+        if answer.status == 404:
+            return stores.Conflict(f"the lease {lease} of {key} has ended")
+        if answer.status != 200:
+            return _judge(answer)
+        revision = answer.document.get("revision")
+        if not isinstance(revision, int):
+            return stores.InDoubt("the response of a write has no revision")
+        return stores.Written(revision)
+
+    def delete(
+        self, key: str, expect: int | None = None
+    ) -> stores.Deleted | stores.Conflict | stores.CallFailure:
+        """Deletes a key, at any revision if `expect` is `None`."""
+        query = {} if expect is None else {"expect": expect}
+        answer = self._call("DELETE", _key_path(key), query)
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 409:
+            return _read_conflict(key, answer)
+        if answer.status in (200, 404):
+            return stores.Deleted(key)
+        return _judge(answer)
+
+    def list_range(self, prefix: str) -> stores.Listing | stores.CallFailure:
+        """Returns all values whose keys start with a prefix."""
+        answer = self._call("GET", "/v1/range", {"prefix": prefix})
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status != 200:
+            return _judge(answer)
+        try:
+            items = [_read_item(item) for item in answer.document["items"]]
+            revision = int(answer.document["revision"])
+        except (KeyError, TypeError, ValueError):
+            return stores.InDoubt("the response of a range is malformed")
+        found = [item for item in items if isinstance(item, stores.Found)]
+        if len(found) != len(items):
+            return stores.InDoubt("the response of a range is malformed")
+        found.sort(key=lambda item: item.key)
+        return stores.Listing(tuple(found), revision)
+
+    def watch(
+        self, prefix: str, after: int, timeout_s: float
+    ) -> stores.Changes | stores.CallFailure:
+        """Waits for changes under a prefix.
+
+        A failure may mean that the store no longer holds the changes after
+        `after`; the caller reads the range before it watches again.
+        """
+        query = {"prefix": prefix, "after": after, "timeout": timeout_s}
+        limit_s = timeout_s + WATCH_MARGIN_S
+        answer = self._call("GET", "/v1/watch", query, limit_s=limit_s)
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status != 200:
+            return _judge(answer)
+        try:
+            changes = [
+                stores.Change(
+                    str(event["key"]),
+                    None
+                    if event["value"] is None
+                    else _read_text(event["value"]),
+                    int(event["revision"]),
+                )
+                for event in answer.document["events"]
+            ]
+            revision = int(answer.document["revision"])
+        except (KeyError, TypeError, ValueError):
+            return stores.InDoubt("the response of a watch is malformed")
+        changes.sort(key=lambda change: change.revision)
+        return stores.Changes(tuple(changes), revision)
+
+    def grant_lease(self, ttl_s: float) -> stores.Lease | stores.CallFailure:
+        """Creates a lease that ends after `ttl_s` seconds unless renewed."""
+        answer = self._call("POST", "/v1/leases", body={"ttl_s": ttl_s})
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status != 200 or "lease" not in answer.document:
+            return _judge(answer)
+        lease = str(answer.document["lease"])
+        self._lifetimes_s[lease] = ttl_s
+        return stores.Lease(lease, ttl_s)
+
+    def renew_lease(
+        self, lease: str
+    ) -> stores.Lease | stores.LeaseGone | stores.CallFailure:
+        """Starts the lifetime of a lease afresh.
+
+        For a lease that another client was granted, `ttl_s` is 0.
+        """
+        answer = self._call("PUT", _lease_path(lease))
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 404:
+            self._lifetimes_s.pop(lease, None)
+            return stores.LeaseGone(f"the lease {lease} has ended")
+        if answer.status != 200:
+            return _judge(answer)
+        return stores.Lease(lease, self._lifetimes_s.get(lease, 0.0))
+
+    def release_lease(
+        self, lease: str
+    ) -> stores.Released | stores.LeaseGone | stores.CallFailure:
+        """Ends a lease and deletes the values that are tied to it."""
+        answer = self._call("DELETE", _lease_path(lease))
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status in (200, 404):
+            self._lifetimes_s.pop(lease, None)
+        if answer.status == 404:
+            return stores.LeaseGone(f"the lease {lease} has ended")
+        if answer.status != 200:
+            return _judge(answer)
+        return stores.Released(lease)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any] | None = None,
+        body: dict[str, Any] | None = None,
+        limit_s: float | None = None,
+    ) -> _Response | stores.Unreachable | stores.InDoubt:
+        limit_s = limit_s or self._call_timeout_s
+        deadline = time.monotonic() + limit_s
+        target = self._path + path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        try:
+            response = self._pool.urlopen(
+                method,
+                target,
+                body=None if body is None else json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                timeout=urllib3.Timeout(self._connect_timeout_s, limit_s),
+            )
+            return _read_response(response, deadline)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            reason = f"the store cannot be reached: {error}"
+            return stores.Unreachable(reason, retry_after_s=RETRY_AFTER_S)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            reason = f"the response of the store is missing: {error}"
+            return stores.InDoubt(reason, retry_after_s=RETRY_AFTER_S)
+
+
+def _read_response(
+    response: urllib3.BaseHTTPResponse, deadline: float
+) -> _Response:
+    """Reads the whole response.
+
+    Raises:
+        ValueError: If the response is late, too large or no JSON object.
+    """
+    chunks = []
+    size = 0
+    try:
+        # The socket timeout restarts with each byte that arrives.
+        while chunk := response.read1(CHUNK_BYTES):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_RESPONSE_BYTES:
+                raise ValueError("the response is too large")
+            if time.monotonic() > deadline:
+                raise ValueError("the response takes too long")
+        document = json.loads(b"".join(chunks) or b"{}")
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    if not isinstance(document, dict):
+        raise ValueError("the response is no JSON object")
+    try:
+        retry_after_s = float(response.headers.get("Retry-After", ""))
+    except ValueError:
+        retry_after_s = RETRY_AFTER_S
+    return _Response(response.status, document, retry_after_s)
+
+
+def _judge(answer: _Response) -> stores.RateLimited | stores.InDoubt:
+    """Returns the failure of a response that is no success."""
+    error = answer.document.get("error")
+    detail = error if isinstance(error, dict) else {}
+    reason = f"the store answered {answer.status}: {detail.get('message', '')}"
+    if answer.status == 429:
+        return stores.RateLimited(reason, retry_after_s=answer.retry_after_s)
+    if detail.get("run") == "no" or 400 <= answer.status < 500:
+        # The call has no effect; a repeat of a malformed one cannot succeed.
+        again = answer.retry_after_s if answer.status >= 500 else None
+        return stores.RateLimited(reason, retry_after_s=again)
+    return stores.InDoubt(reason, retry_after_s=answer.retry_after_s)
+
+
+def _read_item(item: dict[str, Any]) -> stores.Found | stores.InDoubt:
+    key, value = item.get("key"), item.get("value")
+    revision = item.get("revision")
+    if not isinstance(key, str) or not isinstance(revision, int):
+        return stores.InDoubt("an item of the store is malformed")
+    return stores.Found(key, _read_text(value), revision)
+
+
+def _read_text(value: Any) -> str:
+    """Returns a value as text; other clients may store JSON as such."""
+    return value if isinstance(value, str) else json.dumps(value)
+
+
+def _read_conflict(
+    key: str, answer: _Response
+) -> stores.Conflict | stores.InDoubt:
+    revision = answer.document.get("revision")
+    value = answer.document.get("value")
+    if not isinstance(revision, int):
+        return stores.InDoubt("a conflict of the store is malformed")
+    return stores.Conflict(
+        f"{key} is at revision {revision}",
+        revision=revision,
+        value=None if value is None else _read_text(value),
+    )
+
+
+def _key_path(key: str) -> str:
+    return "/v1/kv/" + urllib.parse.quote(key, safe="/")
+
+
+def _lease_path(lease: str) -> str:
+    return "/v1/leases/" + urllib.parse.quote(lease, safe="")
--- /dev/null
+++ b/tests/test_storeclient.py
@@ -0,0 +1,225 @@
+"""Tests of the HTTP client of the store."""
+
+import json
+import socket
+import threading
+import time
+import unittest
+
+from sycamorehollow.shells import storeclient
+from sycamorehollow.shells import stores
+
+
+def reply(status, document, headers=""):
+    """Formats a response."""
+    body = json.dumps(document).encode()
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}"
+    return head.encode() + b"\r\n" + body
+
+
+class ScriptedServer:
+    """Sends one prepared response per request and records the requests."""
+
+    def __init__(self, case):
+        self.requests = []
+        self.responses = []
+        self.pause_s = 0.0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = "http://127.0.0.1:%d" % self._listener.getsockname()[1]
+        case.addCleanup(self._listener.close)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        try:
+            self._answer(connection)
+        except OSError:
+            return  # The client gave the connection up.
+
+    def _answer(self, connection):
+        with connection, connection.makefile("rb") as stream:
+            while line := stream.readline():
+                size = 0
+                while (header := stream.readline()) not in (b"\r\n", b""):
+                    name, _, value = header.partition(b":")
+                    if name.lower() == b"content-length":
+                        size = int(value)
+                body = stream.read(size)
+                method, path, _ = line.decode().split()
+                self.requests.append((method, path, body))
+                response = self.responses.pop(0)
+                if response is None:
+                    return
+                head, end, body = response.partition(b"\r\n\r\n")
+                connection.sendall(head + end)
+                pieces = [body[i : i + 1] for i in range(len(body))]
+                for piece in pieces if self.pause_s else [body]:
+                    connection.sendall(piece)
+                    time.sleep(self.pause_s)
+                if b"Connection: close" in response:
+                    return
+
+
+class StoreClientTest(unittest.TestCase):
+    """Guards against a lost or repeated write being reported wrongly."""
+
+    def setUp(self):
+        self.server = ScriptedServer(self)
+        self.client = storeclient.StoreClient(
+            self.server.url, call_timeout_s=0.3
+        )
+        self.addCleanup(self.client.close)
+
+    def _write(self, *responses):
+        self.server.responses.extend(responses)
+        return self.client.write("config/a", "v", 3)
+
+    def test_calls_follow_the_protocol(self):
+        event = {"key": "a", "value": None, "revision": 7}
+        item = {"key": "a/b", "value": "v", "revision": 5}
+        client = self.client
+        for call, request, body, response, result in (
+            (
+                lambda: client.read("a/b c"),
+                "GET /v1/kv/a/b%20c",
+                None,
+                (200, {"value": "v", "revision": 5}),
+                stores.Found("a/b c", "v", 5),
+            ),
+            (
+                lambda: client.read("a"),
+                "GET /v1/kv/a",
+                None,
+                (404, {}),
+                stores.Absent("a"),
+            ),
+            (
+                lambda: client.write("a", "v", 0, "9"),
+                "PUT /v1/kv/a",
+                {"value": "v", "expect": 0, "lease": "9"},
+                (200, {"revision": 6}),
+                stores.Written(6),
+            ),
+            (
+                lambda: client.delete("a", 4),
+                "DELETE /v1/kv/a?expect=4",
+                None,
+                (200, {}),
+                stores.Deleted("a"),
+            ),
+            (
+                lambda: client.list_range("a/"),
+                "GET /v1/range?prefix=a%2F",
+                None,
+                (200, {"items": [item], "revision": 8}),
+                stores.Listing((stores.Found("a/b", "v", 5),), 8),
+            ),
+            (
+                lambda: client.watch("a", 6, 1.5),
+                "GET /v1/watch?prefix=a&after=6&timeout=1.5",
+                None,
+                (200, {"events": [event], "revision": 9}),
+                stores.Changes((stores.Change("a", None, 7),), 9),
+            ),
+            (
+                lambda: client.grant_lease(4.0),
+                "POST /v1/leases",
+                {"ttl_s": 4.0},
+                (200, {"lease": 12}),
+                stores.Lease("12", 4.0),
+            ),
+            (
+                lambda: client.renew_lease("12"),
+                "PUT /v1/leases/12",
+                None,
+                (200, {"lease": 12}),
+                stores.Lease("12", 4.0),
+            ),
+            (
+                lambda: client.release_lease("12"),
+                "DELETE /v1/leases/12",
+                None,
+                (200, {}),
+                stores.Released("12"),
+            ),
+        ):
+            with self.subTest(request):
+                self.server.responses.append(reply(*response))
+                self.assertEqual(call(), result)
+                method, path, sent = self.server.requests[-1]
+                self.assertEqual(f"{method} {path}", request)
+                if body is not None:
+                    self.assertEqual(json.loads(sent), body)
+
+    def test_refused_connection_means_nothing_was_sent(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            url = "http://127.0.0.1:%d" % listener.getsockname()[1]
+        client = storeclient.StoreClient(url)
+        self.assertIsInstance(client.write("a", "v", 0), stores.Unreachable)
+
+    def test_missing_response_is_in_doubt_and_not_repeated(self):
+        whole = reply(200, {"revision": 4})
+        for name, response in (
+            ("closed", None),
+            ("cut", reply(200, {"revision": 4}, "Connection: close\r\n")[:-3]),
+            ("no JSON", whole[:-3] + b"xxx"),
+            ("no revision", reply(200, {})),
+            ("server fault", reply(500, {})),
+        ):
+            with self.subTest(name):
+                before = len(self.server.requests)
+                self.assertIsInstance(self._write(response), stores.InDoubt)
+                self.assertEqual(len(self.server.requests), before + 1)
+
+    def test_broken_idle_connection_does_not_repeat_a_write(self):
+        self.assertEqual(
+            self._write(reply(200, {"revision": 4})), stores.Written(4)
+        )
+        self.assertIsInstance(self._write(None), stores.InDoubt)
+        self.assertEqual(len(self.server.requests), 2)
+
+    def test_slow_response_ends_at_the_limit(self):
+        head, end, _ = reply(200, {"revision": 4}).partition(b"\r\n\r\n")
+        began = time.monotonic()
+        self.assertIsInstance(self._write(head + end), stores.InDoubt)
+        self.server.pause_s = 0.02
+        trickle = reply(200, {"revision": 4, "filler": "x" * 400})
+        self.assertIsInstance(self._write(trickle), stores.InDoubt)
+        self.assertLess(time.monotonic() - began, 4.0)
+
+    def test_refusals_have_no_effect(self):
+        limited = self._write(reply(429, {}, "Retry-After: 7\r\n"))
+        self.assertIsInstance(limited, stores.RateLimited)
+        self.assertEqual(limited.retry_after_s, 7)
+        refused = self._write(reply(503, {"error": {"run": "no"}}))
+        self.assertIsInstance(refused, stores.RateLimited)
+        large = self._write(reply(413, {}))
+        self.assertIsInstance(large, stores.RateLimited)
+        self.assertIsNone(large.retry_after_s)
+
+    def test_conflict_carries_the_current_value(self):
+        conflict = self._write(reply(409, {"revision": 8, "value": "w"}))
+        self.assertIsInstance(conflict, stores.Conflict)
+        self.assertEqual((conflict.revision, conflict.value), (8, "w"))
+        gone = self._write(reply(404, {}))
+        self.assertIsInstance(gone, stores.Conflict)
+
+    def test_names_a_lease_that_has_ended(self):
+        self.server.responses.extend([reply(404, {}), reply(404, {})])
+        self.assertIsInstance(self.client.renew_lease("1"), stores.LeaseGone)
+        self.assertIsInstance(self.client.release_lease("1"), stores.LeaseGone)
+
+    def test_refused_watch_is_a_failure(self):
+        self.server.responses.append(reply(410, {"error": {"run": "no"}}))
+        self.assertIsInstance(
+            self.client.watch("a", 1, 1.0), stores.RateLimited
+        )
