--- a/sycamorehollow/standins/server.py
+++ b/sycamorehollow/standins/server.py
@@ -192,6 +192,14 @@
 
     request_queue_size = 512
 
+    @staticmethod
+    def bind_socket(socket_, bind_addr):
+        """Binds; connections of a free port must not block a restart."""
+        socket_.bind(bind_addr)
+        # Set after the bind, so that a free port is never one in use.
+        socket_.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return socket_
+
     def __init__(self, stand_in: "StandIn", address: str, port: int, threads):
         super().__init__(
             (address, port), _Gateway, minthreads=threads, maxthreads=threads
@@ -200,6 +208,8 @@
         self.timeout = 60
         # Workers that wait in a long poll must not hold up the end.
         self.shutdown_timeout = 0
+        # The accepting thread notices the end after this time.
+        self.expiration_interval = 0.05  # type: ignore[assignment]
 
     def error_log(self, msg="", level=20, traceback=False) -> None:
         """Prints errors only; broken connections are part of the tests."""
@@ -268,8 +278,11 @@
     def respond(self, raw: Any) -> None:
         """Reads a request, applies faults and writes the answer."""
         request = read_request(raw)
+        answer: Answer = NoReply()
         try:
-            answer = self._answer(request)
+            # A request that arrives while the process ends gets no answer.
+            if not self._stopped.is_set():
+                answer = self._answer(request)
         except BadRequestError as error:
             answer = refuse(400, "invalid_request", str(error))
         if isinstance(answer, Reply):
--- a/sycamorehollow/standins/settings.py
+++ b/sycamorehollow/standins/settings.py
@@ -116,6 +116,79 @@
     store: StoreSection = StoreSection()
 
 
+class ServiceSection(Section):
+    """Operations of a plain service, separated by commas.
+
+    `reads` are the operations without an effect. `ledger` is the URL of the
+    replica that keeps the effects of all replicas, or empty for its own.
+    """
+
+    name: str = "service"
+    operations: str = "lodge"
+    reads: str = "status"
+    work_s: float = pydantic.Field(default=0.01, ge=0)
+    ledger: str = ""
+
+
+class ServiceSettings(Settings):
+    """Settings of the plain service."""
+
+    service: ServiceSection = ServiceSection()
+
+
+class VmSection(Section):
+    """VM list: items `address/data centre/state`, separated by commas."""
+
+    vms: str = ""
+    lag_s: float = pydantic.Field(default=2.0, ge=0)
+
+
+class VmSettings(Settings):
+    """Settings of the VM list."""
+
+    vms: VmSection = VmSection()
+
+
+class RatingSection(Section):
+    """When ratings come, how many are lost and how noisy they are."""
+
+    seed: int = 1
+    delay_s: float = pydantic.Field(default=0.1, ge=0)
+    jitter_s: float = pydantic.Field(default=0.1, ge=0)
+    lost_share: float = pydantic.Field(default=0.1, ge=0, le=1)
+    noise: float = pydantic.Field(default=0.1, ge=0)
+    default_quality: float = pydantic.Field(default=0.8, ge=0, le=1)
+
+
+class NumberSection(pydantic.RootModel[dict[str, float]]):
+    """Numbers by `version` or `version/kind`."""
+
+
+class RatingSettings(Settings):
+    """Settings of the rating service.
+
+    `quality` is the mean score; `drift` is its change with each rating.
+    """
+
+    ratings: RatingSection = RatingSection()
+    quality: NumberSection = NumberSection({})
+    drift: NumberSection = NumberSection({})
+
+
+class WeightSection(Section):
+    """Rate limit of the weight store in calls a second."""
+
+    calls_per_s: float = pydantic.Field(default=5.0, ge=0)
+    retry_after_s: int = pydantic.Field(default=1, ge=0)
+    size_bytes: int = pydantic.Field(default=1_000_000, ge=0)
+
+
+class WeightSettings(Settings):
+    """Settings of the weight store."""
+
+    weights: WeightSection = WeightSection()
+
+
 class SettingsError(Exception):
     """Settings with errors, one line each."""
 
@@ -138,6 +211,8 @@
         SettingsError: With every error that was found.
     """
     parser = configparser.ConfigParser(interpolation=None)
+    # Names of versions keep their case.
+    parser.optionxform = str  # type: ignore[method-assign,assignment]
     errors: list[str] = []
     if path:
         try:
--- a/sycamorehollow/standins/store.py
+++ b/sycamorehollow/standins/store.py
@@ -7,33 +7,11 @@
 from typing import Any
 
 from sycamorehollow.standins import arguments
+from sycamorehollow.standins import limits
 from sycamorehollow.standins import server
 from sycamorehollow.standins import settings as standin_settings
 
 SWEEP_PERIOD_S = 0.05
-BURST_S = 0.25
-
-
-class RateLimit:
-    """Token bucket; a rate of 0 means unlimited."""
-
-    def __init__(self, per_s: float):
-        self._per_s = per_s
-        self._burst = max(1.0, per_s * BURST_S)
-        self._tokens = self._burst
-        self._at = time.monotonic()
-
-    def take(self, now: float) -> bool:
-        """Takes one call out of the bucket if there is one."""
-        if self._per_s <= 0:
-            return True
-        grown = self._tokens + (now - self._at) * self._per_s
-        self._tokens = min(self._burst, grown)
-        self._at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
 
 
 class Tree:
@@ -205,8 +183,8 @@
         super().__init__(settings.server)
         self._settings = settings.store
         self.tree = Tree(settings.store.history)
-        self._reads = RateLimit(settings.store.reads_per_s)
-        self._writes = RateLimit(settings.store.writes_per_s)
+        self._reads = limits.RateLimit(settings.store.reads_per_s)
+        self._writes = limits.RateLimit(settings.store.writes_per_s)
         self._lock = threading.Lock()
         self._calls: collections.Counter[str] = collections.Counter()
         self._pending_watches = 0
