Test non-idempotent calls under generated fault schedules

Several processes, a store and a service run in one test process. The schedule retries calls anywhere, kills and pauses processes, loses or delays messages in both directions and stops the store. The service in the test runs everything that it is sent, so a second dispatch shows.

--- /dev/null
+++ b/tests/test_effects.py
@@ -0,0 +1,86 @@
+"""Tests of non-idempotent calls under generated fault schedules."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions import tickets
+from sycamorehollow.model import failures
+from tests import checks
+from tests import fakes
+
+NUMBERS = strategies.lists(strategies.integers(0, 10_000), max_size=150)
+
+
+class ScheduleTest(unittest.TestCase):
+    """Guards against second effects, lost calls and false refusals."""
+
+    @hypothesis.settings(max_examples=1500)
+    @hypothesis.given(NUMBERS)
+    def test_generated_schedules(self, numbers):
+        world = fakes.World(fakes.Schedule(numbers))
+        world.run()
+        self.assertEqual(checks.find_fault(world), "")
+
+    def test_long_schedules(self):
+        rng = random.Random(7)
+        for _ in range(500):
+            numbers = [rng.randrange(10_000) for _ in range(300)]
+            world = fakes.World(fakes.Schedule(numbers))
+            world.run()
+            self.assertEqual(checks.find_fault(world), "", numbers)
+
+
+class KeyTest(unittest.TestCase):
+    """Guards against wrong answers in the cases that schedules reach rarely."""
+
+    def setUp(self):
+        self.world = fakes.World(fakes.Schedule([]))
+        self.world.faults = False
+        self.intent = self.world.intents[0]
+
+    def run_once(self, node=0):
+        request_id = self.world.submit(self.intent, self.world.nodes[node])
+        self.world.settle()
+        return self.world.answers[request_id]
+
+    def test_retry_gets_the_recorded_outcome(self):
+        first = self.run_once(0)
+        self.assertEqual(first, messages.Outcome(200, b"done 0"))
+        self.assertEqual(self.run_once(1), first)
+        self.assertEqual(self.world.service.effects, {b"0": 1})
+
+    def test_other_content_is_a_conflict(self):
+        self.run_once()
+        self.intent = self.world.intents[1]
+        self.assertIsInstance(self.run_once(1), messages.KeyConflict)
+
+    def test_store_outage_gives_a_usable_ticket(self):
+        world = self.world
+        world.store_up = False
+        first = world.submit(self.intent, world.nodes[0])
+        world.carry_out()
+        refusal = world.answers[first]
+        self.assertIsInstance(refusal, messages.StoreDown)
+        self.assertIs(refusal.run, failures.Run.NO)
+        self.intent.key = refusal.ticket
+        second = world.submit(self.intent, world.nodes[1])
+        for _ in range(4):
+            world.carry_out()
+        self.assertIsInstance(world.answers[second], messages.Outcome)
+        self.assertFalse(world.store_up)
+
+    def test_ticket_of_another_workspace_or_forged(self):
+        token = self.world.nodes[0].issuer.issue("w", 0.0)
+        self.assertIsInstance(
+            tickets.parse_ticket(token, "v", fakes.RING),
+            messages.InvalidTicket,
+        )
+        forged = token[:-2] + ("AA" if token[-2:] != "AA" else "BB")
+        self.assertIsInstance(
+            tickets.parse_ticket(forged, "w", fakes.RING),
+            messages.InvalidTicket,
+        )
