Add the table of upstreams

Each process keeps the last load report of an upstream, its own work since then and the shares that peers spread. Shares go only to processes of the upstream's data centre, so that digests do not grow with the fleet.

--- /dev/null
+++ b/sycamorehollow/decisions/upstreams.py
@@ -0,0 +1,432 @@
+"""Table of upstreams: what this process knows of the load of each."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import enum
+import json
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+
+# A report older than this no longer shows what is free.
+REPORT_TTL_S = 2.5
+# The time to live plus a poll interval of 1 s and its jitter: every process is
+# then bound by a report as old as the oldest one that another may still use.
+REPORT_WINDOW_S = 4.0
+PEER_TTL_S = 10.0
+CONNECT_BACKOFF_S = 1.0
+CONNECT_BACKOFF_MAX_S = 10.0
+
+
+class End(enum.Enum):
+    """How an attempt ended."""
+
+    COMPLETED = "completed"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamsConfigured(events.Event):
+    """The configured upstreams; replaces the previous ones."""
+
+    upstreams: tuple[deployment.Upstream, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReported(events.Event):
+    """A load report was received.
+
+    Attributes:
+        upstream: Name of the upstream.
+        measured_at: Local monotonic time in seconds of the reported state: the
+            time the poll was sent, less the upstream's known lag.
+        generation: Number of the upstream's run; a restart has a higher one.
+        cold: Whether the upstream is in a cold start.
+        bearable: Requests that it bears at once while cold.
+        held_tokens: Tokens in its memory.
+        capacity_tokens: Tokens that its memory holds.
+        running: Requests that run.
+        queued: Requests that wait at the upstream.
+    """
+
+    upstream: str
+    measured_at: float
+    generation: int
+    cold: bool
+    bearable: int
+    held_tokens: int
+    capacity_tokens: int
+    running: int = 0
+    queued: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptStarted(events.Event):
+    """This process has started an attempt; sent before any byte is written.
+
+    Attributes:
+        attempt: Identity of the attempt, unique in this process.
+        upstream: Name of the upstream.
+        tokens: Prompt and expected output in tokens.
+        fingerprint: Hash of the workspace and the content.
+    """
+
+    attempt: str
+    upstream: str
+    tokens: int
+    fingerprint: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptEnded(events.Event):
+    """An attempt of this process has ended.
+
+    Attributes:
+        code: Code of the upstream's typed refusal, or empty.
+    """
+
+    attempt: str
+    upstream: str
+    end: End
+    code: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class ConnectFailed(events.Event):
+    """An upstream refused a connection or did not accept it in time."""
+
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """What this process knows of an upstream.
+
+    Attributes:
+        name: Name of the upstream.
+        data_centre: Where it stands.
+        capacity_tokens: Tokens that its memory holds.
+        reported_tokens: Held tokens of the last report.
+        estimated_tokens: Held tokens by the estimate.
+        outstanding: Attempts of this process.
+        outstanding_tokens: Tokens of the attempts of this process.
+        peer_tokens: Outstanding tokens that peers last told of.
+        queued: Requests that waited at the upstream in the last report.
+        report_age_s: Age of the last report; infinite without one.
+        reachable: Whether connections are tried now.
+    """
+
+    name: str
+    data_centre: str
+    capacity_tokens: int
+    reported_tokens: int
+    estimated_tokens: int
+    outstanding: int
+    outstanding_tokens: int
+    peer_tokens: int
+    queued: int
+    report_age_s: float
+    reachable: bool
+
+
+class Row:
+    """Mutable record of one upstream; written only by the table."""
+
+    def __init__(self, configured: deployment.Upstream):
+        self.configured = configured
+        self.report: LoadReported | None = None
+        self.recent: collections.deque[LoadReported] = collections.deque()
+        self.attempts: dict[str, tuple[int, float]] = {}
+        self.own_tokens = 0
+        self.changes: collections.deque[tuple[float, int]] = collections.deque()
+        self.own_growth = 0
+        self.peer_tokens = 0
+        self.peer_growth = 0
+        self.down_until = 0.0
+        self.backoff_s = CONNECT_BACKOFF_S
+
+    @property
+    def capacity_tokens(self) -> int:
+        """Memory in tokens, by the last report or else by configuration."""
+        if self.report is None:
+            return self.configured.capacity_tokens
+        return self.report.capacity_tokens
+
+    def estimate_tokens(self) -> int:
+        """Estimates the held tokens now.
+
+        The floor is what is known to be outstanding: a report may be too old
+        to contain it and a finished attempt may be missing from it.
+        """
+        known = self.own_tokens + self.peer_tokens
+        if self.report is None:
+            return known
+        grown = self.report.held_tokens + self.own_growth + self.peer_growth
+        return max(known, grown)
+
+    def change(self, tokens: int, now: float) -> None:
+        """Records a start (positive) or an end (negative) of own work."""
+        self.own_tokens += tokens
+        if self.report is None:
+            return
+        self.changes.append((now, tokens))
+        self.own_growth += tokens
+
+    def apply_report(self, report: LoadReported) -> None:
+        """Makes a newer report the base of the estimate."""
+        if self.report is not None:
+            if report.generation < self.report.generation:
+                return
+            if report.measured_at < self.report.measured_at:
+                return
+            if report.generation > self.report.generation:
+                self.recent.clear()
+        self.report = report
+        self.recent.append(report)
+        while self.recent[0].measured_at < report.measured_at - REPORT_WINDOW_S:
+            self.recent.popleft()
+        while self.changes and self.changes[0][0] <= report.measured_at:
+            self.own_growth -= self.changes.popleft()[1]
+
+
+@dataclasses.dataclass
+class Share:
+    """Outstanding tokens of one peer, per upstream.
+
+    Attributes:
+        history: Per upstream, (local time, tokens), oldest first. The first
+            entry is the newest one that the last report already contains.
+    """
+
+    sequence: int
+    data_centre: str
+    heard_at: float
+    tokens: dict[str, int]
+    history: dict[str, collections.deque[tuple[float, int]]]
+
+
+class Table(parts.Part, parts.Replicated):
+    """Load of every configured upstream, as this process estimates it.
+
+    Args:
+        process: Identity of this process including its incarnation, so that
+            a restart counts as another process.
+        data_centre: Data centre of this process.
+    """
+
+    kind = "upstreams"
+
+    def __init__(self, process: str, data_centre: str):
+        self._process = process
+        self._data_centre = data_centre
+        self._rows: dict[str, Row] = {}
+        self._by_version: dict[str, tuple[str, ...]] = {}
+        self._shares: dict[str, Share] = {}
+        self._expired: dict[str, int] = {}
+        self._sequence = 0
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event; returns no commands."""
+        match event:
+            case AttemptStarted():
+                self._start(event, now)
+            case AttemptEnded():
+                self._end(event, now)
+            case LoadReported():
+                self._report(event)
+            case UpstreamsConfigured():
+                self._configure(event.upstreams)
+            case ConnectFailed():
+                self._back_off(event.upstream, now)
+            case events.Tick():
+                self._expire(now)
+        return []
+
+    def find_row(self, name: str) -> Row | None:
+        """Returns the record of an upstream, for reading only."""
+        return self._rows.get(name)
+
+    def view(self, name: str, now: float) -> View | None:
+        """Returns what is known of an upstream, or `None` if unknown."""
+        row = self._rows.get(name)
+        if row is None:
+            return None
+        report = row.report
+        return View(
+            name=name,
+            data_centre=row.configured.data_centre,
+            capacity_tokens=row.capacity_tokens,
+            reported_tokens=report.held_tokens if report else 0,
+            estimated_tokens=row.estimate_tokens(),
+            outstanding=len(row.attempts),
+            outstanding_tokens=row.own_tokens,
+            peer_tokens=row.peer_tokens,
+            queued=report.queued if report else 0,
+            report_age_s=now - report.measured_at if report else float("inf"),
+            reachable=now >= row.down_until,
+        )
+
+    def list_serving(self, version: str) -> tuple[str, ...]:
+        """Returns the upstreams that serve a version, in name order."""
+        return self._by_version.get(version, ())
+
+    def _configure(self, configured: Iterable[deployment.Upstream]) -> None:
+        rows: dict[str, Row] = {}
+        serving: dict[str, list[str]] = {}
+        for upstream in sorted(configured, key=lambda one: one.name):
+            row = self._rows.get(upstream.name) or Row(upstream)
+            row.configured = upstream
+            rows[upstream.name] = row
+            for version in upstream.versions:
+                serving.setdefault(version, []).append(upstream.name)
+        # Attempts at a removed upstream still run; the row goes with the last.
+        for name, row in self._rows.items():
+            if name not in rows and row.attempts:
+                rows[name] = row
+        self._rows = rows
+        self._by_version = {key: tuple(names) for key, names in serving.items()}
+        for name in rows:
+            self._sum_peers(name)
+
+    def _start(self, event: AttemptStarted, now: float) -> None:
+        row = self._rows.get(event.upstream)
+        if row is None or event.attempt in row.attempts:
+            return
+        row.attempts[event.attempt] = (event.tokens, now)
+        row.change(event.tokens, now)
+
+    def _end(self, event: AttemptEnded, now: float) -> None:
+        row = self._rows.get(event.upstream)
+        if row is None or event.attempt not in row.attempts:
+            return
+        tokens, _ = row.attempts.pop(event.attempt)
+        row.change(-tokens, now)
+
+    def _report(self, event: LoadReported) -> None:
+        row = self._rows.get(event.upstream)
+        if row is None:
+            return
+        row.apply_report(event)
+        row.down_until = 0.0
+        row.backoff_s = CONNECT_BACKOFF_S
+        self._sum_peers(event.upstream)
+
+    def _back_off(self, name: str, now: float) -> None:
+        row = self._rows.get(name)
+        if row is None or now < row.down_until:
+            return
+        row.down_until = now + row.backoff_s
+        row.backoff_s = min(2 * row.backoff_s, CONNECT_BACKOFF_MAX_S)
+
+    def _sum_peers(self, name: str) -> None:
+        row = self._rows.get(name)
+        if row is None:
+            return
+        row.peer_tokens = 0
+        row.peer_growth = 0
+        for share in self._shares.values():
+            history = share.history.get(name)
+            if not history:
+                continue
+            row.peer_tokens += history[-1][1]
+            if row.report is None:
+                continue
+            while len(history) > 1 and history[1][0] <= row.report.measured_at:
+                history.popleft()
+            base = history[0][1]
+            if history[0][0] > row.report.measured_at:
+                base = 0
+            row.peer_growth += history[-1][1] - base
+
+    def _expire(self, now: float) -> None:
+        for process, share in list(self._shares.items()):
+            if now - share.heard_at < PEER_TTL_S:
+                continue
+            # The last sequence stays, so that a slower peer cannot bring the
+            # expired share back.
+            self._expired[process] = share.sequence
+            del self._shares[process]
+            for name in share.history:
+                self._sum_peers(name)
+
+    def summarize(self, now: float) -> bytes:
+        """Returns the sequence of every share of the own data centre."""
+        self._sequence += 1
+        known = {self._process: self._sequence}
+        for process, share in self._shares.items():
+            if share.data_centre == self._data_centre:
+                known[process] = share.sequence
+        digest = {"data_centre": self._data_centre, "known": known}
+        return json.dumps(digest, separators=(",", ":")).encode()
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns newer shares at upstreams of the sender's data centre."""
+        asked = json.loads(digest)
+        known = asked["known"]
+        place = asked["data_centre"]
+        shares = []
+        if known.get(self._process, 0) < self._sequence:
+            tokens = {n: row.own_tokens for n, row in self._rows.items()}
+            tokens = self._keep_place(tokens, place)
+            shares.append(
+                [self._process, self._data_centre, self._sequence, tokens]
+            )
+        for process, share in self._shares.items():
+            if share.data_centre != place:
+                continue
+            if known.get(process, 0) >= share.sequence:
+                continue
+            tokens = self._keep_place(share.tokens, place)
+            shares.append([process, place, share.sequence, tokens])
+        if not shares:
+            return b""
+        return json.dumps(shares, separators=(",", ":")).encode()
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Applies the shares of other processes; returns no commands."""
+        if not delta:
+            return []
+        for process, place, sequence, tokens in json.loads(delta):
+            if process == self._process:
+                continue
+            if sequence <= self._expired.get(process, 0):
+                continue
+            share = self._shares.get(process)
+            if share is not None and sequence <= share.sequence:
+                continue
+            self._merge_share(process, place, sequence, tokens, now)
+        return []
+
+    def _keep_place(self, tokens: dict[str, int], place: str) -> dict[str, int]:
+        kept = {}
+        for name, count in tokens.items():
+            row = self._rows.get(name)
+            if count and row and row.configured.data_centre == place:
+                kept[name] = count
+        return kept
+
+    def _merge_share(
+        self,
+        process: str,
+        place: str,
+        sequence: int,
+        tokens: dict[str, int],
+        now: float,
+    ) -> None:
+        share = self._shares.get(process)
+        if share is None:
+            share = Share(sequence, place, now, {}, {})
+            self._shares[process] = share
+        changed = set(tokens) | set(share.tokens)
+        share.sequence = sequence
+        share.heard_at = now
+        share.tokens = tokens
+        for name in changed:
+            history = share.history.setdefault(name, collections.deque())
+            history.append((now, tokens.get(name, 0)))
+            self._sum_peers(name)
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,108 @@
+"""Tests of the table of upstreams."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import upstreams
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+
+
+def make_table(process="a#1", place="dc", names=("u",)):
+    """Returns a table with upstreams of 1,000 tokens."""
+    table = upstreams.Table(process, place)
+    configured = tuple(
+        deployment.Upstream(name, "", "dc", ("v",), 1000) for name in names
+    )
+    table.handle(upstreams.UpstreamsConfigured(configured), 0.0)
+    return table
+
+
+def report(held, at, generation=1, capacity=1000, name="u"):
+    """Returns a load report of an upstream."""
+    return upstreams.LoadReported(
+        name, at, generation, False, 1, held, capacity
+    )
+
+
+class TableTest(unittest.TestCase):
+    """Guards the estimate that selection and capacity rely on."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(("start", "end", "report", "swap")),
+                strategies.integers(0, 3),
+            ),
+            max_size=30,
+        )
+    )
+    def test_estimate_is_exact_without_lag(self, steps):
+        """Counting a peer's or own work twice, or not at all, shows here."""
+        tables = [make_table("a#1"), make_table("b#1")]
+        running = {}
+        for now, (step, number) in enumerate(steps, start=1):
+            owner = number % 2
+            held = sum(running.values())
+            if step == "start" and (owner, number) not in running:
+                running[owner, number] = 10 + number
+                tables[owner].handle(
+                    upstreams.AttemptStarted(str(number), "u", 10 + number), now
+                )
+            if step == "end" and (owner, number) in running:
+                del running[owner, number]
+                tables[owner].handle(
+                    upstreams.AttemptEnded(
+                        str(number), "u", upstreams.End.COMPLETED
+                    ),
+                    now,
+                )
+            if step == "report":
+                tables[owner].handle(report(held, now), now)
+            for table, other in (tables, tables[::-1]):
+                delta = other.collect(table.summarize(now), now)
+                table.merge(delta, now)
+                table.merge(delta, now)
+            # A second exchange carries what the first summary had not seen.
+            for table, other in (tables, tables[::-1]):
+                table.merge(other.collect(table.summarize(now), now), now)
+            for table in tables:
+                view = table.view("u", now)
+                self.assertEqual(view.estimated_tokens, sum(running.values()))
+
+    def test_old_report_is_ignored(self):
+        """A report that overtakes a newer one would lower the estimate."""
+        table = make_table()
+        table.handle(report(500, 2.0), 2.0)
+        table.handle(report(0, 1.0), 2.1)
+        table.handle(report(0, 3.0, generation=0), 3.0)
+        self.assertEqual(table.view("u", 3.0).estimated_tokens, 500)
+
+    def test_expired_share_does_not_return(self):
+        """The load of a dead peer would otherwise stay in the estimate."""
+        first, second = make_table("a#1"), make_table("b#1")
+        first.handle(upstreams.AttemptStarted("1", "u", 7), 0.0)
+        first.summarize(0.0)
+        delta = first.collect(second.summarize(0.0), 0.0)
+        second.merge(delta, 0.0)
+        self.assertEqual(second.view("u", 0.0).peer_tokens, 7)
+        later = upstreams.PEER_TTL_S + 1
+        second.handle(events.Tick(), later)
+        second.merge(delta, later)
+        self.assertEqual(second.view("u", later).peer_tokens, 0)
+
+    def test_other_data_centre_receives_only_its_upstreams(self):
+        """Shares of all upstreams everywhere would exceed 10 KB/s."""
+        table, far = make_table("a#1"), make_table("b#1", place="far")
+        table.handle(upstreams.AttemptStarted("1", "u", 7), 0.0)
+        table.summarize(0.0)
+        self.assertNotIn(b'"u"', table.collect(far.summarize(0.0), 0.0))
+
+    def test_refused_connection_backs_off(self):
+        """A dead upstream would otherwise take a new attempt each time."""
+        table = make_table()
+        table.handle(upstreams.ConnectFailed("u"), 0.0)
+        self.assertFalse(table.view("u", 0.5).reachable)
+        self.assertTrue(table.view("u", 1.0).reachable)
