--- /dev/null
+++ b/tests/test_prefixes.py
@@ -0,0 +1,88 @@
+"""Tests of prefix affinity."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import prefixes
+
+BLOCKS = ("a", "b", "c")
+
+
+def change(number, added=(), removed=(), generation=1):
+    """Returns a cache event of the upstream `u`."""
+    return prefixes.CacheChanged("u", number, generation, added, removed)
+
+
+class PrefixesTest(unittest.TestCase):
+    """Guards against affinity to caches that are gone."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(BLOCKS), strategies.booleans()
+            ),
+            max_size=12,
+        ),
+        strategies.data(),
+    )
+    def test_confirmed_only_when_cached(self, changes, data):
+        """After gaps or late events no evicted block counts in full."""
+        cache = set()
+        sent = []
+        for number, (block, adds) in enumerate(changes, start=1):
+            if adds:
+                cache.add(block)
+                sent.append(change(number, added=(block,)))
+            else:
+                cache.discard(block)
+                sent.append(change(number, removed=(block,)))
+        order = data.draw(strategies.permutations(sent))
+        # Without the newest event no process can know the present state.
+        received = data.draw(strategies.integers(0, len(sent)))
+        order = order[:received] + sent[-1:]
+        known = prefixes.Prefixes()
+        for event in order:
+            known.handle(event, 0.0)
+        for block in BLOCKS:
+            tokens = known.count_cached_tokens("u", (block,), 0.0)
+            if block not in cache:
+                self.assertLess(tokens, prefixes.BLOCK_TOKENS)
+        later = prefixes.DOUBTFUL_TTL_S + 1
+        for block in set(BLOCKS) - cache:
+            self.assertEqual(known.count_cached_tokens("u", (block,), later), 0)
+
+    def test_longest_prefix_wins(self):
+        """The holder of a shorter part would compute the rest again."""
+        known = prefixes.Prefixes()
+        known.handle(change(1, added=("a",)), 0.0)
+        known.handle(prefixes.PromptSent("w", ("a", "b")), 0.0)
+        self.assertEqual(known.find_holder(BLOCKS, 0.0), "w")
+        self.assertEqual(known.find_holder(("a",), 0.0), "u")
+
+    def test_restart_empties_the_cache(self):
+        """A restarted engine holds no prefix."""
+        known = prefixes.Prefixes()
+        known.handle(change(1, added=BLOCKS), 0.0)
+        known.handle(change(1, generation=2), 0.0)
+        self.assertIsNone(known.find_holder(BLOCKS, 0.0))
+
+    def test_memory_is_bounded(self):
+        """Missed evictions would otherwise fill the memory of the node."""
+        known = prefixes.Prefixes()
+        for number in range(1, 2 * prefixes.MAX_BLOCKS):
+            known.handle(change(number, added=(str(number),)), 0.0)
+        held = sum(
+            known.count_cached_tokens("u", (str(number),), 0.0) > 0
+            for number in range(2 * prefixes.MAX_BLOCKS)
+        )
+        self.assertEqual(held, prefixes.MAX_BLOCKS)
+
+    def test_blocks_depend_on_all_before_and_on_version(self):
+        """Equal blocks after different beginnings share no cache."""
+        one = prefixes.hash_blocks("v", b"aaaabbbbcc", 4)
+        self.assertEqual(len(one), 2)
+        self.assertNotEqual(one, prefixes.hash_blocks("w", b"aaaabbbb", 4))
+        other = prefixes.hash_blocks("v", b"xaaabbbb", 4)
+        self.assertNotEqual(one[1], other[1])
