Add cold starts by fixed shares with loans

Shares follow the slots of the settings, so no two views add up to more than an upstream bears. A report older than 3 s counts as cold, because a restart may have happened since; growth is not lent and does not outlast that time; a new process leaves its share unused for one loan, because the previous holder of the slot may have lent it.

test_sum_never_exceeds_bearable failed with each rule taken out. Two slots, steps as (action, process, other, wait in 0.5 s): - lent units still used: lend 0>1, fill 0: 3 of 2 - no cancellation at expiry: lend 0>1 wait 24, lend 1>0: 3 of 2 - old reports trusted: work 1, poll 0, restart wait 7, fill 0: 20 of 1 - growth kept after the trust ends: work 1, restart wait 7, fill 1: 3 of 1 - grant applied twice: lend 1>0, lend 1>0: 2 of 1 - equal limits instead of shares: start 0, start 1: 2 of 1 - share used at once after a restart: lend 0>1, replace 0, fill 0: 3 of 2 - growth lent: poll 0, poll 1, work 0, lend 0>1, restart wait 7, fill 1: 3 of 2 test_one_refusal_stops_all_that_hear_of_it failed when an old warm report ended the cold start (20 of 1) and when completions of earlier attempts counted (11 of 1).

--- /dev/null
+++ b/sycamorehollow/decisions/coldstart.py
@@ -0,0 +1,348 @@
+"""Admission to upstreams in a cold start by fixed shares with loans."""
+
+import dataclasses
+import hashlib
+import json
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import upstreams
+from sycamorehollow.model import commands
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+
+# A restart takes longer than this, so an upstream whose last report is older
+# may have turned cold in between.
+TRUST_S = 3.0
+LOAN_S = 10.0
+# Covers the drift of two clocks over one loan and a cancellation on its way.
+LOAN_MARGIN_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LoanAsked(events.Event):
+    """A peer of the same data centre asks for units at a cold upstream.
+
+    Attributes:
+        peer: Identity of the borrower.
+        asked_at: The borrower's clock in seconds, returned with the grant.
+    """
+
+    peer: str
+    upstream: str
+    units: int
+    asked_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LoanGranted(events.Event):
+    """A peer lends units at a cold upstream to this process.
+
+    Attributes:
+        generation: Run of the upstream that the loan is for.
+        asked_at: Local monotonic time in seconds at which it was asked for.
+        duration_s: Seconds from `asked_at` for which it may be used.
+    """
+
+    upstream: str
+    generation: int
+    units: int
+    asked_at: float
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class GrantLoan(commands.Command):
+    """Sends a `LoanGranted` to a peer."""
+
+    peer: str
+    upstream: str
+    generation: int
+    units: int
+    asked_at: float
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelAttempt(commands.Command):
+    """Cancels an attempt that runs on an expired loan."""
+
+    attempt: str
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class SpreadCold(commands.Command):
+    """Pushes the state of this component to the live members at once."""
+
+    upstream: str
+
+
+@dataclasses.dataclass
+class Warming:
+    """State of one upstream.
+
+    Attributes:
+        episode: Counts cold turns that were noticed within one generation.
+        cold_since: Local time at which the cold turn was noticed.
+        reported_at: Measurement time of the last report.
+        completed: Own completions of attempts that started in this cold start.
+        running: Own attempts; each with the (generation, episode) of the cold
+            start that it started in, or `None` if it started warm.
+        lent: Units and the local time until which they are not used here.
+        borrowed: Units and the local time until which they may be used.
+    """
+
+    bearable: int
+    data_centre: str
+    generation: int = 0
+    episode: int = 0
+    cold: bool = True
+    cold_since: float = float("-inf")
+    reported_at: float = float("-inf")
+    completed: int = 0
+    running: dict[str, tuple[int, int] | None] = dataclasses.field(
+        default_factory=dict
+    )
+    lent: list[tuple[int, float]] = dataclasses.field(default_factory=list)
+    borrowed: list[tuple[int, float]] = dataclasses.field(default_factory=list)
+
+
+def compute_share(upstream: str, bearable: int, slot: int, slots: int) -> int:
+    """Returns the units of a slot; over all slots they sum to `bearable`."""
+    digest = hashlib.sha256(upstream.encode()).digest()
+    rank = (slot - int.from_bytes(digest[:8], "big")) % slots
+    return bearable // slots + (1 if rank < bearable % slots else 0)
+
+
+class ColdStarts(parts.Part, parts.Replicated):
+    """Limits own attempts at upstreams that are, or may be, cold.
+
+    Args:
+        data_centre: Data centre of this process.
+        slot: Number of this process in its data centre, from 0; no two live
+            processes have the same.
+        slots: Number of slots of the data centre.
+        started_at: Local time of the start. The previous holder of the slot
+            may have lent its share, so the share is unused for one loan.
+            Minus infinity if nobody held the slot before.
+        trust_s: Age in seconds from which a report no longer shows that the
+            upstream is warm; at most the time that a restart takes.
+    """
+
+    kind = "coldstart"
+
+    def __init__(
+        self,
+        data_centre: str,
+        slot: int,
+        slots: int,
+        started_at: float,
+        trust_s: float = TRUST_S,
+    ):
+        if not 0 <= slot < slots:
+            raise ValueError(f"slot {slot} is not within 0 to {slots - 1}")
+        self._data_centre = data_centre
+        self._slot = slot
+        self._slots = slots
+        self._trust_s = trust_s
+        self._share_from = started_at + LOAN_S + LOAN_MARGIN_S
+        self._states: dict[str, Warming] = {}
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event."""
+        match event:
+            case upstreams.UpstreamsConfigured():
+                self._configure(event.upstreams)
+            case upstreams.LoadReported():
+                return self._report(event, now)
+            case upstreams.AttemptStarted():
+                state = self._states.get(event.upstream)
+                if state is not None:
+                    turn = (state.generation, state.episode)
+                    cold = is_presumed_cold(state, now, self._trust_s)
+                    state.running[event.attempt] = turn if cold else None
+            case upstreams.AttemptEnded():
+                return self._end(event, now)
+            case LoanAsked():
+                return self._lend(event, now)
+            case LoanGranted():
+                self._borrow(event, now)
+            case events.Tick():
+                return self._cancel_expired(now)
+        return []
+
+    def may_start(self, upstream: str, now: float) -> bool:
+        """Tells whether one more attempt may start there now."""
+        state = self._states.get(upstream)
+        if state is None:
+            return False
+        if not is_presumed_cold(state, now, self._trust_s):
+            return True
+        return len(state.running) < self._count_units(upstream, state, now)
+
+    def is_cold(self, upstream: str, now: float) -> bool:
+        """Tells whether the upstream counts as cold at this process."""
+        state = self._states.get(upstream)
+        return state is None or is_presumed_cold(state, now, self._trust_s)
+
+    def count_lendable(self, upstream: str, now: float) -> int:
+        """Returns the units that this process could lend now."""
+        state = self._states.get(upstream)
+        if state is None or not state.cold:
+            return 0
+        # Growth is not lent: it ends at once when the upstream restarts, and
+        # the borrower may learn of that last.
+        unused = self._count_units(upstream, state, now) - len(state.running)
+        return max(0, min(unused, self._count_own(upstream, state, now)))
+
+    def _configure(self, configured: tuple[deployment.Upstream, ...]) -> None:
+        known = self._states
+        self._states = {}
+        for one in configured:
+            state = known.get(one.name)
+            if state is None:
+                state = Warming(one.bearable, one.data_centre)
+            self._states[one.name] = state
+
+    def _count_own(self, upstream: str, state: Warming, now: float) -> int:
+        if state.data_centre != self._data_centre or now < self._share_from:
+            return 0
+        share = compute_share(upstream, state.bearable, self._slot, self._slots)
+        state.lent = [loan for loan in state.lent if now < loan[1]]
+        return max(0, share - sum(units for units, _ in state.lent))
+
+    def _count_units(self, upstream: str, state: Warming, now: float) -> int:
+        units = self._count_own(upstream, state, now)
+        units += sum(lent for lent, end in state.borrowed if now < end)
+        # After a restart that was not noticed yet, completions from before it
+        # must not count.
+        if now - state.reported_at > self._trust_s or not state.cold:
+            return units
+        return units + max(0, state.completed - state.bearable)
+
+    def _report(
+        self, event: upstreams.LoadReported, now: float
+    ) -> list[commands.Command]:
+        state = self._states.get(event.upstream)
+        if state is None or event.generation < state.generation:
+            return []
+        if event.measured_at < state.reported_at:
+            return []
+        state.reported_at = event.measured_at
+        if event.generation > state.generation:
+            state.bearable = event.bearable
+            self._turn_cold(state, event.generation, 0, now)
+            if not event.cold:
+                state.cold = False
+            return [SpreadCold(event.upstream)]
+        if event.cold and not state.cold:
+            # A report from before the cold turn was noticed is no new turn.
+            self._turn_cold(state, state.generation, state.episode + 1, now)
+            return [SpreadCold(event.upstream)]
+        if not event.cold and event.measured_at > state.cold_since:
+            state.cold = False
+        return []
+
+    def _turn_cold(
+        self, state: Warming, generation: int, episode: int, now: float
+    ) -> None:
+        if generation > state.generation:
+            # The attempts on these loans ended with the previous run.
+            state.borrowed.clear()
+        state.generation = generation
+        state.episode = episode
+        state.cold = True
+        state.cold_since = now
+        state.completed = 0
+
+    def _end(
+        self, event: upstreams.AttemptEnded, now: float
+    ) -> list[commands.Command]:
+        state = self._states.get(event.upstream)
+        if state is None:
+            return []
+        turn = state.running.pop(event.attempt, None)
+        if event.end is upstreams.End.COMPLETED:
+            if turn == (state.generation, state.episode):
+                state.completed += 1
+        if event.code != "cold" or state.cold:
+            return []
+        self._turn_cold(state, state.generation, state.episode + 1, now)
+        return [SpreadCold(event.upstream)]
+
+    def _lend(self, event: LoanAsked, now: float) -> list[commands.Command]:
+        units = min(event.units, self.count_lendable(event.upstream, now))
+        if units <= 0:
+            return []
+        state = self._states[event.upstream]
+        state.lent.append((units, now + LOAN_S + LOAN_MARGIN_S))
+        return [
+            GrantLoan(
+                event.peer,
+                event.upstream,
+                state.generation,
+                units,
+                event.asked_at,
+                LOAN_S,
+            )
+        ]
+
+    def _borrow(self, event: LoanGranted, now: float) -> None:
+        state = self._states.get(event.upstream)
+        if state is None or state.generation != event.generation:
+            return
+        until = event.asked_at + event.duration_s
+        state.borrowed = [loan for loan in state.borrowed if now < loan[1]]
+        # A grant that is delivered twice is one loan.
+        if now < until and (event.units, until) not in state.borrowed:
+            state.borrowed.append((event.units, until))
+
+    def _cancel_expired(self, now: float) -> list[commands.Command]:
+        cancelled: list[commands.Command] = []
+        for name, state in self._states.items():
+            ended = sum(lent for lent, end in state.borrowed if now >= end)
+            state.borrowed = [loan for loan in state.borrowed if now < loan[1]]
+            if not ended or not state.cold:
+                continue
+            started_cold = [a for a, turn in state.running.items() if turn]
+            excess = len(started_cold) - self._count_units(name, state, now)
+            for attempt in started_cold[::-1][: min(ended, max(0, excess))]:
+                cancelled.append(CancelAttempt(attempt, name))
+        return cancelled
+
+    def summarize(self, now: float) -> bytes:
+        """Returns the generation and episode of every known cold turn."""
+        known = {n: [s.generation, s.episode] for n, s in self._states.items()}
+        return json.dumps(known, separators=(",", ":")).encode()
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns the newer cold turns."""
+        known = json.loads(digest)
+        newer = {}
+        for name, state in self._states.items():
+            turn = [state.generation, state.episode]
+            if turn > known.get(name, [0, 0]):
+                newer[name] = [*turn, state.bearable]
+        if not newer:
+            return b""
+        return json.dumps(newer, separators=(",", ":")).encode()
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Marks upstreams cold that a peer has found cold."""
+        if not delta:
+            return []
+        for name, turn in json.loads(delta).items():
+            generation, episode, bearable = turn
+            state = self._states.get(name)
+            if state is None:
+                continue
+            if (generation, episode) <= (state.generation, state.episode):
+                continue
+            state.bearable = bearable
+            self._turn_cold(state, generation, episode, now)
+        return []
+
+
+def is_presumed_cold(state: Warming, now: float, trust_s: float) -> bool:
+    """Tells whether the upstream is cold or its last report is too old."""
+    return state.cold or now - state.reported_at > trust_s
