--- /dev/null
+++ b/sycamorehollow/decisions/learning.py
@@ -0,0 +1,398 @@
+"""Estimates of answer quality, learned from ratings.
+
+Each (workspace, kind, version) has counts of accepted and rejected answers in
+epochs of about `EPOCH_RATINGS` ratings. Every process only ever raises its own
+counts, so copies merge by taking the larger count of each process and epoch.
+Old epochs weigh less and drop out, which bounds the state.
+"""
+
+import collections
+from collections.abc import Mapping
+import dataclasses
+import json
+import math
+from typing import NamedTuple
+import zlib
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import deployment as deployments
+from sycamorehollow.model import events
+
+EPOCH_RATINGS = 96
+KEPT_EPOCHS = 8
+HALF_LIFE_RATINGS = 384
+# Weight of the neighbours' mean; small enough for 20 own ratings to outvote it.
+PRIOR_RATINGS = 5.0
+DRIFT_RATINGS = 48
+# Tested after every rating, so the bound is far above one test's 2 sigma.
+DRIFT_SIGMA = 4.0
+PENDING_ANSWERS = 20_000
+PENDING_S = 3600.0
+MAX_TRACKS = 4096
+DIGEST_TRACKS = 64
+# Keeps one delta to a few kilobytes when every process has news.
+DELTA_CELLS = 400
+# An answer that follows a rejection is harder than an average one.
+ESCALATION_FACTOR = 0.7
+
+
+class Key(NamedTuple):
+    """What an estimate is about.
+
+    Attributes:
+        workspace: Name of the workspace.
+        kind: Kind of request.
+        version: Version that answered; empty for all delivered answers.
+        after: Versions whose answers to the request were rejected before.
+            Escalated requests are harder, so they have estimates of their own
+            and do not bias those of fresh requests.
+    """
+
+    workspace: str
+    kind: str
+    version: str
+    after: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerProduced(events.Event):
+    """A version has answered; its rating may follow.
+
+    Attributes:
+        answer_id: Unique per attempt.
+        key: Whom the answer counts for.
+        threshold: Rating in [0, 1] from which the answer is accepted.
+        final: Whether the answer is delivered even when it is rejected.
+    """
+
+    answer_id: str
+    key: Key
+    threshold: float
+    final: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class RatingArrived(events.Event):
+    """The rating service has rated an answer with a score in [0, 1]."""
+
+    answer_id: str
+    score: float
+
+
+@dataclasses.dataclass(frozen=True)
+class DeploymentChanged(events.Event):
+    """Another configuration is in effect."""
+
+    deployment: deployments.Deployment
+
+
+@dataclasses.dataclass(frozen=True)
+class Estimate:
+    """Beta estimate of the share of accepted answers.
+
+    Attributes:
+        alpha: Discounted accepted ratings plus prior.
+        beta: Discounted rejected ratings plus prior.
+        ratings: Own ratings behind it, without prior and discount.
+    """
+
+    alpha: float
+    beta: float
+    ratings: int
+
+    @property
+    def mean(self) -> float:
+        """Expected share of accepted answers."""
+        return self.alpha / (self.alpha + self.beta)
+
+    @property
+    def deviation(self) -> float:
+        """Standard deviation of the share."""
+        total = self.alpha + self.beta
+        return math.sqrt(self.alpha * self.beta / (total + 1)) / total
+
+
+class _Track:
+    """Counts of one key: epoch → process → (rated, accepted)."""
+
+    def __init__(self) -> None:
+        self.epochs: dict[int, dict[str, tuple[int, int]]] = {}
+        self.totals: dict[int, tuple[int, int]] = {}
+        self.floor = 0
+        self.floor_at = -math.inf
+
+    def newest(self) -> int:
+        return max(self.totals, default=self.floor)
+
+    def raise_cell(self, epoch: int, process: str, cell: tuple[int, int]):
+        """Takes a count unless a higher one of that process is known."""
+        if epoch < self.floor:
+            return
+        cells = self.epochs.setdefault(epoch, {})
+        old = cells.get(process, (0, 0))
+        if cell <= old:
+            return
+        cells[process] = cell
+        total = self.totals.get(epoch, (0, 0))
+        self.totals[epoch] = (
+            total[0] + cell[0] - old[0],
+            total[1] + cell[1] - old[1],
+        )
+        self.raise_floor(self.newest() - KEPT_EPOCHS + 1)
+
+    def raise_floor(self, floor: int) -> bool:
+        """Forgets the epochs below a floor, which never falls."""
+        if floor <= self.floor:
+            return False
+        self.floor = floor
+        for epoch in [e for e in self.epochs if e < floor]:
+            del self.epochs[epoch]
+            del self.totals[epoch]
+        return True
+
+    def record(self, process: str, accepted: bool) -> None:
+        """Adds one rating to this process's counts."""
+        epoch = self.newest()
+        if self.totals.get(epoch, (0, 0))[0] >= EPOCH_RATINGS:
+            epoch += 1
+        rated, good = self.epochs.get(epoch, {}).get(process, (0, 0))
+        self.raise_cell(epoch, process, (rated + 1, good + int(accepted)))
+
+    def discount(self) -> tuple[float, float, int]:
+        """Returns discounted rated and accepted counts, and raw ratings."""
+        rated = accepted = 0.0
+        seen = 0
+        for epoch in sorted(self.totals, reverse=True):
+            count, good = self.totals[epoch]
+            weight = 0.5 ** (seen / HALF_LIFE_RATINGS)
+            rated += weight * count
+            accepted += weight * good
+            seen += count
+        return rated, accepted, seen
+
+    def find_drift(self) -> int | None:
+        """Returns the epoch from which the quality has changed, if any."""
+        recent = recent_good = 0
+        start = None
+        older = older_good = 0
+        for epoch in sorted(self.totals, reverse=True):
+            count, good = self.totals[epoch]
+            if recent < DRIFT_RATINGS:
+                recent, recent_good, start = (
+                    recent + count,
+                    recent_good + good,
+                    epoch,
+                )
+                continue
+            older += count
+            older_good += good
+        if recent < DRIFT_RATINGS or older < DRIFT_RATINGS:
+            return None
+        pooled = (recent_good + older_good + 1) / (recent + older + 2)
+        spread = math.sqrt(pooled * (1 - pooled) * (1 / recent + 1 / older))
+        change = abs(recent_good / recent - older_good / older)
+        return start if change > DRIFT_SIGMA * spread else None
+
+    def checksum(self, epoch: int) -> int:
+        cells = sorted(self.epochs.get(epoch, {}).items())
+        return zlib.crc32(repr(cells).encode()) & 0xFFFFFF
+
+
+class Learning(parts.Part, parts.Replicated):
+    """Learns how often each version's answers are accepted.
+
+    Args:
+        process: Identity of this run of the process; a restart has another.
+    """
+
+    kind = "learning"
+
+    def __init__(self, process: str) -> None:
+        self._process = process
+        self._tracks: dict[Key, _Track] = {}
+        self._pending: collections.OrderedDict[
+            str, tuple[AnswerProduced, float]
+        ] = collections.OrderedDict()
+        self._configured: Mapping[str, deployments.Workspace] | None = None
+        self._changes: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event; learning asks for no commands."""
+        if isinstance(event, AnswerProduced):
+            self._pending[event.answer_id] = (event, now)
+            self._drop_pending(now)
+        elif isinstance(event, RatingArrived):
+            self._take_rating(event, now)
+        elif isinstance(event, DeploymentChanged):
+            self._configured = event.deployment.workspaces
+            for key in [k for k in self._tracks if not self._is_known(k)]:
+                del self._tracks[key]
+        elif isinstance(event, events.Tick):
+            self._drop_pending(now)
+        return []
+
+    def estimate(self, key: Key) -> Estimate:
+        """Returns the estimate of a key, from the prior without ratings."""
+        track = self._tracks.get(key)
+        rated, accepted, ratings = track.discount() if track else (0.0, 0.0, 0)
+        mean = self._prior_mean(key)
+        return Estimate(
+            alpha=0.5 + PRIOR_RATINGS * mean + accepted,
+            beta=0.5 + PRIOR_RATINGS * (1 - mean) + rated - accepted,
+            ratings=ratings,
+        )
+
+    def count_ratings(self, key: Key) -> int:
+        """Returns the own ratings behind an estimate."""
+        track = self._tracks.get(key)
+        return sum(t[0] for t in track.totals.values()) if track else 0
+
+    def count_changes(self, workspace: str, kind: str) -> int:
+        """Returns a number that grows whenever estimates of a kind change."""
+        return self._changes[(workspace, kind)]
+
+    def count_tracks(self) -> int:
+        """Returns the number of keys with counts."""
+        return len(self._tracks)
+
+    def summarize(self, now: float) -> bytes:
+        """Returns checksums of one slice of the keys, another each second."""
+        slices = max(1, math.ceil(len(self._tracks) / DIGEST_TRACKS))
+        turn = int(now) % slices
+        held = {}
+        for key in self._slice(slices, turn):
+            track = self._tracks[key]
+            sums = {epoch: track.checksum(epoch) for epoch in track.epochs}
+            held["\n".join((*key[:3], *key.after))] = [track.floor, sums]
+        return _pack([slices, turn, held])
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns the epochs that differ from the digest, up to a bound."""
+        slices, turn, held = _unpack(digest)
+        keys = self._slice(slices, turn)
+        start = int(now * 7) % len(keys) if keys else 0
+        news = []
+        room = DELTA_CELLS
+        for key in keys[start:] + keys[:start]:
+            track = self._tracks[key]
+            floor, sums = held.get("\n".join((*key[:3], *key.after)), (0, {}))
+            epochs = {
+                epoch: cells
+                for epoch, cells in track.epochs.items()
+                if epoch >= floor
+                and sums.get(str(epoch)) != track.checksum(epoch)
+            }
+            if not epochs and track.floor <= floor:
+                continue
+            news.append([key, track.floor, epochs])
+            room -= sum(len(cells) for cells in epochs.values())
+            if room <= 0:
+                break
+        return _pack(news) if news else b""
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Raises counts to those of another process."""
+        if not delta:
+            return []
+        for name, floor, epochs in _unpack(delta):
+            key = Key(name[0], name[1], name[2], tuple(name[3]))
+            if not self._is_known(key):
+                continue
+            track = self._find_track(key)
+            if track is None:
+                continue
+            # Cells first: a floor above them has to drop them again.
+            for epoch, cells in epochs.items():
+                for process, cell in cells.items():
+                    track.raise_cell(int(epoch), process, (cell[0], cell[1]))
+            if track.raise_floor(floor):
+                track.floor_at = now
+            self._changes[key[:2]] += 1
+        return []
+
+    def _take_rating(self, event: RatingArrived, now: float) -> None:
+        # Taking the answer out makes a repeated rating count once.
+        entry = self._pending.pop(event.answer_id, None)
+        if entry is None:
+            return
+        answer, produced_at = entry
+        accepted = event.score >= answer.threshold
+        self._record(answer.key, accepted, produced_at, now)
+        if accepted or answer.final:
+            delivered = Key(answer.key.workspace, answer.key.kind, "")
+            self._record(delivered, accepted, produced_at, now)
+
+    def _record(
+        self, key: Key, accepted: bool, produced_at: float, now: float
+    ) -> None:
+        track = self._find_track(key) if self._is_known(key) else None
+        # An answer from before a drift says nothing about the time after it.
+        if track is None or produced_at < track.floor_at:
+            return
+        track.record(self._process, accepted)
+        self._changes[(key.workspace, key.kind)] += 1
+        start = track.find_drift()
+        if start is not None and track.raise_floor(start):
+            track.floor_at = now
+
+    def _find_track(self, key: Key) -> _Track | None:
+        track = self._tracks.get(key)
+        if track is None and len(self._tracks) < MAX_TRACKS:
+            track = self._tracks[key] = _Track()
+        return track
+
+    def _is_known(self, key: Key) -> bool:
+        if self._configured is None:
+            return True
+        workspace = self._configured.get(key.workspace)
+        if workspace is None:
+            return False
+        named = {key.version, *key.after} - {""}
+        return named <= workspace.versions
+
+    def _prior_mean(self, key: Key) -> float:
+        rated = accepted = 0.0
+        for name in self._workspaces():
+            track = self._tracks.get(key._replace(workspace=name))
+            if name == key.workspace or track is None:
+                continue
+            count, good, _ = track.discount()
+            rated += count
+            accepted += good
+        if rated >= 1:
+            return accepted / rated
+        if not key.after:
+            return 0.5
+        fresh = self.estimate(key._replace(after=()))
+        return fresh.mean * ESCALATION_FACTOR
+
+    def _workspaces(self) -> list[str]:
+        if self._configured is not None:
+            return list(self._configured)
+        return sorted({key.workspace for key in self._tracks})
+
+    def _drop_pending(self, now: float) -> None:
+        while self._pending:
+            answer_id, (_, produced_at) = next(iter(self._pending.items()))
+            late = now - produced_at > PENDING_S
+            if not late and len(self._pending) <= PENDING_ANSWERS:
+                return
+            del self._pending[answer_id]
+
+    def _slice(self, slices: int, turn: int) -> list[Key]:
+        return [
+            key
+            for key in sorted(self._tracks)
+            if zlib.crc32("\n".join(key[:3]).encode()) % slices == turn
+        ]
+
+
+def _pack(value: object) -> bytes:
+    return zlib.compress(json.dumps(value, separators=(",", ":")).encode())
+
+
+def _unpack(data: bytes):
+    return json.loads(zlib.decompress(data))
--- /dev/null
+++ b/sycamorehollow/decisions/versions.py
@@ -0,0 +1,198 @@
+"""Which versions a request may run on, by the name that it asks for."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+
+from sycamorehollow.model import deployment as deployments
+from sycamorehollow.model import failures
+
+
+@dataclasses.dataclass(frozen=True)
+class Arm:
+    """The side of a roll-out that a version stands on for a request.
+
+    Attributes:
+        rollout: Name of the roll-out.
+        candidate: Whether it is the new version; otherwise the one in service.
+    """
+
+    rollout: str
+    candidate: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidates:
+    """The versions that a request may run on.
+
+    Attributes:
+        versions: In the order to try them: a cascade's own order, otherwise
+            by price.
+        arms: Arms that an answer of each version counts for.
+        reason: One sentence for the log.
+    """
+
+    versions: tuple[str, ...]
+    arms: Mapping[str, tuple[Arm, ...]]
+    reason: str
+
+
+def place(rollout: deployments.Rollout, assignment: str) -> float:
+    """Returns the place in [0, 1) of a request or session in a roll-out.
+
+    The place does not depend on the stage, so what is in at a small share
+    stays in at a larger one.
+    """
+    text = f"{rollout.name}\n{rollout.candidate}\n{assignment}"
+    digest = hashlib.sha256(text.encode()).digest()
+    return int.from_bytes(digest[:8], "big") / 2**64
+
+
+def resolve(
+    deployment: deployments.Deployment,
+    workspace: deployments.Workspace,
+    name: str,
+    assignment: str,
+    shares: Mapping[str, float],
+    stopped: Collection[str],
+) -> Candidates | failures.Failure:
+    """Returns the versions that a request may run on.
+
+    Args:
+        deployment: The configuration in effect.
+        workspace: Whose request it is.
+        name: Model, version or cascade that the request names.
+        assignment: Session identity, or the request id without a session.
+        shares: Share in effect of each roll-out; 0 where one is missing.
+        stopped: Versions with a stop record in effect.
+    """
+    if name in deployment.versions:
+        return _resolve_version(deployment, workspace, name, stopped)
+    cascade = deployment.cascades.get(name)
+    if cascade is not None:
+        named = list(cascade.steps)
+    else:
+        named = sorted(
+            (v.name for v in deployment.versions.values() if v.model == name),
+            key=lambda v: (
+                deployment.versions[v].output_price,
+                deployment.versions[v].prompt_price,
+                v,
+            ),
+        )
+    if not named:
+        return failures.NotFound(f"No model, version or cascade {name!r}.")
+    usable = {
+        v.name
+        for v in deployment.versions.values()
+        if v.name in workspace.versions
+        and v.name not in stopped
+        and v.state is deployments.ServingState.SERVING
+    }
+    splits = _Splits(deployment.rollouts, usable, assignment, shares)
+    picked = dict.fromkeys(splits.pick(version) for version in named)
+    chosen = tuple(version for version in picked if version is not None)
+    if not chosen:
+        return _refuse(workspace, name, named, usable)
+    arms = {v: splits.list_arms(v) for v in chosen if splits.list_arms(v)}
+    notes = [f"{len(chosen)} of {len(named)} versions of {name}"]
+    for arm in (arm for group in arms.values() for arm in group):
+        side = "inside" if arm.candidate else "outside"
+        share = shares.get(arm.rollout, 0.0)
+        notes.append(f"{side} {share:.0%} of {arm.rollout}")
+    return Candidates(chosen, arms, "; ".join(notes))
+
+
+def _resolve_version(
+    deployment: deployments.Deployment,
+    workspace: deployments.Workspace,
+    name: str,
+    stopped: Collection[str],
+) -> Candidates | failures.Failure:
+    """A caller that names a version gets this version or a refusal."""
+    if name not in workspace.versions:
+        return failures.NotAllowed(
+            f"Workspace {workspace.name!r} may not use version {name!r}."
+        )
+    state = deployment.versions[name].state
+    if name in stopped or state is not deployments.ServingState.SERVING:
+        return failures.VersionWithdrawn(f"Version {name!r} takes no new work.")
+    return Candidates((name,), {}, f"the request names version {name}")
+
+
+class _Splits:
+    """The roll-outs as they look to one request."""
+
+    def __init__(
+        self,
+        rollouts: Mapping[str, deployments.Rollout],
+        usable: set[str],
+        assignment: str,
+        shares: Mapping[str, float],
+    ) -> None:
+        self._usable = usable
+        self._all = sorted(rollouts.values(), key=lambda r: r.name)
+        self._inside = {
+            r.name: place(r, assignment) < shares.get(r.name, 0.0)
+            and r.candidate in usable
+            for r in self._all
+        }
+
+    def pick(self, version: str) -> str | None:
+        """Returns the version that takes the place of a named one."""
+        seen: set[str] = set()
+        while version not in seen:
+            seen.add(version)
+            version = self._follow(version)
+        if version not in self._usable or self._is_barred(version):
+            return None
+        return version
+
+    def list_arms(self, version: str) -> tuple[Arm, ...]:
+        """Returns the arms that an answer of a version counts for."""
+        arms = []
+        for rollout in self._all:
+            # A workspace with one side only is no evidence for either.
+            if not {rollout.baseline, rollout.candidate} <= self._usable:
+                continue
+            inside = self._inside[rollout.name]
+            arm = rollout.candidate if inside else rollout.baseline
+            if version == arm:
+                arms.append(Arm(rollout.name, inside))
+        return tuple(arms)
+
+    def _is_barred(self, version: str) -> bool:
+        """Tells whether every roll-out of a version leaves the request out."""
+        sides = [r for r in self._all if r.candidate == version]
+        return bool(sides) and not any(self._inside[r.name] for r in sides)
+
+    def _follow(self, version: str) -> str:
+        barred = self._is_barred(version)
+        for rollout in self._all:
+            if barred and rollout.candidate == version:
+                return rollout.baseline
+            if rollout.baseline == version and self._inside[rollout.name]:
+                return rollout.candidate
+        return version
+
+
+def _refuse(
+    workspace: deployments.Workspace,
+    name: str,
+    named: list[str],
+    usable: set[str],
+) -> failures.Failure:
+    if not workspace.versions.intersection(named):
+        return failures.NotAllowed(
+            f"Workspace {workspace.name!r} may use no version of {name!r}."
+        )
+    if usable.intersection(named):
+        return failures.NotAllowed(
+            f"The versions of {name!r} that workspace {workspace.name!r} may"
+            " use are in a roll-out that the request is outside of."
+        )
+    return failures.VersionWithdrawn(
+        f"Every version of {name!r} that workspace {workspace.name!r} may use"
+        " is withdrawn."
+    )
