--- /dev/null
+++ b/benches/bench_cascades.py
@@ -0,0 +1,330 @@
+"""Cost at the quality target of the choice of versions.
+
+Models of unlike cost and quality serve kinds of unlike difficulty. Ratings are
+late, partial and noisy, and the quality of some versions drifts in mid-run.
+Three processes share what they learn by digest exchange.
+"""
+
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+
+from benches import results
+from sycamorehollow.decisions import cascades
+from sycamorehollow.decisions import learning
+from sycamorehollow.model import deployment
+
+SEEDS = (1, 2, 3)
+PROCESSES = 3
+REQUESTS = 36_000
+REQUESTS_PER_S = 20.0
+RATED_SHARE = 0.6
+THRESHOLD = 0.7
+# Share of requests whose difficulty all versions see alike.
+COMMON_DIFFICULTY = 0.6
+PRICES = {"tiny": 1.0, "small": 4.0, "medium": 12.0, "large": 40.0}
+VERSIONS = tuple(PRICES)
+# Kind → (gate, target, share of good answers by version).
+KINDS = {
+    "check": (False, 0.88, (0.97, 0.975, 0.98, 0.985)),
+    "caption": (False, 0.86, (0.75, 0.95, 0.965, 0.985)),
+    "chapter": (True, 0.88, (0.40, 0.65, 0.88, 0.97)),
+}
+WORKSPACES = {"a": 3, "b": 3, "c": 2, "d": 1, "e": 1}
+# In mid-run a version gets worse for a large and a small workspace, and
+# another one gets better.
+DRIFTS = {
+    ("a", "caption", "small"): 0.78,
+    ("d", "caption", "small"): 0.78,
+    ("b", "chapter", "small"): 0.90,
+}
+Steps = tuple[str, ...]
+
+
+class World:
+    """True quality of the versions, and what ratings make of it."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._good: dict[tuple[str, str, str], float] = {}
+        for workspace, kind in itertools.product(WORKSPACES, KINDS):
+            for version, good in zip(VERSIONS, KINDS[kind][2], strict=True):
+                shift = self._random.uniform(-0.01, 0.01)
+                self._good[(workspace, kind, version)] = good + shift
+        # One workspace is unlike its neighbours.
+        self._good[("c", "caption", "small")] = 0.80
+
+    def drift(self) -> None:
+        """Changes the quality of some versions."""
+        self._good.update(DRIFTS)
+
+    def rate(self, where: tuple[str, str, str], difficulty: float) -> float:
+        """Returns the rating of one answer."""
+        draw = difficulty
+        if self._random.random() > COMMON_DIFFICULTY:
+            draw = self._random.random()
+        mean = 0.9 if draw < self._good[where] else 0.4
+        return min(1.0, max(0.0, self._random.gauss(mean, 0.12)))
+
+    def find_best(self, workspace: str, kind: str) -> Steps:
+        """Returns the cheapest sequence that meets the target, by sampling."""
+        gate, target, _ = KINDS[kind]
+        lengths = range(1, cascades.MAX_STEPS + 1 if gate else 2)
+        best: tuple[float, Steps] | None = None
+        for length in lengths:
+            for steps in itertools.combinations(VERSIONS, length):
+                total = Total()
+                for _ in range(4_000):
+                    total.add(self.answer(workspace, kind, steps, gate)[:2])
+                if total.quality() < target:
+                    continue
+                if best is None or total.price() < best[0]:
+                    best = (total.price(), steps)
+        return best[1] if best else VERSIONS[-1:]
+
+    def answer(
+        self, workspace: str, kind: str, steps: Steps, gate: bool
+    ) -> tuple[float, bool, list[tuple[str, float]]]:
+        """Returns cost, acceptance and the rated attempts of a request."""
+        difficulty = self._random.random()
+        cost = 0.0
+        attempts = []
+        for version in steps if gate else steps[:1]:
+            score = self.rate((workspace, kind, version), difficulty)
+            cost += PRICES[version]
+            attempts.append((version, score))
+            if score >= THRESHOLD:
+                break
+        return cost, attempts[-1][1] >= THRESHOLD, attempts
+
+
+@dataclasses.dataclass
+class Total:
+    """Sums over requests."""
+
+    cost: float = 0.0
+    accepted: int = 0
+    requests: int = 0
+
+    def add(self, outcome: tuple[float, bool]) -> None:
+        """Adds the cost and acceptance of one request."""
+        self.cost += outcome[0]
+        self.accepted += int(outcome[1])
+        self.requests += 1
+
+    def quality(self) -> float:
+        """Returns the share of accepted answers."""
+        return self.accepted / max(1, self.requests)
+
+    def price(self) -> float:
+        """Returns the cost per accepted answer."""
+        return self.cost / max(1, self.accepted)
+
+
+class Router:
+    """Three processes that choose, deliver and learn."""
+
+    def __init__(self, seed: int, world: World) -> None:
+        self._world = world
+        self._random = random.Random(seed + 1000)
+        self._parts = []
+        for index in range(PROCESSES):
+            estimates = learning.Learning(f"p{index}")
+            choice = cascades.Cascades(estimates, random.Random(seed + index))
+            self._parts.append((estimates, choice))
+        self._ratings: list[tuple[float, int, int, str, float]] = []
+        self._number = 0
+        self._next_exchange = 0.0
+
+    def serve(
+        self, workspace: str, kind: str, now: float
+    ) -> tuple[float, bool]:
+        """Serves one request and returns its cost and acceptance."""
+        self._deliver_ratings(now)
+        if now >= self._next_exchange:
+            self._next_exchange = now + 1.0
+            self._exchange(now)
+        index = self._random.randrange(PROCESSES)
+        estimates, chooser = self._parts[index]
+        gate, target, _ = KINDS[kind]
+        policy = deployment.KindPolicy(
+            kind, THRESHOLD, target, gate=gate, explore=True
+        )
+        ask = cascades.Ask(workspace, policy, VERSIONS, PRICES, 60.0)
+        choice = chooser.choose(ask)
+        assert isinstance(choice, cascades.Choice)
+        chooser.handle(cascades.ChoiceMade(workspace, kind, choice), now)
+        cost, accepted, attempts = self._world.answer(
+            workspace, kind, choice.steps, choice.gate
+        )
+        for step, (version, score) in enumerate(attempts):
+            self._number += 1
+            name = str(self._number)
+            key = learning.Key(workspace, kind, version, choice.steps[:step])
+            final = step == len(choice.steps) - 1
+            event = learning.AnswerProduced(name, key, THRESHOLD, final)
+            estimates.handle(event, now)
+            self._rate(index, name, score, choice.gate, now)
+        return cost, accepted
+
+    def _rate(
+        self, index: int, name: str, score: float, gate: bool, now: float
+    ) -> None:
+        if gate:
+            event = learning.RatingArrived(name, score)
+            self._parts[index][0].handle(event, now)
+        elif self._random.random() < RATED_SHARE:
+            due = now + self._random.uniform(2.0, 30.0)
+            item = (due, self._number, index, name, score)
+            heapq.heappush(self._ratings, item)
+
+    def _deliver_ratings(self, now: float) -> None:
+        while self._ratings and self._ratings[0][0] <= now:
+            _, _, index, name, score = heapq.heappop(self._ratings)
+            event = learning.RatingArrived(name, score)
+            self._parts[index][0].handle(event, now)
+
+    def _exchange(self, now: float) -> None:
+        one, two = self._random.sample([p[0] for p in self._parts], 2)
+        two.merge(one.collect(two.summarize(now), now), now)
+        one.merge(two.collect(one.summarize(now), now), now)
+
+
+Group = tuple[str, str, str]
+
+
+@dataclasses.dataclass
+class Report:
+    """Totals of one run by (phase, workspace, kind) for each policy."""
+
+    routed: dict[Group, Total]
+    hindsight: dict[Group, Total]
+    dearest: dict[Group, Total]
+    fixed: dict[Group, Total]
+
+    def compare(self, phases: tuple[str, ...]) -> float:
+        """Returns the cost per accepted answer relative to hindsight."""
+        return self.price("routed", phases) / self.price("hindsight", phases)
+
+    def price(self, policy: str, phases: tuple[str, ...]) -> float:
+        """Returns the cost per accepted answer in some phases."""
+        cost = accepted = 0.0
+        for group, total in getattr(self, policy).items():
+            if group[0] in phases:
+                cost += total.cost
+                accepted += total.accepted
+        return cost / accepted
+
+    def find_worst(self, policy: str, phases: tuple[str, ...]) -> float:
+        """Returns the smallest margin over the target of a workspace's kind."""
+        sums: dict[tuple[str, str], Total] = {}
+        for (phase, workspace, kind), total in getattr(self, policy).items():
+            if phase in phases:
+                joint = sums.setdefault((workspace, kind), Total())
+                joint.accepted += total.accepted
+                joint.requests += total.requests
+        return min(t.quality() - KINDS[key[1]][1] for key, t in sums.items())
+
+
+def simulate(seed: int) -> Report:
+    """Runs the processes and the policies to compare on the same world."""
+    world = World(seed)
+    router = Router(seed, world)
+    randomness = random.Random(seed + 2000)
+    names = list(WORKSPACES)
+    weights = list(WORKSPACES.values())
+    report = Report({}, {}, {}, {})
+    best: dict[tuple[str, str], Steps] = {}
+    for number in range(REQUESTS):
+        if number == REQUESTS // 2:
+            world.drift()
+            best = {}
+        workspace = randomness.choices(names, weights)[0]
+        kind = randomness.choice(list(KINDS))
+        phase = ("learning", "settled", "drift", "resettled")[
+            4 * number // REQUESTS
+        ]
+        group = (phase, workspace, kind)
+        gate = KINDS[kind][0]
+        if (workspace, kind) not in best:
+            best[(workspace, kind)] = world.find_best(workspace, kind)
+        policies = (
+            (report.hindsight, best[(workspace, kind)]),
+            (report.dearest, VERSIONS[-1:]),
+            (report.fixed, ("tiny", "medium", "large")),
+        )
+        for totals, steps in policies:
+            outcome = world.answer(workspace, kind, steps, gate)[:2]
+            totals.setdefault(group, Total()).add(outcome)
+        outcome = router.serve(workspace, kind, number / REQUESTS_PER_S)
+        report.routed.setdefault(group, Total()).add(outcome)
+    return report
+
+
+@functools.cache
+def collect() -> tuple[Report, ...]:
+    """Returns the reports of all seeds."""
+    return tuple(simulate(seed) for seed in SEEDS)
+
+
+def run() -> list[results.Result]:
+    """Compares cost and quality; each figure is the worst of the seeds."""
+    reports = collect()
+    after = ("settled", "resettled")
+    every = ("learning", "settled", "drift", "resettled")
+    found = []
+    ratios = [report.compare(after) for report in reports]
+    margins = [report.find_worst("routed", after) for report in reports]
+    found.append(
+        results.Result(
+            "cascades: cost against hindsight after learning, worst seed",
+            max(ratios),
+            1.10,
+        )
+    )
+    found.append(
+        results.Result(
+            "cascades: the same, best seed",
+            min(ratios),
+        )
+    )
+    found.append(
+        results.Result(
+            "cascades: accepted share over the target, worst kind of a"
+            " workspace and seed",
+            min(margins),
+            0.0,
+            at_most=False,
+        )
+    )
+    found.append(results.Result("cascades: the same, best seed", max(margins)))
+    for phase in every:
+        found.append(
+            results.Result(
+                f"cascades: cost against hindsight, phase {phase}, worst seed",
+                max(report.compare((phase,)) for report in reports),
+            )
+        )
+        found.append(
+            results.Result(
+                f"cascades: margin over the target, phase {phase}, worst seed",
+                min(r.find_worst("routed", (phase,)) for r in reports),
+            )
+        )
+    for policy in ("routed", "hindsight", "dearest", "fixed"):
+        prices = [report.price(policy, every) for report in reports]
+        found.append(
+            results.Result(
+                f"cascades: cost per accepted answer, {policy}, worst seed",
+                max(prices),
+            )
+        )
+        found.append(
+            results.Result(
+                f"cascades: margin over the target, {policy}, worst seed",
+                min(report.find_worst(policy, every) for report in reports),
+            )
+        )
+    return found
--- a/sycamorehollow/decisions/learning.py
+++ b/sycamorehollow/decisions/learning.py
@@ -9,11 +9,11 @@
 import collections
 from collections.abc import Mapping
 import dataclasses
-import json
 import math
 from typing import NamedTuple
 import zlib
 
+from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
@@ -267,11 +267,11 @@
             track = self._tracks[key]
             sums = {epoch: track.checksum(epoch) for epoch in track.epochs}
             held["\n".join((*key[:3], *key.after))] = [track.floor, sums]
-        return _pack([slices, turn, held])
+        return deltas.pack([slices, turn, held])
 
     def collect(self, digest: bytes, now: float) -> bytes:
         """Returns the epochs that differ from the digest, up to a bound."""
-        slices, turn, held = _unpack(digest)
+        slices, turn, held = deltas.unpack(digest)
         keys = self._slice(slices, turn)
         start = int(now * 7) % len(keys) if keys else 0
         news = []
@@ -291,13 +291,13 @@
             room -= sum(len(cells) for cells in epochs.values())
             if room <= 0:
                 break
-        return _pack(news) if news else b""
+        return deltas.pack(news) if news else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Raises counts to those of another process."""
         if not delta:
             return []
-        for name, floor, epochs in _unpack(delta):
+        for name, floor, epochs in deltas.unpack(delta):
             key = Key(name[0], name[1], name[2], tuple(name[3]))
             if not self._is_known(key):
                 continue
@@ -388,11 +388,3 @@
             for key in sorted(self._tracks)
             if zlib.crc32("\n".join(key[:3]).encode()) % slices == turn
         ]
-
-
-def _pack(value: object) -> bytes:
-    return zlib.compress(json.dumps(value, separators=(",", ":")).encode())
-
-
-def _unpack(data: bytes):
-    return json.loads(zlib.decompress(data))
--- a/sycamorehollow/decisions/sequential.py
+++ b/sycamorehollow/decisions/sequential.py
@@ -13,10 +13,9 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
-import json
 import math
-import zlib
 
+from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
@@ -255,7 +254,7 @@
 
     def summarize(self, now: float) -> bytes:
         """Returns the change number of each process's record."""
-        return _pack(
+        return deltas.pack(
             {
                 run: {process: record[0] for process, record in group.items()}
                 for run, group in self._records.items()
@@ -264,7 +263,7 @@
 
     def collect(self, digest: bytes, now: float) -> bytes:
         """Returns the newer records, up to a bound, from a rotating start."""
-        held = _unpack(digest)
+        held = deltas.unpack(digest)
         news = []
         for run, group in sorted(self._records.items()):
             known = held.get(run, {})
@@ -274,13 +273,13 @@
         if not news:
             return b""
         start = int(now * 7) % len(news)
-        return _pack((news[start:] + news[:start])[:DELTA_RECORDS])
+        return deltas.pack((news[start:] + news[:start])[:DELTA_RECORDS])
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Takes the records with a higher number."""
         if not delta:
             return []
-        for run, process, number, tallies in _unpack(delta):
+        for run, process, number, tallies in deltas.unpack(delta):
             # A restart has a new identity, so nobody else knows better.
             if run not in self._kept or process == self._process:
                 continue
@@ -322,11 +321,3 @@
         Metric(name): Tally(tuple(values[0]), *values[1:])
         for name, values in tallies.items()
     }
-
-
-def _pack(value: object) -> bytes:
-    return zlib.compress(json.dumps(value, separators=(",", ":")).encode())
-
-
-def _unpack(data: bytes):
-    return json.loads(zlib.decompress(data))
