--- a/sycamorehollow/decisions/capacity.py
+++ b/sycamorehollow/decisions/capacity.py
@@ -135,18 +135,15 @@
         was started since the oldest report in the window and the estimate has
         room; the upstream's own refusal covers the rest.
         """
-        free = self.count_free_tokens(upstream, demand, now)
-        if demand.tokens <= free:
-            return True
-        return self._fits_oversized(upstream, demand, now)
-
-    def _fits_oversized(
-        self, upstream: str, demand: Demand, now: float
-    ) -> bool:
         row = self._table.find_row(upstream)
-        if row is None or now < row.down_until or row.report is None:
+        if row is None or now < row.down_until:
             return False
-        if is_stale(row.report, now):
+        # A full upstream is the common case of a scan and needs no more work.
+        if demand.tokens > row.capacity_tokens - row.estimate_tokens():
+            return False
+        if demand.tokens <= self.count_free_tokens(upstream, demand, now):
+            return True
+        if row.report is None or is_stale(row.report, now):
             return False
         usable = int(row.capacity_tokens * (1 - SHORT_RESERVE))
         if demand.tokens <= usable // self._members:
--- /dev/null
+++ b/sycamorehollow/decisions/shares.py
@@ -0,0 +1,117 @@
+"""Outstanding work of peers at upstreams."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+PEER_TTL_S = 10.0
+
+
+@dataclasses.dataclass
+class Share:
+    """Outstanding tokens of one peer, per upstream.
+
+    Attributes:
+        history: Per upstream, (local time, tokens), oldest first. The first
+            entry is the newest one that the last report already contains.
+    """
+
+    sequence: int
+    data_centre: str
+    heard_at: float
+    tokens: Mapping[str, int]
+    history: dict[str, collections.deque[tuple[float, int]]]
+
+
+class PeerShares:
+    """The last share of every peer; an older one never replaces a newer."""
+
+    def __init__(self) -> None:
+        self._shares: dict[str, Share] = {}
+        self._expired: dict[str, int] = {}
+
+    def list_known(self, data_centre: str) -> dict[str, int]:
+        """Returns the sequences of the peers of a data centre."""
+        known = {}
+        for process, share in self._shares.items():
+            if share.data_centre == data_centre:
+                known[process] = share.sequence
+        return known
+
+    def list_newer(
+        self, known: Mapping[str, int], data_centre: str
+    ) -> list[tuple[str, str, int, Mapping[str, int]]]:
+        """Returns shares of a data centre's peers that are newer than known."""
+        newer = []
+        for process, share in self._shares.items():
+            if share.data_centre != data_centre:
+                continue
+            if known.get(process, 0) >= share.sequence:
+                continue
+            newer.append((process, data_centre, share.sequence, share.tokens))
+        return newer
+
+    def merge(
+        self,
+        process: str,
+        data_centre: str,
+        sequence: int,
+        tokens: Mapping[str, int],
+        now: float,
+    ) -> Iterable[str]:
+        """Applies one share and returns the upstreams that it changes."""
+        if sequence <= self._expired.get(process, 0):
+            return ()
+        share = self._shares.get(process)
+        if share is None:
+            share = Share(sequence, data_centre, now, {}, {})
+            self._shares[process] = share
+        elif sequence <= share.sequence:
+            return ()
+        changed = set(tokens) | set(share.tokens)
+        share.sequence = sequence
+        share.heard_at = now
+        share.tokens = tokens
+        for name in changed:
+            history = share.history.setdefault(name, collections.deque())
+            history.append((now, tokens.get(name, 0)))
+        return changed
+
+    def expire(self, now: float) -> set[str]:
+        """Drops silent peers and returns the upstreams that this changes."""
+        changed: set[str] = set()
+        for process, share in list(self._shares.items()):
+            if now - share.heard_at < PEER_TTL_S:
+                continue
+            # The last sequence stays, so that a slower peer cannot bring the
+            # expired share back.
+            self._expired[process] = share.sequence
+            del self._shares[process]
+            changed.update(share.history)
+        return changed
+
+    def sum(self, upstream: str, since: float | None) -> tuple[int, int]:
+        """Adds up the work of all peers at an upstream.
+
+        Args:
+            upstream: Name of the upstream.
+            since: Time of the last report, or `None` without one.
+
+        Returns:
+            Outstanding tokens, and their growth since that time.
+        """
+        outstanding = 0
+        growth = 0
+        for share in self._shares.values():
+            history = share.history.get(upstream)
+            if not history:
+                continue
+            outstanding += history[-1][1]
+            if since is None:
+                continue
+            while len(history) > 1 and history[1][0] <= since:
+                history.popleft()
+            base = history[0][1] if history[0][0] <= since else 0
+            growth += history[-1][1] - base
+        return outstanding, growth
--- a/sycamorehollow/decisions/upstreams.py
+++ b/sycamorehollow/decisions/upstreams.py
@@ -7,6 +7,7 @@
 import json
 
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import shares
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -16,7 +17,6 @@
 # The time to live plus a poll interval of 1 s and its jitter: every process is
 # then bound by a report as old as the oldest one that another may still use.
 REPORT_WINDOW_S = 4.0
-PEER_TTL_S = 10.0
 CONNECT_BACKOFF_S = 1.0
 CONNECT_BACKOFF_MAX_S = 10.0
 
@@ -194,22 +194,6 @@
             self.own_growth -= self.changes.popleft()[1]
 
 
-@dataclasses.dataclass
-class Share:
-    """Outstanding tokens of one peer, per upstream.
-
-    Attributes:
-        history: Per upstream, (local time, tokens), oldest first. The first
-            entry is the newest one that the last report already contains.
-    """
-
-    sequence: int
-    data_centre: str
-    heard_at: float
-    tokens: dict[str, int]
-    history: dict[str, collections.deque[tuple[float, int]]]
-
-
 class Table(parts.Part, parts.Replicated):
     """Load of every configured upstream, as this process estimates it.
 
@@ -226,8 +210,7 @@
         self._data_centre = data_centre
         self._rows: dict[str, Row] = {}
         self._by_version: dict[str, tuple[str, ...]] = {}
-        self._shares: dict[str, Share] = {}
-        self._expired: dict[str, int] = {}
+        self._shares = shares.PeerShares()
         self._sequence = 0
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
@@ -244,7 +227,8 @@
             case ConnectFailed():
                 self._back_off(event.upstream, now)
             case events.Tick():
-                self._expire(now)
+                for name in self._shares.expire(now):
+                    self._sum_peers(name)
         return []
 
     def find_row(self, name: str) -> Row | None:
@@ -327,40 +311,14 @@
         row = self._rows.get(name)
         if row is None:
             return
-        row.peer_tokens = 0
-        row.peer_growth = 0
-        for share in self._shares.values():
-            history = share.history.get(name)
-            if not history:
-                continue
-            row.peer_tokens += history[-1][1]
-            if row.report is None:
-                continue
-            while len(history) > 1 and history[1][0] <= row.report.measured_at:
-                history.popleft()
-            base = history[0][1]
-            if history[0][0] > row.report.measured_at:
-                base = 0
-            row.peer_growth += history[-1][1] - base
-
-    def _expire(self, now: float) -> None:
-        for process, share in list(self._shares.items()):
-            if now - share.heard_at < PEER_TTL_S:
-                continue
-            # The last sequence stays, so that a slower peer cannot bring the
-            # expired share back.
-            self._expired[process] = share.sequence
-            del self._shares[process]
-            for name in share.history:
-                self._sum_peers(name)
+        since = row.report.measured_at if row.report else None
+        row.peer_tokens, row.peer_growth = self._shares.sum(name, since)
 
     def summarize(self, now: float) -> bytes:
         """Returns the sequence of every share of the own data centre."""
         self._sequence += 1
-        known = {self._process: self._sequence}
-        for process, share in self._shares.items():
-            if share.data_centre == self._data_centre:
-                known[process] = share.sequence
+        known = self._shares.list_known(self._data_centre)
+        known[self._process] = self._sequence
         digest = {"data_centre": self._data_centre, "known": known}
         return json.dumps(digest, separators=(",", ":")).encode()
 
@@ -369,23 +327,18 @@
         asked = json.loads(digest)
         known = asked["known"]
         place = asked["data_centre"]
-        shares = []
+        newer = self._shares.list_newer(known, place)
         if known.get(self._process, 0) < self._sequence:
-            tokens = {n: row.own_tokens for n, row in self._rows.items()}
-            tokens = self._keep_place(tokens, place)
-            shares.append(
-                [self._process, self._data_centre, self._sequence, tokens]
+            tokens = {}
+            for name, row in self._rows.items():
+                if row.own_tokens and row.configured.data_centre == place:
+                    tokens[name] = row.own_tokens
+            newer.append(
+                (self._process, self._data_centre, self._sequence, tokens)
             )
-        for process, share in self._shares.items():
-            if share.data_centre != place:
-                continue
-            if known.get(process, 0) >= share.sequence:
-                continue
-            tokens = self._keep_place(share.tokens, place)
-            shares.append([process, place, share.sequence, tokens])
-        if not shares:
+        if not newer:
             return b""
-        return json.dumps(shares, separators=(",", ":")).encode()
+        return json.dumps(newer, separators=(",", ":")).encode()
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Applies the shares of other processes; returns no commands."""
@@ -394,39 +347,7 @@
         for process, place, sequence, tokens in json.loads(delta):
             if process == self._process:
                 continue
-            if sequence <= self._expired.get(process, 0):
-                continue
-            share = self._shares.get(process)
-            if share is not None and sequence <= share.sequence:
-                continue
-            self._merge_share(process, place, sequence, tokens, now)
+            changed = self._shares.merge(process, place, sequence, tokens, now)
+            for name in changed:
+                self._sum_peers(name)
         return []
-
-    def _keep_place(self, tokens: dict[str, int], place: str) -> dict[str, int]:
-        kept = {}
-        for name, count in tokens.items():
-            row = self._rows.get(name)
-            if count and row and row.configured.data_centre == place:
-                kept[name] = count
-        return kept
-
-    def _merge_share(
-        self,
-        process: str,
-        place: str,
-        sequence: int,
-        tokens: dict[str, int],
-        now: float,
-    ) -> None:
-        share = self._shares.get(process)
-        if share is None:
-            share = Share(sequence, place, now, {}, {})
-            self._shares[process] = share
-        changed = set(tokens) | set(share.tokens)
-        share.sequence = sequence
-        share.heard_at = now
-        share.tokens = tokens
-        for name in changed:
-            history = share.history.setdefault(name, collections.deque())
-            history.append((now, tokens.get(name, 0)))
-            self._sum_peers(name)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from sycamorehollow.decisions import shares
 from sycamorehollow.decisions import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -88,7 +89,7 @@
         delta = first.collect(second.summarize(0.0), 0.0)
         second.merge(delta, 0.0)
         self.assertEqual(second.view("u", 0.0).peer_tokens, 7)
-        later = upstreams.PEER_TTL_S + 1
+        later = shares.PEER_TTL_S + 1
         second.handle(events.Tick(), later)
         second.merge(delta, later)
         self.assertEqual(second.view("u", later).peer_tokens, 0)
