Add retries within a budget and truthful refusals

An attempt counts as not run only when no byte of the request was written or the upstream said so; one attempt in doubt makes the whole request unknown.

Seen to fail with the rule taken out: - one written byte taken for none: Outcome(bytes_written=1, refused=False): NO is not UNKNOWN - doubt of an attempt forgotten: delivered_chunks=1: NO is not UNKNOWN - no budget: 20 failures without fresh work: 11 retries of at most 10 - delay and duration left out of the deadline: deadline=0.0: 1.03 s > 0

--- /dev/null
+++ b/sycamorehollow/decisions/retries.py
@@ -0,0 +1,171 @@
+"""Retries within a budget, and whether failed work may have run."""
+
+import dataclasses
+import random
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+BUDGET_RATIO = 0.1
+# Lets a node with little traffic retry at all.
+BUDGET_BURST = 10.0
+MAX_RETRIES = 2
+FIRST_DELAY_S = 0.05
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """How an attempt failed.
+
+    Attributes:
+        bytes_written: Bytes of the request that were written to the upstream.
+        refused: Whether the upstream stated in a typed refusal that it did
+            not run the request.
+        delivered_chunks: Chunks of the response that the caller received.
+        reason: One sentence for the log.
+    """
+
+    bytes_written: int
+    refused: bool
+    delivered_chunks: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class FreshWorkStarted(events.Event):
+    """The first attempt of a request has started."""
+
+    request: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptFailed(events.Event):
+    """An attempt of a request has failed.
+
+    Attributes:
+        idempotent: Whether a second run has no further effect.
+        deadline: Monotonic time in seconds.
+        needs_s: Estimated duration of another attempt in seconds.
+    """
+
+    request: str
+    outcome: Outcome
+    idempotent: bool
+    deadline: float
+    needs_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestEnded(events.Event):
+    """A request has its final response, or its caller is gone."""
+
+    request: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryRequest(commands.Command):
+    """Starts another attempt after a delay in seconds."""
+
+    request: str
+    delay_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveUp(commands.Command):
+    """Ends a request with its final failure."""
+
+    request: str
+    failure: failures.Failure
+
+
+@dataclasses.dataclass
+class Tries:
+    """What happened to a request so far.
+
+    Attributes:
+        retries: Retries that were started.
+        run: `UNKNOWN` once any attempt may have run.
+    """
+
+    retries: int = 0
+    run: failures.Run = failures.Run.NO
+
+
+def classify(outcome: Outcome) -> failures.Run:
+    """Tells whether a failed attempt may have run.
+
+    An attempt counts as not run only when no byte of the request was written
+    or the upstream said so; a broken or silent connection proves nothing.
+    """
+    if outcome.delivered_chunks:
+        return failures.Run.UNKNOWN
+    if outcome.bytes_written == 0 or outcome.refused:
+        return failures.Run.NO
+    return failures.Run.UNKNOWN
+
+
+class Retries(parts.Part):
+    """Decides about another attempt for each failed one.
+
+    Args:
+        source: Source of randomness for the jitter.
+    """
+
+    def __init__(self, source: random.Random):
+        self._source = source
+        self._budget = BUDGET_BURST
+        self._tries: dict[str, Tries] = {}
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event."""
+        match event:
+            case FreshWorkStarted():
+                if event.request in self._tries:
+                    return []
+                self._tries[event.request] = Tries()
+                self._budget = min(BUDGET_BURST, self._budget + BUDGET_RATIO)
+            case AttemptFailed():
+                return [self._decide(event, now)]
+            case RequestEnded():
+                self._tries.pop(event.request, None)
+        return []
+
+    def _decide(self, event: AttemptFailed, now: float) -> commands.Command:
+        tries = self._tries.setdefault(event.request, Tries())
+        run = classify(event.outcome)
+        if run is failures.Run.UNKNOWN:
+            tries.run = run
+        if event.outcome.delivered_chunks:
+            return self._give_up(event, tries, failures.AnswerTruncated)
+        # One attempt in doubt is enough: a later one that did not run proves
+        # nothing about it.
+        if tries.run is failures.Run.UNKNOWN and not event.idempotent:
+            return self._give_up(event, tries, failures.UpstreamFailed)
+        delay_s = FIRST_DELAY_S * 2**tries.retries
+        delay_s *= self._source.uniform(0.5, 1.5)
+        if now + delay_s + event.needs_s > event.deadline:
+            return self._give_up(event, tries, failures.DeadlineExceeded)
+        if tries.retries >= MAX_RETRIES or self._budget < 1:
+            return self._give_up(event, tries, failures.UpstreamFailed)
+        self._budget -= 1
+        tries.retries += 1
+        return RetryRequest(event.request, delay_s)
+
+    def _give_up(
+        self,
+        event: AttemptFailed,
+        tries: Tries,
+        kind: type[failures.Failure],
+    ) -> GiveUp:
+        del self._tries[event.request]
+        again = event.idempotent or tries.run is failures.Run.NO
+        if kind is failures.DeadlineExceeded:
+            again = False
+        after_s = RETRY_AFTER_S * self._source.uniform(1.0, 2.0)
+        failure = kind(
+            event.outcome.reason, tries.run, after_s if again else None
+        )
+        return GiveUp(event.request, failure)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,93 @@
+"""Tests of retries."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import retries
+from sycamorehollow.model import failures
+
+OUTCOMES = strategies.builds(
+    retries.Outcome,
+    bytes_written=strategies.integers(0, 2),
+    refused=strategies.booleans(),
+    delivered_chunks=strategies.integers(0, 1),
+    reason=strategies.just("failed"),
+)
+LOST = retries.Outcome(10, False, 0, "connection lost")
+UNSENT = retries.Outcome(0, False, 0, "connection refused")
+
+
+def fail(outcome, idempotent=True, deadline=100.0, request="r"):
+    """Returns the event of a failed attempt that needs a second."""
+    return retries.AttemptFailed(request, outcome, idempotent, deadline, 1.0)
+
+
+class RetriesTest(unittest.TestCase):
+    """Guards against untrue refusals, repeated effects and retry storms."""
+
+    @hypothesis.given(OUTCOMES)
+    def test_not_run_needs_proof(self, outcome):
+        """A refusal that wrongly says not run makes the caller resend."""
+        proven = outcome.bytes_written == 0 or outcome.refused
+        proven = proven and not outcome.delivered_chunks
+        expected = failures.Run.NO if proven else failures.Run.UNKNOWN
+        self.assertIs(retries.classify(outcome), expected)
+
+    @hypothesis.given(
+        strategies.lists(OUTCOMES, min_size=1, max_size=4),
+        strategies.booleans(),
+        strategies.floats(0, 3),
+    )
+    def test_final_failure_is_true(self, outcomes, idempotent, deadline):
+        """One attempt in doubt makes the whole request unknown."""
+        rule = retries.Retries(random.Random(1))
+        rule.handle(retries.FreshWorkStarted("r"), 0.0)
+        seen = []
+        for number, outcome in enumerate(outcomes):
+            seen.append(outcome)
+            [command] = rule.handle(fail(outcome, idempotent, deadline), 0.0)
+            doubt = any(
+                retries.classify(one) is failures.Run.UNKNOWN for one in seen
+            )
+            if isinstance(command, retries.GiveUp):
+                expected = failures.Run.UNKNOWN if doubt else failures.Run.NO
+                self.assertIs(command.failure.run, expected)
+                return
+            self.assertTrue(idempotent or not doubt)
+            self.assertEqual(outcome.delivered_chunks, 0)
+            self.assertLessEqual(command.delay_s + 1.0, deadline)
+            self.assertLess(number, retries.MAX_RETRIES)
+
+    @hypothesis.given(strategies.lists(strategies.booleans(), max_size=300))
+    def test_budget_holds(self, steps):
+        """When everything fails, retries must not multiply the load."""
+        rule = retries.Retries(random.Random(1))
+        fresh = 0
+        retried = 0
+        for number, starts in enumerate([False] * 20 + steps):
+            if starts:
+                fresh += 1
+                rule.handle(retries.FreshWorkStarted(str(number)), 0.0)
+            event = fail(UNSENT, request=str(number))
+            for command in rule.handle(event, 0.0):
+                retried += isinstance(command, retries.RetryRequest)
+            limit = retries.BUDGET_BURST + retries.BUDGET_RATIO * fresh
+            self.assertLessEqual(retried, limit + 1e-6)
+
+    def test_jitter_spreads_retries(self):
+        """Retries at equal times would arrive as one burst."""
+        rule = retries.Retries(random.Random(1))
+        delays = set()
+        for number in range(5):
+            [command] = rule.handle(fail(LOST, request=str(number)), 0.0)
+            delays.add(command.delay_s)
+        self.assertEqual(len(delays), 5)
+
+    def test_unsafe_work_in_doubt_has_no_retry_time(self):
+        """The caller must look up the outcome and not resend."""
+        rule = retries.Retries(random.Random(1))
+        [command] = rule.handle(fail(LOST, idempotent=False), 0.0)
+        self.assertIsNone(command.failure.retry_after_s)
