Add admission by deficit round robin

Refusals are decided at once from the workspace's backlog and the rate of the node; waiting is limited to a quarter of the time to the deadline, so that a caller can still go elsewhere. While long work waits for room, others use only the reserve for short requests.

Seen to fail with the rule taken out: - no room check for short work: offers of 9000, 9000, 500, 2000 tokens: 20500 of 20000 - no room check for long work: offers of 9000, 15000: 24000 of 20000 - no expiry: three offers of 9000 with 5 s left, then six ticks - no deficit: the small workspace got 1 admission, the large one 205 - short work may pass long work by: long not among the first five - no reserve: the check waits behind chapters - no limit on the wait: no refusal in 200 offers

--- /dev/null
+++ b/sycamorehollow/decisions/admission.py
@@ -0,0 +1,301 @@
+"""Admission to a saturated node, shared fairly between workspaces."""
+
+import collections
+import dataclasses
+import heapq
+import random
+
+from sycamorehollow.decisions import capacity
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+# About one long request, so that a round serves each workspace at least once
+# in a few rounds and short requests are served many at a time.
+QUANTUM_TOKENS = 4000
+# A caller that waits longer than this is better served by another node.
+MAX_WAIT_S = 2.0
+# Waiting may use this part of the time to the deadline; the rest is for the
+# work and for a retry of the caller elsewhere.
+WAIT_SHARE = 0.25
+MIN_RETRY_AFTER_S = 0.5
+SMOOTHING = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Overloaded(failures.Failure):
+    """The node has no room for the workspace now."""
+
+    code = "overloaded"
+    status = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkOffered(events.Event):
+    """A request wants to be admitted.
+
+    Attributes:
+        weight: Weight of the workspace, at least 1.
+        tokens: Prompt and expected output in tokens.
+        priority: Lower numbers go first within the workspace.
+        deadline: Monotonic time in seconds.
+        needs_s: Estimated duration of the work in seconds.
+    """
+
+    request: str
+    workspace: str
+    weight: int
+    tokens: int
+    priority: int
+    deadline: float
+    needs_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkEnded(events.Event):
+    """An admitted request has ended, or the caller of a waiting one left."""
+
+    request: str
+
+
+@dataclasses.dataclass(frozen=True)
+class CapacityChanged(events.Event):
+    """The tokens that this node may have in flight have changed."""
+
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AdmitWork(commands.Command):
+    """Starts a request."""
+
+    request: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RefuseWork(commands.Command):
+    """Refuses a request that was not started."""
+
+    request: str
+    failure: failures.Failure
+
+
+@dataclasses.dataclass
+class Queue:
+    """Waiting work of one workspace.
+
+    Attributes:
+        waiting: Heap of (priority, arrival number, expiry, work).
+        tokens: Sum of the waiting work.
+        deficit: Tokens that the workspace may admit in its present turn.
+    """
+
+    weight: int = 1
+    waiting: list[tuple[int, int, float, WorkOffered]] = dataclasses.field(
+        default_factory=list
+    )
+    tokens: int = 0
+    deficit: float = 0.0
+
+
+class Admission(parts.Part):
+    """Deficit round robin over workspaces, in tokens.
+
+    Args:
+        tokens: Tokens that this node may have in flight.
+        source: Source of randomness for the time to come back.
+    """
+
+    def __init__(self, tokens: int, source: random.Random):
+        self._capacity = tokens
+        self._source = source
+        self._running: dict[str, tuple[WorkOffered, float]] = {}
+        self._in_use = 0
+        self._short_in_use = 0
+        self._queues: dict[str, Queue] = {}
+        self._order: collections.deque[str] = collections.deque()
+        self._waiting: dict[str, str] = {}
+        self._arrivals = 0
+        self._mean_hold_s = 0.0
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event."""
+        decided: list[commands.Command] = []
+        match event:
+            case WorkOffered():
+                decided += self._offer(event, now)
+            case WorkEnded():
+                self._end(event.request, now)
+            case CapacityChanged():
+                self._capacity = event.tokens
+            case events.Tick():
+                pass
+            case _:
+                return []
+        decided += self._expire(now)
+        decided += self._admit_waiting(now)
+        return decided
+
+    def count_waiting(self) -> int:
+        """Returns the number of waiting requests."""
+        return len(self._waiting)
+
+    def count_in_use(self) -> int:
+        """Returns the tokens of admitted requests."""
+        return self._in_use
+
+    def _offer(self, work: WorkOffered, now: float) -> list[commands.Command]:
+        if work.request in self._running or work.request in self._waiting:
+            return []
+        if now + work.needs_s > work.deadline:
+            failure = failures.DeadlineExceeded(
+                "The work takes longer than the time to its deadline."
+            )
+            return [RefuseWork(work.request, failure)]
+        if self._mean_hold_s == 0.0:
+            self._mean_hold_s = work.needs_s
+        if work.tokens > self._capacity and not self._running:
+            # Nothing can end that would make room, so waiting is useless.
+            return [self._refuse(work, MAX_WAIT_S)]
+        if not self._waiting and self._has_room(work, False):
+            return [self._start(work, now)]
+        wait_s = self._estimate_wait_s(work)
+        allowed_s = min(MAX_WAIT_S, WAIT_SHARE * (work.deadline - now))
+        if wait_s > allowed_s or now + wait_s + work.needs_s > work.deadline:
+            return [self._refuse(work, wait_s)]
+        self._enqueue(work, now + allowed_s)
+        return []
+
+    def _enqueue(self, work: WorkOffered, expiry: float) -> None:
+        queue = self._queues.setdefault(work.workspace, Queue())
+        queue.weight = max(1, work.weight)
+        if not queue.waiting:
+            self._order.append(work.workspace)
+        self._arrivals += 1
+        heapq.heappush(
+            queue.waiting, (work.priority, self._arrivals, expiry, work)
+        )
+        queue.tokens += work.tokens
+        self._waiting[work.request] = work.workspace
+
+    def _estimate_wait_s(self, work: WorkOffered) -> float:
+        """Estimates the wait from the backlog and the workspace's part.
+
+        By Little's law a full node ends `capacity / mean hold` tokens each
+        second.
+        """
+        weights = max(1, work.weight)
+        ahead = work.tokens
+        for name, queue in self._queues.items():
+            if name == work.workspace:
+                ahead += queue.tokens
+            elif queue.waiting:
+                weights += queue.weight
+        part = max(1, work.weight) / weights
+        per_s = part * self._capacity / max(0.001, self._mean_hold_s)
+        return ahead / max(1.0, per_s)
+
+    def _refuse(self, work: WorkOffered, wait_s: float) -> RefuseWork:
+        # Jitter over the whole wait spreads the callers that come back.
+        after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        after_s *= self._source.uniform(1.0, 2.0)
+        failure = Overloaded(
+            f"The workspace {work.workspace} has no share of the node left.",
+            failures.Run.NO,
+            after_s,
+        )
+        return RefuseWork(work.request, failure)
+
+    def _has_room(self, work: WorkOffered, only_reserve: bool) -> bool:
+        free = self._capacity - self._in_use
+        reserve = int(self._capacity * capacity.SHORT_RESERVE)
+        if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
+            if only_reserve and self._short_in_use + work.tokens > reserve:
+                return False
+            return work.tokens <= free
+        if not self._running:
+            return work.tokens <= free
+        return not only_reserve and work.tokens <= free - reserve
+
+    def _start(self, work: WorkOffered, now: float) -> AdmitWork:
+        self._running[work.request] = (work, now)
+        self._in_use += work.tokens
+        if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
+            self._short_in_use += work.tokens
+        return AdmitWork(work.request)
+
+    def _end(self, request: str, now: float) -> None:
+        # The heap entry of a request that left is skipped when it comes up.
+        self._forget_waiting(request)
+        entry = self._running.pop(request, None)
+        if entry is None:
+            return
+        work, started_at = entry
+        self._in_use -= work.tokens
+        if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
+            self._short_in_use -= work.tokens
+        # Weighted by tokens, because the rate is in tokens.
+        part = min(0.5, SMOOTHING * work.tokens / QUANTUM_TOKENS)
+        self._mean_hold_s += part * (now - started_at - self._mean_hold_s)
+
+    def _forget_waiting(self, request: str) -> None:
+        workspace = self._waiting.pop(request, None)
+        if workspace is None:
+            return
+        queue = self._queues[workspace]
+        for entry in queue.waiting:
+            if entry[3].request == request:
+                queue.tokens -= entry[3].tokens
+                queue.waiting.remove(entry)
+                heapq.heapify(queue.waiting)
+                break
+        self._drop_empty(workspace)
+
+    def _drop_empty(self, workspace: str) -> None:
+        if self._queues[workspace].waiting:
+            return
+        # An idle workspace must not save up its turns.
+        del self._queues[workspace]
+        self._order.remove(workspace)
+
+    def _expire(self, now: float) -> list[commands.Command]:
+        expired = []
+        for queue in self._queues.values():
+            for _, _, expiry, work in queue.waiting:
+                if now >= expiry:
+                    expired.append(work)
+        refused: list[commands.Command] = []
+        for work in expired:
+            wait_s = self._estimate_wait_s(work)
+            self._forget_waiting(work.request)
+            refused.append(self._refuse(work, wait_s))
+        return refused
+
+    def _admit_waiting(self, now: float) -> list[commands.Command]:
+        admitted: list[commands.Command] = []
+        # Set when the workspace whose turn it is waits for room; until then
+        # others may only use the reserve, so that long work is not passed by.
+        blocked: set[str] = set()
+        while len(blocked) < len(self._order):
+            workspace = self._order[0]
+            if workspace in blocked:
+                self._order.rotate(-1)
+                continue
+            queue = self._queues[workspace]
+            work = queue.waiting[0][3]
+            if not self._has_room(work, bool(blocked)):
+                blocked.add(workspace)
+                self._order.rotate(-1)
+                continue
+            if queue.deficit < work.tokens:
+                queue.deficit += QUANTUM_TOKENS * queue.weight
+                self._order.rotate(-1)
+                continue
+            queue.deficit -= work.tokens
+            heapq.heappop(queue.waiting)
+            queue.tokens -= work.tokens
+            del self._waiting[work.request]
+            admitted.append(self._start(work, now))
+            self._drop_empty(workspace)
+        return admitted
