--- a/sycamorehollow/standins/batching.py
+++ b/sycamorehollow/standins/batching.py
@@ -14,6 +14,7 @@
 
 REPORT_PERIOD_S = 0.05
 MAX_REPORTS = 1_000
+MAX_SERVED = 10_000
 
 
 class Batch:
@@ -49,6 +50,9 @@
             collections.deque(maxlen=MAX_REPORTS)
         )
         self._stats: collections.Counter[str] = collections.Counter()
+        self._served: collections.deque[dict] = collections.deque(
+            maxlen=MAX_SERVED
+        )
 
     def admit(
         self, stream: pacing.Stream
@@ -221,6 +225,13 @@
     def _complete(self, stream: pacing.Stream) -> None:
         """Ends a stream and keeps it for a resume."""
         self._stats["completed"] += 1
+        self._served.append(
+            {
+                "request": stream.request_id,
+                "version": stream.version,
+                "mark": pacing.make_digest(stream.prompt),
+            }
+        )
         self._completions += 1
         if self._completions >= self._settings.cold.warm_after:
             self._cold = False
@@ -322,6 +333,10 @@
             "processor_s": time.process_time(),
         }
 
+    def list_served(self) -> dict[str, Any]:
+        """Returns the latest completed requests."""
+        return {"served": list(self._served)}
+
     def take_order(self, order: dict[str, Any]) -> server.Reply:
         """Applies an order unless its fencing token is stale."""
         fence = int(order.get("fence") or 0)
--- a/sycamorehollow/standins/engine.py
+++ b/sycamorehollow/standins/engine.py
@@ -91,6 +91,8 @@
             return self._task.ask(lambda: self._batch.take_order(order))
         if path == "/stats":
             return server.Reply(200, self._task.ask(self._batch.get_stats))
+        if path == "/served":
+            return server.Reply(200, self._task.ask(self._batch.list_served))
         if path == "/healthz":
             return server.Reply(200, {})
         return server.refuse(404, "not_found", "No such path.")
