--- a/sycamorehollow/standins/service.py
+++ b/sycamorehollow/standins/service.py
@@ -108,6 +108,8 @@
             return server.Reply(200, {})
         if request.path == "/v1/load":
             return server.Reply(200, self._make_report())
+        if request.path == "/stats":
+            return server.Reply(200, {"calls": self._calls})
         if request.path == "/healthz":
             return server.Reply(200, {})
         if parts[0] != "operations" or len(parts) < 2:
