Add membership, digest exchange and replicated records

Each process keeps a member table in which the record with the highest (incarnation, left, counter, state) wins, and spreads it with bucket hashes so that equal tables cost one digest. Deltas have a bounded number of rows.

--- /dev/null
+++ b/sycamorehollow/decisions/exchange.py
@@ -0,0 +1,297 @@
+"""Exchange of replicated state between entry processes.
+
+An exchange takes up to three steps: digests, then deltas and the digests that
+differ, then the deltas that the called side lacks.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+
+from sycamorehollow.decisions import members
+from sycamorehollow.decisions import membership
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import payloads
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+
+DIGEST_SUFFIX = "/digest"
+DELTA_SUFFIX = "/delta"
+PROBE_KIND = "members/probe"
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """One typed message of an envelope."""
+
+    kind: str
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Process:
+    """Identity of one run of an entry process."""
+
+    address: str
+    data_centre: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Incoming(events.Event):
+    """Another process called.
+
+    Attributes:
+        call: Number that the shell gave to the call.
+        sender: The calling process.
+        items: What it sent.
+    """
+
+    call: int
+    sender: Process
+    items: tuple[Item, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered(events.Event):
+    """A called process answered.
+
+    Attributes:
+        peer: The address that was called.
+        sender: The process that answered.
+        items: What it sent.
+    """
+
+    peer: str
+    sender: Process
+    items: tuple[Item, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class CallFailed(events.Event):
+    """A call failed or timed out.
+
+    Attributes:
+        peer: The address that was called.
+        started: Monotonic time in seconds at which the call was sent.
+    """
+
+    peer: str
+    started: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Call(commands.Command):
+    """Asks for a call; it comes back as `Answered` or `CallFailed`."""
+
+    peer: str
+    sender: Process
+    items: tuple[Item, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply(commands.Command):
+    """Answers an incoming call."""
+
+    call: int
+    sender: Process
+    items: tuple[Item, ...]
+
+
+class Exchange(parts.Part):
+    """Drives membership and spreads any number of replicated components."""
+
+    def __init__(
+        self,
+        peers: membership.Membership,
+        components: Sequence[parts.Replicated] = (),
+    ):
+        """Takes the components that spread.
+
+        Args:
+            peers: Membership, which selects peers and is itself replicated.
+            components: Further components, each of a different kind.
+        """
+        self._peers = peers
+        self._components: dict[str, parts.Replicated] = {peers.kind: peers}
+        for component in components:
+            if component.kind in self._components:
+                raise ValueError(f"two components of kind {component.kind}")
+            self._components[component.kind] = component
+        self._helped: dict[str, set[str]] = {}
+
+    @property
+    def sender(self) -> Process:
+        """The identity of this process."""
+        me = self._peers.me
+        return Process(me.address, me.data_centre, me.incarnation)
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event.
+
+        Takes the events of this module, `payloads.Urgent` deltas through
+        `push`, and passes every other event on to membership.
+        """
+        if isinstance(event, Incoming):
+            return self._answer(event, now)
+        if isinstance(event, Answered):
+            return self._finish(event, now)
+        if isinstance(event, CallFailed):
+            self._helped.pop(event.peer, None)
+            failed = membership.ProbeFailed(event.peer, event.started)
+            return self._carry_out(self._peers.handle(failed, now), now)
+        return self._carry_out(self._peers.handle(event, now), now)
+
+    def push(self, urgent: payloads.Urgent) -> list[commands.Command]:
+        """Returns the calls that push a delta of this process's own."""
+        item = Item(urgent.kind + DELTA_SUFFIX, urgent.delta)
+        return [
+            Call(address, self.sender, (item,))
+            for address in self._peers.list_push_targets()
+        ]
+
+    def _answer(self, event: Incoming, now: float) -> list[commands.Command]:
+        """Merges what a caller sent and answers its digests."""
+        result = self._hear(event.sender, False, now)
+        # Deltas go first, so that the answer already holds a refutation.
+        result += self._merge(event.sender, event.items, now)
+        items = self._compare(event.items, True, now)
+        result.append(Reply(event.call, self.sender, tuple(items)))
+        for item in event.items:
+            if item.kind != PROBE_KIND:
+                continue
+            target = item.payload.decode("utf-8", "replace")
+            if self._peers.find(target) is None:
+                continue
+            self._helped.setdefault(target, set()).add(event.sender.address)
+            result.append(self._open(target, now))
+        return result
+
+    def _finish(self, event: Answered, now: float) -> list[commands.Command]:
+        """Merges an answer and sends what the called side lacks."""
+        if event.sender.address != event.peer:
+            return []
+        result = self._hear(event.sender, True, now)
+        result += self._merge(event.sender, event.items, now)
+        items = self._compare(event.items, False, now)
+        if items:
+            result.append(Call(event.peer, self.sender, tuple(items)))
+        for requester in sorted(self._helped.pop(event.peer, ())):
+            result.append(self._open(requester, now))
+        return result
+
+    def _hear(
+        self, sender: Process, answered: bool, now: float
+    ) -> list[commands.Command]:
+        """Tells membership that a process runs."""
+        heard = membership.Heard(
+            sender.address, sender.data_centre, sender.incarnation, answered
+        )
+        return self._carry_out(self._peers.handle(heard, now), now)
+
+    def _merge(
+        self, sender: Process, items: Iterable[Item], now: float
+    ) -> list[commands.Command]:
+        """Applies the deltas among the items.
+
+        News from another data centre is pushed on to the own one, because its
+        sender reached only one member here.
+        """
+        result: list[commands.Command] = []
+        for item in items:
+            if not item.kind.endswith(DELTA_SUFFIX):
+                continue
+            component = self._components.get(
+                item.kind.removesuffix(DELTA_SUFFIX)
+            )
+            if component is None:
+                continue
+            merged = component.merge(item.payload, now)
+            foreign = sender.data_centre != self.sender.data_centre
+            result += self._carry_out(
+                merged, now, own_only=True, spread=foreign
+            )
+        return result
+
+    def _compare(
+        self, items: Iterable[Item], with_digest: bool, now: float
+    ) -> list[Item]:
+        """Returns deltas, and own digests if wanted, where digests differ."""
+        result = []
+        for item in items:
+            if not item.kind.endswith(DIGEST_SUFFIX):
+                continue
+            kind = item.kind.removesuffix(DIGEST_SUFFIX)
+            component = self._components.get(kind)
+            if component is None:
+                continue
+            digest = component.summarize(now)
+            if digest == item.payload:
+                continue
+            delta = component.collect(item.payload, now)
+            if delta:
+                result.append(Item(kind + DELTA_SUFFIX, delta))
+            if with_digest:
+                result.append(Item(kind + DIGEST_SUFFIX, digest))
+        return result
+
+    def _open(self, address: str, now: float) -> Call:
+        """Returns the call that starts an exchange.
+
+        A member that is suspected or believed dead is told so in the first
+        step, so that its answer can refute it.
+        """
+        items = [
+            Item(kind + DIGEST_SUFFIX, component.summarize(now))
+            for kind, component in self._components.items()
+        ]
+        member = self._peers.find(address)
+        if member is not None and member.state is not members.State.ALIVE:
+            delta = self._peers.encode_record(address)
+            items.append(Item(self._peers.kind + DELTA_SUFFIX, delta))
+        return Call(address, self.sender, tuple(items))
+
+    def _carry_out(
+        self,
+        asked: Iterable[commands.Command],
+        now: float,
+        own_only: bool = False,
+        spread: bool = True,
+    ) -> list[commands.Command]:
+        """Turns what components ask for into calls; passes the rest on."""
+        result: list[commands.Command] = []
+        for command in asked:
+            if isinstance(command, membership.Probe):
+                result.append(self._open(command.address, now))
+                continue
+            if isinstance(command, membership.AskHelper):
+                result.append(self._ask(command, now))
+                continue
+            if isinstance(command, payloads.Urgent):
+                if spread:
+                    result += self._spread(command, own_only)
+                continue
+            result.append(command)
+        return result
+
+    def _ask(self, command: membership.AskHelper, now: float) -> Call:
+        """Returns the call that asks a helper to probe an address."""
+        delta = self._peers.encode_record(command.target)
+        items = (
+            Item(self._peers.kind + DELTA_SUFFIX, delta),
+            Item(PROBE_KIND, command.target.encode()),
+        )
+        return Call(command.helper, self.sender, items)
+
+    def _spread(
+        self, urgent: payloads.Urgent, own_only: bool
+    ) -> list[commands.Command]:
+        """Pushes a delta, to the own data centre only if so asked."""
+        if not own_only:
+            return self.push(urgent)
+        item = Item(urgent.kind + DELTA_SUFFIX, urgent.delta)
+        return [
+            Call(member.address, self.sender, (item,))
+            for member in self._peers.list_live(self.sender.data_centre)
+            if member.address != self.sender.address
+        ]
--- /dev/null
+++ b/sycamorehollow/decisions/members.py
@@ -0,0 +1,193 @@
+"""Table of the entry processes that a process knows."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+from typing import Any
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import payloads
+from sycamorehollow.model import commands
+
+BUCKETS = 64
+# Longer than the one-hour partitions between regions, so that both sides still
+# know whom to probe when the partition ends.
+RETENTION_S = 3 * 3600.0
+
+
+class State(enum.IntEnum):
+    """State of a member; a higher one wins at the same counter."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """What is known of one entry process.
+
+    Attributes:
+        address: IP address and port of its peer server.
+        data_centre: Data centre that it runs in.
+        incarnation: Start time in nanoseconds; a restart has a higher one.
+        counter: Raised by the member itself to refute a suspicion.
+        state: What the members agree on.
+    """
+
+    address: str
+    data_centre: str
+    incarnation: int
+    counter: int = 0
+    state: State = State.ALIVE
+
+    @property
+    def order(self) -> tuple[int, bool, int, int]:
+        """Rank among the records of one address; the highest wins.
+
+        Only the member itself announces that it left, so nothing that others
+        say of the same incarnation overrides it.
+        """
+        left = self.state is State.LEFT
+        return (self.incarnation, left, self.counter, self.state)
+
+    @property
+    def live(self) -> bool:
+        """Whether the member counts as running."""
+        return self.state in (State.ALIVE, State.SUSPECT)
+
+
+@dataclasses.dataclass(frozen=True)
+class MemberChanged(commands.Command):
+    """Tells that the record of a member changed.
+
+    Attributes:
+        before: The earlier record, or `None` for a new address.
+        after: The record in force.
+    """
+
+    before: Member | None
+    after: Member
+
+
+def decode_member(row: list[Any]) -> Member | None:
+    """Returns the member in a row of a delta, or `None` if it is malformed."""
+    if len(row) != 5:
+        return None
+    address, data_centre, incarnation, counter, state = row
+    if not isinstance(address, str) or not isinstance(data_centre, str):
+        return None
+    if not isinstance(incarnation, int) or not isinstance(counter, int):
+        return None
+    try:
+        return Member(address, data_centre, incarnation, counter, State(state))
+    except ValueError:
+        return None
+
+
+def encode_member(member: Member) -> list[Any]:
+    """Returns the row of a member in a delta."""
+    return [
+        member.address,
+        member.data_centre,
+        member.incarnation,
+        member.counter,
+        int(member.state),
+    ]
+
+
+class Members(parts.Replicated):
+    """Member table; the record with the highest order wins.
+
+    The digest covers live members only. Records of members that are gone are
+    kept to win over stale live records, and travel when a bucket differs. They
+    can then expire at different times without making the digests differ.
+    """
+
+    kind = "members"
+
+    def __init__(self) -> None:
+        self._records: dict[str, Member] = {}
+        self._changed_at: dict[str, float] = {}
+        self._buckets = payloads.Buckets(BUCKETS)
+        self._keys: list[set[str]] = [set() for _ in range(BUCKETS)]
+
+    def find(self, address: str) -> Member | None:
+        """Returns the record of an address."""
+        return self._records.get(address)
+
+    def find_changed_at(self, address: str) -> float:
+        """Returns the local time of the last change of a known address."""
+        return self._changed_at[address]
+
+    def list_members(self) -> Iterable[Member]:
+        """Returns every record, including members that are gone."""
+        return self._records.values()
+
+    def apply(self, member: Member, now: float) -> MemberChanged | None:
+        """Puts a record in force if it wins over the held one."""
+        before = self._records.get(member.address)
+        if before is not None and before.order >= member.order:
+            return None
+        # Taking up an expired record again would keep it circulating.
+        if before is None and not member.live:
+            return None
+        if before is not None and before.live:
+            self._toggle(before)
+        if member.live:
+            self._toggle(member)
+        self._records[member.address] = member
+        self._changed_at[member.address] = now
+        bucket = self._buckets.find_bucket(member.address)
+        self._keys[bucket].add(member.address)
+        return MemberChanged(before, member)
+
+    def expire(self, now: float) -> None:
+        """Removes members that have been gone for the retention time."""
+        for address, member in list(self._records.items()):
+            if member.live:
+                continue
+            if now - self._changed_at[address] < RETENTION_S:
+                continue
+            del self._records[address]
+            del self._changed_at[address]
+            bucket = self._buckets.find_bucket(address)
+            self._keys[bucket].discard(address)
+
+    def summarize(self, now: float) -> bytes:
+        """Returns the bucket hashes of the live members."""
+        return self._buckets.encode()
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns the records of the buckets that differ, within a bound."""
+        candidates = []
+        for bucket in self._buckets.find_differences(digest):
+            for address in sorted(self._keys[bucket]):
+                row = encode_member(self._records[address])
+                candidates.append((self._changed_at[address], row))
+        return payloads.encode_rows(payloads.select_rows(candidates, now))
+
+    def encode_record(self, address: str) -> bytes:
+        """Returns a delta with one known record."""
+        return payloads.encode_rows([encode_member(self._records[address])])
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Applies a delta and returns a `MemberChanged` for each change."""
+        changes: list[commands.Command] = []
+        for row in payloads.decode_rows(delta):
+            member = decode_member(row)
+            if member is None:
+                continue
+            change = self.apply(member, now)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def _toggle(self, member: Member) -> None:
+        """Adds a live record to the digest, or takes it out."""
+        content = (
+            f"{member.data_centre} {member.incarnation} {member.counter}"
+            f" {int(member.state)}"
+        )
+        self._buckets.toggle(member.address, content)
--- /dev/null
+++ b/sycamorehollow/decisions/payloads.py
@@ -0,0 +1,119 @@
+"""Encoding of replicated state and bucket hashes that compare two copies."""
+
+import dataclasses
+import hashlib
+import json
+import struct
+from typing import Any
+import zlib
+
+from sycamorehollow.model import commands
+
+# A delta of this many rows takes about 1.2 KB for members, which keeps a node
+# under 10 KB/s while a rack of members fails.
+MAX_ROWS = 48
+# Bounds the memory that one payload can claim when it is decompressed.
+MAX_DECODED_BYTES = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True)
+class Urgent(commands.Command):
+    """Asks for a delta to be pushed to peers without waiting for a digest.
+
+    Attributes:
+        kind: Kind of the replicated state.
+        delta: What its `merge` takes at the other processes.
+    """
+
+    kind: str
+    delta: bytes
+
+
+def encode_rows(rows: list[list[Any]]) -> bytes:
+    """Encodes rows as compressed JSON; no rows give no bytes."""
+    if not rows:
+        return b""
+    text = json.dumps(rows, separators=(",", ":")).encode()
+    return zlib.compress(text, 6)
+
+
+def decode_rows(payload: bytes) -> list[list[Any]]:
+    """Decodes rows; a malformed payload has no rows.
+
+    Args:
+        payload: Bytes from `encode_rows` at another process.
+
+    Returns:
+        The rows that are lists; anything else is left out.
+    """
+    if not payload:
+        return []
+    reader = zlib.decompressobj()
+    try:
+        rows = json.loads(reader.decompress(payload, MAX_DECODED_BYTES))
+    except (zlib.error, ValueError, RecursionError):
+        return []
+    if not isinstance(rows, list):
+        return []
+    return [row for row in rows if isinstance(row, list)]
+
+
+class Buckets:
+    """Hashes of a keyed set, split into buckets by key.
+
+    Two sets with equal digests are equal but for a collision of 32-bit hashes,
+    which the next change to the bucket resolves.
+    """
+
+    def __init__(self, count: int):
+        self._hashes = [0] * count
+        self._format = f"<{count}I"
+
+    def find_bucket(self, key: str) -> int:
+        """Returns the bucket number of a key."""
+        return zlib.crc32(key.encode()) % len(self._hashes)
+
+    def toggle(self, key: str, content: str) -> None:
+        """Adds an entry, or removes it when it is present."""
+        entry = hashlib.blake2b(f"{key}\0{content}".encode(), digest_size=4)
+        number = int.from_bytes(entry.digest(), "little")
+        self._hashes[self.find_bucket(key)] ^= number
+
+    def encode(self) -> bytes:
+        """Returns the digest: four bytes for each bucket."""
+        return struct.pack(self._format, *self._hashes)
+
+    def find_differences(self, digest: bytes) -> list[int]:
+        """Returns the buckets that differ from a digest; all if malformed."""
+        if len(digest) != struct.calcsize(self._format):
+            return list(range(len(self._hashes)))
+        theirs = struct.unpack(self._format, digest)
+        pairs = zip(self._hashes, theirs, strict=True)
+        return [
+            number
+            for number, (mine, their) in enumerate(pairs)
+            if mine != their
+        ]
+
+
+def select_rows(
+    candidates: list[tuple[float, list[Any]]], now: float
+) -> list[list[Any]]:
+    """Selects rows for one delta of bounded size.
+
+    Half of the room goes to the latest changes, so that news travels first.
+    The rest starts at a position that moves with time: without it, a missing
+    old row could be held back forever by newer rows that both sides hold.
+
+    Args:
+        candidates: Time of the last change in seconds, and the row.
+        now: Monotonic time in seconds.
+    """
+    if len(candidates) <= MAX_ROWS:
+        return [row for _, row in candidates]
+    ordered = sorted(candidates, key=lambda pair: -pair[0])
+    newest, rest = ordered[: MAX_ROWS // 2], ordered[MAX_ROWS // 2 :]
+    start = int(now * 1000) * 7919 % len(rest)
+    turned = rest[start:] + rest[:start]
+    chosen = newest + turned[: MAX_ROWS - len(newest)]
+    return [row for _, row in chosen]
--- /dev/null
+++ b/sycamorehollow/decisions/records.py
@@ -0,0 +1,247 @@
+"""Replicated set of small records: stops, quarantine, cold states, drains."""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+import math
+from typing import Any
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import payloads
+from sycamorehollow.model import commands
+
+BUCKETS = 16
+# A process that was cut off for longer can bring a deleted record back, so
+# this exceeds the one-hour partitions between regions.
+TOMBSTONE_TTL_S = 3 * 3600.0
+# An expired record is refused for this long. Its seconds do not run while a
+# delta is under way, so another process holds it a little longer.
+REFUSAL_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One record.
+
+    Attributes:
+        kind: Kind of record, for example `stop`.
+        key: What it is about.
+        version: The highest one wins.
+        value: JSON text in canonical form; empty for a tombstone.
+        expires: Local monotonic time in seconds, or `None` for never.
+    """
+
+    kind: str
+    key: str
+    version: int
+    value: str
+    expires: float | None = None
+
+    @property
+    def deleted(self) -> bool:
+        """Whether this is a tombstone."""
+        return not self.value
+
+    @property
+    def order(self) -> tuple[int, bool, str]:
+        """Rank among records of one key; a tombstone wins a tie."""
+        return (self.version, self.deleted, self.value)
+
+    def load(self) -> Any:
+        """Returns the value; `None` for a tombstone."""
+        return json.loads(self.value) if self.value else None
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordChanged(commands.Command):
+    """Tells that a record was put, replaced or deleted."""
+
+    record: Record
+
+
+class Records(parts.Replicated):
+    """Records by kind and key; the highest version wins."""
+
+    kind = "records"
+
+    def __init__(self) -> None:
+        self._records: dict[tuple[str, str], Record] = {}
+        self._changed_at: dict[tuple[str, str], float] = {}
+        self._expired: dict[tuple[str, str], Record] = {}
+        self._buckets = payloads.Buckets(BUCKETS)
+
+    def find(self, kind: str, key: str, now: float) -> Record | None:
+        """Returns the record in force, or `None`."""
+        record = self._records.get((kind, key))
+        if record is None or record.deleted or has_expired(record, now):
+            return None
+        return record
+
+    def list_kind(self, kind: str, now: float) -> list[Record]:
+        """Returns the records of one kind that are in force."""
+        return [
+            record
+            for record in self._records.values()
+            if record.kind == kind
+            and not record.deleted
+            and not has_expired(record, now)
+        ]
+
+    def put(
+        self,
+        kind: str,
+        key: str,
+        value: Any,
+        now: float,
+        ttl_s: float | None = None,
+    ) -> list[commands.Command]:
+        """Puts a record above the held version and asks for its push.
+
+        Args:
+            kind: Kind of record.
+            key: What it is about.
+            value: Any JSON value but `None`.
+            now: Monotonic time in seconds.
+            ttl_s: Seconds until it expires, or `None` for never.
+        """
+        text = json.dumps(value, sort_keys=True, separators=(",", ":"))
+        return self._write(kind, key, text, now, ttl_s)
+
+    def delete(self, kind: str, key: str, now: float) -> list[commands.Command]:
+        """Puts a tombstone above the held version and asks for its push."""
+        if (kind, key) not in self._records:
+            return []
+        return self._write(kind, key, "", now, TOMBSTONE_TTL_S)
+
+    def summarize(self, now: float) -> bytes:
+        """Returns the bucket hashes of the records that have not expired."""
+        self._expire(now)
+        return self._buckets.encode()
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns the records of the buckets that differ, within a bound."""
+        self._expire(now)
+        differing = set(self._buckets.find_differences(digest))
+        candidates = []
+        for name, record in sorted(self._records.items()):
+            if self._buckets.find_bucket("\0".join(name)) not in differing:
+                continue
+            row = encode_record(record, now)
+            candidates.append((self._changed_at[name], row))
+        return payloads.encode_rows(payloads.select_rows(candidates, now))
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Applies a delta and asks for the push of what is new."""
+        self._expire(now)
+        changes: list[commands.Command] = []
+        for row in payloads.decode_rows(delta):
+            record = decode_record(row, now)
+            if record is None or has_expired(record, now):
+                continue
+            if self._apply(record, now):
+                changes.append(RecordChanged(record))
+        rows = [
+            encode_record(change.record, now)
+            for change in changes
+            if isinstance(change, RecordChanged)
+        ]
+        if rows:
+            urgent = payloads.Urgent(self.kind, payloads.encode_rows(rows))
+            changes.append(urgent)
+        return changes
+
+    def _write(
+        self, kind: str, key: str, text: str, now: float, ttl_s: float | None
+    ) -> list[commands.Command]:
+        """Puts a text above the held version."""
+        self._expire(now)
+        name = (kind, key)
+        held = self._records.get(name) or self._expired.get(name)
+        version = 1 if held is None else held.version + 1
+        expires = None if ttl_s is None else now + ttl_s
+        record = Record(kind, key, version, text, expires)
+        self._apply(record, now)
+        delta = payloads.encode_rows([encode_record(record, now)])
+        return [RecordChanged(record), payloads.Urgent(self.kind, delta)]
+
+    def _apply(self, record: Record, now: float) -> bool:
+        """Puts a record in force if it wins; tells whether it did."""
+        name = (record.kind, record.key)
+        expired = self._expired.get(name)
+        if expired is not None and expired.order >= record.order:
+            return False
+        held = self._records.get(name)
+        if held is not None and held.order == record.order:
+            self._records[name] = shorten(held, record)
+            return False
+        if held is not None and held.order > record.order:
+            return False
+        if held is not None:
+            self._toggle(held)
+        self._toggle(record)
+        self._records[name] = record
+        self._changed_at[name] = now
+        return True
+
+    def _expire(self, now: float) -> None:
+        """Moves expired records aside and forgets those refused long enough."""
+        for name, record in list(self._expired.items()):
+            if has_expired(record, now - REFUSAL_S):
+                del self._expired[name]
+        for name, record in list(self._records.items()):
+            if not has_expired(record, now):
+                continue
+            self._toggle(record)
+            self._expired[name] = record
+            del self._records[name]
+            del self._changed_at[name]
+
+    def _toggle(self, record: Record) -> None:
+        """Adds a record to the digest, or takes it out."""
+        name = f"{record.kind}\0{record.key}"
+        self._buckets.toggle(name, f"{record.version} {record.value}")
+
+
+def has_expired(record: Record, now: float) -> bool:
+    """Tells whether a record's time is over."""
+    return record.expires is not None and record.expires <= now
+
+
+def shorten(first: Record, second: Record) -> Record:
+    """Returns one record of two equal ones, with the earlier expiry."""
+    ends = [
+        record.expires
+        for record in (first, second)
+        if record.expires is not None
+    ]
+    return dataclasses.replace(first, expires=min(ends, default=None))
+
+
+def encode_record(record: Record, now: float) -> list[Any]:
+    """Returns the row of a record, with the seconds that it has left."""
+    left = None if record.expires is None else round(record.expires - now, 3)
+    return [record.kind, record.key, record.version, record.value, left]
+
+
+def decode_record(row: Iterable[Any], now: float) -> Record | None:
+    """Returns the record in a row of a delta, or `None` if malformed."""
+    fields = list(row)
+    if len(fields) != 5:
+        return None
+    kind, key, version, value, left = fields
+    texts = (kind, key, value)
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    if not isinstance(version, int):
+        return None
+    if left is not None and not isinstance(left, int | float):
+        return None
+    if left is not None and not math.isfinite(left):
+        return None
+    if value:
+        try:
+            json.loads(value)
+        except (ValueError, RecursionError):
+            return None
+    expires = None if left is None else now + left
+    return Record(kind, key, version, value, expires)
