Add drains and the shutdown sequence

An upstream takes new work only if the deployment in force, the drain records and the VM list all allow it; every return counts as cold.

Taken out one at a time, these rules made their tests fail: data centre records, the revision that lifts a record, VMs missing from the list keeping their state, leaving VMs, cold on return, removed upstreams, bills and the linger time at shutdown.

--- /dev/null
+++ b/sycamorehollow/decisions/drains.py
@@ -0,0 +1,182 @@
+"""Which upstreams may take new work, and the shutdown of this process."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import enum
+from typing import Any
+from typing import ClassVar
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import records
+from sycamorehollow.model import commands
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+# Kind of the records that take an upstream or data centre out of service.
+DRAIN_KIND = "drain"
+PLATFORM_BRANCH = "platform"
+# Load balancers poll `/healthz` about once a second; new connections still
+# arrive until they have seen it turn.
+LINGER_S = 5.0
+
+
+class Scope(enum.Enum):
+    """What a drain record takes out of service."""
+
+    UPSTREAM = "upstream"
+    DATA_CENTRE = "data_centre"
+
+
+@dataclasses.dataclass(frozen=True)
+class OutOfService(failures.Failure):
+    """The upstream or its data centre takes no new work."""
+
+    code: ClassVar[str] = "out_of_service"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class UnknownUpstream(failures.Failure):
+    """The deployment in force has no such upstream."""
+
+    code: ClassVar[str] = "unknown_upstream"
+    status: ClassVar[int] = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class DeploymentChanged(events.Event):
+    """Another deployment is in force."""
+
+    deployment: deployment.Deployment
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamVmsSeen(events.Event):
+    """The platform's list of VMs arrived; it lags behind.
+
+    Attributes:
+        leaving: For each upstream that the list names, whether its VM leaves.
+    """
+
+    leaving: Mapping[str, bool]
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordsChanged(events.Event):
+    """The replicated records changed."""
+
+    drained: tuple[records.Record, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class MarkCold(commands.Command):
+    """Tells that an upstream returns to service and counts as cold."""
+
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamLeft(commands.Command):
+    """Tells that an upstream takes no new work from now on."""
+
+    upstream: str
+    reason: str
+
+
+def make_key(scope: Scope, name: str) -> str:
+    """Returns the key of a drain record."""
+    return f"{scope.value}/{name}"
+
+
+def make_value(current: deployment.Deployment) -> dict[str, Any]:
+    """Returns the value of a drain record made under a deployment.
+
+    The record holds until a higher revision of the platform branch is in
+    force, so an operator lifts it by writing that branch.
+    """
+    return {"revision": current.revisions.get(PLATFORM_BRANCH, 0)}
+
+
+class Drains(parts.Part):
+    """Keeps what is out of service and reports upstreams that return."""
+
+    def __init__(self) -> None:
+        self._deployment = deployment.Deployment()
+        self._leaving: dict[str, bool] = {}
+        self._records: tuple[records.Record, ...] = ()
+        self._drained: frozenset[str] = frozenset()
+        self._out: dict[str, str] = {}
+
+    def refuse(self, upstream: str) -> failures.Failure | None:
+        """Returns why an upstream may take no new work now, or `None`."""
+        if upstream not in self._deployment.upstreams:
+            return UnknownUpstream(f"Upstream {upstream} is not configured.")
+        reason = self._out.get(upstream)
+        if reason is None:
+            return None
+        return OutOfService(reason, retry_after_s=LINGER_S)
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies a change and returns what left or returned."""
+        if isinstance(event, DeploymentChanged):
+            self._deployment = event.deployment
+        elif isinstance(event, UpstreamVmsSeen):
+            # A VM that is missing from the list keeps its last state: the
+            # list lags, so its silence says nothing.
+            self._leaving.update(event.leaving)
+        elif isinstance(event, RecordsChanged):
+            self._records = event.drained
+        else:
+            return []
+        self._drained = frozenset(self._select_drained())
+        return self._compare()
+
+    def _select_drained(self) -> Iterable[str]:
+        """Returns the keys of the drain records that still hold."""
+        revision = self._deployment.revisions.get(PLATFORM_BRANCH, 0)
+        for record in self._records:
+            if record.kind != DRAIN_KIND or record.deleted:
+                continue
+            value = record.load()
+            named = value.get("revision") if isinstance(value, dict) else None
+            # A record without a valid revision holds until it is deleted.
+            if not isinstance(named, int) or revision <= named:
+                yield record.key
+
+    def _find_reason(self, upstream: deployment.Upstream) -> str | None:
+        """Returns why an upstream is out of service, or `None`."""
+        name, place = upstream.name, upstream.data_centre
+        centre = self._deployment.data_centres.get(place)
+        if upstream.presence is not deployment.Presence.IN:
+            return f"Upstream {name} is {upstream.presence.value}."
+        if centre is not None and centre.presence is not deployment.Presence.IN:
+            return f"Data centre {place} is {centre.presence.value}."
+        if make_key(Scope.UPSTREAM, name) in self._drained:
+            return f"Upstream {name} is drained by a record."
+        if make_key(Scope.DATA_CENTRE, place) in self._drained:
+            return f"Data centre {place} is drained by a record."
+        if self._leaving.get(name, False):
+            return f"The VM of upstream {name} is leaving."
+        return None
+
+    def _compare(self) -> list[commands.Command]:
+        """Rebuilds what is out of service and reports the differences."""
+        before, self._out = self._out, {}
+        result: list[commands.Command] = []
+        for name, upstream in self._deployment.upstreams.items():
+            reason = self._find_reason(upstream)
+            if reason is not None:
+                self._out[name] = reason
+                if name not in before:
+                    result.append(UpstreamLeft(name, reason))
+                continue
+            if name in before:
+                result.append(MarkCold(name))
+        # An upstream that is removed while out of service stays remembered,
+        # so that it counts as cold when it is configured again.
+        for name, reason in before.items():
+            if name not in self._deployment.upstreams:
+                self._out[name] = reason
+        return result
--- /dev/null
+++ b/sycamorehollow/decisions/shutdown.py
@@ -0,0 +1,95 @@
+"""The shutdown sequence of a process."""
+
+import dataclasses
+import enum
+
+from sycamorehollow.decisions import drains
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+
+class Phase(enum.Enum):
+    """How far the shutdown has come."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    DONE = "done"
+
+
+@dataclasses.dataclass(frozen=True)
+class ShutdownRequested(events.Event):
+    """An operator or the platform asks this process to end."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkCounted(events.Event):
+    """What this process still has to finish.
+
+    Attributes:
+        requests: Requests that were admitted and have not ended.
+        bills: Bill records that are neither written nor at a peer.
+    """
+
+    requests: int
+    bills: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StopAdmission(commands.Command):
+    """Asks for new requests to be refused and `/healthz` to return 503."""
+
+
+@dataclasses.dataclass(frozen=True)
+class TellPeers(commands.Command):
+    """Asks for `membership.LeaveRequested` to be given to the exchange."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Exit(commands.Command):
+    """Asks for the process to end."""
+
+
+class Shutdown(parts.Part):
+    """Ends a process without interrupting a request.
+
+    There is no limit on the time that a stream may take; only the platform
+    ends a process earlier, and only by killing it.
+    """
+
+    def __init__(self) -> None:
+        self._phase = Phase.SERVING
+        self._began = 0.0
+
+    @property
+    def phase(self) -> Phase:
+        """How far the shutdown has come."""
+        return self._phase
+
+    def refuse(self) -> failures.Failure | None:
+        """Returns why this process admits no new request, or `None`."""
+        if self._phase is Phase.SERVING:
+            return None
+        return failures.Draining(
+            "This process is shutting down.", retry_after_s=0.0
+        )
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event and returns the next steps."""
+        if isinstance(event, ShutdownRequested):
+            if self._phase is not Phase.SERVING:
+                return []
+            self._phase = Phase.DRAINING
+            self._began = now
+            return [StopAdmission(), TellPeers()]
+        if not isinstance(event, WorkCounted):
+            return []
+        if self._phase is not Phase.DRAINING:
+            return []
+        if event.requests or event.bills:
+            return []
+        if now - self._began < drains.LINGER_S:
+            return []
+        self._phase = Phase.DONE
+        return [Exit()]
--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,154 @@
+"""Tests of what is out of service and of the shutdown of a process."""
+
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from benches import fleet
+from sycamorehollow.decisions import drains
+from sycamorehollow.decisions import records
+from sycamorehollow.decisions import shutdown
+from sycamorehollow.model import deployment
+from sycamorehollow.model import failures
+
+IN = deployment.Presence.IN
+OUT = deployment.Presence.OUT
+DRAIN_BOUND_S = 5.0
+
+
+def make_deployment(revision=1, centre=IN, upstream=IN):
+    return deployment.Deployment(
+        data_centres={"dc-0": deployment.DataCentre("dc-0", "r", centre)},
+        upstreams={
+            "u": deployment.Upstream("u", "", "dc-0", presence=upstream),
+            "v": deployment.Upstream("v", "", "dc-1"),
+        },
+        revisions={"platform": revision},
+    )
+
+
+def make_record(key, value, version=1):
+    return records.Record(drains.DRAIN_KIND, key, version, value)
+
+
+class DrainsTest(unittest.TestCase):
+    """Guards I6 and I10: no new work for what is out of service."""
+
+    def start(self, **changes):
+        held = drains.Drains()
+        change = drains.DeploymentChanged(make_deployment(**changes))
+        held.handle(change, 0.0)
+        return held
+
+    @hypothesis.given(
+        strategies.sampled_from(deployment.Presence),
+        strategies.sampled_from(deployment.Presence),
+        strategies.sets(
+            strategies.sampled_from(["upstream/u", "data_centre/dc-0"])
+        ),
+        strategies.integers(0, 2),
+        strategies.booleans(),
+    )
+    def test_any_source_keeps_new_work_away(
+        self, centre, upstream, keys, named, leaving
+    ):
+        held = self.start(centre=centre, upstream=upstream)
+        kept = tuple(make_record(k, f'{{"revision":{named}}}') for k in keys)
+        held.handle(drains.RecordsChanged(kept), 1.0)
+        held.handle(drains.UpstreamVmsSeen({"u": leaving}), 1.0)
+        out = centre is not IN or upstream is not IN or leaving
+        out = out or bool(keys and named >= 1)
+        self.assertEqual(held.refuse("u") is not None, out)
+        self.assertIsNone(held.refuse("v"))
+
+    def test_unknown_upstream_is_refused_with_its_own_failure(self):
+        self.assertIsInstance(self.start().refuse("x"), drains.UnknownUpstream)
+
+    def test_record_is_lifted_only_by_a_higher_revision(self):
+        held = self.start()
+        record = make_record("upstream/u", '{"revision":1}')
+        held.handle(drains.RecordsChanged((record,)), 1.0)
+        again = drains.DeploymentChanged(make_deployment(revision=1))
+        self.assertEqual(held.handle(again, 2.0), [])
+        self.assertIsNotNone(held.refuse("u"))
+        higher = drains.DeploymentChanged(make_deployment(revision=2))
+        self.assertEqual(held.handle(higher, 3.0), [drains.MarkCold("u")])
+
+    def test_malformed_record_keeps_work_away(self):
+        held = self.start()
+        record = make_record("upstream/u", '["revision"]')
+        held.handle(drains.RecordsChanged((record,)), 1.0)
+        self.assertIsNotNone(held.refuse("u"))
+
+    def test_vm_missing_from_the_list_keeps_its_last_state(self):
+        held = self.start()
+        held.handle(drains.UpstreamVmsSeen({"u": True}), 1.0)
+        held.handle(drains.UpstreamVmsSeen({}), 2.0)
+        self.assertIsNotNone(held.refuse("u"))
+
+    def test_every_return_counts_as_cold(self):
+        held = self.start(centre=OUT)
+        back = drains.DeploymentChanged(make_deployment())
+        self.assertEqual(held.handle(back, 1.0), [drains.MarkCold("u")])
+        held = self.start(upstream=OUT)
+        removed = dataclasses.replace(make_deployment(), upstreams={})
+        held.handle(drains.DeploymentChanged(removed), 1.0)
+        self.assertEqual(held.handle(back, 2.0), [drains.MarkCold("u")])
+
+    def test_drain_holds_on_every_reachable_process_after_5_s(self):
+        for pushed in (True, False):
+            driven = fleet.Fleet(3, 3)
+            nodes = driven.start_joined(30)
+            # No process of dc-1 can call one of dc-2 or be called by it.
+            driven.cuts = lambda source, target: (
+                {source.data_centre, target.data_centre} == {"dc-1", "dc-2"}
+            )
+            driven.run(2.0)
+            value = drains.make_value(make_deployment())
+            asked = nodes[1].records.put(
+                drains.DRAIN_KIND, "data_centre/dc-0", value, driven.now
+            )
+            if pushed:
+                driven.carry_out(nodes[1], asked)
+            driven.run(DRAIN_BOUND_S)
+            for node in nodes:
+                held = self.start()
+                kept = node.records.list_kind(drains.DRAIN_KIND, driven.now)
+                held.handle(drains.RecordsChanged(tuple(kept)), driven.now)
+                self.assertIsNotNone(held.refuse("u"), node.address)
+
+
+class ShutdownTest(unittest.TestCase):
+    """Guards I11: a shutdown interrupts no request."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 2),
+                strategies.integers(0, 2),
+                strategies.floats(0.0, 4.0),
+            )
+        )
+    )
+    def test_exits_once_and_only_when_nothing_is_left(self, counts):
+        held = shutdown.Shutdown()
+        self.assertIsNone(held.refuse())
+        begun = held.handle(shutdown.ShutdownRequested(), 0.0)
+        self.assertEqual(
+            begun, [shutdown.StopAdmission(), shutdown.TellPeers()]
+        )
+        self.assertEqual(held.handle(shutdown.ShutdownRequested(), 0.0), [])
+        now, exits = 0.0, 0
+        for requests, bills, seconds in counts:
+            now += seconds
+            asked = held.handle(shutdown.WorkCounted(requests, bills), now)
+            self.assertIs(held.refuse().run, failures.Run.NO)
+            if asked:
+                exits += 1
+                self.assertEqual(requests + bills, 0)
+                self.assertGreaterEqual(now, drains.LINGER_S)
+        self.assertLessEqual(exits, 1)
+        held.handle(shutdown.WorkCounted(0, 0), now + drains.LINGER_S)
+        self.assertIs(held.phase, shutdown.Phase.DONE)
