--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,200 @@
+"""Tests of the peer task on loopback."""
+
+import concurrent.futures
+import queue
+import random
+import socket
+import threading
+import time
+import unittest
+
+from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions import members
+from sycamorehollow.decisions import membership
+from sycamorehollow.decisions import payloads
+from sycamorehollow.decisions import records
+from sycamorehollow.model import events
+from sycamorehollow.shells import peers
+
+TICK_S = 0.1
+WAIT_S = 15.0
+
+
+def wait_for(condition):
+    """Waits until a condition holds; returns whether it did."""
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+class Entry:
+    """A router loop with a peer task, as an entry process runs it."""
+
+    def __init__(self, seeds=(), port=0):
+        self.inbox = queue.SimpleQueue()
+        self.task = peers.PeerTask(f"127.0.0.1:{port}", self.inbox.put)
+        self.task.register("echo", self._echo)
+        address = f"127.0.0.1:{self.task.start()}"
+        me = members.Member(address, "dc-0", time.time_ns())
+        self.peers = membership.Membership(
+            me, seeds, random.Random(1), time.monotonic()
+        )
+        self.records = records.Records()
+        self.exchange = exchange.Exchange(self.peers, (self.records,))
+        self.address = address
+        self.paused = threading.Event()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def stop(self):
+        self.inbox.put(None)
+        self.thread.join(WAIT_S)
+        self.task.stop()
+
+    def sees(self, *others):
+        addresses = {member.address for member in self.peers.list_live()}
+        return addresses == {other.address for other in (self, *others)}
+
+    def _echo(self, _sender, payload):
+        future = concurrent.futures.Future()
+        future.set_result(payload)
+        return future
+
+    def _run(self):
+        due = time.monotonic()
+        while True:
+            try:
+                event = self.inbox.get(timeout=max(0.0, due - time.monotonic()))
+            except queue.Empty:
+                event = events.Tick()
+                due = time.monotonic() + TICK_S
+            while self.paused.is_set():
+                time.sleep(0.01)
+            if event is None:
+                return
+            for command in self.exchange.handle(event, time.monotonic()):
+                self.task.post(command)
+
+
+class Forwarder:
+    """Carries connections to a port; open ones can be made silent."""
+
+    def __init__(self, port):
+        self.port = port
+        self.silent = set()
+        self.open = set()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self.server.accept()
+            except OSError:
+                return
+            far = socket.create_connection(("127.0.0.1", self.port))
+            self.open.add(near)
+            for pair in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self._pump, args=(*pair, near), daemon=True
+                ).start()
+
+    def _pump(self, source, target, near):
+        try:
+            while data := source.recv(65536):
+                if near not in self.silent:
+                    target.sendall(data)
+        except OSError:
+            pass
+        source.close()
+        target.close()
+
+
+class PeerTaskTest(unittest.TestCase):
+    """Guards against a peer that blocks or misses the others."""
+
+    def start(self, seeds=(), port=0):
+        entry = Entry(seeds, port)
+        self.addCleanup(entry.stop)
+        return entry
+
+    def test_three_tasks_converge_and_survive_a_frozen_one(self):
+        first = self.start()
+        second = self.start((first.address,))
+        third = self.start((first.address,))
+        self.assertTrue(wait_for(lambda: first.sees(second, third)))
+        self.assertTrue(wait_for(lambda: third.sees(first, second)))
+        third.paused.set()
+        began = time.monotonic()
+        for command in first.records.put("stop", "v", 1, began):
+            if isinstance(command, payloads.Urgent):
+                for call in first.exchange.push(command):
+                    first.task.post(call)
+        known = wait_for(
+            lambda: second.records.find("stop", "v", time.monotonic())
+        )
+        self.assertTrue(known)
+        self.assertLess(time.monotonic() - began, 1.0)
+        self.assertTrue(wait_for(lambda: first.sees(second)))
+        third.paused.clear()
+        self.assertTrue(wait_for(lambda: first.sees(second, third)))
+        self.assertTrue(wait_for(lambda: third.sees(first, second)))
+
+    def test_restart_under_the_same_address_is_seen(self):
+        first = self.start()
+        second = Entry((first.address,))
+        self.assertTrue(wait_for(lambda: first.sees(second)))
+        old = second.peers.me.incarnation
+        second.stop()
+        port = int(second.address.rsplit(":", 1)[1])
+        again = self.start((first.address,), port)
+        self.assertTrue(wait_for(lambda: again.sees(first)))
+        found = first.peers.find(second.address)
+        self.assertGreater(found.incarnation, old)
+
+    def test_silent_connection_is_replaced_after_one_failure(self):
+        first = self.start()
+        port = int(first.address.rsplit(":", 1)[1])
+        forwarder = Forwarder(port)
+        self.addCleanup(forwarder.server.close)
+        found = queue.SimpleQueue()
+        task = peers.PeerTask("127.0.0.1:0", found.put)
+        task.start()
+        self.addCleanup(task.stop)
+        me = exchange.Process("127.0.0.1:1", "dc-0", 1)
+        item = exchange.Item("echo", b"text")
+        results = []
+        for number in range(3):
+            if number == 1:
+                forwarder.silent |= forwarder.open
+            request = peers.Request(number, forwarder.address, me, item, 0.5)
+            task.post(request)
+            results.append(type(found.get(timeout=WAIT_S)))
+        answered, failed = peers.RequestAnswered, peers.RequestFailed
+        self.assertEqual(results, [answered, failed, answered])
+
+    def test_handler_answers_and_silence_fails_at_its_deadline(self):
+        first = self.start()
+        found = queue.SimpleQueue()
+        task = peers.PeerTask("127.0.0.1:0", found.put)
+        task.start()
+        self.addCleanup(task.stop)
+        me = exchange.Process("127.0.0.1:1", "dc-0", 1)
+        item = exchange.Item("echo", b"text")
+        task.post(peers.Request(1, first.address, me, item))
+        self.assertEqual(found.get(timeout=WAIT_S).item, item)
+        # It accepts connections and never answers on them.
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            began = time.monotonic()
+            for number in range(20):
+                task.post(peers.Request(number, address, me, item, 0.5))
+            task.post(peers.Request(99, first.address, me, item))
+            results = [found.get(timeout=WAIT_S) for _ in range(21)]
+        self.assertLess(time.monotonic() - began, 5.0)
+        answered = [r for r in results if isinstance(r, peers.RequestAnswered)]
+        self.assertEqual([r.number for r in answered], [99])
