Add the quarantine of requests that crash upstreams

A death makes every request in flight there a suspect, which runs alone until it completes (cleared) or dies on a second upstream (quarantined). A request whose connection was lost counts as a suspect until it is known whether the upstream died, because its retry starts before that.

Seen to fail with the rule taken out: - completion clears nothing, or deaths from before it count: i0 and c0 die on u0, i0 completes on u1, runs again on u2 when another process runs c1 there: i0 quarantined - suspects join running work: c0 dies on u0, i0 runs on u1, c0 joins: i0 dies (1 != 0) - other work joins a suspect: c0 dies on u0, c0 runs alone on u1, i0 joins: 1 != 0 - no quarantine: c1 runs and dies three times: 3 of 2 - several isolated copies: c0 dies on u0, runs on u1 and u2: 3 of 2

--- /dev/null
+++ b/sycamorehollow/decisions/quarantine.py
@@ -0,0 +1,307 @@
+"""Quarantine of requests that crash upstreams."""
+
+import collections
+import dataclasses
+import enum
+import json
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import upstreams
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+DEATHS_TO_QUARANTINE = 2
+# A lost connection shows a death only when the upstream refuses connections
+# or reports a new generation, within a few polls.
+DEATH_WINDOW_S = 10.0
+# Callers resend for as long as they keep idempotency keys.
+RECORD_TTL_S = 24 * 3600.0
+# Ages of records from peers are off by the time of their way.
+AGE_ERROR_S = 2.0
+MAX_FINGERPRINTS = 10000
+BUSY_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamDied(events.Event):
+    """A run of an upstream has ended.
+
+    Sent when a connection was lost and the upstream refuses connections or
+    reports another generation.
+
+    Attributes:
+        generation: The run that ended.
+    """
+
+    upstream: str
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class SpreadQuarantine(commands.Command):
+    """Pushes the state of this component to the live members at once."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Quarantined(failures.Failure):
+    """The request has crashed upstreams and is not run again."""
+
+    code = "quarantined"
+    status = 422
+
+
+@dataclasses.dataclass(frozen=True)
+class SuspectBusy(failures.Failure):
+    """A suspected request already runs in isolation."""
+
+    code = "suspect_busy"
+    status = 503
+
+
+class Verdict(enum.Enum):
+    """How a request may run."""
+
+    CLEAR = "clear"
+    ISOLATED = "isolated"
+
+
+@dataclasses.dataclass
+class Record:
+    """What is known of one fingerprint.
+
+    Attributes:
+        deaths: Time of each death by upstream and generation.
+        vouches: Completions after a death.
+        vouched_at: Time of the last completion; older deaths do not count.
+    """
+
+    deaths: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    vouches: int = 0
+    vouched_at: float = float("-inf")
+
+    def count(self) -> int:
+        """Returns the deaths that count."""
+        since = self.vouched_at
+        return sum(1 for time in self.deaths.values() if time > since)
+
+    def find_latest(self) -> float:
+        """Returns the time of the last change."""
+        return max(self.vouched_at, *self.deaths.values(), float("-inf"))
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """A running attempt, or one whose connection was lost a moment ago.
+
+    Attributes:
+        isolated: Whether no other work may start beside it.
+        lost_at: When the connection was lost; infinite while it runs.
+    """
+
+    fingerprint: str
+    upstream: str
+    isolated: bool
+    lost_at: float = float("inf")
+
+
+class Quarantine(parts.Part, parts.Replicated):
+    """Finds requests that crash upstreams and clears those beside them."""
+
+    kind = "quarantine"
+
+    def __init__(self) -> None:
+        self._records: dict[str, Record] = {}
+        self._running: dict[str, Attempt] = {}
+        self._at_upstream: collections.Counter[str] = collections.Counter()
+        self._isolated: collections.Counter[str] = collections.Counter()
+        self._lost: dict[str, Attempt] = {}
+        self._lost_at: dict[str, float] = {}
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event."""
+        match event:
+            case upstreams.AttemptStarted():
+                self._start(event, now)
+            case upstreams.AttemptEnded():
+                return self._end(event, now)
+            case UpstreamDied():
+                return self._record_deaths(event, now)
+            case events.Tick():
+                self._expire(now)
+        return []
+
+    def judge(self, fingerprint: str, now: float) -> Verdict | failures.Failure:
+        """Tells whether and how a request may run now."""
+        record = self._records.get(fingerprint)
+        if record is not None and record.count() >= DEATHS_TO_QUARANTINE:
+            return Quarantined(
+                "The request has crashed the upstreams that ran it."
+            )
+        if not self._is_suspect(fingerprint, now):
+            return Verdict.CLEAR
+        for attempt in self._running.values():
+            if attempt.fingerprint == fingerprint:
+                return SuspectBusy(
+                    "The request is suspected of a crash and runs already.",
+                    failures.Run.NO,
+                    BUSY_RETRY_AFTER_S,
+                )
+        return Verdict.ISOLATED
+
+    def may_place(
+        self, fingerprint: str, upstream: str, peers_idle: bool, now: float
+    ) -> bool:
+        """Tells whether a request may run on an upstream beside what runs.
+
+        Args:
+            fingerprint: Hash of the workspace and the content.
+            upstream: Name of the upstream.
+            peers_idle: Whether the last shares of peers and the last report
+                show no other work there.
+            now: Monotonic time in seconds.
+        """
+        if self._is_suspect(fingerprint, now):
+            return peers_idle and not self._at_upstream[upstream]
+        return not self._isolated[upstream]
+
+    def _is_suspect(self, fingerprint: str, now: float) -> bool:
+        # Until it is known whether the upstream died, a request whose
+        # connection was lost could crash the next one as well.
+        lost_at = self._lost_at.get(fingerprint)
+        if lost_at is not None and now - lost_at < DEATH_WINDOW_S:
+            return True
+        record = self._records.get(fingerprint)
+        return record is not None and record.count() > 0
+
+    def _start(self, event: upstreams.AttemptStarted, now: float) -> None:
+        if event.attempt in self._running:
+            return
+        isolated = self._is_suspect(event.fingerprint, now)
+        attempt = Attempt(event.fingerprint, event.upstream, isolated)
+        self._running[event.attempt] = attempt
+        self._at_upstream[event.upstream] += 1
+        self._isolated[event.upstream] += isolated
+
+    def _stop(self, name: str) -> Attempt | None:
+        attempt = self._running.pop(name, None)
+        if attempt is not None:
+            self._at_upstream[attempt.upstream] -= 1
+            self._isolated[attempt.upstream] -= attempt.isolated
+        return attempt
+
+    def _end(
+        self, event: upstreams.AttemptEnded, now: float
+    ) -> list[commands.Command]:
+        attempt = self._stop(event.attempt)
+        if attempt is None:
+            return []
+        if event.end is upstreams.End.FAILED:
+            lost = dataclasses.replace(attempt, lost_at=now)
+            self._lost[event.attempt] = lost
+            self._lost_at[attempt.fingerprint] = now
+            return []
+        if event.end is not upstreams.End.COMPLETED:
+            return []
+        return self._clear(attempt.fingerprint, now)
+
+    def _clear(self, fingerprint: str, now: float) -> list[commands.Command]:
+        """Clears a request: a response proves that it crashes nothing."""
+        if self._lost_at.pop(fingerprint, None) is not None:
+            for name, lost in list(self._lost.items()):
+                if lost.fingerprint == fingerprint:
+                    del self._lost[name]
+        record = self._records.get(fingerprint)
+        if record is None or not record.count():
+            return []
+        record.vouches += 1
+        record.vouched_at = now
+        return [SpreadQuarantine()]
+
+    def _record_deaths(
+        self, event: UpstreamDied, now: float
+    ) -> list[commands.Command]:
+        pair = (event.upstream, event.generation)
+        beside = []
+        for name, attempt in list(self._running.items()):
+            if attempt.upstream == event.upstream:
+                # Its end is reported later or never; it counts once.
+                self._stop(name)
+                beside.append((attempt.fingerprint, now))
+        for name, lost in list(self._lost.items()):
+            if lost.upstream == event.upstream:
+                del self._lost[name]
+                if now - lost.lost_at < DEATH_WINDOW_S:
+                    beside.append((lost.fingerprint, lost.lost_at))
+        for fingerprint, time in beside:
+            record = self._records.setdefault(fingerprint, Record())
+            record.deaths.setdefault(pair, time)
+        return [SpreadQuarantine()] if beside else []
+
+    def _expire(self, now: float) -> None:
+        for name, lost in list(self._lost.items()):
+            if now - lost.lost_at >= DEATH_WINDOW_S:
+                del self._lost[name]
+        for fingerprint, lost_at in list(self._lost_at.items()):
+            if now - lost_at >= DEATH_WINDOW_S:
+                del self._lost_at[fingerprint]
+        for fingerprint, record in list(self._records.items()):
+            if now - record.find_latest() >= RECORD_TTL_S:
+                del self._records[fingerprint]
+        excess = len(self._records) - MAX_FINGERPRINTS
+        if excess > 0:
+            oldest = sorted(
+                self._records, key=lambda one: self._records[one].find_latest()
+            )
+            for fingerprint in oldest[:excess]:
+                del self._records[fingerprint]
+
+    def summarize(self, now: float) -> bytes:
+        """Returns the counts of deaths and vouches of every fingerprint."""
+        known = {}
+        for fingerprint, record in self._records.items():
+            known[fingerprint] = [
+                [list(pair) for pair in sorted(record.deaths)],
+                record.vouches,
+            ]
+        return json.dumps(known, separators=(",", ":")).encode()
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns the records that the sender lacks, with their ages."""
+        known = json.loads(digest)
+        delta = {}
+        for fingerprint, record in self._records.items():
+            pairs, vouches = known.get(fingerprint, ([], 0))
+            seen = {(upstream, generation) for upstream, generation in pairs}
+            deaths = [
+                [*pair, now - time]
+                for pair, time in record.deaths.items()
+                if pair not in seen
+            ]
+            newer = record.vouches > vouches
+            if not deaths and not newer:
+                continue
+            age_s = now - record.vouched_at if record.vouches else 0.0
+            delta[fingerprint] = [deaths, record.vouches, age_s]
+        if not delta:
+            return b""
+        return json.dumps(delta, separators=(",", ":")).encode()
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Applies the records of a peer; returns no commands."""
+        if not delta:
+            return []
+        for fingerprint, (deaths, vouches, age_s) in json.loads(delta).items():
+            record = self._records.setdefault(fingerprint, Record())
+            for upstream, generation, death_age_s in deaths:
+                # The record was on its way, so the death is a little older
+                # than its age; one from before a vouch must not count.
+                time = now - death_age_s - AGE_ERROR_S
+                pair = (upstream, generation)
+                record.deaths[pair] = min(time, record.deaths.get(pair, time))
+            if vouches > record.vouches:
+                record.vouches = vouches
+                record.vouched_at = max(record.vouched_at, now - age_s)
+        return []
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,206 @@
+"""Tests of the quarantine of requests that crash upstreams."""
+
+import itertools
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import quarantine
+from sycamorehollow.decisions import upstreams
+from sycamorehollow.model import events
+
+INNOCENT = ("i0", "i1")
+CRASHING = ("c0", "c1")
+UPSTREAMS = ("u0", "u1", "u2")
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("run", "run", "complete", "crash")),
+        strategies.integers(0, 1),
+        strategies.sampled_from((*INNOCENT, *CRASHING)),
+        strategies.sampled_from(UPSTREAMS),
+    ),
+    max_size=40,
+)
+
+
+class World:
+    """Processes, three upstreams and requests that callers resend."""
+
+    def __init__(self, count):
+        self.nodes = [quarantine.Quarantine() for _ in range(count)]
+        self.generations = dict.fromkeys(UPSTREAMS, 1)
+        self.running = {}
+        self.deaths = dict.fromkeys((*INNOCENT, *CRASHING), 0)
+        self.since_completed = dict.fromkeys(INNOCENT, 0)
+        self.completed = set()
+        self.allowed = dict.fromkeys(CRASHING, 2)
+        self.now = 0.0
+
+    def run(self, index, fingerprint, upstream):
+        node = self.nodes[index]
+        verdict = node.judge(fingerprint, self.now)
+        if not isinstance(verdict, quarantine.Verdict):
+            return
+        idle = all(one[2] != upstream for one in self.running.values())
+        if not node.may_place(fingerprint, upstream, idle, self.now):
+            return
+        name = f"{self.now}-{fingerprint}"
+        self.running[name] = (index, fingerprint, upstream)
+        node.handle(
+            upstreams.AttemptStarted(name, upstream, 1, fingerprint), self.now
+        )
+
+    def complete(self, index, fingerprint, upstream):
+        for name, attempt in list(self.running.items()):
+            if attempt[:2] != (index, fingerprint) or fingerprint in CRASHING:
+                continue
+            del self.running[name]
+            self.nodes[index].handle(
+                upstreams.AttemptEnded(
+                    name, attempt[2], upstreams.End.COMPLETED
+                ),
+                self.now,
+            )
+            self.completed.add(fingerprint)
+            self.since_completed[fingerprint] = 0
+
+    def crash(self, index, fingerprint, upstream):
+        """An upstream with a crashing request dies."""
+        for attempt in list(self.running.values()):
+            if attempt[1] in CRASHING:
+                self.kill(index, attempt[2])
+                return
+
+    def kill(self, index, upstream):
+        beside = {n: o for n, o in self.running.items() if o[2] == upstream}
+        for name, (node, _, _) in beside.items():
+            del self.running[name]
+            # The other process learns of the death before the connection
+            # breaks.
+            if node == index:
+                ended = upstreams.AttemptEnded(
+                    name, upstream, upstreams.End.FAILED
+                )
+                self.nodes[node].handle(ended, self.now)
+        for one in {one[1] for one in beside.values()}:
+            if one in CRASHING and not self.deaths[one]:
+                # Copies that were in flight elsewhere at the first death.
+                copies = [o for o in self.running.values() if o[1] == one]
+                self.allowed[one] += len(copies)
+            self.deaths[one] += 1
+            if one in self.since_completed:
+                self.since_completed[one] += 1
+        died = quarantine.UpstreamDied(upstream, self.generations[upstream])
+        self.generations[upstream] += 1
+        for node in self.nodes:
+            node.handle(died, self.now)
+
+    def gossip(self):
+        for one, other in itertools.permutations(self.nodes, 2):
+            delta = other.collect(one.summarize(self.now), self.now)
+            # On its way for half a second.
+            one.merge(delta, self.now + 0.5)
+            one.merge(delta, self.now + 0.5)
+
+
+class QuarantineTest(unittest.TestCase):
+    """Guards upstreams against crashes and bystanders against refusal."""
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(strategies.integers(1, 2), STEPS)
+    @hypothesis.example(
+        2,
+        [
+            ("run", 0, "i0", "u0"), ("run", 0, "c0", "u0"),
+            ("crash", 0, "i0", "u0"), ("run", 0, "i0", "u1"),
+            ("complete", 0, "i0", "u1"), ("run", 0, "i0", "u2"),
+            ("run", 1, "c1", "u2"), ("crash", 0, "i0", "u0"),
+        ],
+    )  # fmt: skip
+    @hypothesis.example(
+        1,
+        [
+            ("run", 0, "c0", "u0"), ("crash", 0, "c0", "u0"),
+            ("run", 0, "c0", "u1"), ("run", 0, "c0", "u2"),
+            ("crash", 0, "c0", "u0"), ("crash", 0, "c0", "u0"),
+        ],
+    )  # fmt: skip
+    def test_deaths_are_bounded_and_bystanders_cleared(self, count, steps):
+        """Resent requests must not crash one upstream after the other."""
+        world = World(count)
+        for step, index, fingerprint, upstream in steps:
+            world.now += 1.0
+            getattr(world, step)(index % count, fingerprint, upstream)
+            world.gossip()
+            for one in CRASHING:
+                self.assertLessEqual(world.deaths[one], world.allowed[one])
+            for innocent in world.completed:
+                if world.since_completed[innocent] >= 2:
+                    continue
+                for node in world.nodes:
+                    verdict = node.judge(innocent, world.now + 0.5)
+                    self.assertNotIsInstance(verdict, quarantine.Quarantined)
+
+    @hypothesis.given(STEPS)
+    @hypothesis.example(
+        [
+            ("run", 0, "c0", "u0"), ("crash", 0, "i0", "u0"),
+            ("run", 0, "c0", "u1"), ("run", 0, "i0", "u1"),
+            ("crash", 0, "i0", "u0"),
+        ]
+    )  # fmt: skip
+    @hypothesis.example(
+        [
+            ("run", 0, "c0", "u0"), ("crash", 0, "i0", "u0"),
+            ("run", 0, "i0", "u1"), ("run", 0, "c0", "u1"),
+            ("crash", 0, "i0", "u0"),
+        ]
+    )  # fmt: skip
+    def test_suspects_run_alone(self, steps):
+        """A bystander must not be beside the same crash a second time."""
+        world = World(1)
+        first = None
+        for step, _, fingerprint, upstream in steps:
+            crashing = [o[1] for o in world.running.values() if o[1] == "c0"]
+            if fingerprint == "c1" or fingerprint in crashing:
+                continue
+            world.now += 1.0
+            getattr(world, step)(0, fingerprint, upstream)
+            if first is None and world.deaths["c0"]:
+                first = dict(world.deaths)
+            for innocent in INNOCENT if first else ():
+                self.assertEqual(world.deaths[innocent], first[innocent])
+
+    def test_two_deaths_are_refused_everywhere(self):
+        """A record must reach other processes before the caller does."""
+        world = World(2)
+        for upstream in ("u0", "u1"):
+            world.run(0, "c0", upstream)
+            world.crash(0, "c0", upstream)
+        world.gossip()
+        for node in world.nodes:
+            verdict = node.judge("c0", 1.0)
+            self.assertIsInstance(verdict, quarantine.Quarantined)
+        later = quarantine.RECORD_TTL_S + 10
+        for node in world.nodes:
+            node.handle(events.Tick(), later)
+        self.assertIs(
+            world.nodes[0].judge("c0", later), quarantine.Verdict.CLEAR
+        )
+
+    def test_late_death_after_completion_does_not_count(self):
+        """Peers report deaths from before the completion afterwards."""
+        first, second = quarantine.Quarantine(), quarantine.Quarantine()
+        for number, node in ((1, first), (2, second)):
+            node.handle(
+                upstreams.AttemptStarted("a", f"u{number}", 1, "i0"), 0.0
+            )
+            node.handle(quarantine.UpstreamDied(f"u{number}", 1), 1.0)
+        first.handle(upstreams.AttemptStarted("b", "u3", 1, "i0"), 1.5)
+        first.handle(
+            upstreams.AttemptEnded("b", "u3", upstreams.End.COMPLETED), 2.0
+        )
+        delta = second.collect(first.summarize(2.0), 2.0)
+        first.merge(delta, 3.0)
+        self.assertIs(first.judge("i0", 3.0), quarantine.Verdict.CLEAR)
