Add the fence

The fence decides from the deployment and the stop records in effect whether a version may start work, whatever component chose the version. Without the check for withdrawn, stopped or allowed versions the property fails with "True != False" (started against the rule).

--- /dev/null
+++ b/sycamorehollow/decisions/fence.py
@@ -0,0 +1,48 @@
+"""Last check before work starts at an upstream."""
+
+from collections.abc import Set
+
+from sycamorehollow.model import deployment
+from sycamorehollow.model import failures
+
+
+def check_start(
+    in_force: deployment.Deployment | None,
+    stopped: Set[str],
+    workspace: str,
+    version: str,
+) -> failures.Failure | None:
+    """Tells why a request must not start on a version.
+
+    Args:
+        in_force: Deployment in force on this node, `None` before the first.
+        stopped: Versions with a stop record in effect.
+        workspace: Workspace of the request.
+        version: Version that some component has chosen.
+
+    Returns:
+        `None` if the request may start, else a failure with `run: no`.
+    """
+    if in_force is None:
+        return failures.NoConfiguration(
+            reason="the node has no configuration yet", retry_after_s=1.0
+        )
+    customer = in_force.workspaces.get(workspace)
+    if customer is None:
+        return failures.NotAllowed(reason="the workspace does not exist")
+    if version not in customer.versions:
+        # The same response for a version that does not exist, so that one
+        # workspace cannot find out the versions of others.
+        return failures.NotAllowed(
+            reason=f"the workspace may not use version {version}"
+        )
+    known = in_force.versions.get(version)
+    if known is None:
+        return failures.NotFound(reason=f"version {version} does not exist")
+    if known.state is not deployment.ServingState.SERVING:
+        return failures.VersionWithdrawn(
+            reason=f"version {version} is withdrawn"
+        )
+    if version in stopped:
+        return failures.VersionWithdrawn(reason=f"version {version} is stopped")
+    return None
