--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -1,6 +1,7 @@
 """Processes that bill and spool under a generated fault schedule."""
 
 from collections.abc import Callable
+import functools
 import random
 
 from sycamorehollow.decisions import billing
@@ -215,7 +216,7 @@
                 self.pending.remove(entry)
                 if self.schedule.pick(2):
                     self.late.append(
-                        lambda c=entry[1]: self._perform(old, c, False)
+                        functools.partial(self._perform, old, entry[1], False)
                     )
         for node in self.nodes:
             self.give(node, messages.OriginGone(old.process))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import functools
 import random
 
 from sycamorehollow.decisions import effect_messages as messages
@@ -328,7 +329,7 @@
                 self.pending.remove(entry)
                 if self.schedule.pick(2):
                     self.late.append(
-                        lambda c=entry[1]: self._perform(old, c, False)
+                        functools.partial(self._perform, old, entry[1], False)
                     )
         for ask, (node, op) in list(self.asks.items()):
             if node is old:
