Add bounds on the bytes held for slow callers

Reading stops at a high mark below the bound per caller, so a slow caller slows its own upstream stream only. The total is kept by disconnecting the caller that holds the most for the longest.

--- /dev/null
+++ b/sycamorehollow/decisions/buffers.py
@@ -0,0 +1,214 @@
+"""Bounds on the bytes held for slow callers."""
+
+import dataclasses
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+STREAM_BYTES = 256 * 1024
+TOTAL_BYTES = 64 * 1024 * 1024
+# Reading stops here, so that what one read returns still fits.
+HIGH_WATER_BYTES = 128 * 1024
+# Well below the high mark, so that reading does not stop and start each chunk.
+LOW_WATER_BYTES = 64 * 1024
+STALL_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamOpened(events.Event):
+    """A response to a caller has begun."""
+
+    stream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ChunkBuffered(events.Event):
+    """The relay has read bytes of a response from the upstream."""
+
+    stream: str
+    size: int
+
+
+@dataclasses.dataclass(frozen=True)
+class BytesSent(events.Event):
+    """The caller's socket has taken bytes."""
+
+    stream: str
+    size: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamClosed(events.Event):
+    """The response is complete or the caller is gone; its bytes are freed."""
+
+    stream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PauseReading(commands.Command):
+    """Stops reading the stream from its upstream."""
+
+    stream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ResumeReading(commands.Command):
+    """Reads the stream from its upstream again."""
+
+    stream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class DisconnectCaller(commands.Command):
+    """Ends the response with a failure, frees its bytes, cancels upstream."""
+
+    stream: str
+    failure: failures.Failure
+
+
+@dataclasses.dataclass(frozen=True)
+class SlowCaller(failures.Failure):
+    """The caller reads too slowly for the memory of the node."""
+
+    code = "slow_caller"
+    status = 408
+
+
+@dataclasses.dataclass
+class Stream:
+    """Bytes held for one caller.
+
+    Attributes:
+        moved_at: When the caller last took bytes, or the buffer was empty.
+    """
+
+    moved_at: float
+    held: int = 0
+    paused: bool = False
+
+
+class Buffers(parts.Part):
+    """Bytes held for all callers of a relay.
+
+    Args:
+        stream_bytes: Bound per caller.
+        total_bytes: Bound for all callers.
+        high_bytes: Held bytes from which reading stops.
+        low_bytes: Held bytes up to which reading starts again.
+    """
+
+    def __init__(
+        self,
+        stream_bytes: int = STREAM_BYTES,
+        total_bytes: int = TOTAL_BYTES,
+        high_bytes: int = HIGH_WATER_BYTES,
+        low_bytes: int = LOW_WATER_BYTES,
+    ):
+        self._stream_bytes = stream_bytes
+        self._total_bytes = total_bytes
+        self._high_bytes = high_bytes
+        self._low_bytes = low_bytes
+        self._streams: dict[str, Stream] = {}
+        self._held = 0
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event."""
+        match event:
+            case ChunkBuffered():
+                return self._buffer(event.stream, event.size, now)
+            case BytesSent():
+                return self._send(event.stream, event.size, now)
+            case StreamOpened():
+                self._streams.setdefault(event.stream, Stream(now))
+            case StreamClosed():
+                self._drop(event.stream)
+            case events.Tick():
+                return self._disconnect_stalled(now)
+        return []
+
+    def count_room(self, stream: str) -> int:
+        """Returns the bytes that the relay may read next for a stream.
+
+        A read of no more than this keeps the bound per caller; the bound on
+        the total is kept by disconnecting.
+        """
+        held = self._streams.get(stream)
+        if held is None or held.paused:
+            return 0
+        return min(self._stream_bytes - held.held, self._total_bytes)
+
+    def count_held(self) -> int:
+        """Returns the bytes held for all callers."""
+        return self._held
+
+    def _buffer(
+        self, name: str, size: int, now: float
+    ) -> list[commands.Command]:
+        stream = self._streams.get(name)
+        if stream is None:
+            return []
+        if stream.held == 0:
+            stream.moved_at = now
+        stream.held += size
+        self._held += size
+        decided: list[commands.Command] = []
+        if stream.held > self._stream_bytes:
+            decided.append(self._disconnect(name, "reads too slowly"))
+        while self._held > self._total_bytes:
+            decided.append(
+                self._disconnect(
+                    self._find_most_expensive(now),
+                    "holds the most bytes while memory is short",
+                )
+            )
+        if name not in self._streams or stream.paused:
+            return decided
+        if stream.held >= self._high_bytes:
+            stream.paused = True
+            decided.append(PauseReading(name))
+        return decided
+
+    def _send(self, name: str, size: int, now: float) -> list[commands.Command]:
+        stream = self._streams.get(name)
+        if stream is None or size <= 0:
+            return []
+        size = min(size, stream.held)
+        stream.held -= size
+        self._held -= size
+        stream.moved_at = now
+        if stream.paused and stream.held <= self._low_bytes:
+            stream.paused = False
+            return [ResumeReading(name)]
+        return []
+
+    def _find_most_expensive(self, now: float) -> str:
+        """Returns the stream that holds the most bytes for the longest."""
+        most = ""
+        highest = (-1, 0.0)
+        for name, stream in self._streams.items():
+            cost = (stream.held, now - stream.moved_at)
+            if cost > highest:
+                most, highest = name, cost
+        return most
+
+    def _disconnect_stalled(self, now: float) -> list[commands.Command]:
+        stalled = []
+        for name, stream in self._streams.items():
+            if stream.held and now - stream.moved_at >= STALL_S:
+                stalled.append(name)
+        return [
+            self._disconnect(name, f"took no bytes for {STALL_S:.0f} s")
+            for name in stalled
+        ]
+
+    def _disconnect(self, name: str, why: str) -> DisconnectCaller:
+        self._drop(name)
+        failure = SlowCaller(f"The caller {why}.", failures.Run.UNKNOWN, None)
+        return DisconnectCaller(name, failure)
+
+    def _drop(self, name: str) -> None:
+        stream = self._streams.pop(name, None)
+        if stream is not None:
+            self._held -= stream.held
