--- a/sycamorehollow/decisions/capacity.py
+++ b/sycamorehollow/decisions/capacity.py
@@ -8,6 +8,9 @@
 # checks of 1,000 tokens on an upstream of 200,000 tokens.
 SHORT_RESERVE = 0.1
 SHORT_REQUEST_TOKENS = 2000
+# Room for one more request of the same size, which a peer may just have
+# started unseen.
+UNSEEN_FACTOR = 2
 SMOOTHING = 0.1
 
 
@@ -57,11 +60,19 @@
     Args:
         table: Load of the upstreams.
         members: Live entry processes of the data centre, this one included.
+        refusing: Whether upstreams refuse work beyond their memory. If not,
+            every process stays within its share.
     """
 
-    def __init__(self, table: upstreams.Table, members: int = 1):
+    def __init__(
+        self,
+        table: upstreams.Table,
+        members: int = 1,
+        refusing: bool = True,
+    ):
         self._table = table
         self._members = max(1, members)
+        self._refusing = refusing
         self._speeds: dict[str, Speed] = {}
 
     def set_members(self, members: int) -> None:
@@ -131,9 +142,9 @@
     def fits(self, upstream: str, demand: Demand, now: float) -> bool:
         """Tells whether the upstream has room for the request.
 
-        A request larger than the share of this process fits when nothing else
-        was started since the oldest report in the window and the estimate has
-        room; the upstream's own refusal covers the rest.
+        Beyond the share of this process the estimate decides, if upstreams
+        refuse what they cannot hold: a request larger than an equal share
+        would otherwise never fit, however idle the upstream is.
         """
         row = self._table.find_row(upstream)
         if row is None or now < row.down_until:
@@ -143,14 +154,13 @@
             return False
         if demand.tokens <= self.count_free_tokens(upstream, demand, now):
             return True
-        if row.report is None or is_stale(row.report, now):
+        if not self._refusing or row.report is None:
             return False
-        usable = int(row.capacity_tokens * (1 - SHORT_RESERVE))
-        if demand.tokens <= usable // self._members:
+        if is_stale(row.report, now):
             return False
-        if count_started(row, row.recent[0].measured_at):
-            return False
-        return demand.tokens <= usable - row.estimate_tokens()
+        usable = int(row.capacity_tokens * (1 - SHORT_RESERVE))
+        room = usable - row.estimate_tokens()
+        return UNSEEN_FACTOR * demand.tokens <= room
 
 
 def is_stale(report: upstreams.LoadReported, now: float) -> bool:
