Learn faster: trials where the outcome is open, neighbours by spread

A fixed number of trials left versions undecided for thousands of requests. Trials now go on while a cheaper version may meet the target, and the weight of the neighbours follows how alike they are.

--- a/sycamorehollow/decisions/cascades.py
+++ b/sycamorehollow/decisions/cascades.py
@@ -7,6 +7,7 @@
 import random
 
 from sycamorehollow.decisions import learning
+from sycamorehollow.decisions import outlooks
 from sycamorehollow.decisions import parts
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
@@ -17,17 +18,22 @@
 MAX_STEPS = 3
 # Own ratings from which a version counts as known in a kind.
 EVIDENCE_RATINGS = 30
+# Where trials are allowed, fewer do: the estimate is cautious by itself.
+TRIED_RATINGS = 12
 # Standard deviations that an estimate must lie above the target.
-CAUTION = 1.0
+CAUTION = 0.8
+# Standard deviations above its estimate that a version may turn out to have.
+HOPE = 1.5
 # Share of requests that may be used to learn. A gate catches a bad answer of
-# the trial, so gated kinds can afford more of them.
-EXPLORE_SHARE = 0.08
-EXPLORE_SHARE_GATED = 0.15
-EXPLORE_BURST = 4.0
+# a trial and costs little more, so gated kinds can afford more of them.
+EXPLORE_SHARE = 0.25
+EXPLORE_SHARE_GATED = 0.5
+EXPLORE_BURST = 6.0
+# A draw is spent on versions that are known already, so it has to be rarer.
+DRAW_COST = 5.0
+DRAW_SHARE = 0.3
 # Largest amount by which a missed target raises the bar for the next choice.
 MAX_CORRECTION = 0.05
-# Estimates are read again after this many changes of a kind.
-REFRESH_CHANGES = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,7 +82,7 @@
     Attributes:
         steps: Versions in order; the next one runs after a rejection.
         gate: Whether answers are rated before delivery.
-        explored: Whether the choice is a trial.
+        trial: What the choice takes from the budget for trials; 0 for none.
         expected_cost: Expected price of all attempts.
         expected_quality: Expected share of accepted answers.
         reason: One sentence for the log.
@@ -84,7 +90,7 @@
 
     steps: tuple[str, ...]
     gate: bool
-    explored: bool
+    trial: float
     expected_cost: float
     expected_quality: float
     reason: str
@@ -99,21 +105,6 @@
     choice: Choice
 
 
-def price_versions(
-    versions: Mapping[str, deployments.Version],
-    names: tuple[str, ...],
-    prompt_tokens: int,
-    output_tokens: int,
-) -> dict[str, float]:
-    """Returns the expected price of one answer in micro-units of currency."""
-    prices = {}
-    for name in names:
-        version = versions[name]
-        prompt = version.prompt_price * prompt_tokens
-        prices[name] = (prompt + version.output_price * output_tokens) / 1000
-    return prices
-
-
 class Cascades(parts.Part):
     """Chooses the sequence of versions for each request.
 
@@ -128,7 +119,7 @@
         self._learning = estimates
         self._random = randomness
         self._credit: dict[tuple[str, str], float] = {}
-        self._cache: dict[learning.Key, tuple[int, learning.Estimate]] = {}
+        self._outlooks = outlooks.Outlooks(estimates)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; only choices change the budget for trials."""
@@ -136,11 +127,10 @@
             pair = (event.workspace, event.kind)
             share = EXPLORE_SHARE_GATED if event.choice.gate else EXPLORE_SHARE
             credit = self._credit.get(pair, 1.0) + share
-            credit -= 1.0 if event.choice.explored else 0.0
-            self._credit[pair] = min(EXPLORE_BURST, credit)
+            self._credit[pair] = min(EXPLORE_BURST, credit - event.choice.trial)
         elif isinstance(event, learning.DeploymentChanged):
             self._credit.clear()
-            self._cache.clear()
+            self._outlooks.clear()
         return []
 
     def choose(self, ask: Ask) -> Choice | failures.Failure:
@@ -169,11 +159,13 @@
             return self._exploit(ask, known, gate, note, timely)
         if ask.policy.gate and ask.conditions.rating_down:
             return self._take_dearest(ask, timely, "ratings are down", note)
-        if self._may_explore(ask, gate):
-            trial = self._explore(ask, sequences, gate)
+        best = self._exploit(ask, sequences, gate, note, timely)
+        if isinstance(best, Choice) and self._may_explore(ask, gate):
+            trial = self._find_trial(ask, sequences, gate, best)
+            trial = trial or self._draw_trial(ask, sequences, gate, best)
             if trial is not None:
                 return dataclasses.replace(trial, reason=trial.reason + note)
-        return self._exploit(ask, sequences, gate, note, timely)
+        return best
 
     def _exploit(
         self,
@@ -231,102 +223,132 @@
         choice = self._weigh(ask, (dearest,), gate, 0.0)
         return dataclasses.replace(choice, reason=f"{why}; dearest" + note)
 
-    def _explore(
-        self, ask: Ask, sequences: list[tuple[str, ...]], gate: bool
+    def _find_trial(
+        self,
+        ask: Ask,
+        sequences: list[tuple[str, ...]],
+        gate: bool,
+        best: Choice,
     ) -> Choice | None:
-        """Draws a quality for each step and takes the best under the draw."""
-        draws: dict[learning.Key, float] = {}
-        best: Choice | None = None
-        for steps in sequences:
-            choice = self._weigh(ask, steps, gate, 0.0, draws)
-            if choice.expected_quality < ask.policy.quality_target:
+        """Returns a trial of the version most likely to save cost, if any."""
+        dearest = _find_dearest(ask, ask.versions)
+        found: tuple[float, int, tuple[str, ...]] | None = None
+        for version in ask.versions:
+            price = ask.prices.get(version, 0.0)
+            steps = (version, dearest) if gate else (version,)
+            if price >= best.expected_cost or steps not in sequences:
                 continue
-            if best is None or _rate_cost(choice) < _rate_cost(best):
-                best = choice
-        if best is None:
+            outlook = self._look(ask, (version,))
+            # Behind a gate, a step pays when it spares enough dear answers.
+            needed = ask.policy.quality_target
+            if gate:
+                needed = price / max(price, ask.prices.get(dearest, 0.0))
+                # Later steps matter too, so draws of whole sequences follow.
+                if outlook.ratings >= EVIDENCE_RATINGS:
+                    continue
+            if outlook.quality + HOPE * outlook.deviation < needed:
+                continue
+            # A draw prefers what may be good, and does not insist on it.
+            drawn = self._random.gauss(outlook.quality, outlook.deviation)
+            worth = best.expected_cost - price if drawn >= needed else 0.0
+            if found is None or worth > found[0]:
+                found = (worth, outlook.ratings, steps)
+        if found is None:
             return None
-        return dataclasses.replace(
-            best, explored=True, reason="trial by a posterior draw"
-        )
+        choice = self._weigh(ask, found[2], gate, 0.0)
+        reason = f"trial of {found[2][0]} with {found[1]} ratings"
+        return dataclasses.replace(choice, trial=1.0, reason=reason)
 
-    def _weigh(
+    def _draw_trial(
         self,
         ask: Ask,
-        steps: tuple[str, ...],
+        sequences: list[tuple[str, ...]],
         gate: bool,
-        sigmas: float,
-        draws: dict[learning.Key, float] | None = None,
-    ) -> Choice:
-        """Returns expected cost and quality of a sequence."""
-        reach = 1.0
-        cost = 0.0
-        variance = 0.0
-        for index, version in enumerate(steps):
-            key = learning.Key(
-                ask.workspace, ask.policy.name, version, steps[:index]
-            )
-            estimate = self._estimate(key)
-            share = estimate.mean
-            if draws is not None:
+        best: Choice,
+    ) -> Choice | None:
+        """Draws a quality for each step and takes the best under the draw."""
+        if self._get_credit(ask) < DRAW_COST:
+            return None
+        if self._random.random() >= DRAW_SHARE:
+            return None
+        draws: dict[learning.Key, float] = {}
+        found: Choice | None = None
+        for steps in sequences:
+            reaches = [1.0]
+            for index, version in enumerate(steps):
+                key = learning.Key(
+                    ask.workspace, ask.policy.name, version, steps[:index]
+                )
                 if key not in draws:
+                    estimate = self._learning.estimate(key)
                     draws[key] = self._random.betavariate(
                         estimate.alpha, estimate.beta
                     )
-                share = draws[key]
-            cost += reach * ask.prices.get(version, 0.0)
-            # Each deviation counts as far as requests reach the step.
-            miss = 1.0 - share
-            variance = variance * miss**2 + (reach * estimate.deviation) ** 2
-            reach *= miss
-        quality = 1.0 - reach + sigmas * variance**0.5
-        return Choice(steps, gate, False, cost, quality, "")
-
-    def _estimate(self, key: learning.Key) -> learning.Estimate:
-        changes = self._learning.count_changes(key.workspace, key.kind)
-        cached = self._cache.get(key)
-        if cached is not None and changes - cached[0] < REFRESH_CHANGES:
-            return cached[1]
-        if len(self._cache) >= 2 * learning.MAX_TRACKS:
-            self._cache.clear()
-        estimate = self._learning.estimate(key)
-        self._cache[key] = (changes, estimate)
-        return estimate
+                reaches.append(reaches[-1] * (1.0 - draws[key]))
+            cost = _sum_cost(ask, steps, reaches)
+            quality = 1.0 - reaches[-1]
+            choice = Choice(steps, gate, DRAW_COST, cost, quality, "")
+            if quality < ask.policy.quality_target:
+                continue
+            if found is None or _rate_cost(choice) < _rate_cost(found):
+                found = choice
+        if found is None or found.expected_cost >= best.expected_cost:
+            return None
+        return dataclasses.replace(found, reason="trial by a posterior draw")
+
+    def _weigh(
+        self, ask: Ask, steps: tuple[str, ...], gate: bool, sigmas: float
+    ) -> Choice:
+        """Returns expected cost and quality of a sequence."""
+        outlook = self._look(ask, steps)
+        quality = outlook.quality + sigmas * outlook.deviation
+        cost = _sum_cost(ask, steps, outlook.reaches)
+        return Choice(steps, gate, 0.0, cost, quality, "")
+
+    def _look(self, ask: Ask, steps: tuple[str, ...]) -> outlooks.Outlook:
+        return self._outlooks.look(ask.workspace, ask.policy.name, steps)
 
     def _is_proven(self, ask: Ask, steps: tuple[str, ...]) -> bool:
-        for version in steps:
-            key = learning.Key(ask.workspace, ask.policy.name, version)
-            if self._learning.count_ratings(key) < EVIDENCE_RATINGS:
-                return False
-        return True
+        needed = TRIED_RATINGS if ask.policy.explore else EVIDENCE_RATINGS
+        return self._look(ask, steps).ratings >= needed
 
-    def _delivered(self, ask: Ask) -> learning.Estimate:
-        return self._estimate(learning.Key(ask.workspace, ask.policy.name, ""))
+    def _get_credit(self, ask: Ask) -> float:
+        return self._credit.get((ask.workspace, ask.policy.name), 1.0)
 
     def _find_bar(self, ask: Ask) -> float:
         """Returns the target, raised while delivered answers miss it."""
         target = ask.policy.quality_target
-        delivered = self._delivered(ask)
+        delivered = self._look(ask, ("",))
         if delivered.ratings < EVIDENCE_RATINGS:
             return target
-        missed = max(0.0, target - delivered.mean)
+        missed = max(0.0, target - delivered.quality)
         return min(1.0, target + min(MAX_CORRECTION, missed))
 
     def _may_explore(self, ask: Ask, gate: bool) -> bool:
         """Tells whether the budget and the delivered quality allow a trial."""
-        if self._credit.get((ask.workspace, ask.policy.name), 1.0) < 1.0:
+        if self._get_credit(ask) < 1.0:
             return False
         if gate:
             return True
-        delivered = self._delivered(ask)
+        delivered = self._look(ask, ("",))
         if delivered.ratings < EVIDENCE_RATINGS:
             return False
-        return delivered.mean >= ask.policy.quality_target
+        return delivered.quality >= ask.policy.quality_target
 
 
 def _find_dearest(ask: Ask, versions: Sequence[str]) -> str:
     return max(versions, key=lambda v: (ask.prices.get(v, 0.0), v))
 
 
+def _sum_cost(
+    ask: Ask, steps: tuple[str, ...], reaches: Sequence[float]
+) -> float:
+    return sum(
+        reach * ask.prices.get(version, 0.0)
+        for version, reach in zip(steps, reaches, strict=False)
+    )
+
+
 def _rate_cost(choice: Choice) -> tuple[float, tuple[str, ...]]:
     """Returns the cost per accepted answer; names break ties."""
     return choice.expected_cost / max(
--- a/sycamorehollow/decisions/learning.py
+++ b/sycamorehollow/decisions/learning.py
@@ -1,9 +1,9 @@
 """Estimates of answer quality, learned from ratings.
 
 Each (workspace, kind, version) has counts of accepted and rejected answers in
-epochs of about `EPOCH_RATINGS` ratings. Every process only ever raises its own
-counts, so copies merge by taking the larger count of each process and epoch.
-Old epochs weigh less and drop out, which bounds the state.
+epochs of about `tracks.EPOCH_RATINGS` ratings. Every process only ever raises
+its own counts, so copies merge by taking the larger count of each process and
+epoch. Old epochs weigh less and drop out, which bounds the state.
 """
 
 import collections
@@ -15,18 +15,18 @@
 
 from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import tracks
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
 
-EPOCH_RATINGS = 96
-KEPT_EPOCHS = 8
-HALF_LIFE_RATINGS = 384
-# Weight of the neighbours' mean; small enough for 20 own ratings to outvote it.
-PRIOR_RATINGS = 5.0
-DRIFT_RATINGS = 48
-# Tested after every rating, so the bound is far above one test's 2 sigma.
-DRIFT_SIGMA = 4.0
+# Weight in ratings of a guess, and limits of that of the neighbours' mean. The
+# closer the neighbours are to each other, the more their mean weighs.
+GUESS_RATINGS = 2.0
+MIN_PRIOR_RATINGS = 4.0
+MAX_PRIOR_RATINGS = 15.0
+# Ratings from which a neighbour's mean says something about the spread.
+NEIGHBOUR_RATINGS = 30
 PENDING_ANSWERS = 20_000
 PENDING_S = 3600.0
 MAX_TRACKS = 4096
@@ -113,92 +113,6 @@
         return math.sqrt(self.alpha * self.beta / (total + 1)) / total
 
 
-class _Track:
-    """Counts of one key: epoch → process → (rated, accepted)."""
-
-    def __init__(self) -> None:
-        self.epochs: dict[int, dict[str, tuple[int, int]]] = {}
-        self.totals: dict[int, tuple[int, int]] = {}
-        self.floor = 0
-        self.floor_at = -math.inf
-
-    def newest(self) -> int:
-        return max(self.totals, default=self.floor)
-
-    def raise_cell(self, epoch: int, process: str, cell: tuple[int, int]):
-        """Takes a count unless a higher one of that process is known."""
-        if epoch < self.floor:
-            return
-        cells = self.epochs.setdefault(epoch, {})
-        old = cells.get(process, (0, 0))
-        if cell <= old:
-            return
-        cells[process] = cell
-        total = self.totals.get(epoch, (0, 0))
-        self.totals[epoch] = (
-            total[0] + cell[0] - old[0],
-            total[1] + cell[1] - old[1],
-        )
-        self.raise_floor(self.newest() - KEPT_EPOCHS + 1)
-
-    def raise_floor(self, floor: int) -> bool:
-        """Forgets the epochs below a floor, which never falls."""
-        if floor <= self.floor:
-            return False
-        self.floor = floor
-        for epoch in [e for e in self.epochs if e < floor]:
-            del self.epochs[epoch]
-            del self.totals[epoch]
-        return True
-
-    def record(self, process: str, accepted: bool) -> None:
-        """Adds one rating to this process's counts."""
-        epoch = self.newest()
-        if self.totals.get(epoch, (0, 0))[0] >= EPOCH_RATINGS:
-            epoch += 1
-        rated, good = self.epochs.get(epoch, {}).get(process, (0, 0))
-        self.raise_cell(epoch, process, (rated + 1, good + int(accepted)))
-
-    def discount(self) -> tuple[float, float, int]:
-        """Returns discounted rated and accepted counts, and raw ratings."""
-        rated = accepted = 0.0
-        seen = 0
-        for epoch in sorted(self.totals, reverse=True):
-            count, good = self.totals[epoch]
-            weight = 0.5 ** (seen / HALF_LIFE_RATINGS)
-            rated += weight * count
-            accepted += weight * good
-            seen += count
-        return rated, accepted, seen
-
-    def find_drift(self) -> int | None:
-        """Returns the epoch from which the quality has changed, if any."""
-        recent = recent_good = 0
-        start = None
-        older = older_good = 0
-        for epoch in sorted(self.totals, reverse=True):
-            count, good = self.totals[epoch]
-            if recent < DRIFT_RATINGS:
-                recent, recent_good, start = (
-                    recent + count,
-                    recent_good + good,
-                    epoch,
-                )
-                continue
-            older += count
-            older_good += good
-        if recent < DRIFT_RATINGS or older < DRIFT_RATINGS:
-            return None
-        pooled = (recent_good + older_good + 1) / (recent + older + 2)
-        spread = math.sqrt(pooled * (1 - pooled) * (1 / recent + 1 / older))
-        change = abs(recent_good / recent - older_good / older)
-        return start if change > DRIFT_SIGMA * spread else None
-
-    def checksum(self, epoch: int) -> int:
-        cells = sorted(self.epochs.get(epoch, {}).items())
-        return zlib.crc32(repr(cells).encode()) & 0xFFFFFF
-
-
 class Learning(parts.Part, parts.Replicated):
     """Learns how often each version's answers are accepted.
 
@@ -210,7 +124,7 @@
 
     def __init__(self, process: str) -> None:
         self._process = process
-        self._tracks: dict[Key, _Track] = {}
+        self._tracks: dict[Key, tracks.Track] = {}
         self._pending: collections.OrderedDict[
             str, tuple[AnswerProduced, float]
         ] = collections.OrderedDict()
@@ -238,10 +152,10 @@
         """Returns the estimate of a key, from the prior without ratings."""
         track = self._tracks.get(key)
         rated, accepted, ratings = track.discount() if track else (0.0, 0.0, 0)
-        mean = self._prior_mean(key)
+        mean, weight = self._find_prior(key)
         return Estimate(
-            alpha=0.5 + PRIOR_RATINGS * mean + accepted,
-            beta=0.5 + PRIOR_RATINGS * (1 - mean) + rated - accepted,
+            alpha=0.5 + weight * mean + accepted,
+            beta=0.5 + weight * (1 - mean) + rated - accepted,
             ratings=ratings,
         )
 
@@ -338,10 +252,10 @@
         if start is not None and track.raise_floor(start):
             track.floor_at = now
 
-    def _find_track(self, key: Key) -> _Track | None:
+    def _find_track(self, key: Key) -> tracks.Track | None:
         track = self._tracks.get(key)
         if track is None and len(self._tracks) < MAX_TRACKS:
-            track = self._tracks[key] = _Track()
+            track = self._tracks[key] = tracks.Track()
         return track
 
     def _is_known(self, key: Key) -> bool:
@@ -353,21 +267,21 @@
         named = {key.version, *key.after} - {""}
         return named <= workspace.versions
 
-    def _prior_mean(self, key: Key) -> float:
-        rated = accepted = 0.0
+    def _find_prior(self, key: Key) -> tuple[float, float]:
+        """Returns the mean to start from and its weight in ratings."""
+        counts = []
         for name in self._workspaces():
-            track = self._tracks.get(key._replace(workspace=name))
-            if name == key.workspace or track is None:
-                continue
-            count, good, _ = track.discount()
-            rated += count
-            accepted += good
-        if rated >= 1:
-            return accepted / rated
+            track = self._tracks.get(Key(name, *key[1:]))
+            if name != key.workspace and track is not None:
+                counts.append(track.discount()[:2])
+        counts = [c for c in counts if c[0] >= NEIGHBOUR_RATINGS]
+        if counts:
+            return _pool_neighbours(counts)
         if not key.after:
-            return 0.5
-        fresh = self.estimate(key._replace(after=()))
-        return fresh.mean * ESCALATION_FACTOR
+            return 0.5, GUESS_RATINGS
+        # One rejection less is the closest thing known.
+        parent = self.estimate(key._replace(after=key.after[1:]))
+        return parent.mean * ESCALATION_FACTOR, MIN_PRIOR_RATINGS
 
     def _workspaces(self) -> list[str]:
         if self._configured is not None:
@@ -388,3 +302,18 @@
             for key in sorted(self._tracks)
             if zlib.crc32("\n".join(key[:3]).encode()) % slices == turn
         ]
+
+
+def _pool_neighbours(counts: list[tuple[float, float]]) -> tuple[float, float]:
+    """Returns mean and weight of a Beta prior that fits the neighbours."""
+    means = [accepted / rated for rated, accepted in counts]
+    mean = sum(means) / len(means)
+    if len(means) < 2:
+        return mean, MIN_PRIOR_RATINGS
+    noise = mean * (1 - mean)
+    spread = sum((m - mean) ** 2 for m in means) / (len(means) - 1)
+    spread -= noise * sum(1 / rated for rated, _ in counts) / len(means)
+    # Few neighbours can look alike by chance.
+    spread = max(spread, noise / MAX_PRIOR_RATINGS)
+    weight = noise / spread - 1 if spread > 0 else MIN_PRIOR_RATINGS
+    return mean, min(MAX_PRIOR_RATINGS, max(MIN_PRIOR_RATINGS, weight))
--- /dev/null
+++ b/sycamorehollow/decisions/tracks.py
@@ -0,0 +1,105 @@
+"""Counts of accepted and rejected ratings, in epochs that age."""
+
+import math
+import zlib
+
+EPOCH_RATINGS = 96
+KEPT_EPOCHS = 8
+HALF_LIFE_RATINGS = 384
+DRIFT_RATINGS = 48
+# Tested after every rating, so the bound is far above one test's 2 sigma.
+DRIFT_SIGMA = 4.0
+
+
+class Track:
+    """Counts of one key: epoch → process → (rated, accepted)."""
+
+    def __init__(self) -> None:
+        self.epochs: dict[int, dict[str, tuple[int, int]]] = {}
+        self.totals: dict[int, tuple[int, int]] = {}
+        self._discounted: tuple[float, float, int] | None = None
+        self.floor = 0
+        self.floor_at = -math.inf
+
+    def newest(self) -> int:
+        """Returns the epoch in progress."""
+        return max(self.totals, default=self.floor)
+
+    def raise_cell(self, epoch: int, process: str, cell: tuple[int, int]):
+        """Takes a count unless a higher one of that process is known."""
+        if epoch < self.floor:
+            return
+        cells = self.epochs.setdefault(epoch, {})
+        old = cells.get(process, (0, 0))
+        if cell <= old:
+            return
+        cells[process] = cell
+        self._discounted = None
+        total = self.totals.get(epoch, (0, 0))
+        self.totals[epoch] = (
+            total[0] + cell[0] - old[0],
+            total[1] + cell[1] - old[1],
+        )
+        self.raise_floor(self.newest() - KEPT_EPOCHS + 1)
+
+    def raise_floor(self, floor: int) -> bool:
+        """Forgets the epochs below a floor, which never falls."""
+        if floor <= self.floor:
+            return False
+        self.floor = floor
+        self._discounted = None
+        for epoch in [e for e in self.epochs if e < floor]:
+            del self.epochs[epoch]
+            del self.totals[epoch]
+        return True
+
+    def record(self, process: str, accepted: bool) -> None:
+        """Adds one rating to this process's counts."""
+        epoch = self.newest()
+        if self.totals.get(epoch, (0, 0))[0] >= EPOCH_RATINGS:
+            epoch += 1
+        rated, good = self.epochs.get(epoch, {}).get(process, (0, 0))
+        self.raise_cell(epoch, process, (rated + 1, good + int(accepted)))
+
+    def discount(self) -> tuple[float, float, int]:
+        """Returns discounted rated and accepted counts, and raw ratings."""
+        if self._discounted is not None:
+            return self._discounted
+        rated = accepted = 0.0
+        seen = 0
+        for epoch in sorted(self.totals, reverse=True):
+            count, good = self.totals[epoch]
+            weight = 0.5 ** (seen / HALF_LIFE_RATINGS)
+            rated += weight * count
+            accepted += weight * good
+            seen += count
+        self._discounted = (rated, accepted, seen)
+        return self._discounted
+
+    def find_drift(self) -> int | None:
+        """Returns the epoch from which the quality has changed, if any."""
+        recent = recent_good = 0
+        start = None
+        older = older_good = 0
+        for epoch in sorted(self.totals, reverse=True):
+            count, good = self.totals[epoch]
+            if recent < DRIFT_RATINGS:
+                recent, recent_good, start = (
+                    recent + count,
+                    recent_good + good,
+                    epoch,
+                )
+                continue
+            older += count
+            older_good += good
+        if recent < DRIFT_RATINGS or older < DRIFT_RATINGS:
+            return None
+        pooled = (recent_good + older_good + 1) / (recent + older + 2)
+        spread = math.sqrt(pooled * (1 - pooled) * (1 / recent + 1 / older))
+        change = abs(recent_good / recent - older_good / older)
+        return start if change > DRIFT_SIGMA * spread else None
+
+    def checksum(self, epoch: int) -> int:
+        """Returns a checksum of one epoch's counts."""
+        cells = sorted(self.epochs.get(epoch, {}).items())
+        return zlib.crc32(repr(cells).encode()) & 0xFFFFFF
--- a/sycamorehollow/decisions/versions.py
+++ b/sycamorehollow/decisions/versions.py
@@ -104,6 +104,21 @@
     return Candidates(chosen, arms, "; ".join(notes))
 
 
+def price_versions(
+    versions: Mapping[str, deployments.Version],
+    names: tuple[str, ...],
+    prompt_tokens: int,
+    output_tokens: int,
+) -> dict[str, float]:
+    """Returns the expected price of one answer in micro-units of currency."""
+    prices = {}
+    for name in names:
+        version = versions[name]
+        prompt = version.prompt_price * prompt_tokens
+        prices[name] = (prompt + version.output_price * output_tokens) / 1000
+    return prices
+
+
 def _resolve_version(
     deployment: deployments.Deployment,
     workspace: deployments.Workspace,
