--- a/sycamorehollow/decisions/cascades.py
+++ b/sycamorehollow/decisions/cascades.py
@@ -26,12 +26,12 @@
 HOPE = 1.5
 # Share of requests that may be used to learn. A gate catches a bad answer of
 # a trial and costs little more, so gated kinds can afford more of them.
-EXPLORE_SHARE = 0.25
+EXPLORE_SHARE = 0.35
 EXPLORE_SHARE_GATED = 0.5
-EXPLORE_BURST = 6.0
+EXPLORE_BURST = 8.0
 # A draw is spent on versions that are known already, so it has to be rarer.
-DRAW_COST = 5.0
-DRAW_SHARE = 0.3
+DRAW_COST = 7.0
+DRAW_SHARE = 0.15
 # Largest amount by which a missed target raises the bar for the next choice.
 MAX_CORRECTION = 0.05
 
@@ -178,29 +178,30 @@
         if not sequences:
             return self._fall_back(ask, timely, note)
         bar = self._find_bar(ask)
-        best: Choice | None = None
-        strongest: Choice | None = None
+        best: tuple[float, tuple[str, ...]] | None = None
+        strongest: tuple[float, tuple[str, ...]] | None = None
         for steps in sequences:
-            known = self._is_proven(ask, steps)
-            choice = self._weigh(ask, steps, gate, -CAUTION)
-            if strongest is None or (
-                choice.expected_quality > strongest.expected_quality
-            ):
-                strongest = choice
-            if not known or choice.expected_quality < bar:
+            outlook = self._look(ask, steps)
+            quality = outlook.quality - CAUTION * outlook.deviation
+            if strongest is None or quality > strongest[0]:
+                strongest = (quality, steps)
+            if quality < bar or outlook.ratings < _count_needed(ask):
                 continue
-            if best is None or _rate_cost(choice) < _rate_cost(best):
-                best = choice
+            cost = _sum_cost(ask, steps, outlook.reaches) / max(quality, 1e-6)
+            if best is None or (cost, steps) < best:
+                best = (cost, steps)
         if best is not None:
             text = f"cheapest sequence that meets {bar:.3f}"
-            return dataclasses.replace(best, reason=text + note)
+            choice = self._weigh(ask, best[1], gate, -CAUTION)
+            return dataclasses.replace(choice, reason=text + note)
         assert strongest is not None
         # Without trials, the dearest of what is left may be unproven too.
         pool = timely if ask.policy.explore else list(ask.versions)
         dearest = _find_dearest(ask, pool)
         if dearest not in timely or self._is_proven(ask, (dearest,)):
             text = f"no sequence is known to meet {bar:.3f}; best quality"
-            return dataclasses.replace(strongest, reason=text + note)
+            choice = self._weigh(ask, strongest[1], gate, -CAUTION)
+            return dataclasses.replace(choice, reason=text + note)
         return self._take_dearest(ask, timely, "too few ratings", note)
 
     def _fall_back(
@@ -309,8 +310,7 @@
         return self._outlooks.look(ask.workspace, ask.policy.name, steps)
 
     def _is_proven(self, ask: Ask, steps: tuple[str, ...]) -> bool:
-        needed = TRIED_RATINGS if ask.policy.explore else EVIDENCE_RATINGS
-        return self._look(ask, steps).ratings >= needed
+        return self._look(ask, steps).ratings >= _count_needed(ask)
 
     def _get_credit(self, ask: Ask) -> float:
         return self._credit.get((ask.workspace, ask.policy.name), 1.0)
@@ -340,13 +340,17 @@
     return max(versions, key=lambda v: (ask.prices.get(v, 0.0), v))
 
 
+def _count_needed(ask: Ask) -> int:
+    return TRIED_RATINGS if ask.policy.explore else EVIDENCE_RATINGS
+
+
 def _sum_cost(
     ask: Ask, steps: tuple[str, ...], reaches: Sequence[float]
 ) -> float:
-    return sum(
-        reach * ask.prices.get(version, 0.0)
-        for version, reach in zip(steps, reaches, strict=False)
-    )
+    cost = 0.0
+    for version, reach in zip(steps, reaches, strict=False):
+        cost += reach * ask.prices.get(version, 0.0)
+    return cost
 
 
 def _rate_cost(choice: Choice) -> tuple[float, tuple[str, ...]]:
--- a/sycamorehollow/decisions/learning.py
+++ b/sycamorehollow/decisions/learning.py
@@ -310,10 +310,12 @@
     mean = sum(means) / len(means)
     if len(means) < 2:
         return mean, MIN_PRIOR_RATINGS
-    noise = mean * (1 - mean)
+    # Without a single rejection the spread would look like certainty.
+    smooth = min(0.98, max(0.02, mean))
+    noise = smooth * (1 - smooth)
     spread = sum((m - mean) ** 2 for m in means) / (len(means) - 1)
     spread -= noise * sum(1 / rated for rated, _ in counts) / len(means)
     # Few neighbours can look alike by chance.
     spread = max(spread, noise / MAX_PRIOR_RATINGS)
-    weight = noise / spread - 1 if spread > 0 else MIN_PRIOR_RATINGS
+    weight = noise / spread - 1
     return mean, min(MAX_PRIOR_RATINGS, max(MIN_PRIOR_RATINGS, weight))
--- a/sycamorehollow/decisions/rollouts.py
+++ b/sycamorehollow/decisions/rollouts.py
@@ -212,17 +212,13 @@
         return {name: self._share(name) for name in self._deployment.rollouts}
 
     def stopped(self) -> frozenset[str]:
-        """Returns the versions that take no new work.
-
-        These are the versions with a stop record, and those of roll-outs that
-        the store records as withdrawn.
-        """
-        withdrawn = {
-            rollout.candidate
-            for name, rollout in self._deployment.rollouts.items()
-            if self._is_withdrawn(name)
-        }
-        return self._stops.versions() | withdrawn
+        """Returns the versions that are stopped, or withdrawn in the store."""
+        found = set(self._stops.versions())
+        for name, rollout in self._deployment.rollouts.items():
+            stage = self.describe(name)
+            if stage is not None and stage.state is stages.State.WITHDRAWN:
+                found.add(rollout.candidate)
+        return frozenset(found)
 
     def describe(self, name: str) -> stages.Stage | None:
         """Returns the recorded stage of the configured roll-out, if any."""
@@ -259,10 +255,6 @@
                 self._adopt(name, revision, value.encode(), now)
         return []
 
-    def _is_withdrawn(self, name: str) -> bool:
-        stage = self.describe(name)
-        return stage is not None and stage.state is stages.State.WITHDRAWN
-
     def _find(self, name: str) -> _Run:
         return self._runs.setdefault(name, _Run())
 
@@ -308,9 +300,8 @@
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         for name, rollout in self._deployment.rollouts.items():
-            verdict = sequential.judge(
-                self._evidence.pool(stops.name_run(rollout))
-            )
+            tallies = self._evidence.pool(stops.name_run(rollout))
+            verdict = sequential.judge(tallies)
             if verdict.worse:
                 result.extend(self._stops.add(name, verdict.reason))
             run = self._find(name)
@@ -360,8 +351,8 @@
         mark = f"{self._random.getrandbits(64):016x}"
         stopped = self._stops.find(rollout.candidate) is not None
         stage = run.stage
+        # A malformed document may be an operator's pause: leave it alone.
         if stage is None and run.revision > 0:
-            # A malformed document may be an operator's pause: leave it alone.
             return None
         if stage is None or stage.run != identity:
             # The document may belong to a configuration newer than ours.
@@ -375,7 +366,9 @@
             )
         if stage.state is not stages.State.RUNNING:
             return None
-        if not self._is_ready(run, rollout, now):
+        if not 0 <= here < len(rollout.stages):
+            return None
+        if not self._is_ready(run, rollout, here, now):
             return None
         if here + 1 >= len(rollout.stages):
             return stages.Stage(here, stages.State.DONE, config, identity, mark)
@@ -384,7 +377,7 @@
         )
 
     def _is_ready(
-        self, run: _Run, rollout: deployments.Rollout, now: float
+        self, run: _Run, rollout: deployments.Rollout, here: int, now: float
     ) -> bool:
         if now - run.seen_at < self._pace.dwell_s:
             return False
@@ -393,5 +386,11 @@
             return False
         if ratings - run.ratings < self._pace.ratings:
             return False
-        tallies = self._evidence.pool(stops.name_run(rollout)).values()
-        return not any(sequential.is_doubtful(tally) for tally in tallies)
+        tallies = self._evidence.pool(stops.name_run(rollout))
+        if any(sequential.is_doubtful(tally) for tally in tallies.values()):
+            return False
+        share = rollout.stages[min(here + 1, len(rollout.stages) - 1)]
+        # At full share nothing is left to compare with.
+        if share < 1.0 or rollout.stages[here] >= 1.0:
+            return True
+        return sequential.is_cleared(tallies[sequential.Metric.QUALITY])
--- a/sycamorehollow/decisions/sequential.py
+++ b/sycamorehollow/decisions/sequential.py
@@ -24,11 +24,15 @@
 RATIOS = (1.3, 1.7, 2.5, 5.0, 12.0)
 # Chance that a version as good as the one in service is ever halted.
 FALSE_HALT = 0.01
+# Likelihood ratio from which a roll-out waits for more evidence.
+DOUBT = 5.0
+# Ratio that has to be unlikely before nothing is left to compare with.
+CLEARED_RATIO = 1.7
 # Baseline outcomes before a stratum counts; without them an upstream that
 # serves only the new version would be taken for the version.
 MIN_BASELINE = 5
-# Weight in outcomes of the configured share against the share observed.
-SHARE_WEIGHT = 20.0
+# Standard deviations by which the arms of an upstream may differ from the hash.
+MIX_SIGMA = 2.0
 PENDING_ANSWERS = 20_000
 # Enough for every process and its restarts of some days at the target scale.
 MAX_RECORDS = 2_000
@@ -129,13 +133,8 @@
             share: Share in (0, 1] of the new version when it was assigned.
         """
         scores = tally.scores
-        seen = self._candidate + self._baseline
         if failed and self._baseline >= MIN_BASELINE and share < 1.0:
-            observed = (self._candidate + SHARE_WEIGHT * share) / (
-                seen + SHARE_WEIGHT
-            )
-            # The larger of the two gives the new version the benefit.
-            expected = max(share, observed)
+            expected = self._expect(share)
             scores = tuple(
                 score
                 + (math.log(ratio) if candidate else 0.0)
@@ -152,6 +151,17 @@
             tally.baseline_failed + int(not candidate and failed),
         )
 
+    def _expect(self, share: float) -> float:
+        """Returns the chance that a failure here is the new version's."""
+        seen = self._candidate + self._baseline
+        observed = self._candidate / seen
+        spread = math.sqrt(share * (1 - share) / seen)
+        # An upstream that serves the new version more often than the hash
+        # sends it fails it more often, too.
+        if observed > share + MIX_SIGMA * spread:
+            return observed
+        return share
+
 
 def add(tallies: Iterable[Tally]) -> Tally:
     """Returns the joint evidence of processes or strata."""
@@ -192,7 +202,12 @@
 
 def is_doubtful(tally: Tally) -> bool:
     """Tells whether the new version looks worse without proof yet."""
-    return measure(tally) > math.log(5.0)
+    return measure(tally) > math.log(DOUBT)
+
+
+def is_cleared(tally: Tally) -> bool:
+    """Tells whether the evidence speaks against a version clearly worse."""
+    return tally.scores[RATIOS.index(CLEARED_RATIO)] < -math.log(DOUBT)
 
 
 class Evidence(parts.Part, parts.Replicated):
--- a/sycamorehollow/decisions/stops.py
+++ b/sycamorehollow/decisions/stops.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import functools
 import hashlib
 
 from sycamorehollow.decisions import deltas
@@ -49,6 +50,7 @@
     stops: tuple[Stop, ...]
 
 
+@functools.lru_cache(maxsize=256)
 def name_run(rollout: deployments.Rollout) -> str:
     """Returns an identity that changes whenever the roll-out's entry does."""
     text = repr(dataclasses.astuple(rollout))
--- /dev/null
+++ b/tests/test_learning.py
@@ -0,0 +1,167 @@
+"""Tests of the quality estimates."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import learning
+from sycamorehollow.decisions import tracks
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+
+KEYS = (
+    learning.Key("w", "check", "small"),
+    learning.Key("w", "check", "large", ("small",)),
+    learning.Key("x", "check", "small"),
+)
+
+
+def rate(part, name, key, accepted, now=0.0, final=True):
+    part.handle(learning.AnswerProduced(name, key, 0.7, final), now)
+    part.handle(learning.RatingArrived(name, 0.9 if accepted else 0.1), now)
+
+
+def fill(part, key, accepted, count, now=0.0, tag=""):
+    for number in range(count):
+        rate(part, f"{tag}{key}{number}", key, accepted, now)
+
+
+def sync(one, two, now=0.0):
+    two.merge(one.collect(two.summarize(now), now), now)
+    one.merge(two.collect(one.summarize(now), now), now)
+
+
+def dump(part):
+    return {key: part.estimate(key) for key in KEYS}
+
+
+class MergeTest(unittest.TestCase):
+    """Guards against counts that depend on the order of messages."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 2),
+                strategies.sampled_from(KEYS),
+                strategies.booleans(),
+                strategies.integers(1, 120),
+            ),
+            max_size=8,
+        ),
+        strategies.randoms(use_true_random=False),
+    )
+    def test_merge_is_idempotent_and_commutative(self, ratings, order):
+        sources = [learning.Learning(f"p{i}") for i in range(3)]
+        deltas = []
+        empty = learning.Learning("empty").summarize(0.0)
+        for number, (index, key, accepted, count) in enumerate(ratings):
+            fill(sources[index], key, accepted, count, tag=str(number))
+            deltas.append(sources[index].collect(empty, 0.0))
+        one, two = learning.Learning("one"), learning.Learning("two")
+        for delta in deltas:
+            one.merge(delta, 0.0)
+        shuffled = deltas * 2
+        order.shuffle(shuffled)
+        for delta in shuffled:
+            two.merge(delta, 0.0)
+        self.assertEqual(dump(one), dump(two))
+
+    def test_peer_keeps_what_a_lost_process_learned(self):
+        lost, peer = learning.Learning("lost"), learning.Learning("peer")
+        fill(lost, KEYS[0], True, 50)
+        sync(lost, peer)
+        self.assertEqual(peer.count_ratings(KEYS[0]), 50)
+
+    def test_exchange_covers_every_key_within_the_delta_bound(self):
+        source, peer = learning.Learning("source"), learning.Learning("peer")
+        keys = [learning.Key("w", "check", f"v{i}") for i in range(200)]
+        for key in keys:
+            fill(source, key, True, 1)
+        for second in range(20):
+            sync(source, peer, float(second))
+        self.assertEqual({peer.count_ratings(key) for key in keys}, {1})
+
+
+class RatingTest(unittest.TestCase):
+    """Guards against ratings that count wrongly."""
+
+    def setUp(self):
+        self.part = learning.Learning("p")
+
+    def test_repeated_and_unknown_ratings_do_not_count(self):
+        rate(self.part, "a", KEYS[0], True)
+        self.part.handle(learning.RatingArrived("a", 0.9), 1.0)
+        self.part.handle(learning.RatingArrived("other", 0.9), 1.0)
+        self.assertEqual(self.part.count_ratings(KEYS[0]), 1)
+
+    def test_escalated_requests_do_not_bias_fresh_estimates(self):
+        fresh = learning.Key("w", "check", "large")
+        fill(self.part, fresh, True, 40)
+        before = self.part.estimate(fresh)
+        fill(self.part, KEYS[1], False, 40)
+        self.assertEqual(self.part.estimate(fresh), before)
+
+    def test_pending_answers_are_bounded_and_expire(self):
+        for number in range(learning.PENDING_ANSWERS + 1):
+            event = learning.AnswerProduced(str(number), KEYS[0], 0.7, True)
+            self.part.handle(event, 0.0)
+        self.part.handle(learning.RatingArrived("0", 0.9), 1.0)
+        self.assertEqual(self.part.count_ratings(KEYS[0]), 0)
+        self.part.handle(events.Tick(), learning.PENDING_S + 1)
+        self.part.handle(learning.RatingArrived("9", 0.9), 1.0)
+        self.assertEqual(self.part.count_ratings(KEYS[0]), 0)
+
+    def test_rejected_step_before_the_last_is_not_delivered(self):
+        rate(self.part, "a", KEYS[0], False, final=False)
+        rate(self.part, "b", KEYS[1], True)
+        delivered = learning.Key("w", "check", "")
+        self.assertEqual(self.part.count_ratings(delivered), 1)
+
+    def test_removed_workspace_is_forgotten(self):
+        fill(self.part, KEYS[0], True, 5)
+        space = deployment.Workspace(
+            "x", "t", (), frozenset({"small"}), frozenset()
+        )
+        changed = deployment.Deployment(workspaces={"x": space})
+        self.part.handle(learning.DeploymentChanged(changed), 1.0)
+        fill(self.part, KEYS[0], True, 5, tag="again")
+        self.assertEqual(self.part.count_tracks(), 0)
+
+    def test_close_neighbours_inform_an_unknown_workspace(self):
+        for name in "abc":
+            key = learning.Key(name, "check", "small")
+            fill(self.part, key, True, 60)
+        self.assertGreater(self.part.estimate(KEYS[2]).mean, 0.9)
+
+
+class DriftTest(unittest.TestCase):
+    """Guards against estimates that stay at an old quality."""
+
+    def test_sharp_drop_resets_and_ignores_older_answers(self):
+        part = learning.Learning("p")
+        fill(part, KEYS[0], True, 400)
+        early = learning.AnswerProduced("early", KEYS[0], 0.7, True)
+        part.handle(early, 1.0)
+        fill(part, KEYS[0], False, 100, now=2.0, tag="bad")
+        self.assertLess(part.estimate(KEYS[0]).mean, 0.5)
+        ratings = part.count_ratings(KEYS[0])
+        part.handle(learning.RatingArrived("early", 0.9), 3.0)
+        self.assertEqual(part.count_ratings(KEYS[0]), ratings)
+
+    @hypothesis.settings(max_examples=20)
+    @hypothesis.given(strategies.integers(0, 2**32))
+    def test_slow_change_is_followed_and_state_is_bounded(self, seed):
+        draws = random.Random(seed)
+        part = learning.Learning("p")
+        for number in range(2000):
+            good = draws.random() < (0.9 if number < 1000 else 0.8)
+            rate(part, str(number), KEYS[0], good)
+        self.assertAlmostEqual(part.estimate(KEYS[0]).mean, 0.8, delta=0.07)
+        most = tracks.EPOCH_RATINGS * tracks.KEPT_EPOCHS
+        self.assertLessEqual(part.count_ratings(KEYS[0]), most)
+
+
+if __name__ == "__main__":
+    unittest.main()
