--- a/sycamorehollow/decisions/cascade_planning.py
+++ b/sycamorehollow/decisions/cascade_planning.py
@@ -242,7 +242,7 @@
             request.workspace,
             policy,
             names,
-            cascades.price_versions(
+            versions.price_versions(
                 current.versions,
                 names,
                 request.prompt_tokens,
