Start each attempt without the completion of the last one

A dearer attempt that followed a rejected answer was taken for complete at its first bytes, because the relay kept the mark of the earlier attempt; the caller got an empty answer.

--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -139,6 +139,7 @@
         self.session = command.session
         self.hold = command.hold or not self.caller.streamed
         self.keep = command.keep and not self.hold
+        self.completed = False
         if command.resume_from is None:
             self.received = 0
             self.tokens = 0
