Add the I/O shell of non-idempotent calls

The service client uses a connection of its own for each dispatch: a kept connection that the service is about to close would leave the outcome unknown. Only a failure to connect and a typed refusal count as not run.

Rules taken out one at a time, each found by a test: a read timeout or a broken response counts as not sent, a server error counts as an outcome, the deadline is not checked, a call in doubt goes to the next upstream, a typed refusal is not recognised, urllib3 retries on its own, a store call in doubt counts as not sent.

--- /dev/null
+++ b/sycamorehollow/shells/calls.py
@@ -0,0 +1,332 @@
+"""I/O of non-idempotent calls: service, store and peer operations."""
+
+import abc
+from collections.abc import Callable
+from collections.abc import Sequence
+from concurrent import futures
+import json
+import time
+import urllib.parse
+
+import loguru
+import urllib3
+
+from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.shells import stores
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 30.0
+# Outcomes are kept in memory and in store values of at most 1 MB.
+MAX_RESPONSE_BYTES = 256 * 1024
+READ_BLOCK_BYTES = 16 * 1024
+SERVICE_WORKERS = 16
+STORE_WORKERS = 4
+PEER_WORKERS = 8
+# These responses do not tell whether the operation ran.
+UNCLEAR_STATUSES = (408, 429)
+
+
+class Owners(abc.ABC):
+    """Calls to the processes that own keys and tickets."""
+
+    @abc.abstractmethod
+    def ask(
+        self, command: messages.AskOwner
+    ) -> messages.Result | stores.Unreachable | stores.InDoubt:
+        """Asks a process and waits until the deadline of the command.
+
+        Returns:
+            The result of the owner; `stores.Unreachable` if no byte was sent
+            and `stores.InDoubt` if the response is missing.
+        """
+
+
+class ServiceClient:
+    """Sends operations to plain services."""
+
+    def __init__(
+        self,
+        find_urls: Callable[[str, bool], Sequence[str]],
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Creates a client without connections.
+
+        Args:
+            find_urls: Returns the base URLs of the upstreams of a service,
+                best one first. The flag tells whether new work is meant;
+                a lookup also goes to upstreams that are leaving.
+            connect_timeout_s: Longest wait for a connection.
+            read_timeout_s: Longest wait for a response.
+            clock: Monotonic time in seconds, the one of the decisions.
+        """
+        self._find_urls = find_urls
+        self._connect_timeout_s = connect_timeout_s
+        self._read_timeout_s = read_timeout_s
+        self._clock = clock
+
+    def dispatch(self, command: messages.Dispatch) -> events.Event:
+        """Sends a call to at most one upstream that may run it."""
+        event: events.Event = messages.NotSent(
+            command.op, "no upstream of the service takes work"
+        )
+        for url in self._find_urls(command.call.service, True):
+            remaining_s = command.not_after - self._clock()
+            if remaining_s <= 0:
+                return messages.NotSent(command.op, "the deadline has passed")
+            event = self._post(url, command, remaining_s)
+            if isinstance(event, messages.NotSent | messages.Refused):
+                # This upstream certainly did not run it.
+                continue
+            return event
+        return event
+
+    def look_up(self, command: messages.LookUp) -> events.Event:
+        """Asks the upstreams of a service until one knows the outcome."""
+        event: events.Event = messages.NotSent(
+            command.op, "the service has no upstream"
+        )
+        path = f"{_quote(command.operation)}/{_quote(command.service_key)}"
+        for url in self._find_urls(command.service, False):
+            answer = self._send(
+                "GET", f"{url}/operations/{path}", b"", {}, READ_TIMEOUT_S
+            )
+            found = _parse_lookup(command.op, answer)
+            if isinstance(found, messages.LookedUp):
+                event = found
+                if found.outcome is not None:
+                    return found
+            elif not isinstance(event, messages.LookedUp):
+                event = found
+        return event
+
+    def _post(
+        self, url: str, command: messages.Dispatch, remaining_s: float
+    ) -> events.Event:
+        answer = self._send(
+            "POST",
+            f"{url}/operations/{_quote(command.call.operation)}",
+            command.call.body,
+            {
+                "Content-Type": "application/json",
+                "Idempotency-Key": command.service_key,
+                "X-Request-Id": command.call.request_id,
+            },
+            remaining_s,
+        )
+        if isinstance(answer, failures.Failure):
+            if answer.run is failures.Run.NO:
+                return messages.NotSent(command.op, answer.reason)
+            return messages.InDoubt(command.op, answer.reason)
+        return _classify(command.op, answer)
+
+    def _send(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: dict[str, str],
+        remaining_s: float,
+    ) -> messages.Outcome | failures.Failure:
+        """Sends one request on a connection of its own.
+
+        A kept connection that the service is about to close would leave the
+        outcome unknown. No byte is sent later than `remaining_s` from now,
+        since the connection must be there by then.
+        """
+        timeout = urllib3.Timeout(
+            connect=min(self._connect_timeout_s, remaining_s),
+            read=self._read_timeout_s,
+        )
+        end = self._clock() + self._connect_timeout_s + self._read_timeout_s
+        parts = urllib.parse.urlsplit(url)
+        pool = urllib3.connection_from_url(url, timeout=timeout)
+        try:
+            response = pool.urlopen(
+                method,
+                parts.path,
+                body=body if method == "POST" else None,
+                headers=headers,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+            return self._read(response, end)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return stores.Unreachable(reason=f"no connection: {error}")
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return stores.InDoubt(reason=f"no complete response: {error}")
+        finally:
+            pool.close()
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse, end: float
+    ) -> messages.Outcome | failures.Failure:
+        body = bytearray()
+        try:
+            for block in response.stream(READ_BLOCK_BYTES):
+                body += block
+                if len(body) > MAX_RESPONSE_BYTES:
+                    return stores.InDoubt(reason="the response is too large")
+                if self._clock() > end:
+                    return stores.InDoubt(reason="the response is too slow")
+        finally:
+            response.close()
+        return messages.Outcome(response.status, bytes(body))
+
+
+class CallShell:
+    """Carries out the commands of `KeyCalls` and `TicketCalls`.
+
+    Each command ends in exactly one event. Store, service and peer operations
+    have threads of their own, so that a slow service does not hold up claims.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        service: ServiceClient,
+        owners: Owners,
+        post: Callable[[events.Event], None],
+    ):
+        """Starts the worker threads.
+
+        Args:
+            store: Client of the store, safe for several threads.
+            service: Client of the plain services.
+            owners: Client of the other entry processes.
+            post: Puts an event into the queue of the router task.
+        """
+        self._store = store
+        self._service = service
+        self._owners = owners
+        self._post = post
+        self._store_workers = futures.ThreadPoolExecutor(
+            STORE_WORKERS, "calls-store"
+        )
+        self._service_workers = futures.ThreadPoolExecutor(
+            SERVICE_WORKERS, "calls-service"
+        )
+        self._peer_workers = futures.ThreadPoolExecutor(
+            PEER_WORKERS, "calls-peer"
+        )
+
+    def carry_out(self, command: commands.Command) -> bool:
+        """Starts a command; returns whether it is one of this shell."""
+        if isinstance(command, messages.ReadRecord):
+            self._store_workers.submit(
+                self._run, command.op, self._read, command
+            )
+        elif isinstance(command, messages.WriteRecord):
+            self._store_workers.submit(
+                self._run, command.op, self._write, command
+            )
+        elif isinstance(command, messages.Dispatch):
+            self._service_workers.submit(
+                self._run, command.op, self._service.dispatch, command
+            )
+        elif isinstance(command, messages.LookUp):
+            self._service_workers.submit(
+                self._run, command.op, self._service.look_up, command
+            )
+        elif isinstance(command, messages.AskOwner):
+            self._peer_workers.submit(self._run, command.op, self._ask, command)
+        else:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Waits for the operations under way and ends the threads."""
+        self._service_workers.shutdown()
+        self._peer_workers.shutdown()
+        self._store_workers.shutdown()
+
+    def _run(self, op: str, step: Callable, command: commands.Command) -> None:
+        try:
+            event = step(command)
+        except Exception:
+            loguru.logger.exception("calls: operation {} has failed", op)
+            event = messages.InDoubt(op, "the router has a fault")
+        self._post(event)
+
+    def _read(self, command: messages.ReadRecord) -> events.Event:
+        result = self._store.read(command.key)
+        if isinstance(result, stores.Found):
+            return messages.RecordRead(
+                command.op, result.value, result.revision
+            )
+        if isinstance(result, stores.Absent):
+            return messages.RecordRead(command.op, None, 0)
+        return _convert_failure(command.op, result)
+
+    def _write(self, command: messages.WriteRecord) -> events.Event:
+        result = self._store.write(command.key, command.value, command.expect)
+        if isinstance(result, stores.Written):
+            return messages.RecordWritten(command.op, result.revision)
+        if isinstance(result, stores.Conflict):
+            return messages.RecordConflict(
+                command.op, result.revision, result.value
+            )
+        return _convert_failure(command.op, result)
+
+    def _ask(self, command: messages.AskOwner) -> events.Event:
+        result = self._owners.ask(command)
+        if isinstance(result, stores.Unreachable | stores.InDoubt):
+            return _convert_failure(command.op, result)
+        return messages.OwnerAnswered(command.op, result)
+
+
+def _convert_failure(op: str, failure: failures.Failure) -> events.Event:
+    if isinstance(failure, stores.Unreachable):
+        return messages.NotSent(op, failure.reason)
+    if isinstance(failure, stores.RateLimited):
+        return messages.Refused(op, failure.reason)
+    return messages.InDoubt(op, failure.reason)
+
+
+def _classify(op: str, answer: messages.Outcome) -> events.Event:
+    """Returns what a response to a dispatch says about its run."""
+    if answer.status >= 400 and _says_not_run(answer.body):
+        return messages.Refused(op, "the service refused the call")
+    clear = 200 <= answer.status < 300 or 400 <= answer.status < 500
+    if not clear or answer.status in UNCLEAR_STATUSES:
+        return messages.InDoubt(op, f"the service answered {answer.status}")
+    return messages.ServiceAnswered(op, answer)
+
+
+def _says_not_run(body: bytes) -> bool:
+    try:
+        return json.loads(body)["error"]["run"] == failures.Run.NO.value
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
+def _parse_lookup(
+    op: str, answer: messages.Outcome | failures.Failure
+) -> events.Event:
+    if isinstance(answer, failures.Failure):
+        return _convert_failure(op, answer)
+    if answer.status != 200:
+        return messages.InDoubt(op, f"the lookup answered {answer.status}")
+    try:
+        document = json.loads(answer.body)
+        state = document["state"]
+        if state == "absent":
+            return messages.LookedUp(op, None)
+        if state == "done":
+            body = json.dumps(document["result"]).encode("utf-8")
+            return messages.LookedUp(op, messages.Outcome(200, body))
+    except (ValueError, KeyError, TypeError):
+        pass
+    return messages.InDoubt(op, "the lookup response cannot be read")
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="")
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,169 @@
+"""Tests of the I/O of non-idempotent calls, on loopback."""
+
+import queue
+import socket
+import threading
+import time
+import unittest
+
+import loguru
+
+from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.model import requests
+from sycamorehollow.shells import calls
+from sycamorehollow.shells import stores
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"
+FAILED = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+REFUSED = (
+    b'HTTP/1.1 503 Busy\r\nContent-Length: 24\r\n\r\n{"error": {"run": "no"}}'
+)
+ABSENT = b'HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{"state": "absent"}'
+DONE = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+    b'{"state": "done", "result": 7}'
+)
+
+
+class Server:
+    """Gives one raw response to each connection; `None` stays silent."""
+
+    def __init__(self, *responses):
+        self.responses = list(responses)
+        self.heard = []
+        self.held = []
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self.socket.getsockname()[1]}"
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        for response in self.responses:
+            connection, _ = self.socket.accept()
+            self.heard.append(connection.recv(65536))
+            if response is None:
+                self.held.append(connection)
+                continue
+            connection.sendall(response)
+            connection.close()
+
+    def close(self):
+        for connection in [*self.held, self.socket]:
+            connection.close()
+
+
+class MemoryStore(stores.Store):
+    """Returns prepared results."""
+
+    def __init__(self, result):
+        self.result = result
+
+    def read(self, key):
+        return self.result
+
+    def write(self, key, value, expect, lease=""):
+        return self.result
+
+    delete = list_range = watch = read
+    grant_lease = renew_lease = release_lease = read
+
+
+class ServiceTest(unittest.TestCase):
+    """Guards against taking a call that may have run for one that did not."""
+
+    def serve(self, *responses):
+        server = Server(*responses)
+        self.addCleanup(server.close)
+        return server
+
+    def make_dead_url(self):
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            return f"http://127.0.0.1:{unused.getsockname()[1]}"
+
+    def dispatch(self, *urls, remaining_s=5.0):
+        client = calls.ServiceClient(lambda service, new: urls, 0.5, 0.3)
+        call = requests.ServiceCall("r", "w", "filing", "lodge", "k", b"{}", 0)
+        not_after = time.monotonic() + remaining_s
+        return client.dispatch(messages.Dispatch("o", call, "w:k", not_after))
+
+    def look_up(self, *urls):
+        client = calls.ServiceClient(lambda service, new: urls, 0.5, 0.3)
+        return client.look_up(messages.LookUp("o", "filing", "lodge", "w:k"))
+
+    def test_response(self):
+        server = self.serve(OK)
+        event = self.dispatch(server.url)
+        expected = messages.Outcome(200, b"{}")
+        self.assertEqual(event, messages.ServiceAnswered("o", expected))
+        self.assertIn(b"Idempotency-Key: w:k", server.heard[0])
+
+    def test_closed_port_is_not_sent_and_the_next_upstream_is_used(self):
+        dead = self.make_dead_url()
+        self.assertIsInstance(self.dispatch(dead), messages.NotSent)
+        event = self.dispatch(dead, self.serve(OK).url)
+        self.assertIsInstance(event, messages.ServiceAnswered)
+
+    def test_anything_after_the_first_byte_is_in_doubt_and_ends(self):
+        for response in (None, b"", CUT, FAILED, b"not http"):
+            first, second = self.serve(response), self.serve(OK)
+            event = self.dispatch(first.url, second.url)
+            self.assertIsInstance(event, messages.InDoubt, response)
+            self.assertEqual(second.heard, [], response)
+
+    def test_typed_refusal_goes_to_the_next_upstream(self):
+        first = self.serve(REFUSED)
+        self.assertIsInstance(self.dispatch(first.url), messages.Refused)
+        event = self.dispatch(self.serve(REFUSED).url, self.serve(OK).url)
+        self.assertIsInstance(event, messages.ServiceAnswered)
+
+    def test_nothing_is_sent_after_the_deadline(self):
+        server = self.serve(OK)
+        event = self.dispatch(server.url, remaining_s=-1.0)
+        self.assertIsInstance(event, messages.NotSent)
+        self.assertEqual(server.heard, [])
+
+    def test_lookup_asks_until_one_upstream_knows(self):
+        urls = [self.make_dead_url(), self.serve(ABSENT).url]
+        self.assertEqual(self.look_up(*urls), messages.LookedUp("o", None))
+        event = self.look_up(self.serve(ABSENT).url, self.serve(DONE).url)
+        expected = messages.LookedUp("o", messages.Outcome(200, b"7"))
+        self.assertEqual(event, expected)
+        silent = self.look_up(self.serve(None).url)
+        self.assertIsInstance(silent, messages.InDoubt)
+
+
+class ShellTest(unittest.TestCase):
+    """Guards against a command that ends without an event or the wrong one."""
+
+    def carry_out(self, command, result):
+        posted = queue.SimpleQueue()
+        shell = calls.CallShell(MemoryStore(result), None, None, posted.put)
+        self.addCleanup(shell.close)
+        self.assertTrue(shell.carry_out(command))
+        return posted.get(timeout=5)
+
+    def test_store_results(self):
+        write = messages.WriteRecord("o", "k", "v", 0)
+        cases = [
+            (stores.Written(3), messages.RecordWritten("o", 3)),
+            (
+                stores.Conflict("taken", revision=4, value="x"),
+                messages.RecordConflict("o", 4, "x"),
+            ),
+            (stores.Unreachable("down"), messages.NotSent("o", "down")),
+            (stores.InDoubt("lost"), messages.InDoubt("o", "lost")),
+            (stores.RateLimited("busy"), messages.Refused("o", "busy")),
+        ]
+        for result, event in cases:
+            self.assertEqual(self.carry_out(write, result), event)
+        read = messages.ReadRecord("o", "k")
+        found = self.carry_out(read, stores.Found("k", "v", 7))
+        self.assertEqual(found, messages.RecordRead("o", "v", 7))
+        absent = self.carry_out(read, stores.Absent("k"))
+        self.assertEqual(absent, messages.RecordRead("o", None, 0))
+
+    def test_fault_of_the_router_is_in_doubt(self):
+        loguru.logger.disable("sycamorehollow")
+        self.addCleanup(loguru.logger.enable, "sycamorehollow")
+        ask = messages.AskOwner("o", "p", 1, "w", "k", None, 0.0)
+        self.assertIsInstance(self.carry_out(ask, None), messages.InDoubt)
