Add the configuration of a process and its spread

Two watchers per data centre read and watch the store and share the pushes to their data centre; digests repair the rest. A process whose confirmation is too old for the size of the fleet reads the store itself, so that a fleet whose watchers all lost the store does not go stale.

Besides the latest revision, the highest revision that any process has put in force spreads. Both only rise, so merging is commutative and what is in force is a function of them. A revision that was in force is never replaced by an older one, even when a later change of another branch removes what it refers to: going back could allow a version again that the team had removed.

--- /dev/null
+++ b/sycamorehollow/decisions/configuration.py
@@ -0,0 +1,392 @@
+"""Configuration of one process: who watches the store, and what spreads."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import math
+import random
+
+from sycamorehollow.decisions import documents
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+
+PREFIX = "config/"
+WATCHERS = 2
+# Ends a watch often enough to confirm that nothing has changed; 14 watches
+# make 14 calls a second against the 2,000 that the store answers.
+WATCH_TIMEOUT_S = 1.0
+# A shell reports a failure before this; the rule only guards against a lost
+# report.
+CALL_LIMIT_S = 10.0
+# A confirmation needs about log2 of the members in seconds to spread. Members
+# that miss it for longer read the store themselves.
+STALE_BASE_S = 4.0
+BACKOFF_FIRST_S = 0.25
+BACKOFF_LIMIT_S = 2.0
+START_PERIOD_S = 1.0
+START_PEERS = 2
+# Digests list the revisions for this long after a difference was seen.
+DETAIL_S = 5.0
+# A fresher confirmation is worth sending from this difference on.
+MIN_AGE_GAIN_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """A live entry process."""
+
+    address: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True)
+class MembersSeen(events.Event):
+    """The live members, with or without this process itself."""
+
+    members: tuple[Peer, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Value:
+    """A value below `config/`; `text` is `None` for a deleted key."""
+
+    key: str
+    revision: int
+    text: str | None
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreAnswered(events.Event):
+    """A range read or a watch returned.
+
+    Attributes:
+        call: Number from the command.
+        values: What was returned; empty for a watch without changes.
+        revision: Store revision of the response.
+    """
+
+    call: int
+    values: tuple[Value, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreFailed(events.Event):
+    """A range read or a watch failed."""
+
+    call: int
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadRange(commands.Command):
+    """Asks for all values below a prefix."""
+
+    call: int
+    prefix: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StartWatch(commands.Command):
+    """Asks for the changes below a prefix after a revision."""
+
+    call: int
+    prefix: str
+    after: int
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class StopCall(commands.Command):
+    """Gives a range read or watch up; its result is no longer needed."""
+
+    call: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PushChanges(commands.Command):
+    """Asks to send a delta to the given peers without waiting."""
+
+    targets: tuple[str, ...]
+    kind: str
+    delta: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class AskPeers(commands.Command):
+    """Asks for an exchange of digests with the given peers."""
+
+    targets: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigurationChanged(commands.Command):
+    """Tells that another configuration is in force."""
+
+    deployment: deployment.Deployment
+
+
+@dataclasses.dataclass(frozen=True)
+class BranchesRejected(commands.Command):
+    """Tells which branches are not in force at their latest revision."""
+
+    faults: documents.Faults
+
+
+class _Phase(enum.Enum):
+    IDLE = "idle"
+    READING = "reading"
+    WATCHING = "watching"
+
+
+class Configuration(parts.Part, parts.Replicated):
+    """Keeps the configuration in force and spreads it."""
+
+    kind = "configuration"
+
+    def __init__(
+        self,
+        me: Peer,
+        convert: documents.Convert,
+        randomness: random.Random,
+    ):
+        """Starts without a configuration.
+
+        Args:
+            me: This process.
+            convert: Conversion of branches, as in `settings.tree.convert`.
+            randomness: Source of jitter and of the peers to ask first.
+        """
+        self._me = me
+        self._random = randomness
+        self._held = documents.Documents(convert)
+        self._own: tuple[str, ...] = (me.address,)
+        self._others: tuple[str, ...] = ()
+        self._confirmed_at: float | None = None
+        self._phase = _Phase.IDLE
+        self._call = 0
+        self._call_at = 0.0
+        self._after = 0
+        self._backoff_s = BACKOFF_FIRST_S
+        self._retry_at = -math.inf
+        self._ask_at = -math.inf
+        self._detail_until = -math.inf
+
+    @property
+    def deployment(self) -> deployment.Deployment:
+        """The configuration in force."""
+        return self._held.deployment
+
+    @property
+    def faults(self) -> documents.Faults:
+        """Why branches are not in force at their latest revision."""
+        return self._held.faults
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this process watches the store for its data centre."""
+        return self._me.address in self._own[:WATCHERS]
+
+    def list_revisions(self) -> dict[str, tuple[int, int]]:
+        """Returns the latest and the accepted revision of each branch."""
+        return self._held.list_revisions()
+
+    def find_refusal(self) -> failures.NoConfiguration | None:
+        """Returns why no request can be taken yet, or `None`."""
+        if self._confirmed_at is not None:
+            return None
+        return failures.NoConfiguration(
+            "neither the store nor a peer has given a configuration yet",
+            retry_after_s=START_PERIOD_S,
+        )
+
+    def measure_age(self, now: float) -> float | None:
+        """Returns seconds since the configuration was known to be current.
+
+        The transit time of the messages that carried a peer's confirmation is
+        not included. `None` means that it was never confirmed.
+        """
+        if self._confirmed_at is None:
+            return None
+        return max(0.0, now - self._confirmed_at)
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event; results of calls given up still count."""
+        if isinstance(event, events.Tick):
+            return self._tick(now)
+        if isinstance(event, MembersSeen):
+            self._see_members(event.members)
+            return self._tick(now)
+        if isinstance(event, StoreAnswered):
+            return self._apply_answer(event, now)
+        if isinstance(event, StoreFailed) and event.call == self._call:
+            self._fail_call(event.retry_after_s, now)
+        return []
+
+    def summarize(self, now: float) -> bytes:
+        """Returns hash and age, and the revisions after a difference."""
+        # A process that starts asks for everything at once.
+        detailed = self._confirmed_at is None or now < self._detail_until
+        return documents.encode_digest(self._describe(detailed, now))
+
+    def collect(self, digest: bytes, now: float) -> bytes:
+        """Returns branches, own revisions or a fresher confirmation."""
+        theirs = documents.decode_digest(digest)
+        if theirs is None:
+            return b""
+        entries: tuple[documents.Entry, ...] = ()
+        own = self._describe(theirs.revisions is None, now)
+        if theirs.hash == own.hash:
+            own = dataclasses.replace(own, revisions=None)
+            if own.age_s is None:
+                return b""
+            if theirs.age_s is not None:
+                if theirs.age_s < own.age_s + MIN_AGE_GAIN_S:
+                    return b""
+        elif theirs.revisions is not None:
+            missing = self._held.select_missing(theirs.revisions)
+            # The rest follows in the next exchanges.
+            entries = next(iter(documents.split_entries(missing)), ())
+        return documents.encode_delta(documents.Delta(own, entries))
+
+    def merge(self, delta: bytes, now: float) -> list[commands.Command]:
+        """Applies what a peer knows; a watcher pushes news on."""
+        received = documents.decode_delta(delta)
+        if received is None:
+            return []
+        result = self._add(received.entries, self.is_watcher)
+        if received.digest.hash != self._held.hash:
+            self._detail_until = now + DETAIL_S
+        elif received.digest.age_s is not None:
+            self._confirm(now - received.digest.age_s)
+        return result
+
+    def _describe(self, detailed: bool, now: float) -> documents.Digest:
+        return documents.Digest(
+            self._held.hash,
+            self.measure_age(now),
+            self._held.list_revisions() if detailed else None,
+        )
+
+    def _confirm(self, moment: float) -> None:
+        if self._confirmed_at is None or moment > self._confirmed_at:
+            self._confirmed_at = moment
+
+    def _see_members(self, members: Iterable[Peer]) -> None:
+        own, others = {self._me.address}, set()
+        for member in members:
+            if member.data_centre == self._me.data_centre:
+                own.add(member.address)
+            else:
+                others.add(member.address)
+        self._own = tuple(sorted(own))
+        self._others = tuple(sorted(others - own))
+
+    def _tick(self, now: float) -> list[commands.Command]:
+        result: list[commands.Command] = []
+        if self._phase is not _Phase.IDLE:
+            if now - self._call_at > CALL_LIMIT_S:
+                result.append(StopCall(self._call))
+                self._fail_call(None, now)
+            elif self._phase is _Phase.WATCHING and not self.is_watcher:
+                result.append(StopCall(self._call))
+                self._phase = _Phase.IDLE
+        if self._phase is _Phase.IDLE and now >= self._retry_at:
+            if self.is_watcher or self._is_stale(now):
+                result.append(self._start_read(now))
+        if self._confirmed_at is None and now >= self._ask_at:
+            known = [a for a in self._own if a != self._me.address]
+            known.extend(self._others)
+            targets = self._random.sample(known, min(START_PEERS, len(known)))
+            if targets:
+                self._ask_at = now + START_PERIOD_S
+                result.append(AskPeers(tuple(targets)))
+        return result
+
+    def _is_stale(self, now: float) -> bool:
+        """Tells whether the watchers seem to have lost the store."""
+        age_s = self.measure_age(now)
+        if age_s is None:
+            return True
+        # Ranks differ, so that one reads first and its confirmation spreads.
+        rank = self._own.index(self._me.address)
+        spread_s = math.log2(len(self._own) + len(self._others))
+        return age_s > STALE_BASE_S + spread_s + 0.1 * rank
+
+    def _start_read(self, now: float) -> ReadRange:
+        self._phase = _Phase.READING
+        self._call += 1
+        self._call_at = now
+        return ReadRange(self._call, PREFIX)
+
+    def _start_watch(self, now: float) -> StartWatch:
+        self._phase = _Phase.WATCHING
+        self._call += 1
+        self._call_at = now
+        return StartWatch(self._call, PREFIX, self._after, WATCH_TIMEOUT_S)
+
+    def _fail_call(self, retry_after_s: float | None, now: float) -> None:
+        """Waits; the next call is a range read, since a watch may have gaps."""
+        self._phase = _Phase.IDLE
+        wait_s = max(self._backoff_s, retry_after_s or 0.0)
+        wait_s = min(wait_s, BACKOFF_LIMIT_S)
+        self._retry_at = now + wait_s * self._random.uniform(0.5, 1.0)
+        self._backoff_s = min(self._backoff_s * 2, BACKOFF_LIMIT_S)
+
+    def _apply_answer(
+        self, event: StoreAnswered, now: float
+    ) -> list[commands.Command]:
+        entries = [
+            documents.Entry(
+                value.key.removeprefix(PREFIX), value.revision, value.text
+            )
+            for value in event.values
+            # A branch is deleted by a document, never with its key.
+            if value.key.startswith(PREFIX) and value.text is not None
+        ]
+        # The first load is nothing new to the peers.
+        result = self._add(entries, self._confirmed_at is not None)
+        if event.call != self._call or self._phase is _Phase.IDLE:
+            return result
+        self._confirm(self._call_at)
+        self._backoff_s = BACKOFF_FIRST_S
+        self._after = max(self._after, event.revision)
+        self._phase = _Phase.IDLE
+        if self.is_watcher:
+            result.append(self._start_watch(now))
+        return result
+
+    def _add(
+        self, entries: Iterable[documents.Entry], push: bool
+    ) -> list[commands.Command]:
+        """Applies entries and returns what follows from those that are new."""
+        before, faults = self._held.deployment, self._held.faults
+        taken = self._held.add(entries)
+        result: list[commands.Command] = []
+        targets = self._select_targets()
+        if taken and push and targets:
+            digest = documents.Digest(self._held.hash, None)
+            for group in documents.split_entries(taken):
+                payload = documents.encode_delta(documents.Delta(digest, group))
+                result.append(PushChanges(targets, self.kind, payload))
+        if self._held.deployment != before:
+            result.append(ConfigurationChanged(self._held.deployment))
+        if self._held.faults != faults:
+            result.append(BranchesRejected(self._held.faults))
+        return result
+
+    def _select_targets(self) -> tuple[str, ...]:
+        """Returns the members of the own data centre to push to.
+
+        The watchers share them out; digests reach those of a lost watcher.
+        """
+        rank = self._own.index(self._me.address)
+        start, step = (rank, WATCHERS) if rank < WATCHERS else (0, 1)
+        return tuple(
+            address
+            for address in self._own[start::step]
+            if address != self._me.address
+        )
--- /dev/null
+++ b/sycamorehollow/decisions/documents.py
@@ -0,0 +1,351 @@
+"""Branches of the configuration that a process holds, and their encoding."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+import json
+import math
+import struct
+from typing import Any
+from typing import ClassVar
+from typing import TypeAlias
+import zlib
+
+from sycamorehollow.model import deployment
+from sycamorehollow.model import failures
+
+PLATFORM = "platform"
+# Keeps a delta under the 4 MB that gRPC takes by default.
+MAX_DELTA_BYTES = 1_500_000
+# Bounds the memory that one payload can claim when it is decompressed. A
+# document has up to 1 MB, and escaping can double it.
+MAX_DECODED_BYTES = 8_000_000
+_DIGEST_HEAD = struct.Struct(">8sI")
+_NO_AGE = 0xFFFFFFFF
+
+Faults: TypeAlias = Mapping[str, tuple[failures.Failure, ...]]
+# Takes revision and document by branch, and the branches in force before.
+Convert: TypeAlias = Callable[
+    [Mapping[str, tuple[int, Mapping[str, Any]]], Collection[str]],
+    tuple[deployment.Deployment, Faults],
+]
+# Revisions by branch: the latest one and the one in force.
+Revisions: TypeAlias = Mapping[str, tuple[int, int]]
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentUnreadable(failures.Failure):
+    """The value of a branch is no JSON object."""
+
+    code: ClassVar[str] = "document_unreadable"
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """One revision of a branch.
+
+    Attributes:
+        branch: Name of the branch.
+        revision: Store revision of the write.
+        text: The document as stored.
+        in_force: Whether a process has put it in force.
+    """
+
+    branch: str
+    revision: int
+    text: str
+    in_force: bool = False
+
+
+class Documents:
+    """The branches of one process, merged by the highest revision.
+
+    Both the latest revision and the highest one that any process has put in
+    force spread. Processes that hold the same two revisions of every branch
+    have the same configuration in force, whatever order they arrived in.
+    """
+
+    def __init__(self, convert: Convert):
+        self._convert = convert
+        self._latest: dict[str, Entry] = {}
+        self._accepted: dict[str, Entry] = {}
+        self._effective: dict[str, Entry] = {}
+        self._parsed: dict[Entry, Mapping[str, Any] | None] = {}
+        self.deployment = deployment.Deployment()
+        self.faults: Faults = {}
+        self.hash = _hash_revisions({})
+
+    def list_revisions(self) -> dict[str, tuple[int, int]]:
+        """Returns the latest and the accepted revision of each branch."""
+        return {
+            branch: (entry.revision, _get_revision(self._accepted, branch))
+            for branch, entry in sorted(self._latest.items())
+        }
+
+    def select_missing(self, theirs: Revisions) -> list[Entry]:
+        """Returns what the holder of the given revisions lacks."""
+        found = []
+        for entry in self._list_entries():
+            latest, accepted = theirs.get(entry.branch, (0, 0))
+            if entry.revision > (accepted if entry.in_force else latest):
+                found.append(entry)
+        return found
+
+    def add(self, entries: Iterable[Entry]) -> list[Entry]:
+        """Takes entries with higher revisions and returns those it took."""
+        taken = []
+        for entry in entries:
+            plain = dataclasses.replace(entry, in_force=False)
+            new = plain.revision > _get_revision(self._latest, entry.branch)
+            if new:
+                self._latest[entry.branch] = plain
+            if entry.in_force:
+                held = _get_revision(self._accepted, entry.branch)
+                if plain.revision > held:
+                    self._accepted[entry.branch] = plain
+                    new = True
+            if new:
+                taken.append(entry)
+        if taken:
+            self._evaluate()
+            self.hash = _hash_revisions(self.list_revisions())
+        return taken
+
+    def _list_entries(self) -> list[Entry]:
+        """Returns the accepted entries and later ones that are not."""
+        found = []
+        for branch, entry in sorted(self._latest.items()):
+            accepted = self._accepted.get(branch)
+            if accepted is not None:
+                found.append(dataclasses.replace(accepted, in_force=True))
+            if accepted is None or accepted.revision < entry.revision:
+                found.append(entry)
+        return found
+
+    def _evaluate(self) -> None:
+        """Puts the highest revision in force that stands, per branch."""
+        candidates = self._list_candidates()
+        faults: dict[str, tuple[failures.Failure, ...]] = {}
+        while True:
+            chosen = {
+                branch: entries[0]
+                for branch, entries in candidates.items()
+                if entries
+            }
+            converted, found = self._convert_chosen(chosen)
+            for branch, reasons in found.items():
+                if chosen[branch] is self._latest[branch]:
+                    faults[branch] = tuple(reasons)
+            failed = [
+                branch for branch in chosen if branch not in converted.revisions
+            ]
+            if not failed:
+                break
+            # One at a time: the others may stand once this one has changed.
+            first = min(failed, key=lambda name: _rank(chosen[name]))
+            candidates[first].pop(0)
+        self.deployment = converted
+        self.faults = {
+            branch: reasons
+            for branch, reasons in faults.items()
+            if branch in found or chosen.get(branch) is not self._latest[branch]
+        }
+        self._effective = chosen
+        for branch, entry in chosen.items():
+            if entry.revision > _get_revision(self._accepted, branch):
+                self._accepted[branch] = entry
+        self._forget_parsed()
+
+    def _list_candidates(self) -> dict[str, list[Entry]]:
+        """Returns the revisions of each branch that may be in force.
+
+        The one in force here comes last. It is needed when this process is
+        too old to read a revision that another one has accepted.
+        """
+        result: dict[str, list[Entry]] = {}
+        for branch, latest in self._latest.items():
+            options = [latest]
+            for held in (self._accepted, self._effective):
+                entry = held.get(branch)
+                if entry and entry.revision < options[-1].revision:
+                    options.append(entry)
+            result[branch] = options
+        return result
+
+    def _convert_chosen(
+        self, chosen: Mapping[str, Entry]
+    ) -> tuple[deployment.Deployment, dict[str, tuple[Any, ...]]]:
+        readable: dict[str, tuple[int, Mapping[str, Any]]] = {}
+        unreadable: dict[str, tuple[Any, ...]] = {}
+        accepted = set()
+        for branch, entry in chosen.items():
+            document = self._parse(entry)
+            if document is None:
+                reason = f"config/{branch} is no JSON object"
+                unreadable[branch] = (DocumentUnreadable(reason),)
+                continue
+            readable[branch] = (entry.revision, document)
+            if entry.revision <= _get_revision(self._accepted, branch):
+                accepted.add(branch)
+        converted, found = self._convert(readable, accepted)
+        return converted, {**found, **unreadable}
+
+    def _parse(self, entry: Entry) -> Mapping[str, Any] | None:
+        if entry not in self._parsed:
+            self._parsed[entry] = _read_object(entry.text)
+        return self._parsed[entry]
+
+    def _forget_parsed(self) -> None:
+        held = {
+            *self._latest.values(),
+            *self._accepted.values(),
+            *self._effective.values(),
+        }
+        for entry in list(self._parsed):
+            if entry not in held:
+                del self._parsed[entry]
+
+
+@dataclasses.dataclass(frozen=True)
+class Digest:
+    """What one process holds, in brief.
+
+    Attributes:
+        hash: Hash of the revisions.
+        age_s: Seconds since the last confirmation, or `None`.
+        revisions: The revisions, or `None` if they are left out.
+    """
+
+    hash: bytes
+    age_s: float | None
+    revisions: Revisions | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Delta:
+    """What one process tells another.
+
+    Attributes:
+        digest: Digest of the sender.
+        entries: Branches that the receiver may lack.
+    """
+
+    digest: Digest
+    entries: tuple[Entry, ...] = ()
+
+
+def split_entries(entries: Iterable[Entry]) -> list[tuple[Entry, ...]]:
+    """Splits entries into groups that fit a delta."""
+    groups: list[list[Entry]] = []
+    size = 0
+    for entry in entries:
+        size += len(entry.text)
+        if not groups or size > MAX_DELTA_BYTES:
+            groups.append([])
+            size = len(entry.text)
+        groups[-1].append(entry)
+    return [tuple(group) for group in groups]
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Encodes a digest: hash, age in tenths of a second, revisions."""
+    tenths = _NO_AGE
+    if digest.age_s is not None:
+        tenths = min(int(digest.age_s * 10), _NO_AGE - 1)
+    head = _DIGEST_HEAD.pack(digest.hash, tenths)
+    if digest.revisions is None:
+        return head
+    return head + json.dumps(digest.revisions, separators=(",", ":")).encode()
+
+
+def decode_digest(payload: bytes) -> Digest | None:
+    """Decodes a digest; a malformed one gives `None`."""
+    try:
+        number, tenths = _DIGEST_HEAD.unpack_from(payload)
+        text = payload[_DIGEST_HEAD.size :]
+        revisions = _decode_revisions(json.loads(text)) if text else None
+    except (
+        struct.error,
+        TypeError,
+        ValueError,
+        ArithmeticError,
+        RecursionError,
+    ):
+        return None
+    age_s = None if tenths == _NO_AGE else tenths / 10
+    return Digest(number, age_s, revisions)
+
+
+def encode_delta(delta: Delta) -> bytes:
+    """Encodes a delta as compressed JSON."""
+    document = {
+        "hash": delta.digest.hash.hex(),
+        "age_s": delta.digest.age_s,
+        "revisions": delta.digest.revisions,
+        "entries": [dataclasses.astuple(entry) for entry in delta.entries],
+    }
+    text = json.dumps(document, separators=(",", ":"))
+    return zlib.compress(text.encode())
+
+
+def decode_delta(payload: bytes) -> Delta | None:
+    """Decodes a delta; a malformed one gives `None`."""
+    try:
+        text = zlib.decompressobj().decompress(payload, MAX_DECODED_BYTES)
+        document = json.loads(text)
+        age_s = document["age_s"]
+        if age_s is not None and not 0.0 <= age_s < math.inf:
+            return None
+        revisions = document["revisions"]
+        digest = Digest(
+            bytes.fromhex(document["hash"]),
+            age_s,
+            None if revisions is None else _decode_revisions(revisions),
+        )
+        entries = tuple(
+            Entry(str(branch), int(revision), str(value), bool(in_force))
+            for branch, revision, value, in_force in document["entries"]
+        )
+    except (
+        zlib.error,
+        KeyError,
+        TypeError,
+        ValueError,
+        ArithmeticError,
+        RecursionError,
+    ):
+        return None
+    return Delta(digest, entries)
+
+
+def _decode_revisions(document: Any) -> dict[str, tuple[int, int]]:
+    return {
+        str(branch): (int(latest), int(accepted))
+        for branch, (latest, accepted) in dict(document).items()
+    }
+
+
+def _hash_revisions(revisions: Revisions) -> bytes:
+    """Returns eight bytes that are equal for equal revisions."""
+    text = json.dumps(revisions, sort_keys=True).encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _rank(entry: Entry) -> tuple[bool, int, str]:
+    return (entry.branch != PLATFORM, entry.revision, entry.branch)
+
+
+def _get_revision(held: Mapping[str, Entry], branch: str) -> int:
+    entry = held.get(branch)
+    return entry.revision if entry else 0
+
+
+def _read_object(text: str) -> Mapping[str, Any] | None:
+    try:
+        document = json.loads(text)
+    except (ValueError, RecursionError):
+        return None
+    return document if isinstance(document, dict) else None
