--- /dev/null
+++ b/tests/test_branches.py
@@ -0,0 +1,149 @@
+"""Tests of the rules of an operator's change."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import branches
+
+
+class Writer:
+    """Carries one change out, one store call per step."""
+
+    def __init__(self, name, key):
+        self.name = name
+        self.key = key
+        self.proposal = None
+        self.result = None
+        self.reading_back = False
+        self.attempts = 0
+
+    def _edit(self, document):
+        document.setdefault("writers", []).append(self.name)
+
+    def step(self, store, fate):
+        """Makes one call that is lost before or after its effect, or not."""
+        if self.result is not None:
+            return
+        text, revision = store.get(self.key, (None, 0))
+        if self.proposal is None:
+            self.proposal = branches.propose(
+                self.key, revision, text, self._edit, self.name
+            )
+            return
+        if self.reading_back:
+            answer = branches.judge_read_back(self.proposal, revision, text)
+            if fate == "done":
+                self._take(answer)
+            else:
+                self._lose()
+            return
+        if fate == "lost before":
+            self._lose()
+        elif revision != self.proposal.expect:
+            if fate == "lost after":
+                self._lose()
+                return
+            self._take(branches.judge_conflict(self.proposal, revision, text))
+        else:
+            store["revision"] += 1
+            store[self.key] = (self.proposal.text, store["revision"])
+            if fate == "lost after":
+                self._lose()
+            else:
+                self._take(branches.Accepted(self.key, store["revision"]))
+
+    def _lose(self):
+        self.attempts += 1
+        answer = branches.judge_lost(self.proposal, self.attempts)
+        self._take(answer)
+
+    def _take(self, answer):
+        if isinstance(answer, branches.ReadBack):
+            self.reading_back = True
+        elif isinstance(answer, branches.WriteAgain):
+            self.reading_back = False
+        else:
+            self.result = answer
+
+
+def list_writers(store, key):
+    """Returns the names of the changes in a stored document."""
+    text, _ = store.get(key, (None, 0))
+    return json.loads(text).get("writers", []) if text else []
+
+
+class ChangeTest(unittest.TestCase):
+    """Guards against lost, doubled and foreign changes."""
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 5),
+                strategies.sampled_from(["done", "lost before", "lost after"]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_results_are_true(self, steps):
+        store = {"revision": 3, "config/other": ('{"a":1}', 2)}
+        store["config/a"] = ('{"nonce":"x"}', 3)
+        writers = [Writer(f"w{i}", "config/a") for i in range(6)]
+        for index, fate in steps:
+            writers[index].step(store, fate)
+        for writer in writers:
+            while writer.result is None:
+                writer.step(store, "done")
+        written = list_writers(store, "config/a")
+        self.assertEqual(len(written), len(set(written)))
+        for writer in writers:
+            if isinstance(writer.result, branches.Accepted):
+                self.assertIn(writer.name, written)
+            if isinstance(writer.result, branches.ChangeConflict):
+                self.assertNotIn(writer.name, written)
+        self.assertEqual(store["config/other"], ('{"a":1}', 2))
+
+    def test_one_of_several_racing_writers_wins(self):
+        store = {"revision": 0}
+        writers = [Writer(f"w{i}", "config/a") for i in range(5)]
+        for fate in ("done", "lost after", "done", "done"):
+            for writer in writers:
+                writer.step(store, fate)
+        results = [type(writer.result) for writer in writers]
+        self.assertEqual(results.count(branches.Accepted), 1)
+        self.assertEqual(results.count(branches.ChangeConflict), 4)
+        self.assertEqual(len(list_writers(store, "config/a")), 1)
+
+    def test_no_answer_at_all_is_in_doubt(self):
+        store = {"revision": 0}
+        writer = Writer("w", "config/a")
+        for _ in range(20):
+            writer.step(store, "lost after")
+        self.assertIsInstance(writer.result, branches.ChangeInDoubt)
+        self.assertEqual(writer.result.run.value, "unknown")
+
+    def test_write_that_did_not_arrive_is_sent_again(self):
+        store = {"revision": 0}
+        writer = Writer("w", "config/a")
+        for fate in ("done", "lost before", "done", "done"):
+            writer.step(store, fate)
+        self.assertIsInstance(writer.result, branches.Accepted)
+
+    def test_edit_that_changes_nothing_or_is_refused_writes_nothing(self):
+        text = '{"nonce":"x","a":1}'
+        for edit, kind in (
+            (lambda document: None, branches.Unchanged),
+            (
+                lambda document: branches.ValueUnreadable("no"),
+                branches.ValueUnreadable,
+            ),
+        ):
+            result = branches.propose("config/a", 1, text, edit, "n")
+            self.assertIsInstance(result, kind)
+        self.assertIsInstance(
+            branches.propose("config/a", 1, "[", lambda document: None, "n"),
+            branches.ValueUnreadable,
+        )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -300,7 +300,9 @@
         process = self.world.processes[0]
         self.world.now += 50
         value = configuration.Value("config/platform", 9, None)
+        call = self.world.calls[0]
         self.world.send(0, configuration.StoreAnswered(1, (value,), 9))
+        self.assertIs(self.world.calls[0], call)
         self.assertGreaterEqual(process.measure_age(self.world.now), 50)
         self.assertEqual(process.deployment.revisions, {"platform": 1})
 
