Add the control program sycamorectl

A change is validated against all branches before it is written, including the faults that it would cause in other branches, and writes only one key. Rollout states change by compare-and-swap on rollouts/<name>.

--- /dev/null
+++ b/sycamorehollow/programs/ctl_changes.py
@@ -0,0 +1,126 @@
+"""Carries out an operator's change against the store."""
+
+from collections.abc import Callable
+import json
+import secrets
+import time
+from typing import Any
+
+from sycamorehollow.decisions import branches
+from sycamorehollow.model import failures
+from sycamorehollow.settings import tree
+from sycamorehollow.shells import stores
+
+Validate = Callable[[branches.Proposal], failures.Failure | None]
+NONCE_BYTES = 12
+RETRY_PAUSE_S = 0.2
+
+
+class Changer:
+    """Reads values and changes one of them by compare-and-swap."""
+
+    def __init__(
+        self, store: stores.Store, pause: Callable[[float], None] = time.sleep
+    ):
+        self._store = store
+        self._pause = pause
+
+    def read(self, key: str) -> tuple[int, dict[str, Any]] | failures.Failure:
+        """Returns revision and document of a key; 0 and {} if absent."""
+        found = self._store.read(key)
+        if isinstance(found, failures.Failure):
+            return found
+        text = found.value if isinstance(found, stores.Found) else None
+        document = branches.read_document(key, text)
+        if isinstance(document, failures.Failure):
+            return document
+        revision = found.revision if isinstance(found, stores.Found) else 0
+        return revision, document
+
+    def change(
+        self,
+        key: str,
+        edit: branches.Edit,
+        validate: Validate | None = None,
+    ) -> branches.Accepted | failures.Failure:
+        """Changes one value, or changes nothing and tells why.
+
+        Args:
+            key: Key of the value.
+            edit: The change.
+            validate: Returns why the proposed value is refused.
+        """
+        found = self._store.read(key)
+        if isinstance(found, failures.Failure):
+            return found
+        text, revision = None, 0
+        if isinstance(found, stores.Found):
+            text, revision = found.value, found.revision
+        nonce = secrets.token_hex(NONCE_BYTES)
+        proposal = branches.propose(key, revision, text, edit, nonce)
+        if isinstance(proposal, failures.Failure):
+            return proposal
+        refusal = validate(proposal) if validate else None
+        return refusal or self._write(proposal)
+
+    def _write(
+        self, proposal: branches.Proposal
+    ) -> branches.Accepted | failures.Failure:
+        attempts = 0
+        in_doubt = False
+        while True:
+            answer = self._store.write(
+                proposal.key, proposal.text, proposal.expect
+            )
+            if isinstance(answer, stores.Written):
+                return branches.Accepted(proposal.key, answer.revision)
+            if isinstance(answer, stores.Conflict):
+                return branches.judge_conflict(
+                    proposal, answer.revision, answer.value
+                )
+            # Without effect now, but an earlier attempt may have had one.
+            if not isinstance(answer, stores.InDoubt) and not in_doubt:
+                return answer
+            in_doubt = True
+            attempts += 1
+            while True:
+                judged = branches.judge_lost(proposal, attempts)
+                if isinstance(judged, failures.Failure):
+                    return judged
+                self._pause(RETRY_PAUSE_S * attempts)
+                found = self._store.read(proposal.key)
+                if not isinstance(found, failures.Failure):
+                    break
+                attempts += 1
+            text, revision = None, 0
+            if isinstance(found, stores.Found):
+                text, revision = found.value, found.revision
+            outcome = branches.judge_read_back(proposal, revision, text)
+            if not isinstance(outcome, branches.WriteAgain):
+                return outcome
+
+    def validate_branch(
+        self, proposal: branches.Proposal
+    ) -> failures.Failure | None:
+        """Returns the first fault that a new branch has or causes."""
+        team = proposal.key.removeprefix(branches.PREFIX)
+        listing = self._store.list_range(branches.PREFIX)
+        if isinstance(listing, failures.Failure):
+            return listing
+        held: dict[str, tuple[int, dict[str, Any]]] = {}
+        for item in listing.items:
+            name = item.key.removeprefix(branches.PREFIX)
+            document = branches.read_document(item.key, item.value)
+            if isinstance(document, dict):
+                held[name] = (item.revision, document)
+        _, before = tree.convert(held)
+        # The store gives the write a higher revision than all others.
+        revision = listing.revision + 1
+        candidate = json.loads(proposal.text)
+        _, after = tree.convert({**held, team: (revision, candidate)})
+        if team in after:
+            return after[team][0]
+        for name, faults in sorted(after.items()):
+            if name not in before:
+                return faults[0]
+        return None
--- /dev/null
+++ b/sycamorehollow/programs/ctl_commands.py
@@ -0,0 +1,299 @@
+"""Commands of `sycamorectl`; each returns what to print, or a failure."""
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import importlib
+import json
+import sys
+from typing import Any
+from typing import TypeAlias
+
+import urllib3
+
+from sycamorehollow.decisions import branches
+from sycamorehollow.model import failures
+from sycamorehollow.programs import ctl_changes
+from sycamorehollow.programs import ctl_edits
+from sycamorehollow.settings import tree
+from sycamorehollow.shells import stores
+
+ROLLOUTS_PREFIX = "rollouts/"
+BILLS_PREFIX = "bills/"
+STATUS_TIMEOUT_S = 3.0
+
+Result: TypeAlias = dict[str, Any] | failures.Failure
+# Takes the store, unless the command needs none, and the arguments.
+Command: TypeAlias = Callable[..., Result]
+
+
+def _change_branch(
+    store: stores.Store, team: str, edit: branches.Edit
+) -> Result:
+    changer = ctl_changes.Changer(store)
+    return _report(
+        changer.change(
+            branches.name_branch(team), edit, changer.validate_branch
+        )
+    )
+
+
+def _report(result: branches.Accepted | failures.Failure) -> Result:
+    if isinstance(result, failures.Failure):
+        return result
+    return {"key": result.key, "revision": result.revision}
+
+
+def _check_platform(args: argparse.Namespace) -> ctl_edits.Refused | None:
+    if args.team in (None, tree.PLATFORM):
+        return None
+    return ctl_edits.Refused(
+        f"this changes the platform branch, not the branch of {args.team}"
+    )
+
+
+def _change_platform(
+    store: stores.Store, args: argparse.Namespace, edit: branches.Edit
+) -> Result:
+    refusal = _check_platform(args)
+    return refusal or _change_branch(store, tree.PLATFORM, edit)
+
+
+def create_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Adds a workspace to the team's branch."""
+    entry = {
+        "key_hashes": args.key_hash,
+        "versions": args.allow,
+        "services": args.service,
+        "weight": args.weight,
+    }
+    edit = ctl_edits.add_entry("workspaces", args.name, entry)
+    return _change_branch(store, args.team, edit)
+
+
+def delete_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Removes a workspace from the team's branch."""
+    edit = ctl_edits.remove_entry("workspaces", args.name)
+    return _change_branch(store, args.team, edit)
+
+
+def show_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Returns a workspace, or all of the team."""
+    found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
+    if isinstance(found, failures.Failure):
+        return found
+    workspaces = found[1].get("workspaces", {})
+    if args.name is None:
+        return workspaces
+    if args.name not in workspaces:
+        return ctl_edits.Refused(f"the branch has no workspace {args.name}")
+    return {args.name: workspaces[args.name]}
+
+
+def add_version(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Adds a version to a model of the platform branch."""
+    edit = ctl_edits.add_version(
+        args.model, args.version, args.prompt_price, args.output_price
+    )
+    return _change_platform(store, args, edit)
+
+
+def allow_version(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Allows a version for a workspace."""
+    edit = ctl_edits.allow_version(args.workspace, args.version, True)
+    return _change_branch(store, args.team, edit)
+
+
+def disallow_version(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Forbids a version for a workspace."""
+    edit = ctl_edits.allow_version(args.workspace, args.version, False)
+    return _change_branch(store, args.team, edit)
+
+
+def withdraw_version(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Stops new work on a version."""
+    edit = ctl_edits.set_version_state(args.version, "withdrawn")
+    return _change_platform(store, args, edit)
+
+
+def restore_version(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Lets a withdrawn version take new work."""
+    edit = ctl_edits.set_version_state(args.version, "serving")
+    return _change_platform(store, args, edit)
+
+
+def define_cascade(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Adds a cascade to the team's branch."""
+    edit = ctl_edits.add_entry("cascades", args.name, {"steps": args.steps})
+    return _change_branch(store, args.team, edit)
+
+
+def delete_cascade(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Removes a cascade from the team's branch."""
+    edit = ctl_edits.remove_entry("cascades", args.name)
+    return _change_branch(store, args.team, edit)
+
+
+def set_data_centre(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Takes a data centre out of service, or back in."""
+    edit = ctl_edits.set_field(
+        "data_centres", args.name, "presence", args.presence
+    )
+    return _change_platform(store, args, edit)
+
+
+def set_upstream(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Announces that an upstream leaves, or is back."""
+    edit = ctl_edits.set_field(
+        "upstreams", args.name, "presence", args.presence
+    )
+    return _change_platform(store, args, edit)
+
+
+def _read_definition(
+    store: stores.Store, args: argparse.Namespace
+) -> Mapping[str, Any] | failures.Failure:
+    """Returns the rollout's entry in the branch of the team."""
+    found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
+    if isinstance(found, failures.Failure):
+        return found
+    definition = found[1].get("rollouts", {}).get(args.name)
+    if definition is None:
+        return ctl_edits.Refused(
+            f"the branch of {args.team} has no rollout {args.name}"
+        )
+    return definition
+
+
+def _change_stage(
+    store: stores.Store, args: argparse.Namespace, edit: branches.Edit
+) -> Result:
+    changer = ctl_changes.Changer(store)
+    return _report(changer.change(ROLLOUTS_PREFIX + args.name, edit))
+
+
+def start_rollout(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Defines a rollout if it is new, and starts or resumes it."""
+    if args.candidate is not None:
+        entry = {
+            "model": args.model,
+            "baseline": args.baseline,
+            "candidate": args.candidate,
+            "stages": args.stages,
+        }
+        edit = ctl_edits.add_entry("rollouts", args.name, entry)
+        defined = _change_branch(store, args.team, edit)
+        if isinstance(defined, failures.Failure):
+            return defined
+    definition = _read_definition(store, args)
+    if isinstance(definition, failures.Failure):
+        return definition
+    return _change_stage(store, args, ctl_edits.start_stage(definition))
+
+
+def change_rollout(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Pauses, advances or withdraws a rollout."""
+    definition = _read_definition(store, args)
+    if isinstance(definition, failures.Failure):
+        return definition
+    if args.action == "pause":
+        edit = ctl_edits.set_stage_state("paused", ("running",))
+    elif args.action == "withdraw":
+        states = ("running", "paused", "done", "not started")
+        edit = ctl_edits.set_stage_state("withdrawn", states)
+    else:
+        stages = len(definition["stages"])
+        edit = ctl_edits.advance_stage(stages, args.stage)
+    return _change_stage(store, args, edit)
+
+
+def show_rollout(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Returns the definition and the stage of a rollout."""
+    definition = _read_definition(store, args)
+    if isinstance(definition, failures.Failure):
+        return definition
+    found = ctl_changes.Changer(store).read(ROLLOUTS_PREFIX + args.name)
+    if isinstance(found, failures.Failure):
+        return found
+    revision, state = found
+    stage = {name: state.get(name) for name in ("stage", "state")}
+    return {"definition": definition, "revision": revision, **stage}
+
+
+def show_branch(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Returns a branch and its revision."""
+    found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
+    if isinstance(found, failures.Failure):
+        return found
+    return {"revision": found[0], "document": found[1]}
+
+
+def _read_file(path: str) -> dict[str, Any] | failures.Failure:
+    try:
+        if path == "-":
+            text = sys.stdin.read()
+        else:
+            with open(path, encoding="utf-8") as file:
+                text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return failures.InvalidRequest(f"{path} is not readable: {error}")
+    return branches.read_document(path, text)
+
+
+def put_branch(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Replaces the team's branch by a document."""
+    document = _read_file(args.file)
+    if isinstance(document, failures.Failure):
+        return document
+    return _change_branch(store, args.team, ctl_edits.put_branch(document))
+
+
+def validate_branch(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Validates a document against the other branches; writes nothing."""
+    document = _read_file(args.file)
+    if isinstance(document, failures.Failure):
+        return document
+    key = branches.name_branch(args.team)
+    proposal = branches.Proposal(key, 0, document, "")
+    fault = ctl_changes.Changer(store).validate_branch(proposal)
+    return fault or {"branch": args.team, "valid": True}
+
+
+def show_status(args: argparse.Namespace) -> Result:
+    """Returns the status of each entry process."""
+    pool = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
+    result: dict[str, Any] = {}
+    for url in args.entries:
+        try:
+            answer = pool.request("GET", url.rstrip("/") + "/v1/status")
+            status = json.loads(answer.data)
+            if answer.status != 200 or not isinstance(status, dict):
+                status = {"error": f"status {answer.status}"}
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            status = {"error": str(error)}
+        result[url] = status
+    if all("error" in status for status in result.values()):
+        return failures.NoUpstream(f"no entry process answers: {result}")
+    return result
+
+
+def sum_bills(store: stores.Store, args: argparse.Namespace) -> Result:
+    """Returns the sums of the stored bills by workspace."""
+    try:
+        reader = importlib.import_module(
+            "sycamorehollow.decisions.billing_reader"
+        ).BillReader()
+    except ModuleNotFoundError:
+        return failures.NotFound("this version has no reader of bills")
+    listing = store.list_range(BILLS_PREFIX)
+    if isinstance(listing, failures.Failure):
+        return listing
+    for item in listing.items:
+        reader.add(item.value)
+    totals = reader.sum_workspaces()
+    return {
+        workspace: dataclasses.asdict(totals[workspace])
+        for workspace in sorted(totals)
+        if args.workspace in (None, workspace)
+    }
--- /dev/null
+++ b/sycamorehollow/programs/ctl_edits.py
@@ -0,0 +1,169 @@
+"""Edits of branches and rollout states, one per command."""
+
+from collections.abc import Mapping
+import copy
+import dataclasses
+from typing import Any
+from typing import ClassVar
+
+from sycamorehollow.decisions import branches
+from sycamorehollow.model import failures
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused(failures.Failure):
+    """The command does not fit the current settings."""
+
+    code: ClassVar[str] = "refused"
+    status: ClassVar[int] = 409
+
+
+def add_entry(section: str, name: str, entry: Any) -> branches.Edit:
+    """Adds a new entry to a section of a branch."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        document.pop("deleted", None)
+        entries = document.setdefault(section, {})
+        if name in entries:
+            return Refused(f"{section} already has {name}")
+        entries[name] = copy.deepcopy(entry)
+        return None
+
+    return edit
+
+
+def remove_entry(section: str, name: str) -> branches.Edit:
+    """Removes an entry from a section of a branch."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        if name not in document.get(section, {}):
+            return Refused(f"{section} has no {name}")
+        del document[section][name]
+        return None
+
+    return edit
+
+
+def set_field(section: str, name: str, field: str, value: Any) -> branches.Edit:
+    """Sets one field of an entry."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        if name not in document.get(section, {}):
+            return Refused(f"{section} has no {name}")
+        document[section][name][field] = value
+        return None
+
+    return edit
+
+
+def put_branch(new: Mapping[str, Any]) -> branches.Edit:
+    """Replaces a whole branch."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        document.clear()
+        document.update(copy.deepcopy(dict(new)))
+        return None
+
+    return edit
+
+
+def add_version(
+    model: str, version: str, prompt_price: int, output_price: int
+) -> branches.Edit:
+    """Adds a version to a model, and the model if it is new."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        models = document.setdefault("models", {})
+        versions = models.setdefault(model, {}).setdefault("versions", {})
+        if version in versions:
+            return Refused(f"model {model} already has version {version}")
+        versions[version] = {
+            "prompt_price": prompt_price,
+            "output_price": output_price,
+            "state": "serving",
+        }
+        return None
+
+    return edit
+
+
+def set_version_state(version: str, state: str) -> branches.Edit:
+    """Withdraws or restores a version."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        for model in document.get("models", {}).values():
+            if version in model.get("versions", {}):
+                model["versions"][version]["state"] = state
+                return None
+        return Refused(f"no version is named {version}")
+
+    return edit
+
+
+def allow_version(workspace: str, version: str, allowed: bool) -> branches.Edit:
+    """Allows or forbids a version for a workspace."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        entry = document.get("workspaces", {}).get(workspace)
+        if entry is None:
+            return Refused(f"the branch has no workspace {workspace}")
+        versions = [v for v in entry.get("versions", []) if v != version]
+        entry["versions"] = [*versions, version] if allowed else versions
+        return None
+
+    return edit
+
+
+def start_stage(definition: Mapping[str, Any] | None) -> branches.Edit:
+    """Starts a rollout at its first stage, or resumes a paused one."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        if definition is None:
+            return Refused("the branch does not define this rollout")
+        state = document.get("state")
+        if state == "paused":
+            document["state"] = "running"
+            return None
+        if state in ("running", "done"):
+            return Refused(f"the rollout is {state}")
+        document.update(stage=0, state="running")
+        return None
+
+    return edit
+
+
+def set_stage_state(state: str, allowed: tuple[str, ...]) -> branches.Edit:
+    """Changes the state of a rollout that is in one of the given states."""
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        current = document.get("state", "not started")
+        if current not in allowed:
+            return Refused(f"the rollout is {current}")
+        document["state"] = state
+        return None
+
+    return edit
+
+
+def advance_stage(stages: int, expected: int | None) -> branches.Edit:
+    """Advances a running rollout by one stage.
+
+    Args:
+        stages: Number of stages.
+        expected: Stage that the operator saw, or `None` for the current one.
+    """
+
+    def edit(document: dict[str, Any]) -> failures.Failure | None:
+        current = document.get("state", "not started")
+        if current != "running":
+            return Refused(f"the rollout is {current}")
+        stage = document["stage"]
+        if expected is not None and expected != stage:
+            return Refused(f"the rollout is at stage {stage}")
+        if stage + 1 >= stages:
+            document["state"] = "done"
+        else:
+            document["stage"] = stage + 1
+        return None
+
+    return edit
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,279 @@
+"""Tests of the control program."""
+
+import contextlib
+import http.server
+import io
+import json
+import sys
+import tempfile
+import threading
+import types
+import unittest
+from unittest import mock
+
+from sycamorehollow.programs import ctl
+from sycamorehollow.programs import ctl_changes
+from sycamorehollow.settings import tree
+from sycamorehollow.shells import stores
+
+PLATFORM = {
+    "models": {
+        "atlas": {"versions": {"v1": {"prompt_price": 1, "output_price": 1}}}
+    },
+    "data_centres": {"dc": {"region": "r"}},
+    "upstreams": {"u": {"url": "http://127.0.0.1:1", "data_centre": "dc"}},
+}
+
+
+class MemoryStore(stores.Store):
+    """Store in memory that can lose responses and let others write first."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 0
+        self.fates = []
+        self.before_write = None
+
+    def read(self, key):
+        if key not in self.items:
+            return stores.Absent(key)
+        return stores.Found(key, *self.items[key])
+
+    def write(self, key, value, expect, lease=""):
+        if self.before_write:
+            hook, self.before_write = self.before_write, None
+            hook()
+        fate = self.fates.pop(0) if self.fates else ""
+        if fate == "lost before":
+            return stores.InDoubt("lost")
+        old, revision = self.items.get(key, (None, 0))
+        result = stores.Conflict("moved", revision=revision, value=old)
+        if expect in (None, revision):
+            self.revision += 1
+            self.items[key] = (value, self.revision)
+            result = stores.Written(self.revision)
+        return stores.InDoubt("lost") if fate == "lost after" else result
+
+    def list_range(self, prefix):
+        found = [
+            stores.Found(key, *self.items[key])
+            for key in sorted(self.items)
+            if key.startswith(prefix)
+        ]
+        return stores.Listing(tuple(found), self.revision)
+
+    def delete(self, key, expect=None):
+        raise NotImplementedError
+
+    watch = grant_lease = renew_lease = release_lease = delete
+
+
+class StatusHandler(http.server.BaseHTTPRequestHandler):
+    """Answers with the requested path."""
+
+    def do_GET(self):
+        body = json.dumps({"path": self.path}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args):
+        """Prints nothing."""
+
+
+class CtlTest(unittest.TestCase):
+    """Guards against changes that are lost, wrong or another team's."""
+
+    def setUp(self):
+        self.store = MemoryStore()
+        self.store.write("config/platform", json.dumps(PLATFORM), 0)
+        pause = mock.patch.object(ctl_changes, "RETRY_PAUSE_S", 0.0)
+        pause.start()
+        self.addCleanup(pause.stop)
+
+    def run_ctl(self, line, expected=ctl.DONE):
+        """Runs one command and returns its JSON output."""
+        out, err = io.StringIO(), io.StringIO()
+        words = ["--store", "http://127.0.0.1:1", "--json", *line.split()]
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            status = ctl.main(words, lambda url: self.store)
+        self.assertEqual(status, expected, f"{line}: {err.getvalue()}")
+        return json.loads(out.getvalue())
+
+    def find_error(self, line):
+        """Runs a command that is refused; it must write nothing."""
+        before = dict(self.store.items)
+        error = self.run_ctl(line, ctl.REFUSED)["error"]
+        self.assertEqual(self.store.items, before)
+        return error["code"]
+
+    def convert(self):
+        """Returns the configuration in the store, which has no faults."""
+        held = {
+            key.removeprefix("config/"): (revision, json.loads(text))
+            for key, (text, revision) in self.store.items.items()
+            if key.startswith("config/")
+        }
+        result, faults = tree.convert(held)
+        self.assertEqual(faults, {})
+        return result
+
+    def test_commands_change_what_is_in_force(self):
+        self.run_ctl("version add atlas v2 --prompt-price 2 --output-price 3")
+        self.run_ctl("--team a workspace create w --allow v1 --weight 2")
+        self.run_ctl("--team a version allow w v2")
+        self.run_ctl("--team a version disallow w v1")
+        self.run_ctl("--team a cascade define auto v1 v2")
+        self.run_ctl("version withdraw v1")
+        self.run_ctl("data-centre out dc")
+        self.run_ctl("upstream leave u")
+        result = self.convert()
+        self.assertEqual(result.workspaces["w"].versions, {"v2"})
+        self.assertEqual(result.cascades["auto"].steps, ("v1", "v2"))
+        self.assertEqual(result.versions["v1"].state.value, "withdrawn")
+        self.assertEqual(result.data_centres["dc"].presence.value, "out")
+        self.assertEqual(result.upstreams["u"].presence.value, "leaving")
+        self.run_ctl("version restore v1")
+        self.run_ctl("data-centre in dc")
+        self.run_ctl("upstream in u")
+        self.run_ctl("--team a cascade delete auto")
+        self.assertIn("w", self.run_ctl("--team a workspace show"))
+        self.run_ctl("--team a workspace delete w")
+        result = self.convert()
+        self.assertEqual((result.workspaces, result.cascades), ({}, {}))
+        self.assertEqual(result.upstreams["u"].presence.value, "in")
+
+    def test_rollout_passes_its_stages(self):
+        self.run_ctl("version add atlas v2 --prompt-price 2 --output-price 3")
+        self.run_ctl(
+            "--team a rollout start r --model atlas --baseline v1"
+            " --candidate v2 --stages 0.1,1"
+        )
+        self.run_ctl("--team a rollout pause r")
+        self.assertEqual(
+            self.find_error("--team a rollout advance r"), "refused"
+        )
+        self.run_ctl("--team a rollout start r")
+        self.run_ctl("--team a rollout advance r --stage 0")
+        stale = "--team a rollout advance r --stage 0"
+        self.assertEqual(self.find_error(stale), "refused")
+        shown = self.run_ctl("--team a rollout show r")
+        self.assertEqual((shown["stage"], shown["state"]), (1, "running"))
+        self.run_ctl("--team a rollout advance r")
+        self.assertEqual(
+            self.run_ctl("--team a rollout show r")["state"], "done"
+        )
+        self.run_ctl("--team a rollout withdraw r")
+        self.assertEqual(self.find_error("--team b rollout start r"), "refused")
+
+    def test_lost_response_is_recognised_as_success(self):
+        for number, fates in enumerate(
+            (["lost after"], ["lost before"], ["lost before", "lost after"])
+        ):
+            self.store.fates = list(fates)
+            self.run_ctl(f"--team a workspace create w{number}")
+        self.assertEqual(len(self.convert().workspaces), 3)
+        self.store.fates = ["lost before"] * 9
+        error = self.run_ctl("--team a workspace create x", ctl.REFUSED)
+        self.assertEqual(error["error"]["code"], "change_in_doubt")
+
+    def test_loser_of_a_race_changes_nothing(self):
+        self.run_ctl("--team a workspace create first")
+        for fates in ([], ["", "lost after"]):
+            self.store.before_write = lambda: self.run_ctl(
+                "--team a version allow first v1"
+            )
+            self.store.fates = fates
+            error = self.run_ctl("--team a workspace create x", ctl.REFUSED)
+            self.assertEqual(error["error"]["code"], "change_conflict")
+            result = self.convert()
+            self.assertEqual(set(result.workspaces), {"first"})
+            self.assertEqual(result.workspaces["first"].versions, {"v1"})
+            self.run_ctl("--team a version disallow first v1")
+
+    def test_invalid_changes_are_refused(self):
+        self.run_ctl("--team a workspace create w --allow v1")
+        for line, code in (
+            ("--team a workspace create w", "refused"),
+            ("--team b workspace create w", "branch_invalid"),
+            ("--team b workspace create x --allow v9", "branch_invalid"),
+            ("--team a cascade define c c", "branch_invalid"),
+            ("--team a cascade delete c", "refused"),
+            ("--team a data-centre out dc", "refused"),
+            ("data-centre out x", "refused"),
+            ("version withdraw v9", "refused"),
+            ("--team a version allow w v1", "unchanged"),
+        ):
+            with self.subTest(line):
+                self.assertEqual(self.find_error(line), code)
+
+    def test_branch_is_replaced_only_by_a_valid_one(self):
+        self.run_ctl("--team a workspace create w --allow v1")
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(json.dumps(PLATFORM | {"models": {}}))
+            file.flush()
+            for command in ("put", "validate"):
+                # The branch of team a refers to the removed version.
+                line = f"--team platform branch {command} {file.name}"
+                self.assertEqual(self.find_error(line), "branch_invalid")
+            line = f"--team b branch put {file.name}"
+            self.assertEqual(self.find_error(line), "branch_invalid")
+            file.truncate(0)
+            file.seek(0)
+            file.write('{"deleted": true}')
+            file.flush()
+            self.run_ctl(f"--team a branch validate {file.name}")
+            self.run_ctl(f"--team a branch put {file.name}")
+        self.assertEqual(self.convert().workspaces, {})
+        self.assertTrue(
+            self.run_ctl("--team a branch show")["document"]["deleted"]
+        )
+
+    def test_bad_usage_has_its_own_status(self):
+        for words in (
+            ["--store", "here", "bills"],
+            ["bills"],
+            ["--store", "http://127.0.0.1:1", "workspace", "show"],
+            ["--store", "http://127.0.0.1:1", "--team", "a", "rollout"],
+            [
+                "--store",
+                "http://h",
+                "--team",
+                "a",
+                "rollout",
+                "start",
+                "r",
+                "--model",
+                "m",
+            ],
+        ):
+            with contextlib.redirect_stderr(io.StringIO()):
+                try:
+                    status = ctl.main(words, lambda url: self.store)
+                except SystemExit as end:
+                    status = end.code
+            self.assertEqual(status, ctl.BAD_USAGE, words)
+
+    def test_status_asks_every_entry_process(self):
+        server = http.server.HTTPServer(("127.0.0.1", 0), StatusHandler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        url = f"http://127.0.0.1:{server.server_port}"
+        shown = self.run_ctl(f"status {url} http://127.0.0.1:1")
+        self.assertEqual(shown[url], {"path": "/v1/status"})
+        self.assertIn("error", shown["http://127.0.0.1:1"])
+        self.assertEqual(
+            self.find_error("status http://127.0.0.1:1"), "no_upstream"
+        )
+
+    def test_bills_are_summed_by_the_reader(self):
+        reader = mock.MagicMock()
+        reader.sum_workspaces.return_value = {}
+        module = types.SimpleNamespace(BillReader=lambda: reader)
+        self.store.write("bills/dc/1/1", "batch", 0)
+        name = "sycamorehollow.decisions.billing_reader"
+        with mock.patch.dict(sys.modules, {name: module}):
+            self.assertEqual(self.run_ctl("bills"), {})
+        reader.add.assert_called_once_with("batch")
