Add leases and orders to engines

A lease is relied on from before its request was sent, less a margin for slow clocks. An engine that ignores fencing tokens is only sent orders that end within the lease; the shell compares `send_before` with its clock just before it writes.

A pause between that check and the write to the socket is not covered: an engine that checks nothing cannot tell such an order from one in time.

--- /dev/null
+++ b/sycamorehollow/decisions/leases.py
@@ -0,0 +1,265 @@
+"""A lease on a record of the store, and how long its holder may rely on it."""
+
+import dataclasses
+import enum
+
+from sycamorehollow.decisions import parts
+from sycamorehollow.model import commands
+from sycamorehollow.model import events
+
+# Covers clocks that run at different speeds: 1 s in 10 s is far more than the
+# drift of any clock, and leaves time for a command that is under way.
+MARGIN_S = 1.0
+# Three renewals fit into a lease, so that two may be lost.
+RENEWALS = 3
+RETRY_S = 1.0
+# After this long the shell's call has ended and its answer is not awaited.
+STEP_TIMEOUT_S = 3.0
+
+
+class Step(enum.Enum):
+    """What the lease waits for."""
+
+    IDLE = "idle"
+    CREATING = "creating"
+    CLAIMING = "claiming"
+    READING = "reading"
+    HELD = "held"
+
+
+@dataclasses.dataclass(frozen=True)
+class Holding:
+    """A lease that may be relied on.
+
+    Attributes:
+        fence: Fencing token: the store revision of the record.
+        until: Monotonic time in seconds at which reliance ends.
+    """
+
+    fence: int
+    until: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseCreated(events.Event):
+    """The store created a lease."""
+
+    number: int
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordClaimed(events.Event):
+    """The store wrote the record under the lease."""
+
+    number: int
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordRead(events.Event):
+    """The record as read back; an absent one has no value."""
+
+    number: int
+    revision: int
+    value: str
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRenewed(events.Event):
+    """The store renewed the lease."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StepRefused(events.Event):
+    """The store answered no: the record exists, or the lease is gone."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StepFailed(events.Event):
+    """No answer came; the store may have acted."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseRequested(events.Event):
+    """The holder no longer needs the lease, for example at shutdown."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CreateLease(commands.Command):
+    """Asks for `POST /v1/leases`."""
+
+    number: int
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimRecord(commands.Command):
+    """Asks for `PUT /v1/kv/{key}` that creates the record if absent."""
+
+    number: int
+    key: str
+    value: str
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadRecord(commands.Command):
+    """Asks for `GET /v1/kv/{key}` to resolve a lost answer."""
+
+    number: int
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RenewLease(commands.Command):
+    """Asks for `PUT /v1/leases/{id}`."""
+
+    number: int
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseLease(commands.Command):
+    """Asks for `DELETE /v1/leases/{id}`."""
+
+    lease: str
+
+
+class Lease(parts.Part):
+    """Acquires, renews and gives up one lease.
+
+    The time is counted from the moment the command was returned, which is
+    before the request was sent and so before the store's own count began.
+    """
+
+    def __init__(self, key: str, owner: str, ttl_s: float):
+        """Sets what to hold.
+
+        Args:
+            key: Key of the record in the store.
+            owner: Address and incarnation of this process.
+            ttl_s: Time to live of the lease in seconds.
+        """
+        self._key = key
+        self._owner = owner
+        self._ttl_s = ttl_s
+        self._step = Step.IDLE
+        self._number = 0
+        self._issued = 0.0
+        self._lease = ""
+        self._value = ""
+        self._fence = 0
+        self._until = 0.0
+        self._renewing = False
+        self._due = float("-inf")
+        self._released = False
+
+    def find_holding(self, now: float) -> Holding | None:
+        """Returns the lease if it may be relied on now."""
+        if self._step is not Step.HELD or now >= self._until:
+            return None
+        return Holding(self._fence, self._until)
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Applies one event; answers to earlier commands are ignored."""
+        if isinstance(event, events.Tick):
+            return self._tick(now)
+        if isinstance(event, ReleaseRequested):
+            self._released = True
+            return self._give_up(now)
+        number = getattr(event, "number", None)
+        if number != self._number or self._step is Step.IDLE:
+            return []
+        if isinstance(event, LeaseCreated) and self._step is Step.CREATING:
+            return self._claim(event.lease, now)
+        if isinstance(event, RecordClaimed) and self._step is Step.CLAIMING:
+            return self._hold(event.revision, now)
+        if isinstance(event, RecordRead) and self._step is Step.READING:
+            if event.value == self._value:
+                return self._hold(event.revision, now)
+            return self._give_up(now)
+        if isinstance(event, LeaseRenewed) and self._renewing:
+            self._renewing = False
+            self._until = self._issued + self._ttl_s - MARGIN_S
+            return []
+        if isinstance(event, StepRefused):
+            return self._give_up(now)
+        if isinstance(event, StepFailed) and self._step is not Step.READING:
+            return self._fail(now)
+        # A failed read is repeated by a tick; a store that refuses connections
+        # would otherwise be asked in a tight loop.
+        return []
+
+    def _tick(self, now: float) -> list[commands.Command]:
+        """Starts what is due."""
+        if self._step is Step.HELD:
+            return self._renew(now)
+        if self._step is Step.IDLE:
+            if self._released or now < self._due:
+                return []
+            self._step = Step.CREATING
+            self._until = now + self._ttl_s - MARGIN_S
+            return [CreateLease(self._issue(now), self._ttl_s)]
+        if now >= self._until:
+            return self._give_up(now)
+        if now - self._issued >= STEP_TIMEOUT_S:
+            return self._fail(now)
+        return []
+
+    def _issue(self, now: float) -> int:
+        """Returns the number of the next command."""
+        self._number += 1
+        self._issued = now
+        return self._number
+
+    def _claim(self, lease: str, now: float) -> list[commands.Command]:
+        """Writes the record under the lease."""
+        self._lease = lease
+        self._step = Step.CLAIMING
+        number = self._issue(now)
+        # A value of its own tells a lost answer from another holder's write.
+        self._value = f"{self._owner}/{number}"
+        return [ClaimRecord(number, self._key, self._value, lease)]
+
+    def _hold(self, revision: int, now: float) -> list[commands.Command]:
+        """Takes the lease as held, unless its time is over already."""
+        if now >= self._until:
+            return self._give_up(now)
+        self._step = Step.HELD
+        self._fence = revision
+        self._renewing = False
+        return []
+
+    def _renew(self, now: float) -> list[commands.Command]:
+        """Renews in time, and gives up when reliance has ended."""
+        if now >= self._until:
+            return self._give_up(now)
+        if now - self._issued < self._ttl_s / RENEWALS:
+            return []
+        self._renewing = True
+        return [RenewLease(self._issue(now), self._lease)]
+
+    def _fail(self, now: float) -> list[commands.Command]:
+        """Resolves a step without an answer."""
+        if self._step is Step.HELD:
+            self._renewing = False
+            return []
+        if self._step is Step.CREATING:
+            return self._give_up(now)
+        self._step = Step.READING
+        return [ReadRecord(self._issue(now), self._key)]
+
+    def _give_up(self, now: float) -> list[commands.Command]:
+        """Ends reliance and lets the store end the lease early."""
+        lease, self._lease = self._lease, ""
+        self._step = Step.IDLE
+        self._renewing = False
+        self._due = now + RETRY_S
+        return [ReleaseLease(lease)] if lease else []
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,207 @@
+"""Tests of leases and of orders to engines."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions import leases
+from sycamorehollow.decisions import orders
+from sycamorehollow.model import events
+
+TTL_S = 10.0
+STEP_S = 0.1
+TARGETS = orders.TargetsChanged({"u": orders.Target(frozenset({"v"}))})
+
+
+class Store:
+    """Leases and one record, on true time."""
+
+    def __init__(self):
+        self.ends, self.record = {}, None
+        self.created, self.revision = 0, 0
+
+    def find_owner(self, now):
+        """Returns the owner in the record if its lease runs."""
+        if self.record and self.ends.get(self.record[1], -1.0) > now:
+            return self.record[0].split("/")[0]
+        return None
+
+    def carry_out(self, command, now):
+        if isinstance(command, leases.CreateLease):
+            self.created += 1
+            self.ends[str(self.created)] = now + command.ttl_s
+            return leases.LeaseCreated(command.number, str(self.created))
+        if isinstance(command, leases.ClaimRecord):
+            ends = self.ends.get(command.lease, -1.0)
+            if self.find_owner(now) or ends <= now:
+                return leases.StepRefused(command.number)
+            self.revision += 1
+            self.record = (command.value, command.lease)
+            return leases.RecordClaimed(command.number, self.revision)
+        if isinstance(command, leases.RenewLease):
+            if self.ends.get(command.lease, -1.0) <= now:
+                return leases.StepRefused(command.number)
+            self.ends[command.lease] = now + TTL_S
+            return leases.LeaseRenewed(command.number)
+        if isinstance(command, leases.ReadRecord):
+            value = self.record[0] if self.find_owner(now) else ""
+            return leases.RecordRead(command.number, self.revision, value)
+        self.ends.pop(command.lease, None)
+        return None
+
+
+class Holder:
+    """A process with a clock of its own and pauses anywhere."""
+
+    def __init__(self, name, rate, pauses, delays):
+        self.name, self.rate = name, rate
+        self.pauses, self.delays = pauses, delays
+        self.lease = leases.Lease("orders", name, TTL_S)
+        budget = orders.WeightBudget(100.0, 1)
+        self.orders = orders.Orders(self.lease, budget)
+        self.orders.handle(TARGETS, 0.0)
+        self.waiting = []  # (true time, event for the lease)
+        self.unsent = []
+
+    def step(self, now, store, sent):
+        if any(start <= now < start + long for start, long in self.pauses):
+            return
+        clock = now * self.rate
+        # The shell acts on a command one step after it was returned.
+        for order in self.unsent:
+            if clock < order.send_before:
+                sent.append((now + order.timeout_s, self.name, order))
+            ended = orders.OrderEnded(order.number, "u")
+            self.orders.handle(ended, clock)
+        asked = []
+        for due, event in list(self.waiting):
+            if due <= now:
+                self.waiting.remove((due, event))
+                asked += self.lease.handle(event, clock)
+        asked += self.lease.handle(events.Tick(), clock)
+        for command in asked:
+            delay = self.delays[int(now * 10) % len(self.delays)]
+            # At 4 s the answer is lost, at 5 s the request.
+            if delay > 4.0:
+                continue
+            event = store.carry_out(command, now)
+            if event is not None and delay < 4.0:
+                self.waiting.append((now + delay, event))
+        seen = orders.Observed("u", frozenset(), "", clock)
+        self.orders.handle(seen, clock)
+        self.unsent = self.orders.handle(events.Tick(), clock)
+
+
+class HoldersTest(unittest.TestCase):
+    """Guards engines that ignore fencing tokens from a holder that woke."""
+
+    @hypothesis.settings(max_examples=60)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from([0.96, 1.0, 1.04]), min_size=2, max_size=2
+        ),
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 250).map(lambda n: n * 0.2),
+                strategies.sampled_from([1.0, 8.0, 9.0, 14.0]),
+            ),
+            max_size=6,
+        ),
+        strategies.lists(
+            strategies.sampled_from([0.0, 0.3, 2.5, 4.0, 5.0]),
+            min_size=1,
+            max_size=5,
+        ),
+    )
+    def test_only_the_present_holder_changes_an_engine(
+        self, rates, pauses, delays
+    ):
+        self.drive(
+            Holder("a", rates[0], pauses[::2], delays),
+            Holder("b", rates[1], pauses[1::2], delays),
+        )
+
+    def drive(self, *holders, pause_before_write=False):
+        """Runs holders and checks each order when it reaches the engine."""
+        store, sent, reached = Store(), [], 0
+        for step in range(600):
+            now = step * STEP_S
+            for arrival, name, order in list(sent):
+                if arrival > now:
+                    continue
+                sent.remove((arrival, name, order))
+                self.assertEqual(store.find_owner(arrival), name)
+                reached += 1
+            for holder in holders:
+                if holder.unsent and pause_before_write:
+                    holder.pauses = [(now, 14.0)]
+                    pause_before_write = False
+                holder.step(now, store, sent)
+        return reached
+
+    def test_order_held_up_by_a_pause_is_dropped(self):
+        holders = [Holder(name, 1.0, [], [0.3]) for name in "ab"]
+        self.assertGreater(self.drive(*holders, pause_before_write=True), 3)
+
+    def test_margin_covers_a_slow_clock_when_renewals_are_lost(self):
+        for answered in range(40, 240, 10):
+            delays = [0.3] * answered + [5.0] * 600
+            for rate in (0.91, 0.92, 0.93, 0.94):
+                self.drive(Holder("a", rate, [], delays))
+
+
+class OrdersTest(unittest.TestCase):
+    """Guards against repeated orders and a shared rate that is exceeded."""
+
+    def test_lease_is_not_relied_on_within_the_margin(self):
+        lease = self.start()._lease
+        self.assertEqual(lease.find_holding(8.9).fence, 7)
+        self.assertIsNone(lease.find_holding(TTL_S - leases.MARGIN_S))
+
+    def start(self):
+        lease = leases.Lease("orders", "a", TTL_S)
+        lease.handle(events.Tick(), 0.0)
+        lease.handle(leases.LeaseCreated(1, "x"), 0.0)
+        lease.handle(leases.RecordClaimed(2, 7), 0.0)
+        held = orders.Orders(lease, orders.WeightBudget(100.0, 1))
+        held.handle(TARGETS, 0.0)
+        return held
+
+    def observe(self, held, versions, asked):
+        seen = orders.Observed("u", frozenset(versions), "", asked)
+        held.handle(seen, asked)
+
+    def test_nothing_is_ordered_twice_while_reports_lag(self):
+        held = self.start()
+        self.observe(held, (), 0.0)
+        held.handle(events.Tick(), 0.0)
+        (order,) = held.handle(events.Tick(), 0.1)
+        self.assertEqual((order.fence, order.version), (7, "v"))
+        self.observe(held, (), 5.5)
+        self.assertEqual(held.handle(events.Tick(), 5.5), [])
+        held.handle(orders.OrderEnded(order.number, "u"), 5.6)
+        self.observe(held, (), 5.7)
+        self.assertEqual(held.handle(events.Tick(), 5.8), [])
+
+    def test_no_order_after_an_engine_refused_the_token(self):
+        held = self.start()
+        stale = orders.OrderEnded(9, "u", stale=True)
+        self.assertEqual(held.handle(stale, 0.0), [orders.FenceStale(7)])
+        self.observe(held, (), 0.0)
+        held.handle(events.Tick(), 0.0)
+        self.assertEqual(held.handle(events.Tick(), 0.1), [])
+
+    @hypothesis.given(
+        strategies.integers(1, 7),
+        strategies.lists(strategies.floats(0.0, 2.0), max_size=50),
+    )
+    def test_budgets_of_all_holders_add_up_to_the_limit(self, count, gaps):
+        budgets = [orders.WeightBudget(2.0, count) for _ in range(count)]
+        now, loads = 0.0, 0
+        for gap in gaps:
+            now += gap
+            loads += sum(budget.take(now) for budget in budgets)
+        self.assertLessEqual(loads, 2.0 * now + 1e-6)
+        budgets[0].pause(now + 60.0)
+        self.assertFalse(budgets[0].take(now + 59.0))
