Serve plain services, tickets and outcomes to callers

Calls that must not be repeated go through the parts for keys and tickets; questions to the owner of a key travel over the peer protocol. Idempotent operations go to one replica after the other until the deadline.

--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -158,6 +158,28 @@
         """Returns the requests and bills that a shutdown waits for."""
         return self.router.active_count + self.billing.pending
 
+    def list_service_urls(self, service: str, new_work: bool) -> list[str]:
+        """Returns the base URLs of a service, own data centre first.
+
+        Args:
+            service: Name of the plain service.
+            new_work: Whether upstreams that leave are left out.
+        """
+        current = self.configuration.deployment
+        known = current.services.get(service)
+        if known is None:
+            return []
+        found = []
+        for name in known.upstreams:
+            upstream = current.upstreams.get(name)
+            if upstream is None:
+                continue
+            if new_work and self.drains.refuse(name) is not None:
+                continue
+            far = upstream.data_centre != self.process.data_centre
+            found.append((far, self._source.random(), upstream.url))
+        return [url for _, _, url in sorted(found)]
+
     def describe(self, now: float) -> dict[str, Any]:
         """Returns what is in force here and why, for operators."""
         faults = self.configuration.faults
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -10,6 +10,7 @@
 from sycamorehollow.decisions import billing_messages
 from sycamorehollow.decisions import configuration
 from sycamorehollow.decisions import drains
+from sycamorehollow.decisions import effect_messages
 from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import membership
@@ -22,12 +23,14 @@
 from sycamorehollow.settings import process
 from sycamorehollow.settings import tree
 from sycamorehollow.shells import bill_io
+from sycamorehollow.shells import calls
 from sycamorehollow.shells import chat
 from sycamorehollow.shells import config_io
 from sycamorehollow.shells import errands
 from sycamorehollow.shells import front
 from sycamorehollow.shells import loop
 from sycamorehollow.shells import metrics
+from sycamorehollow.shells import owners
 from sycamorehollow.shells import pages
 from sycamorehollow.shells import peer_requests
 from sycamorehollow.shells import peers
@@ -35,6 +38,7 @@
 from sycamorehollow.shells import ratings
 from sycamorehollow.shells import relay
 from sycamorehollow.shells import rollout_io
+from sycamorehollow.shells import services
 from sycamorehollow.shells import storeclient
 from sycamorehollow.shells import upstream_polls
 
@@ -81,6 +85,7 @@
     def start(self) -> None:
         """Starts all tasks."""
         self._bills.register(self._peers)
+        self._owners.register(self._peers)
         self._relay.start()
         self._peers.start()
         self._loop.start()
@@ -110,6 +115,7 @@
         self._loop.stop()
         self._peers.stop()
         self._errands.stop()
+        self._calls.close()
         self._store.close()
 
     def _build_node(self, settings: process.Settings) -> nodes.Node:
@@ -137,6 +143,16 @@
             self._loop.post,
             lambda: self._node.process,
         )
+        self._waiters = services.Waiters()
+        self._service_client = calls.ServiceClient(
+            lambda service, new: self._loop.ask(
+                lambda: self._node.list_service_urls(service, new)
+            )
+        )
+        self._owners = owners.PeerOwners(self._requests, self._loop.post)
+        self._calls = calls.CallShell(
+            self._store, self._service_client, self._owners, self._loop.post
+        )
         self._config = config_io.ConfigurationShell(
             self._store, self._errands, self._loop.post
         )
@@ -164,6 +180,8 @@
             configuration.StartWatch: self._config.watch,
             configuration.StopCall: self._ignore,
             drains.UpstreamLeft: self._log_left,
+            effect_messages.AnswerPeer: self._owners.answer,
+            effect_messages.Reply: self._waiters.take,
             exchange.Call: self._peers.post,
             exchange.Reply: self._peers.post,
             lifecycle.CancelAttempt: self._cancel_attempt,
@@ -178,6 +196,14 @@
             rollouts.WriteStage: self._rollouts.write,
             stops.NoteStops: self._log_stops,
         }
+        for call_type in (
+            effect_messages.ReadRecord,
+            effect_messages.WriteRecord,
+            effect_messages.Dispatch,
+            effect_messages.LookUp,
+            effect_messages.AskOwner,
+        ):
+            performers[call_type] = self._start_call
         for command_type, performer in performers.items():
             self._loop.perform_with(command_type, performer)
 
@@ -222,6 +248,9 @@
         url = f"{command.url}/v1/streams/{command.request_id}"
         self._errands.submit(lambda: self._errands.request("DELETE", url))
 
+    def _start_call(self, command: Any) -> None:
+        self._calls.carry_out(command)
+
     def _ignore(self, command: Any) -> None:
         """A call that was given up ends at its own timeout."""
 
@@ -263,11 +292,27 @@
     def _build_handlers(self) -> list[front.Handler]:
         return [
             chat.ChatHandler(self._snapshot, self._relay, self._loop.post),
+            services.CallHandler(
+                self._snapshot,
+                self._waiters,
+                self._service_client,
+                self._loop.post,
+                lambda: self._draining,
+            ),
+            services.TicketHandler(self._snapshot, self._issue_ticket),
+            services.OutcomeHandler(
+                self._snapshot, self._waiters, self._loop.post
+            ),
             pages.ModelsHandler(self._snapshot),
             pages.HealthHandler(self._check_health),
             pages.StatusHandler(lambda: self._loop.ask(self._describe_status)),
         ]
 
+    def _issue_ticket(self, workspace: str) -> str:
+        return self._loop.ask(
+            lambda: self._node.issuer.issue(workspace, time.monotonic())
+        )
+
     def _check_health(self) -> str:
         if self._draining:
             return "draining"
@@ -276,7 +321,7 @@
         return ""
 
     def _count_pending(self) -> int:
-        return self._loop.ask(self._node.count_pending)
+        return self._loop.ask(self._node.count_pending) + len(self._waiters)
 
     def _describe_status(self) -> dict[str, Any]:
         return {
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -85,6 +85,24 @@
             return event
         return event
 
+    def dispatch_idempotent(self, command: messages.Dispatch) -> events.Event:
+        """Sends an idempotent call to one upstream after the other."""
+        event: events.Event = messages.NotSent(
+            command.op, "no upstream of the service takes work"
+        )
+        in_doubt = False
+        for url in self._find_urls(command.call.service, True):
+            remaining_s = command.not_after - self._clock()
+            if remaining_s <= 0:
+                break
+            event = self._post(url, command, remaining_s)
+            if isinstance(event, messages.ServiceAnswered):
+                return event
+            in_doubt = in_doubt or isinstance(event, messages.InDoubt)
+        if in_doubt:
+            return messages.InDoubt(command.op, "no upstream answered")
+        return event
+
     def look_up(self, command: messages.LookUp) -> events.Event:
         """Asks the upstreams of a service until one knows the outcome."""
         event: events.Event = messages.NotSent(
--- a/sycamorehollow/shells/exchange.py
+++ b/sycamorehollow/shells/exchange.py
@@ -56,11 +56,20 @@
             return self._describe_too_large()
         return body
 
+    def get_query(self, name: str) -> str:
+        """Returns a query parameter, or an empty string."""
+        return self.query.get(name, [""])[0]
+
     def send_json(
         self, status: int, body: Any, headers: dict[str, str] | None = None
     ) -> None:
         """Sends a JSON response."""
-        data = json.dumps(body).encode()
+        self.send_bytes(status, json.dumps(body).encode(), headers)
+
+    def send_bytes(
+        self, status: int, data: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Sends a response whose body is JSON already."""
         fields = {
             "Content-Type": "application/json",
             "Content-Length": str(len(data)),
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -181,12 +181,14 @@
 
 def build_failure_body(failure: failures.Failure) -> dict[str, Any]:
     """Returns the JSON object that describes a failure to a caller."""
-    return {
-        "error": {
-            "code": failure.code,
-            "type": failure.code,
-            "message": failure.reason,
-            "run": failure.run.value,
-            "retry_after_s": failure.retry_after_s,
-        }
+    error = {
+        "code": failure.code,
+        "type": failure.code,
+        "message": failure.reason,
+        "run": failure.run.value,
+        "retry_after_s": failure.retry_after_s,
     }
+    ticket = getattr(failure, "ticket", "")
+    if ticket:
+        error["ticket"] = ticket
+    return {"error": error}
