End stand-ins reliably and answer faster

A signal handler that sets an event could deadlock with the wait for it, so that some stand-ins stayed behind after a kill of the launcher. A crashed engine answers nothing until it has restarted.

--- a/sycamorehollow/standins/arguments.py
+++ b/sycamorehollow/standins/arguments.py
@@ -6,12 +6,14 @@
 import os
 import signal
 import sys
-import threading
 
 import sycamorehollow
 from sycamorehollow.standins import server
 from sycamorehollow.standins import settings as standin_settings
 
+# The default of 5 ms shows up as latency when several threads are busy.
+SWITCH_INTERVAL_S = 0.0005
+
 
 def run_program(
     name: str,
@@ -41,13 +43,18 @@
         return 2
     if arguments.check:
         return 0
-    ended = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ended.set())
+    # Blocked and waited for, because a handler that sets an event can
+    # interrupt the wait for it while the event's lock is held.
+    signals = {signal.SIGTERM, signal.SIGINT}
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     stand_in = build(settings)
     stand_in.start()
     print(json.dumps({"url": stand_in.url, "pid": os.getpid()}), flush=True)
-    ended.wait(arguments.exit_after)
+    if arguments.exit_after is None:
+        signal.sigwait(signals)
+    else:
+        signal.sigtimedwait(signals, arguments.exit_after)
     stand_in.stop()
     return 0
 
--- a/sycamorehollow/standins/engine.py
+++ b/sycamorehollow/standins/engine.py
@@ -163,6 +163,8 @@
 
     def _schedule_restart(self) -> None:
         """Refuses connections for the restart time, then listens again."""
+        # Set here, so that nothing is answered between crash and restart.
+        self._stopped.set()
         threading.Thread(target=self._restart, daemon=True).start()
 
     def _restart(self) -> None:
--- a/sycamorehollow/standins/server.py
+++ b/sycamorehollow/standins/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import dataclasses
 import json
+import select
 import socket
 import struct
 import sys
@@ -17,6 +18,7 @@
 from sycamorehollow.standins import settings as standin_settings
 
 START_TIMEOUT_S = 10.0
+KEEP_MS = 100
 REBIND_PAUSE_S = 0.05
 FAULTS_PATH = "/faults"
 # Handled here for all stand-ins; further kinds belong to one stand-in.
@@ -187,10 +189,28 @@
         self.req.server.stand_in.respond(self.req)
 
 
+class _HttpConnection(cheroot_server.HTTPConnection):
+    """Connection whose worker waits a while for the next request.
+
+    A return to the accepting thread after each request costs two switches of
+    threads, which halves the rate of a busy connection.
+    """
+
+    def communicate(self) -> bool:
+        """Answers requests until the connection is idle or closed."""
+        while super().communicate():
+            waiter = select.poll()
+            waiter.register(self.socket, select.POLLIN)
+            if not waiter.poll(KEEP_MS):
+                return True
+        return False
+
+
 class _HttpServer(cheroot_server.HTTPServer):
     """HTTP server that knows its stand-in."""
 
     request_queue_size = 512
+    ConnectionClass = _HttpConnection
 
     @staticmethod
     def bind_socket(socket_, bind_addr):
