--- a/benches/bench_outcomes.py
+++ b/benches/bench_outcomes.py
@@ -11,6 +11,7 @@
 from tests import billing_world
 from tests import checks
 from tests import fakes
+from tests import worlds
 
 PROCESSES = (1, 10, 100)
 # 5,500 requests a second over 370 entry nodes.
@@ -102,7 +103,7 @@
 
 def count_call_writes(processes: int, use_tickets: bool) -> float:
     """Returns store calls per 1,000 first attempts without a fault."""
-    world = fakes.World(fakes.Schedule([]), processes)
+    world = fakes.World(worlds.Schedule([]), processes)
     world.faults = False
     for number in range(CALLS):
         node = world.nodes[number % processes]
@@ -116,12 +117,12 @@
     return 1000 * world.store.calls / CALLS
 
 
-def make_schedules() -> Iterator[fakes.Schedule]:
+def make_schedules() -> Iterator[worlds.Schedule]:
     """Yields the generated schedules, the same in every run."""
     rng = random.Random(SEED)
     for _ in range(SCHEDULES):
         numbers = [rng.randrange(10_000) for _ in range(SCHEDULE_LENGTH)]
-        yield fakes.Schedule(numbers)
+        yield worlds.Schedule(numbers)
 
 
 def run_call_schedules() -> list[results.Result]:
--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -1,7 +1,5 @@
 """Processes that bill and spool under a generated fault schedule."""
 
-from collections.abc import Callable
-import functools
 import random
 
 from sycamorehollow.decisions import billing
@@ -11,7 +9,7 @@
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
-from tests import fakes
+from tests import worlds
 
 LOST = failures.UpstreamFailed(reason="lost", run=failures.Run.UNKNOWN)
 REFUSED = failures.UpstreamFailed(reason="connection refused")
@@ -27,57 +25,54 @@
         rng = random.Random(f"{number} {incarnation}")
         self.billing = billing.Billing(self.process, rng)
         self.spool = billing_spool.Spool(self.process, rng)
+        self.parts = (self.billing, self.spool)
         self.alive = True
         self.paused = False
 
 
-class World:
-    """Carries out, loses, delays or refuses the commands of billing."""
+class World(worlds.World):
+    """Processes that bill, spool for each other and write to a store."""
 
-    def __init__(self, schedule: fakes.Schedule, processes: int = 3):
-        self.schedule = schedule
-        self.now = 100.0
-        self.store = fakes.Store()
-        self.store_up = True
-        self.faults = True
-        self.nodes = [Node(n, 1) for n in range(processes)]
-        self.pending: list[tuple[Node, commands.Command]] = []
-        self.late: list[Callable[[], None]] = []
-        self.asks: dict[str, tuple[Node, str]] = {}
+    steps = (
+        *("bill", "carry_out", "carry_out") * 2,
+        *("advance",) * 2,
+        *("land", "kill", "pause", "toggle_store", "partition"),
+    )
+    store_commands = messages.WriteBatch
+
+    def __init__(self, schedule: worlds.Schedule, processes: int = 3):
+        super().__init__(schedule, processes)
         # Per bill: the processes that were given it.
         self.holders: dict[str, set[Node]] = {}
         self.origins: dict[str, Node] = {}
         self.released: dict[str, bool] = {}
         self.fault = ""
-        self._next = 0
         for node in self.nodes:
             self.tell_peers(node)
 
-    def run(self) -> None:
-        """Follows the schedule to its end, then lets everything settle."""
-        steps = [
-            self.bill,
-            self.bill,
-            self.carry_out,
-            self.carry_out,
-            self.carry_out,
-            self.carry_out,
-            self.land,
-            self.advance,
-            self.advance,
-            self.kill,
-            self.pause,
-            self.toggle_store,
-            self.partition,
-        ]
-        while not self.schedule.ended:
-            steps[self.schedule.pick(len(steps))]()
-        self.settle()
+    def make_node(self, number: int, incarnation: int) -> Node:
+        return Node(number, incarnation)
+
+    def make_failure(self, op: str, sent: bool) -> events.Event:
+        return messages.OperationFailed(op, LOST if sent else REFUSED)
+
+    def count_unfinished(self) -> int:
+        return sum(node.billing.pending for node in self.nodes)
+
+    def after_kill(self, old: Node) -> None:
+        for node in self.nodes:
+            self.give(node, messages.OriginGone(old.process))
+            self.tell_peers(node)
+
+    def settle(self) -> None:
+        for node in self.nodes:
+            node.paused = False
+            self.tell_peers(node)
+        super().settle()
 
     def bill(self) -> None:
-        node = self.nodes[self.schedule.pick(len(self.nodes))]
-        self._next += 1
-        self.bill_at(node, f"b{self._next}")
+        node = self.pick_node()
+        self.bill_at(node, self.make_id())
 
     def bill_at(self, node: Node, token: str) -> None:
         """Bills one response of 1,000 nano-units."""
@@ -86,15 +81,7 @@
         bill = messages.Bill("w", token, "v", 1, 1, 1000)
         self.give(node, messages.BillReady(token, bill))
 
-    def give(self, node: Node, event: events.Event) -> None:
-        """Gives an event to both parts of a node."""
-        if not node.alive:
-            return
-        for part in (node.billing, node.spool):
-            for command in part.handle(event, self.now):
-                self._take(node, command)
-
-    def _take(self, node: Node, command: commands.Command) -> None:
+    def take(self, node: Node, command: commands.Command) -> None:
         if isinstance(command, messages.ReleaseAnswer):
             if command.token in self.released:
                 self.fault = f"{command.token} released twice"
@@ -126,30 +113,7 @@
                 reader.add(value)
         return reader
 
-    def carry_out(self) -> None:
-        """Carries out one command of a process that is not paused."""
-        ready = [n for n, p in enumerate(self.pending) if not p[0].paused]
-        if not ready:
-            return
-        index = ready[self.schedule.pick(len(ready)) if self.faults else 0]
-        node, command = self.pending.pop(index)
-        variant = self.schedule.pick(6) if self.faults else 0
-        if isinstance(command, messages.WriteBatch) and not self.store_up:
-            variant = 3
-        op = getattr(command, "op", "")
-        # 0 to 2: carried out. 3: refused. 4: in effect later. 5: response lost.
-        if variant == 3:
-            self.give(node, messages.OperationFailed(op, REFUSED))
-        elif variant == 4:
-            self.late.append(lambda: self._perform(node, command, False))
-            self.give(node, messages.OperationFailed(op, LOST))
-        elif variant == 5:
-            self._perform(node, command, False)
-            self.give(node, messages.OperationFailed(op, LOST))
-        else:
-            self._perform(node, command, True)
-
-    def _perform(
+    def perform(
         self, node: Node, command: commands.Command, heard: bool
     ) -> None:
         if isinstance(command, messages.WriteBatch):
@@ -175,8 +139,7 @@
         for token in self.holders:
             if any(f'"{token}"' in item for item in command.part.items):
                 self.holders[token].add(target)
-        self._next += 1
-        ask = f"ask{self._next}"
+        ask = self.make_id()
         if heard:
             self.asks[ask] = (node, command.op)
         self.give(target, messages.SpoolReceived(ask, command.part))
@@ -187,84 +150,27 @@
                 return node
         return None
 
-    def land(self) -> None:
-        """Lets one late message take effect."""
-        if self.late:
-            self.late.pop(self.schedule.pick(len(self.late)))()
-
-    def advance(self) -> None:
-        self.tick((0.02, 0.5, 2.0, 60.0)[self.schedule.pick(4)])
-
-    def tick(self, seconds: float) -> None:
-        self.now += seconds
-        for node in list(self.nodes):
-            if not node.paused:
-                self.give(node, events.Tick())
-
     def tell_peers(self, node: Node) -> None:
         peers = tuple(n.process for n in self.nodes if n is not node)
         self.give(node, messages.PeersChanged(peers))
 
-    def kill(self) -> None:
-        """Kills a process and starts a new run at its address."""
-        index = self.schedule.pick(len(self.nodes))
-        old = self.nodes[index]
-        old.alive = False
-        self.nodes[index] = Node(index, old.process.incarnation + 1)
-        for entry in list(self.pending):
-            if entry[0] is old:
-                self.pending.remove(entry)
-                if self.schedule.pick(2):
-                    self.late.append(
-                        functools.partial(self._perform, old, entry[1], False)
-                    )
-        for node in self.nodes:
-            self.give(node, messages.OriginGone(old.process))
-            self.tell_peers(node)
-
     def pause(self) -> None:
         """Pauses a process, which its peers may take for ended, or resumes."""
-        node = self.nodes[self.schedule.pick(len(self.nodes))]
+        node = self.pick_node()
         node.paused = not node.paused
         if node.paused and self.schedule.pick(2):
             for other in self.nodes:
                 if other is not node:
                     self.give(other, messages.OriginGone(node.process))
 
-    def toggle_store(self) -> None:
-        self.store_up = not self.store_up
-
     def partition(self) -> None:
         """Takes all peers from a process, or gives them back."""
-        node = self.nodes[self.schedule.pick(len(self.nodes))]
+        node = self.pick_node()
         if self.schedule.pick(2):
             self.give(node, messages.PeersChanged(()))
         else:
             self.tell_peers(node)
 
-    def settle(self) -> None:
-        """Ends all faults and lets every process finish its work."""
-        self.faults = False
-        self.store_up = True
-        for node in self.nodes:
-            node.paused = False
-            self.tell_peers(node)
-        for _ in range(30):
-            while self.late:
-                self.late.pop(0)()
-            for _ in range(500):
-                if not self.pending:
-                    break
-                self.carry_out()
-            self.tick(6.0)
-            if not self.pending and not any(
-                n.billing.pending for n in self.nodes
-            ):
-                return
-
-    def _count_unwritten(self) -> int:
-        return sum(node.billing.pending for node in self.nodes)
-
 
 def find_fault(world: World) -> str:
     """Returns the first broken invariant of a settled world, or ''."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,7 +8,7 @@
 from sycamorehollow.decisions import answers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
-from tests import fakes
+from tests import worlds
 
 NUMBERS = strategies.lists(strategies.integers(0, 10_000), max_size=80)
 TOTAL = 6
@@ -107,7 +107,7 @@
     @hypothesis.settings(max_examples=1000)
     @hypothesis.given(NUMBERS)
     def test_complete_or_typed_failure(self, numbers):
-        world = World(fakes.Schedule(numbers))
+        world = World(worlds.Schedule(numbers))
         world.run()
         for request_id, chunks in world.delivered.items():
             attempt = f"{request_id}{world.attempts[request_id]}"
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -12,7 +12,7 @@
 from sycamorehollow.decisions import billing_spool
 from sycamorehollow.model import deployment
 from tests import billing_world
-from tests import fakes
+from tests import worlds
 
 NUMBERS = strategies.lists(strategies.integers(0, 10_000), max_size=150)
 
@@ -23,7 +23,7 @@
     @hypothesis.settings(max_examples=800)
     @hypothesis.given(NUMBERS)
     def test_generated_schedules(self, numbers):
-        world = billing_world.World(fakes.Schedule(numbers))
+        world = billing_world.World(worlds.Schedule(numbers))
         world.run()
         self.assertEqual(billing_world.find_fault(world), "")
 
@@ -31,7 +31,7 @@
         rng = random.Random(11)
         for _ in range(300):
             numbers = [rng.randrange(10_000) for _ in range(400)]
-            world = billing_world.World(fakes.Schedule(numbers))
+            world = billing_world.World(worlds.Schedule(numbers))
             world.run()
             self.assertEqual(billing_world.find_fault(world), "", numbers)
 
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -11,6 +11,7 @@
 from sycamorehollow.model import failures
 from tests import checks
 from tests import fakes
+from tests import worlds
 
 NUMBERS = strategies.lists(strategies.integers(0, 10_000), max_size=150)
 
@@ -21,7 +22,7 @@
     @hypothesis.settings(max_examples=1500)
     @hypothesis.given(NUMBERS)
     def test_generated_schedules(self, numbers):
-        world = fakes.World(fakes.Schedule(numbers))
+        world = fakes.World(worlds.Schedule(numbers))
         world.run()
         self.assertEqual(checks.find_fault(world), "")
 
@@ -29,7 +30,7 @@
         rng = random.Random(7)
         for _ in range(500):
             numbers = [rng.randrange(10_000) for _ in range(300)]
-            world = fakes.World(fakes.Schedule(numbers))
+            world = fakes.World(worlds.Schedule(numbers))
             world.run()
             self.assertEqual(checks.find_fault(world), "", numbers)
 
@@ -38,7 +39,7 @@
     """Guards against wrong answers in the cases that schedules reach rarely."""
 
     def setUp(self):
-        self.world = fakes.World(fakes.Schedule([]))
+        self.world = fakes.World(worlds.Schedule([]))
         self.world.faults = False
         self.intent = self.world.intents[0]
 
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -6,35 +6,25 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions import fence
-from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
+from tests import deployments
 
 NAMES = strategies.sampled_from(["a", "b", "c"])
+WORKSPACES = strategies.sampled_from(["w", "other"])
 SETS = strategies.frozensets(NAMES)
 
 
 class FenceTest(unittest.TestCase):
     """Guards against work on versions that are not allowed or withdrawn."""
 
-    @hypothesis.given(SETS, SETS, SETS, SETS, NAMES, NAMES)
+    @hypothesis.given(SETS, SETS, SETS, SETS, NAMES, WORKSPACES)
     def test_starts_only_what_every_rule_allows(
-        self, known, serving, allowed, stopped, workspace, version
+        self, known, serving, allowed, stopped, version, workspace
     ):
-        versions = {}
-        for name in known:
-            state = deployment.ServingState.WITHDRAWN
-            if name in serving:
-                state = deployment.ServingState.SERVING
-            versions[name] = deployment.Version(name, "m", 1, 1, state)
-        in_force = deployment.Deployment(
-            versions=versions,
-            workspaces={
-                "a": deployment.Workspace("a", "t", (), allowed, frozenset())
-            },
-        )
+        in_force = deployments.make_deployment(known, serving, allowed)
         failure = fence.check_start(in_force, stopped, workspace, version)
         may_start = (
-            workspace == "a"
+            workspace == "w"
             and version in known & serving & allowed
             and version not in stopped
         )
@@ -47,14 +37,6 @@
         self.assertIsInstance(failure, failures.NoConfiguration)
 
     def test_withdrawn_and_stopped_have_the_same_type(self):
-        version = deployment.Version("a", "m", 1, 1)
-        in_force = deployment.Deployment(
-            versions={"a": version},
-            workspaces={
-                "w": deployment.Workspace(
-                    "w", "t", (), frozenset("a"), frozenset()
-                )
-            },
-        )
+        in_force = deployments.make_deployment({"a"}, {"a"}, {"a"})
         failure = fence.check_start(in_force, {"a"}, "w", "a")
         self.assertIsInstance(failure, failures.VersionWithdrawn)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,8 +7,8 @@
 
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import sessions
-from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
+from tests import deployments
 
 OLD = keyrings.KeyRing("1", {"1": b"old"})
 NEW = keyrings.KeyRing("2", {"1": b"old", "2": b"new"})
@@ -70,21 +70,9 @@
 
     @hypothesis.given(strategies.booleans(), strategies.booleans())
     def test_pinned_version_or_refusal(self, withdrawn, stopped):
-        state = deployment.ServingState.SERVING
-        if withdrawn:
-            state = deployment.ServingState.WITHDRAWN
-        versions = {
-            "v1": deployment.Version("v1", "m", 1, 1, state),
-            "v2": deployment.Version("v2", "m", 1, 1),
-        }
-        in_force = deployment.Deployment(
-            versions=versions,
-            workspaces={
-                "w": deployment.Workspace(
-                    "w", "t", (), frozenset(versions), frozenset()
-                )
-            },
-        )
+        known = {"v1", "v2"}
+        serving = known - {"v1"} if withdrawn else known
+        in_force = deployments.make_deployment(known, serving, known)
         found = sessions.find_pinned_version(
             sessions.Session("w", "m", "v1", 0),
             in_force,
