--- a/sycamorehollow/decisions/effect_entries.py
+++ b/sycamorehollow/decisions/effect_entries.py
@@ -40,6 +40,7 @@
     Attributes:
         call: The call to run; `None` for a question about the outcome.
         nonce: Drawn for the claim of this entry.
+        made_s: Wall-clock time of the first caller in whole seconds.
         waiters: Deadline of each caller that waits, by request id.
         askers: Deadline of each peer that waits, by ask id.
         op: Id of the operation that the entry waits for, or empty.
@@ -56,6 +57,7 @@
     key: str
     nonce: str
     call: requests.ServiceCall | None
+    made_s: int = 0
     waiters: dict[str, float] = dataclasses.field(default_factory=dict)
     askers: dict[str, float] = dataclasses.field(default_factory=dict)
     phase: Phase = Phase.CLAIMING
--- a/sycamorehollow/decisions/effect_records.py
+++ b/sycamorehollow/decisions/effect_records.py
@@ -1,6 +1,7 @@
 """Records of non-idempotent calls, as they stand in the store."""
 
 import base64
+from collections.abc import Iterable
 import dataclasses
 import enum
 import hashlib
@@ -10,8 +11,9 @@
 from sycamorehollow.decisions import effect_messages
 from sycamorehollow.model import requests
 
-# Records are kept for a day; a sweep deletes older ones.
-RECORD_LIFE_S = 24 * 3600.0
+RECORD_LIFE_S = 24 * 3600
+# Clocks of VMs may disagree by this much without a record ending early.
+CLOCK_MARGIN_S = 3600
 
 
 class State(enum.Enum):
@@ -35,6 +37,7 @@
         service: Service of the call.
         operation: Operation of the call.
         digest: Hash of the content of the call.
+        made_s: Wall-clock time of the process in whole seconds.
         outcome: Response of the service in state `DONE`.
     """
 
@@ -45,6 +48,7 @@
     service: str
     operation: str
     digest: str
+    made_s: int
     outcome: effect_messages.Outcome | None = None
 
 
@@ -83,6 +87,7 @@
         "service": record.service,
         "operation": record.operation,
         "digest": record.digest,
+        "made_s": record.made_s,
     }
     if record.outcome is not None:
         body = base64.b64encode(record.outcome.body).decode("ascii")
@@ -111,7 +116,33 @@
             service=document["service"],
             operation=document["operation"],
             digest=document["digest"],
+            made_s=int(document["made_s"]),
             outcome=outcome,
         )
     except (ValueError, KeyError, TypeError):
         return None
+
+
+def find_expired(
+    items: Iterable[tuple[str, str, int]], wall_s: float
+) -> list[tuple[str, int]]:
+    """Returns which records may be deleted.
+
+    A process that is still paused before the dispatch of an expired claim
+    cannot run it: its dispatch has a deadline.
+
+    Args:
+        items: Key, value and revision of records and outcomes of tickets.
+        wall_s: Wall-clock time in seconds.
+
+    Returns:
+        Key and revision of each record to delete at exactly that revision.
+    """
+    expired = []
+    for key, value, revision in items:
+        record = decode_record(value)
+        if record is None:
+            continue
+        if record.made_s + RECORD_LIFE_S + CLOCK_MARGIN_S < wall_s:
+            expired.append((key, revision))
+    return expired
--- a/sycamorehollow/decisions/effect_runs.py
+++ b/sycamorehollow/decisions/effect_runs.py
@@ -26,6 +26,7 @@
         process: messages.Process,
         issuer: tickets.TicketIssuer,
         rng: random.Random,
+        wall_offset_s: float,
     ):
         """Creates the part without calls.
 
@@ -33,7 +34,9 @@
             process: Identity of this run of the process.
             issuer: Source of the tickets in refusals.
             rng: Source of nonces and jitter.
+            wall_offset_s: Wall-clock time minus monotonic time, in seconds.
         """
+        self._wall_offset_s = wall_offset_s
         self._process = process
         self._issuer = issuer
         self._rng = rng
@@ -251,6 +254,7 @@
             service=entry.call.service,
             operation=entry.call.operation,
             digest=records.compute_digest(entry.call),
+            made_s=entry.made_s,
         )
 
     def _is_own(
--- a/sycamorehollow/decisions/effects.py
+++ b/sycamorehollow/decisions/effects.py
@@ -68,6 +68,7 @@
             )
             return [messages.Reply(call.request_id, failure)]
         entry = self._open(call.workspace, call.key, call)
+        entry.made_s = int(now + self._wall_offset_s)
         entry.waiters[call.request_id] = call.deadline
         return [self._claim(entry, 0)]
 
--- a/sycamorehollow/decisions/ticket_calls.py
+++ b/sycamorehollow/decisions/ticket_calls.py
@@ -27,6 +27,7 @@
     """A ticket that this process has dispatched.
 
     Attributes:
+        made_s: Wall-clock time of the dispatch in whole seconds.
         expiry: Time from which the ticket cannot be run for the first time.
         result: What the last attempt to learn the outcome gave.
         stored: Whether the store has the result.
@@ -38,6 +39,7 @@
     service: str
     operation: str
     digest: str
+    made_s: int
     expiry: float
     waiters: dict[str, float] = dataclasses.field(default_factory=dict)
     askers: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -58,6 +60,7 @@
         process: messages.Process,
         ring: keyrings.KeyRing,
         rng: random.Random,
+        wall_offset_s: float,
     ):
         """Creates the part without calls.
 
@@ -65,7 +68,9 @@
             process: Identity of this run of the process.
             ring: Keys that verify tickets.
             rng: Source of jitter.
+            wall_offset_s: Wall-clock time minus monotonic time, in seconds.
         """
+        self._wall_offset_s = wall_offset_s
         self._process = process
         self._ring = ring
         self._rng = rng
@@ -138,7 +143,8 @@
                 reason="too many tickets are held", retry_after_s=STORE_RETRY_S
             )
             return [ticket_asks.answer(asked, overloaded)]
-        return [self._dispatch(asked, asked.call, expiry)]
+        made_s = int(now + self._wall_offset_s)
+        return [self._dispatch(asked, asked.call, made_s, expiry)]
 
     def _join(
         self, held: _Held, asked: ticket_asks.Asked
@@ -156,6 +162,7 @@
         self,
         asked: ticket_asks.Asked,
         call: requests.ServiceCall,
+        made_s: int,
         expiry: float,
     ) -> commands.Command:
         held = _Held(
@@ -164,6 +171,7 @@
             call.service,
             call.operation,
             records.compute_digest(call),
+            made_s,
             expiry,
         )
         self._held[(asked.workspace, asked.key)] = held
@@ -232,6 +240,7 @@
                 held.service,
                 held.operation,
                 held.digest,
+                held.made_s,
                 outcome,
             )
         )
--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -6,6 +6,7 @@
 from sycamorehollow.decisions import billing_messages as messages
 from sycamorehollow.decisions import billing_reader
 from sycamorehollow.decisions import billing_spool
+from sycamorehollow.decisions import billing_wire
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
@@ -128,7 +129,11 @@
         target = self._find(command.peer)
         if isinstance(command, messages.TellAdvance):
             if target is not None:
-                advance = messages.OriginAdvanced(node.process, command.oldest)
+                payload = billing_wire.encode_advance(
+                    node.process, command.oldest
+                )
+                advance = billing_wire.decode_advance(payload)
+                assert advance is not None
                 self.give(target, advance)
             return
         if target is None:
@@ -142,7 +147,9 @@
         ask = self.make_id()
         if heard:
             self.asks[ask] = (node, command.op)
-        self.give(target, messages.SpoolReceived(ask, command.part))
+        part = billing_wire.decode_part(billing_wire.encode_part(command.part))
+        assert part is not None
+        self.give(target, messages.SpoolReceived(ask, part))
 
     def _find(self, process: messages.Process) -> Node | None:
         for node in self.nodes:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 import random
 
 from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions import effect_wire
 from sycamorehollow.decisions import effects
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import ticket_calls
@@ -42,8 +43,8 @@
         self.process = messages.Process(address, "dc", incarnation)
         rng = random.Random(f"{address} {incarnation}")
         self.issuer = tickets.TicketIssuer(self.process, RING)
-        self.keys = effects.KeyCalls(self.process, self.issuer, rng)
-        self.tickets = ticket_calls.TicketCalls(self.process, RING, rng)
+        self.keys = effects.KeyCalls(self.process, self.issuer, rng, 0.0)
+        self.tickets = ticket_calls.TicketCalls(self.process, RING, rng, 0.0)
         self.parts = (self.keys, self.tickets)
         self.paused = False
         self.alive = True
@@ -155,7 +156,10 @@
         elif isinstance(command, messages.AnswerPeer):
             asker, op = self.asks.pop(command.ask, (None, ""))
             if asker is not None:
-                self.give(asker, messages.OwnerAnswered(op, command.result))
+                payload = effect_wire.encode_result(command.result)
+                result = effect_wire.decode_result(payload)
+                assert result == command.result
+                self.give(asker, messages.OwnerAnswered(op, result))
         elif not isinstance(command, messages.SpoolOutcome):
             self.pending.append((node, command))
 
@@ -207,8 +211,7 @@
             ask = self.make_id()
             if heard:
                 self.asks[ask] = (node, command.op)
-            what = (command.incarnation, command.workspace, command.key)
-            asked = messages.PeerAsked(
-                ask, *what, command.call, command.deadline
-            )
+            payload = effect_wire.encode_ask(command, self.now)
+            asked = effect_wire.decode_ask(payload, ask, self.now)
+            assert asked is not None
             self.give(target, asked)
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions import effect_records as records
+from sycamorehollow.decisions import effect_wire
 from sycamorehollow.decisions import tickets
 from sycamorehollow.model import failures
 from tests import checks
@@ -74,6 +76,21 @@
         self.assertIsInstance(world.answers[second], messages.Outcome)
         self.assertFalse(world.store_up)
 
+    def test_records_end_after_a_day_and_not_earlier(self):
+        self.world.now = 1000.0
+        self.run_once()
+        items = [(k, *v) for k, v in self.world.store.values.items()]
+        day_s = records.RECORD_LIFE_S
+        self.assertEqual(records.find_expired(items, 1000.0 + day_s), [])
+        late_s = 1001.0 + day_s + records.CLOCK_MARGIN_S
+        expired = records.find_expired(items, late_s)
+        self.assertEqual(expired, [("effects/w/k", 2)])
+
+    @hypothesis.given(strategies.binary())
+    def test_damaged_peer_messages_are_no_results(self, payload):
+        self.assertIsNone(effect_wire.decode_result(payload))
+        self.assertIsNone(effect_wire.decode_ask(payload, "a", 0.0))
+
     def test_ticket_of_another_workspace_or_forged(self):
         token = self.world.nodes[0].issuer.issue("w", 0.0)
         self.assertIsInstance(
