--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -7,10 +7,13 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions import effect_records as records
+from sycamorehollow.decisions import effect_wire
 from sycamorehollow.decisions import tickets
 from sycamorehollow.model import failures
 from tests import checks
 from tests import fakes
+from tests import worlds
 
 NUMBERS = strategies.lists(strategies.integers(0, 10_000), max_size=150)
 
@@ -21,7 +24,7 @@
     @hypothesis.settings(max_examples=1500)
     @hypothesis.given(NUMBERS)
     def test_generated_schedules(self, numbers):
-        world = fakes.World(fakes.Schedule(numbers))
+        world = fakes.World(worlds.Schedule(numbers))
         world.run()
         self.assertEqual(checks.find_fault(world), "")
 
@@ -29,7 +32,7 @@
         rng = random.Random(7)
         for _ in range(500):
             numbers = [rng.randrange(10_000) for _ in range(300)]
-            world = fakes.World(fakes.Schedule(numbers))
+            world = fakes.World(worlds.Schedule(numbers))
             world.run()
             self.assertEqual(checks.find_fault(world), "", numbers)
 
@@ -38,7 +41,7 @@
     """Guards against wrong answers in the cases that schedules reach rarely."""
 
     def setUp(self):
-        self.world = fakes.World(fakes.Schedule([]))
+        self.world = fakes.World(worlds.Schedule([]))
         self.world.faults = False
         self.intent = self.world.intents[0]
 
@@ -73,14 +76,24 @@
         self.assertIsInstance(world.answers[second], messages.Outcome)
         self.assertFalse(world.store_up)
 
+    def test_records_end_after_a_day_and_not_earlier(self):
+        self.world.now = 1000.0
+        self.run_once()
+        items = [(k, *v) for k, v in self.world.store.values.items()]
+        day_s = records.RECORD_LIFE_S
+        self.assertEqual(records.find_expired(items, 1000.0 + day_s), [])
+        late_s = 1001.0 + day_s + records.CLOCK_MARGIN_S
+        expired = records.find_expired(items, late_s)
+        self.assertEqual(expired, [("effects/w/k", 2)])
+
+    @hypothesis.given(strategies.binary())
+    def test_damaged_peer_messages_are_no_results(self, payload):
+        self.assertIsNone(effect_wire.decode_result(payload))
+        self.assertIsNone(effect_wire.decode_ask(payload, "a", 0.0))
+
     def test_ticket_of_another_workspace_or_forged(self):
         token = self.world.nodes[0].issuer.issue("w", 0.0)
-        self.assertIsInstance(
-            tickets.parse_ticket(token, "v", fakes.RING),
-            messages.InvalidTicket,
-        )
         forged = token[:-2] + ("AA" if token[-2:] != "AA" else "BB")
-        self.assertIsInstance(
-            tickets.parse_ticket(forged, "w", fakes.RING),
-            messages.InvalidTicket,
-        )
+        for text, workspace in ((token, "v"), (forged, "w")):
+            found = tickets.parse_ticket(text, workspace, fakes.RING)
+            self.assertIsInstance(found, messages.InvalidTicket)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,8 +7,8 @@
 
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import sessions
-from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
+from tests import deployments
 
 OLD = keyrings.KeyRing("1", {"1": b"old"})
 NEW = keyrings.KeyRing("2", {"1": b"old", "2": b"new"})
@@ -19,6 +19,10 @@
 )
 
 
+def verify(token, session, ring=OLD):
+    return sessions.verify_token(token, session.workspace, session.model, ring)
+
+
 class TokenTest(unittest.TestCase):
     """Guards against forged tokens and tokens of other workspaces."""
 
@@ -26,22 +30,14 @@
     def test_every_node_with_the_key_verifies(self, session):
         token = sessions.issue_token(session, OLD)
         for ring in (OLD, NEW):
-            found = sessions.verify_token(
-                token, session.workspace, session.model, ring
-            )
-            self.assertEqual(found, session)
-        self.assertIsInstance(
-            sessions.verify_token(
-                token, session.workspace, session.model, WITHOUT_OLD
-            ),
-            sessions.InvalidSession,
-        )
+            self.assertEqual(verify(token, session, ring), session)
+        found = verify(token, session, WITHOUT_OLD)
+        self.assertIsInstance(found, sessions.InvalidSession)
 
     @hypothesis.given(SESSIONS, NAMES, NAMES)
     def test_other_workspace_or_model(self, session, workspace, model):
-        hypothesis.assume(
-            (workspace, model) != (session.workspace, session.model)
-        )
+        own = (session.workspace, session.model)
+        hypothesis.assume((workspace, model) != own)
         token = sessions.issue_token(session, OLD)
         found = sessions.verify_token(token, workspace, model, OLD)
         self.assertIsInstance(found, sessions.InvalidSession)
@@ -54,9 +50,7 @@
         letter = data.draw(strategies.characters())
         hypothesis.assume(letter != token[index])
         forged = token[:index] + letter + token[index + 1 :]
-        found = sessions.verify_token(
-            forged, session.workspace, session.model, OLD
-        )
+        found = verify(forged, session)
         self.assertIsInstance(found, sessions.InvalidSession)
 
     @hypothesis.given(strategies.text())
@@ -70,21 +64,9 @@
 
     @hypothesis.given(strategies.booleans(), strategies.booleans())
     def test_pinned_version_or_refusal(self, withdrawn, stopped):
-        state = deployment.ServingState.SERVING
-        if withdrawn:
-            state = deployment.ServingState.WITHDRAWN
-        versions = {
-            "v1": deployment.Version("v1", "m", 1, 1, state),
-            "v2": deployment.Version("v2", "m", 1, 1),
-        }
-        in_force = deployment.Deployment(
-            versions=versions,
-            workspaces={
-                "w": deployment.Workspace(
-                    "w", "t", (), frozenset(versions), frozenset()
-                )
-            },
-        )
+        known = {"v1", "v2"}
+        serving = known - {"v1"} if withdrawn else known
+        in_force = deployments.make_deployment(known, serving, known)
         found = sessions.find_pinned_version(
             sessions.Session("w", "m", "v1", 0),
             in_force,
