Find upstream deaths from reports and failed connects

The quarantine now takes the events that the shell has anyway, in whichever order they arrive, and a lost connection is told apart from an error response, which shows no crash. The usual lag of load reports is an argument, because a lag above the fixed limits would make every report count as stale.

--- a/sycamorehollow/decisions/capacity.py
+++ b/sycamorehollow/decisions/capacity.py
@@ -132,7 +132,7 @@
         if not demand.short:
             usable -= int(usable * SHORT_RESERVE)
         free = usable - row.estimate_tokens()
-        if row.report is None or is_stale(row.report, now):
+        if row.report is None or self._table.is_stale(row.report, now):
             return min(free, usable // self._members - row.own_tokens)
         for report in row.recent:
             share = (usable - report.held_tokens) // self._members
@@ -156,18 +156,13 @@
             return True
         if not self._refusing or row.report is None:
             return False
-        if is_stale(row.report, now):
+        if self._table.is_stale(row.report, now):
             return False
         usable = int(row.capacity_tokens * (1 - SHORT_RESERVE))
         room = usable - row.estimate_tokens()
         return UNSEEN_FACTOR * demand.tokens <= room
 
 
-def is_stale(report: upstreams.LoadReported, now: float) -> bool:
-    """Tells whether a report is too old to show what is free."""
-    return now - report.measured_at > upstreams.REPORT_TTL_S
-
-
 def count_started(row: upstreams.Row, since: float) -> int:
     """Returns own tokens started after a time and still outstanding."""
     started = 0
--- a/sycamorehollow/decisions/quarantine.py
+++ b/sycamorehollow/decisions/quarantine.py
@@ -25,10 +25,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamDied(events.Event):
-    """A run of an upstream has ended.
+    """A run of an upstream is known to have ended.
 
-    Sent when a connection was lost and the upstream refuses connections or
-    reports another generation.
+    Not needed where load reports and failed connects are passed on: these
+    show a death after a connection was lost.
 
     Attributes:
         generation: The run that ended.
@@ -97,12 +97,14 @@
     """A running attempt, or one whose connection was lost a moment ago.
 
     Attributes:
+        generation: Last known run of the upstream at the start.
         isolated: Whether no other work may start beside it.
         lost_at: When the connection was lost; infinite while it runs.
     """
 
     fingerprint: str
     upstream: str
+    generation: int
     isolated: bool
     lost_at: float = float("inf")
 
@@ -119,6 +121,7 @@
         self._isolated: collections.Counter[str] = collections.Counter()
         self._lost: dict[str, Attempt] = {}
         self._lost_at: dict[str, float] = {}
+        self._generations: dict[str, int] = {}
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event."""
@@ -129,6 +132,11 @@
                 return self._end(event, now)
             case UpstreamDied():
                 return self._record_deaths(event, now)
+            case upstreams.LoadReported():
+                return self._report(event, now)
+            case upstreams.ConnectFailed():
+                generation = self._generations.get(event.upstream, 0)
+                return self._record_lost(event.upstream, generation, now)
             case events.Tick():
                 self._expire(now)
         return []
@@ -180,7 +188,10 @@
         if event.attempt in self._running:
             return
         isolated = self._is_suspect(event.fingerprint, now)
-        attempt = Attempt(event.fingerprint, event.upstream, isolated)
+        generation = self._generations.get(event.upstream, 0)
+        attempt = Attempt(
+            event.fingerprint, event.upstream, generation, isolated
+        )
         self._running[event.attempt] = attempt
         self._at_upstream[event.upstream] += 1
         self._isolated[event.upstream] += isolated
@@ -198,10 +209,15 @@
         attempt = self._stop(event.attempt)
         if attempt is None:
             return []
-        if event.end is upstreams.End.FAILED:
+        if event.end is upstreams.End.LOST:
             lost = dataclasses.replace(attempt, lost_at=now)
             self._lost[event.attempt] = lost
             self._lost_at[attempt.fingerprint] = now
+            if attempt.generation < self._generations.get(event.upstream, 0):
+                # The report of the next run arrived before the loss.
+                return self._record_lost(
+                    event.upstream, attempt.generation, now
+                )
             return []
         if event.end is not upstreams.End.COMPLETED:
             return []
@@ -220,25 +236,40 @@
         record.vouched_at = now
         return [SpreadQuarantine()]
 
+    def _report(
+        self, event: upstreams.LoadReported, now: float
+    ) -> list[commands.Command]:
+        known = self._generations.setdefault(event.upstream, event.generation)
+        if event.generation <= known:
+            return []
+        self._generations[event.upstream] = event.generation
+        return self._record_lost(event.upstream, known, now)
+
     def _record_deaths(
         self, event: UpstreamDied, now: float
     ) -> list[commands.Command]:
-        pair = (event.upstream, event.generation)
-        beside = []
         for name, attempt in list(self._running.items()):
             if attempt.upstream == event.upstream:
                 # Its end is reported later or never; it counts once.
                 self._stop(name)
-                beside.append((attempt.fingerprint, now))
+                self._lost[name] = dataclasses.replace(attempt, lost_at=now)
+        return self._record_lost(event.upstream, event.generation, now)
+
+    def _record_lost(
+        self, upstream: str, generation: int, now: float
+    ) -> list[commands.Command]:
+        """Records a death for each attempt that was lost there just now."""
+        recorded = False
         for name, lost in list(self._lost.items()):
-            if lost.upstream == event.upstream:
-                del self._lost[name]
-                if now - lost.lost_at < DEATH_WINDOW_S:
-                    beside.append((lost.fingerprint, lost.lost_at))
-        for fingerprint, time in beside:
-            record = self._records.setdefault(fingerprint, Record())
-            record.deaths.setdefault(pair, time)
-        return [SpreadQuarantine()] if beside else []
+            if lost.upstream != upstream:
+                continue
+            del self._lost[name]
+            if now - lost.lost_at >= DEATH_WINDOW_S:
+                continue
+            record = self._records.setdefault(lost.fingerprint, Record())
+            record.deaths.setdefault((upstream, generation), lost.lost_at)
+            recorded = True
+        return [SpreadQuarantine()] if recorded else []
 
     def _expire(self, now: float) -> None:
         for name, lost in list(self._lost.items()):
--- a/sycamorehollow/decisions/upstreams.py
+++ b/sycamorehollow/decisions/upstreams.py
@@ -12,7 +12,7 @@
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
-# A report older than this no longer shows what is free.
+# A report older than this, beyond its usual lag, no longer shows what is free.
 REPORT_TTL_S = 2.5
 # The time to live plus a poll interval of 1 s and its jitter: every process is
 # then bound by a report as old as the oldest one that another may still use.
@@ -22,10 +22,19 @@
 
 
 class End(enum.Enum):
-    """How an attempt ended."""
+    """How an attempt ended.
+
+    Attributes:
+        COMPLETED: The response is complete.
+        REFUSED: The upstream stated that it did not run the request.
+        LOST: The connection was lost or has gone silent.
+        FAILED: The upstream answered with another error.
+        CANCELLED: The router or the caller ended it.
+    """
 
     COMPLETED = "completed"
     REFUSED = "refused"
+    LOST = "lost"
     FAILED = "failed"
     CANCELLED = "cancelled"
 
@@ -177,7 +186,7 @@
         self.changes.append((now, tokens))
         self.own_growth += tokens
 
-    def apply_report(self, report: LoadReported) -> None:
+    def apply_report(self, report: LoadReported, window_s: float) -> None:
         """Makes a newer report the base of the estimate."""
         if self.report is not None:
             if report.generation < self.report.generation:
@@ -188,7 +197,7 @@
                 self.recent.clear()
         self.report = report
         self.recent.append(report)
-        while self.recent[0].measured_at < report.measured_at - REPORT_WINDOW_S:
+        while self.recent[0].measured_at < report.measured_at - window_s:
             self.recent.popleft()
         while self.changes and self.changes[0][0] <= report.measured_at:
             self.own_growth -= self.changes.popleft()[1]
@@ -201,17 +210,21 @@
         process: Identity of this process including its incarnation, so that
             a restart counts as another process.
         data_centre: Data centre of this process.
+        report_lag_s: Longest usual lag of the load reports in seconds.
     """
 
     kind = "upstreams"
 
-    def __init__(self, process: str, data_centre: str):
+    def __init__(
+        self, process: str, data_centre: str, report_lag_s: float = 0.0
+    ):
         self._process = process
         self._data_centre = data_centre
         self._rows: dict[str, Row] = {}
         self._by_version: dict[str, tuple[str, ...]] = {}
         self._shares = shares.PeerShares()
         self._sequence = 0
+        self._report_lag_s = report_lag_s
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; returns no commands."""
@@ -231,6 +244,11 @@
                     self._sum_peers(name)
         return []
 
+    def is_stale(self, report: LoadReported, now: float) -> bool:
+        """Tells whether a report is too old to show what is free."""
+        limit_s = REPORT_TTL_S + self._report_lag_s
+        return now - report.measured_at > limit_s
+
     def find_row(self, name: str) -> Row | None:
         """Returns the record of an upstream, for reading only."""
         return self._rows.get(name)
@@ -295,7 +313,7 @@
         row = self._rows.get(event.upstream)
         if row is None:
             return
-        row.apply_report(event)
+        row.apply_report(event, REPORT_WINDOW_S + self._report_lag_s)
         row.down_until = 0.0
         row.backoff_s = CONNECT_BACKOFF_S
         self._sum_peers(event.upstream)
