--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from benches import loopback
 from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions import members
 from sycamorehollow.decisions import membership
@@ -79,41 +80,6 @@
                 self.task.post(command)
 
 
-class Forwarder:
-    """Carries connections to a port; open ones can be made silent."""
-
-    def __init__(self, port):
-        self.port = port
-        self.silent = set()
-        self.open = set()
-        self.server = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                near, _ = self.server.accept()
-            except OSError:
-                return
-            far = socket.create_connection(("127.0.0.1", self.port))
-            self.open.add(near)
-            for pair in ((near, far), (far, near)):
-                threading.Thread(
-                    target=self._pump, args=(*pair, near), daemon=True
-                ).start()
-
-    def _pump(self, source, target, near):
-        try:
-            while data := source.recv(65536):
-                if near not in self.silent:
-                    target.sendall(data)
-        except OSError:
-            pass
-        source.close()
-        target.close()
-
-
 class PeerTaskTest(unittest.TestCase):
     """Guards against a peer that blocks or misses the others."""
 
@@ -159,8 +125,8 @@
     def test_silent_connection_is_replaced_after_one_failure(self):
         first = self.start()
         port = int(first.address.rsplit(":", 1)[1])
-        forwarder = Forwarder(port)
-        self.addCleanup(forwarder.server.close)
+        forwarder = loopback.Forwarder(port)
+        self.addCleanup(forwarder.close)
         found = queue.SimpleQueue()
         task = peers.PeerTask("127.0.0.1:0", found.put)
         task.start()
@@ -170,7 +136,7 @@
         results = []
         for number in range(3):
             if number == 1:
-                forwarder.silent |= forwarder.open
+                forwarder.silence()
             request = peers.Request(number, forwarder.address, me, item, 0.5)
             task.post(request)
             results.append(type(found.get(timeout=WAIT_S)))
