--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -292,7 +292,6 @@
     def _list_parts(self) -> list[_Paced]:
         fast = [self.router, self.billing, self.key_calls, self.ticket_calls]
         slow = [
-            self.placement,
             *self.placement.list_parts(),
             self.configuration,
             self.drains,
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -17,10 +17,11 @@
 from sycamorehollow.model import lifecycle
 
 RETRY_AFTER_CONFIGURATION_S = 1.0
-# The upstream's own refusals tell these apart; anything else is a failure.
+# Every other end is a lost connection, which may be a crash.
 ENDS = {
     lifecycle.AttemptEnd.REFUSED: upstreams.End.REFUSED,
-    lifecycle.AttemptEnd.REJECTED: upstreams.End.REFUSED,
+    lifecycle.AttemptEnd.REJECTED: upstreams.End.FAILED,
+    lifecycle.AttemptEnd.NOT_SENT: upstreams.End.FAILED,
 }
 
 
@@ -308,7 +309,7 @@
         self, event: lifecycle.AttemptFailed, now: float
     ) -> None:
         end = placements.End(
-            ENDS.get(event.end, upstreams.End.FAILED),
+            ENDS.get(event.end, upstreams.End.LOST),
             event.code,
             event.end is lifecycle.AttemptEnd.NOT_SENT,
         )
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/upstream_placement.py
@@ -32,7 +32,7 @@
     first_chunk_s: float | None = None
 
 
-class UpstreamPlacement(placement.Placement, parts.Part):
+class UpstreamPlacement(placement.Placement):
     """Chooses upstreams by the estimate of their load.
 
     Args:
@@ -79,8 +79,6 @@
         self._configured: dict[str, deployment.Upstream] = {}
         self._places: dict[str, _Place] = {}
         self._outbox: list[commands.Command] = []
-        self._generations: dict[str, int] = {}
-        self._dead: dict[str, int] = {}
 
     def list_parts(self) -> list[parts.Part]:
         """Returns the parts that take events from outside."""
@@ -160,7 +158,6 @@
             return
         if end.unreachable:
             self._tell(upstreams.ConnectFailed(place.upstream), now)
-            self._note_death(place.upstream, now)
         if end.output_tokens and place.first_chunk_s is not None:
             self.capacity.record_speed(
                 place.upstream,
@@ -195,15 +192,6 @@
             for name in self._list_candidates(version, frozenset())
         )
 
-    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Finds runs of upstreams that have ended."""
-        match event:
-            case upstreams.LoadReported():
-                self._note_generation(event, now)
-            case upstreams.ConnectFailed():
-                self._note_death(event.upstream, now)
-        return self.drain_commands()
-
     def describe(self, now: float) -> dict[str, dict[str, object]]:
         """Returns the state of each upstream, for operators."""
         result: dict[str, dict[str, object]] = {}
@@ -239,29 +227,6 @@
             and self._find_drain(name) is None
         ]
 
-    def _note_generation(
-        self, event: upstreams.LoadReported, now: float
-    ) -> None:
-        known = self._generations.get(event.upstream)
-        if known is not None and event.generation <= known:
-            return
-        self._generations[event.upstream] = event.generation
-        if known is not None:
-            self._tell_death(event.upstream, known, now)
-
-    def _note_death(self, name: str, now: float) -> None:
-        """Takes a refused connection as the end of the known run."""
-        known = self._generations.get(name)
-        if known is not None:
-            self._tell_death(name, known, now)
-
-    def _tell_death(self, name: str, generation: int, now: float) -> None:
-        if self._dead.get(name, -1) >= generation:
-            return
-        self._dead[name] = generation
-        died = quarantine.UpstreamDied(name, generation)
-        self._outbox.extend(self._suspects.handle(died, now))
-
     def _is_idle(self, name: str) -> bool:
         """Tells whether nothing is known to run on an upstream."""
         row = self.table.find_row(name)
--- a/sycamorehollow/shells/bill_io.py
+++ b/sycamorehollow/shells/bill_io.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 import concurrent.futures
-import dataclasses
-import json
 
 import loguru
 
 from sycamorehollow.decisions import billing_messages as messages
+from sycamorehollow.decisions import billing_wire
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import identity
@@ -16,8 +15,6 @@
 from sycamorehollow.shells import peers
 from sycamorehollow.shells import stores
 
-SPOOL_KIND = "bills/spool"
-ADVANCE_KIND = "bills/advance"
 HELD = b"held"
 
 
@@ -40,8 +37,8 @@
 
     def register(self, task: peers.PeerTask) -> None:
         """Takes the requests of other processes."""
-        task.register(SPOOL_KIND, self._receive_part)
-        task.register(ADVANCE_KIND, self._receive_advance)
+        task.register(billing_wire.PART_KIND, self._receive_part)
+        task.register(billing_wire.ADVANCE_KIND, self._receive_advance)
 
     def spool(self, command: messages.SpoolToPeer) -> None:
         """Sends a part to a peer."""
@@ -55,15 +52,21 @@
             )
             self._report(messages.OperationFailed(command.op, failure))
 
-        payload = json.dumps(dataclasses.asdict(command.part)).encode()
-        self._requests.send(command.peer.address, SPOOL_KIND, payload, take)
+        self._requests.send(
+            command.peer.address,
+            billing_wire.PART_KIND,
+            billing_wire.encode_part(command.part),
+            take,
+        )
 
     def tell_advance(self, command: messages.TellAdvance) -> None:
         """Tells a peer what is stored; the message may be lost."""
-        document = [dataclasses.asdict(self._identify()), command.oldest]
-        payload = json.dumps(document).encode()
+        payload = billing_wire.encode_advance(self._identify(), command.oldest)
         self._requests.send(
-            command.peer.address, ADVANCE_KIND, payload, lambda _: None
+            command.peer.address,
+            billing_wire.ADVANCE_KIND,
+            payload,
+            lambda _: None,
         )
 
     def write(self, command: messages.WriteBatch) -> None:
@@ -91,19 +94,19 @@
         self, sender: identity.Process, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
         ask, future = self._requests.open()
-        fields = json.loads(payload)
-        fields["origin"] = identity.Process(**fields["origin"])
-        fields["items"] = tuple(fields["items"])
-        part = messages.SpoolPart(**fields)
-        self._report(messages.SpoolReceived(ask, part))
+        part = billing_wire.decode_part(payload)
+        if part is None:
+            self._requests.answer(ask, b"")
+        else:
+            self._report(messages.SpoolReceived(ask, part))
         return future
 
     def _receive_advance(
         self, sender: identity.Process, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
-        fields, oldest = json.loads(payload)
-        origin = identity.Process(**fields)
-        self._report(messages.OriginAdvanced(origin, oldest))
+        advanced = billing_wire.decode_advance(payload)
+        if advanced is not None:
+            self._report(advanced)
         future: concurrent.futures.Future[bytes] = concurrent.futures.Future()
         future.set_result(HELD)
         return future
