--- a/sycamorehollow/standins/arguments.py
+++ b/sycamorehollow/standins/arguments.py
@@ -15,13 +15,8 @@
 SWITCH_INTERVAL_S = 0.0005
 
 
-def run_program(
-    name: str,
-    model: type[standin_settings.AnySettings],
-    build: Callable[[standin_settings.AnySettings], server.StandIn],
-    argv: list[str] | None,
-) -> int:
-    """Runs a stand-in as a program and returns its exit status."""
+def _parse(name: str, argv: list[str] | None) -> argparse.Namespace:
+    """Reads the command line."""
     parser = argparse.ArgumentParser(prog=name)
     parser.add_argument("--version", action="version", version=_version())
     parser.add_argument("--check", action="store_true")
@@ -32,7 +27,17 @@
     parser.add_argument(
         "--exit-after", type=float, default=None, metavar="SECONDS"
     )
-    arguments = parser.parse_args(argv)
+    return parser.parse_args(argv)
+
+
+def run_program(
+    name: str,
+    model: type[standin_settings.AnySettings],
+    build: Callable[[standin_settings.AnySettings], server.StandIn],
+    argv: list[str] | None,
+) -> int:
+    """Runs a stand-in as a program and returns its exit status."""
+    arguments = _parse(name, argv)
     try:
         settings = standin_settings.read_settings(
             model, arguments.settings, arguments.set
--- a/sycamorehollow/standins/settings.py
+++ b/sycamorehollow/standins/settings.py
@@ -219,15 +219,7 @@
             parser.read_string(pathlib.Path(path).read_text(encoding="utf-8"))
         except (OSError, configparser.Error) as error:
             raise SettingsError([f"{path}: {error}"]) from error
-    for item in overrides:
-        left, found, value = item.partition("=")
-        section, dot, key = left.partition(".")
-        if not found or not dot:
-            errors.append(f"--set {item}: expected section.key=value")
-            continue
-        if not parser.has_section(section):
-            parser.add_section(section)
-        parser.set(section, key, value)
+    errors.extend(_apply_overrides(parser, overrides))
     document = {name: dict(parser.items(name)) for name in parser.sections()}
     try:
         settings = model.model_validate(document)
@@ -239,6 +231,23 @@
     return settings
 
 
+def _apply_overrides(
+    parser: configparser.ConfigParser, overrides: list[str]
+) -> list[str]:
+    """Applies `section.key=value` items and returns the malformed ones."""
+    errors = []
+    for item in overrides:
+        left, found, value = item.partition("=")
+        section, dot, key = left.partition(".")
+        if not found or not dot:
+            errors.append(f"--set {item}: expected section.key=value")
+            continue
+        if not parser.has_section(section):
+            parser.add_section(section)
+        parser.set(section, key, value)
+    return errors
+
+
 def _describe(error) -> str:
     """Names section, key, value and expected value of one error."""
     where = [str(part) for part in error["loc"]]
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -65,6 +65,18 @@
     ]
 
 
+def format_cost(running: stage.Stage, answer: callers.Answer) -> str:
+    """Returns the price of an answer in micro-units of currency."""
+    for version in running.deployment.versions:
+        if version.name == answer.version:
+            nano = (
+                version.prompt_price * answer.usage["prompt_tokens"]
+                + version.output_price * answer.usage["completion_tokens"]
+            )
+            return f"{nano / 1_000:.1f}"
+    return "?"
+
+
 def print_table(
     running: stage.Stage,
     answers: list[callers.Answer],
@@ -77,7 +89,6 @@
         for item in running.processes.call("GET", f"{url}/served")["served"]:
             served_by[item["mark"]] = engine.name
     bills = {b["identity"]: b for b in running.read_bills()}
-    prices = {v.name: v for v in running.deployment.versions}
     print(
         ROW.format("kind", "version", "upstream", "cost", "latency ms", "bill")
     )
@@ -85,20 +96,12 @@
         if not answer.complete:
             print(f"{answer.kind:<14} failed: {answer.code or answer.status}")
             continue
-        price = prices.get(answer.version)
-        cost = "?"
-        if price:
-            nano = (
-                price.prompt_price * answer.usage["prompt_tokens"]
-                + price.output_price * answer.usage["completion_tokens"]
-            )
-            cost = f"{nano / 1_000:.1f}"
         bill = bills.get(answer.key)
         row = (
             answer.kind,
             answer.version,
             served_by.get(answer.mark, "?"),
-            cost,
+            format_cost(running, answer),
             f"{answer.latency_s * 1_000:.0f}",
             f"{bill['amount'] / 1_000:.1f}" if bill else "none",
         )
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -112,24 +112,7 @@
         }
         for version in deployment.versions
     }
-    upstreams: dict[str, Any] = {}
-    for engine in deployment.engines:
-        upstreams[engine.name] = {
-            "url": urls[engine.name],
-            "data_centre": engine.data_centre,
-            "versions": sorted(versions),
-            "capacity_tokens": engine.capacity_tokens,
-            "bearable": engine.bearable,
-            "checks_fence": engine.checks_fence,
-            "presence": "in",
-        }
     service = deployment.service
-    for name, data_centre in service.replicas:
-        upstreams[name] = {
-            "url": urls[name],
-            "data_centre": data_centre,
-            "presence": "in",
-        }
     operations = {
         service.operation: {"idempotent": False},
         service.read: {"idempotent": True},
@@ -141,7 +124,7 @@
             name: {"region": deployment.region, "presence": "in"}
             for name in deployment.data_centres
         },
-        "upstreams": upstreams,
+        "upstreams": _make_upstreams(deployment, urls),
         "services": {
             service.name: {
                 "upstreams": [name for name, _ in service.replicas],
@@ -151,6 +134,30 @@
     }
 
 
+def _make_upstreams(
+    deployment: Deployment, urls: Mapping[str, str]
+) -> dict[str, Any]:
+    """Returns the upstreams of `config/platform`."""
+    upstreams: dict[str, Any] = {}
+    for engine in deployment.engines:
+        upstreams[engine.name] = {
+            "url": urls[engine.name],
+            "data_centre": engine.data_centre,
+            "versions": sorted(v.name for v in deployment.versions),
+            "capacity_tokens": engine.capacity_tokens,
+            "bearable": engine.bearable,
+            "checks_fence": engine.checks_fence,
+            "presence": "in",
+        }
+    for name, data_centre in deployment.service.replicas:
+        upstreams[name] = {
+            "url": urls[name],
+            "data_centre": data_centre,
+            "presence": "in",
+        }
+    return upstreams
+
+
 def make_team_branch(deployment: Deployment, team: str) -> dict[str, Any]:
     """Returns `config/<team>`; the first team owns cascade and rollout."""
     workspaces = {}
@@ -209,6 +216,32 @@
     }
 
 
+MERIDIAN_KINDS = (
+    Kind("chapter", _make_policy(0.7, 0.9, 600, 2, True), 8_000, 60),
+    Kind("caption", _make_policy(0.6, 0.8, 60, 1), 1_200, 24),
+    Kind("check", _make_policy(0.5, 0.8, 10, 0, False, False), 400, 3),
+)
+
+
+def _list_meridian_workspaces(
+    every: tuple[str, ...],
+) -> tuple[Workspace, ...]:
+    small, medium, large, _ = every
+    filing = ("filing",)
+    return (
+        Workspace("maps", "cartography", every, filing, 4),
+        Workspace("charts", "cartography", every, filing, 3),
+        Workspace("road-sheets", "cartography", every, ()),
+        Workspace("school-atlas", "cartography", (small, medium), ()),
+        Workspace("claims", "registry", every, filing, 4),
+        Workspace("deeds", "registry", every, filing),
+        Workspace("surveys", "registry", (small, large), filing),
+        Workspace("harbours", "publishing", every, filing),
+        Workspace("gazetteer", "publishing", (small, medium), ()),
+        Workspace("archive", "publishing", (small,), ()),
+    )
+
+
 def _make_meridian() -> Deployment:
     centres = ("levant-1", "levant-2", "levant-3")
     small, medium, large, candidate = (
@@ -218,7 +251,6 @@
         "atlas-large-2",
     )
     every = (small, medium, large, candidate)
-    filing = ("filing",)
     return Deployment(
         name=MERIDIAN,
         region="levant-east",
@@ -241,29 +273,45 @@
             "status",
             tuple((f"filing-{n + 1}", c) for n, c in enumerate(centres)),
         ),
-        kinds=(
-            Kind("chapter", _make_policy(0.7, 0.9, 600, 2, True), 8_000, 60),
-            Kind("caption", _make_policy(0.6, 0.8, 60, 1), 1_200, 24),
-            Kind("check", _make_policy(0.5, 0.8, 10, 0, False, False), 400, 3),
-        ),
-        workspaces=(
-            Workspace("maps", "cartography", every, filing, 4),
-            Workspace("charts", "cartography", every, filing, 3),
-            Workspace("road-sheets", "cartography", every, ()),
-            Workspace("school-atlas", "cartography", (small, medium), ()),
-            Workspace("claims", "registry", every, filing, 4),
-            Workspace("deeds", "registry", every, filing),
-            Workspace("surveys", "registry", (small, large), filing),
-            Workspace("harbours", "publishing", every, filing),
-            Workspace("gazetteer", "publishing", (small, medium), ()),
-            Workspace("archive", "publishing", (small,), ()),
-        ),
+        kinds=MERIDIAN_KINDS,
+        workspaces=_list_meridian_workspaces(every),
         cascade="atlas-auto",
         cascade_steps=(small, large),
         rollout=(large, candidate),
     )
 
 
+BLUE_MAHOE_KINDS = (
+    Kind("route-summary", _make_policy(0.6, 0.85, 8, 1), 2_000, 40),
+    Kind(
+        "rider-message",
+        _make_policy(0.5, 0.8, 4, 0, False, False),
+        400,
+        12,
+    ),
+    Kind("shift-note", _make_policy(0.7, 0.9, 30, 2, True), 1_200, 30),
+)
+
+
+def _list_blue_mahoe_workspaces(
+    every: tuple[str, ...],
+) -> tuple[Workspace, ...]:
+    small, large, _ = every
+    booking = ("booking",)
+    franchises = ("papine", "liguanea", "mona", "portmore", "airport")
+    return (
+        Workspace("downtown", "dispatch", every, booking, 4),
+        Workspace("uptown", "dispatch", every, booking, 4),
+        Workspace("crossroads", "dispatch", every, booking, 2),
+        Workspace("half-way-tree", "dispatch", every, booking, 2),
+        Workspace("head-office", "office", (small,), ()),
+        *(
+            Workspace(name, "franchises", (small, large), booking)
+            for name in franchises
+        ),
+    )
+
+
 def _make_blue_mahoe() -> Deployment:
     centres = ("kingston-1", "kingston-2", "kingston-3")
     small, large, candidate = (
@@ -272,8 +320,6 @@
         "assistant-large-2",
     )
     every = (small, large, candidate)
-    booking = ("booking",)
-    franchises = ("papine", "liguanea", "mona", "portmore", "airport")
     return Deployment(
         name=BLUE_MAHOE,
         region="kingston",
@@ -284,13 +330,10 @@
             Version(large, 120, 480, 0.92),
             Version(candidate, 110, 440, 0.92),
         ),
+        # Replicas of the third data centre ignore fencing tokens.
         engines=tuple(
             Engine(
-                f"assistant-{n + 1}",
-                centres[n % 3],
-                checks_fence=n % 3 != 2,
-                tokens_per_s=100.0,
-                capacity_tokens=120_000,
+                f"assistant-{n + 1}", centres[n % 3], n % 3 != 2, 100.0, 120_000
             )
             for n in range(9)
         ),
@@ -300,27 +343,8 @@
             "status",
             tuple((f"booking-{n + 1}", c) for n, c in enumerate(centres)),
         ),
-        kinds=(
-            Kind("route-summary", _make_policy(0.6, 0.85, 8, 1), 2_000, 40),
-            Kind(
-                "rider-message",
-                _make_policy(0.5, 0.8, 4, 0, False, False),
-                400,
-                12,
-            ),
-            Kind("shift-note", _make_policy(0.7, 0.9, 30, 2, True), 1_200, 30),
-        ),
-        workspaces=(
-            Workspace("downtown", "dispatch", every, booking, 4),
-            Workspace("uptown", "dispatch", every, booking, 4),
-            Workspace("crossroads", "dispatch", every, booking, 2),
-            Workspace("half-way-tree", "dispatch", every, booking, 2),
-            Workspace("head-office", "office", (small,), ()),
-            *(
-                Workspace(name, "franchises", (small, large), booking)
-                for name in franchises
-            ),
-        ),
+        kinds=BLUE_MAHOE_KINDS,
+        workspaces=_list_blue_mahoe_workspaces(every),
         cascade="assistant-auto",
         cascade_steps=(small, large),
         rollout=(large, candidate),
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -208,26 +208,20 @@
     before = {n: running.count_work(n) for n in [*gone, leaving]}
     asked = [running.make_request(workspace, kind, withdrawn) for _ in range(6)]
     refused = running.complete_all(asked)
-    requests = [
+    choice = [
         running.make_request(workspace, kind, deployment.model)
         for _ in range(24)
     ]
-    answers = running.complete_all(requests)
-    keys = [stage.make_key() for _ in range(6)]
-    calls = running.run_operations(workspace, keys)
-    served = sum(a.served for a in answers)
+    answers = running.complete_all(choice)
+    calls = running.run_operations(
+        workspace, [stage.make_key() for _ in range(6)]
+    )
     work = {n: running.count_work(n) - before[n] for n in before}
-    on_withdrawn = sum(a.version == withdrawn for a in answers + refused)
-    typed = all(a.code in WITHDRAWN_CODES and a.run == "no" for a in refused)
-    lost = sum(work[n] for n in gone)
+    served = sum(a.served for a in answers)
     done = sum(a.served for a in calls)
+    lost = sum(work[n] for n in gone)
     return [
-        Finding(
-            "I2",
-            on_withdrawn == 0 and typed and served > 0,
-            f"{len(refused)} direct requests: {_list_codes(refused)};"
-            f" {on_withdrawn} of {served} others on {withdrawn}",
-        ),
+        _judge_withdrawal(withdrawn, refused, answers),
         Finding(
             "I6",
             lost == 0 and served > 0 and done > 0,
@@ -241,6 +235,23 @@
     ]
 
 
+def _judge_withdrawal(
+    withdrawn: str,
+    refused: list[callers.Answer],
+    answers: list[callers.Answer],
+) -> Finding:
+    """Judges requests for a withdrawn version and for its model."""
+    served = sum(a.served for a in answers)
+    wrong = sum(a.version == withdrawn for a in answers + refused)
+    typed = all(a.code in WITHDRAWN_CODES and a.run == "no" for a in refused)
+    return Finding(
+        "I2",
+        wrong == 0 and typed and served > 0,
+        f"{len(refused)} direct requests: {_list_codes(refused)};"
+        f" {wrong} of {served} others on {withdrawn}",
+    )
+
+
 def _list_codes(answers: list) -> str:
     return ", ".join(sorted({a.code or str(a.status) for a in answers}))
 
