--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -120,7 +120,7 @@
         name = f"{process.address}/{process.incarnation}"
         self._build_state(name, process, source, now)
         self._build_routing(name, source, now)
-        self._build_calls(process, source)
+        self._build_calls(process, source, now)
         self._parts = self._list_parts()
         self._routes = self._build_routes()
 
@@ -277,14 +277,17 @@
         )
 
     def _build_calls(
-        self, process: identity.Process, source: random.Random
+        self, process: identity.Process, source: random.Random, now: float
     ) -> None:
         """Builds the parts for service calls and bills."""
+        wall_offset_s = self.options.read_clock() - now
         issuer = tickets.TicketIssuer(process, self.options.ring)
         self.issuer = issuer
-        self.key_calls = effects.KeyCalls(process, issuer, source)
+        self.key_calls = effects.KeyCalls(
+            process, issuer, source, wall_offset_s
+        )
         self.ticket_calls = ticket_calls.TicketCalls(
-            process, self.options.ring, source
+            process, self.options.ring, source, wall_offset_s
         )
         self.billing = billing.Billing(process, source)
         self.spool = billing_spool.Spool(process, source)
