--- a/sycamorehollow/decisions/fence.py
+++ b/sycamorehollow/decisions/fence.py
@@ -12,16 +12,13 @@
     workspace: str,
     version: str,
 ) -> failures.Failure | None:
-    """Tells why a request must not start on a version.
+    """Tells why a request must not start on a version; `None` if it may.
 
     Args:
         in_force: Deployment in force on this node, `None` before the first.
         stopped: Versions with a stop record in effect.
         workspace: Workspace of the request.
         version: Version that some component has chosen.
-
-    Returns:
-        `None` if the request may start, else a failure with `run: no`.
     """
     if in_force is None:
         return failures.NoConfiguration(
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -135,20 +135,18 @@
         """Sends one request on a connection of its own.
 
         A kept connection that the service is about to close would leave the
-        outcome unknown. No byte is sent later than `remaining_s` from now,
-        since the connection must be there by then.
+        outcome unknown. The connection must be there within `remaining_s`.
         """
         timeout = urllib3.Timeout(
             connect=min(self._connect_timeout_s, remaining_s),
             read=self._read_timeout_s,
         )
         end = self._clock() + self._connect_timeout_s + self._read_timeout_s
-        parts = urllib.parse.urlsplit(url)
         pool = urllib3.connection_from_url(url, timeout=timeout)
         try:
             response = pool.urlopen(
                 method,
-                parts.path,
+                urllib.parse.urlsplit(url).path,
                 body=body if method == "POST" else None,
                 headers=headers,
                 retries=False,
