--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -173,9 +173,8 @@
             while self.late:
                 self.late.pop(0)()
             for _ in range(500):
-                if not self.pending:
-                    break
-                self.carry_out()
+                if self.pending:
+                    self.carry_out()
             self.tick(6.0)
             if not self.pending and not self.count_unfinished():
                 return
