Admit requests fairly and judge deadlines by likely lengths

Requests pass the deficit round robin before they are placed, so that one workspace cannot fill a saturated node, and a refusal is given at once with the time to come back. The expected length of an answer is learned per workspace and kind: the largest length that a caller allows is far above what it gets, and deadlines that could be met were refused. A stream that is silent after the engine began its response may be queued there; it is resumed without limit until the deadline.

--- a/sycamorehollow/decisions/active.py
+++ b/sycamorehollow/decisions/active.py
@@ -164,6 +164,39 @@
         )
 
 
+def build_start(
+    active: ActiveRequest, reason: str, resume_from: int | None = None
+) -> lifecycle.StartAttempt:
+    """Returns the command that starts or resumes the current run."""
+    assert active.upstream is not None
+    return lifecycle.StartAttempt(
+        request_id=active.request.request_id,
+        attempt=active.attempt,
+        run_id=active.answer_id,
+        upstream=active.upstream.name,
+        url=active.upstream.url,
+        version=active.version,
+        priority=active.plan.priority,
+        deadline=active.request.deadline,
+        hold=active.held,
+        keep=active.plan.rated,
+        session=active.plan.session,
+        resume_from=resume_from,
+        reason=f"{active.plan.reason}; {reason}",
+    )
+
+
+def build_cancel(active: ActiveRequest) -> lifecycle.CancelAttempt:
+    """Returns the command that cancels the current run."""
+    assert active.upstream is not None
+    return lifecycle.CancelAttempt(
+        active.request.request_id,
+        active.attempt,
+        active.answer_id,
+        active.upstream.url,
+    )
+
+
 def build_rating_request(
     active: ActiveRequest, answer: bytes
 ) -> lifecycle.RequestRating:
--- a/sycamorehollow/decisions/capacity.py
+++ b/sycamorehollow/decisions/capacity.py
@@ -20,8 +20,10 @@
 
     Attributes:
         prompt_tokens: Length of the prompt in tokens.
-        output_tokens: Expected length of the response in tokens.
+        output_tokens: Longest response in tokens; memory is kept for it.
         deadline: Monotonic time in seconds after which it is useless.
+        likely_tokens: Expected length of the response in tokens; `None` if
+            it is not known. Times are estimated from it.
         blocks: Hashes of the leading blocks of the prompt, longest last.
     """
 
@@ -29,6 +31,7 @@
     output_tokens: int
     deadline: float = float("inf")
     blocks: tuple[str, ...] = ()
+    likely_tokens: int | None = None
 
     @property
     def tokens(self) -> int:
@@ -75,6 +78,11 @@
         self._refusing = refusing
         self._speeds: dict[str, Speed] = {}
 
+    @property
+    def members(self) -> int:
+        """Live entry processes of the data centre, this one included."""
+        return self._members
+
     def set_members(self, members: int) -> None:
         """Sets the number of live entry processes of the data centre."""
         self._members = max(1, members)
@@ -108,7 +116,10 @@
         """Estimates the seconds until the response is complete."""
         speed = self._speeds.get(upstream) or Speed()
         prompt_s = demand.prompt_tokens * speed.prompt_s
-        return prompt_s + demand.output_tokens * speed.output_s
+        tokens = demand.output_tokens
+        if demand.likely_tokens is not None:
+            tokens = min(tokens, demand.likely_tokens)
+        return prompt_s + tokens * speed.output_s
 
     def meets_deadline(self, upstream: str, demand: Demand, now: float) -> bool:
         """Tells whether the estimate ends before the deadline."""
--- a/sycamorehollow/decisions/cascade_planning.py
+++ b/sycamorehollow/decisions/cascade_planning.py
@@ -82,6 +82,18 @@
         now: float,
     ) -> planning.Plan | failures.Failure:
         """Returns the plan for a request; see the base class."""
+        plan = self._plan(request, current, now)
+        if isinstance(plan, failures.Failure):
+            return plan
+        needs_s = self._pools.estimate_duration_s(request, plan.steps[0], now)
+        return dataclasses.replace(plan, needs_s=needs_s)
+
+    def _plan(
+        self,
+        request: requests.ModelRequest,
+        current: deployment.Deployment,
+        now: float,
+    ) -> planning.Plan | failures.Failure:
         workspace = current.workspaces[request.workspace]
         policy = workspace.kinds.get(request.kind)
         base = describe_policy(policy)
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from sycamorehollow.decisions import active as actives
+from sycamorehollow.decisions import admission
 from sycamorehollow.decisions import billing
 from sycamorehollow.decisions import billing_messages
 from sycamorehollow.decisions import billing_spool
@@ -260,6 +261,7 @@
             planner,
             self.placement,
             recovery.Recovery(retries.Retries(source)),
+            admission.Admission(0, source),
         )
         self.exchange = exchange.Exchange(
             self.membership,
@@ -331,12 +333,14 @@
         self, command: configuration.ConfigurationChanged, now: float
     ) -> list[Any]:
         current = command.deployment
+        applied = self.placement.apply(current, now)
         return [
+            admission.CapacityChanged(self.placement.count_capacity()),
             drains.DeploymentChanged(current),
             learning.DeploymentChanged(current),
             rollouts.DeploymentChanged(current),
             lifecycle.DeploymentChanged(current),
-            *self.placement.apply(current, now),
+            *applied,
             PublishDeployment(current),
         ]
 
@@ -358,6 +362,7 @@
                     for member in live
                 )
             ),
+            admission.CapacityChanged(self.placement.count_capacity()),
             billing_messages.PeersChanged(
                 tuple(_identify(member) for member in live)
             ),
--- a/sycamorehollow/decisions/planning.py
+++ b/sycamorehollow/decisions/planning.py
@@ -21,6 +21,7 @@
         rated: Whether answers are sent to the rating service.
         threshold: Rating in [0, 1] from which an answer is accepted.
         slow_after_s: Time in seconds from which an answer counts as slow.
+        needs_s: Expected time of an answer of the first step in seconds.
         gated: Whether an answer is rated before it is delivered.
         fallbacks: Versions that may take the place of a step that no
             upstream can take now, in the order of preference.
@@ -35,6 +36,7 @@
     rated: bool = False
     threshold: float = 0.0
     slow_after_s: float = float("inf")
+    needs_s: float = 0.0
     gated: bool = False
     fallbacks: tuple[str, ...] = ()
     arms: dict[str, tuple[versions.Arm, ...]] = dataclasses.field(
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 
 from sycamorehollow.decisions import active as actives
+from sycamorehollow.decisions import admission
 from sycamorehollow.decisions import billing_messages
 from sycamorehollow.decisions import gates
 from sycamorehollow.decisions import parts
 from sycamorehollow.decisions import placement as placements
 from sycamorehollow.decisions import planning
 from sycamorehollow.decisions import recovery as recoveries
+from sycamorehollow.decisions import settlement
 from sycamorehollow.decisions import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
@@ -32,6 +34,7 @@
         planner: Rules for versions.
         placement: Rules for upstreams.
         recovery: Rules after a failed attempt.
+        fairness: Rules for the admission to a saturated node.
     """
 
     def __init__(
@@ -39,6 +42,7 @@
         planner: planning.Planner,
         placement: placements.Placement,
         recovery: recoveries.Recovery,
+        fairness: admission.Admission,
     ):
         self._planner = planner
         self._placement = placement
@@ -47,7 +51,9 @@
         self._current: deployment.Deployment | None = None
         self._admitting = True
         self._active: dict[str, actives.ActiveRequest] = {}
-        self._cut: dict[str, actives.ActiveRequest] = {}
+        self._admission = fairness
+        self._settlement = settlement.Settlement()
+        self._admitted: list[admission.AdmitWork | admission.RefuseWork] = []
         self._handlers: dict[type, Callable] = {
             lifecycle.DeploymentChanged: self._apply_deployment,
             lifecycle.AdmissionStopped: self._stop_admission,
@@ -59,13 +65,14 @@
             lifecycle.AttemptFailed: self._recover,
             lifecycle.AnswerRated: self._judge,
             billing_messages.ReleaseAnswer: self._finish,
+            admission.CapacityChanged: self._change_capacity,
             events.Tick: self._expire,
         }
 
     @property
     def active_count(self) -> int:
         """Number of requests without a final answer."""
-        return len(self._active) + len(self._cut)
+        return len(self._active) + len(self._settlement)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; see the base class."""
@@ -73,6 +80,7 @@
         if handler is None:
             return []
         result = handler(event, now)
+        result = [*result, *self._start_admitted(now)]
         return [*result, *self._placement.drain_commands()]
 
     def release(self, request_id: str, now: float) -> list[commands.Command]:
@@ -80,8 +88,7 @@
         active = self._active.get(request_id)
         if active is None or not active.finishing:
             return []
-        del self._active[request_id]
-        self._recovery.end(request_id, now)
+        self._forget(active, now)
         assert active.upstream is not None
         return [
             lifecycle.FinishRequest(
@@ -102,6 +109,12 @@
         self._current = event.current
         return []
 
+    def _change_capacity(
+        self, event: admission.CapacityChanged, now: float
+    ) -> list[commands.Command]:
+        self._take_admissions(self._admission.handle(event, now))
+        return []
+
     def _stop_admission(
         self, event: lifecycle.AdmissionStopped, now: float
     ) -> list[commands.Command]:
@@ -122,7 +135,39 @@
         active = actives.ActiveRequest(request, plan)
         self._active[request.request_id] = active
         self._recovery.start(request.request_id, now)
-        return self._start(active, now)
+        workspace = self._current.workspaces[request.workspace]
+        offer = admission.WorkOffered(
+            request=request.request_id,
+            workspace=request.workspace,
+            weight=workspace.weight,
+            tokens=request.prompt_tokens + request.max_output_tokens,
+            priority=plan.priority,
+            deadline=request.deadline,
+            needs_s=plan.needs_s,
+        )
+        self._take_admissions(self._admission.handle(offer, now))
+        return []
+
+    def _take_admissions(self, decided: list[commands.Command]) -> None:
+        for command in decided:
+            assert isinstance(
+                command, admission.AdmitWork | admission.RefuseWork
+            )
+            self._admitted.append(command)
+
+    def _start_admitted(self, now: float) -> list[commands.Command]:
+        """Starts what was admitted; a start that fails admits more."""
+        result: list[commands.Command] = []
+        while self._admitted:
+            command = self._admitted.pop(0)
+            active = self._active.get(command.request)
+            if active is None:
+                continue
+            if isinstance(command, admission.RefuseWork):
+                result.extend(self._refuse(active, command.failure, now))
+                continue
+            result.extend(self._start(active, now))
+        return result
 
     def _check_admission(self, workspace: str) -> failures.Failure | None:
         if not self._admitting:
@@ -161,7 +206,7 @@
                 active.begin(
                     self._current.versions[version], placed.upstream, now
                 )
-                return self._build_start(active, placed.reason)
+                return actives.build_start(active, placed.reason)
             failure = failure or placed
         assert failure is not None
         return failure
@@ -175,29 +220,6 @@
             return barred
         return self._placement.place(active.request, version, active.tried, now)
 
-    def _build_start(
-        self,
-        active: actives.ActiveRequest,
-        reason: str,
-        resume_from: int | None = None,
-    ) -> lifecycle.StartAttempt:
-        assert active.upstream is not None
-        return lifecycle.StartAttempt(
-            request_id=active.request.request_id,
-            attempt=active.attempt,
-            run_id=active.answer_id,
-            upstream=active.upstream.name,
-            url=active.upstream.url,
-            version=active.version,
-            priority=active.plan.priority,
-            deadline=active.request.deadline,
-            hold=active.held,
-            keep=active.plan.rated,
-            session=active.plan.session,
-            resume_from=resume_from,
-            reason=f"{active.plan.reason}; {reason}",
-        )
-
     def _note_production(
         self, event: lifecycle.AttemptProduced, now: float
     ) -> list[commands.Command]:
@@ -260,21 +282,10 @@
         self, active: actives.ActiveRequest, now: float
     ) -> list[commands.Command]:
         active.finishing = True
-        bill = self._build_bill(
-            active, active.prompt_tokens, active.output_tokens
-        )
-        request_id = active.request.request_id
+        bill = self._settlement.bill_whole(active)
         if bill is None:
-            return self.release(request_id, now)
-        return [actives.SecureBill(request_id, bill)]
-
-    def _build_bill(
-        self, active: actives.ActiveRequest, prompt: int, output: int
-    ) -> billing_messages.Bill | None:
-        if active.priced is None:
-            return None
-        usage = actives.measure_usage(active, active.priced, prompt, output)
-        return actives.build_bill(active, usage)
+            return self.release(active.request.request_id, now)
+        return [bill]
 
     def _recover(
         self, event: lifecycle.AttemptFailed, now: float
@@ -287,14 +298,14 @@
             active.delivered,
             active.resumes,
             active.request.deadline,
-            0.0,
+            active.plan.needs_s,
             now,
         )
         if isinstance(step, recoveries.Resume):
-            active.resumes += 1
+            active.resumes = 0 if event.answered else active.resumes + 1
             active.attempt += 1
             reason = "resume after a loss"
-            return [self._build_start(active, reason, event.received)]
+            return [actives.build_start(active, reason, event.received)]
         active.end_attempt(event.end)
         self._release_failed(event, now)
         result = self._learn(active, True, now)
@@ -333,54 +344,49 @@
         failure: failures.Failure,
         now: float,
     ) -> list[commands.Command]:
-        """Gives the final failure; delivered tokens are billed once known."""
+        self._forget(active, now)
+        return self._settlement.refuse(active, failure)
+
+    def _forget(self, active: actives.ActiveRequest, now: float) -> None:
+        """Ends what is kept for a request."""
         request_id = active.request.request_id
         self._active.pop(request_id, None)
         self._recovery.end(request_id, now)
-        if active.delivered:
-            self._cut[request_id] = active
-        return [lifecycle.RefuseRequest(request_id, failure)]
+        self._take_admissions(
+            self._admission.handle(admission.WorkEnded(request_id), now)
+        )
 
     def _bill_cut(
         self, event: lifecycle.AnswerCut, now: float
     ) -> list[commands.Command]:
-        active = self._cut.pop(event.request_id, None)
-        if active is None:
-            return []
-        return self._bill_delivered(active, event.delivered_tokens)
-
-    def _bill_delivered(
-        self, active: actives.ActiveRequest, tokens: int
-    ) -> list[commands.Command]:
-        bill = self._build_bill(active, 0, tokens)
-        if bill is None:
-            return []
-        return [
-            actives.SecureBill(active.request.request_id, bill, urgent=False)
-        ]
+        return (
+            self._settlement.end_cut(event.request_id, event.delivered_tokens)
+            or []
+        )
 
     def _drop(
         self, event: lifecycle.CallerGone, now: float
     ) -> list[commands.Command]:
-        cut = self._cut.pop(event.request_id, None)
+        cut = self._settlement.end_cut(event.request_id, event.delivered_tokens)
         if cut is not None:
-            return self._bill_delivered(cut, event.delivered_tokens)
-        active = self._active.pop(event.request_id, None)
+            return cut
+        active = self._active.get(event.request_id)
         if active is None:
             return []
-        self._recovery.end(event.request_id, now)
+        self._forget(active, now)
         end = placements.End(upstreams.End.CANCELLED)
         self._placement.release(event.request_id, end, now)
         result: list[commands.Command] = []
         if active.upstream is not None:
-            result.append(self._build_cancel(active))
+            result.append(actives.build_cancel(active))
         if active.finishing:
             return result
         delivered = event.delivered_tokens if active.delivered else 0
-        return [*result, *self._bill_delivered(active, delivered)]
+        return [*result, *self._settlement.bill_delivered(active, delivered)]
 
     def _expire(self, event: events.Tick, now: float) -> list[commands.Command]:
         """Acts on delays, rating waits and deadlines that have passed."""
+        self._take_admissions(self._admission.handle(event, now))
         result: list[commands.Command] = []
         for active in list(self._active.values()):
             if active.finishing:
@@ -413,20 +419,9 @@
         )
         result = self._refuse(active, failure, now)
         if active.upstream is not None:
-            result.insert(0, self._build_cancel(active))
+            result.insert(0, actives.build_cancel(active))
         return result
 
-    def _build_cancel(
-        self, active: actives.ActiveRequest
-    ) -> lifecycle.CancelAttempt:
-        assert active.upstream is not None
-        return lifecycle.CancelAttempt(
-            active.request.request_id,
-            active.attempt,
-            active.answer_id,
-            active.upstream.url,
-        )
-
     def _find(
         self, request_id: str, attempt: int
     ) -> actives.ActiveRequest | None:
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/upstream_placement.py
@@ -20,6 +20,10 @@
 
 # A slot that another process may have held waits for that one's loans.
 NO_FORMER_HOLDER = float("-inf")
+# Length of an answer before any was seen; most callers leave `max_tokens` far
+# above what they get, and a deadline must not be judged by it.
+FIRST_LENGTH_TOKENS = 64.0
+LENGTH_SMOOTHING = 0.1
 
 
 @dataclasses.dataclass
@@ -66,6 +70,7 @@
         )
         self.prefixes = prefixes.Prefixes()
         self.capacity = capacity.Capacity(self.table)
+        self._data_centre = data_centre
         self._find_drain = find_drain
         self._suspects = suspects
         self._selection = selection.EstimateSelection(
@@ -79,6 +84,7 @@
         self._configured: dict[str, deployment.Upstream] = {}
         self._places: dict[str, _Place] = {}
         self._outbox: list[commands.Command] = []
+        self._lengths: dict[tuple[str, str], float] = {}
 
     def list_parts(self) -> list[parts.Part]:
         """Returns the parts that take events from outside."""
@@ -123,7 +129,7 @@
                 f"No upstream takes new work for {version} now.",
                 retry_after_s=selection.FULL_RETRY_AFTER_S,
             )
-        demand = build_demand(request)
+        demand = self._build_demand(request)
         choice = self._selection.choose(demand, candidates, now)
         if isinstance(choice, failures.Failure):
             return choice
@@ -158,6 +164,8 @@
             return
         if end.unreachable:
             self._tell(upstreams.ConnectFailed(place.upstream), now)
+        if end.output_tokens:
+            self._learn_length(place.request, end.output_tokens)
         if end.output_tokens and place.first_chunk_s is not None:
             self.capacity.record_speed(
                 place.upstream,
@@ -177,7 +185,7 @@
         self, request: requests.ModelRequest, version: str, now: float
     ) -> float:
         """Returns the shortest expected time of an answer of a version."""
-        demand = build_demand(request)
+        demand = self._build_demand(request)
         shortest = 0.0
         for name in self.table.list_serving(version):
             duration_s = self.capacity.estimate_duration_s(name, demand)
@@ -192,6 +200,23 @@
             for name in self._list_candidates(version, frozenset())
         )
 
+    def count_capacity(self) -> int:
+        """Returns the tokens that this process may have in flight.
+
+        These are its parts of the upstreams of its data centre, or of all
+        upstreams when the data centre has none.
+        """
+        own = 0
+        everywhere = 0
+        for name in self._configured:
+            row = self.table.find_row(name)
+            if row is None:
+                continue
+            everywhere += row.capacity_tokens
+            if row.configured.data_centre == self._data_centre:
+                own += row.capacity_tokens
+        return (own or everywhere) // self.capacity.members
+
     def describe(self, now: float) -> dict[str, dict[str, object]]:
         """Returns the state of each upstream, for operators."""
         result: dict[str, dict[str, object]] = {}
@@ -216,6 +241,25 @@
         self._outbox = []
         return result
 
+    def _build_demand(self, request: requests.ModelRequest) -> capacity.Demand:
+        likely = self._lengths.get(
+            (request.workspace, request.kind), FIRST_LENGTH_TOKENS
+        )
+        return capacity.Demand(
+            request.prompt_tokens,
+            request.max_output_tokens,
+            request.deadline,
+            request.blocks,
+            int(likely),
+        )
+
+    def _learn_length(
+        self, request: requests.ModelRequest, tokens: int
+    ) -> None:
+        key = (request.workspace, request.kind)
+        known = self._lengths.get(key, FIRST_LENGTH_TOKENS)
+        self._lengths[key] = known + LENGTH_SMOOTHING * (tokens - known)
+
     def _list_candidates(
         self, version: str, excluded: frozenset[str]
     ) -> list[str]:
@@ -237,13 +281,3 @@
     def _tell(self, event: events.Event, now: float) -> None:
         for part in self.list_parts():
             self._outbox.extend(part.handle(event, now))
-
-
-def build_demand(request: requests.ModelRequest) -> capacity.Demand:
-    """Returns what a request needs of an upstream."""
-    return capacity.Demand(
-        request.prompt_tokens,
-        request.max_output_tokens,
-        request.deadline,
-        request.blocks,
-    )
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -95,6 +95,8 @@
         code: Failure code that the upstream gave, or empty.
         received: Events that were received so far, over all resumes.
         retry_after_s: When the upstream takes work again, if it said so.
+        answered: Whether the upstream had begun a response on this
+            connection, so that a silence may be a queue.
     """
 
     request_id: str
@@ -103,6 +105,7 @@
     code: str = ""
     received: int = 0
     retry_after_s: float | None = None
+    answered: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -17,6 +17,7 @@
 # is harmless when the engine is only slow.
 SILENCE_TIMEOUT_S = 3.0
 READ_BYTES = 65536
+HTTP_OK = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,6 +48,7 @@
     end: lifecycle.AttemptEnd
     code: str = ""
     retry_after_s: float | None = None
+    answered: bool = False
 
 
 class EngineReader:
@@ -112,7 +114,7 @@
         engine.last_progress = now
         body = engine.response.feed(data)
         closed = engine.response.complete
-        if engine.response.status != 200:
+        if engine.response.status != HTTP_OK:
             engine.append_error_body(body)
             return Batch(b"", closed)
         return Batch(engine.events.feed(body) if body else b"", closed)
@@ -182,7 +184,8 @@
                 return Loss(lifecycle.AttemptEnd.NOT_SENT)
             return None
         if waited_s > SILENCE_TIMEOUT_S:
-            return Loss(lifecycle.AttemptEnd.SILENT)
+            answered = engine.response.status == HTTP_OK
+            return Loss(lifecycle.AttemptEnd.SILENT, answered=answered)
         return None
 
     def describe_loss(self, stream: streams.Stream) -> Loss:
@@ -191,7 +194,7 @@
         assert engine is not None
         if engine.sent_bytes == 0:
             return Loss(lifecycle.AttemptEnd.NOT_SENT)
-        if engine.response.status in (0, 200):
+        if engine.response.status in (0, HTTP_OK):
             return Loss(lifecycle.AttemptEnd.BROKEN)
         return describe_refusal(engine)
 
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -158,6 +158,7 @@
                 loss.code,
                 stream.received,
                 loss.retry_after_s,
+                loss.answered,
             )
         )
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions import active
+from sycamorehollow.decisions import admission
 from sycamorehollow.decisions import placement
 from sycamorehollow.decisions import planning
 from sycamorehollow.decisions import recovery
@@ -95,7 +96,12 @@
     places = FirstFree()
     planner = FixedPlanner(gated)
     budget = retries.Retries(random.Random(1))
-    part = router.Router(planner, places, recovery.Recovery(budget))
+    part = router.Router(
+        planner,
+        places,
+        recovery.Recovery(budget),
+        admission.Admission(10_000, random.Random(2)),
+    )
     part.handle(lifecycle.DeploymentChanged(CURRENT), 0.0)
     return part, places, planner
 
