--- a/benches/bench_protection.py
+++ b/benches/bench_protection.py
@@ -181,16 +181,11 @@
             del self._held[command.stream]
 
 
-def run() -> list[results.Result]:
-    """Returns deaths per crashing request and bytes held for slow readers."""
+def measure_crashes() -> list[results.Result]:
+    """Returns the deaths per crashing request."""
     guarded = Crashes(True, True).run()
     impatient = Crashes(True, False).run()
     open_run = Crashes(False, True).run()
-    bounded = Readers(buffers.Buffers()).run()
-    total = buffers.TOTAL_BYTES // 8
-    tight = Readers(buffers.Buffers(total_bytes=total)).run()
-    huge = 2**60
-    unbounded = Readers(buffers.Buffers(huge, huge, huge, huge)).run()
     return [
         results.Result(
             "upstream deaths per crashing request",
@@ -214,6 +209,17 @@
             0,
         ),
         results.Result("bystanders completed", guarded.completed),
+    ]
+
+
+def measure_readers() -> list[results.Result]:
+    """Returns the bytes held for slow readers."""
+    bounded = Readers(buffers.Buffers()).run()
+    total = buffers.TOTAL_BYTES // 8
+    tight = Readers(buffers.Buffers(total_bytes=total)).run()
+    huge = 2**60
+    unbounded = Readers(buffers.Buffers(huge, huge, huge, huge)).run()
+    return [
         results.Result(
             "most bytes held for one slow reader",
             bounded.peak_stream_bytes,
@@ -238,3 +244,8 @@
             bounded.fast_stalls + tight.fast_stalls,
         ),
     ]
+
+
+def run() -> list[results.Result]:
+    """Returns the figures of crashing requests and of slow readers."""
+    return measure_crashes() + measure_readers()
