--- a/sycamorehollow/decisions/coldstart.py
+++ b/sycamorehollow/decisions/coldstart.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 import hashlib
-import json
 
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import shares
 from sycamorehollow.decisions import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
@@ -311,27 +311,33 @@
         return cancelled
 
     def summarize(self, now: float) -> bytes:
-        """Returns the generation and episode of every known cold turn."""
-        known = {n: [s.generation, s.episode] for n, s in self._states.items()}
-        return json.dumps(known, separators=(",", ":")).encode()
+        """Returns the last cold turn of each upstream of the data centre.
+
+        Processes elsewhere start nothing at a cold upstream, so they need no
+        cold turns; those of all upstreams would exceed the control budget.
+        """
+        known = {}
+        for name, state in self._states.items():
+            if state.data_centre == self._data_centre:
+                known[name] = [state.generation, state.episode]
+        return shares.encode(known)
 
     def collect(self, digest: bytes, now: float) -> bytes:
-        """Returns the newer cold turns."""
-        known = json.loads(digest)
+        """Returns the newer cold turns of the upstreams in the digest."""
         newer = {}
-        for name, state in self._states.items():
-            turn = [state.generation, state.episode]
-            if turn > known.get(name, [0, 0]):
-                newer[name] = [*turn, state.bearable]
-        if not newer:
-            return b""
-        return json.dumps(newer, separators=(",", ":")).encode()
+        for name, turn in shares.decode(digest).items():
+            state = self._states.get(name)
+            if state is None:
+                continue
+            if [state.generation, state.episode] > turn:
+                newer[name] = [state.generation, state.episode, state.bearable]
+        return shares.encode(newer) if newer else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Marks upstreams cold that a peer has found cold."""
         if not delta:
             return []
-        for name, turn in json.loads(delta).items():
+        for name, turn in shares.decode(delta).items():
             generation, episode, bearable = turn
             state = self._states.get(name)
             if state is None:
