Count own work from before the first load report

A first report that is older than own work hid that work from the estimate: test_work_before_the_first_report_counts saw 500 instead of 507 tokens. The list of changes is bounded, since it grew without end while no report came.

--- a/sycamorehollow/decisions/upstreams.py
+++ b/sycamorehollow/decisions/upstreams.py
@@ -16,9 +16,9 @@
 # The time to live plus a poll interval of 1 s and its jitter: every process is
 # then bound by a report as old as the oldest one that another may still use.
 REPORT_WINDOW_S = 4.0
-# A share of 94 upstreams takes about 0.5 KB compressed; with more than this
-# many processes in a data centre each publishes its share less often, so that
-# shares stay below half of the control budget of 10 KB/s.
+MAX_CHANGES = 1000  # bounds the memory while no reports arrive
+# A share of 94 upstreams takes about 0.5 KB compressed; more processes than
+# this publish less often, to stay below half of the budget of 10 KB/s.
 SHARES_PER_S = 8.0
 CONNECT_BACKOFF_S = 1.0
 CONNECT_BACKOFF_MAX_S = 10.0
@@ -185,10 +185,10 @@
     def change(self, tokens: int, now: float) -> None:
         """Records a start (positive) or an end (negative) of own work."""
         self.own_tokens += tokens
-        if self.report is None:
-            return
-        self.changes.append((now, tokens))
         self.own_growth += tokens
+        self.changes.append((now, tokens))
+        if len(self.changes) > MAX_CHANGES:
+            self.own_growth -= self.changes.popleft()[1]
 
     def apply_report(self, report: LoadReported, window_s: float) -> None:
         """Makes a newer report the base of the estimate."""
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -81,6 +81,13 @@
         table.handle(report(0, 3.0, generation=0), 3.0)
         self.assertEqual(table.view("u", 3.0).estimated_tokens, 500)
 
+    def test_work_before_the_first_report_counts(self):
+        """The first report may be older than the first own work."""
+        table = make_table()
+        table.handle(upstreams.AttemptStarted("1", "u", 7), 1.0)
+        table.handle(report(500, 0.5), 1.5)
+        self.assertEqual(table.view("u", 2.0).estimated_tokens, 507)
+
     def test_expired_share_does_not_return(self):
         """The load of a dead peer would otherwise stay in the estimate."""
         first, second = make_table("a#1"), make_table("b#1")
