--- a/sycamorehollow/decisions/configuration.py
+++ b/sycamorehollow/decisions/configuration.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import itertools
 import math
 import random
 
+from sycamorehollow.decisions import configuration_messages as messages
 from sycamorehollow.decisions import documents
 from sycamorehollow.decisions import parts
 from sycamorehollow.model import commands
@@ -24,6 +26,11 @@
 # A confirmation needs about log2 of the members in seconds to spread. Members
 # that miss it for longer read the store themselves.
 STALE_BASE_S = 4.0
+STALE_PER_RANK_S = 0.02
+# Such a member watches at least this long, and until another source confirms.
+STAND_IN_S = 30.0
+# A difference between two hashes is most likely a change of this age.
+RECENT_S = 10.0
 BACKOFF_FIRST_S = 0.25
 BACKOFF_LIMIT_S = 2.0
 START_PERIOD_S = 1.0
@@ -34,108 +41,6 @@
 MIN_AGE_GAIN_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Peer:
-    """A live entry process."""
-
-    address: str
-    data_centre: str
-
-
-@dataclasses.dataclass(frozen=True)
-class MembersSeen(events.Event):
-    """The live members, with or without this process itself."""
-
-    members: tuple[Peer, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Value:
-    """A value below `config/`; `text` is `None` for a deleted key."""
-
-    key: str
-    revision: int
-    text: str | None
-
-
-@dataclasses.dataclass(frozen=True)
-class StoreAnswered(events.Event):
-    """A range read or a watch returned.
-
-    Attributes:
-        call: Number from the command.
-        values: What was returned; empty for a watch without changes.
-        revision: Store revision of the response.
-    """
-
-    call: int
-    values: tuple[Value, ...]
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True)
-class StoreFailed(events.Event):
-    """A range read or a watch failed."""
-
-    call: int
-    retry_after_s: float | None = None
-
-
-@dataclasses.dataclass(frozen=True)
-class ReadRange(commands.Command):
-    """Asks for all values below a prefix."""
-
-    call: int
-    prefix: str
-
-
-@dataclasses.dataclass(frozen=True)
-class StartWatch(commands.Command):
-    """Asks for the changes below a prefix after a revision."""
-
-    call: int
-    prefix: str
-    after: int
-    timeout_s: float
-
-
-@dataclasses.dataclass(frozen=True)
-class StopCall(commands.Command):
-    """Gives a range read or watch up; its result is no longer needed."""
-
-    call: int
-
-
-@dataclasses.dataclass(frozen=True)
-class PushChanges(commands.Command):
-    """Asks to send a delta to the given peers without waiting."""
-
-    targets: tuple[str, ...]
-    kind: str
-    delta: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class AskPeers(commands.Command):
-    """Asks for an exchange of digests with the given peers."""
-
-    targets: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class ConfigurationChanged(commands.Command):
-    """Tells that another configuration is in force."""
-
-    deployment: deployment.Deployment
-
-
-@dataclasses.dataclass(frozen=True)
-class BranchesRejected(commands.Command):
-    """Tells which branches are not in force at their latest revision."""
-
-    faults: documents.Faults
-
-
 class _Phase(enum.Enum):
     IDLE = "idle"
     READING = "reading"
@@ -149,7 +54,7 @@
 
     def __init__(
         self,
-        me: Peer,
+        me: messages.Peer,
         convert: documents.Convert,
         randomness: random.Random,
     ):
@@ -165,6 +70,8 @@
         self._held = documents.Documents(convert)
         self._own: tuple[str, ...] = (me.address,)
         self._others: tuple[str, ...] = ()
+        # The lowest member of each other data centre.
+        self._leaders: tuple[str, ...] = ()
         self._confirmed_at: float | None = None
         self._phase = _Phase.IDLE
         self._call = 0
@@ -174,6 +81,8 @@
         self._retry_at = -math.inf
         self._ask_at = -math.inf
         self._detail_until = -math.inf
+        self._stand_in_until: float | None = None
+        self._changed_at: dict[str, float] = {}
 
     @property
     def deployment(self) -> deployment.Deployment:
@@ -217,12 +126,12 @@
         """Applies one event; results of calls given up still count."""
         if isinstance(event, events.Tick):
             return self._tick(now)
-        if isinstance(event, MembersSeen):
+        if isinstance(event, messages.MembersSeen):
             self._see_members(event.members)
             return self._tick(now)
-        if isinstance(event, StoreAnswered):
+        if isinstance(event, messages.StoreAnswered):
             return self._apply_answer(event, now)
-        if isinstance(event, StoreFailed) and event.call == self._call:
+        if isinstance(event, messages.StoreFailed) and event.call == self._call:
             self._fail_call(event.retry_after_s, now)
         return []
 
@@ -246,8 +155,15 @@
             if theirs.age_s is not None:
                 if theirs.age_s < own.age_s + MIN_AGE_GAIN_S:
                     return b""
-        elif theirs.revisions is not None:
-            missing = self._held.select_missing(theirs.revisions)
+        else:
+            known = theirs.revisions
+            missing = self._held.select_missing(known or {})
+            if known is None:
+                missing = [
+                    entry
+                    for entry in missing
+                    if now - self._changed_at[entry.branch] < RECENT_S
+                ]
             # The rest follows in the next exchanges.
             entries = next(iter(documents.split_entries(missing)), ())
         return documents.encode_delta(documents.Delta(own, entries))
@@ -257,11 +173,13 @@
         received = documents.decode_delta(delta)
         if received is None:
             return []
-        result = self._add(received.entries, self.is_watcher)
+        targets = self._select_targets() if self.is_watcher else ()
+        result = self._add(received.entries, targets, now)
         if received.digest.hash != self._held.hash:
             self._detail_until = now + DETAIL_S
         elif received.digest.age_s is not None:
-            self._confirm(now - received.digest.age_s)
+            if self._confirm(now - received.digest.age_s):
+                self._end_stand_in(now)
         return result
 
     def _describe(self, detailed: bool, now: float) -> documents.Digest:
@@ -271,31 +189,43 @@
             self._held.list_revisions() if detailed else None,
         )
 
-    def _confirm(self, moment: float) -> None:
-        if self._confirmed_at is None or moment > self._confirmed_at:
-            self._confirmed_at = moment
+    def _confirm(self, moment: float) -> bool:
+        if self._confirmed_at is not None and moment <= self._confirmed_at:
+            return False
+        self._confirmed_at = moment
+        return True
 
-    def _see_members(self, members: Iterable[Peer]) -> None:
-        own, others = {self._me.address}, set()
+    def _end_stand_in(self, now: float) -> None:
+        """Stops watching in place of others; a fresher source exists."""
+        if self._stand_in_until is not None and now >= self._stand_in_until:
+            self._stand_in_until = None
+
+    def _must_watch(self) -> bool:
+        return self.is_watcher or self._stand_in_until is not None
+
+    def _see_members(self, members: Iterable[messages.Peer]) -> None:
+        own = {self._me.address}
+        others: dict[str, list[str]] = {}
         for member in members:
             if member.data_centre == self._me.data_centre:
                 own.add(member.address)
             else:
-                others.add(member.address)
+                others.setdefault(member.data_centre, []).append(member.address)
         self._own = tuple(sorted(own))
-        self._others = tuple(sorted(others - own))
+        self._others = tuple(sorted(itertools.chain(*others.values())))
+        self._leaders = tuple(sorted(min(group) for group in others.values()))
 
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         if self._phase is not _Phase.IDLE:
             if now - self._call_at > CALL_LIMIT_S:
-                result.append(StopCall(self._call))
+                result.append(messages.StopCall(self._call))
                 self._fail_call(None, now)
-            elif self._phase is _Phase.WATCHING and not self.is_watcher:
-                result.append(StopCall(self._call))
+            elif self._phase is _Phase.WATCHING and not self._must_watch():
+                result.append(messages.StopCall(self._call))
                 self._phase = _Phase.IDLE
         if self._phase is _Phase.IDLE and now >= self._retry_at:
-            if self.is_watcher or self._is_stale(now):
+            if self._must_watch() or self._is_stale(now):
                 result.append(self._start_read(now))
         if self._confirmed_at is None and now >= self._ask_at:
             known = [a for a in self._own if a != self._me.address]
@@ -303,7 +233,7 @@
             targets = self._random.sample(known, min(START_PEERS, len(known)))
             if targets:
                 self._ask_at = now + START_PERIOD_S
-                result.append(AskPeers(tuple(targets)))
+                result.append(messages.AskPeers(tuple(targets)))
         return result
 
     def _is_stale(self, now: float) -> bool:
@@ -314,19 +244,21 @@
         # Ranks differ, so that one reads first and its confirmation spreads.
         rank = self._own.index(self._me.address)
         spread_s = math.log2(len(self._own) + len(self._others))
-        return age_s > STALE_BASE_S + spread_s + 0.1 * rank
+        return age_s > STALE_BASE_S + spread_s + STALE_PER_RANK_S * rank
 
-    def _start_read(self, now: float) -> ReadRange:
+    def _start_read(self, now: float) -> messages.ReadRange:
         self._phase = _Phase.READING
         self._call += 1
         self._call_at = now
-        return ReadRange(self._call, PREFIX)
+        return messages.ReadRange(self._call, PREFIX)
 
-    def _start_watch(self, now: float) -> StartWatch:
+    def _start_watch(self, now: float) -> messages.StartWatch:
         self._phase = _Phase.WATCHING
         self._call += 1
         self._call_at = now
-        return StartWatch(self._call, PREFIX, self._after, WATCH_TIMEOUT_S)
+        return messages.StartWatch(
+            self._call, PREFIX, self._after, WATCH_TIMEOUT_S
+        )
 
     def _fail_call(self, retry_after_s: float | None, now: float) -> None:
         """Waits; the next call is a range read, since a watch may have gaps."""
@@ -337,7 +269,7 @@
         self._backoff_s = min(self._backoff_s * 2, BACKOFF_LIMIT_S)
 
     def _apply_answer(
-        self, event: StoreAnswered, now: float
+        self, event: messages.StoreAnswered, now: float
     ) -> list[commands.Command]:
         entries = [
             documents.Entry(
@@ -348,34 +280,44 @@
             if value.key.startswith(PREFIX) and value.text is not None
         ]
         # The first load is nothing new to the peers.
-        result = self._add(entries, self._confirmed_at is not None)
+        targets: tuple[str, ...] = ()
+        if self._confirmed_at is not None:
+            targets = self._select_targets() + self._leaders
+        result = self._add(entries, targets, now)
         if event.call != self._call or self._phase is _Phase.IDLE:
             return result
+        if self._confirmed_at is not None and not self._must_watch():
+            if self._is_stale(now):
+                self._stand_in_until = now + STAND_IN_S
         self._confirm(self._call_at)
         self._backoff_s = BACKOFF_FIRST_S
         self._after = max(self._after, event.revision)
         self._phase = _Phase.IDLE
-        if self.is_watcher:
+        if self._must_watch():
             result.append(self._start_watch(now))
         return result
 
     def _add(
-        self, entries: Iterable[documents.Entry], push: bool
+        self,
+        entries: Iterable[documents.Entry],
+        targets: tuple[str, ...],
+        now: float,
     ) -> list[commands.Command]:
         """Applies entries and returns what follows from those that are new."""
         before, faults = self._held.deployment, self._held.faults
         taken = self._held.add(entries)
         result: list[commands.Command] = []
-        targets = self._select_targets()
-        if taken and push and targets:
+        for entry in taken:
+            self._changed_at[entry.branch] = now
+        if taken and targets:
             digest = documents.Digest(self._held.hash, None)
             for group in documents.split_entries(taken):
                 payload = documents.encode_delta(documents.Delta(digest, group))
-                result.append(PushChanges(targets, self.kind, payload))
+                result.append(messages.PushChanges(targets, self.kind, payload))
         if self._held.deployment != before:
-            result.append(ConfigurationChanged(self._held.deployment))
+            result.append(messages.ConfigurationChanged(self._held.deployment))
         if self._held.faults != faults:
-            result.append(BranchesRejected(self._held.faults))
+            result.append(messages.BranchesRejected(self._held.faults))
         return result
 
     def _select_targets(self) -> tuple[str, ...]:
