--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -147,29 +147,23 @@
             self.seen[index] = dict(revisions)
 
 
+def draw_step(name, *arguments):
+    return strategies.tuples(strategies.just(name), *arguments)
+
+
 INDEX = strategies.integers(0, len(PEERS) - 1)
+BRANCH = strategies.sampled_from(["platform", "a", "b"])
+KIND = strategies.sampled_from(
+    ["good", "wide", "shared", "deleted", "bad", "text"]
+)
 STEP = strategies.one_of(
-    strategies.tuples(
-        strategies.just("write"),
-        strategies.sampled_from(["platform", "a", "b"]),
-        strategies.sampled_from(
-            ["good", "wide", "shared", "deleted", "bad", "text"]
-        ),
-    ),
-    strategies.tuples(
-        strategies.just("answer"), INDEX, strategies.integers(0, 4)
-    ),
-    strategies.tuples(strategies.just("fail"), INDEX),
-    strategies.tuples(
-        strategies.just("deliver"),
-        strategies.integers(0, 99),
-        strategies.booleans(),
-    ),
-    strategies.tuples(
-        strategies.just("exchange"), INDEX, INDEX, strategies.booleans()
-    ),
-    strategies.tuples(strategies.just("restart"), INDEX),
-    strategies.tuples(strategies.just("tick"), strategies.floats(0.0, 3.0)),
+    draw_step("write", BRANCH, KIND),
+    draw_step("answer", INDEX, strategies.integers(0, 4)),
+    draw_step("fail", INDEX),
+    draw_step("deliver", strategies.integers(0, 99), strategies.booleans()),
+    draw_step("exchange", INDEX, INDEX, strategies.booleans()),
+    draw_step("restart", INDEX),
+    draw_step("tick", strategies.floats(0.0, 3.0)),
 )
 
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -1,12 +1,10 @@
 """Tests of the control program."""
 
 import contextlib
-import http.server
 import io
 import json
 import sys
 import tempfile
-import threading
 import types
 import unittest
 from unittest import mock
@@ -15,6 +13,7 @@
 from sycamorehollow.programs import ctl_changes
 from sycamorehollow.settings import tree
 from sycamorehollow.shells import stores
+from tests import test_storeclient
 
 PLATFORM = {
     "models": {
@@ -68,20 +67,6 @@
     watch = grant_lease = renew_lease = release_lease = delete
 
 
-class StatusHandler(http.server.BaseHTTPRequestHandler):
-    """Answers with the requested path."""
-
-    def do_GET(self):
-        body = json.dumps({"path": self.path}).encode()
-        self.send_response(200)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, *args):
-        """Prints nothing."""
-
-
 class CtlTest(unittest.TestCase):
     """Guards against changes that are lost, wrong or another team's."""
 
@@ -256,13 +241,11 @@
             self.assertEqual(status, ctl.BAD_USAGE, words)
 
     def test_status_asks_every_entry_process(self):
-        server = http.server.HTTPServer(("127.0.0.1", 0), StatusHandler)
-        threading.Thread(target=server.serve_forever, daemon=True).start()
-        self.addCleanup(server.server_close)
-        self.addCleanup(server.shutdown)
-        url = f"http://127.0.0.1:{server.server_port}"
-        shown = self.run_ctl(f"status {url} http://127.0.0.1:1")
-        self.assertEqual(shown[url], {"path": "/v1/status"})
+        server = test_storeclient.ScriptedServer(self)
+        server.responses.append(test_storeclient.reply(200, {"a": 1}))
+        shown = self.run_ctl(f"status {server.url} http://127.0.0.1:1")
+        self.assertEqual(server.requests[0][:2], ("GET", "/v1/status"))
+        self.assertEqual(shown[server.url], {"a": 1})
         self.assertIn("error", shown["http://127.0.0.1:1"])
         self.assertEqual(
             self.find_error("status http://127.0.0.1:1"), "no_upstream"
--- a/tests/test_settings_tree.py
+++ b/tests/test_settings_tree.py
@@ -1,64 +1,29 @@
 """Tests of the settings tree."""
 
 import copy
+import json
 import unittest
 
 from sycamorehollow.model import deployment
 from sycamorehollow.settings import tree
 
-PLATFORM = {
-    "nonce": "n",
-    "models": {
-        "atlas": {
-            "versions": {
-                "small": {"prompt_price": 20, "output_price": 80},
-                "large": {
-                    "prompt_price": 90,
-                    "output_price": 300,
-                    "state": "withdrawn",
-                },
-            }
-        }
-    },
-    "data_centres": {"levant-1": {"region": "levant-east"}},
-    "upstreams": {
-        "atlas-a": {
-            "url": "http://127.0.0.1:9001",
-            "data_centre": "levant-1",
-            "versions": ["small"],
-            "presence": "leaving",
-        }
-    },
-    "services": {
-        "filing": {
-            "upstreams": ["atlas-a"],
-            "operations": {"lodge": {"idempotent": False}},
-        }
-    },
-}
-TEAM = {
-    "nonce": "n",
-    "workspaces": {
-        "maps": {
-            "key_hashes": ["a" * 64],
-            "versions": ["small"],
-            "services": ["filing"],
-            "kinds": {"chapter": {"deadline_s": 600, "gate": True}},
-        }
-    },
-    "cascades": {
-        "auto": {"steps": ["small", "big"]},
-        "big": {"steps": ["large", "small"]},
-    },
-    "rollouts": {
-        "r": {
-            "model": "atlas",
-            "baseline": "small",
-            "candidate": "large",
-            "stages": [0.1, 1],
-        }
-    },
-}
+PLATFORM = json.loads("""{"nonce": "n",
+"models": {"atlas": {"versions": {
+  "small": {"prompt_price": 20, "output_price": 80},
+  "large": {"prompt_price": 9, "output_price": 30, "state": "withdrawn"}}}},
+"data_centres": {"levant-1": {"region": "levant-east"}},
+"upstreams": {"atlas-a": {"url": "http://127.0.0.1:9001",
+  "data_centre": "levant-1", "versions": ["small"], "presence": "leaving"}},
+"services": {"filing": {"upstreams": ["atlas-a"],
+  "operations": {"lodge": {"idempotent": false}}}}}""")
+TEAM = json.loads("""{"nonce": "n",
+"workspaces": {"maps": {"versions": ["small"], "services": ["filing"],
+  "kinds": {"chapter": {"deadline_s": 600, "gate": true}}}},
+"cascades": {"auto": {"steps": ["small", "big"]},
+  "big": {"steps": ["large", "small"]}},
+"rollouts": {"r": {"model": "atlas", "baseline": "small",
+  "candidate": "large", "stages": [0.1, 1]}}}""")
+TEAM["workspaces"]["maps"]["key_hashes"] = ["a" * 64]
 
 
 def change(document, path, value):
--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -86,79 +86,41 @@
     def test_calls_follow_the_protocol(self):
         event = {"key": "a", "value": None, "revision": 7}
         item = {"key": "a/b", "value": "v", "revision": 5}
-        client = self.client
-        for call, request, body, response, result in (
-            (
-                lambda: client.read("a/b c"),
-                "GET /v1/kv/a/b%20c",
-                None,
-                (200, {"value": "v", "revision": 5}),
-                stores.Found("a/b c", "v", 5),
-            ),
-            (
-                lambda: client.read("a"),
-                "GET /v1/kv/a",
-                None,
-                (404, {}),
-                stores.Absent("a"),
-            ),
-            (
-                lambda: client.write("a", "v", 0, "9"),
-                "PUT /v1/kv/a",
-                {"value": "v", "expect": 0, "lease": "9"},
-                (200, {"revision": 6}),
-                stores.Written(6),
-            ),
-            (
-                lambda: client.delete("a", 4),
-                "DELETE /v1/kv/a?expect=4",
-                None,
-                (200, {}),
-                stores.Deleted("a"),
-            ),
-            (
-                lambda: client.list_range("a/"),
-                "GET /v1/range?prefix=a%2F",
-                None,
-                (200, {"items": [item], "revision": 8}),
-                stores.Listing((stores.Found("a/b", "v", 5),), 8),
-            ),
-            (
-                lambda: client.watch("a", 6, 1.5),
-                "GET /v1/watch?prefix=a&after=6&timeout=1.5",
-                None,
-                (200, {"events": [event], "revision": 9}),
-                stores.Changes((stores.Change("a", None, 7),), 9),
-            ),
-            (
-                lambda: client.grant_lease(4.0),
-                "POST /v1/leases",
-                {"ttl_s": 4.0},
-                (200, {"lease": 12}),
-                stores.Lease("12", 4.0),
-            ),
-            (
-                lambda: client.renew_lease("12"),
-                "PUT /v1/leases/12",
-                None,
-                (200, {"lease": 12}),
-                stores.Lease("12", 4.0),
-            ),
-            (
-                lambda: client.release_lease("12"),
-                "DELETE /v1/leases/12",
-                None,
-                (200, {}),
-                stores.Released("12"),
-            ),
-        ):
+        listing = stores.Listing((stores.Found("a/b", "v", 5),), 8)
+        changes = stores.Changes((stores.Change("a", None, 7),), 9)
+        put = {"value": "v", "expect": 0, "lease": "9"}
+        ttl = {"ttl_s": 4.0}
+        watch = "/v1/watch?prefix=a&after=6&timeout=1.5"
+        items = {"items": [item], "revision": 8}
+        news = {"events": [event], "revision": 9}
+        found = stores.Found("a/b c", "v", 5)
+        kv, lease = "/v1/kv/a", "/v1/leases/12"
+        for method, arguments, request, sent, answer, result in (
+            ("read", ["a/b c"], f"GET {kv}/b%20c", None, item, found),
+            ("read", ["a"], f"GET {kv}", None, None, stores.Absent("a")),
+            ("write", ["a", "v", 0, "9"], f"PUT {kv}", put, {"revision": 6},
+             stores.Written(6)),
+            ("delete", ["a", 4], f"DELETE {kv}?expect=4", None, {},
+             stores.Deleted("a")),
+            ("list_range", ["a/"], "GET /v1/range?prefix=a%2F", None, items,
+             listing),
+            ("watch", ["a", 6, 1.5], f"GET {watch}", None, news, changes),
+            ("grant_lease", [4.0], "POST /v1/leases", ttl, {"lease": 12},
+             stores.Lease("12", 4.0)),
+            ("renew_lease", ["12"], f"PUT {lease}", None, {},
+             stores.Lease("12", 4.0)),
+            ("release_lease", ["12"], f"DELETE {lease}", None, {},
+             stores.Released("12")),
+        ):  # fmt: skip
             with self.subTest(request):
-                self.server.responses.append(reply(*response))
-                self.assertEqual(call(), result)
-                method, path, sent = self.server.requests[-1]
-                self.assertEqual(f"{method} {path}", request)
-                if body is not None:
-                    self.assertEqual(json.loads(sent), body)
+                status = 404 if answer is None else 200
+                self.server.responses.append(reply(status, answer or {}))
+                call = getattr(self.client, method)
+                self.assertEqual(call(*arguments), result)
+                verb, path, body = self.server.requests[-1]
+                self.assertEqual(f"{verb} {path}", request)
+                if sent is not None:
+                    self.assertEqual(json.loads(body), sent)
 
     def test_refused_connection_means_nothing_was_sent(self):
         with socket.create_server(("127.0.0.1", 0)) as listener:
