--- a/sycamorehollow/model/requests.py
+++ b/sycamorehollow/model/requests.py
@@ -20,7 +20,8 @@
         deadline: Monotonic time in seconds after which the answer is useless.
         session: Session token, `new`, or empty.
         idempotency_key: The caller's key, or empty.
-        blocks: Hashes of the leading blocks of the prompt, longest last.
+        prompt_head: Start of the prompt, as engines hash it for their prefix
+            cache.
     """
 
     request_id: str
@@ -35,7 +36,7 @@
     deadline: float
     session: str = ""
     idempotency_key: str = ""
-    blocks: tuple[str, ...] = ()
+    prompt_head: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/shells/chat.py
+++ b/sycamorehollow/shells/chat.py
@@ -10,7 +10,6 @@
 
 import pydantic
 
-from sycamorehollow.decisions import prefixes
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
@@ -23,7 +22,6 @@
 from sycamorehollow.shells import relay as relays
 from sycamorehollow.shells import streams
 
-BLOCK_BYTES = 256
 # Affinity gains little from the rest of a long dossier.
 MAX_HASHED_CHARACTERS = 16_384
 DEFAULT_DEADLINE_S = 60.0
@@ -192,11 +190,5 @@
         deadline=deadline,
         session=session,
         idempotency_key=exchange.get_header("Idempotency-Key"),
-        blocks=hash_prompt(body),
+        prompt_head=body.join_messages()[:MAX_HASHED_CHARACTERS].encode(),
     )
-
-
-def hash_prompt(body: bodies.ChatBody) -> tuple[str, ...]:
-    """Returns the block hashes under which engines publish cached prefixes."""
-    prompt = body.join_messages()[:MAX_HASHED_CHARACTERS].encode()
-    return prefixes.hash_blocks("", prompt, BLOCK_BYTES)
