--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -15,6 +15,7 @@
 from sycamorehollow.decisions import cascades
 from sycamorehollow.decisions import coldstart
 from sycamorehollow.decisions import configuration
+from sycamorehollow.decisions import configuration_messages
 from sycamorehollow.decisions import documents
 from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import effect_messages
@@ -220,7 +221,7 @@
         )
         self.membership = membership.Membership(me, options.seeds, source, now)
         self.configuration = configuration.Configuration(
-            configuration.Peer(process.address, process.data_centre),
+            configuration_messages.Peer(process.address, process.data_centre),
             options.convert,
             source,
         )
@@ -317,9 +318,9 @@
             actives.SecureBill: self._secure_bill,
             billing_messages.ReleaseAnswer: self._release_answer,
             coldstart.SpreadCold: self._spread_cold,
-            configuration.AskPeers: self._ask_peers,
-            configuration.ConfigurationChanged: self._change_deployment,
-            configuration.PushChanges: self._push_changes,
+            configuration_messages.AskPeers: self._ask_peers,
+            configuration_messages.ConfigurationChanged: self._change_deployment,
+            configuration_messages.PushChanges: self._push_changes,
             drains.MarkCold: self._mark_cold,
             effect_messages.SpoolOutcome: self._spool_outcome,
             members.MemberChanged: self._change_members,
@@ -330,7 +331,7 @@
         }
 
     def _change_deployment(
-        self, command: configuration.ConfigurationChanged, now: float
+        self, command: configuration_messages.ConfigurationChanged, now: float
     ) -> list[Any]:
         current = command.deployment
         applied = self.placement.apply(current, now)
@@ -356,9 +357,9 @@
         own = self.membership.list_live(me.data_centre)
         self.placement.capacity.set_members(len(own))
         result: list[Any] = [
-            configuration.MembersSeen(
+            configuration_messages.MembersSeen(
                 tuple(
-                    configuration.Peer(member.address, member.data_centre)
+                    configuration_messages.Peer(member.address, member.data_centre)
                     for member in live
                 )
             ),
@@ -404,12 +405,12 @@
         return [billing_messages.OutcomeReady(command.key, command.value)]
 
     def _ask_peers(
-        self, command: configuration.AskPeers, now: float
+        self, command: configuration_messages.AskPeers, now: float
     ) -> list[Any]:
         return list(self.exchange.open(command.targets, now))
 
     def _push_changes(
-        self, command: configuration.PushChanges, now: float
+        self, command: configuration_messages.PushChanges, now: float
     ) -> list[Any]:
         item = exchange.Item(
             command.kind + exchange.DELTA_SUFFIX, command.delta
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/upstream_placement.py
@@ -20,6 +20,8 @@
 
 # A slot that another process may have held waits for that one's loans.
 NO_FORMER_HOLDER = float("-inf")
+# Engines hash prompts in blocks of this length; a token is about four bytes.
+BLOCK_BYTES = 4 * prefixes.BLOCK_TOKENS
 # Length of an answer before any was seen; most callers leave `max_tokens` far
 # above what they get, and a deadline must not be judged by it.
 FIRST_LENGTH_TOKENS = 64.0
@@ -129,7 +131,7 @@
                 f"No upstream takes new work for {version} now.",
                 retry_after_s=selection.FULL_RETRY_AFTER_S,
             )
-        demand = self._build_demand(request)
+        demand = self._build_demand(request, version)
         choice = self._selection.choose(demand, candidates, now)
         if isinstance(choice, failures.Failure):
             return choice
@@ -143,10 +145,8 @@
             ),
             now,
         )
-        if request.blocks:
-            self._tell(
-                prefixes.PromptSent(choice.upstream, request.blocks), now
-            )
+        if demand.blocks:
+            self._tell(prefixes.PromptSent(choice.upstream, demand.blocks), now)
         return placement.Placed(
             self._configured[choice.upstream], choice.reason
         )
@@ -185,7 +185,7 @@
         self, request: requests.ModelRequest, version: str, now: float
     ) -> float:
         """Returns the shortest expected time of an answer of a version."""
-        demand = self._build_demand(request)
+        demand = self._build_demand(request, version)
         shortest = 0.0
         for name in self.table.list_serving(version):
             duration_s = self.capacity.estimate_duration_s(name, demand)
@@ -241,7 +241,9 @@
         self._outbox = []
         return result
 
-    def _build_demand(self, request: requests.ModelRequest) -> capacity.Demand:
+    def _build_demand(
+        self, request: requests.ModelRequest, version: str
+    ) -> capacity.Demand:
         likely = self._lengths.get(
             (request.workspace, request.kind), FIRST_LENGTH_TOKENS
         )
@@ -249,7 +251,7 @@
             request.prompt_tokens,
             request.max_output_tokens,
             request.deadline,
-            request.blocks,
+            prefixes.hash_blocks(version, request.prompt_head, BLOCK_BYTES),
             int(likely),
         )
 
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -8,7 +8,7 @@
 import loguru
 
 from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import configuration
+from sycamorehollow.decisions import configuration_messages
 from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import effect_messages
 from sycamorehollow.decisions import exchange
@@ -175,10 +175,10 @@
             billing_messages.SpoolToPeer: self._bills.spool,
             billing_messages.TellAdvance: self._bills.tell_advance,
             billing_messages.WriteBatch: self._bills.write,
-            configuration.BranchesRejected: self._log_faults,
-            configuration.ReadRange: self._config.read,
-            configuration.StartWatch: self._config.watch,
-            configuration.StopCall: self._ignore,
+            configuration_messages.BranchesRejected: self._log_faults,
+            configuration_messages.ReadRange: self._config.read,
+            configuration_messages.StartWatch: self._config.watch,
+            configuration_messages.StopCall: self._ignore,
             drains.UpstreamLeft: self._log_left,
             effect_messages.AnswerPeer: self._owners.answer,
             effect_messages.Reply: self._waiters.take,
@@ -254,7 +254,7 @@
     def _ignore(self, command: Any) -> None:
         """A call that was given up ends at its own timeout."""
 
-    def _log_faults(self, command: configuration.BranchesRejected) -> None:
+    def _log_faults(self, command: configuration_messages.BranchesRejected) -> None:
         for branch, faults in command.faults.items():
             for fault in faults:
                 loguru.logger.warning(
--- a/sycamorehollow/shells/config_io.py
+++ b/sycamorehollow/shells/config_io.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 import threading
 
-from sycamorehollow.decisions import configuration
+from sycamorehollow.decisions import configuration_messages
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.shells import errands
@@ -26,30 +26,30 @@
         self._runner = runner
         self._report = report
 
-    def read(self, command: configuration.ReadRange) -> None:
+    def read(self, command: configuration_messages.ReadRange) -> None:
         """Reads all branches."""
         self._runner.submit(lambda: self._read(command))
 
-    def watch(self, command: configuration.StartWatch) -> None:
+    def watch(self, command: configuration_messages.StartWatch) -> None:
         """Waits for changes."""
         threading.Thread(
             target=self._watch, args=(command,), name="watch", daemon=True
         ).start()
 
-    def _read(self, command: configuration.ReadRange) -> None:
+    def _read(self, command: configuration_messages.ReadRange) -> None:
         result = self._store.list_range(command.prefix)
         if isinstance(result, failures.Failure):
             self._fail(command.call, result)
             return
         values = tuple(
-            configuration.Value(item.key, item.revision, item.value)
+            configuration_messages.Value(item.key, item.revision, item.value)
             for item in result.items
         )
         self._report(
-            configuration.StoreAnswered(command.call, values, result.revision)
+            configuration_messages.StoreAnswered(command.call, values, result.revision)
         )
 
-    def _watch(self, command: configuration.StartWatch) -> None:
+    def _watch(self, command: configuration_messages.StartWatch) -> None:
         result = self._store.watch(
             command.prefix, command.after, command.timeout_s
         )
@@ -57,12 +57,12 @@
             self._fail(command.call, result)
             return
         values = tuple(
-            configuration.Value(change.key, change.revision, change.value)
+            configuration_messages.Value(change.key, change.revision, change.value)
             for change in result.changes
         )
         self._report(
-            configuration.StoreAnswered(command.call, values, result.revision)
+            configuration_messages.StoreAnswered(command.call, values, result.revision)
         )
 
     def _fail(self, call: int, failure: failures.Failure) -> None:
-        self._report(configuration.StoreFailed(call, failure.retry_after_s))
+        self._report(configuration_messages.StoreFailed(call, failure.retry_after_s))
