--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/mypy --cache-dir=/dev/null sycamorehollow tools benches
 
 format: $(STAMP)
+	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -359,7 +359,9 @@
         result: list[Any] = [
             configuration_messages.MembersSeen(
                 tuple(
-                    configuration_messages.Peer(member.address, member.data_centre)
+                    configuration_messages.Peer(
+                        member.address, member.data_centre
+                    )
                     for member in live
                 )
             ),
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -254,7 +254,9 @@
     def _ignore(self, command: Any) -> None:
         """A call that was given up ends at its own timeout."""
 
-    def _log_faults(self, command: configuration_messages.BranchesRejected) -> None:
+    def _log_faults(
+        self, command: configuration_messages.BranchesRejected
+    ) -> None:
         for branch, faults in command.faults.items():
             for fault in faults:
                 loguru.logger.warning(
--- a/sycamorehollow/shells/config_io.py
+++ b/sycamorehollow/shells/config_io.py
@@ -46,7 +46,9 @@
             for item in result.items
         )
         self._report(
-            configuration_messages.StoreAnswered(command.call, values, result.revision)
+            configuration_messages.StoreAnswered(
+                command.call, values, result.revision
+            )
         )
 
     def _watch(self, command: configuration_messages.StartWatch) -> None:
@@ -57,12 +59,18 @@
             self._fail(command.call, result)
             return
         values = tuple(
-            configuration_messages.Value(change.key, change.revision, change.value)
+            configuration_messages.Value(
+                change.key, change.revision, change.value
+            )
             for change in result.changes
         )
         self._report(
-            configuration_messages.StoreAnswered(command.call, values, result.revision)
+            configuration_messages.StoreAnswered(
+                command.call, values, result.revision
+            )
         )
 
     def _fail(self, call: int, failure: failures.Failure) -> None:
-        self._report(configuration_messages.StoreFailed(call, failure.retry_after_s))
+        self._report(
+            configuration_messages.StoreFailed(call, failure.retry_after_s)
+        )
