--- a/benches/bench_configuration.py
+++ b/benches/bench_configuration.py
@@ -237,32 +237,22 @@
         (after - before) / span_s
         for before, after in zip(sent, fleet.sent_bytes, strict=True)
     ]
+    found: list[tuple[str, float, float]] = [
+        ("in force on all [s]", worst_s, IN_FORCE_BOUNDS_S[size]),
+        ("store calls [1/s]", per_s, STORE_READS_PER_S / 10),
+        ("further store calls per change", extra, 2.0 * 14),
+    ]
+    for name, value in (
+        ("no change", quiet_bytes),
+        ("a change each 10 s", sum(busy) / size),
+        ("a change each 10 s, busiest node", max(busy)),
+    ):
+        name = f"payload sent per node, {name} [B/s]"
+        found.append((name, value, NODE_BYTES_PER_S))
     prefix = f"configuration, {size} processes:"
     return [
-        results.Result(
-            f"{prefix} in force on all [s]", worst_s, IN_FORCE_BOUNDS_S[size]
-        ),
-        results.Result(
-            f"{prefix} store calls [1/s]", per_s, STORE_READS_PER_S / 10
-        ),
-        results.Result(
-            f"{prefix} further store calls per change", extra, 2.0 * 14
-        ),
-        results.Result(
-            f"{prefix} payload sent per node, no change [B/s]",
-            quiet_bytes,
-            NODE_BYTES_PER_S,
-        ),
-        results.Result(
-            f"{prefix} payload sent per node, a change each 10 s [B/s]",
-            sum(busy) / size,
-            NODE_BYTES_PER_S,
-        ),
-        results.Result(
-            f"{prefix} payload sent by the busiest node [B/s]",
-            max(busy),
-            NODE_BYTES_PER_S,
-        ),
+        results.Result(f"{prefix} {name}", value, bound)
+        for name, value, bound in found
     ]
 
 
