--- a/benches/bench_cascades.py
+++ b/benches/bench_cascades.py
@@ -335,6 +335,12 @@
         )
     )
     found.append(results.Result("cascades: the same, best seed", max(margins)))
+    return found + describe_phases(reports) + describe_policies(reports)
+
+
+def describe_phases(reports: tuple[Report, ...]) -> list[results.Result]:
+    """Returns cost and quality of each quarter of the run."""
+    found = []
     for phase in PHASES:
         found.append(
             results.Result(
@@ -348,6 +354,12 @@
                 min(r.find_worst("routed", (phase,)) for r in reports),
             )
         )
+    return found
+
+
+def describe_policies(reports: tuple[Report, ...]) -> list[results.Result]:
+    """Returns cost and quality of each policy over the whole run."""
+    found = []
     for policy in ("routed", "hindsight", "dearest", "fixed"):
         prices = [report.price(policy, PHASES) for report in reports]
         found.append(
--- a/sycamorehollow/decisions/versions.py
+++ b/sycamorehollow/decisions/versions.py
@@ -69,18 +69,7 @@
     """
     if name in deployment.versions:
         return _resolve_version(deployment, workspace, name, stopped)
-    cascade = deployment.cascades.get(name)
-    if cascade is not None:
-        named = list(cascade.steps)
-    else:
-        named = sorted(
-            (v.name for v in deployment.versions.values() if v.model == name),
-            key=lambda v: (
-                deployment.versions[v].output_price,
-                deployment.versions[v].prompt_price,
-                v,
-            ),
-        )
+    named = _list_named(deployment, name)
     if not named:
         return failures.NotFound(f"No model, version or cascade {name!r}.")
     usable = {
@@ -96,12 +85,31 @@
     if not chosen:
         return _refuse(workspace, name, named, usable)
     arms = {v: splits.list_arms(v) for v in chosen if splits.list_arms(v)}
-    notes = [f"{len(chosen)} of {len(named)} versions of {name}"]
+    note = f"{len(chosen)} of {len(named)} versions of {name}"
+    return Candidates(chosen, arms, note + _describe_arms(arms, shares))
+
+
+def _list_named(
+    deployment: deployments.Deployment, name: str
+) -> tuple[str, ...]:
+    """Returns the steps of a cascade, or a model's versions by price."""
+    cascade = deployment.cascades.get(name)
+    if cascade is not None:
+        return cascade.steps
+    found = [v for v in deployment.versions.values() if v.model == name]
+    found.sort(key=lambda v: (v.output_price, v.prompt_price, v.name))
+    return tuple(v.name for v in found)
+
+
+def _describe_arms(
+    arms: Mapping[str, tuple[Arm, ...]], shares: Mapping[str, float]
+) -> str:
+    text = ""
     for arm in (arm for group in arms.values() for arm in group):
         side = "inside" if arm.candidate else "outside"
         share = shares.get(arm.rollout, 0.0)
-        notes.append(f"{side} {share:.0%} of {arm.rollout}")
-    return Candidates(chosen, arms, "; ".join(notes))
+        text += f"; {side} {share:.0%} of {arm.rollout}"
+    return text
 
 
 def price_versions(
@@ -195,7 +203,7 @@
 def _refuse(
     workspace: deployments.Workspace,
     name: str,
-    named: list[str],
+    named: tuple[str, ...],
     usable: set[str],
 ) -> failures.Failure:
     if not workspace.versions.intersection(named):
