--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -319,7 +319,7 @@
             billing_messages.ReleaseAnswer: self._release_answer,
             coldstart.SpreadCold: self._spread_cold,
             configuration_messages.AskPeers: self._ask_peers,
-            configuration_messages.ConfigurationChanged: self._change_deployment,
+            configuration_messages.ConfigurationChanged: self._deploy,
             configuration_messages.PushChanges: self._push_changes,
             drains.MarkCold: self._mark_cold,
             effect_messages.SpoolOutcome: self._spool_outcome,
@@ -330,7 +330,7 @@
             stops.SpreadStops: self._spread_stops,
         }
 
-    def _change_deployment(
+    def _deploy(
         self, command: configuration_messages.ConfigurationChanged, now: float
     ) -> list[Any]:
         current = command.deployment
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,7 +1,7 @@
 """Test runner plugin that passes over exactly the cases in KNOWN-RED.txt.
 
-An entry of KNOWN-RED.txt starts with a line `test: <dotted test id>`. A listed
-test still runs; its failure is printed and does not change the exit status.
+An entry of KNOWN-RED.txt starts with a line `test: <dotted test id>`, or
+`bench: <name of the figure>` for a bench. A listed test still runs; its failure is printed and does not change the exit status.
 """
 
 import pathlib
@@ -11,17 +11,18 @@
 from nose2 import result
 
 KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
-ENTRY_PREFIX = "test: "
+TEST_PREFIX = "test: "
+BENCH_PREFIX = "bench: "
 
 
-def read_known_red(path: pathlib.Path) -> set[str]:
-    """Returns the test ids that are listed as failing."""
+def read_known_red(path: pathlib.Path, prefix: str = TEST_PREFIX) -> set[str]:
+    """Returns the test ids, or bench names, that are listed as failing."""
     if not path.exists():
         return set()
     ids = set()
     for line in path.read_text(encoding="utf-8").splitlines():
-        if line.startswith(ENTRY_PREFIX):
-            ids.add(line[len(ENTRY_PREFIX) :].strip())
+        if line.startswith(prefix):
+            ids.add(line[len(prefix) :].strip())
     return ids
 
 
