--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,7 +1,8 @@
 """Test runner plugin that passes over exactly the cases in KNOWN-RED.txt.
 
 An entry of KNOWN-RED.txt starts with a line `test: <dotted test id>`, or
-`bench: <name of the figure>` for a bench. A listed test still runs; its failure is printed and does not change the exit status.
+`bench: <name of the figure>` for a bench. A listed test still runs; its
+failure is printed and does not change the exit status.
 """
 
 import pathlib
