Poll the VM list, order engines under a lease, bound the bill backlog

The coordinator of each data centre holds a lease and orders engines to load the versions that the configuration names, with the lease's fencing token. The platform's list marks leaving VMs and upstreams. New work is refused with the time to come back while too many bills wait for the store. A process that was replaced under its address ends itself.

--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -23,8 +23,10 @@
 from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import learning
+from sycamorehollow.decisions import leases
 from sycamorehollow.decisions import members
 from sycamorehollow.decisions import membership
+from sycamorehollow.decisions import orders
 from sycamorehollow.decisions import parts
 from sycamorehollow.decisions import payloads
 from sycamorehollow.decisions import quarantine
@@ -48,6 +50,10 @@
 EXCHANGE_INTERVAL_S = 1.0
 SLOW_INTERVAL_S = 0.25
 ROLLOUT_COORDINATORS = 1
+ORDER_LEASE_TTL_S = 10.0
+# One lease per data centre shares the weight store's rate limit.
+WEIGHT_LOADS_PER_S = 5.0
+WEIGHT_HOLDERS = 7
 EMPTY_DIGEST = b"{}"
 
 
@@ -106,6 +112,24 @@
         return True
 
 
+class _Coordinated(parts.Part):
+    """Gives a lease its ticks only while this process coordinates.
+
+    A lease that is held is renewed, or ends by itself.
+    """
+
+    def __init__(self, lease: leases.Lease, node: "Node"):
+        self._lease = lease
+        self._node = node
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Passes an event on; see the base class."""
+        idle = isinstance(event, events.Tick) and not (
+            self._node.is_coordinator() or self._lease.find_holding(now)
+        )
+        return [] if idle else self._lease.handle(event, now)
+
+
 class Node(parts.Part):
     """Drives every part and passes messages between them.
 
@@ -263,6 +287,7 @@
             self.placement,
             recovery.Recovery(retries.Retries(source)),
             admission.Admission(0, source),
+            lambda: self.billing.check_backlog(),
         )
         self.exchange = exchange.Exchange(
             self.membership,
@@ -294,6 +319,14 @@
         )
         self.billing = billing.Billing(process, source)
         self.spool = billing_spool.Spool(process, source)
+        owner = f"{process.address}/{process.incarnation}"
+        self.order_lease = leases.Lease(
+            f"leases/orders/{process.data_centre}", owner, ORDER_LEASE_TTL_S
+        )
+        self.orders = orders.Orders(
+            self.order_lease,
+            orders.WeightBudget(WEIGHT_LOADS_PER_S, WEIGHT_HOLDERS),
+        )
 
     def _list_parts(self) -> list[_Paced]:
         fast = [self.router, self.billing, self.key_calls, self.ticket_calls]
@@ -311,6 +344,8 @@
             *[_Paced(part, 0.0) for part in fast],
             *[_Paced(part, SLOW_INTERVAL_S) for part in slow],
             _Paced(self.exchange, EXCHANGE_INTERVAL_S),
+            _Paced(_Coordinated(self.order_lease, self), SLOW_INTERVAL_S),
+            _Paced(self.orders, EXCHANGE_INTERVAL_S),
         ]
 
     def _build_routes(self) -> dict[type, Callable[[Any, float], list[Any]]]:
@@ -337,6 +372,7 @@
         applied = self.placement.apply(current, now)
         return [
             admission.CapacityChanged(self.placement.count_capacity()),
+            orders.TargetsChanged(self._build_targets(current)),
             drains.DeploymentChanged(current),
             learning.DeploymentChanged(current),
             rollouts.DeploymentChanged(current),
@@ -345,6 +381,20 @@
             PublishDeployment(current),
         ]
 
+    def _build_targets(
+        self, current: deployment.Deployment
+    ) -> dict[str, orders.Target]:
+        """Returns what the engines of the own data centre should serve."""
+        return {
+            upstream.name: orders.Target(
+                frozenset(upstream.versions),
+                checks_fence=upstream.checks_fence,
+            )
+            for upstream in current.upstreams.values()
+            if upstream.versions
+            and upstream.data_centre == self.process.data_centre
+        }
+
     def _change_members(
         self, command: members.MemberChanged, now: float
     ) -> list[Any]:
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -35,6 +35,7 @@
         placement: Rules for upstreams.
         recovery: Rules after a failed attempt.
         fairness: Rules for the admission to a saturated node.
+        find_backlog: Returns why bills keep new work out, or `None`.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         placement: placements.Placement,
         recovery: recoveries.Recovery,
         fairness: admission.Admission,
+        find_backlog: Callable[[], failures.Failure | None],
     ):
         self._planner = planner
         self._placement = placement
@@ -52,6 +54,7 @@
         self._admitting = True
         self._active: dict[str, actives.ActiveRequest] = {}
         self._admission = fairness
+        self._find_backlog = find_backlog
         self._settlement = settlement.Settlement()
         self._admitted: list[admission.AdmitWork | admission.RefuseWork] = []
         self._handlers: dict[type, Callable] = {
@@ -181,7 +184,7 @@
             )
         if workspace not in self._current.workspaces:
             return failures.Unauthorized("The workspace does not exist.")
-        return None
+        return self._find_backlog()
 
     def _start(
         self, active: actives.ActiveRequest, now: float
--- a/sycamorehollow/settings/answers.py
+++ b/sycamorehollow/settings/answers.py
@@ -19,6 +19,8 @@
     capacity_tokens: int
     running: int = 0
     queued: int = 0
+    versions: list[str] = []
+    role: str = ""
 
 
 class CacheEvent(Answer):
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+import signal
 import time
 from typing import Any
 
@@ -13,8 +14,10 @@
 from sycamorehollow.decisions import effect_messages
 from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions import keyrings
+from sycamorehollow.decisions import leases
 from sycamorehollow.decisions import membership
 from sycamorehollow.decisions import node as nodes
+from sycamorehollow.decisions import orders
 from sycamorehollow.decisions import rollouts
 from sycamorehollow.decisions import stops
 from sycamorehollow.model import events
@@ -30,6 +33,7 @@
 from sycamorehollow.shells import front
 from sycamorehollow.shells import loop
 from sycamorehollow.shells import metrics
+from sycamorehollow.shells import order_io
 from sycamorehollow.shells import owners
 from sycamorehollow.shells import pages
 from sycamorehollow.shells import peer_requests
@@ -41,6 +45,7 @@
 from sycamorehollow.shells import services
 from sycamorehollow.shells import storeclient
 from sycamorehollow.shells import upstream_polls
+from sycamorehollow.shells import vm_polls
 
 DRAIN_POLL_S = 0.05
 # Load balancers poll `/healthz` about once a second; until they have seen it
@@ -90,6 +95,7 @@
         self._peers.start()
         self._loop.start()
         self._poller.set_jobs("ratings", self._ratings.build_jobs())
+        self._poller.set_jobs("vms", self._vms.build_jobs())
         self._poller.start()
         self._front.start()
 
@@ -165,6 +171,18 @@
             self._errands,
             self._loop.post,
         )
+        self._vms = vm_polls.VmPolls(
+            self._settings.vms.url,
+            self._errands,
+            self._loop.post,
+            lambda: self._snapshot.current,
+        )
+        self._orders = order_io.OrderShell(
+            self._store,
+            self._errands,
+            self._loop.post,
+            lambda: self._snapshot.current,
+        )
         self._upstreams = upstream_polls.UpstreamPolls(
             self._errands, self._loop.post
         )
@@ -189,8 +207,16 @@
             lifecycle.RefuseRequest: self._refuse,
             lifecycle.RequestRating: self._ratings.submit,
             lifecycle.StartAttempt: self._start_attempt,
+            leases.ClaimRecord: self._orders.claim,
+            leases.CreateLease: self._orders.create,
+            leases.ReadRecord: self._orders.read,
+            leases.ReleaseLease: self._orders.release,
+            leases.RenewLease: self._orders.renew,
+            membership.Replaced: self._end_replaced,
             nodes.NoteMember: self._log_member,
             nodes.PublishDeployment: self._publish,
+            orders.FenceStale: self._log_stale,
+            orders.SendOrder: self._orders.send,
             rollouts.ReadStage: self._rollouts.read,
             rollouts.RequestLease: self._rollouts.request_lease,
             rollouts.WriteStage: self._rollouts.write,
@@ -285,6 +311,18 @@
             rollout_io.JOB, self._rollouts.build_jobs(coordinator)
         )
 
+    def _log_stale(self, command: orders.FenceStale) -> None:
+        loguru.logger.warning(
+            "orders: fence={} is stale, another process orders", command.fence
+        )
+
+    def _end_replaced(self, command: membership.Replaced) -> None:
+        loguru.logger.error(
+            "members: incarnation={} runs under this address, ending",
+            command.incarnation,
+        )
+        signal.raise_signal(signal.SIGTERM)
+
     def _log_stops(self, command: stops.NoteStops) -> None:
         for stop in command.stops:
             loguru.logger.warning(
--- /dev/null
+++ b/sycamorehollow/shells/order_io.py
@@ -0,0 +1,140 @@
+"""Carries out leases and the orders to engines."""
+
+from collections.abc import Callable
+import json
+import time
+
+import loguru
+
+from sycamorehollow.decisions import leases
+from sycamorehollow.decisions import orders
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.shells import errands
+from sycamorehollow.shells import stores
+
+STALE_CODE = "stale_fence"
+
+
+class OrderShell:
+    """Makes the store calls of a lease and sends orders.
+
+    Args:
+        store: Client of the store.
+        runner: Makes the calls.
+        report: Takes events.
+        find_current: Returns the configuration in force, if there is one.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        runner: errands.Errands,
+        report: Callable[[events.Event], None],
+        find_current: Callable[[], deployment.Deployment | None],
+    ):
+        self._store = store
+        self._runner = runner
+        self._report = report
+        self._find_current = find_current
+
+    def create(self, command: leases.CreateLease) -> None:
+        """Creates a lease."""
+        self._runner.submit(lambda: self._create(command))
+
+    def claim(self, command: leases.ClaimRecord) -> None:
+        """Writes the record under the lease."""
+        self._runner.submit(lambda: self._claim(command))
+
+    def read(self, command: leases.ReadRecord) -> None:
+        """Reads the record back."""
+        self._runner.submit(lambda: self._read(command))
+
+    def renew(self, command: leases.RenewLease) -> None:
+        """Renews the lease."""
+        self._runner.submit(lambda: self._renew(command))
+
+    def release(self, command: leases.ReleaseLease) -> None:
+        """Ends the lease."""
+        self._runner.submit(lambda: self._store.release_lease(command.lease))
+
+    def send(self, command: orders.SendOrder) -> None:
+        """Sends an order to an engine."""
+        self._runner.submit(lambda: self._send(command))
+
+    def _create(self, command: leases.CreateLease) -> None:
+        result = self._store.grant_lease(command.ttl_s)
+        if isinstance(result, stores.Lease):
+            self._report(leases.LeaseCreated(command.number, result.lease))
+            return
+        self._report(leases.StepFailed(command.number))
+
+    def _claim(self, command: leases.ClaimRecord) -> None:
+        result = self._store.write(command.key, command.value, 0, command.lease)
+        if isinstance(result, stores.Written):
+            self._report(leases.RecordClaimed(command.number, result.revision))
+        elif isinstance(result, stores.Conflict):
+            self._report(leases.StepRefused(command.number))
+        else:
+            self._report(leases.StepFailed(command.number))
+
+    def _read(self, command: leases.ReadRecord) -> None:
+        result = self._store.read(command.key)
+        if isinstance(result, stores.Found):
+            self._report(
+                leases.RecordRead(command.number, result.revision, result.value)
+            )
+        elif isinstance(result, stores.Absent):
+            self._report(leases.RecordRead(command.number, 0, ""))
+        else:
+            self._report(leases.StepFailed(command.number))
+
+    def _renew(self, command: leases.RenewLease) -> None:
+        result = self._store.renew_lease(command.lease)
+        if isinstance(result, stores.Lease):
+            self._report(leases.LeaseRenewed(command.number))
+        elif isinstance(result, stores.LeaseGone):
+            self._report(leases.StepRefused(command.number))
+        else:
+            self._report(leases.StepFailed(command.number))
+
+    def _send(self, command: orders.SendOrder) -> None:
+        stale = False
+        current = self._find_current()
+        upstream = (
+            current.upstreams.get(command.upstream)
+            if current is not None
+            else None
+        )
+        if upstream is not None and time.monotonic() < command.send_before:
+            stale = self._post(command, upstream.url)
+        self._report(orders.OrderEnded(command.number, command.upstream, stale))
+
+    def _post(self, command: orders.SendOrder, url: str) -> bool:
+        """Sends the order; tells whether its fencing token is old."""
+        loguru.logger.info(
+            "orders: upstream={} action={} version={} role={} fence={}",
+            command.upstream,
+            command.action.value,
+            command.version,
+            command.role,
+            command.fence,
+        )
+        answer = self._runner.request(
+            "POST",
+            f"{url}/v1/orders",
+            json={
+                "action": command.action.value,
+                "version": command.version,
+                "role": command.role,
+                "fence": command.fence,
+            },
+            timeout=command.timeout_s,
+        )
+        if isinstance(answer, failures.Failure):
+            return False
+        try:
+            return json.loads(answer.data)["error"]["code"] == STALE_CODE
+        except (ValueError, KeyError, TypeError):
+            return False
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from sycamorehollow.decisions import orders
 from sycamorehollow.decisions import prefixes
 from sycamorehollow.decisions import upstreams
 from sycamorehollow.model import deployment
@@ -81,6 +82,14 @@
                 queued=report.queued,
             )
         )
+        self._report(
+            orders.Observed(
+                upstream.name,
+                frozenset(report.versions),
+                report.role,
+                asked_at,
+            )
+        )
 
     def _poll_cache(self, upstream: deployment.Upstream) -> None:
         generation = self._generations.get(upstream.name)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -101,6 +101,7 @@
         places,
         recovery.Recovery(budget),
         admission.Admission(10_000, random.Random(2)),
+        lambda: None,
     )
     part.handle(lifecycle.DeploymentChanged(CURRENT), 0.0)
     return part, places, planner
