Bound the bytes held for slow callers and report levels as metrics

The relay follows the buffer rule: it stops reading an engine above the high mark, disconnects a caller without progress, and the most expensive one when the total is exceeded. A caller that takes everything at once costs nothing in the rule.

--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -184,6 +184,21 @@
         """Returns the requests and bills that a shutdown waits for."""
         return self.router.active_count + self.billing.pending
 
+    def measure(self, now: float) -> dict[str, float]:
+        """Returns the levels that operators watch."""
+        age_s = self.configuration.measure_age(now)
+        return {
+            "requests.active": self.router.active_count,
+            "requests.waiting": self.router.waiting_count,
+            "bills.pending": self.billing.pending,
+            "bills.exposed": self.billing.count_exposed(),
+            "bills.held_bytes": self.billing.held_bytes,
+            "spool.held_bytes": self.spool.held_bytes,
+            "members.live": len(self.membership.list_live()),
+            "versions.stopped": len(self.rollouts.stopped()),
+            "configuration.age_s": -1.0 if age_s is None else age_s,
+        }
+
     def list_service_urls(self, service: str, new_work: bool) -> list[str]:
         """Returns the base URLs of a service, own data centre first.
 
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -77,6 +77,11 @@
         """Number of requests without a final answer."""
         return len(self._active) + len(self._settlement)
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for their admission."""
+        return self._admission.count_waiting()
+
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; see the base class."""
         handler = self._handlers.get(type(event))
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -48,6 +48,7 @@
 from sycamorehollow.shells import vm_polls
 
 DRAIN_POLL_S = 0.05
+METER_INTERVAL_S = 5.0
 # Load balancers poll `/healthz` about once a second; until they have seen it
 # turn, new connections still arrive and get a truthful refusal.
 LINGER_S = 5.0
@@ -96,6 +97,8 @@
         self._loop.start()
         self._poller.set_jobs("ratings", self._ratings.build_jobs())
         self._poller.set_jobs("vms", self._vms.build_jobs())
+        meter_job = polling.Job(METER_INTERVAL_S, self._report_levels)
+        self._poller.set_jobs("metrics", {"metrics": meter_job})
         self._poller.start()
         self._front.start()
 
@@ -363,9 +366,16 @@
     def _count_pending(self) -> int:
         return self._loop.ask(self._node.count_pending) + len(self._waiters)
 
+    def _report_levels(self) -> None:
+        levels = self._loop.ask(lambda: self._node.measure(time.monotonic()))
+        levels["relay.held_bytes"] = self._relay.held_bytes
+        for name, value in levels.items():
+            self._meter.set_level(name, value)
+
     def _describe_status(self) -> dict[str, Any]:
         return {
             "process": self._settings.process.name,
             "state": self._check_health() or "ok",
+            "held_bytes": self._relay.held_bytes,
             **self._node.describe(time.monotonic()),
         }
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -4,17 +4,16 @@
 import json
 import selectors
 import socket
+import time
 
+from sycamorehollow.decisions import buffers
+from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.shells import engines
 from sycamorehollow.shells import framing
 from sycamorehollow.shells import streams
 
-# Above this the engine is not read any more, so that a slow caller holds a
-# bounded amount of memory.
-HIGH_WATER_BYTES = 256 * 1024
-STALL_TIMEOUT_S = 30.0
 CALLER_TIMEOUT_S = 10.0
 
 
@@ -28,6 +27,7 @@
     ):
         self._selector = selector
         self._report = report
+        self._buffers = buffers.Buffers()
 
     def watch(self, stream: streams.Stream) -> None:
         """Starts to watch the socket of a caller."""
@@ -39,10 +39,21 @@
             engines.Registration(stream, caller),
         )
         caller.watched = True
+        self._buffers.handle(
+            buffers.StreamOpened(stream.request_id), time.monotonic()
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait for slow callers."""
+        return self._buffers.count_held()
 
     def unwatch(self, stream: streams.Stream) -> None:
         """Gives the socket back to the HTTP worker."""
         caller = stream.caller
+        self._buffers.handle(
+            buffers.StreamClosed(stream.request_id), time.monotonic()
+        )
         if caller.watched:
             self._selector.unregister(caller.sock)
             caller.watched = False
@@ -78,7 +89,7 @@
         body = json.dumps(streams.build_failure_body(failure))
         self.append(stream, framing.encode_event(body))
 
-    def flush(self, stream: streams.Stream, now: float) -> bool:
+    def flush(self, stream: streams.Stream) -> bool:
         """Writes what the socket takes.
 
         Returns:
@@ -97,22 +108,36 @@
         except OSError:
             return False
         del caller.buffer[:sent]
-        if sent or caller.stalled_since is None:
-            caller.stalled_since = now if caller.buffer else None
         mask = selectors.EVENT_READ
         if caller.buffer:
             mask |= selectors.EVENT_WRITE
         self._set_mask(stream, mask)
         return True
 
-    def is_full(self, stream: streams.Stream) -> bool:
-        """Tells whether the buffer is above its high-water mark."""
-        return len(stream.caller.buffer) > HIGH_WATER_BYTES
+    def account(
+        self, stream: streams.Stream, now: float
+    ) -> list[commands.Command]:
+        """Counts the bytes that wait for a caller.
 
-    def is_stalled(self, stream: streams.Stream, now: float) -> bool:
-        """Tells whether the caller has read nothing for too long."""
-        since = stream.caller.stalled_since
-        return since is not None and now - since > STALL_TIMEOUT_S
+        Returns:
+            What the bounds on held bytes ask for. A caller that takes
+            everything at once costs nothing here.
+        """
+        caller = stream.caller
+        change = len(caller.buffer) - caller.counted_bytes
+        if change == 0:
+            return []
+        caller.counted_bytes += change
+        name = stream.request_id
+        if change > 0:
+            event: events.Event = buffers.ChunkBuffered(name, change)
+        else:
+            event = buffers.BytesSent(name, -change)
+        return self._buffers.handle(event, now)
+
+    def find_stalled(self, now: float) -> list[commands.Command]:
+        """Returns what the time without progress asks for."""
+        return self._buffers.handle(events.Tick(), now)
 
     def _request_head(self, stream: streams.Stream) -> None:
         caller = stream.caller
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -6,7 +6,10 @@
 from typing import Any
 
 import httptools
+import loguru
 
+from sycamorehollow.decisions import buffers
+from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import lifecycle
 from sycamorehollow.shells import callers
@@ -54,6 +57,11 @@
             lifecycle.FinishRequest: self._finish,
         }
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait for slow callers."""
+        return self._callers.held_bytes
+
     def _run(self) -> None:
         next_check = time.monotonic() + POLL_S
         while not self._stopping:
@@ -126,15 +134,46 @@
         self._flush_caller(stream)
 
     def _flush_caller(self, stream: streams.Stream) -> None:
-        now = time.monotonic()
-        if not self._callers.flush(stream, now):
+        if not self._callers.flush(stream):
             self._drop_caller(stream)
             return
-        self._engines.pause(stream, self._callers.is_full(stream), now)
+        now = time.monotonic()
+        self._apply_bounds(self._callers.account(stream, now), now)
         if stream.caller.closing is None or stream.caller.buffer:
             return
         self._detach(stream, stream.caller.closing)
 
+    def _apply_bounds(
+        self, decided: list[commands.Command], now: float
+    ) -> None:
+        """Carries out what the bounds on held bytes ask for."""
+        for command in decided:
+            match command:
+                case buffers.PauseReading():
+                    self._pause(command.stream, True, now)
+                case buffers.ResumeReading():
+                    self._pause(command.stream, False, now)
+                case buffers.DisconnectCaller():
+                    self._disconnect(command)
+
+    def _pause(self, request_id: str, paused: bool, now: float) -> None:
+        stream = self._streams.get(request_id)
+        if stream is not None:
+            self._engines.pause(stream, paused, now)
+
+    def _disconnect(self, command: buffers.DisconnectCaller) -> None:
+        stream = self._streams.get(command.stream)
+        if stream is None:
+            return
+        loguru.logger.warning(
+            "relay: request={} disconnected: {}",
+            command.stream,
+            command.failure.reason,
+        )
+        # What waits is freed; the end would not reach the caller either.
+        stream.caller.buffer.clear()
+        self._drop_caller(stream)
+
     def _complete_attempt(self, stream: streams.Stream) -> None:
         self._engines.close(stream)
         answer = stream.join_answer()
@@ -163,10 +202,8 @@
         )
 
     def _check_progress(self, now: float) -> None:
+        self._apply_bounds(self._callers.find_stalled(now), now)
         for stream in list(self._streams.values()):
-            if self._callers.is_stalled(stream, now):
-                self._drop_caller(stream)
-                continue
             loss = self._engines.find_silence(stream, now)
             if loss is not None:
                 self._fail_attempt(stream, loss)
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -98,7 +98,7 @@
         self.head_requested = False
         self.head_sent = False
         self.watched = False
-        self.stalled_since: float | None = None
+        self.counted_bytes = 0
         self.closing: StreamClosed | None = None
 
     def build_body(self, version: str) -> bytes:
