Test calls that may not be repeated under process faults

The service stand-in can now change its working time (fault work_s), so that a test knows that a call was dispatched before it ends the entry process.

Found: a ticket whose issuer is lost before the outcome is settled only if the question names service and operation.

--- a/sycamorehollow/standins/service.py
+++ b/sycamorehollow/standins/service.py
@@ -94,6 +94,16 @@
         self._lock = threading.Lock()
         self._running = 0
         self._calls = 0
+        self._work_s = settings.service.work_s
+
+    def inject(self, fault: server.Fault) -> bool:
+        """Applies `work_s`, the time that operations take from now on."""
+        if fault.kind == "clear":
+            self._work_s = self._settings.work_s
+        if fault.kind != "work_s":
+            return False
+        self._work_s = float(fault.value)
+        return True
 
     def handle(self, request: server.Request) -> server.Answer:
         """Answers one request."""
@@ -137,7 +147,7 @@
             self._calls += 1
             number = self._calls
         try:
-            self._stopped.wait(self._settings.work_s)
+            self._stopped.wait(self._work_s)
             result = {
                 "operation": operation,
                 "key": key,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -57,8 +57,9 @@
     ) -> tuple[Any, str]:
         """Starts an entry router and waits until it is healthy."""
         path = pathlib.Path(self._folder.name) / f"{name}.ini"
+        address = sections.get("address", f"127.0.0.1:{find_port()}")
         path.write_text(
-            f"[process]\nname={name}\naddress=127.0.0.1:{find_port()}\n"
+            f"[process]\nname={name}\naddress={address}\n"
             f"peer_address=127.0.0.1:{sections.get('peer', find_port())}\n"
             f"data_centre={data_centre}\nregion=region\n"
             f"slot={sections.get('slot', '0')}\n"
