--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -1,8 +1,11 @@
 """A deployment of real processes whose parts tests break on purpose."""
 
+import collections
 import concurrent.futures
 import dataclasses
 import json
+import subprocess
+import sys
 from typing import Any
 import uuid
 
@@ -15,6 +18,7 @@
 
 # Stand-ins end by themselves if a test run is killed.
 LIFETIME_S = 240
+CAPACITY_TOKENS = 1_000_000
 # "A few seconds" of the promises.
 BOUND_S = 5.0
 SERVICE = "/v1/services/filing/lodge"
@@ -53,6 +57,7 @@
         self.pool = concurrent.futures.ThreadPoolExecutor(24)
         self.caller = callers.Caller()
         self.urls: dict[str, str] = {}
+        self.children: dict[str, Any] = {}
         self.entries: list[Entry] = []
         try:
             self._start_stand_ins(engines or {"a": ()})
@@ -106,6 +111,19 @@
         """Returns the status page of an entry process."""
         return HTTP.request("GET", f"{entry.url}/v1/status").json()
 
+    def run_operator(self, *arguments: str) -> "subprocess.CompletedProcess":
+        """Runs `sycamorectl` to its end."""
+        module = "sycamorehollow.programs.ctl"
+        return subprocess.run(
+            [sys.executable, "-m", module, "--store", self.urls["store"]]
+            + list(arguments),
+            cwd=processes.ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+
     def inject(self, name: str, kind: str, **fault: Any) -> None:
         """Injects a fault at a stand-in."""
         answer = HTTP.request(
@@ -115,8 +133,9 @@
 
     def clear_faults(self) -> None:
         """Removes the faults of every stand-in that responds."""
-        for name in self.urls:
-            self.inject(name, "clear")
+        for name, child in self.children.items():
+            if child.poll() is None:
+                self.inject(name, "clear")
 
     def read_stats(self, name: str) -> dict[str, Any]:
         """Returns the counters of an upstream."""
@@ -232,17 +251,28 @@
 
     def read_bills(self) -> dict[str, billing_messages.Bill]:
         """Returns the bills in the store by key, as the reader counts them."""
-        page = HTTP.request(
-            "GET", f"{self.urls['store']}/v1/range?prefix=bills/"
-        ).json()
         reader = billing_reader.BillReader()
-        for item in page["items"]:
-            reader.add(item["value"])
+        for value in self._read_batches():
+            reader.add(value)
         return {
             bill.identity.removeprefix("key:"): bill
             for bill in reader.list_bills()
         }
 
+    def count_stored_bills(self) -> collections.Counter[str]:
+        """Returns how often the store holds the bill of each key."""
+        counts: collections.Counter[str] = collections.Counter()
+        for value in self._read_batches():
+            for bill in billing_messages.decode_bills(value):
+                counts[bill.identity.removeprefix("key:")] += 1
+        return counts
+
+    def _read_batches(self) -> list[str]:
+        page = HTTP.request(
+            "GET", f"{self.urls['store']}/v1/range?prefix=bills/"
+        ).json()
+        return [item["value"] for item in page["items"]]
+
     # Set-up.
 
     def _start_stand_ins(self, engines: dict[str, tuple[str, ...]]) -> None:
@@ -250,20 +280,23 @@
         wanted["service"] = ("service", ())
         for name, settings in engines.items():
             versions = "engine.versions=small-1,large-1"
-            wanted[name] = ("engine", (versions, *settings))
+            memory = f"memory.capacity_tokens={CAPACITY_TOKENS}"
+            wanted[name] = ("engine", (versions, memory, *settings))
         started = {
             name: self.pool.submit(self._start_stand_in, module, settings)
             for name, (module, settings) in wanted.items()
         }
         for name, future in started.items():
-            self.urls[name] = future.result()
+            self.children[name], self.urls[name] = future.result()
 
-    def _start_stand_in(self, module: str, settings: tuple[str, ...]) -> str:
+    def _start_stand_in(
+        self, module: str, settings: tuple[str, ...]
+    ) -> tuple[Any, str]:
         arguments = ["--exit-after", str(LIFETIME_S)]
         for item in ("server.port=0", *settings):
             arguments += ["--set", item]
         module = f"sycamorehollow.standins.{module}"
-        return self.running.start(module, *arguments)[1]
+        return self.running.start(module, *arguments)
 
     def _write_settings(
         self, centres: set[str], engine_centres: dict[str, str]
@@ -272,6 +305,8 @@
         platform = processes.build_platform({n: self.urls[n] for n in names})
         for name, centre in engine_centres.items():
             platform["upstreams"][name]["data_centre"] = centre
+        for name in names:
+            platform["upstreams"][name]["capacity_tokens"] = CAPACITY_TOKENS
         platform["data_centres"] = {
             name: {"region": "region", "presence": "in"}
             for name in centres | {"dc-1"}
@@ -311,3 +346,8 @@
 def make_key() -> str:
     """Returns a fresh idempotency key."""
     return uuid.uuid4().hex
+
+
+def price(prompt_tokens: int, output_tokens: int) -> int:
+    """Returns the amount of a bill for `small-1` of the test settings."""
+    return 1000 * prompt_tokens + 2000 * output_tokens
