Count a run as lost when its resume reaches no upstream

Cause: after the loss the router resumes at the same engine, and the refused connection of the resume replaced the end of the run, so the attempt counted as never sent. Quarantine did not see a loss, and a run that had gone silent could be refused with run: no.

Now a resume that was not sent or was refused ends the run as lost, and the failed connect is told after the end of the attempt, so that the death counts at once.

The demo's caller keeps the typed failure of a stream when the connection is cut after it; before, the failure was replaced by a broken connection.

--- a/sycamorehollow/decisions/recovery.py
+++ b/sycamorehollow/decisions/recovery.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sycamorehollow.decisions import active as actives
 from sycamorehollow.decisions import retries
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
@@ -88,6 +89,19 @@
         raise AssertionError("the retry budget gave no decision")
 
 
+def cover_run(
+    event: lifecycle.AttemptFailed, resumes: int
+) -> lifecycle.AttemptFailed:
+    """Returns the event with an end that holds for the whole run.
+
+    A resume that reaches no upstream does not undo the run that it was meant
+    to continue, which may even have crashed the upstream.
+    """
+    if not resumes or event.end not in actives.NOT_RUN:
+        return event
+    return dataclasses.replace(event, end=lifecycle.AttemptEnd.LOST)
+
+
 def _can_resume(event: lifecycle.AttemptFailed) -> bool:
     if event.end is lifecycle.AttemptEnd.SILENT:
         return True
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -282,6 +282,8 @@
         active = self._find(event.request_id, event.attempt)
         if active is None:
             return []
+        unreachable = event.end is lifecycle.AttemptEnd.NOT_SENT
+        event = recoveries.cover_run(event, active.resumes)
         step = self._recovery.choose(
             event,
             active.delivered,
@@ -296,7 +298,7 @@
             reason = "resume after a loss"
             return [self._build_start(active, reason, event.received)]
         active.end_attempt(event.end)
-        self._release_failed(event, now)
+        self._release_failed(event, unreachable, now)
         result = self._learn(active, True, now)
         if isinstance(step, failures.Failure):
             return [*result, *self._refuse(active, step, now)]
@@ -306,12 +308,10 @@
         return result
 
     def _release_failed(
-        self, event: lifecycle.AttemptFailed, now: float
+        self, event: lifecycle.AttemptFailed, unreachable: bool, now: float
     ) -> None:
         end = placements.End(
-            ENDS.get(event.end, upstreams.End.LOST),
-            event.code,
-            event.end is lifecycle.AttemptEnd.NOT_SENT,
+            ENDS.get(event.end, upstreams.End.LOST), event.code, unreachable
         )
         self._placement.release(event.request_id, end, now)
 
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/upstream_placement.py
@@ -156,8 +156,6 @@
         place = self._places.pop(request_id, None)
         if place is None:
             return
-        if end.unreachable:
-            self._tell(upstreams.ConnectFailed(place.upstream), now)
         if end.output_tokens and place.first_chunk_s is not None:
             self.capacity.record_speed(
                 place.upstream,
@@ -172,6 +170,9 @@
             ),
             now,
         )
+        if end.unreachable:
+            # After the end, so that a lost attempt counts as a death at once.
+            self._tell(upstreams.ConnectFailed(place.upstream), now)
 
     def estimate_duration_s(
         self, request: requests.ModelRequest, version: str, now: float
--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -187,6 +187,10 @@
         report = HTTP.request("GET", f"{self.urls['service']}/v1/load").json()
         return report["running"]
 
+    def count_running(self, name: str) -> int:
+        """Returns the requests that an engine is working on."""
+        return self.read_stats(name)["running"]
+
     def _send(
         self,
         method: str,
@@ -231,6 +235,13 @@
         )
         return self.caller.complete(entry.url, request)
 
+    def list_models(self, entry: Entry) -> list[str]:
+        """Returns the names that the workspace may ask an entry for."""
+        answer = HTTP.request(
+            "GET", f"{entry.url}/v1/models", headers=AUTHORIZATION
+        )
+        return [model["id"] for model in answer.json()["data"]]
+
     def open_stream(
         self, entry: Entry, tokens: int, key: str = "", prompt: str = ""
     ) -> Any:
@@ -309,7 +320,7 @@
             platform["upstreams"][name]["capacity_tokens"] = CAPACITY_TOKENS
         platform["data_centres"] = {
             name: {"region": "region", "presence": "in"}
-            for name in centres | {"dc-1"}
+            for name in centres | {"dc-1", *engine_centres.values()}
         }
         platform["upstreams"]["filing-a"] = {
             "url": self.urls["service"],
--- /dev/null
+++ b/tests/test_process_answers.py
@@ -0,0 +1,177 @@
+"""Answers through real processes while engines and callers break."""
+
+import json
+import socket
+import time
+import unittest
+import urllib.parse
+
+import urllib3
+
+from tests import fault_world
+from tests import processes
+
+SLOW_CALLERS = 6
+SLOW_TOKENS = 15_000
+# An event of the engine has about this size, so an unbounded buffer holds
+# 3 MB for each of the slow callers.
+EVENT_BYTES = 200
+MAX_GROWTH_KB = SLOW_CALLERS * 1024
+
+
+def read_memory_kb(child):
+    """Returns the resident memory of a process."""
+    with open(f"/proc/{child.pid}/status", encoding="ascii") as status:
+        for line in status:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1])
+    raise AssertionError("no VmRSS line")
+
+
+def read_to_cut(stream):
+    """Returns the rest of a stream whose connection is cut at its end."""
+    received = b""
+    try:
+        while block := stream.read1(4096):
+            received += block
+    except urllib3.exceptions.ProtocolError:
+        pass
+    return received
+
+
+class AnswerFaultTest(unittest.TestCase):
+    """Guards against answers that are cut, mixed up or repeated."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.world = fault_world.World(
+            ("dc-1", "dc-2"), {"a": (), "b": ()}, {"b": "dc-2"}
+        )
+        cls.addClassCleanup(cls.world.close)
+        cls.first, cls.second = cls.world.entries
+
+    def setUp(self):
+        self.addCleanup(self.world.clear_faults)
+
+    def test_silent_stream_is_resumed_to_its_end(self):
+        """Guards against an open connection that is silent for good."""
+        world = self.world
+        futures = [
+            world.pool.submit(world.complete, self.first, 100, stream=streamed)
+            for streamed in (True, False)
+        ]
+        processes.wait_for(lambda: world.count_running("a") == 2)
+        world.inject("a", "silent", value="open")
+        for future in futures:
+            answer = future.result(40)
+            self.assertTrue(answer.complete, answer)
+
+    def test_concurrent_answers_are_not_mixed_up(self):
+        """Guards against chunks that reach the caller of another request."""
+        world = self.world
+        futures = [
+            world.pool.submit(
+                world.complete,
+                world.entries[n % 2],
+                10 + n % 7,
+                stream=n % 3 > 0,
+            )
+            for n in range(120)
+        ]
+        for future in futures:
+            answer = future.result(60)
+            self.assertTrue(answer.complete, answer)
+
+
+class EngineLossTest(unittest.TestCase):
+    """Guards against a broken answer that looks whole."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.world = fault_world.World(
+            ("dc-1",), {"a": (), "b": ()}, {"b": "dc-2"}
+        )
+        cls.addClassCleanup(cls.world.close)
+
+    def test_lost_engine_truncates_or_moves_an_answer(self):
+        """Guards against `[DONE]` after a loss, and against a lost answer."""
+        world = self.world
+        entry = world.entries[0]
+        stream = world.open_stream(entry, 300)
+        received = b""
+        while received.count(b"data: ") < 3:
+            received += stream.read1(4096)
+        plain = world.pool.submit(world.complete, entry, 300, stream=False)
+        processes.wait_for(lambda: world.count_running("a") == 2)
+        world.children["a"].kill()
+        received += read_to_cut(stream)
+        self.assertNotIn(b"[DONE]", received)
+        last = received.strip().rpartition(b"data: ")[2]
+        error = json.loads(last)["error"]
+        self.assertEqual(error["code"], "answer_truncated")
+        self.assertEqual(error["run"], "unknown")
+        answer = plain.result(60)
+        self.assertTrue(answer.complete, answer)
+        self.assertEqual(world.read_stats("b")["completed"], 1)
+
+
+class SlowCallerTest(unittest.TestCase):
+    """Guards against slow callers that fill the memory of an entry."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.world = fault_world.World(
+            ("dc-1",), {"a": ("engine.tokens_per_s=2000",)}
+        )
+        cls.addClassCleanup(cls.world.close)
+        cls.entry = cls.world.entries[0]
+
+    def _open_slow_caller(self):
+        parts = urllib.parse.urlsplit(self.entry.url)
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(60)
+        sock.connect((parts.hostname, parts.port))
+        body = json.dumps(
+            {
+                "model": "atlas",
+                "messages": [{"role": "user", "content": "slow"}],
+                "max_tokens": SLOW_TOKENS,
+                "stream": True,
+            }
+        )
+        sock.sendall(
+            (
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+                f"Authorization: Bearer {processes.API_KEY}\r\n"
+                "X-Deadline-Ms: 600000\r\nConnection: close\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}"
+            ).encode()
+        )
+        return sock
+
+    def _read_to_end(self, sock):
+        received = bytearray()
+        while block := sock.recv(65536):
+            received += block
+        return bytes(received)
+
+    def test_slow_callers_hold_bounded_memory(self):
+        """Guards against unbounded buffers and streams that stand still."""
+        world = self.world
+        self.assertTrue(world.complete(self.entry, 200).complete)
+        before = read_memory_kb(self.entry.child)
+        slow = [self._open_slow_caller() for _ in range(SLOW_CALLERS)]
+        processes.wait_for(lambda: world.count_running("a") == SLOW_CALLERS)
+        peak = before
+        end = time.monotonic() + 40
+        # The engine goes on producing whether it is read or not.
+        while world.count_running("a") and time.monotonic() < end:
+            answer = world.complete(self.entry, 100)
+            self.assertTrue(answer.complete, answer)
+            peak = max(peak, read_memory_kb(self.entry.child))
+        self.assertLess(peak - before, MAX_GROWTH_KB)
+        received = self._read_to_end(slow[0])
+        self.assertGreater(len(received), SLOW_TOKENS * EVENT_BYTES)
+        self.assertIn(b"[DONE]", received)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,6 +12,7 @@
 from sycamorehollow.decisions import recovery
 from sycamorehollow.decisions import retries
 from sycamorehollow.decisions import router
+from sycamorehollow.decisions import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
@@ -71,6 +72,7 @@
 
     def __init__(self):
         self.open = set()
+        self.ends = []
 
     def place(self, request, version, excluded, now):
         assert request.request_id not in self.open
@@ -86,6 +88,7 @@
 
     def release(self, request_id, end, now):
         self.open.discard(request_id)
+        self.ends.append(end)
 
     def drain_commands(self):
         return []
@@ -277,6 +280,20 @@
                 caller.act("late_tick")
                 self.assertIs(caller.finals[0].failure.run, run)
 
+    def test_failed_resume_does_not_undo_the_run(self):
+        """Guards against `run: no`, and no suspicion, after a lost run."""
+        for end in ("not_sent", "refused"):
+            with self.subTest(end=end):
+                caller = Caller(False, True)
+                caller.act("silent")
+                self.assertIsNotNone(caller.starts[-1].resume_from)
+                caller.act(end)
+                caller.act("late_tick")
+                self.assertIs(
+                    caller.finals[0].failure.run, failures.Run.UNKNOWN
+                )
+                self.assertIs(caller.places.ends[0].end, upstreams.End.LOST)
+
     def test_shutdown_refuses_new_work_and_keeps_the_rest(self):
         part, _, _ = build_router()
         part.handle(lifecycle.RequestArrived(build_request()), 0.0)
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -114,7 +114,9 @@
             else:
                 _read_document(json.loads(response.read()), answer)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
-            answer.error = {"code": "broken", "message": str(error)}
+            # The router cuts the connection after the event that tells why.
+            if not answer.error:
+                answer.error = {"code": "broken", "message": str(error)}
         answer.latency_s = time.monotonic() - start
         answer.complete = _is_complete(answer, request)
         return answer
