--- a/sycamorehollow/decisions/active.py
+++ b/sycamorehollow/decisions/active.py
@@ -38,6 +38,8 @@
         tried: Upstreams on which an attempt failed.
         held: Whether the chunks of the attempt are kept back.
         produced: Whether the attempt gave a chunk.
+        resumes: Resumes in a row that no upstream answered.
+        resumed: Whether the current run was resumed.
         in_flight: Whether an attempt is under way.
         ran: Whether an attempt that has ended may have run.
         started_at: Monotonic time in seconds of the start of the attempt.
@@ -63,6 +65,7 @@
     in_flight: bool = False
     ran: bool = False
     resumes: int = 0
+    resumed: bool = False
     prompt_tokens: int = 0
     output_tokens: int = 0
     started_at: float = 0.0
@@ -115,6 +118,7 @@
         self.upstream = upstream
         self.produced = False
         self.resumes = 0
+        self.resumed = False
         self.started_at = now
         self.held = self.plan.gated and self.has_next_step
 
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -301,6 +301,8 @@
         active = self._find(event.request_id, event.attempt)
         if active is None:
             return []
+        unreachable = event.end is lifecycle.AttemptEnd.NOT_SENT
+        event = recoveries.cover_run(event, active.resumed)
         step = self._recovery.choose(
             event,
             active.delivered,
@@ -311,11 +313,12 @@
         )
         if isinstance(step, recoveries.Resume):
             active.resumes = 0 if event.answered else active.resumes + 1
+            active.resumed = True
             active.attempt += 1
             reason = "resume after a loss"
             return [actives.build_start(active, reason, event.received)]
         active.end_attempt(event.end)
-        self._release_failed(event, now)
+        self._release_failed(event, unreachable, now)
         result = self._learn(active, True, now)
         if isinstance(step, failures.Failure):
             return [*result, *self._refuse(active, step, now)]
@@ -325,12 +328,10 @@
         return result
 
     def _release_failed(
-        self, event: lifecycle.AttemptFailed, now: float
+        self, event: lifecycle.AttemptFailed, unreachable: bool, now: float
     ) -> None:
         end = placements.End(
-            ENDS.get(event.end, upstreams.End.LOST),
-            event.code,
-            event.end is lifecycle.AttemptEnd.NOT_SENT,
+            ENDS.get(event.end, upstreams.End.LOST), event.code, unreachable
         )
         self._placement.release(event.request_id, end, now)
 
