--- /dev/null
+++ b/tests/test_process_cascades.py
@@ -0,0 +1,86 @@
+"""Cascades and sessions through real processes."""
+
+import unittest
+
+from tests import processes
+
+POLICY = {
+    "quality_threshold": 0.7,
+    "quality_target": 0.9,
+    "deadline_s": 30,
+    "priority": 2,
+    "gate": True,
+    "explore": True,
+}
+
+
+class CascadeTest(unittest.TestCase):
+    """Guards against poor, mixed or empty answers of a cascade."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.running = processes.Processes()
+        cls.addClassCleanup(cls.running.stop)
+        _, store = cls.running.start_stand_in("store")
+        _, ratings = cls.running.start_stand_in(
+            "ratings",
+            "ratings.lost_share=0",
+            "ratings.noise=0",
+            "quality.small-1=0.1",
+            "quality.large-1=0.95",
+        )
+        _, engine = cls.running.start_stand_in(
+            "engine",
+            "engine.versions=small-1,large-1",
+            "engine.tokens_per_s=200",
+        )
+        processes.put_branch(
+            store, "platform", processes.build_platform({"a": engine})
+        )
+        team = processes.build_team(
+            versions=["small-1", "large-1"], kinds={"chapter": POLICY}
+        )
+        processes.put_branch(store, "maps", team)
+        _, cls.url = cls.running.start_entry("e1", store, ratings=ratings)
+        _, cls.other = cls.running.start_entry(
+            "e2", store, ratings=ratings, slot="1", slots="2"
+        )
+
+    def _ask(self, url, model="atlas", **headers):
+        return processes.HTTP.request(
+            "POST",
+            f"{url}/v1/chat/completions",
+            json={
+                "model": model,
+                "max_tokens": 5,
+                "messages": [{"role": "user", "content": "Name the river."}],
+            },
+            headers={
+                "Authorization": f"Bearer {processes.API_KEY}",
+                **headers,
+            },
+            timeout=30.0,
+        )
+
+    def test_rejected_cheap_answer_escalates_to_a_whole_one(self):
+        for _ in range(6):
+            answer = self._ask(self.url, **{"X-Request-Kind": "chapter"})
+            self.assertEqual(answer.status, 200)
+            content = answer.json()["choices"][0]["message"]["content"]
+            self.assertEqual(len(content.split()), 5)
+            self.assertEqual(answer.headers["X-Model-Version"], "large-1")
+
+    def test_session_stays_on_its_version_at_another_entry(self):
+        first = self._ask(self.url, **{"X-Session": "new"})
+        token = first.headers["X-Session"]
+        version = first.headers["X-Model-Version"]
+        for url in (self.other, self.url):
+            answer = self._ask(url, **{"X-Session": token})
+            self.assertEqual(answer.headers["X-Model-Version"], version)
+
+    def test_tampered_session_is_refused(self):
+        token = self._ask(self.url, **{"X-Session": "new"}).headers["X-Session"]
+        changed = token[:-2] + ("AA" if token[-2:] != "AA" else "BB")
+        answer = self._ask(self.url, **{"X-Session": changed})
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(answer.json()["error"]["code"], "invalid_session")
