--- a/sycamorehollow/decisions/active.py
+++ b/sycamorehollow/decisions/active.py
@@ -175,6 +175,7 @@
     assert active.upstream is not None
     return lifecycle.StartAttempt(
         request_id=active.request.request_id,
+        workspace=active.request.workspace,
         attempt=active.attempt,
         run_id=active.answer_id,
         upstream=active.upstream.name,
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -17,6 +17,7 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
+from sycamorehollow.model import requests
 
 RETRY_AFTER_CONFIGURATION_S = 1.0
 # Every other end is a lost connection, which may be a crash.
@@ -135,11 +136,11 @@
         request = event.request
         refusal = self._check_admission(request.workspace)
         if refusal is not None:
-            return [lifecycle.RefuseRequest(request.request_id, refusal)]
+            return [build_refusal(request, refusal)]
         assert self._current is not None
         plan = self._planner.plan(request, self._current, now)
         if isinstance(plan, failures.Failure):
-            return [lifecycle.RefuseRequest(request.request_id, plan)]
+            return [build_refusal(request, plan)]
         active = actives.ActiveRequest(request, plan)
         self._active[request.request_id] = active
         self._recovery.start(request.request_id, now)
@@ -438,3 +439,12 @@
         if active is None or active.attempt != attempt:
             return None
         return active if active.in_flight else None
+
+
+def build_refusal(
+    request: requests.ModelRequest, failure: failures.Failure
+) -> lifecycle.RefuseRequest:
+    """Returns the refusal of a request that was not admitted."""
+    return lifecycle.RefuseRequest(
+        request.request_id, request.workspace, failure
+    )
--- a/sycamorehollow/decisions/settlement.py
+++ b/sycamorehollow/decisions/settlement.py
@@ -31,10 +31,14 @@
         self, active: actives.ActiveRequest, failure: failures.Failure
     ) -> list[commands.Command]:
         """Gives the caller its final failure."""
-        request_id = active.request.request_id
+        request = active.request
         if active.delivered:
-            self._cut[request_id] = active
-        return [lifecycle.RefuseRequest(request_id, failure)]
+            self._cut[request.request_id] = active
+        return [
+            lifecycle.RefuseRequest(
+                request.request_id, request.workspace, failure
+            )
+        ]
 
     def end_cut(
         self, request_id: str, delivered_tokens: int
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -136,6 +136,7 @@
     """
 
     request_id: str
+    workspace: str
     attempt: int
     run_id: str
     upstream: str
@@ -165,6 +166,7 @@
     """Give the caller its final failure now."""
 
     request_id: str
+    workspace: str
     failure: failures.Failure
 
 
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -252,8 +252,10 @@
 
     def _start_attempt(self, command: lifecycle.StartAttempt) -> None:
         loguru.logger.info(
-            "router: attempt request={} version={} upstream={} reason={!r}",
+            "router: attempt request={} workspace={} version={} upstream={}"
+            " reason={!r}",
             command.request_id,
+            command.workspace,
             command.version,
             command.upstream,
             command.reason,
@@ -263,8 +265,10 @@
 
     def _refuse(self, command: lifecycle.RefuseRequest) -> None:
         loguru.logger.info(
-            "router: refused request={} code={} run={} reason={!r}",
+            "router: refused request={} workspace={} code={} run={}"
+            " reason={!r}",
             command.request_id,
+            command.workspace,
             command.failure.code,
             command.failure.run.value,
             command.failure.reason,
--- a/sycamorehollow/shells/exchange.py
+++ b/sycamorehollow/shells/exchange.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 from cheroot import server
+import loguru
 
 from sycamorehollow.model import failures
 from sycamorehollow.shells import streams
@@ -81,6 +82,12 @@
 
     def send_failure(self, failure: failures.Failure) -> None:
         """Sends a failure, with the time to come back when there is one."""
+        loguru.logger.debug(
+            "front: refused path={} code={} reason={!r}",
+            self.path,
+            failure.code,
+            failure.reason,
+        )
         headers = {}
         if failure.retry_after_s is not None:
             headers["Retry-After"] = str(math.ceil(failure.retry_after_s))
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -7,6 +7,8 @@
 import time
 import uuid
 
+import loguru
+
 from sycamorehollow.decisions import effect_messages as messages
 from sycamorehollow.decisions import tickets
 from sycamorehollow.model import deployment
@@ -100,6 +102,7 @@
             )
         else:
             result = self._run_idempotent(call)
+        log_result(call, result)
         send_result(exchange, call.request_id, result)
 
     def _read_call(
@@ -242,6 +245,22 @@
         send_result(exchange, asked.request_id, result)
 
 
+def log_result(call: requests.ServiceCall, result: messages.Result) -> None:
+    """Logs how a call ended."""
+    if isinstance(result, messages.Outcome):
+        end = f"status={result.status}"
+    else:
+        end = f"code={result.code} run={result.run.value}"
+    loguru.logger.info(
+        "calls: request={} workspace={} service={} operation={} {}",
+        call.request_id,
+        call.workspace,
+        call.service,
+        call.operation,
+        end,
+    )
+
+
 def send_result(
     exchange: exchanges.Exchange, request_id: str, result: messages.Result
 ) -> None:
