Let operators and entry processes share one stage document

Cause: `sycamorectl rollout` wrote a plain nonce, and `stages.decode` takes only `<branch revision>.<entry identity>.<mark>`. Entry processes gave an operator's document the share 0 and never overwrote it.

Change: `sycamorectl` reads the configuration as entry processes convert it and writes through `stages.succeed` and `stages.encode`. Documents of entry processes keep the earlier nonces too, so a writer whose response was lost finds its own write after a coordinator wrote. `bills` uses the reader of bills and names a damaged batch. A process without peers gets its role from the configuration; before, only a change of members told it.

Ruled out: decoding plain nonces as well. They do not name the definition that they belong to, so a stage could outlive a change of the roll-out.

--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -340,6 +340,8 @@
             drains.DeploymentChanged(current),
             learning.DeploymentChanged(current),
             rollouts.DeploymentChanged(current),
+            # A process without peers never sees a member change.
+            rollouts.RoleChanged(self.is_coordinator()),
             lifecycle.DeploymentChanged(current),
             *applied,
             PublishDeployment(current),
--- a/sycamorehollow/decisions/rollouts.py
+++ b/sycamorehollow/decisions/rollouts.py
@@ -351,6 +351,10 @@
         mark = f"{self._random.getrandbits(64):016x}"
         stopped = self._stops.find(rollout.candidate) is not None
         stage = run.stage
+
+        def follow(index: int, state: stages.State) -> stages.Stage:
+            return stages.succeed(stage, index, state, config, identity, mark)
+
         # A malformed document may be an operator's pause: leave it alone.
         if stage is None and run.revision > 0:
             return None
@@ -358,12 +362,10 @@
             # The document may belong to a configuration newer than ours.
             if stopped or (stage is not None and stage.config >= config):
                 return None
-            return stages.Stage(0, stages.State.RUNNING, config, identity, mark)
+            return follow(0, stages.State.RUNNING)
         here = stage.stage
         if stopped and stage.state is not stages.State.WITHDRAWN:
-            return stages.Stage(
-                here, stages.State.WITHDRAWN, config, identity, mark
-            )
+            return follow(here, stages.State.WITHDRAWN)
         if stage.state is not stages.State.RUNNING:
             return None
         if not 0 <= here < len(rollout.stages):
@@ -371,10 +373,8 @@
         if not self._is_ready(run, rollout, here, now):
             return None
         if here + 1 >= len(rollout.stages):
-            return stages.Stage(here, stages.State.DONE, config, identity, mark)
-        return stages.Stage(
-            here + 1, stages.State.RUNNING, config, identity, mark
-        )
+            return follow(here, stages.State.DONE)
+        return follow(here + 1, stages.State.RUNNING)
 
     def _is_ready(
         self, run: _Run, rollout: deployments.Rollout, here: int, now: float
--- a/sycamorehollow/decisions/stages.py
+++ b/sycamorehollow/decisions/stages.py
@@ -4,6 +4,8 @@
 import enum
 import json
 
+from sycamorehollow.decisions import branches
+
 KEY_PREFIX = "rollouts/"
 
 
@@ -26,6 +28,8 @@
         config: Revision of the team's branch that the writer had in effect.
         run: Identity of the roll-out, see `stops.name_run`.
         mark: Random part of the nonce, tells one write from another.
+        earlier: Nonces of the last writes before this one, oldest first. A
+            writer whose response was lost finds its own among them.
     """
 
     stage: int
@@ -33,6 +37,7 @@
     config: int
     run: str
     mark: str
+    earlier: tuple[str, ...] = ()
 
     @property
     def nonce(self) -> str:
@@ -40,6 +45,20 @@
         return f"{self.config}.{self.run}.{self.mark}"
 
 
+def succeed(
+    before: Stage | None,
+    stage: int,
+    state: State,
+    config: int,
+    run: str,
+    mark: str,
+) -> Stage:
+    """Returns the document that follows another one, or none."""
+    earlier = (*before.earlier, before.nonce) if before else ()
+    kept = earlier[-branches.NONCES_KEPT :]
+    return Stage(stage, state, config, run, mark, kept)
+
+
 def encode(stage: Stage) -> bytes:
     """Returns the document for the store."""
     return json.dumps(
@@ -47,6 +66,7 @@
             "stage": stage.stage,
             "state": stage.state.value,
             "nonce": stage.nonce,
+            "earlier_nonces": stage.earlier,
         }
     ).encode()
 
@@ -62,6 +82,7 @@
             int(config),
             run,
             mark,
+            tuple(str(item) for item in document.get("earlier_nonces", ())),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/sycamorehollow/programs/ctl.py
+++ b/sycamorehollow/programs/ctl.py
@@ -10,6 +10,7 @@
 import sycamorehollow
 from sycamorehollow.model import failures
 from sycamorehollow.programs import ctl_commands
+from sycamorehollow.programs import ctl_rollouts
 from sycamorehollow.shells import storeclient
 from sycamorehollow.shells import stores
 
@@ -76,6 +77,7 @@
         command: ctl_commands.Command,
         *arguments: str,
         needs_team: bool = True,
+        needs_store: bool = True,
         **defaults: Any,
     ) -> argparse.ArgumentParser:
         """Adds a command with positional arguments."""
@@ -86,7 +88,7 @@
         action.set_defaults(
             command=command,
             needs_team=needs_team,
-            needs_store=True,
+            needs_store=needs_store,
             **defaults,
         )
         return action
@@ -162,16 +164,26 @@
 
 def _add_rollouts(parser: _Parser) -> None:
     parser.open_group("rollout", "rollouts of the team")
-    start = parser.add("start", ctl_commands.start_rollout, "name")
+    start = parser.add("start", ctl_rollouts.start_rollout, "name")
     start.add_argument("--model")
     start.add_argument("--baseline")
     start.add_argument("--candidate")
     start.add_argument("--stages", type=_read_shares, default=[1.0])
-    parser.add("pause", ctl_commands.change_rollout, "name")
-    advance = parser.add("advance", ctl_commands.change_rollout, "name")
+    parser.add("pause", ctl_rollouts.change_rollout, "name")
+    advance = parser.add("advance", ctl_rollouts.change_rollout, "name")
     advance.add_argument("--stage", type=int, help="stage to advance from")
-    parser.add("withdraw", ctl_commands.change_rollout, "name")
-    parser.add("show", ctl_commands.show_rollout, "name")
+    parser.add("withdraw", ctl_rollouts.change_rollout, "name")
+    parser.add("show", ctl_rollouts.show_rollout, "name")
+    stop = parser.add(
+        "stop",
+        ctl_rollouts.stop_rollout,
+        "name",
+        needs_team=False,
+        needs_store=False,
+    )
+    stop.add_argument("--entry", type=_read_url, required=True, metavar="URL")
+    stop.add_argument("--token-file", required=True, metavar="FILE")
+    stop.add_argument("--reason", default="stopped by an operator")
 
 
 def _find_misuse(args: argparse.Namespace) -> str:
@@ -183,7 +195,7 @@
     parts = [
         getattr(args, name, None) for name in ("model", "baseline", "candidate")
     ]
-    if args.command is ctl_commands.start_rollout:
+    if args.command is ctl_rollouts.start_rollout:
         if any(parts) and not all(parts):
             return "expected --model, --baseline and --candidate together"
     return ""
--- a/sycamorehollow/programs/ctl_changes.py
+++ b/sycamorehollow/programs/ctl_changes.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from sycamorehollow.decisions import branches
+from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.settings import tree
 from sycamorehollow.shells import stores
@@ -16,6 +17,11 @@
 RETRY_PAUSE_S = 0.2
 
 
+def draw_nonce() -> str:
+    """Returns a random name for one write."""
+    return secrets.token_hex(NONCE_BYTES)
+
+
 class Changer:
     """Reads values and changes one of them by compare-and-swap."""
 
@@ -56,16 +62,17 @@
         text, revision = None, 0
         if isinstance(found, stores.Found):
             text, revision = found.value, found.revision
-        nonce = secrets.token_hex(NONCE_BYTES)
+        nonce = draw_nonce()
         proposal = branches.propose(key, revision, text, edit, nonce)
         if isinstance(proposal, failures.Failure):
             return proposal
         refusal = validate(proposal) if validate else None
-        return refusal or self._write(proposal)
+        return refusal or self.write(proposal)
 
-    def _write(
+    def write(
         self, proposal: branches.Proposal
     ) -> branches.Accepted | failures.Failure:
+        """Writes a proposal and finds out what became of it."""
         attempts = 0
         in_doubt = False
         while True:
@@ -99,6 +106,13 @@
             if not isinstance(outcome, branches.WriteAgain):
                 return outcome
 
+    def read_deployment(self) -> deployment.Deployment | failures.Failure:
+        """Returns the configuration that entry processes make of the store."""
+        listing = self._store.list_range(branches.PREFIX)
+        if isinstance(listing, failures.Failure):
+            return listing
+        return tree.convert(_read_branches(listing))[0]
+
     def validate_branch(
         self, proposal: branches.Proposal
     ) -> failures.Failure | None:
@@ -107,12 +121,7 @@
         listing = self._store.list_range(branches.PREFIX)
         if isinstance(listing, failures.Failure):
             return listing
-        held: dict[str, tuple[int, dict[str, Any]]] = {}
-        for item in listing.items:
-            name = item.key.removeprefix(branches.PREFIX)
-            document = branches.read_document(item.key, item.value)
-            if isinstance(document, dict):
-                held[name] = (item.revision, document)
+        held = _read_branches(listing)
         _, before = tree.convert(held)
         # The store gives the write a higher revision than all others.
         revision = listing.revision + 1
@@ -124,3 +133,15 @@
             if name not in before:
                 return faults[0]
         return None
+
+
+def _read_branches(
+    listing: stores.Listing,
+) -> dict[str, tuple[int, dict[str, Any]]]:
+    held: dict[str, tuple[int, dict[str, Any]]] = {}
+    for item in listing.items:
+        name = item.key.removeprefix(branches.PREFIX)
+        document = branches.read_document(item.key, item.value)
+        if isinstance(document, dict):
+            held[name] = (item.revision, document)
+    return held
--- a/sycamorehollow/programs/ctl_commands.py
+++ b/sycamorehollow/programs/ctl_commands.py
@@ -2,9 +2,7 @@
 
 import argparse
 from collections.abc import Callable
-from collections.abc import Mapping
 import dataclasses
-import importlib
 import json
 import sys
 from typing import Any
@@ -12,6 +10,7 @@
 
 import urllib3
 
+from sycamorehollow.decisions import billing_reader
 from sycamorehollow.decisions import branches
 from sycamorehollow.model import failures
 from sycamorehollow.programs import ctl_changes
@@ -19,7 +18,6 @@
 from sycamorehollow.settings import tree
 from sycamorehollow.shells import stores
 
-ROLLOUTS_PREFIX = "rollouts/"
 BILLS_PREFIX = "bills/"
 STATUS_TIMEOUT_S = 3.0
 
@@ -28,18 +26,20 @@
 Command: TypeAlias = Callable[..., Result]
 
 
-def _change_branch(
+def change_branch(
     store: stores.Store, team: str, edit: branches.Edit
 ) -> Result:
+    """Changes the branch of a team by an edit."""
     changer = ctl_changes.Changer(store)
-    return _report(
+    return report(
         changer.change(
             branches.name_branch(team), edit, changer.validate_branch
         )
     )
 
 
-def _report(result: branches.Accepted | failures.Failure) -> Result:
+def report(result: branches.Accepted | failures.Failure) -> Result:
+    """Returns what to print of a change."""
     if isinstance(result, failures.Failure):
         return result
     return {"key": result.key, "revision": result.revision}
@@ -57,7 +57,7 @@
     store: stores.Store, args: argparse.Namespace, edit: branches.Edit
 ) -> Result:
     refusal = _check_platform(args)
-    return refusal or _change_branch(store, tree.PLATFORM, edit)
+    return refusal or change_branch(store, tree.PLATFORM, edit)
 
 
 def create_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
@@ -69,13 +69,13 @@
         "weight": args.weight,
     }
     edit = ctl_edits.add_entry("workspaces", args.name, entry)
-    return _change_branch(store, args.team, edit)
+    return change_branch(store, args.team, edit)
 
 
 def delete_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
     """Removes a workspace from the team's branch."""
     edit = ctl_edits.remove_entry("workspaces", args.name)
-    return _change_branch(store, args.team, edit)
+    return change_branch(store, args.team, edit)
 
 
 def show_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
@@ -102,13 +102,13 @@
 def allow_version(store: stores.Store, args: argparse.Namespace) -> Result:
     """Allows a version for a workspace."""
     edit = ctl_edits.allow_version(args.workspace, args.version, True)
-    return _change_branch(store, args.team, edit)
+    return change_branch(store, args.team, edit)
 
 
 def disallow_version(store: stores.Store, args: argparse.Namespace) -> Result:
     """Forbids a version for a workspace."""
     edit = ctl_edits.allow_version(args.workspace, args.version, False)
-    return _change_branch(store, args.team, edit)
+    return change_branch(store, args.team, edit)
 
 
 def withdraw_version(store: stores.Store, args: argparse.Namespace) -> Result:
@@ -126,13 +126,13 @@
 def define_cascade(store: stores.Store, args: argparse.Namespace) -> Result:
     """Adds a cascade to the team's branch."""
     edit = ctl_edits.add_entry("cascades", args.name, {"steps": args.steps})
-    return _change_branch(store, args.team, edit)
+    return change_branch(store, args.team, edit)
 
 
 def delete_cascade(store: stores.Store, args: argparse.Namespace) -> Result:
     """Removes a cascade from the team's branch."""
     edit = ctl_edits.remove_entry("cascades", args.name)
-    return _change_branch(store, args.team, edit)
+    return change_branch(store, args.team, edit)
 
 
 def set_data_centre(store: stores.Store, args: argparse.Namespace) -> Result:
@@ -151,76 +151,6 @@
     return _change_platform(store, args, edit)
 
 
-def _read_definition(
-    store: stores.Store, args: argparse.Namespace
-) -> Mapping[str, Any] | failures.Failure:
-    """Returns the rollout's entry in the branch of the team."""
-    found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
-    if isinstance(found, failures.Failure):
-        return found
-    definition = found[1].get("rollouts", {}).get(args.name)
-    if definition is None:
-        return ctl_edits.Refused(
-            f"the branch of {args.team} has no rollout {args.name}"
-        )
-    return definition
-
-
-def _change_stage(
-    store: stores.Store, args: argparse.Namespace, edit: branches.Edit
-) -> Result:
-    changer = ctl_changes.Changer(store)
-    return _report(changer.change(ROLLOUTS_PREFIX + args.name, edit))
-
-
-def start_rollout(store: stores.Store, args: argparse.Namespace) -> Result:
-    """Defines a rollout if it is new, and starts or resumes it."""
-    if args.candidate is not None:
-        entry = {
-            "model": args.model,
-            "baseline": args.baseline,
-            "candidate": args.candidate,
-            "stages": args.stages,
-        }
-        edit = ctl_edits.add_entry("rollouts", args.name, entry)
-        defined = _change_branch(store, args.team, edit)
-        if isinstance(defined, failures.Failure):
-            return defined
-    definition = _read_definition(store, args)
-    if isinstance(definition, failures.Failure):
-        return definition
-    return _change_stage(store, args, ctl_edits.start_stage(definition))
-
-
-def change_rollout(store: stores.Store, args: argparse.Namespace) -> Result:
-    """Pauses, advances or withdraws a rollout."""
-    definition = _read_definition(store, args)
-    if isinstance(definition, failures.Failure):
-        return definition
-    if args.action == "pause":
-        edit = ctl_edits.set_stage_state("paused", ("running",))
-    elif args.action == "withdraw":
-        states = ("running", "paused", "done", "not started")
-        edit = ctl_edits.set_stage_state("withdrawn", states)
-    else:
-        stages = len(definition["stages"])
-        edit = ctl_edits.advance_stage(stages, args.stage)
-    return _change_stage(store, args, edit)
-
-
-def show_rollout(store: stores.Store, args: argparse.Namespace) -> Result:
-    """Returns the definition and the stage of a rollout."""
-    definition = _read_definition(store, args)
-    if isinstance(definition, failures.Failure):
-        return definition
-    found = ctl_changes.Changer(store).read(ROLLOUTS_PREFIX + args.name)
-    if isinstance(found, failures.Failure):
-        return found
-    revision, state = found
-    stage = {name: state.get(name) for name in ("stage", "state")}
-    return {"definition": definition, "revision": revision, **stage}
-
-
 def show_branch(store: stores.Store, args: argparse.Namespace) -> Result:
     """Returns a branch and its revision."""
     found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
@@ -246,7 +176,7 @@
     document = _read_file(args.file)
     if isinstance(document, failures.Failure):
         return document
-    return _change_branch(store, args.team, ctl_edits.put_branch(document))
+    return change_branch(store, args.team, ctl_edits.put_branch(document))
 
 
 def validate_branch(store: stores.Store, args: argparse.Namespace) -> Result:
@@ -280,17 +210,15 @@
 
 def sum_bills(store: stores.Store, args: argparse.Namespace) -> Result:
     """Returns the sums of the stored bills by workspace."""
-    try:
-        reader = importlib.import_module(
-            "sycamorehollow.decisions.billing_reader"
-        ).BillReader()
-    except ModuleNotFoundError:
-        return failures.NotFound("this version has no reader of bills")
+    reader = billing_reader.BillReader()
     listing = store.list_range(BILLS_PREFIX)
     if isinstance(listing, failures.Failure):
         return listing
     for item in listing.items:
-        reader.add(item.value)
+        try:
+            reader.add(item.value)
+        except ValueError as error:
+            return branches.ValueUnreadable(f"{item.key}: {error}")
     totals = reader.sum_workspaces()
     return {
         workspace: dataclasses.asdict(totals[workspace])
--- /dev/null
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -0,0 +1,252 @@
+"""Commands of `sycamorectl` for roll-outs."""
+
+import argparse
+from collections.abc import Callable
+import dataclasses
+import functools
+import json
+import pathlib
+from typing import Any
+from typing import TypeAlias
+
+import urllib3
+
+from sycamorehollow.decisions import branches
+from sycamorehollow.decisions import stages
+from sycamorehollow.decisions import stops
+from sycamorehollow.model import deployment
+from sycamorehollow.model import failures
+from sycamorehollow.programs import ctl_changes
+from sycamorehollow.programs import ctl_commands
+from sycamorehollow.programs import ctl_edits
+from sycamorehollow.shells import stores
+
+STOP_PATH = "/v1/operator/stops"
+STOP_TIMEOUT_S = 5.0
+
+# Returns the next stage and state after the recorded ones, or why there are
+# none; the argument is `None` before the roll-out has started.
+Step: TypeAlias = Callable[
+    [stages.Stage | None], tuple[int, stages.State] | ctl_edits.Refused
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Recorded:
+    """A configured roll-out and its document in the store.
+
+    Attributes:
+        rollout: The configured roll-out.
+        config: Revision of the branch that configures it.
+        revision: Revision of the document; 0 without one.
+        text: The document, or `None`.
+        found: The decoded document; `None` when absent or malformed.
+    """
+
+    rollout: deployment.Rollout
+    config: int
+    revision: int
+    text: str | None
+    found: stages.Stage | None
+
+    @property
+    def key(self) -> str:
+        """Key of the document."""
+        return stages.KEY_PREFIX + self.rollout.name
+
+    @property
+    def run(self) -> str:
+        """Identity of the configured roll-out."""
+        return stops.name_run(self.rollout)
+
+    @property
+    def stage(self) -> stages.Stage | None:
+        """The document, unless it is that of an earlier definition."""
+        if self.found is None or self.found.run != self.run:
+            return None
+        return self.found
+
+
+def _read(
+    store: stores.Store, args: argparse.Namespace
+) -> _Recorded | failures.Failure:
+    current = ctl_changes.Changer(store).read_deployment()
+    if isinstance(current, failures.Failure):
+        return current
+    rollout = current.rollouts.get(args.name)
+    if rollout is None or rollout.team != args.team:
+        return ctl_edits.Refused(
+            f"the branch of {args.team} has no valid rollout {args.name}"
+        )
+    answer = store.read(stages.KEY_PREFIX + args.name)
+    if isinstance(answer, failures.Failure):
+        return answer
+    config = current.revisions[args.team]
+    if isinstance(answer, stores.Absent):
+        return _Recorded(rollout, config, 0, None, None)
+    found = stages.decode(answer.value.encode())
+    return _Recorded(rollout, config, answer.revision, answer.value, found)
+
+
+def _change(
+    store: stores.Store, recorded: _Recorded, step: Step
+) -> ctl_commands.Result:
+    target = step(recorded.stage)
+    if isinstance(target, failures.Failure):
+        return target
+    written = stages.succeed(
+        recorded.found,
+        *target,
+        recorded.config,
+        recorded.run,
+        ctl_changes.draw_nonce(),
+    )
+    proposal = branches.Proposal(
+        recorded.key,
+        recorded.revision,
+        json.loads(stages.encode(written)),
+        written.nonce,
+    )
+    return ctl_commands.report(ctl_changes.Changer(store).write(proposal))
+
+
+def start_rollout(
+    store: stores.Store, args: argparse.Namespace
+) -> ctl_commands.Result:
+    """Defines a rollout if it is new, and starts or resumes it."""
+    if args.candidate is not None:
+        entry = {
+            "model": args.model,
+            "baseline": args.baseline,
+            "candidate": args.candidate,
+            "stages": args.stages,
+        }
+        edit = ctl_edits.add_entry("rollouts", args.name, entry)
+        defined = ctl_commands.change_branch(store, args.team, edit)
+        if isinstance(defined, failures.Failure):
+            return defined
+    recorded = _read(store, args)
+    if isinstance(recorded, failures.Failure):
+        return recorded
+    result = _change(store, recorded, _start)
+    if args.candidate is None or not isinstance(result, failures.Failure):
+        return result
+    # An entry process that sees the new definition may start it first.
+    recorded = _read(store, args)
+    if isinstance(recorded, failures.Failure) or recorded.stage is None:
+        return result
+    if recorded.stage.state is not stages.State.RUNNING:
+        return result
+    return {"key": recorded.key, "revision": recorded.revision}
+
+
+def change_rollout(
+    store: stores.Store, args: argparse.Namespace
+) -> ctl_commands.Result:
+    """Pauses, advances or withdraws a rollout."""
+    recorded = _read(store, args)
+    if isinstance(recorded, failures.Failure):
+        return recorded
+    if args.action == "pause":
+        return _change(store, recorded, _pause)
+    if args.action == "withdraw":
+        return _change(store, recorded, _withdraw)
+    count = len(recorded.rollout.stages)
+    step = functools.partial(_advance, count, args.stage)
+    return _change(store, recorded, step)
+
+
+def show_rollout(
+    store: stores.Store, args: argparse.Namespace
+) -> ctl_commands.Result:
+    """Returns the definition and the stage of a rollout."""
+    recorded = _read(store, args)
+    if isinstance(recorded, failures.Failure):
+        return recorded
+    definition = dataclasses.asdict(recorded.rollout)
+    del definition["name"], definition["team"]
+    stage = recorded.stage
+    state = stage.state.value if stage else None
+    if recorded.text is not None and recorded.found is None:
+        state = "unreadable"
+    return {
+        "definition": definition,
+        "revision": recorded.revision,
+        "stage": stage.stage if stage else None,
+        "state": state,
+    }
+
+
+def _start(stage: stages.Stage | None) -> Any:
+    if stage is None or stage.state is stages.State.WITHDRAWN:
+        return 0, stages.State.RUNNING
+    if stage.state is stages.State.PAUSED:
+        return stage.stage, stages.State.RUNNING
+    return _refuse(stage)
+
+
+def _pause(stage: stages.Stage | None) -> Any:
+    if stage is None or stage.state is not stages.State.RUNNING:
+        return _refuse(stage)
+    return stage.stage, stages.State.PAUSED
+
+
+def _withdraw(stage: stages.Stage | None) -> Any:
+    if stage is None:
+        return 0, stages.State.WITHDRAWN
+    if stage.state is stages.State.WITHDRAWN:
+        return _refuse(stage)
+    return stage.stage, stages.State.WITHDRAWN
+
+
+def _advance(
+    count: int, expected: int | None, stage: stages.Stage | None
+) -> Any:
+    """Goes to the next of `count` stages.
+
+    Args:
+        count: Number of stages.
+        expected: Stage that the operator saw, or `None` for the current one.
+        stage: The recorded stage.
+    """
+    if stage is None or stage.state is not stages.State.RUNNING:
+        return _refuse(stage)
+    if expected is not None and expected != stage.stage:
+        return ctl_edits.Refused(f"the rollout is at stage {stage.stage}")
+    if stage.stage + 1 >= count:
+        return stage.stage, stages.State.DONE
+    return stage.stage + 1, stages.State.RUNNING
+
+
+def _refuse(stage: stages.Stage | None) -> ctl_edits.Refused:
+    state = stage.state.value if stage else "not started"
+    return ctl_edits.Refused(f"the rollout is {state}")
+
+
+def stop_rollout(args: argparse.Namespace) -> ctl_commands.Result:
+    """Stops the new version at once, without the store."""
+    try:
+        token = pathlib.Path(args.token_file).read_text("utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = f"{args.token_file} is not readable: {error}"
+        return failures.InvalidRequest(reason)
+    pool = urllib3.PoolManager(retries=False, timeout=STOP_TIMEOUT_S)
+    try:
+        answer = pool.request(
+            "POST",
+            args.entry.rstrip("/") + STOP_PATH,
+            json={"rollout": args.name, "reason": args.reason},
+            headers={"Authorization": f"Bearer {token}"},
+        )
+        body = json.loads(answer.data)
+        if answer.status == 200 and isinstance(body, dict):
+            return body
+        return ctl_edits.Refused(str(body["error"]["message"]))
+    except urllib3.exceptions.HTTPError as error:
+        return failures.NoUpstream(
+            f"{args.entry} does not answer: {error}", failures.Run.UNKNOWN
+        )
+    except (ValueError, KeyError, TypeError):
+        return failures.NoUpstream(
+            f"{args.entry} gave no valid answer", failures.Run.UNKNOWN
+        )
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -217,6 +217,7 @@
         self._poller.set_jobs(
             upstream_polls.PREFIX, self._upstreams.build_jobs(current)
         )
+        self._poll_stages()
         loguru.logger.info(
             "configuration: in force revisions={}", dict(current.revisions)
         )
@@ -280,6 +281,9 @@
             member.data_centre,
             member.state.name.lower(),
         )
+        self._poll_stages()
+
+    def _poll_stages(self) -> None:
         coordinator = self._node.is_coordinator()
         self._poller.set_jobs(
             rollout_io.JOB, self._rollouts.build_jobs(coordinator)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -1,14 +1,16 @@
 """Tests of the control program."""
 
 import contextlib
+import dataclasses
 import io
 import json
-import sys
 import tempfile
-import types
 import unittest
 from unittest import mock
 
+from sycamorehollow.decisions import billing_messages
+from sycamorehollow.decisions import stages
+from sycamorehollow.decisions import stops
 from sycamorehollow.programs import ctl
 from sycamorehollow.programs import ctl_changes
 from sycamorehollow.settings import tree
@@ -251,12 +253,102 @@
             self.find_error("status http://127.0.0.1:1"), "no_upstream"
         )
 
-    def test_bills_are_summed_by_the_reader(self):
-        reader = mock.MagicMock()
-        reader.sum_workspaces.return_value = {}
-        module = types.SimpleNamespace(BillReader=lambda: reader)
-        self.store.write("bills/dc/1/1", "batch", 0)
-        name = "sycamorehollow.decisions.billing_reader"
-        with mock.patch.dict(sys.modules, {name: module}):
-            self.assertEqual(self.run_ctl("bills"), {})
-        reader.add.assert_called_once_with("batch")
+    def test_bills_count_once_and_by_workspace(self):
+        bills = [
+            billing_messages.Bill("w", "request:1", "v1", 2, 3, 40, 5),
+            billing_messages.Bill("w", "request:2", "v1", 2, 3, 60),
+            billing_messages.Bill("x", "request:1", "v1", 2, 3, 7),
+        ]
+        items = [billing_messages.Item(bill).encode() for bill in bills]
+        for name, batch in (("1", items[:2]), ("2", items[1:])):
+            value = billing_messages.encode_batch(batch)
+            self.store.write(f"bills/dc/1/{name}", value, 0)
+        w = {"bills": 2, "amount": 100, "internal_cost": 5}
+        x = {"bills": 1, "amount": 7, "internal_cost": 0}
+        self.assertEqual(self.run_ctl("bills"), {"w": w, "x": x})
+        self.assertEqual(self.run_ctl("bills x"), {"x": x})
+        self.store.write("bills/dc/1/3", "damaged", 0)
+        self.assertEqual(self.find_error("bills"), "value_unreadable")
+
+    def start_rollout(self):
+        """Starts a rollout with two stages and returns its definition."""
+        self.run_ctl("version add atlas v2 --prompt-price 2 --output-price 3")
+        self.run_ctl(
+            "--team a rollout start r --model atlas --baseline v1"
+            " --candidate v2 --stages 0.1,1"
+        )
+        return self.convert().rollouts["r"]
+
+    def read_stage(self):
+        """Returns the roll-out's document as an entry process reads it."""
+        return stages.decode(self.store.items["rollouts/r"][0].encode())
+
+    def test_entry_processes_understand_every_stage(self):
+        rollout = self.start_rollout()
+        revision = self.store.items["config/a"][1]
+        for action, stage, state in (
+            ("pause", 0, stages.State.PAUSED),
+            ("start", 0, stages.State.RUNNING),
+            ("advance", 1, stages.State.RUNNING),
+            ("withdraw", 1, stages.State.WITHDRAWN),
+            ("start", 0, stages.State.RUNNING),
+        ):
+            with self.subTest(action):
+                self.run_ctl(f"--team a rollout {action} r")
+                found = self.read_stage()
+                self.assertEqual((found.stage, found.state), (stage, state))
+                self.assertEqual(found.run, stops.name_run(rollout))
+                self.assertEqual(found.config, revision)
+
+    def test_start_accepts_that_an_entry_process_was_faster(self):
+        name = "sycamorehollow.programs.ctl_changes.Changer.write"
+        write = ctl_changes.Changer.write
+
+        def overtake(changer, proposal):
+            if proposal.key == "rollouts/r":
+                other = dataclasses.replace(
+                    stages.decode(proposal.text.encode()), mark="entry"
+                )
+                value = stages.encode(other).decode()
+                self.store.write("rollouts/r", value, 0)
+            return write(changer, proposal)
+
+        with mock.patch(name, overtake):
+            self.start_rollout()
+        self.assertEqual(self.read_stage().mark, "entry")
+
+    def test_lost_response_is_recognised_after_an_entry_process_wrote(self):
+        self.start_rollout()
+
+        def follow():
+            found = self.read_stage()
+            after = stages.succeed(
+                found, 1, found.state, found.config, found.run, "entry"
+            )
+            value = stages.encode(after).decode()
+            self.store.write("rollouts/r", value, None)
+
+        self.run_ctl("--team a rollout pause r")
+        self.store.fates = ["lost after"]
+        read = self.store.read
+        reads = []
+
+        def read_late(key):
+            reads.append(key)
+            if reads.count("rollouts/r") == 2:
+                follow()
+            return read(key)
+
+        with mock.patch.object(self.store, "read", read_late):
+            self.run_ctl("--team a rollout start r")
+        self.assertEqual(self.read_stage().mark, "entry")
+
+    def test_unreadable_stage_is_shown_and_can_be_replaced(self):
+        self.start_rollout()
+        plain = '{"stage": 1, "state": "running", "nonce": "plain"}'
+        self.store.write("rollouts/r", plain, None)
+        shown = self.run_ctl("--team a rollout show r")
+        self.assertEqual((shown["stage"], shown["state"]), (None, "unreadable"))
+        self.assertEqual(self.find_error("--team a rollout pause r"), "refused")
+        self.run_ctl("--team a rollout start r")
+        self.assertEqual(self.read_stage().stage, 0)
