Push cold turns of one upstream, and drive whole nodes in a bench

Cause: a node answered a cold turn by asking for the delta against an empty digest, which the codec of cold starts cannot read. The decision loop logged the error and dropped the push, so peers learned of a restart only from the next exchange or from their own poll.

Change: the push carries the turn of the one upstream that turned cold. The first report of a warm upstream is no news and is not pushed; otherwise a start would push one delta per upstream to the whole data centre. benches/node_fleet.py drives whole nodes with a store in memory and found it.

Ruled out: an empty digest in the right encoding gives an empty delta, because only upstreams named in the digest are answered.

Conclusion: cold turns are pushed; the first load reports of a start are not.

--- a/sycamorehollow/decisions/coldstart.py
+++ b/sycamorehollow/decisions/coldstart.py
@@ -235,10 +235,15 @@
             return []
         state.reported_at = event.measured_at
         if event.generation > state.generation:
+            first = state.generation == 0
             state.bearable = event.bearable
             self._turn_cold(state, event.generation, 0, now)
             if not event.cold:
                 state.cold = False
+                if first:
+                    # Nothing turned cold: a process that starts would push
+                    # one delta for each upstream to its whole data centre.
+                    return []
             return [SpreadCold(event.upstream)]
         if event.cold and not state.cold:
             # A report from before the cold turn was noticed is no new turn.
@@ -338,6 +343,14 @@
                 newer[name] = [state.generation, state.episode, state.bearable]
         return shares.encode(newer) if newer else b""
 
+    def encode_turn(self, upstream: str) -> bytes:
+        """Returns the delta with the last cold turn of one upstream."""
+        state = self._states.get(upstream)
+        if state is None:
+            return b""
+        turn = [state.generation, state.episode, state.bearable]
+        return shares.encode({upstream: turn})
+
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Marks upstreams cold that a peer has found cold."""
         if not delta:
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -429,7 +429,8 @@
         self, command: coldstart.SpreadCold, now: float
     ) -> list[Any]:
         cold = self.placement.cold
-        return [payloads.Urgent(cold.kind, cold.collect(EMPTY_DIGEST, now))]
+        delta = cold.encode_turn(command.upstream)
+        return [payloads.Urgent(cold.kind, delta)]
 
     def _spread_quarantine(
         self, command: quarantine.SpreadQuarantine, now: float
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,49 @@
+"""Tests of whole nodes that drive each other in simulated time."""
+
+import unittest
+
+from benches import node_fleet
+from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions import upstreams
+
+
+def report(generation: int, now: float) -> upstreams.LoadReported:
+    """Returns a report of a cold run of the first replica."""
+    return upstreams.LoadReported(
+        "replica-000", now, generation, True, 4, 0, 500_000
+    )
+
+
+class ColdPushTest(unittest.TestCase):
+    """Guards against cold turns that only the next exchange spreads."""
+
+    def setUp(self):
+        self.fleet = node_fleet.Fleet(14, seed=1)
+        self.fleet.run(5.0)
+
+    def test_restart_is_pushed_to_the_own_data_centre(self):
+        """A push that fails leaves peers sending to a cold upstream."""
+        finder, peer = self.fleet.members[0], self.fleet.members[7]
+        for member in (finder, peer):
+            warm = upstreams.LoadReported(
+                "replica-000", self.fleet.now, 1, False, 4, 0, 500_000
+            )
+            self.fleet.deliver(member, warm)
+        now = self.fleet.now
+        self.fleet.run(0.01)
+        self.assertFalse(peer.node.placement.cold.is_cold("replica-000", now))
+        asked = finder.node.handle(report(2, self.fleet.now), self.fleet.now)
+        calls = [c for c in asked if isinstance(c, exchange.Call)]
+        pushed = [call for call in calls if call.peer == peer.address]
+        self.assertEqual(len(pushed), 1)
+        event = exchange.Incoming(1, pushed[0].sender, pushed[0].items)
+        peer.node.handle(event, self.fleet.now)
+        self.assertTrue(peer.node.placement.cold.is_cold("replica-000", now))
+
+    def test_first_warm_reports_are_not_pushed(self):
+        """A start must not push one delta per upstream to all peers."""
+        warm = upstreams.LoadReported(
+            "replica-000", self.fleet.now, 3, False, 4, 0, 500_000
+        )
+        asked = self.fleet.members[0].node.handle(warm, self.fleet.now)
+        self.assertEqual([c for c in asked if isinstance(c, exchange.Call)], [])
