--- a/sycamorehollow/decisions/coldstart.py
+++ b/sycamorehollow/decisions/coldstart.py
@@ -213,10 +213,15 @@
             return []
         state.reported_at = event.measured_at
         if event.generation > state.generation:
+            first = state.generation == 0
             state.bearable = event.bearable
             self._turn_cold(state, event.generation, 0, now)
             if not event.cold:
                 state.cold = False
+                if first:
+                    # Nothing turned cold: a process that starts would push
+                    # one delta for each upstream to its whole data centre.
+                    return []
             return [SpreadCold(event.upstream)]
         if event.cold and not state.cold:
             # A report from before the cold turn was noticed is no new turn.
