Count every loss of a retried request towards its quarantine

Seen through real processes: a plain request that crashed its engines before the first chunk made four deaths in 12.8 s of repeats, where three were allowed. Cause: quarantine kept an unresolved loss under the name of the attempt, which a retry of the same request keeps, so the second loss replaced the first one. Losses are now kept by attempt and upstream. A fingerprint with two deaths, known or not known yet, waits with suspect_busy until the deaths are settled; before, a caller that repeated at once could use the time until the next load report.

Not changed: a suspect is refused with no_upstream when no engine is idle.

--- a/sycamorehollow/decisions/quarantine.py
+++ b/sycamorehollow/decisions/quarantine.py
@@ -119,7 +119,8 @@
         self._running: dict[str, Attempt] = {}
         self._at_upstream: collections.Counter[str] = collections.Counter()
         self._isolated: collections.Counter[str] = collections.Counter()
-        self._lost: dict[str, Attempt] = {}
+        # By attempt and upstream: a retry keeps the name of the attempt.
+        self._lost: dict[tuple[str, str], Attempt] = {}
         self._lost_at: dict[str, float] = {}
         self._generations: dict[str, int] = {}
 
@@ -150,6 +151,12 @@
             )
         if not self._is_suspect(fingerprint, now):
             return Verdict.CLEAR
+        if self._count_open(fingerprint) >= DEATHS_TO_QUARANTINE:
+            return SuspectBusy(
+                "It is not known yet whether the request crashed upstreams.",
+                failures.Run.NO,
+                BUSY_RETRY_AFTER_S,
+            )
         for attempt in self._running.values():
             if attempt.fingerprint == fingerprint:
                 return SuspectBusy(
@@ -175,6 +182,17 @@
             return peers_idle and not self._at_upstream[upstream]
         return not self._isolated[upstream]
 
+    def _count_open(self, fingerprint: str) -> int:
+        """Returns the deaths that count and those that are not known yet."""
+        record = self._records.get(fingerprint)
+        count = record.count() if record is not None else 0
+        waiting = {
+            lost.upstream
+            for lost in self._lost.values()
+            if lost.fingerprint == fingerprint
+        }
+        return count + len(waiting)
+
     def _is_suspect(self, fingerprint: str, now: float) -> bool:
         # Until it is known whether the upstream died, a request whose
         # connection was lost could crash the next one as well.
@@ -211,7 +229,7 @@
             return []
         if event.end is upstreams.End.LOST:
             lost = dataclasses.replace(attempt, lost_at=now)
-            self._lost[event.attempt] = lost
+            self._lost[event.attempt, event.upstream] = lost
             self._lost_at[attempt.fingerprint] = now
             if attempt.generation < self._generations.get(event.upstream, 0):
                 # The report of the next run arrived before the loss.
@@ -252,7 +270,8 @@
             if attempt.upstream == event.upstream:
                 # Its end is reported later or never; it counts once.
                 self._stop(name)
-                self._lost[name] = dataclasses.replace(attempt, lost_at=now)
+                lost = dataclasses.replace(attempt, lost_at=now)
+                self._lost[name, event.upstream] = lost
         return self._record_lost(event.upstream, event.generation, now)
 
     def _record_lost(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -228,3 +228,30 @@
                 expected = quarantine.Verdict.CLEAR
             self.assertIs(rule.judge("f", 1.0), quarantine.Verdict.ISOLATED)
             self.assertIs(rule.judge("f", later), expected)
+
+
+class RetriedAttemptTest(unittest.TestCase):
+    """Guards against deaths that a retry of the same attempt hides."""
+
+    def _lose(self, node, upstream, now):
+        node.handle(upstreams.AttemptStarted("r", upstream, 1, "f"), now)
+        end = upstreams.AttemptEnded("r", upstream, upstreams.End.LOST)
+        node.handle(end, now)
+
+    def test_each_loss_of_a_retried_attempt_counts(self):
+        node = quarantine.Quarantine()
+        self._lose(node, "u0", 1.0)
+        self._lose(node, "u1", 1.1)
+        for upstream in ("u0", "u1"):
+            node.handle(upstreams.ConnectFailed(upstream), 1.2)
+        self.assertIsInstance(node.judge("f", 1.3), quarantine.Quarantined)
+
+    def test_two_losses_wait_until_it_is_known_what_they_were(self):
+        node = quarantine.Quarantine()
+        self._lose(node, "u0", 1.0)
+        self.assertIs(node.judge("f", 1.1), quarantine.Verdict.ISOLATED)
+        self._lose(node, "u1", 1.1)
+        self.assertIsInstance(node.judge("f", 1.2), quarantine.SuspectBusy)
+        later = 1.2 + quarantine.DEATH_WINDOW_S
+        node.handle(events.Tick(), later)
+        self.assertIs(node.judge("f", later), quarantine.Verdict.CLEAR)
