Read the stored outcome of a ticket whose issuer has left

After a graceful shutdown of the process that issued a ticket, other entries answered GET /v1/outcomes/{ticket} with unknown although the store held the outcome. Cause: when the owner did not answer, the router went straight to the status lookup, which needs the names of service and operation. It now reads the outcome record first and looks the call up if there is none.

--- a/sycamorehollow/decisions/ticket_calls.py
+++ b/sycamorehollow/decisions/ticket_calls.py
@@ -302,7 +302,8 @@
                     retry_after_s=OWNER_RETRY_S,
                 )
                 return [ticket_asks.answer(asked, failure)]
-        return self._look_up(asked)
+        # The owner may have left after it stored the outcome.
+        return self._read_outcome(asked)
 
     def _read_outcome(self, asked: ticket_asks.Asked) -> list[commands.Command]:
         key = records.make_outcome_key(asked.workspace, asked.key)
