Measure the drain, return and partition of a data centre

There was no measurement of whole nodes while a data centre leaves and returns.

Drain records had no way into a node: `DrainOrders` puts one under the deployment in force when an operator orders it. No shell sends that order yet.

The engines turn cold at the return without telling, which is what the growth rule guards against.

--- a/benches/node_world.py
+++ b/benches/node_world.py
@@ -1,6 +1,7 @@
 """Whole nodes with their network, store and engines in simulated time."""
 
 from collections.abc import Callable
+import dataclasses
 import heapq
 import itertools
 import json
@@ -30,6 +31,13 @@
 SILENCE_S = 5.0
 
 
+@dataclasses.dataclass(frozen=True)
+class FirstToken(commands.Command):
+    """Tells the callers that the first token of a response passed a node."""
+
+    request_id: str
+
+
 class World:
     """Runs the nodes of a site.
 
@@ -357,7 +365,12 @@
             prompt, output = self.measure(request)
             event = lifecycle.AttemptCompleted(request, attempt, prompt, output)
         when = max(self.now, progress.at) + self.delay_s(address, name)
-        self.at(when, lambda: self.give(address, event))
+        self.at(when, lambda: self._pass_on(address, event))
+
+    def _pass_on(self, address: str, event: events.Event) -> None:
+        self.give(address, event)
+        if isinstance(event, lifecycle.AttemptProduced):
+            self.take(address, FirstToken(event.request_id))
 
     def break_streams(self) -> None:
         """Makes the streams that cross the partition silent."""
--- /dev/null
+++ b/sycamorehollow/decisions/drain_orders.py
@@ -0,0 +1,43 @@
+"""Drains that operators order at a process, without the store."""
+
+import dataclasses
+
+from sycamorehollow.decisions import drains
+from sycamorehollow.decisions import parts
+from sycamorehollow.decisions import records
+from sycamorehollow.model import commands
+from sycamorehollow.model import deployment
+from sycamorehollow.model import events
+
+
+@dataclasses.dataclass(frozen=True)
+class DrainOrdered(events.Event):
+    """An operator takes something out of service while the store is down."""
+
+    scope: drains.Scope
+    name: str
+
+
+class DrainOrders(parts.Part):
+    """Writes drain records under the deployment in force.
+
+    Args:
+        kept: The replicated records.
+    """
+
+    def __init__(self, kept: records.Records):
+        self._records = kept
+        self._deployment = deployment.Deployment()
+
+    def handle(self, event: events.Event, now: float) -> list[commands.Command]:
+        """Takes the deployment and returns what an order changes."""
+        if isinstance(event, drains.DeploymentChanged):
+            self._deployment = event.deployment
+        if not isinstance(event, DrainOrdered):
+            return []
+        return self._records.put(
+            drains.DRAIN_KIND,
+            drains.make_key(event.scope, event.name),
+            drains.make_value(self._deployment),
+            now,
+        )
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -17,6 +17,7 @@
 from sycamorehollow.decisions import configuration
 from sycamorehollow.decisions import configuration_messages
 from sycamorehollow.decisions import documents
+from sycamorehollow.decisions import drain_orders
 from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import effect_messages
 from sycamorehollow.decisions import effects
@@ -301,6 +302,7 @@
             *self.placement.list_parts(),
             self.configuration,
             self.drains,
+            drain_orders.DrainOrders(self.records),
             self.learning,
             self.evidence,
             self.cascades,
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/upstream_placement.py
@@ -75,7 +75,7 @@
         self._data_centre = data_centre
         self._find_drain = find_drain
         self._suspects = suspects
-        self._selection = selection.EstimateSelection(
+        self._selection: selection.Selection = selection.EstimateSelection(
             self.table,
             self.capacity,
             self.prefixes,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,8 @@
 
 from benches import node_world
 from benches import sites
+from sycamorehollow.decisions import drain_orders
+from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import upstreams
 
 WORKSPACE = {"versions": [sites.VERSION], "key_hashes": []}
@@ -32,3 +34,15 @@
         world.run(world.now + 0.1)
         placed = world.nodes[peer].placement.cold
         self.assertTrue(placed.is_cold("u00", world.now))
+
+    def test_drain_order_reaches_all_nodes_without_the_store(self):
+        """A drained data centre must get no new work after 5 s."""
+        world = build_world()
+        world.store_up = False
+        order = drain_orders.DrainOrdered(drains.Scope.DATA_CENTRE, "dc-0")
+        world.give(list(world.nodes)[-1], order)
+        world.run(world.now + 5.0)
+        for address, node in world.nodes.items():
+            with self.subTest(address=address):
+                self.assertIsNotNone(node.drains.refuse("u00"))
+                self.assertIsNone(node.drains.refuse("u10"))
