Say not run only when no attempt may have run

Cause: after a broken attempt, a later step that failed (no upstream, a quarantine, a deadline) gave its own failure with run: no, although the earlier attempt may have run. Change: the settlement sets run: unknown when any attempt may have run. The new test failed before (Run.NO is not Run.UNKNOWN) and passes now. Also: lookups at a silent service end after 3 s instead of 30 s, a front port in use ends with one log line, a drain waits only for bills that no peer holds, and the rating service gets the start of the prompt.

--- a/sycamorehollow/decisions/active.py
+++ b/sycamorehollow/decisions/active.py
@@ -212,6 +212,7 @@
         active.request.workspace,
         active.request.kind,
         active.version,
+        active.request.prompt_head,
         answer,
     )
 
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -183,7 +183,7 @@
 
     def count_pending(self) -> int:
         """Returns the requests and bills that a shutdown waits for."""
-        return self.router.active_count + self.billing.pending
+        return self.router.active_count + self.billing.count_exposed()
 
     def measure(self, now: float) -> dict[str, float]:
         """Returns the levels that operators watch."""
--- a/sycamorehollow/decisions/settlement.py
+++ b/sycamorehollow/decisions/settlement.py
@@ -1,5 +1,7 @@
 """Final failures and bills of requests."""
 
+import dataclasses
+
 from sycamorehollow.decisions import active as actives
 from sycamorehollow.model import commands
 from sycamorehollow.model import failures
@@ -30,8 +32,14 @@
     def refuse(
         self, active: actives.ActiveRequest, failure: failures.Failure
     ) -> list[commands.Command]:
-        """Gives the caller its final failure."""
+        """Gives the caller its final failure.
+
+        A later step may fail with a refusal of its own, but the request was
+        not run only if no earlier attempt may have run.
+        """
         request = active.request
+        if active.describe_run() is failures.Run.UNKNOWN:
+            failure = dataclasses.replace(failure, run=failures.Run.UNKNOWN)
         if active.delivered:
             self._cut[request.request_id] = active
         return [
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -184,6 +184,7 @@
     """Ask the rating service for the quality of an answer.
 
     Attributes:
+        prompt: Start of the prompt.
         answer: Events of the answer.
     """
 
@@ -192,4 +193,5 @@
     workspace: str
     kind: str
     version: str
+    prompt: bytes
     answer: bytes
--- a/sycamorehollow/programs/entry.py
+++ b/sycamorehollow/programs/entry.py
@@ -13,6 +13,7 @@
 from sycamorehollow.settings import process
 from sycamorehollow.shells import assembly
 
+EXIT_FAILED = 1
 EXIT_FAULTS = 2
 DRAIN_LIMIT_S = 3600.0
 
@@ -70,7 +71,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda _number, _frame: ended.set())
     entry = assembly.Entry(settings)
-    entry.start()
+    try:
+        entry.start()
+    except OSError as error:
+        loguru.logger.error("entry: cannot start: {}", error)
+        return EXIT_FAILED
     ready = {"url": entry.url, "pid": os.getpid()}
     print(json.dumps(ready), flush=True)
     ended.wait()
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -19,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
+# A lookup is short work; a silent replica must not hold up the others.
+LOOKUP_TIMEOUT_S = 3.0
 # Outcomes are kept in memory and in store values of at most 1 MB.
 MAX_RESPONSE_BYTES = 256 * 1024
 READ_BLOCK_BYTES = 16 * 1024
@@ -111,7 +113,7 @@
         path = f"{_quote(command.operation)}/{_quote(command.service_key)}"
         for url in self._find_urls(command.service, False):
             answer = self._send(
-                "GET", f"{url}/operations/{path}", b"", {}, READ_TIMEOUT_S
+                "GET", f"{url}/operations/{path}", b"", {}, LOOKUP_TIMEOUT_S
             )
             found = _parse_lookup(command.op, answer)
             if isinstance(found, messages.LookedUp):
@@ -155,11 +157,14 @@
         A kept connection that the service is about to close would leave the
         outcome unknown. The connection must be there within `remaining_s`.
         """
+        read_timeout_s = self._read_timeout_s
+        if method == "GET":
+            read_timeout_s = min(read_timeout_s, LOOKUP_TIMEOUT_S)
         timeout = urllib3.Timeout(
             connect=min(self._connect_timeout_s, remaining_s),
-            read=self._read_timeout_s,
+            read=read_timeout_s,
         )
-        end = self._clock() + self._connect_timeout_s + self._read_timeout_s
+        end = self._clock() + self._connect_timeout_s + read_timeout_s
         pool = urllib3.connection_from_url(url, timeout=timeout)
         try:
             response = pool.urlopen(
--- a/sycamorehollow/shells/ratings.py
+++ b/sycamorehollow/shells/ratings.py
@@ -47,7 +47,7 @@
                 "workspace": command.workspace,
                 "kind": command.kind,
                 "version": command.version,
-                "prompt": "",
+                "prompt": command.prompt.decode("utf-8", "replace"),
                 "answer": completions.join_text(command.answer),
             },
         )
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -164,7 +164,10 @@
         command = messages.Dispatch(
             call.request_id, call, call.request_id, call.deadline
         )
-        event = self._client.dispatch_idempotent(command)
+        try:
+            event = self._client.dispatch_idempotent(command)
+        except queue.Empty:
+            event = messages.NotSent(command.op, "the router task is busy")
         if isinstance(event, messages.ServiceAnswered):
             return event.outcome
         sent = isinstance(event, messages.InDoubt)
@@ -195,7 +198,16 @@
         if isinstance(workspace, failures.Failure):
             exchange.send_failure(workspace)
             return
-        ticket = self._issue(workspace.name)
+        try:
+            ticket = self._issue(workspace.name)
+        except queue.Empty:
+            exchange.send_failure(
+                failures.Overloaded(
+                    "The router task did not answer in time.",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            )
+            return
         exchange.send_json(
             200, {"ticket": ticket, "valid_s": tickets.TICKET_LIFE_S}
         )
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -73,12 +73,13 @@
 
     def __init__(self):
         self.open = set()
+        self.full = False
         self.ends = []
 
     def place(self, request, version, excluded, now):
         assert request.request_id not in self.open
         for upstream in UPSTREAMS:
-            if upstream.name in excluded:
+            if self.full or upstream.name in excluded:
                 continue
             self.open.add(request.request_id)
             return placement.Placed(upstream, "first")
@@ -309,6 +310,16 @@
         caller.act("tick")
         self.assertIs(caller.finals[0].failure.run, failures.Run.UNKNOWN)
 
+    def test_refusal_after_a_broken_attempt_does_not_claim_not_run(self):
+        """A placement that finds no upstream once hid the earlier attempt."""
+        caller = Caller(False, True)
+        caller.places.full = True
+        for action in ("broken", "tick", "tick", "tick"):
+            caller.act(action)
+        failure = caller.finals[0].failure
+        self.assertEqual(failure.code, "no_upstream")
+        self.assertIs(failure.run, failures.Run.UNKNOWN)
+
     def test_shutdown_refuses_new_work_and_keeps_the_rest(self):
         part, _, _ = build_router()
         part.handle(lifecycle.RequestArrived(build_request()), 0.0)
