Keep the rule on the run of a refusal in one place

The copy is removed. Without the rule in the settlement the test fails now (Run.NO is not Run.UNKNOWN), with it the test passes.

--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -1,7 +1,6 @@
 """The life of a model request from arrival to its final answer."""
 
 from collections.abc import Callable
-import dataclasses
 
 from sycamorehollow.decisions import active as actives
 from sycamorehollow.decisions import admission
@@ -199,8 +198,6 @@
         """Starts the current step, a fallback or the next step."""
         started = self._place(active, active.list_choices(), now)
         if isinstance(started, failures.Failure):
-            if active.ran:
-                started = dataclasses.replace(started, run=failures.Run.UNKNOWN)
             return self._refuse(active, started, now)
         return [started]
 
