Share one deployment among the tests of answers

The tests of a lost engine and of slow callers had deployments of their own. The silent stream test now waits for delivered chunks, because a connection that the engine had not attached yet did not go silent.

--- a/tests/test_process_answers.py
+++ b/tests/test_process_answers.py
@@ -1,6 +1,7 @@
 """Answers through real processes while engines and callers break."""
 
 import json
+import re
 import socket
 import time
 import unittest
@@ -8,9 +9,12 @@
 
 import urllib3
 
+from sycamorehollow.standins import pacing
 from tests import fault_world
 from tests import processes
 
+# At 50 tokens a second an answer takes 3 s.
+TOKENS = 150
 SLOW_CALLERS = 6
 SLOW_TOKENS = 10_000
 # An event of the engine has about this size, so an unbounded buffer holds
@@ -28,6 +32,16 @@
     raise AssertionError("no VmRSS line")
 
 
+def read_chunks(stream, count):
+    """Returns the first events of a stream, at least `count` of them."""
+    received = b""
+    while received.count(b"data: ") < count:
+        block = stream.read1(4096)
+        assert block, received
+        received += block
+    return received
+
+
 def read_to_cut(stream):
     """Returns the rest of a stream whose connection is cut at its end."""
     received = b""
@@ -45,12 +59,13 @@
     @classmethod
     def setUpClass(cls):
         cls.world = fault_world.World(
-            ("dc-1", "dc-2", "dc-3"),
-            {"a": (), "b": (), "c": ()},
-            {"b": "dc-2", "c": "dc-3"},
+            ("dc-1", "dc-2", "dc-3", "dc-4"),
+            {"a": (), "b": (), "c": (), "d": ("engine.tokens_per_s=2000",)},
+            {"b": "dc-2", "c": "dc-3", "d": "dc-4"},
         )
         cls.addClassCleanup(cls.world.close)
-        cls.first, cls.second, cls.third = cls.world.entries
+        # Entry processes prefer the engine of their own data centre.
+        cls.first, _, cls.third, cls.fourth = cls.world.entries
 
     def setUp(self):
         self.addCleanup(self.world.clear_faults)
@@ -58,15 +73,21 @@
     def test_silent_stream_is_resumed_to_its_end(self):
         """Guards against an open connection that is silent for good."""
         world = self.world
-        futures = [
-            world.pool.submit(world.complete, self.first, 100, stream=streamed)
-            for streamed in (True, False)
-        ]
-        processes.wait_for(lambda: world.count_running("a") == 2)
+        plain = world.pool.submit(
+            world.complete, self.first, TOKENS, stream=False
+        )
+        processes.wait_for(lambda: world.count_running("a") == 1)
+        stream = world.open_stream(self.first, TOKENS, prompt="silent")
+        received = read_chunks(stream, 3)
+        # Both connections are open by now; new ones work.
         world.inject("a", "silent", value="open")
-        for future in futures:
-            answer = future.result(40)
-            self.assertTrue(answer.complete, answer)
+        received += read_to_cut(stream)
+        mark = pacing.make_digest("user:silent").encode()
+        expected = [b"%s-%d " % (mark, n) for n in range(TOKENS)]
+        self.assertEqual(re.findall(mark + rb"-\d+ ", received), expected)
+        self.assertIn(b"data: [DONE]", received)
+        answer = plain.result(40)
+        self.assertTrue(answer.complete, answer)
 
     def _are_idle(self, entry):
         """Tells whether an entry process sees no work at the engines.
@@ -95,14 +116,11 @@
     def test_lost_engine_truncates_or_moves_an_answer(self):
         """Guards against `[DONE]` after a loss, and against a lost answer."""
         world = self.world
-        # Entry processes prefer the engine of their own data centre.
         entry = self.third
         processes.wait_for(lambda: self._are_idle(entry))
-        stream = world.open_stream(entry, 300)
-        received = b""
-        while received.count(b"data: ") < 3:
-            received += stream.read1(4096)
-        plain = world.pool.submit(world.complete, entry, 300, stream=False)
+        stream = world.open_stream(entry, TOKENS)
+        received = read_chunks(stream, 3)
+        plain = world.pool.submit(world.complete, entry, TOKENS, stream=False)
         processes.wait_for(lambda: world.count_running("c") == 2)
         world.children["c"].kill()
         received += read_to_cut(stream)
@@ -114,20 +132,8 @@
         answer = plain.result(60)
         self.assertTrue(answer.complete, answer)
 
-
-class SlowCallerTest(unittest.TestCase):
-    """Guards against slow callers that fill the memory of an entry."""
-
-    @classmethod
-    def setUpClass(cls):
-        cls.world = fault_world.World(
-            ("dc-1",), {"a": ("engine.tokens_per_s=2000",)}
-        )
-        cls.addClassCleanup(cls.world.close)
-        cls.entry = cls.world.entries[0]
-
     def _open_slow_caller(self):
-        parts = urllib.parse.urlsplit(self.entry.url)
+        parts = urllib.parse.urlsplit(self.fourth.url)
         sock = socket.socket()
         self.addCleanup(sock.close)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -160,17 +166,17 @@
     def test_slow_callers_hold_bounded_memory(self):
         """Guards against unbounded buffers and streams that stand still."""
         world = self.world
-        self.assertTrue(world.complete(self.entry, 200).complete)
-        before = read_memory_kb(self.entry.child)
+        self.assertTrue(world.complete(self.fourth, 200).complete)
+        before = read_memory_kb(self.fourth.child)
         slow = [self._open_slow_caller() for _ in range(SLOW_CALLERS)]
-        processes.wait_for(lambda: world.count_running("a") == SLOW_CALLERS)
+        processes.wait_for(lambda: world.count_running("d") == SLOW_CALLERS)
         peak = before
         end = time.monotonic() + 40
         # The engine goes on producing whether it is read or not.
-        while world.count_running("a") and time.monotonic() < end:
-            answer = world.complete(self.entry, 100)
+        while world.count_running("d") and time.monotonic() < end:
+            answer = world.complete(self.fourth, 100)
             self.assertTrue(answer.complete, answer)
-            peak = max(peak, read_memory_kb(self.entry.child))
+            peak = max(peak, read_memory_kb(self.fourth.child))
         self.assertLess(peak - before, MAX_GROWTH_KB)
         received = self._read_to_end(slow[0])
         self.assertGreater(len(received), SLOW_TOKENS * EVENT_BYTES)
