--- a/sycamorehollow/decisions/effect_records.py
+++ b/sycamorehollow/decisions/effect_records.py
@@ -11,6 +11,9 @@
 from sycamorehollow.decisions import effect_messages
 from sycamorehollow.model import requests
 
+EFFECTS_PREFIX = "effects/"
+OUTCOMES_PREFIX = "outcomes/"
+PREFIXES = (EFFECTS_PREFIX, OUTCOMES_PREFIX)
 RECORD_LIFE_S = 24 * 3600
 # Clocks of VMs may disagree by this much without a record ending early.
 CLOCK_MARGIN_S = 3600
@@ -54,12 +57,12 @@
 
 def make_record_key(workspace: str, key: str) -> str:
     """Returns the store key of a caller's key."""
-    return f"effects/{_quote(workspace)}/{_quote(key)}"
+    return f"{EFFECTS_PREFIX}{_quote(workspace)}/{_quote(key)}"
 
 
 def make_outcome_key(workspace: str, ticket: str) -> str:
     """Returns the store key of a ticket's outcome."""
-    return f"outcomes/{_quote(workspace)}/{_quote(ticket)}"
+    return f"{OUTCOMES_PREFIX}{_quote(workspace)}/{_quote(ticket)}"
 
 
 def make_service_key(workspace: str, key: str) -> str:
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -242,11 +242,27 @@
                 member.address: member.data_centre
                 for member in self.membership.list_live()
             },
-            "rollouts": self.rollouts.shares(),
+            "rollouts": self._describe_rollouts(),
+            "quarantined": self.quarantine.count_quarantined(),
             "stopped_versions": sorted(self.rollouts.stopped()),
             "upstreams": self.placement.describe(now),
         }
 
+    def _describe_rollouts(self) -> dict[str, dict[str, Any]]:
+        """Returns share, stage and stop of each roll-out."""
+        result: dict[str, dict[str, Any]] = {}
+        configured = self.configuration.deployment.rollouts
+        for name, share in self.rollouts.shares().items():
+            stage = self.rollouts.describe(name)
+            stop = self.stops.find(configured[name].candidate)
+            result[name] = {
+                "share": share,
+                "stage": stage.stage if stage is not None else None,
+                "state": stage.state.value if stage is not None else None,
+                "stopped": stop.reason if stop is not None else None,
+            }
+        return result
+
     def _build_state(
         self,
         name: str,
--- a/sycamorehollow/decisions/quarantine.py
+++ b/sycamorehollow/decisions/quarantine.py
@@ -142,6 +142,13 @@
                 self._expire(now)
         return []
 
+    def count_quarantined(self) -> int:
+        """Returns the number of requests that are not run any more."""
+        return sum(
+            record.count() >= DEATHS_TO_QUARANTINE
+            for record in self._records.values()
+        )
+
     def judge(self, fingerprint: str, now: float) -> Verdict | failures.Failure:
         """Tells whether and how a request may run now."""
         record = self._records.get(fingerprint)
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -44,6 +44,7 @@
 from sycamorehollow.shells import rollout_io
 from sycamorehollow.shells import services
 from sycamorehollow.shells import storeclient
+from sycamorehollow.shells import sweeps
 from sycamorehollow.shells import upstream_polls
 from sycamorehollow.shells import vm_polls
 
@@ -174,6 +175,7 @@
             self._errands,
             self._loop.post,
         )
+        self._sweep = sweeps.RecordSweep(self._store)
         self._vms = vm_polls.VmPolls(
             self._settings.vms.url,
             self._errands,
@@ -321,6 +323,7 @@
         self._poller.set_jobs(
             rollout_io.JOB, self._rollouts.build_jobs(coordinator)
         )
+        self._poller.set_jobs(sweeps.JOB, self._sweep.build_jobs(coordinator))
 
     def _log_stale(self, command: orders.FenceStale) -> None:
         loguru.logger.warning(
