Make the slow caller test notice an unbounded buffer

A trial without the buffer limit passed, because the kernel took the whole answer of each slow caller.

--- a/tests/test_process_answers.py
+++ b/tests/test_process_answers.py
@@ -15,12 +15,12 @@
 
 # At 50 tokens a second an answer takes 3 s.
 TOKENS = 150
-SLOW_CALLERS = 6
-SLOW_TOKENS = 10_000
-# An event of the engine has about this size, so an unbounded buffer holds
-# 2 MB for each of the slow callers.
+SLOW_CALLERS = 4
+SLOW_TOKENS = 30_000
+# An event of the engine has at least this size. The kernel takes up to about
+# 3 MB for a caller, so an unbounded buffer holds 3 MB or more for each.
 EVENT_BYTES = 200
-MAX_GROWTH_KB = SLOW_CALLERS * 1024
+MAX_GROWTH_KB = SLOW_CALLERS * 2048
 
 
 def read_memory_kb(child):
@@ -60,7 +60,7 @@
     def setUpClass(cls):
         cls.world = fault_world.World(
             ("dc-1", "dc-2", "dc-3", "dc-4"),
-            {"a": (), "b": (), "c": (), "d": ("engine.tokens_per_s=2000",)},
+            {"a": (), "b": (), "c": (), "d": ("engine.tokens_per_s=10000",)},
             {"b": "dc-2", "c": "dc-3", "d": "dc-4"},
         )
         cls.addClassCleanup(cls.world.close)
