Let work wait for full upstreams in its fair turn

In a whole node the upstreams count as full a little before the node does, so the placement refused what the admission had just let in, no queue ever formed, and workspaces were served in the order of their arrivals. Such work now goes back to its place in the queue, and its version admits no more than what is in flight until something ends or the limit has risen again. Queues are kept per workspace and version, and short work has a limit of its own.

Ruled out: a lower capacity of the admission, which would have to follow the oldest load report; one limit for the node, which lets a full version hold up another one.

--- a/benches/node_callers.py
+++ b/benches/node_callers.py
@@ -105,13 +105,14 @@
         def arrive() -> None:
             if self._world.now >= self.end_at:
                 return
-            self._arrive(workspace)
+            self.ask(workspace)
             self._schedule(workspace, rate)
 
         when = self._world.now + self._source.expovariate(rate)
         self._world.at(when, arrive)
 
-    def _arrive(self, workspace: str) -> None:
+    def ask(self, workspace: str) -> None:
+        """Sends one request of a workspace now."""
         parts = [kind.part for kind in self._kinds]
         kind = self._source.choices(self._kinds, parts)[0]
         centre = self._source.choice(self._centres)
--- a/sycamorehollow/decisions/admission.py
+++ b/sycamorehollow/decisions/admission.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 import random
 
 from sycamorehollow.decisions import capacity
@@ -22,6 +23,9 @@
 WAIT_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.5
 SMOOTHING = 0.05
+# A limit found by a failed start rises by this part of the capacity each
+# second, so a full pool is tried again about once a second.
+RECOVERY_PER_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +46,7 @@
         priority: Lower numbers go first within the workspace.
         deadline: Monotonic time in seconds.
         needs_s: Estimated duration of the work in seconds.
+        pool: Version whose upstreams the work needs.
     """
 
     request: str
@@ -51,6 +56,25 @@
     priority: int
     deadline: float
     needs_s: float
+    pool: str = ""
+
+    @property
+    def queue(self) -> tuple[str, str]:
+        """Work of another pool must not wait behind a full one."""
+        return self.workspace, self.pool
+
+    @property
+    def room(self) -> tuple[str, bool]:
+        """Short work has a reserve at the upstreams, so a room of its own."""
+        return self.pool, self.tokens <= capacity.SHORT_REQUEST_TOKENS
+
+
+@dataclasses.dataclass(frozen=True)
+class NoRoom(events.Event):
+    """An admitted request found all upstreams full and did not start."""
+
+    request: str
+    failure: failures.Failure
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,9 +138,16 @@
         self._running: dict[str, tuple[WorkOffered, float]] = {}
         self._in_use = 0
         self._short_in_use = 0
-        self._queues: dict[str, Queue] = {}
-        self._order: collections.deque[str] = collections.deque()
-        self._waiting: dict[str, str] = {}
+        self._queues: dict[tuple[str, str], Queue] = {}
+        self._order: collections.deque[tuple[str, str]] = collections.deque()
+        self._waiting: dict[str, tuple[str, str]] = {}
+        # Arrival number and expiry of each request that is kept.
+        self._arrived: dict[str, tuple[int, float]] = {}
+        self._rooms: collections.Counter[tuple[str, bool]] = (
+            collections.Counter()
+        )
+        self._limits: dict[tuple[str, bool], float] = {}
+        self._recovered_at = float("-inf")
         self._arrivals = 0
         self._mean_hold_s = 0.0
 
@@ -128,10 +159,12 @@
                 decided += self._offer(event, now)
             case WorkEnded():
                 self._end(event.request, now)
+            case NoRoom():
+                decided += self._put_back(event, now)
             case CapacityChanged():
                 self._capacity = event.tokens
             case events.Tick():
-                pass
+                self._recover(now)
             case _:
                 return []
         decided += self._expire(now)
@@ -159,26 +192,56 @@
         if work.tokens > self._capacity and not self._running:
             # Nothing can end that would make room, so waiting is useless.
             return [self._refuse(work, MAX_WAIT_S)]
-        if not self._waiting and self._has_room(work, False):
+        allowed_s = min(MAX_WAIT_S, WAIT_SHARE * (work.deadline - now))
+        self._arrivals += 1
+        self._arrived[work.request] = (self._arrivals, now + allowed_s)
+        free = not self._waiting and not self._is_limited(work)
+        if free and self._has_room(work, False):
             return [self._start(work, now)]
+        return self._wait(work, now)
+
+    def _wait(self, work: WorkOffered, now: float) -> list[commands.Command]:
         wait_s = self._estimate_wait_s(work)
-        allowed_s = min(MAX_WAIT_S, WAIT_SHARE * (work.deadline - now))
-        if wait_s > allowed_s or now + wait_s + work.needs_s > work.deadline:
+        expiry = self._arrived[work.request][1]
+        late = now + wait_s + work.needs_s > work.deadline
+        if now + wait_s > expiry or late:
             return [self._refuse(work, wait_s)]
-        self._enqueue(work, now + allowed_s)
+        self._enqueue(work)
         return []
 
-    def _enqueue(self, work: WorkOffered, expiry: float) -> None:
-        queue = self._queues.setdefault(work.workspace, Queue())
+    def _enqueue(self, work: WorkOffered) -> None:
+        queue = self._queues.setdefault(work.queue, Queue())
         queue.weight = max(1, work.weight)
         if not queue.waiting:
-            self._order.append(work.workspace)
-        self._arrivals += 1
-        heapq.heappush(
-            queue.waiting, (work.priority, self._arrivals, expiry, work)
-        )
+            self._order.append(work.queue)
+        number, expiry = self._arrived[work.request]
+        heapq.heappush(queue.waiting, (work.priority, number, expiry, work))
         queue.tokens += work.tokens
-        self._waiting[work.request] = work.workspace
+        self._waiting[work.request] = work.queue
+
+    def _put_back(self, event: NoRoom, now: float) -> list[commands.Command]:
+        """Lets work wait that the upstreams have no room for."""
+        entry = self._running.pop(event.request, None)
+        if entry is None:
+            return []
+        work = entry[0]
+        self._free(work)
+        in_use = self._rooms[work.room]
+        if not in_use:
+            # Nothing can end that would make room, so waiting is useless.
+            self._arrived.pop(work.request, None)
+            return [RefuseWork(work.request, event.failure)]
+        self._limits[work.room] = in_use
+        return self._wait(work, now)
+
+    def _recover(self, now: float) -> None:
+        passed_s = max(0.0, now - self._recovered_at)
+        self._recovered_at = now
+        for room, limit in list(self._limits.items()):
+            limit += RECOVERY_PER_S * self._capacity * min(1.0, passed_s)
+            self._limits[room] = limit
+            if limit >= self._capacity:
+                del self._limits[room]
 
     def _estimate_wait_s(self, work: WorkOffered) -> float:
         """Estimates the wait from the backlog and the workspace's part.
@@ -189,15 +252,17 @@
         weights = max(1, work.weight)
         ahead = work.tokens
         for name, queue in self._queues.items():
-            if name == work.workspace:
+            if name == work.queue:
                 ahead += queue.tokens
-            elif queue.waiting:
+            elif queue.waiting and name[1] == work.pool:
                 weights += queue.weight
         part = max(1, work.weight) / weights
-        per_s = part * self._capacity / max(0.001, self._mean_hold_s)
+        limit = min(self._capacity, self._limits.get(work.room, math.inf))
+        per_s = part * limit / max(0.001, self._mean_hold_s)
         return ahead / max(1.0, per_s)
 
     def _refuse(self, work: WorkOffered, wait_s: float) -> RefuseWork:
+        self._arrived.pop(work.request, None)
         # Jitter over the whole wait spreads the callers that come back.
         after_s = max(MIN_RETRY_AFTER_S, wait_s)
         after_s *= self._source.uniform(1.0, 2.0)
@@ -208,6 +273,13 @@
         )
         return RefuseWork(work.request, failure)
 
+    def _is_limited(self, work: WorkOffered) -> bool:
+        """Tells whether the upstreams of the work are full."""
+        limit = self._limits.get(work.room)
+        return (
+            limit is not None and self._rooms[work.room] + work.tokens > limit
+        )
+
     def _has_room(self, work: WorkOffered, only_reserve: bool) -> bool:
         free = self._capacity - self._in_use
         reserve = int(self._capacity * capacity.SHORT_RESERVE)
@@ -222,20 +294,26 @@
     def _start(self, work: WorkOffered, now: float) -> AdmitWork:
         self._running[work.request] = (work, now)
         self._in_use += work.tokens
+        self._rooms[work.room] += work.tokens
         if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
             self._short_in_use += work.tokens
         return AdmitWork(work.request)
 
+    def _free(self, work: WorkOffered) -> None:
+        self._in_use -= work.tokens
+        self._rooms[work.room] -= work.tokens
+        if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
+            self._short_in_use -= work.tokens
+
     def _end(self, request: str, now: float) -> None:
         # The heap entry of a request that left is skipped when it comes up.
         self._forget_waiting(request)
+        self._arrived.pop(request, None)
         entry = self._running.pop(request, None)
         if entry is None:
             return
         work, started_at = entry
-        self._in_use -= work.tokens
-        if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
-            self._short_in_use -= work.tokens
+        self._free(work)
         # Weighted by tokens, because the rate is in tokens.
         part = min(0.5, SMOOTHING * work.tokens / QUANTUM_TOKENS)
         self._mean_hold_s += part * (now - started_at - self._mean_hold_s)
@@ -253,7 +331,7 @@
                 break
         self._drop_empty(workspace)
 
-    def _drop_empty(self, workspace: str) -> None:
+    def _drop_empty(self, workspace: tuple[str, str]) -> None:
         if self._queues[workspace].waiting:
             return
         # An idle workspace must not save up its turns.
@@ -277,14 +355,20 @@
         admitted: list[commands.Command] = []
         # Set when the workspace whose turn it is waits for room; until then
         # others may only use the reserve, so that long work is not passed by.
-        blocked: set[str] = set()
-        while len(blocked) < len(self._order):
+        blocked: set[tuple[str, str]] = set()
+        # Work whose own upstreams are full holds up no work for others.
+        limited: set[tuple[str, str]] = set()
+        while len(blocked) + len(limited) < len(self._order):
             workspace = self._order[0]
-            if workspace in blocked:
+            if workspace in blocked or workspace in limited:
                 self._order.rotate(-1)
                 continue
             queue = self._queues[workspace]
             work = queue.waiting[0][3]
+            if self._is_limited(work):
+                limited.add(workspace)
+                self._order.rotate(-1)
+                continue
             if not self._has_room(work, bool(blocked)):
                 blocked.add(workspace)
                 self._order.rotate(-1)
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/router.py
@@ -144,6 +144,7 @@
             priority=plan.priority,
             deadline=request.deadline,
             needs_s=plan.needs_s,
+            pool=plan.steps[0],
         )
         self._take_admissions(self._admission.handle(offer, now))
         return []
@@ -188,6 +189,12 @@
     ) -> list[commands.Command]:
         """Starts the current step, a fallback or the next step."""
         started = self._place(active, active.list_choices(), now)
+        if isinstance(started, failures.UpstreamsFull) and not active.runs:
+            # The upstreams were full before the node was; the work waits in
+            # its fair turn.
+            event = admission.NoRoom(active.request.request_id, started)
+            self._take_admissions(self._admission.handle(event, now))
+            return []
         if isinstance(started, failures.Failure):
             return self._refuse(active, started, now)
         return [started]
--- a/sycamorehollow/decisions/selection.py
+++ b/sycamorehollow/decisions/selection.py
@@ -53,7 +53,7 @@
 
 def refuse_full() -> failures.Failure:
     """Returns the failure for candidates that are all full or unreachable."""
-    return failures.NoUpstream(
+    return failures.UpstreamsFull(
         "No upstream has room for the request.",
         failures.Run.NO,
         FULL_RETRY_AFTER_S,
--- a/sycamorehollow/model/failures.py
+++ b/sycamorehollow/model/failures.py
@@ -95,6 +95,11 @@
     status: ClassVar[int] = 503
 
 
+@dataclasses.dataclass(frozen=True)
+class UpstreamsFull(NoUpstream):
+    """Upstreams take such work, but none has room for it now."""
+
+
 @dataclasses.dataclass(frozen=True)
 class DeadlineExceeded(Failure):
     """The work cannot be finished before its deadline."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Tests of admission."""
 
+import dataclasses
 import random
 import unittest
 
@@ -68,6 +69,60 @@
                 self.assertLess(now - arrived, limit)
             now += 0.3
 
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(("offer", "offer", "full", "end")),
+                strategies.sampled_from((500, 3000, 9000)),
+                strategies.integers(0, 5),
+                strategies.sampled_from((0.0, 0.1, 1.0)),
+            ),
+            max_size=60,
+        )
+    )
+    def test_work_without_room_is_kept_or_refused(self, steps):
+        """Work that found full upstreams must not be lost or wait too long."""
+        rule = admission.Admission(CAPACITY, random.Random(1))
+        now = 0.0
+        running, waiting = {}, {}
+        for number, (step, tokens, index, pause_s) in enumerate(steps):
+            now += pause_s
+            names = list(running)
+            event = events.Tick()
+            if step == "offer":
+                event = offer(number, "w", tokens, now + 60.0)
+                waiting[event.request] = (now, tokens)
+            elif names:
+                name = names[index % len(names)]
+                event = admission.WorkEnded(name)
+                ended = running.pop(name)
+                if step == "full":
+                    event = admission.NoRoom(name, failures.UpstreamsFull(""))
+                    waiting[name] = ended
+            for command in rule.handle(event, now):
+                decided = waiting.pop(command.request)
+                if isinstance(command, admission.AdmitWork):
+                    running[command.request] = decided
+            held = sum(tokens for _, tokens in running.values())
+            self.assertEqual(rule.count_in_use(), held)
+            self.assertEqual(rule.count_waiting(), len(waiting))
+            for arrived, _ in waiting.values():
+                self.assertLess(now - arrived, admission.MAX_WAIT_S)
+
+    def test_full_pool_does_not_hold_up_another(self):
+        """Versions have upstreams of their own."""
+        rule = admission.Admission(CAPACITY, random.Random(1))
+        for number in range(2):
+            rule.handle(offer(number, "a", 3000), 0.0)
+        full = admission.NoRoom("1", failures.UpstreamsFull(""))
+        self.assertEqual(rule.handle(full, 0.0), [])
+        self.assertEqual(rule.count_waiting(), 1)
+        other = dataclasses.replace(offer(2, "a", 3000), pool="other")
+        [command] = rule.handle(other, 0.0)
+        self.assertEqual(command, admission.AdmitWork("2"))
+        [command] = rule.handle(admission.WorkEnded("0"), 0.1)
+        self.assertEqual(command, admission.AdmitWork("1"))
+
     def test_small_workspace_gets_its_share(self):
         """A large workspace must not push a small one out."""
         rule = admission.Admission(CAPACITY, random.Random(1))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,11 +2,15 @@
 
 import unittest
 
+from benches import bench_node_overload
+from benches import node_callers
 from benches import node_world
 from benches import sites
+from sycamorehollow.decisions import admission
 from sycamorehollow.decisions import drain_orders
 from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import upstreams
+from sycamorehollow.model import failures
 
 WORKSPACE = {"versions": [sites.VERSION], "key_hashes": []}
 SITE = sites.Site((1, 1), 2, 0.001, {"small": WORKSPACE})
@@ -46,3 +50,64 @@
             with self.subTest(address=address):
                 self.assertIsNotNone(node.drains.refuse("u00"))
                 self.assertIsNone(node.drains.refuse("u10"))
+
+
+class FloodTest(unittest.TestCase):
+    """Guards against unfair and late refusals of a saturated node."""
+
+    @classmethod
+    def setUpClass(cls):
+        loads = {"large": 2.7, "small": 0.3}
+        cls.flood = bench_node_overload.Flood(loads).run()
+
+    def test_small_workspace_is_served(self):
+        """Full upstreams once refused work before its turn was counted."""
+        self.assertGreater(self.flood.compute_served("small"), 0.9)
+
+    def test_refusals_are_truthful_and_in_time(self):
+        """A caller that is refused late cannot go elsewhere in time.
+
+        Work that was let into the queue is refused at the end of its wait;
+        everything else is refused when it arrives.
+        """
+        limit_s = admission.MAX_WAIT_S + node_world.TICK_S
+        refusals = self.flood.list_refusals()
+        self.assertTrue(refusals)
+        for failure, after_s in refusals:
+            self.assertIs(failure.run, failures.Run.NO)
+            self.assertLess(after_s, limit_s)
+            if isinstance(failure, admission.Overloaded):
+                self.assertGreater(failure.retry_after_s, 0.0)
+                continue
+            self.assertLess(after_s, node_world.STEP_S)
+
+    def test_full_node_refuses_at_once_with_a_time(self):
+        """A queue that has no more room must not take more callers in."""
+        flood = bench_node_overload.Flood({"large": 0.01})
+        flood.world.run(bench_node_overload.WARM_UP_S)
+        first = len(flood.callers.asked)
+        for _ in range(200):
+            flood.callers.ask("large")
+        flood.world.run(flood.world.now + node_world.STEP_S)
+        refused = [
+            refusal
+            for asked in flood.callers.asked[first:]
+            for refusal in asked.refusals
+        ]
+        self.assertGreater(len(refused), 100)
+        for failure, _ in refused:
+            self.assertIsInstance(failure, admission.Overloaded)
+            self.assertIs(failure.run, failures.Run.NO)
+            self.assertGreater(failure.retry_after_s, 0.0)
+
+    def test_deadline_that_cannot_be_met_is_refused_at_once(self):
+        """Work that ends too late takes room from work that does not."""
+        hurried = node_callers.Kind("caption", 2500, 120, 1.0, 0.05)
+        flood = bench_node_overload.Flood({"large": 0.5}, hurried).run()
+        asked = flood.select()
+        self.assertTrue(asked)
+        for one in asked:
+            [(failure, after_s)] = one.refusals
+            self.assertIsInstance(failure, failures.DeadlineExceeded)
+            self.assertIs(failure.run, failures.Run.NO)
+            self.assertLess(after_s, node_world.STEP_S)
