Test that a return told by a peer counts once

Each process learns of a return from the configuration and from peers. The second message must not restart the growth.

--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -149,6 +149,18 @@
         world.poll(1, 0)
         self.assertTrue(world.processes[1].is_cold("u", world.now))
 
+    def test_own_news_of_a_return_keeps_its_growth(self):
+        """A peer may tell of a return before the configuration arrives."""
+        world = cold_world.World(2, 2)
+        world.bring_back()
+        world.replace(1, 0)
+        world.wait(30)
+        # Process 1 hears from process 0 after the trust of its start.
+        world.gossip(0, 1)
+        before = world.processes[1].summarize(world.now)
+        world.processes[1].handle(upstreams.ReturnedToService("u"), world.now)
+        self.assertEqual(world.processes[1].summarize(world.now), before)
+
     def test_return_without_work_ends_in_time(self):
         """An upstream that gets no work must not stay limited forever."""
         world = cold_world.World(2, 1)
