--- a/sycamorehollow/shells/chat.py
+++ b/sycamorehollow/shells/chat.py
@@ -32,7 +32,7 @@
 REQUEST_HEADER = "X-Request-Id"
 
 
-class ChatHandler(front.Handler):
+class ChatHandler(front.WorkspaceHandler):
     """Answers `POST /v1/chat/completions`."""
 
     method = "POST"
@@ -44,16 +44,19 @@
         relay: relays.Relay,
         report: Callable[[events.Event], None],
     ):
-        self._snapshot = snapshot
+        super().__init__(snapshot)
         self._relay = relay
         self._report = report
 
-    def respond(
-        self, exchange: exchanges.Exchange, match: re.Match[str]
+    def respond_to(
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
     ) -> None:
         """Serves one request to its final answer."""
         arrived = time.monotonic()
-        request = self._read_request(exchange, arrived)
+        request = self._read_request(exchange, workspace, arrived)
         if isinstance(request, failures.Failure):
             exchange.send_failure(request)
             return
@@ -118,16 +121,14 @@
         return headers
 
     def _read_request(
-        self, exchange: exchanges.Exchange, now: float
+        self,
+        exchange: exchanges.Exchange,
+        workspace: deployment.Workspace,
+        now: float,
     ) -> requests.ModelRequest | failures.Failure:
         data = exchange.read_body()
         if isinstance(data, failures.Failure):
             return data
-        workspace = self._snapshot.authenticate(
-            exchange.get_header("Authorization")
-        )
-        if isinstance(workspace, failures.Failure):
-            return workspace
         try:
             body = bodies.ChatBody.model_validate_json(data)
         except pydantic.ValidationError as error:
--- a/sycamorehollow/shells/front.py
+++ b/sycamorehollow/shells/front.py
@@ -76,6 +76,34 @@
         """Reads the request and sends the response."""
 
 
+class WorkspaceHandler(Handler):
+    """Answers the requests of one path for callers with an API key."""
+
+    def __init__(self, snapshot: Snapshot):
+        self._snapshot = snapshot
+
+    def respond(
+        self, exchange: exchanges.Exchange, match: re.Match[str]
+    ) -> None:
+        """Finds the workspace of the caller, or refuses."""
+        workspace = self._snapshot.authenticate(
+            exchange.get_header("Authorization")
+        )
+        if isinstance(workspace, failures.Failure):
+            exchange.send_failure(workspace)
+            return
+        self.respond_to(exchange, match, workspace)
+
+    @abc.abstractmethod
+    def respond_to(
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
+    ) -> None:
+        """Reads the request of a workspace and sends the response."""
+
+
 class _FrontServer(server.HTTPServer):
     """The HTTP library's server with the log of this project."""
 
--- a/sycamorehollow/shells/pages.py
+++ b/sycamorehollow/shells/pages.py
@@ -6,30 +6,25 @@
 from typing import Any
 
 from sycamorehollow.decisions import fence
+from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.shells import exchange as exchanges
 from sycamorehollow.shells import front
 
 
-class ModelsHandler(front.Handler):
+class ModelsHandler(front.WorkspaceHandler):
     """Answers `GET /v1/models` with what the workspace may use."""
 
     method = "GET"
     pattern = "/v1/models"
 
-    def __init__(self, snapshot: front.Snapshot):
-        self._snapshot = snapshot
-
-    def respond(
-        self, exchange: exchanges.Exchange, match: re.Match[str]
+    def respond_to(
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
     ) -> None:
         """Lists versions, models and cascades."""
-        workspace = self._snapshot.authenticate(
-            exchange.get_header("Authorization")
-        )
-        if isinstance(workspace, failures.Failure):
-            exchange.send_failure(workspace)
-            return
         current = self._snapshot.current
         assert current is not None
         names = set()
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -66,7 +66,7 @@
                 del self._replies[request_id]
 
 
-class CallHandler(front.Handler):
+class CallHandler(front.WorkspaceHandler):
     """Answers `POST /v1/services/{service}/{operation}`."""
 
     method = "POST"
@@ -80,17 +80,20 @@
         report: Callable[[events.Event], None],
         is_draining: Callable[[], bool],
     ):
-        self._snapshot = snapshot
+        super().__init__(snapshot)
         self._waiters = waiters
         self._client = client
         self._report = report
         self._is_draining = is_draining
 
-    def respond(
-        self, exchange: exchanges.Exchange, match: re.Match[str]
+    def respond_to(
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
     ) -> None:
         """Runs one call to its outcome."""
-        call = self._read_call(exchange, match)
+        call = self._read_call(exchange, match, workspace)
         if isinstance(call, failures.Failure):
             exchange.send_failure(call)
             return
@@ -106,16 +109,14 @@
         send_result(exchange, call.request_id, result)
 
     def _read_call(
-        self, exchange: exchanges.Exchange, match: re.Match[str]
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
     ) -> requests.ServiceCall | failures.Failure:
         body = exchange.read_body()
         if isinstance(body, failures.Failure):
             return body
-        workspace = self._snapshot.authenticate(
-            exchange.get_header("Authorization")
-        )
-        if isinstance(workspace, failures.Failure):
-            return workspace
         if self._is_draining():
             return failures.Draining(
                 "This node is shutting down.", retry_after_s=0.0
@@ -178,26 +179,23 @@
         )
 
 
-class TicketHandler(front.Handler):
+class TicketHandler(front.WorkspaceHandler):
     """Answers `POST /v1/tickets`."""
 
     method = "POST"
     pattern = "/v1/tickets"
 
     def __init__(self, snapshot: front.Snapshot, issue: Callable[[str], str]):
-        self._snapshot = snapshot
+        super().__init__(snapshot)
         self._issue = issue
 
-    def respond(
-        self, exchange: exchanges.Exchange, match: re.Match[str]
+    def respond_to(
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
     ) -> None:
         """Issues one ticket."""
-        workspace = self._snapshot.authenticate(
-            exchange.get_header("Authorization")
-        )
-        if isinstance(workspace, failures.Failure):
-            exchange.send_failure(workspace)
-            return
         try:
             ticket = self._issue(workspace.name)
         except queue.Empty:
@@ -213,7 +211,7 @@
         )
 
 
-class OutcomeHandler(front.Handler):
+class OutcomeHandler(front.WorkspaceHandler):
     """Answers `GET /v1/outcomes/{key}`."""
 
     method = "GET"
@@ -225,20 +223,17 @@
         waiters: Waiters,
         report: Callable[[events.Event], None],
     ):
-        self._snapshot = snapshot
+        super().__init__(snapshot)
         self._waiters = waiters
         self._report = report
 
-    def respond(
-        self, exchange: exchanges.Exchange, match: re.Match[str]
+    def respond_to(
+        self,
+        exchange: exchanges.Exchange,
+        match: re.Match[str],
+        workspace: deployment.Workspace,
     ) -> None:
         """Tells the outcome of a key and never runs the call."""
-        workspace = self._snapshot.authenticate(
-            exchange.get_header("Authorization")
-        )
-        if isinstance(workspace, failures.Failure):
-            exchange.send_failure(workspace)
-            return
         deadline_s = chat.read_deadline(exchange, workspace, "")
         if isinstance(deadline_s, failures.Failure):
             exchange.send_failure(deadline_s)
