--- a/sycamorehollow/decisions/coldstart.py
+++ b/sycamorehollow/decisions/coldstart.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import zlib
 
 from sycamorehollow.decisions import parts
 from sycamorehollow.decisions import shares
@@ -310,29 +311,45 @@
         return cancelled
 
     def summarize(self, now: float) -> bytes:
-        """Returns the last cold turn of each upstream of the data centre.
+        """Returns a checksum of the cold turns in the data centre.
 
         Processes elsewhere start nothing at a cold upstream, so they need no
-        cold turns but the end of a return; those of all upstreams would exceed
-        the control budget.
+        cold turns but the end of a return. Naming the upstreams in each digest
+        took 0.7 KB/s of a node at 26 upstreams.
         """
-        known = {}
-        for name, state in self._states.items():
-            if state.data_centre == self._data_centre or state.returning:
-                known[name] = state.turn
-        return shares.encode(known)
+        abroad = {
+            name: state.turn
+            for name, state in self._states.items()
+            if state.returning and state.data_centre != self._data_centre
+        }
+        return shares.encode(
+            [self._data_centre, self._compute_checksum(), abroad]
+        )
 
     def collect(self, digest: bytes, now: float) -> bytes:
-        """Returns the newer cold turns of the upstreams in the digest."""
+        """Returns the cold turns that the sender of a digest lacks."""
+        place, checksum, abroad = shares.decode(digest)
         newer = {}
-        for name, turn in shares.decode(digest).items():
-            state = self._states.get(name)
-            if state is None:
-                continue
-            if state.turn > turn:
+        if place == self._data_centre and checksum != self._compute_checksum():
+            for name, state in self._list_own():
                 newer[name] = [*state.turn, state.bearable]
+        for name, turn in abroad.items():
+            known = self._states.get(name)
+            if known is not None and known.turn > turn:
+                newer[name] = [*known.turn, known.bearable]
         return shares.encode(newer) if newer else b""
 
+    def _compute_checksum(self) -> int:
+        turns = [(name, state.turn) for name, state in self._list_own()]
+        return zlib.crc32(repr(turns).encode())
+
+    def _list_own(self) -> list[tuple[str, warming.Warming]]:
+        return [
+            (name, state)
+            for name, state in sorted(self._states.items())
+            if state.data_centre == self._data_centre and state.generation
+        ]
+
     def encode(self, upstream: str) -> bytes:
         """Returns a delta with the cold turn of one upstream, for a push."""
         state = self._states.get(upstream)
