Stop a roll-out at any entry process without the store

Cause: operators could end a roll-out only through the store, which has outages. The pace of the stages was fixed at 300 s.

Change: `POST /v1/operator/stops` posts `rollouts.StopRequested` to the router task and answers when the candidate is stopped there. It needs the `token` of the optional section `[operators]`; without the setting it refuses. The optional section `[rollouts]` sets `dwell_s`, `outcomes` and `ratings`.

Ruled out: an answer before the router task has acted; a full queue would then look like a stop in effect.

--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -63,6 +63,7 @@
         ring: Keys of session tokens and tickets.
         convert: Conversion of the branches of the settings tree.
         read_clock: Returns the wall-clock time in whole seconds.
+        pace: What a stage of a roll-out needs before the next one.
     """
 
     process: identity.Process
@@ -72,6 +73,7 @@
     ring: keyrings.KeyRing
     convert: documents.Convert
     read_clock: Callable[[], int]
+    pace: rollouts.Pace = rollouts.Pace()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -230,7 +232,9 @@
         self.learning = learning.Learning(name)
         self.evidence = sequential.Evidence(name)
         self.stops = stops.Stops(name)
-        self.rollouts = rollouts.Rollouts(self.stops, self.evidence, source)
+        self.rollouts = rollouts.Rollouts(
+            self.stops, self.evidence, source, options.pace
+        )
         self.cascades = cascades.Cascades(self.learning, source)
 
     def _build_routing(
--- a/sycamorehollow/settings/bodies.py
+++ b/sycamorehollow/settings/bodies.py
@@ -73,6 +73,15 @@
         )
 
 
+class StopBody(pydantic.BaseModel):
+    """Body of an operator's stop of a roll-out."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    rollout: Annotated[str, pydantic.Field(min_length=1)]
+    reason: Annotated[str, pydantic.Field(min_length=1, max_length=500)]
+
+
 def describe_faults(error: pydantic.ValidationError) -> str:
     """Returns one sentence that names each faulty field."""
     faults = []
--- a/sycamorehollow/settings/process.py
+++ b/sycamorehollow/settings/process.py
@@ -14,6 +14,9 @@
 
 # An HMAC-SHA256 key shorter than the hash weakens the signature.
 MIN_KEY_BYTES = 32
+# A shorter token can be guessed.
+MIN_TOKEN_LENGTH = 16
+SECRET_SECTIONS = ("sessions", "operators")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,6 +161,32 @@
     level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
+class OperatorsSection(_Section):
+    """Requests of operators.
+
+    Attributes:
+        token: Bearer token of operators; without one they are refused.
+    """
+
+    token: str = pydantic.Field(
+        default="", min_length=MIN_TOKEN_LENGTH, pattern=r"^[!-~]+$"
+    )
+
+
+class RolloutsSection(_Section):
+    """What a stage of a roll-out needs before the next one.
+
+    Attributes:
+        dwell_s: Seconds at the stage.
+        outcomes: Ended answers of the new version.
+        ratings: Rated answers of the new version.
+    """
+
+    dwell_s: float = pydantic.Field(default=300.0, ge=0, allow_inf_nan=False)
+    outcomes: int = pydantic.Field(default=50, ge=0)
+    ratings: int = pydantic.Field(default=20, ge=0)
+
+
 class Settings(_Section):
     """Every setting of an entry process."""
 
@@ -169,6 +198,8 @@
     sessions: SessionsSection
     metrics: MetricsSection = MetricsSection()
     logs: LogsSection = LogsSection()
+    operators: OperatorsSection = OperatorsSection()
+    rollouts: RolloutsSection = RolloutsSection()
 
 
 def read_settings(path: str) -> Settings | list[Fault]:
@@ -234,7 +265,7 @@
     section = location[0]
     key = location[1] if len(location) > 1 else ""
     value = sections.get(section, {}).get(key, "")
-    if section == "sessions" and value:
+    if section in SECRET_SECTIONS and value:
         value = "(secret)"
     if section == "process" and not key:
         key, value = "slot", sections[section].get("slot", "")
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -30,6 +30,7 @@
 from sycamorehollow.shells import front
 from sycamorehollow.shells import loop
 from sycamorehollow.shells import metrics
+from sycamorehollow.shells import operators
 from sycamorehollow.shells import owners
 from sycamorehollow.shells import pages
 from sycamorehollow.shells import peer_requests
@@ -132,6 +133,7 @@
             ring=keyrings.KeyRing(next(iter(keys)), keys),
             convert=tree.convert,
             read_clock=lambda: int(time.time()),
+            pace=rollouts.Pace(**settings.rollouts.model_dump()),
         )
         return nodes.Node(options, self._source, time.monotonic())
 
@@ -312,6 +314,12 @@
             pages.ModelsHandler(self._snapshot),
             pages.HealthHandler(self._check_health),
             pages.StatusHandler(lambda: self._loop.ask(self._describe_status)),
+            operators.StopHandler(
+                self._settings.operators.token,
+                self._snapshot,
+                self._loop.post,
+                lambda: self._loop.ask(self._node.rollouts.stopped),
+            ),
         ]
 
     def _issue_ticket(self, workspace: str) -> str:
--- a/sycamorehollow/shells/exchange.py
+++ b/sycamorehollow/shells/exchange.py
@@ -94,6 +94,10 @@
         fields["Cache-Control"] = "no-store"
         self._send_head(200, fields)
 
+    def close_after(self) -> None:
+        """Ends the connection after the response."""
+        self._request.close_connection = True
+
     def cut(self) -> None:
         """Ends the connection without the end of the response."""
         self._request.close_connection = True
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -68,6 +68,7 @@
             f"[vms]\nurl={sections.get('vms', store)}\n"
             f"[ratings]\nurl={sections.get('ratings', store)}\n"
             f"[sessions]\nkeys=k1:{'ab' * 32}\n"
+            f"{sections.get('more', '')}"
         )
         child, url = self.start(
             "sycamorehollow.programs.entry", "--settings", str(path)
--- a/tests/test_process_settings.py
+++ b/tests/test_process_settings.py
@@ -83,6 +83,26 @@
             self.assertNotIn(KEY, str(faults["sessions", "keys"]))
             self.assertNotIn("abcd", str(faults["sessions", "keys"]))
 
+    def test_operators_and_rollouts_are_optional(self):
+        plain = process.parse_settings(GOOD)
+        self.assertEqual(plain.operators.token, "")
+        self.assertEqual(plain.rollouts.dwell_s, 300.0)
+        token = "a-token-of-operators"
+        text = f"{GOOD}[operators]\ntoken = {token}\n"
+        text += "[rollouts]\ndwell_s = 0.5\noutcomes = 3\n"
+        settings = process.parse_settings(text)
+        self.assertEqual(settings.operators.token, token)
+        self.assertEqual(
+            (settings.rollouts.dwell_s, settings.rollouts.outcomes), (0.5, 3)
+        )
+        for wrong in ("", "short", f"{token} {token}"):
+            faults = self._find_faults(text.replace(token, wrong))
+            self.assertEqual(set(faults), {("operators", "token")}, wrong)
+            if wrong:
+                self.assertNotIn(wrong, str(faults["operators", "token"]))
+        faults = self._find_faults(text.replace("0.5", "nan"))
+        self.assertEqual(set(faults), {("rollouts", "dwell_s")})
+
     def test_names_a_broken_or_missing_file(self):
         self.assertEqual(len(process.parse_settings("no section")), 1)
         self.assertEqual(process.read_settings("missing.ini")[0].section, "")
