Keep the neighbours' weight in quality estimates

Cause: a version whose first ratings are unlucky looks too poor, and a kind without a gate then stays on the dearest version while few trials correct the estimate. The mean of the other workspaces could correct it, but had the weight of at most 15 ratings and was dropped at 200 own ratings, where a guess of 0.5 took its place and the estimate jumped.

Change: the neighbours count at any number of own ratings, with the weight of at most 60. Unlike neighbours still get a low weight.

--- a/sycamorehollow/decisions/learning.py
+++ b/sycamorehollow/decisions/learning.py
@@ -24,9 +24,10 @@
 # closer the neighbours are to each other, the more their mean weighs.
 GUESS_RATINGS = 2.0
 MIN_PRIOR_RATINGS = 4.0
-MAX_PRIOR_RATINGS = 15.0
-# Own ratings from which the neighbours no longer matter.
-DECISIVE_RATINGS = 200.0
+# A few neighbours of some hundred ratings each cannot show that they differ by
+# less than this weight allows. A lower limit leaves a workspace with unlucky
+# ratings on a dear version for thousands of requests.
+MAX_PRIOR_RATINGS = 60.0
 # Ratings from which a neighbour's mean says something about the spread.
 NEIGHBOUR_RATINGS = 30
 PENDING_ANSWERS = 20_000
@@ -154,9 +155,7 @@
         """Returns the estimate of a key, from the prior without ratings."""
         track = self._tracks.get(key)
         rated, accepted, ratings = track.discount() if track else (0.0, 0.0, 0)
-        mean, weight = 0.5, GUESS_RATINGS
-        if rated < DECISIVE_RATINGS:
-            mean, weight = self._find_prior(key)
+        mean, weight = self._find_prior(key)
         return Estimate(
             alpha=0.5 + weight * mean + accepted,
             beta=0.5 + weight * (1 - mean) + rated - accepted,
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -28,6 +28,13 @@
         rate(part, f"{tag}{key}{number}", key, accepted, now)
 
 
+def mix(part, key, good, count):
+    """Spreads the accepted ratings evenly, so that no drift is found."""
+    for number in range(count):
+        accepted = (number + 1) * good // count > number * good // count
+        rate(part, f"{key}{number}", key, accepted)
+
+
 def sync(one, two, now=0.0):
     two.merge(one.collect(two.summarize(now), now), now)
     one.merge(two.collect(one.summarize(now), now), now)
@@ -137,6 +144,29 @@
             fill(self.part, key, True, 60)
         self.assertGreater(self.part.estimate(KEYS[2]).mean, 0.9)
 
+    def test_neighbours_keep_their_weight_beside_many_own_ratings(self):
+        for name in "abcd":
+            key = learning.Key(name, "check", "small")
+            mix(self.part, key, 276, 300)
+        # An estimate must not jump at any number of own ratings.
+        before = self.part.estimate(KEYS[2]).mean
+        for number in range(400):
+            rate(self.part, f"own{number}", KEYS[2], number % 6 != 0)
+            after = self.part.estimate(KEYS[2]).mean
+            total = learning.MIN_PRIOR_RATINGS + number
+            self.assertLess(abs(after - before), 1.0 / total + 0.001)
+            before = after
+        # The own share is 0.83, that of the neighbours 0.92.
+        self.assertGreater(before, 0.84)
+        self.assertLess(before, 0.88)
+
+    def test_unlike_neighbours_do_not_outweigh_own_ratings(self):
+        for name, good in zip("abcd", (60, 120, 180, 276), strict=True):
+            key = learning.Key(name, "check", "small")
+            mix(self.part, key, good, 300)
+        mix(self.part, KEYS[2], 90, 100)
+        self.assertGreater(self.part.estimate(KEYS[2]).mean, 0.86)
+
 
 class DriftTest(unittest.TestCase):
     """Guards against estimates that stay at an old quality."""
