Run the simulations of two benches side by side

Cause: the cascades bench took 48 s. Its profile has no hot spot, and the simulations are independent.

Change: `benches/pool.py` runs them in up to four worker processes.

Ruled out: threads, because the simulations are pure Python code.

--- a/benches/bench_cascades.py
+++ b/benches/bench_cascades.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 
+from benches import pool
 from benches import results
 from sycamorehollow.decisions import cascades
 from sycamorehollow.decisions import learning
@@ -297,7 +298,7 @@
 @functools.cache
 def collect() -> tuple[Report, ...]:
     """Returns the reports of all seeds."""
-    return tuple(simulate(seed) for seed in SEEDS)
+    return tuple(pool.run_all(simulate, [(seed,) for seed in SEEDS]))
 
 
 def run() -> list[results.Result]:
--- a/benches/bench_rollouts.py
+++ b/benches/bench_rollouts.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 import dataclasses
-import functools
 import random
 
+from benches import pool
 from benches import results
 from sycamorehollow.decisions import rollouts
 from sycamorehollow.decisions import sequential
@@ -16,6 +16,7 @@
 STAGES = (0.01, 0.05, 0.25, 0.5, 1.0)
 DWELL_S = 60.0
 HORIZON_S = 400
+RATE = 60.0
 GOOD_RATE = 15
 UPSTREAMS = 5
 DATA_CENTRES = 3
@@ -198,22 +199,37 @@
     return total
 
 
+def play_degradation(name: str, seed: int, shared: bool) -> Outcome:
+    """Plays a degradation at 6 processes of 60 requests a second."""
+    fleet = Fleet(seed, 6, RATE, DEGRADATIONS[name], shared=shared)
+    return fleet.play(HORIZON_S)
+
+
+def play_sick_centre(seed: int) -> Outcome:
+    """Plays a bad version beside a sick data centre."""
+    fleet = Fleet(seed, 6, RATE, (0.20, FAILED), sick=make_centre_sick)
+    return fleet.play(HORIZON_S)
+
+
 def measure_degradations() -> list[results.Result]:
     """Compares exposure with and without the test, and by one process."""
     found = []
-    rate = 60.0
-    fixed = run_fixed(rate, HORIZON_S)
+    fixed = run_fixed(RATE, HORIZON_S)
     found.append(
         results.Result(
             f"rollouts: requests exposed without a test in {HORIZON_S} s", fixed
         )
     )
-    for name, arms in DEGRADATIONS.items():
-        runs = [Fleet(s, 6, rate, arms).play(HORIZON_S) for s in range(5)]
-        alone = [
-            Fleet(s, 6, rate, arms, shared=False).play(HORIZON_S)
-            for s in range(2)
-        ]
+    asked = [(name, seed, True) for name in DEGRADATIONS for seed in range(5)]
+    asked += [(name, seed, False) for name in DEGRADATIONS for seed in range(2)]
+    played: dict[str, list[Outcome]] = {name: [] for name in DEGRADATIONS}
+    played_alone: dict[str, list[Outcome]] = {name: [] for name in DEGRADATIONS}
+    reports = pool.run_all(play_degradation, asked)
+    for (name, _, shared), report in zip(asked, reports, strict=True):
+        (played if shared else played_alone)[name].append(report)
+    for name in DEGRADATIONS:
+        runs = played[name]
+        alone = played_alone[name]
         exposed = sorted(r.exposed for r in runs)
         missed = sum(r.halted_at is None for r in runs)
         prefix = f"rollouts: 6 processes, {name}:"
@@ -237,8 +253,8 @@
 
 def halt_rate(sick: Sick) -> float:
     """Returns halts per hundred roll-outs of a version that is good."""
-    halted = sum(halts_good(seed, sick) for seed in range(100, 200))
-    return float(halted)
+    asked = [(seed, sick) for seed in range(100, 200)]
+    return float(sum(pool.run_all(halts_good, asked)))
 
 
 def halts_good(seed: int, sick: Sick) -> bool:
@@ -270,22 +286,27 @@
     return False
 
 
-def measure_blame() -> list[results.Result]:
-    """Measures halts that are wrong, and a bad version on sick upstreams."""
+def make_none_sick(upstream: int, now: float) -> float:
+    """Returns the added failures of healthy upstreams."""
+    return 0.0
 
-    def upstream_sick(upstream: int, now: float) -> float:
-        return 0.5 if upstream == 0 and 90 <= now < 200 else 0.0
 
-    def centre_sick(upstream: int, now: float) -> float:
-        return 0.4 if upstream < 3 and 90 <= now < 200 else 0.0
+def make_upstream_sick(upstream: int, now: float) -> float:
+    """Returns the added failures while one upstream is sick."""
+    return 0.5 if upstream == 0 and 90 <= now < 200 else 0.0
 
-    healthy = halt_rate(lambda upstream, now: 0.0)
-    one = halt_rate(upstream_sick)
-    centre = halt_rate(centre_sick)
-    both = [
-        Fleet(s, 6, 60.0, (0.20, FAILED), sick=centre_sick).play(HORIZON_S)
-        for s in range(3)
-    ]
+
+def make_centre_sick(upstream: int, now: float) -> float:
+    """Returns the added failures while a data centre is sick."""
+    return 0.4 if upstream < 3 and 90 <= now < 200 else 0.0
+
+
+def measure_blame() -> list[results.Result]:
+    """Measures halts that are wrong, and a bad version on sick upstreams."""
+    healthy = halt_rate(make_none_sick)
+    one = halt_rate(make_upstream_sick)
+    centre = halt_rate(make_centre_sick)
+    both = pool.run_all(play_sick_centre, [(seed,) for seed in range(3)])
     bound = 100 * sequential.FALSE_HALT
     return [
         results.Result(
@@ -309,7 +330,6 @@
     ]
 
 
-@functools.cache
 def observe_large_fleet(seed: int, failed: float) -> tuple[int, float]:
     """Returns exposure and halt time at 370 processes' traffic.
 
@@ -354,8 +374,11 @@
 def run() -> list[results.Result]:
     """Measures exposure, misses and false halts."""
     found = measure_degradations() + measure_blame()
-    for failed in (0.05, 0.5):
-        seen = [observe_large_fleet(seed, failed) for seed in range(2)]
+    rates = (0.05, 0.5)
+    asked = [(seed, failed) for failed in rates for seed in range(2)]
+    observed = pool.run_all(observe_large_fleet, asked)
+    for index, failed in enumerate(rates):
+        seen = observed[2 * index : 2 * index + 2]
         prefix = f"rollouts: 370 processes, fails {failed:.0%} for 0.5%:"
         found.append(
             results.Result(
