--- a/sycamorehollow/shells/front.py
+++ b/sycamorehollow/shells/front.py
@@ -90,6 +90,8 @@
             exchange.get_header("Authorization")
         )
         if isinstance(workspace, failures.Failure):
+            # The unread body must not be taken for the next request.
+            exchange.close_after()
             exchange.send_failure(workspace)
             return
         self.respond_to(exchange, match, workspace)
