--- a/sycamorehollow/programs/ctl.py
+++ b/sycamorehollow/programs/ctl.py
@@ -119,6 +119,7 @@
     show.add_argument("name", nargs="?")
     _add_versions(parser)
     _add_rollouts(parser)
+    _add_drains(parser)
     parser.open_group("cascade", "cascades of the team")
     define = parser.add("define", ctl_commands.define_cascade, "name")
     define.add_argument("steps", nargs="+")
@@ -181,11 +182,33 @@
         needs_team=False,
         needs_store=False,
     )
-    stop.add_argument("--entry", type=_read_url, required=True, metavar="URL")
-    stop.add_argument("--token-file", required=True, metavar="FILE")
+    _add_entry(stop)
     stop.add_argument("--reason", default="stopped by an operator")
 
 
+def _add_drains(parser: _Parser) -> None:
+    parser.open_group("drain", "take something out without the store")
+    for name, scope in (
+        ("upstream", "upstream"),
+        ("data-centre", "data_centre"),
+    ):
+        drain = parser.add(
+            name,
+            ctl_rollouts.order_drain,
+            "name",
+            needs_team=False,
+            needs_store=False,
+            scope=scope,
+        )
+        _add_entry(drain)
+
+
+def _add_entry(action: argparse.ArgumentParser) -> None:
+    """Adds the entry process that an order goes to."""
+    action.add_argument("--entry", type=_read_url, required=True, metavar="URL")
+    action.add_argument("--token-file", required=True, metavar="FILE")
+
+
 def _find_misuse(args: argparse.Namespace) -> str:
     """Returns what is missing, or an empty string."""
     if args.needs_team and not args.team:
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -22,6 +22,7 @@
 from sycamorehollow.shells import stores
 
 STOP_PATH = "/v1/operator/stops"
+DRAIN_PATH = "/v1/operator/drains"
 STOP_TIMEOUT_S = 5.0
 
 # Returns the next stage and state after the recorded ones, or why there are
@@ -225,6 +226,22 @@
 
 def stop_rollout(args: argparse.Namespace) -> ctl_commands.Result:
     """Stops the new version at once, without the store."""
+    return post_order(
+        args, STOP_PATH, {"rollout": args.name, "reason": args.reason}
+    )
+
+
+def order_drain(args: argparse.Namespace) -> ctl_commands.Result:
+    """Takes an upstream or data centre out at once, without the store."""
+    return post_order(
+        args, DRAIN_PATH, {"scope": args.scope, "name": args.name}
+    )
+
+
+def post_order(
+    args: argparse.Namespace, path: str, order: dict[str, str]
+) -> ctl_commands.Result:
+    """Sends an order of an operator to one entry process."""
     try:
         token = pathlib.Path(args.token_file).read_text("utf-8").strip()
     except (OSError, UnicodeDecodeError) as error:
@@ -234,8 +251,8 @@
     try:
         answer = pool.request(
             "POST",
-            args.entry.rstrip("/") + STOP_PATH,
-            json={"rollout": args.name, "reason": args.reason},
+            args.entry.rstrip("/") + path,
+            json=order,
             headers={"Authorization": f"Bearer {token}"},
         )
         body = json.loads(answer.data)
--- a/sycamorehollow/settings/bodies.py
+++ b/sycamorehollow/settings/bodies.py
@@ -2,6 +2,7 @@
 
 from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import pydantic
 
@@ -82,6 +83,15 @@
     reason: Annotated[str, pydantic.Field(min_length=1, max_length=500)]
 
 
+class DrainBody(pydantic.BaseModel):
+    """Body of an operator's drain that needs no store."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    scope: Literal["upstream", "data_centre"]
+    name: Annotated[str, pydantic.Field(min_length=1)]
+
+
 def describe_faults(error: pydantic.ValidationError) -> str:
     """Returns one sentence that names each faulty field."""
     faults = []
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -362,6 +362,11 @@
             pages.ModelsHandler(self._snapshot),
             pages.HealthHandler(self._check_health),
             pages.StatusHandler(lambda: self._loop.ask(self._describe_status)),
+            operators.DrainHandler(
+                self._settings.operators.token,
+                self._snapshot,
+                self._loop.post,
+            ),
             operators.StopHandler(
                 self._settings.operators.token,
                 self._snapshot,
--- a/sycamorehollow/shells/operators.py
+++ b/sycamorehollow/shells/operators.py
@@ -1,14 +1,19 @@
 """Requests of operators that need no store."""
 
+import abc
 from collections.abc import Callable
 from collections.abc import Collection
 import hmac
 import queue
 import re
+from typing import Any
 
 import pydantic
 
+from sycamorehollow.decisions import drain_orders
+from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import rollouts
+from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.settings import bodies
@@ -16,82 +21,68 @@
 from sycamorehollow.shells import front
 
 
-class StopHandler(front.Handler):
-    """Answers `POST /v1/operator/stops`.
+class OperatorHandler(front.Handler):
+    """Answers requests that carry the token of operators.
 
     Args:
         token: Token of operators; empty refuses every request.
         snapshot: The configuration in force.
         report: Passes an event to the router task.
-        read_stopped: Asks the router task, after the events before, for the
-            versions that take no new work.
     """
 
     method = "POST"
-    pattern = "/v1/operator/stops"
 
     def __init__(
         self,
         token: str,
         snapshot: front.Snapshot,
         report: Callable[[events.Event], None],
-        read_stopped: Callable[[], Collection[str]],
     ):
         self._token = token.encode()
         self._snapshot = snapshot
         self._report = report
-        self._read_stopped = read_stopped
+
+    @abc.abstractmethod
+    def carry_out(
+        self, body: bytes, current: deployment.Deployment
+    ) -> dict[str, Any] | failures.Failure:
+        """Carries a request out and returns the response.
+
+        Raises:
+            pydantic.ValidationError: The body is malformed.
+        """
 
     def respond(
         self, exchange: exchanges.Exchange, match: re.Match[str]
     ) -> None:
-        """Stops the new version of a roll-out at once."""
+        """Checks the token and the body and sends the response."""
         refusal = self._authenticate(exchange.get_header("Authorization"))
         if refusal is not None:
             # The unread body must not be taken for the next request.
             exchange.close_after()
             exchange.send_failure(refusal)
             return
-        body = exchange.read_body()
-        if isinstance(body, failures.Failure):
-            exchange.send_failure(body)
-            return
-        try:
-            asked = bodies.StopBody.model_validate_json(body)
-        except pydantic.ValidationError as error:
-            reason = bodies.describe_faults(error)
-            exchange.send_failure(failures.InvalidRequest(reason))
+        result = self._read_and_carry_out(exchange)
+        if isinstance(result, failures.Failure):
+            exchange.send_failure(result)
             return
-        version = self._stop(asked)
-        if isinstance(version, failures.Failure):
-            exchange.send_failure(version)
-            return
-        exchange.send_json(
-            200, {"rollout": asked.rollout, "version": version, "stopped": True}
-        )
+        exchange.send_json(200, result)
 
-    def _stop(self, asked: bodies.StopBody) -> str | failures.Failure:
-        """Returns the version that takes no new work from now on."""
+    def _read_and_carry_out(
+        self, exchange: exchanges.Exchange
+    ) -> dict[str, Any] | failures.Failure:
+        body = exchange.read_body()
+        if isinstance(body, failures.Failure):
+            return body
         current = self._snapshot.current
         if current is None:
             return failures.NoConfiguration(
                 "This node has no configuration yet.", retry_after_s=1.0
             )
-        rollout = current.rollouts.get(asked.rollout)
-        if rollout is None:
-            return failures.NotFound(f"There is no roll-out {asked.rollout}.")
-        self._report(rollouts.StopRequested(asked.rollout, asked.reason))
         try:
-            stopped = rollout.candidate in self._read_stopped()
-        except queue.Empty:
-            stopped = False
-        if stopped:
-            return rollout.candidate
-        return failures.Overloaded(
-            "The router task has not confirmed the stop.",
-            failures.Run.UNKNOWN,
-            1.0,
-        )
+            return self.carry_out(body, current)
+        except pydantic.ValidationError as error:
+            return failures.InvalidRequest(bodies.describe_faults(error))
 
     def _authenticate(self, authorization: str) -> failures.Failure | None:
         if not self._token:
@@ -106,3 +97,72 @@
         if not hmac.compare_digest(given, self._token):
             return failures.Unauthorized("The operator's token is wrong.")
         return None
+
+
+class StopHandler(OperatorHandler):
+    """Answers `POST /v1/operator/stops`.
+
+    Args:
+        token: Token of operators; empty refuses every request.
+        snapshot: The configuration in force.
+        report: Passes an event to the router task.
+        read_stopped: Asks the router task, after the events before, for the
+            versions that take no new work.
+    """
+
+    pattern = "/v1/operator/stops"
+
+    def __init__(
+        self,
+        token: str,
+        snapshot: front.Snapshot,
+        report: Callable[[events.Event], None],
+        read_stopped: Callable[[], Collection[str]],
+    ):
+        super().__init__(token, snapshot, report)
+        self._read_stopped = read_stopped
+
+    def carry_out(
+        self, body: bytes, current: deployment.Deployment
+    ) -> dict[str, Any] | failures.Failure:
+        """Stops the new version of a roll-out at once."""
+        asked = bodies.StopBody.model_validate_json(body)
+        rollout = current.rollouts.get(asked.rollout)
+        if rollout is None:
+            return failures.NotFound(f"There is no roll-out {asked.rollout}.")
+        self._report(rollouts.StopRequested(asked.rollout, asked.reason))
+        try:
+            stopped = rollout.candidate in self._read_stopped()
+        except queue.Empty:
+            stopped = False
+        if not stopped:
+            return failures.Overloaded(
+                "The router task has not confirmed the stop.",
+                failures.Run.UNKNOWN,
+                1.0,
+            )
+        return {
+            "rollout": asked.rollout,
+            "version": rollout.candidate,
+            "stopped": True,
+        }
+
+
+class DrainHandler(OperatorHandler):
+    """Answers `POST /v1/operator/drains`."""
+
+    pattern = "/v1/operator/drains"
+
+    def carry_out(
+        self, body: bytes, current: deployment.Deployment
+    ) -> dict[str, Any] | failures.Failure:
+        """Takes an upstream or a data centre out of service at once."""
+        asked = bodies.DrainBody.model_validate_json(body)
+        scope = drains.Scope(asked.scope)
+        known: Collection[str] = current.data_centres
+        if scope is drains.Scope.UPSTREAM:
+            known = current.upstreams
+        if asked.name not in known:
+            return failures.NotFound(f"There is no {asked.scope} {asked.name}.")
+        self._report(drain_orders.DrainOrdered(scope, asked.name))
+        return {"scope": asked.scope, "name": asked.name, "drained": True}
