--- a/benches/node_fleet.py
+++ b/benches/node_fleet.py
@@ -20,6 +20,7 @@
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import membership
 from sycamorehollow.decisions import node as nodes
+from sycamorehollow.decisions import node_parts
 from sycamorehollow.decisions import payloads
 from sycamorehollow.decisions import rollouts
 from sycamorehollow.decisions import stages
@@ -179,7 +180,7 @@
             1_790_000_000_000_000_000 + number * 7_919_113,
         )
         slots = -(-self.count // node_tree.DATA_CENTRES)
-        options = nodes.Options(
+        options = node_parts.Options(
             process,
             number // node_tree.DATA_CENTRES,
             slots,
--- a/benches/node_world.py
+++ b/benches/node_world.py
@@ -14,6 +14,7 @@
 from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import node as nodes
+from sycamorehollow.decisions import node_parts
 from sycamorehollow.decisions import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
@@ -92,7 +93,7 @@
         seeds = tuple(address for address, _, _ in addresses)
         for address, place, slot in addresses:
             self.centres[address] = f"dc-{place}"
-            options = nodes.Options(
+            options = node_parts.Options(
                 identity.Process(address, f"dc-{place}", 1),
                 slot,
                 self.site.entries,
--- /dev/null
+++ b/sycamorehollow/decisions/node_parts.py
@@ -0,0 +1,281 @@
+"""The decision parts of one entry process and what they tell."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+
+from sycamorehollow.decisions import admission
+from sycamorehollow.decisions import billing
+from sycamorehollow.decisions import billing_spool
+from sycamorehollow.decisions import cascade_planning
+from sycamorehollow.decisions import cascades
+from sycamorehollow.decisions import configuration
+from sycamorehollow.decisions import configuration_messages
+from sycamorehollow.decisions import documents
+from sycamorehollow.decisions import drains
+from sycamorehollow.decisions import effects
+from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions import keyrings
+from sycamorehollow.decisions import learning
+from sycamorehollow.decisions import leases
+from sycamorehollow.decisions import members
+from sycamorehollow.decisions import membership
+from sycamorehollow.decisions import orders
+from sycamorehollow.decisions import quarantine
+from sycamorehollow.decisions import records
+from sycamorehollow.decisions import recovery
+from sycamorehollow.decisions import retries
+from sycamorehollow.decisions import rollouts
+from sycamorehollow.decisions import router
+from sycamorehollow.decisions import sequential
+from sycamorehollow.decisions import stops
+from sycamorehollow.decisions import ticket_calls
+from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions import upstream_placement
+from sycamorehollow.model import identity
+
+ROLLOUT_COORDINATORS = 1
+ORDER_LEASE_TTL_S = 10.0
+# One lease per data centre shares the weight store's rate limit.
+WEIGHT_LOADS_PER_S = 5.0
+WEIGHT_HOLDERS = 7
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What a node knows from its settings.
+
+    Attributes:
+        process: Identity of this run of the process.
+        slot: Number of the process in its data centre, from 0.
+        slots: Number of slots of the data centre.
+        seeds: Peer addresses to probe first.
+        ring: Keys of session tokens and tickets.
+        convert: Conversion of the branches of the settings tree.
+        read_clock: Returns the wall-clock time in whole seconds.
+        pace: What a stage of a roll-out needs before the next one.
+    """
+
+    process: identity.Process
+    slot: int
+    slots: int
+    seeds: tuple[str, ...]
+    ring: keyrings.KeyRing
+    convert: documents.Convert
+    read_clock: Callable[[], int]
+    pace: rollouts.Pace = rollouts.Pace()
+
+
+class NodeParts:
+    """Builds the parts and answers questions about them.
+
+    Args:
+        options: What the node knows from its settings.
+        source: Source of randomness.
+        now: Monotonic time in seconds of the start.
+    """
+
+    def __init__(self, options: Options, source: random.Random, now: float):
+        self.options = options
+        self._source = source
+        process = options.process
+        name = f"{process.address}/{process.incarnation}"
+        self._build_state(name, process, source, now)
+        self._build_routing(source, now)
+        self._build_calls(process, source, now)
+
+    @property
+    def process(self) -> identity.Process:
+        """Identity of this process; its incarnation may rise once at start."""
+        return self.exchange.sender
+
+    def is_coordinator(self) -> bool:
+        """Tells whether this process may drive roll-outs."""
+        me = self.process
+        return me.address in self.membership.list_lowest(
+            me.data_centre, ROLLOUT_COORDINATORS
+        )
+
+    def find_due(self) -> float | None:
+        """Returns when a tick is needed before the regular one, if it is."""
+        return self.billing.find_due()
+
+    def count_pending(self) -> int:
+        """Returns the requests and bills that a shutdown waits for."""
+        return self.router.active_count + self.billing.count_exposed()
+
+    def measure(self, now: float) -> dict[str, float]:
+        """Returns the levels that operators watch."""
+        age_s = self.configuration.measure_age(now)
+        return {
+            "requests.active": self.router.active_count,
+            "requests.waiting": self.router.waiting_count,
+            "bills.pending": self.billing.pending,
+            "bills.exposed": self.billing.count_exposed(),
+            "bills.held_bytes": self.billing.held_bytes,
+            "spool.held_bytes": self.spool.held_bytes,
+            "members.live": len(self.membership.list_live()),
+            "versions.stopped": len(self.rollouts.stopped()),
+            "configuration.age_s": -1.0 if age_s is None else age_s,
+        }
+
+    def list_service_urls(self, service: str, new_work: bool) -> list[str]:
+        """Returns the base URLs of a service, own data centre first.
+
+        Args:
+            service: Name of the plain service.
+            new_work: Whether upstreams that leave are left out.
+        """
+        current = self.configuration.deployment
+        known = current.services.get(service)
+        if known is None:
+            return []
+        found = []
+        for name in known.upstreams:
+            upstream = current.upstreams.get(name)
+            if upstream is None:
+                continue
+            if new_work and self.drains.refuse(name) is not None:
+                continue
+            far = upstream.data_centre != self.process.data_centre
+            found.append((far, self._source.random(), upstream.url))
+        return [url for _, _, url in sorted(found)]
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Returns what is in force here and why, for operators."""
+        faults = self.configuration.faults
+        return {
+            "address": self.process.address,
+            "data_centre": self.process.data_centre,
+            "active": self.router.active_count,
+            "bills_pending": self.billing.pending,
+            "configuration": {
+                "revisions": dict(self.configuration.deployment.revisions),
+                "age_s": self.configuration.measure_age(now),
+                "faults": {
+                    branch: [fault.reason for fault in found]
+                    for branch, found in faults.items()
+                },
+            },
+            "members": {
+                member.address: member.data_centre
+                for member in self.membership.list_live()
+            },
+            "rollouts": self._describe_rollouts(),
+            "quarantined": self.quarantine.count_quarantined(),
+            "stopped_versions": sorted(self.rollouts.stopped()),
+            "upstreams": self.placement.describe(now),
+        }
+
+    def _describe_rollouts(self) -> dict[str, dict[str, Any]]:
+        """Returns share, stage and stop of each roll-out."""
+        result: dict[str, dict[str, Any]] = {}
+        configured = self.configuration.deployment.rollouts
+        for name, share in self.rollouts.shares().items():
+            stage = self.rollouts.describe(name)
+            stop = self.stops.find(configured[name].candidate)
+            result[name] = {
+                "share": share,
+                "stage": stage.stage if stage is not None else None,
+                "state": stage.state.value if stage is not None else None,
+                "stopped": stop.reason if stop is not None else None,
+            }
+        return result
+
+    def _build_state(
+        self,
+        name: str,
+        process: identity.Process,
+        source: random.Random,
+        now: float,
+    ) -> None:
+        """Builds membership, configuration and replicated records."""
+        options = self.options
+        me = members.Member(
+            process.address, process.data_centre, process.incarnation
+        )
+        self.membership = membership.Membership(me, options.seeds, source, now)
+        self.configuration = configuration.Configuration(
+            configuration_messages.Peer(process.address, process.data_centre),
+            options.convert,
+            source,
+        )
+        self.records = records.Records()
+        self.drains = drains.Drains()
+        self.learning = learning.Learning(process.label)
+        self.evidence = sequential.Evidence(process.label)
+        self.stops = stops.Stops(name)
+        self.rollouts = rollouts.Rollouts(
+            self.stops, self.evidence, source, options.pace
+        )
+        self.cascades = cascades.Cascades(self.learning, source)
+
+    def _build_routing(self, source: random.Random, now: float) -> None:
+        """Builds the parts that serve model requests."""
+        options = self.options
+        self.quarantine = quarantine.Quarantine()
+        self.placement = upstream_placement.UpstreamPlacement(
+            options.process.label,
+            options.process.data_centre,
+            options.slot,
+            options.slots,
+            source,
+            now,
+            self.drains.refuse,
+            self.quarantine,
+        )
+        planner = cascade_planning.CascadePlanner(
+            self.cascades,
+            self.learning,
+            self.rollouts,
+            self.evidence,
+            self.placement,
+            options.ring,
+            options.read_clock,
+        )
+        self.router = router.Router(
+            planner,
+            self.placement,
+            recovery.Recovery(retries.Retries(source)),
+            admission.Admission(0, source),
+            lambda: self.billing.check_backlog(),
+        )
+        self.exchange = exchange.Exchange(
+            self.membership,
+            (
+                self.configuration,
+                self.placement.table,
+                self.placement.cold,
+                self.quarantine,
+                self.learning,
+                self.evidence,
+                self.stops,
+                self.rollouts,
+                self.records,
+            ),
+        )
+
+    def _build_calls(
+        self, process: identity.Process, source: random.Random, now: float
+    ) -> None:
+        """Builds the parts for service calls and bills."""
+        wall_offset_s = self.options.read_clock() - now
+        issuer = tickets.TicketIssuer(process, self.options.ring)
+        self.issuer = issuer
+        self.key_calls = effects.KeyCalls(
+            process, issuer, source, wall_offset_s
+        )
+        self.ticket_calls = ticket_calls.TicketCalls(
+            process, self.options.ring, source, wall_offset_s
+        )
+        self.billing = billing.Billing(process, source)
+        self.spool = billing_spool.Spool(process, source)
+        owner = f"{process.address}/{process.incarnation}"
+        self.order_lease = leases.Lease(
+            f"leases/orders/{process.data_centre}", owner, ORDER_LEASE_TTL_S
+        )
+        self.orders = orders.Orders(
+            self.order_lease,
+            orders.WeightBudget(WEIGHT_LOADS_PER_S, WEIGHT_HOLDERS),
+        )
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -17,6 +17,7 @@
 from sycamorehollow.decisions import leases
 from sycamorehollow.decisions import membership
 from sycamorehollow.decisions import node as nodes
+from sycamorehollow.decisions import node_parts
 from sycamorehollow.decisions import orders
 from sycamorehollow.decisions import rollouts
 from sycamorehollow.decisions import stops
@@ -131,7 +132,7 @@
 
     def _build_node(self, settings: process.Settings) -> nodes.Node:
         keys = settings.sessions.keys
-        options = nodes.Options(
+        options = node_parts.Options(
             process=identity.Process(
                 settings.process.peer_address,
                 settings.process.data_centre,
