--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -6,8 +6,6 @@
 import time
 from typing import Any
 
-import loguru
-
 from sycamorehollow.decisions import billing_messages
 from sycamorehollow.decisions import configuration_messages
 from sycamorehollow.decisions import drains
@@ -30,6 +28,7 @@
 from sycamorehollow.shells import calls
 from sycamorehollow.shells import chat
 from sycamorehollow.shells import config_io
+from sycamorehollow.shells import decision_log
 from sycamorehollow.shells import errands
 from sycamorehollow.shells import front
 from sycamorehollow.shells import loop
@@ -201,11 +200,11 @@
             billing_messages.SpoolToPeer: self._bills.spool,
             billing_messages.TellAdvance: self._bills.tell_advance,
             billing_messages.WriteBatch: self._bills.write,
-            configuration_messages.BranchesRejected: self._log_faults,
+            configuration_messages.BranchesRejected: decision_log.log_faults,
             configuration_messages.ReadRange: self._config.read,
             configuration_messages.StartWatch: self._config.watch,
             configuration_messages.StopCall: self._ignore,
-            drains.UpstreamLeft: self._log_left,
+            drains.UpstreamLeft: decision_log.log_left,
             effect_messages.AnswerPeer: self._owners.answer,
             effect_messages.Reply: self._waiters.take,
             exchange.Call: self._peers.post,
@@ -221,14 +220,14 @@
             leases.ReleaseLease: self._orders.release,
             leases.RenewLease: self._orders.renew,
             membership.Replaced: self._end_replaced,
-            nodes.NoteMember: self._log_member,
+            nodes.NoteMember: self._note_member,
             nodes.PublishDeployment: self._publish,
-            orders.FenceStale: self._log_stale,
+            orders.FenceStale: decision_log.log_stale,
             orders.SendOrder: self._orders.send,
             rollouts.ReadStage: self._rollouts.read,
             rollouts.RequestLease: self._rollouts.request_lease,
             rollouts.WriteStage: self._rollouts.write,
-            stops.NoteStops: self._log_stops,
+            stops.NoteStops: decision_log.log_stops,
         }
         for call_type in (
             effect_messages.ReadRecord,
@@ -252,33 +251,15 @@
             upstream_polls.PREFIX, self._upstreams.build_jobs(current)
         )
         self._poll_stages()
-        loguru.logger.info(
-            "configuration: in force revisions={}", dict(current.revisions)
-        )
+        decision_log.log_deployment(current)
 
     def _start_attempt(self, command: lifecycle.StartAttempt) -> None:
-        loguru.logger.info(
-            "router: attempt request={} workspace={} version={} upstream={}"
-            " reason={!r}",
-            command.request_id,
-            command.workspace,
-            command.version,
-            command.upstream,
-            command.reason,
-        )
+        decision_log.log_attempt(command)
         self._meter.count("attempts")
         self._relay.post(command)
 
     def _refuse(self, command: lifecycle.RefuseRequest) -> None:
-        loguru.logger.info(
-            "router: refused request={} workspace={} code={} run={}"
-            " reason={!r}",
-            command.request_id,
-            command.workspace,
-            command.failure.code,
-            command.failure.run.value,
-            command.failure.reason,
-        )
+        decision_log.log_refusal(command)
         self._meter.count(f"refusals.{command.failure.code}")
         self._relay.post(command)
 
@@ -293,32 +274,8 @@
     def _ignore(self, command: Any) -> None:
         """A call that was given up ends at its own timeout."""
 
-    def _log_faults(
-        self, command: configuration_messages.BranchesRejected
-    ) -> None:
-        for branch, faults in command.faults.items():
-            for fault in faults:
-                loguru.logger.warning(
-                    "configuration: branch={} rejected: {}",
-                    branch,
-                    fault.reason,
-                )
-
-    def _log_left(self, command: drains.UpstreamLeft) -> None:
-        loguru.logger.info(
-            "drains: upstream={} takes no new work: {}",
-            command.upstream,
-            command.reason,
-        )
-
-    def _log_member(self, command: nodes.NoteMember) -> None:
-        member = command.member
-        loguru.logger.info(
-            "members: address={} data_centre={} state={}",
-            member.address,
-            member.data_centre,
-            member.state.name.lower(),
-        )
+    def _note_member(self, command: nodes.NoteMember) -> None:
+        decision_log.log_member(command.member)
         self._poll_stages()
 
     def _poll_stages(self) -> None:
@@ -328,24 +285,10 @@
         )
         self._poller.set_jobs(sweeps.JOB, self._sweep.build_jobs(coordinator))
 
-    def _log_stale(self, command: orders.FenceStale) -> None:
-        loguru.logger.warning(
-            "orders: fence={} is stale, another process orders", command.fence
-        )
-
     def _end_replaced(self, command: membership.Replaced) -> None:
-        loguru.logger.error(
-            "members: incarnation={} runs under this address, ending",
-            command.incarnation,
-        )
+        decision_log.log_replaced(command)
         signal.raise_signal(signal.SIGTERM)
 
-    def _log_stops(self, command: stops.NoteStops) -> None:
-        for stop in command.stops:
-            loguru.logger.warning(
-                "rollouts: version={} stopped: {}", stop.version, stop.reason
-            )
-
     def _build_handlers(self) -> list[front.Handler]:
         return [
             chat.ChatHandler(self._snapshot, self._relay, self._loop.post),
--- /dev/null
+++ b/sycamorehollow/shells/decision_log.py
@@ -0,0 +1,95 @@
+"""Log lines of decisions, one per decision and none per token."""
+
+import loguru
+
+from sycamorehollow.decisions import configuration_messages
+from sycamorehollow.decisions import drains
+from sycamorehollow.decisions import members
+from sycamorehollow.decisions import membership
+from sycamorehollow.decisions import orders
+from sycamorehollow.decisions import stops
+from sycamorehollow.model import deployment
+from sycamorehollow.model import lifecycle
+
+
+def log_deployment(current: deployment.Deployment) -> None:
+    """Logs which configuration is in force."""
+    loguru.logger.info(
+        "configuration: in force revisions={}", dict(current.revisions)
+    )
+
+
+def log_faults(command: configuration_messages.BranchesRejected) -> None:
+    """Logs what keeps branches out of force."""
+    for branch, faults in command.faults.items():
+        for fault in faults:
+            loguru.logger.warning(
+                "configuration: branch={} rejected: {}", branch, fault.reason
+            )
+
+
+def log_attempt(command: lifecycle.StartAttempt) -> None:
+    """Logs where a request runs and why."""
+    loguru.logger.info(
+        "router: attempt request={} workspace={} version={} upstream={}"
+        " reason={!r}",
+        command.request_id,
+        command.workspace,
+        command.version,
+        command.upstream,
+        command.reason,
+    )
+
+
+def log_refusal(command: lifecycle.RefuseRequest) -> None:
+    """Logs the final failure of a request."""
+    loguru.logger.info(
+        "router: refused request={} workspace={} code={} run={} reason={!r}",
+        command.request_id,
+        command.workspace,
+        command.failure.code,
+        command.failure.run.value,
+        command.failure.reason,
+    )
+
+
+def log_left(command: drains.UpstreamLeft) -> None:
+    """Logs that an upstream takes no new work."""
+    loguru.logger.info(
+        "drains: upstream={} takes no new work: {}",
+        command.upstream,
+        command.reason,
+    )
+
+
+def log_member(member: members.Member) -> None:
+    """Logs the new state of a member."""
+    loguru.logger.info(
+        "members: address={} data_centre={} state={}",
+        member.address,
+        member.data_centre,
+        member.state.name.lower(),
+    )
+
+
+def log_stale(command: orders.FenceStale) -> None:
+    """Logs that another process orders the engines."""
+    loguru.logger.warning(
+        "orders: fence={} is stale, another process orders", command.fence
+    )
+
+
+def log_replaced(command: membership.Replaced) -> None:
+    """Logs that this process was replaced under its address."""
+    loguru.logger.error(
+        "members: incarnation={} runs under this address, ending",
+        command.incarnation,
+    )
+
+
+def log_stops(command: stops.NoteStops) -> None:
+    """Logs which versions take no new work."""
+    for stop in command.stops:
+        loguru.logger.warning(
+            "rollouts: version={} stopped: {}", stop.version, stop.reason
+        )
