Look at the upstreams of other data centres only when needed

Change: the placement keeps the serving upstreams of the own data centre and of the others apart, and tries the others only when none of the own ones can take the work.

--- a/sycamorehollow/decisions/node_parts.py
+++ b/sycamorehollow/decisions/node_parts.py
@@ -82,8 +82,8 @@
         process = options.process
         name = f"{process.address}/{process.incarnation}"
         self._build_state(name, process, source, now)
-        self._build_routing(source, now)
         self._build_calls(process, source, now)
+        self._build_routing(source, now)
 
     @property
     def process(self) -> identity.Process:
@@ -239,7 +239,7 @@
             self.placement,
             recovery.Recovery(retries.Retries(source)),
             admission.Admission(0, source),
-            lambda: self.billing.check_backlog(),
+            self.billing.check_backlog,
         )
         self.exchange = exchange.Exchange(
             self.membership,
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/upstream_placement.py
@@ -1,6 +1,8 @@
 """Placement of attempts by load, cold starts and drains."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import random
 
@@ -84,6 +86,8 @@
             self.cold.may_start,
         )
         self._configured: dict[str, deployment.Upstream] = {}
+        self._near: dict[str, tuple[str, ...]] = {}
+        self._far: dict[str, tuple[str, ...]] = {}
         self._places: dict[str, _Place] = {}
         self._outbox: list[commands.Command] = []
         self._lengths: dict[tuple[str, str], float] = {}
@@ -102,6 +106,7 @@
             for upstream in current.upstreams.values()
             if upstream.versions
         )
+        self._index(engines)
         event = upstreams.UpstreamsConfigured(engines)
         result = []
         for part in self.list_parts():
@@ -119,20 +124,8 @@
         verdict = self._suspects.judge(request.fingerprint, now)
         if isinstance(verdict, failures.Failure):
             return verdict
-        candidates = [
-            name
-            for name in self._list_candidates(version, excluded)
-            if self._suspects.may_place(
-                request.fingerprint, name, self._is_idle(name), now
-            )
-        ]
-        if not candidates:
-            return failures.NoUpstream(
-                f"No upstream takes new work for {version} now.",
-                retry_after_s=selection.FULL_RETRY_AFTER_S,
-            )
         demand = self._build_demand(request, version)
-        choice = self._selection.choose(demand, candidates, now)
+        choice = self._choose(request, version, demand, excluded, now)
         if isinstance(choice, failures.Failure):
             return choice
         self._places[request.request_id] = _Place(choice.upstream, request, now)
@@ -151,6 +144,42 @@
             self._configured[choice.upstream], choice.reason
         )
 
+    def _choose(
+        self,
+        request: requests.ModelRequest,
+        version: str,
+        demand: capacity.Demand,
+        excluded: frozenset[str],
+        now: float,
+    ) -> selection.Choice | failures.Failure:
+        """Chooses in the own data centre first.
+
+        The upstreams of the others, most of the fleet, are looked at only
+        when none of the own ones can take the work.
+        """
+        failure: failures.Failure | None = None
+        for group in (self._near, self._far):
+            candidates = [
+                name
+                for name in self._list_candidates(group, version, excluded)
+                if self._suspects.may_place(
+                    request.fingerprint, name, self._is_idle(name), now
+                )
+            ]
+            if not candidates:
+                continue
+            choice = self._selection.choose(demand, candidates, now)
+            if isinstance(choice, selection.Choice):
+                return choice
+            # A deadline that one group could not meet says more than that the
+            # other one is full.
+            if not isinstance(failure, failures.DeadlineExceeded):
+                failure = choice
+        return failure or failures.NoUpstream(
+            f"No upstream takes new work for {version} now.",
+            retry_after_s=selection.FULL_RETRY_AFTER_S,
+        )
+
     def note_production(self, request_id: str, now: float) -> None:
         """Records the time of the first chunk of an attempt."""
         place = self._places.get(request_id)
@@ -188,7 +217,8 @@
         """Returns the shortest expected time of an answer of a version."""
         demand = self._build_demand(request, version)
         shortest = 0.0
-        for name in self.table.list_serving(version):
+        serving = self._near.get(version) or self._far.get(version, ())
+        for name in serving:
             duration_s = self.capacity.estimate_duration_s(name, demand)
             if shortest == 0.0 or duration_s < shortest:
                 shortest = duration_s
@@ -198,7 +228,8 @@
         """Tells whether any upstream takes new work for a version."""
         return any(
             self.cold.may_start(name, now)
-            for name in self._list_candidates(version, frozenset())
+            for group in (self._near, self._far)
+            for name in self._list_candidates(group, version, frozenset())
         )
 
     def count_capacity(self) -> int:
@@ -264,15 +295,25 @@
         self._lengths[key] = known + LENGTH_SMOOTHING * (tokens - known)
 
     def _list_candidates(
-        self, version: str, excluded: frozenset[str]
-    ) -> list[str]:
-        return [
-            name
-            for name in self.table.list_serving(version)
-            if name not in excluded
-            and name in self._configured
-            and self._find_drain(name) is None
-        ]
+        self,
+        group: dict[str, tuple[str, ...]],
+        version: str,
+        excluded: frozenset[str],
+    ) -> Iterator[str]:
+        for name in group.get(version, ()):
+            if name in excluded or self._find_drain(name) is not None:
+                continue
+            yield name
+
+    def _index(self, engines: Iterable[deployment.Upstream]) -> None:
+        """Groups upstreams by version, own data centre and others."""
+        self._near, self._far = {}, {}
+        for upstream in sorted(engines, key=lambda one: one.name):
+            own = upstream.data_centre == self._data_centre
+            group = self._near if own else self._far
+            for version in upstream.versions:
+                known = group.get(version, ())
+                group[version] = (*known, upstream.name)
 
     def _is_idle(self, name: str) -> bool:
         """Tells whether nothing is known to run on an upstream."""
