Wait for a crashed engine before its deaths are counted

Cause: the count read the figures of every engine while the last one that crashed was still restarting (0.5 s); since requests find another engine at once, the test got there first. Stand-ins also take free ports below the ephemeral ones, so that a restart cannot lose its port.

--- a/sycamorehollow/standins/server.py
+++ b/sycamorehollow/standins/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import dataclasses
 import json
+import random
 import select
 import socket
 import struct
@@ -17,6 +18,9 @@
 
 from sycamorehollow.standins import settings as standin_settings
 
+# Below the ephemeral ports: a stand-in that stops listening for a while, as a
+# crashed engine does, must not lose its port to an outgoing connection.
+FREE_PORTS = (10_000, 32_000)
 START_TIMEOUT_S = 10.0
 KEEP_MS = 100
 REBIND_PAUSE_S = 0.05
@@ -270,7 +274,7 @@
             http = _HttpServer(
                 self,
                 self._server_settings.address,
-                self._port,
+                self._port or random.randrange(*FREE_PORTS),
                 self._server_settings.threads,
             )
             try:
--- a/tests/test_process_crashes.py
+++ b/tests/test_process_crashes.py
@@ -28,6 +28,11 @@
         cls.addClassCleanup(cls.world.close)
 
     def _count_deaths(self):
+        # An engine that has just crashed answers after its restart.
+        for name in ENGINES:
+            processes.wait_for(
+                lambda name=name: self.world.read_stats(name) is not None
+            )
         return sum(
             self.world.read_stats(name).get("crashes", 0) for name in ENGINES
         )
