Keep an early next request of a caller from spinning the relay

Cause: found by reading. A caller that sent its next request before the end of a stream made the relay wait for the socket to become writable, which it always is, so the relay task ran in a loop until the stream ended. Change: such a socket is not watched for reading any more, and for writing only while something waits. The new test failed before (the selector reported the socket as writable) and passes now.

--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -1,6 +1,5 @@
 """The caller side of the relay."""
 
-from collections.abc import Callable
 import json
 import selectors
 import socket
@@ -20,25 +19,15 @@
 class CallerWriter:
     """Writes to callers and notices those that have gone."""
 
-    def __init__(
-        self,
-        selector: selectors.BaseSelector,
-        report: Callable[[events.Event], None],
-    ):
+    def __init__(self, selector: selectors.BaseSelector):
         self._selector = selector
-        self._report = report
         self._buffers = buffers.Buffers()
 
     def watch(self, stream: streams.Stream) -> None:
         """Starts to watch the socket of a caller."""
         caller = stream.caller
         caller.sock.setblocking(False)
-        self._selector.register(
-            caller.sock,
-            selectors.EVENT_READ,
-            engines.Registration(stream, caller),
-        )
-        caller.watched = True
+        self._set_mask(stream, selectors.EVENT_READ)
         self._buffers.handle(
             buffers.StreamOpened(stream.request_id), time.monotonic()
         )
@@ -54,9 +43,7 @@
         self._buffers.handle(
             buffers.StreamClosed(stream.request_id), time.monotonic()
         )
-        if caller.watched:
-            self._selector.unregister(caller.sock)
-            caller.watched = False
+        self._set_mask(stream, 0)
         caller.sock.settimeout(CALLER_TIMEOUT_S)
 
     def is_gone(self, stream: streams.Stream) -> bool:
@@ -69,8 +56,10 @@
             return True
         if not data:
             return True
-        # The caller sent its next request early: stop reading until then.
-        self._set_mask(stream, selectors.EVENT_WRITE)
+        # The caller sent its next request early. It stays unread until this
+        # one ends, and must not wake the relay until then.
+        stream.caller.early = True
+        self._update_mask(stream)
         return False
 
     def append(self, stream: streams.Stream, block: bytes) -> None:
@@ -108,10 +97,7 @@
         except OSError:
             return False
         del caller.buffer[:sent]
-        mask = selectors.EVENT_READ
-        if caller.buffer:
-            mask |= selectors.EVENT_WRITE
-        self._set_mask(stream, mask)
+        self._update_mask(stream)
         return True
 
     def account(
@@ -148,7 +134,22 @@
             streams.SendHead(stream.upstream, stream.version, stream.session)
         )
 
+    def _update_mask(self, stream: streams.Stream) -> None:
+        caller = stream.caller
+        mask = 0 if caller.early else selectors.EVENT_READ
+        if caller.buffer:
+            mask |= selectors.EVENT_WRITE
+        self._set_mask(stream, mask)
+
     def _set_mask(self, stream: streams.Stream, mask: int) -> None:
-        key = self._selector.get_key(stream.caller.sock)
-        if key.events != mask:
-            self._selector.modify(stream.caller.sock, mask, key.data)
+        caller = stream.caller
+        if caller.mask == mask:
+            return
+        registration = engines.Registration(stream, caller)
+        if mask == 0:
+            self._selector.unregister(caller.sock)
+        elif caller.mask == 0:
+            self._selector.register(caller.sock, mask, registration)
+        else:
+            self._selector.modify(caller.sock, mask, registration)
+        caller.mask = mask
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -46,7 +46,7 @@
         super().__init__("relay")
         self._report = report
         self._streams: dict[str, streams.Stream] = {}
-        self._callers = callers.CallerWriter(self._selector, report)
+        self._callers = callers.CallerWriter(self._selector)
         self._engines = engines.EngineReader(self._selector)
         self._handlers: dict[type, Callable[[Any], None]] = {
             Attach: self._attach,
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -97,7 +97,8 @@
         self.buffer = bytearray()
         self.head_requested = False
         self.head_sent = False
-        self.watched = False
+        self.early = False
+        self.mask = 0
         self.counted_bytes = 0
         self.closing: StreamClosed | None = None
 
