Never leave a caller's socket while the relay owns it

Cause: found by reading. If the caller was gone when the head of a stream was sent, the worker raised and the HTTP library closed the socket, which the relay still watched; its number could then be that of another connection. A worker also waited without limit for a request that the router task had lost through a fault. Change: the worker goes on waiting for the relay, and ends a request 45 s after its deadline through the relay.

--- a/sycamorehollow/shells/chat.py
+++ b/sycamorehollow/shells/chat.py
@@ -8,6 +8,7 @@
 import time
 import uuid
 
+import loguru
 import pydantic
 
 from sycamorehollow.model import deployment
@@ -25,6 +26,9 @@
 # Affinity gains little from the rest of a long dossier.
 MAX_HASHED_CHARACTERS = 16_384
 DEFAULT_DEADLINE_S = 60.0
+# The router ends every request at its deadline; a slow caller may read the
+# rest of its buffer for a while longer.
+LOST_GRACE_S = 45.0
 MAX_DEADLINE_S = 3600.0
 SESSION_HEADER = "X-Session"
 VERSION_HEADER = "X-Model-Version"
@@ -77,17 +81,9 @@
         reply: "queue.SimpleQueue[streams.Reply]",
     ) -> None:
         while True:
-            message = reply.get()
+            message = self._await_message(request, reply)
             if isinstance(message, streams.SendHead):
-                exchange.send_stream_head(
-                    self._build_headers(
-                        request,
-                        message.upstream,
-                        message.version,
-                        message.session,
-                    )
-                )
-                self._relay.post(relays.HeadSent(request.request_id))
+                self._send_head(exchange, request, message)
                 continue
             if isinstance(message, streams.StreamClosed):
                 if not message.whole:
@@ -104,6 +100,51 @@
             )
             return
 
+    def _await_message(
+        self,
+        request: requests.ModelRequest,
+        reply: "queue.SimpleQueue[streams.Reply]",
+    ) -> streams.Reply:
+        """Waits for the next step; ends a request that the router has lost."""
+        left_s = request.deadline - time.monotonic() + LOST_GRACE_S
+        try:
+            return reply.get(timeout=max(0.0, left_s))
+        except queue.Empty:
+            loguru.logger.error(
+                "front: request={} has no end after its deadline",
+                request.request_id,
+            )
+        failure = failures.Overloaded(
+            "The router did not end the request in time.",
+            failures.Run.UNKNOWN,
+        )
+        # Only the relay may give the socket back, so it ends the request.
+        self._relay.post(
+            lifecycle.RefuseRequest(
+                request.request_id, request.workspace, failure
+            )
+        )
+        return reply.get()
+
+    def _send_head(
+        self,
+        exchange: exchanges.Exchange,
+        request: requests.ModelRequest,
+        message: streams.SendHead,
+    ) -> None:
+        headers = self._build_headers(
+            request, message.upstream, message.version, message.session
+        )
+        try:
+            exchange.send_stream_head(headers)
+        except OSError:
+            # The relay owns the socket, so it must notice that the caller is
+            # gone; leaving now would close the socket under it.
+            loguru.logger.debug(
+                "front: request={} lost its caller", request.request_id
+            )
+        self._relay.post(relays.HeadSent(request.request_id))
+
     def _build_headers(
         self,
         request: requests.ModelRequest,
