Refuse a malformed chunked body with a typed failure

Without the change the HTTP library answered 500 without a JSON body (the new test failed on it). A long request body is now sent from a view instead of being copied for each part.

--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -68,7 +68,10 @@
         stream.begin_attempt(engine)
         parts = urllib.parse.urlsplit(command.url)
         address = (parts.hostname or "", parts.port or 80)
-        engine.outgoing = self._build_request(stream, command, parts.netloc)
+        # A view: a long dossier is not copied for each part that is sent.
+        engine.outgoing = memoryview(
+            self._build_request(stream, command, parts.netloc)
+        )
         try:
             engine.sock = connect(address)
         except OSError:
--- a/sycamorehollow/shells/exchange.py
+++ b/sycamorehollow/shells/exchange.py
@@ -51,7 +51,11 @@
         if int(length) > MAX_BODY_BYTES:
             self._request.close_connection = True
             return self._describe_too_large()
-        body = self._request.rfile.read(MAX_BODY_BYTES + 1)
+        try:
+            body = self._request.rfile.read(MAX_BODY_BYTES + 1)
+        except ValueError as error:
+            self._request.close_connection = True
+            return failures.InvalidRequest(f"The body is malformed: {error}.")
         if len(body) > MAX_BODY_BYTES:
             self._request.close_connection = True
             return self._describe_too_large()
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -65,7 +65,7 @@
     def __init__(self, command: lifecycle.StartAttempt, now: float):
         self.command = command
         self.sock: socket.socket | None = None
-        self.outgoing = b""
+        self.outgoing = memoryview(b"")
         self.sent_bytes = 0
         self.response = framing.ResponseReader()
         self.events = framing.EventReader()
--- a/tests/test_process_fuzz.py
+++ b/tests/test_process_fuzz.py
@@ -1,6 +1,7 @@
 """Malformed requests against a real entry process."""
 
 import json
+import socket
 import unittest
 
 import hypothesis
@@ -107,3 +108,29 @@
         answer = self._send(body, {"X-Deadline-Ms": value})
         self.assertEqual(answer.status, 400)
         self._check(answer)
+
+    def test_malformed_chunked_body_gets_a_typed_refusal(self):
+        host, _, port = self.url.removeprefix("http://").rpartition(":")
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\n"
+            f"Authorization: Bearer {processes.API_KEY}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\nnot-a-size\r\nabc\r\n"
+        )
+        with socket.create_connection((host, int(port)), 5.0) as sock:
+            sock.sendall(head.encode())
+            answer = sock.recv(4096)
+        self.assertIn(b" 400 ", answer.partition(b"\r\n")[0] + b" ")
+        self.assertIn(b'"run": "no"', answer)
+
+    def test_long_prompt_reaches_the_engine_whole(self):
+        text = "word " * 200_000
+        body = {
+            "model": "small-1",
+            "max_tokens": 2,
+            "messages": [{"role": "user", "content": text}],
+        }
+        answer = self._send(json.dumps(body).encode(), {})
+        self.assertLess(answer.status, 504, answer.data)
+        if answer.status == 200:
+            tokens = answer.json()["usage"]["prompt_tokens"]
+            self.assertGreater(tokens, 200_000)
