--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -38,14 +38,17 @@
         known_red.KNOWN_RED, known_red.BENCH_PREFIX
     )
     missed = 0
+    red = 0
     for result in found:
         if result.held:
             continue
         if result.name in known:
             print(f"known red, still missed: {result.name}")
+            red += 1
             continue
         missed += 1
-    print(f"{len(found) - missed} passed, {missed} failed")
+    print(f"{red} known red")
+    print(f"{len(found) - missed - red} passed, {missed} failed")
     return 1 if missed else 0
 
 
