--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about forwarded requests, without I/O."""
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -0,0 +1,88 @@
+"""Which model answers, from small to large.
+
+Starts with the smallest model and asks a larger one when the answer's
+confidence is low, as long as load, time and the budget of repeats allow it.
+"""
+
+import dataclasses
+
+from sycamorehollow.model import forwarding
+
+# Confidence below which a larger model is asked while the engines are idle.
+IDLE_THRESHOLD = 80.0
+# Share of taken places from which fewer answers are asked for again, and at
+# which none is.
+BUSY_FROM = 0.45
+BUSY_TO = 0.95
+# Part of the objective in which the larger model has to begin its answer.
+OBJECTIVE_SHARE = 0.9
+
+
+@dataclasses.dataclass(frozen=True)
+class Situation:
+    """What decides about a larger model.
+
+    Attributes:
+        model: Model that has answered.
+        confidence: Its opinion of the answer, 0 to 100.
+        elapsed_s: Seconds since the request arrived.
+        larger_s: Expected seconds until the larger model begins its answer.
+        occupancy: Share of the engines' places that are taken.
+        attempts_left: Attempts that the route still allows.
+        repeats_left: Repeats that the budget still allows.
+    """
+
+    model: str
+    confidence: int | None
+    elapsed_s: float
+    larger_s: float
+    occupancy: float
+    attempts_left: int
+    repeats_left: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """The model to ask next, or empty to keep the answer."""
+
+    model: str
+    reason: str
+
+
+def choose_first(route: forwarding.Route) -> str:
+    """Returns the model that is asked first."""
+    return route.models[0]
+
+
+def choose_larger(route: forwarding.Route) -> str:
+    """Returns the model that is asked when an answer is doubtful."""
+    return route.models[-1]
+
+
+def decide(route: forwarding.Route, situation: Situation) -> Decision:
+    """Decides whether an answer is dropped for that of a larger model."""
+    larger = choose_larger(route)
+    if situation.model == larger:
+        return Decision("", "largest model")
+    if situation.confidence is None:
+        return Decision("", "no confidence")
+    threshold = compute_threshold(situation.occupancy)
+    if situation.confidence >= threshold:
+        return Decision("", f"confidence of {threshold:.0f} or more")
+    if situation.attempts_left < 1:
+        return Decision("", "no attempt left")
+    if situation.repeats_left < 1:
+        return Decision("", "no repeat left in the budget")
+    due_s = route.objective_s * OBJECTIVE_SHARE
+    if situation.elapsed_s + situation.larger_s > due_s:
+        return Decision("", "too late for a larger model")
+    return Decision(larger, f"confidence below {threshold:.0f}")
+
+
+def compute_threshold(occupancy: float) -> float:
+    """Returns the confidence below which a larger model is asked."""
+    if occupancy <= BUSY_FROM:
+        return IDLE_THRESHOLD
+    if occupancy >= BUSY_TO:
+        return 0.0
+    return IDLE_THRESHOLD * (BUSY_TO - occupancy) / (BUSY_TO - BUSY_FROM)
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -0,0 +1,374 @@
+"""The course of one request: attempts, repeats and its final answer."""
+
+import dataclasses
+import enum
+
+from sycamorehollow.decisions.forwarding import cascade
+from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import placement
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+
+# Part of the objective after which an upstream that was silent since it got
+# the request is given up, and one that answers others.
+SILENT_SHARE = 0.4
+BUSY_SHARE = 0.7
+# Part of the tolerated pause after which a stalled stream goes on elsewhere.
+PAUSE_SHARE = 0.8
+# Attempts in a row that upstreams may refuse without running them.
+MAX_REFUSALS = 4
+# Wait before full upstreams are tried again, and the part of the objective
+# that may be spent on that.
+FULL_PAUSE_S = 0.02
+WAIT_SHARE = 0.4
+# Time in which a full or missing upstream is usually back.
+BACK_S = 0.5
+MIN_LEFT_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable(failures.Failure):
+    """No upstream can run the request now; it has not run."""
+
+    code = "unavailable"
+    status = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamBroke(failures.Failure):
+    """An attempt broke off; it may have run."""
+
+    code = "upstream_broke"
+    status = 502
+
+
+@dataclasses.dataclass(frozen=True)
+class TimedOut(failures.Failure):
+    """The time for the request is over; it may have run."""
+
+    code = "timed_out"
+    status = 504
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Sends the request to an upstream."""
+
+    state: directory.State
+    model: str
+    left_s: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """Tries again after a moment."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Refuse:
+    """Ends the request with a failure of our own."""
+
+    failure: failures.Failure
+
+
+Step = Send | Wait | Refuse
+
+
+class Verdict(enum.Enum):
+    """What to do with the head of an answer."""
+
+    DELIVER = "deliver"
+    AGAIN = "again"
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One attempt.
+
+    Attributes:
+        sent_at: When it was sent.
+        missing: Prompt tokens that the upstream probably had to read.
+    """
+
+    state: directory.State
+    model: str
+    sent_at: float
+    missing: int
+    outcome: str = "open"
+
+
+class Course:
+    """Decides about one request; the shell carries its steps out.
+
+    Args:
+        router: What the node knows.
+        call: The request.
+        route: Its route.
+        service: The service that was drawn for it.
+        fingerprint: Identifies its content.
+        now: Monotonic time in seconds at which it arrived.
+
+    Attributes:
+        deadline: Monotonic time at which its final answer is due.
+        attempts: What was tried.
+        delivering: Whether the caller has received a part of the answer.
+        last_event: Last event that the caller has.
+    """
+
+    def __init__(
+        self,
+        router: routers.Router,
+        call: forwarding.Call,
+        route: forwarding.Route,
+        service: forwarding.Service,
+        fingerprint: str,
+        now: float,
+    ):
+        self.call = call
+        self.route = route
+        self.service = service
+        self.arrived = now
+        self.attempts: list[Attempt] = []
+        self.delivering = False
+        self.last_event = call.last_event
+        self._router = router
+        self._fingerprint = fingerprint
+        left_s = route.timeout_s
+        if call.deadline_s is not None:
+            left_s = min(left_s, call.deadline_s)
+        self.deadline = now + left_s
+        self._ran = 0
+        self._refused = 0
+        self._broken_reason = ""
+        self._excluded: set[str] = set()
+        self._version = ""
+        self._next_model = ""
+        if route.models and call.model == "*":
+            self._next_model = cascade.choose_first(route)
+        router.budget.note_fresh(service.name, now)
+
+    @property
+    def session(self) -> str:
+        """Key that ties the request to others; empty for none."""
+        if self.call.session:
+            return self.call.session
+        if self.route.sticky and self.call.prompt_parts:
+            return self.call.prompt_parts[-1].identity
+        return ""
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the rules allow another run."""
+        return self.route.repeatable or not self._ran
+
+    def find_step(self, now: float) -> Step:
+        """Returns what to do next."""
+        if self.deadline - now < MIN_LEFT_S:
+            return Refuse(self._build_failure("its time is over", now))
+        if self._router.poison.is_refused(self._fingerprint, now):
+            return Refuse(
+                UpstreamBroke("requests like it have crashed upstreams")
+            )
+        fault = self._find_limit(now)
+        if fault:
+            return Refuse(self._build_failure(fault, now))
+        versions = self._choose_versions(now)
+        work = placement.Work(
+            self.call,
+            self.service,
+            self._next_model,
+            versions,
+            frozenset(self._excluded),
+        )
+        choice = self._router.placement.choose(work, now)
+        if choice.state is not None:
+            return self._send(choice, now)
+        if self._excluded:
+            # Each has had it once; a second time is better than a failure.
+            self._excluded.clear()
+            if not self.delivering and not self._ran:
+                return Wait(FULL_PAUSE_S)
+            return self.find_step(now)
+        waited_s = now - self.arrived
+        if choice.known and waited_s < self.route.objective_s * WAIT_SHARE:
+            return Wait(FULL_PAUSE_S)
+        return Refuse(self._build_failure(choice.reason, now))
+
+    def compute_patience(self, now: float) -> float:
+        """Returns the seconds to wait for the answer's next byte."""
+        left_s = max(0.0, self.deadline - now)
+        if not self._may_try_elsewhere(now):
+            return left_s
+        if self.delivering:
+            if self.route.pause_s <= 0:
+                return left_s
+            return min(left_s, self.route.pause_s * PAUSE_SHARE)
+        attempt = self.attempts[-1]
+        silent_s = self.route.objective_s * SILENT_SHARE
+        if now - attempt.sent_at < silent_s - MIN_LEFT_S:
+            return min(left_s, silent_s - (now - attempt.sent_at))
+        if attempt.state.heard_at < attempt.sent_at:
+            return 0.0
+        busy_s = self.route.objective_s * BUSY_SHARE
+        return min(left_s, max(0.0, busy_s - (now - attempt.sent_at)))
+
+    def judge_head(self, head: forwarding.AnswerHead, now: float) -> Verdict:
+        """Decides whether an answer is passed on."""
+        attempt = self.attempts[-1]
+        failed = not head.not_run and (head.status >= 500 or head.encoded)
+        directory.note_answer(attempt.state, head, failed, now)
+        if head.not_run:
+            attempt.outcome = f"refused with {head.status}"
+            self._ran -= 1
+            self._refused += 1
+            return Verdict.AGAIN
+        upstream = attempt.state.upstream
+        self._router.rollouts.note_answer(
+            self.service.name, upstream.version, failed
+        )
+        self._note_pace(attempt, now)
+        self._router.note_session(self.session, upstream.version, now)
+        if head.encoded or (head.status < 300 and not head.sealed):
+            attempt.outcome = "not the upstream's answer"
+            return Verdict.AGAIN
+        if head.status >= 500:
+            attempt.outcome = f"failed with {head.status}"
+            if head.status == 503 or self._may_try_elsewhere(now):
+                return Verdict.AGAIN
+            return Verdict.DELIVER
+        if self.delivering or not self._escalate(attempt, head, now):
+            attempt.outcome = "delivering"
+            return Verdict.DELIVER
+        return Verdict.AGAIN
+
+    def note_broken(self, reason: str, written: bool, now: float) -> None:
+        """The attempt's connection could not be made, broke or was given up.
+
+        Args:
+            reason: What happened.
+            written: Whether any byte of the request was written.
+            now: Monotonic time in seconds.
+        """
+        attempt = self.attempts[-1]
+        attempt.outcome = reason
+        self._broken_reason = reason
+        if not written:
+            self._ran -= 1
+            directory.note_broken(attempt.state, now)
+            return
+        directory.note_outcome(attempt.state, True)
+        if attempt.state.heard_at < attempt.sent_at:
+            directory.note_broken(attempt.state, now)
+
+    def note_crash(self, now: float) -> None:
+        """The upstream broke the connection while it ran the request."""
+        run = "/".join(map(str, self.attempts[-1].state.upstream.run))
+        self._router.poison.note_break(self._fingerprint, run, now)
+
+    def note_end(self) -> None:
+        """The answer has been delivered whole."""
+        self.attempts[-1].outcome = "delivered"
+        self._router.poison.note_success(self._fingerprint)
+
+    def give_up(self, now: float) -> failures.Failure:
+        """Returns the final failure after the last attempt."""
+        return self._build_failure(self._broken_reason or "no answer", now)
+
+    def _find_limit(self, now: float) -> str:
+        """Returns the rule that forbids another attempt, if any."""
+        if not self.attempts:
+            return ""
+        if self._ran and not self.route.repeatable:
+            return self._broken_reason or "it may have run"
+        if self._ran >= self.route.max_attempts:
+            return self._broken_reason or "no attempt is left"
+        if self._refused > MAX_REFUSALS:
+            return "upstreams refuse it"
+        if not self._router.budget.may_repeat(self.service.name, now):
+            return "the budget of repeats is used up"
+        return ""
+
+    def _may_try_elsewhere(self, now: float) -> bool:
+        return (
+            self.route.repeatable
+            and self._ran < self.route.max_attempts
+            and self._router.budget.may_repeat(self.service.name, now)
+        )
+
+    def _choose_versions(self, now: float) -> set[str] | None:
+        if self.delivering and self._version:
+            # The rest of an answer comes from the version that began it.
+            return {self._version}
+        return self._router.choose_versions(
+            self.service.name, self.session, not self.attempts, now
+        )
+
+    def _send(self, choice: placement.Choice, now: float) -> Send:
+        state = choice.state
+        assert state is not None
+        upstream = state.upstream
+        if self.attempts:
+            self._router.budget.note_repeat(self.service.name, now)
+        self._router.limits.note_sent(upstream.identity, now)
+        missing = self.call.prompt_tokens - self._router.cache.count_kept(
+            upstream.identity, self._next_model, self.call.prompt_parts, now
+        )
+        self._router.cache.note_read(
+            upstream.identity, self._next_model, self.call.prompt_parts, now
+        )
+        self._ran += 1
+        self._excluded.add(upstream.identity)
+        self._version = upstream.version
+        self.attempts.append(Attempt(state, self._next_model, now, missing))
+        left_s = self.deadline - now
+        return Send(state, self._next_model, left_s, choice.reason)
+
+    def _note_pace(self, attempt: Attempt, now: float) -> None:
+        self._router.placement.pace.note(
+            attempt.state.upstream.identity,
+            attempt.model,
+            attempt.missing,
+            now - attempt.sent_at,
+            now,
+        )
+
+    def _escalate(
+        self, attempt: Attempt, head: forwarding.AnswerHead, now: float
+    ) -> bool:
+        """Decides whether a larger model is asked instead."""
+        if not attempt.model or not self.route.models:
+            return False
+        router = self._router
+        larger = cascade.choose_larger(self.route)
+        decision = cascade.decide(
+            self.route,
+            cascade.Situation(
+                attempt.model,
+                head.confidence,
+                now - self.arrived,
+                router.placement.pace.estimate_usual(
+                    larger, self.call.prompt_tokens
+                ),
+                router.placement.estimate_occupancy(self.service.name, now),
+                self.route.max_attempts - self._ran,
+                router.budget.count_left(self.service.name, now),
+            ),
+        )
+        if not decision.model:
+            return False
+        attempt.outcome = f"dropped at {head.confidence}, {decision.reason}"
+        self._next_model = decision.model
+        self._excluded.clear()
+        return True
+
+    def _build_failure(self, reason: str, now: float) -> failures.Failure:
+        if self._ran:
+            if self.deadline - now < MIN_LEFT_S:
+                return TimedOut(reason, failures.Run.UNKNOWN)
+            return UpstreamBroke(reason, failures.Run.UNKNOWN)
+        after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
+        return Unavailable(reason, failures.Run.NO, after_s)
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -0,0 +1,180 @@
+"""The upstreams that may be used now.
+
+An upstream's entry in the store may lapse while the store is away although
+the upstream lives. Such a deletion counts only once the entry had time to come
+back. Broken connections keep an upstream out for a moment, longer each time.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from sycamorehollow.model import forwarding
+
+# Time in which the platform brings back the entries of live upstreams.
+RETURN_S = 2.0
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
+# An upstream that has answered nothing for this long while requests wait at
+# it is taken for silent, not for slow.
+SILENCE_S = 0.6
+# Weight of the newest outcome in the rate of failed answers.
+FAILURE_WEIGHT = 0.1
+
+
+@dataclasses.dataclass
+class State:
+    """An upstream and what this process has seen of it.
+
+    Attributes:
+        upstream: Its latest entry.
+        seen_at: When the entry was last changed.
+        cold_until: Until when it counts as cold.
+        gone_at: When it stops being used; `None` while it is registered.
+        blocked_until: Until when broken connections keep it out.
+        failures: Broken connections in a row.
+        heard_at: When it last sent a byte.
+        failure_rate: Share of failed answers, recent ones weigh more.
+        load: What it last said of its load, and when.
+        running: Own requests at it.
+        work: Own requests at it in upstream seconds.
+    """
+
+    upstream: forwarding.Upstream
+    seen_at: float
+    cold_until: float = 0.0
+    gone_at: float | None = None
+    blocked_until: float = 0.0
+    failures: int = 0
+    heard_at: float = float("-inf")
+    failure_rate: float = 0.0
+    load: forwarding.Load | None = None
+    load_at: float = float("-inf")
+    load_running: int = 0
+    running: int = 0
+    work: float = 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Tells whether it has to be spared."""
+        return now < self.cold_until
+
+    def is_blocked(self, now: float) -> bool:
+        """Tells whether broken connections keep it out."""
+        return now < self.blocked_until
+
+
+class Directory:
+    """Upstreams by identity, with evacuated data centres."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, State] = {}
+        self._evacuated: set[str] = set()
+        self._store_back_at = float("-inf")
+
+    def set_evacuated(self, data_centres: Iterable[str]) -> None:
+        """Replaces the data centres that get no requests."""
+        self._evacuated = set(data_centres)
+
+    def note_store_back(self, now: float) -> None:
+        """The store answers again after it could not be reached."""
+        self._store_back_at = now
+
+    def register(self, upstream: forwarding.Upstream, now: float) -> State:
+        """Takes an upstream's entry."""
+        state = self._states.get(upstream.identity)
+        if state is None or state.upstream.run != upstream.run:
+            state = State(upstream, now)
+            self._states[upstream.identity] = state
+        elif _is_elsewhere(state.upstream, upstream):
+            state.failures = 0
+            state.blocked_until = 0.0
+        state.upstream = upstream
+        state.seen_at = now
+        state.gone_at = None
+        if upstream.cold_s > 0:
+            state.cold_until = max(state.cold_until, now + upstream.cold_s)
+        return state
+
+    def remove(self, identity: str, now: float) -> float | None:
+        """Takes the deletion of an upstream's entry.
+
+        Returns:
+            When it stops being used, or `None` if it is not known.
+        """
+        state = self._states.get(identity)
+        if state is None:
+            return None
+        state.gone_at = max(now, self._store_back_at + RETURN_S)
+        return state.gone_at
+
+    def get(self, identity: str) -> State | None:
+        """Returns what is known of an upstream."""
+        return self._states.get(identity)
+
+    def list_all(self) -> list[State]:
+        """Returns every upstream that is still known."""
+        return list(self._states.values())
+
+    def list_usable(self, service: str, now: float) -> list[State]:
+        """Returns the upstreams of a service that may get requests."""
+        usable = []
+        for state in self._states.values():
+            upstream = state.upstream
+            if upstream.service != service or upstream.draining:
+                continue
+            if upstream.data_centre in self._evacuated:
+                continue
+            if state.gone_at is not None and now >= state.gone_at:
+                continue
+            usable.append(state)
+        return usable
+
+    def sweep(self, now: float) -> list[str]:
+        """Forgets upstreams that are gone and idle; returns them."""
+        gone = [
+            identity
+            for identity, state in self._states.items()
+            if state.gone_at is not None
+            and now >= state.gone_at
+            and state.running <= 0
+        ]
+        for identity in gone:
+            del self._states[identity]
+        return gone
+
+
+def note_broken(state: State, now: float) -> None:
+    """A connection to an upstream could not be made or broke."""
+    state.failures += 1
+    pause = FIRST_PAUSE_S * 2 ** min(state.failures - 1, 8)
+    state.blocked_until = max(
+        state.blocked_until, now + min(pause, MAX_PAUSE_S)
+    )
+
+
+def note_answer(
+    state: State, head: forwarding.AnswerHead, failed: bool, now: float
+) -> None:
+    """An upstream has answered."""
+    state.failures = 0
+    state.blocked_until = 0.0
+    state.heard_at = now
+    if head.load is not None:
+        state.load = head.load
+        state.load_at = now
+        state.load_running = state.running
+    if head.cold_s:
+        state.cold_until = max(state.cold_until, now + head.cold_s)
+    if not head.not_run:
+        note_outcome(state, failed)
+
+
+def note_outcome(state: State, failed: bool) -> None:
+    """An attempt ended, with an answer or without."""
+    change = float(failed) - state.failure_rate
+    state.failure_rate += FAILURE_WEIGHT * change
+
+
+def _is_elsewhere(
+    known: forwarding.Upstream, upstream: forwarding.Upstream
+) -> bool:
+    return (known.host, known.port) != (upstream.host, upstream.port)
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -0,0 +1,245 @@
+"""Choice of the upstream for one attempt.
+
+Answers uneven load: slow and failing upstreams, long prompts, shared prompt
+parts with one hot key, cold upstreams and full ones. The choice is the lowest
+expected time to the first byte, with the prompt tokens that have to be read
+and what the upstream says of its load.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+import dataclasses
+import random
+
+from sycamorehollow.decisions.forwarding import cold_limits
+from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import prompts
+from sycamorehollow.model import forwarding
+
+# Start of the estimate of reading speed, before answers correct it.
+READ_TOKENS_PER_S = 100_000.0
+# Start of the estimate of the time to an answer.
+FIRST_S = 0.05
+# Weight of the newest answer in the estimates.
+PACE_WEIGHT = 0.15
+# Age in seconds at which what an upstream said of others' load counts half.
+LOAD_HALF_LIFE_S = 1.5
+# Age in seconds at which an estimate of a pace counts half, so that an
+# upstream that was slow is tried again.
+PACE_HALF_LIFE_S = 4.0
+# Reading a shared part again also evicts another one.
+MISS_WEIGHT = 2.0
+# Seconds that a way to another data centre is worth.
+CROSSING_S = 0.004
+# Share by which equally good upstreams are mixed.
+JITTER = 0.1
+# A failed answer costs a second attempt.
+FAILURE_COST = 6.0
+# Load above which the first choice for a prompt part is not waited for.
+AFFINITY_LOAD = 0.75
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What an attempt needs.
+
+    Attributes:
+        model: Model that runs; empty for a plain service.
+        versions: Versions that may run it; `None` for all.
+        excluded: Upstreams that have had it already.
+    """
+
+    call: forwarding.Call
+    service: forwarding.Service
+    model: str = ""
+    versions: Collection[str] | None = None
+    excluded: Collection[str] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """The chosen upstream, or why there is none.
+
+    Attributes:
+        state: `None` if no upstream may get the attempt now.
+        reason: What decided, for the log.
+        known: Upstreams that could serve it if they had room.
+        expected_s: Expected time to the first byte in seconds.
+    """
+
+    state: directory.State | None
+    reason: str
+    known: int
+    expected_s: float = 0.0
+
+
+class Pace:
+    """Estimates of the time to the first byte, per upstream and model."""
+
+    def __init__(self) -> None:
+        self._factors: dict[tuple[str, str], tuple[float, float]] = {}
+        self._usual: dict[str, float] = {}
+
+    def note(
+        self, identity: str, model: str, tokens: int, took_s: float, now: float
+    ) -> None:
+        """An attempt that read `tokens` has sent its first byte."""
+        factor = took_s / expect(tokens)
+        usual = self._usual.get(model, factor)
+        self._usual[model] = usual + PACE_WEIGHT * (factor - usual)
+        known = self._factors.get((identity, model), (usual, now))[0]
+        # A stalled answer tells little about the next one.
+        factor = min(factor, known * 4 + 1)
+        new = known + PACE_WEIGHT * 2 * (factor - known)
+        self._factors[identity, model] = (new, now)
+
+    def estimate(
+        self, identity: str, model: str, tokens: int, now: float
+    ) -> float:
+        """Returns the expected seconds to the first byte."""
+        usual = self._usual.get(model, 1.0)
+        factor, at = self._factors.get((identity, model), (usual, now))
+        weight = 0.5 ** ((now - at) / PACE_HALF_LIFE_S)
+        return expect(tokens) * (usual + (factor - usual) * weight)
+
+    def estimate_usual(self, model: str, tokens: int) -> float:
+        """Returns the expected seconds at any upstream."""
+        return expect(tokens) * self._usual.get(model, 1.0)
+
+    def forget(self, identity: str) -> None:
+        """An upstream is gone or has started again."""
+        for key in [key for key in self._factors if key[0] == identity]:
+            del self._factors[key]
+
+
+class Placement:
+    """Chooses upstreams.
+
+    Args:
+        data_centre: Data centre of this process.
+        known: The upstreams.
+        limits: Limits at cold upstreams.
+        cache: What upstreams have read.
+        source: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        known: directory.Directory,
+        limits: cold_limits.ColdLimits,
+        cache: prompts.PromptCache,
+        source: random.Random,
+    ):
+        self.pace = Pace()
+        self._data_centre = data_centre
+        self._directory = known
+        self._limits = limits
+        self._cache = cache
+        self._source = source
+
+    def choose(self, work: Work, now: float) -> Choice:
+        """Returns the upstream with the lowest expected time."""
+        candidates = self._list_candidates(work, now)
+        if not candidates:
+            return Choice(None, "no upstream is registered", 0)
+        open_ones = [s for s in candidates if self._has_room(s, work, now)]
+        if not open_ones:
+            return Choice(None, "all upstreams are full", len(candidates))
+        # A blocked upstream may be back; it is better than none.
+        sound = [s for s in open_ones if not s.is_blocked(now)] or open_ones
+        home = self._find_home(sound, work)
+        costs: Mapping[str, float] = {
+            state.upstream.identity: self._measure(state, work, home, now)
+            for state in sound
+        }
+        best = min(sound, key=lambda state: costs[state.upstream.identity])
+        expected_s = costs[best.upstream.identity]
+        return Choice(
+            best,
+            f"lowest of {len(sound)} at {expected_s * 1000:.0f} ms",
+            len(candidates),
+            expected_s,
+        )
+
+    def estimate_occupancy(self, service: str, now: float) -> float:
+        """Returns the mean share of a service's places that are taken."""
+        usable = self._directory.list_usable(service, now)
+        if not usable:
+            return 1.0
+        taken = sum(occupancy(state, now) for state in usable)
+        places = sum(max(1, state.upstream.slots) for state in usable)
+        return taken / places
+
+    def _list_candidates(self, work: Work, now: float) -> list[directory.State]:
+        usable = self._directory.list_usable(work.service.name, now)
+        found = []
+        for state in usable:
+            upstream = state.upstream
+            if upstream.identity in work.excluded:
+                continue
+            if work.versions is not None:
+                if upstream.version not in work.versions:
+                    continue
+            if work.model and upstream.models:
+                if work.model not in upstream.models:
+                    continue
+            found.append(state)
+        return found
+
+    def _has_room(self, state: directory.State, work: Work, now: float) -> bool:
+        rate = work.service.cold_per_s
+        if rate <= 0 or not state.is_cold(now):
+            return True
+        return self._limits.may_send(state.upstream.identity, rate, now)
+
+    def _find_home(
+        self, states: list[directory.State], work: Work
+    ) -> str | None:
+        """Returns the first choice for the shared part of the prompt."""
+        parts = work.call.prompt_parts
+        if len(parts) < 2:
+            return None
+        names = [state.upstream.identity for state in states]
+        return prompts.rank(names, work.model, parts[-2].identity)[0]
+
+    def _measure(
+        self,
+        state: directory.State,
+        work: Work,
+        home: str | None,
+        now: float,
+    ) -> float:
+        """Returns the expected cost of an attempt in seconds."""
+        identity = state.upstream.identity
+        call = work.call
+        kept = self._cache.count_kept(
+            identity, work.model, call.prompt_parts, now
+        )
+        taken = occupancy(state, now) / max(1, state.upstream.slots)
+        if identity == home and taken < AFFINITY_LOAD:
+            shared = sum(part.tokens for part in call.prompt_parts[:-1])
+            kept = max(kept, shared)
+        missing = max(0, call.prompt_tokens - kept)
+        cost = self.pace.estimate(identity, work.model, missing, now)
+        cost += MISS_WEIGHT * missing / READ_TOKENS_PER_S
+        cost *= 1 + taken + 4 * max(0.0, taken - 0.8)
+        cost *= 1 + FAILURE_COST * state.failure_rate
+        cost *= 1 + JITTER * self._source.random()
+        if state.upstream.data_centre != self._data_centre:
+            cost += CROSSING_S
+        return cost
+
+
+def occupancy(state: directory.State, now: float) -> float:
+    """Returns how many requests are probably at an upstream."""
+    if state.load is None:
+        return float(state.running)
+    others = state.load.running + state.load.waiting - state.load_running
+    weight = 0.5 ** ((now - state.load_at) / LOAD_HALF_LIFE_S)
+    return state.running + max(0, others) * weight
+
+
+def expect(tokens: int) -> float:
+    """Returns the first guess of the time to the first byte in seconds."""
+    return FIRST_S + tokens / READ_TOKENS_PER_S
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/retry_budget.py
@@ -0,0 +1,70 @@
+"""Budget of repeats, for which all nodes together answer.
+
+Answers storms of retries: resumed streams, larger models and second attempts
+all arrive at a service beyond the first attempt of a request.
+"""
+
+import collections
+
+# Part of the ratio that is used; the rest covers windows that differ between
+# this process and the one who counts.
+USED_RATIO = 0.85
+USED_FLOOR = 0.6
+
+
+class RetryBudget:
+    """Counts first attempts and repeats of each service in a sliding window.
+
+    Args:
+        ratio: Repeats per first attempt.
+        window_s: Length of the window in seconds.
+        floor: Repeats in a window beyond the ratio, over all nodes.
+    """
+
+    def __init__(self, ratio: float, window_s: float, floor: float):
+        self.configure(ratio, window_s, floor)
+        self._nodes = 1
+        self._fresh: dict[str, collections.deque[float]] = {}
+        self._repeats: dict[str, collections.deque[float]] = {}
+
+    def configure(self, ratio: float, window_s: float, floor: float) -> None:
+        """Takes changed settings."""
+        self._ratio = ratio * USED_RATIO
+        self._window_s = window_s
+        self._floor = floor * USED_FLOOR
+
+    def set_nodes(self, nodes: int) -> None:
+        """Sets how many nodes share the floor."""
+        self._nodes = max(1, nodes)
+
+    def note_fresh(self, service: str, now: float) -> None:
+        """A caller's request for a service has arrived."""
+        self._fresh.setdefault(service, collections.deque()).append(now)
+
+    def note_repeat(self, service: str, now: float) -> None:
+        """A request is sent to a service once more."""
+        self._repeats.setdefault(service, collections.deque()).append(now)
+
+    def count_left(self, service: str, now: float) -> float:
+        """Returns how many repeats are left in the window."""
+        fresh = self._count(self._fresh, service, now)
+        repeats = self._count(self._repeats, service, now)
+        allowed = fresh * self._ratio + self._floor / self._nodes
+        return allowed - repeats
+
+    def may_repeat(self, service: str, now: float) -> bool:
+        """Tells whether a request may be sent once more."""
+        return self.count_left(service, now) >= 1
+
+    def _count(
+        self,
+        events: dict[str, collections.deque[float]],
+        service: str,
+        now: float,
+    ) -> int:
+        times = events.get(service)
+        if times is None:
+            return 0
+        while times and times[0] <= now - self._window_s:
+            times.popleft()
+        return len(times)
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/route_table.py
@@ -0,0 +1,59 @@
+"""Which route a request takes and whether its key allows it."""
+
+import random
+
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+
+
+class RouteTable:
+    """Finds routes by host and longest path prefix."""
+
+    def __init__(self, configuration: forwarding.Configuration):
+        self._configuration = configuration
+        self._routes: dict[str, list[forwarding.Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+
+    @property
+    def configuration(self) -> forwarding.Configuration:
+        """The configuration that the table was made from."""
+        return self._configuration
+
+    def find(
+        self, call: forwarding.Call
+    ) -> forwarding.Route | failures.NotFound:
+        """Returns the route of a request."""
+        for route in self._routes.get(call.host, ()):
+            if call.path.startswith(route.path_prefix):
+                return route
+        return failures.NotFound(f"no route for {call.host}{call.path}")
+
+    def authorize(
+        self, call: forwarding.Call, route: forwarding.Route
+    ) -> forwarding.Workspace | failures.Unauthorized | None:
+        """Returns the owner of the key; `None` where no key is needed."""
+        workspaces = self._configuration.workspaces
+        if workspaces is None:
+            return None
+        owner = workspaces.get(call.api_key) if call.api_key else None
+        if owner is None and not route.open:
+            return failures.Unauthorized("the API key is missing or unknown")
+        return owner
+
+    def choose_service(
+        self, route: forwarding.Route, source: random.Random
+    ) -> forwarding.Service | failures.NotFound:
+        """Draws one of the route's services by weight."""
+        known = [
+            target
+            for target in route.targets
+            if target.service in self._configuration.services
+        ]
+        if not known:
+            return failures.NotFound(f"route {route.name} has no service")
+        weights = [target.weight for target in known]
+        target = source.choices(known, weights)[0]
+        return self._configuration.services[target.service]
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -0,0 +1,237 @@
+"""What a node knows of the deployment, and the rules that use it."""
+
+import dataclasses
+import random
+
+from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import cold_limits
+from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import placement
+from sycamorehollow.decisions.forwarding import poison
+from sycamorehollow.decisions.forwarding import prompts
+from sycamorehollow.decisions.forwarding import retry_budget
+from sycamorehollow.decisions.forwarding import route_table
+from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.model import events
+from sycamorehollow.model import forwarding
+from sycamorehollow.settings import gateway
+
+MAX_SESSIONS = 5000
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A belief that has changed, for the log."""
+
+    subject: str
+    outcome: str
+
+
+class Router:
+    """Combines the rules for forwarded requests.
+
+    Attributes:
+        table: Routes and keys in force; `None` until they are known.
+        directory: The upstreams.
+        placement: Choice of the upstream.
+        budget: Budget of repeats.
+        rollouts: Roll-outs in progress.
+        poison: Requests that crash upstreams.
+        nodes: Peer address of each registered node.
+    """
+
+    def __init__(self, settings: gateway.Settings, source: random.Random):
+        self.source = source
+        self.table: route_table.RouteTable | None = None
+        self.directory = directory.Directory()
+        self.limits = cold_limits.ColdLimits(
+            settings.cold_factor, settings.cold_floor
+        )
+        self.cache = prompts.PromptCache(settings.reuse_s)
+        self.placement = placement.Placement(
+            settings.data_centre,
+            self.directory,
+            self.limits,
+            self.cache,
+            source,
+        )
+        self.budget = retry_budget.RetryBudget(
+            settings.retry_ratio, settings.retry_window_s, settings.retry_floor
+        )
+        self.rollouts = canary.Rollouts(settings.node, settings.exposure_share)
+        self.poison = poison.Poison()
+        self.nodes: dict[str, str] = {}
+        self._session_s = settings.session_s
+        self._sessions: dict[str, tuple[str, float]] = {}
+        self._evacuated: set[str] = set()
+
+    def handle(self, event: events.Event, now: float) -> list[Change]:
+        """Applies news about the deployment and returns what changed."""
+        match event:
+            case updates.ConfigurationSet():
+                return self._set_configuration(event.configuration)
+            case updates.UpstreamSet():
+                return self._register(event.upstream, now)
+            case updates.UpstreamRemoved():
+                return self._remove(event.identity, now)
+            case updates.EvacuationSet():
+                return self._evacuate(event)
+            case updates.NodeSet():
+                self.nodes[event.name] = event.peer_address
+                self.limits.set_nodes(len(self.nodes))
+                self.budget.set_nodes(len(self.nodes))
+                return [Change(f"node={event.name}", event.peer_address)]
+            case updates.Unreadable():
+                return [Change(f"entry={event.key}", event.reason)]
+        return self._handle_rollout(event, now)
+
+    def configure(self, settings: gateway.Settings) -> None:
+        """Takes changed settings."""
+        self._session_s = settings.session_s
+        self.limits.configure(settings.cold_factor, settings.cold_floor)
+        self.budget.configure(
+            settings.retry_ratio, settings.retry_window_s, settings.retry_floor
+        )
+        self.rollouts.configure(settings.exposure_share)
+
+    def sweep(self, now: float) -> list[str]:
+        """Forgets what is gone; returns the identities of upstreams."""
+        gone = self.directory.sweep(now)
+        for identity in gone:
+            self._forget(identity)
+        expired = now - self._session_s
+        if len(self._sessions) > MAX_SESSIONS:
+            self._sessions = {
+                key: entry
+                for key, entry in self._sessions.items()
+                if entry[1] > expired
+            }
+        return gone
+
+    def note_session(self, key: str, version: str, now: float) -> None:
+        """A request of a session has run on a version."""
+        if key and self._session_s > 0:
+            self._sessions[key] = (version, now)
+
+    def choose_versions(
+        self, service: str, session: str, first: bool, now: float
+    ) -> set[str] | None:
+        """Returns the versions that may run an attempt; `None` for all.
+
+        Args:
+            service: Name of the service.
+            session: Key of the request's session; empty for none.
+            first: Whether it is the request's first attempt.
+            now: Monotonic time in seconds.
+        """
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return None
+        usable = self.directory.list_usable(service, now)
+        old, new = canary.split_versions(
+            (state.upstream.version for state in usable), rollout.order.target
+        )
+        share = self.rollouts.compute_share(service, now)
+        if share <= 0:
+            return old
+        if share >= 1:
+            return new or old
+        pinned, at = self._sessions.get(session, ("", 0.0))
+        if pinned and now - at < self._session_s:
+            if pinned in new:
+                return new
+            if pinned in old and self.rollouts.is_early(service, now):
+                return old
+        if first and new and self.source.random() < share:
+            return new
+        return old or new
+
+    def _set_configuration(
+        self, configuration: forwarding.Configuration
+    ) -> list[Change]:
+        known = (
+            self.table.configuration.version if self.table is not None else None
+        )
+        if known is not None and configuration.version <= known:
+            return [
+                Change(
+                    f"configuration={configuration.version}",
+                    f"ignored, {known} is in force",
+                )
+            ]
+        self.table = route_table.RouteTable(configuration)
+        return [
+            Change(
+                f"configuration={configuration.version}",
+                f"in force after {known}, {len(configuration.routes)} routes",
+            )
+        ]
+
+    def _register(
+        self, upstream: forwarding.Upstream, now: float
+    ) -> list[Change]:
+        known = self.directory.get(upstream.identity)
+        before = known.upstream if known is not None else None
+        if before is not None and before.run != upstream.run:
+            self._forget(upstream.identity)
+        state = self.directory.register(upstream, now)
+        if before == upstream:
+            return []
+        return [
+            Change(
+                f"upstream={upstream.identity}",
+                f"service={upstream.service} version={upstream.version}"
+                f" data_centre={upstream.data_centre}"
+                f" draining={upstream.draining}"
+                f" cold_s={max(0.0, state.cold_until - now):.1f}",
+            )
+        ]
+
+    def _remove(self, identity: str, now: float) -> list[Change]:
+        until = self.directory.remove(identity, now)
+        if until is None:
+            return []
+        return [Change(f"upstream={identity}", f"gone in {until - now:.1f} s")]
+
+    def _evacuate(self, event: updates.EvacuationSet) -> list[Change]:
+        if event.active:
+            self._evacuated.add(event.data_centre)
+        else:
+            self._evacuated.discard(event.data_centre)
+        self.directory.set_evacuated(self._evacuated)
+        return [
+            Change(
+                f"data_centre={event.data_centre}",
+                "evacuated" if event.active else "in service",
+            )
+        ]
+
+    def _handle_rollout(self, event: events.Event, now: float) -> list[Change]:
+        match event:
+            case updates.RolloutOrdered():
+                self.rollouts.set_order(event.order, now)
+                return [
+                    Change(
+                        f"rollout={event.order.service}",
+                        f"ordered to {event.order.target} within"
+                        f" {event.order.duration_s:.1f} s",
+                    )
+                ]
+            case updates.RolloutWithdrawn():
+                self.rollouts.remove_order(event.service)
+                return [Change(f"rollout={event.service}", "withdrawn")]
+            case updates.RolloutStated():
+                self.rollouts.set_status(event.status)
+                return [
+                    Change(
+                        f"rollout={event.status.service}",
+                        f"{event.status.state.value}"
+                        f" target={event.status.target}",
+                    )
+                ]
+        return []
+
+    def _forget(self, identity: str) -> None:
+        self.limits.forget(identity)
+        self.cache.forget(identity)
+        self.placement.pace.forget(identity)
--- /dev/null
+++ b/sycamorehollow/platform/dialect.py
@@ -0,0 +1,162 @@
+"""The platform's HTTP headers."""
+
+import math
+import re
+
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import dialect
+
+# Set by the router only; a caller's own would steer engines or fake its key.
+_OWN = frozenset(
+    (
+        b"authorization",
+        b"request-deadline",
+        b"target-replica",
+        b"tenant-id",
+        b"request-priority",
+        b"expected-version",
+        b"kv-hold",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"pin-duration",
+    )
+)
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+class PlatformDialect(dialect.Dialect):
+    """Reads and writes the platform's headers."""
+
+    def decode_call(
+        self, method: str, target: str, headers: dialect.Headers
+    ) -> forwarding.Call | failures.InvalidRequest:
+        """Decodes the head of a caller's request."""
+        fields = _index(headers)
+        request_id = fields.get(b"request-id", b"").decode("latin-1")
+        host = fields.get(b"host", b"").decode("latin-1").lower()
+        if not host:
+            return failures.InvalidRequest("the Host header is missing")
+        deadline_ms = _read_number(fields.get(b"request-deadline"))
+        tokens = fields.get(b"token-counts", b"").split(b",")
+        parts = _read_parts(fields.get(b"prompt-prefix", b""))
+        return forwarding.Call(
+            request_id=request_id,
+            method=method,
+            host=host.partition(":")[0],
+            path=target.partition("?")[0],
+            deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+            api_key=_read_key(fields.get(b"authorization", b"")),
+            model=fields.get(b"model", b"").decode("latin-1"),
+            prompt_tokens=int(_read_number(tokens[0]) or 0),
+            output_tokens=int(_read_number(tokens[-1]) or 0),
+            prompt_parts=parts,
+            session=fields.get(b"session", b"").decode("latin-1"),
+            last_event=fields.get(b"last-event-id", b"").decode("latin-1"),
+        )
+
+    def encode_attempt(
+        self,
+        headers: dialect.Headers,
+        body_bytes: int | None,
+        attempt: dialect.Attempt,
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers for an upstream."""
+        dropped = dialect.HOP_BY_HOP | _OWN | _list_connection_options(headers)
+        if attempt.model:
+            dropped |= {b"model"}
+        if attempt.last_event:
+            dropped |= {b"last-event-id"}
+        result = [pair for pair in headers if pair[0].lower() not in dropped]
+        result.append((b"Request-Deadline", b"%d" % (attempt.left_s * 1000)))
+        result.append((b"Target-Replica", attempt.upstream.encode("latin-1")))
+        if attempt.workspace:
+            result.append((b"Tenant-Id", attempt.workspace.encode("latin-1")))
+        if attempt.model:
+            result.append((b"Model", attempt.model.encode("latin-1")))
+        if attempt.last_event:
+            value = attempt.last_event.encode("latin-1")
+            result.append((b"Last-Event-Id", value))
+        if attempt.priority is not None:
+            result.append((b"Request-Priority", b"%d" % attempt.priority))
+        if body_bytes is not None:
+            result.append((b"Content-Length", b"%d" % body_bytes))
+        return result
+
+    def decode_answer(
+        self, status: int, headers: dialect.Headers
+    ) -> forwarding.AnswerHead:
+        """Decodes the head of an upstream's answer."""
+        fields = _index(headers)
+        confidence = _read_number(fields.get(b"hint-confidence"))
+        idle = _KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))
+        cold_ms = _read_number(fields.get(b"cold-remaining"))
+        return forwarding.AnswerHead(
+            status=status,
+            request_id=fields.get(b"request-id", b"").decode("latin-1"),
+            sealed=b"response-seal" in fields,
+            not_run=b"not-executed" in fields or status == 421,
+            misdirected=status == 421,
+            encoded=b"content-encoding" in fields,
+            confidence=None if confidence is None else int(confidence),
+            load=_read_load(fields.get(b"replica-load")),
+            idle_s=float(idle[1]) if idle else None,
+            cold_s=None if cold_ms is None else cold_ms / 1000,
+        )
+
+    def encode_failure(
+        self, request_id: str, failure: failures.Failure
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of an answer of our own."""
+        headers = []
+        if request_id:
+            headers.append((b"Request-Id", request_id.encode("latin-1")))
+        if failure.retry_after_s is not None:
+            value = f"{failure.retry_after_s:.3f}".encode()
+            headers.append((b"Retry-After", value))
+        return headers
+
+
+def _index(headers: dialect.Headers) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in headers}
+
+
+def _list_connection_options(headers: dialect.Headers) -> frozenset[bytes]:
+    """Returns the names of headers that concern one connection only."""
+    names: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() != b"connection":
+            continue
+        names.update(option.strip().lower() for option in value.split(b","))
+    return frozenset(names)
+
+
+def _read_number(value: bytes | None) -> float | None:
+    try:
+        number = float(value or b"")
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
+def _read_key(value: bytes) -> str:
+    scheme, _, key = value.decode("latin-1").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _read_parts(value: bytes) -> tuple[forwarding.PromptPart, ...]:
+    parts = []
+    for entry in value.decode("latin-1").split(","):
+        identity, separator, tokens = entry.strip().partition(":")
+        if separator and tokens.isdigit():
+            parts.append(forwarding.PromptPart(identity, int(tokens)))
+    return tuple(parts)
+
+
+def _read_load(value: bytes | None) -> forwarding.Load | None:
+    figures = (value or b"").split(b",")
+    if len(figures) != 3 or not all(f.strip().isdigit() for f in figures):
+        return None
+    running, waiting, slots = (int(figure) for figure in figures)
+    return forwarding.Load(running, waiting, slots)
--- /dev/null
+++ b/sycamorehollow/platform/documents.py
@@ -0,0 +1,262 @@
+"""Values in the platform's store, decoded into the product's types."""
+
+import json
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+
+CONFIGURATION_KEY = "op/config"
+ROLLOUT_PREFIX = "op/rollout/"
+EVACUATION_PREFIX = "op/evacuate/"
+UPSTREAM_PREFIX = "servers/"
+STATUS_PREFIX = "status/rollout/"
+NODE_PREFIX = "nodes/"
+
+_KINDS = {
+    "safe": forwarding.Repeatability.SAFE,
+    "unsafe": forwarding.Repeatability.UNSAFE,
+    "streaming": forwarding.Repeatability.STREAM,
+}
+_STATES = {"ready": False, "draining": True}
+
+_Count = Annotated[int, pydantic.Field(strict=True, ge=0)]
+_Number = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+_Name = Annotated[str, pydantic.Field(strict=True, min_length=1)]
+
+
+class _Share(pydantic.BaseModel):
+    service: _Name
+    weight: _Number
+
+
+class _Route(pydantic.BaseModel):
+    name: _Name
+    host: _Name
+    pathPrefix: _Name  # noqa: N815
+    kind: _Name
+    timeoutMs: _Number  # noqa: N815
+    targetLatencyMs: _Number = 0  # noqa: N815
+    priority: int = 5
+    service: str = ""
+    trafficSplit: list[_Share] = []  # noqa: N815
+    maxAttempts: int = pydantic.Field(1, ge=1)  # noqa: N815
+    authExempt: bool = False  # noqa: N815
+    sessionAffinity: bool = False  # noqa: N815
+    streamResumption: bool = False  # noqa: N815
+    targetGapMs: _Number = 0  # noqa: N815
+    sizes: list[_Name] = []
+
+
+class _Model(pydantic.BaseModel):
+    name: _Name
+    cost: _Number = 0
+
+
+class _Engine(pydantic.BaseModel):
+    slots: _Count
+    kvCapacity: _Count  # noqa: N815
+    models: list[_Model] = []
+
+
+class _Service(pydantic.BaseModel):
+    name: _Name
+    healthCheckPath: str = ""  # noqa: N815
+    maxConnections: _Count = 0  # noqa: N815
+    coldPerS: _Number = 0  # noqa: N815
+    engine: _Engine | None = None
+
+
+class _Limits(pydantic.BaseModel):
+    maxHeaderBytes: _Count = 16384  # noqa: N815
+    maxBodyBytes: _Count = 4 << 20  # noqa: N815
+    headerTimeoutMs: _Number = 3000  # noqa: N815
+    idleTimeoutMs: _Number = 15000  # noqa: N815
+
+
+class _Tenant(pydantic.BaseModel):
+    name: _Name
+    apiKeys: list[str] = []  # noqa: N815
+    priority: int | None = None
+
+
+class _Configuration(pydantic.BaseModel):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+class _Entry(pydantic.BaseModel):
+    service: _Name
+    address: _Name
+    zone: _Name
+    version: str = pydantic.Field(strict=True)
+    slots: _Count
+    state: _Name
+    # Milliseconds left when the entry was written, not a point in time.
+    coldRemainingMs: _Number = 0  # noqa: N815
+    born: int = 0
+    models: list[_Model] = []
+
+
+class _Rollout(pydantic.BaseModel):
+    service: _Name
+    # A version of the service's software, not an address.
+    target: _Name
+    durationS: _Number = 0  # noqa: N815
+
+
+class _Status(pydantic.BaseModel):
+    target: _Name
+    state: _Name
+
+
+def decode_configuration(
+    text: str,
+) -> forwarding.Configuration | failures.InvalidRequest:
+    """Decodes the whole configuration."""
+    document = _decode(_Configuration, text)
+    if isinstance(document, failures.InvalidRequest):
+        return document
+    unknown = {route.kind for route in document.routes} - set(_KINDS)
+    if unknown:
+        return failures.InvalidRequest(f"unknown kinds of routes: {unknown}")
+    limits = document.limits
+    return forwarding.Configuration(
+        version=document.version,
+        routes=tuple(_read_route(route) for route in document.routes),
+        services={s.name: _read_service(s) for s in document.services},
+        limits=forwarding.CallerLimits(
+            limits.maxHeaderBytes,
+            limits.maxBodyBytes,
+            limits.headerTimeoutMs / 1000,
+            limits.idleTimeoutMs / 1000,
+        ),
+        workspaces=_read_workspaces(document.tenants),
+    )
+
+
+def decode_upstream(
+    key: str, text: str
+) -> forwarding.Upstream | failures.InvalidRequest:
+    """Decodes an upstream's entry; other writers may have left anything."""
+    entry = _decode(_Entry, text)
+    if isinstance(entry, failures.InvalidRequest):
+        return entry
+    host, _, port = entry.address.rpartition(":")
+    if entry.state not in _STATES or not host or not port.isdigit():
+        return failures.InvalidRequest("the entry names no state or address")
+    return forwarding.Upstream(
+        identity=key.removeprefix(UPSTREAM_PREFIX),
+        service=entry.service,
+        host=host,
+        port=int(port),
+        data_centre=entry.zone,
+        version=entry.version,
+        slots=entry.slots,
+        draining=_STATES[entry.state],
+        cold_s=entry.coldRemainingMs / 1000,
+        started_ms=entry.born,
+        models=tuple(model.name for model in entry.models),
+    )
+
+
+def decode_rollout(
+    text: str, revision: int
+) -> forwarding.RolloutOrder | failures.InvalidRequest:
+    """Decodes an operator's order."""
+    order = _decode(_Rollout, text)
+    if isinstance(order, failures.InvalidRequest):
+        return order
+    return forwarding.RolloutOrder(
+        order.service, order.target, order.durationS, revision
+    )
+
+
+def decode_status(
+    key: str, text: str, revision: int
+) -> forwarding.RolloutStatus | failures.InvalidRequest:
+    """Decodes what a process stated about a roll-out."""
+    status = _decode(_Status, text)
+    if isinstance(status, failures.InvalidRequest):
+        return status
+    try:
+        state = forwarding.RolloutState(status.state)
+    except ValueError:
+        return failures.InvalidRequest(f"unknown state {status.state!r}")
+    service = key.removeprefix(STATUS_PREFIX)
+    return forwarding.RolloutStatus(service, status.target, state, revision)
+
+
+def encode_status(target: str, state: forwarding.RolloutState) -> str:
+    """Returns the value that states how far a roll-out has come."""
+    return json.dumps({"state": state.value, "target": target})
+
+
+def _decode(kind: Any, text: str) -> Any:
+    try:
+        return kind.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        place = ".".join(str(part) for part in first["loc"])
+        return failures.InvalidRequest(f"{place}: {first['msg']}")
+
+
+def _read_route(route: _Route) -> forwarding.Route:
+    targets = tuple(
+        forwarding.Target(share.service, share.weight)
+        for share in route.trafficSplit
+        if share.weight > 0
+    )
+    if not targets and route.service:
+        targets = (forwarding.Target(route.service, 1.0),)
+    return forwarding.Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.pathPrefix,
+        kind=_KINDS[route.kind],
+        timeout_s=route.timeoutMs / 1000,
+        objective_s=route.targetLatencyMs / 1000,
+        priority=route.priority,
+        targets=targets,
+        max_attempts=route.maxAttempts,
+        open=route.authExempt,
+        resumable=route.streamResumption,
+        sticky=route.sessionAffinity,
+        models=tuple(route.sizes),
+        pause_s=route.targetGapMs / 1000,
+    )
+
+
+def _read_service(service: _Service) -> forwarding.Service:
+    return forwarding.Service(
+        name=service.name,
+        health_path=service.healthCheckPath,
+        max_connections=service.maxConnections,
+        cold_per_s=service.coldPerS,
+        engine=_read_engine(service.engine),
+    )
+
+
+def _read_engine(engine: _Engine | None) -> forwarding.Engine | None:
+    if engine is None:
+        return None
+    costs = {model.name: model.cost for model in engine.models}
+    return forwarding.Engine(engine.slots, engine.kvCapacity, costs)
+
+
+def _read_workspaces(
+    tenants: list[_Tenant] | None,
+) -> dict[str, forwarding.Workspace] | None:
+    if tenants is None:
+        return None
+    return {
+        key: forwarding.Workspace(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.apiKeys
+    }
--- /dev/null
+++ b/sycamorehollow/platform/feed.py
@@ -0,0 +1,88 @@
+"""Entries of the platform's store as news for the router."""
+
+from collections.abc import Sequence
+
+from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+from sycamorehollow.platform import documents
+from sycamorehollow.shells.gateway import feed
+
+
+class PlatformFeed(feed.Feed):
+    """Knows the platform's keys."""
+
+    def decode(self, entry: mirror.Entry) -> Sequence[events.Event]:
+        """Returns the news in an entry."""
+        key = entry.key
+        if key == documents.CONFIGURATION_KEY:
+            return self._decode_configuration(entry)
+        if key.startswith(documents.UPSTREAM_PREFIX):
+            return self._decode_upstream(entry)
+        if key.startswith(documents.ROLLOUT_PREFIX):
+            return self._decode_order(entry)
+        if key.startswith(documents.STATUS_PREFIX):
+            return self._decode_status(entry)
+        if key.startswith(documents.EVACUATION_PREFIX):
+            data_centre = key.removeprefix(documents.EVACUATION_PREFIX)
+            active = entry.value is not None
+            return [updates.EvacuationSet(data_centre, active)]
+        if key.startswith(documents.NODE_PREFIX) and entry.value is not None:
+            name = key.removeprefix(documents.NODE_PREFIX)
+            return [updates.NodeSet(name, entry.value)]
+        return []
+
+    def encode_status(
+        self, service: str, target: str, state: forwarding.RolloutState
+    ) -> feed.Item:
+        """Returns the entry that states how far a roll-out has come."""
+        return feed.Item(
+            documents.STATUS_PREFIX + service,
+            documents.encode_status(target, state),
+        )
+
+    def encode_node(self, name: str, peer_address: str) -> feed.Item:
+        """Returns the entry by which a node registers itself."""
+        return feed.Item(documents.NODE_PREFIX + name, peer_address)
+
+    def _decode_configuration(
+        self, entry: mirror.Entry
+    ) -> Sequence[events.Event]:
+        if entry.value is None:
+            return []
+        configuration = documents.decode_configuration(entry.value)
+        if isinstance(configuration, failures.Failure):
+            return [updates.Unreadable(entry.key, configuration.reason)]
+        return [updates.ConfigurationSet(configuration)]
+
+    def _decode_upstream(self, entry: mirror.Entry) -> Sequence[events.Event]:
+        identity = entry.key.removeprefix(documents.UPSTREAM_PREFIX)
+        if entry.value is None:
+            return [updates.UpstreamRemoved(identity)]
+        upstream = documents.decode_upstream(entry.key, entry.value)
+        if isinstance(upstream, failures.Failure):
+            # Another writer may have replaced the entry of an upstream.
+            return [
+                updates.Unreadable(entry.key, upstream.reason),
+                updates.UpstreamRemoved(identity),
+            ]
+        return [updates.UpstreamSet(upstream)]
+
+    def _decode_order(self, entry: mirror.Entry) -> Sequence[events.Event]:
+        if entry.value is None:
+            service = entry.key.removeprefix(documents.ROLLOUT_PREFIX)
+            return [updates.RolloutWithdrawn(service)]
+        order = documents.decode_rollout(entry.value, entry.revision)
+        if isinstance(order, failures.Failure):
+            return [updates.Unreadable(entry.key, order.reason)]
+        return [updates.RolloutOrdered(order)]
+
+    def _decode_status(self, entry: mirror.Entry) -> Sequence[events.Event]:
+        if entry.value is None:
+            return []
+        status = documents.decode_status(entry.key, entry.value, entry.revision)
+        if isinstance(status, failures.Failure):
+            return [updates.Unreadable(entry.key, status.reason)]
+        return [updates.RolloutStated(status)]
--- /dev/null
+++ b/sycamorehollow/platform/settings.py
@@ -0,0 +1,135 @@
+"""The settings file that the platform gives to a process."""
+
+from collections.abc import Mapping
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from sycamorehollow.settings import gateway
+from sycamorehollow.settings import process
+
+ENVIRONMENT_VARIABLE = "SYCAMOREHOLLOW_NODE_FILE"
+
+_Address = Annotated[str, pydantic.AfterValidator(process.check_address)]
+_Milliseconds = Annotated[float, pydantic.Field(ge=0)]
+
+
+class _Listen(pydantic.BaseModel):
+    front: _Address
+    ready: _Address
+
+
+class _Limits(pydantic.BaseModel):
+    memoryMb: float = pydantic.Field(gt=0)  # noqa: N815
+    maxFds: int = pydantic.Field(gt=0)  # noqa: N815
+
+
+class _Bounds(pydantic.BaseModel):
+    drainMs: _Milliseconds  # noqa: N815
+    graceS: float = pydantic.Field(gt=0)  # noqa: N815
+    retryBudgetRatio: float = pydantic.Field(ge=0)  # noqa: N815
+    budgetWindowS: float = pydantic.Field(gt=0)  # noqa: N815
+    # Not a minimum but a fixed addition to the ratio, over all nodes.
+    budgetMinRetries: float = pydantic.Field(ge=0)  # noqa: N815
+    exposeShare: float = pydantic.Field(1.0, gt=0, le=1)  # noqa: N815
+    exposeSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
+    coldOverage: float = pydantic.Field(1.0, gt=0)  # noqa: N815
+    coldSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
+    sessionS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
+    # Time within which reading a shared part of a prompt again is priced.
+    reuseWindowS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
+
+
+class _Platform(pydantic.BaseModel):
+    address: _Address
+
+
+class _File(pydantic.BaseModel):
+    nodeName: str = pydantic.Field(min_length=1)  # noqa: N815
+    ip: str
+    zone: str = pydantic.Field(min_length=1)
+    listen: _Listen
+    internalPortRange: tuple[int, int]  # noqa: N815
+    limits: _Limits
+    bounds: _Bounds
+    platform: _Platform
+
+    @pydantic.field_validator("internalPortRange", mode="before")
+    @classmethod
+    def _split_ports(cls, value: Any) -> Any:
+        return value.split(",") if isinstance(value, str) else value
+
+
+def read_settings(
+    path: pathlib.Path,
+) -> gateway.Settings | list[process.Fault]:
+    """Reads a settings file; unknown keys are ignored."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return [process.Fault("", "", str(path), f"cannot be read: {error}")]
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> gateway.Settings | list[process.Fault]:
+    """Parses lines of the form `a.b=value`."""
+    values: dict[str, str] = {}
+    for line in text.splitlines():
+        key, separator, value = line.strip().partition("=")
+        if separator:
+            values[key.strip()] = value.strip()
+    try:
+        return _convert(_File.model_validate(_nest(values)))
+    except pydantic.ValidationError as error:
+        return [_read_fault(values, entry) for entry in error.errors()]
+
+
+def _nest(values: Mapping[str, str]) -> dict[str, Any]:
+    tree: dict[str, Any] = {}
+    for key, value in values.items():
+        *branches, leaf = key.split(".")
+        place = tree
+        for branch in branches:
+            deeper = place.setdefault(branch, {})
+            if not isinstance(deeper, dict):
+                deeper = place[branch] = {}
+            place = deeper
+        place.setdefault(leaf, value)
+    return tree
+
+
+def _read_fault(values: Mapping[str, str], entry: Any) -> process.Fault:
+    key = ".".join(str(part) for part in entry["loc"])
+    message = str(entry["msg"]).removeprefix("Value error, ")
+    if entry["type"] == "missing":
+        message = "expected a value, it is missing"
+    section, _, name = key.rpartition(".")
+    return process.Fault(section, name, values.get(key, ""), message)
+
+
+def _convert(file: _File) -> gateway.Settings:
+    bounds = file.bounds
+    return gateway.Settings(
+        node=file.nodeName,
+        ip=file.ip,
+        data_centre=file.zone,
+        front=file.listen.front,
+        ready=file.listen.ready,
+        store=file.platform.address,
+        first_port=file.internalPortRange[0],
+        memory_bytes=int(file.limits.memoryMb * 1e6),
+        max_connections=file.limits.maxFds,
+        drain_s=bounds.drainMs / 1000,
+        grace_s=bounds.graceS,
+        retry_ratio=bounds.retryBudgetRatio,
+        retry_window_s=bounds.budgetWindowS,
+        retry_floor=bounds.budgetMinRetries,
+        exposure_share=bounds.exposeShare,
+        exposure_floor=bounds.exposeSlack,
+        cold_factor=bounds.coldOverage,
+        cold_floor=bounds.coldSlack,
+        session_s=bounds.sessionS,
+        reuse_s=bounds.reuseWindowS,
+    )
--- /dev/null
+++ b/sycamorehollow/platform/storeclient.py
@@ -0,0 +1,216 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+import json
+from typing import Any
+
+from sycamorehollow.model import failures
+from sycamorehollow.shells import storeclient
+from sycamorehollow.shells import stores
+
+
+class PlatformStore(storeclient.HttpStore):
+    """Calls the platform's store."""
+
+    def read(
+        self, key: str
+    ) -> stores.Found | stores.Absent | stores.CallFailure:
+        """Returns the value of a key."""
+        answer = self._call("GET", "/-/kv-key", {"key": key})
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 404:
+            return stores.Absent(key)
+        if answer.status != 200:
+            return _judge(answer)
+        return _read_item(answer.document)
+
+    def write(
+        self, key: str, value: str, expect: int | None, lease: str = ""
+    ) -> stores.Written | stores.Conflict | stores.CallFailure:
+        """Writes a value by compare-and-swap."""
+        entry: dict[str, Any] = {"key": key, "value": _encode(value)}
+        if lease:
+            entry["lease"] = int(lease)
+        return self._change(key, expect, {"writes": [entry]})
+
+    def delete(
+        self, key: str, expect: int | None = None
+    ) -> stores.Deleted | stores.Conflict | stores.CallFailure:
+        """Deletes a key, at any revision if `expect` is `None`."""
+        result = self._change(key, expect, {"remove": [key]})
+        if isinstance(result, stores.Written):
+            return stores.Deleted(key)
+        return result
+
+    def list_range(
+        self, prefix: str, allow_stale: bool = False
+    ) -> stores.Listing | stores.CallFailure:
+        """Returns all values whose keys start with a prefix."""
+        items: list[stores.Found] = []
+        revision: int | None = None
+        query: dict[str, Any] = {"pathPrefix": prefix}
+        if allow_stale:
+            query["allowStale"] = 1
+        while True:
+            answer = self._call("GET", "/-/kv-range", query)
+            if isinstance(answer, failures.Failure):
+                return answer
+            if answer.status != 200:
+                return _judge(answer)
+            try:
+                page = [_read_item(item) for item in answer.document["items"]]
+                at = int(answer.document["at"])
+                more = bool(answer.document.get("hasMore")) and bool(page)
+            except (KeyError, TypeError, ValueError):
+                return stores.InDoubt("the response of a range is malformed")
+            # Pages are taken one after the other; changes since the first one
+            # are found by a watch from its revision.
+            revision = at if revision is None else revision
+            for item in page:
+                if isinstance(item, failures.Failure):
+                    return item
+                items.append(item)
+            if not more:
+                return stores.Listing(tuple(items), revision)
+            query["after"] = items[-1].key
+
+    def watch(
+        self, prefix: str, after: int, timeout_s: float
+    ) -> stores.Changes | stores.HistoryGone | stores.CallFailure:
+        """Waits for changes under a prefix."""
+        query = {
+            "pathPrefix": prefix,
+            "after": after,
+            "waitMs": int(timeout_s * 1000),
+        }
+        limit_s = timeout_s + storeclient.WATCH_MARGIN_S
+        answer = self._call("GET", "/-/kv-watch", query, limit_s=limit_s)
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 410:
+            return stores.HistoryGone(f"no changes after revision {after}")
+        if answer.status != 200:
+            return _judge(answer)
+        try:
+            changes = [_read_change(e) for e in answer.document["events"]]
+            return stores.Changes(tuple(changes), int(answer.document["at"]))
+        except (KeyError, TypeError, ValueError):
+            return stores.InDoubt("the response of a watch is malformed")
+
+    def grant_lease(self, ttl_s: float) -> stores.Lease | stores.CallFailure:
+        """Creates a lease that ends after `ttl_s` seconds unless renewed."""
+        answer = self._call(
+            "POST", "/-/kv-lease", body={"ttlMs": int(ttl_s * 1000)}
+        )
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status != 200 or "lease" not in answer.document:
+            return _judge(answer)
+        granted_s = float(answer.document.get("ttlMs", ttl_s * 1000)) / 1000
+        return stores.Lease(str(answer.document["lease"]), granted_s)
+
+    def renew_lease(
+        self, lease: str
+    ) -> stores.Lease | stores.LeaseGone | stores.CallFailure:
+        """Starts the lifetime of a lease afresh."""
+        answer = self._call("POST", f"/-/kv-keep/{lease}")
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 404:
+            return stores.LeaseGone(f"the lease {lease} has ended")
+        if answer.status != 200:
+            return _judge(answer)
+        return stores.Lease(lease, float(answer.document["ttlMs"]) / 1000)
+
+    def release_lease(
+        self, lease: str
+    ) -> stores.Released | stores.LeaseGone | stores.CallFailure:
+        """Ends a lease and deletes the values that are tied to it."""
+        answer = self._call("DELETE", f"/-/kv-lease-end/{lease}")
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 404:
+            return stores.LeaseGone(f"the lease {lease} has ended")
+        if answer.status != 200:
+            return _judge(answer)
+        return stores.Released(lease)
+
+    def _change(
+        self, key: str, expect: int | None, change: dict[str, Any]
+    ) -> stores.Written | stores.Conflict | stores.CallFailure:
+        body = {"expectedRevision": [], "writes": [], "remove": []} | change
+        if expect is not None:
+            body["expectedRevision"] = [{"key": key, "revision": expect}]
+        answer = self._call("POST", "/-/kv-txn", body=body)
+        if isinstance(answer, failures.Failure):
+            return answer
+        if answer.status == 412:
+            return _read_conflict(key, answer)
+        if answer.status == 404:
+            return stores.Conflict(f"the lease of {key} has ended")
+        if answer.status != 200:
+            return _judge(answer)
+        try:
+            return stores.Written(int(answer.document["revision"]))
+        except (KeyError, TypeError, ValueError):
+            return stores.InDoubt("the response of a write has no revision")
+
+
+def _judge(answer: storeclient.Response) -> stores.RateLimited | stores.InDoubt:
+    """Returns the failure of a response that is no success."""
+    reason = f"the store answered {answer.status}"
+    if answer.status == 503 or 400 <= answer.status < 500:
+        return stores.RateLimited(reason, retry_after_s=answer.retry_after_s)
+    return stores.InDoubt(reason, retry_after_s=answer.retry_after_s)
+
+
+def _encode(value: str) -> str:
+    data = value.encode("utf-8", errors="surrogateescape")
+    return base64.b64encode(data).decode("ascii")
+
+
+def _decode(value: str) -> str:
+    """Returns a value as text; bytes that are no UTF-8 are kept as escapes."""
+    try:
+        data = base64.b64decode(value, validate=True)
+    except binascii.Error:
+        # The reader of the value finds it unreadable and logs it.
+        return value
+    return data.decode("utf-8", errors="surrogateescape")
+
+
+def _read_item(item: Any) -> stores.Found | stores.InDoubt:
+    try:
+        return stores.Found(
+            str(item["key"]), _decode(item["value"]), int(item["revision"])
+        )
+    except (KeyError, TypeError, ValueError):
+        return stores.InDoubt(f"malformed item {json.dumps(item)[:200]}")
+
+
+def _read_change(event: Any) -> stores.Change:
+    revision = int(event["revision"])
+    if event.get("deleted"):
+        return stores.Change(str(event["key"]), None, revision)
+    return stores.Change(str(event["key"]), _decode(event["value"]), revision)
+
+
+def _read_conflict(
+    key: str, answer: storeclient.Response
+) -> stores.Conflict | stores.InDoubt:
+    try:
+        for item in answer.document["items"]:
+            if item.get("key") != key:
+                continue
+            revision = int(item.get("revision", 0))
+            value = item.get("value")
+            return stores.Conflict(
+                f"{key} is at revision {revision}",
+                revision=revision,
+                value=_decode(value) if isinstance(value, str) else None,
+            )
+    except (KeyError, TypeError, ValueError):
+        return stores.InDoubt("the response of a conflict is malformed")
+    return stores.Conflict(f"{key} has no value")
--- /dev/null
+++ b/sycamorehollow/settings/gateway.py
@@ -0,0 +1,64 @@
+"""Settings of a gateway process, whatever file they come from."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Settings of a gateway process; shares and floors are for all nodes.
+
+    Attributes:
+        node: Name of the VM.
+        ip: Own IP address.
+        data_centre: Data centre of the VM.
+        front: Address and port for callers.
+        ready: Address and port of the readiness check.
+        store: Address and port of the platform's store.
+        first_port: Start of the ports for use between processes: peers, and
+            the one after it for metrics.
+        memory_bytes: Memory at which the process is killed.
+        max_connections: Descriptors of the process.
+        drain_s: Seconds after which a leaving upstream gets no request.
+        grace_s: Seconds from SIGTERM to SIGKILL.
+        retry_ratio: Repeats per fresh request of a service.
+        retry_window_s: Window of the ratio in seconds.
+        retry_floor: Repeats in a window beyond the ratio.
+        exposure_share: Part of a service's requests that a faulty new
+            version may get.
+        exposure_floor: Requests that it may get beyond the part.
+        cold_factor: Tolerated excess over the rate of a cold upstream.
+        cold_floor: Requests per second beyond that.
+        session_s: Seconds for which a session is kept on its version.
+        reuse_s: Seconds for which a prompt's parts are worth reusing.
+    """
+
+    node: str
+    ip: str
+    data_centre: str
+    front: str
+    ready: str
+    store: str
+    first_port: int
+    memory_bytes: int
+    max_connections: int
+    drain_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_floor: float
+    exposure_share: float
+    exposure_floor: float
+    cold_factor: float
+    cold_floor: float
+    session_s: float
+    reuse_s: float
+
+    @property
+    def peer_address(self) -> str:
+        """Address and port that peers call."""
+        return f"{self.ip}:{self.first_port}"
+
+    @property
+    def metrics_port(self) -> int:
+        """Port of the metrics page."""
+        return self.first_port + 1
--- a/sycamorehollow/settings/process.py
+++ b/sycamorehollow/settings/process.py
@@ -40,7 +40,12 @@
         return f"{place} = {self.value!r}: {self.expectation}"
 
 
-def _check_address(value: str) -> str:
+def check_address(value: str) -> str:
+    """Returns an address that has an IP address and a port.
+
+    Raises:
+        ValueError: If it has not.
+    """
     host, _, port = value.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
@@ -87,7 +92,7 @@
     return keys
 
 
-Address: TypeAlias = Annotated[str, pydantic.AfterValidator(_check_address)]
+Address: TypeAlias = Annotated[str, pydantic.AfterValidator(check_address)]
 Url: TypeAlias = Annotated[str, pydantic.AfterValidator(_check_url)]
 Name: TypeAlias = Annotated[str, pydantic.Field(min_length=1)]
 
--- /dev/null
+++ b/sycamorehollow/shells/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: forwards requests by route to upstreams."""
--- /dev/null
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -0,0 +1,229 @@
+"""The tasks of a gateway process and its life from start to end."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import time
+
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.model import forwarding
+from sycamorehollow.settings import gateway
+from sycamorehollow.settings import process
+from sycamorehollow.shells import peers
+from sycamorehollow.shells import stores
+from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import feed
+from sycamorehollow.shells.gateway import forwarder
+from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import knowledge
+from sycamorehollow.shells.gateway import store_tasks
+from sycamorehollow.shells.gateway import upstream_connections
+
+# Time in which the load balancer notices that the node is not ready; requests
+# are still served meanwhile.
+UNREADY_S = 2.5
+# Time before SIGKILL at which the process ends by itself.
+END_MARGIN_S = 0.4
+SETTINGS_CHECK_S = 1.0
+BACKLOG = 512
+
+
+@dataclasses.dataclass(frozen=True)
+class Adapter:
+    """What connects the gateway to a platform.
+
+    Attributes:
+        read_settings: Reads the settings file again.
+        settings_path: The settings file, to notice when it changes.
+    """
+
+    spelling: dialect.Dialect
+    codec: feed.Feed
+    store: stores.Store
+    read_settings: Callable[[], gateway.Settings | list[process.Fault]]
+    settings_path: pathlib.Path
+
+
+class Gateway:
+    """One gateway process.
+
+    Args:
+        settings: Settings of the process.
+        adapter: Connects it to the platform.
+    """
+
+    def __init__(self, settings: gateway.Settings, adapter: Adapter):
+        self._settings = settings
+        self._adapter = adapter
+        self._journal = journal.Journal()
+        source = random.Random()
+        self._source = source
+        self._router = routers.Router(settings, source)
+        self._pool = upstream_connections.ConnectionPool(
+            adapter.spelling.decode_answer
+        )
+        self._forwarder = forwarder.Forwarder(
+            self._router, adapter.spelling, self._pool, self._journal
+        )
+        self._connections: set[caller_connections.CallerConnection] = set()
+        self._checks: set[caller_connections.CallerConnection] = set()
+        self._knowledge: knowledge.Knowledge | None = None
+        self._draining = False
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then drains and ends."""
+        loop = asyncio.get_running_loop()
+        ended = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, ended.set)
+        loop.add_signal_handler(signal.SIGINT, ended.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._start_knowledge()
+        servers = [
+            await self._listen(
+                self._settings.front, self._forwarder.handle, self._connections
+            ),
+            await self._listen(
+                self._settings.ready, self._answer_ready, self._checks
+            ),
+            await self._listen(
+                f"{self._settings.ip}:{self._settings.metrics_port}",
+                self._answer_metrics,
+                self._checks,
+            ),
+        ]
+        self._journal.note_event(
+            "started node={} data_centre={} front={}",
+            self._settings.node,
+            self._settings.data_centre,
+            self._settings.front,
+        )
+        upkeep = loop.create_task(self._keep_up())
+        await ended.wait()
+        await self._drain()
+        upkeep.cancel()
+        for server in servers:
+            server.close()
+        self._journal.note_event("stopped node={}", self._settings.node)
+
+    def _start_knowledge(self) -> None:
+        known = knowledge.Knowledge(
+            self._settings,
+            self._router,
+            self._adapter.codec,
+            self._journal,
+            self._source,
+        )
+        self._knowledge = known
+        store = self._adapter.store
+        writer = store_tasks.WriteTask(store, known.deliver)
+        peer_task = peers.PeerTask(self._settings.peer_address, known.deliver)
+        known.connect(writer, peer_task)
+        try:
+            peer_task.start()
+        except OSError as error:
+            # Without peers the node still learns everything from the store.
+            self._journal.note_event("peers cannot be served: {}", error)
+        writer.start()
+        store_tasks.WatchTask(store, known.deliver, self._source).start()
+
+    async def _listen(
+        self,
+        address: str,
+        handler: caller_connections.Handler,
+        registry: set[caller_connections.CallerConnection],
+    ) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+        return await asyncio.get_running_loop().create_server(
+            lambda: caller_connections.CallerConnection(
+                handler, self._get_limits, registry
+            ),
+            host,
+            int(port),
+            backlog=BACKLOG,
+        )
+
+    def _get_limits(self) -> forwarding.CallerLimits:
+        table = self._router.table
+        if table is None:
+            return forwarding.CallerLimits()
+        return table.configuration.limits
+
+    async def _answer_ready(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.Request,
+    ) -> None:
+        known = self._knowledge
+        ready = not self._draining and known is not None and known.is_ready
+        await forwarder.write_whole(
+            connection, 200 if ready else 503, [], b"", request.keep_alive
+        )
+
+    async def _answer_metrics(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.Request,
+    ) -> None:
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await forwarder.write_whole(
+            connection, 200, headers, self._journal.render(), False
+        )
+
+    async def _keep_up(self) -> None:
+        """Does the periodic work."""
+        changed_at = self._read_change_time()
+        next_check = time.monotonic() + SETTINGS_CHECK_S
+        while True:
+            await asyncio.sleep(knowledge.TICK_S)
+            assert self._knowledge is not None
+            self._knowledge.tick()
+            self._pool.close_expired()
+            if time.monotonic() < next_check:
+                continue
+            next_check = time.monotonic() + SETTINGS_CHECK_S
+            latest = self._read_change_time()
+            if latest != changed_at:
+                changed_at = latest
+                self._reload()
+
+    def _read_change_time(self) -> float:
+        with contextlib.suppress(FileNotFoundError):
+            return self._adapter.settings_path.stat().st_mtime
+        # The file is being replaced; the next look finds it.
+        return 0.0
+
+    def _reload(self) -> None:
+        """Takes changed settings; what a socket is bound to stays."""
+        settings = self._adapter.read_settings()
+        if isinstance(settings, list):
+            for fault in settings:
+                self._journal.note_event("settings rejected: {}", fault)
+            return
+        if settings != self._settings:
+            self._settings = settings
+            self._router.configure(settings)
+        self._journal.note_event("settings reloaded")
+
+    async def _drain(self) -> None:
+        """Lets requests end and takes no new ones after a while."""
+        started = time.monotonic()
+        end = started + self._settings.grace_s - END_MARGIN_S
+        self._draining = True
+        self._journal.note_event(
+            "draining, {} connections", len(self._connections)
+        )
+        while time.monotonic() < end:
+            passed = time.monotonic() - started
+            self._forwarder.refusing = passed >= UNREADY_S
+            for connection in list(self._connections):
+                connection.leaving = True
+                if self._forwarder.refusing:
+                    connection.close_when_idle()
+            if passed >= UNREADY_S and not self._connections:
+                break
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -0,0 +1,309 @@
+"""HTTP server side: requests of callers and the writing of answers."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+import httptools
+
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import upstream_connections
+
+# Requests that a caller may send ahead of their answers.
+MAX_AHEAD = 8
+# Bytes of an answer that wait for a slow caller before its upstream does.
+WRITE_AHEAD_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass
+class Request:
+    """A whole request of a caller.
+
+    Attributes:
+        fault: Status of the refusal for a request that cannot be read.
+    """
+
+    method: str = ""
+    target: bytes = b""
+    headers: list[tuple[bytes, bytes]] = dataclasses.field(default_factory=list)
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+    has_body: bool = False
+    keep_alive: bool = True
+    fault: int = 0
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+Handler = Callable[["CallerConnection", Request], Awaitable[None]]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller; its requests are handled in order.
+
+    Args:
+        handler: Answers a request.
+        get_limits: Returns the limits in force.
+        registry: The open connections; the connection adds itself.
+
+    Attributes:
+        closing: Whether it closes after the requests that were read.
+        leaving: Whether its next answer is its last one.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        get_limits: Callable[[], forwarding.CallerLimits],
+        registry: set["CallerConnection"],
+    ):
+        self.closing = False
+        self.leaving = False
+        self._handler = handler
+        self._get_limits = get_limits
+        self._registry = registry
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._request: Request | None = None
+        self._head_bytes = 0
+        self._waiting: collections.deque[Request] = collections.deque()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._gone = False
+        self._chunked = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self._task is not None or self._request is not None
+
+    def close_when_idle(self) -> None:
+        """Closes after the answers to all requests that were read."""
+        self.closing = True
+        if not self.busy and self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Ends the connection at once, also amid an answer."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def write_head(
+        self,
+        status: int,
+        reason: bytes,
+        headers: dialect.Headers,
+        length: int | None,
+        keep_alive: bool,
+    ) -> None:
+        """Writes the head of an answer; without a length it is chunked."""
+        self._chunked = length is None
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
+        lines.extend(b"%s: %s\r\n" % pair for pair in headers)
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        else:
+            lines.append(b"Content-Length: %d\r\n" % length)
+        if not keep_alive or self.closing or self.leaving:
+            self.closing = True
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        await self._write(b"".join(lines))
+
+    async def write_body(self, data: bytes) -> None:
+        """Writes a piece of the body.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        await self._write(data)
+
+    async def write_end(self) -> None:
+        """Ends the body."""
+        if self._chunked:
+            await self._write(b"0\r\n\r\n")
+
+    async def _write(self, data: bytes) -> None:
+        if self._gone or self._transport is None:
+            raise CallerGoneError
+        self._transport.write(data)
+        await self._can_write.wait()
+        if self._gone:
+            raise CallerGoneError
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to wait for a request."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(WRITE_AHEAD_BYTES)
+        upstream_connections.set_options(transport)
+        self._registry.add(self)
+        self._set_timer(self._get_limits().idle_timeout_s)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Ends the request whose caller has left."""
+        self._gone = True
+        self._registry.discard(self)
+        self._can_write.set()
+        self._clear_timer()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Takes a caller that stops sending for one that has left."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Makes writers wait for a slow caller."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Lets writers go on."""
+        self._can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses a piece of a request."""
+        if self._request is None or not self._request.method:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(400)
+        except httptools.HttpParserError:
+            self._fail(400)
+        request = self._request
+        if request is not None and not request.method:
+            if self._head_bytes > self._get_limits().header_bytes:
+                self._fail(431)
+
+    def on_message_begin(self) -> None:
+        """Starts the next request."""
+        self._request = Request()
+        self._head_bytes = 0
+        self._set_timer(self._get_limits().header_timeout_s)
+
+    def on_url(self, url: bytes) -> None:
+        """Keeps the request target."""
+        if self._request is not None:
+            self._request.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps one header."""
+        if self._request is not None:
+            self._request.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Checks how the body is framed."""
+        request = self._request
+        if request is None:
+            return
+        request.method = self._parser.get_method().decode("ascii")
+        request.keep_alive = self._parser.should_keep_alive()
+        fields = [(n.lower(), v.lower()) for n, v in request.headers]
+        lengths = [value for name, value in fields if name == b"content-length"]
+        codings = [v for n, v in fields if n == b"transfer-encoding"]
+        request.has_body = bool(lengths or codings)
+        size = sum(len(n) + len(v) + 4 for n, v in request.headers)
+        limits = self._get_limits()
+        if size + len(request.target) > limits.header_bytes:
+            request.fault = 431
+        if len(lengths) + len(codings) > 1 or codings not in ([], [b"chunked"]):
+            request.fault = 400
+        if lengths and lengths[0].isdigit():
+            if int(lengths[0]) > limits.body_bytes:
+                request.fault = 413
+        if request.fault:
+            self._fail(request.fault)
+            return
+        if (b"expect", b"100-continue") in fields and self._transport:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Keeps a piece of the body."""
+        request = self._request
+        if request is None:
+            return
+        request.body += data
+        if len(request.body) > self._get_limits().body_bytes:
+            self._fail(413)
+
+    def on_message_complete(self) -> None:
+        """Queues a whole request."""
+        request = self._request
+        self._request = None
+        self._head_bytes = 0
+        if request is None or self.closing and not self._accepts_late():
+            return
+        self._enqueue(request)
+
+    def _accepts_late(self) -> bool:
+        """A request that crossed our close is answered all the same."""
+        return not self._gone
+
+    def _fail(self, status: int) -> None:
+        """Refuses what cannot be read and closes afterwards."""
+        self._request = None
+        if self.closing and self._waiting:
+            return
+        self.closing = True
+        self._enqueue(Request(fault=status, keep_alive=False))
+        if self._transport is not None:
+            # What follows cannot be told apart from the faulty request.
+            self._transport.pause_reading()
+
+    def _enqueue(self, request: Request) -> None:
+        self._clear_timer()
+        self._waiting.append(request)
+        if len(self._waiting) > MAX_AHEAD and self._transport is not None:
+            self._transport.pause_reading()
+        if self._task is None and not self._gone:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        try:
+            while self._waiting:
+                request = self._waiting.popleft()
+                await self._handler(self, request)
+                if not request.keep_alive:
+                    self.closing = True
+                if self.closing and not self._waiting:
+                    break
+        except CallerGoneError:
+            return
+        finally:
+            self._task = None
+        if self._transport is None or self._gone:
+            return
+        if self.closing:
+            self._transport.close()
+            return
+        self._transport.resume_reading()
+        if self._request is None:
+            self._set_timer(self._get_limits().idle_timeout_s)
+
+    def _set_timer(self, seconds: float) -> None:
+        self._clear_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._expire)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        """Closes a connection that is idle, or too slow with its head."""
+        request = self._request
+        if request is not None and request.method:
+            # The head is in; the body has as long as the caller waits.
+            return
+        if self._task is None and self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/sycamorehollow/shells/gateway/dialect.py
@@ -0,0 +1,83 @@
+"""How requests and answers are spelled on the wire."""
+
+import abc
+from collections.abc import Sequence
+import dataclasses
+
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+
+# Name and value as received; the order and case are kept.
+Headers = Sequence[tuple[bytes, bytes]]
+
+# Headers that concern one connection or how a body is framed on it.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """What is told to an upstream beside the caller's own request.
+
+    Attributes:
+        upstream: Identity of the upstream that is meant.
+        workspace: Owner of the API key; empty for an open route.
+        left_s: Seconds until the answer is of no use.
+        model: Model to run; empty to leave the caller's.
+        priority: 0 to 9, where 0 is the most urgent; `None` to say nothing.
+        last_event: Event after which a stream goes on; empty for its start.
+    """
+
+    upstream: str
+    workspace: str
+    left_s: float
+    model: str = ""
+    priority: int | None = None
+    last_event: str = ""
+
+
+class Dialect(abc.ABC):
+    """Translates between headers and the product's types."""
+
+    @abc.abstractmethod
+    def decode_call(
+        self, method: str, target: str, headers: Headers
+    ) -> forwarding.Call | failures.InvalidRequest:
+        """Decodes the head of a caller's request."""
+
+    @abc.abstractmethod
+    def encode_attempt(
+        self, headers: Headers, body_bytes: int | None, attempt: Attempt
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers for an upstream.
+
+        Args:
+            headers: The caller's headers.
+            body_bytes: Length of the body; `None` for a request without one.
+            attempt: What the upstream is told.
+        """
+
+    @abc.abstractmethod
+    def decode_answer(
+        self, status: int, headers: Headers
+    ) -> forwarding.AnswerHead:
+        """Decodes the head of an upstream's answer."""
+
+    @abc.abstractmethod
+    def encode_failure(
+        self, request_id: str, failure: failures.Failure
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of an answer of our own."""
--- /dev/null
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -0,0 +1,409 @@
+"""Carries out the course of each request between caller and upstream."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hashlib
+import time
+
+from sycamorehollow.decisions.forwarding import course as courses
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import events
+from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import upstream_connections
+
+# Whole answers up to this size are read before the caller gets any of it, so
+# that one that breaks off can be replaced.
+WHOLE_ANSWER_BYTES = 64 * 1024
+# Time after which a request that came before the configuration may succeed.
+STARTING_RETRY_S = 0.5
+# Time after which another node takes requests of a node that is draining.
+DRAINING_RETRY_S = 0.05
+
+
+class GaveUpError(Exception):
+    """The upstream took too long."""
+
+
+class Forwarder:
+    """Answers requests of callers.
+
+    Args:
+        router: What the node knows.
+        spelling: How requests and answers are spelled.
+        pool: Connections to upstreams.
+        log: Takes one record for each request.
+
+    Attributes:
+        refusing: Whether new requests are refused because the node leaves.
+    """
+
+    def __init__(
+        self,
+        router: routers.Router,
+        spelling: dialect.Dialect,
+        pool: upstream_connections.ConnectionPool,
+        log: journal.Journal,
+    ):
+        self.refusing = False
+        self._router = router
+        self._dialect = spelling
+        self._pool = pool
+        self._journal = log
+
+    async def handle(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.Request,
+    ) -> None:
+        """Answers one request."""
+        started = time.monotonic()
+        if request.fault:
+            await self._refuse_unread(connection, request.fault)
+            return
+        target = request.target.decode("latin-1")
+        call = self._dialect.decode_call(
+            request.method, target, request.headers
+        )
+        record = journal.Record(started)
+        if isinstance(call, failures.Failure):
+            await self._refuse(connection, request, "", call, record)
+            return
+        record.request_id = call.request_id
+        course = self._admit(call, request, record, started)
+        if isinstance(course, failures.Failure):
+            await self._refuse(
+                connection, request, call.request_id, course, record
+            )
+            return
+        exchange = _Exchange(
+            connection, request, course, record, self._dialect, self._pool
+        )
+        try:
+            failure = await exchange.run()
+        except (asyncio.CancelledError, caller_connections.CallerGoneError):
+            record.outcome = "caller left"
+            self._journal.note_request(record, course)
+            raise
+        if failure is None:
+            self._journal.note_request(record, course)
+            return
+        if course.delivering:
+            # Without its end the caller cannot take the answer for whole.
+            record.outcome = f"cut: {failure.reason}"
+            connection.abort()
+            self._journal.note_request(record, course)
+            return
+        await self._refuse(
+            connection, request, call.request_id, failure, record, course
+        )
+
+    def _admit(
+        self,
+        call: forwarding.Call,
+        request: caller_connections.Request,
+        record: journal.Record,
+        now: float,
+    ) -> courses.Course | failures.Failure:
+        """Finds the route and service of a request."""
+        table = self._router.table
+        if table is None:
+            return courses.Unavailable(
+                "no configuration is known yet",
+                retry_after_s=STARTING_RETRY_S,
+            )
+        if self.refusing:
+            return courses.Unavailable(
+                "the node is leaving", retry_after_s=DRAINING_RETRY_S
+            )
+        record.version = table.configuration.version
+        route = table.find(call)
+        if isinstance(route, failures.Failure):
+            return route
+        record.route = route.name
+        workspace = table.authorize(call, route)
+        if isinstance(workspace, failures.Failure):
+            return workspace
+        record.workspace = workspace
+        service = table.choose_service(route, self._router.source)
+        if isinstance(service, failures.Failure):
+            return service
+        record.service = service.name
+        fingerprint = compute_fingerprint(call, workspace, request)
+        return courses.Course(
+            self._router, call, route, service, fingerprint, now
+        )
+
+    async def _refuse(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.Request,
+        request_id: str,
+        failure: failures.Failure,
+        record: journal.Record,
+        course: courses.Course | None = None,
+    ) -> None:
+        """Writes an answer of our own."""
+        record.outcome = f"{failure.code}: {failure.reason}"
+        record.status = failure.status
+        self._journal.note_request(record, course)
+        headers = self._dialect.encode_failure(request_id, failure)
+        keep_alive = request.keep_alive and not self.refusing
+        await write_whole(
+            connection,
+            failure.status,
+            headers,
+            failure.reason.encode("utf-8"),
+            keep_alive,
+        )
+
+    async def _refuse_unread(
+        self, connection: caller_connections.CallerConnection, status: int
+    ) -> None:
+        """Refuses what could not be read as a request."""
+        self._journal.note_unread(status)
+        await write_whole(connection, status, [], b"", False)
+
+
+class _Exchange:
+    """One request with its attempts."""
+
+    def __init__(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.Request,
+        course: courses.Course,
+        record: journal.Record,
+        spelling: dialect.Dialect,
+        pool: upstream_connections.ConnectionPool,
+    ):
+        self._connection = connection
+        self._request = request
+        self._course = course
+        self._record = record
+        self._dialect = spelling
+        self._pool = pool
+
+    async def run(self) -> failures.Failure | None:
+        """Tries until the answer is delivered or nothing more may be tried.
+
+        Returns:
+            `None` after a whole answer.
+        """
+        while True:
+            step = self._course.find_step(time.monotonic())
+            if isinstance(step, courses.Refuse):
+                return step.failure
+            if isinstance(step, courses.Wait):
+                await asyncio.sleep(step.seconds)
+                continue
+            if await self._attempt(step):
+                self._course.note_end()
+                return None
+
+    async def _attempt(self, step: courses.Send) -> bool:
+        """Makes one attempt; returns whether the answer was delivered."""
+        upstream = step.state.upstream
+        step.state.running += 1
+        connection = None
+        try:
+            connection = await self._pool.take(
+                upstream, self._course.route.repeatable
+            )
+            connection.send(self._course.call.request_id, self._format(step))
+            head = await self._wait_for(connection.read_head)
+            verdict = self._course.judge_head(head.decoded, time.monotonic())
+            if verdict is courses.Verdict.DELIVER:
+                await self._deliver(step, connection, head)
+                return True
+            if head.decoded.not_run:
+                await self._skip_body(connection)
+            return False
+        except upstream_connections.BrokenError as error:
+            now = time.monotonic()
+            self._course.note_broken(str(error), error.written, now)
+            if error.crashed and error.written:
+                self._course.note_crash(now)
+            return False
+        except GaveUpError as error:
+            self._course.note_broken(str(error), True, time.monotonic())
+            return False
+        finally:
+            step.state.running -= 1
+            if connection is not None:
+                self._pool.give_back(upstream, connection)
+
+    def _format(self, step: courses.Send) -> bytes:
+        """Returns the bytes of the request for an upstream."""
+        request = self._request
+        course = self._course
+        workspace = self._record.workspace
+        priority = course.route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        attempt = dialect.Attempt(
+            upstream=step.state.upstream.identity,
+            workspace=workspace.name if workspace else "",
+            left_s=step.left_s,
+            model=step.model,
+            priority=min(9, max(0, priority)) if step.model else None,
+            last_event=course.last_event if course.delivering else "",
+        )
+        headers = self._dialect.encode_attempt(
+            request.headers,
+            len(request.body) if request.has_body else None,
+            attempt,
+        )
+        lines = [
+            b"%s %s HTTP/1.1\r\n" % (request.method.encode(), request.target)
+        ]
+        lines.extend(b"%s: %s\r\n" % pair for pair in headers)
+        lines.append(b"\r\n")
+        lines.append(bytes(request.body))
+        return b"".join(lines)
+
+    async def _wait_for(
+        self,
+        read: Callable[[], Awaitable[upstream_connections.Head]],
+    ) -> upstream_connections.Head:
+        """Waits for a head as long as that makes sense.
+
+        Raises:
+            GaveUpError: Another upstream, or none, is to be tried.
+        """
+        while True:
+            patience_s = self._course.compute_patience(time.monotonic())
+            if patience_s <= 0:
+                raise GaveUpError("no answer in time")
+            try:
+                async with asyncio.timeout(patience_s):
+                    return await read()
+            except TimeoutError:
+                continue
+
+    async def _deliver(
+        self,
+        step: courses.Send,
+        connection: upstream_connections.UpstreamConnection,
+        head: upstream_connections.Head,
+    ) -> None:
+        """Passes an answer on to the caller."""
+        kind = self._course.route.kind
+        stream = kind is forwarding.Repeatability.STREAM and head.status == 200
+        if stream:
+            await self._deliver_events(step, connection, head)
+            return
+        body = bytearray()
+        while len(body) <= WHOLE_ANSWER_BYTES:
+            data = await self._read_body(step, connection)
+            if not data:
+                await self._begin(head, len(body))
+                await self._connection.write_body(bytes(body))
+                return
+            body += data
+        await self._begin(head, head.length)
+        await self._connection.write_body(bytes(body))
+        while data := await self._read_body(step, connection):
+            await self._connection.write_body(data)
+        await self._connection.write_end()
+
+    async def _deliver_events(
+        self,
+        step: courses.Send,
+        connection: upstream_connections.UpstreamConnection,
+        head: upstream_connections.Head,
+    ) -> None:
+        """Passes on whole events as they come."""
+        course = self._course
+        splitter = events.EventSplitter(course.last_event)
+        while data := await self._read_body(step, connection):
+            whole = splitter.feed(data)
+            if not whole:
+                continue
+            if not course.delivering:
+                await self._begin(head, None)
+            course.last_event = splitter.last_event
+            await self._connection.write_body(whole)
+        if not course.delivering:
+            await self._begin(head, None)
+        if splitter.rest:
+            await self._connection.write_body(splitter.rest)
+        await self._connection.write_end()
+
+    async def _begin(
+        self, head: upstream_connections.Head, length: int | None
+    ) -> None:
+        """Writes the head of the answer, which is that of its first run."""
+        self._course.delivering = True
+        self._record.note_first(time.monotonic(), head.status)
+        headers = [
+            pair
+            for pair in head.headers
+            if pair[0].lower() not in dialect.HOP_BY_HOP
+        ]
+        await self._connection.write_head(
+            head.status, head.reason, headers, length, self._request.keep_alive
+        )
+
+    async def _read_body(
+        self,
+        step: courses.Send,
+        connection: upstream_connections.UpstreamConnection,
+    ) -> bytes:
+        """Waits for more of the body as long as that makes sense.
+
+        Raises:
+            GaveUpError: The answer stalls or its time is over.
+        """
+        now = time.monotonic()
+        patience_s = self._course.compute_patience(now)
+        if patience_s <= 0:
+            raise GaveUpError("the time for the answer is over")
+        try:
+            async with asyncio.timeout(patience_s):
+                data = await connection.read_body()
+        except TimeoutError as error:
+            raise GaveUpError(f"no event for {patience_s:.2f} s") from error
+        step.state.heard_at = time.monotonic()
+        return data
+
+    async def _skip_body(
+        self, connection: upstream_connections.UpstreamConnection
+    ) -> None:
+        """Reads the body of a refusal, which is short, to its end."""
+        try:
+            async with asyncio.timeout(0.05):
+                while await connection.read_body():
+                    pass
+        except (TimeoutError, upstream_connections.BrokenError):
+            # The connection is closed; the refusal stands all the same.
+            return
+
+
+def compute_fingerprint(
+    call: forwarding.Call,
+    workspace: forwarding.Workspace | None,
+    request: caller_connections.Request,
+) -> str:
+    """Returns what identifies a request's content, also when it comes again."""
+    digest = hashlib.blake2b(request.body, digest_size=12)
+    digest.update(request.target)
+    digest.update((workspace.name if workspace else "").encode())
+    return digest.hexdigest()
+
+
+async def write_whole(
+    connection: caller_connections.CallerConnection,
+    status: int,
+    headers: dialect.Headers,
+    body: bytes,
+    keep_alive: bool,
+) -> None:
+    """Writes a short answer of our own."""
+    await connection.write_head(status, b"", headers, len(body), keep_alive)
+    if body:
+        await connection.write_body(body)
--- /dev/null
+++ b/sycamorehollow/shells/gateway/journal.py
@@ -0,0 +1,188 @@
+"""Log lines and measures of what the gateway decides."""
+
+import dataclasses
+import os
+import select
+import sys
+import time
+
+import loguru
+import prometheus_client
+
+from sycamorehollow.decisions.forwarding import course as courses
+from sycamorehollow.model import forwarding
+
+# Lines per second that are written at most; the others are counted.
+LINES_PER_S = 150.0
+BURST_LINES = 600.0
+LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16)
+
+
+class BoundedSink:
+    """Writes lines to a descriptor; drops what it cannot take at once.
+
+    Args:
+        descriptor: Where the lines go.
+    """
+
+    def __init__(self, descriptor: int):
+        self._descriptor = descriptor
+        self._tokens = BURST_LINES
+        self._filled_at = time.monotonic()
+        self._dropped = 0
+
+    def write(self, message: str) -> None:
+        """Writes one line, or counts it as dropped."""
+        now = time.monotonic()
+        self._tokens = min(
+            BURST_LINES, self._tokens + (now - self._filled_at) * LINES_PER_S
+        )
+        self._filled_at = now
+        _, writable, _ = select.select([], [self._descriptor], [], 0)
+        if self._tokens < 1 or not writable:
+            self._dropped += 1
+            return
+        self._tokens -= 1
+        if self._dropped:
+            message = f"dropped_lines={self._dropped}\n{message}"
+            self._dropped = 0
+        os.write(self._descriptor, message.encode("utf-8", "replace"))
+
+
+def configure(node: str) -> None:
+    """Sends log lines to standard output."""
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"node": node})
+    loguru.logger.add(
+        BoundedSink(sys.stdout.fileno()).write,
+        level="INFO",
+        format="{time:HH:mm:ss.SSS} {level} node={extra[node]} {message}",
+        backtrace=False,
+    )
+
+
+@dataclasses.dataclass
+class Record:
+    """What the log says of one request.
+
+    Attributes:
+        started: Monotonic time of its arrival.
+        version: Version of the configuration that decided.
+        first_s: Seconds to the first byte of the answer.
+    """
+
+    started: float
+    request_id: str = ""
+    route: str = ""
+    service: str = ""
+    workspace: forwarding.Workspace | None = None
+    version: int = 0
+    status: int = 0
+    first_s: float | None = None
+    outcome: str = "delivered"
+
+    def note_first(self, now: float, status: int) -> None:
+        """The first byte of the answer is written."""
+        self.status = status
+        self.first_s = now - self.started
+
+
+class Journal:
+    """Writes one line for each request and each changed belief."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "sycamore_requests",
+            "Requests by outcome",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "sycamore_attempts",
+            "Attempts at upstreams",
+            ["service"],
+            registry=self.registry,
+        )
+        self._first = prometheus_client.Histogram(
+            "sycamore_first_byte_seconds",
+            "Time to the first byte of an answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._total = prometheus_client.Histogram(
+            "sycamore_answer_seconds",
+            "Time to the end of an answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._beliefs = prometheus_client.Counter(
+            "sycamore_changes",
+            "Changed beliefs",
+            ["subject"],
+            registry=self.registry,
+        )
+
+    def note_request(
+        self, record: Record, course: courses.Course | None
+    ) -> None:
+        """A request has ended."""
+        total_s = time.monotonic() - record.started
+        outcome = record.outcome.partition(":")[0]
+        self._requests.labels(record.service, outcome).inc()
+        self._total.labels(record.service).observe(total_s)
+        tried = ""
+        if course is not None:
+            self._attempts.labels(record.service).inc(len(course.attempts))
+            tried = "; ".join(
+                f"{attempt.state.upstream.identity}"
+                f"@{attempt.state.upstream.version}"
+                f" {attempt.model} +{attempt.sent_at - record.started:.3f}"
+                f" {attempt.outcome}"
+                for attempt in course.attempts
+            )
+        first = ""
+        if record.first_s is not None:
+            self._first.labels(record.service).observe(record.first_s)
+            first = f" first_s={record.first_s:.3f}"
+        owner = record.workspace.name if record.workspace else ""
+        loguru.logger.info(
+            "request={} route={} workspace={} config={} service={} status={}"
+            "{} total_s={:.3f} outcome={!r} attempts=[{}]",
+            record.request_id,
+            record.route,
+            owner,
+            record.version,
+            record.service,
+            record.status,
+            first,
+            total_s,
+            record.outcome,
+            tried,
+        )
+
+    def note_unread(self, status: int) -> None:
+        """Bytes of a caller were no request."""
+        self._requests.labels("", "unreadable").inc()
+        loguru.logger.info("unreadable request, status={}", status)
+
+    def note_change(self, subject: str, outcome: str, source: str) -> None:
+        """A belief has changed.
+
+        Args:
+            subject: What it is about.
+            outcome: What is believed now.
+            source: Where the news came from, with its revision or age.
+        """
+        self._beliefs.labels(subject.partition("=")[0]).inc()
+        loguru.logger.info("{} {} source={}", subject, outcome, source)
+
+    def note_event(self, text: str, *values: object) -> None:
+        """The process starts, stops, reloads, loses or regains something."""
+        loguru.logger.info(text, *values)
+
+    def render(self) -> bytes:
+        """Returns the measures as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -0,0 +1,324 @@
+"""Keeps what a node knows current: from the store and from other nodes."""
+
+import asyncio
+import concurrent.futures
+import json
+import random
+import time
+import zlib
+
+from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.model import identity
+from sycamorehollow.settings import gateway
+from sycamorehollow.shells import peers
+from sycamorehollow.shells import stores
+from sycamorehollow.shells.gateway import feed
+from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import store_tasks
+
+SYNC_KIND = "forwarding/sync"
+# Time between calls to another node; shorter while the store is away, since
+# other nodes are then the only source of news.
+SYNC_S = 1.0
+LOST_SYNC_S = 0.4
+TICK_S = 0.25
+# Nodes of lower rank act that much later, so that mostly one of them does.
+RANK_DELAY_S = 0.4
+WRITE_RETRY_S = 1.0
+
+
+class Knowledge:
+    """Applies news to the router and hands it on to other nodes.
+
+    Runs in the event loop of the gateway. Threads deliver their events by
+    `deliver`.
+
+    Args:
+        settings: Settings of the process.
+        router: What is kept current.
+        codec: Reads and writes the values of the store.
+        log: Takes every change.
+        source: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        settings: gateway.Settings,
+        router: routers.Router,
+        codec: feed.Feed,
+        log: journal.Journal,
+        source: random.Random,
+    ):
+        self.settings = settings
+        self._router = router
+        self._feed = codec
+        self._journal = log
+        self._source = source
+        self._mirror = mirror.Mirror()
+        self._loop = asyncio.get_running_loop()
+        self._store_lost = False
+        self._listed = False
+        self._writer: store_tasks.WriteTask | None = None
+        self._writes: dict[str, float] = {}
+        self._due: dict[str, tuple[str, float]] = {}
+        self._peer_task: peers.PeerTask | None = None
+        self._me = identity.Process(
+            settings.peer_address, settings.data_centre, time.time_ns()
+        )
+        self._syncs = 0
+        self._next_sync = 0.0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether enough is known to serve requests."""
+        return self._router.table is not None and bool(
+            self._router.directory.list_all()
+        )
+
+    def connect(
+        self, writer: store_tasks.WriteTask, peer_task: peers.PeerTask
+    ) -> None:
+        """Sets the tasks that write and that call other nodes."""
+        self._writer = writer
+        self._peer_task = peer_task
+        peer_task.register(SYNC_KIND, self.answer_peer)
+
+    def deliver(self, event: events.Event) -> None:
+        """Takes an event from any thread."""
+        try:
+            self._loop.call_soon_threadsafe(self._handle, event)
+        except RuntimeError:
+            # The loop has ended; nobody needs the news any more.
+            return
+
+    def answer_peer(
+        self, sender: identity.Process, payload: bytes
+    ) -> "concurrent.futures.Future[bytes]":
+        """Answers another node; called on the peer task."""
+        answer: concurrent.futures.Future[bytes] = concurrent.futures.Future()
+
+        def reply() -> None:
+            self._merge(sender.address, payload)
+            since = _read(payload).get("since", 0)
+            answer.set_result(self._collect(int(since)))
+
+        self._loop.call_soon_threadsafe(reply)
+        return answer
+
+    def tick(self) -> list[str]:
+        """Does what is due; returns the upstreams that were forgotten."""
+        now = time.monotonic()
+        for rollout in self._router.rollouts.judge(now):
+            self._journal.note_change(
+                f"rollout={rollout.order.service}",
+                f"worse: {rollout.sum_up()}",
+                "own evidence",
+            )
+        for rollout in self._router.rollouts.list_all():
+            self._state_rollout(rollout, now)
+        if now >= self._next_sync:
+            pause_s = LOST_SYNC_S if self._store_lost else SYNC_S
+            self._next_sync = now + pause_s * self._source.uniform(0.8, 1.2)
+            self._sync()
+        return self._router.sweep(now)
+
+    def _handle(self, event: events.Event) -> None:
+        match event:
+            case store_tasks.Listed():
+                self._note_store_back()
+                news = self._mirror.replace(
+                    _convert(event.listing.items), event.listing.revision
+                )
+                self._apply(news, f"list {event.listing.revision}")
+                self._register_node()
+            case store_tasks.Watched():
+                self._note_store_back()
+                changes = [
+                    mirror.Entry(c.key, c.value, c.revision)
+                    for c in event.changes.changes
+                ]
+                news = self._mirror.apply(changes, event.changes.revision)
+                self._apply(news, f"watch {event.changes.revision}")
+            case store_tasks.StoreLost():
+                self._note_store_lost(event.failure)
+            case store_tasks.WriteEnded():
+                self._note_written(event)
+            case peers.RequestAnswered():
+                self._merge(event.sender.address, event.item.payload)
+
+    def _apply(self, news: list[mirror.Entry], source: str) -> None:
+        now = time.monotonic()
+        for entry in news:
+            for update in self._feed.decode(entry):
+                for change in self._router.handle(update, now):
+                    self._journal.note_change(
+                        change.subject,
+                        change.outcome,
+                        f"{source} at {entry.revision}",
+                    )
+
+    def _note_store_back(self) -> None:
+        if self._store_lost or not self._listed:
+            self._journal.note_event("store regained")
+        if self._store_lost:
+            self._router.directory.note_store_back(time.monotonic())
+        self._store_lost = False
+        self._listed = True
+
+    def _note_store_lost(self, failure: failures.Failure) -> None:
+        if not self._store_lost:
+            self._journal.note_event(
+                "store lost: {} ({})", failure.code, failure.reason
+            )
+        self._store_lost = True
+
+    def _register_node(self) -> None:
+        item = self._feed.encode_node(
+            self.settings.node, self.settings.peer_address
+        )
+        known = self._router.nodes.get(self.settings.node)
+        if known != self.settings.peer_address:
+            self._write(item)
+
+    def _write(self, item: feed.Item) -> None:
+        """Writes a value unless the same key is being written."""
+        now = time.monotonic()
+        if self._writer is None or now < self._writes.get(item.key, 0.0):
+            return
+        self._writes[item.key] = now + 4 * WRITE_RETRY_S
+        expect = self._mirror.get_revision(item.key)
+        self._writer.post(store_tasks.Write(item, expect))
+
+    def _note_written(self, event: store_tasks.WriteEnded) -> None:
+        self._writes[event.key] = time.monotonic() + WRITE_RETRY_S
+        outcome = "written"
+        if isinstance(event.result, failures.Failure):
+            outcome = f"{event.result.code}: {event.result.reason}"
+        self._journal.note_change(f"key={event.key}", outcome, "own write")
+        own = self.settings.node
+        if isinstance(event.result, stores.CallFailure) and event.key.endswith(
+            own
+        ):
+            self._loop.call_later(WRITE_RETRY_S, self._register_node)
+
+    def _state_rollout(self, rollout: canary.Rollout, now: float) -> None:
+        """Writes how far a roll-out has come, if it is this node's turn."""
+        service = rollout.order.service
+        state = self._router.rollouts.find_due_state(service, now)
+        if state is None:
+            self._due.pop(service, None)
+            return
+        known, since = self._due.get(service, ("", now))
+        if known != state.value:
+            self._due[service] = (state.value, now)
+            since = now
+        if now - since < self._find_rank(service) * RANK_DELAY_S:
+            return
+        self._write(
+            self._feed.encode_status(service, rollout.order.target, state)
+        )
+
+    def _find_rank(self, service: str) -> int:
+        """Returns the place of this node among those that may write."""
+        names = sorted(
+            {*self._router.nodes, self.settings.node},
+            key=lambda name: zlib.crc32(f"{service}|{name}".encode()),
+        )
+        return names.index(self.settings.node)
+
+    def _sync(self) -> None:
+        """Asks another node for news."""
+        others = [
+            address
+            for name, address in self._router.nodes.items()
+            if name != self.settings.node
+        ]
+        if not others or self._peer_task is None:
+            return
+        self._syncs += 1
+        self._peer_task.post(
+            peers.Request(
+                self._syncs,
+                self._source.choice(others),
+                self._me,
+                exchange.Item(SYNC_KIND, self._collect(None)),
+            )
+        )
+
+    def _collect(self, since: int | None) -> bytes:
+        """Returns what is known here, with changes after a revision."""
+        now = time.monotonic()
+        document = {
+            "since": self._mirror.revision,
+            "rollouts": [
+                {
+                    "service": finding.service,
+                    "revision": finding.revision,
+                    "worse": finding.worse,
+                    "age_s": finding.age_s,
+                    "tallies": {
+                        node: [t.new, t.new_failed, t.old, t.old_failed]
+                        for node, t in finding.tallies.items()
+                    },
+                }
+                for finding in self._router.rollouts.export(now)
+            ],
+            "poison": self._router.poison.export(now),
+        }
+        delta = None if since is None else self._mirror.collect(since)
+        if delta is not None:
+            document["delta"] = {
+                "entries": [
+                    [e.key, e.value, e.revision] for e in delta.entries
+                ],
+                "revision": delta.revision,
+                "whole": delta.whole,
+            }
+        return json.dumps(document, separators=(",", ":")).encode()
+
+    def _merge(self, address: str, payload: bytes) -> None:
+        """Takes what another node knows."""
+        now = time.monotonic()
+        document = _read(payload)
+        try:
+            for entry in document.get("rollouts", ()):
+                tallies = {
+                    node: canary.Tally(*counts)
+                    for node, counts in entry.pop("tallies").items()
+                }
+                finding = canary.Finding(tallies=tallies, **entry)
+                self._router.rollouts.merge(finding, now)
+            self._router.poison.merge(document.get("poison", {}), now)
+            delta = document.get("delta")
+            if delta is None:
+                return
+            entries = tuple(mirror.Entry(*e) for e in delta["entries"])
+            news = self._mirror.merge(
+                mirror.Delta(entries, delta["revision"], delta["whole"])
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            self._journal.note_change(
+                f"peer={address}", f"unreadable news: {error!r}", "sync"
+            )
+            return
+        if self._store_lost:
+            # Entries may have lapsed while the store was away.
+            self._router.directory.note_store_back(now)
+        self._apply(news, f"peer {address}")
+
+
+def _read(payload: bytes) -> dict:
+    try:
+        document = json.loads(payload)
+    except ValueError:
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _convert(items: tuple[stores.Found, ...]) -> list[mirror.Entry]:
+    return [mirror.Entry(i.key, i.value, i.revision) for i in items]
--- /dev/null
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -0,0 +1,150 @@
+"""Threads that talk to the platform's store."""
+
+from collections.abc import Callable
+import dataclasses
+import queue
+import random
+import time
+
+from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.shells import stores
+from sycamorehollow.shells import tasks
+from sycamorehollow.shells.gateway import feed
+
+# Longest wait of one watch in seconds; a watch that a silent store never
+# answers is noticed after it.
+WATCH_S = 12.0
+# Changes within this time are fetched together, as each answer is priced. It
+# is a small part of the seconds in which a change has to be in force.
+GATHER_S = 0.25
+FIRST_PAUSE_S = 0.3
+MAX_PAUSE_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Listed(events.Event):
+    """All values of the store at a revision."""
+
+    listing: stores.Listing
+
+
+@dataclasses.dataclass(frozen=True)
+class Watched(events.Event):
+    """Changes since the last report."""
+
+    changes: stores.Changes
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreLost(events.Event):
+    """A call has failed."""
+
+    failure: failures.Failure
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteEnded(events.Event):
+    """A write was made or has failed."""
+
+    key: str
+    result: stores.Written | stores.Conflict | stores.CallFailure
+
+
+class WatchTask(tasks.Task):
+    """Follows all changes of the store.
+
+    Args:
+        store: Client of the store.
+        deliver: Takes events; safe from any thread.
+        source: Source of randomness for pauses.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        deliver: Callable[[events.Event], None],
+        source: random.Random,
+    ):
+        super().__init__("watch")
+        self._store = store
+        self._deliver = deliver
+        self._source = source
+        self._failures = 0
+
+    def _wake(self) -> None:
+        """The thread ends with its process; a pending watch is not cut."""
+
+    def _run(self) -> None:
+        after: int | None = None
+        allow_stale = True
+        while not self._stopping:
+            if after is None:
+                listing = self._store.list_range("", allow_stale)
+                if isinstance(listing, failures.Failure):
+                    self._pause(listing)
+                    continue
+                self._failures = 0
+                self._deliver(Listed(listing))
+                after = listing.revision
+            changes = self._store.watch("", after, WATCH_S)
+            if isinstance(changes, stores.HistoryGone):
+                after = None
+                # A late copy may lack what the watch has missed.
+                allow_stale = False
+                continue
+            if isinstance(changes, failures.Failure):
+                self._pause(changes)
+                continue
+            self._failures = 0
+            self._deliver(Watched(changes))
+            after = changes.revision
+            if changes.changes:
+                time.sleep(GATHER_S)
+
+    def _pause(self, failure: failures.Failure) -> None:
+        self._deliver(StoreLost(failure))
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        self._failures += 1
+        time.sleep(pause_s * self._source.uniform(0.7, 1.3))
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """A write under the condition that the key is at a revision."""
+
+    item: feed.Item
+    expect: int
+
+
+class WriteTask(tasks.Task):
+    """Makes writes one after the other.
+
+    Args:
+        store: Client of the store.
+        deliver: Takes events; safe from any thread.
+    """
+
+    def __init__(
+        self, store: stores.Store, deliver: Callable[[events.Event], None]
+    ):
+        super().__init__("write")
+        self._store = store
+        self._deliver = deliver
+        self._queue: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
+
+    def post(self, message: Write) -> None:
+        """Adds a write."""
+        self._queue.put(message)
+
+    def _wake(self) -> None:
+        self._queue.put(None)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            write = self._queue.get()
+            if write is None:
+                continue
+            item = write.item
+            result = self._store.write(item.key, item.value, write.expect)
+            self._deliver(WriteEnded(item.key, result))
--- /dev/null
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -0,0 +1,363 @@
+"""Connections to upstreams, kept between requests."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import socket
+import time
+
+import httptools
+
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import dialect
+
+CONNECT_TIMEOUT_S = 0.4
+# Bytes that are read ahead of a slow caller.
+READ_AHEAD_BYTES = 128 * 1024
+# Idle time after which a connection is not used again when the upstream does
+# not state its own.
+IDLE_S = 4.0
+# Upstreams close a little before or after the time that they state.
+IDLE_MARGIN_S = 0.6
+# A request that must not run twice is not sent on a connection that the
+# upstream may just have closed.
+FRESH_IDLE_S = 0.25
+KEPT_PER_UPSTREAM = 32
+DEAD_PEER_MS = 3000
+
+
+class BrokenError(Exception):
+    """The upstream's answer did not arrive whole.
+
+    Attributes:
+        written: Whether any byte of the request was written.
+        crashed: Whether the upstream ended the connection by itself.
+    """
+
+    def __init__(self, reason: str, written: bool = True, crashed: bool = True):
+        super().__init__(reason)
+        self.written = written
+        self.crashed = crashed
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Status and headers of an answer.
+
+    Attributes:
+        length: Bytes of the body; `None` when it is chunked or unframed.
+    """
+
+    status: int
+    reason: bytes
+    headers: list[tuple[bytes, bytes]]
+    length: int | None
+    decoded: forwarding.AnswerHead
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection; serves one request at a time.
+
+    Attributes:
+        used: Whether a request was sent on it before.
+        idle_since: When its last answer ended.
+        idle_s: Seconds for which it may be used again.
+    """
+
+    def __init__(
+        self, decode: Callable[[int, dialect.Headers], forwarding.AnswerHead]
+    ):
+        self.used = False
+        self.idle_since = 0.0
+        self.idle_s = IDLE_S
+        self._decode = decode
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._on_dropped: Callable[[], None] | None = None
+        self._wake = asyncio.Event()
+        self._request_id = ""
+        self._active = False
+        self._reset_answer()
+        self._closed = False
+        self._fault = ""
+        self._reusable = True
+
+    def _reset_answer(self) -> None:
+        self._status_text = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head: Head | None = None
+        self._skipping = False
+        self._unframed = False
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._ended = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether requests can be sent on it."""
+        return not self._closed and not self._fault and self._reusable
+
+    def watch_dropped(self, callback: Callable[[], None] | None) -> None:
+        """Calls back when the connection ends while it is idle."""
+        self._on_dropped = callback
+
+    def send(self, request_id: str, data: bytes) -> None:
+        """Starts a request."""
+        assert self._transport is not None
+        self._reset_answer()
+        self._request_id = request_id
+        self._active = True
+        self.used = True
+        self._transport.write(data)
+
+    async def read_head(self) -> Head:
+        """Waits for the head of the answer.
+
+        Raises:
+            BrokenError: The connection ended before.
+        """
+        while self._head is None:
+            self._check()
+            await self._sleep()
+        return self._head
+
+    async def read_body(self) -> bytes:
+        """Waits for more of the body; returns nothing at its end.
+
+        Raises:
+            BrokenError: The connection ended before the body did.
+        """
+        while not self._chunks and not self._ended:
+            self._check()
+            await self._sleep()
+        if not self._chunks:
+            return b""
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        if self._transport is not None and not self._closed:
+            self._transport.resume_reading()
+        return data
+
+    def finish(self) -> bool:
+        """Ends the present answer; returns whether it may be used again."""
+        self._active = False
+        self.idle_since = time.monotonic()
+        return self._ended and self.is_open
+
+    def close(self) -> None:
+        """Ends the connection and with it the request."""
+        self._closed = True
+        self._on_dropped = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _check(self) -> None:
+        if self._fault:
+            raise BrokenError(self._fault)
+        if self._closed:
+            raise BrokenError("the upstream closed the connection")
+
+    async def _sleep(self) -> None:
+        self._wake.clear()
+        await self._wake.wait()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parses a piece of the answer."""
+        if not self._active or self._ended:
+            # Bytes that belong to no request.
+            self._drop("the upstream sent more than its answer")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self._ended:
+                self._drop(f"the answer is no HTTP: {error}")
+            else:
+                self._reusable = False
+        self._wake.set()
+
+    def eof_received(self) -> bool:
+        """Ends an answer without a length."""
+        if self._unframed and not self._skipping and not self._fault:
+            self._ended = True
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wakes the reader of the answer."""
+        self._closed = True
+        self._wake.set()
+        if self._on_dropped is not None:
+            self._on_dropped()
+
+    def _drop(self, reason: str) -> None:
+        self._fault = self._fault or reason
+        self._reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake.set()
+
+    def on_message_begin(self) -> None:
+        """Starts the next answer; a second one belongs to no request."""
+        if self._ended:
+            self._reusable = False
+
+    def on_status(self, status: bytes) -> None:
+        """Keeps the reason phrase."""
+        if not self._ended:
+            self._status_text += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps one header."""
+        if not self._ended:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Takes the head if it answers the present request."""
+        status = self._parser.get_status_code()
+        if self._ended or 100 <= status < 200:
+            self._headers = []
+            return
+        decoded = self._decode(status, self._headers)
+        fields = {name.lower(): value for name, value in self._headers}
+        if b"close" in fields.get(b"connection", b"").lower():
+            self._reusable = False
+        if decoded.request_id and decoded.request_id != self._request_id:
+            # A late second answer to an earlier request.
+            self._skipping = True
+            self._reusable = False
+            return
+        length = fields.get(b"content-length")
+        chunked = b"chunked" in fields.get(b"transfer-encoding", b"").lower()
+        self._unframed = length is None and not chunked
+        if self._unframed:
+            self._reusable = False
+        if decoded.idle_s is not None:
+            self.idle_s = max(0.0, decoded.idle_s - IDLE_MARGIN_S)
+        self._head = Head(
+            status,
+            self._status_text,
+            self._headers,
+            int(length) if length and not chunked else None,
+            decoded,
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Keeps a piece of the body."""
+        if self._skipping or self._ended or self._head is None:
+            return
+        self._chunks.append(data)
+        self._buffered += len(data)
+        if self._buffered > READ_AHEAD_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Ends the answer, or the one that was skipped."""
+        if self._skipping:
+            self._skipping = False
+            self._headers = []
+            self._status_text = b""
+            return
+        if self._head is not None:
+            self._ended = True
+
+
+class ConnectionPool:
+    """Opens connections and keeps idle ones by upstream.
+
+    Args:
+        decode: Decodes the head of an answer.
+    """
+
+    def __init__(
+        self, decode: Callable[[int, dialect.Headers], forwarding.AnswerHead]
+    ):
+        self._decode = decode
+        self._idle: dict[tuple[str, int], list[UpstreamConnection]] = {}
+        self.opened = 0
+
+    async def take(
+        self, upstream: forwarding.Upstream, repeatable: bool
+    ) -> UpstreamConnection:
+        """Returns a connection to an upstream.
+
+        Raises:
+            BrokenError: The upstream cannot be reached.
+        """
+        kept = self._idle.get((upstream.host, upstream.port), [])
+        now = time.monotonic()
+        while kept:
+            connection = kept.pop()
+            connection.watch_dropped(None)
+            age_s = now - connection.idle_since
+            limit_s = connection.idle_s
+            if not repeatable:
+                limit_s = min(limit_s, FRESH_IDLE_S)
+            if connection.is_open and age_s < limit_s:
+                return connection
+            connection.close()
+        return await self._open(upstream)
+
+    def give_back(
+        self, upstream: forwarding.Upstream, connection: UpstreamConnection
+    ) -> None:
+        """Keeps a connection whose answer has ended, if it can be."""
+        kept = self._idle.setdefault((upstream.host, upstream.port), [])
+        if not connection.finish() or len(kept) >= KEPT_PER_UPSTREAM:
+            connection.close()
+            return
+        kept.append(connection)
+        connection.watch_dropped(lambda: _discard(kept, connection))
+
+    def forget(self, upstream: forwarding.Upstream) -> None:
+        """Closes the idle connections to an upstream."""
+        for connection in self._idle.pop((upstream.host, upstream.port), []):
+            connection.close()
+
+    def close_expired(self) -> None:
+        """Closes connections that were idle for too long."""
+        now = time.monotonic()
+        for kept in self._idle.values():
+            for connection in list(kept):
+                if now - connection.idle_since >= connection.idle_s:
+                    kept.remove(connection)
+                    connection.close()
+
+    async def _open(self, upstream: forwarding.Upstream) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(self._decode),
+                    upstream.host,
+                    upstream.port,
+                )
+        except (OSError, TimeoutError) as error:
+            raise BrokenError(
+                f"cannot connect: {error or 'timed out'}", False, False
+            ) from error
+        set_options(transport)
+        return connection
+
+
+def set_options(transport: asyncio.BaseTransport) -> None:
+    """Sends small writes at once and notices a peer that is gone."""
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PEER_MS)
+
+
+def _discard(
+    kept: list[UpstreamConnection], connection: UpstreamConnection
+) -> None:
+    if connection in kept:
+        kept.remove(connection)
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import socket
 import time
 from typing import Any
 import urllib.parse
@@ -21,17 +22,29 @@
 MAX_RESPONSE_BYTES = 256 * 1024 * 1024
 CHUNK_BYTES = 256 * 1024
 RETRY_AFTER_S = 1.0
+# Without probes, a pending watch on a path that was cut would look idle; with
+# these it fails within 3 s.
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+]
 
 
 @dataclasses.dataclass(frozen=True)
-class _Response:
+class Response:
+    """An answer of the store, whose body was JSON."""
+
     status: int
     document: dict[str, Any]
     retry_after_s: float
 
 
-class StoreClient(stores.Store):
-    """Calls the store over HTTP; safe to use from several threads.
+class HttpStore(stores.Store):
+    """Base of clients that call a store over HTTP; usable from any thread.
 
     A call is never repeated here: whether a repeat is safe is known only to
     the caller.
@@ -47,15 +60,65 @@
         self._connect_timeout_s = connect_timeout_s
         self._path = urllib.parse.urlsplit(url).path.rstrip("/")
         self._pool = urllib3.connection_from_url(
-            url, maxsize=MAX_IDLE_CONNECTIONS, retries=False
+            url,
+            maxsize=MAX_IDLE_CONNECTIONS,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
-        # The store does not repeat the lifetime when it renews a lease.
-        self._lifetimes_s: dict[str, float] = {}
 
     def close(self) -> None:
         """Closes the idle connections."""
         self._pool.close()
 
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any] | None = None,
+        body: dict[str, Any] | None = None,
+        limit_s: float | None = None,
+    ) -> Response | stores.Unreachable | stores.InDoubt:
+        limit_s = limit_s or self._call_timeout_s
+        deadline = time.monotonic() + limit_s
+        target = self._path + path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        try:
+            response = self._pool.urlopen(
+                method,
+                target,
+                body=None if body is None else json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                timeout=urllib3.Timeout(self._connect_timeout_s, limit_s),
+            )
+            return _read_response(response, deadline)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            reason = f"the store cannot be reached: {error}"
+            return stores.Unreachable(reason, retry_after_s=RETRY_AFTER_S)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            reason = f"the response of the store is missing: {error}"
+            return stores.InDoubt(reason, retry_after_s=RETRY_AFTER_S)
+
+
+class StoreClient(HttpStore):
+    """Speaks the protocol of the product's own store stand-in."""
+
+    def __init__(
+        self,
+        url: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ):
+        super().__init__(url, call_timeout_s, connect_timeout_s)
+        # The store does not repeat the lifetime when it renews a lease.
+        self._lifetimes_s: dict[str, float] = {}
+
     def read(
         self, key: str
     ) -> stores.Found | stores.Absent | stores.CallFailure:
@@ -106,8 +169,10 @@
             return stores.Deleted(key)
         return _judge(answer)
 
-    def list_range(self, prefix: str) -> stores.Listing | stores.CallFailure:
-        """Returns all values whose keys start with a prefix."""
+    def list_range(
+        self, prefix: str, allow_stale: bool = False
+    ) -> stores.Listing | stores.CallFailure:
+        """Returns all values whose keys start with a prefix, never stale."""
         answer = self._call("GET", "/v1/range", {"prefix": prefix})
         if isinstance(answer, failures.Failure):
             return answer
@@ -199,45 +264,10 @@
             return _judge(answer)
         return stores.Released(lease)
 
-    def _call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, Any] | None = None,
-        body: dict[str, Any] | None = None,
-        limit_s: float | None = None,
-    ) -> _Response | stores.Unreachable | stores.InDoubt:
-        limit_s = limit_s or self._call_timeout_s
-        deadline = time.monotonic() + limit_s
-        target = self._path + path
-        if query:
-            target += "?" + urllib.parse.urlencode(query)
-        try:
-            response = self._pool.urlopen(
-                method,
-                target,
-                body=None if body is None else json.dumps(body).encode(),
-                headers={"Content-Type": "application/json"},
-                retries=False,
-                redirect=False,
-                preload_content=False,
-                timeout=urllib3.Timeout(self._connect_timeout_s, limit_s),
-            )
-            return _read_response(response, deadline)
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            reason = f"the store cannot be reached: {error}"
-            return stores.Unreachable(reason, retry_after_s=RETRY_AFTER_S)
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-            reason = f"the response of the store is missing: {error}"
-            return stores.InDoubt(reason, retry_after_s=RETRY_AFTER_S)
-
 
 def _read_response(
     response: urllib3.BaseHTTPResponse, deadline: float
-) -> _Response:
+) -> Response:
     """Reads the whole response.
 
     Raises:
@@ -265,10 +295,10 @@
         retry_after_s = float(response.headers.get("Retry-After", ""))
     except ValueError:
         retry_after_s = RETRY_AFTER_S
-    return _Response(response.status, document, retry_after_s)
+    return Response(response.status, document, retry_after_s)
 
 
-def _judge(answer: _Response) -> stores.RateLimited | stores.InDoubt:
+def _judge(answer: Response) -> stores.RateLimited | stores.InDoubt:
     """Returns the failure of a response that is no success."""
     error = answer.document.get("error")
     detail = error if isinstance(error, dict) else {}
@@ -296,7 +326,7 @@
 
 
 def _read_conflict(
-    key: str, answer: _Response
+    key: str, answer: Response
 ) -> stores.Conflict | stores.InDoubt:
     revision = answer.document.get("revision")
     value = answer.document.get("value")
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -129,6 +129,14 @@
     status: ClassVar[int] = 429
 
 
+@dataclasses.dataclass(frozen=True)
+class HistoryGone(failures.Failure):
+    """The store no longer holds the changes that a watch asked for."""
+
+    code: ClassVar[str] = "store_history_gone"
+    status: ClassVar[int] = 410
+
+
 @dataclasses.dataclass(frozen=True)
 class LeaseGone(failures.Failure):
     """The lease does not exist or has expired."""
@@ -168,13 +176,22 @@
         """Deletes a key, at any revision if `expect` is `None`."""
 
     @abc.abstractmethod
-    def list_range(self, prefix: str) -> Listing | CallFailure:
-        """Returns all values whose keys start with a prefix."""
+    def list_range(
+        self, prefix: str, allow_stale: bool = False
+    ) -> Listing | CallFailure:
+        """Returns all values whose keys start with a prefix.
+
+        Args:
+            prefix: Start of the keys.
+            allow_stale: Whether values that are a few seconds old will do,
+                if the store then charges less. They are consistent with the
+                returned revision.
+        """
 
     @abc.abstractmethod
     def watch(
         self, prefix: str, after: int, timeout_s: float
-    ) -> Changes | CallFailure:
+    ) -> Changes | HistoryGone | CallFailure:
         """Waits for changes under a prefix.
 
         Args:
