Measure patience by the expected work and keep prompts in the data centre

Cause: a long prompt on the large model was given up while it was still read, and read again elsewhere; watches ended after the connect timeout, because it was passed as the limit of the whole call; sessions were drawn anew at every node, so they moved between versions. Change: expected seconds of the attempt bound the patience, reading that waits at an upstream counts in its placement, the timeouts of the store client are named, sessions are hashed to versions alike at all nodes, and larger models serve urgent requests first. Ruled out: keeping sessions in the memory of a node, since the next request of a session reaches another node.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 import dataclasses
 import math
+import zlib
 
 from sycamorehollow.model import forwarding
 
@@ -261,18 +262,21 @@
             return forwarding.RolloutState.RUNNING
         return None
 
-    def is_early(self, service: str, now: float) -> bool:
-        """Tells whether sessions still stay on the version in service."""
-        rollout = self._rollouts.get(service)
-        if rollout is None:
-            return False
-        return self._measure_part(rollout, now) <= FIRST_PART
-
     def _measure_part(self, rollout: Rollout, now: float) -> float:
         duration_s = max(rollout.order.duration_s, 0.001)
         return (now - rollout.started_at) / duration_s
 
 
+def is_chosen(service: str, session: str, share: float) -> bool:
+    """Tells whether a session gets the new version.
+
+    Every node draws alike, and a session that has got the new version keeps it
+    while the share rises.
+    """
+    drawn = zlib.crc32(f"{service}|{session}".encode()) / 2**32
+    return drawn < share
+
+
 def split_versions(
     versions: Iterable[str], target: str
 ) -> tuple[set[str], set[str]]:
--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -10,6 +10,9 @@
 
 # Confidence below which a larger model is asked while the engines are idle.
 IDLE_THRESHOLD = 80.0
+# Larger models serve urgent requests first: the threshold is that much lower
+# for each step of the priority.
+PRIORITY_STEP = 15.0
 # Share of taken places from which fewer answers are asked for again, and at
 # which none is.
 BUSY_FROM = 0.45
@@ -66,7 +69,7 @@
         return Decision("", "largest model")
     if situation.confidence is None:
         return Decision("", "no confidence")
-    threshold = compute_threshold(situation.occupancy)
+    threshold = compute_threshold(route.priority, situation.occupancy)
     if situation.confidence >= threshold:
         return Decision("", f"confidence of {threshold:.0f} or more")
     if situation.attempts_left < 1:
@@ -79,10 +82,16 @@
     return Decision(larger, f"confidence below {threshold:.0f}")
 
 
-def compute_threshold(occupancy: float) -> float:
-    """Returns the confidence below which a larger model is asked."""
+def compute_threshold(priority: int, occupancy: float) -> float:
+    """Returns the confidence below which a larger model is asked.
+
+    Args:
+        priority: Priority of the route, 0 for the most urgent.
+        occupancy: Share of the engines' places that are taken.
+    """
+    idle = max(0.0, IDLE_THRESHOLD - PRIORITY_STEP * priority)
     if occupancy <= BUSY_FROM:
-        return IDLE_THRESHOLD
+        return idle
     if occupancy >= BUSY_TO:
         return 0.0
-    return IDLE_THRESHOLD * (BUSY_TO - occupancy) / (BUSY_TO - BUSY_FROM)
+    return idle * (BUSY_TO - occupancy) / (BUSY_TO - BUSY_FROM)
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -11,9 +11,12 @@
 from sycamorehollow.model import forwarding
 
 # Part of the objective after which an upstream that was silent since it got
-# the request is given up, and one that answers others.
+# the request is given up, and one that answers others; longer for requests
+# that are expected to take long.
 SILENT_SHARE = 0.4
+SILENT_EXPECTED = 2.5
 BUSY_SHARE = 0.7
+BUSY_EXPECTED = 5.0
 # Part of the tolerated pause after which a stalled stream goes on elsewhere.
 PAUSE_SHARE = 0.8
 # Attempts in a row that upstreams may refuse without running them.
@@ -92,12 +95,16 @@
     Attributes:
         sent_at: When it was sent.
         missing: Prompt tokens that the upstream probably had to read.
+        expected_s: Expected seconds until it begins to answer.
+        reading: Whether it counts among what the upstream has to read.
     """
 
     state: directory.State
     model: str
     sent_at: float
     missing: int
+    expected_s: float
+    reading: bool = True
     outcome: str = "open"
 
 
@@ -110,6 +117,7 @@
         route: Its route.
         service: The service that was drawn for it.
         fingerprint: Identifies its content.
+        body_bytes: Length of its body.
         now: Monotonic time in seconds at which it arrived.
 
     Attributes:
@@ -126,6 +134,7 @@
         route: forwarding.Route,
         service: forwarding.Service,
         fingerprint: str,
+        body_bytes: int,
         now: float,
     ):
         self.call = call
@@ -137,6 +146,7 @@
         self.last_event = call.last_event
         self._router = router
         self._fingerprint = fingerprint
+        self._body_bytes = body_bytes
         left_s = route.timeout_s
         if call.deadline_s is not None:
             left_s = min(left_s, call.deadline_s)
@@ -146,6 +156,8 @@
         self._broken_reason = ""
         self._excluded: set[str] = set()
         self._version = ""
+        # Whether no attempt has failed; a dropped answer is no failure.
+        self._sound = True
         self._next_model = ""
         if route.models and call.model == "*":
             self._next_model = cascade.choose_first(route)
@@ -158,7 +170,7 @@
             return self.call.session
         if self.route.sticky and self.call.prompt_parts:
             return self.call.prompt_parts[-1].identity
-        return ""
+        return self.call.request_id
 
     @property
     def may_repeat(self) -> bool:
@@ -176,13 +188,8 @@
         fault = self._find_limit(now)
         if fault:
             return Refuse(self._build_failure(fault, now))
-        versions = self._choose_versions(now)
-        work = placement.Work(
-            self.call,
-            self.service,
-            self._next_model,
-            versions,
-            frozenset(self._excluded),
+        work = self._build_work(
+            self._next_model, now, frozenset(self._excluded)
         )
         choice = self._router.placement.choose(work, now)
         if choice.state is not None:
@@ -208,17 +215,24 @@
                 return left_s
             return min(left_s, self.route.pause_s * PAUSE_SHARE)
         attempt = self.attempts[-1]
-        silent_s = self.route.objective_s * SILENT_SHARE
+        silent_s = max(
+            self.route.objective_s * SILENT_SHARE,
+            attempt.expected_s * SILENT_EXPECTED,
+        )
         if now - attempt.sent_at < silent_s - MIN_LEFT_S:
             return min(left_s, silent_s - (now - attempt.sent_at))
         if attempt.state.heard_at < attempt.sent_at:
             return 0.0
-        busy_s = self.route.objective_s * BUSY_SHARE
+        busy_s = max(
+            self.route.objective_s * BUSY_SHARE,
+            attempt.expected_s * BUSY_EXPECTED,
+        )
         return min(left_s, max(0.0, busy_s - (now - attempt.sent_at)))
 
     def judge_head(self, head: forwarding.AnswerHead, now: float) -> Verdict:
         """Decides whether an answer is passed on."""
         attempt = self.attempts[-1]
+        self._end_reading(attempt)
         failed = not head.not_run and (head.status >= 500 or head.encoded)
         directory.note_answer(attempt.state, head, failed, now)
         if head.not_run:
@@ -231,11 +245,11 @@
             self.service.name, upstream.version, failed
         )
         self._note_pace(attempt, now)
-        self._router.note_session(self.session, upstream.version, now)
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.outcome = "not the upstream's answer"
             return Verdict.AGAIN
         if head.status >= 500:
+            self._sound = False
             attempt.outcome = f"failed with {head.status}"
             if head.status == 503 or self._may_try_elsewhere(now):
                 return Verdict.AGAIN
@@ -255,7 +269,9 @@
         """
         attempt = self.attempts[-1]
         attempt.outcome = reason
+        self._end_reading(attempt)
         self._broken_reason = reason
+        self._sound = False
         if not written:
             self._ran -= 1
             directory.note_broken(attempt.state, now)
@@ -269,6 +285,11 @@
         run = "/".join(map(str, self.attempts[-1].state.upstream.run))
         self._router.poison.note_break(self._fingerprint, run, now)
 
+    def note_left(self) -> None:
+        """The caller has left."""
+        if self.attempts:
+            self._end_reading(self.attempts[-1])
+
     def note_end(self) -> None:
         """The answer has been delivered whole."""
         self.attempts[-1].outcome = "delivered"
@@ -299,12 +320,24 @@
             and self._router.budget.may_repeat(self.service.name, now)
         )
 
+    def _build_work(
+        self, model: str, now: float, excluded: frozenset[str] = frozenset()
+    ) -> placement.Work:
+        return placement.Work(
+            self.call,
+            self.service,
+            self._body_bytes,
+            model,
+            self._choose_versions(now),
+            excluded,
+        )
+
     def _choose_versions(self, now: float) -> set[str] | None:
         if self.delivering and self._version:
             # The rest of an answer comes from the version that began it.
             return {self._version}
         return self._router.choose_versions(
-            self.service.name, self.session, not self.attempts, now
+            self.service.name, self.session, self._sound, now
         )
 
     def _send(self, choice: placement.Choice, now: float) -> Send:
@@ -323,10 +356,21 @@
         self._ran += 1
         self._excluded.add(upstream.identity)
         self._version = upstream.version
-        self.attempts.append(Attempt(state, self._next_model, now, missing))
+        expected_s = self._router.placement.pace.estimate(
+            upstream.identity, self._next_model, missing, now
+        )
+        state.reading_s += expected_s
+        self.attempts.append(
+            Attempt(state, self._next_model, now, missing, expected_s)
+        )
         left_s = self.deadline - now
         return Send(state, self._next_model, left_s, choice.reason)
 
+    def _end_reading(self, attempt: Attempt) -> None:
+        if attempt.reading:
+            attempt.reading = False
+            attempt.state.reading_s -= attempt.expected_s
+
     def _note_pace(self, attempt: Attempt, now: float) -> None:
         self._router.placement.pace.note(
             attempt.state.upstream.identity,
@@ -344,15 +388,16 @@
             return False
         router = self._router
         larger = cascade.choose_larger(self.route)
+        choice = router.placement.choose(self._build_work(larger, now), now)
+        if choice.state is None:
+            return False
         decision = cascade.decide(
             self.route,
             cascade.Situation(
                 attempt.model,
                 head.confidence,
                 now - self.arrived,
-                router.placement.pace.estimate_usual(
-                    larger, self.call.prompt_tokens
-                ),
+                choice.expected_s,
                 router.placement.estimate_occupancy(self.service.name, now),
                 self.route.max_attempts - self._ran,
                 router.budget.count_left(self.service.name, now),
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -14,9 +14,6 @@
 RETURN_S = 2.0
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 2.0
-# An upstream that has answered nothing for this long while requests wait at
-# it is taken for silent, not for slow.
-SILENCE_S = 0.6
 # Weight of the newest outcome in the rate of failed answers.
 FAILURE_WEIGHT = 0.1
 
@@ -36,7 +33,8 @@
         failure_rate: Share of failed answers, recent ones weigh more.
         load: What it last said of its load, and when.
         running: Own requests at it.
-        work: Own requests at it in upstream seconds.
+        reading_s: Expected seconds until it has begun to answer all own
+            requests that wait for that.
     """
 
     upstream: forwarding.Upstream
@@ -51,7 +49,7 @@
     load_at: float = float("-inf")
     load_running: int = 0
     running: int = 0
-    work: float = 0.0
+    reading_s: float = 0.0
 
     def is_cold(self, now: float) -> bool:
         """Tells whether it has to be spared."""
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -29,8 +29,11 @@
 PACE_HALF_LIFE_S = 4.0
 # Reading a shared part again also evicts another one.
 MISS_WEIGHT = 2.0
-# Seconds that a way to another data centre is worth.
+# Seconds that a way to another data centre is worth, and each byte on it.
 CROSSING_S = 0.004
+CROSSING_S_PER_BYTE = 5e-6
+# Prompts are read one after the other, between the steps of running requests.
+READING_WEIGHT = 0.8
 # Share by which equally good upstreams are mixed.
 JITTER = 0.1
 # A failed answer costs a second attempt.
@@ -44,6 +47,7 @@
     """What an attempt needs.
 
     Attributes:
+        body_bytes: Length of the request's body.
         model: Model that runs; empty for a plain service.
         versions: Versions that may run it; `None` for all.
         excluded: Upstreams that have had it already.
@@ -51,6 +55,7 @@
 
     call: forwarding.Call
     service: forwarding.Service
+    body_bytes: int = 0
     model: str = ""
     versions: Collection[str] | None = None
     excluded: Collection[str] = ()
@@ -102,10 +107,6 @@
         weight = 0.5 ** ((now - at) / PACE_HALF_LIFE_S)
         return expect(tokens) * (usual + (factor - usual) * weight)
 
-    def estimate_usual(self, model: str, tokens: int) -> float:
-        """Returns the expected seconds at any upstream."""
-        return expect(tokens) * self._usual.get(model, 1.0)
-
     def forget(self, identity: str) -> None:
         """An upstream is gone or has started again."""
         for key in [key for key in self._factors if key[0] == identity]:
@@ -200,7 +201,12 @@
         parts = work.call.prompt_parts
         if len(parts) < 2:
             return None
-        names = [state.upstream.identity for state in states]
+        near = [
+            state
+            for state in states
+            if state.upstream.data_centre == self._data_centre
+        ]
+        names = [state.upstream.identity for state in near or states]
         return prompts.rank(names, work.model, parts[-2].identity)[0]
 
     def _measure(
@@ -223,11 +229,12 @@
         missing = max(0, call.prompt_tokens - kept)
         cost = self.pace.estimate(identity, work.model, missing, now)
         cost += MISS_WEIGHT * missing / READ_TOKENS_PER_S
+        cost += READING_WEIGHT * state.reading_s
         cost *= 1 + taken + 4 * max(0.0, taken - 0.8)
         cost *= 1 + FAILURE_COST * state.failure_rate
         cost *= 1 + JITTER * self._source.random()
         if state.upstream.data_centre != self._data_centre:
-            cost += CROSSING_S
+            cost += CROSSING_S + CROSSING_S_PER_BYTE * work.body_bytes
         return cost
 
 
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -16,8 +16,6 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 
-MAX_SESSIONS = 5000
-
 
 @dataclasses.dataclass(frozen=True)
 class Change:
@@ -61,8 +59,6 @@
         self.rollouts = canary.Rollouts(settings.node, settings.exposure_share)
         self.poison = poison.Poison()
         self.nodes: dict[str, str] = {}
-        self._session_s = settings.session_s
-        self._sessions: dict[str, tuple[str, float]] = {}
         self._evacuated: set[str] = set()
 
     def handle(self, event: events.Event, now: float) -> list[Change]:
@@ -87,7 +83,6 @@
 
     def configure(self, settings: gateway.Settings) -> None:
         """Takes changed settings."""
-        self._session_s = settings.session_s
         self.limits.configure(settings.cold_factor, settings.cold_floor)
         self.budget.configure(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
@@ -99,29 +94,17 @@
         gone = self.directory.sweep(now)
         for identity in gone:
             self._forget(identity)
-        expired = now - self._session_s
-        if len(self._sessions) > MAX_SESSIONS:
-            self._sessions = {
-                key: entry
-                for key, entry in self._sessions.items()
-                if entry[1] > expired
-            }
         return gone
 
-    def note_session(self, key: str, version: str, now: float) -> None:
-        """A request of a session has run on a version."""
-        if key and self._session_s > 0:
-            self._sessions[key] = (version, now)
-
     def choose_versions(
-        self, service: str, session: str, first: bool, now: float
+        self, service: str, session: str, sound: bool, now: float
     ) -> set[str] | None:
         """Returns the versions that may run an attempt; `None` for all.
 
         Args:
             service: Name of the service.
-            session: Key of the request's session; empty for none.
-            first: Whether it is the request's first attempt.
+            session: Ties the request to others, which get the same version.
+            sound: Whether no attempt of the request has failed.
             now: Monotonic time in seconds.
         """
         rollout = self.rollouts.get(service)
@@ -136,13 +119,7 @@
             return old
         if share >= 1:
             return new or old
-        pinned, at = self._sessions.get(session, ("", 0.0))
-        if pinned and now - at < self._session_s:
-            if pinned in new:
-                return new
-            if pinned in old and self.rollouts.is_early(service, now):
-                return old
-        if first and new and self.source.random() < share:
+        if sound and new and canary.is_chosen(service, session, share):
             return new
         return old or new
 
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -87,6 +87,7 @@
             failure = await exchange.run()
         except (asyncio.CancelledError, caller_connections.CallerGoneError):
             record.outcome = "caller left"
+            course.note_left()
             self._journal.note_request(record, course)
             raise
         if failure is None:
@@ -135,7 +136,13 @@
         record.service = service.name
         fingerprint = compute_fingerprint(call, workspace, request)
         return courses.Course(
-            self._router, call, route, service, fingerprint, now
+            self._router,
+            call,
+            route,
+            service,
+            fingerprint,
+            len(request.body),
+            now,
         )
 
     async def _refuse(
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -92,7 +92,9 @@
                 retries=False,
                 redirect=False,
                 preload_content=False,
-                timeout=urllib3.Timeout(self._connect_timeout_s, limit_s),
+                timeout=urllib3.Timeout(
+                    connect=self._connect_timeout_s, read=limit_s
+                ),
             )
             return _read_response(response, deadline)
         except (
--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -180,6 +180,21 @@
         self.assertIsInstance(self.client.renew_lease("1"), stores.LeaseGone)
         self.assertIsInstance(self.client.release_lease("1"), stores.LeaseGone)
 
+    def test_pending_watch_outlives_the_connect_timeout(self):
+        client = storeclient.StoreClient(self.server.url, connect_timeout_s=0.1)
+        self.addCleanup(client.close)
+        self.server.pause_s = 0.002
+        news = {"events": [], "revision": 9, "filler": "x" * 200}
+        self.server.responses.append(reply(200, news))
+        self.assertEqual(client.watch("a", 6, 1.0), stores.Changes((), 9))
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            url = "http://127.0.0.1:%d" % silent.getsockname()[1]
+            client = storeclient.StoreClient(url, 0.6, connect_timeout_s=0.1)
+            self.addCleanup(client.close)
+            began = time.monotonic()
+            self.assertIsInstance(client.read("a"), stores.InDoubt)
+            self.assertGreater(time.monotonic() - began, 0.5)
+
     def test_refused_watch_is_a_failure(self):
         self.server.responses.append(reply(410, {"error": {"run": "no"}}))
         self.assertIsInstance(
