Repeat requests only when the upstream has passed them over

Cause: after a restart of all nodes, requests and streams that only waited in overloaded engines were given up and read again elsewhere, which added to the load; the larger model was still asked although answers came late. Change: an attempt is given up early only if the upstream has begun to answer later requests, otherwise after most of the objective; TCP finds peers that are gone; the delay of the first answer lowers the threshold for a larger model. Requests that arrive while a process starts wait up to 0.4 s for the first configuration. Ruled out: no connections were refused by upstreams; slots were not full.

--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -17,6 +17,9 @@
 # which none is.
 BUSY_FROM = 0.45
 BUSY_TO = 0.95
+# The same for the part of the objective by which the first answer was late.
+DELAYED_FROM = 0.05
+DELAYED_TO = 0.3
 # Part of the objective in which the larger model has to begin its answer.
 OBJECTIVE_SHARE = 0.9
 
@@ -31,6 +34,8 @@
         elapsed_s: Seconds since the request arrived.
         larger_s: Expected seconds until the larger model begins its answer.
         occupancy: Share of the engines' places that are taken.
+        delay_s: Seconds by which the first answer came later than from an
+            idle engine.
         attempts_left: Attempts that the route still allows.
         repeats_left: Repeats that the budget still allows.
     """
@@ -40,6 +45,7 @@
     elapsed_s: float
     larger_s: float
     occupancy: float
+    delay_s: float
     attempts_left: int
     repeats_left: float
 
@@ -69,7 +75,16 @@
         return Decision("", "largest model")
     if situation.confidence is None:
         return Decision("", "no confidence")
-    threshold = compute_threshold(route.priority, situation.occupancy)
+    room = min(
+        _fall(situation.occupancy, BUSY_FROM, BUSY_TO),
+        _fall(
+            situation.delay_s / max(route.objective_s, 0.001),
+            DELAYED_FROM,
+            DELAYED_TO,
+        ),
+    )
+    idle = max(0.0, IDLE_THRESHOLD - PRIORITY_STEP * route.priority)
+    threshold = idle * room
     if situation.confidence >= threshold:
         return Decision("", f"confidence of {threshold:.0f} or more")
     if situation.attempts_left < 1:
@@ -82,16 +97,6 @@
     return Decision(larger, f"confidence below {threshold:.0f}")
 
 
-def compute_threshold(priority: int, occupancy: float) -> float:
-    """Returns the confidence below which a larger model is asked.
-
-    Args:
-        priority: Priority of the route, 0 for the most urgent.
-        occupancy: Share of the engines' places that are taken.
-    """
-    idle = max(0.0, IDLE_THRESHOLD - PRIORITY_STEP * priority)
-    if occupancy <= BUSY_FROM:
-        return idle
-    if occupancy >= BUSY_TO:
-        return 0.0
-    return idle * (BUSY_TO - occupancy) / (BUSY_TO - BUSY_FROM)
+def _fall(value: float, start: float, end: float) -> float:
+    """Returns 1 up to `start`, 0 from `end` and a straight line between."""
+    return min(1.0, max(0.0, (end - value) / (end - start)))
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -10,15 +10,19 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
-# Part of the objective after which an upstream that was silent since it got
-# the request is given up, and one that answers others; longer for requests
-# that are expected to take long.
-SILENT_SHARE = 0.4
-SILENT_EXPECTED = 2.5
-BUSY_SHARE = 0.7
-BUSY_EXPECTED = 5.0
-# Part of the tolerated pause after which a stalled stream goes on elsewhere.
-PAUSE_SHARE = 0.8
+# Part of the objective after which a request is given up that later ones have
+# passed at the upstream, and one that none has passed. The latter may only
+# wait for others; a repeat would add to the load that it waits for.
+PASSED_SHARE = 0.35
+PASSED_EXPECTED = 2.5
+STUCK_SHARE = 0.8
+STUCK_EXPECTED = 5.0
+# Time in seconds by which a later request has to be later.
+PASSED_S = 0.15
+# Parts of the tolerated pause after which a stalled stream goes on elsewhere,
+# if the upstream goes on with others, and if it does not.
+PASSED_PAUSES = 0.8
+STUCK_PAUSES = 2.0
 # Attempts in a row that upstreams may refuse without running them.
 MAX_REFUSALS = 4
 # Wait before full upstreams are tried again, and the part of the objective
@@ -28,6 +32,8 @@
 # Time in which a full or missing upstream is usually back.
 BACK_S = 0.5
 MIN_LEFT_S = 0.01
+# Time between looks at whether other requests go on.
+LOOK_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,7 +102,9 @@
         sent_at: When it was sent.
         missing: Prompt tokens that the upstream probably had to read.
         expected_s: Expected seconds until it begins to answer.
-        reading: Whether it counts among what the upstream has to read.
+        heard_at: When its last byte arrived.
+        reading_s: Seconds for which it counts among what the upstream has to
+            read; 0 once it answers.
     """
 
     state: directory.State
@@ -104,7 +112,8 @@
     sent_at: float
     missing: int
     expected_s: float
-    reading: bool = True
+    heard_at: float
+    reading_s: float
     outcome: str = "open"
 
 
@@ -210,29 +219,37 @@
         left_s = max(0.0, self.deadline - now)
         if not self._may_try_elsewhere(now):
             return left_s
-        if self.delivering:
-            if self.route.pause_s <= 0:
-                return left_s
-            return min(left_s, self.route.pause_s * PAUSE_SHARE)
         attempt = self.attempts[-1]
-        silent_s = max(
-            self.route.objective_s * SILENT_SHARE,
-            attempt.expected_s * SILENT_EXPECTED,
-        )
-        if now - attempt.sent_at < silent_s - MIN_LEFT_S:
-            return min(left_s, silent_s - (now - attempt.sent_at))
-        if attempt.state.heard_at < attempt.sent_at:
+        if self.delivering and self.route.pause_s > 0:
+            since = attempt.heard_at
+            first_s = self.route.pause_s * PASSED_PAUSES
+            last_s = self.route.pause_s * STUCK_PAUSES
+            passed = attempt.state.heard_at > since + PASSED_S
+        else:
+            since = attempt.sent_at
+            objective_s = self.route.objective_s
+            first_s = max(
+                objective_s * PASSED_SHARE,
+                attempt.expected_s * PASSED_EXPECTED,
+            )
+            last_s = max(
+                objective_s * STUCK_SHARE,
+                attempt.expected_s * STUCK_EXPECTED,
+            )
+            passed = attempt.state.passed_at > since + PASSED_S
+        waited_s = now - since
+        if waited_s < first_s - MIN_LEFT_S:
+            return min(left_s, first_s - waited_s)
+        if passed or waited_s >= last_s:
             return 0.0
-        busy_s = max(
-            self.route.objective_s * BUSY_SHARE,
-            attempt.expected_s * BUSY_EXPECTED,
-        )
-        return min(left_s, max(0.0, busy_s - (now - attempt.sent_at)))
+        return min(left_s, last_s - waited_s, LOOK_S)
 
     def judge_head(self, head: forwarding.AnswerHead, now: float) -> Verdict:
         """Decides whether an answer is passed on."""
         attempt = self.attempts[-1]
         self._end_reading(attempt)
+        attempt.heard_at = now
+        attempt.state.passed_at = max(attempt.state.passed_at, attempt.sent_at)
         failed = not head.not_run and (head.status >= 500 or head.encoded)
         directory.note_answer(attempt.state, head, failed, now)
         if head.not_run:
@@ -285,6 +302,12 @@
         run = "/".join(map(str, self.attempts[-1].state.upstream.run))
         self._router.poison.note_break(self._fingerprint, run, now)
 
+    def note_bytes(self, now: float) -> None:
+        """More of the answer has arrived."""
+        attempt = self.attempts[-1]
+        attempt.heard_at = now
+        attempt.state.heard_at = now
+
     def note_left(self) -> None:
         """The caller has left."""
         if self.attempts:
@@ -359,17 +382,25 @@
         expected_s = self._router.placement.pace.estimate(
             upstream.identity, self._next_model, missing, now
         )
+        waiting_s = expected_s + state.reading_s
         state.reading_s += expected_s
         self.attempts.append(
-            Attempt(state, self._next_model, now, missing, expected_s)
+            Attempt(
+                state,
+                self._next_model,
+                now,
+                missing,
+                waiting_s,
+                now,
+                expected_s,
+            )
         )
         left_s = self.deadline - now
         return Send(state, self._next_model, left_s, choice.reason)
 
     def _end_reading(self, attempt: Attempt) -> None:
-        if attempt.reading:
-            attempt.reading = False
-            attempt.state.reading_s -= attempt.expected_s
+        attempt.state.reading_s -= attempt.reading_s
+        attempt.reading_s = 0.0
 
     def _note_pace(self, attempt: Attempt, now: float) -> None:
         self._router.placement.pace.note(
@@ -399,6 +430,7 @@
                 now - self.arrived,
                 choice.expected_s,
                 router.placement.estimate_occupancy(self.service.name, now),
+                now - self.arrived - placement.expect(self.call.prompt_tokens),
                 self.route.max_attempts - self._ran,
                 router.budget.count_left(self.service.name, now),
             ),
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -30,6 +30,8 @@
         blocked_until: Until when broken connections keep it out.
         failures: Broken connections in a row.
         heard_at: When it last sent a byte.
+        passed_at: Latest time at which a request was sent that it has begun
+            to answer.
         failure_rate: Share of failed answers, recent ones weigh more.
         load: What it last said of its load, and when.
         running: Own requests at it.
@@ -44,6 +46,7 @@
     blocked_until: float = 0.0
     failures: int = 0
     heard_at: float = float("-inf")
+    passed_at: float = float("-inf")
     failure_rate: float = 0.0
     load: forwarding.Load | None = None
     load_at: float = float("-inf")
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -144,7 +144,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(WRITE_AHEAD_BYTES)
-        upstream_connections.set_options(transport)
+        upstream_connections.set_options(
+            transport, upstream_connections.DEAD_CALLER_MS
+        )
         self._registry.add(self)
         self._set_timer(self._get_limits().idle_timeout_s)
 
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import hashlib
 import time
+from typing import TypeVar
 
 from sycamorehollow.decisions.forwarding import course as courses
 from sycamorehollow.decisions.forwarding import router as routers
@@ -19,12 +20,19 @@
 # Whole answers up to this size are read before the caller gets any of it, so
 # that one that breaks off can be replaced.
 WHOLE_ANSWER_BYTES = 64 * 1024
+# Time for which a request waits for the first configuration, which mostly
+# arrives some milliseconds after the process has started to listen.
+STARTING_WAIT_S = 0.4
+STARTING_LOOK_S = 0.01
 # Time after which a request that came before the configuration may succeed.
 STARTING_RETRY_S = 0.5
 # Time after which another node takes requests of a node that is draining.
 DRAINING_RETRY_S = 0.05
 
 
+_Read = TypeVar("_Read")
+
+
 class GaveUpError(Exception):
     """The upstream took too long."""
 
@@ -74,6 +82,7 @@
             await self._refuse(connection, request, "", call, record)
             return
         record.request_id = call.request_id
+        await self._wait_for_table(started)
         course = self._admit(call, request, record, started)
         if isinstance(course, failures.Failure):
             await self._refuse(
@@ -103,6 +112,13 @@
             connection, request, call.request_id, failure, record, course
         )
 
+    async def _wait_for_table(self, started: float) -> None:
+        """Waits a moment for the configuration of a process that starts."""
+        while self._router.table is None:
+            if time.monotonic() - started > STARTING_WAIT_S:
+                return
+            await asyncio.sleep(STARTING_LOOK_S)
+
     def _admit(
         self,
         call: forwarding.Call,
@@ -225,7 +241,7 @@
             head = await self._wait_for(connection.read_head)
             verdict = self._course.judge_head(head.decoded, time.monotonic())
             if verdict is courses.Verdict.DELIVER:
-                await self._deliver(step, connection, head)
+                await self._deliver(connection, head)
                 return True
             if head.decoded.not_run:
                 await self._skip_body(connection)
@@ -275,9 +291,9 @@
 
     async def _wait_for(
         self,
-        read: Callable[[], Awaitable[upstream_connections.Head]],
-    ) -> upstream_connections.Head:
-        """Waits for a head as long as that makes sense.
+        read: Callable[[], Awaitable[_Read]],
+    ) -> _Read:
+        """Waits for a piece of the answer as long as that makes sense.
 
         Raises:
             GaveUpError: Another upstream, or none, is to be tried.
@@ -285,7 +301,7 @@
         while True:
             patience_s = self._course.compute_patience(time.monotonic())
             if patience_s <= 0:
-                raise GaveUpError("no answer in time")
+                raise GaveUpError("no byte in time")
             try:
                 async with asyncio.timeout(patience_s):
                     return await read()
@@ -294,7 +310,6 @@
 
     async def _deliver(
         self,
-        step: courses.Send,
         connection: upstream_connections.UpstreamConnection,
         head: upstream_connections.Head,
     ) -> None:
@@ -302,11 +317,11 @@
         kind = self._course.route.kind
         stream = kind is forwarding.Repeatability.STREAM and head.status == 200
         if stream:
-            await self._deliver_events(step, connection, head)
+            await self._deliver_events(connection, head)
             return
         body = bytearray()
         while len(body) <= WHOLE_ANSWER_BYTES:
-            data = await self._read_body(step, connection)
+            data = await self._read_body(connection)
             if not data:
                 await self._begin(head, len(body))
                 await self._connection.write_body(bytes(body))
@@ -314,20 +329,19 @@
             body += data
         await self._begin(head, head.length)
         await self._connection.write_body(bytes(body))
-        while data := await self._read_body(step, connection):
+        while data := await self._read_body(connection):
             await self._connection.write_body(data)
         await self._connection.write_end()
 
     async def _deliver_events(
         self,
-        step: courses.Send,
         connection: upstream_connections.UpstreamConnection,
         head: upstream_connections.Head,
     ) -> None:
         """Passes on whole events as they come."""
         course = self._course
         splitter = events.EventSplitter(course.last_event)
-        while data := await self._read_body(step, connection):
+        while data := await self._read_body(connection):
             whole = splitter.feed(data)
             if not whole:
                 continue
@@ -357,25 +371,15 @@
         )
 
     async def _read_body(
-        self,
-        step: courses.Send,
-        connection: upstream_connections.UpstreamConnection,
+        self, connection: upstream_connections.UpstreamConnection
     ) -> bytes:
         """Waits for more of the body as long as that makes sense.
 
         Raises:
             GaveUpError: The answer stalls or its time is over.
         """
-        now = time.monotonic()
-        patience_s = self._course.compute_patience(now)
-        if patience_s <= 0:
-            raise GaveUpError("the time for the answer is over")
-        try:
-            async with asyncio.timeout(patience_s):
-                data = await connection.read_body()
-        except TimeoutError as error:
-            raise GaveUpError(f"no event for {patience_s:.2f} s") from error
-        step.state.heard_at = time.monotonic()
+        data = await self._wait_for(connection.read_body)
+        self._course.note_bytes(time.monotonic())
         return data
 
     async def _skip_body(
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -24,7 +24,11 @@
 # upstream may just have closed.
 FRESH_IDLE_S = 0.25
 KEPT_PER_UPSTREAM = 32
-DEAD_PEER_MS = 3000
+# Time in milliseconds without an acknowledgement after which a peer counts as
+# gone. An upstream is given up early, since its requests can go elsewhere; the
+# time still allows for a lost packet that is sent again.
+DEAD_UPSTREAM_MS = 800
+DEAD_CALLER_MS = 3000
 
 
 class BrokenError(Exception):
@@ -343,17 +347,17 @@
             raise BrokenError(
                 f"cannot connect: {error or 'timed out'}", False, False
             ) from error
-        set_options(transport)
+        set_options(transport, DEAD_UPSTREAM_MS)
         return connection
 
 
-def set_options(transport: asyncio.BaseTransport) -> None:
+def set_options(transport: asyncio.BaseTransport, dead_ms: int) -> None:
     """Sends small writes at once and notices a peer that is gone."""
     raw = transport.get_extra_info("socket")
     if raw is None:
         return
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PEER_MS)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, dead_ms)
 
 
 def _discard(
