Probe silent upstreams and smooth the delay that limits larger models

Cause: in a cut between data centres, streams waited for up to two pauses, because a silent upstream could not be told from an overloaded one. Change: an upstream that is silent for 0.3 s is checked with a new connection; if it takes none, all requests at it go elsewhere. Recent delays of first answers lower the threshold for a larger model also for the next request.

--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -19,11 +19,30 @@
 BUSY_TO = 0.95
 # The same for the part of the objective by which the first answer was late.
 DELAYED_FROM = 0.05
-DELAYED_TO = 0.3
+DELAYED_TO = 0.25
+# Time in seconds in which a delay of other requests counts half.
+DELAY_HALF_LIFE_S = 0.7
+SMOOTHING = 0.3
 # Part of the objective in which the larger model has to begin its answer.
 OBJECTIVE_SHARE = 0.9
 
 
+class Delays:
+    """Recent delays of first answers, as parts of the objective."""
+
+    def __init__(self) -> None:
+        self._delays: dict[str, tuple[float, float]] = {}
+
+    def note(self, service: str, delay: float, now: float) -> float:
+        """Takes one more delay and returns the smoothed one."""
+        known, at = self._delays.get(service, (0.0, now))
+        weight = 0.5 ** ((now - at) / DELAY_HALF_LIFE_S)
+        # One late answer alone may be that of a slow upstream.
+        smooth = known * weight + (delay - known * weight) * SMOOTHING
+        self._delays[service] = (smooth, now)
+        return max(delay, smooth)
+
+
 @dataclasses.dataclass(frozen=True)
 class Situation:
     """What decides about a larger model.
@@ -34,8 +53,8 @@
         elapsed_s: Seconds since the request arrived.
         larger_s: Expected seconds until the larger model begins its answer.
         occupancy: Share of the engines' places that are taken.
-        delay_s: Seconds by which the first answer came later than from an
-            idle engine.
+        delay: Part of the objective by which first answers come later than
+            from an idle engine.
         attempts_left: Attempts that the route still allows.
         repeats_left: Repeats that the budget still allows.
     """
@@ -45,7 +64,7 @@
     elapsed_s: float
     larger_s: float
     occupancy: float
-    delay_s: float
+    delay: float
     attempts_left: int
     repeats_left: float
 
@@ -77,11 +96,7 @@
         return Decision("", "no confidence")
     room = min(
         _fall(situation.occupancy, BUSY_FROM, BUSY_TO),
-        _fall(
-            situation.delay_s / max(route.objective_s, 0.001),
-            DELAYED_FROM,
-            DELAYED_TO,
-        ),
+        _fall(situation.delay, DELAYED_FROM, DELAYED_TO),
     )
     idle = max(0.0, IDLE_THRESHOLD - PRIORITY_STEP * route.priority)
     threshold = idle * room
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -32,6 +32,9 @@
 # Time in which a full or missing upstream is usually back.
 BACK_S = 0.5
 MIN_LEFT_S = 0.01
+# Silence in seconds after which it is checked whether an upstream can be
+# reached, which an overloaded one can.
+PROBE_S = 0.3
 # Time between looks at whether other requests go on.
 LOOK_S = 0.1
 
@@ -238,12 +241,34 @@
             )
             passed = attempt.state.passed_at > since + PASSED_S
         waited_s = now - since
+        if attempt.state.is_dark() and attempt.state.dark_at > since:
+            return 0.0
         if waited_s < first_s - MIN_LEFT_S:
-            return min(left_s, first_s - waited_s)
+            return min(left_s, first_s - waited_s, LOOK_S)
         if passed or waited_s >= last_s:
             return 0.0
         return min(left_s, last_s - waited_s, LOOK_S)
 
+    def wants_probe(self, now: float) -> bool:
+        """Tells whether to check that the silent upstream can be reached."""
+        if not self._may_try_elsewhere(now):
+            return False
+        attempt = self.attempts[-1]
+        state = attempt.state
+        since = max(attempt.heard_at, state.heard_at, state.probed_at)
+        if now - since < PROBE_S:
+            return False
+        state.probed_at = now
+        return True
+
+    def note_probe(self, reached: bool, now: float) -> None:
+        """The check has ended."""
+        state = self.attempts[-1].state
+        if reached:
+            return
+        state.dark_at = now
+        directory.note_broken(state, now)
+
     def judge_head(self, head: forwarding.AnswerHead, now: float) -> Verdict:
         """Decides whether an answer is passed on."""
         attempt = self.attempts[-1]
@@ -419,6 +444,8 @@
             return False
         router = self._router
         larger = cascade.choose_larger(self.route)
+        delay_s = now - self.arrived - placement.expect(self.call.prompt_tokens)
+        delay = max(0.0, delay_s) / max(self.route.objective_s, 0.001)
         choice = router.placement.choose(self._build_work(larger, now), now)
         if choice.state is None:
             return False
@@ -430,7 +457,7 @@
                 now - self.arrived,
                 choice.expected_s,
                 router.placement.estimate_occupancy(self.service.name, now),
-                now - self.arrived - placement.expect(self.call.prompt_tokens),
+                router.delays.note(self.service.name, delay, now),
                 self.route.max_attempts - self._ran,
                 router.budget.count_left(self.service.name, now),
             ),
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -30,6 +30,8 @@
         blocked_until: Until when broken connections keep it out.
         failures: Broken connections in a row.
         heard_at: When it last sent a byte.
+        probed_at: When a check of whether it can be reached was started.
+        dark_at: When such a check last failed.
         passed_at: Latest time at which a request was sent that it has begun
             to answer.
         failure_rate: Share of failed answers, recent ones weigh more.
@@ -46,6 +48,8 @@
     blocked_until: float = 0.0
     failures: int = 0
     heard_at: float = float("-inf")
+    probed_at: float = float("-inf")
+    dark_at: float = float("-inf")
     passed_at: float = float("-inf")
     failure_rate: float = 0.0
     load: forwarding.Load | None = None
@@ -58,6 +62,10 @@
         """Tells whether it has to be spared."""
         return now < self.cold_until
 
+    def is_dark(self) -> bool:
+        """Tells whether it could not be reached since it was last heard."""
+        return self.dark_at > self.heard_at
+
     def is_blocked(self, now: float) -> bool:
         """Tells whether broken connections keep it out."""
         return now < self.blocked_until
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -38,6 +38,10 @@
 JITTER = 0.1
 # A failed answer costs a second attempt.
 FAILURE_COST = 6.0
+# Seconds that are lost when an upstream still cannot be reached, for each
+# connection in a row that broke.
+BROKEN_S = 0.2
+MAX_BROKEN = 3
 # Load above which the first choice for a prompt part is not waited for.
 AFFINITY_LOAD = 0.75
 
@@ -233,6 +237,7 @@
         cost *= 1 + taken + 4 * max(0.0, taken - 0.8)
         cost *= 1 + FAILURE_COST * state.failure_rate
         cost *= 1 + JITTER * self._source.random()
+        cost += BROKEN_S * min(state.failures, MAX_BROKEN)
         if state.upstream.data_centre != self._data_centre:
             cost += CROSSING_S + CROSSING_S_PER_BYTE * work.body_bytes
         return cost
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -306,7 +306,15 @@
                 async with asyncio.timeout(patience_s):
                     return await read()
             except TimeoutError:
-                continue
+                await self._probe()
+
+    async def _probe(self) -> None:
+        """Checks whether a silent upstream can still be reached."""
+        if not self._course.wants_probe(time.monotonic()):
+            return
+        upstream = self._course.attempts[-1].state.upstream
+        reached = await self._pool.is_reachable(upstream)
+        self._course.note_probe(reached, time.monotonic())
 
     async def _deliver(
         self,
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -12,7 +12,11 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import dialect
 
-CONNECT_TIMEOUT_S = 0.4
+# Well above the way to any data centre of a region; a lost first packet is
+# only sent again after a second.
+CONNECT_TIMEOUT_S = 0.25
+PROBE_TIMEOUT_S = 0.12
+PROBES = 2
 # Bytes that are read ahead of a slow caller.
 READ_AHEAD_BYTES = 128 * 1024
 # Idle time after which a connection is not used again when the upstream does
@@ -333,6 +337,21 @@
                     kept.remove(connection)
                     connection.close()
 
+    async def is_reachable(self, upstream: forwarding.Upstream) -> bool:
+        """Tells whether an upstream takes a new connection."""
+        for _ in range(PROBES):
+            try:
+                async with asyncio.timeout(PROBE_TIMEOUT_S):
+                    _, writer = await asyncio.open_connection(
+                        upstream.host, upstream.port
+                    )
+            except (OSError, TimeoutError):
+                # A single packet may be lost; the second failure counts.
+                continue
+            writer.transport.abort()
+            return True
+        return False
+
     async def _open(self, upstream: forwarding.Upstream) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         self.opened += 1
