Give the router the delays that the course asks for

Change: the missing attribute; an exception in a handler is logged and ends the connection at once, where before the caller waited for its deadline.

--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -4,6 +4,7 @@
 import random
 
 from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import cold_limits
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import placement
@@ -35,6 +36,7 @@
         budget: Budget of repeats.
         rollouts: Roll-outs in progress.
         poison: Requests that crash upstreams.
+        delays: How late answers have been.
         nodes: Peer address of each registered node.
     """
 
@@ -58,6 +60,7 @@
         )
         self.rollouts = canary.Rollouts(settings.node, settings.exposure_share)
         self.poison = poison.Poison()
+        self.delays = cascade.Delays()
         self.nodes: dict[str, str] = {}
         self._evacuated: set[str] = set()
 
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 import httptools
+import loguru
 
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import dialect
@@ -280,6 +281,11 @@
                     break
         except CallerGoneError:
             return
+        except Exception:
+            # The caller learns that something broke; other requests go on.
+            loguru.logger.exception("a request failed in this process")
+            self.abort()
+            return
         finally:
             self._task = None
         if self._transport is None or self._gone:
