--- /dev/null
+++ b/tests/test_forwarding_canary.py
@@ -0,0 +1,159 @@
+"""Tests of roll-outs of versions behind routes."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.model import forwarding
+from tests import forwarding_world
+
+DURATION_S = 24.0
+EXPOSURE = 0.15
+FLOOR = 30
+NODES = 9
+RATE_PER_S = 30
+SYNC_S = 1.0
+
+
+class Fleet:
+    """Nodes that exchange findings once a second, and a service."""
+
+    def __init__(self, seed, fails, gap_s=0.0, base=0.02):
+        self._source = random.Random(seed)
+        self._fails = fails
+        self._gap_s = gap_s
+        self._base = base
+        self.nodes = []
+        self.new = self.total = 0
+        self.ended_at = None
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
+        for number in range(NODES):
+            rollouts = canary.Rollouts(f"n{number}", EXPOSURE)
+            rollouts.set_order(order, 0.0)
+            self.nodes.append(rollouts)
+
+    def play(self):
+        """Plays the roll-out; returns its final state or `None`."""
+        final = None
+        for tick in range(int(DURATION_S * RATE_PER_S)):
+            now = tick / RATE_PER_S
+            self._serve(self._source.choice(self.nodes), now)
+            if tick % int(SYNC_S * RATE_PER_S / NODES) == 0:
+                self._sync(now)
+            for node in self.nodes:
+                if tick % 8 == 0:
+                    node.judge(now)
+                state = node.find_due_state("s", now)
+                if state not in (None, forwarding.RolloutState.RUNNING):
+                    final = final or state
+                    self.ended_at = self.ended_at or now
+                    status = forwarding.RolloutStatus("s", "v2", final, 9)
+                    for other in self.nodes:
+                        other.set_status(status)
+        return final
+
+    def _serve(self, node, now):
+        share = node.compute_share("s", now)
+        session = str(self._source.random())
+        new = canary.is_chosen("s", session, share)
+        rate = self._base
+        if new and now >= self._gap_s:
+            rate = self._fails
+        if self.ended_at is None:
+            self.total += 1
+            self.new += int(new)
+        failed = self._source.random() < rate
+        node.note_answer("s", "v2" if new else "v1", failed)
+
+    def _sync(self, now):
+        one, other = self._source.sample(self.nodes, 2)
+        for finding in one.export(now):
+            other.merge(finding, now)
+        for finding in other.export(now):
+            one.merge(finding, now)
+
+
+class RolloutTest(unittest.TestCase):
+    """Guards against exposure to bad versions and good ones held back."""
+
+    @hypothesis.given(
+        strategies.integers(0, 10_000),
+        strategies.floats(0.3, 0.9),
+        strategies.floats(0.0, 6.0),
+    )
+    @hypothesis.settings(max_examples=25, deadline=None)
+    def test_bad_version_is_rolled_back_within_its_exposure(
+        self, seed, fails, gap_s
+    ):
+        fleet = Fleet(seed, fails, gap_s)
+        self.assertIs(fleet.play(), forwarding.RolloutState.ROLLED_BACK)
+        allowed = EXPOSURE * DURATION_S * RATE_PER_S + FLOOR
+        self.assertLessEqual(fleet.new, allowed)
+
+    def test_good_versions_are_completed_in_time(self):
+        states = [Fleet(seed, 0.02).play() for seed in range(40)]
+        completed = states.count(forwarding.RolloutState.COMPLETED)
+        # One false alarm in a hundred is the bound of the test itself.
+        self.assertGreaterEqual(completed, 38)
+
+    def test_session_keeps_the_new_version_while_the_share_rises(self):
+        for number in range(500):
+            session = f"session-{number}"
+            if canary.is_chosen("s", session, 0.1):
+                self.assertTrue(canary.is_chosen("s", session, 0.4))
+
+    def test_restarted_node_learns_how_long_it_has_run(self):
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
+        old, new = canary.Rollouts("a", 0.15), canary.Rollouts("b", 0.15)
+        old.set_order(order, 0.0)
+        new.set_order(order, 20.0)
+        for finding in old.export(20.0):
+            new.merge(finding, 20.0)
+        self.assertEqual(
+            old.compute_share("s", 20.0), new.compute_share("s", 20.0)
+        )
+
+    def test_stop_spreads_and_ends_traffic_to_the_version(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("a"),
+            forwarding_world.build_upstream("b", version="v2"),
+        )
+        order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
+        built.handle(updates.RolloutOrdered(order), 0.0)
+        built.rollouts.merge(canary.Finding("llm", 5, True, 1.0, {}), 1.0)
+        for number in range(50):
+            versions = built.choose_versions("llm", f"s{number}", True, 1.0)
+            self.assertEqual(versions, {"v1"})
+        self.assertIs(
+            built.rollouts.find_due_state("llm", 1.0),
+            forwarding.RolloutState.ROLLED_BACK,
+        )
+
+    def test_completed_service_uses_the_new_version_only(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("a"),
+            forwarding_world.build_upstream("b", version="v2"),
+        )
+        order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
+        built.handle(updates.RolloutOrdered(order), 0.0)
+        status = forwarding.RolloutStatus(
+            "llm", "v2", forwarding.RolloutState.COMPLETED, 9
+        )
+        built.handle(updates.RolloutStated(status), 1.0)
+        self.assertEqual(built.choose_versions("llm", "s", True, 1.0), {"v2"})
+
+    def test_status_of_an_earlier_order_is_ignored(self):
+        rollouts = canary.Rollouts("a", EXPOSURE)
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 50)
+        rollouts.set_order(order, 0.0)
+        status = forwarding.RolloutStatus(
+            "s", "v2", forwarding.RolloutState.COMPLETED, 40
+        )
+        rollouts.set_status(status)
+        self.assertIs(
+            rollouts.find_due_state("s", 0.1), forwarding.RolloutState.RUNNING
+        )
--- /dev/null
+++ b/tests/test_forwarding_course.py
@@ -0,0 +1,332 @@
+"""Tests of the course of a request."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions.forwarding import course
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+from tests import forwarding_world
+
+UPSTREAMS = [
+    forwarding_world.build_upstream(name, port=1000 + number)
+    for number, name in enumerate("abcde")
+]
+OUTCOMES = strategies.lists(
+    strategies.sampled_from(
+        ("refused", "unwritten", "broken", "failed", "served", "unsealed")
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+def run_course(kind, outcomes, max_attempts):
+    """Plays a request whose attempts end as given.
+
+    Returns:
+        The final failure or `None`, and the runs that upstreams made.
+    """
+    built = forwarding_world.build_router(*UPSTREAMS)
+    route = forwarding_world.build_route(
+        kind, max_attempts=max_attempts, models=()
+    )
+    played = forwarding_world.build_course(built, route=route)
+    runs = 0
+    now = 0.0
+    for outcome in outcomes * 3:
+        now += 0.05
+        step = played.find_step(now)
+        if isinstance(step, course.Refuse):
+            return step.failure, runs
+        if isinstance(step, course.Wait):
+            continue
+        if outcome == "unwritten":
+            played.note_broken("cannot connect", False, now)
+            continue
+        if outcome == "refused":
+            head = forwarding_world.build_head(503, not_run=True, sealed=False)
+            played.judge_head(head, now)
+            continue
+        runs += 1
+        if outcome == "broken":
+            played.note_broken("closed", True, now)
+            continue
+        heads = {
+            "failed": forwarding_world.build_head(500),
+            "unsealed": forwarding_world.build_head(200, sealed=False),
+            "served": forwarding_world.build_head(200),
+        }
+        verdict = played.judge_head(heads[outcome], now)
+        if verdict is course.Verdict.DELIVER:
+            return None, runs
+    return None, runs
+
+
+class CourseTest(unittest.TestCase):
+    """Guards against second runs, untrue refusals and endless attempts."""
+
+    @hypothesis.given(OUTCOMES, strategies.integers(1, 3))
+    def test_unsafe_request_runs_at_most_once(self, outcomes, most):
+        _, runs = run_course(forwarding_world.UNSAFE, outcomes, most)
+        self.assertLessEqual(runs, 1)
+
+    @hypothesis.given(
+        OUTCOMES,
+        strategies.sampled_from(list(forwarding.Repeatability)),
+        strategies.integers(1, 3),
+    )
+    def test_refusal_that_says_not_run_is_true(self, outcomes, kind, most):
+        failure, runs = run_course(kind, outcomes, most)
+        self.assertLessEqual(runs, most)
+        if failure is None:
+            return
+        if failure.status in (408, 421, 429, 503):
+            self.assertEqual(runs, 0)
+            self.assertIsNotNone(failure.retry_after_s)
+        if runs:
+            self.assertIs(failure.run, failures.Run.UNKNOWN)
+
+    def test_failed_safe_request_goes_to_another_upstream(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        route = forwarding_world.build_route(
+            forwarding_world.SAFE, max_attempts=2
+        )
+        played = forwarding_world.build_course(built, route=route)
+        first = played.find_step(0.0)
+        verdict = played.judge_head(forwarding_world.build_head(500), 0.02)
+        self.assertIs(verdict, course.Verdict.AGAIN)
+        second = played.find_step(0.02)
+        self.assertIsNot(first.state, second.state)
+        # The last answer that may be asked for is passed on as it is.
+        verdict = played.judge_head(forwarding_world.build_head(500), 0.04)
+        self.assertIs(verdict, course.Verdict.DELIVER)
+
+    def test_nothing_registered_is_refused_at_once(self):
+        built = forwarding_world.build_router()
+        step = forwarding_world.build_course(built).find_step(0.0)
+        self.assertIsInstance(step.failure, course.Unavailable)
+
+    def test_route_timeout_bounds_the_deadline(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        route = forwarding_world.build_route(timeout_s=0.8)
+        played = forwarding_world.build_course(built, route=route)
+        self.assertAlmostEqual(played.find_step(0.0).left_s, 0.8)
+        played.note_broken("closed", True, 0.9)
+        self.assertIsInstance(played.find_step(0.9).failure, course.TimedOut)
+
+    def test_poisonous_request_ends(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        sent = 0
+        for attempt in range(6):
+            played = forwarding_world.build_course(built, now=float(attempt))
+            step = played.find_step(float(attempt))
+            if isinstance(step, course.Refuse):
+                self.assertEqual(step.failure.status, 502)
+                break
+            sent += 1
+            played.note_broken("closed", True, attempt + 0.1)
+            played.note_crash(attempt + 0.1)
+        self.assertLessEqual(sent, 4)
+
+
+class PatienceTest(unittest.TestCase):
+    """Replays a queue in an overloaded engine, and engines that hang."""
+
+    def setUp(self):
+        self.built = forwarding_world.build_router(*UPSTREAMS[:2])
+        self.played = forwarding_world.build_course(self.built)
+        self.state = self.played.find_step(0.0).state
+
+    def _wait(self, played, until):
+        """Returns when the course gives its attempt up."""
+        now = 0.0
+        while now < until:
+            patience_s = played.compute_patience(now)
+            if patience_s <= 0:
+                return now
+            now += patience_s
+        return until
+
+    def test_request_that_only_waits_is_not_sent_again_early(self):
+        objective_s = self.played.route.objective_s
+        gave_up = self._wait(self.played, 10.0)
+        self.assertGreaterEqual(gave_up, 0.75 * objective_s)
+
+    def test_request_that_later_ones_have_passed_goes_elsewhere(self):
+        self.state.passed_at = 0.5
+        gave_up = self._wait(self.played, 10.0)
+        self.assertLess(gave_up, 0.5 * self.played.route.objective_s)
+
+    def test_unreachable_upstream_is_given_up_at_once(self):
+        self.assertFalse(self.played.wants_probe(0.1))
+        self.assertTrue(self.played.wants_probe(0.4))
+        self.played.note_probe(False, 0.5)
+        self.assertEqual(self.played.compute_patience(0.5), 0.0)
+
+    def test_reachable_upstream_is_waited_for(self):
+        self.assertTrue(self.played.wants_probe(0.4))
+        self.played.note_probe(True, 0.5)
+        self.assertGreater(self.played.compute_patience(0.5), 0.0)
+
+    def test_long_prompt_has_longer(self):
+        short = self._wait(self.played, 20.0)
+        call = forwarding_world.build_call(
+            prompt_tokens=100_000, deadline_s=15.0
+        )
+        played = forwarding_world.build_course(self.built, call)
+        played.find_step(0.0)
+        self.assertGreater(self._wait(played, 20.0), 2 * short)
+
+    def test_unsafe_request_is_waited_for_until_its_deadline(self):
+        route = forwarding_world.build_route(
+            forwarding_world.UNSAFE, max_attempts=1, timeout_s=0.8
+        )
+        played = forwarding_world.build_course(self.built, route=route)
+        played.find_step(0.0)
+        self.assertAlmostEqual(played.compute_patience(0.0), 0.8)
+
+
+class CascadeTest(unittest.TestCase):
+    """Replays light and heavy load for the choice of a larger model."""
+
+    def _ask(self, confidence, took_s, **route):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        played = forwarding_world.build_course(
+            built, route=forwarding_world.build_route(**route)
+        )
+        self.assertEqual(played.find_step(0.0).model, "small")
+        head = forwarding_world.build_head(confidence=confidence)
+        verdict = played.judge_head(head, took_s)
+        if verdict is course.Verdict.DELIVER:
+            return "small"
+        return played.find_step(took_s).model
+
+    def test_doubtful_answer_is_replaced_while_there_is_room(self):
+        self.assertEqual(self._ask(10, 0.08), "large")
+        self.assertEqual(self._ask(95, 0.08), "small")
+        self.assertEqual(self._ask(None, 0.08), "small")
+
+    def test_late_first_answers_are_kept(self):
+        self.assertEqual(self._ask(10, 0.9), "small")
+
+    def test_urgent_requests_get_larger_models_first(self):
+        self.assertEqual(self._ask(70, 0.08, priority=0), "large")
+        self.assertEqual(self._ask(70, 0.08, priority=2), "small")
+
+    def test_attempts_and_budget_bound_larger_models(self):
+        self.assertEqual(self._ask(10, 0.08, max_attempts=1), "small")
+        built = forwarding_world.build_router(
+            *UPSTREAMS, retry_ratio=0.0, retry_floor=0.0
+        )
+        played = forwarding_world.build_course(built)
+        played.find_step(0.0)
+        head = forwarding_world.build_head(confidence=0)
+        self.assertIs(played.judge_head(head, 0.08), course.Verdict.DELIVER)
+
+
+class PlacementTest(unittest.TestCase):
+    """Replays slow, failing, cold and distant upstreams."""
+
+    def _spread(self, built, count=200, call=None, route=None, finish=None):
+        """Sends requests one by one and counts them by upstream."""
+        counts = {}
+        for number in range(count):
+            now = number * 0.1
+            played = forwarding_world.build_course(built, call, route, now)
+            step = played.find_step(now)
+            name = step.state.upstream.identity
+            counts[name] = counts.get(name, 0) + 1
+            if finish is not None:
+                finish(played, name, now)
+        return counts
+
+    def test_slow_upstream_gets_less(self):
+        built = forwarding_world.build_router(*UPSTREAMS[:3])
+
+        def finish(played, name, now):
+            took_s = 0.4 if name == "a" else 0.06
+            played.judge_head(forwarding_world.build_head(), now + took_s)
+
+        counts = self._spread(built, finish=finish)
+        self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
+
+    def test_failing_upstream_gets_less(self):
+        built = forwarding_world.build_router(*UPSTREAMS[:3])
+
+        def finish(played, name, now):
+            status = 500 if name == "a" else 200
+            played.judge_head(forwarding_world.build_head(status), now + 0.06)
+
+        route = forwarding_world.build_route(models=())
+        counts = self._spread(built, route=route, finish=finish)
+        self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
+
+    def test_own_data_centre_is_preferred_for_large_bodies(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("near"),
+            forwarding_world.build_upstream("far", data_centre="dc-2"),
+        )
+
+        def finish(played, name, now):
+            played.judge_head(forwarding_world.build_head(), now + 0.06)
+
+        counts = self._spread(built, finish=finish)
+        self.assertGreater(counts["near"], 150)
+
+    def test_cold_upstream_gets_its_share_only(self):
+        service = forwarding.Service("llm", "/health", 100, cold_per_s=4.0)
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("cold", cold_s=100.0),
+            configuration=forwarding_world.build_configuration(
+                services={"llm": service}
+            ),
+            cold_factor=1.0,
+            cold_floor=0.0,
+        )
+        sent = 0
+        for number in range(50):
+            now = number * 0.02
+            played = forwarding_world.build_course(built, now=now)
+            if isinstance(played.find_step(now), course.Send):
+                sent += 1
+        self.assertLessEqual(sent, 4)
+
+    def test_shared_prompt_parts_stay_together(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        parts = (
+            forwarding.PromptPart("shared", 8000),
+            forwarding.PromptPart("own", 100),
+        )
+        call = forwarding_world.build_call(
+            prompt_tokens=8100, prompt_parts=parts
+        )
+
+        def finish(played, name, now):
+            played.judge_head(forwarding_world.build_head(), now + 0.1)
+
+        counts = self._spread(built, 100, call, finish=finish)
+        self.assertGreater(max(counts.values()), 80)
+
+    def test_hot_prompt_part_spreads_when_its_upstream_fills(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        parts = (
+            forwarding.PromptPart("hot", 8000),
+            forwarding.PromptPart("own", 100),
+        )
+        call = forwarding_world.build_call(
+            prompt_tokens=8100, prompt_parts=parts
+        )
+        counts = {}
+        source = random.Random(3)
+        for number in range(60):
+            played = forwarding_world.build_course(built, call, now=0.0)
+            step = played.find_step(source.random() * 0.01)
+            name = step.state.upstream.identity
+            step.state.running += 1
+            counts[name] = counts.get(name, 0) + 1
+            self.assertLess(number, 60)
+        self.assertGreaterEqual(len(counts), 3)
--- /dev/null
+++ b/tests/test_forwarding_state.py
@@ -0,0 +1,309 @@
+"""Tests of mirrored state, routes, upstreams, budgets and cold limits."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions.forwarding import cold_limits
+from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import poison
+from sycamorehollow.decisions.forwarding import retry_budget
+from sycamorehollow.decisions.forwarding import route_table
+from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+from tests import forwarding_world
+
+CHANGES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("abcd"),
+        strategies.one_of(strategies.none(), strategies.text(max_size=2)),
+    ),
+    max_size=20,
+)
+
+
+def build_history(changes):
+    """Returns the entries of a store that made the changes in order."""
+    return [
+        mirror.Entry(key, value, number)
+        for number, (key, value) in enumerate(changes, 1)
+    ]
+
+
+def read_values(copy):
+    """Returns the values of a mirror by key."""
+    return {entry.key: entry.value for entry in copy.list_values()}
+
+
+class MirrorTest(unittest.TestCase):
+    """Guards against copies that go back, differ or lose a deletion."""
+
+    @hypothesis.given(
+        CHANGES,
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 2),
+                strategies.integers(0, 2),
+                strategies.integers(0, 20),
+            ),
+            max_size=25,
+        ),
+    )
+    def test_copies_agree_with_the_store(self, changes, schedule):
+        history = build_history(changes)
+        copies = [mirror.Mirror() for _ in range(3)]
+        for left, right, upto in schedule:
+            if left == right:
+                latest = {e.key: e for e in history[:upto]}
+                values = [e for e in latest.values() if e.value is not None]
+                copies[left].replace(values, min(upto, len(history)))
+                continue
+            delta = copies[left].collect(copies[right].revision)
+            if delta is not None:
+                copies[right].merge(delta)
+        for copy in copies:
+            expected = {}
+            for entry in history[: copy.revision]:
+                expected[entry.key] = entry.value
+            expected = {k: v for k, v in expected.items() if v is not None}
+            self.assertEqual(read_values(copy), expected)
+
+    def test_watch_that_lags_behind_a_peer_changes_nothing(self):
+        copy = mirror.Mirror()
+        newer = mirror.Delta((mirror.Entry("a", "new", 5),), 5, False)
+        copy.merge(newer)
+        self.assertEqual(copy.apply([mirror.Entry("a", "old", 3)], 3), [])
+        self.assertEqual(copy.apply([mirror.Entry("a", None, 4)], 4), [])
+        self.assertEqual(read_values(copy), {"a": "new"})
+        self.assertEqual(copy.revision, 5)
+
+    def test_old_delta_changes_nothing(self):
+        copy = mirror.Mirror()
+        copy.apply([mirror.Entry("a", "new", 5)], 5)
+        old = mirror.Delta((mirror.Entry("a", "old", 3),), 3, True)
+        self.assertEqual(copy.merge(old), [])
+        self.assertEqual(read_values(copy), {"a": "new"})
+
+    def test_forgotten_deletions_need_a_whole_copy(self):
+        copy = mirror.Mirror()
+        count = mirror.MAX_DELETIONS + 5
+        copy.apply(
+            [mirror.Entry(f"k{n}", "v", n + 1) for n in range(count)], count
+        )
+        late = mirror.Mirror()
+        late.merge(copy.collect(0))
+        copy.apply(
+            [mirror.Entry(f"k{n}", None, count + n + 1) for n in range(count)],
+            2 * count,
+        )
+        late.merge(copy.collect(late.revision))
+        self.assertEqual(read_values(late), {})
+
+
+class RouteTableTest(unittest.TestCase):
+    """Guards against requests on the wrong route or with a wrong key."""
+
+    def setUp(self):
+        routes = (
+            forwarding_world.build_route(name="short"),
+            forwarding_world.build_route(name="long", path_prefix="/draft/a/"),
+            forwarding_world.build_route(
+                name="open", path_prefix="/o/", open=True
+            ),
+        )
+        self.table = route_table.RouteTable(
+            forwarding_world.build_configuration(
+                *routes, workspaces={"k": forwarding.Workspace("maps")}
+            )
+        )
+
+    def test_longest_prefix_wins(self):
+        for path, name in (
+            ("/draft/a/x", "long"),
+            ("/draft/ax", "short"),
+            ("/draft/a", "short"),
+        ):
+            call = forwarding_world.build_call(path=path)
+            self.assertEqual(self.table.find(call).name, name)
+        for call in (
+            forwarding_world.build_call(path="/drafts/a"),
+            forwarding_world.build_call(host="other.example"),
+        ):
+            self.assertIsInstance(self.table.find(call), failures.NotFound)
+
+    def test_keys_belong_to_workspaces(self):
+        route = self.table.configuration.routes[0]
+        opened = self.table.configuration.routes[2]
+        for key, on, expected in (
+            ("k", route, forwarding.Workspace("maps")),
+            ("k", opened, forwarding.Workspace("maps")),
+            ("", opened, None),
+        ):
+            call = forwarding_world.build_call(api_key=key)
+            self.assertEqual(self.table.authorize(call, on), expected)
+        for key in ("", "other"):
+            call = forwarding_world.build_call(api_key=key)
+            self.assertIsInstance(
+                self.table.authorize(call, route), failures.Unauthorized
+            )
+
+
+class DirectoryTest(unittest.TestCase):
+    """Guards against use of upstreams that left and loss of live ones."""
+
+    def setUp(self):
+        self.directory = directory.Directory()
+        self.upstream = forwarding_world.build_upstream("a")
+        self.directory.register(self.upstream, 0.0)
+
+    def _list(self, now):
+        return self.directory.list_usable("llm", now)
+
+    def test_removed_upstream_is_not_used(self):
+        self.directory.remove("a", 1.0)
+        self.assertEqual(self._list(1.0), [])
+
+    def test_entry_that_lapsed_with_the_store_has_time_to_come_back(self):
+        self.directory.note_store_back(10.0)
+        self.directory.remove("a", 10.1)
+        self.assertEqual(len(self._list(11.9)), 1)
+        self.assertEqual(self._list(12.0), [])
+        self.directory.register(self.upstream, 11.0)
+        self.assertEqual(len(self._list(13.0)), 1)
+
+    def test_draining_and_evacuated_upstreams_get_nothing(self):
+        self.directory.set_evacuated(["dc-1"])
+        self.assertEqual(self._list(0.0), [])
+        self.directory.set_evacuated([])
+        draining = forwarding_world.build_upstream("a", draining=True)
+        self.directory.register(draining, 0.0)
+        self.assertEqual(self._list(0.0), [])
+
+    def test_restart_under_the_same_identity_starts_anew(self):
+        state = self.directory.get("a")
+        directory.note_broken(state, 0.0)
+        self.assertTrue(state.is_blocked(0.1))
+        again = forwarding_world.build_upstream("a", started_ms=5)
+        self.assertFalse(self.directory.register(again, 0.1).is_blocked(0.1))
+
+
+class ColdLimitsTest(unittest.TestCase):
+    """Guards against more requests than cold upstreams bear."""
+
+    @hypothesis.given(
+        strategies.integers(1, 20),
+        strategies.floats(5, 60),
+        strategies.lists(strategies.floats(0, 3), max_size=200),
+    )
+    def test_all_nodes_together_stay_within_the_rate(self, nodes, rate, times):
+        factor, floor = 1.5, 5.0
+        bound = rate * factor + floor
+        limits = []
+        for _ in range(nodes):
+            limit = cold_limits.ColdLimits(factor, floor)
+            limit.set_nodes(nodes)
+            limits.append(limit)
+        sent = []
+        for at in sorted(times):
+            for limit in limits:
+                if limit.may_send("a", rate, at):
+                    limit.note_sent("a", at)
+                    sent.append(at)
+        # A node whose share is below one still sends one at a time.
+        allowed = max(bound, nodes)
+        for start in sent:
+            seen = sum(start <= at < start + 1.0 for at in sent)
+            self.assertLessEqual(seen, allowed)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against storms of repeats."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.floats(0, 30), strategies.booleans()),
+            max_size=200,
+        )
+    )
+    def test_all_nodes_together_stay_within_the_budget(self, arrivals):
+        nodes, ratio, window_s, floor = 3, 0.9, 10.0, 30.0
+        budgets = []
+        for _ in range(nodes):
+            budget = retry_budget.RetryBudget(ratio, window_s, floor)
+            budget.set_nodes(nodes)
+            budgets.append(budget)
+        fresh, repeats = [], []
+        source = random.Random(1)
+        for at, is_fresh in sorted(arrivals):
+            budget = source.choice(budgets)
+            if is_fresh:
+                budget.note_fresh("s", at)
+                fresh.append(at)
+            elif budget.may_repeat("s", at):
+                budget.note_repeat("s", at)
+                repeats.append(at)
+        for end in repeats:
+            asked = sum(end - window_s < at <= end for at in fresh)
+            seen = sum(end - window_s < at <= end for at in repeats)
+            self.assertLessEqual(seen, asked * ratio + floor)
+
+    def test_storm_of_repeats_is_bounded(self):
+        budget = retry_budget.RetryBudget(0.5, 10.0, 20.0)
+        budget.set_nodes(2)
+        sent = 0
+        for number in range(400):
+            now = number * 0.02
+            if number % 4 == 0:
+                budget.note_fresh("s", now)
+            if budget.may_repeat("s", now):
+                budget.note_repeat("s", now)
+                sent += 1
+        self.assertLessEqual(sent, 100 * 0.5 + 20.0 / 2)
+        self.assertGreater(sent, 30)
+
+
+class PoisonTest(unittest.TestCase):
+    """Guards against requests that crash one upstream after the other."""
+
+    def test_third_break_ends_it_and_success_clears_it(self):
+        known = poison.Poison()
+        for run in ("a/1", "b/1", "b/1"):
+            known.note_break("f", run, 0.0)
+        self.assertFalse(known.is_refused("f", 1.0))
+        other = poison.Poison()
+        other.merge(known.export(1.0), 1.0)
+        other.note_break("f", "c/1", 1.0)
+        self.assertTrue(other.is_refused("f", 1.0))
+        self.assertFalse(other.is_refused("f", 1.0 + poison.KEEP_S))
+        other.note_success("f")
+        self.assertFalse(other.is_refused("f", 1.0))
+
+
+class RouterNewsTest(unittest.TestCase):
+    """Guards against configurations that go back."""
+
+    def test_older_version_is_ignored(self):
+        built = forwarding_world.build_router()
+        newer = forwarding_world.build_configuration(version=9)
+        older = forwarding_world.build_configuration(version=4)
+        built.handle(updates.ConfigurationSet(newer), 1.0)
+        built.handle(updates.ConfigurationSet(older), 2.0)
+        self.assertEqual(built.table.configuration.version, 9)
+
+    def test_evacuation_holds_until_it_is_removed(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("a"),
+            forwarding_world.build_upstream("b", data_centre="dc-2"),
+        )
+        built.handle(updates.EvacuationSet("dc-1", True), 1.0)
+        names = [
+            state.upstream.identity
+            for state in built.directory.list_usable("llm", 1.0)
+        ]
+        self.assertEqual(names, ["b"])
+        built.handle(updates.EvacuationSet("dc-1", False), 2.0)
+        self.assertEqual(len(built.directory.list_usable("llm", 2.0)), 2)
