Test the whole path on the platform with real processes

A store and upstreams that speak the platform's protocol live with the tests; gateway processes run in front of them on loopback.

--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,219 @@
+"""Gateway processes in front of stand-ins of the users' platform."""
+
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import uuid
+
+import urllib3
+
+from tests import platform_standins
+from tests import processes
+
+HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
+
+
+class Node:
+    """One gateway process.
+
+    Attributes:
+        front: Address for callers.
+    """
+
+    def __init__(self, folder, name, store, grace_s=4.0):
+        self.name = name
+        self._ports = [processes.find_port() for _ in range(3)]
+        self._peer_port = processes.find_port()
+        self.front = f"127.0.0.1:{self._ports[0]}"
+        self.ready = f"http://127.0.0.1:{self._ports[1]}/-/ready"
+        self.metrics = f"http://127.0.0.1:{self._peer_port + 1}/metrics"
+        self._path = pathlib.Path(folder) / f"{name}.conf"
+        self._log = pathlib.Path(folder) / f"{name}.log"
+        self._store = store
+        self.write_settings(grace_s)
+        self.start()
+
+    def write_settings(self, grace_s, **more):
+        """Writes the settings file."""
+        values = {
+            "nodeName": self.name,
+            "ip": "127.0.0.1",
+            "zone": "dc-1",
+            "listen.front": self.front,
+            "listen.ready": f"127.0.0.1:{self._ports[1]}",
+            "internalPortRange": f"{self._peer_port},{self._peer_port + 5}",
+            "limits.memoryMb": "300",
+            "limits.maxFds": "4000",
+            "bounds.drainMs": "2000",
+            "bounds.graceS": str(grace_s),
+            "bounds.retryBudgetRatio": "0.9",
+            "bounds.budgetWindowS": "10",
+            "bounds.budgetMinRetries": "1000",
+            "bounds.exposeShare": "0.15",
+            "platform.address": self._store.address,
+            "unknown.field": "ignored",
+            **more,
+        }
+        self._path.write_text(
+            "".join(f"{key}={value}\n" for key, value in values.items())
+        )
+
+    def start(self):
+        """Starts the process."""
+        with self._log.open("a", encoding="utf-8") as log:
+            self._child = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "sycamorehollow.programs.gateway",
+                    "--settings",
+                    str(self._path),
+                ],
+                cwd=processes.ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    def is_ready(self):
+        """Asks as the load balancer does."""
+        return HTTP.request("GET", self.ready).status == 200
+
+    def wait_ready(self):
+        """Waits until the process serves.
+
+        Raises:
+            RuntimeError: The process has ended.
+        """
+
+        def check():
+            if self._child.poll() is not None:
+                raise RuntimeError(self.read_log())
+            return self.is_ready()
+
+        processes.wait_for(check)
+
+    def send_signal(self, number):
+        """Sends a signal to the process."""
+        self._child.send_signal(number)
+
+    def wait(self, limit_s=10.0):
+        """Waits until the process has ended and returns its status."""
+        return self._child.wait(limit_s)
+
+    def read_log(self):
+        """Returns what the process has written."""
+        return self._log.read_text(encoding="utf-8")
+
+    def stop(self):
+        """Ends the process that was started here."""
+        if self._child.poll() is None:
+            self._child.send_signal(signal.SIGCONT)
+            self._child.kill()
+        self._child.wait(10)
+
+    def request(self, path, body=b"", **headers):
+        """Sends one request and returns the answer."""
+        values = {
+            "Host": "models.example",
+            "Request-Id": uuid.uuid4().hex[:16],
+            "Request-Deadline": "4000",
+            "Authorization": "Bearer key-1",
+        }
+        for name, value in headers.items():
+            values[name.replace("_", "-").title()] = value
+        values = {k: v for k, v in values.items() if v is not None}
+        method = "POST" if body else "GET"
+        return HTTP.request(
+            method,
+            f"http://{self.front}{path}",
+            body=body or None,
+            headers=values,
+        )
+
+    def stream(self, path="/draft/1", **headers):
+        """Sends a request for a stream and returns the answer."""
+        return self.request(
+            path,
+            b"prompt",
+            accept="text/event-stream",
+            model="*",
+            token_counts="1000,80",
+            prompt_prefix="aa:500,bb:500",
+            **headers,
+        )
+
+    def open_socket(self):
+        """Returns a connection to the front."""
+        host, _, port = self.front.rpartition(":")
+        return socket.create_connection((host, int(port)), 5)
+
+
+class World:
+    """A store, engines, a desk and gateway processes."""
+
+    def __init__(self, nodes=1, engines=2, desks=2):
+        self._folder = tempfile.TemporaryDirectory()
+        self.store = platform_standins.Store()
+        self.engines = [
+            platform_standins.Upstream(f"engine-{n}") for n in range(engines)
+        ]
+        self.desks = [
+            platform_standins.Upstream(f"desk-{n}") for n in range(desks)
+        ]
+        self.configure()
+        for engine in self.engines:
+            engine.register(self.store, "llm")
+        for desk in self.desks:
+            desk.register(self.store, "desk")
+        self.nodes = [
+            Node(self._folder.name, f"node-{n}", self.store)
+            for n in range(nodes)
+        ]
+        for node in self.nodes:
+            node.wait_ready()
+
+    def add_node(self, name, store):
+        """Starts one more process, which may use a store of its own."""
+        node = Node(self._folder.name, name, store)
+        self.nodes.append(node)
+        node.wait_ready()
+        return node
+
+    def configure(self, **changes):
+        """Writes a configuration."""
+        document = platform_standins.build_configuration(**changes)
+        self.store.put("op/config", json.dumps(document))
+
+    def reset(self):
+        """Makes all upstreams serve again."""
+        for upstream in [*self.engines, *self.desks]:
+            upstream.mode = "serve"
+            upstream.confidences = {}
+            upstream.events = 4
+            upstream.pause_s = 0.0
+            upstream.seen = []
+            upstream.left = 0
+
+    def count_runs(self):
+        """Returns how often upstreams began to run a request."""
+        return sum(len(u.seen) for u in [*self.engines, *self.desks])
+
+    def close(self):
+        """Ends what was started here."""
+        for node in self.nodes:
+            node.stop()
+        for server in [self.store, *self.engines, *self.desks]:
+            server.stop()
+        self._folder.cleanup()
+
+
+def wait_until(check, limit_s=10.0):
+    """Waits until a check holds and returns the seconds that it took."""
+    began = time.monotonic()
+    processes.wait_for(check, limit_s)
+    return time.monotonic() - began
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,373 @@
+"""A store and upstreams that speak the users' platform's protocol."""
+
+import base64
+import http.server
+import json
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+
+HOST = "127.0.0.1"
+
+
+class Server:
+    """An HTTP server in threads of this process.
+
+    Attributes:
+        address: Host and port that it listens on.
+    """
+
+    def __init__(self):
+        outer = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def log_message(self, *_):
+                """Writes no lines."""
+
+            def _run(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                outer.handle(self, self.rfile.read(length))
+
+            do_GET = do_POST = do_DELETE = _run  # noqa: N815
+
+            def handle(self):
+                try:
+                    super().handle()
+                except (OSError, ValueError):
+                    return  # The caller has left, or was left by `reset`.
+
+        self._server = http.server.ThreadingHTTPServer((HOST, 0), Handler)
+        self._server.daemon_threads = True
+        self.address = "%s:%d" % self._server.server_address
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        """Ends the server."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def handle(self, handler, body):
+        """Answers one request."""
+        raise NotImplementedError
+
+
+def send(handler, status, headers, body):
+    """Writes a whole answer."""
+    handler.send_response(status)
+    for name, value in headers.items():
+        handler.send_header(name, value)
+    handler.send_header("Content-Length", str(len(body)))
+    handler.end_headers()
+    handler.wfile.write(body)
+
+
+def reset(handler):
+    """Resets the connection of a request."""
+    linger = struct.pack("ii", 1, 0)
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    handler.connection.close()
+    handler.close_connection = True
+    handler.rfile.close()
+    handler.wfile.close()
+
+
+class Store(Server):
+    """The platform's store, with conditions, watches and leases.
+
+    Attributes:
+        refuse: Status with which every call is refused; 0 for none.
+        calls: Paths of the calls.
+    """
+
+    def __init__(self):
+        self.refuse = 0
+        self.calls = []
+        self._items = {}
+        self._events = []
+        self._revision = 1
+        self._floor = 0
+        self._changed = threading.Condition()
+        super().__init__()
+
+    def put(self, key, value):
+        """Writes a value as the operator or an upstream does."""
+        with self._changed:
+            self._write(key, value)
+
+    def remove(self, key):
+        """Removes a key."""
+        with self._changed:
+            self._remove(key)
+
+    def read(self, key):
+        """Returns a value as text, or `None`."""
+        with self._changed:
+            item = self._items.get(key)
+        return base64.b64decode(item["value"]).decode() if item else None
+
+    def compact(self):
+        """Forgets all history."""
+        with self._changed:
+            self._floor = self._revision
+            self._events.clear()
+
+    def _write(self, key, value, lease=0):
+        self._revision += 1
+        if isinstance(value, str):
+            value = value.encode()
+        made = self._items.get(key, {}).get("createdAt", self._revision)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self._revision,
+            "createdAt": made,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._events.append(item)
+        self._changed.notify_all()
+
+    def _remove(self, key):
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._events.append(
+            {"key": key, "revision": self._revision, "deleted": True}
+        )
+        self._changed.notify_all()
+
+    def handle(self, handler, body):
+        """Answers one call."""
+        parts = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(parts.query, True))
+        self.calls.append(parts.path)
+        if self.refuse:
+            status, answer = self.refuse, {}
+        elif parts.path == "/-/kv-range":
+            status, answer = self._range(query)
+        elif parts.path == "/-/kv-watch":
+            status, answer = self._watch(query)
+        elif parts.path == "/-/kv-txn":
+            status, answer = self._change(json.loads(body))
+        elif parts.path == "/-/kv-key":
+            with self._changed:
+                item = self._items.get(query["key"])
+            status, answer = (200, item) if item else (404, {})
+        else:
+            status, answer = 404, {}
+        headers = {"Content-Type": "application/json"}
+        send(handler, status, headers, json.dumps(answer).encode())
+
+    def _range(self, query):
+        with self._changed:
+            keys = sorted(
+                key
+                for key in self._items
+                if key.startswith(query["pathPrefix"])
+                and key > query.get("after", "")
+            )
+            # Short pages, so that readers have to ask for the next one.
+            page = [self._items[key] for key in keys[:5]]
+            more = len(keys) > 5
+            return 200, {"items": page, "hasMore": more, "at": self._revision}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        with self._changed:
+            while True:
+                if after < self._floor:
+                    return 410, {}
+                news = [
+                    event
+                    for event in self._events
+                    if event["revision"] > after
+                    and event["key"].startswith(query["pathPrefix"])
+                ]
+                left_s = end - time.monotonic()
+                if news or left_s <= 0 or self.refuse:
+                    return 200, {"events": news, "at": self._revision}
+                self._changed.wait(min(left_s, 0.2))
+
+    def _change(self, document):
+        with self._changed:
+            for row in document["expectedRevision"]:
+                item = self._items.get(row["key"])
+                if row["revision"] != (item["revision"] if item else 0):
+                    return 412, {"items": [item] if item else []}
+            for entry in document["writes"]:
+                self._write(entry["key"], base64.b64decode(entry["value"]))
+            for key in document["remove"]:
+                self._remove(key)
+            return 200, {"revision": self._revision}
+
+
+class Gate(Server):
+    """A way to a store that may be closed for those who use it.
+
+    Attributes:
+        refuse: Status with which every call is refused; 0 for none.
+    """
+
+    def __init__(self, store):
+        self.refuse = 0
+        self._store = store
+        super().__init__()
+
+    def handle(self, handler, body):
+        """Passes one call on."""
+        if self.refuse:
+            send(handler, self.refuse, {}, b"{}")
+            return
+        self._store.handle(handler, body)
+
+
+class Upstream(Server):
+    """A model engine or a plain service.
+
+    Attributes:
+        mode: What happens to requests: `serve`, `refuse`, `fail`, `reset`,
+            `hang`, `unsealed`, `extra`, `cut` (within the third event).
+        confidences: Confidence of answers by model.
+        events: Events of a stream.
+        pause_s: Seconds between events.
+        seen: Headers of the requests that it began to run.
+        left: Requests whose caller has left amid a stream.
+    """
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.mode = "serve"
+        self.confidences = {}
+        self.events = 4
+        self.pause_s = 0.0
+        self.seen = []
+        self.left = 0
+        super().__init__()
+
+    def register(self, store, service, **changes):
+        """Writes the upstream's entry."""
+        entry = {
+            "service": service,
+            "address": self.address,
+            "zone": "dc-1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "seq": 1,
+            **changes,
+        }
+        store.put(f"servers/{self.identity}", json.dumps(entry))
+
+    def handle(self, handler, body):
+        """Answers one request."""
+        headers = dict(handler.headers.items())
+        wanted = headers.get("Target-Replica", self.identity)
+        if wanted != self.identity:
+            send(handler, 421, {"Replica-Id": self.identity}, b"")
+            return
+        if self.mode == "refuse":
+            send(handler, 503, {"Not-Executed": "1"}, b"")
+            return
+        self.seen.append((handler.command, handler.path, headers, body))
+        answer = {
+            "Request-Id": headers["Request-Id"],
+            "Response-Seal": f"seal-of-{self.identity}",
+        }
+        if self.mode == "reset":
+            reset(handler)
+        elif self.mode == "hang":
+            time.sleep(30)
+        elif self.mode == "fail":
+            send(handler, 500, answer, b"failed")
+        elif self.mode == "unsealed":
+            send(handler, 200, {"Request-Id": headers["Request-Id"]}, b"no")
+        elif headers.get("Accept") == "text/event-stream":
+            self._stream(handler, headers, answer)
+        else:
+            send(handler, 200, answer, b"echo " + body)
+            if self.mode == "extra":
+                handler.wfile.write(
+                    b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                    b"Response-Seal: x\r\nContent-Length: 5\r\n\r\nwrong"
+                )
+
+    def _stream(self, handler, headers, answer):
+        model = headers.get("Model", "")
+        handler.send_response(200)
+        for name, value in answer.items():
+            handler.send_header(name, value)
+        if model in self.confidences:
+            handler.send_header("Hint-Confidence", str(self.confidences[model]))
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        first = int(headers.get("Last-Event-Id") or 0) + 1
+        try:
+            for number in range(first, self.events + 1):
+                event = b"id: %d\ndata: %s\n\n" % (number, model.encode())
+                if self.mode == "cut" and number == 3:
+                    handler.wfile.write(b"%x\r\n%s" % (len(event), event[:7]))
+                    handler.wfile.flush()
+                    reset(handler)
+                    return
+                handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                handler.wfile.flush()
+                time.sleep(self.pause_s)
+            handler.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            self.left += 1
+            raise
+
+
+def build_configuration(version=1, keys=("key-1",), **routes):
+    """Returns the operator's configuration with a stream and two calls."""
+    common = {
+        "host": "models.example",
+        "timeoutMs": 4000,
+        "targetLatencyMs": 1000,
+        "priority": 0,
+        "maxAttempts": 3,
+    }
+    draft = {
+        **common,
+        "name": "r-draft",
+        "pathPrefix": "/draft/",
+        "kind": "streaming",
+        "service": "llm",
+        "streamResumption": True,
+        "targetGapMs": 500,
+        "sizes": ["small", "large"],
+    }
+    status = {
+        **common,
+        "name": "r-status",
+        "pathPrefix": "/status/",
+        "kind": "safe",
+        "service": "desk",
+    }
+    lodge = {
+        **common,
+        "name": "r-lodge",
+        "pathPrefix": "/lodge/",
+        "kind": "unsafe",
+        "service": "desk",
+        "maxAttempts": 1,
+    }
+    services = [
+        {"name": name, "healthCheckPath": "/health", "maxConnections": 100}
+        for name in ("llm", "desk")
+    ]
+    return {
+        "version": version,
+        "routes": [draft, status, lodge, *routes.get("extra", ())],
+        "services": services,
+        "limits": {"maxBodyBytes": 100_000, "idleTimeoutMs": 5000},
+        "tenants": [{"name": "maps", "apiKeys": list(keys)}],
+    }
