Let streams of the old version end before a roll-out is completed

Change: a proven version gets all requests from 0.70 of the time and is completed at 0.88; a stream goes on at another version when its own has no upstream left; a node keeps sessions on their version early in a roll-out.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -18,9 +18,12 @@
 FIRST_SHARE = 0.55
 # Part of the time during which only that share is sent.
 FIRST_PART = 0.5
-# Part of the time at which the roll-out is completed.
-COMPLETE_PART = 0.78
-# Share of requests that a proven version gets just before it is completed.
+# Part of the time from which a proven version gets all requests, and at which
+# the roll-out is completed: the upstreams of the other version then stop at
+# once, so their streams need the time between to end.
+ALL_PART = 0.7
+COMPLETE_PART = 0.88
+# Share of requests that a proven version gets just before it gets all.
 LAST_SHARE = 0.5
 # Answers of the new version before it can be completed.
 MIN_ANSWERS = 12
@@ -240,10 +243,12 @@
         part = self._measure_part(rollout, now)
         if part <= FIRST_PART:
             return first
-        climbed = (part - FIRST_PART) / (COMPLETE_PART - FIRST_PART)
         if rollout.sum_up().new < MIN_ANSWERS:
             return first
-        return first + (LAST_SHARE - first) * min(1.0, climbed)
+        if part >= ALL_PART:
+            return 1.0
+        climbed = (part - FIRST_PART) / (ALL_PART - FIRST_PART)
+        return first + (LAST_SHARE - first) * climbed
 
     def find_due_state(
         self, service: str, now: float
@@ -262,6 +267,25 @@
             return forwarding.RolloutState.RUNNING
         return None
 
+    def is_stopped(self, service: str, version: str) -> bool:
+        """Tells whether a version of a service gets nothing any more."""
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return False
+        if version != rollout.order.target:
+            return rollout.state is forwarding.RolloutState.COMPLETED
+        return (
+            rollout.worse
+            or rollout.state is forwarding.RolloutState.ROLLED_BACK
+        )
+
+    def is_early(self, service: str, now: float) -> bool:
+        """Tells whether sessions stay on the version in service."""
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return False
+        return self._measure_part(rollout, now) <= FIRST_PART
+
     def _measure_part(self, rollout: Rollout, now: float) -> float:
         duration_s = max(rollout.order.duration_s, 0.001)
         return (now - rollout.started_at) / duration_s
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -286,6 +286,7 @@
         self._router.rollouts.note_answer(
             self.service.name, upstream.version, failed
         )
+        self._router.note_session(self.session, upstream.version, now)
         self._note_pace(attempt, now)
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.outcome = "not the upstream's answer"
@@ -381,12 +382,23 @@
         )
 
     def _choose_versions(self, now: float) -> set[str] | None:
-        if self.delivering and self._version:
-            # The rest of an answer comes from the version that began it.
-            return {self._version}
-        return self._router.choose_versions(
+        router = self._router
+        allowed = router.choose_versions(
             self.service.name, self.session, self._sound, now
         )
+        if not self.delivering or allowed is None:
+            return allowed
+        # The rest of an answer comes from the version that began it, unless
+        # that is stopped or has no upstream left.
+        usable = {
+            state.upstream.version
+            for state in router.directory.list_usable(self.service.name, now)
+        }
+        if self._version in usable and not router.rollouts.is_stopped(
+            self.service.name, self._version
+        ):
+            return {self._version}
+        return allowed
 
     def _send(self, choice: placement.Choice, now: float) -> Send:
         state = choice.state
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -1,5 +1,6 @@
 """What a node knows of the deployment, and the rules that use it."""
 
+import collections
 import dataclasses
 import random
 
@@ -17,6 +18,10 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 
+# Sessions whose version is remembered; their next request mostly reaches the
+# same node, and other nodes choose by the hash alone.
+MAX_SESSIONS = 5000
+
 
 @dataclasses.dataclass(frozen=True)
 class Change:
@@ -63,6 +68,10 @@
         self.delays = cascade.Delays()
         self.nodes: dict[str, str] = {}
         self._evacuated: set[str] = set()
+        self._session_s = settings.session_s
+        self._sessions: collections.OrderedDict[str, tuple[str, float]] = (
+            collections.OrderedDict()
+        )
 
     def handle(self, event: events.Event, now: float) -> list[Change]:
         """Applies news about the deployment and returns what changed."""
@@ -86,6 +95,7 @@
 
     def configure(self, settings: gateway.Settings) -> None:
         """Takes changed settings."""
+        self._session_s = settings.session_s
         self.limits.configure(settings.cold_factor, settings.cold_floor)
         self.budget.configure(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
@@ -99,6 +109,13 @@
             self._forget(identity)
         return gone
 
+    def note_session(self, key: str, version: str, now: float) -> None:
+        """A request of a session has run on a version."""
+        self._sessions[key] = (version, now)
+        self._sessions.move_to_end(key)
+        if len(self._sessions) > MAX_SESSIONS:
+            self._sessions.popitem(last=False)
+
     def choose_versions(
         self, service: str, session: str, sound: bool, now: float
     ) -> set[str] | None:
@@ -122,6 +139,12 @@
             return old
         if share >= 1:
             return new or old
+        version, at = self._sessions.get(session, ("", 0.0))
+        if now - at < self._session_s and sound:
+            if version in new:
+                return new
+            if version in old and self.rollouts.is_early(service, now):
+                return old
         if sound and new and canary.is_chosen(service, session, share):
             return new
         return old or new
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -117,6 +117,47 @@
             old.compute_share("s", 20.0), new.compute_share("s", 20.0)
         )
 
+    def test_session_stays_on_its_version_early_in_the_roll_out(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("a"),
+            forwarding_world.build_upstream("b", version="v2"),
+        )
+        sessions = [f"s{number}" for number in range(200)]
+        for session in sessions:
+            built.note_session(session, "v1", 0.0)
+        order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
+        built.handle(updates.RolloutOrdered(order), 0.5)
+        for session in sessions:
+            versions = built.choose_versions("llm", session, True, 1.0)
+            self.assertEqual(versions, {"v1"})
+        # Sessions that have paused for long enough may change.
+        moved = [
+            session
+            for session in sessions
+            if built.choose_versions("llm", session, True, 8.0) == {"v2"}
+        ]
+        self.assertTrue(moved)
+
+    def test_old_version_gets_nothing_new_before_it_is_stopped(self):
+        rollouts = canary.Rollouts("a", EXPOSURE)
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 50)
+        rollouts.set_order(order, 0.0)
+        for _ in range(50):
+            rollouts.note_answer("s", "v2", False)
+        due = [
+            at * 0.1
+            for at in range(240)
+            if rollouts.find_due_state("s", at * 0.1)
+            is forwarding.RolloutState.COMPLETED
+        ]
+        last_old = max(
+            at * 0.1
+            for at in range(240)
+            if rollouts.compute_share("s", at * 0.1) < 1
+        )
+        self.assertGreater(due[0] - last_old, 3.5)
+        self.assertLess(due[0], DURATION_S - 2)
+
     def test_stop_spreads_and_ends_traffic_to_the_version(self):
         built = forwarding_world.build_router(
             forwarding_world.build_upstream("a"),
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions.forwarding import course
+from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 from tests import forwarding_world
@@ -118,6 +119,29 @@
         played.note_broken("closed", True, 0.9)
         self.assertIsInstance(played.find_step(0.9).failure, course.TimedOut)
 
+    def test_rest_of_a_stream_comes_from_its_version_while_that_runs(self):
+        old = [
+            forwarding_world.build_upstream(name, version="v1")
+            for name in ("a", "b")
+        ]
+        new = forwarding_world.build_upstream("c", version="v2")
+        built = forwarding_world.build_router(*old, new)
+        order = forwarding.RolloutOrder("llm", "v2", 24.0, 5)
+        built.handle(updates.RolloutOrdered(order), 0.0)
+        built.note_session("q-1", "v1", 0.0)
+        played = forwarding_world.build_course(built)
+        played.find_step(0.0)
+        played.judge_head(forwarding_world.build_head(confidence=99), 0.1)
+        played.delivering = True
+        played.note_broken("closed", True, 1.0)
+        step = played.find_step(1.0)
+        self.assertEqual(step.state.upstream.version, "v1")
+        played.note_broken("closed", True, 2.0)
+        for upstream in old:
+            built.handle(updates.UpstreamRemoved(upstream.identity), 2.0)
+        step = played.find_step(2.0)
+        self.assertEqual(step.state.upstream.version, "v2")
+
     def test_poisonous_request_ends(self):
         built = forwarding_world.build_router(*UPSTREAMS)
         sent = 0
