Let a few nodes of each data centre watch the store for the others

Change: two nodes of each data centre watch; the others ask them every 0.3 s and watch by themselves when their news is older than 1 s. Changes within 0.4 s are fetched together. Ruled out: longer waits of a watch, which end with the first change anyway.

--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -85,7 +85,7 @@
 
     def note_store_back(self, now: float) -> None:
         """The store answers again after it could not be reached."""
-        self._store_back_at = now
+        self._store_back_at = max(self._store_back_at, now)
 
     def register(self, upstream: forwarding.Upstream, now: float) -> State:
         """Takes an upstream's entry."""
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -14,6 +14,7 @@
 from sycamorehollow.decisions.forwarding import retry_budget
 from sycamorehollow.decisions.forwarding import route_table
 from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
@@ -42,7 +43,7 @@
         rollouts: Roll-outs in progress.
         poison: Requests that crash upstreams.
         delays: How late answers have been.
-        nodes: Peer address of each registered node.
+        nodes: The registered nodes by name.
     """
 
     def __init__(self, settings: gateway.Settings, source: random.Random):
@@ -66,7 +67,7 @@
         self.rollouts = canary.Rollouts(settings.node, settings.exposure_share)
         self.poison = poison.Poison()
         self.delays = cascade.Delays()
-        self.nodes: dict[str, str] = {}
+        self.nodes: dict[str, watchers.Node] = {}
         self._evacuated: set[str] = set()
         self._session_s = settings.session_s
         self._sessions: collections.OrderedDict[str, tuple[str, float]] = (
@@ -85,10 +86,10 @@
             case updates.EvacuationSet():
                 return self._evacuate(event)
             case updates.NodeSet():
-                self.nodes[event.name] = event.peer_address
+                self.nodes[event.name] = event.node
                 self.limits.set_nodes(len(self.nodes))
                 self.budget.set_nodes(len(self.nodes))
-                return [Change(f"node={event.name}", event.peer_address)]
+                return [Change(f"node={event.name}", event.node.peer_address)]
             case updates.Unreadable():
                 return [Change(f"entry={event.key}", event.reason)]
         return self._handle_rollout(event, now)
--- a/sycamorehollow/decisions/forwarding/updates.py
+++ b/sycamorehollow/decisions/forwarding/updates.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import forwarding
 
@@ -61,7 +62,7 @@
     """A node has registered itself."""
 
     name: str
-    peer_address: str
+    node: watchers.Node
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -6,6 +6,7 @@
 
 import pydantic
 
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
@@ -116,6 +117,26 @@
     state: _Name
 
 
+class _Node(pydantic.BaseModel):
+    peer: _Name
+    data_centre: _Name
+
+
+def decode_node(text: str) -> watchers.Node | failures.InvalidRequest:
+    """Decodes the entry of a node of ours."""
+    node = _decode(_Node, text)
+    if isinstance(node, failures.InvalidRequest):
+        return node
+    return watchers.Node(node.peer, node.data_centre)
+
+
+def encode_node(node: watchers.Node) -> str:
+    """Returns the value by which a node registers itself."""
+    return json.dumps(
+        {"peer": node.peer_address, "data_centre": node.data_centre}
+    )
+
+
 def decode_configuration(
     text: str,
 ) -> forwarding.Configuration | failures.InvalidRequest:
--- a/sycamorehollow/platform/feed.py
+++ b/sycamorehollow/platform/feed.py
@@ -4,6 +4,7 @@
 
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
@@ -30,8 +31,7 @@
             active = entry.value is not None
             return [updates.EvacuationSet(data_centre, active)]
         if key.startswith(documents.NODE_PREFIX) and entry.value is not None:
-            name = key.removeprefix(documents.NODE_PREFIX)
-            return [updates.NodeSet(name, entry.value)]
+            return self._decode_node(entry.key, entry.value)
         return []
 
     def encode_status(
@@ -43,9 +43,18 @@
             documents.encode_status(target, state),
         )
 
-    def encode_node(self, name: str, peer_address: str) -> feed.Item:
+    def encode_node(self, name: str, node: watchers.Node) -> feed.Item:
         """Returns the entry by which a node registers itself."""
-        return feed.Item(documents.NODE_PREFIX + name, peer_address)
+        return feed.Item(
+            documents.NODE_PREFIX + name, documents.encode_node(node)
+        )
+
+    def _decode_node(self, key: str, value: str) -> Sequence[events.Event]:
+        node = documents.decode_node(value)
+        if isinstance(node, failures.Failure):
+            return [updates.Unreadable(key, node.reason)]
+        name = key.removeprefix(documents.NODE_PREFIX)
+        return [updates.NodeSet(name, node)]
 
     def _decode_configuration(
         self, entry: mirror.Entry
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -122,14 +122,17 @@
         store = self._adapter.store
         writer = store_tasks.WriteTask(store, known.deliver)
         peer_task = peers.PeerTask(self._settings.peer_address, known.deliver)
-        known.connect(writer, peer_task)
+        watch = store_tasks.WatchTask(
+            store, known.deliver, known.get_revision, self._source
+        )
+        known.connect(watch, writer, peer_task)
         try:
             peer_task.start()
         except OSError as error:
             # Without peers the node still learns everything from the store.
             self._journal.note_event("peers cannot be served: {}", error)
         writer.start()
-        store_tasks.WatchTask(store, known.deliver, self._source).start()
+        watch.start()
 
     async def _listen(
         self,
--- a/sycamorehollow/shells/gateway/feed.py
+++ b/sycamorehollow/shells/gateway/feed.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import forwarding
 
@@ -31,5 +32,5 @@
         """Returns the entry that states how far a roll-out has come."""
 
     @abc.abstractmethod
-    def encode_node(self, name: str, peer_address: str) -> Item:
+    def encode_node(self, name: str, node: watchers.Node) -> Item:
         """Returns the entry by which a node registers itself."""
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -11,6 +11,7 @@
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import identity
@@ -26,10 +27,14 @@
 # other nodes are then the only source of news.
 SYNC_S = 1.0
 LOST_SYNC_S = 0.4
+# Time between questions of a node that follows another instead of the store.
+FOLLOW_S = 0.3
 TICK_S = 0.25
 # Nodes of lower rank act that much later, so that mostly one of them does.
 RANK_DELAY_S = 0.4
 WRITE_RETRY_S = 1.0
+# Ages are cut off here, as infinity cannot be sent.
+LONG_AGO_S = 1e6
 
 
 class Knowledge:
@@ -72,6 +77,16 @@
         )
         self._syncs = 0
         self._next_sync = 0.0
+        self._next_follow = 0.0
+        self._asked: dict[int, str] = {}
+        self._watchers = watchers.Watchers(
+            settings.node, settings.data_centre, source
+        )
+        self._own_node = watchers.Node(
+            settings.peer_address, settings.data_centre
+        )
+        self._watch: store_tasks.WatchTask | None = None
+        self._store_back_at = float("-inf")
 
     @property
     def is_ready(self) -> bool:
@@ -80,10 +95,18 @@
             self._router.directory.list_all()
         )
 
+    def get_revision(self) -> int:
+        """Returns the revision up to which all changes are known."""
+        return self._mirror.revision
+
     def connect(
-        self, writer: store_tasks.WriteTask, peer_task: peers.PeerTask
+        self,
+        watch: store_tasks.WatchTask,
+        writer: store_tasks.WriteTask,
+        peer_task: peers.PeerTask,
     ) -> None:
-        """Sets the tasks that write and that call other nodes."""
+        """Sets the tasks that use the store and call other nodes."""
+        self._watch = watch
         self._writer = writer
         self._peer_task = peer_task
         peer_task.register(SYNC_KIND, self.answer_peer)
@@ -103,7 +126,7 @@
         answer: concurrent.futures.Future[bytes] = concurrent.futures.Future()
 
         def reply() -> None:
-            self._merge(sender.address, payload)
+            self._merge(sender.address, payload, answered=False)
             since = _read(payload).get("since", 0)
             answer.set_result(self._collect(int(since)))
 
@@ -124,9 +147,28 @@
         if now >= self._next_sync:
             pause_s = LOST_SYNC_S if self._store_lost else SYNC_S
             self._next_sync = now + pause_s * self._source.uniform(0.8, 1.2)
-            self._sync()
+            self._sync(self._choose_peer())
+        self._follow(now)
         return self._router.sweep(now)
 
+    def _follow(self, now: float) -> None:
+        """Follows the store or a node that does."""
+        if self._watch is None or not self._listed:
+            return
+        nodes = self._router.nodes
+        active = self._watchers.needs_watch(nodes, now)
+        if active != self._watch.active:
+            self._watch.active = active
+            self._journal.note_change(
+                "store",
+                "followed directly" if active else "followed by another node",
+                f"age {self._watchers.measure_age(now):.1f} s",
+            )
+        if now < self._next_follow:
+            return
+        self._next_follow = now + FOLLOW_S
+        self._sync(self._watchers.choose_source(nodes, now))
+
     def _handle(self, event: events.Event) -> None:
         match event:
             case store_tasks.Listed():
@@ -149,7 +191,13 @@
             case store_tasks.WriteEnded():
                 self._note_written(event)
             case peers.RequestAnswered():
-                self._merge(event.sender.address, event.item.payload)
+                self._asked.pop(event.number, None)
+                self._merge(
+                    event.sender.address, event.item.payload, answered=True
+                )
+            case peers.RequestFailed():
+                name = self._asked.pop(event.number, "")
+                self._watchers.note_unreachable(name, time.monotonic())
 
     def _apply(self, news: list[mirror.Entry], source: str) -> None:
         now = time.monotonic()
@@ -165,8 +213,11 @@
     def _note_store_back(self) -> None:
         if self._store_lost or not self._listed:
             self._journal.note_event("store regained")
+        now = time.monotonic()
+        self._watchers.note_fresh(now)
         if self._store_lost:
-            self._router.directory.note_store_back(time.monotonic())
+            self._store_back_at = now
+            self._router.directory.note_store_back(now)
         self._store_lost = False
         self._listed = True
 
@@ -178,11 +229,9 @@
         self._store_lost = True
 
     def _register_node(self) -> None:
-        item = self._feed.encode_node(
-            self.settings.node, self.settings.peer_address
-        )
+        item = self._feed.encode_node(self.settings.node, self._own_node)
         known = self._router.nodes.get(self.settings.node)
-        if known != self.settings.peer_address:
+        if known != self._own_node:
             self._write(item)
 
     def _write(self, item: feed.Item) -> None:
@@ -231,20 +280,21 @@
         )
         return names.index(self.settings.node)
 
-    def _sync(self) -> None:
+    def _choose_peer(self) -> str | None:
+        """Returns any other node."""
+        others = [n for n in self._router.nodes if n != self.settings.node]
+        return self._source.choice(others) if others else None
+
+    def _sync(self, name: str | None) -> None:
         """Asks another node for news."""
-        others = [
-            address
-            for name, address in self._router.nodes.items()
-            if name != self.settings.node
-        ]
-        if not others or self._peer_task is None:
+        if name is None or self._peer_task is None:
             return
         self._syncs += 1
+        self._asked[self._syncs] = name
         self._peer_task.post(
             peers.Request(
                 self._syncs,
-                self._source.choice(others),
+                self._router.nodes[name].peer_address,
                 self._me,
                 exchange.Item(SYNC_KIND, self._collect(None)),
             )
@@ -255,6 +305,8 @@
         now = time.monotonic()
         document = {
             "since": self._mirror.revision,
+            "age_s": self._measure_age(now),
+            "store_back_s": min(LONG_AGO_S, now - self._store_back_at),
             "rollouts": [
                 {
                     "service": finding.service,
@@ -281,8 +333,21 @@
             }
         return json.dumps(document, separators=(",", ":")).encode()
 
-    def _merge(self, address: str, payload: bytes) -> None:
-        """Takes what another node knows."""
+    def _measure_age(self, now: float) -> float:
+        """Returns the age of what is known, in seconds."""
+        watching = self._watch is not None and self._watch.active
+        if watching and self._listed and not self._store_lost:
+            return 0.0
+        return min(LONG_AGO_S, self._watchers.measure_age(now))
+
+    def _merge(self, address: str, payload: bytes, answered: bool) -> None:
+        """Takes what another node knows.
+
+        Args:
+            address: Address of the node.
+            payload: What it sent.
+            answered: Whether it was asked for all changes since a revision.
+        """
         now = time.monotonic()
         document = _read(payload)
         try:
@@ -294,6 +359,10 @@
                 finding = canary.Finding(tallies=tallies, **entry)
                 self._router.rollouts.merge(finding, now)
             self._router.poison.merge(document.get("poison", {}), now)
+            if answered:
+                self._watchers.note_fresh(now - float(document["age_s"]))
+            back_at = now - float(document["store_back_s"])
+            self._router.directory.note_store_back(back_at)
             delta = document.get("delta")
             if delta is None:
                 return
--- a/sycamorehollow/shells/gateway/store_tasks.py
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -17,7 +17,11 @@
 WATCH_S = 12.0
 # Changes within this time are fetched together, as each answer is priced. It
 # is a small part of the seconds in which a change has to be in force.
-GATHER_S = 0.25
+GATHER_S = 0.4
+# Time in which the event loop has taken an event.
+APPLY_S = 0.02
+# Time between looks at whether to follow the store.
+IDLE_S = 0.1
 FIRST_PAUSE_S = 0.3
 MAX_PAUSE_S = 1.5
 
@@ -57,16 +61,23 @@
     Args:
         store: Client of the store.
         deliver: Takes events; safe from any thread.
+        get_revision: Returns the revision up to which all changes are known.
         source: Source of randomness for pauses.
+
+    Attributes:
+        active: Whether to follow the store; a pending watch ends first.
     """
 
     def __init__(
         self,
         store: stores.Store,
         deliver: Callable[[events.Event], None],
+        get_revision: Callable[[], int],
         source: random.Random,
     ):
         super().__init__("watch")
+        self.active = True
+        self._get_revision = get_revision
         self._store = store
         self._deliver = deliver
         self._source = source
@@ -76,20 +87,26 @@
         """The thread ends with its process; a pending watch is not cut."""
 
     def _run(self) -> None:
-        after: int | None = None
+        listed = False
         allow_stale = True
         while not self._stopping:
-            if after is None:
+            if not self.active:
+                time.sleep(IDLE_S)
+                continue
+            if not listed:
                 listing = self._store.list_range("", allow_stale)
                 if isinstance(listing, failures.Failure):
                     self._pause(listing)
                     continue
                 self._failures = 0
                 self._deliver(Listed(listing))
-                after = listing.revision
+                listed = True
+                # The listing is applied before its revision is asked for.
+                time.sleep(APPLY_S)
+            after = self._get_revision()
             changes = self._store.watch("", after, WATCH_S)
             if isinstance(changes, stores.HistoryGone):
-                after = None
+                listed = False
                 # A late copy may lack what the watch has missed.
                 allow_stale = False
                 continue
@@ -98,7 +115,6 @@
                 continue
             self._failures = 0
             self._deliver(Watched(changes))
-            after = changes.revision
             if changes.changes:
                 time.sleep(GATHER_S)
 
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -13,6 +13,7 @@
 from sycamorehollow.decisions.forwarding import retry_budget
 from sycamorehollow.decisions.forwarding import route_table
 from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 from tests import forwarding_world
@@ -283,6 +284,57 @@
         self.assertFalse(other.is_refused("f", 1.0))
 
 
+class WatchersTest(unittest.TestCase):
+    """Guards against a watch by every node, and against none."""
+
+    def setUp(self):
+        self.nodes = {
+            f"n{number}": watchers.Node(f"a:{number}", f"dc-{number % 3}")
+            for number in range(60)
+        }
+        self.all = {
+            name: watchers.Watchers(name, node.data_centre, random.Random(1))
+            for name, node in self.nodes.items()
+        }
+
+    def _count(self, now):
+        return sum(
+            each.needs_watch(self.nodes, now) for each in self.all.values()
+        )
+
+    def test_few_nodes_of_each_data_centre_watch(self):
+        for each in self.all.values():
+            each.note_fresh(10.0)
+        self.assertEqual(self._count(10.5), 6)
+
+    def test_node_without_recent_news_watches_by_itself(self):
+        for each in self.all.values():
+            each.note_fresh(10.0)
+        self.assertEqual(self._count(12.0), 60)
+
+    def test_next_node_takes_over_from_one_that_does_not_answer(self):
+        follower = next(
+            each
+            for each in self.all.values()
+            if each.choose_source(self.nodes, 0.0) is not None
+        )
+        first = follower.list_chosen(self.nodes, 0.0)
+        for name in first:
+            follower.note_unreachable(name, 0.0)
+        second = follower.list_chosen(self.nodes, 0.0)
+        self.assertFalse(set(first) & set(second))
+        later = 2 * watchers.UNREACHABLE_S
+        self.assertEqual(follower.list_chosen(self.nodes, later), first)
+
+    def test_small_data_centres_have_no_followers(self):
+        nodes = dict(list(self.nodes.items())[:3])
+        for name in nodes:
+            each = self.all[name]
+            each.note_fresh(0.0)
+            self.assertTrue(each.needs_watch(nodes, 0.1))
+            self.assertIsNone(each.choose_source(nodes, 0.1))
+
+
 class RouterNewsTest(unittest.TestCase):
     """Guards against configurations that go back."""
 
