Move few open sessions to a new version, whatever the size of the fleet

Change: the first share of a new version is halved until it brings about two answers a second, measured in the first 2 s; nodes agree on the smallest.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -14,8 +14,13 @@
 
 from sycamorehollow.model import forwarding
 
-# Share of the tolerated exposure that a version gets while little is known.
+# Share of the tolerated exposure that a version gets at most while little is
+# known. Sessions that are open when they get the new version change theirs, so
+# the share is halved until it brings no more answers than the evidence needs.
 FIRST_SHARE = 0.55
+EVIDENCE_PER_S = 2.0
+# Time in seconds in which each node measures the rate of answers.
+SURVEY_S = 2.0
 # Part of the time during which only that share is sent.
 FIRST_PART = 0.5
 # Part of the time from which a proven version gets all requests, and at which
@@ -91,12 +96,14 @@
     Attributes:
         revision: Revision of the order.
         age_s: Seconds since the order was first heard of.
+        first_share: See `Rollout`.
     """
 
     service: str
     revision: int
     worse: bool
     age_s: float
+    first_share: float | None
     tallies: Mapping[str, Tally]
 
 
@@ -109,6 +116,8 @@
         tallies: Counts by node; each node only raises its own.
         history: Sums of all counts at earlier times.
         worse: Whether the new version was found to be worse.
+        first_share: Share of the new version while little is known, the
+            smallest that any node has found; `None` while it is measured.
     """
 
     order: forwarding.RolloutOrder
@@ -117,6 +126,7 @@
     tallies: dict[str, Tally] = dataclasses.field(default_factory=dict)
     history: list[tuple[float, Tally]] = dataclasses.field(default_factory=list)
     worse: bool = False
+    first_share: float | None = None
 
     def sum_up(self) -> Tally:
         """Returns the counts of all nodes."""
@@ -137,8 +147,13 @@
     def __init__(self, node: str, exposure: float):
         self._node = node
         self._exposure = exposure
+        self._nodes = 1
         self._rollouts: dict[str, Rollout] = {}
 
+    def set_nodes(self, nodes: int) -> None:
+        """Sets how many nodes serve requests."""
+        self._nodes = max(1, nodes)
+
     def configure(self, exposure: float) -> None:
         """Takes a changed setting."""
         self._exposure = exposure
@@ -190,6 +205,7 @@
                 rollout.order.revision,
                 rollout.worse,
                 now - rollout.started_at,
+                rollout.first_share,
                 dict(rollout.tallies),
             )
             for rollout in self._rollouts.values()
@@ -202,6 +218,9 @@
         if rollout is None or rollout.order.revision != finding.revision:
             return
         rollout.worse = rollout.worse or finding.worse
+        if finding.first_share is not None:
+            known_share = rollout.first_share or finding.first_share
+            rollout.first_share = min(known_share, finding.first_share)
         # A node that has started since does not know how long it has run.
         rollout.started_at = min(rollout.started_at, now - finding.age_s)
         for node, tally in finding.tallies.items():
@@ -239,7 +258,7 @@
             return 0.0
         if rollout.worse:
             return 0.0
-        first = self._exposure * FIRST_SHARE
+        first = self._find_first_share(rollout, now)
         part = self._measure_part(rollout, now)
         if part <= FIRST_PART:
             return first
@@ -279,12 +298,19 @@
             or rollout.state is forwarding.RolloutState.ROLLED_BACK
         )
 
-    def is_early(self, service: str, now: float) -> bool:
-        """Tells whether sessions stay on the version in service."""
-        rollout = self._rollouts.get(service)
-        if rollout is None:
-            return False
-        return self._measure_part(rollout, now) <= FIRST_PART
+    def _find_first_share(self, rollout: Rollout, now: float) -> float:
+        if rollout.first_share is not None:
+            return rollout.first_share
+        age_s = now - rollout.started_at
+        if age_s < SURVEY_S:
+            return 0.0
+        own = rollout.tallies.get(self._node, Tally())
+        rate = (own.new + own.old) * self._nodes / age_s
+        share = self._exposure * FIRST_SHARE
+        while share * rate > 2 * EVIDENCE_PER_S:
+            share /= 2
+        rollout.first_share = share
+        return share
 
     def _measure_part(self, rollout: Rollout, now: float) -> float:
         duration_s = max(rollout.order.duration_s, 0.001)
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -286,7 +286,6 @@
         self._router.rollouts.note_answer(
             self.service.name, upstream.version, failed
         )
-        self._router.note_session(self.session, upstream.version, now)
         self._note_pace(attempt, now)
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.outcome = "not the upstream's answer"
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -1,6 +1,5 @@
 """What a node knows of the deployment, and the rules that use it."""
 
-import collections
 import dataclasses
 import random
 
@@ -19,10 +18,6 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 
-# Sessions whose version is remembered; their next request mostly reaches the
-# same node, and other nodes choose by the hash alone.
-MAX_SESSIONS = 5000
-
 
 @dataclasses.dataclass(frozen=True)
 class Change:
@@ -69,10 +64,6 @@
         self.delays = cascade.Delays()
         self.nodes: dict[str, watchers.Node] = {}
         self._evacuated: set[str] = set()
-        self._session_s = settings.session_s
-        self._sessions: collections.OrderedDict[str, tuple[str, float]] = (
-            collections.OrderedDict()
-        )
 
     def handle(self, event: events.Event, now: float) -> list[Change]:
         """Applies news about the deployment and returns what changed."""
@@ -89,6 +80,7 @@
                 self.nodes[event.name] = event.node
                 self.limits.set_nodes(len(self.nodes))
                 self.budget.set_nodes(len(self.nodes))
+                self.rollouts.set_nodes(len(self.nodes))
                 return [Change(f"node={event.name}", event.node.peer_address)]
             case updates.Unreadable():
                 return [Change(f"entry={event.key}", event.reason)]
@@ -96,7 +88,6 @@
 
     def configure(self, settings: gateway.Settings) -> None:
         """Takes changed settings."""
-        self._session_s = settings.session_s
         self.limits.configure(settings.cold_factor, settings.cold_floor)
         self.budget.configure(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
@@ -110,13 +101,6 @@
             self._forget(identity)
         return gone
 
-    def note_session(self, key: str, version: str, now: float) -> None:
-        """A request of a session has run on a version."""
-        self._sessions[key] = (version, now)
-        self._sessions.move_to_end(key)
-        if len(self._sessions) > MAX_SESSIONS:
-            self._sessions.popitem(last=False)
-
     def choose_versions(
         self, service: str, session: str, sound: bool, now: float
     ) -> set[str] | None:
@@ -140,12 +124,6 @@
             return old
         if share >= 1:
             return new or old
-        version, at = self._sessions.get(session, ("", 0.0))
-        if now - at < self._session_s and sound:
-            if version in new:
-                return new
-            if version in old and self.rollouts.is_early(service, now):
-                return old
         if sound and new and canary.is_chosen(service, session, share):
             return new
         return old or new
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -313,6 +313,7 @@
                     "revision": finding.revision,
                     "worse": finding.worse,
                     "age_s": finding.age_s,
+                    "first_share": finding.first_share,
                     "tallies": {
                         node: [t.new, t.new_failed, t.old, t.old_failed]
                         for node, t in finding.tallies.items()
