Widen a roll-out only on sound evidence, and never begin a second answer

A sealed failure on the last attempt of a stream that had begun was written into the middle of the stream. Change: the share climbs from the time at which the likelihood of a sound version is shown; each run of a node has its own counts; twice the evidence is asked for; only a stream goes on where a stream has begun. Ruled out: lost exchange between nodes; the log shows counts arriving.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -18,7 +18,7 @@
 # known. Sessions that are open when they get the new version change theirs, so
 # the share is halved until it brings no more answers than the evidence needs.
 FIRST_SHARE = 0.55
-EVIDENCE_PER_S = 2.0
+EVIDENCE_PER_S = 4.0
 # Time in seconds in which each node measures the rate of answers.
 SURVEY_S = 2.0
 # Part of the time during which only that share is sent.
@@ -30,8 +30,9 @@
 COMPLETE_PART = 0.88
 # Share of requests that a proven version gets just before it gets all.
 LAST_SHARE = 0.5
-# Answers of the new version before it can be completed.
-MIN_ANSWERS = 12
+# Log likelihood ratio at which a version counts as sound, so that it may get
+# more requests; about a dozen answers without a failure.
+SOUND = -math.log(10)
 # Rise of the failure rate that is to be found.
 RISE = 0.2
 # Failure rate of the version in service that is assumed at least.
@@ -97,6 +98,7 @@
         revision: Revision of the order.
         age_s: Seconds since the order was first heard of.
         first_share: See `Rollout`.
+        sound_s: Seconds since the version was first found to be sound.
     """
 
     service: str
@@ -104,6 +106,7 @@
     worse: bool
     age_s: float
     first_share: float | None
+    sound_s: float | None
     tallies: Mapping[str, Tally]
 
 
@@ -118,6 +121,7 @@
         worse: Whether the new version was found to be worse.
         first_share: Share of the new version while little is known, the
             smallest that any node has found; `None` while it is measured.
+        sound_at: When a node first found the version to be sound.
     """
 
     order: forwarding.RolloutOrder
@@ -127,6 +131,7 @@
     history: list[tuple[float, Tally]] = dataclasses.field(default_factory=list)
     worse: bool = False
     first_share: float | None = None
+    sound_at: float | None = None
 
     def sum_up(self) -> Tally:
         """Returns the counts of all nodes."""
@@ -206,6 +211,7 @@
                 rollout.worse,
                 now - rollout.started_at,
                 rollout.first_share,
+                None if rollout.sound_at is None else now - rollout.sound_at,
                 dict(rollout.tallies),
             )
             for rollout in self._rollouts.values()
@@ -221,6 +227,9 @@
         if finding.first_share is not None:
             known_share = rollout.first_share or finding.first_share
             rollout.first_share = min(known_share, finding.first_share)
+        if finding.sound_s is not None:
+            sound_at = now - finding.sound_s
+            rollout.sound_at = min(rollout.sound_at or sound_at, sound_at)
         # A node that has started since does not know how long it has run.
         rollout.started_at = min(rollout.started_at, now - finding.age_s)
         for node, tally in finding.tallies.items():
@@ -245,6 +254,8 @@
             if is_worse(total) or is_worse(total.minus(base)):
                 rollout.worse = True
                 found.append(rollout)
+            elif rollout.sound_at is None and measure(total) <= SOUND:
+                rollout.sound_at = now
         return found
 
     def compute_share(self, service: str, now: float) -> float:
@@ -259,11 +270,9 @@
         if rollout.worse:
             return 0.0
         first = self._find_first_share(rollout, now)
-        part = self._measure_part(rollout, now)
+        part = self._measure_climb(rollout, now)
         if part <= FIRST_PART:
             return first
-        if rollout.sum_up().new < MIN_ANSWERS:
-            return first
         if part >= ALL_PART:
             return 1.0
         climbed = (part - FIRST_PART) / (ALL_PART - FIRST_PART)
@@ -278,9 +287,7 @@
             return None
         if rollout.worse:
             return forwarding.RolloutState.ROLLED_BACK
-        part = self._measure_part(rollout, now)
-        proven = rollout.sum_up().new >= MIN_ANSWERS
-        if part >= COMPLETE_PART and proven:
+        if self._measure_climb(rollout, now) >= COMPLETE_PART:
             return forwarding.RolloutState.COMPLETED
         if rollout.state is None:
             return forwarding.RolloutState.RUNNING
@@ -312,9 +319,20 @@
         rollout.first_share = share
         return share
 
-    def _measure_part(self, rollout: Rollout, now: float) -> float:
+    def _measure_climb(self, rollout: Rollout, now: float) -> float:
+        """Returns the part of the time that counts for the share.
+
+        It stands still at `FIRST_PART` until the version is sound, so that a
+        late proof is followed by the whole climb.
+        """
         duration_s = max(rollout.order.duration_s, 0.001)
-        return (now - rollout.started_at) / duration_s
+        part = (now - rollout.started_at) / duration_s
+        if part <= FIRST_PART:
+            return part
+        if rollout.sound_at is None:
+            return FIRST_PART
+        waited = (rollout.sound_at - rollout.started_at) / duration_s
+        return part - max(0.0, waited - FIRST_PART)
 
 
 def is_chosen(service: str, session: str, share: float) -> bool:
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -32,6 +32,7 @@
 # Time in which a full or missing upstream is usually back.
 BACK_S = 0.5
 MIN_LEFT_S = 0.01
+STREAM_STATUS = 200
 # Silence in seconds after which it is checked whether an upstream can be
 # reached, which an overloaded one can.
 PROBE_S = 0.3
@@ -287,6 +288,11 @@
             self.service.name, upstream.version, failed
         )
         self._note_pace(attempt, now)
+        if self.delivering and head.status != STREAM_STATUS:
+            # The caller has the head of another answer already.
+            self._sound = False
+            attempt.outcome = f"did not go on, {head.status}"
+            return Verdict.AGAIN
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.outcome = "not the upstream's answer"
             return Verdict.AGAIN
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -59,7 +59,9 @@
         self.budget = retry_budget.RetryBudget(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
         )
-        self.rollouts = canary.Rollouts(settings.node, settings.exposure_share)
+        # A restarted node counts anew, so each run has counts of its own.
+        run = f"{settings.node}/{source.getrandbits(32):x}"
+        self.rollouts = canary.Rollouts(run, settings.exposure_share)
         self.poison = poison.Poison()
         self.delays = cascade.Delays()
         self.nodes: dict[str, watchers.Node] = {}
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -314,6 +314,7 @@
                     "worse": finding.worse,
                     "age_s": finding.age_s,
                     "first_share": finding.first_share,
+                    "sound_s": finding.sound_s,
                     "tallies": {
                         node: [t.new, t.new_failed, t.old, t.old_failed]
                         for node, t in finding.tallies.items()
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import forwarding
 from tests import forwarding_world
@@ -107,6 +108,50 @@
             if canary.is_chosen("s", session, 0.1):
                 self.assertTrue(canary.is_chosen("s", session, 0.4))
 
+    def test_few_answers_with_failures_do_not_widen_the_exposure(self):
+        rollouts = canary.Rollouts("a", EXPOSURE)
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
+        rollouts.set_order(order, 0.0)
+        for number in range(120):
+            rollouts.note_answer("s", "v1", False)
+            if number % 10 == 0:
+                rollouts.note_answer("s", "v2", number in (40, 90))
+        for tenth in range(240):
+            now = tenth * 0.1
+            self.assertLessEqual(rollouts.compute_share("s", now), EXPOSURE)
+            self.assertIsNot(
+                rollouts.find_due_state("s", now),
+                forwarding.RolloutState.COMPLETED,
+            )
+
+    def test_late_proof_is_followed_by_the_whole_climb(self):
+        rollouts = canary.Rollouts("a", EXPOSURE)
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
+        rollouts.set_order(order, 0.0)
+        for _ in range(100):
+            rollouts.note_answer("s", "v1", False)
+        rollouts.compute_share("s", 18.0)
+        for _ in range(20):
+            rollouts.note_answer("s", "v2", False)
+        rollouts.judge(18.5)
+        self.assertLess(rollouts.compute_share("s", 19.0), 0.2)
+        self.assertEqual(rollouts.compute_share("s", 23.9), 1.0)
+
+    def test_evidence_of_a_restarted_node_counts(self):
+        other = forwarding_world.build_router(node="other").rollouts
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
+        other.set_order(order, 0.0)
+        for run in range(3):
+            # Each start of the process draws from a source of its own.
+            settings = forwarding_world.build_settings(node="node")
+            node = router.Router(settings, random.Random(run)).rollouts
+            node.set_order(order, float(run))
+            for _ in range(5 - run):
+                node.note_answer("s", "v2", True)
+            for finding in node.export(float(run)):
+                other.merge(finding, float(run))
+        self.assertEqual(other.get("s").sum_up().new_failed, 12)
+
     def test_restarted_node_learns_how_long_it_has_run(self):
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         old, new = canary.Rollouts("a", 0.15), canary.Rollouts("b", 0.15)
@@ -119,10 +164,10 @@
         )
 
     def test_large_fleet_moves_few_open_sessions(self):
-        # Ten times the rate: the share falls, the evidence stays the same.
+        # Fifty times the rate: the share falls, the evidence stays the same.
         small, large = canary.Rollouts("a", 0.15), canary.Rollouts("b", 0.15)
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
-        for rollouts, answers in ((small, 4), (large, 40)):
+        for rollouts, answers in ((small, 4), (large, 200)):
             rollouts.set_nodes(9)
             rollouts.set_order(order, 0.0)
             self.assertEqual(rollouts.compute_share("s", 1.0), 0.0)
@@ -141,6 +186,7 @@
         rollouts.set_order(order, 0.0)
         for _ in range(50):
             rollouts.note_answer("s", "v2", False)
+        rollouts.judge(1.0)
         due = [
             at * 0.1
             for at in range(240)
@@ -162,7 +208,9 @@
         )
         order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
         built.handle(updates.RolloutOrdered(order), 0.0)
-        built.rollouts.merge(canary.Finding("llm", 5, True, 1.0, None, {}), 1.0)
+        built.rollouts.merge(
+            canary.Finding("llm", 5, True, 1.0, None, None, {}), 1.0
+        )
         for number in range(50):
             versions = built.choose_versions("llm", f"s{number}", True, 1.0)
             self.assertEqual(versions, {"v1"})
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -141,6 +141,22 @@
         step = played.find_step(2.0)
         self.assertEqual(step.state.upstream.version, "v2")
 
+    def test_failure_never_follows_the_start_of_an_answer(self):
+        for status in (500, 503, 404, 204):
+            built = forwarding_world.build_router(*UPSTREAMS)
+            played = forwarding_world.build_course(built)
+            played.find_step(0.0)
+            played.judge_head(forwarding_world.build_head(), 0.1)
+            played.delivering = True
+            for attempt in range(1, 4):
+                played.note_broken("closed", True, float(attempt))
+                if isinstance(played.find_step(float(attempt)), course.Refuse):
+                    break
+                verdict = played.judge_head(
+                    forwarding_world.build_head(status), attempt + 0.1
+                )
+                self.assertIs(verdict, course.Verdict.AGAIN)
+
     def test_poisonous_request_ends(self):
         built = forwarding_world.build_router(*UPSTREAMS)
         sent = 0
