Split the course of a request and the forwarder by matter

Patience, the steps with their failures, and the relay of an answer have modules of their own; no behaviour changes.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -1,28 +1,14 @@
 """The course of one request: attempts, repeats and its final answer."""
 
-import dataclasses
-import enum
-
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import patience
 from sycamorehollow.decisions.forwarding import placement
 from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
-# Part of the objective after which a request is given up that later ones have
-# passed at the upstream, and one that none has passed. The latter may only
-# wait for others; a repeat would add to the load that it waits for.
-PASSED_SHARE = 0.35
-PASSED_EXPECTED = 2.5
-STUCK_SHARE = 0.8
-STUCK_EXPECTED = 5.0
-# Time in seconds by which a later request has to be later.
-PASSED_S = 0.15
-# Parts of the tolerated pause after which a stalled stream goes on elsewhere,
-# if the upstream goes on with others, and if it does not.
-PASSED_PAUSES = 0.8
-STUCK_PAUSES = 2.0
 # Attempts in a row that upstreams may refuse without running them.
 MAX_REFUSALS = 4
 # Wait before full upstreams are tried again, and the part of the objective
@@ -33,92 +19,6 @@
 BACK_S = 0.5
 MIN_LEFT_S = 0.01
 STREAM_STATUS = 200
-# Silence in seconds after which it is checked whether an upstream can be
-# reached, which an overloaded one can.
-PROBE_S = 0.3
-# Time between looks at whether other requests go on.
-LOOK_S = 0.1
-
-
-@dataclasses.dataclass(frozen=True)
-class Unavailable(failures.Failure):
-    """No upstream can run the request now; it has not run."""
-
-    code = "unavailable"
-    status = 503
-
-
-@dataclasses.dataclass(frozen=True)
-class UpstreamBroke(failures.Failure):
-    """An attempt broke off; it may have run."""
-
-    code = "upstream_broke"
-    status = 502
-
-
-@dataclasses.dataclass(frozen=True)
-class TimedOut(failures.Failure):
-    """The time for the request is over; it may have run."""
-
-    code = "timed_out"
-    status = 504
-
-
-@dataclasses.dataclass(frozen=True)
-class Send:
-    """Sends the request to an upstream."""
-
-    state: directory.State
-    model: str
-    left_s: float
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Wait:
-    """Tries again after a moment."""
-
-    seconds: float
-
-
-@dataclasses.dataclass(frozen=True)
-class Refuse:
-    """Ends the request with a failure of our own."""
-
-    failure: failures.Failure
-
-
-Step = Send | Wait | Refuse
-
-
-class Verdict(enum.Enum):
-    """What to do with the head of an answer."""
-
-    DELIVER = "deliver"
-    AGAIN = "again"
-
-
-@dataclasses.dataclass
-class Attempt:
-    """One attempt.
-
-    Attributes:
-        sent_at: When it was sent.
-        missing: Prompt tokens that the upstream probably had to read.
-        expected_s: Expected seconds until it begins to answer.
-        heard_at: When its last byte arrived.
-        reading_s: Seconds for which it counts among what the upstream has to
-            read; 0 once it answers.
-    """
-
-    state: directory.State
-    model: str
-    sent_at: float
-    missing: int
-    expected_s: float
-    heard_at: float
-    reading_s: float
-    outcome: str = "open"
 
 
 class Course:
@@ -154,7 +54,7 @@
         self.route = route
         self.service = service
         self.arrived = now
-        self.attempts: list[Attempt] = []
+        self.attempts: list[steps.Attempt] = []
         self.delivering = False
         self.last_event = call.last_event
         self._router = router
@@ -190,17 +90,17 @@
         """Whether the rules allow another run."""
         return self.route.repeatable or not self._ran
 
-    def find_step(self, now: float) -> Step:
+    def find_step(self, now: float) -> steps.Step:
         """Returns what to do next."""
         if self.deadline - now < MIN_LEFT_S:
-            return Refuse(self._build_failure("its time is over", now))
+            return steps.Refuse(self._build_failure("its time is over", now))
         if self._router.poison.is_refused(self._fingerprint, now):
-            return Refuse(
-                UpstreamBroke("requests like it have crashed upstreams")
+            return steps.Refuse(
+                steps.UpstreamBroke("requests like it have crashed upstreams")
             )
         fault = self._find_limit(now)
         if fault:
-            return Refuse(self._build_failure(fault, now))
+            return steps.Refuse(self._build_failure(fault, now))
         work = self._build_work(
             self._next_model, now, frozenset(self._excluded)
         )
@@ -211,12 +111,12 @@
             # Each has had it once; a second time is better than a failure.
             self._excluded.clear()
             if not self.delivering and not self._ran:
-                return Wait(FULL_PAUSE_S)
+                return steps.Wait(FULL_PAUSE_S)
             return self.find_step(now)
         waited_s = now - self.arrived
         if choice.known and waited_s < self.route.objective_s * WAIT_SHARE:
-            return Wait(FULL_PAUSE_S)
-        return Refuse(self._build_failure(choice.reason, now))
+            return steps.Wait(FULL_PAUSE_S)
+        return steps.Refuse(self._build_failure(choice.reason, now))
 
     def compute_patience(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
@@ -225,41 +125,19 @@
             return left_s
         attempt = self.attempts[-1]
         if self.delivering and self.route.pause_s > 0:
-            since = attempt.heard_at
-            first_s = self.route.pause_s * PASSED_PAUSES
-            last_s = self.route.pause_s * STUCK_PAUSES
-            passed = attempt.state.heard_at > since + PASSED_S
+            patience_s = patience.measure_stream(self.route, attempt, now)
         else:
-            since = attempt.sent_at
-            objective_s = self.route.objective_s
-            first_s = max(
-                objective_s * PASSED_SHARE,
-                attempt.expected_s * PASSED_EXPECTED,
-            )
-            last_s = max(
-                objective_s * STUCK_SHARE,
-                attempt.expected_s * STUCK_EXPECTED,
-            )
-            passed = attempt.state.passed_at > since + PASSED_S
-        waited_s = now - since
-        if attempt.state.is_dark() and attempt.state.dark_at > since:
-            return 0.0
-        if waited_s < first_s - MIN_LEFT_S:
-            return min(left_s, first_s - waited_s, LOOK_S)
-        if passed or waited_s >= last_s:
-            return 0.0
-        return min(left_s, last_s - waited_s, LOOK_S)
+            patience_s = patience.measure_start(self.route, attempt, now)
+        return min(left_s, patience_s)
 
     def wants_probe(self, now: float) -> bool:
         """Tells whether to check that the silent upstream can be reached."""
         if not self._may_try_elsewhere(now):
             return False
         attempt = self.attempts[-1]
-        state = attempt.state
-        since = max(attempt.heard_at, state.heard_at, state.probed_at)
-        if now - since < PROBE_S:
+        if not patience.is_silent(attempt, now):
             return False
-        state.probed_at = now
+        attempt.state.probed_at = now
         return True
 
     def note_probe(self, reached: bool, now: float) -> None:
@@ -270,7 +148,9 @@
         state.dark_at = now
         directory.note_broken(state, now)
 
-    def judge_head(self, head: forwarding.AnswerHead, now: float) -> Verdict:
+    def judge_head(
+        self, head: forwarding.AnswerHead, now: float
+    ) -> steps.Verdict:
         """Decides whether an answer is passed on."""
         attempt = self.attempts[-1]
         self._end_reading(attempt)
@@ -282,7 +162,7 @@
             attempt.outcome = f"refused with {head.status}"
             self._ran -= 1
             self._refused += 1
-            return Verdict.AGAIN
+            return steps.Verdict.AGAIN
         upstream = attempt.state.upstream
         self._router.rollouts.note_answer(
             self.service.name, upstream.version, failed
@@ -292,20 +172,20 @@
             # The caller has the head of another answer already.
             self._sound = False
             attempt.outcome = f"did not go on, {head.status}"
-            return Verdict.AGAIN
+            return steps.Verdict.AGAIN
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.outcome = "not the upstream's answer"
-            return Verdict.AGAIN
+            return steps.Verdict.AGAIN
         if head.status >= 500:
             self._sound = False
             attempt.outcome = f"failed with {head.status}"
             if head.status == 503 or self._may_try_elsewhere(now):
-                return Verdict.AGAIN
-            return Verdict.DELIVER
+                return steps.Verdict.AGAIN
+            return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head, now):
             attempt.outcome = "delivering"
-            return Verdict.DELIVER
-        return Verdict.AGAIN
+            return steps.Verdict.DELIVER
+        return steps.Verdict.AGAIN
 
     def note_broken(self, reason: str, written: bool, now: float) -> None:
         """The attempt's connection could not be made, broke or was given up.
@@ -405,7 +285,7 @@
             return {self._version}
         return allowed
 
-    def _send(self, choice: placement.Choice, now: float) -> Send:
+    def _send(self, choice: placement.Choice, now: float) -> steps.Send:
         state = choice.state
         assert state is not None
         upstream = state.upstream
@@ -427,7 +307,7 @@
         waiting_s = expected_s + state.reading_s
         state.reading_s += expected_s
         self.attempts.append(
-            Attempt(
+            steps.Attempt(
                 state,
                 self._next_model,
                 now,
@@ -438,13 +318,13 @@
             )
         )
         left_s = self.deadline - now
-        return Send(state, self._next_model, left_s, choice.reason)
+        return steps.Send(state, self._next_model, left_s, choice.reason)
 
-    def _end_reading(self, attempt: Attempt) -> None:
+    def _end_reading(self, attempt: steps.Attempt) -> None:
         attempt.state.reading_s -= attempt.reading_s
         attempt.reading_s = 0.0
 
-    def _note_pace(self, attempt: Attempt, now: float) -> None:
+    def _note_pace(self, attempt: steps.Attempt, now: float) -> None:
         self._router.placement.pace.note(
             attempt.state.upstream.identity,
             attempt.model,
@@ -454,7 +334,7 @@
         )
 
     def _escalate(
-        self, attempt: Attempt, head: forwarding.AnswerHead, now: float
+        self, attempt: steps.Attempt, head: forwarding.AnswerHead, now: float
     ) -> bool:
         """Decides whether a larger model is asked instead."""
         if not attempt.model or not self.route.models:
@@ -489,7 +369,7 @@
     def _build_failure(self, reason: str, now: float) -> failures.Failure:
         if self._ran:
             if self.deadline - now < MIN_LEFT_S:
-                return TimedOut(reason, failures.Run.UNKNOWN)
-            return UpstreamBroke(reason, failures.Run.UNKNOWN)
+                return steps.TimedOut(reason, failures.Run.UNKNOWN)
+            return steps.UpstreamBroke(reason, failures.Run.UNKNOWN)
         after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
-        return Unavailable(reason, failures.Run.NO, after_s)
+        return steps.Unavailable(reason, failures.Run.NO, after_s)
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -0,0 +1,88 @@
+"""Steps in the course of a request, and the failures that end it."""
+
+import dataclasses
+import enum
+
+from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.model import failures
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable(failures.Failure):
+    """No upstream can run the request now; it has not run."""
+
+    code = "unavailable"
+    status = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamBroke(failures.Failure):
+    """An attempt broke off; it may have run."""
+
+    code = "upstream_broke"
+    status = 502
+
+
+@dataclasses.dataclass(frozen=True)
+class TimedOut(failures.Failure):
+    """The time for the request is over; it may have run."""
+
+    code = "timed_out"
+    status = 504
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Sends the request to an upstream."""
+
+    state: directory.State
+    model: str
+    left_s: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """Tries again after a moment."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Refuse:
+    """Ends the request with a failure of our own."""
+
+    failure: failures.Failure
+
+
+Step = Send | Wait | Refuse
+
+
+class Verdict(enum.Enum):
+    """What to do with the head of an answer."""
+
+    DELIVER = "deliver"
+    AGAIN = "again"
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One attempt.
+
+    Attributes:
+        sent_at: When it was sent.
+        missing: Prompt tokens that the upstream probably had to read.
+        expected_s: Expected seconds until it begins to answer.
+        heard_at: When its last byte arrived.
+        reading_s: Seconds for which it counts among what the upstream has to
+            read; 0 once it answers.
+    """
+
+    state: directory.State
+    model: str
+    sent_at: float
+    missing: int
+    expected_s: float
+    heard_at: float
+    reading_s: float
+    outcome: str = "open"
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -1,25 +1,20 @@
 """Carries out the course of each request between caller and upstream."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import hashlib
 import time
-from typing import TypeVar
 
 from sycamorehollow.decisions.forwarding import course as courses
 from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import answer_relay
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import dialect
-from sycamorehollow.shells.gateway import events
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import upstream_connections
 
-# Whole answers up to this size are read before the caller gets any of it, so
-# that one that breaks off can be replaced.
-WHOLE_ANSWER_BYTES = 64 * 1024
 # Time for which a request waits for the first configuration, which mostly
 # arrives some milliseconds after the process has started to listen.
 STARTING_WAIT_S = 0.4
@@ -30,13 +25,6 @@
 DRAINING_RETRY_S = 0.05
 
 
-_Read = TypeVar("_Read")
-
-
-class GaveUpError(Exception):
-    """The upstream took too long."""
-
-
 class Forwarder:
     """Answers requests of callers.
 
@@ -89,7 +77,7 @@
                 connection, request, call.request_id, course, record
             )
             return
-        exchange = _Exchange(
+        exchange = answer_relay.AnswerRelay(
             connection, request, course, record, self._dialect, self._pool
         )
         try:
@@ -129,12 +117,12 @@
         """Finds the route and service of a request."""
         table = self._router.table
         if table is None:
-            return courses.Unavailable(
+            return steps.Unavailable(
                 "no configuration is known yet",
                 retry_after_s=STARTING_RETRY_S,
             )
         if self.refusing:
-            return courses.Unavailable(
+            return steps.Unavailable(
                 "the node is leaving", retry_after_s=DRAINING_RETRY_S
             )
         record.version = table.configuration.version
@@ -192,217 +180,6 @@
         await write_whole(connection, status, [], b"", False)
 
 
-class _Exchange:
-    """One request with its attempts."""
-
-    def __init__(
-        self,
-        connection: caller_connections.CallerConnection,
-        request: caller_connections.Request,
-        course: courses.Course,
-        record: journal.Record,
-        spelling: dialect.Dialect,
-        pool: upstream_connections.ConnectionPool,
-    ):
-        self._connection = connection
-        self._request = request
-        self._course = course
-        self._record = record
-        self._dialect = spelling
-        self._pool = pool
-
-    async def run(self) -> failures.Failure | None:
-        """Tries until the answer is delivered or nothing more may be tried.
-
-        Returns:
-            `None` after a whole answer.
-        """
-        while True:
-            step = self._course.find_step(time.monotonic())
-            if isinstance(step, courses.Refuse):
-                return step.failure
-            if isinstance(step, courses.Wait):
-                await asyncio.sleep(step.seconds)
-                continue
-            if await self._attempt(step):
-                self._course.note_end()
-                return None
-
-    async def _attempt(self, step: courses.Send) -> bool:
-        """Makes one attempt; returns whether the answer was delivered."""
-        upstream = step.state.upstream
-        step.state.running += 1
-        connection = None
-        try:
-            connection = await self._pool.take(
-                upstream, self._course.route.repeatable
-            )
-            connection.send(self._course.call.request_id, self._format(step))
-            head = await self._wait_for(connection.read_head)
-            verdict = self._course.judge_head(head.decoded, time.monotonic())
-            if verdict is courses.Verdict.DELIVER:
-                await self._deliver(connection, head)
-                return True
-            if head.decoded.not_run:
-                await self._skip_body(connection)
-            return False
-        except upstream_connections.BrokenError as error:
-            now = time.monotonic()
-            self._course.note_broken(str(error), error.written, now)
-            if error.crashed and error.written:
-                self._course.note_crash(now)
-            return False
-        except GaveUpError as error:
-            self._course.note_broken(str(error), True, time.monotonic())
-            return False
-        finally:
-            step.state.running -= 1
-            if connection is not None:
-                self._pool.give_back(upstream, connection)
-
-    def _format(self, step: courses.Send) -> bytes:
-        """Returns the bytes of the request for an upstream."""
-        request = self._request
-        course = self._course
-        workspace = self._record.workspace
-        priority = course.route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
-        attempt = dialect.Attempt(
-            upstream=step.state.upstream.identity,
-            workspace=workspace.name if workspace else "",
-            left_s=step.left_s,
-            model=step.model,
-            priority=min(9, max(0, priority)) if step.model else None,
-            last_event=course.last_event if course.delivering else "",
-        )
-        headers = self._dialect.encode_attempt(
-            request.headers,
-            len(request.body) if request.has_body else None,
-            attempt,
-        )
-        lines = [
-            b"%s %s HTTP/1.1\r\n" % (request.method.encode(), request.target)
-        ]
-        lines.extend(b"%s: %s\r\n" % pair for pair in headers)
-        lines.append(b"\r\n")
-        lines.append(bytes(request.body))
-        return b"".join(lines)
-
-    async def _wait_for(
-        self,
-        read: Callable[[], Awaitable[_Read]],
-    ) -> _Read:
-        """Waits for a piece of the answer as long as that makes sense.
-
-        Raises:
-            GaveUpError: Another upstream, or none, is to be tried.
-        """
-        while True:
-            patience_s = self._course.compute_patience(time.monotonic())
-            if patience_s <= 0:
-                raise GaveUpError("no byte in time")
-            try:
-                async with asyncio.timeout(patience_s):
-                    return await read()
-            except TimeoutError:
-                await self._probe()
-
-    async def _probe(self) -> None:
-        """Checks whether a silent upstream can still be reached."""
-        if not self._course.wants_probe(time.monotonic()):
-            return
-        upstream = self._course.attempts[-1].state.upstream
-        reached = await self._pool.is_reachable(upstream)
-        self._course.note_probe(reached, time.monotonic())
-
-    async def _deliver(
-        self,
-        connection: upstream_connections.UpstreamConnection,
-        head: upstream_connections.Head,
-    ) -> None:
-        """Passes an answer on to the caller."""
-        kind = self._course.route.kind
-        stream = kind is forwarding.Repeatability.STREAM and head.status == 200
-        if stream:
-            await self._deliver_events(connection, head)
-            return
-        body = bytearray()
-        while len(body) <= WHOLE_ANSWER_BYTES:
-            data = await self._read_body(connection)
-            if not data:
-                await self._begin(head, len(body))
-                await self._connection.write_body(bytes(body))
-                return
-            body += data
-        await self._begin(head, head.length)
-        await self._connection.write_body(bytes(body))
-        while data := await self._read_body(connection):
-            await self._connection.write_body(data)
-        await self._connection.write_end()
-
-    async def _deliver_events(
-        self,
-        connection: upstream_connections.UpstreamConnection,
-        head: upstream_connections.Head,
-    ) -> None:
-        """Passes on whole events as they come."""
-        course = self._course
-        splitter = events.EventSplitter(course.last_event)
-        while data := await self._read_body(connection):
-            whole = splitter.feed(data)
-            if not whole:
-                continue
-            if not course.delivering:
-                await self._begin(head, None)
-            course.last_event = splitter.last_event
-            await self._connection.write_body(whole)
-        if not course.delivering:
-            await self._begin(head, None)
-        if splitter.rest:
-            await self._connection.write_body(splitter.rest)
-        await self._connection.write_end()
-
-    async def _begin(
-        self, head: upstream_connections.Head, length: int | None
-    ) -> None:
-        """Writes the head of the answer, which is that of its first run."""
-        self._course.delivering = True
-        self._record.note_first(time.monotonic(), head.status)
-        headers = [
-            pair
-            for pair in head.headers
-            if pair[0].lower() not in dialect.HOP_BY_HOP
-        ]
-        await self._connection.write_head(
-            head.status, head.reason, headers, length, self._request.keep_alive
-        )
-
-    async def _read_body(
-        self, connection: upstream_connections.UpstreamConnection
-    ) -> bytes:
-        """Waits for more of the body as long as that makes sense.
-
-        Raises:
-            GaveUpError: The answer stalls or its time is over.
-        """
-        data = await self._wait_for(connection.read_body)
-        self._course.note_bytes(time.monotonic())
-        return data
-
-    async def _skip_body(
-        self, connection: upstream_connections.UpstreamConnection
-    ) -> None:
-        """Reads the body of a refusal, which is short, to its end."""
-        try:
-            async with asyncio.timeout(0.05):
-                while await connection.read_body():
-                    pass
-        except (TimeoutError, upstream_connections.BrokenError):
-            # The connection is closed; the refusal stands all the same.
-            return
-
-
 def compute_fingerprint(
     call: forwarding.Call,
     workspace: forwarding.Workspace | None,
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.forwarding import course
+from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
@@ -41,9 +41,9 @@
     for outcome in outcomes * 3:
         now += 0.05
         step = played.find_step(now)
-        if isinstance(step, course.Refuse):
+        if isinstance(step, steps.Refuse):
             return step.failure, runs
-        if isinstance(step, course.Wait):
+        if isinstance(step, steps.Wait):
             continue
         if outcome == "unwritten":
             played.note_broken("cannot connect", False, now)
@@ -62,7 +62,7 @@
             "served": forwarding_world.build_head(200),
         }
         verdict = played.judge_head(heads[outcome], now)
-        if verdict is course.Verdict.DELIVER:
+        if verdict is steps.Verdict.DELIVER:
             return None, runs
     return None, runs
 
@@ -99,17 +99,17 @@
         played = forwarding_world.build_course(built, route=route)
         first = played.find_step(0.0)
         verdict = played.judge_head(forwarding_world.build_head(500), 0.02)
-        self.assertIs(verdict, course.Verdict.AGAIN)
+        self.assertIs(verdict, steps.Verdict.AGAIN)
         second = played.find_step(0.02)
         self.assertIsNot(first.state, second.state)
         # The last answer that may be asked for is passed on as it is.
         verdict = played.judge_head(forwarding_world.build_head(500), 0.04)
-        self.assertIs(verdict, course.Verdict.DELIVER)
+        self.assertIs(verdict, steps.Verdict.DELIVER)
 
     def test_nothing_registered_is_refused_at_once(self):
         built = forwarding_world.build_router()
         step = forwarding_world.build_course(built).find_step(0.0)
-        self.assertIsInstance(step.failure, course.Unavailable)
+        self.assertIsInstance(step.failure, steps.Unavailable)
 
     def test_route_timeout_bounds_the_deadline(self):
         built = forwarding_world.build_router(*UPSTREAMS)
@@ -117,7 +117,7 @@
         played = forwarding_world.build_course(built, route=route)
         self.assertAlmostEqual(played.find_step(0.0).left_s, 0.8)
         played.note_broken("closed", True, 0.9)
-        self.assertIsInstance(played.find_step(0.9).failure, course.TimedOut)
+        self.assertIsInstance(played.find_step(0.9).failure, steps.TimedOut)
 
     def test_rest_of_a_stream_comes_from_its_version_while_that_runs(self):
         old = [
@@ -150,12 +150,12 @@
             played.delivering = True
             for attempt in range(1, 4):
                 played.note_broken("closed", True, float(attempt))
-                if isinstance(played.find_step(float(attempt)), course.Refuse):
+                if isinstance(played.find_step(float(attempt)), steps.Refuse):
                     break
                 verdict = played.judge_head(
                     forwarding_world.build_head(status), attempt + 0.1
                 )
-                self.assertIs(verdict, course.Verdict.AGAIN)
+                self.assertIs(verdict, steps.Verdict.AGAIN)
 
     def test_poisonous_request_ends(self):
         built = forwarding_world.build_router(*UPSTREAMS)
@@ -163,7 +163,7 @@
         for attempt in range(6):
             played = forwarding_world.build_course(built, now=float(attempt))
             step = played.find_step(float(attempt))
-            if isinstance(step, course.Refuse):
+            if isinstance(step, steps.Refuse):
                 self.assertEqual(step.failure.status, 502)
                 break
             sent += 1
@@ -240,7 +240,7 @@
         self.assertEqual(played.find_step(0.0).model, "small")
         head = forwarding_world.build_head(confidence=confidence)
         verdict = played.judge_head(head, took_s)
-        if verdict is course.Verdict.DELIVER:
+        if verdict is steps.Verdict.DELIVER:
             return "small"
         return played.find_step(took_s).model
 
@@ -264,7 +264,7 @@
         played = forwarding_world.build_course(built)
         played.find_step(0.0)
         head = forwarding_world.build_head(confidence=0)
-        self.assertIs(played.judge_head(head, 0.08), course.Verdict.DELIVER)
+        self.assertIs(played.judge_head(head, 0.08), steps.Verdict.DELIVER)
 
 
 class PlacementTest(unittest.TestCase):
@@ -330,7 +330,7 @@
         for number in range(50):
             now = number * 0.02
             played = forwarding_world.build_course(built, now=now)
-            if isinstance(played.find_step(now), course.Send):
+            if isinstance(played.find_step(now), steps.Send):
                 sent += 1
         self.assertLessEqual(sent, 4)
 
