--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -119,6 +119,7 @@
         ready=file.listen.ready,
         store=file.platform.address,
         first_port=file.internalPortRange[0],
+        metrics_port=file.internalPortRange[0] + 1,
         memory_bytes=int(file.limits.memoryMb * 1e6),
         max_connections=file.limits.maxFds,
         drain_s=bounds.drainMs / 1000,
--- a/sycamorehollow/programs/gateway.py
+++ b/sycamorehollow/programs/gateway.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import dataclasses
 import os
 import pathlib
 import sys
@@ -30,6 +31,10 @@
     if arguments.check:
         print("settings are valid")
         return 0
+    if arguments.metrics_port:
+        settings = dataclasses.replace(
+            settings, metrics_port=arguments.metrics_port
+        )
     journal.configure(settings.node)
     gateway = assembly.Gateway(
         settings,
@@ -67,6 +72,12 @@
         metavar="FILE",
         help=f"settings file of the platform; by default that of {variable}",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        metavar="PORT",
+        help="port of the metrics page; by default the second internal one",
+    )
     parser.add_argument(
         "--check",
         action="store_true",
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -14,8 +14,9 @@
         front: Address and port for callers.
         ready: Address and port of the readiness check.
         store: Address and port of the platform's store.
-        first_port: Start of the ports for use between processes: peers, and
-            the one after it for metrics.
+        first_port: Port for peers, the first of those for use between
+            processes.
+        metrics_port: Port of the metrics page.
         memory_bytes: Memory at which the process is killed.
         max_connections: Descriptors of the process.
         drain_s: Seconds after which a leaving upstream gets no request.
@@ -39,6 +40,7 @@
     ready: str
     store: str
     first_port: int
+    metrics_port: int
     memory_bytes: int
     max_connections: int
     drain_s: float
@@ -57,8 +59,3 @@
     def peer_address(self) -> str:
         """Address and port that peers call."""
         return f"{self.ip}:{self.first_port}"
-
-    @property
-    def metrics_port(self) -> int:
-        """Port of the metrics page."""
-        return self.first_port + 1
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -90,12 +90,15 @@
             await self._listen(
                 self._settings.ready, self._answer_ready, self._checks
             ),
-            await self._listen(
-                f"{self._settings.ip}:{self._settings.metrics_port}",
-                self._answer_metrics,
-                self._checks,
-            ),
         ]
+        try:
+            address = f"{self._settings.ip}:{self._settings.metrics_port}"
+            servers.append(
+                await self._listen(address, self._answer_metrics, self._checks)
+            )
+        except OSError as error:
+            # Requests are served without the page, too.
+            self._journal.note_event("metrics cannot be served: {}", error)
         self._journal.note_event(
             "started node={} data_centre={} front={}",
             self._settings.node,
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -23,6 +23,7 @@
         "ready": "127.0.0.1:2",
         "store": "127.0.0.1:3",
         "first_port": 4,
+        "metrics_port": 5,
         "memory_bytes": 300_000_000,
         "max_connections": 4000,
         "drain_s": 2.0,
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,320 @@
+"""Tests of the adapter to the users' platform."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.decisions.forwarding import watchers
+from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
+from sycamorehollow.platform import dialect
+from sycamorehollow.platform import documents
+from sycamorehollow.platform import feed
+from sycamorehollow.platform import settings
+from sycamorehollow.platform import storeclient
+from sycamorehollow.shells import stores
+from sycamorehollow.shells.gateway import dialect as dialects
+from tests import platform_standins
+
+SETTINGS = """
+nodeName=front-1
+ip=10.1.0.40
+zone=east-a
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+internalPortRange=7340,7355
+limits.memoryMb=300
+limits.maxFds=4100
+bounds.drainMs=2000
+bounds.graceS=8
+bounds.retryBudgetRatio=0.9
+bounds.budgetWindowS=10
+bounds.budgetMinRetries=58
+platform.address=10.200.1.7:8223
+not.known.here=x
+"""
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "east-a",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "born": 77,
+    "models": [{"name": "small", "version": 1}],
+}
+
+
+class SettingsTest(unittest.TestCase):
+    """Guards against settings that are taken wrong."""
+
+    def test_known_fields_are_taken_and_others_ignored(self):
+        read = settings.parse_settings(SETTINGS)
+        self.assertEqual(read.data_centre, "east-a")
+        self.assertEqual(read.peer_address, "10.1.0.40:7340")
+        self.assertEqual(read.drain_s, 2.0)
+        self.assertEqual(read.memory_bytes, 300_000_000)
+
+    def test_every_fault_is_named(self):
+        text = SETTINGS.replace("graceS=8", "graceS=soon").replace(
+            "ip=10.1.0.40\n", ""
+        )
+        faults = settings.parse_settings(text)
+        self.assertEqual(
+            {(fault.section, fault.key) for fault in faults},
+            {("bounds", "graceS"), ("", "ip")},
+        )
+
+
+class DocumentsTest(unittest.TestCase):
+    """Guards against entries that are taken for something else."""
+
+    def test_upstream_is_decoded(self):
+        upstream = documents.decode_upstream("servers/i-1", json.dumps(ENTRY))
+        self.assertEqual(
+            upstream,
+            forwarding.Upstream(
+                "i-1", "llm", "10.0.0.9", 8080, "east-a", "v1", 48, False,
+                1.5, 77, ("small",),
+            ),
+        )  # fmt: skip
+
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers()
+            | strategies.floats()
+            | strategies.text(max_size=5),
+            lambda inner: (
+                strategies.lists(inner, max_size=3)
+                | strategies.dictionaries(
+                    strategies.sampled_from(sorted(ENTRY)), inner, max_size=6
+                )
+            ),
+            max_leaves=8,
+        ),
+        strategies.sampled_from(sorted(ENTRY)),
+    )
+    def test_foreign_entries_name_no_upstream_or_a_valid_one(self, value, key):
+        for document in (value, ENTRY | {key: value}):
+            result = documents.decode_upstream(
+                "servers/x", json.dumps(document)
+            )
+            if isinstance(result, failures.InvalidRequest):
+                continue
+            self.assertTrue(result.service and result.host)
+            self.assertIsInstance(result.slots, int)
+
+    def test_state_that_is_not_named_gives_no_upstream(self):
+        for change in ({"state": "up"}, {"address": "x"}, {"service": ""}):
+            text = json.dumps(ENTRY | change)
+            self.assertIsInstance(
+                documents.decode_upstream("servers/x", text),
+                failures.InvalidRequest,
+            )
+
+    def test_configuration_is_decoded(self):
+        document = platform_standins.build_configuration(version=7)
+        document["routes"][0]["trafficSplit"] = [
+            {"service": "llm", "weight": 90},
+            {"service": "desk", "weight": 10},
+            {"service": "none", "weight": 0},
+        ]
+        read = documents.decode_configuration(json.dumps(document))
+        self.assertEqual(read.version, 7)
+        self.assertEqual(
+            read.routes[0].targets,
+            (forwarding.Target("llm", 90), forwarding.Target("desk", 10)),
+        )
+        self.assertEqual(read.routes[0].models, ("small", "large"))
+        self.assertTrue(read.routes[0].repeatable)
+        self.assertFalse(read.routes[2].repeatable)
+        self.assertEqual(read.workspaces["key-1"].name, "maps")
+        del document["tenants"]
+        read = documents.decode_configuration(json.dumps(document))
+        self.assertIsNone(read.workspaces)
+
+
+class FeedTest(unittest.TestCase):
+    """Guards against news that are lost or made up."""
+
+    def test_keys_are_told_apart(self):
+        codec = feed.PlatformFeed()
+        order = '{"service": "llm", "target": "v2", "durationS": 12}'
+        status = codec.encode_status(
+            "llm", "v2", forwarding.RolloutState.COMPLETED
+        )
+        own = watchers.Node("10.0.0.1:7", "east-a")
+        node = codec.encode_node("n", own)
+        for key, value, expected in (
+            ("servers/i", None, updates.UpstreamRemoved("i")),
+            ("op/evacuate/east-a", "{}", updates.EvacuationSet("east-a", True)),
+            (
+                "op/evacuate/east-a",
+                None,
+                updates.EvacuationSet("east-a", False),
+            ),
+            (
+                "op/rollout/llm",
+                order,
+                updates.RolloutOrdered(
+                    forwarding.RolloutOrder("llm", "v2", 12.0, 5)
+                ),
+            ),
+            ("op/rollout/llm", None, updates.RolloutWithdrawn("llm")),
+            (
+                status.key,
+                status.value,
+                updates.RolloutStated(
+                    forwarding.RolloutStatus(
+                        "llm", "v2", forwarding.RolloutState.COMPLETED, 5
+                    )
+                ),
+            ),
+            (node.key, node.value, updates.NodeSet("n", own)),
+        ):
+            with self.subTest(key=key, value=value):
+                entry = mirror.Entry(key, value, 5)
+                self.assertEqual(list(codec.decode(entry)), [expected])
+        self.assertEqual(list(codec.decode(mirror.Entry("x/y", "z", 5))), [])
+
+    def test_spoiled_entry_of_an_upstream_takes_it_out(self):
+        entry = mirror.Entry("servers/i", "no json", 5)
+        news = list(feed.PlatformFeed().decode(entry))
+        self.assertIsInstance(news[0], updates.Unreadable)
+        self.assertEqual(news[1], updates.UpstreamRemoved("i"))
+
+
+class DialectTest(unittest.TestCase):
+    """Guards against headers that are misread or passed on wrongly."""
+
+    def test_request_is_decoded(self):
+        call = dialect.PlatformDialect().decode_call(
+            "POST",
+            "/a/b?c=d",
+            [
+                (b"Host", b"Models.Example:80"),
+                (b"request-id", b"q"),
+                (b"Request-Deadline", b"1500"),
+                (b"Authorization", b"Bearer key"),
+                (b"Token-Counts", b"1460,80"),
+                (b"Prompt-Prefix", b"5c:800,91:410,broken"),
+            ],
+        )
+        self.assertEqual(
+            (call.host, call.path, call.request_id, call.deadline_s),
+            ("models.example", "/a/b", "q", 1.5),
+        )
+        self.assertEqual((call.prompt_tokens, call.output_tokens), (1460, 80))
+        self.assertEqual(
+            call.prompt_parts,
+            (
+                forwarding.PromptPart("5c", 800),
+                forwarding.PromptPart("91", 410),
+            ),
+        )
+
+    def test_upstream_gets_our_headers_in_place_of_the_callers(self):
+        attempt = dialects.Attempt("i-1", "maps", 0.75, "large", 2, "9")
+        headers = dialect.PlatformDialect().encode_attempt(
+            [
+                (b"Model", b"*"),
+                (b"Tenant-Id", b"forged"),
+                (b"Kv-Hold", b"h"),
+                (b"Last-Event-Id", b"3"),
+                (b"X-Kept", b"1"),
+                (b"X-Kept", b"2"),
+            ],
+            5,
+            attempt,
+        )
+        self.assertEqual(
+            sorted(headers),
+            sorted(
+                [
+                    (b"X-Kept", b"1"),
+                    (b"X-Kept", b"2"),
+                    (b"Request-Deadline", b"750"),
+                    (b"Target-Replica", b"i-1"),
+                    (b"Tenant-Id", b"maps"),
+                    (b"Model", b"large"),
+                    (b"Last-Event-Id", b"9"),
+                    (b"Request-Priority", b"2"),
+                    (b"Content-Length", b"5"),
+                ]
+            ),
+        )
+
+    def test_answer_is_decoded(self):
+        head = dialect.PlatformDialect().decode_answer(
+            503,
+            [
+                (b"Not-Executed", b"1"),
+                (b"Replica-Load", b"3,1,8"),
+                (b"Keep-Alive", b"timeout=7"),
+                (b"Hint-Confidence", b"x"),
+            ],
+        )
+        self.assertTrue(head.not_run)
+        self.assertEqual(head.load, forwarding.Load(3, 1, 8))
+        self.assertEqual(head.idle_s, 7.0)
+        self.assertIsNone(head.confidence)
+        self.assertFalse(head.sealed)
+
+
+class StoreClientTest(unittest.TestCase):
+    """Guards against lost conditions, pages and changes."""
+
+    def setUp(self):
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.stop)
+        self.client = storeclient.PlatformStore(f"http://{self.store.address}")
+        self.addCleanup(self.client.close)
+
+    def test_writes_keep_their_condition(self):
+        first = self.client.write("a", "1", 0)
+        self.assertIsInstance(first, stores.Written)
+        conflict = self.client.write("a", "2", 0)
+        self.assertIsInstance(conflict, stores.Conflict)
+        self.assertEqual(conflict.revision, first.revision)
+        self.assertEqual(conflict.value, "1")
+        second = self.client.write("a", "2", first.revision)
+        self.assertEqual(
+            self.client.read("a"), stores.Found("a", "2", second.revision)
+        )
+        self.assertIsInstance(
+            self.client.delete("a", second.revision), stores.Deleted
+        )
+        self.assertIsInstance(self.client.read("a"), stores.Absent)
+
+    def test_all_pages_of_a_range_are_read(self):
+        for number in range(23):
+            self.store.put(f"p/{number:02}", "v")
+        listing = self.client.list_range("p/")
+        self.assertEqual(len(listing.items), 23)
+
+    def test_watch_reports_changes_and_lost_history(self):
+        revision = self.client.list_range("").revision
+        self.store.put("a", b"\xff")
+        self.store.remove("a")
+        changes = self.client.watch("", revision, 1.0)
+        self.assertEqual(
+            [change.value for change in changes.changes], ["\udcff", None]
+        )
+        self.store.compact()
+        self.assertIsInstance(
+            self.client.watch("", revision, 1.0), stores.HistoryGone
+        )
+
+    def test_refusals_have_no_effect(self):
+        for status in (429, 503):
+            self.store.refuse = status
+            self.assertIsInstance(
+                self.client.write("a", "1", 0), stores.RateLimited
+            )
