Bound idle connections by the upstreams' limit; report the last change of a key

Change: nodes share half of an upstream's connections for idle ones; of several changes of a key in one answer only the last is decoded. Settings, fields and methods that nothing used are removed; the grace for lapsed entries is at most the time in which a leaving upstream may get requests.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -86,9 +86,9 @@
         return self.call.request_id
 
     @property
-    def may_repeat(self) -> bool:
-        """Whether the rules allow another run."""
-        return self.route.repeatable or not self._ran
+    def kept_connections(self) -> int:
+        """Idle connections that may be kept to an upstream."""
+        return self._router.compute_kept_connections(self.service)
 
     def find_step(self, now: float) -> steps.Step:
         """Returns what to do next."""
@@ -229,10 +229,6 @@
         self.attempts[-1].outcome = "delivered"
         self._router.poison.note_success(self._fingerprint)
 
-    def give_up(self, now: float) -> failures.Failure:
-        """Returns the final failure after the last attempt."""
-        return self._build_failure(self._broken_reason or "no answer", now)
-
     def _find_limit(self, now: float) -> str:
         """Returns the rule that forbids another attempt, if any."""
         if not self.attempts:
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -72,9 +72,15 @@
 
 
 class Directory:
-    """Upstreams by identity, with evacuated data centres."""
+    """Upstreams by identity, with evacuated data centres.
 
-    def __init__(self) -> None:
+    Args:
+        return_s: Seconds that a lapsed entry has to come back after an
+            outage of the store.
+    """
+
+    def __init__(self, return_s: float = RETURN_S) -> None:
+        self._return_s = return_s
         self._states: dict[str, State] = {}
         self._evacuated: set[str] = set()
         self._store_back_at = float("-inf")
@@ -112,7 +118,7 @@
         state = self._states.get(identity)
         if state is None:
             return None
-        state.gone_at = max(now, self._store_back_at + RETURN_S)
+        state.gone_at = max(now, self._store_back_at + self._return_s)
         return state.gone_at
 
     def get(self, identity: str) -> State | None:
--- a/sycamorehollow/decisions/forwarding/mirror.py
+++ b/sycamorehollow/decisions/forwarding/mirror.py
@@ -62,11 +62,13 @@
         """Takes changes that follow on the present revision.
 
         Returns:
-            The entries that are news, in the order of their revisions.
+            The entries that are news, in the order of their revisions. Of
+            several changes of a key only the last one is reported, since a
+            storm of large values would take longer to read than it lasts.
         """
-        news = [e for e in entries if self._take(e)]
+        news = {e.key: e for e in entries if self._take(e)}
         self.revision = max(self.revision, revision)
-        return sorted(news, key=lambda entry: entry.revision)
+        return sorted(news.values(), key=lambda entry: entry.revision)
 
     def replace(self, entries: Iterable[Entry], revision: int) -> list[Entry]:
         """Takes the complete values at a revision.
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -18,6 +18,11 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 
+# Part of an upstream's connections that may be idle, and the most that one
+# node keeps to it.
+KEPT_PART = 0.5
+MAX_KEPT = 32
+
 
 @dataclasses.dataclass(frozen=True)
 class Change:
@@ -44,7 +49,9 @@
     def __init__(self, settings: gateway.Settings, source: random.Random):
         self.source = source
         self.table: route_table.RouteTable | None = None
-        self.directory = directory.Directory()
+        self.directory = directory.Directory(
+            min(directory.RETURN_S, settings.drain_s)
+        )
         self.limits = cold_limits.ColdLimits(
             settings.cold_factor, settings.cold_floor
         )
@@ -103,6 +110,17 @@
             self._forget(identity)
         return gone
 
+    def compute_kept_connections(self, service: forwarding.Service) -> int:
+        """Returns this node's share of an upstream's connections for idle ones.
+
+        An upstream counts the connections of all nodes; what is not kept is
+        left to requests that run.
+        """
+        if service.max_connections <= 0:
+            return MAX_KEPT
+        share = service.max_connections * KEPT_PART / max(1, len(self.nodes))
+        return max(1, min(MAX_KEPT, int(share)))
+
     def choose_versions(
         self, service: str, session: str, sound: bool, now: float
     ) -> set[str] | None:
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -63,21 +63,6 @@
         return self.kind is Repeatability.SAFE
 
 
-@dataclasses.dataclass(frozen=True)
-class Engine:
-    """What all model engines of a service have in common.
-
-    Attributes:
-        slots: Requests that run at once.
-        memory_tokens: Tokens of running requests and cached prompts.
-        costs: Price of 1,000 generated tokens by model.
-    """
-
-    slots: int
-    memory_tokens: int
-    costs: Mapping[str, float]
-
-
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A set of interchangeable upstreams.
@@ -86,14 +71,11 @@
         max_connections: Connections that an upstream takes from all callers.
         cold_per_s: Requests per second that a cold upstream tolerates; 0 when
             its upstreams start warm.
-        engine: `None` for a plain service.
     """
 
     name: str
-    health_path: str
     max_connections: int
     cold_per_s: float = 0.0
-    engine: Engine | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -54,21 +54,12 @@
 
 class _Model(pydantic.BaseModel):
     name: _Name
-    cost: _Number = 0
-
-
-class _Engine(pydantic.BaseModel):
-    slots: _Count
-    kvCapacity: _Count  # noqa: N815
-    models: list[_Model] = []
 
 
 class _Service(pydantic.BaseModel):
     name: _Name
-    healthCheckPath: str = ""  # noqa: N815
     maxConnections: _Count = 0  # noqa: N815
     coldPerS: _Number = 0  # noqa: N815
-    engine: _Engine | None = None
 
 
 class _Limits(pydantic.BaseModel):
@@ -257,20 +248,11 @@
 def _read_service(service: _Service) -> forwarding.Service:
     return forwarding.Service(
         name=service.name,
-        health_path=service.healthCheckPath,
         max_connections=service.maxConnections,
         cold_per_s=service.coldPerS,
-        engine=_read_engine(service.engine),
     )
 
 
-def _read_engine(engine: _Engine | None) -> forwarding.Engine | None:
-    if engine is None:
-        return None
-    costs = {model.name: model.cost for model in engine.models}
-    return forwarding.Engine(engine.slots, engine.kvCapacity, costs)
-
-
 def _read_workspaces(
     tenants: list[_Tenant] | None,
 ) -> dict[str, forwarding.Workspace] | None:
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -21,11 +21,6 @@
     ready: _Address
 
 
-class _Limits(pydantic.BaseModel):
-    memoryMb: float = pydantic.Field(gt=0)  # noqa: N815
-    maxFds: int = pydantic.Field(gt=0)  # noqa: N815
-
-
 class _Bounds(pydantic.BaseModel):
     drainMs: _Milliseconds  # noqa: N815
     graceS: float = pydantic.Field(gt=0)  # noqa: N815
@@ -34,10 +29,8 @@
     # Not a minimum but a fixed addition to the ratio, over all nodes.
     budgetMinRetries: float = pydantic.Field(ge=0)  # noqa: N815
     exposeShare: float = pydantic.Field(1.0, gt=0, le=1)  # noqa: N815
-    exposeSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
     coldOverage: float = pydantic.Field(1.0, gt=0)  # noqa: N815
     coldSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
-    sessionS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
     # Time within which reading a shared part of a prompt again is priced.
     reuseWindowS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
 
@@ -52,7 +45,6 @@
     zone: str = pydantic.Field(min_length=1)
     listen: _Listen
     internalPortRange: tuple[int, int]  # noqa: N815
-    limits: _Limits
     bounds: _Bounds
     platform: _Platform
 
@@ -120,17 +112,13 @@
         store=file.platform.address,
         first_port=file.internalPortRange[0],
         metrics_port=file.internalPortRange[0] + 1,
-        memory_bytes=int(file.limits.memoryMb * 1e6),
-        max_connections=file.limits.maxFds,
         drain_s=bounds.drainMs / 1000,
         grace_s=bounds.graceS,
         retry_ratio=bounds.retryBudgetRatio,
         retry_window_s=bounds.budgetWindowS,
         retry_floor=bounds.budgetMinRetries,
         exposure_share=bounds.exposeShare,
-        exposure_floor=bounds.exposeSlack,
         cold_factor=bounds.coldOverage,
         cold_floor=bounds.coldSlack,
-        session_s=bounds.sessionS,
         reuse_s=bounds.reuseWindowS,
     )
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -17,8 +17,6 @@
         first_port: Port for peers, the first of those for use between
             processes.
         metrics_port: Port of the metrics page.
-        memory_bytes: Memory at which the process is killed.
-        max_connections: Descriptors of the process.
         drain_s: Seconds after which a leaving upstream gets no request.
         grace_s: Seconds from SIGTERM to SIGKILL.
         retry_ratio: Repeats per fresh request of a service.
@@ -26,10 +24,8 @@
         retry_floor: Repeats in a window beyond the ratio.
         exposure_share: Part of a service's requests that a faulty new
             version may get.
-        exposure_floor: Requests that it may get beyond the part.
         cold_factor: Tolerated excess over the rate of a cold upstream.
         cold_floor: Requests per second beyond that.
-        session_s: Seconds for which a session is kept on its version.
         reuse_s: Seconds for which a prompt's parts are worth reusing.
     """
 
@@ -41,18 +37,14 @@
     store: str
     first_port: int
     metrics_port: int
-    memory_bytes: int
-    max_connections: int
     drain_s: float
     grace_s: float
     retry_ratio: float
     retry_window_s: float
     retry_floor: float
     exposure_share: float
-    exposure_floor: float
     cold_factor: float
     cold_floor: float
-    session_s: float
     reuse_s: float
 
     @property
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -104,7 +104,9 @@
         finally:
             step.state.running -= 1
             if connection is not None:
-                self._pool.give_back(upstream, connection)
+                self._pool.give_back(
+                    upstream, connection, self._course.kept_connections
+                )
 
     def _format(self, step: steps.Send) -> bytes:
         """Returns the bytes of the request for an upstream."""
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -27,7 +27,6 @@
 # A request that must not run twice is not sent on a connection that the
 # upstream may just have closed.
 FRESH_IDLE_S = 0.25
-KEPT_PER_UPSTREAM = 32
 # Time in milliseconds without an acknowledgement after which a peer counts as
 # gone. An upstream is given up early, since its requests can go elsewhere; the
 # time still allows for a lost packet that is sent again.
@@ -313,11 +312,20 @@
         return await self._open(upstream)
 
     def give_back(
-        self, upstream: forwarding.Upstream, connection: UpstreamConnection
+        self,
+        upstream: forwarding.Upstream,
+        connection: UpstreamConnection,
+        most: int,
     ) -> None:
-        """Keeps a connection whose answer has ended, if it can be."""
+        """Keeps a connection whose answer has ended, if it can be.
+
+        Args:
+            upstream: Its upstream.
+            connection: The connection.
+            most: Idle connections that may be kept to the upstream.
+        """
         kept = self._idle.setdefault((upstream.host, upstream.port), [])
-        if not connection.finish() or len(kept) >= KEPT_PER_UPSTREAM:
+        if not connection.finish() or len(kept) >= most:
             connection.close()
             return
         kept.append(connection)
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -24,18 +24,14 @@
         "store": "127.0.0.1:3",
         "first_port": 4,
         "metrics_port": 5,
-        "memory_bytes": 300_000_000,
-        "max_connections": 4000,
         "drain_s": 2.0,
         "grace_s": 8.0,
         "retry_ratio": 0.9,
         "retry_window_s": 10.0,
         "retry_floor": 50.0,
         "exposure_share": 0.15,
-        "exposure_floor": 30.0,
         "cold_factor": 1.5,
         "cold_floor": 5.0,
-        "session_s": 5.0,
         "reuse_s": 7.0,
     }
     return gateway.Settings(**(values | changes))
@@ -66,7 +62,7 @@
     values = {
         "version": version,
         "routes": routes or (build_route(),),
-        "services": {"llm": forwarding.Service("llm", "/health", 100)},
+        "services": {"llm": forwarding.Service("llm", 100)},
         "limits": forwarding.CallerLimits(),
         "workspaces": None,
     }
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -82,6 +82,11 @@
         self.assertEqual(read_values(copy), {"a": "new"})
         self.assertEqual(copy.revision, 5)
 
+    def test_storm_of_changes_is_reported_by_its_last_one(self):
+        copy = mirror.Mirror()
+        storm = [mirror.Entry("a", str(n), n) for n in range(1, 30)]
+        self.assertEqual(copy.apply(storm, 29), storm[-1:])
+
     def test_old_delta_changes_nothing(self):
         copy = mirror.Mirror()
         copy.apply([mirror.Entry("a", "new", 5)], 5)
@@ -346,6 +351,16 @@
         built.handle(updates.ConfigurationSet(older), 2.0)
         self.assertEqual(built.table.configuration.version, 9)
 
+    def test_idle_connections_of_all_nodes_leave_room_for_requests(self):
+        built = forwarding_world.build_router()
+        service = forwarding.Service("llm", 110)
+        for count in range(1, 70):
+            node = watchers.Node(f"a:{count}", "dc-1")
+            built.handle(updates.NodeSet(f"n{count}", node), 0.0)
+            kept = built.compute_kept_connections(service)
+            self.assertGreaterEqual(kept, 1)
+            self.assertLessEqual(kept * count, max(55, count))
+
     def test_evacuation_holds_until_it_is_removed(self):
         built = forwarding_world.build_router(
             forwarding_world.build_upstream("a"),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,8 +27,6 @@
 listen.front=10.1.0.40:8227
 listen.ready=10.1.0.40:8220
 internalPortRange=7340,7355
-limits.memoryMb=300
-limits.maxFds=4100
 bounds.drainMs=2000
 bounds.graceS=8
 bounds.retryBudgetRatio=0.9
@@ -58,7 +56,6 @@
         self.assertEqual(read.data_centre, "east-a")
         self.assertEqual(read.peer_address, "10.1.0.40:7340")
         self.assertEqual(read.drain_s, 2.0)
-        self.assertEqual(read.memory_bytes, 300_000_000)
 
     def test_every_fault_is_named(self):
         text = SETTINGS.replace("graceS=8", "graceS=soon").replace(
