--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -21,6 +21,8 @@
 WHOLE_ANSWER_BYTES = 64 * 1024
 # Time in which the body of a refusal, which is short, is read to its end.
 REFUSAL_BODY_S = 0.05
+# Time in which bytes that have arrived are read.
+NEWS_S = 0.05
 
 _Read = TypeVar("_Read")
 
@@ -84,7 +86,7 @@
                 upstream, self._course.route.repeatable
             )
             connection.send(self._course.call.request_id, self._format(step))
-            head = await self._wait_for(connection.read_head)
+            head = await self._wait_for(connection, connection.read_head)
             verdict = self._course.judge_head(head.decoded, time.monotonic())
             if verdict is steps.Verdict.DELIVER:
                 await self._deliver(connection, head)
@@ -139,6 +141,7 @@
 
     async def _wait_for(
         self,
+        connection: upstream_connections.UpstreamConnection,
         read: Callable[[], Awaitable[_Read]],
     ) -> _Read:
         """Waits for a piece of the answer as long as that makes sense.
@@ -146,10 +149,19 @@
         Raises:
             GaveUpError: Another upstream, or none, is to be tried.
         """
+        overdue = False
         while True:
             patience_s = self._course.compute_patience(time.monotonic())
             if patience_s <= 0:
-                raise GaveUpError("no byte in time")
+                # After a pause of the process its timers expire before it
+                # has read what arrived meanwhile.
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                if connection.has_news and not overdue:
+                    overdue = True
+                    patience_s = NEWS_S
+                else:
+                    raise GaveUpError("no byte in time")
             try:
                 async with asyncio.timeout(patience_s):
                     return await read()
@@ -234,7 +246,7 @@
         Raises:
             GaveUpError: The answer stalls or its time is over.
         """
-        data = await self._wait_for(connection.read_body)
+        data = await self._wait_for(connection, connection.read_body)
         self._course.note_bytes(time.monotonic())
         return data
 
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -127,8 +127,9 @@
 
         def reply() -> None:
             self._merge(sender.address, payload, answered=False)
-            since = _read(payload).get("since", 0)
-            answer.set_result(self._collect(int(since)))
+            since = _read(payload).get("since")
+            known = since if isinstance(since, int) else 0
+            answer.set_result(self._collect(known))
 
         self._loop.call_soon_threadsafe(reply)
         return answer
@@ -159,6 +160,8 @@
         active = self._watchers.needs_watch(nodes, now)
         if active != self._watch.active:
             self._watch.active = active
+            # A follower does not call the store, so it cannot have lost it.
+            self._store_lost = self._store_lost and active
             self._journal.note_change(
                 "store",
                 "followed directly" if active else "followed by another node",
@@ -363,6 +366,8 @@
             self._router.poison.merge(document.get("poison", {}), now)
             if answered:
                 self._watchers.note_fresh(now - float(document["age_s"]))
+            # Entries may have lapsed while the store was away from the other
+            # node; that it is away from this one alone tells nothing.
             back_at = now - float(document["store_back_s"])
             self._router.directory.note_store_back(back_at)
             delta = document.get("delta")
@@ -377,9 +382,6 @@
                 f"peer={address}", f"unreadable news: {error!r}", "sync"
             )
             return
-        if self._store_lost:
-            # Entries may have lapsed while the store was away.
-            self._router.directory.note_store_back(now)
         self._apply(news, f"peer {address}")
 
 
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -105,6 +105,11 @@
         """Whether requests can be sent on it."""
         return not self._closed and not self._fault and self._reusable
 
+    @property
+    def has_news(self) -> bool:
+        """Whether a reader need not wait."""
+        return bool(self._chunks) or self._ended or not self.is_open
+
     def watch_dropped(self, callback: Callable[[], None] | None) -> None:
         """Calls back when the connection ends while it is idle."""
         self._on_dropped = callback
--- /dev/null
+++ b/tests/test_gateway_knowledge.py
@@ -0,0 +1,100 @@
+"""Tests of how a node keeps what it knows current."""
+
+import asyncio
+import json
+import random
+import time
+import unittest
+from unittest import mock
+
+from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.forwarding import watchers
+from sycamorehollow.model import identity
+from sycamorehollow.platform import documents
+from sycamorehollow.platform import feed
+from sycamorehollow.shells import peers
+from sycamorehollow.shells import stores
+from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import knowledge
+from sycamorehollow.shells.gateway import store_tasks
+from tests import forwarding_world
+
+ENTRY = json.dumps(
+    {
+        "service": "llm",
+        "address": "127.0.0.1:1",
+        "zone": "dc-1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+    }
+)
+PEER = identity.Process("127.0.0.1:9", "dc-1", 1)
+
+
+class KnowledgeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against followers that use upstreams which have left."""
+
+    async def asyncSetUp(self):
+        settings = forwarding_world.build_settings(node="n9")
+        self.router = forwarding_world.build_router()
+        self.known = knowledge.Knowledge(
+            settings,
+            self.router,
+            feed.PlatformFeed(),
+            journal.Journal(),
+            random.Random(1),
+        )
+        self.watch = mock.Mock(active=True)
+        self.known.connect(self.watch, mock.Mock(), mock.Mock())
+        nodes = {
+            f"nodes/n{number}": documents.encode_node(
+                watchers.Node(f"127.0.0.1:{number}", "dc-1")
+            )
+            for number in range(9)
+        }
+        values = nodes | {"servers/a": ENTRY}
+        items = tuple(
+            stores.Found(key, value, 5) for key, value in values.items()
+        )
+        await self._deliver(store_tasks.Listed(stores.Listing(items, 5)))
+
+    async def _deliver(self, event):
+        self.known.deliver(event)
+        await asyncio.sleep(0.01)
+
+    async def _answer(self, **changes):
+        """Delivers what another node knows."""
+        document = {"since": 5, "age_s": 0.0, "store_back_s": 1e6} | changes
+        item = exchange.Item(knowledge.SYNC_KIND, json.dumps(document).encode())
+        await self._deliver(peers.RequestAnswered(0, PEER, item))
+
+    def _count_usable(self):
+        now = time.monotonic()
+        return len(self.router.directory.list_usable("llm", now))
+
+    async def test_removal_counts_at_once_for_a_node_turned_away(self):
+        failure = stores.RateLimited("refused")
+        await self._deliver(store_tasks.StoreLost(failure))
+        await self._answer()
+        self.known.tick()
+        gone = {"entries": [["servers/a", None, 6]], "revision": 6}
+        self.assertEqual(self._count_usable(), 1)
+        await self._answer(delta=gone | {"whole": False})
+        self.assertEqual(self._count_usable(), 0)
+
+    async def test_entry_that_lapsed_with_the_store_is_kept_a_while(self):
+        gone = {"entries": [["servers/a", None, 6]], "revision": 6}
+        await self._answer(delta=gone | {"whole": False}, store_back_s=0.2)
+        self.assertEqual(self._count_usable(), 1)
+
+    async def test_follower_with_fresh_news_does_not_watch(self):
+        await self._answer()
+        self.known.tick()
+        self.assertFalse(self.watch.active)
+
+    async def test_unreadable_news_change_nothing(self):
+        for payload in (b"", b"[]", b"{}", b'{"delta": 3}'):
+            item = exchange.Item(knowledge.SYNC_KIND, payload)
+            await self._deliver(peers.RequestAnswered(0, PEER, item))
+        self.assertEqual(self._count_usable(), 1)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -379,6 +379,27 @@
         )
         self.assertLess(took_s, 2.0)
 
+    def test_stream_goes_on_after_a_pause_of_the_process(self):
+        for engine in self.world.engines:
+            engine.events, engine.pause_s = 6, 0.15
+        with self.node.open_socket() as caller:
+            caller.settimeout(10)
+            caller.sendall(
+                b"POST /draft/1 HTTP/1.1\r\nHost: models.example\r\n"
+                b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n"
+                b"Accept: text/event-stream\r\nModel: *\r\n"
+                b"Connection: close\r\nContent-Length: 1\r\n\r\nx"
+            )
+            answer = caller.recv(200)
+            self.node.send_signal(signal.SIGSTOP)
+            # Longer than two of the pauses that the route tolerates.
+            time.sleep(1.6)
+            self.node.send_signal(signal.SIGCONT)
+            while data := caller.recv(4096):
+                answer += data
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+        self.assertEqual(self.world.count_runs(), 1)
+
     def test_process_without_a_configuration_refuses_truthfully(self):
         self.world.store.refuse = 503
         self.node.send_signal(signal.SIGKILL)
