--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -180,6 +180,20 @@
             small.merge(finding, 3.0)
         self.assertEqual(small.compute_share("s", 3.0), few)
 
+    def test_first_share_brings_no_more_answers_than_the_evidence_needs(self):
+        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
+        for answers in (1, 4, 20, 40, 200, 1000):
+            rollouts = canary.Rollouts("a", EXPOSURE)
+            rollouts.set_nodes(9)
+            rollouts.set_order(order, 0.0)
+            for _ in range(answers):
+                rollouts.note_answer("s", "v1", False)
+            rate = answers * 9 / 3.0
+            share = rollouts.compute_share("s", 3.0)
+            self.assertLessEqual(share, EXPOSURE)
+            # Halving stops within a factor of two of what is asked for.
+            self.assertLessEqual(share * rate, 2 * canary.EVIDENCE_PER_S)
+
     def test_old_version_gets_nothing_new_before_it_is_stopped(self):
         rollouts = canary.Rollouts("a", EXPOSURE)
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 50)
