Hand large configurations on in few bytes

A follower asked again every 0.3 s although an answer of 0.5 MB was on its way; the calls then timed out, all followers watched the store themselves within 0.6 s, and streams stalled behind the configuration (the log of front-levant-east-c-8 shows nothing from 9.08 s to 11.0 s).

Change: what nodes send each other is compressed from 1,200 bytes on; a follower has one question open; nodes register the rate of their link, and those with the fastest watch the store.

The tests of the size, of the open question and of the choice by link failed before.

--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -2,8 +2,9 @@
 
 Every call to the store is priced and every change ends the pending watches of
 all nodes, so that watching by each node costs the square of the fleet. A few
-nodes of each data centre watch; the others ask these. A node that hears
-nothing recent watches by itself, so nothing has to be agreed on.
+nodes of each data centre watch, those with the fastest links; the others ask
+these. A node that hears nothing recent watches by itself, so nothing has to be
+agreed on.
 """
 
 from collections.abc import Mapping
@@ -22,10 +23,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Node:
-    """A registered node."""
+    """A registered node.
+
+    Attributes:
+        link_mbps: Rate of its network link in Mbit/s; 0 if unknown.
+    """
 
     peer_address: str
     data_centre: str
+    link_mbps: float = 0.0
 
 
 class Watchers:
@@ -64,7 +70,9 @@
             if node.data_centre == self._data_centre
             and (name == self._name or now >= self._unreachable.get(name, 0))
         ]
-        near.sort(key=lambda name: zlib.crc32(name.encode()))
+        near.sort(
+            key=lambda name: (-nodes[name].link_mbps, zlib.crc32(name.encode()))
+        )
         return near[:WATCHERS_PER_DATA_CENTRE]
 
     def needs_watch(self, nodes: Mapping[str, Node], now: float) -> bool:
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -111,6 +111,7 @@
 class _Node(pydantic.BaseModel):
     peer: _Name
     data_centre: _Name
+    link_mbps: _Number = 0
 
 
 def decode_node(text: str) -> watchers.Node | failures.InvalidRequest:
@@ -118,13 +119,17 @@
     node = _decode(_Node, text)
     if isinstance(node, failures.InvalidRequest):
         return node
-    return watchers.Node(node.peer, node.data_centre)
+    return watchers.Node(node.peer, node.data_centre, node.link_mbps)
 
 
 def encode_node(node: watchers.Node) -> str:
     """Returns the value by which a node registers itself."""
     return json.dumps(
-        {"peer": node.peer_address, "data_centre": node.data_centre}
+        {
+            "peer": node.peer_address,
+            "data_centre": node.data_centre,
+            "link_mbps": node.link_mbps,
+        }
     )
 
 
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -35,6 +35,10 @@
     reuseWindowS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
 
 
+class _Limits(pydantic.BaseModel):
+    linkMbps: float = pydantic.Field(default=0.0, ge=0)  # noqa: N815
+
+
 class _Platform(pydantic.BaseModel):
     address: _Address
 
@@ -46,6 +50,7 @@
     listen: _Listen
     internalPortRange: tuple[int, int]  # noqa: N815
     bounds: _Bounds
+    limits: _Limits = pydantic.Field(default_factory=_Limits)
     platform: _Platform
 
     @pydantic.field_validator("internalPortRange", mode="before")
@@ -121,4 +126,5 @@
         cold_factor=bounds.coldOverage,
         cold_floor=bounds.coldSlack,
         reuse_s=bounds.reuseWindowS,
+        link_mbps=file.limits.linkMbps,
     )
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -27,6 +27,7 @@
         cold_factor: Tolerated excess over the rate of a cold upstream.
         cold_floor: Requests per second beyond that.
         reuse_s: Seconds for which a prompt's parts are worth reusing.
+        link_mbps: Rate of the VM's network link in Mbit/s; 0 if unknown.
     """
 
     node: str
@@ -46,6 +47,7 @@
     cold_factor: float
     cold_floor: float
     reuse_s: float
+    link_mbps: float = 0.0
 
     @property
     def peer_address(self) -> str:
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -33,6 +33,10 @@
 # Nodes of lower rank act that much later, so that mostly one of them does.
 RANK_DELAY_S = 0.4
 WRITE_RETRY_S = 1.0
+# Smaller messages fit into one packet.
+COMPRESS_FROM_BYTES = 1200
+# The fastest level; a large configuration shrinks to a tenth with it.
+COMPRESS_LEVEL = 1
 # Ages are cut off here, as infinity cannot be sent.
 LONG_AGO_S = 1e6
 
@@ -79,11 +83,12 @@
         self._next_sync = 0.0
         self._next_follow = 0.0
         self._asked: dict[int, str] = {}
+        self._followed: int | None = None
         self._watchers = watchers.Watchers(
             settings.node, settings.data_centre, source
         )
         self._own_node = watchers.Node(
-            settings.peer_address, settings.data_centre
+            settings.peer_address, settings.data_centre, settings.link_mbps
         )
         self._watch: store_tasks.WatchTask | None = None
         self._store_back_at = float("-inf")
@@ -167,10 +172,11 @@
                 "followed directly" if active else "followed by another node",
                 f"age {self._watchers.measure_age(now):.1f} s",
             )
-        if now < self._next_follow:
+        if now < self._next_follow or self._followed in self._asked:
+            # A second answer would repeat what is still on its way.
             return
         self._next_follow = now + FOLLOW_S
-        self._sync(self._watchers.choose_source(nodes, now))
+        self._followed = self._sync(self._watchers.choose_source(nodes, now))
 
     def _handle(self, event: events.Event) -> None:
         match event:
@@ -288,10 +294,10 @@
         others = [n for n in self._router.nodes if n != self.settings.node]
         return self._source.choice(others) if others else None
 
-    def _sync(self, name: str | None) -> None:
-        """Asks another node for news."""
+    def _sync(self, name: str | None) -> int | None:
+        """Asks another node for news; returns the number of the question."""
         if name is None or self._peer_task is None:
-            return
+            return None
         self._syncs += 1
         self._asked[self._syncs] = name
         self._peer_task.post(
@@ -302,6 +308,7 @@
                 exchange.Item(SYNC_KIND, self._collect(None)),
             )
         )
+        return self._syncs
 
     def _collect(self, since: int | None) -> bytes:
         """Returns what is known here, with changes after a revision."""
@@ -336,7 +343,7 @@
                 "revision": delta.revision,
                 "whole": delta.whole,
             }
-        return json.dumps(document, separators=(",", ":")).encode()
+        return _pack(json.dumps(document, separators=(",", ":")).encode())
 
     def _measure_age(self, now: float) -> float:
         """Returns the age of what is known, in seconds."""
@@ -385,10 +392,19 @@
         self._apply(news, f"peer {address}")
 
 
+def _pack(data: bytes) -> bytes:
+    """Compresses what is large, as slow links have to carry it many times."""
+    if len(data) < COMPRESS_FROM_BYTES:
+        return data
+    return zlib.compress(data, COMPRESS_LEVEL)
+
+
 def _read(payload: bytes) -> dict:
     try:
+        if payload[:1] != b"{":
+            payload = zlib.decompress(payload)
         document = json.loads(payload)
-    except ValueError:
+    except (ValueError, zlib.error):
         return {}
     return document if isinstance(document, dict) else {}
 
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -312,6 +312,15 @@
             each.note_fresh(10.0)
         self.assertEqual(self._count(10.5), 6)
 
+    def test_nodes_with_the_fastest_links_watch(self):
+        fast = {
+            f"f{number}": watchers.Node(f"b:{number}", "dc-0", 200.0)
+            for number in range(2)
+        }
+        nodes = self.nodes | fast
+        chosen = self.all["n0"].list_chosen(nodes, 0.0)
+        self.assertEqual(set(chosen), set(fast))
+
     def test_node_without_recent_news_watches_by_itself(self):
         for each in self.all.values():
             each.note_fresh(10.0)
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -36,6 +36,7 @@
     """Guards against followers that use upstreams which have left."""
 
     async def asyncSetUp(self):
+        self.peers = mock.Mock()
         settings = forwarding_world.build_settings(node="n9")
         self.router = forwarding_world.build_router()
         self.known = knowledge.Knowledge(
@@ -46,7 +47,7 @@
             random.Random(1),
         )
         self.watch = mock.Mock(active=True)
-        self.known.connect(self.watch, mock.Mock(), mock.Mock())
+        self.known.connect(self.watch, mock.Mock(), self.peers)
         nodes = {
             f"nodes/n{number}": documents.encode_node(
                 watchers.Node(f"127.0.0.1:{number}", "dc-1")
@@ -98,3 +99,53 @@
             item = exchange.Item(knowledge.SYNC_KIND, payload)
             await self._deliver(peers.RequestAnswered(0, PEER, item))
         self.assertEqual(self._count_usable(), 1)
+
+    async def _ask(self, since):
+        """Returns the answer to a node that knows changes up to `since`."""
+        answer = self.known.answer_peer(
+            PEER, json.dumps({"since": since}).encode()
+        )
+        return await asyncio.wrap_future(answer)
+
+    async def test_large_configuration_is_handed_on_in_few_bytes(self):
+        routes = [
+            {"name": f"r-{n}", "host": f"h{n}.example", "pathPrefix": "/a/"}
+            for n in range(2000)
+        ]
+        large = json.dumps({"version": 9, "routes": routes})
+        changes = (stores.Change("op/config", large, 6),)
+        await self._deliver(store_tasks.Watched(stores.Changes(changes, 6)))
+        payload = await self._ask(5)
+        # Twenty followers fetch it within a second over 10 Mbit/s.
+        self.assertLess(len(payload) * 20 * 8, 10e6)
+        other = forwarding_world.build_router()
+        follower = knowledge.Knowledge(
+            forwarding_world.build_settings(node="n8"),
+            other,
+            feed.PlatformFeed(),
+            journal.Journal(),
+            random.Random(1),
+        )
+        item = exchange.Item(knowledge.SYNC_KIND, payload)
+        follower.deliver(peers.RequestAnswered(0, PEER, item))
+        await asyncio.sleep(0.05)
+        self.assertEqual(follower.get_revision(), 6)
+
+    async def test_follower_asks_again_only_after_an_answer(self):
+        await self._answer()
+        posts = []
+        self.peers.post.side_effect = posts.append
+        later = time.monotonic()
+        with mock.patch("time.monotonic", lambda: later):
+            for _ in range(15):
+                # In all less than the age from which it watches by itself.
+                later += 0.04
+                self.known.tick()
+        # One to any node, one to the node that it follows.
+        self.assertEqual(len(posts), 2)
+        for post in tuple(posts):
+            await self._deliver(peers.RequestFailed(post.number, "timed out"))
+        count = len(posts)
+        with mock.patch("time.monotonic", lambda: later + 0.1):
+            self.known.tick()
+        self.assertGreater(len(posts), count)
