Keep streams while the node itself is cut off

Change: when a silent upstream cannot be reached, a second one is tried; if that fails too, the node waits on. Attempts that reach no upstream leave the budget of repeats, and at most eight are made. The request line names the check.

The new tests failed before.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -11,6 +11,8 @@
 
 # Attempts in a row that upstreams may refuse without running them.
 MAX_REFUSALS = 4
+# Attempts that may reach no upstream; each can take a connect timeout.
+MAX_UNREACHED = 8
 # Wait before full upstreams are tried again, and the part of the objective
 # that may be spent on that.
 FULL_PAUSE_S = 0.02
@@ -66,6 +68,7 @@
         self.deadline = now + left_s
         self._ran = 0
         self._refused = 0
+        self._unreached = 0
         self._broken_reason = ""
         self._excluded: set[str] = set()
         self._version = ""
@@ -140,13 +143,36 @@
         attempt.state.probed_at = now
         return True
 
-    def note_probe(self, reached: bool, now: float) -> None:
-        """The check has ended."""
-        state = self.attempts[-1].state
-        if reached:
+    def choose_witness(self, now: float) -> directory.State | None:
+        """Returns another upstream that tells whether this node is cut off.
+
+        `None` if one was heard while the silent one could not be reached, or
+        there is no other.
+        """
+        silent = self.attempts[-1].state
+        others = [
+            state
+            for state in self._router.directory.list_all()
+            if state is not silent and state.gone_at is None
+        ]
+        if not others:
+            return None
+        latest = max(others, key=lambda state: state.heard_at)
+        return latest if now - latest.heard_at >= patience.PROBE_S else None
+
+    def note_unreachable(self, cut_off: bool, now: float) -> None:
+        """The silent upstream could not be reached.
+
+        Args:
+            cut_off: Whether another one could not be reached either.
+            now: Monotonic time in seconds.
+        """
+        attempt = self.attempts[-1]
+        if cut_off:
+            attempt.cut_off_at = now
             return
-        state.dark_at = now
-        directory.note_broken(state, now)
+        attempt.state.dark_at = now
+        directory.note_broken(attempt.state, now)
 
     def judge_head(
         self, head: forwarding.AnswerHead, now: float
@@ -202,6 +228,9 @@
         self._sound = False
         if not written:
             self._ran -= 1
+            self._unreached += 1
+            if len(self.attempts) > 1:
+                self._router.budget.note_unsent(self.service.name)
             directory.note_broken(attempt.state, now)
             return
         directory.note_outcome(attempt.state, True)
@@ -239,6 +268,8 @@
             return self._broken_reason or "no attempt is left"
         if self._refused > MAX_REFUSALS:
             return "upstreams refuse it"
+        if self._unreached > MAX_UNREACHED:
+            return "upstreams cannot be reached"
         if not self._router.budget.may_repeat(self.service.name, now):
             return "the budget of repeats is used up"
         return ""
--- a/sycamorehollow/decisions/forwarding/patience.py
+++ b/sycamorehollow/decisions/forwarding/patience.py
@@ -23,6 +23,9 @@
 # Silence in seconds after which it is checked whether an upstream can be
 # reached, which an overloaded one can.
 PROBE_S = 0.3
+# Time in seconds for which a check that found this node cut off holds; the next
+# check comes before.
+CUT_OFF_S = 1.0
 # Time between looks at whether other requests go on.
 LOOK_S = 0.1
 MIN_WAIT_S = 0.01
@@ -82,6 +85,9 @@
         return 0.0
     if waited_s < first_s - MIN_WAIT_S:
         return min(first_s - waited_s, LOOK_S)
+    if not passed and now - attempt.cut_off_at < CUT_OFF_S:
+        # Another upstream could not be reached either.
+        return LOOK_S
     if passed or waited_s >= last_s:
         return 0.0
     return min(last_s - waited_s, LOOK_S)
--- a/sycamorehollow/decisions/forwarding/retry_budget.py
+++ b/sycamorehollow/decisions/forwarding/retry_budget.py
@@ -45,6 +45,12 @@
         """A request is sent to a service once more."""
         self._repeats.setdefault(service, collections.deque()).append(now)
 
+    def note_unsent(self, service: str) -> None:
+        """The latest repeat did not reach an upstream."""
+        repeats = self._repeats.get(service)
+        if repeats:
+            repeats.pop()
+
     def count_left(self, service: str, now: float) -> float:
         """Returns how many repeats are left in the window."""
         fresh = self._count(self._fresh, service, now)
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -76,6 +76,8 @@
         heard_at: When its last byte arrived.
         reading_s: Seconds for which it counts among what the upstream has to
             read; 0 once it answers.
+        cut_off_at: When a check last found that no upstream could be reached
+            from here.
     """
 
     state: directory.State
@@ -86,3 +88,4 @@
     heard_at: float
     reading_s: float
     outcome: str = "open"
+    cut_off_at: float = float("-inf")
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -173,8 +173,13 @@
         if not self._course.wants_probe(time.monotonic()):
             return
         upstream = self._course.attempts[-1].state.upstream
-        reached = await self._pool.is_reachable(upstream)
-        self._course.note_probe(reached, time.monotonic())
+        if await self._pool.is_reachable(upstream):
+            return
+        cut_off = False
+        witness = self._course.choose_witness(time.monotonic())
+        if witness is not None:
+            cut_off = not await self._pool.is_reachable(witness.upstream)
+        self._course.note_unreachable(cut_off, time.monotonic())
 
     async def _deliver(
         self,
--- a/sycamorehollow/shells/gateway/journal.py
+++ b/sycamorehollow/shells/gateway/journal.py
@@ -10,6 +10,7 @@
 import prometheus_client
 
 from sycamorehollow.decisions.forwarding import course as courses
+from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
 # Lines per second that are written at most; the others are counted.
@@ -140,7 +141,7 @@
                 f"{attempt.state.upstream.identity}"
                 f"@{attempt.state.upstream.version}"
                 f" {attempt.model} +{attempt.sent_at - record.started:.3f}"
-                f" {attempt.outcome}"
+                f" {_describe(attempt)}"
                 for attempt in course.attempts
             )
         first = ""
@@ -186,3 +187,11 @@
     def render(self) -> bytes:
         """Returns the measures as text."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def _describe(attempt: steps.Attempt) -> str:
+    """Returns how an attempt ended."""
+    if attempt.cut_off_at < attempt.sent_at:
+        return attempt.outcome
+    cut_off_s = attempt.cut_off_at - attempt.sent_at
+    return f"{attempt.outcome}, no upstream reachable at +{cut_off_s:.3f}"
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from sycamorehollow.decisions.forwarding import course
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import failures
@@ -106,6 +107,30 @@
         verdict = played.judge_head(forwarding_world.build_head(500), 0.04)
         self.assertIs(verdict, steps.Verdict.DELIVER)
 
+    def test_attempts_that_reach_nobody_leave_the_budget(self):
+        built = forwarding_world.build_router(*UPSTREAMS, retry_floor=3.0)
+        played = forwarding_world.build_course(built)
+        now = 0.0
+        for _ in range(course.MAX_UNREACHED):
+            now += 0.1
+            step = played.find_step(now)
+            if isinstance(step, steps.Send):
+                played.note_broken("cannot connect", False, now)
+        self.assertIsInstance(played.find_step(now + 0.1), steps.Send)
+
+    def test_request_that_reaches_nobody_is_refused_before_its_deadline(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        played = forwarding_world.build_course(built)
+        now = 0.0
+        step = None
+        while not isinstance(step, steps.Refuse):
+            now += 0.01
+            self.assertLess(now, 1.0)
+            step = played.find_step(now)
+            if isinstance(step, steps.Send):
+                played.note_broken("cannot connect", False, now)
+        self.assertIsInstance(step.failure, steps.Unavailable)
+
     def test_nothing_registered_is_refused_at_once(self):
         built = forwarding_world.build_router()
         step = forwarding_world.build_course(built).find_step(0.0)
@@ -203,14 +228,33 @@
     def test_unreachable_upstream_is_given_up_at_once(self):
         self.assertFalse(self.played.wants_probe(0.1))
         self.assertTrue(self.played.wants_probe(0.4))
-        self.played.note_probe(False, 0.5)
+        self.played.note_unreachable(False, 0.5)
         self.assertEqual(self.played.compute_patience(0.5), 0.0)
 
     def test_reachable_upstream_is_waited_for(self):
         self.assertTrue(self.played.wants_probe(0.4))
-        self.played.note_probe(True, 0.5)
         self.assertGreater(self.played.compute_patience(0.5), 0.0)
 
+    def test_node_that_is_cut_off_keeps_its_attempts(self):
+        last_s = self.played.route.objective_s
+        now = 0.0
+        while now < last_s:
+            now += 0.1
+            if self.played.wants_probe(now):
+                self.played.note_unreachable(True, now)
+            self.assertGreater(self.played.compute_patience(now), 0.0, now)
+        # Once others are heard again, this one is as silent as before.
+        self.state.passed_at = now
+        self.assertEqual(self.played.compute_patience(now), 0.0)
+
+    def test_other_upstream_shows_whether_the_node_is_cut_off(self):
+        other = self.built.directory.get(
+            "b" if self.state.upstream.identity == "a" else "a"
+        )
+        self.assertIs(self.played.choose_witness(0.4), other)
+        other.heard_at = 0.35
+        self.assertIsNone(self.played.choose_witness(0.4))
+
     def test_long_prompt_has_longer(self):
         short = self._wait(self.played, 20.0)
         call = forwarding_world.build_call(
