Load gRPC after the node serves

Change: the calls between nodes stand behind the interface PeerLink; the module that uses gRPC is imported on a thread once the sockets listen. The knowledge of a node no longer knows gRPC or the envelope of the other path.

The tests of knowledge use the new events and check the same outcomes.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -11,9 +11,9 @@
 
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.model import forwarding
+from sycamorehollow.model import identity
 from sycamorehollow.settings import gateway
 from sycamorehollow.settings import process
-from sycamorehollow.shells import peers
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import dialect
@@ -21,6 +21,7 @@
 from sycamorehollow.shells.gateway import forwarder
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
+from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import upstream_connections
 
@@ -105,6 +106,7 @@
             self._settings.data_centre,
             self._settings.front,
         )
+        await self._open_peers()
         upkeep = loop.create_task(self._keep_up())
         await ended.wait()
         await self._drain()
@@ -124,18 +126,25 @@
         self._knowledge = known
         store = self._adapter.store
         writer = store_tasks.WriteTask(store, known.deliver)
-        peer_task = peers.PeerTask(self._settings.peer_address, known.deliver)
         watch = store_tasks.WatchTask(
             store, known.deliver, known.get_revision, self._source
         )
-        known.connect(watch, writer, peer_task)
+        known.connect(watch, writer)
+        writer.start()
+        watch.start()
+
+    async def _open_peers(self) -> None:
+        """Connects the node to other nodes while it serves requests."""
+        assert self._knowledge is not None
         try:
-            peer_task.start()
+            link = await asyncio.to_thread(
+                _open_peer_link, self._settings, self._knowledge
+            )
         except OSError as error:
             # Without peers the node still learns everything from the store.
             self._journal.note_event("peers cannot be served: {}", error)
-        writer.start()
-        watch.start()
+            return
+        self._knowledge.connect_peers(link)
 
     async def _listen(
         self,
@@ -233,3 +242,23 @@
             if passed >= UNREADY_S and not self._connections:
                 break
             await asyncio.sleep(0.05)
+
+
+def _open_peer_link(
+    settings: gateway.Settings, known: knowledge.Knowledge
+) -> peer_link.PeerLink:
+    """Returns the link to other nodes; loads what it needs.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    # Loading gRPC takes a quarter of the start of a process, and a restarted
+    # node serves requests before it needs other nodes.
+    from sycamorehollow.shells.gateway import peer_calls
+
+    me = identity.Process(
+        settings.peer_address, settings.data_centre, time.time_ns()
+    )
+    link = peer_calls.GrpcPeerLink(me, known.answer_peer, known.deliver)
+    link.open()
+    return link
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -7,22 +7,19 @@
 import time
 import zlib
 
-from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
-from sycamorehollow.model import identity
 from sycamorehollow.settings import gateway
-from sycamorehollow.shells import peers
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import store_tasks
 
-SYNC_KIND = "forwarding/sync"
 # Time between calls to another node; shorter while the store is away, since
 # other nodes are then the only source of news.
 SYNC_S = 1.0
@@ -75,10 +72,7 @@
         self._writer: store_tasks.WriteTask | None = None
         self._writes: dict[str, float] = {}
         self._due: dict[str, tuple[str, float]] = {}
-        self._peer_task: peers.PeerTask | None = None
-        self._me = identity.Process(
-            settings.peer_address, settings.data_centre, time.time_ns()
-        )
+        self._peers: peer_link.PeerLink | None = None
         self._syncs = 0
         self._next_sync = 0.0
         self._next_follow = 0.0
@@ -108,13 +102,14 @@
         self,
         watch: store_tasks.WatchTask,
         writer: store_tasks.WriteTask,
-        peer_task: peers.PeerTask,
     ) -> None:
-        """Sets the tasks that use the store and call other nodes."""
+        """Sets the tasks that use the store."""
         self._watch = watch
         self._writer = writer
-        self._peer_task = peer_task
-        peer_task.register(SYNC_KIND, self.answer_peer)
+
+    def connect_peers(self, link: peer_link.PeerLink) -> None:
+        """Sets what calls other nodes."""
+        self._peers = link
 
     def deliver(self, event: events.Event) -> None:
         """Takes an event from any thread."""
@@ -125,13 +120,13 @@
             return
 
     def answer_peer(
-        self, sender: identity.Process, payload: bytes
+        self, address: str, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
-        """Answers another node; called on the peer task."""
+        """Answers another node; called on the thread of the peers."""
         answer: concurrent.futures.Future[bytes] = concurrent.futures.Future()
 
         def reply() -> None:
-            self._merge(sender.address, payload, answered=False)
+            self._merge(address, payload, answered=False)
             since = _read(payload).get("since")
             known = since if isinstance(since, int) else 0
             answer.set_result(self._collect(known))
@@ -199,12 +194,10 @@
                 self._note_store_lost(event.failure)
             case store_tasks.WriteEnded():
                 self._note_written(event)
-            case peers.RequestAnswered():
+            case peer_link.PeerAnswered():
                 self._asked.pop(event.number, None)
-                self._merge(
-                    event.sender.address, event.item.payload, answered=True
-                )
-            case peers.RequestFailed():
+                self._merge(event.address, event.payload, answered=True)
+            case peer_link.PeerSilent():
                 name = self._asked.pop(event.number, "")
                 self._watchers.note_unreachable(name, time.monotonic())
 
@@ -296,18 +289,12 @@
 
     def _sync(self, name: str | None) -> int | None:
         """Asks another node for news; returns the number of the question."""
-        if name is None or self._peer_task is None:
+        if name is None or self._peers is None:
             return None
         self._syncs += 1
         self._asked[self._syncs] = name
-        self._peer_task.post(
-            peers.Request(
-                self._syncs,
-                self._router.nodes[name].peer_address,
-                self._me,
-                exchange.Item(SYNC_KIND, self._collect(None)),
-            )
-        )
+        address = self._router.nodes[name].peer_address
+        self._peers.ask(self._syncs, address, self._collect(None))
         return self._syncs
 
     def _collect(self, since: int | None) -> bytes:
--- /dev/null
+++ b/sycamorehollow/shells/gateway/peer_link.py
@@ -0,0 +1,42 @@
+"""Calls between nodes, as the gateway sees them."""
+
+import abc
+from collections.abc import Callable
+import concurrent.futures
+import dataclasses
+
+from sycamorehollow.model import events
+
+# Answers the payload that the node at an address has sent.
+Answerer = Callable[[str, bytes], "concurrent.futures.Future[bytes]"]
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerAnswered(events.Event):
+    """Another node has answered a question."""
+
+    number: int
+    address: str
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerSilent(events.Event):
+    """Another node has not answered a question."""
+
+    number: int
+    reason: str
+
+
+class PeerLink(abc.ABC):
+    """Asks other nodes; results arrive as events."""
+
+    @abc.abstractmethod
+    def ask(self, number: int, address: str, payload: bytes) -> None:
+        """Sends a question and returns at once.
+
+        Args:
+            number: Comes back with the result.
+            address: Address and port of the node.
+            payload: The question.
+        """
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -7,15 +7,13 @@
 import unittest
 from unittest import mock
 
-from sycamorehollow.decisions import exchange
 from sycamorehollow.decisions.forwarding import watchers
-from sycamorehollow.model import identity
 from sycamorehollow.platform import documents
 from sycamorehollow.platform import feed
-from sycamorehollow.shells import peers
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
+from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import store_tasks
 from tests import forwarding_world
 
@@ -29,7 +27,7 @@
         "state": "ready",
     }
 )
-PEER = identity.Process("127.0.0.1:9", "dc-1", 1)
+PEER = "127.0.0.1:9"
 
 
 class KnowledgeTest(unittest.IsolatedAsyncioTestCase):
@@ -47,7 +45,8 @@
             random.Random(1),
         )
         self.watch = mock.Mock(active=True)
-        self.known.connect(self.watch, mock.Mock(), self.peers)
+        self.known.connect(self.watch, mock.Mock())
+        self.known.connect_peers(self.peers)
         nodes = {
             f"nodes/n{number}": documents.encode_node(
                 watchers.Node(f"127.0.0.1:{number}", "dc-1")
@@ -67,8 +66,8 @@
     async def _answer(self, **changes):
         """Delivers what another node knows."""
         document = {"since": 5, "age_s": 0.0, "store_back_s": 1e6} | changes
-        item = exchange.Item(knowledge.SYNC_KIND, json.dumps(document).encode())
-        await self._deliver(peers.RequestAnswered(0, PEER, item))
+        payload = json.dumps(document).encode()
+        await self._deliver(peer_link.PeerAnswered(0, PEER, payload))
 
     def _count_usable(self):
         now = time.monotonic()
@@ -96,8 +95,7 @@
 
     async def test_unreadable_news_change_nothing(self):
         for payload in (b"", b"[]", b"{}", b'{"delta": 3}'):
-            item = exchange.Item(knowledge.SYNC_KIND, payload)
-            await self._deliver(peers.RequestAnswered(0, PEER, item))
+            await self._deliver(peer_link.PeerAnswered(0, PEER, payload))
         self.assertEqual(self._count_usable(), 1)
 
     async def _ask(self, since):
@@ -126,15 +124,14 @@
             journal.Journal(),
             random.Random(1),
         )
-        item = exchange.Item(knowledge.SYNC_KIND, payload)
-        follower.deliver(peers.RequestAnswered(0, PEER, item))
+        follower.deliver(peer_link.PeerAnswered(0, PEER, payload))
         await asyncio.sleep(0.05)
         self.assertEqual(follower.get_revision(), 6)
 
     async def test_follower_asks_again_only_after_an_answer(self):
         await self._answer()
         posts = []
-        self.peers.post.side_effect = posts.append
+        self.peers.ask.side_effect = lambda number, *_: posts.append(number)
         later = time.monotonic()
         with mock.patch("time.monotonic", lambda: later):
             for _ in range(15):
@@ -143,8 +140,8 @@
                 self.known.tick()
         # One to any node, one to the node that it follows.
         self.assertEqual(len(posts), 2)
-        for post in tuple(posts):
-            await self._deliver(peers.RequestFailed(post.number, "timed out"))
+        for number in tuple(posts):
+            await self._deliver(peer_link.PeerSilent(number, "timed out"))
         count = len(posts)
         with mock.patch("time.monotonic", lambda: later + 0.1):
             self.known.tick()
