Add a fault soak of real processes, and survive a reload while starting

tests/soak starts gateways, a store and upstreams as processes of their own, draws faults from a seed (kills, freezes, terminations and reloads of nodes; kills, freezes and drains of upstreams; a frozen store, lost history, changed configurations; ways that are delayed, silent, cut one way or reset by loopback proxies), lets callers keep their connections throughout, and judges what callers and upstreams saw: at most one run, truthful refusals with a time of return, own and whole answers, events in order, attempts, answers by the deadline, orderly changes that lose nothing, drained upstreams, no process that ends by itself, and every node serving everything afterwards.

The test waits until the starting process ignores the signal and failed before.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 STAMP = $(VENV)/.installed
 SECONDS ?= 60
 PROFILE ?= meridian
+SEED ?= 1
 
-.PHONY: test lint format bench demo serve setup proto
+.PHONY: test lint format bench demo serve setup proto soak
 
 setup: $(STAMP)
 
@@ -40,3 +41,6 @@
 
 proto: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. sycamorehollow/peering/peering.proto
+
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seed $(SEED)
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -191,7 +191,8 @@
 
     async def _keep_up(self) -> None:
         """Does the periodic work."""
-        changed_at = self._read_change_time()
+        # What changed while the process started is found by the first look.
+        changed_at = 0.0
         next_check = time.monotonic() + SETTINGS_CHECK_S
         while True:
             await asyncio.sleep(knowledge.TICK_S)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -79,6 +80,17 @@
                 stderr=log,
             )
 
+    @property
+    def is_running(self):
+        """Whether the process has not ended."""
+        return self._child.poll() is None
+
+    def ignores(self, number):
+        """Tells whether the process ignores a signal."""
+        status = pathlib.Path(f"/proc/{self._child.pid}/status").read_text()
+        masks = re.findall(r"SigIgn:\s*(\w+)", status)
+        return bool(int(masks[0], 16) >> (number - 1) & 1) if masks else False
+
     def is_ready(self):
         """Asks as the load balancer does."""
         return HTTP.request("GET", self.ready).status == 200
@@ -179,11 +191,16 @@
 
     def add_node(self, name, store):
         """Starts one more process, which may use a store of its own."""
-        node = Node(self._folder.name, name, store)
-        self.nodes.append(node)
+        node = self.start_node(name, store)
         node.wait_ready()
         return node
 
+    def start_node(self, name, store=None):
+        """Starts one more process and returns at once."""
+        node = Node(self._folder.name, name, store or self.store)
+        self.nodes.append(node)
+        return node
+
     def configure(self, **changes):
         """Writes a configuration."""
         document = platform_standins.build_configuration(**changes)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -15,11 +15,14 @@
 class Server:
     """An HTTP server in threads of this process.
 
+    Args:
+        port: Port to listen on; 0 for a free one.
+
     Attributes:
         address: Host and port that it listens on.
     """
 
-    def __init__(self):
+    def __init__(self, port=0):
         outer = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -41,7 +44,7 @@
                 except (OSError, ValueError):
                     return  # The caller has left, or was left by `reset`.
 
-        self._server = http.server.ThreadingHTTPServer((HOST, 0), Handler)
+        self._server = http.server.ThreadingHTTPServer((HOST, port), Handler)
         self._server.daemon_threads = True
         self.address = "%s:%d" % self._server.server_address
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -84,7 +87,7 @@
         calls: Paths of the calls.
     """
 
-    def __init__(self):
+    def __init__(self, port=0):
         self.refuse = 0
         self.calls = []
         self._items = {}
@@ -92,7 +95,7 @@
         self._revision = 1
         self._floor = 0
         self._changed = threading.Condition()
-        super().__init__()
+        super().__init__(port)
 
     def put(self, key, value):
         """Writes a value as the operator or an upstream does."""
@@ -152,6 +155,9 @@
             status, answer = self._range(query)
         elif parts.path == "/-/kv-watch":
             status, answer = self._watch(query)
+        elif parts.path == "/test/compact":
+            self.compact()
+            status, answer = 200, {}
         elif parts.path == "/-/kv-txn":
             status, answer = self._change(json.loads(body))
         elif parts.path == "/-/kv-key":
@@ -240,7 +246,7 @@
         left: Requests whose caller has left amid a stream.
     """
 
-    def __init__(self, identity):
+    def __init__(self, identity, port=0):
         self.identity = identity
         self.mode = "serve"
         self.confidences = {}
@@ -248,7 +254,7 @@
         self.pause_s = 0.0
         self.seen = []
         self.left = 0
-        super().__init__()
+        super().__init__(port)
 
     def register(self, store, service, **changes):
         """Writes the upstream's entry."""
@@ -275,7 +281,7 @@
         if self.mode == "refuse":
             send(handler, 503, {"Not-Executed": "1"}, b"")
             return
-        self.seen.append((handler.command, handler.path, headers, body))
+        self.note_run(handler, headers, body)
         answer = {
             "Request-Id": headers["Request-Id"],
             "Response-Seal": f"seal-of-{self.identity}",
@@ -298,20 +304,33 @@
                     b"Response-Seal: x\r\nContent-Length: 5\r\n\r\nwrong"
                 )
 
+    def note_run(self, handler, headers, body):
+        """Keeps what the upstream has begun to run."""
+        self.seen.append((handler.command, handler.path, headers, body))
+
+    def get_confidence(self, headers):
+        """Returns the confidence in an answer, or `None`."""
+        return self.confidences.get(headers.get("Model", ""))
+
+    def build_event(self, number, headers):
+        """Returns one event of a stream."""
+        model = headers.get("Model", "").encode()
+        return b"id: %d\ndata: %s\n\n" % (number, model)
+
     def _stream(self, handler, headers, answer):
-        model = headers.get("Model", "")
         handler.send_response(200)
         for name, value in answer.items():
             handler.send_header(name, value)
-        if model in self.confidences:
-            handler.send_header("Hint-Confidence", str(self.confidences[model]))
+        confidence = self.get_confidence(headers)
+        if confidence is not None:
+            handler.send_header("Hint-Confidence", str(confidence))
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         first = int(headers.get("Last-Event-Id") or 0) + 1
         try:
             for number in range(first, self.events + 1):
-                event = b"id: %d\ndata: %s\n\n" % (number, model.encode())
+                event = self.build_event(number, headers)
                 if self.mode == "cut" and number == 3:
                     handler.wfile.write(b"%x\r\n%s" % (len(event), event[:7]))
                     handler.wfile.flush()
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the gateway: real processes, faults from outside them."""
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,201 @@
+"""What must hold, judged by what callers and upstreams have seen."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from tests.soak import schedule
+
+STREAM_EVENTS = 6
+MAX_ATTEMPTS = 3
+DEADLINE_S = 4.0
+# Time for a final answer beyond the deadline.
+SLACK_S = 1.0
+# Time around a fault in which it may still act on requests.
+AFTERMATH_S = 2.0
+# Time in which every node knows that an upstream leaves.
+DRAIN_S = 2.5
+# Failures that are no answer, without a promise about the run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass
+class Exchange:
+    """One request as its caller has seen it; times are monotonic seconds.
+
+    Attributes:
+        status: 0 without an answer.
+        whole: Whether the answer ended as it should.
+        failure: Why it did not.
+        events: Number and request of each event of a stream.
+    """
+
+    request_id: str
+    node: str
+    path: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    sealed: bool = False
+    retry_after: bool = False
+    whole: bool = False
+    failure: str = ""
+    body: bytes = b""
+    events: list[tuple[int, str]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """One run as its upstream has seen it."""
+
+    request: str
+    at: float
+    upstream: str
+    path: str
+    workspace: str
+    has_key: bool
+    resumed_after: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Happened:
+    """A fault in monotonic seconds."""
+
+    kind: schedule.Kind
+    target: str
+    begin: float
+    end: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Violation:
+    """A promise that was broken."""
+
+    promise: str
+    request: str
+    detail: str
+
+
+def judge(
+    exchanges: Iterable[Exchange],
+    runs: Iterable[Run],
+    faults: Iterable[Happened],
+) -> list[Violation]:
+    """Returns every broken promise."""
+    by_request = collections.defaultdict(list)
+    runs = list(runs)
+    for run in runs:
+        by_request[run.request].append(run)
+    faults = list(faults)
+    found = _judge_drains(runs, faults)
+    asked = set()
+    for exchange in exchanges:
+        asked.add(exchange.request_id)
+        ran = by_request.get(exchange.request_id, [])
+        found.extend(
+            Violation(promise, exchange.request_id, f"{detail}: {exchange}")
+            for promise, detail in [
+                *_judge_runs(exchange, ran),
+                *_judge_answer(exchange),
+                *_judge_time(exchange, ran, faults),
+            ]
+        )
+    for request in set(by_request) - asked:
+        found.append(Violation("no unasked run", request, "nobody asked"))
+    return found
+
+
+def _judge_runs(
+    exchange: Exchange, ran: list[Run]
+) -> Iterable[tuple[str, str]]:
+    idempotent = not exchange.path.startswith("/lodge/")
+    if not idempotent and len(ran) > 1:
+        yield "at most one run", f"{len(ran)} runs"
+    if not idempotent and ran and exchange.status in NOT_RUN_STATUSES:
+        yield "truthful refusal", f"{exchange.status} after a run"
+    if len(ran) > MAX_ATTEMPTS:
+        yield "bounded attempts", f"{len(ran)} runs"
+    for run in ran:
+        if run.path != exchange.path:
+            yield "unchanged request", run.path
+        if run.workspace != "maps" or run.has_key:
+            yield "workspace instead of key", str(run)
+
+
+def _judge_answer(exchange: Exchange) -> Iterable[tuple[str, str]]:
+    if exchange.status == 503 and not exchange.retry_after:
+        yield "time of return", "503 without it"
+    if exchange.status in (401, 403, 404):
+        yield "proper requests are served", str(exchange.status)
+    if exchange.status != 200:
+        return
+    if not exchange.sealed:
+        yield "upstream's own answer", "no seal"
+    if exchange.path.startswith("/draft/"):
+        numbers = [number for number, _ in exchange.events]
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield "events in order", str(numbers)
+        if any(name != exchange.request_id for _, name in exchange.events):
+            yield "own answer", "events of another request"
+        if exchange.whole and len(numbers) != STREAM_EVENTS:
+            yield "no false end", f"{len(numbers)} events"
+        return
+    expected = b"echo "
+    if exchange.path.startswith("/lodge/"):
+        expected += exchange.request_id.encode()
+    if exchange.whole and exchange.body != expected:
+        yield "own answer", "body of another request"
+
+
+def _judge_time(
+    exchange: Exchange, ran: list[Run], faults: list[Happened]
+) -> Iterable[tuple[str, str]]:
+    near = [
+        fault
+        for fault in faults
+        if fault.begin <= exchange.ended_at
+        and fault.end + AFTERMATH_S >= exchange.sent_at
+    ]
+    own = [fault for fault in near if fault.target == exchange.node]
+    took_s = exchange.ended_at - exchange.sent_at
+    if took_s > DEADLINE_S + SLACK_S and not own:
+        yield "answer by the deadline", f"{took_s:.1f} s"
+    unplanned = [
+        fault
+        for fault in near
+        if fault.kind not in schedule.PLANNED_KINDS
+        and _may_concern(fault, exchange.node)
+    ]
+    if ran and not exchange.whole and not unplanned:
+        yield "orderly changes lose nothing", exchange.failure
+
+
+def _may_concern(fault: Happened, node: str) -> bool:
+    """Tells whether a fault can act on the requests of a node."""
+    elsewhere = fault.target.startswith(("node-", "store/"))
+    return not elsewhere or fault.target in (node, f"store/{node}")
+
+
+def _judge_drains(runs: list[Run], faults: list[Happened]) -> list[Violation]:
+    """Returns the runs at upstreams that had left while all was in touch."""
+    found = []
+    for leaving in faults:
+        if leaving.kind is not schedule.Kind.DRAIN:
+            continue
+        for run in runs:
+            if run.upstream != leaving.target:
+                continue
+            if not leaving.begin + DRAIN_S < run.at < leaving.end:
+                continue
+            disturbed = [
+                fault
+                for fault in faults
+                if fault.kind not in schedule.PLANNED_KINDS
+                and fault.begin <= run.at
+                and fault.end + AFTERMATH_S >= leaving.begin
+            ]
+            if not disturbed:
+                found.append(
+                    Violation("drained upstreams rest", run.request, str(run))
+                )
+    return found
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,116 @@
+"""Loopback proxies that delay, silence, cut one way or reset connections."""
+
+import asyncio
+import enum
+import threading
+
+CHUNK_BYTES = 65536
+DELAY_S = 0.25
+HELD_LOOK_S = 0.02
+
+
+class Mode(enum.Enum):
+    """What a proxy does to bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    # Holds bytes of both directions, or those of answers only.
+    SILENCE = "silence"
+    DEAF = "deaf"
+    # Resets what is open and each new connection.
+    RESET = "reset"
+
+
+class Proxy:
+    """Forwards one port to an address.
+
+    Attributes:
+        mode: What happens to bytes; may be changed from any thread.
+        address: Host and port that it listens on.
+    """
+
+    def __init__(self, target: str):
+        self.mode = Mode.PASS
+        self.address = ""
+        self._target = target
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self) -> None:
+        """Starts to listen on a free port."""
+        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = "%s:%d" % server.sockets[0].getsockname()
+
+    def abort_all(self) -> None:
+        """Resets the open connections; called in the loop."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.RESET:
+            writer.transport.abort()
+            return
+        while self.mode is Mode.SILENCE:
+            await asyncio.sleep(HELD_LOOK_S)
+        host, _, port = self._target.rpartition(":")
+        try:
+            back_reader, back_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = {writer, back_writer}
+        self._writers |= ends
+        await asyncio.gather(
+            self._pump(reader, back_writer, False),
+            self._pump(back_reader, writer, True),
+        )
+        self._writers -= ends
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        answers: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                while self.mode is Mode.SILENCE or (
+                    answers and self.mode is Mode.DEAF
+                ):
+                    await asyncio.sleep(HELD_LOOK_S)
+                writer.write(data)
+                await writer.drain()
+            # One end has closed; the other one may still have to answer.
+            writer.write_eof()
+        except OSError:
+            # A reset of one side reaches the other one.
+            writer.transport.abort()
+
+
+class Proxies:
+    """Runs proxies in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    def open(self, target: str) -> Proxy:
+        """Returns a proxy that forwards to an address."""
+        proxy = Proxy(target)
+        asyncio.run_coroutine_threadsafe(proxy.listen(), self._loop).result(5)
+        return proxy
+
+    def set_mode(self, proxy: Proxy, mode: Mode) -> None:
+        """Changes what a proxy does."""
+        proxy.mode = mode
+        if mode is Mode.RESET:
+            self._loop.call_soon_threadsafe(proxy.abort_all)
+
+    def close(self) -> None:
+        """Ends all proxies."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,81 @@
+"""Random schedules of faults; one seed gives one schedule."""
+
+import dataclasses
+import enum
+import random
+
+# Seconds before the first fault and after the end of the last one.
+QUIET_S = 1.0
+SHORTEST_S = 0.3
+LONGEST_S = 4.0
+# Faults a second; with their mean length two or three overlap.
+FAULTS_PER_S = 1.2
+
+
+class Kind(enum.Enum):
+    """What happens to a process or to the way to it."""
+
+    KILL = "kill"
+    TERMINATE = "terminate"
+    FREEZE = "freeze"
+    RELOAD = "reload"
+    DELAY = "delay"
+    SILENCE = "silence"
+    DEAF = "deaf"
+    RESET = "reset"
+    DRAIN = "drain"
+    CONFIGURE = "configure"
+    COMPACT = "compact"
+
+
+NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
+LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
+UPSTREAM_KINDS = (Kind.KILL, Kind.FREEZE, Kind.DRAIN, *LINK_KINDS)
+STORE_KINDS = (Kind.FREEZE, Kind.COMPACT, Kind.CONFIGURE, *LINK_KINDS)
+# Orderly changes, which must not cost a request.
+PLANNED_KINDS = (Kind.TERMINATE, Kind.RELOAD, Kind.CONFIGURE, Kind.DRAIN)
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at: Seconds from the start of the traffic.
+        target: Name of the process, or of the node whose way to the store it
+            is, as in `store/node-1`.
+        for_s: Seconds until it ends.
+    """
+
+    at: float
+    kind: Kind
+    target: str
+    for_s: float
+
+    @property
+    def end(self) -> float:
+        """When it ends, in seconds from the start of the traffic."""
+        return self.at + self.for_s
+
+
+def draw(
+    seed: int, seconds: float, nodes: list[str], upstreams: list[str]
+) -> list[Fault]:
+    """Returns the faults of a run in the order of their starts."""
+    source = random.Random(seed)
+    ways = [f"store/{node}" for node in nodes]
+    faults = []
+    for _ in range(max(2, round(seconds * FAULTS_PER_S))):
+        length = source.uniform(SHORTEST_S, LONGEST_S)
+        at = source.uniform(QUIET_S, max(QUIET_S, seconds - length - QUIET_S))
+        target = source.choice([*nodes, *nodes, *upstreams, "store", *ways])
+        if target in nodes:
+            kind = source.choice(NODE_KINDS)
+        elif target in upstreams:
+            kind = source.choice(UPSTREAM_KINDS)
+        elif target == "store":
+            kind = source.choice(STORE_KINDS[:3])
+        else:
+            kind = source.choice(LINK_KINDS)
+        faults.append(Fault(at, kind, target, length))
+    return sorted(faults, key=lambda fault: fault.at)
--- /dev/null
+++ b/tests/soak/standin_process.py
@@ -0,0 +1,71 @@
+"""A store or an upstream of the soak as a process of its own."""
+
+import argparse
+import json
+import pathlib
+import threading
+import time
+
+from tests import platform_standins
+
+EVENTS = 6
+EVENT_PAUSE_S = 0.12
+# Some answers are doubtful, so that larger models are asked for, too.
+CONFIDENCE_STEPS = 5
+
+
+class RecordingUpstream(platform_standins.Upstream):
+    """Writes down each request that it begins to run."""
+
+    def __init__(self, identity, port, path):
+        self._file = path.open("a", encoding="utf-8")
+        self._lock = threading.Lock()
+        super().__init__(identity, port)
+        self.events = EVENTS
+        self.pause_s = EVENT_PAUSE_S
+
+    def note_run(self, handler, headers, body):
+        """Writes one line, at once, as the process may be killed."""
+        record = {
+            "request": headers.get("Request-Id", ""),
+            "at": time.monotonic(),
+            "upstream": self.identity,
+            "path": handler.path,
+            "workspace": headers.get("Tenant-Id", ""),
+            "has_key": "Authorization" in headers,
+            "resumed_after": headers.get("Last-Event-Id", ""),
+        }
+        with self._lock:
+            self._file.write(json.dumps(record) + "\n")
+            self._file.flush()
+
+    def get_confidence(self, headers):
+        """Returns a confidence that differs from request to request."""
+        if headers.get("Model") != "small":
+            return 95
+        step = int(headers["Request-Id"][-2:], 16) % CONFIDENCE_STEPS
+        return 20 + 75 * step // (CONFIDENCE_STEPS - 1)
+
+    def build_event(self, number, headers):
+        """Returns an event that names its request."""
+        request = headers["Request-Id"].encode()
+        return b"id: %d\ndata: %s\n\n" % (number, request)
+
+
+def main():
+    """Serves until the process is killed or its lifetime is over."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--upstream", help="identity; without it, a store")
+    parser.add_argument("--records", type=pathlib.Path)
+    parser.add_argument("--lifetime", type=float, help="seconds")
+    arguments = parser.parse_args()
+    if arguments.upstream:
+        RecordingUpstream(arguments.upstream, arguments.port, arguments.records)
+    else:
+        platform_standins.Store(arguments.port)
+    threading.Event().wait(arguments.lifetime)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -452,6 +452,12 @@
         processes.wait_for(lambda: "settings rejected" in self.node.read_log())
         self.assertEqual(self.node.request("/status/1").status, 200)
 
+    def test_reload_while_a_process_starts_does_not_end_it(self):
+        node = self.world.start_node("starting")
+        processes.wait_for(lambda: node.ignores(signal.SIGHUP))
+        node.send_signal(signal.SIGHUP)
+        node.wait_ready()
+
     def test_silent_engines_do_not_hold_callers(self):
         silent = self.world.engines[0]
         with socket.create_server(("127.0.0.1", 0)) as listener:
