--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PROFILE ?= meridian
 SEED ?= 1
 
-.PHONY: test lint format bench demo serve setup proto soak
+.PHONY: test lint format bench demo serve setup proto soak report
 
 setup: $(STAMP)
 
@@ -44,3 +44,6 @@
 
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak --seed $(SEED)
+
+report: $(STAMP)
+	$(BIN)/python -m tools.report
