Leave upstreams alone for a moment once they are full

Change: a refusal for want of room keeps the upstream out for 50 ms for all requests of the node; a request waits for room in the first part of its objective instead of knocking on, and a stream that has begun waits until its deadline. Fewer refusals reach the service, which count as repeats.

Ruled out: more attempts; each counts in the budget of repeats.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -117,7 +117,8 @@
                 return steps.Wait(FULL_PAUSE_S)
             return self.find_step(now)
         waited_s = now - self.arrived
-        if choice.known and waited_s < self.route.objective_s * WAIT_SHARE:
+        may_wait = waited_s < self.route.objective_s * WAIT_SHARE
+        if choice.known and (may_wait or self.delivering):
             return steps.Wait(FULL_PAUSE_S)
         return steps.Refuse(self._build_failure(choice.reason, now))
 
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -14,6 +14,9 @@
 RETURN_S = 2.0
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 2.0
+# Time in seconds in which a full upstream ends a request or two; until then it
+# would only refuse more, and each refusal counts as a repeat.
+FULL_S = 0.05
 # Weight of the newest outcome in the rate of failed answers.
 FAILURE_WEIGHT = 0.1
 
@@ -28,6 +31,7 @@
         cold_until: Until when it counts as cold.
         gone_at: When it stops being used; `None` while it is registered.
         blocked_until: Until when broken connections keep it out.
+        full_until: Until when a refusal for want of room keeps it out.
         failures: Broken connections in a row.
         heard_at: When it last sent a byte.
         probed_at: When a check of whether it can be reached was started.
@@ -46,6 +50,7 @@
     cold_until: float = 0.0
     gone_at: float | None = None
     blocked_until: float = 0.0
+    full_until: float = 0.0
     failures: int = 0
     heard_at: float = float("-inf")
     probed_at: float = float("-inf")
@@ -62,6 +67,10 @@
         """Tells whether it has to be spared."""
         return now < self.cold_until
 
+    def is_full(self, now: float) -> bool:
+        """Tells whether it has just refused a request for want of room."""
+        return now < self.full_until
+
     def is_dark(self) -> bool:
         """Tells whether it could not be reached since it was last heard."""
         return self.dark_at > self.heard_at
@@ -181,6 +190,8 @@
         state.cold_until = max(state.cold_until, now + head.cold_s)
     if not head.not_run:
         note_outcome(state, failed)
+    elif not head.misdirected:
+        state.full_until = now + FULL_S
 
 
 def note_outcome(state: State, failed: bool) -> None:
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -193,6 +193,8 @@
         return found
 
     def _has_room(self, state: directory.State, work: Work, now: float) -> bool:
+        if state.is_full(now):
+            return False
         rate = work.service.cold_per_s
         if rate <= 0 or not state.is_cold(now):
             return True
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -131,6 +131,53 @@
                 played.note_broken("cannot connect", False, now)
         self.assertIsInstance(step.failure, steps.Unavailable)
 
+    def _press(self, until, free_at):
+        """Plays a request while all upstreams are full until `free_at`.
+
+        Returns:
+            The final step, when it came and how many attempts were refused.
+        """
+        built = forwarding_world.build_router(*UPSTREAMS[:4])
+        route = forwarding_world.build_route(
+            forwarding_world.UNSAFE, max_attempts=1, objective_s=0.2
+        )
+        played = forwarding_world.build_course(built, route=route)
+        now, refused = 0.0, 0
+        while now < until:
+            step = played.find_step(now)
+            if isinstance(step, steps.Wait):
+                now += step.seconds
+                continue
+            if isinstance(step, steps.Refuse) or now >= free_at:
+                return step, now, refused
+            refused += 1
+            now += 0.002
+            head = forwarding_world.build_head(503, not_run=True, sealed=False)
+            played.judge_head(head, now)
+        return None, now, refused
+
+    def test_request_waits_for_room_without_knocking(self):
+        step, _, refused = self._press(1.0, free_at=0.05)
+        self.assertIsInstance(step, steps.Send)
+        self.assertLessEqual(refused, 4)
+
+    def test_request_without_room_is_refused_in_part_of_its_objective(self):
+        step, now, refused = self._press(1.0, free_at=1.0)
+        self.assertIsInstance(step.failure, steps.Unavailable)
+        self.assertLess(now, 0.1)
+        self.assertLessEqual(refused, course.MAX_REFUSALS + 1)
+
+    def test_full_upstream_is_left_alone_by_other_requests(self):
+        built = forwarding_world.build_router(*UPSTREAMS[:2])
+        first = forwarding_world.build_course(built)
+        name = first.find_step(0.0).state.upstream.identity
+        head = forwarding_world.build_head(503, not_run=True, sealed=False)
+        first.judge_head(head, 0.01)
+        for _ in range(20):
+            played = forwarding_world.build_course(built, now=0.011)
+            step = played.find_step(0.011)
+            self.assertNotEqual(step.state.upstream.identity, name)
+
     def test_nothing_registered_is_refused_at_once(self):
         built = forwarding_world.build_router()
         step = forwarding_world.build_course(built).find_step(0.0)
