Load modules with less work at the start of a process

Cause: a restarted process loads modules for 0.2 s of processor time before it serves, half of the outage when all nodes stop at once.

Ruled out: building fewer validation models (2 ms in all), frozen_modules (no change).

--- a/sycamorehollow/programs/gateway.py
+++ b/sycamorehollow/programs/gateway.py
@@ -1,5 +1,6 @@
 """Entry point of the gateway: the binary `sycamore-gateway`."""
 
+import gc
 import signal
 import sys
 
@@ -9,6 +10,8 @@
     # A signal to reload would end a process that still loads its modules. What
     # it announces is read later, with all settings.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Modules are no garbage; searching them takes a tenth of their loading.
+    gc.disable()
     from sycamorehollow.programs import gateway_command
 
     return gateway_command.main(argv)
--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import dataclasses
+import gc
 import os
 import pathlib
 import sys
@@ -46,6 +47,8 @@
             path,
         ),
     )
+    gc.freeze()
+    gc.enable()
     asyncio.run(gateway.run())
     return 0
 
