--- a/benches/bench_cascades.py
+++ b/benches/bench_cascades.py
@@ -13,8 +13,8 @@
 
 from benches import pool
 from benches import results
-from sycamorehollow.decisions import cascades
-from sycamorehollow.decisions import learning
+from sycamorehollow.decisions.cascading import cascades
+from sycamorehollow.decisions.cascading import learning
 from sycamorehollow.model import deployment
 
 SEEDS = (1, 2, 3)
--- a/benches/bench_cold.py
+++ b/benches/bench_cold.py
@@ -4,7 +4,7 @@
 
 from benches import cold_world
 from benches import results
-from sycamorehollow.decisions import coldstart
+from sycamorehollow.decisions.routing import coldstart
 
 SEED = 17
 SLOTS = 6
--- a/benches/bench_configuration.py
+++ b/benches/bench_configuration.py
@@ -13,8 +13,10 @@
 import random
 
 from benches import results
-from sycamorehollow.decisions import configuration
-from sycamorehollow.decisions import configuration_messages as messages
+from sycamorehollow.decisions.operations import configuration
+from sycamorehollow.decisions.operations import (
+    configuration_messages as messages,
+)
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.settings import tree
--- a/benches/bench_data_centre.py
+++ b/benches/bench_data_centre.py
@@ -9,8 +9,8 @@
 from benches import results
 from benches import routing_baselines
 from benches import sites
-from sycamorehollow.decisions import drain_orders
-from sycamorehollow.decisions import drains
+from sycamorehollow.decisions.operations import drain_orders
+from sycamorehollow.decisions.operations import drains
 
 SEED = 23
 # Work offered, as a part of the rate of all upstreams: what is left while the
--- a/benches/bench_load.py
+++ b/benches/bench_load.py
@@ -6,10 +6,10 @@
 
 from benches import fakes
 from benches import results
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import prefixes
-from sycamorehollow.decisions import selection
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import selection
+from sycamorehollow.decisions.routing import upstreams
 
 SEED = 7
 NODES = 6
--- a/benches/bench_membership.py
+++ b/benches/bench_membership.py
@@ -14,10 +14,10 @@
 from benches import fleet
 from benches import loopback
 from benches import results
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import members
-from sycamorehollow.decisions import membership
-from sycamorehollow.decisions import payloads
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import membership
+from sycamorehollow.decisions.replication import payloads
 
 COUNTS = (10, 50, 100, 200, 400)
 TARGET_COUNT = 370
--- a/benches/bench_node.py
+++ b/benches/bench_node.py
@@ -17,10 +17,10 @@
 from benches import node_fleet
 from benches import node_tree
 from benches import results
-from sycamorehollow.decisions import deltas
-from sycamorehollow.decisions import learning
-from sycamorehollow.decisions import sequential
-from sycamorehollow.decisions import tracks
+from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import tracks
+from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.replication import deltas
 from sycamorehollow.model import events
 from sycamorehollow.model import lifecycle
 
--- a/benches/bench_outcomes.py
+++ b/benches/bench_outcomes.py
@@ -4,8 +4,8 @@
 import random
 
 from benches import results
-from sycamorehollow.decisions import billing
-from sycamorehollow.decisions import billing_messages as messages
+from sycamorehollow.decisions.bills import billing
+from sycamorehollow.decisions.bills import billing_messages as messages
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from tests import billing_world
--- a/benches/bench_overload.py
+++ b/benches/bench_overload.py
@@ -6,8 +6,8 @@
 
 from benches import fakes
 from benches import results
-from sycamorehollow.decisions import admission
-from sycamorehollow.decisions import capacity
+from sycamorehollow.decisions.routing import admission
+from sycamorehollow.decisions.routing import capacity
 from sycamorehollow.model import events
 
 SEED = 11
--- a/benches/bench_protection.py
+++ b/benches/bench_protection.py
@@ -4,9 +4,9 @@
 import random
 
 from benches import results
-from sycamorehollow.decisions import buffers
-from sycamorehollow.decisions import quarantine
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.requests import buffers
+from sycamorehollow.decisions.requests import quarantine
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import events
 
 SEED = 13
--- a/benches/bench_rollouts.py
+++ b/benches/bench_rollouts.py
@@ -6,9 +6,9 @@
 
 from benches import pool
 from benches import results
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import sequential
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import stops
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/benches/cold_world.py
+++ b/benches/cold_world.py
@@ -1,7 +1,7 @@
 """One upstream in cold starts and the processes of its data centre."""
 
-from sycamorehollow.decisions import coldstart
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
--- a/benches/fakes.py
+++ b/benches/fakes.py
@@ -3,9 +3,9 @@
 import collections
 import dataclasses
 
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import prefixes
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 
 # Reading a prompt token costs about a tenth of writing an output token.
--- a/benches/fleet.py
+++ b/benches/fleet.py
@@ -6,11 +6,11 @@
 import random
 import time
 
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import members
-from sycamorehollow.decisions import membership
-from sycamorehollow.decisions import payloads
-from sycamorehollow.decisions import records
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import membership
+from sycamorehollow.decisions.replication import payloads
+from sycamorehollow.decisions.replication import records
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.shells import envelopes
--- a/benches/loopback.py
+++ b/benches/loopback.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.model import events
 from sycamorehollow.shells import peers
 
--- a/benches/node_fleet.py
+++ b/benches/node_fleet.py
@@ -12,19 +12,19 @@
 
 from benches import node_store
 from benches import node_tree
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import billing_wire
-from sycamorehollow.decisions import configuration_messages
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import keyrings
-from sycamorehollow.decisions import membership
 from sycamorehollow.decisions import node as nodes
 from sycamorehollow.decisions import node_parts
-from sycamorehollow.decisions import payloads
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import stages
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.bills import billing_wire
+from sycamorehollow.decisions.operations import configuration_messages
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import stages
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.replication import membership
+from sycamorehollow.decisions.replication import payloads
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
--- a/benches/node_store.py
+++ b/benches/node_store.py
@@ -2,9 +2,11 @@
 
 from typing import Any
 
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import configuration_messages as messages
-from sycamorehollow.decisions import rollouts
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.operations import (
+    configuration_messages as messages,
+)
+from sycamorehollow.decisions.releases import rollouts
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
--- a/benches/node_world.py
+++ b/benches/node_world.py
@@ -9,13 +9,13 @@
 
 from benches import sites
 from benches import timed_engine
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import configuration_messages
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import node as nodes
 from sycamorehollow.decisions import node_parts
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.operations import configuration_messages
+from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/benches/routing_baselines.py
+++ b/benches/routing_baselines.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 
 from benches import node_world
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import selection
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import selection
 from sycamorehollow.model import failures
 
 
--- /dev/null
+++ b/sycamorehollow/decisions/bills/__init__.py
@@ -0,0 +1,1 @@
+"""Bills, from their commit at a peer to the store."""
--- a/sycamorehollow/decisions/billing.py
+++ b/sycamorehollow/decisions/bills/billing.py
@@ -4,8 +4,8 @@
 import math
 import random
 
-from sycamorehollow.decisions import billing_messages as messages
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.bills import billing_messages as messages
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
--- a/sycamorehollow/decisions/billing_reader.py
+++ b/sycamorehollow/decisions/bills/billing_reader.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import billing_messages as messages
+from sycamorehollow.decisions.bills import billing_messages as messages
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/decisions/billing_wire.py
+++ b/sycamorehollow/decisions/bills/billing_wire.py
@@ -2,7 +2,7 @@
 
 import json
 
-from sycamorehollow.decisions import billing_messages as messages
+from sycamorehollow.decisions.bills import billing_messages as messages
 
 PART_KIND = "bill-spool"
 ADVANCE_KIND = "bill-advance"
--- a/sycamorehollow/decisions/effect_entries.py
+++ b/sycamorehollow/decisions/calls/effect_entries.py
@@ -4,8 +4,8 @@
 import enum
 from typing import Protocol
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_records as records
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_records as records
 from sycamorehollow.model import commands
 from sycamorehollow.model import failures
 from sycamorehollow.model import requests
--- a/sycamorehollow/decisions/effect_records.py
+++ b/sycamorehollow/decisions/calls/effect_records.py
@@ -8,7 +8,7 @@
 import json
 import urllib.parse
 
-from sycamorehollow.decisions import effect_messages
+from sycamorehollow.decisions.calls import effect_messages
 from sycamorehollow.model import requests
 
 EFFECTS_PREFIX = "effects/"
--- a/sycamorehollow/decisions/effect_runs.py
+++ b/sycamorehollow/decisions/calls/effect_runs.py
@@ -4,11 +4,11 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions import effect_entries as entries
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_records as records
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions.calls import effect_entries as entries
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_records as records
+from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/effect_wire.py
+++ b/sycamorehollow/decisions/calls/effect_wire.py
@@ -3,7 +3,7 @@
 import base64
 import json
 
-from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_messages as messages
 from sycamorehollow.model import failures
 from sycamorehollow.model import requests
 
--- a/sycamorehollow/decisions/effects.py
+++ b/sycamorehollow/decisions/calls/effects.py
@@ -5,11 +5,11 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import effect_entries as entries
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_records as records
-from sycamorehollow.decisions import effect_runs
-from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions.calls import effect_entries as entries
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_records as records
+from sycamorehollow.decisions.calls import effect_runs
+from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/ticket_asks.py
+++ b/sycamorehollow/decisions/calls/ticket_asks.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_messages as messages
 from sycamorehollow.model import commands
 from sycamorehollow.model import requests
 
--- a/sycamorehollow/decisions/ticket_calls.py
+++ b/sycamorehollow/decisions/calls/ticket_calls.py
@@ -4,13 +4,13 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions import effect_entries as entries
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_records as records
-from sycamorehollow.decisions import keyrings
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import ticket_asks
-from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions.calls import effect_entries as entries
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_records as records
+from sycamorehollow.decisions.calls import ticket_asks
+from sycamorehollow.decisions.calls import tickets
+from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/tickets.py
+++ b/sycamorehollow/decisions/calls/tickets.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import keyrings
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.operations import keyrings
 
 TICKET_PREFIX = "tkt1"
 TICKET_FIELDS = 5
--- a/sycamorehollow/decisions/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -5,15 +5,15 @@
 import dataclasses
 from typing import Protocol
 
-from sycamorehollow.decisions import cascades
-from sycamorehollow.decisions import fence
-from sycamorehollow.decisions import keyrings
-from sycamorehollow.decisions import learning
-from sycamorehollow.decisions import planning
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import sequential
-from sycamorehollow.decisions import sessions
-from sycamorehollow.decisions import versions
+from sycamorehollow.decisions.cascading import cascades
+from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.operations import fence
+from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.requests import planning
+from sycamorehollow.decisions.requests import sessions
+from sycamorehollow.decisions.requests import versions
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/cascades.py
+++ b/sycamorehollow/decisions/cascading/cascades.py
@@ -6,9 +6,9 @@
 import itertools
 import random
 
-from sycamorehollow.decisions import learning
-from sycamorehollow.decisions import outlooks
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import outlooks
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/learning.py
+++ b/sycamorehollow/decisions/cascading/learning.py
@@ -14,9 +14,9 @@
 from typing import NamedTuple
 import zlib
 
-from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import tracks
+from sycamorehollow.decisions.cascading import tracks
+from sycamorehollow.decisions.replication import deltas
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/outlooks.py
+++ b/sycamorehollow/decisions/cascading/outlooks.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import learning
+from sycamorehollow.decisions.cascading import learning
 
 # Estimates are read again after this many changes of a kind.
 REFRESH_CHANGES = 24
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -6,27 +6,27 @@
 import random
 from typing import Any
 
-from sycamorehollow.decisions import active as actives
-from sycamorehollow.decisions import admission
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import coldstart
-from sycamorehollow.decisions import configuration_messages
-from sycamorehollow.decisions import drain_orders
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import effect_messages
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import learning
-from sycamorehollow.decisions import leases
-from sycamorehollow.decisions import members
 from sycamorehollow.decisions import node_parts
-from sycamorehollow.decisions import orders
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import payloads
-from sycamorehollow.decisions import quarantine
-from sycamorehollow.decisions import records
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import stops
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.calls import effect_messages
+from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.operations import configuration_messages
+from sycamorehollow.decisions.operations import drain_orders
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import leases
+from sycamorehollow.decisions.operations import orders
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import stops
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import payloads
+from sycamorehollow.decisions.replication import records
+from sycamorehollow.decisions.requests import active as actives
+from sycamorehollow.decisions.requests import quarantine
+from sycamorehollow.decisions.routing import admission
+from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- /dev/null
+++ b/sycamorehollow/decisions/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators order: configuration, drains, loads, shutdown."""
--- a/sycamorehollow/decisions/configuration.py
+++ b/sycamorehollow/decisions/operations/configuration.py
@@ -7,9 +7,11 @@
 import math
 import random
 
-from sycamorehollow.decisions import configuration_messages as messages
-from sycamorehollow.decisions import documents
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.operations import (
+    configuration_messages as messages,
+)
+from sycamorehollow.decisions.operations import documents
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/configuration_messages.py
+++ b/sycamorehollow/decisions/operations/configuration_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import documents
+from sycamorehollow.decisions.operations import documents
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/drain_orders.py
+++ b/sycamorehollow/decisions/operations/drain_orders.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import records
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.replication import records
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/drains.py
+++ b/sycamorehollow/decisions/operations/drains.py
@@ -8,7 +8,7 @@
 from typing import ClassVar
 
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import records
+from sycamorehollow.decisions.replication import records
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/orders.py
+++ b/sycamorehollow/decisions/operations/orders.py
@@ -4,8 +4,8 @@
 import dataclasses
 import enum
 
-from sycamorehollow.decisions import leases
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.operations import leases
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
--- a/sycamorehollow/decisions/shutdown.py
+++ b/sycamorehollow/decisions/operations/shutdown.py
@@ -3,8 +3,8 @@
 import dataclasses
 import enum
 
-from sycamorehollow.decisions import drains
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.operations import drains
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- /dev/null
+++ b/sycamorehollow/decisions/releases/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of versions and their stops."""
--- a/sycamorehollow/decisions/rollouts.py
+++ b/sycamorehollow/decisions/releases/rollouts.py
@@ -4,11 +4,11 @@
 import math
 import random
 
-from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import sequential
-from sycamorehollow.decisions import stages
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import stages
+from sycamorehollow.decisions.releases import stops
+from sycamorehollow.decisions.replication import deltas
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/sequential.py
+++ b/sycamorehollow/decisions/releases/sequential.py
@@ -16,8 +16,8 @@
 import math
 import zlib
 
-from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.replication import deltas
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
--- a/sycamorehollow/decisions/stages.py
+++ b/sycamorehollow/decisions/releases/stages.py
@@ -4,7 +4,7 @@
 import enum
 import json
 
-from sycamorehollow.decisions import branches
+from sycamorehollow.decisions.operations import branches
 
 KEY_PREFIX = "rollouts/"
 
--- a/sycamorehollow/decisions/stops.py
+++ b/sycamorehollow/decisions/releases/stops.py
@@ -5,8 +5,8 @@
 import functools
 import hashlib
 
-from sycamorehollow.decisions import deltas
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.replication import deltas
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 
--- a/sycamorehollow/decisions/exchange.py
+++ b/sycamorehollow/decisions/replication/exchange.py
@@ -8,11 +8,11 @@
 from collections.abc import Sequence
 import dataclasses
 
-from sycamorehollow.decisions import allowances
-from sycamorehollow.decisions import members
-from sycamorehollow.decisions import membership
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import payloads
+from sycamorehollow.decisions.replication import allowances
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import membership
+from sycamorehollow.decisions.replication import payloads
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
--- a/sycamorehollow/decisions/members.py
+++ b/sycamorehollow/decisions/replication/members.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import payloads
+from sycamorehollow.decisions.replication import payloads
 from sycamorehollow.model import commands
 
 BUCKETS = 64
--- a/sycamorehollow/decisions/membership.py
+++ b/sycamorehollow/decisions/replication/membership.py
@@ -4,9 +4,9 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions import members
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import payloads
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import payloads
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
--- a/sycamorehollow/decisions/active.py
+++ b/sycamorehollow/decisions/requests/active.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import planning
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.requests import planning
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/attempt_runs.py
+++ b/sycamorehollow/decisions/requests/attempt_runs.py
@@ -1,13 +1,13 @@
 """Attempts of model requests, from their start to a whole answer or failure."""
 
-from sycamorehollow.decisions import active as actives
-from sycamorehollow.decisions import admission
-from sycamorehollow.decisions import gates
-from sycamorehollow.decisions import placement as placements
-from sycamorehollow.decisions import planning
-from sycamorehollow.decisions import recovery as recoveries
-from sycamorehollow.decisions import settlement
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.requests import active as actives
+from sycamorehollow.decisions.requests import gates
+from sycamorehollow.decisions.requests import planning
+from sycamorehollow.decisions.requests import recovery as recoveries
+from sycamorehollow.decisions.requests import settlement
+from sycamorehollow.decisions.routing import admission
+from sycamorehollow.decisions.routing import placement as placements
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/gates.py
+++ b/sycamorehollow/decisions/requests/gates.py
@@ -1,6 +1,6 @@
 """Waits for the ratings of answers that are not delivered yet."""
 
-from sycamorehollow.decisions import active as actives
+from sycamorehollow.decisions.requests import active as actives
 
 # A chapter may wait longer for its rating than a check.
 WAIT_SHARE = 0.1
--- a/sycamorehollow/decisions/planning.py
+++ b/sycamorehollow/decisions/requests/planning.py
@@ -3,7 +3,7 @@
 import abc
 import dataclasses
 
-from sycamorehollow.decisions import versions
+from sycamorehollow.decisions.requests import versions
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/quarantine.py
+++ b/sycamorehollow/decisions/requests/quarantine.py
@@ -6,7 +6,7 @@
 import json
 
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/recovery.py
+++ b/sycamorehollow/decisions/requests/recovery.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import active as actives
-from sycamorehollow.decisions import retries
+from sycamorehollow.decisions.requests import active as actives
+from sycamorehollow.decisions.requests import retries
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 
--- a/sycamorehollow/decisions/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from sycamorehollow.decisions import active as actives
-from sycamorehollow.decisions import admission
-from sycamorehollow.decisions import attempt_runs
-from sycamorehollow.decisions import billing_messages
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import placement as placements
-from sycamorehollow.decisions import planning
-from sycamorehollow.decisions import recovery as recoveries
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.requests import active as actives
+from sycamorehollow.decisions.requests import attempt_runs
+from sycamorehollow.decisions.requests import planning
+from sycamorehollow.decisions.requests import recovery as recoveries
+from sycamorehollow.decisions.routing import admission
+from sycamorehollow.decisions.routing import placement as placements
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/sessions.py
+++ b/sycamorehollow/decisions/requests/sessions.py
@@ -4,8 +4,8 @@
 import dataclasses
 from typing import ClassVar
 
-from sycamorehollow.decisions import fence
-from sycamorehollow.decisions import keyrings
+from sycamorehollow.decisions.operations import fence
+from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
--- a/sycamorehollow/decisions/settlement.py
+++ b/sycamorehollow/decisions/requests/settlement.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import active as actives
+from sycamorehollow.decisions.requests import active as actives
 from sycamorehollow.model import commands
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
--- /dev/null
+++ b/sycamorehollow/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where an attempt runs: upstreams, their load, cold starts and prefixes."""
--- a/sycamorehollow/decisions/admission.py
+++ b/sycamorehollow/decisions/routing/admission.py
@@ -6,8 +6,8 @@
 import math
 import random
 
-from sycamorehollow.decisions import capacity
 from sycamorehollow.decisions import parts
+from sycamorehollow.decisions.routing import capacity
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/capacity.py
+++ b/sycamorehollow/decisions/routing/capacity.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import upstreams
 
 # Chapters hold their tokens for minutes; a tenth of the memory holds some 20
 # checks of 1,000 tokens on an upstream of 200,000 tokens.
--- a/sycamorehollow/decisions/coldstart.py
+++ b/sycamorehollow/decisions/routing/coldstart.py
@@ -5,9 +5,9 @@
 import zlib
 
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import shares
-from sycamorehollow.decisions import upstreams
-from sycamorehollow.decisions import warming
+from sycamorehollow.decisions.routing import shares
+from sycamorehollow.decisions.routing import upstreams
+from sycamorehollow.decisions.routing import warming
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/placement.py
+++ b/sycamorehollow/decisions/routing/placement.py
@@ -3,7 +3,7 @@
 import abc
 import dataclasses
 
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
--- a/sycamorehollow/decisions/selection.py
+++ b/sycamorehollow/decisions/routing/selection.py
@@ -6,9 +6,9 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import prefixes
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import failures
 
 # A full upstream frees room when a response ends; captions take a few seconds.
--- a/sycamorehollow/decisions/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -6,14 +6,14 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import coldstart
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import placement
-from sycamorehollow.decisions import prefixes
-from sycamorehollow.decisions import quarantine
-from sycamorehollow.decisions import selection
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.requests import quarantine
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import placement
+from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import selection
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/decisions/upstreams.py
+++ b/sycamorehollow/decisions/routing/upstreams.py
@@ -6,7 +6,7 @@
 import enum
 
 from sycamorehollow.decisions import parts
-from sycamorehollow.decisions import shares
+from sycamorehollow.decisions.routing import shares
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
--- a/sycamorehollow/programs/ctl_changes.py
+++ b/sycamorehollow/programs/ctl_changes.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any
 
-from sycamorehollow.decisions import branches
+from sycamorehollow.decisions.operations import branches
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.settings import tree
--- a/sycamorehollow/programs/ctl_commands.py
+++ b/sycamorehollow/programs/ctl_commands.py
@@ -10,8 +10,8 @@
 
 import urllib3
 
-from sycamorehollow.decisions import billing_reader
-from sycamorehollow.decisions import branches
+from sycamorehollow.decisions.bills import billing_reader
+from sycamorehollow.decisions.operations import branches
 from sycamorehollow.model import failures
 from sycamorehollow.programs import ctl_changes
 from sycamorehollow.programs import ctl_edits
--- a/sycamorehollow/programs/ctl_edits.py
+++ b/sycamorehollow/programs/ctl_edits.py
@@ -6,7 +6,7 @@
 from typing import Any
 from typing import ClassVar
 
-from sycamorehollow.decisions import branches
+from sycamorehollow.decisions.operations import branches
 from sycamorehollow.model import failures
 
 
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -11,9 +11,9 @@
 
 import urllib3
 
-from sycamorehollow.decisions import branches
-from sycamorehollow.decisions import stages
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.releases import stages
+from sycamorehollow.decisions.releases import stops
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.programs import ctl_changes
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -6,19 +6,19 @@
 import time
 from typing import Any
 
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import configuration_messages
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import effect_messages
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import keyrings
-from sycamorehollow.decisions import leases
-from sycamorehollow.decisions import membership
 from sycamorehollow.decisions import node as nodes
 from sycamorehollow.decisions import node_parts
-from sycamorehollow.decisions import orders
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.calls import effect_messages
+from sycamorehollow.decisions.operations import configuration_messages
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.operations import leases
+from sycamorehollow.decisions.operations import orders
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import stops
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.replication import membership
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
 from sycamorehollow.model import lifecycle
--- a/sycamorehollow/shells/bill_io.py
+++ b/sycamorehollow/shells/bill_io.py
@@ -5,8 +5,8 @@
 
 import loguru
 
-from sycamorehollow.decisions import billing_messages as messages
-from sycamorehollow.decisions import billing_wire
+from sycamorehollow.decisions.bills import billing_messages as messages
+from sycamorehollow.decisions.bills import billing_wire
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import identity
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from sycamorehollow.decisions import buffers
+from sycamorehollow.decisions.requests import buffers
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -11,7 +11,7 @@
 import loguru
 import urllib3
 
-from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_messages as messages
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/shells/config_io.py
+++ b/sycamorehollow/shells/config_io.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 import threading
 
-from sycamorehollow.decisions import configuration_messages
+from sycamorehollow.decisions.operations import configuration_messages
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.shells import errands
--- a/sycamorehollow/shells/decision_log.py
+++ b/sycamorehollow/shells/decision_log.py
@@ -2,12 +2,12 @@
 
 import loguru
 
-from sycamorehollow.decisions import configuration_messages
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import members
-from sycamorehollow.decisions import membership
-from sycamorehollow.decisions import orders
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.operations import configuration_messages
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import orders
+from sycamorehollow.decisions.releases import stops
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import membership
 from sycamorehollow.model import deployment
 from sycamorehollow.model import lifecycle
 
--- a/sycamorehollow/shells/envelopes.py
+++ b/sycamorehollow/shells/envelopes.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.peering import peering_pb2
 
 # The generated module adds its classes at run time, where mypy cannot see them.
--- a/sycamorehollow/shells/gateway/peer_calls.py
+++ b/sycamorehollow/shells/gateway/peer_calls.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 import concurrent.futures
 
-from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
 from sycamorehollow.shells import peers
--- a/sycamorehollow/shells/operators.py
+++ b/sycamorehollow/shells/operators.py
@@ -10,9 +10,9 @@
 
 import pydantic
 
-from sycamorehollow.decisions import drain_orders
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import rollouts
+from sycamorehollow.decisions.operations import drain_orders
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.releases import rollouts
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/shells/order_io.py
+++ b/sycamorehollow/shells/order_io.py
@@ -6,8 +6,8 @@
 
 import loguru
 
-from sycamorehollow.decisions import leases
-from sycamorehollow.decisions import orders
+from sycamorehollow.decisions.operations import leases
+from sycamorehollow.decisions.operations import orders
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/shells/owners.py
+++ b/sycamorehollow/shells/owners.py
@@ -4,8 +4,8 @@
 import concurrent.futures
 import time
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_wire
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_wire
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
 from sycamorehollow.shells import calls
--- a/sycamorehollow/shells/pages.py
+++ b/sycamorehollow/shells/pages.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from sycamorehollow.decisions import fence
+from sycamorehollow.decisions.operations import fence
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.shells import exchange as exchanges
--- a/sycamorehollow/shells/peer_requests.py
+++ b/sycamorehollow/shells/peer_requests.py
@@ -4,7 +4,7 @@
 import concurrent.futures
 import itertools
 
-from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
 from sycamorehollow.shells import peers
--- a/sycamorehollow/shells/peers.py
+++ b/sycamorehollow/shells/peers.py
@@ -16,7 +16,7 @@
 import grpc
 import loguru
 
-from sycamorehollow.decisions import exchange
+from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.peering import peering_pb2_grpc
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -8,7 +8,7 @@
 import httptools
 import loguru
 
-from sycamorehollow.decisions import buffers
+from sycamorehollow.decisions.requests import buffers
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import lifecycle
--- a/sycamorehollow/shells/rollout_io.py
+++ b/sycamorehollow/shells/rollout_io.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 import time
 
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import stages
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import stages
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.shells import errands
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -9,8 +9,8 @@
 
 import loguru
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/shells/sweeps.py
+++ b/sycamorehollow/shells/sweeps.py
@@ -4,7 +4,7 @@
 
 import loguru
 
-from sycamorehollow.decisions import effect_records
+from sycamorehollow.decisions.calls import effect_records
 from sycamorehollow.model import failures
 from sycamorehollow.shells import polling
 from sycamorehollow.shells import stores
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -5,9 +5,9 @@
 
 import pydantic
 
-from sycamorehollow.decisions import orders
-from sycamorehollow.decisions import prefixes
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.operations import orders
+from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/sycamorehollow/shells/vm_polls.py
+++ b/sycamorehollow/shells/vm_polls.py
@@ -5,8 +5,8 @@
 
 import pydantic
 
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import membership
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.replication import membership
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -2,11 +2,11 @@
 
 import random
 
-from sycamorehollow.decisions import billing
-from sycamorehollow.decisions import billing_messages as messages
-from sycamorehollow.decisions import billing_reader
-from sycamorehollow.decisions import billing_spool
-from sycamorehollow.decisions import billing_wire
+from sycamorehollow.decisions.bills import billing
+from sycamorehollow.decisions.bills import billing_messages as messages
+from sycamorehollow.decisions.bills import billing_reader
+from sycamorehollow.decisions.bills import billing_spool
+from sycamorehollow.decisions.bills import billing_wire
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -1,7 +1,7 @@
 """Invariants of non-idempotent calls after a schedule."""
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_records as records
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_records as records
 from tests import fakes
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,12 +3,12 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_wire
-from sycamorehollow.decisions import effects
-from sycamorehollow.decisions import keyrings
-from sycamorehollow.decisions import ticket_calls
-from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_wire
+from sycamorehollow.decisions.calls import effects
+from sycamorehollow.decisions.calls import ticket_calls
+from sycamorehollow.decisions.calls import tickets
+from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -11,8 +11,8 @@
 
 import urllib3
 
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import billing_reader
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.bills import billing_reader
 from tests import processes
 from tools import callers
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import admission
+from sycamorehollow.decisions.routing import admission
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies
 
 from benches import node_fleet
-from sycamorehollow.decisions import allowances
-from sycamorehollow.decisions import learning
+from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.replication import allowances
 
 RATE = 100.0
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import answers
+from sycamorehollow.decisions.requests import answers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from tests import worlds
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -6,10 +6,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import billing
-from sycamorehollow.decisions import billing_messages as messages
-from sycamorehollow.decisions import billing_reader
-from sycamorehollow.decisions import billing_spool
+from sycamorehollow.decisions.bills import billing
+from sycamorehollow.decisions.bills import billing_messages as messages
+from sycamorehollow.decisions.bills import billing_reader
+from sycamorehollow.decisions.bills import billing_spool
 from sycamorehollow.model import deployment
 from tests import billing_world
 from tests import worlds
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import branches
+from sycamorehollow.decisions.operations import branches
 
 
 class Writer:
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import buffers
+from sycamorehollow.decisions.requests import buffers
 from sycamorehollow.model import events
 
 STREAM, TOTAL, HIGH, LOW = 100, 250, 60, 30
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -8,7 +8,7 @@
 
 import loguru
 
-from sycamorehollow.decisions import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_messages as messages
 from sycamorehollow.model import requests
 from sycamorehollow.shells import calls
 from sycamorehollow.shells import stores
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import upstreams
 from tests import test_upstreams
 
 STEP_S = 0.25
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import cascades
-from sycamorehollow.decisions import learning
+from sycamorehollow.decisions.cascading import cascades
+from sycamorehollow.decisions.cascading import learning
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 
 from benches import cold_world
-from sycamorehollow.decisions import coldstart
-from sycamorehollow.decisions import upstreams
-from sycamorehollow.decisions import warming
+from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import upstreams
+from sycamorehollow.decisions.routing import warming
 from sycamorehollow.model import deployment
 
 # In steps; the long ones outlast trust in a report, a loan and its margin.
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,8 +7,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import configuration
-from sycamorehollow.decisions import configuration_messages as messages
+from sycamorehollow.decisions.operations import configuration
+from sycamorehollow.decisions.operations import (
+    configuration_messages as messages,
+)
 from sycamorehollow.model import events
 from sycamorehollow.settings import tree
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -8,9 +8,9 @@
 import unittest
 from unittest import mock
 
-from sycamorehollow.decisions import billing_messages
-from sycamorehollow.decisions import stages
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.bills import billing_messages
+from sycamorehollow.decisions.releases import stages
+from sycamorehollow.decisions.releases import stops
 from sycamorehollow.programs import ctl
 from sycamorehollow.programs import ctl_changes
 from sycamorehollow.settings import tree
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies
 
 from benches import fleet
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import records
-from sycamorehollow.decisions import shutdown
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import shutdown
+from sycamorehollow.decisions.replication import records
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -6,10 +6,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import effect_messages as messages
-from sycamorehollow.decisions import effect_records as records
-from sycamorehollow.decisions import effect_wire
-from sycamorehollow.decisions import tickets
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.decisions.calls import effect_records as records
+from sycamorehollow.decisions.calls import effect_wire
+from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.model import failures
 from tests import checks
 from tests import fakes
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 
 from benches import fleet
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import payloads
-from sycamorehollow.decisions import records
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.replication import payloads
+from sycamorehollow.decisions.replication import records
 
 writes_drawn = strategies.lists(
     strategies.tuples(
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import fence
+from sycamorehollow.decisions.operations import fence
 from sycamorehollow.model import failures
 from tests import deployments
 
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import learning
-from sycamorehollow.decisions import tracks
+from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import tracks
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies
 
 from benches import fleet
-from sycamorehollow.decisions import members
-from sycamorehollow.decisions import membership
+from sycamorehollow.decisions.replication import members
+from sycamorehollow.decisions.replication import membership
 from sycamorehollow.model import events
 
 # Suspicion, the spread of a refutation and one probe of a lost member.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,10 +6,10 @@
 from benches import node_callers
 from benches import node_world
 from benches import sites
-from sycamorehollow.decisions import admission
-from sycamorehollow.decisions import drain_orders
-from sycamorehollow.decisions import drains
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.operations import drain_orders
+from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.routing import admission
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import failures
 
 WORKSPACE = {"versions": [sites.VERSION], "key_hashes": []}
--- a/tests/test_node_pushes.py
+++ b/tests/test_node_pushes.py
@@ -3,8 +3,8 @@
 import unittest
 
 from benches import node_fleet
-from sycamorehollow.decisions import exchange
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.replication import exchange
+from sycamorehollow.decisions.routing import upstreams
 
 
 def report(generation: int, now: float) -> upstreams.LoadReported:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import leases
-from sycamorehollow.decisions import orders
+from sycamorehollow.decisions.operations import leases
+from sycamorehollow.decisions.operations import orders
 from sycamorehollow.model import events
 
 TTL_S = 10.0
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import prefixes
+from sycamorehollow.decisions.routing import prefixes
 
 BLOCKS = ("a", "b", "c")
 
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import progress
+from sycamorehollow.decisions.requests import progress
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import quarantine
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.requests import quarantine
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import events
 
 INNOCENT = ("i0", "i1")
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import retries
+from sycamorehollow.decisions.requests import retries
 from sycamorehollow.model import failures
 
 OUTCOMES = strategies.builds(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -7,10 +7,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import rollouts
-from sycamorehollow.decisions import sequential
-from sycamorehollow.decisions import stages
-from sycamorehollow.decisions import stops
+from sycamorehollow.decisions.releases import rollouts
+from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import stages
+from sycamorehollow.decisions.releases import stops
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,14 +6,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import active
-from sycamorehollow.decisions import admission
-from sycamorehollow.decisions import placement
-from sycamorehollow.decisions import planning
-from sycamorehollow.decisions import recovery
-from sycamorehollow.decisions import retries
-from sycamorehollow.decisions import router
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.requests import active
+from sycamorehollow.decisions.requests import planning
+from sycamorehollow.decisions.requests import recovery
+from sycamorehollow.decisions.requests import retries
+from sycamorehollow.decisions.requests import router
+from sycamorehollow.decisions.routing import admission
+from sycamorehollow.decisions.routing import placement
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from sycamorehollow.decisions import capacity
-from sycamorehollow.decisions import prefixes
-from sycamorehollow.decisions import selection
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import capacity
+from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import selection
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
--- a/tests/test_sequential.py
+++ b/tests/test_sequential.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import sequential
+from sycamorehollow.decisions.releases import sequential
 
 
 def play(evidence, seed, bad=0.05, good=0.05, sick=None, only=None, count=3000):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import keyrings
-from sycamorehollow.decisions import sessions
+from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.requests import sessions
 from sycamorehollow.model import failures
 from tests import deployments
 
--- a/tests/test_sweeps.py
+++ b/tests/test_sweeps.py
@@ -3,7 +3,7 @@
 import time
 import unittest
 
-from sycamorehollow.decisions import effect_records
+from sycamorehollow.decisions.calls import effect_records
 from sycamorehollow.shells import stores
 from sycamorehollow.shells import sweeps
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import shares
-from sycamorehollow.decisions import upstreams
+from sycamorehollow.decisions.routing import shares
+from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions import versions
+from sycamorehollow.decisions.requests import versions
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
