Serve the first request of a data centre whose upstreams fall silent

Cause: on the chat path a run without an answer was resumed three times at the same paused engine, 3 s each, before another one was tried, and polls that got no answer left a paused engine in use. With two engines of a data centre and the store stopped, a caller waited for more than 20 s.

Change: a request that its caller has nothing of is resumed once and then runs elsewhere; a poll without an answer keeps the engine out for a while, as a refused connection does, without counting as a crash.

Ruled out: a shorter silence limit, which would give up on engines that queue.

The test stops two engines and the store; before, it failed after 20 s, now it passes.

--- a/sycamorehollow/decisions/requests/recovery.py
+++ b/sycamorehollow/decisions/requests/recovery.py
@@ -8,6 +8,9 @@
 from sycamorehollow.model import lifecycle
 
 MAX_RESUMES = 3
+# Resumes that an upstream may leave unanswered before a request that its caller
+# has nothing of runs elsewhere; a live upstream answers each one at once.
+MAX_SILENT_RESUMES = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,7 +70,8 @@
             return failures.InvalidRequest(
                 f"The upstream rejected the request: {event.code}."
             )
-        if _can_resume(event) and resumes < MAX_RESUMES and now < deadline:
+        most = MAX_RESUMES if delivered else MAX_SILENT_RESUMES
+        if _can_resume(event) and resumes < most and now < deadline:
             return Resume()
         outcome = retries.Outcome(
             0 if event.end is lifecycle.AttemptEnd.NOT_SENT else 1,
--- a/sycamorehollow/decisions/routing/upstreams.py
+++ b/sycamorehollow/decisions/routing/upstreams.py
@@ -115,6 +115,16 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True)
+class PollUnanswered(events.Event):
+    """An upstream did not report its load in time.
+
+    It may be paused, so this tells nothing about the work that it runs.
+    """
+
+    upstream: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ReturnedToService(events.Event):
     """An upstream takes new work again after a drain."""
@@ -250,7 +260,7 @@
                 self._report(event)
             case UpstreamsConfigured():
                 self._configure(event.upstreams)
-            case ConnectFailed():
+            case ConnectFailed() | PollUnanswered():
                 self._back_off(event.upstream, now)
             case events.Tick():
                 for name in self._shares.expire(now, self._interval_s()):
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -63,6 +63,8 @@
         if isinstance(answer, errands.CallFailed):
             if answer.refused:
                 self._report(upstreams.ConnectFailed(upstream.name))
+            else:
+                self._report(upstreams.PollUnanswered(upstream.name))
             return
         try:
             report = answers.LoadReport.model_validate_json(answer.data)
--- a/tests/test_process_answers.py
+++ b/tests/test_process_answers.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import signal
 import socket
 import time
 import unittest
@@ -21,6 +22,8 @@
 # 3 MB for a caller, so an unbounded buffer holds 3 MB or more for each.
 EVENT_BYTES = 200
 MAX_GROWTH_KB = SLOW_CALLERS * 2048
+# Callers were seen to wait for longer.
+SILENT_LIMIT_S = 15.0
 
 
 def read_memory_kb(child):
@@ -181,3 +184,21 @@
         received = self._read_to_end(slow[0])
         self.assertGreater(len(received), SLOW_TOKENS * EVENT_BYTES)
         self.assertIn(b"[DONE]", received)
+
+
+class SilentDataCentreTest(unittest.TestCase):
+    """Guards against callers who wait for one paused engine after another."""
+
+    def test_first_request_is_served_from_elsewhere(self):
+        world = fault_world.World(
+            ("dc-1", "dc-2"), {"a": (), "b": (), "c": ()}, {"c": "dc-2"}
+        )
+        self.addCleanup(world.close)
+        first = world.entries[0]
+        self.assertTrue(world.complete(first, TOKENS, stream=False).complete)
+        for name in ("a", "b", "store"):
+            world.children[name].send_signal(signal.SIGSTOP)
+        began = time.monotonic()
+        answer = world.complete(first, TOKENS, stream=False)
+        self.assertTrue(answer.complete, answer)
+        self.assertLess(time.monotonic() - began, SILENT_LIMIT_S)
