--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -19,6 +19,28 @@
 HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
 
+def build_settings(name, store):
+    """Returns the lines of a node's settings file, by key."""
+    return {
+        "nodeName": name,
+        "ip": "127.0.0.1",
+        "zone": "dc-1",
+        "listen.front": "127.0.0.1:1",
+        "listen.ready": "127.0.0.1:2",
+        "internalPortRange": "3,8",
+        "limits.memoryMb": "300",
+        "limits.maxFds": "4000",
+        "bounds.drainMs": "2000",
+        "bounds.graceS": "4",
+        "bounds.retryBudgetRatio": "0.9",
+        "bounds.budgetWindowS": "10",
+        "bounds.budgetMinRetries": "1000",
+        "bounds.exposeShare": "0.15",
+        "platform.address": store,
+        "unknown.field": "ignored",
+    }
+
+
 class Node:
     """One gateway process.
 
@@ -26,7 +48,7 @@
         front: Address for callers.
     """
 
-    def __init__(self, folder, name, store, grace_s=4.0):
+    def __init__(self, folder, name, store, grace_s=4.0, **settings):
         self.name = name
         self._ports = [processes.find_port() for _ in range(3)]
         self._peer_port = processes.find_port()
@@ -36,28 +58,16 @@
         self._path = pathlib.Path(folder) / f"{name}.conf"
         self._log = pathlib.Path(folder) / f"{name}.log"
         self._store = store
-        self.write_settings(grace_s)
+        self.write_settings(grace_s, **settings)
         self.start()
 
     def write_settings(self, grace_s, **more):
         """Writes the settings file."""
-        values = {
-            "nodeName": self.name,
-            "ip": "127.0.0.1",
-            "zone": "dc-1",
+        values = build_settings(self.name, self._store.address) | {
             "listen.front": self.front,
             "listen.ready": f"127.0.0.1:{self._ports[1]}",
             "internalPortRange": f"{self._peer_port},{self._peer_port + 5}",
-            "limits.memoryMb": "300",
-            "limits.maxFds": "4000",
-            "bounds.drainMs": "2000",
             "bounds.graceS": str(grace_s),
-            "bounds.retryBudgetRatio": "0.9",
-            "bounds.budgetWindowS": "10",
-            "bounds.budgetMinRetries": "1000",
-            "bounds.exposeShare": "0.15",
-            "platform.address": self._store.address,
-            "unknown.field": "ignored",
             **more,
         }
         self._path.write_text(
@@ -149,15 +159,13 @@
 
     def stream(self, path="/draft/1", **headers):
         """Sends a request for a stream and returns the answer."""
-        return self.request(
-            path,
-            b"prompt",
-            accept="text/event-stream",
-            model="*",
-            token_counts="1000,80",
-            prompt_prefix="aa:500,bb:500",
-            **headers,
-        )
+        values = {
+            "accept": "text/event-stream",
+            "model": "*",
+            "token_counts": "1000,80",
+            "prompt_prefix": "aa:500,bb:500",
+        }
+        return self.request(path, b"prompt", **(values | headers))
 
     def open_socket(self):
         """Returns a connection to the front."""
