--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -0,0 +1,89 @@
+"""What one request may still try.
+
+Answers storms of repeats: an attempt that ran counts against the route, one
+that was refused or reached nobody does not, and both are bounded.
+"""
+
+from sycamorehollow.decisions.forwarding import retry_budget
+from sycamorehollow.model import forwarding
+
+# Attempts in a row that upstreams may refuse without running them.
+MAX_REFUSALS = 4
+# Attempts that may reach no upstream; each can take a connect timeout.
+MAX_UNREACHED = 8
+
+
+class AttemptLimits:
+    """Counts the attempts of one request.
+
+    Args:
+        route: Its route.
+        service: Name of its service.
+        budget: Budget of repeats.
+
+    Attributes:
+        ran: Attempts that may have run.
+    """
+
+    def __init__(
+        self,
+        route: forwarding.Route,
+        service: str,
+        budget: retry_budget.RetryBudget,
+    ):
+        self.ran = 0
+        self._route = route
+        self._service = service
+        self._budget = budget
+        self._sent = 0
+        self._refused = 0
+        self._unreached = 0
+        self._broken_reason = ""
+
+    def note_sent(self, now: float) -> None:
+        """An attempt is sent."""
+        if self._sent:
+            self._budget.note_repeat(self._service, now)
+        self._sent += 1
+        self.ran += 1
+
+    def note_refused(self) -> None:
+        """The latest attempt was refused without running."""
+        self.ran -= 1
+        self._refused += 1
+
+    def note_unreached(self, reason: str) -> None:
+        """The latest attempt reached no upstream."""
+        self.ran -= 1
+        self._unreached += 1
+        self._broken_reason = reason
+        if self._sent > 1:
+            self._budget.note_unsent(self._service)
+
+    def note_broken(self, reason: str) -> None:
+        """The latest attempt broke off; it may have run."""
+        self._broken_reason = reason
+
+    def find_limit(self, now: float) -> str:
+        """Returns the rule that forbids another attempt, if any."""
+        if not self._sent:
+            return ""
+        if self.ran and not self._route.repeatable:
+            return self._broken_reason or "it may have run"
+        if self.ran >= self._route.max_attempts:
+            return self._broken_reason or "no attempt is left"
+        if self._refused > MAX_REFUSALS:
+            return "upstreams refuse it"
+        if self._unreached > MAX_UNREACHED:
+            return "upstreams cannot be reached"
+        if not self._budget.may_repeat(self._service, now):
+            return "the budget of repeats is used up"
+        return ""
+
+    def may_run_elsewhere(self, now: float) -> bool:
+        """Tells whether an attempt that runs may be given up for another."""
+        return (
+            self._route.repeatable
+            and self.ran < self._route.max_attempts
+            and self._budget.may_repeat(self._service, now)
+        )
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -1,5 +1,6 @@
 """The course of one request: attempts, repeats and its final answer."""
 
+from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import patience
@@ -9,10 +10,6 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
-# Attempts in a row that upstreams may refuse without running them.
-MAX_REFUSALS = 4
-# Attempts that may reach no upstream; each can take a connect timeout.
-MAX_UNREACHED = 8
 # Wait before full upstreams are tried again, and the part of the objective
 # that may be spent on that.
 FULL_PAUSE_S = 0.02
@@ -66,16 +63,15 @@
         if call.deadline_s is not None:
             left_s = min(left_s, call.deadline_s)
         self.deadline = now + left_s
-        self._ran = 0
-        self._refused = 0
-        self._unreached = 0
-        self._broken_reason = ""
+        self._limits = attempt_limits.AttemptLimits(
+            route, service.name, router.budget
+        )
         self._excluded: set[str] = set()
         self._version = ""
         # Whether no attempt has failed; a dropped answer is no failure.
         self._sound = True
         self._next_model = ""
-        if route.models and call.model == "*":
+        if route.models and call.open_model:
             self._next_model = cascade.choose_first(route)
         router.budget.note_fresh(service.name, now)
 
@@ -101,7 +97,7 @@
             return steps.Refuse(
                 steps.UpstreamBroke("requests like it have crashed upstreams")
             )
-        fault = self._find_limit(now)
+        fault = self._limits.find_limit(now)
         if fault:
             return steps.Refuse(self._build_failure(fault, now))
         work = self._build_work(
@@ -113,7 +109,7 @@
         if self._excluded:
             # Each has had it once; a second time is better than a failure.
             self._excluded.clear()
-            if not self.delivering and not self._ran:
+            if not self.delivering and not self._limits.ran:
                 return steps.Wait(FULL_PAUSE_S)
             return self.find_step(now)
         waited_s = now - self.arrived
@@ -125,7 +121,7 @@
     def compute_patience(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
         left_s = max(0.0, self.deadline - now)
-        if not self._may_try_elsewhere(now):
+        if not self._limits.may_run_elsewhere(now):
             return left_s
         attempt = self.attempts[-1]
         if self.delivering and self.route.pause_s > 0:
@@ -136,7 +132,7 @@
 
     def wants_probe(self, now: float) -> bool:
         """Tells whether to check that the silent upstream can be reached."""
-        if not self._may_try_elsewhere(now):
+        if not self._limits.may_run_elsewhere(now):
             return False
         attempt = self.attempts[-1]
         if not patience.is_silent(attempt, now):
@@ -187,8 +183,7 @@
         directory.note_answer(attempt.state, head, failed, now)
         if head.not_run:
             attempt.outcome = f"refused with {head.status}"
-            self._ran -= 1
-            self._refused += 1
+            self._limits.note_refused()
             return steps.Verdict.AGAIN
         upstream = attempt.state.upstream
         self._router.rollouts.note_answer(
@@ -206,7 +201,7 @@
         if head.status >= 500:
             self._sound = False
             attempt.outcome = f"failed with {head.status}"
-            if head.status == 503 or self._may_try_elsewhere(now):
+            if head.status == 503 or self._limits.may_run_elsewhere(now):
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head, now):
@@ -225,15 +220,12 @@
         attempt = self.attempts[-1]
         attempt.outcome = reason
         self._end_reading(attempt)
-        self._broken_reason = reason
         self._sound = False
         if not written:
-            self._ran -= 1
-            self._unreached += 1
-            if len(self.attempts) > 1:
-                self._router.budget.note_unsent(self.service.name)
+            self._limits.note_unreached(reason)
             directory.note_broken(attempt.state, now)
             return
+        self._limits.note_broken(reason)
         directory.note_outcome(attempt.state, True)
         if attempt.state.heard_at < attempt.sent_at:
             directory.note_broken(attempt.state, now)
@@ -259,29 +251,6 @@
         self.attempts[-1].outcome = "delivered"
         self._router.poison.note_success(self._fingerprint)
 
-    def _find_limit(self, now: float) -> str:
-        """Returns the rule that forbids another attempt, if any."""
-        if not self.attempts:
-            return ""
-        if self._ran and not self.route.repeatable:
-            return self._broken_reason or "it may have run"
-        if self._ran >= self.route.max_attempts:
-            return self._broken_reason or "no attempt is left"
-        if self._refused > MAX_REFUSALS:
-            return "upstreams refuse it"
-        if self._unreached > MAX_UNREACHED:
-            return "upstreams cannot be reached"
-        if not self._router.budget.may_repeat(self.service.name, now):
-            return "the budget of repeats is used up"
-        return ""
-
-    def _may_try_elsewhere(self, now: float) -> bool:
-        return (
-            self.route.repeatable
-            and self._ran < self.route.max_attempts
-            and self._router.budget.may_repeat(self.service.name, now)
-        )
-
     def _build_work(
         self, model: str, now: float, excluded: frozenset[str] = frozenset()
     ) -> placement.Work:
@@ -317,8 +286,7 @@
         state = choice.state
         assert state is not None
         upstream = state.upstream
-        if self.attempts:
-            self._router.budget.note_repeat(self.service.name, now)
+        self._limits.note_sent(now)
         self._router.limits.note_sent(upstream.identity, now)
         missing = self.call.prompt_tokens - self._router.cache.count_kept(
             upstream.identity, self._next_model, self.call.prompt_parts, now
@@ -326,7 +294,6 @@
         self._router.cache.note_read(
             upstream.identity, self._next_model, self.call.prompt_parts, now
         )
-        self._ran += 1
         self._excluded.add(upstream.identity)
         self._version = upstream.version
         expected_s = self._router.placement.pace.estimate(
@@ -383,7 +350,7 @@
                 choice.expected_s,
                 router.placement.estimate_occupancy(self.service.name, now),
                 router.delays.note(self.service.name, delay, now),
-                self.route.max_attempts - self._ran,
+                self.route.max_attempts - self._limits.ran,
                 router.budget.count_left(self.service.name, now),
             ),
         )
@@ -395,7 +362,7 @@
         return True
 
     def _build_failure(self, reason: str, now: float) -> failures.Failure:
-        if self._ran:
+        if self._limits.ran:
             if self.deadline - now < MIN_LEFT_S:
                 return steps.TimedOut(reason, failures.Run.UNKNOWN)
             return steps.UpstreamBroke(reason, failures.Run.UNKNOWN)
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -201,7 +201,7 @@
         request_id: Unique per attempt of the caller.
         deadline_s: Seconds that the caller waits; `None` when not stated.
         api_key: Key without its scheme; empty when missing.
-        model: Model that the caller names; `*` leaves the choice open.
+        open_model: Whether the caller leaves the choice of the model open.
         prompt_tokens: 0 for a request that is no generation.
         output_tokens: Upper bound of the tokens to generate.
         prompt_parts: Parts of the prompt in order; the last one is the
@@ -216,7 +216,7 @@
     path: str
     deadline_s: float | None
     api_key: str = ""
-    model: str = ""
+    open_model: bool = False
     prompt_tokens: int = 0
     output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
--- a/sycamorehollow/platform/dialect.py
+++ b/sycamorehollow/platform/dialect.py
@@ -23,6 +23,8 @@
         b"pin-duration",
     )
 )
+# Value by which a caller leaves the choice of the model open.
+_ANY_MODEL = b"*"
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -48,7 +50,7 @@
             path=target.partition("?")[0],
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             api_key=_read_key(fields.get(b"authorization", b"")),
-            model=fields.get(b"model", b"").decode("latin-1"),
+            open_model=fields.get(b"model") == _ANY_MODEL,
             prompt_tokens=int(_read_number(tokens[0]) or 0),
             output_tokens=int(_read_number(tokens[-1]) or 0),
             prompt_parts=parts,
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -92,7 +92,7 @@
         "host": "models.example",
         "path": "/draft/1",
         "deadline_s": 10.0,
-        "model": "*",
+        "open_model": True,
         "prompt_tokens": 1000,
         "output_tokens": 100,
     }
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.forwarding import course
+from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import failures
@@ -111,7 +111,7 @@
         built = forwarding_world.build_router(*UPSTREAMS, retry_floor=3.0)
         played = forwarding_world.build_course(built)
         now = 0.0
-        for _ in range(course.MAX_UNREACHED):
+        for _ in range(attempt_limits.MAX_UNREACHED):
             now += 0.1
             step = played.find_step(now)
             if isinstance(step, steps.Send):
@@ -165,7 +165,7 @@
         step, now, refused = self._press(1.0, free_at=1.0)
         self.assertIsInstance(step.failure, steps.Unavailable)
         self.assertLess(now, 0.1)
-        self.assertLessEqual(refused, course.MAX_REFUSALS + 1)
+        self.assertLessEqual(refused, attempt_limits.MAX_REFUSALS + 1)
 
     def test_full_upstream_is_left_alone_by_other_requests(self):
         built = forwarding_world.build_router(*UPSTREAMS[:2])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -138,6 +138,19 @@
         self.assertIsNone(read.workspaces)
 
 
+class OpenModelTest(unittest.TestCase):
+    """Guards against a choice of the model that the caller has made."""
+
+    def test_only_a_star_leaves_the_model_open(self):
+        spelling = dialect.PlatformDialect()
+        for value, is_open in ((b"*", True), (b"large", False), (None, False)):
+            headers = [(b"Host", b"models.example")]
+            if value is not None:
+                headers.append((b"Model", value))
+            call = spelling.decode_call("POST", "/draft/1", headers)
+            self.assertEqual(call.open_model, is_open)
+
+
 class FeedTest(unittest.TestCase):
     """Guards against news that are lost or made up."""
 
