--- a/sycamorehollow/programs/gateway.py
+++ b/sycamorehollow/programs/gateway.py
@@ -1,6 +1,7 @@
 """Entry point of the gateway: the binary `sycamore-gateway`."""
 
 import gc
+import os
 import signal
 import sys
 
@@ -10,7 +11,9 @@
     # A signal to reload would end a process that still loads its modules. What
     # it announces is read later, with all settings.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Modules are no garbage; searching them takes a tenth of their loading.
+    # Each of these takes a tenth of the loading: the search of all packages for
+    # plug-ins, and the search of modules, which are no garbage.
+    os.environ.setdefault("PYDANTIC_DISABLE_PLUGINS", "1")
     gc.disable()
     from sycamorehollow.programs import gateway_command
 
