Report an entry process as healthy once it knows a load

Change: it is healthy once an engine has reported its load, or after 5 s, so that callers get a refusal while all engines are silent.

Ruled out: the store's outage; the same failure shows with a store that is up and load reports delayed by 1 s, which the new test does.

--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -54,6 +54,9 @@
 # Load balancers poll `/healthz` about once a second; until they have seen it
 # turn, new connections still arrive and get a truthful refusal.
 LINGER_S = 5.0
+# A process whose upstreams are all silent is healthy after this time, so that
+# callers get a refusal; a poll of one ends before.
+FIRST_LOAD_S = 5.0
 
 
 class Entry:
@@ -64,6 +67,7 @@
         self._source = random.Random()
         self._snapshot = front.Snapshot()
         self._draining = False
+        self._started_at = time.monotonic()
         self._meter = metrics.StatsdMeter(
             settings.metrics.host, settings.metrics.port
         )
@@ -327,8 +331,14 @@
     def _check_health(self) -> str:
         if self._draining:
             return "draining"
-        if self._snapshot.current is None:
+        current = self._snapshot.current
+        if current is None:
             return "no configuration"
+        engines = any(u.versions for u in current.upstreams.values())
+        waited_s = time.monotonic() - self._started_at
+        if engines and not self._upstreams.has_load:
+            # Without any report, all upstreams count as full.
+            return "no load reports" if waited_s < FIRST_LOAD_S else ""
         return ""
 
     def _count_pending(self) -> int:
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -22,13 +22,18 @@
 
 
 class UpstreamPolls:
-    """Builds the poll jobs of the configured engines."""
+    """Builds the poll jobs of the configured engines.
+
+    Attributes:
+        has_load: Whether any engine has reported its load.
+    """
 
     def __init__(
         self,
         runner: errands.Errands,
         report: Callable[[events.Event], None],
     ):
+        self.has_load = False
         self._runner = runner
         self._report = report
         self._generations: dict[str, int] = {}
@@ -84,6 +89,7 @@
                 queued=report.queued,
             )
         )
+        self.has_load = True
         self._report(
             orders.Observed(
                 upstream.name,
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -65,6 +65,16 @@
         answer = world.complete(added)
         self.assertTrue(answer.complete, answer)
 
+    def test_new_entry_is_healthy_once_it_can_serve(self):
+        """Guards against refusals before the load of any engine is known."""
+        for name in ("a", "b"):
+            self.world.inject(
+                name, "delay_s", value=1.0, method="GET", path="/v1/load"
+            )
+        added = self.world.add_entry("dc-2")
+        answer = self.world.complete(added)
+        self.assertTrue(answer.complete, answer)
+
     def test_race_of_operators_has_one_winner(self):
         """Guards against a change that another one silently replaces."""
         # Two operators race only if both read before the first one writes.
