Listen for callers before the modules are loaded

Change: the entry point reads the callers' address from the settings file, listens, and only then loads the rest; callers wait a part of a second for their answer. The readiness check listens last, as before.

The test finds the callers' port open before that of the readiness check, and its request answered; it failed before.

--- /dev/null
+++ b/sycamorehollow/platform/lines.py
@@ -0,0 +1,30 @@
+"""Lines of the platform's settings file.
+
+Imports next to nothing, as it is used before the other modules are loaded.
+"""
+
+import pathlib
+
+ENVIRONMENT_VARIABLE = "SYCAMOREHOLLOW_NODE_FILE"
+_FRONT_KEY = "listen.front"
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Parses lines of the form `a.b=value`."""
+    values: dict[str, str] = {}
+    for line in text.splitlines():
+        key, separator, value = line.strip().partition("=")
+        if separator:
+            values[key.strip()] = value.strip()
+    return values
+
+
+def find_front(path: pathlib.Path) -> tuple[str, int] | None:
+    """Returns the host and port for callers, if the file states them."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError):
+        # Whoever reads all settings tells of the fault.
+        return None
+    host, _, port = parse_lines(text).get(_FRONT_KEY, "").rpartition(":")
+    return (host, int(port)) if host and port.isdecimal() else None
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -7,11 +7,10 @@
 
 import pydantic
 
+from sycamorehollow.platform import lines
 from sycamorehollow.settings import gateway
 from sycamorehollow.settings import process
 
-ENVIRONMENT_VARIABLE = "SYCAMOREHOLLOW_NODE_FILE"
-
 _Address = Annotated[str, pydantic.AfterValidator(process.check_address)]
 _Milliseconds = Annotated[float, pydantic.Field(ge=0)]
 
@@ -72,11 +71,7 @@
 
 def parse_settings(text: str) -> gateway.Settings | list[process.Fault]:
     """Parses lines of the form `a.b=value`."""
-    values: dict[str, str] = {}
-    for line in text.splitlines():
-        key, separator, value = line.strip().partition("=")
-        if separator:
-            values[key.strip()] = value.strip()
+    values = lines.parse_lines(text)
     try:
         return _convert(_File.model_validate(_nest(values)))
     except pydantic.ValidationError as error:
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import signal
+import socket
 import time
 
 from sycamorehollow.decisions.forwarding import router as routers
@@ -31,7 +32,6 @@
 # Time before SIGKILL at which the process ends by itself.
 END_MARGIN_S = 0.4
 SETTINGS_CHECK_S = 1.0
-BACKLOG = 512
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,9 +56,16 @@
     Args:
         settings: Settings of the process.
         adapter: Connects it to the platform.
+        listener: Socket that listens for callers; `None` to open one.
     """
 
-    def __init__(self, settings: gateway.Settings, adapter: Adapter):
+    def __init__(
+        self,
+        settings: gateway.Settings,
+        adapter: Adapter,
+        listener: socket.socket | None = None,
+    ):
+        self._listener = listener
         self._settings = settings
         self._adapter = adapter
         self._journal = journal.Journal()
@@ -86,7 +93,10 @@
         self._start_knowledge()
         servers = [
             await self._listen(
-                self._settings.front, self._forwarder.handle, self._connections
+                self._settings.front,
+                self._forwarder.handle,
+                self._connections,
+                self._listener,
             ),
             await self._listen(
                 self._settings.ready, self._answer_ready, self._checks
@@ -151,15 +161,21 @@
         address: str,
         handler: caller_connections.Handler,
         registry: set[caller_connections.CallerConnection],
+        listener: socket.socket | None = None,
     ) -> asyncio.Server:
-        host, _, port = address.rpartition(":")
-        return await asyncio.get_running_loop().create_server(
-            lambda: caller_connections.CallerConnection(
+        def build() -> caller_connections.CallerConnection:
+            return caller_connections.CallerConnection(
                 handler, self._get_limits, registry
-            ),
-            host,
-            int(port),
-            backlog=BACKLOG,
+            )
+
+        loop = asyncio.get_running_loop()
+        if listener is not None:
+            return await loop.create_server(
+                build, sock=listener, backlog=socket.SOMAXCONN
+            )
+        host, _, port = address.rpartition(":")
+        return await loop.create_server(
+            build, host, int(port), backlog=socket.SOMAXCONN
         )
 
     def _get_limits(self) -> forwarding.CallerLimits:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -53,7 +53,8 @@
         self._ports = [processes.find_port() for _ in range(3)]
         self._peer_port = processes.find_port()
         self.front = f"127.0.0.1:{self._ports[0]}"
-        self.ready = f"http://127.0.0.1:{self._ports[1]}/-/ready"
+        self.ready_address = f"127.0.0.1:{self._ports[1]}"
+        self.ready = f"http://{self.ready_address}/-/ready"
         self.metrics = f"http://127.0.0.1:{self._peer_port + 1}/metrics"
         self._path = pathlib.Path(folder) / f"{name}.conf"
         self._log = pathlib.Path(folder) / f"{name}.log"
@@ -101,6 +102,15 @@
         masks = re.findall(r"SigIgn:\s*(\w+)", status)
         return bool(int(masks[0], 16) >> (number - 1) & 1) if masks else False
 
+    def accepts(self, address):
+        """Tells whether the process takes connections at an address."""
+        host, _, port = address.rpartition(":")
+        try:
+            socket.create_connection((host, int(port)), 1.0).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
     def is_ready(self):
         """Asks as the load balancer does."""
         return HTTP.request("GET", self.ready).status == 200
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -135,6 +135,12 @@
         processes.wait_for(lambda: "settings rejected" in self.node.read_log())
         self.assertEqual(self.node.request("/status/1").status, 200)
 
+    def test_callers_of_a_starting_process_wait_for_it(self):
+        node = self.world.start_node("early")
+        processes.wait_for(lambda: node.accepts(node.front))
+        self.assertFalse(node.accepts(node.ready_address))
+        self.assertEqual(node.request("/status/x").status, 200)
+
     def test_reload_while_a_process_starts_does_not_end_it(self):
         node = self.world.start_node("starting")
         processes.wait_for(lambda: node.ignores(signal.SIGHUP))
