Let waiting requests take room in turns

Load pattern: all upstreams of a service are full or cold while one workspace sends many times its usual share, or urgent and patient requests meet. Requests looked for room every 20 ms and whoever looked first took it, so a workspace with many requests got most of it, and new requests passed those that waited.

Change: waiting requests stand in line for the upstreams that they can use; the most urgent go first, then the workspace that had fewest turns, then the earliest. Requests that have run, or whose answer has begun, do not wait.

Ruled out: one line for a service, in which requests for a cold new version would hold up those for the old one.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -31,6 +31,7 @@
         fingerprint: Identifies its content.
         body_bytes: Length of its body.
         now: Monotonic time in seconds at which it arrived.
+        workspace: Name of the owner of its key; empty for none.
 
     Attributes:
         deadline: Monotonic time at which its final answer is due.
@@ -48,6 +49,7 @@
         fingerprint: str,
         body_bytes: int,
         now: float,
+        workspace: str = "",
     ):
         self.call = call
         self.route = route
@@ -73,6 +75,7 @@
         self._next_model = ""
         if route.models and call.open_model:
             self._next_model = cascade.choose_first(route)
+        self._ticket = router.turns.issue(route.priority, workspace, now)
         router.budget.note_fresh(service.name, now)
 
     @property
@@ -104,9 +107,11 @@
             self._next_model, now, frozenset(self._excluded)
         )
         choice = self._router.placement.choose(work, now)
-        if choice.state is not None:
+        if choice.state is not None and self._takes_turn(
+            work, choice.free, now
+        ):
             return self._send(choice, now)
-        if self._excluded:
+        if self._excluded and choice.state is None:
             # Each has had it once; a second time is better than a failure.
             self._excluded.clear()
             if not self.delivering and not self._limits.ran:
@@ -115,8 +120,20 @@
         waited_s = now - self.arrived
         may_wait = waited_s < self.route.objective_s * WAIT_SHARE
         if choice.known and (may_wait or self.delivering):
+            self._router.turns.take(self._ticket, _name_place(work), 0, now)
             return steps.Wait(FULL_PAUSE_S)
-        return steps.Refuse(self._build_failure(choice.reason, now))
+        self._router.turns.leave(self._ticket)
+        reason = choice.reason if choice.state is None else "others wait before"
+        return steps.Refuse(self._build_failure(reason, now))
+
+    def _takes_turn(self, work: placement.Work, free: int, now: float) -> bool:
+        """Tells whether the request may have the room that is free."""
+        if self._limits.ran or self.delivering:
+            # Its caller, or an answer that was dropped, has waited already.
+            self._router.turns.leave(self._ticket)
+            return True
+        place = _name_place(work)
+        return self._router.turns.take(self._ticket, place, free, now)
 
     def compute_patience(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
@@ -243,6 +260,7 @@
 
     def note_left(self) -> None:
         """The caller has left."""
+        self._router.turns.leave(self._ticket)
         if self.attempts:
             self._end_reading(self.attempts[-1])
 
@@ -368,3 +386,8 @@
             return steps.UpstreamBroke(reason, failures.Run.UNKNOWN)
         after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
         return steps.Unavailable(reason, failures.Run.NO, after_s)
+
+
+def _name_place(work: placement.Work) -> tuple[str, str, frozenset[str]]:
+    """Returns what requests for the same upstreams have in common."""
+    return (work.service.name, work.model, frozenset(work.versions or ()))
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -73,12 +73,14 @@
         state: `None` if no upstream may get the attempt now.
         reason: What decided, for the log.
         known: Upstreams that could serve it if they had room.
+        free: Those of them that have room.
         expected_s: Expected time to the first byte in seconds.
     """
 
     state: directory.State | None
     reason: str
     known: int
+    free: int = 0
     expected_s: float = 0.0
 
 
@@ -164,6 +166,7 @@
             best,
             f"lowest of {len(sound)} at {expected_s * 1000:.0f} ms",
             len(candidates),
+            len(open_ones),
             expected_s,
         )
 
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -12,6 +12,7 @@
 from sycamorehollow.decisions.forwarding import prompts
 from sycamorehollow.decisions.forwarding import retry_budget
 from sycamorehollow.decisions.forwarding import route_table
+from sycamorehollow.decisions.forwarding import turns
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
@@ -41,6 +42,7 @@
         placement: Choice of the upstream.
         budget: Budget of repeats.
         rollouts: Roll-outs in progress.
+        turns: Order of the requests that wait for room.
         poison: Requests that crash upstreams.
         delays: How late answers have been.
         nodes: The registered nodes by name.
@@ -69,6 +71,7 @@
         # A restarted node counts anew, so each run has counts of its own.
         run = f"{settings.node}/{source.getrandbits(32):x}"
         self.rollouts = canary.Rollouts(run, settings.exposure_share)
+        self.turns = turns.Turns()
         self.poison = poison.Poison()
         self.delays = cascade.Delays()
         self.nodes: dict[str, watchers.Node] = {}
@@ -105,6 +108,7 @@
 
     def sweep(self, now: float) -> list[str]:
         """Forgets what is gone; returns the identities of upstreams."""
+        self.turns.sweep(now)
         gone = self.directory.sweep(now)
         for identity in gone:
             self._forget(identity)
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -148,6 +148,7 @@
             fingerprint,
             len(request.body),
             now,
+            workspace.name if workspace else "",
         )
 
     async def _refuse(
--- /dev/null
+++ b/tests/test_forwarding_turns.py
@@ -0,0 +1,124 @@
+"""Replays load at which requests wait for room in their turn."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamorehollow.decisions.forwarding import steps
+from sycamorehollow.decisions.forwarding import turns
+from tests import forwarding_world
+
+LOOK_S = 0.02
+PLACE = ("llm", "", frozenset())
+
+
+class TurnsTest(unittest.TestCase):
+    """Guards against starved workspaces and requests that never go."""
+
+    def setUp(self):
+        self.turns = turns.Turns()
+        self.now = 0.0
+
+    def _issue(self, workspace, urgency=1):
+        self.now += 0.001
+        return self.turns.issue(urgency, workspace, self.now)
+
+    def _play(self, waiting, rooms):
+        """Lets all ask in each round; returns who went, in order."""
+        gone = []
+        waiting = list(waiting)
+        for room in rooms:
+            self.now += LOOK_S
+            for ticket in list(waiting):
+                self.turns.take(ticket, PLACE, 0, self.now)
+            for ticket in list(waiting):
+                if room and self.turns.take(ticket, PLACE, room, self.now):
+                    room -= 1
+                    gone.append(ticket)
+                    waiting.remove(ticket)
+        return gone
+
+    def test_room_is_taken_at_once_while_nobody_waits(self):
+        for _ in range(50):
+            ticket = self._issue("maps")
+            self.assertTrue(self.turns.take(ticket, PLACE, 1, self.now))
+
+    def test_hot_workspace_does_not_keep_others_waiting(self):
+        hot = [self._issue("hot") for _ in range(30)]
+        calm = [self._issue("calm") for _ in range(3)]
+        gone = self._play([*hot, *calm], [1] * 8)
+        self.assertLessEqual(set(calm), set(gone))
+
+    def test_most_urgent_goes_first(self):
+        patient = [self._issue("maps", 2) for _ in range(5)]
+        urgent = self._issue("maps", 0)
+        self.assertEqual(self._play([*patient, urgent], [1])[0], urgent)
+
+    def test_equals_go_in_their_order_of_arrival(self):
+        line = [self._issue("maps") for _ in range(6)]
+        self.assertEqual(self._play(line, [2] * 3), line)
+
+    def test_request_that_has_left_holds_up_nobody(self):
+        first, second = self._issue("maps"), self._issue("maps")
+        for ticket in (first, second):
+            self.turns.take(ticket, PLACE, 0, self.now)
+        self.turns.leave(first)
+        self.assertTrue(self.turns.take(second, PLACE, 1, self.now))
+
+    def test_silent_request_holds_up_nobody_for_long(self):
+        first, second = self._issue("maps"), self._issue("maps")
+        self.turns.take(first, PLACE, 0, self.now)
+        self.assertFalse(self.turns.take(second, PLACE, 1, self.now))
+        later = self.now + turns.KEEP_S + LOOK_S
+        self.assertTrue(self.turns.take(second, PLACE, 1, later))
+
+    def test_those_who_wait_for_other_upstreams_are_not_in_the_way(self):
+        first, second = self._issue("maps"), self._issue("maps")
+        self.turns.take(first, ("llm", "", frozenset({"v2"})), 0, self.now)
+        self.assertTrue(self.turns.take(second, PLACE, 1, self.now))
+
+    def test_lines_are_forgotten(self):
+        self.turns.take(self._issue("maps"), PLACE, 0, self.now)
+        self.turns.sweep(self.now + 1.0)
+        self.assertTrue(
+            self.turns.take(self._issue("maps"), PLACE, 1, self.now)
+        )
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abc"), strategies.integers(0, 2)
+            ),
+            min_size=1,
+            max_size=20,
+        ),
+        strategies.integers(1, 4),
+    )
+    def test_all_go_once_there_is_room_for_all(self, requests, room):
+        self.setUp()
+        line = [self._issue(name, urgency) for name, urgency in requests]
+        gone = self._play(line, [room] * len(line))
+        self.assertEqual(set(gone), set(line))
+
+
+class CourseTurnsTest(unittest.TestCase):
+    """Guards against new requests that pass those which wait."""
+
+    def test_new_request_goes_behind_one_that_waits(self):
+        upstream = forwarding_world.build_upstream("a")
+        built = forwarding_world.build_router(upstream)
+        route = forwarding_world.build_route(models=())
+        first = forwarding_world.build_course(built, route=route)
+        self.assertIsInstance(first.find_step(0.0), steps.Send)
+        head = forwarding_world.build_head(503, not_run=True, sealed=False)
+        first.judge_head(head, 0.01)
+        # The upstream is full: the first one is in line.
+        self.assertIsInstance(first.find_step(0.02), steps.Wait)
+        self.assertIsInstance(first.find_step(0.04), steps.Wait)
+        state = built.directory.get("a")
+        later = state.full_until + 0.001
+        second = forwarding_world.build_course(built, route=route, now=later)
+        self.assertIsInstance(second.find_step(later), steps.Wait)
+        self.assertIsInstance(first.find_step(later), steps.Send)
+        self.assertIsInstance(second.find_step(later + 0.02), steps.Send)
