Split the tests of placement, use the library's reason phrases

The stand-ins take reason phrases from http.HTTPStatus. A request that is refused while others wait says so.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -123,7 +123,9 @@
             self._router.turns.take(self._ticket, _name_place(work), 0, now)
             return steps.Wait(FULL_PAUSE_S)
         self._router.turns.leave(self._ticket)
-        reason = choice.reason if choice.state is None else "others wait before"
+        reason = choice.reason
+        if choice.state is not None:
+            reason = "others wait for the room that is left"
         return steps.Refuse(self._build_failure(reason, now))
 
     def _takes_turn(self, work: placement.Work, free: int, now: float) -> bool:
--- a/sycamorehollow/standins/server.py
+++ b/sycamorehollow/standins/server.py
@@ -3,6 +3,7 @@
 import abc
 from collections.abc import Mapping
 import dataclasses
+import http
 import json
 import random
 import select
@@ -27,18 +28,6 @@
 FAULTS_PATH = "/faults"
 # Handled here for all stand-ins; further kinds belong to one stand-in.
 COMMON_FAULTS = ("refuse", "delay_s", "lose_answer", "silent", "down")
-REASONS = {
-    200: "OK",
-    202: "Accepted",
-    400: "Bad Request",
-    404: "Not Found",
-    409: "Conflict",
-    410: "Gone",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -373,7 +362,7 @@
 
 def format_head(status: int, headers: Mapping[str, str]) -> bytes:
     """Formats a response head."""
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    lines = [f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}"]
     lines.extend(f"{name}: {value}" for name, value in headers.items())
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
--- /dev/null
+++ b/tests/test_forwarding_placement.py
@@ -0,0 +1,117 @@
+"""Tests of the choice of the upstream."""
+
+import random
+import unittest
+
+from sycamorehollow.decisions.forwarding import steps
+from sycamorehollow.model import forwarding
+from tests import forwarding_world
+
+UPSTREAMS = [
+    forwarding_world.build_upstream(name, port=1000 + number)
+    for number, name in enumerate("abcde")
+]
+
+
+class PlacementTest(unittest.TestCase):
+    """Replays slow, failing, cold and distant upstreams."""
+
+    def _spread(self, built, count=200, call=None, route=None, finish=None):
+        """Sends requests one by one and counts them by upstream."""
+        counts = {}
+        for number in range(count):
+            now = number * 0.1
+            played = forwarding_world.build_course(built, call, route, now)
+            step = played.find_step(now)
+            name = step.state.upstream.identity
+            counts[name] = counts.get(name, 0) + 1
+            if finish is not None:
+                finish(played, name, now)
+        return counts
+
+    def test_slow_upstream_gets_less(self):
+        built = forwarding_world.build_router(*UPSTREAMS[:3])
+
+        def finish(played, name, now):
+            took_s = 0.4 if name == "a" else 0.06
+            played.judge_head(forwarding_world.build_head(), now + took_s)
+
+        counts = self._spread(built, finish=finish)
+        self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
+
+    def test_failing_upstream_gets_less(self):
+        built = forwarding_world.build_router(*UPSTREAMS[:3])
+
+        def finish(played, name, now):
+            status = 500 if name == "a" else 200
+            played.judge_head(forwarding_world.build_head(status), now + 0.06)
+
+        route = forwarding_world.build_route(models=())
+        counts = self._spread(built, route=route, finish=finish)
+        self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
+
+    def test_own_data_centre_is_preferred_for_large_bodies(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("near"),
+            forwarding_world.build_upstream("far", data_centre="dc-2"),
+        )
+
+        def finish(played, name, now):
+            played.judge_head(forwarding_world.build_head(), now + 0.06)
+
+        counts = self._spread(built, finish=finish)
+        self.assertGreater(counts["near"], 150)
+
+    def test_cold_upstream_gets_its_share_only(self):
+        service = forwarding.Service("llm", 100, cold_per_s=4.0)
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("cold", cold_s=100.0),
+            configuration=forwarding_world.build_configuration(
+                services={"llm": service}
+            ),
+            cold_factor=1.0,
+            cold_floor=0.0,
+        )
+        sent = 0
+        for number in range(50):
+            now = number * 0.02
+            played = forwarding_world.build_course(built, now=now)
+            if isinstance(played.find_step(now), steps.Send):
+                sent += 1
+        self.assertLessEqual(sent, 4)
+
+    def test_shared_prompt_parts_stay_together(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        parts = (
+            forwarding.PromptPart("shared", 8000),
+            forwarding.PromptPart("own", 100),
+        )
+        call = forwarding_world.build_call(
+            prompt_tokens=8100, prompt_parts=parts
+        )
+
+        def finish(played, name, now):
+            played.judge_head(forwarding_world.build_head(), now + 0.1)
+
+        counts = self._spread(built, 100, call, finish=finish)
+        self.assertGreater(max(counts.values()), 80)
+
+    def test_hot_prompt_part_spreads_when_its_upstream_fills(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        parts = (
+            forwarding.PromptPart("hot", 8000),
+            forwarding.PromptPart("own", 100),
+        )
+        call = forwarding_world.build_call(
+            prompt_tokens=8100, prompt_parts=parts
+        )
+        counts = {}
+        source = random.Random(3)
+        for number in range(60):
+            played = forwarding_world.build_course(built, call, now=0.0)
+            step = played.find_step(source.random() * 0.01)
+            name = step.state.upstream.identity
+            step.state.running += 1
+            counts[name] = counts.get(name, 0) + 1
+            self.assertLess(number, 60)
+        self.assertGreaterEqual(len(counts), 3)
