--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -171,6 +171,7 @@
             self._next_first = now + LOST_SYNC_S
             self._syncs += 1
             address = self._source.choice(addresses)
+            self._journal.note_change("copy", f"asked of {address}", "settings")
             self._peers.ask(self._syncs, address, self._collect(None))
 
     def _follow(self, now: float) -> None:
