Revert the start from another node's copy

Tried: let a node that starts while the store is away take a copy from a machine named in its settings. The settings name machines only if the role serves `control`, which nobody outside has to be served.

Reverted; a node that starts while the store is away refuses until it is back.

--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -51,15 +51,6 @@
     bounds: _Bounds
     limits: _Limits = pydantic.Field(default_factory=_Limits)
     platform: _Platform
-    # Addresses of other machines; the ports are of a service that we lack.
-    seeds: list[str] = []
-
-    @pydantic.field_validator("seeds", mode="before")
-    @classmethod
-    def _split_seeds(cls, value: Any) -> Any:
-        if not isinstance(value, str):
-            return value
-        return [seed for seed in value.split(",") if seed.strip()]
 
     @pydantic.field_validator("internalPortRange", mode="before")
     @classmethod
@@ -131,14 +122,4 @@
         cold_floor=bounds.coldSlack,
         reuse_s=bounds.reuseWindowS,
         link_mbps=file.limits.linkMbps,
-        first_peers=_list_first_peers(file),
-    )
-
-
-def _list_first_peers(file: _File) -> tuple[str, ...]:
-    """Returns addresses at which nodes may answer; all use the same ports."""
-    hosts = [seed.strip().rpartition(":")[0] for seed in file.seeds]
-    port = file.internalPortRange[0]
-    return tuple(
-        f"{host}:{port}" for host in hosts if host not in ("", file.ip)
     )
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -27,7 +27,6 @@
         cold_factor: Tolerated excess over the rate of a cold upstream.
         cold_floor: Requests per second beyond that.
         reuse_s: Seconds for which a prompt's parts are worth reusing.
-        first_peers: Addresses of other nodes that are known without the store.
         link_mbps: Rate of the VM's network link in Mbit/s; 0 if unknown.
     """
 
@@ -49,7 +48,6 @@
     cold_floor: float
     reuse_s: float
     link_mbps: float = 0.0
-    first_peers: tuple[str, ...] = ()
 
     @property
     def peer_address(self) -> str:
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -111,11 +111,10 @@
             # Requests are served without the page, too.
             self._journal.note_event("metrics cannot be served: {}", error)
         self._journal.note_event(
-            "started node={} data_centre={} front={} first_peers={}",
+            "started node={} data_centre={} front={}",
             self._settings.node,
             self._settings.data_centre,
             self._settings.front,
-            ",".join(self._settings.first_peers),
         )
         await self._open_peers()
         upkeep = loop.create_task(self._keep_up())
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -27,9 +27,6 @@
 # Time between questions of a node that follows another instead of the store.
 FOLLOW_S = 0.3
 TICK_S = 0.25
-# Time from the start after which a node known from the settings is asked; a
-# large copy from the store takes nearly as long on a slow link.
-FIRST_PEER_S = 0.7
 # Nodes of lower rank act that much later, so that mostly one of them does.
 RANK_DELAY_S = 0.4
 WRITE_RETRY_S = 1.0
@@ -71,9 +68,7 @@
         self._mirror = mirror.Mirror()
         self._loop = asyncio.get_running_loop()
         self._store_lost = False
-        # Whether the store, or any source, has given a whole copy.
         self._listed = False
-        self._has_copy = False
         self._writer: store_tasks.WriteTask | None = None
         self._writes: dict[str, float] = {}
         self._due: dict[str, tuple[str, float]] = {}
@@ -81,7 +76,6 @@
         self._syncs = 0
         self._next_sync = 0.0
         self._next_follow = 0.0
-        self._next_first = time.monotonic() + FIRST_PEER_S
         self._asked: dict[int, str] = {}
         self._followed: int | None = None
         self._watchers = watchers.Watchers(
@@ -156,27 +150,11 @@
             self._next_sync = now + pause_s * self._source.uniform(0.8, 1.2)
             self._sync(self._choose_peer())
         self._follow(now)
-        self._ask_first_peer(now)
         return self._router.sweep(now)
 
-    def _ask_first_peer(self, now: float) -> None:
-        """Asks a node known from the settings while nothing else is known.
-
-        A process may start while the store is away from it.
-        """
-        addresses = self.settings.first_peers
-        if self._has_copy or self._peers is None or not addresses:
-            return
-        if now >= self._next_first:
-            self._next_first = now + LOST_SYNC_S
-            self._syncs += 1
-            address = self._source.choice(addresses)
-            self._journal.note_change("copy", f"asked of {address}", "settings")
-            self._peers.ask(self._syncs, address, self._collect(None))
-
     def _follow(self, now: float) -> None:
         """Follows the store or a node that does."""
-        if self._watch is None or not self._has_copy:
+        if self._watch is None or not self._listed:
             return
         nodes = self._router.nodes
         active = self._watchers.needs_watch(nodes, now)
@@ -244,7 +222,6 @@
             self._router.directory.note_store_back(now)
         self._store_lost = False
         self._listed = True
-        self._has_copy = True
 
     def _note_store_lost(self, failure: failures.Failure) -> None:
         if not self._store_lost:
@@ -400,10 +377,6 @@
             )
             return
         self._apply(news, f"peer {address}")
-        if not self._has_copy:
-            # Other nodes keep it current until the store answers.
-            self._has_copy = True
-            self._register_node()
 
 
 def _pack(data: bytes) -> bytes:
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -7,7 +7,6 @@
 import unittest
 from unittest import mock
 
-from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.platform import documents
 from sycamorehollow.platform import feed
@@ -17,7 +16,6 @@
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import store_tasks
 from tests import forwarding_world
-from tests import platform_standins
 
 ENTRY = json.dumps(
     {
@@ -148,70 +146,3 @@
         with mock.patch("time.monotonic", lambda: later + 0.1):
             self.known.tick()
         self.assertGreater(len(posts), count)
-
-
-class StartWithoutStoreTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against processes that wait for a store that is away."""
-
-    async def asyncSetUp(self):
-        self.asked = []
-        self.known = self._build("n1", ("10.0.0.2:7",))
-        self.watch = mock.Mock(active=True)
-        self.known.connect(self.watch, mock.Mock())
-        link = mock.Mock()
-        link.ask.side_effect = lambda *ask: self.asked.append(ask)
-        self.known.connect_peers(link)
-
-    def _build(self, name, first_peers=()):
-        settings = forwarding_world.build_settings(
-            node=name, first_peers=first_peers
-        )
-        return knowledge.Knowledge(
-            settings,
-            router.Router(settings, random.Random(1)),
-            feed.PlatformFeed(),
-            journal.Journal(),
-            random.Random(1),
-        )
-
-    def _tick(self, after_s):
-        now = time.monotonic() + after_s
-        with mock.patch("time.monotonic", lambda: now):
-            self.known.tick()
-
-    async def test_copy_of_a_node_in_the_settings_makes_it_ready(self):
-        self._tick(0.1)
-        self.assertEqual(self.asked, [])
-        self._tick(knowledge.FIRST_PEER_S + 0.1)
-        ((number, address, question),) = self.asked
-        self.assertEqual(address, "10.0.0.2:7")
-        other = self._build("n2")
-        configuration = json.dumps(platform_standins.build_configuration())
-        own = documents.encode_node(watchers.Node("127.0.0.1:2", "dc-1"))
-        items = (
-            stores.Found("op/config", configuration, 4),
-            stores.Found("servers/a", ENTRY, 5),
-            stores.Found("nodes/n2", own, 6),
-        )
-        other.deliver(store_tasks.Listed(stores.Listing(items, 6)))
-        await asyncio.sleep(0.01)
-        future = other.answer_peer("127.0.0.1:1", question)
-        answer = await asyncio.wrap_future(future)
-        self.assertFalse(self.known.is_ready)
-        self.known.deliver(peer_link.PeerAnswered(number, address, answer))
-        await asyncio.sleep(0.01)
-        self.assertTrue(self.known.is_ready)
-        self._tick(2.0)
-        # From now on it follows the nodes that it has learned of.
-        addresses = {address for _, address, _ in self.asked[1:]}
-        self.assertEqual(addresses, {"127.0.0.1:2"})
-
-    async def test_copy_of_another_node_is_no_news_of_the_store(self):
-        await self.test_copy_of_a_node_in_the_settings_makes_it_ready()
-        later = time.monotonic() + 5.0
-        with mock.patch("time.monotonic", lambda: later):
-            answer = await asyncio.wrap_future(
-                self.known.answer_peer("127.0.0.1:2", b'{"since": 9}')
-            )
-            await asyncio.sleep(0)
-        self.assertGreater(json.loads(answer)["age_s"], 0.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -57,13 +57,6 @@
         self.assertEqual(read.peer_address, "10.1.0.40:7340")
         self.assertEqual(read.drain_s, 2.0)
 
-    def test_other_machines_of_the_settings_are_asked_at_our_port(self):
-        seeds = "seeds=10.1.0.40:8229,10.2.0.29:8229, 10.3.0.19:8229\n"
-        read = settings.parse_settings(SETTINGS + seeds)
-        self.assertEqual(read.first_peers, ("10.2.0.29:7340", "10.3.0.19:7340"))
-        read = settings.parse_settings(SETTINGS + "seeds=\n")
-        self.assertEqual(read.first_peers, ())
-
     def test_every_fault_is_named(self):
         text = SETTINGS.replace("graceS=8", "graceS=soon").replace(
             "ip=10.1.0.40\n", ""
