Keep a port that a test has drawn until its process listens

With about 24 ports a soak run out of 15,000, that is one run in fifty alone.

Change: a bound socket that does not listen is kept for each port, which keeps other draws out, but not a server that may reuse its address. The test draws one port twice and failed before.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,5 +1,6 @@
 """A small deployment of real processes on loopback."""
 
+import collections
 import hashlib
 import json
 import pathlib
@@ -17,21 +18,37 @@
 API_KEY = "test-key"
 LIFETIME_S = 60
 PORTS = (15_000, 30_000)
+# Ports that are kept from others; the processes of earlier ones listen by then.
+MAX_RESERVED = 200
 HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
+_reserved: collections.deque[socket.socket] = collections.deque()
 
 
 def find_port() -> int:
     """Returns a free loopback port below the ephemeral ones.
 
-    Until its process listens, no outgoing connection can take it.
+    Until its process listens, no outgoing connection can take it, and no other
+    call here or in another test run returns it: a bound socket that does not
+    listen keeps others out, but not a server that may reuse its address.
     """
     while True:
         port = random.randrange(*PORTS)
+        address = ("127.0.0.1", port)
         with socket.socket() as sock:
             try:
-                sock.bind(("127.0.0.1", port))
+                sock.bind(address)
             except OSError:
                 continue
+        kept = socket.socket()
+        kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            kept.bind(address)
+        except OSError:
+            kept.close()
+            continue
+        _reserved.append(kept)
+        if len(_reserved) > MAX_RESERVED:
+            _reserved.popleft().close()
         return port
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,11 @@
 """Tests of the soak's checks, and a short seeded run of it."""
 
 import concurrent.futures
+import socket
 import unittest
+from unittest import mock
 
+from tests import processes
 from tests.soak import promises
 from tests.soak import run
 from tests.soak import schedule
@@ -160,6 +163,21 @@
         self.assertEqual(kinds, set(schedule.Kind))
 
 
+class PortTest(unittest.TestCase):
+    """Guards against two processes that are given one port."""
+
+    def test_port_is_given_once_while_its_process_starts(self):
+        drawn = [20_001, 20_001, 20_002]
+        with mock.patch.object(
+            processes.random, "randrange", side_effect=drawn
+        ):
+            first = processes.find_port()
+            second = processes.find_port()
+        self.assertNotEqual(first, second)
+        with socket.create_server(("127.0.0.1", first)) as server:
+            self.assertEqual(server.getsockname()[1], first)
+
+
 class SoakTest(unittest.TestCase):
     """Plays a few schedules on real processes."""
 
