--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,7 +10,6 @@
 
 from tests.soak import promises
 
-DEADLINE_S = 4.0
 # Longest pause of a caller between two requests.
 PAUSE_S = 0.12
 EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
@@ -37,7 +36,7 @@
         headers = {
             "Host": "models.example",
             "Request-Id": request_id,
-            "Request-Deadline": str(int(DEADLINE_S * 1000)),
+            "Request-Deadline": str(int(promises.DEADLINE_S * 1000)),
             "Authorization": "Bearer key-1",
         }
         body = b""
@@ -59,7 +58,9 @@
                 body=body or None,
                 headers=headers,
                 preload_content=False,
-                timeout=urllib3.Timeout(connect=1.0, read=3 * DEADLINE_S),
+                timeout=urllib3.Timeout(
+                    connect=1.0, read=3 * promises.DEADLINE_S
+                ),
             )
             found.status = answer.status
             found.sealed = "Response-Seal" in answer.headers
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -31,7 +31,7 @@
 NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
 LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
 UPSTREAM_KINDS = (Kind.KILL, Kind.FREEZE, Kind.DRAIN, *LINK_KINDS)
-STORE_KINDS = (Kind.FREEZE, Kind.COMPACT, Kind.CONFIGURE, *LINK_KINDS)
+STORE_KINDS = (Kind.FREEZE, Kind.COMPACT, Kind.CONFIGURE)
 # Orderly changes, which must not cost a request.
 PLANNED_KINDS = (Kind.TERMINATE, Kind.RELOAD, Kind.CONFIGURE, Kind.DRAIN)
 
@@ -74,7 +74,7 @@
         elif target in upstreams:
             kind = source.choice(UPSTREAM_KINDS)
         elif target == "store":
-            kind = source.choice(STORE_KINDS[:3])
+            kind = source.choice(STORE_KINDS)
         else:
             kind = source.choice(LINK_KINDS)
         faults.append(Fault(at, kind, target, length))
--- a/tests/soak/standin_process.py
+++ b/tests/soak/standin_process.py
@@ -7,8 +7,8 @@
 import time
 
 from tests import platform_standins
+from tests.soak import promises
 
-EVENTS = 6
 EVENT_PAUSE_S = 0.12
 # Some answers are doubtful, so that larger models are asked for, too.
 CONFIDENCE_STEPS = 5
@@ -21,7 +21,7 @@
         self._file = path.open("a", encoding="utf-8")
         self._lock = threading.Lock()
         super().__init__(identity, port)
-        self.events = EVENTS
+        self.events = promises.STREAM_EVENTS
         self.pause_s = EVENT_PAUSE_S
 
     def note_run(self, handler, headers, body):
