Draw the ports of the port test afresh

Cause: the test of drawn ports gave fixed numbers, which other runs of tests may hold; its draws then ran out (StopIteration).

Change: the numbers come from a port that is free, and draws go on at random. The check is as strict: a draw that is given again must not be returned, alone or as the second of a pair.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,8 @@
 """Tests of the soak's checks, and a short seeded run of it."""
 
 import concurrent.futures
+import itertools
+import random
 import socket
 import unittest
 from unittest import mock
@@ -167,20 +169,21 @@
 class PortTest(unittest.TestCase):
     """Guards against two processes that are given one port."""
 
-    def test_port_is_given_once_while_its_process_starts(self):
-        drawn = [20_001, 20_001, 20_002]
-        with mock.patch.object(
-            processes.random, "randrange", side_effect=drawn
-        ):
-            first = processes.find_port()
-            second = processes.find_port()
-        self.assertNotEqual(first, second)
-        drawn = [20_000, 20_003]
+    def _find_port(self, drawn, count=1):
+        """Finds ports where the first draws are given."""
+        source = random.Random()
+        draws = itertools.chain(
+            drawn, iter(lambda: source.randrange(*processes.PORTS), None)
+        )
         with mock.patch.object(
-            processes.random, "randrange", side_effect=drawn
+            processes.random, "randrange", side_effect=draws
         ):
-            # The first draw would share 20,001 and 20,002 with those above.
-            self.assertEqual(processes.find_port(3), 20_003)
+            return processes.find_port(count)
+
+    def test_port_is_given_once_while_its_process_starts(self):
+        first = processes.find_port()
+        self.assertNotEqual(self._find_port([first]), first)
+        self.assertNotEqual(self._find_port([first - 1], 2), first - 1)
         with socket.create_server(("127.0.0.1", first)) as server:
             self.assertEqual(server.getsockname()[1], first)
 
