--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -94,8 +94,11 @@
         self._fronts = fronts
         self._stopping = threading.Event()
         self._threads = [
+            # A run that fails ends without waiting for its callers.
             threading.Thread(
-                target=self._run, args=(random.Random(f"{seed}/{number}"),)
+                target=self._run,
+                args=(random.Random(f"{seed}/{number}"),),
+                daemon=True,
             )
             for number in range(count)
         ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -105,7 +105,7 @@
         self._queue: queue.SimpleQueue[tuple[str, str | None] | None] = (
             queue.SimpleQueue()
         )
-        self._thread = threading.Thread(target=self._run)
+        self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
     def configure(self) -> None:
