--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import concurrent.futures
-import json
 import random
 import time
 import zlib
@@ -18,6 +17,7 @@
 from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import peer_link
+from sycamorehollow.shells.gateway import peer_news
 from sycamorehollow.shells.gateway import store_tasks
 
 # Time between calls to another node; shorter while the store is away, since
@@ -30,10 +30,6 @@
 # Nodes of lower rank act that much later, so that mostly one of them does.
 RANK_DELAY_S = 0.4
 WRITE_RETRY_S = 1.0
-# Smaller messages fit into one packet.
-COMPRESS_FROM_BYTES = 1200
-# The fastest level; a large configuration shrinks to a tenth with it.
-COMPRESS_LEVEL = 1
 # Ages are cut off here, as infinity cannot be sent.
 LONG_AGO_S = 1e6
 
@@ -127,7 +123,7 @@
 
         def reply() -> None:
             self._merge(address, payload, answered=False)
-            since = _read(payload).get("since")
+            since = peer_news.unpack(payload).get("since")
             known = since if isinstance(since, int) else 0
             answer.set_result(self._collect(known))
 
@@ -331,7 +327,7 @@
                 "revision": delta.revision,
                 "whole": delta.whole,
             }
-        return _pack(json.dumps(document, separators=(",", ":")).encode())
+        return peer_news.pack(document)
 
     def _measure_age(self, now: float) -> float:
         """Returns the age of what is known, in seconds."""
@@ -349,7 +345,7 @@
             answered: Whether it was asked for all changes since a revision.
         """
         now = time.monotonic()
-        document = _read(payload)
+        document = peer_news.unpack(payload)
         try:
             for entry in document.get("rollouts", ()):
                 tallies = {
@@ -381,22 +377,5 @@
         self._apply(news, f"peer {address}")
 
 
-def _pack(data: bytes) -> bytes:
-    """Compresses what is large, as slow links have to carry it many times."""
-    if len(data) < COMPRESS_FROM_BYTES:
-        return data
-    return zlib.compress(data, COMPRESS_LEVEL)
-
-
-def _read(payload: bytes) -> dict:
-    try:
-        if payload[:1] != b"{":
-            payload = zlib.decompress(payload)
-        document = json.loads(payload)
-    except (ValueError, zlib.error):
-        return {}
-    return document if isinstance(document, dict) else {}
-
-
 def _convert(items: tuple[stores.Found, ...]) -> list[mirror.Entry]:
     return [mirror.Entry(i.key, i.value, i.revision) for i in items]
