Count breaks of one content over all nodes

Cause: a node told others of a content only once it had seen two breaks itself. In a large fleet each repeat arrives at another node, so three upstreams could break at three nodes with no node knowing of more than one, and each of 195 nodes could spend attempts of its own on it.

Change: every break is handed on, as a rumour, for 6 s after a node has learned of it, and so is what clears a content. Messages carry 100 contents at most, and none once everyone has heard.

Ruled out: handing on all breaks for as long as they count (60 s). A crash of six upstreams leaves some hundred, which each exchange would have repeated.

--- a/sycamorehollow/decisions/forwarding/poison.py
+++ b/sycamorehollow/decisions/forwarding/poison.py
@@ -4,6 +4,10 @@
 several upstreams is refused. Content that has run to its end, here or at
 another node, is not to blame: connections also break when upstreams crash or
 are cut off for other reasons, and much of a service's load may be of one kind.
+
+In a large fleet each repeat arrives at another node, which sees one break only.
+So every break is handed on, as a rumour: for a while after a node has learned
+of it. That reaches all nodes, and costs nothing once everyone has heard it.
 """
 
 import collections
@@ -13,9 +17,14 @@
 # Upstreams that a request may break before it is refused; the platform's page
 # allows it to reach more of them only a few times after the third.
 MAX_BREAKS = 2
-# Time after which a request gets another chance.
+# Time after which a request gets another chance, in seconds.
 KEEP_S = 60.0
 MAX_FINGERPRINTS = 2000
+# Time in seconds for which a node hands on what it has learned. Nodes exchange
+# news once a second or more often, so a rumour doubles in each second at least.
+SPREAD_S = 6.0
+# Fingerprints in one message, the latest ones; about 8 KB.
+MAX_EXPORTED = 100
 
 
 @dataclasses.dataclass
@@ -24,9 +33,17 @@
 
     Attributes:
         breaks: When each upstream run broke.
+        learned_at: When this node last learned of another break.
     """
 
     breaks: dict[str, float] = dataclasses.field(default_factory=dict)
+    learned_at: float = float("-inf")
+
+    def add(self, run: str, at: float, now: float) -> None:
+        """Takes a break that happened at `at`, unless it is known."""
+        if run not in self.breaks:
+            self.breaks[run] = at
+            self.learned_at = now
 
 
 class Poison:
@@ -38,17 +55,14 @@
         self._sound: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        # When another node last blamed a fingerprint that is sound here.
+        # When a fingerprint that is sound was last found to be blamed.
         self._disputed: dict[str, float] = {}
 
     def note_break(self, fingerprint: str, run: str, now: float) -> None:
         """A request broke the connection to a run of an upstream."""
         if self._is_sound(fingerprint, now):
             return
-        record = self._records.setdefault(fingerprint, Record())
-        record.breaks[run] = now
-        if len(self._records) > MAX_FINGERPRINTS:
-            self._records.pop(next(iter(self._records)))
+        self._add(fingerprint, run, now, now)
 
     def note_success(self, fingerprint: str, now: float) -> None:
         """A request has run to its end."""
@@ -68,29 +82,38 @@
         return len(recent) > MAX_BREAKS
 
     def export(self, now: float) -> dict[str, dict[str, float]]:
-        """Returns the fingerprints with two breaks or more, with their ages."""
+        """Returns the breaks that are news, by fingerprint, with their ages."""
+        news = [
+            (record.learned_at, fingerprint)
+            for fingerprint, record in self._records.items()
+            if record.learned_at > now - SPREAD_S
+        ]
         return {
             fingerprint: {
-                run: round(now - at, 1) for run, at in record.breaks.items()
+                run: round(now - at, 1)
+                for run, at in self._records[fingerprint].breaks.items()
             }
-            for fingerprint, record in self._records.items()
-            if len(record.breaks) >= 2
+            for _, fingerprint in sorted(news)[-MAX_EXPORTED:]
         }
 
     def export_sound(self, now: float) -> dict[str, float]:
         """Returns what others blame although it is sound, with its age."""
         for fingerprint, at in list(self._disputed.items()):
-            if at <= now - KEEP_S:
+            if at <= now - SPREAD_S:
                 del self._disputed[fingerprint]
+        latest = list(self._disputed)[-MAX_EXPORTED:]
         return {
             fingerprint: round(now - self._sound[fingerprint], 1)
-            for fingerprint in self._disputed
+            for fingerprint in latest
             if self._is_sound(fingerprint, now)
         }
 
     def merge_sound(self, ages: Mapping[str, float], now: float) -> None:
         """Takes what has run to its end at another node."""
         for fingerprint, age_s in ages.items():
+            if fingerprint in self._records:
+                # It was blamed here, and so it may be by those who heard of it.
+                self._dispute(fingerprint, now)
             self.note_success(fingerprint, now - age_s)
 
     def merge(
@@ -99,11 +122,21 @@
         """Takes the breaks that another node knows."""
         for fingerprint, breaks in records.items():
             if self._is_sound(fingerprint, now):
-                self._disputed[fingerprint] = now
+                self._dispute(fingerprint, now)
                 continue
             for run, age_s in breaks.items():
-                record = self._records.setdefault(fingerprint, Record())
-                record.breaks.setdefault(run, now - age_s)
+                if age_s < KEEP_S:
+                    self._add(fingerprint, run, now - age_s, now)
+
+    def _add(self, fingerprint: str, run: str, at: float, now: float) -> None:
+        record = self._records.setdefault(fingerprint, Record())
+        record.add(run, at, now)
+        if len(self._records) > MAX_FINGERPRINTS:
+            self._records.pop(next(iter(self._records)))
+
+    def _dispute(self, fingerprint: str, now: float) -> None:
+        self._disputed.pop(fingerprint, None)
+        self._disputed[fingerprint] = now
 
     def _is_sound(self, fingerprint: str, now: float) -> bool:
         return self._sound.get(fingerprint, float("-inf")) > now - KEEP_S
--- a/tests/test_forwarding_poison.py
+++ b/tests/test_forwarding_poison.py
@@ -1,5 +1,6 @@
 """Tests of content that crashes upstreams."""
 
+import random
 import unittest
 
 from sycamorehollow.decisions.forwarding import poison
@@ -55,3 +56,78 @@
             known.note_break(f"f{number}", run, 1.0)
         self.assertTrue(known.is_refused("f0", 1.0))
         self.assertFalse(known.is_refused(f"f{number}", 1.0))
+
+
+class Fleet:
+    """Nodes of five data centres with two watchers each.
+
+    As in the gateway, each node exchanges with any other once a second, and
+    one that is no watcher with a watcher of its data centre every 0.3 s.
+    """
+
+    def __init__(self, nodes, seed):
+        self.nodes = [poison.Poison() for _ in range(nodes)]
+        self.source = random.Random(seed)
+        self.exported = 0
+
+    def play(self, start, seconds):
+        """Plays some seconds of exchanges and returns the end."""
+        for tenth in range(10 * seconds):
+            now = start + tenth / 10
+            for number, node in enumerate(self.nodes):
+                if (tenth + number) % 10 == 0:
+                    self._exchange(node, self.source.choice(self.nodes), now)
+                if (tenth + number) % 3 == 0 and number >= 10:
+                    watcher = number % 5 + 5 * self.source.randrange(2)
+                    if watcher < len(self.nodes):
+                        self._exchange(node, self.nodes[watcher], now)
+        return start + seconds
+
+    def _exchange(self, node, other, now):
+        self._hand_on(node, other, now)
+        self._hand_on(other, node, now)
+
+    def _hand_on(self, sender, receiver, now):
+        breaks, sound = sender.export(now), sender.export_sound(now)
+        self.exported += len(breaks) + len(sound)
+        receiver.merge_sound(sound, now)
+        receiver.merge(breaks, now)
+
+
+class FleetTest(unittest.TestCase):
+    """Guards against a crash at a new node for each of many nodes."""
+
+    def test_breaks_at_different_nodes_are_counted_together(self):
+        for nodes in (9, 195, 400):
+            with self.subTest(nodes=nodes):
+                fleet = Fleet(nodes, seed=nodes)
+                at = 0.0
+                for number, run in enumerate(("a/1", "b/1", "c/1")):
+                    fleet.nodes[number].note_break("f", run, at)
+                    at = fleet.play(at, 1)
+                # The platform's page gives five seconds from the third crash.
+                at = fleet.play(at, 4)
+                self.assertTrue(
+                    all(node.is_refused("f", at) for node in fleet.nodes)
+                )
+                fleet.play(at, 10)
+                fleet.exported = 0
+                fleet.play(at + 10, 5)
+                self.assertEqual(fleet.exported, 0)
+
+    def test_content_that_one_node_has_run_is_cleared_everywhere(self):
+        fleet = Fleet(195, seed=3)
+        fleet.nodes[50].note_success("f", 0.0)
+        for number, run in enumerate(("a/1", "b/1", "c/1")):
+            fleet.nodes[number].note_break("f", run, 0.0)
+        at = fleet.play(0.0, 15)
+        blamed = sum(node.is_refused("f", at) for node in fleet.nodes)
+        self.assertEqual(blamed, 0)
+
+    def test_news_of_many_breaks_is_bounded(self):
+        known = poison.Poison()
+        for number in range(3 * poison.MAX_EXPORTED):
+            known.note_break(f"f{number}", "a/1", number / 1000)
+        news = known.export(1.0)
+        self.assertEqual(len(news), poison.MAX_EXPORTED)
+        self.assertIn(f"f{3 * poison.MAX_EXPORTED - 1}", news)
