Give cold upstreams owners instead of a share of at least one

Cause: each node might send a cold upstream one request a second at least, so that 195 nodes might send 195 where 27 are tolerated.

Change: the nodes rank themselves by the same hash for each upstream; only as many as the rate allows use it while it is cold. A fleet smaller than the rate shares it as before, now with the rest of the division.

Ruled out: leases of shares (a call to the store for each cold upstream), and shares that follow the load seen (a fleet that is cut off would count wrong).

Before: 1000, 195 and 60 nodes send 1000, 195 and 60 requests in a second to one upstream of a rate of 15; the tolerated number is 27. The old test allowed one request for each node; the new one allows the tolerated number only.

Cost: while all five upstreams of a plain service are cold, about half of 195 nodes own none of them and refuse.

--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -55,7 +55,7 @@
             min(directory.RETURN_S, settings.drain_s)
         )
         self.limits = cold_limits.ColdLimits(
-            settings.cold_factor, settings.cold_floor
+            settings.node, settings.cold_factor, settings.cold_floor
         )
         self.cache = prompts.PromptCache(settings.reuse_s)
         self.placement = placement.Placement(
@@ -90,7 +90,7 @@
                 return self._evacuate(event)
             case updates.NodeSet():
                 self.nodes[event.name] = event.node
-                self.limits.set_nodes(len(self.nodes))
+                self.limits.set_nodes(self.nodes)
                 self.budget.set_nodes(len(self.nodes))
                 self.rollouts.set_nodes(len(self.nodes))
                 return [Change(f"node={event.name}", event.node.peer_address)]
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -17,6 +17,9 @@
 from sycamorehollow.model import forwarding
 from tests import forwarding_world
 
+# Tolerated excess over the rate of a cold upstream, and the addition to it.
+FACTOR = 1.5
+FLOOR = 5.0
 CHANGES = strategies.lists(
     strategies.tuples(
         strategies.sampled_from("abcd"),
@@ -205,24 +208,61 @@
         strategies.lists(strategies.floats(0, 3), max_size=200),
     )
     def test_all_nodes_together_stay_within_the_rate(self, nodes, rate, times):
-        factor, floor = 1.5, 5.0
-        bound = rate * factor + floor
+        limits = self._build_fleet(nodes)
+        sent = self._press(limits, rate, sorted(times))
+        self._check_rate(sent, rate * FACTOR + FLOOR)
+
+    def test_large_fleets_stay_within_the_rate(self):
+        for nodes in (9, 60, 195, 1000):
+            with self.subTest(nodes=nodes):
+                limits = self._build_fleet(nodes)
+                sent = self._press(limits, 15.0, [0.1 * n for n in range(40)])
+                self._check_rate(sent, 15.0 * FACTOR + FLOOR)
+                # Half of what is tolerated is used under full load.
+                self.assertGreater(len(sent), 4.0 * 15.0 * FACTOR / 2)
+
+    def test_added_nodes_that_others_do_not_know_fit_in(self):
+        limits = self._build_fleet(195)
+        names = [f"n{number}" for number in range(195)]
+        for number in range(39):
+            added = cold_limits.ColdLimits(f"added{number}", FACTOR, FLOOR)
+            added.set_nodes(names)
+            limits.append(added)
+        sent = self._press(limits, 15.0, [0.1 * n for n in range(40)])
+        self._check_rate(sent, 15.0 * FACTOR + FLOOR)
+
+    def test_nodes_share_the_upstreams_of_a_data_centre(self):
+        limits = self._build_fleet(195)
+        owners = [
+            sum(limit.may_send(f"u{n}", 15.0, 0.0) for n in range(39))
+            for limit in limits
+        ]
+        # Few nodes have no upstream that they may use while all are cold.
+        self.assertLess(owners.count(0), 0.05 * len(owners))
+
+    def _build_fleet(self, nodes):
+        names = [f"n{number}" for number in range(nodes)]
         limits = []
-        for _ in range(nodes):
-            limit = cold_limits.ColdLimits(factor, floor)
-            limit.set_nodes(nodes)
+        for name in names:
+            limit = cold_limits.ColdLimits(name, FACTOR, FLOOR)
+            limit.set_nodes(names)
             limits.append(limit)
+        return limits
+
+    def _press(self, limits, rate, times):
+        """Lets all nodes send as much as they may; returns when they did."""
         sent = []
-        for at in sorted(times):
+        for at in times:
             for limit in limits:
                 if limit.may_send("a", rate, at):
                     limit.note_sent("a", at)
                     sent.append(at)
-        # A node whose share is below one still sends one at a time.
-        allowed = max(bound, nodes)
-        for start in sent:
+        return sent
+
+    def _check_rate(self, sent, bound):
+        for start in sorted(set(sent)):
             seen = sum(start <= at < start + 1.0 for at in sent)
-            self.assertLessEqual(seen, allowed)
+            self.assertLessEqual(seen, bound)
 
 
 class RetryBudgetTest(unittest.TestCase):
