Bound answers and requests without end, and count whole events as progress

Change: bytes in a row that bring no part of an answer or body are limited (256 KiB from upstreams, the limit of a head from callers), and an event to 256 KiB; a reader that is late takes what has arrived for 50 ms in all; only events with data are progress; an answer that is no stream is not begun twice; trailers are dropped; a connection is not used twice in a row for one request; news is limited to 16 MiB unpacked. An upstream whose answer is no answer counts as failing, and its content is no longer blamed for a crash.

Ruled out: a limit on bodies; large answers are sound, and the deadline ends those that are not.

After: a node grows by less than 16 MB in each test, and each caller has its final answer within half a second of its deadline.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -38,6 +38,8 @@
         attempts: What was tried.
         delivering: Whether the caller has received a part of the answer.
         last_event: Last event that the caller has.
+        resumable: Whether another attempt could go on with the answer of which
+            the caller has a part; only streams can.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.attempts: list[steps.Attempt] = []
         self.delivering = False
         self.last_event = call.last_event
+        self.resumable = True
         self._router = router
         self._fingerprint = fingerprint
         self._body_bytes = body_bytes
@@ -96,6 +99,9 @@
         """Returns what to do next."""
         if self.deadline - now < MIN_LEFT_S:
             return steps.Refuse(self._build_failure("its time is over", now))
+        if not self.resumable:
+            reason = "an answer that is no stream broke off midway"
+            return steps.Refuse(self._build_failure(reason, now))
         if self._router.poison.is_refused(self._fingerprint, now):
             return steps.Refuse(
                 steps.UpstreamBroke("requests like it have crashed upstreams")
@@ -137,10 +143,13 @@
         place = _name_place(work)
         return self._router.turns.take(self._ticket, place, free, now)
 
+    def _may_run_elsewhere(self, now: float) -> bool:
+        return self.resumable and self._limits.may_run_elsewhere(now)
+
     def compute_patience(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
         left_s = max(0.0, self.deadline - now)
-        if not self._limits.may_run_elsewhere(now):
+        if not self._may_run_elsewhere(now):
             return left_s
         attempt = self.attempts[-1]
         if self.delivering and self.route.pause_s > 0:
@@ -151,7 +160,7 @@
 
     def wants_probe(self, now: float) -> bool:
         """Tells whether to check that the silent upstream can be reached."""
-        if not self._limits.may_run_elsewhere(now):
+        if not self._may_run_elsewhere(now):
             return False
         attempt = self.attempts[-1]
         if not patience.is_silent(attempt, now):
@@ -220,7 +229,7 @@
         if head.status >= 500:
             self._sound = False
             attempt.outcome = f"failed with {head.status}"
-            if head.status == 503 or self._limits.may_run_elsewhere(now):
+            if head.status == 503 or self._may_run_elsewhere(now):
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head, now):
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -58,6 +58,8 @@
         self._record = record
         self._dialect = spelling
         self._pool = pool
+        # Until when bytes that have arrived are read although time is over.
+        self._grace_end: float | None = None
 
     async def run(self) -> failures.Failure | None:
         """Tries until the answer is delivered or nothing more may be tried.
@@ -83,7 +85,9 @@
         connection = None
         try:
             connection = await self._pool.take(
-                upstream, self._course.route.repeatable
+                upstream,
+                self._course.call.request_id,
+                self._course.route.repeatable,
             )
             connection.send(self._course.call.request_id, self._format(step))
             head = await self._wait_for(connection, connection.read_head)
@@ -149,18 +153,20 @@
         Raises:
             GaveUpError: Another upstream, or none, is to be tried.
         """
-        overdue = False
         while True:
-            patience_s = self._course.compute_patience(time.monotonic())
-            if patience_s <= 0:
+            now = time.monotonic()
+            patience_s = self._course.compute_patience(now)
+            if patience_s > 0:
+                self._grace_end = None
+            else:
                 # After a pause of the process its timers expire before it
                 # has read what arrived meanwhile.
                 await asyncio.sleep(0)
                 await asyncio.sleep(0)
-                if connection.has_news and not overdue:
-                    overdue = True
-                    patience_s = NEWS_S
-                else:
+                if self._grace_end is None:
+                    self._grace_end = now + NEWS_S
+                patience_s = self._grace_end - now
+                if patience_s <= 0 or not connection.has_news:
                     raise GaveUpError("no byte in time")
             try:
                 async with asyncio.timeout(patience_s):
@@ -200,6 +206,7 @@
                 await self._connection.write_body(bytes(body))
                 return
             body += data
+        self._course.resumable = False
         await self._begin(head, head.length)
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
@@ -211,13 +218,27 @@
         connection: upstream_connections.UpstreamConnection,
         head: upstream_connections.Head,
     ) -> None:
-        """Passes on whole events as they come."""
+        """Passes on whole events as they come.
+
+        Only these count as progress: an upstream that is stuck may still send
+        parts of an event, or comments.
+
+        Raises:
+            upstream_connections.BrokenError: An event has no end.
+        """
         course = self._course
         splitter = events.EventSplitter(course.last_event)
-        while data := await self._read_body(connection):
-            whole = splitter.feed(data)
+        while data := await self._wait_for(connection, connection.read_body):
+            try:
+                whole = splitter.feed(data)
+            except events.OversizeError as error:
+                raise upstream_connections.BrokenError(
+                    str(error), crashed=False
+                ) from error
             if not whole:
                 continue
+            if events.has_content(whole):
+                course.note_bytes(time.monotonic())
             if not course.delivering:
                 await self._begin(head, None)
             course.last_event = splitter.last_event
@@ -246,7 +267,7 @@
     async def _read_body(
         self, connection: upstream_connections.UpstreamConnection
     ) -> bytes:
-        """Waits for more of the body as long as that makes sense.
+        """Waits for more of a body that is passed on as it is.
 
         Raises:
             GaveUpError: The answer stalls or its time is over.
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -71,6 +71,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request: Request | None = None
         self._head_bytes = 0
+        # Bytes in a row that bring no part of a body.
+        self._overhead = 0
         self._waiting: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -176,6 +178,7 @@
         """Parses a piece of a request."""
         if self._request is None or not self._request.method:
             self._head_bytes += len(data)
+        self._overhead += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -186,6 +189,11 @@
         if request is not None and not request.method:
             if self._head_bytes > self._get_limits().header_bytes:
                 self._fail(431)
+        elif request is not None:
+            # The framing of a chunked body and its trailers have no end of
+            # their own.
+            if self._overhead > self._get_limits().header_bytes:
+                self._fail(400)
 
     def on_message_begin(self) -> None:
         """Starts the next request."""
@@ -199,8 +207,8 @@
             self._request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps one header."""
-        if self._request is not None:
+        """Keeps one header; trailers are dropped."""
+        if self._request is not None and not self._request.method:
             self._request.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -209,6 +217,7 @@
         if request is None:
             return
         request.method = self._parser.get_method().decode("ascii")
+        self._overhead = 0
         request.keep_alive = self._parser.should_keep_alive()
         fields = [(n.lower(), v.lower()) for n, v in request.headers]
         lengths = [value for name, value in fields if name == b"content-length"]
@@ -234,6 +243,7 @@
         request = self._request
         if request is None:
             return
+        self._overhead = 0
         request.body += data
         if len(request.body) > self._get_limits().body_bytes:
             self._fail(413)
--- a/sycamorehollow/shells/gateway/peer_news.py
+++ b/sycamorehollow/shells/gateway/peer_news.py
@@ -4,10 +4,15 @@
 from typing import Any
 import zlib
 
+import loguru
+
 # Smaller messages fit into one packet.
 COMPRESS_FROM_BYTES = 1200
 # The fastest level; a large configuration shrinks to a tenth with it.
 COMPRESS_LEVEL = 1
+# Bytes of one message when it is unpacked; far above the largest
+# configuration, and a part of the memory of a VM.
+MAX_BYTES = 16 * 1024 * 1024
 
 
 def pack(document: dict[str, Any]) -> bytes:
@@ -22,8 +27,13 @@
     """Decodes news; what is none gives nothing."""
     try:
         if payload[:1] != b"{":
-            payload = zlib.decompress(payload)
+            unpacker = zlib.decompressobj()
+            payload = unpacker.decompress(payload, MAX_BYTES)
+            if not unpacker.eof:
+                loguru.logger.warning("news over {} bytes, dropped", MAX_BYTES)
+                return {}
         document = json.loads(payload)
-    except (ValueError, zlib.error):
+    except (ValueError, RecursionError, zlib.error) as error:
+        loguru.logger.warning("unreadable news: {!r}", error)
         return {}
     return document if isinstance(document, dict) else {}
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -19,6 +19,9 @@
 PROBES = 2
 # Bytes that are read ahead of a slow caller.
 READ_AHEAD_BYTES = 128 * 1024
+# Bytes in a row that bring no part of an answer: heads, interim answers, late
+# copies, framing and trailers. Well above any head that a server accepts.
+MAX_OVERHEAD_BYTES = 256 * 1024
 # Idle time after which a connection is not used again when the upstream does
 # not state its own.
 IDLE_S = 4.0
@@ -85,6 +88,7 @@
         self._wake = asyncio.Event()
         self._request_id = ""
         self._active = False
+        self._parts = 0
         self._reset_answer()
         self._closed = False
         self._fault = ""
@@ -98,6 +102,7 @@
         self._unframed = False
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
+        self._overhead = 0
         self._ended = False
 
     @property
@@ -110,6 +115,13 @@
         """Whether a reader need not wait."""
         return bool(self._chunks) or self._ended or not self.is_open
 
+    def has_carried(self, request_id: str) -> bool:
+        """Tells whether its last request had this identity.
+
+        A late second answer to that one would pass for the next one's.
+        """
+        return bool(request_id) and self._request_id == request_id
+
     def watch_dropped(self, callback: Callable[[], None] | None) -> None:
         """Calls back when the connection ends while it is idle."""
         self._on_dropped = callback
@@ -167,7 +179,7 @@
 
     def _check(self) -> None:
         if self._fault:
-            raise BrokenError(self._fault)
+            raise BrokenError(self._fault, crashed=False)
         if self._closed:
             raise BrokenError("the upstream closed the connection")
 
@@ -186,6 +198,7 @@
             # Bytes that belong to no request.
             self._drop("the upstream sent more than its answer")
             return
+        parts = self._parts
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -193,6 +206,11 @@
                 self._drop(f"the answer is no HTTP: {error}")
             else:
                 self._reusable = False
+        self._overhead = (
+            0 if self._parts > parts else self._overhead + len(data)
+        )
+        if self._overhead > MAX_OVERHEAD_BYTES and not self._ended:
+            self._drop("the upstream sends bytes that are no answer")
         self._wake.set()
 
     def eof_received(self) -> bool:
@@ -226,8 +244,8 @@
             self._status_text += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps one header."""
-        if not self._ended:
+        """Keeps one header; trailers are dropped."""
+        if self._head is None and not self._ended:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -252,6 +270,7 @@
             self._reusable = False
         if decoded.idle_s is not None:
             self.idle_s = max(0.0, decoded.idle_s - IDLE_MARGIN_S)
+        self._parts += 1
         self._head = Head(
             status,
             self._status_text,
@@ -264,6 +283,7 @@
         """Keeps a piece of the body."""
         if self._skipping or self._ended or self._head is None:
             return
+        self._parts += 1
         self._chunks.append(data)
         self._buffered += len(data)
         if self._buffered > READ_AHEAD_BYTES and self._transport is not None:
@@ -277,6 +297,7 @@
             self._status_text = b""
             return
         if self._head is not None:
+            self._parts += 1
             self._ended = True
 
 
@@ -295,10 +316,15 @@
         self.opened = 0
 
     async def take(
-        self, upstream: forwarding.Upstream, repeatable: bool
+        self, upstream: forwarding.Upstream, request_id: str, repeatable: bool
     ) -> UpstreamConnection:
         """Returns a connection to an upstream.
 
+        Args:
+            upstream: The upstream.
+            request_id: Identity of the request.
+            repeatable: Whether the request may run twice.
+
         Raises:
             BrokenError: The upstream cannot be reached.
         """
@@ -311,7 +337,8 @@
             limit_s = connection.idle_s
             if not repeatable:
                 limit_s = min(limit_s, FRESH_IDLE_S)
-            if connection.is_open and age_s < limit_s:
+            fit = connection.is_open and not connection.has_carried(request_id)
+            if fit and age_s < limit_s:
                 return connection
             connection.close()
         return await self._open(upstream)
--- /dev/null
+++ b/tests/floods.py
@@ -0,0 +1,51 @@
+"""Answers that never end, as servers in trouble send them."""
+
+import time
+
+_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_BLOCK_BYTES = 64 * 1024
+_FILL = b"x" * _BLOCK_BYTES
+# The start of an answer and what follows it until the reader closes.
+KINDS = {
+    "endless-status": (b"HTTP/1.1 200 ", _FILL),
+    "endless-header": (_HEAD + b"X-Long: ", _FILL),
+    "endless-headers": (_HEAD, b"X-Next: 1\r\n" * 5000),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "endless-chunk-size": (_CHUNKED, b"0" * _BLOCK_BYTES),
+    "endless-extension": (_CHUNKED + b"5;", _FILL),
+    "endless-trailer": (_CHUNKED + b"2\r\nok\r\n0\r\n", b"X-T: 1\r\n" * 5000),
+    "endless-body": (_HEAD + b"\r\n", _FILL),
+    "endless-event": (_CHUNKED, b"%x\r\n%s\r\n" % (_BLOCK_BYTES, _FILL)),
+    # A byte now and then; none of these ends an event.
+    "trickle-bytes": (_CHUNKED + b"7\r\nid: 1\nd\r\n", b"1\r\nx\r\n"),
+    "trickle-comments": (_CHUNKED, b"3\r\n:\n\n\r\n"),
+    "trickle-head": (b"HTTP/1.1 200 OK\r\nX-Slow: ", b"x"),
+}
+TRICKLE_S = 0.1
+# Far more than a reader takes before it closes.
+MOST_BYTES = 8 * 1024**3
+
+
+def send_without_end(handler, kind, request_id):
+    """Writes an answer until the reader closes; returns the bytes."""
+    start, block = KINDS[kind]
+    if b"%s" in start:
+        start = start.replace(b"%s", request_id.encode())
+    return write_without_end(handler, kind, start, block)
+
+
+def write_without_end(handler, kind, start, block):
+    """Writes blocks until the reader closes; returns the bytes."""
+    handler.close_connection = True
+    sent = len(start)
+    try:
+        handler.wfile.write(start)
+        while sent < MOST_BYTES:
+            if kind.startswith("trickle"):
+                time.sleep(TRICKLE_S)
+            handler.wfile.write(block)
+            sent += len(block)
+    except OSError:
+        return sent
+    return sent
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -95,6 +95,11 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self):
+        """Identity of the process."""
+        return self._child.pid
+
     @property
     def is_running(self):
         """Whether the process has not ended."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -9,6 +9,8 @@
 import time
 import urllib.parse
 
+from tests import floods
+
 HOST = "127.0.0.1"
 
 
@@ -238,12 +240,14 @@
 
     Attributes:
         mode: What happens to requests: `serve`, `refuse`, `fail`, `reset`,
-            `hang`, `unsealed`, `extra`, `cut` (within the third event).
+            `hang`, `unsealed`, `extra`, `cut` (within the third event), `half`
+            (half of a large body), or a kind of flood.
         confidences: Confidence of answers by model.
         events: Events of a stream.
         pause_s: Seconds between events.
         seen: Headers of the requests that it began to run.
         left: Requests whose caller has left amid a stream.
+        flooded: Bytes of the last answer without end, once it was left.
     """
 
     def __init__(self, identity, port=0):
@@ -254,6 +258,7 @@
         self.pause_s = 0.0
         self.seen = []
         self.left = 0
+        self.flooded = 0
         super().__init__(port)
 
     def register(self, store, service, **changes):
@@ -281,6 +286,12 @@
         if self.mode == "refuse":
             send(handler, 503, {"Not-Executed": "1"}, b"")
             return
+        if self.mode in floods.KINDS:
+            self.note_run(handler, headers, body)
+            self.flooded = floods.send_without_end(
+                handler, self.mode, headers["Request-Id"]
+            )
+            return
         self.note_run(handler, headers, body)
         answer = {
             "Request-Id": headers["Request-Id"],
@@ -292,6 +303,15 @@
             time.sleep(30)
         elif self.mode == "fail":
             send(handler, 500, answer, b"failed")
+        elif self.mode == "half":
+            handler.send_response(200)
+            for name, value in answer.items():
+                handler.send_header(name, value)
+            handler.send_header("Content-Length", "400000")
+            handler.end_headers()
+            handler.wfile.write(b"x" * 200000)
+            time.sleep(0.2)
+            reset(handler)
         elif self.mode == "unsealed":
             send(handler, 200, {"Request-Id": headers["Request-Id"]}, b"no")
         elif headers.get("Accept") == "text/event-stream":
--- /dev/null
+++ b/tests/test_gateway_floods.py
@@ -0,0 +1,211 @@
+"""Tests of the gateway before servers whose answers never end."""
+
+import pathlib
+import re
+import time
+import unittest
+
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import peer_news
+from sycamorehollow.shells.gateway import upstream_connections
+from tests import floods
+from tests import gateway_world
+from tests import platform_standins
+from tests import processes
+
+# Memory in kB by which a node may grow while it reads and closes a flood.
+GROWTH_KB = 16 * 1024
+# Floods that are no answer to a request for a whole body.
+PLAIN = [
+    kind
+    for kind in floods.KINDS
+    if kind.startswith("endless")
+    and kind not in ("endless-body", "endless-event")
+]
+
+
+class GatewayFloodTest(unittest.TestCase):
+    """Guards against memory and time spent on bytes that are no answer."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.world = gateway_world.World()
+        cls.addClassCleanup(cls.world.close)
+        cls.node = cls.world.nodes[0]
+
+    def setUp(self):
+        self.world.reset()
+        processes.wait_for(lambda: self.node.request("/status/x").status == 200)
+        self.world.reset()
+        self.memory_kb = self._read_memory()
+
+    def tearDown(self):
+        self.world.reset()
+        self.assertLess(self._read_memory() - self.memory_kb, GROWTH_KB)
+
+    def _read_memory(self):
+        """Returns the most memory that the node has used, in kB."""
+        status = pathlib.Path(f"/proc/{self.node.pid}/status").read_text()
+        return int(re.findall(r"VmHWM:\s*(\d+)", status)[0])
+
+    def test_safe_request_is_served_elsewhere(self):
+        for kind in PLAIN:
+            with self.subTest(kind):
+                self.world.reset()
+                self.world.desks[0].mode = kind
+                for _ in range(4):
+                    began = time.monotonic()
+                    self.assertEqual(self.node.request("/status/1").status, 200)
+                    self.assertLess(time.monotonic() - began, 1.0)
+
+    def test_caller_of_an_unsafe_request_hears_in_time(self):
+        for kind in [*PLAIN, "trickle-head"]:
+            with self.subTest(kind):
+                self.world.reset()
+                for desk in self.world.desks:
+                    desk.mode = kind
+                began = time.monotonic()
+                answer = self.node.request(
+                    "/lodge/1", b"x", request_deadline="1500"
+                )
+                self.assertIn(answer.status, (502, 504))
+                self.assertLess(time.monotonic() - began, 2.0)
+                self.assertEqual(self.world.count_runs(), 1)
+
+    def test_body_without_end_ends_at_the_deadline(self):
+        for desk in self.world.desks:
+            desk.mode = "endless-body"
+        with self.node.open_socket() as caller:
+            caller.settimeout(5)
+            began = time.monotonic()
+            caller.sendall(
+                b"GET /status/1 HTTP/1.1\r\nHost: models.example\r\n"
+                b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n"
+                b"Request-Deadline: 800\r\n\r\n"
+            )
+            last = b""
+            try:
+                while data := caller.recv(1 << 20):
+                    last = data
+            except ConnectionResetError:
+                pass
+        self.assertLess(time.monotonic() - began, 1.8)
+        self.assertFalse(last.endswith(b"0\r\n\r\n"))
+
+    def test_event_without_end_goes_on_elsewhere(self):
+        self.world.engines[0].mode = "endless-event"
+        for _ in range(4):
+            answer = self.node.stream()
+            self.assertIn(b"id: 4\n", answer.data)
+
+    def test_stream_that_only_trickles_goes_on_elsewhere(self):
+        for kind in ("trickle-bytes", "trickle-comments"):
+            for stuck in self.world.engines:
+                with self.subTest(kind=kind, stuck=stuck.identity):
+                    self.world.reset()
+                    stuck.mode = kind
+                    began = time.monotonic()
+                    for _ in range(2):
+                        answer = self.node.stream()
+                        self.assertIn(b"id: 4\n", answer.data)
+                    self.assertLess(time.monotonic() - began, 3.5)
+
+    def test_slow_but_sound_stream_is_not_cut(self):
+        for engine in self.world.engines:
+            engine.events, engine.pause_s = 8, 0.35
+        answer = self.node.stream()
+        self.assertIn(b"id: 8\n", answer.data)
+        self.assertEqual(self.world.count_runs(), 1)
+
+    def test_plain_answer_that_breaks_off_is_not_started_again(self):
+        for desk in self.world.desks:
+            desk.mode = "half"
+        with self.node.open_socket() as caller:
+            caller.settimeout(5)
+            caller.sendall(
+                b"GET /status/1 HTTP/1.1\r\nHost: models.example\r\n"
+                b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n\r\n"
+            )
+            answer = b""
+            try:
+                while data := caller.recv(1 << 20):
+                    answer += data
+            except ConnectionResetError:
+                pass
+        self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.world.count_runs(), 1)
+
+    def test_callers_that_never_end_are_refused(self):
+        head = (
+            b"POST /lodge/1 HTTP/1.1\r\nHost: models.example\r\n"
+            b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n"
+        )
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        for start, block in (
+            (head + b"X: ", b"x" * 65536),
+            (head, b"X: 1\r\n" * 9000),
+            (chunked + b"5;", b"x" * 65536),
+            (chunked + b"2\r\nok\r\n0\r\n", b"X: 1\r\n" * 9000),
+            (b"GET /" + b"x" * 100, b"x" * 65536),
+        ):
+            with self.subTest(start[-20:]), self.node.open_socket() as caller:
+                caller.settimeout(3)
+                caller.sendall(start)
+                with self.assertRaises(OSError):
+                    for _ in range(1000):
+                        caller.sendall(block)
+
+    def test_trailers_are_no_headers(self):
+        with self.node.open_socket() as caller:
+            caller.settimeout(3)
+            caller.sendall(
+                b"POST /lodge/1 HTTP/1.1\r\nHost: models.example\r\n"
+                b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n"
+                b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n"
+            )
+            answer = b""
+            while data := caller.recv(4096):
+                answer += data
+        self.assertTrue(answer.endswith(b"echo ok"), answer)
+        seen = [run for desk in self.world.desks for run in desk.seen]
+        self.assertNotIn("X-Late", seen[0][2])
+
+
+class ConnectionPoolTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a late answer that passes for another one."""
+
+    async def test_repeat_of_a_request_gets_another_connection(self):
+        desk = platform_standins.Upstream("desk")
+        self.addCleanup(desk.stop)
+        host, _, port = desk.address.rpartition(":")
+        upstream = forwarding.Upstream(
+            "desk", "desk", host, int(port), "dc-1", "v1", 8, False
+        )
+        pool = upstream_connections.ConnectionPool(
+            lambda status, headers: forwarding.AnswerHead(status, "q")
+        )
+        first = await pool.take(upstream, "q", True)
+        first.send("q", b"GET / HTTP/1.1\r\nRequest-Id: q\r\n\r\n")
+        await first.read_head()
+        while await first.read_body():
+            pass
+        pool.give_back(upstream, first, 4)
+        other = await pool.take(upstream, "r", True)
+        self.assertIs(other, first)
+        pool.give_back(upstream, other, 4)
+        again = await pool.take(upstream, "q", True)
+        self.assertIsNot(again, first)
+        again.close()
+
+
+class PeerNewsTest(unittest.TestCase):
+    """Guards against messages that no node has sent."""
+
+    def test_news_that_unfolds_without_end_is_dropped(self):
+        document = {"poison": "x" * (2 * peer_news.MAX_BYTES)}
+        self.assertEqual(peer_news.unpack(peer_news.pack(document)), {})
+
+    def test_malformed_news_is_dropped(self):
+        for payload in (b"", b"{", b"[1]", b"x\x9c", b"[" * 100_000, b"\xff"):
+            self.assertEqual(peer_news.unpack(payload), {})
