Exchange findings between watchers only, and go on after unexpected errors

A follower learns and tells the same by its questions to a watcher.

Change: watchers exchange with watchers of all data centres every 0.5 s; another node asks any node only while it hears nothing recent. At 1000 nodes in five data centres 10 nodes at most ask across them.

Cause of the second: an unexpected error in the periodic work ended it for good while the node went on with stale beliefs; one in the handling of an entry dropped all entries after it, which the copy then held as known; one in the watch ended its thread; fields of another type in news of a peer left the peer without an answer.

Change: each is logged with its reason, and the next piece of work goes on.

Ruled out: ending the process so that it starts again, which would cut all requests for a single bad entry.

--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -5,10 +5,16 @@
 nodes of each data centre watch, those with the fastest links; the others ask
 these. A node that hears nothing recent watches by itself, so nothing has to be
 agreed on.
+
+What nodes find out by themselves takes the same ways: each question brings the
+findings of a follower to a watcher and those of all others back, and watchers
+exchange theirs. So the messages between data centres depend on the number of
+watchers and not on that of nodes.
 """
 
 from collections.abc import Mapping
 import dataclasses
+import heapq
 import random
 import zlib
 
@@ -64,21 +70,11 @@
 
     def list_chosen(self, nodes: Mapping[str, Node], now: float) -> list[str]:
         """Returns the nodes of the data centre that watch."""
-        near = [
-            name
-            for name, node in nodes.items()
-            if node.data_centre == self._data_centre
-            and (name == self._name or now >= self._unreachable.get(name, 0))
-        ]
-        near.sort(
-            key=lambda name: (-nodes[name].link_mbps, zlib.crc32(name.encode()))
-        )
-        return near[:WATCHERS_PER_DATA_CENTRE]
+        return self._list_by_data_centre(nodes, now).get(self._data_centre, [])
 
     def needs_watch(self, nodes: Mapping[str, Node], now: float) -> bool:
         """Tells whether this node follows the store itself."""
-        chosen = self.list_chosen(nodes, now)
-        if len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen:
+        if self._is_watcher(nodes, now):
             return True
         return self.measure_age(now) > STALE_S
 
@@ -90,3 +86,52 @@
         if len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen:
             return None
         return self._source.choice(chosen)
+
+    def choose_partner(
+        self, nodes: Mapping[str, Node], age_s: float, now: float
+    ) -> str | None:
+        """Returns the node to exchange findings with, if there is a need.
+
+        Args:
+            nodes: The registered nodes.
+            age_s: Age in seconds of what this node knows.
+            now: Monotonic time in seconds.
+        """
+        if age_s > STALE_S:
+            # Neither the store nor a watcher tells anything; others may know.
+            others = [name for name in nodes if name != self._name]
+        elif self._is_watcher(nodes, now):
+            by_data_centre = self._list_by_data_centre(nodes, now)
+            others = [
+                name
+                for chosen in by_data_centre.values()
+                for name in chosen
+                if name != self._name
+            ]
+        else:
+            return None
+        return self._source.choice(others) if others else None
+
+    def _is_watcher(self, nodes: Mapping[str, Node], now: float) -> bool:
+        chosen = self.list_chosen(nodes, now)
+        return len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen
+
+    def _list_by_data_centre(
+        self, nodes: Mapping[str, Node], now: float
+    ) -> dict[str, list[str]]:
+        """Returns the watchers of each data centre, the first choice first."""
+        names: dict[str, list[str]] = {}
+        for name, node in nodes.items():
+            if name == self._name or now >= self._unreachable.get(name, 0):
+                names.setdefault(node.data_centre, []).append(name)
+        return {
+            data_centre: heapq.nsmallest(
+                WATCHERS_PER_DATA_CENTRE,
+                near,
+                key=lambda name: (
+                    -nodes[name].link_mbps,
+                    zlib.crc32(name.encode()),
+                ),
+            )
+            for data_centre, near in names.items()
+        }
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -212,9 +212,11 @@
         next_check = time.monotonic() + SETTINGS_CHECK_S
         while True:
             await asyncio.sleep(knowledge.TICK_S)
-            assert self._knowledge is not None
-            self._knowledge.tick()
-            self._pool.close_expired()
+            try:
+                self._tick()
+            except Exception as error:
+                # Without this work the node would go on with stale beliefs.
+                self._journal.note_fault("periodic work", error)
             if time.monotonic() < next_check:
                 continue
             next_check = time.monotonic() + SETTINGS_CHECK_S
@@ -223,6 +225,11 @@
                 changed_at = latest
                 self._reload()
 
+    def _tick(self) -> None:
+        assert self._knowledge is not None
+        self._knowledge.tick()
+        self._pool.close_expired()
+
     def _read_change_time(self) -> float:
         with contextlib.suppress(FileNotFoundError):
             return self._adapter.settings_path.stat().st_mtime
--- a/sycamorehollow/shells/gateway/journal.py
+++ b/sycamorehollow/shells/gateway/journal.py
@@ -126,6 +126,10 @@
             registry=self.registry,
         )
 
+    def note_fault(self, subject: str, error: Exception) -> None:
+        """An unexpected error ended one piece of work; the process goes on."""
+        loguru.logger.opt(exception=error).error("fault in {}", subject)
+
     def note_request(
         self, record: Record, course: courses.Course | None
     ) -> None:
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -20,9 +20,11 @@
 from sycamorehollow.shells.gateway import peer_news
 from sycamorehollow.shells.gateway import store_tasks
 
-# Time between calls to another node; shorter while the store is away, since
-# other nodes are then the only source of news.
-SYNC_S = 1.0
+# Time between exchanges of a watcher with another one. A finding takes some of
+# them to reach all, which is a part of the seconds in which a faulty version
+# has to be stopped everywhere.
+SYNC_S = 0.5
+# The same while the store is away and other nodes are the only source of news.
 LOST_SYNC_S = 0.4
 # Time between questions of a node that follows another instead of the store.
 FOLLOW_S = 0.3
@@ -122,10 +124,14 @@
         answer: concurrent.futures.Future[bytes] = concurrent.futures.Future()
 
         def reply() -> None:
-            self._merge(address, payload, answered=False)
-            since = peer_news.unpack(payload).get("since")
-            known = since if isinstance(since, int) else 0
-            answer.set_result(self._collect(known))
+            try:
+                self._merge(address, payload, answered=False)
+                since = peer_news.unpack(payload).get("since")
+                known = since if isinstance(since, int) else 0
+                answer.set_result(self._collect(known))
+            except Exception as error:
+                self._journal.note_fault(f"question of {address}", error)
+                answer.set_exception(error)
 
         self._loop.call_soon_threadsafe(reply)
         return answer
@@ -144,7 +150,11 @@
         if now >= self._next_sync:
             pause_s = LOST_SYNC_S if self._store_lost else SYNC_S
             self._next_sync = now + pause_s * self._source.uniform(0.8, 1.2)
-            self._sync(self._choose_peer())
+            self._sync(
+                self._watchers.choose_partner(
+                    self._router.nodes, self._measure_age(now), now
+                )
+            )
         self._follow(now)
         return self._router.sweep(now)
 
@@ -198,15 +208,21 @@
                 self._watchers.note_unreachable(name, time.monotonic())
 
     def _apply(self, news: list[mirror.Entry], source: str) -> None:
-        now = time.monotonic()
         for entry in news:
-            for update in self._feed.decode(entry):
-                for change in self._router.handle(update, now):
-                    self._journal.note_change(
-                        change.subject,
-                        change.outcome,
-                        f"{source} at {entry.revision}",
-                    )
+            try:
+                self._apply_entry(entry, f"{source} at {entry.revision}")
+            except Exception as error:
+                # The copy has the entry already, so it does not come again;
+                # the entries after it must not be lost with it.
+                self._journal.note_fault(f"entry={entry.key}", error)
+
+    def _apply_entry(self, entry: mirror.Entry, source: str) -> None:
+        now = time.monotonic()
+        for update in self._feed.decode(entry):
+            for change in self._router.handle(update, now):
+                self._journal.note_change(
+                    change.subject, change.outcome, source
+                )
 
     def _note_store_back(self) -> None:
         if self._store_lost or not self._listed:
@@ -278,11 +294,6 @@
         )
         return names.index(self.settings.node)
 
-    def _choose_peer(self) -> str | None:
-        """Returns any other node."""
-        others = [n for n in self._router.nodes if n != self.settings.node]
-        return self._source.choice(others) if others else None
-
     def _sync(self, name: str | None) -> int | None:
         """Asks another node for news; returns the number of the question."""
         if name is None or self._peers is None:
@@ -346,6 +357,11 @@
         """
         now = time.monotonic()
         document = peer_news.unpack(payload)
+        if not document:
+            self._journal.note_change(
+                f"peer={address}", "unreadable news", "sync"
+            )
+            return
         try:
             for entry in document.get("rollouts", ()):
                 tallies = {
@@ -369,7 +385,7 @@
             news = self._mirror.merge(
                 mirror.Delta(entries, delta["revision"], delta["whole"])
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             self._journal.note_change(
                 f"peer={address}", f"unreadable news: {error!r}", "sync"
             )
--- a/sycamorehollow/shells/gateway/store_tasks.py
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -6,6 +6,8 @@
 import random
 import time
 
+import loguru
+
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.shells import stores
@@ -87,6 +89,16 @@
         """The thread ends with its process; a pending watch is not cut."""
 
     def _run(self) -> None:
+        while not self._stopping:
+            try:
+                self._follow()
+            except Exception as error:
+                # The store may send anything; the node needs its news later.
+                loguru.logger.opt(exception=error).error("fault in the watch")
+                self._pause(stores.InDoubt(f"unexpected {error!r}"))
+
+    def _follow(self) -> None:
+        """Lists all values and follows their changes."""
         listed = False
         allow_stale = True
         while not self._stopping:
@@ -161,6 +173,14 @@
             write = self._queue.get()
             if write is None:
                 continue
-            item = write.item
-            result = self._store.write(item.key, item.value, write.expect)
-            self._deliver(WriteEnded(item.key, result))
+            self._deliver(WriteEnded(write.item.key, self._write(write)))
+
+    def _write(
+        self, write: Write
+    ) -> stores.Written | stores.Conflict | stores.CallFailure:
+        item = write.item
+        try:
+            return self._store.write(item.key, item.value, write.expect)
+        except Exception as error:
+            loguru.logger.opt(exception=error).error("fault in a write")
+            return stores.InDoubt(f"unexpected {error!r}")
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -405,3 +405,43 @@
         self.assertEqual(names, ["b"])
         built.handle(updates.EvacuationSet("dc-1", False), 2.0)
         self.assertEqual(len(built.directory.list_usable("llm", 2.0)), 2)
+
+
+class PartnersTest(unittest.TestCase):
+    """Guards against exchanges that grow with the square of the fleet."""
+
+    def _count_crossings(self, fleet_size, age_s):
+        """Returns how many nodes ask one of another data centre."""
+        nodes = {
+            f"n{number}": watchers.Node(f"a:{number}", f"dc-{number % 5}")
+            for number in range(fleet_size)
+        }
+        source = random.Random(3)
+        crossings = 0
+        for name, node in nodes.items():
+            each = watchers.Watchers(name, node.data_centre, source)
+            partner = each.choose_partner(nodes, age_s, 0.0)
+            self.assertNotEqual(partner, name)
+            if partner is not None:
+                crossings += nodes[partner].data_centre != node.data_centre
+        return crossings
+
+    def test_exchanges_do_not_grow_with_the_fleet(self):
+        self.assertLessEqual(self._count_crossings(1000, 0.0), 10)
+        self.assertGreaterEqual(self._count_crossings(60, 0.0), 5)
+
+    def test_nodes_that_hear_nothing_ask_any_other(self):
+        self.assertGreater(self._count_crossings(200, 5.0), 100)
+
+    def test_watchers_reach_those_of_all_data_centres(self):
+        nodes = {
+            f"n{number}": watchers.Node(f"a:{number}", f"dc-{number % 5}")
+            for number in range(200)
+        }
+        first = watchers.Watchers("n0", "dc-0", random.Random(1))
+        name = first.list_chosen(nodes, 0.0)[0]
+        each = watchers.Watchers(name, "dc-0", random.Random(1))
+        partners = {each.choose_partner(nodes, 0.0, 0.0) for _ in range(200)}
+        self.assertEqual(len(partners), 9)
+        places = {nodes[partner].data_centre for partner in partners}
+        self.assertEqual(len(places), 5)
