Limit answers of the store, services and engines in time and bytes

Cause: the timeouts of the HTTP library start again with each byte, and it reads chunk sizes and interim answers of any number. A store in trouble kept the thread that follows it for good, and the node took its copy for current; a plain service kept one of sixteen threads. On the chat path an engine that sent comments or parts of events was never given up, events, heads and held answers had no limit, and a 100 Continue counted as the whole answer. An unexpected error in the relay ended its thread and with it all streams of the process.

Change: one class of connections limits a whole answer to its read timeout and to a number of bytes, used by the clients of the store, of services and of short calls; pages of a range have to go on. The relay counts whole events as progress, limits heads, events and held answers, and lets go of the one stream that meets an unexpected error.

Ruled out: a thread that closes late sockets (a second owner of each socket).

Before: tests.test_bounded_http and tests.test_relay_floods did not end within 40 and 60 s. After: each kind of endless or trickling answer ends within its timeout, with less than three times the limit in memory.

--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -74,6 +74,8 @@
                 items.append(item)
             if not more:
                 return stores.Listing(tuple(items), revision)
+            if items[-1].key <= str(query.get("after", "")):
+                return stores.InDoubt("the pages of a range do not go on")
             query["after"] = items[-1].key
 
     def watch(
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -39,12 +39,15 @@
 
     def unwatch(self, stream: streams.Stream) -> None:
         """Gives the socket back to the HTTP worker."""
-        caller = stream.caller
+        self.forget(stream)
+        self._set_mask(stream, 0)
+        stream.caller.sock.settimeout(CALLER_TIMEOUT_S)
+
+    def forget(self, stream: streams.Stream) -> None:
+        """Drops the account of a stream."""
         self._buffers.handle(
             buffers.StreamClosed(stream.request_id), time.monotonic()
         )
-        self._set_mask(stream, 0)
-        caller.sock.settimeout(CALLER_TIMEOUT_S)
 
     def is_gone(self, stream: streams.Stream) -> bool:
         """Tells whether the caller closed its connection."""
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -15,6 +15,7 @@
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
+from sycamorehollow.shells import bounded_http
 from sycamorehollow.shells import stores
 
 CONNECT_TIMEOUT_S = 1.0
@@ -23,6 +24,8 @@
 LOOKUP_TIMEOUT_S = 3.0
 # Outcomes are kept in memory and in store values of at most 1 MB.
 MAX_RESPONSE_BYTES = 256 * 1024
+# The head and the framing of a response.
+MAX_HEAD_BYTES = 64 * 1024
 READ_BLOCK_BYTES = 16 * 1024
 SERVICE_WORKERS = 16
 STORE_WORKERS = 4
@@ -165,7 +168,9 @@
             read=read_timeout_s,
         )
         end = self._clock() + self._connect_timeout_s + read_timeout_s
-        pool = urllib3.connection_from_url(url, timeout=timeout)
+        pool = bounded_http.open_pool(
+            url, MAX_RESPONSE_BYTES + MAX_HEAD_BYTES, timeout=timeout
+        )
         try:
             response = pool.urlopen(
                 method,
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -105,6 +105,7 @@
         Raises:
             OSError: The connection failed.
             httptools.HttpParserError: The engine sent no valid response.
+            framing.OversizeError: A part of the response has no end.
         """
         engine = stream.engine
         assert engine is not None and engine.sock is not None
@@ -114,13 +115,19 @@
             return Batch(b"", closed=False)
         if not data:
             return Batch(b"", closed=True)
-        engine.last_progress = now
+        status = engine.response.status
         body = engine.response.feed(data)
         closed = engine.response.complete
+        if engine.response.status != status:
+            engine.last_progress = now
         if engine.response.status != HTTP_OK:
             engine.append_error_body(body)
             return Batch(b"", closed)
-        return Batch(engine.events.feed(body) if body else b"", closed)
+        block = engine.events.feed(body) if body else b""
+        if b"data:" in block:
+            # An engine that is stuck may still send comments, or parts.
+            engine.last_progress = now
+        return Batch(block, closed)
 
     def keep(self, stream: streams.Stream, block: bytes) -> bytes:
         """Counts events and returns those that may go to the caller now.
@@ -138,7 +145,7 @@
         if not stream.hold:
             return block
         if block:
-            stream.held.append(block)
+            stream.hold_block(block)
         return b""
 
     def _keep_end(self, stream: streams.Stream, block: bytes) -> bytes:
--- a/sycamorehollow/shells/errands.py
+++ b/sycamorehollow/shells/errands.py
@@ -10,9 +10,12 @@
 import urllib3
 
 from sycamorehollow.model import failures
+from sycamorehollow.shells import bounded_http
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
+# The longest responses are the list of VMs and the load of an upstream.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 THREADS = 8
 
 
@@ -33,7 +36,8 @@
     """Runs short calls on a few threads of its own."""
 
     def __init__(self):
-        self._http = urllib3.PoolManager(
+        self._http = bounded_http.open_manager(
+            MAX_RESPONSE_BYTES,
             maxsize=THREADS,
             retries=False,
             timeout=urllib3.Timeout(
--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -8,6 +8,15 @@
 import sseclient
 
 END_MARKER = "[DONE]"
+# Bytes of one event; an engine's events hold some tokens.
+MAX_EVENT_BYTES = 256 * 1024
+# Bytes of the head of a response, and of framing and trailers between parts of
+# its body; well above any head that a server accepts.
+MAX_OVERHEAD_BYTES = 256 * 1024
+
+
+class OversizeError(Exception):
+    """A response has a part without end."""
 
 
 class EventReader:
@@ -17,8 +26,14 @@
         self._tail = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the events that are whole now, as they were received."""
+        """Returns the events that are whole now, as they were received.
+
+        Raises:
+            OversizeError: An event is too long.
+        """
         tail = self._tail + data
+        if len(tail) > MAX_EVENT_BYTES + len(data):
+            raise OversizeError("an event without end")
         end = tail.rfind(b"\n\n") + 2
         if end < 2:
             end = tail.rfind(b"\r\n\r\n") + 4
@@ -73,6 +88,7 @@
         self.complete = False
         self.keep_alive = False
         self._body: list[bytes] = []
+        self._overhead = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> bytes:
@@ -80,21 +96,34 @@
 
         Raises:
             httptools.HttpParserError: The bytes are no HTTP response.
+            OversizeError: They bring no part of one.
         """
+        status = self.status
         self._parser.feed_data(data)
         if not self._body:
+            same = self.status == status and not self.complete
+            self._overhead = self._overhead + len(data) if same else 0
+            if self._overhead > MAX_OVERHEAD_BYTES:
+                raise OversizeError("bytes that are no answer")
             return b""
+        self._overhead = 0
         body = b"".join(self._body)
         self._body.clear()
         return body
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps a header field."""
+        """Keeps a header field; trailers are dropped."""
+        if self.status:
+            return
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Keeps the status."""
-        self.status = self._parser.get_status_code()
+        """Keeps the status; an interim response only precedes another one."""
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            self.headers.clear()
+            return
+        self.status = status
         self.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
@@ -103,7 +132,7 @@
 
     def on_message_complete(self) -> None:
         """Marks the end of the response."""
-        self.complete = True
+        self.complete = self.status != 0
 
 
 def build_request(
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -14,6 +14,7 @@
 from sycamorehollow.model import lifecycle
 from sycamorehollow.shells import callers
 from sycamorehollow.shells import engines
+from sycamorehollow.shells import framing
 from sycamorehollow.shells import streams
 from sycamorehollow.shells import tasks
 
@@ -69,16 +70,52 @@
                 if key.data is None:
                     self._drain_wake()
                     continue
-                self._serve(key.data, mask)
+                self._serve_guarded(key.data, mask)
             while self._inbox:
-                message = self._inbox.popleft()
-                self._handlers[type(message)](message)
+                self._handle_guarded(self._inbox.popleft())
             now = time.monotonic()
             if now < next_check:
                 continue
             next_check = now + POLL_S
             self._check_progress(now)
 
+    def _handle_guarded(self, message: Any) -> None:
+        """Carries out a message; an unexpected error ends its stream only."""
+        try:
+            self._handlers[type(message)](message)
+        except Exception as error:
+            request_id = getattr(message, "request_id", "")
+            self._abandon(request_id, error)
+
+    def _serve_guarded(
+        self, registration: engines.Registration, mask: int
+    ) -> None:
+        """Serves a socket; an unexpected error ends its stream only."""
+        try:
+            self._serve(registration, mask)
+        except Exception as error:
+            self._abandon(registration.stream.request_id, error)
+
+    def _abandon(self, request_id: str, error: Exception) -> None:
+        """Lets go of a stream in whatever state it is."""
+        loguru.logger.opt(exception=error).error(
+            "relay: request={} abandoned", request_id
+        )
+        stream = self._streams.pop(request_id, None)
+        if stream is None:
+            return
+        for side in (stream.engine, stream.caller):
+            if side is None or side.sock is None:
+                continue
+            if side.sock in self._selector.get_map():
+                self._selector.unregister(side.sock)
+            side.mask = 0
+        self._callers.forget(stream)
+        if stream.engine is not None and stream.engine.sock is not None:
+            stream.engine.sock.close()
+        self._report(lifecycle.CallerGone(request_id, stream.tokens))
+        stream.caller.reply.put(streams.StreamClosed(whole=False))
+
     def _serve(self, registration: engines.Registration, mask: int) -> None:
         stream = registration.stream
         if self._streams.get(stream.request_id) is not stream:
@@ -106,7 +143,18 @@
             return
         try:
             batch = self._engines.receive(stream, now)
-        except (OSError, httptools.HttpParserError):
+        except (
+            OSError,
+            httptools.HttpParserError,
+            framing.OversizeError,
+        ) as error:
+            loguru.logger.warning(
+                "relay: request={} attempt={} upstream={} broke off: {!r}",
+                stream.request_id,
+                stream.attempt,
+                stream.upstream,
+                error,
+            )
             self._fail_attempt(stream, self._engines.describe_loss(stream))
             return
         self._take_events(stream, batch)
@@ -123,6 +171,9 @@
             forward = self._engines.keep(stream, batch.block)
         if forward:
             self._deliver(stream, forward)
+        if stream.is_oversized:
+            self._fail_attempt(stream, self._engines.describe_loss(stream))
+            return
         if stream.completed:
             self._complete_attempt(stream)
             return
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from sycamorehollow.model import failures
+from sycamorehollow.shells import bounded_http
 from sycamorehollow.shells import stores
 
 CONNECT_TIMEOUT_S = 1.0
@@ -18,8 +19,9 @@
 WATCH_MARGIN_S = 3.0
 # Idle connections that are kept; a watch holds one for its whole length.
 MAX_IDLE_CONNECTIONS = 8
-# A range holds many values of up to 1 MB each.
-MAX_RESPONSE_BYTES = 256 * 1024 * 1024
+# A page of a range holds about 1 MB, a watch some values of up to 1 MB each; a
+# VM has 128 MB or more for everything.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 CHUNK_BYTES = 256 * 1024
 RETRY_AFTER_S = 1.0
 # Without probes, a pending watch on a path that was cut would look idle; with
@@ -59,8 +61,9 @@
         self._call_timeout_s = call_timeout_s
         self._connect_timeout_s = connect_timeout_s
         self._path = urllib.parse.urlsplit(url).path.rstrip("/")
-        self._pool = urllib3.connection_from_url(
+        self._pool = bounded_http.open_pool(
             url,
+            MAX_RESPONSE_BYTES,
             maxsize=MAX_IDLE_CONNECTIONS,
             retries=False,
             socket_options=SOCKET_OPTIONS,
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -11,6 +11,8 @@
 from sycamorehollow.shells import framing
 
 ERROR_BODY_LIMIT_BYTES = 64 * 1024
+# Bytes of an answer that is held back until it is whole.
+HELD_LIMIT_BYTES = 8 * 1024 * 1024
 # A rating needs a part of a long answer only.
 COPY_LIMIT_BYTES = 64 * 1024
 
@@ -124,6 +126,7 @@
         self.received = 0
         self.tokens = 0
         self.held: list[bytes] = []
+        self.held_bytes = 0
         self.copy: list[bytes] = []
         self.copied_bytes = 0
         self.end = b""
@@ -145,11 +148,22 @@
             self.received = 0
             self.tokens = 0
             self.held.clear()
+            self.held_bytes = 0
             self.copy.clear()
             self.copied_bytes = 0
             self.end = b""
             self.usage = None
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether more is held back than any answer needs."""
+        return self.held_bytes > HELD_LIMIT_BYTES
+
+    def hold_block(self, block: bytes) -> None:
+        """Keeps a block of an answer that is held back."""
+        self.held.append(block)
+        self.held_bytes += len(block)
+
     def copy_block(self, block: bytes) -> None:
         """Keeps a block of a delivered answer for its rating."""
         if self.copied_bytes > COPY_LIMIT_BYTES:
--- /dev/null
+++ b/tests/test_bounded_http.py
@@ -0,0 +1,113 @@
+"""Tests of calls to servers whose answers never end."""
+
+import json
+import time
+import tracemalloc
+import unittest
+
+from sycamorehollow.decisions.calls import effect_messages as messages
+from sycamorehollow.model import requests
+from sycamorehollow.platform import storeclient
+from sycamorehollow.shells import calls
+from sycamorehollow.shells import errands
+from sycamorehollow.shells import storeclient as storeclients
+from sycamorehollow.shells import stores
+from tests import floods
+from tests import platform_standins
+
+LIMIT_S = 0.6
+
+
+class Flood(platform_standins.Server):
+    """A server in trouble."""
+
+    kind = ""
+
+    def handle(self, handler, body):
+        """Sends an answer without end."""
+        floods.send_without_end(handler, self.kind, "q")
+
+
+class EndlessPages(platform_standins.Server):
+    """A store whose pages always announce the same next one."""
+
+    def handle(self, handler, body):
+        """Answers with the first page."""
+        item = {"key": "a", "value": "", "revision": 1}
+        page = {"items": [item], "hasMore": True, "at": 1}
+        platform_standins.send(handler, 200, {}, json.dumps(page).encode())
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    """Guards against threads and memory that a server in trouble keeps."""
+
+    def setUp(self):
+        self.server = Flood()
+        self.addCleanup(self.server.stop)
+
+    def _measure(self, call):
+        """Returns the result, its seconds and the most bytes allocated."""
+        tracemalloc.start()
+        began = time.monotonic()
+        result = call()
+        took_s = time.monotonic() - began
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return result, took_s, peak
+
+    def test_store(self):
+        store = storeclient.PlatformStore(
+            f"http://{self.server.address}", call_timeout_s=LIMIT_S
+        )
+        self.addCleanup(store.close)
+        for kind in floods.KINDS:
+            with self.subTest(kind):
+                self.server.kind = kind
+                result, took_s, peak = self._measure(lambda: store.read("a"))
+                self.assertIsInstance(result, stores.InDoubt)
+                self.assertLess(took_s, LIMIT_S + 1.0)
+                self.assertLess(peak, 3 * storeclients.MAX_RESPONSE_BYTES)
+
+    def test_pages_that_do_not_go_on(self):
+        server = EndlessPages()
+        self.addCleanup(server.stop)
+        store = storeclient.PlatformStore(f"http://{server.address}")
+        self.addCleanup(store.close)
+        result, took_s, _ = self._measure(lambda: store.list_range(""))
+        self.assertIsInstance(result, stores.InDoubt)
+        self.assertLess(took_s, 1.0)
+
+    def test_short_calls(self):
+        errand = errands.Errands()
+        self.addCleanup(errand.stop)
+        for kind in floods.KINDS:
+            with self.subTest(kind):
+                self.server.kind = kind
+                answer, took_s, peak = self._measure(
+                    lambda: errand.request(
+                        "GET", f"http://{self.server.address}"
+                    )
+                )
+                self.assertIsInstance(answer, errands.CallFailed)
+                self.assertLess(took_s, errands.READ_TIMEOUT_S + 1.0)
+                self.assertLess(peak, 4 * errands.MAX_RESPONSE_BYTES)
+
+    def test_plain_service(self):
+        client = calls.ServiceClient(
+            lambda *_: [f"http://{self.server.address}"],
+            read_timeout_s=LIMIT_S,
+        )
+        for kind in floods.KINDS:
+            with self.subTest(kind):
+                self.server.kind = kind
+                now = time.monotonic()
+                call = requests.ServiceCall(
+                    "q", "maps", "desk", "lodge", "k", b"{}", now + 5.0
+                )
+                command = messages.Dispatch("op", call, "k", now + 5.0)
+                event, took_s, peak = self._measure(
+                    lambda command=command: client.dispatch(command)
+                )
+                self.assertIsInstance(event, messages.InDoubt)
+                self.assertLess(took_s, LIMIT_S + 1.0)
+                self.assertLess(peak, 8 * calls.MAX_RESPONSE_BYTES)
--- /dev/null
+++ b/tests/test_relay_floods.py
@@ -0,0 +1,117 @@
+"""Tests of the relay before engines whose answers never end."""
+
+import queue
+import socket
+import time
+import tracemalloc
+import unittest
+from unittest import mock
+
+from sycamorehollow.model import lifecycle
+from sycamorehollow.shells import callers
+from sycamorehollow.shells import engines
+from sycamorehollow.shells import relay
+from sycamorehollow.shells import streams
+from tests import floods
+from tests import platform_standins
+
+# Memory in bytes that one endless answer may take; a held answer takes most.
+PEAK_BYTES = 3 * streams.HELD_LIMIT_BYTES
+
+
+class Engine(platform_standins.Server):
+    """An engine in trouble."""
+
+    kind = ""
+
+    def handle(self, handler, body):
+        """Sends an answer without end, or valid events without end."""
+        if self.kind != "events":
+            floods.send_without_end(handler, self.kind, "q")
+            return
+        start = b"HTTP/1.1 200 OK\r\n\r\n"
+        block = b"data: x\n\n" * 5000
+        floods.write_without_end(handler, self.kind, start, block)
+
+
+class RelayFloodTest(unittest.TestCase):
+    """Guards against memory and time spent on bytes that are no answer."""
+
+    def setUp(self):
+        self.engine = Engine()
+        self.addCleanup(self.engine.stop)
+        self.events = queue.SimpleQueue()
+        self.relay = relay.Relay(self.events.put)
+        self.relay.start()
+        self._sockets = []
+        self.addCleanup(self._close)
+
+    def _close(self):
+        self.relay.stop()
+        for sock in self._sockets:
+            sock.close()
+
+    def _attach(self, kind, streamed):
+        """Hands a caller to the relay and returns the two ends."""
+        near, far = socket.socketpair()
+        self._sockets.extend((near, far))
+        near.setblocking(False)
+        caller = streams.CallerSide(near, queue.SimpleQueue(), streamed, b"}")
+        self.relay.post(relay.Attach(kind, caller))
+        return near, far
+
+    def _run(self, kind, streamed):
+        """Starts an attempt and returns how it failed and after how long."""
+        self.engine.kind = kind
+        self._attach(kind, streamed)
+        began = time.monotonic()
+        self.relay.post(
+            lifecycle.StartAttempt(
+                request_id=kind,
+                workspace="maps",
+                attempt=1,
+                run_id="q",
+                upstream="a",
+                url=f"http://{self.engine.address}",
+                version="small-1",
+                session="",
+                priority=1,
+                deadline=began + 60.0,
+                resume_from=None,
+                hold=not streamed,
+                keep=False,
+            )
+        )
+        while True:
+            event = self.events.get(timeout=engines.SILENCE_TIMEOUT_S + 2.0)
+            if isinstance(event, lifecycle.AttemptFailed):
+                return event, time.monotonic() - began
+
+    def test_answers_without_end_fail_in_time(self):
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for kind in [*floods.KINDS, "events"]:
+            with self.subTest(kind):
+                tracemalloc.reset_peak()
+                event, took_s = self._run(kind, streamed=False)
+                self.assertIsNot(event.end, lifecycle.AttemptEnd.REFUSED)
+                limit_s = engines.SILENCE_TIMEOUT_S + relay.POLL_S + 0.5
+                self.assertLess(took_s, limit_s)
+                _, peak = tracemalloc.get_traced_memory()
+                self.assertLess(peak, PEAK_BYTES)
+
+    def test_unexpected_error_ends_one_stream_only(self):
+        fault = mock.Mock(side_effect=RuntimeError("a fault"))
+        with mock.patch.object(callers.CallerWriter, "is_gone", fault):
+            _, far = self._attach("lost", streamed=True)
+            far.close()
+            event = self.events.get(timeout=2.0)
+        self.assertIsInstance(event, lifecycle.CallerGone)
+        event, _ = self._run("endless-status", streamed=True)
+        self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
+
+    def test_engine_that_only_trickles_is_given_up(self):
+        for kind in ("trickle-bytes", "trickle-comments"):
+            with self.subTest(kind):
+                event, _ = self._run(kind, streamed=True)
+                self.assertIs(event.end, lifecycle.AttemptEnd.SILENT)
