Answer requests that are on their way when a node stops

Cause: 2.5 s after SIGTERM each idle connection was closed, also one that had just been accepted and whose request was in the socket already, so it was reset without an answer; the process ended when no connection was open, although others were waiting to be accepted. Pipelined requests were run and answered after an answer that had announced the end of the connection, which their caller takes for requests that were not read.

Change: a connection without a request yet is kept for a second, one with unread bytes until they are read; the process ends after 0.3 s without a new one; only the answer to the last request that was read announces the end.

Ruled out: closing the listening socket first, which resets what waits on it.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -29,6 +29,8 @@
 # Time in which the load balancer notices that the node is not ready; requests
 # are still served meanwhile.
 UNREADY_S = 2.5
+# Time without a new connection after which no caller is on its way any more.
+QUIET_S = 0.3
 # Time before SIGKILL at which the process ends by itself.
 END_MARGIN_S = 0.4
 SETTINGS_CHECK_S = 1.0
@@ -82,6 +84,7 @@
         self._checks: set[caller_connections.CallerConnection] = set()
         self._knowledge: knowledge.Knowledge | None = None
         self._draining = False
+        self._accepted_at = float("-inf")
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains and ends."""
@@ -164,9 +167,13 @@
         listener: socket.socket | None = None,
     ) -> asyncio.Server:
         def build() -> caller_connections.CallerConnection:
-            return caller_connections.CallerConnection(
+            connection = caller_connections.CallerConnection(
                 handler, self._get_limits, registry
             )
+            if registry is self._connections:
+                self._accepted_at = time.monotonic()
+                connection.leaving = self._draining
+            return connection
 
         loop = asyncio.get_running_loop()
         if listener is not None:
@@ -257,13 +264,15 @@
             "draining, {} connections", len(self._connections)
         )
         while time.monotonic() < end:
-            passed = time.monotonic() - started
+            now = time.monotonic()
+            passed = now - started
+            quiet = now - self._accepted_at > QUIET_S
             self._forwarder.refusing = passed >= UNREADY_S
             for connection in list(self._connections):
                 connection.leaving = True
                 if self._forwarder.refusing:
                     connection.close_when_idle()
-            if passed >= UNREADY_S and not self._connections:
+            if self._forwarder.refusing and quiet and not self._connections:
                 break
             await asyncio.sleep(0.05)
 
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import select
+import time
 
 import httptools
 import loguru
@@ -15,6 +17,9 @@
 
 # Requests that a caller may send ahead of their answers.
 MAX_AHEAD = 8
+# Time in seconds for which the first request of a connection may be on its way;
+# the bound in which a caller expects a connection to be made.
+FIRST_REQUEST_S = 1.0
 # Bytes of an answer that wait for a slow caller before its upstream does.
 WRITE_AHEAD_BYTES = 256 * 1024
 
@@ -70,6 +75,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._request: Request | None = None
+        self._opened_at = time.monotonic()
+        self._carried = False
         self._head_bytes = 0
         # Bytes in a row that bring no part of a body.
         self._overhead = 0
@@ -87,11 +94,29 @@
         return self._task is not None or self._request is not None
 
     def close_when_idle(self) -> None:
-        """Closes after the answers to all requests that were read."""
+        """Closes after the answers to all requests that have arrived.
+
+        To be called again until the connection is gone: a request may be on
+        its way, and closing before it is read would reset the connection.
+        """
         self.closing = True
-        if not self.busy and self._transport is not None:
+        if self.busy or self._transport is None:
+            return
+        age_s = time.monotonic() - self._opened_at
+        awaits_first = not self._carried and age_s < FIRST_REQUEST_S
+        if not awaits_first and not self._has_unread():
             self._transport.close()
 
+    def _has_unread(self) -> bool:
+        """Tells whether bytes have arrived that were not read yet."""
+        assert self._transport is not None
+        raw = self._transport.get_extra_info("socket")
+        if raw is None or raw.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         """Ends the connection at once, also amid an answer."""
         if self._transport is not None:
@@ -113,7 +138,8 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         else:
             lines.append(b"Content-Length: %d\r\n" % length)
-        if not keep_alive or self.closing or self.leaving:
+        last = (self.closing or self.leaving) and not self._waiting
+        if not keep_alive or last:
             self.closing = True
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
@@ -198,6 +224,7 @@
     def on_message_begin(self) -> None:
         """Starts the next request."""
         self._request = Request()
+        self._carried = True
         self._head_bytes = 0
         self._set_timer(self._get_limits().header_timeout_s)
 
@@ -287,6 +314,8 @@
                 await self._handler(self, request)
                 if not request.keep_alive:
                     self.closing = True
+                    # Its caller expects no answer to what it sent after it.
+                    self._waiting.clear()
                 if self.closing and not self._waiting:
                     break
         except CallerGoneError:
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -165,13 +165,12 @@
         record.status = failure.status
         self._journal.note_request(record, course)
         headers = self._dialect.encode_failure(request_id, failure)
-        keep_alive = request.keep_alive and not self.refusing
         await write_whole(
             connection,
             failure.status,
             headers,
             failure.reason.encode("utf-8"),
-            keep_alive,
+            request.keep_alive,
         )
 
     async def _refuse_unread(
