Take no figure or address that cannot be used

Cause: figures with other digits than ASCII ones, or with thousands of them, raised errors in the decoding of a request's head, whose connection was then closed without an answer; an entry of another writer with a port beyond 65535 raised one in each request that was placed there.

Change: numbers in headers have at most 15 ASCII digits; an upstream's address is an IP address with a port that exists, or its entry is unreadable.

Ruled out: catching all errors where requests are handled, as they are logged there already; the caller would get a 502 for what can be served.

Before: the generated tests fail for 'Prompt-Prefix: a:2' with a superscript digit and for the port 99999. A test shows that work at an upstream whose entry has gone is not begun anew; it passed before.

--- a/sycamorehollow/platform/dialect.py
+++ b/sycamorehollow/platform/dialect.py
@@ -23,6 +23,8 @@
         b"pin-duration",
     )
 )
+# Digits of a number in a header.
+MAX_DIGITS = 15
 # Value by which a caller leaves the choice of the model open.
 _ANY_MODEL = b"*"
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -142,6 +144,13 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
+def _read_count(text: str) -> int | None:
+    """Reads a whole number; other digits than ASCII ones are no number."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
+
+
 def _read_key(value: bytes) -> str:
     scheme, _, key = value.decode("latin-1").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
@@ -151,14 +160,17 @@
     parts = []
     for entry in value.decode("latin-1").split(","):
         identity, separator, tokens = entry.strip().partition(":")
-        if separator and tokens.isdigit():
-            parts.append(forwarding.PromptPart(identity, int(tokens)))
+        count = _read_count(tokens)
+        if separator and count is not None:
+            parts.append(forwarding.PromptPart(identity, count))
     return tuple(parts)
 
 
 def _read_load(value: bytes | None) -> forwarding.Load | None:
-    figures = (value or b"").split(b",")
-    if len(figures) != 3 or not all(f.strip().isdigit() for f in figures):
+    figures = (value or b"").decode("latin-1").split(",")
+    if len(figures) != 3:
+        return None
+    running, waiting, slots = (_read_count(f.strip()) for f in figures)
+    if running is None or waiting is None or slots is None:
         return None
-    running, waiting, slots = (int(figure) for figure in figures)
     return forwarding.Load(running, waiting, slots)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -1,5 +1,6 @@
 """Values in the platform's store, decoded into the product's types."""
 
+import ipaddress
 import json
 from typing import Annotated
 from typing import Any
@@ -165,14 +166,15 @@
     entry = _decode(_Entry, text)
     if isinstance(entry, failures.InvalidRequest):
         return entry
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in _STATES or not host or not port.isdigit():
+    address = _read_address(entry.address)
+    if entry.state not in _STATES or address is None:
         return failures.InvalidRequest("the entry names no state or address")
+    host, port = address
     return forwarding.Upstream(
         identity=key.removeprefix(UPSTREAM_PREFIX),
         service=entry.service,
         host=host,
-        port=int(port),
+        port=port,
         data_centre=entry.zone,
         version=entry.version,
         slots=entry.slots,
@@ -224,6 +226,17 @@
         return failures.InvalidRequest(f"{place}: {first['msg']}")
 
 
+def _read_address(text: str) -> tuple[str, int] | None:
+    """Reads an IP address with a port to which connections can be made."""
+    host, _, digits = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        port = int(digits) if digits.isascii() and digits.isdigit() else 0
+    except ValueError:
+        return None
+    return (host, port) if 0 < port < 65536 else None
+
+
 def _read_route(route: _Route) -> forwarding.Route:
     targets = tuple(
         forwarding.Target(share.service, share.weight)
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -1,5 +1,6 @@
 """Tests of the gateway while processes and the store fail."""
 
+from concurrent import futures
 import signal
 import socket
 import time
@@ -132,6 +133,18 @@
         self.assertIn(b"id: 20\n", answer)
         self.assertEqual(self.node.wait(), 0)
 
+    def test_work_goes_on_at_an_upstream_whose_entry_has_gone(self):
+        for engine in self.world.engines:
+            engine.events, engine.pause_s = 12, 0.1
+        with futures.ThreadPoolExecutor() as pool:
+            stream = pool.submit(self.node.stream)
+            processes.wait_for(lambda: self.world.count_runs() == 1)
+            for engine in self.world.engines:
+                self.world.store.remove(f"servers/{engine.identity}")
+            answer = stream.result()
+        self.assertIn(b"id: 12\n", answer.data)
+        self.assertEqual(self.world.count_runs(), 1)
+
     def test_changed_settings_are_taken_without_a_signal(self):
         self.node.write_settings(7.0)
         processes.wait_for(lambda: "settings reloaded" in self.node.read_log())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -151,6 +151,87 @@
             self.assertEqual(call.open_model, is_open)
 
 
+HEADERS = (
+    b"token-counts",
+    b"prompt-prefix",
+    b"request-deadline",
+    b"replica-load",
+    b"keep-alive",
+    b"cold-remaining",
+    b"hint-confidence",
+    b"authorization",
+    b"last-event-id",
+)
+# Figures that readers of numbers take wrong or fail on.
+FIGURES = strategies.sampled_from(
+    ("1", "-1", "1e400", "NaN", "9" * 5000, "\xb2", "\u0663", "", ":", ",")
+)
+LINES = strategies.one_of(
+    strategies.binary(max_size=40),
+    strategies.lists(FIGURES, max_size=4).map(
+        lambda parts: ",".join(parts).encode("utf-8")
+    ),
+    strategies.lists(FIGURES, max_size=4).map(
+        lambda parts: ":".join(parts).encode("latin-1", "ignore")
+    ),
+)
+VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(),
+        strategies.floats(),
+        strategies.text(max_size=5),
+        FIGURES,
+        strategies.sampled_from(("10.0.0.9:99999", "h:1", "10.0.0.9:\u0663")),
+    ),
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=3),
+        strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3),
+    ),
+    max_leaves=5,
+)
+
+
+class MalformedInputTest(unittest.TestCase):
+    """Guards against one malformed message that ends other work."""
+
+    @hypothesis.given(strategies.sampled_from(HEADERS), LINES)
+    @hypothesis.example(b"prompt-prefix", b"a:\xb2")
+    @hypothesis.example(b"prompt-prefix", b"a:" + b"9" * 5000)
+    @hypothesis.example(b"replica-load", b"1,1," + b"9" * 5000)
+    def test_headers(self, name, value):
+        spelling = dialect.PlatformDialect()
+        headers = [(b"host", b"h"), (name, value)]
+        call = spelling.decode_call("GET", "/a", headers)
+        self.assertIsInstance(call, forwarding.Call)
+        answer = spelling.decode_answer(200, headers)
+        self.assertEqual(answer.status, 200)
+
+    @hypothesis.given(
+        strategies.sampled_from(sorted(ENTRY)),
+        VALUES,
+        strategies.sampled_from(("servers/a", "op/config", "op/rollout/a")),
+    )
+    @hypothesis.example("address", "10.0.0.9:99999", "servers/a")
+    @hypothesis.example("address", "10.0.0.9:\u0663", "servers/a")
+    @hypothesis.example("address", "host:1", "servers/a")
+    def test_entries_of_other_writers(self, field, value, key):
+        text = json.dumps(ENTRY | {field: value})
+        news = feed.PlatformFeed().decode(mirror.Entry(key, text, 1))
+        for update in news:
+            if isinstance(update, updates.UpstreamSet):
+                self.assertIn(update.upstream.port, range(1, 65536))
+                self.assertTrue(update.upstream.host.startswith("10."))
+
+    @hypothesis.given(strategies.text(max_size=40))
+    @hypothesis.example("[" * 100_000)
+    @hypothesis.example("\udcff")
+    def test_values_that_are_no_documents(self, text):
+        for key in ("servers/a", "op/config", "op/rollout/a", "nodes/a"):
+            feed.PlatformFeed().decode(mirror.Entry(key, text, 1))
+
+
 class FeedTest(unittest.TestCase):
     """Guards against news that are lost or made up."""
 
