--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -126,7 +126,7 @@
         waited_s = now - self.arrived
         may_wait = waited_s < self.route.objective_s * WAIT_SHARE
         if choice.known and (may_wait or self.delivering):
-            self._router.turns.take(self._ticket, _name_place(work), 0, now)
+            self._router.turns.take(self._ticket, work.place, 0, now)
             return steps.Wait(FULL_PAUSE_S)
         self._router.turns.leave(self._ticket)
         reason = choice.reason
@@ -140,7 +140,7 @@
             # Its caller, or an answer that was dropped, has waited already.
             self._router.turns.leave(self._ticket)
             return True
-        place = _name_place(work)
+        place = work.place
         return self._router.turns.take(self._ticket, place, free, now)
 
     def _may_run_elsewhere(self, now: float) -> bool:
@@ -397,8 +397,3 @@
             return steps.UpstreamBroke(reason, failures.Run.UNKNOWN)
         after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
         return steps.Unavailable(reason, failures.Run.NO, after_s)
-
-
-def _name_place(work: placement.Work) -> tuple[str, str, frozenset[str]]:
-    """Returns what requests for the same upstreams have in common."""
-    return (work.service.name, work.model, frozenset(work.versions or ()))
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -64,6 +64,11 @@
     versions: Collection[str] | None = None
     excluded: Collection[str] = ()
 
+    @property
+    def place(self) -> tuple[str, str, frozenset[str]]:
+        """What it has in common with others for the same upstreams."""
+        return (self.service.name, self.model, frozenset(self.versions or ()))
+
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -11,6 +11,7 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import dialect
 from sycamorehollow.shells.gateway import events
 from sycamorehollow.shells.gateway import journal
@@ -50,7 +51,7 @@
         course: courses.Course,
         record: journal.Record,
         spelling: dialect.Dialect,
-        pool: upstream_connections.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
     ):
         self._connection = connection
         self._request = request
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -17,6 +17,7 @@
 from sycamorehollow.settings import process
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import dialect
 from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import forwarder
@@ -24,7 +25,6 @@
 from sycamorehollow.shells.gateway import knowledge
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import store_tasks
-from sycamorehollow.shells.gateway import upstream_connections
 
 # Time in which the load balancer notices that the node is not ready; requests
 # are still served meanwhile.
@@ -74,7 +74,7 @@
         source = random.Random()
         self._source = source
         self._router = routers.Router(settings, source)
-        self._pool = upstream_connections.ConnectionPool(
+        self._pool = connection_pool.ConnectionPool(
             adapter.spelling.decode_answer
         )
         self._forwarder = forwarder.Forwarder(
--- /dev/null
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -0,0 +1,143 @@
+"""Connections to upstreams, kept between requests."""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import upstream_connections
+
+# Well above the way to any data centre of a region; a lost first packet is
+# only sent again after a second.
+CONNECT_TIMEOUT_S = 0.25
+PROBE_TIMEOUT_S = 0.12
+PROBES = 2
+# A request that must not run twice is not sent on a connection that the
+# upstream may just have closed.
+FRESH_IDLE_S = 0.25
+
+
+class ConnectionPool:
+    """Opens connections and keeps idle ones by upstream.
+
+    Args:
+        decode: Decodes the head of an answer.
+    """
+
+    def __init__(
+        self, decode: Callable[[int, dialect.Headers], forwarding.AnswerHead]
+    ):
+        self._decode = decode
+        self._idle: dict[
+            tuple[str, int], list[upstream_connections.UpstreamConnection]
+        ] = {}
+        self.opened = 0
+
+    async def take(
+        self, upstream: forwarding.Upstream, request_id: str, repeatable: bool
+    ) -> upstream_connections.UpstreamConnection:
+        """Returns a connection to an upstream.
+
+        Args:
+            upstream: The upstream.
+            request_id: Identity of the request.
+            repeatable: Whether the request may run twice.
+
+        Raises:
+            upstream_connections.BrokenError: The upstream cannot be reached.
+        """
+        kept = self._idle.get((upstream.host, upstream.port), [])
+        now = time.monotonic()
+        while kept:
+            connection = kept.pop()
+            connection.watch_dropped(None)
+            age_s = now - connection.idle_since
+            limit_s = connection.idle_s
+            if not repeatable:
+                limit_s = min(limit_s, FRESH_IDLE_S)
+            fit = connection.is_open and not connection.has_carried(request_id)
+            if fit and age_s < limit_s:
+                return connection
+            connection.close()
+        return await self._open(upstream)
+
+    def give_back(
+        self,
+        upstream: forwarding.Upstream,
+        connection: upstream_connections.UpstreamConnection,
+        most: int,
+    ) -> None:
+        """Keeps a connection whose answer has ended, if it can be.
+
+        Args:
+            upstream: Its upstream.
+            connection: The connection.
+            most: Idle connections that may be kept to the upstream.
+        """
+        kept = self._idle.setdefault((upstream.host, upstream.port), [])
+        if not connection.finish() or len(kept) >= most:
+            connection.close()
+            return
+        kept.append(connection)
+        connection.watch_dropped(lambda: _discard(kept, connection))
+
+    def forget(self, upstream: forwarding.Upstream) -> None:
+        """Closes the idle connections to an upstream."""
+        for connection in self._idle.pop((upstream.host, upstream.port), []):
+            connection.close()
+
+    def close_expired(self) -> None:
+        """Closes connections that were idle for too long."""
+        now = time.monotonic()
+        for kept in self._idle.values():
+            for connection in list(kept):
+                if now - connection.idle_since >= connection.idle_s:
+                    kept.remove(connection)
+                    connection.close()
+
+    async def is_reachable(self, upstream: forwarding.Upstream) -> bool:
+        """Tells whether an upstream takes a new connection."""
+        for _ in range(PROBES):
+            try:
+                async with asyncio.timeout(PROBE_TIMEOUT_S):
+                    _, writer = await asyncio.open_connection(
+                        upstream.host, upstream.port
+                    )
+            except (OSError, TimeoutError):
+                # A single packet may be lost; the second failure counts.
+                continue
+            writer.transport.abort()
+            return True
+        return False
+
+    async def _open(
+        self, upstream: forwarding.Upstream
+    ) -> upstream_connections.UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, connection = await loop.create_connection(
+                    lambda: upstream_connections.UpstreamConnection(
+                        self._decode
+                    ),
+                    upstream.host,
+                    upstream.port,
+                )
+        except (OSError, TimeoutError) as error:
+            raise upstream_connections.BrokenError(
+                f"cannot connect: {error or 'timed out'}", False, False
+            ) from error
+        upstream_connections.set_options(
+            transport, upstream_connections.DEAD_UPSTREAM_MS
+        )
+        return connection
+
+
+def _discard(
+    kept: list[upstream_connections.UpstreamConnection],
+    connection: upstream_connections.UpstreamConnection,
+) -> None:
+    if connection in kept:
+        kept.remove(connection)
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -11,9 +11,9 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import answer_relay
 from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import dialect
 from sycamorehollow.shells.gateway import journal
-from sycamorehollow.shells.gateway import upstream_connections
 
 # Time from the start in which requests wait for the first configuration. It
 # mostly takes some milliseconds, a large one on a slow link half a second.
@@ -42,7 +42,7 @@
         self,
         router: routers.Router,
         spelling: dialect.Dialect,
-        pool: upstream_connections.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         log: journal.Journal,
     ):
         self.refusing = False
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -1,4 +1,4 @@
-"""Connections to upstreams, kept between requests."""
+"""One connection to an upstream: sends requests and reads answers."""
 
 import asyncio
 import collections
@@ -12,11 +12,6 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import dialect
 
-# Well above the way to any data centre of a region; a lost first packet is
-# only sent again after a second.
-CONNECT_TIMEOUT_S = 0.25
-PROBE_TIMEOUT_S = 0.12
-PROBES = 2
 # Bytes that are read ahead of a slow caller.
 READ_AHEAD_BYTES = 128 * 1024
 # Bytes in a row that bring no part of an answer: heads, interim answers, late
@@ -27,9 +22,6 @@
 IDLE_S = 4.0
 # Upstreams close a little before or after the time that they state.
 IDLE_MARGIN_S = 0.6
-# A request that must not run twice is not sent on a connection that the
-# upstream may just have closed.
-FRESH_IDLE_S = 0.25
 # Time in milliseconds without an acknowledgement after which a peer counts as
 # gone. An upstream is given up early, since its requests can go elsewhere; the
 # time still allows for a lost packet that is sent again.
@@ -301,115 +293,6 @@
             self._ended = True
 
 
-class ConnectionPool:
-    """Opens connections and keeps idle ones by upstream.
-
-    Args:
-        decode: Decodes the head of an answer.
-    """
-
-    def __init__(
-        self, decode: Callable[[int, dialect.Headers], forwarding.AnswerHead]
-    ):
-        self._decode = decode
-        self._idle: dict[tuple[str, int], list[UpstreamConnection]] = {}
-        self.opened = 0
-
-    async def take(
-        self, upstream: forwarding.Upstream, request_id: str, repeatable: bool
-    ) -> UpstreamConnection:
-        """Returns a connection to an upstream.
-
-        Args:
-            upstream: The upstream.
-            request_id: Identity of the request.
-            repeatable: Whether the request may run twice.
-
-        Raises:
-            BrokenError: The upstream cannot be reached.
-        """
-        kept = self._idle.get((upstream.host, upstream.port), [])
-        now = time.monotonic()
-        while kept:
-            connection = kept.pop()
-            connection.watch_dropped(None)
-            age_s = now - connection.idle_since
-            limit_s = connection.idle_s
-            if not repeatable:
-                limit_s = min(limit_s, FRESH_IDLE_S)
-            fit = connection.is_open and not connection.has_carried(request_id)
-            if fit and age_s < limit_s:
-                return connection
-            connection.close()
-        return await self._open(upstream)
-
-    def give_back(
-        self,
-        upstream: forwarding.Upstream,
-        connection: UpstreamConnection,
-        most: int,
-    ) -> None:
-        """Keeps a connection whose answer has ended, if it can be.
-
-        Args:
-            upstream: Its upstream.
-            connection: The connection.
-            most: Idle connections that may be kept to the upstream.
-        """
-        kept = self._idle.setdefault((upstream.host, upstream.port), [])
-        if not connection.finish() or len(kept) >= most:
-            connection.close()
-            return
-        kept.append(connection)
-        connection.watch_dropped(lambda: _discard(kept, connection))
-
-    def forget(self, upstream: forwarding.Upstream) -> None:
-        """Closes the idle connections to an upstream."""
-        for connection in self._idle.pop((upstream.host, upstream.port), []):
-            connection.close()
-
-    def close_expired(self) -> None:
-        """Closes connections that were idle for too long."""
-        now = time.monotonic()
-        for kept in self._idle.values():
-            for connection in list(kept):
-                if now - connection.idle_since >= connection.idle_s:
-                    kept.remove(connection)
-                    connection.close()
-
-    async def is_reachable(self, upstream: forwarding.Upstream) -> bool:
-        """Tells whether an upstream takes a new connection."""
-        for _ in range(PROBES):
-            try:
-                async with asyncio.timeout(PROBE_TIMEOUT_S):
-                    _, writer = await asyncio.open_connection(
-                        upstream.host, upstream.port
-                    )
-            except (OSError, TimeoutError):
-                # A single packet may be lost; the second failure counts.
-                continue
-            writer.transport.abort()
-            return True
-        return False
-
-    async def _open(self, upstream: forwarding.Upstream) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                transport, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._decode),
-                    upstream.host,
-                    upstream.port,
-                )
-        except (OSError, TimeoutError) as error:
-            raise BrokenError(
-                f"cannot connect: {error or 'timed out'}", False, False
-            ) from error
-        set_options(transport, DEAD_UPSTREAM_MS)
-        return connection
-
-
 def set_options(transport: asyncio.BaseTransport, dead_ms: int) -> None:
     """Sends small writes at once and notices a peer that is gone."""
     raw = transport.get_extra_info("socket")
@@ -417,10 +300,3 @@
         return
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, dead_ms)
-
-
-def _discard(
-    kept: list[UpstreamConnection], connection: UpstreamConnection
-) -> None:
-    if connection in kept:
-        kept.remove(connection)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+import unittest
 import uuid
 
 import urllib3
@@ -268,6 +269,22 @@
         self._folder.cleanup()
 
 
+class SharedWorldTest(unittest.TestCase):
+    """Base of tests that share one node and its upstreams."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.world = World()
+        cls.addClassCleanup(cls.world.close)
+        cls.node = cls.world.nodes[0]
+
+    def setUp(self):
+        self.world.reset()
+        # Requests of earlier tests have kept upstreams out for a moment.
+        processes.wait_for(lambda: self.node.request("/status/x").status == 200)
+        self.world.reset()
+
+
 def wait_until(check, limit_s=10.0):
     """Waits until a check holds and returns the seconds that it took."""
     began = time.monotonic()
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -6,8 +6,8 @@
 import unittest
 
 from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import peer_news
-from sycamorehollow.shells.gateway import upstream_connections
 from tests import floods
 from tests import gateway_world
 from tests import platform_standins
@@ -24,19 +24,11 @@
 ]
 
 
-class GatewayFloodTest(unittest.TestCase):
+class GatewayFloodTest(gateway_world.SharedWorldTest):
     """Guards against memory and time spent on bytes that are no answer."""
 
-    @classmethod
-    def setUpClass(cls):
-        cls.world = gateway_world.World()
-        cls.addClassCleanup(cls.world.close)
-        cls.node = cls.world.nodes[0]
-
     def setUp(self):
-        self.world.reset()
-        processes.wait_for(lambda: self.node.request("/status/x").status == 200)
-        self.world.reset()
+        super().setUp()
         self.memory_kb = self._read_memory()
 
     def tearDown(self):
@@ -182,7 +174,7 @@
         upstream = forwarding.Upstream(
             "desk", "desk", host, int(port), "dc-1", "v1", 8, False
         )
-        pool = upstream_connections.ConnectionPool(
+        pool = connection_pool.ConnectionPool(
             lambda status, headers: forwarding.AnswerHead(status, "q")
         )
         first = await pool.take(upstream, "q", True)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -15,21 +15,9 @@
     )
 
 
-class GatewayPathTest(unittest.TestCase):
+class GatewayPathTest(gateway_world.SharedWorldTest):
     """Guards against changed requests and answers, and untrue refusals."""
 
-    @classmethod
-    def setUpClass(cls):
-        cls.world = gateway_world.World()
-        cls.addClassCleanup(cls.world.close)
-        cls.node = cls.world.nodes[0]
-
-    def setUp(self):
-        self.world.reset()
-        # Requests of earlier tests have kept upstreams out for a moment.
-        processes.wait_for(lambda: self.node.request("/status/x").status == 200)
-        self.world.reset()
-
     def test_request_and_answer_are_passed_on(self):
         answer = self.node.request(
             "/lodge/a?b=%20c",
