--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -11,7 +11,6 @@
 from tests import floods
 from tests import gateway_world
 from tests import platform_standins
-from tests import processes
 
 # Memory in kB by which a node may grow while it reads and closes a flood.
 GROWTH_KB = 16 * 1024
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,7 +1,6 @@
 """Tests of the whole path on the users' platform, with real processes."""
 
 import time
-import unittest
 
 from tests import gateway_world
 from tests import processes
