Tell callers of an entry process to leave before it stops

Cause: an entry process that drains stopped listening 5 s after SIGTERM, also while callers still came, and kept connections were never told to end. What had been accepted by then was reset.

Change: while it drains each answer is the last one of its connection, and the process waits until no caller has come for 0.3 s, within its limit for draining. Health checks do not count.

Ruled out: closing the listening socket first; the HTTP library drops what it has accepted and not read.

--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -54,6 +54,8 @@
 # Load balancers poll `/healthz` about once a second; until they have seen it
 # turn, new connections still arrive and get a truthful refusal.
 LINGER_S = 5.0
+# Time in seconds without a request after which no caller is on its way.
+QUIET_S = 0.3
 # A process whose upstreams are all silent is healthy after this time, so that
 # callers get a refusal; a poll of one ends before.
 FIRST_LOAD_S = 5.0
@@ -111,12 +113,14 @@
     def drain(self, limit_s: float) -> None:
         """Stops admission and waits until every request has its answer."""
         self._draining = True
+        self._front.leaving = True
         started = time.monotonic()
         self._loop.post(lifecycle.AdmissionStopped())
         self._loop.post(billing_messages.Flush())
         while time.monotonic() < started + limit_s:
             waited_s = time.monotonic() - started
-            if waited_s >= LINGER_S and not self._count_pending():
+            quiet = self._front.measure_quiet() >= QUIET_S
+            if waited_s >= LINGER_S and quiet and not self._count_pending():
                 break
             time.sleep(DRAIN_POLL_S)
         self._loop.post(membership.LeaveRequested())
--- a/sycamorehollow/shells/front.py
+++ b/sycamorehollow/shells/front.py
@@ -4,6 +4,7 @@
 import hashlib
 import re
 import threading
+import time
 
 from cheroot import server
 from cheroot.workers import threadpool
@@ -18,6 +19,8 @@
 WORKERS = 400
 BACKLOG = 512
 IDLE_TIMEOUT_S = 30
+# Paths of callers; health checks go on while a process leaves.
+API_PREFIX = "/v1/"
 
 
 class Snapshot:
@@ -117,12 +120,18 @@
 
 
 class Front:
-    """Owns the listening socket and the HTTP workers."""
+    """Owns the listening socket and the HTTP workers.
+
+    Attributes:
+        leaving: Whether each answer is the last one of its connection.
+    """
 
     def __init__(self, host: str, port: int, handlers: list[Handler]):
+        self.leaving = False
         self._handlers = handlers
+        self._asked_at = time.monotonic()
         self._server = _FrontServer(
-            (host, port), _build_gateway(handlers), server_name="sycamore"
+            (host, port), self._build_gateway(), server_name="sycamore"
         )
         self._server.request_queue_size = BACKLOG
         self._server.timeout = IDLE_TIMEOUT_S
@@ -143,34 +152,46 @@
         self._server.prepare()
         self._thread.start()
 
+    def measure_quiet(self) -> float:
+        """Returns the seconds since the last request has arrived."""
+        return time.monotonic() - self._asked_at
+
     def stop(self) -> None:
         """Stops listening."""
         self._server.stop()
 
-
-def _build_gateway(handlers: list[Handler]) -> type[server.Gateway]:
-    compiled = [(re.compile(item.pattern), item) for item in handlers]
-
-    class Gateway(server.Gateway):
-        """Gives a request to the handler of its path."""
-
-        def respond(self) -> None:
-            """Answers one request."""
-            exchange = exchanges.Exchange(self.req)
-            failure: failures.Failure = failures.NotFound(
-                f"There is no path {exchange.path}."
-            )
-            for pattern, handler in compiled:
-                match = pattern.fullmatch(exchange.path)
-                if match is None:
-                    continue
-                if exchange.method != handler.method:
-                    failure = failures.MethodNotAllowed(
-                        f"The path {exchange.path} takes {handler.method}."
-                    )
-                    continue
-                handler.respond(exchange, match)
-                return
-            exchange.send_failure(failure)
-
-    return Gateway
+    def _build_gateway(self) -> type[server.Gateway]:
+        front = self
+        compiled = [(re.compile(h.pattern), h) for h in self._handlers]
+
+        class Gateway(server.Gateway):
+            """Gives a request to the handler of its path."""
+
+            def respond(self) -> None:
+                """Answers one request."""
+                exchange = exchanges.Exchange(self.req)
+                front.note_request(exchange)
+                failure: failures.Failure = failures.NotFound(
+                    f"There is no path {exchange.path}."
+                )
+                for pattern, handler in compiled:
+                    match = pattern.fullmatch(exchange.path)
+                    if match is None:
+                        continue
+                    if exchange.method != handler.method:
+                        failure = failures.MethodNotAllowed(
+                            f"The path {exchange.path} takes {handler.method}."
+                        )
+                        continue
+                    handler.respond(exchange, match)
+                    return
+                exchange.send_failure(failure)
+
+        return Gateway
+
+    def note_request(self, exchange: exchanges.Exchange) -> None:
+        """A request has arrived; tells its caller to leave, if it should."""
+        if exchange.path.startswith(API_PREFIX):
+            self._asked_at = time.monotonic()
+        if self.leaving:
+            exchange.close_after()
