Log who ended an attempt, after what silence, and the rule that refused

Callers saw streams cut, and the log showed the reason of the last break in place of the rule that allowed nothing more, so that a stream that was given up looked like one that broke. An unexpected error that ended a request had a trace without the request's id.

Each attempt that was not delivered now says who ended it (upstream, patience, deadline, cascade, caller, fault), when, and how long its upstream was silent; the outcome of a cut answer names the rule. A stop says how many requests it cut. No decision is changed.

--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -38,7 +38,6 @@
         self._sent = 0
         self._refused = 0
         self._unreached = 0
-        self._broken_reason = ""
 
     def note_sent(self, now: float) -> None:
         """An attempt is sent."""
@@ -52,26 +51,21 @@
         self.ran -= 1
         self._refused += 1
 
-    def note_unreached(self, reason: str) -> None:
+    def note_unreached(self) -> None:
         """The latest attempt reached no upstream."""
         self.ran -= 1
         self._unreached += 1
-        self._broken_reason = reason
         if self._sent > 1:
             self._budget.note_unsent(self._service)
 
-    def note_broken(self, reason: str) -> None:
-        """The latest attempt broke off; it may have run."""
-        self._broken_reason = reason
-
     def find_limit(self, now: float) -> str:
         """Returns the rule that forbids another attempt, if any."""
         if not self._sent:
             return ""
         if self.ran and not self._route.repeatable:
-            return self._broken_reason or "it may have run"
+            return "it may have run"
         if self.ran >= self._route.max_attempts:
-            return self._broken_reason or "no attempt is left"
+            return "no attempt is left"
         if self._refused > MAX_REFUSALS:
             return "upstreams refuse it"
         if self._unreached > MAX_UNREACHED:
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -1,5 +1,7 @@
 """The course of one request: attempts, repeats and its final answer."""
 
+import functools
+
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import directory
@@ -206,11 +208,12 @@
         attempt = self.attempts[-1]
         self._end_reading(attempt)
         attempt.heard_at = now
+        ended = functools.partial(attempt.end, steps.Ender.UPSTREAM)
         attempt.state.passed_at = max(attempt.state.passed_at, attempt.sent_at)
         failed = not head.not_run and (head.status >= 500 or head.encoded)
         directory.note_answer(attempt.state, head, failed, now)
         if head.not_run:
-            attempt.outcome = f"refused with {head.status}"
+            ended(f"refused with {head.status}", now)
             self._limits.note_refused()
             return steps.Verdict.AGAIN
         upstream = attempt.state.upstream
@@ -221,14 +224,14 @@
         if self.delivering and head.status != STREAM_STATUS:
             # The caller has the head of another answer already.
             self._sound = False
-            attempt.outcome = f"did not go on, {head.status}"
+            ended(f"did not go on, {head.status}", now)
             return steps.Verdict.AGAIN
         if head.encoded or (head.status < 300 and not head.sealed):
-            attempt.outcome = "not the upstream's answer"
+            ended("not the upstream's answer", now)
             return steps.Verdict.AGAIN
         if head.status >= 500:
             self._sound = False
-            attempt.outcome = f"failed with {head.status}"
+            ended(f"failed with {head.status}", now)
             if head.status == 503 or self._may_run_elsewhere(now):
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
@@ -238,7 +241,7 @@
         return steps.Verdict.AGAIN
 
     def note_broken(self, reason: str, written: bool, now: float) -> None:
-        """The attempt's connection could not be made, broke or was given up.
+        """The attempt's connection could not be made or broke.
 
         Args:
             reason: What happened.
@@ -246,14 +249,27 @@
             now: Monotonic time in seconds.
         """
         attempt = self.attempts[-1]
-        attempt.outcome = reason
-        self._end_reading(attempt)
-        self._sound = False
+        attempt.end(steps.Ender.UPSTREAM, reason, now)
         if not written:
-            self._limits.note_unreached(reason)
+            self._end_reading(attempt)
+            self._sound = False
+            self._limits.note_unreached()
             directory.note_broken(attempt.state, now)
             return
-        self._limits.note_broken(reason)
+        self._note_failed(attempt, now)
+
+    def note_given_up(self, now: float) -> None:
+        """The attempt was ended here because its upstream was silent."""
+        attempt = self.attempts[-1]
+        ender = steps.Ender.PATIENCE
+        if self.deadline - now < MIN_LEFT_S:
+            ender = steps.Ender.DEADLINE
+        attempt.end(ender, "no byte in time", now)
+        self._note_failed(attempt, now)
+
+    def _note_failed(self, attempt: steps.Attempt, now: float) -> None:
+        self._end_reading(attempt)
+        self._sound = False
         directory.note_outcome(attempt.state, True)
         if attempt.state.heard_at < attempt.sent_at:
             directory.note_broken(attempt.state, now)
@@ -269,15 +285,21 @@
         attempt.heard_at = now
         attempt.state.heard_at = now
 
-    def note_left(self) -> None:
-        """The caller has left."""
+    def note_stopped(
+        self, ender: steps.Ender, outcome: str, now: float
+    ) -> None:
+        """The request ended without an answer of an upstream or of our own."""
         self._router.turns.leave(self._ticket)
-        if self.attempts:
-            self._end_reading(self.attempts[-1])
+        if not self.attempts:
+            return
+        attempt = self.attempts[-1]
+        self._end_reading(attempt)
+        if attempt.ended_by is None:
+            attempt.end(ender, outcome, now)
 
     def note_end(self, now: float) -> None:
         """The answer has been delivered whole."""
-        self.attempts[-1].outcome = "delivered"
+        self.attempts[-1].end(steps.Ender.UPSTREAM, steps.DELIVERED, now)
         self._router.poison.note_success(self._fingerprint, now)
 
     def _build_work(
@@ -385,7 +407,11 @@
         )
         if not decision.model:
             return False
-        attempt.outcome = f"dropped at {head.confidence}, {decision.reason}"
+        attempt.end(
+            steps.Ender.CASCADE,
+            f"dropped at {head.confidence}, {decision.reason}",
+            now,
+        )
         self._next_model = decision.model
         self._excluded.clear()
         return True
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -6,6 +6,9 @@
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.model import failures
 
+# Outcome of an attempt, or a request, whose answer reached the caller whole.
+DELIVERED = "delivered"
+
 
 @dataclasses.dataclass(frozen=True)
 class Unavailable(failures.Failure):
@@ -65,6 +68,17 @@
     AGAIN = "again"
 
 
+class Ender(enum.Enum):
+    """Who ended an attempt."""
+
+    UPSTREAM = "upstream"
+    PATIENCE = "patience"
+    DEADLINE = "deadline"
+    CASCADE = "cascade"
+    CALLER = "caller"
+    FAULT = "fault"
+
+
 @dataclasses.dataclass
 class Attempt:
     """One attempt.
@@ -78,6 +92,8 @@
             read; 0 once it answers.
         cut_off_at: When a check last found that no upstream could be reached
             from here.
+        ended_by: Who ended it; `None` while it is open.
+        ended_at: When it ended.
     """
 
     state: directory.State
@@ -89,3 +105,16 @@
     reading_s: float
     outcome: str = "open"
     cut_off_at: float = float("-inf")
+    ended_by: Ender | None = None
+    ended_at: float = float("-inf")
+
+    def end(self, ender: Ender, outcome: str, now: float) -> None:
+        """Keeps who ended the attempt and how."""
+        self.ended_by = ender
+        self.ended_at = now
+        self.outcome = outcome
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds between the last part of its answer and its end."""
+        return max(0.0, self.ended_at - self.heard_at)
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -105,8 +105,8 @@
             if error.crashed and error.written:
                 self._course.note_crash(now)
             return False
-        except GaveUpError as error:
-            self._course.note_broken(str(error), True, time.monotonic())
+        except GaveUpError:
+            self._course.note_given_up(time.monotonic())
             return False
         finally:
             step.state.running -= 1
@@ -168,7 +168,7 @@
                     self._grace_end = now + NEWS_S
                 patience_s = self._grace_end - now
                 if patience_s <= 0 or not connection.has_news:
-                    raise GaveUpError("no byte in time")
+                    raise GaveUpError
             try:
                 async with asyncio.timeout(patience_s):
                     return await read()
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -126,7 +126,10 @@
         upkeep.cancel()
         for server in servers:
             server.close()
-        self._journal.note_event("stopped node={}", self._settings.node)
+        cut = sum(connection.busy for connection in self._connections)
+        self._journal.note_event(
+            "stopped node={} requests_cut={}", self._settings.node, cut
+        )
 
     def _start_knowledge(self) -> None:
         known = knowledge.Knowledge(
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -85,7 +85,17 @@
             failure = await exchange.run()
         except (asyncio.CancelledError, caller_connections.CallerGoneError):
             record.outcome = "caller left"
-            course.note_left()
+            course.note_stopped(
+                steps.Ender.CALLER, "the caller left", time.monotonic()
+            )
+            self._journal.note_request(record, course)
+            raise
+        except Exception as error:
+            # The connection is closed by whoever reads from it.
+            record.outcome = f"fault: {error!r}"
+            course.note_stopped(
+                steps.Ender.FAULT, "an error in this process", time.monotonic()
+            )
             self._journal.note_request(record, course)
             raise
         if failure is None:
--- a/sycamorehollow/shells/gateway/journal.py
+++ b/sycamorehollow/shells/gateway/journal.py
@@ -80,7 +80,7 @@
     version: int = 0
     status: int = 0
     first_s: float | None = None
-    outcome: str = "delivered"
+    outcome: str = steps.DELIVERED
 
     def note_first(self, now: float, status: int) -> None:
         """The first byte of the answer is written."""
@@ -145,7 +145,7 @@
                 f"{attempt.state.upstream.identity}"
                 f"@{attempt.state.upstream.version}"
                 f" {attempt.model} +{attempt.sent_at - record.started:.3f}"
-                f" {_describe(attempt)}"
+                f" {_describe(attempt, record.started)}"
                 for attempt in course.attempts
             )
         first = ""
@@ -193,9 +193,15 @@
         return prometheus_client.generate_latest(self.registry)
 
 
-def _describe(attempt: steps.Attempt) -> str:
-    """Returns how an attempt ended."""
+def _describe(attempt: steps.Attempt, started: float) -> str:
+    """Returns how an attempt ended; for one that was cut short, who did it."""
+    text = attempt.outcome
+    if attempt.ended_by is not None and text != steps.DELIVERED:
+        text += (
+            f" ({attempt.ended_by.value} +{attempt.ended_at - started:.3f}"
+            f" silent_s={attempt.silent_s:.3f})"
+        )
     if attempt.cut_off_at < attempt.sent_at:
-        return attempt.outcome
+        return text
     cut_off_s = attempt.cut_off_at - attempt.sent_at
-    return f"{attempt.outcome}, no upstream reachable at +{cut_off_s:.3f}"
+    return f"{text}, no upstream reachable at +{cut_off_s:.3f}"
