Reproduce streams that are cut because others took the last repeat

Five streams stall at two upstreams for longer than the route's pauses, and the node has one repeat left. Three of them are given up in the same moment; the first takes the repeat, and the two others are closed at once with 'the budget of repeats is used up', although their upstreams go on after 1.8 s. Those that look later find no repeat left, wait, and are delivered.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -253,6 +253,7 @@
             upstream.confidences = {}
             upstream.events = 4
             upstream.pause_s = 0.0
+            upstream.stall_s = 0.0
             upstream.seen = []
             upstream.left = 0
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -260,6 +260,7 @@
         confidences: Confidence of answers by model.
         events: Events of a stream.
         pause_s: Seconds between events.
+        stall_s: Seconds before the second event.
         seen: Headers of the requests that it began to run.
         left: Requests whose caller has left amid a stream.
         flooded: Bytes of the last answer without end, once it was left.
@@ -271,6 +272,7 @@
         self.confidences = {}
         self.events = 4
         self.pause_s = 0.0
+        self.stall_s = 0.0
         self.seen = []
         self.left = 0
         self.flooded = 0
@@ -371,6 +373,8 @@
                     handler.wfile.flush()
                     reset(handler)
                     return
+                if number == 2:
+                    time.sleep(self.stall_s)
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 handler.wfile.flush()
                 time.sleep(self.pause_s)
