Give a running attempt up only for one that is sent in the same step

Cause: two questions for one decision. Patience ended the attempt when attempts and the budget of repeats allowed another; the next step asked again, and for more: content that is blamed, room, versions and upstreams that are left. What it refused closed the connection. Streams that stall together were enough: each finds the last repeat, one takes it.

Course.give_up decides and sends in one step. An attempt whose caller has a part of the answer is thus ended here only for another one or at its deadline.

The choice of upstreams, and the decision on larger models, got modules of their own (candidates.py, escalation.py), as course.py held both.

--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -58,14 +58,18 @@
         if self._sent > 1:
             self._budget.note_unsent(self._service)
 
-    def find_limit(self, now: float) -> str:
-        """Returns the rule that forbids another attempt, if any."""
-        if not self._sent:
-            return ""
+    def find_limit(self) -> str:
+        """Returns the rule that forbids any other attempt, if there is one."""
         if self.ran and not self._route.repeatable:
             return "it may have run"
-        if self.ran >= self._route.max_attempts:
+        if self.ran and self.ran >= self._route.max_attempts:
             return "no attempt is left"
+        return ""
+
+    def find_shortage(self, now: float) -> str:
+        """Returns what forbids another attempt for a while, if anything."""
+        if not self._sent:
+            return ""
         if self._refused > MAX_REFUSALS:
             return "upstreams refuse it"
         if self._unreached > MAX_UNREACHED:
@@ -73,11 +77,3 @@
         if not self._budget.may_repeat(self._service, now):
             return "the budget of repeats is used up"
         return ""
-
-    def may_run_elsewhere(self, now: float) -> bool:
-        """Tells whether an attempt that runs may be given up for another."""
-        return (
-            self._route.repeatable
-            and self.ran < self._route.max_attempts
-            and self._budget.may_repeat(self._service, now)
-        )
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -0,0 +1,111 @@
+"""Upstreams at which the next attempt of one request may run."""
+
+from collections.abc import Collection
+
+from sycamorehollow.decisions.forwarding import placement
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.model import forwarding
+
+
+class Candidates:
+    """Chooses among the upstreams, with what earlier attempts have shown.
+
+    Args:
+        router: What the node knows.
+        call: The request.
+        service: The service that was drawn for it.
+        session: Ties the request to others, which get the same version.
+        body_bytes: Length of its body.
+
+    Attributes:
+        model: Model that is asked; empty for a plain service.
+        sound: Whether no attempt has failed; a dropped answer is no failure.
+        delivering: Whether the caller has received a part of the answer.
+    """
+
+    def __init__(
+        self,
+        router: routers.Router,
+        call: forwarding.Call,
+        service: forwarding.Service,
+        session: str,
+        body_bytes: int,
+    ):
+        self.model = ""
+        self.sound = True
+        self.delivering = False
+        self._router = router
+        self._call = call
+        self._service = service
+        self._session = session
+        self._body_bytes = body_bytes
+        self._tried: set[str] = set()
+        self._version = ""
+
+    @property
+    def any_tried(self) -> bool:
+        """Whether some upstreams are left out, as they have had it already."""
+        return bool(self._tried)
+
+    def note_sent(self, upstream: forwarding.Upstream) -> None:
+        """An upstream has been given the request."""
+        self._tried.add(upstream.identity)
+        self._version = upstream.version
+
+    def forget_tried(self) -> None:
+        """Lets upstreams have the request a second time."""
+        self._tried.clear()
+
+    def build_work(self, now: float) -> placement.Work:
+        """Returns what the next attempt needs."""
+        return self._build_work(self.model, self.sound, self._tried, now)
+
+    def choose_larger(self, model: str, now: float) -> placement.Choice:
+        """Returns where a larger model could be asked instead."""
+        work = self._build_work(model, self.sound, (), now)
+        return self._router.placement.choose(work, now)
+
+    def choose_other(self, current: str, now: float) -> placement.Choice:
+        """Returns where the request could go on if its attempt failed now.
+
+        Args:
+            current: Identity of the upstream that is left out in any case.
+            now: Monotonic time in seconds.
+        """
+        work = self._build_work(self.model, False, self._tried, now)
+        choice = self._router.placement.choose(work, now)
+        if choice.known:
+            return choice
+        # Each other one has had it; a second time is better than a failure.
+        work = self._build_work(self.model, False, {current}, now)
+        return self._router.placement.choose(work, now)
+
+    def _build_work(
+        self, model: str, sound: bool, excluded: Collection[str], now: float
+    ) -> placement.Work:
+        return placement.Work(
+            self._call,
+            self._service,
+            self._body_bytes,
+            model,
+            self._choose_versions(sound, now),
+            frozenset(excluded),
+        )
+
+    def _choose_versions(self, sound: bool, now: float) -> set[str] | None:
+        router = self._router
+        name = self._service.name
+        allowed = router.choose_versions(name, self._session, sound, now)
+        if not self.delivering or allowed is None:
+            return allowed
+        # The rest of an answer comes from the version that began it, unless
+        # that is stopped or has no upstream left.
+        usable = {
+            state.upstream.version
+            for state in router.directory.list_usable(name, now)
+        }
+        if self._version in usable and not router.rollouts.is_stopped(
+            name, self._version
+        ):
+            return {self._version}
+        return allowed
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -1,10 +1,10 @@
 """The course of one request: attempts, repeats and its final answer."""
 
-import functools
-
 from sycamorehollow.decisions.forwarding import attempt_limits
+from sycamorehollow.decisions.forwarding import candidates
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import escalation
 from sycamorehollow.decisions.forwarding import patience
 from sycamorehollow.decisions.forwarding import placement
 from sycamorehollow.decisions.forwarding import router as routers
@@ -20,6 +20,8 @@
 BACK_S = 0.5
 MIN_LEFT_S = 0.01
 STREAM_STATUS = 200
+SILENT = "no byte in time"
+BLAMED = "requests like it have crashed upstreams"
 
 
 class Course:
@@ -38,7 +40,6 @@
     Attributes:
         deadline: Monotonic time at which its final answer is due.
         attempts: What was tried.
-        delivering: Whether the caller has received a part of the answer.
         last_event: Last event that the caller has.
         resumable: Whether another attempt could go on with the answer of which
             the caller has a part; only streams can.
@@ -60,12 +61,10 @@
         self.service = service
         self.arrived = now
         self.attempts: list[steps.Attempt] = []
-        self.delivering = False
         self.last_event = call.last_event
         self.resumable = True
         self._router = router
         self._fingerprint = fingerprint
-        self._body_bytes = body_bytes
         left_s = route.timeout_s
         if call.deadline_s is not None:
             left_s = min(left_s, call.deadline_s)
@@ -73,61 +72,53 @@
         self._limits = attempt_limits.AttemptLimits(
             route, service.name, router.budget
         )
-        self._excluded: set[str] = set()
-        self._version = ""
-        # Whether no attempt has failed; a dropped answer is no failure.
-        self._sound = True
-        self._next_model = ""
+        self._candidates = candidates.Candidates(
+            router, call, service, call.find_session(route), body_bytes
+        )
+        self._escalation = escalation.Escalation(
+            router, call, route, service.name, self._candidates
+        )
         if route.models and call.open_model:
-            self._next_model = cascade.choose_first(route)
+            self._candidates.model = cascade.choose_first(route)
         self._ticket = router.turns.issue(route.priority, workspace, now)
         router.budget.note_fresh(service.name, now)
 
-    @property
-    def session(self) -> str:
-        """Key that ties the request to others; empty for none."""
-        if self.call.session:
-            return self.call.session
-        if self.route.sticky and self.call.prompt_parts:
-            return self.call.prompt_parts[-1].identity
-        return self.call.request_id
-
     @property
     def kept_connections(self) -> int:
         """Idle connections that may be kept to an upstream."""
         return self._router.compute_kept_connections(self.service)
 
+    @property
+    def delivering(self) -> bool:
+        """Whether the caller has received a part of the answer."""
+        return self._candidates.delivering
+
+    @delivering.setter
+    def delivering(self, value: bool) -> None:
+        self._candidates.delivering = value
+
     def find_step(self, now: float) -> steps.Step:
-        """Returns what to do next."""
+        """Returns what to do next while no attempt is open."""
         if self.deadline - now < MIN_LEFT_S:
             return steps.Refuse(self._build_failure("its time is over", now))
-        if not self.resumable:
-            reason = "an answer that is no stream broke off midway"
-            return steps.Refuse(self._build_failure(reason, now))
-        if self._router.poison.is_refused(self._fingerprint, now):
-            return steps.Refuse(
-                steps.UpstreamBroke("requests like it have crashed upstreams")
-            )
-        fault = self._limits.find_limit(now)
-        if fault:
-            return steps.Refuse(self._build_failure(fault, now))
-        work = self._build_work(
-            self._next_model, now, frozenset(self._excluded)
-        )
+        limit = self._find_limit(now)
+        if limit:
+            return steps.Refuse(self._build_failure(limit, now))
+        shortage = self._limits.find_shortage(now)
+        if shortage:
+            return steps.Refuse(self._build_failure(shortage, now))
+        work = self._candidates.build_work(now)
         choice = self._router.placement.choose(work, now)
-        if choice.state is not None and self._takes_turn(
-            work, choice.free, now
-        ):
+        if choice.state is not None and self._takes_turn(work, choice, now):
             return self._send(choice, now)
-        if self._excluded and choice.state is None:
+        if self._candidates.any_tried and choice.state is None:
             # Each has had it once; a second time is better than a failure.
-            self._excluded.clear()
+            self._candidates.forget_tried()
             if not self.delivering and not self._limits.ran:
                 return steps.Wait(FULL_PAUSE_S)
             return self.find_step(now)
-        waited_s = now - self.arrived
-        may_wait = waited_s < self.route.objective_s * WAIT_SHARE
-        if choice.known and (may_wait or self.delivering):
+        wait_end = self.arrived + self.route.objective_s * WAIT_SHARE
+        if choice.known and (now < wait_end or self.delivering):
             self._router.turns.take(self._ticket, work.place, 0, now)
             return steps.Wait(FULL_PAUSE_S)
         self._router.turns.leave(self._ticket)
@@ -136,22 +127,66 @@
             reason = "others wait for the room that is left"
         return steps.Refuse(self._build_failure(reason, now))
 
-    def _takes_turn(self, work: placement.Work, free: int, now: float) -> bool:
+    def give_up(self, now: float) -> steps.Step:
+        """Ends the open attempt if that leads somewhere.
+
+        Returns:
+            A step that replaces the attempt, or a wait after which its answer
+            is to be looked at again.
+        """
+        left_s = self.deadline - now
+        if left_s < MIN_LEFT_S:
+            self._note_failed(steps.Ender.DEADLINE, SILENT, now)
+            return steps.Refuse(self._build_failure("its time is over", now))
+        choice = self._choose_other(now)
+        if choice.state is None:
+            self.attempts[-1].kept_for = choice.reason
+            return steps.Wait(min(patience.LOOK_S, left_s))
+        self._note_failed(steps.Ender.PATIENCE, SILENT, now)
+        return self._send(choice, now)
+
+    def _choose_other(self, now: float) -> placement.Choice:
+        """Returns where the request would go on if its attempt failed now."""
+        barrier = self._find_barrier(now)
+        if barrier:
+            return placement.Choice(None, barrier, 0)
+        current = self.attempts[-1].state.upstream.identity
+        choice = self._candidates.choose_other(current, now)
+        if choice.expected_s >= self.deadline - now:
+            return placement.Choice(None, "no other would be in time", 0)
+        return choice
+
+    def _find_limit(self, now: float) -> str:
+        """Returns why no other attempt will ever be made, if so."""
+        if not self.resumable:
+            return "an answer that is no stream broke off midway"
+        if self._router.poison.is_refused(self._fingerprint, now):
+            return BLAMED
+        return self._limits.find_limit()
+
+    def _find_barrier(self, now: float) -> str:
+        """Returns why no other attempt would be made now, if so."""
+        return self._find_limit(now) or self._limits.find_shortage(now)
+
+    def _takes_turn(
+        self, work: placement.Work, choice: placement.Choice, now: float
+    ) -> bool:
         """Tells whether the request may have the room that is free."""
         if self._limits.ran or self.delivering:
             # Its caller, or an answer that was dropped, has waited already.
             self._router.turns.leave(self._ticket)
             return True
-        place = work.place
-        return self._router.turns.take(self._ticket, place, free, now)
+        return self._router.turns.take(
+            self._ticket, work.place, choice.free, now
+        )
 
-    def _may_run_elsewhere(self, now: float) -> bool:
-        return self.resumable and self._limits.may_run_elsewhere(now)
+    def _may_run_elsewhere(self) -> bool:
+        return self.resumable and not self._limits.find_limit()
 
     def compute_patience(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
         left_s = max(0.0, self.deadline - now)
-        if not self._may_run_elsewhere(now):
+        if not self._may_run_elsewhere():
             return left_s
         attempt = self.attempts[-1]
         if self.delivering and self.route.pause_s > 0:
@@ -162,7 +197,7 @@
 
     def wants_probe(self, now: float) -> bool:
         """Tells whether to check that the silent upstream can be reached."""
-        if not self._may_run_elsewhere(now):
+        if not self._may_run_elsewhere():
             return False
         attempt = self.attempts[-1]
         if not patience.is_silent(attempt, now):
@@ -171,71 +206,60 @@
         return True
 
     def choose_witness(self, now: float) -> directory.State | None:
-        """Returns another upstream that tells whether this node is cut off.
-
-        `None` if one was heard while the silent one could not be reached, or
-        there is no other.
-        """
+        """Returns another upstream that tells whether this node is cut off."""
         silent = self.attempts[-1].state
-        others = [
-            state
-            for state in self._router.directory.list_all()
-            if state is not silent and state.gone_at is None
-        ]
-        if not others:
-            return None
-        latest = max(others, key=lambda state: state.heard_at)
-        return latest if now - latest.heard_at >= patience.PROBE_S else None
+        return self._router.directory.choose_witness(
+            silent, patience.PROBE_S, now
+        )
 
     def note_unreachable(self, cut_off: bool, now: float) -> None:
-        """The silent upstream could not be reached.
-
-        Args:
-            cut_off: Whether another one could not be reached either.
-            now: Monotonic time in seconds.
-        """
+        """The silent upstream, and another one if `cut_off`, is not reached."""
         attempt = self.attempts[-1]
         if cut_off:
             attempt.cut_off_at = now
             return
-        attempt.state.dark_at = now
-        directory.note_broken(attempt.state, now)
+        directory.note_dark(attempt.state, now)
 
     def judge_head(
         self, head: forwarding.AnswerHead, now: float
     ) -> steps.Verdict:
         """Decides whether an answer is passed on."""
         attempt = self.attempts[-1]
-        self._end_reading(attempt)
+        attempt.end_reading()
         attempt.heard_at = now
-        ended = functools.partial(attempt.end, steps.Ender.UPSTREAM)
         attempt.state.passed_at = max(attempt.state.passed_at, attempt.sent_at)
         failed = not head.not_run and (head.status >= 500 or head.encoded)
         directory.note_answer(attempt.state, head, failed, now)
         if head.not_run:
-            ended(f"refused with {head.status}", now)
+            attempt.end_answered(f"refused with {head.status}", now)
             self._limits.note_refused()
             return steps.Verdict.AGAIN
         upstream = attempt.state.upstream
         self._router.rollouts.note_answer(
             self.service.name, upstream.version, failed
         )
-        self._note_pace(attempt, now)
+        self._router.placement.pace.note(
+            upstream.identity,
+            attempt.model,
+            attempt.missing,
+            now - attempt.sent_at,
+            now,
+        )
         if self.delivering and head.status != STREAM_STATUS:
             # The caller has the head of another answer already.
-            self._sound = False
-            ended(f"did not go on, {head.status}", now)
+            self._candidates.sound = False
+            attempt.end_answered(f"did not go on, {head.status}", now)
             return steps.Verdict.AGAIN
         if head.encoded or (head.status < 300 and not head.sealed):
-            ended("not the upstream's answer", now)
+            attempt.end_answered("not the upstream's answer", now)
             return steps.Verdict.AGAIN
         if head.status >= 500:
-            self._sound = False
-            ended(f"failed with {head.status}", now)
-            if head.status == 503 or self._may_run_elsewhere(now):
+            self._candidates.sound = False
+            attempt.end_answered(f"failed with {head.status}", now)
+            if head.status == 503 or not self._find_barrier(now):
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
-        if self.delivering or not self._escalate(attempt, head, now):
+        if self.delivering or not self._escalate(attempt, head.confidence, now):
             attempt.outcome = "delivering"
             return steps.Verdict.DELIVER
         return steps.Verdict.AGAIN
@@ -248,28 +272,21 @@
             written: Whether any byte of the request was written.
             now: Monotonic time in seconds.
         """
+        if written:
+            self._note_failed(steps.Ender.UPSTREAM, reason, now)
+            return
         attempt = self.attempts[-1]
         attempt.end(steps.Ender.UPSTREAM, reason, now)
-        if not written:
-            self._end_reading(attempt)
-            self._sound = False
-            self._limits.note_unreached()
-            directory.note_broken(attempt.state, now)
-            return
-        self._note_failed(attempt, now)
+        self._candidates.sound = False
+        self._limits.note_unreached()
+        directory.note_broken(attempt.state, now)
 
-    def note_given_up(self, now: float) -> None:
-        """The attempt was ended here because its upstream was silent."""
+    def _note_failed(
+        self, ender: steps.Ender, outcome: str, now: float
+    ) -> None:
         attempt = self.attempts[-1]
-        ender = steps.Ender.PATIENCE
-        if self.deadline - now < MIN_LEFT_S:
-            ender = steps.Ender.DEADLINE
-        attempt.end(ender, "no byte in time", now)
-        self._note_failed(attempt, now)
-
-    def _note_failed(self, attempt: steps.Attempt, now: float) -> None:
-        self._end_reading(attempt)
-        self._sound = False
+        attempt.end(ender, outcome, now)
+        self._candidates.sound = False
         directory.note_outcome(attempt.state, True)
         if attempt.state.heard_at < attempt.sent_at:
             directory.note_broken(attempt.state, now)
@@ -292,47 +309,14 @@
         self._router.turns.leave(self._ticket)
         if not self.attempts:
             return
-        attempt = self.attempts[-1]
-        self._end_reading(attempt)
-        if attempt.ended_by is None:
-            attempt.end(ender, outcome, now)
+        if self.attempts[-1].ended_by is None:
+            self.attempts[-1].end(ender, outcome, now)
 
     def note_end(self, now: float) -> None:
         """The answer has been delivered whole."""
         self.attempts[-1].end(steps.Ender.UPSTREAM, steps.DELIVERED, now)
         self._router.poison.note_success(self._fingerprint, now)
 
-    def _build_work(
-        self, model: str, now: float, excluded: frozenset[str] = frozenset()
-    ) -> placement.Work:
-        return placement.Work(
-            self.call,
-            self.service,
-            self._body_bytes,
-            model,
-            self._choose_versions(now),
-            excluded,
-        )
-
-    def _choose_versions(self, now: float) -> set[str] | None:
-        router = self._router
-        allowed = router.choose_versions(
-            self.service.name, self.session, self._sound, now
-        )
-        if not self.delivering or allowed is None:
-            return allowed
-        # The rest of an answer comes from the version that began it, unless
-        # that is stopped or has no upstream left.
-        usable = {
-            state.upstream.version
-            for state in router.directory.list_usable(self.service.name, now)
-        }
-        if self._version in usable and not router.rollouts.is_stopped(
-            self.service.name, self._version
-        ):
-            return {self._version}
-        return allowed
-
     def _send(self, choice: placement.Choice, now: float) -> steps.Send:
         state = choice.state
         assert state is not None
@@ -340,22 +324,27 @@
         self._limits.note_sent(now)
         self._router.limits.note_sent(upstream.identity, now)
         missing = self.call.prompt_tokens - self._router.cache.count_kept(
-            upstream.identity, self._next_model, self.call.prompt_parts, now
+            upstream.identity,
+            self._candidates.model,
+            self.call.prompt_parts,
+            now,
         )
         self._router.cache.note_read(
-            upstream.identity, self._next_model, self.call.prompt_parts, now
+            upstream.identity,
+            self._candidates.model,
+            self.call.prompt_parts,
+            now,
         )
-        self._excluded.add(upstream.identity)
-        self._version = upstream.version
+        self._candidates.note_sent(upstream)
         expected_s = self._router.placement.pace.estimate(
-            upstream.identity, self._next_model, missing, now
+            upstream.identity, self._candidates.model, missing, now
         )
         waiting_s = expected_s + state.reading_s
         state.reading_s += expected_s
         self.attempts.append(
             steps.Attempt(
                 state,
-                self._next_model,
+                self._candidates.model,
                 now,
                 missing,
                 waiting_s,
@@ -364,56 +353,22 @@
             )
         )
         left_s = self.deadline - now
-        return steps.Send(state, self._next_model, left_s, choice.reason)
-
-    def _end_reading(self, attempt: steps.Attempt) -> None:
-        attempt.state.reading_s -= attempt.reading_s
-        attempt.reading_s = 0.0
-
-    def _note_pace(self, attempt: steps.Attempt, now: float) -> None:
-        self._router.placement.pace.note(
-            attempt.state.upstream.identity,
-            attempt.model,
-            attempt.missing,
-            now - attempt.sent_at,
-            now,
-        )
+        return steps.Send(state, self._candidates.model, left_s, choice.reason)
 
     def _escalate(
-        self, attempt: steps.Attempt, head: forwarding.AnswerHead, now: float
+        self, attempt: steps.Attempt, confidence: int | None, now: float
     ) -> bool:
         """Decides whether a larger model is asked instead."""
-        if not attempt.model or not self.route.models:
-            return False
-        router = self._router
-        larger = cascade.choose_larger(self.route)
-        delay_s = now - self.arrived - placement.expect(self.call.prompt_tokens)
-        delay = max(0.0, delay_s) / max(self.route.objective_s, 0.001)
-        choice = router.placement.choose(self._build_work(larger, now), now)
-        if choice.state is None:
-            return False
-        decision = cascade.decide(
-            self.route,
-            cascade.Situation(
-                attempt.model,
-                head.confidence,
-                now - self.arrived,
-                choice.expected_s,
-                router.placement.estimate_occupancy(self.service.name, now),
-                router.delays.note(self.service.name, delay, now),
-                self.route.max_attempts - self._limits.ran,
-                router.budget.count_left(self.service.name, now),
-            ),
+        elapsed_s = now - self.arrived
+        decision = self._escalation.decide(
+            attempt, confidence, elapsed_s, self._limits.ran, now
         )
         if not decision.model:
             return False
-        attempt.end(
-            steps.Ender.CASCADE,
-            f"dropped at {head.confidence}, {decision.reason}",
-            now,
-        )
-        self._next_model = decision.model
-        self._excluded.clear()
+        outcome = f"dropped at {confidence}, {decision.reason}"
+        attempt.end(steps.Ender.CASCADE, outcome, now)
+        self._candidates.model = decision.model
+        self._candidates.forget_tried()
         return True
 
     def _build_failure(self, reason: str, now: float) -> failures.Failure:
@@ -421,5 +376,7 @@
             if self.deadline - now < MIN_LEFT_S:
                 return steps.TimedOut(reason, failures.Run.UNKNOWN)
             return steps.UpstreamBroke(reason, failures.Run.UNKNOWN)
+        if reason == BLAMED:
+            return steps.UpstreamBroke(reason)
         after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
         return steps.Unavailable(reason, failures.Run.NO, after_s)
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -152,6 +152,29 @@
             usable.append(state)
         return usable
 
+    def choose_witness(
+        self, silent: State, since_s: float, now: float
+    ) -> State | None:
+        """Returns another upstream that tells whether this node is cut off.
+
+        `None` if one was heard while the silent one could not be reached, or
+        there is no other.
+
+        Args:
+            silent: The upstream that could not be reached.
+            since_s: Seconds of silence in which another one was heard.
+            now: Monotonic time in seconds.
+        """
+        others = [
+            state
+            for state in self._states.values()
+            if state is not silent and state.gone_at is None
+        ]
+        if not others:
+            return None
+        latest = max(others, key=lambda state: state.heard_at)
+        return latest if now - latest.heard_at >= since_s else None
+
     def sweep(self, now: float) -> list[str]:
         """Forgets upstreams that are gone and idle; returns them."""
         gone = [
@@ -175,6 +198,12 @@
     )
 
 
+def note_dark(state: State, now: float) -> None:
+    """An upstream that was silent could not be reached."""
+    state.dark_at = now
+    note_broken(state, now)
+
+
 def note_answer(
     state: State, head: forwarding.AnswerHead, failed: bool, now: float
 ) -> None:
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -92,6 +92,8 @@
             read; 0 once it answers.
         cut_off_at: When a check last found that no upstream could be reached
             from here.
+        kept_for: Why it was not given up when its upstream was silent; empty
+            if that was not asked.
         ended_by: Who ended it; `None` while it is open.
         ended_at: When it ended.
     """
@@ -105,15 +107,26 @@
     reading_s: float
     outcome: str = "open"
     cut_off_at: float = float("-inf")
+    kept_for: str = ""
     ended_by: Ender | None = None
     ended_at: float = float("-inf")
 
     def end(self, ender: Ender, outcome: str, now: float) -> None:
         """Keeps who ended the attempt and how."""
+        self.end_reading()
         self.ended_by = ender
         self.ended_at = now
         self.outcome = outcome
 
+    def end_answered(self, outcome: str, now: float) -> None:
+        """Its upstream has answered."""
+        self.end(Ender.UPSTREAM, outcome, now)
+
+    def end_reading(self) -> None:
+        """Counts no longer among what the upstream has to read."""
+        self.state.reading_s -= self.reading_s
+        self.reading_s = 0.0
+
     @property
     def silent_s(self) -> float:
         """Seconds between the last part of its answer and its end."""
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -223,6 +223,14 @@
     session: str = ""
     last_event: str = ""
 
+    def find_session(self, route: Route) -> str:
+        """Returns what ties requests to each other, or its own identity."""
+        if self.session:
+            return self.session
+        if route.sticky and self.prompt_parts:
+            return self.prompt_parts[-1].identity
+        return self.request_id
+
 
 @dataclasses.dataclass(frozen=True)
 class Load:
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -29,7 +29,15 @@
 
 
 class GaveUpError(Exception):
-    """The upstream took too long."""
+    """The attempt was ended for another step.
+
+    Attributes:
+        step: What follows.
+    """
+
+    def __init__(self, step: steps.Step):
+        super().__init__()
+        self.step = step
 
 
 class AnswerRelay:
@@ -68,19 +76,26 @@
         Returns:
             `None` after a whole answer.
         """
+        step = self._course.find_step(time.monotonic())
         while True:
-            step = self._course.find_step(time.monotonic())
             if isinstance(step, steps.Refuse):
                 return step.failure
             if isinstance(step, steps.Wait):
                 await asyncio.sleep(step.seconds)
+                step = self._course.find_step(time.monotonic())
                 continue
-            if await self._attempt(step):
+            following = await self._attempt(step)
+            if following is None:
                 self._course.note_end(time.monotonic())
                 return None
+            step = following
+
+    async def _attempt(self, step: steps.Send) -> steps.Step | None:
+        """Makes one attempt.
 
-    async def _attempt(self, step: steps.Send) -> bool:
-        """Makes one attempt; returns whether the answer was delivered."""
+        Returns:
+            The next step, or `None` if the answer was delivered.
+        """
         upstream = step.state.upstream
         step.state.running += 1
         connection = None
@@ -95,19 +110,18 @@
             verdict = self._course.judge_head(head.decoded, time.monotonic())
             if verdict is steps.Verdict.DELIVER:
                 await self._deliver(connection, head)
-                return True
+                return None
             if head.decoded.not_run:
                 await self._skip_body(connection)
-            return False
+            return self._course.find_step(time.monotonic())
         except upstream_connections.BrokenError as error:
             now = time.monotonic()
             self._course.note_broken(str(error), error.written, now)
             if error.crashed and error.written:
                 self._course.note_crash(now)
-            return False
-        except GaveUpError:
-            self._course.note_given_up(time.monotonic())
-            return False
+            return self._course.find_step(now)
+        except GaveUpError as error:
+            return error.step
         finally:
             step.state.running -= 1
             if connection is not None:
@@ -152,7 +166,7 @@
         """Waits for a piece of the answer as long as that makes sense.
 
         Raises:
-            GaveUpError: Another upstream, or none, is to be tried.
+            GaveUpError: The attempt has ended for another step.
         """
         while True:
             now = time.monotonic()
@@ -168,7 +182,10 @@
                     self._grace_end = now + NEWS_S
                 patience_s = self._grace_end - now
                 if patience_s <= 0 or not connection.has_news:
-                    raise GaveUpError
+                    step = self._course.give_up(time.monotonic())
+                    if not isinstance(step, steps.Wait):
+                        raise GaveUpError(step)
+                    patience_s = step.seconds
             try:
                 async with asyncio.timeout(patience_s):
                     return await read()
@@ -271,7 +288,7 @@
         """Waits for more of a body that is passed on as it is.
 
         Raises:
-            GaveUpError: The answer stalls or its time is over.
+            GaveUpError: The attempt has ended for another step.
         """
         data = await self._wait_for(connection, connection.read_body)
         self._course.note_bytes(time.monotonic())
--- a/sycamorehollow/shells/gateway/journal.py
+++ b/sycamorehollow/shells/gateway/journal.py
@@ -201,6 +201,8 @@
             f" ({attempt.ended_by.value} +{attempt.ended_at - started:.3f}"
             f" silent_s={attempt.silent_s:.3f})"
         )
+    if attempt.kept_for:
+        text += f", kept: {attempt.kept_for}"
     if attempt.cut_off_at < attempt.sent_at:
         return text
     cut_off_s = attempt.cut_off_at - attempt.sent_at
--- /dev/null
+++ b/tests/test_forwarding_give_up.py
@@ -0,0 +1,101 @@
+"""Tests of when a running attempt is given up."""
+
+import unittest
+
+from sycamorehollow.decisions.forwarding import steps
+from tests import forwarding_world
+
+
+def build_router(upstreams=3, **settings):
+    """Returns a router with some upstreams."""
+    return forwarding_world.build_router(
+        *(
+            forwarding_world.build_upstream(f"u{number}")
+            for number in range(upstreams)
+        ),
+        **settings,
+    )
+
+
+def start_stream(built, now=0.0, **route):
+    """Returns a request whose caller has the first part of its answer."""
+    played = forwarding_world.build_course(
+        built, route=forwarding_world.build_route(**route), now=now
+    )
+    played.find_step(now)
+    played.judge_head(forwarding_world.build_head(confidence=99), now + 0.1)
+    played.delivering = True
+    return played
+
+
+class GiveUpTest(unittest.TestCase):
+    """Guards against sound streams that are ended without a way to go on."""
+
+    def assert_kept(self, played, now, reason):
+        """Asserts that the open attempt is waited for."""
+        self.assertEqual(played.compute_patience(now), 0.0)
+        step = played.give_up(now)
+        self.assertIsInstance(step, steps.Wait)
+        self.assertGreater(step.seconds, 0.0)
+        attempt = played.attempts[-1]
+        self.assertIsNone(attempt.ended_by)
+        self.assertEqual(attempt.kept_for, reason)
+
+    def test_silent_stream_goes_on_elsewhere(self):
+        played = start_stream(build_router())
+        first = played.attempts[-1]
+        step = played.give_up(3.0)
+        self.assertIsInstance(step, steps.Send)
+        self.assertIsNot(step.state, first.state)
+        self.assertIs(first.ended_by, steps.Ender.PATIENCE)
+
+    def test_last_repeat_is_taken_by_one_of_two_streams(self):
+        # Each node uses a part of the floor, which leaves one repeat here.
+        built = build_router(retry_ratio=0.0, retry_floor=2.0)
+        first, second = start_stream(built), start_stream(built)
+        # Both find that they have waited long enough before one acts.
+        self.assertEqual(first.compute_patience(3.0), 0.0)
+        self.assertEqual(second.compute_patience(3.0), 0.0)
+        self.assertIsInstance(first.give_up(3.0), steps.Send)
+        self.assert_kept(second, 3.0, "the budget of repeats is used up")
+        # The repeat leaves the window, and there is one again.
+        self.assertIsInstance(second.give_up(13.1), steps.Refuse)
+
+    def test_stream_is_given_up_once_a_repeat_is_left_again(self):
+        built = build_router(retry_ratio=0.0, retry_floor=2.0)
+        first, second = start_stream(built), start_stream(built, 9.0)
+        first.give_up(3.0)
+        self.assert_kept(second, 12.0, "the budget of repeats is used up")
+        self.assertIsInstance(second.give_up(13.1), steps.Send)
+
+    def test_content_that_is_blamed_elsewhere_keeps_its_attempt(self):
+        built = build_router()
+        played = start_stream(built)
+        breaks = {f"r{number}": 0.1 for number in range(3)}
+        built.poison.merge({"fingerprint": breaks}, 1.0)
+        self.assert_kept(played, 3.0, "requests like it have crashed upstreams")
+
+    def test_full_upstreams_leave_a_stream_where_it_is(self):
+        built = build_router()
+        played = start_stream(built)
+        for state in built.directory.list_all():
+            state.full_until = 5.0
+        self.assert_kept(played, 3.0, "all upstreams are full")
+
+    def test_only_upstream_of_a_service_is_waited_for(self):
+        played = start_stream(build_router(upstreams=1))
+        self.assert_kept(played, 3.0, "no upstream is registered")
+
+    def test_upstream_that_would_be_too_late_is_not_asked(self):
+        built = build_router()
+        call = forwarding_world.build_call(deadline_s=3.04)
+        played = forwarding_world.build_course(built, call)
+        played.find_step(0.0)
+        self.assert_kept(played, 3.0, "no other would be in time")
+
+    def test_last_attempt_is_waited_for_until_its_deadline(self):
+        played = start_stream(build_router(), max_attempts=1)
+        self.assertAlmostEqual(played.compute_patience(3.0), 7.0)
+        step = played.give_up(10.0)
+        self.assertIsInstance(step.failure, steps.TimedOut)
+        self.assertIs(played.attempts[-1].ended_by, steps.Ender.DEADLINE)
