Wait out a shortage while a caller holds a part of its answer

Callers lost streams that had broken off at their upstream at the first sign of a shortage: five refusals of full upstreams in a row, or no repeat left in the budget, closed the connection with seconds to go. The same limits ended requests whose small answer had just been dropped for a larger model.

Cause: limits meant for requests that have not begun, which are refused early so that they can come back, also ended answers that had begun. A shortage passes. The budget itself is unchanged.

tests.test_forwarding_give_up.ShortageTest, three tests; all failed before ('upstreams refuse it' after 5 refusals, and at once without a repeat).

--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -77,3 +77,8 @@
         if not self._budget.may_repeat(self._service, now):
             return "the budget of repeats is used up"
         return ""
+
+    def forgive(self) -> None:
+        """Counts refusals and failed connections anew, after a pause."""
+        self._refused = 0
+        self._unreached = 0
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -18,6 +18,9 @@
 WAIT_SHARE = 0.4
 # Time in which a full or missing upstream is usually back.
 BACK_S = 0.5
+# Wait in seconds before a shortage of repeats or room is looked at again on
+# behalf of a caller that holds a part of its answer.
+SHORTAGE_PAUSE_S = 0.2
 MIN_LEFT_S = 0.01
 STREAM_STATUS = 200
 SILENT = "no byte in time"
@@ -78,6 +81,8 @@
         self._escalation = escalation.Escalation(
             router, call, route, service.name, self._candidates
         )
+        # Whether the answer of a smaller model was dropped for a larger one.
+        self._dropped = False
         if route.models and call.open_model:
             self._candidates.model = cascade.choose_first(route)
         self._ticket = router.turns.issue(route.priority, workspace, now)
@@ -97,6 +102,11 @@
     def delivering(self, value: bool) -> None:
         self._candidates.delivering = value
 
+    @property
+    def _owes_answer(self) -> bool:
+        """Whether a failure now would take away an answer that was there."""
+        return self.delivering or self._dropped
+
     def find_step(self, now: float) -> steps.Step:
         """Returns what to do next while no attempt is open."""
         if self.deadline - now < MIN_LEFT_S:
@@ -105,6 +115,9 @@
         if limit:
             return steps.Refuse(self._build_failure(limit, now))
         shortage = self._limits.find_shortage(now)
+        if shortage and self._owes_answer:
+            self._limits.forgive()
+            return steps.Wait(SHORTAGE_PAUSE_S)
         if shortage:
             return steps.Refuse(self._build_failure(shortage, now))
         work = self._candidates.build_work(now)
@@ -118,7 +131,7 @@
                 return steps.Wait(FULL_PAUSE_S)
             return self.find_step(now)
         wait_end = self.arrived + self.route.objective_s * WAIT_SHARE
-        if choice.known and (now < wait_end or self.delivering):
+        if choice.known and (now < wait_end or self._owes_answer):
             self._router.turns.take(self._ticket, work.place, 0, now)
             return steps.Wait(FULL_PAUSE_S)
         self._router.turns.leave(self._ticket)
@@ -369,6 +382,7 @@
         attempt.end(steps.Ender.CASCADE, outcome, now)
         self._candidates.model = decision.model
         self._candidates.forget_tried()
+        self._dropped = True
         return True
 
     def _build_failure(self, reason: str, now: float) -> failures.Failure:
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -1,10 +1,13 @@
-"""Tests of when a running attempt is given up."""
+"""Tests of when a running attempt, or a ready answer, is given up."""
 
 import unittest
 
+from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import steps
 from tests import forwarding_world
 
+SHED = forwarding_world.build_head(503, not_run=True, sealed=False)
+
 
 def build_router(upstreams=3, **settings):
     """Returns a router with some upstreams."""
@@ -99,3 +102,58 @@
         step = played.give_up(10.0)
         self.assertIsInstance(step.failure, steps.TimedOut)
         self.assertIs(played.attempts[-1].ended_by, steps.Ender.DEADLINE)
+
+
+class ShortageTest(unittest.TestCase):
+    """Guards against callers that lose an answer to a passing shortage."""
+
+    def _refuse(self, played, now, times):
+        """Lets upstreams refuse the request; returns the time after it."""
+        while times:
+            step = played.find_step(now)
+            self.assertNotIsInstance(step, steps.Refuse)
+            if isinstance(step, steps.Wait):
+                now += step.seconds
+                continue
+            now += 0.001
+            played.judge_head(SHED, now)
+            times -= 1
+        return now
+
+    def test_refused_continuations_do_not_end_a_stream(self):
+        played = start_stream(build_router())
+        played.note_broken("closed", True, 1.0)
+        refusals = 2 * attempt_limits.MAX_REFUSALS + 3
+        now = self._refuse(played, 1.0, refusals)
+        self.assertLess(now, 8.0)
+        step = played.find_step(now)
+        while isinstance(step, steps.Wait):
+            now += step.seconds
+            step = played.find_step(now)
+        self.assertIsInstance(step, steps.Send)
+
+    def test_broken_stream_waits_for_a_repeat(self):
+        built = build_router(retry_ratio=0.0, retry_floor=2.0)
+        first, second = start_stream(built), start_stream(built, 5.0)
+        for played in (first, second):
+            played.note_broken("closed", True, 6.0)
+        self.assertIsInstance(first.find_step(6.0), steps.Send)
+        now = 6.0
+        step = second.find_step(now)
+        while isinstance(step, steps.Wait):
+            now += step.seconds
+            step = second.find_step(now)
+        self.assertIsInstance(step, steps.Refuse)
+        self.assertGreater(now, 14.5)
+
+    def test_answer_that_was_dropped_for_a_larger_model_is_owed(self):
+        played = forwarding_world.build_course(build_router())
+        played.find_step(0.0)
+        doubtful = forwarding_world.build_head(confidence=10)
+        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.AGAIN)
+        now = self._refuse(played, 0.05, attempt_limits.MAX_REFUSALS + 2)
+        step = played.find_step(now)
+        while isinstance(step, steps.Wait):
+            now += step.seconds
+            step = played.find_step(now)
+        self.assertIsInstance(step, steps.Send)
