Keep a ready answer when no other attempt would be made

Callers got a failure of our own although an upstream's answer was there: a doubtful answer of a stream that must not run twice, or of content that is blamed for crashes, was dropped for a larger model and then refused ('it may have run', 'requests like it have crashed upstreams'); an upstream's own failure was dropped while all other upstreams were full.

Cause: the same two questions as when an attempt is given up. Dropping an answer now asks for every condition of the attempt that is to replace it.

tests.test_forwarding_give_up.ReadyAnswerTest, three tests; all failed before.

--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -269,7 +269,7 @@
         if head.status >= 500:
             self._candidates.sound = False
             attempt.end_answered(f"failed with {head.status}", now)
-            if head.status == 503 or not self._find_barrier(now):
+            if head.status == 503 or self._choose_other(now).state is not None:
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head.confidence, now):
@@ -376,7 +376,7 @@
         decision = self._escalation.decide(
             attempt, confidence, elapsed_s, self._limits.ran, now
         )
-        if not decision.model:
+        if not decision.model or self._find_barrier(now):
             return False
         outcome = f"dropped at {confidence}, {decision.reason}"
         attempt.end(steps.Ender.CASCADE, outcome, now)
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -157,3 +157,41 @@
             now += step.seconds
             step = played.find_step(now)
         self.assertIsInstance(step, steps.Send)
+
+
+class ReadyAnswerTest(unittest.TestCase):
+    """Guards against ready answers that are dropped for nothing."""
+
+    def _answer(self, built, head, **route):
+        played = forwarding_world.build_course(
+            built, route=forwarding_world.build_route(**route)
+        )
+        played.find_step(0.0)
+        return played.judge_head(head, 0.05)
+
+    def test_doubtful_answer_of_a_stream_that_must_not_run_twice_is_kept(self):
+        head = forwarding_world.build_head(confidence=10)
+        verdict = self._answer(build_router(), head, resumable=False)
+        self.assertIs(verdict, steps.Verdict.DELIVER)
+
+    def test_doubtful_answer_of_blamed_content_is_kept(self):
+        built = build_router()
+        played = forwarding_world.build_course(built)
+        played.find_step(0.0)
+        breaks = {f"r{number}": 0.1 for number in range(3)}
+        built.poison.merge({"fingerprint": breaks}, 0.04)
+        head = forwarding_world.build_head(confidence=10)
+        self.assertIs(played.judge_head(head, 0.05), steps.Verdict.DELIVER)
+
+    def test_failure_of_an_upstream_is_passed_on_while_all_others_are_full(
+        self,
+    ):
+        built = build_router()
+        played = forwarding_world.build_course(
+            built, route=forwarding_world.build_route(forwarding_world.SAFE)
+        )
+        played.find_step(0.0)
+        for state in built.directory.list_all():
+            state.full_until = 1.0
+        verdict = played.judge_head(forwarding_world.build_head(500), 0.05)
+        self.assertIs(verdict, steps.Verdict.DELIVER)
