Let the soak look for answers that are cut after they were given up

Every second seed plays with few repeats allowed, and the logs of the nodes are searched for a cut answer whose last attempt was ended here for its silence.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import re
 
 from tests.soak import schedule
 
@@ -16,6 +17,7 @@
 # Time in which every node knows that an upstream leaves.
 DRAIN_S = 2.5
 # Failures that are no answer, without a promise about the run.
+CUT = re.compile(r" request=(?P<request>\S+) .* outcome='cut: ")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -105,6 +107,20 @@
     return found
 
 
+def judge_logs(text: str) -> list[Violation]:
+    """Returns the answers that a node cut although their upstreams went on."""
+    found = []
+    for line in text.splitlines():
+        named = CUT.search(line)
+        if named is None:
+            continue
+        if "(patience " in line.rpartition("; ")[2]:
+            found.append(
+                Violation("given up only for another", named["request"], line)
+            )
+    return found
+
+
 def _judge_runs(
     exchange: Exchange, ran: list[Run]
 ) -> Iterable[tuple[str, str]]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -27,6 +27,8 @@
 from tests.soak import standin_process
 
 GRACE_S = 4.0
+# Settings of every second seed, under which repeats are used up.
+SCARCE = {"bounds.retryBudgetRatio": "0.05", "bounds.budgetMinRetries": "10"}
 # Time in which an entry lapses after its upstream is gone.
 LAPSE_S = 0.6
 LOOK_S = 0.2
@@ -184,7 +186,9 @@
             name = f"node-{number}"
             way = self._proxies.open(self._store.address)
             self._ways[f"store/{name}"] = way
-            self._nodes[name] = gateway_world.Node(folder, name, way, GRACE_S)
+            self._nodes[name] = gateway_world.Node(
+                folder, name, way, GRACE_S, **(SCARCE if seed % 2 else {})
+            )
         self.summary = ""
         self._found: list[promises.Violation] = []
         # When a node was told to end, until it is started again.
@@ -216,7 +220,8 @@
         exchanges = self._recover(fronts) + crowd.stop()
         self.summary = f"{len(exchanges)} requests, {len(happened)} faults"
         judged = promises.judge(exchanges, self._read_runs(), happened)
-        return self._found + judged
+        cut = promises.judge_logs(self.read_logs())
+        return self._found + judged + cut
 
     def read_logs(self) -> str:
         """Returns what the nodes have written."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,6 +141,18 @@
         found = self._judge(lost, [build_run()], elsewhere)
         self.assertEqual(found, {"orderly changes lose nothing"})
 
+    def test_answer_that_is_cut_after_it_was_given_up_is_found(self):
+        line = (
+            "INFO node=n request=aa01 route=r outcome='cut: no repeat'"
+            " attempts=[e1@v1 m +0.0 %s]"
+        )
+        silent = "no byte in time (patience +1.000 silent_s=1.0)"
+        broken = "closed (upstream +2.000 silent_s=0.1)"
+        self.assertEqual(len(promises.judge_logs(line % silent)), 1)
+        self.assertEqual(promises.judge_logs(line % broken), [])
+        both = f"{silent}; e2@v1 m +1.0 {broken}"
+        self.assertEqual(promises.judge_logs(line % both), [])
+
     def test_run_at_a_drained_upstream_is_found(self):
         drain = promises.Happened(schedule.Kind.DRAIN, "desk-0", 95.0, 101.0)
         found = self._judge(build_exchange(), [build_run()], drain)
