--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -410,7 +410,12 @@
     def _check_memory(self) -> None:
         for name, node in self._nodes.items():
             status = pathlib.Path(f"/proc/{node.pid}/status").read_text()
-            most_kb = int(re.findall(r"VmHWM:\s*(\d+)", status)[0])
+            peaks = re.findall(r"VmHWM:\s*(\d+)", status)
+            if not peaks:
+                # A process that has ended has no memory.
+                self._check_end(name)
+                continue
+            most_kb = int(peaks[0])
             if most_kb > MEMORY_KB:
                 self._found.append(
                     promises.Violation("bounded memory", name, f"{most_kb} kB")
