Do not count a lost way to an upstream as a crash by content

Callers saw content refused for a minute ("requests like it have crashed upstreams") after the way to upstreams was lost while they ran it.

Cause: the kernel ends a connection whose bytes are not acknowledged for 0.8 s (TCP_USER_TIMEOUT), or that has no route. Every end without bytes that are no answer was taken for one by the upstream. Only a reset or a close comes from its machine; all other errors now count as a lost way, with the kernel's reason in the log. The attempt still counts as one that may have run.

tests.test_gateway_breaks: an upstream that does not take bytes for 0.8 s ends the connection by the kernel's limit; the test failed before ('the upstream closed the connection', counted). Resets and closes still may be crashes.

--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -84,6 +84,7 @@
         self._reset_answer()
         self._closed = False
         self._fault = ""
+        self._way_lost = ""
         self._reusable = True
 
     def _reset_answer(self) -> None:
@@ -172,6 +173,8 @@
     def _check(self) -> None:
         if self._fault:
             raise BrokenError(self._fault, crashed=False)
+        if self._way_lost:
+            raise BrokenError(self._way_lost, crashed=False)
         if self._closed:
             raise BrokenError("the upstream closed the connection")
 
@@ -214,6 +217,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Wakes the reader of the answer."""
         self._closed = True
+        if error is not None and not isinstance(error, ConnectionError):
+            # No reset came from the upstream: its acknowledgements stopped.
+            self._way_lost = f"the way to the upstream is lost: {error}"
         self._wake.set()
         if self._on_dropped is not None:
             self._on_dropped()
--- /dev/null
+++ b/tests/test_gateway_breaks.py
@@ -0,0 +1,71 @@
+"""Tests of connections to upstreams that break while a request is open."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import upstream_connections
+
+# More than a socket buffers while its reader is stuck.
+LARGE_BYTES = 4_000_000
+
+
+def build_upstream(listener):
+    """Returns the entry of an upstream that listens on a socket."""
+    host, port = listener.getsockname()[:2]
+    return forwarding.Upstream(
+        "desk", "desk", host, port, "dc-1", "v1", 8, False
+    )
+
+
+def reset(accepted):
+    """Resets a connection."""
+    linger = struct.pack("ii", 1, 0)
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    accepted.close()
+
+
+class BreakTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against breaks whose cause is mistaken."""
+
+    def setUp(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.upstream = build_upstream(self.listener)
+        self.pool = connection_pool.ConnectionPool(
+            lambda status, headers: forwarding.AnswerHead(status, "q")
+        )
+
+    async def _send(self, body):
+        """Sends a request; returns its connection and the upstream's end."""
+        connection = await self.pool.take(self.upstream, "q", True)
+        self.addCleanup(connection.close)
+        accepted, _ = self.listener.accept()
+        self.addCleanup(accepted.close)
+        connection.send("q", body)
+        return connection, accepted
+
+    async def _read_break(self, connection):
+        """Returns the error that ends the wait for an answer."""
+        with self.assertRaises(upstream_connections.BrokenError) as caught:
+            async with asyncio.timeout(5.0):
+                await connection.read_head()
+        return caught.exception
+
+    async def test_lost_way_to_an_upstream_is_no_crash(self):
+        # No acknowledgement for too long, as when packets are lost.
+        connection, _ = await self._send(b"x" * LARGE_BYTES)
+        error = await self._read_break(connection)
+        self.assertFalse(error.crashed, error)
+
+    async def test_reset_and_closed_connections_may_be_crashes(self):
+        for end in (reset, socket.socket.close):
+            with self.subTest(end.__name__):
+                connection, accepted = await self._send(b"x")
+                accepted.recv(1)
+                end(accepted)
+                error = await self._read_break(connection)
+                self.assertTrue(error.crashed, error)
