Blame content for a break only if its upstream has crashed

Callers saw sound content refused for a minute at every node ("requests like it have crashed upstreams") after three living upstreams had ended its connections.

Cause: every connection that an upstream ended amid a request counted as a crash by its content, and was told to all nodes at once. Upstreams also end connections that they have too many of, that were idle, that are not read, at a deadline, or as they leave.

A break that is seen here is now checked 0.05 to 0.3 s later: if the upstream takes a new connection, or leaves by plan, it is dropped; if not, or if the check fails, it counts as before. Other nodes hear of it after the check, at 0.6 s at the latest. Until the check it counts here, as before. Lines `break=` tell what was found.

tests.test_gateway_breaks, test_forwarding_poison.

Ruled out: to check within the request, which holds up its repeat and may come before a crashing process has closed its socket. Not covered: a cut that resets and refuses connections looks like a crash.

--- a/sycamorehollow/decisions/forwarding/poison.py
+++ b/sycamorehollow/decisions/forwarding/poison.py
@@ -5,6 +5,10 @@
 another node, is not to blame: connections also break when upstreams crash or
 are cut off for other reasons, and much of a service's load may be of one kind.
 
+A connection also breaks when an upstream drops an idle one, has too many or
+leaves. So each break is checked: an upstream that still takes connections has
+not crashed. Until then the break counts here, but is not handed on.
+
 In a large fleet each repeat arrives at another node, which sees one break only.
 So every break is handed on, as a rumour: for a while after a node has learned
 of it. That reaches all nodes, and costs nothing once everyone has heard it.
@@ -25,6 +29,13 @@
 SPREAD_S = 6.0
 # Fingerprints in one message, the latest ones; about 8 KB.
 MAX_EXPORTED = 100
+# Time in seconds from a break to its check. An upstream that crashes closes its
+# listening socket within milliseconds of its connections, and is back after
+# some seconds.
+CHECK_AFTER_S = 0.05
+# Time in seconds after which a break that is not checked counts as a crash; a
+# check takes up to 0.55 s, with the period in which breaks are looked at.
+CHECK_WITHIN_S = 0.6
 
 
 @dataclasses.dataclass
@@ -39,11 +50,13 @@
     breaks: dict[str, float] = dataclasses.field(default_factory=dict)
     learned_at: float = float("-inf")
 
-    def add(self, run: str, at: float, now: float) -> None:
+    def add(self, run: str, at: float, now: float) -> bool:
         """Takes a break that happened at `at`, unless it is known."""
-        if run not in self.breaks:
-            self.breaks[run] = at
-            self.learned_at = now
+        if run in self.breaks:
+            return False
+        self.breaks[run] = at
+        self.learned_at = now
+        return True
 
 
 class Poison:
@@ -57,12 +70,55 @@
         )
         # When a fingerprint that is sound was last found to be blamed.
         self._disputed: dict[str, float] = {}
+        # Breaks seen here that are to be checked, by run and fingerprint.
+        self._unchecked: dict[str, dict[str, float]] = {}
 
     def note_break(self, fingerprint: str, run: str, now: float) -> None:
         """A request broke the connection to a run of an upstream."""
         if self._is_sound(fingerprint, now):
             return
-        self._add(fingerprint, run, now, now)
+        breaks = self._unchecked.setdefault(run, {})
+        if self._add(fingerprint, run, now, now):
+            breaks[fingerprint] = now
+        if not breaks or len(breaks) > MAX_FINGERPRINTS:
+            del self._unchecked[run]
+
+    def list_unchecked(self, now: float) -> list[str]:
+        """Returns the runs whose breaks are to be checked now."""
+        return [
+            run
+            for run, breaks in self._unchecked.items()
+            if min(breaks.values()) <= now - CHECK_AFTER_S
+        ]
+
+    def note_checked(self, run: str, crashed: bool, since: float) -> int:
+        """Keeps or drops the breaks of a run that was checked.
+
+        Args:
+            run: The run.
+            crashed: Whether it has crashed.
+            since: When the check began; later breaks are checked again.
+
+        Returns:
+            How many breaks were checked.
+        """
+        breaks = self._unchecked.pop(run, {})
+        checked = {f: at for f, at in breaks.items() if at <= since}
+        later = {f: at for f, at in breaks.items() if at > since}
+        if later:
+            self._unchecked[run] = later
+        if not crashed:
+            for fingerprint in checked:
+                self._drop(fingerprint, run)
+        return len(checked)
+
+    def _drop(self, fingerprint: str, run: str) -> None:
+        record = self._records.get(fingerprint)
+        if record is None:
+            return
+        record.breaks.pop(run, None)
+        if not record.breaks:
+            del self._records[fingerprint]
 
     def note_success(self, fingerprint: str, now: float) -> None:
         """A request has run to its end."""
@@ -83,18 +139,23 @@
 
     def export(self, now: float) -> dict[str, dict[str, float]]:
         """Returns the breaks that are news, by fingerprint, with their ages."""
-        news = [
-            (record.learned_at, fingerprint)
-            for fingerprint, record in self._records.items()
-            if record.learned_at > now - SPREAD_S
-        ]
-        return {
-            fingerprint: {
+        news = []
+        for fingerprint, record in self._records.items():
+            if record.learned_at <= now - SPREAD_S:
+                continue
+            ages = {
                 run: round(now - at, 1)
-                for run, at in self._records[fingerprint].breaks.items()
+                for run, at in record.breaks.items()
+                if not self._awaits_check(fingerprint, run, now)
             }
-            for _, fingerprint in sorted(news)[-MAX_EXPORTED:]
-        }
+            if ages:
+                news.append((record.learned_at, fingerprint, ages))
+        latest = sorted(news, key=lambda item: item[:2])[-MAX_EXPORTED:]
+        return {fingerprint: ages for _, fingerprint, ages in latest}
+
+    def _awaits_check(self, fingerprint: str, run: str, now: float) -> bool:
+        at = self._unchecked.get(run, {}).get(fingerprint, float("-inf"))
+        return now - at < CHECK_WITHIN_S
 
     def export_sound(self, now: float) -> dict[str, float]:
         """Returns what others blame although it is sound, with its age."""
@@ -128,11 +189,13 @@
                 if age_s < KEEP_S:
                     self._add(fingerprint, run, now - age_s, now)
 
-    def _add(self, fingerprint: str, run: str, at: float, now: float) -> None:
+    def _add(self, fingerprint: str, run: str, at: float, now: float) -> bool:
+        """Takes a break; returns whether it was not known."""
         record = self._records.setdefault(fingerprint, Record())
-        record.add(run, at, now)
+        added = record.add(run, at, now)
         if len(self._records) > MAX_FINGERPRINTS:
             self._records.pop(next(iter(self._records)))
+        return added
 
     def _dispute(self, fingerprint: str, now: float) -> None:
         self._disputed.pop(fingerprint, None)
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -18,6 +18,7 @@
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import crash_checks
 from sycamorehollow.shells.gateway import dialect
 from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import forwarder
@@ -77,6 +78,9 @@
         self._pool = connection_pool.ConnectionPool(
             adapter.spelling.decode_answer
         )
+        self._crash_checks = crash_checks.CrashChecks(
+            self._router, self._pool, self._journal
+        )
         self._forwarder = forwarder.Forwarder(
             self._router, adapter.spelling, self._pool, self._journal
         )
@@ -238,6 +242,7 @@
     def _tick(self) -> None:
         assert self._knowledge is not None
         self._knowledge.tick()
+        self._crash_checks.tick()
         self._pool.close_expired()
 
     def _read_change_time(self) -> float:
--- /dev/null
+++ b/sycamorehollow/shells/gateway/crash_checks.py
@@ -0,0 +1,79 @@
+"""Checks whether an upstream whose connection broke has crashed.
+
+Only a crash may be blamed on the request that the upstream ran. An upstream
+that still takes connections has ended the one that broke for another reason,
+and one that leaves closes all of them.
+"""
+
+import asyncio
+import time
+
+from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import journal
+
+# Checks that run at the same time; the others wait for the next look.
+MAX_CHECKS = 16
+
+
+class CrashChecks:
+    """Checks upstreams and tells the record of crashes what it found.
+
+    Args:
+        router: What the node knows.
+        pool: Opens the connections of the checks.
+        log: Takes one line for each check.
+    """
+
+    def __init__(
+        self,
+        router: routers.Router,
+        pool: connection_pool.ConnectionPool,
+        log: journal.Journal,
+    ):
+        self._router = router
+        self._pool = pool
+        self._journal = log
+        self._checks: dict[str, asyncio.Task[None]] = {}
+
+    def tick(self) -> None:
+        """Starts the checks that are due."""
+        for run in self._router.poison.list_unchecked(time.monotonic()):
+            if len(self._checks) >= MAX_CHECKS:
+                return
+            if run in self._checks:
+                continue
+            self._checks[run] = asyncio.create_task(self._check(run))
+
+    async def _check(self, run: str) -> None:
+        began = time.monotonic()
+        crashed, outcome = True, "cannot be reached"
+        try:
+            state = self._find(run)
+            if state is None:
+                outcome = "has ended"
+            elif state.upstream.draining:
+                crashed, outcome = False, "leaves by plan"
+            elif await self._pool.is_reachable(state.upstream):
+                crashed, outcome = False, "still takes connections"
+        except Exception as error:
+            # The break counts, as without a check.
+            self._journal.note_fault(f"check of {run}", error)
+        finally:
+            del self._checks[run]
+        contents = self._router.poison.note_checked(run, crashed, began)
+        verdict = "crash" if crashed else "no crash"
+        self._journal.note_change(
+            f"break={run}",
+            f"{verdict} contents={contents}",
+            f"check, the upstream {outcome}",
+        )
+
+    def _find(self, run: str) -> directory.State | None:
+        """Returns a run's upstream unless it is forgotten or replaced."""
+        identity = run.rpartition("/")[0]
+        state = self._router.directory.get(identity)
+        if state is None or "/".join(map(str, state.upstream.run)) != run:
+            return None
+        return state
--- a/tests/test_forwarding_poison.py
+++ b/tests/test_forwarding_poison.py
@@ -46,6 +46,41 @@
         self.assertTrue(known.is_refused("f", later))
         self.assertEqual(known.export_sound(later), {})
 
+    def test_break_by_an_upstream_that_lives_is_not_counted(self):
+        known, other = poison.Poison(), poison.Poison()
+        for run in ("a/1", "b/1", "c/1"):
+            known.note_break("f", run, 0.0)
+        self.assertEqual(known.list_unchecked(0.0), [])
+        # Before the checks the breaks count here, but nowhere else.
+        self.assertTrue(known.is_refused("f", 0.1))
+        self.assertEqual(known.export(0.1), {})
+        self.assertEqual(known.list_unchecked(0.1), ["a/1", "b/1", "c/1"])
+        known.note_checked("a/1", False, 0.1)
+        known.note_checked("b/1", True, 0.1)
+        self.assertFalse(known.is_refused("f", 0.2))
+        other.merge(known.export(0.2), 0.2)
+        # The check of c/1 has failed, so it counts.
+        self.assertEqual(set(known.export(1.0)["f"]), {"b/1", "c/1"})
+        self.assertEqual(set(other.export(1.0)["f"]), {"b/1"})
+        self.assertEqual(known.list_unchecked(1.0), ["c/1"])
+
+    def test_break_after_the_start_of_a_check_is_checked_again(self):
+        known = poison.Poison()
+        known.note_break("f", "a/1", 0.0)
+        known.note_break("g", "a/1", 0.2)
+        self.assertEqual(known.note_checked("a/1", False, 0.1), 1)
+        self.assertEqual(known.list_unchecked(0.3), ["a/1"])
+        known.note_checked("a/1", True, 0.3)
+        self.assertEqual(set(known.export(0.3)), {"g"})
+
+    def test_acquittal_keeps_what_another_node_has_checked(self):
+        known = poison.Poison()
+        known.merge({"f": {"a/1": 0.0}}, 0.0)
+        known.note_break("f", "a/1", 0.1)
+        self.assertEqual(known.list_unchecked(1.0), [])
+        known.note_checked("a/1", False, 1.0)
+        self.assertEqual(set(known.export(1.0)["f"]), {"a/1"})
+
     def test_memory_of_contents_is_bounded(self):
         known = poison.Poison()
         for number in range(3 * poison.MAX_FINGERPRINTS):
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -2,15 +2,27 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 import threading
 import time
 import unittest
+from unittest import mock
 
+import urllib3
+
+from sycamorehollow.decisions.forwarding import poison
+from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import crash_checks
+from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import upstream_connections
+from tests import forwarding_world
+from tests import gateway_world
+from tests import platform_standins
+from tests import processes
 
 # More than a socket buffers while its reader is stuck.
 LARGE_BYTES = 4_000_000
@@ -93,3 +105,164 @@
     async def test_upstream_that_has_ended_is_not_reachable(self):
         self.listener.close()
         self.assertFalse(await self.pool.is_reachable(self.upstream))
+
+
+class CrashCheckTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against content that is blamed for breaks that it did not cause.
+
+    Three upstreams break their connections to a request each time.
+    """
+
+    def setUp(self):
+        self.listeners = []
+        upstreams = []
+        for number in range(3):
+            listener = socket.create_server(("127.0.0.1", 0))
+            self.addCleanup(listener.close)
+            self.listeners.append(listener)
+            upstreams.append(
+                forwarding_world.build_upstream(
+                    f"e-{number}", port=listener.getsockname()[1]
+                )
+            )
+        self.upstreams = upstreams
+        self.router = forwarding_world.build_router(*upstreams)
+        self.checks = crash_checks.CrashChecks(
+            self.router,
+            connection_pool.ConnectionPool(mock.Mock()),
+            journal.Journal(),
+        )
+
+    async def _is_blamed(self):
+        """Breaks all connections, lets checks run and tells who is blamed."""
+        now = time.monotonic()
+        for upstream in self.upstreams:
+            run = "/".join(map(str, upstream.run))
+            self.router.poison.note_break("f", run, now)
+        await asyncio.sleep(poison.CHECK_AFTER_S)
+        self.checks.tick()
+        await asyncio.sleep(0.5)
+        return self.router.poison.is_refused("f", time.monotonic())
+
+    async def test_upstreams_that_reset_connections_and_live(self):
+        self.assertFalse(await self._is_blamed())
+
+    async def test_upstreams_that_leave_by_plan(self):
+        for listener, upstream in zip(
+            self.listeners, self.upstreams, strict=True
+        ):
+            listener.close()
+            leaving = dataclasses.replace(upstream, draining=True)
+            self.router.handle(updates.UpstreamSet(leaving), 0.0)
+        self.assertFalse(await self._is_blamed())
+
+    async def test_upstreams_that_crash_are_counted(self):
+        for listener in self.listeners:
+            listener.close()
+        self.assertTrue(await self._is_blamed())
+
+    async def test_upstreams_that_were_started_again_are_counted(self):
+        for upstream in self.upstreams:
+            later = dataclasses.replace(upstream, started_ms=9)
+            self.router.handle(updates.UpstreamSet(later), 0.0)
+        self.assertTrue(await self._is_blamed())
+
+    async def test_check_that_fails_leaves_the_break_counted(self):
+        with mock.patch.object(
+            connection_pool.ConnectionPool,
+            "is_reachable",
+            side_effect=RuntimeError("no check"),
+        ):
+            self.assertTrue(await self._is_blamed())
+
+
+class FragileEngine(platform_standins.Upstream):
+    """An engine whose process ends with each request that it runs."""
+
+    def note_run(self, handler, headers, body):
+        """Closes the listening socket, as the end of a process does."""
+        super().note_run(handler, headers, body)
+        self.mode = "reset"
+        self._server.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.stop, daemon=True).start()
+
+
+class BlamedContentTest(unittest.TestCase):
+    """Guards against sound content that nodes refuse, and the opposite."""
+
+    def setUp(self):
+        self.world = gateway_world.World(engines=4)
+        self.addCleanup(self.world.close)
+        self.node = self.world.nodes[0]
+
+    def _set_mode(self, mode):
+        for engine in self.world.engines:
+            engine.mode = mode
+
+    def _check_served(self):
+        """Waits for checks of breaks and asks for the same content."""
+        time.sleep(1.0)
+        self._set_mode("serve")
+        answer = self.node.stream()
+        self.assertEqual(answer.status, 200, answer.data)
+
+    def test_content_is_served_after_upstreams_reset_it(self):
+        self._set_mode("reset")
+        self.assertEqual(self.node.stream().status, 502)
+        self.assertEqual(self.world.count_runs(), 3)
+        self._check_served()
+
+    def test_content_is_served_after_upstreams_cut_its_streams(self):
+        self._set_mode("cut")
+        with self.assertRaises(urllib3.exceptions.HTTPError):
+            self.node.stream()
+        self.assertEqual(self.world.count_runs(), 3)
+        self._check_served()
+
+    def test_content_is_served_after_callers_left(self):
+        for engine in self.world.engines:
+            engine.stall_s = 0.3
+        for _ in range(8):
+            with self.node.open_socket() as caller:
+                caller.settimeout(5)
+                caller.sendall(
+                    b"POST /draft/1 HTTP/1.1\r\nHost: models.example\r\n"
+                    b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n"
+                    b"Accept: text/event-stream\r\nModel: *\r\n"
+                    b"Content-Length: 6\r\n\r\nprompt"
+                )
+                self.assertTrue(caller.recv(100))
+        self.assertGreaterEqual(self.world.count_runs(), 8)
+        self._check_served()
+        self.assertNotIn("break=", self.node.read_log())
+
+    def test_content_is_served_after_the_cascade_dropped_its_answers(self):
+        for engine in self.world.engines:
+            engine.confidences = {"small": 1}
+        for _ in range(8):
+            self.assertEqual(self.node.stream().status, 200)
+        self.assertIn("dropped at", self.node.read_log())
+        self._check_served()
+        self.assertNotIn("break=", self.node.read_log())
+
+    def test_content_that_crashes_three_upstreams_is_refused(self):
+        for engine in self.world.engines:
+            self.world.store.remove(f"servers/{engine.identity}")
+        fragile = [FragileEngine(f"fragile-{n}") for n in range(4)]
+        for engine in fragile:
+            self.addCleanup(engine.stop)
+            engine.register(self.world.store, "llm")
+        processes.wait_for(
+            lambda: (
+                "upstream=fragile-3" in self.node.read_log()
+                and "upstream=engine-3 gone" in self.node.read_log()
+            )
+        )
+        for _ in range(3):
+            self.assertEqual(self.node.stream().status, 502)
+        # The checks have found the same.
+        time.sleep(1.0)
+        answer = self.node.stream()
+        self.assertEqual(answer.status, 502)
+        self.assertIn(b"have crashed upstreams", answer.data)
+        self.assertEqual(sum(len(engine.seen) for engine in fragile), 3)
