--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -102,6 +102,14 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         shedding.join()
 
+    async def test_upstream_with_a_full_backlog_is_reachable(self):
+        with (
+            socket.create_server(("127.0.0.1", 0), backlog=0) as listener,
+            socket.create_connection(listener.getsockname()),
+        ):
+            busy = build_upstream(listener)
+            self.assertTrue(await self.pool.is_reachable(busy))
+
     async def test_upstream_that_has_ended_is_not_reachable(self):
         self.listener.close()
         self.assertFalse(await self.pool.is_reachable(self.upstream))
