Leave repeats of the budget to streams whose upstream fails

Callers saw a stream closed midway right after its upstream broke, although the route allowed another attempt: 'the budget of repeats is used up'.

Cause: the cascade asked for a larger model as long as one repeat was left. To give an answer up for a better one is a choice; to go on with one of which the caller has a part is not.

The cascade now leaves two repeats of the node's budget. The budget itself and its bounds are the same.

tests.test_forwarding_cascade: with 2 to 39 requests whose answers are doubtful, two streams that break go on. What it costs in answers of larger models is not yet measured.

--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -25,6 +25,9 @@
 SMOOTHING = 0.3
 # Part of the objective in which the larger model has to begin its answer.
 OBJECTIVE_SHARE = 0.9
+# Repeats of the budget that are left to attempts that fail: without one, an
+# answer of which the caller has a part is lost.
+RESERVED_REPEATS = 2.0
 
 
 class Delays:
@@ -104,7 +107,7 @@
         return Decision("", f"confidence of {threshold:.0f} or more")
     if situation.attempts_left < 1:
         return Decision("", "no attempt left")
-    if situation.repeats_left < 1:
+    if situation.repeats_left < 1 + RESERVED_REPEATS:
         return Decision("", "no repeat left in the budget")
     due_s = route.objective_s * OBJECTIVE_SHARE
     if situation.elapsed_s + situation.larger_s > due_s:
--- /dev/null
+++ b/tests/test_forwarding_cascade.py
@@ -0,0 +1,51 @@
+"""Tests of the choice of larger models beside other repeats."""
+
+import unittest
+
+from sycamorehollow.decisions.forwarding import steps
+from tests import forwarding_world
+
+UPSTREAMS = [
+    forwarding_world.build_upstream(f"e-{number}", models=("small", "large"))
+    for number in range(4)
+]
+
+
+class ReserveTest(unittest.TestCase):
+    """Guards against streams that are cut since the cascade used all repeats.
+
+    Every answer of the small model is doubtful; at the end two streams of
+    which the callers have a part break in the same moment.
+    """
+
+    def setUp(self):
+        self.dropped = 0
+
+    def _begin(self, built, now):
+        """Returns the course of a stream that is being delivered."""
+        played = forwarding_world.build_course(built, now=now)
+        self.assertIsInstance(played.find_step(now), steps.Send)
+        doubtful = forwarding_world.build_head(confidence=0)
+        if played.judge_head(doubtful, now) is steps.Verdict.AGAIN:
+            self.dropped += 1
+            self.assertIsInstance(played.find_step(now), steps.Send)
+            played.judge_head(forwarding_world.build_head(), now)
+        played.delivering = True
+        return played
+
+    def test_streams_that_break_go_on_beside_doubtful_answers(self):
+        for requests in range(2, 40):
+            with self.subTest(requests=requests):
+                built = forwarding_world.build_router(
+                    *UPSTREAMS, retry_floor=4.0
+                )
+                streams = [
+                    self._begin(built, number / 10)
+                    for number in range(requests)
+                ]
+                now = requests / 10
+                for stream in streams[-2:]:
+                    stream.note_broken("closed", True, now)
+                    self.assertIsInstance(stream.find_step(now), steps.Send)
+        # The cascade still has most of the budget.
+        self.assertGreater(self.dropped, 300)
