Send once more what a dropped idle connection has reset

Callers saw a stream closed midway some milliseconds after patience had given its upstream up for another one. Its last attempt was sent on a kept connection that the other upstream had dropped while it was idle; the reset counted as an attempt that ran, and 'no attempt is left'. The request never reached the upstream, so its log shows nothing of it.

A request that may run twice, and whose kept connection is lost within 0.1 s without a byte of an answer, is now sent once more to the same upstream on a new connection, within its attempt. It is counted in the budget of repeats and not made without one. If the upstream takes no connection, the loss stands as before and is checked as a crash. A line tells of each.

--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -98,6 +98,13 @@
                 return [Change(f"entry={event.key}", event.reason)]
         return self._handle_rollout(event, now)
 
+    def spend_repeat(self, service: str, now: float) -> bool:
+        """Counts a repeat if the budget of a service has one left."""
+        if not self.budget.may_repeat(service, now):
+            return False
+        self.budget.note_repeat(service, now)
+        return True
+
     def configure(self, settings: gateway.Settings) -> None:
         """Takes changed settings."""
         self.limits.configure(settings.cold_factor, settings.cold_floor)
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -76,7 +76,7 @@
         self._source = source
         self._router = routers.Router(settings, source)
         self._pool = connection_pool.ConnectionPool(
-            adapter.spelling.decode_answer
+            adapter.spelling.decode_answer, self._spend_repeat
         )
         self._crash_checks = crash_checks.CrashChecks(
             self._router, self._pool, self._journal
@@ -135,6 +135,16 @@
             "stopped node={} requests_cut={}", self._settings.node, cut
         )
 
+    def _spend_repeat(self, upstream: forwarding.Upstream) -> bool:
+        """Allows a request on a connection that the upstream had dropped."""
+        allowed = self._router.spend_repeat(upstream.service, time.monotonic())
+        outcome = "had dropped a kept connection, "
+        outcome += "sent once more" if allowed else "no repeat is left"
+        self._journal.note_change(
+            f"upstream={upstream.identity}", outcome, "reset"
+        )
+        return allowed
+
     def _start_knowledge(self) -> None:
         known = knowledge.Knowledge(
             self._settings,
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import time
 
 from sycamorehollow.model import forwarding
@@ -23,12 +24,17 @@
 
     Args:
         decode: Decodes the head of an answer.
+        spend_repeat: Tells whether a request may be sent to an upstream once
+            more, and counts that.
     """
 
     def __init__(
-        self, decode: Callable[[int, dialect.Headers], forwarding.AnswerHead]
+        self,
+        decode: Callable[[int, dialect.Headers], forwarding.AnswerHead],
+        spend_repeat: Callable[[forwarding.Upstream], bool] = lambda _: False,
     ):
         self._decode = decode
+        self._spend_repeat = spend_repeat
         self._idle: dict[
             tuple[str, int], list[upstream_connections.UpstreamConnection]
         ] = {}
@@ -58,6 +64,8 @@
                 limit_s = min(limit_s, FRESH_IDLE_S)
             fit = connection.is_open and not connection.has_carried(request_id)
             if fit and age_s < limit_s:
+                renew = functools.partial(self._renew, upstream, connection)
+                connection.allow_renewal(renew if repeatable else None)
                 return connection
             connection.close()
         return await self._open(upstream)
@@ -115,24 +123,51 @@
             return True
         return False
 
+    async def _renew(
+        self,
+        upstream: forwarding.Upstream,
+        connection: upstream_connections.UpstreamConnection,
+    ) -> bool:
+        """Connects once more for a request on a dropped connection."""
+        if not self._spend_repeat(upstream):
+            return False
+        try:
+            await self._connect(upstream, connection.reopen)
+        except (OSError, TimeoutError):
+            # The loss of the dropped connection is what the log tells.
+            return False
+        return True
+
     async def _open(
         self, upstream: forwarding.Upstream
     ) -> upstream_connections.UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                transport, connection = await loop.create_connection(
-                    lambda: upstream_connections.UpstreamConnection(
-                        self._decode
-                    ),
-                    upstream.host,
-                    upstream.port,
-                )
+            return await self._connect(
+                upstream,
+                lambda: upstream_connections.UpstreamConnection(self._decode),
+            )
         except (OSError, TimeoutError) as error:
             raise upstream_connections.BrokenError(
                 f"cannot connect: {error or 'timed out'}", False, False
             ) from error
+
+    async def _connect(
+        self,
+        upstream: forwarding.Upstream,
+        build: Callable[[], upstream_connections.UpstreamConnection],
+    ) -> upstream_connections.UpstreamConnection:
+        """Connects to an upstream.
+
+        Raises:
+            OSError: It does not take the connection.
+            TimeoutError: It does not answer in time.
+        """
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            transport, connection = await loop.create_connection(
+                build, upstream.host, upstream.port
+            )
         upstream_connections.set_options(
             transport, upstream_connections.DEAD_UPSTREAM_MS
         )
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import socket
@@ -27,6 +28,9 @@
 # time still allows for a lost packet that is sent again.
 DEAD_UPSTREAM_MS = 800
 DEAD_CALLER_MS = 3000
+# Time in seconds in which an upstream that has dropped a kept connection resets
+# what is sent on it: the way to any data centre of a region and back.
+STALE_S = 0.1
 
 
 class BrokenError(Exception):
@@ -86,6 +90,11 @@
         self._fault = ""
         self._way_lost = ""
         self._reusable = True
+        self._renew: Callable[[], Awaitable[bool]] | None = None
+        self._request = b""
+        self._sent_at = 0.0
+        self._lost_at = float("inf")
+        self._heard = False
 
     def _reset_answer(self) -> None:
         self._status_text = b""
@@ -119,6 +128,24 @@
         """Calls back when the connection ends while it is idle."""
         self._on_dropped = callback
 
+    def allow_renewal(
+        self, renew: Callable[[], Awaitable[bool]] | None
+    ) -> None:
+        """Sets what replaces a connection that turns out to be dropped.
+
+        Args:
+            renew: Connects once more by `reopen` and returns whether the
+                request may be sent again; `None` if it may not run twice.
+        """
+        self._renew = renew
+
+    def reopen(self) -> "UpstreamConnection":
+        """Takes a new transport in place of the one that was lost."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._closed = False
+        self._lost_at = float("inf")
+        return self
+
     def send(self, request_id: str, data: bytes) -> None:
         """Starts a request."""
         assert self._transport is not None
@@ -126,6 +153,9 @@
         self._request_id = request_id
         self._active = True
         self.used = True
+        self._request = data if self._renew is not None else b""
+        self._heard = False
+        self._sent_at = time.monotonic()
         self._transport.write(data)
 
     async def read_head(self) -> Head:
@@ -135,6 +165,12 @@
             BrokenError: The connection ended before.
         """
         while self._head is None:
+            if self._renew is not None and self._was_stale():
+                renew, self._renew = self._renew, None
+                request, self._request = self._request, b""
+                if await renew():
+                    self.send(self._request_id, request)
+                continue
             self._check()
             await self._sleep()
         return self._head
@@ -160,6 +196,7 @@
     def finish(self) -> bool:
         """Ends the present answer; returns whether it may be used again."""
         self._active = False
+        self._request = b""
         self.idle_since = time.monotonic()
         return self._ended and self.is_open
 
@@ -170,6 +207,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _was_stale(self) -> bool:
+        """Whether the upstream had dropped the connection before the request.
+
+        Then it resets what is sent, at once and without a byte of an answer.
+        """
+        return (
+            self._lost_at - self._sent_at < STALE_S
+            and not self._heard
+            and not self._fault
+            and not self._way_lost
+        )
+
     def _check(self) -> None:
         if self._fault:
             raise BrokenError(self._fault, crashed=False)
@@ -189,6 +238,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses a piece of the answer."""
+        self._heard = True
         if not self._active or self._ended:
             # Bytes that belong to no request.
             self._drop("the upstream sent more than its answer")
@@ -217,6 +267,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Wakes the reader of the answer."""
         self._closed = True
+        self._lost_at = time.monotonic()
         if error is not None and not isinstance(error, ConnectionError):
             # No reset came from the upstream: its acknowledgements stopped.
             self._way_lost = f"the way to the upstream is lost: {error}"
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -85,6 +85,72 @@
                 error = await self._read_break(connection)
                 self.assertTrue(error.crashed, error)
 
+    async def _send_on_kept(self, repeatable):
+        """Sends a second request on a connection; returns both ends."""
+        self.pool = connection_pool.ConnectionPool(
+            lambda status, headers: forwarding.AnswerHead(status, ""),
+            self._spend,
+        )
+        self.spent = 0
+        connection, accepted = await self._send(b"x")
+        accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await connection.read_head()
+        self.pool.give_back(self.upstream, connection, 1)
+        again = await self.pool.take(self.upstream, "r", repeatable)
+        self.assertIs(again, connection)
+        connection.send("r", b"y")
+        return connection, accepted
+
+    def _spend(self, upstream):
+        self.spent += 1
+        return True
+
+    async def test_request_on_a_dropped_connection_is_sent_once_more(self):
+        connection, accepted = await self._send_on_kept(True)
+        reset(accepted)
+        reading = asyncio.create_task(connection.read_head())
+        while not self.spent:
+            await asyncio.sleep(0.01)
+        again, _ = await asyncio.to_thread(self.listener.accept)
+        self.assertEqual(await asyncio.to_thread(again.recv, 9), b"y")
+        again.sendall(b"HTTP/1.1 201 Made\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual((await reading).status, 201)
+        # The new connection is kept, and a drop of it is noticed.
+        self.pool.give_back(self.upstream, connection, 1)
+        self.assertIs(
+            await self.pool.take(self.upstream, "s", True), connection
+        )
+        again.close()
+
+    async def test_second_loss_of_a_connection_ends_the_attempt(self):
+        connection, accepted = await self._send_on_kept(True)
+        reset(accepted)
+        reading = asyncio.create_task(self._read_break(connection))
+        again, _ = await asyncio.to_thread(self.listener.accept)
+        reset(again)
+        self.assertTrue((await reading).crashed)
+        self.assertEqual(self.spent, 1)
+
+    async def test_crash_on_a_kept_connection_is_a_crash(self):
+        connection, accepted = await self._send_on_kept(True)
+        self.listener.close()
+        reset(accepted)
+        error = await self._read_break(connection)
+        self.assertTrue(error.crashed and error.written, error)
+
+    async def test_request_that_may_not_run_twice_is_not_sent_again(self):
+        connection, accepted = await self._send_on_kept(False)
+        reset(accepted)
+        await self._read_break(connection)
+        self.assertEqual(self.spent, 0)
+
+    async def test_request_that_has_run_for_a_while_is_not_sent_again(self):
+        connection, accepted = await self._send_on_kept(True)
+        await asyncio.sleep(2 * upstream_connections.STALE_S)
+        reset(accepted)
+        await self._read_break(connection)
+        self.assertEqual(self.spent, 0)
+
     async def test_upstream_that_sheds_connections_is_reachable(self):
         def shed():
             with contextlib.suppress(OSError):
