--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -18,6 +18,7 @@
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import crash_checks
 from sycamorehollow.shells.gateway import dialect
 from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import forwarder
@@ -75,7 +76,10 @@
         self._source = source
         self._router = routers.Router(settings, source)
         self._pool = connection_pool.ConnectionPool(
-            adapter.spelling.decode_answer
+            adapter.spelling.decode_answer, self._spend_repeat
+        )
+        self._crash_checks = crash_checks.CrashChecks(
+            self._router, self._pool, self._journal
         )
         self._forwarder = forwarder.Forwarder(
             self._router, adapter.spelling, self._pool, self._journal
@@ -131,6 +135,16 @@
             "stopped node={} requests_cut={}", self._settings.node, cut
         )
 
+    def _spend_repeat(self, upstream: forwarding.Upstream) -> bool:
+        """Allows a request on a connection that the upstream had dropped."""
+        allowed = self._router.spend_repeat(upstream.service, time.monotonic())
+        outcome = "had dropped a kept connection, "
+        outcome += "sent once more" if allowed else "no repeat is left"
+        self._journal.note_change(
+            f"upstream={upstream.identity}", outcome, "reset"
+        )
+        return allowed
+
     def _start_knowledge(self) -> None:
         known = knowledge.Knowledge(
             self._settings,
@@ -238,6 +252,7 @@
     def _tick(self) -> None:
         assert self._knowledge is not None
         self._knowledge.tick()
+        self._crash_checks.tick()
         self._pool.close_expired()
 
     def _read_change_time(self) -> float:
