Let only an upstream that keeps a new connection pass for one that lives

The check after a break took any accepted connection for a sign of life. The connection now has to stay open for 0.1 s; otherwise the break counts, as before the checks.

tests.test_gateway_breaks: upstreams that reset every connection are counted.

--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_S = 0.25
 PROBE_TIMEOUT_S = 0.12
 PROBES = 2
+# Time in seconds for which an upstream has to keep a new connection.
+KEEP_PROBE_S = 0.1
 # A request that must not run twice is not sent on a connection that the
 # upstream may just have closed.
 FRESH_IDLE_S = 0.25
@@ -123,6 +125,30 @@
             return True
         return False
 
+    async def keeps_connections(self, upstream: forwarding.Upstream) -> bool:
+        """Tells whether an upstream takes a connection and does not end it.
+
+        A machine may still take connections for a process that has ended.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    upstream.host, upstream.port
+                )
+        except (OSError, TimeoutError):
+            return False
+        try:
+            async with asyncio.timeout(KEEP_PROBE_S):
+                # Whatever comes without a request is an end, or no answer.
+                await reader.read(1)
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        finally:
+            writer.transport.abort()
+        return False
+
     async def _renew(
         self,
         upstream: forwarding.Upstream,
--- a/sycamorehollow/shells/gateway/crash_checks.py
+++ b/sycamorehollow/shells/gateway/crash_checks.py
@@ -48,14 +48,14 @@
 
     async def _check(self, run: str) -> None:
         began = time.monotonic()
-        crashed, outcome = True, "cannot be reached"
+        crashed, outcome = True, "takes no connections"
         try:
             state = self._find(run)
             if state is None:
                 outcome = "has ended"
             elif state.upstream.draining:
                 crashed, outcome = False, "leaves by plan"
-            elif await self._pool.is_reachable(state.upstream):
+            elif await self._pool.keeps_connections(state.upstream):
                 crashed, outcome = False, "still takes connections"
         except Exception as error:
             # The break counts, as without a check.
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -230,6 +230,17 @@
             self.router.handle(updates.UpstreamSet(leaving), 0.0)
         self.assertFalse(await self._is_blamed())
 
+    async def test_upstreams_that_reset_every_connection_are_counted(self):
+        def shed(listener):
+            with contextlib.suppress(OSError):
+                while True:
+                    reset(listener.accept()[0])
+
+        for listener in self.listeners:
+            threading.Thread(target=shed, args=[listener], daemon=True).start()
+            self.addCleanup(listener.shutdown, socket.SHUT_RDWR)
+        self.assertTrue(await self._is_blamed())
+
     async def test_upstreams_that_crash_are_counted(self):
         for listener in self.listeners:
             listener.close()
@@ -244,7 +255,7 @@
     async def test_check_that_fails_leaves_the_break_counted(self):
         with mock.patch.object(
             connection_pool.ConnectionPool,
-            "is_reachable",
+            "keeps_connections",
             side_effect=RuntimeError("no check"),
         ):
             self.assertTrue(await self._is_blamed())
