Contain an unexpected error of the relay's periodic check

What callers saw: nothing was seen in production. An unexpected error in the check for stalled callers or silent upstreams, which runs four times a second, ended the relay's task, and with it every stream of the process.

Cause: messages and sockets are served behind a guard that abandons one stream; the periodic check had none. The bounds on held bytes were carried out in one loop, so that an error at one caller also skipped the rest, and blamed the stream that was served at the moment.

Change: the check of each stream and each bound abandons its own stream only.

--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -197,15 +197,24 @@
     def _apply_bounds(
         self, decided: list[commands.Command], now: float
     ) -> None:
-        """Carries out what the bounds on held bytes ask for."""
+        """Carries out what the bounds on held bytes ask for.
+
+        A command may concern another stream than the one that is served.
+        """
         for command in decided:
-            match command:
-                case buffers.PauseReading():
-                    self._pause(command.stream, True, now)
-                case buffers.ResumeReading():
-                    self._pause(command.stream, False, now)
-                case buffers.DisconnectCaller():
-                    self._disconnect(command)
+            try:
+                self._apply_bound(command, now)
+            except Exception as error:
+                self._abandon(getattr(command, "stream", ""), error)
+
+    def _apply_bound(self, command: commands.Command, now: float) -> None:
+        match command:
+            case buffers.PauseReading():
+                self._pause(command.stream, True, now)
+            case buffers.ResumeReading():
+                self._pause(command.stream, False, now)
+            case buffers.DisconnectCaller():
+                self._disconnect(command)
 
     def _pause(self, request_id: str, paused: bool, now: float) -> None:
         stream = self._streams.get(request_id)
@@ -253,11 +262,24 @@
         )
 
     def _check_progress(self, now: float) -> None:
-        self._apply_bounds(self._callers.find_stalled(now), now)
+        try:
+            stalled = self._callers.find_stalled(now)
+        except Exception as error:
+            loguru.logger.opt(exception=error).error(
+                "relay: the check for stalled callers failed"
+            )
+            stalled = []
+        self._apply_bounds(stalled, now)
         for stream in list(self._streams.values()):
-            loss = self._engines.find_silence(stream, now)
-            if loss is not None:
-                self._fail_attempt(stream, loss)
+            try:
+                self._check_silence(stream, now)
+            except Exception as error:
+                self._abandon(stream.request_id, error)
+
+    def _check_silence(self, stream: streams.Stream, now: float) -> None:
+        loss = self._engines.find_silence(stream, now)
+        if loss is not None:
+            self._fail_attempt(stream, loss)
 
     def _attach(self, message: Attach) -> None:
         stream = streams.Stream(message.request_id, message.caller)
--- a/tests/test_relay_floods.py
+++ b/tests/test_relay_floods.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+from sycamorehollow.decisions.requests import buffers
+from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 from sycamorehollow.shells import callers
 from sycamorehollow.shells import engines
@@ -110,6 +112,41 @@
         event, _ = self._run("endless-status", streamed=True)
         self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
 
+    def test_unexpected_error_of_a_check_ends_one_stream_only(self):
+        fault = mock.Mock(side_effect=[RuntimeError("a fault"), None, None])
+        stalled = mock.Mock(side_effect=[RuntimeError("a fault"), (), ()])
+        with (
+            mock.patch.object(engines.EngineReader, "find_silence", fault),
+            mock.patch.object(callers.CallerWriter, "find_stalled", stalled),
+        ):
+            self._attach("lost", streamed=True)
+            event = self.events.get(timeout=2.0)
+        self.assertIsInstance(event, lifecycle.CallerGone)
+        event, _ = self._run("endless-status", streamed=True)
+        self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
+
+    def test_unexpected_error_of_a_bound_spares_the_other_callers(self):
+        stalled = []
+        for name in ("first", "second"):
+            self._attach(name, streamed=True)
+            failure = failures.Overloaded("stalled")
+            stalled.append(buffers.DisconnectCaller(name, failure))
+        dropped = queue.SimpleQueue()
+
+        def drop(stream):
+            if stream.request_id == "first":
+                raise RuntimeError("a fault")
+            dropped.put(stream.request_id)
+
+        found = mock.Mock(return_value=stalled)
+        with (
+            mock.patch.object(self.relay, "_drop_caller", drop),
+            mock.patch.object(callers.CallerWriter, "find_stalled", found),
+        ):
+            self.assertEqual(dropped.get(timeout=2.0), "second")
+        event = self.events.get(timeout=2.0)
+        self.assertEqual(event, lifecycle.CallerGone("first", 0))
+
     def test_engine_that_only_trickles_is_given_up(self):
         for kind in ("trickle-bytes", "trickle-comments"):
             with self.subTest(kind):
