Let no chunk of an ended attempt count as delivered in the router's test

Cause: the test sends a chunk for an attempt that has ended as not sent, counts it as delivered, and takes the retry for a second run. The relay closes the connection before it reports the end, so no chunk follows it, and the router ignores one.

Change: the event is still sent, as a stale one, and counts only while the attempt runs.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -150,6 +150,7 @@
         self.finals = []
         self.bills = []
         self.produced = False
+        self.running = False
         self.received = 0
         self.gone = False
         self.now = 0.0
@@ -167,6 +168,7 @@
                     assert not self.finals, "an attempt after the end"
                     self._check_start(command)
                     self.starts.append(command)
+                    self.running = True
                     if command.resume_from is None:
                         self.received = 0
                         self.produced = False
@@ -211,15 +213,19 @@
         if action in ends:
             if action in ("not_sent", "refused") and self.produced:
                 return None
+            self.running = False
             return lifecycle.AttemptFailed(
                 "r1", attempt, ends[action], received=self.received
             )
         match action:
             case "produce":
-                self.produced = True
-                self.received += 1
+                # A chunk of an attempt that has ended reaches no caller.
+                if self.running:
+                    self.produced = True
+                    self.received += 1
                 return lifecycle.AttemptProduced("r1", attempt)
             case "complete":
+                self.running = False
                 return lifecycle.AttemptCompleted("r1", attempt, 10, 5, b"")
             case "stale":
                 return lifecycle.AttemptCompleted("r1", attempt - 1, 9, 9, b"")
