Do not take a connection that was not made in time for a crash

What callers saw: nothing in production. A request whose attempts were lost at two upstreams behind a broken path was refused as `quarantined` for up to 24 h, although no upstream had died.

Cause: an attempt that got no connection within 1 s, or that this process could not open, was reported like a refused connection, which proves that nothing listens there. It so turned every attempt that was lost there in the last 10 s into a death. Polls of the load make this distinction already, and docs/operators/quarantine.md promises it.

Change: the relay tells whether the host refused the connection. Only that is a death; the other is `ConnectTimedOut`, after which no new work goes there for a while, as before.

With every unreachable upstream counted as before, UnconnectedTest fails: the verdict is Quarantined. Passed: test_quarantine, test_relay_answers, test_upstreams, test_process_crashes, test_relay_floods, test_router, test_node, test_selection.

--- a/sycamorehollow/decisions/requests/attempt_runs.py
+++ b/sycamorehollow/decisions/requests/attempt_runs.py
@@ -222,6 +222,7 @@
             ENDS.get(event.end, notices.End.LOST),
             event.code,
             unreachable,
+            event.refused,
         )
         self._placement.release(event.request_id, end, now)
 
--- a/sycamorehollow/decisions/routing/notices.py
+++ b/sycamorehollow/decisions/routing/notices.py
@@ -93,7 +93,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConnectFailed(events.Event):
-    """An upstream refused a connection or did not accept it in time."""
+    """The host of an upstream refused a connection: nothing listens there."""
+
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ConnectTimedOut(events.Event):
+    """No connection to an upstream could be made, and none was refused.
+
+    The path or this process may be at fault, so this tells nothing about the
+    work that the upstream runs.
+    """
 
     upstream: str
 
--- a/sycamorehollow/decisions/routing/placement.py
+++ b/sycamorehollow/decisions/routing/placement.py
@@ -29,12 +29,14 @@
     Attributes:
         code: Code of the upstream's typed refusal, or empty.
         unreachable: Whether no connection could be made.
+        refused: Whether the host refused the connection.
         output_tokens: Output tokens of a whole answer, else 0.
     """
 
     end: notices.End
     code: str = ""
     unreachable: bool = False
+    refused: bool = False
     output_tokens: int = 0
 
 
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -206,9 +206,11 @@
             notices.AttemptEnded(request_id, place.upstream, end.end, end.code),
             now,
         )
-        if end.unreachable:
-            # After the end, so that a lost attempt counts as a death at once.
+        # After the end, so that a lost attempt counts as a death at once.
+        if end.refused:
             self._tell(notices.ConnectFailed(place.upstream), now)
+        elif end.unreachable:
+            self._tell(notices.ConnectTimedOut(place.upstream), now)
 
     def estimate_duration_s(
         self, request: requests.ModelRequest, version: str, now: float
--- a/sycamorehollow/decisions/routing/upstreams.py
+++ b/sycamorehollow/decisions/routing/upstreams.py
@@ -156,7 +156,11 @@
                 self._report(event)
             case notices.UpstreamsConfigured():
                 self._configure(event.upstreams)
-            case notices.ConnectFailed() | notices.PollUnanswered():
+            case (
+                notices.ConnectFailed()
+                | notices.ConnectTimedOut()
+                | notices.PollUnanswered()
+            ):
                 self._back_off(event.upstream, now)
             case events.Tick():
                 for name in self._shares.expire(now, self._interval_s()):
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -102,6 +102,8 @@
         retry_after_s: When the upstream takes work again, if it said so.
         answered: Whether the upstream had begun a response on this
             connection, so that a silence may be a queue.
+        refused: Whether the host refused the connection, so that nothing
+            listens there.
     """
 
     request_id: str
@@ -111,6 +113,7 @@
     received: int = 0
     retry_after_s: float | None = None
     answered: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -49,6 +49,7 @@
     code: str = ""
     retry_after_s: float | None = None
     answered: bool = False
+    refused: bool = False
 
 
 class EngineReader:
@@ -74,8 +75,9 @@
         )
         try:
             engine.sock = connect(address)
-        except OSError:
-            return Loss(lifecycle.AttemptEnd.NOT_SENT)
+        except OSError as error:
+            engine.connect_error = error.errno or 0
+            return self.describe_loss(stream)
         self._set_mask(stream, engine, selectors.EVENT_WRITE)
         return None
 
@@ -85,6 +87,7 @@
         assert engine is not None and engine.sock is not None
         error = engine.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
+            engine.connect_error = error
             return False
         try:
             sent = engine.sock.send(engine.outgoing)
@@ -205,7 +208,8 @@
         engine = stream.engine
         assert engine is not None
         if engine.sent_bytes == 0:
-            return Loss(lifecycle.AttemptEnd.NOT_SENT)
+            refused = engine.connect_error == errno.ECONNREFUSED
+            return Loss(lifecycle.AttemptEnd.NOT_SENT, refused=refused)
         if engine.response.status in (0, HTTP_OK):
             return Loss(lifecycle.AttemptEnd.BROKEN)
         return describe_refusal(engine)
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -258,6 +258,7 @@
                 stream.received,
                 loss.retry_after_s,
                 loss.answered,
+                loss.refused,
             )
         )
 
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -75,6 +75,7 @@
         self.last_progress = now
         self.paused = False
         self.mask = 0
+        self.connect_error = 0
 
     def append_error_body(self, body: bytes) -> None:
         """Keeps the body of a refusal, up to a limit."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of the quarantine of requests that crash upstreams."""
 
 import itertools
+import random
 import unittest
 
 import hypothesis
@@ -8,7 +9,11 @@
 
 from sycamorehollow.decisions.requests import quarantine
 from sycamorehollow.decisions.routing import notices
+from sycamorehollow.decisions.routing import placement
+from sycamorehollow.decisions.routing import upstream_placement
+from sycamorehollow.model import deployment
 from sycamorehollow.model import events
+from sycamorehollow.model import requests
 
 INNOCENT = ("i0", "i1")
 CRASHING = ("c0", "c1")
@@ -251,3 +256,57 @@
         later = 1.2 + quarantine.DEATH_WINDOW_S
         node.handle(events.Tick(), later)
         self.assertIs(node.judge("f", later), quarantine.Verdict.CLEAR)
+
+
+class UnconnectedTest(unittest.TestCase):
+    """Guards against content that is blamed for a broken path."""
+
+    def setUp(self):
+        self.suspects = quarantine.Quarantine()
+        self.places = upstream_placement.UpstreamPlacement(
+            "p",
+            "dc-1",
+            0,
+            1,
+            random.Random(1),
+            0.0,
+            lambda name: None,
+            self.suspects,
+        )
+        upstreams = {
+            name: deployment.Upstream(name, f"http://{name}", "dc-1", ("v",))
+            for name in ("u0", "u1")
+        }
+        self.places.apply(deployment.Deployment(upstreams=upstreams), 0.0)
+        self._report(0.0)
+
+    def _report(self, now):
+        for name in ("u0", "u1"):
+            report = notices.LoadReported(name, now, 1, False, 9, 0, 100_000)
+            for part in self.places.list_parts():
+                part.handle(report, now)
+
+    def _lose_twice(self, refused):
+        """Loses the same request at both upstreams, which take no more."""
+        request = requests.ModelRequest(
+            "r", "maps", "v", "", b"", "f", 10, 20, True, 100.0
+        )
+        excluded = frozenset()
+        for now in (1.0, 2.0):
+            self._report(now)
+            placed = self.places.place(request, "v", excluded, now)
+            excluded |= {placed.upstream.name}
+            end = placement.End(notices.End.LOST, "", True, refused)
+            self.places.release("r", end, now + 0.5)
+        return self.suspects.judge("f", 3.0)
+
+    def test_connections_without_an_answer_are_no_deaths(self):
+        verdict = self._lose_twice(refused=False)
+        self.assertNotIsInstance(verdict, quarantine.Quarantined)
+        self.suspects.handle(events.Tick(), 13.0)
+        verdict = self.suspects.judge("f", 13.0)
+        self.assertIs(verdict, quarantine.Verdict.CLEAR)
+
+    def test_refused_connections_are_deaths(self):
+        verdict = self._lose_twice(refused=True)
+        self.assertIsInstance(verdict, quarantine.Quarantined)
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -48,12 +48,17 @@
         self.events = queue.SimpleQueue()
         self.relay = relay.Relay(self.events.put)
         self.relay.start()
-        self.addCleanup(self.relay.stop)
+        self.sockets = []
+        self.addCleanup(self._close)
+
+    def _close(self):
+        self.relay.stop()
+        for sock in self.sockets:
+            sock.close()
 
     def _attach(self, streamed):
         near, self.far = socket.socketpair()
-        self.addCleanup(near.close)
-        self.addCleanup(self.far.close)
+        self.sockets.extend((near, self.far))
         near.setblocking(False)
         self.far.settimeout(WAIT_S)
         self.reply = queue.SimpleQueue()
@@ -130,3 +135,30 @@
         self.assertIn(b"large ", received)
         self.assertIn(b"answer_truncated", received)
         self.assertNotIn(b"small ", received)
+
+    def _fail_at(self, address):
+        """Returns how an attempt at an address without an engine ends."""
+        self._attach(True)
+        self.engine.address = "%s:%d" % address
+        self._start(1, "small", False)
+        return self._await_event(lifecycle.AttemptFailed)
+
+    def test_only_a_refused_connection_counts_as_refused(self):
+        """Guards against a full queue of connections taken for a crash."""
+        closed = socket.create_server(("127.0.0.1", 0))
+        address = closed.getsockname()
+        closed.close()
+        event = self._fail_at(address)
+        self.assertIs(event.end, lifecycle.AttemptEnd.NOT_SENT)
+        self.assertTrue(event.refused)
+        full = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(full.close)
+        # The kernel drops further attempts to connect.
+        for _ in range(2):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            self.addCleanup(waiting.close)
+            waiting.connect_ex(full.getsockname())
+        event = self._fail_at(full.getsockname())
+        self.assertIs(event.end, lifecycle.AttemptEnd.NOT_SENT)
+        self.assertFalse(event.refused)
