Let a closed socket not end the relay while its stream is abandoned

What callers saw: nothing in production; seen in a trial of a test that closed a caller's socket before it stopped the relay.

Cause: the guard around each message abandons the stream of an unexpected error. If its socket was closed and not watched any more, asking the selector for it raised ValueError inside the guard and ended the task of all streams.

Change: the socket is unregistered, and both kinds of absence are logged.

The new test of test_relay_floods failed before (no event, the task ended with ValueError); test_relay_floods and test_relay_answers pass.

--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -107,8 +107,13 @@
         for side in (stream.engine, stream.caller):
             if side is None or side.sock is None:
                 continue
-            if side.sock in self._selector.get_map():
+            try:
                 self._selector.unregister(side.sock)
+            except (KeyError, ValueError) as gone:
+                # It was not watched any more, or is closed.
+                loguru.logger.debug(
+                    "relay: request={} unwatched: {!r}", request_id, gone
+                )
             side.mask = 0
         self._callers.forget(stream)
         if stream.engine is not None and stream.engine.sock is not None:
--- a/tests/test_relay_floods.py
+++ b/tests/test_relay_floods.py
@@ -112,6 +112,19 @@
         event, _ = self._run("endless-status", streamed=True)
         self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
 
+    def test_socket_that_was_closed_ends_one_stream_only(self):
+        """Guards against a second error while a stream is abandoned."""
+        near, _ = self._attach("lost", streamed=True)
+        # The attempt begins after the caller was attached.
+        self._run("endless-status", streamed=True)
+        near.close()
+        failure = failures.Overloaded("lost")
+        self.relay.post(lifecycle.RefuseRequest("lost", "maps", failure))
+        event = self.events.get(timeout=2.0)
+        self.assertIsInstance(event, lifecycle.CallerGone)
+        event, _ = self._run("endless-status", streamed=True)
+        self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
+
     def test_unexpected_error_of_a_check_ends_one_stream_only(self):
         fault = mock.Mock(side_effect=[RuntimeError("a fault"), None, None])
         stalled = mock.Mock(side_effect=[RuntimeError("a fault"), (), ()])
