Give up a silent attempt of the chat path only for one that is admitted

What callers saw: a stream that had begun was cut with `answer_truncated` when its engine stood still for about 15 s, when a resume got no connection within 1 s (one lost packet is enough), or when the engine refused the resume as if it were new work. A request without a chunk was refused with `upstream_failed`, `no_upstream` or `version_withdrawn` after about 7 s of silence, with most of its time to the deadline left.

The silent attempt was ended first; budget, number of retries, quarantine, versions and room were asked afterwards, at the next start, and their refusals are meant for requests that run nowhere. The limit of resumes counted silence like a loss.

Change: a silent run is resumed until the deadline. Without a delivered chunk it moves when the retry rules allow it and `Placement.move` finds a place in the same step, judged by the quarantine as if the running attempt were lost; if not, nothing changes, and no retry is spent. An upstream counts as lost when it does not know the stream, its host refuses the connection, or four connections in a row break or are not made; progress in between starts the count anew. A refused resume is repeated after the time that the upstream names, or 1 s. The refusal of a retry names the rule.

Ruled out: a reload that withdraws the version does not touch a running attempt, nor its resume.

--- a/sycamorehollow/decisions/requests/active.py
+++ b/sycamorehollow/decisions/requests/active.py
@@ -50,11 +50,15 @@
         held: Whether the chunks of the attempt are kept back.
         produced: Whether the attempt gave a chunk.
         resumes: Resumes in a row that no upstream answered.
+        losses: Connections in a row that broke or were not made.
+        received: Events that the run has given up to its last loss.
         resumed: Whether the current run was resumed.
         in_flight: Whether an attempt is under way.
         ran: Whether an attempt that has ended may have run.
         started_at: Monotonic time in seconds of the start of the attempt.
         restart_at: When the next attempt starts, if one waits.
+        resume_at: When the run is resumed, if that waits.
+        resume_reason: Why it is resumed, for the log.
         priced: The version of the attempt, at the price when it started.
         rating_deadline: Until when a gate waits for a rating, if one waits.
         finishing: Whether the answer waits only for its bill.
@@ -79,11 +83,15 @@
     in_flight: bool = False
     ran: bool = False
     resumes: int = 0
+    losses: int = 0
+    received: int = 0
     resumed: bool = False
     prompt_tokens: int = 0
     output_tokens: int = 0
     started_at: float = 0.0
     restart_at: float | None = None
+    resume_at: float | None = None
+    resume_reason: str = ""
     rating_deadline: float | None = None
     finishing: bool = False
     retained: RetainedAnswer | None = None
@@ -110,7 +118,8 @@
     @property
     def may_deliver(self) -> bool:
         """Whether the relay may hand on a chunk that is not reported yet."""
-        return self.in_flight and not self.held and self.request.stream
+        running = self.in_flight and self.resume_at is None
+        return running and not self.held and self.request.stream
 
     @property
     def has_next_step(self) -> bool:
@@ -140,6 +149,8 @@
         self.upstream = upstream
         self.produced = False
         self.resumes = 0
+        self.losses = 0
+        self.received = 0
         self.resumed = False
         self.started_at = now
         self.held = self.plan.gated and self.has_next_step
@@ -190,6 +201,7 @@
         self.withdraw_rejection()
         self.in_flight = False
         self.restart_at = None
+        self.resume_at = None
         self.running = answer.version
         self.upstream = answer.upstream
         self.priced = answer.priced
--- a/sycamorehollow/decisions/requests/attempt_runs.py
+++ b/sycamorehollow/decisions/requests/attempt_runs.py
@@ -1,5 +1,7 @@
 """Attempts of model requests, from their start to a whole answer or failure."""
 
+import dataclasses
+
 from sycamorehollow.decisions.requests import active as actives
 from sycamorehollow.decisions.requests import gates
 from sycamorehollow.decisions.requests import planning
@@ -21,6 +23,17 @@
 }
 
 
+def build_end(event: lifecycle.AttemptFailed, resumed: bool) -> placements.End:
+    """Returns how an attempt ended, for the placement."""
+    covered = recoveries.cover_run(event, resumed)
+    return placements.End(
+        ENDS.get(covered.end, notices.End.LOST),
+        event.code,
+        event.end is lifecycle.AttemptEnd.NOT_SENT,
+        event.refused,
+    )
+
+
 class AttemptRuns:
     """Runs the attempts of active requests; the base of the router.
 
@@ -91,10 +104,19 @@
         active: actives.ActiveRequest,
         choices: list[str],
         now: float,
+        leaving: placements.End | None = None,
     ) -> lifecycle.StartAttempt | failures.Failure:
+        """Starts an attempt on the first version that an upstream takes.
+
+        Args:
+            active: The request.
+            choices: Versions in the order of preference.
+            now: Monotonic time in seconds.
+            leaving: How the running attempt ends if another one starts.
+        """
         failure: failures.Failure | None = None
         for version in choices:
-            placed = self._try_version(active, version, now)
+            placed = self._try_version(active, version, now, leaving)
             if isinstance(placed, placements.Placed):
                 assert self._current is not None
                 active.begin(
@@ -106,12 +128,20 @@
         return failure
 
     def _try_version(
-        self, active: actives.ActiveRequest, version: str, now: float
+        self,
+        active: actives.ActiveRequest,
+        version: str,
+        now: float,
+        leaving: placements.End | None,
     ) -> placements.Placed | failures.Failure:
         assert self._current is not None
         barred = self._planner.check(active.request, version, self._current)
         if barred is not None:
             return barred
+        if leaving is not None:
+            return self._placement.move(
+                active.request, version, active.tried, leaving, now
+            )
         return self._placement.place(active.request, version, active.tried, now)
 
     def _note_production(
@@ -189,24 +219,26 @@
             return []
         if event.end is lifecycle.AttemptEnd.STOPPED:
             return self._end_late(active, now)
-        unreachable = event.end is lifecycle.AttemptEnd.NOT_SENT
-        event = recoveries.cover_run(event, active.resumed)
-        step = self._recovery.choose(
-            event,
+        if event.received > active.received:
+            active.received = event.received
+            active.resumes = 0
+            active.losses = 0
+        run = recoveries.Run(
             active.delivered,
+            active.resumed,
             active.resumes,
+            active.losses,
             active.request.deadline,
             active.plan.needs_s,
-            now,
         )
+        step = self._recovery.choose(event, run, now)
         if isinstance(step, recoveries.Resume):
-            active.resumes = 0 if event.answered else active.resumes + 1
-            active.resumed = True
-            active.attempt += 1
-            reason = "resume after a loss"
-            return [actives.build_start(active, reason, event.received)]
-        active.end_attempt(event.end)
-        self._release_failed(event, unreachable, now)
+            return self._resume(active, event, step, "", now)
+        if isinstance(step, recoveries.Move):
+            return self._move(active, event, run, step, now)
+        end = build_end(event, active.resumed)
+        active.end_attempt(recoveries.cover_run(event, active.resumed).end)
+        self._placement.release(event.request_id, end, now)
         result = self._learn(active, True, now)
         if isinstance(step, failures.Failure):
             return [*result, *self._refuse(active, step, now)]
@@ -215,27 +247,90 @@
         active.restart_at = now + step.delay_s
         return result
 
-    def _release_failed(
-        self, event: lifecycle.AttemptFailed, unreachable: bool, now: float
-    ) -> None:
-        end = placements.End(
-            ENDS.get(event.end, notices.End.LOST),
-            event.code,
-            unreachable,
-            event.refused,
+    def _resume(
+        self,
+        active: actives.ActiveRequest,
+        event: lifecycle.AttemptFailed,
+        step: recoveries.Resume,
+        kept: str,
+        now: float,
+    ) -> list[commands.Command]:
+        """Continues a run at its upstream.
+
+        Args:
+            active: The request.
+            event: How its last connection ended.
+            step: When it is resumed.
+            kept: The rule that lets it not start elsewhere, or empty.
+            now: Monotonic time in seconds.
+        """
+        active.resumes = 0 if event.answered else active.resumes + 1
+        loss = recoveries.is_loss(event)
+        active.losses = active.losses + 1 if loss else 0
+        active.resumed = True
+        active.attempt += 1
+        active.resume_reason = f"resume after it was {event.end.value}"
+        if kept:
+            active.resume_reason += f"; not elsewhere: {kept}"
+        if step.delay_s > 0:
+            active.resume_at = now + step.delay_s
+            return []
+        return self._continue(active)
+
+    def _continue(
+        self, active: actives.ActiveRequest
+    ) -> list[commands.Command]:
+        active.resume_at = None
+        return [
+            actives.build_start(active, active.resume_reason, active.received)
+        ]
+
+    def _move(
+        self,
+        active: actives.ActiveRequest,
+        event: lifecycle.AttemptFailed,
+        run: recoveries.Run,
+        step: recoveries.Move,
+        now: float,
+    ) -> list[commands.Command]:
+        """Starts a run elsewhere, or resumes it if nothing takes it now."""
+        assert active.upstream is not None
+        kept = self._recovery.find_refusal(event.request_id, run, now)
+        if kept:
+            return self._resume(active, event, step.resume, kept, now)
+        tried = active.tried
+        active.tried = tried | {active.upstream.name}
+        outcome = active.describe_outcome(True, now)
+        started = self._place(
+            active,
+            active.list_choices(),
+            now,
+            dataclasses.replace(
+                build_end(event, active.resumed), end=notices.End.LOST
+            ),
         )
-        self._placement.release(event.request_id, end, now)
+        if isinstance(started, failures.Failure):
+            active.tried = tried
+            return self._resume(active, event, step.resume, started.reason, now)
+        active.ran = True
+        self._recovery.note_move(event.request_id, now)
+        return [*self._learn_outcome(active, outcome, now), started]
 
     def _learn(
         self, active: actives.ActiveRequest, failed: bool, now: float
+    ) -> list[commands.Command]:
+        outcome = active.describe_outcome(failed, now)
+        return self._learn_outcome(active, outcome, now)
+
+    def _learn_outcome(
+        self,
+        active: actives.ActiveRequest,
+        outcome: planning.AttemptOutcome,
+        now: float,
     ) -> list[commands.Command]:
         assert self._current is not None
         return self._planner.learn(
-            active.request,
-            active.plan,
-            active.describe_outcome(failed, now),
-            self._current,
-            now,
+            active.request, active.plan, outcome, self._current, now
         )
 
     def _end_late(
--- a/sycamorehollow/decisions/requests/quarantine.py
+++ b/sycamorehollow/decisions/requests/quarantine.py
@@ -149,23 +149,32 @@
             for record in self._records.values()
         )
 
-    def judge(self, fingerprint: str, now: float) -> Verdict | failures.Failure:
-        """Tells whether and how a request may run now."""
+    def judge(
+        self, fingerprint: str, now: float, leaving: str = ""
+    ) -> Verdict | failures.Failure:
+        """Tells whether and how a request may run now.
+
+        Args:
+            fingerprint: Hash of the workspace and the content.
+            now: Monotonic time in seconds.
+            leaving: Name of the running attempt that it would replace, which
+                would count as lost.
+        """
         record = self._records.get(fingerprint)
         if record is not None and record.count() >= DEATHS_TO_QUARANTINE:
             return Quarantined(
                 "The request has crashed the upstreams that ran it."
             )
-        if not self._is_suspect(fingerprint, now):
+        if not leaving and not self._is_suspect(fingerprint, now):
             return Verdict.CLEAR
-        if self._count_open(fingerprint) >= DEATHS_TO_QUARANTINE:
+        if self._count_open(fingerprint, leaving) >= DEATHS_TO_QUARANTINE:
             return SuspectBusy(
                 "It is not known yet whether the request crashed upstreams.",
                 failures.Run.NO,
                 BUSY_RETRY_AFTER_S,
             )
-        for attempt in self._running.values():
-            if attempt.fingerprint == fingerprint:
+        for name, attempt in self._running.items():
+            if name != leaving and attempt.fingerprint == fingerprint:
                 return SuspectBusy(
                     "The request is suspected of a crash and runs already.",
                     failures.Run.NO,
@@ -174,7 +183,12 @@
         return Verdict.ISOLATED
 
     def may_place(
-        self, fingerprint: str, upstream: str, peers_idle: bool, now: float
+        self,
+        fingerprint: str,
+        upstream: str,
+        peers_idle: bool,
+        now: float,
+        leaving: str = "",
     ) -> bool:
         """Tells whether a request may run on an upstream beside what runs.
 
@@ -184,12 +198,13 @@
             peers_idle: Whether the last shares of peers and the last report
                 show no other work there.
             now: Monotonic time in seconds.
+            leaving: See `judge`.
         """
-        if self._is_suspect(fingerprint, now):
+        if leaving or self._is_suspect(fingerprint, now):
             return peers_idle and not self._at_upstream[upstream]
         return not self._isolated[upstream]
 
-    def _count_open(self, fingerprint: str) -> int:
+    def _count_open(self, fingerprint: str, leaving: str) -> int:
         """Returns the deaths that count and those that are not known yet."""
         record = self._records.get(fingerprint)
         count = record.count() if record is not None else 0
@@ -198,6 +213,9 @@
             for lost in self._lost.values()
             if lost.fingerprint == fingerprint
         }
+        running = self._running.get(leaving)
+        if running is not None:
+            waiting.add(running.upstream)
         return count + len(waiting)
 
     def _is_suspect(self, fingerprint: str, now: float) -> bool:
--- a/sycamorehollow/decisions/requests/retries.py
+++ b/sycamorehollow/decisions/requests/retries.py
@@ -58,6 +58,13 @@
     needs_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptMoved(events.Event):
+    """A running attempt was given up for another one that has started."""
+
+    request: str
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestEnded(events.Event):
     """A request has its final response, or its caller is gone."""
@@ -129,10 +136,27 @@
                 self._budget = min(BUDGET_BURST, self._budget + BUDGET_RATIO)
             case AttemptFailed():
                 return [self._decide(event, now)]
+            case AttemptMoved():
+                tries = self._tries.setdefault(event.request, Tries())
+                tries.run = failures.Run.UNKNOWN
+                tries.retries += 1
+                self._budget -= 1
             case RequestEnded():
                 self._tries.pop(event.request, None)
         return []
 
+    def find_refusal(
+        self, request: str, deadline: float, needs_s: float, now: float
+    ) -> str:
+        """Returns the rule that refuses another attempt now, or empty."""
+        if now + needs_s > deadline:
+            return "no time is left"
+        if self._tries.get(request, Tries()).retries >= MAX_RETRIES:
+            return f"{MAX_RETRIES} retries were made"
+        if self._budget < 1:
+            return "the retry budget is used up"
+        return ""
+
     def _decide(self, event: AttemptFailed, now: float) -> commands.Command:
         tries = self._tries.setdefault(event.request, Tries())
         run = classify(event.outcome)
@@ -148,8 +172,11 @@
         delay_s *= self._source.uniform(0.5, 1.5)
         if now + delay_s + event.needs_s > event.deadline:
             return self._give_up(event, tries, failures.DeadlineExceeded)
-        if tries.retries >= MAX_RETRIES or self._budget < 1:
-            return self._give_up(event, tries, failures.UpstreamFailed)
+        rule = self.find_refusal(
+            event.request, event.deadline, event.needs_s, now
+        )
+        if rule:
+            return self._give_up(event, tries, failures.UpstreamFailed, rule)
         self._budget -= 1
         tries.retries += 1
         return RetryRequest(event.request, delay_s)
@@ -159,13 +186,15 @@
         event: AttemptFailed,
         tries: Tries,
         kind: type[failures.Failure],
+        rule: str = "",
     ) -> GiveUp:
         del self._tries[event.request]
         again = event.idempotent or tries.run is failures.Run.NO
         if kind is failures.DeadlineExceeded:
             again = False
         after_s = RETRY_AFTER_S * self._source.uniform(1.0, 2.0)
-        failure = kind(
-            event.outcome.reason, tries.run, after_s if again else None
-        )
+        reason = event.outcome.reason
+        if rule:
+            reason = f"{reason} It is not retried: {rule}."
+        failure = kind(reason, tries.run, after_s if again else None)
         return GiveUp(event.request, failure)
--- a/sycamorehollow/decisions/requests/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -193,6 +193,9 @@
             if now >= active.request.deadline:
                 result.extend(self._give_up_late(active, now))
                 continue
+            if active.resume_at is not None and now >= active.resume_at:
+                result.extend(self._continue(active))
+                continue
             if active.restart_at is not None and now >= active.restart_at:
                 active.restart_at = None
                 result.extend(self._start(active, now))
--- a/sycamorehollow/decisions/routing/placement.py
+++ b/sycamorehollow/decisions/routing/placement.py
@@ -53,6 +53,21 @@
     ) -> Placed | failures.Failure:
         """Chooses an upstream and counts the attempt as outstanding."""
 
+    @abc.abstractmethod
+    def move(
+        self,
+        request: requests.ModelRequest,
+        version: str,
+        excluded: frozenset[str],
+        end: End,
+        now: float,
+    ) -> Placed | failures.Failure:
+        """Chooses an upstream in place of the one that runs the request.
+
+        The running attempt ends as given only if there is one; otherwise
+        nothing changes.
+        """
+
     @abc.abstractmethod
     def note_production(self, request_id: str, now: float) -> None:
         """Records the time of the first chunk of an attempt."""
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -129,6 +129,36 @@
         choice = self._choose(request, version, demand, excluded, now)
         if isinstance(choice, failures.Failure):
             return choice
+        return self._occupy(request, demand, choice, now)
+
+    def move(
+        self,
+        request: requests.ModelRequest,
+        version: str,
+        excluded: frozenset[str],
+        end: placement.End,
+        now: float,
+    ) -> placement.Placed | failures.Failure:
+        """Chooses an upstream in place of the one that runs the request."""
+        leaving = request.request_id
+        verdict = self._suspects.judge(request.fingerprint, now, leaving)
+        if isinstance(verdict, failures.Failure):
+            return verdict
+        demand = self._build_demand(request, version)
+        choice = self._choose(request, version, demand, excluded, now, leaving)
+        if isinstance(choice, failures.Failure):
+            return choice
+        self.release(leaving, end, now)
+        return self._occupy(request, demand, choice, now)
+
+    def _occupy(
+        self,
+        request: requests.ModelRequest,
+        demand: capacity.Demand,
+        choice: selection.Choice,
+        now: float,
+    ) -> placement.Placed:
+        """Counts an attempt as outstanding at the chosen upstream."""
         self._places[request.request_id] = _Place(choice.upstream, request, now)
         self._tell(
             notices.AttemptStarted(
@@ -152,6 +182,7 @@
         demand: capacity.Demand,
         excluded: frozenset[str],
         now: float,
+        leaving: str = "",
     ) -> selection.Choice | failures.Failure:
         """Chooses in the own data centre first.
 
@@ -164,7 +195,11 @@
                 name
                 for name in self._list_candidates(group, version, excluded)
                 if self._suspects.may_place(
-                    request.fingerprint, name, self._is_idle(name), now
+                    request.fingerprint,
+                    name,
+                    self._is_idle(name),
+                    now,
+                    leaving,
                 )
             ]
             if not candidates:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 from sycamorehollow.decisions.routing import upstream_placement
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
+from sycamorehollow.model import failures
 from sycamorehollow.model import requests
 
 INNOCENT = ("i0", "i1")
@@ -286,6 +287,37 @@
             for part in self.places.list_parts():
                 part.handle(report, now)
 
+    def _place(self, name, content):
+        request = requests.ModelRequest(
+            name, "maps", "v", "", b"", content, 10, 20, True, 100.0
+        )
+        return request, self.places.place(request, "v", frozenset(), 1.0)
+
+    def test_refused_move_leaves_the_attempt_as_it_was(self):
+        """Guards against an attempt that is lost for one that is refused."""
+        self._report(1.0)
+        request, placed = self._place("r", "f")
+        excluded = frozenset({placed.upstream.name})
+        others = [self._place(f"o{n}", f"i{n}")[1] for n in range(6)]
+        end = placement.End(notices.End.LOST)
+        # A suspect needs an upstream of its own.
+        moved = self.places.move(request, "v", excluded, end, 2.0)
+        self.assertIsInstance(moved, failures.NoUpstream)
+        self.assertIs(self.suspects.judge("f", 2.0), quarantine.Verdict.CLEAR)
+        self.assertIn(placed.upstream, [one.upstream for one in others])
+        _, later = self._place("later", "i9")
+        self.assertIsInstance(later, placement.Placed)
+        for number in range(6):
+            end = placement.End(notices.End.CANCELLED)
+            self.places.release(f"o{number}", end, 2.5)
+        self.places.release("later", end, 2.5)
+        self._report(2.5)
+        end = placement.End(notices.End.LOST)
+        moved = self.places.move(request, "v", excluded, end, 3.0)
+        self.assertNotIn(moved.upstream.name, excluded)
+        verdict = self.suspects.judge("f", 3.0)
+        self.assertIsInstance(verdict, quarantine.SuspectBusy)
+
     def _lose_twice(self, refused):
         """Loses the same request at both upstreams, which take no more."""
         request = requests.ModelRequest(
