Log who ended an attempt of the chat path, and after what silence

What was missing: the log of a cut or refused request told neither whether the upstream, the silence rule, the deadline, the caller or the end of the process ended its attempt, nor how long it had been silent, nor why nothing else was tried. That a caller had left was not logged at all.

Change: `relay: ended` names who ended each attempt, its silence and its events.

Shown by EndLogTest (broken, silent, deadline, caller, process stop).

--- a/sycamorehollow/decisions/requests/active.py
+++ b/sycamorehollow/decisions/requests/active.py
@@ -250,7 +250,7 @@
 
 
 def build_cancel(
-    active: ActiveRequest, report: bool = False
+    active: ActiveRequest, reason: str, report: bool = False
 ) -> lifecycle.CancelAttempt:
     """Returns the command that cancels the current run."""
     assert active.upstream is not None
@@ -259,6 +259,7 @@
         active.attempt,
         active.answer_id,
         active.upstream.url,
+        reason,
         report,
     )
 
--- a/sycamorehollow/decisions/requests/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -177,7 +177,7 @@
         self._placement.release(event.request_id, end, now)
         result: list[commands.Command] = []
         if active.upstream is not None:
-            result.append(actives.build_cancel(active))
+            result.append(actives.build_cancel(active, "caller"))
         if active.finishing:
             return result
         delivered = event.delivered_tokens if active.delivered else 0
@@ -220,10 +220,10 @@
         if active.retained is not None and active.may_deliver:
             # Another answer may be delivered only if none of this one was.
             active.stopping = True
-            return [actives.build_cancel(active, report=True)]
+            return [actives.build_cancel(active, "deadline", True)]
         cancel = []
         if active.upstream is not None:
-            cancel.append(actives.build_cancel(active))
+            cancel.append(actives.build_cancel(active, "deadline"))
         return [*cancel, *self._end_late(active, now)]
 
 
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -167,6 +167,7 @@
     """Stop an attempt and tell the upstream to cancel its stream.
 
     Attributes:
+        reason: Who or what asks for it, for the log.
         report: Whether the end is reported, after all that the attempt gave.
     """
 
@@ -174,6 +175,7 @@
     attempt: int
     run_id: str
     url: str
+    reason: str
     report: bool = False
 
 
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -78,6 +78,8 @@
                 continue
             next_check = now + POLL_S
             self._check_progress(now)
+        for stream in self._streams.values():
+            self._log_end(stream, "process stop")
 
     def _handle_guarded(self, message: Any) -> None:
         """Carries out a message; an unexpected error ends its stream only."""
@@ -253,6 +255,7 @@
         )
 
     def _fail_attempt(self, stream: streams.Stream, loss: engines.Loss) -> None:
+        self._log_end(stream, loss.end.value, loss.code)
         self._engines.close(stream)
         self._report(
             lifecycle.AttemptFailed(
@@ -267,6 +270,26 @@
             )
         )
 
+    def _log_end(
+        self, stream: streams.Stream, who: str, code: str = ""
+    ) -> None:
+        """Logs who ended a running attempt, and after how long a silence."""
+        if stream.engine is None:
+            return
+        silent_s = time.monotonic() - stream.engine.last_progress
+        loguru.logger.info(
+            "relay: ended request={} attempt={} upstream={} version={} by={}"
+            " code={!r} silent_s={:.2f} events={}",
+            stream.request_id,
+            stream.attempt,
+            stream.upstream,
+            stream.version,
+            who,
+            code,
+            silent_s,
+            stream.received,
+        )
+
     def _check_progress(self, now: float) -> None:
         try:
             stalled = self._callers.find_stalled(now)
@@ -311,15 +334,18 @@
         stream = self._streams.get(command.request_id)
         if stream is None or stream.attempt != command.attempt:
             return
-        self._engines.close(stream)
         if command.report:
-            loss = engines.Loss(lifecycle.AttemptEnd.STOPPED)
+            loss = engines.Loss(lifecycle.AttemptEnd.STOPPED, command.reason)
             self._fail_attempt(stream, loss)
+            return
+        self._log_end(stream, command.reason)
+        self._engines.close(stream)
 
     def _refuse(self, command: lifecycle.RefuseRequest) -> None:
         stream = self._streams.get(command.request_id)
         if stream is None:
             return
+        self._log_end(stream, command.failure.code)
         self._engines.close(stream)
         if not stream.caller.head_requested:
             self._release(stream)
@@ -354,6 +380,7 @@
         self._flush_caller(stream)
 
     def _drop_caller(self, stream: streams.Stream) -> None:
+        self._log_end(stream, "caller")
         self._engines.close(stream)
         self._report(lifecycle.CallerGone(stream.request_id, stream.tokens))
         self._detach(stream, streams.StreamClosed(whole=False))
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -5,6 +5,8 @@
 import time
 import unittest
 
+import loguru
+
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 from sycamorehollow.shells import relay
@@ -109,7 +111,9 @@
                     self._await_event(lifecycle.AttemptCompleted)
                     self._start(2, version, False)
                     if version == "silent":
-                        stop = lifecycle.CancelAttempt("r", 2, "r.2", "", True)
+                        stop = lifecycle.CancelAttempt(
+                            "r", 2, "r.2", "", "deadline", True
+                        )
                         self.relay.post(stop)
                     event = self._await_event(lifecycle.AttemptFailed)
                     self.assertEqual(event.attempt, 2)
@@ -162,3 +166,75 @@
         event = self._fail_at(full.getsockname())
         self.assertIs(event.end, lifecycle.AttemptEnd.NOT_SENT)
         self.assertFalse(event.refused)
+
+
+class EndLogTest(unittest.TestCase):
+    """Guards against a log that does not tell who ended an attempt."""
+
+    def setUp(self):
+        self.engine = Engine()
+        self.addCleanup(self.engine.stop)
+        self.lines = []
+        sink = loguru.logger.add(
+            lambda line: self.lines.append(str(line)), format="{message}"
+        )
+        self.addCleanup(loguru.logger.remove, sink)
+        self.events = queue.SimpleQueue()
+        self.relay = relay.Relay(self.events.put)
+        self.relay.start()
+        self.addCleanup(self.relay.stop)
+
+    def _start(self, version):
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        caller = streams.CallerSide(near, queue.SimpleQueue(), True, b"}")
+        self.relay.post(relay.Attach(version, caller))
+        self.relay.post(
+            lifecycle.StartAttempt(
+                request_id=version,
+                workspace="maps",
+                attempt=1,
+                run_id=version,
+                upstream="u",
+                url=f"http://{self.engine.address}",
+                version=version,
+                priority=1,
+                deadline=time.monotonic() + 60.0,
+                hold=False,
+            )
+        )
+        return near, far
+
+    def _await_line(self, request_id):
+        end = time.monotonic() + WAIT_S
+        while time.monotonic() < end:
+            for line in self.lines:
+                if line.startswith(f"relay: ended request={request_id} "):
+                    return line
+            time.sleep(0.01)
+        raise AssertionError(f"no line for {request_id} in {self.lines}")
+
+    def test_each_end_names_who_made_it(self):
+        sockets = [*self._start("large"), *self._start("silent")]
+        self.assertIn("by=broken", self._await_line("large"))
+        line = self._await_line("silent")
+        self.assertRegex(line, r"by=silent .* silent_s=3\.\d\d events=0")
+        self.lines.clear()
+        sockets.extend(self._start("silent"))
+        time.sleep(0.2)
+        self.relay.post(
+            lifecycle.CancelAttempt("silent", 1, "silent", "", "deadline")
+        )
+        self.assertIn("by=deadline", self._await_line("silent"))
+        self.lines.clear()
+        sockets.extend(self._start("silent"))
+        time.sleep(0.2)
+        sockets[-1].close()
+        self.assertIn("by=caller", self._await_line("silent"))
+        self.lines.clear()
+        sockets.extend(self._start("silent"))
+        time.sleep(0.2)
+        self.relay.stop()
+        self.assertIn("by=process stop", self._await_line("silent"))
+        for sock in sockets:
+            sock.close()
