Wait for the last replica of an idempotent call until the deadline

What callers saw: `upstream_failed` after 30 s for an idempotent call whose service takes longer, although the caller allowed more and no other replica was left. With one replica every such call failed.

Each replica had 30 s, also the last one, after which there is nothing to try.

Change: the last replica may take until the deadline, as before at least 30 s. With the rule taken out the new test of test_calls fails (`InDoubt`); test_calls (9) and test_process_calls (6) pass.

Ruled out: a call that is not idempotent is resolved by the status lookup. Open: a slow replica that is followed by a dead one is still given up.

--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -83,7 +83,7 @@
             remaining_s = command.not_after - self._clock()
             if remaining_s <= 0:
                 return messages.NotSent(command.op, "the deadline has passed")
-            event = self._post(url, command, remaining_s)
+            event = self._post(url, command, remaining_s, self._read_timeout_s)
             if isinstance(event, messages.NotSent | messages.Refused):
                 # This upstream certainly did not run it.
                 continue
@@ -91,16 +91,24 @@
         return event
 
     def dispatch_idempotent(self, command: messages.Dispatch) -> events.Event:
-        """Sends an idempotent call to one upstream after the other."""
+        """Sends an idempotent call to one upstream after the other.
+
+        The last one may take until the deadline: to give it up would leave
+        the call with none.
+        """
         event: events.Event = messages.NotSent(
             command.op, "no upstream of the service takes work"
         )
         in_doubt = False
-        for url in self._find_urls(command.call.service, True):
+        urls = list(self._find_urls(command.call.service, True))
+        for number, url in enumerate(urls, 1):
             remaining_s = command.not_after - self._clock()
             if remaining_s <= 0:
                 break
-            event = self._post(url, command, remaining_s)
+            read_s = self._read_timeout_s
+            if number == len(urls):
+                read_s = max(read_s, remaining_s)
+            event = self._post(url, command, remaining_s, read_s)
             if isinstance(event, messages.ServiceAnswered):
                 return event
             in_doubt = in_doubt or isinstance(event, messages.InDoubt)
@@ -116,7 +124,12 @@
         path = f"{_quote(command.operation)}/{_quote(command.service_key)}"
         for url in self._find_urls(command.service, False):
             answer = self._send(
-                "GET", f"{url}/operations/{path}", b"", {}, LOOKUP_TIMEOUT_S
+                "GET",
+                f"{url}/operations/{path}",
+                b"",
+                {},
+                LOOKUP_TIMEOUT_S,
+                min(self._read_timeout_s, LOOKUP_TIMEOUT_S),
             )
             found = _parse_lookup(command.op, answer)
             if isinstance(found, messages.LookedUp):
@@ -128,7 +141,11 @@
         return event
 
     def _post(
-        self, url: str, command: messages.Dispatch, remaining_s: float
+        self,
+        url: str,
+        command: messages.Dispatch,
+        remaining_s: float,
+        read_timeout_s: float,
     ) -> events.Event:
         answer = self._send(
             "POST",
@@ -140,6 +157,7 @@
                 "X-Request-Id": command.call.request_id,
             },
             remaining_s,
+            read_timeout_s,
         )
         if isinstance(answer, failures.Failure):
             if answer.run is failures.Run.NO:
@@ -154,15 +172,13 @@
         body: bytes,
         headers: dict[str, str],
         remaining_s: float,
+        read_timeout_s: float,
     ) -> messages.Outcome | failures.Failure:
         """Sends one request on a connection of its own.
 
         A kept connection that the service is about to close would leave the
         outcome unknown. The connection must be there within `remaining_s`.
         """
-        read_timeout_s = self._read_timeout_s
-        if method == "GET":
-            read_timeout_s = min(read_timeout_s, LOOKUP_TIMEOUT_S)
         timeout = urllib3.Timeout(
             connect=min(self._connect_timeout_s, remaining_s),
             read=read_timeout_s,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -30,7 +30,8 @@
 class Server:
     """Gives one raw response to each connection; `None` stays silent."""
 
-    def __init__(self, *responses):
+    def __init__(self, *responses, delay_s=0.0):
+        self.delay_s = delay_s
         self.responses = list(responses)
         self.heard = []
         self.held = []
@@ -45,6 +46,7 @@
             if response is None:
                 self.held.append(connection)
                 continue
+            time.sleep(self.delay_s)
             connection.sendall(response)
             connection.close()
 
@@ -72,8 +74,8 @@
 class ServiceTest(unittest.TestCase):
     """Guards against taking a call that may have run for one that did not."""
 
-    def serve(self, *responses):
-        server = Server(*responses)
+    def serve(self, *responses, delay_s=0.0):
+        server = Server(*responses, delay_s=delay_s)
         self.addCleanup(server.close)
         return server
 
@@ -87,6 +89,28 @@
         not_after = time.monotonic() + remaining_s
         return client.dispatch(messages.Dispatch("o", call, "w:k", not_after))
 
+    def dispatch_idempotent(self, *urls, remaining_s):
+        client = calls.ServiceClient(lambda service, new: urls, 0.5, 0.3)
+        call = requests.ServiceCall("r", "w", "filing", "read", "", b"{}", 0)
+        not_after = time.monotonic() + remaining_s
+        return client.dispatch_idempotent(
+            messages.Dispatch("o", call, "w:k", not_after)
+        )
+
+    def test_slow_service_is_not_given_up_for_none(self):
+        """Guards against a sound answer that is dropped before it comes."""
+        slow = self.serve(OK, OK, delay_s=0.6)
+        event = self.dispatch_idempotent(slow.url, remaining_s=5.0)
+        self.assertIsInstance(event, messages.ServiceAnswered)
+        silent = self.serve(None)
+        event = self.dispatch_idempotent(silent.url, slow.url, remaining_s=5.0)
+        self.assertIsInstance(event, messages.ServiceAnswered)
+        began = time.monotonic()
+        silent = self.serve(None)
+        event = self.dispatch_idempotent(silent.url, remaining_s=1.0)
+        self.assertIsInstance(event, messages.InDoubt)
+        self.assertLess(time.monotonic() - began, 2.0)
+
     def look_up(self, *urls):
         client = calls.ServiceClient(lambda service, new: urls, 0.5, 0.3)
         return client.look_up(messages.LookUp("o", "filing", "lodge", "w:k"))
