Log why an idempotent call got no answer

What was missing: when one replica answered with an error and the next could not be reached, the doubt was replaced by "no upstream answered", and neither reached the log.

Change: the last doubt is kept, and `calls: request=... has no answer` names it. The caller's response is unchanged: it names no address or inner error.

The new test of test_calls fails on the sources before; test_calls and test_process_calls pass.

--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -99,7 +99,7 @@
         event: events.Event = messages.NotSent(
             command.op, "no upstream of the service takes work"
         )
-        in_doubt = False
+        doubt = ""
         urls = list(self._find_urls(command.call.service, True))
         for number, url in enumerate(urls, 1):
             remaining_s = command.not_after - self._clock()
@@ -111,9 +111,10 @@
             event = self._post(url, command, remaining_s, read_s)
             if isinstance(event, messages.ServiceAnswered):
                 return event
-            in_doubt = in_doubt or isinstance(event, messages.InDoubt)
-        if in_doubt:
-            return messages.InDoubt(command.op, "no upstream answered")
+            if isinstance(event, messages.InDoubt):
+                doubt = event.reason
+        if doubt:
+            return messages.InDoubt(command.op, doubt)
         return event
 
     def look_up(self, command: messages.LookUp) -> events.Event:
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -171,6 +171,9 @@
             event = messages.NotSent(command.op, "the router task is busy")
         if isinstance(event, messages.ServiceAnswered):
             return event.outcome
+        loguru.logger.info(
+            "calls: request={} has no answer: {}", call.request_id, event
+        )
         sent = isinstance(event, messages.InDoubt)
         return failures.UpstreamFailed(
             "No replica of the service answered.",
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -111,6 +111,14 @@
         self.assertIsInstance(event, messages.InDoubt)
         self.assertLess(time.monotonic() - began, 2.0)
 
+    def test_error_of_the_service_is_named_when_no_other_answers(self):
+        failing = self.serve(FAILED)
+        event = self.dispatch_idempotent(
+            failing.url, self.make_dead_url(), remaining_s=5.0
+        )
+        expected = messages.InDoubt("o", "the service answered 500")
+        self.assertEqual(event, expected)
+
     def look_up(self, *urls):
         client = calls.ServiceClient(lambda service, new: urls, 0.5, 0.3)
         return client.look_up(messages.LookUp("o", "filing", "lodge", "w:k"))
