Let a retry wait for room as new work does

What callers saw: a request whose upstream broke off before its first chunk was refused at once when the others were full, while a request that arrived in that moment would have waited in its turn for up to 5 s.

Cause: a start that finds the upstreams full goes back to the queue only if it is the first; any later one was refused at the first look.

Change: a retry looks for room every 0.1 s for as long as the admission lets new work wait: 5 s, at most a quarter of the time to the deadline. It keeps its place in the node.

With the wait taken out the new test of test_router fails in both cases; test_router, test_admission, test_process_answers, test_process_crashes and test_process_cascades pass. Open: a suspect, which needs an idle upstream, is still refused at once.

--- a/sycamorehollow/decisions/requests/active.py
+++ b/sycamorehollow/decisions/requests/active.py
@@ -4,12 +4,15 @@
 
 from sycamorehollow.decisions.bills import billing_messages
 from sycamorehollow.decisions.requests import planning
+from sycamorehollow.decisions.routing import admission
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 from sycamorehollow.model import requests
 
+# Time in seconds between two looks for room; attempts end a few times a second.
+ROOM_CHECK_S = 0.1
 NOT_RUN = (lifecycle.AttemptEnd.NOT_SENT, lifecycle.AttemptEnd.REFUSED)
 
 
@@ -57,6 +60,7 @@
         ran: Whether an attempt that has ended may have run.
         started_at: Monotonic time in seconds of the start of the attempt.
         restart_at: When the next attempt starts, if one waits.
+        room_until: Until when a retry waits for room, if it does.
         resume_at: When the run is resumed, if that waits.
         resume_reason: Why it is resumed, for the log.
         priced: The version of the attempt, at the price when it started.
@@ -90,6 +94,7 @@
     output_tokens: int = 0
     started_at: float = 0.0
     restart_at: float | None = None
+    room_until: float | None = None
     resume_at: float | None = None
     resume_reason: str = ""
     rating_deadline: float | None = None
@@ -147,6 +152,7 @@
         self.runs += 1
         self.in_flight = True
         self.upstream = upstream
+        self.room_until = None
         self.produced = False
         self.resumes = 0
         self.losses = 0
@@ -155,6 +161,16 @@
         self.started_at = now
         self.held = self.plan.gated and self.has_next_step
 
+    def wait_for_room(self, now: float) -> bool:
+        """Lets a retry wait for room; tells whether it may wait on."""
+        if self.room_until is None:
+            left_s = self.request.deadline - now
+            self.room_until = now + admission.limit_wait_s(left_s)
+        if now >= self.room_until:
+            return False
+        self.restart_at = now + ROOM_CHECK_S
+        return True
+
     def end_attempt(self, end: lifecycle.AttemptEnd) -> None:
         """Takes note of a failed attempt."""
         self.in_flight = False
--- a/sycamorehollow/decisions/requests/attempt_runs.py
+++ b/sycamorehollow/decisions/requests/attempt_runs.py
@@ -95,6 +95,10 @@
             event = admission.NoRoom(active.request.request_id, started)
             self._take_admissions(self._admission.handle(event, now))
             return []
+        if isinstance(started, failures.UpstreamsFull):
+            # It was admitted, so it waits as long as other work would.
+            if active.wait_for_room(now):
+                return []
         if isinstance(started, failures.Failure):
             return self._refuse(active, started, now)
         return [started]
--- a/sycamorehollow/decisions/routing/admission.py
+++ b/sycamorehollow/decisions/routing/admission.py
@@ -124,6 +124,11 @@
     deficit: float = 0.0
 
 
+def limit_wait_s(left_s: float) -> float:
+    """Returns how long work may wait, by the seconds to its deadline."""
+    return min(MAX_WAIT_S, WAIT_SHARE * left_s)
+
+
 class Admission(parts.Part):
     """Deficit round robin over workspaces, in tokens.
 
@@ -192,7 +197,7 @@
         if work.tokens > self._capacity and not self._running:
             # Nothing can end that would make room, so waiting is useless.
             return [self._refuse(work, MAX_WAIT_S)]
-        allowed_s = min(MAX_WAIT_S, WAIT_SHARE * (work.deadline - now))
+        allowed_s = limit_wait_s(work.deadline - now)
         self._arrivals += 1
         self._arrived[work.request] = (self._arrivals, now + allowed_s)
         free = not self._waiting and not self._is_limited(work)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -74,6 +74,7 @@
     def __init__(self):
         self.open = set()
         self.full = False
+        self.failure = failures.NoUpstream("none", retry_after_s=1.0)
         self.ends = []
 
     def place(self, request, version, excluded, now):
@@ -83,7 +84,7 @@
                 continue
             self.open.add(request.request_id)
             return placement.Placed(upstream, "first")
-        return failures.NoUpstream("none", retry_after_s=1.0)
+        return self.failure
 
     def move(self, request, version, excluded, end, now):
         if self.full or not {u.name for u in UPSTREAMS} - excluded:
@@ -360,6 +361,29 @@
         caller.act("silent")
         self._complete(caller, "c")
 
+    def test_retry_waits_for_room_as_new_work_does(self):
+        """Guards against a refusal of work whose upstream has crashed."""
+        for room in (True, False):
+            with self.subTest(room=room):
+                caller = Caller(False, True)
+                caller.places.full = True
+                caller.places.failure = failures.UpstreamsFull(
+                    "full", retry_after_s=1.0
+                )
+                caller.act("broken")
+                for _ in range(10):
+                    caller.act("tick")
+                self.assertEqual(len(caller.starts), 1)
+                self.assertEqual(caller.finals, [])
+                caller.places.full = not room
+                for _ in range(10):
+                    caller.act("tick")
+                if room:
+                    self._complete(caller, "b")
+                    continue
+                [final] = caller.finals
+                self.assertIs(final.failure.run, failures.Run.UNKNOWN)
+
     def test_silence_does_not_cut_a_delivered_answer(self):
         """Guards against a cut stream whose engine stood still for 15 s."""
         caller = Caller(False, True)
