Show that a stop or a reload leaves running attempts of the chat path

Admission is the only thing that a stop ends, and a running attempt or its resume asks no configuration, so neither can; the test keeps it so: after a stop a silent attempt still moves, and after a configuration without versions and upstreams a delivered stream is resumed to its end and a rejected answer is delivered.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,5 +1,6 @@
 """Tests of the life of a model request."""
 
+import dataclasses
 import random
 import unittest
 
@@ -384,6 +385,35 @@
                 [final] = caller.finals
                 self.assertIs(final.failure.run, failures.Run.UNKNOWN)
 
+    def test_stop_and_reload_leave_what_runs(self):
+        """Guards against a stop or a reload that cuts a sound stream."""
+        for gated in (True, False):
+            for trouble in ("silent", "broken"):
+                with self.subTest(gated=gated, trouble=trouble):
+                    caller = Caller(gated, True)
+                    caller.part.handle(lifecycle.AdmissionStopped(), 0.0)
+                    for action in ("silent", "silent", "broken", "tick"):
+                        caller.act(action)
+                    caller.act("produce")
+                    changed = dataclasses.replace(
+                        CURRENT, upstreams={}, workspaces={}
+                    )
+                    caller.planner.barred = frozenset({"small", "large"})
+                    caller.part.handle(
+                        lifecycle.DeploymentChanged(changed), caller.now
+                    )
+                    caller.act(trouble)
+                    upstream = caller.starts[-1].upstream
+                    if not gated:
+                        self._complete(caller, upstream)
+                        continue
+                    # The next version is withdrawn, so the answer counts.
+                    caller.act("complete")
+                    caller.act("rate_bad")
+                    caller.act("bill")
+                    [final] = caller.finals
+                    self.assertIsInstance(final, lifecycle.FinishRequest)
+
     def test_silence_does_not_cut_a_delivered_answer(self):
         """Guards against a cut stream whose engine stood still for 15 s."""
         caller = Caller(False, True)
