--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -232,6 +232,32 @@
             self.assertIs(rule.judge("f", later), expected)
 
 
+class OwnEndTest(unittest.TestCase):
+    """Guards against content that is blamed for what others ended."""
+
+    def test_only_lost_attempts_can_become_deaths(self):
+        """The caller, the deadline and the cascade cancel attempts."""
+        for end in (
+            notices.End.CANCELLED,
+            notices.End.REFUSED,
+            notices.End.FAILED,
+        ):
+            with self.subTest(end=end):
+                rule = quarantine.Quarantine()
+                for name in ("u0", "u1"):
+                    for generation in (1, 2):
+                        report = notices.LoadReported(
+                            name, 0.0, generation, True, 1, 0, 1
+                        )
+                        rule.handle(report, 0.0)
+                        started = notices.AttemptStarted("a", name, 1, "f")
+                        rule.handle(started, 0.0)
+                        ended = notices.AttemptEnded("a", name, end)
+                        rule.handle(ended, 0.5)
+                        rule.handle(notices.ConnectFailed(name), 1.0)
+                self.assertIs(rule.judge("f", 1.0), quarantine.Verdict.CLEAR)
+
+
 class RetriedAttemptTest(unittest.TestCase):
     """Guards against deaths that a retry of the same attempt hides."""
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -414,6 +414,25 @@
                     [final] = caller.finals
                     self.assertIsInstance(final, lifecycle.FinishRequest)
 
+    def test_own_ends_are_no_losses(self):
+        """Guards against content that is blamed for a cancelled attempt."""
+        for gated in (True, False):
+            for actions in (
+                ("gone",),
+                ("late_tick",),
+                ("silent", "gone"),
+                ("produce", "silent", "late_tick"),
+                ("produce", "complete", "rate_bad", "late_tick"),
+                ("produce", "complete", "rate_bad", "gone"),
+            ):
+                with self.subTest(gated=gated, actions=actions):
+                    caller = Caller(gated, True)
+                    for action in actions:
+                        caller.act(action)
+                    ends = {end.end for end in caller.places.ends}
+                    self.assertNotIn(notices.End.LOST, ends)
+                    self.assertEqual(caller.places.open, set())
+
     def test_silence_does_not_cut_a_delivered_answer(self):
         """Guards against a cut stream whose engine stood still for 15 s."""
         caller = Caller(False, True)
