--- a/sycamorehollow/decisions/requests/active.py
+++ b/sycamorehollow/decisions/requests/active.py
@@ -4,12 +4,15 @@
 
 from sycamorehollow.decisions.bills import billing_messages
 from sycamorehollow.decisions.requests import planning
+from sycamorehollow.decisions.routing import admission
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 from sycamorehollow.model import requests
 
+# Time in seconds between two looks for room; attempts end a few times a second.
+ROOM_CHECK_S = 0.1
 NOT_RUN = (lifecycle.AttemptEnd.NOT_SENT, lifecycle.AttemptEnd.REFUSED)
 
 
@@ -26,6 +29,17 @@
     urgent: bool = True
 
 
+@dataclasses.dataclass(frozen=True)
+class RetainedAnswer:
+    """A rejected answer, whole, while a larger version runs."""
+
+    version: str
+    upstream: deployment.Upstream
+    priced: deployment.Version
+    prompt_tokens: int
+    output_tokens: int
+
+
 @dataclasses.dataclass
 class ActiveRequest:
     """One request that has not had its final answer.
@@ -39,14 +53,22 @@
         held: Whether the chunks of the attempt are kept back.
         produced: Whether the attempt gave a chunk.
         resumes: Resumes in a row that no upstream answered.
+        losses: Connections in a row that broke or were not made.
+        received: Events that the run has given up to its last loss.
         resumed: Whether the current run was resumed.
         in_flight: Whether an attempt is under way.
         ran: Whether an attempt that has ended may have run.
         started_at: Monotonic time in seconds of the start of the attempt.
         restart_at: When the next attempt starts, if one waits.
+        room_until: Until when a retry waits for room, if it does.
+        resume_at: When the run is resumed, if that waits.
+        resume_reason: Why it is resumed, for the log.
         priced: The version of the attempt, at the price when it started.
         rating_deadline: Until when a gate waits for a rating, if one waits.
         finishing: Whether the answer waits only for its bill.
+        retained: The last rejected answer, if the relay still has it.
+        stopping: Whether the attempt was stopped and its end is awaited.
+        fallback: Why the retained answer is the one to deliver, else empty.
         rejected: Versions whose answers were rejected.
         discarded: Usage that is not billed.
     """
@@ -65,13 +87,21 @@
     in_flight: bool = False
     ran: bool = False
     resumes: int = 0
+    losses: int = 0
+    received: int = 0
     resumed: bool = False
     prompt_tokens: int = 0
     output_tokens: int = 0
     started_at: float = 0.0
     restart_at: float | None = None
+    room_until: float | None = None
+    resume_at: float | None = None
+    resume_reason: str = ""
     rating_deadline: float | None = None
     finishing: bool = False
+    retained: RetainedAnswer | None = None
+    stopping: bool = False
+    fallback: str = ""
     rejected: tuple[str, ...] = ()
     discarded: tuple[billing_messages.Usage, ...] = ()
 
@@ -90,6 +120,12 @@
         """Whether a chunk may have reached the caller."""
         return self.produced and not self.held and self.request.stream
 
+    @property
+    def may_deliver(self) -> bool:
+        """Whether the relay may hand on a chunk that is not reported yet."""
+        running = self.in_flight and self.resume_at is None
+        return running and not self.held and self.request.stream
+
     @property
     def has_next_step(self) -> bool:
         """Whether the plan has another step after the current one."""
@@ -116,12 +152,25 @@
         self.runs += 1
         self.in_flight = True
         self.upstream = upstream
+        self.room_until = None
         self.produced = False
         self.resumes = 0
+        self.losses = 0
+        self.received = 0
         self.resumed = False
         self.started_at = now
         self.held = self.plan.gated and self.has_next_step
 
+    def wait_for_room(self, now: float) -> bool:
+        """Lets a retry wait for room; tells whether it may wait on."""
+        if self.room_until is None:
+            left_s = self.request.deadline - now
+            self.room_until = now + admission.limit_wait_s(left_s)
+        if now >= self.room_until:
+            return False
+        self.restart_at = now + ROOM_CHECK_S
+        return True
+
     def end_attempt(self, end: lifecycle.AttemptEnd) -> None:
         """Takes note of a failed attempt."""
         self.in_flight = False
@@ -139,10 +188,17 @@
 
     def note_rejection(self) -> None:
         """Counts the answer of the current attempt as internal cost."""
-        assert self.priced is not None
+        assert self.priced is not None and self.upstream is not None
         usage = measure_usage(
             self, self.priced, self.prompt_tokens, self.output_tokens
         )
+        self.retained = RetainedAnswer(
+            self.version,
+            self.upstream,
+            self.priced,
+            self.prompt_tokens,
+            self.output_tokens,
+        )
         self.rejected += (self.version,)
         self.discarded += (usage,)
         self.tried = frozenset()
@@ -153,6 +209,23 @@
         self.rejected = self.rejected[:-1]
         self.discarded = self.discarded[:-1]
 
+    def fall_back(self, why: str) -> bool:
+        """Takes the retained answer as the one to deliver, if there is one."""
+        answer = self.retained
+        if answer is None or self.delivered:
+            return False
+        self.withdraw_rejection()
+        self.in_flight = False
+        self.restart_at = None
+        self.resume_at = None
+        self.running = answer.version
+        self.upstream = answer.upstream
+        self.priced = answer.priced
+        self.prompt_tokens = answer.prompt_tokens
+        self.output_tokens = answer.output_tokens
+        self.fallback = why
+        return True
+
     def describe_outcome(
         self, failed: bool, now: float
     ) -> planning.AttemptOutcome:
@@ -187,11 +260,14 @@
         keep=active.plan.rated,
         session=active.plan.session,
         resume_from=resume_from,
+        retain=active.retained is not None,
         reason=f"{active.plan.reason}; {reason}",
     )
 
 
-def build_cancel(active: ActiveRequest) -> lifecycle.CancelAttempt:
+def build_cancel(
+    active: ActiveRequest, reason: str, report: bool = False
+) -> lifecycle.CancelAttempt:
     """Returns the command that cancels the current run."""
     assert active.upstream is not None
     return lifecycle.CancelAttempt(
@@ -199,6 +275,8 @@
         active.attempt,
         active.answer_id,
         active.upstream.url,
+        reason,
+        report,
     )
 
 
--- a/sycamorehollow/decisions/routing/placement.py
+++ b/sycamorehollow/decisions/routing/placement.py
@@ -29,12 +29,14 @@
     Attributes:
         code: Code of the upstream's typed refusal, or empty.
         unreachable: Whether no connection could be made.
+        refused: Whether the host refused the connection.
         output_tokens: Output tokens of a whole answer, else 0.
     """
 
     end: notices.End
     code: str = ""
     unreachable: bool = False
+    refused: bool = False
     output_tokens: int = 0
 
 
@@ -51,6 +53,21 @@
     ) -> Placed | failures.Failure:
         """Chooses an upstream and counts the attempt as outstanding."""
 
+    @abc.abstractmethod
+    def move(
+        self,
+        request: requests.ModelRequest,
+        version: str,
+        excluded: frozenset[str],
+        end: End,
+        now: float,
+    ) -> Placed | failures.Failure:
+        """Chooses an upstream in place of the one that runs the request.
+
+        The running attempt ends as given only if there is one; otherwise
+        nothing changes.
+        """
+
     @abc.abstractmethod
     def note_production(self, request_id: str, now: float) -> None:
         """Records the time of the first chunk of an attempt."""
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -11,7 +11,11 @@
 
 
 class AttemptEnd(enum.Enum):
-    """How an attempt at an upstream ended without a whole answer."""
+    """How an attempt at an upstream ended without a whole answer.
+
+    Attributes:
+        STOPPED: The router stopped it.
+    """
 
     NOT_SENT = "not_sent"
     REFUSED = "refused"
@@ -19,6 +23,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     LOST = "lost"
+    STOPPED = "stopped"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +102,8 @@
         retry_after_s: When the upstream takes work again, if it said so.
         answered: Whether the upstream had begun a response on this
             connection, so that a silence may be a queue.
+        refused: Whether the host refused the connection, so that nothing
+            listens there.
     """
 
     request_id: str
@@ -106,6 +113,7 @@
     received: int = 0
     retry_after_s: float | None = None
     answered: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -132,6 +140,8 @@
         keep: Whether a copy of the answer is kept for its rating.
         session: Session token to return to the caller, or empty.
         resume_from: Number of events already received; `None` for a new run.
+        retain: Whether the last whole answer is retained until this run has
+            something for the caller.
         reason: Why this upstream and version were chosen, for the log.
     """
 
@@ -148,17 +158,25 @@
     keep: bool = False
     session: str = ""
     resume_from: int | None = None
+    retain: bool = False
     reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
 class CancelAttempt(commands.Command):
-    """Stop an attempt and tell the upstream to cancel its stream."""
+    """Stop an attempt and tell the upstream to cancel its stream.
+
+    Attributes:
+        reason: Who or what asks for it, for the log.
+        report: Whether the end is reported, after all that the attempt gave.
+    """
 
     request_id: str
     attempt: int
     run_id: str
     url: str
+    reason: str
+    report: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -172,11 +190,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class FinishRequest(commands.Command):
-    """Deliver the held end of the answer and close the request."""
+    """Deliver the held end of the answer and close the request.
+
+    Attributes:
+        fallback: Why the retained answer of an earlier run is delivered, or
+            empty for the answer of the last run.
+    """
 
     request_id: str
     upstream: str
     version: str
+    fallback: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -78,6 +78,8 @@
                 continue
             next_check = now + POLL_S
             self._check_progress(now)
+        for stream in self._streams.values():
+            self._log_end(stream, "process stop")
 
     def _handle_guarded(self, message: Any) -> None:
         """Carries out a message; an unexpected error ends its stream only."""
@@ -107,8 +109,13 @@
         for side in (stream.engine, stream.caller):
             if side is None or side.sock is None:
                 continue
-            if side.sock in self._selector.get_map():
+            try:
                 self._selector.unregister(side.sock)
+            except (KeyError, ValueError) as gone:
+                # It was not watched any more, or is closed.
+                loguru.logger.debug(
+                    "relay: request={} unwatched: {!r}", request_id, gone
+                )
             side.mask = 0
         self._callers.forget(stream)
         if stream.engine is not None and stream.engine.sock is not None:
@@ -197,15 +204,24 @@
     def _apply_bounds(
         self, decided: list[commands.Command], now: float
     ) -> None:
-        """Carries out what the bounds on held bytes ask for."""
+        """Carries out what the bounds on held bytes ask for.
+
+        A command may concern another stream than the one that is served.
+        """
         for command in decided:
-            match command:
-                case buffers.PauseReading():
-                    self._pause(command.stream, True, now)
-                case buffers.ResumeReading():
-                    self._pause(command.stream, False, now)
-                case buffers.DisconnectCaller():
-                    self._disconnect(command)
+            try:
+                self._apply_bound(command, now)
+            except Exception as error:
+                self._abandon(getattr(command, "stream", ""), error)
+
+    def _apply_bound(self, command: commands.Command, now: float) -> None:
+        match command:
+            case buffers.PauseReading():
+                self._pause(command.stream, True, now)
+            case buffers.ResumeReading():
+                self._pause(command.stream, False, now)
+            case buffers.DisconnectCaller():
+                self._disconnect(command)
 
     def _pause(self, request_id: str, paused: bool, now: float) -> None:
         stream = self._streams.get(request_id)
@@ -239,6 +255,7 @@
         )
 
     def _fail_attempt(self, stream: streams.Stream, loss: engines.Loss) -> None:
+        self._log_end(stream, loss.end.value, loss.code)
         self._engines.close(stream)
         self._report(
             lifecycle.AttemptFailed(
@@ -249,15 +266,49 @@
                 stream.received,
                 loss.retry_after_s,
                 loss.answered,
+                loss.refused,
             )
         )
 
+    def _log_end(
+        self, stream: streams.Stream, who: str, code: str = ""
+    ) -> None:
+        """Logs who ended a running attempt, and after how long a silence."""
+        if stream.engine is None:
+            return
+        silent_s = time.monotonic() - stream.engine.last_progress
+        loguru.logger.info(
+            "relay: ended request={} attempt={} upstream={} version={} by={}"
+            " code={!r} silent_s={:.2f} events={}",
+            stream.request_id,
+            stream.attempt,
+            stream.upstream,
+            stream.version,
+            who,
+            code,
+            silent_s,
+            stream.received,
+        )
+
     def _check_progress(self, now: float) -> None:
-        self._apply_bounds(self._callers.find_stalled(now), now)
+        try:
+            stalled = self._callers.find_stalled(now)
+        except Exception as error:
+            loguru.logger.opt(exception=error).error(
+                "relay: the check for stalled callers failed"
+            )
+            stalled = []
+        self._apply_bounds(stalled, now)
         for stream in list(self._streams.values()):
-            loss = self._engines.find_silence(stream, now)
-            if loss is not None:
-                self._fail_attempt(stream, loss)
+            try:
+                self._check_silence(stream, now)
+            except Exception as error:
+                self._abandon(stream.request_id, error)
+
+    def _check_silence(self, stream: streams.Stream, now: float) -> None:
+        loss = self._engines.find_silence(stream, now)
+        if loss is not None:
+            self._fail_attempt(stream, loss)
 
     def _attach(self, message: Attach) -> None:
         stream = streams.Stream(message.request_id, message.caller)
@@ -281,13 +332,20 @@
 
     def _cancel_attempt(self, command: lifecycle.CancelAttempt) -> None:
         stream = self._streams.get(command.request_id)
-        if stream is not None and stream.attempt == command.attempt:
-            self._engines.close(stream)
+        if stream is None or stream.attempt != command.attempt:
+            return
+        if command.report:
+            loss = engines.Loss(lifecycle.AttemptEnd.STOPPED, command.reason)
+            self._fail_attempt(stream, loss)
+            return
+        self._log_end(stream, command.reason)
+        self._engines.close(stream)
 
     def _refuse(self, command: lifecycle.RefuseRequest) -> None:
         stream = self._streams.get(command.request_id)
         if stream is None:
             return
+        self._log_end(stream, command.failure.code)
         self._engines.close(stream)
         if not stream.caller.head_requested:
             self._release(stream)
@@ -303,6 +361,9 @@
         stream = self._streams.get(command.request_id)
         if stream is None:
             return
+        if command.fallback:
+            self._engines.close(stream)
+            stream.restore_retained()
         if not stream.caller.streamed:
             self._release(stream)
             stream.caller.reply.put(
@@ -319,6 +380,7 @@
         self._flush_caller(stream)
 
     def _drop_caller(self, stream: streams.Stream) -> None:
+        self._log_end(stream, "caller")
         self._engines.close(stream)
         self._report(lifecycle.CallerGone(stream.request_id, stream.tokens))
         self._detach(stream, streams.StreamClosed(whole=False))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of the quarantine of requests that crash upstreams."""
 
 import itertools
+import random
 import unittest
 
 import hypothesis
@@ -8,7 +9,12 @@
 
 from sycamorehollow.decisions.requests import quarantine
 from sycamorehollow.decisions.routing import notices
+from sycamorehollow.decisions.routing import placement
+from sycamorehollow.decisions.routing import upstream_placement
+from sycamorehollow.model import deployment
 from sycamorehollow.model import events
+from sycamorehollow.model import failures
+from sycamorehollow.model import requests
 
 INNOCENT = ("i0", "i1")
 CRASHING = ("c0", "c1")
@@ -226,6 +232,32 @@
             self.assertIs(rule.judge("f", later), expected)
 
 
+class OwnEndTest(unittest.TestCase):
+    """Guards against content that is blamed for what others ended."""
+
+    def test_only_lost_attempts_can_become_deaths(self):
+        """The caller, the deadline and the cascade cancel attempts."""
+        for end in (
+            notices.End.CANCELLED,
+            notices.End.REFUSED,
+            notices.End.FAILED,
+        ):
+            with self.subTest(end=end):
+                rule = quarantine.Quarantine()
+                for name in ("u0", "u1"):
+                    for generation in (1, 2):
+                        report = notices.LoadReported(
+                            name, 0.0, generation, True, 1, 0, 1
+                        )
+                        rule.handle(report, 0.0)
+                        started = notices.AttemptStarted("a", name, 1, "f")
+                        rule.handle(started, 0.0)
+                        ended = notices.AttemptEnded("a", name, end)
+                        rule.handle(ended, 0.5)
+                        rule.handle(notices.ConnectFailed(name), 1.0)
+                self.assertIs(rule.judge("f", 1.0), quarantine.Verdict.CLEAR)
+
+
 class RetriedAttemptTest(unittest.TestCase):
     """Guards against deaths that a retry of the same attempt hides."""
 
@@ -251,3 +283,88 @@
         later = 1.2 + quarantine.DEATH_WINDOW_S
         node.handle(events.Tick(), later)
         self.assertIs(node.judge("f", later), quarantine.Verdict.CLEAR)
+
+
+class UnconnectedTest(unittest.TestCase):
+    """Guards against content that is blamed for a broken path."""
+
+    def setUp(self):
+        self.suspects = quarantine.Quarantine()
+        self.places = upstream_placement.UpstreamPlacement(
+            "p",
+            "dc-1",
+            0,
+            1,
+            random.Random(1),
+            0.0,
+            lambda name: None,
+            self.suspects,
+        )
+        upstreams = {
+            name: deployment.Upstream(name, f"http://{name}", "dc-1", ("v",))
+            for name in ("u0", "u1")
+        }
+        self.places.apply(deployment.Deployment(upstreams=upstreams), 0.0)
+        self._report(0.0)
+
+    def _report(self, now):
+        for name in ("u0", "u1"):
+            report = notices.LoadReported(name, now, 1, False, 9, 0, 100_000)
+            for part in self.places.list_parts():
+                part.handle(report, now)
+
+    def _place(self, name, content):
+        request = requests.ModelRequest(
+            name, "maps", "v", "", b"", content, 10, 20, True, 100.0
+        )
+        return request, self.places.place(request, "v", frozenset(), 1.0)
+
+    def test_refused_move_leaves_the_attempt_as_it_was(self):
+        """Guards against an attempt that is lost for one that is refused."""
+        self._report(1.0)
+        request, placed = self._place("r", "f")
+        excluded = frozenset({placed.upstream.name})
+        others = [self._place(f"o{n}", f"i{n}")[1] for n in range(6)]
+        end = placement.End(notices.End.LOST)
+        # A suspect needs an upstream of its own.
+        moved = self.places.move(request, "v", excluded, end, 2.0)
+        self.assertIsInstance(moved, failures.NoUpstream)
+        self.assertIs(self.suspects.judge("f", 2.0), quarantine.Verdict.CLEAR)
+        self.assertIn(placed.upstream, [one.upstream for one in others])
+        _, later = self._place("later", "i9")
+        self.assertIsInstance(later, placement.Placed)
+        for number in range(6):
+            end = placement.End(notices.End.CANCELLED)
+            self.places.release(f"o{number}", end, 2.5)
+        self.places.release("later", end, 2.5)
+        self._report(2.5)
+        end = placement.End(notices.End.LOST)
+        moved = self.places.move(request, "v", excluded, end, 3.0)
+        self.assertNotIn(moved.upstream.name, excluded)
+        verdict = self.suspects.judge("f", 3.0)
+        self.assertIsInstance(verdict, quarantine.SuspectBusy)
+
+    def _lose_twice(self, refused):
+        """Loses the same request at both upstreams, which take no more."""
+        request = requests.ModelRequest(
+            "r", "maps", "v", "", b"", "f", 10, 20, True, 100.0
+        )
+        excluded = frozenset()
+        for now in (1.0, 2.0):
+            self._report(now)
+            placed = self.places.place(request, "v", excluded, now)
+            excluded |= {placed.upstream.name}
+            end = placement.End(notices.End.LOST, "", True, refused)
+            self.places.release("r", end, now + 0.5)
+        return self.suspects.judge("f", 3.0)
+
+    def test_connections_without_an_answer_are_no_deaths(self):
+        verdict = self._lose_twice(refused=False)
+        self.assertNotIsInstance(verdict, quarantine.Quarantined)
+        self.suspects.handle(events.Tick(), 13.0)
+        verdict = self.suspects.judge("f", 13.0)
+        self.assertIs(verdict, quarantine.Verdict.CLEAR)
+
+    def test_refused_connections_are_deaths(self):
+        verdict = self._lose_twice(refused=True)
+        self.assertIsInstance(verdict, quarantine.Quarantined)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,5 +1,6 @@
 """Tests of the life of a model request."""
 
+import dataclasses
 import random
 import unittest
 
@@ -74,6 +75,7 @@
     def __init__(self):
         self.open = set()
         self.full = False
+        self.failure = failures.NoUpstream("none", retry_after_s=1.0)
         self.ends = []
 
     def place(self, request, version, excluded, now):
@@ -83,7 +85,13 @@
                 continue
             self.open.add(request.request_id)
             return placement.Placed(upstream, "first")
-        return failures.NoUpstream("none", retry_after_s=1.0)
+        return self.failure
+
+    def move(self, request, version, excluded, end, now):
+        if self.full or not {u.name for u in UPSTREAMS} - excluded:
+            return failures.NoUpstream("none", retry_after_s=1.0)
+        self.release(request.request_id, end, now)
+        return self.place(request, version, excluded, now)
 
     def note_production(self, request_id, now):
         pass
@@ -150,6 +158,7 @@
         self.finals = []
         self.bills = []
         self.produced = False
+        self.running = False
         self.received = 0
         self.gone = False
         self.now = 0.0
@@ -167,16 +176,28 @@
                     assert not self.finals, "an attempt after the end"
                     self._check_start(command)
                     self.starts.append(command)
+                    self.running = True
                     if command.resume_from is None:
                         self.received = 0
                         self.produced = False
                 case lifecycle.RefuseRequest() | lifecycle.FinishRequest():
                     self.finals.append(command)
+                case lifecycle.CancelAttempt(report=True):
+                    self._stop(command)
                 case active.SecureBill():
                     self.bills.append(command.bill)
                 case lifecycle.RequestRating():
                     self.answer_id = command.answer_id
 
+    def _stop(self, command):
+        event = lifecycle.AttemptFailed(
+            "r1",
+            command.attempt,
+            lifecycle.AttemptEnd.STOPPED,
+            received=self.received,
+        )
+        self._take(self.part.handle(event, self.now))
+
     def _check_start(self, command):
         if not self.starts:
             return
@@ -209,17 +230,22 @@
             "lost": lifecycle.AttemptEnd.LOST,
         }
         if action in ends:
-            if action in ("not_sent", "refused") and self.produced:
+            fresh = self.starts[-1].resume_from is None
+            if action in ("not_sent", "refused") and self.produced and fresh:
                 return None
+            self.running = False
             return lifecycle.AttemptFailed(
                 "r1", attempt, ends[action], received=self.received
             )
         match action:
             case "produce":
-                self.produced = True
-                self.received += 1
+                # A chunk of an attempt that has ended reaches no caller.
+                if self.running:
+                    self.produced = True
+                    self.received += 1
                 return lifecycle.AttemptProduced("r1", attempt)
             case "complete":
+                self.running = False
                 return lifecycle.AttemptCompleted("r1", attempt, 10, 5, b"")
             case "stale":
                 return lifecycle.AttemptCompleted("r1", attempt - 1, 9, 9, b"")
@@ -277,6 +303,269 @@
         self.assertEqual(caller.bills[0].version, "large")
         self.assertGreater(caller.bills[0].internal_cost, 0)
 
+    def _complete(self, caller, upstream):
+        """Lets the current attempt end and checks what the caller got."""
+        self.assertEqual(caller.finals, [])
+        self.assertEqual(caller.starts[-1].upstream, upstream)
+        caller.act("complete")
+        caller.act("bill")
+        [final] = caller.finals
+        self.assertIsInstance(final, lifecycle.FinishRequest)
+        self.assertEqual(final.upstream, upstream)
+        self.assertEqual(caller.places.open, set())
+
+    def test_silent_attempt_is_not_given_up_before_another_is_admitted(self):
+        """Guards against a refusal in place of a slow but sound answer."""
+
+        def fill(caller):
+            caller.places.full = True
+
+        def withdraw(caller):
+            caller.planner.barred = frozenset({"small", "large"})
+
+        def spend_budget(caller):
+            for _ in range(int(retries.BUDGET_BURST) + 1):
+                caller.part._recovery.note_move("another", 0.0)
+
+        for hinder in (fill, withdraw, spend_budget):
+            for stream in (True, False):
+                with self.subTest(hinder=hinder.__name__, stream=stream):
+                    caller = Caller(False, stream)
+                    hinder(caller)
+                    for _ in range(6):
+                        caller.act("silent")
+                        caller.act("tick")
+                    self.assertIsNotNone(caller.starts[-1].resume_from)
+                    self._complete(caller, "a")
+
+    def test_silent_attempt_moves_once_another_is_admitted(self):
+        caller = Caller(False, True)
+        caller.places.full = True
+        for _ in range(3):
+            caller.act("silent")
+        caller.places.full = False
+        caller.act("silent")
+        self.assertIsNone(caller.starts[-1].resume_from)
+        self.assertIs(caller.places.ends[0].end, notices.End.LOST)
+        self._complete(caller, "b")
+
+    def test_refused_moves_cost_no_retry(self):
+        caller = Caller(False, True)
+        caller.places.full = True
+        for _ in range(30):
+            caller.act("silent")
+        caller.places.full = False
+        for upstream in ("b", "c"):
+            caller.act("silent")
+            self.assertEqual(caller.starts[-1].upstream, upstream)
+            caller.act("silent")
+        caller.act("silent")
+        self._complete(caller, "c")
+
+    def test_retry_waits_for_room_as_new_work_does(self):
+        """Guards against a refusal of work whose upstream has crashed."""
+        for room in (True, False):
+            with self.subTest(room=room):
+                caller = Caller(False, True)
+                caller.places.full = True
+                caller.places.failure = failures.UpstreamsFull(
+                    "full", retry_after_s=1.0
+                )
+                caller.act("broken")
+                for _ in range(10):
+                    caller.act("tick")
+                self.assertEqual(len(caller.starts), 1)
+                self.assertEqual(caller.finals, [])
+                caller.places.full = not room
+                for _ in range(10):
+                    caller.act("tick")
+                if room:
+                    self._complete(caller, "b")
+                    continue
+                [final] = caller.finals
+                self.assertIs(final.failure.run, failures.Run.UNKNOWN)
+
+    def test_stop_and_reload_leave_what_runs(self):
+        """Guards against a stop or a reload that cuts a sound stream."""
+        for gated in (True, False):
+            for trouble in ("silent", "broken"):
+                with self.subTest(gated=gated, trouble=trouble):
+                    caller = Caller(gated, True)
+                    caller.part.handle(lifecycle.AdmissionStopped(), 0.0)
+                    for action in ("silent", "silent", "broken", "tick"):
+                        caller.act(action)
+                    caller.act("produce")
+                    changed = dataclasses.replace(
+                        CURRENT, upstreams={}, workspaces={}
+                    )
+                    caller.planner.barred = frozenset({"small", "large"})
+                    caller.part.handle(
+                        lifecycle.DeploymentChanged(changed), caller.now
+                    )
+                    caller.act(trouble)
+                    upstream = caller.starts[-1].upstream
+                    if not gated:
+                        self._complete(caller, upstream)
+                        continue
+                    # The next version is withdrawn, so the answer counts.
+                    caller.act("complete")
+                    caller.act("rate_bad")
+                    caller.act("bill")
+                    [final] = caller.finals
+                    self.assertIsInstance(final, lifecycle.FinishRequest)
+
+    def test_own_ends_are_no_losses(self):
+        """Guards against content that is blamed for a cancelled attempt."""
+        for gated in (True, False):
+            for actions in (
+                ("gone",),
+                ("late_tick",),
+                ("silent", "gone"),
+                ("produce", "silent", "late_tick"),
+                ("produce", "complete", "rate_bad", "late_tick"),
+                ("produce", "complete", "rate_bad", "gone"),
+            ):
+                with self.subTest(gated=gated, actions=actions):
+                    caller = Caller(gated, True)
+                    for action in actions:
+                        caller.act(action)
+                    ends = {end.end for end in caller.places.ends}
+                    self.assertNotIn(notices.End.LOST, ends)
+                    self.assertEqual(caller.places.open, set())
+
+    def test_silence_does_not_cut_a_delivered_answer(self):
+        """Guards against a cut stream whose engine stood still for 15 s."""
+        caller = Caller(False, True)
+        caller.act("produce")
+        for _ in range(8):
+            caller.act("silent")
+        self._complete(caller, "a")
+
+    def test_refused_resume_does_not_cut_a_delivered_answer(self):
+        """Guards against a refusal of new work that ends an answer."""
+        caller = Caller(False, True)
+        for action in ("produce", "silent"):
+            caller.act(action)
+        for _ in range(5):
+            caller.act("refused")
+            count = len(caller.starts)
+            for _ in range(4):
+                caller.act("tick")
+            self.assertEqual(len(caller.starts), count + 1)
+        self._complete(caller, "a")
+
+    def test_resume_without_a_connection_is_tried_again(self):
+        """Guards against a lost packet that cuts an answer."""
+        caller = Caller(False, True)
+        for action in ("produce", "silent", "not_sent", "not_sent"):
+            caller.act(action)
+        self._complete(caller, "a")
+
+    def test_lost_upstream_cuts_a_delivered_answer(self):
+        """Guards against callers who wait for an upstream that is gone."""
+        for actions in (["lost"], ["not_sent"] * (recovery.MAX_LOSSES + 1)):
+            with self.subTest(actions=actions):
+                caller = Caller(False, True)
+                for action in ("produce", "silent", *actions):
+                    caller.act(action)
+                [final] = caller.finals
+                self.assertEqual(final.failure.code, "answer_truncated")
+
+    def test_breaks_between_progress_do_not_add_up(self):
+        caller = Caller(False, True)
+        for _ in range(2 * recovery.MAX_LOSSES):
+            caller.act("produce")
+            caller.act("broken")
+        self._complete(caller, "a")
+        caller = Caller(False, True)
+        caller.act("produce")
+        for _ in range(recovery.MAX_LOSSES + 1):
+            caller.act("broken")
+        self.assertEqual(caller.finals[0].failure.code, "answer_truncated")
+
+    def _escalate(self, stream):
+        """Returns a caller whose small answer was rejected."""
+        caller = Caller(True, stream)
+        for action in ("produce", "complete", "rate_bad"):
+            caller.act(action)
+        self.assertEqual(caller.starts[-1].version, "large")
+        self.assertTrue(caller.starts[-1].retain)
+        return caller
+
+    def _check_small_answer(self, caller):
+        caller.act("bill")
+        [final] = caller.finals
+        self.assertIsInstance(final, lifecycle.FinishRequest)
+        self.assertEqual((final.version, final.upstream), ("small", "a"))
+        self.assertTrue(final.fallback)
+        [bill] = caller.bills
+        self.assertEqual((bill.version, bill.output_tokens), ("small", 5))
+        self.assertEqual(bill.internal_cost, 0)
+        self.assertEqual(caller.places.open, set())
+
+    def test_answer_in_hand_is_not_lost_to_a_larger_version(self):
+        """Guards against a refusal while a whole answer is at hand."""
+        troubles = (
+            ("rejected",),
+            ("broken", "tick", "broken", "tick", "broken", "tick"),
+            ("not_sent", "tick", "lost", "tick", "refused", "tick"),
+            ("late_tick",),
+            ("silent", "late_tick"),
+            ("broken", "late_tick"),
+        )
+        for stream in (True, False):
+            for actions in troubles:
+                with self.subTest(stream=stream, actions=actions):
+                    caller = self._escalate(stream)
+                    for action in actions:
+                        caller.act(action)
+                    self._check_small_answer(caller)
+
+    def test_answer_in_hand_is_not_lost_when_no_other_place_is_left(self):
+        caller = self._escalate(True)
+        caller.act("broken")
+        caller.places.full = True
+        caller.act("tick")
+        self._check_small_answer(caller)
+
+    def test_two_answers_are_not_mixed(self):
+        """Guards against a small answer behind a part of the larger one."""
+        for action in ("lost", "late_tick"):
+            with self.subTest(action=action):
+                caller = self._escalate(True)
+                caller.act("produce")
+                caller.act(action)
+                [final] = caller.finals
+                self.assertIsInstance(final, lifecycle.RefuseRequest)
+
+    def test_chunk_on_its_way_keeps_the_other_answer_back(self):
+        """Guards against a chunk that is reported after the deadline."""
+        caller = self._escalate(True)
+        result = caller.part.handle(events.Tick(), 101.0)
+        [stop] = result
+        self.assertTrue(stop.report)
+        caller.now = 101.0
+        caller.act("produce")
+        caller._take(result)
+        [final] = caller.finals
+        self.assertIsInstance(final, lifecycle.RefuseRequest)
+
+    def test_whole_answer_is_delivered_at_the_deadline(self):
+        """Guards against a refusal while only the rating is missing."""
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                caller = Caller(True, stream)
+                caller.now = 99.0
+                caller.act("produce")
+                caller.now = 99.6
+                caller.act("complete")
+                self.assertLess(caller.now, 100.0)
+                caller.act("late_tick")
+                caller.act("bill")
+                [final] = caller.finals
+                self.assertIsInstance(final, lifecycle.FinishRequest)
+                self.assertEqual(final.version, "small")
+
     def test_late_refusal_says_not_run_only_when_nothing_was_sent(self):
         for action, run in (
             ("not_sent", failures.Run.NO),
