Stop roll-outs of versions that answer slowly

Callers waited several times longer: a version whose streams took five times as long was completed and kept.

Cause: the test of a roll-out counted answers with status 500 and above. A late answer, one that was given up and one whose caller left counted as sound or not at all.

Each attempt is now timed (`answer_times`): its first event, and the pace of its first eight and of its other events, against the version in service at the same route, model and about the same prompt length. `slowness` tests whether slow answers fall on the new version more often than its share at the time when the request was sent explains, so that what slows both versions is no evidence. Half of the groups of upstreams have to show it. Without enough judged times a version is not sound, so it is not completed. A stream that was given up at a suspected version goes on at the other one. Counts travel in an entry of their own, as older processes read the one of a roll-out strictly.

Ruled out: comparing rates of slow answers in a window.

`failure_counts` is moved out of `canary` unchanged.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -2,8 +2,9 @@
 
 A new version gets a small share of the requests first. Every node counts
 answers of both versions and nodes exchange their counts. A version that is
-worse than the one in service is stopped at once by each node that can tell; a
-sound one gets more and is completed before its time is up.
+worse than the one in service, because it fails more often or answers slowly, is
+stopped at once by each node that can tell; a sound one gets more and is
+completed before its time is up.
 """
 
 from collections.abc import Iterable
@@ -12,6 +13,9 @@
 import math
 import zlib
 
+from sycamorehollow.decisions.forwarding import answer_times
+from sycamorehollow.decisions.forwarding import failure_counts
+from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.model import forwarding
 
 # Share of the tolerated exposure that a version gets at most while little is
@@ -33,63 +37,13 @@
 # Log likelihood ratio at which a version counts as sound, so that it may get
 # more requests; about a dozen answers without a failure.
 SOUND = -math.log(10)
-# Rise of the failure rate that is to be found.
-RISE = 0.2
-# Failure rate of the version in service that is assumed at least.
-MIN_RATE = 0.02
-# Log likelihood ratio at which a version counts as worse: one false alarm in
-# about a hundred roll-outs.
-WORSE = math.log(100)
-# Failed answers of the new version below which it is never called worse.
-MIN_FAILED = 3
+# Judged times of the new version below which it is never called sound.
+MIN_TIMED = 10
 # Only answers of the last seconds count, so that a version that turns bad
 # late is found as fast as one that is bad from its start.
 WINDOW_S = 6.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Tally:
-    """Answers of both versions of a service."""
-
-    new: int = 0
-    new_failed: int = 0
-    old: int = 0
-    old_failed: int = 0
-
-    def plus(self, other: "Tally") -> "Tally":
-        """Returns the sum."""
-        return Tally(
-            self.new + other.new,
-            self.new_failed + other.new_failed,
-            self.old + other.old,
-            self.old_failed + other.old_failed,
-        )
-
-    def minus(self, other: "Tally") -> "Tally":
-        """Returns the difference."""
-        return Tally(
-            self.new - other.new,
-            self.new_failed - other.new_failed,
-            self.old - other.old,
-            self.old_failed - other.old_failed,
-        )
-
-
-def measure(tally: Tally) -> float:
-    """Returns the log likelihood ratio of a worse new version."""
-    rate = max(MIN_RATE, (tally.old_failed + 0.5) / (tally.old + 1))
-    rate = min(rate, 1 - RISE - 0.01)
-    passed = tally.new - tally.new_failed
-    return tally.new_failed * math.log(
-        (rate + RISE) / rate
-    ) + passed * math.log((1 - rate - RISE) / (1 - rate))
-
-
-def is_worse(tally: Tally) -> bool:
-    """Tells whether the new version fails more often."""
-    return tally.new_failed >= MIN_FAILED and measure(tally) > WORSE
-
-
 @dataclasses.dataclass(frozen=True)
 class Finding:
     """What one node tells another of a roll-out.
@@ -107,7 +61,7 @@
     age_s: float
     first_share: float | None
     sound_s: float | None
-    tallies: Mapping[str, Tally]
+    tallies: Mapping[str, failure_counts.Tally]
 
 
 @dataclasses.dataclass
@@ -117,8 +71,10 @@
     Attributes:
         started_at: When this process heard of it.
         tallies: Counts by node; each node only raises its own.
+        evidence: Counts of slow answers, and the test on them.
         history: Sums of all counts at earlier times.
         worse: Whether the new version was found to be worse.
+        reason: Why this node has found it to be worse.
         first_share: Share of the new version while little is known, the
             smallest that any node has found; `None` while it is measured.
         sound_at: When a node first found the version to be sound.
@@ -127,15 +83,23 @@
     order: forwarding.RolloutOrder
     started_at: float
     state: forwarding.RolloutState | None = None
-    tallies: dict[str, Tally] = dataclasses.field(default_factory=dict)
-    history: list[tuple[float, Tally]] = dataclasses.field(default_factory=list)
+    tallies: dict[str, failure_counts.Tally] = dataclasses.field(
+        default_factory=dict
+    )
+    evidence: slowness.Evidence = dataclasses.field(
+        default_factory=slowness.Evidence
+    )
+    history: list[tuple[float, failure_counts.Tally]] = dataclasses.field(
+        default_factory=list
+    )
     worse: bool = False
+    reason: str = ""
     first_share: float | None = None
     sound_at: float | None = None
 
-    def sum_up(self) -> Tally:
+    def sum_up(self) -> failure_counts.Tally:
         """Returns the counts of all nodes."""
-        total = Tally()
+        total = failure_counts.Tally()
         for tally in self.tallies.values():
             total = total.plus(tally)
         return total
@@ -190,18 +154,41 @@
         """Returns all roll-outs."""
         return list(self._rollouts.values())
 
+    def list_running(self) -> list[Rollout]:
+        """Returns the roll-outs that have not ended."""
+        return [r for r in self._rollouts.values() if r.state not in _ENDED]
+
     def note_answer(self, service: str, version: str, failed: bool) -> None:
         """An upstream of a service has answered."""
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state in _ENDED:
             return
         new = version == rollout.order.target
-        one = Tally(
+        one = failure_counts.Tally(
             int(new), int(new and failed), int(not new), int(failed and not new)
         )
-        tally = rollout.tallies.get(self._node, Tally())
+        tally = rollout.tallies.get(self._node, failure_counts.Tally())
         rollout.tallies[self._node] = tally.plus(one)
 
+    def note_time(self, timed: answer_times.Timed, slow: bool) -> None:
+        """It was judged whether an answer was slow."""
+        rollout = self._rollouts.get(timed.service)
+        if rollout is None or rollout.state in _ENDED:
+            return
+        if timed.share <= 0:
+            # What makes a repeat slow may have made its first attempt slow.
+            return
+        rollout.evidence.note(
+            self._node, timed, timed.version == rollout.order.target, slow
+        )
+
+    def is_in_service(self, service: str, version: str) -> bool:
+        """Tells whether a version is, or was until now, the one in service."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or version != rollout.order.target:
+            return True
+        return rollout.state is forwarding.RolloutState.COMPLETED
+
     def export(self, now: float) -> list[Finding]:
         """Returns what other nodes need to know."""
         return [
@@ -214,8 +201,7 @@
                 None if rollout.sound_at is None else now - rollout.sound_at,
                 dict(rollout.tallies),
             )
-            for rollout in self._rollouts.values()
-            if rollout.state not in _ENDED
+            for rollout in self.list_running()
         ]
 
     def merge(self, finding: Finding, now: float) -> None:
@@ -227,18 +213,32 @@
         if finding.first_share is not None:
             known_share = rollout.first_share or finding.first_share
             rollout.first_share = min(known_share, finding.first_share)
-        if finding.sound_s is not None:
+        if finding.sound_s is not None and not rollout.evidence.is_doubtful():
             sound_at = now - finding.sound_s
             rollout.sound_at = min(rollout.sound_at or sound_at, sound_at)
         # A node that has started since does not know how long it has run.
         rollout.started_at = min(rollout.started_at, now - finding.age_s)
         for node, tally in finding.tallies.items():
-            known = rollout.tallies.get(node, Tally())
+            known = rollout.tallies.get(node, failure_counts.Tally())
             if node == self._node:
                 continue
             if tally.new + tally.old > known.new + known.old:
                 rollout.tallies[node] = tally
 
+    def merge_slowness(
+        self,
+        service: str,
+        revision: int,
+        counts: Mapping[str, Mapping[str, slowness.Counts]],
+    ) -> None:
+        """Takes the counts of slow answers that another node knows."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.order.revision != revision:
+            return
+        for node, routes in counts.items():
+            if node != self._node:
+                rollout.evidence.merge(node, routes)
+
     def judge(self, now: float) -> list[Rollout]:
         """Looks at the evidence; returns roll-outs found to be worse now."""
         found = []
@@ -249,13 +249,25 @@
             rollout.history = [
                 entry for entry in rollout.history if entry[0] >= now - WINDOW_S
             ]
-            base = rollout.history[0][1] if rollout.history else Tally()
+            base = (
+                rollout.history[0][1]
+                if rollout.history
+                else failure_counts.Tally()
+            )
             rollout.history.append((now, total))
-            if is_worse(total) or is_worse(total.minus(base)):
+            rollout.reason = rollout.evidence.judge()
+            for tally in (total, total.minus(base)):
+                if failure_counts.is_worse(tally):
+                    rollout.reason = f"failed answers: {tally}"
+            if rollout.reason:
                 rollout.worse = True
                 found.append(rollout)
-            elif rollout.sound_at is None and measure(total) <= SOUND:
+            elif rollout.sound_at is None and _is_sound(rollout, total):
                 rollout.sound_at = now
+            elif rollout.evidence.is_doubtful() and not _has_climbed(
+                rollout, now
+            ):
+                rollout.sound_at = None
         return found
 
     def compute_share(self, service: str, now: float) -> float:
@@ -278,6 +290,27 @@
         climbed = (part - FIRST_PART) / (ALL_PART - FIRST_PART)
         return first + (LAST_SHARE - first) * climbed
 
+    def find_drawn_share(
+        self, service: str, version: str, session: str | None, now: float
+    ) -> float:
+        """Returns the share by which the version of an attempt was drawn.
+
+        Args:
+            service: Name of the service.
+            version: Version of the attempt's upstream.
+            session: As for `is_chosen`; `None` for a repeat.
+            now: Monotonic time in seconds.
+
+        Returns:
+            0 if the version was not drawn.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None or session is None:
+            return 0.0
+        share = self.compute_share(service, now)
+        drawn = is_chosen(service, session, share)
+        return share if drawn == (version == rollout.order.target) else 0.0
+
     def find_due_state(
         self, service: str, now: float
     ) -> forwarding.RolloutState | None:
@@ -305,13 +338,20 @@
             or rollout.state is forwarding.RolloutState.ROLLED_BACK
         )
 
+    def is_suspected(self, service: str, version: str) -> bool:
+        """Tells whether a version looks slow without proof yet."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or version != rollout.order.target:
+            return False
+        return rollout.state not in _ENDED and rollout.evidence.is_doubtful()
+
     def _find_first_share(self, rollout: Rollout, now: float) -> float:
         if rollout.first_share is not None:
             return rollout.first_share
         age_s = now - rollout.started_at
         if age_s < SURVEY_S:
             return 0.0
-        own = rollout.tallies.get(self._node, Tally())
+        own = rollout.tallies.get(self._node, failure_counts.Tally())
         rate = (own.new + own.old) * self._nodes / age_s
         share = self._exposure * FIRST_SHARE
         while share * rate > 2 * EVIDENCE_PER_S:
@@ -335,6 +375,26 @@
         return part - max(0.0, waited - FIRST_PART)
 
 
+def _has_climbed(rollout: Rollout, now: float) -> bool:
+    """Tells whether the share may have been raised already."""
+    return now - rollout.started_at > FIRST_PART * rollout.order.duration_s
+
+
+def _is_sound(rollout: Rollout, total: failure_counts.Tally) -> bool:
+    """Tells whether the version neither fails more often nor is slower."""
+    if rollout.evidence.is_doubtful():
+        return False
+    if failure_counts.measure(total) > SOUND:
+        return False
+    times = rollout.evidence.sum_up()
+    if sum(times.new) < MIN_TIMED:
+        return False
+    slow = failure_counts.Tally(
+        sum(times.new), sum(times.new_slow), times.old, times.old_slow
+    )
+    return min(times.scores[0], failure_counts.measure(slow)) <= SOUND
+
+
 def is_chosen(service: str, session: str, share: float) -> bool:
     """Tells whether a session gets the new version.
 
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import directory
@@ -74,6 +75,7 @@
             route, service.name, router.budget
         )
         self._excluded: set[str] = set()
+        self._watch: answer_times.Watch | None = None
         self._version = ""
         # Whether no attempt has failed; a dropped answer is no failure.
         self._sound = True
@@ -99,6 +101,7 @@
 
     def find_step(self, now: float) -> steps.Step:
         """Returns what to do next."""
+        self._end_watch()
         if self.deadline - now < MIN_LEFT_S:
             return steps.Refuse(self._build_failure("its time is over", now))
         if not self.resumable:
@@ -282,6 +285,8 @@
     def note_bytes(self, now: float) -> None:
         """More of the answer has arrived."""
         attempt = self.attempts[-1]
+        if self._watch is not None:
+            self._watch.note_event(now)
         attempt.heard_at = now
         attempt.state.heard_at = now
 
@@ -296,10 +301,12 @@
         self._end_reading(attempt)
         if attempt.ended_by is None:
             attempt.end(ender, outcome, now)
+        self._end_watch()
 
     def note_end(self, now: float) -> None:
         """The answer has been delivered whole."""
         self.attempts[-1].end(steps.Ender.UPSTREAM, steps.DELIVERED, now)
+        self._end_watch()
         self._router.poison.note_success(self._fingerprint, now)
 
     def _build_work(
@@ -322,16 +329,19 @@
         if not self.delivering or allowed is None:
             return allowed
         # The rest of an answer comes from the version that began it, unless
-        # that is stopped or has no upstream left.
+        # that is stopped, looks slow or has no upstream left.
         usable = {
             state.upstream.version
             for state in router.directory.list_usable(self.service.name, now)
         }
-        if self._version in usable and not router.rollouts.is_stopped(
-            self.service.name, self._version
+        name = self.service.name
+        if (
+            self._version not in usable
+            or router.rollouts.is_stopped(name, self._version)
+            or router.rollouts.is_suspected(name, self._version)
         ):
-            return {self._version}
-        return allowed
+            return allowed
+        return {self._version}
 
     def _send(self, choice: placement.Choice, now: float) -> steps.Send:
         state = choice.state
@@ -363,9 +373,24 @@
                 expected_s,
             )
         )
+        self._watch = self._router.answer_times.watch(
+            self.service,
+            self.route,
+            self.attempts[-1],
+            self._router.rollouts.find_drawn_share(
+                self.service.name,
+                upstream.version,
+                self.session if self._sound else None,
+                now,
+            ),
+        )
         left_s = self.deadline - now
         return steps.Send(state, self._next_model, left_s, choice.reason)
 
+    def _end_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.note_end()
+
     def _end_reading(self, attempt: steps.Attempt) -> None:
         attempt.state.reading_s -= attempt.reading_s
         attempt.reading_s = 0.0
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -28,6 +28,7 @@
     Attributes:
         upstream: Its latest entry.
         seen_at: When the entry was last changed.
+        known_at: When its run was first heard of.
         cold_until: Until when it counts as cold.
         gone_at: When it stops being used; `None` while it is registered.
         blocked_until: Until when broken connections keep it out.
@@ -47,6 +48,7 @@
 
     upstream: forwarding.Upstream
     seen_at: float
+    known_at: float
     cold_until: float = 0.0
     gone_at: float | None = None
     blocked_until: float = 0.0
@@ -106,7 +108,7 @@
         """Takes an upstream's entry."""
         state = self._states.get(upstream.identity)
         if state is None or state.upstream.run != upstream.run:
-            state = State(upstream, now)
+            state = State(upstream, now, now)
             self._states[upstream.identity] = state
         elif _is_elsewhere(state.upstream, upstream):
             state.failures = 0
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import cold_limits
@@ -42,6 +43,7 @@
         placement: Choice of the upstream.
         budget: Budget of repeats.
         rollouts: Roll-outs in progress.
+        answer_times: How long answers take.
         turns: Order of the requests that wait for room.
         poison: Requests that crash upstreams.
         delays: How late answers have been.
@@ -71,6 +73,9 @@
         # A restarted node counts anew, so each run has counts of its own.
         run = f"{settings.node}/{source.getrandbits(32):x}"
         self.rollouts = canary.Rollouts(run, settings.exposure_share)
+        self.answer_times = answer_times.AnswerTimes(
+            self.rollouts.is_in_service, self.rollouts.note_time
+        )
         self.turns = turns.Turns()
         self.poison = poison.Poison()
         self.delays = cascade.Delays()
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -7,8 +7,10 @@
 import zlib
 
 from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import failure_counts
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
@@ -142,7 +144,7 @@
         for rollout in self._router.rollouts.judge(now):
             self._journal.note_change(
                 f"rollout={rollout.order.service}",
-                f"worse: {rollout.sum_up()}",
+                f"worse: {rollout.reason}",
                 "own evidence",
             )
         for rollout in self._router.rollouts.list_all():
@@ -326,6 +328,18 @@
                 }
                 for finding in self._router.rollouts.export(now)
             ],
+            # Older processes read the entries above strictly.
+            "slowness": [
+                {
+                    "service": rollout.order.service,
+                    "revision": rollout.order.revision,
+                    "counts": {
+                        node: {r: c.encode() for r, c in routes.items()}
+                        for node, routes in rollout.evidence.counts.items()
+                    },
+                }
+                for rollout in self._router.rollouts.list_running()
+            ],
             "poison": self._router.poison.export(now),
             "sound": self._router.poison.export_sound(now),
         }
@@ -365,11 +379,19 @@
         try:
             for entry in document.get("rollouts", ()):
                 tallies = {
-                    node: canary.Tally(*counts)
+                    node: failure_counts.Tally(*counts)
                     for node, counts in entry.pop("tallies").items()
                 }
                 finding = canary.Finding(tallies=tallies, **entry)
                 self._router.rollouts.merge(finding, now)
+            for entry in document.get("slowness", ()):
+                counts = {
+                    node: {r: slowness.decode(c) for r, c in routes.items()}
+                    for node, routes in entry["counts"].items()
+                }
+                self._router.rollouts.merge_slowness(
+                    entry["service"], entry["revision"], counts
+                )
             self._router.poison.merge_sound(document.get("sound", {}), now)
             self._router.poison.merge(document.get("poison", {}), now)
             if answered:
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
@@ -20,6 +21,14 @@
 SYNC_S = 1.0
 
 
+def answer(rollouts, version, failed):
+    """An upstream answers, and the time that it took is judged."""
+    rollouts.note_answer("s", version, failed)
+    route = forwarding_world.build_route()
+    timed = answer_times.Timed("s", version, route, "small", "a", 0, 0.1)
+    rollouts.note_time(timed, False)
+
+
 class Fleet:
     """Nodes that exchange findings once a second, and a service."""
 
@@ -69,14 +78,15 @@
             self.total += 1
             self.new += int(new)
         failed = self._source.random() < rate
-        node.note_answer("s", "v2" if new else "v1", failed)
+        answer(node, "v2" if new else "v1", failed)
 
     def _sync(self, now):
         one, other = self._source.sample(self.nodes, 2)
-        for finding in one.export(now):
-            other.merge(finding, now)
-        for finding in other.export(now):
-            one.merge(finding, now)
+        for source, sink in ((one, other), (other, one)):
+            for finding in source.export(now):
+                sink.merge(finding, now)
+            for rollout in source.list_running():
+                sink.merge_slowness("s", 5, rollout.evidence.counts)
 
 
 class RolloutTest(unittest.TestCase):
@@ -129,10 +139,10 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         rollouts.set_order(order, 0.0)
         for _ in range(100):
-            rollouts.note_answer("s", "v1", False)
+            answer(rollouts, "v1", False)
         rollouts.compute_share("s", 18.0)
         for _ in range(20):
-            rollouts.note_answer("s", "v2", False)
+            answer(rollouts, "v2", False)
         rollouts.judge(18.5)
         self.assertLess(rollouts.compute_share("s", 19.0), 0.2)
         self.assertEqual(rollouts.compute_share("s", 23.9), 1.0)
@@ -199,7 +209,7 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 50)
         rollouts.set_order(order, 0.0)
         for _ in range(50):
-            rollouts.note_answer("s", "v2", False)
+            answer(rollouts, "v2", False)
         rollouts.judge(1.0)
         due = [
             at * 0.1
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -7,13 +7,17 @@
 import unittest
 from unittest import mock
 
+from sycamorehollow.decisions.forwarding import slowness
+from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.decisions.forwarding import watchers
+from sycamorehollow.model import forwarding
 from sycamorehollow.platform import documents
 from sycamorehollow.platform import feed
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
 from sycamorehollow.shells.gateway import peer_link
+from sycamorehollow.shells.gateway import peer_news
 from sycamorehollow.shells.gateway import store_tasks
 from tests import forwarding_world
 
@@ -110,6 +114,23 @@
         self.assertEqual(self._count_usable(), 1)
         failed.assert_not_called()
 
+    async def test_counts_of_slow_answers_are_exchanged(self):
+        order = forwarding.RolloutOrder("llm", "v2", 60.0, 5)
+        self.router.handle(updates.RolloutOrdered(order), 0.0)
+        one = slowness.build_one("b", True, True, 0.1)
+        entry = {"service": "llm", "revision": 5}
+        counts = {"n1": {"r-1 small": one.encode()}}
+        await self._answer(slowness=[entry | {"counts": counts}])
+        known = self.router.rollouts.get("llm").evidence
+        self.assertEqual(sum(known.sum_up().new_slow), 1)
+        handed_on = peer_news.unpack(await self._ask(5))["slowness"]
+        self.assertEqual(handed_on, [entry | {"counts": counts}])
+        # A peer that does not know these counts yet, and a malformed one.
+        await self._answer()
+        for wrong in (3, [{}], [entry | {"counts": {"n1": {"r": [1]}}}]):
+            await self._answer(slowness=wrong)
+        self.assertEqual(sum(known.sum_up().new_slow), 1)
+
     async def test_entry_that_breaks_a_rule_does_not_stop_the_others(self):
         handle = self.router.handle
         broken = mock.Mock(side_effect=[RuntimeError("a fault"), []])
