Judge the start and the pace of answers apart

Cause: an answer was judged as a whole, and answers that are dropped for a larger model, or have one or two events, show nothing of the time between events. They were half of the answers and thinned the evidence. The pace of a short stream was hardly ever slow, as it was measured by that of eight events.

The first event and the pace are now counted and tested apart, and a stream of few events has a reference of its own. The bound is 5,000.

--- a/sycamorehollow/decisions/forwarding/answer_times.py
+++ b/sycamorehollow/decisions/forwarding/answer_times.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import enum
 import math
 
 from sycamorehollow.decisions.forwarding import steps
@@ -36,8 +37,12 @@
 # Time in seconds for which an upstream counts as just started.
 STARTED_S = 1.0
 
-# Takes the attempt's answer and whether it was slow.
-Counter = Callable[["Timed", bool], None]
+
+class Part(enum.Enum):
+    """A part of an answer that is judged."""
+
+    START = "start"
+    PACE = "pace"
 
 
 class Histogram:
@@ -97,11 +102,14 @@
     Args:
         is_reference: Tells whether answers of a service's version show what
             is usual.
-        count: Takes each answer that was judged.
+        count: Takes each part of an answer that was judged, and whether it
+            was slow.
     """
 
     def __init__(
-        self, is_reference: Callable[[str, str], bool], count: Counter
+        self,
+        is_reference: Callable[[str, str], bool],
+        count: Callable[[Timed, Part, bool], None],
     ):
         self._is_reference = is_reference
         self._count = count
@@ -143,9 +151,9 @@
                 return known.find_limit()
         return timed.route.objective_s
 
-    def find_pace_limit(self, timed: Timed) -> float:
-        """Returns the seconds per event beyond which a stream is slow."""
-        known = self._histograms.get(_get_pace_key(timed))
+    def find_pace_limit(self, timed: Timed, events: int) -> float:
+        """Returns the seconds per event beyond which so many are slow."""
+        known = self._histograms.get(_get_pace_key(timed, events))
         if known is not None and known.count >= MIN_ANSWERS:
             return known.find_limit()
         return timed.route.pause_s or timed.route.objective_s
@@ -156,22 +164,22 @@
             for key in _list_start_keys(timed):
                 self._histograms.setdefault(key, Histogram()).note(seconds)
 
-    def note_pace(self, timed: Timed, seconds: float) -> None:
+    def note_pace(self, timed: Timed, seconds: float, events: int) -> None:
         """Events of a stream took so many seconds each."""
         if self._is_reference(timed.service, timed.version):
-            key = _get_pace_key(timed)
+            key = _get_pace_key(timed, events)
             self._histograms.setdefault(key, Histogram()).note(seconds)
 
-    def count(self, timed: Timed, slow: bool) -> None:
-        """An answer was judged."""
-        self._count(timed, slow)
+    def count(self, timed: Timed, part: Part, slow: bool) -> None:
+        """A part of an answer was judged."""
+        self._count(timed, part, slow)
 
 
 class Watch:
     """Times one attempt and judges it.
 
-    The first event and the pace of some events after it are judged as one, as
-    soon as that is possible; the pace of later events is judged at the end.
+    The first event and the pace of some events after it are judged as soon as
+    that is possible, the pace of later events at the end.
 
     Args:
         times: Times of other answers.
@@ -194,7 +202,7 @@
         self._events = 0
         self._paced_at: float | None = None
         self._latest_at = attempt.sent_at
-        self._judged = False
+        self._judged: set[Part] = set()
         self._ended = False
 
     def note_event(self, now: float) -> None:
@@ -204,15 +212,16 @@
         self._latest_at = now
         if self._first_at is None:
             self._first_at = now
-            took_s = now - self._attempt.sent_at
-            limit_s = self._times.find_start_limit(self._timed)
-            self._times.note_start(self._timed, took_s)
-            if took_s > limit_s:
-                self._judge(True)
+            self._judge_start(now - self._attempt.sent_at)
             return
         self._events += 1
-        if self._paced_at is None:
-            self._judge_pace(now)
+        if self._events == PACED_EVENTS:
+            self._paced_at = now
+            self._judge_pace(now - self._first_at, PACED_EVENTS)
+        elif self._events < PACED_EVENTS:
+            limit_s = self._times.find_pace_limit(self._timed, PACED_EVENTS)
+            if now - self._first_at > limit_s * PACED_EVENTS:
+                self._judge(Part.PACE, True)
 
     def note_end(self) -> None:
         """The attempt may have ended; a second call changes nothing."""
@@ -220,73 +229,60 @@
         if self._ended or attempt.ended_by is None or not self._warm:
             return
         self._ended = True
+        part = Part.START if self._first_at is None else Part.PACE
         match attempt.ended_by:
             case steps.Ender.PATIENCE | steps.Ender.DEADLINE:
-                self._judge(True)
+                self._judge(part, True)
             case steps.Ender.CALLER:
                 if self._is_late(attempt.ended_at):
-                    self._judge(True)
+                    self._judge(part, True)
             case steps.Ender.CASCADE:
-                self._judge_whole(attempt.ended_at - attempt.sent_at)
+                self._judge_start(attempt.ended_at - attempt.sent_at)
             case steps.Ender.UPSTREAM:
                 if attempt.outcome != steps.DELIVERED:
                     return
                 if self._first_at is None:
-                    self._judge_whole(attempt.ended_at - attempt.sent_at)
+                    self._judge_start(attempt.ended_at - attempt.sent_at)
                 else:
-                    self._judge_rest()
-
-    def _judge_pace(self, now: float) -> None:
-        """Judges the pace as soon as it is known or too slow in any case."""
-        assert self._first_at is not None
-        took_s = now - self._first_at
-        limit_s = self._times.find_pace_limit(self._timed)
-        if self._events >= PACED_EVENTS:
-            self._paced_at = now
-            self._times.note_pace(self._timed, took_s / self._events)
-            self._judge(took_s > limit_s * self._events)
-        elif took_s > limit_s * PACED_EVENTS:
-            self._judge(True)
+                    self._judge_rest(self._first_at)
 
-    def _judge_rest(self) -> None:
+    def _judge_start(self, took_s: float) -> None:
+        """Judges the time to the first event, or to a whole answer."""
+        limit_s = self._times.find_start_limit(self._timed)
+        self._times.note_start(self._timed, took_s)
+        self._judge(Part.START, took_s > limit_s)
+
+    def _judge_pace(self, took_s: float, events: int) -> None:
+        """Judges the time that some events took."""
+        limit_s = self._times.find_pace_limit(self._timed, events)
+        self._times.note_pace(self._timed, took_s / events, events)
+        self._judge(Part.PACE, took_s > limit_s * events)
+
+    def _judge_rest(self, first_at: float) -> None:
         """Judges the events that were not judged yet."""
-        assert self._first_at is not None
         if self._paced_at is None:
-            slow = False
             if self._events:
-                pace_s = (self._latest_at - self._first_at) / self._events
-                # A pause weighs more in a short answer.
-                slow = (
-                    self._events * pace_s
-                    > self._times.find_pace_limit(self._timed) * PACED_EVENTS
-                )
-            self._judge(slow)
+                self._judge_pace(self._latest_at - first_at, self._events)
             return
         events = self._events - PACED_EVENTS
         if events < PACED_EVENTS:
             return
         pace_s = (self._latest_at - self._paced_at) / events
-        slow = pace_s > self._times.find_pace_limit(self._timed)
-        self._times.count(self._timed, slow)
-
-    def _judge_whole(self, took_s: float) -> None:
-        """Judges an answer without events by the time it took."""
-        limit_s = self._times.find_start_limit(self._timed)
-        self._times.note_start(self._timed, took_s)
-        self._judge(took_s > limit_s)
+        limit_s = self._times.find_pace_limit(self._timed, events)
+        self._times.count(self._timed, Part.PACE, pace_s > limit_s)
 
     def _is_late(self, now: float) -> bool:
         """Tells whether the next event is overdue."""
         if self._first_at is None:
             waited_s = now - self._attempt.sent_at
             return waited_s > self._times.find_start_limit(self._timed)
-        limit_s = self._times.find_pace_limit(self._timed) * PACED_EVENTS
-        return now - self._latest_at > limit_s
+        limit_s = self._times.find_pace_limit(self._timed, PACED_EVENTS)
+        return now - self._latest_at > limit_s * PACED_EVENTS
 
-    def _judge(self, slow: bool) -> None:
-        if not self._judged:
-            self._judged = True
-            self._times.count(self._timed, slow)
+    def _judge(self, part: Part, slow: bool) -> None:
+        if part not in self._judged:
+            self._judged.add(part)
+            self._times.count(self._timed, part, slow)
 
 
 def _list_start_keys(timed: Timed) -> list[tuple[str, ...]]:
@@ -296,5 +292,7 @@
     return [(*key, str(length)), key]
 
 
-def _get_pace_key(timed: Timed) -> tuple[str, ...]:
-    return ("pace", timed.service, timed.route.name, timed.model)
+def _get_pace_key(timed: Timed, events: int) -> tuple[str, ...]:
+    # The pace of a few events varies more.
+    size = "few" if events < PACED_EVENTS else "many"
+    return ("pace", size, timed.service, timed.route.name, timed.model)
--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -170,17 +170,18 @@
         tally = rollout.tallies.get(self._node, failure_counts.Tally())
         rollout.tallies[self._node] = tally.plus(one)
 
-    def note_time(self, timed: answer_times.Timed, slow: bool) -> None:
-        """It was judged whether an answer was slow."""
+    def note_time(
+        self, timed: answer_times.Timed, part: answer_times.Part, slow: bool
+    ) -> None:
+        """It was judged whether a part of an answer was slow."""
         rollout = self._rollouts.get(timed.service)
         if rollout is None or rollout.state in _ENDED:
             return
         if timed.share <= 0:
             # What makes a repeat slow may have made its first attempt slow.
             return
-        rollout.evidence.note(
-            self._node, timed, timed.version == rollout.order.target, slow
-        )
+        new = timed.version == rollout.order.target
+        rollout.evidence.note(self._node, timed, part, new, slow)
 
     def is_in_service(self, service: str, version: str) -> bool:
         """Tells whether a version is, or was until now, the one in service."""
--- a/sycamorehollow/decisions/forwarding/slowness.py
+++ b/sycamorehollow/decisions/forwarding/slowness.py
@@ -29,13 +29,11 @@
 MIN_RATE = 0.02
 # Log likelihood ratio at which a version counts as slow, and the one from which
 # on it is suspected.
-BOUND = math.log(10_000)
+BOUND = math.log(5000)
 DOUBT = BOUND / 2
 # Standard deviations by which the share of the answers may exceed the one by
 # which versions are drawn.
 MIX_SIGMA = 2.0
-# Names the sum of all kinds of answers.
-ALL = ""
 
 _Number = TypeVar("_Number", int, float)
 
@@ -179,8 +177,8 @@
     """Counts of all nodes on one roll-out, and the tests on them.
 
     Attributes:
-        counts: Counts by node and by kind of answer; each node only raises
-            its own.
+        counts: Counts by node and kind, which is a part of answers at a
+            route and model; each node only raises its own.
     """
 
     def __init__(self) -> None:
@@ -189,11 +187,16 @@
         self._total = Counts()
 
     def note(
-        self, node: str, timed: answer_times.Timed, new: bool, slow: bool
+        self,
+        node: str,
+        timed: answer_times.Timed,
+        part: answer_times.Part,
+        new: bool,
+        slow: bool,
     ) -> None:
-        """An answer was judged at this node."""
+        """A part of an answer was judged at this node."""
         kinds = self.counts.setdefault(node, {})
-        kind = f"{timed.route.name} {timed.model}".rstrip()
+        kind = f"{part.value} {timed.route.name} {timed.model}".rstrip()
         share = self._expect(timed.share)
         one = build_one(timed.upstream, new, slow, share)
         kinds[kind] = kinds.get(kind, Counts()).plus(one)
@@ -208,16 +211,18 @@
     def judge(self) -> str:
         """Tests all kinds; returns why the version is slow, if it is."""
         self._total = self.sum_up()
-        totals = {ALL: self._total}
+        totals: dict[str, Counts] = {}
         for kinds in self.counts.values():
             for kind, counts in kinds.items():
-                totals[kind] = totals.get(kind, Counts()).plus(counts)
+                # The part of the answer, for all routes and models.
+                for name in (kind.partition(" ")[0], kind):
+                    totals[name] = totals.get(name, Counts()).plus(counts)
         for kind, total in totals.items():
             trial = self._trials.setdefault(kind, Trial())
             trial.update(total)
             if trial.is_slow(BOUND):
                 return (
-                    f"{kind or 'all routes'}: {trial.measure().describe()}"
+                    f"{kind}: {trial.measure().describe()}"
                     f" (log evidence {trial.score:.1f}, bound {BOUND:.1f})"
                 )
         return ""
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -26,7 +26,7 @@
     rollouts.note_answer("s", version, failed)
     route = forwarding_world.build_route()
     timed = answer_times.Timed("s", version, route, "small", "a", 0, 0.1)
-    rollouts.note_time(timed, False)
+    rollouts.note_time(timed, answer_times.Part.START, False)
 
 
 class Fleet:
