Measure the rate for a part of a short order only

Roll-outs that were ordered within 5 s ended their time in `running`: the listed test_roll_out_is_completed_by_exactly_one_status. Runs of the same requests beside a load of 18 show the cause of the late ones: 2 of the 5 s went to measuring the rate, and the first share was halved until it brought 4 to 8 answers a second, however short the order.

The measurement takes a tenth of the order's time at most, and the first share may bring the 24 answers that the first part of a short order needs. Orders of 20 s and more are treated as before.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -23,8 +23,13 @@
 # the share is halved until it brings no more answers than the evidence needs.
 FIRST_SHARE = 0.55
 EVIDENCE_PER_S = 4.0
-# Time in seconds in which each node measures the rate of answers.
+# Answers that a short order asks for in the first part of its time, twice what
+# the proof of a sound version needs.
+EVIDENCE_ANSWERS = 24
+# Time in seconds in which each node measures the rate of answers, and the part
+# of an order's time that it takes at most.
 SURVEY_S = 2.0
+SURVEY_PART = 0.1
 # Part of the time during which only that share is sent.
 FIRST_PART = 0.5
 # Part of the time from which a proven version gets all requests, and at which
@@ -350,12 +355,15 @@
         if rollout.first_share is not None:
             return rollout.first_share
         age_s = now - rollout.started_at
-        if age_s < SURVEY_S:
+        survey_s = min(SURVEY_S, SURVEY_PART * rollout.order.duration_s)
+        if age_s < survey_s:
             return 0.0
         own = rollout.tallies.get(self._node, failure_counts.Tally())
-        rate = (own.new + own.old) * self._nodes / age_s
+        rate = (own.new + own.old) * self._nodes / max(age_s, 0.001)
         share = self._exposure * FIRST_SHARE
-        while share * rate > 2 * EVIDENCE_PER_S:
+        proof_s = FIRST_PART * rollout.order.duration_s - survey_s
+        evidence = max(EVIDENCE_PER_S, EVIDENCE_ANSWERS / max(proof_s, 0.001))
+        while share * rate > 2 * evidence:
             share /= 2
         rollout.first_share = share
         return share
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -32,28 +32,39 @@
 class Fleet:
     """Nodes that exchange findings once a second, and a service."""
 
-    def __init__(self, seed, fails, gap_s=0.0, base=0.02):
+    def __init__(
+        self,
+        seed,
+        fails,
+        gap_s=0.0,
+        base=0.02,
+        nodes=NODES,
+        rate=RATE_PER_S,
+        duration_s=DURATION_S,
+    ):
         self._source = random.Random(seed)
         self._fails = fails
         self._gap_s = gap_s
         self._base = base
+        self._rate = rate
+        self._duration_s = duration_s
         self.nodes = []
         self.new = self.total = 0
         self.ended_at = None
-        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
-        for number in range(NODES):
+        order = forwarding.RolloutOrder("s", "v2", duration_s, 5)
+        for number in range(nodes):
             rollouts = canary.Rollouts(f"n{number}", EXPOSURE)
-            rollouts.set_nodes(NODES)
+            rollouts.set_nodes(nodes)
             rollouts.set_order(order, 0.0)
             self.nodes.append(rollouts)
 
     def play(self):
         """Plays the roll-out; returns its final state or `None`."""
         final = None
-        for tick in range(int(DURATION_S * RATE_PER_S)):
-            now = tick / RATE_PER_S
+        for tick in range(int(self._duration_s * self._rate)):
+            now = tick / self._rate
             self._serve(self._source.choice(self.nodes), now)
-            if tick % int(SYNC_S * RATE_PER_S / NODES) == 0:
+            if tick % int(SYNC_S * self._rate / len(self.nodes)) == 0:
                 self._sync(now)
             for node in self.nodes:
                 if tick % 8 == 0:
@@ -112,6 +123,26 @@
         # One false alarm in a hundred is the bound of the test itself.
         self.assertGreaterEqual(completed, 38)
 
+    def test_short_orders_are_completed_in_time(self):
+        # Requests enough that the exposure allows the proof within the order.
+        for duration_s, rate in ((5.0, 300), (10.0, 150)):
+            with self.subTest(duration_s=duration_s):
+                states = [
+                    Fleet(
+                        seed, 0.02, nodes=2, rate=rate, duration_s=duration_s
+                    ).play()
+                    for seed in range(20)
+                ]
+                completed = states.count(forwarding.RolloutState.COMPLETED)
+                self.assertGreaterEqual(completed, 19)
+
+    def test_short_order_of_a_bad_version_stays_within_its_exposure(self):
+        for seed in range(20):
+            fleet = Fleet(seed, 0.5, nodes=2, rate=300, duration_s=5.0)
+            self.assertIs(fleet.play(), forwarding.RolloutState.ROLLED_BACK)
+            allowed = EXPOSURE * 5.0 * 300 + FLOOR
+            self.assertLessEqual(fleet.new, allowed)
+
     def test_session_keeps_the_new_version_while_the_share_rises(self):
         for number in range(500):
             session = f"session-{number}"
