--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -60,6 +60,15 @@
         """Returns what the next attempt needs."""
         return self._build_work(self.model, self.sound, self._tried, now)
 
+    def find_drawn_share(self, version: str, now: float) -> float:
+        """Returns the share of a roll-out by which a version was drawn."""
+        return self._router.rollouts.find_drawn_share(
+            self._service.name,
+            version,
+            self._session if self.sound else None,
+            now,
+        )
+
     def choose_larger(self, model: str, now: float) -> placement.Choice:
         """Returns where a larger model could be asked instead."""
         work = self._build_work(model, self.sound, (), now)
@@ -99,13 +108,15 @@
         if not self.delivering or allowed is None:
             return allowed
         # The rest of an answer comes from the version that began it, unless
-        # that is stopped or has no upstream left.
+        # that is stopped, looks slow or has no upstream left.
         usable = {
             state.upstream.version
             for state in router.directory.list_usable(name, now)
         }
-        if self._version in usable and not router.rollouts.is_stopped(
-            name, self._version
+        if (
+            self._version not in usable
+            or router.rollouts.is_stopped(name, self._version)
+            or router.rollouts.is_suspected(name, self._version)
         ):
-            return {self._version}
-        return allowed
+            return allowed
+        return {self._version}
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
@@ -20,31 +21,50 @@
 SYNC_S = 1.0
 
 
+def answer(rollouts, version, failed):
+    """An upstream answers, and the time that it took is judged."""
+    rollouts.note_answer("s", version, failed)
+    route = forwarding_world.build_route()
+    timed = answer_times.Timed("s", version, route, "small", "a", 0, 0.1)
+    rollouts.note_time(timed, answer_times.Part.START, False)
+
+
 class Fleet:
     """Nodes that exchange findings once a second, and a service."""
 
-    def __init__(self, seed, fails, gap_s=0.0, base=0.02):
+    def __init__(
+        self,
+        seed,
+        fails,
+        gap_s=0.0,
+        base=0.02,
+        nodes=NODES,
+        rate=RATE_PER_S,
+        duration_s=DURATION_S,
+    ):
         self._source = random.Random(seed)
         self._fails = fails
         self._gap_s = gap_s
         self._base = base
+        self._rate = rate
+        self._duration_s = duration_s
         self.nodes = []
         self.new = self.total = 0
         self.ended_at = None
-        order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
-        for number in range(NODES):
+        order = forwarding.RolloutOrder("s", "v2", duration_s, 5)
+        for number in range(nodes):
             rollouts = canary.Rollouts(f"n{number}", EXPOSURE)
-            rollouts.set_nodes(NODES)
+            rollouts.set_nodes(nodes)
             rollouts.set_order(order, 0.0)
             self.nodes.append(rollouts)
 
     def play(self):
         """Plays the roll-out; returns its final state or `None`."""
         final = None
-        for tick in range(int(DURATION_S * RATE_PER_S)):
-            now = tick / RATE_PER_S
+        for tick in range(int(self._duration_s * self._rate)):
+            now = tick / self._rate
             self._serve(self._source.choice(self.nodes), now)
-            if tick % int(SYNC_S * RATE_PER_S / NODES) == 0:
+            if tick % int(SYNC_S * self._rate / len(self.nodes)) == 0:
                 self._sync(now)
             for node in self.nodes:
                 if tick % 8 == 0:
@@ -69,14 +89,15 @@
             self.total += 1
             self.new += int(new)
         failed = self._source.random() < rate
-        node.note_answer("s", "v2" if new else "v1", failed)
+        answer(node, "v2" if new else "v1", failed)
 
     def _sync(self, now):
         one, other = self._source.sample(self.nodes, 2)
-        for finding in one.export(now):
-            other.merge(finding, now)
-        for finding in other.export(now):
-            one.merge(finding, now)
+        for source, sink in ((one, other), (other, one)):
+            for finding in source.export(now):
+                sink.merge(finding, now)
+            for rollout in source.list_running():
+                sink.merge_slowness("s", 5, rollout.evidence.counts)
 
 
 class RolloutTest(unittest.TestCase):
@@ -102,6 +123,26 @@
         # One false alarm in a hundred is the bound of the test itself.
         self.assertGreaterEqual(completed, 38)
 
+    def test_short_orders_are_completed_in_time(self):
+        # Requests enough that the exposure allows the proof within the order.
+        for duration_s, rate in ((5.0, 300), (10.0, 150)):
+            with self.subTest(duration_s=duration_s):
+                states = [
+                    Fleet(
+                        seed, 0.02, nodes=2, rate=rate, duration_s=duration_s
+                    ).play()
+                    for seed in range(20)
+                ]
+                completed = states.count(forwarding.RolloutState.COMPLETED)
+                self.assertGreaterEqual(completed, 19)
+
+    def test_short_order_of_a_bad_version_stays_within_its_exposure(self):
+        for seed in range(20):
+            fleet = Fleet(seed, 0.5, nodes=2, rate=300, duration_s=5.0)
+            self.assertIs(fleet.play(), forwarding.RolloutState.ROLLED_BACK)
+            allowed = EXPOSURE * 5.0 * 300 + FLOOR
+            self.assertLessEqual(fleet.new, allowed)
+
     def test_session_keeps_the_new_version_while_the_share_rises(self):
         for number in range(500):
             session = f"session-{number}"
@@ -129,10 +170,10 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         rollouts.set_order(order, 0.0)
         for _ in range(100):
-            rollouts.note_answer("s", "v1", False)
+            answer(rollouts, "v1", False)
         rollouts.compute_share("s", 18.0)
         for _ in range(20):
-            rollouts.note_answer("s", "v2", False)
+            answer(rollouts, "v2", False)
         rollouts.judge(18.5)
         self.assertLess(rollouts.compute_share("s", 19.0), 0.2)
         self.assertEqual(rollouts.compute_share("s", 23.9), 1.0)
@@ -199,7 +240,7 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 50)
         rollouts.set_order(order, 0.0)
         for _ in range(50):
-            rollouts.note_answer("s", "v2", False)
+            answer(rollouts, "v2", False)
         rollouts.judge(1.0)
         due = [
             at * 0.1
