--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -9,12 +9,12 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import math
 import zlib
 
 from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import failure_counts
+from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.model import forwarding
 
@@ -49,67 +49,6 @@
 WINDOW_S = 6.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Finding:
-    """What one node tells another of a roll-out.
-
-    Attributes:
-        revision: Revision of the order.
-        age_s: Seconds since the order was first heard of.
-        first_share: See `Rollout`.
-        sound_s: Seconds since the version was first found to be sound.
-    """
-
-    service: str
-    revision: int
-    worse: bool
-    age_s: float
-    first_share: float | None
-    sound_s: float | None
-    tallies: Mapping[str, failure_counts.Tally]
-
-
-@dataclasses.dataclass
-class Rollout:
-    """One order and what is known of it.
-
-    Attributes:
-        started_at: When this process heard of it.
-        tallies: Counts by node; each node only raises its own.
-        evidence: Counts of slow answers, and the test on them.
-        history: Sums of all counts at earlier times.
-        worse: Whether the new version was found to be worse.
-        reason: Why this node has found it to be worse.
-        first_share: Share of the new version while little is known, the
-            smallest that any node has found; `None` while it is measured.
-        sound_at: When a node first found the version to be sound.
-    """
-
-    order: forwarding.RolloutOrder
-    started_at: float
-    state: forwarding.RolloutState | None = None
-    tallies: dict[str, failure_counts.Tally] = dataclasses.field(
-        default_factory=dict
-    )
-    evidence: slowness.Evidence = dataclasses.field(
-        default_factory=slowness.Evidence
-    )
-    history: list[tuple[float, failure_counts.Tally]] = dataclasses.field(
-        default_factory=list
-    )
-    worse: bool = False
-    reason: str = ""
-    first_share: float | None = None
-    sound_at: float | None = None
-
-    def sum_up(self) -> failure_counts.Tally:
-        """Returns the counts of all nodes."""
-        total = failure_counts.Tally()
-        for tally in self.tallies.values():
-            total = total.plus(tally)
-        return total
-
-
 class Rollouts:
     """All roll-outs that have orders.
 
@@ -122,7 +61,7 @@
         self._node = node
         self._exposure = exposure
         self._nodes = 1
-        self._rollouts: dict[str, Rollout] = {}
+        self._rollouts: dict[str, rollout_records.Rollout] = {}
 
     def set_nodes(self, nodes: int) -> None:
         """Sets how many nodes serve requests."""
@@ -137,7 +76,7 @@
         known = self._rollouts.get(order.service)
         if known is not None and known.order.revision >= order.revision:
             return
-        self._rollouts[order.service] = Rollout(order, now)
+        self._rollouts[order.service] = rollout_records.Rollout(order, now)
 
     def remove_order(self, service: str) -> None:
         """The operator has withdrawn the order."""
@@ -151,15 +90,15 @@
         if status.target == rollout.order.target:
             rollout.state = status.state
 
-    def get(self, service: str) -> Rollout | None:
+    def get(self, service: str) -> rollout_records.Rollout | None:
         """Returns the roll-out of a service."""
         return self._rollouts.get(service)
 
-    def list_all(self) -> list[Rollout]:
+    def list_all(self) -> list[rollout_records.Rollout]:
         """Returns all roll-outs."""
         return list(self._rollouts.values())
 
-    def list_running(self) -> list[Rollout]:
+    def list_running(self) -> list[rollout_records.Rollout]:
         """Returns the roll-outs that have not ended."""
         return [r for r in self._rollouts.values() if r.state not in _ENDED]
 
@@ -195,10 +134,10 @@
             return True
         return rollout.state is forwarding.RolloutState.COMPLETED
 
-    def export(self, now: float) -> list[Finding]:
+    def export(self, now: float) -> list[rollout_records.Finding]:
         """Returns what other nodes need to know."""
         return [
-            Finding(
+            rollout_records.Finding(
                 rollout.order.service,
                 rollout.order.revision,
                 rollout.worse,
@@ -210,7 +149,7 @@
             for rollout in self.list_running()
         ]
 
-    def merge(self, finding: Finding, now: float) -> None:
+    def merge(self, finding: rollout_records.Finding, now: float) -> None:
         """Takes what another node has found; larger counts are newer."""
         rollout = self._rollouts.get(finding.service)
         if rollout is None or rollout.order.revision != finding.revision:
@@ -245,7 +184,7 @@
             if node != self._node:
                 rollout.evidence.merge(node, routes)
 
-    def judge(self, now: float) -> list[Rollout]:
+    def judge(self, now: float) -> list[rollout_records.Rollout]:
         """Looks at the evidence; returns roll-outs found to be worse now."""
         found = []
         for rollout in self._rollouts.values():
@@ -351,7 +290,9 @@
             return False
         return rollout.state not in _ENDED and rollout.evidence.is_doubtful()
 
-    def _find_first_share(self, rollout: Rollout, now: float) -> float:
+    def _find_first_share(
+        self, rollout: rollout_records.Rollout, now: float
+    ) -> float:
         if rollout.first_share is not None:
             return rollout.first_share
         age_s = now - rollout.started_at
@@ -368,7 +309,9 @@
         rollout.first_share = share
         return share
 
-    def _measure_climb(self, rollout: Rollout, now: float) -> float:
+    def _measure_climb(
+        self, rollout: rollout_records.Rollout, now: float
+    ) -> float:
         """Returns the part of the time that counts for the share.
 
         It stands still at `FIRST_PART` until the version is sound, so that a
@@ -384,12 +327,14 @@
         return part - max(0.0, waited - FIRST_PART)
 
 
-def _has_climbed(rollout: Rollout, now: float) -> bool:
+def _has_climbed(rollout: rollout_records.Rollout, now: float) -> bool:
     """Tells whether the share may have been raised already."""
     return now - rollout.started_at > FIRST_PART * rollout.order.duration_s
 
 
-def _is_sound(rollout: Rollout, total: failure_counts.Tally) -> bool:
+def _is_sound(
+    rollout: rollout_records.Rollout, total: failure_counts.Tally
+) -> bool:
     """Tells whether the version neither fails more often nor is slower."""
     if rollout.evidence.is_doubtful():
         return False
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -6,9 +6,9 @@
 import time
 import zlib
 
-from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import failure_counts
 from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.decisions.forwarding import watchers
@@ -271,7 +271,9 @@
         ):
             self._loop.call_later(WRITE_RETRY_S, self._register_node)
 
-    def _state_rollout(self, rollout: canary.Rollout, now: float) -> None:
+    def _state_rollout(
+        self, rollout: rollout_records.Rollout, now: float
+    ) -> None:
         """Writes how far a roll-out has come, if it is this node's turn."""
         service = rollout.order.service
         state = self._router.rollouts.find_due_state(service, now)
@@ -382,7 +384,7 @@
                     node: failure_counts.Tally(*counts)
                     for node, counts in entry.pop("tallies").items()
                 }
-                finding = canary.Finding(tallies=tallies, **entry)
+                finding = rollout_records.Finding(tallies=tallies, **entry)
                 self._router.rollouts.merge(finding, now)
             for entry in document.get("slowness", ()):
                 counts = {
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -8,6 +8,7 @@
 
 from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import forwarding
@@ -264,7 +265,7 @@
         order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
         built.handle(updates.RolloutOrdered(order), 0.0)
         built.rollouts.merge(
-            canary.Finding("llm", 5, True, 1.0, None, None, {}), 1.0
+            rollout_records.Finding("llm", 5, True, 1.0, None, None, {}), 1.0
         )
         for number in range(50):
             versions = built.choose_versions("llm", f"s{number}", True, 1.0)
