--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -6,11 +6,9 @@
 import time
 import zlib
 
-from sycamorehollow.decisions.forwarding import failure_counts
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import router as routers
-from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
@@ -20,6 +18,7 @@
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import peer_news
+from sycamorehollow.shells.gateway import rollout_news
 from sycamorehollow.shells.gateway import store_tasks
 
 # Time between exchanges of a watcher with another one. A finding takes some of
@@ -315,33 +314,7 @@
             "since": self._mirror.revision,
             "age_s": self._measure_age(now),
             "store_back_s": min(LONG_AGO_S, now - self._store_back_at),
-            "rollouts": [
-                {
-                    "service": finding.service,
-                    "revision": finding.revision,
-                    "worse": finding.worse,
-                    "age_s": finding.age_s,
-                    "first_share": finding.first_share,
-                    "sound_s": finding.sound_s,
-                    "tallies": {
-                        node: [t.new, t.new_failed, t.old, t.old_failed]
-                        for node, t in finding.tallies.items()
-                    },
-                }
-                for finding in self._router.rollouts.export(now)
-            ],
-            # Older processes read the entries above strictly.
-            "slowness": [
-                {
-                    "service": rollout.order.service,
-                    "revision": rollout.order.revision,
-                    "counts": {
-                        node: {r: c.encode() for r, c in routes.items()}
-                        for node, routes in rollout.evidence.counts.items()
-                    },
-                }
-                for rollout in self._router.rollouts.list_running()
-            ],
+            **rollout_news.collect(self._router.rollouts, now),
             "poison": self._router.poison.export(now),
             "sound": self._router.poison.export_sound(now),
         }
@@ -379,21 +352,7 @@
             )
             return
         try:
-            for entry in document.get("rollouts", ()):
-                tallies = {
-                    node: failure_counts.Tally(*counts)
-                    for node, counts in entry.pop("tallies").items()
-                }
-                finding = rollout_records.Finding(tallies=tallies, **entry)
-                self._router.rollouts.merge(finding, now)
-            for entry in document.get("slowness", ()):
-                counts = {
-                    node: {r: slowness.decode(c) for r, c in routes.items()}
-                    for node, routes in entry["counts"].items()
-                }
-                self._router.rollouts.merge_slowness(
-                    entry["service"], entry["revision"], counts
-                )
+            rollout_news.merge(self._router.rollouts, document, now)
             self._router.poison.merge_sound(document.get("sound", {}), now)
             self._router.poison.merge(document.get("poison", {}), now)
             if answered:
