Wait for the first event from the head of an answer on

A head that was accepted is a sign of life; from then on the pauses of a stream are tolerated.

tests.test_forwarding_give_up, test_head_that_came_just_before_the_limit_is_followed_by_patience; it failed before. Who times an attempt is now told by the attempt itself (Observer).

--- a/sycamorehollow/decisions/forwarding/answer_times.py
+++ b/sycamorehollow/decisions/forwarding/answer_times.py
@@ -175,7 +175,7 @@
         self._count(timed, part, slow)
 
 
-class Watch:
+class Watch(steps.Observer):
     """Times one attempt and judges it.
 
     The first event and the pace of some events after it are judged as soon as
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -1,6 +1,5 @@
 """The course of one request: attempts, repeats and its final answer."""
 
-from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import candidates
 from sycamorehollow.decisions.forwarding import cascade
@@ -82,7 +81,6 @@
         self._escalation = escalation.Escalation(
             router, call, route, service.name, self._candidates
         )
-        self._watch: answer_times.Watch | None = None
         # Whether the answer of a smaller model was dropped for a larger one.
         self._dropped = False
         if route.models and call.open_model:
@@ -111,7 +109,6 @@
 
     def find_step(self, now: float) -> steps.Step:
         """Returns what to do next while no attempt is open."""
-        self._end_watch()
         if self.deadline - now < MIN_LEFT_S:
             return steps.Refuse(self._build_failure("its time is over", now))
         limit = self._find_limit(now)
@@ -205,7 +202,7 @@
         if not self._may_run_elsewhere():
             return left_s
         attempt = self.attempts[-1]
-        if self.delivering and self.route.pause_s > 0:
+        if (self.delivering or attempt.answered) and self.route.pause_s > 0:
             patience_s = patience.measure_stream(self.route, attempt, now)
         else:
             patience_s = patience.measure_start(self.route, attempt, now)
@@ -276,7 +273,7 @@
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head.confidence, now):
-            attempt.outcome = "delivering"
+            attempt.answered = True
             return steps.Verdict.DELIVER
         return steps.Verdict.AGAIN
 
@@ -302,7 +299,6 @@
     ) -> None:
         attempt = self.attempts[-1]
         attempt.end(ender, outcome, now)
-        self._end_watch()
         self._candidates.sound = False
         directory.note_outcome(attempt.state, True)
         if attempt.state.heard_at < attempt.sent_at:
@@ -315,11 +311,7 @@
 
     def note_bytes(self, now: float) -> None:
         """More of the answer has arrived."""
-        attempt = self.attempts[-1]
-        if self._watch is not None:
-            self._watch.note_event(now)
-        attempt.heard_at = now
-        attempt.state.heard_at = now
+        self.attempts[-1].note_event(now)
 
     def note_stopped(
         self, ender: steps.Ender, outcome: str, now: float
@@ -330,12 +322,10 @@
             return
         if self.attempts[-1].ended_by is None:
             self.attempts[-1].end(ender, outcome, now)
-        self._end_watch()
 
     def note_end(self, now: float) -> None:
         """The answer has been delivered whole."""
         self.attempts[-1].end(steps.Ender.UPSTREAM, steps.DELIVERED, now)
-        self._end_watch()
         self._router.poison.note_success(self._fingerprint, now)
 
     def _send(self, choice: placement.Choice, now: float) -> steps.Send:
@@ -374,16 +364,13 @@
             )
         )
         share = self._candidates.find_drawn_share(upstream.version, now)
-        self._watch = self._router.answer_times.watch(
-            self.service, self.route, self.attempts[-1], share
+        attempt = self.attempts[-1]
+        attempt.observer = self._router.answer_times.watch(
+            self.service, self.route, attempt, share
         )
         left_s = self.deadline - now
         return steps.Send(state, self._candidates.model, left_s, choice.reason)
 
-    def _end_watch(self) -> None:
-        if self._watch is not None:
-            self._watch.note_end()
-
     def _escalate(
         self, attempt: steps.Attempt, confidence: int | None, now: float
     ) -> bool:
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -1,5 +1,6 @@
 """Steps in the course of a request, and the failures that end it."""
 
+import abc
 import dataclasses
 import enum
 
@@ -79,11 +80,25 @@
     FAULT = "fault"
 
 
+class Observer(abc.ABC):
+    """Is told how an attempt goes on."""
+
+    @abc.abstractmethod
+    def note_event(self, now: float) -> None:
+        """A part of the answer has arrived."""
+
+    @abc.abstractmethod
+    def note_end(self) -> None:
+        """The attempt has ended; a second call changes nothing."""
+
+
 @dataclasses.dataclass
 class Attempt:
     """One attempt.
 
     Attributes:
+        observer: Is told of its answer; `None` for nobody.
+        answered: Whether the head of its answer was accepted.
         sent_at: When it was sent.
         missing: Prompt tokens that the upstream probably had to read.
         expected_s: Expected seconds until it begins to answer.
@@ -105,6 +120,8 @@
     expected_s: float
     heard_at: float
     reading_s: float
+    observer: Observer | None = None
+    answered: bool = False
     outcome: str = "open"
     cut_off_at: float = float("-inf")
     kept_for: str = ""
@@ -117,6 +134,15 @@
         self.ended_by = ender
         self.ended_at = now
         self.outcome = outcome
+        if self.observer is not None:
+            self.observer.note_end()
+
+    def note_event(self, now: float) -> None:
+        """A part of its answer has arrived."""
+        self.heard_at = now
+        self.state.heard_at = now
+        if self.observer is not None:
+            self.observer.note_event(now)
 
     def end_answered(self, outcome: str, now: float) -> None:
         """Its upstream has answered."""
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -85,6 +85,12 @@
             state.full_until = 5.0
         self.assert_kept(played, 3.0, "all upstreams are full")
 
+    def test_head_that_came_just_before_the_limit_is_followed_by_patience(self):
+        played = forwarding_world.build_course(build_router())
+        played.find_step(0.0)
+        played.judge_head(forwarding_world.build_head(confidence=99), 1.59)
+        self.assertGreater(played.compute_patience(1.61), 0.0)
+
     def test_only_upstream_of_a_service_is_waited_for(self):
         played = start_stream(build_router(upstreams=1))
         self.assert_kept(played, 3.0, "no upstream is registered")
