Let a renewal outlast those who wait for it, and return an unused repeat

Whoever waits for an answer looks at its time every 0.1 s, and the look cancelled the renewal of a dropped connection that was under way, so that an attempt was lost as before; and a renewal that reached nobody kept the repeat that it had taken from the budget.

The renewal is a task of its own, which ends with the connection; the repeat is returned when no connection is made. A connection tells whether its present request was sent twice.

tests.test_gateway_breaks, two tests that failed before.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -76,7 +76,9 @@
         self._source = source
         self._router = routers.Router(settings, source)
         self._pool = connection_pool.ConnectionPool(
-            adapter.spelling.decode_answer, self._spend_repeat
+            adapter.spelling.decode_answer,
+            self._spend_repeat,
+            self._return_repeat,
         )
         self._crash_checks = crash_checks.CrashChecks(
             self._router, self._pool, self._journal
@@ -145,6 +147,9 @@
         )
         return allowed
 
+    def _return_repeat(self, upstream: forwarding.Upstream) -> None:
+        self._router.budget.note_unsent(upstream.service)
+
     def _start_knowledge(self) -> None:
         known = knowledge.Knowledge(
             self._settings,
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -28,15 +28,18 @@
         decode: Decodes the head of an answer.
         spend_repeat: Tells whether a request may be sent to an upstream once
             more, and counts that.
+        return_repeat: Takes back what was counted, as nothing was sent.
     """
 
     def __init__(
         self,
         decode: Callable[[int, dialect.Headers], forwarding.AnswerHead],
         spend_repeat: Callable[[forwarding.Upstream], bool] = lambda _: False,
+        return_repeat: Callable[[forwarding.Upstream], None] = lambda _: None,
     ):
         self._decode = decode
         self._spend_repeat = spend_repeat
+        self._return_repeat = return_repeat
         self._idle: dict[
             tuple[str, int], list[upstream_connections.UpstreamConnection]
         ] = {}
@@ -161,6 +164,7 @@
             await self._connect(upstream, connection.reopen)
         except (OSError, TimeoutError):
             # The loss of the dropped connection is what the log tells.
+            self._return_repeat(upstream)
             return False
         return True
 
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -70,6 +70,8 @@
         used: Whether a request was sent on it before.
         idle_since: When its last answer ended.
         idle_s: Seconds for which it may be used again.
+        sent_twice: Whether the present request was sent before on a connection
+            that broke, and may have run there.
     """
 
     def __init__(
@@ -92,6 +94,8 @@
         self._way_lost = ""
         self._reusable = True
         self._renew: Callable[[], Awaitable[bool]] | None = None
+        self._renewal: asyncio.Task[None] | None = None
+        self.sent_twice = False
         self._request = b""
         self._sent_at = 0.0
         self._lost_at = float("inf")
@@ -139,6 +143,8 @@
                 request may be sent again; `None` if it may not run twice.
         """
         self._renew = renew
+        self._renewal = None
+        self.sent_twice = False
 
     def reopen(self) -> "UpstreamConnection":
         """Takes a new transport in place of the one that was lost."""
@@ -168,14 +174,23 @@
         while self._head is None:
             if self._renew is not None and self._was_stale():
                 renew, self._renew = self._renew, None
-                request, self._request = self._request, b""
-                if await renew():
-                    self.send(self._request_id, request)
+                self._renewal = asyncio.create_task(self._send_again(renew))
+            if self._renewal is not None and not self._renewal.done():
+                # Whoever waits looks at its time now and then, which must not
+                # end the renewal.
+                await asyncio.shield(self._renewal)
                 continue
             self._check()
             await self._sleep()
         return self._head
 
+    async def _send_again(self, renew: Callable[[], Awaitable[bool]]) -> None:
+        """Sends the request on a new connection, if there is one."""
+        request, self._request = self._request, b""
+        if await renew():
+            self.send(self._request_id, request)
+            self.sent_twice = True
+
     async def read_body(self) -> bytes:
         """Waits for more of the body; returns nothing at its end.
 
@@ -205,6 +220,8 @@
         """Ends the connection and with it the request."""
         self._closed = True
         self._on_dropped = None
+        if self._renewal is not None:
+            self._renewal.cancel()
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -122,6 +122,33 @@
         )
         again.close()
 
+    async def test_renewal_outlasts_looks_at_the_time(self):
+        connection, accepted = await self._send_on_kept(True)
+        connect = self.pool._connect
+
+        async def connect_late(*arguments):
+            await asyncio.sleep(0.2)
+            return await connect(*arguments)
+
+        with mock.patch.object(self.pool, "_connect", connect_late):
+            reset(accepted)
+            for _ in range(8):
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.05):
+                        await connection.read_head()
+        again, _ = await asyncio.to_thread(self.listener.accept)
+        self.assertEqual(await asyncio.to_thread(again.recv, 9), b"y")
+        self.assertTrue(connection.sent_twice)
+
+    async def test_repeat_is_returned_when_a_renewal_fails(self):
+        returned = []
+        connection, accepted = await self._send_on_kept(True)
+        self.pool._return_repeat = returned.append
+        self.listener.close()
+        reset(accepted)
+        await self._read_break(connection)
+        self.assertEqual(returned, [self.upstream])
+
     async def test_second_loss_of_a_connection_ends_the_attempt(self):
         connection, accepted = await self._send_on_kept(True)
         reset(accepted)
