--- a/sycamorehollow/decisions/forwarding/poison.py
+++ b/sycamorehollow/decisions/forwarding/poison.py
@@ -103,8 +103,9 @@
             How many breaks were checked.
         """
         breaks = self._unchecked.pop(run, {})
-        checked = {f: at for f, at in breaks.items() if at <= since}
-        later = {f: at for f, at in breaks.items() if at > since}
+        until = since - CHECK_AFTER_S
+        checked = {f: at for f, at in breaks.items() if at <= until}
+        later = {f: at for f, at in breaks.items() if at > until}
         if later:
             self._unchecked[run] = later
         if not crashed:
--- a/tests/test_forwarding_poison.py
+++ b/tests/test_forwarding_poison.py
@@ -64,6 +64,14 @@
         self.assertEqual(set(other.export(1.0)["f"]), {"b/1"})
         self.assertEqual(known.list_unchecked(1.0), ["c/1"])
 
+    def test_break_just_before_a_check_is_checked_again(self):
+        known = poison.Poison()
+        known.note_break("f", "a/1", 0.0)
+        known.note_break("g", "a/1", 0.0505)
+        # The listening socket of a process that ends may still be open.
+        self.assertEqual(known.note_checked("a/1", False, 0.051), 1)
+        self.assertEqual(known.list_unchecked(0.2), ["a/1"])
+
     def test_break_after_the_start_of_a_check_is_checked_again(self):
         known = poison.Poison()
         known.note_break("f", "a/1", 0.0)
