Spend the last attempt on long silence only, and keep what callers are owed

The last attempt is now spent after two pauses, or when the upstream cannot be reached. - A silent stream was given up for an upstream known to be unreachable. - A caller who holds a part of its answer was cut at once when no upstream was registered for a moment; it waits now, and never beyond the deadline. - An answer that was dropped for a larger model became a 502 when no upstream had that model any more; the smaller one is asked again. - A request that was sent twice in one attempt, and refused the second time, was answered 503, which says that it has not run. - Connections that a draining upstream closes counted as crashes by content.

The conditions of one more attempt are now in replacement.py. Open: the last attempt may still break; a slow replica of a plain service that is followed by a dead one is given up on the chat path (calls.py); a head that arrives in the very moment of giving up (read, not shown).

--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -46,9 +46,14 @@
         self._sent += 1
         self.ran += 1
 
-    def note_refused(self) -> None:
-        """The latest attempt was refused without running."""
-        self.ran -= 1
+    def note_refused(self, sent_twice: bool) -> None:
+        """The latest attempt was refused without running.
+
+        Args:
+            sent_twice: Whether it was sent on another connection before, which
+                broke: then it may have run all the same.
+        """
+        self.ran -= 0 if sent_twice else 1
         self._refused += 1
 
     def note_unreached(self) -> None:
@@ -58,6 +63,11 @@
         if self._sent > 1:
             self._budget.note_unsent(self._service)
 
+    @property
+    def is_last_next(self) -> bool:
+        """Whether one more attempt that may run would be the last one."""
+        return self.ran + 1 >= self._route.max_attempts
+
     def find_limit(self) -> str:
         """Returns the rule that forbids any other attempt, if there is one."""
         if self.ran and not self._route.repeatable:
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -7,6 +7,7 @@
 from sycamorehollow.decisions.forwarding import escalation
 from sycamorehollow.decisions.forwarding import patience
 from sycamorehollow.decisions.forwarding import placement
+from sycamorehollow.decisions.forwarding import replacement
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
@@ -24,7 +25,6 @@
 MIN_LEFT_S = 0.01
 STREAM_STATUS = 200
 SILENT = "no byte in time"
-BLAMED = "requests like it have crashed upstreams"
 
 
 class Course:
@@ -44,8 +44,7 @@
         deadline: Monotonic time at which its final answer is due.
         attempts: What was tried.
         last_event: Last event that the caller has.
-        resumable: Whether another attempt could go on with the answer of which
-            the caller has a part; only streams can.
+        replacement: Where it would go on.
     """
 
     def __init__(
@@ -65,7 +64,6 @@
         self.arrived = now
         self.attempts: list[steps.Attempt] = []
         self.last_event = call.last_event
-        self.resumable = True
         self._router = router
         self._fingerprint = fingerprint
         left_s = route.timeout_s
@@ -81,6 +79,9 @@
         self._escalation = escalation.Escalation(
             router, call, route, service.name, self._candidates
         )
+        self.replacement = replacement.Replacement(
+            router, self._limits, self._candidates, fingerprint
+        )
         # Whether the answer of a smaller model was dropped for a larger one.
         self._dropped = False
         if route.models and call.open_model:
@@ -111,13 +112,13 @@
         """Returns what to do next while no attempt is open."""
         if self.deadline - now < MIN_LEFT_S:
             return steps.Refuse(self._build_failure("its time is over", now))
-        limit = self._find_limit(now)
+        limit = self.replacement.find_limit(now)
         if limit:
             return steps.Refuse(self._build_failure(limit, now))
         shortage = self._limits.find_shortage(now)
         if shortage and self._owes_answer:
             self._limits.forgive()
-            return steps.Wait(SHORTAGE_PAUSE_S)
+            return steps.Wait(min(SHORTAGE_PAUSE_S, self.deadline - now))
         if shortage:
             return steps.Refuse(self._build_failure(shortage, now))
         work = self._candidates.build_work(now)
@@ -130,6 +131,11 @@
             if not self.delivering and not self._limits.ran:
                 return steps.Wait(FULL_PAUSE_S)
             return self.find_step(now)
+        if not choice.known and self._owes_answer:
+            if self._dropped and not self.delivering:
+                # No upstream has the larger model any more.
+                self._candidates.model = cascade.choose_first(self.route)
+            return steps.Wait(min(SHORTAGE_PAUSE_S, self.deadline - now))
         wait_end = self.arrived + self.route.objective_s * WAIT_SHARE
         if choice.known and (now < wait_end or self._owes_answer):
             self._router.turns.take(self._ticket, work.place, 0, now)
@@ -151,36 +157,14 @@
         if left_s < MIN_LEFT_S:
             self._note_failed(steps.Ender.DEADLINE, SILENT, now)
             return steps.Refuse(self._build_failure("its time is over", now))
-        choice = self._choose_other(now)
+        attempt = self.attempts[-1]
+        choice = self.replacement.choose_sound(attempt, left_s, now)
         if choice.state is None:
-            self.attempts[-1].kept_for = choice.reason
+            attempt.kept_for = choice.reason
             return steps.Wait(min(patience.LOOK_S, left_s))
         self._note_failed(steps.Ender.PATIENCE, SILENT, now)
         return self._send(choice, now)
 
-    def _choose_other(self, now: float) -> placement.Choice:
-        """Returns where the request would go on if its attempt failed now."""
-        barrier = self._find_barrier(now)
-        if barrier:
-            return placement.Choice(None, barrier, 0)
-        current = self.attempts[-1].state.upstream.identity
-        choice = self._candidates.choose_other(current, now)
-        if choice.expected_s >= self.deadline - now:
-            return placement.Choice(None, "no other would be in time", 0)
-        return choice
-
-    def _find_limit(self, now: float) -> str:
-        """Returns why no other attempt will ever be made, if so."""
-        if not self.resumable:
-            return "an answer that is no stream broke off midway"
-        if self._router.poison.is_refused(self._fingerprint, now):
-            return BLAMED
-        return self._limits.find_limit()
-
-    def _find_barrier(self, now: float) -> str:
-        """Returns why no other attempt would be made now, if so."""
-        return self._find_limit(now) or self._limits.find_shortage(now)
-
     def _takes_turn(
         self, work: placement.Work, choice: placement.Choice, now: float
     ) -> bool:
@@ -193,24 +177,25 @@
             self._ticket, work.place, choice.free, now
         )
 
-    def _may_run_elsewhere(self) -> bool:
-        return self.resumable and not self._limits.find_limit()
-
     def compute_patience(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
         left_s = max(0.0, self.deadline - now)
-        if not self._may_run_elsewhere():
+        if not self.replacement.is_possible:
             return left_s
         attempt = self.attempts[-1]
         if (self.delivering or attempt.answered) and self.route.pause_s > 0:
-            patience_s = patience.measure_stream(self.route, attempt, now)
+            patience_s = patience.measure_stream(
+                self.route, attempt, self._limits.is_last_next, now
+            )
         else:
-            patience_s = patience.measure_start(self.route, attempt, now)
+            patience_s = patience.measure_start(
+                self.route, attempt, self._limits.is_last_next, now
+            )
         return min(left_s, patience_s)
 
     def wants_probe(self, now: float) -> bool:
         """Tells whether to check that the silent upstream can be reached."""
-        if not self._may_run_elsewhere():
+        if not self.replacement.is_possible:
             return False
         attempt = self.attempts[-1]
         if not patience.is_silent(attempt, now):
@@ -234,9 +219,16 @@
         directory.note_dark(attempt.state, now)
 
     def judge_head(
-        self, head: forwarding.AnswerHead, now: float
+        self, head: forwarding.AnswerHead, now: float, sent_twice: bool = False
     ) -> steps.Verdict:
-        """Decides whether an answer is passed on."""
+        """Decides whether an answer is passed on.
+
+        Args:
+            head: Head of the answer.
+            now: Monotonic time in seconds.
+            sent_twice: Whether the attempt was sent on another connection
+                before, which broke.
+        """
         attempt = self.attempts[-1]
         attempt.end_reading()
         attempt.heard_at = now
@@ -245,7 +237,7 @@
         directory.note_answer(attempt.state, head, failed, now)
         if head.not_run:
             attempt.end_answered(f"refused with {head.status}", now)
-            self._limits.note_refused()
+            self._limits.note_refused(sent_twice)
             return steps.Verdict.AGAIN
         upstream = attempt.state.upstream
         self._router.rollouts.note_answer(
@@ -269,7 +261,9 @@
         if head.status >= 500:
             self._candidates.sound = False
             attempt.end_answered(f"failed with {head.status}", now)
-            if head.status == 503 or self._choose_other(now).state is not None:
+            left_s = self.deadline - now
+            other = self.replacement.choose(attempt, left_s, now).state
+            if head.status == 503 or other is not None:
                 return steps.Verdict.AGAIN
             return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head.confidence, now):
@@ -306,6 +300,9 @@
 
     def note_crash(self, now: float) -> None:
         """The upstream broke the connection while it ran the request."""
+        if self.attempts[-1].state.upstream.draining:
+            # One that leaves by plan closes its connections.
+            return
         run = "/".join(map(str, self.attempts[-1].state.upstream.run))
         self._router.poison.note_break(self._fingerprint, run, now)
 
@@ -379,7 +376,7 @@
         decision = self._escalation.decide(
             attempt, confidence, elapsed_s, self._limits.ran, now
         )
-        if not decision.model or self._find_barrier(now):
+        if not decision.model or self.replacement.find_barrier(now):
             return False
         outcome = f"dropped at {confidence}, {decision.reason}"
         attempt.end(steps.Ender.CASCADE, outcome, now)
@@ -393,7 +390,7 @@
             if self.deadline - now < MIN_LEFT_S:
                 return steps.TimedOut(reason, failures.Run.UNKNOWN)
             return steps.UpstreamBroke(reason, failures.Run.UNKNOWN)
-        if reason == BLAMED:
+        if reason == replacement.BLAMED:
             return steps.UpstreamBroke(reason)
         after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
         return steps.Unavailable(reason, failures.Run.NO, after_s)
--- a/sycamorehollow/decisions/forwarding/patience.py
+++ b/sycamorehollow/decisions/forwarding/patience.py
@@ -1,7 +1,8 @@
 """How long an attempt is waited for before another upstream is tried.
 
 Answers overload and hanging upstreams: a request that only waits behind others
-is not sent again, since that would add to the load that it waits for.
+is not sent again, since that would add to the load that it waits for. The last
+attempt is spent on long silence only: if it breaks, the answer is lost.
 """
 
 from sycamorehollow.decisions.forwarding import steps
@@ -32,26 +33,41 @@
 
 
 def measure_start(
-    route: forwarding.Route, attempt: steps.Attempt, now: float
+    route: forwarding.Route, attempt: steps.Attempt, last: bool, now: float
 ) -> float:
-    """Returns the seconds to wait on for the first byte of an answer."""
+    """Returns the seconds to wait on for the first byte of an answer.
+
+    Args:
+        route: Route of the request.
+        attempt: The attempt.
+        last: Whether the attempt that would follow is the last one.
+        now: Monotonic time in seconds.
+    """
     first_s = max(
         route.objective_s * PASSED_SHARE, attempt.expected_s * PASSED_EXPECTED
     )
     last_s = max(
         route.objective_s * STUCK_SHARE, attempt.expected_s * STUCK_EXPECTED
     )
-    passed = attempt.state.passed_at > attempt.sent_at + PASSED_S
+    passed = not last and attempt.state.passed_at > attempt.sent_at + PASSED_S
     return _measure(attempt, attempt.sent_at, first_s, last_s, passed, now)
 
 
 def measure_stream(
-    route: forwarding.Route, attempt: steps.Attempt, now: float
+    route: forwarding.Route, attempt: steps.Attempt, last: bool, now: float
 ) -> float:
-    """Returns the seconds to wait on for the next event of a stream."""
+    """Returns the seconds to wait on for the next event of a stream.
+
+    Args:
+        route: Route of the request.
+        attempt: The attempt.
+        last: Whether the attempt that would follow is the last one.
+        now: Monotonic time in seconds.
+    """
     first_s = route.pause_s * PASSED_PAUSES
     last_s = route.pause_s * STUCK_PAUSES
-    passed = attempt.state.heard_at > attempt.heard_at + PASSED_S
+    heard_at = attempt.state.heard_at
+    passed = not last and heard_at > attempt.heard_at + PASSED_S
     return _measure(attempt, attempt.heard_at, first_s, last_s, passed, now)
 
 
--- /dev/null
+++ b/sycamorehollow/decisions/forwarding/replacement.py
@@ -0,0 +1,85 @@
+"""Where a request would go on if its present attempt ended."""
+
+from sycamorehollow.decisions.forwarding import attempt_limits
+from sycamorehollow.decisions.forwarding import candidates
+from sycamorehollow.decisions.forwarding import placement
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.decisions.forwarding import steps
+
+BLAMED = "requests like it have crashed upstreams"
+
+
+class Replacement:
+    """Asks for every condition of one more attempt of a request.
+
+    Args:
+        router: What the node knows.
+        limits: What the request may still try.
+        upstreams: Where its next attempt may run.
+        fingerprint: Identifies its content.
+
+    Attributes:
+        resumable: Whether another attempt could go on with the answer of which
+            the caller has a part; only streams can.
+    """
+
+    def __init__(
+        self,
+        router: routers.Router,
+        limits: attempt_limits.AttemptLimits,
+        upstreams: candidates.Candidates,
+        fingerprint: str,
+    ):
+        self.resumable = True
+        self._router = router
+        self._limits = limits
+        self._candidates = upstreams
+        self._fingerprint = fingerprint
+
+    @property
+    def is_possible(self) -> bool:
+        """Whether the rules of the route allow one more attempt."""
+        return self.resumable and not self._limits.find_limit()
+
+    def find_limit(self, now: float) -> str:
+        """Returns why no other attempt will ever be made, if so."""
+        if not self.resumable:
+            return "an answer that is no stream broke off midway"
+        if self._router.poison.is_refused(self._fingerprint, now):
+            return BLAMED
+        return self._limits.find_limit()
+
+    def find_barrier(self, now: float) -> str:
+        """Returns why no other attempt would be made now, if so."""
+        return self.find_limit(now) or self._limits.find_shortage(now)
+
+    def choose(
+        self, attempt: steps.Attempt, left_s: float, now: float
+    ) -> placement.Choice:
+        """Returns where the request would go on, or why nowhere.
+
+        Args:
+            attempt: The attempt that would end.
+            left_s: Seconds to the deadline.
+            now: Monotonic time in seconds.
+        """
+        barrier = self.find_barrier(now)
+        if barrier:
+            return placement.Choice(None, barrier, 0)
+        current = attempt.state.upstream.identity
+        choice = self._candidates.choose_other(current, now)
+        if choice.expected_s >= left_s:
+            return placement.Choice(None, "no other would be in time", 0)
+        return choice
+
+    def choose_sound(
+        self, attempt: steps.Attempt, left_s: float, now: float
+    ) -> placement.Choice:
+        """As `choose`, but no upstream that is worse off than a silent one."""
+        choice = self.choose(attempt, left_s, now)
+        other = choice.state
+        if other is None or attempt.state.is_dark():
+            return choice
+        if other.is_dark() or other.is_blocked(now):
+            return placement.Choice(None, "no other can be reached", 0)
+        return choice
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -107,7 +107,9 @@
             )
             connection.send(self._course.call.request_id, self._format(step))
             head = await self._wait_for(connection, connection.read_head)
-            verdict = self._course.judge_head(head.decoded, time.monotonic())
+            verdict = self._course.judge_head(
+                head.decoded, time.monotonic(), connection.sent_twice
+            )
             if verdict is steps.Verdict.DELIVER:
                 await self._deliver(connection, head)
                 return None
@@ -224,7 +226,7 @@
                 await self._connection.write_body(bytes(body))
                 return
             body += data
-        self._course.resumable = False
+        self._course.replacement.resumable = False
         await self._begin(head, head.length)
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -1,5 +1,6 @@
 """Tests of the course of a request."""
 
+import dataclasses
 import unittest
 
 import hypothesis
@@ -228,6 +229,17 @@
                 )
                 self.assertIs(verdict, steps.Verdict.AGAIN)
 
+    def test_break_by_an_upstream_that_leaves_is_no_crash(self):
+        built = forwarding_world.build_router(*UPSTREAMS)
+        for attempt in range(4):
+            played = forwarding_world.build_course(built, now=float(attempt))
+            step = played.find_step(float(attempt))
+            leaving = dataclasses.replace(step.state.upstream, draining=True)
+            built.handle(updates.UpstreamSet(leaving), attempt + 0.05)
+            played.note_broken("closed", True, attempt + 0.1)
+            played.note_crash(attempt + 0.1)
+        self.assertFalse(built.poison.is_refused("fingerprint", 4.0))
+
     def test_poisonous_request_ends(self):
         built = forwarding_world.build_router(*UPSTREAMS)
         sent = 0
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -3,7 +3,10 @@
 import unittest
 
 from sycamorehollow.decisions.forwarding import attempt_limits
+from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import steps
+from sycamorehollow.decisions.forwarding import updates
+from sycamorehollow.model import failures
 from tests import forwarding_world
 
 SHED = forwarding_world.build_head(503, not_run=True, sealed=False)
@@ -85,6 +88,28 @@
             state.full_until = 5.0
         self.assert_kept(played, 3.0, "all upstreams are full")
 
+    def test_last_attempt_is_spent_on_long_silence_only(self):
+        played = start_stream(build_router(), max_attempts=2)
+        # The upstream goes on with others.
+        played.attempts[-1].state.heard_at = 1.5
+        self.assertGreater(played.compute_patience(1.5), 0.0)
+        self.assertEqual(played.compute_patience(2.2), 0.0)
+        spare = start_stream(build_router(), max_attempts=3)
+        spare.attempts[-1].state.heard_at = 1.5
+        self.assertEqual(spare.compute_patience(1.5), 0.0)
+
+    def test_unreachable_upstreams_leave_a_stream_where_it_is(self):
+        built = build_router()
+        played = start_stream(built)
+        current = played.attempts[-1].state
+        for state in built.directory.list_all():
+            if state is not current:
+                directory.note_dark(state, 2.9)
+        self.assert_kept(played, 3.0, "no other can be reached")
+        # If the stream's own upstream cannot be reached either, any will do.
+        directory.note_dark(current, 3.0)
+        self.assertIsInstance(played.give_up(3.0), steps.Send)
+
     def test_head_that_came_just_before_the_limit_is_followed_by_patience(self):
         played = forwarding_world.build_course(build_router())
         played.find_step(0.0)
@@ -138,6 +163,57 @@
             step = played.find_step(now)
         self.assertIsInstance(step, steps.Send)
 
+    def test_wait_for_a_shortage_ends_at_the_deadline(self):
+        built = build_router(retry_ratio=0.0, retry_floor=0.0)
+        played = start_stream(built)
+        played.note_broken("closed", True, 9.95)
+        step = played.find_step(9.95)
+        self.assertAlmostEqual(step.seconds, 0.05)
+
+    def test_broken_stream_waits_for_upstreams_that_are_gone(self):
+        built = build_router()
+        played = start_stream(built)
+        played.note_broken("closed", True, 1.0)
+        for state in built.directory.list_all():
+            built.handle(updates.UpstreamRemoved(state.upstream.identity), 1.0)
+        self.assertIsInstance(played.find_step(1.1), steps.Wait)
+        upstream = forwarding_world.build_upstream("u9")
+        built.handle(updates.UpstreamSet(upstream), 1.2)
+        self.assertIsInstance(played.find_step(1.3), steps.Send)
+
+    def test_small_model_is_asked_again_when_the_larger_one_is_gone(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("a", models=("small",)),
+            forwarding_world.build_upstream("b", models=("large",)),
+        )
+        played = forwarding_world.build_course(built)
+        played.find_step(0.0)
+        doubtful = forwarding_world.build_head(confidence=10)
+        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.AGAIN)
+        self.assertEqual(played.find_step(0.05).model, "large")
+        played.note_broken("cannot connect", False, 0.06)
+        built.handle(updates.UpstreamRemoved("b"), 0.07)
+        now, step = 0.08, played.find_step(0.08)
+        while isinstance(step, steps.Wait):
+            now += step.seconds
+            step = played.find_step(now)
+        self.assertEqual(step.model, "small")
+
+    def test_refusal_of_what_was_sent_twice_does_not_say_not_run(self):
+        built = build_router()
+        played = forwarding_world.build_course(
+            built, route=forwarding_world.build_route(forwarding_world.SAFE)
+        )
+        now, step, sent_twice = 0.0, played.find_step(0.0), True
+        while not isinstance(step, steps.Refuse):
+            if isinstance(step, steps.Send):
+                played.judge_head(SHED, now, sent_twice)
+                sent_twice = False
+            now += 0.06
+            step = played.find_step(now)
+        self.assertIs(step.failure.run, failures.Run.UNKNOWN)
+        self.assertNotEqual(step.failure.status, 503)
+
     def test_broken_stream_waits_for_a_repeat(self):
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
         first, second = start_stream(built), start_stream(built, 5.0)
