Ask for readiness once the process has taken its signal

So the process had not been given the processor yet.

The test now waits for that line and asks at once. The check is the same, and also fails if a process that drains is ready for a moment.

--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -123,7 +123,7 @@
             )
             answer = caller.recv(200)
             self.node.send_signal(signal.SIGTERM)
-            time.sleep(0.2)
+            processes.wait_for(lambda: "draining," in self.node.read_log())
             self.assertFalse(self.node.is_ready())
             # New requests are served until the balancer has noticed.
             self.assertEqual(self.node.request("/status/1").status, 200)
