Name the codecs of headers and store entries by the terms of the field

The classes that translate HTTP headers and store entries were called dialects, spellings and feeds, which does not say what they do. They are now header codecs and store codecs; the reader of the front address and the condition of a write are named after what they hold.

--- a/sycamorehollow/platform/dialect.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -5,10 +5,10 @@
 
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
-from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import header_codec
 
 # Set by the router only; a caller's own would steer engines or fake its key.
-_OWN = frozenset(
+_ROUTER_HEADERS = frozenset(
     (
         b"authorization",
         b"request-deadline",
@@ -30,11 +30,11 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
-class PlatformDialect(dialect.Dialect):
+class PlatformHeaderCodec(header_codec.HeaderCodec):
     """Reads and writes the platform's headers."""
 
-    def decode_call(
-        self, method: str, target: str, headers: dialect.Headers
+    def decode_request(
+        self, method: str, target: str, headers: header_codec.Headers
     ) -> forwarding.Call | failures.InvalidRequest:
         """Decodes the head of a caller's request."""
         fields = _index(headers)
@@ -62,25 +62,31 @@
 
     def encode_attempt(
         self,
-        headers: dialect.Headers,
+        headers: header_codec.Headers,
         body_bytes: int | None,
-        attempt: dialect.Attempt,
+        attempt: header_codec.AttemptHeaders,
     ) -> list[tuple[bytes, bytes]]:
         """Returns the headers for an upstream."""
-        dropped = dialect.HOP_BY_HOP | _OWN | _list_connection_options(headers)
+        dropped = (
+            header_codec.HOP_BY_HOP
+            | _ROUTER_HEADERS
+            | _list_connection_options(headers)
+        )
         if attempt.model:
             dropped |= {b"model"}
-        if attempt.last_event:
+        if attempt.last_event_id:
             dropped |= {b"last-event-id"}
         result = [pair for pair in headers if pair[0].lower() not in dropped]
-        result.append((b"Request-Deadline", b"%d" % (attempt.left_s * 1000)))
+        result.append(
+            (b"Request-Deadline", b"%d" % (attempt.remaining_s * 1000))
+        )
         result.append((b"Target-Replica", attempt.upstream.encode("latin-1")))
         if attempt.workspace:
             result.append((b"Tenant-Id", attempt.workspace.encode("latin-1")))
         if attempt.model:
             result.append((b"Model", attempt.model.encode("latin-1")))
-        if attempt.last_event:
-            value = attempt.last_event.encode("latin-1")
+        if attempt.last_event_id:
+            value = attempt.last_event_id.encode("latin-1")
             result.append((b"Last-Event-Id", value))
         if attempt.priority is not None:
             result.append((b"Request-Priority", b"%d" % attempt.priority))
@@ -88,8 +94,8 @@
             result.append((b"Content-Length", b"%d" % body_bytes))
         return result
 
-    def decode_answer(
-        self, status: int, headers: dialect.Headers
+    def decode_response(
+        self, status: int, headers: header_codec.Headers
     ) -> forwarding.AnswerHead:
         """Decodes the head of an upstream's answer."""
         fields = _index(headers)
@@ -122,11 +128,11 @@
         return headers
 
 
-def _index(headers: dialect.Headers) -> dict[bytes, bytes]:
+def _index(headers: header_codec.Headers) -> dict[bytes, bytes]:
     return {name.lower(): value for name, value in headers}
 
 
-def _list_connection_options(headers: dialect.Headers) -> frozenset[bytes]:
+def _list_connection_options(headers: header_codec.Headers) -> frozenset[bytes]:
     """Returns the names of headers that concern one connection only."""
     names: set[bytes] = set()
     for name, value in headers:
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -7,7 +7,7 @@
 
 import pydantic
 
-from sycamorehollow.platform import lines
+from sycamorehollow.platform import settings_lines
 from sycamorehollow.settings import gateway
 from sycamorehollow.settings import process
 
@@ -71,7 +71,7 @@
 
 def parse_settings(text: str) -> gateway.Settings | list[process.Fault]:
     """Parses lines of the form `a.b=value`."""
-    values = lines.parse_lines(text)
+    values = settings_lines.parse_lines(text)
     try:
         return _convert(_File.model_validate(_nest(values)))
     except pydantic.ValidationError as error:
--- a/sycamorehollow/platform/lines.py
+++ b/sycamorehollow/platform/settings_lines.py
@@ -19,7 +19,7 @@
     return values
 
 
-def find_front(path: pathlib.Path) -> tuple[str, int] | None:
+def read_front_address(path: pathlib.Path) -> tuple[str, int] | None:
     """Returns the host and port for callers, if the file states them."""
     try:
         text = path.read_text(encoding="utf-8")
--- a/sycamorehollow/platform/feed.py
+++ b/sycamorehollow/platform/store_codec.py
@@ -9,10 +9,10 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 from sycamorehollow.platform import documents
-from sycamorehollow.shells.gateway import feed
+from sycamorehollow.shells.gateway import store_codec
 
 
-class PlatformFeed(feed.Feed):
+class PlatformStoreCodec(store_codec.StoreCodec):
     """Knows the platform's keys."""
 
     def decode(self, entry: mirror.Entry) -> Sequence[events.Event]:
@@ -36,16 +36,18 @@
 
     def encode_status(
         self, service: str, target: str, state: forwarding.RolloutState
-    ) -> feed.Item:
+    ) -> store_codec.KeyValue:
         """Returns the entry that states how far a roll-out has come."""
-        return feed.Item(
+        return store_codec.KeyValue(
             documents.STATUS_PREFIX + service,
             documents.encode_status(target, state),
         )
 
-    def encode_node(self, name: str, node: watchers.Node) -> feed.Item:
+    def encode_node(
+        self, name: str, node: watchers.Node
+    ) -> store_codec.KeyValue:
         """Returns the entry by which a node registers itself."""
-        return feed.Item(
+        return store_codec.KeyValue(
             documents.NODE_PREFIX + name, documents.encode_node(node)
         )
 
--- a/sycamorehollow/programs/gateway.py
+++ b/sycamorehollow/programs/gateway.py
@@ -9,7 +9,7 @@
 import sys
 
 import sycamorehollow
-from sycamorehollow.platform import lines
+from sycamorehollow.platform import settings_lines
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -38,7 +38,7 @@
         `None` if the address is not known or cannot be bound; the fault shows
         when the settings are read.
     """
-    address = lines.find_front(path)
+    address = settings_lines.read_front_address(path)
     if address is None:
         return None
     try:
@@ -53,7 +53,7 @@
         prog="sycamore-gateway",
         description="Forwards requests by route to the platform's upstreams.",
     )
-    variable = lines.ENVIRONMENT_VARIABLE
+    variable = settings_lines.ENVIRONMENT_VARIABLE
     default = os.environ.get(variable)
     parser.add_argument(
         "--settings",
--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -8,9 +8,9 @@
 import socket
 import sys
 
-from sycamorehollow.platform import dialect
-from sycamorehollow.platform import feed
+from sycamorehollow.platform import header_codec
 from sycamorehollow.platform import settings as platform_settings
+from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
 from sycamorehollow.settings import gateway as gateway_settings
 from sycamorehollow.shells.gateway import assembly
@@ -42,9 +42,9 @@
     journal.configure(settings.node)
     gateway = assembly.Gateway(
         settings,
-        assembly.Adapter(
-            dialect.PlatformDialect(),
-            feed.PlatformFeed(),
+        assembly.PlatformAdapter(
+            header_codec.PlatformHeaderCodec(),
+            store_codec.PlatformStoreCodec(),
             open_store(settings),
             lambda: platform_settings.read_settings(path),
             path,
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -12,8 +12,8 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import dialect
 from sycamorehollow.shells.gateway import events
+from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import upstream_connections
 
@@ -48,7 +48,7 @@
         request: The caller's request.
         course: Decides about the attempts.
         record: What the log says of the request.
-        spelling: How requests and answers are spelled.
+        codec: Encodes and decodes headers.
         pool: Connections to upstreams.
     """
 
@@ -58,14 +58,14 @@
         request: caller_connections.Request,
         course: courses.Course,
         record: journal.Record,
-        spelling: dialect.Dialect,
+        codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
     ):
         self._connection = connection
         self._request = request
         self._course = course
         self._record = record
-        self._dialect = spelling
+        self._codec = codec
         self._pool = pool
         # Until when bytes that have arrived are read although time is over.
         self._grace_end: float | None = None
@@ -139,15 +139,15 @@
         priority = course.route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
-        attempt = dialect.Attempt(
+        attempt = header_codec.AttemptHeaders(
             upstream=step.state.upstream.identity,
             workspace=workspace.name if workspace else "",
-            left_s=step.left_s,
+            remaining_s=step.left_s,
             model=step.model,
             priority=min(9, max(0, priority)) if step.model else None,
-            last_event=course.last_event if course.delivering else "",
+            last_event_id=course.last_event if course.delivering else "",
         )
-        headers = self._dialect.encode_attempt(
+        headers = self._codec.encode_attempt(
             request.headers,
             len(request.body) if request.has_body else None,
             attempt,
@@ -278,7 +278,7 @@
         headers = [
             pair
             for pair in head.headers
-            if pair[0].lower() not in dialect.HOP_BY_HOP
+            if pair[0].lower() not in header_codec.HOP_BY_HOP
         ]
         await self._connection.write_head(
             head.status, head.reason, headers, length, self._request.keep_alive
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -19,12 +19,12 @@
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import crash_checks
-from sycamorehollow.shells.gateway import dialect
-from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import forwarder
+from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
 from sycamorehollow.shells.gateway import peer_link
+from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_tasks
 
 # Time in which the load balancer notices that the node is not ready; requests
@@ -38,7 +38,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Adapter:
+class PlatformAdapter:
     """What connects the gateway to a platform.
 
     Attributes:
@@ -46,8 +46,8 @@
         settings_path: The settings file, to notice when it changes.
     """
 
-    spelling: dialect.Dialect
-    codec: feed.Feed
+    header_codec: header_codec.HeaderCodec
+    store_codec: store_codec.StoreCodec
     store: stores.Store
     read_settings: Callable[[], gateway.Settings | list[process.Fault]]
     settings_path: pathlib.Path
@@ -65,7 +65,7 @@
     def __init__(
         self,
         settings: gateway.Settings,
-        adapter: Adapter,
+        adapter: PlatformAdapter,
         listener: socket.socket | None = None,
     ):
         self._listener = listener
@@ -76,7 +76,7 @@
         self._source = source
         self._router = routers.Router(settings, source)
         self._pool = connection_pool.ConnectionPool(
-            adapter.spelling.decode_answer,
+            adapter.header_codec.decode_response,
             self._spend_repeat,
             self._return_repeat,
         )
@@ -84,7 +84,7 @@
             self._router, self._pool, self._journal
         )
         self._forwarder = forwarder.Forwarder(
-            self._router, adapter.spelling, self._pool, self._journal
+            self._router, adapter.header_codec, self._pool, self._journal
         )
         self._connections: set[caller_connections.CallerConnection] = set()
         self._checks: set[caller_connections.CallerConnection] = set()
@@ -154,7 +154,7 @@
         known = knowledge.Knowledge(
             self._settings,
             self._router,
-            self._adapter.codec,
+            self._adapter.store_codec,
             self._journal,
             self._source,
         )
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -12,7 +12,7 @@
 import loguru
 
 from sycamorehollow.model import forwarding
-from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Requests that a caller may send ahead of their answers.
@@ -126,7 +126,7 @@
         self,
         status: int,
         reason: bytes,
-        headers: dialect.Headers,
+        headers: header_codec.Headers,
         length: int | None,
         keep_alive: bool,
     ) -> None:
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -6,7 +6,7 @@
 import time
 
 from sycamorehollow.model import forwarding
-from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Well above the way to any data centre of a region; a lost first packet is
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        decode: Callable[[int, dialect.Headers], forwarding.AnswerHead],
+        decode: Callable[[int, header_codec.Headers], forwarding.AnswerHead],
         spend_repeat: Callable[[forwarding.Upstream], bool] = lambda _: False,
         return_repeat: Callable[[forwarding.Upstream], None] = lambda _: None,
     ):
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -12,7 +12,7 @@
 from sycamorehollow.shells.gateway import answer_relay
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import journal
 
 # Time from the start in which requests wait for the first configuration. It
@@ -30,7 +30,7 @@
 
     Args:
         router: What the node knows.
-        spelling: How requests and answers are spelled.
+        codec: Encodes and decodes headers.
         pool: Connections to upstreams.
         log: Takes one record for each request.
 
@@ -41,14 +41,14 @@
     def __init__(
         self,
         router: routers.Router,
-        spelling: dialect.Dialect,
+        codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
         log: journal.Journal,
     ):
         self.refusing = False
         self._started_at = time.monotonic()
         self._router = router
-        self._dialect = spelling
+        self._codec = codec
         self._pool = pool
         self._journal = log
 
@@ -63,7 +63,7 @@
             await self._refuse_unread(connection, request.fault)
             return
         target = request.target.decode("latin-1")
-        call = self._dialect.decode_call(
+        call = self._codec.decode_request(
             request.method, target, request.headers
         )
         record = journal.Record(started)
@@ -79,7 +79,7 @@
             )
             return
         exchange = answer_relay.AnswerRelay(
-            connection, request, course, record, self._dialect, self._pool
+            connection, request, course, record, self._codec, self._pool
         )
         try:
             failure = await exchange.run()
@@ -174,7 +174,7 @@
         record.outcome = f"{failure.code}: {failure.reason}"
         record.status = failure.status
         self._journal.note_request(record, course)
-        headers = self._dialect.encode_failure(request_id, failure)
+        headers = self._codec.encode_failure(request_id, failure)
         await write_whole(
             connection,
             failure.status,
@@ -206,7 +206,7 @@
 async def write_whole(
     connection: caller_connections.CallerConnection,
     status: int,
-    headers: dialect.Headers,
+    headers: header_codec.Headers,
     body: bytes,
     keep_alive: bool,
 ) -> None:
--- a/sycamorehollow/shells/gateway/dialect.py
+++ b/sycamorehollow/shells/gateway/header_codec.py
@@ -29,38 +29,39 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Attempt:
+class AttemptHeaders:
     """What is told to an upstream beside the caller's own request.
 
     Attributes:
         upstream: Identity of the upstream that is meant.
         workspace: Owner of the API key; empty for an open route.
-        left_s: Seconds until the answer is of no use.
+        remaining_s: Seconds until the request's deadline.
         model: Model to run; empty to leave the caller's.
         priority: 0 to 9, where 0 is the most urgent; `None` to say nothing.
-        last_event: Event after which a stream goes on; empty for its start.
+        last_event_id: Event after which the stream resumes; empty for its
+            start.
     """
 
     upstream: str
     workspace: str
-    left_s: float
+    remaining_s: float
     model: str = ""
     priority: int | None = None
-    last_event: str = ""
+    last_event_id: str = ""
 
 
-class Dialect(abc.ABC):
+class HeaderCodec(abc.ABC):
     """Translates between headers and the product's types."""
 
     @abc.abstractmethod
-    def decode_call(
+    def decode_request(
         self, method: str, target: str, headers: Headers
     ) -> forwarding.Call | failures.InvalidRequest:
         """Decodes the head of a caller's request."""
 
     @abc.abstractmethod
     def encode_attempt(
-        self, headers: Headers, body_bytes: int | None, attempt: Attempt
+        self, headers: Headers, body_bytes: int | None, attempt: AttemptHeaders
     ) -> list[tuple[bytes, bytes]]:
         """Returns the headers for an upstream.
 
@@ -71,7 +72,7 @@
         """
 
     @abc.abstractmethod
-    def decode_answer(
+    def decode_response(
         self, status: int, headers: Headers
     ) -> forwarding.AnswerHead:
         """Decodes the head of an upstream's answer."""
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -14,11 +14,11 @@
 from sycamorehollow.model import failures
 from sycamorehollow.settings import gateway
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import feed
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import peer_news
 from sycamorehollow.shells.gateway import rollout_news
+from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_tasks
 
 # Time between exchanges of a watcher with another one. A finding takes some of
@@ -55,13 +55,13 @@
         self,
         settings: gateway.Settings,
         router: routers.Router,
-        codec: feed.Feed,
+        codec: store_codec.StoreCodec,
         log: journal.Journal,
         source: random.Random,
     ):
         self.settings = settings
         self._router = router
-        self._feed = codec
+        self._codec = codec
         self._journal = log
         self._source = source
         self._mirror = mirror.Mirror()
@@ -219,7 +219,7 @@
 
     def _apply_entry(self, entry: mirror.Entry, source: str) -> None:
         now = time.monotonic()
-        for update in self._feed.decode(entry):
+        for update in self._codec.decode(entry):
             for change in self._router.handle(update, now):
                 self._journal.note_change(
                     change.subject, change.outcome, source
@@ -244,12 +244,12 @@
         self._store_lost = True
 
     def _register_node(self) -> None:
-        item = self._feed.encode_node(self.settings.node, self._own_node)
+        item = self._codec.encode_node(self.settings.node, self._own_node)
         known = self._router.nodes.get(self.settings.node)
         if known != self._own_node:
             self._write(item)
 
-    def _write(self, item: feed.Item) -> None:
+    def _write(self, item: store_codec.KeyValue) -> None:
         """Writes a value unless the same key is being written."""
         now = time.monotonic()
         if self._writer is None or now < self._writes.get(item.key, 0.0):
@@ -286,7 +286,7 @@
         if now - since < self._find_rank(service) * RANK_DELAY_S:
             return
         self._write(
-            self._feed.encode_status(service, rollout.order.target, state)
+            self._codec.encode_status(service, rollout.order.target, state)
         )
 
     def _find_rank(self, service: str) -> int:
--- a/sycamorehollow/shells/gateway/feed.py
+++ b/sycamorehollow/shells/gateway/store_codec.py
@@ -11,14 +11,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Item:
+class KeyValue:
     """A key and the value to write."""
 
     key: str
     value: str
 
 
-class Feed(abc.ABC):
+class StoreCodec(abc.ABC):
     """Translates entries of the store into news, and news into entries."""
 
     @abc.abstractmethod
@@ -28,9 +28,9 @@
     @abc.abstractmethod
     def encode_status(
         self, service: str, target: str, state: forwarding.RolloutState
-    ) -> Item:
+    ) -> KeyValue:
         """Returns the entry that states how far a roll-out has come."""
 
     @abc.abstractmethod
-    def encode_node(self, name: str, node: watchers.Node) -> Item:
+    def encode_node(self, name: str, node: watchers.Node) -> KeyValue:
         """Returns the entry by which a node registers itself."""
--- a/sycamorehollow/shells/gateway/store_tasks.py
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -12,7 +12,7 @@
 from sycamorehollow.model import failures
 from sycamorehollow.shells import stores
 from sycamorehollow.shells import tasks
-from sycamorehollow.shells.gateway import feed
+from sycamorehollow.shells.gateway import store_codec
 
 # Longest wait of one watch in seconds; a watch that a silent store never
 # answers is noticed after it.
@@ -141,8 +141,8 @@
 class Write:
     """A write under the condition that the key is at a revision."""
 
-    item: feed.Item
-    expect: int
+    item: store_codec.KeyValue
+    expected_revision: int
 
 
 class WriteTask(tasks.Task):
@@ -180,7 +180,9 @@
     ) -> stores.Written | stores.Conflict | stores.CallFailure:
         item = write.item
         try:
-            return self._store.write(item.key, item.value, write.expect)
+            return self._store.write(
+                item.key, item.value, write.expected_revision
+            )
         except Exception as error:
             loguru.logger.opt(exception=error).error("fault in a write")
             return stores.InDoubt(f"unexpected {error!r}")
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -11,7 +11,7 @@
 import httptools
 
 from sycamorehollow.model import forwarding
-from sycamorehollow.shells.gateway import dialect
+from sycamorehollow.shells.gateway import header_codec
 
 # Bytes that are read ahead of a slow caller.
 READ_AHEAD_BYTES = 128 * 1024
@@ -75,7 +75,8 @@
     """
 
     def __init__(
-        self, decode: Callable[[int, dialect.Headers], forwarding.AnswerHead]
+        self,
+        decode: Callable[[int, header_codec.Headers], forwarding.AnswerHead],
     ):
         self.used = False
         self.idle_since = 0.0
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -12,7 +12,7 @@
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import forwarding
 from sycamorehollow.platform import documents
-from sycamorehollow.platform import feed
+from sycamorehollow.platform import store_codec
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
@@ -44,7 +44,7 @@
         self.known = knowledge.Knowledge(
             settings,
             self.router,
-            feed.PlatformFeed(),
+            store_codec.PlatformStoreCodec(),
             journal.Journal(),
             random.Random(1),
         )
@@ -165,7 +165,7 @@
         follower = knowledge.Knowledge(
             forwarding_world.build_settings(node="n8"),
             other,
-            feed.PlatformFeed(),
+            store_codec.PlatformStoreCodec(),
             journal.Journal(),
             random.Random(1),
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,13 +11,13 @@
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
-from sycamorehollow.platform import dialect
 from sycamorehollow.platform import documents
-from sycamorehollow.platform import feed
+from sycamorehollow.platform import header_codec
 from sycamorehollow.platform import settings
+from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import dialect as dialects
+from sycamorehollow.shells.gateway import header_codec as dialects
 from tests import platform_standins
 
 SETTINGS = """
@@ -142,12 +142,12 @@
     """Guards against a choice of the model that the caller has made."""
 
     def test_only_a_star_leaves_the_model_open(self):
-        spelling = dialect.PlatformDialect()
+        codec = header_codec.PlatformHeaderCodec()
         for value, is_open in ((b"*", True), (b"large", False), (None, False)):
             headers = [(b"Host", b"models.example")]
             if value is not None:
                 headers.append((b"Model", value))
-            call = spelling.decode_call("POST", "/draft/1", headers)
+            call = codec.decode_request("POST", "/draft/1", headers)
             self.assertEqual(call.open_model, is_open)
 
 
@@ -201,11 +201,11 @@
     @hypothesis.example(b"prompt-prefix", b"a:" + b"9" * 5000)
     @hypothesis.example(b"replica-load", b"1,1," + b"9" * 5000)
     def test_headers(self, name, value):
-        spelling = dialect.PlatformDialect()
+        codec = header_codec.PlatformHeaderCodec()
         headers = [(b"host", b"h"), (name, value)]
-        call = spelling.decode_call("GET", "/a", headers)
+        call = codec.decode_request("GET", "/a", headers)
         self.assertIsInstance(call, forwarding.Call)
-        answer = spelling.decode_answer(200, headers)
+        answer = codec.decode_response(200, headers)
         self.assertEqual(answer.status, 200)
 
     @hypothesis.given(
@@ -218,7 +218,9 @@
     @hypothesis.example("address", "host:1", "servers/a")
     def test_entries_of_other_writers(self, field, value, key):
         text = json.dumps(ENTRY | {field: value})
-        news = feed.PlatformFeed().decode(mirror.Entry(key, text, 1))
+        news = store_codec.PlatformStoreCodec().decode(
+            mirror.Entry(key, text, 1)
+        )
         for update in news:
             if isinstance(update, updates.UpstreamSet):
                 self.assertIn(update.upstream.port, range(1, 65536))
@@ -229,14 +231,14 @@
     @hypothesis.example("\udcff")
     def test_values_that_are_no_documents(self, text):
         for key in ("servers/a", "op/config", "op/rollout/a", "nodes/a"):
-            feed.PlatformFeed().decode(mirror.Entry(key, text, 1))
+            store_codec.PlatformStoreCodec().decode(mirror.Entry(key, text, 1))
 
 
 class FeedTest(unittest.TestCase):
     """Guards against news that are lost or made up."""
 
     def test_keys_are_told_apart(self):
-        codec = feed.PlatformFeed()
+        codec = store_codec.PlatformStoreCodec()
         order = '{"service": "llm", "target": "v2", "durationS": 12}'
         status = codec.encode_status(
             "llm", "v2", forwarding.RolloutState.COMPLETED
@@ -277,7 +279,7 @@
 
     def test_spoiled_entry_of_an_upstream_takes_it_out(self):
         entry = mirror.Entry("servers/i", "no json", 5)
-        news = list(feed.PlatformFeed().decode(entry))
+        news = list(store_codec.PlatformStoreCodec().decode(entry))
         self.assertIsInstance(news[0], updates.Unreadable)
         self.assertEqual(news[1], updates.UpstreamRemoved("i"))
 
@@ -286,7 +288,7 @@
     """Guards against headers that are misread or passed on wrongly."""
 
     def test_request_is_decoded(self):
-        call = dialect.PlatformDialect().decode_call(
+        call = header_codec.PlatformHeaderCodec().decode_request(
             "POST",
             "/a/b?c=d",
             [
@@ -312,8 +314,8 @@
         )
 
     def test_upstream_gets_our_headers_in_place_of_the_callers(self):
-        attempt = dialects.Attempt("i-1", "maps", 0.75, "large", 2, "9")
-        headers = dialect.PlatformDialect().encode_attempt(
+        attempt = dialects.AttemptHeaders("i-1", "maps", 0.75, "large", 2, "9")
+        headers = header_codec.PlatformHeaderCodec().encode_attempt(
             [
                 (b"Model", b"*"),
                 (b"Tenant-Id", b"forged"),
@@ -343,7 +345,7 @@
         )
 
     def test_answer_is_decoded(self):
-        head = dialect.PlatformDialect().decode_answer(
+        head = header_codec.PlatformHeaderCodec().decode_response(
             503,
             [
                 (b"Not-Executed", b"1"),
