--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -14,7 +14,7 @@
 from sycamorehollow.platform import storeclient
 from sycamorehollow.settings import gateway as gateway_settings
 from sycamorehollow.shells.gateway import assembly
-from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import telemetry
 
 EXIT_FAULTS = 2
 
@@ -39,7 +39,7 @@
         settings = dataclasses.replace(
             settings, metrics_port=arguments.metrics_port
         )
-    journal.configure(settings.node)
+    telemetry.configure_logging(settings.node)
     gateway = assembly.Gateway(
         settings,
         assembly.PlatformAdapter(
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -14,7 +14,7 @@
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import events
 from sycamorehollow.shells.gateway import header_codec
-from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Whole answers up to this size are read before the caller gets any of it, so
@@ -57,7 +57,7 @@
         connection: caller_connections.CallerConnection,
         request: caller_connections.Request,
         course: courses.Course,
-        record: journal.Record,
+        record: telemetry.RequestRecord,
         codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
     ):
@@ -274,7 +274,7 @@
     ) -> None:
         """Writes the head of the answer, which is that of its first run."""
         self._course.delivering = True
-        self._record.note_first(time.monotonic(), head.status)
+        self._record.record_first_byte(time.monotonic(), head.status)
         headers = [
             pair
             for pair in head.headers
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -18,14 +18,14 @@
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import crash_checks
+from sycamorehollow.shells.gateway import crash_checker
 from sycamorehollow.shells.gateway import forwarder
 from sycamorehollow.shells.gateway import header_codec
-from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_tasks
+from sycamorehollow.shells.gateway import telemetry
 
 # Time in which the load balancer notices that the node is not ready; requests
 # are still served meanwhile.
@@ -71,7 +71,7 @@
         self._listener = listener
         self._settings = settings
         self._adapter = adapter
-        self._journal = journal.Journal()
+        self._telemetry = telemetry.Telemetry()
         source = random.Random()
         self._source = source
         self._router = routers.Router(settings, source)
@@ -80,11 +80,11 @@
             self._spend_repeat,
             self._return_repeat,
         )
-        self._crash_checks = crash_checks.CrashChecks(
-            self._router, self._pool, self._journal
+        self._crash_checker = crash_checker.CrashChecker(
+            self._router, self._pool, self._telemetry
         )
         self._forwarder = forwarder.Forwarder(
-            self._router, adapter.header_codec, self._pool, self._journal
+            self._router, adapter.header_codec, self._pool, self._telemetry
         )
         self._connections: set[caller_connections.CallerConnection] = set()
         self._checks: set[caller_connections.CallerConnection] = set()
@@ -118,8 +118,8 @@
             )
         except OSError as error:
             # Requests are served without the page, too.
-            self._journal.note_event("metrics cannot be served: {}", error)
-        self._journal.note_event(
+            self._telemetry.log_event("metrics cannot be served: {}", error)
+        self._telemetry.log_event(
             "started node={} data_centre={} front={}",
             self._settings.node,
             self._settings.data_centre,
@@ -133,7 +133,7 @@
         for server in servers:
             server.close()
         cut = sum(connection.busy for connection in self._connections)
-        self._journal.note_event(
+        self._telemetry.log_event(
             "stopped node={} requests_cut={}", self._settings.node, cut
         )
 
@@ -142,7 +142,7 @@
         allowed = self._router.spend_repeat(upstream.service, time.monotonic())
         outcome = "had dropped a kept connection, "
         outcome += "sent once more" if allowed else "no repeat is left"
-        self._journal.note_change(
+        self._telemetry.record_state_change(
             f"upstream={upstream.identity}", outcome, "reset"
         )
         return allowed
@@ -155,7 +155,7 @@
             self._settings,
             self._router,
             self._adapter.store_codec,
-            self._journal,
+            self._telemetry,
             self._source,
         )
         self._knowledge = known
@@ -177,7 +177,7 @@
             )
         except OSError as error:
             # Without peers the node still learns everything from the store.
-            self._journal.note_event("peers cannot be served: {}", error)
+            self._telemetry.log_event("peers cannot be served: {}", error)
             return
         self._knowledge.connect_peers(link)
 
@@ -231,7 +231,7 @@
     ) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await forwarder.write_whole(
-            connection, 200, headers, self._journal.render(), False
+            connection, 200, headers, self._telemetry.render_metrics(), False
         )
 
     async def _keep_up(self) -> None:
@@ -245,7 +245,7 @@
                 self._tick()
             except Exception as error:
                 # Without this work the node would go on with stale beliefs.
-                self._journal.note_fault("periodic work", error)
+                self._telemetry.log_error("periodic work", error)
             if time.monotonic() < next_check:
                 continue
             next_check = time.monotonic() + SETTINGS_CHECK_S
@@ -257,7 +257,7 @@
     def _tick(self) -> None:
         assert self._knowledge is not None
         self._knowledge.tick()
-        self._crash_checks.tick()
+        self._crash_checker.start_due_checks()
         self._pool.close_expired()
 
     def _read_change_time(self) -> float:
@@ -271,19 +271,19 @@
         settings = self._adapter.read_settings()
         if isinstance(settings, list):
             for fault in settings:
-                self._journal.note_event("settings rejected: {}", fault)
+                self._telemetry.log_event("settings rejected: {}", fault)
             return
         if settings != self._settings:
             self._settings = settings
             self._router.configure(settings)
-        self._journal.note_event("settings reloaded")
+        self._telemetry.log_event("settings reloaded")
 
     async def _drain(self) -> None:
         """Lets requests end and takes no new ones after a while."""
         started = time.monotonic()
         end = started + self._settings.grace_s - END_MARGIN_S
         self._draining = True
-        self._journal.note_event(
+        self._telemetry.log_event(
             "draining, {} connections", len(self._connections)
         )
         while time.monotonic() < end:
--- a/sycamorehollow/shells/gateway/crash_checks.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -11,36 +11,36 @@
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import telemetry
 
 # Checks that run at the same time; the others wait for the next look.
-MAX_CHECKS = 16
+MAX_CONCURRENT_CHECKS = 16
 
 
-class CrashChecks:
+class CrashChecker:
     """Checks upstreams and tells the record of crashes what it found.
 
     Args:
         router: What the node knows.
         pool: Opens the connections of the checks.
-        log: Takes one line for each check.
+        telemetry_sink: Takes one line for each check.
     """
 
     def __init__(
         self,
         router: routers.Router,
         pool: connection_pool.ConnectionPool,
-        log: journal.Journal,
+        telemetry_sink: telemetry.Telemetry,
     ):
         self._router = router
         self._pool = pool
-        self._journal = log
+        self._telemetry = telemetry_sink
         self._checks: dict[str, asyncio.Task[None]] = {}
 
-    def tick(self) -> None:
+    def start_due_checks(self) -> None:
         """Starts the checks that are due."""
         for run in self._router.poison.list_unchecked(time.monotonic()):
-            if len(self._checks) >= MAX_CHECKS:
+            if len(self._checks) >= MAX_CONCURRENT_CHECKS:
                 return
             if run in self._checks:
                 continue
@@ -59,12 +59,12 @@
                 crashed, outcome = False, "still takes connections"
         except Exception as error:
             # The break counts, as without a check.
-            self._journal.note_fault(f"check of {run}", error)
+            self._telemetry.log_error(f"check of {run}", error)
         finally:
             del self._checks[run]
         contents = self._router.poison.note_checked(run, crashed, began)
         verdict = "crash" if crashed else "no crash"
-        self._journal.note_change(
+        self._telemetry.record_state_change(
             f"break={run}",
             f"{verdict} contents={contents}",
             f"check, the upstream {outcome}",
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -13,7 +13,7 @@
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import header_codec
-from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import telemetry
 
 # Time from the start in which requests wait for the first configuration. It
 # mostly takes some milliseconds, a large one on a slow link half a second.
@@ -32,7 +32,7 @@
         router: What the node knows.
         codec: Encodes and decodes headers.
         pool: Connections to upstreams.
-        log: Takes one record for each request.
+        telemetry_sink: Takes one record for each request.
 
     Attributes:
         refusing: Whether new requests are refused because the node leaves.
@@ -43,14 +43,14 @@
         router: routers.Router,
         codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
-        log: journal.Journal,
+        telemetry_sink: telemetry.Telemetry,
     ):
         self.refusing = False
         self._started_at = time.monotonic()
         self._router = router
         self._codec = codec
         self._pool = pool
-        self._journal = log
+        self._telemetry = telemetry_sink
 
     async def handle(
         self,
@@ -66,7 +66,7 @@
         call = self._codec.decode_request(
             request.method, target, request.headers
         )
-        record = journal.Record(started)
+        record = telemetry.RequestRecord(started)
         if isinstance(call, failures.Failure):
             await self._refuse(connection, request, "", call, record)
             return
@@ -88,7 +88,7 @@
             course.note_stopped(
                 steps.Ender.CALLER, "the caller left", time.monotonic()
             )
-            self._journal.note_request(record, course)
+            self._telemetry.record_request(record, course)
             raise
         except Exception as error:
             # The connection is closed by whoever reads from it.
@@ -96,16 +96,16 @@
             course.note_stopped(
                 steps.Ender.FAULT, "an error in this process", time.monotonic()
             )
-            self._journal.note_request(record, course)
+            self._telemetry.record_request(record, course)
             raise
         if failure is None:
-            self._journal.note_request(record, course)
+            self._telemetry.record_request(record, course)
             return
         if course.delivering:
             # Without its end the caller cannot take the answer for whole.
             record.outcome = f"cut: {failure.reason}"
             connection.abort()
-            self._journal.note_request(record, course)
+            self._telemetry.record_request(record, course)
             return
         await self._refuse(
             connection, request, call.request_id, failure, record, course
@@ -122,7 +122,7 @@
         self,
         call: forwarding.Call,
         request: caller_connections.Request,
-        record: journal.Record,
+        record: telemetry.RequestRecord,
         now: float,
     ) -> courses.Course | failures.Failure:
         """Finds the route and service of a request."""
@@ -136,7 +136,7 @@
             return steps.Unavailable(
                 "the node is leaving", retry_after_s=DRAINING_RETRY_S
             )
-        record.version = table.configuration.version
+        record.configuration_version = table.configuration.version
         route = table.find(call)
         if isinstance(route, failures.Failure):
             return route
@@ -167,13 +167,13 @@
         request: caller_connections.Request,
         request_id: str,
         failure: failures.Failure,
-        record: journal.Record,
+        record: telemetry.RequestRecord,
         course: courses.Course | None = None,
     ) -> None:
         """Writes an answer of our own."""
         record.outcome = f"{failure.code}: {failure.reason}"
         record.status = failure.status
-        self._journal.note_request(record, course)
+        self._telemetry.record_request(record, course)
         headers = self._codec.encode_failure(request_id, failure)
         await write_whole(
             connection,
@@ -187,7 +187,7 @@
         self, connection: caller_connections.CallerConnection, status: int
     ) -> None:
         """Refuses what could not be read as a request."""
-        self._journal.note_unread(status)
+        self._telemetry.record_invalid_request(status)
         await write_whole(connection, status, [], b"", False)
 
 
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -14,12 +14,12 @@
 from sycamorehollow.model import failures
 from sycamorehollow.settings import gateway
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import peer_news
 from sycamorehollow.shells.gateway import rollout_news
 from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_tasks
+from sycamorehollow.shells.gateway import telemetry
 
 # Time between exchanges of a watcher with another one. A finding takes some of
 # them to reach all, which is a part of the seconds in which a faulty version
@@ -47,7 +47,7 @@
         settings: Settings of the process.
         router: What is kept current.
         codec: Reads and writes the values of the store.
-        log: Takes every change.
+        telemetry_sink: Takes every change.
         source: Source of randomness.
     """
 
@@ -56,13 +56,13 @@
         settings: gateway.Settings,
         router: routers.Router,
         codec: store_codec.StoreCodec,
-        log: journal.Journal,
+        telemetry_sink: telemetry.Telemetry,
         source: random.Random,
     ):
         self.settings = settings
         self._router = router
         self._codec = codec
-        self._journal = log
+        self._telemetry = telemetry_sink
         self._source = source
         self._mirror = mirror.Mirror()
         self._loop = asyncio.get_running_loop()
@@ -131,7 +131,7 @@
                 known = since if isinstance(since, int) else 0
                 answer.set_result(self._collect(known))
             except Exception as error:
-                self._journal.note_fault(f"question of {address}", error)
+                self._telemetry.log_error(f"question of {address}", error)
                 answer.set_exception(error)
 
         self._loop.call_soon_threadsafe(reply)
@@ -141,7 +141,7 @@
         """Does what is due; returns the upstreams that were forgotten."""
         now = time.monotonic()
         for rollout in self._router.rollouts.judge(now):
-            self._journal.note_change(
+            self._telemetry.record_state_change(
                 f"rollout={rollout.order.service}",
                 f"worse: {rollout.reason}",
                 "own evidence",
@@ -169,7 +169,7 @@
             self._watch.active = active
             # A follower does not call the store, so it cannot have lost it.
             self._store_lost = self._store_lost and active
-            self._journal.note_change(
+            self._telemetry.record_state_change(
                 "store",
                 "followed directly" if active else "followed by another node",
                 f"age {self._watchers.measure_age(now):.1f} s",
@@ -215,19 +215,19 @@
             except Exception as error:
                 # The copy has the entry already, so it does not come again;
                 # the entries after it must not be lost with it.
-                self._journal.note_fault(f"entry={entry.key}", error)
+                self._telemetry.log_error(f"entry={entry.key}", error)
 
     def _apply_entry(self, entry: mirror.Entry, source: str) -> None:
         now = time.monotonic()
         for update in self._codec.decode(entry):
             for change in self._router.handle(update, now):
-                self._journal.note_change(
+                self._telemetry.record_state_change(
                     change.subject, change.outcome, source
                 )
 
     def _note_store_back(self) -> None:
         if self._store_lost or not self._listed:
-            self._journal.note_event("store regained")
+            self._telemetry.log_event("store regained")
         now = time.monotonic()
         self._watchers.note_fresh(now)
         if self._store_lost:
@@ -238,7 +238,7 @@
 
     def _note_store_lost(self, failure: failures.Failure) -> None:
         if not self._store_lost:
-            self._journal.note_event(
+            self._telemetry.log_event(
                 "store lost: {} ({})", failure.code, failure.reason
             )
         self._store_lost = True
@@ -263,7 +263,9 @@
         outcome = "written"
         if isinstance(event.result, failures.Failure):
             outcome = f"{event.result.code}: {event.result.reason}"
-        self._journal.note_change(f"key={event.key}", outcome, "own write")
+        self._telemetry.record_state_change(
+            f"key={event.key}", outcome, "own write"
+        )
         own = self.settings.node
         if isinstance(event.result, stores.CallFailure) and event.key.endswith(
             own
@@ -347,7 +349,7 @@
         now = time.monotonic()
         document = peer_news.unpack(payload)
         if not document:
-            self._journal.note_change(
+            self._telemetry.record_state_change(
                 f"peer={address}", "unreadable news", "sync"
             )
             return
@@ -369,7 +371,7 @@
                 mirror.Delta(entries, delta["revision"], delta["whole"])
             )
         except (AttributeError, KeyError, TypeError, ValueError) as error:
-            self._journal.note_change(
+            self._telemetry.record_state_change(
                 f"peer={address}", f"unreadable news: {error!r}", "sync"
             )
             return
--- a/sycamorehollow/shells/gateway/journal.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -14,12 +14,12 @@
 from sycamorehollow.model import forwarding
 
 # Lines per second that are written at most; the others are counted.
-LINES_PER_S = 150.0
-BURST_LINES = 600.0
-LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16)
+MAX_LINES_PER_S = 150.0
+MAX_BURST_LINES = 600.0
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16)
 
 
-class BoundedSink:
+class RateLimitedSink:
     """Writes lines to a descriptor; drops what it cannot take at once.
 
     Args:
@@ -28,7 +28,7 @@
 
     def __init__(self, descriptor: int):
         self._descriptor = descriptor
-        self._tokens = BURST_LINES
+        self._tokens = MAX_BURST_LINES
         self._filled_at = time.monotonic()
         self._dropped = 0
 
@@ -36,7 +36,8 @@
         """Writes one line, or counts it as dropped."""
         now = time.monotonic()
         self._tokens = min(
-            BURST_LINES, self._tokens + (now - self._filled_at) * LINES_PER_S
+            MAX_BURST_LINES,
+            self._tokens + (now - self._filled_at) * MAX_LINES_PER_S,
         )
         self._filled_at = now
         _, writable, _ = select.select([], [self._descriptor], [], 0)
@@ -50,12 +51,12 @@
         os.write(self._descriptor, message.encode("utf-8", "replace"))
 
 
-def configure(node: str) -> None:
+def configure_logging(node: str) -> None:
     """Sends log lines to standard output."""
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node})
     loguru.logger.add(
-        BoundedSink(sys.stdout.fileno()).write,
+        RateLimitedSink(sys.stdout.fileno()).write,
         level="INFO",
         format="{time:HH:mm:ss.SSS} {level} node={extra[node]} {message}",
         backtrace=False,
@@ -63,32 +64,32 @@
 
 
 @dataclasses.dataclass
-class Record:
+class RequestRecord:
     """What the log says of one request.
 
     Attributes:
-        started: Monotonic time of its arrival.
-        version: Version of the configuration that decided.
-        first_s: Seconds to the first byte of the answer.
+        started_at: Monotonic time of its arrival.
+        configuration_version: Version of the configuration that decided.
+        first_byte_s: Seconds to the first byte of the answer.
     """
 
-    started: float
+    started_at: float
     request_id: str = ""
     route: str = ""
     service: str = ""
     workspace: forwarding.Workspace | None = None
-    version: int = 0
+    configuration_version: int = 0
     status: int = 0
-    first_s: float | None = None
+    first_byte_s: float | None = None
     outcome: str = steps.DELIVERED
 
-    def note_first(self, now: float, status: int) -> None:
+    def record_first_byte(self, now: float, status: int) -> None:
         """The first byte of the answer is written."""
         self.status = status
-        self.first_s = now - self.started
+        self.first_byte_s = now - self.started_at
 
 
-class Journal:
+class Telemetry:
     """Writes one line for each request and each changed belief."""
 
     def __init__(self) -> None:
@@ -105,53 +106,55 @@
             ["service"],
             registry=self.registry,
         )
-        self._first = prometheus_client.Histogram(
+        self._first_byte_s = prometheus_client.Histogram(
             "sycamore_first_byte_seconds",
             "Time to the first byte of an answer",
             ["service"],
-            buckets=LATENCY_BUCKETS,
+            buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self._total = prometheus_client.Histogram(
+        self._response_s = prometheus_client.Histogram(
             "sycamore_answer_seconds",
             "Time to the end of an answer",
             ["service"],
-            buckets=LATENCY_BUCKETS,
+            buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self._beliefs = prometheus_client.Counter(
+        self._state_changes = prometheus_client.Counter(
             "sycamore_changes",
             "Changed beliefs",
             ["subject"],
             registry=self.registry,
         )
 
-    def note_fault(self, subject: str, error: Exception) -> None:
+    def log_error(self, subject: str, error: Exception) -> None:
         """An unexpected error ended one piece of work; the process goes on."""
         loguru.logger.opt(exception=error).error("fault in {}", subject)
 
-    def note_request(
-        self, record: Record, course: courses.Course | None
+    def record_request(
+        self, record: RequestRecord, course: courses.Course | None
     ) -> None:
         """A request has ended."""
-        total_s = time.monotonic() - record.started
+        total_s = time.monotonic() - record.started_at
         outcome = record.outcome.partition(":")[0]
         self._requests.labels(record.service, outcome).inc()
-        self._total.labels(record.service).observe(total_s)
+        self._response_s.labels(record.service).observe(total_s)
         tried = ""
         if course is not None:
             self._attempts.labels(record.service).inc(len(course.attempts))
             tried = "; ".join(
                 f"{attempt.state.upstream.identity}"
                 f"@{attempt.state.upstream.version}"
-                f" {attempt.model} +{attempt.sent_at - record.started:.3f}"
-                f" {_describe(attempt, record.started)}"
+                f" {attempt.model} +{attempt.sent_at - record.started_at:.3f}"
+                f" {_describe(attempt, record.started_at)}"
                 for attempt in course.attempts
             )
         first = ""
-        if record.first_s is not None:
-            self._first.labels(record.service).observe(record.first_s)
-            first = f" first_s={record.first_s:.3f}"
+        if record.first_byte_s is not None:
+            self._first_byte_s.labels(record.service).observe(
+                record.first_byte_s
+            )
+            first = f" first_s={record.first_byte_s:.3f}"
         owner = record.workspace.name if record.workspace else ""
         loguru.logger.info(
             "request={} route={} workspace={} config={} service={} status={}"
@@ -159,7 +162,7 @@
             record.request_id,
             record.route,
             owner,
-            record.version,
+            record.configuration_version,
             record.service,
             record.status,
             first,
@@ -168,12 +171,14 @@
             tried,
         )
 
-    def note_unread(self, status: int) -> None:
+    def record_invalid_request(self, status: int) -> None:
         """Bytes of a caller were no request."""
         self._requests.labels("", "unreadable").inc()
         loguru.logger.info("unreadable request, status={}", status)
 
-    def note_change(self, subject: str, outcome: str, source: str) -> None:
+    def record_state_change(
+        self, subject: str, outcome: str, source: str
+    ) -> None:
         """A belief has changed.
 
         Args:
@@ -181,14 +186,14 @@
             outcome: What is believed now.
             source: Where the news came from, with its revision or age.
         """
-        self._beliefs.labels(subject.partition("=")[0]).inc()
+        self._state_changes.labels(subject.partition("=")[0]).inc()
         loguru.logger.info("{} {} source={}", subject, outcome, source)
 
-    def note_event(self, text: str, *values: object) -> None:
+    def log_event(self, text: str, *values: object) -> None:
         """The process starts, stops, reloads, loses or regains something."""
         loguru.logger.info(text, *values)
 
-    def render(self) -> bytes:
+    def render_metrics(self) -> bytes:
         """Returns the measures as text."""
         return prometheus_client.generate_latest(self.registry)
 
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -16,8 +16,8 @@
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import crash_checks
-from sycamorehollow.shells.gateway import journal
+from sycamorehollow.shells.gateway import crash_checker
+from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
 from tests import forwarding_world
 from tests import gateway_world
@@ -228,10 +228,10 @@
             )
         self.upstreams = upstreams
         self.router = forwarding_world.build_router(*upstreams)
-        self.checks = crash_checks.CrashChecks(
+        self.checks = crash_checker.CrashChecker(
             self.router,
             connection_pool.ConnectionPool(mock.Mock()),
-            journal.Journal(),
+            telemetry.Telemetry(),
         )
 
     async def _is_blamed(self):
@@ -241,7 +241,7 @@
             run = "/".join(map(str, upstream.run))
             self.router.poison.note_break("f", run, now)
         await asyncio.sleep(poison.CHECK_AFTER_S)
-        self.checks.tick()
+        self.checks.start_due_checks()
         await asyncio.sleep(0.5)
         return self.router.poison.is_refused("f", time.monotonic())
 
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -14,11 +14,11 @@
 from sycamorehollow.platform import documents
 from sycamorehollow.platform import store_codec
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import journal
 from sycamorehollow.shells.gateway import knowledge
 from sycamorehollow.shells.gateway import peer_link
 from sycamorehollow.shells.gateway import peer_news
 from sycamorehollow.shells.gateway import store_tasks
+from sycamorehollow.shells.gateway import telemetry
 from tests import forwarding_world
 
 ENTRY = json.dumps(
@@ -45,7 +45,7 @@
             settings,
             self.router,
             store_codec.PlatformStoreCodec(),
-            journal.Journal(),
+            telemetry.Telemetry(),
             random.Random(1),
         )
         self.watch = mock.Mock(active=True)
@@ -166,7 +166,7 @@
             forwarding_world.build_settings(node="n8"),
             other,
             store_codec.PlatformStoreCodec(),
-            journal.Journal(),
+            telemetry.Telemetry(),
             random.Random(1),
         )
         follower.deliver(peer_link.PeerAnswered(0, PEER, payload))
