--- a/sycamorehollow/decisions/forwarding/answer_times.py
+++ b/sycamorehollow/decisions/forwarding/answer_times.py
@@ -83,7 +83,7 @@
     """What an attempt is compared by.
 
     Attributes:
-        missing: Prompt tokens that the upstream probably had to read.
+        uncached_tokens: Prompt tokens that the upstream probably had to read.
         share: Share of the new version when it was drawn; 0 if it was not.
     """
 
@@ -138,7 +138,7 @@
             route,
             attempt.model,
             upstream.identity,
-            attempt.missing,
+            attempt.uncached_tokens,
             share,
         )
         return Watch(self, timed, attempt)
@@ -156,7 +156,7 @@
         known = self._histograms.get(_get_pace_key(timed, events))
         if known is not None and known.count >= MIN_ANSWERS:
             return known.find_limit()
-        return timed.route.pause_s or timed.route.objective_s
+        return timed.route.max_event_gap_s or timed.route.objective_s
 
     def note_start(self, timed: Timed, seconds: float) -> None:
         """The first event of an answer, or a whole one, has arrived."""
@@ -175,7 +175,7 @@
         self._count(timed, part, slow)
 
 
-class Watch(steps.Observer):
+class Watch(steps.AttemptObserver):
     """Times one attempt and judges it.
 
     The first event and the pace of some events after it are judged as soon as
@@ -195,9 +195,9 @@
         self._attempt = attempt
         state = attempt.state
         self._warm = not state.is_cold(attempt.sent_at) and (
-            attempt.sent_at - state.known_at >= STARTED_S
+            attempt.sent_at - state.first_seen_at >= STARTED_S
         )
-        self._stream = timed.route.kind is forwarding.Repeatability.STREAM
+        self._stream = timed.route.kind is forwarding.RouteKind.STREAM
         self._first_at: float | None = None
         self._events = 0
         self._paced_at: float | None = None
@@ -205,7 +205,7 @@
         self._judged: set[Part] = set()
         self._ended = False
 
-    def note_event(self, now: float) -> None:
+    def record_event(self, now: float) -> None:
         """An event of a stream has arrived."""
         if not self._warm or not self._stream:
             return
@@ -223,22 +223,22 @@
             if now - self._first_at > limit_s * PACED_EVENTS:
                 self._judge(Part.PACE, True)
 
-    def note_end(self) -> None:
+    def record_end(self) -> None:
         """The attempt may have ended; a second call changes nothing."""
         attempt = self._attempt
-        if self._ended or attempt.ended_by is None or not self._warm:
+        if self._ended or attempt.end_cause is None or not self._warm:
             return
         self._ended = True
         part = Part.START if self._first_at is None else Part.PACE
-        match attempt.ended_by:
-            case steps.Ender.PATIENCE | steps.Ender.DEADLINE:
+        match attempt.end_cause:
+            case steps.EndCause.TIMEOUT | steps.EndCause.DEADLINE:
                 self._judge(part, True)
-            case steps.Ender.CALLER:
+            case steps.EndCause.CALLER:
                 if self._is_late(attempt.ended_at):
                     self._judge(part, True)
-            case steps.Ender.CASCADE:
+            case steps.EndCause.CASCADE:
                 self._judge_start(attempt.ended_at - attempt.sent_at)
-            case steps.Ender.UPSTREAM:
+            case steps.EndCause.UPSTREAM:
                 if attempt.outcome != steps.DELIVERED:
                     return
                 if self._first_at is None:
--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -70,7 +70,7 @@
 
     def find_limit(self) -> str:
         """Returns the rule that forbids any other attempt, if there is one."""
-        if self.ran and not self._route.repeatable:
+        if self.ran and not self._route.is_retryable:
             return "it may have run"
         if self.ran and self.ran >= self._route.max_attempts:
             return "no attempt is left"
--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -26,7 +26,7 @@
     def __init__(
         self,
         router: routers.Router,
-        call: forwarding.Call,
+        call: forwarding.Request,
         service: forwarding.Service,
         session: str,
         body_bytes: int,
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/course.py
@@ -43,14 +43,14 @@
     Attributes:
         deadline: Monotonic time at which its final answer is due.
         attempts: What was tried.
-        last_event: Last event that the caller has.
+        last_event_id: Last event that the caller has.
         replacement: Where it would go on.
     """
 
     def __init__(
         self,
         router: routers.Router,
-        call: forwarding.Call,
+        call: forwarding.Request,
         route: forwarding.Route,
         service: forwarding.Service,
         fingerprint: str,
@@ -63,7 +63,7 @@
         self.service = service
         self.arrived = now
         self.attempts: list[steps.Attempt] = []
-        self.last_event = call.last_event
+        self.last_event = call.last_event_id
         self._router = router
         self._fingerprint = fingerprint
         left_s = route.timeout_s
@@ -74,7 +74,7 @@
             route, service.name, router.budget
         )
         self._candidates = candidates.Candidates(
-            router, call, service, call.find_session(route), body_bytes
+            router, call, service, call.get_affinity_key(route), body_bytes
         )
         self._escalation = escalation.Escalation(
             router, call, route, service.name, self._candidates
@@ -84,7 +84,7 @@
         )
         # Whether the answer of a smaller model was dropped for a larger one.
         self._dropped = False
-        if route.models and call.open_model:
+        if route.models and call.any_model:
             self._candidates.model = cascade.choose_first(route)
         self._ticket = router.turns.issue(route.priority, workspace, now)
         router.budget.note_fresh(service.name, now)
@@ -111,16 +111,16 @@
     def find_step(self, now: float) -> steps.Step:
         """Returns what to do next while no attempt is open."""
         if self.deadline - now < MIN_LEFT_S:
-            return steps.Refuse(self._build_failure("its time is over", now))
+            return steps.Reject(self._build_failure("its time is over", now))
         limit = self.replacement.find_limit(now)
         if limit:
-            return steps.Refuse(self._build_failure(limit, now))
+            return steps.Reject(self._build_failure(limit, now))
         shortage = self._limits.find_shortage(now)
         if shortage and self._owes_answer:
             self._limits.forgive()
             return steps.Wait(min(SHORTAGE_PAUSE_S, self.deadline - now))
         if shortage:
-            return steps.Refuse(self._build_failure(shortage, now))
+            return steps.Reject(self._build_failure(shortage, now))
         work = self._candidates.build_work(now)
         choice = self._router.placement.choose(work, now)
         if choice.state is not None and self._takes_turn(work, choice, now):
@@ -144,7 +144,7 @@
         reason = choice.reason
         if choice.state is not None:
             reason = "others wait for the room that is left"
-        return steps.Refuse(self._build_failure(reason, now))
+        return steps.Reject(self._build_failure(reason, now))
 
     def give_up(self, now: float) -> steps.Step:
         """Ends the open attempt if that leads somewhere.
@@ -155,14 +155,14 @@
         """
         left_s = self.deadline - now
         if left_s < MIN_LEFT_S:
-            self._note_failed(steps.Ender.DEADLINE, SILENT, now)
-            return steps.Refuse(self._build_failure("its time is over", now))
+            self._note_failed(steps.EndCause.DEADLINE, SILENT, now)
+            return steps.Reject(self._build_failure("its time is over", now))
         attempt = self.attempts[-1]
         choice = self.replacement.choose_sound(attempt, left_s, now)
         if choice.state is None:
-            attempt.kept_for = choice.reason
+            attempt.keep_reason = choice.reason
             return steps.Wait(min(patience.LOOK_S, left_s))
-        self._note_failed(steps.Ender.PATIENCE, SILENT, now)
+        self._note_failed(steps.EndCause.TIMEOUT, SILENT, now)
         return self._send(choice, now)
 
     def _takes_turn(
@@ -183,7 +183,9 @@
         if not self.replacement.is_possible:
             return left_s
         attempt = self.attempts[-1]
-        if (self.delivering or attempt.answered) and self.route.pause_s > 0:
+        if (
+            self.delivering or attempt.response_accepted
+        ) and self.route.max_event_gap_s > 0:
             patience_s = patience.measure_stream(
                 self.route, attempt, self._limits.is_last_next, now
             )
@@ -203,10 +205,10 @@
         attempt.state.probed_at = now
         return True
 
-    def choose_witness(self, now: float) -> directory.State | None:
+    def choose_witness(self, now: float) -> directory.UpstreamState | None:
         """Returns another upstream that tells whether this node is cut off."""
         silent = self.attempts[-1].state
-        return self._router.directory.choose_witness(
+        return self._router.directory.choose_reference(
             silent, patience.PROBE_S, now
         )
 
@@ -214,12 +216,12 @@
         """The silent upstream, and another one if `cut_off`, is not reached."""
         attempt = self.attempts[-1]
         if cut_off:
-            attempt.cut_off_at = now
+            attempt.isolated_at = now
             return
-        directory.note_dark(attempt.state, now)
+        directory.record_unreachable(attempt.state, now)
 
     def judge_head(
-        self, head: forwarding.AnswerHead, now: float, sent_twice: bool = False
+        self, head: forwarding.DecodedHead, now: float, sent_twice: bool = False
     ) -> steps.Verdict:
         """Decides whether an answer is passed on.
 
@@ -230,15 +232,17 @@
                 before, which broke.
         """
         attempt = self.attempts[-1]
-        attempt.end_reading()
-        attempt.heard_at = now
-        attempt.state.passed_at = max(attempt.state.passed_at, attempt.sent_at)
+        attempt.release_backlog()
+        attempt.last_byte_at = now
+        attempt.state.latest_served_sent_at = max(
+            attempt.state.latest_served_sent_at, attempt.sent_at
+        )
         failed = not head.not_run and (head.status >= 500 or head.encoded)
-        directory.note_answer(attempt.state, head, failed, now)
+        directory.record_response(attempt.state, head, failed, now)
         if head.not_run:
-            attempt.end_answered(f"refused with {head.status}", now)
+            attempt.end_by_upstream(f"refused with {head.status}", now)
             self._limits.note_refused(sent_twice)
-            return steps.Verdict.AGAIN
+            return steps.Verdict.RETRY
         upstream = attempt.state.upstream
         self._router.rollouts.note_answer(
             self.service.name, upstream.version, failed
@@ -246,30 +250,30 @@
         self._router.placement.pace.note(
             upstream.identity,
             attempt.model,
-            attempt.missing,
+            attempt.uncached_tokens,
             now - attempt.sent_at,
             now,
         )
         if self.delivering and head.status != STREAM_STATUS:
             # The caller has the head of another answer already.
             self._candidates.sound = False
-            attempt.end_answered(f"did not go on, {head.status}", now)
-            return steps.Verdict.AGAIN
+            attempt.end_by_upstream(f"did not go on, {head.status}", now)
+            return steps.Verdict.RETRY
         if head.encoded or (head.status < 300 and not head.sealed):
-            attempt.end_answered("not the upstream's answer", now)
-            return steps.Verdict.AGAIN
+            attempt.end_by_upstream("not the upstream's answer", now)
+            return steps.Verdict.RETRY
         if head.status >= 500:
             self._candidates.sound = False
-            attempt.end_answered(f"failed with {head.status}", now)
+            attempt.end_by_upstream(f"failed with {head.status}", now)
             left_s = self.deadline - now
             other = self.replacement.choose(attempt, left_s, now).state
             if head.status == 503 or other is not None:
-                return steps.Verdict.AGAIN
+                return steps.Verdict.RETRY
             return steps.Verdict.DELIVER
         if self.delivering or not self._escalate(attempt, head.confidence, now):
-            attempt.answered = True
+            attempt.response_accepted = True
             return steps.Verdict.DELIVER
-        return steps.Verdict.AGAIN
+        return steps.Verdict.RETRY
 
     def note_broken(self, reason: str, written: bool, now: float) -> None:
         """The attempt's connection could not be made or broke.
@@ -280,49 +284,49 @@
             now: Monotonic time in seconds.
         """
         if written:
-            self._note_failed(steps.Ender.UPSTREAM, reason, now)
+            self._note_failed(steps.EndCause.UPSTREAM, reason, now)
             return
         attempt = self.attempts[-1]
-        attempt.end(steps.Ender.UPSTREAM, reason, now)
+        attempt.end(steps.EndCause.UPSTREAM, reason, now)
         self._candidates.sound = False
         self._limits.note_unreached()
-        directory.note_broken(attempt.state, now)
+        directory.record_connection_failure(attempt.state, now)
 
     def _note_failed(
-        self, ender: steps.Ender, outcome: str, now: float
+        self, cause: steps.EndCause, outcome: str, now: float
     ) -> None:
         attempt = self.attempts[-1]
-        attempt.end(ender, outcome, now)
+        attempt.end(cause, outcome, now)
         self._candidates.sound = False
-        directory.note_outcome(attempt.state, True)
-        if attempt.state.heard_at < attempt.sent_at:
-            directory.note_broken(attempt.state, now)
+        directory.record_outcome(attempt.state, True)
+        if attempt.state.last_byte_at < attempt.sent_at:
+            directory.record_connection_failure(attempt.state, now)
 
     def note_crash(self, now: float) -> None:
         """The upstream broke the connection while it ran the request."""
         if self.attempts[-1].state.upstream.draining:
             # One that leaves by plan closes its connections.
             return
-        run = "/".join(map(str, self.attempts[-1].state.upstream.run))
+        run = "/".join(map(str, self.attempts[-1].state.upstream.incarnation))
         self._router.poison.note_break(self._fingerprint, run, now)
 
     def note_bytes(self, now: float) -> None:
         """More of the answer has arrived."""
-        self.attempts[-1].note_event(now)
+        self.attempts[-1].record_event(now)
 
     def note_stopped(
-        self, ender: steps.Ender, outcome: str, now: float
+        self, cause: steps.EndCause, outcome: str, now: float
     ) -> None:
         """The request ended without an answer of an upstream or of our own."""
         self._router.turns.leave(self._ticket)
         if not self.attempts:
             return
-        if self.attempts[-1].ended_by is None:
-            self.attempts[-1].end(ender, outcome, now)
+        if self.attempts[-1].end_cause is None:
+            self.attempts[-1].end(cause, outcome, now)
 
     def note_end(self, now: float) -> None:
         """The answer has been delivered whole."""
-        self.attempts[-1].end(steps.Ender.UPSTREAM, steps.DELIVERED, now)
+        self.attempts[-1].end(steps.EndCause.UPSTREAM, steps.DELIVERED, now)
         self._router.poison.note_success(self._fingerprint, now)
 
     def _send(self, choice: placement.Choice, now: float) -> steps.Send:
@@ -347,8 +351,8 @@
         expected_s = self._router.placement.pace.estimate(
             upstream.identity, self._candidates.model, missing, now
         )
-        waiting_s = expected_s + state.reading_s
-        state.reading_s += expected_s
+        waiting_s = expected_s + state.backlog_s
+        state.backlog_s += expected_s
         self.attempts.append(
             steps.Attempt(
                 state,
@@ -379,7 +383,7 @@
         if not decision.model or self.replacement.find_barrier(now):
             return False
         outcome = f"dropped at {confidence}, {decision.reason}"
-        attempt.end(steps.Ender.CASCADE, outcome, now)
+        attempt.end(steps.EndCause.CASCADE, outcome, now)
         self._candidates.model = decision.model
         self._candidates.forget_tried()
         self._dropped = True
@@ -389,9 +393,9 @@
         if self._limits.ran:
             if self.deadline - now < MIN_LEFT_S:
                 return steps.TimedOut(reason, failures.Execution.UNKNOWN)
-            return steps.UpstreamBroke(reason, failures.Execution.UNKNOWN)
+            return steps.BadGateway(reason, failures.Execution.UNKNOWN)
         if reason == replacement.BLAMED:
-            return steps.UpstreamBroke(reason)
+            return steps.BadGateway(reason)
         after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
         return steps.Unavailable(
             reason, failures.Execution.NOT_STARTED, after_s
--- a/sycamorehollow/decisions/forwarding/escalation.py
+++ b/sycamorehollow/decisions/forwarding/escalation.py
@@ -28,7 +28,7 @@
     def __init__(
         self,
         router: routers.Router,
-        call: forwarding.Call,
+        call: forwarding.Request,
         route: forwarding.Route,
         service: str,
         upstreams: candidates.Candidates,
--- a/sycamorehollow/decisions/forwarding/patience.py
+++ b/sycamorehollow/decisions/forwarding/patience.py
@@ -49,7 +49,10 @@
     last_s = max(
         route.objective_s * STUCK_SHARE, attempt.expected_s * STUCK_EXPECTED
     )
-    passed = not last and attempt.state.passed_at > attempt.sent_at + PASSED_S
+    passed = (
+        not last
+        and attempt.state.latest_served_sent_at > attempt.sent_at + PASSED_S
+    )
     return _measure(attempt, attempt.sent_at, first_s, last_s, passed, now)
 
 
@@ -64,17 +67,17 @@
         last: Whether the attempt that would follow is the last one.
         now: Monotonic time in seconds.
     """
-    first_s = route.pause_s * PASSED_PAUSES
-    last_s = route.pause_s * STUCK_PAUSES
-    heard_at = attempt.state.heard_at
-    passed = not last and heard_at > attempt.heard_at + PASSED_S
-    return _measure(attempt, attempt.heard_at, first_s, last_s, passed, now)
+    first_s = route.max_event_gap_s * PASSED_PAUSES
+    last_s = route.max_event_gap_s * STUCK_PAUSES
+    heard_at = attempt.state.last_byte_at
+    passed = not last and heard_at > attempt.last_byte_at + PASSED_S
+    return _measure(attempt, attempt.last_byte_at, first_s, last_s, passed, now)
 
 
 def is_silent(attempt: steps.Attempt, now: float) -> bool:
     """Tells whether to check that the upstream can be reached."""
     state = attempt.state
-    since = max(attempt.heard_at, state.heard_at, state.probed_at)
+    since = max(attempt.last_byte_at, state.last_byte_at, state.probed_at)
     return now - since >= PROBE_S
 
 
@@ -97,11 +100,11 @@
         now: Monotonic time in seconds.
     """
     waited_s = now - since
-    if attempt.state.is_dark() and attempt.state.dark_at > since:
+    if attempt.state.is_unreachable() and attempt.state.unreachable_at > since:
         return 0.0
     if waited_s < first_s - MIN_WAIT_S:
         return min(first_s - waited_s, LOOK_S)
-    if not passed and now - attempt.cut_off_at < CUT_OFF_S:
+    if not passed and now - attempt.isolated_at < CUT_OFF_S:
         # Another upstream could not be reached either.
         return LOOK_S
     if passed or waited_s >= last_s:
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -57,7 +57,7 @@
         excluded: Upstreams that have had it already.
     """
 
-    call: forwarding.Call
+    call: forwarding.Request
     service: forwarding.Service
     body_bytes: int = 0
     model: str = ""
@@ -82,7 +82,7 @@
         expected_s: Expected time to the first byte in seconds.
     """
 
-    state: directory.State | None
+    state: directory.UpstreamState | None
     reason: str
     known: int
     free: int = 0
@@ -159,7 +159,7 @@
         if not open_ones:
             return Choice(None, "all upstreams are full", len(candidates))
         # A blocked upstream may be back; it is better than none.
-        sound = [s for s in open_ones if not s.is_blocked(now)] or open_ones
+        sound = [s for s in open_ones if not s.is_backing_off(now)] or open_ones
         home = self._find_home(sound, work)
         costs: Mapping[str, float] = {
             state.upstream.identity: self._measure(state, work, home, now)
@@ -184,7 +184,9 @@
         places = sum(max(1, state.upstream.slots) for state in usable)
         return taken / places
 
-    def _list_candidates(self, work: Work, now: float) -> list[directory.State]:
+    def _list_candidates(
+        self, work: Work, now: float
+    ) -> list[directory.UpstreamState]:
         usable = self._directory.list_usable(work.service.name, now)
         found = []
         for state in usable:
@@ -200,16 +202,18 @@
             found.append(state)
         return found
 
-    def _has_room(self, state: directory.State, work: Work, now: float) -> bool:
+    def _has_room(
+        self, state: directory.UpstreamState, work: Work, now: float
+    ) -> bool:
         if state.is_full(now):
             return False
-        rate = work.service.cold_per_s
+        rate = work.service.cold_requests_per_s
         if rate <= 0 or not state.is_cold(now):
             return True
         return self._limits.may_send(state.upstream.identity, rate, now)
 
     def _find_home(
-        self, states: list[directory.State], work: Work
+        self, states: list[directory.UpstreamState], work: Work
     ) -> str | None:
         """Returns the first choice for the shared part of the prompt."""
         parts = work.call.prompt_parts
@@ -225,7 +229,7 @@
 
     def _measure(
         self,
-        state: directory.State,
+        state: directory.UpstreamState,
         work: Work,
         home: str | None,
         now: float,
@@ -243,21 +247,21 @@
         missing = max(0, call.prompt_tokens - kept)
         cost = self.pace.estimate(identity, work.model, missing, now)
         cost += MISS_WEIGHT * missing / READ_TOKENS_PER_S
-        cost += READING_WEIGHT * state.reading_s
+        cost += READING_WEIGHT * state.backlog_s
         cost *= 1 + taken + 4 * max(0.0, taken - 0.8)
         cost *= 1 + FAILURE_COST * state.failure_rate
         cost *= 1 + JITTER * self._source.random()
-        cost += BROKEN_S * min(state.failures, MAX_BROKEN)
+        cost += BROKEN_S * min(state.connection_failures, MAX_BROKEN)
         if state.upstream.data_centre != self._data_centre:
             cost += CROSSING_S + CROSSING_S_PER_BYTE * work.body_bytes
         return cost
 
 
-def occupancy(state: directory.State, now: float) -> float:
+def occupancy(state: directory.UpstreamState, now: float) -> float:
     """Returns how many requests are probably at an upstream."""
     if state.load is None:
         return float(state.running)
-    others = state.load.running + state.load.waiting - state.load_running
+    others = state.load.running + state.load.waiting - state.running_at_load
     weight = 0.5 ** ((now - state.load_at) / LOAD_HALF_LIFE_S)
     return state.running + max(0, others) * weight
 
--- a/sycamorehollow/decisions/forwarding/replacement.py
+++ b/sycamorehollow/decisions/forwarding/replacement.py
@@ -78,8 +78,8 @@
         """As `choose`, but no upstream that is worse off than a silent one."""
         choice = self.choose(attempt, left_s, now)
         other = choice.state
-        if other is None or attempt.state.is_dark():
+        if other is None or attempt.state.is_unreachable():
             return choice
-        if other.is_dark() or other.is_blocked(now):
+        if other.is_unreachable() or other.is_backing_off(now):
             return placement.Choice(None, "no other can be reached", 0)
         return choice
--- a/sycamorehollow/decisions/forwarding/route_table.py
+++ b/sycamorehollow/decisions/forwarding/route_table.py
@@ -23,7 +23,7 @@
         return self._configuration
 
     def find(
-        self, call: forwarding.Call
+        self, call: forwarding.Request
     ) -> forwarding.Route | failures.NotFound:
         """Returns the route of a request."""
         for route in self._routes.get(call.host, ()):
@@ -32,14 +32,14 @@
         return failures.NotFound(f"no route for {call.host}{call.path}")
 
     def authorize(
-        self, call: forwarding.Call, route: forwarding.Route
+        self, call: forwarding.Request, route: forwarding.Route
     ) -> forwarding.Workspace | failures.Unauthorized | None:
         """Returns the owner of the key; `None` where no key is needed."""
         workspaces = self._configuration.workspaces
         if workspaces is None:
             return None
         owner = workspaces.get(call.api_key) if call.api_key else None
-        if owner is None and not route.open:
+        if owner is None and not route.auth_exempt:
             return failures.Unauthorized("the API key is missing or unknown")
         return owner
 
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -54,7 +54,7 @@
         self.source = source
         self.table: route_table.RouteTable | None = None
         self.directory = directory.Directory(
-            min(directory.RETURN_S, settings.drain_s)
+            min(directory.REREGISTRATION_S, settings.drain_s)
         )
         self.limits = cold_limits.ColdLimits(
             settings.node, settings.cold_factor, settings.cold_floor
@@ -121,7 +121,7 @@
     def sweep(self, now: float) -> list[str]:
         """Forgets what is gone; returns the identities of upstreams."""
         self.turns.sweep(now)
-        gone = self.directory.sweep(now)
+        gone = self.directory.evict_expired(now)
         for identity in gone:
             self._forget(identity)
         return gone
@@ -190,7 +190,7 @@
     ) -> list[Change]:
         known = self.directory.get(upstream.identity)
         before = known.upstream if known is not None else None
-        if before is not None and before.run != upstream.run:
+        if before is not None and before.incarnation != upstream.incarnation:
             self._forget(upstream.identity)
         state = self.directory.register(upstream, now)
         if before == upstream:
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -20,7 +20,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class UpstreamBroke(failures.Failure):
+class BadGateway(failures.Failure):
     """An attempt broke off; it may have run."""
 
     code = "upstream_broke"
@@ -39,7 +39,7 @@
 class Send:
     """Sends the request to an upstream."""
 
-    state: directory.State
+    state: directory.UpstreamState
     model: str
     left_s: float
     reason: str
@@ -53,42 +53,42 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Refuse:
+class Reject:
     """Ends the request with a failure of our own."""
 
     failure: failures.Failure
 
 
-Step = Send | Wait | Refuse
+Step = Send | Wait | Reject
 
 
 class Verdict(enum.Enum):
     """What to do with the head of an answer."""
 
     DELIVER = "deliver"
-    AGAIN = "again"
+    RETRY = "again"
 
 
-class Ender(enum.Enum):
+class EndCause(enum.Enum):
     """Who ended an attempt."""
 
     UPSTREAM = "upstream"
-    PATIENCE = "patience"
+    TIMEOUT = "patience"
     DEADLINE = "deadline"
     CASCADE = "cascade"
     CALLER = "caller"
     FAULT = "fault"
 
 
-class Observer(abc.ABC):
+class AttemptObserver(abc.ABC):
     """Is told how an attempt goes on."""
 
     @abc.abstractmethod
-    def note_event(self, now: float) -> None:
+    def record_event(self, now: float) -> None:
         """A part of the answer has arrived."""
 
     @abc.abstractmethod
-    def note_end(self) -> None:
+    def record_end(self) -> None:
         """The attempt has ended; a second call changes nothing."""
 
 
@@ -98,62 +98,62 @@
 
     Attributes:
         observer: Is told of its answer; `None` for nobody.
-        answered: Whether the head of its answer was accepted.
+        response_accepted: Whether the head of its answer was accepted.
         sent_at: When it was sent.
-        missing: Prompt tokens that the upstream probably had to read.
+        uncached_tokens: Prompt tokens that the upstream probably had to read.
         expected_s: Expected seconds until it begins to answer.
-        heard_at: When its last byte arrived.
-        reading_s: Seconds for which it counts among what the upstream has to
+        last_byte_at: When its last byte arrived.
+        backlog_s: Seconds for which it counts among what the upstream has to
             read; 0 once it answers.
-        cut_off_at: When a check last found that no upstream could be reached
+        isolated_at: When a check last found that no upstream could be reached
             from here.
-        kept_for: Why it was not given up when its upstream was silent; empty
+        keep_reason: Why it was not given up when its upstream was silent; empty
             if that was not asked.
-        ended_by: Who ended it; `None` while it is open.
+        end_cause: Who ended it; `None` while it is open.
         ended_at: When it ended.
     """
 
-    state: directory.State
+    state: directory.UpstreamState
     model: str
     sent_at: float
-    missing: int
+    uncached_tokens: int
     expected_s: float
-    heard_at: float
-    reading_s: float
-    observer: Observer | None = None
-    answered: bool = False
+    last_byte_at: float
+    backlog_s: float
+    observer: AttemptObserver | None = None
+    response_accepted: bool = False
     outcome: str = "open"
-    cut_off_at: float = float("-inf")
-    kept_for: str = ""
-    ended_by: Ender | None = None
+    isolated_at: float = float("-inf")
+    keep_reason: str = ""
+    end_cause: EndCause | None = None
     ended_at: float = float("-inf")
 
-    def end(self, ender: Ender, outcome: str, now: float) -> None:
+    def end(self, cause: EndCause, outcome: str, now: float) -> None:
         """Keeps who ended the attempt and how."""
-        self.end_reading()
-        self.ended_by = ender
+        self.release_backlog()
+        self.end_cause = cause
         self.ended_at = now
         self.outcome = outcome
         if self.observer is not None:
-            self.observer.note_end()
+            self.observer.record_end()
 
-    def note_event(self, now: float) -> None:
+    def record_event(self, now: float) -> None:
         """A part of its answer has arrived."""
-        self.heard_at = now
-        self.state.heard_at = now
+        self.last_byte_at = now
+        self.state.last_byte_at = now
         if self.observer is not None:
-            self.observer.note_event(now)
+            self.observer.record_event(now)
 
-    def end_answered(self, outcome: str, now: float) -> None:
+    def end_by_upstream(self, outcome: str, now: float) -> None:
         """Its upstream has answered."""
-        self.end(Ender.UPSTREAM, outcome, now)
+        self.end(EndCause.UPSTREAM, outcome, now)
 
-    def end_reading(self) -> None:
+    def release_backlog(self) -> None:
         """Counts no longer among what the upstream has to read."""
-        self.state.reading_s -= self.reading_s
-        self.reading_s = 0.0
+        self.state.backlog_s -= self.backlog_s
+        self.backlog_s = 0.0
 
     @property
     def silent_s(self) -> float:
         """Seconds between the last part of its answer and its end."""
-        return max(0.0, self.ended_at - self.heard_at)
+        return max(0.0, self.ended_at - self.last_byte_at)
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -5,7 +5,7 @@
 import enum
 
 
-class Repeatability(enum.Enum):
+class RouteKind(enum.Enum):
     """What a route allows when an attempt has failed."""
 
     SAFE = "safe"
@@ -32,35 +32,36 @@
             for full value.
         priority: 0 is the most urgent.
         max_attempts: Upstreams on which one request may run.
-        open: Whether no API key is needed.
+        auth_exempt: Whether no API key is needed.
         resumable: Whether a broken stream may go on at another upstream.
-        sticky: Whether requests share parts of their prompts.
+        session_affinity: Whether requests share parts of their prompts.
         models: Models to choose from, smallest first; empty when the caller
             names the model.
-        pause_s: Longest pause in seconds between events of a timely stream.
+        max_event_gap_s: Longest pause between the events of a stream that
+            meets its objective.
     """
 
     name: str
     host: str
     path_prefix: str
-    kind: Repeatability
+    kind: RouteKind
     timeout_s: float
     objective_s: float
     priority: int
     targets: tuple[Target, ...]
     max_attempts: int
-    open: bool = False
+    auth_exempt: bool = False
     resumable: bool = False
-    sticky: bool = False
+    session_affinity: bool = False
     models: tuple[str, ...] = ()
-    pause_s: float = 0.0
+    max_event_gap_s: float = 0.0
 
     @property
-    def repeatable(self) -> bool:
+    def is_retryable(self) -> bool:
         """Whether a request may run a second time."""
-        if self.kind is Repeatability.STREAM:
+        if self.kind is RouteKind.STREAM:
             return self.resumable
-        return self.kind is Repeatability.SAFE
+        return self.kind is RouteKind.SAFE
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,13 +70,13 @@
 
     Attributes:
         max_connections: Connections that an upstream takes from all callers.
-        cold_per_s: Requests per second that a cold upstream tolerates; 0 when
-            its upstreams start warm.
+        cold_requests_per_s: Request rate that a cold upstream tolerates; 0 if
+            the upstreams start warm.
     """
 
     name: str
     max_connections: int
-    cold_per_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,7 +148,7 @@
     models: tuple[str, ...] = ()
 
     @property
-    def run(self) -> tuple[str, int]:
+    def incarnation(self) -> tuple[str, int]:
         """Identifies one run of the upstream."""
         return self.identity, self.started_ms
 
@@ -194,20 +195,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Call:
+class Request:
     """A caller's request, decoded.
 
     Attributes:
         request_id: Unique per attempt of the caller.
         deadline_s: Seconds that the caller waits; `None` when not stated.
         api_key: Key without its scheme; empty when missing.
-        open_model: Whether the caller leaves the choice of the model open.
+        any_model: Whether the caller leaves the choice of the model open.
         prompt_tokens: 0 for a request that is no generation.
         output_tokens: Upper bound of the tokens to generate.
         prompt_parts: Parts of the prompt in order; the last one is the
             request's own or its session's.
         session: Ties requests together; empty for none.
-        last_event: Last event of a stream that the caller already has.
+        last_event_id: Last event of a stream that the caller already has.
     """
 
     request_id: str
@@ -216,18 +217,18 @@
     path: str
     deadline_s: float | None
     api_key: str = ""
-    open_model: bool = False
+    any_model: bool = False
     prompt_tokens: int = 0
     output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     session: str = ""
-    last_event: str = ""
+    last_event_id: str = ""
 
-    def find_session(self, route: Route) -> str:
+    def get_affinity_key(self, route: Route) -> str:
         """Returns what ties requests to each other, or its own identity."""
         if self.session:
             return self.session
-        if route.sticky and self.prompt_parts:
+        if route.session_affinity and self.prompt_parts:
             return self.prompt_parts[-1].identity
         return self.request_id
 
@@ -242,7 +243,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AnswerHead:
+class DecodedHead:
     """The head of an upstream's answer, decoded.
 
     Attributes:
@@ -253,7 +254,7 @@
         encoded: Whether the body was changed on its way.
         confidence: The model's opinion of its answer, 0 to 100.
         load: `None` when the upstream does not say.
-        idle_s: Seconds for which the upstream keeps an idle connection.
+        keep_alive_s: Seconds for which the upstream keeps an idle connection.
         cold_s: Seconds for which it stays cold; `None` when it does not say.
     """
 
@@ -265,5 +266,5 @@
     encoded: bool = False
     confidence: int | None = None
     load: Load | None = None
-    idle_s: float | None = None
+    keep_alive_s: float | None = None
     cold_s: float | None = None
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -19,9 +19,9 @@
 NODE_PREFIX = "nodes/"
 
 _KINDS = {
-    "safe": forwarding.Repeatability.SAFE,
-    "unsafe": forwarding.Repeatability.UNSAFE,
-    "streaming": forwarding.Repeatability.STREAM,
+    "safe": forwarding.RouteKind.SAFE,
+    "unsafe": forwarding.RouteKind.UNSAFE,
+    "streaming": forwarding.RouteKind.STREAM,
 }
 _STATES = {"ready": False, "draining": True}
 
@@ -255,11 +255,11 @@
         priority=route.priority,
         targets=targets,
         max_attempts=route.maxAttempts,
-        open=route.authExempt,
+        auth_exempt=route.authExempt,
         resumable=route.streamResumption,
-        sticky=route.sessionAffinity,
+        session_affinity=route.sessionAffinity,
         models=tuple(route.sizes),
-        pause_s=route.targetGapMs / 1000,
+        max_event_gap_s=route.targetGapMs / 1000,
     )
 
 
@@ -267,7 +267,7 @@
     return forwarding.Service(
         name=service.name,
         max_connections=service.maxConnections,
-        cold_per_s=service.coldPerS,
+        cold_requests_per_s=service.coldPerS,
     )
 
 
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -35,7 +35,7 @@
 
     def decode_request(
         self, method: str, target: str, headers: header_codec.Headers
-    ) -> forwarding.Call | failures.InvalidRequest:
+    ) -> forwarding.Request | failures.InvalidRequest:
         """Decodes the head of a caller's request."""
         fields = _index(headers)
         request_id = fields.get(b"request-id", b"").decode("latin-1")
@@ -45,19 +45,19 @@
         deadline_ms = _read_number(fields.get(b"request-deadline"))
         tokens = fields.get(b"token-counts", b"").split(b",")
         parts = _read_parts(fields.get(b"prompt-prefix", b""))
-        return forwarding.Call(
+        return forwarding.Request(
             request_id=request_id,
             method=method,
             host=host.partition(":")[0],
             path=target.partition("?")[0],
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             api_key=_read_key(fields.get(b"authorization", b"")),
-            open_model=fields.get(b"model") == _ANY_MODEL,
+            any_model=fields.get(b"model") == _ANY_MODEL,
             prompt_tokens=int(_read_number(tokens[0]) or 0),
             output_tokens=int(_read_number(tokens[-1]) or 0),
             prompt_parts=parts,
             session=fields.get(b"session", b"").decode("latin-1"),
-            last_event=fields.get(b"last-event-id", b"").decode("latin-1"),
+            last_event_id=fields.get(b"last-event-id", b"").decode("latin-1"),
         )
 
     def encode_attempt(
@@ -96,13 +96,13 @@
 
     def decode_response(
         self, status: int, headers: header_codec.Headers
-    ) -> forwarding.AnswerHead:
+    ) -> forwarding.DecodedHead:
         """Decodes the head of an upstream's answer."""
         fields = _index(headers)
         confidence = _read_number(fields.get(b"hint-confidence"))
         idle = _KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))
         cold_ms = _read_number(fields.get(b"cold-remaining"))
-        return forwarding.AnswerHead(
+        return forwarding.DecodedHead(
             status=status,
             request_id=fields.get(b"request-id", b"").decode("latin-1"),
             sealed=b"response-seal" in fields,
@@ -111,7 +111,7 @@
             encoded=b"content-encoding" in fields,
             confidence=None if confidence is None else int(confidence),
             load=_read_load(fields.get(b"replica-load")),
-            idle_s=float(idle[1]) if idle else None,
+            keep_alive_s=float(idle[1]) if idle else None,
             cold_s=None if cold_ms is None else cold_ms / 1000,
         )
 
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/answer_relay.py
@@ -78,7 +78,7 @@
         """
         step = self._course.find_step(time.monotonic())
         while True:
-            if isinstance(step, steps.Refuse):
+            if isinstance(step, steps.Reject):
                 return step.failure
             if isinstance(step, steps.Wait):
                 await asyncio.sleep(step.seconds)
@@ -103,7 +103,7 @@
             connection = await self._pool.take(
                 upstream,
                 self._course.call.request_id,
-                self._course.route.repeatable,
+                self._course.route.is_retryable,
             )
             connection.send(self._course.call.request_id, self._format(step))
             head = await self._wait_for(connection, connection.read_head)
@@ -214,7 +214,7 @@
     ) -> None:
         """Passes an answer on to the caller."""
         kind = self._course.route.kind
-        stream = kind is forwarding.Repeatability.STREAM and head.status == 200
+        stream = kind is forwarding.RouteKind.STREAM and head.status == 200
         if stream:
             await self._deliver_events(connection, head)
             return
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        decode: Callable[[int, header_codec.Headers], forwarding.AnswerHead],
+        decode: Callable[[int, header_codec.Headers], forwarding.DecodedHead],
         spend_repeat: Callable[[forwarding.Upstream], bool] = lambda _: False,
         return_repeat: Callable[[forwarding.Upstream], None] = lambda _: None,
     ):
--- a/sycamorehollow/shells/gateway/crash_checker.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -70,10 +70,13 @@
             f"check, the upstream {outcome}",
         )
 
-    def _find(self, run: str) -> directory.State | None:
+    def _find(self, run: str) -> directory.UpstreamState | None:
         """Returns a run's upstream unless it is forgotten or replaced."""
         identity = run.rpartition("/")[0]
         state = self._router.directory.get(identity)
-        if state is None or "/".join(map(str, state.upstream.run)) != run:
+        if (
+            state is None
+            or "/".join(map(str, state.upstream.incarnation)) != run
+        ):
             return None
         return state
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -86,7 +86,7 @@
         except (asyncio.CancelledError, caller_connections.CallerGoneError):
             record.outcome = "caller left"
             course.note_stopped(
-                steps.Ender.CALLER, "the caller left", time.monotonic()
+                steps.EndCause.CALLER, "the caller left", time.monotonic()
             )
             self._telemetry.record_request(record, course)
             raise
@@ -94,7 +94,9 @@
             # The connection is closed by whoever reads from it.
             record.outcome = f"fault: {error!r}"
             course.note_stopped(
-                steps.Ender.FAULT, "an error in this process", time.monotonic()
+                steps.EndCause.FAULT,
+                "an error in this process",
+                time.monotonic(),
             )
             self._telemetry.record_request(record, course)
             raise
@@ -120,7 +122,7 @@
 
     def _admit(
         self,
-        call: forwarding.Call,
+        call: forwarding.Request,
         request: caller_connections.Request,
         record: telemetry.RequestRecord,
         now: float,
@@ -192,7 +194,7 @@
 
 
 def compute_fingerprint(
-    call: forwarding.Call,
+    call: forwarding.Request,
     workspace: forwarding.Workspace | None,
     request: caller_connections.Request,
 ) -> str:
--- a/sycamorehollow/shells/gateway/header_codec.py
+++ b/sycamorehollow/shells/gateway/header_codec.py
@@ -56,7 +56,7 @@
     @abc.abstractmethod
     def decode_request(
         self, method: str, target: str, headers: Headers
-    ) -> forwarding.Call | failures.InvalidRequest:
+    ) -> forwarding.Request | failures.InvalidRequest:
         """Decodes the head of a caller's request."""
 
     @abc.abstractmethod
@@ -74,7 +74,7 @@
     @abc.abstractmethod
     def decode_response(
         self, status: int, headers: Headers
-    ) -> forwarding.AnswerHead:
+    ) -> forwarding.DecodedHead:
         """Decodes the head of an upstream's answer."""
 
     @abc.abstractmethod
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/knowledge.py
@@ -232,7 +232,7 @@
         self._watchers.note_fresh(now)
         if self._store_lost:
             self._store_back_at = now
-            self._router.directory.note_store_back(now)
+            self._router.directory.record_store_recovery(now)
         self._store_lost = False
         self._listed = True
 
@@ -362,7 +362,7 @@
             # Entries may have lapsed while the store was away from the other
             # node; that it is away from this one alone tells nothing.
             back_at = now - float(document["store_back_s"])
-            self._router.directory.note_store_back(back_at)
+            self._router.directory.record_store_recovery(back_at)
             delta = document.get("delta")
             if delta is None:
                 return
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -201,14 +201,14 @@
 def _describe(attempt: steps.Attempt, started: float) -> str:
     """Returns how an attempt ended; for one that was cut short, who did it."""
     text = attempt.outcome
-    if attempt.ended_by is not None and text != steps.DELIVERED:
+    if attempt.end_cause is not None and text != steps.DELIVERED:
         text += (
-            f" ({attempt.ended_by.value} +{attempt.ended_at - started:.3f}"
+            f" ({attempt.end_cause.value} +{attempt.ended_at - started:.3f}"
             f" silent_s={attempt.silent_s:.3f})"
         )
-    if attempt.kept_for:
-        text += f", kept: {attempt.kept_for}"
-    if attempt.cut_off_at < attempt.sent_at:
+    if attempt.keep_reason:
+        text += f", kept: {attempt.keep_reason}"
+    if attempt.isolated_at < attempt.sent_at:
         return text
-    cut_off_s = attempt.cut_off_at - attempt.sent_at
+    cut_off_s = attempt.isolated_at - attempt.sent_at
     return f"{text}, no upstream reachable at +{cut_off_s:.3f}"
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -60,7 +60,7 @@
     reason: bytes
     headers: list[tuple[bytes, bytes]]
     length: int | None
-    decoded: forwarding.AnswerHead
+    decoded: forwarding.DecodedHead
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -76,7 +76,7 @@
 
     def __init__(
         self,
-        decode: Callable[[int, header_codec.Headers], forwarding.AnswerHead],
+        decode: Callable[[int, header_codec.Headers], forwarding.DecodedHead],
     ):
         self.used = False
         self.idle_since = 0.0
@@ -336,8 +336,8 @@
         self._unframed = length is None and not chunked
         if self._unframed:
             self._reusable = False
-        if decoded.idle_s is not None:
-            self.idle_s = max(0.0, decoded.idle_s - IDLE_MARGIN_S)
+        if decoded.keep_alive_s is not None:
+            self.idle_s = max(0.0, decoded.keep_alive_s - IDLE_MARGIN_S)
         self._parts += 1
         self._head = Head(
             status,
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -8,9 +8,9 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 
-STREAM = forwarding.Repeatability.STREAM
-SAFE = forwarding.Repeatability.SAFE
-UNSAFE = forwarding.Repeatability.UNSAFE
+STREAM = forwarding.RouteKind.STREAM
+SAFE = forwarding.RouteKind.SAFE
+UNSAFE = forwarding.RouteKind.UNSAFE
 
 
 def build_settings(**changes):
@@ -50,9 +50,9 @@
         "targets": (forwarding.Target("llm", 1.0),),
         "max_attempts": 3,
         "resumable": kind is STREAM,
-        "sticky": kind is STREAM,
+        "session_affinity": kind is STREAM,
         "models": ("small", "large") if kind is STREAM else (),
-        "pause_s": 1.0 if kind is STREAM else 0.0,
+        "max_event_gap_s": 1.0 if kind is STREAM else 0.0,
     }
     return forwarding.Route(**(values | changes))
 
@@ -92,11 +92,11 @@
         "host": "models.example",
         "path": "/draft/1",
         "deadline_s": 10.0,
-        "open_model": True,
+        "any_model": True,
         "prompt_tokens": 1000,
         "output_tokens": 100,
     }
-    return forwarding.Call(**(values | changes))
+    return forwarding.Request(**(values | changes))
 
 
 def build_router(*upstreams, configuration=None, **settings):
@@ -126,4 +126,4 @@
 def build_head(status=200, **changes):
     """Returns the head of a sealed answer."""
     values = {"request_id": "q-1", "sealed": True}
-    return forwarding.AnswerHead(status, **(values | changes))
+    return forwarding.DecodedHead(status, **(values | changes))
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -24,7 +24,7 @@
 
 def answer(rollouts, version, failed):
     """An upstream answers, and the time that it took is judged."""
-    rollouts.note_answer("s", version, failed)
+    rollouts.record_response("s", version, failed)
     route = forwarding_world.build_route()
     timed = answer_times.Timed("s", version, route, "small", "a", 0, 0.1)
     rollouts.note_time(timed, answer_times.Part.START, False)
@@ -155,9 +155,9 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         rollouts.set_order(order, 0.0)
         for number in range(120):
-            rollouts.note_answer("s", "v1", False)
+            rollouts.record_response("s", "v1", False)
             if number % 10 == 0:
-                rollouts.note_answer("s", "v2", number in (40, 90))
+                rollouts.record_response("s", "v2", number in (40, 90))
         for tenth in range(240):
             now = tenth * 0.1
             self.assertLessEqual(rollouts.compute_share("s", now), EXPOSURE)
@@ -189,7 +189,7 @@
             node = router.Router(settings, random.Random(run)).rollouts
             node.set_order(order, float(run))
             for _ in range(5 - run):
-                node.note_answer("s", "v2", True)
+                node.record_response("s", "v2", True)
             for finding in node.export(float(run)):
                 other.merge(finding, float(run))
         self.assertEqual(other.get("s").sum_up().new_failed, 12)
@@ -214,7 +214,7 @@
             rollouts.set_order(order, 0.0)
             self.assertEqual(rollouts.compute_share("s", 1.0), 0.0)
             for _ in range(answers):
-                rollouts.note_answer("s", "v1", False)
+                rollouts.record_response("s", "v1", False)
         few = large.compute_share("s", 3.0)
         self.assertLess(few * 3, small.compute_share("s", 3.0))
         # All nodes use the smallest share that one has found.
@@ -229,7 +229,7 @@
             rollouts.set_nodes(9)
             rollouts.set_order(order, 0.0)
             for _ in range(answers):
-                rollouts.note_answer("s", "v1", False)
+                rollouts.record_response("s", "v1", False)
             rate = answers * 9 / 3.0
             share = rollouts.compute_share("s", 3.0)
             self.assertLessEqual(share, EXPOSURE)
--- a/tests/test_forwarding_cascade.py
+++ b/tests/test_forwarding_cascade.py
@@ -26,7 +26,7 @@
         played = forwarding_world.build_course(built, now=now)
         self.assertIsInstance(played.find_step(now), steps.Send)
         doubtful = forwarding_world.build_head(confidence=0)
-        if played.judge_head(doubtful, now) is steps.Verdict.AGAIN:
+        if played.judge_head(doubtful, now) is steps.Verdict.RETRY:
             self.dropped += 1
             self.assertIsInstance(played.find_step(now), steps.Send)
             played.judge_head(forwarding_world.build_head(), now)
@@ -45,7 +45,7 @@
                 ]
                 now = requests / 10
                 for stream in streams[-2:]:
-                    stream.note_broken("closed", True, now)
+                    stream.record_connection_failure("closed", True, now)
                     self.assertIsInstance(stream.find_step(now), steps.Send)
         # The cascade still has most of the budget.
         self.assertGreater(self.dropped, 300)
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -42,12 +42,12 @@
     for outcome in outcomes * 3:
         now += 0.05
         step = played.find_step(now)
-        if isinstance(step, steps.Refuse):
+        if isinstance(step, steps.Reject):
             return step.failure, runs
         if isinstance(step, steps.Wait):
             continue
         if outcome == "unwritten":
-            played.note_broken("cannot connect", False, now)
+            played.record_connection_failure("cannot connect", False, now)
             continue
         if outcome == "refused":
             head = forwarding_world.build_head(503, not_run=True, sealed=False)
@@ -55,7 +55,7 @@
             continue
         runs += 1
         if outcome == "broken":
-            played.note_broken("closed", True, now)
+            played.record_connection_failure("closed", True, now)
             continue
         heads = {
             "failed": forwarding_world.build_head(500),
@@ -78,7 +78,7 @@
 
     @hypothesis.given(
         OUTCOMES,
-        strategies.sampled_from(list(forwarding.Repeatability)),
+        strategies.sampled_from(list(forwarding.RouteKind)),
         strategies.integers(1, 3),
     )
     def test_refusal_that_says_not_run_is_true(self, outcomes, kind, most):
@@ -100,7 +100,7 @@
         played = forwarding_world.build_course(built, route=route)
         first = played.find_step(0.0)
         verdict = played.judge_head(forwarding_world.build_head(500), 0.02)
-        self.assertIs(verdict, steps.Verdict.AGAIN)
+        self.assertIs(verdict, steps.Verdict.RETRY)
         second = played.find_step(0.02)
         self.assertIsNot(first.state, second.state)
         # The last answer that may be asked for is passed on as it is.
@@ -115,7 +115,7 @@
             now += 0.1
             step = played.find_step(now)
             if isinstance(step, steps.Send):
-                played.note_broken("cannot connect", False, now)
+                played.record_connection_failure("cannot connect", False, now)
         self.assertIsInstance(played.find_step(now + 0.1), steps.Send)
 
     def test_request_that_reaches_nobody_is_refused_before_its_deadline(self):
@@ -123,12 +123,12 @@
         played = forwarding_world.build_course(built)
         now = 0.0
         step = None
-        while not isinstance(step, steps.Refuse):
+        while not isinstance(step, steps.Reject):
             now += 0.01
             self.assertLess(now, 1.0)
             step = played.find_step(now)
             if isinstance(step, steps.Send):
-                played.note_broken("cannot connect", False, now)
+                played.record_connection_failure("cannot connect", False, now)
         self.assertIsInstance(step.failure, steps.Unavailable)
 
     def _press(self, until, free_at):
@@ -148,7 +148,7 @@
             if isinstance(step, steps.Wait):
                 now += step.seconds
                 continue
-            if isinstance(step, steps.Refuse) or now >= free_at:
+            if isinstance(step, steps.Reject) or now >= free_at:
                 return step, now, refused
             refused += 1
             now += 0.002
@@ -188,7 +188,7 @@
         route = forwarding_world.build_route(timeout_s=0.8)
         played = forwarding_world.build_course(built, route=route)
         self.assertAlmostEqual(played.find_step(0.0).left_s, 0.8)
-        played.note_broken("closed", True, 0.9)
+        played.record_connection_failure("closed", True, 0.9)
         self.assertIsInstance(played.find_step(0.9).failure, steps.TimedOut)
 
     def test_rest_of_a_stream_comes_from_its_version_while_that_runs(self):
@@ -204,10 +204,10 @@
         played.find_step(0.0)
         played.judge_head(forwarding_world.build_head(confidence=99), 0.1)
         played.delivering = True
-        played.note_broken("closed", True, 1.0)
+        played.record_connection_failure("closed", True, 1.0)
         step = played.find_step(1.0)
         self.assertEqual(step.state.upstream.version, "v1")
-        played.note_broken("closed", True, 2.0)
+        played.record_connection_failure("closed", True, 2.0)
         for upstream in old:
             built.handle(updates.UpstreamRemoved(upstream.identity), 2.0)
         step = played.find_step(2.0)
@@ -221,13 +221,13 @@
             played.judge_head(forwarding_world.build_head(), 0.1)
             played.delivering = True
             for attempt in range(1, 4):
-                played.note_broken("closed", True, float(attempt))
-                if isinstance(played.find_step(float(attempt)), steps.Refuse):
+                played.record_connection_failure("closed", True, float(attempt))
+                if isinstance(played.find_step(float(attempt)), steps.Reject):
                     break
                 verdict = played.judge_head(
                     forwarding_world.build_head(status), attempt + 0.1
                 )
-                self.assertIs(verdict, steps.Verdict.AGAIN)
+                self.assertIs(verdict, steps.Verdict.RETRY)
 
     def test_break_by_an_upstream_that_leaves_is_no_crash(self):
         built = forwarding_world.build_router(*UPSTREAMS)
@@ -236,7 +236,7 @@
             step = played.find_step(float(attempt))
             leaving = dataclasses.replace(step.state.upstream, draining=True)
             built.handle(updates.UpstreamSet(leaving), attempt + 0.05)
-            played.note_broken("closed", True, attempt + 0.1)
+            played.record_connection_failure("closed", True, attempt + 0.1)
             played.note_crash(attempt + 0.1)
         self.assertFalse(built.poison.is_refused("fingerprint", 4.0))
 
@@ -246,11 +246,11 @@
         for attempt in range(6):
             played = forwarding_world.build_course(built, now=float(attempt))
             step = played.find_step(float(attempt))
-            if isinstance(step, steps.Refuse):
+            if isinstance(step, steps.Reject):
                 self.assertEqual(step.failure.status, 502)
                 break
             sent += 1
-            played.note_broken("closed", True, attempt + 0.1)
+            played.record_connection_failure("closed", True, attempt + 0.1)
             played.note_crash(attempt + 0.1)
         self.assertLessEqual(sent, 4)
 
@@ -279,7 +279,7 @@
         self.assertGreaterEqual(gave_up, 0.75 * objective_s)
 
     def test_request_that_later_ones_have_passed_goes_elsewhere(self):
-        self.state.passed_at = 0.5
+        self.state.latest_served_sent_at = 0.5
         gave_up = self._wait(self.played, 10.0)
         self.assertLess(gave_up, 0.5 * self.played.route.objective_s)
 
@@ -302,16 +302,16 @@
                 self.played.note_unreachable(True, now)
             self.assertGreater(self.played.compute_patience(now), 0.0, now)
         # Once others are heard again, this one is as silent as before.
-        self.state.passed_at = now
+        self.state.latest_served_sent_at = now
         self.assertEqual(self.played.compute_patience(now), 0.0)
 
     def test_other_upstream_shows_whether_the_node_is_cut_off(self):
         other = self.built.directory.get(
             "b" if self.state.upstream.identity == "a" else "a"
         )
-        self.assertIs(self.played.choose_witness(0.4), other)
-        other.heard_at = 0.35
-        self.assertIsNone(self.played.choose_witness(0.4))
+        self.assertIs(self.played.choose_reference(0.4), other)
+        other.last_byte_at = 0.35
+        self.assertIsNone(self.played.choose_reference(0.4))
 
     def test_long_prompt_has_longer(self):
         short = self._wait(self.played, 20.0)
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -44,8 +44,8 @@
         self.assertIsInstance(step, steps.Wait)
         self.assertGreater(step.seconds, 0.0)
         attempt = played.attempts[-1]
-        self.assertIsNone(attempt.ended_by)
-        self.assertEqual(attempt.kept_for, reason)
+        self.assertIsNone(attempt.end_cause)
+        self.assertEqual(attempt.keep_reason, reason)
 
     def test_silent_stream_goes_on_elsewhere(self):
         played = start_stream(build_router())
@@ -53,7 +53,7 @@
         step = played.give_up(3.0)
         self.assertIsInstance(step, steps.Send)
         self.assertIsNot(step.state, first.state)
-        self.assertIs(first.ended_by, steps.Ender.PATIENCE)
+        self.assertIs(first.end_cause, steps.EndCause.TIMEOUT)
 
     def test_last_repeat_is_taken_by_one_of_two_streams(self):
         # Each node uses a part of the floor, which leaves one repeat here.
@@ -65,7 +65,7 @@
         self.assertIsInstance(first.give_up(3.0), steps.Send)
         self.assert_kept(second, 3.0, "the budget of repeats is used up")
         # The repeat leaves the window, and there is one again.
-        self.assertIsInstance(second.give_up(13.1), steps.Refuse)
+        self.assertIsInstance(second.give_up(13.1), steps.Reject)
 
     def test_stream_is_given_up_once_a_repeat_is_left_again(self):
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
@@ -91,11 +91,11 @@
     def test_last_attempt_is_spent_on_long_silence_only(self):
         played = start_stream(build_router(), max_attempts=2)
         # The upstream goes on with others.
-        played.attempts[-1].state.heard_at = 1.5
+        played.attempts[-1].state.last_byte_at = 1.5
         self.assertGreater(played.compute_patience(1.5), 0.0)
         self.assertEqual(played.compute_patience(2.2), 0.0)
         spare = start_stream(build_router(), max_attempts=3)
-        spare.attempts[-1].state.heard_at = 1.5
+        spare.attempts[-1].state.last_byte_at = 1.5
         self.assertEqual(spare.compute_patience(1.5), 0.0)
 
     def test_unreachable_upstreams_leave_a_stream_where_it_is(self):
@@ -104,10 +104,10 @@
         current = played.attempts[-1].state
         for state in built.directory.list_all():
             if state is not current:
-                directory.note_dark(state, 2.9)
+                directory.record_unreachable(state, 2.9)
         self.assert_kept(played, 3.0, "no other can be reached")
         # If the stream's own upstream cannot be reached either, any will do.
-        directory.note_dark(current, 3.0)
+        directory.record_unreachable(current, 3.0)
         self.assertIsInstance(played.give_up(3.0), steps.Send)
 
     def test_head_that_came_just_before_the_limit_is_followed_by_patience(self):
@@ -132,7 +132,7 @@
         self.assertAlmostEqual(played.compute_patience(3.0), 7.0)
         step = played.give_up(10.0)
         self.assertIsInstance(step.failure, steps.TimedOut)
-        self.assertIs(played.attempts[-1].ended_by, steps.Ender.DEADLINE)
+        self.assertIs(played.attempts[-1].end_cause, steps.EndCause.DEADLINE)
 
 
 class ShortageTest(unittest.TestCase):
@@ -142,7 +142,7 @@
         """Lets upstreams refuse the request; returns the time after it."""
         while times:
             step = played.find_step(now)
-            self.assertNotIsInstance(step, steps.Refuse)
+            self.assertNotIsInstance(step, steps.Reject)
             if isinstance(step, steps.Wait):
                 now += step.seconds
                 continue
@@ -153,7 +153,7 @@
 
     def test_refused_continuations_do_not_end_a_stream(self):
         played = start_stream(build_router())
-        played.note_broken("closed", True, 1.0)
+        played.record_connection_failure("closed", True, 1.0)
         refusals = 2 * attempt_limits.MAX_REFUSALS + 3
         now = self._refuse(played, 1.0, refusals)
         self.assertLess(now, 8.0)
@@ -166,14 +166,14 @@
     def test_wait_for_a_shortage_ends_at_the_deadline(self):
         built = build_router(retry_ratio=0.0, retry_floor=0.0)
         played = start_stream(built)
-        played.note_broken("closed", True, 9.95)
+        played.record_connection_failure("closed", True, 9.95)
         step = played.find_step(9.95)
         self.assertAlmostEqual(step.seconds, 0.05)
 
     def test_broken_stream_waits_for_upstreams_that_are_gone(self):
         built = build_router()
         played = start_stream(built)
-        played.note_broken("closed", True, 1.0)
+        played.record_connection_failure("closed", True, 1.0)
         for state in built.directory.list_all():
             built.handle(updates.UpstreamRemoved(state.upstream.identity), 1.0)
         self.assertIsInstance(played.find_step(1.1), steps.Wait)
@@ -189,9 +189,9 @@
         played = forwarding_world.build_course(built)
         played.find_step(0.0)
         doubtful = forwarding_world.build_head(confidence=10)
-        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.AGAIN)
+        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.RETRY)
         self.assertEqual(played.find_step(0.05).model, "large")
-        played.note_broken("cannot connect", False, 0.06)
+        played.record_connection_failure("cannot connect", False, 0.06)
         built.handle(updates.UpstreamRemoved("b"), 0.07)
         now, step = 0.08, played.find_step(0.08)
         while isinstance(step, steps.Wait):
@@ -205,7 +205,7 @@
             built, route=forwarding_world.build_route(forwarding_world.SAFE)
         )
         now, step, sent_twice = 0.0, played.find_step(0.0), True
-        while not isinstance(step, steps.Refuse):
+        while not isinstance(step, steps.Reject):
             if isinstance(step, steps.Send):
                 played.judge_head(SHED, now, sent_twice)
                 sent_twice = False
@@ -218,21 +218,21 @@
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
         first, second = start_stream(built), start_stream(built, 5.0)
         for played in (first, second):
-            played.note_broken("closed", True, 6.0)
+            played.record_connection_failure("closed", True, 6.0)
         self.assertIsInstance(first.find_step(6.0), steps.Send)
         now = 6.0
         step = second.find_step(now)
         while isinstance(step, steps.Wait):
             now += step.seconds
             step = second.find_step(now)
-        self.assertIsInstance(step, steps.Refuse)
+        self.assertIsInstance(step, steps.Reject)
         self.assertGreater(now, 14.5)
 
     def test_answer_that_was_dropped_for_a_larger_model_is_owed(self):
         played = forwarding_world.build_course(build_router())
         played.find_step(0.0)
         doubtful = forwarding_world.build_head(confidence=10)
-        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.AGAIN)
+        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.RETRY)
         now = self._refuse(played, 0.05, attempt_limits.MAX_REFUSALS + 2)
         step = played.find_step(now)
         while isinstance(step, steps.Wait):
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -63,7 +63,7 @@
         self.assertGreater(counts["near"], 150)
 
     def test_cold_upstream_gets_its_share_only(self):
-        service = forwarding.Service("llm", 100, cold_per_s=4.0)
+        service = forwarding.Service("llm", 100, cold_requests_per_s=4.0)
         built = forwarding_world.build_router(
             forwarding_world.build_upstream("cold", cold_s=100.0),
             configuration=forwarding_world.build_configuration(
--- a/tests/test_forwarding_slowness.py
+++ b/tests/test_forwarding_slowness.py
@@ -111,7 +111,7 @@
                     name, version="v2" if new else "v1"
                 )
                 known_at = 0.0 if new else -100.0
-                state = directory.State(upstream, known_at, known_at)
+                state = directory.UpstreamState(upstream, known_at, known_at)
                 state.cold_until = cold_s if new else -100.0
                 self.states[new, number] = state
 
@@ -192,29 +192,29 @@
 
     def _hear(self, now, answer, rollouts):
         attempt = answer.attempt
-        if attempt.ended_by is not None:
+        if attempt.end_cause is not None:
             return
-        if answer.left > 0 and attempt.heard_at == attempt.sent_at:
-            rollouts.note_answer("llm", "v2" if answer.new else "v1", False)
-        attempt.heard_at = now
-        answer.watch.note_event(now)
+        if answer.left > 0 and attempt.last_byte_at == attempt.sent_at:
+            rollouts.record_response("llm", "v2" if answer.new else "v1", False)
+        attempt.last_byte_at = now
+        answer.watch.record_event(now)
         answer.left -= 1
         if answer.left > 0:
             gap_s = answer.gap_s * self._source.lognormvariate(0, 0.5)
             self._go_on(now, gap_s, answer, rollouts)
             return
-        attempt.end(steps.Ender.UPSTREAM, steps.DELIVERED, now)
-        answer.watch.note_end()
+        attempt.end(steps.EndCause.UPSTREAM, steps.DELIVERED, now)
+        answer.watch.record_end()
 
     def _give_up(self, now, answer):
-        if answer.attempt.ended_by is None:
-            answer.attempt.end(steps.Ender.PATIENCE, "no byte in time", now)
-            answer.watch.note_end()
+        if answer.attempt.end_cause is None:
+            answer.attempt.end(steps.EndCause.TIMEOUT, "no byte in time", now)
+            answer.watch.record_end()
 
     def _part(self, now, answer):
-        if answer.attempt.ended_by is None:
-            answer.attempt.end(steps.Ender.CALLER, "the caller left", now)
-            answer.watch.note_end()
+        if answer.attempt.end_cause is None:
+            answer.attempt.end(steps.EndCause.CALLER, "the caller left", now)
+            answer.watch.record_end()
 
     def _judge(self, now):
         self._at(now + JUDGE_S, self._judge)
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -120,7 +120,7 @@
             forwarding_world.build_route(name="short"),
             forwarding_world.build_route(name="long", path_prefix="/draft/a/"),
             forwarding_world.build_route(
-                name="open", path_prefix="/o/", open=True
+                name="open", path_prefix="/o/", auth_exempt=True
             ),
         )
         self.table = route_table.RouteTable(
@@ -176,7 +176,7 @@
         self.assertEqual(self._list(1.0), [])
 
     def test_entry_that_lapsed_with_the_store_has_time_to_come_back(self):
-        self.directory.note_store_back(10.0)
+        self.directory.record_store_recovery(10.0)
         self.directory.remove("a", 10.1)
         self.assertEqual(len(self._list(11.9)), 1)
         self.assertEqual(self._list(12.0), [])
@@ -193,10 +193,12 @@
 
     def test_restart_under_the_same_identity_starts_anew(self):
         state = self.directory.get("a")
-        directory.note_broken(state, 0.0)
-        self.assertTrue(state.is_blocked(0.1))
+        directory.record_connection_failure(state, 0.0)
+        self.assertTrue(state.is_backing_off(0.1))
         again = forwarding_world.build_upstream("a", started_ms=5)
-        self.assertFalse(self.directory.register(again, 0.1).is_blocked(0.1))
+        self.assertFalse(
+            self.directory.register(again, 0.1).is_backing_off(0.1)
+        )
 
 
 class ColdLimitsTest(unittest.TestCase):
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -51,7 +51,7 @@
         self.addCleanup(self.listener.close)
         self.upstream = build_upstream(self.listener)
         self.pool = connection_pool.ConnectionPool(
-            lambda status, headers: forwarding.AnswerHead(status, "q")
+            lambda status, headers: forwarding.DecodedHead(status, "q")
         )
 
     async def _send(self, body):
@@ -88,7 +88,7 @@
     async def _send_on_kept(self, repeatable):
         """Sends a second request on a connection; returns both ends."""
         self.pool = connection_pool.ConnectionPool(
-            lambda status, headers: forwarding.AnswerHead(status, ""),
+            lambda status, headers: forwarding.DecodedHead(status, ""),
             self._spend,
         )
         self.spent = 0
@@ -238,7 +238,7 @@
         """Breaks all connections, lets checks run and tells who is blamed."""
         now = time.monotonic()
         for upstream in self.upstreams:
-            run = "/".join(map(str, upstream.run))
+            run = "/".join(map(str, upstream.incarnation))
             self.router.poison.note_break("f", run, now)
         await asyncio.sleep(poison.CHECK_AFTER_S)
         self.checks.start_due_checks()
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -174,7 +174,7 @@
             "desk", "desk", host, int(port), "dc-1", "v1", 8, False
         )
         pool = connection_pool.ConnectionPool(
-            lambda status, headers: forwarding.AnswerHead(status, "q")
+            lambda status, headers: forwarding.DecodedHead(status, "q")
         )
         first = await pool.take(upstream, "q", True)
         first.send("q", b"GET / HTTP/1.1\r\nRequest-Id: q\r\n\r\n")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -130,8 +130,8 @@
             (forwarding.Target("llm", 90), forwarding.Target("desk", 10)),
         )
         self.assertEqual(read.routes[0].models, ("small", "large"))
-        self.assertTrue(read.routes[0].repeatable)
-        self.assertFalse(read.routes[2].repeatable)
+        self.assertTrue(read.routes[0].is_retryable)
+        self.assertFalse(read.routes[2].is_retryable)
         self.assertEqual(read.workspaces["key-1"].name, "maps")
         del document["tenants"]
         read = documents.decode_configuration(json.dumps(document))
@@ -148,7 +148,7 @@
             if value is not None:
                 headers.append((b"Model", value))
             call = codec.decode_request("POST", "/draft/1", headers)
-            self.assertEqual(call.open_model, is_open)
+            self.assertEqual(call.any_model, is_open)
 
 
 HEADERS = (
@@ -204,7 +204,7 @@
         codec = header_codec.PlatformHeaderCodec()
         headers = [(b"host", b"h"), (name, value)]
         call = codec.decode_request("GET", "/a", headers)
-        self.assertIsInstance(call, forwarding.Call)
+        self.assertIsInstance(call, forwarding.Request)
         answer = codec.decode_response(200, headers)
         self.assertEqual(answer.status, 200)
 
@@ -356,7 +356,7 @@
         )
         self.assertTrue(head.not_run)
         self.assertEqual(head.load, forwarding.Load(3, 1, 8))
-        self.assertEqual(head.idle_s, 7.0)
+        self.assertEqual(head.keep_alive_s, 7.0)
         self.assertIsNone(head.confidence)
         self.assertFalse(head.sealed)
 
