Name the cold start limiter and its ramp-up in plain terms

"Turn", "units", "warming" and "returning" each stood for something else than their usual meaning. The component is now ColdStartLimiter with ColdState, epochs, permits that are lent and a ramp-up after a return to service.

--- a/benches/bench_cold.py
+++ b/benches/bench_cold.py
@@ -4,7 +4,7 @@
 
 from benches import cold_world
 from benches import results
-from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import cold_start_limiter
 
 SEED = 17
 SLOTS = 6
@@ -19,7 +19,7 @@
 class EqualLimits(cold_world.World):
     """Baseline: each process starts what the cold upstream bears."""
 
-    def may_start(self, index: int) -> bool:
+    def can_start(self, index: int) -> bool:
         """Tells whether a process is below the limit."""
         if not self.processes[index].is_cold("u", self.now):
             return True
@@ -50,7 +50,7 @@
     return [
         results.Result(
             f"over-admission of a cold upstream, restarts of"
-            f" {coldstart.TRUST_S:.0f} s",
+            f" {cold_start_limiter.WARM_REPORT_TTL_S:.0f} s",
             drive(shares),
             0,
         ),
--- a/benches/cold_world.py
+++ b/benches/cold_world.py
@@ -1,6 +1,6 @@
 """One upstream in cold starts and the processes of its data centre."""
 
-from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import cold_start_limiter
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -27,7 +27,7 @@
         self,
         slots: int,
         bearable: int,
-        down_s: float = coldstart.TRUST_S,
+        down_s: float = cold_start_limiter.WARM_REPORT_TTL_S,
         refuses: bool = False,
     ):
         self.bearable = bearable
@@ -42,7 +42,7 @@
         self._refuses = refuses
         self._generation = 1
         self._up_at = 0.0
-        self._grants: list[coldstart.GrantLoan] = []
+        self._grants: list[cold_start_limiter.GrantLoan] = []
         self._number = 0
         self.returning = False
         self._done: list[int] = [0] * slots
@@ -85,13 +85,13 @@
         )
         self._send(index, report)
 
-    def may_start(self, index: int) -> bool:
+    def can_start(self, index: int) -> bool:
         """Tells whether a process would start a request."""
-        return self.processes[index].may_start("u", self.now)
+        return self.processes[index].can_start("u", self.now)
 
     def start(self, index: int) -> bool:
         """Starts a request if the process may and the upstream is up."""
-        if self.now < self._up_at or not self.may_start(index):
+        if self.now < self._up_at or not self.can_start(index):
             return False
         self._number += 1
         attempt = str(self._number)
@@ -143,7 +143,10 @@
         """Lends to another process, which uses the loan at once."""
         if index == other:
             return
-        self._send(index, coldstart.LoanAsked(str(other), "u", 2, self.now))
+        self._send(
+            index,
+            cold_start_limiter.LoanRequested(str(other), "u", 2, self.now),
+        )
         self._deliver(other, -1)
         self.fill(other, index)
 
@@ -191,17 +194,19 @@
 
     def _make(
         self, slot: int, slots: int, started_at: float
-    ) -> coldstart.ColdStarts:
-        process = coldstart.ColdStarts("dc", slot, slots, started_at)
+    ) -> cold_start_limiter.ColdStartLimiter:
+        process = cold_start_limiter.ColdStartLimiter(
+            "dc", slot, slots, started_at
+        )
         one = deployment.Upstream("u", "", "dc", ("v",), 1000, self.bearable)
         process.handle(upstream_events.UpstreamsConfigured((one,)), self.now)
         return process
 
     def _send(self, index: int, event: events.Event) -> None:
         for command in self.processes[index].handle(event, self.now):
-            if isinstance(command, coldstart.GrantLoan):
+            if isinstance(command, cold_start_limiter.GrantLoan):
                 self._grants.append(command)
-            if isinstance(command, coldstart.CancelAttempt):
+            if isinstance(command, cold_start_limiter.CancelAttempt):
                 self.finish(
                     command.attempt, upstream_events.AttemptStatus.CANCELLED
                 )
@@ -210,11 +215,11 @@
         if not self._grants or int(self._grants[number].peer) != index:
             return
         grant = self._grants[number]
-        event = coldstart.LoanGranted(
+        event = cold_start_limiter.LoanGranted(
             "u",
             grant.generation,
-            grant.units,
-            grant.asked_at,
+            grant.permits,
+            grant.requested_at,
             grant.duration_s,
         )
         self._send(index, event)
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -25,7 +25,7 @@
 from sycamorehollow.decisions.requests import active as actives
 from sycamorehollow.decisions.requests import quarantine
 from sycamorehollow.decisions.routing import admission
-from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import cold_start_limiter
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
@@ -152,7 +152,7 @@
         return {
             actives.SecureBill: self._secure_bill,
             billing_messages.ReleaseAnswer: self._release_answer,
-            coldstart.SpreadCold: self._spread_cold,
+            cold_start_limiter.PushColdState: self._push_cold_state,
             configuration_messages.AskPeers: self._ask_peers,
             configuration_messages.ConfigurationChanged: self._deploy,
             configuration_messages.PushChanges: self._push_changes,
@@ -277,11 +277,13 @@
     def _push(self, command: payloads.Urgent, now: float) -> list[Any]:
         return list(self.exchange.push(command))
 
-    def _spread_cold(
-        self, command: coldstart.SpreadCold, now: float
+    def _push_cold_state(
+        self, command: cold_start_limiter.PushColdState, now: float
     ) -> list[Any]:
-        cold = self.placement.cold_starts
-        return [payloads.Urgent(cold.kind, cold.encode(command.upstream))]
+        cold = self.placement.cold_start_limiter
+        return [
+            payloads.Urgent(cold.kind, cold.encode_upstream(command.upstream))
+        ]
 
     def _spread_quarantine(
         self, command: quarantine.SpreadQuarantine, now: float
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -246,7 +246,7 @@
             (
                 self.configuration,
                 self.placement.load_table,
-                self.placement.cold_starts,
+                self.placement.cold_start_limiter,
                 self.quarantine,
                 self.learning,
                 self.evidence,
--- a/sycamorehollow/decisions/routing/selection.py
+++ b/sycamorehollow/decisions/routing/selection.py
@@ -170,8 +170,8 @@
         holders: Prefix affinity.
         data_centre: Data centre of this process; its upstreams come first.
         source: Source of randomness.
-        may_start: Whether an upstream takes one more attempt, for example
-            `ColdStarts.may_start`.
+        can_start: Whether an upstream takes one more attempt, for example
+            `ColdStartLimiter.can_start`.
     """
 
     def __init__(
@@ -181,14 +181,14 @@
         holders: prefixes.Prefixes,
         data_centre: str,
         source: random.Random,
-        may_start: Callable[[str, float], bool] = allow_all,
+        can_start: Callable[[str, float], bool] = allow_all,
     ):
         self._table = table
         self._room = room
         self._holders = holders
         self._data_centre = data_centre
         self._source = source
-        self._may_start = may_start
+        self._can_start = can_start
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
@@ -260,7 +260,7 @@
         # In this order a scan of 100 full or cold upstreams stays cheap.
         if not self._room.holds(name, request, now):
             return False
-        if not self._may_start(name, now):
+        if not self._can_start(name, now):
             return False
         return self._room.fits(name, request, now)
 
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -9,7 +9,7 @@
 from sycamorehollow.decisions import components
 from sycamorehollow.decisions.requests import quarantine
 from sycamorehollow.decisions.routing import capacity
-from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import cold_start_limiter
 from sycamorehollow.decisions.routing import placement
 from sycamorehollow.decisions.routing import prefixes
 from sycamorehollow.decisions.routing import selection
@@ -67,7 +67,7 @@
         suspects: quarantine.Quarantine,
     ):
         self.load_table = upstreams.Table(process, data_centre)
-        self.cold_starts = coldstart.ColdStarts(
+        self.cold_start_limiter = cold_start_limiter.ColdStartLimiter(
             data_centre,
             slot,
             slots,
@@ -84,7 +84,7 @@
             self.prefixes,
             data_centre,
             source,
-            self.cold_starts.may_start,
+            self.cold_start_limiter.can_start,
         )
         self._configured: dict[str, deployment.Upstream] = {}
         self._near: dict[str, tuple[str, ...]] = {}
@@ -97,7 +97,7 @@
         """Returns the parts that take events from outside."""
         return [
             self.load_table,
-            self.cold_starts,
+            self.cold_start_limiter,
             self.prefixes,
             self._suspects,
         ]
@@ -272,7 +272,7 @@
     def has_candidate(self, version: str, now: float) -> bool:
         """Tells whether any upstream takes new work for a version."""
         return any(
-            self.cold_starts.may_start(name, now)
+            self.cold_start_limiter.can_start(name, now)
             for group in (self._near, self._far)
             for name in self._list_candidates(group, version, frozenset())
         )
@@ -303,7 +303,7 @@
                 continue
             drain = self._find_drain(name)
             result[name] = {
-                "cold": self.cold_starts.is_cold(name, now),
+                "cold": self.cold_start_limiter.is_cold(name, now),
                 "reachable": view.reachable,
                 "estimated_tokens": view.estimated_tokens,
                 "capacity_tokens": view.capacity_tokens,
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 
 from benches import cold_world
-from sycamorehollow.decisions.routing import coldstart
+from sycamorehollow.decisions.routing import cold_start_limiter
+from sycamorehollow.decisions.routing import cold_states
 from sycamorehollow.decisions.routing import upstream_events
-from sycamorehollow.decisions.routing import warming
 from sycamorehollow.model import deployment
 
 # In steps; the long ones outlast trust in a report, a loan and its margin.
@@ -116,7 +116,7 @@
         for action, index, other, wait in steps:
             world.wait(wait)
             world.step(action, index % slots, other % slots)
-            if world.has_settled(warming.RETURN_FACTOR):
+            if world.has_settled(cold_states.RAMP_UP_FACTOR):
                 return
             self.assertLessEqual(len(world.running), world.limit)
 
@@ -128,7 +128,7 @@
         for index in range(2):
             world.poll(index, 0)
             self.assertTrue(world.processes[index].is_cold("u", world.now))
-        for _ in range(warming.RETURN_FACTOR):
+        for _ in range(cold_states.RAMP_UP_FACTOR):
             for index in range(2):
                 world.work(index, 0)
         busy = max(range(2), key=world.count_done)
@@ -167,7 +167,7 @@
         """An upstream that gets no work must not stay limited forever."""
         world = cold_world.World(2, 1)
         world.bring_back()
-        world.wait(int(warming.RETURN_LIMIT_S / cold_world.STEP_S) + 1)
+        world.wait(int(cold_states.RAMP_UP_LIMIT_S / cold_world.STEP_S) + 1)
         world.states.append((world.now, 1, False))
         world.poll(0, 0)
         world.wait(1)
@@ -181,7 +181,7 @@
     def test_shares_sum_to_bearable(self, name, bearable, slots):
         """More in sum overloads, less in sum leaves the upstream idle."""
         shares = [
-            coldstart.compute_share(name, bearable, slot, slots)
+            cold_start_limiter.compute_share(name, bearable, slot, slots)
             for slot in range(slots)
         ]
         self.assertEqual(sum(shares), bearable)
@@ -189,7 +189,7 @@
     def test_other_data_centre_sends_nothing(self):
         """Its slots are not part of the shares."""
         world = cold_world.World(2, 2)
-        far = coldstart.ColdStarts("far", 0, 2, -1e9)
+        far = cold_start_limiter.ColdStartLimiter("far", 0, 2, -1e9)
         one = deployment.Upstream("u", "", "dc", ("v",), 1000, 2)
         far.handle(upstream_events.UpstreamsConfigured((one,)), world.now)
-        self.assertFalse(far.may_start("u", world.now))
+        self.assertFalse(far.can_start("u", world.now))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,7 +36,7 @@
         world.give(teller, cold)
         # Less than the interval between two exchanges.
         world.run(world.now + 0.1)
-        placed = world.nodes[peer].placement.cold_starts
+        placed = world.nodes[peer].placement.cold_start_limiter
         self.assertTrue(placed.is_cold("u00", world.now))
 
     def test_drain_order_reaches_all_nodes_without_the_store(self):
--- a/tests/test_node_pushes.py
+++ b/tests/test_node_pushes.py
@@ -32,7 +32,7 @@
         now = self.fleet.now
         self.fleet.run(0.01)
         self.assertFalse(
-            peer.node.placement.cold_starts.is_cold("replica-000", now)
+            peer.node.placement.cold_start_limiter.is_cold("replica-000", now)
         )
         asked = finder.node.handle(report(2, self.fleet.now), self.fleet.now)
         calls = [c for c in asked if isinstance(c, exchange.Call)]
@@ -41,7 +41,7 @@
         event = exchange.Incoming(1, pushed[0].sender, pushed[0].items)
         peer.node.handle(event, self.fleet.now)
         self.assertTrue(
-            peer.node.placement.cold_starts.is_cold("replica-000", now)
+            peer.node.placement.cold_start_limiter.is_cold("replica-000", now)
         )
 
     def test_first_warm_reports_are_not_pushed(self):
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -39,12 +39,12 @@
             self.holders,
             "dc",
             random.Random(1),
-            self.may_start,
+            self.can_start,
         )
         for name in (*NAMES, "far"):
             self.report(name, 50000)
 
-    def may_start(self, name, now):
+    def can_start(self, name, now):
         self.asked.append(name)
         return name not in self.refused
 
