--- a/benches/bench_membership.py
+++ b/benches/bench_membership.py
@@ -94,7 +94,7 @@
     def sees(address: str, live: bool) -> Callable[[fleet.Node], bool]:
         def holds(node: fleet.Node) -> bool:
             member = node.peers.find(address)
-            return (member is not None and member.live) is live
+            return (member is not None and member.is_live) is live
 
         return holds
 
@@ -156,7 +156,7 @@
 def measure_state(count: int) -> float:
     """Returns the bytes of memory per member of one table."""
     tracemalloc.start()
-    table = members.Members()
+    table = members.MemberTable()
     for number in range(count):
         address = f"10.1.{number // 256}.{number % 256}:7400"
         member = members.Member(address, f"dc-{number % 7}", 10**18 + number)
@@ -185,7 +185,7 @@
     """Returns the length of an envelope with one membership payload."""
     sender = exchange.Process("10.0.0.1:7400", "dc-0", 1_790_000_000 * 10**9)
     items = (exchange.Item("members/delta", payload),) if payload else ()
-    return fleet.measure_bytes(exchange.Reply(1, sender, items))
+    return fleet.measure_bytes(exchange.SendReply(1, sender, items))
 
 
 def measure_full_lists(count: int) -> float:
--- a/benches/bench_node.py
+++ b/benches/bench_node.py
@@ -20,7 +20,7 @@
 from sycamorehollow.decisions.cascading import learning
 from sycamorehollow.decisions.cascading import tracks
 from sycamorehollow.decisions.releases import sequential
-from sycamorehollow.decisions.replication import deltas
+from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import events
 from sycamorehollow.model import lifecycle
 
@@ -286,7 +286,7 @@
             }
             for epoch in range(tracks.KEPT_EPOCHS)
         }
-        part.merge(deltas.pack([[key, 0, epochs]]), 0.0)
+        part.merge(compressed_json.compress_json([[key, 0, epochs]]), 0.0)
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return size / LEARNING_TRACKS
--- a/benches/fleet.py
+++ b/benches/fleet.py
@@ -21,7 +21,7 @@
 SEEDS = 3
 
 
-def measure_bytes(call: exchange.Call | exchange.Reply) -> int:
+def measure_bytes(call: exchange.SendCall | exchange.SendReply) -> int:
     """Returns the length of an envelope as encoded on the wire."""
     envelope = envelopes.encode(call.sender, call.items)
     return len(envelope.SerializeToString())
@@ -43,7 +43,7 @@
         now: float,
     ):
         self.peers = membership.Membership(me, seeds, rng, now)
-        self.records = records.Records()
+        self.records = records.ReplicatedRecords()
         self.exchange = exchange.Exchange(self.peers, (self.records,))
         self.address = me.address
         self.data_centre = me.data_centre
@@ -72,7 +72,7 @@
         self._data_centres = data_centres
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._calls: dict[int, Callable[[exchange.Reply], None]] = {}
+        self._calls: dict[int, Callable[[exchange.SendReply], None]] = {}
         self._numbers = itertools.count(1)
 
     def start(
@@ -94,7 +94,7 @@
         rng = random.Random(self.rng.random())
         node = Node(me, seeds, rng, self.now)
         for member in known:
-            heard = membership.Heard(
+            heard = membership.MessageReceived(
                 member.address, member.data_centre, member.incarnation
             )
             node.peers.handle(heard, self.now)
@@ -107,10 +107,10 @@
     def start_joined(self, count: int) -> list[Node]:
         """Starts processes that know each other already."""
         nodes = [self.start(number) for number in range(count)]
-        known = tuple(node.peers.me for node in nodes)
+        known = tuple(node.peers.self_record for node in nodes)
         for node in nodes:
             for member in known:
-                heard = membership.Heard(
+                heard = membership.MessageReceived(
                     member.address, member.data_centre, member.incarnation
                 )
                 node.peers.handle(heard, self.now)
@@ -161,12 +161,12 @@
     def carry_out(self, node: Node, asked: list[commands.Command]) -> None:
         """Carries out the commands of a process."""
         for command in asked:
-            if isinstance(command, exchange.Call):
+            if isinstance(command, exchange.SendCall):
                 self._call(node, command)
-            elif isinstance(command, exchange.Reply):
+            elif isinstance(command, exchange.SendReply):
                 self._calls.pop(command.call)(command)
-            elif isinstance(command, payloads.Urgent):
-                self.carry_out(node, node.exchange.push(command))
+            elif isinstance(command, payloads.PushDelta):
+                self.carry_out(node, node.exchange.push_delta(command))
             else:
                 node.changes.append((self.now, command))
 
@@ -180,21 +180,21 @@
             self.deliver(node, events.Tick())
         self._at(self.now + TICK_S, lambda: self._tick(node))
 
-    def _call(self, source: Node, call: exchange.Call) -> None:
+    def _call(self, source: Node, call: exchange.SendCall) -> None:
         """Carries a call; a lost one fails after the timeout."""
         size = measure_bytes(call)
         source.sent += size
         source.messages += 1
         started = self.now
         number = next(self._numbers)
-        answered: list[exchange.Reply] = []
+        answered: list[exchange.SendReply] = []
 
         def fail() -> None:
             if not answered:
                 failed = exchange.CallFailed(call.peer, started)
                 self.deliver(source, failed)
 
-        def reply(answer: exchange.Reply) -> None:
+        def reply(answer: exchange.SendReply) -> None:
             if self.now - started >= CALL_TIMEOUT_S:
                 return
             answered.append(answer)
@@ -208,13 +208,15 @@
                 return
             target.received += size
             self._calls[number] = reply
-            incoming = exchange.Incoming(number, call.sender, call.items)
+            incoming = exchange.CallReceived(number, call.sender, call.items)
             self.deliver(target, incoming)
 
         self._at(self.now + self.rng.uniform(*LATENCY_S), arrive)
         self._at(started + CALL_TIMEOUT_S, fail)
 
-    def _send(self, source: Node, peer: str, answer: exchange.Reply) -> None:
+    def _send(
+        self, source: Node, peer: str, answer: exchange.SendReply
+    ) -> None:
         """Carries the answer of a call back to its source."""
         size = measure_bytes(answer)
         target = self.nodes[peer]
@@ -223,7 +225,7 @@
 
         def arrive() -> None:
             source.received += size
-            event = exchange.Answered(peer, answer.sender, answer.items)
+            event = exchange.ReplyReceived(peer, answer.sender, answer.items)
             self.deliver(source, event)
 
         self._at(self.now + self.rng.uniform(*LATENCY_S), arrive)
--- a/benches/loopback.py
+++ b/benches/loopback.py
@@ -101,8 +101,8 @@
     answers: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
 
     def answer(event: events.Event) -> None:
-        if isinstance(event, exchange.Incoming):
-            server.post(exchange.Reply(event.call, ME, ()))
+        if isinstance(event, exchange.CallReceived):
+            server.post(exchange.SendReply(event.call, ME, ()))
 
     server = peers.PeerTask("0.0.0.0:0", answer)
     client = peers.PeerTask("127.0.0.1:0", answers.put)
@@ -111,7 +111,7 @@
     items = (exchange.Item("members/digest", b"x" * PAYLOAD_BYTES),)
 
     def call(address: str) -> None:
-        client.post(exchange.Call(address, ME, items))
+        client.post(exchange.SendCall(address, ME, items))
         answers.get(timeout=ANSWER_TIMEOUT_S)
 
     call(f"127.0.0.1:{port}")
--- a/benches/node_fleet.py
+++ b/benches/node_fleet.py
@@ -59,8 +59,8 @@
 )
 CONTROL_EVENTS = (
     events.Tick,
-    exchange.Incoming,
-    exchange.Answered,
+    exchange.CallReceived,
+    exchange.ReplyReceived,
     exchange.CallFailed,
     configuration_messages.StoreAnswered,
 )
@@ -112,7 +112,7 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._numbers = itertools.count(1)
-        self._calls: dict[int, Callable[[exchange.Reply], None]] = {}
+        self._calls: dict[int, Callable[[exchange.SendReply], None]] = {}
         self._asks: dict[str, Callable[[Any], None]] = {}
         convert = node_tree.SharedConversion()
         self.members = [self._build(i, convert) for i in range(count)]
@@ -150,8 +150,10 @@
                 drains.DRAIN_KIND, f"retired-{number}", True, self.now
             )
             for command in asked:
-                if isinstance(command, payloads.Urgent):
-                    self._carry_out(first, first.node.exchange.push(command))
+                if isinstance(command, payloads.PushDelta):
+                    self._carry_out(
+                        first, first.node.exchange.push_delta(command)
+                    )
 
     def change_configuration(self, nonce: int) -> None:
         """Writes a team's branch at the store."""
@@ -195,7 +197,7 @@
     def _join(self) -> None:
         """Lets the nodes know each other from the start."""
         heard = [
-            membership.Heard(
+            membership.MessageReceived(
                 one.address, one.data_centre, one.node.process.incarnation
             )
             for one in self.members
@@ -270,9 +272,9 @@
 
     def _carry_out(self, member: Member, asked: list[commands.Command]) -> None:
         for command in asked:
-            if isinstance(command, exchange.Call):
+            if isinstance(command, exchange.SendCall):
                 self._call(member, command)
-            elif isinstance(command, exchange.Reply):
+            elif isinstance(command, exchange.SendReply):
                 self._calls.pop(command.call)(command)
             elif isinstance(command, STORE_CALLS):
                 self._call_store(member, command)
@@ -361,7 +363,7 @@
         source.traffic["envelope"] += rest
         target.traffic["envelope"] += rest
 
-    def _call(self, source: Member, call: exchange.Call) -> None:
+    def _call(self, source: Member, call: exchange.SendCall) -> None:
         target = self._by_address.get(call.peer)
         if target is None:
             failed = exchange.CallFailed(call.peer, self.now)
@@ -370,11 +372,13 @@
         self._count(source, target, call.items)
         number = next(self._numbers)
 
-        def reply(answer: exchange.Reply) -> None:
+        def reply(answer: exchange.SendReply) -> None:
             self._count(target, source, answer.items)
-            event = exchange.Answered(call.peer, answer.sender, answer.items)
+            event = exchange.ReplyReceived(
+                call.peer, answer.sender, answer.items
+            )
             self._travel(lambda: self.deliver(source, event))
 
         self._calls[number] = reply
-        incoming = exchange.Incoming(number, call.sender, call.items)
+        incoming = exchange.CallReceived(number, call.sender, call.items)
         self._travel(lambda: self.deliver(target, incoming))
--- a/benches/node_world.py
+++ b/benches/node_world.py
@@ -58,7 +58,7 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._numbers = itertools.count(1)
-        self._replies: dict[int, Callable[[exchange.Reply], None]] = {}
+        self._replies: dict[int, Callable[[exchange.SendReply], None]] = {}
         self._asks: dict[str, tuple[str, str]] = {}
         self._values: dict[str, configuration_messages.Value] = {}
         self._revision = 0
@@ -193,9 +193,9 @@
 
     def _carry_out(self, address: str, command: commands.Command) -> None:
         match command:
-            case exchange.Call():
+            case exchange.SendCall():
                 self._call(address, command)
-            case exchange.Reply():
+            case exchange.SendReply():
                 self._replies.pop(command.call)(command)
             case configuration_messages.ReadRange():
                 self._read(address, command)
@@ -228,7 +228,7 @@
                 self.engines[found[1].upstream].cancel(command.run_id)
         self.take(address, command)
 
-    def _call(self, address: str, call: exchange.Call) -> None:
+    def _call(self, address: str, call: exchange.SendCall) -> None:
         started = self.now
         if not self.reaches(address, call.peer):
             failed = exchange.CallFailed(call.peer, started)
@@ -237,12 +237,14 @@
         number = next(self._numbers)
         delay_s = self.delay_s(address, call.peer)
 
-        def reply(answer: exchange.Reply) -> None:
-            event = exchange.Answered(call.peer, answer.sender, answer.items)
+        def reply(answer: exchange.SendReply) -> None:
+            event = exchange.ReplyReceived(
+                call.peer, answer.sender, answer.items
+            )
             self._send(delay_s, address, event)
 
         self._replies[number] = reply
-        incoming = exchange.Incoming(number, call.sender, call.items)
+        incoming = exchange.CallReceived(number, call.sender, call.items)
         self._send(delay_s, call.peer, incoming)
 
     def _has_store(self, address: str) -> bool:
--- a/sycamorehollow/decisions/cascading/learning.py
+++ b/sycamorehollow/decisions/cascading/learning.py
@@ -16,7 +16,7 @@
 
 from sycamorehollow.decisions import components
 from sycamorehollow.decisions.cascading import tracks
-from sycamorehollow.decisions.replication import deltas
+from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
@@ -193,11 +193,11 @@
             track = self._tracks[key]
             sums = {epoch: track.checksum(epoch) for epoch in track.epochs}
             held["\n".join((*key[:3], *key.after))] = [track.floor, sums]
-        return deltas.pack([slices, turn, held])
+        return compressed_json.compress_json([slices, turn, held])
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the epochs that differ from the digest, up to a bound."""
-        slices, turn, held = deltas.unpack(digest)
+        slices, turn, held = compressed_json.decompress_json(digest)
         keys = self._slice(slices, turn)
         start = int(now * 7) % len(keys) if keys else 0
         news = []
@@ -217,13 +217,13 @@
             room -= sum(len(cells) for cells in epochs.values())
             if room <= 0:
                 break
-        return deltas.pack(news) if news else b""
+        return compressed_json.compress_json(news) if news else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Raises counts to those of another process."""
         if not delta:
             return []
-        for fields, floor, epochs in deltas.unpack(delta):
+        for fields, floor, epochs in compressed_json.decompress_json(delta):
             key = Key(fields[0], fields[1], fields[2], tuple(fields[3]))
             if not self._is_known(key):
                 continue
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -159,7 +159,7 @@
             drains.MarkCold: self._mark_cold,
             effect_messages.SpoolOutcome: self._spool_outcome,
             members.MemberChanged: self._change_members,
-            payloads.Urgent: self._push,
+            payloads.PushDelta: self._push,
             quarantine.SpreadQuarantine: self._spread_quarantine,
             records.RecordChanged: self._change_records,
             stops.SpreadStops: self._spread_stops,
@@ -227,9 +227,9 @@
         before, after = command.before, command.after
         if before is not None and before.incarnation < after.incarnation:
             result.append(billing_messages.OriginGone(_identify(before)))
-        if not after.live:
+        if not after.is_live:
             result.append(billing_messages.OriginGone(_identify(after)))
-        elif before is not None and not before.live:
+        elif before is not None and not before.is_live:
             result.append(billing_messages.OriginBack(_identify(after)))
         return result
 
@@ -261,7 +261,7 @@
     def _ask_peers(
         self, command: configuration_messages.AskPeers, now: float
     ) -> list[Any]:
-        return list(self.exchange.open(command.targets, now))
+        return list(self.exchange.start_exchanges(command.targets, now))
 
     def _push_changes(
         self, command: configuration_messages.PushChanges, now: float
@@ -270,33 +270,37 @@
             command.kind + exchange.DELTA_SUFFIX, command.delta
         )
         return [
-            exchange.Call(target, self.process, (item,))
+            exchange.SendCall(target, self.process, (item,))
             for target in command.targets
         ]
 
-    def _push(self, command: payloads.Urgent, now: float) -> list[Any]:
-        return list(self.exchange.push(command))
+    def _push(self, command: payloads.PushDelta, now: float) -> list[Any]:
+        return list(self.exchange.push_delta(command))
 
     def _push_cold_state(
         self, command: cold_start_limiter.PushColdState, now: float
     ) -> list[Any]:
         cold = self.placement.cold_start_limiter
         return [
-            payloads.Urgent(cold.kind, cold.encode_upstream(command.upstream))
+            payloads.PushDelta(
+                cold.kind, cold.encode_upstream(command.upstream)
+            )
         ]
 
     def _spread_quarantine(
         self, command: quarantine.SpreadQuarantine, now: float
     ) -> list[Any]:
         part = self.quarantine
-        return [payloads.Urgent(part.kind, part.build_delta(EMPTY_DIGEST, now))]
+        return [
+            payloads.PushDelta(part.kind, part.build_delta(EMPTY_DIGEST, now))
+        ]
 
     def _spread_stops(
         self, command: stops.SpreadStops, now: float
     ) -> list[Any]:
         delta = self.stops.encode(command.stops)
         return [
-            payloads.Urgent(self.stops.kind, delta),
+            payloads.PushDelta(self.stops.kind, delta),
             stops.ReportStops(command.stops),
         ]
 
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -93,7 +93,7 @@
     def is_coordinator(self) -> bool:
         """Tells whether this process may drive roll-outs."""
         me = self.process
-        return me.address in self.membership.list_lowest(
+        return me.address in self.membership.list_lowest_addresses(
             me.data_centre, ROLLOUT_COORDINATORS
         )
 
@@ -201,7 +201,7 @@
             options.convert,
             source,
         )
-        self.records = records.Records()
+        self.records = records.ReplicatedRecords()
         self.drains = drains.Drains()
         self.learning = learning.Learning(process.label)
         self.evidence = sequential.Evidence(process.label)
--- a/sycamorehollow/decisions/operations/drain_orders.py
+++ b/sycamorehollow/decisions/operations/drain_orders.py
@@ -25,7 +25,7 @@
         kept: The replicated records.
     """
 
-    def __init__(self, kept: records.Records):
+    def __init__(self, kept: records.ReplicatedRecords):
         self._records = kept
         self._deployment = deployment.Deployment()
 
--- a/sycamorehollow/decisions/operations/drains.py
+++ b/sycamorehollow/decisions/operations/drains.py
@@ -67,7 +67,7 @@
 class RecordsChanged(events.Event):
     """The replicated records changed."""
 
-    drained: tuple[records.Record, ...]
+    drained: tuple[records.ReplicatedRecord, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,7 +105,7 @@
     def __init__(self) -> None:
         self._deployment = deployment.Deployment()
         self._leaving: dict[str, bool] = {}
-        self._records: tuple[records.Record, ...] = ()
+        self._records: tuple[records.ReplicatedRecord, ...] = ()
         self._drained: frozenset[str] = frozenset()
         self._out: dict[str, str] = {}
 
@@ -137,9 +137,9 @@
         """Returns the keys of the drain records that still hold."""
         revision = self._deployment.revisions.get(PLATFORM_BRANCH, 0)
         for record in self._records:
-            if record.kind != DRAIN_KIND or record.deleted:
+            if record.kind != DRAIN_KIND or record.is_tombstone:
                 continue
-            value = record.load()
+            value = record.decode_value()
             named = value.get("revision") if isinstance(value, dict) else None
             # A record without a valid revision holds until it is deleted.
             if not isinstance(named, int) or revision <= named:
--- a/sycamorehollow/decisions/releases/rollouts.py
+++ b/sycamorehollow/decisions/releases/rollouts.py
@@ -8,7 +8,7 @@
 from sycamorehollow.decisions.releases import sequential
 from sycamorehollow.decisions.releases import stages
 from sycamorehollow.decisions.releases import stops
-from sycamorehollow.decisions.replication import deltas
+from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
@@ -232,25 +232,25 @@
 
     def build_digest(self, now: float) -> bytes:
         """Returns the revisions of the stage documents."""
-        return deltas.pack(
+        return compressed_json.compress_json(
             {name: run.revision for name, run in self._runs.items()}
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the newer stage documents."""
-        held = deltas.unpack(digest)
+        held = compressed_json.decompress_json(digest)
         news = [
             [name, run.revision, run.value.decode()]
             for name, run in self._runs.items()
             if run.revision > held.get(name, 0)
         ]
-        return deltas.pack(news) if news else b""
+        return compressed_json.compress_json(news) if news else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Takes the stage documents of another process."""
         if not delta:
             return []
-        for name, revision, value in deltas.unpack(delta):
+        for name, revision, value in compressed_json.decompress_json(delta):
             if name in self._deployment.rollouts:
                 self._adopt(name, revision, value.encode(), now)
         return []
--- a/sycamorehollow/decisions/releases/sequential.py
+++ b/sycamorehollow/decisions/releases/sequential.py
@@ -17,7 +17,7 @@
 import zlib
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.replication import deltas
+from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
@@ -296,11 +296,11 @@
             }
             for run, group in self._records.items()
         }
-        return deltas.pack([slices, turn, held])
+        return compressed_json.compress_json([slices, turn, held])
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the newer records, up to a bound, from a rotating start."""
-        slices, turn, held = deltas.unpack(digest)
+        slices, turn, held = compressed_json.decompress_json(digest)
         news = []
         for run, group in sorted(self._records.items()):
             known = held.get(run, {})
@@ -312,13 +312,17 @@
         if not news:
             return b""
         start = int(now * 7) % len(news)
-        return deltas.pack((news[start:] + news[:start])[:DELTA_RECORDS])
+        return compressed_json.compress_json(
+            (news[start:] + news[:start])[:DELTA_RECORDS]
+        )
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Takes the records with a higher number."""
         if not delta:
             return []
-        for run, process, number, tallies in deltas.unpack(delta):
+        for run, process, number, tallies in compressed_json.decompress_json(
+            delta
+        ):
             # A restart has a new identity, so nobody else knows better.
             if run not in self._kept or process == self._process:
                 continue
--- a/sycamorehollow/decisions/releases/stops.py
+++ b/sycamorehollow/decisions/releases/stops.py
@@ -6,7 +6,7 @@
 import hashlib
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.replication import deltas
+from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 
@@ -111,11 +111,13 @@
 
     def build_digest(self, now: float) -> bytes:
         """Returns the order of each record."""
-        return deltas.pack({v: _order(stop) for v, stop in self._stops.items()})
+        return compressed_json.compress_json(
+            {v: _order(stop) for v, stop in self._stops.items()}
+        )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the records that come later than those of the digest."""
-        held = deltas.unpack(digest)
+        held = compressed_json.decompress_json(digest)
         return self.encode(
             stop
             for version, stop in self._stops.items()
@@ -125,13 +127,15 @@
     def encode(self, stops: Iterable[Stop]) -> bytes:
         """Returns a delta with the records, for a push to peers."""
         news = [dataclasses.asdict(stop) for stop in stops]
-        return deltas.pack(news) if news else b""
+        return compressed_json.compress_json(news) if news else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Takes the records that come later than those held."""
         if not delta:
             return []
-        news = self._take(Stop(**stop) for stop in deltas.unpack(delta))
+        news = self._take(
+            Stop(**stop) for stop in compressed_json.decompress_json(delta)
+        )
         return [ReportStops(tuple(news))] if news else []
 
     def _take(self, stops: Iterable[Stop]) -> list[Stop]:
--- a/sycamorehollow/decisions/replication/allowances.py
+++ b/sycamorehollow/decisions/replication/bandwidth.py
@@ -4,10 +4,10 @@
 BURST_S = 5.0
 # What a process received beyond its limit delays its own digests this long at
 # most, so that it stays reachable for repairs.
-DEBT_S = 15.0
+MAX_DEBT_S = 15.0
 
 
-class Allowance:
+class BandwidthBudget:
     """Bytes that one kind of state may still cost now.
 
     Args:
@@ -19,14 +19,14 @@
         self._left = bytes_per_s * BURST_S
         self._counted_at: float | None = None
 
-    def allows(self, now: float) -> bool:
+    def can_send(self, now: float) -> bool:
         """Tells whether a digest may be sent now."""
         return self._count(now) > 0
 
-    def spend(self, size: int, now: float) -> None:
+    def consume(self, size_bytes: int, now: float) -> None:
         """Takes note of bytes that were sent or received."""
-        left = self._count(now) - size
-        self._left = max(left, -self._bytes_per_s * DEBT_S)
+        left = self._count(now) - size_bytes
+        self._left = max(left, -self._bytes_per_s * MAX_DEBT_S)
         self._counted_at = now
 
     def _count(self, now: float) -> float:
--- a/sycamorehollow/decisions/replication/deltas.py
+++ b/sycamorehollow/decisions/replication/compressed_json.py
@@ -4,17 +4,17 @@
 import zlib
 
 
-def pack(value: object) -> bytes:
+def compress_json(value: object) -> bytes:
     """Returns a JSON-compatible value in compressed form."""
     text = json.dumps(value, separators=(",", ":")).encode()
     return zlib.compress(text, level=1)
 
 
-def unpack(data: bytes):
+def decompress_json(data: bytes):
     """Returns the value; object keys are strings.
 
     Raises:
-        ValueError: The bytes are not of `pack`.
+        ValueError: The bytes are not a result of `compress_json`.
     """
     try:
         return json.loads(zlib.decompress(data))
--- a/sycamorehollow/decisions/replication/exchange.py
+++ b/sycamorehollow/decisions/replication/exchange.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.replication import allowances
+from sycamorehollow.decisions.replication import bandwidth
 from sycamorehollow.decisions.replication import members
 from sycamorehollow.decisions.replication import membership
 from sycamorehollow.decisions.replication import payloads
@@ -34,7 +34,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Incoming(events.Event):
+class CallReceived(events.Event):
     """Another process called.
 
     Attributes:
@@ -49,7 +49,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Answered(events.Event):
+class ReplyReceived(events.Event):
     """A called process answered.
 
     Attributes:
@@ -69,16 +69,16 @@
 
     Attributes:
         peer: The address that was called.
-        started: Monotonic time in seconds at which the call was sent.
+        started_at: Monotonic time in seconds at which the call was sent.
     """
 
     peer: str
-    started: float
+    started_at: float
 
 
 @dataclasses.dataclass(frozen=True)
-class Call(commands.Command):
-    """Asks for a call; it comes back as `Answered` or `CallFailed`."""
+class SendCall(commands.Command):
+    """Asks for a call; it comes back as `ReplyReceived` or `CallFailed`."""
 
     peer: str
     sender: Process
@@ -86,7 +86,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Reply(commands.Command):
+class SendReply(commands.Command):
     """Answers an incoming call."""
 
     call: int
@@ -114,9 +114,9 @@
             if component.kind in self._components:
                 raise ValueError(f"two components of kind {component.kind}")
             self._components[component.kind] = component
-        self._helped: dict[str, set[str]] = {}
-        self._allowances = {
-            kind: allowances.Allowance(component.bytes_per_s)
+        self._probe_requesters: dict[str, set[str]] = {}
+        self._bandwidth_budgets = {
+            kind: bandwidth.BandwidthBudget(component.bytes_per_s)
             for kind, component in self._components.items()
             if component.bytes_per_s is not None
         }
@@ -124,77 +124,85 @@
     @property
     def sender(self) -> Process:
         """The identity of this process."""
-        me = self._peers.me
+        me = self._peers.self_record
         return Process(me.address, me.data_centre, me.incarnation)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event.
 
-        Takes the events of this module, `payloads.Urgent` deltas through
-        `push`, and passes every other event on to membership.
+        Takes the events of this module, `payloads.PushDelta` commands through
+        `push_delta`, and passes every other event on to membership.
         """
-        if isinstance(event, Incoming):
-            return self._answer(event, now)
-        if isinstance(event, Answered):
-            return self._finish(event, now)
+        if isinstance(event, CallReceived):
+            return self._handle_call(event, now)
+        if isinstance(event, ReplyReceived):
+            return self._handle_reply(event, now)
         if isinstance(event, CallFailed):
-            self._helped.pop(event.peer, None)
-            failed = membership.ProbeFailed(event.peer, event.started)
-            return self._carry_out(self._peers.handle(failed, now), now)
-        return self._carry_out(self._peers.handle(event, now), now)
-
-    def open(self, addresses: Iterable[str], now: float) -> list[Call]:
+            self._probe_requesters.pop(event.peer, None)
+            failed = membership.ProbeFailed(event.peer, event.started_at)
+            return self._translate(self._peers.handle(failed, now), now)
+        return self._translate(self._peers.handle(event, now), now)
+
+    def start_exchanges(
+        self, addresses: Iterable[str], now: float
+    ) -> list[SendCall]:
         """Returns the calls that start exchanges with the given processes."""
-        return [self._open(address, now) for address in addresses]
+        return [self._start_exchange(address, now) for address in addresses]
 
-    def push(self, urgent: payloads.Urgent) -> list[commands.Command]:
+    def push_delta(self, urgent: payloads.PushDelta) -> list[commands.Command]:
         """Returns the calls that push a delta of this process's own."""
         item = Item(urgent.kind + DELTA_SUFFIX, urgent.delta)
         return [
-            Call(address, self.sender, (item,))
+            SendCall(address, self.sender, (item,))
             for address in self._peers.list_push_targets()
         ]
 
-    def _answer(self, event: Incoming, now: float) -> list[commands.Command]:
+    def _handle_call(
+        self, event: CallReceived, now: float
+    ) -> list[commands.Command]:
         """Merges what a caller sent and answers its digests."""
-        self._spend(event.items, now)
-        result = self._hear(event.sender, False, now)
+        self._count_bytes(event.items, now)
+        result = self._record_contact(event.sender, False, now)
         # Deltas go first, so that the answer already holds a refutation.
         result += self._merge(event.sender, event.items, now)
-        items = self._compare(event.items, True, now)
-        result.append(Reply(event.call, self.sender, tuple(items)))
+        items = self._build_items(event.items, True, now)
+        result.append(SendReply(event.call, self.sender, tuple(items)))
         for item in event.items:
             if item.kind != PROBE_KIND:
                 continue
             target = item.payload.decode("utf-8", "replace")
             if self._peers.find(target) is None:
                 continue
-            self._helped.setdefault(target, set()).add(event.sender.address)
-            result.append(self._open(target, now))
+            self._probe_requesters.setdefault(target, set()).add(
+                event.sender.address
+            )
+            result.append(self._start_exchange(target, now))
         return result
 
-    def _finish(self, event: Answered, now: float) -> list[commands.Command]:
+    def _handle_reply(
+        self, event: ReplyReceived, now: float
+    ) -> list[commands.Command]:
         """Merges an answer and sends what the called side lacks."""
         if event.sender.address != event.peer:
             return []
-        self._spend(event.items, now)
-        result = self._hear(event.sender, True, now)
+        self._count_bytes(event.items, now)
+        result = self._record_contact(event.sender, True, now)
         result += self._merge(event.sender, event.items, now)
-        items = self._compare(event.items, False, now)
+        items = self._build_items(event.items, False, now)
         if items:
-            result.append(Call(event.peer, self.sender, tuple(items)))
-        for requester in sorted(self._helped.pop(event.peer, ())):
-            result.append(self._open(requester, now))
+            result.append(SendCall(event.peer, self.sender, tuple(items)))
+        for requester in sorted(self._probe_requesters.pop(event.peer, ())):
+            result.append(self._start_exchange(requester, now))
         return result
 
-    def _hear(
+    def _record_contact(
         self, sender: Process, answered: bool, now: float
     ) -> list[commands.Command]:
         """Tells membership that a process runs."""
-        heard = membership.Heard(
+        heard = membership.MessageReceived(
             sender.address, sender.data_centre, sender.incarnation, answered
         )
-        return self._carry_out(self._peers.handle(heard, now), now)
+        return self._translate(self._peers.handle(heard, now), now)
 
     def _merge(
         self, sender: Process, items: Iterable[Item], now: float
@@ -215,12 +223,12 @@
                 continue
             merged = component.merge(item.payload, now)
             foreign = sender.data_centre != self.sender.data_centre
-            result += self._carry_out(
+            result += self._translate(
                 merged, now, own_only=True, spread=foreign
             )
         return result
 
-    def _compare(
+    def _build_items(
         self, items: Iterable[Item], with_digest: bool, now: float
     ) -> list[Item]:
         """Returns deltas, and own digests if wanted, where digests differ."""
@@ -240,25 +248,25 @@
                 result.append(Item(kind + DELTA_SUFFIX, delta))
             if with_digest:
                 result.append(Item(kind + DIGEST_SUFFIX, digest))
-        self._spend(result, now)
+        self._count_bytes(result, now)
         return result
 
-    def _may_spend(self, kind: str, now: float) -> bool:
+    def _can_send(self, kind: str, now: float) -> bool:
         """Tells whether a digest of a kind may open an exchange now.
 
         Answers only count: a digest without an answer would be wasted.
         """
-        allowance = self._allowances.get(kind)
-        return allowance is None or allowance.allows(now)
+        budget = self._bandwidth_budgets.get(kind)
+        return budget is None or budget.can_send(now)
 
-    def _spend(self, items: Iterable[Item], now: float) -> None:
+    def _count_bytes(self, items: Iterable[Item], now: float) -> None:
         """Counts sent or received items against the limits of their kinds."""
         for item in items:
-            allowance = self._allowances.get(item.kind.rpartition("/")[0])
-            if allowance is not None:
-                allowance.spend(len(item.payload), now)
+            budget = self._bandwidth_budgets.get(item.kind.rpartition("/")[0])
+            if budget is not None:
+                budget.consume(len(item.payload), now)
 
-    def _open(self, address: str, now: float) -> Call:
+    def _start_exchange(self, address: str, now: float) -> SendCall:
         """Returns the call that starts an exchange.
 
         A member that is suspected or believed dead is told so in the first
@@ -267,16 +275,16 @@
         items = [
             Item(kind + DIGEST_SUFFIX, component.build_digest(now))
             for kind, component in self._components.items()
-            if self._may_spend(kind, now)
+            if self._can_send(kind, now)
         ]
-        self._spend(items, now)
+        self._count_bytes(items, now)
         member = self._peers.find(address)
-        if member is not None and member.state is not members.State.ALIVE:
+        if member is not None and member.state is not members.MemberState.ALIVE:
             delta = self._peers.encode_record(address)
             items.append(Item(self._peers.kind + DELTA_SUFFIX, delta))
-        return Call(address, self.sender, tuple(items))
+        return SendCall(address, self.sender, tuple(items))
 
-    def _carry_out(
+    def _translate(
         self,
         asked: Iterable[commands.Command],
         now: float,
@@ -287,36 +295,38 @@
         result: list[commands.Command] = []
         for command in asked:
             if isinstance(command, membership.Probe):
-                result.append(self._open(command.address, now))
+                result.append(self._start_exchange(command.address, now))
                 continue
-            if isinstance(command, membership.AskHelper):
-                result.append(self._ask(command, now))
+            if isinstance(command, membership.RequestIndirectProbe):
+                result.append(self._request_probe(command, now))
                 continue
-            if isinstance(command, payloads.Urgent):
+            if isinstance(command, payloads.PushDelta):
                 if spread:
-                    result += self._spread(command, own_only)
+                    result += self._push(command, own_only)
                 continue
             result.append(command)
         return result
 
-    def _ask(self, command: membership.AskHelper, now: float) -> Call:
+    def _request_probe(
+        self, command: membership.RequestIndirectProbe, now: float
+    ) -> SendCall:
         """Returns the call that asks a helper to probe an address."""
         delta = self._peers.encode_record(command.target)
         items = (
             Item(self._peers.kind + DELTA_SUFFIX, delta),
             Item(PROBE_KIND, command.target.encode()),
         )
-        return Call(command.helper, self.sender, items)
+        return SendCall(command.helper, self.sender, items)
 
-    def _spread(
-        self, urgent: payloads.Urgent, own_only: bool
+    def _push(
+        self, urgent: payloads.PushDelta, own_only: bool
     ) -> list[commands.Command]:
         """Pushes a delta, to the own data centre only if so asked."""
         if not own_only:
-            return self.push(urgent)
+            return self.push_delta(urgent)
         item = Item(urgent.kind + DELTA_SUFFIX, urgent.delta)
         return [
-            Call(member.address, self.sender, (item,))
+            SendCall(member.address, self.sender, (item,))
             for member in self._peers.list_live(self.sender.data_centre)
             if member.address != self.sender.address
         ]
--- a/sycamorehollow/decisions/replication/members.py
+++ b/sycamorehollow/decisions/replication/members.py
@@ -12,11 +12,11 @@
 BUCKETS = 64
 # Longer than the one-hour partitions between regions, so that both sides still
 # know whom to probe when the partition ends.
-RETENTION_S = 3 * 3600.0
+GONE_RETENTION_S = 3 * 3600.0
 
 
-class State(enum.IntEnum):
-    """State of a member; a higher one wins at the same counter."""
+class MemberState(enum.IntEnum):
+    """State of a member; a higher one wins with equal refutations."""
 
     ALIVE = 0
     SUSPECT = 1
@@ -32,30 +32,30 @@
         address: IP address and port of its peer server.
         data_centre: Data centre that it runs in.
         incarnation: Start time in nanoseconds; a restart has a higher one.
-        counter: Raised by the member itself to refute a suspicion.
+        refutations: Raised by the member itself to refute a suspicion.
         state: What the members agree on.
     """
 
     address: str
     data_centre: str
     incarnation: int
-    counter: int = 0
-    state: State = State.ALIVE
+    refutations: int = 0
+    state: MemberState = MemberState.ALIVE
 
     @property
-    def order(self) -> tuple[int, bool, int, int]:
+    def precedence(self) -> tuple[int, bool, int, int]:
         """Rank among the records of one address; the highest wins.
 
         Only the member itself announces that it left, so nothing that others
         say of the same incarnation overrides it.
         """
-        left = self.state is State.LEFT
-        return (self.incarnation, left, self.counter, self.state)
+        left = self.state is MemberState.LEFT
+        return (self.incarnation, left, self.refutations, self.state)
 
     @property
-    def live(self) -> bool:
+    def is_live(self) -> bool:
         """Whether the member counts as running."""
-        return self.state in (State.ALIVE, State.SUSPECT)
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,13 +75,15 @@
     """Returns the member in a row of a delta, or `None` if it is malformed."""
     if len(row) != 5:
         return None
-    address, data_centre, incarnation, counter, state = row
+    address, data_centre, incarnation, refutations, state = row
     if not isinstance(address, str) or not isinstance(data_centre, str):
         return None
-    if not isinstance(incarnation, int) or not isinstance(counter, int):
+    if not isinstance(incarnation, int) or not isinstance(refutations, int):
         return None
     try:
-        return Member(address, data_centre, incarnation, counter, State(state))
+        return Member(
+            address, data_centre, incarnation, refutations, MemberState(state)
+        )
     except ValueError:
         return None
 
@@ -92,12 +94,12 @@
         member.address,
         member.data_centre,
         member.incarnation,
-        member.counter,
+        member.refutations,
         int(member.state),
     ]
 
 
-class Members(components.Replicated):
+class MemberTable(components.Replicated):
     """Member table; the record with the highest order wins.
 
     The digest covers live members only. Records of members that are gone are
@@ -110,14 +112,14 @@
     def __init__(self) -> None:
         self._records: dict[str, Member] = {}
         self._changed_at: dict[str, float] = {}
-        self._buckets = payloads.Buckets(BUCKETS)
+        self._buckets = payloads.BucketHashes(BUCKETS)
         self._keys: list[set[str]] = [set() for _ in range(BUCKETS)]
 
     def find(self, address: str) -> Member | None:
         """Returns the record of an address."""
         return self._records.get(address)
 
-    def find_changed_at(self, address: str) -> float:
+    def get_changed_at(self, address: str) -> float:
         """Returns the local time of the last change of a known address."""
         return self._changed_at[address]
 
@@ -128,14 +130,14 @@
     def apply(self, member: Member, now: float) -> MemberChanged | None:
         """Puts a record in force if it wins over the held one."""
         before = self._records.get(member.address)
-        if before is not None and before.order >= member.order:
+        if before is not None and before.precedence >= member.precedence:
             return None
         # Taking up an expired record again would keep it circulating.
-        if before is None and not member.live:
+        if before is None and not member.is_live:
             return None
-        if before is not None and before.live:
+        if before is not None and before.is_live:
             self._toggle(before)
-        if member.live:
+        if member.is_live:
             self._toggle(member)
         self._records[member.address] = member
         self._changed_at[member.address] = now
@@ -146,9 +148,9 @@
     def expire(self, now: float) -> None:
         """Removes members that have been gone for the retention time."""
         for address, member in list(self._records.items()):
-            if member.live:
+            if member.is_live:
                 continue
-            if now - self._changed_at[address] < RETENTION_S:
+            if now - self._changed_at[address] < GONE_RETENTION_S:
                 continue
             del self._records[address]
             del self._changed_at[address]
@@ -162,7 +164,7 @@
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the records of the buckets that differ, within a bound."""
         candidates = []
-        for bucket in self._buckets.find_differences(digest):
+        for bucket in self._buckets.find_differing_buckets(digest):
             for address in sorted(self._keys[bucket]):
                 row = encode_member(self._records[address])
                 candidates.append((self._changed_at[address], row))
@@ -187,7 +189,7 @@
     def _toggle(self, member: Member) -> None:
         """Adds a live record to the digest, or takes it out."""
         content = (
-            f"{member.data_centre} {member.incarnation} {member.counter}"
+            f"{member.data_centre} {member.incarnation} {member.refutations}"
             f" {int(member.state)}"
         )
         self._buckets.toggle(member.address, content)
--- a/sycamorehollow/decisions/replication/membership.py
+++ b/sycamorehollow/decisions/replication/membership.py
@@ -12,29 +12,29 @@
 
 # A suspect has this long to refute. Refutation through helpers takes about two
 # exchanges; the rest covers lost calls.
-SUSPICION_S = 6.0
+SUSPICION_TIMEOUT_S = 6.0
 # A counter that rose this recently is proof of life. It limits the churn that
 # members cause who can call but cannot be called.
 REFUTED_GRACE_S = 10.0
 # A gap between two ticks from which the process counts as having been paused.
-PAUSE_S = 3.0
+PAUSE_THRESHOLD_S = 3.0
 # How often one member that is believed gone, or an address that is only
 # hinted at, is probed. It ends partitions.
-LOST_PROBE_S = 5.0
+LOST_PROBE_INTERVAL_S = 5.0
 # A process this young may have started with a clock that was behind; an older
 # one that hears of a higher incarnation was replaced.
-YOUNG_S = 30.0
-HELPERS = 3
+STARTUP_CLOCK_GRACE_S = 30.0
+INDIRECT_PROBERS = 3
 # Expected number of independent probes while a suspicion spreads.
-SPREAD_PROBES = 8
+EXPECTED_SPREAD_PROBES = 8
 # After this many failed probes in a row, a process that still hears from
 # others takes its own outgoing path to be at fault.
-SELF_BLAME_FAILURES = 4
-HEARD_RECENTLY_S = 5.0
+LOCAL_FAULT_FAILURES = 4
+RECENT_CONTACT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
-class Heard(events.Event):
+class MessageReceived(events.Event):
     """An envelope arrived from a process, as a call or as an answer."""
 
     address: str
@@ -49,15 +49,15 @@
 
     Attributes:
         address: The process that was called.
-        started: Monotonic time in seconds at which the call was sent.
+        started_at: Monotonic time in seconds at which the call was sent.
     """
 
     address: str
-    started: float
+    started_at: float
 
 
 @dataclasses.dataclass(frozen=True)
-class VmListSeen(events.Event):
+class VmListReceived(events.Event):
     """The platform's list of VMs arrived; it lags behind.
 
     Attributes:
@@ -80,7 +80,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AskHelper(commands.Command):
+class RequestIndirectProbe(commands.Command):
     """Asks another member to probe an address that did not answer."""
 
     helper: str
@@ -88,7 +88,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Replaced(commands.Command):
+class ProcessReplaced(commands.Command):
     """Tells that a newer process runs under this address; this one must end."""
 
     incarnation: int
@@ -97,7 +97,7 @@
 class Membership(components.Component, components.Replicated):
     """Keeps the member table and decides whom to probe."""
 
-    kind = members.Members.kind
+    kind = members.MemberTable.kind
 
     def __init__(
         self,
@@ -114,24 +114,24 @@
             rng: Source of randomness.
             now: Monotonic time in seconds.
         """
-        self._me = me
+        self._self_record = me
         self._seeds = tuple(seed for seed in seeds if seed != me.address)
         self._rng = rng
-        self._started = now
-        self._ticked = now
-        self._resumed = now
+        self._started_at = now
+        self._last_tick = now
+        self._resumed_at = now
         self._lost_probe_due = now
-        self._failures = 0
-        self._heard = float("-inf")
-        self._hints: Mapping[str, bool] = {}
+        self._failed_probes = 0
+        self._last_contact = float("-inf")
+        self._vm_leaving: Mapping[str, bool] = {}
         self._deadlines: dict[str, float] = {}
-        self._table = members.Members()
+        self._table = members.MemberTable()
         self._table.apply(me, now)
 
     @property
-    def me(self) -> members.Member:
+    def self_record(self) -> members.Member:
         """The record of this process in its present incarnation."""
-        return self._me
+        return self._self_record
 
     def find(self, address: str) -> members.Member | None:
         """Returns the record of an address."""
@@ -142,15 +142,15 @@
         return [
             member
             for member in self._table.list_members()
-            if member.live and data_centre in ("", member.data_centre)
+            if member.is_live and data_centre in ("", member.data_centre)
         ]
 
-    def list_lowest(self, data_centre: str, count: int) -> list[str]:
+    def list_lowest_addresses(self, data_centre: str, count: int) -> list[str]:
         """Returns the lowest addresses of live members that are not leaving."""
         addresses = [
             member.address
             for member in self.list_live(data_centre)
-            if not self._hints.get(member.address, False)
+            if not self._vm_leaving.get(member.address, False)
         ]
         return sorted(addresses)[:count]
 
@@ -159,9 +159,9 @@
         targets = []
         others: dict[str, list[str]] = {}
         for member in self.list_live():
-            if member.address == self._me.address:
+            if member.address == self._self_record.address:
                 continue
-            if member.data_centre == self._me.data_centre:
+            if member.data_centre == self._self_record.data_centre:
                 targets.append(member.address)
                 continue
             others.setdefault(member.data_centre, []).append(member.address)
@@ -189,39 +189,41 @@
         result: list[commands.Command] = []
         for change in changes:
             if isinstance(change, members.MemberChanged):
-                result.extend(self._react(change, now))
+                result.extend(self._handle_change(change, now))
         return result
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; see the event classes of this module."""
         if isinstance(event, events.Tick):
             return self._tick(now)
-        if isinstance(event, Heard):
-            return self._hear(event, now)
+        if isinstance(event, MessageReceived):
+            return self._record_contact(event, now)
         if isinstance(event, ProbeFailed):
-            return self._doubt(event, now)
-        if isinstance(event, VmListSeen):
-            self._hints = dict(event.leaving)
+            return self._suspect(event, now)
+        if isinstance(event, VmListReceived):
+            self._vm_leaving = dict(event.leaving)
             return []
         if isinstance(event, LeaveRequested):
-            self._me = dataclasses.replace(self._me, state=members.State.LEFT)
-            self._table.apply(self._me, now)
+            self._self_record = dataclasses.replace(
+                self._self_record, state=members.MemberState.LEFT
+            )
+            self._table.apply(self._self_record, now)
             return [self._announce()]
         return []
 
-    def _announce(self) -> payloads.Urgent:
+    def _announce(self) -> payloads.PushDelta:
         """Asks for the record of this process to be pushed."""
-        return payloads.Urgent(
-            self.kind, self._table.encode_record(self._me.address)
+        return payloads.PushDelta(
+            self.kind, self._table.encode_record(self._self_record.address)
         )
 
     def _tick(self, now: float) -> list[commands.Command]:
         """Declares overdue suspects dead and selects peers to probe."""
-        gap = now - self._ticked
-        self._ticked = now
-        if gap > PAUSE_S:
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap > PAUSE_THRESHOLD_S:
             # Suspects could not refute to a process that was paused.
-            self._resumed = now
+            self._resumed_at = now
             for address in self._deadlines:
                 self._deadlines[address] += gap
         result: list[commands.Command] = []
@@ -229,19 +231,19 @@
             if deadline <= now:
                 result.extend(self._declare_dead(address, now))
         self._table.expire(now)
-        if self._me.state is members.State.LEFT:
+        if self._self_record.state is members.MemberState.LEFT:
             return result
-        result.extend(Probe(address) for address in self._select(now))
+        result.extend(Probe(address) for address in self._select_probes(now))
         return result
 
-    def _select(self, now: float) -> list[str]:
+    def _select_probes(self, now: float) -> list[str]:
         """Selects one member, one of the own data centre and a lost one."""
         everywhere, nearby = [], []
         for member in self.list_live():
-            if member.address == self._me.address:
+            if member.address == self._self_record.address:
                 continue
             everywhere.append(member.address)
-            if member.data_centre == self._me.data_centre:
+            if member.data_centre == self._self_record.data_centre:
                 nearby.append(member.address)
         chosen = []
         for candidates in (everywhere, nearby):
@@ -251,7 +253,7 @@
             lost = self._list_lost()
             if lost:
                 chosen.append(self._rng.choice(lost))
-            self._lost_probe_due = now + LOST_PROBE_S
+            self._lost_probe_due = now + LOST_PROBE_INTERVAL_S
         return list(dict.fromkeys(chosen))
 
     def _list_lost(self) -> list[str]:
@@ -259,67 +261,76 @@
         lost = {
             member.address
             for member in self._table.list_members()
-            if member.state is members.State.DEAD
+            if member.state is members.MemberState.DEAD
         }
-        for address in (*self._seeds, *self._hints):
+        for address in (*self._seeds, *self._vm_leaving):
             known = self._table.find(address)
-            if known is None or not known.live:
+            if known is None or not known.is_live:
                 lost.add(address)
-        lost.discard(self._me.address)
+        lost.discard(self._self_record.address)
         return sorted(lost)
 
-    def _hear(self, event: Heard, now: float) -> list[commands.Command]:
+    def _record_contact(
+        self, event: MessageReceived, now: float
+    ) -> list[commands.Command]:
         """Takes a message from a process as proof that it runs."""
-        if event.address == self._me.address:
+        if event.address == self._self_record.address:
             return []
-        self._heard = now
+        self._last_contact = now
         if event.answered:
-            self._failures = 0
+            self._failed_probes = 0
         found = members.Member(
             event.address, event.data_centre, event.incarnation
         )
         change = self._table.apply(found, now)
-        return [] if change is None else self._react(change, now)
+        return [] if change is None else self._handle_change(change, now)
 
-    def _doubt(self, event: ProbeFailed, now: float) -> list[commands.Command]:
+    def _suspect(
+        self, event: ProbeFailed, now: float
+    ) -> list[commands.Command]:
         """Suspects a member that did not answer and asks others to probe it."""
         member = self._table.find(event.address)
-        if member is None or member.state is not members.State.ALIVE:
+        if member is None or member.state is not members.MemberState.ALIVE:
             return []
-        if event.started < self._resumed or event.address == self._me.address:
+        if (
+            event.started_at < self._resumed_at
+            or event.address == self._self_record.address
+        ):
             return []
-        self._failures += 1
-        heard_recently = now - self._heard < HEARD_RECENTLY_S
-        if self._failures > SELF_BLAME_FAILURES and heard_recently:
+        self._failed_probes += 1
+        has_recent_contact = now - self._last_contact < RECENT_CONTACT_S
+        if self._failed_probes > LOCAL_FAULT_FAILURES and has_recent_contact:
             return []
-        changed_at = self._table.find_changed_at(event.address)
-        if member.counter and now - changed_at < REFUTED_GRACE_S:
+        changed_at = self._table.get_changed_at(event.address)
+        if member.refutations and now - changed_at < REFUTED_GRACE_S:
             return []
-        suspect = dataclasses.replace(member, state=members.State.SUSPECT)
+        suspect = dataclasses.replace(member, state=members.MemberState.SUSPECT)
         change = self._table.apply(suspect, now)
         assert change is not None
-        self._deadlines[event.address] = now + SUSPICION_S
+        self._deadlines[event.address] = now + SUSPICION_TIMEOUT_S
         others = [
             other.address
             for other in self.list_live()
-            if other.address not in (event.address, self._me.address)
+            if other.address not in (event.address, self._self_record.address)
+        ]
+        helpers = self._rng.sample(others, min(INDIRECT_PROBERS, len(others)))
+        asked = [
+            RequestIndirectProbe(helper, event.address) for helper in helpers
         ]
-        helpers = self._rng.sample(others, min(HELPERS, len(others)))
-        asked = [AskHelper(helper, event.address) for helper in helpers]
         return [change, *asked]
 
-    def _react(
+    def _handle_change(
         self, change: members.MemberChanged, now: float
     ) -> list[commands.Command]:
         """Follows up a change of the table that came from outside."""
         after = change.after
-        if after.address == self._me.address:
+        if after.address == self._self_record.address:
             return self._refute(after, now)
         self._deadlines.pop(after.address, None)
-        if after.state is not members.State.SUSPECT:
+        if after.state is not members.MemberState.SUSPECT:
             return [change]
-        self._deadlines[after.address] = now + SUSPICION_S
-        if self._rng.random() * len(self.list_live()) < SPREAD_PROBES:
+        self._deadlines[after.address] = now + SUSPICION_TIMEOUT_S
+        if self._rng.random() * len(self.list_live()) < EXPECTED_SPREAD_PROBES:
             return [change, Probe(after.address)]
         return [change]
 
@@ -327,24 +338,28 @@
         self, claim: members.Member, now: float
     ) -> list[commands.Command]:
         """Overrides what others say of this process, unless it was replaced."""
-        if claim.incarnation == self._me.incarnation:
-            counter = claim.counter + 1
-            self._me = dataclasses.replace(self._me, counter=counter)
-        elif now - self._started < YOUNG_S:
-            self._me = dataclasses.replace(
-                self._me, incarnation=claim.incarnation + 1, counter=0
+        if claim.incarnation == self._self_record.incarnation:
+            refutations = claim.refutations + 1
+            self._self_record = dataclasses.replace(
+                self._self_record, refutations=refutations
+            )
+        elif now - self._started_at < STARTUP_CLOCK_GRACE_S:
+            self._self_record = dataclasses.replace(
+                self._self_record,
+                incarnation=claim.incarnation + 1,
+                refutations=0,
             )
         else:
-            return [Replaced(claim.incarnation)]
-        change = self._table.apply(self._me, now)
+            return [ProcessReplaced(claim.incarnation)]
+        change = self._table.apply(self._self_record, now)
         return [] if change is None else [change]
 
     def _declare_dead(self, address: str, now: float) -> list[commands.Command]:
         """Ends the suspicion of a member that did not refute it."""
         del self._deadlines[address]
         member = self._table.find(address)
-        if member is None or member.state is not members.State.SUSPECT:
+        if member is None or member.state is not members.MemberState.SUSPECT:
             return []
-        dead = dataclasses.replace(member, state=members.State.DEAD)
+        dead = dataclasses.replace(member, state=members.MemberState.DEAD)
         change = self._table.apply(dead, now)
         return [] if change is None else [change]
--- a/sycamorehollow/decisions/replication/payloads.py
+++ b/sycamorehollow/decisions/replication/payloads.py
@@ -11,13 +11,13 @@
 
 # A delta of this many rows takes about 1.2 KB for members, which keeps a node
 # under 10 KB/s while a rack of members fails.
-MAX_ROWS = 48
+MAX_DELTA_ROWS = 48
 # Bounds the memory that one payload can claim when it is decompressed.
 MAX_DECODED_BYTES = 1 << 20
 
 
 @dataclasses.dataclass(frozen=True)
-class Urgent(commands.Command):
+class PushDelta(commands.Command):
     """Asks for a delta to be pushed to peers without waiting for a digest.
 
     Attributes:
@@ -58,7 +58,7 @@
     return [row for row in rows if isinstance(row, list)]
 
 
-class Buckets:
+class BucketHashes:
     """Hashes of a keyed set, split into buckets by key.
 
     Two sets with equal digests are equal but for a collision of 32-bit hashes,
@@ -83,7 +83,7 @@
         """Returns the digest: four bytes for each bucket."""
         return struct.pack(self._format, *self._hashes)
 
-    def find_differences(self, digest: bytes) -> list[int]:
+    def find_differing_buckets(self, digest: bytes) -> list[int]:
         """Returns the buckets that differ from a digest; all if malformed."""
         if len(digest) != struct.calcsize(self._format):
             return list(range(len(self._hashes)))
@@ -109,11 +109,14 @@
         candidates: Time of the last change in seconds, and the row.
         now: Monotonic time in seconds.
     """
-    if len(candidates) <= MAX_ROWS:
+    if len(candidates) <= MAX_DELTA_ROWS:
         return [row for _, row in candidates]
     ordered = sorted(candidates, key=lambda pair: -pair[0])
-    newest, rest = ordered[: MAX_ROWS // 2], ordered[MAX_ROWS // 2 :]
+    newest, rest = (
+        ordered[: MAX_DELTA_ROWS // 2],
+        ordered[MAX_DELTA_ROWS // 2 :],
+    )
     start = int(now * 1000) * 7919 % len(rest)
     turned = rest[start:] + rest[:start]
-    chosen = newest + turned[: MAX_ROWS - len(newest)]
+    chosen = newest + turned[: MAX_DELTA_ROWS - len(newest)]
     return [row for _, row in chosen]
--- a/sycamorehollow/decisions/replication/records.py
+++ b/sycamorehollow/decisions/replication/records.py
@@ -16,11 +16,11 @@
 TOMBSTONE_TTL_S = 3 * 3600.0
 # An expired record is refused for this long. Its seconds do not run while a
 # delta is under way, so another process holds it a little longer.
-REFUSAL_S = 60.0
+EXPIRED_RETENTION_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
-class Record:
+class ReplicatedRecord:
     """One record.
 
     Attributes:
@@ -28,26 +28,26 @@
         key: What it is about.
         version: The highest one wins.
         value: JSON text in canonical form; empty for a tombstone.
-        expires: Local monotonic time in seconds, or `None` for never.
+        expires_at: Local monotonic time in seconds, or `None` for never.
     """
 
     kind: str
     key: str
     version: int
     value: str
-    expires: float | None = None
+    expires_at: float | None = None
 
     @property
-    def deleted(self) -> bool:
+    def is_tombstone(self) -> bool:
         """Whether this is a tombstone."""
         return not self.value
 
     @property
-    def order(self) -> tuple[int, bool, str]:
+    def precedence(self) -> tuple[int, bool, str]:
         """Rank among records of one key; a tombstone wins a tie."""
-        return (self.version, self.deleted, self.value)
+        return (self.version, self.is_tombstone, self.value)
 
-    def load(self) -> Any:
+    def decode_value(self) -> Any:
         """Returns the value; `None` for a tombstone."""
         return json.loads(self.value) if self.value else None
 
@@ -56,34 +56,34 @@
 class RecordChanged(commands.Command):
     """Tells that a record was put, replaced or deleted."""
 
-    record: Record
+    record: ReplicatedRecord
 
 
-class Records(components.Replicated):
+class ReplicatedRecords(components.Replicated):
     """Records by kind and key; the highest version wins."""
 
     kind = "records"
 
     def __init__(self) -> None:
-        self._records: dict[tuple[str, str], Record] = {}
+        self._records: dict[tuple[str, str], ReplicatedRecord] = {}
         self._changed_at: dict[tuple[str, str], float] = {}
-        self._expired: dict[tuple[str, str], Record] = {}
-        self._buckets = payloads.Buckets(BUCKETS)
+        self._expired: dict[tuple[str, str], ReplicatedRecord] = {}
+        self._buckets = payloads.BucketHashes(BUCKETS)
 
-    def find(self, kind: str, key: str, now: float) -> Record | None:
+    def find(self, kind: str, key: str, now: float) -> ReplicatedRecord | None:
         """Returns the record in force, or `None`."""
         record = self._records.get((kind, key))
-        if record is None or record.deleted or has_expired(record, now):
+        if record is None or record.is_tombstone or has_expired(record, now):
             return None
         return record
 
-    def list_kind(self, kind: str, now: float) -> list[Record]:
+    def list_kind(self, kind: str, now: float) -> list[ReplicatedRecord]:
         """Returns the records of one kind that are in force."""
         return [
             record
             for record in self._records.values()
             if record.kind == kind
-            and not record.deleted
+            and not record.is_tombstone
             and not has_expired(record, now)
         ]
 
@@ -121,7 +121,7 @@
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the records of the buckets that differ, within a bound."""
         self._expire(now)
-        differing = set(self._buckets.find_differences(digest))
+        differing = set(self._buckets.find_differing_buckets(digest))
         candidates = []
         for name, record in sorted(self._records.items()):
             if self._buckets.find_bucket("\0".join(name)) not in differing:
@@ -146,7 +146,7 @@
             if isinstance(change, RecordChanged)
         ]
         if rows:
-            urgent = payloads.Urgent(self.kind, payloads.encode_rows(rows))
+            urgent = payloads.PushDelta(self.kind, payloads.encode_rows(rows))
             changes.append(urgent)
         return changes
 
@@ -159,22 +159,22 @@
         held = self._records.get(name) or self._expired.get(name)
         version = 1 if held is None else held.version + 1
         expires = None if ttl_s is None else now + ttl_s
-        record = Record(kind, key, version, text, expires)
+        record = ReplicatedRecord(kind, key, version, text, expires)
         self._apply(record, now)
         delta = payloads.encode_rows([encode_record(record, now)])
-        return [RecordChanged(record), payloads.Urgent(self.kind, delta)]
+        return [RecordChanged(record), payloads.PushDelta(self.kind, delta)]
 
-    def _apply(self, record: Record, now: float) -> bool:
+    def _apply(self, record: ReplicatedRecord, now: float) -> bool:
         """Puts a record in force if it wins; tells whether it did."""
         name = (record.kind, record.key)
         expired = self._expired.get(name)
-        if expired is not None and expired.order >= record.order:
+        if expired is not None and expired.precedence >= record.precedence:
             return False
         held = self._records.get(name)
-        if held is not None and held.order == record.order:
-            self._records[name] = shorten(held, record)
+        if held is not None and held.precedence == record.precedence:
+            self._records[name] = keep_earlier_expiry(held, record)
             return False
-        if held is not None and held.order > record.order:
+        if held is not None and held.precedence > record.precedence:
             return False
         if held is not None:
             self._toggle(held)
@@ -186,7 +186,7 @@
     def _expire(self, now: float) -> None:
         """Moves expired records aside and forgets those refused long enough."""
         for name, record in list(self._expired.items()):
-            if has_expired(record, now - REFUSAL_S):
+            if has_expired(record, now - EXPIRED_RETENTION_S):
                 del self._expired[name]
         for name, record in list(self._records.items()):
             if not has_expired(record, now):
@@ -196,34 +196,38 @@
             del self._records[name]
             del self._changed_at[name]
 
-    def _toggle(self, record: Record) -> None:
+    def _toggle(self, record: ReplicatedRecord) -> None:
         """Adds a record to the digest, or takes it out."""
         name = f"{record.kind}\0{record.key}"
         self._buckets.toggle(name, f"{record.version} {record.value}")
 
 
-def has_expired(record: Record, now: float) -> bool:
+def has_expired(record: ReplicatedRecord, now: float) -> bool:
     """Tells whether a record's time is over."""
-    return record.expires is not None and record.expires <= now
+    return record.expires_at is not None and record.expires_at <= now
 
 
-def shorten(first: Record, second: Record) -> Record:
+def keep_earlier_expiry(
+    first: ReplicatedRecord, second: ReplicatedRecord
+) -> ReplicatedRecord:
     """Returns one record of two equal ones, with the earlier expiry."""
     ends = [
-        record.expires
+        record.expires_at
         for record in (first, second)
-        if record.expires is not None
+        if record.expires_at is not None
     ]
-    return dataclasses.replace(first, expires=min(ends, default=None))
+    return dataclasses.replace(first, expires_at=min(ends, default=None))
 
 
-def encode_record(record: Record, now: float) -> list[Any]:
+def encode_record(record: ReplicatedRecord, now: float) -> list[Any]:
     """Returns the row of a record, with the seconds that it has left."""
-    left = None if record.expires is None else round(record.expires - now, 3)
+    left = (
+        None if record.expires_at is None else round(record.expires_at - now, 3)
+    )
     return [record.kind, record.key, record.version, record.value, left]
 
 
-def decode_record(row: Iterable[Any], now: float) -> Record | None:
+def decode_record(row: Iterable[Any], now: float) -> ReplicatedRecord | None:
     """Returns the record in a row of a delta, or `None` if malformed."""
     fields = list(row)
     if len(fields) != 5:
@@ -244,4 +248,4 @@
         except (ValueError, RecursionError):
             return None
     expires = None if left is None else now + left
-    return Record(kind, key, version, value, expires)
+    return ReplicatedRecord(kind, key, version, value, expires)
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -215,8 +215,8 @@
             drains.UpstreamLeft: decision_log.log_left,
             effect_messages.AnswerPeer: self._owners.answer,
             effect_messages.Reply: self._waiters.take,
-            exchange.Call: self._peers.post,
-            exchange.Reply: self._peers.post,
+            exchange.SendCall: self._peers.post,
+            exchange.SendReply: self._peers.post,
             lifecycle.CancelAttempt: self._cancel_attempt,
             lifecycle.FinishRequest: self._finish,
             lifecycle.RefuseRequest: self._refuse,
@@ -227,7 +227,7 @@
             leases.ReadRecord: self._orders.read,
             leases.ReleaseLease: self._orders.release,
             leases.RenewLease: self._orders.renew,
-            membership.Replaced: self._end_replaced,
+            membership.ProcessReplaced: self._end_replaced,
             nodes.ReportMember: self._note_member,
             nodes.PublishDeployment: self._publish,
             orders.FenceStale: decision_log.log_stale,
@@ -298,7 +298,7 @@
         )
         self._poller.set_jobs(sweeps.JOB, self._sweep.build_jobs(coordinator))
 
-    def _end_replaced(self, command: membership.Replaced) -> None:
+    def _end_replaced(self, command: membership.ProcessReplaced) -> None:
         decision_log.log_replaced(command)
         signal.raise_signal(signal.SIGTERM)
 
--- a/sycamorehollow/shells/decision_log.py
+++ b/sycamorehollow/shells/decision_log.py
@@ -90,7 +90,7 @@
     )
 
 
-def log_replaced(command: membership.Replaced) -> None:
+def log_replaced(command: membership.ProcessReplaced) -> None:
     """Logs that this process was replaced under its address."""
     loguru.logger.error(
         "members: incarnation={} runs under this address, ending",
--- a/sycamorehollow/shells/peers.py
+++ b/sycamorehollow/shells/peers.py
@@ -114,7 +114,7 @@
         self._started: concurrent.futures.Future[int] = (
             concurrent.futures.Future()
         )
-        self._waiting: dict[int, asyncio.Future[exchange.Reply]] = {}
+        self._waiting: dict[int, asyncio.Future[exchange.SendReply]] = {}
         self._calls = 0
         # Taken from the latest command, because the incarnation may rise.
         self._me = exchange.Process("", "", 0)
@@ -138,7 +138,7 @@
         return self._started.result(START_TIMEOUT_S)
 
     def post(self, command: commands.Command) -> None:
-        """Queues a `Call`, `Reply` or `Request`; returns at once."""
+        """Queues a `SendCall`, `SendReply` or `Request`; returns at once."""
         self._loop.call_soon_threadsafe(self._inbox.put_nowait, command)
 
     def stop(self) -> None:
@@ -180,14 +180,16 @@
 
     def _carry_out(self, command: commands.Command) -> None:
         """Starts one command without waiting for it."""
-        if isinstance(command, exchange.Call | exchange.Reply | Request):
+        if isinstance(
+            command, exchange.SendCall | exchange.SendReply | Request
+        ):
             self._me = command.sender
-        if isinstance(command, exchange.Reply):
+        if isinstance(command, exchange.SendReply):
             waiting = self._waiting.get(command.call)
             if waiting is not None and not waiting.done():
                 waiting.set_result(command)
             return
-        if isinstance(command, exchange.Call):
+        if isinstance(command, exchange.SendCall):
             self._spawn(self._call(command))
             return
         if isinstance(command, Request):
@@ -199,7 +201,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _call(self, command: exchange.Call) -> None:
+    async def _call(self, command: exchange.SendCall) -> None:
         """Carries out a call of the digest exchange."""
         started = time.monotonic()
         answer = await self._send(
@@ -209,7 +211,7 @@
             self._deliver(exchange.CallFailed(command.peer, started))
             return
         sender, items = answer
-        self._deliver(exchange.Answered(command.peer, sender, items))
+        self._deliver(exchange.ReplyReceived(command.peer, sender, items))
 
     async def _request(self, command: Request) -> None:
         """Carries out a call of a registered handler."""
@@ -299,7 +301,7 @@
 
     async def _exchange(
         self, sender: exchange.Process, items: tuple[exchange.Item, ...]
-    ) -> exchange.Reply:
+    ) -> exchange.SendReply:
         """Gives items to the router task and waits for its reply.
 
         Raises:
@@ -307,10 +309,10 @@
         """
         self._calls += 1
         number = self._calls
-        waiting: asyncio.Future[exchange.Reply] = self._loop.create_future()
+        waiting: asyncio.Future[exchange.SendReply] = self._loop.create_future()
         self._waiting[number] = waiting
         try:
-            self._deliver(exchange.Incoming(number, sender, items))
+            self._deliver(exchange.CallReceived(number, sender, items))
             return await asyncio.wait_for(waiting, ANSWER_TIMEOUT_S)
         finally:
             del self._waiting[number]
--- a/sycamorehollow/shells/vm_polls.py
+++ b/sycamorehollow/shells/vm_polls.py
@@ -70,7 +70,7 @@
             )
         )
         self._report(
-            membership.VmListSeen(
+            membership.VmListReceived(
                 {
                     address: gone
                     for address, gone in leaving.items()
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -7,7 +7,7 @@
 
 from benches import node_fleet
 from sycamorehollow.decisions.cascading import learning
-from sycamorehollow.decisions.replication import allowances
+from sycamorehollow.decisions.replication import bandwidth
 
 RATE = 100.0
 
@@ -25,22 +25,22 @@
     )
     def test_rate_is_kept(self, steps):
         """A sender that asks first must not exceed its rate for long."""
-        allowance = allowances.Allowance(RATE)
+        allowance = bandwidth.BandwidthBudget(RATE)
         now = spent = 0.0
         for wait_s, size in steps:
             now += wait_s
-            if allowance.allows(now):
-                allowance.spend(size, now)
+            if allowance.can_send(now):
+                allowance.consume(size, now)
                 spent += size
-        burst = RATE * allowances.BURST_S
+        burst = RATE * bandwidth.BURST_S
         self.assertLessEqual(spent, RATE * now + burst + 400)
 
     def test_debt_is_bounded(self):
         """A flood of received bytes must not silence a process for good."""
-        allowance = allowances.Allowance(RATE)
-        allowance.spend(10**9, 0.0)
-        self.assertFalse(allowance.allows(0.0))
-        self.assertTrue(allowance.allows(allowances.DEBT_S + 0.1))
+        allowance = bandwidth.BandwidthBudget(RATE)
+        allowance.consume(10**9, 0.0)
+        self.assertFalse(allowance.can_send(0.0))
+        self.assertTrue(allowance.can_send(bandwidth.MAX_DEBT_S + 0.1))
 
     def test_fleet_keeps_the_limit_and_still_spreads(self):
         """Ratings must reach other nodes within the limit."""
@@ -48,7 +48,7 @@
         fleet.run(4.0)
         fleet.start_load()
         fleet.run(8.0)
-        burst = learning.BYTES_PER_S * allowances.BURST_S
+        burst = learning.BYTES_PER_S * bandwidth.BURST_S
         limit = learning.BYTES_PER_S * fleet.now + burst
         for member in fleet.members:
             used = member.traffic["learning/digest"]
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -30,7 +30,7 @@
 
 
 def make_record(key, value, version=1):
-    return records.Record(drains.DRAIN_KIND, key, version, value)
+    return records.ReplicatedRecord(drains.DRAIN_KIND, key, version, value)
 
 
 class DrainsTest(unittest.TestCase):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -27,7 +27,7 @@
         asked = held.delete("stop", key, now)
     else:
         asked = held.put("stop", key, value, now, ttl_s)
-    return [c.delta for c in asked if isinstance(c, payloads.Urgent)]
+    return [c.delta for c in asked if isinstance(c, payloads.PushDelta)]
 
 
 class RecordsTest(unittest.TestCase):
@@ -35,7 +35,7 @@
 
     @hypothesis.given(writes_drawn, strategies.randoms())
     def test_copies_converge_whatever_the_order(self, writes, rng):
-        copies = [records.Records() for _ in range(3)]
+        copies = [records.ReplicatedRecords() for _ in range(3)]
         deltas = []
         for step, (number, key, value, ttl_s) in enumerate(writes):
             deltas += write(copies[number], key, value, ttl_s, step * 0.1)
@@ -55,7 +55,7 @@
 
     def test_expired_record_does_not_return_from_a_peer(self):
         transit_s = 0.4
-        copies = [records.Records() for _ in range(3)]
+        copies = [records.ReplicatedRecords() for _ in range(3)]
         copies[0].put("cold", "u", 1, 0.0, 10.0)
         for step in range(200):
             now = step * 0.1
@@ -72,7 +72,7 @@
                     self.assertEqual(copy.list_kind("cold", now), [], now)
 
     def test_deleted_record_does_not_return_from_a_peer(self):
-        first, second = records.Records(), records.Records()
+        first, second = records.ReplicatedRecords(), records.ReplicatedRecords()
         first.put("drain", "u", 1, 0.0)
         second.merge(first.build_delta(b"", 0.0), 0.0)
         first.delete("drain", "u", 1.0)
@@ -80,7 +80,7 @@
         self.assertIsNone(first.find("drain", "u", 1.0))
 
     def test_malformed_rows_change_nothing(self):
-        held = records.Records()
+        held = records.ReplicatedRecords()
         rows = [
             [1, "k", 1, "1", None],
             ["k", "k", "1", "1", None],
@@ -107,8 +107,8 @@
 
     def test_equal_copies_exchange_nothing_but_one_digest(self):
         driven, nodes = self.start()
-        asked = nodes[0].exchange._open(nodes[1].address, driven.now)
-        call = exchange.Incoming(1, asked.sender, asked.items)
+        asked = nodes[0].exchange._start_exchange(nodes[1].address, driven.now)
+        call = exchange.CallReceived(1, asked.sender, asked.items)
         (reply,) = nodes[1].exchange.handle(call, driven.now)
         self.assertEqual(reply.items, ())
 
@@ -118,7 +118,7 @@
         second.records.put("stop", "w", 1, driven.now)
         driven.cuts = lambda source, target: source is not first
         driven.carry_out(
-            first, [first.exchange._open(second.address, driven.now)]
+            first, [first.exchange._start_exchange(second.address, driven.now)]
         )
         driven.run(0.1)
         for node in (first, second):
@@ -163,6 +163,6 @@
             exchange.Item("records/delta", b"x"),
             exchange.Item("members/probe", b"\xff"),
         )
-        call = exchange.Incoming(1, nodes[1].exchange.sender, items)
+        call = exchange.CallReceived(1, nodes[1].exchange.sender, items)
         (reply,) = nodes[0].exchange.handle(call, driven.now)
         self.assertEqual(reply.items, ())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -20,8 +20,8 @@
     address=strategies.sampled_from(["a", "b", "c"]),
     data_centre=strategies.just("dc-0"),
     incarnation=strategies.integers(1, 3),
-    counter=strategies.integers(0, 3),
-    state=strategies.sampled_from(members.State),
+    refutations=strategies.integers(0, 3),
+    state=strategies.sampled_from(members.MemberState),
 )
 faults_drawn = strategies.lists(
     strategies.tuples(
@@ -41,7 +41,7 @@
         change.after.address
         for _, change in node.changes
         if isinstance(change, members.MemberChanged)
-        and change.after.state is members.State.DEAD
+        and change.after.state is members.MemberState.DEAD
         and address in ("", change.after.address)
     ]
 
@@ -60,7 +60,7 @@
         # A first live record makes every address known to both tables.
         base = [members.Member(address, "dc-0", 0) for address in "abc"]
         for rows in (found, rng.sample(found, len(found)) + found[:2]):
-            table = members.Members()
+            table = members.MemberTable()
             for member in base + rows:
                 table.apply(member, 0.0)
             tables.append(table)
@@ -71,7 +71,7 @@
         )
 
     def test_old_record_is_not_held_back_by_shared_newer_ones(self):
-        first, second = members.Members(), members.Members()
+        first, second = members.MemberTable(), members.MemberTable()
         first.apply(members.Member("old", "dc-0", 1), 0.0)
         for number in range(600):
             member = members.Member(f"m{number}", "dc-0", 1)
@@ -83,27 +83,27 @@
         self.assertIsNotNone(second.find("old"))
 
     def test_malformed_delta_changes_nothing(self):
-        table = members.Members()
+        table = members.MemberTable()
         for delta in (b"x", b"", members.payloads.encode_rows([[1], ["a"]])):
             self.assertEqual(table.merge(delta, 0.0), [])
 
     def test_nothing_said_by_others_overrides_left(self):
-        left = members.Member("a", "dc-0", 1, 0, members.State.LEFT)
-        for state in (members.State.ALIVE, members.State.DEAD):
-            table = members.Members()
+        left = members.Member("a", "dc-0", 1, 0, members.MemberState.LEFT)
+        for state in (members.MemberState.ALIVE, members.MemberState.DEAD):
+            table = members.MemberTable()
             table.apply(members.Member("a", "dc-0", 1), 0.0)
             table.apply(left, 0.0)
             table.apply(members.Member("a", "dc-0", 1, 3, state), 0.0)
             self.assertEqual(table.find("a"), left)
 
     def test_expired_dead_member_is_not_taken_up_again(self):
-        table = members.Members()
+        table = members.MemberTable()
         alive = members.Member("a", "dc-0", 1)
-        dead = dataclasses.replace(alive, state=members.State.DEAD)
+        dead = dataclasses.replace(alive, state=members.MemberState.DEAD)
         table.apply(alive, 0.0)
         table.apply(dead, 1.0)
-        table.expire(1.0 + members.RETENTION_S)
-        self.assertIsNone(table.apply(dead, 2.0 + members.RETENTION_S))
+        table.expire(1.0 + members.GONE_RETENTION_S)
+        self.assertIsNone(table.apply(dead, 2.0 + members.GONE_RETENTION_S))
         self.assertIsNone(table.find("a"))
 
 
@@ -112,24 +112,24 @@
 
     def test_old_process_learns_that_it_was_replaced(self):
         peers = make_membership()
-        newer = members.Members()
+        newer = members.MemberTable()
         newer.apply(members.Member("a", "dc-0", 9), 0.0)
         self.assertEqual(
             peers.merge(newer.encode_record("a"), 100.0),
-            [membership.Replaced(9)],
+            [membership.ProcessReplaced(9)],
         )
 
     def test_restart_with_a_late_clock_takes_a_higher_incarnation(self):
         peers = make_membership()
-        newer = members.Members()
+        newer = members.MemberTable()
         newer.apply(members.Member("a", "dc-0", 9), 0.0)
         peers.merge(newer.encode_record("a"), 1.0)
-        self.assertEqual(peers.me.incarnation, 10)
+        self.assertEqual(peers.self_record.incarnation, 10)
 
     def test_process_with_a_broken_outgoing_path_suspects_few(self):
         peers = make_membership()
         for number in range(20):
-            heard = membership.Heard(f"m{number}", "dc-0", 1)
+            heard = membership.MessageReceived(f"m{number}", "dc-0", 1)
             peers.handle(heard, 0.5)
         peers.handle(events.Tick(), 1.0)
         for number in range(20):
@@ -137,9 +137,9 @@
         suspects = [
             member
             for member in peers.list_live()
-            if member.state is members.State.SUSPECT
+            if member.state is members.MemberState.SUSPECT
         ]
-        self.assertLessEqual(len(suspects), membership.SELF_BLAME_FAILURES)
+        self.assertLessEqual(len(suspects), membership.LOCAL_FAULT_FAILURES)
 
 
 class FaultsTest(unittest.TestCase):
@@ -153,7 +153,9 @@
 
     def assert_converged(self, driven):
         running = [node for node in driven.nodes.values() if node.running]
-        expected = {node.address: node.peers.me.incarnation for node in running}
+        expected = {
+            node.address: node.peers.self_record.incarnation for node in running
+        }
         for node in running:
             seen = {
                 address: member.incarnation
@@ -182,7 +184,7 @@
                 cut.add((node.address, nodes[second].address))
             else:
                 hints = {nodes[second].address: True, "10.9.9.9:7400": False}
-                driven.deliver(node, membership.VmListSeen(hints))
+                driven.deliver(node, membership.VmListReceived(hints))
             driven.run(seconds)
         cut.clear()
         for node in driven.nodes.values():
@@ -223,9 +225,9 @@
         driven.run(60.0)
         spans = []
         for when, change in nodes[0].changes:
-            if change.after.state is members.State.SUSPECT:
+            if change.after.state is members.MemberState.SUSPECT:
                 spans.append(when)
-            elif change.before.state is members.State.SUSPECT:
+            elif change.before.state is members.MemberState.SUSPECT:
                 spans[-1] = when - spans[-1]
         self.assertTrue(spans)
         self.assertLess(max(spans), 0.5)
@@ -259,7 +261,7 @@
         }
         for _ in range(20):
             for node in nodes:
-                driven.deliver(node, membership.VmListSeen(hints))
+                driven.deliver(node, membership.VmListReceived(hints))
             driven.run(1.0)
         self.assertEqual([find_deaths(node) for node in nodes], [[]] * 8)
         self.assert_converged(driven)
@@ -268,11 +270,11 @@
         driven, nodes = self.start()
         lonely = driven.start(40)
         lonely.peers = membership.Membership(
-            lonely.peers.me, (), random.Random(1), driven.now
+            lonely.peers.self_record, (), random.Random(1), driven.now
         )
         lonely.exchange = fleet.exchange.Exchange(lonely.peers)
         hints = {lonely.address: False}
-        driven.deliver(nodes[0], membership.VmListSeen(hints))
+        driven.deliver(nodes[0], membership.VmListReceived(hints))
         driven.run(10.0)
         self.assert_converged(driven)
 
@@ -289,7 +291,7 @@
         driven.run(SETTLE_S)
         for node in nodes:
             member = node.peers.find(nodes[1].address)
-            self.assertIs(member.state, members.State.LEFT)
+            self.assertIs(member.state, members.MemberState.LEFT)
         driven.kill(nodes[1])
         driven.start(1)
         driven.run(10.0)
@@ -300,8 +302,8 @@
         driven.kill(nodes[0])
         driven.run(SETTLE_S)
         hints = {nodes[2].address: True}
-        driven.deliver(nodes[5], membership.VmListSeen(hints))
+        driven.deliver(nodes[5], membership.VmListReceived(hints))
         self.assertEqual(
-            nodes[5].peers.list_lowest("dc-0", 2),
+            nodes[5].peers.list_lowest_addresses("dc-0", 2),
             [nodes[4].address, nodes[6].address],
         )
--- a/tests/test_node_pushes.py
+++ b/tests/test_node_pushes.py
@@ -35,10 +35,10 @@
             peer.node.placement.cold_start_limiter.is_cold("replica-000", now)
         )
         asked = finder.node.handle(report(2, self.fleet.now), self.fleet.now)
-        calls = [c for c in asked if isinstance(c, exchange.Call)]
+        calls = [c for c in asked if isinstance(c, exchange.SendCall)]
         pushed = [call for call in calls if call.peer == peer.address]
         self.assertEqual(len(pushed), 1)
-        event = exchange.Incoming(1, pushed[0].sender, pushed[0].items)
+        event = exchange.CallReceived(1, pushed[0].sender, pushed[0].items)
         peer.node.handle(event, self.fleet.now)
         self.assertTrue(
             peer.node.placement.cold_start_limiter.is_cold("replica-000", now)
@@ -50,4 +50,6 @@
             "replica-000", self.fleet.now, 3, False, 4, 0, 500_000
         )
         asked = self.fleet.members[0].node.handle(warm, self.fleet.now)
-        self.assertEqual([c for c in asked if isinstance(c, exchange.Call)], [])
+        self.assertEqual(
+            [c for c in asked if isinstance(c, exchange.SendCall)], []
+        )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -43,7 +43,7 @@
         self.peers = membership.Membership(
             me, seeds, random.Random(1), time.monotonic()
         )
-        self.records = records.Records()
+        self.records = records.ReplicatedRecords()
         self.exchange = exchange.Exchange(self.peers, (self.records,))
         self.address = address
         self.paused = threading.Event()
@@ -97,8 +97,8 @@
         third.paused.set()
         began = time.monotonic()
         for command in first.records.put("stop", "v", 1, began):
-            if isinstance(command, payloads.Urgent):
-                for call in first.exchange.push(command):
+            if isinstance(command, payloads.PushDelta):
+                for call in first.exchange.push_delta(command):
                     first.task.post(call)
         known = wait_for(
             lambda: second.records.find("stop", "v", time.monotonic())
@@ -114,7 +114,7 @@
         first = self.start()
         second = Entry((first.address,))
         self.assertTrue(wait_for(lambda: first.sees(second)))
-        old = second.peers.me.incarnation
+        old = second.peers.self_record.incarnation
         second.stop()
         port = int(second.address.rsplit(":", 1)[1])
         again = self.start((first.address,), port)
