Rename knowledge and news to state synchronisation and messages

Knowledge, news, asking and following described nodes as persons. The state of a node is now kept by a state synchroniser, which sends requests through a peer client and exchanges encoded messages; the events of the store tasks say what the store did.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -21,8 +21,8 @@
 from sycamorehollow.shells.gateway import crash_checker
 from sycamorehollow.shells.gateway import forwarder
 from sycamorehollow.shells.gateway import header_codec
-from sycamorehollow.shells.gateway import knowledge
-from sycamorehollow.shells.gateway import peer_link
+from sycamorehollow.shells.gateway import peer_client
+from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
@@ -72,9 +72,9 @@
         self._settings = settings
         self._adapter = adapter
         self._telemetry = telemetry.Telemetry()
-        source = random.Random()
-        self._source = source
-        self._router = routers.Router(settings, source)
+        rng = random.Random()
+        self._source = rng
+        self._router = routers.Router(settings, rng)
         self._pool = connection_pool.ConnectionPool(
             adapter.header_codec.decode_response,
             self._spend_repeat,
@@ -88,7 +88,7 @@
         )
         self._connections: set[caller_connections.CallerConnection] = set()
         self._checks: set[caller_connections.CallerConnection] = set()
-        self._knowledge: knowledge.Knowledge | None = None
+        self._state_sync: state_sync.StateSync | None = None
         self._draining = False
         self._accepted_at = float("-inf")
 
@@ -99,7 +99,7 @@
         loop.add_signal_handler(signal.SIGTERM, ended.set)
         loop.add_signal_handler(signal.SIGINT, ended.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._start_knowledge()
+        self._start_state_sync()
         servers = [
             await self._listen(
                 self._settings.front,
@@ -125,7 +125,7 @@
             self._settings.data_centre,
             self._settings.front,
         )
-        await self._open_peers()
+        await self._connect_peers()
         upkeep = loop.create_task(self._keep_up())
         await ended.wait()
         await self._drain()
@@ -150,36 +150,36 @@
     def _return_repeat(self, upstream: forwarding.Upstream) -> None:
         self._router.budget.note_unsent(upstream.service)
 
-    def _start_knowledge(self) -> None:
-        known = knowledge.Knowledge(
+    def _start_state_sync(self) -> None:
+        state = state_sync.StateSync(
             self._settings,
             self._router,
             self._adapter.store_codec,
             self._telemetry,
             self._source,
         )
-        self._knowledge = known
+        self._state_sync = state
         store = self._adapter.store
-        writer = store_tasks.WriteTask(store, known.deliver)
+        writer = store_tasks.WriteTask(store, state.deliver)
         watch = store_tasks.WatchTask(
-            store, known.deliver, known.get_revision, self._source
+            store, state.deliver, state.get_revision, self._source
         )
-        known.connect(watch, writer)
+        state.set_store_tasks(watch, writer)
         writer.start()
         watch.start()
 
-    async def _open_peers(self) -> None:
+    async def _connect_peers(self) -> None:
         """Connects the node to other nodes while it serves requests."""
-        assert self._knowledge is not None
+        assert self._state_sync is not None
         try:
-            link = await asyncio.to_thread(
-                _open_peer_link, self._settings, self._knowledge
+            client = await asyncio.to_thread(
+                _open_peer_client, self._settings, self._state_sync
             )
         except OSError as error:
             # Without peers the node still learns everything from the store.
             self._telemetry.log_event("peers cannot be served: {}", error)
             return
-        self._knowledge.connect_peers(link)
+        self._state_sync.set_peer_client(client)
 
     async def _listen(
         self,
@@ -218,8 +218,8 @@
         connection: caller_connections.CallerConnection,
         request: caller_connections.Request,
     ) -> None:
-        known = self._knowledge
-        ready = not self._draining and known is not None and known.is_ready
+        state = self._state_sync
+        ready = not self._draining and state is not None and state.is_ready
         await forwarder.write_whole(
             connection, 200 if ready else 503, [], b"", request.keep_alive
         )
@@ -240,7 +240,7 @@
         changed_at = 0.0
         next_check = time.monotonic() + SETTINGS_CHECK_S
         while True:
-            await asyncio.sleep(knowledge.TICK_S)
+            await asyncio.sleep(state_sync.PERIODIC_WORK_INTERVAL_S)
             try:
                 self._tick()
             except Exception as error:
@@ -255,8 +255,8 @@
                 self._reload()
 
     def _tick(self) -> None:
-        assert self._knowledge is not None
-        self._knowledge.tick()
+        assert self._state_sync is not None
+        self._state_sync.run_periodic_work()
         self._crash_checker.start_due_checks()
         self._pool.close_expired()
 
@@ -300,21 +300,23 @@
             await asyncio.sleep(0.05)
 
 
-def _open_peer_link(
-    settings: gateway.Settings, known: knowledge.Knowledge
-) -> peer_link.PeerLink:
-    """Returns the link to other nodes; loads what it needs.
+def _open_peer_client(
+    settings: gateway.Settings, state: state_sync.StateSync
+) -> peer_client.PeerClient:
+    """Returns a started client for calls to other nodes.
 
     Raises:
         OSError: The address cannot be bound.
     """
     # Loading gRPC takes a quarter of the start of a process, and a restarted
     # node serves requests before it needs other nodes.
-    from sycamorehollow.shells.gateway import peer_calls
+    from sycamorehollow.shells.gateway import grpc_peer_client
 
     me = identity.Process(
         settings.peer_address, settings.data_centre, time.time_ns()
     )
-    link = peer_calls.GrpcPeerLink(me, known.answer_peer, known.deliver)
-    link.open()
-    return link
+    client = grpc_peer_client.GrpcPeerClient(
+        me, state.handle_peer_request, state.deliver
+    )
+    client.start()
+    return client
--- a/sycamorehollow/shells/gateway/peer_calls.py
+++ b/sycamorehollow/shells/gateway/grpc_peer_client.py
@@ -7,33 +7,33 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import identity
 from sycamorehollow.shells import peers
-from sycamorehollow.shells.gateway import peer_link
+from sycamorehollow.shells.gateway import peer_client
 
 SYNC_KIND = "forwarding/sync"
 
 
-class GrpcPeerLink(peer_link.PeerLink):
+class GrpcPeerClient(peer_client.PeerClient):
     """Asks other nodes and answers them on a thread of its own.
 
     Args:
-        me: This process.
-        answer: Answers other nodes; called on the thread.
+        own_process: This process.
+        handle_request: Answers other nodes; called on the thread.
         deliver: Takes events; safe from any thread.
     """
 
     def __init__(
         self,
-        me: identity.Process,
-        answer: peer_link.Answerer,
+        own_process: identity.Process,
+        handle_request: peer_client.RequestHandler,
         deliver: Callable[[events.Event], None],
     ):
-        self._me = me
-        self._answer = answer
+        self._own_process = own_process
+        self._handle_request = handle_request
         self._deliver = deliver
-        self._task = peers.PeerTask(me.address, self._take)
-        self._task.register(SYNC_KIND, self._handle)
+        self._task = peers.PeerTask(own_process.address, self._handle_event)
+        self._task.register(SYNC_KIND, self._handle_item)
 
-    def open(self) -> None:
+    def start(self) -> None:
         """Starts to listen.
 
         Raises:
@@ -41,23 +41,25 @@
         """
         self._task.start()
 
-    def ask(self, number: int, address: str, payload: bytes) -> None:
+    def send_request(self, number: int, address: str, payload: bytes) -> None:
         """Sends a question and returns at once."""
         item = exchange.Item(SYNC_KIND, payload)
-        self._task.post(peers.Request(number, address, self._me, item))
+        self._task.post(peers.Request(number, address, self._own_process, item))
 
-    def _handle(
+    def _handle_item(
         self, sender: identity.Process, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
-        return self._answer(sender.address, payload)
+        return self._handle_request(sender.address, payload)
 
-    def _take(self, event: events.Event) -> None:
+    def _handle_event(self, event: events.Event) -> None:
         match event:
             case peers.RequestAnswered():
                 self._deliver(
-                    peer_link.PeerAnswered(
+                    peer_client.PeerRequestAnswered(
                         event.number, event.sender.address, event.item.payload
                     )
                 )
             case peers.RequestFailed():
-                self._deliver(peer_link.PeerSilent(event.number, event.reason))
+                self._deliver(
+                    peer_client.PeerRequestFailed(event.number, event.reason)
+                )
--- a/sycamorehollow/shells/gateway/peer_link.py
+++ b/sycamorehollow/shells/gateway/peer_client.py
@@ -8,11 +8,11 @@
 from sycamorehollow.model import events
 
 # Answers the payload that the node at an address has sent.
-Answerer = Callable[[str, bytes], "concurrent.futures.Future[bytes]"]
+RequestHandler = Callable[[str, bytes], "concurrent.futures.Future[bytes]"]
 
 
 @dataclasses.dataclass(frozen=True)
-class PeerAnswered(events.Event):
+class PeerRequestAnswered(events.Event):
     """Another node has answered a question."""
 
     number: int
@@ -21,18 +21,18 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class PeerSilent(events.Event):
+class PeerRequestFailed(events.Event):
     """Another node has not answered a question."""
 
     number: int
     reason: str
 
 
-class PeerLink(abc.ABC):
+class PeerClient(abc.ABC):
     """Asks other nodes; results arrive as events."""
 
     @abc.abstractmethod
-    def ask(self, number: int, address: str, payload: bytes) -> None:
+    def send_request(self, number: int, address: str, payload: bytes) -> None:
         """Sends a question and returns at once.
 
         Args:
--- a/sycamorehollow/shells/gateway/rollout_news.py
+++ b/sycamorehollow/shells/gateway/rollout_messages.py
@@ -9,7 +9,7 @@
 from sycamorehollow.decisions.forwarding import slowness
 
 
-def collect(rollouts: canary.Rollouts, now: float) -> dict[str, Any]:
+def export(rollouts: canary.Rollouts, now: float) -> dict[str, Any]:
     """Returns the part of a node's news that concerns roll-outs."""
     return {
         "rollouts": [
--- a/sycamorehollow/shells/gateway/knowledge.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -14,9 +14,9 @@
 from sycamorehollow.model import failures
 from sycamorehollow.settings import gateway
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import peer_link
-from sycamorehollow.shells.gateway import peer_news
-from sycamorehollow.shells.gateway import rollout_news
+from sycamorehollow.shells.gateway import peer_client
+from sycamorehollow.shells.gateway import peer_messages
+from sycamorehollow.shells.gateway import rollout_messages
 from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
@@ -24,20 +24,20 @@
 # Time between exchanges of a watcher with another one. A finding takes some of
 # them to reach all, which is a part of the seconds in which a faulty version
 # has to be stopped everywhere.
-SYNC_S = 0.5
+SYNC_INTERVAL_S = 0.5
 # The same while the store is away and other nodes are the only source of news.
-LOST_SYNC_S = 0.4
+STORE_LOST_SYNC_INTERVAL_S = 0.4
 # Time between questions of a node that follows another instead of the store.
-FOLLOW_S = 0.3
-TICK_S = 0.25
+FOLLOW_INTERVAL_S = 0.3
+PERIODIC_WORK_INTERVAL_S = 0.25
 # Nodes of lower rank act that much later, so that mostly one of them does.
-RANK_DELAY_S = 0.4
-WRITE_RETRY_S = 1.0
+WRITE_DELAY_PER_RANK_S = 0.4
+WRITE_RETRY_DELAY_S = 1.0
 # Ages are cut off here, as infinity cannot be sent.
-LONG_AGO_S = 1e6
+MAX_AGE_S = 1e6
 
 
-class Knowledge:
+class StateSync:
     """Applies news to the router and hands it on to other nodes.
 
     Runs in the event loop of the gateway. Threads deliver their events by
@@ -48,7 +48,7 @@
         router: What is kept current.
         codec: Reads and writes the values of the store.
         telemetry_sink: Takes every change.
-        source: Source of randomness.
+        rng: Source of randomness.
     """
 
     def __init__(
@@ -57,34 +57,34 @@
         router: routers.Router,
         codec: store_codec.StoreCodec,
         telemetry_sink: telemetry.Telemetry,
-        source: random.Random,
+        rng: random.Random,
     ):
         self.settings = settings
         self._router = router
         self._codec = codec
         self._telemetry = telemetry_sink
-        self._source = source
+        self._rng = rng
         self._mirror = mirror.Mirror()
         self._loop = asyncio.get_running_loop()
         self._store_lost = False
-        self._listed = False
-        self._writer: store_tasks.WriteTask | None = None
-        self._writes: dict[str, float] = {}
-        self._due: dict[str, tuple[str, float]] = {}
-        self._peers: peer_link.PeerLink | None = None
-        self._syncs = 0
-        self._next_sync = 0.0
-        self._next_follow = 0.0
-        self._asked: dict[int, str] = {}
-        self._followed: int | None = None
+        self._has_listing = False
+        self._write_task: store_tasks.WriteTask | None = None
+        self._next_write_at: dict[str, float] = {}
+        self._due_states: dict[str, tuple[str, float]] = {}
+        self._peer_client: peer_client.PeerClient | None = None
+        self._last_request = 0
+        self._next_sync_at = 0.0
+        self._next_follow_at = 0.0
+        self._pending_requests: dict[int, str] = {}
+        self._follow_request: int | None = None
         self._watchers = watchers.Watchers(
-            settings.node, settings.data_centre, source
+            settings.node, settings.data_centre, rng
         )
         self._own_node = watchers.Node(
             settings.peer_address, settings.data_centre, settings.link_mbps
         )
-        self._watch: store_tasks.WatchTask | None = None
-        self._store_back_at = float("-inf")
+        self._watch_task: store_tasks.WatchTask | None = None
+        self._store_recovered_at = float("-inf")
 
     @property
     def is_ready(self) -> bool:
@@ -97,18 +97,18 @@
         """Returns the revision up to which all changes are known."""
         return self._mirror.revision
 
-    def connect(
+    def set_store_tasks(
         self,
         watch: store_tasks.WatchTask,
         writer: store_tasks.WriteTask,
     ) -> None:
         """Sets the tasks that use the store."""
-        self._watch = watch
-        self._writer = writer
+        self._watch_task = watch
+        self._write_task = writer
 
-    def connect_peers(self, link: peer_link.PeerLink) -> None:
+    def set_peer_client(self, client: peer_client.PeerClient) -> None:
         """Sets what calls other nodes."""
-        self._peers = link
+        self._peer_client = client
 
     def deliver(self, event: events.Event) -> None:
         """Takes an event from any thread."""
@@ -118,7 +118,7 @@
             # The loop has ended; nobody needs the news any more.
             return
 
-    def answer_peer(
+    def handle_peer_request(
         self, address: str, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
         """Answers another node; called on the thread of the peers."""
@@ -126,10 +126,10 @@
 
         def reply() -> None:
             try:
-                self._merge(address, payload, answered=False)
-                since = peer_news.unpack(payload).get("since")
+                self._merge_sync_message(address, payload, answered=False)
+                since = peer_messages.decode(payload).get("since")
                 known = since if isinstance(since, int) else 0
-                answer.set_result(self._collect(known))
+                answer.set_result(self._build_sync_message(known))
             except Exception as error:
                 self._telemetry.log_error(f"question of {address}", error)
                 answer.set_exception(error)
@@ -137,7 +137,7 @@
         self._loop.call_soon_threadsafe(reply)
         return answer
 
-    def tick(self) -> list[str]:
+    def run_periodic_work(self) -> list[str]:
         """Does what is due; returns the upstreams that were forgotten."""
         now = time.monotonic()
         for rollout in self._router.rollouts.judge(now):
@@ -147,26 +147,30 @@
                 "own evidence",
             )
         for rollout in self._router.rollouts.list_all():
-            self._state_rollout(rollout, now)
-        if now >= self._next_sync:
-            pause_s = LOST_SYNC_S if self._store_lost else SYNC_S
-            self._next_sync = now + pause_s * self._source.uniform(0.8, 1.2)
-            self._sync(
+            self._write_rollout_status(rollout, now)
+        if now >= self._next_sync_at:
+            pause_s = (
+                STORE_LOST_SYNC_INTERVAL_S
+                if self._store_lost
+                else SYNC_INTERVAL_S
+            )
+            self._next_sync_at = now + pause_s * self._rng.uniform(0.8, 1.2)
+            self._send_sync_request(
                 self._watchers.choose_partner(
-                    self._router.nodes, self._measure_age(now), now
+                    self._router.nodes, self._compute_staleness_s(now), now
                 )
             )
-        self._follow(now)
+        self._choose_state_source(now)
         return self._router.sweep(now)
 
-    def _follow(self, now: float) -> None:
+    def _choose_state_source(self, now: float) -> None:
         """Follows the store or a node that does."""
-        if self._watch is None or not self._listed:
+        if self._watch_task is None or not self._has_listing:
             return
         nodes = self._router.nodes
         active = self._watchers.needs_watch(nodes, now)
-        if active != self._watch.active:
-            self._watch.active = active
+        if active != self._watch_task.active:
+            self._watch_task.active = active
             # A follower does not call the store, so it cannot have lost it.
             self._store_lost = self._store_lost and active
             self._telemetry.record_state_change(
@@ -174,38 +178,45 @@
                 "followed directly" if active else "followed by another node",
                 f"age {self._watchers.measure_age(now):.1f} s",
             )
-        if now < self._next_follow or self._followed in self._asked:
+        if (
+            now < self._next_follow_at
+            or self._follow_request in self._pending_requests
+        ):
             # A second answer would repeat what is still on its way.
             return
-        self._next_follow = now + FOLLOW_S
-        self._followed = self._sync(self._watchers.choose_source(nodes, now))
+        self._next_follow_at = now + FOLLOW_INTERVAL_S
+        self._follow_request = self._send_sync_request(
+            self._watchers.choose_source(nodes, now)
+        )
 
     def _handle(self, event: events.Event) -> None:
         match event:
-            case store_tasks.Listed():
-                self._note_store_back()
+            case store_tasks.StoreListed():
+                self._record_store_success()
                 news = self._mirror.replace(
                     _convert(event.listing.items), event.listing.revision
                 )
                 self._apply(news, f"list {event.listing.revision}")
                 self._register_node()
-            case store_tasks.Watched():
-                self._note_store_back()
+            case store_tasks.StoreChanged():
+                self._record_store_success()
                 changes = [
                     mirror.Entry(c.key, c.value, c.revision)
                     for c in event.changes.changes
                 ]
                 news = self._mirror.apply(changes, event.changes.revision)
                 self._apply(news, f"watch {event.changes.revision}")
-            case store_tasks.StoreLost():
-                self._note_store_lost(event.failure)
-            case store_tasks.WriteEnded():
-                self._note_written(event)
-            case peer_link.PeerAnswered():
-                self._asked.pop(event.number, None)
-                self._merge(event.address, event.payload, answered=True)
-            case peer_link.PeerSilent():
-                name = self._asked.pop(event.number, "")
+            case store_tasks.StoreCallFailed():
+                self._record_store_failure(event.failure)
+            case store_tasks.WriteFinished():
+                self._record_write(event)
+            case peer_client.PeerRequestAnswered():
+                self._pending_requests.pop(event.number, None)
+                self._merge_sync_message(
+                    event.address, event.payload, answered=True
+                )
+            case peer_client.PeerRequestFailed():
+                name = self._pending_requests.pop(event.number, "")
                 self._watchers.note_unreachable(name, time.monotonic())
 
     def _apply(self, news: list[mirror.Entry], source: str) -> None:
@@ -225,18 +236,18 @@
                     change.subject, change.outcome, source
                 )
 
-    def _note_store_back(self) -> None:
-        if self._store_lost or not self._listed:
+    def _record_store_success(self) -> None:
+        if self._store_lost or not self._has_listing:
             self._telemetry.log_event("store regained")
         now = time.monotonic()
         self._watchers.note_fresh(now)
         if self._store_lost:
-            self._store_back_at = now
+            self._store_recovered_at = now
             self._router.directory.record_store_recovery(now)
         self._store_lost = False
-        self._listed = True
+        self._has_listing = True
 
-    def _note_store_lost(self, failure: failures.Failure) -> None:
+    def _record_store_failure(self, failure: failures.Failure) -> None:
         if not self._store_lost:
             self._telemetry.log_event(
                 "store lost: {} ({})", failure.code, failure.reason
@@ -252,14 +263,16 @@
     def _write(self, item: store_codec.KeyValue) -> None:
         """Writes a value unless the same key is being written."""
         now = time.monotonic()
-        if self._writer is None or now < self._writes.get(item.key, 0.0):
+        if self._write_task is None or now < self._next_write_at.get(
+            item.key, 0.0
+        ):
             return
-        self._writes[item.key] = now + 4 * WRITE_RETRY_S
+        self._next_write_at[item.key] = now + 4 * WRITE_RETRY_DELAY_S
         expect = self._mirror.get_revision(item.key)
-        self._writer.post(store_tasks.Write(item, expect))
+        self._write_task.post(store_tasks.Write(item, expect))
 
-    def _note_written(self, event: store_tasks.WriteEnded) -> None:
-        self._writes[event.key] = time.monotonic() + WRITE_RETRY_S
+    def _record_write(self, event: store_tasks.WriteFinished) -> None:
+        self._next_write_at[event.key] = time.monotonic() + WRITE_RETRY_DELAY_S
         outcome = "written"
         if isinstance(event.result, failures.Failure):
             outcome = f"{event.result.code}: {event.result.reason}"
@@ -270,28 +283,28 @@
         if isinstance(event.result, stores.CallFailure) and event.key.endswith(
             own
         ):
-            self._loop.call_later(WRITE_RETRY_S, self._register_node)
+            self._loop.call_later(WRITE_RETRY_DELAY_S, self._register_node)
 
-    def _state_rollout(
+    def _write_rollout_status(
         self, rollout: rollout_records.Rollout, now: float
     ) -> None:
         """Writes how far a roll-out has come, if it is this node's turn."""
         service = rollout.order.service
         state = self._router.rollouts.find_due_state(service, now)
         if state is None:
-            self._due.pop(service, None)
+            self._due_states.pop(service, None)
             return
-        known, since = self._due.get(service, ("", now))
+        known, since = self._due_states.get(service, ("", now))
         if known != state.value:
-            self._due[service] = (state.value, now)
+            self._due_states[service] = (state.value, now)
             since = now
-        if now - since < self._find_rank(service) * RANK_DELAY_S:
+        if now - since < self._compute_rank(service) * WRITE_DELAY_PER_RANK_S:
             return
         self._write(
             self._codec.encode_status(service, rollout.order.target, state)
         )
 
-    def _find_rank(self, service: str) -> int:
+    def _compute_rank(self, service: str) -> int:
         """Returns the place of this node among those that may write."""
         names = sorted(
             {*self._router.nodes, self.settings.node},
@@ -299,24 +312,26 @@
         )
         return names.index(self.settings.node)
 
-    def _sync(self, name: str | None) -> int | None:
+    def _send_sync_request(self, name: str | None) -> int | None:
         """Asks another node for news; returns the number of the question."""
-        if name is None or self._peers is None:
+        if name is None or self._peer_client is None:
             return None
-        self._syncs += 1
-        self._asked[self._syncs] = name
+        self._last_request += 1
+        self._pending_requests[self._last_request] = name
         address = self._router.nodes[name].peer_address
-        self._peers.ask(self._syncs, address, self._collect(None))
-        return self._syncs
+        self._peer_client.send_request(
+            self._last_request, address, self._build_sync_message(None)
+        )
+        return self._last_request
 
-    def _collect(self, since: int | None) -> bytes:
+    def _build_sync_message(self, since: int | None) -> bytes:
         """Returns what is known here, with changes after a revision."""
         now = time.monotonic()
         document = {
             "since": self._mirror.revision,
-            "age_s": self._measure_age(now),
-            "store_back_s": min(LONG_AGO_S, now - self._store_back_at),
-            **rollout_news.collect(self._router.rollouts, now),
+            "age_s": self._compute_staleness_s(now),
+            "store_back_s": min(MAX_AGE_S, now - self._store_recovered_at),
+            **rollout_messages.export(self._router.rollouts, now),
             "poison": self._router.poison.export(now),
             "sound": self._router.poison.export_sound(now),
         }
@@ -329,16 +344,18 @@
                 "revision": delta.revision,
                 "whole": delta.whole,
             }
-        return peer_news.pack(document)
+        return peer_messages.encode(document)
 
-    def _measure_age(self, now: float) -> float:
+    def _compute_staleness_s(self, now: float) -> float:
         """Returns the age of what is known, in seconds."""
-        watching = self._watch is not None and self._watch.active
-        if watching and self._listed and not self._store_lost:
+        watching = self._watch_task is not None and self._watch_task.active
+        if watching and self._has_listing and not self._store_lost:
             return 0.0
-        return min(LONG_AGO_S, self._watchers.measure_age(now))
+        return min(MAX_AGE_S, self._watchers.measure_age(now))
 
-    def _merge(self, address: str, payload: bytes, answered: bool) -> None:
+    def _merge_sync_message(
+        self, address: str, payload: bytes, answered: bool
+    ) -> None:
         """Takes what another node knows.
 
         Args:
@@ -347,14 +364,14 @@
             answered: Whether it was asked for all changes since a revision.
         """
         now = time.monotonic()
-        document = peer_news.unpack(payload)
+        document = peer_messages.decode(payload)
         if not document:
             self._telemetry.record_state_change(
                 f"peer={address}", "unreadable news", "sync"
             )
             return
         try:
-            rollout_news.merge(self._router.rollouts, document, now)
+            rollout_messages.merge(self._router.rollouts, document, now)
             self._router.poison.merge_sound(document.get("sound", {}), now)
             self._router.poison.merge(document.get("poison", {}), now)
             if answered:
--- a/sycamorehollow/shells/gateway/store_tasks.py
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -16,41 +16,41 @@
 
 # Longest wait of one watch in seconds; a watch that a silent store never
 # answers is noticed after it.
-WATCH_S = 12.0
+WATCH_TIMEOUT_S = 12.0
 # Changes within this time are fetched together, as each answer is priced. It
 # is a small part of the seconds in which a change has to be in force.
-GATHER_S = 0.4
+BATCH_WINDOW_S = 0.4
 # Time in which the event loop has taken an event.
-APPLY_S = 0.02
+APPLY_DELAY_S = 0.02
 # Time between looks at whether to follow the store.
-IDLE_S = 0.1
-FIRST_PAUSE_S = 0.3
-MAX_PAUSE_S = 1.5
+INACTIVE_POLL_INTERVAL_S = 0.1
+INITIAL_BACKOFF_S = 0.3
+MAX_BACKOFF_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
-class Listed(events.Event):
+class StoreListed(events.Event):
     """All values of the store at a revision."""
 
     listing: stores.Listing
 
 
 @dataclasses.dataclass(frozen=True)
-class Watched(events.Event):
+class StoreChanged(events.Event):
     """Changes since the last report."""
 
     changes: stores.Changes
 
 
 @dataclasses.dataclass(frozen=True)
-class StoreLost(events.Event):
+class StoreCallFailed(events.Event):
     """A call has failed."""
 
     failure: failures.Failure
 
 
 @dataclasses.dataclass(frozen=True)
-class WriteEnded(events.Event):
+class WriteFinished(events.Event):
     """A write was made or has failed."""
 
     key: str
@@ -64,7 +64,7 @@
         store: Client of the store.
         deliver: Takes events; safe from any thread.
         get_revision: Returns the revision up to which all changes are known.
-        source: Source of randomness for pauses.
+        rng: Randomises the pauses.
 
     Attributes:
         active: Whether to follow the store; a pending watch ends first.
@@ -75,14 +75,14 @@
         store: stores.Store,
         deliver: Callable[[events.Event], None],
         get_revision: Callable[[], int],
-        source: random.Random,
+        rng: random.Random,
     ):
         super().__init__("watch")
         self.active = True
         self._get_revision = get_revision
         self._store = store
         self._deliver = deliver
-        self._source = source
+        self._rng = rng
         self._failures = 0
 
     def _wake(self) -> None:
@@ -95,7 +95,7 @@
             except Exception as error:
                 # The store may send anything; the node needs its news later.
                 loguru.logger.opt(exception=error).error("fault in the watch")
-                self._pause(stores.InDoubt(f"unexpected {error!r}"))
+                self._back_off(stores.InDoubt(f"unexpected {error!r}"))
 
     def _follow(self) -> None:
         """Lists all values and follows their changes."""
@@ -103,38 +103,38 @@
         allow_stale = True
         while not self._stopping:
             if not self.active:
-                time.sleep(IDLE_S)
+                time.sleep(INACTIVE_POLL_INTERVAL_S)
                 continue
             if not listed:
                 listing = self._store.list_range("", allow_stale)
                 if isinstance(listing, failures.Failure):
-                    self._pause(listing)
+                    self._back_off(listing)
                     continue
                 self._failures = 0
-                self._deliver(Listed(listing))
+                self._deliver(StoreListed(listing))
                 listed = True
                 # The listing is applied before its revision is asked for.
-                time.sleep(APPLY_S)
+                time.sleep(APPLY_DELAY_S)
             after = self._get_revision()
-            changes = self._store.watch("", after, WATCH_S)
+            changes = self._store.watch("", after, WATCH_TIMEOUT_S)
             if isinstance(changes, stores.HistoryGone):
                 listed = False
                 # A late copy may lack what the watch has missed.
                 allow_stale = False
                 continue
             if isinstance(changes, failures.Failure):
-                self._pause(changes)
+                self._back_off(changes)
                 continue
             self._failures = 0
-            self._deliver(Watched(changes))
+            self._deliver(StoreChanged(changes))
             if changes.changes:
-                time.sleep(GATHER_S)
+                time.sleep(BATCH_WINDOW_S)
 
-    def _pause(self, failure: failures.Failure) -> None:
-        self._deliver(StoreLost(failure))
-        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+    def _back_off(self, failure: failures.Failure) -> None:
+        self._deliver(StoreCallFailed(failure))
+        pause_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self._failures)
         self._failures += 1
-        time.sleep(pause_s * self._source.uniform(0.7, 1.3))
+        time.sleep(pause_s * self._rng.uniform(0.7, 1.3))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,7 +173,7 @@
             write = self._queue.get()
             if write is None:
                 continue
-            self._deliver(WriteEnded(write.item.key, self._write(write)))
+            self._deliver(WriteFinished(write.item.key, self._write(write)))
 
     def _write(
         self, write: Write
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -7,7 +7,7 @@
 
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import peer_news
+from sycamorehollow.shells.gateway import peer_messages
 from tests import floods
 from tests import gateway_world
 from tests import platform_standins
@@ -194,9 +194,11 @@
     """Guards against messages that no node has sent."""
 
     def test_news_that_unfolds_without_end_is_dropped(self):
-        document = {"poison": "x" * (2 * peer_news.MAX_BYTES)}
-        self.assertEqual(peer_news.unpack(peer_news.pack(document)), {})
+        document = {"poison": "x" * (2 * peer_messages.MAX_DECODED_BYTES)}
+        self.assertEqual(
+            peer_messages.decode(peer_messages.encode(document)), {}
+        )
 
     def test_malformed_news_is_dropped(self):
         for payload in (b"", b"{", b"[1]", b"x\x9c", b"[" * 100_000, b"\xff"):
-            self.assertEqual(peer_news.unpack(payload), {})
+            self.assertEqual(peer_messages.decode(payload), {})
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -14,9 +14,9 @@
 from sycamorehollow.platform import documents
 from sycamorehollow.platform import store_codec
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import knowledge
-from sycamorehollow.shells.gateway import peer_link
-from sycamorehollow.shells.gateway import peer_news
+from sycamorehollow.shells.gateway import peer_client
+from sycamorehollow.shells.gateway import peer_messages
+from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
 from tests import forwarding_world
@@ -41,7 +41,7 @@
         self.peers = mock.Mock()
         settings = forwarding_world.build_settings(node="n9")
         self.router = forwarding_world.build_router()
-        self.known = knowledge.Knowledge(
+        self.known = state_sync.StateSync(
             settings,
             self.router,
             store_codec.PlatformStoreCodec(),
@@ -49,8 +49,8 @@
             random.Random(1),
         )
         self.watch = mock.Mock(active=True)
-        self.known.connect(self.watch, mock.Mock())
-        self.known.connect_peers(self.peers)
+        self.known.set_store_tasks(self.watch, mock.Mock())
+        self.known.set_peer_client(self.peers)
         nodes = {
             f"nodes/n{number}": documents.encode_node(
                 watchers.Node(f"127.0.0.1:{number}", "dc-1")
@@ -61,7 +61,7 @@
         items = tuple(
             stores.Found(key, value, 5) for key, value in values.items()
         )
-        await self._deliver(store_tasks.Listed(stores.Listing(items, 5)))
+        await self._deliver(store_tasks.StoreListed(stores.Listing(items, 5)))
 
     async def _deliver(self, event):
         self.known.deliver(event)
@@ -71,7 +71,7 @@
         """Delivers what another node knows."""
         document = {"since": 5, "age_s": 0.0, "store_back_s": 1e6} | changes
         payload = json.dumps(document).encode()
-        await self._deliver(peer_link.PeerAnswered(0, PEER, payload))
+        await self._deliver(peer_client.PeerRequestAnswered(0, PEER, payload))
 
     def _count_usable(self):
         now = time.monotonic()
@@ -79,9 +79,9 @@
 
     async def test_removal_counts_at_once_for_a_node_turned_away(self):
         failure = stores.RateLimited("refused")
-        await self._deliver(store_tasks.StoreLost(failure))
+        await self._deliver(store_tasks.StoreCallFailed(failure))
         await self._answer()
-        self.known.tick()
+        self.known.run_periodic_work()
         gone = {"entries": [["servers/a", None, 6]], "revision": 6}
         self.assertEqual(self._count_usable(), 1)
         await self._answer(delta=gone | {"whole": False})
@@ -94,12 +94,14 @@
 
     async def test_follower_with_fresh_news_does_not_watch(self):
         await self._answer()
-        self.known.tick()
+        self.known.run_periodic_work()
         self.assertFalse(self.watch.active)
 
     async def test_unreadable_news_change_nothing(self):
         for payload in (b"", b"[]", b"{}", b'{"delta": 3}'):
-            await self._deliver(peer_link.PeerAnswered(0, PEER, payload))
+            await self._deliver(
+                peer_client.PeerRequestAnswered(0, PEER, payload)
+            )
         self.assertEqual(self._count_usable(), 1)
 
     async def test_malformed_fields_of_news_are_logged_and_answered(self):
@@ -123,7 +125,7 @@
         await self._answer(slowness=[entry | {"counts": counts}])
         known = self.router.rollouts.get("llm").evidence
         self.assertEqual(sum(known.sum_up().new_slow), 1)
-        handed_on = peer_news.unpack(await self._ask(5))["slowness"]
+        handed_on = peer_messages.decode(await self._ask(5))["slowness"]
         self.assertEqual(handed_on, [entry | {"counts": counts}])
         # A peer that does not know these counts yet, and a malformed one.
         await self._answer()
@@ -139,13 +141,15 @@
                 stores.Change("servers/b", ENTRY, 6),
                 stores.Change("servers/a", None, 6),
             )
-            await self._deliver(store_tasks.Watched(stores.Changes(changes, 6)))
+            await self._deliver(
+                store_tasks.StoreChanged(stores.Changes(changes, 6))
+            )
         self.assertEqual(broken.call_count, 2)
         self.assertIs(self.router.handle.__func__, handle.__func__)
 
     async def _ask(self, since):
         """Returns the answer to a node that knows changes up to `since`."""
-        answer = self.known.answer_peer(
+        answer = self.known.handle_peer_request(
             PEER, json.dumps({"since": since}).encode()
         )
         return await asyncio.wrap_future(answer)
@@ -157,37 +161,43 @@
         ]
         large = json.dumps({"version": 9, "routes": routes})
         changes = (stores.Change("op/config", large, 6),)
-        await self._deliver(store_tasks.Watched(stores.Changes(changes, 6)))
+        await self._deliver(
+            store_tasks.StoreChanged(stores.Changes(changes, 6))
+        )
         payload = await self._ask(5)
         # Twenty followers fetch it within a second over 10 Mbit/s.
         self.assertLess(len(payload) * 20 * 8, 10e6)
         other = forwarding_world.build_router()
-        follower = knowledge.Knowledge(
+        follower = state_sync.StateSync(
             forwarding_world.build_settings(node="n8"),
             other,
             store_codec.PlatformStoreCodec(),
             telemetry.Telemetry(),
             random.Random(1),
         )
-        follower.deliver(peer_link.PeerAnswered(0, PEER, payload))
+        follower.deliver(peer_client.PeerRequestAnswered(0, PEER, payload))
         await asyncio.sleep(0.05)
         self.assertEqual(follower.get_revision(), 6)
 
     async def test_follower_asks_again_only_after_an_answer(self):
         await self._answer()
         posts = []
-        self.peers.ask.side_effect = lambda number, *_: posts.append(number)
+        self.peers.send_request.side_effect = lambda number, *_: posts.append(
+            number
+        )
         later = time.monotonic()
         with mock.patch("time.monotonic", lambda: later):
             for _ in range(15):
                 # In all less than the age from which it watches by itself.
                 later += 0.04
-                self.known.tick()
+                self.known.run_periodic_work()
         # To the node that it follows only.
         self.assertEqual(len(posts), 1)
         for number in tuple(posts):
-            await self._deliver(peer_link.PeerSilent(number, "timed out"))
+            await self._deliver(
+                peer_client.PeerRequestFailed(number, "timed out")
+            )
         count = len(posts)
         with mock.patch("time.monotonic", lambda: later + 0.1):
-            self.known.tick()
+            self.known.run_periodic_work()
         self.assertGreater(len(posts), count)
