--- a/benches/bench_load.py
+++ b/benches/bench_load.py
@@ -7,10 +7,10 @@
 from benches import fakes
 from benches import results
 from sycamorehollow.decisions.routing import capacity
-from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import load_table
+from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.decisions.routing import selection
 from sycamorehollow.decisions.routing import upstream_events
-from sycamorehollow.decisions.routing import upstreams
 
 SEED = 7
 NODES = 6
@@ -41,9 +41,9 @@
     """The decision parts of one entry process."""
 
     def __init__(self, name: str, engines: list[fakes.Engine]):
-        self.table = upstreams.Table(name, "dc")
+        self.table = load_table.LoadTable(name, "dc")
         self.room = capacity.Capacity(self.table, NODES)
-        self.holders = prefixes.Prefixes()
+        self.holders = prefix_index.PrefixIndex()
         configured = tuple(engine.configure() for engine in engines)
         self.table.handle(upstream_events.UpstreamsConfigured(configured), 0.0)
         self.selection: selection.Selection = selection.RoundRobinSelection()
@@ -83,7 +83,7 @@
         self._per_step = load * RATE * sum(SPEEDS) * STEP_S / work
         self._running: dict[str, tuple[Node, capacity.Demand, float]] = {}
         self._reports: list[list[upstream_events.LoadReported]] = []
-        self._cache_events: list[list[prefixes.CacheChanged]] = []
+        self._cache_events: list[list[prefix_index.CacheChanged]] = []
         self._number = 0
         self.figures = Figures()
 
@@ -105,11 +105,11 @@
         prompt, output, _ = self._source.choices(KINDS, parts)[0]
         output = max(1, int(output * self._source.uniform(0.5, 1.5)))
         blocks: tuple[str, ...] = ()
-        if prompt >= BLOCKS * prefixes.BLOCK_TOKENS:
+        if prompt >= BLOCKS * prefix_index.BLOCK_TOKENS:
             # A few prefixes are popular, most are rare.
             group = int(PREFIXES * self._source.random() ** 2)
             blocks = tuple(f"{group}-{number}" for number in range(BLOCKS))
-        return capacity.Demand(prompt, output, blocks=blocks)
+        return capacity.Demand(prompt, output, block_hashes=blocks)
 
     def _arrive(self, now: float) -> None:
         node = self._source.choice(self._nodes)
@@ -119,7 +119,7 @@
             self.figures.offered_tokens += demand.tokens
         for _ in range(1 + MAX_RETRIES):
             choice = node.selection.choose(demand, self._names, now)
-            if not isinstance(choice, selection.Choice):
+            if not isinstance(choice, selection.SelectedUpstream):
                 break
             if self._start(node, choice.upstream, demand, now):
                 return
@@ -138,7 +138,9 @@
         node.table.handle(
             upstream_events.AttemptStarted(job, name, demand.tokens), now
         )
-        node.holders.handle(prefixes.PromptSent(name, demand.blocks), now)
+        node.holders.handle(
+            prefix_index.PromptSent(name, demand.block_hashes), now
+        )
         self._running[job] = (node, demand, now)
         return True
 
--- a/benches/fakes.py
+++ b/benches/fakes.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from sycamorehollow.decisions.routing import capacity
-from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import deployment
 
@@ -42,7 +42,7 @@
         )
         self._number = 0
         self.held_tokens = 0
-        self.cache_events: list[prefixes.CacheChanged] = []
+        self.cache_events: list[prefix_index.CacheChanged] = []
 
     def configure(self) -> deployment.Upstream:
         """Returns the configuration of this engine."""
@@ -55,12 +55,12 @@
         if self.held_tokens + demand.tokens > self.capacity_tokens:
             return False
         fresh = demand.prompt_tokens
-        for index, block in enumerate(demand.blocks):
+        for index, block in enumerate(demand.block_hashes):
             if block in self._cache:
                 fresh = demand.prompt_tokens
-                fresh -= (index + 1) * prefixes.BLOCK_TOKENS
-        self._remember(demand.blocks)
-        work = PROMPT_WORK * max(0, fresh) + demand.output_tokens
+                fresh -= (index + 1) * prefix_index.BLOCK_TOKENS
+        self._remember(demand.block_hashes)
+        work = PROMPT_WORK * max(0, fresh) + demand.max_output_tokens
         self._jobs[job] = Job(demand, work)
         self.held_tokens += demand.tokens
         return True
@@ -76,7 +76,7 @@
         if added or removed:
             self._number += 1
             self.cache_events.append(
-                prefixes.CacheChanged(
+                prefix_index.CacheChanged(
                     self.name, self._number, 1, added, tuple(removed)
                 )
             )
--- a/benches/routing_baselines.py
+++ b/benches/routing_baselines.py
@@ -24,11 +24,11 @@
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
-    ) -> selection.Choice | failures.Failure:
+    ) -> selection.SelectedUpstream | failures.Failure:
         """Chooses in the own data centre only."""
         own = [name for name in candidates if name in self._local]
         if not own:
-            return selection.refuse_full()
+            return selection.make_full_failure()
         return self._inner.choose(request, own, now)
 
 
--- a/sycamorehollow/decisions/routing/capacity.py
+++ b/sycamorehollow/decisions/routing/capacity.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions.routing import upstreams
+from sycamorehollow.decisions.routing import load_table
 
 # Chapters hold their tokens for minutes; a tenth of the memory holds some 20
 # checks of 1,000 tokens on an upstream of 200,000 tokens.
@@ -10,8 +10,8 @@
 SHORT_REQUEST_TOKENS = 2000
 # Room for one more request of the same size, which a peer may just have
 # started unseen.
-UNSEEN_FACTOR = 2
-SMOOTHING = 0.1
+UNREPORTED_FACTOR = 2
+SPEED_SMOOTHING = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,18 +28,18 @@
     """
 
     prompt_tokens: int
-    output_tokens: int
+    max_output_tokens: int
     deadline: float = float("inf")
-    blocks: tuple[str, ...] = ()
-    likely_tokens: int | None = None
+    block_hashes: tuple[str, ...] = ()
+    expected_output_tokens: int | None = None
 
     @property
     def tokens(self) -> int:
         """Tokens that the request holds when it is complete."""
-        return self.prompt_tokens + self.output_tokens
+        return self.prompt_tokens + self.max_output_tokens
 
     @property
-    def short(self) -> bool:
+    def is_short(self) -> bool:
         """Whether the request may use the reserve."""
         return self.tokens <= SHORT_REQUEST_TOKENS
 
@@ -53,8 +53,8 @@
         output_s: Seconds per output token.
     """
 
-    prompt_s: float = 0.0001
-    output_s: float = 0.02
+    prompt_s_per_token: float = 0.0001
+    output_s_per_token: float = 0.02
 
 
 class Capacity:
@@ -69,13 +69,13 @@
 
     def __init__(
         self,
-        table: upstreams.Table,
+        table: load_table.LoadTable,
         members: int = 1,
-        refusing: bool = True,
+        upstreams_enforce_limit: bool = True,
     ):
         self._table = table
         self._members = max(1, members)
-        self._refusing = refusing
+        self._refusing = upstreams_enforce_limit
         self._speeds: dict[str, Speed] = {}
 
     @property
@@ -107,21 +107,27 @@
         speed = self._speeds.setdefault(upstream, Speed())
         if prompt_tokens > 0:
             seen = first_chunk_s / prompt_tokens
-            speed.prompt_s += SMOOTHING * (seen - speed.prompt_s)
+            speed.prompt_s_per_token += SPEED_SMOOTHING * (
+                seen - speed.prompt_s_per_token
+            )
         if output_tokens > 1:
             seen = stream_s / (output_tokens - 1)
-            speed.output_s += SMOOTHING * (seen - speed.output_s)
+            speed.output_s_per_token += SPEED_SMOOTHING * (
+                seen - speed.output_s_per_token
+            )
 
     def estimate_duration_s(self, upstream: str, demand: Demand) -> float:
         """Estimates the seconds until the response is complete."""
         speed = self._speeds.get(upstream) or Speed()
-        prompt_s = demand.prompt_tokens * speed.prompt_s
-        tokens = demand.output_tokens
-        if demand.likely_tokens is not None:
-            tokens = min(tokens, demand.likely_tokens)
-        return prompt_s + tokens * speed.output_s
+        prompt_s = demand.prompt_tokens * speed.prompt_s_per_token
+        tokens = demand.max_output_tokens
+        if demand.expected_output_tokens is not None:
+            tokens = min(tokens, demand.expected_output_tokens)
+        return prompt_s + tokens * speed.output_s_per_token
 
-    def meets_deadline(self, upstream: str, demand: Demand, now: float) -> bool:
+    def can_meet_deadline(
+        self, upstream: str, demand: Demand, now: float
+    ) -> bool:
         """Tells whether the estimate ends before the deadline."""
         duration_s = self.estimate_duration_s(upstream, demand)
         return now + duration_s <= demand.deadline
@@ -136,53 +142,55 @@
         last report alone lets a process that polls often take the part of one
         that polls rarely, and both together exceed the memory.
         """
-        row = self._table.find_row(upstream)
-        if row is None or now < row.down_until:
+        load = self._table.find_load(upstream)
+        if load is None or now < load.backoff_until:
             return 0
-        usable = row.capacity_tokens
-        if not demand.short:
+        usable = load.capacity_tokens
+        if not demand.is_short:
             usable -= int(usable * SHORT_RESERVE)
-        free = usable - row.estimate_tokens()
-        if row.report is None or self._table.is_stale(row.report, now):
-            return min(free, usable // self._members - row.own_tokens)
-        for report in row.recent:
+        free = usable - load.estimate_tokens()
+        if load.report is None or self._table.is_stale(load.report, now):
+            return min(free, usable // self._members - load.own_tokens)
+        for report in load.recent_reports:
             share = (usable - report.held_tokens) // self._members
-            free = min(free, share - count_started(row, report.measured_at))
+            free = min(
+                free, share - count_started_tokens(load, report.measured_at)
+            )
         return free
 
-    def holds(self, upstream: str, demand: Demand, now: float) -> bool:
+    def can_hold(self, upstream: str, demand: Demand, now: float) -> bool:
         """Tells whether the memory could hold the request; less than `fits`."""
-        row = self._table.find_row(upstream)
-        if row is None or now < row.down_until:
+        load = self._table.find_load(upstream)
+        if load is None or now < load.backoff_until:
             return False
-        return demand.tokens <= row.capacity_tokens - row.estimate_tokens()
+        return demand.tokens <= load.capacity_tokens - load.estimate_tokens()
 
-    def fits(self, upstream: str, demand: Demand, now: float) -> bool:
+    def has_room(self, upstream: str, demand: Demand, now: float) -> bool:
         """Tells whether the upstream has room for the request.
 
         Beyond the share of this process the estimate decides, if upstreams
         refuse what they cannot hold: a request larger than an equal share
         would otherwise never fit, however idle the upstream is.
         """
-        row = self._table.find_row(upstream)
-        if row is None or not self.holds(upstream, demand, now):
+        load = self._table.find_load(upstream)
+        if load is None or not self.can_hold(upstream, demand, now):
             return False
         if demand.tokens <= self.count_free_tokens(upstream, demand, now):
             return True
-        if not self._refusing or row.report is None:
+        if not self._refusing or load.report is None:
             return False
-        if self._table.is_stale(row.report, now):
+        if self._table.is_stale(load.report, now):
             return False
-        usable = int(row.capacity_tokens * (1 - SHORT_RESERVE))
-        room = usable - row.estimate_tokens()
-        return UNSEEN_FACTOR * demand.tokens <= room
+        usable = int(load.capacity_tokens * (1 - SHORT_RESERVE))
+        room = usable - load.estimate_tokens()
+        return UNREPORTED_FACTOR * demand.tokens <= room
 
 
-def count_started(row: upstreams.Row, since: float) -> int:
+def count_started_tokens(load: load_table.UpstreamLoad, since: float) -> int:
     """Returns own tokens started after a time and still outstanding."""
     started = 0
     # Attempts are kept in the order of their start.
-    for tokens, started_at in reversed(row.attempts.values()):
+    for tokens, started_at in reversed(load.attempts.values()):
         if started_at <= since:
             break
         started += tokens
--- a/sycamorehollow/decisions/routing/cold_start_limiter.py
+++ b/sycamorehollow/decisions/routing/cold_start_limiter.py
@@ -13,7 +13,7 @@
 
 from sycamorehollow.decisions import components
 from sycamorehollow.decisions.routing import cold_states
-from sycamorehollow.decisions.routing import shares
+from sycamorehollow.decisions.routing import peer_loads
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
@@ -25,8 +25,7 @@
 LOAN_S = 10.0
 # Covers the drift of two clocks over one loan and the delay of a cancellation.
 LOAN_MARGIN_S = 2.0
-# All processes learn of a return to service within this time. A second notice
-# of it within this time doesn't start another ramp-up.
+# Notices of one return to service reach a process within this time.
 RETURN_PROPAGATION_S = 5.0
 
 
@@ -339,21 +338,21 @@
         """Returns a checksum of the states in the data centre, for a peer.
 
         A process starts nothing at a cold upstream of another data centre, so
-        of those it needs only the end of a ramp-up. The digest holds a checksum
-        because naming the upstreams took 0.7 KB/s of a node at 26 upstreams.
+        it needs only the end of a ramp-up there. Naming all upstreams in each
+        digest took 0.7 KB/s of a node at 26 upstreams.
         """
         remote = {
             name: state.epoch
             for name, state in self._states.items()
             if state.ramping_up and state.data_centre != self._data_centre
         }
-        return shares.encode(
+        return peer_loads.encode_compressed_json(
             [self._data_centre, self._compute_checksum(), remote]
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the states that are newer than those of a digest."""
-        place, checksum, remote = shares.decode(digest)
+        place, checksum, remote = peer_loads.decode_compressed_json(digest)
         newer = {}
         if place == self._data_centre and checksum != self._compute_checksum():
             for name, state in self._list_local():
@@ -362,7 +361,7 @@
             known = self._states.get(name)
             if known is not None and known.epoch > epoch:
                 newer[name] = [*known.epoch, known.bearable]
-        return shares.encode(newer) if newer else b""
+        return peer_loads.encode_compressed_json(newer) if newer else b""
 
     def _compute_checksum(self) -> int:
         epochs = [(name, state.epoch) for name, state in self._list_local()]
@@ -380,13 +379,15 @@
         state = self._states.get(upstream)
         if state is None:
             return b""
-        return shares.encode({upstream: [*state.epoch, state.bearable]})
+        return peer_loads.encode_compressed_json(
+            {upstream: [*state.epoch, state.bearable]}
+        )
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Takes over the newer states of a peer."""
         if not delta:
             return []
-        for name, epoch in shares.decode(delta).items():
+        for name, epoch in peer_loads.decode_compressed_json(delta).items():
             generation, episode, settled, bearable = epoch
             state = self._states.get(name)
             if state is None or [generation, episode, settled] <= state.epoch:
--- a/sycamorehollow/decisions/routing/upstreams.py
+++ b/sycamorehollow/decisions/routing/load_table.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.routing import shares
+from sycamorehollow.decisions.routing import peer_loads
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
@@ -19,13 +19,13 @@
 MAX_CHANGES = 1000  # bounds the memory while no reports arrive
 # A share of 94 upstreams takes about 0.5 KB compressed; more processes than
 # this publish less often, to stay below half of the budget of 10 KB/s.
-SHARES_PER_S = 8.0
+LOAD_UPDATES_PER_S = 8.0
 CONNECT_BACKOFF_S = 1.0
 CONNECT_BACKOFF_MAX_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
-class View:
+class UpstreamView:
     """What this process knows of an upstream.
 
     Attributes:
@@ -55,30 +55,32 @@
     reachable: bool
 
 
-class Row:
+class UpstreamLoad:
     """Mutable record of one upstream; written only by the table."""
 
     def __init__(self, configured: deployment.Upstream):
-        self.configured = configured
+        self.configuration = configured
         self.report: upstream_events.LoadReported | None = None
-        self.recent: collections.deque[upstream_events.LoadReported] = (
+        self.recent_reports: collections.deque[upstream_events.LoadReported] = (
             collections.deque()
         )
         self.attempts: dict[str, tuple[int, float]] = {}
         self.own_tokens = 0
-        self.changes: collections.deque[tuple[float, int]] = collections.deque()
+        self.own_changes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.own_growth = 0
         self.peer_tokens = 0
         self.peer_growth = 0
-        self.peers_changed = False
-        self.down_until = 0.0
+        self.peer_sums_stale = False
+        self.backoff_until = 0.0
         self.backoff_s = CONNECT_BACKOFF_S
 
     @property
     def capacity_tokens(self) -> int:
         """Memory in tokens, by the last report or else by configuration."""
         if self.report is None:
-            return self.configured.capacity_tokens
+            return self.configuration.capacity_tokens
         return self.report.capacity_tokens
 
     def estimate_tokens(self) -> int:
@@ -93,13 +95,13 @@
         grown = self.report.held_tokens + self.own_growth + self.peer_growth
         return max(known, grown)
 
-    def change(self, tokens: int, now: float) -> None:
+    def record_own_change(self, tokens: int, now: float) -> None:
         """Records a start (positive) or an end (negative) of own work."""
         self.own_tokens += tokens
         self.own_growth += tokens
-        self.changes.append((now, tokens))
-        if len(self.changes) > MAX_CHANGES:
-            self.own_growth -= self.changes.popleft()[1]
+        self.own_changes.append((now, tokens))
+        if len(self.own_changes) > MAX_CHANGES:
+            self.own_growth -= self.own_changes.popleft()[1]
 
     def apply_report(
         self, report: upstream_events.LoadReported, window_s: float
@@ -111,16 +113,18 @@
             if report.measured_at < self.report.measured_at:
                 return
             if report.generation > self.report.generation:
-                self.recent.clear()
+                self.recent_reports.clear()
         self.report = report
-        self.recent.append(report)
-        while self.recent[0].measured_at < report.measured_at - window_s:
-            self.recent.popleft()
-        while self.changes and self.changes[0][0] <= report.measured_at:
-            self.own_growth -= self.changes.popleft()[1]
+        self.recent_reports.append(report)
+        while (
+            self.recent_reports[0].measured_at < report.measured_at - window_s
+        ):
+            self.recent_reports.popleft()
+        while self.own_changes and self.own_changes[0][0] <= report.measured_at:
+            self.own_growth -= self.own_changes.popleft()[1]
 
 
-class Table(components.Component, components.Replicated):
+class LoadTable(components.Component, components.Replicated):
     """Load of every configured upstream, as this process estimates it.
 
     Args:
@@ -137,9 +141,9 @@
     ):
         self._process = process
         self._data_centre = data_centre
-        self._rows: dict[str, Row] = {}
+        self._loads: dict[str, UpstreamLoad] = {}
         self._by_version: dict[str, tuple[str, ...]] = {}
-        self._shares = shares.PeerShares()
+        self._peer_loads = peer_loads.PeerLoads()
         self._sequence = 0
         self._published: dict[str, int] = {}
         self._published_at = float("-inf")
@@ -163,8 +167,10 @@
             ):
                 self._back_off(event.upstream, now)
             case events.Tick():
-                for name in self._shares.expire(now, self._interval_s()):
-                    self._mark(name)
+                for name in self._peer_loads.expire(
+                    now, self._get_publish_interval_s()
+                ):
+                    self._invalidate_peer_sums(name)
         return []
 
     def is_stale(
@@ -174,31 +180,31 @@
         limit_s = REPORT_TTL_S + self._report_lag_s
         return now - report.measured_at > limit_s
 
-    def find_row(self, name: str) -> Row | None:
+    def find_load(self, name: str) -> UpstreamLoad | None:
         """Returns the record of an upstream, for reading only."""
-        row = self._rows.get(name)
-        if row is not None and row.peers_changed:
-            self._sum_peers(name, row)
-        return row
+        load = self._loads.get(name)
+        if load is not None and load.peer_sums_stale:
+            self._sum_peers(name, load)
+        return load
 
-    def view(self, name: str, now: float) -> View | None:
+    def view(self, name: str, now: float) -> UpstreamView | None:
         """Returns what is known of an upstream, or `None` if unknown."""
-        row = self.find_row(name)
-        if row is None:
+        load = self.find_load(name)
+        if load is None:
             return None
-        report = row.report
-        return View(
+        report = load.report
+        return UpstreamView(
             name=name,
-            data_centre=row.configured.data_centre,
-            capacity_tokens=row.capacity_tokens,
+            data_centre=load.configuration.data_centre,
+            capacity_tokens=load.capacity_tokens,
             reported_tokens=report.held_tokens if report else 0,
-            estimated_tokens=row.estimate_tokens(),
-            outstanding=len(row.attempts),
-            outstanding_tokens=row.own_tokens,
-            peer_tokens=row.peer_tokens,
+            estimated_tokens=load.estimate_tokens(),
+            outstanding=len(load.attempts),
+            outstanding_tokens=load.own_tokens,
+            peer_tokens=load.peer_tokens,
             queued=report.queued if report else 0,
             report_age_s=now - report.measured_at if report else float("inf"),
-            reachable=now >= row.down_until,
+            reachable=now >= load.backoff_until,
         )
 
     def list_serving(self, version: str) -> tuple[str, ...]:
@@ -206,113 +212,129 @@
         return self._by_version.get(version, ())
 
     def _configure(self, configured: Iterable[deployment.Upstream]) -> None:
-        rows: dict[str, Row] = {}
+        loads: dict[str, UpstreamLoad] = {}
         serving: dict[str, list[str]] = {}
         for upstream in sorted(configured, key=lambda one: one.name):
-            row = self._rows.get(upstream.name) or Row(upstream)
-            row.configured = upstream
-            rows[upstream.name] = row
+            load = self._loads.get(upstream.name) or UpstreamLoad(upstream)
+            load.configuration = upstream
+            loads[upstream.name] = load
             for version in upstream.versions:
                 serving.setdefault(version, []).append(upstream.name)
-        # Attempts at a removed upstream still run; the row goes with the last.
-        for name, row in self._rows.items():
-            if name not in rows and row.attempts:
-                rows[name] = row
-        self._rows = rows
+        # Attempts at a removed upstream still run; the load goes with the last.
+        for name, load in self._loads.items():
+            if name not in loads and load.attempts:
+                loads[name] = load
+        self._loads = loads
         self._by_version = {key: tuple(names) for key, names in serving.items()}
-        for name in rows:
-            self._mark(name)
+        for name in loads:
+            self._invalidate_peer_sums(name)
 
     def _start(self, event: upstream_events.AttemptStarted, now: float) -> None:
-        row = self._rows.get(event.upstream)
-        if row is None or event.attempt in row.attempts:
+        load = self._loads.get(event.upstream)
+        if load is None or event.attempt in load.attempts:
             return
-        row.attempts[event.attempt] = (event.tokens, now)
-        row.change(event.tokens, now)
+        load.attempts[event.attempt] = (event.tokens, now)
+        load.record_own_change(event.tokens, now)
 
     def _end(self, event: upstream_events.AttemptEnded, now: float) -> None:
-        row = self._rows.get(event.upstream)
-        if row is None or event.attempt not in row.attempts:
+        load = self._loads.get(event.upstream)
+        if load is None or event.attempt not in load.attempts:
             return
-        tokens, _ = row.attempts.pop(event.attempt)
-        row.change(-tokens, now)
+        tokens, _ = load.attempts.pop(event.attempt)
+        load.record_own_change(-tokens, now)
 
     def _report(self, event: upstream_events.LoadReported) -> None:
-        row = self._rows.get(event.upstream)
-        if row is None:
+        load = self._loads.get(event.upstream)
+        if load is None:
             return
-        row.apply_report(event, REPORT_WINDOW_S + self._report_lag_s)
-        row.down_until = 0.0
-        row.backoff_s = CONNECT_BACKOFF_S
-        self._mark(event.upstream)
+        load.apply_report(event, REPORT_WINDOW_S + self._report_lag_s)
+        load.backoff_until = 0.0
+        load.backoff_s = CONNECT_BACKOFF_S
+        self._invalidate_peer_sums(event.upstream)
 
     def _back_off(self, name: str, now: float) -> None:
-        row = self._rows.get(name)
-        if row is None or now < row.down_until:
+        load = self._loads.get(name)
+        if load is None or now < load.backoff_until:
             return
-        row.down_until = now + row.backoff_s
-        row.backoff_s = min(2 * row.backoff_s, CONNECT_BACKOFF_MAX_S)
+        load.backoff_until = now + load.backoff_s
+        load.backoff_s = min(2 * load.backoff_s, CONNECT_BACKOFF_MAX_S)
 
-    def _mark(self, name: str) -> None:
-        row = self._rows.get(name)
-        if row is not None:
-            row.peers_changed = True
+    def _invalidate_peer_sums(self, name: str) -> None:
+        load = self._loads.get(name)
+        if load is not None:
+            load.peer_sums_stale = True
 
-    def _sum_peers(self, name: str, row: Row) -> None:
-        # Summed when read: a choice reads a few rows, while a share of a peer
+    def _sum_peers(self, name: str, load: UpstreamLoad) -> None:
+        # Summed when read: a choice reads a few loads, while a share of a peer
         # changes nearly all of them.
-        row.peers_changed = False
-        since = row.report.measured_at if row.report else None
-        row.peer_tokens, row.peer_growth = self._shares.sum(name, since)
+        load.peer_sums_stale = False
+        since = load.report.measured_at if load.report else None
+        load.peer_tokens, load.peer_growth = self._peer_loads.sum_tokens(
+            name, since
+        )
 
-    def _interval_s(self) -> float:
+    def _get_publish_interval_s(self) -> float:
         """Returns the seconds between two shares of this process."""
-        return max(1.0, self._shares.count(self._data_centre) / SHARES_PER_S)
+        return max(
+            1.0, self._peer_loads.count(self._data_centre) / LOAD_UPDATES_PER_S
+        )
 
     def _publish(self, now: float) -> None:
         # A little early rather than a whole exchange late.
-        if now - self._published_at < 0.9 * self._interval_s():
+        if now - self._published_at < 0.9 * self._get_publish_interval_s():
             return
         self._sequence += 1
         self._published_at = now
         self._published = {
-            name: row.own_tokens
-            for name, row in self._rows.items()
-            if row.own_tokens
+            name: load.own_tokens
+            for name, load in self._loads.items()
+            if load.own_tokens
         }
 
     def build_digest(self, now: float) -> bytes:
         """Returns the sequence of every share of the own data centre."""
         self._publish(now)
-        known = self._shares.list_known(self._data_centre)
+        known = self._peer_loads.list_sequences(self._data_centre)
         known[self._process] = self._sequence
-        return shares.encode({"data_centre": self._data_centre, "known": known})
+        return peer_loads.encode_compressed_json(
+            {"data_centre": self._data_centre, "known": known}
+        )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns newer shares at upstreams of the sender's data centre."""
-        asked = shares.decode(digest)
+        asked = peer_loads.decode_compressed_json(digest)
         known = asked["known"]
-        place = asked["data_centre"]
-        newer = self._shares.list_newer(known, place)
+        data_centre = asked["data_centre"]
+        newer = self._peer_loads.list_newer(known, data_centre)
         if known.get(self._process, 0) < self._sequence:
             tokens = {}
             for name, count in self._published.items():
-                row = self._rows.get(name)
-                if row is not None and row.configured.data_centre == place:
+                load = self._loads.get(name)
+                if (
+                    load is not None
+                    and load.configuration.data_centre == data_centre
+                ):
                     tokens[name] = count
             newer.append(
                 (self._process, self._data_centre, self._sequence, tokens)
             )
-        return shares.encode(newer) if newer else b""
+        return peer_loads.encode_compressed_json(newer) if newer else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Applies the shares of other processes; returns no commands."""
         if not delta:
             return []
-        for process, place, sequence, tokens in shares.decode(delta):
+        for (
+            process,
+            data_centre,
+            sequence,
+            tokens,
+        ) in peer_loads.decode_compressed_json(delta):
             if process == self._process:
                 continue
-            changed = self._shares.merge(process, place, sequence, tokens, now)
+            changed = self._peer_loads.merge(
+                process, data_centre, sequence, tokens, now
+            )
             for name in changed:
-                self._mark(name)
+                self._invalidate_peer_sums(name)
         return []
--- a/sycamorehollow/decisions/routing/shares.py
+++ b/sycamorehollow/decisions/routing/peer_loads.py
@@ -11,11 +11,11 @@
 # In intervals between two shares of a process.
 PEER_TTL_INTERVALS = 10
 # Longer than any report stays in use; bounds rows that are never read.
-HISTORY = 64
+MAX_HISTORY = 64
 
 
 @dataclasses.dataclass
-class Share:
+class PeerLoad:
     """Outstanding tokens of one peer, per upstream.
 
     Attributes:
@@ -25,24 +25,24 @@
 
     sequence: int
     data_centre: str
-    heard_at: float
+    received_at: float
     tokens: Mapping[str, int]
     history: dict[str, collections.deque[tuple[float, int]]]
 
 
-class PeerShares:
-    """The last share of every peer; an older one never replaces a newer."""
+class PeerLoads:
+    """The last load of every peer; an older one never replaces a newer."""
 
     def __init__(self) -> None:
-        self._shares: dict[str, Share] = {}
+        self._loads: dict[str, PeerLoad] = {}
         self._expired: dict[str, int] = {}
 
-    def list_known(self, data_centre: str) -> dict[str, int]:
+    def list_sequences(self, data_centre: str) -> dict[str, int]:
         """Returns the sequences of the peers of a data centre."""
         known = {}
-        for process, share in self._shares.items():
-            if share.data_centre == data_centre:
-                known[process] = share.sequence
+        for process, load in self._loads.items():
+            if load.data_centre == data_centre:
+                known[process] = load.sequence
         return known
 
     def list_newer(
@@ -50,12 +50,12 @@
     ) -> list[tuple[str, str, int, Mapping[str, int]]]:
         """Returns shares of a data centre's peers that are newer than known."""
         newer = []
-        for process, share in self._shares.items():
-            if share.data_centre != data_centre:
+        for process, load in self._loads.items():
+            if load.data_centre != data_centre:
                 continue
-            if known.get(process, 0) >= share.sequence:
+            if known.get(process, 0) >= load.sequence:
                 continue
-            newer.append((process, data_centre, share.sequence, share.tokens))
+            newer.append((process, data_centre, load.sequence, load.tokens))
         return newer
 
     def merge(
@@ -66,29 +66,29 @@
         tokens: Mapping[str, int],
         now: float,
     ) -> Iterable[str]:
-        """Applies one share and returns the upstreams that it changes."""
+        """Applies one load and returns the upstreams that it changes."""
         if sequence <= self._expired.get(process, 0):
             return ()
-        share = self._shares.get(process)
-        if share is None:
-            share = Share(sequence, data_centre, now, {}, {})
-            self._shares[process] = share
-        elif sequence <= share.sequence:
+        load = self._loads.get(process)
+        if load is None:
+            load = PeerLoad(sequence, data_centre, now, {}, {})
+            self._loads[process] = load
+        elif sequence <= load.sequence:
             return ()
-        changed = set(tokens) | set(share.tokens)
-        share.sequence = sequence
-        share.heard_at = now
-        share.tokens = tokens
+        changed = set(tokens) | set(load.tokens)
+        load.sequence = sequence
+        load.received_at = now
+        load.tokens = tokens
         for name in changed:
-            history = share.history.setdefault(
-                name, collections.deque(maxlen=HISTORY)
+            history = load.history.setdefault(
+                name, collections.deque(maxlen=MAX_HISTORY)
             )
             history.append((now, tokens.get(name, 0)))
         return changed
 
     def count(self, data_centre: str) -> int:
         """Returns the number of known peers of a data centre."""
-        return len(self.list_known(data_centre))
+        return len(self.list_sequences(data_centre))
 
     def expire(self, now: float, interval_s: float) -> set[str]:
         """Drops silent peers and returns the upstreams that this changes.
@@ -98,17 +98,17 @@
             interval_s: Seconds between two shares of a peer.
         """
         changed: set[str] = set()
-        for process, share in list(self._shares.items()):
-            if now - share.heard_at < PEER_TTL_INTERVALS * interval_s:
+        for process, load in list(self._loads.items()):
+            if now - load.received_at < PEER_TTL_INTERVALS * interval_s:
                 continue
             # The last sequence stays, so that a slower peer cannot bring the
-            # expired share back.
-            self._expired[process] = share.sequence
-            del self._shares[process]
-            changed.update(share.history)
+            # expired load back.
+            self._expired[process] = load.sequence
+            del self._loads[process]
+            changed.update(load.history)
         return changed
 
-    def sum(self, upstream: str, since: float | None) -> tuple[int, int]:
+    def sum_tokens(self, upstream: str, since: float | None) -> tuple[int, int]:
         """Adds up the work of all peers at an upstream.
 
         Args:
@@ -120,8 +120,8 @@
         """
         outstanding = 0
         growth = 0
-        for share in self._shares.values():
-            history = share.history.get(upstream)
+        for load in self._loads.values():
+            history = load.history.get(upstream)
             if not history:
                 continue
             outstanding += history[-1][1]
@@ -134,11 +134,11 @@
         return outstanding, growth
 
 
-def encode(content: Any) -> bytes:
+def encode_compressed_json(content: Any) -> bytes:
     """Returns compressed JSON."""
     return zlib.compress(json.dumps(content, separators=(",", ":")).encode())
 
 
-def decode(payload: bytes) -> Any:
+def decode_compressed_json(payload: bytes) -> Any:
     """Returns the content of compressed JSON."""
     return json.loads(zlib.decompress(payload))
--- a/sycamorehollow/decisions/routing/prefixes.py
+++ b/sycamorehollow/decisions/routing/prefix_index.py
@@ -14,8 +14,8 @@
 MAX_BLOCKS = 1000
 # An engine evicts unused prefixes within minutes; an entry whose eviction may
 # have been missed is dropped after this time.
-DOUBTFUL_TTL_S = 60.0
-DOUBTFUL_WEIGHT = 0.5
+UNCONFIRMED_TTL_S = 60.0
+UNCONFIRMED_WEIGHT = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,14 +23,14 @@
     """One numbered cache event of an upstream.
 
     Attributes:
-        number: Position in the upstream's sequence, from 1.
+        sequence: Position in the upstream's sequence, from 1.
         generation: Number of the upstream's run.
         added: Hashes of blocks that are now cached.
         removed: Hashes of blocks that were evicted.
     """
 
     upstream: str
-    number: int
+    sequence: int
     generation: int
     added: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
@@ -45,7 +45,7 @@
 
 
 @dataclasses.dataclass
-class Cache:
+class UpstreamCache:
     """Blocks that an upstream is believed to hold.
 
     Attributes:
@@ -54,17 +54,17 @@
     """
 
     generation: int = 0
-    number: int = 0
+    sequence: int = 0
     blocks: collections.OrderedDict[str, float | None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
 
-class Prefixes(components.Component):
+class PrefixIndex(components.Component):
     """Which upstream holds which leading blocks of prompts."""
 
     def __init__(self) -> None:
-        self._caches: dict[str, Cache] = {}
+        self._caches: dict[str, UpstreamCache] = {}
         self._holders: dict[str, dict[str, None]] = {}
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
@@ -73,10 +73,12 @@
             case CacheChanged():
                 self._apply(event, now)
             case PromptSent():
-                cache = self._caches.setdefault(event.upstream, Cache())
+                cache = self._caches.setdefault(event.upstream, UpstreamCache())
                 for block in event.blocks:
                     if cache.blocks.get(block, now) is not None:
-                        self._add(event.upstream, block, now + DOUBTFUL_TTL_S)
+                        self._add(
+                            event.upstream, block, now + UNCONFIRMED_TTL_S
+                        )
         return []
 
     def find_holder(self, blocks: Sequence[str], now: float) -> str | None:
@@ -104,34 +106,34 @@
         until = cache.blocks[block]
         if until is None:
             return 1.0
-        return DOUBTFUL_WEIGHT if now < until else 0.0
+        return UNCONFIRMED_WEIGHT if now < until else 0.0
 
     def _apply(self, event: CacheChanged, now: float) -> None:
-        cache = self._caches.setdefault(event.upstream, Cache())
+        cache = self._caches.setdefault(event.upstream, UpstreamCache())
         if event.generation < cache.generation:
             return
         if event.generation > cache.generation:
             for block in list(cache.blocks):
                 self._remove(event.upstream, block)
             cache.generation = event.generation
-            cache.number = 0
-        late = event.number <= cache.number
-        if event.number > cache.number + 1:
-            self._doubt(cache, now)
-        cache.number = max(cache.number, event.number)
+            cache.sequence = 0
+        late = event.sequence <= cache.sequence
+        if event.sequence > cache.sequence + 1:
+            self._mark_unconfirmed(cache, now)
+        cache.sequence = max(cache.sequence, event.sequence)
         for block in event.removed:
             self._remove(event.upstream, block)
         for block in event.added:
             # A later event may have evicted what a late one adds.
-            until = now + DOUBTFUL_TTL_S if late else None
+            until = now + UNCONFIRMED_TTL_S if late else None
             if late and cache.blocks.get(block, now) is None:
                 continue
             self._add(event.upstream, block, until)
 
-    def _doubt(self, cache: Cache, now: float) -> None:
+    def _mark_unconfirmed(self, cache: UpstreamCache, now: float) -> None:
         for block, until in cache.blocks.items():
             if until is None:
-                cache.blocks[block] = now + DOUBTFUL_TTL_S
+                cache.blocks[block] = now + UNCONFIRMED_TTL_S
 
     def _add(self, upstream: str, block: str, until: float | None) -> None:
         blocks = self._caches[upstream].blocks
--- a/sycamorehollow/decisions/routing/selection.py
+++ b/sycamorehollow/decisions/routing/selection.py
@@ -7,17 +7,17 @@
 import random
 
 from sycamorehollow.decisions.routing import capacity
-from sycamorehollow.decisions.routing import prefixes
-from sycamorehollow.decisions.routing import upstreams
+from sycamorehollow.decisions.routing import load_table
+from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.model import failures
 
 # A full upstream frees room when a response ends; captions take a few seconds.
 FULL_RETRY_AFTER_S = 1.0
-SAMPLES = 2
+SAMPLE_SIZE = 2
 
 
 @dataclasses.dataclass(frozen=True)
-class Choice:
+class SelectedUpstream:
     """The chosen upstream.
 
     Attributes:
@@ -38,7 +38,7 @@
         request: capacity.Demand,
         candidates: Sequence[str],
         now: float,
-    ) -> Choice | failures.Failure:
+    ) -> SelectedUpstream | failures.Failure:
         """Chooses one of the candidates.
 
         Args:
@@ -51,7 +51,7 @@
         """
 
 
-def refuse_full() -> failures.Failure:
+def make_full_failure() -> failures.Failure:
     """Returns the failure for candidates that are all full or unreachable."""
     return failures.UpstreamsFull(
         "No upstream has room for the request.",
@@ -63,16 +63,16 @@
 class RandomSelection(Selection):
     """Baseline: any candidate."""
 
-    def __init__(self, source: random.Random):
-        self._source = source
+    def __init__(self, rng: random.Random):
+        self._rng = rng
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
-    ) -> Choice | failures.Failure:
+    ) -> SelectedUpstream | failures.Failure:
         """Chooses at random."""
         if not candidates:
-            return refuse_full()
-        return Choice(self._source.choice(candidates), "random")
+            return make_full_failure()
+        return SelectedUpstream(self._rng.choice(candidates), "random")
 
 
 class RoundRobinSelection(Selection):
@@ -83,32 +83,34 @@
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
-    ) -> Choice | failures.Failure:
+    ) -> SelectedUpstream | failures.Failure:
         """Chooses the next in turn."""
         if not candidates:
-            return refuse_full()
+            return make_full_failure()
         self._turn += 1
-        return Choice(candidates[self._turn % len(candidates)], "next in turn")
+        return SelectedUpstream(
+            candidates[self._turn % len(candidates)], "next in turn"
+        )
 
 
 class LeastOutstandingSelection(Selection):
     """Baseline: the fewest attempts of this process."""
 
-    def __init__(self, table: upstreams.Table, source: random.Random):
+    def __init__(self, table: load_table.LoadTable, rng: random.Random):
         self._table = table
-        self._source = source
+        self._rng = rng
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
-    ) -> Choice | failures.Failure:
+    ) -> SelectedUpstream | failures.Failure:
         """Chooses the candidate with the fewest own attempts."""
         best: list[str] = []
         fewest = 0
         for name in candidates:
-            row = self._table.find_row(name)
-            if row is None:
+            load = self._table.find_load(name)
+            if load is None:
                 continue
-            outstanding = len(row.attempts)
+            outstanding = len(load.attempts)
             if best and outstanding > fewest:
                 continue
             if outstanding < fewest or not best:
@@ -116,43 +118,45 @@
                 fewest = outstanding
             best.append(name)
         if not best:
-            return refuse_full()
-        name = self._source.choice(best)
-        return Choice(name, f"{fewest} own attempts")
+            return make_full_failure()
+        name = self._rng.choice(best)
+        return SelectedUpstream(name, f"{fewest} own attempts")
 
 
 class PowerOfTwoSelection(Selection):
     """Baseline: the less loaded of two by their last reports."""
 
-    def __init__(self, table: upstreams.Table, source: random.Random):
+    def __init__(self, table: load_table.LoadTable, rng: random.Random):
         self._table = table
-        self._source = source
+        self._rng = rng
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
-    ) -> Choice | failures.Failure:
+    ) -> SelectedUpstream | failures.Failure:
         """Chooses the one of two random candidates that reports less."""
         if not candidates:
-            return refuse_full()
+            return make_full_failure()
         best = ""
         least = float("inf")
-        for name in pick(self._source, candidates):
-            row = self._table.find_row(name)
-            if row is None or row.report is None:
+        for name in sample_candidates(self._rng, candidates):
+            load = self._table.find_load(name)
+            if load is None or load.report is None:
                 held = 0.0
             else:
-                held = row.report.held_tokens / max(1, row.capacity_tokens)
+                held = load.report.held_tokens / max(1, load.capacity_tokens)
             if held < least:
                 best, least = name, held
-        return Choice(best, f"reports {least:.0%} held")
+        return SelectedUpstream(best, f"reports {least:.0%} held")
 
 
-def pick(source: random.Random, candidates: Sequence[str]) -> list[str]:
+def sample_candidates(
+    rng: random.Random, candidates: Sequence[str]
+) -> list[str]:
     """Picks up to two different candidates."""
-    if len(candidates) <= SAMPLES:
+    if len(candidates) <= SAMPLE_SIZE:
         return list(candidates)
-    first = int(source.random() * len(candidates))
-    second = int(source.random() * (len(candidates) - 1))
+    first = int(rng.random() * len(candidates))
+    second = int(rng.random() * (len(candidates) - 1))
     return [candidates[first], candidates[second + (second >= first)]]
 
 
@@ -166,41 +170,41 @@
 
     Args:
         table: Load of the upstreams.
-        room: Capacity rules.
-        holders: Prefix affinity.
+        capacity_rules: Capacity rules.
+        prefixes: Prefix affinity.
         data_centre: Data centre of this process; its upstreams come first.
-        source: Source of randomness.
+        rng: Source of randomness.
         can_start: Whether an upstream takes one more attempt, for example
             `ColdStartLimiter.can_start`.
     """
 
     def __init__(
         self,
-        table: upstreams.Table,
-        room: capacity.Capacity,
-        holders: prefixes.Prefixes,
+        table: load_table.LoadTable,
+        capacity_rules: capacity.Capacity,
+        prefixes: prefix_index.PrefixIndex,
         data_centre: str,
-        source: random.Random,
+        rng: random.Random,
         can_start: Callable[[str, float], bool] = allow_all,
     ):
         self._table = table
-        self._room = room
-        self._holders = holders
+        self._capacity_rules = capacity_rules
+        self._prefix_index = prefixes
         self._data_centre = data_centre
-        self._source = source
+        self._rng = rng
         self._can_start = can_start
 
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
-    ) -> Choice | failures.Failure:
+    ) -> SelectedUpstream | failures.Failure:
         """Chooses by the estimate, in the own data centre if possible."""
         own: list[str] = []
         far: list[str] = []
         for name in candidates:
-            row = self._table.find_row(name)
-            if row is None:
+            load = self._table.find_load(name)
+            if load is None:
                 continue
-            near = row.configured.data_centre == self._data_centre
+            near = load.configuration.data_centre == self._data_centre
             (own if near else far).append(name)
         late = False
         for group in (own, far):
@@ -211,20 +215,20 @@
                 best = self._choose_any(request, group, now)
             if best is None:
                 continue
-            if self._room.meets_deadline(best, request, now):
-                return Choice(best, self._explain(best, request, now))
+            if self._capacity_rules.can_meet_deadline(best, request, now):
+                return SelectedUpstream(best, self._explain(best, request, now))
             late = True
         if late:
             return failures.DeadlineExceeded(
                 "The response cannot be complete before the deadline."
             )
-        return refuse_full()
+        return make_full_failure()
 
     def _choose_sampled(
         self, request: capacity.Demand, group: list[str], now: float
     ) -> str | None:
-        sampled = pick(self._source, group)
-        holder = self._holders.find_holder(request.blocks, now)
+        sampled = sample_candidates(self._rng, group)
+        holder = self._prefix_index.find_holder(request.block_hashes, now)
         if holder is not None and holder not in sampled and holder in group:
             sampled.append(holder)
         return self._find_cheapest(request, sampled, now)
@@ -234,7 +238,7 @@
     ) -> str | None:
         # The start differs between nodes and calls, so that all nodes do not
         # fill the same upstream.
-        start = int(self._source.random() * len(group))
+        start = int(self._rng.random() * len(group))
         for offset in range(len(group)):
             name = group[(start + offset) % len(group)]
             if self._can_take(name, request, now):
@@ -258,24 +262,28 @@
         self, name: str, request: capacity.Demand, now: float
     ) -> bool:
         # In this order a scan of 100 full or cold upstreams stays cheap.
-        if not self._room.holds(name, request, now):
+        if not self._capacity_rules.can_hold(name, request, now):
             return False
         if not self._can_start(name, now):
             return False
-        return self._room.fits(name, request, now)
+        return self._capacity_rules.has_room(name, request, now)
 
     def _compute_cost(
         self, name: str, request: capacity.Demand, now: float
     ) -> float:
-        row = self._table.find_row(name)
-        if row is None:
+        load = self._table.find_load(name)
+        if load is None:
             return float("inf")
-        held = row.estimate_tokens()
-        if request.blocks:
-            held -= self._holders.count_cached_tokens(name, request.blocks, now)
-        return held / max(1, row.capacity_tokens)
+        held = load.estimate_tokens()
+        if request.block_hashes:
+            held -= self._prefix_index.count_cached_tokens(
+                name, request.block_hashes, now
+            )
+        return held / max(1, load.capacity_tokens)
 
     def _explain(self, name: str, request: capacity.Demand, now: float) -> str:
-        cached = self._holders.count_cached_tokens(name, request.blocks, now)
+        cached = self._prefix_index.count_cached_tokens(
+            name, request.block_hashes, now
+        )
         cost = self._compute_cost(name, request, now)
         return f"cost {cost:.3f} with {cached} cached tokens"
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -10,11 +10,11 @@
 from sycamorehollow.decisions.requests import quarantine
 from sycamorehollow.decisions.routing import capacity
 from sycamorehollow.decisions.routing import cold_start_limiter
+from sycamorehollow.decisions.routing import load_table
 from sycamorehollow.decisions.routing import placement
-from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.decisions.routing import selection
 from sycamorehollow.decisions.routing import upstream_events
-from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -22,17 +22,17 @@
 from sycamorehollow.model import requests
 
 # A slot that another process may have held waits for that one's loans.
-NO_FORMER_HOLDER = float("-inf")
+NO_PREVIOUS_HOLDER = float("-inf")
 # Engines hash prompts in blocks of this length; a token is about four bytes.
-BLOCK_BYTES = 4 * prefixes.BLOCK_TOKENS
+BLOCK_BYTES = 4 * prefix_index.BLOCK_TOKENS
 # Length of an answer before any was seen; most callers leave `max_tokens` far
 # above what they get, and a deadline must not be judged by it.
-FIRST_LENGTH_TOKENS = 64.0
+INITIAL_LENGTH_TOKENS = 64.0
 LENGTH_SMOOTHING = 0.1
 
 
 @dataclasses.dataclass
-class _Place:
+class _OutstandingAttempt:
     """One attempt that is counted as outstanding."""
 
     upstream: str
@@ -49,7 +49,7 @@
         data_centre: Data centre of this process.
         slot: Number of this process in its data centre.
         slots: Number of slots of the data centre.
-        source: Source of randomness.
+        rng: Source of randomness.
         started_at: Monotonic time in seconds of the start of the process.
         find_drain: Returns why an upstream takes no new work, or `None`.
         suspects: Requests that are suspected of crashing upstreams.
@@ -61,19 +61,19 @@
         data_centre: str,
         slot: int,
         slots: int,
-        source: random.Random,
+        rng: random.Random,
         started_at: float,
         find_drain: Callable[[str], failures.Failure | None],
         suspects: quarantine.Quarantine,
     ):
-        self.load_table = upstreams.Table(process, data_centre)
+        self.load_table = load_table.LoadTable(process, data_centre)
         self.cold_start_limiter = cold_start_limiter.ColdStartLimiter(
             data_centre,
             slot,
             slots,
-            started_at if slots > 1 else NO_FORMER_HOLDER,
+            started_at if slots > 1 else NO_PREVIOUS_HOLDER,
         )
-        self.prefixes = prefixes.Prefixes()
+        self.prefix_index = prefix_index.PrefixIndex()
         self.capacity = capacity.Capacity(self.load_table)
         self._data_centre = data_centre
         self._find_drain = find_drain
@@ -81,15 +81,15 @@
         self._selection: selection.Selection = selection.EstimateSelection(
             self.load_table,
             self.capacity,
-            self.prefixes,
+            self.prefix_index,
             data_centre,
-            source,
+            rng,
             self.cold_start_limiter.can_start,
         )
         self._configured: dict[str, deployment.Upstream] = {}
-        self._near: dict[str, tuple[str, ...]] = {}
-        self._far: dict[str, tuple[str, ...]] = {}
-        self._places: dict[str, _Place] = {}
+        self._local: dict[str, tuple[str, ...]] = {}
+        self._remote: dict[str, tuple[str, ...]] = {}
+        self._attempts: dict[str, _OutstandingAttempt] = {}
         self._outbox: list[commands.Command] = []
         self._lengths: dict[tuple[str, str], float] = {}
 
@@ -98,7 +98,7 @@
         return [
             self.load_table,
             self.cold_start_limiter,
-            self.prefixes,
+            self.prefix_index,
             self._suspects,
         ]
 
@@ -134,7 +134,7 @@
         choice = self._choose(request, version, demand, excluded, now)
         if isinstance(choice, failures.Failure):
             return choice
-        return self._occupy(request, demand, choice, now)
+        return self._start_attempt(request, demand, choice, now)
 
     def move(
         self,
@@ -145,27 +145,33 @@
         now: float,
     ) -> placement.Assignment | failures.Failure:
         """Chooses an upstream in place of the one that runs the request."""
-        leaving = request.request_id
-        verdict = self._suspects.judge(request.fingerprint, now, leaving)
+        replaced_attempt = request.request_id
+        verdict = self._suspects.judge(
+            request.fingerprint, now, replaced_attempt
+        )
         if isinstance(verdict, failures.Failure):
             return verdict
         demand = self._build_demand(request, version)
-        choice = self._choose(request, version, demand, excluded, now, leaving)
+        choice = self._choose(
+            request, version, demand, excluded, now, replaced_attempt
+        )
         if isinstance(choice, failures.Failure):
             return choice
-        self.release(leaving, result, now)
-        return self._occupy(request, demand, choice, now)
+        self.release(replaced_attempt, result, now)
+        return self._start_attempt(request, demand, choice, now)
 
-    def _occupy(
+    def _start_attempt(
         self,
         request: requests.ModelRequest,
         demand: capacity.Demand,
-        choice: selection.Choice,
+        choice: selection.SelectedUpstream,
         now: float,
     ) -> placement.Assignment:
         """Counts an attempt as outstanding at the chosen upstream."""
-        self._places[request.request_id] = _Place(choice.upstream, request, now)
-        self._tell(
+        self._attempts[request.request_id] = _OutstandingAttempt(
+            choice.upstream, request, now
+        )
+        self._dispatch(
             upstream_events.AttemptStarted(
                 request.request_id,
                 choice.upstream,
@@ -174,8 +180,11 @@
             ),
             now,
         )
-        if demand.blocks:
-            self._tell(prefixes.PromptSent(choice.upstream, demand.blocks), now)
+        if demand.block_hashes:
+            self._dispatch(
+                prefix_index.PromptSent(choice.upstream, demand.block_hashes),
+                now,
+            )
         return placement.Assignment(
             self._configured[choice.upstream], choice.reason
         )
@@ -187,15 +196,15 @@
         demand: capacity.Demand,
         excluded: frozenset[str],
         now: float,
-        leaving: str = "",
-    ) -> selection.Choice | failures.Failure:
+        replaced_attempt: str = "",
+    ) -> selection.SelectedUpstream | failures.Failure:
         """Chooses in the own data centre first.
 
         The upstreams of the others, most of the fleet, are looked at only
         when none of the own ones can take the work.
         """
         failure: failures.Failure | None = None
-        for group in (self._near, self._far):
+        for group in (self._local, self._remote):
             candidates = [
                 name
                 for name in self._list_candidates(group, version, excluded)
@@ -204,13 +213,13 @@
                     name,
                     self._is_idle(name),
                     now,
-                    leaving,
+                    replaced_attempt,
                 )
             ]
             if not candidates:
                 continue
             choice = self._selection.choose(demand, candidates, now)
-            if isinstance(choice, selection.Choice):
+            if isinstance(choice, selection.SelectedUpstream):
                 return choice
             # A deadline that one group could not meet says more than that the
             # other one is full.
@@ -223,38 +232,40 @@
 
     def record_first_chunk(self, request_id: str, now: float) -> None:
         """Records the time of the first chunk of an attempt."""
-        place = self._places.get(request_id)
-        if place is not None and place.first_chunk_s is None:
-            place.first_chunk_s = now - place.started_at
+        attempt = self._attempts.get(request_id)
+        if attempt is not None and attempt.first_chunk_s is None:
+            attempt.first_chunk_s = now - attempt.started_at
 
     def release(
         self, request_id: str, result: placement.AttemptResult, now: float
     ) -> None:
         """Ends the accounting of the attempt of a request."""
-        place = self._places.pop(request_id, None)
-        if place is None:
+        attempt = self._attempts.pop(request_id, None)
+        if attempt is None:
             return
         if result.output_tokens:
-            self._learn_length(place.request, result.output_tokens)
-        if result.output_tokens and place.first_chunk_s is not None:
+            self._learn_length(attempt.request, result.output_tokens)
+        if result.output_tokens and attempt.first_chunk_s is not None:
             self.capacity.record_speed(
-                place.upstream,
-                place.request.prompt_tokens,
-                place.first_chunk_s,
+                attempt.upstream,
+                attempt.request.prompt_tokens,
+                attempt.first_chunk_s,
                 result.output_tokens,
-                now - place.started_at - place.first_chunk_s,
+                now - attempt.started_at - attempt.first_chunk_s,
             )
-        self._tell(
+        self._dispatch(
             upstream_events.AttemptEnded(
-                request_id, place.upstream, result.status, result.code
+                request_id, attempt.upstream, result.status, result.code
             ),
             now,
         )
         # After the end, so that a lost attempt counts as a death at once.
         if result.refused:
-            self._tell(upstream_events.ConnectFailed(place.upstream), now)
+            self._dispatch(upstream_events.ConnectFailed(attempt.upstream), now)
         elif result.unreachable:
-            self._tell(upstream_events.ConnectTimedOut(place.upstream), now)
+            self._dispatch(
+                upstream_events.ConnectTimedOut(attempt.upstream), now
+            )
 
     def estimate_duration_s(
         self, request: requests.ModelRequest, version: str, now: float
@@ -262,7 +273,7 @@
         """Returns the shortest expected time of an answer of a version."""
         demand = self._build_demand(request, version)
         shortest = 0.0
-        serving = self._near.get(version) or self._far.get(version, ())
+        serving = self._local.get(version) or self._remote.get(version, ())
         for name in serving:
             duration_s = self.capacity.estimate_duration_s(name, demand)
             if shortest == 0.0 or duration_s < shortest:
@@ -273,7 +284,7 @@
         """Tells whether any upstream takes new work for a version."""
         return any(
             self.cold_start_limiter.can_start(name, now)
-            for group in (self._near, self._far)
+            for group in (self._local, self._remote)
             for name in self._list_candidates(group, version, frozenset())
         )
 
@@ -286,12 +297,12 @@
         own = 0
         everywhere = 0
         for name in self._configured:
-            row = self.load_table.find_row(name)
-            if row is None:
+            load = self.load_table.find_load(name)
+            if load is None:
                 continue
-            everywhere += row.capacity_tokens
-            if row.configured.data_centre == self._data_centre:
-                own += row.capacity_tokens
+            everywhere += load.capacity_tokens
+            if load.configuration.data_centre == self._data_centre:
+                own += load.capacity_tokens
         return (own or everywhere) // self.capacity.members
 
     def describe(self, now: float) -> dict[str, dict[str, object]]:
@@ -322,13 +333,13 @@
         self, request: requests.ModelRequest, version: str
     ) -> capacity.Demand:
         likely = self._lengths.get(
-            (request.workspace, request.kind), FIRST_LENGTH_TOKENS
+            (request.workspace, request.kind), INITIAL_LENGTH_TOKENS
         )
         return capacity.Demand(
             request.prompt_tokens,
             request.max_output_tokens,
             request.deadline,
-            prefixes.hash_blocks(version, request.prompt_head, BLOCK_BYTES),
+            prefix_index.hash_blocks(version, request.prompt_head, BLOCK_BYTES),
             int(likely),
         )
 
@@ -336,7 +347,7 @@
         self, request: requests.ModelRequest, tokens: int
     ) -> None:
         key = (request.workspace, request.kind)
-        known = self._lengths.get(key, FIRST_LENGTH_TOKENS)
+        known = self._lengths.get(key, INITIAL_LENGTH_TOKENS)
         self._lengths[key] = known + LENGTH_SMOOTHING * (tokens - known)
 
     def _list_candidates(
@@ -352,21 +363,21 @@
 
     def _index(self, engines: Iterable[deployment.Upstream]) -> None:
         """Groups upstreams by version, own data centre and others."""
-        self._near, self._far = {}, {}
+        self._local, self._remote = {}, {}
         for upstream in sorted(engines, key=lambda one: one.name):
             own = upstream.data_centre == self._data_centre
-            group = self._near if own else self._far
+            group = self._local if own else self._remote
             for version in upstream.versions:
                 known = group.get(version, ())
                 group[version] = (*known, upstream.name)
 
     def _is_idle(self, name: str) -> bool:
         """Tells whether nothing is known to run on an upstream."""
-        row = self.load_table.find_row(name)
-        if row is None or row.report is None:
+        load = self.load_table.find_load(name)
+        if load is None or load.report is None:
             return False
-        return not (row.attempts or row.peer_tokens or row.report.running)
+        return not (load.attempts or load.peer_tokens or load.report.running)
 
-    def _tell(self, event: events.Event, now: float) -> None:
+    def _dispatch(self, event: events.Event, now: float) -> None:
         for part in self.list_parts():
             self._outbox.extend(part.handle(event, now))
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from sycamorehollow.decisions.operations import orders
-from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -121,7 +121,7 @@
         for event in found.events:
             stored = event.type == "stored"
             self._report(
-                prefixes.CacheChanged(
+                prefix_index.CacheChanged(
                     upstream.name,
                     event.number,
                     generation,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -26,7 +26,12 @@
         for index in range(count):
             table = test_upstreams.make_table(f"p{index}")
             nodes.append(
-                (table, capacity.Capacity(table, count, refusing=False))
+                (
+                    table,
+                    capacity.Capacity(
+                        table, count, upstreams_enforce_limit=False
+                    ),
+                )
             )
         running = {}
         held_before = 0
@@ -63,9 +68,11 @@
             if action == "fill":
                 free = room.count_free_tokens("u", capacity.Demand(0, 1), now)
                 self.assertFalse(
-                    room.fits("u", capacity.Demand(0, max(0, free) + 1), now)
+                    room.has_room(
+                        "u", capacity.Demand(0, max(0, free) + 1), now
+                    )
                 )
-                if free > 0 and table.find_row("u").report is not None:
+                if free > 0 and table.find_load("u").report is not None:
                     running[index, step] = free
                     table.handle(
                         upstream_events.AttemptStarted(str(step), "u", free),
@@ -77,31 +84,33 @@
         table = test_upstreams.make_table()
         table.handle(test_upstreams.report(55000, 0.0, capacity=60000), 0.0)
         room = capacity.Capacity(table)
-        self.assertTrue(room.fits("u", capacity.Demand(500, 500), 0.0))
-        self.assertFalse(room.fits("u", capacity.Demand(3000, 0), 0.0))
+        self.assertTrue(room.has_room("u", capacity.Demand(500, 500), 0.0))
+        self.assertFalse(room.has_room("u", capacity.Demand(3000, 0), 0.0))
 
     def test_beyond_the_share_the_estimate_decides(self):
         """A long dossier would otherwise never fit into an equal share."""
         table = test_upstreams.make_table()
         table.handle(test_upstreams.report(0, 0.0, capacity=100000), 0.0)
         room = capacity.Capacity(table, members=50)
-        strict = capacity.Capacity(table, members=50, refusing=False)
+        strict = capacity.Capacity(
+            table, members=50, upstreams_enforce_limit=False
+        )
         dossier = capacity.Demand(20000, 1000)
-        self.assertTrue(room.fits("u", dossier, 0.0))
-        self.assertFalse(strict.fits("u", dossier, 0.0))
+        self.assertTrue(room.has_room("u", dossier, 0.0))
+        self.assertFalse(strict.has_room("u", dossier, 0.0))
         for number in range(3):
             started = upstream_events.AttemptStarted(str(number), "u", 21000)
             table.handle(started, 0.1)
-        self.assertFalse(room.fits("u", dossier, 0.2))
+        self.assertFalse(room.has_room("u", dossier, 0.2))
 
     def test_estimate_learns_the_speed(self):
         """A deadline that cannot be met must be known before the start."""
         room = capacity.Capacity(test_upstreams.make_table())
         demand = capacity.Demand(1000, 101, deadline=5.0)
-        self.assertTrue(room.meets_deadline("u", demand, 0.0))
+        self.assertTrue(room.can_meet_deadline("u", demand, 0.0))
         for _ in range(100):
             room.record_speed("u", 1000, 1.0, 101, 10.0)
-        self.assertFalse(room.meets_deadline("u", demand, 0.0))
+        self.assertFalse(room.can_meet_deadline("u", demand, 0.0))
         self.assertAlmostEqual(
             room.estimate_duration_s("u", demand), 11.1, delta=0.5
         )
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -5,14 +5,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import prefix_index
 
 BLOCKS = ("a", "b", "c")
 
 
 def change(number, added=(), removed=(), generation=1):
     """Returns a cache event of the upstream `u`."""
-    return prefixes.CacheChanged("u", number, generation, added, removed)
+    return prefix_index.CacheChanged("u", number, generation, added, removed)
 
 
 class PrefixesTest(unittest.TestCase):
@@ -42,47 +42,47 @@
         # Without the newest event no process can know the present state.
         received = data.draw(strategies.integers(0, len(sent)))
         order = order[:received] + sent[-1:]
-        known = prefixes.Prefixes()
+        known = prefix_index.PrefixIndex()
         for event in order:
             known.handle(event, 0.0)
         for block in BLOCKS:
             tokens = known.count_cached_tokens("u", (block,), 0.0)
             if block not in cache:
-                self.assertLess(tokens, prefixes.BLOCK_TOKENS)
-        later = prefixes.DOUBTFUL_TTL_S + 1
+                self.assertLess(tokens, prefix_index.BLOCK_TOKENS)
+        later = prefix_index.UNCONFIRMED_TTL_S + 1
         for block in set(BLOCKS) - cache:
             self.assertEqual(known.count_cached_tokens("u", (block,), later), 0)
 
     def test_longest_prefix_wins(self):
         """The holder of a shorter part would compute the rest again."""
-        known = prefixes.Prefixes()
+        known = prefix_index.PrefixIndex()
         known.handle(change(1, added=("a",)), 0.0)
-        known.handle(prefixes.PromptSent("w", ("a", "b")), 0.0)
+        known.handle(prefix_index.PromptSent("w", ("a", "b")), 0.0)
         self.assertEqual(known.find_holder(BLOCKS, 0.0), "w")
         self.assertEqual(known.find_holder(("a",), 0.0), "u")
 
     def test_restart_empties_the_cache(self):
         """A restarted engine holds no prefix."""
-        known = prefixes.Prefixes()
+        known = prefix_index.PrefixIndex()
         known.handle(change(1, added=BLOCKS), 0.0)
         known.handle(change(1, generation=2), 0.0)
         self.assertIsNone(known.find_holder(BLOCKS, 0.0))
 
     def test_memory_is_bounded(self):
         """Missed evictions would otherwise fill the memory of the node."""
-        known = prefixes.Prefixes()
-        for number in range(1, 2 * prefixes.MAX_BLOCKS):
+        known = prefix_index.PrefixIndex()
+        for number in range(1, 2 * prefix_index.MAX_BLOCKS):
             known.handle(change(number, added=(str(number),)), 0.0)
         held = sum(
             known.count_cached_tokens("u", (str(number),), 0.0) > 0
-            for number in range(2 * prefixes.MAX_BLOCKS)
+            for number in range(2 * prefix_index.MAX_BLOCKS)
         )
-        self.assertEqual(held, prefixes.MAX_BLOCKS)
+        self.assertEqual(held, prefix_index.MAX_BLOCKS)
 
     def test_blocks_depend_on_all_before_and_on_version(self):
         """Equal blocks after different beginnings share no cache."""
-        one = prefixes.hash_blocks("v", b"aaaabbbbcc", 4)
+        one = prefix_index.hash_blocks("v", b"aaaabbbbcc", 4)
         self.assertEqual(len(one), 2)
-        self.assertNotEqual(one, prefixes.hash_blocks("w", b"aaaabbbb", 4))
-        other = prefixes.hash_blocks("v", b"xaaabbbb", 4)
+        self.assertNotEqual(one, prefix_index.hash_blocks("w", b"aaaabbbb", 4))
+        other = prefix_index.hash_blocks("v", b"xaaabbbb", 4)
         self.assertNotEqual(one[1], other[1])
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -4,10 +4,10 @@
 import unittest
 
 from sycamorehollow.decisions.routing import capacity
-from sycamorehollow.decisions.routing import prefixes
+from sycamorehollow.decisions.routing import load_table
+from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.decisions.routing import selection
 from sycamorehollow.decisions.routing import upstream_events
-from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
@@ -19,7 +19,7 @@
     """Guards the order of preference among upstreams."""
 
     def setUp(self):
-        self.table = upstreams.Table("p", "dc")
+        self.table = load_table.LoadTable("p", "dc")
         configured = [
             deployment.Upstream(name, "", "dc", ("v",), 100000)
             for name in NAMES
@@ -30,7 +30,7 @@
         self.table.handle(
             upstream_events.UpstreamsConfigured(tuple(configured)), 0.0
         )
-        self.holders = prefixes.Prefixes()
+        self.holders = prefix_index.PrefixIndex()
         self.refused = set()
         self.asked = []
         self.chosen = selection.EstimateSelection(
@@ -66,15 +66,15 @@
 
     def test_prefix_holder_joins_the_sample(self):
         """Two random candidates of 100 would miss the cached prefix."""
-        demand = capacity.Demand(500, 100, blocks=("a",))
-        self.holders.handle(prefixes.PromptSent("u42", ("a",)), 0.0)
+        demand = capacity.Demand(500, 100, block_hashes=("a",))
+        self.holders.handle(prefix_index.PromptSent("u42", ("a",)), 0.0)
         for _ in range(20):
             self.assertEqual(self.choose(NAMES, demand).upstream, "u42")
 
     def test_loaded_prefix_holder_loses(self):
         """Affinity must not overload the holder of a popular prefix."""
-        demand = capacity.Demand(500, 100, blocks=("a",))
-        self.holders.handle(prefixes.PromptSent("u0", ("a",)), 0.0)
+        demand = capacity.Demand(500, 100, block_hashes=("a",))
+        self.holders.handle(prefix_index.PromptSent("u0", ("a",)), 0.0)
         self.report("u0", 60000)
         self.assertEqual(self.choose(("u0", "u1"), demand).upstream, "u1")
 
@@ -120,9 +120,9 @@
 
     def test_choice_looks_at_few(self):
         """Looking at all 100 each time would take several times as long."""
-        demand = capacity.Demand(500, 100, blocks=("a",))
-        self.holders.handle(prefixes.PromptSent("u42", ("a",)), 0.0)
+        demand = capacity.Demand(500, 100, block_hashes=("a",))
+        self.holders.handle(prefix_index.PromptSent("u42", ("a",)), 0.0)
         for _ in range(20):
             self.asked.clear()
             self.choose(NAMES, demand)
-            self.assertLessEqual(len(self.asked), selection.SAMPLES + 1)
+            self.assertLessEqual(len(self.asked), selection.SAMPLE_SIZE + 1)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -5,16 +5,16 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.routing import shares
+from sycamorehollow.decisions.routing import load_table
+from sycamorehollow.decisions.routing import peer_loads
 from sycamorehollow.decisions.routing import upstream_events
-from sycamorehollow.decisions.routing import upstreams
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
 
 def make_table(process="a#1", place="dc", names=("u",)):
     """Returns a table with upstreams of 1,000 tokens."""
-    table = upstreams.Table(process, place)
+    table = load_table.LoadTable(process, place)
     configured = tuple(
         deployment.Upstream(name, "", "dc", ("v",), 1000) for name in names
     )
@@ -104,7 +104,7 @@
         delta = first.build_delta(second.build_digest(0.0), 0.0)
         second.merge(delta, 0.0)
         self.assertEqual(second.view("u", 0.0).peer_tokens, 7)
-        later = shares.PEER_TTL_INTERVALS + 1.0
+        later = peer_loads.PEER_TTL_INTERVALS + 1.0
         second.handle(events.Tick(), later)
         second.merge(delta, later)
         self.assertEqual(second.view("u", later).peer_tokens, 0)
@@ -115,7 +115,7 @@
         table.handle(upstream_events.AttemptStarted("1", "u", 7), 0.0)
         table.build_digest(0.0)
         delta = table.build_delta(far.build_digest(0.0), 0.0)
-        self.assertNotIn("u", shares.decode(delta)[0][3])
+        self.assertNotIn("u", peer_loads.decode_compressed_json(delta)[0][3])
 
     def test_shares_stay_within_the_control_budget(self):
         """53 processes that publish each second exceed 10 KB/s."""
