--- a/benches/bench_configuration.py
+++ b/benches/bench_configuration.py
@@ -90,7 +90,7 @@
         self.write("platform", json.dumps(platform))
         for number in range(TEAMS):
             self.write(f"team-{number}", _write_branch(number, 0))
-        seen = messages.MembersSeen(tuple(self.peers))
+        seen = messages.MembersUpdated(tuple(self.peers))
         for place in range(size):
             self._at(self._random.random(), ("event", place, seen))
             self._at(self._random.random(), ("tick", place))
@@ -134,17 +134,17 @@
 
     def _carry_out(self, place: int, asked: Iterable[commands.Command]) -> None:
         for command in asked:
-            if isinstance(command, messages.PushChanges):
+            if isinstance(command, messages.PushDeltaTo):
                 if self.lose_pushes:
                     continue
                 for address in command.targets:
                     self._send(place, self._places[address], command.delta)
-            elif isinstance(command, messages.AskPeers):
+            elif isinstance(command, messages.StartExchanges):
                 for address in command.targets:
                     self._open(place, self._places[address])
             elif isinstance(command, (messages.ReadRange, messages.StartWatch)):
                 self._call_store(place, command)
-            elif isinstance(command, messages.StopCall):
+            elif isinstance(command, messages.CancelCall):
                 self._watches.pop(place, None)
 
     def _call_store(
@@ -164,7 +164,7 @@
 
     def _answer(self, place: int, call: int, after: int) -> None:
         values = [v for v in self._values.values() if v.revision > after]
-        event = messages.StoreAnswered(call, tuple(values), self._revision)
+        event = messages.StoreResponded(call, tuple(values), self._revision)
         self._at(2 * STORE_S, ("event", place, event))
 
     def _do_watch(self, place: int, watch: messages.StartWatch) -> None:
--- a/benches/bench_data_centre.py
+++ b/benches/bench_data_centre.py
@@ -9,8 +9,8 @@
 from benches import results
 from benches import routing_baselines
 from benches import sites
-from sycamorehollow.decisions.operations import drain_orders
 from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import operator_drains
 
 SEED = 23
 # Work offered, as a part of the rate of all upstreams: what is left while the
@@ -168,7 +168,7 @@
     def set_store(up: bool) -> Callable[[], None]:
         return lambda: setattr(world, "store_up", up)
 
-    order = drain_orders.DrainOrdered(drains.Scope.DATA_CENTRE, CENTRE)
+    order = operator_drains.DrainRequested(drains.Scope.DATA_CENTRE, CENTRE)
     # The order reaches a node of another data centre.
     address = next(a for a in world.nodes if world.centres[a] != CENTRE)
     world.at(OUT_AT_S - SPREAD_S, set_store(False))
--- a/benches/node_fleet.py
+++ b/benches/node_fleet.py
@@ -62,7 +62,7 @@
     exchange.CallReceived,
     exchange.ReplyReceived,
     exchange.CallFailed,
-    configuration_messages.StoreAnswered,
+    configuration_messages.StoreResponded,
 )
 
 
--- a/benches/node_store.py
+++ b/benches/node_store.py
@@ -90,13 +90,13 @@
         self._values[key] = messages.Value(key, self._revision, text)
         return self._revision
 
-    def _list_after(self, call: int, after: int) -> messages.StoreAnswered:
+    def _list_after(self, call: int, after: int) -> messages.StoreResponded:
         values = tuple(
             value
             for value in self._values.values()
             if value.revision > after and value.key.startswith("config/")
         )
-        return messages.StoreAnswered(call, values, self._revision)
+        return messages.StoreResponded(call, values, self._revision)
 
     def _lease(
         self, holder: str, command: rollouts.RequestLease, now: float
--- a/benches/node_world.py
+++ b/benches/node_world.py
@@ -257,7 +257,7 @@
             failed = configuration_messages.StoreFailed(command.call)
             self._send(STORE_S, address, failed)
             return
-        answer = configuration_messages.StoreAnswered(
+        answer = configuration_messages.StoreResponded(
             command.call, tuple(self._values.values()), self._revision
         )
         self._send(STORE_S, address, answer)
@@ -287,7 +287,7 @@
             for value in self._values.values()
             if value.revision > command.after
         )
-        answer = configuration_messages.StoreAnswered(
+        answer = configuration_messages.StoreResponded(
             command.call, values, self._revision
         )
         self._send(STORE_S, address, answer)
--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -7,8 +7,8 @@
 
 from sycamorehollow.decisions.cascading import cascades
 from sycamorehollow.decisions.cascading import learning
-from sycamorehollow.decisions.operations import fence
 from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.operations import version_access
 from sycamorehollow.decisions.releases import rollouts
 from sycamorehollow.decisions.releases import sequential
 from sycamorehollow.decisions.requests import planning
@@ -134,7 +134,7 @@
         current: deployment.Deployment,
     ) -> failures.Failure | None:
         """Returns why a version may not take the request now, if so."""
-        return fence.check_start(
+        return version_access.check_version_access(
             current, self._rollouts.stopped(), request.workspace, version
         )
 
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -12,9 +12,9 @@
 from sycamorehollow.decisions.calls import effect_messages
 from sycamorehollow.decisions.cascading import learning
 from sycamorehollow.decisions.operations import configuration_messages
-from sycamorehollow.decisions.operations import drain_orders
 from sycamorehollow.decisions.operations import drains
 from sycamorehollow.decisions.operations import leases
+from sycamorehollow.decisions.operations import operator_drains
 from sycamorehollow.decisions.operations import orders
 from sycamorehollow.decisions.releases import rollouts
 from sycamorehollow.decisions.releases import stops
@@ -83,7 +83,7 @@
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Passes an event on; see the base class."""
         idle = isinstance(event, events.Tick) and not (
-            self._node.is_coordinator() or self._lease.find_holding(now)
+            self._node.is_coordinator() or self._lease.get_held_lease(now)
         )
         return [] if idle else self._lease.handle(event, now)
 
@@ -131,7 +131,7 @@
             *self.placement.list_parts(),
             self.configuration,
             self.drains,
-            drain_orders.DrainOrders(self.records),
+            operator_drains.OperatorDrains(self.records),
             self.learning,
             self.evidence,
             self.cascades,
@@ -153,9 +153,9 @@
             actives.SecureBill: self._secure_bill,
             billing_messages.ReleaseAnswer: self._release_answer,
             cold_start_limiter.PushColdState: self._push_cold_state,
-            configuration_messages.AskPeers: self._ask_peers,
+            configuration_messages.StartExchanges: self._ask_peers,
             configuration_messages.ConfigurationChanged: self._deploy,
-            configuration_messages.PushChanges: self._push_changes,
+            configuration_messages.PushDeltaTo: self._push_changes,
             drains.MarkCold: self._mark_cold,
             effect_messages.SpoolOutcome: self._spool_outcome,
             members.MemberChanged: self._change_members,
@@ -209,7 +209,7 @@
         own = self.membership.list_live(me.data_centre)
         self.placement.capacity.set_members(len(own))
         result: list[Any] = [
-            configuration_messages.MembersSeen(
+            configuration_messages.MembersUpdated(
                 tuple(
                     configuration_messages.Peer(
                         member.address, member.data_centre
@@ -259,12 +259,12 @@
         return [billing_messages.OutcomeReady(command.key, command.value)]
 
     def _ask_peers(
-        self, command: configuration_messages.AskPeers, now: float
+        self, command: configuration_messages.StartExchanges, now: float
     ) -> list[Any]:
         return list(self.exchange.start_exchanges(command.targets, now))
 
     def _push_changes(
-        self, command: configuration_messages.PushChanges, now: float
+        self, command: configuration_messages.PushDeltaTo, now: float
     ) -> list[Any]:
         item = exchange.Item(
             command.kind + exchange.DELTA_SUFFIX, command.delta
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -13,9 +13,9 @@
 from sycamorehollow.decisions.cascading import cascade_planning
 from sycamorehollow.decisions.cascading import cascades
 from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.operations import config_branches
 from sycamorehollow.decisions.operations import configuration
 from sycamorehollow.decisions.operations import configuration_messages
-from sycamorehollow.decisions.operations import documents
 from sycamorehollow.decisions.operations import drains
 from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.decisions.operations import leases
@@ -62,7 +62,7 @@
     slots: int
     seeds: tuple[str, ...]
     ring: keyrings.KeyRing
-    convert: documents.Convert
+    convert: config_branches.Convert
     read_clock: Callable[[], int]
     pace: rollouts.Pace = rollouts.Pace()
 
@@ -136,7 +136,7 @@
             upstream = current.upstreams.get(name)
             if upstream is None:
                 continue
-            if new_work and self.drains.refuse(name) is not None:
+            if new_work and self.drains.find_refusal(name) is not None:
                 continue
             far = upstream.data_centre != self.process.data_centre
             found.append((far, self._source.random(), upstream.url))
@@ -222,7 +222,7 @@
             options.slots,
             source,
             now,
-            self.drains.refuse,
+            self.drains.find_refusal,
             self.quarantine,
         )
         planner = cascade_planning.CascadePlanner(
@@ -277,5 +277,5 @@
         )
         self.orders = orders.Orders(
             self.order_lease,
-            orders.WeightBudget(WEIGHT_LOADS_PER_S, WEIGHT_HOLDERS),
+            orders.LoadRateLimiter(WEIGHT_LOADS_PER_S, WEIGHT_HOLDERS),
         )
--- a/sycamorehollow/decisions/operations/documents.py
+++ b/sycamorehollow/decisions/operations/config_branches.py
@@ -17,7 +17,7 @@
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
-PLATFORM = "platform"
+PLATFORM_BRANCH = "platform"
 # Keeps a delta under the 4 MB that gRPC takes by default.
 MAX_DELTA_BYTES = 1_500_000
 # Bounds the memory that one payload can claim when it is decompressed. A
@@ -44,7 +44,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Entry:
+class BranchRevision:
     """One revision of a branch.
 
     Attributes:
@@ -60,7 +60,7 @@
     in_force: bool = False
 
 
-class Documents:
+class ConfigBranches:
     """The branches of one process, merged by the highest revision.
 
     Both the latest revision and the highest one that any process has put in
@@ -70,10 +70,10 @@
 
     def __init__(self, convert: Convert):
         self._convert = convert
-        self._latest: dict[str, Entry] = {}
-        self._accepted: dict[str, Entry] = {}
-        self._effective: dict[str, Entry] = {}
-        self._parsed: dict[Entry, Mapping[str, Any] | None] = {}
+        self._latest: dict[str, BranchRevision] = {}
+        self._accepted: dict[str, BranchRevision] = {}
+        self._effective: dict[str, BranchRevision] = {}
+        self._parsed: dict[BranchRevision, Mapping[str, Any] | None] = {}
         self.deployment = deployment.Deployment()
         self.faults: Faults = {}
         self.hash = _hash_revisions({})
@@ -85,7 +85,7 @@
             for branch, entry in sorted(self._latest.items())
         }
 
-    def select_missing(self, theirs: Revisions) -> list[Entry]:
+    def select_missing(self, theirs: Revisions) -> list[BranchRevision]:
         """Returns what the holder of the given revisions lacks."""
         found = []
         for entry in self._list_entries():
@@ -94,7 +94,7 @@
                 found.append(entry)
         return found
 
-    def add(self, entries: Iterable[Entry]) -> list[Entry]:
+    def add(self, entries: Iterable[BranchRevision]) -> list[BranchRevision]:
         """Takes entries with higher revisions and returns those it took."""
         taken = []
         for entry in entries:
@@ -114,7 +114,7 @@
             self.hash = _hash_revisions(self.list_revisions())
         return taken
 
-    def _list_entries(self) -> list[Entry]:
+    def _list_entries(self) -> list[BranchRevision]:
         """Returns the accepted entries and later ones that are not."""
         found = []
         for branch, entry in sorted(self._latest.items()):
@@ -159,13 +159,13 @@
                 self._accepted[branch] = entry
         self._forget_parsed()
 
-    def _list_candidates(self) -> dict[str, list[Entry]]:
+    def _list_candidates(self) -> dict[str, list[BranchRevision]]:
         """Returns the revisions of each branch that may be in force.
 
         The one in force here comes last. It is needed when this process is
         too old to read a revision that another one has accepted.
         """
-        result: dict[str, list[Entry]] = {}
+        result: dict[str, list[BranchRevision]] = {}
         for branch, latest in self._latest.items():
             options = [latest]
             for held in (self._accepted, self._effective):
@@ -176,7 +176,7 @@
         return result
 
     def _convert_chosen(
-        self, chosen: Mapping[str, Entry]
+        self, chosen: Mapping[str, BranchRevision]
     ) -> tuple[deployment.Deployment, dict[str, tuple[Any, ...]]]:
         readable: dict[str, tuple[int, Mapping[str, Any]]] = {}
         unreadable: dict[str, tuple[Any, ...]] = {}
@@ -193,7 +193,7 @@
         converted, found = self._convert(readable, accepted)
         return converted, {**found, **unreadable}
 
-    def _parse(self, entry: Entry) -> Mapping[str, Any] | None:
+    def _parse(self, entry: BranchRevision) -> Mapping[str, Any] | None:
         if entry not in self._parsed:
             self._parsed[entry] = _read_object(entry.text)
         return self._parsed[entry]
@@ -234,12 +234,14 @@
     """
 
     digest: Digest
-    entries: tuple[Entry, ...] = ()
+    entries: tuple[BranchRevision, ...] = ()
 
 
-def split_entries(entries: Iterable[Entry]) -> list[tuple[Entry, ...]]:
+def split_by_size(
+    entries: Iterable[BranchRevision],
+) -> list[tuple[BranchRevision, ...]]:
     """Splits entries into groups that fit a delta."""
-    groups: list[list[Entry]] = []
+    groups: list[list[BranchRevision]] = []
     size = 0
     for entry in entries:
         size += len(entry.text)
@@ -306,7 +308,9 @@
             None if revisions is None else _decode_revisions(revisions),
         )
         entries = tuple(
-            Entry(str(branch), int(revision), str(value), bool(in_force))
+            BranchRevision(
+                str(branch), int(revision), str(value), bool(in_force)
+            )
             for branch, revision, value, in_force in document["entries"]
         )
     except (
@@ -334,11 +338,11 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def _rank(entry: Entry) -> tuple[bool, int, str]:
-    return (entry.branch != PLATFORM, entry.revision, entry.branch)
+def _rank(entry: BranchRevision) -> tuple[bool, int, str]:
+    return (entry.branch != PLATFORM_BRANCH, entry.revision, entry.branch)
 
 
-def _get_revision(held: Mapping[str, Entry], branch: str) -> int:
+def _get_revision(held: Mapping[str, BranchRevision], branch: str) -> int:
     entry = held.get(branch)
     return entry.revision if entry else 0
 
--- a/sycamorehollow/decisions/operations/branches.py
+++ b/sycamorehollow/decisions/operations/config_writes.py
@@ -19,7 +19,7 @@
 PREFIX = "config/"
 # Later writers keep the nonces of this many earlier ones, so that a writer
 # whose response was lost finds its own even after others have written.
-NONCES_KEPT = 8
+MAX_EARLIER_NONCES = 8
 # Attempts at a write whose response stays lost.
 MAX_ATTEMPTS = 5
 
@@ -62,18 +62,19 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Proposal:
+class ConditionalWrite:
     """A write by compare-and-swap.
 
     Attributes:
         key: The only key that the change writes.
-        expect: Revision that the key must still have; 0 for an absent key.
+        expected_revision: Revision that the key must still have; 0 for an
+            absent key.
         document: The new document with the writer's nonce.
         nonce: The writer's nonce.
     """
 
     key: str
-    expect: int
+    expected_revision: int
     document: Mapping[str, Any]
     nonce: str
 
@@ -84,7 +85,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Accepted:
+class WriteConfirmed:
     """The change took effect.
 
     Attributes:
@@ -105,20 +106,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class WriteAgain:
+class RetryWrite:
     """The same write has to be sent again."""
 
-    proposal: Proposal
+    write: ConditionalWrite
 
 
-def name_branch(team: str) -> str:
+def make_branch_key(team: str) -> str:
     """Returns the key of a team's branch."""
     return PREFIX + team
 
 
-def propose(
+def prepare_write(
     key: str, revision: int, text: str | None, edit: Edit, nonce: str
-) -> Proposal | failures.Failure:
+) -> ConditionalWrite | failures.Failure:
     """Returns the write of an edit, or why there is none.
 
     Args:
@@ -141,45 +142,47 @@
     if changed == current and text is not None:
         return Unchanged(f"{key} already is as asked")
     changed["nonce"] = nonce
-    changed["earlier_nonces"] = earlier[-NONCES_KEPT:]
-    return Proposal(key, revision, changed, nonce)
+    changed["earlier_nonces"] = earlier[-MAX_EARLIER_NONCES:]
+    return ConditionalWrite(key, revision, changed, nonce)
 
 
-def judge_conflict(
-    proposal: Proposal, revision: int, text: str | None
-) -> Accepted | ChangeConflict:
+def resolve_conflict(
+    write: ConditionalWrite, revision: int, text: str | None
+) -> WriteConfirmed | ChangeConflict:
     """Judges a refused write by the value that the store returned.
 
     An earlier attempt whose response was lost may have caused the refusal.
     """
-    if _contains(proposal, text):
-        return Accepted(proposal.key, revision)
+    if _contains(write, text):
+        return WriteConfirmed(write.key, revision)
     return ChangeConflict(
-        f"{proposal.key} was changed by another writer at revision {revision}"
+        f"{write.key} was changed by another writer at revision {revision}"
     )
 
 
-def judge_lost(proposal: Proposal, attempts: int) -> ReadBack | ChangeInDoubt:
+def resolve_lost_response(
+    write: ConditionalWrite, attempts: int
+) -> ReadBack | ChangeInDoubt:
     """Judges a write, or a read-back, whose response is missing."""
     if attempts < MAX_ATTEMPTS:
-        return ReadBack(proposal.key)
+        return ReadBack(write.key)
     return ChangeInDoubt(
-        f"the change of {proposal.key} may have taken effect: the response of"
+        f"the change of {write.key} may have taken effect: the response of"
         f" the store is missing after {attempts} attempts"
     )
 
 
-def judge_read_back(
-    proposal: Proposal, revision: int, text: str | None
-) -> Accepted | ChangeConflict | WriteAgain:
+def resolve_read_back(
+    write: ConditionalWrite, revision: int, text: str | None
+) -> WriteConfirmed | ChangeConflict | RetryWrite:
     """Judges the value that was read after a lost response.
 
     A value at the expected revision does not mean that the write is lost: it
     may still arrive. Sending it again is safe, as only one can match.
     """
-    if revision == proposal.expect:
-        return WriteAgain(proposal)
-    return judge_conflict(proposal, revision, text)
+    if revision == write.expected_revision:
+        return RetryWrite(write)
+    return resolve_conflict(write, revision, text)
 
 
 def read_document(
@@ -197,11 +200,11 @@
     return document
 
 
-def _contains(proposal: Proposal, text: str | None) -> bool:
-    document = read_document(proposal.key, text)
+def _contains(write: ConditionalWrite, text: str | None) -> bool:
+    document = read_document(write.key, text)
     if isinstance(document, failures.Failure):
         return False
-    return proposal.nonce in _list_nonces(document)
+    return write.nonce in _list_nonces(document)
 
 
 def _list_nonces(document: Mapping[str, Any]) -> list[str]:
--- a/sycamorehollow/decisions/operations/configuration.py
+++ b/sycamorehollow/decisions/operations/configuration.py
@@ -8,10 +8,10 @@
 import random
 
 from sycamorehollow.decisions import components
+from sycamorehollow.decisions.operations import config_branches
 from sycamorehollow.decisions.operations import (
     configuration_messages as messages,
 )
-from sycamorehollow.decisions.operations import documents
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -24,21 +24,21 @@
 WATCH_TIMEOUT_S = 1.0
 # A shell reports a failure before this; the rule only guards against a lost
 # report.
-CALL_LIMIT_S = 10.0
+CALL_TIMEOUT_S = 10.0
 # A confirmation needs about log2 of the members in seconds to spread. Members
 # that miss it for longer read the store themselves.
-STALE_BASE_S = 4.0
-STALE_PER_RANK_S = 0.02
+STALE_AFTER_S = 4.0
+STALE_STEP_PER_RANK_S = 0.02
 # Such a member watches at least this long, and until another source confirms.
-STAND_IN_S = 30.0
+FALLBACK_WATCH_S = 30.0
 # A difference between two hashes is most likely a change of this age.
-RECENT_S = 10.0
-BACKOFF_FIRST_S = 0.25
-BACKOFF_LIMIT_S = 2.0
-START_PERIOD_S = 1.0
-START_PEERS = 2
+RECENT_CHANGE_S = 10.0
+INITIAL_BACKOFF_S = 0.25
+MAX_BACKOFF_S = 2.0
+BOOTSTRAP_INTERVAL_S = 1.0
+BOOTSTRAP_PEERS = 2
 # Digests list the revisions for this long after a difference was seen.
-DETAIL_S = 5.0
+DETAILED_DIGEST_S = 5.0
 # A fresher confirmation is worth sending from this difference on.
 MIN_AGE_GAIN_S = 0.5
 
@@ -56,21 +56,21 @@
 
     def __init__(
         self,
-        me: messages.Peer,
-        convert: documents.Convert,
-        randomness: random.Random,
+        own_peer: messages.Peer,
+        convert: config_branches.Convert,
+        rng: random.Random,
     ):
         """Starts without a configuration.
 
         Args:
-            me: This process.
+            own_peer: This process.
             convert: Conversion of branches, as in `settings.tree.convert`.
-            randomness: Source of jitter and of the peers to ask first.
+            rng: Source of jitter and of the peers to ask first.
         """
-        self._me = me
-        self._random = randomness
-        self._held = documents.Documents(convert)
-        self._own: tuple[str, ...] = (me.address,)
+        self._own_peer = own_peer
+        self._rng = rng
+        self._held = config_branches.ConfigBranches(convert)
+        self._own: tuple[str, ...] = (own_peer.address,)
         self._others: tuple[str, ...] = ()
         # The lowest member of each other data centre.
         self._leaders: tuple[str, ...] = ()
@@ -79,7 +79,7 @@
         self._call = 0
         self._call_at = 0.0
         self._after = 0
-        self._backoff_s = BACKOFF_FIRST_S
+        self._backoff_s = INITIAL_BACKOFF_S
         self._retry_at = -math.inf
         self._ask_at = -math.inf
         self._detail_until = -math.inf
@@ -92,14 +92,14 @@
         return self._held.deployment
 
     @property
-    def faults(self) -> documents.Faults:
+    def faults(self) -> config_branches.Faults:
         """Why branches are not in force at their latest revision."""
         return self._held.faults
 
     @property
     def is_watcher(self) -> bool:
         """Whether this process watches the store for its data centre."""
-        return self._me.address in self._own[:WATCHERS]
+        return self._own_peer.address in self._own[:WATCHERS]
 
     def list_revisions(self) -> dict[str, tuple[int, int]]:
         """Returns the latest and the accepted revision of each branch."""
@@ -111,7 +111,7 @@
             return None
         return failures.NoConfiguration(
             "neither the store nor a peer has given a configuration yet",
-            retry_after_s=START_PERIOD_S,
+            retry_after_s=BOOTSTRAP_INTERVAL_S,
         )
 
     def measure_age(self, now: float) -> float | None:
@@ -128,10 +128,10 @@
         """Applies one event; results of calls given up still count."""
         if isinstance(event, events.Tick):
             return self._tick(now)
-        if isinstance(event, messages.MembersSeen):
+        if isinstance(event, messages.MembersUpdated):
             self._see_members(event.members)
             return self._tick(now)
-        if isinstance(event, messages.StoreAnswered):
+        if isinstance(event, messages.StoreResponded):
             return self._apply_answer(event, now)
         if isinstance(event, messages.StoreFailed) and event.call == self._call:
             self._fail_call(event.retry_after_s, now)
@@ -141,14 +141,14 @@
         """Returns hash and age, and the revisions after a difference."""
         # A process that starts asks for everything at once.
         detailed = self._confirmed_at is None or now < self._detail_until
-        return documents.encode_digest(self._describe(detailed, now))
+        return config_branches.encode_digest(self._describe(detailed, now))
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns branches, own revisions or a fresher confirmation."""
-        theirs = documents.decode_digest(digest)
+        theirs = config_branches.decode_digest(digest)
         if theirs is None:
             return b""
-        entries: tuple[documents.Entry, ...] = ()
+        entries: tuple[config_branches.BranchRevision, ...] = ()
         own = self._describe(theirs.revisions is None, now)
         if theirs.hash == own.hash:
             own = dataclasses.replace(own, revisions=None)
@@ -164,28 +164,28 @@
                 missing = [
                     entry
                     for entry in missing
-                    if now - self._changed_at[entry.branch] < RECENT_S
+                    if now - self._changed_at[entry.branch] < RECENT_CHANGE_S
                 ]
             # The rest follows in the next exchanges.
-            entries = next(iter(documents.split_entries(missing)), ())
-        return documents.encode_delta(documents.Delta(own, entries))
+            entries = next(iter(config_branches.split_by_size(missing)), ())
+        return config_branches.encode_delta(config_branches.Delta(own, entries))
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Applies what a peer knows; a watcher pushes news on."""
-        received = documents.decode_delta(delta)
+        received = config_branches.decode_delta(delta)
         if received is None:
             return []
         targets = self._select_targets() if self.is_watcher else ()
         result = self._add(received.entries, targets, now)
         if received.digest.hash != self._held.hash:
-            self._detail_until = now + DETAIL_S
+            self._detail_until = now + DETAILED_DIGEST_S
         elif received.digest.age_s is not None:
             if self._confirm(now - received.digest.age_s):
                 self._end_stand_in(now)
         return result
 
-    def _describe(self, detailed: bool, now: float) -> documents.Digest:
-        return documents.Digest(
+    def _describe(self, detailed: bool, now: float) -> config_branches.Digest:
+        return config_branches.Digest(
             self._held.hash,
             self.measure_age(now),
             self._held.list_revisions() if detailed else None,
@@ -206,10 +206,10 @@
         return self.is_watcher or self._stand_in_until is not None
 
     def _see_members(self, members: Iterable[messages.Peer]) -> None:
-        own = {self._me.address}
+        own = {self._own_peer.address}
         others: dict[str, list[str]] = {}
         for member in members:
-            if member.data_centre == self._me.data_centre:
+            if member.data_centre == self._own_peer.data_centre:
                 own.add(member.address)
             else:
                 others.setdefault(member.data_centre, []).append(member.address)
@@ -220,22 +220,22 @@
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         if self._phase is not _Phase.IDLE:
-            if now - self._call_at > CALL_LIMIT_S:
-                result.append(messages.StopCall(self._call))
+            if now - self._call_at > CALL_TIMEOUT_S:
+                result.append(messages.CancelCall(self._call))
                 self._fail_call(None, now)
             elif self._phase is _Phase.WATCHING and not self._must_watch():
-                result.append(messages.StopCall(self._call))
+                result.append(messages.CancelCall(self._call))
                 self._phase = _Phase.IDLE
         if self._phase is _Phase.IDLE and now >= self._retry_at:
             if self._must_watch() or self._is_stale(now):
                 result.append(self._start_read(now))
         if self._confirmed_at is None and now >= self._ask_at:
-            known = [a for a in self._own if a != self._me.address]
+            known = [a for a in self._own if a != self._own_peer.address]
             known.extend(self._others)
-            targets = self._random.sample(known, min(START_PEERS, len(known)))
+            targets = self._rng.sample(known, min(BOOTSTRAP_PEERS, len(known)))
             if targets:
-                self._ask_at = now + START_PERIOD_S
-                result.append(messages.AskPeers(tuple(targets)))
+                self._ask_at = now + BOOTSTRAP_INTERVAL_S
+                result.append(messages.StartExchanges(tuple(targets)))
         return result
 
     def _is_stale(self, now: float) -> bool:
@@ -244,9 +244,9 @@
         if age_s is None:
             return True
         # Ranks differ, so that one reads first and its confirmation spreads.
-        rank = self._own.index(self._me.address)
+        rank = self._own.index(self._own_peer.address)
         spread_s = math.log2(len(self._own) + len(self._others))
-        return age_s > STALE_BASE_S + spread_s + STALE_PER_RANK_S * rank
+        return age_s > STALE_AFTER_S + spread_s + STALE_STEP_PER_RANK_S * rank
 
     def _start_read(self, now: float) -> messages.ReadRange:
         self._phase = _Phase.READING
@@ -266,15 +266,15 @@
         """Waits; the next call is a range read, since a watch may have gaps."""
         self._phase = _Phase.IDLE
         wait_s = max(self._backoff_s, retry_after_s or 0.0)
-        wait_s = min(wait_s, BACKOFF_LIMIT_S)
-        self._retry_at = now + wait_s * self._random.uniform(0.5, 1.0)
-        self._backoff_s = min(self._backoff_s * 2, BACKOFF_LIMIT_S)
+        wait_s = min(wait_s, MAX_BACKOFF_S)
+        self._retry_at = now + wait_s * self._rng.uniform(0.5, 1.0)
+        self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
 
     def _apply_answer(
-        self, event: messages.StoreAnswered, now: float
+        self, event: messages.StoreResponded, now: float
     ) -> list[commands.Command]:
         entries = [
-            documents.Entry(
+            config_branches.BranchRevision(
                 value.key.removeprefix(PREFIX), value.revision, value.text
             )
             for value in event.values
@@ -290,9 +290,9 @@
             return result
         if self._confirmed_at is not None and not self._must_watch():
             if self._is_stale(now):
-                self._stand_in_until = now + STAND_IN_S
+                self._stand_in_until = now + FALLBACK_WATCH_S
         self._confirm(self._call_at)
-        self._backoff_s = BACKOFF_FIRST_S
+        self._backoff_s = INITIAL_BACKOFF_S
         self._after = max(self._after, event.revision)
         self._phase = _Phase.IDLE
         if self._must_watch():
@@ -301,7 +301,7 @@
 
     def _add(
         self,
-        entries: Iterable[documents.Entry],
+        entries: Iterable[config_branches.BranchRevision],
         targets: tuple[str, ...],
         now: float,
     ) -> list[commands.Command]:
@@ -312,10 +312,12 @@
         for entry in taken:
             self._changed_at[entry.branch] = now
         if taken and targets:
-            digest = documents.Digest(self._held.hash, None)
-            for group in documents.split_entries(taken):
-                payload = documents.encode_delta(documents.Delta(digest, group))
-                result.append(messages.PushChanges(targets, self.kind, payload))
+            digest = config_branches.Digest(self._held.hash, None)
+            for group in config_branches.split_by_size(taken):
+                payload = config_branches.encode_delta(
+                    config_branches.Delta(digest, group)
+                )
+                result.append(messages.PushDeltaTo(targets, self.kind, payload))
         if self._held.deployment != before:
             result.append(messages.ConfigurationChanged(self._held.deployment))
         if self._held.faults != faults:
@@ -327,10 +329,10 @@
 
         The watchers share them out; digests reach those of a lost watcher.
         """
-        rank = self._own.index(self._me.address)
+        rank = self._own.index(self._own_peer.address)
         start, step = (rank, WATCHERS) if rank < WATCHERS else (0, 1)
         return tuple(
             address
             for address in self._own[start::step]
-            if address != self._me.address
+            if address != self._own_peer.address
         )
--- a/sycamorehollow/decisions/operations/configuration_messages.py
+++ b/sycamorehollow/decisions/operations/configuration_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorehollow.decisions.operations import documents
+from sycamorehollow.decisions.operations import config_branches
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -17,7 +17,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class MembersSeen(events.Event):
+class MembersUpdated(events.Event):
     """The live members, with or without this process itself."""
 
     members: tuple[Peer, ...]
@@ -33,7 +33,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StoreAnswered(events.Event):
+class StoreResponded(events.Event):
     """A range read or a watch returned.
 
     Attributes:
@@ -74,14 +74,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StopCall(commands.Command):
+class CancelCall(commands.Command):
     """Gives a range read or watch up; its result is no longer needed."""
 
     call: int
 
 
 @dataclasses.dataclass(frozen=True)
-class PushChanges(commands.Command):
+class PushDeltaTo(commands.Command):
     """Asks to send a delta to the given peers without waiting."""
 
     targets: tuple[str, ...]
@@ -90,7 +90,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AskPeers(commands.Command):
+class StartExchanges(commands.Command):
     """Asks for an exchange of digests with the given peers."""
 
     targets: tuple[str, ...]
@@ -107,4 +107,4 @@
 class BranchesRejected(commands.Command):
     """Tells which branches are not in force at their latest revision."""
 
-    faults: documents.Faults
+    faults: config_branches.Faults
--- a/sycamorehollow/decisions/operations/drains.py
+++ b/sycamorehollow/decisions/operations/drains.py
@@ -19,7 +19,7 @@
 PLATFORM_BRANCH = "platform"
 # Load balancers poll `/healthz` about once a second; new connections still
 # arrive until they have seen it turn.
-LINGER_S = 5.0
+DRAIN_DELAY_S = 5.0
 
 
 class Scope(enum.Enum):
@@ -53,7 +53,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class UpstreamVmsSeen(events.Event):
+class UpstreamVmsReceived(events.Event):
     """The platform's list of VMs arrived; it lags behind.
 
     Attributes:
@@ -78,19 +78,19 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class UpstreamLeft(commands.Command):
+class UpstreamOutOfService(commands.Command):
     """Tells that an upstream takes no new work from now on."""
 
     upstream: str
     reason: str
 
 
-def make_key(scope: Scope, name: str) -> str:
+def make_drain_key(scope: Scope, name: str) -> str:
     """Returns the key of a drain record."""
     return f"{scope.value}/{name}"
 
 
-def make_value(current: deployment.Deployment) -> dict[str, Any]:
+def make_drain_value(current: deployment.Deployment) -> dict[str, Any]:
     """Returns the value of a drain record made under a deployment.
 
     The record holds until a higher revision of the platform branch is in
@@ -109,20 +109,20 @@
         self._drained: frozenset[str] = frozenset()
         self._out: dict[str, str] = {}
 
-    def refuse(self, upstream: str) -> failures.Failure | None:
+    def find_refusal(self, upstream: str) -> failures.Failure | None:
         """Returns why an upstream may take no new work now, or `None`."""
         if upstream not in self._deployment.upstreams:
             return UnknownUpstream(f"Upstream {upstream} is not configured.")
         reason = self._out.get(upstream)
         if reason is None:
             return None
-        return OutOfService(reason, retry_after_s=LINGER_S)
+        return OutOfService(reason, retry_after_s=DRAIN_DELAY_S)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies a change and returns what left or returned."""
         if isinstance(event, DeploymentChanged):
             self._deployment = event.deployment
-        elif isinstance(event, UpstreamVmsSeen):
+        elif isinstance(event, UpstreamVmsReceived):
             # A VM that is missing from the list keeps its last state: the
             # list lags, so its silence says nothing.
             self._leaving.update(event.leaving)
@@ -156,9 +156,9 @@
             and centre.presence is not deployment.Presence.IN_SERVICE
         ):
             return f"Data centre {place} is {centre.presence.value}."
-        if make_key(Scope.UPSTREAM, name) in self._drained:
+        if make_drain_key(Scope.UPSTREAM, name) in self._drained:
             return f"Upstream {name} is drained by a record."
-        if make_key(Scope.DATA_CENTRE, place) in self._drained:
+        if make_drain_key(Scope.DATA_CENTRE, place) in self._drained:
             return f"Data centre {place} is drained by a record."
         if self._leaving.get(name, False):
             return f"The VM of upstream {name} is leaving."
@@ -173,7 +173,7 @@
             if reason is not None:
                 self._out[name] = reason
                 if name not in before:
-                    result.append(UpstreamLeft(name, reason))
+                    result.append(UpstreamOutOfService(name, reason))
                 continue
             if name in before:
                 result.append(MarkCold(name))
--- a/sycamorehollow/decisions/operations/leases.py
+++ b/sycamorehollow/decisions/operations/leases.py
@@ -9,15 +9,15 @@
 
 # Covers clocks that run at different speeds: 1 s in 10 s is far more than the
 # drift of any clock, and leaves time for a command that is under way.
-MARGIN_S = 1.0
+CLOCK_DRIFT_MARGIN_S = 1.0
 # Three renewals fit into a lease, so that two may be lost.
-RENEWALS = 3
-RETRY_S = 1.0
+RENEWALS_PER_TTL = 3
+RETRY_DELAY_S = 1.0
 # After this long the shell's call has ended and its answer is not awaited.
-STEP_TIMEOUT_S = 3.0
+CALL_TIMEOUT_S = 3.0
 
 
-class Step(enum.Enum):
+class LeaseState(enum.Enum):
     """What the lease waits for."""
 
     IDLE = "idle"
@@ -28,16 +28,16 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Holding:
+class HeldLease:
     """A lease that may be relied on.
 
     Attributes:
-        fence: Fencing token: the store revision of the record.
+        fencing_token: Fencing token: the store revision of the record.
         until: Monotonic time in seconds at which reliance ends.
     """
 
-    fence: int
-    until: float
+    fencing_token: int
+    valid_until: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,7 +49,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RecordClaimed(events.Event):
+class LeaseRecordClaimed(events.Event):
     """The store wrote the record under the lease."""
 
     number: int
@@ -57,7 +57,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RecordRead(events.Event):
+class LeaseRecordRead(events.Event):
     """The record as read back; an absent one has no value."""
 
     number: int
@@ -73,14 +73,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StepRefused(events.Event):
+class LeaseCallRefused(events.Event):
     """The store answered no: the record exists, or the lease is gone."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True)
-class StepFailed(events.Event):
+class LeaseCallFailed(events.Event):
     """No answer came; the store may have acted."""
 
     number: int
@@ -100,7 +100,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ClaimRecord(commands.Command):
+class ClaimLeaseRecord(commands.Command):
     """Asks for `PUT /v1/kv/{key}` that creates the record if absent."""
 
     number: int
@@ -110,7 +110,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ReadRecord(commands.Command):
+class ReadLeaseRecord(commands.Command):
     """Asks for `GET /v1/kv/{key}` to resolve a lost answer."""
 
     number: int
@@ -150,7 +150,7 @@
         self._key = key
         self._owner = owner
         self._ttl_s = ttl_s
-        self._step = Step.IDLE
+        self._step = LeaseState.IDLE
         self._number = 0
         self._issued = 0.0
         self._lease = ""
@@ -161,11 +161,11 @@
         self._due = float("-inf")
         self._released = False
 
-    def find_holding(self, now: float) -> Holding | None:
+    def get_held_lease(self, now: float) -> HeldLease | None:
         """Returns the lease if it may be relied on now."""
-        if self._step is not Step.HELD or now >= self._until:
+        if self._step is not LeaseState.HELD or now >= self._until:
             return None
-        return Holding(self._fence, self._until)
+        return HeldLease(self._fence, self._until)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; answers to earlier commands are ignored."""
@@ -175,23 +175,35 @@
             self._released = True
             return self._give_up(now)
         number = getattr(event, "number", None)
-        if number != self._number or self._step is Step.IDLE:
+        if number != self._number or self._step is LeaseState.IDLE:
             return []
-        if isinstance(event, LeaseCreated) and self._step is Step.CREATING:
+        if (
+            isinstance(event, LeaseCreated)
+            and self._step is LeaseState.CREATING
+        ):
             return self._claim(event.lease, now)
-        if isinstance(event, RecordClaimed) and self._step is Step.CLAIMING:
+        if (
+            isinstance(event, LeaseRecordClaimed)
+            and self._step is LeaseState.CLAIMING
+        ):
             return self._hold(event.revision, now)
-        if isinstance(event, RecordRead) and self._step is Step.READING:
+        if (
+            isinstance(event, LeaseRecordRead)
+            and self._step is LeaseState.READING
+        ):
             if event.value == self._value:
                 return self._hold(event.revision, now)
             return self._give_up(now)
         if isinstance(event, LeaseRenewed) and self._renewing:
             self._renewing = False
-            self._until = self._issued + self._ttl_s - MARGIN_S
+            self._until = self._issued + self._ttl_s - CLOCK_DRIFT_MARGIN_S
             return []
-        if isinstance(event, StepRefused):
+        if isinstance(event, LeaseCallRefused):
             return self._give_up(now)
-        if isinstance(event, StepFailed) and self._step is not Step.READING:
+        if (
+            isinstance(event, LeaseCallFailed)
+            and self._step is not LeaseState.READING
+        ):
             return self._fail(now)
         # A failed read is repeated by a tick; a store that refuses connections
         # would otherwise be asked in a tight loop.
@@ -199,17 +211,17 @@
 
     def _tick(self, now: float) -> list[commands.Command]:
         """Starts what is due."""
-        if self._step is Step.HELD:
+        if self._step is LeaseState.HELD:
             return self._renew(now)
-        if self._step is Step.IDLE:
+        if self._step is LeaseState.IDLE:
             if self._released or now < self._due:
                 return []
-            self._step = Step.CREATING
-            self._until = now + self._ttl_s - MARGIN_S
+            self._step = LeaseState.CREATING
+            self._until = now + self._ttl_s - CLOCK_DRIFT_MARGIN_S
             return [CreateLease(self._issue(now), self._ttl_s)]
         if now >= self._until:
             return self._give_up(now)
-        if now - self._issued >= STEP_TIMEOUT_S:
+        if now - self._issued >= CALL_TIMEOUT_S:
             return self._fail(now)
         return []
 
@@ -222,17 +234,17 @@
     def _claim(self, lease: str, now: float) -> list[commands.Command]:
         """Writes the record under the lease."""
         self._lease = lease
-        self._step = Step.CLAIMING
+        self._step = LeaseState.CLAIMING
         number = self._issue(now)
         # A value of its own tells a lost answer from another holder's write.
         self._value = f"{self._owner}/{number}"
-        return [ClaimRecord(number, self._key, self._value, lease)]
+        return [ClaimLeaseRecord(number, self._key, self._value, lease)]
 
     def _hold(self, revision: int, now: float) -> list[commands.Command]:
         """Takes the lease as held, unless its time is over already."""
         if now >= self._until:
             return self._give_up(now)
-        self._step = Step.HELD
+        self._step = LeaseState.HELD
         self._fence = revision
         self._renewing = False
         return []
@@ -241,25 +253,25 @@
         """Renews in time, and gives up when reliance has ended."""
         if now >= self._until:
             return self._give_up(now)
-        if now - self._issued < self._ttl_s / RENEWALS:
+        if now - self._issued < self._ttl_s / RENEWALS_PER_TTL:
             return []
         self._renewing = True
         return [RenewLease(self._issue(now), self._lease)]
 
     def _fail(self, now: float) -> list[commands.Command]:
         """Resolves a step without an answer."""
-        if self._step is Step.HELD:
+        if self._step is LeaseState.HELD:
             self._renewing = False
             return []
-        if self._step is Step.CREATING:
+        if self._step is LeaseState.CREATING:
             return self._give_up(now)
-        self._step = Step.READING
-        return [ReadRecord(self._issue(now), self._key)]
+        self._step = LeaseState.READING
+        return [ReadLeaseRecord(self._issue(now), self._key)]
 
     def _give_up(self, now: float) -> list[commands.Command]:
         """Ends reliance and lets the store end the lease early."""
         lease, self._lease = self._lease, ""
-        self._step = Step.IDLE
+        self._step = LeaseState.IDLE
         self._renewing = False
-        self._due = now + RETRY_S
+        self._due = now + RETRY_DELAY_S
         return [ReleaseLease(lease)] if lease else []
--- a/sycamorehollow/decisions/operations/drain_orders.py
+++ b/sycamorehollow/decisions/operations/operator_drains.py
@@ -11,33 +11,33 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class DrainOrdered(events.Event):
+class DrainRequested(events.Event):
     """An operator takes something out of service while the store is down."""
 
     scope: drains.Scope
     name: str
 
 
-class DrainOrders(components.Component):
+class OperatorDrains(components.Component):
     """Writes drain records under the deployment in force.
 
     Args:
-        kept: The replicated records.
+        replicated: The replicated records.
     """
 
-    def __init__(self, kept: records.ReplicatedRecords):
-        self._records = kept
+    def __init__(self, replicated: records.ReplicatedRecords):
+        self._records = replicated
         self._deployment = deployment.Deployment()
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Takes the deployment and returns what an order changes."""
         if isinstance(event, drains.DeploymentChanged):
             self._deployment = event.deployment
-        if not isinstance(event, DrainOrdered):
+        if not isinstance(event, DrainRequested):
             return []
         return self._records.put(
             drains.DRAIN_KIND,
-            drains.make_key(event.scope, event.name),
-            drains.make_value(self._deployment),
+            drains.make_drain_key(event.scope, event.name),
+            drains.make_drain_value(self._deployment),
             now,
         )
--- a/sycamorehollow/decisions/operations/orders.py
+++ b/sycamorehollow/decisions/operations/orders.py
@@ -45,20 +45,21 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Observed(events.Event):
+class EngineReported(events.Event):
     """An upstream reported its state.
 
     Attributes:
         upstream: Name of the upstream.
         versions: Versions that are loaded.
         role: Its role.
-        asked: Monotonic time in seconds at which the report was asked for.
+        requested_at: Monotonic time in seconds at which the report
+            was requested.
     """
 
     upstream: str
     versions: frozenset[str]
     role: str
-    asked: float
+    requested_at: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,16 +69,16 @@
     Attributes:
         number: Number of the order.
         upstream: Name of the upstream.
-        stale: Whether the engine refused the fencing token as old.
+        is_token_stale: Whether the engine refused the fencing token as old.
     """
 
     number: int
     upstream: str
-    stale: bool = False
+    is_token_stale: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
-class WeightsRefused(events.Event):
+class WeightLoadThrottled(events.Event):
     """The weight store refused a load for its rate limit (429)."""
 
     retry_after_s: float
@@ -93,7 +94,7 @@
         action: What to do.
         version: Version to load or unload; empty for a role.
         role: Role to take; empty for a version.
-        fence: Fencing token.
+        fencing_token: Fencing token.
         timeout_s: Seconds after which the connection is closed.
         send_before: Monotonic time in seconds. The shell reads the clock just
             before it writes and drops the order if this time has passed.
@@ -104,19 +105,19 @@
     action: Action
     version: str
     role: str
-    fence: int
+    fencing_token: int
     timeout_s: float
     send_before: float
 
 
 @dataclasses.dataclass(frozen=True)
-class FenceStale(commands.Command):
+class FencingTokenStale(commands.Command):
     """Tells that a newer holder exists; no order goes out under this token."""
 
-    fence: int
+    fencing_token: int
 
 
-class WeightBudget:
+class LoadRateLimiter:
     """This holder's part of the weight store's rate limit.
 
     The parts are fixed by the configured number of holders, so they add up to
@@ -136,11 +137,11 @@
         self._filled: float | None = None
         self._paused_until = float("-inf")
 
-    def pause(self, until: float) -> None:
+    def pause_until(self, resume_at: float) -> None:
         """Allows no load before a time, after the weight store refused one."""
-        self._paused_until = max(self._paused_until, until)
+        self._paused_until = max(self._paused_until, resume_at)
 
-    def take(self, now: float) -> bool:
+    def try_acquire(self, now: float) -> bool:
         """Takes one load out of the budget; tells whether there was one."""
         if now < self._paused_until:
             return False
@@ -165,7 +166,7 @@
         ordered: When the last order ended, or was sent if it is under way.
     """
 
-    observed: Observed | None = None
+    observed: EngineReported | None = None
     pending: int = 0
     ordered: float = float("-inf")
 
@@ -177,7 +178,7 @@
     order shows, so a repeated round orders nothing twice.
     """
 
-    def __init__(self, lease: leases.Lease, budget: WeightBudget):
+    def __init__(self, lease: leases.Lease, budget: LoadRateLimiter):
         self._lease = lease
         self._budget = budget
         self._targets: Mapping[str, Target] = {}
@@ -196,10 +197,10 @@
                 for name in event.targets
             }
             return []
-        if isinstance(event, WeightsRefused):
-            self._budget.pause(now + event.retry_after_s)
+        if isinstance(event, WeightLoadThrottled):
+            self._budget.pause_until(now + event.retry_after_s)
             return []
-        if isinstance(event, Observed):
+        if isinstance(event, EngineReported):
             engine = self._engines.get(event.upstream)
             if engine is not None:
                 engine.observed = event
@@ -214,28 +215,28 @@
         if engine is not None and engine.pending == event.number:
             engine.pending = 0
             engine.ordered = now
-        holding = self._lease.find_holding(now)
-        if not event.stale or holding is None:
+        holding = self._lease.get_held_lease(now)
+        if not event.is_token_stale or holding is None:
             return []
-        self._stale_fence = holding.fence
-        return [FenceStale(holding.fence)]
+        self._stale_fence = holding.fencing_token
+        return [FencingTokenStale(holding.fencing_token)]
 
     def _reconcile(self, now: float) -> list[commands.Command]:
         """Returns the orders that may be sent now."""
-        holding = self._lease.find_holding(now)
-        if holding is None or holding.fence <= self._stale_fence:
+        holding = self._lease.get_held_lease(now)
+        if holding is None or holding.fencing_token <= self._stale_fence:
             return []
         result: list[commands.Command] = []
         for name, target in self._targets.items():
             # Without a check at the engine, an order must end within the
             # lease: nothing else keeps it from acting under the next holder.
             needed_s = 0.0 if target.checks_fence else ORDER_TIMEOUT_S
-            if holding.until - now <= needed_s:
+            if holding.valid_until - now <= needed_s:
                 continue
             engine = self._engines[name]
             if engine.pending or engine.observed is None:
                 continue
-            if engine.observed.asked < engine.ordered + REPORT_LAG_S:
+            if engine.observed.requested_at < engine.ordered + REPORT_LAG_S:
                 continue
             wanted = self._compare(target, engine.observed, now)
             if wanted is None:
@@ -251,19 +252,19 @@
                     action,
                     version,
                     role,
-                    holding.fence,
+                    holding.fencing_token,
                     ORDER_TIMEOUT_S,
-                    holding.until - needed_s,
+                    holding.valid_until - needed_s,
                 )
             )
         return result
 
     def _compare(
-        self, target: Target, observed: Observed, now: float
+        self, target: Target, observed: EngineReported, now: float
     ) -> tuple[Action, str, str] | None:
         """Returns the next order for an engine, or `None`."""
         for version in sorted(target.versions - observed.versions):
-            if self._budget.take(now):
+            if self._budget.try_acquire(now):
                 return Action.LOAD, version, ""
             return None
         # Unloading comes after loading, so that no version is missing.
--- a/sycamorehollow/decisions/operations/shutdown.py
+++ b/sycamorehollow/decisions/operations/shutdown.py
@@ -42,7 +42,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class TellPeers(commands.Command):
+class AnnounceLeave(commands.Command):
     """Asks for `membership.LeaveRequested` to be given to the exchange."""
 
 
@@ -67,7 +67,7 @@
         """How far the shutdown has come."""
         return self._phase
 
-    def refuse(self) -> failures.Failure | None:
+    def find_refusal(self) -> failures.Failure | None:
         """Returns why this process admits no new request, or `None`."""
         if self._phase is Phase.SERVING:
             return None
@@ -82,14 +82,14 @@
                 return []
             self._phase = Phase.DRAINING
             self._began = now
-            return [StopAdmission(), TellPeers()]
+            return [StopAdmission(), AnnounceLeave()]
         if not isinstance(event, WorkCounted):
             return []
         if self._phase is not Phase.DRAINING:
             return []
         if event.requests or event.bills:
             return []
-        if now - self._began < drains.LINGER_S:
+        if now - self._began < drains.DRAIN_DELAY_S:
             return []
         self._phase = Phase.DONE
         return [Exit()]
--- a/sycamorehollow/decisions/operations/fence.py
+++ b/sycamorehollow/decisions/operations/version_access.py
@@ -6,8 +6,8 @@
 from sycamorehollow.model import failures
 
 
-def check_start(
-    in_force: deployment.Deployment | None,
+def check_version_access(
+    current: deployment.Deployment | None,
     stopped: Set[str],
     workspace: str,
     version: str,
@@ -15,16 +15,16 @@
     """Tells why a request must not start on a version; `None` if it may.
 
     Args:
-        in_force: Deployment in force on this node, `None` before the first.
+        current: Deployment in force on this node, `None` before the first.
         stopped: Versions with a stop record in effect.
         workspace: Workspace of the request.
         version: Version that some component has chosen.
     """
-    if in_force is None:
+    if current is None:
         return failures.NoConfiguration(
             reason="the node has no configuration yet", retry_after_s=1.0
         )
-    customer = in_force.workspaces.get(workspace)
+    customer = current.workspaces.get(workspace)
     if customer is None:
         return failures.NotAllowed(reason="the workspace does not exist")
     if version not in customer.versions:
@@ -33,7 +33,7 @@
         return failures.NotAllowed(
             reason=f"the workspace may not use version {version}"
         )
-    known = in_force.versions.get(version)
+    known = current.versions.get(version)
     if known is None:
         return failures.NotFound(reason=f"version {version} does not exist")
     if known.state is not deployment.ServingState.SERVING:
--- a/sycamorehollow/decisions/releases/stages.py
+++ b/sycamorehollow/decisions/releases/stages.py
@@ -4,7 +4,7 @@
 import enum
 import json
 
-from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.operations import config_writes
 
 KEY_PREFIX = "rollouts/"
 
@@ -55,7 +55,7 @@
 ) -> Stage:
     """Returns the document that follows another one, or none."""
     earlier = (*before.earlier, before.nonce) if before else ()
-    kept = earlier[-branches.NONCES_KEPT :]
+    kept = earlier[-config_writes.MAX_EARLIER_NONCES :]
     return Stage(stage, state, config, run, mark, kept)
 
 
--- a/sycamorehollow/decisions/requests/sessions.py
+++ b/sycamorehollow/decisions/requests/sessions.py
@@ -4,8 +4,8 @@
 import dataclasses
 from typing import ClassVar
 
-from sycamorehollow.decisions.operations import fence
 from sycamorehollow.decisions.operations import keyrings
+from sycamorehollow.decisions.operations import version_access
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
@@ -87,7 +87,7 @@
 
     There is no fallback: a session is never moved to another version.
     """
-    failure = fence.check_start(
+    failure = version_access.check_version_access(
         in_force, stopped, session.workspace, session.version
     )
     return session.version if failure is None else failure
--- a/sycamorehollow/programs/ctl_changes.py
+++ b/sycamorehollow/programs/ctl_changes.py
@@ -6,13 +6,13 @@
 import time
 from typing import Any
 
-from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.operations import config_writes
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.settings import tree
 from sycamorehollow.shells import stores
 
-Validate = Callable[[branches.Proposal], failures.Failure | None]
+Validate = Callable[[config_writes.ConditionalWrite], failures.Failure | None]
 NONCE_BYTES = 12
 RETRY_PAUSE_S = 0.2
 
@@ -37,7 +37,7 @@
         if isinstance(found, failures.Failure):
             return found
         text = found.value if isinstance(found, stores.Found) else None
-        document = branches.read_document(key, text)
+        document = config_writes.read_document(key, text)
         if isinstance(document, failures.Failure):
             return document
         revision = found.revision if isinstance(found, stores.Found) else 0
@@ -46,9 +46,9 @@
     def change(
         self,
         key: str,
-        edit: branches.Edit,
+        edit: config_writes.Edit,
         validate: Validate | None = None,
-    ) -> branches.Accepted | failures.Failure:
+    ) -> config_writes.WriteConfirmed | failures.Failure:
         """Changes one value, or changes nothing and tells why.
 
         Args:
@@ -63,26 +63,28 @@
         if isinstance(found, stores.Found):
             text, revision = found.value, found.revision
         nonce = draw_nonce()
-        proposal = branches.propose(key, revision, text, edit, nonce)
+        proposal = config_writes.prepare_write(key, revision, text, edit, nonce)
         if isinstance(proposal, failures.Failure):
             return proposal
         refusal = validate(proposal) if validate else None
         return refusal or self.write(proposal)
 
     def write(
-        self, proposal: branches.Proposal
-    ) -> branches.Accepted | failures.Failure:
+        self, proposal: config_writes.ConditionalWrite
+    ) -> config_writes.WriteConfirmed | failures.Failure:
         """Writes a proposal and finds out what became of it."""
         attempts = 0
         in_doubt = False
         while True:
             answer = self._store.write(
-                proposal.key, proposal.text, proposal.expect
+                proposal.key, proposal.text, proposal.expected_revision
             )
             if isinstance(answer, stores.Written):
-                return branches.Accepted(proposal.key, answer.revision)
+                return config_writes.WriteConfirmed(
+                    proposal.key, answer.revision
+                )
             if isinstance(answer, stores.Conflict):
-                return branches.judge_conflict(
+                return config_writes.resolve_conflict(
                     proposal, answer.revision, answer.value
                 )
             # Without effect now, but an earlier attempt may have had one.
@@ -91,7 +93,7 @@
             in_doubt = True
             attempts += 1
             while True:
-                judged = branches.judge_lost(proposal, attempts)
+                judged = config_writes.resolve_lost_response(proposal, attempts)
                 if isinstance(judged, failures.Failure):
                     return judged
                 self._pause(RETRY_PAUSE_S * attempts)
@@ -102,23 +104,23 @@
             text, revision = None, 0
             if isinstance(found, stores.Found):
                 text, revision = found.value, found.revision
-            outcome = branches.judge_read_back(proposal, revision, text)
-            if not isinstance(outcome, branches.WriteAgain):
+            outcome = config_writes.resolve_read_back(proposal, revision, text)
+            if not isinstance(outcome, config_writes.RetryWrite):
                 return outcome
 
     def read_deployment(self) -> deployment.Deployment | failures.Failure:
         """Returns the configuration that entry processes make of the store."""
-        listing = self._store.list_range(branches.PREFIX)
+        listing = self._store.list_range(config_writes.PREFIX)
         if isinstance(listing, failures.Failure):
             return listing
         return tree.convert(_read_branches(listing))[0]
 
     def validate_branch(
-        self, proposal: branches.Proposal
+        self, proposal: config_writes.ConditionalWrite
     ) -> failures.Failure | None:
         """Returns the first fault that a new branch has or causes."""
-        team = proposal.key.removeprefix(branches.PREFIX)
-        listing = self._store.list_range(branches.PREFIX)
+        team = proposal.key.removeprefix(config_writes.PREFIX)
+        listing = self._store.list_range(config_writes.PREFIX)
         if isinstance(listing, failures.Failure):
             return listing
         held = _read_branches(listing)
@@ -140,8 +142,8 @@
 ) -> dict[str, tuple[int, dict[str, Any]]]:
     held: dict[str, tuple[int, dict[str, Any]]] = {}
     for item in listing.items:
-        name = item.key.removeprefix(branches.PREFIX)
-        document = branches.read_document(item.key, item.value)
+        name = item.key.removeprefix(config_writes.PREFIX)
+        document = config_writes.read_document(item.key, item.value)
         if isinstance(document, dict):
             held[name] = (item.revision, document)
     return held
--- a/sycamorehollow/programs/ctl_commands.py
+++ b/sycamorehollow/programs/ctl_commands.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from sycamorehollow.decisions.bills import billing_reader
-from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.operations import config_writes
 from sycamorehollow.model import failures
 from sycamorehollow.programs import ctl_changes
 from sycamorehollow.programs import ctl_edits
@@ -27,18 +27,18 @@
 
 
 def change_branch(
-    store: stores.Store, team: str, edit: branches.Edit
+    store: stores.Store, team: str, edit: config_writes.Edit
 ) -> Result:
     """Changes the branch of a team by an edit."""
     changer = ctl_changes.Changer(store)
     return report(
         changer.change(
-            branches.name_branch(team), edit, changer.validate_branch
+            config_writes.make_branch_key(team), edit, changer.validate_branch
         )
     )
 
 
-def report(result: branches.Accepted | failures.Failure) -> Result:
+def report(result: config_writes.WriteConfirmed | failures.Failure) -> Result:
     """Returns what to print of a change."""
     if isinstance(result, failures.Failure):
         return result
@@ -54,7 +54,7 @@
 
 
 def _change_platform(
-    store: stores.Store, args: argparse.Namespace, edit: branches.Edit
+    store: stores.Store, args: argparse.Namespace, edit: config_writes.Edit
 ) -> Result:
     refusal = _check_platform(args)
     return refusal or change_branch(store, tree.PLATFORM, edit)
@@ -80,7 +80,9 @@
 
 def show_workspace(store: stores.Store, args: argparse.Namespace) -> Result:
     """Returns a workspace, or all of the team."""
-    found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
+    found = ctl_changes.Changer(store).read(
+        config_writes.make_branch_key(args.team)
+    )
     if isinstance(found, failures.Failure):
         return found
     workspaces = found[1].get("workspaces", {})
@@ -153,7 +155,9 @@
 
 def show_branch(store: stores.Store, args: argparse.Namespace) -> Result:
     """Returns a branch and its revision."""
-    found = ctl_changes.Changer(store).read(branches.name_branch(args.team))
+    found = ctl_changes.Changer(store).read(
+        config_writes.make_branch_key(args.team)
+    )
     if isinstance(found, failures.Failure):
         return found
     return {"revision": found[0], "document": found[1]}
@@ -168,7 +172,7 @@
                 text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         return failures.InvalidRequest(f"{path} is not readable: {error}")
-    return branches.read_document(path, text)
+    return config_writes.read_document(path, text)
 
 
 def put_branch(store: stores.Store, args: argparse.Namespace) -> Result:
@@ -184,8 +188,8 @@
     document = _read_file(args.file)
     if isinstance(document, failures.Failure):
         return document
-    key = branches.name_branch(args.team)
-    proposal = branches.Proposal(key, 0, document, "")
+    key = config_writes.make_branch_key(args.team)
+    proposal = config_writes.ConditionalWrite(key, 0, document, "")
     fault = ctl_changes.Changer(store).validate_branch(proposal)
     return fault or {"branch": args.team, "valid": True}
 
@@ -218,7 +222,7 @@
         try:
             reader.add(item.value)
         except ValueError as error:
-            return branches.ValueUnreadable(f"{item.key}: {error}")
+            return config_writes.ValueUnreadable(f"{item.key}: {error}")
     totals = reader.sum_workspaces()
     return {
         workspace: dataclasses.asdict(totals[workspace])
--- a/sycamorehollow/programs/ctl_edits.py
+++ b/sycamorehollow/programs/ctl_edits.py
@@ -6,7 +6,7 @@
 from typing import Any
 from typing import ClassVar
 
-from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.operations import config_writes
 from sycamorehollow.model import failures
 
 
@@ -18,7 +18,7 @@
     status: ClassVar[int] = 409
 
 
-def add_entry(section: str, name: str, entry: Any) -> branches.Edit:
+def add_entry(section: str, name: str, entry: Any) -> config_writes.Edit:
     """Adds a new entry to a section of a branch."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
@@ -32,7 +32,7 @@
     return edit
 
 
-def remove_entry(section: str, name: str) -> branches.Edit:
+def remove_entry(section: str, name: str) -> config_writes.Edit:
     """Removes an entry from a section of a branch."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
@@ -44,7 +44,9 @@
     return edit
 
 
-def set_field(section: str, name: str, field: str, value: Any) -> branches.Edit:
+def set_field(
+    section: str, name: str, field: str, value: Any
+) -> config_writes.Edit:
     """Sets one field of an entry."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
@@ -56,7 +58,7 @@
     return edit
 
 
-def put_branch(new: Mapping[str, Any]) -> branches.Edit:
+def put_branch(new: Mapping[str, Any]) -> config_writes.Edit:
     """Replaces a whole branch."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
@@ -69,7 +71,7 @@
 
 def add_version(
     model: str, version: str, prompt_price: int, output_price: int
-) -> branches.Edit:
+) -> config_writes.Edit:
     """Adds a version to a model, and the model if it is new."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
@@ -87,7 +89,7 @@
     return edit
 
 
-def set_version_state(version: str, state: str) -> branches.Edit:
+def set_version_state(version: str, state: str) -> config_writes.Edit:
     """Withdraws or restores a version."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
@@ -100,7 +102,9 @@
     return edit
 
 
-def allow_version(workspace: str, version: str, allowed: bool) -> branches.Edit:
+def allow_version(
+    workspace: str, version: str, allowed: bool
+) -> config_writes.Edit:
     """Allows or forbids a version for a workspace."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -11,7 +11,7 @@
 
 import urllib3
 
-from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.operations import config_writes
 from sycamorehollow.decisions.releases import stages
 from sycamorehollow.decisions.releases import stops
 from sycamorehollow.model import deployment
@@ -102,7 +102,7 @@
         recorded.run,
         ctl_changes.draw_nonce(),
     )
-    proposal = branches.Proposal(
+    proposal = config_writes.ConditionalWrite(
         recorded.key,
         recorded.revision,
         json.loads(stages.encode(written)),
--- a/sycamorehollow/shells/config_io.py
+++ b/sycamorehollow/shells/config_io.py
@@ -46,7 +46,7 @@
             for item in result.items
         )
         self._report(
-            configuration_messages.StoreAnswered(
+            configuration_messages.StoreResponded(
                 command.call, values, result.revision
             )
         )
@@ -65,7 +65,7 @@
             for change in result.changes
         )
         self._report(
-            configuration_messages.StoreAnswered(
+            configuration_messages.StoreResponded(
                 command.call, values, result.revision
             )
         )
--- a/sycamorehollow/shells/decision_log.py
+++ b/sycamorehollow/shells/decision_log.py
@@ -64,7 +64,7 @@
     )
 
 
-def log_left(command: drains.UpstreamLeft) -> None:
+def log_left(command: drains.UpstreamOutOfService) -> None:
     """Logs that an upstream takes no new work."""
     loguru.logger.info(
         "drains: upstream={} takes no new work: {}",
@@ -83,10 +83,11 @@
     )
 
 
-def log_stale(command: orders.FenceStale) -> None:
+def log_stale(command: orders.FencingTokenStale) -> None:
     """Logs that another process orders the engines."""
     loguru.logger.warning(
-        "orders: fence={} is stale, another process orders", command.fence
+        "orders: fence={} is stale, another process orders",
+        command.fencing_token,
     )
 
 
--- a/sycamorehollow/shells/operators.py
+++ b/sycamorehollow/shells/operators.py
@@ -10,8 +10,8 @@
 
 import pydantic
 
-from sycamorehollow.decisions.operations import drain_orders
 from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import operator_drains
 from sycamorehollow.decisions.releases import rollouts
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
@@ -164,5 +164,5 @@
             known = current.upstreams
         if asked.name not in known:
             return failures.NotFound(f"There is no {asked.scope} {asked.name}.")
-        self._report(drain_orders.DrainOrdered(scope, asked.name))
+        self._report(operator_drains.DrainRequested(scope, asked.name))
         return {"scope": asked.scope, "name": asked.name, "drained": True}
--- a/sycamorehollow/shells/order_io.py
+++ b/sycamorehollow/shells/order_io.py
@@ -43,11 +43,11 @@
         """Creates a lease."""
         self._runner.submit(lambda: self._create(command))
 
-    def claim(self, command: leases.ClaimRecord) -> None:
+    def claim(self, command: leases.ClaimLeaseRecord) -> None:
         """Writes the record under the lease."""
         self._runner.submit(lambda: self._claim(command))
 
-    def read(self, command: leases.ReadRecord) -> None:
+    def read(self, command: leases.ReadLeaseRecord) -> None:
         """Reads the record back."""
         self._runner.submit(lambda: self._read(command))
 
@@ -68,36 +68,40 @@
         if isinstance(result, stores.Lease):
             self._report(leases.LeaseCreated(command.number, result.lease))
             return
-        self._report(leases.StepFailed(command.number))
+        self._report(leases.LeaseCallFailed(command.number))
 
-    def _claim(self, command: leases.ClaimRecord) -> None:
+    def _claim(self, command: leases.ClaimLeaseRecord) -> None:
         result = self._store.write(command.key, command.value, 0, command.lease)
         if isinstance(result, stores.Written):
-            self._report(leases.RecordClaimed(command.number, result.revision))
+            self._report(
+                leases.LeaseRecordClaimed(command.number, result.revision)
+            )
         elif isinstance(result, stores.Conflict):
-            self._report(leases.StepRefused(command.number))
+            self._report(leases.LeaseCallRefused(command.number))
         else:
-            self._report(leases.StepFailed(command.number))
+            self._report(leases.LeaseCallFailed(command.number))
 
-    def _read(self, command: leases.ReadRecord) -> None:
+    def _read(self, command: leases.ReadLeaseRecord) -> None:
         result = self._store.read(command.key)
         if isinstance(result, stores.Found):
             self._report(
-                leases.RecordRead(command.number, result.revision, result.value)
+                leases.LeaseRecordRead(
+                    command.number, result.revision, result.value
+                )
             )
         elif isinstance(result, stores.Absent):
-            self._report(leases.RecordRead(command.number, 0, ""))
+            self._report(leases.LeaseRecordRead(command.number, 0, ""))
         else:
-            self._report(leases.StepFailed(command.number))
+            self._report(leases.LeaseCallFailed(command.number))
 
     def _renew(self, command: leases.RenewLease) -> None:
         result = self._store.renew_lease(command.lease)
         if isinstance(result, stores.Lease):
             self._report(leases.LeaseRenewed(command.number))
         elif isinstance(result, stores.LeaseGone):
-            self._report(leases.StepRefused(command.number))
+            self._report(leases.LeaseCallRefused(command.number))
         else:
-            self._report(leases.StepFailed(command.number))
+            self._report(leases.LeaseCallFailed(command.number))
 
     def _send(self, command: orders.SendOrder) -> None:
         stale = False
@@ -119,7 +123,7 @@
             command.action.value,
             command.version,
             command.role,
-            command.fence,
+            command.fencing_token,
         )
         answer = self._runner.request(
             "POST",
@@ -128,7 +132,7 @@
                 "action": command.action.value,
                 "version": command.version,
                 "role": command.role,
-                "fence": command.fence,
+                "fence": command.fencing_token,
             },
             timeout=command.timeout_s,
         )
--- a/sycamorehollow/shells/pages.py
+++ b/sycamorehollow/shells/pages.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from sycamorehollow.decisions.operations import fence
+from sycamorehollow.decisions.operations import version_access
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 from sycamorehollow.shells import exchange as exchanges
@@ -29,7 +29,7 @@
         assert current is not None
         names = set()
         for version in current.versions.values():
-            if fence.check_start(
+            if version_access.check_version_access(
                 current, frozenset(), workspace.name, version.name
             ):
                 continue
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -91,7 +91,7 @@
         )
         self.has_load = True
         self._report(
-            orders.Observed(
+            orders.EngineReported(
                 upstream.name,
                 frozenset(report.versions),
                 report.role,
--- a/sycamorehollow/shells/vm_polls.py
+++ b/sycamorehollow/shells/vm_polls.py
@@ -61,7 +61,7 @@
             for upstream in upstreams
         }
         self._report(
-            drains.UpstreamVmsSeen(
+            drains.UpstreamVmsReceived(
                 {
                     places[address]: gone
                     for address, gone in leaving.items()
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.operations import branches
+from sycamorehollow.decisions.operations import config_writes
 
 
 class Writer:
@@ -29,12 +29,14 @@
             return
         text, revision = store.get(self.key, (None, 0))
         if self.proposal is None:
-            self.proposal = branches.propose(
+            self.proposal = config_writes.prepare_write(
                 self.key, revision, text, self._edit, self.name
             )
             return
         if self.reading_back:
-            answer = branches.judge_read_back(self.proposal, revision, text)
+            answer = config_writes.resolve_read_back(
+                self.proposal, revision, text
+            )
             if fate == "done":
                 self._take(answer)
             else:
@@ -42,28 +44,34 @@
             return
         if fate == "lost before":
             self._lose()
-        elif revision != self.proposal.expect:
+        elif revision != self.proposal.expected_revision:
             if fate == "lost after":
                 self._lose()
                 return
-            self._take(branches.judge_conflict(self.proposal, revision, text))
+            self._take(
+                config_writes.resolve_conflict(self.proposal, revision, text)
+            )
         else:
             store["revision"] += 1
             store[self.key] = (self.proposal.text, store["revision"])
             if fate == "lost after":
                 self._lose()
             else:
-                self._take(branches.Accepted(self.key, store["revision"]))
+                self._take(
+                    config_writes.WriteConfirmed(self.key, store["revision"])
+                )
 
     def _lose(self):
         self.attempts += 1
-        answer = branches.judge_lost(self.proposal, self.attempts)
+        answer = config_writes.resolve_lost_response(
+            self.proposal, self.attempts
+        )
         self._take(answer)
 
     def _take(self, answer):
-        if isinstance(answer, branches.ReadBack):
+        if isinstance(answer, config_writes.ReadBack):
             self.reading_back = True
-        elif isinstance(answer, branches.WriteAgain):
+        elif isinstance(answer, config_writes.RetryWrite):
             self.reading_back = False
         else:
             self.result = answer
@@ -100,9 +108,9 @@
         written = list_writers(store, "config/a")
         self.assertEqual(len(written), len(set(written)))
         for writer in writers:
-            if isinstance(writer.result, branches.Accepted):
+            if isinstance(writer.result, config_writes.WriteConfirmed):
                 self.assertIn(writer.name, written)
-            if isinstance(writer.result, branches.ChangeConflict):
+            if isinstance(writer.result, config_writes.ChangeConflict):
                 self.assertNotIn(writer.name, written)
         self.assertEqual(store["config/other"], ('{"a":1}', 2))
 
@@ -113,8 +121,8 @@
             for writer in writers:
                 writer.step(store, fate)
         results = [type(writer.result) for writer in writers]
-        self.assertEqual(results.count(branches.Accepted), 1)
-        self.assertEqual(results.count(branches.ChangeConflict), 4)
+        self.assertEqual(results.count(config_writes.WriteConfirmed), 1)
+        self.assertEqual(results.count(config_writes.ChangeConflict), 4)
         self.assertEqual(len(list_writers(store, "config/a")), 1)
 
     def test_no_answer_at_all_is_in_doubt(self):
@@ -122,7 +130,7 @@
         writer = Writer("w", "config/a")
         for _ in range(20):
             writer.step(store, "lost after")
-        self.assertIsInstance(writer.result, branches.ChangeInDoubt)
+        self.assertIsInstance(writer.result, config_writes.ChangeInDoubt)
         self.assertEqual(writer.result.execution.value, "unknown")
 
     def test_write_that_did_not_arrive_is_sent_again(self):
@@ -130,20 +138,22 @@
         writer = Writer("w", "config/a")
         for fate in ("done", "lost before", "done", "done"):
             writer.step(store, fate)
-        self.assertIsInstance(writer.result, branches.Accepted)
+        self.assertIsInstance(writer.result, config_writes.WriteConfirmed)
 
     def test_edit_that_changes_nothing_or_is_refused_writes_nothing(self):
         text = '{"nonce":"x","a":1}'
         for edit, kind in (
-            (lambda document: None, branches.Unchanged),
+            (lambda document: None, config_writes.Unchanged),
             (
-                lambda document: branches.ValueUnreadable("no"),
-                branches.ValueUnreadable,
+                lambda document: config_writes.ValueUnreadable("no"),
+                config_writes.ValueUnreadable,
             ),
         ):
-            result = branches.propose("config/a", 1, text, edit, "n")
+            result = config_writes.prepare_write("config/a", 1, text, edit, "n")
             self.assertIsInstance(result, kind)
         self.assertIsInstance(
-            branches.propose("config/a", 1, "[", lambda document: None, "n"),
-            branches.ValueUnreadable,
+            config_writes.prepare_write(
+                "config/a", 1, "[", lambda document: None, "n"
+            ),
+            config_writes.ValueUnreadable,
         )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -61,7 +61,7 @@
         )
         self.seen[index] = {}
         self.calls.pop(index, None)
-        self.send(index, messages.MembersSeen(PEERS))
+        self.send(index, messages.MembersUpdated(PEERS))
 
     def send(self, index, event):
         process = self.processes[index]
@@ -69,13 +69,13 @@
 
     def carry_out(self, index, commands):
         for command in commands:
-            if isinstance(command, messages.PushChanges):
+            if isinstance(command, messages.PushDeltaTo):
                 for target in command.targets:
                     place = [peer.address for peer in PEERS].index(target)
                     self.mailbox.append((place, command.delta))
             if isinstance(command, (messages.ReadRange, messages.StartWatch)):
                 self.calls[index] = command
-            if isinstance(command, messages.StopCall):
+            if isinstance(command, messages.CancelCall):
                 self.calls.pop(index, None)
 
     def write(self, branch, kind):
@@ -96,7 +96,9 @@
             messages.Value(f"config/{branch}", number, text)
             for branch, (number, text) in latest.items()
         )
-        self.send(index, messages.StoreAnswered(command.call, values, revision))
+        self.send(
+            index, messages.StoreResponded(command.call, values, revision)
+        )
 
     def fail(self, index):
         command = self.calls.pop(index, None)
@@ -232,12 +234,12 @@
             [True, True, False] * 2,
         )
         self.assertEqual(set(self.world.calls), {0, 1, 3, 4})
-        alone = messages.MembersSeen(PEERS[1:])
+        alone = messages.MembersUpdated(PEERS[1:])
         self.world.send(2, alone)
         self.assertIn(2, self.world.calls)
         self.world.answer(2)
         self.assertIsInstance(self.world.calls[2], messages.StartWatch)
-        self.world.send(2, messages.MembersSeen(PEERS))
+        self.world.send(2, messages.MembersUpdated(PEERS))
         self.assertNotIn(2, self.world.calls)
 
     def test_bad_revision_keeps_the_previous_one_in_force(self):
@@ -297,7 +299,7 @@
         self.world.now += 50
         value = messages.Value("config/platform", 9, None)
         call = self.world.calls[0]
-        self.world.send(0, messages.StoreAnswered(1, (value,), 9))
+        self.world.send(0, messages.StoreResponded(1, (value,), 9))
         self.assertIs(self.world.calls[0], call)
         self.assertGreaterEqual(process.measure_age(self.world.now), 50)
         self.assertEqual(process.deployment.revisions, {"platform": 1})
@@ -310,7 +312,9 @@
         self.assertEqual(process.find_refusal().execution.value, "no")
         self.world.fail(0)
         asked = process.handle(events.Tick(), self.world.now + 5)
-        self.assertIn(messages.AskPeers, [type(command) for command in asked])
+        self.assertIn(
+            messages.StartExchanges, [type(command) for command in asked]
+        )
         self.world.exchange(0, 5)
         self.assertIsNone(process.find_refusal())
         self.assertIn("platform", process.deployment.revisions)
@@ -338,7 +342,7 @@
         self.world.answer(2)
         self.assertIn("platform", self.world.processes[2].deployment.revisions)
         for _ in range(5):
-            self.world.tick(configuration.STAND_IN_S / 4)
+            self.world.tick(configuration.FALLBACK_WATCH_S / 4)
             self.world.answer(2)
             # Its own confirmation, heard back, does not end its watch.
             self.world.exchange(1, 2)
@@ -368,7 +372,7 @@
     def test_silent_call_is_given_up(self):
         self.world.heal(True)
         before = self.world.calls[0].call
-        self.world.tick(configuration.CALL_LIMIT_S + 1)
+        self.world.tick(configuration.CALL_TIMEOUT_S + 1)
         self.world.tick(3.0)
         self.assertGreater(self.world.calls[0].call, before)
 
@@ -377,6 +381,6 @@
         process = self.world.processes[0]
         before = process.deployment
         for data in (payload, b"\0" * 12 + payload):
-            process.collect(data, self.world.now)
+            process.build_delta(data, self.world.now)
             self.assertEqual(process.merge(data, self.world.now), [])
         self.assertIs(process.deployment, before)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -57,14 +57,16 @@
         held = self.start(centre=centre, upstream=upstream)
         kept = tuple(make_record(k, f'{{"revision":{named}}}') for k in keys)
         held.handle(drains.RecordsChanged(kept), 1.0)
-        held.handle(drains.UpstreamVmsSeen({"u": leaving}), 1.0)
+        held.handle(drains.UpstreamVmsReceived({"u": leaving}), 1.0)
         out = centre is not IN or upstream is not IN or leaving
         out = out or bool(keys and named >= 1)
-        self.assertEqual(held.refuse("u") is not None, out)
-        self.assertIsNone(held.refuse("v"))
+        self.assertEqual(held.find_refusal("u") is not None, out)
+        self.assertIsNone(held.find_refusal("v"))
 
     def test_unknown_upstream_is_refused_with_its_own_failure(self):
-        self.assertIsInstance(self.start().refuse("x"), drains.UnknownUpstream)
+        self.assertIsInstance(
+            self.start().find_refusal("x"), drains.UnknownUpstream
+        )
 
     def test_record_is_lifted_only_by_a_higher_revision(self):
         held = self.start()
@@ -72,7 +74,7 @@
         held.handle(drains.RecordsChanged((record,)), 1.0)
         again = drains.DeploymentChanged(make_deployment(revision=1))
         self.assertEqual(held.handle(again, 2.0), [])
-        self.assertIsNotNone(held.refuse("u"))
+        self.assertIsNotNone(held.find_refusal("u"))
         higher = drains.DeploymentChanged(make_deployment(revision=2))
         self.assertEqual(held.handle(higher, 3.0), [drains.MarkCold("u")])
 
@@ -80,13 +82,13 @@
         held = self.start()
         record = make_record("upstream/u", '["revision"]')
         held.handle(drains.RecordsChanged((record,)), 1.0)
-        self.assertIsNotNone(held.refuse("u"))
+        self.assertIsNotNone(held.find_refusal("u"))
 
     def test_vm_missing_from_the_list_keeps_its_last_state(self):
         held = self.start()
-        held.handle(drains.UpstreamVmsSeen({"u": True}), 1.0)
-        held.handle(drains.UpstreamVmsSeen({}), 2.0)
-        self.assertIsNotNone(held.refuse("u"))
+        held.handle(drains.UpstreamVmsReceived({"u": True}), 1.0)
+        held.handle(drains.UpstreamVmsReceived({}), 2.0)
+        self.assertIsNotNone(held.find_refusal("u"))
 
     def test_every_return_counts_as_cold(self):
         held = self.start(centre=OUT)
@@ -106,7 +108,7 @@
                 {source.data_centre, target.data_centre} == {"dc-1", "dc-2"}
             )
             driven.run(2.0)
-            value = drains.make_value(make_deployment())
+            value = drains.make_drain_value(make_deployment())
             asked = nodes[1].records.put(
                 drains.DRAIN_KIND, "data_centre/dc-0", value, driven.now
             )
@@ -117,7 +119,7 @@
                 held = self.start()
                 kept = node.records.list_kind(drains.DRAIN_KIND, driven.now)
                 held.handle(drains.RecordsChanged(tuple(kept)), driven.now)
-                self.assertIsNotNone(held.refuse("u"), node.address)
+                self.assertIsNotNone(held.find_refusal("u"), node.address)
 
 
 class ShutdownTest(unittest.TestCase):
@@ -134,10 +136,10 @@
     )
     def test_exits_once_and_only_when_nothing_is_left(self, counts):
         held = shutdown.Shutdown()
-        self.assertIsNone(held.refuse())
+        self.assertIsNone(held.find_refusal())
         begun = held.handle(shutdown.ShutdownRequested(), 0.0)
         self.assertEqual(
-            begun, [shutdown.StopAdmission(), shutdown.TellPeers()]
+            begun, [shutdown.StopAdmission(), shutdown.AnnounceLeave()]
         )
         self.assertEqual(held.handle(shutdown.ShutdownRequested(), 0.0), [])
         now, exits = 0.0, 0
@@ -145,12 +147,12 @@
             now += seconds
             asked = held.handle(shutdown.WorkCounted(requests, bills), now)
             self.assertIs(
-                held.refuse().execution, failures.Execution.NOT_STARTED
+                held.find_refusal().execution, failures.Execution.NOT_STARTED
             )
             if asked:
                 exits += 1
                 self.assertEqual(requests + bills, 0)
-                self.assertGreaterEqual(now, drains.LINGER_S)
+                self.assertGreaterEqual(now, drains.DRAIN_DELAY_S)
         self.assertLessEqual(exits, 1)
-        held.handle(shutdown.WorkCounted(0, 0), now + drains.LINGER_S)
+        held.handle(shutdown.WorkCounted(0, 0), now + drains.DRAIN_DELAY_S)
         self.assertIs(held.phase, shutdown.Phase.DONE)
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.operations import fence
+from sycamorehollow.decisions.operations import version_access
 from sycamorehollow.model import failures
 from tests import deployments
 
@@ -22,7 +22,9 @@
         self, known, serving, allowed, stopped, version, workspace
     ):
         in_force = deployments.make_deployment(known, serving, allowed)
-        failure = fence.check_start(in_force, stopped, workspace, version)
+        failure = version_access.check_version_access(
+            in_force, stopped, workspace, version
+        )
         may_start = (
             workspace == "w"
             and version in known & serving & allowed
@@ -33,8 +35,10 @@
             self.assertIs(failure.execution, failures.Execution.NOT_STARTED)
 
     def test_types_without_configuration_and_for_a_stopped_version(self):
-        failure = fence.check_start(None, frozenset(), "w", "a")
+        failure = version_access.check_version_access(
+            None, frozenset(), "w", "a"
+        )
         self.assertIsInstance(failure, failures.NoConfiguration)
         in_force = deployments.make_deployment({"a"}, {"a"}, {"a"})
-        failure = fence.check_start(in_force, {"a"}, "w", "a")
+        failure = version_access.check_version_access(in_force, {"a"}, "w", "a")
         self.assertIsInstance(failure, failures.VersionWithdrawn)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,8 +6,8 @@
 from benches import node_callers
 from benches import node_world
 from benches import sites
-from sycamorehollow.decisions.operations import drain_orders
 from sycamorehollow.decisions.operations import drains
+from sycamorehollow.decisions.operations import operator_drains
 from sycamorehollow.decisions.routing import admission
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import failures
@@ -43,13 +43,13 @@
         """A drained data centre must get no new work after 5 s."""
         world = build_world()
         world.store_up = False
-        order = drain_orders.DrainOrdered(drains.Scope.DATA_CENTRE, "dc-0")
+        order = operator_drains.DrainRequested(drains.Scope.DATA_CENTRE, "dc-0")
         world.give(list(world.nodes)[-1], order)
         world.run(world.now + 5.0)
         for address, node in world.nodes.items():
             with self.subTest(address=address):
-                self.assertIsNotNone(node.drains.refuse("u00"))
-                self.assertIsNone(node.drains.refuse("u10"))
+                self.assertIsNotNone(node.drains.find_refusal("u00"))
+                self.assertIsNone(node.drains.find_refusal("u10"))
 
 
 class FloodTest(unittest.TestCase):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -32,21 +32,21 @@
             self.created += 1
             self.ends[str(self.created)] = now + command.ttl_s
             return leases.LeaseCreated(command.number, str(self.created))
-        if isinstance(command, leases.ClaimRecord):
+        if isinstance(command, leases.ClaimLeaseRecord):
             ends = self.ends.get(command.lease, -1.0)
             if self.find_owner(now) or ends <= now:
-                return leases.StepRefused(command.number)
+                return leases.LeaseCallRefused(command.number)
             self.revision += 1
             self.record = (command.value, command.lease)
-            return leases.RecordClaimed(command.number, self.revision)
+            return leases.LeaseRecordClaimed(command.number, self.revision)
         if isinstance(command, leases.RenewLease):
             if self.ends.get(command.lease, -1.0) <= now:
-                return leases.StepRefused(command.number)
+                return leases.LeaseCallRefused(command.number)
             self.ends[command.lease] = now + TTL_S
             return leases.LeaseRenewed(command.number)
-        if isinstance(command, leases.ReadRecord):
+        if isinstance(command, leases.ReadLeaseRecord):
             value = self.record[0] if self.find_owner(now) else ""
-            return leases.RecordRead(command.number, self.revision, value)
+            return leases.LeaseRecordRead(command.number, self.revision, value)
         self.ends.pop(command.lease, None)
         return None
 
@@ -58,7 +58,7 @@
         self.name, self.rate = name, rate
         self.pauses, self.delays = pauses, delays
         self.lease = leases.Lease("orders", name, TTL_S)
-        budget = orders.WeightBudget(100.0, 1)
+        budget = orders.LoadRateLimiter(100.0, 1)
         self.orders = orders.Orders(self.lease, budget)
         self.orders.handle(TARGETS, 0.0)
         self.waiting = []  # (true time, event for the lease)
@@ -88,7 +88,7 @@
             event = store.carry_out(command, now)
             if event is not None and delay < 4.0:
                 self.waiting.append((now + delay, event))
-        seen = orders.Observed("u", frozenset(), "", clock)
+        seen = orders.EngineReported("u", frozenset(), "", clock)
         self.orders.handle(seen, clock)
         self.unsent = self.orders.handle(events.Tick(), clock)
 
@@ -156,20 +156,22 @@
 
     def test_lease_is_not_relied_on_within_the_margin(self):
         lease = self.start()._lease
-        self.assertEqual(lease.find_holding(8.9).fence, 7)
-        self.assertIsNone(lease.find_holding(TTL_S - leases.MARGIN_S))
+        self.assertEqual(lease.get_held_lease(8.9).fencing_token, 7)
+        self.assertIsNone(
+            lease.get_held_lease(TTL_S - leases.CLOCK_DRIFT_MARGIN_S)
+        )
 
     def start(self):
         lease = leases.Lease("orders", "a", TTL_S)
         lease.handle(events.Tick(), 0.0)
         lease.handle(leases.LeaseCreated(1, "x"), 0.0)
-        lease.handle(leases.RecordClaimed(2, 7), 0.0)
-        held = orders.Orders(lease, orders.WeightBudget(100.0, 1))
+        lease.handle(leases.LeaseRecordClaimed(2, 7), 0.0)
+        held = orders.Orders(lease, orders.LoadRateLimiter(100.0, 1))
         held.handle(TARGETS, 0.0)
         return held
 
     def observe(self, held, versions, asked):
-        seen = orders.Observed("u", frozenset(versions), "", asked)
+        seen = orders.EngineReported("u", frozenset(versions), "", asked)
         held.handle(seen, asked)
 
     def test_nothing_is_ordered_twice_while_reports_lag(self):
@@ -177,7 +179,7 @@
         self.observe(held, (), 0.0)
         held.handle(events.Tick(), 0.0)
         (order,) = held.handle(events.Tick(), 0.1)
-        self.assertEqual((order.fence, order.version), (7, "v"))
+        self.assertEqual((order.fencing_token, order.version), (7, "v"))
         self.observe(held, (), 5.5)
         self.assertEqual(held.handle(events.Tick(), 5.5), [])
         held.handle(orders.OrderEnded(order.number, "u"), 5.6)
@@ -186,8 +188,8 @@
 
     def test_no_order_after_an_engine_refused_the_token(self):
         held = self.start()
-        stale = orders.OrderEnded(9, "u", stale=True)
-        self.assertEqual(held.handle(stale, 0.0), [orders.FenceStale(7)])
+        stale = orders.OrderEnded(9, "u", is_token_stale=True)
+        self.assertEqual(held.handle(stale, 0.0), [orders.FencingTokenStale(7)])
         self.observe(held, (), 0.0)
         held.handle(events.Tick(), 0.0)
         self.assertEqual(held.handle(events.Tick(), 0.1), [])
@@ -197,11 +199,11 @@
         strategies.lists(strategies.floats(0.0, 2.0), max_size=50),
     )
     def test_budgets_of_all_holders_add_up_to_the_limit(self, count, gaps):
-        budgets = [orders.WeightBudget(2.0, count) for _ in range(count)]
+        budgets = [orders.LoadRateLimiter(2.0, count) for _ in range(count)]
         now, loads = 0.0, 0
         for gap in gaps:
             now += gap
-            loads += sum(budget.take(now) for budget in budgets)
+            loads += sum(budget.try_acquire(now) for budget in budgets)
         self.assertLessEqual(loads, 2.0 * now + 1e-6)
-        budgets[0].pause(now + 60.0)
-        self.assertFalse(budgets[0].take(now + 59.0))
+        budgets[0].pause_until(now + 60.0)
+        self.assertFalse(budgets[0].try_acquire(now + 59.0))
