Name the connections to upstreams and the relay by the terms of the field

Renewals, drops, ways that are lost and answers that break off stood for reconnects, closed connections, path errors and failed responses. The pool now acquires and releases connections, reserves and refunds retries, and the relay passes on responses and abandons attempts.

Checked: make lint reports no finding; of the 35 tests of test_gateway_breaks and test_gateway_floods one fails, the known one with a full backlog.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -77,8 +77,8 @@
         self._router = routers.Router(settings, rng)
         self._pool = connection_pool.ConnectionPool(
             adapter.header_codec.decode_response,
-            self._spend_repeat,
-            self._return_repeat,
+            self._reserve_retry,
+            self._refund_retry,
         )
         self._crash_checker = crash_checker.CrashChecker(
             self._router, self._pool, self._telemetry
@@ -137,7 +137,7 @@
             "stopped node={} requests_cut={}", self._settings.node, cut
         )
 
-    def _spend_repeat(self, upstream: forwarding.Upstream) -> bool:
+    def _reserve_retry(self, upstream: forwarding.Upstream) -> bool:
         """Allows a request on a connection that the upstream had dropped."""
         allowed = self._router.spend_repeat(upstream.service, time.monotonic())
         outcome = "had dropped a kept connection, "
@@ -147,7 +147,7 @@
         )
         return allowed
 
-    def _return_repeat(self, upstream: forwarding.Upstream) -> None:
+    def _refund_retry(self, upstream: forwarding.Upstream) -> None:
         self._router.budget.note_unsent(upstream.service)
 
     def _start_state_sync(self) -> None:
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -173,8 +173,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(WRITE_AHEAD_BYTES)
-        upstream_connections.set_options(
-            transport, upstream_connections.DEAD_CALLER_MS
+        upstream_connections.set_socket_options(
+            transport, upstream_connections.CALLER_USER_TIMEOUT_MS
         )
         self._registry.add(self)
         self._set_timer(self._get_limits().idle_timeout_s)
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -13,39 +13,41 @@
 # only sent again after a second.
 CONNECT_TIMEOUT_S = 0.25
 PROBE_TIMEOUT_S = 0.12
-PROBES = 2
+MAX_PROBES = 2
 # Time in seconds for which an upstream has to keep a new connection.
-KEEP_PROBE_S = 0.1
+HOLD_PROBE_S = 0.1
 # A request that must not run twice is not sent on a connection that the
 # upstream may just have closed.
-FRESH_IDLE_S = 0.25
+MAX_IDLE_UNREPEATABLE_S = 0.25
 
 
 class ConnectionPool:
     """Opens connections and keeps idle ones by upstream.
 
     Args:
-        decode: Decodes the head of an answer.
-        spend_repeat: Tells whether a request may be sent to an upstream once
+        decode_head: Decodes the head of an answer.
+        reserve_retry: Tells whether a request may be sent to an upstream once
             more, and counts that.
-        return_repeat: Takes back what was counted, as nothing was sent.
+        refund_retry: Takes back what was counted, as nothing was sent.
     """
 
     def __init__(
         self,
-        decode: Callable[[int, header_codec.Headers], forwarding.DecodedHead],
-        spend_repeat: Callable[[forwarding.Upstream], bool] = lambda _: False,
-        return_repeat: Callable[[forwarding.Upstream], None] = lambda _: None,
+        decode_head: Callable[
+            [int, header_codec.Headers], forwarding.DecodedHead
+        ],
+        reserve_retry: Callable[[forwarding.Upstream], bool] = lambda _: False,
+        refund_retry: Callable[[forwarding.Upstream], None] = lambda _: None,
     ):
-        self._decode = decode
-        self._spend_repeat = spend_repeat
-        self._return_repeat = return_repeat
+        self._decode_head = decode_head
+        self._reserve_retry = reserve_retry
+        self._refund_retry = refund_retry
         self._idle: dict[
             tuple[str, int], list[upstream_connections.UpstreamConnection]
         ] = {}
-        self.opened = 0
+        self.opened_count = 0
 
-    async def take(
+    async def acquire(
         self, upstream: forwarding.Upstream, request_id: str, repeatable: bool
     ) -> upstream_connections.UpstreamConnection:
         """Returns a connection to an upstream.
@@ -56,46 +58,47 @@
             repeatable: Whether the request may run twice.
 
         Raises:
-            upstream_connections.BrokenError: The upstream cannot be reached.
+            upstream_connections.UpstreamConnectionError: The upstream cannot
+                be reached.
         """
         kept = self._idle.get((upstream.host, upstream.port), [])
         now = time.monotonic()
         while kept:
             connection = kept.pop()
-            connection.watch_dropped(None)
+            connection.set_drop_callback(None)
             age_s = now - connection.idle_since
-            limit_s = connection.idle_s
+            limit_s = connection.idle_timeout_s
             if not repeatable:
-                limit_s = min(limit_s, FRESH_IDLE_S)
+                limit_s = min(limit_s, MAX_IDLE_UNREPEATABLE_S)
             fit = connection.is_open and not connection.has_carried(request_id)
             if fit and age_s < limit_s:
-                renew = functools.partial(self._renew, upstream, connection)
-                connection.allow_renewal(renew if repeatable else None)
+                renew = functools.partial(self._reconnect, upstream, connection)
+                connection.set_reconnect(renew if repeatable else None)
                 return connection
             connection.close()
         return await self._open(upstream)
 
-    def give_back(
+    def release(
         self,
         upstream: forwarding.Upstream,
         connection: upstream_connections.UpstreamConnection,
-        most: int,
+        max_idle: int,
     ) -> None:
         """Keeps a connection whose answer has ended, if it can be.
 
         Args:
             upstream: Its upstream.
             connection: The connection.
-            most: Idle connections that may be kept to the upstream.
+            max_idle: Idle connections that may be kept to the upstream.
         """
         kept = self._idle.setdefault((upstream.host, upstream.port), [])
-        if not connection.finish() or len(kept) >= most:
+        if not connection.finish_response() or len(kept) >= max_idle:
             connection.close()
             return
         kept.append(connection)
-        connection.watch_dropped(lambda: _discard(kept, connection))
+        connection.set_drop_callback(lambda: _remove_idle(kept, connection))
 
-    def forget(self, upstream: forwarding.Upstream) -> None:
+    def close_idle(self, upstream: forwarding.Upstream) -> None:
         """Closes the idle connections to an upstream."""
         for connection in self._idle.pop((upstream.host, upstream.port), []):
             connection.close()
@@ -105,13 +108,13 @@
         now = time.monotonic()
         for kept in self._idle.values():
             for connection in list(kept):
-                if now - connection.idle_since >= connection.idle_s:
+                if now - connection.idle_since >= connection.idle_timeout_s:
                     kept.remove(connection)
                     connection.close()
 
     async def is_reachable(self, upstream: forwarding.Upstream) -> bool:
         """Tells whether an upstream takes a new connection."""
-        for _ in range(PROBES):
+        for _ in range(MAX_PROBES):
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT_S):
                     _, writer = await asyncio.open_connection(
@@ -128,7 +131,7 @@
             return True
         return False
 
-    async def keeps_connections(self, upstream: forwarding.Upstream) -> bool:
+    async def can_hold_connection(self, upstream: forwarding.Upstream) -> bool:
         """Tells whether an upstream takes a connection and does not end it.
 
         A machine may still take connections for a process that has ended.
@@ -141,7 +144,7 @@
         except (OSError, TimeoutError):
             return False
         try:
-            async with asyncio.timeout(KEEP_PROBE_S):
+            async with asyncio.timeout(HOLD_PROBE_S):
                 # Whatever comes without a request is an end, or no answer.
                 await reader.read(1)
         except TimeoutError:
@@ -152,19 +155,19 @@
             writer.transport.abort()
         return False
 
-    async def _renew(
+    async def _reconnect(
         self,
         upstream: forwarding.Upstream,
         connection: upstream_connections.UpstreamConnection,
     ) -> bool:
         """Connects once more for a request on a dropped connection."""
-        if not self._spend_repeat(upstream):
+        if not self._reserve_retry(upstream):
             return False
         try:
-            await self._connect(upstream, connection.reopen)
+            await self._connect(upstream, connection.reset_for_reconnect)
         except (OSError, TimeoutError):
             # The loss of the dropped connection is what the log tells.
-            self._return_repeat(upstream)
+            self._refund_retry(upstream)
             return False
         return True
 
@@ -174,10 +177,12 @@
         try:
             return await self._connect(
                 upstream,
-                lambda: upstream_connections.UpstreamConnection(self._decode),
+                lambda: upstream_connections.UpstreamConnection(
+                    self._decode_head
+                ),
             )
         except (OSError, TimeoutError) as error:
-            raise upstream_connections.BrokenError(
+            raise upstream_connections.UpstreamConnectionError(
                 f"cannot connect: {error or 'timed out'}", False, False
             ) from error
 
@@ -193,18 +198,18 @@
             TimeoutError: It does not answer in time.
         """
         loop = asyncio.get_running_loop()
-        self.opened += 1
+        self.opened_count += 1
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, connection = await loop.create_connection(
                 build, upstream.host, upstream.port
             )
-        upstream_connections.set_options(
-            transport, upstream_connections.DEAD_UPSTREAM_MS
+        upstream_connections.set_socket_options(
+            transport, upstream_connections.UPSTREAM_USER_TIMEOUT_MS
         )
         return connection
 
 
-def _discard(
+def _remove_idle(
     kept: list[upstream_connections.UpstreamConnection],
     connection: upstream_connections.UpstreamConnection,
 ) -> None:
--- a/sycamorehollow/shells/gateway/crash_checker.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -55,7 +55,7 @@
                 outcome = "has ended"
             elif state.upstream.draining:
                 crashed, outcome = False, "leaves by plan"
-            elif await self._pool.keeps_connections(state.upstream):
+            elif await self._pool.can_hold_connection(state.upstream):
                 crashed, outcome = False, "still takes connections"
         except Exception as error:
             # The break counts, as without a check.
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -9,10 +9,10 @@
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
-from sycamorehollow.shells.gateway import answer_relay
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import response_relay
 from sycamorehollow.shells.gateway import telemetry
 
 # Time from the start in which requests wait for the first configuration. It
@@ -78,7 +78,7 @@
                 connection, request, call.request_id, course, record
             )
             return
-        exchange = answer_relay.AnswerRelay(
+        exchange = response_relay.ResponseRelay(
             connection, request, course, record, self._codec, self._pool
         )
         try:
--- a/sycamorehollow/shells/gateway/answer_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -12,35 +12,35 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
-from sycamorehollow.shells.gateway import events
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import server_sent_events
 from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Whole answers up to this size are read before the caller gets any of it, so
 # that one that breaks off can be replaced.
-WHOLE_ANSWER_BYTES = 64 * 1024
+MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 # Time in which the body of a refusal, which is short, is read to its end.
-REFUSAL_BODY_S = 0.05
+REJECTION_BODY_TIMEOUT_S = 0.05
 # Time in which bytes that have arrived are read.
-NEWS_S = 0.05
+READ_GRACE_S = 0.05
 
 _Read = TypeVar("_Read")
 
 
-class GaveUpError(Exception):
+class AttemptAbandonedError(Exception):
     """The attempt was ended for another step.
 
     Attributes:
-        step: What follows.
+        next_step: What follows.
     """
 
     def __init__(self, step: steps.Step):
         super().__init__()
-        self.step = step
+        self.next_step = step
 
 
-class AnswerRelay:
+class ResponseRelay:
     """Carries out the attempts of one request and relays its answer.
 
     Args:
@@ -68,7 +68,7 @@
         self._codec = codec
         self._pool = pool
         # Until when bytes that have arrived are read although time is over.
-        self._grace_end: float | None = None
+        self._grace_ends_at: float | None = None
 
     async def run(self) -> failures.Failure | None:
         """Tries until the answer is delivered or nothing more may be tried.
@@ -84,13 +84,13 @@
                 await asyncio.sleep(step.seconds)
                 step = self._course.find_step(time.monotonic())
                 continue
-            following = await self._attempt(step)
+            following = await self._run_attempt(step)
             if following is None:
                 self._course.note_end(time.monotonic())
                 return None
             step = following
 
-    async def _attempt(self, step: steps.Send) -> steps.Step | None:
+    async def _run_attempt(self, step: steps.Send) -> steps.Step | None:
         """Makes one attempt.
 
         Returns:
@@ -100,38 +100,40 @@
         step.state.running += 1
         connection = None
         try:
-            connection = await self._pool.take(
+            connection = await self._pool.acquire(
                 upstream,
                 self._course.call.request_id,
                 self._course.route.is_retryable,
             )
-            connection.send(self._course.call.request_id, self._format(step))
+            connection.send_request(
+                self._course.call.request_id, self._encode_request(step)
+            )
             head = await self._wait_for(connection, connection.read_head)
             verdict = self._course.judge_head(
-                head.decoded, time.monotonic(), connection.sent_twice
+                head.decoded, time.monotonic(), connection.was_resent
             )
             if verdict is steps.Verdict.DELIVER:
-                await self._deliver(connection, head)
+                await self._relay_response(connection, head)
                 return None
             if head.decoded.not_run:
                 await self._skip_body(connection)
             return self._course.find_step(time.monotonic())
-        except upstream_connections.BrokenError as error:
+        except upstream_connections.UpstreamConnectionError as error:
             now = time.monotonic()
-            self._course.note_broken(str(error), error.written, now)
-            if error.crashed and error.written:
+            self._course.note_broken(str(error), error.request_written, now)
+            if error.closed_by_upstream and error.request_written:
                 self._course.note_crash(now)
             return self._course.find_step(now)
-        except GaveUpError as error:
-            return error.step
+        except AttemptAbandonedError as error:
+            return error.next_step
         finally:
             step.state.running -= 1
             if connection is not None:
-                self._pool.give_back(
+                self._pool.release(
                     upstream, connection, self._course.kept_connections
                 )
 
-    def _format(self, step: steps.Send) -> bytes:
+    def _encode_request(self, step: steps.Send) -> bytes:
         """Returns the bytes of the request for an upstream."""
         request = self._request
         course = self._course
@@ -168,33 +170,33 @@
         """Waits for a piece of the answer as long as that makes sense.
 
         Raises:
-            GaveUpError: The attempt has ended for another step.
+            AttemptAbandonedError: The attempt has ended for another step.
         """
         while True:
             now = time.monotonic()
             patience_s = self._course.compute_patience(now)
             if patience_s > 0:
-                self._grace_end = None
+                self._grace_ends_at = None
             else:
                 # After a pause of the process its timers expire before it
                 # has read what arrived meanwhile.
                 await asyncio.sleep(0)
                 await asyncio.sleep(0)
-                if self._grace_end is None:
-                    self._grace_end = now + NEWS_S
-                patience_s = self._grace_end - now
-                if patience_s <= 0 or not connection.has_news:
+                if self._grace_ends_at is None:
+                    self._grace_ends_at = now + READ_GRACE_S
+                patience_s = self._grace_ends_at - now
+                if patience_s <= 0 or not connection.can_read_without_waiting:
                     step = self._course.give_up(time.monotonic())
                     if not isinstance(step, steps.Wait):
-                        raise GaveUpError(step)
+                        raise AttemptAbandonedError(step)
                     patience_s = step.seconds
             try:
                 async with asyncio.timeout(patience_s):
                     return await read()
             except TimeoutError:
-                await self._probe()
+                await self._probe_upstream()
 
-    async def _probe(self) -> None:
+    async def _probe_upstream(self) -> None:
         """Checks whether a silent upstream can still be reached."""
         if not self._course.wants_probe(time.monotonic()):
             return
@@ -207,36 +209,36 @@
             cut_off = not await self._pool.is_reachable(witness.upstream)
         self._course.note_unreachable(cut_off, time.monotonic())
 
-    async def _deliver(
+    async def _relay_response(
         self,
         connection: upstream_connections.UpstreamConnection,
-        head: upstream_connections.Head,
+        head: upstream_connections.ResponseHead,
     ) -> None:
         """Passes an answer on to the caller."""
         kind = self._course.route.kind
         stream = kind is forwarding.RouteKind.STREAM and head.status == 200
         if stream:
-            await self._deliver_events(connection, head)
+            await self._relay_events(connection, head)
             return
         body = bytearray()
-        while len(body) <= WHOLE_ANSWER_BYTES:
+        while len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
             data = await self._read_body(connection)
             if not data:
-                await self._begin(head, len(body))
+                await self._write_head(head, len(body))
                 await self._connection.write_body(bytes(body))
                 return
             body += data
         self._course.replacement.resumable = False
-        await self._begin(head, head.length)
+        await self._write_head(head, head.length)
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
             await self._connection.write_body(data)
         await self._connection.write_end()
 
-    async def _deliver_events(
+    async def _relay_events(
         self,
         connection: upstream_connections.UpstreamConnection,
-        head: upstream_connections.Head,
+        head: upstream_connections.ResponseHead,
     ) -> None:
         """Passes on whole events as they come.
 
@@ -244,33 +246,33 @@
         parts of an event, or comments.
 
         Raises:
-            upstream_connections.BrokenError: An event has no end.
+            upstream_connections.UpstreamConnectionError: An event has no end.
         """
         course = self._course
-        splitter = events.EventSplitter(course.last_event)
+        splitter = server_sent_events.EventSplitter(course.last_event)
         while data := await self._wait_for(connection, connection.read_body):
             try:
                 whole = splitter.feed(data)
-            except events.OversizeError as error:
-                raise upstream_connections.BrokenError(
-                    str(error), crashed=False
+            except server_sent_events.EventTooLargeError as error:
+                raise upstream_connections.UpstreamConnectionError(
+                    str(error), closed_by_upstream=False
                 ) from error
             if not whole:
                 continue
-            if events.has_content(whole):
+            if server_sent_events.has_data(whole):
                 course.note_bytes(time.monotonic())
             if not course.delivering:
-                await self._begin(head, None)
-            course.last_event = splitter.last_event
+                await self._write_head(head, None)
+            course.last_event = splitter.last_event_id
             await self._connection.write_body(whole)
         if not course.delivering:
-            await self._begin(head, None)
-        if splitter.rest:
-            await self._connection.write_body(splitter.rest)
+            await self._write_head(head, None)
+        if splitter.incomplete_event:
+            await self._connection.write_body(splitter.incomplete_event)
         await self._connection.write_end()
 
-    async def _begin(
-        self, head: upstream_connections.Head, length: int | None
+    async def _write_head(
+        self, head: upstream_connections.ResponseHead, length: int | None
     ) -> None:
         """Writes the head of the answer, which is that of its first run."""
         self._course.delivering = True
@@ -290,7 +292,7 @@
         """Waits for more of a body that is passed on as it is.
 
         Raises:
-            GaveUpError: The attempt has ended for another step.
+            AttemptAbandonedError: The attempt has ended for another step.
         """
         data = await self._wait_for(connection, connection.read_body)
         self._course.note_bytes(time.monotonic())
@@ -301,9 +303,9 @@
     ) -> None:
         """Reads the body of a refusal, which is short, to its end."""
         try:
-            async with asyncio.timeout(REFUSAL_BODY_S):
+            async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
                 while await connection.read_body():
                     pass
-        except (TimeoutError, upstream_connections.BrokenError):
+        except (TimeoutError, upstream_connections.UpstreamConnectionError):
             # The connection is closed; the refusal stands all the same.
             return
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -56,16 +56,18 @@
 
     async def _send(self, body):
         """Sends a request; returns its connection and the upstream's end."""
-        connection = await self.pool.take(self.upstream, "q", True)
+        connection = await self.pool.acquire(self.upstream, "q", True)
         self.addCleanup(connection.close)
         accepted, _ = self.listener.accept()
         self.addCleanup(accepted.close)
-        connection.send("q", body)
+        connection.send_request("q", body)
         return connection, accepted
 
     async def _read_break(self, connection):
         """Returns the error that ends the wait for an answer."""
-        with self.assertRaises(upstream_connections.BrokenError) as caught:
+        with self.assertRaises(
+            upstream_connections.UpstreamConnectionError
+        ) as caught:
             async with asyncio.timeout(5.0):
                 await connection.read_head()
         return caught.exception
@@ -74,7 +76,7 @@
         # No acknowledgement for too long, as when packets are lost.
         connection, _ = await self._send(b"x" * LARGE_BYTES)
         error = await self._read_break(connection)
-        self.assertFalse(error.crashed, error)
+        self.assertFalse(error.closed_by_upstream, error)
 
     async def test_reset_and_closed_connections_may_be_crashes(self):
         for end in (reset, socket.socket.close):
@@ -83,7 +85,7 @@
                 accepted.recv(1)
                 end(accepted)
                 error = await self._read_break(connection)
-                self.assertTrue(error.crashed, error)
+                self.assertTrue(error.closed_by_upstream, error)
 
     async def _send_on_kept(self, repeatable):
         """Sends a second request on a connection; returns both ends."""
@@ -95,10 +97,10 @@
         connection, accepted = await self._send(b"x")
         accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         await connection.read_head()
-        self.pool.give_back(self.upstream, connection, 1)
-        again = await self.pool.take(self.upstream, "r", repeatable)
+        self.pool.release(self.upstream, connection, 1)
+        again = await self.pool.acquire(self.upstream, "r", repeatable)
         self.assertIs(again, connection)
-        connection.send("r", b"y")
+        connection.send_request("r", b"y")
         return connection, accepted
 
     def _spend(self, upstream):
@@ -116,9 +118,9 @@
         again.sendall(b"HTTP/1.1 201 Made\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual((await reading).status, 201)
         # The new connection is kept, and a drop of it is noticed.
-        self.pool.give_back(self.upstream, connection, 1)
+        self.pool.release(self.upstream, connection, 1)
         self.assertIs(
-            await self.pool.take(self.upstream, "s", True), connection
+            await self.pool.acquire(self.upstream, "s", True), connection
         )
         again.close()
 
@@ -138,12 +140,12 @@
                         await connection.read_head()
         again, _ = await asyncio.to_thread(self.listener.accept)
         self.assertEqual(await asyncio.to_thread(again.recv, 9), b"y")
-        self.assertTrue(connection.sent_twice)
+        self.assertTrue(connection.was_resent)
 
     async def test_repeat_is_returned_when_a_renewal_fails(self):
         returned = []
         connection, accepted = await self._send_on_kept(True)
-        self.pool._return_repeat = returned.append
+        self.pool._refund_retry = returned.append
         self.listener.close()
         reset(accepted)
         await self._read_break(connection)
@@ -155,7 +157,7 @@
         reading = asyncio.create_task(self._read_break(connection))
         again, _ = await asyncio.to_thread(self.listener.accept)
         reset(again)
-        self.assertTrue((await reading).crashed)
+        self.assertTrue((await reading).closed_by_upstream)
         self.assertEqual(self.spent, 1)
 
     async def test_crash_on_a_kept_connection_is_a_crash(self):
@@ -163,7 +165,9 @@
         self.listener.close()
         reset(accepted)
         error = await self._read_break(connection)
-        self.assertTrue(error.crashed and error.written, error)
+        self.assertTrue(
+            error.closed_by_upstream and error.request_written, error
+        )
 
     async def test_request_that_may_not_run_twice_is_not_sent_again(self):
         connection, accepted = await self._send_on_kept(False)
@@ -173,7 +177,7 @@
 
     async def test_request_that_has_run_for_a_while_is_not_sent_again(self):
         connection, accepted = await self._send_on_kept(True)
-        await asyncio.sleep(2 * upstream_connections.STALE_S)
+        await asyncio.sleep(2 * upstream_connections.STALE_RESET_WINDOW_S)
         reset(accepted)
         await self._read_break(connection)
         self.assertEqual(self.spent, 0)
@@ -282,7 +286,7 @@
     async def test_check_that_fails_leaves_the_break_counted(self):
         with mock.patch.object(
             connection_pool.ConnectionPool,
-            "keeps_connections",
+            "can_hold_connection",
             side_effect=RuntimeError("no check"),
         ):
             self.assertTrue(await self._is_blamed())
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -176,16 +176,16 @@
         pool = connection_pool.ConnectionPool(
             lambda status, headers: forwarding.DecodedHead(status, "q")
         )
-        first = await pool.take(upstream, "q", True)
-        first.send("q", b"GET / HTTP/1.1\r\nRequest-Id: q\r\n\r\n")
+        first = await pool.acquire(upstream, "q", True)
+        first.send_request("q", b"GET / HTTP/1.1\r\nRequest-Id: q\r\n\r\n")
         await first.read_head()
         while await first.read_body():
             pass
-        pool.give_back(upstream, first, 4)
-        other = await pool.take(upstream, "r", True)
+        pool.release(upstream, first, 4)
+        other = await pool.acquire(upstream, "r", True)
         self.assertIs(other, first)
-        pool.give_back(upstream, other, 4)
-        again = await pool.take(upstream, "q", True)
+        pool.release(upstream, other, 4)
+        again = await pool.acquire(upstream, "q", True)
         self.assertIsNot(again, first)
         again.close()
 
