--- a/benches/bench_node.py
+++ b/benches/bench_node.py
@@ -19,7 +19,7 @@
 from benches import results
 from sycamorehollow.decisions.cascading import learning
 from sycamorehollow.decisions.cascading import tracks
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import events
 from sycamorehollow.model import lifecycle
@@ -143,10 +143,12 @@
     known = 0
     for member in fleet.members:
         node = member.node
-        tally = node.evidence.pool(node.rollouts.run("small"))[
-            sequential.Metric.ERROR
-        ]
-        own = node.evidence.count_own(node.rollouts.run("small"))
+        tally = node.evidence.combine_tallies(
+            node.rollouts.get_rollout_id("small")
+        )[sequential_test.Metric.ERROR]
+        own = node.evidence.count_own_outcomes(
+            node.rollouts.get_rollout_id("small")
+        )
         known += tally.candidate + tally.baseline
         ended += own
     return known / len(fleet.members) / ended if ended else 0.0
--- a/benches/bench_protection.py
+++ b/benches/bench_protection.py
@@ -75,18 +75,18 @@
         index = self._source.randrange(NODES)
         node = self._nodes[index]
         if self._protects:
-            verdict = node.judge(fingerprint, now)
+            verdict = node.check(fingerprint, now)
             if isinstance(verdict, quarantine.Quarantined):
                 if fingerprint in self._had_completed:
                     self.quarantined_after_completion += 1
-            if not isinstance(verdict, quarantine.Verdict):
+            if not isinstance(verdict, quarantine.Isolation):
                 return
         names = [f"u{number}" for number in range(UPSTREAMS)]
         self._source.shuffle(names)
         for name in names:
             busy = any(one[2] == name for one in self._running.values())
             if self._protects:
-                if not node.may_place(fingerprint, name, not busy, now):
+                if not node.can_place(fingerprint, name, not busy, now):
                     continue
             if fingerprint == "crash" and self.deaths:
                 if step < self._first_spread_at:
@@ -124,7 +124,7 @@
         for name, attempt in list(self._running.items()):
             if attempt[2] == upstream:
                 del self._running[name]
-        died = quarantine.UpstreamDied(upstream, generation)
+        died = quarantine.UpstreamCrashed(upstream, generation)
         for index, node in enumerate(self._nodes):
             if node.handle(died, now):
                 self._pushes.append((step + PUSH_STEPS, index))
--- a/benches/bench_rollouts.py
+++ b/benches/bench_rollouts.py
@@ -7,7 +7,7 @@
 from benches import pool
 from benches import results
 from sycamorehollow.decisions.releases import rollouts
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.releases import stops
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment
@@ -60,14 +60,14 @@
 
     def __init__(self, index: int, seed: int) -> None:
         name = f"p{index}"
-        self.evidence = sequential.Evidence(name)
+        self.evidence = sequential_test.Evidence(name)
         self.stops = stops.Stops(name)
         self.rollouts = rollouts.Rollouts(
             self.stops, self.evidence, random.Random(seed + index), PACE
         )
         self.rollouts.handle(rollouts.DeploymentChanged(DEPLOYMENT), 0.0)
-        self.rollouts.handle(rollouts.RoleChanged(index == 0), 0.0)
-        self.run = self.rollouts.run("r")
+        self.rollouts.handle(rollouts.CoordinatorChanged(index == 0), 0.0)
+        self.run = self.rollouts.get_rollout_id("r")
 
     def replicated(self, evidence: bool) -> list:
         """Returns what takes part in the exchange."""
@@ -104,7 +104,7 @@
         self._sick = sick
         self._revision = 10
         self._number = 0
-        self._ratings: list[tuple[Node, sequential.AnswerRated]] = []
+        self._ratings: list[tuple[Node, sequential_test.AnswerRated]] = []
         self.outcome = Outcome()
 
     def play(self, seconds: int) -> Outcome:
@@ -117,7 +117,9 @@
                 for command in pushed:
                     self._carry_out(node, command, now)
             self._exchange(now)
-            stopped = sum("v2" in n.rollouts.stopped() for n in self._nodes)
+            stopped = sum(
+                "v2" in n.rollouts.list_stopped_versions() for n in self._nodes
+            )
             if stopped and self.outcome.halted_at is None:
                 self.outcome.halted_at = now
             if stopped == len(self._nodes):
@@ -130,13 +132,13 @@
             rated.evidence.handle(rating, now)
         for _ in range(int(self._rate)):
             node = self._random.choice(self._nodes)
-            share = node.rollouts.shares()["r"]
+            share = node.rollouts.get_shares()["r"]
             candidate = self._random.random() < share
             upstream = self._random.randrange(UPSTREAMS)
             rejected, failed = self._arms if candidate else GOOD
             failed += self._sick(upstream, now)
             self._number += 1
-            event = sequential.AnswerEnded(
+            event = sequential_test.AnswerEnded(
                 str(self._number),
                 node.run,
                 candidate,
@@ -148,7 +150,7 @@
             node.evidence.handle(event, now)
             accepted = self._random.random() >= rejected
             if not event.failed and self._random.random() < RATED:
-                late = sequential.AnswerRated(event.answer_id, accepted)
+                late = sequential_test.AnswerRated(event.answer_id, accepted)
                 self._ratings.append((node, late))
             self.outcome.exposed += int(candidate)
             bad = event.failed or not accepted
@@ -161,12 +163,12 @@
             granted = rollouts.LeaseGranted("r", now + command.ttl_s)
             node.rollouts.handle(granted, now)
         elif isinstance(command, rollouts.ReadStage):
-            node.rollouts.handle(rollouts.StageSeen("r", 0, b""), now)
+            node.rollouts.handle(rollouts.StageObserved("r", 0, b""), now)
         elif isinstance(command, rollouts.WriteStage):
             self._revision += 1
-            seen = rollouts.StageSeen("r", self._revision, command.value)
+            seen = rollouts.StageObserved("r", self._revision, command.value)
             node.rollouts.handle(seen, now)
-        elif isinstance(command, stops.SpreadStops):
+        elif isinstance(command, stops.PushStops):
             self._push(node, command.stops, now)
 
     def _push(
@@ -260,14 +262,14 @@
 def halts_good(seed: int, sick: Sick) -> bool:
     """Tells whether one roll-out of a good version is halted."""
     draws = random.Random(seed)
-    run_name = stops.name_run(ROLLOUT)
-    evidence = sequential.Evidence("p")
-    evidence.keep([run_name])
+    run_name = stops.compute_rollout_id(ROLLOUT)
+    evidence = sequential_test.Evidence("p")
+    evidence.retain_rollouts([run_name])
     for second in range(int(DWELL_S) * (len(STAGES) - 1)):
         share = STAGES[int(second / DWELL_S)]
         for number in range(GOOD_RATE):
             upstream = draws.randrange(UPSTREAMS)
-            event = sequential.AnswerEnded(
+            event = sequential_test.AnswerEnded(
                 f"{second}.{number}",
                 run_name,
                 draws.random() < share,
@@ -279,9 +281,9 @@
             evidence.handle(event, float(second))
             if draws.random() < RATED:
                 accepted = draws.random() >= REJECTED
-                rating = sequential.AnswerRated(event.answer_id, accepted)
+                rating = sequential_test.AnswerRated(event.answer_id, accepted)
                 evidence.handle(rating, float(second))
-        if sequential.judge(evidence.pool(run_name)).worse:
+        if sequential_test.evaluate(evidence.combine_tallies(run_name)).worse:
             return True
     return False
 
@@ -307,7 +309,7 @@
     one = halt_rate(make_upstream_sick)
     centre = halt_rate(make_centre_sick)
     both = pool.run_all(play_sick_centre, [(seed,) for seed in range(3)])
-    bound = 100 * sequential.FALSE_HALT
+    bound = 100 * sequential_test.FALSE_POSITIVE_RATE
     return [
         results.Result(
             "rollouts: false halts per hundred good roll-outs (100 runs)",
@@ -339,11 +341,11 @@
     """
     nodes, rate, lag_s = 370, 780, 12
     randomness = random.Random(seed)
-    run_name = stops.name_run(ROLLOUT)
-    processes = [sequential.Evidence(f"p{i}") for i in range(nodes)]
-    observer = sequential.Evidence("observer")
+    run_name = stops.compute_rollout_id(ROLLOUT)
+    processes = [sequential_test.Evidence(f"p{i}") for i in range(nodes)]
+    observer = sequential_test.Evidence("observer")
     for evidence in (*processes, observer):
-        evidence.keep([run_name])
+        evidence.retain_rollouts([run_name])
     exposed = 0
     for second in range(120):
         for number in range(rate):
@@ -351,7 +353,7 @@
             candidate = randomness.random() < STAGES[0]
             exposed += int(candidate)
             chance = failed if candidate else FAILED
-            event = sequential.AnswerEnded(
+            event = sequential_test.AnswerEnded(
                 f"{second}.{number}",
                 run_name,
                 candidate,
@@ -365,7 +367,7 @@
         digest = observer.build_digest(float(second))
         for evidence in processes:
             observer.merge(evidence.build_delta(digest, 0.0), float(second))
-        if sequential.judge(observer.pool(run_name)).worse:
+        if sequential_test.evaluate(observer.combine_tallies(run_name)).worse:
             spread = int(2 * lag_s * rate * STAGES[0])
             return exposed + spread, second + 2.0 * lag_s
     return exposed, float("inf")
--- a/benches/node_store.py
+++ b/benches/node_store.py
@@ -78,12 +78,14 @@
         assert isinstance(command, rollouts.WriteStage)
         return self._write_stage(command)
 
-    def read_stage(self, rollout: str, key: str) -> rollouts.StageSeen:
+    def read_stage(self, rollout: str, key: str) -> rollouts.StageObserved:
         """Returns the document of a roll-out, without counting a call."""
         value = self._values.get(key)
         if value is None or value.text is None:
-            return rollouts.StageSeen(rollout, 0, b"")
-        return rollouts.StageSeen(rollout, value.revision, value.text.encode())
+            return rollouts.StageObserved(rollout, 0, b"")
+        return rollouts.StageObserved(
+            rollout, value.revision, value.text.encode()
+        )
 
     def _put(self, key: str, text: str) -> int:
         self._revision += 1
@@ -116,10 +118,10 @@
         self.writes += 1
         held = self._values.get(command.key)
         revision = held.revision if held else 0
-        if revision != command.expect:
+        if revision != command.expected_revision:
             text = (held.text or "") if held else ""
             return rollouts.StageConflict(
                 command.rollout, revision, text.encode()
             )
         revision = self._put(command.key, command.value.decode())
-        return rollouts.StageSeen(command.rollout, revision, command.value)
+        return rollouts.StageObserved(command.rollout, revision, command.value)
--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -10,7 +10,7 @@
 from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.decisions.operations import version_access
 from sycamorehollow.decisions.releases import rollouts
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.requests import planning
 from sycamorehollow.decisions.requests import sessions
 from sycamorehollow.decisions.requests import versions
@@ -58,7 +58,7 @@
         choices: cascades.Cascades,
         estimates: learning.Learning,
         progress: rollouts.Rollouts,
-        evidence: sequential.Evidence,
+        evidence: sequential_test.Evidence,
         pools: Pools,
         ring: keyrings.KeyRing,
         read_clock: Callable[[], int],
@@ -99,14 +99,14 @@
         base = describe_policy(policy)
         if request.session and request.session != sessions.NEW_SESSION:
             return self._plan_session(request, current, base)
-        shares = self._rollouts.shares()
+        shares = self._rollouts.get_shares()
         found = versions.resolve(
             current,
             workspace,
             request.model,
             request.request_id,
             shares,
-            self._rollouts.stopped(),
+            self._rollouts.list_stopped_versions(),
         )
         if isinstance(found, failures.Failure):
             return found
@@ -135,7 +135,10 @@
     ) -> failures.Failure | None:
         """Returns why a version may not take the request now, if so."""
         return version_access.check_version_access(
-            current, self._rollouts.stopped(), request.workspace, version
+            current,
+            self._rollouts.list_stopped_versions(),
+            request.workspace,
+            version,
         )
 
     def learn(
@@ -153,9 +156,9 @@
             if arm.rollout not in current.rollouts:
                 continue
             self._evidence.handle(
-                sequential.AnswerEnded(
+                sequential_test.AnswerEnded(
                     outcome.answer_id,
-                    self._rollouts.run(arm.rollout),
+                    self._rollouts.get_rollout_id(arm.rollout),
                     arm.candidate,
                     outcome.upstream,
                     plan.shares.get(arm.rollout, 0.0),
@@ -179,7 +182,7 @@
         )
         accepted = event.score >= threshold
         self._evidence.handle(
-            sequential.AnswerRated(event.answer_id, accepted), now
+            sequential_test.AnswerRated(event.answer_id, accepted), now
         )
         return []
 
@@ -199,7 +202,7 @@
         if isinstance(session, failures.Failure):
             return session
         version = sessions.find_pinned_version(
-            session, current, self._rollouts.stopped()
+            session, current, self._rollouts.list_stopped_versions()
         )
         if isinstance(version, failures.Failure):
             return version
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -160,9 +160,9 @@
             effect_messages.SpoolOutcome: self._spool_outcome,
             members.MemberChanged: self._change_members,
             payloads.PushDelta: self._push,
-            quarantine.SpreadQuarantine: self._spread_quarantine,
+            quarantine.PushQuarantine: self._push_quarantine,
             records.RecordChanged: self._change_records,
-            stops.SpreadStops: self._spread_stops,
+            stops.PushStops: self._push_stops,
         }
 
     def _deploy(
@@ -177,7 +177,7 @@
             learning.DeploymentChanged(current),
             rollouts.DeploymentChanged(current),
             # A process without peers never sees a member change.
-            rollouts.RoleChanged(self.is_coordinator()),
+            rollouts.CoordinatorChanged(self.is_coordinator()),
             lifecycle.DeploymentChanged(current),
             *applied,
             PublishDeployment(current),
@@ -221,7 +221,7 @@
             billing_messages.PeersChanged(
                 tuple(_identify(member) for member in live)
             ),
-            rollouts.RoleChanged(self.is_coordinator()),
+            rollouts.CoordinatorChanged(self.is_coordinator()),
             ReportMember(command.after),
         ]
         before, after = command.before, command.after
@@ -287,17 +287,15 @@
             )
         ]
 
-    def _spread_quarantine(
-        self, command: quarantine.SpreadQuarantine, now: float
+    def _push_quarantine(
+        self, command: quarantine.PushQuarantine, now: float
     ) -> list[Any]:
         part = self.quarantine
         return [
             payloads.PushDelta(part.kind, part.build_delta(EMPTY_DIGEST, now))
         ]
 
-    def _spread_stops(
-        self, command: stops.SpreadStops, now: float
-    ) -> list[Any]:
+    def _push_stops(self, command: stops.PushStops, now: float) -> list[Any]:
         delta = self.stops.encode(command.stops)
         return [
             payloads.PushDelta(self.stops.kind, delta),
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -21,7 +21,7 @@
 from sycamorehollow.decisions.operations import leases
 from sycamorehollow.decisions.operations import orders
 from sycamorehollow.decisions.releases import rollouts
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.releases import stops
 from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.decisions.replication import members
@@ -116,7 +116,7 @@
             "bills.held_bytes": self.billing.held_bytes,
             "spool.held_bytes": self.spool.held_bytes,
             "members.live": len(self.membership.list_live()),
-            "versions.stopped": len(self.rollouts.stopped()),
+            "versions.stopped": len(self.rollouts.list_stopped_versions()),
             "configuration.age_s": -1.0 if age_s is None else age_s,
         }
 
@@ -164,7 +164,7 @@
             },
             "rollouts": self._describe_rollouts(),
             "quarantined": self.quarantine.count_quarantined(),
-            "stopped_versions": sorted(self.rollouts.stopped()),
+            "stopped_versions": sorted(self.rollouts.list_stopped_versions()),
             "upstreams": self.placement.describe(now),
         }
 
@@ -172,8 +172,8 @@
         """Returns share, stage and stop of each roll-out."""
         result: dict[str, dict[str, Any]] = {}
         configured = self.configuration.deployment.rollouts
-        for name, share in self.rollouts.shares().items():
-            stage = self.rollouts.describe(name)
+        for name, share in self.rollouts.get_shares().items():
+            stage = self.rollouts.get_stage(name)
             stop = self.stops.find(configured[name].candidate)
             result[name] = {
                 "share": share,
@@ -204,7 +204,7 @@
         self.records = records.ReplicatedRecords()
         self.drains = drains.Drains()
         self.learning = learning.Learning(process.label)
-        self.evidence = sequential.Evidence(process.label)
+        self.evidence = sequential_test.Evidence(process.label)
         self.stops = stops.Stops(name)
         self.rollouts = rollouts.Rollouts(
             self.stops, self.evidence, source, options.pace
--- a/sycamorehollow/decisions/releases/rollouts.py
+++ b/sycamorehollow/decisions/releases/rollouts.py
@@ -5,7 +5,7 @@
 import random
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.releases import stages
 from sycamorehollow.decisions.releases import stops
 from sycamorehollow.decisions.replication import compressed_json
@@ -14,11 +14,11 @@
 from sycamorehollow.model import events
 
 # Evidence of peers arrives within this time after a process learns a stage.
-SETTLE_S = 10.0
+EVIDENCE_SETTLE_S = 10.0
 LEASE_TTL_S = 15.0
 # A write has to reach the store within this rest of the lease.
 LEASE_MARGIN_S = 5.0
-RETRY_S = 2.0
+DRIVE_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,10 +44,10 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RoleChanged(events.Event):
+class CoordinatorChanged(events.Event):
     """Whether this process is one of those that may drive roll-outs."""
 
-    coordinator: bool
+    is_coordinator: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +74,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StageSeen(events.Event):
+class StageObserved(events.Event):
     """The store has the document: read, watched, or just written.
 
     Attributes:
@@ -89,12 +89,12 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class StageConflict(StageSeen):
+class StageConflict(StageObserved):
     """A write was refused; the store has this document instead."""
 
 
 @dataclasses.dataclass(frozen=True)
-class StoreUnanswered(events.Event):
+class StoreCallFailed(events.Event):
     """A read or write of the document got no response."""
 
     rollout: str
@@ -124,25 +124,25 @@
         rollout: Name of the roll-out.
         key: Key in the store.
         value: The document.
-        expect: Revision that the store must have; 0 to create.
+        expected_revision: Revision that the store must have; 0 to create.
         not_after: Monotonic time in seconds after which it must not be sent.
     """
 
     rollout: str
     key: str
     value: bytes
-    expect: int
+    expected_revision: int
     not_after: float
 
 
 @dataclasses.dataclass
-class _Run:
+class _RolloutState:
     """What this process knows of one roll-out's document."""
 
     revision: int = 0
     value: bytes = b""
     stage: stages.Stage | None = None
-    seen_at: float = 0.0
+    observed_at: float = 0.0
     outcomes: int = 0
     ratings: int = 0
     lease_until: float = -math.inf
@@ -157,7 +157,7 @@
     Args:
         records: The stop records.
         evidence: Joint evidence of all processes.
-        randomness: Source of the nonces.
+        rng: Random source of the nonces.
         pace: What a stage needs before the next one.
     """
 
@@ -166,74 +166,78 @@
     def __init__(
         self,
         records: stops.Stops,
-        evidence: sequential.Evidence,
-        randomness: random.Random,
+        evidence: sequential_test.Evidence,
+        rng: random.Random,
         pace: Pace = Pace(),
     ) -> None:
         self._stops = records
         self._evidence = evidence
-        self._random = randomness
+        self._rng = rng
         self._pace = pace
         self._deployment = deployments.Deployment()
         self._coordinator = False
-        self._runs: dict[str, _Run] = {}
+        self._states: dict[str, _RolloutState] = {}
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event."""
         if isinstance(event, DeploymentChanged):
             self._deployment = event.deployment
-            self._stops.apply(event.deployment)
+            self._stops.set_deployment(event.deployment)
             rollouts = event.deployment.rollouts
-            self._evidence.keep([stops.name_run(r) for r in rollouts.values()])
-            for name in [n for n in self._runs if n not in rollouts]:
-                del self._runs[name]
-        elif isinstance(event, RoleChanged):
-            self._coordinator = event.coordinator
+            self._evidence.retain_rollouts(
+                [stops.compute_rollout_id(r) for r in rollouts.values()]
+            )
+            for name in [n for n in self._states if n not in rollouts]:
+                del self._states[name]
+        elif isinstance(event, CoordinatorChanged):
+            self._coordinator = event.is_coordinator
         elif isinstance(event, StopRequested):
             return self._stops.add(event.rollout, event.reason)
         elif isinstance(event, LeaseGranted):
-            self._find(event.rollout).lease_until = event.until
+            self._get_state(event.rollout).lease_until = event.until
         elif isinstance(event, LeaseLost):
-            self._find(event.rollout).lease_until = -math.inf
-        elif isinstance(event, StageSeen):
-            self._take_answer(event, now)
-        elif isinstance(event, StoreUnanswered):
-            self._find(event.rollout).in_doubt = True
+            self._get_state(event.rollout).lease_until = -math.inf
+        elif isinstance(event, StageObserved):
+            self._apply_store_result(event, now)
+        elif isinstance(event, StoreCallFailed):
+            self._get_state(event.rollout).in_doubt = True
         elif isinstance(event, events.Tick):
             return self._tick(now)
         return []
 
-    def run(self, name: str) -> str:
+    def get_rollout_id(self, name: str) -> str:
         """Returns the identity under which evidence on a roll-out counts."""
-        return stops.name_run(self._deployment.rollouts[name])
+        return stops.compute_rollout_id(self._deployment.rollouts[name])
 
-    def shares(self) -> dict[str, float]:
+    def get_shares(self) -> dict[str, float]:
         """Returns the share in effect of each configured roll-out."""
-        return {name: self._share(name) for name in self._deployment.rollouts}
+        return {
+            name: self._get_share(name) for name in self._deployment.rollouts
+        }
 
-    def stopped(self) -> frozenset[str]:
+    def list_stopped_versions(self) -> frozenset[str]:
         """Returns the versions that are stopped, or withdrawn in the store."""
-        found = set(self._stops.versions())
+        found = set(self._stops.list_versions())
         for name, rollout in self._deployment.rollouts.items():
-            stage = self.describe(name)
+            stage = self.get_stage(name)
             if stage is not None and stage.state is stages.State.WITHDRAWN:
                 found.add(rollout.candidate)
         return frozenset(found)
 
-    def describe(self, name: str) -> stages.Stage | None:
+    def get_stage(self, name: str) -> stages.Stage | None:
         """Returns the recorded stage of the configured roll-out, if any."""
         rollout = self._deployment.rollouts.get(name)
-        run = self._runs.get(name)
+        run = self._states.get(name)
         if rollout is None or run is None or run.stage is None:
             return None
-        if run.stage.run != stops.name_run(rollout):
+        if run.stage.rollout_id != stops.compute_rollout_id(rollout):
             return None
         return run.stage
 
     def build_digest(self, now: float) -> bytes:
         """Returns the revisions of the stage documents."""
         return compressed_json.compress_json(
-            {name: run.revision for name, run in self._runs.items()}
+            {name: run.revision for name, run in self._states.items()}
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
@@ -241,7 +245,7 @@
         held = compressed_json.decompress_json(digest)
         news = [
             [name, run.revision, run.value.decode()]
-            for name, run in self._runs.items()
+            for name, run in self._states.items()
             if run.revision > held.get(name, 0)
         ]
         return compressed_json.compress_json(news) if news else b""
@@ -252,16 +256,16 @@
             return []
         for name, revision, value in compressed_json.decompress_json(delta):
             if name in self._deployment.rollouts:
-                self._adopt(name, revision, value.encode(), now)
+                self._apply_document(name, revision, value.encode(), now)
         return []
 
-    def _find(self, name: str) -> _Run:
-        return self._runs.setdefault(name, _Run())
+    def _get_state(self, name: str) -> _RolloutState:
+        return self._states.setdefault(name, _RolloutState())
 
-    def _share(self, name: str) -> float:
+    def _get_share(self, name: str) -> float:
         """A share comes only from a document that the store has confirmed."""
         rollout = self._deployment.rollouts[name]
-        stage = self.describe(name)
+        stage = self.get_stage(name)
         if stage is None or stage.state is stages.State.WITHDRAWN:
             return 0.0
         if self._stops.find(rollout.candidate) is not None:
@@ -270,43 +274,49 @@
             return 0.0
         return rollout.stages[stage.stage]
 
-    def _take_answer(self, event: StageSeen, now: float) -> None:
-        run = self._find(event.rollout)
+    def _apply_store_result(self, event: StageObserved, now: float) -> None:
+        run = self._get_state(event.rollout)
         if isinstance(event, StageConflict) and event.revision == 0:
             # The document is gone, so the share it gave is gone too.
             run.revision, run.value, run.stage = 0, b"", None
-        self._adopt(event.rollout, event.revision, event.value, now)
+        self._apply_document(event.rollout, event.revision, event.value, now)
         run.in_doubt = False
 
-    def _adopt(self, name: str, revision: int, value: bytes, now: float):
+    def _apply_document(
+        self, name: str, revision: int, value: bytes, now: float
+    ):
         """Takes a document of the store unless a newer one is known."""
-        run = self._find(name)
+        run = self._get_state(name)
         if revision <= run.revision:
             return
         run.revision, run.value = revision, value
         run.stage = stages.decode(value)
-        run.seen_at = now
+        run.observed_at = now
         rollout = self._deployment.rollouts.get(name)
         if rollout is not None:
-            run.outcomes, run.ratings = self._count(rollout)
+            run.outcomes, run.ratings = self._count_outcomes(rollout)
 
-    def _count(self, rollout: deployments.Rollout) -> tuple[int, int]:
-        tallies = self._evidence.pool(stops.name_run(rollout))
+    def _count_outcomes(self, rollout: deployments.Rollout) -> tuple[int, int]:
+        tallies = self._evidence.combine_tallies(
+            stops.compute_rollout_id(rollout)
+        )
         return (
-            tallies[sequential.Metric.ERROR].candidate,
-            tallies[sequential.Metric.QUALITY].candidate,
+            tallies[sequential_test.Metric.ERROR].candidate,
+            tallies[sequential_test.Metric.QUALITY].candidate,
         )
 
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         for name, rollout in self._deployment.rollouts.items():
-            tallies = self._evidence.pool(stops.name_run(rollout))
-            verdict = sequential.judge(tallies)
+            tallies = self._evidence.combine_tallies(
+                stops.compute_rollout_id(rollout)
+            )
+            verdict = sequential_test.evaluate(tallies)
             if verdict.worse:
                 result.extend(self._stops.add(name, verdict.reason))
-            run = self._find(name)
-            if now - run.seen_at <= SETTLE_S:
-                run.outcomes, run.ratings = self._count(rollout)
+            run = self._get_state(name)
+            if now - run.observed_at <= EVIDENCE_SETTLE_S:
+                run.outcomes, run.ratings = self._count_outcomes(rollout)
             if self._coordinator:
                 result.extend(self._drive(name, rollout, now))
         return result
@@ -315,10 +325,10 @@
         self, name: str, rollout: deployments.Rollout, now: float
     ) -> list[commands.Command]:
         """Takes the next step towards the next stage, one call at a time."""
-        run = self._find(name)
+        run = self._get_state(name)
         if now < run.next_try_at:
             return []
-        run.next_try_at = now + RETRY_S
+        run.next_try_at = now + DRIVE_INTERVAL_S
         result: list[commands.Command] = []
         rest = run.lease_until - now
         if rest < 2 * LEASE_MARGIN_S:
@@ -327,7 +337,7 @@
             return result
         if run.in_doubt:
             return [*result, ReadStage(name, stages.KEY_PREFIX + name)]
-        target = self._find_target(run, rollout, now)
+        target = self._choose_document(run, rollout, now)
         if target is None:
             return result
         run.in_doubt = True
@@ -342,23 +352,25 @@
             ),
         ]
 
-    def _find_target(
-        self, run: _Run, rollout: deployments.Rollout, now: float
+    def _choose_document(
+        self, run: _RolloutState, rollout: deployments.Rollout, now: float
     ) -> stages.Stage | None:
         """Returns the document to write next, if any."""
         config = self._deployment.revisions.get(rollout.team, 0)
-        identity = stops.name_run(rollout)
-        mark = f"{self._random.getrandbits(64):016x}"
+        identity = stops.compute_rollout_id(rollout)
+        mark = f"{self._rng.getrandbits(64):016x}"
         stopped = self._stops.find(rollout.candidate) is not None
         stage = run.stage
 
         def follow(index: int, state: stages.State) -> stages.Stage:
-            return stages.succeed(stage, index, state, config, identity, mark)
+            return stages.build_successor(
+                stage, index, state, config, identity, mark
+            )
 
         # A malformed document may be an operator's pause: leave it alone.
         if stage is None and run.revision > 0:
             return None
-        if stage is None or stage.run != identity:
+        if stage is None or stage.rollout_id != identity:
             # The document may belong to a configuration newer than ours.
             if stopped or (stage is not None and stage.config >= config):
                 return None
@@ -370,27 +382,38 @@
             return None
         if not 0 <= here < len(rollout.stages):
             return None
-        if not self._is_ready(run, rollout, here, now):
+        if not self._can_advance(run, rollout, here, now):
             return None
         if here + 1 >= len(rollout.stages):
             return follow(here, stages.State.DONE)
         return follow(here + 1, stages.State.RUNNING)
 
-    def _is_ready(
-        self, run: _Run, rollout: deployments.Rollout, here: int, now: float
+    def _can_advance(
+        self,
+        run: _RolloutState,
+        rollout: deployments.Rollout,
+        index: int,
+        now: float,
     ) -> bool:
-        if now - run.seen_at < self._pace.dwell_s:
+        if now - run.observed_at < self._pace.dwell_s:
             return False
-        outcomes, ratings = self._count(rollout)
+        outcomes, ratings = self._count_outcomes(rollout)
         if outcomes - run.outcomes < self._pace.outcomes:
             return False
         if ratings - run.ratings < self._pace.ratings:
             return False
-        tallies = self._evidence.pool(stops.name_run(rollout))
-        if any(sequential.is_doubtful(tally) for tally in tallies.values()):
+        tallies = self._evidence.combine_tallies(
+            stops.compute_rollout_id(rollout)
+        )
+        if any(
+            sequential_test.is_possibly_worse(tally)
+            for tally in tallies.values()
+        ):
             return False
-        share = rollout.stages[min(here + 1, len(rollout.stages) - 1)]
+        share = rollout.stages[min(index + 1, len(rollout.stages) - 1)]
         # At full share nothing is left to compare with.
-        if share < 1.0 or rollout.stages[here] >= 1.0:
+        if share < 1.0 or rollout.stages[index] >= 1.0:
             return True
-        return sequential.is_cleared(tallies[sequential.Metric.QUALITY])
+        return sequential_test.is_noninferior(
+            tallies[sequential_test.Metric.QUALITY]
+        )
--- a/sycamorehollow/decisions/releases/sequential.py
+++ b/sycamorehollow/decisions/releases/sequential_test.py
@@ -24,24 +24,24 @@
 # Ratios of failure rates that the test looks for.
 RATIOS = (1.3, 1.7, 2.5, 5.0, 12.0)
 # Chance that a version as good as the one in service is ever halted.
-FALSE_HALT = 0.01
+FALSE_POSITIVE_RATE = 0.01
 # Likelihood ratio from which a roll-out waits for more evidence.
-DOUBT = 5.0
+SUSPICION_RATIO = 5.0
 # Ratio that has to be unlikely before nothing is left to compare with.
-CLEARED_RATIO = 1.7
+NONINFERIORITY_RATIO = 1.7
 # Baseline outcomes before a stratum counts; without them an upstream that
 # serves only the new version would be taken for the version.
-MIN_BASELINE = 5
+MIN_BASELINE_OUTCOMES = 5
 # Standard deviations by which the arms of an upstream may differ from the hash.
-MIX_SIGMA = 2.0
-PENDING_ANSWERS = 20_000
+MAX_SHARE_DEVIATION_SIGMA = 2.0
+MAX_PENDING_ANSWERS = 20_000
 # Enough for every process and its restarts of some days at the target scale.
 MAX_RECORDS = 2_000
 # Keeps one delta to a few kilobytes when every process has news.
-DELTA_RECORDS = 64
+MAX_DELTA_RECORDS = 64
 # At the target scale every record changes each second, so that whole digests
 # and deltas would take twice the budget of a node.
-DIGEST_RECORDS = 64
+DIGEST_SLICE_RECORDS = 64
 BYTES_PER_S = 1_500.0
 
 
@@ -76,7 +76,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Verdict:
+class TestResult:
     """Result of the test so far.
 
     Attributes:
@@ -94,7 +94,7 @@
 
     Attributes:
         answer_id: Unique per attempt; a rating may follow under it.
-        run: The roll-out, as `rollouts.Rollouts.run` names it.
+        rollout_id: Identity from `rollouts.Rollouts.get_rollout_id`.
         candidate: Whether the new version answered.
         upstream: Where it ran.
         share: Share of the new version when the request was assigned.
@@ -103,7 +103,7 @@
     """
 
     answer_id: str
-    run: str
+    rollout_id: str
     candidate: bool
     upstream: str
     share: float
@@ -138,7 +138,7 @@
             share: Share in (0, 1] of the new version when it was assigned.
         """
         scores = tally.scores
-        if failed and self._baseline >= MIN_BASELINE and share < 1.0:
+        if failed and self._baseline >= MIN_BASELINE_OUTCOMES and share < 1.0:
             expected = self._expect(share)
             scores = tuple(
                 score
@@ -163,12 +163,12 @@
         spread = math.sqrt(share * (1 - share) / seen)
         # An upstream that serves the new version more often than the hash
         # sends it fails it more often, too.
-        if observed > share + MIX_SIGMA * spread:
+        if observed > share + MAX_SHARE_DEVIATION_SIGMA * spread:
             return observed
         return share
 
 
-def add(tallies: Iterable[Tally]) -> Tally:
+def sum_tallies(tallies: Iterable[Tally]) -> Tally:
     """Returns the joint evidence of processes or strata."""
     scores = [0.0] * len(RATIOS)
     counts = [0, 0, 0, 0]
@@ -182,37 +182,39 @@
     return Tally(tuple(scores), *counts)
 
 
-def measure(tally: Tally) -> float:
+def compute_log_likelihood_ratio(tally: Tally) -> float:
     """Returns the log of the mixed likelihood ratio."""
     top = max(tally.scores)
     mixed = sum(math.exp(score - top) for score in tally.scores)
     return top + math.log(mixed / len(tally.scores))
 
 
-def judge(tallies: Mapping[Metric, Tally]) -> Verdict:
+def evaluate(tallies: Mapping[Metric, Tally]) -> TestResult:
     """Tells whether the new version is worse on any metric."""
-    bound = math.log(len(METRICS) / FALSE_HALT)
+    bound = math.log(len(METRICS) / FALSE_POSITIVE_RATE)
     for metric, tally in tallies.items():
-        evidence = measure(tally)
+        evidence = compute_log_likelihood_ratio(tally)
         if evidence < bound:
             continue
-        return Verdict(
+        return TestResult(
             True,
             f"{metric.value}: {tally.candidate_failed} of {tally.candidate}"
             f" failed against {tally.baseline_failed} of {tally.baseline}"
             f" in service (log evidence {evidence:.1f}, bound {bound:.1f})",
         )
-    return Verdict(False, "no evidence that the new version is worse")
+    return TestResult(False, "no evidence that the new version is worse")
 
 
-def is_doubtful(tally: Tally) -> bool:
+def is_possibly_worse(tally: Tally) -> bool:
     """Tells whether the new version looks worse without proof yet."""
-    return measure(tally) > math.log(DOUBT)
+    return compute_log_likelihood_ratio(tally) > math.log(SUSPICION_RATIO)
 
 
-def is_cleared(tally: Tally) -> bool:
+def is_noninferior(tally: Tally) -> bool:
     """Tells whether the evidence speaks against a version clearly worse."""
-    return tally.scores[RATIOS.index(CLEARED_RATIO)] < -math.log(DOUBT)
+    return tally.scores[RATIOS.index(NONINFERIORITY_RATIO)] < -math.log(
+        SUSPICION_RATIO
+    )
 
 
 class Evidence(components.Component, components.Replicated):
@@ -237,45 +239,48 @@
         self._pending: collections.OrderedDict[str, AnswerEnded] = (
             collections.OrderedDict()
         )
-        self._kept: frozenset[str] = frozenset()
+        self._retained: frozenset[str] = frozenset()
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; evidence asks for no commands."""
-        if isinstance(event, AnswerEnded) and event.run in self._kept:
+        if (
+            isinstance(event, AnswerEnded)
+            and event.rollout_id in self._retained
+        ):
             self._count(event, Metric.ERROR, event.failed)
             if not event.failed:
                 self._count(event, Metric.LATENCY, event.slow)
                 self._pending[event.answer_id] = event
-            if len(self._pending) > PENDING_ANSWERS:
+            if len(self._pending) > MAX_PENDING_ANSWERS:
                 self._pending.popitem(last=False)
         elif isinstance(event, AnswerRated):
             # Taking the answer out makes a repeated rating count once.
             answer = self._pending.pop(event.answer_id, None)
-            if answer is not None and answer.run in self._kept:
+            if answer is not None and answer.rollout_id in self._retained:
                 self._count(answer, Metric.QUALITY, not event.accepted)
         return []
 
-    def keep(self, runs: Collection[str]) -> None:
+    def retain_rollouts(self, rollout_ids: Collection[str]) -> None:
         """Forgets the evidence on all other roll-outs."""
-        self._kept = frozenset(runs)
-        for run in [r for r in self._records if r not in self._kept]:
+        self._retained = frozenset(rollout_ids)
+        for run in [r for r in self._records if r not in self._retained]:
             del self._records[run]
-        for key in [k for k in self._strata if k[0] not in self._kept]:
+        for key in [k for k in self._strata if k[0] not in self._retained]:
             del self._strata[key]
 
-    def pool(self, run: str) -> dict[Metric, Tally]:
+    def combine_tallies(self, rollout_id: str) -> dict[Metric, Tally]:
         """Returns the joint evidence of all processes."""
-        records = self._records.get(run, {}).values()
+        records = self._records.get(rollout_id, {}).values()
         return {
-            metric: add(
+            metric: sum_tallies(
                 tallies[metric] for _, tallies in records if metric in tallies
             )
             for metric in METRICS
         }
 
-    def count_own(self, run: str) -> int:
+    def count_own_outcomes(self, rollout_id: str) -> int:
         """Returns the outcomes that this process has counted itself."""
-        group = self._records.get(run, {})
+        group = self._records.get(rollout_id, {})
         _, tallies = group.get(self._process, (0, {}))
         tally = tallies.get(Metric.ERROR, Tally())
         return tally.candidate + tally.baseline
@@ -286,7 +291,7 @@
         Each second has another slice, so that a digest stays small.
         """
         count = sum(len(group) for group in self._records.values())
-        slices = max(1, math.ceil(count / DIGEST_RECORDS))
+        slices = max(1, math.ceil(count / DIGEST_SLICE_RECORDS))
         turn = int(now) % slices
         held = {
             run: {
@@ -313,7 +318,7 @@
             return b""
         start = int(now * 7) % len(news)
         return compressed_json.compress_json(
-            (news[start:] + news[:start])[:DELTA_RECORDS]
+            (news[start:] + news[:start])[:MAX_DELTA_RECORDS]
         )
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
@@ -324,7 +329,7 @@
             delta
         ):
             # A restart has a new identity, so nobody else knows better.
-            if run not in self._kept or process == self._process:
+            if run not in self._retained or process == self._process:
                 continue
             group = self._records.setdefault(run, {})
             if number > group.get(process, (0, {}))[0]:
@@ -334,11 +339,11 @@
         return []
 
     def _count(self, answer: AnswerEnded, metric: Metric, failed: bool) -> None:
-        group = self._records.setdefault(answer.run, {})
+        group = self._records.setdefault(answer.rollout_id, {})
         number, tallies = group.get(self._process, (0, {}))
         # The share is part of the stratum: an upstream that is sick during
         # one stage only would otherwise weigh more on the new version.
-        key = (answer.run, answer.upstream, answer.share, metric)
+        key = (answer.rollout_id, answer.upstream, answer.share, metric)
         stratum = self._strata.setdefault(key, Stratum())
         tally = stratum.count(
             tallies.get(metric, Tally()), answer.candidate, failed, answer.share
@@ -346,8 +351,8 @@
         group[self._process] = (number + 1, {**tallies, metric: tally})
 
 
-def _is_in_slice(process: str, slices: int, turn: int) -> bool:
-    return zlib.crc32(process.encode()) % slices == turn
+def _is_in_slice(process: str, slices: int, slice_index: int) -> bool:
+    return zlib.crc32(process.encode()) % slices == slice_index
 
 
 def _encode(tallies: Mapping[Metric, Tally]) -> dict[str, list]:
--- a/sycamorehollow/decisions/releases/stages.py
+++ b/sycamorehollow/decisions/releases/stages.py
@@ -26,8 +26,8 @@
         stage: Index into the stages of the roll-out.
         state: Whether the roll-out goes on.
         config: Revision of the team's branch that the writer had in effect.
-        run: Identity of the roll-out, see `stops.name_run`.
-        mark: Random part of the nonce, tells one write from another.
+        rollout_id: Identity of the roll-out, see `compute_rollout_id`.
+        nonce_suffix: Random part of the nonce; distinguishes writes.
         earlier: Nonces of the last writes before this one, oldest first. A
             writer whose response was lost finds its own among them.
     """
@@ -35,28 +35,28 @@
     stage: int
     state: State
     config: int
-    run: str
-    mark: str
+    rollout_id: str
+    nonce_suffix: str
     earlier: tuple[str, ...] = ()
 
     @property
     def nonce(self) -> str:
-        """The nonce in the store: revision, identity and random mark."""
-        return f"{self.config}.{self.run}.{self.mark}"
+        """The nonce in the store: revision, identity and random suffix."""
+        return f"{self.config}.{self.rollout_id}.{self.nonce_suffix}"
 
 
-def succeed(
+def build_successor(
     before: Stage | None,
     stage: int,
     state: State,
     config: int,
-    run: str,
-    mark: str,
+    rollout_id: str,
+    nonce_suffix: str,
 ) -> Stage:
     """Returns the document that follows another one, or none."""
     earlier = (*before.earlier, before.nonce) if before else ()
     kept = earlier[-config_writes.MAX_EARLIER_NONCES :]
-    return Stage(stage, state, config, run, mark, kept)
+    return Stage(stage, state, config, rollout_id, nonce_suffix, kept)
 
 
 def encode(stage: Stage) -> bytes:
--- a/sycamorehollow/decisions/releases/stops.py
+++ b/sycamorehollow/decisions/releases/stops.py
@@ -34,7 +34,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class SpreadStops(commands.Command):
+class PushStops(commands.Command):
     """Push stop records of this process to peers at once."""
 
     stops: tuple[Stop, ...]
@@ -51,7 +51,7 @@
 
 
 @functools.lru_cache(maxsize=256)
-def name_run(rollout: deployments.Rollout) -> str:
+def compute_rollout_id(rollout: deployments.Rollout) -> str:
     """Returns an identity that changes whenever the roll-out's entry does."""
     text = repr(dataclasses.astuple(rollout))
     return hashlib.sha256(text.encode()).hexdigest()[:16]
@@ -71,7 +71,7 @@
         self._deployment = deployments.Deployment()
         self._stops: dict[str, Stop] = {}
 
-    def apply(self, deployment: deployments.Deployment) -> None:
+    def set_deployment(self, deployment: deployments.Deployment) -> None:
         """Takes the configuration in effect, which may lift records."""
         self._deployment = deployment
 
@@ -84,11 +84,11 @@
             rollout.candidate,
             rollout.team,
             self._deployment.revisions.get(rollout.team, 0),
-            name_run(rollout),
+            compute_rollout_id(rollout),
             self._process,
             reason,
         )
-        return [SpreadStops(tuple(self._take([stop])))]
+        return [PushStops(tuple(self._take([stop])))]
 
     def find(self, version: str) -> Stop | None:
         """Returns the stop record in effect for a version."""
@@ -98,14 +98,14 @@
         if self._deployment.revisions.get(stop.team, 0) <= stop.revision:
             return stop
         runs = {
-            name_run(rollout)
+            compute_rollout_id(rollout)
             for rollout in self._deployment.rollouts.values()
             if rollout.candidate == version
         }
         # An unrelated change of the branch must not bring a bad version back.
         return stop if not runs or stop.run in runs else None
 
-    def versions(self) -> frozenset[str]:
+    def list_versions(self) -> frozenset[str]:
         """Returns the versions with a stop record in effect."""
         return frozenset(v for v in self._stops if self.find(v))
 
--- a/sycamorehollow/decisions/requests/quarantine.py
+++ b/sycamorehollow/decisions/requests/quarantine.py
@@ -11,20 +11,20 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
-DEATHS_TO_QUARANTINE = 2
+CRASHES_TO_QUARANTINE = 2
 # A lost connection shows a death only when the upstream refuses connections
 # or reports a new generation, within a few polls.
-DEATH_WINDOW_S = 10.0
+CRASH_DETECTION_WINDOW_S = 10.0
 # Callers resend for as long as they keep idempotency keys.
 RECORD_TTL_S = 24 * 3600.0
 # Ages of records from peers are off by the time of their way.
-AGE_ERROR_S = 2.0
+PEER_AGE_ERROR_S = 2.0
 MAX_FINGERPRINTS = 10000
 BUSY_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
-class UpstreamDied(events.Event):
+class UpstreamCrashed(events.Event):
     """A run of an upstream is known to have ended.
 
     Not needed where load reports and failed connects are passed on: these
@@ -39,7 +39,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class SpreadQuarantine(commands.Command):
+class PushQuarantine(commands.Command):
     """Pushes the state of this component to the live members at once."""
 
 
@@ -59,37 +59,37 @@
     status = 503
 
 
-class Verdict(enum.Enum):
+class Isolation(enum.Enum):
     """How a request may run."""
 
-    CLEAR = "clear"
-    ISOLATED = "isolated"
+    NOT_NEEDED = "clear"
+    REQUIRED = "isolated"
 
 
 @dataclasses.dataclass
-class Record:
+class CrashRecord:
     """What is known of one fingerprint.
 
     Attributes:
-        deaths: Time of each death by upstream and generation.
-        vouches: Completions after a death.
-        vouched_at: Time of the last completion; older deaths do not count.
+        crashes: Time of each crash by upstream and generation.
+        completions: Completions after a crash.
+        completed_at: Time of the last completion; older crashes do not count.
     """
 
-    deaths: dict[tuple[str, int], float] = dataclasses.field(
+    crashes: dict[tuple[str, int], float] = dataclasses.field(
         default_factory=dict
     )
-    vouches: int = 0
-    vouched_at: float = float("-inf")
+    completions: int = 0
+    completed_at: float = float("-inf")
 
-    def count(self) -> int:
+    def count_crashes(self) -> int:
         """Returns the deaths that count."""
-        since = self.vouched_at
-        return sum(1 for time in self.deaths.values() if time > since)
+        since = self.completed_at
+        return sum(1 for time in self.crashes.values() if time > since)
 
-    def find_latest(self) -> float:
+    def find_last_change(self) -> float:
         """Returns the time of the last change."""
-        return max(self.vouched_at, *self.deaths.values(), float("-inf"))
+        return max(self.completed_at, *self.crashes.values(), float("-inf"))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,13 +115,13 @@
     kind = "quarantine"
 
     def __init__(self) -> None:
-        self._records: dict[str, Record] = {}
+        self._records: dict[str, CrashRecord] = {}
         self._running: dict[str, Attempt] = {}
-        self._at_upstream: collections.Counter[str] = collections.Counter()
-        self._isolated: collections.Counter[str] = collections.Counter()
+        self._running_count: collections.Counter[str] = collections.Counter()
+        self._isolated_count: collections.Counter[str] = collections.Counter()
         # By attempt and upstream: a retry keeps the name of the attempt.
         self._lost: dict[tuple[str, str], Attempt] = {}
-        self._lost_at: dict[str, float] = {}
+        self._last_loss_at: dict[str, float] = {}
         self._generations: dict[str, int] = {}
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
@@ -131,13 +131,13 @@
                 self._start(event, now)
             case upstream_events.AttemptEnded():
                 return self._end(event, now)
-            case UpstreamDied():
-                return self._record_deaths(event, now)
+            case UpstreamCrashed():
+                return self._record_upstream_crash(event, now)
             case upstream_events.LoadReported():
                 return self._report(event, now)
             case upstream_events.ConnectFailed():
                 generation = self._generations.get(event.upstream, 0)
-                return self._record_lost(event.upstream, generation, now)
+                return self._record_crashes(event.upstream, generation, now)
             case events.Tick():
                 self._expire(now)
         return []
@@ -145,50 +145,56 @@
     def count_quarantined(self) -> int:
         """Returns the number of requests that are not run any more."""
         return sum(
-            record.count() >= DEATHS_TO_QUARANTINE
+            record.count_crashes() >= CRASHES_TO_QUARANTINE
             for record in self._records.values()
         )
 
-    def judge(
-        self, fingerprint: str, now: float, leaving: str = ""
-    ) -> Verdict | failures.Failure:
+    def check(
+        self, fingerprint: str, now: float, replaced_attempt: str = ""
+    ) -> Isolation | failures.Failure:
         """Tells whether and how a request may run now.
 
         Args:
             fingerprint: Hash of the workspace and the content.
             now: Monotonic time in seconds.
-            leaving: Name of the running attempt that it would replace, which
-                would count as lost.
+            replaced_attempt: Name of the running attempt that it would
+                replace, which would count as lost.
         """
         record = self._records.get(fingerprint)
-        if record is not None and record.count() >= DEATHS_TO_QUARANTINE:
+        if (
+            record is not None
+            and record.count_crashes() >= CRASHES_TO_QUARANTINE
+        ):
             return Quarantined(
                 "The request has crashed the upstreams that ran it."
             )
-        if not leaving and not self._is_suspect(fingerprint, now):
-            return Verdict.CLEAR
-        if self._count_open(fingerprint, leaving) >= DEATHS_TO_QUARANTINE:
+        if not replaced_attempt and not self._is_suspect(fingerprint, now):
+            return Isolation.NOT_NEEDED
+        if (
+            self._count_possible_crashes(fingerprint, replaced_attempt)
+            >= CRASHES_TO_QUARANTINE
+        ):
             return SuspectBusy(
                 "It is not known yet whether the request crashed upstreams.",
                 failures.Execution.NOT_STARTED,
                 BUSY_RETRY_AFTER_S,
             )
         for name, attempt in self._running.items():
-            if name != leaving and attempt.fingerprint == fingerprint:
+            if name != replaced_attempt and attempt.fingerprint == fingerprint:
                 return SuspectBusy(
                     "The request is suspected of a crash and runs already.",
                     failures.Execution.NOT_STARTED,
                     BUSY_RETRY_AFTER_S,
                 )
-        return Verdict.ISOLATED
+        return Isolation.REQUIRED
 
-    def may_place(
+    def can_place(
         self,
         fingerprint: str,
         upstream: str,
         peers_idle: bool,
         now: float,
-        leaving: str = "",
+        replaced_attempt: str = "",
     ) -> bool:
         """Tells whether a request may run on an upstream beside what runs.
 
@@ -198,22 +204,24 @@
             peers_idle: Whether the last shares of peers and the last report
                 show no other work there.
             now: Monotonic time in seconds.
-            leaving: See `judge`.
+            replaced_attempt: See `check`.
         """
-        if leaving or self._is_suspect(fingerprint, now):
-            return peers_idle and not self._at_upstream[upstream]
-        return not self._isolated[upstream]
+        if replaced_attempt or self._is_suspect(fingerprint, now):
+            return peers_idle and not self._running_count[upstream]
+        return not self._isolated_count[upstream]
 
-    def _count_open(self, fingerprint: str, leaving: str) -> int:
+    def _count_possible_crashes(
+        self, fingerprint: str, replaced_attempt: str
+    ) -> int:
         """Returns the deaths that count and those that are not known yet."""
         record = self._records.get(fingerprint)
-        count = record.count() if record is not None else 0
+        count = record.count_crashes() if record is not None else 0
         waiting = {
             lost.upstream
             for lost in self._lost.values()
             if lost.fingerprint == fingerprint
         }
-        running = self._running.get(leaving)
+        running = self._running.get(replaced_attempt)
         if running is not None:
             waiting.add(running.upstream)
         return count + len(waiting)
@@ -221,11 +229,11 @@
     def _is_suspect(self, fingerprint: str, now: float) -> bool:
         # Until it is known whether the upstream died, a request whose
         # connection was lost could crash the next one as well.
-        lost_at = self._lost_at.get(fingerprint)
-        if lost_at is not None and now - lost_at < DEATH_WINDOW_S:
+        lost_at = self._last_loss_at.get(fingerprint)
+        if lost_at is not None and now - lost_at < CRASH_DETECTION_WINDOW_S:
             return True
         record = self._records.get(fingerprint)
-        return record is not None and record.count() > 0
+        return record is not None and record.count_crashes() > 0
 
     def _start(self, event: upstream_events.AttemptStarted, now: float) -> None:
         if event.attempt in self._running:
@@ -236,14 +244,14 @@
             event.fingerprint, event.upstream, generation, isolated
         )
         self._running[event.attempt] = attempt
-        self._at_upstream[event.upstream] += 1
-        self._isolated[event.upstream] += isolated
+        self._running_count[event.upstream] += 1
+        self._isolated_count[event.upstream] += isolated
 
     def _stop(self, name: str) -> Attempt | None:
         attempt = self._running.pop(name, None)
         if attempt is not None:
-            self._at_upstream[attempt.upstream] -= 1
-            self._isolated[attempt.upstream] -= attempt.isolated
+            self._running_count[attempt.upstream] -= 1
+            self._isolated_count[attempt.upstream] -= attempt.isolated
         return attempt
 
     def _end(
@@ -255,10 +263,10 @@
         if event.status is upstream_events.AttemptStatus.LOST:
             lost = dataclasses.replace(attempt, lost_at=now)
             self._lost[event.attempt, event.upstream] = lost
-            self._lost_at[attempt.fingerprint] = now
+            self._last_loss_at[attempt.fingerprint] = now
             if attempt.generation < self._generations.get(event.upstream, 0):
                 # The report of the next run arrived before the loss.
-                return self._record_lost(
+                return self._record_crashes(
                     event.upstream, attempt.generation, now
                 )
             return []
@@ -268,16 +276,16 @@
 
     def _clear(self, fingerprint: str, now: float) -> list[commands.Command]:
         """Clears a request: a response proves that it crashes nothing."""
-        if self._lost_at.pop(fingerprint, None) is not None:
+        if self._last_loss_at.pop(fingerprint, None) is not None:
             for name, lost in list(self._lost.items()):
                 if lost.fingerprint == fingerprint:
                     del self._lost[name]
         record = self._records.get(fingerprint)
-        if record is None or not record.count():
+        if record is None or not record.count_crashes():
             return []
-        record.vouches += 1
-        record.vouched_at = now
-        return [SpreadQuarantine()]
+        record.completions += 1
+        record.completed_at = now
+        return [PushQuarantine()]
 
     def _report(
         self, event: upstream_events.LoadReported, now: float
@@ -286,10 +294,10 @@
         if event.generation <= known:
             return []
         self._generations[event.upstream] = event.generation
-        return self._record_lost(event.upstream, known, now)
+        return self._record_crashes(event.upstream, known, now)
 
-    def _record_deaths(
-        self, event: UpstreamDied, now: float
+    def _record_upstream_crash(
+        self, event: UpstreamCrashed, now: float
     ) -> list[commands.Command]:
         for name, attempt in list(self._running.items()):
             if attempt.upstream == event.upstream:
@@ -297,9 +305,9 @@
                 self._stop(name)
                 lost = dataclasses.replace(attempt, lost_at=now)
                 self._lost[name, event.upstream] = lost
-        return self._record_lost(event.upstream, event.generation, now)
+        return self._record_crashes(event.upstream, event.generation, now)
 
-    def _record_lost(
+    def _record_crashes(
         self, upstream: str, generation: int, now: float
     ) -> list[commands.Command]:
         """Records a death for each attempt that was lost there just now."""
@@ -308,27 +316,28 @@
             if lost.upstream != upstream:
                 continue
             del self._lost[name]
-            if now - lost.lost_at >= DEATH_WINDOW_S:
+            if now - lost.lost_at >= CRASH_DETECTION_WINDOW_S:
                 continue
-            record = self._records.setdefault(lost.fingerprint, Record())
-            record.deaths.setdefault((upstream, generation), lost.lost_at)
+            record = self._records.setdefault(lost.fingerprint, CrashRecord())
+            record.crashes.setdefault((upstream, generation), lost.lost_at)
             recorded = True
-        return [SpreadQuarantine()] if recorded else []
+        return [PushQuarantine()] if recorded else []
 
     def _expire(self, now: float) -> None:
         for name, lost in list(self._lost.items()):
-            if now - lost.lost_at >= DEATH_WINDOW_S:
+            if now - lost.lost_at >= CRASH_DETECTION_WINDOW_S:
                 del self._lost[name]
-        for fingerprint, lost_at in list(self._lost_at.items()):
-            if now - lost_at >= DEATH_WINDOW_S:
-                del self._lost_at[fingerprint]
+        for fingerprint, lost_at in list(self._last_loss_at.items()):
+            if now - lost_at >= CRASH_DETECTION_WINDOW_S:
+                del self._last_loss_at[fingerprint]
         for fingerprint, record in list(self._records.items()):
-            if now - record.find_latest() >= RECORD_TTL_S:
+            if now - record.find_last_change() >= RECORD_TTL_S:
                 del self._records[fingerprint]
         excess = len(self._records) - MAX_FINGERPRINTS
         if excess > 0:
             oldest = sorted(
-                self._records, key=lambda one: self._records[one].find_latest()
+                self._records,
+                key=lambda one: self._records[one].find_last_change(),
             )
             for fingerprint in oldest[:excess]:
                 del self._records[fingerprint]
@@ -338,8 +347,8 @@
         known = {}
         for fingerprint, record in self._records.items():
             known[fingerprint] = [
-                [list(pair) for pair in sorted(record.deaths)],
-                record.vouches,
+                [list(pair) for pair in sorted(record.crashes)],
+                record.completions,
             ]
         return json.dumps(known, separators=(",", ":")).encode()
 
@@ -352,14 +361,14 @@
             seen = {(upstream, generation) for upstream, generation in pairs}
             deaths = [
                 [*pair, now - time]
-                for pair, time in record.deaths.items()
+                for pair, time in record.crashes.items()
                 if pair not in seen
             ]
-            newer = record.vouches > vouches
+            newer = record.completions > vouches
             if not deaths and not newer:
                 continue
-            age_s = now - record.vouched_at if record.vouches else 0.0
-            delta[fingerprint] = [deaths, record.vouches, age_s]
+            age_s = now - record.completed_at if record.completions else 0.0
+            delta[fingerprint] = [deaths, record.completions, age_s]
         if not delta:
             return b""
         return json.dumps(delta, separators=(",", ":")).encode()
@@ -369,14 +378,14 @@
         if not delta:
             return []
         for fingerprint, (deaths, vouches, age_s) in json.loads(delta).items():
-            record = self._records.setdefault(fingerprint, Record())
+            record = self._records.setdefault(fingerprint, CrashRecord())
             for upstream, generation, death_age_s in deaths:
                 # The record was on its way, so the death is a little older
                 # than its age; one from before a vouch must not count.
-                time = now - death_age_s - AGE_ERROR_S
+                time = now - death_age_s - PEER_AGE_ERROR_S
                 pair = (upstream, generation)
-                record.deaths[pair] = min(time, record.deaths.get(pair, time))
-            if vouches > record.vouches:
-                record.vouches = vouches
-                record.vouched_at = max(record.vouched_at, now - age_s)
+                record.crashes[pair] = min(time, record.crashes.get(pair, time))
+            if vouches > record.completions:
+                record.completions = vouches
+                record.completed_at = max(record.completed_at, now - age_s)
         return []
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -127,7 +127,7 @@
         now: float,
     ) -> placement.Assignment | failures.Failure:
         """Chooses an upstream and counts the attempt as outstanding."""
-        verdict = self._suspects.judge(request.fingerprint, now)
+        verdict = self._suspects.check(request.fingerprint, now)
         if isinstance(verdict, failures.Failure):
             return verdict
         demand = self._build_demand(request, version)
@@ -146,7 +146,7 @@
     ) -> placement.Assignment | failures.Failure:
         """Chooses an upstream in place of the one that runs the request."""
         replaced_attempt = request.request_id
-        verdict = self._suspects.judge(
+        verdict = self._suspects.check(
             request.fingerprint, now, replaced_attempt
         )
         if isinstance(verdict, failures.Failure):
@@ -208,7 +208,7 @@
             candidates = [
                 name
                 for name in self._list_candidates(group, version, excluded)
-                if self._suspects.may_place(
+                if self._suspects.can_place(
                     request.fingerprint,
                     name,
                     self._is_idle(name),
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -58,12 +58,12 @@
     @property
     def run(self) -> str:
         """Identity of the configured roll-out."""
-        return stops.name_run(self.rollout)
+        return stops.compute_rollout_id(self.rollout)
 
     @property
     def stage(self) -> stages.Stage | None:
         """The document, unless it is that of an earlier definition."""
-        if self.found is None or self.found.run != self.run:
+        if self.found is None or self.found.rollout_id != self.run:
             return None
         return self.found
 
@@ -95,7 +95,7 @@
     target = step(recorded.stage)
     if isinstance(target, failures.Failure):
         return target
-    written = stages.succeed(
+    written = stages.build_successor(
         recorded.found,
         *target,
         recorded.config,
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -328,7 +328,9 @@
                 self._settings.operators.token,
                 self._snapshot,
                 self._loop.post,
-                lambda: self._loop.ask(self._node.rollouts.stopped),
+                lambda: self._loop.ask(
+                    self._node.rollouts.list_stopped_versions
+                ),
             ),
         ]
 
--- a/sycamorehollow/shells/rollout_io.py
+++ b/sycamorehollow/shells/rollout_io.py
@@ -87,25 +87,25 @@
         result = self._store.read(command.key)
         if isinstance(result, stores.Found):
             self._report(
-                rollouts.StageSeen(
+                rollouts.StageObserved(
                     command.rollout, result.revision, result.value.encode()
                 )
             )
         elif isinstance(result, stores.Absent):
-            self._report(rollouts.StageSeen(command.rollout, 0, b""))
+            self._report(rollouts.StageObserved(command.rollout, 0, b""))
         else:
-            self._report(rollouts.StoreUnanswered(command.rollout))
+            self._report(rollouts.StoreCallFailed(command.rollout))
 
     def _write(self, command: rollouts.WriteStage) -> None:
         if time.monotonic() >= command.not_after:
-            self._report(rollouts.StoreUnanswered(command.rollout))
+            self._report(rollouts.StoreCallFailed(command.rollout))
             return
         result = self._store.write(
-            command.key, command.value.decode(), command.expect
+            command.key, command.value.decode(), command.expected_revision
         )
         if isinstance(result, stores.Written):
             self._report(
-                rollouts.StageSeen(
+                rollouts.StageObserved(
                     command.rollout, result.revision, command.value
                 )
             )
@@ -115,7 +115,7 @@
                 rollouts.StageConflict(command.rollout, result.revision, value)
             )
         else:
-            self._report(rollouts.StoreUnanswered(command.rollout))
+            self._report(rollouts.StoreCallFailed(command.rollout))
 
     def _poll(self) -> None:
         result = self._store.list_range(stages.KEY_PREFIX)
@@ -124,5 +124,5 @@
         for item in result.items:
             name = item.key.removeprefix(stages.KEY_PREFIX)
             self._report(
-                rollouts.StageSeen(name, item.revision, item.value.encode())
+                rollouts.StageObserved(name, item.revision, item.value.encode())
             )
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -297,7 +297,9 @@
                 self.run_ctl(f"--team a rollout {action} r")
                 found = self.read_stage()
                 self.assertEqual((found.stage, found.state), (stage, state))
-                self.assertEqual(found.run, stops.name_run(rollout))
+                self.assertEqual(
+                    found.rollout_id, stops.compute_rollout_id(rollout)
+                )
                 self.assertEqual(found.config, revision)
 
     def test_start_accepts_that_an_entry_process_was_faster(self):
@@ -307,7 +309,7 @@
         def overtake(changer, proposal):
             if proposal.key == "rollouts/r":
                 other = dataclasses.replace(
-                    stages.decode(proposal.text.encode()), mark="entry"
+                    stages.decode(proposal.text.encode()), nonce_suffix="entry"
                 )
                 value = stages.encode(other).decode()
                 self.store.write("rollouts/r", value, 0)
@@ -315,15 +317,15 @@
 
         with mock.patch(name, overtake):
             self.start_rollout()
-        self.assertEqual(self.read_stage().mark, "entry")
+        self.assertEqual(self.read_stage().nonce_suffix, "entry")
 
     def test_lost_response_is_recognised_after_an_entry_process_wrote(self):
         self.start_rollout()
 
         def follow():
             found = self.read_stage()
-            after = stages.succeed(
-                found, 1, found.state, found.config, found.run, "entry"
+            after = stages.build_successor(
+                found, 1, found.state, found.config, found.rollout_id, "entry"
             )
             value = stages.encode(after).decode()
             self.store.write("rollouts/r", value, None)
@@ -341,7 +343,7 @@
 
         with mock.patch.object(self.store, "read", read_late):
             self.run_ctl("--team a rollout start r")
-        self.assertEqual(self.read_stage().mark, "entry")
+        self.assertEqual(self.read_stage().nonce_suffix, "entry")
 
     def test_unreadable_stage_is_shown_and_can_be_replaced(self):
         self.start_rollout()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -45,11 +45,11 @@
 
     def run(self, index, fingerprint, upstream):
         node = self.nodes[index]
-        verdict = node.judge(fingerprint, self.now)
-        if not isinstance(verdict, quarantine.Verdict):
+        verdict = node.check(fingerprint, self.now)
+        if not isinstance(verdict, quarantine.Isolation):
             return
         idle = all(one[2] != upstream for one in self.running.values())
-        if not node.may_place(fingerprint, upstream, idle, self.now):
+        if not node.can_place(fingerprint, upstream, idle, self.now):
             return
         name = f"{self.now}-{fingerprint}"
         self.running[name] = (index, fingerprint, upstream)
@@ -98,7 +98,7 @@
             self.deaths[one] += 1
             if one in self.since_completed:
                 self.since_completed[one] += 1
-        died = quarantine.UpstreamDied(upstream, self.generations[upstream])
+        died = quarantine.UpstreamCrashed(upstream, self.generations[upstream])
         self.generations[upstream] += 1
         for node in self.nodes:
             node.handle(died, self.now)
@@ -146,7 +146,7 @@
                 if world.since_completed[innocent] >= 2:
                     continue
                 for node in world.nodes:
-                    verdict = node.judge(innocent, world.now + 0.5)
+                    verdict = node.check(innocent, world.now + 0.5)
                     self.assertNotIsInstance(verdict, quarantine.Quarantined)
 
     @hypothesis.given(STEPS)
@@ -187,13 +187,13 @@
             world.crash(0, "c0", upstream)
         world.gossip()
         for node in world.nodes:
-            verdict = node.judge("c0", 1.0)
+            verdict = node.check("c0", 1.0)
             self.assertIsInstance(verdict, quarantine.Quarantined)
         later = quarantine.RECORD_TTL_S + 10
         for node in world.nodes:
             node.handle(events.Tick(), later)
         self.assertIs(
-            world.nodes[0].judge("c0", later), quarantine.Verdict.CLEAR
+            world.nodes[0].check("c0", later), quarantine.Isolation.NOT_NEEDED
         )
 
     def test_late_death_after_completion_does_not_count(self):
@@ -203,7 +203,7 @@
             node.handle(
                 upstream_events.AttemptStarted("a", f"u{number}", 1, "i0"), 0.0
             )
-            node.handle(quarantine.UpstreamDied(f"u{number}", 1), 1.0)
+            node.handle(quarantine.UpstreamCrashed(f"u{number}", 1), 1.0)
         first.handle(upstream_events.AttemptStarted("b", "u3", 1, "i0"), 1.5)
         first.handle(
             upstream_events.AttemptEnded(
@@ -213,7 +213,7 @@
         )
         delta = second.build_delta(first.build_digest(2.0), 2.0)
         first.merge(delta, 3.0)
-        self.assertIs(first.judge("i0", 3.0), quarantine.Verdict.CLEAR)
+        self.assertIs(first.check("i0", 3.0), quarantine.Isolation.NOT_NEEDED)
 
     def test_deaths_are_found_in_reports_and_failed_connects(self):
         """A lost connection alone is no death; one of these makes it one."""
@@ -238,12 +238,12 @@
             rule.handle(upstream_events.AttemptStarted("a", "u", 1, "f"), 0.0)
             for event in steps:
                 rule.handle(event, 1.0)
-            later = 1.0 + quarantine.DEATH_WINDOW_S
-            expected = quarantine.Verdict.ISOLATED
+            later = 1.0 + quarantine.CRASH_DETECTION_WINDOW_S
+            expected = quarantine.Isolation.REQUIRED
             if order == "alive":
-                expected = quarantine.Verdict.CLEAR
-            self.assertIs(rule.judge("f", 1.0), quarantine.Verdict.ISOLATED)
-            self.assertIs(rule.judge("f", later), expected)
+                expected = quarantine.Isolation.NOT_NEEDED
+            self.assertIs(rule.check("f", 1.0), quarantine.Isolation.REQUIRED)
+            self.assertIs(rule.check("f", later), expected)
 
 
 class OwnEndTest(unittest.TestCase):
@@ -271,7 +271,9 @@
                         ended = upstream_events.AttemptEnded("a", name, end)
                         rule.handle(ended, 0.5)
                         rule.handle(upstream_events.ConnectFailed(name), 1.0)
-                self.assertIs(rule.judge("f", 1.0), quarantine.Verdict.CLEAR)
+                self.assertIs(
+                    rule.check("f", 1.0), quarantine.Isolation.NOT_NEEDED
+                )
 
 
 class RetriedAttemptTest(unittest.TestCase):
@@ -290,17 +292,17 @@
         self._lose(node, "u1", 1.1)
         for upstream in ("u0", "u1"):
             node.handle(upstream_events.ConnectFailed(upstream), 1.2)
-        self.assertIsInstance(node.judge("f", 1.3), quarantine.Quarantined)
+        self.assertIsInstance(node.check("f", 1.3), quarantine.Quarantined)
 
     def test_two_losses_wait_until_it_is_known_what_they_were(self):
         node = quarantine.Quarantine()
         self._lose(node, "u0", 1.0)
-        self.assertIs(node.judge("f", 1.1), quarantine.Verdict.ISOLATED)
+        self.assertIs(node.check("f", 1.1), quarantine.Isolation.REQUIRED)
         self._lose(node, "u1", 1.1)
-        self.assertIsInstance(node.judge("f", 1.2), quarantine.SuspectBusy)
-        later = 1.2 + quarantine.DEATH_WINDOW_S
+        self.assertIsInstance(node.check("f", 1.2), quarantine.SuspectBusy)
+        later = 1.2 + quarantine.CRASH_DETECTION_WINDOW_S
         node.handle(events.Tick(), later)
-        self.assertIs(node.judge("f", later), quarantine.Verdict.CLEAR)
+        self.assertIs(node.check("f", later), quarantine.Isolation.NOT_NEEDED)
 
 
 class UnconnectedTest(unittest.TestCase):
@@ -349,7 +351,9 @@
         # A suspect needs an upstream of its own.
         moved = self.places.move(request, "v", excluded, end, 2.0)
         self.assertIsInstance(moved, failures.NoUpstream)
-        self.assertIs(self.suspects.judge("f", 2.0), quarantine.Verdict.CLEAR)
+        self.assertIs(
+            self.suspects.check("f", 2.0), quarantine.Isolation.NOT_NEEDED
+        )
         self.assertIn(placed.upstream, [one.upstream for one in others])
         _, later = self._place("later", "i9")
         self.assertIsInstance(later, placement.Assignment)
@@ -363,7 +367,7 @@
         end = placement.AttemptResult(upstream_events.AttemptStatus.LOST)
         moved = self.places.move(request, "v", excluded, end, 3.0)
         self.assertNotIn(moved.upstream.name, excluded)
-        verdict = self.suspects.judge("f", 3.0)
+        verdict = self.suspects.check("f", 3.0)
         self.assertIsInstance(verdict, quarantine.SuspectBusy)
 
     def _lose_twice(self, refused):
@@ -380,14 +384,14 @@
                 upstream_events.AttemptStatus.LOST, "", True, refused
             )
             self.places.release("r", end, now + 0.5)
-        return self.suspects.judge("f", 3.0)
+        return self.suspects.check("f", 3.0)
 
     def test_connections_without_an_answer_are_no_deaths(self):
         verdict = self._lose_twice(refused=False)
         self.assertNotIsInstance(verdict, quarantine.Quarantined)
         self.suspects.handle(events.Tick(), 13.0)
-        verdict = self.suspects.judge("f", 13.0)
-        self.assertIs(verdict, quarantine.Verdict.CLEAR)
+        verdict = self.suspects.check("f", 13.0)
+        self.assertIs(verdict, quarantine.Isolation.NOT_NEEDED)
 
     def test_refused_connections_are_deaths(self):
         verdict = self._lose_twice(refused=True)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions.releases import rollouts
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.releases import stages
 from sycamorehollow.decisions.releases import stops
 from sycamorehollow.model import deployment
@@ -33,20 +33,20 @@
     """One process, and the commands that it has not carried out yet."""
 
     def __init__(self, name, rollout=ROLLOUT, revision=5):
-        self.evidence = sequential.Evidence(name)
+        self.evidence = sequential_test.Evidence(name)
         self.stops = stops.Stops(name)
         self.part = rollouts.Rollouts(
             self.stops, self.evidence, random.Random(name), PACE
         )
         self.queue = []
         self.part.handle(configure(rollout, revision), 0.0)
-        self.part.handle(rollouts.RoleChanged(True), 0.0)
+        self.part.handle(rollouts.CoordinatorChanged(True), 0.0)
 
     def handle(self, event, now):
         self.queue.extend(self.part.handle(event, now))
 
     def share(self):
-        return self.part.shares().get("r", 0.0)
+        return self.part.get_shares().get("r", 0.0)
 
 
 def sync(one, two, now):
@@ -121,13 +121,13 @@
         command = node.queue.pop(0)
         written = None
         if isinstance(command, rollouts.WriteStage) and value % 4 != 3:
-            written = self.store.put(command.value, command.expect)
+            written = self.store.put(command.value, command.expected_revision)
         elif not isinstance(command, rollouts.ReadStage):
             return
         kind = rollouts.StageConflict if written is False else None
-        kind = kind or rollouts.StageSeen
+        kind = kind or rollouts.StageObserved
         if value % 4 >= 2:
-            node.handle(rollouts.StoreUnanswered("r"), self.now)
+            node.handle(rollouts.StoreCallFailed("r"), self.now)
             return
         answer = kind("r", self.store.revision, self.store.value)
         node.handle(answer, self.now)
@@ -141,13 +141,15 @@
         seen = stages.decode(self.store.value)
         state = list(stages.State)[value % 3]
         self.store.put(
-            stages.encode(dataclasses.replace(seen, state=state, mark="op")),
+            stages.encode(
+                dataclasses.replace(seen, state=state, nonce_suffix="op")
+            ),
             self.seen[operator],
         )
 
     def check(self, test):
         for node in self.nodes:
-            stage = node.part.describe("r")
+            stage = node.part.get_stage("r")
             if stage is None:
                 test.assertEqual(node.share(), 0.0)
                 continue
@@ -155,7 +157,7 @@
             test.assertLessEqual(node.share(), STAGES[stage.stage])
         previous = None
         for stage in self.store.history:
-            by_process = stage.mark != "op"
+            by_process = stage.nonce_suffix != "op"
             if by_process and previous is None:
                 test.assertEqual(stage.stage, 0)
             if by_process and previous is not None:
@@ -205,10 +207,10 @@
 
     def record(self, stage, state, rollout=ROLLOUT, config=5, revision=20):
         document = stages.Stage(
-            stage, state, config, stops.name_run(rollout), "m"
+            stage, state, config, stops.compute_rollout_id(rollout), "m"
         )
         value = stages.encode(document)
-        self.node.handle(rollouts.StageSeen("r", revision, value), 0.0)
+        self.node.handle(rollouts.StageObserved("r", revision, value), 0.0)
 
     def write(self, now):
         """Returns the document that the holder of the lease writes, if any."""
@@ -240,7 +242,7 @@
         self.record(1, stages.State.PAUSED)
         self.assertIsNone(self.write(100.0))
         self.assertEqual(self.node.share(), STAGES[1])
-        self.node.handle(rollouts.StageSeen("r", 30, b'{"stage": 3}'), 0.0)
+        self.node.handle(rollouts.StageObserved("r", 30, b'{"stage": 3}'), 0.0)
         self.assertIsNone(self.write(200.0))
         self.assertEqual(self.node.share(), 0.0)
 
@@ -269,19 +271,19 @@
         self.assertEqual(self.write(9.0).state, stages.State.WITHDRAWN)
         other = Node("q")
         sync(self.node, other, 10.0)
-        self.assertIn("v2", other.part.stopped())
+        self.assertIn("v2", other.part.list_stopped_versions())
 
     def test_evidence_of_a_worse_version_stops_it_without_the_store(self):
-        run = self.node.part.run("r")
+        run = self.node.part.get_rollout_id("r")
         for number in range(400):
             candidate = number % 4 == 0
-            event = sequential.AnswerEnded(
+            event = sequential_test.AnswerEnded(
                 str(number), run, candidate, "u", 0.3, candidate
             )
             self.node.evidence.handle(event, 0.0)
         self.node.handle(events.Tick(), 1.0)
-        self.assertIsInstance(self.node.queue[0], stops.SpreadStops)
-        self.assertIn("v2", self.node.part.stopped())
+        self.assertIsInstance(self.node.queue[0], stops.PushStops)
+        self.assertIn("v2", self.node.part.list_stopped_versions())
 
 
 class StopTest(unittest.TestCase):
@@ -301,12 +303,20 @@
                 entry = dataclasses.replace(ROLLOUT, stages=(0.2,))
             node.handle(configure(entry, revision), 1.0)
             value = stages.Stage(
-                0, stages.State.RUNNING, 9, stops.name_run(ROLLOUT), "m"
+                0,
+                stages.State.RUNNING,
+                9,
+                stops.compute_rollout_id(ROLLOUT),
+                "m",
+            )
+            seen = rollouts.StageObserved(
+                "r", 100 + number, stages.encode(value)
             )
-            seen = rollouts.StageSeen("r", 100 + number, stages.encode(value))
             node.handle(seen, 1.0)
             lifted = revision > 5 and step == 2
-            self.assertEqual("v2" not in node.part.stopped(), lifted)
+            self.assertEqual(
+                "v2" not in node.part.list_stopped_versions(), lifted
+            )
             if not lifted:
                 self.assertEqual(node.share(), 0.0)
 
--- a/tests/test_sequential.py
+++ b/tests/test_sequential.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.releases import sequential
+from sycamorehollow.decisions.releases import sequential_test
 
 
 def play(evidence, seed, bad=0.05, good=0.05, sick=None, only=None, count=3000):
@@ -20,18 +20,18 @@
             upstream = only
         if sick == upstream and number > count // 3:
             chance = 0.7
-        event = sequential.AnswerEnded(
+        event = sequential_test.AnswerEnded(
             str(number), "r", candidate, upstream, 0.2, draws.random() < chance
         )
         evidence.handle(event, 0.0)
-        if sequential.judge(evidence.pool("r")).worse:
+        if sequential_test.evaluate(evidence.combine_tallies("r")).worse:
             return True
     return False
 
 
 def make(name="p"):
-    evidence = sequential.Evidence(name)
-    evidence.keep(["r"])
+    evidence = sequential_test.Evidence(name)
+    evidence.retain_rollouts(["r"])
     return evidence
 
 
@@ -63,24 +63,27 @@
         evidence = make()
         for number in range(400):
             upstream = f"u{number % 20}"
-            event = sequential.AnswerEnded(
+            event = sequential_test.AnswerEnded(
                 str(number), "r", True, upstream, 0.9, True
             )
             evidence.handle(event, 0.0)
-        self.assertFalse(sequential.judge(evidence.pool("r")).worse)
+        self.assertFalse(
+            sequential_test.evaluate(evidence.combine_tallies("r")).worse
+        )
 
     def test_rating_counts_once_and_only_for_a_known_run(self):
         evidence = make()
         for run in ("r", "other"):
-            event = sequential.AnswerEnded(run, run, True, "u", 0.2)
+            event = sequential_test.AnswerEnded(run, run, True, "u", 0.2)
             evidence.handle(event, 0.0)
             for _ in range(2):
-                rating = sequential.AnswerRated(run, False)
+                rating = sequential_test.AnswerRated(run, False)
                 evidence.handle(rating, 0.0)
-        quality = evidence.pool("r")[sequential.Metric.QUALITY]
+        quality = evidence.combine_tallies("r")[sequential_test.Metric.QUALITY]
         self.assertEqual(quality.candidate_failed, 1)
         self.assertEqual(
-            evidence.pool("other")[sequential.Metric.ERROR], sequential.Tally()
+            evidence.combine_tallies("other")[sequential_test.Metric.ERROR],
+            sequential_test.Tally(),
         )
 
 
@@ -111,8 +114,8 @@
         order.shuffle(shuffled)
         for delta in shuffled:
             two.merge(delta, 0.0)
-        for metric, tally in one.pool("r").items():
-            other = two.pool("r")[metric]
+        for metric, tally in one.combine_tallies("r").items():
+            other = two.combine_tallies("r")[metric]
             self.assertEqual(tally.candidate, other.candidate)
             self.assertEqual(tally.baseline_failed, other.baseline_failed)
             for left, right in zip(tally.scores, other.scores, strict=True):
