Name the events and capacity classes of admission

WorkOffered and NoRoom are now WorkSubmitted and PlacementFailed, a "room" is a capacity class, and the queues count tokens by name.

--- a/benches/bench_overload.py
+++ b/benches/bench_overload.py
@@ -92,7 +92,7 @@
             self._start(name)
             return
         tokens = PROMPT_TOKENS + OUTPUT_TOKENS
-        offer = admission.WorkOffered(
+        offer = admission.WorkSubmitted(
             name, request.workspace, 1, tokens, 1, request.deadline, NEEDS_S
         )
         self._apply(offer, now)
--- a/sycamorehollow/decisions/requests/active.py
+++ b/sycamorehollow/decisions/requests/active.py
@@ -165,7 +165,7 @@
         """Lets a retry wait for room; tells whether it may wait on."""
         if self.room_until is None:
             left_s = self.request.deadline - now
-            self.room_until = now + admission.limit_wait_s(left_s)
+            self.room_until = now + admission.compute_max_wait_s(left_s)
         if now >= self.room_until:
             return False
         self.restart_at = now + ROOM_CHECK_S
--- a/sycamorehollow/decisions/requests/attempt_runs.py
+++ b/sycamorehollow/decisions/requests/attempt_runs.py
@@ -94,7 +94,9 @@
         if isinstance(started, failures.UpstreamsFull) and not active.runs:
             # The upstreams were full before the node was; the work waits in
             # its fair turn.
-            event = admission.NoRoom(active.request.request_id, started)
+            event = admission.PlacementFailed(
+                active.request.request_id, started
+            )
             self._take_admissions(self._admission.handle(event, now))
             return []
         if isinstance(started, failures.UpstreamsFull):
--- a/sycamorehollow/decisions/requests/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -114,17 +114,17 @@
         self._active[request.request_id] = active
         self._recovery.start(request.request_id, now)
         workspace = self._current.workspaces[request.workspace]
-        offer = admission.WorkOffered(
+        submitted = admission.WorkSubmitted(
             request=request.request_id,
             workspace=request.workspace,
             weight=workspace.weight,
             tokens=request.prompt_tokens + request.max_output_tokens,
             priority=plan.priority,
             deadline=request.deadline,
-            needs_s=plan.needs_s,
+            expected_duration_s=plan.needs_s,
             pool=plan.steps[0],
         )
-        self._take_admissions(self._admission.handle(offer, now))
+        self._take_admissions(self._admission.handle(submitted, now))
         return []
 
     def _start_admitted(self, now: float) -> list[commands.Command]:
--- a/sycamorehollow/decisions/routing/admission.py
+++ b/sycamorehollow/decisions/routing/admission.py
@@ -12,20 +12,17 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
-# About one long request, so that a round serves each workspace at least once
-# in a few rounds and short requests are served many at a time.
+# About one long request: each workspace is served every few rounds.
 QUANTUM_TOKENS = 4000
-# At 2 s the queue of a small workspace runs empty while its refused callers
-# stay away, and it gets 0.77 of its fair share in the bench; at 5 s, 0.88.
+# With 2 s the queue of a small workspace runs empty between the retries of its
+# callers: it gets 0.77 of its fair share in the bench; with 5 s, 0.88.
 MAX_WAIT_S = 5.0
-# Waiting may use this part of the time to the deadline; the rest is for the
-# work and for a retry of the caller elsewhere.
-WAIT_SHARE = 0.25
+# Share of the time to the deadline; the rest is for work and a retry elsewhere.
+MAX_WAIT_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.5
-SMOOTHING = 0.05
-# A limit found by a failed start rises by this part of the capacity each
-# second, so a full pool is tried again about once a second.
-RECOVERY_PER_S = 0.05
+HOLD_TIME_SMOOTHING = 0.05
+# Part of the capacity. A pool that was full is tried again about once a second.
+LIMIT_INCREASE_PER_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,8 +34,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class WorkOffered(events.Event):
-    """A request wants to be admitted.
+class WorkSubmitted(events.Event):
+    """A request asks for admission.
 
     Attributes:
         weight: Weight of the workspace, at least 1.
@@ -55,22 +52,22 @@
     tokens: int
     priority: int
     deadline: float
-    needs_s: float
+    expected_duration_s: float
     pool: str = ""
 
     @property
-    def queue(self) -> tuple[str, str]:
-        """Work of another pool must not wait behind a full one."""
+    def queue_key(self) -> tuple[str, str]:
+        """Workspace and pool; a full pool must not delay work for another."""
         return self.workspace, self.pool
 
     @property
-    def room(self) -> tuple[str, bool]:
-        """Short work has a reserve at the upstreams, so a room of its own."""
+    def capacity_class(self) -> tuple[str, bool]:
+        """Pool and whether the work is short, which has reserved capacity."""
         return self.pool, self.tokens <= capacity.SHORT_REQUEST_TOKENS
 
 
 @dataclasses.dataclass(frozen=True)
-class NoRoom(events.Event):
+class PlacementFailed(events.Event):
     """An admitted request found all upstreams full and did not start."""
 
     request: str
@@ -107,26 +104,26 @@
 
 
 @dataclasses.dataclass
-class Queue:
+class WorkspaceQueue:
     """Waiting work of one workspace.
 
     Attributes:
         waiting: Heap of (priority, arrival number, expiry, work).
-        tokens: Sum of the waiting work.
-        deficit: Tokens that the workspace may admit in its present turn.
+        waiting_tokens: Tokens of the waiting work.
+        deficit_tokens: Tokens that the queue may still admit in its turn.
     """
 
     weight: int = 1
-    waiting: list[tuple[int, int, float, WorkOffered]] = dataclasses.field(
+    waiting: list[tuple[int, int, float, WorkSubmitted]] = dataclasses.field(
         default_factory=list
     )
-    tokens: int = 0
-    deficit: float = 0.0
+    waiting_tokens: int = 0
+    deficit_tokens: float = 0.0
 
 
-def limit_wait_s(left_s: float) -> float:
+def compute_max_wait_s(left_s: float) -> float:
     """Returns how long work may wait, by the seconds to its deadline."""
-    return min(MAX_WAIT_S, WAIT_SHARE * left_s)
+    return min(MAX_WAIT_S, MAX_WAIT_SHARE * left_s)
 
 
 class Admission(components.Component):
@@ -134,42 +131,42 @@
 
     Args:
         tokens: Tokens that this node may have in flight.
-        source: Source of randomness for the time to come back.
+        rng: Source of randomness for the time to come back.
     """
 
-    def __init__(self, tokens: int, source: random.Random):
+    def __init__(self, tokens: int, rng: random.Random):
         self._capacity = tokens
-        self._source = source
-        self._running: dict[str, tuple[WorkOffered, float]] = {}
+        self._rng = rng
+        self._running: dict[str, tuple[WorkSubmitted, float]] = {}
         self._in_use = 0
         self._short_in_use = 0
-        self._queues: dict[tuple[str, str], Queue] = {}
-        self._order: collections.deque[tuple[str, str]] = collections.deque()
+        self._queues: dict[tuple[str, str], WorkspaceQueue] = {}
+        self._round: collections.deque[tuple[str, str]] = collections.deque()
         self._waiting: dict[str, tuple[str, str]] = {}
         # Arrival number and expiry of each request that is kept.
-        self._arrived: dict[str, tuple[int, float]] = {}
-        self._rooms: collections.Counter[tuple[str, bool]] = (
+        self._arrivals: dict[str, tuple[int, float]] = {}
+        self._in_use_by: collections.Counter[tuple[str, bool]] = (
             collections.Counter()
         )
         self._limits: dict[tuple[str, bool], float] = {}
-        self._recovered_at = float("-inf")
-        self._arrivals = 0
+        self._limits_raised_at = float("-inf")
+        self._arrival_count = 0
         self._mean_hold_s = 0.0
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event."""
         decided: list[commands.Command] = []
         match event:
-            case WorkOffered():
-                decided += self._offer(event, now)
+            case WorkSubmitted():
+                decided += self._submit(event, now)
             case WorkEnded():
                 self._end(event.request, now)
-            case NoRoom():
-                decided += self._put_back(event, now)
+            case PlacementFailed():
+                decided += self._defer(event, now)
             case CapacityChanged():
                 self._capacity = event.tokens
             case events.Tick():
-                self._recover(now)
+                self._raise_limits(now)
             case _:
                 return []
         decided += self._expire(now)
@@ -180,75 +177,81 @@
         """Returns the number of waiting requests."""
         return len(self._waiting)
 
-    def count_in_use(self) -> int:
+    def count_tokens_in_use(self) -> int:
         """Returns the tokens of admitted requests."""
         return self._in_use
 
-    def _offer(self, work: WorkOffered, now: float) -> list[commands.Command]:
+    def _submit(
+        self, work: WorkSubmitted, now: float
+    ) -> list[commands.Command]:
         if work.request in self._running or work.request in self._waiting:
             return []
-        if now + work.needs_s > work.deadline:
+        if now + work.expected_duration_s > work.deadline:
             failure = failures.DeadlineExceeded(
                 "The work takes longer than the time to its deadline."
             )
             return [RefuseWork(work.request, failure)]
         if self._mean_hold_s == 0.0:
-            self._mean_hold_s = work.needs_s
+            self._mean_hold_s = work.expected_duration_s
         if work.tokens > self._capacity and not self._running:
             # Nothing can end that would make room, so waiting is useless.
             return [self._refuse(work, MAX_WAIT_S)]
-        allowed_s = limit_wait_s(work.deadline - now)
-        self._arrivals += 1
-        self._arrived[work.request] = (self._arrivals, now + allowed_s)
+        allowed_s = compute_max_wait_s(work.deadline - now)
+        self._arrival_count += 1
+        self._arrivals[work.request] = (self._arrival_count, now + allowed_s)
         free = not self._waiting and not self._is_limited(work)
         if free and self._has_room(work, False):
             return [self._start(work, now)]
-        return self._wait(work, now)
+        return self._queue_or_refuse(work, now)
 
-    def _wait(self, work: WorkOffered, now: float) -> list[commands.Command]:
+    def _queue_or_refuse(
+        self, work: WorkSubmitted, now: float
+    ) -> list[commands.Command]:
         wait_s = self._estimate_wait_s(work)
-        expiry = self._arrived[work.request][1]
-        late = now + wait_s + work.needs_s > work.deadline
+        expiry = self._arrivals[work.request][1]
+        late = now + wait_s + work.expected_duration_s > work.deadline
         if now + wait_s > expiry or late:
             return [self._refuse(work, wait_s)]
         self._enqueue(work)
         return []
 
-    def _enqueue(self, work: WorkOffered) -> None:
-        queue = self._queues.setdefault(work.queue, Queue())
+    def _enqueue(self, work: WorkSubmitted) -> None:
+        queue = self._queues.setdefault(work.queue_key, WorkspaceQueue())
         queue.weight = max(1, work.weight)
         if not queue.waiting:
-            self._order.append(work.queue)
-        number, expiry = self._arrived[work.request]
+            self._round.append(work.queue_key)
+        number, expiry = self._arrivals[work.request]
         heapq.heappush(queue.waiting, (work.priority, number, expiry, work))
-        queue.tokens += work.tokens
-        self._waiting[work.request] = work.queue
+        queue.waiting_tokens += work.tokens
+        self._waiting[work.request] = work.queue_key
 
-    def _put_back(self, event: NoRoom, now: float) -> list[commands.Command]:
-        """Lets work wait that the upstreams have no room for."""
+    def _defer(
+        self, event: PlacementFailed, now: float
+    ) -> list[commands.Command]:
+        """Queues admitted work again that the upstreams have no room for."""
         entry = self._running.pop(event.request, None)
         if entry is None:
             return []
         work = entry[0]
-        self._free(work)
-        in_use = self._rooms[work.room]
+        self._release_tokens(work)
+        in_use = self._in_use_by[work.capacity_class]
         if not in_use:
-            # Nothing can end that would make room, so waiting is useless.
-            self._arrived.pop(work.request, None)
+            # Nothing can end and make room, so waiting is useless.
+            self._arrivals.pop(work.request, None)
             return [RefuseWork(work.request, event.failure)]
-        self._limits[work.room] = in_use
-        return self._wait(work, now)
-
-    def _recover(self, now: float) -> None:
-        passed_s = max(0.0, now - self._recovered_at)
-        self._recovered_at = now
-        for room, limit in list(self._limits.items()):
-            limit += RECOVERY_PER_S * self._capacity * min(1.0, passed_s)
-            self._limits[room] = limit
+        self._limits[work.capacity_class] = in_use
+        return self._queue_or_refuse(work, now)
+
+    def _raise_limits(self, now: float) -> None:
+        passed_s = max(0.0, now - self._limits_raised_at)
+        self._limits_raised_at = now
+        for name, limit in list(self._limits.items()):
+            limit += LIMIT_INCREASE_PER_S * self._capacity * min(1.0, passed_s)
+            self._limits[name] = limit
             if limit >= self._capacity:
-                del self._limits[room]
+                del self._limits[name]
 
-    def _estimate_wait_s(self, work: WorkOffered) -> float:
+    def _estimate_wait_s(self, work: WorkSubmitted) -> float:
         """Estimates the wait from the backlog and the workspace's part.
 
         By Little's law a full node ends `capacity / mean hold` tokens each
@@ -257,20 +260,23 @@
         weights = max(1, work.weight)
         ahead = work.tokens
         for name, queue in self._queues.items():
-            if name == work.queue:
-                ahead += queue.tokens
+            if name == work.queue_key:
+                ahead += queue.waiting_tokens
             elif queue.waiting and name[1] == work.pool:
                 weights += queue.weight
-        part = max(1, work.weight) / weights
-        limit = min(self._capacity, self._limits.get(work.room, math.inf))
-        per_s = part * limit / max(0.001, self._mean_hold_s)
+        share = max(1, work.weight) / weights
+        limit = min(
+            self._capacity,
+            self._limits.get(work.capacity_class, math.inf),
+        )
+        per_s = share * limit / max(0.001, self._mean_hold_s)
         return ahead / max(1.0, per_s)
 
-    def _refuse(self, work: WorkOffered, wait_s: float) -> RefuseWork:
-        self._arrived.pop(work.request, None)
+    def _refuse(self, work: WorkSubmitted, wait_s: float) -> RefuseWork:
+        self._arrivals.pop(work.request, None)
         # Jitter over the whole wait spreads the callers that come back.
         after_s = max(MIN_RETRY_AFTER_S, wait_s)
-        after_s *= self._source.uniform(1.0, 2.0)
+        after_s *= self._rng.uniform(1.0, 2.0)
         failure = Overloaded(
             f"The workspace {work.workspace} has no share of the node left.",
             failures.Execution.NOT_STARTED,
@@ -278,14 +284,15 @@
         )
         return RefuseWork(work.request, failure)
 
-    def _is_limited(self, work: WorkOffered) -> bool:
+    def _is_limited(self, work: WorkSubmitted) -> bool:
         """Tells whether the upstreams of the work are full."""
-        limit = self._limits.get(work.room)
+        limit = self._limits.get(work.capacity_class)
         return (
-            limit is not None and self._rooms[work.room] + work.tokens > limit
+            limit is not None
+            and self._in_use_by[work.capacity_class] + work.tokens > limit
         )
 
-    def _has_room(self, work: WorkOffered, only_reserve: bool) -> bool:
+    def _has_room(self, work: WorkSubmitted, only_reserve: bool) -> bool:
         free = self._capacity - self._in_use
         reserve = int(self._capacity * capacity.SHORT_RESERVE)
         if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
@@ -296,52 +303,52 @@
             return work.tokens <= free
         return not only_reserve and work.tokens <= free - reserve
 
-    def _start(self, work: WorkOffered, now: float) -> AdmitWork:
+    def _start(self, work: WorkSubmitted, now: float) -> AdmitWork:
         self._running[work.request] = (work, now)
         self._in_use += work.tokens
-        self._rooms[work.room] += work.tokens
+        self._in_use_by[work.capacity_class] += work.tokens
         if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
             self._short_in_use += work.tokens
         return AdmitWork(work.request)
 
-    def _free(self, work: WorkOffered) -> None:
+    def _release_tokens(self, work: WorkSubmitted) -> None:
         self._in_use -= work.tokens
-        self._rooms[work.room] -= work.tokens
+        self._in_use_by[work.capacity_class] -= work.tokens
         if work.tokens <= capacity.SHORT_REQUEST_TOKENS:
             self._short_in_use -= work.tokens
 
     def _end(self, request: str, now: float) -> None:
         # The heap entry of a request that left is skipped when it comes up.
-        self._forget_waiting(request)
-        self._arrived.pop(request, None)
+        self._remove_waiting(request)
+        self._arrivals.pop(request, None)
         entry = self._running.pop(request, None)
         if entry is None:
             return
         work, started_at = entry
-        self._free(work)
+        self._release_tokens(work)
         # Weighted by tokens, because the rate is in tokens.
-        part = min(0.5, SMOOTHING * work.tokens / QUANTUM_TOKENS)
-        self._mean_hold_s += part * (now - started_at - self._mean_hold_s)
+        share = min(0.5, HOLD_TIME_SMOOTHING * work.tokens / QUANTUM_TOKENS)
+        self._mean_hold_s += share * (now - started_at - self._mean_hold_s)
 
-    def _forget_waiting(self, request: str) -> None:
-        workspace = self._waiting.pop(request, None)
-        if workspace is None:
+    def _remove_waiting(self, request: str) -> None:
+        queue_key = self._waiting.pop(request, None)
+        if queue_key is None:
             return
-        queue = self._queues[workspace]
+        queue = self._queues[queue_key]
         for entry in queue.waiting:
             if entry[3].request == request:
-                queue.tokens -= entry[3].tokens
+                queue.waiting_tokens -= entry[3].tokens
                 queue.waiting.remove(entry)
                 heapq.heapify(queue.waiting)
                 break
-        self._drop_empty(workspace)
+        self._delete_if_empty(queue_key)
 
-    def _drop_empty(self, workspace: tuple[str, str]) -> None:
-        if self._queues[workspace].waiting:
+    def _delete_if_empty(self, queue_key: tuple[str, str]) -> None:
+        if self._queues[queue_key].waiting:
             return
         # An idle workspace must not save up its turns.
-        del self._queues[workspace]
-        self._order.remove(workspace)
+        del self._queues[queue_key]
+        self._round.remove(queue_key)
 
     def _expire(self, now: float) -> list[commands.Command]:
         expired = []
@@ -352,7 +359,7 @@
         refused: list[commands.Command] = []
         for work in expired:
             wait_s = self._estimate_wait_s(work)
-            self._forget_waiting(work.request)
+            self._remove_waiting(work.request)
             refused.append(self._refuse(work, wait_s))
         return refused
 
@@ -363,29 +370,29 @@
         blocked: set[tuple[str, str]] = set()
         # Work whose own upstreams are full holds up no work for others.
         limited: set[tuple[str, str]] = set()
-        while len(blocked) + len(limited) < len(self._order):
-            workspace = self._order[0]
-            if workspace in blocked or workspace in limited:
-                self._order.rotate(-1)
+        while len(blocked) + len(limited) < len(self._round):
+            queue_key = self._round[0]
+            if queue_key in blocked or queue_key in limited:
+                self._round.rotate(-1)
                 continue
-            queue = self._queues[workspace]
+            queue = self._queues[queue_key]
             work = queue.waiting[0][3]
             if self._is_limited(work):
-                limited.add(workspace)
-                self._order.rotate(-1)
+                limited.add(queue_key)
+                self._round.rotate(-1)
                 continue
             if not self._has_room(work, bool(blocked)):
-                blocked.add(workspace)
-                self._order.rotate(-1)
+                blocked.add(queue_key)
+                self._round.rotate(-1)
                 continue
-            if queue.deficit < work.tokens:
-                queue.deficit += QUANTUM_TOKENS * queue.weight
-                self._order.rotate(-1)
+            if queue.deficit_tokens < work.tokens:
+                queue.deficit_tokens += QUANTUM_TOKENS * queue.weight
+                self._round.rotate(-1)
                 continue
-            queue.deficit -= work.tokens
+            queue.deficit_tokens -= work.tokens
             heapq.heappop(queue.waiting)
-            queue.tokens -= work.tokens
+            queue.waiting_tokens -= work.tokens
             del self._waiting[work.request]
             admitted.append(self._start(work, now))
-            self._drop_empty(workspace)
+            self._delete_if_empty(queue_key)
         return admitted
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,7 +22,7 @@
 
 def offer(request, workspace="w", tokens=1000, deadline=60.0, weight=1):
     """Returns an offer of work that takes a second."""
-    return admission.WorkOffered(
+    return admission.WorkSubmitted(
         str(request), workspace, weight, tokens, 1, deadline, 1.0
     )
 
@@ -65,10 +65,10 @@
             ended = set(offered) - set(running) - refused
             offered = {key: offered[key] for key in offered if key in ended}
             self.assertLessEqual(sum(running.values()), CAPACITY)
-            self.assertEqual(rule.count_in_use(), sum(running.values()))
+            self.assertEqual(rule.count_tokens_in_use(), sum(running.values()))
             self.assertEqual(rule.count_waiting(), len(offered))
             for arrived, allowed_s, _ in offered.values():
-                limit = admission.WAIT_SHARE * allowed_s
+                limit = admission.MAX_WAIT_SHARE * allowed_s
                 self.assertLess(now - arrived, limit)
             now += 0.3
 
@@ -100,14 +100,16 @@
                 event = admission.WorkEnded(name)
                 ended = running.pop(name)
                 if step == "full":
-                    event = admission.NoRoom(name, failures.UpstreamsFull(""))
+                    event = admission.PlacementFailed(
+                        name, failures.UpstreamsFull("")
+                    )
                     waiting[name] = ended
             for command in rule.handle(event, now):
                 decided = waiting.pop(command.request)
                 if isinstance(command, admission.AdmitWork):
                     running[command.request] = decided
             held = sum(tokens for _, tokens in running.values())
-            self.assertEqual(rule.count_in_use(), held)
+            self.assertEqual(rule.count_tokens_in_use(), held)
             self.assertEqual(rule.count_waiting(), len(waiting))
             for arrived, _ in waiting.values():
                 self.assertLess(now - arrived, admission.MAX_WAIT_S)
@@ -117,7 +119,7 @@
         rule = admission.Admission(CAPACITY, random.Random(1))
         for number in range(2):
             rule.handle(offer(number, "a", 3000), 0.0)
-        full = admission.NoRoom("1", failures.UpstreamsFull(""))
+        full = admission.PlacementFailed("1", failures.UpstreamsFull(""))
         self.assertEqual(rule.handle(full, 0.0), [])
         self.assertEqual(rule.count_waiting(), 1)
         other = dataclasses.replace(offer(2, "a", 3000), pool="other")
