--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -18,19 +18,19 @@
 STATUS_PREFIX = "status/rollout/"
 NODE_PREFIX = "nodes/"
 
-_KINDS = {
+_REPEATABILITY_BY_KIND = {
     "safe": forwarding.RouteKind.SAFE,
     "unsafe": forwarding.RouteKind.UNSAFE,
     "streaming": forwarding.RouteKind.STREAM,
 }
-_STATES = {"ready": False, "draining": True}
+_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 _Count = Annotated[int, pydantic.Field(strict=True, ge=0)]
 _Number = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 _Name = Annotated[str, pydantic.Field(strict=True, min_length=1)]
 
 
-class _Share(pydantic.BaseModel):
+class _TrafficShare(pydantic.BaseModel):
     service: _Name
     weight: _Number
 
@@ -44,7 +44,7 @@
     targetLatencyMs: _Number = 0  # noqa: N815
     priority: int = 5
     service: str = ""
-    trafficSplit: list[_Share] = []  # noqa: N815
+    trafficSplit: list[_TrafficShare] = []  # noqa: N815
     maxAttempts: int = pydantic.Field(1, ge=1)  # noqa: N815
     authExempt: bool = False  # noqa: N815
     sessionAffinity: bool = False  # noqa: N815
@@ -84,7 +84,7 @@
     tenants: list[_Tenant] | None = None
 
 
-class _Entry(pydantic.BaseModel):
+class _Upstream(pydantic.BaseModel):
     service: _Name
     address: _Name
     zone: _Name
@@ -141,21 +141,23 @@
     document = _decode(_Configuration, text)
     if isinstance(document, failures.InvalidRequest):
         return document
-    unknown = {route.kind for route in document.routes} - set(_KINDS)
+    unknown = {route.kind for route in document.routes} - set(
+        _REPEATABILITY_BY_KIND
+    )
     if unknown:
         return failures.InvalidRequest(f"unknown kinds of routes: {unknown}")
     limits = document.limits
     return forwarding.Configuration(
         version=document.version,
-        routes=tuple(_read_route(route) for route in document.routes),
-        services={s.name: _read_service(s) for s in document.services},
+        routes=tuple(_build_route(route) for route in document.routes),
+        services={s.name: _build_service(s) for s in document.services},
         limits=forwarding.CallerLimits(
             limits.maxHeaderBytes,
             limits.maxBodyBytes,
             limits.headerTimeoutMs / 1000,
             limits.idleTimeoutMs / 1000,
         ),
-        workspaces=_read_workspaces(document.tenants),
+        workspaces=_build_workspaces(document.tenants),
     )
 
 
@@ -163,11 +165,11 @@
     key: str, text: str
 ) -> forwarding.Upstream | failures.InvalidRequest:
     """Decodes an upstream's entry; other writers may have left anything."""
-    entry = _decode(_Entry, text)
+    entry = _decode(_Upstream, text)
     if isinstance(entry, failures.InvalidRequest):
         return entry
-    address = _read_address(entry.address)
-    if entry.state not in _STATES or address is None:
+    address = _parse_address(entry.address)
+    if entry.state not in _DRAINING_BY_STATE or address is None:
         return failures.InvalidRequest("the entry names no state or address")
     host, port = address
     return forwarding.Upstream(
@@ -178,7 +180,7 @@
         data_centre=entry.zone,
         version=entry.version,
         slots=entry.slots,
-        draining=_STATES[entry.state],
+        draining=_DRAINING_BY_STATE[entry.state],
         cold_s=entry.coldRemainingMs / 1000,
         started_ms=entry.born,
         models=tuple(model.name for model in entry.models),
@@ -226,7 +228,7 @@
         return failures.InvalidRequest(f"{place}: {first['msg']}")
 
 
-def _read_address(text: str) -> tuple[str, int] | None:
+def _parse_address(text: str) -> tuple[str, int] | None:
     """Reads an IP address with a port to which connections can be made."""
     host, _, digits = text.rpartition(":")
     try:
@@ -237,7 +239,7 @@
     return (host, port) if 0 < port < 65536 else None
 
 
-def _read_route(route: _Route) -> forwarding.Route:
+def _build_route(route: _Route) -> forwarding.Route:
     targets = tuple(
         forwarding.Target(share.service, share.weight)
         for share in route.trafficSplit
@@ -249,7 +251,7 @@
         name=route.name,
         host=route.host.lower(),
         path_prefix=route.pathPrefix,
-        kind=_KINDS[route.kind],
+        kind=_REPEATABILITY_BY_KIND[route.kind],
         timeout_s=route.timeoutMs / 1000,
         objective_s=route.targetLatencyMs / 1000,
         priority=route.priority,
@@ -263,7 +265,7 @@
     )
 
 
-def _read_service(service: _Service) -> forwarding.Service:
+def _build_service(service: _Service) -> forwarding.Service:
     return forwarding.Service(
         name=service.name,
         max_connections=service.maxConnections,
@@ -271,7 +273,7 @@
     )
 
 
-def _read_workspaces(
+def _build_workspaces(
     tenants: list[_Tenant] | None,
 ) -> dict[str, forwarding.Workspace] | None:
     if tenants is None:
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -26,7 +26,7 @@
 # Digits of a number in a header.
 MAX_DIGITS = 15
 # Value by which a caller leaves the choice of the model open.
-_ANY_MODEL = b"*"
+_OPEN_MODEL = b"*"
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -37,24 +37,24 @@
         self, method: str, target: str, headers: header_codec.Headers
     ) -> forwarding.Request | failures.InvalidRequest:
         """Decodes the head of a caller's request."""
-        fields = _index(headers)
+        fields = _index_by_name(headers)
         request_id = fields.get(b"request-id", b"").decode("latin-1")
         host = fields.get(b"host", b"").decode("latin-1").lower()
         if not host:
             return failures.InvalidRequest("the Host header is missing")
-        deadline_ms = _read_number(fields.get(b"request-deadline"))
+        deadline_ms = _parse_number(fields.get(b"request-deadline"))
         tokens = fields.get(b"token-counts", b"").split(b",")
-        parts = _read_parts(fields.get(b"prompt-prefix", b""))
+        parts = _parse_prompt_parts(fields.get(b"prompt-prefix", b""))
         return forwarding.Request(
             request_id=request_id,
             method=method,
             host=host.partition(":")[0],
             path=target.partition("?")[0],
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
-            api_key=_read_key(fields.get(b"authorization", b"")),
-            any_model=fields.get(b"model") == _ANY_MODEL,
-            prompt_tokens=int(_read_number(tokens[0]) or 0),
-            output_tokens=int(_read_number(tokens[-1]) or 0),
+            api_key=_parse_api_key(fields.get(b"authorization", b"")),
+            any_model=fields.get(b"model") == _OPEN_MODEL,
+            prompt_tokens=int(_parse_number(tokens[0]) or 0),
+            output_tokens=int(_parse_number(tokens[-1]) or 0),
             prompt_parts=parts,
             session=fields.get(b"session", b"").decode("latin-1"),
             last_event_id=fields.get(b"last-event-id", b"").decode("latin-1"),
@@ -98,10 +98,10 @@
         self, status: int, headers: header_codec.Headers
     ) -> forwarding.DecodedHead:
         """Decodes the head of an upstream's answer."""
-        fields = _index(headers)
-        confidence = _read_number(fields.get(b"hint-confidence"))
+        fields = _index_by_name(headers)
+        confidence = _parse_number(fields.get(b"hint-confidence"))
         idle = _KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))
-        cold_ms = _read_number(fields.get(b"cold-remaining"))
+        cold_ms = _parse_number(fields.get(b"cold-remaining"))
         return forwarding.DecodedHead(
             status=status,
             request_id=fields.get(b"request-id", b"").decode("latin-1"),
@@ -110,7 +110,7 @@
             misdirected=status == 421,
             encoded=b"content-encoding" in fields,
             confidence=None if confidence is None else int(confidence),
-            load=_read_load(fields.get(b"replica-load")),
+            load=_parse_load(fields.get(b"replica-load")),
             keep_alive_s=float(idle[1]) if idle else None,
             cold_s=None if cold_ms is None else cold_ms / 1000,
         )
@@ -128,7 +128,7 @@
         return headers
 
 
-def _index(headers: header_codec.Headers) -> dict[bytes, bytes]:
+def _index_by_name(headers: header_codec.Headers) -> dict[bytes, bytes]:
     return {name.lower(): value for name, value in headers}
 
 
@@ -142,7 +142,7 @@
     return frozenset(names)
 
 
-def _read_number(value: bytes | None) -> float | None:
+def _parse_number(value: bytes | None) -> float | None:
     try:
         number = float(value or b"")
     except ValueError:
@@ -150,33 +150,33 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
-def _read_count(text: str) -> int | None:
+def _parse_count(text: str) -> int | None:
     """Reads a whole number; other digits than ASCII ones are no number."""
     if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
         return None
     return int(text)
 
 
-def _read_key(value: bytes) -> str:
+def _parse_api_key(value: bytes) -> str:
     scheme, _, key = value.decode("latin-1").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
-def _read_parts(value: bytes) -> tuple[forwarding.PromptPart, ...]:
+def _parse_prompt_parts(value: bytes) -> tuple[forwarding.PromptPart, ...]:
     parts = []
     for entry in value.decode("latin-1").split(","):
         identity, separator, tokens = entry.strip().partition(":")
-        count = _read_count(tokens)
+        count = _parse_count(tokens)
         if separator and count is not None:
             parts.append(forwarding.PromptPart(identity, count))
     return tuple(parts)
 
 
-def _read_load(value: bytes | None) -> forwarding.Load | None:
+def _parse_load(value: bytes | None) -> forwarding.Load | None:
     figures = (value or b"").decode("latin-1").split(",")
     if len(figures) != 3:
         return None
-    running, waiting, slots = (_read_count(f.strip()) for f in figures)
+    running, waiting, slots = (_parse_count(f.strip()) for f in figures)
     if running is None or waiting is None or slots is None:
         return None
     return forwarding.Load(running, waiting, slots)
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -73,12 +73,12 @@
     """Parses lines of the form `a.b=value`."""
     values = settings_lines.parse_lines(text)
     try:
-        return _convert(_File.model_validate(_nest(values)))
+        return _build_settings(_File.model_validate(_build_tree(values)))
     except pydantic.ValidationError as error:
-        return [_read_fault(values, entry) for entry in error.errors()]
+        return [_build_fault(values, entry) for entry in error.errors()]
 
 
-def _nest(values: Mapping[str, str]) -> dict[str, Any]:
+def _build_tree(values: Mapping[str, str]) -> dict[str, Any]:
     tree: dict[str, Any] = {}
     for key, value in values.items():
         *branches, leaf = key.split(".")
@@ -92,7 +92,7 @@
     return tree
 
 
-def _read_fault(values: Mapping[str, str], entry: Any) -> process.Fault:
+def _build_fault(values: Mapping[str, str], entry: Any) -> process.Fault:
     key = ".".join(str(part) for part in entry["loc"])
     message = str(entry["msg"]).removeprefix("Value error, ")
     if entry["type"] == "missing":
@@ -101,7 +101,7 @@
     return process.Fault(section, name, values.get(key, ""), message)
 
 
-def _convert(file: _File) -> gateway.Settings:
+def _build_settings(file: _File) -> gateway.Settings:
     bounds = file.bounds
     return gateway.Settings(
         node=file.nodeName,
--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -23,8 +23,8 @@
         if answer.status == 404:
             return stores.Absent(key)
         if answer.status != 200:
-            return _judge(answer)
-        return _read_item(answer.document)
+            return _build_failure(answer)
+        return _parse_item(answer.document)
 
     def write(
         self, key: str, value: str, expect: int | None, lease: str = ""
@@ -33,13 +33,13 @@
         entry: dict[str, Any] = {"key": key, "value": _encode(value)}
         if lease:
             entry["lease"] = int(lease)
-        return self._change(key, expect, {"writes": [entry]})
+        return self._commit_transaction(key, expect, {"writes": [entry]})
 
     def delete(
         self, key: str, expect: int | None = None
     ) -> stores.Deleted | stores.Conflict | stores.CallFailure:
         """Deletes a key, at any revision if `expect` is `None`."""
-        result = self._change(key, expect, {"remove": [key]})
+        result = self._commit_transaction(key, expect, {"remove": [key]})
         if isinstance(result, stores.Written):
             return stores.Deleted(key)
         return result
@@ -58,9 +58,9 @@
             if isinstance(answer, failures.Failure):
                 return answer
             if answer.status != 200:
-                return _judge(answer)
+                return _build_failure(answer)
             try:
-                page = [_read_item(item) for item in answer.document["items"]]
+                page = [_parse_item(item) for item in answer.document["items"]]
                 at = int(answer.document["at"])
                 more = bool(answer.document.get("hasMore")) and bool(page)
             except (KeyError, TypeError, ValueError):
@@ -94,9 +94,9 @@
         if answer.status == 410:
             return stores.HistoryGone(f"no changes after revision {after}")
         if answer.status != 200:
-            return _judge(answer)
+            return _build_failure(answer)
         try:
-            changes = [_read_change(e) for e in answer.document["events"]]
+            changes = [_parse_change(e) for e in answer.document["events"]]
             return stores.Changes(tuple(changes), int(answer.document["at"]))
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a watch is malformed")
@@ -109,7 +109,7 @@
         if isinstance(answer, failures.Failure):
             return answer
         if answer.status != 200 or "lease" not in answer.document:
-            return _judge(answer)
+            return _build_failure(answer)
         granted_s = float(answer.document.get("ttlMs", ttl_s * 1000)) / 1000
         return stores.Lease(str(answer.document["lease"]), granted_s)
 
@@ -123,7 +123,7 @@
         if answer.status == 404:
             return stores.LeaseGone(f"the lease {lease} has ended")
         if answer.status != 200:
-            return _judge(answer)
+            return _build_failure(answer)
         return stores.Lease(lease, float(answer.document["ttlMs"]) / 1000)
 
     def release_lease(
@@ -136,10 +136,10 @@
         if answer.status == 404:
             return stores.LeaseGone(f"the lease {lease} has ended")
         if answer.status != 200:
-            return _judge(answer)
+            return _build_failure(answer)
         return stores.Released(lease)
 
-    def _change(
+    def _commit_transaction(
         self, key: str, expect: int | None, change: dict[str, Any]
     ) -> stores.Written | stores.Conflict | stores.CallFailure:
         body = {"expectedRevision": [], "writes": [], "remove": []} | change
@@ -149,18 +149,20 @@
         if isinstance(answer, failures.Failure):
             return answer
         if answer.status == 412:
-            return _read_conflict(key, answer)
+            return _parse_conflict(key, answer)
         if answer.status == 404:
             return stores.Conflict(f"the lease of {key} has ended")
         if answer.status != 200:
-            return _judge(answer)
+            return _build_failure(answer)
         try:
             return stores.Written(int(answer.document["revision"]))
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a write has no revision")
 
 
-def _judge(answer: storeclient.Response) -> stores.RateLimited | stores.InDoubt:
+def _build_failure(
+    answer: storeclient.Response,
+) -> stores.RateLimited | stores.InDoubt:
     """Returns the failure of a response that is no success."""
     reason = f"the store answered {answer.status}"
     if answer.status == 503 or 400 <= answer.status < 500:
@@ -183,7 +185,7 @@
     return data.decode("utf-8", errors="surrogateescape")
 
 
-def _read_item(item: Any) -> stores.Found | stores.InDoubt:
+def _parse_item(item: Any) -> stores.Found | stores.InDoubt:
     try:
         return stores.Found(
             str(item["key"]), _decode(item["value"]), int(item["revision"])
@@ -192,14 +194,14 @@
         return stores.InDoubt(f"malformed item {json.dumps(item)[:200]}")
 
 
-def _read_change(event: Any) -> stores.Change:
+def _parse_change(event: Any) -> stores.Change:
     revision = int(event["revision"])
     if event.get("deleted"):
         return stores.Change(str(event["key"]), None, revision)
     return stores.Change(str(event["key"]), _decode(event["value"]), revision)
 
 
-def _read_conflict(
+def _parse_conflict(
     key: str, answer: storeclient.Response
 ) -> stores.Conflict | stores.InDoubt:
     try:
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -29,12 +29,12 @@
 
 # Time in which the load balancer notices that the node is not ready; requests
 # are still served meanwhile.
-UNREADY_S = 2.5
+READINESS_PROPAGATION_S = 2.5
 # Time without a new connection after which no caller is on its way any more.
-QUIET_S = 0.3
+DRAIN_QUIET_PERIOD_S = 0.3
 # Time before SIGKILL at which the process ends by itself.
-END_MARGIN_S = 0.4
-SETTINGS_CHECK_S = 1.0
+SHUTDOWN_MARGIN_S = 0.4
+SETTINGS_POLL_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,7 +73,7 @@
         self._adapter = adapter
         self._telemetry = telemetry.Telemetry()
         rng = random.Random()
-        self._source = rng
+        self._rng = rng
         self._router = routers.Router(settings, rng)
         self._pool = connection_pool.ConnectionPool(
             adapter.header_codec.decode_response,
@@ -87,10 +87,12 @@
             self._router, adapter.header_codec, self._pool, self._telemetry
         )
         self._connections: set[caller_connections.CallerConnection] = set()
-        self._checks: set[caller_connections.CallerConnection] = set()
+        self._probe_connections: set[caller_connections.CallerConnection] = (
+            set()
+        )
         self._state_sync: state_sync.StateSync | None = None
         self._draining = False
-        self._accepted_at = float("-inf")
+        self._last_accepted_at = float("-inf")
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains and ends."""
@@ -98,7 +100,7 @@
         ended = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, ended.set)
         loop.add_signal_handler(signal.SIGINT, ended.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         self._start_state_sync()
         servers = [
             await self._listen(
@@ -108,13 +110,19 @@
                 self._listener,
             ),
             await self._listen(
-                self._settings.ready, self._answer_ready, self._checks
+                self._settings.ready,
+                self._handle_readiness_probe,
+                self._probe_connections,
             ),
         ]
         try:
             address = f"{self._settings.ip}:{self._settings.metrics_port}"
             servers.append(
-                await self._listen(address, self._answer_metrics, self._checks)
+                await self._listen(
+                    address,
+                    self._handle_metrics_request,
+                    self._probe_connections,
+                )
             )
         except OSError as error:
             # Requests are served without the page, too.
@@ -126,13 +134,13 @@
             self._settings.front,
         )
         await self._connect_peers()
-        upkeep = loop.create_task(self._keep_up())
+        upkeep = loop.create_task(self._run_periodically())
         await ended.wait()
         await self._drain()
         upkeep.cancel()
         for server in servers:
             server.close()
-        cut = sum(connection.busy for connection in self._connections)
+        cut = sum(connection.is_busy for connection in self._connections)
         self._telemetry.log_event(
             "stopped node={} requests_cut={}", self._settings.node, cut
         )
@@ -156,13 +164,13 @@
             self._router,
             self._adapter.store_codec,
             self._telemetry,
-            self._source,
+            self._rng,
         )
         self._state_sync = state
         store = self._adapter.store
         writer = store_tasks.WriteTask(store, state.deliver)
         watch = store_tasks.WatchTask(
-            store, state.deliver, state.get_revision, self._source
+            store, state.deliver, state.get_revision, self._rng
         )
         state.set_store_tasks(watch, writer)
         writer.start()
@@ -193,8 +201,8 @@
                 handler, self._get_limits, registry
             )
             if registry is self._connections:
-                self._accepted_at = time.monotonic()
-                connection.leaving = self._draining
+                self._last_accepted_at = time.monotonic()
+                connection.closes_after_response = self._draining
             return connection
 
         loop = asyncio.get_running_loop()
@@ -213,60 +221,60 @@
             return forwarding.CallerLimits()
         return table.configuration.limits
 
-    async def _answer_ready(
+    async def _handle_readiness_probe(
         self,
         connection: caller_connections.CallerConnection,
         request: caller_connections.Request,
     ) -> None:
         state = self._state_sync
         ready = not self._draining and state is not None and state.is_ready
-        await forwarder.write_whole(
+        await forwarder.write_response(
             connection, 200 if ready else 503, [], b"", request.keep_alive
         )
 
-    async def _answer_metrics(
+    async def _handle_metrics_request(
         self,
         connection: caller_connections.CallerConnection,
         request: caller_connections.Request,
     ) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
-        await forwarder.write_whole(
+        await forwarder.write_response(
             connection, 200, headers, self._telemetry.render_metrics(), False
         )
 
-    async def _keep_up(self) -> None:
+    async def _run_periodically(self) -> None:
         """Does the periodic work."""
         # What changed while the process started is found by the first look.
         changed_at = 0.0
-        next_check = time.monotonic() + SETTINGS_CHECK_S
+        next_check = time.monotonic() + SETTINGS_POLL_INTERVAL_S
         while True:
             await asyncio.sleep(state_sync.PERIODIC_WORK_INTERVAL_S)
             try:
-                self._tick()
+                self._run_periodic_work()
             except Exception as error:
                 # Without this work the node would go on with stale beliefs.
                 self._telemetry.log_error("periodic work", error)
             if time.monotonic() < next_check:
                 continue
-            next_check = time.monotonic() + SETTINGS_CHECK_S
-            latest = self._read_change_time()
+            next_check = time.monotonic() + SETTINGS_POLL_INTERVAL_S
+            latest = self._read_settings_mtime()
             if latest != changed_at:
                 changed_at = latest
-                self._reload()
+                self._reload_settings()
 
-    def _tick(self) -> None:
+    def _run_periodic_work(self) -> None:
         assert self._state_sync is not None
         self._state_sync.run_periodic_work()
         self._crash_checker.start_due_checks()
         self._pool.close_expired()
 
-    def _read_change_time(self) -> float:
+    def _read_settings_mtime(self) -> float:
         with contextlib.suppress(FileNotFoundError):
             return self._adapter.settings_path.stat().st_mtime
         # The file is being replaced; the next look finds it.
         return 0.0
 
-    def _reload(self) -> None:
+    def _reload_settings(self) -> None:
         """Takes changed settings; what a socket is bound to stays."""
         settings = self._adapter.read_settings()
         if isinstance(settings, list):
@@ -281,7 +289,7 @@
     async def _drain(self) -> None:
         """Lets requests end and takes no new ones after a while."""
         started = time.monotonic()
-        end = started + self._settings.grace_s - END_MARGIN_S
+        end = started + self._settings.grace_s - SHUTDOWN_MARGIN_S
         self._draining = True
         self._telemetry.log_event(
             "draining, {} connections", len(self._connections)
@@ -289,13 +297,13 @@
         while time.monotonic() < end:
             now = time.monotonic()
             passed = now - started
-            quiet = now - self._accepted_at > QUIET_S
-            self._forwarder.refusing = passed >= UNREADY_S
+            quiet = now - self._last_accepted_at > DRAIN_QUIET_PERIOD_S
+            self._forwarder.rejecting = passed >= READINESS_PROPAGATION_S
             for connection in list(self._connections):
-                connection.leaving = True
-                if self._forwarder.refusing:
+                connection.closes_after_response = True
+                if self._forwarder.rejecting:
                     connection.close_when_idle()
-            if self._forwarder.refusing and quiet and not self._connections:
+            if self._forwarder.rejecting and quiet and not self._connections:
                 break
             await asyncio.sleep(0.05)
 
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -16,12 +16,12 @@
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Requests that a caller may send ahead of their answers.
-MAX_AHEAD = 8
+MAX_PIPELINED_REQUESTS = 8
 # Time in seconds for which the first request of a connection may be on its way;
 # the bound in which a caller expects a connection to be made.
-FIRST_REQUEST_S = 1.0
+FIRST_REQUEST_TIMEOUT_S = 1.0
 # Bytes of an answer that wait for a slow caller before its upstream does.
-WRITE_AHEAD_BYTES = 256 * 1024
+WRITE_BUFFER_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass
@@ -29,7 +29,7 @@
     """A whole request of a caller.
 
     Attributes:
-        fault: Status of the refusal for a request that cannot be read.
+        error_status: Status of the refusal for a request that cannot be read.
     """
 
     method: str = ""
@@ -38,10 +38,10 @@
     body: bytearray = dataclasses.field(default_factory=bytearray)
     has_body: bool = False
     keep_alive: bool = True
-    fault: int = 0
+    error_status: int = 0
 
 
-class CallerGoneError(Exception):
+class CallerDisconnectedError(Exception):
     """The caller has closed its connection."""
 
 
@@ -57,8 +57,8 @@
         registry: The open connections; the connection adds itself.
 
     Attributes:
-        closing: Whether it closes after the requests that were read.
-        leaving: Whether its next answer is its last one.
+        is_closing: Whether it closes after the requests that were read.
+        closes_after_response: Whether its next answer is its last one.
     """
 
     def __init__(
@@ -67,8 +67,8 @@
         get_limits: Callable[[], forwarding.CallerLimits],
         registry: set["CallerConnection"],
     ):
-        self.closing = False
-        self.leaving = False
+        self.is_closing = False
+        self.closes_after_response = False
         self._handler = handler
         self._get_limits = get_limits
         self._registry = registry
@@ -76,20 +76,20 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request: Request | None = None
         self._opened_at = time.monotonic()
-        self._carried = False
+        self._received_request = False
         self._head_bytes = 0
         # Bytes in a row that bring no part of a body.
-        self._overhead = 0
-        self._waiting: collections.deque[Request] = collections.deque()
+        self._overhead_bytes = 0
+        self._pending_requests: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
-        self._gone = False
+        self._disconnected = False
         self._chunked = False
 
     @property
-    def busy(self) -> bool:
+    def is_busy(self) -> bool:
         """Whether a request is being read or answered."""
         return self._task is not None or self._request is not None
 
@@ -99,15 +99,17 @@
         To be called again until the connection is gone: a request may be on
         its way, and closing before it is read would reset the connection.
         """
-        self.closing = True
-        if self.busy or self._transport is None:
+        self.is_closing = True
+        if self.is_busy or self._transport is None:
             return
         age_s = time.monotonic() - self._opened_at
-        awaits_first = not self._carried and age_s < FIRST_REQUEST_S
-        if not awaits_first and not self._has_unread():
+        awaits_first = (
+            not self._received_request and age_s < FIRST_REQUEST_TIMEOUT_S
+        )
+        if not awaits_first and not self._has_unread_bytes():
             self._transport.close()
 
-    def _has_unread(self) -> bool:
+    def _has_unread_bytes(self) -> bool:
         """Tells whether bytes have arrived that were not read yet."""
         assert self._transport is not None
         raw = self._transport.get_extra_info("socket")
@@ -138,9 +140,11 @@
             lines.append(b"Transfer-Encoding: chunked\r\n")
         else:
             lines.append(b"Content-Length: %d\r\n" % length)
-        last = (self.closing or self.leaving) and not self._waiting
+        last = (
+            self.is_closing or self.closes_after_response
+        ) and not self._pending_requests
         if not keep_alive or last:
-            self.closing = True
+            self.is_closing = True
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
         await self._write(b"".join(lines))
@@ -149,7 +153,7 @@
         """Writes a piece of the body.
 
         Raises:
-            CallerGoneError: The caller has left.
+            CallerDisconnectedError: The caller has left.
         """
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
@@ -161,18 +165,18 @@
             await self._write(b"0\r\n\r\n")
 
     async def _write(self, data: bytes) -> None:
-        if self._gone or self._transport is None:
-            raise CallerGoneError
+        if self._disconnected or self._transport is None:
+            raise CallerDisconnectedError
         self._transport.write(data)
         await self._can_write.wait()
-        if self._gone:
-            raise CallerGoneError
+        if self._disconnected:
+            raise CallerDisconnectedError
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(WRITE_AHEAD_BYTES)
+        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         upstream_connections.set_socket_options(
             transport, upstream_connections.CALLER_USER_TIMEOUT_MS
         )
@@ -181,7 +185,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the request whose caller has left."""
-        self._gone = True
+        self._disconnected = True
         self._registry.discard(self)
         self._can_write.set()
         self._clear_timer()
@@ -204,27 +208,27 @@
         """Parses a piece of a request."""
         if self._request is None or not self._request.method:
             self._head_bytes += len(data)
-        self._overhead += len(data)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail(400)
+            self._reject_invalid_request(400)
         except httptools.HttpParserError:
-            self._fail(400)
+            self._reject_invalid_request(400)
         request = self._request
         if request is not None and not request.method:
             if self._head_bytes > self._get_limits().header_bytes:
-                self._fail(431)
+                self._reject_invalid_request(431)
         elif request is not None:
             # The framing of a chunked body and its trailers have no end of
             # their own.
-            if self._overhead > self._get_limits().header_bytes:
-                self._fail(400)
+            if self._overhead_bytes > self._get_limits().header_bytes:
+                self._reject_invalid_request(400)
 
     def on_message_begin(self) -> None:
         """Starts the next request."""
         self._request = Request()
-        self._carried = True
+        self._received_request = True
         self._head_bytes = 0
         self._set_timer(self._get_limits().header_timeout_s)
 
@@ -244,7 +248,7 @@
         if request is None:
             return
         request.method = self._parser.get_method().decode("ascii")
-        self._overhead = 0
+        self._overhead_bytes = 0
         request.keep_alive = self._parser.should_keep_alive()
         fields = [(n.lower(), v.lower()) for n, v in request.headers]
         lengths = [value for name, value in fields if name == b"content-length"]
@@ -253,14 +257,14 @@
         size = sum(len(n) + len(v) + 4 for n, v in request.headers)
         limits = self._get_limits()
         if size + len(request.target) > limits.header_bytes:
-            request.fault = 431
+            request.error_status = 431
         if len(lengths) + len(codings) > 1 or codings not in ([], [b"chunked"]):
-            request.fault = 400
+            request.error_status = 400
         if lengths and lengths[0].isdigit():
             if int(lengths[0]) > limits.body_bytes:
-                request.fault = 413
-        if request.fault:
-            self._fail(request.fault)
+                request.error_status = 413
+        if request.error_status:
+            self._reject_invalid_request(request.error_status)
             return
         if (b"expect", b"100-continue") in fields and self._transport:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -270,55 +274,64 @@
         request = self._request
         if request is None:
             return
-        self._overhead = 0
+        self._overhead_bytes = 0
         request.body += data
         if len(request.body) > self._get_limits().body_bytes:
-            self._fail(413)
+            self._reject_invalid_request(413)
 
     def on_message_complete(self) -> None:
         """Queues a whole request."""
         request = self._request
         self._request = None
         self._head_bytes = 0
-        if request is None or self.closing and not self._accepts_late():
+        if (
+            request is None
+            or self.is_closing
+            and not self._can_answer_after_close()
+        ):
             return
         self._enqueue(request)
 
-    def _accepts_late(self) -> bool:
+    def _can_answer_after_close(self) -> bool:
         """A request that crossed our close is answered all the same."""
-        return not self._gone
+        return not self._disconnected
 
-    def _fail(self, status: int) -> None:
+    def _reject_invalid_request(self, status: int) -> None:
         """Refuses what cannot be read and closes afterwards."""
         self._request = None
-        if self.closing and self._waiting:
+        if self.is_closing and self._pending_requests:
             return
-        self.closing = True
-        self._enqueue(Request(fault=status, keep_alive=False))
+        self.is_closing = True
+        self._enqueue(Request(error_status=status, keep_alive=False))
         if self._transport is not None:
             # What follows cannot be told apart from the faulty request.
             self._transport.pause_reading()
 
     def _enqueue(self, request: Request) -> None:
         self._clear_timer()
-        self._waiting.append(request)
-        if len(self._waiting) > MAX_AHEAD and self._transport is not None:
+        self._pending_requests.append(request)
+        if (
+            len(self._pending_requests) > MAX_PIPELINED_REQUESTS
+            and self._transport is not None
+        ):
             self._transport.pause_reading()
-        if self._task is None and not self._gone:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+        if self._task is None and not self._disconnected:
+            self._task = asyncio.get_running_loop().create_task(
+                self._handle_requests()
+            )
 
-    async def _run(self) -> None:
+    async def _handle_requests(self) -> None:
         try:
-            while self._waiting:
-                request = self._waiting.popleft()
+            while self._pending_requests:
+                request = self._pending_requests.popleft()
                 await self._handler(self, request)
                 if not request.keep_alive:
-                    self.closing = True
+                    self.is_closing = True
                     # Its caller expects no answer to what it sent after it.
-                    self._waiting.clear()
-                if self.closing and not self._waiting:
+                    self._pending_requests.clear()
+                if self.is_closing and not self._pending_requests:
                     break
-        except CallerGoneError:
+        except CallerDisconnectedError:
             return
         except Exception:
             # The caller learns that something broke; other requests go on.
@@ -327,9 +340,9 @@
             return
         finally:
             self._task = None
-        if self._transport is None or self._gone:
+        if self._transport is None or self._disconnected:
             return
-        if self.closing:
+        if self.is_closing:
             self._transport.close()
             return
         self._transport.resume_reading()
@@ -339,14 +352,14 @@
     def _set_timer(self, seconds: float) -> None:
         self._clear_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._expire)
+        self._timer = loop.call_later(seconds, self._close_on_timeout)
 
     def _clear_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _expire(self) -> None:
+    def _close_on_timeout(self) -> None:
         """Closes a connection that is idle, or too slow with its head."""
         request = self._request
         if request is not None and request.method:
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -17,12 +17,12 @@
 
 # Time from the start in which requests wait for the first configuration. It
 # mostly takes some milliseconds, a large one on a slow link half a second.
-STARTING_WAIT_S = 1.0
-STARTING_LOOK_S = 0.01
+CONFIGURATION_WAIT_S = 1.0
+CONFIGURATION_POLL_INTERVAL_S = 0.01
 # Time after which a request that came before the configuration may succeed.
-STARTING_RETRY_S = 0.5
+UNCONFIGURED_RETRY_AFTER_S = 0.5
 # Time after which another node takes requests of a node that is draining.
-DRAINING_RETRY_S = 0.05
+DRAINING_RETRY_AFTER_S = 0.05
 
 
 class Forwarder:
@@ -35,7 +35,7 @@
         telemetry_sink: Takes one record for each request.
 
     Attributes:
-        refusing: Whether new requests are refused because the node leaves.
+        rejecting: Whether new requests are refused because the node leaves.
     """
 
     def __init__(
@@ -45,7 +45,7 @@
         pool: connection_pool.ConnectionPool,
         telemetry_sink: telemetry.Telemetry,
     ):
-        self.refusing = False
+        self.rejecting = False
         self._started_at = time.monotonic()
         self._router = router
         self._codec = codec
@@ -59,8 +59,8 @@
     ) -> None:
         """Answers one request."""
         started = time.monotonic()
-        if request.fault:
-            await self._refuse_unread(connection, request.fault)
+        if request.error_status:
+            await self._reject_invalid(connection, request.error_status)
             return
         target = request.target.decode("latin-1")
         call = self._codec.decode_request(
@@ -68,13 +68,13 @@
         )
         record = telemetry.RequestRecord(started)
         if isinstance(call, failures.Failure):
-            await self._refuse(connection, request, "", call, record)
+            await self._reject(connection, request, "", call, record)
             return
         record.request_id = call.request_id
-        await self._wait_for_table()
+        await self._wait_for_configuration()
         course = self._admit(call, request, record, started)
         if isinstance(course, failures.Failure):
-            await self._refuse(
+            await self._reject(
                 connection, request, call.request_id, course, record
             )
             return
@@ -83,7 +83,10 @@
         )
         try:
             failure = await exchange.run()
-        except (asyncio.CancelledError, caller_connections.CallerGoneError):
+        except (
+            asyncio.CancelledError,
+            caller_connections.CallerDisconnectedError,
+        ):
             record.outcome = "caller left"
             course.note_stopped(
                 steps.EndCause.CALLER, "the caller left", time.monotonic()
@@ -109,16 +112,16 @@
             connection.abort()
             self._telemetry.record_request(record, course)
             return
-        await self._refuse(
+        await self._reject(
             connection, request, call.request_id, failure, record, course
         )
 
-    async def _wait_for_table(self) -> None:
+    async def _wait_for_configuration(self) -> None:
         """Waits a moment for the configuration of a process that starts."""
         while self._router.table is None:
-            if time.monotonic() - self._started_at > STARTING_WAIT_S:
+            if time.monotonic() - self._started_at > CONFIGURATION_WAIT_S:
                 return
-            await asyncio.sleep(STARTING_LOOK_S)
+            await asyncio.sleep(CONFIGURATION_POLL_INTERVAL_S)
 
     def _admit(
         self,
@@ -132,11 +135,11 @@
         if table is None:
             return steps.Unavailable(
                 "no configuration is known yet",
-                retry_after_s=STARTING_RETRY_S,
+                retry_after_s=UNCONFIGURED_RETRY_AFTER_S,
             )
-        if self.refusing:
+        if self.rejecting:
             return steps.Unavailable(
-                "the node is leaving", retry_after_s=DRAINING_RETRY_S
+                "the node is leaving", retry_after_s=DRAINING_RETRY_AFTER_S
             )
         record.configuration_version = table.configuration.version
         route = table.find(call)
@@ -163,7 +166,7 @@
             workspace.name if workspace else "",
         )
 
-    async def _refuse(
+    async def _reject(
         self,
         connection: caller_connections.CallerConnection,
         request: caller_connections.Request,
@@ -177,7 +180,7 @@
         record.status = failure.status
         self._telemetry.record_request(record, course)
         headers = self._codec.encode_failure(request_id, failure)
-        await write_whole(
+        await write_response(
             connection,
             failure.status,
             headers,
@@ -185,12 +188,12 @@
             request.keep_alive,
         )
 
-    async def _refuse_unread(
+    async def _reject_invalid(
         self, connection: caller_connections.CallerConnection, status: int
     ) -> None:
         """Refuses what could not be read as a request."""
         self._telemetry.record_invalid_request(status)
-        await write_whole(connection, status, [], b"", False)
+        await write_response(connection, status, [], b"", False)
 
 
 def compute_fingerprint(
@@ -205,7 +208,7 @@
     return digest.hexdigest()
 
 
-async def write_whole(
+async def write_response(
     connection: caller_connections.CallerConnection,
     status: int,
     headers: header_codec.Headers,
