--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -10,7 +10,7 @@
 # Attempts in a row that upstreams may refuse without running them.
 MAX_REFUSALS = 4
 # Attempts that may reach no upstream; each can take a connect timeout.
-MAX_UNREACHED = 8
+MAX_CONNECT_FAILURES = 8
 
 
 class AttemptLimits:
@@ -22,7 +22,7 @@
         budget: Budget of repeats.
 
     Attributes:
-        ran: Attempts that may have run.
+        possible_runs: Attempts that may have run.
     """
 
     def __init__(
@@ -31,64 +31,67 @@
         service: str,
         budget: retry_budget.RetryBudget,
     ):
-        self.ran = 0
+        self.possible_runs = 0
         self._route = route
         self._service = service
         self._budget = budget
         self._sent = 0
-        self._refused = 0
-        self._unreached = 0
+        self._refusals = 0
+        self._connect_failures = 0
 
-    def note_sent(self, now: float) -> None:
+    def record_sent(self, now: float) -> None:
         """An attempt is sent."""
         if self._sent:
-            self._budget.note_repeat(self._service, now)
+            self._budget.record_retry(self._service, now)
         self._sent += 1
-        self.ran += 1
+        self.possible_runs += 1
 
-    def note_refused(self, sent_twice: bool) -> None:
+    def record_refusal(self, was_resent: bool) -> None:
         """The latest attempt was refused without running.
 
         Args:
-            sent_twice: Whether it was sent on another connection before, which
+            was_resent: Whether it was sent on another connection before, which
                 broke: then it may have run all the same.
         """
-        self.ran -= 0 if sent_twice else 1
-        self._refused += 1
+        self.possible_runs -= 0 if was_resent else 1
+        self._refusals += 1
 
-    def note_unreached(self) -> None:
+    def record_connect_failure(self) -> None:
         """The latest attempt reached no upstream."""
-        self.ran -= 1
-        self._unreached += 1
+        self.possible_runs -= 1
+        self._connect_failures += 1
         if self._sent > 1:
-            self._budget.note_unsent(self._service)
+            self._budget.refund_retry(self._service)
 
     @property
-    def is_last_next(self) -> bool:
+    def is_next_attempt_last(self) -> bool:
         """Whether one more attempt that may run would be the last one."""
-        return self.ran + 1 >= self._route.max_attempts
+        return self.possible_runs + 1 >= self._route.max_attempts
 
-    def find_limit(self) -> str:
+    def find_permanent_limit(self) -> str:
         """Returns the rule that forbids any other attempt, if there is one."""
-        if self.ran and not self._route.is_retryable:
+        if self.possible_runs and not self._route.is_retryable:
             return "it may have run"
-        if self.ran and self.ran >= self._route.max_attempts:
+        if (
+            self.possible_runs
+            and self.possible_runs >= self._route.max_attempts
+        ):
             return "no attempt is left"
         return ""
 
-    def find_shortage(self, now: float) -> str:
+    def find_temporary_limit(self, now: float) -> str:
         """Returns what forbids another attempt for a while, if anything."""
         if not self._sent:
             return ""
-        if self._refused > MAX_REFUSALS:
+        if self._refusals > MAX_REFUSALS:
             return "upstreams refuse it"
-        if self._unreached > MAX_UNREACHED:
+        if self._connect_failures > MAX_CONNECT_FAILURES:
             return "upstreams cannot be reached"
-        if not self._budget.may_repeat(self._service, now):
+        if not self._budget.can_retry(self._service, now):
             return "the budget of repeats is used up"
         return ""
 
-    def forgive(self) -> None:
+    def reset_failures(self) -> None:
         """Counts refusals and failed connections anew, after a pause."""
-        self._refused = 0
-        self._unreached = 0
+        self._refusals = 0
+        self._connect_failures = 0
--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -102,7 +102,7 @@
         """Returns the roll-outs that have not ended."""
         return [r for r in self._rollouts.values() if r.state not in _ENDED]
 
-    def note_answer(self, service: str, version: str, failed: bool) -> None:
+    def record_response(self, service: str, version: str, failed: bool) -> None:
         """An upstream of a service has answered."""
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state in _ENDED:
--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -12,30 +12,31 @@
 
     Args:
         router: What the node knows.
-        call: The request.
+        request: The request.
         service: The service that was drawn for it.
         session: Ties the request to others, which get the same version.
         body_bytes: Length of its body.
 
     Attributes:
         model: Model that is asked; empty for a plain service.
-        sound: Whether no attempt has failed; a dropped answer is no failure.
+        no_failures: Whether no attempt has failed; a response that was
+            discarded for a larger model is no failure.
         delivering: Whether the caller has received a part of the answer.
     """
 
     def __init__(
         self,
         router: routers.Router,
-        call: forwarding.Request,
+        request: forwarding.Request,
         service: forwarding.Service,
         session: str,
         body_bytes: int,
     ):
         self.model = ""
-        self.sound = True
+        self.no_failures = True
         self.delivering = False
         self._router = router
-        self._call = call
+        self._request = request
         self._service = service
         self._session = session
         self._body_bytes = body_bytes
@@ -43,57 +44,59 @@
         self._version = ""
 
     @property
-    def any_tried(self) -> bool:
+    def has_tried_upstreams(self) -> bool:
         """Whether some upstreams are left out, as they have had it already."""
         return bool(self._tried)
 
-    def note_sent(self, upstream: forwarding.Upstream) -> None:
+    def record_sent(self, upstream: forwarding.Upstream) -> None:
         """An upstream has been given the request."""
         self._tried.add(upstream.identity)
         self._version = upstream.version
 
-    def forget_tried(self) -> None:
+    def clear_tried(self) -> None:
         """Lets upstreams have the request a second time."""
         self._tried.clear()
 
-    def build_work(self, now: float) -> placement.Work:
+    def build_requirements(self, now: float) -> placement.Work:
         """Returns what the next attempt needs."""
-        return self._build_work(self.model, self.sound, self._tried, now)
+        return self._build_requirements(
+            self.model, self.no_failures, self._tried, now
+        )
 
-    def find_drawn_share(self, version: str, now: float) -> float:
+    def get_assignment_share(self, version: str, now: float) -> float:
         """Returns the share of a roll-out by which a version was drawn."""
         return self._router.rollouts.find_drawn_share(
             self._service.name,
             version,
-            self._session if self.sound else None,
+            self._session if self.no_failures else None,
             now,
         )
 
-    def choose_larger(self, model: str, now: float) -> placement.Choice:
+    def choose_for_model(self, model: str, now: float) -> placement.Choice:
         """Returns where a larger model could be asked instead."""
-        work = self._build_work(model, self.sound, (), now)
+        work = self._build_requirements(model, self.no_failures, (), now)
         return self._router.placement.choose(work, now)
 
-    def choose_other(self, current: str, now: float) -> placement.Choice:
+    def choose_alternative(self, current: str, now: float) -> placement.Choice:
         """Returns where the request could go on if its attempt failed now.
 
         Args:
             current: Identity of the upstream that is left out in any case.
             now: Monotonic time in seconds.
         """
-        work = self._build_work(self.model, False, self._tried, now)
+        work = self._build_requirements(self.model, False, self._tried, now)
         choice = self._router.placement.choose(work, now)
         if choice.known:
             return choice
         # Each other one has had it; a second time is better than a failure.
-        work = self._build_work(self.model, False, {current}, now)
+        work = self._build_requirements(self.model, False, {current}, now)
         return self._router.placement.choose(work, now)
 
-    def _build_work(
+    def _build_requirements(
         self, model: str, sound: bool, excluded: Collection[str], now: float
     ) -> placement.Work:
         return placement.Work(
-            self._call,
+            self._request,
             self._service,
             self._body_bytes,
             model,
--- a/sycamorehollow/decisions/forwarding/escalation.py
+++ b/sycamorehollow/decisions/forwarding/cascade_control.py
@@ -14,12 +14,12 @@
 MIN_OBJECTIVE_S = 0.001
 
 
-class Escalation:
+class CascadeController:
     """Decides for one request.
 
     Args:
         router: What the node knows.
-        call: The request.
+        request: The request.
         route: Its route.
         service: Name of its service.
         upstreams: Where its next attempt may run.
@@ -28,13 +28,13 @@
     def __init__(
         self,
         router: routers.Router,
-        call: forwarding.Request,
+        request: forwarding.Request,
         route: forwarding.Route,
         service: str,
         upstreams: candidates.Candidates,
     ):
         self._router = router
-        self._call = call
+        self._request = request
         self._route = route
         self._service = service
         self._candidates = upstreams
@@ -44,7 +44,7 @@
         attempt: steps.Attempt,
         confidence: int | None,
         elapsed_s: float,
-        ran: int,
+        possible_runs: int,
         now: float,
     ) -> cascade.Decision:
         """Returns the larger model to ask, or none.
@@ -53,30 +53,30 @@
             attempt: The attempt that was answered.
             confidence: The model's opinion of its answer, 0 to 100.
             elapsed_s: Seconds since the request arrived.
-            ran: Attempts that may have run.
+            possible_runs: Attempts that may have run.
             now: Monotonic time in seconds.
         """
         if not attempt.model or not self._route.models:
             return cascade.Decision("", "no choice of models")
         router = self._router
         objective_s = max(self._route.objective_s, MIN_OBJECTIVE_S)
-        delay_s = elapsed_s - placement.expect(self._call.prompt_tokens)
-        larger = cascade.choose_larger(self._route)
-        choice = self._candidates.choose_larger(larger, now)
+        delay_s = elapsed_s - placement.expect(self._request.prompt_tokens)
+        larger = cascade.choose_larger_model(self._route)
+        choice = self._candidates.choose_for_model(larger, now)
         if choice.state is None:
             return cascade.Decision("", choice.reason)
         return cascade.decide(
             self._route,
-            cascade.Situation(
+            cascade.CascadeInputs(
                 attempt.model,
                 confidence,
                 elapsed_s,
                 choice.expected_s,
                 router.placement.estimate_occupancy(self._service, now),
-                router.delays.note(
+                router.delays.record(
                     self._service, max(0.0, delay_s) / objective_s, now
                 ),
-                self._route.max_attempts - ran,
-                router.budget.count_left(self._service, now),
+                self._route.max_attempts - possible_runs,
+                router.budget.count_remaining(self._service, now),
             ),
         )
--- a/sycamorehollow/decisions/forwarding/replacement.py
+++ b/sycamorehollow/decisions/forwarding/failover.py
@@ -6,10 +6,10 @@
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import steps
 
-BLAMED = "requests like it have crashed upstreams"
+QUARANTINED = "requests like it have crashed upstreams"
 
 
-class Replacement:
+class Failover:
     """Asks for every condition of one more attempt of a request.
 
     Args:
@@ -39,19 +39,21 @@
     @property
     def is_possible(self) -> bool:
         """Whether the rules of the route allow one more attempt."""
-        return self.resumable and not self._limits.find_limit()
+        return self.resumable and not self._limits.find_permanent_limit()
 
-    def find_limit(self, now: float) -> str:
+    def find_permanent_limit(self, now: float) -> str:
         """Returns why no other attempt will ever be made, if so."""
         if not self.resumable:
             return "an answer that is no stream broke off midway"
         if self._router.poison.is_refused(self._fingerprint, now):
-            return BLAMED
-        return self._limits.find_limit()
+            return QUARANTINED
+        return self._limits.find_permanent_limit()
 
-    def find_barrier(self, now: float) -> str:
+    def find_any_limit(self, now: float) -> str:
         """Returns why no other attempt would be made now, if so."""
-        return self.find_limit(now) or self._limits.find_shortage(now)
+        return self.find_permanent_limit(
+            now
+        ) or self._limits.find_temporary_limit(now)
 
     def choose(
         self, attempt: steps.Attempt, left_s: float, now: float
@@ -63,16 +65,16 @@
             left_s: Seconds to the deadline.
             now: Monotonic time in seconds.
         """
-        barrier = self.find_barrier(now)
+        barrier = self.find_any_limit(now)
         if barrier:
             return placement.Choice(None, barrier, 0)
         current = attempt.state.upstream.identity
-        choice = self._candidates.choose_other(current, now)
+        choice = self._candidates.choose_alternative(current, now)
         if choice.expected_s >= left_s:
             return placement.Choice(None, "no other would be in time", 0)
         return choice
 
-    def choose_sound(
+    def choose_reachable(
         self, attempt: steps.Attempt, left_s: float, now: float
     ) -> placement.Choice:
         """As `choose`, but no upstream that is worse off than a silent one."""
--- a/sycamorehollow/decisions/forwarding/course.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -1,13 +1,13 @@
 """The course of one request: attempts, repeats and its final answer."""
 
 from sycamorehollow.decisions.forwarding import attempt_limits
+from sycamorehollow.decisions.forwarding import attempt_timeouts
 from sycamorehollow.decisions.forwarding import candidates
 from sycamorehollow.decisions.forwarding import cascade
+from sycamorehollow.decisions.forwarding import cascade_control
 from sycamorehollow.decisions.forwarding import directory
-from sycamorehollow.decisions.forwarding import escalation
-from sycamorehollow.decisions.forwarding import patience
+from sycamorehollow.decisions.forwarding import failover
 from sycamorehollow.decisions.forwarding import placement
-from sycamorehollow.decisions.forwarding import replacement
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
@@ -15,24 +15,24 @@
 
 # Wait before full upstreams are tried again, and the part of the objective
 # that may be spent on that.
-FULL_PAUSE_S = 0.02
-WAIT_SHARE = 0.4
+FULL_RETRY_DELAY_S = 0.02
+MAX_QUEUE_SHARE = 0.4
 # Time in which a full or missing upstream is usually back.
-BACK_S = 0.5
+RETRY_AFTER_S = 0.5
 # Wait in seconds before a shortage of repeats or room is looked at again on
 # behalf of a caller that holds a part of its answer.
-SHORTAGE_PAUSE_S = 0.2
-MIN_LEFT_S = 0.01
+SHORTAGE_RETRY_DELAY_S = 0.2
+MIN_REMAINING_S = 0.01
 STREAM_STATUS = 200
-SILENT = "no byte in time"
+NO_BYTE_IN_TIME = "no byte in time"
 
 
-class Course:
+class RequestLifecycle:
     """Decides about one request; the shell carries its steps out.
 
     Args:
         router: What the node knows.
-        call: The request.
+        request: The request.
         route: Its route.
         service: The service that was drawn for it.
         fingerprint: Identifies its content.
@@ -44,13 +44,13 @@
         deadline: Monotonic time at which its final answer is due.
         attempts: What was tried.
         last_event_id: Last event that the caller has.
-        replacement: Where it would go on.
+        failover: Where it would go on.
     """
 
     def __init__(
         self,
         router: routers.Router,
-        call: forwarding.Request,
+        request: forwarding.Request,
         route: forwarding.Route,
         service: forwarding.Service,
         fingerprint: str,
@@ -58,39 +58,43 @@
         now: float,
         workspace: str = "",
     ):
-        self.call = call
+        self.request = request
         self.route = route
         self.service = service
-        self.arrived = now
+        self.arrived_at = now
         self.attempts: list[steps.Attempt] = []
-        self.last_event = call.last_event_id
+        self.last_event_id = request.last_event_id
         self._router = router
         self._fingerprint = fingerprint
         left_s = route.timeout_s
-        if call.deadline_s is not None:
-            left_s = min(left_s, call.deadline_s)
+        if request.deadline_s is not None:
+            left_s = min(left_s, request.deadline_s)
         self.deadline = now + left_s
         self._limits = attempt_limits.AttemptLimits(
             route, service.name, router.budget
         )
         self._candidates = candidates.Candidates(
-            router, call, service, call.get_affinity_key(route), body_bytes
+            router,
+            request,
+            service,
+            request.get_affinity_key(route),
+            body_bytes,
         )
-        self._escalation = escalation.Escalation(
-            router, call, route, service.name, self._candidates
+        self._escalation = cascade_control.CascadeController(
+            router, request, route, service.name, self._candidates
         )
-        self.replacement = replacement.Replacement(
+        self.failover = failover.Failover(
             router, self._limits, self._candidates, fingerprint
         )
         # Whether the answer of a smaller model was dropped for a larger one.
-        self._dropped = False
-        if route.models and call.any_model:
-            self._candidates.model = cascade.choose_first(route)
-        self._ticket = router.turns.issue(route.priority, workspace, now)
-        router.budget.note_fresh(service.name, now)
+        self._response_discarded = False
+        if route.models and request.any_model:
+            self._candidates.model = cascade.choose_initial_model(route)
+        self._waiter = router.turns.issue(route.priority, workspace, now)
+        router.budget.record_request(service.name, now)
 
     @property
-    def kept_connections(self) -> int:
+    def max_idle_connections(self) -> int:
         """Idle connections that may be kept to an upstream."""
         return self._router.compute_kept_connections(self.service)
 
@@ -104,49 +108,51 @@
         self._candidates.delivering = value
 
     @property
-    def _owes_answer(self) -> bool:
+    def _must_deliver(self) -> bool:
         """Whether a failure now would take away an answer that was there."""
-        return self.delivering or self._dropped
+        return self.delivering or self._response_discarded
 
-    def find_step(self, now: float) -> steps.Step:
+    def choose_next_step(self, now: float) -> steps.Step:
         """Returns what to do next while no attempt is open."""
-        if self.deadline - now < MIN_LEFT_S:
+        if self.deadline - now < MIN_REMAINING_S:
             return steps.Reject(self._build_failure("its time is over", now))
-        limit = self.replacement.find_limit(now)
+        limit = self.failover.find_permanent_limit(now)
         if limit:
             return steps.Reject(self._build_failure(limit, now))
-        shortage = self._limits.find_shortage(now)
-        if shortage and self._owes_answer:
-            self._limits.forgive()
-            return steps.Wait(min(SHORTAGE_PAUSE_S, self.deadline - now))
+        shortage = self._limits.find_temporary_limit(now)
+        if shortage and self._must_deliver:
+            self._limits.reset_failures()
+            return steps.Wait(min(SHORTAGE_RETRY_DELAY_S, self.deadline - now))
         if shortage:
             return steps.Reject(self._build_failure(shortage, now))
-        work = self._candidates.build_work(now)
+        work = self._candidates.build_requirements(now)
         choice = self._router.placement.choose(work, now)
-        if choice.state is not None and self._takes_turn(work, choice, now):
+        if choice.state is not None and self._is_admitted(work, choice, now):
             return self._send(choice, now)
-        if self._candidates.any_tried and choice.state is None:
+        if self._candidates.has_tried_upstreams and choice.state is None:
             # Each has had it once; a second time is better than a failure.
-            self._candidates.forget_tried()
-            if not self.delivering and not self._limits.ran:
-                return steps.Wait(FULL_PAUSE_S)
-            return self.find_step(now)
-        if not choice.known and self._owes_answer:
-            if self._dropped and not self.delivering:
+            self._candidates.clear_tried()
+            if not self.delivering and not self._limits.possible_runs:
+                return steps.Wait(FULL_RETRY_DELAY_S)
+            return self.choose_next_step(now)
+        if not choice.known and self._must_deliver:
+            if self._response_discarded and not self.delivering:
                 # No upstream has the larger model any more.
-                self._candidates.model = cascade.choose_first(self.route)
-            return steps.Wait(min(SHORTAGE_PAUSE_S, self.deadline - now))
-        wait_end = self.arrived + self.route.objective_s * WAIT_SHARE
-        if choice.known and (now < wait_end or self._owes_answer):
-            self._router.turns.take(self._ticket, work.place, 0, now)
-            return steps.Wait(FULL_PAUSE_S)
-        self._router.turns.leave(self._ticket)
+                self._candidates.model = cascade.choose_initial_model(
+                    self.route
+                )
+            return steps.Wait(min(SHORTAGE_RETRY_DELAY_S, self.deadline - now))
+        wait_end = self.arrived_at + self.route.objective_s * MAX_QUEUE_SHARE
+        if choice.known and (now < wait_end or self._must_deliver):
+            self._router.turns.take(self._waiter, work.place, 0, now)
+            return steps.Wait(FULL_RETRY_DELAY_S)
+        self._router.turns.leave(self._waiter)
         reason = choice.reason
         if choice.state is not None:
             reason = "others wait for the room that is left"
         return steps.Reject(self._build_failure(reason, now))
 
-    def give_up(self, now: float) -> steps.Step:
+    def handle_timeout(self, now: float) -> steps.Step:
         """Ends the open attempt if that leads somewhere.
 
         Returns:
@@ -154,81 +160,81 @@
             is to be looked at again.
         """
         left_s = self.deadline - now
-        if left_s < MIN_LEFT_S:
-            self._note_failed(steps.EndCause.DEADLINE, SILENT, now)
+        if left_s < MIN_REMAINING_S:
+            self._record_failed(steps.EndCause.DEADLINE, NO_BYTE_IN_TIME, now)
             return steps.Reject(self._build_failure("its time is over", now))
         attempt = self.attempts[-1]
-        choice = self.replacement.choose_sound(attempt, left_s, now)
+        choice = self.failover.choose_reachable(attempt, left_s, now)
         if choice.state is None:
             attempt.keep_reason = choice.reason
-            return steps.Wait(min(patience.LOOK_S, left_s))
-        self._note_failed(steps.EndCause.TIMEOUT, SILENT, now)
+            return steps.Wait(min(attempt_timeouts.RECHECK_S, left_s))
+        self._record_failed(steps.EndCause.TIMEOUT, NO_BYTE_IN_TIME, now)
         return self._send(choice, now)
 
-    def _takes_turn(
+    def _is_admitted(
         self, work: placement.Work, choice: placement.Choice, now: float
     ) -> bool:
         """Tells whether the request may have the room that is free."""
-        if self._limits.ran or self.delivering:
+        if self._limits.possible_runs or self.delivering:
             # Its caller, or an answer that was dropped, has waited already.
-            self._router.turns.leave(self._ticket)
+            self._router.turns.leave(self._waiter)
             return True
         return self._router.turns.take(
-            self._ticket, work.place, choice.free, now
+            self._waiter, work.place, choice.free, now
         )
 
-    def compute_patience(self, now: float) -> float:
+    def compute_timeout(self, now: float) -> float:
         """Returns the seconds to wait for the answer's next byte."""
         left_s = max(0.0, self.deadline - now)
-        if not self.replacement.is_possible:
+        if not self.failover.is_possible:
             return left_s
         attempt = self.attempts[-1]
         if (
             self.delivering or attempt.response_accepted
         ) and self.route.max_event_gap_s > 0:
-            patience_s = patience.measure_stream(
-                self.route, attempt, self._limits.is_last_next, now
+            patience_s = attempt_timeouts.compute_event_timeout(
+                self.route, attempt, self._limits.is_next_attempt_last, now
             )
         else:
-            patience_s = patience.measure_start(
-                self.route, attempt, self._limits.is_last_next, now
+            patience_s = attempt_timeouts.compute_first_byte_timeout(
+                self.route, attempt, self._limits.is_next_attempt_last, now
             )
         return min(left_s, patience_s)
 
-    def wants_probe(self, now: float) -> bool:
+    def begin_probe_if_silent(self, now: float) -> bool:
         """Tells whether to check that the silent upstream can be reached."""
-        if not self.replacement.is_possible:
+        if not self.failover.is_possible:
             return False
         attempt = self.attempts[-1]
-        if not patience.is_silent(attempt, now):
+        if not attempt_timeouts.needs_probe(attempt, now):
             return False
         attempt.state.probed_at = now
         return True
 
-    def choose_witness(self, now: float) -> directory.UpstreamState | None:
+    def choose_reference(self, now: float) -> directory.UpstreamState | None:
         """Returns another upstream that tells whether this node is cut off."""
         silent = self.attempts[-1].state
         return self._router.directory.choose_reference(
-            silent, patience.PROBE_S, now
+            silent, attempt_timeouts.PROBE_AFTER_S, now
         )
 
-    def note_unreachable(self, cut_off: bool, now: float) -> None:
+    def record_unreachable(self, isolated: bool, now: float) -> None:
         """The silent upstream, and another one if `cut_off`, is not reached."""
         attempt = self.attempts[-1]
-        if cut_off:
+        if isolated:
             attempt.isolated_at = now
             return
         directory.record_unreachable(attempt.state, now)
 
-    def judge_head(
-        self, head: forwarding.DecodedHead, now: float, sent_twice: bool = False
+    def evaluate_head(
+        self, head: forwarding.DecodedHead, now: float, was_resent: bool = False
     ) -> steps.Verdict:
         """Decides whether an answer is passed on.
 
         Args:
             head: Head of the answer.
             now: Monotonic time in seconds.
-            sent_twice: Whether the attempt was sent on another connection
+            was_resent: Whether the attempt was sent on another connection
                 before, which broke.
         """
         attempt = self.attempts[-1]
@@ -241,10 +247,10 @@
         directory.record_response(attempt.state, head, failed, now)
         if head.not_run:
             attempt.end_by_upstream(f"refused with {head.status}", now)
-            self._limits.note_refused(sent_twice)
+            self._limits.record_refusal(was_resent)
             return steps.Verdict.RETRY
         upstream = attempt.state.upstream
-        self._router.rollouts.note_answer(
+        self._router.rollouts.record_response(
             self.service.name, upstream.version, failed
         )
         self._router.placement.pace.note(
@@ -256,17 +262,17 @@
         )
         if self.delivering and head.status != STREAM_STATUS:
             # The caller has the head of another answer already.
-            self._candidates.sound = False
+            self._candidates.no_failures = False
             attempt.end_by_upstream(f"did not go on, {head.status}", now)
             return steps.Verdict.RETRY
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.end_by_upstream("not the upstream's answer", now)
             return steps.Verdict.RETRY
         if head.status >= 500:
-            self._candidates.sound = False
+            self._candidates.no_failures = False
             attempt.end_by_upstream(f"failed with {head.status}", now)
             left_s = self.deadline - now
-            other = self.replacement.choose(attempt, left_s, now).state
+            other = self.failover.choose(attempt, left_s, now).state
             if head.status == 503 or other is not None:
                 return steps.Verdict.RETRY
             return steps.Verdict.DELIVER
@@ -275,34 +281,36 @@
             return steps.Verdict.DELIVER
         return steps.Verdict.RETRY
 
-    def note_broken(self, reason: str, written: bool, now: float) -> None:
+    def record_connection_failure(
+        self, reason: str, request_written: bool, now: float
+    ) -> None:
         """The attempt's connection could not be made or broke.
 
         Args:
             reason: What happened.
-            written: Whether any byte of the request was written.
+            request_written: Whether any byte of the request was written.
             now: Monotonic time in seconds.
         """
-        if written:
-            self._note_failed(steps.EndCause.UPSTREAM, reason, now)
+        if request_written:
+            self._record_failed(steps.EndCause.UPSTREAM, reason, now)
             return
         attempt = self.attempts[-1]
         attempt.end(steps.EndCause.UPSTREAM, reason, now)
-        self._candidates.sound = False
-        self._limits.note_unreached()
+        self._candidates.no_failures = False
+        self._limits.record_connect_failure()
         directory.record_connection_failure(attempt.state, now)
 
-    def _note_failed(
+    def _record_failed(
         self, cause: steps.EndCause, outcome: str, now: float
     ) -> None:
         attempt = self.attempts[-1]
         attempt.end(cause, outcome, now)
-        self._candidates.sound = False
+        self._candidates.no_failures = False
         directory.record_outcome(attempt.state, True)
         if attempt.state.last_byte_at < attempt.sent_at:
             directory.record_connection_failure(attempt.state, now)
 
-    def note_crash(self, now: float) -> None:
+    def record_possible_crash(self, now: float) -> None:
         """The upstream broke the connection while it ran the request."""
         if self.attempts[-1].state.upstream.draining:
             # One that leaves by plan closes its connections.
@@ -310,21 +318,21 @@
         run = "/".join(map(str, self.attempts[-1].state.upstream.incarnation))
         self._router.poison.note_break(self._fingerprint, run, now)
 
-    def note_bytes(self, now: float) -> None:
+    def record_bytes(self, now: float) -> None:
         """More of the answer has arrived."""
         self.attempts[-1].record_event(now)
 
-    def note_stopped(
+    def record_abort(
         self, cause: steps.EndCause, outcome: str, now: float
     ) -> None:
         """The request ended without an answer of an upstream or of our own."""
-        self._router.turns.leave(self._ticket)
+        self._router.turns.leave(self._waiter)
         if not self.attempts:
             return
         if self.attempts[-1].end_cause is None:
             self.attempts[-1].end(cause, outcome, now)
 
-    def note_end(self, now: float) -> None:
+    def record_delivered(self, now: float) -> None:
         """The answer has been delivered whole."""
         self.attempts[-1].end(steps.EndCause.UPSTREAM, steps.DELIVERED, now)
         self._router.poison.note_success(self._fingerprint, now)
@@ -333,23 +341,23 @@
         state = choice.state
         assert state is not None
         upstream = state.upstream
-        self._limits.note_sent(now)
+        self._limits.record_sent(now)
         self._router.limits.note_sent(upstream.identity, now)
-        missing = self.call.prompt_tokens - self._router.cache.count_kept(
+        uncached = self.request.prompt_tokens - self._router.cache.count_kept(
             upstream.identity,
             self._candidates.model,
-            self.call.prompt_parts,
+            self.request.prompt_parts,
             now,
         )
         self._router.cache.note_read(
             upstream.identity,
             self._candidates.model,
-            self.call.prompt_parts,
+            self.request.prompt_parts,
             now,
         )
-        self._candidates.note_sent(upstream)
+        self._candidates.record_sent(upstream)
         expected_s = self._router.placement.pace.estimate(
-            upstream.identity, self._candidates.model, missing, now
+            upstream.identity, self._candidates.model, uncached, now
         )
         waiting_s = expected_s + state.backlog_s
         state.backlog_s += expected_s
@@ -358,13 +366,13 @@
                 state,
                 self._candidates.model,
                 now,
-                missing,
+                uncached,
                 waiting_s,
                 now,
                 expected_s,
             )
         )
-        share = self._candidates.find_drawn_share(upstream.version, now)
+        share = self._candidates.get_assignment_share(upstream.version, now)
         attempt = self.attempts[-1]
         attempt.observer = self._router.answer_times.watch(
             self.service, self.route, attempt, share
@@ -376,27 +384,27 @@
         self, attempt: steps.Attempt, confidence: int | None, now: float
     ) -> bool:
         """Decides whether a larger model is asked instead."""
-        elapsed_s = now - self.arrived
+        elapsed_s = now - self.arrived_at
         decision = self._escalation.decide(
-            attempt, confidence, elapsed_s, self._limits.ran, now
+            attempt, confidence, elapsed_s, self._limits.possible_runs, now
         )
-        if not decision.model or self.replacement.find_barrier(now):
+        if not decision.model or self.failover.find_any_limit(now):
             return False
         outcome = f"dropped at {confidence}, {decision.reason}"
         attempt.end(steps.EndCause.CASCADE, outcome, now)
         self._candidates.model = decision.model
-        self._candidates.forget_tried()
-        self._dropped = True
+        self._candidates.clear_tried()
+        self._response_discarded = True
         return True
 
     def _build_failure(self, reason: str, now: float) -> failures.Failure:
-        if self._limits.ran:
-            if self.deadline - now < MIN_LEFT_S:
+        if self._limits.possible_runs:
+            if self.deadline - now < MIN_REMAINING_S:
                 return steps.TimedOut(reason, failures.Execution.UNKNOWN)
             return steps.BadGateway(reason, failures.Execution.UNKNOWN)
-        if reason == replacement.BLAMED:
+        if reason == failover.QUARANTINED:
             return steps.BadGateway(reason)
-        after_s = BACK_S * self._router.source.uniform(0.5, 1.0)
+        after_s = RETRY_AFTER_S * self._router.source.uniform(0.5, 1.0)
         return steps.Unavailable(
             reason, failures.Execution.NOT_STARTED, after_s
         )
--- a/sycamorehollow/decisions/forwarding/retry_budget.py
+++ b/sycamorehollow/decisions/forwarding/retry_budget.py
@@ -24,8 +24,8 @@
     def __init__(self, ratio: float, window_s: float, floor: float):
         self.configure(ratio, window_s, floor)
         self._nodes = 1
-        self._fresh: dict[str, collections.deque[float]] = {}
-        self._repeats: dict[str, collections.deque[float]] = {}
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._retries: dict[str, collections.deque[float]] = {}
 
     def configure(self, ratio: float, window_s: float, floor: float) -> None:
         """Takes changed settings."""
@@ -33,34 +33,34 @@
         self._window_s = window_s
         self._floor = floor * USED_FLOOR
 
-    def set_nodes(self, nodes: int) -> None:
+    def set_node_count(self, nodes: int) -> None:
         """Sets how many nodes share the floor."""
         self._nodes = max(1, nodes)
 
-    def note_fresh(self, service: str, now: float) -> None:
+    def record_request(self, service: str, now: float) -> None:
         """A caller's request for a service has arrived."""
-        self._fresh.setdefault(service, collections.deque()).append(now)
+        self._requests.setdefault(service, collections.deque()).append(now)
 
-    def note_repeat(self, service: str, now: float) -> None:
+    def record_retry(self, service: str, now: float) -> None:
         """A request is sent to a service once more."""
-        self._repeats.setdefault(service, collections.deque()).append(now)
+        self._retries.setdefault(service, collections.deque()).append(now)
 
-    def note_unsent(self, service: str) -> None:
+    def refund_retry(self, service: str) -> None:
         """The latest repeat did not reach an upstream."""
-        repeats = self._repeats.get(service)
+        repeats = self._retries.get(service)
         if repeats:
             repeats.pop()
 
-    def count_left(self, service: str, now: float) -> float:
+    def count_remaining(self, service: str, now: float) -> float:
         """Returns how many repeats are left in the window."""
-        fresh = self._count(self._fresh, service, now)
-        repeats = self._count(self._repeats, service, now)
+        fresh = self._count(self._requests, service, now)
+        repeats = self._count(self._retries, service, now)
         allowed = fresh * self._ratio + self._floor / self._nodes
         return allowed - repeats
 
-    def may_repeat(self, service: str, now: float) -> bool:
+    def can_retry(self, service: str, now: float) -> bool:
         """Tells whether a request may be sent once more."""
-        return self.count_left(service, now) >= 1
+        return self.count_remaining(service, now) >= 1
 
     def _count(
         self,
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -78,7 +78,7 @@
         )
         self.turns = turns.Turns()
         self.poison = poison.Poison()
-        self.delays = cascade.Delays()
+        self.delays = cascade.DelayTracker()
         self.nodes: dict[str, watchers.Node] = {}
         self._evacuated: set[str] = set()
 
@@ -96,7 +96,7 @@
             case updates.NodeSet():
                 self.nodes[event.name] = event.node
                 self.limits.set_nodes(self.nodes)
-                self.budget.set_nodes(len(self.nodes))
+                self.budget.set_node_count(len(self.nodes))
                 self.rollouts.set_nodes(len(self.nodes))
                 return [Change(f"node={event.name}", event.node.peer_address)]
             case updates.Unreadable():
@@ -105,9 +105,9 @@
 
     def spend_repeat(self, service: str, now: float) -> bool:
         """Counts a repeat if the budget of a service has one left."""
-        if not self.budget.may_repeat(service, now):
+        if not self.budget.can_retry(service, now):
             return False
-        self.budget.note_repeat(service, now)
+        self.budget.record_retry(service, now)
         return True
 
     def configure(self, settings: gateway.Settings) -> None:
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -156,7 +156,7 @@
         return allowed
 
     def _refund_retry(self, upstream: forwarding.Upstream) -> None:
-        self._router.budget.note_unsent(upstream.service)
+        self._router.budget.refund_retry(upstream.service)
 
     def _start_state_sync(self) -> None:
         state = state_sync.StateSync(
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -4,7 +4,7 @@
 import hashlib
 import time
 
-from sycamorehollow.decisions.forwarding import course as courses
+from sycamorehollow.decisions.forwarding import request_lifecycle as courses
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
@@ -88,7 +88,7 @@
             caller_connections.CallerDisconnectedError,
         ):
             record.outcome = "caller left"
-            course.note_stopped(
+            course.record_abort(
                 steps.EndCause.CALLER, "the caller left", time.monotonic()
             )
             self._telemetry.record_request(record, course)
@@ -96,7 +96,7 @@
         except Exception as error:
             # The connection is closed by whoever reads from it.
             record.outcome = f"fault: {error!r}"
-            course.note_stopped(
+            course.record_abort(
                 steps.EndCause.FAULT,
                 "an error in this process",
                 time.monotonic(),
@@ -129,7 +129,7 @@
         request: caller_connections.Request,
         record: telemetry.RequestRecord,
         now: float,
-    ) -> courses.Course | failures.Failure:
+    ) -> courses.RequestLifecycle | failures.Failure:
         """Finds the route and service of a request."""
         table = self._router.table
         if table is None:
@@ -155,7 +155,7 @@
             return service
         record.service = service.name
         fingerprint = compute_fingerprint(call, workspace, request)
-        return courses.Course(
+        return courses.RequestLifecycle(
             self._router,
             call,
             route,
@@ -173,7 +173,7 @@
         request_id: str,
         failure: failures.Failure,
         record: telemetry.RequestRecord,
-        course: courses.Course | None = None,
+        course: courses.RequestLifecycle | None = None,
     ) -> None:
         """Writes an answer of our own."""
         record.outcome = f"{failure.code}: {failure.reason}"
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -6,7 +6,7 @@
 import time
 from typing import TypeVar
 
-from sycamorehollow.decisions.forwarding import course as courses
+from sycamorehollow.decisions.forwarding import request_lifecycle as courses
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
@@ -56,7 +56,7 @@
         self,
         connection: caller_connections.CallerConnection,
         request: caller_connections.Request,
-        course: courses.Course,
+        course: courses.RequestLifecycle,
         record: telemetry.RequestRecord,
         codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
@@ -76,17 +76,17 @@
         Returns:
             `None` after a whole answer.
         """
-        step = self._course.find_step(time.monotonic())
+        step = self._course.choose_next_step(time.monotonic())
         while True:
             if isinstance(step, steps.Reject):
                 return step.failure
             if isinstance(step, steps.Wait):
                 await asyncio.sleep(step.seconds)
-                step = self._course.find_step(time.monotonic())
+                step = self._course.choose_next_step(time.monotonic())
                 continue
             following = await self._run_attempt(step)
             if following is None:
-                self._course.note_end(time.monotonic())
+                self._course.record_delivered(time.monotonic())
                 return None
             step = following
 
@@ -102,14 +102,14 @@
         try:
             connection = await self._pool.acquire(
                 upstream,
-                self._course.call.request_id,
+                self._course.request.request_id,
                 self._course.route.is_retryable,
             )
             connection.send_request(
-                self._course.call.request_id, self._encode_request(step)
+                self._course.request.request_id, self._encode_request(step)
             )
             head = await self._wait_for(connection, connection.read_head)
-            verdict = self._course.judge_head(
+            verdict = self._course.evaluate_head(
                 head.decoded, time.monotonic(), connection.was_resent
             )
             if verdict is steps.Verdict.DELIVER:
@@ -117,20 +117,22 @@
                 return None
             if head.decoded.not_run:
                 await self._skip_body(connection)
-            return self._course.find_step(time.monotonic())
+            return self._course.choose_next_step(time.monotonic())
         except upstream_connections.UpstreamConnectionError as error:
             now = time.monotonic()
-            self._course.note_broken(str(error), error.request_written, now)
+            self._course.record_connection_failure(
+                str(error), error.request_written, now
+            )
             if error.closed_by_upstream and error.request_written:
-                self._course.note_crash(now)
-            return self._course.find_step(now)
+                self._course.record_possible_crash(now)
+            return self._course.choose_next_step(now)
         except AttemptAbandonedError as error:
             return error.next_step
         finally:
             step.state.running -= 1
             if connection is not None:
                 self._pool.release(
-                    upstream, connection, self._course.kept_connections
+                    upstream, connection, self._course.max_idle_connections
                 )
 
     def _encode_request(self, step: steps.Send) -> bytes:
@@ -147,7 +149,7 @@
             remaining_s=step.left_s,
             model=step.model,
             priority=min(9, max(0, priority)) if step.model else None,
-            last_event_id=course.last_event if course.delivering else "",
+            last_event_id=course.last_event_id if course.delivering else "",
         )
         headers = self._codec.encode_attempt(
             request.headers,
@@ -174,7 +176,7 @@
         """
         while True:
             now = time.monotonic()
-            patience_s = self._course.compute_patience(now)
+            patience_s = self._course.compute_timeout(now)
             if patience_s > 0:
                 self._grace_ends_at = None
             else:
@@ -186,7 +188,7 @@
                     self._grace_ends_at = now + READ_GRACE_S
                 patience_s = self._grace_ends_at - now
                 if patience_s <= 0 or not connection.can_read_without_waiting:
-                    step = self._course.give_up(time.monotonic())
+                    step = self._course.handle_timeout(time.monotonic())
                     if not isinstance(step, steps.Wait):
                         raise AttemptAbandonedError(step)
                     patience_s = step.seconds
@@ -198,16 +200,16 @@
 
     async def _probe_upstream(self) -> None:
         """Checks whether a silent upstream can still be reached."""
-        if not self._course.wants_probe(time.monotonic()):
+        if not self._course.begin_probe_if_silent(time.monotonic()):
             return
         upstream = self._course.attempts[-1].state.upstream
         if await self._pool.is_reachable(upstream):
             return
         cut_off = False
-        witness = self._course.choose_witness(time.monotonic())
+        witness = self._course.choose_reference(time.monotonic())
         if witness is not None:
             cut_off = not await self._pool.is_reachable(witness.upstream)
-        self._course.note_unreachable(cut_off, time.monotonic())
+        self._course.record_unreachable(cut_off, time.monotonic())
 
     async def _relay_response(
         self,
@@ -228,7 +230,7 @@
                 await self._connection.write_body(bytes(body))
                 return
             body += data
-        self._course.replacement.resumable = False
+        self._course.failover.resumable = False
         await self._write_head(head, head.length)
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
@@ -249,7 +251,7 @@
             upstream_connections.UpstreamConnectionError: An event has no end.
         """
         course = self._course
-        splitter = server_sent_events.EventSplitter(course.last_event)
+        splitter = server_sent_events.EventSplitter(course.last_event_id)
         while data := await self._wait_for(connection, connection.read_body):
             try:
                 whole = splitter.feed(data)
@@ -260,10 +262,10 @@
             if not whole:
                 continue
             if server_sent_events.has_data(whole):
-                course.note_bytes(time.monotonic())
+                course.record_bytes(time.monotonic())
             if not course.delivering:
                 await self._write_head(head, None)
-            course.last_event = splitter.last_event_id
+            course.last_event_id = splitter.last_event_id
             await self._connection.write_body(whole)
         if not course.delivering:
             await self._write_head(head, None)
@@ -295,7 +297,7 @@
             AttemptAbandonedError: The attempt has ended for another step.
         """
         data = await self._wait_for(connection, connection.read_body)
-        self._course.note_bytes(time.monotonic())
+        self._course.record_bytes(time.monotonic())
         return data
 
     async def _skip_body(
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -9,7 +9,7 @@
 import loguru
 import prometheus_client
 
-from sycamorehollow.decisions.forwarding import course as courses
+from sycamorehollow.decisions.forwarding import request_lifecycle as courses
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
@@ -132,7 +132,7 @@
         loguru.logger.opt(exception=error).error("fault in {}", subject)
 
     def record_request(
-        self, record: RequestRecord, course: courses.Course | None
+        self, record: RequestRecord, course: courses.RequestLifecycle | None
     ) -> None:
         """A request has ended."""
         total_s = time.monotonic() - record.started_at
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -2,7 +2,7 @@
 
 import random
 
-from sycamorehollow.decisions.forwarding import course
+from sycamorehollow.decisions.forwarding import request_lifecycle
 from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import forwarding
@@ -84,7 +84,7 @@
     return forwarding.Upstream(**(values | changes))
 
 
-def build_call(**changes):
+def build_request(**changes):
     """Returns a request with an open choice of the model."""
     values = {
         "request_id": "q-1",
@@ -110,11 +110,11 @@
     return built
 
 
-def build_course(built, call=None, route=None, now=0.0):
-    """Returns the course of one request."""
-    return course.Course(
+def build_lifecycle(built, request=None, route=None, now=0.0):
+    """Returns the lifecycle of one request."""
+    return request_lifecycle.RequestLifecycle(
         built,
-        call or build_call(),
+        request or build_request(),
         route or build_route(),
         built.table.configuration.services["llm"],
         "fingerprint",
--- a/tests/test_forwarding_cascade.py
+++ b/tests/test_forwarding_cascade.py
@@ -23,15 +23,15 @@
 
     def _begin(self, built, now):
         """Returns the course of a stream that is being delivered."""
-        played = forwarding_world.build_course(built, now=now)
-        self.assertIsInstance(played.find_step(now), steps.Send)
+        lifecycle = forwarding_world.build_lifecycle(built, now=now)
+        self.assertIsInstance(lifecycle.choose_next_step(now), steps.Send)
         doubtful = forwarding_world.build_head(confidence=0)
-        if played.judge_head(doubtful, now) is steps.Verdict.RETRY:
+        if lifecycle.evaluate_head(doubtful, now) is steps.Verdict.RETRY:
             self.dropped += 1
-            self.assertIsInstance(played.find_step(now), steps.Send)
-            played.judge_head(forwarding_world.build_head(), now)
-        played.delivering = True
-        return played
+            self.assertIsInstance(lifecycle.choose_next_step(now), steps.Send)
+            lifecycle.evaluate_head(forwarding_world.build_head(), now)
+        lifecycle.delivering = True
+        return lifecycle
 
     def test_streams_that_break_go_on_beside_doubtful_answers(self):
         for requests in range(2, 40):
@@ -46,6 +46,8 @@
                 now = requests / 10
                 for stream in streams[-2:]:
                     stream.record_connection_failure("closed", True, now)
-                    self.assertIsInstance(stream.find_step(now), steps.Send)
+                    self.assertIsInstance(
+                        stream.choose_next_step(now), steps.Send
+                    )
         # The cascade still has most of the budget.
         self.assertGreater(self.dropped, 300)
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -25,32 +25,34 @@
 
 def start_stream(built, now=0.0, **route):
     """Returns a request whose caller has the first part of its answer."""
-    played = forwarding_world.build_course(
+    lifecycle = forwarding_world.build_lifecycle(
         built, route=forwarding_world.build_route(**route), now=now
     )
-    played.find_step(now)
-    played.judge_head(forwarding_world.build_head(confidence=99), now + 0.1)
-    played.delivering = True
-    return played
+    lifecycle.choose_next_step(now)
+    lifecycle.evaluate_head(
+        forwarding_world.build_head(confidence=99), now + 0.1
+    )
+    lifecycle.delivering = True
+    return lifecycle
 
 
 class GiveUpTest(unittest.TestCase):
     """Guards against sound streams that are ended without a way to go on."""
 
-    def assert_kept(self, played, now, reason):
+    def assert_kept(self, lifecycle, now, reason):
         """Asserts that the open attempt is waited for."""
-        self.assertEqual(played.compute_patience(now), 0.0)
-        step = played.give_up(now)
+        self.assertEqual(lifecycle.compute_timeout(now), 0.0)
+        step = lifecycle.handle_timeout(now)
         self.assertIsInstance(step, steps.Wait)
         self.assertGreater(step.seconds, 0.0)
-        attempt = played.attempts[-1]
+        attempt = lifecycle.attempts[-1]
         self.assertIsNone(attempt.end_cause)
         self.assertEqual(attempt.keep_reason, reason)
 
     def test_silent_stream_goes_on_elsewhere(self):
-        played = start_stream(build_router())
-        first = played.attempts[-1]
-        step = played.give_up(3.0)
+        lifecycle = start_stream(build_router())
+        first = lifecycle.attempts[-1]
+        step = lifecycle.handle_timeout(3.0)
         self.assertIsInstance(step, steps.Send)
         self.assertIsNot(step.state, first.state)
         self.assertIs(first.end_cause, steps.EndCause.TIMEOUT)
@@ -60,184 +62,192 @@
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
         first, second = start_stream(built), start_stream(built)
         # Both find that they have waited long enough before one acts.
-        self.assertEqual(first.compute_patience(3.0), 0.0)
-        self.assertEqual(second.compute_patience(3.0), 0.0)
-        self.assertIsInstance(first.give_up(3.0), steps.Send)
+        self.assertEqual(first.compute_timeout(3.0), 0.0)
+        self.assertEqual(second.compute_timeout(3.0), 0.0)
+        self.assertIsInstance(first.handle_timeout(3.0), steps.Send)
         self.assert_kept(second, 3.0, "the budget of repeats is used up")
         # The repeat leaves the window, and there is one again.
-        self.assertIsInstance(second.give_up(13.1), steps.Reject)
+        self.assertIsInstance(second.handle_timeout(13.1), steps.Reject)
 
     def test_stream_is_given_up_once_a_repeat_is_left_again(self):
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
         first, second = start_stream(built), start_stream(built, 9.0)
-        first.give_up(3.0)
+        first.handle_timeout(3.0)
         self.assert_kept(second, 12.0, "the budget of repeats is used up")
-        self.assertIsInstance(second.give_up(13.1), steps.Send)
+        self.assertIsInstance(second.handle_timeout(13.1), steps.Send)
 
     def test_content_that_is_blamed_elsewhere_keeps_its_attempt(self):
         built = build_router()
-        played = start_stream(built)
+        lifecycle = start_stream(built)
         breaks = {f"r{number}": 0.1 for number in range(3)}
         built.poison.merge({"fingerprint": breaks}, 1.0)
-        self.assert_kept(played, 3.0, "requests like it have crashed upstreams")
+        self.assert_kept(
+            lifecycle, 3.0, "requests like it have crashed upstreams"
+        )
 
     def test_full_upstreams_leave_a_stream_where_it_is(self):
         built = build_router()
-        played = start_stream(built)
+        lifecycle = start_stream(built)
         for state in built.directory.list_all():
             state.full_until = 5.0
-        self.assert_kept(played, 3.0, "all upstreams are full")
+        self.assert_kept(lifecycle, 3.0, "all upstreams are full")
 
     def test_last_attempt_is_spent_on_long_silence_only(self):
-        played = start_stream(build_router(), max_attempts=2)
+        lifecycle = start_stream(build_router(), max_attempts=2)
         # The upstream goes on with others.
-        played.attempts[-1].state.last_byte_at = 1.5
-        self.assertGreater(played.compute_patience(1.5), 0.0)
-        self.assertEqual(played.compute_patience(2.2), 0.0)
+        lifecycle.attempts[-1].state.last_byte_at = 1.5
+        self.assertGreater(lifecycle.compute_timeout(1.5), 0.0)
+        self.assertEqual(lifecycle.compute_timeout(2.2), 0.0)
         spare = start_stream(build_router(), max_attempts=3)
         spare.attempts[-1].state.last_byte_at = 1.5
-        self.assertEqual(spare.compute_patience(1.5), 0.0)
+        self.assertEqual(spare.compute_timeout(1.5), 0.0)
 
     def test_unreachable_upstreams_leave_a_stream_where_it_is(self):
         built = build_router()
-        played = start_stream(built)
-        current = played.attempts[-1].state
+        lifecycle = start_stream(built)
+        current = lifecycle.attempts[-1].state
         for state in built.directory.list_all():
             if state is not current:
                 directory.record_unreachable(state, 2.9)
-        self.assert_kept(played, 3.0, "no other can be reached")
+        self.assert_kept(lifecycle, 3.0, "no other can be reached")
         # If the stream's own upstream cannot be reached either, any will do.
         directory.record_unreachable(current, 3.0)
-        self.assertIsInstance(played.give_up(3.0), steps.Send)
+        self.assertIsInstance(lifecycle.handle_timeout(3.0), steps.Send)
 
     def test_head_that_came_just_before_the_limit_is_followed_by_patience(self):
-        played = forwarding_world.build_course(build_router())
-        played.find_step(0.0)
-        played.judge_head(forwarding_world.build_head(confidence=99), 1.59)
-        self.assertGreater(played.compute_patience(1.61), 0.0)
+        lifecycle = forwarding_world.build_lifecycle(build_router())
+        lifecycle.choose_next_step(0.0)
+        lifecycle.evaluate_head(
+            forwarding_world.build_head(confidence=99), 1.59
+        )
+        self.assertGreater(lifecycle.compute_timeout(1.61), 0.0)
 
     def test_only_upstream_of_a_service_is_waited_for(self):
-        played = start_stream(build_router(upstreams=1))
-        self.assert_kept(played, 3.0, "no upstream is registered")
+        lifecycle = start_stream(build_router(upstreams=1))
+        self.assert_kept(lifecycle, 3.0, "no upstream is registered")
 
     def test_upstream_that_would_be_too_late_is_not_asked(self):
         built = build_router()
-        call = forwarding_world.build_call(deadline_s=3.04)
-        played = forwarding_world.build_course(built, call)
-        played.find_step(0.0)
-        self.assert_kept(played, 3.0, "no other would be in time")
+        request = forwarding_world.build_request(deadline_s=3.04)
+        lifecycle = forwarding_world.build_lifecycle(built, request)
+        lifecycle.choose_next_step(0.0)
+        self.assert_kept(lifecycle, 3.0, "no other would be in time")
 
     def test_last_attempt_is_waited_for_until_its_deadline(self):
-        played = start_stream(build_router(), max_attempts=1)
-        self.assertAlmostEqual(played.compute_patience(3.0), 7.0)
-        step = played.give_up(10.0)
+        lifecycle = start_stream(build_router(), max_attempts=1)
+        self.assertAlmostEqual(lifecycle.compute_timeout(3.0), 7.0)
+        step = lifecycle.handle_timeout(10.0)
         self.assertIsInstance(step.failure, steps.TimedOut)
-        self.assertIs(played.attempts[-1].end_cause, steps.EndCause.DEADLINE)
+        self.assertIs(lifecycle.attempts[-1].end_cause, steps.EndCause.DEADLINE)
 
 
 class ShortageTest(unittest.TestCase):
     """Guards against callers that lose an answer to a passing shortage."""
 
-    def _refuse(self, played, now, times):
+    def _refuse(self, lifecycle, now, times):
         """Lets upstreams refuse the request; returns the time after it."""
         while times:
-            step = played.find_step(now)
+            step = lifecycle.choose_next_step(now)
             self.assertNotIsInstance(step, steps.Reject)
             if isinstance(step, steps.Wait):
                 now += step.seconds
                 continue
             now += 0.001
-            played.judge_head(SHED, now)
+            lifecycle.evaluate_head(SHED, now)
             times -= 1
         return now
 
     def test_refused_continuations_do_not_end_a_stream(self):
-        played = start_stream(build_router())
-        played.record_connection_failure("closed", True, 1.0)
+        lifecycle = start_stream(build_router())
+        lifecycle.record_connection_failure("closed", True, 1.0)
         refusals = 2 * attempt_limits.MAX_REFUSALS + 3
-        now = self._refuse(played, 1.0, refusals)
+        now = self._refuse(lifecycle, 1.0, refusals)
         self.assertLess(now, 8.0)
-        step = played.find_step(now)
+        step = lifecycle.choose_next_step(now)
         while isinstance(step, steps.Wait):
             now += step.seconds
-            step = played.find_step(now)
+            step = lifecycle.choose_next_step(now)
         self.assertIsInstance(step, steps.Send)
 
     def test_wait_for_a_shortage_ends_at_the_deadline(self):
         built = build_router(retry_ratio=0.0, retry_floor=0.0)
-        played = start_stream(built)
-        played.record_connection_failure("closed", True, 9.95)
-        step = played.find_step(9.95)
+        lifecycle = start_stream(built)
+        lifecycle.record_connection_failure("closed", True, 9.95)
+        step = lifecycle.choose_next_step(9.95)
         self.assertAlmostEqual(step.seconds, 0.05)
 
     def test_broken_stream_waits_for_upstreams_that_are_gone(self):
         built = build_router()
-        played = start_stream(built)
-        played.record_connection_failure("closed", True, 1.0)
+        lifecycle = start_stream(built)
+        lifecycle.record_connection_failure("closed", True, 1.0)
         for state in built.directory.list_all():
             built.handle(updates.UpstreamRemoved(state.upstream.identity), 1.0)
-        self.assertIsInstance(played.find_step(1.1), steps.Wait)
+        self.assertIsInstance(lifecycle.choose_next_step(1.1), steps.Wait)
         upstream = forwarding_world.build_upstream("u9")
         built.handle(updates.UpstreamSet(upstream), 1.2)
-        self.assertIsInstance(played.find_step(1.3), steps.Send)
+        self.assertIsInstance(lifecycle.choose_next_step(1.3), steps.Send)
 
     def test_small_model_is_asked_again_when_the_larger_one_is_gone(self):
         built = forwarding_world.build_router(
             forwarding_world.build_upstream("a", models=("small",)),
             forwarding_world.build_upstream("b", models=("large",)),
         )
-        played = forwarding_world.build_course(built)
-        played.find_step(0.0)
+        lifecycle = forwarding_world.build_lifecycle(built)
+        lifecycle.choose_next_step(0.0)
         doubtful = forwarding_world.build_head(confidence=10)
-        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.RETRY)
-        self.assertEqual(played.find_step(0.05).model, "large")
-        played.record_connection_failure("cannot connect", False, 0.06)
+        self.assertIs(
+            lifecycle.evaluate_head(doubtful, 0.05), steps.Verdict.RETRY
+        )
+        self.assertEqual(lifecycle.choose_next_step(0.05).model, "large")
+        lifecycle.record_connection_failure("cannot connect", False, 0.06)
         built.handle(updates.UpstreamRemoved("b"), 0.07)
-        now, step = 0.08, played.find_step(0.08)
+        now, step = 0.08, lifecycle.choose_next_step(0.08)
         while isinstance(step, steps.Wait):
             now += step.seconds
-            step = played.find_step(now)
+            step = lifecycle.choose_next_step(now)
         self.assertEqual(step.model, "small")
 
     def test_refusal_of_what_was_sent_twice_does_not_say_not_run(self):
         built = build_router()
-        played = forwarding_world.build_course(
+        lifecycle = forwarding_world.build_lifecycle(
             built, route=forwarding_world.build_route(forwarding_world.SAFE)
         )
-        now, step, sent_twice = 0.0, played.find_step(0.0), True
+        now, step, sent_twice = 0.0, lifecycle.choose_next_step(0.0), True
         while not isinstance(step, steps.Reject):
             if isinstance(step, steps.Send):
-                played.judge_head(SHED, now, sent_twice)
+                lifecycle.evaluate_head(SHED, now, sent_twice)
                 sent_twice = False
             now += 0.06
-            step = played.find_step(now)
+            step = lifecycle.choose_next_step(now)
         self.assertIs(step.failure.execution, failures.Execution.UNKNOWN)
         self.assertNotEqual(step.failure.status, 503)
 
     def test_broken_stream_waits_for_a_repeat(self):
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
         first, second = start_stream(built), start_stream(built, 5.0)
-        for played in (first, second):
-            played.record_connection_failure("closed", True, 6.0)
-        self.assertIsInstance(first.find_step(6.0), steps.Send)
+        for lifecycle in (first, second):
+            lifecycle.record_connection_failure("closed", True, 6.0)
+        self.assertIsInstance(first.choose_next_step(6.0), steps.Send)
         now = 6.0
-        step = second.find_step(now)
+        step = second.choose_next_step(now)
         while isinstance(step, steps.Wait):
             now += step.seconds
-            step = second.find_step(now)
+            step = second.choose_next_step(now)
         self.assertIsInstance(step, steps.Reject)
         self.assertGreater(now, 14.5)
 
     def test_answer_that_was_dropped_for_a_larger_model_is_owed(self):
-        played = forwarding_world.build_course(build_router())
-        played.find_step(0.0)
+        lifecycle = forwarding_world.build_lifecycle(build_router())
+        lifecycle.choose_next_step(0.0)
         doubtful = forwarding_world.build_head(confidence=10)
-        self.assertIs(played.judge_head(doubtful, 0.05), steps.Verdict.RETRY)
-        now = self._refuse(played, 0.05, attempt_limits.MAX_REFUSALS + 2)
-        step = played.find_step(now)
+        self.assertIs(
+            lifecycle.evaluate_head(doubtful, 0.05), steps.Verdict.RETRY
+        )
+        now = self._refuse(lifecycle, 0.05, attempt_limits.MAX_REFUSALS + 2)
+        step = lifecycle.choose_next_step(now)
         while isinstance(step, steps.Wait):
             now += step.seconds
-            step = played.find_step(now)
+            step = lifecycle.choose_next_step(now)
         self.assertIsInstance(step, steps.Send)
 
 
@@ -245,11 +255,11 @@
     """Guards against ready answers that are dropped for nothing."""
 
     def _answer(self, built, head, **route):
-        played = forwarding_world.build_course(
+        lifecycle = forwarding_world.build_lifecycle(
             built, route=forwarding_world.build_route(**route)
         )
-        played.find_step(0.0)
-        return played.judge_head(head, 0.05)
+        lifecycle.choose_next_step(0.0)
+        return lifecycle.evaluate_head(head, 0.05)
 
     def test_doubtful_answer_of_a_stream_that_must_not_run_twice_is_kept(self):
         head = forwarding_world.build_head(confidence=10)
@@ -258,22 +268,26 @@
 
     def test_doubtful_answer_of_blamed_content_is_kept(self):
         built = build_router()
-        played = forwarding_world.build_course(built)
-        played.find_step(0.0)
+        lifecycle = forwarding_world.build_lifecycle(built)
+        lifecycle.choose_next_step(0.0)
         breaks = {f"r{number}": 0.1 for number in range(3)}
         built.poison.merge({"fingerprint": breaks}, 0.04)
         head = forwarding_world.build_head(confidence=10)
-        self.assertIs(played.judge_head(head, 0.05), steps.Verdict.DELIVER)
+        self.assertIs(
+            lifecycle.evaluate_head(head, 0.05), steps.Verdict.DELIVER
+        )
 
     def test_failure_of_an_upstream_is_passed_on_while_all_others_are_full(
         self,
     ):
         built = build_router()
-        played = forwarding_world.build_course(
+        lifecycle = forwarding_world.build_lifecycle(
             built, route=forwarding_world.build_route(forwarding_world.SAFE)
         )
-        played.find_step(0.0)
+        lifecycle.choose_next_step(0.0)
         for state in built.directory.list_all():
             state.full_until = 1.0
-        verdict = played.judge_head(forwarding_world.build_head(500), 0.05)
+        verdict = lifecycle.evaluate_head(
+            forwarding_world.build_head(500), 0.05
+        )
         self.assertIs(verdict, steps.Verdict.DELIVER)
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -16,25 +16,27 @@
 class PlacementTest(unittest.TestCase):
     """Replays slow, failing, cold and distant upstreams."""
 
-    def _spread(self, built, count=200, call=None, route=None, finish=None):
+    def _spread(self, built, count=200, request=None, route=None, finish=None):
         """Sends requests one by one and counts them by upstream."""
         counts = {}
         for number in range(count):
             now = number * 0.1
-            played = forwarding_world.build_course(built, call, route, now)
-            step = played.find_step(now)
+            lifecycle = forwarding_world.build_lifecycle(
+                built, request, route, now
+            )
+            step = lifecycle.choose_next_step(now)
             name = step.state.upstream.identity
             counts[name] = counts.get(name, 0) + 1
             if finish is not None:
-                finish(played, name, now)
+                finish(lifecycle, name, now)
         return counts
 
     def test_slow_upstream_gets_less(self):
         built = forwarding_world.build_router(*UPSTREAMS[:3])
 
-        def finish(played, name, now):
+        def finish(lifecycle, name, now):
             took_s = 0.4 if name == "a" else 0.06
-            played.judge_head(forwarding_world.build_head(), now + took_s)
+            lifecycle.evaluate_head(forwarding_world.build_head(), now + took_s)
 
         counts = self._spread(built, finish=finish)
         self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
@@ -42,9 +44,11 @@
     def test_failing_upstream_gets_less(self):
         built = forwarding_world.build_router(*UPSTREAMS[:3])
 
-        def finish(played, name, now):
+        def finish(lifecycle, name, now):
             status = 500 if name == "a" else 200
-            played.judge_head(forwarding_world.build_head(status), now + 0.06)
+            lifecycle.evaluate_head(
+                forwarding_world.build_head(status), now + 0.06
+            )
 
         route = forwarding_world.build_route(models=())
         counts = self._spread(built, route=route, finish=finish)
@@ -56,8 +60,8 @@
             forwarding_world.build_upstream("far", data_centre="dc-2"),
         )
 
-        def finish(played, name, now):
-            played.judge_head(forwarding_world.build_head(), now + 0.06)
+        def finish(lifecycle, name, now):
+            lifecycle.evaluate_head(forwarding_world.build_head(), now + 0.06)
 
         counts = self._spread(built, finish=finish)
         self.assertGreater(counts["near"], 150)
@@ -75,8 +79,8 @@
         sent = 0
         for number in range(50):
             now = number * 0.02
-            played = forwarding_world.build_course(built, now=now)
-            if isinstance(played.find_step(now), steps.Send):
+            lifecycle = forwarding_world.build_lifecycle(built, now=now)
+            if isinstance(lifecycle.choose_next_step(now), steps.Send):
                 sent += 1
         self.assertLessEqual(sent, 4)
 
@@ -86,14 +90,14 @@
             forwarding.PromptPart("shared", 8000),
             forwarding.PromptPart("own", 100),
         )
-        call = forwarding_world.build_call(
+        request = forwarding_world.build_request(
             prompt_tokens=8100, prompt_parts=parts
         )
 
-        def finish(played, name, now):
-            played.judge_head(forwarding_world.build_head(), now + 0.1)
+        def finish(lifecycle, name, now):
+            lifecycle.evaluate_head(forwarding_world.build_head(), now + 0.1)
 
-        counts = self._spread(built, 100, call, finish=finish)
+        counts = self._spread(built, 100, request, finish=finish)
         self.assertGreater(max(counts.values()), 80)
 
     def test_hot_prompt_part_spreads_when_its_upstream_fills(self):
@@ -102,14 +106,16 @@
             forwarding.PromptPart("hot", 8000),
             forwarding.PromptPart("own", 100),
         )
-        call = forwarding_world.build_call(
+        request = forwarding_world.build_request(
             prompt_tokens=8100, prompt_parts=parts
         )
         counts = {}
         source = random.Random(3)
         for number in range(60):
-            played = forwarding_world.build_course(built, call, now=0.0)
-            step = played.find_step(source.random() * 0.01)
+            lifecycle = forwarding_world.build_lifecycle(
+                built, request, now=0.0
+            )
+            step = lifecycle.choose_next_step(source.random() * 0.01)
             name = step.state.upstream.identity
             step.state.running += 1
             counts[name] = counts.get(name, 0) + 1
--- a/tests/test_forwarding_slowness.py
+++ b/tests/test_forwarding_slowness.py
@@ -388,21 +388,21 @@
 
     def serve(self, built, name, now, pace_s, give_up):
         """Lets one request run, possibly to its end."""
-        call = forwarding_world.build_call(request_id=name)
-        course = forwarding_world.build_course(built, call, now=now)
-        sent = course.find_step(now)
+        call = forwarding_world.build_request(request_id=name)
+        lifecycle = forwarding_world.build_lifecycle(built, call, now=now)
+        sent = lifecycle.choose_next_step(now)
         head = forwarding_world.build_head(confidence=100)
-        course.judge_head(head, now + 0.05)
+        lifecycle.evaluate_head(head, now + 0.05)
         gap_s = 0.02
         if sent.state.upstream.version == "v2":
             gap_s = pace_s
             if give_up:
-                course.delivering = True
-                course.give_up(now + 1.0)
+                lifecycle.delivering = True
+                lifecycle.handle_timeout(now + 1.0)
                 return
         for event in range(12):
-            course.note_bytes(now + 0.06 + event * gap_s)
-        course.note_end(now + 0.06 + 12 * gap_s)
+            lifecycle.record_bytes(now + 0.06 + event * gap_s)
+        lifecycle.record_delivered(now + 0.06 + 12 * gap_s)
 
     def test_slow_streams_are_found(self):
         found = self.play(0.16).rollouts.get("llm")
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -135,11 +135,11 @@
             ("/draft/ax", "short"),
             ("/draft/a", "short"),
         ):
-            call = forwarding_world.build_call(path=path)
+            call = forwarding_world.build_request(path=path)
             self.assertEqual(self.table.find(call).name, name)
         for call in (
-            forwarding_world.build_call(path="/drafts/a"),
-            forwarding_world.build_call(host="other.example"),
+            forwarding_world.build_request(path="/drafts/a"),
+            forwarding_world.build_request(host="other.example"),
         ):
             self.assertIsInstance(self.table.find(call), failures.NotFound)
 
@@ -151,10 +151,10 @@
             ("k", opened, forwarding.Workspace("maps")),
             ("", opened, None),
         ):
-            call = forwarding_world.build_call(api_key=key)
+            call = forwarding_world.build_request(api_key=key)
             self.assertEqual(self.table.authorize(call, on), expected)
         for key in ("", "other"):
-            call = forwarding_world.build_call(api_key=key)
+            call = forwarding_world.build_request(api_key=key)
             self.assertIsInstance(
                 self.table.authorize(call, route), failures.Unauthorized
             )
@@ -281,17 +281,17 @@
         budgets = []
         for _ in range(nodes):
             budget = retry_budget.RetryBudget(ratio, window_s, floor)
-            budget.set_nodes(nodes)
+            budget.set_node_count(nodes)
             budgets.append(budget)
         fresh, repeats = [], []
         source = random.Random(1)
         for at, is_fresh in sorted(arrivals):
             budget = source.choice(budgets)
             if is_fresh:
-                budget.note_fresh("s", at)
+                budget.record_request("s", at)
                 fresh.append(at)
-            elif budget.may_repeat("s", at):
-                budget.note_repeat("s", at)
+            elif budget.can_retry("s", at):
+                budget.record_retry("s", at)
                 repeats.append(at)
         for end in repeats:
             asked = sum(end - window_s < at <= end for at in fresh)
@@ -300,14 +300,14 @@
 
     def test_storm_of_repeats_is_bounded(self):
         budget = retry_budget.RetryBudget(0.5, 10.0, 20.0)
-        budget.set_nodes(2)
+        budget.set_node_count(2)
         sent = 0
         for number in range(400):
             now = number * 0.02
             if number % 4 == 0:
-                budget.note_fresh("s", now)
-            if budget.may_repeat("s", now):
-                budget.note_repeat("s", now)
+                budget.record_request("s", now)
+            if budget.can_retry("s", now):
+                budget.record_retry("s", now)
                 sent += 1
         self.assertLessEqual(sent, 100 * 0.5 + 20.0 / 2)
         self.assertGreater(sent, 30)
