--- a/sycamorehollow/decisions/operations/__init__.py
+++ b/sycamorehollow/decisions/operations/__init__.py
@@ -1,1 +1,1 @@
-"""What operators order: configuration, drains, loads, shutdown."""
+"""Operator actions: configuration, drains, engine orders, shutdown."""
--- a/sycamorehollow/decisions/operations/config_branches.py
+++ b/sycamorehollow/decisions/operations/config_branches.py
@@ -1,4 +1,4 @@
-"""Branches of the configuration that a process holds, and their encoding."""
+"""Configuration branches that a process holds, and their wire encoding."""
 
 from collections.abc import Callable
 from collections.abc import Collection
@@ -18,27 +18,28 @@
 from sycamorehollow.model import failures
 
 PLATFORM_BRANCH = "platform"
-# Keeps a delta under the 4 MB that gRPC takes by default.
+# Keeps a delta under the default gRPC limit of 4 MB.
 MAX_DELTA_BYTES = 1_500_000
-# Bounds the memory that one payload can claim when it is decompressed. A
-# document has up to 1 MB, and escaping can double it.
+# Bounds the memory for decompressing a payload. A document has up to 1 MB, and
+# escaping can double it.
 MAX_DECODED_BYTES = 8_000_000
 _DIGEST_HEAD = struct.Struct(">8sI")
 _NO_AGE = 0xFFFFFFFF
 
 Faults: TypeAlias = Mapping[str, tuple[failures.Failure, ...]]
-# Takes revision and document by branch, and the branches in force before.
+# Converts documents (revision and content by branch), given the branches that
+# are accepted already.
 Convert: TypeAlias = Callable[
     [Mapping[str, tuple[int, Mapping[str, Any]]], Collection[str]],
     tuple[deployment.Deployment, Faults],
 ]
-# Revisions by branch: the latest one and the one in force.
+# Latest and accepted revision by branch.
 Revisions: TypeAlias = Mapping[str, tuple[int, int]]
 
 
 @dataclasses.dataclass(frozen=True)
 class DocumentUnreadable(failures.Failure):
-    """The value of a branch is no JSON object."""
+    """The value of a branch is not a JSON object."""
 
     code: ClassVar[str] = "document_unreadable"
 
@@ -50,8 +51,8 @@
     Attributes:
         branch: Name of the branch.
         revision: Store revision of the write.
-        text: The document as stored.
-        in_force: Whether a process has put it in force.
+        text: Document as stored.
+        in_force: Whether some process has put it in force ("accepted").
     """
 
     branch: str
@@ -61,11 +62,12 @@
 
 
 class ConfigBranches:
-    """The branches of one process, merged by the highest revision.
+    """The branches of one process; the highest revision wins.
 
-    Both the latest revision and the highest one that any process has put in
-    force spread. Processes that hold the same two revisions of every branch
-    have the same configuration in force, whatever order they arrived in.
+    Two revisions of each branch are replicated: the latest one, and the
+    highest one that any process has put in force (the accepted one). Processes
+    with the same two revisions of every branch have the same configuration in
+    force, in whatever order the revisions arrived.
     """
 
     def __init__(self, convert: Convert):
@@ -86,7 +88,7 @@
         }
 
     def select_missing(self, theirs: Revisions) -> list[BranchRevision]:
-        """Returns what the holder of the given revisions lacks."""
+        """Returns the entries missing at a holder of given revisions."""
         found = []
         for entry in self._list_entries():
             latest, accepted = theirs.get(entry.branch, (0, 0))
@@ -95,27 +97,27 @@
         return found
 
     def add(self, entries: Iterable[BranchRevision]) -> list[BranchRevision]:
-        """Takes entries with higher revisions and returns those it took."""
-        taken = []
+        """Applies entries with higher revisions and returns these."""
+        applied = []
         for entry in entries:
-            plain = dataclasses.replace(entry, in_force=False)
-            new = plain.revision > _get_revision(self._latest, entry.branch)
+            stored = dataclasses.replace(entry, in_force=False)
+            new = stored.revision > _get_revision(self._latest, entry.branch)
             if new:
-                self._latest[entry.branch] = plain
+                self._latest[entry.branch] = stored
             if entry.in_force:
-                held = _get_revision(self._accepted, entry.branch)
-                if plain.revision > held:
-                    self._accepted[entry.branch] = plain
+                accepted = _get_revision(self._accepted, entry.branch)
+                if stored.revision > accepted:
+                    self._accepted[entry.branch] = stored
                     new = True
             if new:
-                taken.append(entry)
-        if taken:
+                applied.append(entry)
+        if applied:
             self._evaluate()
             self.hash = _hash_revisions(self.list_revisions())
-        return taken
+        return applied
 
     def _list_entries(self) -> list[BranchRevision]:
-        """Returns the accepted entries and later ones that are not."""
+        """Returns all accepted entries and later ones not accepted."""
         found = []
         for branch, entry in sorted(self._latest.items()):
             accepted = self._accepted.get(branch)
@@ -126,7 +128,7 @@
         return found
 
     def _evaluate(self) -> None:
-        """Puts the highest revision in force that stands, per branch."""
+        """Puts the highest valid revision of each branch in force."""
         candidates = self._list_candidates()
         faults: dict[str, tuple[failures.Failure, ...]] = {}
         while True:
@@ -144,7 +146,7 @@
             ]
             if not failed:
                 break
-            # One at a time: the others may stand once this one has changed.
+            # Replace one at a time: the others may become valid with it.
             first = min(failed, key=lambda name: _rank(chosen[name]))
             candidates[first].pop(0)
         self.deployment = converted
@@ -157,19 +159,19 @@
         for branch, entry in chosen.items():
             if entry.revision > _get_revision(self._accepted, branch):
                 self._accepted[branch] = entry
-        self._forget_parsed()
+        self._evict_parsed()
 
     def _list_candidates(self) -> dict[str, list[BranchRevision]]:
-        """Returns the revisions of each branch that may be in force.
+        """Returns candidate revisions of each branch, in order.
 
-        The one in force here comes last. It is needed when this process is
-        too old to read a revision that another one has accepted.
+        The one in force here comes last. It is needed when this process runs
+        an older release that cannot read a revision accepted elsewhere.
         """
         result: dict[str, list[BranchRevision]] = {}
         for branch, latest in self._latest.items():
             options = [latest]
-            for held in (self._accepted, self._effective):
-                entry = held.get(branch)
+            for known in (self._accepted, self._effective):
+                entry = known.get(branch)
                 if entry and entry.revision < options[-1].revision:
                     options.append(entry)
             result[branch] = options
@@ -198,25 +200,25 @@
             self._parsed[entry] = _read_object(entry.text)
         return self._parsed[entry]
 
-    def _forget_parsed(self) -> None:
-        held = {
+    def _evict_parsed(self) -> None:
+        used = {
             *self._latest.values(),
             *self._accepted.values(),
             *self._effective.values(),
         }
         for entry in list(self._parsed):
-            if entry not in held:
+            if entry not in used:
                 del self._parsed[entry]
 
 
 @dataclasses.dataclass(frozen=True)
 class Digest:
-    """What one process holds, in brief.
+    """Summary of the branches of one process.
 
     Attributes:
         hash: Hash of the revisions.
-        age_s: Seconds since the last confirmation, or `None`.
-        revisions: The revisions, or `None` if they are left out.
+        age_s: Seconds since the last confirmation; `None` for never.
+        revisions: The revisions; `None` if left out.
     """
 
     hash: bytes
@@ -226,11 +228,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Delta:
-    """What one process tells another.
+    """An update from one process to another.
 
     Attributes:
         digest: Digest of the sender.
-        entries: Branches that the receiver may lack.
+        entries: Branch revisions that the receiver may lack.
     """
 
     digest: Digest
@@ -240,7 +242,7 @@
 def split_by_size(
     entries: Iterable[BranchRevision],
 ) -> list[tuple[BranchRevision, ...]]:
-    """Splits entries into groups that fit a delta."""
+    """Splits entries into groups that each fit into a delta."""
     groups: list[list[BranchRevision]] = []
     size = 0
     for entry in entries:
@@ -253,7 +255,7 @@
 
 
 def encode_digest(digest: Digest) -> bytes:
-    """Encodes a digest: hash, age in tenths of a second, revisions."""
+    """Encodes a digest as hash, age in tenths of a second, revisions."""
     tenths = _NO_AGE
     if digest.age_s is not None:
         tenths = min(int(digest.age_s * 10), _NO_AGE - 1)
@@ -264,7 +266,7 @@
 
 
 def decode_digest(payload: bytes) -> Digest | None:
-    """Decodes a digest; a malformed one gives `None`."""
+    """Decodes a digest; returns `None` if it is malformed."""
     try:
         number, tenths = _DIGEST_HEAD.unpack_from(payload)
         text = payload[_DIGEST_HEAD.size :]
@@ -294,7 +296,7 @@
 
 
 def decode_delta(payload: bytes) -> Delta | None:
-    """Decodes a delta; a malformed one gives `None`."""
+    """Decodes a delta; returns `None` if it is malformed."""
     try:
         text = zlib.decompressobj().decompress(payload, MAX_DECODED_BYTES)
         document = json.loads(text)
@@ -333,7 +335,7 @@
 
 
 def _hash_revisions(revisions: Revisions) -> bytes:
-    """Returns eight bytes that are equal for equal revisions."""
+    """Returns an eight-byte hash of the revisions."""
     text = json.dumps(revisions, sort_keys=True).encode()
     return hashlib.blake2b(text, digest_size=8).digest()
 
@@ -342,8 +344,8 @@
     return (entry.branch != PLATFORM_BRANCH, entry.revision, entry.branch)
 
 
-def _get_revision(held: Mapping[str, BranchRevision], branch: str) -> int:
-    entry = held.get(branch)
+def _get_revision(entries: Mapping[str, BranchRevision], branch: str) -> int:
+    entry = entries.get(branch)
     return entry.revision if entry else 0
 
 
--- a/sycamorehollow/decisions/operations/config_writes.py
+++ b/sycamorehollow/decisions/operations/config_writes.py
@@ -1,8 +1,8 @@
-"""Rules of an operator's change to one value in the store.
+"""Conditional writes of configuration documents by operators.
 
-A change is an edit of the current document, written by compare-and-swap with
-a nonce. A lost response is resolved by reading the value back: the nonce tells
-a write that took effect from a lost race.
+A change edits the current document and writes it by compare-and-swap with a
+nonce. After a lost response the value is read back: the nonce tells a write
+that took effect from one that lost a race.
 """
 
 from collections.abc import Callable
@@ -17,19 +17,19 @@
 from sycamorehollow.model import failures
 
 PREFIX = "config/"
-# Later writers keep the nonces of this many earlier ones, so that a writer
-# whose response was lost finds its own even after others have written.
+# A document keeps the nonces of this many earlier writes, so that a writer
+# whose response was lost finds its own nonce after others have written.
 MAX_EARLIER_NONCES = 8
-# Attempts at a write whose response stays lost.
+# Attempts at a write, read-backs included, while responses are lost.
 MAX_ATTEMPTS = 5
 
-# Changes a copy of the current document in place, or tells why it does not.
+# Edits a copy of the current document in place, or returns why it cannot.
 Edit: TypeAlias = Callable[[dict[str, Any]], failures.Failure | None]
 
 
 @dataclasses.dataclass(frozen=True)
 class ChangeConflict(failures.Failure):
-    """Another writer was faster, so nothing was written."""
+    """Another writer changed the key first; nothing was written."""
 
     code: ClassVar[str] = "change_conflict"
     status: ClassVar[int] = 409
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ChangeInDoubt(failures.Failure):
-    """The store does not say whether the change took effect."""
+    """The write may have taken effect; the response was lost."""
 
     code: ClassVar[str] = "change_in_doubt"
     status: ClassVar[int] = 503
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unchanged(failures.Failure):
-    """The edit changes nothing."""
+    """The edit leaves the document as it is."""
 
     code: ClassVar[str] = "unchanged"
     status: ClassVar[int] = 409
@@ -55,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ValueUnreadable(failures.Failure):
-    """The current value is no JSON object."""
+    """The current value is not a JSON object."""
 
     code: ClassVar[str] = "value_unreadable"
     status: ClassVar[int] = 422
@@ -63,14 +63,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConditionalWrite:
-    """A write by compare-and-swap.
+    """A compare-and-swap write of one document.
 
     Attributes:
-        key: The only key that the change writes.
+        key: Store key.
         expected_revision: Revision that the key must still have; 0 for an
             absent key.
-        document: The new document with the writer's nonce.
-        nonce: The writer's nonce.
+        document: New document, including the nonce.
+        nonce: Unique id of this change.
     """
 
     key: str
@@ -80,18 +80,18 @@
 
     @property
     def text(self) -> str:
-        """The document as it is stored."""
+        """The document as stored JSON."""
         return json.dumps(self.document, separators=(",", ":"))
 
 
 @dataclasses.dataclass(frozen=True)
 class WriteConfirmed:
-    """The change took effect.
+    """The write took effect.
 
     Attributes:
-        key: The key that was written.
-        revision: Revision at which the change was seen; later writers may
-            have raised it already.
+        key: Store key.
+        revision: Revision at which the change was observed; later writes may
+            already have raised it.
     """
 
     key: str
@@ -100,34 +100,34 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReadBack:
-    """The value has to be read to learn what became of the write."""
+    """Asks for the value, to find out whether the write took effect."""
 
     key: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RetryWrite:
-    """The same write has to be sent again."""
+    """Asks for the same write to be sent again."""
 
     write: ConditionalWrite
 
 
 def make_branch_key(team: str) -> str:
-    """Returns the key of a team's branch."""
+    """Returns the store key of a team's branch."""
     return PREFIX + team
 
 
 def prepare_write(
     key: str, revision: int, text: str | None, edit: Edit, nonce: str
 ) -> ConditionalWrite | failures.Failure:
-    """Returns the write of an edit, or why there is none.
+    """Returns the write that applies an edit, or why there is none.
 
     Args:
-        key: Key of the value.
-        revision: Its current revision; 0 for an absent key.
-        text: Its current value, or `None`.
-        edit: The change; it gets a copy without the nonces.
-        nonce: Unique name of this change.
+        key: Store key.
+        revision: Current revision; 0 for an absent key.
+        text: Current value, or `None` for an absent key.
+        edit: Edit to apply to a copy without nonces.
+        nonce: Unique id of this change.
     """
     document = read_document(key, text)
     if isinstance(document, failures.Failure):
@@ -149,9 +149,10 @@
 def resolve_conflict(
     write: ConditionalWrite, revision: int, text: str | None
 ) -> WriteConfirmed | ChangeConflict:
-    """Judges a refused write by the value that the store returned.
+    """Resolves a conflict with the value that the store returned.
 
-    An earlier attempt whose response was lost may have caused the refusal.
+    The conflicting value may be an earlier attempt at the same write whose
+    response was lost.
     """
     if _contains(write, text):
         return WriteConfirmed(write.key, revision)
@@ -163,7 +164,7 @@
 def resolve_lost_response(
     write: ConditionalWrite, attempts: int
 ) -> ReadBack | ChangeInDoubt:
-    """Judges a write, or a read-back, whose response is missing."""
+    """Decides what follows a write or read-back without a response."""
     if attempts < MAX_ATTEMPTS:
         return ReadBack(write.key)
     return ChangeInDoubt(
@@ -175,10 +176,11 @@
 def resolve_read_back(
     write: ConditionalWrite, revision: int, text: str | None
 ) -> WriteConfirmed | ChangeConflict | RetryWrite:
-    """Judges the value that was read after a lost response.
+    """Resolves a lost response with the value that was read back.
 
-    A value at the expected revision does not mean that the write is lost: it
-    may still arrive. Sending it again is safe, as only one can match.
+    A value that is still at the expected revision does not mean that the write
+    failed: it may arrive later. Sending it again is safe, since at most one of
+    the two can match that revision.
     """
     if revision == write.expected_revision:
         return RetryWrite(write)
@@ -188,7 +190,7 @@
 def read_document(
     key: str, text: str | None
 ) -> dict[str, Any] | ValueUnreadable:
-    """Returns the document of a value; empty if it is absent or deleted."""
+    """Parses a value; an absent or deleted one gives an empty document."""
     if text is None:
         return {}
     try:
--- a/sycamorehollow/decisions/operations/configuration.py
+++ b/sycamorehollow/decisions/operations/configuration.py
@@ -1,4 +1,10 @@
-"""Configuration of one process: who watches the store, and what spreads."""
+"""Configuration of one process, from the store and from its peers.
+
+In each data centre the two processes with the lowest addresses watch the store
+and push changes to the others; digest exchanges repair what a push misses.
+Members whose configuration has not been confirmed for too long read the store
+themselves.
+"""
 
 from collections.abc import Iterable
 import dataclasses
@@ -19,27 +25,28 @@
 
 PREFIX = "config/"
 WATCHERS = 2
-# Ends a watch often enough to confirm that nothing has changed; 14 watches
-# make 14 calls a second against the 2,000 that the store answers.
+# A watch that ends without changes confirms the configuration, so it is short.
+# 14 watches make 14 calls a second; the store can answer 2,000.
 WATCH_TIMEOUT_S = 1.0
-# A shell reports a failure before this; the rule only guards against a lost
-# report.
+# The shell reports a failure sooner; this only guards against a lost report.
 CALL_TIMEOUT_S = 10.0
-# A confirmation needs about log2 of the members in seconds to spread. Members
-# that miss it for longer read the store themselves.
+# A confirmation takes about log2(members) seconds to spread. Members without
+# one for longer than that plus this time read the store themselves.
 STALE_AFTER_S = 4.0
 STALE_STEP_PER_RANK_S = 0.02
-# Such a member watches at least this long, and until another source confirms.
+# Such a member watches for at least this long, and until another source has
+# a fresher confirmation.
 FALLBACK_WATCH_S = 30.0
-# A difference between two hashes is most likely a change of this age.
+# When two hashes differ, changes no older than this are the likely cause and
+# are sent first.
 RECENT_CHANGE_S = 10.0
 INITIAL_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 2.0
 BOOTSTRAP_INTERVAL_S = 1.0
 BOOTSTRAP_PEERS = 2
-# Digests list the revisions for this long after a difference was seen.
+# Digests list the revisions for this long after a difference was found.
 DETAILED_DIGEST_S = 5.0
-# A fresher confirmation is worth sending from this difference on.
+# A confirmation is sent only if it is fresher by at least this.
 MIN_AGE_GAIN_S = 0.5
 
 
@@ -50,7 +57,7 @@
 
 
 class Configuration(components.Component, components.Replicated):
-    """Keeps the configuration in force and spreads it."""
+    """Tracks the configuration in force and replicates it."""
 
     kind = "configuration"
 
@@ -65,48 +72,48 @@
         Args:
             own_peer: This process.
             convert: Conversion of branches, as in `settings.tree.convert`.
-            rng: Source of jitter and of the peers to ask first.
+            rng: Random source for jitter and the choice of peers.
         """
         self._own_peer = own_peer
         self._rng = rng
-        self._held = config_branches.ConfigBranches(convert)
-        self._own: tuple[str, ...] = (own_peer.address,)
-        self._others: tuple[str, ...] = ()
-        # The lowest member of each other data centre.
-        self._leaders: tuple[str, ...] = ()
+        self._branches = config_branches.ConfigBranches(convert)
+        self._own_members: tuple[str, ...] = (own_peer.address,)
+        self._other_members: tuple[str, ...] = ()
+        # The lowest address in each other data centre.
+        self._remote_leaders: tuple[str, ...] = ()
         self._confirmed_at: float | None = None
         self._phase = _Phase.IDLE
-        self._call = 0
-        self._call_at = 0.0
-        self._after = 0
+        self._call_number = 0
+        self._call_started_at = 0.0
+        self._last_revision = 0
         self._backoff_s = INITIAL_BACKOFF_S
         self._retry_at = -math.inf
-        self._ask_at = -math.inf
-        self._detail_until = -math.inf
-        self._stand_in_until: float | None = None
+        self._bootstrap_at = -math.inf
+        self._detailed_until = -math.inf
+        self._fallback_until: float | None = None
         self._changed_at: dict[str, float] = {}
 
     @property
     def deployment(self) -> deployment.Deployment:
         """The configuration in force."""
-        return self._held.deployment
+        return self._branches.deployment
 
     @property
     def faults(self) -> config_branches.Faults:
-        """Why branches are not in force at their latest revision."""
-        return self._held.faults
+        """Why the latest revision of branches is not in force."""
+        return self._branches.faults
 
     @property
     def is_watcher(self) -> bool:
         """Whether this process watches the store for its data centre."""
-        return self._own_peer.address in self._own[:WATCHERS]
+        return self._own_peer.address in self._own_members[:WATCHERS]
 
     def list_revisions(self) -> dict[str, tuple[int, int]]:
         """Returns the latest and the accepted revision of each branch."""
-        return self._held.list_revisions()
+        return self._branches.list_revisions()
 
     def find_refusal(self) -> failures.NoConfiguration | None:
-        """Returns why no request can be taken yet, or `None`."""
+        """Returns why requests cannot be admitted yet, or `None`."""
         if self._confirmed_at is not None:
             return None
         return failures.NoConfiguration(
@@ -115,36 +122,39 @@
         )
 
     def measure_age(self, now: float) -> float | None:
-        """Returns seconds since the configuration was known to be current.
+        """Returns seconds since the configuration was last confirmed.
 
-        The transit time of the messages that carried a peer's confirmation is
-        not included. `None` means that it was never confirmed.
+        Transit times of messages with a peer's confirmation are not included.
+        `None` means that it was never confirmed.
         """
         if self._confirmed_at is None:
             return None
         return max(0.0, now - self._confirmed_at)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; results of calls given up still count."""
+        """Applies an event; results of cancelled calls still count."""
         if isinstance(event, events.Tick):
             return self._tick(now)
         if isinstance(event, messages.MembersUpdated):
-            self._see_members(event.members)
+            self._update_members(event.members)
             return self._tick(now)
         if isinstance(event, messages.StoreResponded):
             return self._apply_answer(event, now)
-        if isinstance(event, messages.StoreFailed) and event.call == self._call:
+        if (
+            isinstance(event, messages.StoreFailed)
+            and event.call == self._call_number
+        ):
             self._fail_call(event.retry_after_s, now)
         return []
 
     def build_digest(self, now: float) -> bytes:
-        """Returns hash and age, and the revisions after a difference."""
-        # A process that starts asks for everything at once.
-        detailed = self._confirmed_at is None or now < self._detail_until
+        """Returns hash and age, and after a difference the revisions."""
+        # A starting process lists its revisions, to get everything at once.
+        detailed = self._confirmed_at is None or now < self._detailed_until
         return config_branches.encode_digest(self._describe(detailed, now))
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns branches, own revisions or a fresher confirmation."""
+        """Returns missing branches, own revisions or a confirmation."""
         theirs = config_branches.decode_digest(digest)
         if theirs is None:
             return b""
@@ -159,36 +169,36 @@
                     return b""
         else:
             known = theirs.revisions
-            missing = self._held.select_missing(known or {})
+            missing = self._branches.select_missing(known or {})
             if known is None:
                 missing = [
                     entry
                     for entry in missing
                     if now - self._changed_at[entry.branch] < RECENT_CHANGE_S
                 ]
-            # The rest follows in the next exchanges.
+            # Further groups follow in later exchanges.
             entries = next(iter(config_branches.split_by_size(missing)), ())
         return config_branches.encode_delta(config_branches.Delta(own, entries))
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Applies what a peer knows; a watcher pushes news on."""
+        """Applies a delta; a watcher pushes new entries to others."""
         received = config_branches.decode_delta(delta)
         if received is None:
             return []
         targets = self._select_targets() if self.is_watcher else ()
-        result = self._add(received.entries, targets, now)
-        if received.digest.hash != self._held.hash:
-            self._detail_until = now + DETAILED_DIGEST_S
+        result = self._apply_entries(received.entries, targets, now)
+        if received.digest.hash != self._branches.hash:
+            self._detailed_until = now + DETAILED_DIGEST_S
         elif received.digest.age_s is not None:
             if self._confirm(now - received.digest.age_s):
-                self._end_stand_in(now)
+                self._end_fallback(now)
         return result
 
     def _describe(self, detailed: bool, now: float) -> config_branches.Digest:
         return config_branches.Digest(
-            self._held.hash,
+            self._branches.hash,
             self.measure_age(now),
-            self._held.list_revisions() if detailed else None,
+            self._branches.list_revisions() if detailed else None,
         )
 
     def _confirm(self, moment: float) -> bool:
@@ -197,15 +207,15 @@
         self._confirmed_at = moment
         return True
 
-    def _end_stand_in(self, now: float) -> None:
-        """Stops watching in place of others; a fresher source exists."""
-        if self._stand_in_until is not None and now >= self._stand_in_until:
-            self._stand_in_until = None
+    def _end_fallback(self, now: float) -> None:
+        """Ends the fallback watch once another source is fresher."""
+        if self._fallback_until is not None and now >= self._fallback_until:
+            self._fallback_until = None
 
     def _must_watch(self) -> bool:
-        return self.is_watcher or self._stand_in_until is not None
+        return self.is_watcher or self._fallback_until is not None
 
-    def _see_members(self, members: Iterable[messages.Peer]) -> None:
+    def _update_members(self, members: Iterable[messages.Peer]) -> None:
         own = {self._own_peer.address}
         others: dict[str, list[str]] = {}
         for member in members:
@@ -213,57 +223,62 @@
                 own.add(member.address)
             else:
                 others.setdefault(member.data_centre, []).append(member.address)
-        self._own = tuple(sorted(own))
-        self._others = tuple(sorted(itertools.chain(*others.values())))
-        self._leaders = tuple(sorted(min(group) for group in others.values()))
+        self._own_members = tuple(sorted(own))
+        self._other_members = tuple(sorted(itertools.chain(*others.values())))
+        self._remote_leaders = tuple(
+            sorted(min(group) for group in others.values())
+        )
 
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         if self._phase is not _Phase.IDLE:
-            if now - self._call_at > CALL_TIMEOUT_S:
-                result.append(messages.CancelCall(self._call))
+            if now - self._call_started_at > CALL_TIMEOUT_S:
+                result.append(messages.CancelCall(self._call_number))
                 self._fail_call(None, now)
             elif self._phase is _Phase.WATCHING and not self._must_watch():
-                result.append(messages.CancelCall(self._call))
+                result.append(messages.CancelCall(self._call_number))
                 self._phase = _Phase.IDLE
         if self._phase is _Phase.IDLE and now >= self._retry_at:
             if self._must_watch() or self._is_stale(now):
                 result.append(self._start_read(now))
-        if self._confirmed_at is None and now >= self._ask_at:
-            known = [a for a in self._own if a != self._own_peer.address]
-            known.extend(self._others)
+        if self._confirmed_at is None and now >= self._bootstrap_at:
+            known = [
+                a for a in self._own_members if a != self._own_peer.address
+            ]
+            known.extend(self._other_members)
             targets = self._rng.sample(known, min(BOOTSTRAP_PEERS, len(known)))
             if targets:
-                self._ask_at = now + BOOTSTRAP_INTERVAL_S
+                self._bootstrap_at = now + BOOTSTRAP_INTERVAL_S
                 result.append(messages.StartExchanges(tuple(targets)))
         return result
 
     def _is_stale(self, now: float) -> bool:
-        """Tells whether the watchers seem to have lost the store."""
+        """Returns whether the watchers seem to have lost the store."""
         age_s = self.measure_age(now)
         if age_s is None:
             return True
-        # Ranks differ, so that one reads first and its confirmation spreads.
-        rank = self._own.index(self._own_peer.address)
-        spread_s = math.log2(len(self._own) + len(self._others))
+        # The delay differs by rank, so that one member reads first and its
+        # confirmation spreads before the others start.
+        rank = self._own_members.index(self._own_peer.address)
+        spread_s = math.log2(len(self._own_members) + len(self._other_members))
         return age_s > STALE_AFTER_S + spread_s + STALE_STEP_PER_RANK_S * rank
 
     def _start_read(self, now: float) -> messages.ReadRange:
         self._phase = _Phase.READING
-        self._call += 1
-        self._call_at = now
-        return messages.ReadRange(self._call, PREFIX)
+        self._call_number += 1
+        self._call_started_at = now
+        return messages.ReadRange(self._call_number, PREFIX)
 
     def _start_watch(self, now: float) -> messages.StartWatch:
         self._phase = _Phase.WATCHING
-        self._call += 1
-        self._call_at = now
+        self._call_number += 1
+        self._call_started_at = now
         return messages.StartWatch(
-            self._call, PREFIX, self._after, WATCH_TIMEOUT_S
+            self._call_number, PREFIX, self._last_revision, WATCH_TIMEOUT_S
         )
 
     def _fail_call(self, retry_after_s: float | None, now: float) -> None:
-        """Waits; the next call is a range read, since a watch may have gaps."""
+        """Backs off; a range read follows, since a watch may have gaps."""
         self._phase = _Phase.IDLE
         wait_s = max(self._backoff_s, retry_after_s or 0.0)
         wait_s = min(wait_s, MAX_BACKOFF_S)
@@ -278,61 +293,64 @@
                 value.key.removeprefix(PREFIX), value.revision, value.text
             )
             for value in event.values
-            # A branch is deleted by a document, never with its key.
+            # Branches are deleted by writing a document; the key stays.
             if value.key.startswith(PREFIX) and value.text is not None
         ]
-        # The first load is nothing new to the peers.
+        # Nothing is pushed on the first load: the peers have it already.
         targets: tuple[str, ...] = ()
         if self._confirmed_at is not None:
-            targets = self._select_targets() + self._leaders
-        result = self._add(entries, targets, now)
-        if event.call != self._call or self._phase is _Phase.IDLE:
+            targets = self._select_targets() + self._remote_leaders
+        result = self._apply_entries(entries, targets, now)
+        if event.call != self._call_number or self._phase is _Phase.IDLE:
             return result
         if self._confirmed_at is not None and not self._must_watch():
             if self._is_stale(now):
-                self._stand_in_until = now + FALLBACK_WATCH_S
-        self._confirm(self._call_at)
+                self._fallback_until = now + FALLBACK_WATCH_S
+        self._confirm(self._call_started_at)
         self._backoff_s = INITIAL_BACKOFF_S
-        self._after = max(self._after, event.revision)
+        self._last_revision = max(self._last_revision, event.revision)
         self._phase = _Phase.IDLE
         if self._must_watch():
             result.append(self._start_watch(now))
         return result
 
-    def _add(
+    def _apply_entries(
         self,
         entries: Iterable[config_branches.BranchRevision],
         targets: tuple[str, ...],
         now: float,
     ) -> list[commands.Command]:
-        """Applies entries and returns what follows from those that are new."""
-        before, faults = self._held.deployment, self._held.faults
-        taken = self._held.add(entries)
+        """Applies entries; returns pushes and reports for new ones."""
+        before, faults = self._branches.deployment, self._branches.faults
+        new_entries = self._branches.add(entries)
         result: list[commands.Command] = []
-        for entry in taken:
+        for entry in new_entries:
             self._changed_at[entry.branch] = now
-        if taken and targets:
-            digest = config_branches.Digest(self._held.hash, None)
-            for group in config_branches.split_by_size(taken):
+        if new_entries and targets:
+            digest = config_branches.Digest(self._branches.hash, None)
+            for group in config_branches.split_by_size(new_entries):
                 payload = config_branches.encode_delta(
                     config_branches.Delta(digest, group)
                 )
                 result.append(messages.PushDeltaTo(targets, self.kind, payload))
-        if self._held.deployment != before:
-            result.append(messages.ConfigurationChanged(self._held.deployment))
-        if self._held.faults != faults:
-            result.append(messages.BranchesRejected(self._held.faults))
+        if self._branches.deployment != before:
+            result.append(
+                messages.ConfigurationChanged(self._branches.deployment)
+            )
+        if self._branches.faults != faults:
+            result.append(messages.BranchesRejected(self._branches.faults))
         return result
 
     def _select_targets(self) -> tuple[str, ...]:
         """Returns the members of the own data centre to push to.
 
-        The watchers share them out; digests reach those of a lost watcher.
+        The watchers divide the members among them. If a watcher is lost, digest
+        exchanges reach its members.
         """
-        rank = self._own.index(self._own_peer.address)
+        rank = self._own_members.index(self._own_peer.address)
         start, step = (rank, WATCHERS) if rank < WATCHERS else (0, 1)
         return tuple(
             address
-            for address in self._own[start::step]
+            for address in self._own_members[start::step]
             if address != self._own_peer.address
         )
--- a/sycamorehollow/decisions/operations/configuration_messages.py
+++ b/sycamorehollow/decisions/operations/configuration_messages.py
@@ -18,14 +18,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class MembersUpdated(events.Event):
-    """The live members, with or without this process itself."""
+    """The live members changed; this process itself may be left out."""
 
     members: tuple[Peer, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class Value:
-    """A value below `config/`; `text` is `None` for a deleted key."""
+    """A value under `config/`; `text` is `None` for a deleted key."""
 
     key: str
     revision: int
@@ -37,8 +37,8 @@
     """A range read or a watch returned.
 
     Attributes:
-        call: Number from the command.
-        values: What was returned; empty for a watch without changes.
+        call: Call number from the command.
+        values: Values returned; empty for a watch without changes.
         revision: Store revision of the response.
     """
 
@@ -57,7 +57,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReadRange(commands.Command):
-    """Asks for all values below a prefix."""
+    """Requests all values under a prefix."""
 
     call: int
     prefix: str
@@ -65,7 +65,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StartWatch(commands.Command):
-    """Asks for the changes below a prefix after a revision."""
+    """Requests the changes under a prefix after a revision."""
 
     call: int
     prefix: str
@@ -75,14 +75,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class CancelCall(commands.Command):
-    """Gives a range read or watch up; its result is no longer needed."""
+    """Cancels a range read or watch whose result is not needed."""
 
     call: int
 
 
 @dataclasses.dataclass(frozen=True)
 class PushDeltaTo(commands.Command):
-    """Asks to send a delta to the given peers without waiting."""
+    """Sends a delta to the given peers at once, without an exchange."""
 
     targets: tuple[str, ...]
     kind: str
@@ -91,20 +91,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class StartExchanges(commands.Command):
-    """Asks for an exchange of digests with the given peers."""
+    """Starts digest exchanges with the given peers."""
 
     targets: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationChanged(commands.Command):
-    """Tells that another configuration is in force."""
+    """Reports the configuration that came into force."""
 
     deployment: deployment.Deployment
 
 
 @dataclasses.dataclass(frozen=True)
 class BranchesRejected(commands.Command):
-    """Tells which branches are not in force at their latest revision."""
+    """Reports branches whose latest revision is not in force."""
 
     faults: config_branches.Faults
--- a/sycamorehollow/decisions/operations/drains.py
+++ b/sycamorehollow/decisions/operations/drains.py
@@ -1,4 +1,8 @@
-"""Which upstreams may take new work, and the shutdown of this process."""
+"""Which upstreams are out of service.
+
+An upstream is out of service by configuration, by a drain record, or when the
+platform reports that its VM is leaving.
+"""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -17,8 +21,8 @@
 # Kind of the records that take an upstream or data centre out of service.
 DRAIN_KIND = "drain"
 PLATFORM_BRANCH = "platform"
-# Load balancers poll `/healthz` about once a second; new connections still
-# arrive until they have seen it turn.
+# Load balancers poll `/healthz` about once a second and keep sending new
+# connections until they have seen it fail.
 DRAIN_DELAY_S = 5.0
 
 
@@ -31,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OutOfService(failures.Failure):
-    """The upstream or its data centre takes no new work."""
+    """The upstream or its data centre accepts no new work."""
 
     code: ClassVar[str] = "out_of_service"
     status: ClassVar[int] = 503
@@ -39,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class UnknownUpstream(failures.Failure):
-    """The deployment in force has no such upstream."""
+    """The upstream is not part of the deployment in force."""
 
     code: ClassVar[str] = "unknown_upstream"
     status: ClassVar[int] = 503
@@ -47,17 +51,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class DeploymentChanged(events.Event):
-    """Another deployment is in force."""
+    """A new deployment came into force."""
 
     deployment: deployment.Deployment
 
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamVmsReceived(events.Event):
-    """The platform's list of VMs arrived; it lags behind.
+    """The platform's list of VMs was received; it may be out of date.
 
     Attributes:
-        leaving: For each upstream that the list names, whether its VM leaves.
+        leaving: Whether the VM is leaving, by upstream in the list.
     """
 
     leaving: Mapping[str, bool]
@@ -72,14 +76,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class MarkCold(commands.Command):
-    """Tells that an upstream returns to service and counts as cold."""
+    """Marks an upstream that returns to service as cold."""
 
     upstream: str
 
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamOutOfService(commands.Command):
-    """Tells that an upstream takes no new work from now on."""
+    """Reports that an upstream accepts no new work from now on."""
 
     upstream: str
     reason: str
@@ -91,57 +95,57 @@
 
 
 def make_drain_value(current: deployment.Deployment) -> dict[str, Any]:
-    """Returns the value of a drain record made under a deployment.
+    """Returns the value of a drain record written under a deployment.
 
-    The record holds until a higher revision of the platform branch is in
-    force, so an operator lifts it by writing that branch.
+    The record is in effect until a higher revision of the platform branch is
+    in force, so an operator lifts it by writing that branch.
     """
     return {"revision": current.revisions.get(PLATFORM_BRANCH, 0)}
 
 
 class Drains(components.Component):
-    """Keeps what is out of service and reports upstreams that return."""
+    """Tracks upstreams out of service and reports each change."""
 
     def __init__(self) -> None:
         self._deployment = deployment.Deployment()
         self._leaving: dict[str, bool] = {}
         self._records: tuple[records.ReplicatedRecord, ...] = ()
         self._drained: frozenset[str] = frozenset()
-        self._out: dict[str, str] = {}
+        self._reasons: dict[str, str] = {}
 
     def find_refusal(self, upstream: str) -> failures.Failure | None:
-        """Returns why an upstream may take no new work now, or `None`."""
+        """Returns why an upstream accepts no new work, or `None`."""
         if upstream not in self._deployment.upstreams:
             return UnknownUpstream(f"Upstream {upstream} is not configured.")
-        reason = self._out.get(upstream)
+        reason = self._reasons.get(upstream)
         if reason is None:
             return None
         return OutOfService(reason, retry_after_s=DRAIN_DELAY_S)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies a change and returns what left or returned."""
+        """Applies an event and reports upstreams that left or returned."""
         if isinstance(event, DeploymentChanged):
             self._deployment = event.deployment
         elif isinstance(event, UpstreamVmsReceived):
-            # A VM that is missing from the list keeps its last state: the
-            # list lags, so its silence says nothing.
+            # A VM that is missing from the list keeps its last state, because
+            # the list lags behind.
             self._leaving.update(event.leaving)
         elif isinstance(event, RecordsChanged):
             self._records = event.drained
         else:
             return []
         self._drained = frozenset(self._select_drained())
-        return self._compare()
+        return self._update()
 
     def _select_drained(self) -> Iterable[str]:
-        """Returns the keys of the drain records that still hold."""
+        """Yields the keys of the drain records in effect."""
         revision = self._deployment.revisions.get(PLATFORM_BRANCH, 0)
         for record in self._records:
             if record.kind != DRAIN_KIND or record.is_tombstone:
                 continue
             value = record.decode_value()
             named = value.get("revision") if isinstance(value, dict) else None
-            # A record without a valid revision holds until it is deleted.
+            # Without a valid revision, a record applies until it is deleted.
             if not isinstance(named, int) or revision <= named:
                 yield record.key
 
@@ -164,22 +168,22 @@
             return f"The VM of upstream {name} is leaving."
         return None
 
-    def _compare(self) -> list[commands.Command]:
-        """Rebuilds what is out of service and reports the differences."""
-        before, self._out = self._out, {}
+    def _update(self) -> list[commands.Command]:
+        """Recomputes what is out of service and reports the changes."""
+        before, self._reasons = self._reasons, {}
         result: list[commands.Command] = []
         for name, upstream in self._deployment.upstreams.items():
             reason = self._find_reason(upstream)
             if reason is not None:
-                self._out[name] = reason
+                self._reasons[name] = reason
                 if name not in before:
                     result.append(UpstreamOutOfService(name, reason))
                 continue
             if name in before:
                 result.append(MarkCold(name))
-        # An upstream that is removed while out of service stays remembered,
-        # so that it counts as cold when it is configured again.
+        # Upstreams removed while out of service are kept, so that they are
+        # marked cold when they are configured again.
         for name, reason in before.items():
             if name not in self._deployment.upstreams:
-                self._out[name] = reason
+                self._reasons[name] = reason
         return result
--- a/sycamorehollow/decisions/operations/keyrings.py
+++ b/sycamorehollow/decisions/operations/keyrings.py
@@ -1,4 +1,4 @@
-"""Keys that sign tokens, shared by all entry processes."""
+"""Key rings for signed tokens, shared by all entry processes."""
 
 import base64
 from collections.abc import Mapping
@@ -9,11 +9,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class KeyRing:
-    """Named secrets; the newest signs and all of them verify.
+    """Secrets by key id; the current one signs and all of them verify.
 
     Attributes:
         current: Id of the key that signs.
-        secrets: Secret of each key id.
+        secrets: Secrets by key id.
     """
 
     current: str
@@ -24,7 +24,7 @@
         return compute_signature(self.secrets[self.current], text)
 
     def verify(self, text: str, key_id: str, signature: str) -> bool:
-        """Tells whether a key of the ring made the signature."""
+        """Returns whether a key of the ring made the signature."""
         secret = self.secrets.get(key_id)
         if secret is None:
             return False
@@ -35,7 +35,7 @@
 
 
 def compute_signature(secret: bytes, text: str) -> str:
-    """Returns HMAC-SHA256 of a text in URL-safe base64."""
+    """Returns the HMAC-SHA256 of a text as unpadded URL-safe base64."""
     digest = hmac.new(secret, text.encode("utf-8"), hashlib.sha256).digest()
     return base64.urlsafe_b64encode(digest).decode("ascii").rstrip("=")
 
@@ -54,10 +54,10 @@
     """Returns the fields of a token, or `None` if it is not genuine.
 
     Args:
-        prefix: Kind of token that is expected.
-        token: Text from a caller.
-        count: Number of fields that the kind has.
-        ring: Keys that verify.
+        prefix: Expected token type.
+        token: Token received from a caller.
+        count: Number of fields of the token type.
+        ring: Keys to verify with.
     """
     parts = token.split(".")
     if len(parts) != 3 or parts[0] != prefix:
--- a/sycamorehollow/decisions/operations/leases.py
+++ b/sycamorehollow/decisions/operations/leases.py
@@ -1,4 +1,8 @@
-"""A lease on a record of the store, and how long its holder may rely on it."""
+"""A lease on a store record, and how long its holder may rely on it.
+
+The holder stops relying on the lease before the store ends it, so that two
+processes never hold it at once.
+"""
 
 import dataclasses
 import enum
@@ -7,18 +11,18 @@
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
-# Covers clocks that run at different speeds: 1 s in 10 s is far more than the
-# drift of any clock, and leaves time for a command that is under way.
+# Clocks may run at different speeds: 1 s in 10 s is far more than the drift of
+# any clock, and leaves time for a command in progress.
 CLOCK_DRIFT_MARGIN_S = 1.0
-# Three renewals fit into a lease, so that two may be lost.
+# Three renewals per TTL, so that two may be lost.
 RENEWALS_PER_TTL = 3
 RETRY_DELAY_S = 1.0
-# After this long the shell's call has ended and its answer is not awaited.
+# Longer than the call of the shell; no response can come after it.
 CALL_TIMEOUT_S = 3.0
 
 
 class LeaseState(enum.Enum):
-    """What the lease waits for."""
+    """State of a lease."""
 
     IDLE = "idle"
     CREATING = "creating"
@@ -29,11 +33,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class HeldLease:
-    """A lease that may be relied on.
+    """A valid lease.
 
     Attributes:
-        fencing_token: Fencing token: the store revision of the record.
-        until: Monotonic time in seconds at which reliance ends.
+        fencing_token: Store revision of the record.
+        valid_until: Monotonic time in seconds at which it ends.
     """
 
     fencing_token: int
@@ -58,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseRecordRead(events.Event):
-    """The record as read back; an absent one has no value."""
+    """The record was read back; `value` is empty if it is absent."""
 
     number: int
     revision: int
@@ -74,26 +78,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseCallRefused(events.Event):
-    """The store answered no: the record exists, or the lease is gone."""
+    """The store refused: the record exists, or the lease has ended."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True)
 class LeaseCallFailed(events.Event):
-    """No answer came; the store may have acted."""
+    """The response is missing; the call may have taken effect."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True)
 class ReleaseRequested(events.Event):
-    """The holder no longer needs the lease, for example at shutdown."""
+    """The lease is no longer needed, for example at shutdown."""
 
 
 @dataclasses.dataclass(frozen=True)
 class CreateLease(commands.Command):
-    """Asks for `POST /v1/leases`."""
+    """Requests `POST /v1/leases`."""
 
     number: int
     ttl_s: float
@@ -101,7 +105,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClaimLeaseRecord(commands.Command):
-    """Asks for `PUT /v1/kv/{key}` that creates the record if absent."""
+    """Requests `PUT /v1/kv/{key}`, creating the record if absent."""
 
     number: int
     key: str
@@ -111,7 +115,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReadLeaseRecord(commands.Command):
-    """Asks for `GET /v1/kv/{key}` to resolve a lost answer."""
+    """Requests `GET /v1/kv/{key}` to resolve a lost response."""
 
     number: int
     key: str
@@ -119,7 +123,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RenewLease(commands.Command):
-    """Asks for `PUT /v1/leases/{id}`."""
+    """Requests `PUT /v1/leases/{id}`."""
 
     number: int
     lease: str
@@ -127,23 +131,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReleaseLease(commands.Command):
-    """Asks for `DELETE /v1/leases/{id}`."""
+    """Requests `DELETE /v1/leases/{id}`."""
 
     lease: str
 
 
 class Lease(components.Component):
-    """Acquires, renews and gives up one lease.
+    """Acquires, renews and releases one lease.
 
-    The time is counted from the moment the command was returned, which is
-    before the request was sent and so before the store's own count began.
+    The TTL is measured from when the command was returned. That is before the
+    request was sent, and so before the TTL at the store began.
     """
 
     def __init__(self, key: str, owner: str, ttl_s: float):
-        """Sets what to hold.
+        """Creates a lease that is not held yet.
 
         Args:
-            key: Key of the record in the store.
+            key: Store key of the record.
             owner: Address and incarnation of this process.
             ttl_s: Time to live of the lease in seconds.
         """
@@ -162,13 +166,13 @@
         self._released = False
 
     def get_held_lease(self, now: float) -> HeldLease | None:
-        """Returns the lease if it may be relied on now."""
+        """Returns the lease, or `None` if it is not valid now."""
         if self._step is not LeaseState.HELD or now >= self._until:
             return None
         return HeldLease(self._fence, self._until)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; answers to earlier commands are ignored."""
+        """Applies an event; responses to earlier commands are ignored."""
         if isinstance(event, events.Tick):
             return self._tick(now)
         if isinstance(event, ReleaseRequested):
@@ -205,12 +209,12 @@
             and self._step is not LeaseState.READING
         ):
             return self._fail(now)
-        # A failed read is repeated by a tick; a store that refuses connections
-        # would otherwise be asked in a tight loop.
+        # A failed read is retried on a tick. Retrying at once would be a tight
+        # loop while the store refuses connections.
         return []
 
     def _tick(self, now: float) -> list[commands.Command]:
-        """Starts what is due."""
+        """Renews, acquires or times out, whichever is due."""
         if self._step is LeaseState.HELD:
             return self._renew(now)
         if self._step is LeaseState.IDLE:
@@ -226,7 +230,7 @@
         return []
 
     def _issue(self, now: float) -> int:
-        """Returns the number of the next command."""
+        """Returns the number for a new command."""
         self._number += 1
         self._issued = now
         return self._number
@@ -236,12 +240,13 @@
         self._lease = lease
         self._step = LeaseState.CLAIMING
         number = self._issue(now)
-        # A value of its own tells a lost answer from another holder's write.
+        # The unique value shows in a read-back whether a claim without a
+        # response was written, or another holder's.
         self._value = f"{self._owner}/{number}"
         return [ClaimLeaseRecord(number, self._key, self._value, lease)]
 
     def _hold(self, revision: int, now: float) -> list[commands.Command]:
-        """Takes the lease as held, unless its time is over already."""
+        """Marks the lease as held, unless it has ended already."""
         if now >= self._until:
             return self._give_up(now)
         self._step = LeaseState.HELD
@@ -250,7 +255,7 @@
         return []
 
     def _renew(self, now: float) -> list[commands.Command]:
-        """Renews in time, and gives up when reliance has ended."""
+        """Renews the lease when due, and releases it once invalid."""
         if now >= self._until:
             return self._give_up(now)
         if now - self._issued < self._ttl_s / RENEWALS_PER_TTL:
@@ -259,7 +264,7 @@
         return [RenewLease(self._issue(now), self._lease)]
 
     def _fail(self, now: float) -> list[commands.Command]:
-        """Resolves a step without an answer."""
+        """Handles a call without a response."""
         if self._step is LeaseState.HELD:
             self._renewing = False
             return []
@@ -269,7 +274,7 @@
         return [ReadLeaseRecord(self._issue(now), self._key)]
 
     def _give_up(self, now: float) -> list[commands.Command]:
-        """Ends reliance and lets the store end the lease early."""
+        """Stops relying on the lease and asks the store to end it."""
         lease, self._lease = self._lease, ""
         self._step = LeaseState.IDLE
         self._renewing = False
--- a/sycamorehollow/decisions/operations/operator_drains.py
+++ b/sycamorehollow/decisions/operations/operator_drains.py
@@ -1,4 +1,8 @@
-"""Drains that operators order at a process, without the store."""
+"""Drains that operators request from a process.
+
+They are written as replicated records, so that they take effect while the
+store is down.
+"""
 
 import dataclasses
 
@@ -12,14 +16,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class DrainRequested(events.Event):
-    """An operator takes something out of service while the store is down."""
+    """An operator requested a drain while the store was down."""
 
     scope: drains.Scope
     name: str
 
 
 class OperatorDrains(components.Component):
-    """Writes drain records under the deployment in force.
+    """Writes drain records that refer to the deployment in force.
 
     Args:
         replicated: The replicated records.
@@ -30,7 +34,7 @@
         self._deployment = deployment.Deployment()
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Takes the deployment and returns what an order changes."""
+        """Tracks the deployment and writes a record for each request."""
         if isinstance(event, drains.DeploymentChanged):
             self._deployment = event.deployment
         if not isinstance(event, DrainRequested):
--- a/sycamorehollow/decisions/operations/orders.py
+++ b/sycamorehollow/decisions/operations/orders.py
@@ -1,4 +1,8 @@
-"""Orders to engines: what to load, and when an order may be sent."""
+"""Reconciliation of engines with their targets by orders.
+
+Orders load or unload versions and set the role. They are sent only by the
+holder of a lease and carry its fencing token.
+"""
 
 from collections.abc import Mapping
 import dataclasses
@@ -10,12 +14,12 @@
 from sycamorehollow.model import events
 
 ORDER_TIMEOUT_S = 2.0
-# Reports lag; one that was asked for sooner may not show the order yet.
+# A report requested sooner after an order may not show its effect yet.
 REPORT_LAG_S = 5.0
 
 
 class Action(enum.Enum):
-    """What an order asks an engine to do."""
+    """Action of an order."""
 
     LOAD = "load"
     UNLOAD = "unload"
@@ -24,12 +28,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """What an upstream should serve.
+    """Desired state of an upstream.
 
     Attributes:
-        versions: Versions that should be loaded.
-        role: Role that it should have; empty leaves the role alone.
-        checks_fence: Whether it refuses orders with an old fencing token.
+        versions: Versions to have loaded.
+        role: Role to have; empty leaves the role unchanged.
+        checks_fence: Whether it rejects orders with an old fencing token.
     """
 
     versions: frozenset[str]
@@ -39,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class TargetsChanged(events.Event):
-    """Other targets are in force."""
+    """New targets came into force."""
 
     targets: Mapping[str, Target]
 
@@ -64,12 +68,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class OrderEnded(events.Event):
-    """An order was accepted, was refused or got no answer.
+    """An order was accepted, rejected or got no response.
 
     Attributes:
         number: Number of the order.
         upstream: Name of the upstream.
-        is_token_stale: Whether the engine refused the fencing token as old.
+        is_token_stale: Whether the engine rejected the fencing token as old.
     """
 
     number: int
@@ -79,25 +83,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class WeightLoadThrottled(events.Event):
-    """The weight store refused a load for its rate limit (429)."""
+    """The weight store rate-limited a load (429)."""
 
     retry_after_s: float
 
 
 @dataclasses.dataclass(frozen=True)
 class SendOrder(commands.Command):
-    """Asks for `POST /v1/orders` at an engine.
+    """Requests `POST /v1/orders` at an engine.
 
     Attributes:
-        number: Comes back in `OrderEnded`.
+        number: Number to return in `OrderEnded`.
         upstream: Name of the upstream.
-        action: What to do.
+        action: Action to take.
         version: Version to load or unload; empty for a role.
-        role: Role to take; empty for a version.
+        role: Role to set; empty for a version.
         fencing_token: Fencing token.
         timeout_s: Seconds after which the connection is closed.
-        send_before: Monotonic time in seconds. The shell reads the clock just
-            before it writes and drops the order if this time has passed.
+        send_before: Monotonic time in seconds. The shell checks the clock just
+            before it writes, and drops the order if this time has passed.
     """
 
     number: int
@@ -112,44 +116,44 @@
 
 @dataclasses.dataclass(frozen=True)
 class FencingTokenStale(commands.Command):
-    """Tells that a newer holder exists; no order goes out under this token."""
+    """Reports a newer lease holder; the token is no longer used."""
 
     fencing_token: int
 
 
 class LoadRateLimiter:
-    """This holder's part of the weight store's rate limit.
+    """This holder's share of the weight store's rate limit.
 
-    The parts are fixed by the configured number of holders, so they add up to
-    the limit whatever each holder believes of the others.
+    Shares are fixed by the configured number of holders, so they add up to the
+    limit whatever each holder knows of the others.
     """
 
     def __init__(self, loads_per_s: float, holders: int):
-        """Sets the part.
+        """Creates an empty token bucket.
 
         Args:
             loads_per_s: Rate limit of the weight store.
             holders: Number of leases under which loads are ordered.
         """
         self._rate = loads_per_s / holders
-        # Empty at first: the holder before may have just used its part.
+        # Empty at first: the previous holder may have just used its share.
         self._tokens = 0.0
-        self._filled: float | None = None
-        self._paused_until = float("-inf")
+        self._refilled_at: float | None = None
+        self._resume_at = float("-inf")
 
     def pause_until(self, resume_at: float) -> None:
-        """Allows no load before a time, after the weight store refused one."""
-        self._paused_until = max(self._paused_until, resume_at)
+        """Allows no load before a time, after a rate-limited one."""
+        self._resume_at = max(self._resume_at, resume_at)
 
     def try_acquire(self, now: float) -> bool:
-        """Takes one load out of the budget; tells whether there was one."""
-        if now < self._paused_until:
+        """Takes one load; returns whether the limit allows it."""
+        if now < self._resume_at:
             return False
-        if self._filled is not None:
-            gained = (now - self._filled) * self._rate
-            # More than one saved load would let all holders burst together.
+        if self._refilled_at is not None:
+            gained = (now - self._refilled_at) * self._rate
+            # With more than one saved load all holders could burst at once.
             self._tokens = min(1.0, self._tokens + gained)
-        self._filled = now
+        self._refilled_at = now
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -158,24 +162,24 @@
 
 @dataclasses.dataclass
 class _Engine:
-    """What is known of one engine.
+    """State of one engine.
 
     Attributes:
-        observed: The latest report.
-        pending: Number of the order under way, or 0.
-        ordered: When the last order ended, or was sent if it is under way.
+        report: The latest report.
+        pending: Number of the order in progress, or 0.
+        ordered_at: When the last order ended, or was sent if in progress.
     """
 
-    observed: EngineReported | None = None
+    report: EngineReported | None = None
     pending: int = 0
-    ordered: float = float("-inf")
+    ordered_at: float = float("-inf")
 
 
 class Orders(components.Component):
-    """Brings engines to their targets, one order at a time each.
+    """Brings engines to their targets, one order per engine at a time.
 
-    An order is sent only for a difference that a report from after the last
-    order shows, so a repeated round orders nothing twice.
+    An order is sent only for a difference in a report that was requested after
+    the last order, so that a repeated round orders nothing twice.
     """
 
     def __init__(self, lease: leases.Lease, budget: LoadRateLimiter):
@@ -187,7 +191,7 @@
         self._stale_fence = 0
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; a tick starts a round."""
+        """Applies an event; a tick starts a round."""
         if isinstance(event, events.Tick):
             return self._reconcile(now)
         if isinstance(event, TargetsChanged):
@@ -203,48 +207,51 @@
         if isinstance(event, EngineReported):
             engine = self._engines.get(event.upstream)
             if engine is not None:
-                engine.observed = event
+                engine.report = event
             return []
         if isinstance(event, OrderEnded):
-            return self._end(event, now)
+            return self._end_order(event, now)
         return []
 
-    def _end(self, event: OrderEnded, now: float) -> list[commands.Command]:
-        """Waits for a later report before the engine is ordered again."""
+    def _end_order(
+        self, event: OrderEnded, now: float
+    ) -> list[commands.Command]:
+        """Ends an order; the next one needs a later report."""
         engine = self._engines.get(event.upstream)
         if engine is not None and engine.pending == event.number:
             engine.pending = 0
-            engine.ordered = now
-        holding = self._lease.get_held_lease(now)
-        if not event.is_token_stale or holding is None:
+            engine.ordered_at = now
+        lease = self._lease.get_held_lease(now)
+        if not event.is_token_stale or lease is None:
             return []
-        self._stale_fence = holding.fencing_token
-        return [FencingTokenStale(holding.fencing_token)]
+        self._stale_fence = lease.fencing_token
+        return [FencingTokenStale(lease.fencing_token)]
 
     def _reconcile(self, now: float) -> list[commands.Command]:
         """Returns the orders that may be sent now."""
-        holding = self._lease.get_held_lease(now)
-        if holding is None or holding.fencing_token <= self._stale_fence:
+        lease = self._lease.get_held_lease(now)
+        if lease is None or lease.fencing_token <= self._stale_fence:
             return []
         result: list[commands.Command] = []
         for name, target in self._targets.items():
-            # Without a check at the engine, an order must end within the
-            # lease: nothing else keeps it from acting under the next holder.
+            # If the engine does not check the fencing token, the order must end
+            # while the lease is valid: nothing else keeps it from taking effect
+            # under the next holder.
             needed_s = 0.0 if target.checks_fence else ORDER_TIMEOUT_S
-            if holding.valid_until - now <= needed_s:
+            if lease.valid_until - now <= needed_s:
                 continue
             engine = self._engines[name]
-            if engine.pending or engine.observed is None:
+            if engine.pending or engine.report is None:
                 continue
-            if engine.observed.requested_at < engine.ordered + REPORT_LAG_S:
+            if engine.report.requested_at < engine.ordered_at + REPORT_LAG_S:
                 continue
-            wanted = self._compare(target, engine.observed, now)
-            if wanted is None:
+            order = self._choose_order(target, engine.report, now)
+            if order is None:
                 continue
             self._number += 1
             engine.pending = self._number
-            engine.ordered = now
-            action, version, role = wanted
+            engine.ordered_at = now
+            action, version, role = order
             result.append(
                 SendOrder(
                     self._number,
@@ -252,24 +259,24 @@
                     action,
                     version,
                     role,
-                    holding.fencing_token,
+                    lease.fencing_token,
                     ORDER_TIMEOUT_S,
-                    holding.valid_until - needed_s,
+                    lease.valid_until - needed_s,
                 )
             )
         return result
 
-    def _compare(
-        self, target: Target, observed: EngineReported, now: float
+    def _choose_order(
+        self, target: Target, report: EngineReported, now: float
     ) -> tuple[Action, str, str] | None:
-        """Returns the next order for an engine, or `None`."""
-        for version in sorted(target.versions - observed.versions):
+        """Returns action, version and role of the next order, or `None`."""
+        for version in sorted(target.versions - report.versions):
             if self._budget.try_acquire(now):
                 return Action.LOAD, version, ""
             return None
-        # Unloading comes after loading, so that no version is missing.
-        for version in sorted(observed.versions - target.versions):
+        # Unloads follow loads, so that the engine always serves a version.
+        for version in sorted(report.versions - target.versions):
             return Action.UNLOAD, version, ""
-        if target.role and target.role != observed.role:
+        if target.role and target.role != report.role:
             return Action.ROLE, "", target.role
         return None
--- a/sycamorehollow/decisions/operations/shutdown.py
+++ b/sycamorehollow/decisions/operations/shutdown.py
@@ -1,4 +1,8 @@
-"""The shutdown sequence of a process."""
+"""Graceful shutdown of a process.
+
+The process stops admission, announces that it leaves, and exits once its
+requests and bills are done and load balancers have had time to notice.
+"""
 
 import dataclasses
 import enum
@@ -11,7 +15,7 @@
 
 
 class Phase(enum.Enum):
-    """How far the shutdown has come."""
+    """Phase of the shutdown."""
 
     SERVING = "serving"
     DRAINING = "draining"
@@ -20,16 +24,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class ShutdownRequested(events.Event):
-    """An operator or the platform asks this process to end."""
+    """An operator or the platform asks this process to shut down."""
 
 
 @dataclasses.dataclass(frozen=True)
 class WorkCounted(events.Event):
-    """What this process still has to finish.
+    """Counts of work in progress.
 
     Attributes:
         requests: Requests that were admitted and have not ended.
-        bills: Bill records that are neither written nor at a peer.
+        bills: Bill records neither in the store nor replicated to a peer.
     """
 
     requests: int
@@ -52,23 +56,23 @@
 
 
 class Shutdown(components.Component):
-    """Ends a process without interrupting a request.
+    """Ends a process without interrupting requests.
 
-    There is no limit on the time that a stream may take; only the platform
-    ends a process earlier, and only by killing it.
+    There is no limit on the duration of streams. Only the platform ends a
+    process earlier, by killing it.
     """
 
     def __init__(self) -> None:
         self._phase = Phase.SERVING
-        self._began = 0.0
+        self._started_at = 0.0
 
     @property
     def phase(self) -> Phase:
-        """How far the shutdown has come."""
+        """Current phase."""
         return self._phase
 
     def find_refusal(self) -> failures.Failure | None:
-        """Returns why this process admits no new request, or `None`."""
+        """Returns why this process admits no new requests, or `None`."""
         if self._phase is Phase.SERVING:
             return None
         return failures.Draining(
@@ -76,12 +80,12 @@
         )
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event and returns the next steps."""
+        """Applies an event and returns the next steps of the shutdown."""
         if isinstance(event, ShutdownRequested):
             if self._phase is not Phase.SERVING:
                 return []
             self._phase = Phase.DRAINING
-            self._began = now
+            self._started_at = now
             return [StopAdmission(), AnnounceLeave()]
         if not isinstance(event, WorkCounted):
             return []
@@ -89,7 +93,7 @@
             return []
         if event.requests or event.bills:
             return []
-        if now - self._began < drains.DRAIN_DELAY_S:
+        if now - self._started_at < drains.DRAIN_DELAY_S:
             return []
         self._phase = Phase.DONE
         return [Exit()]
--- a/sycamorehollow/decisions/operations/version_access.py
+++ b/sycamorehollow/decisions/operations/version_access.py
@@ -1,4 +1,8 @@
-"""Last check before work starts at an upstream."""
+"""Check of a workspace's access to a model version.
+
+It runs just before dispatch, so that a version that was stopped or withdrawn
+after it was selected is not used.
+"""
 
 from collections.abc import Set
 
@@ -12,13 +16,13 @@
     workspace: str,
     version: str,
 ) -> failures.Failure | None:
-    """Tells why a request must not start on a version; `None` if it may.
+    """Returns why a workspace may not use a version, or `None` if it may.
 
     Args:
-        current: Deployment in force on this node, `None` before the first.
+        current: Deployment in force on this node; `None` before the first.
         stopped: Versions with a stop record in effect.
         workspace: Workspace of the request.
-        version: Version that some component has chosen.
+        version: Version selected for the request.
     """
     if current is None:
         return failures.NoConfiguration(
@@ -28,8 +32,8 @@
     if customer is None:
         return failures.NotAllowed(reason="the workspace does not exist")
     if version not in customer.versions:
-        # The same response for a version that does not exist, so that one
-        # workspace cannot find out the versions of others.
+        # Same response as for a version that does not exist, so that a
+        # workspace cannot discover the versions of others.
         return failures.NotAllowed(
             reason=f"the workspace may not use version {version}"
         )
