--- a/benches/bench_cascades.py
+++ b/benches/bench_cascades.py
@@ -13,8 +13,8 @@
 
 from benches import pool
 from benches import results
-from sycamorehollow.decisions.cascading import cascades
-from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import cascade_selector
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.model import deployment
 
 SEEDS = (1, 2, 3)
@@ -49,7 +49,7 @@
 # A cascade as operators write it; ungated kinds get its first step.
 FIXED = ("tiny", "medium", "large")
 Steps = tuple[str, ...]
-CONFIGURED = learning.DeploymentChanged(
+CONFIGURED = quality_estimator.DeploymentChanged(
     deployment.Deployment(
         workspaces={
             name: deployment.Workspace(
@@ -106,7 +106,7 @@
     def find_best(self, workspace: str, kind: str) -> Steps:
         """Returns the cheapest sequence that meets the target."""
         gate, target, _ = KINDS[kind]
-        lengths = range(1, cascades.MAX_STEPS + 1 if gate else 2)
+        lengths = range(1, cascade_selector.MAX_STEPS + 1 if gate else 2)
         best: tuple[float, Steps] | None = None
         for length in lengths:
             for steps in itertools.combinations(VERSIONS, length):
@@ -164,8 +164,10 @@
         self._random = random.Random(seed + 1000)
         self._parts = []
         for index in range(PROCESSES):
-            estimates = learning.Learning(f"p{index}")
-            choice = cascades.Cascades(estimates, random.Random(seed + index))
+            estimates = quality_estimator.QualityEstimator(f"p{index}")
+            choice = cascade_selector.CascadeSelector(
+                estimates, random.Random(seed + index)
+            )
             choice.handle(CONFIGURED, 0.0)
             estimates.handle(CONFIGURED, 0.0)
             self._parts.append((estimates, choice))
@@ -185,19 +187,25 @@
         policy = deployment.KindPolicy(
             kind, THRESHOLD, target, gate=gate, explore=True
         )
-        ask = cascades.Ask(workspace, policy, VERSIONS, PRICES, 60.0)
+        ask = cascade_selector.Query(workspace, policy, VERSIONS, PRICES, 60.0)
         choice = chooser.choose(ask)
-        assert isinstance(choice, cascades.Choice)
-        chooser.handle(cascades.ChoiceMade(workspace, kind, choice), now)
+        assert isinstance(choice, cascade_selector.Cascade)
+        chooser.handle(
+            cascade_selector.ChoiceMade(workspace, kind, choice), now
+        )
         cost, accepted, attempts = self._world.answer(
             workspace, kind, choice.steps, choice.gate
         )
         for step, (version, score) in enumerate(attempts):
             self._number += 1
             name = str(self._number)
-            key = learning.Key(workspace, kind, version, choice.steps[:step])
+            key = quality_estimator.EstimateKey(
+                workspace, kind, version, choice.steps[:step]
+            )
             final = step == len(choice.steps) - 1
-            event = learning.AnswerProduced(name, key, THRESHOLD, final)
+            event = quality_estimator.ResponseProduced(
+                name, key, THRESHOLD, final
+            )
             estimates.handle(event, now)
             self._rate(index, name, score, choice.gate, now)
         return Total(cost, float(accepted), 1)
@@ -206,7 +214,7 @@
         self, index: int, name: str, score: float, gate: bool, now: float
     ) -> None:
         if gate:
-            event = learning.RatingArrived(name, score)
+            event = quality_estimator.RatingArrived(name, score)
             self._parts[index][0].handle(event, now)
         elif self._random.random() < RATED_SHARE:
             due = now + self._random.uniform(1.0, 10.0)
@@ -216,7 +224,7 @@
     def _deliver_ratings(self, now: float) -> None:
         while self._ratings and self._ratings[0][0] <= now:
             _, _, index, name, score = heapq.heappop(self._ratings)
-            event = learning.RatingArrived(name, score)
+            event = quality_estimator.RatingArrived(name, score)
             self._parts[index][0].handle(event, now)
 
     def _exchange(self, now: float) -> None:
--- a/benches/bench_node.py
+++ b/benches/bench_node.py
@@ -17,8 +17,8 @@
 from benches import node_fleet
 from benches import node_tree
 from benches import results
-from sycamorehollow.decisions.cascading import learning
-from sycamorehollow.decisions.cascading import tracks
+from sycamorehollow.decisions.cascading import quality_estimator
+from sycamorehollow.decisions.cascading import rating_counts
 from sycamorehollow.decisions.releases import sequential_test
 from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import events
@@ -128,7 +128,7 @@
     known = [
         sum(
             total[0]
-            for key, track in member.node.learning.list_tracks()
+            for key, track in member.node.learning.list_counts()
             if key.version
             for total in track.totals.values()
         )
@@ -275,7 +275,7 @@
     At the target each rating of an epoch comes from another process, because
     there are more processes than ratings in an epoch.
     """
-    part = learning.Learning("observer")
+    part = quality_estimator.QualityEstimator("observer")
     rng = random.Random(1)
     processes = [f"process{number:04d}" for number in range(370)]
     tracemalloc.start()
@@ -284,9 +284,11 @@
         epochs = {
             epoch: {
                 process: [1, int(rng.random() < node_fleet.GOOD_SHARE)]
-                for process in rng.sample(processes, tracks.EPOCH_RATINGS)
+                for process in rng.sample(
+                    processes, rating_counts.EPOCH_RATINGS
+                )
             }
-            for epoch in range(tracks.KEPT_EPOCHS)
+            for epoch in range(rating_counts.KEPT_EPOCHS)
         }
         part.merge(compressed_json.compress_json([[key, 0, epochs]]), 0.0)
     size, _ = tracemalloc.get_traced_memory()
--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -5,8 +5,8 @@
 import dataclasses
 from typing import Protocol
 
-from sycamorehollow.decisions.cascading import cascades
-from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import cascade_selector
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.decisions.operations import version_access
 from sycamorehollow.decisions.releases import rollouts
@@ -21,14 +21,14 @@
 from sycamorehollow.model import requests
 
 # Gates count on ratings again as soon as one arrives.
-MISSES_UNTIL_DOWN = 3
+MAX_MISSED_RATINGS = 3
 EXPECTED_RATING_S = 1.0
 # An answer that needs this part of its kind's deadline counts as slow.
-SLOW_SHARE = 0.5
+SLOW_DEADLINE_SHARE = 0.5
 PENDING_ANSWERS = 20_000
 
 
-class Pools(Protocol):
+class UpstreamPools(Protocol):
     """What the planner asks about the upstreams of a version."""
 
     def estimate_duration_s(
@@ -44,8 +44,8 @@
     """Chooses versions by session, roll-out and learned quality.
 
     Args:
-        choices: Choice of sequences.
-        estimates: Quality estimates.
+        selector: Choice of sequences.
+        estimator: Quality estimates.
         progress: Roll-outs and stop records.
         evidence: Evidence on roll-outs.
         pools: What the upstreams can take.
@@ -55,16 +55,16 @@
 
     def __init__(
         self,
-        choices: cascades.Cascades,
-        estimates: learning.Learning,
+        selector: cascade_selector.CascadeSelector,
+        estimator: quality_estimator.QualityEstimator,
         progress: rollouts.Rollouts,
         evidence: sequential_test.Evidence,
-        pools: Pools,
+        pools: UpstreamPools,
         ring: keyrings.KeyRing,
         read_clock: Callable[[], int],
     ):
-        self._choices = choices
-        self._learning = estimates
+        self._selector = selector
+        self._estimator = estimator
         self._rollouts = progress
         self._evidence = evidence
         self._pools = pools
@@ -73,7 +73,7 @@
         self._thresholds: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._missed = 0
+        self._missed_ratings = 0
 
     def plan(
         self,
@@ -96,7 +96,7 @@
     ) -> planning.Plan | failures.Failure:
         workspace = current.workspaces[request.workspace]
         policy = workspace.kinds.get(request.kind)
-        base = describe_policy(policy)
+        base = build_base_plan(policy)
         if request.session and request.session != sessions.NEW_SESSION:
             return self._plan_session(request, current, base)
         shares = self._rollouts.get_shares()
@@ -173,12 +173,12 @@
         self, event: lifecycle.AnswerRated, now: float
     ) -> list[commands.Command]:
         """Takes the rating of an answer."""
-        self._missed = 0
+        self._missed_ratings = 0
         threshold = self._thresholds.pop(event.answer_id, None)
         if threshold is None:
             return []
-        self._learning.handle(
-            learning.RatingArrived(event.answer_id, event.score), now
+        self._estimator.handle(
+            quality_estimator.RatingArrived(event.answer_id, event.score), now
         )
         accepted = event.score >= threshold
         self._evidence.handle(
@@ -188,7 +188,7 @@
 
     def record_missing_rating(self, answer_id: str, now: float) -> None:
         """Takes note that a rating did not arrive in time."""
-        self._missed += 1
+        self._missed_ratings += 1
 
     def _plan_session(
         self,
@@ -238,9 +238,9 @@
         policy: deployment.KindPolicy,
         found: versions.Candidates,
         now: float,
-    ) -> cascades.Choice | failures.Failure:
+    ) -> cascade_selector.Cascade | failures.Failure:
         names = found.versions
-        conditions = cascades.Conditions(
+        conditions = cascade_selector.Conditions(
             durations_s={
                 name: self._pools.estimate_duration_s(request, name, now)
                 for name in names
@@ -250,10 +250,10 @@
                 for name in names
                 if not self._pools.has_candidate(name, now)
             ),
-            rating_s=EXPECTED_RATING_S,
-            rating_down=self._missed >= MISSES_UNTIL_DOWN,
+            rating_wait_s=EXPECTED_RATING_S,
+            ratings_down=self._missed_ratings >= MAX_MISSED_RATINGS,
         )
-        ask = cascades.Ask(
+        query = cascade_selector.Query(
             request.workspace,
             policy,
             names,
@@ -266,10 +266,12 @@
             request.deadline - now,
             conditions,
         )
-        choice = self._choices.choose(ask)
-        if isinstance(choice, cascades.Choice):
-            self._choices.handle(
-                cascades.ChoiceMade(request.workspace, policy.name, choice),
+        choice = self._selector.choose(query)
+        if isinstance(choice, cascade_selector.Cascade):
+            self._selector.handle(
+                cascade_selector.ChoiceMade(
+                    request.workspace, policy.name, choice
+                ),
                 now,
             )
         return choice
@@ -279,7 +281,7 @@
         base: planning.Plan,
         policy: deployment.KindPolicy,
         found: versions.Candidates,
-        choice: cascades.Choice,
+        choice: cascade_selector.Cascade,
     ) -> planning.Plan:
         others = tuple(v for v in found.versions if v not in choice.steps)
         return dataclasses.replace(
@@ -302,21 +304,21 @@
         self._thresholds[outcome.answer_id] = plan.rating_threshold
         if len(self._thresholds) > PENDING_ANSWERS:
             self._thresholds.popitem(last=False)
-        key = learning.Key(
+        key = quality_estimator.EstimateKey(
             request.workspace,
             request.kind,
             outcome.version,
             outcome.rejected_versions,
         )
-        self._learning.handle(
-            learning.AnswerProduced(
+        self._estimator.handle(
+            quality_estimator.ResponseProduced(
                 outcome.answer_id, key, plan.rating_threshold, outcome.is_final
             ),
             now,
         )
 
 
-def describe_policy(policy: deployment.KindPolicy | None) -> planning.Plan:
+def build_base_plan(policy: deployment.KindPolicy | None) -> planning.Plan:
     """Returns a plan without steps that follows a policy."""
     if policy is None:
         return planning.Plan(steps=())
@@ -325,5 +327,5 @@
         priority=policy.priority,
         needs_rating=policy.quality_target > 0,
         rating_threshold=policy.quality_threshold,
-        slow_threshold_s=SLOW_SHARE * policy.deadline_s,
+        slow_threshold_s=SLOW_DEADLINE_SHARE * policy.deadline_s,
     )
--- a/sycamorehollow/decisions/cascading/cascades.py
+++ b/sycamorehollow/decisions/cascading/cascade_selector.py
@@ -7,8 +7,8 @@
 import random
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.cascading import learning
-from sycamorehollow.decisions.cascading import outlooks
+from sycamorehollow.decisions.cascading import forecasts
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
@@ -17,23 +17,23 @@
 # Longer sequences cost more time than a third rejection is worth.
 MAX_STEPS = 3
 # Own ratings from which a version counts as known in a kind.
-EVIDENCE_RATINGS = 30
+MIN_RATINGS = 30
 # Where trials are allowed, fewer do: the estimate is cautious by itself.
-TRIED_RATINGS = 12
+MIN_TRIAL_RATINGS = 12
 # Standard deviations that an estimate must lie above the target.
-CAUTION = 0.8
+LOWER_SIGMAS = 0.8
 # Standard deviations above its estimate that a version may turn out to have.
-HOPE = 2.0
+UPPER_SIGMAS = 2.0
 # Share of requests that may be used to learn. A gate catches a bad answer of
 # a trial and costs little more, so gated kinds can afford more of them.
 EXPLORE_SHARE = 0.35
 EXPLORE_SHARE_GATED = 0.5
-EXPLORE_BURST = 8.0
+MAX_CREDIT = 8.0
 # A draw is spent on versions that are known already, so it has to be rarer.
-DRAW_COST = 7.0
-DRAW_SHARE = 0.15
+THOMPSON_COST = 7.0
+THOMPSON_SHARE = 0.15
 # Largest amount by which a missed target raises the bar for the next choice.
-MAX_CORRECTION = 0.05
+MAX_TARGET_INCREASE = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,12 +49,12 @@
 
     durations_s: Mapping[str, float] = dataclasses.field(default_factory=dict)
     full: frozenset[str] = frozenset()
-    rating_s: float = 0.0
-    rating_down: bool = False
+    rating_wait_s: float = 0.0
+    ratings_down: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
-class Ask:
+class Query:
     """A request that needs a choice.
 
     Attributes:
@@ -76,7 +76,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Choice:
+class Cascade:
     """What a request tries.
 
     Attributes:
@@ -90,7 +90,7 @@
 
     steps: tuple[str, ...]
     gate: bool
-    trial: float
+    trial_cost: float
     expected_cost: float
     expected_quality: float
     reason: str
@@ -102,24 +102,24 @@
 
     workspace: str
     kind: str
-    choice: Choice
+    choice: Cascade
 
 
-class Cascades(components.Component):
+class CascadeSelector(components.Component):
     """Chooses the sequence of versions for each request.
 
     Args:
         estimates: Where the quality estimates come from.
-        randomness: Source of the draws for trials.
+        rng: Source of the draws for trials.
     """
 
     def __init__(
-        self, estimates: learning.Learning, randomness: random.Random
+        self, estimates: quality_estimator.QualityEstimator, rng: random.Random
     ) -> None:
-        self._learning = estimates
-        self._random = randomness
+        self._estimator = estimates
+        self._rng = rng
         self._credit: dict[tuple[str, str], float] = {}
-        self._outlooks = outlooks.Outlooks(estimates)
+        self._forecasts = forecasts.ForecastCache(estimates)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; only choices change the budget for trials."""
@@ -127,17 +127,19 @@
             pair = (event.workspace, event.kind)
             share = EXPLORE_SHARE_GATED if event.choice.gate else EXPLORE_SHARE
             credit = self._credit.get(pair, 1.0) + share
-            self._credit[pair] = min(EXPLORE_BURST, credit - event.choice.trial)
-        elif isinstance(event, learning.DeploymentChanged):
+            self._credit[pair] = min(
+                MAX_CREDIT, credit - event.choice.trial_cost
+            )
+        elif isinstance(event, quality_estimator.DeploymentChanged):
             self._credit.clear()
-            self._outlooks.clear()
+            self._forecasts.clear()
         return []
 
-    def choose(self, ask: Ask) -> Choice | failures.Failure:
+    def choose(self, query: Query) -> Cascade | failures.Failure:
         """Returns the sequence for a request, with the reason."""
-        if not ask.versions:
+        if not query.versions:
             return failures.NotAllowed("No version is allowed for the request.")
-        free = [v for v in ask.versions if v not in ask.conditions.full]
+        free = [v for v in query.versions if v not in query.conditions.full]
         if not free:
             return failures.NoUpstream(
                 "Every allowed version is at capacity.", retry_after_s=1.0
@@ -145,71 +147,73 @@
         timely = [
             v
             for v in free
-            if ask.conditions.durations_s.get(v, 0.0) <= ask.remaining_s
+            if query.conditions.durations_s.get(v, 0.0) <= query.remaining_s
         ]
         if not timely:
             return failures.DeadlineExceeded(
                 "No allowed version can answer before the deadline."
             )
-        gate = ask.policy.gate and not ask.conditions.rating_down
-        note = _describe_limits(ask, len(free), len(timely))
-        sequences = _list_sequences(ask, timely, gate)
-        if not ask.policy.explore:
-            known = [s for s in sequences if self._is_proven(ask, s)]
-            return self._exploit(ask, known, gate, note, timely)
-        if ask.policy.gate and ask.conditions.rating_down:
-            return self._take_dearest(ask, timely, "ratings are down", note)
-        best = self._exploit(ask, sequences, gate, note, timely)
-        if isinstance(best, Choice) and self._may_explore(ask, gate):
-            trial = self._find_trial(ask, sequences, gate, best)
-            trial = trial or self._draw_trial(ask, sequences, gate, best)
+        gate = query.policy.gate and not query.conditions.ratings_down
+        note = _describe_limits(query, len(free), len(timely))
+        sequences = _list_sequences(query, timely, gate)
+        if not query.policy.explore:
+            known = [s for s in sequences if self._is_proven(query, s)]
+            return self._exploit(query, known, gate, note, timely)
+        if query.policy.gate and query.conditions.ratings_down:
+            return self._take_dearest(query, timely, "ratings are down", note)
+        best = self._exploit(query, sequences, gate, note, timely)
+        if isinstance(best, Cascade) and self._can_explore(query, gate):
+            trial = self._find_trial(query, sequences, gate, best)
+            trial = trial or self._sample_trial(query, sequences, gate, best)
             if trial is not None:
                 return dataclasses.replace(trial, reason=trial.reason + note)
         return best
 
     def _exploit(
         self,
-        ask: Ask,
+        query: Query,
         sequences: list[tuple[str, ...]],
         gate: bool,
         note: str,
         timely: list[str],
-    ) -> Choice | failures.Failure:
+    ) -> Cascade | failures.Failure:
         if not sequences:
-            return self._fall_back(ask, timely, note)
-        bar = self._find_bar(ask)
+            return self._fall_back(query, timely, note)
+        bar = self._compute_quality_bar(query)
         best: tuple[float, tuple[str, ...]] | None = None
         strongest: tuple[float, tuple[str, ...]] | None = None
         for steps in sequences:
-            outlook = self._look(ask, steps)
-            quality = outlook.quality - CAUTION * outlook.deviation
+            forecast = self._forecast(query, steps)
+            quality = forecast.quality - LOWER_SIGMAS * forecast.deviation
             if strongest is None or quality > strongest[0]:
                 strongest = (quality, steps)
-            if quality < bar or outlook.ratings < _count_needed(ask):
+            if quality < bar or forecast.ratings < _get_min_ratings(query):
                 continue
-            cost = _sum_cost(ask, steps, outlook.reaches) / max(quality, 1e-6)
+            cost = _sum_cost(query, steps, forecast.reaches) / max(
+                quality, 1e-6
+            )
             if best is None or (cost, steps) < best:
                 best = (cost, steps)
         if best is not None:
             text = f"cheapest sequence that meets {bar:.3f}"
-            choice = self._weigh(ask, best[1], gate, -CAUTION)
+            choice = self._evaluate(query, best[1], gate, -LOWER_SIGMAS)
             return dataclasses.replace(choice, reason=text + note)
         assert strongest is not None
         # Without trials, the dearest of what is left may be unproven too.
-        pool = timely if ask.policy.explore else list(ask.versions)
-        dearest = _find_dearest(ask, pool)
-        if dearest not in timely or self._is_proven(ask, (dearest,)):
+        pool = timely if query.policy.explore else list(query.versions)
+        dearest = _find_dearest(query, pool)
+        if dearest not in timely or self._is_proven(query, (dearest,)):
             text = f"no sequence is known to meet {bar:.3f}; best quality"
-            choice = self._weigh(ask, strongest[1], gate, -CAUTION)
+            choice = self._evaluate(query, strongest[1], gate, -LOWER_SIGMAS)
             return dataclasses.replace(choice, reason=text + note)
-        return self._take_dearest(ask, timely, "too few ratings", note)
+        return self._take_dearest(query, timely, "too few ratings", note)
 
     def _fall_back(
-        self, ask: Ask, timely: list[str], note: str
-    ) -> Choice | failures.Failure:
+        self, query: Query, timely: list[str], note: str
+    ) -> Cascade | failures.Failure:
         """Answers when exploring is forbidden and no version is proven."""
-        if _find_dearest(ask, ask.versions) in timely:
-            return self._take_dearest(ask, timely, "no proven version", note)
+        if _find_dearest(query, query.versions) in timely:
+            return self._take_dearest(query, timely, "no proven version", note)
         return failures.NoUpstream(
             "The kind forbids trials and no proven version can take the"
             " request now.",
@@ -217,146 +221,148 @@
         )
 
     def _take_dearest(
-        self, ask: Ask, timely: list[str], why: str, note: str
-    ) -> Choice:
-        dearest = _find_dearest(ask, timely)
-        gate = ask.policy.gate and not ask.conditions.rating_down
-        choice = self._weigh(ask, (dearest,), gate, 0.0)
+        self, query: Query, timely: list[str], why: str, note: str
+    ) -> Cascade:
+        dearest = _find_dearest(query, timely)
+        gate = query.policy.gate and not query.conditions.ratings_down
+        choice = self._evaluate(query, (dearest,), gate, 0.0)
         return dataclasses.replace(choice, reason=f"{why}; dearest" + note)
 
     def _find_trial(
         self,
-        ask: Ask,
+        query: Query,
         sequences: list[tuple[str, ...]],
         gate: bool,
-        best: Choice,
-    ) -> Choice | None:
+        best: Cascade,
+    ) -> Cascade | None:
         """Returns a trial of the version most likely to save cost, if any."""
-        dearest = _find_dearest(ask, ask.versions)
+        dearest = _find_dearest(query, query.versions)
         found: tuple[float, int, tuple[str, ...]] | None = None
-        for version in ask.versions:
-            price = ask.prices.get(version, 0.0)
+        for version in query.versions:
+            price = query.prices.get(version, 0.0)
             steps = (version, dearest) if gate else (version,)
             if price >= best.expected_cost or steps not in sequences:
                 continue
-            outlook = self._look(ask, (version,))
+            forecast = self._forecast(query, (version,))
             # Behind a gate, a step pays when it spares enough dear answers.
-            needed = ask.policy.quality_target
+            needed = query.policy.quality_target
             if gate:
-                needed = price / max(price, ask.prices.get(dearest, 0.0))
+                needed = price / max(price, query.prices.get(dearest, 0.0))
                 # Later steps matter too, so draws of whole sequences follow.
-                if outlook.ratings >= EVIDENCE_RATINGS:
+                if forecast.ratings >= MIN_RATINGS:
                     continue
-            hope = outlook.quality + HOPE * outlook.deviation
+            upper_bound = forecast.quality + UPPER_SIGMAS * forecast.deviation
             # Two early rejections must not rule a version out for good.
-            if outlook.ratings >= TRIED_RATINGS and hope < needed:
+            if forecast.ratings >= MIN_TRIAL_RATINGS and upper_bound < needed:
                 continue
             # A draw prefers what may be good, and does not insist on it.
-            if self._random.gauss(outlook.quality, outlook.deviation) < needed:
+            if self._rng.gauss(forecast.quality, forecast.deviation) < needed:
                 continue
-            worth = best.expected_cost - price
-            if found is None or worth > found[0]:
-                found = (worth, outlook.ratings, steps)
+            saving = best.expected_cost - price
+            if found is None or saving > found[0]:
+                found = (saving, forecast.ratings, steps)
         if found is None:
             return None
-        choice = self._weigh(ask, found[2], gate, 0.0)
+        choice = self._evaluate(query, found[2], gate, 0.0)
         reason = f"trial of {found[2][0]} with {found[1]} ratings"
-        return dataclasses.replace(choice, trial=1.0, reason=reason)
+        return dataclasses.replace(choice, trial_cost=1.0, reason=reason)
 
-    def _draw_trial(
+    def _sample_trial(
         self,
-        ask: Ask,
+        query: Query,
         sequences: list[tuple[str, ...]],
         gate: bool,
-        best: Choice,
-    ) -> Choice | None:
+        best: Cascade,
+    ) -> Cascade | None:
         """Draws a quality for each step and takes the best under the draw."""
-        if self._get_credit(ask) < DRAW_COST:
+        if self._get_credit(query) < THOMPSON_COST:
             return None
-        if self._random.random() >= DRAW_SHARE:
+        if self._rng.random() >= THOMPSON_SHARE:
             return None
-        draws: dict[learning.Key, float] = {}
-        found: Choice | None = None
+        draws: dict[quality_estimator.EstimateKey, float] = {}
+        found: Cascade | None = None
         for steps in sequences:
             reaches = [1.0]
             for index, version in enumerate(steps):
-                key = learning.Key(
-                    ask.workspace, ask.policy.name, version, steps[:index]
+                key = quality_estimator.EstimateKey(
+                    query.workspace, query.policy.name, version, steps[:index]
                 )
                 if key not in draws:
-                    estimate = self._learning.estimate(key)
-                    draws[key] = self._random.betavariate(
+                    estimate = self._estimator.estimate(key)
+                    draws[key] = self._rng.betavariate(
                         estimate.alpha, estimate.beta
                     )
                 reaches.append(reaches[-1] * (1.0 - draws[key]))
-            cost = _sum_cost(ask, steps, reaches)
+            cost = _sum_cost(query, steps, reaches)
             quality = 1.0 - reaches[-1]
-            choice = Choice(steps, gate, DRAW_COST, cost, quality, "")
-            if quality < ask.policy.quality_target:
+            choice = Cascade(steps, gate, THOMPSON_COST, cost, quality, "")
+            if quality < query.policy.quality_target:
                 continue
-            if found is None or _rate_cost(choice) < _rate_cost(found):
+            if found is None or _rank_cost(choice) < _rank_cost(found):
                 found = choice
         if found is None or found.expected_cost >= best.expected_cost:
             return None
         return dataclasses.replace(found, reason="trial by a posterior draw")
 
-    def _weigh(
-        self, ask: Ask, steps: tuple[str, ...], gate: bool, sigmas: float
-    ) -> Choice:
+    def _evaluate(
+        self, query: Query, steps: tuple[str, ...], gate: bool, sigmas: float
+    ) -> Cascade:
         """Returns expected cost and quality of a sequence."""
-        outlook = self._look(ask, steps)
-        quality = outlook.quality + sigmas * outlook.deviation
-        cost = _sum_cost(ask, steps, outlook.reaches)
-        return Choice(steps, gate, 0.0, cost, quality, "")
+        forecast = self._forecast(query, steps)
+        quality = forecast.quality + sigmas * forecast.deviation
+        cost = _sum_cost(query, steps, forecast.reaches)
+        return Cascade(steps, gate, 0.0, cost, quality, "")
 
-    def _look(self, ask: Ask, steps: tuple[str, ...]) -> outlooks.Outlook:
-        return self._outlooks.look(ask.workspace, ask.policy.name, steps)
+    def _forecast(
+        self, query: Query, steps: tuple[str, ...]
+    ) -> forecasts.Forecast:
+        return self._forecasts.get(query.workspace, query.policy.name, steps)
 
-    def _is_proven(self, ask: Ask, steps: tuple[str, ...]) -> bool:
-        return self._look(ask, steps).ratings >= _count_needed(ask)
+    def _is_proven(self, query: Query, steps: tuple[str, ...]) -> bool:
+        return self._forecast(query, steps).ratings >= _get_min_ratings(query)
 
-    def _get_credit(self, ask: Ask) -> float:
-        return self._credit.get((ask.workspace, ask.policy.name), 1.0)
+    def _get_credit(self, query: Query) -> float:
+        return self._credit.get((query.workspace, query.policy.name), 1.0)
 
-    def _find_bar(self, ask: Ask) -> float:
+    def _compute_quality_bar(self, query: Query) -> float:
         """Returns the target, raised while delivered answers miss it."""
-        target = ask.policy.quality_target
-        delivered = self._look(ask, ("",))
-        if delivered.ratings < EVIDENCE_RATINGS:
+        target = query.policy.quality_target
+        delivered = self._forecast(query, ("",))
+        if delivered.ratings < MIN_RATINGS:
             return target
         missed = max(0.0, target - delivered.quality)
-        return min(1.0, target + min(MAX_CORRECTION, missed))
+        return min(1.0, target + min(MAX_TARGET_INCREASE, missed))
 
-    def _may_explore(self, ask: Ask, gate: bool) -> bool:
+    def _can_explore(self, query: Query, gate: bool) -> bool:
         """Tells whether the budget and the delivered quality allow a trial."""
-        if self._get_credit(ask) < 1.0:
+        if self._get_credit(query) < 1.0:
             return False
         if gate:
             return True
-        delivered = self._look(ask, ("",))
-        if delivered.ratings < EVIDENCE_RATINGS:
+        delivered = self._forecast(query, ("",))
+        if delivered.ratings < MIN_RATINGS:
             return False
-        return delivered.quality >= ask.policy.quality_target
+        return delivered.quality >= query.policy.quality_target
 
 
-def _find_dearest(ask: Ask, versions: Sequence[str]) -> str:
-    return max(versions, key=lambda v: (ask.prices.get(v, 0.0), v))
+def _find_dearest(query: Query, versions: Sequence[str]) -> str:
+    return max(versions, key=lambda v: (query.prices.get(v, 0.0), v))
 
 
-def _count_needed(ask: Ask) -> int:
-    return TRIED_RATINGS if ask.policy.explore else EVIDENCE_RATINGS
+def _get_min_ratings(query: Query) -> int:
+    return MIN_TRIAL_RATINGS if query.policy.explore else MIN_RATINGS
 
 
 def _sum_cost(
-    ask: Ask, steps: tuple[str, ...], reaches: Sequence[float]
+    query: Query, steps: tuple[str, ...], reaches: Sequence[float]
 ) -> float:
     cost = 0.0
     for version, reach in zip(steps, reaches, strict=False):
-        cost += reach * ask.prices.get(version, 0.0)
+        cost += reach * query.prices.get(version, 0.0)
     return cost
 
 
-def _rate_cost(choice: Choice) -> tuple[float, tuple[str, ...]]:
+def _rank_cost(choice: Cascade) -> tuple[float, tuple[str, ...]]:
     """Returns the cost per accepted answer; names break ties."""
     return choice.expected_cost / max(
         choice.expected_quality, 1e-6
@@ -364,27 +370,27 @@
 
 
 def _list_sequences(
-    ask: Ask, timely: list[str], gate: bool
+    query: Query, timely: list[str], gate: bool
 ) -> list[tuple[str, ...]]:
     """Returns the sequences that end before the deadline."""
     if not gate:
         return [(version,) for version in timely]
-    durations = ask.conditions.durations_s
+    durations = query.conditions.durations_s
     sequences = []
     for length in range(1, min(MAX_STEPS, len(timely)) + 1):
         for steps in itertools.combinations(timely, length):
             needed = sum(durations.get(v, 0.0) for v in steps)
-            needed += ask.conditions.rating_s * (length - 1)
-            if needed <= ask.remaining_s:
+            needed += query.conditions.rating_wait_s * (length - 1)
+            if needed <= query.remaining_s:
                 sequences.append(steps)
     return sequences
 
 
-def _describe_limits(ask: Ask, free: int, timely: int) -> str:
+def _describe_limits(query: Query, free: int, timely: int) -> str:
     """Returns what the pools and the deadline ruled out."""
     notes = []
-    if free < len(ask.versions):
-        notes.append(f"{len(ask.versions) - free} at capacity")
+    if free < len(query.versions):
+        notes.append(f"{len(query.versions) - free} at capacity")
     if timely < free:
         notes.append(f"{free - timely} too slow for the deadline")
     return f" ({', '.join(notes)})" if notes else ""
--- a/sycamorehollow/decisions/cascading/learning.py
+++ b/sycamorehollow/decisions/cascading/quality_estimator.py
@@ -1,7 +1,7 @@
 """Estimates of answer quality, learned from ratings.
 
 Each (workspace, kind, version) has counts of accepted and rejected answers in
-epochs of about `tracks.EPOCH_RATINGS` ratings. Every process only ever raises
+epochs of about `rating_counts.EPOCH_RATINGS` ratings. A process only raises
 its own counts, so copies merge by taking the larger count of each process and
 epoch. Old epochs weigh less and drop out, which bounds the state.
 """
@@ -15,7 +15,7 @@
 import zlib
 
 from sycamorehollow.decisions import components
-from sycamorehollow.decisions.cascading import tracks
+from sycamorehollow.decisions.cascading import rating_counts
 from sycamorehollow.decisions.replication import compressed_json
 from sycamorehollow.model import commands
 from sycamorehollow.model import deployment as deployments
@@ -23,20 +23,20 @@
 
 # Weight in ratings of a guess, and limits of that of the neighbours' mean. The
 # closer the neighbours are to each other, the more their mean weighs.
-GUESS_RATINGS = 2.0
+UNINFORMED_PRIOR_RATINGS = 2.0
 MIN_PRIOR_RATINGS = 4.0
 # A few neighbours of some hundred ratings each cannot show that they differ by
 # less than this weight allows. A lower limit leaves a workspace with unlucky
 # ratings on a dear version for thousands of requests.
 MAX_PRIOR_RATINGS = 60.0
 # Ratings from which a neighbour's mean says something about the spread.
-NEIGHBOUR_RATINGS = 30
+MIN_NEIGHBOUR_RATINGS = 30
 PENDING_ANSWERS = 20_000
-PENDING_S = 3600.0
-MAX_TRACKS = 4096
-DIGEST_TRACKS = 32
-# Keeps one delta to a few kilobytes when every process has news.
-DELTA_CELLS = 400
+PENDING_TTL_S = 3600.0
+MAX_KEYS = 4096
+DIGEST_KEYS = 32
+# Keeps one delta to a few kilobytes when every process has changes.
+MAX_DELTA_CELLS = 400
 # At the target scale 5,500 ratings a second change more counts than 10 KB/s
 # can carry; beyond this limit sharing becomes slower instead.
 BYTES_PER_S = 800.0
@@ -44,7 +44,7 @@
 ESCALATION_FACTOR = 0.7
 
 
-class Key(NamedTuple):
+class EstimateKey(NamedTuple):
     """What an estimate is about.
 
     Attributes:
@@ -63,18 +63,18 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AnswerProduced(events.Event):
+class ResponseProduced(events.Event):
     """A version has answered; its rating may follow.
 
     Attributes:
         answer_id: Unique per attempt.
-        key: Whom the answer counts for.
+        key: What the response counts for.
         threshold: Rating in [0, 1] from which the answer is accepted.
         final: Whether the answer is delivered even when it is rejected.
     """
 
     answer_id: str
-    key: Key
+    key: EstimateKey
     threshold: float
     final: bool
 
@@ -120,7 +120,7 @@
         return math.sqrt(self.alpha * self.beta / (total + 1)) / total
 
 
-class Learning(components.Component, components.Replicated):
+class QualityEstimator(components.Component, components.Replicated):
     """Learns how often each version's answers are accepted.
 
     Args:
@@ -132,9 +132,9 @@
 
     def __init__(self, process: str) -> None:
         self._process = process
-        self._tracks: dict[Key, tracks.Track] = {}
+        self._counts: dict[EstimateKey, rating_counts.RatingCounts] = {}
         self._pending: collections.OrderedDict[
-            str, tuple[AnswerProduced, float]
+            str, tuple[ResponseProduced, float]
         ] = collections.OrderedDict()
         self._configured: Mapping[str, deployments.Workspace] | None = None
         self._changes: collections.Counter[tuple[str, str]] = (
@@ -143,23 +143,25 @@
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; learning asks for no commands."""
-        if isinstance(event, AnswerProduced):
+        if isinstance(event, ResponseProduced):
             self._pending[event.answer_id] = (event, now)
             self._drop_pending(now)
         elif isinstance(event, RatingArrived):
-            self._take_rating(event, now)
+            self._apply_rating(event, now)
         elif isinstance(event, DeploymentChanged):
             self._configured = event.deployment.workspaces
-            for key in [k for k in self._tracks if not self._is_known(k)]:
-                del self._tracks[key]
+            for key in [k for k in self._counts if not self._is_known(k)]:
+                del self._counts[key]
         elif isinstance(event, events.Tick):
             self._drop_pending(now)
         return []
 
-    def estimate(self, key: Key) -> Estimate:
+    def estimate(self, key: EstimateKey) -> Estimate:
         """Returns the estimate of a key, from the prior without ratings."""
-        track = self._tracks.get(key)
-        rated, accepted, ratings = track.discount() if track else (0.0, 0.0, 0)
+        counts = self._counts.get(key)
+        rated, accepted, ratings = (
+            counts.compute_discounted() if counts else (0.0, 0.0, 0)
+        )
         mean, weight = self._find_prior(key)
         return Estimate(
             alpha=0.5 + weight * mean + accepted,
@@ -167,81 +169,85 @@
             ratings=ratings,
         )
 
-    def count_ratings(self, key: Key) -> int:
+    def count_ratings(self, key: EstimateKey) -> int:
         """Returns the own ratings behind an estimate."""
-        track = self._tracks.get(key)
-        return sum(t[0] for t in track.totals.values()) if track else 0
+        counts = self._counts.get(key)
+        return sum(t[0] for t in counts.totals.values()) if counts else 0
 
     def count_changes(self, workspace: str, kind: str) -> int:
         """Returns a number that grows whenever estimates of a kind change."""
         return self._changes[(workspace, kind)]
 
-    def count_tracks(self) -> int:
+    def count_keys(self) -> int:
         """Returns the number of keys with counts."""
-        return len(self._tracks)
+        return len(self._counts)
 
-    def list_tracks(self) -> list[tuple[Key, tracks.Track]]:
+    def list_counts(
+        self,
+    ) -> list[tuple[EstimateKey, rating_counts.RatingCounts]]:
         """Returns the keys with their counts."""
-        return list(self._tracks.items())
+        return list(self._counts.items())
 
     def build_digest(self, now: float) -> bytes:
         """Returns checksums of one slice of the keys, another each second."""
-        slices = max(1, math.ceil(len(self._tracks) / DIGEST_TRACKS))
-        turn = int(now) % slices
+        slices = max(1, math.ceil(len(self._counts) / DIGEST_KEYS))
+        slice_index = int(now) % slices
         held = {}
-        for key in self._slice(slices, turn):
-            track = self._tracks[key]
-            sums = {epoch: track.checksum(epoch) for epoch in track.epochs}
-            held["\n".join((*key[:3], *key.after))] = [track.floor, sums]
-        return compressed_json.compress_json([slices, turn, held])
+        for key in self._list_slice(slices, slice_index):
+            counts = self._counts[key]
+            sums = {
+                epoch: counts.compute_checksum(epoch) for epoch in counts.epochs
+            }
+            held["\n".join((*key[:3], *key.after))] = [counts.first_epoch, sums]
+        return compressed_json.compress_json([slices, slice_index, held])
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the epochs that differ from the digest, up to a bound."""
-        slices, turn, held = compressed_json.decompress_json(digest)
-        keys = self._slice(slices, turn)
+        slices, slice_index, held = compressed_json.decompress_json(digest)
+        keys = self._list_slice(slices, slice_index)
         start = int(now * 7) % len(keys) if keys else 0
-        news = []
-        room = DELTA_CELLS
+        updates = []
+        remaining_cells = MAX_DELTA_CELLS
         for key in keys[start:] + keys[:start]:
-            track = self._tracks[key]
+            counts = self._counts[key]
             floor, sums = held.get("\n".join((*key[:3], *key.after)), (0, {}))
             epochs = {
                 epoch: cells
-                for epoch, cells in track.epochs.items()
+                for epoch, cells in counts.epochs.items()
                 if epoch >= floor
-                and sums.get(str(epoch)) != track.checksum(epoch)
+                and sums.get(str(epoch)) != counts.compute_checksum(epoch)
             }
-            if not epochs and track.floor <= floor:
+            if not epochs and counts.first_epoch <= floor:
                 continue
-            news.append([key, track.floor, epochs])
-            room -= sum(len(cells) for cells in epochs.values())
-            if room <= 0:
+            updates.append([key, counts.first_epoch, epochs])
+            remaining_cells -= sum(len(cells) for cells in epochs.values())
+            if remaining_cells <= 0:
                 break
-        return compressed_json.compress_json(news) if news else b""
+        return compressed_json.compress_json(updates) if updates else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Raises counts to those of another process."""
         if not delta:
             return []
         for fields, floor, epochs in compressed_json.decompress_json(delta):
-            key = Key(fields[0], fields[1], fields[2], tuple(fields[3]))
+            key = EstimateKey(fields[0], fields[1], fields[2], tuple(fields[3]))
             if not self._is_known(key):
                 continue
-            track = self._find_track(key)
-            if track is None:
+            counts = self._get_or_create_counts(key)
+            if counts is None:
                 continue
             # Cells first: a floor above them has to drop them again.
             for epoch, cells in epochs.items():
                 for process, cell in cells.items():
                     # Each delta would bring its own copy of every name.
                     name = sys.intern(process)
-                    track.raise_cell(int(epoch), name, (cell[0], cell[1]))
-            if track.raise_floor(floor):
-                track.floor_at = now
+                    counts.merge_cell(int(epoch), name, (cell[0], cell[1]))
+            if counts.drop_epochs_before(floor):
+                counts.reset_at = now
             self._changes[key[:2]] += 1
         return []
 
-    def _take_rating(self, event: RatingArrived, now: float) -> None:
+    def _apply_rating(self, event: RatingArrived, now: float) -> None:
         # Taking the answer out makes a repeated rating count once.
         entry = self._pending.pop(event.answer_id, None)
         if entry is None:
@@ -250,29 +256,33 @@
         accepted = event.score >= answer.threshold
         self._record(answer.key, accepted, produced_at, now)
         if accepted or answer.final:
-            delivered = Key(answer.key.workspace, answer.key.kind, "")
+            delivered = EstimateKey(answer.key.workspace, answer.key.kind, "")
             self._record(delivered, accepted, produced_at, now)
 
     def _record(
-        self, key: Key, accepted: bool, produced_at: float, now: float
+        self, key: EstimateKey, accepted: bool, produced_at: float, now: float
     ) -> None:
-        track = self._find_track(key) if self._is_known(key) else None
+        counts = (
+            self._get_or_create_counts(key) if self._is_known(key) else None
+        )
         # An answer from before a drift says nothing about the time after it.
-        if track is None or produced_at < track.floor_at:
+        if counts is None or produced_at < counts.reset_at:
             return
-        track.record(self._process, accepted)
+        counts.record(self._process, accepted)
         self._changes[(key.workspace, key.kind)] += 1
-        start = track.find_drift()
-        if start is not None and track.raise_floor(start):
-            track.floor_at = now
-
-    def _find_track(self, key: Key) -> tracks.Track | None:
-        track = self._tracks.get(key)
-        if track is None and len(self._tracks) < MAX_TRACKS:
-            track = self._tracks[key] = tracks.Track()
-        return track
-
-    def _is_known(self, key: Key) -> bool:
+        start = counts.find_drift()
+        if start is not None and counts.drop_epochs_before(start):
+            counts.reset_at = now
+
+    def _get_or_create_counts(
+        self, key: EstimateKey
+    ) -> rating_counts.RatingCounts | None:
+        counts = self._counts.get(key)
+        if counts is None and len(self._counts) < MAX_KEYS:
+            counts = self._counts[key] = rating_counts.RatingCounts()
+        return counts
+
+    def _is_known(self, key: EstimateKey) -> bool:
         if self._configured is None:
             return True
         workspace = self._configured.get(key.workspace)
@@ -281,18 +291,18 @@
         named = {key.version, *key.after} - {""}
         return named <= workspace.versions
 
-    def _find_prior(self, key: Key) -> tuple[float, float]:
+    def _find_prior(self, key: EstimateKey) -> tuple[float, float]:
         """Returns the mean to start from and its weight in ratings."""
-        counts = []
+        neighbours = []
         for name in self._workspaces():
-            track = self._tracks.get(Key(name, *key[1:]))
-            if name != key.workspace and track is not None:
-                counts.append(track.discount()[:2])
-        counts = [c for c in counts if c[0] >= NEIGHBOUR_RATINGS]
-        if counts:
-            return _pool_neighbours(counts)
+            counts = self._counts.get(EstimateKey(name, *key[1:]))
+            if name != key.workspace and counts is not None:
+                neighbours.append(counts.compute_discounted()[:2])
+        neighbours = [c for c in neighbours if c[0] >= MIN_NEIGHBOUR_RATINGS]
+        if neighbours:
+            return _pool_neighbours(neighbours)
         if not key.after:
-            return 0.5, GUESS_RATINGS
+            return 0.5, UNINFORMED_PRIOR_RATINGS
         # One rejection less is the closest thing known.
         parent = self.estimate(key._replace(after=key.after[1:]))
         return parent.mean * ESCALATION_FACTOR, MIN_PRIOR_RATINGS
@@ -300,27 +310,29 @@
     def _workspaces(self) -> list[str]:
         if self._configured is not None:
             return list(self._configured)
-        return sorted({key.workspace for key in self._tracks})
+        return sorted({key.workspace for key in self._counts})
 
     def _drop_pending(self, now: float) -> None:
         while self._pending:
             answer_id, (_, produced_at) = next(iter(self._pending.items()))
-            late = now - produced_at > PENDING_S
+            late = now - produced_at > PENDING_TTL_S
             if not late and len(self._pending) <= PENDING_ANSWERS:
                 return
             del self._pending[answer_id]
 
-    def _slice(self, slices: int, turn: int) -> list[Key]:
+    def _list_slice(self, slices: int, slice_index: int) -> list[EstimateKey]:
         return [
             key
-            for key in sorted(self._tracks)
-            if zlib.crc32("\n".join(key[:3]).encode()) % slices == turn
+            for key in sorted(self._counts)
+            if zlib.crc32("\n".join(key[:3]).encode()) % slices == slice_index
         ]
 
 
-def _pool_neighbours(counts: list[tuple[float, float]]) -> tuple[float, float]:
+def _pool_neighbours(
+    neighbours: list[tuple[float, float]],
+) -> tuple[float, float]:
     """Returns mean and weight of a Beta prior that fits the neighbours."""
-    means = [accepted / rated for rated, accepted in counts]
+    means = [accepted / rated for rated, accepted in neighbours]
     mean = sum(means) / len(means)
     if len(means) < 2:
         return mean, MIN_PRIOR_RATINGS
@@ -328,7 +340,7 @@
     smooth = min(0.98, max(0.02, mean))
     noise = smooth * (1 - smooth)
     spread = sum((m - mean) ** 2 for m in means) / (len(means) - 1)
-    spread -= noise * sum(1 / rated for rated, _ in counts) / len(means)
+    spread -= noise * sum(1 / rated for rated, _ in neighbours) / len(means)
     # Few neighbours can look alike by chance.
     spread = max(spread, noise / MAX_PRIOR_RATINGS)
     weight = noise / spread - 1
--- a/sycamorehollow/decisions/cascading/tracks.py
+++ b/sycamorehollow/decisions/cascading/rating_counts.py
@@ -13,7 +13,7 @@
 
 
 @functools.lru_cache(maxsize=10_000)
-def share_cell(cell: tuple[int, int]) -> tuple[int, int]:
+def intern_cell(cell: tuple[int, int]) -> tuple[int, int]:
     """Returns one object for equal counts.
 
     Most counts of a large fleet are 0 or 1; a tuple each would take more than
@@ -22,7 +22,7 @@
     return cell
 
 
-class Track:
+class RatingCounts:
     """Counts of one key: epoch → process → (rated, accepted)."""
 
     def __init__(self) -> None:
@@ -30,22 +30,22 @@
         self.totals: dict[int, tuple[int, int]] = {}
         self._discounted: tuple[float, float, int] | None = None
         self._checksums: dict[int, int] = {}
-        self.floor = 0
-        self.floor_at = -math.inf
+        self.first_epoch = 0
+        self.reset_at = -math.inf
 
-    def newest(self) -> int:
+    def get_current_epoch(self) -> int:
         """Returns the epoch in progress."""
-        return max(self.totals, default=self.floor)
+        return max(self.totals, default=self.first_epoch)
 
-    def raise_cell(self, epoch: int, process: str, cell: tuple[int, int]):
+    def merge_cell(self, epoch: int, process: str, cell: tuple[int, int]):
         """Takes a count unless a higher one of that process is known."""
-        if epoch < self.floor:
+        if epoch < self.first_epoch:
             return
         cells = self.epochs.setdefault(epoch, {})
         old = cells.get(process, (0, 0))
         if cell <= old:
             return
-        cells[process] = share_cell(cell)
+        cells[process] = intern_cell(cell)
         self._discounted = None
         self._checksums.pop(epoch, None)
         total = self.totals.get(epoch, (0, 0))
@@ -53,13 +53,13 @@
             total[0] + cell[0] - old[0],
             total[1] + cell[1] - old[1],
         )
-        self.raise_floor(self.newest() - KEPT_EPOCHS + 1)
+        self.drop_epochs_before(self.get_current_epoch() - KEPT_EPOCHS + 1)
 
-    def raise_floor(self, floor: int) -> bool:
+    def drop_epochs_before(self, floor: int) -> bool:
         """Forgets the epochs below a floor, which never falls."""
-        if floor <= self.floor:
+        if floor <= self.first_epoch:
             return False
-        self.floor = floor
+        self.first_epoch = floor
         self._discounted = None
         for epoch in [e for e in self.epochs if e < floor]:
             del self.epochs[epoch]
@@ -69,13 +69,13 @@
 
     def record(self, process: str, accepted: bool) -> None:
         """Adds one rating to this process's counts."""
-        epoch = self.newest()
+        epoch = self.get_current_epoch()
         if self.totals.get(epoch, (0, 0))[0] >= EPOCH_RATINGS:
             epoch += 1
         rated, good = self.epochs.get(epoch, {}).get(process, (0, 0))
-        self.raise_cell(epoch, process, (rated + 1, good + int(accepted)))
+        self.merge_cell(epoch, process, (rated + 1, good + int(accepted)))
 
-    def discount(self) -> tuple[float, float, int]:
+    def compute_discounted(self) -> tuple[float, float, int]:
         """Returns discounted rated and accepted counts, and raw ratings."""
         if self._discounted is not None:
             return self._discounted
@@ -113,7 +113,7 @@
         change = abs(recent_good / recent - older_good / older)
         return start if change > DRIFT_SIGMA * spread else None
 
-    def checksum(self, epoch: int) -> int:
+    def compute_checksum(self, epoch: int) -> int:
         """Returns a checksum of one epoch's counts."""
         known = self._checksums.get(epoch)
         if known is None:
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -10,7 +10,7 @@
 from sycamorehollow.decisions import node_components
 from sycamorehollow.decisions.bills import billing_messages
 from sycamorehollow.decisions.calls import call_messages
-from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.decisions.operations import configuration_messages
 from sycamorehollow.decisions.operations import drains
 from sycamorehollow.decisions.operations import leases
@@ -174,7 +174,7 @@
             admission.CapacityChanged(self.placement.compute_capacity_tokens()),
             orders.TargetsChanged(self._build_targets(current)),
             drains.DeploymentChanged(current),
-            learning.DeploymentChanged(current),
+            quality_estimator.DeploymentChanged(current),
             rollouts.DeploymentChanged(current),
             # A process without peers never sees a member change.
             rollouts.CoordinatorChanged(self.is_coordinator()),
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -11,8 +11,8 @@
 from sycamorehollow.decisions.calls import ticket_calls
 from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.decisions.cascading import cascade_planning
-from sycamorehollow.decisions.cascading import cascades
-from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import cascade_selector
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.decisions.operations import config_branches
 from sycamorehollow.decisions.operations import configuration
 from sycamorehollow.decisions.operations import configuration_messages
@@ -203,13 +203,13 @@
         )
         self.records = records.ReplicatedRecords()
         self.drains = drains.Drains()
-        self.learning = learning.Learning(process.label)
+        self.learning = quality_estimator.QualityEstimator(process.label)
         self.evidence = sequential_test.Evidence(process.label)
         self.stops = stops.Stops(name)
         self.rollouts = rollouts.Rollouts(
             self.stops, self.evidence, source, options.pace
         )
-        self.cascades = cascades.Cascades(self.learning, source)
+        self.cascades = cascade_selector.CascadeSelector(self.learning, source)
 
     def _build_routing(self, source: random.Random, now: float) -> None:
         """Builds the parts that serve model requests."""
--- a/sycamorehollow/decisions/routing/cold_start_limiter.py
+++ b/sycamorehollow/decisions/routing/cold_start_limiter.py
@@ -346,13 +346,13 @@
             for name, state in self._states.items()
             if state.ramping_up and state.data_centre != self._data_centre
         }
-        return peer_loads.encode_compressed_json(
+        return peer_loads.compress_json(
             [self._data_centre, self._compute_checksum(), remote]
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the states that are newer than those of a digest."""
-        place, checksum, remote = peer_loads.decode_compressed_json(digest)
+        place, checksum, remote = peer_loads.decompress_json(digest)
         newer = {}
         if place == self._data_centre and checksum != self._compute_checksum():
             for name, state in self._list_local():
@@ -361,7 +361,7 @@
             known = self._states.get(name)
             if known is not None and known.epoch > epoch:
                 newer[name] = [*known.epoch, known.bearable]
-        return peer_loads.encode_compressed_json(newer) if newer else b""
+        return peer_loads.compress_json(newer) if newer else b""
 
     def _compute_checksum(self) -> int:
         epochs = [(name, state.epoch) for name, state in self._list_local()]
@@ -379,7 +379,7 @@
         state = self._states.get(upstream)
         if state is None:
             return b""
-        return peer_loads.encode_compressed_json(
+        return peer_loads.compress_json(
             {upstream: [*state.epoch, state.bearable]}
         )
 
@@ -387,7 +387,7 @@
         """Takes over the newer states of a peer."""
         if not delta:
             return []
-        for name, epoch in peer_loads.decode_compressed_json(delta).items():
+        for name, epoch in peer_loads.decompress_json(delta).items():
             generation, episode, settled, bearable = epoch
             state = self._states.get(name)
             if state is None or [generation, episode, settled] <= state.epoch:
--- a/sycamorehollow/decisions/routing/load_table.py
+++ b/sycamorehollow/decisions/routing/load_table.py
@@ -296,13 +296,13 @@
         self._publish(now)
         known = self._peer_loads.list_sequences(self._data_centre)
         known[self._process] = self._sequence
-        return peer_loads.encode_compressed_json(
+        return peer_loads.compress_json(
             {"data_centre": self._data_centre, "known": known}
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns newer shares at upstreams of the sender's data centre."""
-        asked = peer_loads.decode_compressed_json(digest)
+        asked = peer_loads.decompress_json(digest)
         known = asked["known"]
         data_centre = asked["data_centre"]
         newer = self._peer_loads.list_newer(known, data_centre)
@@ -318,7 +318,7 @@
             newer.append(
                 (self._process, self._data_centre, self._sequence, tokens)
             )
-        return peer_loads.encode_compressed_json(newer) if newer else b""
+        return peer_loads.compress_json(newer) if newer else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
         """Applies the shares of other processes; returns no commands."""
@@ -329,7 +329,7 @@
             data_centre,
             sequence,
             tokens,
-        ) in peer_loads.decode_compressed_json(delta):
+        ) in peer_loads.decompress_json(delta):
             if process == self._process:
                 continue
             changed = self._peer_loads.merge(
--- a/sycamorehollow/decisions/routing/peer_loads.py
+++ b/sycamorehollow/decisions/routing/peer_loads.py
@@ -134,11 +134,11 @@
         return outstanding, growth
 
 
-def encode_compressed_json(content: Any) -> bytes:
+def compress_json(content: Any) -> bytes:
     """Returns compressed JSON."""
     return zlib.compress(json.dumps(content, separators=(",", ":")).encode())
 
 
-def decode_compressed_json(payload: bytes) -> Any:
+def decompress_json(payload: bytes) -> Any:
     """Returns the content of compressed JSON."""
     return json.loads(zlib.decompress(payload))
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from benches import node_fleet
-from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.decisions.replication import bandwidth
 
 RATE = 100.0
@@ -48,8 +48,8 @@
         fleet.run(4.0)
         fleet.start_load()
         fleet.run(8.0)
-        burst = learning.BYTES_PER_S * bandwidth.BURST_S
-        limit = learning.BYTES_PER_S * fleet.now + burst
+        burst = quality_estimator.BYTES_PER_S * bandwidth.BURST_S
+        limit = quality_estimator.BYTES_PER_S * fleet.now + burst
         for member in fleet.members:
             used = member.traffic["learning/digest"]
             used += member.traffic["learning/delta"]
@@ -58,7 +58,7 @@
             self.assertGreater(member.traffic["learning/delta"], 0)
             labels = {
                 process
-                for _, track in member.node.learning.list_tracks()
+                for _, track in member.node.learning.list_counts()
                 for cells in track.epochs.values()
                 for process in cells
             }
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.cascading import cascades
-from sycamorehollow.decisions.cascading import learning
+from sycamorehollow.decisions.cascading import cascade_selector
+from sycamorehollow.decisions.cascading import quality_estimator
 from sycamorehollow.model import deployment
 from sycamorehollow.model import failures
 
@@ -16,23 +16,30 @@
 
 
 def make(seed=0):
-    part = learning.Learning("p")
-    return part, cascades.Cascades(part, random.Random(seed))
+    part = quality_estimator.QualityEstimator("p")
+    return part, cascade_selector.CascadeSelector(part, random.Random(seed))
 
 
 def teach(part, version, accepted, rejected, after=()):
-    key = learning.Key("w", "k", version, after)
+    key = quality_estimator.EstimateKey("w", "k", version, after)
     for number in range(accepted + rejected):
         name = f"{key}{number}"
-        part.handle(learning.AnswerProduced(name, key, 0.7, False), 0.0)
+        part.handle(
+            quality_estimator.ResponseProduced(name, key, 0.7, False), 0.0
+        )
         score = 0.9 if number < accepted else 0.1
-        part.handle(learning.RatingArrived(name, score), 0.0)
+        part.handle(quality_estimator.RatingArrived(name, score), 0.0)
 
 
 def ask(gate=False, explore=False, versions=NAMES, remaining=60.0, **state):
     policy = deployment.KindPolicy("k", 0.7, 0.8, gate=gate, explore=explore)
-    return cascades.Ask(
-        "w", policy, versions, PRICES, remaining, cascades.Conditions(**state)
+    return cascade_selector.Query(
+        "w",
+        policy,
+        versions,
+        PRICES,
+        remaining,
+        cascade_selector.Conditions(**state),
     )
 
 
@@ -70,14 +77,14 @@
             float(remaining),
             durations_s=durations,
             full=frozenset(full),
-            rating_down=down,
+            ratings_down=down,
         )
         for _ in range(8):
             choice = chooser.choose(request)
             if isinstance(choice, failures.Failure):
                 self.assertIs(choice.execution, failures.Execution.NOT_STARTED)
                 return
-            chooser.handle(cascades.ChoiceMade("w", "k", choice), 0.0)
+            chooser.handle(cascade_selector.ChoiceMade("w", "k", choice), 0.0)
             self.assertTrue(choice.steps and choice.reason)
             self.assertLessEqual(set(choice.steps), set(versions) - full)
             needed = sum(durations[v] for v in choice.steps)
@@ -90,7 +97,7 @@
             dearest = max(versions, key=PRICES.__getitem__)
             for version in set(choice.steps) - {dearest}:
                 self.assertGreaterEqual(
-                    sum(taught[version]), cascades.EVIDENCE_RATINGS
+                    sum(taught[version]), cascade_selector.MIN_RATINGS
                 )
 
 
@@ -123,7 +130,7 @@
     def test_gate_passes_to_the_dearest_while_ratings_are_down(self):
         part, chooser = make()
         teach(part, "small", 95, 5)
-        choice = chooser.choose(ask(True, True, rating_down=True))
+        choice = chooser.choose(ask(True, True, ratings_down=True))
         self.assertEqual((choice.steps, choice.gate), (("large",), False))
 
     def test_names_the_failure_when_nothing_fits(self):
@@ -157,10 +164,10 @@
         trials = 0
         for _ in range(400):
             choice = chooser.choose(ask(explore=True))
-            chooser.handle(cascades.ChoiceMade("w", "k", choice), 0.0)
-            trials += choice.trial > 0
-        share = cascades.EXPLORE_SHARE
-        self.assertLessEqual(trials, 400 * share + cascades.EXPLORE_BURST)
+            chooser.handle(cascade_selector.ChoiceMade("w", "k", choice), 0.0)
+            trials += choice.trial_cost > 0
+        share = cascade_selector.EXPLORE_SHARE
+        self.assertLessEqual(trials, 400 * share + cascade_selector.MAX_CREDIT)
 
 
 if __name__ == "__main__":
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -6,21 +6,23 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.cascading import learning
-from sycamorehollow.decisions.cascading import tracks
+from sycamorehollow.decisions.cascading import quality_estimator
+from sycamorehollow.decisions.cascading import rating_counts
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
 KEYS = (
-    learning.Key("w", "check", "small"),
-    learning.Key("w", "check", "large", ("small",)),
-    learning.Key("x", "check", "small"),
+    quality_estimator.EstimateKey("w", "check", "small"),
+    quality_estimator.EstimateKey("w", "check", "large", ("small",)),
+    quality_estimator.EstimateKey("x", "check", "small"),
 )
 
 
 def rate(part, name, key, accepted, now=0.0, final=True):
-    part.handle(learning.AnswerProduced(name, key, 0.7, final), now)
-    part.handle(learning.RatingArrived(name, 0.9 if accepted else 0.1), now)
+    part.handle(quality_estimator.ResponseProduced(name, key, 0.7, final), now)
+    part.handle(
+        quality_estimator.RatingArrived(name, 0.9 if accepted else 0.1), now
+    )
 
 
 def fill(part, key, accepted, count, now=0.0, tag=""):
@@ -60,13 +62,18 @@
         strategies.randoms(use_true_random=False),
     )
     def test_merge_is_idempotent_and_commutative(self, ratings, order):
-        sources = [learning.Learning(f"p{i}") for i in range(3)]
+        sources = [
+            quality_estimator.QualityEstimator(f"p{i}") for i in range(3)
+        ]
         deltas = []
-        empty = learning.Learning("empty").build_digest(0.0)
+        empty = quality_estimator.QualityEstimator("empty").build_digest(0.0)
         for number, (index, key, accepted, count) in enumerate(ratings):
             fill(sources[index], key, accepted, count, tag=str(number))
             deltas.append(sources[index].build_delta(empty, 0.0))
-        one, two = learning.Learning("one"), learning.Learning("two")
+        one, two = (
+            quality_estimator.QualityEstimator("one"),
+            quality_estimator.QualityEstimator("two"),
+        )
         for delta in deltas:
             one.merge(delta, 0.0)
         shuffled = deltas * 2
@@ -76,7 +83,10 @@
         self.assertEqual(dump(one), dump(two))
 
     def test_peer_keeps_what_a_lost_process_learned(self):
-        lost, peer = learning.Learning("lost"), learning.Learning("peer")
+        lost, peer = (
+            quality_estimator.QualityEstimator("lost"),
+            quality_estimator.QualityEstimator("peer"),
+        )
         for count, key in enumerate(KEYS, start=50):
             fill(lost, key, True, count)
         sync(lost, peer)
@@ -84,8 +94,14 @@
         self.assertEqual(peer.count_ratings(KEYS[0]), 50)
 
     def test_exchange_covers_every_key_within_the_delta_bound(self):
-        source, peer = learning.Learning("source"), learning.Learning("peer")
-        keys = [learning.Key("w", "check", f"v{i}") for i in range(200)]
+        source, peer = (
+            quality_estimator.QualityEstimator("source"),
+            quality_estimator.QualityEstimator("peer"),
+        )
+        keys = [
+            quality_estimator.EstimateKey("w", "check", f"v{i}")
+            for i in range(200)
+        ]
         for key in keys:
             fill(source, key, True, 1)
         for second in range(20):
@@ -97,35 +113,37 @@
     """Guards against ratings that count wrongly."""
 
     def setUp(self):
-        self.part = learning.Learning("p")
+        self.part = quality_estimator.QualityEstimator("p")
 
     def test_repeated_and_unknown_ratings_do_not_count(self):
         rate(self.part, "a", KEYS[0], True)
-        self.part.handle(learning.RatingArrived("a", 0.9), 1.0)
-        self.part.handle(learning.RatingArrived("other", 0.9), 1.0)
+        self.part.handle(quality_estimator.RatingArrived("a", 0.9), 1.0)
+        self.part.handle(quality_estimator.RatingArrived("other", 0.9), 1.0)
         self.assertEqual(self.part.count_ratings(KEYS[0]), 1)
 
     def test_escalated_requests_do_not_bias_fresh_estimates(self):
-        fresh = learning.Key("w", "check", "large")
+        fresh = quality_estimator.EstimateKey("w", "check", "large")
         fill(self.part, fresh, True, 40)
         before = self.part.estimate(fresh)
         fill(self.part, KEYS[1], False, 40)
         self.assertEqual(self.part.estimate(fresh), before)
 
     def test_pending_answers_are_bounded_and_expire(self):
-        for number in range(learning.PENDING_ANSWERS + 1):
-            event = learning.AnswerProduced(str(number), KEYS[0], 0.7, True)
+        for number in range(quality_estimator.PENDING_ANSWERS + 1):
+            event = quality_estimator.ResponseProduced(
+                str(number), KEYS[0], 0.7, True
+            )
             self.part.handle(event, 0.0)
-        self.part.handle(learning.RatingArrived("0", 0.9), 1.0)
+        self.part.handle(quality_estimator.RatingArrived("0", 0.9), 1.0)
         self.assertEqual(self.part.count_ratings(KEYS[0]), 0)
-        self.part.handle(events.Tick(), learning.PENDING_S + 1)
-        self.part.handle(learning.RatingArrived("9", 0.9), 1.0)
+        self.part.handle(events.Tick(), quality_estimator.PENDING_TTL_S + 1)
+        self.part.handle(quality_estimator.RatingArrived("9", 0.9), 1.0)
         self.assertEqual(self.part.count_ratings(KEYS[0]), 0)
 
     def test_rejected_step_before_the_last_is_not_delivered(self):
         rate(self.part, "a", KEYS[0], False, final=False)
         rate(self.part, "b", KEYS[1], True)
-        delivered = learning.Key("w", "check", "")
+        delivered = quality_estimator.EstimateKey("w", "check", "")
         self.assertEqual(self.part.count_ratings(delivered), 1)
 
     def test_removed_workspace_is_forgotten(self):
@@ -134,26 +152,26 @@
             "x", "t", (), frozenset({"small"}), frozenset()
         )
         changed = deployment.Deployment(workspaces={"x": space})
-        self.part.handle(learning.DeploymentChanged(changed), 1.0)
+        self.part.handle(quality_estimator.DeploymentChanged(changed), 1.0)
         fill(self.part, KEYS[0], True, 5, tag="again")
-        self.assertEqual(self.part.count_tracks(), 0)
+        self.assertEqual(self.part.count_keys(), 0)
 
     def test_close_neighbours_inform_an_unknown_workspace(self):
         for name in "abc":
-            key = learning.Key(name, "check", "small")
+            key = quality_estimator.EstimateKey(name, "check", "small")
             fill(self.part, key, True, 60)
         self.assertGreater(self.part.estimate(KEYS[2]).mean, 0.9)
 
     def test_neighbours_keep_their_weight_beside_many_own_ratings(self):
         for name in "abcd":
-            key = learning.Key(name, "check", "small")
+            key = quality_estimator.EstimateKey(name, "check", "small")
             mix(self.part, key, 276, 300)
         # An estimate must not jump at any number of own ratings.
         before = self.part.estimate(KEYS[2]).mean
         for number in range(400):
             rate(self.part, f"own{number}", KEYS[2], number % 6 != 0)
             after = self.part.estimate(KEYS[2]).mean
-            total = learning.MIN_PRIOR_RATINGS + number
+            total = quality_estimator.MIN_PRIOR_RATINGS + number
             self.assertLess(abs(after - before), 1.0 / total + 0.001)
             before = after
         # The own share is 0.83, that of the neighbours 0.92.
@@ -162,7 +180,7 @@
 
     def test_unlike_neighbours_do_not_outweigh_own_ratings(self):
         for name, good in zip("abcd", (60, 120, 180, 276), strict=True):
-            key = learning.Key(name, "check", "small")
+            key = quality_estimator.EstimateKey(name, "check", "small")
             mix(self.part, key, good, 300)
         mix(self.part, KEYS[2], 90, 100)
         self.assertGreater(self.part.estimate(KEYS[2]).mean, 0.86)
@@ -172,26 +190,26 @@
     """Guards against estimates that stay at an old quality."""
 
     def test_sharp_drop_resets_and_ignores_older_answers(self):
-        part = learning.Learning("p")
+        part = quality_estimator.QualityEstimator("p")
         fill(part, KEYS[0], True, 400)
-        early = learning.AnswerProduced("early", KEYS[0], 0.7, True)
+        early = quality_estimator.ResponseProduced("early", KEYS[0], 0.7, True)
         part.handle(early, 1.0)
         fill(part, KEYS[0], False, 100, now=2.0, tag="bad")
         self.assertLess(part.estimate(KEYS[0]).mean, 0.5)
         ratings = part.count_ratings(KEYS[0])
-        part.handle(learning.RatingArrived("early", 0.9), 3.0)
+        part.handle(quality_estimator.RatingArrived("early", 0.9), 3.0)
         self.assertEqual(part.count_ratings(KEYS[0]), ratings)
 
     @hypothesis.settings(max_examples=20)
     @hypothesis.given(strategies.integers(0, 2**32))
     def test_slow_change_is_followed_and_state_is_bounded(self, seed):
         draws = random.Random(seed)
-        part = learning.Learning("p")
+        part = quality_estimator.QualityEstimator("p")
         for number in range(2000):
             good = draws.random() < (0.9 if number < 1000 else 0.8)
             rate(part, str(number), KEYS[0], good)
         self.assertAlmostEqual(part.estimate(KEYS[0]).mean, 0.8, delta=0.07)
-        most = tracks.EPOCH_RATINGS * tracks.KEPT_EPOCHS
+        most = rating_counts.EPOCH_RATINGS * rating_counts.KEPT_EPOCHS
         self.assertLessEqual(part.count_ratings(KEYS[0]), most)
 
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -115,7 +115,7 @@
         table.handle(upstream_events.AttemptStarted("1", "u", 7), 0.0)
         table.build_digest(0.0)
         delta = table.build_delta(far.build_digest(0.0), 0.0)
-        self.assertNotIn("u", peer_loads.decode_compressed_json(delta)[0][3])
+        self.assertNotIn("u", peer_loads.decompress_json(delta)[0][3])
 
     def test_shares_stay_within_the_control_budget(self):
         """53 processes that publish each second exceed 10 KB/s."""
