--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -12,8 +12,8 @@
 import math
 import zlib
 
-from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import failure_counts
+from sycamorehollow.decisions.forwarding import response_times
 from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.model import forwarding
@@ -22,28 +22,28 @@
 # known. Sessions that are open when they get the new version change theirs, so
 # the share is halved until it brings no more answers than the evidence needs.
 FIRST_SHARE = 0.55
-EVIDENCE_PER_S = 4.0
+TARGET_RESPONSES_PER_S = 4.0
 # Answers that a short order asks for in the first part of its time, twice what
 # the proof of a sound version needs.
-EVIDENCE_ANSWERS = 24
+MIN_TARGET_RESPONSES = 24
 # Time in seconds in which each node measures the rate of answers, and the part
 # of an order's time that it takes at most.
-SURVEY_S = 2.0
-SURVEY_PART = 0.1
+RATE_SAMPLING_S = 2.0
+RATE_SAMPLING_FRACTION = 0.1
 # Part of the time during which only that share is sent.
-FIRST_PART = 0.5
+RAMP_START_FRACTION = 0.5
 # Part of the time from which a proven version gets all requests, and at which
 # the roll-out is completed: the upstreams of the other version then stop at
 # once, so their streams need the time between to end.
-ALL_PART = 0.7
-COMPLETE_PART = 0.88
+RAMP_END_FRACTION = 0.7
+COMPLETION_FRACTION = 0.88
 # Share of requests that a proven version gets just before it gets all.
-LAST_SHARE = 0.5
+RAMP_END_SHARE = 0.5
 # Log likelihood ratio at which a version counts as sound, so that it may get
 # more requests; about a dozen answers without a failure.
-SOUND = -math.log(10)
+SOUND_LOG_RATIO = -math.log(10)
 # Judged times of the new version below which it is never called sound.
-MIN_TIMED = 10
+MIN_LATENCIES = 10
 # Only answers of the last seconds count, so that a version that turns bad
 # late is found as fast as one that is bad from its start.
 WINDOW_S = 6.0
@@ -60,12 +60,12 @@
     def __init__(self, node: str, exposure: float):
         self._node = node
         self._exposure = exposure
-        self._nodes = 1
+        self._node_count = 1
         self._rollouts: dict[str, rollout_records.Rollout] = {}
 
-    def set_nodes(self, nodes: int) -> None:
+    def set_node_count(self, nodes: int) -> None:
         """Sets how many nodes serve requests."""
-        self._nodes = max(1, nodes)
+        self._node_count = max(1, nodes)
 
     def configure(self, exposure: float) -> None:
         """Takes a changed setting."""
@@ -114,8 +114,11 @@
         tally = rollout.tallies.get(self._node, failure_counts.Tally())
         rollout.tallies[self._node] = tally.plus(one)
 
-    def note_time(
-        self, timed: answer_times.Timed, part: answer_times.Part, slow: bool
+    def record_latency(
+        self,
+        timed: response_times.AttemptLabels,
+        part: response_times.LatencyKind,
+        slow: bool,
     ) -> None:
         """It was judged whether a part of an answer was slow."""
         rollout = self._rollouts.get(timed.service)
@@ -125,7 +128,7 @@
             # What makes a repeat slow may have made its first attempt slow.
             return
         new = timed.version == rollout.order.target
-        rollout.evidence.note(self._node, timed, part, new, slow)
+        rollout.evidence.record(self._node, timed, part, new, slow)
 
     def is_in_service(self, service: str, version: str) -> bool:
         """Tells whether a version is, or was until now, the one in service."""
@@ -134,10 +137,10 @@
             return True
         return rollout.state is forwarding.RolloutState.COMPLETED
 
-    def export(self, now: float) -> list[rollout_records.Finding]:
+    def export(self, now: float) -> list[rollout_records.RolloutReport]:
         """Returns what other nodes need to know."""
         return [
-            rollout_records.Finding(
+            rollout_records.RolloutReport(
                 rollout.order.service,
                 rollout.order.revision,
                 rollout.worse,
@@ -149,21 +152,24 @@
             for rollout in self.list_running()
         ]
 
-    def merge(self, finding: rollout_records.Finding, now: float) -> None:
+    def merge(self, report: rollout_records.RolloutReport, now: float) -> None:
         """Takes what another node has found; larger counts are newer."""
-        rollout = self._rollouts.get(finding.service)
-        if rollout is None or rollout.order.revision != finding.revision:
+        rollout = self._rollouts.get(report.service)
+        if rollout is None or rollout.order.revision != report.revision:
             return
-        rollout.worse = rollout.worse or finding.worse
-        if finding.first_share is not None:
-            known_share = rollout.first_share or finding.first_share
-            rollout.first_share = min(known_share, finding.first_share)
-        if finding.sound_s is not None and not rollout.evidence.is_doubtful():
-            sound_at = now - finding.sound_s
+        rollout.worse = rollout.worse or report.worse
+        if report.first_share is not None:
+            known_share = rollout.first_share or report.first_share
+            rollout.first_share = min(known_share, report.first_share)
+        if (
+            report.sound_s is not None
+            and not rollout.evidence.is_possibly_slow()
+        ):
+            sound_at = now - report.sound_s
             rollout.sound_at = min(rollout.sound_at or sound_at, sound_at)
         # A node that has started since does not know how long it has run.
-        rollout.started_at = min(rollout.started_at, now - finding.age_s)
-        for node, tally in finding.tallies.items():
+        rollout.started_at = min(rollout.started_at, now - report.age_s)
+        for node, tally in report.tallies.items():
             known = rollout.tallies.get(node, failure_counts.Tally())
             if node == self._node:
                 continue
@@ -184,13 +190,13 @@
             if node != self._node:
                 rollout.evidence.merge(node, routes)
 
-    def judge(self, now: float) -> list[rollout_records.Rollout]:
+    def evaluate(self, now: float) -> list[rollout_records.Rollout]:
         """Looks at the evidence; returns roll-outs found to be worse now."""
         found = []
         for rollout in self._rollouts.values():
             if rollout.state in _ENDED or rollout.worse:
                 continue
-            total = rollout.sum_up()
+            total = rollout.sum_counts()
             rollout.history = [
                 entry for entry in rollout.history if entry[0] >= now - WINDOW_S
             ]
@@ -200,7 +206,7 @@
                 else failure_counts.Tally()
             )
             rollout.history.append((now, total))
-            rollout.reason = rollout.evidence.judge()
+            rollout.reason = rollout.evidence.evaluate()
             for tally in (total, total.minus(base)):
                 if failure_counts.is_worse(tally):
                     rollout.reason = f"failed answers: {tally}"
@@ -209,8 +215,9 @@
                 found.append(rollout)
             elif rollout.sound_at is None and _is_sound(rollout, total):
                 rollout.sound_at = now
-            elif rollout.evidence.is_doubtful() and not _has_climbed(
-                rollout, now
+            elif (
+                rollout.evidence.is_possibly_slow()
+                and not _may_have_ramped_up(rollout, now)
             ):
                 rollout.sound_at = None
         return found
@@ -227,15 +234,17 @@
         if rollout.worse:
             return 0.0
         first = self._find_first_share(rollout, now)
-        part = self._measure_climb(rollout, now)
-        if part <= FIRST_PART:
+        part = self._compute_progress(rollout, now)
+        if part <= RAMP_START_FRACTION:
             return first
-        if part >= ALL_PART:
+        if part >= RAMP_END_FRACTION:
             return 1.0
-        climbed = (part - FIRST_PART) / (ALL_PART - FIRST_PART)
-        return first + (LAST_SHARE - first) * climbed
+        climbed = (part - RAMP_START_FRACTION) / (
+            RAMP_END_FRACTION - RAMP_START_FRACTION
+        )
+        return first + (RAMP_END_SHARE - first) * climbed
 
-    def find_drawn_share(
+    def get_assignment_share(
         self, service: str, version: str, session: str | None, now: float
     ) -> float:
         """Returns the share by which the version of an attempt was drawn.
@@ -253,7 +262,7 @@
         if rollout is None or session is None:
             return 0.0
         share = self.compute_share(service, now)
-        drawn = is_chosen(service, session, share)
+        drawn = is_assigned(service, session, share)
         return share if drawn == (version == rollout.order.target) else 0.0
 
     def find_due_state(
@@ -265,7 +274,7 @@
             return None
         if rollout.worse:
             return forwarding.RolloutState.ROLLED_BACK
-        if self._measure_climb(rollout, now) >= COMPLETE_PART:
+        if self._compute_progress(rollout, now) >= COMPLETION_FRACTION:
             return forwarding.RolloutState.COMPLETED
         if rollout.state is None:
             return forwarding.RolloutState.RUNNING
@@ -288,7 +297,9 @@
         rollout = self._rollouts.get(service)
         if rollout is None or version != rollout.order.target:
             return False
-        return rollout.state not in _ENDED and rollout.evidence.is_doubtful()
+        return (
+            rollout.state not in _ENDED and rollout.evidence.is_possibly_slow()
+        )
 
     def _find_first_share(
         self, rollout: rollout_records.Rollout, now: float
@@ -296,20 +307,24 @@
         if rollout.first_share is not None:
             return rollout.first_share
         age_s = now - rollout.started_at
-        survey_s = min(SURVEY_S, SURVEY_PART * rollout.order.duration_s)
+        survey_s = min(
+            RATE_SAMPLING_S, RATE_SAMPLING_FRACTION * rollout.order.duration_s
+        )
         if age_s < survey_s:
             return 0.0
         own = rollout.tallies.get(self._node, failure_counts.Tally())
-        rate = (own.new + own.old) * self._nodes / max(age_s, 0.001)
+        rate = (own.new + own.old) * self._node_count / max(age_s, 0.001)
         share = self._exposure * FIRST_SHARE
-        proof_s = FIRST_PART * rollout.order.duration_s - survey_s
-        evidence = max(EVIDENCE_PER_S, EVIDENCE_ANSWERS / max(proof_s, 0.001))
+        proof_s = RAMP_START_FRACTION * rollout.order.duration_s - survey_s
+        evidence = max(
+            TARGET_RESPONSES_PER_S, MIN_TARGET_RESPONSES / max(proof_s, 0.001)
+        )
         while share * rate > 2 * evidence:
             share /= 2
         rollout.first_share = share
         return share
 
-    def _measure_climb(
+    def _compute_progress(
         self, rollout: rollout_records.Rollout, now: float
     ) -> float:
         """Returns the part of the time that counts for the share.
@@ -319,37 +334,43 @@
         """
         duration_s = max(rollout.order.duration_s, 0.001)
         part = (now - rollout.started_at) / duration_s
-        if part <= FIRST_PART:
+        if part <= RAMP_START_FRACTION:
             return part
         if rollout.sound_at is None:
-            return FIRST_PART
+            return RAMP_START_FRACTION
         waited = (rollout.sound_at - rollout.started_at) / duration_s
-        return part - max(0.0, waited - FIRST_PART)
+        return part - max(0.0, waited - RAMP_START_FRACTION)
 
 
-def _has_climbed(rollout: rollout_records.Rollout, now: float) -> bool:
+def _may_have_ramped_up(rollout: rollout_records.Rollout, now: float) -> bool:
     """Tells whether the share may have been raised already."""
-    return now - rollout.started_at > FIRST_PART * rollout.order.duration_s
+    return (
+        now - rollout.started_at
+        > RAMP_START_FRACTION * rollout.order.duration_s
+    )
 
 
 def _is_sound(
     rollout: rollout_records.Rollout, total: failure_counts.Tally
 ) -> bool:
     """Tells whether the version neither fails more often nor is slower."""
-    if rollout.evidence.is_doubtful():
+    if rollout.evidence.is_possibly_slow():
         return False
-    if failure_counts.measure(total) > SOUND:
+    if failure_counts.compute_log_likelihood_ratio(total) > SOUND_LOG_RATIO:
         return False
-    times = rollout.evidence.sum_up()
-    if sum(times.new) < MIN_TIMED:
+    times = rollout.evidence.sum_counts()
+    if sum(times.new) < MIN_LATENCIES:
         return False
     slow = failure_counts.Tally(
         sum(times.new), sum(times.new_slow), times.old, times.old_slow
     )
-    return min(times.scores[0], failure_counts.measure(slow)) <= SOUND
+    return (
+        min(times.scores[0], failure_counts.compute_log_likelihood_ratio(slow))
+        <= SOUND_LOG_RATIO
+    )
 
 
-def is_chosen(service: str, session: str, share: float) -> bool:
+def is_assigned(service: str, session: str, share: float) -> bool:
     """Tells whether a session gets the new version.
 
     Every node draws alike, and a session that has got the new version keeps it
--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -57,7 +57,7 @@
         """Lets upstreams have the request a second time."""
         self._tried.clear()
 
-    def build_requirements(self, now: float) -> placement.Work:
+    def build_requirements(self, now: float) -> placement.Requirements:
         """Returns what the next attempt needs."""
         return self._build_requirements(
             self.model, self.no_failures, self._tried, now
@@ -65,7 +65,7 @@
 
     def get_assignment_share(self, version: str, now: float) -> float:
         """Returns the share of a roll-out by which a version was drawn."""
-        return self._router.rollouts.find_drawn_share(
+        return self._router.rollouts.get_assignment_share(
             self._service.name,
             version,
             self._session if self.no_failures else None,
@@ -86,7 +86,7 @@
         """
         work = self._build_requirements(self.model, False, self._tried, now)
         choice = self._router.placement.choose(work, now)
-        if choice.known:
+        if choice.eligible:
             return choice
         # Each other one has had it; a second time is better than a failure.
         work = self._build_requirements(self.model, False, {current}, now)
@@ -94,8 +94,8 @@
 
     def _build_requirements(
         self, model: str, sound: bool, excluded: Collection[str], now: float
-    ) -> placement.Work:
-        return placement.Work(
+    ) -> placement.Requirements:
+        return placement.Requirements(
             self._request,
             self._service,
             self._body_bytes,
--- a/sycamorehollow/decisions/forwarding/cascade_control.py
+++ b/sycamorehollow/decisions/forwarding/cascade_control.py
@@ -60,7 +60,9 @@
             return cascade.Decision("", "no choice of models")
         router = self._router
         objective_s = max(self._route.objective_s, MIN_OBJECTIVE_S)
-        delay_s = elapsed_s - placement.expect(self._request.prompt_tokens)
+        delay_s = elapsed_s - placement.estimate_idle_first_byte_s(
+            self._request.prompt_tokens
+        )
         larger = cascade.choose_larger_model(self._route)
         choice = self._candidates.choose_for_model(larger, now)
         if choice.state is None:
@@ -77,6 +79,6 @@
                     self._service, max(0.0, delay_s) / objective_s, now
                 ),
                 self._route.max_attempts - possible_runs,
-                router.budget.count_remaining(self._service, now),
+                router.retry_budget.count_remaining(self._service, now),
             ),
         )
--- a/sycamorehollow/decisions/forwarding/cold_limits.py
+++ b/sycamorehollow/decisions/forwarding/cold_start_limiter.py
@@ -20,10 +20,10 @@
 ARRIVAL_SPREAD_S = 0.2
 # Nodes that were added and are not known yet, as a factor; each may take itself
 # for an owner in addition to those that others know.
-UNKNOWN_NODES = 1.34
+UNKNOWN_NODE_FACTOR = 1.34
 
 
-class ColdLimits:
+class ColdStartLimiter:
     """This node's share of what cold upstreams tolerate.
 
     Args:
@@ -36,7 +36,7 @@
         self._node = node
         self._factor = factor
         self._floor = floor
-        self._nodes = {node}
+        self._node_names = {node}
         # Place of this node among the owners of an upstream.
         self._ranks: dict[str, int] = {}
         self._sent: dict[str, collections.deque[float]] = {}
@@ -46,17 +46,17 @@
         self._factor = factor
         self._floor = floor
 
-    def set_nodes(self, names: Iterable[str]) -> None:
+    def add_nodes(self, names: Iterable[str]) -> None:
         """Sets the names of the known nodes; none is ever forgotten.
 
         A node that was cut off may still send.
         """
-        known = self._nodes.union(names)
-        if known != self._nodes:
-            self._nodes = known
+        known = self._node_names.union(names)
+        if known != self._node_names:
+            self._node_names = known
             self._ranks.clear()
 
-    def may_send(self, identity: str, rate: float, now: float) -> bool:
+    def can_send(self, identity: str, rate: float, now: float) -> bool:
         """Tells whether a cold upstream may get one more request.
 
         Args:
@@ -72,12 +72,12 @@
             sent.popleft()
         return len(sent) < share
 
-    def note_sent(self, identity: str, now: float) -> None:
+    def record_sent(self, identity: str, now: float) -> None:
         """A request was sent to an upstream, cold or not."""
         sent = self._sent.setdefault(identity, collections.deque(maxlen=512))
         sent.append(now)
 
-    def forget(self, identity: str) -> None:
+    def remove_upstream(self, identity: str) -> None:
         """An upstream is gone."""
         self._sent.pop(identity, None)
         self._ranks.pop(identity, None)
@@ -85,16 +85,16 @@
     def _compute_share(self, identity: str, rate: float) -> int:
         """Returns the requests per second that this node may send."""
         bearable = rate * self._factor + self._floor
-        usable = max(1, math.floor(bearable / UNKNOWN_NODES))
-        share, rest = divmod(usable, len(self._nodes))
-        return share + (self._find_rank(identity) < rest)
+        usable = max(1, math.floor(bearable / UNKNOWN_NODE_FACTOR))
+        share, rest = divmod(usable, len(self._node_names))
+        return share + (self._compute_rank(identity) < rest)
 
-    def _find_rank(self, identity: str) -> int:
+    def _compute_rank(self, identity: str) -> int:
         """Returns the place of this node by rendezvous hashing; 0 is first."""
         rank = self._ranks.get(identity)
         if rank is None:
             own = _hash(self._node, identity)
-            rank = sum(_hash(name, identity) < own for name in self._nodes)
+            rank = sum(_hash(name, identity) < own for name in self._node_names)
             self._ranks[identity] = rank
         return rank
 
--- a/sycamorehollow/decisions/forwarding/failover.py
+++ b/sycamorehollow/decisions/forwarding/failover.py
@@ -45,7 +45,7 @@
         """Returns why no other attempt will ever be made, if so."""
         if not self.resumable:
             return "an answer that is no stream broke off midway"
-        if self._router.poison.is_refused(self._fingerprint, now):
+        if self._router.quarantine.is_quarantined(self._fingerprint, now):
             return QUARANTINED
         return self._limits.find_permanent_limit()
 
--- a/sycamorehollow/decisions/forwarding/mirror.py
+++ b/sycamorehollow/decisions/forwarding/mirror.py
@@ -32,7 +32,7 @@
 
     entries: tuple[Entry, ...]
     revision: int
-    whole: bool
+    is_snapshot: bool
 
 
 class Mirror:
@@ -47,7 +47,7 @@
         self._entries: dict[str, Entry] = {}
         self._deleted: dict[str, Entry] = {}
         # Deletions up to this revision may be forgotten.
-        self._floor = 0
+        self._deletion_floor = 0
 
     def list_values(self) -> list[Entry]:
         """Returns the entries that have a value."""
@@ -66,7 +66,7 @@
             several changes of a key only the last one is reported, since a
             storm of large values would take longer to read than it lasts.
         """
-        news = {e.key: e for e in entries if self._take(e)}
+        news = {e.key: e for e in entries if self._apply_entry(e)}
         self.revision = max(self.revision, revision)
         return sorted(news.values(), key=lambda entry: entry.revision)
 
@@ -87,14 +87,14 @@
             if key not in found and entry.revision <= revision
         ]
         if self.revision == 0:
-            self._floor = revision
+            self._deletion_floor = revision
         return self.apply([*gone, *found.values()], revision)
 
-    def collect(self, since: int) -> Delta | None:
+    def build_delta(self, since: int) -> Delta | None:
         """Returns what a process at revision `since` lacks, if anything."""
         if since >= self.revision:
             return None
-        whole = since < self._floor
+        whole = since < self._deletion_floor
         known = list(self._entries.values())
         if not whole:
             known.extend(self._deleted.values())
@@ -105,11 +105,11 @@
         """Takes what another process handed on and returns the news."""
         if delta.revision <= self.revision:
             return []
-        if delta.whole:
+        if delta.is_snapshot:
             return self.replace(delta.entries, delta.revision)
         return self.apply(delta.entries, delta.revision)
 
-    def _take(self, entry: Entry) -> bool:
+    def _apply_entry(self, entry: Entry) -> bool:
         known = self._entries.get(entry.key) or self._deleted.get(entry.key)
         if known is not None and known.revision >= entry.revision:
             return False
@@ -121,5 +121,7 @@
         self._deleted[entry.key] = entry
         if len(self._deleted) > MAX_DELETIONS:
             oldest = next(iter(self._deleted))
-            self._floor = max(self._floor, self._deleted.pop(oldest).revision)
+            self._deletion_floor = max(
+                self._deletion_floor, self._deleted.pop(oldest).revision
+            )
         return known is not None and known.value is not None
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -11,43 +11,43 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions.forwarding import cold_limits
+from sycamorehollow.decisions.forwarding import cold_start_limiter
 from sycamorehollow.decisions.forwarding import directory
-from sycamorehollow.decisions.forwarding import prompts
+from sycamorehollow.decisions.forwarding import prefix_index
 from sycamorehollow.model import forwarding
 
 # Start of the estimate of reading speed, before answers correct it.
-READ_TOKENS_PER_S = 100_000.0
+PREFILL_TOKENS_PER_S = 100_000.0
 # Start of the estimate of the time to an answer.
-FIRST_S = 0.05
+IDLE_FIRST_BYTE_S = 0.05
 # Weight of the newest answer in the estimates.
-PACE_WEIGHT = 0.15
+LATENCY_WEIGHT = 0.15
 # Age in seconds at which what an upstream said of others' load counts half.
 LOAD_HALF_LIFE_S = 1.5
 # Age in seconds at which an estimate of a pace counts half, so that an
 # upstream that was slow is tried again.
-PACE_HALF_LIFE_S = 4.0
+LATENCY_HALF_LIFE_S = 4.0
 # Reading a shared part again also evicts another one.
-MISS_WEIGHT = 2.0
+CACHE_MISS_WEIGHT = 2.0
 # Seconds that a way to another data centre is worth, and each byte on it.
-CROSSING_S = 0.004
-CROSSING_S_PER_BYTE = 5e-6
+CROSS_DATA_CENTRE_S = 0.004
+CROSS_DATA_CENTRE_S_PER_BYTE = 5e-6
 # Prompts are read one after the other, between the steps of running requests.
-READING_WEIGHT = 0.8
+BACKLOG_WEIGHT = 0.8
 # Share by which equally good upstreams are mixed.
 JITTER = 0.1
 # A failed answer costs a second attempt.
 FAILURE_COST = 6.0
 # Seconds that are lost when an upstream still cannot be reached, for each
 # connection in a row that broke.
-BROKEN_S = 0.2
-MAX_BROKEN = 3
+CONNECTION_FAILURE_S = 0.2
+MAX_CONNECTION_FAILURES = 3
 # Load above which the first choice for a prompt part is not waited for.
-AFFINITY_LOAD = 0.75
+MAX_AFFINITY_LOAD = 0.75
 
 
 @dataclasses.dataclass(frozen=True)
-class Work:
+class Requirements:
     """What an attempt needs.
 
     Attributes:
@@ -57,7 +57,7 @@
         excluded: Upstreams that have had it already.
     """
 
-    call: forwarding.Request
+    request: forwarding.Request
     service: forwarding.Service
     body_bytes: int = 0
     model: str = ""
@@ -65,7 +65,7 @@
     excluded: Collection[str] = ()
 
     @property
-    def place(self) -> tuple[str, str, frozenset[str]]:
+    def queue_key(self) -> tuple[str, str, frozenset[str]]:
         """What it has in common with others for the same upstreams."""
         return (self.service.name, self.model, frozenset(self.versions or ()))
 
@@ -84,29 +84,29 @@
 
     state: directory.UpstreamState | None
     reason: str
-    known: int
-    free: int = 0
+    eligible: int
+    available: int = 0
     expected_s: float = 0.0
 
 
-class Pace:
+class LatencyEstimator:
     """Estimates of the time to the first byte, per upstream and model."""
 
     def __init__(self) -> None:
         self._factors: dict[tuple[str, str], tuple[float, float]] = {}
         self._usual: dict[str, float] = {}
 
-    def note(
+    def record(
         self, identity: str, model: str, tokens: int, took_s: float, now: float
     ) -> None:
         """An attempt that read `tokens` has sent its first byte."""
-        factor = took_s / expect(tokens)
+        factor = took_s / estimate_idle_first_byte_s(tokens)
         usual = self._usual.get(model, factor)
-        self._usual[model] = usual + PACE_WEIGHT * (factor - usual)
+        self._usual[model] = usual + LATENCY_WEIGHT * (factor - usual)
         known = self._factors.get((identity, model), (usual, now))[0]
         # A stalled answer tells little about the next one.
         factor = min(factor, known * 4 + 1)
-        new = known + PACE_WEIGHT * 2 * (factor - known)
+        new = known + LATENCY_WEIGHT * 2 * (factor - known)
         self._factors[identity, model] = (new, now)
 
     def estimate(
@@ -115,10 +115,12 @@
         """Returns the expected seconds to the first byte."""
         usual = self._usual.get(model, 1.0)
         factor, at = self._factors.get((identity, model), (usual, now))
-        weight = 0.5 ** ((now - at) / PACE_HALF_LIFE_S)
-        return expect(tokens) * (usual + (factor - usual) * weight)
+        weight = 0.5 ** ((now - at) / LATENCY_HALF_LIFE_S)
+        return estimate_idle_first_byte_s(tokens) * (
+            usual + (factor - usual) * weight
+        )
 
-    def forget(self, identity: str) -> None:
+    def remove_upstream(self, identity: str) -> None:
         """An upstream is gone or has started again."""
         for key in [key for key in self._factors if key[0] == identity]:
             del self._factors[key]
@@ -138,31 +140,35 @@
     def __init__(
         self,
         data_centre: str,
-        known: directory.Directory,
-        limits: cold_limits.ColdLimits,
-        cache: prompts.PromptCache,
-        source: random.Random,
+        upstreams: directory.Directory,
+        limiter: cold_start_limiter.ColdStartLimiter,
+        prefixes: prefix_index.PrefixIndex,
+        rng: random.Random,
     ):
-        self.pace = Pace()
+        self.latency = LatencyEstimator()
         self._data_centre = data_centre
-        self._directory = known
-        self._limits = limits
-        self._cache = cache
-        self._source = source
+        self._directory = upstreams
+        self._limiter = limiter
+        self._prefixes = prefixes
+        self._rng = rng
 
-    def choose(self, work: Work, now: float) -> Choice:
+    def choose(self, requirements: Requirements, now: float) -> Choice:
         """Returns the upstream with the lowest expected time."""
-        candidates = self._list_candidates(work, now)
+        candidates = self._list_candidates(requirements, now)
         if not candidates:
             return Choice(None, "no upstream is registered", 0)
-        open_ones = [s for s in candidates if self._has_room(s, work, now)]
+        open_ones = [
+            s for s in candidates if self._has_capacity(s, requirements, now)
+        ]
         if not open_ones:
             return Choice(None, "all upstreams are full", len(candidates))
         # A blocked upstream may be back; it is better than none.
         sound = [s for s in open_ones if not s.is_backing_off(now)] or open_ones
-        home = self._find_home(sound, work)
+        home = self._find_preferred(sound, requirements)
         costs: Mapping[str, float] = {
-            state.upstream.identity: self._measure(state, work, home, now)
+            state.upstream.identity: self._compute_cost(
+                state, requirements, home, now
+            )
             for state in sound
         }
         best = min(sound, key=lambda state: costs[state.upstream.identity])
@@ -180,43 +186,46 @@
         usable = self._directory.list_usable(service, now)
         if not usable:
             return 1.0
-        taken = sum(occupancy(state, now) for state in usable)
+        taken = sum(estimate_running(state, now) for state in usable)
         places = sum(max(1, state.upstream.slots) for state in usable)
         return taken / places
 
     def _list_candidates(
-        self, work: Work, now: float
+        self, requirements: Requirements, now: float
     ) -> list[directory.UpstreamState]:
-        usable = self._directory.list_usable(work.service.name, now)
+        usable = self._directory.list_usable(requirements.service.name, now)
         found = []
         for state in usable:
             upstream = state.upstream
-            if upstream.identity in work.excluded:
+            if upstream.identity in requirements.excluded:
                 continue
-            if work.versions is not None:
-                if upstream.version not in work.versions:
+            if requirements.versions is not None:
+                if upstream.version not in requirements.versions:
                     continue
-            if work.model and upstream.models:
-                if work.model not in upstream.models:
+            if requirements.model and upstream.models:
+                if requirements.model not in upstream.models:
                     continue
             found.append(state)
         return found
 
-    def _has_room(
-        self, state: directory.UpstreamState, work: Work, now: float
+    def _has_capacity(
+        self,
+        state: directory.UpstreamState,
+        requirements: Requirements,
+        now: float,
     ) -> bool:
         if state.is_full(now):
             return False
-        rate = work.service.cold_requests_per_s
+        rate = requirements.service.cold_requests_per_s
         if rate <= 0 or not state.is_cold(now):
             return True
-        return self._limits.may_send(state.upstream.identity, rate, now)
+        return self._limiter.can_send(state.upstream.identity, rate, now)
 
-    def _find_home(
-        self, states: list[directory.UpstreamState], work: Work
+    def _find_preferred(
+        self, states: list[directory.UpstreamState], requirements: Requirements
     ) -> str | None:
         """Returns the first choice for the shared part of the prompt."""
-        parts = work.call.prompt_parts
+        parts = requirements.request.prompt_parts
         if len(parts) < 2:
             return None
         near = [
@@ -225,39 +234,46 @@
             if state.upstream.data_centre == self._data_centre
         ]
         names = [state.upstream.identity for state in near or states]
-        return prompts.rank(names, work.model, parts[-2].identity)[0]
+        return prefix_index.rank_by_hash(
+            names, requirements.model, parts[-2].identity
+        )[0]
 
-    def _measure(
+    def _compute_cost(
         self,
         state: directory.UpstreamState,
-        work: Work,
-        home: str | None,
+        requirements: Requirements,
+        preferred: str | None,
         now: float,
     ) -> float:
         """Returns the expected cost of an attempt in seconds."""
         identity = state.upstream.identity
-        call = work.call
-        kept = self._cache.count_kept(
-            identity, work.model, call.prompt_parts, now
+        call = requirements.request
+        kept = self._prefixes.count_cached_tokens(
+            identity, requirements.model, call.prompt_parts, now
         )
-        taken = occupancy(state, now) / max(1, state.upstream.slots)
-        if identity == home and taken < AFFINITY_LOAD:
+        taken = estimate_running(state, now) / max(1, state.upstream.slots)
+        if identity == preferred and taken < MAX_AFFINITY_LOAD:
             shared = sum(part.tokens for part in call.prompt_parts[:-1])
             kept = max(kept, shared)
         missing = max(0, call.prompt_tokens - kept)
-        cost = self.pace.estimate(identity, work.model, missing, now)
-        cost += MISS_WEIGHT * missing / READ_TOKENS_PER_S
-        cost += READING_WEIGHT * state.backlog_s
+        cost = self.latency.estimate(identity, requirements.model, missing, now)
+        cost += CACHE_MISS_WEIGHT * missing / PREFILL_TOKENS_PER_S
+        cost += BACKLOG_WEIGHT * state.backlog_s
         cost *= 1 + taken + 4 * max(0.0, taken - 0.8)
         cost *= 1 + FAILURE_COST * state.failure_rate
-        cost *= 1 + JITTER * self._source.random()
-        cost += BROKEN_S * min(state.connection_failures, MAX_BROKEN)
+        cost *= 1 + JITTER * self._rng.random()
+        cost += CONNECTION_FAILURE_S * min(
+            state.connection_failures, MAX_CONNECTION_FAILURES
+        )
         if state.upstream.data_centre != self._data_centre:
-            cost += CROSSING_S + CROSSING_S_PER_BYTE * work.body_bytes
+            cost += (
+                CROSS_DATA_CENTRE_S
+                + CROSS_DATA_CENTRE_S_PER_BYTE * requirements.body_bytes
+            )
         return cost
 
 
-def occupancy(state: directory.UpstreamState, now: float) -> float:
+def estimate_running(state: directory.UpstreamState, now: float) -> float:
     """Returns how many requests are probably at an upstream."""
     if state.load is None:
         return float(state.running)
@@ -266,6 +282,6 @@
     return state.running + max(0, others) * weight
 
 
-def expect(tokens: int) -> float:
+def estimate_idle_first_byte_s(tokens: int) -> float:
     """Returns the first guess of the time to the first byte in seconds."""
-    return FIRST_S + tokens / READ_TOKENS_PER_S
+    return IDLE_FIRST_BYTE_S + tokens / PREFILL_TOKENS_PER_S
--- a/sycamorehollow/decisions/forwarding/prompts.py
+++ b/sycamorehollow/decisions/forwarding/prefix_index.py
@@ -14,20 +14,20 @@
 MAX_PARTS = 4000
 
 
-class PromptCache:
+class PrefixIndex:
     """What this process believes the upstreams have in memory.
 
     Args:
         keep_s: Seconds for which a part counts as kept after its last use.
     """
 
-    def __init__(self, keep_s: float):
-        self._keep_s = keep_s
+    def __init__(self, retention_s: float):
+        self._retention_s = retention_s
         self._parts: dict[
             str, collections.OrderedDict[tuple[str, str], float]
         ] = {}
 
-    def note_read(
+    def record_prefill(
         self,
         identity: str,
         model: str,
@@ -42,7 +42,7 @@
         while len(known) > MAX_PARTS:
             known.popitem(last=False)
 
-    def count_kept(
+    def count_cached_tokens(
         self,
         identity: str,
         model: str,
@@ -56,17 +56,17 @@
         tokens = 0
         for part in parts:
             used_at = known.get((model, part.identity))
-            if used_at is None or used_at < now - self._keep_s:
+            if used_at is None or used_at < now - self._retention_s:
                 break
             tokens += part.tokens
         return tokens
 
-    def forget(self, identity: str) -> None:
+    def remove_upstream(self, identity: str) -> None:
         """An upstream is gone or has started again."""
         self._parts.pop(identity, None)
 
 
-def rank(identities: Sequence[str], model: str, part: str) -> list[str]:
+def rank_by_hash(identities: Sequence[str], model: str, part: str) -> list[str]:
     """Orders upstreams for a prompt part, alike at every node.
 
     Rendezvous hashing: when an upstream leaves, only its parts move.
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -71,7 +71,7 @@
             left_s = min(left_s, request.deadline_s)
         self.deadline = now + left_s
         self._limits = attempt_limits.AttemptLimits(
-            route, service.name, router.budget
+            route, service.name, router.retry_budget
         )
         self._candidates = candidates.Candidates(
             router,
@@ -90,13 +90,15 @@
         self._response_discarded = False
         if route.models and request.any_model:
             self._candidates.model = cascade.choose_initial_model(route)
-        self._waiter = router.turns.issue(route.priority, workspace, now)
-        router.budget.record_request(service.name, now)
+        self._waiter = router.admission_queue.create_waiter(
+            route.priority, workspace, now
+        )
+        router.retry_budget.record_request(service.name, now)
 
     @property
     def max_idle_connections(self) -> int:
         """Idle connections that may be kept to an upstream."""
-        return self._router.compute_kept_connections(self.service)
+        return self._router.compute_max_idle_connections(self.service)
 
     @property
     def delivering(self) -> bool:
@@ -135,7 +137,7 @@
             if not self.delivering and not self._limits.possible_runs:
                 return steps.Wait(FULL_RETRY_DELAY_S)
             return self.choose_next_step(now)
-        if not choice.known and self._must_deliver:
+        if not choice.eligible and self._must_deliver:
             if self._response_discarded and not self.delivering:
                 # No upstream has the larger model any more.
                 self._candidates.model = cascade.choose_initial_model(
@@ -143,10 +145,12 @@
                 )
             return steps.Wait(min(SHORTAGE_RETRY_DELAY_S, self.deadline - now))
         wait_end = self.arrived_at + self.route.objective_s * MAX_QUEUE_SHARE
-        if choice.known and (now < wait_end or self._must_deliver):
-            self._router.turns.take(self._waiter, work.place, 0, now)
+        if choice.eligible and (now < wait_end or self._must_deliver):
+            self._router.admission_queue.try_admit(
+                self._waiter, work.queue_key, 0, now
+            )
             return steps.Wait(FULL_RETRY_DELAY_S)
-        self._router.turns.leave(self._waiter)
+        self._router.admission_queue.remove(self._waiter)
         reason = choice.reason
         if choice.state is not None:
             reason = "others wait for the room that is left"
@@ -172,15 +176,15 @@
         return self._send(choice, now)
 
     def _is_admitted(
-        self, work: placement.Work, choice: placement.Choice, now: float
+        self, work: placement.Requirements, choice: placement.Choice, now: float
     ) -> bool:
         """Tells whether the request may have the room that is free."""
         if self._limits.possible_runs or self.delivering:
             # Its caller, or an answer that was dropped, has waited already.
-            self._router.turns.leave(self._waiter)
+            self._router.admission_queue.remove(self._waiter)
             return True
-        return self._router.turns.take(
-            self._waiter, work.place, choice.free, now
+        return self._router.admission_queue.try_admit(
+            self._waiter, work.queue_key, choice.available, now
         )
 
     def compute_timeout(self, now: float) -> float:
@@ -253,7 +257,7 @@
         self._router.rollouts.record_response(
             self.service.name, upstream.version, failed
         )
-        self._router.placement.pace.note(
+        self._router.placement.latency.record(
             upstream.identity,
             attempt.model,
             attempt.uncached_tokens,
@@ -316,7 +320,7 @@
             # One that leaves by plan closes its connections.
             return
         run = "/".join(map(str, self.attempts[-1].state.upstream.incarnation))
-        self._router.poison.note_break(self._fingerprint, run, now)
+        self._router.quarantine.record_break(self._fingerprint, run, now)
 
     def record_bytes(self, now: float) -> None:
         """More of the answer has arrived."""
@@ -326,7 +330,7 @@
         self, cause: steps.EndCause, outcome: str, now: float
     ) -> None:
         """The request ended without an answer of an upstream or of our own."""
-        self._router.turns.leave(self._waiter)
+        self._router.admission_queue.remove(self._waiter)
         if not self.attempts:
             return
         if self.attempts[-1].end_cause is None:
@@ -335,28 +339,31 @@
     def record_delivered(self, now: float) -> None:
         """The answer has been delivered whole."""
         self.attempts[-1].end(steps.EndCause.UPSTREAM, steps.DELIVERED, now)
-        self._router.poison.note_success(self._fingerprint, now)
+        self._router.quarantine.record_completion(self._fingerprint, now)
 
     def _send(self, choice: placement.Choice, now: float) -> steps.Send:
         state = choice.state
         assert state is not None
         upstream = state.upstream
         self._limits.record_sent(now)
-        self._router.limits.note_sent(upstream.identity, now)
-        uncached = self.request.prompt_tokens - self._router.cache.count_kept(
-            upstream.identity,
-            self._candidates.model,
-            self.request.prompt_parts,
-            now,
+        self._router.cold_start_limiter.record_sent(upstream.identity, now)
+        uncached = (
+            self.request.prompt_tokens
+            - self._router.prefix_index.count_cached_tokens(
+                upstream.identity,
+                self._candidates.model,
+                self.request.prompt_parts,
+                now,
+            )
         )
-        self._router.cache.note_read(
+        self._router.prefix_index.record_prefill(
             upstream.identity,
             self._candidates.model,
             self.request.prompt_parts,
             now,
         )
         self._candidates.record_sent(upstream)
-        expected_s = self._router.placement.pace.estimate(
+        expected_s = self._router.placement.latency.estimate(
             upstream.identity, self._candidates.model, uncached, now
         )
         waiting_s = expected_s + state.backlog_s
@@ -374,7 +381,7 @@
         )
         share = self._candidates.get_assignment_share(upstream.version, now)
         attempt = self.attempts[-1]
-        attempt.observer = self._router.answer_times.watch(
+        attempt.observer = self._router.response_times.start_timer(
             self.service, self.route, attempt, share
         )
         left_s = self.deadline - now
@@ -404,7 +411,7 @@
             return steps.BadGateway(reason, failures.Execution.UNKNOWN)
         if reason == failover.QUARANTINED:
             return steps.BadGateway(reason)
-        after_s = RETRY_AFTER_S * self._router.source.uniform(0.5, 1.0)
+        after_s = RETRY_AFTER_S * self._router.rng.uniform(0.5, 1.0)
         return steps.Unavailable(
             reason, failures.Execution.NOT_STARTED, after_s
         )
--- a/sycamorehollow/decisions/forwarding/rollout_records.py
+++ b/sycamorehollow/decisions/forwarding/rollout_records.py
@@ -9,7 +9,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Finding:
+class RolloutReport:
     """What one node tells another of a roll-out.
 
     Attributes:
@@ -61,7 +61,7 @@
     first_share: float | None = None
     sound_at: float | None = None
 
-    def sum_up(self) -> failure_counts.Tally:
+    def sum_counts(self) -> failure_counts.Tally:
         """Returns the counts of all nodes."""
         total = failure_counts.Tally()
         for tally in self.tallies.values():
--- a/sycamorehollow/decisions/forwarding/route_table.py
+++ b/sycamorehollow/decisions/forwarding/route_table.py
@@ -22,29 +22,29 @@
         """The configuration that the table was made from."""
         return self._configuration
 
-    def find(
-        self, call: forwarding.Request
+    def find_route(
+        self, request: forwarding.Request
     ) -> forwarding.Route | failures.NotFound:
         """Returns the route of a request."""
-        for route in self._routes.get(call.host, ()):
-            if call.path.startswith(route.path_prefix):
+        for route in self._routes.get(request.host, ()):
+            if request.path.startswith(route.path_prefix):
                 return route
-        return failures.NotFound(f"no route for {call.host}{call.path}")
+        return failures.NotFound(f"no route for {request.host}{request.path}")
 
     def authorize(
-        self, call: forwarding.Request, route: forwarding.Route
+        self, request: forwarding.Request, route: forwarding.Route
     ) -> forwarding.Workspace | failures.Unauthorized | None:
         """Returns the owner of the key; `None` where no key is needed."""
         workspaces = self._configuration.workspaces
         if workspaces is None:
             return None
-        owner = workspaces.get(call.api_key) if call.api_key else None
+        owner = workspaces.get(request.api_key) if request.api_key else None
         if owner is None and not route.auth_exempt:
             return failures.Unauthorized("the API key is missing or unknown")
         return owner
 
     def choose_service(
-        self, route: forwarding.Route, source: random.Random
+        self, route: forwarding.Route, rng: random.Random
     ) -> forwarding.Service | failures.NotFound:
         """Draws one of the route's services by weight."""
         known = [
@@ -55,5 +55,5 @@
         if not known:
             return failures.NotFound(f"route {route.name} has no service")
         weights = [target.weight for target in known]
-        target = source.choices(known, weights)[0]
+        target = rng.choices(known, weights)[0]
         return self._configuration.services[target.service]
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -3,17 +3,17 @@
 import dataclasses
 import random
 
-from sycamorehollow.decisions.forwarding import answer_times
+from sycamorehollow.decisions.forwarding import admission_queue
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import cascade
-from sycamorehollow.decisions.forwarding import cold_limits
+from sycamorehollow.decisions.forwarding import cold_start_limiter
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import placement
-from sycamorehollow.decisions.forwarding import poison
-from sycamorehollow.decisions.forwarding import prompts
+from sycamorehollow.decisions.forwarding import prefix_index
+from sycamorehollow.decisions.forwarding import quarantine
+from sycamorehollow.decisions.forwarding import response_times
 from sycamorehollow.decisions.forwarding import retry_budget
 from sycamorehollow.decisions.forwarding import route_table
-from sycamorehollow.decisions.forwarding import turns
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
@@ -22,8 +22,8 @@
 
 # Part of an upstream's connections that may be idle, and the most that one
 # node keeps to it.
-KEPT_PART = 0.5
-MAX_KEPT = 32
+IDLE_CONNECTION_SHARE = 0.5
+MAX_IDLE_CONNECTIONS = 32
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,39 +50,39 @@
         nodes: The registered nodes by name.
     """
 
-    def __init__(self, settings: gateway.Settings, source: random.Random):
-        self.source = source
-        self.table: route_table.RouteTable | None = None
+    def __init__(self, settings: gateway.Settings, rng: random.Random):
+        self.rng = rng
+        self.route_table: route_table.RouteTable | None = None
         self.directory = directory.Directory(
             min(directory.REREGISTRATION_S, settings.drain_s)
         )
-        self.limits = cold_limits.ColdLimits(
+        self.cold_start_limiter = cold_start_limiter.ColdStartLimiter(
             settings.node, settings.cold_factor, settings.cold_floor
         )
-        self.cache = prompts.PromptCache(settings.reuse_s)
+        self.prefix_index = prefix_index.PrefixIndex(settings.reuse_s)
         self.placement = placement.Placement(
             settings.data_centre,
             self.directory,
-            self.limits,
-            self.cache,
-            source,
+            self.cold_start_limiter,
+            self.prefix_index,
+            rng,
         )
-        self.budget = retry_budget.RetryBudget(
+        self.retry_budget = retry_budget.RetryBudget(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
         )
         # A restarted node counts anew, so each run has counts of its own.
-        run = f"{settings.node}/{source.getrandbits(32):x}"
+        run = f"{settings.node}/{rng.getrandbits(32):x}"
         self.rollouts = canary.Rollouts(run, settings.exposure_share)
-        self.answer_times = answer_times.AnswerTimes(
-            self.rollouts.is_in_service, self.rollouts.note_time
+        self.response_times = response_times.ResponseTimes(
+            self.rollouts.is_in_service, self.rollouts.record_latency
         )
-        self.turns = turns.Turns()
-        self.poison = poison.Poison()
+        self.admission_queue = admission_queue.AdmissionQueue()
+        self.quarantine = quarantine.Quarantine()
         self.delays = cascade.DelayTracker()
         self.nodes: dict[str, watchers.Node] = {}
         self._evacuated: set[str] = set()
 
-    def handle(self, event: events.Event, now: float) -> list[Change]:
+    def apply_event(self, event: events.Event, now: float) -> list[Change]:
         """Applies news about the deployment and returns what changed."""
         match event:
             case updates.ConfigurationSet():
@@ -95,47 +95,53 @@
                 return self._evacuate(event)
             case updates.NodeSet():
                 self.nodes[event.name] = event.node
-                self.limits.set_nodes(self.nodes)
-                self.budget.set_node_count(len(self.nodes))
-                self.rollouts.set_nodes(len(self.nodes))
+                self.cold_start_limiter.add_nodes(self.nodes)
+                self.retry_budget.set_node_count(len(self.nodes))
+                self.rollouts.set_node_count(len(self.nodes))
                 return [Change(f"node={event.name}", event.node.peer_address)]
-            case updates.Unreadable():
+            case updates.UnreadableEntry():
                 return [Change(f"entry={event.key}", event.reason)]
         return self._handle_rollout(event, now)
 
-    def spend_repeat(self, service: str, now: float) -> bool:
+    def reserve_retry(self, service: str, now: float) -> bool:
         """Counts a repeat if the budget of a service has one left."""
-        if not self.budget.can_retry(service, now):
+        if not self.retry_budget.can_retry(service, now):
             return False
-        self.budget.record_retry(service, now)
+        self.retry_budget.record_retry(service, now)
         return True
 
     def configure(self, settings: gateway.Settings) -> None:
         """Takes changed settings."""
-        self.limits.configure(settings.cold_factor, settings.cold_floor)
-        self.budget.configure(
+        self.cold_start_limiter.configure(
+            settings.cold_factor, settings.cold_floor
+        )
+        self.retry_budget.configure(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
         )
         self.rollouts.configure(settings.exposure_share)
 
-    def sweep(self, now: float) -> list[str]:
+    def evict_expired(self, now: float) -> list[str]:
         """Forgets what is gone; returns the identities of upstreams."""
-        self.turns.sweep(now)
+        self.admission_queue.evict_idle_queues(now)
         gone = self.directory.evict_expired(now)
         for identity in gone:
-            self._forget(identity)
+            self._remove_upstream(identity)
         return gone
 
-    def compute_kept_connections(self, service: forwarding.Service) -> int:
+    def compute_max_idle_connections(self, service: forwarding.Service) -> int:
         """Returns this node's share of an upstream's connections for idle ones.
 
         An upstream counts the connections of all nodes; what is not kept is
         left to requests that run.
         """
         if service.max_connections <= 0:
-            return MAX_KEPT
-        share = service.max_connections * KEPT_PART / max(1, len(self.nodes))
-        return max(1, min(MAX_KEPT, int(share)))
+            return MAX_IDLE_CONNECTIONS
+        share = (
+            service.max_connections
+            * IDLE_CONNECTION_SHARE
+            / max(1, len(self.nodes))
+        )
+        return max(1, min(MAX_IDLE_CONNECTIONS, int(share)))
 
     def choose_versions(
         self, service: str, session: str, sound: bool, now: float
@@ -160,7 +166,7 @@
             return old
         if share >= 1:
             return new or old
-        if sound and new and canary.is_chosen(service, session, share):
+        if sound and new and canary.is_assigned(service, session, share):
             return new
         return old or new
 
@@ -168,7 +174,9 @@
         self, configuration: forwarding.Configuration
     ) -> list[Change]:
         known = (
-            self.table.configuration.version if self.table is not None else None
+            self.route_table.configuration.version
+            if self.route_table is not None
+            else None
         )
         if known is not None and configuration.version <= known:
             return [
@@ -177,7 +185,7 @@
                     f"ignored, {known} is in force",
                 )
             ]
-        self.table = route_table.RouteTable(configuration)
+        self.route_table = route_table.RouteTable(configuration)
         return [
             Change(
                 f"configuration={configuration.version}",
@@ -191,7 +199,7 @@
         known = self.directory.get(upstream.identity)
         before = known.upstream if known is not None else None
         if before is not None and before.incarnation != upstream.incarnation:
-            self._forget(upstream.identity)
+            self._remove_upstream(upstream.identity)
         state = self.directory.register(upstream, now)
         if before == upstream:
             return []
@@ -238,7 +246,7 @@
             case updates.RolloutWithdrawn():
                 self.rollouts.remove_order(event.service)
                 return [Change(f"rollout={event.service}", "withdrawn")]
-            case updates.RolloutStated():
+            case updates.RolloutStatusSet():
                 self.rollouts.set_status(event.status)
                 return [
                     Change(
@@ -249,7 +257,7 @@
                 ]
         return []
 
-    def _forget(self, identity: str) -> None:
-        self.limits.forget(identity)
-        self.cache.forget(identity)
-        self.placement.pace.forget(identity)
+    def _remove_upstream(self, identity: str) -> None:
+        self.cold_start_limiter.remove_upstream(identity)
+        self.prefix_index.remove_upstream(identity)
+        self.placement.latency.remove_upstream(identity)
--- a/sycamorehollow/decisions/forwarding/slowness.py
+++ b/sycamorehollow/decisions/forwarding/slowness.py
@@ -17,7 +17,7 @@
 from typing import TypeVar
 import zlib
 
-from sycamorehollow.decisions.forwarding import answer_times
+from sycamorehollow.decisions.forwarding import response_times
 
 # Groups of the new version's upstreams.
 GROUPS = 8
@@ -29,11 +29,11 @@
 MIN_RATE = 0.02
 # Log likelihood ratio at which a version counts as slow, and the one from which
 # on it is suspected.
-BOUND = math.log(5000)
-DOUBT = BOUND / 2
+SLOW_LOG_RATIO = math.log(5000)
+SUSPECT_LOG_RATIO = SLOW_LOG_RATIO / 2
 # Standard deviations by which the share of the answers may exceed the one by
 # which versions are drawn.
-MIX_SIGMA = 2.0
+SHARE_SIGMA = 2.0
 
 _Number = TypeVar("_Number", int, float)
 
@@ -100,7 +100,7 @@
     )
 
 
-def build_one(upstream: str, new: bool, slow: bool, share: float) -> Counts:
+def build_counts(upstream: str, new: bool, slow: bool, share: float) -> Counts:
     """Returns the counts of one answer.
 
     Args:
@@ -123,7 +123,7 @@
 
 
 @dataclasses.dataclass
-class Trial:
+class SequentialTest:
     """The test on one kind of answers.
 
     Attributes:
@@ -132,26 +132,26 @@
     """
 
     latest: Counts = Counts()
-    since: tuple[Counts, ...] = (Counts(),) * len(RATIOS)
+    baselines: tuple[Counts, ...] = (Counts(),) * len(RATIOS)
 
     def update(self, total: Counts) -> None:
         """Takes the present counts."""
         self.latest = total
-        self.since = tuple(
+        self.baselines = tuple(
             total if total.scores[place] <= low.scores[place] else low
-            for place, low in enumerate(self.since)
+            for place, low in enumerate(self.baselines)
         )
 
     @property
     def score(self) -> float:
         """Largest log likelihood ratio since its lowest sum."""
-        return self._measure_all()[0]
+        return self._find_largest_score()[0]
 
     def is_slow(self, bound: float) -> bool:
         """Tells whether the version is slow, and not only some upstreams."""
         if self.score < bound:
             return False
-        found = self.measure()
+        found = self.get_counts()
         rate = max(MIN_RATE, found.old_slow / max(1, found.old))
         groups = [
             slow / count
@@ -161,15 +161,17 @@
         many = [part for part in groups if part > GROUP_RATIO * rate]
         return 2 * len(many) > len(groups)
 
-    def measure(self) -> Counts:
+    def get_counts(self) -> Counts:
         """Returns the counts that led to the score."""
-        return self.latest.plus(self.since[self._measure_all()[1]], -1)
+        return self.latest.plus(
+            self.baselines[self._find_largest_score()[1]], -1
+        )
 
-    def _measure_all(self) -> tuple[float, int]:
+    def _find_largest_score(self) -> tuple[float, int]:
         """Returns the largest score and the place of its ratio."""
         return max(
             (self.latest.scores[place] - low.scores[place], place)
-            for place, low in enumerate(self.since)
+            for place, low in enumerate(self.baselines)
         )
 
 
@@ -183,22 +185,22 @@
 
     def __init__(self) -> None:
         self.counts: dict[str, dict[str, Counts]] = {}
-        self._trials: dict[str, Trial] = {}
+        self._tests: dict[str, SequentialTest] = {}
         self._total = Counts()
 
-    def note(
+    def record(
         self,
         node: str,
-        timed: answer_times.Timed,
-        part: answer_times.Part,
+        timed: response_times.AttemptLabels,
+        part: response_times.LatencyKind,
         new: bool,
         slow: bool,
     ) -> None:
         """A part of an answer was judged at this node."""
         kinds = self.counts.setdefault(node, {})
         kind = f"{part.value} {timed.route.name} {timed.model}".rstrip()
-        share = self._expect(timed.share)
-        one = build_one(timed.upstream, new, slow, share)
+        share = self._estimate_new_share(timed.share)
+        one = build_counts(timed.upstream, new, slow, share)
         kinds[kind] = kinds.get(kind, Counts()).plus(one)
 
     def merge(self, node: str, kinds: Mapping[str, Counts]) -> None:
@@ -208,9 +210,9 @@
             if counts.size > known.get(kind, Counts()).size:
                 known[kind] = counts
 
-    def judge(self) -> str:
+    def evaluate(self) -> str:
         """Tests all kinds; returns why the version is slow, if it is."""
-        self._total = self.sum_up()
+        self._total = self.sum_counts()
         totals: dict[str, Counts] = {}
         for kinds in self.counts.values():
             for kind, counts in kinds.items():
@@ -218,20 +220,23 @@
                 for name in (kind.partition(" ")[0], kind):
                     totals[name] = totals.get(name, Counts()).plus(counts)
         for kind, total in totals.items():
-            trial = self._trials.setdefault(kind, Trial())
+            trial = self._tests.setdefault(kind, SequentialTest())
             trial.update(total)
-            if trial.is_slow(BOUND):
+            if trial.is_slow(SLOW_LOG_RATIO):
                 return (
-                    f"{kind}: {trial.measure().describe()}"
-                    f" (log evidence {trial.score:.1f}, bound {BOUND:.1f})"
+                    f"{kind}: {trial.get_counts().describe()}"
+                    f" (log evidence {trial.score:.1f},"
+                    f" bound {SLOW_LOG_RATIO:.1f})"
                 )
         return ""
 
-    def is_doubtful(self) -> bool:
+    def is_possibly_slow(self) -> bool:
         """Tells whether the version looks slow without proof yet."""
-        return any(trial.is_slow(DOUBT) for trial in self._trials.values())
+        return any(
+            trial.is_slow(SUSPECT_LOG_RATIO) for trial in self._tests.values()
+        )
 
-    def sum_up(self) -> Counts:
+    def sum_counts(self) -> Counts:
         """Returns the counts of all nodes and kinds."""
         total = Counts()
         for kinds in self.counts.values():
@@ -239,7 +244,7 @@
                 total = total.plus(counts)
         return total
 
-    def _expect(self, share: float) -> float:
+    def _estimate_new_share(self, share: float) -> float:
         """Returns the chance that a slow answer is the new version's."""
         size = self._total.size
         if not size:
@@ -247,7 +252,7 @@
         observed = sum(self._total.new) / size
         spread = math.sqrt(share * (1 - share) / size)
         # Some sessions send more requests than others.
-        return observed if observed > share + MIX_SIGMA * spread else share
+        return observed if observed > share + SHARE_SIGMA * spread else share
 
 
 def _add(
--- a/sycamorehollow/decisions/forwarding/updates.py
+++ b/sycamorehollow/decisions/forwarding/updates.py
@@ -43,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RolloutStated(events.Event):
+class RolloutStatusSet(events.Event):
     """A node has stated how far a roll-out has come."""
 
     status: forwarding.RolloutStatus
@@ -66,7 +66,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Unreadable(events.Event):
+class UnreadableEntry(events.Event):
     """A value could not be decoded and is ignored."""
 
     key: str
--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -49,45 +49,45 @@
         source: Source of randomness.
     """
 
-    def __init__(self, name: str, data_centre: str, source: random.Random):
+    def __init__(self, name: str, data_centre: str, rng: random.Random):
         self._name = name
         self._data_centre = data_centre
-        self._source = source
+        self._rng = rng
         self._unreachable: dict[str, float] = {}
         self._fresh_at = float("-inf")
 
-    def note_fresh(self, at: float) -> None:
+    def record_fresh(self, at: float) -> None:
         """All changes that the store had made by then are known."""
         self._fresh_at = max(self._fresh_at, at)
 
-    def note_unreachable(self, name: str, now: float) -> None:
+    def record_unreachable(self, name: str, now: float) -> None:
         """A node did not answer."""
         self._unreachable[name] = now + UNREACHABLE_S
 
-    def measure_age(self, now: float) -> float:
+    def compute_age_s(self, now: float) -> float:
         """Returns the seconds since the store was last heard of."""
         return now - self._fresh_at
 
-    def list_chosen(self, nodes: Mapping[str, Node], now: float) -> list[str]:
+    def list_watchers(self, nodes: Mapping[str, Node], now: float) -> list[str]:
         """Returns the nodes of the data centre that watch."""
         return self._list_by_data_centre(nodes, now).get(self._data_centre, [])
 
-    def needs_watch(self, nodes: Mapping[str, Node], now: float) -> bool:
+    def should_watch(self, nodes: Mapping[str, Node], now: float) -> bool:
         """Tells whether this node follows the store itself."""
         if self._is_watcher(nodes, now):
             return True
-        return self.measure_age(now) > STALE_S
+        return self.compute_age_s(now) > STALE_S
 
-    def choose_source(
+    def choose_watcher(
         self, nodes: Mapping[str, Node], now: float
     ) -> str | None:
         """Returns the node to ask for news, if this node is a follower."""
-        chosen = self.list_chosen(nodes, now)
+        chosen = self.list_watchers(nodes, now)
         if len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen:
             return None
-        return self._source.choice(chosen)
+        return self._rng.choice(chosen)
 
-    def choose_partner(
+    def choose_gossip_peer(
         self, nodes: Mapping[str, Node], age_s: float, now: float
     ) -> str | None:
         """Returns the node to exchange findings with, if there is a need.
@@ -110,10 +110,10 @@
             ]
         else:
             return None
-        return self._source.choice(others) if others else None
+        return self._rng.choice(others) if others else None
 
     def _is_watcher(self, nodes: Mapping[str, Node], now: float) -> bool:
-        chosen = self.list_chosen(nodes, now)
+        chosen = self.list_watchers(nodes, now)
         return len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen
 
     def _list_by_data_centre(
--- a/sycamorehollow/platform/store_codec.py
+++ b/sycamorehollow/platform/store_codec.py
@@ -54,7 +54,7 @@
     def _decode_node(self, key: str, value: str) -> Sequence[events.Event]:
         node = documents.decode_node(value)
         if isinstance(node, failures.Failure):
-            return [updates.Unreadable(key, node.reason)]
+            return [updates.UnreadableEntry(key, node.reason)]
         name = key.removeprefix(documents.NODE_PREFIX)
         return [updates.NodeSet(name, node)]
 
@@ -65,7 +65,7 @@
             return []
         configuration = documents.decode_configuration(entry.value)
         if isinstance(configuration, failures.Failure):
-            return [updates.Unreadable(entry.key, configuration.reason)]
+            return [updates.UnreadableEntry(entry.key, configuration.reason)]
         return [updates.ConfigurationSet(configuration)]
 
     def _decode_upstream(self, entry: mirror.Entry) -> Sequence[events.Event]:
@@ -76,7 +76,7 @@
         if isinstance(upstream, failures.Failure):
             # Another writer may have replaced the entry of an upstream.
             return [
-                updates.Unreadable(entry.key, upstream.reason),
+                updates.UnreadableEntry(entry.key, upstream.reason),
                 updates.UpstreamRemoved(identity),
             ]
         return [updates.UpstreamSet(upstream)]
@@ -87,7 +87,7 @@
             return [updates.RolloutWithdrawn(service)]
         order = documents.decode_rollout(entry.value, entry.revision)
         if isinstance(order, failures.Failure):
-            return [updates.Unreadable(entry.key, order.reason)]
+            return [updates.UnreadableEntry(entry.key, order.reason)]
         return [updates.RolloutOrdered(order)]
 
     def _decode_status(self, entry: mirror.Entry) -> Sequence[events.Event]:
@@ -95,5 +95,5 @@
             return []
         status = documents.decode_status(entry.key, entry.value, entry.revision)
         if isinstance(status, failures.Failure):
-            return [updates.Unreadable(entry.key, status.reason)]
-        return [updates.RolloutStated(status)]
+            return [updates.UnreadableEntry(entry.key, status.reason)]
+        return [updates.RolloutStatusSet(status)]
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -147,7 +147,7 @@
 
     def _reserve_retry(self, upstream: forwarding.Upstream) -> bool:
         """Allows a request on a connection that the upstream had dropped."""
-        allowed = self._router.spend_repeat(upstream.service, time.monotonic())
+        allowed = self._router.reserve_retry(upstream.service, time.monotonic())
         outcome = "had dropped a kept connection, "
         outcome += "sent once more" if allowed else "no repeat is left"
         self._telemetry.record_state_change(
@@ -156,7 +156,7 @@
         return allowed
 
     def _refund_retry(self, upstream: forwarding.Upstream) -> None:
-        self._router.budget.refund_retry(upstream.service)
+        self._router.retry_budget.refund_retry(upstream.service)
 
     def _start_state_sync(self) -> None:
         state = state_sync.StateSync(
@@ -216,7 +216,7 @@
         )
 
     def _get_limits(self) -> forwarding.CallerLimits:
-        table = self._router.table
+        table = self._router.route_table
         if table is None:
             return forwarding.CallerLimits()
         return table.configuration.limits
--- a/sycamorehollow/shells/gateway/crash_checker.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -39,7 +39,9 @@
 
     def start_due_checks(self) -> None:
         """Starts the checks that are due."""
-        for run in self._router.poison.list_unchecked(time.monotonic()):
+        for run in self._router.quarantine.list_incarnations_to_check(
+            time.monotonic()
+        ):
             if len(self._checks) >= MAX_CONCURRENT_CHECKS:
                 return
             if run in self._checks:
@@ -62,7 +64,7 @@
             self._telemetry.log_error(f"check of {run}", error)
         finally:
             del self._checks[run]
-        contents = self._router.poison.note_checked(run, crashed, began)
+        contents = self._router.quarantine.record_check(run, crashed, began)
         verdict = "crash" if crashed else "no crash"
         self._telemetry.record_state_change(
             f"break={run}",
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -118,7 +118,7 @@
 
     async def _wait_for_configuration(self) -> None:
         """Waits a moment for the configuration of a process that starts."""
-        while self._router.table is None:
+        while self._router.route_table is None:
             if time.monotonic() - self._started_at > CONFIGURATION_WAIT_S:
                 return
             await asyncio.sleep(CONFIGURATION_POLL_INTERVAL_S)
@@ -131,7 +131,7 @@
         now: float,
     ) -> courses.RequestLifecycle | failures.Failure:
         """Finds the route and service of a request."""
-        table = self._router.table
+        table = self._router.route_table
         if table is None:
             return steps.Unavailable(
                 "no configuration is known yet",
@@ -142,7 +142,7 @@
                 "the node is leaving", retry_after_s=DRAINING_RETRY_AFTER_S
             )
         record.configuration_version = table.configuration.version
-        route = table.find(call)
+        route = table.find_route(call)
         if isinstance(route, failures.Failure):
             return route
         record.route = route.name
@@ -150,7 +150,7 @@
         if isinstance(workspace, failures.Failure):
             return workspace
         record.workspace = workspace
-        service = table.choose_service(route, self._router.source)
+        service = table.choose_service(route, self._router.rng)
         if isinstance(service, failures.Failure):
             return service
         record.service = service.name
--- a/sycamorehollow/shells/gateway/rollout_messages.py
+++ b/sycamorehollow/shells/gateway/rollout_messages.py
@@ -55,7 +55,7 @@
             node: failure_counts.Tally(*counts)
             for node, counts in entry.pop("tallies").items()
         }
-        finding = rollout_records.Finding(tallies=tallies, **entry)
+        finding = rollout_records.RolloutReport(tallies=tallies, **entry)
         rollouts.merge(finding, now)
     for entry in document.get("slowness", ()):
         counts = {
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -89,7 +89,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether enough is known to serve requests."""
-        return self._router.table is not None and bool(
+        return self._router.route_table is not None and bool(
             self._router.directory.list_all()
         )
 
@@ -140,7 +140,7 @@
     def run_periodic_work(self) -> list[str]:
         """Does what is due; returns the upstreams that were forgotten."""
         now = time.monotonic()
-        for rollout in self._router.rollouts.judge(now):
+        for rollout in self._router.rollouts.evaluate(now):
             self._telemetry.record_state_change(
                 f"rollout={rollout.order.service}",
                 f"worse: {rollout.reason}",
@@ -156,19 +156,19 @@
             )
             self._next_sync_at = now + pause_s * self._rng.uniform(0.8, 1.2)
             self._send_sync_request(
-                self._watchers.choose_partner(
+                self._watchers.choose_gossip_peer(
                     self._router.nodes, self._compute_staleness_s(now), now
                 )
             )
         self._choose_state_source(now)
-        return self._router.sweep(now)
+        return self._router.evict_expired(now)
 
     def _choose_state_source(self, now: float) -> None:
         """Follows the store or a node that does."""
         if self._watch_task is None or not self._has_listing:
             return
         nodes = self._router.nodes
-        active = self._watchers.needs_watch(nodes, now)
+        active = self._watchers.should_watch(nodes, now)
         if active != self._watch_task.active:
             self._watch_task.active = active
             # A follower does not call the store, so it cannot have lost it.
@@ -176,7 +176,7 @@
             self._telemetry.record_state_change(
                 "store",
                 "followed directly" if active else "followed by another node",
-                f"age {self._watchers.measure_age(now):.1f} s",
+                f"age {self._watchers.compute_age_s(now):.1f} s",
             )
         if (
             now < self._next_follow_at
@@ -186,7 +186,7 @@
             return
         self._next_follow_at = now + FOLLOW_INTERVAL_S
         self._follow_request = self._send_sync_request(
-            self._watchers.choose_source(nodes, now)
+            self._watchers.choose_watcher(nodes, now)
         )
 
     def _handle(self, event: events.Event) -> None:
@@ -217,7 +217,7 @@
                 )
             case peer_client.PeerRequestFailed():
                 name = self._pending_requests.pop(event.number, "")
-                self._watchers.note_unreachable(name, time.monotonic())
+                self._watchers.record_unreachable(name, time.monotonic())
 
     def _apply(self, news: list[mirror.Entry], source: str) -> None:
         for entry in news:
@@ -231,7 +231,7 @@
     def _apply_entry(self, entry: mirror.Entry, source: str) -> None:
         now = time.monotonic()
         for update in self._codec.decode(entry):
-            for change in self._router.handle(update, now):
+            for change in self._router.apply_event(update, now):
                 self._telemetry.record_state_change(
                     change.subject, change.outcome, source
                 )
@@ -240,7 +240,7 @@
         if self._store_lost or not self._has_listing:
             self._telemetry.log_event("store regained")
         now = time.monotonic()
-        self._watchers.note_fresh(now)
+        self._watchers.record_fresh(now)
         if self._store_lost:
             self._store_recovered_at = now
             self._router.directory.record_store_recovery(now)
@@ -332,17 +332,17 @@
             "age_s": self._compute_staleness_s(now),
             "store_back_s": min(MAX_AGE_S, now - self._store_recovered_at),
             **rollout_messages.export(self._router.rollouts, now),
-            "poison": self._router.poison.export(now),
-            "sound": self._router.poison.export_sound(now),
+            "poison": self._router.quarantine.export(now),
+            "sound": self._router.quarantine.export_completions(now),
         }
-        delta = None if since is None else self._mirror.collect(since)
+        delta = None if since is None else self._mirror.build_delta(since)
         if delta is not None:
             document["delta"] = {
                 "entries": [
                     [e.key, e.value, e.revision] for e in delta.entries
                 ],
                 "revision": delta.revision,
-                "whole": delta.whole,
+                "whole": delta.is_snapshot,
             }
         return peer_messages.encode(document)
 
@@ -351,7 +351,7 @@
         watching = self._watch_task is not None and self._watch_task.active
         if watching and self._has_listing and not self._store_lost:
             return 0.0
-        return min(MAX_AGE_S, self._watchers.measure_age(now))
+        return min(MAX_AGE_S, self._watchers.compute_age_s(now))
 
     def _merge_sync_message(
         self, address: str, payload: bytes, answered: bool
@@ -372,10 +372,12 @@
             return
         try:
             rollout_messages.merge(self._router.rollouts, document, now)
-            self._router.poison.merge_sound(document.get("sound", {}), now)
-            self._router.poison.merge(document.get("poison", {}), now)
+            self._router.quarantine.merge_completions(
+                document.get("sound", {}), now
+            )
+            self._router.quarantine.merge(document.get("poison", {}), now)
             if answered:
-                self._watchers.note_fresh(now - float(document["age_s"]))
+                self._watchers.record_fresh(now - float(document["age_s"]))
             # Entries may have lapsed while the store was away from the other
             # node; that it is away from this one alone tells nothing.
             back_at = now - float(document["store_back_s"])
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -102,11 +102,11 @@
 def build_router(*upstreams, configuration=None, **settings):
     """Returns a router that knows a configuration and upstreams."""
     built = router.Router(build_settings(**settings), random.Random(7))
-    built.handle(
+    built.apply_event(
         updates.ConfigurationSet(configuration or build_configuration()), 0.0
     )
     for upstream in upstreams:
-        built.handle(updates.UpstreamSet(upstream), 0.0)
+        built.apply_event(updates.UpstreamSet(upstream), 0.0)
     return built
 
 
@@ -116,7 +116,7 @@
         built,
         request or build_request(),
         route or build_route(),
-        built.table.configuration.services["llm"],
+        built.route_table.configuration.services["llm"],
         "fingerprint",
         100,
         now,
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import response_times
 from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
@@ -26,8 +26,12 @@
     """An upstream answers, and the time that it took is judged."""
     rollouts.record_response("s", version, failed)
     route = forwarding_world.build_route()
-    timed = answer_times.Timed("s", version, route, "small", "a", 0, 0.1)
-    rollouts.note_time(timed, answer_times.Part.START, False)
+    timed = response_times.AttemptLabels(
+        "s", version, route, "small", "a", 0, 0.1
+    )
+    rollouts.record_latency(
+        timed, response_times.LatencyKind.FIRST_EVENT, False
+    )
 
 
 class Fleet:
@@ -55,7 +59,7 @@
         order = forwarding.RolloutOrder("s", "v2", duration_s, 5)
         for number in range(nodes):
             rollouts = canary.Rollouts(f"n{number}", EXPOSURE)
-            rollouts.set_nodes(nodes)
+            rollouts.set_node_count(nodes)
             rollouts.set_order(order, 0.0)
             self.nodes.append(rollouts)
 
@@ -69,7 +73,7 @@
                 self._sync(now)
             for node in self.nodes:
                 if tick % 8 == 0:
-                    node.judge(now)
+                    node.evaluate(now)
                 state = node.find_due_state("s", now)
                 if state not in (None, forwarding.RolloutState.RUNNING):
                     final = final or state
@@ -82,7 +86,7 @@
     def _serve(self, node, now):
         share = node.compute_share("s", now)
         session = str(self._source.random())
-        new = canary.is_chosen("s", session, share)
+        new = canary.is_assigned("s", session, share)
         rate = self._base
         if new and now >= self._gap_s:
             rate = self._fails
@@ -147,8 +151,8 @@
     def test_session_keeps_the_new_version_while_the_share_rises(self):
         for number in range(500):
             session = f"session-{number}"
-            if canary.is_chosen("s", session, 0.1):
-                self.assertTrue(canary.is_chosen("s", session, 0.4))
+            if canary.is_assigned("s", session, 0.1):
+                self.assertTrue(canary.is_assigned("s", session, 0.4))
 
     def test_few_answers_with_failures_do_not_widen_the_exposure(self):
         rollouts = canary.Rollouts("a", EXPOSURE)
@@ -175,7 +179,7 @@
         rollouts.compute_share("s", 18.0)
         for _ in range(20):
             answer(rollouts, "v2", False)
-        rollouts.judge(18.5)
+        rollouts.evaluate(18.5)
         self.assertLess(rollouts.compute_share("s", 19.0), 0.2)
         self.assertEqual(rollouts.compute_share("s", 23.9), 1.0)
 
@@ -192,7 +196,7 @@
                 node.record_response("s", "v2", True)
             for finding in node.export(float(run)):
                 other.merge(finding, float(run))
-        self.assertEqual(other.get("s").sum_up().new_failed, 12)
+        self.assertEqual(other.get("s").sum_counts().new_failed, 12)
 
     def test_restarted_node_learns_how_long_it_has_run(self):
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
@@ -210,7 +214,7 @@
         small, large = canary.Rollouts("a", 0.15), canary.Rollouts("b", 0.15)
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         for rollouts, answers in ((small, 4), (large, 200)):
-            rollouts.set_nodes(9)
+            rollouts.set_node_count(9)
             rollouts.set_order(order, 0.0)
             self.assertEqual(rollouts.compute_share("s", 1.0), 0.0)
             for _ in range(answers):
@@ -226,7 +230,7 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         for answers in (1, 4, 20, 40, 200, 1000):
             rollouts = canary.Rollouts("a", EXPOSURE)
-            rollouts.set_nodes(9)
+            rollouts.set_node_count(9)
             rollouts.set_order(order, 0.0)
             for _ in range(answers):
                 rollouts.record_response("s", "v1", False)
@@ -234,7 +238,9 @@
             share = rollouts.compute_share("s", 3.0)
             self.assertLessEqual(share, EXPOSURE)
             # Halving stops within a factor of two of what is asked for.
-            self.assertLessEqual(share * rate, 2 * canary.EVIDENCE_PER_S)
+            self.assertLessEqual(
+                share * rate, 2 * canary.TARGET_RESPONSES_PER_S
+            )
 
     def test_old_version_gets_nothing_new_before_it_is_stopped(self):
         rollouts = canary.Rollouts("a", EXPOSURE)
@@ -242,7 +248,7 @@
         rollouts.set_order(order, 0.0)
         for _ in range(50):
             answer(rollouts, "v2", False)
-        rollouts.judge(1.0)
+        rollouts.evaluate(1.0)
         due = [
             at * 0.1
             for at in range(240)
@@ -263,9 +269,10 @@
             forwarding_world.build_upstream("b", version="v2"),
         )
         order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
-        built.handle(updates.RolloutOrdered(order), 0.0)
+        built.apply_event(updates.RolloutOrdered(order), 0.0)
         built.rollouts.merge(
-            rollout_records.Finding("llm", 5, True, 1.0, None, None, {}), 1.0
+            rollout_records.RolloutReport("llm", 5, True, 1.0, None, None, {}),
+            1.0,
         )
         for number in range(50):
             versions = built.choose_versions("llm", f"s{number}", True, 1.0)
@@ -281,11 +288,11 @@
             forwarding_world.build_upstream("b", version="v2"),
         )
         order = forwarding.RolloutOrder("llm", "v2", DURATION_S, 5)
-        built.handle(updates.RolloutOrdered(order), 0.0)
+        built.apply_event(updates.RolloutOrdered(order), 0.0)
         status = forwarding.RolloutStatus(
             "llm", "v2", forwarding.RolloutState.COMPLETED, 9
         )
-        built.handle(updates.RolloutStated(status), 1.0)
+        built.apply_event(updates.RolloutStatusSet(status), 1.0)
         self.assertEqual(built.choose_versions("llm", "s", True, 1.0), {"v2"})
 
     def test_status_of_an_earlier_order_is_ignored(self):
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -209,7 +209,7 @@
         new = forwarding_world.build_upstream("c", version="v2")
         built = forwarding_world.build_router(*old, new)
         order = forwarding.RolloutOrder("llm", "v2", 24.0, 5)
-        built.handle(updates.RolloutOrdered(order), 0.0)
+        built.apply_event(updates.RolloutOrdered(order), 0.0)
         lifecycle = forwarding_world.build_lifecycle(built)
         lifecycle.choose_next_step(0.0)
         lifecycle.evaluate_head(forwarding_world.build_head(confidence=99), 0.1)
@@ -219,7 +219,7 @@
         self.assertEqual(step.state.upstream.version, "v1")
         lifecycle.record_connection_failure("closed", True, 2.0)
         for upstream in old:
-            built.handle(updates.UpstreamRemoved(upstream.identity), 2.0)
+            built.apply_event(updates.UpstreamRemoved(upstream.identity), 2.0)
         step = lifecycle.choose_next_step(2.0)
         self.assertEqual(step.state.upstream.version, "v2")
 
@@ -251,10 +251,10 @@
             )
             step = lifecycle.choose_next_step(float(attempt))
             leaving = dataclasses.replace(step.state.upstream, draining=True)
-            built.handle(updates.UpstreamSet(leaving), attempt + 0.05)
+            built.apply_event(updates.UpstreamSet(leaving), attempt + 0.05)
             lifecycle.record_connection_failure("closed", True, attempt + 0.1)
             lifecycle.record_possible_crash(attempt + 0.1)
-        self.assertFalse(built.poison.is_refused("fingerprint", 4.0))
+        self.assertFalse(built.quarantine.is_quarantined("fingerprint", 4.0))
 
     def test_poisonous_request_ends(self):
         built = forwarding_world.build_router(*UPSTREAMS)
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -80,7 +80,7 @@
         built = build_router()
         lifecycle = start_stream(built)
         breaks = {f"r{number}": 0.1 for number in range(3)}
-        built.poison.merge({"fingerprint": breaks}, 1.0)
+        built.quarantine.merge({"fingerprint": breaks}, 1.0)
         self.assert_kept(
             lifecycle, 3.0, "requests like it have crashed upstreams"
         )
@@ -181,10 +181,12 @@
         lifecycle = start_stream(built)
         lifecycle.record_connection_failure("closed", True, 1.0)
         for state in built.directory.list_all():
-            built.handle(updates.UpstreamRemoved(state.upstream.identity), 1.0)
+            built.apply_event(
+                updates.UpstreamRemoved(state.upstream.identity), 1.0
+            )
         self.assertIsInstance(lifecycle.choose_next_step(1.1), steps.Wait)
         upstream = forwarding_world.build_upstream("u9")
-        built.handle(updates.UpstreamSet(upstream), 1.2)
+        built.apply_event(updates.UpstreamSet(upstream), 1.2)
         self.assertIsInstance(lifecycle.choose_next_step(1.3), steps.Send)
 
     def test_small_model_is_asked_again_when_the_larger_one_is_gone(self):
@@ -200,7 +202,7 @@
         )
         self.assertEqual(lifecycle.choose_next_step(0.05).model, "large")
         lifecycle.record_connection_failure("cannot connect", False, 0.06)
-        built.handle(updates.UpstreamRemoved("b"), 0.07)
+        built.apply_event(updates.UpstreamRemoved("b"), 0.07)
         now, step = 0.08, lifecycle.choose_next_step(0.08)
         while isinstance(step, steps.Wait):
             now += step.seconds
@@ -271,7 +273,7 @@
         lifecycle = forwarding_world.build_lifecycle(built)
         lifecycle.choose_next_step(0.0)
         breaks = {f"r{number}": 0.1 for number in range(3)}
-        built.poison.merge({"fingerprint": breaks}, 0.04)
+        built.quarantine.merge({"fingerprint": breaks}, 0.04)
         head = forwarding_world.build_head(confidence=10)
         self.assertIs(
             lifecycle.evaluate_head(head, 0.05), steps.Verdict.DELIVER
--- a/tests/test_forwarding_poison.py
+++ b/tests/test_forwarding_poison.py
@@ -3,102 +3,106 @@
 import random
 import unittest
 
-from sycamorehollow.decisions.forwarding import poison
+from sycamorehollow.decisions.forwarding import quarantine
 
 
 class PoisonTest(unittest.TestCase):
     """Guards against requests that crash one upstream after the other."""
 
     def test_third_break_ends_it_and_success_clears_it(self):
-        known = poison.Poison()
+        known = quarantine.Quarantine()
         for run in ("a/1", "b/1", "b/1"):
-            known.note_break("f", run, 0.0)
-        self.assertFalse(known.is_refused("f", 1.0))
-        other = poison.Poison()
+            known.record_break("f", run, 0.0)
+        self.assertFalse(known.is_quarantined("f", 1.0))
+        other = quarantine.Quarantine()
         other.merge(known.export(1.0), 1.0)
-        other.note_break("f", "c/1", 1.0)
-        self.assertTrue(other.is_refused("f", 1.0))
-        self.assertFalse(other.is_refused("f", 1.0 + poison.KEEP_S))
-        other.note_success("f", 1.0)
-        self.assertFalse(other.is_refused("f", 1.0))
+        other.record_break("f", "c/1", 1.0)
+        self.assertTrue(other.is_quarantined("f", 1.0))
+        self.assertFalse(
+            other.is_quarantined("f", 1.0 + quarantine.RETENTION_S)
+        )
+        other.record_completion("f", 1.0)
+        self.assertFalse(other.is_quarantined("f", 1.0))
 
     def test_content_that_runs_elsewhere_is_not_to_blame(self):
-        known, other = poison.Poison(), poison.Poison()
-        known.note_success("f", 0.0)
+        known, other = quarantine.Quarantine(), quarantine.Quarantine()
+        known.record_completion("f", 0.0)
         for run in ("a/1", "b/1", "c/1"):
-            known.note_break("f", run, 1.0)
-            other.note_break("f", run, 1.0)
+            known.record_break("f", run, 1.0)
+            other.record_break("f", run, 1.0)
         # Three upstreams were cut off while each ran the popular request.
-        self.assertFalse(known.is_refused("f", 2.0))
-        self.assertTrue(other.is_refused("f", 2.0))
+        self.assertFalse(known.is_quarantined("f", 2.0))
+        self.assertTrue(other.is_quarantined("f", 2.0))
         known.merge(other.export(2.0), 2.0)
-        self.assertFalse(known.is_refused("f", 2.0))
-        other.merge_sound(known.export_sound(2.0), 2.0)
-        self.assertFalse(other.is_refused("f", 2.0))
+        self.assertFalse(known.is_quarantined("f", 2.0))
+        other.merge_completions(known.export_completions(2.0), 2.0)
+        self.assertFalse(other.is_quarantined("f", 2.0))
         self.assertEqual(known.export(2.0), {})
 
     def test_content_that_ran_long_ago_is_counted_again(self):
-        known = poison.Poison()
-        known.note_success("f", 0.0)
-        later = poison.KEEP_S + 1.0
+        known = quarantine.Quarantine()
+        known.record_completion("f", 0.0)
+        later = quarantine.RETENTION_S + 1.0
         for run in ("a/1", "b/1", "c/1"):
-            known.note_break("f", run, later)
-        self.assertTrue(known.is_refused("f", later))
-        self.assertEqual(known.export_sound(later), {})
+            known.record_break("f", run, later)
+        self.assertTrue(known.is_quarantined("f", later))
+        self.assertEqual(known.export_completions(later), {})
 
     def test_break_by_an_upstream_that_lives_is_not_counted(self):
-        known, other = poison.Poison(), poison.Poison()
+        known, other = quarantine.Quarantine(), quarantine.Quarantine()
         for run in ("a/1", "b/1", "c/1"):
-            known.note_break("f", run, 0.0)
-        self.assertEqual(known.list_unchecked(0.0), [])
+            known.record_break("f", run, 0.0)
+        self.assertEqual(known.list_incarnations_to_check(0.0), [])
         # Before the checks the breaks count here, but nowhere else.
-        self.assertTrue(known.is_refused("f", 0.1))
+        self.assertTrue(known.is_quarantined("f", 0.1))
         self.assertEqual(known.export(0.1), {})
-        self.assertEqual(known.list_unchecked(0.1), ["a/1", "b/1", "c/1"])
-        known.note_checked("a/1", False, 0.1)
-        known.note_checked("b/1", True, 0.1)
-        self.assertFalse(known.is_refused("f", 0.2))
+        self.assertEqual(
+            known.list_incarnations_to_check(0.1), ["a/1", "b/1", "c/1"]
+        )
+        known.record_check("a/1", False, 0.1)
+        known.record_check("b/1", True, 0.1)
+        self.assertFalse(known.is_quarantined("f", 0.2))
         other.merge(known.export(0.2), 0.2)
         # The check of c/1 has failed, so it counts.
         self.assertEqual(set(known.export(1.0)["f"]), {"b/1", "c/1"})
         self.assertEqual(set(other.export(1.0)["f"]), {"b/1"})
-        self.assertEqual(known.list_unchecked(1.0), ["c/1"])
+        self.assertEqual(known.list_incarnations_to_check(1.0), ["c/1"])
 
     def test_break_just_before_a_check_is_checked_again(self):
-        known = poison.Poison()
-        known.note_break("f", "a/1", 0.0)
-        known.note_break("g", "a/1", 0.0505)
+        known = quarantine.Quarantine()
+        known.record_break("f", "a/1", 0.0)
+        known.record_break("g", "a/1", 0.0505)
         # The listening socket of a process that ends may still be open.
-        self.assertEqual(known.note_checked("a/1", False, 0.051), 1)
-        self.assertEqual(known.list_unchecked(0.2), ["a/1"])
+        self.assertEqual(known.record_check("a/1", False, 0.051), 1)
+        self.assertEqual(known.list_incarnations_to_check(0.2), ["a/1"])
 
     def test_break_after_the_start_of_a_check_is_checked_again(self):
-        known = poison.Poison()
-        known.note_break("f", "a/1", 0.0)
-        known.note_break("g", "a/1", 0.2)
-        self.assertEqual(known.note_checked("a/1", False, 0.1), 1)
-        self.assertEqual(known.list_unchecked(0.3), ["a/1"])
-        known.note_checked("a/1", True, 0.3)
+        known = quarantine.Quarantine()
+        known.record_break("f", "a/1", 0.0)
+        known.record_break("g", "a/1", 0.2)
+        self.assertEqual(known.record_check("a/1", False, 0.1), 1)
+        self.assertEqual(known.list_incarnations_to_check(0.3), ["a/1"])
+        known.record_check("a/1", True, 0.3)
         self.assertEqual(set(known.export(0.3)), {"g"})
 
     def test_acquittal_keeps_what_another_node_has_checked(self):
-        known = poison.Poison()
+        known = quarantine.Quarantine()
         known.merge({"f": {"a/1": 0.0}}, 0.0)
-        known.note_break("f", "a/1", 0.1)
-        self.assertEqual(known.list_unchecked(1.0), [])
-        known.note_checked("a/1", False, 1.0)
+        known.record_break("f", "a/1", 0.1)
+        self.assertEqual(known.list_incarnations_to_check(1.0), [])
+        known.record_check("a/1", False, 1.0)
         self.assertEqual(set(known.export(1.0)["f"]), {"a/1"})
 
     def test_memory_of_contents_is_bounded(self):
-        known = poison.Poison()
-        for number in range(3 * poison.MAX_FINGERPRINTS):
-            known.note_success(f"f{number}", 0.0)
+        known = quarantine.Quarantine()
+        for number in range(3 * quarantine.MAX_FINGERPRINTS):
+            known.record_completion(f"f{number}", 0.0)
         # The earliest is forgotten, the latest is not.
         for run in ("a/1", "b/1", "c/1"):
-            known.note_break("f0", run, 1.0)
-            known.note_break(f"f{number}", run, 1.0)
-        self.assertTrue(known.is_refused("f0", 1.0))
-        self.assertFalse(known.is_refused(f"f{number}", 1.0))
+            known.record_break("f0", run, 1.0)
+            known.record_break(f"f{number}", run, 1.0)
+        self.assertTrue(known.is_quarantined("f0", 1.0))
+        self.assertFalse(known.is_quarantined(f"f{number}", 1.0))
 
 
 class Fleet:
@@ -109,7 +113,7 @@
     """
 
     def __init__(self, nodes, seed):
-        self.nodes = [poison.Poison() for _ in range(nodes)]
+        self.nodes = [quarantine.Quarantine() for _ in range(nodes)]
         self.source = random.Random(seed)
         self.exported = 0
 
@@ -131,9 +135,9 @@
         self._hand_on(other, node, now)
 
     def _hand_on(self, sender, receiver, now):
-        breaks, sound = sender.export(now), sender.export_sound(now)
+        breaks, sound = sender.export(now), sender.export_completions(now)
         self.exported += len(breaks) + len(sound)
-        receiver.merge_sound(sound, now)
+        receiver.merge_completions(sound, now)
         receiver.merge(breaks, now)
 
 
@@ -146,12 +150,12 @@
                 fleet = Fleet(nodes, seed=nodes)
                 at = 0.0
                 for number, run in enumerate(("a/1", "b/1", "c/1")):
-                    fleet.nodes[number].note_break("f", run, at)
+                    fleet.nodes[number].record_break("f", run, at)
                     at = fleet.play(at, 1)
                 # The platform's page gives five seconds from the third crash.
                 at = fleet.play(at, 4)
                 self.assertTrue(
-                    all(node.is_refused("f", at) for node in fleet.nodes)
+                    all(node.is_quarantined("f", at) for node in fleet.nodes)
                 )
                 fleet.play(at, 10)
                 fleet.exported = 0
@@ -160,17 +164,17 @@
 
     def test_content_that_one_node_has_run_is_cleared_everywhere(self):
         fleet = Fleet(195, seed=3)
-        fleet.nodes[50].note_success("f", 0.0)
+        fleet.nodes[50].record_completion("f", 0.0)
         for number, run in enumerate(("a/1", "b/1", "c/1")):
-            fleet.nodes[number].note_break("f", run, 0.0)
+            fleet.nodes[number].record_break("f", run, 0.0)
         at = fleet.play(0.0, 15)
-        blamed = sum(node.is_refused("f", at) for node in fleet.nodes)
+        blamed = sum(node.is_quarantined("f", at) for node in fleet.nodes)
         self.assertEqual(blamed, 0)
 
     def test_news_of_many_breaks_is_bounded(self):
-        known = poison.Poison()
-        for number in range(3 * poison.MAX_EXPORTED):
-            known.note_break(f"f{number}", "a/1", number / 1000)
+        known = quarantine.Quarantine()
+        for number in range(3 * quarantine.MAX_EXPORTED):
+            known.record_break(f"f{number}", "a/1", number / 1000)
         news = known.export(1.0)
-        self.assertEqual(len(news), poison.MAX_EXPORTED)
-        self.assertIn(f"f{3 * poison.MAX_EXPORTED - 1}", news)
+        self.assertEqual(len(news), quarantine.MAX_EXPORTED)
+        self.assertIn(f"f{3 * quarantine.MAX_EXPORTED - 1}", news)
--- a/tests/test_forwarding_slowness.py
+++ b/tests/test_forwarding_slowness.py
@@ -5,9 +5,9 @@
 import random
 import unittest
 
-from sycamorehollow.decisions.forwarding import answer_times
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import response_times
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.decisions.forwarding import updates
@@ -61,7 +61,7 @@
     new: bool
     upstream: int
     at: float
-    watch: answer_times.Watch = None
+    watch: response_times.ResponseTimer = None
     attempt: steps.Attempt = None
     left: int = 0
     gap_s: float = 0.0
@@ -132,9 +132,9 @@
 
     def _build_node(self, number, run):
         rollouts = canary.Rollouts(run, EXPOSURE)
-        rollouts.set_nodes(NODES)
-        times = answer_times.AnswerTimes(
-            rollouts.is_in_service, rollouts.note_time
+        rollouts.set_node_count(NODES)
+        times = response_times.ResponseTimes(
+            rollouts.is_in_service, rollouts.record_latency
         )
         return [number, rollouts, times]
 
@@ -155,7 +155,7 @@
         self._at(now + self._source.expovariate(self._rate(now)), self._arrive)
         _, rollouts, times = self._source.choice(self.nodes)
         share = rollouts.compute_share("llm", now)
-        new = canary.is_chosen("llm", str(self._source.random()), share)
+        new = canary.is_assigned("llm", str(self._source.random()), share)
         if now >= 0:
             self.total += 1
             self.new += int(new)
@@ -173,7 +173,7 @@
         )
         route = forwarding_world.build_route(name=name.partition("-")[0])
         service = forwarding_world.build_configuration().services["llm"]
-        answer.watch = times.watch(service, route, answer.attempt, share)
+        answer.watch = times.start_timer(service, route, answer.attempt, share)
         answer.left = max(
             1, int(kind.events * self._source.lognormvariate(0, 0.6))
         )
@@ -219,7 +219,7 @@
     def _judge(self, now):
         self._at(now + JUDGE_S, self._judge)
         for _, rollouts, _ in self.nodes:
-            for found in rollouts.judge(now):
+            for found in rollouts.evaluate(now):
                 self.reason = found.reason
             state = rollouts.find_due_state("llm", now)
             if state in (COMPLETED, ROLLED_BACK):
@@ -378,12 +378,12 @@
             ),
         )
         order = forwarding.RolloutOrder("llm", "v2", 60.0, 5)
-        built.handle(updates.RolloutOrdered(order), 0.0)
+        built.apply_event(updates.RolloutOrdered(order), 0.0)
         now = 3.0
         for number in range(400):
             now += 0.05
             self.serve(built, f"q-{number}", now, pace_s, give_up)
-            built.rollouts.judge(now)
+            built.rollouts.evaluate(now)
         return built
 
     def serve(self, built, name, now, pace_s, give_up):
@@ -422,8 +422,8 @@
     """Guards the exchange of counts between nodes."""
 
     def test_counts_are_read_as_they_were_written(self):
-        counts = slowness.build_one("a", True, True, 0.25).plus(
-            slowness.build_one("b", False, False, 0.25)
+        counts = slowness.build_counts("a", True, True, 0.25).plus(
+            slowness.build_counts("b", False, False, 0.25)
         )
         numbers = counts.encode()
         self.assertEqual(slowness.decode(numbers).encode(), numbers)
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.forwarding import cold_limits
+from sycamorehollow.decisions.forwarding import cold_start_limiter
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import retry_budget
@@ -65,7 +65,7 @@
                 values = [e for e in latest.values() if e.value is not None]
                 copies[left].replace(values, min(upto, len(history)))
                 continue
-            delta = copies[left].collect(copies[right].revision)
+            delta = copies[left].build_delta(copies[right].revision)
             if delta is not None:
                 copies[right].merge(delta)
         for copy in copies:
@@ -103,12 +103,12 @@
             [mirror.Entry(f"k{n}", "v", n + 1) for n in range(count)], count
         )
         late = mirror.Mirror()
-        late.merge(copy.collect(0))
+        late.merge(copy.build_delta(0))
         copy.apply(
             [mirror.Entry(f"k{n}", None, count + n + 1) for n in range(count)],
             2 * count,
         )
-        late.merge(copy.collect(late.revision))
+        late.merge(copy.build_delta(late.revision))
         self.assertEqual(read_values(late), {})
 
 
@@ -136,12 +136,14 @@
             ("/draft/a", "short"),
         ):
             call = forwarding_world.build_request(path=path)
-            self.assertEqual(self.table.find(call).name, name)
+            self.assertEqual(self.table.find_route(call).name, name)
         for call in (
             forwarding_world.build_request(path="/drafts/a"),
             forwarding_world.build_request(host="other.example"),
         ):
-            self.assertIsInstance(self.table.find(call), failures.NotFound)
+            self.assertIsInstance(
+                self.table.find_route(call), failures.NotFound
+            )
 
     def test_keys_belong_to_workspaces(self):
         route = self.table.configuration.routes[0]
@@ -227,8 +229,10 @@
         limits = self._build_fleet(195)
         names = [f"n{number}" for number in range(195)]
         for number in range(39):
-            added = cold_limits.ColdLimits(f"added{number}", FACTOR, FLOOR)
-            added.set_nodes(names)
+            added = cold_start_limiter.ColdStartLimiter(
+                f"added{number}", FACTOR, FLOOR
+            )
+            added.add_nodes(names)
             limits.append(added)
         sent = self._press(limits, 15.0, [0.1 * n for n in range(40)])
         self._check_rate(sent, 15.0 * FACTOR + FLOOR)
@@ -236,7 +240,7 @@
     def test_nodes_share_the_upstreams_of_a_data_centre(self):
         limits = self._build_fleet(195)
         owners = [
-            sum(limit.may_send(f"u{n}", 15.0, 0.0) for n in range(39))
+            sum(limit.can_send(f"u{n}", 15.0, 0.0) for n in range(39))
             for limit in limits
         ]
         # Few nodes have no upstream that they may use while all are cold.
@@ -246,8 +250,8 @@
         names = [f"n{number}" for number in range(nodes)]
         limits = []
         for name in names:
-            limit = cold_limits.ColdLimits(name, FACTOR, FLOOR)
-            limit.set_nodes(names)
+            limit = cold_start_limiter.ColdStartLimiter(name, FACTOR, FLOOR)
+            limit.add_nodes(names)
             limits.append(limit)
         return limits
 
@@ -256,8 +260,8 @@
         sent = []
         for at in times:
             for limit in limits:
-                if limit.may_send("a", rate, at):
-                    limit.note_sent("a", at)
+                if limit.can_send("a", rate, at):
+                    limit.record_sent("a", at)
                     sent.append(at)
         return sent
 
@@ -328,12 +332,12 @@
 
     def _count(self, now):
         return sum(
-            each.needs_watch(self.nodes, now) for each in self.all.values()
+            each.should_watch(self.nodes, now) for each in self.all.values()
         )
 
     def test_few_nodes_of_each_data_centre_watch(self):
         for each in self.all.values():
-            each.note_fresh(10.0)
+            each.record_fresh(10.0)
         self.assertEqual(self._count(10.5), 6)
 
     def test_nodes_with_the_fastest_links_watch(self):
@@ -342,35 +346,35 @@
             for number in range(2)
         }
         nodes = self.nodes | fast
-        chosen = self.all["n0"].list_chosen(nodes, 0.0)
+        chosen = self.all["n0"].list_watchers(nodes, 0.0)
         self.assertEqual(set(chosen), set(fast))
 
     def test_node_without_recent_news_watches_by_itself(self):
         for each in self.all.values():
-            each.note_fresh(10.0)
+            each.record_fresh(10.0)
         self.assertEqual(self._count(12.0), 60)
 
     def test_next_node_takes_over_from_one_that_does_not_answer(self):
         follower = next(
             each
             for each in self.all.values()
-            if each.choose_source(self.nodes, 0.0) is not None
+            if each.choose_watcher(self.nodes, 0.0) is not None
         )
-        first = follower.list_chosen(self.nodes, 0.0)
+        first = follower.list_watchers(self.nodes, 0.0)
         for name in first:
-            follower.note_unreachable(name, 0.0)
-        second = follower.list_chosen(self.nodes, 0.0)
+            follower.record_unreachable(name, 0.0)
+        second = follower.list_watchers(self.nodes, 0.0)
         self.assertFalse(set(first) & set(second))
         later = 2 * watchers.UNREACHABLE_S
-        self.assertEqual(follower.list_chosen(self.nodes, later), first)
+        self.assertEqual(follower.list_watchers(self.nodes, later), first)
 
     def test_small_data_centres_have_no_followers(self):
         nodes = dict(list(self.nodes.items())[:3])
         for name in nodes:
             each = self.all[name]
-            each.note_fresh(0.0)
-            self.assertTrue(each.needs_watch(nodes, 0.1))
-            self.assertIsNone(each.choose_source(nodes, 0.1))
+            each.record_fresh(0.0)
+            self.assertTrue(each.should_watch(nodes, 0.1))
+            self.assertIsNone(each.choose_watcher(nodes, 0.1))
 
 
 class RouterNewsTest(unittest.TestCase):
@@ -380,17 +384,17 @@
         built = forwarding_world.build_router()
         newer = forwarding_world.build_configuration(version=9)
         older = forwarding_world.build_configuration(version=4)
-        built.handle(updates.ConfigurationSet(newer), 1.0)
-        built.handle(updates.ConfigurationSet(older), 2.0)
-        self.assertEqual(built.table.configuration.version, 9)
+        built.apply_event(updates.ConfigurationSet(newer), 1.0)
+        built.apply_event(updates.ConfigurationSet(older), 2.0)
+        self.assertEqual(built.route_table.configuration.version, 9)
 
     def test_idle_connections_of_all_nodes_leave_room_for_requests(self):
         built = forwarding_world.build_router()
         service = forwarding.Service("llm", 110)
         for count in range(1, 70):
             node = watchers.Node(f"a:{count}", "dc-1")
-            built.handle(updates.NodeSet(f"n{count}", node), 0.0)
-            kept = built.compute_kept_connections(service)
+            built.apply_event(updates.NodeSet(f"n{count}", node), 0.0)
+            kept = built.compute_max_idle_connections(service)
             self.assertGreaterEqual(kept, 1)
             self.assertLessEqual(kept * count, max(55, count))
 
@@ -399,13 +403,13 @@
             forwarding_world.build_upstream("a"),
             forwarding_world.build_upstream("b", data_centre="dc-2"),
         )
-        built.handle(updates.EvacuationSet("dc-1", True), 1.0)
+        built.apply_event(updates.EvacuationSet("dc-1", True), 1.0)
         names = [
             state.upstream.identity
             for state in built.directory.list_usable("llm", 1.0)
         ]
         self.assertEqual(names, ["b"])
-        built.handle(updates.EvacuationSet("dc-1", False), 2.0)
+        built.apply_event(updates.EvacuationSet("dc-1", False), 2.0)
         self.assertEqual(len(built.directory.list_usable("llm", 2.0)), 2)
 
 
@@ -422,7 +426,7 @@
         crossings = 0
         for name, node in nodes.items():
             each = watchers.Watchers(name, node.data_centre, source)
-            partner = each.choose_partner(nodes, age_s, 0.0)
+            partner = each.choose_gossip_peer(nodes, age_s, 0.0)
             self.assertNotEqual(partner, name)
             if partner is not None:
                 crossings += nodes[partner].data_centre != node.data_centre
@@ -441,9 +445,11 @@
             for number in range(200)
         }
         first = watchers.Watchers("n0", "dc-0", random.Random(1))
-        name = first.list_chosen(nodes, 0.0)[0]
+        name = first.list_watchers(nodes, 0.0)[0]
         each = watchers.Watchers(name, "dc-0", random.Random(1))
-        partners = {each.choose_partner(nodes, 0.0, 0.0) for _ in range(200)}
+        partners = {
+            each.choose_gossip_peer(nodes, 0.0, 0.0) for _ in range(200)
+        }
         self.assertEqual(len(partners), 9)
         places = {nodes[partner].data_centre for partner in partners}
         self.assertEqual(len(places), 5)
--- a/tests/test_forwarding_turns.py
+++ b/tests/test_forwarding_turns.py
@@ -5,24 +5,24 @@
 import hypothesis
 from hypothesis import strategies
 
+from sycamorehollow.decisions.forwarding import admission_queue
 from sycamorehollow.decisions.forwarding import steps
-from sycamorehollow.decisions.forwarding import turns
 from tests import forwarding_world
 
 LOOK_S = 0.02
-PLACE = ("llm", "", frozenset())
+QUEUE_KEY = ("llm", "", frozenset())
 
 
 class TurnsTest(unittest.TestCase):
     """Guards against starved workspaces and requests that never go."""
 
     def setUp(self):
-        self.turns = turns.Turns()
+        self.queue = admission_queue.AdmissionQueue()
         self.now = 0.0
 
-    def _issue(self, workspace, urgency=1):
+    def _issue(self, workspace, priority=1):
         self.now += 0.001
-        return self.turns.issue(urgency, workspace, self.now)
+        return self.queue.create_waiter(priority, workspace, self.now)
 
     def _play(self, waiting, rooms):
         """Lets all ask in each round; returns who went, in order."""
@@ -30,19 +30,23 @@
         waiting = list(waiting)
         for room in rooms:
             self.now += LOOK_S
-            for ticket in list(waiting):
-                self.turns.take(ticket, PLACE, 0, self.now)
-            for ticket in list(waiting):
-                if room and self.turns.take(ticket, PLACE, room, self.now):
+            for waiter in list(waiting):
+                self.queue.try_admit(waiter, QUEUE_KEY, 0, self.now)
+            for waiter in list(waiting):
+                if room and self.queue.try_admit(
+                    waiter, QUEUE_KEY, room, self.now
+                ):
                     room -= 1
-                    gone.append(ticket)
-                    waiting.remove(ticket)
+                    gone.append(waiter)
+                    waiting.remove(waiter)
         return gone
 
     def test_room_is_taken_at_once_while_nobody_waits(self):
         for _ in range(50):
-            ticket = self._issue("maps")
-            self.assertTrue(self.turns.take(ticket, PLACE, 1, self.now))
+            waiter = self._issue("maps")
+            self.assertTrue(
+                self.queue.try_admit(waiter, QUEUE_KEY, 1, self.now)
+            )
 
     def test_hot_workspace_does_not_keep_others_waiting(self):
         hot = [self._issue("hot") for _ in range(30)]
@@ -61,28 +65,28 @@
 
     def test_request_that_has_left_holds_up_nobody(self):
         first, second = self._issue("maps"), self._issue("maps")
-        for ticket in (first, second):
-            self.turns.take(ticket, PLACE, 0, self.now)
-        self.turns.leave(first)
-        self.assertTrue(self.turns.take(second, PLACE, 1, self.now))
+        for waiter in (first, second):
+            self.queue.try_admit(waiter, QUEUE_KEY, 0, self.now)
+        self.queue.remove(first)
+        self.assertTrue(self.queue.try_admit(second, QUEUE_KEY, 1, self.now))
 
     def test_silent_request_holds_up_nobody_for_long(self):
         first, second = self._issue("maps"), self._issue("maps")
-        self.turns.take(first, PLACE, 0, self.now)
-        self.assertFalse(self.turns.take(second, PLACE, 1, self.now))
-        later = self.now + turns.KEEP_S + LOOK_S
-        self.assertTrue(self.turns.take(second, PLACE, 1, later))
+        self.queue.try_admit(first, QUEUE_KEY, 0, self.now)
+        self.assertFalse(self.queue.try_admit(second, QUEUE_KEY, 1, self.now))
+        later = self.now + admission_queue.WAITER_TTL_S + LOOK_S
+        self.assertTrue(self.queue.try_admit(second, QUEUE_KEY, 1, later))
 
     def test_those_who_wait_for_other_upstreams_are_not_in_the_way(self):
         first, second = self._issue("maps"), self._issue("maps")
-        self.turns.take(first, ("llm", "", frozenset({"v2"})), 0, self.now)
-        self.assertTrue(self.turns.take(second, PLACE, 1, self.now))
+        self.queue.try_admit(first, ("llm", "", frozenset({"v2"})), 0, self.now)
+        self.assertTrue(self.queue.try_admit(second, QUEUE_KEY, 1, self.now))
 
     def test_lines_are_forgotten(self):
-        self.turns.take(self._issue("maps"), PLACE, 0, self.now)
-        self.turns.sweep(self.now + 1.0)
+        self.queue.try_admit(self._issue("maps"), QUEUE_KEY, 0, self.now)
+        self.queue.evict_idle_queues(self.now + 1.0)
         self.assertTrue(
-            self.turns.take(self._issue("maps"), PLACE, 1, self.now)
+            self.queue.try_admit(self._issue("maps"), QUEUE_KEY, 1, self.now)
         )
 
     @hypothesis.given(
@@ -97,7 +101,7 @@
     )
     def test_all_go_once_there_is_room_for_all(self, requests, room):
         self.setUp()
-        line = [self._issue(name, urgency) for name, urgency in requests]
+        line = [self._issue(name, priority) for name, priority in requests]
         gone = self._play(line, [room] * len(line))
         self.assertEqual(set(gone), set(line))
 
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -12,7 +12,7 @@
 
 import urllib3
 
-from sycamorehollow.decisions.forwarding import poison
+from sycamorehollow.decisions.forwarding import quarantine
 from sycamorehollow.decisions.forwarding import updates
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import connection_pool
@@ -243,11 +243,11 @@
         now = time.monotonic()
         for upstream in self.upstreams:
             run = "/".join(map(str, upstream.incarnation))
-            self.router.poison.note_break("f", run, now)
-        await asyncio.sleep(poison.CHECK_AFTER_S)
+            self.router.quarantine.record_break("f", run, now)
+        await asyncio.sleep(quarantine.CHECK_AFTER_S)
         self.checks.start_due_checks()
         await asyncio.sleep(0.5)
-        return self.router.poison.is_refused("f", time.monotonic())
+        return self.router.quarantine.is_quarantined("f", time.monotonic())
 
     async def test_upstreams_that_reset_connections_and_live(self):
         self.assertFalse(await self._is_blamed())
@@ -258,7 +258,7 @@
         ):
             listener.close()
             leaving = dataclasses.replace(upstream, draining=True)
-            self.router.handle(updates.UpstreamSet(leaving), 0.0)
+            self.router.apply_event(updates.UpstreamSet(leaving), 0.0)
         self.assertFalse(await self._is_blamed())
 
     async def test_upstreams_that_reset_every_connection_are_counted(self):
@@ -280,7 +280,7 @@
     async def test_upstreams_that_were_started_again_are_counted(self):
         for upstream in self.upstreams:
             later = dataclasses.replace(upstream, started_ms=9)
-            self.router.handle(updates.UpstreamSet(later), 0.0)
+            self.router.apply_event(updates.UpstreamSet(later), 0.0)
         self.assertTrue(await self._is_blamed())
 
     async def test_check_that_fails_leaves_the_break_counted(self):
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -118,25 +118,25 @@
 
     async def test_counts_of_slow_answers_are_exchanged(self):
         order = forwarding.RolloutOrder("llm", "v2", 60.0, 5)
-        self.router.handle(updates.RolloutOrdered(order), 0.0)
-        one = slowness.build_one("b", True, True, 0.1)
+        self.router.apply_event(updates.RolloutOrdered(order), 0.0)
+        one = slowness.build_counts("b", True, True, 0.1)
         entry = {"service": "llm", "revision": 5}
         counts = {"n1": {"r-1 small": one.encode()}}
         await self._answer(slowness=[entry | {"counts": counts}])
         known = self.router.rollouts.get("llm").evidence
-        self.assertEqual(sum(known.sum_up().new_slow), 1)
+        self.assertEqual(sum(known.sum_counts().new_slow), 1)
         handed_on = peer_messages.decode(await self._ask(5))["slowness"]
         self.assertEqual(handed_on, [entry | {"counts": counts}])
         # A peer that does not know these counts yet, and a malformed one.
         await self._answer()
         for wrong in (3, [{}], [entry | {"counts": {"n1": {"r": [1]}}}]):
             await self._answer(slowness=wrong)
-        self.assertEqual(sum(known.sum_up().new_slow), 1)
+        self.assertEqual(sum(known.sum_counts().new_slow), 1)
 
     async def test_entry_that_breaks_a_rule_does_not_stop_the_others(self):
-        handle = self.router.handle
+        handle = self.router.apply_event
         broken = mock.Mock(side_effect=[RuntimeError("a fault"), []])
-        with mock.patch.object(self.router, "handle", broken):
+        with mock.patch.object(self.router, "apply_event", broken):
             changes = (
                 stores.Change("servers/b", ENTRY, 6),
                 stores.Change("servers/a", None, 6),
@@ -145,7 +145,7 @@
                 store_tasks.StoreChanged(stores.Changes(changes, 6))
             )
         self.assertEqual(broken.call_count, 2)
-        self.assertIs(self.router.handle.__func__, handle.__func__)
+        self.assertIs(self.router.apply_event.__func__, handle.__func__)
 
     async def _ask(self, since):
         """Returns the answer to a node that knows changes up to `since`."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -264,7 +264,7 @@
             (
                 status.key,
                 status.value,
-                updates.RolloutStated(
+                updates.RolloutStatusSet(
                     forwarding.RolloutStatus(
                         "llm", "v2", forwarding.RolloutState.COMPLETED, 5
                     )
@@ -280,7 +280,7 @@
     def test_spoiled_entry_of_an_upstream_takes_it_out(self):
         entry = mirror.Entry("servers/i", "no json", 5)
         news = list(store_codec.PlatformStoreCodec().decode(entry))
-        self.assertIsInstance(news[0], updates.Unreadable)
+        self.assertIsInstance(news[0], updates.UnreadableEntry)
         self.assertEqual(news[1], updates.UpstreamRemoved("i"))
 
 
