Name buffers, progress timeouts and roll-out buckets by the terms of the field

Chunks out of order, buffered bytes, the time of the last progress and the bucket of a request in a roll-out have names in the field; the code used its own. The assembler of responses is called that.

--- a/benches/bench_protection.py
+++ b/benches/bench_protection.py
@@ -141,7 +141,7 @@
 class Readers:
     """Streams to callers, some of which read almost nothing."""
 
-    def __init__(self, rule: buffers.Buffers):
+    def __init__(self, rule: buffers.CallerBuffers):
         self._rule = rule
         self._held: collections.Counter[str] = collections.Counter()
         self.peak_bytes = 0
@@ -164,7 +164,7 @@
         return self
 
     def _step(self, name: str, slow: bool, now: float, alive: set[str]) -> None:
-        size = min(READ_BYTES, self._rule.count_room(name))
+        size = min(READ_BYTES, self._rule.get_readable_bytes(name))
         if not slow and size < READ_BYTES:
             self.fast_stalls += 1
         self._held[name] += size
@@ -217,21 +217,21 @@
 
 def measure_readers() -> list[results.Result]:
     """Returns the bytes held for slow readers."""
-    bounded = Readers(buffers.Buffers()).run()
-    total = buffers.TOTAL_BYTES // 8
-    tight = Readers(buffers.Buffers(total_bytes=total)).run()
+    bounded = Readers(buffers.CallerBuffers()).run()
+    total = buffers.MAX_TOTAL_BYTES // 8
+    tight = Readers(buffers.CallerBuffers(total_bytes=total)).run()
     huge = 2**60
-    unbounded = Readers(buffers.Buffers(huge, huge, huge, huge)).run()
+    unbounded = Readers(buffers.CallerBuffers(huge, huge, huge, huge)).run()
     return [
         results.Result(
             "most bytes held for one slow reader",
             bounded.peak_stream_bytes,
-            buffers.STREAM_BYTES,
+            buffers.MAX_STREAM_BYTES,
         ),
         results.Result(
             "bytes held for slow readers",
             bounded.peak_bytes,
-            buffers.TOTAL_BYTES,
+            buffers.MAX_TOTAL_BYTES,
         ),
         results.Result(
             "bytes held, ratio to unbounded",
--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -110,7 +110,9 @@
         )
         if isinstance(found, failures.Failure):
             return found
-        base = dataclasses.replace(base, arms=dict(found.arms), shares=shares)
+        base = dataclasses.replace(
+            base, arms=dict(found.arms), rollout_shares=shares
+        )
         if policy is None or len(found.versions) == 1:
             plan = dataclasses.replace(
                 base,
@@ -161,7 +163,7 @@
                     self._rollouts.get_rollout_id(arm.rollout),
                     arm.candidate,
                     outcome.upstream,
-                    plan.shares.get(arm.rollout, 0.0),
+                    plan.rollout_shares.get(arm.rollout, 0.0),
                     outcome.failed,
                     outcome.duration_s > plan.slow_threshold_s,
                 ),
@@ -236,7 +238,7 @@
         request: requests.ModelRequest,
         current: deployment.Deployment,
         policy: deployment.KindPolicy,
-        found: versions.Candidates,
+        found: versions.EligibleVersions,
         now: float,
     ) -> cascade_selector.Cascade | failures.Failure:
         names = found.versions
@@ -257,7 +259,7 @@
             request.workspace,
             policy,
             names,
-            versions.price_versions(
+            versions.estimate_prices(
                 current.versions,
                 names,
                 request.prompt_tokens,
@@ -280,7 +282,7 @@
         self,
         base: planning.Plan,
         policy: deployment.KindPolicy,
-        found: versions.Candidates,
+        found: versions.EligibleVersions,
         choice: cascade_selector.Cascade,
     ) -> planning.Plan:
         others = tuple(v for v in found.versions if v not in choice.steps)
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -93,17 +93,17 @@
 
     Args:
         options: What the node knows from its settings.
-        source: Source of randomness.
+        rng: Source of random numbers.
         now: Monotonic time in seconds of the start.
     """
 
     def __init__(
         self,
         options: node_components.Options,
-        source: random.Random,
+        rng: random.Random,
         now: float,
     ):
-        super().__init__(options, source, now)
+        super().__init__(options, rng, now)
         self._components = self._list_components()
         self._routes = self._build_routes()
 
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -39,7 +39,7 @@
 ORDER_LEASE_TTL_S = 10.0
 # One lease per data centre shares the weight store's rate limit.
 WEIGHT_LOADS_PER_S = 5.0
-WEIGHT_HOLDERS = 7
+WEIGHT_LOAD_LEASES = 7
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,18 +72,18 @@
 
     Args:
         options: What the node knows from its settings.
-        source: Source of randomness.
+        rng: Source of random numbers.
         now: Monotonic time in seconds of the start.
     """
 
-    def __init__(self, options: Options, source: random.Random, now: float):
+    def __init__(self, options: Options, rng: random.Random, now: float):
         self.options = options
-        self._source = source
+        self._rng = rng
         process = options.process
         name = f"{process.address}/{process.incarnation}"
-        self._build_state(name, process, source, now)
-        self._build_calls(process, source, now)
-        self._build_routing(source, now)
+        self._build_state(name, process, rng, now)
+        self._build_calls(process, rng, now)
+        self._build_routing(rng, now)
 
     @property
     def process(self) -> identity.Process:
@@ -97,7 +97,7 @@
             me.data_centre, ROLLOUT_COORDINATORS
         )
 
-    def find_due(self) -> float | None:
+    def get_next_due_at(self) -> float | None:
         """Returns when a tick is needed before the regular one, if it is."""
         return self.billing.find_due()
 
@@ -105,7 +105,7 @@
         """Returns the requests and bills that a shutdown waits for."""
         return self.router.active_count + self.billing.count_exposed()
 
-    def measure(self, now: float) -> dict[str, float]:
+    def read_gauges(self, now: float) -> dict[str, float]:
         """Returns the levels that operators watch."""
         age_s = self.configuration.measure_age(now)
         return {
@@ -139,7 +139,7 @@
             if new_work and self.drains.find_refusal(name) is not None:
                 continue
             far = upstream.data_centre != self.process.data_centre
-            found.append((far, self._source.random(), upstream.url))
+            found.append((far, self._rng.random(), upstream.url))
         return [url for _, _, url in sorted(found)]
 
     def describe(self, now: float) -> dict[str, Any]:
@@ -187,7 +187,7 @@
         self,
         name: str,
         process: identity.Process,
-        source: random.Random,
+        rng: random.Random,
         now: float,
     ) -> None:
         """Builds membership, configuration and replicated records."""
@@ -195,11 +195,11 @@
         me = members.Member(
             process.address, process.data_centre, process.incarnation
         )
-        self.membership = membership.Membership(me, options.seeds, source, now)
+        self.membership = membership.Membership(me, options.seeds, rng, now)
         self.configuration = configuration.Configuration(
             configuration_messages.Peer(process.address, process.data_centre),
             options.convert,
-            source,
+            rng,
         )
         self.records = records.ReplicatedRecords()
         self.drains = drains.Drains()
@@ -207,11 +207,11 @@
         self.evidence = sequential_test.Evidence(process.label)
         self.stops = stops.Stops(name)
         self.rollouts = rollouts.Rollouts(
-            self.stops, self.evidence, source, options.pace
+            self.stops, self.evidence, rng, options.pace
         )
-        self.cascades = cascade_selector.CascadeSelector(self.learning, source)
+        self.cascades = cascade_selector.CascadeSelector(self.learning, rng)
 
-    def _build_routing(self, source: random.Random, now: float) -> None:
+    def _build_routing(self, rng: random.Random, now: float) -> None:
         """Builds the parts that serve model requests."""
         options = self.options
         self.quarantine = quarantine.Quarantine()
@@ -220,7 +220,7 @@
             options.process.data_centre,
             options.slot,
             options.slots,
-            source,
+            rng,
             now,
             self.drains.find_refusal,
             self.quarantine,
@@ -237,8 +237,8 @@
         self.router = router.Router(
             planner,
             self.placement,
-            recovery.Recovery(retries.RetryBudget(source)),
-            admission.Admission(0, source),
+            recovery.Recovery(retries.RetryBudget(rng)),
+            admission.Admission(0, rng),
             self.billing.check_backlog,
         )
         self.exchange = exchange.Exchange(
@@ -257,25 +257,23 @@
         )
 
     def _build_calls(
-        self, process: identity.Process, source: random.Random, now: float
+        self, process: identity.Process, rng: random.Random, now: float
     ) -> None:
         """Builds the parts for service calls and bills."""
         wall_offset_s = self.options.read_clock() - now
         issuer = tickets.TicketIssuer(process, self.options.ring)
         self.issuer = issuer
-        self.key_calls = key_calls.KeyCalls(
-            process, issuer, source, wall_offset_s
-        )
+        self.key_calls = key_calls.KeyCalls(process, issuer, rng, wall_offset_s)
         self.ticket_calls = ticket_calls.TicketCalls(
-            process, self.options.ring, source, wall_offset_s
+            process, self.options.ring, rng, wall_offset_s
         )
-        self.billing = billing.Billing(process, source)
-        self.spool = billing_spool.Spool(process, source)
+        self.billing = billing.Billing(process, rng)
+        self.spool = billing_spool.Spool(process, rng)
         owner = f"{process.address}/{process.incarnation}"
         self.order_lease = leases.Lease(
             f"leases/orders/{process.data_centre}", owner, ORDER_LEASE_TTL_S
         )
         self.orders = orders.Orders(
             self.order_lease,
-            orders.LoadRateLimiter(WEIGHT_LOADS_PER_S, WEIGHT_HOLDERS),
+            orders.LoadRateLimiter(WEIGHT_LOADS_PER_S, WEIGHT_LOAD_LEASES),
         )
--- a/sycamorehollow/decisions/requests/buffers.py
+++ b/sycamorehollow/decisions/requests/buffers.py
@@ -7,13 +7,13 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
-STREAM_BYTES = 256 * 1024
-TOTAL_BYTES = 64 * 1024 * 1024
+MAX_STREAM_BYTES = 256 * 1024
+MAX_TOTAL_BYTES = 64 * 1024 * 1024
 # Reading stops here, so that what one read returns still fits.
 HIGH_WATER_BYTES = 128 * 1024
 # Well below the high mark, so that reading does not stop and start each chunk.
 LOW_WATER_BYTES = 64 * 1024
-STALL_S = 30.0
+STALL_TIMEOUT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,7 +28,7 @@
     """The relay has read bytes of a response from the upstream."""
 
     stream: str
-    size: int
+    size_bytes: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,7 +36,7 @@
     """The caller's socket has taken bytes."""
 
     stream: str
-    size: int
+    size_bytes: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,15 +81,16 @@
     """Bytes held for one caller.
 
     Attributes:
-        moved_at: When the caller last took bytes, or the buffer was empty.
+        last_progress_at: When the caller last took bytes or the buffer was
+            empty.
     """
 
-    moved_at: float
-    held: int = 0
-    paused: bool = False
+    last_progress_at: float
+    buffered_bytes: int = 0
+    is_paused: bool = False
 
 
-class Buffers(components.Component):
+class CallerBuffers(components.Component):
     """Bytes held for all callers of a relay.
 
     Args:
@@ -101,8 +102,8 @@
 
     def __init__(
         self,
-        stream_bytes: int = STREAM_BYTES,
-        total_bytes: int = TOTAL_BYTES,
+        stream_bytes: int = MAX_STREAM_BYTES,
+        total_bytes: int = MAX_TOTAL_BYTES,
         high_bytes: int = HIGH_WATER_BYTES,
         low_bytes: int = LOW_WATER_BYTES,
     ):
@@ -111,15 +112,15 @@
         self._high_bytes = high_bytes
         self._low_bytes = low_bytes
         self._streams: dict[str, Stream] = {}
-        self._held = 0
+        self._buffered_bytes = 0
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event."""
         match event:
             case ChunkBuffered():
-                return self._buffer(event.stream, event.size, now)
+                return self._buffer(event.stream, event.size_bytes, now)
             case BytesSent():
-                return self._send(event.stream, event.size, now)
+                return self._send(event.stream, event.size_bytes, now)
             case StreamOpened():
                 self._streams.setdefault(event.stream, Stream(now))
             case StreamClosed():
@@ -128,20 +129,20 @@
                 return self._disconnect_stalled(now)
         return []
 
-    def count_room(self, stream: str) -> int:
+    def get_readable_bytes(self, stream: str) -> int:
         """Returns the bytes that the relay may read next for a stream.
 
         A read of no more than this keeps the bound per caller; the bound on
         the total is kept by disconnecting.
         """
         held = self._streams.get(stream)
-        if held is None or held.paused:
+        if held is None or held.is_paused:
             return 0
-        return min(self._stream_bytes - held.held, self._total_bytes)
+        return min(self._stream_bytes - held.buffered_bytes, self._total_bytes)
 
-    def count_held(self) -> int:
+    def get_buffered_bytes(self) -> int:
         """Returns the bytes held for all callers."""
-        return self._held
+        return self._buffered_bytes
 
     def _buffer(
         self, name: str, size: int, now: float
@@ -149,24 +150,24 @@
         stream = self._streams.get(name)
         if stream is None:
             return []
-        if stream.held == 0:
-            stream.moved_at = now
-        stream.held += size
-        self._held += size
+        if stream.buffered_bytes == 0:
+            stream.last_progress_at = now
+        stream.buffered_bytes += size
+        self._buffered_bytes += size
         decided: list[commands.Command] = []
-        if stream.held > self._stream_bytes:
+        if stream.buffered_bytes > self._stream_bytes:
             decided.append(self._disconnect(name, "reads too slowly"))
-        while self._held > self._total_bytes:
+        while self._buffered_bytes > self._total_bytes:
             decided.append(
                 self._disconnect(
-                    self._find_most_expensive(now),
+                    self._find_largest(now),
                     "holds the most bytes while memory is short",
                 )
             )
-        if name not in self._streams or stream.paused:
+        if name not in self._streams or stream.is_paused:
             return decided
-        if stream.held >= self._high_bytes:
-            stream.paused = True
+        if stream.buffered_bytes >= self._high_bytes:
+            stream.is_paused = True
             decided.append(PauseReading(name))
         return decided
 
@@ -174,21 +175,21 @@
         stream = self._streams.get(name)
         if stream is None or size <= 0:
             return []
-        size = min(size, stream.held)
-        stream.held -= size
-        self._held -= size
-        stream.moved_at = now
-        if stream.paused and stream.held <= self._low_bytes:
-            stream.paused = False
+        size = min(size, stream.buffered_bytes)
+        stream.buffered_bytes -= size
+        self._buffered_bytes -= size
+        stream.last_progress_at = now
+        if stream.is_paused and stream.buffered_bytes <= self._low_bytes:
+            stream.is_paused = False
             return [ResumeReading(name)]
         return []
 
-    def _find_most_expensive(self, now: float) -> str:
+    def _find_largest(self, now: float) -> str:
         """Returns the stream that holds the most bytes for the longest."""
         most = ""
         highest = (-1, 0.0)
         for name, stream in self._streams.items():
-            cost = (stream.held, now - stream.moved_at)
+            cost = (stream.buffered_bytes, now - stream.last_progress_at)
             if cost > highest:
                 most, highest = name, cost
         return most
@@ -196,10 +197,13 @@
     def _disconnect_stalled(self, now: float) -> list[commands.Command]:
         stalled = []
         for name, stream in self._streams.items():
-            if stream.held and now - stream.moved_at >= STALL_S:
+            if (
+                stream.buffered_bytes
+                and now - stream.last_progress_at >= STALL_TIMEOUT_S
+            ):
                 stalled.append(name)
         return [
-            self._disconnect(name, f"took no bytes for {STALL_S:.0f} s")
+            self._disconnect(name, f"took no bytes for {STALL_TIMEOUT_S:.0f} s")
             for name in stalled
         ]
 
@@ -213,4 +217,4 @@
     def _drop(self, name: str) -> None:
         stream = self._streams.pop(name, None)
         if stream is not None:
-            self._held -= stream.held
+            self._buffered_bytes -= stream.buffered_bytes
--- a/sycamorehollow/decisions/requests/planning.py
+++ b/sycamorehollow/decisions/requests/planning.py
@@ -26,7 +26,7 @@
         fallbacks: Versions that may take the place of a step that no
             upstream can take now, in the order of preference.
         arms: Roll-out arms that an answer of each version counts for.
-        shares: Share of each roll-out when the request was assigned.
+        rollout_shares: Share of each roll-out when the request was assigned.
         session: Session token to return to the caller, or empty.
         reason: Why these versions were chosen, for the log.
     """
@@ -42,7 +42,7 @@
     arms: dict[str, tuple[versions.Arm, ...]] = dataclasses.field(
         default_factory=dict
     )
-    shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    rollout_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     session: str = ""
     reason: str = ""
 
--- a/sycamorehollow/decisions/requests/progress.py
+++ b/sycamorehollow/decisions/requests/progress.py
@@ -54,7 +54,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class BytesMoved(events.Event):
+class ProgressMade(events.Event):
     """Bytes were sent or received, or a probe was answered."""
 
     connection: str
@@ -104,11 +104,11 @@
     """State of one connection."""
 
     phase: Phase
-    limit_s: float
-    moved_at: float
+    timeout_s: float
+    last_progress_at: float
 
 
-class Progress(components.Component):
+class ProgressMonitor(components.Component):
     """Watches connections to upstreams and callers in both directions."""
 
     def __init__(self) -> None:
@@ -117,7 +117,7 @@
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event."""
         match event:
-            case BytesMoved():
+            case ProgressMade():
                 self._move(event.connection, now)
             case PhaseChanged():
                 limit_s = event.timeout_s
@@ -141,24 +141,24 @@
         connection = self._connections.get(name)
         if connection is None:
             return
-        connection.moved_at = now
+        connection.last_progress_at = now
         following = {
             Phase.PROBED: Phase.IDLE,
             Phase.FIRST_BYTE: Phase.READING,
         }.get(connection.phase)
         if following is not None:
             connection.phase = following
-            connection.limit_s = TIMEOUTS_S[following]
+            connection.timeout_s = TIMEOUTS_S[following]
 
     def _find_silent(self, now: float) -> list[commands.Command]:
         decided: list[commands.Command] = []
         for name, connection in list(self._connections.items()):
-            if now - connection.moved_at < connection.limit_s:
+            if now - connection.last_progress_at < connection.timeout_s:
                 continue
             if connection.phase is Phase.IDLE:
                 connection.phase = Phase.PROBED
-                connection.limit_s = PROBE_TIMEOUT_S
-                connection.moved_at = now
+                connection.timeout_s = PROBE_TIMEOUT_S
+                connection.last_progress_at = now
                 decided.append(ProbeConnection(name))
                 continue
             del self._connections[name]
@@ -170,7 +170,7 @@
                 else failures.Execution.UNKNOWN
             )
             failure = ConnectionSilent(
-                f"Nothing moved for {connection.limit_s:.0f} s while"
+                f"Nothing moved for {connection.timeout_s:.0f} s while"
                 f" {connection.phase.value}.",
                 run,
             )
--- a/sycamorehollow/decisions/requests/sessions.py
+++ b/sycamorehollow/decisions/requests/sessions.py
@@ -80,14 +80,14 @@
 
 def find_pinned_version(
     session: Session,
-    in_force: deployment.Deployment | None,
-    stopped: Set[str],
+    current: deployment.Deployment | None,
+    stopped_versions: Set[str],
 ) -> str | failures.Failure:
     """Returns the version of a session, or why it cannot be used.
 
     There is no fallback: a session is never moved to another version.
     """
     failure = version_access.check_version_access(
-        in_force, stopped, session.workspace, session.version
+        current, stopped_versions, session.workspace, session.version
     )
     return session.version if failure is None else failure
--- a/sycamorehollow/decisions/requests/versions.py
+++ b/sycamorehollow/decisions/requests/versions.py
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Candidates:
+class EligibleVersions:
     """The versions that a request may run on.
 
     Attributes:
@@ -38,13 +38,13 @@
     reason: str
 
 
-def place(rollout: deployments.Rollout, assignment: str) -> float:
+def compute_bucket(rollout: deployments.Rollout, assignment_key: str) -> float:
     """Returns the place in [0, 1) of a request or session in a roll-out.
 
     The place does not depend on the stage, so what is in at a small share
     stays in at a larger one.
     """
-    text = f"{rollout.name}\n{rollout.candidate}\n{assignment}"
+    text = f"{rollout.name}\n{rollout.candidate}\n{assignment_key}"
     digest = hashlib.sha256(text.encode()).digest()
     return int.from_bytes(digest[:8], "big") / 2**64
 
@@ -53,22 +53,22 @@
     deployment: deployments.Deployment,
     workspace: deployments.Workspace,
     name: str,
-    assignment: str,
+    assignment_key: str,
     shares: Mapping[str, float],
-    stopped: Collection[str],
-) -> Candidates | failures.Failure:
+    stopped_versions: Collection[str],
+) -> EligibleVersions | failures.Failure:
     """Returns the versions that a request may run on.
 
     Args:
         deployment: The configuration in effect.
         workspace: Whose request it is.
         name: Model, version or cascade that the request names.
-        assignment: Session identity, or the request id without a session.
+        assignment_key: Session identity, or the request id without a session.
         shares: Share in effect of each roll-out; 0 where one is missing.
-        stopped: Versions with a stop record in effect.
+        stopped_versions: Versions with a stop record in effect.
     """
     if name in deployment.versions:
-        return _resolve_version(deployment, workspace, name, stopped)
+        return _resolve_version(deployment, workspace, name, stopped_versions)
     named = _list_named(deployment, name)
     if not named:
         return failures.NotFound(f"No model, version or cascade {name!r}.")
@@ -76,17 +76,19 @@
         v.name
         for v in deployment.versions.values()
         if v.name in workspace.versions
-        and v.name not in stopped
+        and v.name not in stopped_versions
         and v.state is deployments.ServingState.SERVING
     }
-    splits = _Splits(deployment.rollouts, usable, assignment, shares)
-    picked = dict.fromkeys(splits.pick(version) for version in named)
+    splits = _RolloutAssignment(
+        deployment.rollouts, usable, assignment_key, shares
+    )
+    picked = dict.fromkeys(splits.pick_version(version) for version in named)
     chosen = tuple(version for version in picked if version is not None)
     if not chosen:
         return _refuse(workspace, name, named, usable)
     arms = {v: splits.list_arms(v) for v in chosen if splits.list_arms(v)}
     note = f"{len(chosen)} of {len(named)} versions of {name}"
-    return Candidates(chosen, arms, note + _describe_arms(arms, shares))
+    return EligibleVersions(chosen, arms, note + _describe_arms(arms, shares))
 
 
 def _list_named(
@@ -112,7 +114,7 @@
     return text
 
 
-def price_versions(
+def estimate_prices(
     versions: Mapping[str, deployments.Version],
     names: tuple[str, ...],
     prompt_tokens: int,
@@ -132,7 +134,7 @@
     workspace: deployments.Workspace,
     name: str,
     stopped: Collection[str],
-) -> Candidates | failures.Failure:
+) -> EligibleVersions | failures.Failure:
     """A caller that names a version gets this version or a refusal."""
     if name not in workspace.versions:
         return failures.NotAllowed(
@@ -141,10 +143,10 @@
     state = deployment.versions[name].state
     if name in stopped or state is not deployments.ServingState.SERVING:
         return failures.VersionWithdrawn(f"Version {name!r} takes no new work.")
-    return Candidates((name,), {}, f"the request names version {name}")
+    return EligibleVersions((name,), {}, f"the request names version {name}")
 
 
-class _Splits:
+class _RolloutAssignment:
     """The roll-outs as they look to one request."""
 
     def __init__(
@@ -155,19 +157,19 @@
         shares: Mapping[str, float],
     ) -> None:
         self._usable = usable
-        self._all = sorted(rollouts.values(), key=lambda r: r.name)
-        self._inside = {
-            r.name: place(r, assignment) < shares.get(r.name, 0.0)
+        self._rollouts = sorted(rollouts.values(), key=lambda r: r.name)
+        self._is_inside = {
+            r.name: compute_bucket(r, assignment) < shares.get(r.name, 0.0)
             and r.candidate in usable
-            for r in self._all
+            for r in self._rollouts
         }
 
-    def pick(self, version: str) -> str | None:
+    def pick_version(self, version: str) -> str | None:
         """Returns the version that takes the place of a named one."""
         seen: set[str] = set()
         while version not in seen:
             seen.add(version)
-            version = self._follow(version)
+            version = self._follow_rollout(version)
         if version not in self._usable or self._is_barred(version):
             return None
         return version
@@ -175,11 +177,11 @@
     def list_arms(self, version: str) -> tuple[Arm, ...]:
         """Returns the arms that an answer of a version counts for."""
         arms = []
-        for rollout in self._all:
+        for rollout in self._rollouts:
             # A workspace with one side only is no evidence for either.
             if not {rollout.baseline, rollout.candidate} <= self._usable:
                 continue
-            inside = self._inside[rollout.name]
+            inside = self._is_inside[rollout.name]
             arm = rollout.candidate if inside else rollout.baseline
             if version == arm:
                 arms.append(Arm(rollout.name, inside))
@@ -187,15 +189,15 @@
 
     def _is_barred(self, version: str) -> bool:
         """Tells whether every roll-out of a version leaves the request out."""
-        sides = [r for r in self._all if r.candidate == version]
-        return bool(sides) and not any(self._inside[r.name] for r in sides)
+        sides = [r for r in self._rollouts if r.candidate == version]
+        return bool(sides) and not any(self._is_inside[r.name] for r in sides)
 
-    def _follow(self, version: str) -> str:
+    def _follow_rollout(self, version: str) -> str:
         barred = self._is_barred(version)
-        for rollout in self._all:
+        for rollout in self._rollouts:
             if barred and rollout.candidate == version:
                 return rollout.baseline
-            if rollout.baseline == version and self._inside[rollout.name]:
+            if rollout.baseline == version and self._is_inside[rollout.name]:
                 return rollout.candidate
         return version
 
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -76,7 +76,7 @@
         self._errands = errands.Errands()
         self._store = storeclient.StoreClient(settings.store.url)
         self._node = self._build_node(settings)
-        self._loop = loop.DecisionLoop(self._node, self._node.find_due)
+        self._loop = loop.DecisionLoop(self._node, self._node.get_next_due_at)
         self._peers = peers.PeerTask(
             settings.process.peer_address, self._take_peer_event
         )
@@ -356,7 +356,9 @@
         return self._loop.ask(self._node.count_pending) + len(self._waiters)
 
     def _report_levels(self) -> None:
-        levels = self._loop.ask(lambda: self._node.measure(time.monotonic()))
+        levels = self._loop.ask(
+            lambda: self._node.read_gauges(time.monotonic())
+        )
         levels["relay.held_bytes"] = self._relay.held_bytes
         for name, value in levels.items():
             self._meter.set_level(name, value)
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -21,7 +21,7 @@
 
     def __init__(self, selector: selectors.BaseSelector):
         self._selector = selector
-        self._buffers = buffers.Buffers()
+        self._buffers = buffers.CallerBuffers()
 
     def watch(self, stream: streams.Stream) -> None:
         """Starts to watch the socket of a caller."""
@@ -35,7 +35,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that wait for slow callers."""
-        return self._buffers.count_held()
+        return self._buffers.get_buffered_bytes()
 
     def unwatch(self, stream: streams.Stream) -> None:
         """Gives the socket back to the HTTP worker."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sycamorehollow.decisions.requests import answers
+from sycamorehollow.decisions.requests import response_assembly
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from tests import worlds
@@ -19,7 +19,7 @@
 
     def __init__(self, schedule):
         self.schedule = schedule
-        self.part = answers.Answers()
+        self.part = response_assembly.ResponseAssembler()
         self.now = 0.0
         self.wire = []
         self.delivered = {"a": [], "b": []}
@@ -32,34 +32,43 @@
     def open(self, request_id):
         self.attempts[request_id] += 1
         attempt = f"{request_id}{self.attempts[request_id]}"
-        self.give(answers.AnswerOpened(request_id, attempt, "u"))
+        self.give(response_assembly.ResponseOpened(request_id, attempt, "u"))
         self.send(request_id, attempt, 0)
 
     def send(self, request_id, attempt, start):
         for number in range(start, TOTAL):
             data = f"{attempt}/{number}".encode()
             self.wire.append(
-                answers.ChunkArrived(request_id, attempt, number, data)
+                response_assembly.ChunkArrived(
+                    request_id, attempt, number, data
+                )
             )
-        self.wire.append(answers.EndArrived(request_id, attempt, TOTAL))
+        self.wire.append(
+            response_assembly.EndArrived(request_id, attempt, TOTAL)
+        )
 
     def give(self, event):
-        if isinstance(event, answers.EndArrived):
+        if isinstance(event, response_assembly.EndArrived):
             if event.request_id not in self.ends:
                 self.declared.add(event.attempt)
         for command in self.part.handle(event, self.now):
             request_id = command.request_id
             assert request_id not in self.ends, "a command after the end"
-            if isinstance(command, answers.DeliverChunk):
+            if isinstance(command, response_assembly.DeliverChunk):
                 self.delivered[request_id].append(command.data)
-            elif isinstance(command, answers.ResumeStream):
+            elif isinstance(command, response_assembly.ResumeStream):
                 if self.schedule.pick(3) == 1:
                     self.wire.append(
-                        answers.ResumeFailed(request_id, command.attempt)
+                        response_assembly.ResumeFailed(
+                            request_id, command.attempt
+                        )
                     )
                 else:
-                    self.send(request_id, command.attempt, command.start)
-            elif isinstance(command, answers.FailAnswer) and not command.chunks:
+                    self.send(request_id, command.attempt, command.start_number)
+            elif (
+                isinstance(command, response_assembly.FailResponse)
+                and not command.chunks
+            ):
                 # The retry rule starts another attempt.
                 if self.attempts[request_id] < 3:
                     self.open(request_id)
@@ -75,7 +84,7 @@
         if kind == 7:
             request_id = "ab"[self.schedule.pick(2)]
             attempt = f"{request_id}{self.attempts[request_id]}"
-            self.give(answers.StreamBroken(request_id, attempt))
+            self.give(response_assembly.StreamBroken(request_id, attempt))
         elif kind == 8 or not self.wire:
             self.now += 1.5
             self.give(events.Tick())
@@ -98,7 +107,7 @@
             # The progress rule reports a silent connection.
             for request_id, count in self.attempts.items():
                 attempt = f"{request_id}{count}"
-                self.give(answers.StreamBroken(request_id, attempt))
+                self.give(response_assembly.StreamBroken(request_id, attempt))
 
 
 class AssemblyTest(unittest.TestCase):
@@ -114,7 +123,7 @@
             whole = [f"{attempt}/{n}".encode() for n in range(TOTAL)]
             self.assertEqual(chunks, whole[: len(chunks)])
             end = world.ends[request_id]
-            if isinstance(end, answers.CompleteAnswer):
+            if isinstance(end, response_assembly.CompleteResponse):
                 self.assertEqual(chunks, whole)
             else:
                 # All chunks without a declared end may still be too few.
@@ -131,43 +140,60 @@
     """Guards against endless waits and unbounded memory for one response."""
 
     def setUp(self):
-        self.part = answers.Answers()
-        self.part.handle(answers.AnswerOpened("a", "a1", "u"), 0.0)
+        self.part = response_assembly.ResponseAssembler()
+        self.part.handle(response_assembly.ResponseOpened("a", "a1", "u"), 0.0)
 
     def test_late_chunks_are_bounded(self):
         resumed = []
-        for number in range(1, 3 * answers.MAX_LATE_CHUNKS):
-            event = answers.ChunkArrived("a", "a1", number, b"x" * 2000)
+        for number in range(1, 3 * response_assembly.MAX_OUT_OF_ORDER_CHUNKS):
+            event = response_assembly.ChunkArrived(
+                "a", "a1", number, b"x" * 2000
+            )
             resumed.extend(self.part.handle(event, 0.0))
             self.assertLessEqual(
-                self.part.count_late_bytes("a"), answers.MAX_LATE_BYTES
+                self.part.count_buffered_bytes("a"),
+                response_assembly.MAX_OUT_OF_ORDER_BYTES,
             )
-        self.assertEqual(resumed[0], answers.ResumeStream("a", "a1", "u", 0))
+        self.assertEqual(
+            resumed[0], response_assembly.ResumeStream("a", "a1", "u", 0)
+        )
 
     def test_missing_chunk_is_read_again_after_a_second(self):
-        self.part.handle(answers.ChunkArrived("a", "a1", 1, b"x"), 0.0)
+        self.part.handle(
+            response_assembly.ChunkArrived("a", "a1", 1, b"x"), 0.0
+        )
         self.assertEqual(self.part.handle(events.Tick(), 0.9), [])
         resumed = self.part.handle(events.Tick(), 1.1)
-        self.assertEqual(resumed, [answers.ResumeStream("a", "a1", "u", 0)])
+        self.assertEqual(
+            resumed, [response_assembly.ResumeStream("a", "a1", "u", 0)]
+        )
 
     def test_second_attempt_does_not_continue_the_first(self):
-        self.part.handle(answers.ChunkArrived("a", "a1", 0, b"x"), 0.0)
-        failed = self.part.handle(answers.AnswerOpened("a", "a2", "u"), 0.0)[0]
+        self.part.handle(
+            response_assembly.ChunkArrived("a", "a1", 0, b"x"), 0.0
+        )
+        failed = self.part.handle(
+            response_assembly.ResponseOpened("a", "a2", "u"), 0.0
+        )[0]
         self.assertIsInstance(failed.failure, failures.AnswerTruncated)
 
     def test_resumes_at_the_next_chunk_and_not_for_ever(self):
         for _ in range(2):
-            self.part.handle(answers.ChunkArrived("a", "a1", 0, b"x"), 0.0)
-        self.assertEqual(self.part.count_late_bytes("a"), 0)
-        broken = answers.StreamBroken("a", "a1")
-        for _ in range(answers.MAX_RESUMES):
+            self.part.handle(
+                response_assembly.ChunkArrived("a", "a1", 0, b"x"), 0.0
+            )
+        self.assertEqual(self.part.count_buffered_bytes("a"), 0)
+        broken = response_assembly.StreamBroken("a", "a1")
+        for _ in range(response_assembly.MAX_RESUMES):
             resumed = self.part.handle(broken, 0.0)
-            expected = answers.ResumeStream("a", "a1", "u", 1)
+            expected = response_assembly.ResumeStream("a", "a1", "u", 1)
             self.assertEqual(resumed, [expected])
         failed = self.part.handle(broken, 0.0)[0]
         self.assertIsInstance(failed.failure, failures.AnswerTruncated)
-        self.assertEqual(self.part.held, 0)
+        self.assertEqual(self.part.active_count, 0)
 
     def test_empty_response_is_complete(self):
-        ended = self.part.handle(answers.EndArrived("a", "a1", 0), 0.0)
-        self.assertEqual(ended, [answers.CompleteAnswer("a", 0)])
+        ended = self.part.handle(
+            response_assembly.EndArrived("a", "a1", 0), 0.0
+        )
+        self.assertEqual(ended, [response_assembly.CompleteResponse("a", 0)])
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -13,7 +13,7 @@
 
 def make():
     """Returns small buffers."""
-    return buffers.Buffers(STREAM, TOTAL, HIGH, LOW)
+    return buffers.CallerBuffers(STREAM, TOTAL, HIGH, LOW)
 
 
 class BuffersTest(unittest.TestCase):
@@ -43,7 +43,9 @@
                 rule.handle(buffers.StreamOpened(name), now)
             event = events.Tick()
             if step == "read":
-                size = min(size, rule.count_room(name)) if asks else size
+                size = (
+                    min(size, rule.get_readable_bytes(name)) if asks else size
+                )
                 held[name] += size
                 event = buffers.ChunkBuffered(name, size)
             if step == "send":
@@ -58,7 +60,7 @@
                     if asks:
                         self.assertGreater(sum(held.values()), TOTAL)
                     del held[command.stream]
-            self.assertEqual(rule.count_held(), sum(held.values()))
+            self.assertEqual(rule.get_buffered_bytes(), sum(held.values()))
             self.assertLessEqual(sum(held.values()), TOTAL)
             for bytes_held in held.values():
                 self.assertLessEqual(bytes_held, STREAM)
@@ -76,9 +78,9 @@
         for now, size in enumerate(sizes):
             for number in range(slow):
                 name = f"slow{number}"
-                read = min(size, rule.count_room(name))
+                read = min(size, rule.get_readable_bytes(name))
                 rule.handle(buffers.ChunkBuffered(name, read), now)
-            self.assertGreaterEqual(rule.count_room("fast"), size)
+            self.assertGreaterEqual(rule.get_readable_bytes("fast"), size)
             decided = rule.handle(buffers.ChunkBuffered("fast", size), now)
             self.assertNotIn("fast", [one.stream for one in decided])
             rule.handle(buffers.BytesSent("fast", size), now)
@@ -89,7 +91,7 @@
         rule.handle(buffers.StreamOpened("a"), 0.0)
         paused = rule.handle(buffers.ChunkBuffered("a", 70), 0.0)
         self.assertEqual(paused, [buffers.PauseReading("a")])
-        self.assertEqual(rule.count_room("a"), 0)
+        self.assertEqual(rule.get_readable_bytes("a"), 0)
         self.assertEqual(rule.handle(buffers.BytesSent("a", 20), 1.0), [])
         resumed = rule.handle(buffers.BytesSent("a", 20), 1.0)
         self.assertEqual(resumed, [buffers.ResumeReading("a")])
@@ -100,8 +102,8 @@
         for name in ("idle", "stalled"):
             rule.handle(buffers.StreamOpened(name), 0.0)
         rule.handle(buffers.ChunkBuffered("stalled", 10), 100.0)
-        soon = 100.0 + buffers.STALL_S - 1
+        soon = 100.0 + buffers.STALL_TIMEOUT_S - 1
         self.assertEqual(rule.handle(events.Tick(), soon), [])
         [command] = rule.handle(events.Tick(), soon + 1)
         self.assertEqual(command.stream, "stalled")
-        self.assertEqual(rule.count_held(), 0)
+        self.assertEqual(rule.get_buffered_bytes(), 0)
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -26,7 +26,7 @@
     )
     def test_every_silent_connection_ends(self, steps, last):
         """Whatever happened before, silence ends within the limits."""
-        rule = progress.Progress()
+        rule = progress.ProgressMonitor()
         now = 0.0
         for step, phase in steps:
             now += 1.0
@@ -34,7 +34,7 @@
             if step == "phase":
                 event = progress.PhaseChanged("c", phase)
             if step == "move":
-                event = progress.BytesMoved("c")
+                event = progress.ProgressMade("c")
             rule.handle(event, now)
         rule.handle(progress.PhaseChanged("c", last), now)
         limit_s = progress.TIMEOUTS_S.get(last, float("inf"))
@@ -52,26 +52,26 @@
 
     def test_progress_keeps_a_slow_stream(self):
         """A long response must not be cut off while tokens come."""
-        rule = progress.Progress()
+        rule = progress.ProgressMonitor()
         rule.handle(progress.PhaseChanged("c", progress.Phase.FIRST_BYTE), 0.0)
         for second in range(1, 200, 5):
-            rule.handle(progress.BytesMoved("c"), second)
+            rule.handle(progress.ProgressMade("c"), second)
             self.assertEqual(rule.handle(events.Tick(), second + 4), [])
 
     def test_silence_after_writing_is_unknown(self):
         """The upstream may run what it has received."""
-        rule = progress.Progress()
+        rule = progress.ProgressMonitor()
         rule.handle(progress.PhaseChanged("c", progress.Phase.WRITING), 0.0)
         [command] = rule.handle(events.Tick(), progress.WRITE_TIMEOUT_S)
         self.assertIs(command.failure.execution, failures.Execution.UNKNOWN)
 
     def test_answered_probe_keeps_an_idle_connection(self):
         """A request on a dead idle connection would wait for its timeout."""
-        rule = progress.Progress()
+        rule = progress.ProgressMonitor()
         rule.handle(progress.PhaseChanged("c", progress.Phase.IDLE), 0.0)
         self.assertTrue(rule.is_usable("c"))
         [probe] = rule.handle(events.Tick(), progress.PROBE_INTERVAL_S)
         self.assertEqual(probe, progress.ProbeConnection("c"))
         self.assertFalse(rule.is_usable("c"))
-        rule.handle(progress.BytesMoved("c"), 16.0)
+        rule.handle(progress.ProgressMade("c"), 16.0)
         self.assertTrue(rule.is_usable("c"))
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -78,7 +78,7 @@
         for version in result.versions:
             sides = [r for r in rollouts if r.candidate == version]
             inside = [
-                versions.place(r, str(number)) < effective[r.name]
+                versions.compute_bucket(r, str(number)) < effective[r.name]
                 for r in sides
             ]
             self.assertTrue(not sides or any(inside))
@@ -134,7 +134,7 @@
             self.assertIsInstance(found, kind)
 
     def test_price_counts_prompt_and_output(self):
-        prices = versions.price_versions(CATALOGUE, ("v4",), 1000, 2000)
+        prices = versions.estimate_prices(CATALOGUE, ("v4",), 1000, 2000)
         self.assertEqual(prices, {"v4": 7.0})
 
 
