Name the waiters of tickets and the results of operations

A ticket's callers and peers are waiters, and the events that end an operation without a result begin with Op, as their field does.

Checked: make lint; test_calls, test_effects, test_sweeps and test_bounded_http pass.

--- a/sycamorehollow/decisions/calls/call_messages.py
+++ b/sycamorehollow/decisions/calls/call_messages.py
@@ -194,7 +194,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OperationRefused(events.Event):
+class OpRefused(events.Event):
     """The other side refused an operation in a typed way; no effect."""
 
     op: str
@@ -202,7 +202,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OperationNotSent(events.Event):
+class OpNotSent(events.Event):
     """No byte of the operation was sent; no effect."""
 
     op: str
@@ -210,7 +210,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OperationInDoubt(events.Event):
+class OpInDoubt(events.Event):
     """The operation may have taken effect."""
 
     op: str
@@ -243,7 +243,7 @@
         service_key: Idempotency key at the service, with the workspace in it
             so that equal keys of two workspaces do not meet.
         not_after: Monotonic time in seconds from which no byte may be sent;
-            the shell then reports `OperationNotSent`.
+            the shell then reports `OpNotSent`.
     """
 
     op: str
--- a/sycamorehollow/decisions/calls/key_calls.py
+++ b/sycamorehollow/decisions/calls/key_calls.py
@@ -8,7 +8,7 @@
 from sycamorehollow.decisions.calls import call_messages as messages
 from sycamorehollow.decisions.calls import call_records as records
 from sycamorehollow.decisions.calls import owned_calls
-from sycamorehollow.decisions.calls import pending_calls
+from sycamorehollow.decisions.calls import pending_calls as pending
 from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
@@ -39,15 +39,15 @@
         if entry is None:
             return []
         handlers = {
-            pending_calls.Phase.CLAIMING: self._after_claim,
-            pending_calls.Phase.CHECKING_CLAIM: self._after_check,
-            pending_calls.Phase.DISPATCHED: self._after_dispatch,
-            pending_calls.Phase.LOOKING_UP_OWN: self._after_own_lookup,
-            pending_calls.Phase.RECORDING_OUTCOME: self._after_recording,
-            pending_calls.Phase.RELEASING_CLAIM: self._after_release,
-            pending_calls.Phase.READING_RECORD: self._after_read,
-            pending_calls.Phase.WAITING_FOR_OWNER: self._after_asking,
-            pending_calls.Phase.LOOKING_UP_FOREIGN: self._after_foreign_lookup,
+            pending.Phase.CLAIMING: self._after_claim,
+            pending.Phase.CHECKING_CLAIM: self._after_check,
+            pending.Phase.DISPATCHED: self._after_dispatch,
+            pending.Phase.LOOKING_UP_OWN: self._after_own_lookup,
+            pending.Phase.RECORDING_OUTCOME: self._after_recording,
+            pending.Phase.RELEASING_CLAIM: self._after_release,
+            pending.Phase.READING_RECORD: self._after_read,
+            pending.Phase.WAITING_FOR_OWNER: self._after_asking,
+            pending.Phase.LOOKING_UP_FOREIGN: self._after_foreign_lookup,
         }
         return handlers[entry.phase](entry, event, now)
 
@@ -73,11 +73,11 @@
         return [self._claim(entry, 0)]
 
     def _join(
-        self, entry: pending_calls.PendingCall, call: requests.ServiceCall
+        self, entry: pending.PendingCall, call: requests.ServiceCall
     ) -> list[commands.Command]:
         assert entry.call is not None
         if records.compute_digest(entry.call) != records.compute_digest(call):
-            failure = pending_calls.make_key_conflict()
+            failure = pending.make_key_conflict()
             return [messages.Reply(call.request_id, failure)]
         if entry.result is not None:
             return [messages.Reply(call.request_id, entry.result)]
@@ -86,15 +86,13 @@
 
     def _open(
         self, workspace: str, key: str, call: requests.ServiceCall | None
-    ) -> pending_calls.PendingCall:
+    ) -> pending.PendingCall:
         nonce = f"{self._rng.getrandbits(64):016x}"
-        entry = pending_calls.PendingCall(workspace, key, nonce, call)
+        entry = pending.PendingCall(workspace, key, nonce, call)
         self._table.add(entry)
         return entry
 
-    def _find(
-        self, workspace: str, key: str
-    ) -> pending_calls.PendingCall | None:
+    def _find(self, workspace: str, key: str) -> pending.PendingCall | None:
         """Returns the entry that may run the call, or else a question."""
         entry = self._table.find(workspace, key, True)
         return entry or self._table.find(workspace, key, False)
@@ -108,7 +106,7 @@
         if entry is None:
             entry = self._open(asked.workspace, asked.key, None)
             entry.waiters[asked.request_id] = asked.deadline
-            return [self._table.read(entry, pending_calls.Phase.READING_RECORD)]
+            return [self._table.read(entry, pending.Phase.READING_RECORD)]
         if entry.result is not None:
             return [messages.Reply(asked.request_id, entry.result)]
         entry.waiters[asked.request_id] = asked.deadline
@@ -123,7 +121,7 @@
             gone = messages.WrongIncarnation(reason="the process has restarted")
             return [messages.ReplyToPeer(asked.peer_request_id, gone)]
         entry = self._find(asked.workspace, asked.key)
-        if entry is None or entry.phase in pending_calls.OWNED_ELSEWHERE:
+        if entry is None or entry.phase in pending.OWNED_ELSEWHERE:
             failure = messages.NotHeld(reason="the key is not held here")
             return [messages.ReplyToPeer(asked.peer_request_id, failure)]
         if entry.result is not None:
@@ -135,7 +133,7 @@
 
     def _observe(
         self,
-        entry: pending_calls.PendingCall,
+        entry: pending.PendingCall,
         value: str | None,
         revision: int,
         now: float,
@@ -147,7 +145,7 @@
         if entry.call is not None:
             digest = records.compute_digest(entry.call)
         if found.digest != digest:
-            return self._finish(entry, pending_calls.make_key_conflict())
+            return self._finish(entry, pending.make_key_conflict())
         if found.outcome is not None:
             return self._finish(entry, found.outcome)
         entry.foreign_record = found
@@ -164,7 +162,7 @@
         return [self._look(entry, found)]
 
     def _observe_nothing(
-        self, entry: pending_calls.PendingCall, value: str | None, revision: int
+        self, entry: pending.PendingCall, value: str | None, revision: int
     ) -> list[commands.Command]:
         if value is not None:
             failure = messages.UnknownOutcome(
@@ -177,10 +175,10 @@
         return self._finish(entry, absent)
 
     def _ask(
-        self, entry: pending_calls.PendingCall, found: records.CallRecord
+        self, entry: pending.PendingCall, found: records.CallRecord
     ) -> commands.Command:
         return messages.RequestFromOwner(
-            self._table.start_op(entry, pending_calls.Phase.WAITING_FOR_OWNER),
+            self._table.start_op(entry, pending.Phase.WAITING_FOR_OWNER),
             found.address,
             found.incarnation,
             entry.workspace,
@@ -190,7 +188,7 @@
         )
 
     def _after_asking(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         assert entry.foreign_record is not None
         if not isinstance(event, messages.OwnerReplied):
@@ -198,39 +196,39 @@
         if isinstance(event.result, messages.Outcome):
             return self._finish(entry, event.result)
         if isinstance(event.result, messages.NotHeld):
-            return [self._table.read(entry, pending_calls.Phase.READING_RECORD)]
+            return [self._table.read(entry, pending.Phase.READING_RECORD)]
         if event.result.execution is failures.Execution.UNKNOWN:
             return [self._look(entry, entry.foreign_record)]
         return self._finish(entry, event.result)
 
     def _after_read(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if isinstance(event, messages.CallRecordRead):
             return self._observe(entry, event.value, event.revision, now)
         if entry.foreign_record is not None:
             return [self._look(entry, entry.foreign_record)]
-        return self._finish(entry, pending_calls.make_unknown_outcome())
+        return self._finish(entry, pending.make_unknown_outcome())
 
     def _look(
-        self, entry: pending_calls.PendingCall, found: records.CallRecord
+        self, entry: pending.PendingCall, found: records.CallRecord
     ) -> commands.Command:
         return self._table.look_up_outcome(
             entry,
-            pending_calls.Phase.LOOKING_UP_FOREIGN,
+            pending.Phase.LOOKING_UP_FOREIGN,
             found.service,
             found.operation,
         )
 
     def _after_foreign_lookup(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         # An absent call may still run: its owner may be paused.
         if (
             not isinstance(event, messages.OutcomeLookedUp)
             or event.outcome is None
         ):
-            return self._finish(entry, pending_calls.make_unknown_outcome())
+            return self._finish(entry, pending.make_unknown_outcome())
         assert entry.foreign_record is not None
         entry.result = event.outcome
         entry.target_record = dataclasses.replace(
@@ -238,13 +236,11 @@
             state=records.CallState.DONE,
             outcome=event.outcome,
         )
-        answers = pending_calls.reply_to_all(entry, event.outcome)
+        answers = pending.reply_to_all(entry, event.outcome)
         return [
             *answers,
             self._table.write(
-                entry,
-                pending_calls.Phase.RECORDING_OUTCOME,
-                entry.target_record,
+                entry, pending.Phase.RECORDING_OUTCOME, entry.target_record
             ),
         ]
 
@@ -258,14 +254,12 @@
                 result.append(
                     self._table.write(entry, entry.phase, entry.target_record)
                 )
-            if entry.phase in pending_calls.BEFORE_DISPATCH:
+            if entry.phase in pending.BEFORE_DISPATCH:
                 if entry.get_deadline(now) <= now:
                     result.extend(
-                        self._release(
-                            entry, pending_calls.make_deadline_exceeded()
-                        )
+                        self._release(entry, pending.make_deadline_exceeded())
                     )
-            result.extend(pending_calls.reply_to_expired(entry, now))
+            result.extend(pending.reply_to_expired(entry, now))
         return result
 
 
--- a/sycamorehollow/decisions/calls/owned_calls.py
+++ b/sycamorehollow/decisions/calls/owned_calls.py
@@ -7,7 +7,7 @@
 from sycamorehollow.decisions import components
 from sycamorehollow.decisions.calls import call_messages as messages
 from sycamorehollow.decisions.calls import call_records as records
-from sycamorehollow.decisions.calls import pending_calls
+from sycamorehollow.decisions.calls import pending_calls as pending
 from sycamorehollow.decisions.calls import tickets
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
@@ -40,7 +40,7 @@
         self._process = process
         self._issuer = issuer
         self._rng = rng
-        self._table = pending_calls.PendingCallTable("key-")
+        self._table = pending.PendingCallTable("key-")
 
     @property
     def count(self) -> int:
@@ -50,7 +50,7 @@
     @abc.abstractmethod
     def _observe(
         self,
-        entry: pending_calls.PendingCall,
+        entry: pending.PendingCall,
         value: str | None,
         revision: int,
         now: float,
@@ -60,14 +60,14 @@
     # The claim.
 
     def _claim(
-        self, entry: pending_calls.PendingCall, expect: int
+        self, entry: pending.PendingCall, expect: int
     ) -> commands.Command:
         entry.expected_revision = expect
         record = self._make_record(entry, records.CallState.CLAIMED)
-        return self._table.write(entry, pending_calls.Phase.CLAIMING, record)
+        return self._table.write(entry, pending.Phase.CLAIMING, record)
 
     def _after_claim(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if isinstance(event, messages.CallRecordWritten):
             return self._dispatch(entry, event.revision, now)
@@ -76,18 +76,18 @@
             if self._is_own(entry, found):
                 return self._dispatch(entry, event.revision, now)
             return self._observe(entry, event.value, event.revision, now)
-        if isinstance(event, messages.OperationInDoubt):
+        if isinstance(event, messages.OpInDoubt):
             entry.is_claim_in_doubt = True
-            return [self._table.read(entry, pending_calls.Phase.CHECKING_CLAIM)]
+            return [self._table.read(entry, pending.Phase.CHECKING_CLAIM)]
         return self._give_up(entry, "the store does not respond", now)
 
     def _after_check(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if not isinstance(event, messages.CallRecordRead):
             return self._give_up(entry, "the store does not respond", now)
         if entry.get_deadline(now) <= now:
-            return self._release(entry, pending_calls.make_deadline_exceeded())
+            return self._release(entry, pending.make_deadline_exceeded())
         if self._is_own(entry, records.decode_record(event.value)):
             return self._dispatch(entry, event.revision, now)
         if event.revision == entry.expected_revision:
@@ -97,17 +97,17 @@
         return self._observe(entry, event.value, event.revision, now)
 
     def _dispatch(
-        self, entry: pending_calls.PendingCall, revision: int, now: float
+        self, entry: pending.PendingCall, revision: int, now: float
     ) -> list[commands.Command]:
         entry.expected_revision = revision
         assert entry.call is not None
         deadline = entry.get_deadline(now)
         if deadline <= now:
             # The process was paused or the store was slow.
-            return self._release(entry, pending_calls.make_deadline_exceeded())
+            return self._release(entry, pending.make_deadline_exceeded())
         return [
             messages.Dispatch(
-                self._table.start_op(entry, pending_calls.Phase.DISPATCHED),
+                self._table.start_op(entry, pending.Phase.DISPATCHED),
                 entry.call,
                 records.make_service_key(entry.workspace, entry.key),
                 deadline,
@@ -115,7 +115,7 @@
         ]
 
     def _give_up(
-        self, entry: pending_calls.PendingCall, reason: str, now: float
+        self, entry: pending.PendingCall, reason: str, now: float
     ) -> list[commands.Command]:
         failure = messages.StoreDown(
             reason=reason,
@@ -129,13 +129,11 @@
     # The dispatch and its outcome.
 
     def _after_dispatch(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if isinstance(event, messages.ServiceResponded):
             return self._conclude(entry, event.outcome)
-        if isinstance(
-            event, messages.OperationNotSent | messages.OperationRefused
-        ):
+        if isinstance(event, messages.OpNotSent | messages.OpRefused):
             failure = messages.NotRun(
                 reason=event.reason, retry_after_s=STORE_RETRY_S
             )
@@ -144,22 +142,22 @@
         return [
             self._table.look_up_outcome(
                 entry,
-                pending_calls.Phase.LOOKING_UP_OWN,
+                pending.Phase.LOOKING_UP_OWN,
                 entry.call.service,
                 entry.call.operation,
             )
         ]
 
     def _after_own_lookup(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if isinstance(event, messages.OutcomeLookedUp):
             if event.outcome is not None:
                 return self._conclude(entry, event.outcome)
-        return self._conclude(entry, pending_calls.make_unknown_outcome())
+        return self._conclude(entry, pending.make_unknown_outcome())
 
     def _conclude(
-        self, entry: pending_calls.PendingCall, result: messages.Result
+        self, entry: pending.PendingCall, result: messages.Result
     ) -> list[commands.Command]:
         """Answers everyone and records the outcome of the own dispatch."""
         entry.result = result
@@ -171,18 +169,16 @@
         entry.target_record = dataclasses.replace(
             self._make_record(entry, state), outcome=outcome
         )
-        answers = pending_calls.reply_to_all(entry, result)
+        answers = pending.reply_to_all(entry, result)
         return [
             *answers,
             self._table.write(
-                entry,
-                pending_calls.Phase.RECORDING_OUTCOME,
-                entry.target_record,
+                entry, pending.Phase.RECORDING_OUTCOME, entry.target_record
             ),
         ]
 
     def _after_recording(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         assert entry.target_record is not None
         if isinstance(event, messages.CallRecordWritten):
@@ -203,16 +199,14 @@
         entry.expected_revision = event.revision
         return [
             self._table.write(
-                entry,
-                pending_calls.Phase.RECORDING_OUTCOME,
-                entry.target_record,
+                entry, pending.Phase.RECORDING_OUTCOME, entry.target_record
             )
         ]
 
     # Giving a claim back.
 
     def _release(
-        self, entry: pending_calls.PendingCall, failure: failures.Failure
+        self, entry: pending.PendingCall, failure: failures.Failure
     ) -> list[commands.Command]:
         """Answers everyone and marks the claim as not run.
 
@@ -223,16 +217,16 @@
         entry.target_record = self._make_record(
             entry, records.CallState.NOT_RUN
         )
-        answers = pending_calls.reply_to_all(entry, failure)
+        answers = pending.reply_to_all(entry, failure)
         return [
             *answers,
             self._table.write(
-                entry, pending_calls.Phase.RELEASING_CLAIM, entry.target_record
+                entry, pending.Phase.RELEASING_CLAIM, entry.target_record
             ),
         ]
 
     def _after_release(
-        self, entry: pending_calls.PendingCall, event: events.Event, now: float
+        self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if isinstance(event, messages.CallRecordWritten):
             return self._close(entry)
@@ -245,32 +239,30 @@
         entry.expected_revision = event.revision
         return [
             self._table.write(
-                entry, pending_calls.Phase.RELEASING_CLAIM, entry.target_record
+                entry, pending.Phase.RELEASING_CLAIM, entry.target_record
             )
         ]
 
     def _retry_later(
-        self, entry: pending_calls.PendingCall, now: float
+        self, entry: pending.PendingCall, now: float
     ) -> list[commands.Command]:
         jitter = self._rng.random() * STORE_RETRY_JITTER_S
         entry.retry_at = now + STORE_RETRY_S + jitter
         return []
 
     def _finish(
-        self, entry: pending_calls.PendingCall, result: messages.Result
+        self, entry: pending.PendingCall, result: messages.Result
     ) -> list[commands.Command]:
-        answers = pending_calls.reply_to_all(entry, result)
+        answers = pending.reply_to_all(entry, result)
         self._table.close(entry)
         return answers
 
-    def _close(
-        self, entry: pending_calls.PendingCall
-    ) -> list[commands.Command]:
+    def _close(self, entry: pending.PendingCall) -> list[commands.Command]:
         self._table.close(entry)
         return []
 
     def _make_record(
-        self, entry: pending_calls.PendingCall, state: records.CallState
+        self, entry: pending.PendingCall, state: records.CallState
     ) -> records.CallRecord:
         assert entry.call is not None
         return records.CallRecord(
@@ -285,7 +277,7 @@
         )
 
     def _is_own(
-        self, entry: pending_calls.PendingCall, found: records.CallRecord | None
+        self, entry: pending.PendingCall, found: records.CallRecord | None
     ) -> bool:
         """Tells whether a record is the claim of this entry."""
         if found is None or found.state is not records.CallState.CLAIMED:
--- a/sycamorehollow/decisions/calls/ticket_calls.py
+++ b/sycamorehollow/decisions/calls/ticket_calls.py
@@ -7,9 +7,9 @@
 from sycamorehollow.decisions import components
 from sycamorehollow.decisions.calls import call_messages as messages
 from sycamorehollow.decisions.calls import call_records as records
-from sycamorehollow.decisions.calls import pending_calls
-from sycamorehollow.decisions.calls import ticket_requests
+from sycamorehollow.decisions.calls import pending_calls as pending
 from sycamorehollow.decisions.calls import tickets
+from sycamorehollow.decisions.calls import waiters
 from sycamorehollow.decisions.operations import keyrings
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
@@ -75,7 +75,7 @@
         self._ring = ring
         self._rng = rng
         self._own_tickets: dict[tuple[str, str], _OwnTicket] = {}
-        self._waiting_requests: dict[str, ticket_requests.TicketRequest] = {}
+        self._waiting: dict[str, waiters.Waiter] = {}
         self._handlers: dict[str, _Handler] = {}
         self._next_op = 0
 
@@ -87,9 +87,9 @@
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; see `components.Component.handle`."""
         if isinstance(event, messages.CallArrived):
-            return self._accept(ticket_requests.from_call(event.call), now)
+            return self._accept(waiters.from_call(event.call), now)
         if isinstance(event, messages.OutcomeRequested):
-            return self._accept(ticket_requests.from_question(event), now)
+            return self._accept(waiters.from_outcome_request(event), now)
         if isinstance(event, messages.PeerRequestReceived):
             if event.incarnation != self._process.incarnation:
                 if not tickets.is_ticket(event.key):
@@ -98,104 +98,89 @@
                     reason="the process has restarted"
                 )
                 return [messages.ReplyToPeer(event.peer_request_id, gone)]
-            return self._accept(ticket_requests.from_peer(event), now)
+            return self._accept(waiters.from_peer(event), now)
         if isinstance(event, events.Tick):
             return self._tick(now)
         handler = self._handlers.pop(getattr(event, "op", ""), None)
         return [] if handler is None else handler(event, now)
 
     def _accept(
-        self, request: ticket_requests.TicketRequest, now: float
+        self, waiter: waiters.Waiter, now: float
     ) -> list[commands.Command]:
-        if not tickets.is_ticket(request.key):
+        if not tickets.is_ticket(waiter.key):
             return []
-        ticket = tickets.parse_ticket(
-            request.key, request.workspace, self._ring
-        )
+        ticket = tickets.parse_ticket(waiter.key, waiter.workspace, self._ring)
         if isinstance(ticket, failures.Failure):
-            return [ticket_requests.make_reply(request, ticket)]
+            return [waiters.reply(waiter, ticket)]
         if ticket.owner == self._process:
-            return self._accept_own(request, ticket, now)
-        if request.peer_request_id:
-            # Only the owner is request, so a view of another process is wrong.
+            return self._accept_own(waiter, ticket, now)
+        if waiter.peer_request_id:
+            # Only the owner is waiter, so a view of another process is wrong.
             failure = messages.NotHeld(reason="the ticket has another owner")
-            return [ticket_requests.make_reply(request, failure)]
+            return [waiters.reply(waiter, failure)]
         if ticket.owner.address == self._process.address:
-            return self._read_outcome(request)
-        return self._forward(request, ticket.owner)
+            return self._read_outcome(waiter)
+        return self._forward(waiter, ticket.owner)
 
     # Own tickets.
 
     def _accept_own(
-        self,
-        request: ticket_requests.TicketRequest,
-        ticket: tickets.Ticket,
-        now: float,
+        self, waiter: waiters.Waiter, ticket: tickets.Ticket, now: float
     ) -> list[commands.Command]:
-        own = self._own_tickets.get((request.workspace, request.key))
+        own = self._own_tickets.get((waiter.workspace, waiter.key))
         if own is not None:
-            return self._join(own, request)
+            return self._join(own, waiter)
         expiry = ticket.issued_s + tickets.TICKET_TTL_S
         if now >= expiry:
-            return self._read_outcome(request)
-        if request.call is None:
+            return self._read_outcome(waiter)
+        if waiter.call is None:
             failure = messages.NotHeld(reason="the ticket has not been used")
-            return [ticket_requests.make_reply(request, failure)]
-        if request.deadline <= now:
-            return [
-                ticket_requests.make_reply(
-                    request, pending_calls.make_deadline_exceeded()
-                )
-            ]
+            return [waiters.reply(waiter, failure)]
+        if waiter.deadline <= now:
+            return [waiters.reply(waiter, pending.make_deadline_exceeded())]
         if len(self._own_tickets) >= MAX_TICKETS:
             overloaded = messages.Overloaded(
                 reason="too many tickets are held", retry_after_s=STORE_RETRY_S
             )
-            return [ticket_requests.make_reply(request, overloaded)]
+            return [waiters.reply(waiter, overloaded)]
         created_s = int(now + self._wall_offset_s)
-        return [self._dispatch(request, request.call, created_s, expiry)]
+        return [self._dispatch(waiter, waiter.call, created_s, expiry)]
 
     def _join(
-        self, own: _OwnTicket, request: ticket_requests.TicketRequest
+        self, own: _OwnTicket, waiter: waiters.Waiter
     ) -> list[commands.Command]:
-        if request.call is not None:
-            if records.compute_digest(request.call) != own.digest:
-                return [
-                    ticket_requests.make_reply(
-                        request, pending_calls.make_key_conflict()
-                    )
-                ]
+        if waiter.call is not None:
+            if records.compute_digest(waiter.call) != own.digest:
+                return [waiters.reply(waiter, pending.make_key_conflict())]
         if isinstance(own.result, messages.Outcome):
-            return [ticket_requests.make_reply(request, own.result)]
+            return [waiters.reply(waiter, own.result)]
         resolve = own.result is not None and not own.waiters | own.peer_waiters
-        _add_waiter(own, request)
+        _add_waiter(own, waiter)
         return [self._look_up_own(own)] if resolve else []
 
     def _dispatch(
         self,
-        request: ticket_requests.TicketRequest,
+        waiter: waiters.Waiter,
         call: requests.ServiceCall,
         created_s: int,
         expiry: float,
     ) -> commands.Command:
         own = _OwnTicket(
-            request.workspace,
-            request.key,
+            waiter.workspace,
+            waiter.key,
             call.service,
             call.operation,
             records.compute_digest(call),
             created_s,
             expiry,
         )
-        self._own_tickets[(request.workspace, request.key)] = own
-        _add_waiter(own, request)
+        self._own_tickets[(waiter.workspace, waiter.key)] = own
+        _add_waiter(own, waiter)
         return messages.Dispatch(
-            self._start_operation(
-                lambda event, now: self._after_dispatch(own, event)
-            ),
+            self._new_op(lambda event, now: self._after_dispatch(own, event)),
             call,
             records.make_service_key(own.workspace, own.key),
-            min(request.deadline, expiry),
+            min(waiter.deadline, expiry),
         )
 
     def _after_dispatch(
@@ -203,22 +188,18 @@
     ) -> list[commands.Command]:
         if isinstance(event, messages.ServiceResponded):
             return self._conclude(own, event.outcome)
-        if isinstance(
-            event, messages.OperationNotSent | messages.OperationRefused
-        ):
+        if isinstance(event, messages.OpNotSent | messages.OpRefused):
             # Forgetting the ticket lets only this process run it again.
             del self._own_tickets[(own.workspace, own.key)]
             failure = messages.NotRun(
                 reason=event.reason, retry_after_s=STORE_RETRY_S
             )
-            return pending_calls.reply_to_all(own, failure)
+            return pending.reply_to_all(own, failure)
         return [self._look_up_own(own)]
 
     def _look_up_own(self, own: _OwnTicket) -> commands.Command:
         return messages.LookUpOutcome(
-            self._start_operation(
-                lambda event, now: self._after_own_lookup(own, event)
-            ),
+            self._new_op(lambda event, now: self._after_own_lookup(own, event)),
             own.service,
             own.operation,
             records.make_service_key(own.workspace, own.key),
@@ -230,12 +211,12 @@
         if isinstance(event, messages.OutcomeLookedUp):
             if event.outcome is not None:
                 return self._conclude(own, event.outcome)
-        return self._conclude(own, pending_calls.make_unknown_outcome())
+        return self._conclude(own, pending.make_unknown_outcome())
 
     def _conclude(
         self, own: _OwnTicket, result: messages.Result
     ) -> list[commands.Command]:
-        answers = pending_calls.reply_to_all(own, result)
+        answers = pending.reply_to_all(own, result)
         if own.result == result:
             return answers
         own.result = result
@@ -268,7 +249,7 @@
         own.writing = True
         result = own.result
         return messages.WriteCallRecord(
-            self._start_operation(
+            self._new_op(
                 lambda event, now: self._after_store(own, result, event, now)
             ),
             records.make_outcome_key(own.workspace, own.key),
@@ -292,135 +273,114 @@
     # Tickets of other processes, and own ones that are forgotten.
 
     def _forward(
-        self, request: ticket_requests.TicketRequest, owner: messages.Process
+        self, waiter: waiters.Waiter, owner: messages.Process
     ) -> list[commands.Command]:
-        op = self._start_for_request(request, self._after_owner)
+        op = self._new_op_for(waiter, self._after_owner)
         return [
             messages.RequestFromOwner(
                 op,
                 owner.address,
                 owner.incarnation,
-                request.workspace,
-                request.key,
-                request.call,
-                request.deadline,
+                waiter.workspace,
+                waiter.key,
+                waiter.call,
+                waiter.deadline,
             )
         ]
 
     def _after_owner(
-        self, request: ticket_requests.TicketRequest, event: events.Event
+        self, waiter: waiters.Waiter, event: events.Event
     ) -> list[commands.Command]:
         if isinstance(event, messages.OwnerReplied):
             if isinstance(event.result, messages.WrongIncarnation):
-                return self._read_outcome(request)
-            return [ticket_requests.make_reply(request, event.result)]
-        if isinstance(
-            event, messages.OperationNotSent | messages.OperationRefused
-        ):
-            if request.call is not None:
+                return self._read_outcome(waiter)
+            return [waiters.reply(waiter, event.result)]
+        if isinstance(event, messages.OpNotSent | messages.OpRefused):
+            if waiter.call is not None:
                 failure = messages.NotRun(
                     reason="the process that issued the ticket is out of reach",
                     retry_after_s=OWNER_RETRY_S,
                 )
-                return [ticket_requests.make_reply(request, failure)]
+                return [waiters.reply(waiter, failure)]
         # The owner may have left after it stored the outcome.
-        return self._read_outcome(request)
+        return self._read_outcome(waiter)
 
-    def _read_outcome(
-        self, request: ticket_requests.TicketRequest
-    ) -> list[commands.Command]:
-        key = records.make_outcome_key(request.workspace, request.key)
-        op = self._start_for_request(request, self._after_read)
+    def _read_outcome(self, waiter: waiters.Waiter) -> list[commands.Command]:
+        key = records.make_outcome_key(waiter.workspace, waiter.key)
+        op = self._new_op_for(waiter, self._after_read)
         return [messages.ReadCallRecord(op, key)]
 
     def _after_read(
-        self, request: ticket_requests.TicketRequest, event: events.Event
+        self, waiter: waiters.Waiter, event: events.Event
     ) -> list[commands.Command]:
         if isinstance(event, messages.CallRecordRead):
             found = records.decode_record(event.value)
             if found is not None:
-                if request.call is not None:
-                    if records.compute_digest(request.call) != found.digest:
+                if waiter.call is not None:
+                    if records.compute_digest(waiter.call) != found.digest:
                         return [
-                            ticket_requests.make_reply(
-                                request, pending_calls.make_key_conflict()
-                            )
+                            waiters.reply(waiter, pending.make_key_conflict())
                         ]
                 if found.outcome is not None:
-                    return [ticket_requests.make_reply(request, found.outcome)]
-                request.service = found.service
-                request.operation = found.operation
-        return self._look_up(request)
-
-    def _look_up(
-        self, request: ticket_requests.TicketRequest
-    ) -> list[commands.Command]:
-        if not request.service:
-            return [
-                ticket_requests.make_reply(
-                    request, pending_calls.make_unknown_outcome()
-                )
-            ]
-        service_key = records.make_service_key(request.workspace, request.key)
-        op = self._start_for_request(request, self._after_lookup)
+                    return [waiters.reply(waiter, found.outcome)]
+                waiter.service = found.service
+                waiter.operation = found.operation
+        return self._look_up(waiter)
+
+    def _look_up(self, waiter: waiters.Waiter) -> list[commands.Command]:
+        if not waiter.service:
+            return [waiters.reply(waiter, pending.make_unknown_outcome())]
+        service_key = records.make_service_key(waiter.workspace, waiter.key)
+        op = self._new_op_for(waiter, self._after_lookup)
         return [
             messages.LookUpOutcome(
-                op, request.service, request.operation, service_key
+                op, waiter.service, waiter.operation, service_key
             )
         ]
 
     def _after_lookup(
-        self, request: ticket_requests.TicketRequest, event: events.Event
+        self, waiter: waiters.Waiter, event: events.Event
     ) -> list[commands.Command]:
         if isinstance(event, messages.OutcomeLookedUp):
             if event.outcome is not None:
-                return [ticket_requests.make_reply(request, event.outcome)]
-        return [
-            ticket_requests.make_reply(
-                request, pending_calls.make_unknown_outcome()
-            )
-        ]
+                return [waiters.reply(waiter, event.outcome)]
+        return [waiters.reply(waiter, pending.make_unknown_outcome())]
 
     # Operations and time.
 
-    def _start_operation(self, handler: _Handler) -> str:
+    def _new_op(self, handler: _Handler) -> str:
         self._next_op += 1
         op = f"ticket-{self._next_op}"
         self._handlers[op] = handler
         return op
 
-    def _start_for_request(
+    def _new_op_for(
         self,
-        request: ticket_requests.TicketRequest,
+        waiter: waiters.Waiter,
         handler: Callable[
-            [ticket_requests.TicketRequest, events.Event],
-            list[commands.Command],
+            [waiters.Waiter, events.Event], list[commands.Command]
         ],
     ) -> str:
         """Starts an operation that ends with an answer to one asker."""
 
         def finish(event: events.Event, now: float) -> list[commands.Command]:
-            del self._waiting_requests[request.op]
-            return handler(request, event)
+            del self._waiting[waiter.op]
+            return handler(waiter, event)
 
-        request.op = self._start_operation(finish)
-        self._waiting_requests[request.op] = request
-        return request.op
+        waiter.op = self._new_op(finish)
+        self._waiting[waiter.op] = waiter
+        return waiter.op
 
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
-        for op, request in list(self._waiting_requests.items()):
-            if request.deadline > now:
+        for op, waiter in list(self._waiting.items()):
+            if waiter.deadline > now:
                 continue
-            del self._waiting_requests[op]
+            del self._waiting[op]
             del self._handlers[op]
-            result.append(
-                ticket_requests.make_reply(
-                    request, pending_calls.make_unknown_outcome()
-                )
-            )
+            result.append(waiters.reply(waiter, pending.make_unknown_outcome()))
         for identity, own in list(self._own_tickets.items()):
-            result.extend(pending_calls.reply_to_expired(own, now))
+            result.extend(pending.reply_to_expired(own, now))
             if own.result is None or own.writing:
                 continue
             if not own.stored:
@@ -431,10 +391,8 @@
         return result
 
 
-def _add_waiter(
-    own: _OwnTicket, request: ticket_requests.TicketRequest
-) -> None:
-    if request.peer_request_id:
-        own.peer_waiters[request.peer_request_id] = request.deadline
+def _add_waiter(own: _OwnTicket, waiter: waiters.Waiter) -> None:
+    if waiter.peer_request_id:
+        own.peer_waiters[waiter.peer_request_id] = waiter.deadline
     else:
-        own.waiters[request.request_id] = request.deadline
+        own.waiters[waiter.request_id] = waiter.deadline
--- a/sycamorehollow/decisions/calls/ticket_requests.py
+++ b/sycamorehollow/decisions/calls/waiters.py
@@ -8,7 +8,7 @@
 
 
 @dataclasses.dataclass
-class TicketRequest:
+class Waiter:
     """A caller or a peer that wants a ticket run or its outcome."""
 
     request_id: str
@@ -22,9 +22,9 @@
     op: str = ""
 
 
-def from_call(call: requests.ServiceCall) -> TicketRequest:
+def from_call(call: requests.ServiceCall) -> Waiter:
     """Returns the asker for a call that arrived."""
-    return TicketRequest(
+    return Waiter(
         call.request_id,
         "",
         call.workspace,
@@ -36,38 +36,36 @@
     )
 
 
-def from_question(request: messages.OutcomeRequested) -> TicketRequest:
+def from_outcome_request(event: messages.OutcomeRequested) -> Waiter:
     """Returns the asker for a question of a caller."""
-    return TicketRequest(
-        request.request_id,
+    return Waiter(
+        event.request_id,
         "",
-        request.workspace,
-        request.key,
-        request.service,
-        request.operation,
-        request.deadline,
+        event.workspace,
+        event.key,
+        event.service,
+        event.operation,
+        event.deadline,
         None,
     )
 
 
-def from_peer(request: messages.PeerRequestReceived) -> TicketRequest:
+def from_peer(event: messages.PeerRequestReceived) -> Waiter:
     """Returns the asker for a question of another process."""
-    return TicketRequest(
+    return Waiter(
         "",
-        request.peer_request_id,
-        request.workspace,
-        request.key,
+        event.peer_request_id,
+        event.workspace,
+        event.key,
         "",
         "",
-        request.deadline,
-        request.call,
+        event.deadline,
+        event.call,
     )
 
 
-def make_reply(
-    request: TicketRequest, result: messages.Result
-) -> commands.Command:
+def reply(waiter: Waiter, result: messages.Result) -> commands.Command:
     """Returns the command that answers an asker."""
-    if request.peer_request_id:
-        return messages.ReplyToPeer(request.peer_request_id, result)
-    return messages.Reply(request.request_id, result)
+    if waiter.peer_request_id:
+        return messages.ReplyToPeer(waiter.peer_request_id, result)
+    return messages.Reply(waiter.request_id, result)
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -76,19 +76,15 @@
 
     def dispatch(self, command: messages.Dispatch) -> events.Event:
         """Sends a call to at most one upstream that may run it."""
-        event: events.Event = messages.OperationNotSent(
+        event: events.Event = messages.OpNotSent(
             command.op, "no upstream of the service takes work"
         )
         for url in self._find_urls(command.call.service, True):
             remaining_s = command.not_after - self._clock()
             if remaining_s <= 0:
-                return messages.OperationNotSent(
-                    command.op, "the deadline has passed"
-                )
+                return messages.OpNotSent(command.op, "the deadline has passed")
             event = self._post(url, command, remaining_s, self._read_timeout_s)
-            if isinstance(
-                event, messages.OperationNotSent | messages.OperationRefused
-            ):
+            if isinstance(event, messages.OpNotSent | messages.OpRefused):
                 # This upstream certainly did not run it.
                 continue
             return event
@@ -100,7 +96,7 @@
         The last one may take until the deadline: to give it up would leave
         the call with none.
         """
-        event: events.Event = messages.OperationNotSent(
+        event: events.Event = messages.OpNotSent(
             command.op, "no upstream of the service takes work"
         )
         doubt = ""
@@ -115,15 +111,15 @@
             event = self._post(url, command, remaining_s, read_s)
             if isinstance(event, messages.ServiceResponded):
                 return event
-            if isinstance(event, messages.OperationInDoubt):
+            if isinstance(event, messages.OpInDoubt):
                 doubt = event.reason
         if doubt:
-            return messages.OperationInDoubt(command.op, doubt)
+            return messages.OpInDoubt(command.op, doubt)
         return event
 
     def look_up(self, command: messages.LookUpOutcome) -> events.Event:
         """Asks the upstreams of a service until one knows the outcome."""
-        event: events.Event = messages.OperationNotSent(
+        event: events.Event = messages.OpNotSent(
             command.op, "the service has no upstream"
         )
         path = f"{_quote(command.operation)}/{_quote(command.service_key)}"
@@ -166,8 +162,8 @@
         )
         if isinstance(answer, failures.Failure):
             if answer.execution is failures.Execution.NOT_STARTED:
-                return messages.OperationNotSent(command.op, answer.reason)
-            return messages.OperationInDoubt(command.op, answer.reason)
+                return messages.OpNotSent(command.op, answer.reason)
+            return messages.OpInDoubt(command.op, answer.reason)
         return _classify(command.op, answer)
 
     def _send(
@@ -300,7 +296,7 @@
             event = step(command)
         except Exception:
             loguru.logger.exception("calls: operation {} has failed", op)
-            event = messages.OperationInDoubt(op, "the router has a fault")
+            event = messages.OpInDoubt(op, "the router has a fault")
         self._post(event)
 
     def _read(self, command: messages.ReadCallRecord) -> events.Event:
@@ -334,21 +330,19 @@
 
 def _convert_failure(op: str, failure: failures.Failure) -> events.Event:
     if isinstance(failure, stores.Unreachable):
-        return messages.OperationNotSent(op, failure.reason)
+        return messages.OpNotSent(op, failure.reason)
     if isinstance(failure, stores.RateLimited):
-        return messages.OperationRefused(op, failure.reason)
-    return messages.OperationInDoubt(op, failure.reason)
+        return messages.OpRefused(op, failure.reason)
+    return messages.OpInDoubt(op, failure.reason)
 
 
 def _classify(op: str, answer: messages.Outcome) -> events.Event:
     """Returns what a response to a dispatch says about its run."""
     if answer.status >= 400 and _says_not_run(answer.body):
-        return messages.OperationRefused(op, "the service refused the call")
+        return messages.OpRefused(op, "the service refused the call")
     clear = 200 <= answer.status < 300 or 400 <= answer.status < 500
     if not clear or answer.status in UNCLEAR_STATUSES:
-        return messages.OperationInDoubt(
-            op, f"the service answered {answer.status}"
-        )
+        return messages.OpInDoubt(op, f"the service answered {answer.status}")
     return messages.ServiceResponded(op, answer)
 
 
@@ -368,9 +362,7 @@
     if isinstance(answer, failures.Failure):
         return _convert_failure(op, answer)
     if answer.status != 200:
-        return messages.OperationInDoubt(
-            op, f"the lookup answered {answer.status}"
-        )
+        return messages.OpInDoubt(op, f"the lookup answered {answer.status}")
     try:
         document = json.loads(answer.body)
         state = document["state"]
@@ -381,7 +373,7 @@
             return messages.OutcomeLookedUp(op, messages.Outcome(200, body))
     except (ValueError, KeyError, TypeError):
         pass
-    return messages.OperationInDoubt(op, "the lookup response cannot be read")
+    return messages.OpInDoubt(op, "the lookup response cannot be read")
 
 
 def _quote(text: str) -> str:
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -168,15 +168,13 @@
         try:
             event = self._client.dispatch_idempotent(command)
         except queue.Empty:
-            event = messages.OperationNotSent(
-                command.op, "the router task is busy"
-            )
+            event = messages.OpNotSent(command.op, "the router task is busy")
         if isinstance(event, messages.ServiceResponded):
             return event.outcome
         loguru.logger.info(
             "calls: request={} has no answer: {}", call.request_id, event
         )
-        sent = isinstance(event, messages.OperationInDoubt)
+        sent = isinstance(event, messages.OpInDoubt)
         return failures.UpstreamFailed(
             "No replica of the service answered.",
             failures.Execution.UNKNOWN
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -99,8 +99,8 @@
 
     def make_failure(self, op: str, sent: bool) -> events.Event:
         if sent:
-            return messages.OperationInDoubt(op, "no response")
-        return messages.OperationNotSent(op, "connection refused")
+            return messages.OpInDoubt(op, "no response")
+        return messages.OpNotSent(op, "connection refused")
 
     def count_unfinished(self) -> int:
         return sum(node.keys.count for node in self.nodes)
@@ -171,7 +171,7 @@
             event = self._write(command)
         elif isinstance(command, messages.Dispatch):
             if heard and self.now >= command.not_after:
-                event = messages.OperationNotSent(command.op, "too late")
+                event = messages.OpNotSent(command.op, "too late")
             else:
                 outcome = self.service.run(command)
                 event = messages.ServiceResponded(command.op, outcome)
@@ -198,7 +198,7 @@
         target = self.nodes[addresses.index(command.address)]
         if target.paused:
             if heard:
-                self.give(node, messages.OperationInDoubt(command.op, "silent"))
+                self.give(node, messages.OpInDoubt(command.op, "silent"))
             return
         ask = self.make_id()
         if heard:
--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -108,6 +108,6 @@
                 event, took_s, peak = self._measure(
                     lambda command=command: client.dispatch(command)
                 )
-                self.assertIsInstance(event, messages.OperationInDoubt)
+                self.assertIsInstance(event, messages.OpInDoubt)
                 self.assertLess(took_s, LIMIT_S + 1.0)
                 self.assertLess(peak, 8 * calls.MAX_RESPONSE_BYTES)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -108,7 +108,7 @@
         began = time.monotonic()
         silent = self.serve(None)
         event = self.dispatch_idempotent(silent.url, remaining_s=1.0)
-        self.assertIsInstance(event, messages.OperationInDoubt)
+        self.assertIsInstance(event, messages.OpInDoubt)
         self.assertLess(time.monotonic() - began, 2.0)
 
     def test_error_of_the_service_is_named_when_no_other_answers(self):
@@ -116,7 +116,7 @@
         event = self.dispatch_idempotent(
             failing.url, self.make_dead_url(), remaining_s=5.0
         )
-        expected = messages.OperationInDoubt("o", "the service answered 500")
+        expected = messages.OpInDoubt("o", "the service answered 500")
         self.assertEqual(event, expected)
 
     def look_up(self, *urls):
@@ -134,7 +134,7 @@
 
     def test_closed_port_is_not_sent_and_the_next_upstream_is_used(self):
         dead = self.make_dead_url()
-        self.assertIsInstance(self.dispatch(dead), messages.OperationNotSent)
+        self.assertIsInstance(self.dispatch(dead), messages.OpNotSent)
         event = self.dispatch(dead, self.serve(OK).url)
         self.assertIsInstance(event, messages.ServiceResponded)
 
@@ -142,21 +142,19 @@
         for response in (None, b"", CUT, FAILED, b"not http"):
             first, second = self.serve(response), self.serve(OK)
             event = self.dispatch(first.url, second.url)
-            self.assertIsInstance(event, messages.OperationInDoubt, response)
+            self.assertIsInstance(event, messages.OpInDoubt, response)
             self.assertEqual(second.heard, [], response)
 
     def test_typed_refusal_goes_to_the_next_upstream(self):
         first = self.serve(REFUSED)
-        self.assertIsInstance(
-            self.dispatch(first.url), messages.OperationRefused
-        )
+        self.assertIsInstance(self.dispatch(first.url), messages.OpRefused)
         event = self.dispatch(self.serve(REFUSED).url, self.serve(OK).url)
         self.assertIsInstance(event, messages.ServiceResponded)
 
     def test_nothing_is_sent_after_the_deadline(self):
         server = self.serve(OK)
         event = self.dispatch(server.url, remaining_s=-1.0)
-        self.assertIsInstance(event, messages.OperationNotSent)
+        self.assertIsInstance(event, messages.OpNotSent)
         self.assertEqual(server.heard, [])
 
     def test_lookup_asks_until_one_upstream_knows(self):
@@ -168,7 +166,7 @@
         expected = messages.OutcomeLookedUp("o", messages.Outcome(200, b"7"))
         self.assertEqual(event, expected)
         silent = self.look_up(self.serve(None).url)
-        self.assertIsInstance(silent, messages.OperationInDoubt)
+        self.assertIsInstance(silent, messages.OpInDoubt)
 
 
 class ShellTest(unittest.TestCase):
@@ -189,12 +187,12 @@
             (taken, messages.CallRecordConflict("o", 4, "x")),
             (
                 stores.Unreachable("down"),
-                messages.OperationNotSent("o", "down"),
+                messages.OpNotSent("o", "down"),
             ),
-            (stores.InDoubt("lost"), messages.OperationInDoubt("o", "lost")),
+            (stores.InDoubt("lost"), messages.OpInDoubt("o", "lost")),
             (
                 stores.RateLimited("busy"),
-                messages.OperationRefused("o", "busy"),
+                messages.OpRefused("o", "busy"),
             ),
         ]
         for result, event in cases:
@@ -209,6 +207,4 @@
         loguru.logger.disable("sycamorehollow")
         self.addCleanup(loguru.logger.enable, "sycamorehollow")
         ask = messages.RequestFromOwner("o", "p", 1, "w", "k", None, 0.0)
-        self.assertIsInstance(
-            self.carry_out(ask, None), messages.OperationInDoubt
-        )
+        self.assertIsInstance(self.carry_out(ask, None), messages.OpInDoubt)
