Name the messages of billing and its spool by what they report

Events of an origin that ended or came back, replies to a spooled part and the id of the peer's request have names of their own; the constants tell delays from limits.

--- a/benches/node_fleet.py
+++ b/benches/node_fleet.py
@@ -14,8 +14,8 @@
 from benches import node_tree
 from sycamorehollow.decisions import node as nodes
 from sycamorehollow.decisions import node_components
+from sycamorehollow.decisions.bills import billing_encoding
 from sycamorehollow.decisions.bills import billing_messages
-from sycamorehollow.decisions.bills import billing_wire
 from sycamorehollow.decisions.operations import configuration_messages
 from sycamorehollow.decisions.operations import drains
 from sycamorehollow.decisions.operations import keyrings
@@ -294,13 +294,13 @@
             member.outcomes[command.failure.code] += 1
         elif isinstance(command, billing_messages.SpoolToPeer):
             self._spool(member, command)
-        elif isinstance(command, billing_messages.AnswerSpool):
-            self._asks.pop(command.ask)(command)
-        elif isinstance(command, billing_messages.TellAdvance):
+        elif isinstance(command, billing_messages.ReplyToSpool):
+            self._asks.pop(command.peer_request_id)(command)
+        elif isinstance(command, billing_messages.NotifyAdvance):
             process = member.node.process
-            payload = billing_wire.encode_advance(process, command.oldest)
+            payload = billing_encoding.encode_advance(process, command.oldest)
             target = self._by_address[command.peer.address]
-            item = exchange.Item(billing_wire.ADVANCE_KIND, payload)
+            item = exchange.Item(billing_encoding.ADVANCE_KIND, payload)
             self._count(member, target, (item,))
             event = billing_messages.OriginAdvanced(process, command.oldest)
             self._travel(lambda: self.deliver(target, event))
@@ -331,13 +331,13 @@
         self, member: Member, command: billing_messages.SpoolToPeer
     ) -> None:
         target = self._by_address[command.peer.address]
-        payload = billing_wire.encode_part(command.part)
-        item = exchange.Item(billing_wire.PART_KIND, payload)
+        payload = billing_encoding.encode_part(command.part)
+        item = exchange.Item(billing_encoding.PART_KIND, payload)
         self._count(member, target, (item,))
         ask = f"ask-{next(self._numbers)}"
 
         def answer(_: Any) -> None:
-            item = exchange.Item(billing_wire.PART_KIND, b"held")
+            item = exchange.Item(billing_encoding.PART_KIND, b"held")
             self._count(target, member, (item,))
             event = billing_messages.SpoolAcknowledged(command.op)
             self._travel(lambda: self.deliver(member, event))
--- a/benches/node_world.py
+++ b/benches/node_world.py
@@ -205,11 +205,11 @@
                 self._write_batch(address, command)
             case billing_messages.SpoolToPeer():
                 self._spool(address, command)
-            case billing_messages.AnswerSpool():
-                origin, op = self._asks.pop(command.ask)
+            case billing_messages.ReplyToSpool():
+                origin, op = self._asks.pop(command.peer_request_id)
                 held = billing_messages.SpoolAcknowledged(op)
                 self._send(self.delay_s(address, origin), origin, held)
-            case billing_messages.TellAdvance():
+            case billing_messages.NotifyAdvance():
                 advance = billing_messages.OriginAdvanced(
                     self.nodes[address].process, command.oldest
                 )
--- a/sycamorehollow/decisions/bills/billing.py
+++ b/sycamorehollow/decisions/bills/billing.py
@@ -11,18 +11,18 @@
 
 # The end of each answer waits for it; 15 answers a second need no larger
 # groups to spare the peer.
-GROUP_COMMIT_S = 0.005
+GROUP_COMMIT_DELAY_S = 0.005
 # Without a peer every group commit is a store write, so fewer are made.
-STORE_COMMIT_S = 0.1
-BATCH_AGE_S = 1.0
+STORE_COMMIT_DELAY_S = 0.1
+MAX_BATCH_AGE_S = 1.0
 MAX_BATCH_BILLS = 500
 MAX_BATCH_BYTES = 200 * 1024
 MAX_HELD_BYTES = 32 * 1024 * 1024
 STORE_RETRY_S = 1.0
-RESPOOL_S = 1.0
-MAX_PEERS_TRIED = 2
+RESPOOL_DELAY_S = 1.0
+MAX_PEER_ATTEMPTS = 2
 # A store that returns after an outage is not flooded by one process.
-MAX_WRITES_AT_ONCE = 4
+MAX_CONCURRENT_WRITES = 4
 
 
 @dataclasses.dataclass
@@ -32,7 +32,7 @@
     Attributes:
         tokens: Responses whose last chunks wait for this commit.
         holder: Peer that acknowledged the part.
-        tried: Peers that did not acknowledge it.
+        failed_peers: Peers that did not acknowledge it.
         retry_at: Time from which peers are tried again.
     """
 
@@ -40,9 +40,9 @@
     items: tuple[str, ...]
     tokens: list[str]
     op: str = ""
-    asked: messages.Process | None = None
+    asked_peer: messages.Process | None = None
     holder: messages.Process | None = None
-    tried: set[messages.Process] = dataclasses.field(default_factory=set)
+    failed_peers: set[messages.Process] = dataclasses.field(default_factory=set)
     retry_at: float = 0.0
 
 
@@ -76,7 +76,7 @@
         self._peers: tuple[messages.Process, ...] = ()
         self._items: list[str] = []
         self._tokens: list[str] = []
-        self._group_at: float | None = None
+        self._group_opened_at: float | None = None
         self._group_bytes = 0
         self._batches: dict[int, _Batch] = {}
         self._next_sequence = 1
@@ -94,7 +94,7 @@
         return self._held_bytes
 
     @property
-    def pending(self) -> int:
+    def pending_count(self) -> int:
         """Number of items that the store does not have yet."""
         return len(self._items) + sum(b.count for b in self._batches.values())
 
@@ -116,12 +116,12 @@
             retry_after_s=STORE_RETRY_S,
         )
 
-    def find_due(self) -> float | None:
+    def get_commit_due_at(self) -> float | None:
         """Returns when the group commit is due, `None` without items."""
-        if self._group_at is None:
+        if self._group_opened_at is None:
             return None
-        interval = GROUP_COMMIT_S if self._peers else STORE_COMMIT_S
-        return self._group_at + interval
+        interval = GROUP_COMMIT_DELAY_S if self._peers else STORE_COMMIT_DELAY_S
+        return self._group_opened_at + interval
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; see `components.Component.handle`."""
@@ -135,8 +135,8 @@
         if isinstance(event, messages.Flush):
             return self._commit(now) + self._seal_all(now)
         if isinstance(event, events.Tick):
-            return self._tick(now)
-        return self._end_op(event, now)
+            return self._handle_tick(now)
+        return self._handle_op_result(event, now)
 
     # Group commit.
 
@@ -149,8 +149,8 @@
         self._held_bytes += len(encoded)
         if token:
             self._tokens.append(token)
-        if self._group_at is None:
-            self._group_at = now
+        if self._group_opened_at is None:
+            self._group_opened_at = now
         if len(self._items) < MAX_BATCH_BILLS:
             if self._group_bytes < MAX_BATCH_BYTES:
                 return []
@@ -170,7 +170,7 @@
         batch.size += self._group_bytes
         self._items = []
         self._tokens = []
-        self._group_at = None
+        self._group_opened_at = None
         self._group_bytes = 0
         result = self._spool(batch, commit, now)
         if batch.count >= MAX_BATCH_BILLS or batch.size >= MAX_BATCH_BYTES:
@@ -192,15 +192,15 @@
         """Sends a commit to the next peer, or has its batch stored."""
         peer = self._choose_peer(batch, commit)
         if peer is None:
-            commit.retry_at = now + RESPOOL_S
+            commit.retry_at = now + RESPOOL_DELAY_S
             self._respool_at = min(self._respool_at, commit.retry_at)
-            commit.tried.clear()
+            commit.failed_peers.clear()
             if self._store_failing:
                 return _release(commit, exposed=True)
             # The store is the only other place for these bills.
             batch.sealed = True
             return self._start_writes(now)
-        commit.asked = peer
+        commit.asked_peer = peer
         commit.op = self._start_op(batch, commit)
         # The peer is told about the end of the batch even if its
         # acknowledgement is lost.
@@ -217,9 +217,11 @@
     def _choose_peer(
         self, batch: _Batch, commit: _Commit
     ) -> messages.Process | None:
-        if len(commit.tried) >= MAX_PEERS_TRIED:
+        if len(commit.failed_peers) >= MAX_PEER_ATTEMPTS:
             return None
-        choices = [peer for peer in self._peers if peer not in commit.tried]
+        choices = [
+            peer for peer in self._peers if peer not in commit.failed_peers
+        ]
         kept = [peer for peer in choices if peer in batch.peers]
         if kept:
             return kept[0]
@@ -228,17 +230,17 @@
         choices = elsewhere or choices
         return self._rng.choice(choices) if choices else None
 
-    def _end_commit(
+    def _handle_spool_result(
         self, batch: _Batch, commit: _Commit, event: events.Event, now: float
     ) -> list[commands.Command]:
         commit.op = ""
-        peer = commit.asked
-        commit.asked = None
+        peer = commit.asked_peer
+        commit.asked_peer = None
         assert peer is not None
         if isinstance(event, messages.SpoolAcknowledged):
             commit.holder = peer
             return _release(commit, exposed=False)
-        commit.tried.add(peer)
+        commit.failed_peers.add(peer)
         return self._spool(batch, commit, now)
 
     # Batches in the store.
@@ -252,7 +254,7 @@
         result: list[commands.Command] = []
         if self._store_failing and now < self._store_retry_at:
             return result
-        limit = 1 if self._store_failing else MAX_WRITES_AT_ONCE
+        limit = 1 if self._store_failing else MAX_CONCURRENT_WRITES
         for batch in self._batches.values():
             if self._writing >= limit:
                 break
@@ -269,13 +271,13 @@
             )
         return result
 
-    def _end_write(
+    def _handle_write_result(
         self, batch: _Batch, event: events.Event, now: float
     ) -> list[commands.Command]:
         batch.op = ""
         self._writing -= 1
         if isinstance(event, messages.OperationFailed):
-            return self._fail_write(now)
+            return self._handle_write_failure(now)
         self._store_failing = False
         if isinstance(event, messages.BatchConflict):
             if event.value != _encode_batch(batch):
@@ -284,7 +286,7 @@
                 return self._start_writes(now)
         return self._close(batch) + self._start_writes(now)
 
-    def _fail_write(self, now: float) -> list[commands.Command]:
+    def _handle_write_failure(self, now: float) -> list[commands.Command]:
         """Lets everything go that neither a peer nor the store can hold."""
         self._store_failing = True
         jitter = self._rng.random()
@@ -305,7 +307,7 @@
             result.extend(_release(commit, exposed=False))
         oldest = min(self._batches, default=self._next_sequence)
         for peer in sorted(batch.peers, key=lambda peer: peer.address):
-            result.append(messages.TellAdvance(peer, oldest))
+            result.append(messages.NotifyAdvance(peer, oldest))
         return result
 
     # Peers and time.
@@ -338,28 +340,28 @@
                     self._respool_at = min(self._respool_at, commit.retry_at)
         return result
 
-    def _tick(self, now: float) -> list[commands.Command]:
+    def _handle_tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
-        due = self.find_due()
+        due = self.get_commit_due_at()
         if due is not None and due <= now:
             result.extend(self._commit(now))
         for batch in self._batches.values():
-            if now - batch.opened_at >= BATCH_AGE_S:
+            if now - batch.opened_at >= MAX_BATCH_AGE_S:
                 batch.sealed = True
         result.extend(self._respool(now))
         return result + self._start_writes(now)
 
-    def _end_op(
+    def _handle_op_result(
         self, event: events.Event, now: float
     ) -> list[commands.Command]:
         batch, commit = self._ops.pop(getattr(event, "op", ""), (None, None))
         if batch is None:
             return []
         if commit is None:
-            return self._end_write(batch, event, now)
+            return self._handle_write_result(batch, event, now)
         if batch.sequence not in self._batches:
             return []
-        return self._end_commit(batch, commit, event, now)
+        return self._handle_spool_result(batch, commit, event, now)
 
     def _start_op(self, batch: _Batch, commit: _Commit | None) -> str:
         self._next_op += 1
--- a/sycamorehollow/decisions/bills/billing_messages.py
+++ b/sycamorehollow/decisions/bills/billing_messages.py
@@ -172,7 +172,7 @@
 class SpoolReceived(events.Event):
     """Another process asks this one to hold a part."""
 
-    ask: str
+    peer_request_id: str
     part: SpoolPart
 
 
@@ -185,14 +185,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OriginGone(events.Event):
+class OriginEnded(events.Event):
     """An incarnation of another process has ended."""
 
     origin: Process
 
 
 @dataclasses.dataclass(frozen=True)
-class OriginBack(events.Event):
+class OriginRevived(events.Event):
     """An incarnation that was taken for ended is alive."""
 
     origin: Process
@@ -208,7 +208,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class TellAdvance(commands.Command):
+class NotifyAdvance(commands.Command):
     """Tell a peer that batches below a sequence are stored; may be lost."""
 
     peer: Process
@@ -237,10 +237,10 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AnswerSpool(commands.Command):
+class ReplyToSpool(commands.Command):
     """Answer a part; `failure` is `None` if it is held now."""
 
-    ask: str
+    peer_request_id: str
     failure: failures.Failure | None
 
 
--- a/sycamorehollow/decisions/bills/billing_spool.py
+++ b/sycamorehollow/decisions/bills/billing_spool.py
@@ -11,12 +11,12 @@
 MAX_SPOOL_BYTES = 32 * 1024 * 1024
 # Ended incarnations whose late parts are still recognised: several days of
 # replacements at 230 a day.
-MAX_ENDED = 1000
+MAX_ENDED_ORIGINS = 1000
 # Late parts of one batch are stored together.
-LATE_PART_S = 5.0
+LATE_PART_DELAY_S = 5.0
 STORE_RETRY_S = 1.0
 # A store that returns after an outage is not flooded by one process.
-MAX_WRITES_AT_ONCE = 4
+MAX_CONCURRENT_WRITES = 4
 
 _BatchId = tuple[messages.Process, int]
 
@@ -51,7 +51,7 @@
         self._batches: dict[_BatchId, dict[int, tuple[str, ...]]] = {}
         self._advanced: dict[messages.Process, int] = {}
         self._ended: dict[messages.Process, None] = {}
-        self._due: dict[_BatchId, float] = {}
+        self._late_parts_due: dict[_BatchId, float] = {}
         self._writes: list[_Write] = []
         self._next_op = 0
         self._next_name = 0
@@ -63,7 +63,7 @@
         return self._held_bytes
 
     @property
-    def held(self) -> int:
+    def held_count(self) -> int:
         """Number of batches and writes in memory."""
         return len(self._batches) + len(self._writes)
 
@@ -72,16 +72,16 @@
         if isinstance(event, messages.SpoolReceived):
             return self._receive(event, now)
         if isinstance(event, messages.OriginAdvanced):
-            self._advance(event.origin, event.oldest)
+            self._drop_below(event.origin, event.oldest)
             return []
-        if isinstance(event, messages.OriginGone):
+        if isinstance(event, messages.OriginEnded):
             return self._adopt_all(event.origin, now)
-        if isinstance(event, messages.OriginBack):
+        if isinstance(event, messages.OriginRevived):
             self._ended.pop(event.origin, None)
             return []
         if isinstance(event, events.Tick):
-            return self._tick(now)
-        return self._end_write(event, now)
+            return self._handle_tick(now)
+        return self._handle_write_result(event, now)
 
     def _receive(
         self, event: messages.SpoolReceived, now: float
@@ -90,9 +90,9 @@
         size = _measure(part.items)
         if self._held_bytes + size > MAX_SPOOL_BYTES:
             full = messages.BillingBacklog(reason="the spool is full")
-            return [messages.AnswerSpool(event.ask, full)]
-        self._advance(part.origin, part.oldest)
-        answer = messages.AnswerSpool(event.ask, None)
+            return [messages.ReplyToSpool(event.peer_request_id, full)]
+        self._drop_below(part.origin, part.oldest)
+        answer = messages.ReplyToSpool(event.peer_request_id, None)
         if part.sequence < self._advanced.get(part.origin, 0):
             return [answer]
         batch = self._batches.setdefault((part.origin, part.sequence), {})
@@ -101,12 +101,12 @@
             self._held_bytes += size
         if part.origin in self._ended:
             # The part was under way when its origin ended.
-            self._due.setdefault(
-                (part.origin, part.sequence), now + LATE_PART_S
+            self._late_parts_due.setdefault(
+                (part.origin, part.sequence), now + LATE_PART_DELAY_S
             )
         return [answer]
 
-    def _advance(self, origin: messages.Process, oldest: int) -> None:
+    def _drop_below(self, origin: messages.Process, oldest: int) -> None:
         if oldest <= self._advanced.get(origin, 0):
             return
         self._advanced[origin] = oldest
@@ -119,7 +119,7 @@
         self, origin: messages.Process, now: float
     ) -> list[commands.Command]:
         self._ended[origin] = None
-        if len(self._ended) > MAX_ENDED:
+        if len(self._ended) > MAX_ENDED_ORIGINS:
             del self._ended[next(iter(self._ended))]
         self._advanced.pop(origin, None)
         result: list[commands.Command] = []
@@ -128,12 +128,12 @@
                 result.extend(self._adopt(origin, batch_id[1], now))
         return result
 
-    def _tick(self, now: float) -> list[commands.Command]:
+    def _handle_tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
-        for batch_id, due in list(self._due.items()):
+        for batch_id, due in list(self._late_parts_due.items()):
             if due > now:
                 continue
-            del self._due[batch_id]
+            del self._late_parts_due[batch_id]
             if batch_id in self._batches and batch_id[0] in self._ended:
                 result.extend(self._adopt(*batch_id, now))
         return result + self._start_writes(now)
@@ -159,7 +159,7 @@
 
     def _start_writes(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
-        for write in self._writes[:MAX_WRITES_AT_ONCE]:
+        for write in self._writes[:MAX_CONCURRENT_WRITES]:
             if write.op or write.retry_at > now:
                 continue
             self._next_op += 1
@@ -167,7 +167,7 @@
             result.append(messages.WriteBatch(write.op, write.key, write.value))
         return result
 
-    def _end_write(
+    def _handle_write_result(
         self, event: events.Event, now: float
     ) -> list[commands.Command]:
         op = getattr(event, "op", "")
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -226,11 +226,11 @@
         ]
         before, after = command.before, command.after
         if before is not None and before.incarnation < after.incarnation:
-            result.append(billing_messages.OriginGone(_identify(before)))
+            result.append(billing_messages.OriginEnded(_identify(before)))
         if not after.is_live:
-            result.append(billing_messages.OriginGone(_identify(after)))
+            result.append(billing_messages.OriginEnded(_identify(after)))
         elif before is not None and not before.is_live:
-            result.append(billing_messages.OriginBack(_identify(after)))
+            result.append(billing_messages.OriginRevived(_identify(after)))
         return result
 
     def _change_records(
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -99,7 +99,7 @@
 
     def get_next_due_at(self) -> float | None:
         """Returns when a tick is needed before the regular one, if it is."""
-        return self.billing.find_due()
+        return self.billing.get_commit_due_at()
 
     def count_pending(self) -> int:
         """Returns the requests and bills that a shutdown waits for."""
@@ -111,7 +111,7 @@
         return {
             "requests.active": self.router.active_count,
             "requests.waiting": self.router.waiting_count,
-            "bills.pending": self.billing.pending,
+            "bills.pending": self.billing.pending_count,
             "bills.exposed": self.billing.count_exposed(),
             "bills.held_bytes": self.billing.held_bytes,
             "spool.held_bytes": self.spool.held_bytes,
@@ -149,7 +149,7 @@
             "address": self.process.address,
             "data_centre": self.process.data_centre,
             "active": self.router.active_count,
-            "bills_pending": self.billing.pending,
+            "bills_pending": self.billing.pending_count,
             "configuration": {
                 "revisions": dict(self.configuration.deployment.revisions),
                 "age_s": self.configuration.measure_age(now),
--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -204,9 +204,9 @@
 
     def _register_performers(self) -> None:
         performers: dict[type, Callable[[Any], None]] = {
-            billing_messages.AnswerSpool: self._bills.answer,
+            billing_messages.ReplyToSpool: self._bills.answer,
             billing_messages.SpoolToPeer: self._bills.spool,
-            billing_messages.TellAdvance: self._bills.tell_advance,
+            billing_messages.NotifyAdvance: self._bills.tell_advance,
             billing_messages.WriteBatch: self._bills.write,
             configuration_messages.BranchesRejected: decision_log.log_faults,
             configuration_messages.ReadRange: self._config.read,
--- a/sycamorehollow/shells/bill_io.py
+++ b/sycamorehollow/shells/bill_io.py
@@ -5,8 +5,8 @@
 
 import loguru
 
+from sycamorehollow.decisions.bills import billing_encoding
 from sycamorehollow.decisions.bills import billing_messages as messages
-from sycamorehollow.decisions.bills import billing_wire
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import identity
@@ -37,8 +37,8 @@
 
     def register(self, task: peers.PeerTask) -> None:
         """Takes the requests of other processes."""
-        task.register(billing_wire.PART_KIND, self._receive_part)
-        task.register(billing_wire.ADVANCE_KIND, self._receive_advance)
+        task.register(billing_encoding.PART_KIND, self._receive_part)
+        task.register(billing_encoding.ADVANCE_KIND, self._receive_advance)
 
     def spool(self, command: messages.SpoolToPeer) -> None:
         """Sends a part to a peer."""
@@ -54,17 +54,19 @@
 
         self._requests.send(
             command.peer.address,
-            billing_wire.PART_KIND,
-            billing_wire.encode_part(command.part),
+            billing_encoding.PART_KIND,
+            billing_encoding.encode_part(command.part),
             take,
         )
 
-    def tell_advance(self, command: messages.TellAdvance) -> None:
+    def tell_advance(self, command: messages.NotifyAdvance) -> None:
         """Tells a peer what is stored; the message may be lost."""
-        payload = billing_wire.encode_advance(self._identify(), command.oldest)
+        payload = billing_encoding.encode_advance(
+            self._identify(), command.oldest
+        )
         self._requests.send(
             command.peer.address,
-            billing_wire.ADVANCE_KIND,
+            billing_encoding.ADVANCE_KIND,
             payload,
             lambda _: None,
         )
@@ -73,10 +75,10 @@
         """Writes a batch to the store."""
         self._runner.submit(lambda: self._write(command))
 
-    def answer(self, command: messages.AnswerSpool) -> None:
+    def answer(self, command: messages.ReplyToSpool) -> None:
         """Answers a part that a peer sent."""
         payload = HELD if command.failure is None else b""
-        self._requests.answer(command.ask, payload)
+        self._requests.answer(command.peer_request_id, payload)
 
     def _write(self, command: messages.WriteBatch) -> None:
         result = self._store.write(command.key, command.value, 0)
@@ -94,7 +96,7 @@
         self, sender: identity.Process, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
         ask, future = self._requests.open()
-        part = billing_wire.decode_part(payload)
+        part = billing_encoding.decode_part(payload)
         if part is None:
             self._requests.answer(ask, b"")
         else:
@@ -104,7 +106,7 @@
     def _receive_advance(
         self, sender: identity.Process, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
-        advanced = billing_wire.decode_advance(payload)
+        advanced = billing_encoding.decode_advance(payload)
         if advanced is not None:
             self._report(advanced)
         future: concurrent.futures.Future[bytes] = concurrent.futures.Future()
--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -3,10 +3,10 @@
 import random
 
 from sycamorehollow.decisions.bills import billing
+from sycamorehollow.decisions.bills import billing_encoding
 from sycamorehollow.decisions.bills import billing_messages as messages
 from sycamorehollow.decisions.bills import billing_reader
 from sycamorehollow.decisions.bills import billing_spool
-from sycamorehollow.decisions.bills import billing_wire
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
@@ -57,11 +57,11 @@
         return messages.OperationFailed(op, LOST if sent else REFUSED)
 
     def count_unfinished(self) -> int:
-        return sum(node.billing.pending for node in self.nodes)
+        return sum(node.billing.pending_count for node in self.nodes)
 
     def after_kill(self, old: Node) -> None:
         for node in self.nodes:
-            self.give(node, messages.OriginGone(old.process))
+            self.give(node, messages.OriginEnded(old.process))
             self.tell_peers(node)
 
     def settle(self) -> None:
@@ -85,8 +85,8 @@
             self.released[command.token] = command.exposed
             if not command.exposed and not self._is_safe(command.token):
                 self.fault = f"{command.token} released too early"
-        elif isinstance(command, messages.AnswerSpool):
-            asker, op = self.asks.pop(command.ask, (None, ""))
+        elif isinstance(command, messages.ReplyToSpool):
+            asker, op = self.asks.pop(command.peer_request_id, (None, ""))
             answer: events.Event = messages.SpoolAcknowledged(op)
             if command.failure is not None:
                 answer = messages.OperationFailed(op, command.failure)
@@ -118,13 +118,15 @@
             if heard:
                 self.give(node, answer)
             return
-        assert isinstance(command, messages.SpoolToPeer | messages.TellAdvance)
+        assert isinstance(
+            command, messages.SpoolToPeer | messages.NotifyAdvance
+        )
         target = self._find(command.peer)
-        if isinstance(command, messages.TellAdvance):
+        if isinstance(command, messages.NotifyAdvance):
             if target is not None:
                 told = (node.process, command.oldest)
-                payload = billing_wire.encode_advance(*told)
-                advance = billing_wire.decode_advance(payload)
+                payload = billing_encoding.encode_advance(*told)
+                advance = billing_encoding.decode_advance(payload)
                 assert advance is not None
                 self.give(target, advance)
             return
@@ -139,7 +141,9 @@
         ask = self.make_id()
         if heard:
             self.asks[ask] = (node, command.op)
-        part = billing_wire.decode_part(billing_wire.encode_part(command.part))
+        part = billing_encoding.decode_part(
+            billing_encoding.encode_part(command.part)
+        )
         assert part is not None
         self.give(target, messages.SpoolReceived(ask, part))
 
@@ -158,7 +162,7 @@
         if node.paused and self.schedule.pick(2):
             for other in self.nodes:
                 if other is not node:
-                    self.give(other, messages.OriginGone(node.process))
+                    self.give(other, messages.OriginEnded(node.process))
 
     def partition(self) -> None:
         """Takes all peers from a process, or gives them back."""
@@ -186,6 +190,6 @@
     if bills and totals["w"].amount != 1000 * len(bills):
         return f"{totals['w'].amount} billed for {len(bills)} requests"
     for node in world.nodes:
-        if node.billing.pending or node.billing.held_bytes:
+        if node.billing.pending_count or node.billing.held_bytes:
             return "a process keeps bills that are stored"
     return ""
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -92,12 +92,12 @@
             answers.extend(spool.handle(event, 0.0))
         self.assertIsInstance(answers[-1].failure, messages.BillingBacklog)
         self.assertLessEqual(spool.held_bytes, billing_spool.MAX_SPOOL_BYTES)
-        waiting = spool.handle(messages.OriginGone(origin), 0.0)
+        waiting = spool.handle(messages.OriginEnded(origin), 0.0)
         self.assertIn("outcomes/w/t", [write.key for write in waiting])
         while waiting:
             event = messages.BatchWritten(waiting.pop(0).op)
             waiting.extend(spool.handle(event, 0.0))
-        self.assertEqual((spool.held, spool.held_bytes), (0, 0))
+        self.assertEqual((spool.held_count, spool.held_bytes), (0, 0))
 
 
 class RuleTest(unittest.TestCase):
