Name the stand-ins of the gateway's tests after what they do

The request that a connection has parsed is now an HttpRequest, since the model has a decoded Request. The stand-ins of the platform name a proxy before the store, runs, aborted streams and duplicate responses, and the tests of the state synchronisation carry its name.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -224,7 +224,7 @@
     async def _handle_readiness_probe(
         self,
         connection: caller_connections.CallerConnection,
-        request: caller_connections.Request,
+        request: caller_connections.HttpRequest,
     ) -> None:
         state = self._state_sync
         ready = not self._draining and state is not None and state.is_ready
@@ -235,7 +235,7 @@
     async def _handle_metrics_request(
         self,
         connection: caller_connections.CallerConnection,
-        request: caller_connections.Request,
+        request: caller_connections.HttpRequest,
     ) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await forwarder.write_response(
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass
-class Request:
+class HttpRequest:
     """A whole request of a caller.
 
     Attributes:
@@ -45,7 +45,7 @@
     """The caller has closed its connection."""
 
 
-Handler = Callable[["CallerConnection", Request], Awaitable[None]]
+Handler = Callable[["CallerConnection", HttpRequest], Awaitable[None]]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -74,13 +74,15 @@
         self._registry = registry
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._request: Request | None = None
+        self._request: HttpRequest | None = None
         self._opened_at = time.monotonic()
         self._received_request = False
         self._head_bytes = 0
         # Bytes in a row that bring no part of a body.
         self._overhead_bytes = 0
-        self._pending_requests: collections.deque[Request] = collections.deque()
+        self._pending_requests: collections.deque[HttpRequest] = (
+            collections.deque()
+        )
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._can_write = asyncio.Event()
@@ -227,7 +229,7 @@
 
     def on_message_begin(self) -> None:
         """Starts the next request."""
-        self._request = Request()
+        self._request = HttpRequest()
         self._received_request = True
         self._head_bytes = 0
         self._set_timer(self._get_limits().header_timeout_s)
@@ -302,12 +304,12 @@
         if self.is_closing and self._pending_requests:
             return
         self.is_closing = True
-        self._enqueue(Request(error_status=status, keep_alive=False))
+        self._enqueue(HttpRequest(error_status=status, keep_alive=False))
         if self._transport is not None:
             # What follows cannot be told apart from the faulty request.
             self._transport.pause_reading()
 
-    def _enqueue(self, request: Request) -> None:
+    def _enqueue(self, request: HttpRequest) -> None:
         self._clear_timer()
         self._pending_requests.append(request)
         if (
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -55,7 +55,7 @@
     async def handle(
         self,
         connection: caller_connections.CallerConnection,
-        request: caller_connections.Request,
+        request: caller_connections.HttpRequest,
     ) -> None:
         """Answers one request."""
         started = time.monotonic()
@@ -126,7 +126,7 @@
     def _admit(
         self,
         call: forwarding.Request,
-        request: caller_connections.Request,
+        request: caller_connections.HttpRequest,
         record: telemetry.RequestRecord,
         now: float,
     ) -> courses.RequestLifecycle | failures.Failure:
@@ -169,7 +169,7 @@
     async def _reject(
         self,
         connection: caller_connections.CallerConnection,
-        request: caller_connections.Request,
+        request: caller_connections.HttpRequest,
         request_id: str,
         failure: failures.Failure,
         record: telemetry.RequestRecord,
@@ -199,7 +199,7 @@
 def compute_fingerprint(
     call: forwarding.Request,
     workspace: forwarding.Workspace | None,
-    request: caller_connections.Request,
+    request: caller_connections.HttpRequest,
 ) -> str:
     """Returns what identifies a request's content, also when it comes again."""
     digest = hashlib.blake2b(request.body, digest_size=12)
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -55,7 +55,7 @@
     def __init__(
         self,
         connection: caller_connections.CallerConnection,
-        request: caller_connections.Request,
+        request: caller_connections.HttpRequest,
         course: courses.RequestLifecycle,
         record: telemetry.RequestRecord,
         codec: header_codec.HeaderCodec,
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -7,7 +7,7 @@
 _BLOCK_BYTES = 64 * 1024
 _FILL = b"x" * _BLOCK_BYTES
 # The start of an answer and what follows it until the reader closes.
-KINDS = {
+RESPONSES_BY_KIND = {
     "endless-status": (b"HTTP/1.1 200 ", _FILL),
     "endless-header": (_HEAD + b"X-Long: ", _FILL),
     "endless-headers": (_HEAD, b"X-Next: 1\r\n" * 5000),
@@ -24,12 +24,12 @@
 }
 TRICKLE_S = 0.1
 # Far more than a reader takes before it closes.
-MOST_BYTES = 8 * 1024**3
+MAX_SENT_BYTES = 8 * 1024**3
 
 
 def send_without_end(handler, kind, request_id):
     """Writes an answer until the reader closes; returns the bytes."""
-    start, block = KINDS[kind]
+    start, block = RESPONSES_BY_KIND[kind]
     if b"%s" in start:
         start = start.replace(b"%s", request_id.encode())
     return write_without_end(handler, kind, start, block)
@@ -41,7 +41,7 @@
     sent = len(start)
     try:
         handler.wfile.write(start)
-        while sent < MOST_BYTES:
+        while sent < MAX_SENT_BYTES:
             if kind.startswith("trickle"):
                 time.sleep(TRICKLE_S)
             handler.wfile.write(block)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -19,7 +19,7 @@
 from tests import processes
 
 # Processor time in seconds in which an interpreter reaches our first line.
-BOOT_CPU_S = 0.08
+INTERPRETER_START_CPU_S = 0.08
 HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
 
@@ -106,18 +106,18 @@
         """Whether the process has not ended."""
         return self._child.poll() is None
 
-    def ignores(self, number):
+    def ignores_signal(self, number):
         """Tells whether the process ignores a signal."""
         return self._has_bit("SigIgn", number)
 
     def is_booting(self, number):
         """Tells whether its interpreter cannot have kept a signal off yet."""
-        if self.ignores(number) or self._has_bit("SigCgt", number):
+        if self.ignores_signal(number) or self._has_bit("SigCgt", number):
             return False
         stat = pathlib.Path(f"/proc/{self._child.pid}/stat").read_text()
         user, system = stat.rpartition(")")[2].split()[11:13]
         ticks = os.sysconf("SC_CLK_TCK")
-        return (int(user) + int(system)) / ticks < BOOT_CPU_S
+        return (int(user) + int(system)) / ticks < INTERPRETER_START_CPU_S
 
     def _has_bit(self, name, number):
         status = pathlib.Path(f"/proc/{self._child.pid}/status").read_text()
@@ -253,13 +253,13 @@
             upstream.confidences = {}
             upstream.events = 4
             upstream.pause_s = 0.0
-            upstream.stall_s = 0.0
-            upstream.seen = []
-            upstream.left = 0
+            upstream.first_gap_s = 0.0
+            upstream.run_requests = []
+            upstream.aborted_streams = 0
 
     def count_runs(self):
         """Returns how often upstreams began to run a request."""
-        return sum(len(u.seen) for u in [*self.engines, *self.desks])
+        return sum(len(u.run_requests) for u in [*self.engines, *self.desks])
 
     def close(self):
         """Ends what was started here."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -13,7 +13,7 @@
 
 HOST = "127.0.0.1"
 # Time in seconds in which a connection is mostly used again.
-COPY_AFTER_S = 0.03
+DUPLICATE_DELAY_S = 0.03
 
 
 class Server:
@@ -109,7 +109,7 @@
         self._items = {}
         self._events = []
         self._revision = 1
-        self._floor = 0
+        self._compacted_revision = 0
         self._changed = threading.Condition()
         super().__init__(port)
 
@@ -132,7 +132,7 @@
     def compact(self):
         """Forgets all history."""
         with self._changed:
-            self._floor = self._revision
+            self._compacted_revision = self._revision
             self._events.clear()
 
     def _write(self, key, value, lease=0):
@@ -203,7 +203,7 @@
         end = time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
             while True:
-                if after < self._floor:
+                if after < self._compacted_revision:
                     return 410, {}
                 news = [
                     event
@@ -229,7 +229,7 @@
             return 200, {"revision": self._revision}
 
 
-class Gate(Server):
+class StoreProxy(Server):
     """A way to a store that may be closed for those who use it.
 
     Attributes:
@@ -260,10 +260,10 @@
         confidences: Confidence of answers by model.
         events: Events of a stream.
         pause_s: Seconds between events.
-        stall_s: Seconds before the second event.
-        seen: Headers of the requests that it began to run.
-        left: Requests whose caller has left amid a stream.
-        flooded: Bytes of the last answer without end, once it was left.
+        first_gap_s: Seconds before the second event.
+        run_requests: Headers of the requests that it began to run.
+        aborted_streams: Requests whose caller has left amid a stream.
+        flood_bytes: Bytes of the last answer without end, once it was left.
     """
 
     def __init__(self, identity, port=0):
@@ -272,10 +272,10 @@
         self.confidences = {}
         self.events = 4
         self.pause_s = 0.0
-        self.stall_s = 0.0
-        self.seen = []
-        self.left = 0
-        self.flooded = 0
+        self.first_gap_s = 0.0
+        self.run_requests = []
+        self.aborted_streams = 0
+        self.flood_bytes = 0
         super().__init__(port)
 
     def register(self, store, service, **changes):
@@ -303,13 +303,13 @@
         if self.mode == "refuse":
             send(handler, 503, {"Not-Executed": "1"}, b"")
             return
-        if self.mode in floods.KINDS:
-            self.note_run(handler, headers, body)
-            self.flooded = floods.send_without_end(
+        if self.mode in floods.RESPONSES_BY_KIND:
+            self.record_run(handler, headers, body)
+            self.flood_bytes = floods.send_without_end(
                 handler, self.mode, headers["Request-Id"]
             )
             return
-        self.note_run(handler, headers, body)
+        self.record_run(handler, headers, body)
         answer = {
             "Request-Id": headers["Request-Id"],
             "Response-Seal": f"seal-of-{self.identity}",
@@ -333,7 +333,7 @@
         """Sends an answer, and what may follow it."""
         send(handler, 200, answer, body)
         if self.mode == "copy":
-            time.sleep(COPY_AFTER_S)
+            time.sleep(DUPLICATE_DELAY_S)
             send(handler, 200, answer, body)
         if self.mode == "extra":
             handler.wfile.write(
@@ -341,9 +341,9 @@
                 b"Response-Seal: x\r\nContent-Length: 5\r\n\r\nwrong"
             )
 
-    def note_run(self, handler, headers, body):
+    def record_run(self, handler, headers, body):
         """Keeps what the upstream has begun to run."""
-        self.seen.append((handler.command, handler.path, headers, body))
+        self.run_requests.append((handler.command, handler.path, headers, body))
 
     def get_confidence(self, headers):
         """Returns the confidence in an answer, or `None`."""
@@ -374,13 +374,13 @@
                     reset(handler)
                     return
                 if number == 2:
-                    time.sleep(self.stall_s)
+                    time.sleep(self.first_gap_s)
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 handler.wfile.flush()
                 time.sleep(self.pause_s)
             handler.wfile.write(b"0\r\n\r\n")
         except OSError:
-            self.left += 1
+            self.aborted_streams += 1
             raise
 
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -39,7 +39,7 @@
     "copy",
     "extra",
     "half",
-    *(kind for kind in floods.KINDS if kind not in ENDLESS_BODIES),
+    *(kind for kind in floods.RESPONSES_BY_KIND if kind not in ENDLESS_BODIES),
 )
 NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
 LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
--- a/tests/soak/standin_process.py
+++ b/tests/soak/standin_process.py
@@ -33,7 +33,7 @@
         self.mode = handler.path.removeprefix(MODE_PATH)
         platform_standins.send(handler, 200, {}, b"")
 
-    def note_run(self, handler, headers, body):
+    def record_run(self, handler, headers, body):
         """Writes one line, at once, as the process may be killed."""
         record = {
             "request": headers.get("Request-Id", ""),
--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -60,7 +60,7 @@
             f"http://{self.server.address}", call_timeout_s=LIMIT_S
         )
         self.addCleanup(store.close)
-        for kind in floods.KINDS:
+        for kind in floods.RESPONSES_BY_KIND:
             with self.subTest(kind):
                 self.server.kind = kind
                 result, took_s, peak = self._measure(lambda: store.read("a"))
@@ -80,7 +80,7 @@
     def test_short_calls(self):
         errand = errands.Errands()
         self.addCleanup(errand.stop)
-        for kind in floods.KINDS:
+        for kind in floods.RESPONSES_BY_KIND:
             with self.subTest(kind):
                 self.server.kind = kind
                 answer, took_s, peak = self._measure(
@@ -97,7 +97,7 @@
             lambda *_: [f"http://{self.server.address}"],
             read_timeout_s=LIMIT_S,
         )
-        for kind in floods.KINDS:
+        for kind in floods.RESPONSES_BY_KIND:
             with self.subTest(kind):
                 self.server.kind = kind
                 now = time.monotonic()
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -295,9 +295,9 @@
 class FragileEngine(platform_standins.Upstream):
     """An engine whose process ends with each request that it runs."""
 
-    def note_run(self, handler, headers, body):
+    def record_run(self, handler, headers, body):
         """Closes the listening socket, as the end of a process does."""
-        super().note_run(handler, headers, body)
+        super().record_run(handler, headers, body)
         self.mode = "reset"
         self._server.socket.shutdown(socket.SHUT_RDWR)
         threading.Thread(target=self.stop, daemon=True).start()
@@ -337,7 +337,7 @@
 
     def test_content_is_served_after_callers_left(self):
         for engine in self.world.engines:
-            engine.stall_s = 0.3
+            engine.first_gap_s = 0.3
         for _ in range(8):
             with self.node.open_socket() as caller:
                 caller.settimeout(5)
@@ -381,4 +381,4 @@
         answer = self.node.stream()
         self.assertEqual(answer.status, 502)
         self.assertIn(b"have crashed upstreams", answer.data)
-        self.assertEqual(sum(len(engine.seen) for engine in fragile), 3)
+        self.assertEqual(sum(len(engine.run_requests) for engine in fragile), 3)
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -38,10 +38,10 @@
         gone = world.desks[0]
         gone.register(world.store, "desk", state="draining", seq=2)
         time.sleep(1.0)
-        gone.seen = []
+        gone.run_requests = []
         for _ in range(10):
             self.node.request("/status/1", authorization="Bearer key-2")
-        self.assertEqual(gone.seen, [])
+        self.assertEqual(gone.run_requests, [])
 
     def test_evacuation_is_obeyed_and_ends(self):
         world = self.world
@@ -51,12 +51,12 @@
         world.reset()
         for _ in range(10):
             self.assertEqual(self.node.request("/status/1").status, 200)
-        self.assertEqual(world.desks[0].seen, [])
+        self.assertEqual(world.desks[0].run_requests, [])
         world.store.remove("op/evacuate/dc-2")
         world.desks[1].register(world.store, "desk", state="draining")
         time.sleep(1.0)
         self.assertEqual(self.node.request("/status/1").status, 200)
-        self.assertEqual(len(world.desks[0].seen), 1)
+        self.assertEqual(len(world.desks[0].run_requests), 1)
 
     def test_forged_entries_are_skipped(self):
         store = self.world.store
@@ -84,7 +84,7 @@
         time.sleep(1.0)
         answer = self.node.request("/lodge/1", b"x")
         self.assertEqual(answer.status, 503)
-        self.assertEqual(impostor.seen, [])
+        self.assertEqual(impostor.run_requests, [])
 
     def test_roll_out_is_completed_by_exactly_one_status(self):
         world = self.world
@@ -105,7 +105,7 @@
         world.reset()
         for _ in range(5):
             self.node.stream()
-        self.assertEqual(world.engines[0].seen, [])
+        self.assertEqual(world.engines[0].run_requests, [])
 
     def test_bad_version_is_rolled_back_at_all_nodes(self):
         world = self.world
@@ -124,8 +124,8 @@
             state = json.loads(value)["state"] if value else ""
         self.assertEqual(state, "rolled_back")
         time.sleep(0.6)
-        bad.seen = []
+        bad.run_requests = []
         for node in world.nodes:
             for _ in range(20):
                 node.stream()
-        self.assertEqual(bad.seen, [])
+        self.assertEqual(bad.run_requests, [])
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -27,7 +27,7 @@
         self.assertTrue(self.node.is_ready())
 
     def test_node_that_the_store_turns_away_learns_from_another(self):
-        gate = platform_standins.Gate(self.world.store)
+        gate = platform_standins.StoreProxy(self.world.store)
         self.addCleanup(gate.stop)
         lone = self.world.add_node("node-9", gate)
         # Its entry has to reach it, so that it knows the other nodes.
@@ -160,7 +160,7 @@
 
     def test_reload_while_a_process_starts_does_not_end_it(self):
         node = self.world.start_node("starting")
-        processes.wait_for(lambda: node.ignores(signal.SIGHUP))
+        processes.wait_for(lambda: node.ignores_signal(signal.SIGHUP))
         node.send_signal(signal.SIGHUP)
         node.wait_ready()
 
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -17,7 +17,7 @@
 # Floods that are no answer to a request for a whole body.
 PLAIN = [
     kind
-    for kind in floods.KINDS
+    for kind in floods.RESPONSES_BY_KIND
     if kind.startswith("endless")
     and kind not in ("endless-body", "endless-event")
 ]
@@ -159,7 +159,7 @@
             while data := caller.recv(4096):
                 answer += data
         self.assertTrue(answer.endswith(b"echo ok"), answer)
-        seen = [run for desk in self.world.desks for run in desk.seen]
+        seen = [run for desk in self.world.desks for run in desk.run_requests]
         self.assertNotIn("X-Late", seen[0][2])
 
 
@@ -190,7 +190,7 @@
         again.close()
 
 
-class PeerNewsTest(unittest.TestCase):
+class PeerMessagesTest(unittest.TestCase):
     """Guards against messages that no node has sent."""
 
     def test_news_that_unfolds_without_end_is_dropped(self):
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -28,10 +28,10 @@
             x_hop="dropped",
         )
         self.assertEqual((answer.status, answer.data), (200, b"echo body"))
-        desk = next(d for d in self.world.desks if d.seen)
+        desk = next(d for d in self.world.desks if d.run_requests)
         seal = answer.headers["Response-Seal"]
         self.assertEqual(seal, f"seal-of-{desk.identity}")
-        method, path, headers, body = desk.seen[0]
+        method, path, headers, body = desk.run_requests[0]
         self.assertEqual(
             (method, path, body), ("POST", "/lodge/a?b=%20c", b"body")
         )
@@ -166,7 +166,10 @@
             )
             caller.recv(200)
         took_s = gateway_world.wait_until(
-            lambda: sum(engine.left for engine in self.world.engines) == 1
+            lambda: (
+                sum(engine.aborted_streams for engine in self.world.engines)
+                == 1
+            )
         )
         self.assertLess(took_s, 0.5)
 
--- a/tests/test_gateway_stalls.py
+++ b/tests/test_gateway_stalls.py
@@ -34,7 +34,7 @@
         # Room for one repeat, since a node uses a part of the floor.
         self._limit_repeats(2)
         for engine in self.world.engines:
-            engine.stall_s = 1.8
+            engine.first_gap_s = 1.8
         with futures.ThreadPoolExecutor() as pool:
             streams = [pool.submit(self.node.stream) for _ in range(5)]
             processes.wait_for(lambda: self.world.count_runs() == 5)
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_state_sync.py
@@ -34,14 +34,14 @@
 PEER = "127.0.0.1:9"
 
 
-class KnowledgeTest(unittest.IsolatedAsyncioTestCase):
+class StateSyncTest(unittest.IsolatedAsyncioTestCase):
     """Guards against followers that use upstreams which have left."""
 
     async def asyncSetUp(self):
         self.peers = mock.Mock()
         settings = forwarding_world.build_settings(node="n9")
         self.router = forwarding_world.build_router()
-        self.known = state_sync.StateSync(
+        self.state_sync = state_sync.StateSync(
             settings,
             self.router,
             store_codec.PlatformStoreCodec(),
@@ -49,8 +49,8 @@
             random.Random(1),
         )
         self.watch = mock.Mock(active=True)
-        self.known.set_store_tasks(self.watch, mock.Mock())
-        self.known.set_peer_client(self.peers)
+        self.state_sync.set_store_tasks(self.watch, mock.Mock())
+        self.state_sync.set_peer_client(self.peers)
         nodes = {
             f"nodes/n{number}": documents.encode_node(
                 watchers.Node(f"127.0.0.1:{number}", "dc-1")
@@ -64,7 +64,7 @@
         await self._deliver(store_tasks.StoreListed(stores.Listing(items, 5)))
 
     async def _deliver(self, event):
-        self.known.deliver(event)
+        self.state_sync.deliver(event)
         await asyncio.sleep(0.01)
 
     async def _answer(self, **changes):
@@ -81,7 +81,7 @@
         failure = stores.RateLimited("refused")
         await self._deliver(store_tasks.StoreCallFailed(failure))
         await self._answer()
-        self.known.run_periodic_work()
+        self.state_sync.run_periodic_work()
         gone = {"entries": [["servers/a", None, 6]], "revision": 6}
         self.assertEqual(self._count_usable(), 1)
         await self._answer(delta=gone | {"whole": False})
@@ -94,7 +94,7 @@
 
     async def test_follower_with_fresh_news_does_not_watch(self):
         await self._answer()
-        self.known.run_periodic_work()
+        self.state_sync.run_periodic_work()
         self.assertFalse(self.watch.active)
 
     async def test_unreadable_news_change_nothing(self):
@@ -149,7 +149,7 @@
 
     async def _ask(self, since):
         """Returns the answer to a node that knows changes up to `since`."""
-        answer = self.known.handle_peer_request(
+        answer = self.state_sync.handle_peer_request(
             PEER, json.dumps({"since": since}).encode()
         )
         return await asyncio.wrap_future(answer)
@@ -190,7 +190,7 @@
             for _ in range(15):
                 # In all less than the age from which it watches by itself.
                 later += 0.04
-                self.known.run_periodic_work()
+                self.state_sync.run_periodic_work()
         # To the node that it follows only.
         self.assertEqual(len(posts), 1)
         for number in tuple(posts):
@@ -199,5 +199,5 @@
             )
         count = len(posts)
         with mock.patch("time.monotonic", lambda: later + 0.1):
-            self.known.run_periodic_work()
+            self.state_sync.run_periodic_work()
         self.assertGreater(len(posts), count)
--- a/tests/test_relay_floods.py
+++ b/tests/test_relay_floods.py
@@ -92,7 +92,7 @@
     def test_answers_without_end_fail_in_time(self):
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
-        for kind in [*floods.KINDS, "events"]:
+        for kind in [*floods.RESPONSES_BY_KIND, "events"]:
             with self.subTest(kind):
                 tracemalloc.reset_peak()
                 event, took_s = self._run(kind, streamed=False)
--- a/tests/test_unseen_deployments.py
+++ b/tests/test_unseen_deployments.py
@@ -90,7 +90,7 @@
         answer = node.request("/any", **asked)
         self.assertEqual(answer.status, 500)
         self.assertIn("Response-Seal", answer.headers)
-        self.assertEqual(len(ledger.seen), 2)
+        self.assertEqual(len(ledger.run_requests), 2)
         ledger.mode = "hang"
         began = time.monotonic()
         self.assertEqual(node.request("/any", **asked).status, 504)
@@ -122,9 +122,11 @@
         answer = node.stream(prompt_prefix=None, token_counts=None)
         self.assertEqual(answer.status, 200)
         self.assertIn(b"data: atoll", answer.data)
-        asked = {run[2]["Model"] for engine in engines for run in engine.seen}
+        asked = {
+            run[2]["Model"] for engine in engines for run in engine.run_requests
+        }
         self.assertEqual(asked, {"pebble", "atoll"})
-        self.assertEqual(sum(len(engine.seen) for engine in engines), 2)
+        self.assertEqual(sum(len(engine.run_requests) for engine in engines), 2)
         for engine in engines[:-1]:
             engine.mode = "reset"
         for _ in range(6):
