Reword the comments on roll-outs, cascades and time-outs of the gateway

Comments and doc comments described the callers' experience in figures of speech. They now say what the code does and why, in terms of the field, and keep every reason and number. Some local names follow.

--- a/sycamorehollow/decisions/forwarding/__init__.py
+++ b/sycamorehollow/decisions/forwarding/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions about forwarded requests, without I/O."""
+"""Decision logic of the gateway for forwarded requests, free of I/O."""
--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -1,15 +1,16 @@
-"""What one request may still try.
+"""Limits on the attempts of one request.
 
-Answers storms of repeats: an attempt that ran counts against the route, one
-that was refused or reached nobody does not, and both are bounded.
+Prevents retry storms. Attempts that may have run count against the limit of
+the route. Attempts that were refused or reached no upstream do not, but have
+limits of their own.
 """
 
 from sycamorehollow.decisions.forwarding import retry_budget
 from sycamorehollow.model import forwarding
 
-# Attempts in a row that upstreams may refuse without running them.
+# Attempts that upstreams may refuse without running them.
 MAX_REFUSALS = 4
-# Attempts that may reach no upstream; each can take a connect timeout.
+# Attempts that may fail to connect; each can take a whole connect timeout.
 MAX_CONNECT_FAILURES = 8
 
 
@@ -17,9 +18,9 @@
     """Counts the attempts of one request.
 
     Args:
-        route: Its route.
+        route: Route of the request.
         service: Name of its service.
-        budget: Budget of repeats.
+        budget: Retry budget.
 
     Attributes:
         possible_runs: Attempts that may have run.
@@ -40,24 +41,24 @@
         self._connect_failures = 0
 
     def record_sent(self, now: float) -> None:
-        """An attempt is sent."""
+        """Records that an attempt is sent."""
         if self._sent:
             self._budget.record_retry(self._service, now)
         self._sent += 1
         self.possible_runs += 1
 
     def record_refusal(self, was_resent: bool) -> None:
-        """The latest attempt was refused without running.
+        """Records that the latest attempt was refused without running.
 
         Args:
-            was_resent: Whether it was sent on another connection before, which
-                broke: then it may have run all the same.
+            was_resent: Whether it was sent before on another connection that
+                broke, in which case the first copy may have run.
         """
         self.possible_runs -= 0 if was_resent else 1
         self._refusals += 1
 
     def record_connect_failure(self) -> None:
-        """The latest attempt reached no upstream."""
+        """Records that the latest attempt reached no upstream."""
         self.possible_runs -= 1
         self._connect_failures += 1
         if self._sent > 1:
@@ -65,11 +66,11 @@
 
     @property
     def is_next_attempt_last(self) -> bool:
-        """Whether one more attempt that may run would be the last one."""
+        """Whether the next attempt that may run would be the last one."""
         return self.possible_runs + 1 >= self._route.max_attempts
 
     def find_permanent_limit(self) -> str:
-        """Returns the rule that forbids any other attempt, if there is one."""
+        """Returns why no further attempt is ever allowed, or an empty text."""
         if self.possible_runs and not self._route.is_retryable:
             return "it may have run"
         if (
@@ -80,7 +81,7 @@
         return ""
 
     def find_temporary_limit(self, now: float) -> str:
-        """Returns what forbids another attempt for a while, if anything."""
+        """Returns why no further attempt is allowed now, or an empty text."""
         if not self._sent:
             return ""
         if self._refusals > MAX_REFUSALS:
@@ -92,6 +93,6 @@
         return ""
 
     def reset_failures(self) -> None:
-        """Counts refusals and failed connections anew, after a pause."""
+        """Resets the counts of refusals and failed connections."""
         self._refusals = 0
         self._connect_failures = 0
--- a/sycamorehollow/decisions/forwarding/attempt_timeouts.py
+++ b/sycamorehollow/decisions/forwarding/attempt_timeouts.py
@@ -1,33 +1,36 @@
-"""How long an attempt is waited for before another upstream is tried.
+"""Timeouts after which an attempt fails over to another upstream.
 
-Answers overload and hanging upstreams: a request that only waits behind others
-is not sent again, since that would add to the load that it waits for. The last
-attempt is spent on long silence only: if it breaks, the answer is lost.
+Distinguishes overloaded upstreams from hanging ones. A request that is merely
+queued behind others is not retried early, since a retry adds to the overload.
+The last attempt is used only after a long silence, because the response is
+lost if that attempt fails.
 """
 
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
-# Part of the objective after which a request is given up that later ones have
-# passed at the upstream, and one that none has passed. The latter may only
-# wait for others; a repeat would add to the load that it waits for.
+# Time-out for the first byte: the larger of a share of the route's objective
+# and a multiple of the expected time. It is short for requests that later ones
+# have overtaken at the upstream. A request that none has overtaken may only be
+# queued; a retry would add to the load that it waits for.
 OVERTAKEN_OBJECTIVE_SHARE = 0.35
 OVERTAKEN_EXPECTED_FACTOR = 2.5
 STALLED_OBJECTIVE_SHARE = 0.8
 STALLED_EXPECTED_FACTOR = 5.0
-# Time in seconds by which a later request has to be later.
+# A request counts as later only if it was sent at least this much later.
 OVERTAKEN_MIN_S = 0.15
-# Parts of the tolerated pause after which a stalled stream goes on elsewhere,
-# if the upstream goes on with others, and if it does not.
+# Time-out for the next event of a stream, as a multiple of the longest event
+# gap of the route: while the upstream serves other requests, and while it does
+# not.
 OVERTAKEN_GAP_FACTOR = 0.8
 STALLED_GAP_FACTOR = 2.0
-# Silence in seconds after which it is checked whether an upstream can be
-# reached, which an overloaded one can.
+# Silence after which the upstream is probed. Overloaded upstreams still accept
+# connections, unreachable ones do not.
 PROBE_AFTER_S = 0.3
-# Time in seconds for which a check that found this node cut off holds; the next
-# check comes before.
+# Validity of a probe that found this node isolated. The next probe comes
+# earlier.
 ISOLATION_TTL_S = 1.0
-# Time between looks at whether other requests go on.
+# Interval for checking whether other requests make progress.
 RECHECK_S = 0.1
 MIN_WAIT_S = 0.01
 
@@ -38,7 +41,7 @@
     is_next_last: bool,
     now: float,
 ) -> float:
-    """Returns the seconds to wait on for the first byte of an answer.
+    """Returns the remaining seconds to wait for the first byte.
 
     Args:
         route: Route of the request.
@@ -70,7 +73,7 @@
     is_next_last: bool,
     now: float,
 ) -> float:
-    """Returns the seconds to wait on for the next event of a stream.
+    """Returns the remaining seconds to wait for the next stream event.
 
     Args:
         route: Route of the request.
@@ -90,7 +93,7 @@
 
 
 def needs_probe(attempt: steps.Attempt, now: float) -> bool:
-    """Tells whether to check that the upstream can be reached."""
+    """Returns whether the silence calls for a probe of the upstream."""
     state = attempt.state
     since = max(attempt.last_byte_at, state.last_byte_at, state.probed_at)
     return now - since >= PROBE_AFTER_S
@@ -104,14 +107,14 @@
     overtaken: bool,
     now: float,
 ) -> float:
-    """Returns 0 when the attempt is to be given up.
+    """Returns the remaining seconds to wait; 0 if the attempt has timed out.
 
     Args:
         attempt: The attempt.
         since: When the wait began.
-        overtaken_limit_s: Longest wait if the upstream goes on with others.
+        overtaken_limit_s: Longest wait if the upstream serves other requests.
         stalled_limit_s: Longest wait in any case.
-        overtaken: Whether the upstream has gone on with others.
+        overtaken: Whether the upstream has served other requests meanwhile.
         now: Monotonic time in seconds.
     """
     waited_s = now - since
@@ -120,7 +123,7 @@
     if waited_s < overtaken_limit_s - MIN_WAIT_S:
         return min(overtaken_limit_s - waited_s, RECHECK_S)
     if not overtaken and now - attempt.isolated_at < ISOLATION_TTL_S:
-        # Another upstream could not be reached either.
+        # This node is isolated, so another upstream would not help.
         return RECHECK_S
     if overtaken or waited_s >= stalled_limit_s:
         return 0.0
--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -1,10 +1,10 @@
-"""Roll-outs of versions: shares, evidence and when they end.
+"""Canary roll-outs of versions: traffic shares, evaluation and completion.
 
-A new version gets a small share of the requests first. Every node counts
-answers of both versions and nodes exchange their counts. A version that is
-worse than the one in service, because it fails more often or answers slowly, is
-stopped at once by each node that can tell; a sound one gets more and is
-completed before its time is up.
+A new version gets a small share of the requests first. Every node counts the
+responses of both versions, and nodes exchange their counts. If the new version
+fails more often or responds more slowly than the version in service, each node
+that detects it stops the roll-out at once. A sound version is ramped up and
+completed before the time of its order is over.
 """
 
 from collections.abc import Iterable
@@ -18,34 +18,35 @@
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.model import forwarding
 
-# Share of the tolerated exposure that a version gets at most while little is
-# known. Sessions that are open when they get the new version change theirs, so
-# the share is halved until it brings no more answers than the evidence needs.
+# Share of the tolerated exposure that a version gets at most before the
+# ramp-up. Assigning the new version moves open sessions to it, so the share is
+# halved until it yields no more than about this rate of responses, which is
+# what the evaluation needs.
 FIRST_SHARE = 0.55
 TARGET_RESPONSES_PER_S = 4.0
-# Answers that a short order asks for in the first part of its time, twice what
-# the proof of a sound version needs.
+# Responses that short orders need before the ramp-up, twice the number that
+# proves a version sound.
 MIN_TARGET_RESPONSES = 24
-# Time in seconds in which each node measures the rate of answers, and the part
-# of an order's time that it takes at most.
+# Each node first measures the response rate for this long, limited to this
+# fraction of the order's duration.
 RATE_SAMPLING_S = 2.0
 RATE_SAMPLING_FRACTION = 0.1
-# Part of the time during which only that share is sent.
+# Fraction of the duration at which the ramp-up starts.
 RAMP_START_FRACTION = 0.5
-# Part of the time from which a proven version gets all requests, and at which
-# the roll-out is completed: the upstreams of the other version then stop at
-# once, so their streams need the time between to end.
+# Fractions of the duration at which a sound version gets all requests and at
+# which the roll-out is completed. Completion stops the upstreams of the other
+# version at once, so their streams need the time in between to finish.
 RAMP_END_FRACTION = 0.7
 COMPLETION_FRACTION = 0.88
-# Share of requests that a proven version gets just before it gets all.
+# Traffic share at the end of the ramp-up, just before the switch to all.
 RAMP_END_SHARE = 0.5
-# Log likelihood ratio at which a version counts as sound, so that it may get
-# more requests; about a dozen answers without a failure.
+# Log likelihood ratio below which a version counts as sound and is ramped up;
+# takes about a dozen responses without a failure.
 SOUND_LOG_RATIO = -math.log(10)
-# Judged times of the new version below which it is never called sound.
+# Classified latencies of the new version needed before it can count as sound.
 MIN_LATENCIES = 10
-# Only answers of the last seconds count, so that a version that turns bad
-# late is found as fast as one that is bad from its start.
+# Failures are also evaluated over the latest seconds alone, so that a version
+# that degrades late is detected as fast as one that fails from the start.
 WINDOW_S = 6.0
 
 
@@ -54,7 +55,7 @@
 
     Args:
         node: Name of this node.
-        exposure: Part of the requests that a faulty version may get.
+        exposure: Share of the requests that a faulty version may get.
     """
 
     def __init__(self, node: str, exposure: float):
@@ -68,22 +69,22 @@
         self._node_count = max(1, nodes)
 
     def configure(self, exposure: float) -> None:
-        """Takes a changed setting."""
+        """Applies a changed exposure limit."""
         self._exposure = exposure
 
     def set_order(self, order: forwarding.RolloutOrder, now: float) -> None:
-        """Takes an operator's order; a repeat of it changes nothing."""
+        """Starts the roll-out of an operator's order unless it is known."""
         known = self._rollouts.get(order.service)
         if known is not None and known.order.revision >= order.revision:
             return
         self._rollouts[order.service] = rollout_records.Rollout(order, now)
 
     def remove_order(self, service: str) -> None:
-        """The operator has withdrawn the order."""
+        """Drops the roll-out of a withdrawn order."""
         self._rollouts.pop(service, None)
 
     def set_status(self, status: forwarding.RolloutStatus) -> None:
-        """Takes what was stated about a roll-out."""
+        """Applies the published state of a roll-out."""
         rollout = self._rollouts.get(status.service)
         if rollout is None or status.revision < rollout.order.revision:
             return
@@ -91,7 +92,7 @@
             rollout.state = status.state
 
     def get(self, service: str) -> rollout_records.Rollout | None:
-        """Returns the roll-out of a service."""
+        """Returns the roll-out of a service, or `None`."""
         return self._rollouts.get(service)
 
     def list_all(self) -> list[rollout_records.Rollout]:
@@ -103,7 +104,7 @@
         return [r for r in self._rollouts.values() if r.state not in _ENDED]
 
     def record_response(self, service: str, version: str, failed: bool) -> None:
-        """An upstream of a service has answered."""
+        """Counts a response of a service."""
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state in _ENDED:
             return
@@ -120,25 +121,25 @@
         part: response_times.LatencyKind,
         slow: bool,
     ) -> None:
-        """It was judged whether a part of an answer was slow."""
+        """Counts a classified latency of a response."""
         rollout = self._rollouts.get(timed.service)
         if rollout is None or rollout.state in _ENDED:
             return
         if timed.share <= 0:
-            # What makes a repeat slow may have made its first attempt slow.
+            # The cause that slows a retry may have slowed its first attempt.
             return
         new = timed.version == rollout.order.target
         rollout.evidence.record(self._node, timed, part, new, slow)
 
     def is_in_service(self, service: str, version: str) -> bool:
-        """Tells whether a version is, or was until now, the one in service."""
+        """Returns whether a version is in service, or was until completion."""
         rollout = self._rollouts.get(service)
         if rollout is None or version != rollout.order.target:
             return True
         return rollout.state is forwarding.RolloutState.COMPLETED
 
     def export(self, now: float) -> list[rollout_records.RolloutReport]:
-        """Returns what other nodes need to know."""
+        """Returns reports for other nodes on all running roll-outs."""
         return [
             rollout_records.RolloutReport(
                 rollout.order.service,
@@ -153,7 +154,7 @@
         ]
 
     def merge(self, report: rollout_records.RolloutReport, now: float) -> None:
-        """Takes what another node has found; larger counts are newer."""
+        """Merges another node's report; of two counts the larger is newer."""
         rollout = self._rollouts.get(report.service)
         if rollout is None or rollout.order.revision != report.revision:
             return
@@ -167,7 +168,7 @@
         ):
             sound_at = now - report.sound_s
             rollout.sound_at = min(rollout.sound_at or sound_at, sound_at)
-        # A node that has started since does not know how long it has run.
+        # A node that restarted during the roll-out lacks its real start time.
         rollout.started_at = min(rollout.started_at, now - report.age_s)
         for node, tally in report.tallies.items():
             known = rollout.tallies.get(node, failure_counts.Tally())
@@ -182,7 +183,7 @@
         revision: int,
         counts: Mapping[str, Mapping[str, slowness.Counts]],
     ) -> None:
-        """Takes the counts of slow answers that another node knows."""
+        """Merges the counts of slow responses that another node has."""
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.order.revision != revision:
             return
@@ -191,7 +192,7 @@
                 rollout.evidence.merge(node, routes)
 
     def evaluate(self, now: float) -> list[rollout_records.Rollout]:
-        """Looks at the evidence; returns roll-outs found to be worse now."""
+        """Evaluates all roll-outs; returns those newly found to be worse."""
         found = []
         for rollout in self._rollouts.values():
             if rollout.state in _ENDED or rollout.worse:
@@ -223,7 +224,7 @@
         return found
 
     def compute_share(self, service: str, now: float) -> float:
-        """Returns the share of requests that the new version gets."""
+        """Returns the traffic share of the new version."""
         rollout = self._rollouts.get(service)
         if rollout is None:
             return 0.0
@@ -233,42 +234,42 @@
             return 0.0
         if rollout.worse:
             return 0.0
-        first = self._find_first_share(rollout, now)
-        part = self._compute_progress(rollout, now)
-        if part <= RAMP_START_FRACTION:
-            return first
-        if part >= RAMP_END_FRACTION:
+        first_share = self._find_first_share(rollout, now)
+        progress = self._compute_progress(rollout, now)
+        if progress <= RAMP_START_FRACTION:
+            return first_share
+        if progress >= RAMP_END_FRACTION:
             return 1.0
-        climbed = (part - RAMP_START_FRACTION) / (
+        ramped = (progress - RAMP_START_FRACTION) / (
             RAMP_END_FRACTION - RAMP_START_FRACTION
         )
-        return first + (RAMP_END_SHARE - first) * climbed
+        return first_share + (RAMP_END_SHARE - first_share) * ramped
 
     def get_assignment_share(
         self, service: str, version: str, session: str | None, now: float
     ) -> float:
-        """Returns the share by which the version of an attempt was drawn.
+        """Returns the traffic share by which a version was assigned.
 
         Args:
             service: Name of the service.
             version: Version of the attempt's upstream.
-            session: As for `is_chosen`; `None` for a repeat.
+            session: As for `is_assigned`; `None` for a retry.
             now: Monotonic time in seconds.
 
         Returns:
-            0 if the version was not drawn.
+            0 if the version was not assigned by share.
         """
         rollout = self._rollouts.get(service)
         if rollout is None or session is None:
             return 0.0
         share = self.compute_share(service, now)
-        drawn = is_assigned(service, session, share)
-        return share if drawn == (version == rollout.order.target) else 0.0
+        assigned = is_assigned(service, session, share)
+        return share if assigned == (version == rollout.order.target) else 0.0
 
     def find_due_state(
         self, service: str, now: float
     ) -> forwarding.RolloutState | None:
-        """Returns the state that should be written, or `None`."""
+        """Returns the state that should be published now, or `None`."""
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state in _ENDED:
             return None
@@ -281,7 +282,7 @@
         return None
 
     def is_stopped(self, service: str, version: str) -> bool:
-        """Tells whether a version of a service gets nothing any more."""
+        """Returns whether a version must not get requests any more."""
         rollout = self._rollouts.get(service)
         if rollout is None:
             return False
@@ -293,7 +294,7 @@
         )
 
     def is_suspected(self, service: str, version: str) -> bool:
-        """Tells whether a version looks slow without proof yet."""
+        """Returns whether a version looks slow but is not proven slow."""
         rollout = self._rollouts.get(service)
         if rollout is None or version != rollout.order.target:
             return False
@@ -327,23 +328,23 @@
     def _compute_progress(
         self, rollout: rollout_records.Rollout, now: float
     ) -> float:
-        """Returns the part of the time that counts for the share.
+        """Returns the elapsed fraction of the duration that sets the share.
 
-        It stands still at `FIRST_PART` until the version is sound, so that a
-        late proof is followed by the whole climb.
+        Stays at `RAMP_START_FRACTION` until the version is sound, so that a
+        late proof is still followed by the complete ramp-up.
         """
         duration_s = max(rollout.order.duration_s, 0.001)
-        part = (now - rollout.started_at) / duration_s
-        if part <= RAMP_START_FRACTION:
-            return part
+        progress = (now - rollout.started_at) / duration_s
+        if progress <= RAMP_START_FRACTION:
+            return progress
         if rollout.sound_at is None:
             return RAMP_START_FRACTION
-        waited = (rollout.sound_at - rollout.started_at) / duration_s
-        return part - max(0.0, waited - RAMP_START_FRACTION)
+        proven_at = (rollout.sound_at - rollout.started_at) / duration_s
+        return progress - max(0.0, proven_at - RAMP_START_FRACTION)
 
 
 def _may_have_ramped_up(rollout: rollout_records.Rollout, now: float) -> bool:
-    """Tells whether the share may have been raised already."""
+    """Returns whether the ramp-up may have started."""
     return (
         now - rollout.started_at
         > RAMP_START_FRACTION * rollout.order.duration_s
@@ -353,7 +354,7 @@
 def _is_sound(
     rollout: rollout_records.Rollout, total: failure_counts.Tally
 ) -> bool:
-    """Tells whether the version neither fails more often nor is slower."""
+    """Returns whether the version is proven neither to fail nor to be slow."""
     if rollout.evidence.is_possibly_slow():
         return False
     if failure_counts.compute_log_likelihood_ratio(total) > SOUND_LOG_RATIO:
@@ -371,10 +372,10 @@
 
 
 def is_assigned(service: str, session: str, share: float) -> bool:
-    """Tells whether a session gets the new version.
+    """Returns whether a session is assigned to the new version.
 
-    Every node draws alike, and a session that has got the new version keeps it
-    while the share rises.
+    The assignment is a hash, so all nodes agree, and a session that has the new
+    version keeps it as the share rises.
     """
     drawn = zlib.crc32(f"{service}|{session}".encode()) / 2**32
     return drawn < share
@@ -383,7 +384,7 @@
 def split_versions(
     versions: Iterable[str], target: str
 ) -> tuple[set[str], set[str]]:
-    """Returns the versions in service and the new one, of those that run."""
+    """Splits the running versions into those in service and the new one."""
     known = set(versions)
     return known - {target}, known & {target}
 
--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -1,4 +1,4 @@
-"""Upstreams at which the next attempt of one request may run."""
+"""Candidate upstreams for the next attempt of one request."""
 
 from collections.abc import Collection
 
@@ -8,20 +8,20 @@
 
 
 class Candidates:
-    """Chooses among the upstreams, with what earlier attempts have shown.
+    """Selects upstreams in view of the outcomes of earlier attempts.
 
     Args:
-        router: What the node knows.
+        router: State of the deployment.
         request: The request.
-        service: The service that was drawn for it.
-        session: Ties the request to others, which get the same version.
-        body_bytes: Length of its body.
+        service: Service selected for the request.
+        session: Affinity key; requests with the same key get the same version.
+        body_bytes: Length of the body.
 
     Attributes:
-        model: Model that is asked; empty for a plain service.
+        model: Requested model; empty for a plain service.
         no_failures: Whether no attempt has failed; a response that was
             discarded for a larger model is no failure.
-        delivering: Whether the caller has received a part of the answer.
+        delivering: Whether the caller has received part of the response.
     """
 
     def __init__(
@@ -45,26 +45,26 @@
 
     @property
     def has_tried_upstreams(self) -> bool:
-        """Whether some upstreams are left out, as they have had it already."""
+        """Whether upstreams are excluded because they were tried before."""
         return bool(self._tried)
 
     def record_sent(self, upstream: forwarding.Upstream) -> None:
-        """An upstream has been given the request."""
+        """Records that the request was sent to an upstream."""
         self._tried.add(upstream.identity)
         self._version = upstream.version
 
     def clear_tried(self) -> None:
-        """Lets upstreams have the request a second time."""
+        """Allows upstreams that were tried before."""
         self._tried.clear()
 
     def build_requirements(self, now: float) -> placement.Requirements:
-        """Returns what the next attempt needs."""
+        """Returns the requirements of the next attempt."""
         return self._build_requirements(
             self.model, self.no_failures, self._tried, now
         )
 
     def get_assignment_share(self, version: str, now: float) -> float:
-        """Returns the share of a roll-out by which a version was drawn."""
+        """Returns the traffic share by which a version was assigned."""
         return self._router.rollouts.get_assignment_share(
             self._service.name,
             version,
@@ -73,22 +73,22 @@
         )
 
     def choose_for_model(self, model: str, now: float) -> placement.Choice:
-        """Returns where a larger model could be asked instead."""
+        """Returns the best upstream for another model."""
         work = self._build_requirements(model, self.no_failures, (), now)
         return self._router.placement.choose(work, now)
 
     def choose_alternative(self, current: str, now: float) -> placement.Choice:
-        """Returns where the request could go on if its attempt failed now.
+        """Returns the upstream to fail over to if the attempt failed now.
 
         Args:
-            current: Identity of the upstream that is left out in any case.
+            current: Identity of the upstream that is always excluded.
             now: Monotonic time in seconds.
         """
         work = self._build_requirements(self.model, False, self._tried, now)
         choice = self._router.placement.choose(work, now)
         if choice.eligible:
             return choice
-        # Each other one has had it; a second time is better than a failure.
+        # All others were tried; a second try is better than a failure.
         work = self._build_requirements(self.model, False, {current}, now)
         return self._router.placement.choose(work, now)
 
@@ -110,8 +110,8 @@
         allowed = router.choose_versions(name, self._session, sound, now)
         if not self.delivering or allowed is None:
             return allowed
-        # The rest of an answer comes from the version that began it, unless
-        # that is stopped, looks slow or has no upstream left.
+        # The version that began a response also completes it, unless it is
+        # stopped, suspected of being slow or without upstreams.
         usable = {
             state.upstream.version
             for state in router.directory.list_usable(name, now)
--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -1,46 +1,45 @@
-"""Which model answers, from small to large.
+"""Model cascade: when to discard a response for that of a larger model.
 
-Starts with the smallest model and asks a larger one when the answer's
-confidence is low, as long as load, time and the budget of repeats allow it.
+A request starts at the smallest model. A response of low confidence is
+discarded for the largest model's if load, time and retry budget allow it.
 """
 
 import dataclasses
 
 from sycamorehollow.model import forwarding
 
-# Confidence below which a larger model is asked while the engines are idle.
+# Confidence threshold for a larger model while the engines are idle.
 IDLE_CONFIDENCE_THRESHOLD = 80.0
-# Larger models serve urgent requests first: the threshold is that much lower
-# for each step of the priority.
+# Reduction of the threshold per priority level, so that urgent requests get
+# larger models first.
 PRIORITY_STEP = 15.0
-# Share of taken places from which fewer answers are asked for again, and at
-# which none is.
+# Occupancy from which the threshold is lowered, and at which it reaches 0.
 OCCUPANCY_FROM = 0.45
 OCCUPANCY_TO = 0.95
-# The same for the part of the objective by which the first answer was late.
+# The same for the delay of first responses, as a share of the objective.
 DELAY_FROM = 0.05
 DELAY_TO = 0.25
-# Time in seconds in which a delay of other requests counts half.
+# Half-life of the delays of earlier requests.
 DELAY_HALF_LIFE_S = 0.7
 SMOOTHING = 0.3
-# Part of the objective in which the larger model has to begin its answer.
+# Share of the objective within which the larger model has to start responding.
 OBJECTIVE_SHARE = 0.9
-# Repeats of the budget that are left to attempts that fail: without one, an
-# answer of which the caller has a part is lost.
+# Retries of the budget that are reserved for failures. Without one, a response
+# that was delivered in part cannot be completed.
 RESERVED_RETRIES = 2.0
 
 
 class DelayTracker:
-    """Recent delays of first answers, as parts of the objective."""
+    """Smoothed delays of first responses, as shares of the objective."""
 
     def __init__(self) -> None:
         self._delays: dict[str, tuple[float, float]] = {}
 
     def record(self, service: str, delay: float, now: float) -> float:
-        """Takes one more delay and returns the smoothed one."""
+        """Records a delay and returns the larger of it and the average."""
         known, at = self._delays.get(service, (0.0, now))
         weight = 0.5 ** ((now - at) / DELAY_HALF_LIFE_S)
-        # One late answer alone may be that of a slow upstream.
+        # A single late response may come from a slow upstream.
         smooth = known * weight + (delay - known * weight) * SMOOTHING
         self._delays[service] = (smooth, now)
         return max(delay, smooth)
@@ -48,19 +47,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class CascadeInputs:
-    """What decides about a larger model.
+    """Inputs of the decision about a larger model.
 
     Attributes:
-        model: Model that has answered.
-        confidence: Its opinion of the answer, 0 to 100.
+        model: Model that has responded.
+        confidence: Confidence that it reports, 0 to 100.
         elapsed_s: Seconds since the request arrived.
         larger_expected_s: Expected time until the larger model begins to
             respond.
-        occupancy: Share of the engines' places that are taken.
-        delay: Part of the objective by which first answers come later than
-            from an idle engine.
+        occupancy: Share of the engines' slots that are in use.
+        delay: Delay of first responses beyond that of an idle engine, as a
+            share of the objective.
         attempts_left: Attempts that the route still allows.
-        retries_left: Repeats that the budget still allows.
+        retries_left: Retries that the budget still allows.
     """
 
     model: str
@@ -75,24 +74,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Decision:
-    """The model to ask next, or empty to keep the answer."""
+    """The model to ask next, or an empty name to keep the response."""
 
     model: str
     reason: str
 
 
 def choose_initial_model(route: forwarding.Route) -> str:
-    """Returns the model that is asked first."""
+    """Returns the model that gets a request first."""
     return route.models[0]
 
 
 def choose_larger_model(route: forwarding.Route) -> str:
-    """Returns the model that is asked when an answer is doubtful."""
+    """Returns the model that is asked after low confidence."""
     return route.models[-1]
 
 
 def decide(route: forwarding.Route, inputs: CascadeInputs) -> Decision:
-    """Decides whether an answer is dropped for that of a larger model."""
+    """Decides whether to discard a response for a larger model's."""
     larger = choose_larger_model(route)
     if inputs.model == larger:
         return Decision("", "largest model")
@@ -117,5 +116,5 @@
 
 
 def _interpolate_down(value: float, start: float, end: float) -> float:
-    """Returns 1 up to `start`, 0 from `end` and a straight line between."""
+    """Returns 1 up to `start`, 0 from `end`, linear in between."""
     return min(1.0, max(0.0, (end - value) / (end - start)))
--- a/sycamorehollow/decisions/forwarding/cascade_control.py
+++ b/sycamorehollow/decisions/forwarding/cascade_control.py
@@ -1,6 +1,6 @@
-"""Whether the answer of a small model is dropped for that of a larger one.
+"""Applies the model cascade to one request.
 
-Gathers what `cascade` decides by: load, delays and what is left to the request.
+Collects the inputs of `cascade.decide`: load, delays and remaining attempts.
 """
 
 from sycamorehollow.decisions.forwarding import candidates
@@ -10,19 +10,19 @@
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
-# Smallest objective in seconds that delays are compared with.
+# Lower bound of the objective, which delays are divided by.
 MIN_OBJECTIVE_S = 0.001
 
 
 class CascadeController:
-    """Decides for one request.
+    """Decides about a larger model for one request.
 
     Args:
-        router: What the node knows.
+        router: State of the deployment.
         request: The request.
-        route: Its route.
+        route: Route of the request.
         service: Name of its service.
-        upstreams: Where its next attempt may run.
+        upstreams: Candidates for its next attempt.
     """
 
     def __init__(
@@ -50,8 +50,8 @@
         """Returns the larger model to ask, or none.
 
         Args:
-            attempt: The attempt that was answered.
-            confidence: The model's opinion of its answer, 0 to 100.
+            attempt: The attempt that got a response.
+            confidence: Confidence that the model reports, 0 to 100.
             elapsed_s: Seconds since the request arrived.
             possible_runs: Attempts that may have run.
             now: Monotonic time in seconds.
--- a/sycamorehollow/decisions/forwarding/cold_start_limiter.py
+++ b/sycamorehollow/decisions/forwarding/cold_start_limiter.py
@@ -1,13 +1,14 @@
-"""Limits on requests to cold upstreams.
+"""Rate limits for cold upstreams.
 
-Load pattern: a data centre comes back with cold upstreams and every node sends
-at once. The rate that an upstream tolerates counts the requests of all nodes,
-in touch with each other or not, so no node may rely on what others tell it.
+When a data centre comes back with cold upstreams, every node sends to them at
+once. The rate that an upstream tolerates covers the requests of all nodes, also
+of nodes that cannot reach each other, so the limit must not depend on messages
+between nodes.
 
-Each upstream has a few owners, chosen by the same hash at every node. Only they
-send to it while it is cold, each its part of the rate. A fleet that is smaller
-than the rate consists of owners. A node that is not an owner sends nothing, and
-one that is cut off uses its own part at most.
+Each upstream has a few owner nodes, chosen by a hash that all nodes compute
+alike. While the upstream is cold only its owners send to it, each its share of
+the rate. If the fleet is smaller than the rate, every node is an owner. Other
+nodes send nothing, and an isolated node uses no more than its own share.
 """
 
 import collections
@@ -16,20 +17,20 @@
 import zlib
 
 WINDOW_S = 1.0
-# Requests that leave within a second may arrive within less of one.
+# Requests sent within one window may arrive within a shorter one.
 ARRIVAL_SPREAD_S = 0.2
-# Nodes that were added and are not known yet, as a factor; each may take itself
-# for an owner in addition to those that others know.
+# Safety factor for nodes that were added but are not known everywhere yet. Each
+# of them may consider itself an owner in addition to the known ones.
 UNKNOWN_NODE_FACTOR = 1.34
 
 
 class ColdStartLimiter:
-    """This node's share of what cold upstreams tolerate.
+    """Enforces this node's share of the rate that cold upstreams tolerate.
 
     Args:
         node: Name of this node.
-        factor: Tolerated excess over the rate of an upstream.
-        floor: Requests per second beyond that.
+        factor: Tolerated multiple of an upstream's rate.
+        floor: Requests per second that are tolerated in addition.
     """
 
     def __init__(self, node: str, factor: float, floor: float):
@@ -37,19 +38,19 @@
         self._factor = factor
         self._floor = floor
         self._node_names = {node}
-        # Place of this node among the owners of an upstream.
+        # Rank of this node among the nodes, by identity of the upstream.
         self._ranks: dict[str, int] = {}
         self._sent: dict[str, collections.deque[float]] = {}
 
     def configure(self, factor: float, floor: float) -> None:
-        """Takes changed settings."""
+        """Applies changed settings."""
         self._factor = factor
         self._floor = floor
 
     def add_nodes(self, names: Iterable[str]) -> None:
-        """Sets the names of the known nodes; none is ever forgotten.
+        """Adds names to the known nodes, which are never removed.
 
-        A node that was cut off may still send.
+        A node that has become isolated may still send.
         """
         known = self._node_names.union(names)
         if known != self._node_names:
@@ -57,10 +58,10 @@
             self._ranks.clear()
 
     def can_send(self, identity: str, rate: float, now: float) -> bool:
-        """Tells whether a cold upstream may get one more request.
+        """Returns whether a cold upstream may get one more request.
 
         Args:
-            identity: The upstream.
+            identity: Identity of the upstream.
             rate: Requests per second that it tolerates while cold.
             now: Monotonic time in seconds.
         """
@@ -73,24 +74,24 @@
         return len(sent) < share
 
     def record_sent(self, identity: str, now: float) -> None:
-        """A request was sent to an upstream, cold or not."""
+        """Records a request that was sent to an upstream, cold or not."""
         sent = self._sent.setdefault(identity, collections.deque(maxlen=512))
         sent.append(now)
 
     def remove_upstream(self, identity: str) -> None:
-        """An upstream is gone."""
+        """Drops the state of an upstream that is gone."""
         self._sent.pop(identity, None)
         self._ranks.pop(identity, None)
 
     def _compute_share(self, identity: str, rate: float) -> int:
         """Returns the requests per second that this node may send."""
-        bearable = rate * self._factor + self._floor
-        usable = max(1, math.floor(bearable / UNKNOWN_NODE_FACTOR))
+        tolerated = rate * self._factor + self._floor
+        usable = max(1, math.floor(tolerated / UNKNOWN_NODE_FACTOR))
         share, rest = divmod(usable, len(self._node_names))
         return share + (self._compute_rank(identity) < rest)
 
     def _compute_rank(self, identity: str) -> int:
-        """Returns the place of this node by rendezvous hashing; 0 is first."""
+        """Returns this node's rank by rendezvous hashing; 0 is the first."""
         rank = self._ranks.get(identity)
         if rank is None:
             own = _hash(self._node, identity)
--- a/sycamorehollow/decisions/forwarding/response_times.py
+++ b/sycamorehollow/decisions/forwarding/response_times.py
@@ -1,10 +1,10 @@
-"""How long answers take, and which of them count as slow.
+"""Response time statistics and the classification of responses as slow.
 
-Answers of the version in service are the reference: an answer is slow if its
-first event, or the time per event after it, takes much longer than most of
-theirs at the same route and model. Prompts that take longer to read are
-compared with prompts of about the same length. Nothing is learned from
-upstreams that are cold or have just started.
+The version in service is the baseline. A response is slow if the time to its
+first event, or the mean gap between later events, is far above the baseline
+of the same route and model. The first event is compared among prompts of
+similar uncached length, since longer prompts take longer to process. Cold and
+newly started upstreams are excluded.
 """
 
 from collections.abc import Callable
@@ -15,63 +15,62 @@
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
-# Events after the first one whose pace is judged as one; the answer's other
-# events are judged together at its end.
+# Number of events after the first whose mean gap is classified as soon as they
+# have arrived. The remaining events are classified together at the end.
 EARLY_EVENTS = 8
-# Quantile of the version in service, and the times by which it and the median
-# are exceeded by an answer that counts as slow.
+# A response is slow if it exceeds both this quantile and the median of the
+# version in service, multiplied by the factors below.
 QUANTILE = 0.9
 SLOW_QUANTILE_FACTOR = 1.5
 SLOW_MEDIAN_FACTOR = 2.0
-# Answers of the version in service below which the objective is the limit.
+# With fewer baseline responses than this, the route's objective is the limit.
 MIN_RESPONSES = 8
-# Answers after which earlier ones count half.
+# Histogram counts are halved once twice this many responses are recorded.
 HALVING_RESPONSES = 400
-# Ratio between neighbouring bins of a histogram, and its shortest time in
-# seconds.
+# Logarithmic histogram: ratio between adjacent bins, and the lowest bin.
 BIN_RATIO = 1.2
 SHORTEST_S = 0.0005
 BINS = 70
-# Ratio between neighbouring classes of prompt lengths.
+# Ratio between adjacent classes of uncached prompt length.
 LENGTH_CLASS_RATIO = 4.0
-# Time in seconds for which an upstream counts as just started.
+# Responses to requests sent this soon after the start are ignored.
 WARM_UP_S = 1.0
 
 
 class LatencyKind(enum.Enum):
-    """A part of an answer that is judged."""
+    """Latency of a response that is classified."""
 
     FIRST_EVENT = "start"
     EVENT_GAP = "pace"
 
 
 class Histogram:
-    """Times on a logarithmic scale; recent ones weigh more."""
+    """Logarithmic histogram of durations that decays as samples are added."""
 
     def __init__(self) -> None:
         self._bins = [0.0] * BINS
         self.count = 0.0
 
     def record(self, seconds: float) -> None:
-        """Adds one time."""
-        place = math.log(max(seconds, SHORTEST_S) / SHORTEST_S, BIN_RATIO)
-        self._bins[min(BINS - 1, int(place))] += 1
+        """Adds one duration."""
+        index = math.log(max(seconds, SHORTEST_S) / SHORTEST_S, BIN_RATIO)
+        self._bins[min(BINS - 1, int(index))] += 1
         self.count += 1
         if self.count >= 2 * HALVING_RESPONSES:
             self._bins = [weight / 2 for weight in self._bins]
             self.count /= 2
 
-    def compute_quantile(self, part: float) -> float:
-        """Returns the upper end of the bin of a quantile in seconds."""
-        left = part * self.count
-        for place, weight in enumerate(self._bins):
-            left -= weight
-            if left <= 0:
-                return SHORTEST_S * BIN_RATIO ** (place + 1)
+    def compute_quantile(self, quantile: float) -> float:
+        """Returns the upper bound in seconds of the bin of a quantile."""
+        remaining = quantile * self.count
+        for index, weight in enumerate(self._bins):
+            remaining -= weight
+            if remaining <= 0:
+                return SHORTEST_S * BIN_RATIO ** (index + 1)
         return SHORTEST_S * BIN_RATIO**BINS
 
     def compute_slow_limit(self) -> float:
-        """Returns the seconds beyond which an answer is slow."""
+        """Returns the duration in seconds above which a response is slow."""
         return max(
             SLOW_QUANTILE_FACTOR * self.compute_quantile(QUANTILE),
             SLOW_MEDIAN_FACTOR * self.compute_quantile(0.5),
@@ -80,11 +79,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptLabels:
-    """What an attempt is compared by.
+    """Attributes by which the latency of an attempt is grouped.
 
     Attributes:
-        uncached_tokens: Prompt tokens that the upstream probably had to read.
-        share: Share of the new version when it was drawn; 0 if it was not.
+        uncached_tokens: Estimated prompt tokens missing from the upstream's
+            prefix cache.
+        share: Traffic share of the new version at the time of assignment; 0
+            if the version was not assigned by share.
     """
 
     service: str
@@ -97,13 +98,12 @@
 
 
 class ResponseTimes:
-    """Times of the answers of all services at this node.
+    """Response time statistics of all services at this node.
 
     Args:
-        is_reference: Tells whether answers of a service's version show what
-            is usual.
-        count: Takes each part of an answer that was judged, and whether it
-            was slow.
+        is_reference: Returns whether a version of a service belongs to the
+            baseline.
+        report: Receives each classified latency and whether it was slow.
     """
 
     def __init__(
@@ -122,14 +122,14 @@
         attempt: steps.Attempt,
         share: float,
     ) -> "ResponseTimer":
-        """Returns what times an attempt that is sent.
+        """Returns a timer for an attempt that has just been sent.
 
         Args:
             service: Service of the request.
-            route: Its route.
+            route: Route of the request.
             attempt: The attempt.
-            share: Share of a new version by which its version was drawn; 0 if
-                it was not drawn, as for a repeat.
+            share: Traffic share of the new version by which the attempt's
+                version was assigned; 0 if it was not, as for a retry.
         """
         upstream = attempt.state.upstream
         timed = AttemptLabels(
@@ -144,7 +144,7 @@
         return ResponseTimer(self, timed, attempt)
 
     def find_first_event_limit(self, timed: AttemptLabels) -> float:
-        """Returns the seconds to the first event beyond which it is late."""
+        """Returns the limit in seconds for the time to the first event."""
         for key in _list_first_event_keys(timed):
             known = self._histograms.get(key)
             if known is not None and known.count >= MIN_RESPONSES:
@@ -152,14 +152,14 @@
         return timed.route.objective_s
 
     def find_event_gap_limit(self, timed: AttemptLabels, events: int) -> float:
-        """Returns the seconds per event beyond which so many are slow."""
+        """Returns the limit in seconds for the mean gap of some events."""
         known = self._histograms.get(_get_event_gap_key(timed, events))
         if known is not None and known.count >= MIN_RESPONSES:
             return known.compute_slow_limit()
         return timed.route.max_event_gap_s or timed.route.objective_s
 
     def record_first_event(self, timed: AttemptLabels, seconds: float) -> None:
-        """The first event of an answer, or a whole one, has arrived."""
+        """Records the time to the first event or to a complete response."""
         if self._is_reference(timed.service, timed.version):
             for key in _list_first_event_keys(timed):
                 self._histograms.setdefault(key, Histogram()).record(seconds)
@@ -167,7 +167,7 @@
     def record_event_gap(
         self, timed: AttemptLabels, seconds: float, events: int
     ) -> None:
-        """Events of a stream took so many seconds each."""
+        """Records the mean gap in seconds between events of a stream."""
         if self._is_reference(timed.service, timed.version):
             key = _get_event_gap_key(timed, events)
             self._histograms.setdefault(key, Histogram()).record(seconds)
@@ -175,19 +175,19 @@
     def report(
         self, timed: AttemptLabels, part: LatencyKind, slow: bool
     ) -> None:
-        """A part of an answer was judged."""
+        """Reports a classified latency."""
         self._report(timed, part, slow)
 
 
 class ResponseTimer(steps.AttemptObserver):
-    """Times one attempt and judges it.
+    """Measures one attempt and classifies its latencies.
 
-    The first event and the pace of some events after it are judged as soon as
-    that is possible, the pace of later events at the end.
+    The time to the first event and the mean gap of the early events are
+    classified as soon as they are known, that of later events at the end.
 
     Args:
-        times: Times of other answers.
-        timed: What the attempt is compared by.
+        times: Statistics of other responses.
+        timed: Attributes by which the attempt is grouped.
         attempt: The attempt.
     """
 
@@ -210,7 +210,7 @@
         self._ended = False
 
     def record_event(self, now: float) -> None:
-        """An event of a stream has arrived."""
+        """Records the arrival of a stream event."""
         if not self._warm or not self._stream:
             return
         self._latest_at = now
@@ -230,7 +230,7 @@
                 self._report_once(LatencyKind.EVENT_GAP, True)
 
     def record_end(self) -> None:
-        """The attempt may have ended; a second call changes nothing."""
+        """Classifies what is left once the attempt has ended; idempotent."""
         attempt = self._attempt
         if self._ended or attempt.end_cause is None or not self._warm:
             return
@@ -259,19 +259,19 @@
                     self._classify_remaining_events(self._first_at)
 
     def _classify_first_event(self, took_s: float) -> None:
-        """Judges the time to the first event, or to a whole answer."""
+        """Classifies the time to the first event or a complete response."""
         limit_s = self._times.find_first_event_limit(self._timed)
         self._times.record_first_event(self._timed, took_s)
         self._report_once(LatencyKind.FIRST_EVENT, took_s > limit_s)
 
     def _classify_event_gap(self, took_s: float, events: int) -> None:
-        """Judges the time that some events took."""
+        """Classifies the mean gap of some events."""
         limit_s = self._times.find_event_gap_limit(self._timed, events)
         self._times.record_event_gap(self._timed, took_s / events, events)
         self._report_once(LatencyKind.EVENT_GAP, took_s > limit_s * events)
 
     def _classify_remaining_events(self, first_at: float) -> None:
-        """Judges the events that were not judged yet."""
+        """Classifies the events that have not been classified yet."""
         if self._early_events_at is None:
             if self._events:
                 self._classify_event_gap(
@@ -286,7 +286,7 @@
         self._times.report(self._timed, LatencyKind.EVENT_GAP, pace_s > limit_s)
 
     def _is_late(self, now: float) -> bool:
-        """Tells whether the next event is overdue."""
+        """Returns whether the next event is overdue."""
         if self._first_at is None:
             waited_s = now - self._attempt.sent_at
             return waited_s > self._times.find_first_event_limit(self._timed)
@@ -300,13 +300,13 @@
 
 
 def _list_first_event_keys(timed: AttemptLabels) -> list[tuple[str, ...]]:
-    """Returns the sets of answers to compare with, the closest first."""
+    """Returns keys of the groups to compare with, most specific first."""
     length = int(math.log(max(1, timed.uncached_tokens), LENGTH_CLASS_RATIO))
     key = ("start", timed.service, timed.route.name, timed.model)
     return [(*key, str(length)), key]
 
 
 def _get_event_gap_key(timed: AttemptLabels, events: int) -> tuple[str, ...]:
-    # The pace of a few events varies more.
+    # The mean gap of few events varies more, so it has a histogram of its own.
     size = "few" if events < EARLY_EVENTS else "many"
     return ("pace", size, timed.service, timed.route.name, timed.model)
