Put the texts of the calls modules into plain terms

Doc comments say what each function does and returns, and private methods are named after the message that they handle. The behaviour stays.

Checked: make lint; test_calls, test_effects, test_sweeps and test_bounded_http pass.

--- a/sycamorehollow/decisions/calls/__init__.py
+++ b/sycamorehollow/decisions/calls/__init__.py
@@ -1,1 +1,1 @@
-"""Non-idempotent calls: at most one run, by key or ticket."""
+"""At-most-once execution of non-idempotent calls, by key or ticket."""
--- a/sycamorehollow/decisions/calls/call_encoding.py
+++ b/sycamorehollow/decisions/calls/call_encoding.py
@@ -1,4 +1,4 @@
-"""Encoding of questions and results between entry processes."""
+"""Encoding of call requests and results between entry processes."""
 
 import base64
 import json
@@ -28,7 +28,7 @@
 def encode_peer_request(
     command: messages.RequestFromOwner, now: float
 ) -> bytes:
-    """Returns the payload of a question; deadlines travel as remaining time."""
+    """Encodes a peer request; deadlines are sent as remaining time."""
     document: dict[str, object] = {
         "incarnation": command.incarnation,
         "workspace": command.workspace,
@@ -50,11 +50,11 @@
 def decode_peer_request(
     payload: bytes, peer_request_id: str, now: float
 ) -> messages.PeerRequestReceived | None:
-    """Returns the question in a payload, or `None` if it is damaged.
+    """Decodes a peer request; returns `None` if it is malformed.
 
     Args:
         payload: Result of `encode_peer_request` at another process.
-        peer_request_id: Id that this process answers under.
+        peer_request_id: Id for the reply of this process.
         now: Monotonic time of this process in seconds.
     """
     try:
@@ -84,7 +84,7 @@
 
 
 def encode_result(result: messages.Result) -> bytes:
-    """Returns the payload of a result."""
+    """Encodes a result."""
     document: dict[str, object]
     if isinstance(result, messages.Outcome):
         body = base64.b64encode(result.body).decode("ascii")
@@ -102,10 +102,10 @@
 
 
 def decode_result(payload: bytes) -> messages.Result | None:
-    """Returns the result in a payload, or `None` if it is damaged.
+    """Decodes a result; returns `None` if it is malformed.
 
-    The caller has to treat a damaged result like a missing one. A failure of
-    a type that this version does not know keeps its `run`.
+    Callers must treat a malformed result like a missing one. A failure with a
+    code unknown to this release keeps its `run`.
     """
     try:
         document = json.loads(payload)
--- a/sycamorehollow/decisions/calls/call_messages.py
+++ b/sycamorehollow/decisions/calls/call_messages.py
@@ -22,11 +22,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreDown(failures.Failure):
-    """The key cannot be claimed now.
+    """The key cannot be claimed while the store is down.
 
     Attributes:
-        ticket: Fresh ticket. A caller that has seen only `run: no` responses
-            may resend the call with it as the key.
+        ticket: A new ticket. A caller that has received only `run: no`
+            responses may resend the call with it as the key.
     """
 
     code: ClassVar[str] = "store_down"
@@ -63,7 +63,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotHeld(failures.Failure):
-    """The asked process has no call under this key in memory."""
+    """The process has no call under this key in memory."""
 
     code: ClassVar[str] = "not_held"
     status: ClassVar[int] = 404
@@ -73,7 +73,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class WrongIncarnation(failures.Failure):
-    """The process that was asked for does not exist any more."""
+    """The requested incarnation of the process has ended."""
 
     code: ClassVar[str] = "wrong_incarnation"
     status: ClassVar[int] = 410
@@ -102,14 +102,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallArrived(events.Event):
-    """A caller asks for a non-idempotent call."""
+    """A caller sent a non-idempotent call."""
 
     call: requests.ServiceCall
 
 
 @dataclasses.dataclass(frozen=True)
 class OutcomeRequested(events.Event):
-    """A caller asks for the outcome of a key and never for a run.
+    """A caller requested the outcome of a key, without a run.
 
     Attributes:
         service: Service of the call, or empty; needed only for a ticket whose
@@ -126,13 +126,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerRequestReceived(events.Event):
-    """Another process asks about a key that this process owns.
+    """Another process sent a request for a key that this process owns.
 
     Attributes:
-        peer_request_id: Id to answer under.
-        incarnation: Incarnation that the asking process wants to reach.
+        peer_request_id: Id to reply to.
+        incarnation: Incarnation that the request is meant for.
         call: The call itself if the key is a ticket that may be run.
-        deadline: On the clock of this process, in seconds.
+        deadline: Monotonic time of this process in seconds.
     """
 
     peer_request_id: str
@@ -179,7 +179,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OutcomeLookedUp(events.Event):
-    """The service responded to a `LookUpOutcome`; `None` means absent."""
+    """The service responded to a `LookUpOutcome`; `None` is absent."""
 
     op: str
     outcome: Outcome | None
@@ -187,7 +187,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OwnerReplied(events.Event):
-    """The owner responded to a `RequestFromOwner`."""
+    """The owner replied to a `RequestFromOwner`."""
 
     op: str
     result: Result
@@ -195,7 +195,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OpRefused(events.Event):
-    """The other side refused an operation in a typed way; no effect."""
+    """The receiver refused an operation; it had no effect."""
 
     op: str
     reason: str
@@ -203,7 +203,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OpNotSent(events.Event):
-    """No byte of the operation was sent; no effect."""
+    """No byte of the operation was sent; it had no effect."""
 
     op: str
     reason: str
@@ -219,7 +219,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReadCallRecord(commands.Command):
-    """Read a record from the store."""
+    """Reads a record from the store."""
 
     op: str
     key: str
@@ -227,7 +227,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class WriteCallRecord(commands.Command):
-    """Write a record to the store by compare-and-swap, exactly once."""
+    """Writes a record once, by compare-and-swap if a revision is given."""
 
     op: str
     key: str
@@ -237,11 +237,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Dispatch(commands.Command):
-    """Send a call to its service, at most once.
+    """Sends a call to its service, at most once.
 
     Attributes:
-        service_key: Idempotency key at the service, with the workspace in it
-            so that equal keys of two workspaces do not meet.
+        service_key: Idempotency key at the service. It contains the workspace,
+            so that equal keys of two workspaces do not collide.
         not_after: Monotonic time in seconds from which no byte may be sent;
             the shell then reports `OpNotSent`.
     """
@@ -254,7 +254,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LookUpOutcome(commands.Command):
-    """Ask the service for the outcome of a key."""
+    """Looks up the outcome of a key at the service."""
 
     op: str
     service: str
@@ -264,7 +264,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestFromOwner(commands.Command):
-    """Ask the process that owns a key; carries the call for a ticket."""
+    """Requests the result from the owner of a key.
+
+    Attributes:
+        call: The call to run if the key is a ticket, otherwise `None`.
+    """
 
     op: str
     address: str
@@ -277,7 +281,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply(commands.Command):
-    """Send the result to a caller."""
+    """Sends the result to a caller."""
 
     request_id: str
     result: Result
@@ -285,7 +289,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplyToPeer(commands.Command):
-    """Send the result to the process that asked."""
+    """Sends the result to the process that requested it."""
 
     peer_request_id: str
     result: Result
@@ -293,7 +297,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class SpoolOutcome(commands.Command):
-    """Keep the outcome of a ticket in the spool of a peer."""
+    """Keeps the outcome of a ticket in the spool of a peer."""
 
     key: str
     value: str
--- a/sycamorehollow/decisions/calls/call_records.py
+++ b/sycamorehollow/decisions/calls/call_records.py
@@ -1,4 +1,4 @@
-"""Records of non-idempotent calls, as they stand in the store."""
+"""Stored records of non-idempotent calls."""
 
 import base64
 from collections.abc import Iterable
@@ -15,7 +15,7 @@
 OUTCOMES_PREFIX = "outcomes/"
 PREFIXES = (EFFECTS_PREFIX, OUTCOMES_PREFIX)
 RECORD_TTL_S = 24 * 3600
-# Clocks of VMs may disagree by this much without a record ending early.
+# Bound on the clock difference of VMs at which no record expires early.
 CLOCK_MARGIN_S = 3600
 
 
@@ -36,7 +36,7 @@
         state: State of the call.
         address: Address of the process that claimed the key.
         incarnation: Incarnation of that process.
-        nonce: Number that the process drew for this claim.
+        nonce: Random id of the claim.
         service: Service of the call.
         operation: Operation of the call.
         digest: Hash of the content of the call.
@@ -56,17 +56,17 @@
 
 
 def make_record_key(workspace: str, key: str) -> str:
-    """Returns the store key of a caller's key."""
+    """Returns the store key for a caller's key."""
     return f"{EFFECTS_PREFIX}{_quote(workspace)}/{_quote(key)}"
 
 
 def make_outcome_key(workspace: str, ticket: str) -> str:
-    """Returns the store key of a ticket's outcome."""
+    """Returns the store key for a ticket's outcome."""
     return f"{OUTCOMES_PREFIX}{_quote(workspace)}/{_quote(ticket)}"
 
 
 def make_service_key(workspace: str, key: str) -> str:
-    """Returns the idempotency key that the service sees."""
+    """Returns the idempotency key to use at the service."""
     return f"{_quote(workspace)}:{_quote(key)}"
 
 
@@ -100,7 +100,7 @@
 
 
 def decode_record(value: str | None) -> CallRecord | None:
-    """Returns the record of a stored value, or `None` if it is not one."""
+    """Returns the record in a stored value, or `None` if malformed."""
     if value is None:
         return None
     try:
@@ -129,13 +129,13 @@
 def find_expired(
     items: Iterable[tuple[str, str, int]], wall_s: float
 ) -> list[tuple[str, int]]:
-    """Returns which records may be deleted.
+    """Returns the records that may be deleted.
 
-    A process that is still paused before the dispatch of an expired claim
-    cannot run it: its dispatch has a deadline.
+    A process that was paused before dispatching an expired claim cannot
+    dispatch it any more, because the dispatch has a deadline.
 
     Args:
-        items: Key, value and revision of records and outcomes of tickets.
+        items: Key, value and revision of call records and ticket outcomes.
         wall_s: Wall-clock time in seconds.
 
     Returns:
--- a/sycamorehollow/decisions/calls/key_calls.py
+++ b/sycamorehollow/decisions/calls/key_calls.py
@@ -1,6 +1,6 @@
-"""Non-idempotent calls under a key that the caller chose.
+"""Non-idempotent calls under an idempotency key of the caller.
 
-The claim of a key is a record in the store, created before the dispatch.
+Processes claim a key by creating a record in the store before the dispatch.
 """
 
 import dataclasses
@@ -17,22 +17,22 @@
 
 # At 2 KB per call this is 20 MB.
 MAX_PENDING_KEYS = 10_000
-# An owner that drops a finished call between a claim conflict and the
-# question sends the asker back to the record once; more would be a loop.
-MAX_RECORD_READS = 3
+# If the owner drops a finished call between the claim conflict and the request,
+# the record has to be read again once; more reads would be a loop.
+MAX_FOREIGN_RECORDS = 3
 
 
 class KeyCalls(owned_calls.OwnedCalls):
-    """Runs calls with a caller's own key at most once each."""
+    """Runs each call with a key of the caller at most once."""
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; see `components.Component.handle`."""
+        """Applies an event; see `components.Component.handle`."""
         if isinstance(event, messages.CallArrived):
             return self._accept(event.call, now)
         if isinstance(event, messages.OutcomeRequested):
-            return self._accept_question(event)
+            return self._accept_outcome_request(event)
         if isinstance(event, messages.PeerRequestReceived):
-            return self._answer_peer(event)
+            return self._accept_peer_request(event)
         if isinstance(event, events.Tick):
             return self._tick(now)
         entry = self._table.take_op(getattr(event, "op", ""))
@@ -46,12 +46,12 @@
             pending.Phase.RECORDING_OUTCOME: self._after_recording,
             pending.Phase.RELEASING_CLAIM: self._after_release,
             pending.Phase.READING_RECORD: self._after_read,
-            pending.Phase.WAITING_FOR_OWNER: self._after_asking,
+            pending.Phase.WAITING_FOR_OWNER: self._after_owner_reply,
             pending.Phase.LOOKING_UP_FOREIGN: self._after_foreign_lookup,
         }
         return handlers[entry.phase](entry, event, now)
 
-    # Arrivals.
+    # Requests of callers and peers.
 
     def _accept(
         self, call: requests.ServiceCall, now: float
@@ -67,7 +67,7 @@
                 retry_after_s=owned_calls.STORE_RETRY_S,
             )
             return [messages.Reply(call.request_id, failure)]
-        entry = self._open(call.workspace, call.key, call)
+        entry = self._add_entry(call.workspace, call.key, call)
         entry.created_s = int(now + self._wall_offset_s)
         entry.waiters[call.request_id] = call.deadline
         return [self._claim(entry, 0)]
@@ -84,7 +84,7 @@
         entry.waiters[call.request_id] = call.deadline
         return []
 
-    def _open(
+    def _add_entry(
         self, workspace: str, key: str, call: requests.ServiceCall | None
     ) -> pending.PendingCall:
         nonce = f"{self._rng.getrandbits(64):016x}"
@@ -93,45 +93,45 @@
         return entry
 
     def _find(self, workspace: str, key: str) -> pending.PendingCall | None:
-        """Returns the entry that may run the call, or else a question."""
+        """Returns the entry that may run the call, or else one that may not."""
         entry = self._table.find(workspace, key, True)
         return entry or self._table.find(workspace, key, False)
 
-    def _accept_question(
-        self, asked: messages.OutcomeRequested
+    def _accept_outcome_request(
+        self, event: messages.OutcomeRequested
     ) -> list[commands.Command]:
-        if tickets.is_ticket(asked.key):
+        if tickets.is_ticket(event.key):
             return []
-        entry = self._find(asked.workspace, asked.key)
+        entry = self._find(event.workspace, event.key)
         if entry is None:
-            entry = self._open(asked.workspace, asked.key, None)
-            entry.waiters[asked.request_id] = asked.deadline
+            entry = self._add_entry(event.workspace, event.key, None)
+            entry.waiters[event.request_id] = event.deadline
             return [self._table.read(entry, pending.Phase.READING_RECORD)]
         if entry.result is not None:
-            return [messages.Reply(asked.request_id, entry.result)]
-        entry.waiters[asked.request_id] = asked.deadline
+            return [messages.Reply(event.request_id, entry.result)]
+        entry.waiters[event.request_id] = event.deadline
         return []
 
-    def _answer_peer(
-        self, asked: messages.PeerRequestReceived
+    def _accept_peer_request(
+        self, event: messages.PeerRequestReceived
     ) -> list[commands.Command]:
-        if tickets.is_ticket(asked.key):
+        if tickets.is_ticket(event.key):
             return []
-        if asked.incarnation != self._process.incarnation:
+        if event.incarnation != self._process.incarnation:
             gone = messages.WrongIncarnation(reason="the process has restarted")
-            return [messages.ReplyToPeer(asked.peer_request_id, gone)]
-        entry = self._find(asked.workspace, asked.key)
+            return [messages.ReplyToPeer(event.peer_request_id, gone)]
+        entry = self._find(event.workspace, event.key)
         if entry is None or entry.phase in pending.OWNED_ELSEWHERE:
             failure = messages.NotHeld(reason="the key is not held here")
-            return [messages.ReplyToPeer(asked.peer_request_id, failure)]
+            return [messages.ReplyToPeer(event.peer_request_id, failure)]
         if entry.result is not None:
-            return [messages.ReplyToPeer(asked.peer_request_id, entry.result)]
-        entry.peer_waiters[asked.peer_request_id] = asked.deadline
+            return [messages.ReplyToPeer(event.peer_request_id, entry.result)]
+        entry.peer_waiters[event.peer_request_id] = event.deadline
         return []
 
     # Records of other processes.
 
-    def _observe(
+    def _handle_foreign_record(
         self,
         entry: pending.PendingCall,
         value: str | None,
@@ -140,41 +140,41 @@
     ) -> list[commands.Command]:
         found = records.decode_record(value)
         if found is None:
-            return self._observe_nothing(entry, value, revision)
+            return self._handle_unusable_record(entry, value, revision)
         digest = found.digest
         if entry.call is not None:
             digest = records.compute_digest(entry.call)
         if found.digest != digest:
-            return self._finish(entry, pending.make_key_conflict())
+            return self._reply_and_close(entry, pending.make_key_conflict())
         if found.outcome is not None:
-            return self._finish(entry, found.outcome)
+            return self._reply_and_close(entry, found.outcome)
         entry.foreign_record = found
         entry.expected_revision = revision
-        entry.record_reads += 1
+        entry.foreign_record_count += 1
         if found.state is records.CallState.NOT_RUN:
             if entry.call is None:
-                return self._finish(entry, _make_not_run())
+                return self._reply_and_close(entry, _make_not_run())
             return [self._claim(entry, revision)]
         if found.state is records.CallState.CLAIMED:
-            if entry.record_reads < MAX_RECORD_READS:
+            if entry.foreign_record_count < MAX_FOREIGN_RECORDS:
                 if found.address != self._process.address:
-                    return [self._ask(entry, found)]
-        return [self._look(entry, found)]
+                    return [self._request_from_owner(entry, found)]
+        return [self._look_up_foreign(entry, found)]
 
-    def _observe_nothing(
+    def _handle_unusable_record(
         self, entry: pending.PendingCall, value: str | None, revision: int
     ) -> list[commands.Command]:
         if value is not None:
             failure = messages.UnknownOutcome(
                 reason="the record of the key cannot be read"
             )
-            return self._finish(entry, failure)
+            return self._reply_and_close(entry, failure)
         if entry.call is not None:
             return [self._claim(entry, revision)]
         absent = messages.NotHeld(reason="no call under this key is recorded")
-        return self._finish(entry, absent)
+        return self._reply_and_close(entry, absent)
 
-    def _ask(
+    def _request_from_owner(
         self, entry: pending.PendingCall, found: records.CallRecord
     ) -> commands.Command:
         return messages.RequestFromOwner(
@@ -187,30 +187,32 @@
             entry.get_deadline(0.0),
         )
 
-    def _after_asking(
+    def _after_owner_reply(
         self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         assert entry.foreign_record is not None
         if not isinstance(event, messages.OwnerReplied):
-            return [self._look(entry, entry.foreign_record)]
+            return [self._look_up_foreign(entry, entry.foreign_record)]
         if isinstance(event.result, messages.Outcome):
-            return self._finish(entry, event.result)
+            return self._reply_and_close(entry, event.result)
         if isinstance(event.result, messages.NotHeld):
             return [self._table.read(entry, pending.Phase.READING_RECORD)]
         if event.result.execution is failures.Execution.UNKNOWN:
-            return [self._look(entry, entry.foreign_record)]
-        return self._finish(entry, event.result)
+            return [self._look_up_foreign(entry, entry.foreign_record)]
+        return self._reply_and_close(entry, event.result)
 
     def _after_read(
         self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if isinstance(event, messages.CallRecordRead):
-            return self._observe(entry, event.value, event.revision, now)
+            return self._handle_foreign_record(
+                entry, event.value, event.revision, now
+            )
         if entry.foreign_record is not None:
-            return [self._look(entry, entry.foreign_record)]
-        return self._finish(entry, pending.make_unknown_outcome())
+            return [self._look_up_foreign(entry, entry.foreign_record)]
+        return self._reply_and_close(entry, pending.make_unknown_outcome())
 
-    def _look(
+    def _look_up_foreign(
         self, entry: pending.PendingCall, found: records.CallRecord
     ) -> commands.Command:
         return self._table.look_up_outcome(
@@ -223,12 +225,12 @@
     def _after_foreign_lookup(
         self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
-        # An absent call may still run: its owner may be paused.
+        # A call absent at the service may still run: its owner may be paused.
         if (
             not isinstance(event, messages.OutcomeLookedUp)
             or event.outcome is None
         ):
-            return self._finish(entry, pending.make_unknown_outcome())
+            return self._reply_and_close(entry, pending.make_unknown_outcome())
         assert entry.foreign_record is not None
         entry.result = event.outcome
         entry.target_record = dataclasses.replace(
@@ -236,15 +238,15 @@
             state=records.CallState.DONE,
             outcome=event.outcome,
         )
-        answers = pending.reply_to_all(entry, event.outcome)
+        replies = pending.reply_to_all(entry, event.outcome)
         return [
-            *answers,
+            *replies,
             self._table.write(
                 entry, pending.Phase.RECORDING_OUTCOME, entry.target_record
             ),
         ]
 
-    # Time, and the ends of entries.
+    # Retries and deadlines.
 
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
--- a/sycamorehollow/decisions/calls/owned_calls.py
+++ b/sycamorehollow/decisions/calls/owned_calls.py
@@ -1,4 +1,8 @@
-"""Claim, dispatch and outcome of calls that this process owns."""
+"""Claim, dispatch and outcome of calls that this process owns.
+
+A call is dispatched only after its claim is in the store, and its outcome
+replaces the claim. A claim that was not dispatched is released as `not_run`.
+"""
 
 import abc
 import dataclasses
@@ -14,7 +18,7 @@
 from sycamorehollow.model import failures
 
 STORE_RETRY_S = 1.0
-# Spreads the writes of all processes when the store returns.
+# Spreads the retries of all processes when the store recovers.
 STORE_RETRY_JITTER_S = 1.0
 
 
@@ -28,12 +32,12 @@
         rng: random.Random,
         wall_offset_s: float,
     ):
-        """Creates the part without calls.
+        """Creates the component without calls.
 
         Args:
             process: Identity of this run of the process.
-            issuer: Source of the tickets in refusals.
-            rng: Source of nonces and jitter.
+            issuer: Issuer of the tickets in `StoreDown` failures.
+            rng: Random source for nonces and jitter.
             wall_offset_s: Wall-clock time minus monotonic time, in seconds.
         """
         self._wall_offset_s = wall_offset_s
@@ -48,21 +52,21 @@
         return len(self._table)
 
     @abc.abstractmethod
-    def _observe(
+    def _handle_foreign_record(
         self,
         entry: pending.PendingCall,
         value: str | None,
         revision: int,
         now: float,
     ) -> list[commands.Command]:
-        """Continues with a record that is not the claim of the entry."""
+        """Handles a record that is not the claim of the entry."""
 
     # The claim.
 
     def _claim(
-        self, entry: pending.PendingCall, expect: int
+        self, entry: pending.PendingCall, expected_revision: int
     ) -> commands.Command:
-        entry.expected_revision = expect
+        entry.expected_revision = expected_revision
         record = self._make_record(entry, records.CallState.CLAIMED)
         return self._table.write(entry, pending.Phase.CLAIMING, record)
 
@@ -75,26 +79,30 @@
             found = records.decode_record(event.value)
             if self._is_own(entry, found):
                 return self._dispatch(entry, event.revision, now)
-            return self._observe(entry, event.value, event.revision, now)
+            return self._handle_foreign_record(
+                entry, event.value, event.revision, now
+            )
         if isinstance(event, messages.OpInDoubt):
             entry.is_claim_in_doubt = True
             return [self._table.read(entry, pending.Phase.CHECKING_CLAIM)]
-        return self._give_up(entry, "the store does not respond", now)
+        return self._abandon_claim(entry, "the store does not respond", now)
 
     def _after_check(
         self, entry: pending.PendingCall, event: events.Event, now: float
     ) -> list[commands.Command]:
         if not isinstance(event, messages.CallRecordRead):
-            return self._give_up(entry, "the store does not respond", now)
+            return self._abandon_claim(entry, "the store does not respond", now)
         if entry.get_deadline(now) <= now:
             return self._release(entry, pending.make_deadline_exceeded())
         if self._is_own(entry, records.decode_record(event.value)):
             return self._dispatch(entry, event.revision, now)
         if event.revision == entry.expected_revision:
-            # The write has not landed yet and may land later. Writing again
-            # is safe: at most one of the two succeeds, with the same nonce.
+            # The write has not taken effect yet and may do so later. Writing
+            # again is safe: at most one succeeds, and both have this nonce.
             return [self._claim(entry, entry.expected_revision)]
-        return self._observe(entry, event.value, event.revision, now)
+        return self._handle_foreign_record(
+            entry, event.value, event.revision, now
+        )
 
     def _dispatch(
         self, entry: pending.PendingCall, revision: int, now: float
@@ -114,7 +122,7 @@
             )
         ]
 
-    def _give_up(
+    def _abandon_claim(
         self, entry: pending.PendingCall, reason: str, now: float
     ) -> list[commands.Command]:
         failure = messages.StoreDown(
@@ -123,7 +131,7 @@
             ticket=self._issuer.issue(entry.workspace, now),
         )
         if not entry.is_claim_in_doubt:
-            return self._finish(entry, failure)
+            return self._reply_and_close(entry, failure)
         return self._release(entry, failure)
 
     # The dispatch and its outcome.
@@ -159,7 +167,7 @@
     def _conclude(
         self, entry: pending.PendingCall, result: messages.Result
     ) -> list[commands.Command]:
-        """Answers everyone and records the outcome of the own dispatch."""
+        """Replies to all waiters and records the outcome of the call."""
         entry.result = result
         state = records.CallState.UNKNOWN
         outcome = None
@@ -169,9 +177,9 @@
         entry.target_record = dataclasses.replace(
             self._make_record(entry, state), outcome=outcome
         )
-        answers = pending.reply_to_all(entry, result)
+        replies = pending.reply_to_all(entry, result)
         return [
-            *answers,
+            *replies,
             self._table.write(
                 entry, pending.Phase.RECORDING_OUTCOME, entry.target_record
             ),
@@ -185,7 +193,7 @@
             return self._close(entry)
         if not isinstance(event, messages.CallRecordConflict):
             if entry.target_record.nonce != entry.nonce:
-                # The next lookup of another process's call repeats this.
+                # The next lookup of this foreign call writes it again.
                 return self._close(entry)
             return self._retry_later(entry, now)
         found = records.decode_record(event.value)
@@ -203,23 +211,23 @@
             )
         ]
 
-    # Giving a claim back.
+    # Release of a claim.
 
     def _release(
         self, entry: pending.PendingCall, failure: failures.Failure
     ) -> list[commands.Command]:
-        """Answers everyone and marks the claim as not run.
+        """Replies to all waiters and marks the claim as not run.
 
-        If the claim is in doubt, this write also keeps it from landing later:
-        both expect the same revision.
+        If the claim is in doubt, this write also keeps it from taking effect
+        later, because both expect the same revision.
         """
         entry.result = failure
         entry.target_record = self._make_record(
             entry, records.CallState.NOT_RUN
         )
-        answers = pending.reply_to_all(entry, failure)
+        replies = pending.reply_to_all(entry, failure)
         return [
-            *answers,
+            *replies,
             self._table.write(
                 entry, pending.Phase.RELEASING_CLAIM, entry.target_record
             ),
@@ -250,12 +258,12 @@
         entry.retry_at = now + STORE_RETRY_S + jitter
         return []
 
-    def _finish(
+    def _reply_and_close(
         self, entry: pending.PendingCall, result: messages.Result
     ) -> list[commands.Command]:
-        answers = pending.reply_to_all(entry, result)
+        replies = pending.reply_to_all(entry, result)
         self._table.close(entry)
-        return answers
+        return replies
 
     def _close(self, entry: pending.PendingCall) -> list[commands.Command]:
         self._table.close(entry)
@@ -279,7 +287,7 @@
     def _is_own(
         self, entry: pending.PendingCall, found: records.CallRecord | None
     ) -> bool:
-        """Tells whether a record is the claim of this entry."""
+        """Returns whether a record is the claim of this entry."""
         if found is None or found.state is not records.CallState.CLAIMED:
             return False
         if found.incarnation != self._process.incarnation:
--- a/sycamorehollow/decisions/calls/ticket_calls.py
+++ b/sycamorehollow/decisions/calls/ticket_calls.py
@@ -29,9 +29,9 @@
     Attributes:
         created_s: Wall-clock time of the dispatch in whole seconds.
         expiry: Time from which the ticket cannot be run for the first time.
-        result: What the last attempt to learn the outcome gave.
+        result: Result of the latest attempt to get the outcome.
         stored: Whether the store has the result.
-        writing: Whether a write of the result is under way.
+        writing: Whether a write of the result is in progress.
     """
 
     workspace: str
@@ -53,7 +53,7 @@
 
 
 class TicketCalls(components.Component):
-    """Runs own tickets at most once each and forwards all others."""
+    """Runs each own ticket at most once; forwards others to their owner."""
 
     def __init__(
         self,
@@ -62,12 +62,12 @@
         rng: random.Random,
         wall_offset_s: float,
     ):
-        """Creates the part without calls.
+        """Creates the component without calls.
 
         Args:
             process: Identity of this run of the process.
-            ring: Keys that verify tickets.
-            rng: Source of jitter.
+            ring: Keys to verify tickets with.
+            rng: Random source for jitter.
             wall_offset_s: Wall-clock time minus monotonic time, in seconds.
         """
         self._wall_offset_s = wall_offset_s
@@ -85,7 +85,7 @@
         return len(self._own_tickets)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; see `components.Component.handle`."""
+        """Applies an event; see `components.Component.handle`."""
         if isinstance(event, messages.CallArrived):
             return self._accept(waiters.from_call(event.call), now)
         if isinstance(event, messages.OutcomeRequested):
@@ -115,7 +115,7 @@
         if ticket.owner == self._process:
             return self._accept_own(waiter, ticket, now)
         if waiter.peer_request_id:
-            # Only the owner is waiter, so a view of another process is wrong.
+            # Peers request only from the owner, so the sender is mistaken.
             failure = messages.NotHeld(reason="the ticket has another owner")
             return [waiters.reply(waiter, failure)]
         if ticket.owner.address == self._process.address:
@@ -189,7 +189,7 @@
         if isinstance(event, messages.ServiceResponded):
             return self._conclude(own, event.outcome)
         if isinstance(event, messages.OpNotSent | messages.OpRefused):
-            # Forgetting the ticket lets only this process run it again.
+            # After the removal, only this process can run the ticket again.
             del self._own_tickets[(own.workspace, own.key)]
             failure = messages.NotRun(
                 reason=event.reason, retry_after_s=STORE_RETRY_S
@@ -216,14 +216,14 @@
     def _conclude(
         self, own: _OwnTicket, result: messages.Result
     ) -> list[commands.Command]:
-        answers = pending.reply_to_all(own, result)
+        replies = pending.reply_to_all(own, result)
         if own.result == result:
-            return answers
+            return replies
         own.result = result
         own.stored = False
         key = records.make_outcome_key(own.workspace, own.key)
         value = self._encode(own)
-        return [*answers, messages.SpoolOutcome(key, value), self._store(own)]
+        return [*replies, messages.SpoolOutcome(key, value), self._store(own)]
 
     def _encode(self, own: _OwnTicket) -> str:
         outcome = None
@@ -270,7 +270,7 @@
             own.stored = own.result == written
         return []
 
-    # Tickets of other processes, and own ones that are forgotten.
+    # Tickets of other processes, and own ones that were dropped.
 
     def _forward(
         self, waiter: waiters.Waiter, owner: messages.Process
@@ -302,7 +302,7 @@
                     retry_after_s=OWNER_RETRY_S,
                 )
                 return [waiters.reply(waiter, failure)]
-        # The owner may have left after it stored the outcome.
+        # The owner may have left after it had stored the outcome.
         return self._read_outcome(waiter)
 
     def _read_outcome(self, waiter: waiters.Waiter) -> list[commands.Command]:
@@ -361,7 +361,7 @@
             [waiters.Waiter, events.Event], list[commands.Command]
         ],
     ) -> str:
-        """Starts an operation that ends with an answer to one asker."""
+        """Starts an operation that ends with a reply to one waiter."""
 
         def finish(event: events.Event, now: float) -> list[commands.Command]:
             del self._waiting[waiter.op]
--- a/sycamorehollow/decisions/calls/tickets.py
+++ b/sycamorehollow/decisions/calls/tickets.py
@@ -1,4 +1,8 @@
-"""Tickets: idempotency keys that only the issuing process runs."""
+"""Tickets: signed idempotency keys that only the issuing process runs.
+
+They allow calls while the store is down: with a single process that may run a
+ticket, no claim in the store is needed.
+"""
 
 import dataclasses
 
@@ -7,8 +11,8 @@
 
 TICKET_PREFIX = "tkt1"
 TICKET_FIELD_COUNT = 5
-# A ticket is used for the first time within this time or never, so that its
-# owner may forget it afterwards.
+# A ticket must be used for the first time within this time, so that its owner
+# can drop it afterwards.
 TICKET_TTL_S = 600.0
 
 
@@ -17,9 +21,9 @@
     """A verified ticket.
 
     Attributes:
-        owner: Process that issued it and alone may run it.
-        sequence: Number that the owner gave it.
-        issued_s: Monotonic time of the owner in seconds.
+        owner: Process that issued it and may run it.
+        sequence: Sequence number at the owner.
+        issued_s: Monotonic time of the owner at issue, in seconds.
     """
 
     owner: messages.Process
@@ -36,7 +40,7 @@
         self._sequence = 0
 
     def issue(self, workspace: str, now: float) -> str:
-        """Returns a fresh ticket for a workspace."""
+        """Returns a new ticket for a workspace."""
         self._sequence += 1
         fields = (
             workspace,
@@ -49,14 +53,14 @@
 
 
 def is_ticket(key: str) -> bool:
-    """Tells whether a key claims to be a ticket."""
+    """Returns whether a key has the form of a ticket, without a check."""
     return key.startswith(TICKET_PREFIX + ".")
 
 
 def parse_ticket(
     token: str, workspace: str, ring: keyrings.KeyRing
 ) -> Ticket | messages.InvalidTicket:
-    """Returns the ticket in a token, or why it is refused."""
+    """Returns the ticket in a token, or why it is invalid."""
     fields = keyrings.decode_token(
         TICKET_PREFIX, token, TICKET_FIELD_COUNT, ring
     )
--- a/sycamorehollow/decisions/calls/waiters.py
+++ b/sycamorehollow/decisions/calls/waiters.py
@@ -1,4 +1,4 @@
-"""Callers and peers that ask about a ticket."""
+"""Callers and peers that wait for the result of a ticket."""
 
 import dataclasses
 
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass
 class Waiter:
-    """A caller or a peer that wants a ticket run or its outcome."""
+    """A caller or peer that requested a run of a ticket, or its outcome."""
 
     request_id: str
     peer_request_id: str
@@ -23,7 +23,7 @@
 
 
 def from_call(call: requests.ServiceCall) -> Waiter:
-    """Returns the asker for a call that arrived."""
+    """Returns the waiter for a call of a caller."""
     return Waiter(
         call.request_id,
         "",
@@ -37,7 +37,7 @@
 
 
 def from_outcome_request(event: messages.OutcomeRequested) -> Waiter:
-    """Returns the asker for a question of a caller."""
+    """Returns the waiter for an outcome request of a caller."""
     return Waiter(
         event.request_id,
         "",
@@ -51,7 +51,7 @@
 
 
 def from_peer(event: messages.PeerRequestReceived) -> Waiter:
-    """Returns the asker for a question of another process."""
+    """Returns the waiter for a request of another process."""
     return Waiter(
         "",
         event.peer_request_id,
@@ -65,7 +65,7 @@
 
 
 def reply(waiter: Waiter, result: messages.Result) -> commands.Command:
-    """Returns the command that answers an asker."""
+    """Returns the command that replies to a waiter."""
     if waiter.peer_request_id:
         return messages.ReplyToPeer(waiter.peer_request_id, result)
     return messages.Reply(waiter.request_id, result)
