Put the texts of the replication modules into plain terms

Membership is described as SWIM, the exchange as anti-entropy, and the byte limit as a token bucket. The behaviour stays.

Checked: make lint; test_allowances, test_exchange, test_membership, test_peers, test_node_pushes and test_node pass.

--- a/sycamorehollow/decisions/replication/__init__.py
+++ b/sycamorehollow/decisions/replication/__init__.py
@@ -1,1 +1,1 @@
-"""State that processes hold in common, and which of them run."""
+"""Replicated state of entry processes, and their membership."""
--- a/sycamorehollow/decisions/replication/bandwidth.py
+++ b/sycamorehollow/decisions/replication/bandwidth.py
@@ -1,17 +1,17 @@
-"""Limits on the bytes that a kind of replicated state may cost a process."""
+"""Bandwidth limits for each kind of replicated state."""
 
-# A burst lets a change spread at once after a quiet time.
+# Allows a change to spread at once after a time of low use.
 BURST_S = 5.0
-# What a process received beyond its limit delays its own digests this long at
-# most, so that it stays reachable for repairs.
+# Received bytes beyond the limit delay a process's own digests by at most this
+# long, so that it can still be repaired by exchanges.
 MAX_DEBT_S = 15.0
 
 
 class BandwidthBudget:
-    """Bytes that one kind of state may still cost now.
+    """Token bucket, in bytes, for one kind of state.
 
     Args:
-        bytes_per_s: Bytes sent and received per second, on average.
+        bytes_per_s: Average limit on bytes sent and received.
     """
 
     def __init__(self, bytes_per_s: float):
@@ -20,11 +20,11 @@
         self._counted_at: float | None = None
 
     def can_send(self, now: float) -> bool:
-        """Tells whether a digest may be sent now."""
+        """Returns whether a digest may be sent now."""
         return self._count(now) > 0
 
     def consume(self, size_bytes: int, now: float) -> None:
-        """Takes note of bytes that were sent or received."""
+        """Counts bytes that were sent or received."""
         left = self._count(now) - size_bytes
         self._left = max(left, -self._bytes_per_s * MAX_DEBT_S)
         self._counted_at = now
--- a/sycamorehollow/decisions/replication/compressed_json.py
+++ b/sycamorehollow/decisions/replication/compressed_json.py
@@ -1,17 +1,17 @@
-"""Codec of the digests and deltas of replicated parts."""
+"""Codec of the digests and deltas of replicated components."""
 
 import json
 import zlib
 
 
 def compress_json(value: object) -> bytes:
-    """Returns a JSON-compatible value in compressed form."""
+    """Returns a JSON-compatible value as compressed JSON."""
     text = json.dumps(value, separators=(",", ":")).encode()
     return zlib.compress(text, level=1)
 
 
 def decompress_json(data: bytes):
-    """Returns the value; object keys are strings.
+    """Returns the value of compressed JSON; object keys are strings.
 
     Raises:
         ValueError: The bytes are not a result of `compress_json`.
--- a/sycamorehollow/decisions/replication/exchange.py
+++ b/sycamorehollow/decisions/replication/exchange.py
@@ -1,7 +1,8 @@
-"""Exchange of replicated state between entry processes.
+"""Anti-entropy exchange of replicated state between entry processes.
 
-An exchange takes up to three steps: digests, then deltas and the digests that
-differ, then the deltas that the called side lacks.
+An exchange has up to three steps. The caller sends its digests; the called
+process replies with deltas and its own digests where they differ; the caller
+sends the deltas that the called process lacks.
 """
 
 from collections.abc import Iterable
@@ -24,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Item:
-    """One typed message of an envelope."""
+    """One message of an envelope."""
 
     kind: str
     payload: bytes
@@ -35,12 +36,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallReceived(events.Event):
-    """Another process called.
+    """A call of another process was received.
 
     Attributes:
-        call: Number that the shell gave to the call.
+        call: Call number from the shell.
         sender: The calling process.
-        items: What it sent.
+        items: Items of the call.
     """
 
     call: int
@@ -50,12 +51,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplyReceived(events.Event):
-    """A called process answered.
+    """A called process replied.
 
     Attributes:
-        peer: The address that was called.
-        sender: The process that answered.
-        items: What it sent.
+        peer: Address that was called.
+        sender: Process that replied.
+        items: Items of the reply.
     """
 
     peer: str
@@ -68,7 +69,7 @@
     """A call failed or timed out.
 
     Attributes:
-        peer: The address that was called.
+        peer: Address that was called.
         started_at: Monotonic time in seconds at which the call was sent.
     """
 
@@ -78,7 +79,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class SendCall(commands.Command):
-    """Asks for a call; it comes back as `ReplyReceived` or `CallFailed`."""
+    """Calls a peer; results in `ReplyReceived` or `CallFailed`."""
 
     peer: str
     sender: Process
@@ -87,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class SendReply(commands.Command):
-    """Answers an incoming call."""
+    """Replies to a received call."""
 
     call: int
     sender: Process
@@ -95,14 +96,14 @@
 
 
 class Exchange(components.Component):
-    """Drives membership and spreads any number of replicated components."""
+    """Drives membership and exchanges of replicated components."""
 
     def __init__(
         self,
         peers: membership.Membership,
         replicated: Sequence[components.Replicated] = (),
     ):
-        """Takes the components that spread.
+        """Creates an exchange of the given components.
 
         Args:
             peers: Membership, which selects peers and is itself replicated.
@@ -128,10 +129,10 @@
         return Process(me.address, me.data_centre, me.incarnation)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event.
+        """Applies an event.
 
-        Takes the events of this module, `payloads.PushDelta` commands through
-        `push_delta`, and passes every other event on to membership.
+        Events that are not of this module are passed on to membership. For
+        `payloads.PushDelta` commands see `push_delta`.
         """
         if isinstance(event, CallReceived):
             return self._handle_call(event, now)
@@ -146,12 +147,12 @@
     def start_exchanges(
         self, addresses: Iterable[str], now: float
     ) -> list[SendCall]:
-        """Returns the calls that start exchanges with the given processes."""
+        """Returns calls that start exchanges with the given processes."""
         return [self._start_exchange(address, now) for address in addresses]
 
-    def push_delta(self, urgent: payloads.PushDelta) -> list[commands.Command]:
-        """Returns the calls that push a delta of this process's own."""
-        item = Item(urgent.kind + DELTA_SUFFIX, urgent.delta)
+    def push_delta(self, push: payloads.PushDelta) -> list[commands.Command]:
+        """Returns the calls that push a delta made by this process."""
+        item = Item(push.kind + DELTA_SUFFIX, push.delta)
         return [
             SendCall(address, self.sender, (item,))
             for address in self._peers.list_push_targets()
@@ -160,10 +161,10 @@
     def _handle_call(
         self, event: CallReceived, now: float
     ) -> list[commands.Command]:
-        """Merges what a caller sent and answers its digests."""
+        """Merges the deltas of a caller and replies to its digests."""
         self._count_bytes(event.items, now)
         result = self._record_contact(event.sender, False, now)
-        # Deltas go first, so that the answer already holds a refutation.
+        # Deltas are merged first, so that the reply includes a refutation.
         result += self._merge(event.sender, event.items, now)
         items = self._build_items(event.items, True, now)
         result.append(SendReply(event.call, self.sender, tuple(items)))
@@ -182,7 +183,7 @@
     def _handle_reply(
         self, event: ReplyReceived, now: float
     ) -> list[commands.Command]:
-        """Merges an answer and sends what the called side lacks."""
+        """Merges a reply and sends the deltas that the peer lacks."""
         if event.sender.address != event.peer:
             return []
         self._count_bytes(event.items, now)
@@ -198,19 +199,19 @@
     def _record_contact(
         self, sender: Process, answered: bool, now: float
     ) -> list[commands.Command]:
-        """Tells membership that a process runs."""
-        heard = membership.MessageReceived(
+        """Reports to membership that a process is running."""
+        received = membership.MessageReceived(
             sender.address, sender.data_centre, sender.incarnation, answered
         )
-        return self._translate(self._peers.handle(heard, now), now)
+        return self._translate(self._peers.handle(received, now), now)
 
     def _merge(
         self, sender: Process, items: Iterable[Item], now: float
     ) -> list[commands.Command]:
         """Applies the deltas among the items.
 
-        News from another data centre is pushed on to the own one, because its
-        sender reached only one member here.
+        Changes from another data centre are pushed on within this one, because
+        the sender pushes to one member per data centre only.
         """
         result: list[commands.Command] = []
         for item in items:
@@ -231,7 +232,7 @@
     def _build_items(
         self, items: Iterable[Item], with_digest: bool, now: float
     ) -> list[Item]:
-        """Returns deltas, and own digests if wanted, where digests differ."""
+        """Returns deltas, and on request digests, where digests differ."""
         result = []
         for item in items:
             if not item.kind.endswith(DIGEST_SUFFIX):
@@ -252,15 +253,16 @@
         return result
 
     def _can_send(self, kind: str, now: float) -> bool:
-        """Tells whether a digest of a kind may open an exchange now.
+        """Returns whether a digest of a kind may start an exchange now.
 
-        Answers only count: a digest without an answer would be wasted.
+        Replies are counted but not limited: without a reply, the digest would
+        have been sent for nothing.
         """
         budget = self._bandwidth_budgets.get(kind)
         return budget is None or budget.can_send(now)
 
     def _count_bytes(self, items: Iterable[Item], now: float) -> None:
-        """Counts sent or received items against the limits of their kinds."""
+        """Counts sent or received items in the budgets of their kinds."""
         for item in items:
             budget = self._bandwidth_budgets.get(item.kind.rpartition("/")[0])
             if budget is not None:
@@ -269,8 +271,8 @@
     def _start_exchange(self, address: str, now: float) -> SendCall:
         """Returns the call that starts an exchange.
 
-        A member that is suspected or believed dead is told so in the first
-        step, so that its answer can refute it.
+        The call tells a suspected or dead member its state, so that its reply
+        can refute it.
         """
         items = [
             Item(kind + DIGEST_SUFFIX, component.build_digest(now))
@@ -286,14 +288,14 @@
 
     def _translate(
         self,
-        asked: Iterable[commands.Command],
+        issued: Iterable[commands.Command],
         now: float,
         own_only: bool = False,
         spread: bool = True,
     ) -> list[commands.Command]:
-        """Turns what components ask for into calls; passes the rest on."""
+        """Turns commands of components into calls; keeps other commands."""
         result: list[commands.Command] = []
-        for command in asked:
+        for command in issued:
             if isinstance(command, membership.Probe):
                 result.append(self._start_exchange(command.address, now))
                 continue
@@ -310,7 +312,7 @@
     def _request_probe(
         self, command: membership.RequestIndirectProbe, now: float
     ) -> SendCall:
-        """Returns the call that asks a helper to probe an address."""
+        """Returns the call that requests an indirect probe."""
         delta = self._peers.encode_record(command.target)
         items = (
             Item(self._peers.kind + DELTA_SUFFIX, delta),
@@ -319,12 +321,12 @@
         return SendCall(command.helper, self.sender, items)
 
     def _push(
-        self, urgent: payloads.PushDelta, own_only: bool
+        self, push: payloads.PushDelta, own_only: bool
     ) -> list[commands.Command]:
-        """Pushes a delta, to the own data centre only if so asked."""
+        """Pushes a delta, on request only within the own data centre."""
         if not own_only:
-            return self.push_delta(urgent)
-        item = Item(urgent.kind + DELTA_SUFFIX, urgent.delta)
+            return self.push_delta(push)
+        item = Item(push.kind + DELTA_SUFFIX, push.delta)
         return [
             SendCall(member.address, self.sender, (item,))
             for member in self._peers.list_live(self.sender.data_centre)
--- a/sycamorehollow/decisions/replication/members.py
+++ b/sycamorehollow/decisions/replication/members.py
@@ -1,4 +1,4 @@
-"""Table of the entry processes that a process knows."""
+"""Replicated table of entry processes."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -11,7 +11,7 @@
 
 BUCKETS = 64
 # Longer than the one-hour partitions between regions, so that both sides still
-# know whom to probe when the partition ends.
+# know which addresses to probe when the partition ends.
 GONE_RETENTION_S = 3 * 3600.0
 
 
@@ -26,14 +26,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """What is known of one entry process.
+    """Record of one entry process.
 
     Attributes:
         address: IP address and port of its peer server.
         data_centre: Data centre that it runs in.
         incarnation: Start time in nanoseconds; a restart has a higher one.
-        refutations: Raised by the member itself to refute a suspicion.
-        state: What the members agree on.
+        refutations: Counter that the member raises to refute a suspicion.
+        state: State that this record claims.
     """
 
     address: str
@@ -44,27 +44,27 @@
 
     @property
     def precedence(self) -> tuple[int, bool, int, int]:
-        """Rank among the records of one address; the highest wins.
+        """Sort key among the records of one address; the highest wins.
 
-        Only the member itself announces that it left, so nothing that others
-        say of the same incarnation overrides it.
+        Only the member itself announces that it left, so no other record of the
+        same incarnation overrides that one.
         """
         left = self.state is MemberState.LEFT
         return (self.incarnation, left, self.refutations, self.state)
 
     @property
     def is_live(self) -> bool:
-        """Whether the member counts as running."""
+        """Whether the member is considered to be running."""
         return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
 @dataclasses.dataclass(frozen=True)
 class MemberChanged(commands.Command):
-    """Tells that the record of a member changed.
+    """Reports a changed member record.
 
     Attributes:
-        before: The earlier record, or `None` for a new address.
-        after: The record in force.
+        before: Previous record, or `None` for a new address.
+        after: New record.
     """
 
     before: Member | None
@@ -72,7 +72,7 @@
 
 
 def decode_member(row: list[Any]) -> Member | None:
-    """Returns the member in a row of a delta, or `None` if it is malformed."""
+    """Decodes a row of a delta; returns `None` if it is malformed."""
     if len(row) != 5:
         return None
     address, data_centre, incarnation, refutations, state = row
@@ -89,7 +89,7 @@
 
 
 def encode_member(member: Member) -> list[Any]:
-    """Returns the row of a member in a delta."""
+    """Encodes a member as a row of a delta."""
     return [
         member.address,
         member.data_centre,
@@ -100,11 +100,11 @@
 
 
 class MemberTable(components.Replicated):
-    """Member table; the record with the highest order wins.
+    """Member table; the record with the highest precedence wins.
 
     The digest covers live members only. Records of members that are gone are
-    kept to win over stale live records, and travel when a bucket differs. They
-    can then expire at different times without making the digests differ.
+    kept to override stale live records, and are sent when a bucket differs.
+    They can therefore expire at different times without making digests differ.
     """
 
     kind = "members"
@@ -116,11 +116,11 @@
         self._keys: list[set[str]] = [set() for _ in range(BUCKETS)]
 
     def find(self, address: str) -> Member | None:
-        """Returns the record of an address."""
+        """Returns the record of an address, or `None`."""
         return self._records.get(address)
 
     def get_changed_at(self, address: str) -> float:
-        """Returns the local time of the last change of a known address."""
+        """Returns the local time of the last change of a known record."""
         return self._changed_at[address]
 
     def list_members(self) -> Iterable[Member]:
@@ -128,11 +128,11 @@
         return self._records.values()
 
     def apply(self, member: Member, now: float) -> MemberChanged | None:
-        """Puts a record in force if it wins over the held one."""
+        """Stores a record if it takes precedence over the current one."""
         before = self._records.get(member.address)
         if before is not None and before.precedence >= member.precedence:
             return None
-        # Taking up an expired record again would keep it circulating.
+        # Storing an expired record again would keep it in circulation.
         if before is None and not member.is_live:
             return None
         if before is not None and before.is_live:
@@ -146,7 +146,7 @@
         return MemberChanged(before, member)
 
     def expire(self, now: float) -> None:
-        """Removes members that have been gone for the retention time."""
+        """Removes members that have been gone for `GONE_RETENTION_S`."""
         for address, member in list(self._records.items()):
             if member.is_live:
                 continue
@@ -162,7 +162,7 @@
         return self._buckets.encode()
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the records of the buckets that differ, within a bound."""
+        """Returns records of differing buckets, up to a limit."""
         candidates = []
         for bucket in self._buckets.find_differing_buckets(digest):
             for address in sorted(self._keys[bucket]):
@@ -187,7 +187,7 @@
         return changes
 
     def _toggle(self, member: Member) -> None:
-        """Adds a live record to the digest, or takes it out."""
+        """Adds a live record to the digest, or removes it."""
         content = (
             f"{member.data_centre} {member.incarnation} {member.refutations}"
             f" {int(member.state)}"
--- a/sycamorehollow/decisions/replication/membership.py
+++ b/sycamorehollow/decisions/replication/membership.py
@@ -1,4 +1,9 @@
-"""Which entry processes run: probes, suspicion, refutation and leaving."""
+"""Membership of entry processes, after the SWIM protocol.
+
+Every process probes random members. One that does not respond is suspected
+and probed through others, and is declared dead unless it refutes the suspicion
+in time.
+"""
 
 from collections.abc import Mapping
 import dataclasses
@@ -10,32 +15,33 @@
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
-# A suspect has this long to refute. Refutation through helpers takes about two
-# exchanges; the rest covers lost calls.
+# A refutation through indirect probes takes about two exchanges; the rest is
+# for lost calls.
 SUSPICION_TIMEOUT_S = 6.0
-# A counter that rose this recently is proof of life. It limits the churn that
-# members cause who can call but cannot be called.
+# A member that refuted this recently is not suspected again. This limits the
+# churn from members that can call others but cannot be called.
 REFUTED_GRACE_S = 10.0
-# A gap between two ticks from which the process counts as having been paused.
+# After a gap of this length between two ticks the process has been paused.
 PAUSE_THRESHOLD_S = 3.0
-# How often one member that is believed gone, or an address that is only
-# hinted at, is probed. It ends partitions.
+# One dead member or one address that is known only from seeds or the VM list is
+# probed at this interval, which ends partitions.
 LOST_PROBE_INTERVAL_S = 5.0
-# A process this young may have started with a clock that was behind; an older
-# one that hears of a higher incarnation was replaced.
+# A process may have started with a clock that was behind, so that an earlier
+# run has a higher incarnation. Once it has run for longer than this, a higher
+# incarnation means that it was replaced.
 STARTUP_CLOCK_GRACE_S = 30.0
 INDIRECT_PROBERS = 3
 # Expected number of independent probes while a suspicion spreads.
 EXPECTED_SPREAD_PROBES = 8
-# After this many failed probes in a row, a process that still hears from
-# others takes its own outgoing path to be at fault.
+# After this many failed probes in a row, a process that still receives messages
+# attributes the failures to its own outgoing path.
 LOCAL_FAULT_FAILURES = 4
 RECENT_CONTACT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
 class MessageReceived(events.Event):
-    """An envelope arrived from a process, as a call or as an answer."""
+    """An envelope was received from a process, as a call or a reply."""
 
     address: str
     data_centre: str
@@ -48,7 +54,7 @@
     """A call to a process failed or timed out.
 
     Attributes:
-        address: The process that was called.
+        address: Address that was called.
         started_at: Monotonic time in seconds at which the call was sent.
     """
 
@@ -58,10 +64,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class VmListReceived(events.Event):
-    """The platform's list of VMs arrived; it lags behind.
+    """The platform's list of VMs was received; it may be out of date.
 
     Attributes:
-        leaving: For each peer address, whether the VM is leaving.
+        leaving: Whether the VM is leaving, by peer address.
     """
 
     leaving: Mapping[str, bool]
@@ -74,14 +80,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Probe(commands.Command):
-    """Asks for an exchange of digests with an address."""
+    """Starts a digest exchange with an address."""
 
     address: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RequestIndirectProbe(commands.Command):
-    """Asks another member to probe an address that did not answer."""
+    """Requests a probe, by another member, of a silent address."""
 
     helper: str
     target: str
@@ -89,13 +95,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class ProcessReplaced(commands.Command):
-    """Tells that a newer process runs under this address; this one must end."""
+    """Reports a newer process at this address; this one must exit."""
 
     incarnation: int
 
 
 class Membership(components.Component, components.Replicated):
-    """Keeps the member table and decides whom to probe."""
+    """Maintains the member table and selects members to probe."""
 
     kind = members.MemberTable.kind
 
@@ -109,9 +115,9 @@
         """Starts with this process as the only member.
 
         Args:
-            me: The record of this process.
-            seeds: Addresses to probe first, from the settings.
-            rng: Source of randomness.
+            me: Record of this process.
+            seeds: Addresses from the settings to probe first.
+            rng: Random source.
             now: Monotonic time in seconds.
         """
         self._self_record = me
@@ -130,7 +136,7 @@
 
     @property
     def self_record(self) -> members.Member:
-        """The record of this process in its present incarnation."""
+        """Record of this process in its current incarnation."""
         return self._self_record
 
     def find(self, address: str) -> members.Member | None:
@@ -138,7 +144,7 @@
         return self._table.find(address)
 
     def list_live(self, data_centre: str = "") -> list[members.Member]:
-        """Returns the live members, of one data centre if it is named."""
+        """Returns the live members, on request of one data centre."""
         return [
             member
             for member in self._table.list_members()
@@ -146,7 +152,7 @@
         ]
 
     def list_lowest_addresses(self, data_centre: str, count: int) -> list[str]:
-        """Returns the lowest addresses of live members that are not leaving."""
+        """Returns the lowest addresses of live members not leaving."""
         addresses = [
             member.address
             for member in self.list_live(data_centre)
@@ -155,7 +161,7 @@
         return sorted(addresses)[:count]
 
     def list_push_targets(self) -> list[str]:
-        """Returns the own data centre and one member of each other one."""
+        """Returns own data centre's members and one of each other one."""
         targets = []
         others: dict[str, list[str]] = {}
         for member in self.list_live():
@@ -174,7 +180,7 @@
         return self._table.build_digest(now)
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the records that the sender of a digest may lack."""
+        """Returns records that the sender of a digest may lack."""
         return self._table.build_delta(digest, now)
 
     def encode_record(self, address: str) -> bytes:
@@ -184,7 +190,7 @@
         return self._table.encode_record(address)
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Applies a delta and reacts to what changed."""
+        """Applies a delta and handles the changes."""
         changes = self._table.merge(delta, now)
         result: list[commands.Command] = []
         for change in changes:
@@ -193,7 +199,7 @@
         return result
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; see the event classes of this module."""
+        """Applies an event; see the event classes of this module."""
         if isinstance(event, events.Tick):
             return self._tick(now)
         if isinstance(event, MessageReceived):
@@ -212,17 +218,17 @@
         return []
 
     def _announce(self) -> payloads.PushDelta:
-        """Asks for the record of this process to be pushed."""
+        """Returns the push of this process's record."""
         return payloads.PushDelta(
             self.kind, self._table.encode_record(self._self_record.address)
         )
 
     def _tick(self, now: float) -> list[commands.Command]:
-        """Declares overdue suspects dead and selects peers to probe."""
+        """Declares overdue suspects dead and selects members to probe."""
         gap = now - self._last_tick
         self._last_tick = now
         if gap > PAUSE_THRESHOLD_S:
-            # Suspects could not refute to a process that was paused.
+            # Suspects could not reach this process while it was paused.
             self._resumed_at = now
             for address in self._deadlines:
                 self._deadlines[address] += gap
@@ -237,7 +243,7 @@
         return result
 
     def _select_probes(self, now: float) -> list[str]:
-        """Selects one member, one of the own data centre and a lost one."""
+        """Selects any member, one of this data centre and a lost one."""
         everywhere, nearby = [], []
         for member in self.list_live():
             if member.address == self._self_record.address:
@@ -257,7 +263,7 @@
         return list(dict.fromkeys(chosen))
 
     def _list_lost(self) -> list[str]:
-        """Returns addresses that may hold a member this process has lost."""
+        """Returns addresses where an unknown or dead member may run."""
         lost = {
             member.address
             for member in self._table.list_members()
@@ -273,7 +279,7 @@
     def _record_contact(
         self, event: MessageReceived, now: float
     ) -> list[commands.Command]:
-        """Takes a message from a process as proof that it runs."""
+        """Records a message as evidence that its sender is running."""
         if event.address == self._self_record.address:
             return []
         self._last_contact = now
@@ -288,7 +294,7 @@
     def _suspect(
         self, event: ProbeFailed, now: float
     ) -> list[commands.Command]:
-        """Suspects a member that did not answer and asks others to probe it."""
+        """Suspects a silent member and requests indirect probes."""
         member = self._table.find(event.address)
         if member is None or member.state is not members.MemberState.ALIVE:
             return []
@@ -314,15 +320,15 @@
             if other.address not in (event.address, self._self_record.address)
         ]
         helpers = self._rng.sample(others, min(INDIRECT_PROBERS, len(others)))
-        asked = [
+        probes = [
             RequestIndirectProbe(helper, event.address) for helper in helpers
         ]
-        return [change, *asked]
+        return [change, *probes]
 
     def _handle_change(
         self, change: members.MemberChanged, now: float
     ) -> list[commands.Command]:
-        """Follows up a change of the table that came from outside."""
+        """Handles a change of the table received from others."""
         after = change.after
         if after.address == self._self_record.address:
             return self._refute(after, now)
@@ -337,7 +343,7 @@
     def _refute(
         self, claim: members.Member, now: float
     ) -> list[commands.Command]:
-        """Overrides what others say of this process, unless it was replaced."""
+        """Refutes a claim about this process, unless it was replaced."""
         if claim.incarnation == self._self_record.incarnation:
             refutations = claim.refutations + 1
             self._self_record = dataclasses.replace(
@@ -355,7 +361,7 @@
         return [] if change is None else [change]
 
     def _declare_dead(self, address: str, now: float) -> list[commands.Command]:
-        """Ends the suspicion of a member that did not refute it."""
+        """Declares a suspect dead that did not refute the suspicion."""
         del self._deadlines[address]
         member = self._table.find(address)
         if member is None or member.state is not members.MemberState.SUSPECT:
--- a/sycamorehollow/decisions/replication/payloads.py
+++ b/sycamorehollow/decisions/replication/payloads.py
@@ -1,4 +1,4 @@
-"""Encoding of replicated state and bucket hashes that compare two copies."""
+"""Delta encoding and bucket hashes of replicated state."""
 
 import dataclasses
 import hashlib
@@ -9,20 +9,20 @@
 
 from sycamorehollow.model import commands
 
-# A delta of this many rows takes about 1.2 KB for members, which keeps a node
-# under 10 KB/s while a rack of members fails.
+# Members in this many rows take about 1.2 KB, which keeps a node under 10 KB/s
+# while a rack of members fails.
 MAX_DELTA_ROWS = 48
-# Bounds the memory that one payload can claim when it is decompressed.
+# Bounds the memory for decompressing a payload.
 MAX_DECODED_BYTES = 1 << 20
 
 
 @dataclasses.dataclass(frozen=True)
 class PushDelta(commands.Command):
-    """Asks for a delta to be pushed to peers without waiting for a digest.
+    """Pushes a delta to peers without waiting for an exchange.
 
     Attributes:
         kind: Kind of the replicated state.
-        delta: What its `merge` takes at the other processes.
+        delta: Delta for `merge` at the other processes.
     """
 
     kind: str
@@ -30,7 +30,7 @@
 
 
 def encode_rows(rows: list[list[Any]]) -> bytes:
-    """Encodes rows as compressed JSON; no rows give no bytes."""
+    """Encodes rows as compressed JSON; no rows give empty bytes."""
     if not rows:
         return b""
     text = json.dumps(rows, separators=(",", ":")).encode()
@@ -38,13 +38,13 @@
 
 
 def decode_rows(payload: bytes) -> list[list[Any]]:
-    """Decodes rows; a malformed payload has no rows.
+    """Decodes rows; a malformed payload gives no rows.
 
     Args:
         payload: Bytes from `encode_rows` at another process.
 
     Returns:
-        The rows that are lists; anything else is left out.
+        The rows that are lists; others are left out.
     """
     if not payload:
         return []
@@ -59,9 +59,9 @@
 
 
 class BucketHashes:
-    """Hashes of a keyed set, split into buckets by key.
+    """Hashes of a keyed set that is split into buckets by key.
 
-    Two sets with equal digests are equal but for a collision of 32-bit hashes,
+    Sets with equal digests are equal, except for a collision of 32-bit hashes,
     which the next change to the bucket resolves.
     """
 
@@ -74,7 +74,7 @@
         return zlib.crc32(key.encode()) % len(self._hashes)
 
     def toggle(self, key: str, content: str) -> None:
-        """Adds an entry, or removes it when it is present."""
+        """Adds an entry, or removes it if it is present."""
         entry = hashlib.blake2b(f"{key}\0{content}".encode(), digest_size=4)
         number = int.from_bytes(entry.digest(), "little")
         self._hashes[self.find_bucket(key)] ^= number
@@ -101,12 +101,12 @@
 ) -> list[list[Any]]:
     """Selects rows for one delta of bounded size.
 
-    Half of the room goes to the latest changes, so that news travels first.
-    The rest starts at a position that moves with time: without it, a missing
-    old row could be held back forever by newer rows that both sides hold.
+    Half of the rows are the latest changes, so that these spread first. The
+    others start at a position that moves with time; otherwise newer rows that
+    both sides have could keep a missing old row from ever being sent.
 
     Args:
-        candidates: Time of the last change in seconds, and the row.
+        candidates: Time of the last change in seconds, and row.
         now: Monotonic time in seconds.
     """
     if len(candidates) <= MAX_DELTA_ROWS:
--- a/sycamorehollow/decisions/replication/records.py
+++ b/sycamorehollow/decisions/replication/records.py
@@ -11,11 +11,12 @@
 from sycamorehollow.model import commands
 
 BUCKETS = 16
-# A process that was cut off for longer can bring a deleted record back, so
+# A process that was isolated for longer can bring a deleted record back, so
 # this exceeds the one-hour partitions between regions.
 TOMBSTONE_TTL_S = 3 * 3600.0
-# An expired record is refused for this long. Its seconds do not run while a
-# delta is under way, so another process holds it a little longer.
+# An expired record is rejected for this long if received again. Its remaining
+# time does not run while a delta is in transit, so that other processes keep it
+# a little longer.
 EXPIRED_RETENTION_S = 60.0
 
 
@@ -25,8 +26,8 @@
 
     Attributes:
         kind: Kind of record, for example `stop`.
-        key: What it is about.
-        version: The highest one wins.
+        key: Subject of the record, for example an upstream.
+        version: Version; the highest one wins.
         value: JSON text in canonical form; empty for a tombstone.
         expires_at: Local monotonic time in seconds, or `None` for never.
     """
@@ -44,7 +45,7 @@
 
     @property
     def precedence(self) -> tuple[int, bool, str]:
-        """Rank among records of one key; a tombstone wins a tie."""
+        """Sort key among records of one key; a tombstone wins a tie."""
         return (self.version, self.is_tombstone, self.value)
 
     def decode_value(self) -> Any:
@@ -54,13 +55,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class RecordChanged(commands.Command):
-    """Tells that a record was put, replaced or deleted."""
+    """Reports that a record was added, replaced or deleted."""
 
     record: ReplicatedRecord
 
 
 class ReplicatedRecords(components.Replicated):
-    """Records by kind and key; the highest version wins."""
+    """Replicated records by kind and key; the highest version wins."""
 
     kind = "records"
 
@@ -71,14 +72,14 @@
         self._buckets = payloads.BucketHashes(BUCKETS)
 
     def find(self, kind: str, key: str, now: float) -> ReplicatedRecord | None:
-        """Returns the record in force, or `None`."""
+        """Returns the record in effect, or `None`."""
         record = self._records.get((kind, key))
         if record is None or record.is_tombstone or has_expired(record, now):
             return None
         return record
 
     def list_kind(self, kind: str, now: float) -> list[ReplicatedRecord]:
-        """Returns the records of one kind that are in force."""
+        """Returns the records of one kind that are in effect."""
         return [
             record
             for record in self._records.values()
@@ -95,11 +96,11 @@
         now: float,
         ttl_s: float | None = None,
     ) -> list[commands.Command]:
-        """Puts a record above the held version and asks for its push.
+        """Writes a record above the current version and pushes it.
 
         Args:
             kind: Kind of record.
-            key: What it is about.
+            key: Subject of the record.
             value: Any JSON value but `None`.
             now: Monotonic time in seconds.
             ttl_s: Seconds until it expires, or `None` for never.
@@ -108,7 +109,7 @@
         return self._write(kind, key, text, now, ttl_s)
 
     def delete(self, kind: str, key: str, now: float) -> list[commands.Command]:
-        """Puts a tombstone above the held version and asks for its push."""
+        """Writes a tombstone above the current version and pushes it."""
         if (kind, key) not in self._records:
             return []
         return self._write(kind, key, "", now, TOMBSTONE_TTL_S)
@@ -119,7 +120,7 @@
         return self._buckets.encode()
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the records of the buckets that differ, within a bound."""
+        """Returns records of differing buckets, up to a limit."""
         self._expire(now)
         differing = set(self._buckets.find_differing_buckets(digest))
         candidates = []
@@ -131,7 +132,7 @@
         return payloads.encode_rows(payloads.select_rows(candidates, now))
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Applies a delta and asks for the push of what is new."""
+        """Applies a delta and pushes the records that were new."""
         self._expire(now)
         changes: list[commands.Command] = []
         for row in payloads.decode_rows(delta):
@@ -146,14 +147,14 @@
             if isinstance(change, RecordChanged)
         ]
         if rows:
-            urgent = payloads.PushDelta(self.kind, payloads.encode_rows(rows))
-            changes.append(urgent)
+            push = payloads.PushDelta(self.kind, payloads.encode_rows(rows))
+            changes.append(push)
         return changes
 
     def _write(
         self, kind: str, key: str, text: str, now: float, ttl_s: float | None
     ) -> list[commands.Command]:
-        """Puts a text above the held version."""
+        """Writes a value above the current version and pushes it."""
         self._expire(now)
         name = (kind, key)
         held = self._records.get(name) or self._expired.get(name)
@@ -165,7 +166,7 @@
         return [RecordChanged(record), payloads.PushDelta(self.kind, delta)]
 
     def _apply(self, record: ReplicatedRecord, now: float) -> bool:
-        """Puts a record in force if it wins; tells whether it did."""
+        """Stores a record if it takes precedence; returns whether it did."""
         name = (record.kind, record.key)
         expired = self._expired.get(name)
         if expired is not None and expired.precedence >= record.precedence:
@@ -184,7 +185,7 @@
         return True
 
     def _expire(self, now: float) -> None:
-        """Moves expired records aside and forgets those refused long enough."""
+        """Sets expired records aside, and later drops them."""
         for name, record in list(self._expired.items()):
             if has_expired(record, now - EXPIRED_RETENTION_S):
                 del self._expired[name]
@@ -197,20 +198,20 @@
             del self._changed_at[name]
 
     def _toggle(self, record: ReplicatedRecord) -> None:
-        """Adds a record to the digest, or takes it out."""
+        """Adds a record to the digest, or removes it."""
         name = f"{record.kind}\0{record.key}"
         self._buckets.toggle(name, f"{record.version} {record.value}")
 
 
 def has_expired(record: ReplicatedRecord, now: float) -> bool:
-    """Tells whether a record's time is over."""
+    """Returns whether a record has expired."""
     return record.expires_at is not None and record.expires_at <= now
 
 
 def keep_earlier_expiry(
     first: ReplicatedRecord, second: ReplicatedRecord
 ) -> ReplicatedRecord:
-    """Returns one record of two equal ones, with the earlier expiry."""
+    """Returns the first of two equal records with the earlier expiry."""
     ends = [
         record.expires_at
         for record in (first, second)
@@ -220,7 +221,7 @@
 
 
 def encode_record(record: ReplicatedRecord, now: float) -> list[Any]:
-    """Returns the row of a record, with the seconds that it has left."""
+    """Encodes a record as a row of a delta, with its remaining seconds."""
     left = (
         None if record.expires_at is None else round(record.expires_at - now, 3)
     )
@@ -228,7 +229,7 @@
 
 
 def decode_record(row: Iterable[Any], now: float) -> ReplicatedRecord | None:
-    """Returns the record in a row of a delta, or `None` if malformed."""
+    """Decodes a row of a delta; returns `None` if it is malformed."""
     fields = list(row)
     if len(fields) != 5:
         return None
