Reword the relay, callers' connections, the pool and crash checks

The comments and log lines of these modules described the traffic in pictures and named only part of the reasons. They now say in plain terms what the code does and why its limits exist; local names follow. A test that matches two log lines of resent requests changes with them.

--- a/sycamorehollow/shells/gateway/__init__.py
+++ b/sycamorehollow/shells/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The gateway: forwards requests by route to upstreams."""
+"""The gateway, which forwards requests to upstreams by route."""
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -1,4 +1,4 @@
-"""The tasks of a gateway process and its life from start to end."""
+"""Builds the parts of a gateway process, runs them and drains them."""
 
 import asyncio
 from collections.abc import Callable
@@ -27,23 +27,23 @@
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
 
-# Time in which the load balancer notices that the node is not ready; requests
-# are still served meanwhile.
+# Time until the load balancer has noticed that the node is not ready. New
+# requests are still served until then.
 READINESS_PROPAGATION_S = 2.5
-# Time without a new connection after which no caller is on its way any more.
+# Time without a new connection after which none is expected to arrive.
 DRAIN_QUIET_PERIOD_S = 0.3
-# Time before SIGKILL at which the process ends by itself.
+# Time left before SIGKILL when the process exits by itself.
 SHUTDOWN_MARGIN_S = 0.4
 SETTINGS_POLL_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
 class PlatformAdapter:
-    """What connects the gateway to a platform.
+    """The parts of the gateway that depend on the platform.
 
     Attributes:
         read_settings: Reads the settings file again.
-        settings_path: The settings file, to notice when it changes.
+        settings_path: The settings file, which is polled for changes.
     """
 
     header_codec: header_codec.HeaderCodec
@@ -58,8 +58,8 @@
 
     Args:
         settings: Settings of the process.
-        adapter: Connects it to the platform.
-        listener: Socket that listens for callers; `None` to open one.
+        adapter: Adapter to the platform.
+        listener: Listening socket for callers; `None` to open one.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         self._last_accepted_at = float("-inf")
 
     async def run(self) -> None:
-        """Serves until SIGTERM, then drains and ends."""
+        """Serves requests until SIGTERM, then drains and returns."""
         loop = asyncio.get_running_loop()
         ended = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, ended.set)
@@ -125,8 +125,8 @@
                 )
             )
         except OSError as error:
-            # Requests are served without the page, too.
-            self._telemetry.log_event("metrics cannot be served: {}", error)
+            # Requests are served without the metrics page.
+            self._telemetry.log_event("cannot serve metrics: {}", error)
         self._telemetry.log_event(
             "started node={} data_centre={} front={}",
             self._settings.node,
@@ -134,22 +134,24 @@
             self._settings.front,
         )
         await self._connect_peers()
-        upkeep = loop.create_task(self._run_periodically())
+        periodic_task = loop.create_task(self._run_periodically())
         await ended.wait()
         await self._drain()
-        upkeep.cancel()
+        periodic_task.cancel()
         for server in servers:
             server.close()
-        cut = sum(connection.is_busy for connection in self._connections)
+        requests_cut = sum(
+            connection.is_busy for connection in self._connections
+        )
         self._telemetry.log_event(
-            "stopped node={} requests_cut={}", self._settings.node, cut
+            "stopped node={} requests_cut={}", self._settings.node, requests_cut
         )
 
     def _reserve_retry(self, upstream: forwarding.Upstream) -> bool:
-        """Allows a request on a connection that the upstream had dropped."""
+        """Reserves the retry of a request sent on a closed idle connection."""
         allowed = self._router.reserve_retry(upstream.service, time.monotonic())
-        outcome = "had dropped a kept connection, "
-        outcome += "sent once more" if allowed else "no repeat is left"
+        outcome = "had closed an idle connection, "
+        outcome += "request resent" if allowed else "retry budget exhausted"
         self._telemetry.record_state_change(
             f"upstream={upstream.identity}", outcome, "reset"
         )
@@ -177,15 +179,15 @@
         watch.start()
 
     async def _connect_peers(self) -> None:
-        """Connects the node to other nodes while it serves requests."""
+        """Starts the client for other nodes while requests are served."""
         assert self._state_sync is not None
         try:
             client = await asyncio.to_thread(
                 _open_peer_client, self._settings, self._state_sync
             )
         except OSError as error:
-            # Without peers the node still learns everything from the store.
-            self._telemetry.log_event("peers cannot be served: {}", error)
+            # Without peers the node still gets all updates from the store.
+            self._telemetry.log_event("cannot serve peers: {}", error)
             return
         self._state_sync.set_peer_client(client)
 
@@ -243,8 +245,8 @@
         )
 
     async def _run_periodically(self) -> None:
-        """Does the periodic work."""
-        # What changed while the process started is found by the first look.
+        """Runs the periodic work and reloads changed settings."""
+        # The first check detects changes made while the process started.
         changed_at = 0.0
         next_check = time.monotonic() + SETTINGS_POLL_INTERVAL_S
         while True:
@@ -252,7 +254,7 @@
             try:
                 self._run_periodic_work()
             except Exception as error:
-                # Without this work the node would go on with stale beliefs.
+                # If the loop ended here, the node's state would become stale.
                 self._telemetry.log_error("periodic work", error)
             if time.monotonic() < next_check:
                 continue
@@ -271,11 +273,11 @@
     def _read_settings_mtime(self) -> float:
         with contextlib.suppress(FileNotFoundError):
             return self._adapter.settings_path.stat().st_mtime
-        # The file is being replaced; the next look finds it.
+        # The file is being replaced; the next check finds it.
         return 0.0
 
     def _reload_settings(self) -> None:
-        """Takes changed settings; what a socket is bound to stays."""
+        """Applies changed settings; listening sockets keep their addresses."""
         settings = self._adapter.read_settings()
         if isinstance(settings, list):
             for fault in settings:
@@ -287,7 +289,11 @@
         self._telemetry.log_event("settings reloaded")
 
     async def _drain(self) -> None:
-        """Lets requests end and takes no new ones after a while."""
+        """Finishes open requests before the process exits.
+
+        New requests are rejected once the load balancer has had time to notice
+        that the node is not ready.
+        """
         started = time.monotonic()
         end = started + self._settings.grace_s - SHUTDOWN_MARGIN_S
         self._draining = True
@@ -296,14 +302,14 @@
         )
         while time.monotonic() < end:
             now = time.monotonic()
-            passed = now - started
-            quiet = now - self._last_accepted_at > DRAIN_QUIET_PERIOD_S
-            self._forwarder.rejecting = passed >= READINESS_PROPAGATION_S
+            elapsed_s = now - started
+            is_quiet = now - self._last_accepted_at > DRAIN_QUIET_PERIOD_S
+            self._forwarder.rejecting = elapsed_s >= READINESS_PROPAGATION_S
             for connection in list(self._connections):
                 connection.closes_after_response = True
                 if self._forwarder.rejecting:
                     connection.close_when_idle()
-            if self._forwarder.rejecting and quiet and not self._connections:
+            if self._forwarder.rejecting and is_quiet and not self._connections:
                 break
             await asyncio.sleep(0.05)
 
@@ -316,15 +322,15 @@
     Raises:
         OSError: The address cannot be bound.
     """
-    # Loading gRPC takes a quarter of the start of a process, and a restarted
-    # node serves requests before it needs other nodes.
+    # Importing gRPC takes a quarter of the start-up time, and a restarted node
+    # serves requests before it needs its peers.
     from sycamorehollow.shells.gateway import grpc_peer_client
 
-    me = identity.Process(
+    own_process = identity.Process(
         settings.peer_address, settings.data_centre, time.time_ns()
     )
     client = grpc_peer_client.GrpcPeerClient(
-        me, state.handle_peer_request, state.deliver
+        own_process, state.handle_peer_request, state.deliver
     )
     client.start()
     return client
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -1,4 +1,4 @@
-"""HTTP server side: requests of callers and the writing of answers."""
+"""HTTP server connections: parses requests and writes responses."""
 
 import asyncio
 import collections
@@ -15,21 +15,22 @@
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import upstream_connections
 
-# Requests that a caller may send ahead of their answers.
+# Requests that a caller may pipeline before their responses.
 MAX_PIPELINED_REQUESTS = 8
-# Time in seconds for which the first request of a connection may be on its way;
-# the bound in which a caller expects a connection to be made.
+# Time for which a new connection is kept open while its first request may be in
+# transit. Callers expect a connection to be established within it.
 FIRST_REQUEST_TIMEOUT_S = 1.0
-# Bytes of an answer that wait for a slow caller before its upstream does.
+# Response bytes buffered for a slow caller before reading from its upstream
+# stops.
 WRITE_BUFFER_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass
 class HttpRequest:
-    """A whole request of a caller.
+    """A request as received, with its complete body.
 
     Attributes:
-        error_status: Status of the refusal for a request that cannot be read.
+        error_status: Status of the response to an invalid request; 0 if valid.
     """
 
     method: str = ""
@@ -42,7 +43,7 @@
 
 
 class CallerDisconnectedError(Exception):
-    """The caller has closed its connection."""
+    """Raised when the caller has closed its connection."""
 
 
 Handler = Callable[["CallerConnection", HttpRequest], Awaitable[None]]
@@ -52,13 +53,13 @@
     """One connection of a caller; its requests are handled in order.
 
     Args:
-        handler: Answers a request.
+        handler: Responds to a request.
         get_limits: Returns the limits in force.
         registry: The open connections; the connection adds itself.
 
     Attributes:
-        is_closing: Whether it closes after the requests that were read.
-        closes_after_response: Whether its next answer is its last one.
+        is_closing: Whether it closes after the requests already received.
+        closes_after_response: Whether it closes after its next response.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         self._opened_at = time.monotonic()
         self._received_request = False
         self._head_bytes = 0
-        # Bytes in a row that bring no part of a body.
+        # Consecutive bytes without body data: chunk framing and trailers.
         self._overhead_bytes = 0
         self._pending_requests: collections.deque[HttpRequest] = (
             collections.deque()
@@ -96,10 +97,11 @@
         return self._task is not None or self._request is not None
 
     def close_when_idle(self) -> None:
-        """Closes after the answers to all requests that have arrived.
+        """Closes after the responses to all requests that have arrived.
 
-        To be called again until the connection is gone: a request may be on
-        its way, and closing before it is read would reset the connection.
+        Has to be called repeatedly until the connection is closed: a request
+        may be in transit, and closing before it is read would reset the
+        connection.
         """
         self.is_closing = True
         if self.is_busy or self._transport is None:
@@ -112,7 +114,7 @@
             self._transport.close()
 
     def _has_unread_bytes(self) -> bool:
-        """Tells whether bytes have arrived that were not read yet."""
+        """Tells whether the socket has bytes that were not read yet."""
         assert self._transport is not None
         raw = self._transport.get_extra_info("socket")
         if raw is None or raw.fileno() < 0:
@@ -122,7 +124,7 @@
         return bool(poll.poll(0))
 
     def abort(self) -> None:
-        """Ends the connection at once, also amid an answer."""
+        """Closes the connection at once, even during a response."""
         if self._transport is not None:
             self._transport.abort()
 
@@ -134,7 +136,7 @@
         length: int | None,
         keep_alive: bool,
     ) -> None:
-        """Writes the head of an answer; without a length it is chunked."""
+        """Writes the head of a response; without a length it is chunked."""
         self._chunked = length is None
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
         lines.extend(b"%s: %s\r\n" % pair for pair in headers)
@@ -152,10 +154,10 @@
         await self._write(b"".join(lines))
 
     async def write_body(self, data: bytes) -> None:
-        """Writes a piece of the body.
+        """Writes a part of the body.
 
         Raises:
-            CallerDisconnectedError: The caller has left.
+            CallerDisconnectedError: The caller has closed the connection.
         """
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
@@ -186,7 +188,7 @@
         self._set_timer(self._get_limits().idle_timeout_s)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Ends the request whose caller has left."""
+        """Cancels the request of a caller that has disconnected."""
         self._disconnected = True
         self._registry.discard(self)
         self._can_write.set()
@@ -195,19 +197,19 @@
             self._task.cancel()
 
     def eof_received(self) -> bool:
-        """Takes a caller that stops sending for one that has left."""
+        """Closes the connection when the caller shuts down its side."""
         return False
 
     def pause_writing(self) -> None:
-        """Makes writers wait for a slow caller."""
+        """Blocks writers while the caller reads slowly."""
         self._can_write.clear()
 
     def resume_writing(self) -> None:
-        """Lets writers go on."""
+        """Unblocks writers."""
         self._can_write.set()
 
     def data_received(self, data: bytes) -> None:
-        """Parses a piece of a request."""
+        """Parses received bytes."""
         if self._request is None or not self._request.method:
             self._head_bytes += len(data)
         self._overhead_bytes += len(data)
@@ -222,8 +224,7 @@
             if self._head_bytes > self._get_limits().header_bytes:
                 self._reject_invalid_request(431)
         elif request is not None:
-            # The framing of a chunked body and its trailers have no end of
-            # their own.
+            # The parser does not limit chunk extensions and trailers.
             if self._overhead_bytes > self._get_limits().header_bytes:
                 self._reject_invalid_request(400)
 
@@ -235,17 +236,17 @@
         self._set_timer(self._get_limits().header_timeout_s)
 
     def on_url(self, url: bytes) -> None:
-        """Keeps the request target."""
+        """Stores the request target."""
         if self._request is not None:
             self._request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps one header; trailers are dropped."""
+        """Stores a header; trailers are ignored."""
         if self._request is not None and not self._request.method:
             self._request.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Checks how the body is framed."""
+        """Checks the size of the head and the framing of the body."""
         request = self._request
         if request is None:
             return
@@ -272,7 +273,7 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
-        """Keeps a piece of the body."""
+        """Stores a part of the body."""
         request = self._request
         if request is None:
             return
@@ -282,7 +283,7 @@
             self._reject_invalid_request(413)
 
     def on_message_complete(self) -> None:
-        """Queues a whole request."""
+        """Queues the complete request."""
         request = self._request
         self._request = None
         self._head_bytes = 0
@@ -295,18 +296,19 @@
         self._enqueue(request)
 
     def _can_answer_after_close(self) -> bool:
-        """A request that crossed our close is answered all the same."""
+        """Tells whether a request that arrived during the close is handled."""
         return not self._disconnected
 
     def _reject_invalid_request(self, status: int) -> None:
-        """Refuses what cannot be read and closes afterwards."""
+        """Rejects an invalid request and closes the connection afterwards."""
         self._request = None
         if self.is_closing and self._pending_requests:
             return
         self.is_closing = True
         self._enqueue(HttpRequest(error_status=status, keep_alive=False))
         if self._transport is not None:
-            # What follows cannot be told apart from the faulty request.
+            # The end of the invalid request is unknown, so nothing after it
+            # can be parsed.
             self._transport.pause_reading()
 
     def _enqueue(self, request: HttpRequest) -> None:
@@ -329,15 +331,16 @@
                 await self._handler(self, request)
                 if not request.keep_alive:
                     self.is_closing = True
-                    # Its caller expects no answer to what it sent after it.
+                    # HTTP allows no further request after `close`.
                     self._pending_requests.clear()
                 if self.is_closing and not self._pending_requests:
                     break
         except CallerDisconnectedError:
             return
         except Exception:
-            # The caller learns that something broke; other requests go on.
-            loguru.logger.exception("a request failed in this process")
+            # The closed connection shows the failure to the caller. Other
+            # requests are not affected.
+            loguru.logger.exception("unexpected error in a request handler")
             self.abort()
             return
         finally:
@@ -362,10 +365,11 @@
             self._timer = None
 
     def _close_on_timeout(self) -> None:
-        """Closes a connection that is idle, or too slow with its head."""
+        """Closes a connection that is idle or whose head is late."""
         request = self._request
         if request is not None and request.method:
-            # The head is in; the body has as long as the caller waits.
+            # Only the head has a timeout; the body may take as long as the
+            # caller waits.
             return
         if self._task is None and self._transport is not None:
             self._transport.close()
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -1,4 +1,4 @@
-"""Connections to upstreams, kept between requests."""
+"""Pool of connections to upstreams, and probes of their reachability."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,26 +9,26 @@
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import upstream_connections
 
-# Well above the way to any data centre of a region; a lost first packet is
-# only sent again after a second.
+# Well above the round trip to any data centre of a region. A lost SYN is only
+# retransmitted after a second, so waiting for it is not worthwhile.
 CONNECT_TIMEOUT_S = 0.25
 PROBE_TIMEOUT_S = 0.12
 MAX_PROBES = 2
-# Time in seconds for which an upstream has to keep a new connection.
+# Time for which an upstream has to keep a new connection open.
 HOLD_PROBE_S = 0.1
-# A request that must not run twice is not sent on a connection that the
-# upstream may just have closed.
-MAX_IDLE_UNREPEATABLE_S = 0.25
+# Limit for requests that must not run twice, as the upstream may just be
+# closing a connection that was idle for longer.
+MAX_IDLE_UNRETRYABLE_S = 0.25
 
 
 class ConnectionPool:
-    """Opens connections and keeps idle ones by upstream.
+    """Opens connections and keeps idle ones by the address of the upstream.
 
     Args:
-        decode_head: Decodes the head of an answer.
-        reserve_retry: Tells whether a request may be sent to an upstream once
-            more, and counts that.
-        refund_retry: Takes back what was counted, as nothing was sent.
+        decode_head: Decodes the head of a response.
+        reserve_retry: Takes a retry at an upstream from the retry budget and
+            returns whether there was one.
+        refund_retry: Returns a reserved retry that was not sent.
     """
 
     def __init__(
@@ -48,32 +48,32 @@
         self.opened_count = 0
 
     async def acquire(
-        self, upstream: forwarding.Upstream, request_id: str, repeatable: bool
+        self, upstream: forwarding.Upstream, request_id: str, is_retryable: bool
     ) -> upstream_connections.UpstreamConnection:
-        """Returns a connection to an upstream.
+        """Returns an idle or new connection to an upstream.
 
         Args:
             upstream: The upstream.
-            request_id: Identity of the request.
-            repeatable: Whether the request may run twice.
+            request_id: Identifier of the request.
+            is_retryable: Whether the request may run twice.
 
         Raises:
             upstream_connections.UpstreamConnectionError: The upstream cannot
                 be reached.
         """
-        kept = self._idle.get((upstream.host, upstream.port), [])
+        idle = self._idle.get((upstream.host, upstream.port), [])
         now = time.monotonic()
-        while kept:
-            connection = kept.pop()
+        while idle:
+            connection = idle.pop()
             connection.set_drop_callback(None)
             age_s = now - connection.idle_since
             limit_s = connection.idle_timeout_s
-            if not repeatable:
-                limit_s = min(limit_s, MAX_IDLE_UNREPEATABLE_S)
+            if not is_retryable:
+                limit_s = min(limit_s, MAX_IDLE_UNRETRYABLE_S)
             fit = connection.is_open and not connection.has_carried(request_id)
             if fit and age_s < limit_s:
                 renew = functools.partial(self._reconnect, upstream, connection)
-                connection.set_reconnect(renew if repeatable else None)
+                connection.set_reconnect(renew if is_retryable else None)
                 return connection
             connection.close()
         return await self._open(upstream)
@@ -84,19 +84,19 @@
         connection: upstream_connections.UpstreamConnection,
         max_idle: int,
     ) -> None:
-        """Keeps a connection whose answer has ended, if it can be.
+        """Keeps a connection for reuse if possible, and else closes it.
 
         Args:
-            upstream: Its upstream.
+            upstream: The upstream of the connection.
             connection: The connection.
-            max_idle: Idle connections that may be kept to the upstream.
+            max_idle: Number of idle connections to keep to the upstream.
         """
-        kept = self._idle.setdefault((upstream.host, upstream.port), [])
-        if not connection.finish_response() or len(kept) >= max_idle:
+        idle = self._idle.setdefault((upstream.host, upstream.port), [])
+        if not connection.finish_response() or len(idle) >= max_idle:
             connection.close()
             return
-        kept.append(connection)
-        connection.set_drop_callback(lambda: _remove_idle(kept, connection))
+        idle.append(connection)
+        connection.set_drop_callback(lambda: _remove_idle(idle, connection))
 
     def close_idle(self, upstream: forwarding.Upstream) -> None:
         """Closes the idle connections to an upstream."""
@@ -104,16 +104,16 @@
             connection.close()
 
     def close_expired(self) -> None:
-        """Closes connections that were idle for too long."""
+        """Closes connections that have exceeded their idle timeout."""
         now = time.monotonic()
-        for kept in self._idle.values():
-            for connection in list(kept):
+        for idle in self._idle.values():
+            for connection in list(idle):
                 if now - connection.idle_since >= connection.idle_timeout_s:
-                    kept.remove(connection)
+                    idle.remove(connection)
                     connection.close()
 
     async def is_reachable(self, upstream: forwarding.Upstream) -> bool:
-        """Tells whether an upstream takes a new connection."""
+        """Tells whether an upstream accepts a new connection."""
         for _ in range(MAX_PROBES):
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT_S):
@@ -121,20 +121,21 @@
                         upstream.host, upstream.port
                     )
             except ConnectionResetError:
-                # It was accepted, and then reset by an upstream that has
-                # as many connections as it takes.
+                # The connection was accepted and then reset: the upstream is
+                # alive and at its connection limit.
                 return True
             except (OSError, TimeoutError):
-                # A single packet may be lost; the second failure counts.
+                # A single packet may have been lost, so one failure does not
+                # count.
                 continue
             writer.transport.abort()
             return True
         return False
 
     async def can_hold_connection(self, upstream: forwarding.Upstream) -> bool:
-        """Tells whether an upstream takes a connection and does not end it.
+        """Tells whether an upstream accepts a connection and keeps it open.
 
-        A machine may still take connections for a process that has ended.
+        A machine may still accept connections for a process that has exited.
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -145,7 +146,8 @@
             return False
         try:
             async with asyncio.timeout(HOLD_PROBE_S):
-                # Whatever comes without a request is an end, or no answer.
+                # No request was sent: any bytes, or the end of the stream,
+                # show a fault.
                 await reader.read(1)
         except TimeoutError:
             return True
@@ -160,13 +162,17 @@
         upstream: forwarding.Upstream,
         connection: upstream_connections.UpstreamConnection,
     ) -> bool:
-        """Connects once more for a request on a dropped connection."""
+        """Opens a new transport for a request on a closed connection.
+
+        Returns:
+            Whether the request may be resent.
+        """
         if not self._reserve_retry(upstream):
             return False
         try:
             await self._connect(upstream, connection.reset_for_reconnect)
         except (OSError, TimeoutError):
-            # The loss of the dropped connection is what the log tells.
+            # The log reports the loss of the old connection instead.
             self._refund_retry(upstream)
             return False
         return True
@@ -194,8 +200,8 @@
         """Connects to an upstream.
 
         Raises:
-            OSError: It does not take the connection.
-            TimeoutError: It does not answer in time.
+            OSError: The upstream does not accept the connection.
+            TimeoutError: The upstream does not respond in time.
         """
         loop = asyncio.get_running_loop()
         self.opened_count += 1
@@ -210,8 +216,8 @@
 
 
 def _remove_idle(
-    kept: list[upstream_connections.UpstreamConnection],
+    idle: list[upstream_connections.UpstreamConnection],
     connection: upstream_connections.UpstreamConnection,
 ) -> None:
-    if connection in kept:
-        kept.remove(connection)
+    if connection in idle:
+        idle.remove(connection)
--- a/sycamorehollow/shells/gateway/crash_checker.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -1,8 +1,8 @@
-"""Checks whether an upstream whose connection broke has crashed.
+"""Checks whether an upstream that closed a connection has crashed.
 
-Only a crash may be blamed on the request that the upstream ran. An upstream
-that still takes connections has ended the one that broke for another reason,
-and one that leaves closes all of them.
+Only a crash is attributed to the content of the request that was running. An
+upstream that still accepts connections closed this one for another reason, and
+a draining upstream closes all of them.
 """
 
 import asyncio
@@ -13,17 +13,17 @@
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import telemetry
 
-# Checks that run at the same time; the others wait for the next look.
+# Further checks wait for the next call of `start_due_checks`.
 MAX_CONCURRENT_CHECKS = 16
 
 
 class CrashChecker:
-    """Checks upstreams and tells the record of crashes what it found.
+    """Checks upstreams and reports the results to the quarantine.
 
     Args:
-        router: What the node knows.
+        router: Holds the state of the upstreams and the quarantine.
         pool: Opens the connections of the checks.
-        telemetry_sink: Takes one line for each check.
+        telemetry_sink: Records the result of each check.
     """
 
     def __init__(
@@ -39,46 +39,50 @@
 
     def start_due_checks(self) -> None:
         """Starts the checks that are due."""
-        for run in self._router.quarantine.list_incarnations_to_check(
+        for incarnation in self._router.quarantine.list_incarnations_to_check(
             time.monotonic()
         ):
             if len(self._checks) >= MAX_CONCURRENT_CHECKS:
                 return
-            if run in self._checks:
+            if incarnation in self._checks:
                 continue
-            self._checks[run] = asyncio.create_task(self._check(run))
+            self._checks[incarnation] = asyncio.create_task(
+                self._check(incarnation)
+            )
 
-    async def _check(self, run: str) -> None:
-        began = time.monotonic()
-        crashed, outcome = True, "takes no connections"
+    async def _check(self, incarnation: str) -> None:
+        started_at = time.monotonic()
+        crashed, outcome = True, "accepts no connections"
         try:
-            state = self._find(run)
+            state = self._find(incarnation)
             if state is None:
-                outcome = "has ended"
+                outcome = "is gone"
             elif state.upstream.draining:
-                crashed, outcome = False, "leaves by plan"
+                crashed, outcome = False, "is draining"
             elif await self._pool.can_hold_connection(state.upstream):
-                crashed, outcome = False, "still takes connections"
+                crashed, outcome = False, "still accepts connections"
         except Exception as error:
-            # The break counts, as without a check.
-            self._telemetry.log_error(f"check of {run}", error)
+            # Without a result the upstream counts as crashed.
+            self._telemetry.log_error(f"check of {incarnation}", error)
         finally:
-            del self._checks[run]
-        contents = self._router.quarantine.record_check(run, crashed, began)
+            del self._checks[incarnation]
+        checked_count = self._router.quarantine.record_check(
+            incarnation, crashed, started_at
+        )
         verdict = "crash" if crashed else "no crash"
         self._telemetry.record_state_change(
-            f"break={run}",
-            f"{verdict} contents={contents}",
+            f"break={incarnation}",
+            f"{verdict} contents={checked_count}",
             f"check, the upstream {outcome}",
         )
 
-    def _find(self, run: str) -> directory.UpstreamState | None:
-        """Returns a run's upstream unless it is forgotten or replaced."""
-        identity = run.rpartition("/")[0]
+    def _find(self, incarnation: str) -> directory.UpstreamState | None:
+        """Returns the upstream unless it was removed or restarted."""
+        identity = incarnation.rpartition("/")[0]
         state = self._router.directory.get(identity)
         if (
             state is None
-            or "/".join(map(str, state.upstream.incarnation)) != run
+            or "/".join(map(str, state.upstream.incarnation)) != incarnation
         ):
             return None
         return state
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -1,10 +1,10 @@
-"""Carries out the course of each request between caller and upstream."""
+"""Carries out the lifecycle of each request between caller and upstream."""
 
 import asyncio
 import hashlib
 import time
 
-from sycamorehollow.decisions.forwarding import request_lifecycle as courses
+from sycamorehollow.decisions.forwarding import request_lifecycle
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
@@ -72,14 +72,14 @@
             return
         record.request_id = call.request_id
         await self._wait_for_configuration()
-        course = self._admit(call, request, record, started)
-        if isinstance(course, failures.Failure):
+        lifecycle = self._admit(call, request, record, started)
+        if isinstance(lifecycle, failures.Failure):
             await self._reject(
-                connection, request, call.request_id, course, record
+                connection, request, call.request_id, lifecycle, record
             )
             return
         exchange = response_relay.ResponseRelay(
-            connection, request, course, record, self._codec, self._pool
+            connection, request, lifecycle, record, self._codec, self._pool
         )
         try:
             failure = await exchange.run()
@@ -88,32 +88,32 @@
             caller_connections.CallerDisconnectedError,
         ):
             record.outcome = "caller left"
-            course.record_abort(
+            lifecycle.record_abort(
                 steps.EndCause.CALLER, "the caller left", time.monotonic()
             )
-            self._telemetry.record_request(record, course)
+            self._telemetry.record_request(record, lifecycle)
             raise
         except Exception as error:
             # The connection is closed by whoever reads from it.
             record.outcome = f"fault: {error!r}"
-            course.record_abort(
+            lifecycle.record_abort(
                 steps.EndCause.FAULT,
                 "an error in this process",
                 time.monotonic(),
             )
-            self._telemetry.record_request(record, course)
+            self._telemetry.record_request(record, lifecycle)
             raise
         if failure is None:
-            self._telemetry.record_request(record, course)
+            self._telemetry.record_request(record, lifecycle)
             return
-        if course.delivering:
+        if lifecycle.delivering:
             # Without its end the caller cannot take the answer for whole.
             record.outcome = f"cut: {failure.reason}"
             connection.abort()
-            self._telemetry.record_request(record, course)
+            self._telemetry.record_request(record, lifecycle)
             return
         await self._reject(
-            connection, request, call.request_id, failure, record, course
+            connection, request, call.request_id, failure, record, lifecycle
         )
 
     async def _wait_for_configuration(self) -> None:
@@ -129,7 +129,7 @@
         request: caller_connections.HttpRequest,
         record: telemetry.RequestRecord,
         now: float,
-    ) -> courses.RequestLifecycle | failures.Failure:
+    ) -> request_lifecycle.RequestLifecycle | failures.Failure:
         """Finds the route and service of a request."""
         table = self._router.route_table
         if table is None:
@@ -155,7 +155,7 @@
             return service
         record.service = service.name
         fingerprint = compute_fingerprint(call, workspace, request)
-        return courses.RequestLifecycle(
+        return request_lifecycle.RequestLifecycle(
             self._router,
             call,
             route,
@@ -173,12 +173,12 @@
         request_id: str,
         failure: failures.Failure,
         record: telemetry.RequestRecord,
-        course: courses.RequestLifecycle | None = None,
+        lifecycle: request_lifecycle.RequestLifecycle | None = None,
     ) -> None:
         """Writes an answer of our own."""
         record.outcome = f"{failure.code}: {failure.reason}"
         record.status = failure.status
-        self._telemetry.record_request(record, course)
+        self._telemetry.record_request(record, lifecycle)
         headers = self._codec.encode_failure(request_id, failure)
         await write_response(
             connection,
--- a/sycamorehollow/shells/gateway/header_codec.py
+++ b/sycamorehollow/shells/gateway/header_codec.py
@@ -1,4 +1,4 @@
-"""How requests and answers are spelled on the wire."""
+"""Interface of the codec for the platform's HTTP headers."""
 
 import abc
 from collections.abc import Sequence
@@ -7,10 +7,10 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
-# Name and value as received; the order and case are kept.
+# Names and values as received, in their order and case.
 Headers = Sequence[tuple[bytes, bytes]]
 
-# Headers that concern one connection or how a body is framed on it.
+# Headers that concern one connection only, or the framing of a body on it.
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -30,14 +30,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptHeaders:
-    """What is told to an upstream beside the caller's own request.
+    """Values that the gateway adds to the caller's request for an upstream.
 
     Attributes:
-        upstream: Identity of the upstream that is meant.
+        upstream: Identity of the upstream that has to run the request.
         workspace: Owner of the API key; empty for an open route.
         remaining_s: Seconds until the request's deadline.
         model: Model to run; empty to leave the caller's.
-        priority: 0 to 9, where 0 is the most urgent; `None` to say nothing.
+        priority: 0 to 9, where 0 is the most urgent; `None` to send none.
         last_event_id: Event after which the stream resumes; empty for its
             start.
     """
@@ -51,7 +51,7 @@
 
 
 class HeaderCodec(abc.ABC):
-    """Translates between headers and the product's types."""
+    """Converts between HTTP headers and the types of the model."""
 
     @abc.abstractmethod
     def decode_request(
@@ -68,17 +68,17 @@
         Args:
             headers: The caller's headers.
             body_bytes: Length of the body; `None` for a request without one.
-            attempt: What the upstream is told.
+            attempt: Values that the gateway adds.
         """
 
     @abc.abstractmethod
     def decode_response(
         self, status: int, headers: Headers
     ) -> forwarding.DecodedHead:
-        """Decodes the head of an upstream's answer."""
+        """Decodes the head of an upstream's response."""
 
     @abc.abstractmethod
     def encode_failure(
         self, request_id: str, failure: failures.Failure
     ) -> list[tuple[bytes, bytes]]:
-        """Returns the headers of an answer of our own."""
+        """Returns the headers of a response created by the gateway."""
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -1,4 +1,4 @@
-"""Attempts of a request at upstreams, and the relay of the answer."""
+"""Runs the attempts of a request at upstreams and relays the response."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -6,7 +6,7 @@
 import time
 from typing import TypeVar
 
-from sycamorehollow.decisions.forwarding import request_lifecycle as courses
+from sycamorehollow.decisions.forwarding import request_lifecycle
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
@@ -17,22 +17,23 @@
 from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
 
-# Whole answers up to this size are read before the caller gets any of it, so
-# that one that breaks off can be replaced.
+# Responses up to this size are buffered completely before the first byte is
+# sent to the caller, so that a truncated one can be replaced.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
-# Time in which the body of a refusal, which is short, is read to its end.
+# Time for reading the short body of a rejection, so that its connection can be
+# reused.
 REJECTION_BODY_TIMEOUT_S = 0.05
-# Time in which bytes that have arrived are read.
+# Time for reading bytes that have already arrived when a timeout expires.
 READ_GRACE_S = 0.05
 
 _Read = TypeVar("_Read")
 
 
 class AttemptAbandonedError(Exception):
-    """The attempt was ended for another step.
+    """Raised when an attempt is ended in favour of another step.
 
     Attributes:
-        next_step: What follows.
+        next_step: The step that replaces the attempt.
     """
 
     def __init__(self, step: steps.Step):
@@ -41,13 +42,13 @@
 
 
 class ResponseRelay:
-    """Carries out the attempts of one request and relays its answer.
+    """Runs the attempts of one request and relays its response.
 
     Args:
         connection: Connection of the caller.
         request: The caller's request.
-        course: Decides about the attempts.
-        record: What the log says of the request.
+        lifecycle: Decides on the attempts.
+        record: Data for the request's log line.
         codec: Encodes and decodes headers.
         pool: Connections to upstreams.
     """
@@ -56,45 +57,45 @@
         self,
         connection: caller_connections.CallerConnection,
         request: caller_connections.HttpRequest,
-        course: courses.RequestLifecycle,
+        lifecycle: request_lifecycle.RequestLifecycle,
         record: telemetry.RequestRecord,
         codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
     ):
         self._connection = connection
         self._request = request
-        self._course = course
+        self._lifecycle = lifecycle
         self._record = record
         self._codec = codec
         self._pool = pool
-        # Until when bytes that have arrived are read although time is over.
+        # End of the extra time for bytes that arrived before a timeout.
         self._grace_ends_at: float | None = None
 
     async def run(self) -> failures.Failure | None:
-        """Tries until the answer is delivered or nothing more may be tried.
+        """Makes attempts until a response is delivered or none is allowed.
 
         Returns:
-            `None` after a whole answer.
+            `None` after a complete response, else the final failure.
         """
-        step = self._course.choose_next_step(time.monotonic())
+        step = self._lifecycle.choose_next_step(time.monotonic())
         while True:
             if isinstance(step, steps.Reject):
                 return step.failure
             if isinstance(step, steps.Wait):
                 await asyncio.sleep(step.seconds)
-                step = self._course.choose_next_step(time.monotonic())
+                step = self._lifecycle.choose_next_step(time.monotonic())
                 continue
-            following = await self._run_attempt(step)
-            if following is None:
-                self._course.record_delivered(time.monotonic())
+            next_step = await self._run_attempt(step)
+            if next_step is None:
+                self._lifecycle.record_delivered(time.monotonic())
                 return None
-            step = following
+            step = next_step
 
     async def _run_attempt(self, step: steps.Send) -> steps.Step | None:
         """Makes one attempt.
 
         Returns:
-            The next step, or `None` if the answer was delivered.
+            The next step, or `None` if the response was delivered.
         """
         upstream = step.state.upstream
         step.state.running += 1
@@ -102,14 +103,14 @@
         try:
             connection = await self._pool.acquire(
                 upstream,
-                self._course.request.request_id,
-                self._course.route.is_retryable,
+                self._lifecycle.request.request_id,
+                self._lifecycle.route.is_retryable,
             )
             connection.send_request(
-                self._course.request.request_id, self._encode_request(step)
+                self._lifecycle.request.request_id, self._encode_request(step)
             )
             head = await self._wait_for(connection, connection.read_head)
-            verdict = self._course.evaluate_head(
+            verdict = self._lifecycle.evaluate_head(
                 head.decoded, time.monotonic(), connection.was_resent
             )
             if verdict is steps.Verdict.DELIVER:
@@ -117,30 +118,30 @@
                 return None
             if head.decoded.not_run:
                 await self._skip_body(connection)
-            return self._course.choose_next_step(time.monotonic())
+            return self._lifecycle.choose_next_step(time.monotonic())
         except upstream_connections.UpstreamConnectionError as error:
             now = time.monotonic()
-            self._course.record_connection_failure(
+            self._lifecycle.record_connection_failure(
                 str(error), error.request_written, now
             )
             if error.closed_by_upstream and error.request_written:
-                self._course.record_possible_crash(now)
-            return self._course.choose_next_step(now)
+                self._lifecycle.record_possible_crash(now)
+            return self._lifecycle.choose_next_step(now)
         except AttemptAbandonedError as error:
             return error.next_step
         finally:
             step.state.running -= 1
             if connection is not None:
                 self._pool.release(
-                    upstream, connection, self._course.max_idle_connections
+                    upstream, connection, self._lifecycle.max_idle_connections
                 )
 
     def _encode_request(self, step: steps.Send) -> bytes:
-        """Returns the bytes of the request for an upstream."""
+        """Encodes the request for an upstream."""
         request = self._request
-        course = self._course
+        lifecycle = self._lifecycle
         workspace = self._record.workspace
-        priority = course.route.priority
+        priority = lifecycle.route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         attempt = header_codec.AttemptHeaders(
@@ -149,7 +150,9 @@
             remaining_s=step.left_s,
             model=step.model,
             priority=min(9, max(0, priority)) if step.model else None,
-            last_event_id=course.last_event_id if course.delivering else "",
+            last_event_id=lifecycle.last_event_id
+            if lifecycle.delivering
+            else "",
         )
         headers = self._codec.encode_attempt(
             request.headers,
@@ -169,57 +172,61 @@
         connection: upstream_connections.UpstreamConnection,
         read: Callable[[], Awaitable[_Read]],
     ) -> _Read:
-        """Waits for a piece of the answer as long as that makes sense.
+        """Reads a part of the response within the attempt's timeouts.
 
         Raises:
-            AttemptAbandonedError: The attempt has ended for another step.
+            AttemptAbandonedError: Another step replaces the attempt.
         """
         while True:
             now = time.monotonic()
-            patience_s = self._course.compute_timeout(now)
-            if patience_s > 0:
+            timeout_s = self._lifecycle.compute_timeout(now)
+            if timeout_s > 0:
                 self._grace_ends_at = None
             else:
-                # After a pause of the process its timers expire before it
-                # has read what arrived meanwhile.
+                # After the process was paused, its timers expire before the
+                # event loop reads the bytes that arrived in the meantime.
                 await asyncio.sleep(0)
                 await asyncio.sleep(0)
                 if self._grace_ends_at is None:
                     self._grace_ends_at = now + READ_GRACE_S
-                patience_s = self._grace_ends_at - now
-                if patience_s <= 0 or not connection.can_read_without_waiting:
-                    step = self._course.handle_timeout(time.monotonic())
+                timeout_s = self._grace_ends_at - now
+                if timeout_s <= 0 or not connection.can_read_without_waiting:
+                    step = self._lifecycle.handle_timeout(time.monotonic())
                     if not isinstance(step, steps.Wait):
                         raise AttemptAbandonedError(step)
-                    patience_s = step.seconds
+                    timeout_s = step.seconds
             try:
-                async with asyncio.timeout(patience_s):
+                async with asyncio.timeout(timeout_s):
                     return await read()
             except TimeoutError:
                 await self._probe_upstream()
 
     async def _probe_upstream(self) -> None:
-        """Checks whether a silent upstream can still be reached."""
-        if not self._course.begin_probe_if_silent(time.monotonic()):
+        """Checks whether a silent upstream is still reachable.
+
+        If it is not, a reference upstream is probed as well, to tell a failed
+        upstream from an isolated node.
+        """
+        if not self._lifecycle.begin_probe_if_silent(time.monotonic()):
             return
-        upstream = self._course.attempts[-1].state.upstream
+        upstream = self._lifecycle.attempts[-1].state.upstream
         if await self._pool.is_reachable(upstream):
             return
-        cut_off = False
-        witness = self._course.choose_reference(time.monotonic())
-        if witness is not None:
-            cut_off = not await self._pool.is_reachable(witness.upstream)
-        self._course.record_unreachable(cut_off, time.monotonic())
+        isolated = False
+        reference = self._lifecycle.choose_reference(time.monotonic())
+        if reference is not None:
+            isolated = not await self._pool.is_reachable(reference.upstream)
+        self._lifecycle.record_unreachable(isolated, time.monotonic())
 
     async def _relay_response(
         self,
         connection: upstream_connections.UpstreamConnection,
         head: upstream_connections.ResponseHead,
     ) -> None:
-        """Passes an answer on to the caller."""
-        kind = self._course.route.kind
-        stream = kind is forwarding.RouteKind.STREAM and head.status == 200
-        if stream:
+        """Relays a response to the caller."""
+        kind = self._lifecycle.route.kind
+        is_stream = kind is forwarding.RouteKind.STREAM and head.status == 200
+        if is_stream:
             await self._relay_events(connection, head)
             return
         body = bytearray()
@@ -230,7 +237,7 @@
                 await self._connection.write_body(bytes(body))
                 return
             body += data
-        self._course.failover.resumable = False
+        self._lifecycle.failover.resumable = False
         await self._write_head(head, head.length)
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
@@ -242,32 +249,32 @@
         connection: upstream_connections.UpstreamConnection,
         head: upstream_connections.ResponseHead,
     ) -> None:
-        """Passes on whole events as they come.
+        """Relays complete events as they arrive.
 
-        Only these count as progress: an upstream that is stuck may still send
-        parts of an event, or comments.
+        Only events with data count as progress: a stalled upstream may still
+        send comments or parts of an event.
 
         Raises:
-            upstream_connections.UpstreamConnectionError: An event has no end.
+            upstream_connections.UpstreamConnectionError: An event is too long.
         """
-        course = self._course
-        splitter = server_sent_events.EventSplitter(course.last_event_id)
+        lifecycle = self._lifecycle
+        splitter = server_sent_events.EventSplitter(lifecycle.last_event_id)
         while data := await self._wait_for(connection, connection.read_body):
             try:
-                whole = splitter.feed(data)
+                complete = splitter.feed(data)
             except server_sent_events.EventTooLargeError as error:
                 raise upstream_connections.UpstreamConnectionError(
                     str(error), closed_by_upstream=False
                 ) from error
-            if not whole:
+            if not complete:
                 continue
-            if server_sent_events.has_data(whole):
-                course.record_bytes(time.monotonic())
-            if not course.delivering:
+            if server_sent_events.has_data(complete):
+                lifecycle.record_bytes(time.monotonic())
+            if not lifecycle.delivering:
                 await self._write_head(head, None)
-            course.last_event_id = splitter.last_event_id
-            await self._connection.write_body(whole)
-        if not course.delivering:
+            lifecycle.last_event_id = splitter.last_event_id
+            await self._connection.write_body(complete)
+        if not lifecycle.delivering:
             await self._write_head(head, None)
         if splitter.incomplete_event:
             await self._connection.write_body(splitter.incomplete_event)
@@ -276,8 +283,8 @@
     async def _write_head(
         self, head: upstream_connections.ResponseHead, length: int | None
     ) -> None:
-        """Writes the head of the answer, which is that of its first run."""
-        self._course.delivering = True
+        """Writes the response head; later attempts continue its body."""
+        self._lifecycle.delivering = True
         self._record.record_first_byte(time.monotonic(), head.status)
         headers = [
             pair
@@ -291,23 +298,23 @@
     async def _read_body(
         self, connection: upstream_connections.UpstreamConnection
     ) -> bytes:
-        """Waits for more of a body that is passed on as it is.
+        """Reads more of a body that is relayed unchanged.
 
         Raises:
-            AttemptAbandonedError: The attempt has ended for another step.
+            AttemptAbandonedError: Another step replaces the attempt.
         """
         data = await self._wait_for(connection, connection.read_body)
-        self._course.record_bytes(time.monotonic())
+        self._lifecycle.record_bytes(time.monotonic())
         return data
 
     async def _skip_body(
         self, connection: upstream_connections.UpstreamConnection
     ) -> None:
-        """Reads the body of a refusal, which is short, to its end."""
+        """Reads the short body of a rejection to its end."""
         try:
             async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
                 while await connection.read_body():
                     pass
         except (TimeoutError, upstream_connections.UpstreamConnectionError):
-            # The connection is closed; the refusal stands all the same.
+            # The connection is closed later; the rejection remains valid.
             return
--- a/sycamorehollow/shells/gateway/server_sent_events.py
+++ b/sycamorehollow/shells/gateway/server_sent_events.py
@@ -1,8 +1,8 @@
-"""Splits a stream of server-sent events at the ends of events."""
+"""Splits a stream of server-sent events at event boundaries."""
 
 import re
 
-# Bytes of one event; an engine's events hold some tokens.
+# Limit of one event. Events of engines hold a few tokens, far less than this.
 MAX_EVENT_BYTES = 256 * 1024
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
@@ -10,14 +10,14 @@
 
 
 class EventTooLargeError(Exception):
-    """An event has no end."""
+    """Raised when an event exceeds `MAX_EVENT_BYTES` without an end."""
 
 
 class EventSplitter:
-    """Holds back the bytes of an event that has not ended.
+    """Buffers the bytes of an incomplete event.
 
     Attributes:
-        last_event_id: Identity of the last event that was let through.
+        last_event_id: Identifier of the last complete event.
     """
 
     def __init__(self, last_event_id: str = ""):
@@ -26,14 +26,14 @@
 
     @property
     def incomplete_event(self) -> bytes:
-        """Bytes of an event that has not ended."""
+        """Bytes of the event that is still incomplete."""
         return self._incomplete_event
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the whole events up to the present.
+        """Adds bytes and returns the events that they complete.
 
         Raises:
-            EventTooLargeError: The present event is too long.
+            EventTooLargeError: The incomplete event is too long.
         """
         self._incomplete_event += data
         end = 0
@@ -45,19 +45,19 @@
             )
         if not end:
             return b""
-        whole, self._incomplete_event = (
+        complete, self._incomplete_event = (
             self._incomplete_event[:end],
             self._incomplete_event[end:],
         )
-        for match in _ID.finditer(whole):
+        for match in _ID.finditer(complete):
             self.last_event_id = match[1].decode("latin-1")
-        return whole
+        return complete
 
     def discard_incomplete_event(self) -> None:
-        """Forgets the event that was cut off."""
+        """Discards the event that was cut off."""
         self._incomplete_event = b""
 
 
 def has_data(events: bytes) -> bool:
-    """Tells whether events carry data, unlike comments that fill a pause."""
+    """Tells whether events carry data; keep-alive comments do not."""
     return _DATA.search(events) is not None
--- a/sycamorehollow/shells/gateway/store_codec.py
+++ b/sycamorehollow/shells/gateway/store_codec.py
@@ -1,4 +1,4 @@
-"""How the values of the store are read and written."""
+"""Interface of the codec for entries of the platform's store."""
 
 import abc
 from collections.abc import Sequence
@@ -12,25 +12,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class KeyValue:
-    """A key and the value to write."""
+    """A key and the value to write to it."""
 
     key: str
     value: str
 
 
 class StoreCodec(abc.ABC):
-    """Translates entries of the store into news, and news into entries."""
+    """Converts between entries of the store and events of the router."""
 
     @abc.abstractmethod
     def decode(self, entry: mirror.Entry) -> Sequence[events.Event]:
-        """Returns the news in an entry."""
+        """Returns the updates that an entry contains."""
 
     @abc.abstractmethod
     def encode_status(
         self, service: str, target: str, state: forwarding.RolloutState
     ) -> KeyValue:
-        """Returns the entry that states how far a roll-out has come."""
+        """Returns the entry with the status of a roll-out."""
 
     @abc.abstractmethod
     def encode_node(self, name: str, node: watchers.Node) -> KeyValue:
-        """Returns the entry by which a node registers itself."""
+        """Returns the entry with which a node registers itself."""
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -9,7 +9,7 @@
 import loguru
 import prometheus_client
 
-from sycamorehollow.decisions.forwarding import request_lifecycle as courses
+from sycamorehollow.decisions.forwarding import request_lifecycle
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
@@ -132,7 +132,9 @@
         loguru.logger.opt(exception=error).error("fault in {}", subject)
 
     def record_request(
-        self, record: RequestRecord, course: courses.RequestLifecycle | None
+        self,
+        record: RequestRecord,
+        lifecycle: request_lifecycle.RequestLifecycle | None,
     ) -> None:
         """A request has ended."""
         total_s = time.monotonic() - record.started_at
@@ -140,14 +142,14 @@
         self._requests.labels(record.service, outcome).inc()
         self._response_s.labels(record.service).observe(total_s)
         tried = ""
-        if course is not None:
-            self._attempts.labels(record.service).inc(len(course.attempts))
+        if lifecycle is not None:
+            self._attempts.labels(record.service).inc(len(lifecycle.attempts))
             tried = "; ".join(
                 f"{attempt.state.upstream.identity}"
                 f"@{attempt.state.upstream.version}"
                 f" {attempt.model} +{attempt.sent_at - record.started_at:.3f}"
                 f" {_describe(attempt, record.started_at)}"
-                for attempt in course.attempts
+                for attempt in lifecycle.attempts
             )
         first = ""
         if record.first_byte_s is not None:
--- a/tests/test_gateway_dropped.py
+++ b/tests/test_gateway_dropped.py
@@ -86,7 +86,7 @@
             self.assertEqual(answer.status, 200)
             self.assertIn(b"id: 4\n", answer.data)
         self.assertEqual(self.world.count_runs(), 12)
-        self.assertIn("had dropped a kept connection", self.node.read_log())
+        self.assertIn("had closed an idle connection", self.node.read_log())
         self.assertNotIn("(upstream +", self.node.read_log())
 
     def _count_reloads(self):
@@ -106,4 +106,4 @@
         processes.wait_for(lambda: self._count_reloads() > before)
         statuses = [answer.status for answer in self._stream_all(12)]
         self.assertIn(502, statuses)
-        self.assertNotIn("sent once more", self.node.read_log())
+        self.assertNotIn("request resent", self.node.read_log())
