Reword the comments on placement, quarantine and retry budgets

Comments and doc comments of the directory of upstreams, failover, placement, prefix index, quarantine, retry budget and router say in plain terms what the code does and why; reasons and numbers are kept. Some local names follow.

Checked: lint is clean; test_forwarding_course, _give_up, _placement, _poison and _state pass.

--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -1,8 +1,9 @@
-"""The upstreams that may be used now.
+"""Directory of upstreams and their observed state.
 
-An upstream's entry in the store may lapse while the store is away although
-the upstream lives. Such a deletion counts only once the entry had time to come
-back. Broken connections keep an upstream out for a moment, longer each time.
+While the store is unavailable, the entry of a live upstream may expire. After
+an outage a deletion therefore takes effect only once the entry has had time to
+be written again. Connection failures exclude an upstream with exponential
+backoff.
 """
 
 from collections.abc import Iterable
@@ -10,40 +11,42 @@
 
 from sycamorehollow.model import forwarding
 
-# Time in which the platform brings back the entries of live upstreams.
+# Time in which the platform restores the entries of live upstreams.
 REREGISTRATION_S = 2.0
 INITIAL_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 2.0
-# Time in seconds in which a full upstream ends a request or two; until then it
-# would only refuse more, and each refusal counts as a repeat.
+# Time in which a full upstream finishes a request or two. Until then it would
+# only refuse more, and each refusal counts as a retry.
 FULL_BACKOFF_S = 0.05
-# Weight of the newest outcome in the rate of failed answers.
+# Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.1
 
 
 @dataclasses.dataclass
 class UpstreamState:
-    """An upstream and what this process has seen of it.
+    """An upstream and its state as observed by this process.
 
     Attributes:
         upstream: Its latest entry.
         updated_at: When the entry was last changed.
-        first_seen_at: When its run was first heard of.
+        first_seen_at: When this incarnation was first seen.
         cold_until: Until when it counts as cold.
         expires_at: When it stops being used; `None` while it is registered.
-        backoff_until: Until when broken connections keep it out.
-        full_until: Until when a refusal for want of room keeps it out.
-        connection_failures: Broken connections in a row.
+        backoff_until: Until when connection failures exclude it.
+        full_until: Until when a refusal for lack of capacity excludes it.
+        connection_failures: Consecutive connection failures.
         last_byte_at: When it last sent a byte.
-        probed_at: When a check of whether it can be reached was started.
-        unreachable_at: When such a check last failed.
+        probed_at: When the latest reachability probe was started.
+        unreachable_at: When such a probe last failed.
         latest_served_sent_at: Send time of the newest request that it has
-            begun to answer.
-        failure_rate: Share of failed answers, recent ones weigh more.
-        load: What it last said of its load, and when.
-        running: Own requests at it.
-        backlog_s: Expected seconds until it has begun to answer all own
-            requests that wait for that.
+            started to respond to.
+        failure_rate: Moving average of failed attempts.
+        load: Load that it last reported.
+        load_at: When it reported that load.
+        running_at_load: Value of `running` at that time.
+        running: Requests of this node that it is running.
+        backlog_s: Expected seconds until it has started to respond to all
+            waiting requests of this node.
     """
 
     upstream: forwarding.Upstream
@@ -66,28 +69,28 @@
     backlog_s: float = 0.0
 
     def is_cold(self, now: float) -> bool:
-        """Tells whether it has to be spared."""
+        """Returns whether the limits for cold upstreams apply."""
         return now < self.cold_until
 
     def is_full(self, now: float) -> bool:
-        """Tells whether it has just refused a request for want of room."""
+        """Returns whether it has just refused a request as full."""
         return now < self.full_until
 
     def is_unreachable(self) -> bool:
-        """Tells whether it could not be reached since it was last heard."""
+        """Returns whether a probe has failed since its last byte."""
         return self.unreachable_at > self.last_byte_at
 
     def is_backing_off(self, now: float) -> bool:
-        """Tells whether broken connections keep it out."""
+        """Returns whether connection failures exclude it."""
         return now < self.backoff_until
 
 
 class Directory:
-    """Upstreams by identity, with evacuated data centres.
+    """Upstreams by identity, and evacuated data centres.
 
     Args:
-        reregistration_s: Seconds that a lapsed entry has to come back after an
-            outage of the store.
+        reregistration_s: Seconds that an expired entry has to be restored
+            after an outage of the store.
     """
 
     def __init__(self, reregistration_s: float = REREGISTRATION_S) -> None:
@@ -97,17 +100,17 @@
         self._store_recovered_at = float("-inf")
 
     def set_evacuated(self, data_centres: Iterable[str]) -> None:
-        """Replaces the data centres that get no requests."""
+        """Sets the data centres that get no requests."""
         self._evacuated = set(data_centres)
 
     def record_store_recovery(self, now: float) -> None:
-        """The store answers again after it could not be reached."""
+        """Records that the store is reachable again after an outage."""
         self._store_recovered_at = max(self._store_recovered_at, now)
 
     def register(
         self, upstream: forwarding.Upstream, now: float
     ) -> UpstreamState:
-        """Takes an upstream's entry."""
+        """Adds or updates an upstream from its entry."""
         state = self._states.get(upstream.identity)
         if state is None or state.upstream.incarnation != upstream.incarnation:
             state = UpstreamState(upstream, now, now)
@@ -123,10 +126,10 @@
         return state
 
     def remove(self, identity: str, now: float) -> float | None:
-        """Takes the deletion of an upstream's entry.
+        """Marks an upstream whose entry was deleted.
 
         Returns:
-            When it stops being used, or `None` if it is not known.
+            When it stops being used, or `None` if it is unknown.
         """
         state = self._states.get(identity)
         if state is None:
@@ -137,11 +140,11 @@
         return state.expires_at
 
     def get(self, identity: str) -> UpstreamState | None:
-        """Returns what is known of an upstream."""
+        """Returns the state of an upstream, or `None` if it is unknown."""
         return self._states.get(identity)
 
     def list_all(self) -> list[UpstreamState]:
-        """Returns every upstream that is still known."""
+        """Returns all known upstreams."""
         return list(self._states.values())
 
     def list_usable(self, service: str, now: float) -> list[UpstreamState]:
@@ -161,14 +164,14 @@
     def choose_reference(
         self, silent: UpstreamState, since_s: float, now: float
     ) -> UpstreamState | None:
-        """Returns another upstream that tells whether this node is cut off.
+        """Returns another upstream to probe, to detect an isolated node.
 
-        `None` if one was heard while the silent one could not be reached, or
-        there is no other.
+        `None` if there is no other, or if another one sent a byte recently,
+        which shows that this node is not isolated.
 
         Args:
             silent: The upstream that could not be reached.
-            since_s: Seconds of silence in which another one was heard.
+            since_s: Seconds within which a byte counts as recent.
             now: Monotonic time in seconds.
         """
         others = [
@@ -182,30 +185,30 @@
         return latest if now - latest.last_byte_at >= since_s else None
 
     def evict_expired(self, now: float) -> list[str]:
-        """Forgets upstreams that are gone and idle; returns them."""
-        gone = [
+        """Removes expired idle upstreams and returns their identities."""
+        expired = [
             identity
             for identity, state in self._states.items()
             if state.expires_at is not None
             and now >= state.expires_at
             and state.running <= 0
         ]
-        for identity in gone:
+        for identity in expired:
             del self._states[identity]
-        return gone
+        return expired
 
 
 def record_connection_failure(state: UpstreamState, now: float) -> None:
-    """A connection to an upstream could not be made or broke."""
+    """Records a failed or broken connection and extends the backoff."""
     state.connection_failures += 1
-    pause = INITIAL_BACKOFF_S * 2 ** min(state.connection_failures - 1, 8)
+    backoff_s = INITIAL_BACKOFF_S * 2 ** min(state.connection_failures - 1, 8)
     state.backoff_until = max(
-        state.backoff_until, now + min(pause, MAX_BACKOFF_S)
+        state.backoff_until, now + min(backoff_s, MAX_BACKOFF_S)
     )
 
 
 def record_unreachable(state: UpstreamState, now: float) -> None:
-    """An upstream that was silent could not be reached."""
+    """Records that the probe of a silent upstream has failed."""
     state.unreachable_at = now
     record_connection_failure(state, now)
 
@@ -213,7 +216,7 @@
 def record_response(
     state: UpstreamState, head: forwarding.DecodedHead, failed: bool, now: float
 ) -> None:
-    """An upstream has answered."""
+    """Updates the state of an upstream from the head of a response."""
     state.connection_failures = 0
     state.backoff_until = 0.0
     state.last_byte_at = now
@@ -230,7 +233,7 @@
 
 
 def record_outcome(state: UpstreamState, failed: bool) -> None:
-    """An attempt ended, with an answer or without."""
+    """Adds the outcome of an attempt to the failure rate."""
     change = float(failed) - state.failure_rate
     state.failure_rate += FAILURE_WEIGHT * change
 
--- a/sycamorehollow/decisions/forwarding/failover.py
+++ b/sycamorehollow/decisions/forwarding/failover.py
@@ -1,4 +1,4 @@
-"""Where a request would go on if its present attempt ended."""
+"""Failover of one request to another upstream."""
 
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import candidates
@@ -10,17 +10,17 @@
 
 
 class Failover:
-    """Asks for every condition of one more attempt of a request.
+    """Checks all conditions of one more attempt of a request.
 
     Args:
-        router: What the node knows.
-        limits: What the request may still try.
-        upstreams: Where its next attempt may run.
-        fingerprint: Identifies its content.
+        router: State of the deployment.
+        limits: Limits on the attempts of the request.
+        upstreams: Candidates for the next attempt.
+        fingerprint: Digest of the request's content.
 
     Attributes:
-        resumable: Whether another attempt could go on with the answer of which
-            the caller has a part; only streams can.
+        resumable: Whether another attempt could continue a response that was
+            delivered in part; only streams can be continued.
     """
 
     def __init__(
@@ -38,11 +38,11 @@
 
     @property
     def is_possible(self) -> bool:
-        """Whether the rules of the route allow one more attempt."""
+        """Whether the response and the route allow one more attempt."""
         return self.resumable and not self._limits.find_permanent_limit()
 
     def find_permanent_limit(self, now: float) -> str:
-        """Returns why no other attempt will ever be made, if so."""
+        """Returns why no further attempt is ever allowed, or an empty text."""
         if not self.resumable:
             return "an answer that is no stream broke off midway"
         if self._router.quarantine.is_quarantined(self._fingerprint, now):
@@ -50,7 +50,7 @@
         return self._limits.find_permanent_limit()
 
     def find_any_limit(self, now: float) -> str:
-        """Returns why no other attempt would be made now, if so."""
+        """Returns why no further attempt is allowed now, or an empty text."""
         return self.find_permanent_limit(
             now
         ) or self._limits.find_temporary_limit(now)
@@ -58,16 +58,16 @@
     def choose(
         self, attempt: steps.Attempt, left_s: float, now: float
     ) -> placement.Choice:
-        """Returns where the request would go on, or why nowhere.
+        """Returns the upstream to fail over to, or why there is none.
 
         Args:
             attempt: The attempt that would end.
             left_s: Seconds to the deadline.
             now: Monotonic time in seconds.
         """
-        barrier = self.find_any_limit(now)
-        if barrier:
-            return placement.Choice(None, barrier, 0)
+        limit = self.find_any_limit(now)
+        if limit:
+            return placement.Choice(None, limit, 0)
         current = attempt.state.upstream.identity
         choice = self._candidates.choose_alternative(current, now)
         if choice.expected_s >= left_s:
@@ -77,7 +77,10 @@
     def choose_reachable(
         self, attempt: steps.Attempt, left_s: float, now: float
     ) -> placement.Choice:
-        """As `choose`, but no upstream that is worse off than a silent one."""
+        """As `choose`, but rejects upstreams that are known to be unreachable.
+
+        They are accepted if the current upstream is unreachable as well.
+        """
         choice = self.choose(attempt, left_s, now)
         other = choice.state
         if other is None or attempt.state.is_unreachable():
--- a/sycamorehollow/decisions/forwarding/failure_counts.py
+++ b/sycamorehollow/decisions/forwarding/failure_counts.py
@@ -1,22 +1,22 @@
-"""Counts of failed answers of two versions, and a test on them."""
+"""Counts of failed responses of two versions, and a likelihood ratio test."""
 
 import dataclasses
 import math
 
-# Rise of the failure rate that is to be found.
+# Increase of the failure rate that the test is to detect.
 DETECTED_INCREASE = 0.2
-# Failure rate of the version in service that is assumed at least.
+# Lower bound of the failure rate that is assumed for the version in service.
 MIN_RATE = 0.02
-# Log likelihood ratio at which a version counts as worse: one false alarm in
-# about a hundred roll-outs.
+# Log likelihood ratio above which a version counts as worse; gives about one
+# false alarm in a hundred roll-outs.
 WORSE_LOG_RATIO = math.log(100)
-# Failed answers of the new version below which it is never called worse.
+# Failed responses of the new version needed before it can count as worse.
 MIN_FAILED = 3
 
 
 @dataclasses.dataclass(frozen=True)
 class Tally:
-    """Answers of both versions of a service."""
+    """Counts of responses of both versions of a service."""
 
     new: int = 0
     new_failed: int = 0
@@ -43,7 +43,11 @@
 
 
 def compute_log_likelihood_ratio(tally: Tally) -> float:
-    """Returns the log likelihood ratio of a worse new version."""
+    """Returns the log likelihood ratio of a higher failure rate.
+
+    Compares a new version whose failure rate is higher by `DETECTED_INCREASE`
+    with one that fails as often as the version in service.
+    """
     rate = max(MIN_RATE, (tally.old_failed + 0.5) / (tally.old + 1))
     rate = min(rate, 1 - DETECTED_INCREASE - 0.01)
     passed = tally.new - tally.new_failed
@@ -53,7 +57,7 @@
 
 
 def is_worse(tally: Tally) -> bool:
-    """Tells whether the new version fails more often."""
+    """Returns whether the new version is proven to fail more often."""
     return (
         tally.new_failed >= MIN_FAILED
         and compute_log_likelihood_ratio(tally) > WORSE_LOG_RATIO
--- a/sycamorehollow/decisions/forwarding/mirror.py
+++ b/sycamorehollow/decisions/forwarding/mirror.py
@@ -1,20 +1,21 @@
-"""A copy of the store's values that processes hand on to each other.
+"""Local mirror of the store's values that nodes replicate to each other.
 
-The store numbers all changes with one counter. So what one process knows and
-another lacks is what changed after the other's number, whoever they both got
-it from, and a copy never goes back.
+The store numbers all changes with a single revision counter. Therefore what
+one node has and another lacks is exactly what changed after the other's
+revision, regardless of where both got their data, and a mirror never goes back
+to an earlier revision.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
-# A process that was away for longer gets a whole copy.
+# Deletions to keep. A node that lags further behind gets a snapshot.
 MAX_DELETIONS = 2000
 
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """The last known state of a key; `value` is `None` once it is deleted."""
+    """The latest known value of a key; `None` for a deleted one."""
 
     key: str
     value: str | None
@@ -23,11 +24,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Delta:
-    """What a process lacks.
+    """Changes that another node lacks.
 
     Attributes:
-        revision: Revision of the store that the receiver then has.
-        whole: Whether keys that are missing here have no value.
+        revision: Store revision of the receiver after it applied the delta.
+        is_snapshot: Whether it holds all values, so that absent keys have none.
     """
 
     entries: tuple[Entry, ...]
@@ -36,17 +37,17 @@
 
 
 class Mirror:
-    """Values by key, with deletions kept for a while.
+    """Values by key and the latest deletions.
 
     Attributes:
-        revision: Every change up to this revision is known; 0 at the start.
+        revision: All changes up to this revision are known; 0 at the start.
     """
 
     def __init__(self) -> None:
         self.revision = 0
         self._entries: dict[str, Entry] = {}
         self._deleted: dict[str, Entry] = {}
-        # Deletions up to this revision may be forgotten.
+        # Deletions up to this revision may have been evicted.
         self._deletion_floor = 0
 
     def list_values(self) -> list[Entry]:
@@ -59,24 +60,25 @@
         return entry.revision if entry is not None else 0
 
     def apply(self, entries: Iterable[Entry], revision: int) -> list[Entry]:
-        """Takes changes that follow on the present revision.
+        """Applies changes that follow the current revision.
 
         Returns:
-            The entries that are news, in the order of their revisions. Of
-            several changes of a key only the last one is reported, since a
-            storm of large values would take longer to read than it lasts.
+            The entries that changed something, ordered by revision. Only the
+            last change of each key is returned, because decoding every value
+            of a burst of large changes would take longer than the burst.
         """
-        news = {e.key: e for e in entries if self._apply_entry(e)}
+        changed = {e.key: e for e in entries if self._apply_entry(e)}
         self.revision = max(self.revision, revision)
-        return sorted(news.values(), key=lambda entry: entry.revision)
+        return sorted(changed.values(), key=lambda entry: entry.revision)
 
     def replace(self, entries: Iterable[Entry], revision: int) -> list[Entry]:
-        """Takes the complete values at a revision.
+        """Applies a snapshot of all values at a revision.
 
-        A copy that is older than the present one changes nothing.
+        A snapshot older than the mirror changes nothing.
 
         Returns:
-            The entries that are news; deletions have the given revision.
+            The entries that changed something; deletions have the revision of
+            the snapshot.
         """
         if revision < self.revision:
             return []
@@ -91,7 +93,7 @@
         return self.apply([*gone, *found.values()], revision)
 
     def build_delta(self, since: int) -> Delta | None:
-        """Returns what a process at revision `since` lacks, if anything."""
+        """Returns the changes after revision `since`, or `None`."""
         if since >= self.revision:
             return None
         whole = since < self._deletion_floor
@@ -102,7 +104,7 @@
         return Delta(tuple(known), self.revision, whole)
 
     def merge(self, delta: Delta) -> list[Entry]:
-        """Takes what another process handed on and returns the news."""
+        """Applies another node's delta and returns the changed entries."""
         if delta.revision <= self.revision:
             return []
         if delta.is_snapshot:
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -1,9 +1,9 @@
-"""Choice of the upstream for one attempt.
+"""Selection of the upstream for one attempt.
 
-Answers uneven load: slow and failing upstreams, long prompts, shared prompt
-parts with one hot key, cold upstreams and full ones. The choice is the lowest
-expected time to the first byte, with the prompt tokens that have to be read
-and what the upstream says of its load.
+Balances load over slow, failing, cold and full upstreams, long prompts and
+shared prompt prefixes of which one may be hot. Selects the lowest expected time
+to the first byte, which includes the uncached prompt tokens and the load that
+the upstream reports.
 """
 
 from collections.abc import Collection
@@ -16,45 +16,46 @@
 from sycamorehollow.decisions.forwarding import prefix_index
 from sycamorehollow.model import forwarding
 
-# Start of the estimate of reading speed, before answers correct it.
+# Initial estimate of the prefill speed, which responses correct.
 PREFILL_TOKENS_PER_S = 100_000.0
-# Start of the estimate of the time to an answer.
+# Initial estimate of the time to the first byte without prompt tokens.
 IDLE_FIRST_BYTE_S = 0.05
-# Weight of the newest answer in the estimates.
+# Weight of the newest response in the moving averages.
 LATENCY_WEIGHT = 0.15
-# Age in seconds at which what an upstream said of others' load counts half.
+# Half-life of the load of other nodes that an upstream reports.
 LOAD_HALF_LIFE_S = 1.5
-# Age in seconds at which an estimate of a pace counts half, so that an
-# upstream that was slow is tried again.
+# Half-life of an upstream's latency estimate, so that an upstream that was slow
+# is tried again.
 LATENCY_HALF_LIFE_S = 4.0
-# Reading a shared part again also evicts another one.
+# A cache miss costs double, since the prefill also evicts another prefix.
 CACHE_MISS_WEIGHT = 2.0
-# Seconds that a way to another data centre is worth, and each byte on it.
+# Cost of sending a request to another data centre, and of each of its bytes.
 CROSS_DATA_CENTRE_S = 0.004
 CROSS_DATA_CENTRE_S_PER_BYTE = 5e-6
-# Prompts are read one after the other, between the steps of running requests.
+# Weight of the backlog; prompts are processed one after the other, in between
+# the steps of running requests.
 BACKLOG_WEIGHT = 0.8
-# Share by which equally good upstreams are mixed.
+# Random increase of a cost, which spreads load over equally good upstreams.
 JITTER = 0.1
-# A failed answer costs a second attempt.
+# Weight of the failure rate; a failed attempt costs a retry.
 FAILURE_COST = 6.0
-# Seconds that are lost when an upstream still cannot be reached, for each
-# connection in a row that broke.
+# Cost of each consecutive connection failure: the time that is lost if the
+# upstream is still unreachable.
 CONNECTION_FAILURE_S = 0.2
 MAX_CONNECTION_FAILURES = 3
-# Load above which the first choice for a prompt part is not waited for.
+# Load from which prefix affinity is ignored.
 MAX_AFFINITY_LOAD = 0.75
 
 
 @dataclasses.dataclass(frozen=True)
 class Requirements:
-    """What an attempt needs.
+    """Requirements of an attempt.
 
     Attributes:
         body_bytes: Length of the request's body.
-        model: Model that runs; empty for a plain service.
-        versions: Versions that may run it; `None` for all.
-        excluded: Upstreams that have had it already.
+        model: Requested model; empty for a plain service.
+        versions: Allowed versions; `None` for all.
+        excluded: Identities of upstreams that must not be selected.
     """
 
     request: forwarding.Request
@@ -66,20 +67,20 @@
 
     @property
     def queue_key(self) -> tuple[str, str, frozenset[str]]:
-        """What it has in common with others for the same upstreams."""
+        """Equal for all requests that can use the same upstreams."""
         return (self.service.name, self.model, frozenset(self.versions or ()))
 
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """The chosen upstream, or why there is none.
+    """The selected upstream, or why there is none.
 
     Attributes:
-        state: `None` if no upstream may get the attempt now.
-        reason: What decided, for the log.
-        known: Upstreams that could serve it if they had room.
-        free: Those of them that have room.
-        expected_s: Expected time to the first byte in seconds.
+        state: The upstream; `None` if none may get the attempt now.
+        reason: Reason of the choice, for the log.
+        eligible: Number of upstreams that meet the requirements.
+        available: Number of those that have capacity.
+        expected_s: Expected time to the first byte.
     """
 
     state: directory.UpstreamState | None
@@ -94,17 +95,17 @@
 
     def __init__(self) -> None:
         self._factors: dict[tuple[str, str], tuple[float, float]] = {}
-        self._usual: dict[str, float] = {}
+        self._averages: dict[str, float] = {}
 
     def record(
         self, identity: str, model: str, tokens: int, took_s: float, now: float
     ) -> None:
-        """An attempt that read `tokens` has sent its first byte."""
+        """Records the time to the first byte after a prefill of `tokens`."""
         factor = took_s / estimate_idle_first_byte_s(tokens)
-        usual = self._usual.get(model, factor)
-        self._usual[model] = usual + LATENCY_WEIGHT * (factor - usual)
-        known = self._factors.get((identity, model), (usual, now))[0]
-        # A stalled answer tells little about the next one.
+        average = self._averages.get(model, factor)
+        self._averages[model] = average + LATENCY_WEIGHT * (factor - average)
+        known = self._factors.get((identity, model), (average, now))[0]
+        # Caps outliers: a stalled response says little about the next one.
         factor = min(factor, known * 4 + 1)
         new = known + LATENCY_WEIGHT * 2 * (factor - known)
         self._factors[identity, model] = (new, now)
@@ -113,28 +114,28 @@
         self, identity: str, model: str, tokens: int, now: float
     ) -> float:
         """Returns the expected seconds to the first byte."""
-        usual = self._usual.get(model, 1.0)
-        factor, at = self._factors.get((identity, model), (usual, now))
+        average = self._averages.get(model, 1.0)
+        factor, at = self._factors.get((identity, model), (average, now))
         weight = 0.5 ** ((now - at) / LATENCY_HALF_LIFE_S)
         return estimate_idle_first_byte_s(tokens) * (
-            usual + (factor - usual) * weight
+            average + (factor - average) * weight
         )
 
     def remove_upstream(self, identity: str) -> None:
-        """An upstream is gone or has started again."""
+        """Drops the estimates of an upstream that is gone or restarted."""
         for key in [key for key in self._factors if key[0] == identity]:
             del self._factors[key]
 
 
 class Placement:
-    """Chooses upstreams.
+    """Selects upstreams.
 
     Args:
         data_centre: Data centre of this process.
-        known: The upstreams.
-        limits: Limits at cold upstreams.
-        cache: What upstreams have read.
-        source: Source of randomness.
+        upstreams: The upstreams.
+        limiter: Rate limits for cold upstreams.
+        prefixes: Index of the prompt prefixes that upstreams have cached.
+        rng: Random number generator.
     """
 
     def __init__(
@@ -157,38 +158,40 @@
         candidates = self._list_candidates(requirements, now)
         if not candidates:
             return Choice(None, "no upstream is registered", 0)
-        open_ones = [
+        available = [
             s for s in candidates if self._has_capacity(s, requirements, now)
         ]
-        if not open_ones:
+        if not available:
             return Choice(None, "all upstreams are full", len(candidates))
-        # A blocked upstream may be back; it is better than none.
-        sound = [s for s in open_ones if not s.is_backing_off(now)] or open_ones
-        home = self._find_preferred(sound, requirements)
+        # An upstream in backoff may be back; it is better than none.
+        reachable = [
+            s for s in available if not s.is_backing_off(now)
+        ] or available
+        preferred = self._find_preferred(reachable, requirements)
         costs: Mapping[str, float] = {
             state.upstream.identity: self._compute_cost(
-                state, requirements, home, now
+                state, requirements, preferred, now
             )
-            for state in sound
+            for state in reachable
         }
-        best = min(sound, key=lambda state: costs[state.upstream.identity])
+        best = min(reachable, key=lambda state: costs[state.upstream.identity])
         expected_s = costs[best.upstream.identity]
         return Choice(
             best,
-            f"lowest of {len(sound)} at {expected_s * 1000:.0f} ms",
+            f"lowest of {len(reachable)} at {expected_s * 1000:.0f} ms",
             len(candidates),
-            len(open_ones),
+            len(available),
             expected_s,
         )
 
     def estimate_occupancy(self, service: str, now: float) -> float:
-        """Returns the mean share of a service's places that are taken."""
+        """Returns the share of a service's slots that are in use."""
         usable = self._directory.list_usable(service, now)
         if not usable:
             return 1.0
-        taken = sum(estimate_running(state, now) for state in usable)
-        places = sum(max(1, state.upstream.slots) for state in usable)
-        return taken / places
+        running = sum(estimate_running(state, now) for state in usable)
+        slots = sum(max(1, state.upstream.slots) for state in usable)
+        return running / slots
 
     def _list_candidates(
         self, requirements: Requirements, now: float
@@ -224,7 +227,7 @@
     def _find_preferred(
         self, states: list[directory.UpstreamState], requirements: Requirements
     ) -> str | None:
-        """Returns the first choice for the shared part of the prompt."""
+        """Returns the preferred upstream for the shared prompt prefix."""
         parts = requirements.request.prompt_parts
         if len(parts) < 2:
             return None
@@ -247,19 +250,21 @@
     ) -> float:
         """Returns the expected cost of an attempt in seconds."""
         identity = state.upstream.identity
-        call = requirements.request
-        kept = self._prefixes.count_cached_tokens(
-            identity, requirements.model, call.prompt_parts, now
+        request = requirements.request
+        cached = self._prefixes.count_cached_tokens(
+            identity, requirements.model, request.prompt_parts, now
         )
-        taken = estimate_running(state, now) / max(1, state.upstream.slots)
-        if identity == preferred and taken < MAX_AFFINITY_LOAD:
-            shared = sum(part.tokens for part in call.prompt_parts[:-1])
-            kept = max(kept, shared)
-        missing = max(0, call.prompt_tokens - kept)
-        cost = self.latency.estimate(identity, requirements.model, missing, now)
-        cost += CACHE_MISS_WEIGHT * missing / PREFILL_TOKENS_PER_S
+        load = estimate_running(state, now) / max(1, state.upstream.slots)
+        if identity == preferred and load < MAX_AFFINITY_LOAD:
+            shared = sum(part.tokens for part in request.prompt_parts[:-1])
+            cached = max(cached, shared)
+        uncached = max(0, request.prompt_tokens - cached)
+        cost = self.latency.estimate(
+            identity, requirements.model, uncached, now
+        )
+        cost += CACHE_MISS_WEIGHT * uncached / PREFILL_TOKENS_PER_S
         cost += BACKLOG_WEIGHT * state.backlog_s
-        cost *= 1 + taken + 4 * max(0.0, taken - 0.8)
+        cost *= 1 + load + 4 * max(0.0, load - 0.8)
         cost *= 1 + FAILURE_COST * state.failure_rate
         cost *= 1 + JITTER * self._rng.random()
         cost += CONNECTION_FAILURE_S * min(
@@ -274,7 +279,7 @@
 
 
 def estimate_running(state: directory.UpstreamState, now: float) -> float:
-    """Returns how many requests are probably at an upstream."""
+    """Returns the estimated number of requests at an upstream."""
     if state.load is None:
         return float(state.running)
     others = state.load.running + state.load.waiting - state.running_at_load
@@ -283,5 +288,5 @@
 
 
 def estimate_idle_first_byte_s(tokens: int) -> float:
-    """Returns the first guess of the time to the first byte in seconds."""
+    """Returns the initial estimate of the time to the first byte."""
     return IDLE_FIRST_BYTE_S + tokens / PREFILL_TOKENS_PER_S
--- a/sycamorehollow/decisions/forwarding/prefix_index.py
+++ b/sycamorehollow/decisions/forwarding/prefix_index.py
@@ -1,7 +1,7 @@
-"""Which upstreams have read which parts of prompts.
+"""Index of the prompt prefixes that upstreams probably have cached.
 
-Answers requests that share long parts of their prompts: an upstream that has
-read a part for the same model does not read it again while it is in memory.
+Requests may share long prompt prefixes. An upstream that has processed a prefix
+for the same model need not process it again while its cache holds it.
 """
 
 import collections
@@ -10,15 +10,16 @@
 
 from sycamorehollow.model import forwarding
 
-# Parts that are remembered per upstream.
+# Prompt parts to keep per upstream.
 MAX_PARTS = 4000
 
 
 class PrefixIndex:
-    """What this process believes the upstreams have in memory.
+    """Tracks the cached prompt parts of each upstream.
 
     Args:
-        keep_s: Seconds for which a part counts as kept after its last use.
+        retention_s: Seconds after its last use for which a part is assumed to
+            be cached.
     """
 
     def __init__(self, retention_s: float):
@@ -34,7 +35,7 @@
         parts: Sequence[forwarding.PromptPart],
         now: float,
     ) -> None:
-        """A request with these parts runs at an upstream."""
+        """Records that an upstream processes a prompt with these parts."""
         known = self._parts.setdefault(identity, collections.OrderedDict())
         for part in parts:
             known[model, part.identity] = now
@@ -49,7 +50,7 @@
         parts: Sequence[forwarding.PromptPart],
         now: float,
     ) -> int:
-        """Returns the leading tokens that an upstream need not read again."""
+        """Returns the number of leading tokens that an upstream has cached."""
         known = self._parts.get(identity)
         if known is None:
             return 0
@@ -62,14 +63,15 @@
         return tokens
 
     def remove_upstream(self, identity: str) -> None:
-        """An upstream is gone or has started again."""
+        """Drops the entries of an upstream that is gone or restarted."""
         self._parts.pop(identity, None)
 
 
 def rank_by_hash(identities: Sequence[str], model: str, part: str) -> list[str]:
-    """Orders upstreams for a prompt part, alike at every node.
+    """Returns upstreams in the order of preference for a prompt part.
 
-    Rendezvous hashing: when an upstream leaves, only its parts move.
+    Uses rendezvous hashing: all nodes compute the same order, and when an
+    upstream leaves only its own parts move.
     """
     return sorted(
         identities,
--- a/sycamorehollow/decisions/forwarding/quarantine.py
+++ b/sycamorehollow/decisions/forwarding/quarantine.py
@@ -1,49 +1,50 @@
-"""Requests that crash the upstreams that run them.
+"""Quarantine of requests whose content crashes upstreams.
 
-A request that comes back with the same content after it broke connections at
-several upstreams is refused. Content that has run to its end, here or at
-another node, is not to blame: connections also break when upstreams crash or
-are cut off for other reasons, and much of a service's load may be of one kind.
+A request is rejected if requests with the same content broke the connections to
+several upstreams. Content that has run to completion, at this node or another,
+is cleared: connections also break when upstreams crash or become isolated for
+other reasons, and much of a service's load may have the same content.
 
-A connection also breaks when an upstream drops an idle one, has too many or
-leaves. So each break is checked: an upstream that still takes connections has
-not crashed. Until then the break counts here, but is not handed on.
+A connection also breaks when an upstream closes an idle one, has too many or
+shuts down. Each break is therefore checked: an upstream that still accepts
+connections has not crashed. Until the check the break counts at this node but
+is not sent to others.
 
-In a large fleet each repeat arrives at another node, which sees one break only.
-So every break is handed on, as a rumour: for a while after a node has learned
-of it. That reaches all nodes, and costs nothing once everyone has heard it.
+In a large fleet each retry arrives at another node, which sees a single break
+only. Nodes therefore gossip breaks: each node sends a break for a while after
+it has learned of it. This reaches all nodes and ends once all know.
 """
 
 import collections
 from collections.abc import Mapping
 import dataclasses
 
-# Upstreams that a request may break before it is refused; the platform's page
-# allows it to reach more of them only a few times after the third.
+# Connections to upstreams that a request may break before it is rejected. The
+# platform allows only few more runs after the third crash.
 MAX_BREAKS = 2
-# Time after which a request gets another chance, in seconds.
+# Age from which a break or a completion no longer counts.
 RETENTION_S = 60.0
 MAX_FINGERPRINTS = 2000
-# Time in seconds for which a node hands on what it has learned. Nodes exchange
-# news once a second or more often, so a rumour doubles in each second at least.
+# Time for which a node sends what it has learned. Nodes exchange at least once
+# per second, so the number of informed nodes at least doubles every second.
 GOSSIP_S = 6.0
-# Fingerprints in one message, the latest ones; about 8 KB.
+# Maximum number of fingerprints in one message, about 8 KB; the latest are
+# sent.
 MAX_EXPORTED = 100
-# Time in seconds from a break to its check. An upstream that crashes closes its
-# listening socket within milliseconds of its connections, and is back after
-# some seconds.
+# Delay from a break to its check. A crashing upstream closes its listening
+# socket within milliseconds of its connections and is back after some seconds.
 CHECK_AFTER_S = 0.05
-# Time in seconds after which a break that is not checked counts as a crash; a
-# check takes up to 0.55 s, with the period in which breaks are looked at.
+# Time after which an unchecked break counts as a crash. A check takes up to
+# 0.55 s, including the polling interval for breaks.
 CHECK_WITHIN_S = 0.6
 
 
 @dataclasses.dataclass
 class BreakRecord:
-    """Breaks under one fingerprint.
+    """Broken connections of requests with one fingerprint.
 
     Attributes:
-        breaks: When each upstream run broke.
+        breaks: Time of the break, by incarnation of the upstream.
         learned_at: When this node last learned of another break.
     """
 
@@ -51,7 +52,7 @@
     learned_at: float = float("-inf")
 
     def add(self, incarnation: str, at: float, now: float) -> bool:
-        """Takes a break that happened at `at`, unless it is known."""
+        """Adds a break that happened at `at`; returns whether it was new."""
         if incarnation in self.breaks:
             return False
         self.breaks[incarnation] = at
@@ -60,23 +61,23 @@
 
 
 class Quarantine:
-    """Counts broken upstreams by the fingerprint of a request."""
+    """Counts broken connections by fingerprint of the request."""
 
     def __init__(self) -> None:
         self._records: dict[str, BreakRecord] = {}
-        # When a fingerprint last ran to its end, the earliest first.
+        # Latest completion of each fingerprint, the least recent first.
         self._completed: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        # When a fingerprint that is sound was last found to be blamed.
+        # When a completed fingerprint was last found to be blamed elsewhere.
         self._disputed: dict[str, float] = {}
-        # Breaks seen here that are to be checked, by run and fingerprint.
+        # Unchecked breaks of this node, by incarnation and fingerprint.
         self._unchecked: dict[str, dict[str, float]] = {}
 
     def record_break(
         self, fingerprint: str, incarnation: str, now: float
     ) -> None:
-        """A request broke the connection to a run of an upstream."""
+        """Records that a request broke the connection to an upstream."""
         if self._has_completed(fingerprint, now):
             return
         breaks = self._unchecked.setdefault(incarnation, {})
@@ -86,25 +87,25 @@
             del self._unchecked[incarnation]
 
     def list_incarnations_to_check(self, now: float) -> list[str]:
-        """Returns the runs whose breaks are to be checked now."""
+        """Returns the incarnations whose breaks are due for a check."""
         return [
-            run
-            for run, breaks in self._unchecked.items()
+            incarnation
+            for incarnation, breaks in self._unchecked.items()
             if min(breaks.values()) <= now - CHECK_AFTER_S
         ]
 
     def record_check(
         self, incarnation: str, crashed: bool, since: float
     ) -> int:
-        """Keeps or drops the breaks of a run that was checked.
+        """Confirms or drops the breaks of an incarnation that was checked.
 
         Args:
             incarnation: The upstream's incarnation.
             crashed: Whether it has crashed.
-            since: When the check began; later breaks are checked again.
+            since: When the check began; later breaks need another check.
 
         Returns:
-            How many breaks were checked.
+            The number of breaks that were checked.
         """
         breaks = self._unchecked.pop(incarnation, {})
         until = since - CHECK_AFTER_S
@@ -126,7 +127,7 @@
             del self._records[fingerprint]
 
     def record_completion(self, fingerprint: str, now: float) -> None:
-        """A request has run to its end."""
+        """Clears the fingerprint of a request that ran to completion."""
         self._records.pop(fingerprint, None)
         known = self._completed.get(fingerprint, now)
         self._completed[fingerprint] = max(known, now)
@@ -135,7 +136,7 @@
             self._completed.popitem(last=False)
 
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
-        """Tells whether a request is not run any more."""
+        """Returns whether a request must be rejected."""
         record = self._records.get(fingerprint)
         if record is None:
             return False
@@ -143,19 +144,19 @@
         return len(recent) > MAX_BREAKS
 
     def export(self, now: float) -> dict[str, dict[str, float]]:
-        """Returns the breaks that are news, by fingerprint, with their ages."""
-        news = []
+        """Returns the ages of the breaks to gossip, by fingerprint."""
+        recent = []
         for fingerprint, record in self._records.items():
             if record.learned_at <= now - GOSSIP_S:
                 continue
             ages = {
-                run: round(now - at, 1)
-                for run, at in record.breaks.items()
-                if not self._awaits_check(fingerprint, run, now)
+                incarnation: round(now - at, 1)
+                for incarnation, at in record.breaks.items()
+                if not self._awaits_check(fingerprint, incarnation, now)
             }
             if ages:
-                news.append((record.learned_at, fingerprint, ages))
-        latest = sorted(news, key=lambda item: item[:2])[-MAX_EXPORTED:]
+                recent.append((record.learned_at, fingerprint, ages))
+        latest = sorted(recent, key=lambda item: item[:2])[-MAX_EXPORTED:]
         return {fingerprint: ages for _, fingerprint, ages in latest}
 
     def _awaits_check(
@@ -167,7 +168,7 @@
         return now - at < CHECK_WITHIN_S
 
     def export_completions(self, now: float) -> dict[str, float]:
-        """Returns what others blame although it is sound, with its age."""
+        """Returns the ages of completions that refute blame elsewhere."""
         for fingerprint, at in list(self._disputed.items()):
             if at <= now - GOSSIP_S:
                 del self._disputed[fingerprint]
@@ -179,29 +180,29 @@
         }
 
     def merge_completions(self, ages: Mapping[str, float], now: float) -> None:
-        """Takes what has run to its end at another node."""
+        """Merges completions at other nodes."""
         for fingerprint, age_s in ages.items():
             if fingerprint in self._records:
-                # It was blamed here, and so it may be by those who heard of it.
+                # Nodes that got the breaks from here may still blame it.
                 self._record_dispute(fingerprint, now)
             self.record_completion(fingerprint, now - age_s)
 
     def merge(
         self, records: Mapping[str, Mapping[str, float]], now: float
     ) -> None:
-        """Takes the breaks that another node knows."""
+        """Merges the breaks that another node knows."""
         for fingerprint, breaks in records.items():
             if self._has_completed(fingerprint, now):
                 self._record_dispute(fingerprint, now)
                 continue
-            for run, age_s in breaks.items():
+            for incarnation, age_s in breaks.items():
                 if age_s < RETENTION_S:
-                    self._add_break(fingerprint, run, now - age_s, now)
+                    self._add_break(fingerprint, incarnation, now - age_s, now)
 
     def _add_break(
         self, fingerprint: str, incarnation: str, at: float, now: float
     ) -> bool:
-        """Takes a break; returns whether it was not known."""
+        """Adds a break; returns whether it was new."""
         record = self._records.setdefault(fingerprint, BreakRecord())
         added = record.add(incarnation, at, now)
         if len(self._records) > MAX_FINGERPRINTS:
--- a/sycamorehollow/decisions/forwarding/retry_budget.py
+++ b/sycamorehollow/decisions/forwarding/retry_budget.py
@@ -1,65 +1,65 @@
-"""Budget of repeats, for which all nodes together answer.
+"""Retry budget per service, which all nodes together must keep.
 
-Answers storms of retries: resumed streams, larger models and second attempts
-all arrive at a service beyond the first attempt of a request.
+Prevents retry storms. Resumed streams, larger models and further attempts all
+count as retries, since they reach a service in addition to first attempts.
 """
 
 import collections
 
-# Part of the ratio that is used; the rest covers windows that differ between
-# this process and the one who counts.
+# Shares of the configured ratio and floor that are used. The rest is a margin
+# for windows that differ between this process and the one that measures.
 USED_RATIO = 0.85
 USED_FLOOR = 0.6
 
 
 class RetryBudget:
-    """Counts first attempts and repeats of each service in a sliding window.
+    """Counts requests and retries of each service in a sliding window.
 
     Args:
-        ratio: Repeats per first attempt.
-        window_s: Length of the window in seconds.
-        floor: Repeats in a window beyond the ratio, over all nodes.
+        ratio: Allowed retries per request.
+        window_s: Length of the window.
+        floor: Retries per window that all nodes together may add to that.
     """
 
     def __init__(self, ratio: float, window_s: float, floor: float):
         self.configure(ratio, window_s, floor)
-        self._nodes = 1
+        self._node_count = 1
         self._requests: dict[str, collections.deque[float]] = {}
         self._retries: dict[str, collections.deque[float]] = {}
 
     def configure(self, ratio: float, window_s: float, floor: float) -> None:
-        """Takes changed settings."""
+        """Applies changed settings."""
         self._ratio = ratio * USED_RATIO
         self._window_s = window_s
         self._floor = floor * USED_FLOOR
 
     def set_node_count(self, nodes: int) -> None:
-        """Sets how many nodes share the floor."""
-        self._nodes = max(1, nodes)
+        """Sets the number of nodes that share the floor."""
+        self._node_count = max(1, nodes)
 
     def record_request(self, service: str, now: float) -> None:
-        """A caller's request for a service has arrived."""
+        """Records the arrival of a request."""
         self._requests.setdefault(service, collections.deque()).append(now)
 
     def record_retry(self, service: str, now: float) -> None:
-        """A request is sent to a service once more."""
+        """Records a retry."""
         self._retries.setdefault(service, collections.deque()).append(now)
 
     def refund_retry(self, service: str) -> None:
-        """The latest repeat did not reach an upstream."""
-        repeats = self._retries.get(service)
-        if repeats:
-            repeats.pop()
+        """Refunds the latest retry, which reached no upstream."""
+        retries = self._retries.get(service)
+        if retries:
+            retries.pop()
 
     def count_remaining(self, service: str, now: float) -> float:
-        """Returns how many repeats are left in the window."""
-        fresh = self._count(self._requests, service, now)
-        repeats = self._count(self._retries, service, now)
-        allowed = fresh * self._ratio + self._floor / self._nodes
-        return allowed - repeats
+        """Returns the number of retries left in the window."""
+        requests = self._count(self._requests, service, now)
+        retries = self._count(self._retries, service, now)
+        allowed = requests * self._ratio + self._floor / self._node_count
+        return allowed - retries
 
     def can_retry(self, service: str, now: float) -> bool:
-        """Tells whether a request may be sent once more."""
+        """Returns whether the budget allows one more retry."""
         return self.count_remaining(service, now) >= 1
 
     def _count(
--- a/sycamorehollow/decisions/forwarding/rollout_records.py
+++ b/sycamorehollow/decisions/forwarding/rollout_records.py
@@ -1,4 +1,4 @@
-"""What a node keeps of a roll-out, and what it tells other nodes."""
+"""State of a roll-out at a node, and the report sent to other nodes."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -10,11 +10,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class RolloutReport:
-    """What one node tells another of a roll-out.
+    """Report on a roll-out from one node to another.
 
     Attributes:
         revision: Revision of the order.
-        age_s: Seconds since the order was first heard of.
+        age_s: Seconds since the order was first received.
         first_share: See `Rollout`.
         sound_s: Seconds since the version was first found to be sound.
     """
@@ -30,17 +30,18 @@
 
 @dataclasses.dataclass
 class Rollout:
-    """One order and what is known of it.
+    """An order and the state of its roll-out.
 
     Attributes:
-        started_at: When this process heard of it.
-        tallies: Counts by node; each node only raises its own.
-        evidence: Counts of slow answers, and the test on them.
-        history: Sums of all counts at earlier times.
+        started_at: When the order was first received, by the earliest node.
+        tallies: Counts by node; each node only increases its own.
+        evidence: Counts of slow responses and the tests on them.
+        history: Sums of the counts of all nodes at earlier times.
         worse: Whether the new version was found to be worse.
-        reason: Why this node has found it to be worse.
-        first_share: Share of the new version while little is known, the
-            smallest that any node has found; `None` while it is measured.
+        reason: Why this node found it to be worse.
+        first_share: Traffic share of the new version before the ramp-up, the
+            smallest that any node has computed; `None` while the response
+            rate is measured.
         sound_at: When a node first found the version to be sound.
     """
 
@@ -62,7 +63,7 @@
     sound_at: float | None = None
 
     def sum_counts(self) -> failure_counts.Tally:
-        """Returns the counts of all nodes."""
+        """Returns the sum of the counts of all nodes."""
         total = failure_counts.Tally()
         for tally in self.tallies.values():
             total = total.plus(tally)
--- a/sycamorehollow/decisions/forwarding/route_table.py
+++ b/sycamorehollow/decisions/forwarding/route_table.py
@@ -1,4 +1,4 @@
-"""Which route a request takes and whether its key allows it."""
+"""Route lookup and authorization of requests."""
 
 import random
 
@@ -7,7 +7,7 @@
 
 
 class RouteTable:
-    """Finds routes by host and longest path prefix."""
+    """Routes of a configuration by host and longest path prefix."""
 
     def __init__(self, configuration: forwarding.Configuration):
         self._configuration = configuration
@@ -19,7 +19,7 @@
 
     @property
     def configuration(self) -> forwarding.Configuration:
-        """The configuration that the table was made from."""
+        """The configuration from which the table was built."""
         return self._configuration
 
     def find_route(
@@ -34,7 +34,7 @@
     def authorize(
         self, request: forwarding.Request, route: forwarding.Route
     ) -> forwarding.Workspace | failures.Unauthorized | None:
-        """Returns the owner of the key; `None` where no key is needed."""
+        """Returns the owner of the API key; `None` if no key is needed."""
         workspaces = self._configuration.workspaces
         if workspaces is None:
             return None
@@ -46,7 +46,7 @@
     def choose_service(
         self, route: forwarding.Route, rng: random.Random
     ) -> forwarding.Service | failures.NotFound:
-        """Draws one of the route's services by weight."""
+        """Returns one of the route's services, at random by weight."""
         known = [
             target
             for target in route.targets
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -1,4 +1,4 @@
-"""What a node knows of the deployment, and the rules that use it."""
+"""State of the deployment at a node, and the policies that use it."""
 
 import dataclasses
 import random
@@ -20,33 +20,35 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 
-# Part of an upstream's connections that may be idle, and the most that one
-# node keeps to it.
+# Share of an upstream's connections that may be idle, and the maximum number of
+# idle connections per node and upstream.
 IDLE_CONNECTION_SHARE = 0.5
 MAX_IDLE_CONNECTIONS = 32
 
 
 @dataclasses.dataclass(frozen=True)
 class Change:
-    """A belief that has changed, for the log."""
+    """A change of the state, for the log."""
 
     subject: str
     outcome: str
 
 
 class Router:
-    """Combines the rules for forwarded requests.
+    """Combines the policies for forwarded requests.
 
     Attributes:
-        table: Routes and keys in force; `None` until they are known.
+        route_table: Routes and keys in force; `None` until they are known.
         directory: The upstreams.
-        placement: Choice of the upstream.
-        budget: Budget of repeats.
-        rollouts: Roll-outs in progress.
-        answer_times: How long answers take.
-        turns: Order of the requests that wait for room.
-        poison: Requests that crash upstreams.
-        delays: How late answers have been.
+        cold_start_limiter: Rate limits for cold upstreams.
+        prefix_index: Prompt prefixes that upstreams have cached.
+        placement: Selection of the upstream.
+        retry_budget: Budget of retries per service.
+        rollouts: Roll-outs that have orders.
+        response_times: Response time statistics.
+        admission_queue: Requests that wait for capacity.
+        quarantine: Requests that crash upstreams.
+        delays: Recent delays of first responses.
         nodes: The registered nodes by name.
     """
 
@@ -70,7 +72,7 @@
         self.retry_budget = retry_budget.RetryBudget(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
         )
-        # A restarted node counts anew, so each run has counts of its own.
+        # A restarted node counts from 0, so each process has its own counts.
         run = f"{settings.node}/{rng.getrandbits(32):x}"
         self.rollouts = canary.Rollouts(run, settings.exposure_share)
         self.response_times = response_times.ResponseTimes(
@@ -83,7 +85,7 @@
         self._evacuated: set[str] = set()
 
     def apply_event(self, event: events.Event, now: float) -> list[Change]:
-        """Applies news about the deployment and returns what changed."""
+        """Applies an event of the deployment and returns the changes."""
         match event:
             case updates.ConfigurationSet():
                 return self._set_configuration(event.configuration)
@@ -104,14 +106,14 @@
         return self._handle_rollout(event, now)
 
     def reserve_retry(self, service: str, now: float) -> bool:
-        """Counts a repeat if the budget of a service has one left."""
+        """Records a retry if the budget of the service allows one."""
         if not self.retry_budget.can_retry(service, now):
             return False
         self.retry_budget.record_retry(service, now)
         return True
 
     def configure(self, settings: gateway.Settings) -> None:
-        """Takes changed settings."""
+        """Applies changed settings."""
         self.cold_start_limiter.configure(
             settings.cold_factor, settings.cold_floor
         )
@@ -121,7 +123,7 @@
         self.rollouts.configure(settings.exposure_share)
 
     def evict_expired(self, now: float) -> list[str]:
-        """Forgets what is gone; returns the identities of upstreams."""
+        """Evicts expired state; returns the identities of removed upstreams."""
         self.admission_queue.evict_idle_queues(now)
         gone = self.directory.evict_expired(now)
         for identity in gone:
@@ -129,10 +131,10 @@
         return gone
 
     def compute_max_idle_connections(self, service: forwarding.Service) -> int:
-        """Returns this node's share of an upstream's connections for idle ones.
+        """Returns how many idle connections to an upstream may be kept.
 
-        An upstream counts the connections of all nodes; what is not kept is
-        left to requests that run.
+        An upstream limits the connections of all nodes together; the rest is
+        left for running requests.
         """
         if service.max_connections <= 0:
             return MAX_IDLE_CONNECTIONS
@@ -150,7 +152,8 @@
 
         Args:
             service: Name of the service.
-            session: Ties the request to others, which get the same version.
+            session: Affinity key; requests with the same key get the same
+                version.
             sound: Whether no attempt of the request has failed.
             now: Monotonic time in seconds.
         """
