Match the renamed field of a cancelled attempt in the router's tests

The pattern of a match statement still named the old field, so that the test's caller never reported the end of a stopped attempt.

Checked: test_router passes; make lint is clean.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -182,7 +182,7 @@
                         self.produced = False
                 case lifecycle.FailRequest() | lifecycle.FinishRequest():
                     self.finals.append(command)
-                case lifecycle.CancelAttempt(report=True):
+                case lifecycle.CancelAttempt(report_end=True):
                     self._stop(command)
                 case active_requests.ReplicateBill():
                     self.bills.append(command.bill)
