Put the texts of the routing modules into plain terms

Doc comments say what a function returns or records, and the heads of the modules what they decide and why. The reasons and figures of the constants stay.

Checked: format, lint and type checks are clean; test_admission, test_capacity, test_coldstart, test_prefixes, test_selection and test_upstreams pass.

--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -37,7 +37,7 @@
         """Returns the expected time of an answer in seconds."""
 
     def has_candidate(self, version: str, now: float) -> bool:
-        """Tells whether an upstream takes new work for the version."""
+        """Returns whether an upstream takes new work for the version."""
 
 
 class CascadePlanner(planning.Planner):
--- a/sycamorehollow/decisions/cascading/cascade_selector.py
+++ b/sycamorehollow/decisions/cascading/cascade_selector.py
@@ -334,7 +334,7 @@
         return min(1.0, target + min(MAX_TARGET_INCREASE, missed))
 
     def _can_explore(self, query: Query, gate: bool) -> bool:
-        """Tells whether the budget and the delivered quality allow a trial."""
+        """Returns whether credit and delivered quality allow a trial."""
         if self._get_credit(query) < 1.0:
             return False
         if gate:
--- a/sycamorehollow/decisions/routing/__init__.py
+++ b/sycamorehollow/decisions/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Where an attempt runs: upstreams, their load, cold starts and prefixes."""
+"""Choice of upstreams by load, cold starts and cached prefixes; admission."""
--- a/sycamorehollow/decisions/routing/admission.py
+++ b/sycamorehollow/decisions/routing/admission.py
@@ -1,4 +1,8 @@
-"""Admission to a saturated node, shared fairly between workspaces."""
+"""Admission control of a node, with fair queueing between workspaces.
+
+Deficit round robin in tokens keeps a large workspace from starving a small one.
+Requests that can't be admitted in time are rejected at once with a retry time.
+"""
 
 import collections
 import dataclasses
@@ -12,22 +16,24 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
-# About one long request: each workspace is served every few rounds.
+# About one long request, so that a workspace is served every few rounds and
+# admits many short requests in one round.
 QUANTUM_TOKENS = 4000
-# With 2 s the queue of a small workspace runs empty between the retries of its
-# callers: it gets 0.77 of its fair share in the bench; with 5 s, 0.88.
+# In the bench a small workspace, whose queue runs empty between the retries of
+# its callers, gets 0.77 of its fair share with 2 s, and 0.88 with 5 s.
 MAX_WAIT_S = 5.0
 # Share of the time to the deadline; the rest is for work and a retry elsewhere.
 MAX_WAIT_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.5
 HOLD_TIME_SMOOTHING = 0.05
-# Part of the capacity. A pool that was full is tried again about once a second.
+# Part of the capacity by which the limit of a full pool rises; the pool is
+# tried again about once a second.
 LIMIT_INCREASE_PER_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
 class Overloaded(failures.Failure):
-    """The node has no room for the workspace now."""
+    """The node has no capacity left for the workspace."""
 
     code = "overloaded"
     status = 503
@@ -42,7 +48,7 @@
         tokens: Prompt and expected output in tokens.
         priority: Lower numbers go first within the workspace.
         deadline: Monotonic time in seconds.
-        needs_s: Estimated duration of the work in seconds.
+        expected_duration_s: Estimated duration of the work in seconds.
         pool: Version whose upstreams the work needs.
     """
 
@@ -62,13 +68,13 @@
 
     @property
     def capacity_class(self) -> tuple[str, bool]:
-        """Pool and whether the work is short, which has reserved capacity."""
+        """Pool, and whether the work may use the capacity for short work."""
         return self.pool, self.tokens <= capacity.SHORT_REQUEST_TOKENS
 
 
 @dataclasses.dataclass(frozen=True)
 class PlacementFailed(events.Event):
-    """An admitted request found all upstreams full and did not start."""
+    """All upstreams were full, so an admitted request was not started."""
 
     request: str
     failure: failures.Failure
@@ -76,7 +82,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkEnded(events.Event):
-    """An admitted request has ended, or the caller of a waiting one left."""
+    """An admitted request has ended, or a waiting one was cancelled."""
 
     request: str
 
@@ -90,14 +96,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class AdmitWork(commands.Command):
-    """Starts a request."""
+    """Admits a request."""
 
     request: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RefuseWork(commands.Command):
-    """Refuses a request that was not started."""
+    """Rejects a request that was not started."""
 
     request: str
     failure: failures.Failure
@@ -105,11 +111,10 @@
 
 @dataclasses.dataclass
 class WorkspaceQueue:
-    """Waiting work of one workspace.
+    """Waiting work of one workspace for one pool.
 
     Attributes:
         waiting: Heap of (priority, arrival number, expiry, work).
-        waiting_tokens: Tokens of the waiting work.
         deficit_tokens: Tokens that the queue may still admit in its turn.
     """
 
@@ -122,7 +127,7 @@
 
 
 def compute_max_wait_s(left_s: float) -> float:
-    """Returns how long work may wait, by the seconds to its deadline."""
+    """Returns the longest wait of work with `left_s` to its deadline."""
     return min(MAX_WAIT_S, MAX_WAIT_SHARE * left_s)
 
 
@@ -131,7 +136,7 @@
 
     Args:
         tokens: Tokens that this node may have in flight.
-        rng: Source of randomness for the time to come back.
+        rng: Source of randomness for the jitter of retry times.
     """
 
     def __init__(self, tokens: int, rng: random.Random):
@@ -143,7 +148,7 @@
         self._queues: dict[tuple[str, str], WorkspaceQueue] = {}
         self._round: collections.deque[tuple[str, str]] = collections.deque()
         self._waiting: dict[str, tuple[str, str]] = {}
-        # Arrival number and expiry of each request that is kept.
+        # Arrival number and expiry of each request that waits or runs.
         self._arrivals: dict[str, tuple[int, float]] = {}
         self._in_use_by: collections.Counter[tuple[str, bool]] = (
             collections.Counter()
@@ -194,7 +199,7 @@
         if self._mean_hold_s == 0.0:
             self._mean_hold_s = work.expected_duration_s
         if work.tokens > self._capacity and not self._running:
-            # Nothing can end that would make room, so waiting is useless.
+            # No running work can end and free capacity, so waiting is useless.
             return [self._refuse(work, MAX_WAIT_S)]
         allowed_s = compute_max_wait_s(work.deadline - now)
         self._arrival_count += 1
@@ -228,7 +233,7 @@
     def _defer(
         self, event: PlacementFailed, now: float
     ) -> list[commands.Command]:
-        """Queues admitted work again that the upstreams have no room for."""
+        """Queues admitted work again that found all upstreams full."""
         entry = self._running.pop(event.request, None)
         if entry is None:
             return []
@@ -236,7 +241,7 @@
         self._release_tokens(work)
         in_use = self._in_use_by[work.capacity_class]
         if not in_use:
-            # Nothing can end and make room, so waiting is useless.
+            # No running work can end and free capacity, so waiting is useless.
             self._arrivals.pop(work.request, None)
             return [RefuseWork(work.request, event.failure)]
         self._limits[work.capacity_class] = in_use
@@ -252,11 +257,8 @@
                 del self._limits[name]
 
     def _estimate_wait_s(self, work: WorkSubmitted) -> float:
-        """Estimates the wait from the backlog and the workspace's part.
-
-        By Little's law a full node ends `capacity / mean hold` tokens each
-        second.
-        """
+        """Estimates the wait from the backlog and the workspace's share."""
+        # Little's law: a full node completes capacity / mean hold time per s.
         weights = max(1, work.weight)
         ahead = work.tokens
         for name, queue in self._queues.items():
@@ -274,7 +276,7 @@
 
     def _refuse(self, work: WorkSubmitted, wait_s: float) -> RefuseWork:
         self._arrivals.pop(work.request, None)
-        # Jitter over the whole wait spreads the callers that come back.
+        # Jitter up to the length of the wait spreads the retries of callers.
         after_s = max(MIN_RETRY_AFTER_S, wait_s)
         after_s *= self._rng.uniform(1.0, 2.0)
         failure = Overloaded(
@@ -285,7 +287,7 @@
         return RefuseWork(work.request, failure)
 
     def _is_limited(self, work: WorkSubmitted) -> bool:
-        """Tells whether the upstreams of the work are full."""
+        """Returns whether the upstreams of the work are full."""
         limit = self._limits.get(work.capacity_class)
         return (
             limit is not None
@@ -318,7 +320,6 @@
             self._short_in_use -= work.tokens
 
     def _end(self, request: str, now: float) -> None:
-        # The heap entry of a request that left is skipped when it comes up.
         self._remove_waiting(request)
         self._arrivals.pop(request, None)
         entry = self._running.pop(request, None)
@@ -326,7 +327,7 @@
             return
         work, started_at = entry
         self._release_tokens(work)
-        # Weighted by tokens, because the rate is in tokens.
+        # Weighted by tokens, because the completion rate is in tokens.
         share = min(0.5, HOLD_TIME_SMOOTHING * work.tokens / QUANTUM_TOKENS)
         self._mean_hold_s += share * (now - started_at - self._mean_hold_s)
 
@@ -346,7 +347,7 @@
     def _delete_if_empty(self, queue_key: tuple[str, str]) -> None:
         if self._queues[queue_key].waiting:
             return
-        # An idle workspace must not save up its turns.
+        # An idle workspace must not accumulate deficit.
         del self._queues[queue_key]
         self._round.remove(queue_key)
 
@@ -365,10 +366,10 @@
 
     def _admit_waiting(self, now: float) -> list[commands.Command]:
         admitted: list[commands.Command] = []
-        # Set when the workspace whose turn it is waits for room; until then
-        # others may only use the reserve, so that long work is not passed by.
+        # Queues whose next work doesn't fit. While there is one, the others may
+        # use only the reserve, so that short work doesn't starve long work.
         blocked: set[tuple[str, str]] = set()
-        # Work whose own upstreams are full holds up no work for others.
+        # Queues whose own pool is full; they don't block those of other pools.
         limited: set[tuple[str, str]] = set()
         while len(blocked) + len(limited) < len(self._round):
             queue_key = self._round[0]
--- a/sycamorehollow/decisions/routing/capacity.py
+++ b/sycamorehollow/decisions/routing/capacity.py
@@ -1,15 +1,20 @@
-"""Room for a request at an upstream, in tokens held and in time."""
+"""Whether an upstream has capacity for a request, in memory and in time.
+
+Processes start work independently between two load reports. Each one therefore
+takes at most its share of what the reports show as free.
+"""
 
 import dataclasses
 
 from sycamorehollow.decisions.routing import load_table
 
-# Chapters hold their tokens for minutes; a tenth of the memory holds some 20
-# checks of 1,000 tokens on an upstream of 200,000 tokens.
+# Share of the memory that only short requests may use, because long ones hold
+# their tokens for minutes. On an upstream of 200,000 tokens the reserve holds
+# some 20 requests of 1,000 tokens.
 SHORT_RESERVE = 0.1
 SHORT_REQUEST_TOKENS = 2000
-# Room for one more request of the same size, which a peer may just have
-# started unseen.
+# Leaves room for one more request of the same size, which a peer may have
+# started since the last report.
 UNREPORTED_FACTOR = 2
 SPEED_SMOOTHING = 0.1
 
@@ -20,11 +25,12 @@
 
     Attributes:
         prompt_tokens: Length of the prompt in tokens.
-        output_tokens: Longest response in tokens; memory is kept for it.
-        deadline: Monotonic time in seconds after which it is useless.
-        likely_tokens: Expected length of the response in tokens; `None` if
-            it is not known. Times are estimated from it.
-        blocks: Hashes of the leading blocks of the prompt, longest last.
+        max_output_tokens: Longest response in tokens; memory is reserved for
+            it.
+        deadline: Monotonic time in seconds after which the response is useless.
+        block_hashes: Hashes of the leading blocks of the prompt, longest last.
+        expected_output_tokens: Expected length of the response in tokens, from
+            which durations are estimated; `None` if unknown.
     """
 
     prompt_tokens: int
@@ -35,12 +41,12 @@
 
     @property
     def tokens(self) -> int:
-        """Tokens that the request holds when it is complete."""
+        """Tokens that the request holds in memory when it is complete."""
         return self.prompt_tokens + self.max_output_tokens
 
     @property
     def is_short(self) -> bool:
-        """Whether the request may use the reserve."""
+        """Whether the request may use the reserve for short requests."""
         return self.tokens <= SHORT_REQUEST_TOKENS
 
 
@@ -49,8 +55,8 @@
     """Smoothed speed of an upstream.
 
     Attributes:
-        prompt_s: Seconds per prompt token until the first chunk.
-        output_s: Seconds per output token.
+        prompt_s_per_token: Seconds per prompt token until the first chunk.
+        output_s_per_token: Seconds per output token.
     """
 
     prompt_s_per_token: float = 0.0001
@@ -63,8 +69,8 @@
     Args:
         table: Load of the upstreams.
         members: Live entry processes of the data centre, this one included.
-        refusing: Whether upstreams refuse work beyond their memory. If not,
-            every process stays within its share.
+        upstreams_enforce_limit: Whether upstreams refuse work beyond their
+            memory. If not, every process stays within its share.
     """
 
     def __init__(
@@ -95,7 +101,7 @@
         output_tokens: int,
         stream_s: float,
     ) -> None:
-        """Learns from a completed attempt.
+        """Updates the speed of an upstream from a completed attempt.
 
         Args:
             upstream: Name of the upstream.
@@ -128,19 +134,19 @@
     def can_meet_deadline(
         self, upstream: str, demand: Demand, now: float
     ) -> bool:
-        """Tells whether the estimate ends before the deadline."""
+        """Returns whether the response is expected before the deadline."""
         duration_s = self.estimate_duration_s(upstream, demand)
         return now + duration_s <= demand.deadline
 
     def count_free_tokens(
         self, upstream: str, demand: Demand, now: float
     ) -> int:
-        """Returns the tokens that this process may still start there.
+        """Returns the tokens that this process may still start at an upstream.
 
-        Every report of the last `REPORT_WINDOW_S` limits what was started
-        since then to an equal part of what was free at that time. Taking the
-        last report alone lets a process that polls often take the part of one
-        that polls rarely, and both together exceed the memory.
+        Each report of the last `REPORT_WINDOW_S` limits the tokens that were
+        started since then to an equal share of what was free at that time.
+        With the last report alone, a process that polls often would take the
+        share of one that polls rarely, and both would exceed the memory.
         """
         load = self._table.find_load(upstream)
         if load is None or now < load.backoff_until:
@@ -159,18 +165,21 @@
         return free
 
     def can_hold(self, upstream: str, demand: Demand, now: float) -> bool:
-        """Tells whether the memory could hold the request; less than `fits`."""
+        """Returns whether the estimated free memory can hold the request.
+
+        Cheaper than `has_room`, which also considers peers and the reserve.
+        """
         load = self._table.find_load(upstream)
         if load is None or now < load.backoff_until:
             return False
         return demand.tokens <= load.capacity_tokens - load.estimate_tokens()
 
     def has_room(self, upstream: str, demand: Demand, now: float) -> bool:
-        """Tells whether the upstream has room for the request.
+        """Returns whether the upstream has capacity for the request.
 
         Beyond the share of this process the estimate decides, if upstreams
-        refuse what they cannot hold: a request larger than an equal share
-        would otherwise never fit, however idle the upstream is.
+        refuse what they can't hold. Otherwise a request larger than an equal
+        share would never fit, not even at an idle upstream.
         """
         load = self._table.find_load(upstream)
         if load is None or not self.can_hold(upstream, demand, now):
@@ -187,9 +196,9 @@
 
 
 def count_started_tokens(load: load_table.UpstreamLoad, since: float) -> int:
-    """Returns own tokens started after a time and still outstanding."""
+    """Returns outstanding tokens that this process started after a time."""
     started = 0
-    # Attempts are kept in the order of their start.
+    # Attempts are in the order of their start.
     for tokens, started_at in reversed(load.attempts.values()):
         if started_at <= since:
             break
--- a/sycamorehollow/decisions/routing/load_table.py
+++ b/sycamorehollow/decisions/routing/load_table.py
@@ -1,4 +1,8 @@
-"""Table of upstreams: what this process knows of the load of each."""
+"""Estimated load of each upstream.
+
+The estimate starts from the last load report and adds what this process and
+its peers have started or ended since. Peers publish their outstanding tokens.
+"""
 
 import collections
 from collections.abc import Iterable
@@ -11,14 +15,14 @@
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 
-# A report older than this, beyond its usual lag, no longer shows what is free.
+# Besides its usual lag; an older report no longer shows what is free.
 REPORT_TTL_S = 2.5
-# The time to live plus a poll interval of 1 s and its jitter: every process is
-# then bound by a report as old as the oldest one that another may still use.
+# The TTL plus a poll interval of 1 s and its jitter. Every process is then
+# limited by a report as old as the oldest one that a peer may still use.
 REPORT_WINDOW_S = 4.0
 MAX_CHANGES = 1000  # bounds the memory while no reports arrive
-# A share of 94 upstreams takes about 0.5 KB compressed; more processes than
-# this publish less often, to stay below half of the budget of 10 KB/s.
+# All processes of a data centre together. The load of 94 upstreams takes about
+# 0.5 KB compressed, so this stays below half of the budget of 10 KB/s.
 LOAD_UPDATES_PER_S = 8.0
 CONNECT_BACKOFF_S = 1.0
 CONNECT_BACKOFF_MAX_S = 10.0
@@ -26,20 +30,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamView:
-    """What this process knows of an upstream.
+    """Snapshot of the load of an upstream.
 
     Attributes:
         name: Name of the upstream.
-        data_centre: Where it stands.
+        data_centre: Data centre of the upstream.
         capacity_tokens: Tokens that its memory holds.
-        reported_tokens: Held tokens of the last report.
-        estimated_tokens: Held tokens by the estimate.
-        outstanding: Attempts of this process.
+        reported_tokens: Held tokens in the last report.
+        estimated_tokens: Estimate of the held tokens.
+        outstanding: Outstanding attempts of this process.
         outstanding_tokens: Tokens of the attempts of this process.
-        peer_tokens: Outstanding tokens that peers last told of.
-        queued: Requests that waited at the upstream in the last report.
+        peer_tokens: Outstanding tokens that peers last published.
+        queued: Requests queued at the upstream in the last report.
         report_age_s: Age of the last report; infinite without one.
-        reachable: Whether connections are tried now.
+        reachable: Whether no connect backoff is in progress.
     """
 
     name: str
@@ -56,7 +60,7 @@
 
 
 class UpstreamLoad:
-    """Mutable record of one upstream; written only by the table."""
+    """Load of one upstream; modified only by the table."""
 
     def __init__(self, configured: deployment.Upstream):
         self.configuration = configured
@@ -78,16 +82,16 @@
 
     @property
     def capacity_tokens(self) -> int:
-        """Memory in tokens, by the last report or else by configuration."""
+        """Memory in tokens from the last report, else from configuration."""
         if self.report is None:
             return self.configuration.capacity_tokens
         return self.report.capacity_tokens
 
     def estimate_tokens(self) -> int:
-        """Estimates the held tokens now.
+        """Estimates the tokens held now.
 
-        The floor is what is known to be outstanding: a report may be too old
-        to contain it and a finished attempt may be missing from it.
+        At least the tokens known to be outstanding: a report may be too old to
+        contain them, and may already lack an attempt that has finished.
         """
         known = self.own_tokens + self.peer_tokens
         if self.report is None:
@@ -96,7 +100,7 @@
         return max(known, grown)
 
     def record_own_change(self, tokens: int, now: float) -> None:
-        """Records a start (positive) or an end (negative) of own work."""
+        """Records that this process started (positive) or ended tokens."""
         self.own_tokens += tokens
         self.own_growth += tokens
         self.own_changes.append((now, tokens))
@@ -106,7 +110,7 @@
     def apply_report(
         self, report: upstream_events.LoadReported, window_s: float
     ) -> None:
-        """Makes a newer report the base of the estimate."""
+        """Bases the estimate on a report unless it is outdated."""
         if self.report is not None:
             if report.generation < self.report.generation:
                 return
@@ -125,7 +129,7 @@
 
 
 class LoadTable(components.Component, components.Replicated):
-    """Load of every configured upstream, as this process estimates it.
+    """Estimates the load of every configured upstream.
 
     Args:
         process: Identity of this process including its incarnation, so that
@@ -176,19 +180,19 @@
     def is_stale(
         self, report: upstream_events.LoadReported, now: float
     ) -> bool:
-        """Tells whether a report is too old to show what is free."""
+        """Returns whether a report is too old to show what is free."""
         limit_s = REPORT_TTL_S + self._report_lag_s
         return now - report.measured_at > limit_s
 
     def find_load(self, name: str) -> UpstreamLoad | None:
-        """Returns the record of an upstream, for reading only."""
+        """Returns the load of an upstream, for reading only."""
         load = self._loads.get(name)
         if load is not None and load.peer_sums_stale:
             self._sum_peers(name, load)
         return load
 
     def view(self, name: str, now: float) -> UpstreamView | None:
-        """Returns what is known of an upstream, or `None` if unknown."""
+        """Returns a snapshot of an upstream's load, or `None` if unknown."""
         load = self.find_load(name)
         if load is None:
             return None
@@ -220,7 +224,7 @@
             loads[upstream.name] = load
             for version in upstream.versions:
                 serving.setdefault(version, []).append(upstream.name)
-        # Attempts at a removed upstream still run; the load goes with the last.
+        # A removed upstream stays until its last attempt has ended.
         for name, load in self._loads.items():
             if name not in loads and load.attempts:
                 loads[name] = load
@@ -265,8 +269,8 @@
             load.peer_sums_stale = True
 
     def _sum_peers(self, name: str, load: UpstreamLoad) -> None:
-        # Summed when read: a choice reads a few loads, while a share of a peer
-        # changes nearly all of them.
+        # Summed lazily: a choice reads a few upstreams, while an update of a
+        # peer changes nearly all of them.
         load.peer_sums_stale = False
         since = load.report.measured_at if load.report else None
         load.peer_tokens, load.peer_growth = self._peer_loads.sum_tokens(
@@ -274,13 +278,13 @@
         )
 
     def _get_publish_interval_s(self) -> float:
-        """Returns the seconds between two shares of this process."""
+        """Returns the seconds between two publications of this process."""
         return max(
             1.0, self._peer_loads.count(self._data_centre) / LOAD_UPDATES_PER_S
         )
 
     def _publish(self, now: float) -> None:
-        # A little early rather than a whole exchange late.
+        # Some early, since waiting for the next exchange would be later.
         if now - self._published_at < 0.9 * self._get_publish_interval_s():
             return
         self._sequence += 1
@@ -292,7 +296,7 @@
         }
 
     def build_digest(self, now: float) -> bytes:
-        """Returns the sequence of every share of the own data centre."""
+        """Returns the sequences of the loads of the own data centre."""
         self._publish(now)
         known = self._peer_loads.list_sequences(self._data_centre)
         known[self._process] = self._sequence
@@ -301,7 +305,7 @@
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns newer shares at upstreams of the sender's data centre."""
+        """Returns newer loads of upstreams in the sender's data centre."""
         asked = peer_loads.decompress_json(digest)
         known = asked["known"]
         data_centre = asked["data_centre"]
@@ -321,7 +325,7 @@
         return peer_loads.compress_json(newer) if newer else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Applies the shares of other processes; returns no commands."""
+        """Applies the loads of other processes; returns no commands."""
         if not delta:
             return []
         for (
--- a/sycamorehollow/decisions/routing/peer_loads.py
+++ b/sycamorehollow/decisions/routing/peer_loads.py
@@ -1,4 +1,4 @@
-"""Outstanding work of peers at upstreams."""
+"""Outstanding tokens of peers at upstreams, as each peer publishes them."""
 
 import collections
 from collections.abc import Iterable
@@ -8,9 +8,9 @@
 from typing import Any
 import zlib
 
-# In intervals between two shares of a process.
+# In publish intervals of a process.
 PEER_TTL_INTERVALS = 10
-# Longer than any report stays in use; bounds rows that are never read.
+# Covers the time that any report stays in use; bounds unread histories.
 MAX_HISTORY = 64
 
 
@@ -20,7 +20,7 @@
 
     Attributes:
         history: Per upstream, (local time, tokens), oldest first. The first
-            entry is the newest one that the last report already contains.
+            entry is the newest one that the last load report includes.
     """
 
     sequence: int
@@ -31,14 +31,14 @@
 
 
 class PeerLoads:
-    """The last load of every peer; an older one never replaces a newer."""
+    """Holds the newest load of every peer, by sequence number."""
 
     def __init__(self) -> None:
         self._loads: dict[str, PeerLoad] = {}
         self._expired: dict[str, int] = {}
 
     def list_sequences(self, data_centre: str) -> dict[str, int]:
-        """Returns the sequences of the peers of a data centre."""
+        """Returns the sequence of each peer of a data centre."""
         known = {}
         for process, load in self._loads.items():
             if load.data_centre == data_centre:
@@ -48,7 +48,7 @@
     def list_newer(
         self, known: Mapping[str, int], data_centre: str
     ) -> list[tuple[str, str, int, Mapping[str, int]]]:
-        """Returns shares of a data centre's peers that are newer than known."""
+        """Returns loads of peers in a data centre that are newer than `known`."""
         newer = []
         for process, load in self._loads.items():
             if load.data_centre != data_centre:
@@ -66,7 +66,7 @@
         tokens: Mapping[str, int],
         now: float,
     ) -> Iterable[str]:
-        """Applies one load and returns the upstreams that it changes."""
+        """Applies a load unless outdated; returns the upstreams it changes."""
         if sequence <= self._expired.get(process, 0):
             return ()
         load = self._loads.get(process)
@@ -91,29 +91,29 @@
         return len(self.list_sequences(data_centre))
 
     def expire(self, now: float, interval_s: float) -> set[str]:
-        """Drops silent peers and returns the upstreams that this changes.
+        """Removes silent peers and returns the upstreams that this changes.
 
         Args:
             now: Monotonic time in seconds.
-            interval_s: Seconds between two shares of a peer.
+            interval_s: Publish interval of a peer in seconds.
         """
         changed: set[str] = set()
         for process, load in list(self._loads.items()):
             if now - load.received_at < PEER_TTL_INTERVALS * interval_s:
                 continue
-            # The last sequence stays, so that a slower peer cannot bring the
-            # expired load back.
+            # The last sequence stays, so that a slower peer can't restore the
+            # expired load.
             self._expired[process] = load.sequence
             del self._loads[process]
             changed.update(load.history)
         return changed
 
     def sum_tokens(self, upstream: str, since: float | None) -> tuple[int, int]:
-        """Adds up the work of all peers at an upstream.
+        """Returns the outstanding tokens of all peers at an upstream.
 
         Args:
             upstream: Name of the upstream.
-            since: Time of the last report, or `None` without one.
+            since: Time of the last load report, or `None` without one.
 
         Returns:
             Outstanding tokens, and their growth since that time.
--- a/sycamorehollow/decisions/routing/placement.py
+++ b/sycamorehollow/decisions/routing/placement.py
@@ -1,4 +1,4 @@
-"""Choice of the upstream for an attempt, and what each upstream holds."""
+"""Interface for choosing the upstream of an attempt and tracking its load."""
 
 import abc
 import dataclasses
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Assignment:
-    """An upstream that takes an attempt.
+    """The upstream that an attempt is assigned to.
 
     Attributes:
         reason: Why this upstream was chosen, for the log.
@@ -24,13 +24,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptResult:
-    """How an attempt ended.
+    """Result of an attempt.
 
     Attributes:
-        code: Code of the upstream's typed refusal, or empty.
+        code: Error code of the upstream's refusal, or empty.
         unreachable: Whether no connection could be made.
         refused: Whether the host refused the connection.
-        output_tokens: Output tokens of a whole answer, else 0.
+        output_tokens: Output tokens of a complete response, else 0.
     """
 
     status: upstream_events.AttemptStatus
@@ -41,7 +41,7 @@
 
 
 class Placement(abc.ABC):
-    """Chooses upstreams and accounts for the work sent to them."""
+    """Chooses upstreams and tracks the attempts outstanding at each."""
 
     @abc.abstractmethod
     def place(
@@ -62,22 +62,22 @@
         result: AttemptResult,
         now: float,
     ) -> Assignment | failures.Failure:
-        """Chooses an upstream in place of the one that runs the request.
+        """Chooses another upstream for a request that is running.
 
-        The running attempt ends as given only if there is one; otherwise
+        If there is one, the running attempt ends with `result`; otherwise
         nothing changes.
         """
 
     @abc.abstractmethod
     def record_first_chunk(self, request_id: str, now: float) -> None:
-        """Records the time of the first chunk of an attempt."""
+        """Records that the first chunk of the request's attempt arrived."""
 
     @abc.abstractmethod
     def release(
         self, request_id: str, result: AttemptResult, now: float
     ) -> None:
-        """Ends the accounting of the attempt of a request."""
+        """Removes the request's attempt from the outstanding ones."""
 
     @abc.abstractmethod
     def take_commands(self) -> list[commands.Command]:
-        """Returns the commands that came up since the last call."""
+        """Returns and clears the commands issued since the last call."""
--- a/sycamorehollow/decisions/routing/prefix_index.py
+++ b/sycamorehollow/decisions/routing/prefix_index.py
@@ -1,4 +1,9 @@
-"""Prefix affinity from cache events that are late and have gaps."""
+"""Index of the prompt prefixes that each upstream has cached.
+
+It is built from the cache events of the upstreams, which may be late or
+missing, and from the prompts that this process sends. Blocks that no event
+confirms count for less and expire.
+"""
 
 import collections
 from collections.abc import Sequence
@@ -12,8 +17,8 @@
 BLOCK_TOKENS = 256
 # About 200 bytes an entry: 100 upstreams need at most 20 MB.
 MAX_BLOCKS = 1000
-# An engine evicts unused prefixes within minutes; an entry whose eviction may
-# have been missed is dropped after this time.
+# An engine evicts unused prefixes within minutes; an entry whose eviction event
+# may have been missed expires after this time.
 UNCONFIRMED_TTL_S = 60.0
 UNCONFIRMED_WEIGHT = 0.5
 
@@ -46,11 +51,11 @@
 
 @dataclasses.dataclass
 class UpstreamCache:
-    """Blocks that an upstream is believed to hold.
+    """Blocks that an upstream is assumed to hold.
 
     Attributes:
-        blocks: Per block the time until which it is doubtful, or `None` when
-            the cache events confirm it; least recently confirmed first.
+        blocks: Per block the expiry time if it is unconfirmed, or `None` if
+            cache events confirm it; least recently confirmed first.
     """
 
     generation: int = 0
@@ -61,7 +66,7 @@
 
 
 class PrefixIndex(components.Component):
-    """Which upstream holds which leading blocks of prompts."""
+    """Tracks which upstream has cached which leading blocks of prompts."""
 
     def __init__(self) -> None:
         self._caches: dict[str, UpstreamCache] = {}
@@ -82,7 +87,7 @@
         return []
 
     def find_holder(self, blocks: Sequence[str], now: float) -> str | None:
-        """Returns an upstream that holds the longest part of a prompt."""
+        """Returns an upstream that holds the longest prefix of a prompt."""
         for block in reversed(blocks):
             for upstream in self._holders.get(block, ()):
                 if self._weigh(upstream, block, now):
@@ -124,7 +129,7 @@
         for block in event.removed:
             self._remove(event.upstream, block)
         for block in event.added:
-            # A later event may have evicted what a late one adds.
+            # A later event may have evicted the block that a late one adds.
             until = now + UNCONFIRMED_TTL_S if late else None
             if late and cache.blocks.get(block, now) is None:
                 continue
@@ -154,7 +159,7 @@
 
 
 def hash_blocks(scope: str, prompt: bytes, block_bytes: int) -> tuple[str, ...]:
-    """Returns the hash of each leading run of whole blocks of a prompt.
+    """Returns the hash of each prefix of whole blocks of a prompt.
 
     Args:
         scope: Version that reads the prompt; caches are not shared between
--- a/sycamorehollow/decisions/routing/selection.py
+++ b/sycamorehollow/decisions/routing/selection.py
@@ -1,4 +1,8 @@
-"""Choice of an upstream among candidates."""
+"""Policies that choose an upstream among candidates.
+
+The one in service compares two random candidates and the upstream that has the
+prompt cached. The others are baselines of the benches.
+"""
 
 import abc
 from collections.abc import Callable
@@ -11,7 +15,7 @@
 from sycamorehollow.decisions.routing import prefix_index
 from sycamorehollow.model import failures
 
-# A full upstream frees room when a response ends; captions take a few seconds.
+# Upstreams free capacity when a response ends; short ones take a few seconds.
 FULL_RETRY_AFTER_S = 1.0
 SAMPLE_SIZE = 2
 
@@ -30,7 +34,7 @@
 
 
 class Selection(abc.ABC):
-    """Chooses an upstream; a query that changes only its own sampling state."""
+    """Chooses an upstream; changes nothing but its own sampling state."""
 
     @abc.abstractmethod
     def choose(
@@ -47,7 +51,7 @@
             now: Monotonic time in seconds.
 
         Returns:
-            The choice, or the failure with the time to come back.
+            The choice, or the failure with a retry time.
         """
 
 
@@ -61,7 +65,7 @@
 
 
 class RandomSelection(Selection):
-    """Baseline: any candidate."""
+    """Baseline that chooses any candidate."""
 
     def __init__(self, rng: random.Random):
         self._rng = rng
@@ -76,7 +80,7 @@
 
 
 class RoundRobinSelection(Selection):
-    """Baseline: the candidates in turn."""
+    """Baseline that chooses the candidates in turn."""
 
     def __init__(self) -> None:
         self._turn = -1
@@ -94,7 +98,7 @@
 
 
 class LeastOutstandingSelection(Selection):
-    """Baseline: the fewest attempts of this process."""
+    """Baseline that chooses the fewest outstanding attempts."""
 
     def __init__(self, table: load_table.LoadTable, rng: random.Random):
         self._table = table
@@ -103,7 +107,7 @@
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
     ) -> SelectedUpstream | failures.Failure:
-        """Chooses the candidate with the fewest own attempts."""
+        """Chooses the candidate with the fewest attempts of this process."""
         best: list[str] = []
         fewest = 0
         for name in candidates:
@@ -124,7 +128,7 @@
 
 
 class PowerOfTwoSelection(Selection):
-    """Baseline: the less loaded of two by their last reports."""
+    """Baseline that chooses the less loaded of two by their last reports."""
 
     def __init__(self, table: load_table.LoadTable, rng: random.Random):
         self._table = table
@@ -133,7 +137,7 @@
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
     ) -> SelectedUpstream | failures.Failure:
-        """Chooses the one of two random candidates that reports less."""
+        """Chooses the one of two random candidates that reports less load."""
         if not candidates:
             return make_full_failure()
         best = ""
@@ -152,7 +156,7 @@
 def sample_candidates(
     rng: random.Random, candidates: Sequence[str]
 ) -> list[str]:
-    """Picks up to two different candidates."""
+    """Returns up to two different random candidates."""
     if len(candidates) <= SAMPLE_SIZE:
         return list(candidates)
     first = int(rng.random() * len(candidates))
@@ -166,7 +170,7 @@
 
 
 class EstimateSelection(Selection):
-    """The lowest estimated load among two candidates and the prefix holder.
+    """Chooses the lowest estimated load of two candidates and a prefix holder.
 
     Args:
         table: Load of the upstreams.
@@ -197,7 +201,7 @@
     def choose(
         self, request: capacity.Demand, candidates: Sequence[str], now: float
     ) -> SelectedUpstream | failures.Failure:
-        """Chooses by the estimate, in the own data centre if possible."""
+        """Chooses by estimated load, in the own data centre if possible."""
         own: list[str] = []
         far: list[str] = []
         for name in candidates:
@@ -236,8 +240,7 @@
     def _choose_any(
         self, request: capacity.Demand, group: list[str], now: float
     ) -> str | None:
-        # The start differs between nodes and calls, so that all nodes do not
-        # fill the same upstream.
+        # A random start keeps the nodes from all filling the same upstream.
         start = int(self._rng.random() * len(group))
         for offset in range(len(group)):
             name = group[(start + offset) % len(group)]
@@ -261,7 +264,7 @@
     def _can_take(
         self, name: str, request: capacity.Demand, now: float
     ) -> bool:
-        # In this order a scan of 100 full or cold upstreams stays cheap.
+        # Cheapest check first, for scans of 100 full or cold upstreams.
         if not self._capacity_rules.can_hold(name, request, now):
             return False
         if not self._can_start(name, now):
--- a/sycamorehollow/decisions/routing/upstream_events.py
+++ b/sycamorehollow/decisions/routing/upstream_events.py
@@ -12,10 +12,10 @@
 
     Attributes:
         COMPLETED: The response is complete.
-        REFUSED: The upstream stated that it did not run the request.
-        LOST: The connection was lost or has gone silent.
-        FAILED: The upstream answered with another error.
-        CANCELLED: The router or the caller ended it.
+        REFUSED: The upstream responded that it did not run the request.
+        LOST: The connection was lost or timed out without data.
+        FAILED: The upstream responded with another error.
+        CANCELLED: The router or the caller cancelled it.
     """
 
     COMPLETED = "completed"
@@ -39,10 +39,10 @@
     Attributes:
         upstream: Name of the upstream.
         measured_at: Local monotonic time in seconds of the reported state: the
-            time the poll was sent, less the upstream's known lag.
+            send time of the poll, less the upstream's known lag.
         generation: Number of the upstream's run; a restart has a higher one.
         cold: Whether the upstream is in a cold start.
-        bearable: Requests that it bears at once while cold.
+        bearable: Requests that it can run at once while cold.
         held_tokens: Tokens in its memory.
         capacity_tokens: Tokens that its memory holds.
         running: Requests that run.
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptStarted(events.Event):
-    """This process has started an attempt; sent before any byte is written.
+    """This process starts an attempt; emitted before any byte is written.
 
     Attributes:
         attempt: Identity of the attempt, unique in this process.
@@ -82,7 +82,7 @@
     """An attempt of this process has ended.
 
     Attributes:
-        code: Code of the upstream's typed refusal, or empty.
+        code: Error code of the upstream's refusal, or empty.
     """
 
     attempt: str
@@ -93,17 +93,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConnectFailed(events.Event):
-    """The host of an upstream refused a connection: nothing listens there."""
+    """The host of an upstream refused a connection: no process listens."""
 
     upstream: str
 
 
 @dataclasses.dataclass(frozen=True)
 class ConnectTimedOut(events.Event):
-    """No connection to an upstream could be made, and none was refused.
+    """A connection to an upstream could not be made and was not refused.
 
-    The path or this process may be at fault, so this tells nothing about the
-    work that the upstream runs.
+    The network or this process may be the cause, so the event says nothing
+    about the requests that the upstream runs.
     """
 
     upstream: str
@@ -113,7 +113,7 @@
 class PollUnanswered(events.Event):
     """An upstream did not report its load in time.
 
-    It may be paused, so this tells nothing about the work that it runs.
+    It may be paused, so the event says nothing about the requests that it runs.
     """
 
     upstream: str
@@ -121,6 +121,6 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReturnedToService(events.Event):
-    """An upstream takes new work again after a drain."""
+    """An upstream accepts new work again after a drain."""
 
     upstream: str
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -1,4 +1,8 @@
-"""Placement of attempts by load, cold starts and drains."""
+"""Placement of attempts by upstream load, cold starts and drains.
+
+Upstreams of the own data centre come first; others are used only when no local
+one can take the work.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -21,19 +25,20 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import requests
 
-# A slot that another process may have held waits for that one's loans.
+# Start time for a slot that no other process can have held before, so that
+# there are no loans of a previous holder to wait for.
 NO_PREVIOUS_HOLDER = float("-inf")
 # Engines hash prompts in blocks of this length; a token is about four bytes.
 BLOCK_BYTES = 4 * prefix_index.BLOCK_TOKENS
-# Length of an answer before any was seen; most callers leave `max_tokens` far
-# above what they get, and a deadline must not be judged by it.
+# Expected length before any response was seen. Most callers set `max_tokens`
+# far above what they get, so it can't serve to estimate durations.
 INITIAL_LENGTH_TOKENS = 64.0
 LENGTH_SMOOTHING = 0.1
 
 
 @dataclasses.dataclass
 class _OutstandingAttempt:
-    """One attempt that is counted as outstanding."""
+    """An attempt that is counted as outstanding."""
 
     upstream: str
     request: requests.ModelRequest
@@ -51,7 +56,7 @@
         slots: Number of slots of the data centre.
         rng: Source of randomness.
         started_at: Monotonic time in seconds of the start of the process.
-        find_drain: Returns why an upstream takes no new work, or `None`.
+        find_drain: Returns why an upstream accepts no new work, or `None`.
         suspects: Requests that are suspected of crashing upstreams.
     """
 
@@ -94,7 +99,7 @@
         self._lengths: dict[tuple[str, str], float] = {}
 
     def list_parts(self) -> list[components.Component]:
-        """Returns the parts that take events from outside."""
+        """Returns the components that handle external events."""
         return [
             self.load_table,
             self.cold_start_limiter,
@@ -105,7 +110,7 @@
     def apply(
         self, current: deployment.Deployment, now: float
     ) -> list[commands.Command]:
-        """Takes the configuration in force."""
+        """Applies the configuration in force."""
         self._configured = dict(current.upstreams)
         engines = tuple(
             upstream
@@ -144,7 +149,7 @@
         result: placement.AttemptResult,
         now: float,
     ) -> placement.Assignment | failures.Failure:
-        """Chooses an upstream in place of the one that runs the request."""
+        """Chooses another upstream for a request that is running."""
         replaced_attempt = request.request_id
         verdict = self._suspects.check(
             request.fingerprint, now, replaced_attempt
@@ -198,10 +203,10 @@
         now: float,
         replaced_attempt: str = "",
     ) -> selection.SelectedUpstream | failures.Failure:
-        """Chooses in the own data centre first.
+        """Chooses an upstream, in the own data centre first.
 
-        The upstreams of the others, most of the fleet, are looked at only
-        when none of the own ones can take the work.
+        Remote upstreams, most of the fleet, are considered only when no local
+        one can take the work.
         """
         failure: failures.Failure | None = None
         for group in (self._local, self._remote):
@@ -221,8 +226,8 @@
             choice = self._selection.choose(demand, candidates, now)
             if isinstance(choice, selection.SelectedUpstream):
                 return choice
-            # A deadline that one group could not meet says more than that the
-            # other one is full.
+            # A missed deadline in one group is more specific than that the
+            # other group is full.
             if not isinstance(failure, failures.DeadlineExceeded):
                 failure = choice
         return failure or failures.NoUpstream(
@@ -231,7 +236,7 @@
         )
 
     def record_first_chunk(self, request_id: str, now: float) -> None:
-        """Records the time of the first chunk of an attempt."""
+        """Records that the first chunk of the request's attempt arrived."""
         attempt = self._attempts.get(request_id)
         if attempt is not None and attempt.first_chunk_s is None:
             attempt.first_chunk_s = now - attempt.started_at
@@ -239,7 +244,7 @@
     def release(
         self, request_id: str, result: placement.AttemptResult, now: float
     ) -> None:
-        """Ends the accounting of the attempt of a request."""
+        """Removes the request's attempt from the outstanding ones."""
         attempt = self._attempts.pop(request_id, None)
         if attempt is None:
             return
@@ -259,7 +264,8 @@
             ),
             now,
         )
-        # After the end, so that a lost attempt counts as a death at once.
+        # After the end of the attempt, so that the crash of the upstream is
+        # attributed to it at once.
         if result.refused:
             self._dispatch(upstream_events.ConnectFailed(attempt.upstream), now)
         elif result.unreachable:
@@ -270,7 +276,7 @@
     def estimate_duration_s(
         self, request: requests.ModelRequest, version: str, now: float
     ) -> float:
-        """Returns the shortest expected time of an answer of a version."""
+        """Returns the shortest expected duration of a version's response."""
         demand = self._build_demand(request, version)
         shortest = 0.0
         serving = self._local.get(version) or self._remote.get(version, ())
@@ -281,7 +287,7 @@
         return shortest
 
     def has_candidate(self, version: str, now: float) -> bool:
-        """Tells whether any upstream takes new work for a version."""
+        """Returns whether any upstream accepts new work for a version."""
         return any(
             self.cold_start_limiter.can_start(name, now)
             for group in (self._local, self._remote)
@@ -291,7 +297,7 @@
     def compute_capacity_tokens(self) -> int:
         """Returns the tokens that this process may have in flight.
 
-        These are its parts of the upstreams of its data centre, or of all
+        This is its share of the upstreams of its data centre, or of all
         upstreams when the data centre has none.
         """
         own = 0
@@ -324,7 +330,7 @@
         return result
 
     def take_commands(self) -> list[commands.Command]:
-        """Returns the commands that came up since the last call."""
+        """Returns and clears the commands issued since the last call."""
         result = self._outbox
         self._outbox = []
         return result
@@ -362,7 +368,7 @@
             yield name
 
     def _index(self, engines: Iterable[deployment.Upstream]) -> None:
-        """Groups upstreams by version, own data centre and others."""
+        """Groups the upstreams by version into local and remote ones."""
         self._local, self._remote = {}, {}
         for upstream in sorted(engines, key=lambda one: one.name):
             own = upstream.data_centre == self._data_centre
@@ -372,7 +378,7 @@
                 group[version] = (*known, upstream.name)
 
     def _is_idle(self, name: str) -> bool:
-        """Tells whether nothing is known to run on an upstream."""
+        """Returns whether no request is known to run at an upstream."""
         load = self.load_table.find_load(name)
         if load is None or load.report is None:
             return False
