Put the tests of operations, calls and replication into plain terms

Three test modules and classes follow the names of what they test: test_version_access, test_bandwidth and test_config_writes. The checks stay.

--- a/tests/fault_world.py
+++ b/tests/fault_world.py
@@ -1,4 +1,4 @@
-"""A deployment of real processes whose parts tests break on purpose."""
+"""A deployment of real processes with fault injection."""
 
 import collections
 import concurrent.futures
@@ -16,10 +16,10 @@
 from tests import processes
 from tools import callers
 
-# Stand-ins end by themselves if a test run is killed.
+# Stand-ins exit after this time, in case the test run is killed.
 LIFETIME_S = 240
 CAPACITY_TOKENS = 1_000_000
-# "A few seconds" of the promises.
+# Bound for effects that are promised within "a few seconds".
 BOUND_S = 5.0
 SERVICE = "/v1/services/filing/lodge"
 HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=32)
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass
 class Entry:
-    """An entry process and what is needed to start it again."""
+    """An entry process and the addresses to start it again."""
 
     name: str
     data_centre: str
@@ -44,7 +44,7 @@
     Args:
         centres: Data centre of each entry process.
         engines: Settings of each engine, by name.
-        engine_centres: Data centres of engines outside of `dc-1`.
+        engine_centres: Data centre of each engine outside `dc-1`, by name.
     """
 
     def __init__(
@@ -68,14 +68,14 @@
             raise
 
     def close(self) -> None:
-        """Ends every process of the deployment."""
+        """Stops every process of the deployment."""
         self.running.stop()
         self.pool.shutdown(wait=False, cancel_futures=True)
 
     # Processes.
 
     def start_entry(self, entry: Entry) -> Entry:
-        """Starts an entry process, again under the same addresses."""
+        """Starts an entry process at its addresses, also after a stop."""
         seeds = [e.peer for e in self.entries if e is not entry]
         own = [e for e in self.entries if e.data_centre == entry.data_centre]
         entry.child, entry.url = self.running.start_entry(
@@ -91,7 +91,7 @@
         return entry
 
     def add_entry(self, data_centre: str) -> Entry:
-        """Starts a further entry process."""
+        """Starts an additional entry process."""
         entry = make_entry(f"entry-{len(self.entries)}", data_centre)
         self.entries.append(entry)
         return self.start_entry(entry)
@@ -112,7 +112,7 @@
         return HTTP.request("GET", f"{entry.url}/v1/status").json()
 
     def run_operator(self, *arguments: str) -> "subprocess.CompletedProcess":
-        """Runs `sycamorectl` to its end."""
+        """Runs `sycamorectl` until it exits."""
         module = "sycamorehollow.programs.ctl"
         return subprocess.run(
             [sys.executable, "-m", module, "--store", self.urls["store"]]
@@ -125,7 +125,7 @@
         )
 
     def inject(self, name: str, kind: str, **fault: Any) -> None:
-        """Injects a fault at a stand-in."""
+        """Injects a fault into a stand-in."""
         answer = HTTP.request(
             "POST", f"{self.urls[name]}/faults", json={"kind": kind, **fault}
         )
@@ -141,7 +141,7 @@
         """Returns the counters of an upstream."""
         return HTTP.request("GET", f"{self.urls[name]}/stats").json()
 
-    # Calls that may not be repeated.
+    # Non-idempotent calls.
 
     def call(
         self,
@@ -151,7 +151,7 @@
         deadline_s: float = 10.0,
         path: str = SERVICE,
     ) -> callers.Answer:
-        """Calls the service under a key."""
+        """Calls the service with an idempotency key."""
         return self._send(
             "POST",
             entry,
@@ -164,17 +164,17 @@
     def ask_outcome(
         self, entry: Entry, key: str, query: str = ""
     ) -> callers.Answer:
-        """Asks for the outcome of a call."""
+        """Requests the outcome of a call."""
         path = f"/v1/outcomes/{key}{query}"
         return self._send("GET", entry, path, {}, None, 10.0)
 
     def issue_ticket(self, entry: Entry) -> str:
-        """Returns a fresh ticket."""
+        """Returns a new ticket."""
         answer = self._send("POST", entry, "/v1/tickets", {}, {}, 10.0)
         return answer.document["ticket"]
 
     def count_effects(self, key: str) -> int:
-        """Returns how many effects the service has had under a key."""
+        """Returns how often the service has run the call of a key."""
         page = HTTP.request("GET", f"{self.urls['service']}/effects").json()
         return sum(
             count
@@ -183,12 +183,12 @@
         )
 
     def count_running_calls(self) -> int:
-        """Returns the calls that the service is working on."""
+        """Returns the number of calls in progress at the service."""
         report = HTTP.request("GET", f"{self.urls['service']}/v1/load").json()
         return report["running"]
 
     def count_running(self, name: str) -> int:
-        """Returns the requests that an engine is working on."""
+        """Returns the number of requests in progress at an engine."""
         return self.read_stats(name)["running"]
 
     def _send(
@@ -223,7 +223,7 @@
     def complete(
         self, entry: Entry, tokens: int = 5, prompt: str = "", **options: Any
     ) -> callers.Answer:
-        """Runs a model request to its end."""
+        """Runs a model request until it is complete."""
         request = callers.Request(
             "maps",
             processes.API_KEY,
@@ -236,7 +236,7 @@
         return self.caller.complete(entry.url, request)
 
     def list_models(self, entry: Entry) -> list[str]:
-        """Returns the names that the workspace may ask an entry for."""
+        """Returns the model names that the workspace may use."""
         answer = HTTP.request(
             "GET", f"{entry.url}/v1/models", headers=AUTHORIZATION
         )
@@ -261,7 +261,7 @@
         )
 
     def read_bills(self) -> dict[str, billing_messages.Bill]:
-        """Returns the bills in the store by key, as the reader counts them."""
+        """Returns the bills in the store by key, without duplicates."""
         reader = billing_reader.BillReader()
         for value in self._read_batches():
             reader.add(value)
@@ -271,7 +271,7 @@
         }
 
     def count_stored_bills(self) -> collections.Counter[str]:
-        """Returns how often the store holds the bill of each key."""
+        """Returns the number of stored bills of each key."""
         counts: collections.Counter[str] = collections.Counter()
         for value in self._read_batches():
             for bill in billing_messages.decode_bills(value):
@@ -348,17 +348,17 @@
 
 
 def make_entry(name: str, data_centre: str) -> Entry:
-    """Returns an entry process with free addresses, not started."""
+    """Returns an entry process with free addresses, not started yet."""
     address = f"127.0.0.1:{processes.find_port()}"
     peer = f"127.0.0.1:{processes.find_port()}"
     return Entry(name, data_centre, address, peer)
 
 
 def make_key() -> str:
-    """Returns a fresh idempotency key."""
+    """Returns a new idempotency key."""
     return uuid.uuid4().hex
 
 
 def price(prompt_tokens: int, output_tokens: int) -> int:
-    """Returns the amount of a bill for `small-1` of the test settings."""
+    """Returns the amount of a bill at the test prices of `small-1`."""
     return 1000 * prompt_tokens + 2000 * output_tokens
--- a/tests/test_allowances.py
+++ b/tests/test_bandwidth.py
@@ -1,4 +1,4 @@
-"""Tests of the limits on the bytes of replicated state."""
+"""Tests of the bandwidth limits of replicated state."""
 
 import unittest
 
@@ -12,8 +12,8 @@
 RATE = 100.0
 
 
-class AllowanceTest(unittest.TestCase):
-    """Guards against a kind of state that uses up a node's bandwidth."""
+class BandwidthBudgetTest(unittest.TestCase):
+    """Guards against replicated state that uses up a node's bandwidth."""
 
     @hypothesis.given(
         strategies.lists(
@@ -24,23 +24,23 @@
         )
     )
     def test_rate_is_kept(self, steps):
-        """A sender that asks first must not exceed its rate for long."""
-        allowance = bandwidth.BandwidthBudget(RATE)
+        """A sender that checks its budget must not exceed the rate for long."""
+        budget = bandwidth.BandwidthBudget(RATE)
         now = spent = 0.0
         for wait_s, size in steps:
             now += wait_s
-            if allowance.can_send(now):
-                allowance.consume(size, now)
+            if budget.can_send(now):
+                budget.consume(size, now)
                 spent += size
         burst = RATE * bandwidth.BURST_S
         self.assertLessEqual(spent, RATE * now + burst + 400)
 
     def test_debt_is_bounded(self):
         """A flood of received bytes must not silence a process for good."""
-        allowance = bandwidth.BandwidthBudget(RATE)
-        allowance.consume(10**9, 0.0)
-        self.assertFalse(allowance.can_send(0.0))
-        self.assertTrue(allowance.can_send(bandwidth.MAX_DEBT_S + 0.1))
+        budget = bandwidth.BandwidthBudget(RATE)
+        budget.consume(10**9, 0.0)
+        self.assertFalse(budget.can_send(0.0))
+        self.assertTrue(budget.can_send(bandwidth.MAX_DEBT_S + 0.1))
 
     def test_fleet_keeps_the_limit_and_still_spreads(self):
         """Ratings must reach other nodes within the limit."""
@@ -53,7 +53,7 @@
         for member in fleet.members:
             used = member.traffic["learning/digest"]
             used += member.traffic["learning/delta"]
-            # What is on its way when the allowance ends comes on top.
+            # Bytes in transit when the budget is used up come on top.
             self.assertLess(used, 1.5 * limit)
             self.assertGreater(member.traffic["learning/delta"], 0)
             labels = {
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -28,7 +28,7 @@
 
 
 class Server:
-    """Gives one raw response to each connection; `None` stays silent."""
+    """Sends one raw response per connection; `None` sends nothing."""
 
     def __init__(self, *responses, delay_s=0.0):
         self.delay_s = delay_s
@@ -56,7 +56,7 @@
 
 
 class MemoryStore(stores.Store):
-    """Returns prepared results."""
+    """Store that returns a prepared result."""
 
     def __init__(self, result):
         self.result = result
@@ -72,7 +72,7 @@
 
 
 class ServiceTest(unittest.TestCase):
-    """Guards against taking a call that may have run for one that did not."""
+    """Guards against reporting a call that may have run as not run."""
 
     def serve(self, *responses, delay_s=0.0):
         server = Server(*responses, delay_s=delay_s)
@@ -98,7 +98,7 @@
         )
 
     def test_slow_service_is_not_given_up_for_none(self):
-        """Guards against a sound answer that is dropped before it comes."""
+        """Guards against abandoning a response that is only slow."""
         slow = self.serve(OK, OK, delay_s=0.6)
         event = self.dispatch_idempotent(slow.url, remaining_s=5.0)
         self.assertIsInstance(event, messages.ServiceResponded)
@@ -170,7 +170,7 @@
 
 
 class ShellTest(unittest.TestCase):
-    """Guards against a command that ends without an event or the wrong one."""
+    """Guards against commands that end with no event or a wrong one."""
 
     def carry_out(self, command, result):
         posted = queue.SimpleQueue()
--- a/tests/test_branches.py
+++ b/tests/test_config_writes.py
@@ -1,4 +1,4 @@
-"""Tests of the rules of an operator's change."""
+"""Tests of conditional writes of configuration documents."""
 
 import json
 import unittest
@@ -10,12 +10,12 @@
 
 
 class Writer:
-    """Carries one change out, one store call per step."""
+    """Makes one change, with one store call per step."""
 
     def __init__(self, name, key):
         self.name = name
         self.key = key
-        self.proposal = None
+        self.write = None
         self.result = None
         self.reading_back = False
         self.attempts = 0
@@ -24,36 +24,34 @@
         document.setdefault("writers", []).append(self.name)
 
     def step(self, store, fate):
-        """Makes one call that is lost before or after its effect, or not."""
+        """Makes one call, which may be lost before or after its effect."""
         if self.result is not None:
             return
         text, revision = store.get(self.key, (None, 0))
-        if self.proposal is None:
-            self.proposal = config_writes.prepare_write(
+        if self.write is None:
+            self.write = config_writes.prepare_write(
                 self.key, revision, text, self._edit, self.name
             )
             return
         if self.reading_back:
-            answer = config_writes.resolve_read_back(
-                self.proposal, revision, text
-            )
+            result = config_writes.resolve_read_back(self.write, revision, text)
             if fate == "done":
-                self._take(answer)
+                self._take(result)
             else:
                 self._lose()
             return
         if fate == "lost before":
             self._lose()
-        elif revision != self.proposal.expected_revision:
+        elif revision != self.write.expected_revision:
             if fate == "lost after":
                 self._lose()
                 return
             self._take(
-                config_writes.resolve_conflict(self.proposal, revision, text)
+                config_writes.resolve_conflict(self.write, revision, text)
             )
         else:
             store["revision"] += 1
-            store[self.key] = (self.proposal.text, store["revision"])
+            store[self.key] = (self.write.text, store["revision"])
             if fate == "lost after":
                 self._lose()
             else:
@@ -63,28 +61,26 @@
 
     def _lose(self):
         self.attempts += 1
-        answer = config_writes.resolve_lost_response(
-            self.proposal, self.attempts
-        )
-        self._take(answer)
+        result = config_writes.resolve_lost_response(self.write, self.attempts)
+        self._take(result)
 
-    def _take(self, answer):
-        if isinstance(answer, config_writes.ReadBack):
+    def _take(self, result):
+        if isinstance(result, config_writes.ReadBack):
             self.reading_back = True
-        elif isinstance(answer, config_writes.RetryWrite):
+        elif isinstance(result, config_writes.RetryWrite):
             self.reading_back = False
         else:
-            self.result = answer
+            self.result = result
 
 
 def list_writers(store, key):
-    """Returns the names of the changes in a stored document."""
+    """Returns the writers whose changes are in a stored document."""
     text, _ = store.get(key, (None, 0))
     return json.loads(text).get("writers", []) if text else []
 
 
-class ChangeTest(unittest.TestCase):
-    """Guards against lost, doubled and foreign changes."""
+class ConditionalWriteTest(unittest.TestCase):
+    """Guards against lost, doubled and misreported changes."""
 
     @hypothesis.settings(max_examples=300)
     @hypothesis.given(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Tests of the spread of the configuration."""
+"""Tests of the replication of the configuration."""
 
 import json
 import random
@@ -23,7 +23,7 @@
 
 
 def write_document(branch, kind):
-    """Returns the text of a good, faulty or clashing document."""
+    """Returns the text of a valid, invalid or conflicting document."""
     if kind == "text":
         return "no JSON"
     if kind == "bad":
@@ -82,7 +82,7 @@
         self.history.append((branch, kind))
 
     def answer(self, index, lag=0):
-        """Answers a store call, from an older state with a lag."""
+        """Responds to a store call, with the state `lag` changes ago."""
         command = self.calls.pop(index, None)
         if command is None:
             return
@@ -136,7 +136,7 @@
             self.send(index, events.Tick())
 
     def heal(self, store_up):
-        """Runs rounds without loss."""
+        """Runs rounds without lost messages."""
         for turn in range(10):
             self.tick()
             for index in self.processes:
@@ -173,8 +173,8 @@
 )
 
 
-class SpreadTest(unittest.TestCase):
-    """Guards against reverted, lost or differing configurations."""
+class ReplicationTest(unittest.TestCase):
+    """Guards against reverted, lost or diverging configurations."""
 
     @hypothesis.settings(max_examples=200)
     @hypothesis.given(
@@ -201,7 +201,7 @@
         self._check_in_force(world, first, store_up)
 
     def _check_in_force(self, world, process, store_up):
-        """A branch without a fault of its own is in force."""
+        """Checks that exactly the branches without own faults are in force."""
         known = {
             branch: latest
             for branch, (latest, _) in process.list_revisions().items()
@@ -222,7 +222,7 @@
 
 
 class StepsTest(unittest.TestCase):
-    """Guards against wrong use of the store and of peers."""
+    """Guards against wrong calls to the store and to peers."""
 
     def setUp(self):
         self.world = World()
@@ -285,7 +285,7 @@
         self.world.heal(True)
         self.world.write("platform", "good")
         self.world.answer(0)
-        # The lowest member of the other data centre gets the change as well.
+        # The lowest address in the other data centre gets the change too.
         self.assertEqual([place for place, _ in self.world.mailbox], [2, 3])
         self.world.answer(4)
         self.assertEqual([place for place, _ in self.world.mailbox], [2, 3, 0])
@@ -311,9 +311,9 @@
         process = self.world.processes[0]
         self.assertEqual(process.find_refusal().execution.value, "no")
         self.world.fail(0)
-        asked = process.handle(events.Tick(), self.world.now + 5)
+        issued = process.handle(events.Tick(), self.world.now + 5)
         self.assertIn(
-            messages.StartExchanges, [type(command) for command in asked]
+            messages.StartExchanges, [type(command) for command in issued]
         )
         self.world.exchange(0, 5)
         self.assertIsNone(process.find_refusal())
@@ -344,7 +344,8 @@
         for _ in range(5):
             self.world.tick(configuration.FALLBACK_WATCH_S / 4)
             self.world.answer(2)
-            # Its own confirmation, heard back, does not end its watch.
+            # Its own confirmation, coming back from a peer, does not end the
+            # fallback watch.
             self.world.exchange(1, 2)
             self.world.exchange(2, 1)
             self.assertIsInstance(self.world.calls[2], messages.StartWatch)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -1,4 +1,4 @@
-"""Tests of what is out of service and of the shutdown of a process."""
+"""Tests of drains and of the shutdown of a process."""
 
 import dataclasses
 import unittest
@@ -34,13 +34,13 @@
 
 
 class DrainsTest(unittest.TestCase):
-    """Guards I6 and I10: no new work for what is out of service."""
+    """Guards against new work for upstreams out of service (I6, I10)."""
 
     def start(self, **changes):
-        held = drains.Drains()
+        component = drains.Drains()
         change = drains.DeploymentChanged(make_deployment(**changes))
-        held.handle(change, 0.0)
-        return held
+        component.handle(change, 0.0)
+        return component
 
     @hypothesis.given(
         strategies.sampled_from(deployment.Presence),
@@ -54,14 +54,14 @@
     def test_any_source_keeps_new_work_away(
         self, centre, upstream, keys, named, leaving
     ):
-        held = self.start(centre=centre, upstream=upstream)
-        kept = tuple(make_record(k, f'{{"revision":{named}}}') for k in keys)
-        held.handle(drains.RecordsChanged(kept), 1.0)
-        held.handle(drains.UpstreamVmsReceived({"u": leaving}), 1.0)
+        component = self.start(centre=centre, upstream=upstream)
+        drained = tuple(make_record(k, f'{{"revision":{named}}}') for k in keys)
+        component.handle(drains.RecordsChanged(drained), 1.0)
+        component.handle(drains.UpstreamVmsReceived({"u": leaving}), 1.0)
         out = centre is not IN or upstream is not IN or leaving
         out = out or bool(keys and named >= 1)
-        self.assertEqual(held.find_refusal("u") is not None, out)
-        self.assertIsNone(held.find_refusal("v"))
+        self.assertEqual(component.find_refusal("u") is not None, out)
+        self.assertIsNone(component.find_refusal("v"))
 
     def test_unknown_upstream_is_refused_with_its_own_failure(self):
         self.assertIsInstance(
@@ -69,35 +69,35 @@
         )
 
     def test_record_is_lifted_only_by_a_higher_revision(self):
-        held = self.start()
+        component = self.start()
         record = make_record("upstream/u", '{"revision":1}')
-        held.handle(drains.RecordsChanged((record,)), 1.0)
+        component.handle(drains.RecordsChanged((record,)), 1.0)
         again = drains.DeploymentChanged(make_deployment(revision=1))
-        self.assertEqual(held.handle(again, 2.0), [])
-        self.assertIsNotNone(held.find_refusal("u"))
+        self.assertEqual(component.handle(again, 2.0), [])
+        self.assertIsNotNone(component.find_refusal("u"))
         higher = drains.DeploymentChanged(make_deployment(revision=2))
-        self.assertEqual(held.handle(higher, 3.0), [drains.MarkCold("u")])
+        self.assertEqual(component.handle(higher, 3.0), [drains.MarkCold("u")])
 
     def test_malformed_record_keeps_work_away(self):
-        held = self.start()
+        component = self.start()
         record = make_record("upstream/u", '["revision"]')
-        held.handle(drains.RecordsChanged((record,)), 1.0)
-        self.assertIsNotNone(held.find_refusal("u"))
+        component.handle(drains.RecordsChanged((record,)), 1.0)
+        self.assertIsNotNone(component.find_refusal("u"))
 
     def test_vm_missing_from_the_list_keeps_its_last_state(self):
-        held = self.start()
-        held.handle(drains.UpstreamVmsReceived({"u": True}), 1.0)
-        held.handle(drains.UpstreamVmsReceived({}), 2.0)
-        self.assertIsNotNone(held.find_refusal("u"))
+        component = self.start()
+        component.handle(drains.UpstreamVmsReceived({"u": True}), 1.0)
+        component.handle(drains.UpstreamVmsReceived({}), 2.0)
+        self.assertIsNotNone(component.find_refusal("u"))
 
     def test_every_return_counts_as_cold(self):
-        held = self.start(centre=OUT)
+        component = self.start(centre=OUT)
         back = drains.DeploymentChanged(make_deployment())
-        self.assertEqual(held.handle(back, 1.0), [drains.MarkCold("u")])
-        held = self.start(upstream=OUT)
+        self.assertEqual(component.handle(back, 1.0), [drains.MarkCold("u")])
+        component = self.start(upstream=OUT)
         removed = dataclasses.replace(make_deployment(), upstreams={})
-        held.handle(drains.DeploymentChanged(removed), 1.0)
-        self.assertEqual(held.handle(back, 2.0), [drains.MarkCold("u")])
+        component.handle(drains.DeploymentChanged(removed), 1.0)
+        self.assertEqual(component.handle(back, 2.0), [drains.MarkCold("u")])
 
     def test_drain_holds_on_every_reachable_process_after_5_s(self):
         for pushed in (True, False):
@@ -109,21 +109,23 @@
             )
             driven.run(2.0)
             value = drains.make_drain_value(make_deployment())
-            asked = nodes[1].records.put(
+            issued = nodes[1].records.put(
                 drains.DRAIN_KIND, "data_centre/dc-0", value, driven.now
             )
             if pushed:
-                driven.carry_out(nodes[1], asked)
+                driven.carry_out(nodes[1], issued)
             driven.run(DRAIN_BOUND_S)
             for node in nodes:
-                held = self.start()
-                kept = node.records.list_kind(drains.DRAIN_KIND, driven.now)
-                held.handle(drains.RecordsChanged(tuple(kept)), driven.now)
-                self.assertIsNotNone(held.find_refusal("u"), node.address)
+                component = self.start()
+                drained = node.records.list_kind(drains.DRAIN_KIND, driven.now)
+                component.handle(
+                    drains.RecordsChanged(tuple(drained)), driven.now
+                )
+                self.assertIsNotNone(component.find_refusal("u"), node.address)
 
 
 class ShutdownTest(unittest.TestCase):
-    """Guards I11: a shutdown interrupts no request."""
+    """Guards against requests interrupted by a shutdown (I11)."""
 
     @hypothesis.given(
         strategies.lists(
@@ -135,24 +137,29 @@
         )
     )
     def test_exits_once_and_only_when_nothing_is_left(self, counts):
-        held = shutdown.Shutdown()
-        self.assertIsNone(held.find_refusal())
-        begun = held.handle(shutdown.ShutdownRequested(), 0.0)
+        component = shutdown.Shutdown()
+        self.assertIsNone(component.find_refusal())
+        begun = component.handle(shutdown.ShutdownRequested(), 0.0)
         self.assertEqual(
             begun, [shutdown.StopAdmission(), shutdown.AnnounceLeave()]
         )
-        self.assertEqual(held.handle(shutdown.ShutdownRequested(), 0.0), [])
+        self.assertEqual(
+            component.handle(shutdown.ShutdownRequested(), 0.0), []
+        )
         now, exits = 0.0, 0
         for requests, bills, seconds in counts:
             now += seconds
-            asked = held.handle(shutdown.WorkCounted(requests, bills), now)
+            issued = component.handle(
+                shutdown.WorkCounted(requests, bills), now
+            )
             self.assertIs(
-                held.find_refusal().execution, failures.Execution.NOT_STARTED
+                component.find_refusal().execution,
+                failures.Execution.NOT_STARTED,
             )
-            if asked:
+            if issued:
                 exits += 1
                 self.assertEqual(requests + bills, 0)
                 self.assertGreaterEqual(now, drains.DRAIN_DELAY_S)
         self.assertLessEqual(exits, 1)
-        held.handle(shutdown.WorkCounted(0, 0), now + drains.DRAIN_DELAY_S)
-        self.assertIs(held.phase, shutdown.Phase.DONE)
+        component.handle(shutdown.WorkCounted(0, 0), now + drains.DRAIN_DELAY_S)
+        self.assertIs(component.phase, shutdown.Phase.DONE)
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -19,7 +19,7 @@
 
 
 class ScheduleTest(unittest.TestCase):
-    """Guards against second effects, lost calls and false refusals."""
+    """Guards against calls that run twice, are lost or wrongly refused."""
 
     @hypothesis.settings(max_examples=1500)
     @hypothesis.given(NUMBERS)
@@ -38,7 +38,7 @@
 
 
 class KeyTest(unittest.TestCase):
-    """Guards against wrong answers in the cases that schedules reach rarely."""
+    """Guards against wrong results in cases that schedules rarely reach."""
 
     def setUp(self):
         self.world = fakes.World(worlds.Schedule([]))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -21,17 +21,17 @@
 )
 
 
-def write(held, key, value, ttl_s, now):
-    """Puts a value, or deletes it for `None`; returns the delta to push."""
+def write(replica, key, value, ttl_s, now):
+    """Writes a value, or deletes it if `None`; returns deltas to push."""
     if value is None:
-        asked = held.delete("stop", key, now)
+        issued = replica.delete("stop", key, now)
     else:
-        asked = held.put("stop", key, value, now, ttl_s)
-    return [c.delta for c in asked if isinstance(c, payloads.PushDelta)]
+        issued = replica.put("stop", key, value, now, ttl_s)
+    return [c.delta for c in issued if isinstance(c, payloads.PushDelta)]
 
 
 class RecordsTest(unittest.TestCase):
-    """Guards against copies that differ after they have exchanged deltas."""
+    """Guards against copies that differ after exchanging deltas."""
 
     @hypothesis.given(writes_drawn, strategies.randoms())
     def test_copies_converge_whatever_the_order(self, writes, rng):
@@ -59,9 +59,9 @@
         copies[0].put("cold", "u", 1, 0.0, 10.0)
         for step in range(200):
             now = step * 0.1
-            # The third copy first hears of the record shortly before its end.
-            heard = copies if now > 8.0 else copies[:2]
-            pairs = [(a, b) for a in heard for b in heard if a is not b]
+            # The third copy receives the record shortly before it expires.
+            informed = copies if now > 8.0 else copies[:2]
+            pairs = [(a, b) for a in informed for b in informed if a is not b]
             for source, target in pairs:
                 delta = source.build_delta(target.build_digest(now), now)
                 target.merge(delta, now + transit_s)
@@ -80,7 +80,7 @@
         self.assertIsNone(first.find("drain", "u", 1.0))
 
     def test_malformed_rows_change_nothing(self):
-        held = records.ReplicatedRecords()
+        replica = records.ReplicatedRecords()
         rows = [
             [1, "k", 1, "1", None],
             ["k", "k", "1", "1", None],
@@ -88,7 +88,7 @@
             ["k", "k", 1, "not json", None],
             ["k"],
         ]
-        self.assertEqual(held.merge(payloads.encode_rows(rows), 0.0), [])
+        self.assertEqual(replica.merge(payloads.encode_rows(rows), 0.0), [])
 
 
 class ExchangeTest(unittest.TestCase):
@@ -107,8 +107,8 @@
 
     def test_equal_copies_exchange_nothing_but_one_digest(self):
         driven, nodes = self.start()
-        asked = nodes[0].exchange._start_exchange(nodes[1].address, driven.now)
-        call = exchange.CallReceived(1, asked.sender, asked.items)
+        issued = nodes[0].exchange._start_exchange(nodes[1].address, driven.now)
+        call = exchange.CallReceived(1, issued.sender, issued.items)
         (reply,) = nodes[1].exchange.handle(call, driven.now)
         self.assertEqual(reply.items, ())
 
@@ -127,8 +127,8 @@
 
     def test_urgent_record_is_everywhere_without_a_digest(self):
         driven, nodes = self.start()
-        asked = nodes[4].records.put("stop", "v", 1, driven.now)
-        driven.carry_out(nodes[4], asked)
+        issued = nodes[4].records.put("stop", "v", 1, driven.now)
+        driven.carry_out(nodes[4], issued)
         driven.run(0.1)
         self.assert_known(nodes, driven)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests of the member table and of the probing rules."""
+"""Tests of the member table and of membership."""
 
 import dataclasses
 import random
@@ -12,7 +12,7 @@
 from sycamorehollow.decisions.replication import membership
 from sycamorehollow.model import events
 
-# Suspicion, the spread of a refutation and one probe of a lost member.
+# Time for a suspicion, the spread of a refutation and a probe of a lost member.
 SETTLE_S = 60.0
 
 members_drawn = strategies.builds(
@@ -36,7 +36,7 @@
 
 
 def find_deaths(node, address=""):
-    """Returns the deaths that a node has seen, of one address if named."""
+    """Returns the members a node declared dead, or one address of them."""
     return [
         change.after.address
         for _, change in node.changes
@@ -52,12 +52,12 @@
 
 
 class MembersTest(unittest.TestCase):
-    """Guards against views that depend on the order of messages."""
+    """Guards against member tables that depend on the order of messages."""
 
     @hypothesis.given(strategies.lists(members_drawn), strategies.randoms())
     def test_merge_is_commutative_and_idempotent(self, found, rng):
         tables = []
-        # A first live record makes every address known to both tables.
+        # A first live record for each address, as unknown ones must be live.
         base = [members.Member(address, "dc-0", 0) for address in "abc"]
         for rows in (found, rng.sample(found, len(found)) + found[:2]):
             table = members.MemberTable()
@@ -77,7 +77,7 @@
             member = members.Member(f"m{number}", "dc-0", 1)
             first.apply(member, 10.0)
             second.apply(member, 10.0)
-        # A digest of another shape makes every bucket differ.
+        # With a malformed digest every bucket differs.
         for step in range(200):
             second.merge(first.build_delta(b"", 20.0 + step), 20.0 + step)
         self.assertIsNotNone(second.find("old"))
@@ -108,7 +108,7 @@
 
 
 class MembershipTest(unittest.TestCase):
-    """Guards the rules of one process."""
+    """Guards against wrong decisions of a single process."""
 
     def test_old_process_learns_that_it_was_replaced(self):
         peers = make_membership()
@@ -129,8 +129,8 @@
     def test_process_with_a_broken_outgoing_path_suspects_few(self):
         peers = make_membership()
         for number in range(20):
-            heard = membership.MessageReceived(f"m{number}", "dc-0", 1)
-            peers.handle(heard, 0.5)
+            received = membership.MessageReceived(f"m{number}", "dc-0", 1)
+            peers.handle(received, 0.5)
         peers.handle(events.Tick(), 1.0)
         for number in range(20):
             peers.handle(membership.ProbeFailed(f"m{number}", 1.0), 2.0)
@@ -143,7 +143,7 @@
 
 
 class FaultsTest(unittest.TestCase):
-    """Guards against views that stay wrong after faults have ended."""
+    """Guards against member tables that stay wrong after faults end."""
 
     def start(self, seed=1, count=8, data_centres=2):
         driven = fleet.Fleet(seed, data_centres)
@@ -183,8 +183,8 @@
             elif kind == "cut":
                 cut.add((node.address, nodes[second].address))
             else:
-                hints = {nodes[second].address: True, "10.9.9.9:7400": False}
-                driven.deliver(node, membership.VmListReceived(hints))
+                vm_list = {nodes[second].address: True, "10.9.9.9:7400": False}
+                driven.deliver(node, membership.VmListReceived(vm_list))
             driven.run(seconds)
         cut.clear()
         for node in driven.nodes.values():
@@ -255,13 +255,13 @@
     )
     def test_vm_list_declares_no_answering_member_dead(self, listed):
         driven, nodes = self.start()
-        hints = {
+        vm_list = {
             f"10.0.0.{number}:7400": leaving
             for number, leaving in listed.items()
         }
         for _ in range(20):
             for node in nodes:
-                driven.deliver(node, membership.VmListReceived(hints))
+                driven.deliver(node, membership.VmListReceived(vm_list))
             driven.run(1.0)
         self.assertEqual([find_deaths(node) for node in nodes], [[]] * 8)
         self.assert_converged(driven)
@@ -273,8 +273,8 @@
             lonely.peers.self_record, (), random.Random(1), driven.now
         )
         lonely.exchange = fleet.exchange.Exchange(lonely.peers)
-        hints = {lonely.address: False}
-        driven.deliver(nodes[0], membership.VmListReceived(hints))
+        vm_list = {lonely.address: False}
+        driven.deliver(nodes[0], membership.VmListReceived(vm_list))
         driven.run(10.0)
         self.assert_converged(driven)
 
@@ -301,8 +301,8 @@
         driven, nodes = self.start()
         driven.kill(nodes[0])
         driven.run(SETTLE_S)
-        hints = {nodes[2].address: True}
-        driven.deliver(nodes[5], membership.VmListReceived(hints))
+        vm_list = {nodes[2].address: True}
+        driven.deliver(nodes[5], membership.VmListReceived(vm_list))
         self.assertEqual(
             nodes[5].peers.list_lowest_addresses("dc-0", 2),
             [nodes[4].address, nodes[6].address],
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -15,14 +15,14 @@
 
 
 class Store:
-    """Leases and one record, on true time."""
+    """Leases and one record, on an exact clock."""
 
     def __init__(self):
         self.ends, self.record = {}, None
         self.created, self.revision = 0, 0
 
     def find_owner(self, now):
-        """Returns the owner in the record if its lease runs."""
+        """Returns the owner in the record if its lease is valid."""
         if self.record and self.ends.get(self.record[1], -1.0) > now:
             return self.record[0].split("/")[0]
         return None
@@ -52,7 +52,7 @@
 
 
 class Holder:
-    """A process with a clock of its own and pauses anywhere."""
+    """A process with its own clock rate and with pauses at any time."""
 
     def __init__(self, name, rate, pauses, delays):
         self.name, self.rate = name, rate
@@ -61,7 +61,7 @@
         budget = orders.LoadRateLimiter(100.0, 1)
         self.orders = orders.Orders(self.lease, budget)
         self.orders.handle(TARGETS, 0.0)
-        self.waiting = []  # (true time, event for the lease)
+        self.pending = []  # (exact time, event for the lease)
         self.unsent = []
 
     def step(self, now, store, sent):
@@ -74,27 +74,30 @@
                 sent.append((now + order.timeout_s, self.name, order))
             ended = orders.OrderEnded(order.number, "u")
             self.orders.handle(ended, clock)
-        asked = []
-        for due, event in list(self.waiting):
+        issued = []
+        for due, event in list(self.pending):
             if due <= now:
-                self.waiting.remove((due, event))
-                asked += self.lease.handle(event, clock)
-        asked += self.lease.handle(events.Tick(), clock)
-        for command in asked:
+                self.pending.remove((due, event))
+                issued += self.lease.handle(event, clock)
+        issued += self.lease.handle(events.Tick(), clock)
+        for command in issued:
             delay = self.delays[int(now * 10) % len(self.delays)]
-            # At 4 s the answer is lost, at 5 s the request.
+            # A delay of 4 s stands for a lost response, 5 s for a lost request.
             if delay > 4.0:
                 continue
             event = store.carry_out(command, now)
             if event is not None and delay < 4.0:
-                self.waiting.append((now + delay, event))
+                self.pending.append((now + delay, event))
         seen = orders.EngineReported("u", frozenset(), "", clock)
         self.orders.handle(seen, clock)
         self.unsent = self.orders.handle(events.Tick(), clock)
 
 
 class HoldersTest(unittest.TestCase):
-    """Guards engines that ignore fencing tokens from a holder that woke."""
+    """Guards against orders of a paused holder after its lease has ended.
+
+    The engines in these tests do not check fencing tokens.
+    """
 
     @hypothesis.settings(max_examples=60)
     @hypothesis.given(
@@ -152,7 +155,7 @@
 
 
 class OrdersTest(unittest.TestCase):
-    """Guards against repeated orders and a shared rate that is exceeded."""
+    """Guards against repeated orders and an exceeded shared rate limit."""
 
     def test_lease_is_not_relied_on_within_the_margin(self):
         lease = self.start()._lease
@@ -166,33 +169,35 @@
         lease.handle(events.Tick(), 0.0)
         lease.handle(leases.LeaseCreated(1, "x"), 0.0)
         lease.handle(leases.LeaseRecordClaimed(2, 7), 0.0)
-        held = orders.Orders(lease, orders.LoadRateLimiter(100.0, 1))
-        held.handle(TARGETS, 0.0)
-        return held
+        reconciler = orders.Orders(lease, orders.LoadRateLimiter(100.0, 1))
+        reconciler.handle(TARGETS, 0.0)
+        return reconciler
 
-    def observe(self, held, versions, asked):
-        seen = orders.EngineReported("u", frozenset(versions), "", asked)
-        held.handle(seen, asked)
+    def observe(self, reconciler, versions, requested_at):
+        seen = orders.EngineReported("u", frozenset(versions), "", requested_at)
+        reconciler.handle(seen, requested_at)
 
     def test_nothing_is_ordered_twice_while_reports_lag(self):
-        held = self.start()
-        self.observe(held, (), 0.0)
-        held.handle(events.Tick(), 0.0)
-        (order,) = held.handle(events.Tick(), 0.1)
+        reconciler = self.start()
+        self.observe(reconciler, (), 0.0)
+        reconciler.handle(events.Tick(), 0.0)
+        (order,) = reconciler.handle(events.Tick(), 0.1)
         self.assertEqual((order.fencing_token, order.version), (7, "v"))
-        self.observe(held, (), 5.5)
-        self.assertEqual(held.handle(events.Tick(), 5.5), [])
-        held.handle(orders.OrderEnded(order.number, "u"), 5.6)
-        self.observe(held, (), 5.7)
-        self.assertEqual(held.handle(events.Tick(), 5.8), [])
+        self.observe(reconciler, (), 5.5)
+        self.assertEqual(reconciler.handle(events.Tick(), 5.5), [])
+        reconciler.handle(orders.OrderEnded(order.number, "u"), 5.6)
+        self.observe(reconciler, (), 5.7)
+        self.assertEqual(reconciler.handle(events.Tick(), 5.8), [])
 
     def test_no_order_after_an_engine_refused_the_token(self):
-        held = self.start()
+        reconciler = self.start()
         stale = orders.OrderEnded(9, "u", is_token_stale=True)
-        self.assertEqual(held.handle(stale, 0.0), [orders.FencingTokenStale(7)])
-        self.observe(held, (), 0.0)
-        held.handle(events.Tick(), 0.0)
-        self.assertEqual(held.handle(events.Tick(), 0.1), [])
+        self.assertEqual(
+            reconciler.handle(stale, 0.0), [orders.FencingTokenStale(7)]
+        )
+        self.observe(reconciler, (), 0.0)
+        reconciler.handle(events.Tick(), 0.0)
+        self.assertEqual(reconciler.handle(events.Tick(), 0.1), [])
 
     @hypothesis.given(
         strategies.integers(1, 7),
--- a/tests/test_process_calls.py
+++ b/tests/test_process_calls.py
@@ -1,16 +1,16 @@
-"""Calls that may not be repeated, through real processes under faults."""
+"""Non-idempotent calls through real processes, under faults."""
 
 import unittest
 
 from tests import fault_world
 from tests import processes
 
-# Long enough to end an entry process and to ask another one.
+# Long enough to kill an entry process and to call another one.
 WORK_S = 3.0
 
 
 class CallFaultTest(unittest.TestCase):
-    """Guards against calls that run twice or are reported wrongly."""
+    """Guards against calls that run twice or are misreported."""
 
     @classmethod
     def setUpClass(cls):
@@ -25,7 +25,7 @@
         processes.wait_for(lambda: self.world.count_effects(key) > 0)
 
     def test_lost_entry_runs_a_call_at_most_once(self):
-        """Guards against a second run when the retry meets another entry."""
+        """Guards against a second run if the retry goes to another entry."""
         world = self.world
         keys = [fault_world.make_key(), world.issue_ticket(self.victim)]
         world.inject("service", "work_s", value=WORK_S)
@@ -41,7 +41,8 @@
             self.assertTrue(retry.served or retry.run == "unknown", retry)
             self._wait_for_effect(key)
         world.clear_faults()
-        # Nothing but the ticket is left of a call whose issuer is gone.
+        # After the issuer of a ticket is gone, the outcome request has to name
+        # service and operation.
         queries = ("", "?service=filing&operation=lodge")
         for key, query in zip(keys, queries, strict=True):
             self._check_settled(key, query)
@@ -54,7 +55,7 @@
         self.assertEqual(self.world.count_effects(key), 1)
 
     def test_lost_answer_of_the_service_is_resolved(self):
-        """Guards against a second run after a run that looks failed."""
+        """Guards against a second run after a lost response."""
         for make_key in (
             fault_world.make_key,
             lambda: self.world.issue_ticket(self.first),
@@ -68,7 +69,7 @@
             self.assertEqual(self.world.count_effects(key), 1)
 
     def test_lost_answer_of_the_claim_runs_the_call_once(self):
-        """Guards against a claim that blocks its own call, or runs twice."""
+        """Guards against claims that block their own call or run it twice."""
         key = fault_world.make_key()
         self.world.inject(
             "store",
@@ -84,7 +85,7 @@
         self.assertEqual(self.world.count_effects(key), 1)
 
     def test_store_outage_leaves_tickets_and_reads_in_service(self):
-        """Guards against bookings that a store outage blocks."""
+        """Guards against calls that a store outage makes impossible."""
         world = self.world
         key = fault_world.make_key()
         world.inject("store", "down")
@@ -105,12 +106,12 @@
         def is_served():
             return world.call(self.second, key).served
 
-        # The claim of the refused call was in doubt and is given back first.
+        # The claim of the refused call was in doubt; it is released first.
         processes.wait_for(is_served)
         self.assertEqual(world.count_effects(key), 1)
 
     def test_silent_service_gives_an_unknown_outcome(self):
-        """Guards against a refusal that denies a run nobody can rule out."""
+        """Guards against reporting a call as not run that may have run."""
         for key in (
             fault_world.make_key(),
             self.world.issue_ticket(self.first),
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration through real processes under faults."""
+"""Configuration changes through real processes, under faults."""
 
 import json
 import time
@@ -30,7 +30,7 @@
         self.assertEqual(done.returncode, 0, done.stderr)
 
     def _wait_until_even(self):
-        """Waits until every entry has the newest settings in force."""
+        """Waits until the latest configuration is in force everywhere."""
         page = fault_world.HTTP.request(
             "GET", f"{self.world.urls['store']}/v1/range?prefix=config/"
         ).json()
@@ -66,7 +66,7 @@
         self.assertTrue(answer.complete, answer)
 
     def test_new_entry_is_healthy_once_it_can_serve(self):
-        """Guards against refusals before the load of any engine is known."""
+        """Guards against refusals while the load of no engine is known."""
         for name in ("a", "b"):
             self.world.inject(
                 name, "delay_s", value=1.0, method="GET", path="/v1/load"
@@ -76,8 +76,8 @@
         self.assertTrue(answer.complete, answer)
 
     def test_race_of_operators_has_one_winner(self):
-        """Guards against a change that another one silently replaces."""
-        # Two operators race only if both read before the first one writes.
+        """Guards against changes that another one silently overwrites."""
+        # Operators conflict only if they read before the first one writes.
         self.world.inject(
             "store", "delay_s", value=0.5, method="GET", path="/v1/range"
         )
@@ -98,7 +98,7 @@
         self._wait_until_even()
 
     def _race(self, names):
-        """Lets operators change one branch; returns the accepted names."""
+        """Changes one branch concurrently; returns the accepted names."""
         create = ("--json", "--team", "race", "workspace", "create")
         futures = [
             self.world.pool.submit(self.world.run_operator, *create, name)
@@ -116,7 +116,7 @@
         return won
 
     def test_changes_are_in_force_everywhere_in_time(self):
-        """Guards against entries that keep to old settings after 5 s."""
+        """Guards against entries with an old configuration after 5 s."""
         world = self.world
         session = world.complete(self.first, session="new")
         self.assertEqual(session.version, "small-1", session)
@@ -147,7 +147,7 @@
         self._wait_until_even()
 
     def _check_withdrawn(self, entry, session):
-        """Asks for the withdrawn version by its name and by a session."""
+        """Requests the withdrawn version by name and by session."""
         for options in ({"session": session}, {"model": "small-1"}):
             refusal = self.world.complete(entry, **options)
             self.assertEqual(refusal.code, "version_withdrawn", refusal)
--- a/tests/test_process_drains.py
+++ b/tests/test_process_drains.py
@@ -1,4 +1,4 @@
-"""Drains that operators order while the store is down."""
+"""Drains requested by operators while the store is down."""
 
 import pathlib
 import tempfile
@@ -13,7 +13,7 @@
 
 
 class DrainTest(unittest.TestCase):
-    """Guards against drains that wait for the store or stay at one node."""
+    """Guards against drains that need the store or stay on one node."""
 
     def test_drain_reaches_both_entries_without_the_store(self):
         running = processes.Processes()
--- a/tests/test_process_shutdown.py
+++ b/tests/test_process_shutdown.py
@@ -1,4 +1,4 @@
-"""Shutdown and return of entry processes."""
+"""Shutdown and restart of entry processes."""
 
 import signal
 import unittest
@@ -7,14 +7,14 @@
 from tests import processes
 
 STREAMS = 4
-# At 50 tokens a second the streams outlive the start of the shutdown.
+# At 50 tokens a second, the streams last beyond the start of the shutdown.
 TOKENS = 150
 WORK_S = 3.0
 EXIT_LIMIT_S = 40
 
 
 class ShutdownTest(unittest.TestCase):
-    """Guards against work that the end of an entry process cuts off."""
+    """Guards against work lost by the end of an entry process."""
 
     @classmethod
     def setUpClass(cls):
@@ -28,20 +28,20 @@
         self.addCleanup(self.world.clear_faults)
 
     def _check_return(self, entry):
-        """Starts an entry again and checks that it takes part."""
+        """Restarts an entry and checks that it serves and is reachable."""
         world = self.world
         world.start_entry(entry)
         world.wait_for_members()
         answer = world.complete(entry)
         self.assertTrue(answer.complete, answer)
         ticket = world.issue_ticket(entry)
-        # The other entry reaches the new process under the old address.
+        # The other entry reaches the new process at the same address.
         answer = world.call(self.second, ticket)
         self.assertTrue(answer.served, answer)
         self.assertEqual(world.count_effects(ticket), 1)
 
     def test_termination_cuts_nothing_off(self):
-        """Guards against cut streams, lost bookings and lost bills."""
+        """Guards against truncated streams, lost calls and lost bills."""
         world = self.world
         world.inject("service", "work_s", value=WORK_S)
         keys = [fault_world.make_key(), world.issue_ticket(self.first)]
@@ -84,7 +84,7 @@
         self._check_return(self.first)
 
     def test_killed_entry_rejoins_under_its_address(self):
-        """Guards against peers that hold on to the dead process."""
+        """Guards against peers that keep addressing the dead process."""
         before = self.world.read_status(self.first)["address"]
         self.first.child.kill()
         self.first.child.wait(10)
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -1,4 +1,4 @@
-"""A planned stop of an entry process while callers go on."""
+"""A planned stop of an entry process under continuous load."""
 
 import http.client
 import signal
@@ -11,12 +11,13 @@
 from tests import processes
 
 CALLERS = 8
-# Callers come after the time in which load balancers notice, for so long.
+# New callers still connect for this long after the load balancers should have
+# noticed the stop.
 LATE_S = 0.6
 
 
 class StopTest(unittest.TestCase):
-    """Guards against accepted requests that a stop cuts off."""
+    """Guards against accepted requests interrupted by a stop."""
 
     def setUp(self):
         self.world = fault_world.World(("dc-1",))
@@ -31,7 +32,7 @@
         return http.client.HTTPConnection(address, timeout=8)
 
     def _ask(self, caller):
-        """Sends one request; returns whether its caller is to leave."""
+        """Sends one request; returns whether the connection will close."""
         headers = {"Authorization": f"Bearer {processes.API_KEY}"}
         try:
             caller.request("POST", "/v1/tickets", b"{}", headers)
--- a/tests/test_fence.py
+++ b/tests/test_version_access.py
@@ -1,4 +1,4 @@
-"""Tests of the fence."""
+"""Tests of the check of access to a version."""
 
 import unittest
 
@@ -14,23 +14,23 @@
 SETS = strategies.frozensets(NAMES)
 
 
-class FenceTest(unittest.TestCase):
-    """Guards against work on versions that are not allowed or withdrawn."""
+class VersionAccessTest(unittest.TestCase):
+    """Guards against requests to forbidden or withdrawn versions."""
 
     @hypothesis.given(SETS, SETS, SETS, SETS, NAMES, WORKSPACES)
     def test_starts_only_what_every_rule_allows(
         self, known, serving, allowed, stopped, version, workspace
     ):
-        in_force = deployments.make_deployment(known, serving, allowed)
+        current = deployments.make_deployment(known, serving, allowed)
         failure = version_access.check_version_access(
-            in_force, stopped, workspace, version
+            current, stopped, workspace, version
         )
-        may_start = (
+        is_allowed = (
             workspace == "w"
             and version in known & serving & allowed
             and version not in stopped
         )
-        self.assertEqual(failure is None, may_start)
+        self.assertEqual(failure is None, is_allowed)
         if failure is not None:
             self.assertIs(failure.execution, failures.Execution.NOT_STARTED)
 
@@ -39,6 +39,6 @@
             None, frozenset(), "w", "a"
         )
         self.assertIsInstance(failure, failures.NoConfiguration)
-        in_force = deployments.make_deployment({"a"}, {"a"}, {"a"})
-        failure = version_access.check_version_access(in_force, {"a"}, "w", "a")
+        current = deployments.make_deployment({"a"}, {"a"}, {"a"})
+        failure = version_access.check_version_access(current, {"a"}, "w", "a")
         self.assertIsInstance(failure, failures.VersionWithdrawn)
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -1,4 +1,4 @@
-"""Processes and a store whose messages are lost or late on a schedule."""
+"""Simulation of processes and a store with scheduled message faults."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -10,14 +10,14 @@
 
 
 class Schedule:
-    """Choices taken from a list of numbers."""
+    """Choices derived from a list of numbers."""
 
     def __init__(self, numbers: Iterable[int]):
         self._numbers = iter(numbers)
         self.ended = False
 
     def pick(self, count: int) -> int:
-        """Returns a choice below `count`; 0 when the list has ended."""
+        """Returns a number below `count`; 0 after the end of the list."""
         number = next(self._numbers, None)
         if number is None:
             self.ended = True
@@ -47,10 +47,10 @@
 
 
 class World:
-    """Carries out, loses, delays or refuses the commands of processes.
+    """Executes, loses, delays or refuses the commands of processes.
 
-    A node has `parts`, `process`, `paused` and `alive`. `perform` lets a
-    command take effect; its last argument tells whether it is answered.
+    A node has `parts`, `process`, `paused` and `alive`. `perform` executes a
+    command; its last argument tells whether the response is delivered.
     """
 
     steps: tuple[str, ...]
@@ -70,15 +70,15 @@
         self.nodes = [self.make_node(n, 1) for n in range(processes)]
         self.pending: list[tuple[Any, commands.Command]] = []
         self.late: list[Callable[[], object]] = []
-        # The node and the operation that each peer call came from.
+        # Node and operation that each peer call came from.
         self.asks: dict[str, tuple[Any, str]] = {}
         self._next = 0
 
     def after_kill(self, old: Any) -> None:
-        """Reacts to the end of a process."""
+        """Called after a process was killed."""
 
     def run(self) -> None:
-        """Follows the schedule to its end, then lets everything settle."""
+        """Runs the schedule to its end, then lets everything settle."""
         while not self.schedule.ended:
             step = self.steps[self.schedule.pick(len(self.steps))]
             getattr(self, step)()
@@ -92,7 +92,7 @@
         return f"r{self._next}"
 
     def give(self, node: Any, event: events.Event) -> None:
-        """Gives an event to all parts of a node."""
+        """Delivers an event to all components of a node."""
         if not node.alive:
             return
         for part in node.parts:
@@ -100,14 +100,14 @@
                 self.take(node, command)
 
     def carry_out(self) -> None:
-        """Carries out one command of a process that is not paused."""
+        """Executes one command of a process that is not paused."""
         ready = [n for n, p in enumerate(self.pending) if not p[0].paused]
         if not ready:
             return
         index = ready[self.schedule.pick(len(ready)) if self.faults else 0]
         node, command = self.pending.pop(index)
-        # 0 to 3: carried out. 4: nothing sent. 5: sent, and it takes effect
-        # later. 6: the response is lost.
+        # 0 to 3: executed. 4: not sent. 5: sent, and executed later without a
+        # response. 6: executed, but the response is lost.
         variant = self.schedule.pick(7) if self.faults else 0
         if isinstance(command, self.store_commands) and not self.store_up:
             variant = 4
@@ -123,7 +123,7 @@
         self.give(node, self.make_failure(op, variant > 4))
 
     def land(self) -> None:
-        """Lets one late message take effect."""
+        """Executes one delayed command."""
         if self.late:
             self.late.pop(self.schedule.pick(len(self.late)))()
 
@@ -137,7 +137,7 @@
                 self.give(node, events.Tick())
 
     def pause(self) -> None:
-        """Pauses a process or lets it go on."""
+        """Pauses or resumes a process."""
         node = self.pick_node()
         node.paused = not node.paused
 
@@ -145,7 +145,7 @@
         self.store_up = not self.store_up
 
     def kill(self) -> None:
-        """Kills a process and starts a new run at its address."""
+        """Kills a process and starts a new one at its address."""
         index = self.schedule.pick(len(self.nodes))
         old = self.nodes[index]
         old.alive = False
@@ -155,16 +155,16 @@
                 continue
             self.pending.remove(entry)
             if self.schedule.pick(2):
-                # It was on its way already.
+                # It had been sent already.
                 self.late.append(functools.partial(self.perform, *entry, False))
         for ask, (node, op) in list(self.asks.items()):
             del self.asks[ask]
-            # The connection may have been the one to the killed process.
+            # The peer call may have been to the killed process.
             self.give(node, self.make_failure(op, True))
         self.after_kill(old)
 
     def settle(self) -> None:
-        """Ends all faults and lets every process finish its work."""
+        """Ends all faults and runs until every process is done."""
         self.faults = False
         self.store_up = True
         for node in self.nodes:
