--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -80,7 +80,7 @@
     reason: str
 
 
-def choose_initial_model(route: forwarding.Route) -> str:
+def choose_first_model(route: forwarding.Route) -> str:
     """Returns the model that gets a request first."""
     return route.models[0]
 
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -1,4 +1,4 @@
-"""The course of one request: attempts, repeats and its final answer."""
+"""State machine of one request: attempts, retries and the final response."""
 
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import attempt_timeouts
@@ -13,14 +13,13 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
-# Wait before full upstreams are tried again, and the part of the objective
-# that may be spent on that.
+# Delay before full upstreams are tried again, and the share of the objective
+# for which a request may wait for them.
 FULL_RETRY_DELAY_S = 0.02
 MAX_QUEUE_SHARE = 0.4
-# Time in which a full or missing upstream is usually back.
+# Time after which a full or missing upstream is usually back.
 RETRY_AFTER_S = 0.5
-# Wait in seconds before a shortage of repeats or room is looked at again on
-# behalf of a caller that holds a part of its answer.
+# Delay before a shortage is checked again while a response is incomplete.
 SHORTAGE_RETRY_DELAY_S = 0.2
 MIN_REMAINING_S = 0.01
 STREAM_STATUS = 200
@@ -28,23 +27,23 @@
 
 
 class RequestLifecycle:
-    """Decides about one request; the shell carries its steps out.
+    """Decides the steps of one request, which the shell carries out.
 
     Args:
-        router: What the node knows.
+        router: State of the deployment.
         request: The request.
-        route: Its route.
-        service: The service that was drawn for it.
-        fingerprint: Identifies its content.
+        route: Route of the request.
+        service: Service selected for the request.
+        fingerprint: Digest of its content.
         body_bytes: Length of its body.
         now: Monotonic time in seconds at which it arrived.
         workspace: Name of the owner of its key; empty for none.
 
     Attributes:
-        deadline: Monotonic time at which its final answer is due.
-        attempts: What was tried.
-        last_event_id: Last event that the caller has.
-        failover: Where it would go on.
+        deadline: Monotonic time at which the final response is due.
+        attempts: All attempts, the latest last.
+        last_event_id: Latest event that the caller has received.
+        failover: Conditions of one more attempt.
     """
 
     def __init__(
@@ -74,22 +73,17 @@
             route, service.name, router.retry_budget
         )
         self._candidates = candidates.Candidates(
-            router,
-            request,
-            service,
-            request.get_affinity_key(route),
-            body_bytes,
+            router, request, service, request.get_session_key(route), body_bytes
         )
-        self._escalation = cascade_control.CascadeController(
+        self._cascade = cascade_control.CascadeController(
             router, request, route, service.name, self._candidates
         )
         self.failover = failover.Failover(
             router, self._limits, self._candidates, fingerprint
         )
-        # Whether the answer of a smaller model was dropped for a larger one.
         self._response_discarded = False
         if route.models and request.any_model:
-            self._candidates.model = cascade.choose_initial_model(route)
+            self._candidates.model = cascade.choose_first_model(route)
         self._waiter = router.admission_queue.create_waiter(
             route.priority, workspace, now
         )
@@ -97,12 +91,12 @@
 
     @property
     def max_idle_connections(self) -> int:
-        """Idle connections that may be kept to an upstream."""
+        """Number of idle connections that may be kept to an upstream."""
         return self._router.compute_max_idle_connections(self.service)
 
     @property
     def delivering(self) -> bool:
-        """Whether the caller has received a part of the answer."""
+        """Whether the caller has received part of the response."""
         return self._candidates.delivering
 
     @delivering.setter
@@ -111,11 +105,11 @@
 
     @property
     def _must_deliver(self) -> bool:
-        """Whether a failure now would take away an answer that was there."""
+        """Whether a response was delivered in part or discarded by cascade."""
         return self.delivering or self._response_discarded
 
     def choose_next_step(self, now: float) -> steps.Step:
-        """Returns what to do next while no attempt is open."""
+        """Returns the next step while no attempt is open."""
         if self.deadline - now < MIN_REMAINING_S:
             return steps.Reject(self._build_failure("its time is over", now))
         limit = self.failover.find_permanent_limit(now)
@@ -127,27 +121,25 @@
             return steps.Wait(min(SHORTAGE_RETRY_DELAY_S, self.deadline - now))
         if shortage:
             return steps.Reject(self._build_failure(shortage, now))
-        work = self._candidates.build_requirements(now)
-        choice = self._router.placement.choose(work, now)
-        if choice.state is not None and self._is_admitted(work, choice, now):
+        needs = self._candidates.build_requirements(now)
+        choice = self._router.placement.choose(needs, now)
+        if choice.state is not None and self._is_admitted(needs, choice, now):
             return self._send(choice, now)
         if self._candidates.has_tried_upstreams and choice.state is None:
-            # Each has had it once; a second time is better than a failure.
+            # All were tried; a second try is better than a failure.
             self._candidates.clear_tried()
             if not self.delivering and not self._limits.possible_runs:
                 return steps.Wait(FULL_RETRY_DELAY_S)
             return self.choose_next_step(now)
         if not choice.eligible and self._must_deliver:
             if self._response_discarded and not self.delivering:
-                # No upstream has the larger model any more.
-                self._candidates.model = cascade.choose_initial_model(
-                    self.route
-                )
+                # No upstream serves the larger model any more.
+                self._candidates.model = cascade.choose_first_model(self.route)
             return steps.Wait(min(SHORTAGE_RETRY_DELAY_S, self.deadline - now))
         wait_end = self.arrived_at + self.route.objective_s * MAX_QUEUE_SHARE
         if choice.eligible and (now < wait_end or self._must_deliver):
             self._router.admission_queue.try_admit(
-                self._waiter, work.queue_key, 0, now
+                self._waiter, needs.queue_key, 0, now
             )
             return steps.Wait(FULL_RETRY_DELAY_S)
         self._router.admission_queue.remove(self._waiter)
@@ -157,38 +149,36 @@
         return steps.Reject(self._build_failure(reason, now))
 
     def handle_timeout(self, now: float) -> steps.Step:
-        """Ends the open attempt if that leads somewhere.
-
-        Returns:
-            A step that replaces the attempt, or a wait after which its answer
-            is to be looked at again.
-        """
+        """Fails over to another upstream, or waits on if there is none."""
         left_s = self.deadline - now
         if left_s < MIN_REMAINING_S:
-            self._record_failed(steps.EndCause.DEADLINE, NO_BYTE_IN_TIME, now)
+            self._fail(steps.EndCause.DEADLINE, NO_BYTE_IN_TIME, now)
             return steps.Reject(self._build_failure("its time is over", now))
         attempt = self.attempts[-1]
         choice = self.failover.choose_reachable(attempt, left_s, now)
         if choice.state is None:
             attempt.keep_reason = choice.reason
             return steps.Wait(min(attempt_timeouts.RECHECK_S, left_s))
-        self._record_failed(steps.EndCause.TIMEOUT, NO_BYTE_IN_TIME, now)
+        self._fail(steps.EndCause.TIMEOUT, NO_BYTE_IN_TIME, now)
         return self._send(choice, now)
 
     def _is_admitted(
-        self, work: placement.Requirements, choice: placement.Choice, now: float
+        self,
+        needs: placement.Requirements,
+        choice: placement.Choice,
+        now: float,
     ) -> bool:
-        """Tells whether the request may have the room that is free."""
+        """Returns whether the request may use the available capacity."""
         if self._limits.possible_runs or self.delivering:
-            # Its caller, or an answer that was dropped, has waited already.
+            # A request that was sent before has already waited its turn.
             self._router.admission_queue.remove(self._waiter)
             return True
         return self._router.admission_queue.try_admit(
-            self._waiter, work.queue_key, choice.available, now
+            self._waiter, needs.queue_key, choice.available, now
         )
 
     def compute_timeout(self, now: float) -> float:
-        """Returns the seconds to wait for the answer's next byte."""
+        """Returns the seconds to wait for the next byte of the response."""
         left_s = max(0.0, self.deadline - now)
         if not self.failover.is_possible:
             return left_s
@@ -196,17 +186,17 @@
         if (
             self.delivering or attempt.response_accepted
         ) and self.route.max_event_gap_s > 0:
-            patience_s = attempt_timeouts.compute_event_timeout(
+            timeout_s = attempt_timeouts.compute_event_timeout(
                 self.route, attempt, self._limits.is_next_attempt_last, now
             )
         else:
-            patience_s = attempt_timeouts.compute_first_byte_timeout(
+            timeout_s = attempt_timeouts.compute_first_byte_timeout(
                 self.route, attempt, self._limits.is_next_attempt_last, now
             )
-        return min(left_s, patience_s)
+        return min(left_s, timeout_s)
 
     def begin_probe_if_silent(self, now: float) -> bool:
-        """Tells whether to check that the silent upstream can be reached."""
+        """Returns whether to probe the upstream, and records the probe."""
         if not self.failover.is_possible:
             return False
         attempt = self.attempts[-1]
@@ -216,14 +206,14 @@
         return True
 
     def choose_reference(self, now: float) -> directory.UpstreamState | None:
-        """Returns another upstream that tells whether this node is cut off."""
+        """Returns another upstream to probe, to detect an isolated node."""
         silent = self.attempts[-1].state
         return self._router.directory.choose_reference(
             silent, attempt_timeouts.PROBE_AFTER_S, now
         )
 
     def record_unreachable(self, isolated: bool, now: float) -> None:
-        """The silent upstream, and another one if `cut_off`, is not reached."""
+        """Records a failed probe; `isolated` if another one failed as well."""
         attempt = self.attempts[-1]
         if isolated:
             attempt.isolated_at = now
@@ -233,13 +223,13 @@
     def evaluate_head(
         self, head: forwarding.DecodedHead, now: float, was_resent: bool = False
     ) -> steps.Verdict:
-        """Decides whether an answer is passed on.
+        """Decides whether to deliver a response or to retry.
 
         Args:
-            head: Head of the answer.
+            head: Head of the response.
             now: Monotonic time in seconds.
-            was_resent: Whether the attempt was sent on another connection
-                before, which broke.
+            was_resent: Whether the attempt was sent before on another
+                connection that broke.
         """
         attempt = self.attempts[-1]
         attempt.release_backlog()
@@ -265,7 +255,7 @@
             now,
         )
         if self.delivering and head.status != STREAM_STATUS:
-            # The caller has the head of another answer already.
+            # The caller already has the head of another response.
             self._candidates.no_failures = False
             attempt.end_by_upstream(f"did not go on, {head.status}", now)
             return steps.Verdict.RETRY
@@ -288,15 +278,15 @@
     def record_connection_failure(
         self, reason: str, request_written: bool, now: float
     ) -> None:
-        """The attempt's connection could not be made or broke.
+        """Ends the attempt after its connection failed or broke.
 
         Args:
-            reason: What happened.
+            reason: Description of the failure.
             request_written: Whether any byte of the request was written.
             now: Monotonic time in seconds.
         """
         if request_written:
-            self._record_failed(steps.EndCause.UPSTREAM, reason, now)
+            self._fail(steps.EndCause.UPSTREAM, reason, now)
             return
         attempt = self.attempts[-1]
         attempt.end(steps.EndCause.UPSTREAM, reason, now)
@@ -304,9 +294,7 @@
         self._limits.record_connect_failure()
         directory.record_connection_failure(attempt.state, now)
 
-    def _record_failed(
-        self, cause: steps.EndCause, outcome: str, now: float
-    ) -> None:
+    def _fail(self, cause: steps.EndCause, outcome: str, now: float) -> None:
         attempt = self.attempts[-1]
         attempt.end(cause, outcome, now)
         self._candidates.no_failures = False
@@ -315,21 +303,19 @@
             directory.record_connection_failure(attempt.state, now)
 
     def record_possible_crash(self, now: float) -> None:
-        """The upstream broke the connection while it ran the request."""
+        """Records that the upstream closed the connection during a request."""
         if self.attempts[-1].state.upstream.draining:
-            # One that leaves by plan closes its connections.
+            # A draining upstream closes its connections on purpose.
             return
-        run = "/".join(map(str, self.attempts[-1].state.upstream.incarnation))
-        self._router.quarantine.record_break(self._fingerprint, run, now)
+        key = "/".join(map(str, self.attempts[-1].state.upstream.incarnation))
+        self._router.quarantine.record_break(self._fingerprint, key, now)
 
     def record_bytes(self, now: float) -> None:
-        """More of the answer has arrived."""
+        """Records the arrival of more of the response."""
         self.attempts[-1].record_event(now)
 
-    def record_abort(
-        self, cause: steps.EndCause, outcome: str, now: float
-    ) -> None:
-        """The request ended without an answer of an upstream or of our own."""
+    def abort(self, cause: steps.EndCause, outcome: str, now: float) -> None:
+        """Ends a request that gets no response, as when its caller left."""
         self._router.admission_queue.remove(self._waiter)
         if not self.attempts:
             return
@@ -337,7 +323,7 @@
             self.attempts[-1].end(cause, outcome, now)
 
     def record_delivered(self, now: float) -> None:
-        """The answer has been delivered whole."""
+        """Records that the complete response has been delivered."""
         self.attempts[-1].end(steps.EndCause.UPSTREAM, steps.DELIVERED, now)
         self._router.quarantine.record_completion(self._fingerprint, now)
 
@@ -390,9 +376,9 @@
     def _escalate(
         self, attempt: steps.Attempt, confidence: int | None, now: float
     ) -> bool:
-        """Decides whether a larger model is asked instead."""
+        """Returns whether a larger model is asked instead."""
         elapsed_s = now - self.arrived_at
-        decision = self._escalation.decide(
+        decision = self._cascade.decide(
             attempt, confidence, elapsed_s, self._limits.possible_runs, now
         )
         if not decision.model or self.failover.find_any_limit(now):
@@ -411,7 +397,5 @@
             return steps.BadGateway(reason, failures.Execution.UNKNOWN)
         if reason == failover.QUARANTINED:
             return steps.BadGateway(reason)
-        after_s = RETRY_AFTER_S * self._router.rng.uniform(0.5, 1.0)
-        return steps.Unavailable(
-            reason, failures.Execution.NOT_STARTED, after_s
-        )
+        wait_s = RETRY_AFTER_S * self._router.rng.uniform(0.5, 1.0)
+        return steps.Unavailable(reason, failures.Execution.NOT_STARTED, wait_s)
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -224,7 +224,7 @@
     session: str = ""
     last_event_id: str = ""
 
-    def get_affinity_key(self, route: Route) -> str:
+    def get_session_key(self, route: Route) -> str:
         """Returns what ties requests to each other, or its own identity."""
         if self.session:
             return self.session
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -88,7 +88,7 @@
             caller_connections.CallerDisconnectedError,
         ):
             record.outcome = "caller left"
-            lifecycle.record_abort(
+            lifecycle.abort(
                 steps.EndCause.CALLER, "the caller left", time.monotonic()
             )
             self._telemetry.record_request(record, lifecycle)
@@ -96,7 +96,7 @@
         except Exception as error:
             # The connection is closed by whoever reads from it.
             record.outcome = f"fault: {error!r}"
-            lifecycle.record_abort(
+            lifecycle.abort(
                 steps.EndCause.FAULT,
                 "an error in this process",
                 time.monotonic(),
