Reword the synchronisation, the forwarder, telemetry and connections

News, beliefs and questions stood for updates, state and requests, and several doc comments told what a caller had seen rather than what the function does. Comments and log lines now use plain terms, and each limit keeps its reason.

Checked: make lint reports no finding; test_gateway_log, test_gateway_state_sync, test_gateway_dropped and test_gateway_path pass.

--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -162,7 +162,7 @@
         upstream: forwarding.Upstream,
         connection: upstream_connections.UpstreamConnection,
     ) -> bool:
-        """Opens a new transport for a request on a closed connection.
+        """Reconnects for a request on a connection that had been closed.
 
         Returns:
             Whether the request may be resent.
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -1,4 +1,4 @@
-"""Carries out the lifecycle of each request between caller and upstream."""
+"""Handles each request: authorises it, relays it, and responds to failures."""
 
 import asyncio
 import hashlib
@@ -15,27 +15,27 @@
 from sycamorehollow.shells.gateway import response_relay
 from sycamorehollow.shells.gateway import telemetry
 
-# Time from the start in which requests wait for the first configuration. It
-# mostly takes some milliseconds, a large one on a slow link half a second.
+# Time after the start during which requests wait for the first configuration.
+# It arrives within milliseconds, or half a second if large and on a slow link.
 CONFIGURATION_WAIT_S = 1.0
 CONFIGURATION_POLL_INTERVAL_S = 0.01
-# Time after which a request that came before the configuration may succeed.
+# `Retry-After` of a request that came before the configuration.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
-# Time after which another node takes requests of a node that is draining.
+# `Retry-After` of a draining node, as another node can serve the request soon.
 DRAINING_RETRY_AFTER_S = 0.05
 
 
 class Forwarder:
-    """Answers requests of callers.
+    """Handles the requests of callers.
 
     Args:
-        router: What the node knows.
+        router: Holds the state that decides on requests.
         codec: Encodes and decodes headers.
         pool: Connections to upstreams.
-        telemetry_sink: Takes one record for each request.
+        telemetry_sink: Records each request.
 
     Attributes:
-        rejecting: Whether new requests are refused because the node leaves.
+        rejecting: Whether new requests are rejected because the node drains.
     """
 
     def __init__(
@@ -57,32 +57,32 @@
         connection: caller_connections.CallerConnection,
         request: caller_connections.HttpRequest,
     ) -> None:
-        """Answers one request."""
-        started = time.monotonic()
+        """Handles one request."""
+        started_at = time.monotonic()
         if request.error_status:
             await self._reject_invalid(connection, request.error_status)
             return
         target = request.target.decode("latin-1")
-        call = self._codec.decode_request(
+        decoded = self._codec.decode_request(
             request.method, target, request.headers
         )
-        record = telemetry.RequestRecord(started)
-        if isinstance(call, failures.Failure):
-            await self._reject(connection, request, "", call, record)
+        record = telemetry.RequestRecord(started_at)
+        if isinstance(decoded, failures.Failure):
+            await self._reject(connection, request, "", decoded, record)
             return
-        record.request_id = call.request_id
+        record.request_id = decoded.request_id
         await self._wait_for_configuration()
-        lifecycle = self._admit(call, request, record, started)
+        lifecycle = self._admit(decoded, request, record, started_at)
         if isinstance(lifecycle, failures.Failure):
             await self._reject(
-                connection, request, call.request_id, lifecycle, record
+                connection, request, decoded.request_id, lifecycle, record
             )
             return
-        exchange = response_relay.ResponseRelay(
+        relay = response_relay.ResponseRelay(
             connection, request, lifecycle, record, self._codec, self._pool
         )
         try:
-            failure = await exchange.run()
+            failure = await relay.run()
         except (
             asyncio.CancelledError,
             caller_connections.CallerDisconnectedError,
@@ -94,7 +94,7 @@
             self._telemetry.record_request(record, lifecycle)
             raise
         except Exception as error:
-            # The connection is closed by whoever reads from it.
+            # The caller of this method closes the connection.
             record.outcome = f"fault: {error!r}"
             lifecycle.abort(
                 steps.EndCause.FAULT,
@@ -107,17 +107,17 @@
             self._telemetry.record_request(record, lifecycle)
             return
         if lifecycle.delivering:
-            # Without its end the caller cannot take the answer for whole.
+            # Aborting keeps the caller from taking the response as complete.
             record.outcome = f"cut: {failure.reason}"
             connection.abort()
             self._telemetry.record_request(record, lifecycle)
             return
         await self._reject(
-            connection, request, call.request_id, failure, record, lifecycle
+            connection, request, decoded.request_id, failure, record, lifecycle
         )
 
     async def _wait_for_configuration(self) -> None:
-        """Waits a moment for the configuration of a process that starts."""
+        """Waits for the first configuration after the process has started."""
         while self._router.route_table is None:
             if time.monotonic() - self._started_at > CONFIGURATION_WAIT_S:
                 return
@@ -125,14 +125,14 @@
 
     def _admit(
         self,
-        call: forwarding.Request,
+        decoded: forwarding.Request,
         request: caller_connections.HttpRequest,
         record: telemetry.RequestRecord,
         now: float,
     ) -> request_lifecycle.RequestLifecycle | failures.Failure:
-        """Finds the route and service of a request."""
-        table = self._router.route_table
-        if table is None:
+        """Chooses the route and service of a request and authorises it."""
+        route_table = self._router.route_table
+        if route_table is None:
             return steps.Unavailable(
                 "no configuration is known yet",
                 retry_after_s=UNCONFIGURED_RETRY_AFTER_S,
@@ -141,23 +141,23 @@
             return steps.Unavailable(
                 "the node is leaving", retry_after_s=DRAINING_RETRY_AFTER_S
             )
-        record.configuration_version = table.configuration.version
-        route = table.find_route(call)
+        record.configuration_version = route_table.configuration.version
+        route = route_table.find_route(decoded)
         if isinstance(route, failures.Failure):
             return route
         record.route = route.name
-        workspace = table.authorize(call, route)
+        workspace = route_table.authorize(decoded, route)
         if isinstance(workspace, failures.Failure):
             return workspace
         record.workspace = workspace
-        service = table.choose_service(route, self._router.rng)
+        service = route_table.choose_service(route, self._router.rng)
         if isinstance(service, failures.Failure):
             return service
         record.service = service.name
-        fingerprint = compute_fingerprint(call, workspace, request)
+        fingerprint = compute_fingerprint(decoded, workspace, request)
         return request_lifecycle.RequestLifecycle(
             self._router,
-            call,
+            decoded,
             route,
             service,
             fingerprint,
@@ -175,7 +175,7 @@
         record: telemetry.RequestRecord,
         lifecycle: request_lifecycle.RequestLifecycle | None = None,
     ) -> None:
-        """Writes an answer of our own."""
+        """Records a failure and writes its response."""
         record.outcome = f"{failure.code}: {failure.reason}"
         record.status = failure.status
         self._telemetry.record_request(record, lifecycle)
@@ -191,17 +191,17 @@
     async def _reject_invalid(
         self, connection: caller_connections.CallerConnection, status: int
     ) -> None:
-        """Refuses what could not be read as a request."""
+        """Responds to bytes that are not a valid request."""
         self._telemetry.record_invalid_request(status)
         await write_response(connection, status, [], b"", False)
 
 
 def compute_fingerprint(
-    call: forwarding.Request,
+    decoded: forwarding.Request,
     workspace: forwarding.Workspace | None,
     request: caller_connections.HttpRequest,
 ) -> str:
-    """Returns what identifies a request's content, also when it comes again."""
+    """Returns a digest that is equal for repeated requests of one content."""
     digest = hashlib.blake2b(request.body, digest_size=12)
     digest.update(request.target)
     digest.update((workspace.name if workspace else "").encode())
@@ -215,7 +215,7 @@
     body: bytes,
     keep_alive: bool,
 ) -> None:
-    """Writes a short answer of our own."""
+    """Writes a complete response created by the gateway."""
     await connection.write_head(status, b"", headers, len(body), keep_alive)
     if body:
         await connection.write_body(body)
--- a/sycamorehollow/shells/gateway/grpc_peer_client.py
+++ b/sycamorehollow/shells/gateway/grpc_peer_client.py
@@ -1,4 +1,4 @@
-"""Calls between nodes over gRPC."""
+"""Peer client over gRPC."""
 
 from collections.abc import Callable
 import concurrent.futures
@@ -13,12 +13,12 @@
 
 
 class GrpcPeerClient(peer_client.PeerClient):
-    """Asks other nodes and answers them on a thread of its own.
+    """Sends and serves peer requests on a thread of its own.
 
     Args:
-        own_process: This process.
-        handle_request: Answers other nodes; called on the thread.
-        deliver: Takes events; safe from any thread.
+        own_process: Identity of this process.
+        handle_request: Handles requests of other nodes; called on the thread.
+        deliver: Receives the events; safe from any thread.
     """
 
     def __init__(
@@ -34,7 +34,7 @@
         self._task.register(SYNC_KIND, self._handle_item)
 
     def start(self) -> None:
-        """Starts to listen.
+        """Starts the thread and listens for requests.
 
         Raises:
             OSError: The address cannot be bound.
@@ -42,7 +42,7 @@
         self._task.start()
 
     def send_request(self, number: int, address: str, payload: bytes) -> None:
-        """Sends a question and returns at once."""
+        """Sends a request without waiting for its response."""
         item = exchange.Item(SYNC_KIND, payload)
         self._task.post(peers.Request(number, address, self._own_process, item))
 
--- a/sycamorehollow/shells/gateway/peer_client.py
+++ b/sycamorehollow/shells/gateway/peer_client.py
@@ -1,4 +1,4 @@
-"""Calls between nodes, as the gateway sees them."""
+"""Interface of the client for requests to other nodes."""
 
 import abc
 from collections.abc import Callable
@@ -7,13 +7,13 @@
 
 from sycamorehollow.model import events
 
-# Answers the payload that the node at an address has sent.
+# Handles the payload of a request from the node at an address.
 RequestHandler = Callable[[str, bytes], "concurrent.futures.Future[bytes]"]
 
 
 @dataclasses.dataclass(frozen=True)
 class PeerRequestAnswered(events.Event):
-    """Another node has answered a question."""
+    """Another node has responded to a request."""
 
     number: int
     address: str
@@ -22,21 +22,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerRequestFailed(events.Event):
-    """Another node has not answered a question."""
+    """A request to another node has failed or timed out."""
 
     number: int
     reason: str
 
 
 class PeerClient(abc.ABC):
-    """Asks other nodes; results arrive as events."""
+    """Sends requests to other nodes; results are delivered as events."""
 
     @abc.abstractmethod
     def send_request(self, number: int, address: str, payload: bytes) -> None:
-        """Sends a question and returns at once.
+        """Sends a request without waiting for its response.
 
         Args:
-            number: Comes back with the result.
+            number: Number of the request, repeated in the resulting event.
             address: Address and port of the node.
-            payload: The question.
+            payload: Payload of the request.
         """
--- a/sycamorehollow/shells/gateway/rollout_messages.py
+++ b/sycamorehollow/shells/gateway/rollout_messages.py
@@ -1,4 +1,4 @@
-"""What nodes tell each other of roll-outs."""
+"""The parts of sync messages that concern roll-outs."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -10,24 +10,25 @@
 
 
 def export(rollouts: canary.Rollouts, now: float) -> dict[str, Any]:
-    """Returns the part of a node's news that concerns roll-outs."""
+    """Returns the roll-out reports and latency counts of this node."""
     return {
         "rollouts": [
             {
-                "service": finding.service,
-                "revision": finding.revision,
-                "worse": finding.worse,
-                "age_s": finding.age_s,
-                "first_share": finding.first_share,
-                "sound_s": finding.sound_s,
+                "service": report.service,
+                "revision": report.revision,
+                "worse": report.worse,
+                "age_s": report.age_s,
+                "first_share": report.first_share,
+                "sound_s": report.sound_s,
                 "tallies": {
                     node: [t.new, t.new_failed, t.old, t.old_failed]
-                    for node, t in finding.tallies.items()
+                    for node, t in report.tallies.items()
                 },
             }
-            for finding in rollouts.export(now)
+            for report in rollouts.export(now)
         ],
-        # Older processes read the entries above strictly.
+        # Not a field of the entries above: processes of older versions reject
+        # entries with unknown fields.
         "slowness": [
             {
                 "service": rollout.order.service,
@@ -45,18 +46,19 @@
 def merge(
     rollouts: canary.Rollouts, document: Mapping[str, Any], now: float
 ) -> None:
-    """Takes what another node has found.
+    """Merges the roll-out reports and latency counts of another node.
 
     Raises:
-        AttributeError, KeyError, TypeError, ValueError: The news is malformed.
+        AttributeError, KeyError, TypeError, ValueError: The document is
+            malformed.
     """
     for entry in document.get("rollouts", ()):
         tallies = {
             node: failure_counts.Tally(*counts)
             for node, counts in entry.pop("tallies").items()
         }
-        finding = rollout_records.RolloutReport(tallies=tallies, **entry)
-        rollouts.merge(finding, now)
+        report = rollout_records.RolloutReport(tallies=tallies, **entry)
+        rollouts.merge(report, now)
     for entry in document.get("slowness", ()):
         counts = {
             node: {r: slowness.decode(c) for r, c in routes.items()}
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -1,4 +1,4 @@
-"""Keeps what a node knows current: from the store and from other nodes."""
+"""Synchronises the state of a node with the store and with other nodes."""
 
 import asyncio
 import concurrent.futures
@@ -21,34 +21,34 @@
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
 
-# Time between exchanges of a watcher with another one. A finding takes some of
-# them to reach all, which is a part of the seconds in which a faulty version
-# has to be stopped everywhere.
+# Interval of the gossip between nodes that watch the store. A report takes some
+# rounds to reach all nodes, and a faulty version has to be stopped on all of
+# them within seconds.
 SYNC_INTERVAL_S = 0.5
-# The same while the store is away and other nodes are the only source of news.
+# The same while the store is unavailable and only peers provide updates.
 STORE_LOST_SYNC_INTERVAL_S = 0.4
-# Time between questions of a node that follows another instead of the store.
+# Interval of the requests to a peer that is followed instead of the store.
 FOLLOW_INTERVAL_S = 0.3
 PERIODIC_WORK_INTERVAL_S = 0.25
-# Nodes of lower rank act that much later, so that mostly one of them does.
+# Delay of a status write per rank, so that mostly one node writes it.
 WRITE_DELAY_PER_RANK_S = 0.4
 WRITE_RETRY_DELAY_S = 1.0
-# Ages are cut off here, as infinity cannot be sent.
+# Upper bound of ages in messages, as JSON has no infinity.
 MAX_AGE_S = 1e6
 
 
 class StateSync:
-    """Applies news to the router and hands it on to other nodes.
+    """Applies updates to the router and passes them on to other nodes.
 
-    Runs in the event loop of the gateway. Threads deliver their events by
+    Runs in the event loop of the gateway. Other threads pass their events to
     `deliver`.
 
     Args:
         settings: Settings of the process.
-        router: What is kept current.
-        codec: Reads and writes the values of the store.
-        telemetry_sink: Takes every change.
-        rng: Source of randomness.
+        router: Receives the updates.
+        codec: Decodes and encodes entries of the store.
+        telemetry_sink: Records every change.
+        rng: Randomises the intervals.
     """
 
     def __init__(
@@ -75,7 +75,7 @@
         self._last_request = 0
         self._next_sync_at = 0.0
         self._next_follow_at = 0.0
-        self._pending_requests: dict[int, str] = {}
+        self._pending: dict[int, str] = {}
         self._follow_request: int | None = None
         self._watchers = watchers.Watchers(
             settings.node, settings.data_centre, rng
@@ -88,63 +88,63 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether enough is known to serve requests."""
+        """Whether the node has routes and upstreams to serve requests."""
         return self._router.route_table is not None and bool(
             self._router.directory.list_all()
         )
 
     def get_revision(self) -> int:
-        """Returns the revision up to which all changes are known."""
+        """Returns the revision up to which all changes are applied."""
         return self._mirror.revision
 
     def set_store_tasks(
         self,
         watch: store_tasks.WatchTask,
-        writer: store_tasks.WriteTask,
+        write: store_tasks.WriteTask,
     ) -> None:
-        """Sets the tasks that use the store."""
+        """Sets the tasks that call the store."""
         self._watch_task = watch
-        self._write_task = writer
+        self._write_task = write
 
     def set_peer_client(self, client: peer_client.PeerClient) -> None:
-        """Sets what calls other nodes."""
+        """Sets the client for other nodes."""
         self._peer_client = client
 
     def deliver(self, event: events.Event) -> None:
-        """Takes an event from any thread."""
+        """Schedules the handling of an event; safe from any thread."""
         try:
             self._loop.call_soon_threadsafe(self._handle, event)
         except RuntimeError:
-            # The loop has ended; nobody needs the news any more.
+            # The event loop is closed; the event is not needed any more.
             return
 
     def handle_peer_request(
         self, address: str, payload: bytes
     ) -> "concurrent.futures.Future[bytes]":
-        """Answers another node; called on the thread of the peers."""
-        answer: concurrent.futures.Future[bytes] = concurrent.futures.Future()
+        """Handles a request of another node; called on the peer thread."""
+        response: concurrent.futures.Future[bytes] = concurrent.futures.Future()
 
         def reply() -> None:
             try:
-                self._merge_sync_message(address, payload, answered=False)
+                self._merge_sync_message(address, payload, is_response=False)
                 since = peer_messages.decode(payload).get("since")
                 known = since if isinstance(since, int) else 0
-                answer.set_result(self._build_sync_message(known))
+                response.set_result(self._build_sync_message(known))
             except Exception as error:
-                self._telemetry.log_error(f"question of {address}", error)
-                answer.set_exception(error)
+                self._telemetry.log_error(f"sync request of {address}", error)
+                response.set_exception(error)
 
         self._loop.call_soon_threadsafe(reply)
-        return answer
+        return response
 
     def run_periodic_work(self) -> list[str]:
-        """Does what is due; returns the upstreams that were forgotten."""
+        """Runs all work that is due; returns the evicted upstreams."""
         now = time.monotonic()
         for rollout in self._router.rollouts.evaluate(now):
             self._telemetry.record_state_change(
                 f"rollout={rollout.order.service}",
                 f"worse: {rollout.reason}",
-                "own evidence",
+                "own measurements",
             )
         for rollout in self._router.rollouts.list_all():
             self._write_rollout_status(rollout, now)
@@ -164,25 +164,22 @@
         return self._router.evict_expired(now)
 
     def _choose_state_source(self, now: float) -> None:
-        """Follows the store or a node that does."""
+        """Chooses between watching the store and following a peer."""
         if self._watch_task is None or not self._has_listing:
             return
         nodes = self._router.nodes
         active = self._watchers.should_watch(nodes, now)
         if active != self._watch_task.active:
             self._watch_task.active = active
-            # A follower does not call the store, so it cannot have lost it.
+            # A follower does not call the store and cannot detect its loss.
             self._store_lost = self._store_lost and active
             self._telemetry.record_state_change(
                 "store",
-                "followed directly" if active else "followed by another node",
+                "watched directly" if active else "followed through a peer",
                 f"age {self._watchers.compute_age_s(now):.1f} s",
             )
-        if (
-            now < self._next_follow_at
-            or self._follow_request in self._pending_requests
-        ):
-            # A second answer would repeat what is still on its way.
+        if now < self._next_follow_at or self._follow_request in self._pending:
+            # A second response would repeat the one that is still pending.
             return
         self._next_follow_at = now + FOLLOW_INTERVAL_S
         self._follow_request = self._send_sync_request(
@@ -193,10 +190,10 @@
         match event:
             case store_tasks.StoreListed():
                 self._record_store_success()
-                news = self._mirror.replace(
+                updates = self._mirror.replace(
                     _convert(event.listing.items), event.listing.revision
                 )
-                self._apply(news, f"list {event.listing.revision}")
+                self._apply(updates, f"list {event.listing.revision}")
                 self._register_node()
             case store_tasks.StoreChanged():
                 self._record_store_success()
@@ -204,28 +201,28 @@
                     mirror.Entry(c.key, c.value, c.revision)
                     for c in event.changes.changes
                 ]
-                news = self._mirror.apply(changes, event.changes.revision)
-                self._apply(news, f"watch {event.changes.revision}")
+                updates = self._mirror.apply(changes, event.changes.revision)
+                self._apply(updates, f"watch {event.changes.revision}")
             case store_tasks.StoreCallFailed():
                 self._record_store_failure(event.failure)
             case store_tasks.WriteFinished():
                 self._record_write(event)
             case peer_client.PeerRequestAnswered():
-                self._pending_requests.pop(event.number, None)
+                self._pending.pop(event.number, None)
                 self._merge_sync_message(
-                    event.address, event.payload, answered=True
+                    event.address, event.payload, is_response=True
                 )
             case peer_client.PeerRequestFailed():
-                name = self._pending_requests.pop(event.number, "")
+                name = self._pending.pop(event.number, "")
                 self._watchers.record_unreachable(name, time.monotonic())
 
-    def _apply(self, news: list[mirror.Entry], source: str) -> None:
-        for entry in news:
+    def _apply(self, updates: list[mirror.Entry], source: str) -> None:
+        for entry in updates:
             try:
                 self._apply_entry(entry, f"{source} at {entry.revision}")
             except Exception as error:
-                # The copy has the entry already, so it does not come again;
-                # the entries after it must not be lost with it.
+                # The mirror already has this entry, so it is not delivered
+                # again. The entries after it still have to be applied.
                 self._telemetry.log_error(f"entry={entry.key}", error)
 
     def _apply_entry(self, entry: mirror.Entry, source: str) -> None:
@@ -238,7 +235,7 @@
 
     def _record_store_success(self) -> None:
         if self._store_lost or not self._has_listing:
-            self._telemetry.log_event("store regained")
+            self._telemetry.log_event("store available")
         now = time.monotonic()
         self._watchers.record_fresh(now)
         if self._store_lost:
@@ -261,15 +258,15 @@
             self._write(item)
 
     def _write(self, item: store_codec.KeyValue) -> None:
-        """Writes a value unless the same key is being written."""
+        """Writes a value unless a write of its key is pending."""
         now = time.monotonic()
         if self._write_task is None or now < self._next_write_at.get(
             item.key, 0.0
         ):
             return
         self._next_write_at[item.key] = now + 4 * WRITE_RETRY_DELAY_S
-        expect = self._mirror.get_revision(item.key)
-        self._write_task.post(store_tasks.Write(item, expect))
+        revision = self._mirror.get_revision(item.key)
+        self._write_task.post(store_tasks.Write(item, revision))
 
     def _record_write(self, event: store_tasks.WriteFinished) -> None:
         self._next_write_at[event.key] = time.monotonic() + WRITE_RETRY_DELAY_S
@@ -288,7 +285,7 @@
     def _write_rollout_status(
         self, rollout: rollout_records.Rollout, now: float
     ) -> None:
-        """Writes how far a roll-out has come, if it is this node's turn."""
+        """Writes the status of a roll-out after this node's rank delay."""
         service = rollout.order.service
         state = self._router.rollouts.find_due_state(service, now)
         if state is None:
@@ -305,7 +302,7 @@
         )
 
     def _compute_rank(self, service: str) -> int:
-        """Returns the place of this node among those that may write."""
+        """Returns this node's position in the order of writers."""
         names = sorted(
             {*self._router.nodes, self.settings.node},
             key=lambda name: zlib.crc32(f"{service}|{name}".encode()),
@@ -313,11 +310,11 @@
         return names.index(self.settings.node)
 
     def _send_sync_request(self, name: str | None) -> int | None:
-        """Asks another node for news; returns the number of the question."""
+        """Sends a sync request to another node; returns its number."""
         if name is None or self._peer_client is None:
             return None
         self._last_request += 1
-        self._pending_requests[self._last_request] = name
+        self._pending[self._last_request] = name
         address = self._router.nodes[name].peer_address
         self._peer_client.send_request(
             self._last_request, address, self._build_sync_message(None)
@@ -325,7 +322,7 @@
         return self._last_request
 
     def _build_sync_message(self, since: int | None) -> bytes:
-        """Returns what is known here, with changes after a revision."""
+        """Encodes this node's state, with the entries after a revision."""
         now = time.monotonic()
         document = {
             "since": self._mirror.revision,
@@ -347,27 +344,28 @@
         return peer_messages.encode(document)
 
     def _compute_staleness_s(self, now: float) -> float:
-        """Returns the age of what is known, in seconds."""
-        watching = self._watch_task is not None and self._watch_task.active
-        if watching and self._has_listing and not self._store_lost:
+        """Returns the age of this node's copy of the store."""
+        is_watching = self._watch_task is not None and self._watch_task.active
+        if is_watching and self._has_listing and not self._store_lost:
             return 0.0
         return min(MAX_AGE_S, self._watchers.compute_age_s(now))
 
     def _merge_sync_message(
-        self, address: str, payload: bytes, answered: bool
+        self, address: str, payload: bytes, is_response: bool
     ) -> None:
-        """Takes what another node knows.
+        """Merges a sync message of another node.
 
         Args:
             address: Address of the node.
-            payload: What it sent.
-            answered: Whether it was asked for all changes since a revision.
+            payload: The encoded message.
+            is_response: Whether it is the response to a request, and so has all
+                changes since the requested revision.
         """
         now = time.monotonic()
         document = peer_messages.decode(payload)
         if not document:
             self._telemetry.record_state_change(
-                f"peer={address}", "unreadable news", "sync"
+                f"peer={address}", "invalid sync message", "sync"
             )
             return
         try:
@@ -376,25 +374,25 @@
                 document.get("sound", {}), now
             )
             self._router.quarantine.merge(document.get("poison", {}), now)
-            if answered:
+            if is_response:
                 self._watchers.record_fresh(now - float(document["age_s"]))
-            # Entries may have lapsed while the store was away from the other
-            # node; that it is away from this one alone tells nothing.
+            # Entries may have expired while the other node had no connection
+            # to the store. A loss that only this node sees proves nothing.
             back_at = now - float(document["store_back_s"])
             self._router.directory.record_store_recovery(back_at)
             delta = document.get("delta")
             if delta is None:
                 return
             entries = tuple(mirror.Entry(*e) for e in delta["entries"])
-            news = self._mirror.merge(
+            updates = self._mirror.merge(
                 mirror.Delta(entries, delta["revision"], delta["whole"])
             )
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             self._telemetry.record_state_change(
-                f"peer={address}", f"unreadable news: {error!r}", "sync"
+                f"peer={address}", f"invalid sync message: {error!r}", "sync"
             )
             return
-        self._apply(news, f"peer {address}")
+        self._apply(updates, f"peer {address}")
 
 
 def _convert(items: tuple[stores.Found, ...]) -> list[mirror.Entry]:
--- a/sycamorehollow/shells/gateway/store_tasks.py
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -1,4 +1,4 @@
-"""Threads that talk to the platform's store."""
+"""Threads that watch the platform's store and write to it."""
 
 from collections.abc import Callable
 import dataclasses
@@ -14,15 +14,15 @@
 from sycamorehollow.shells import tasks
 from sycamorehollow.shells.gateway import store_codec
 
-# Longest wait of one watch in seconds; a watch that a silent store never
-# answers is noticed after it.
+# Longest wait of one watch, which also bounds the time until a store that does
+# not respond is noticed.
 WATCH_TIMEOUT_S = 12.0
-# Changes within this time are fetched together, as each answer is priced. It
-# is a small part of the seconds in which a change has to be in force.
+# Changes within this time are fetched together, as each response is billed. It
+# is a fraction of the seconds within which a change has to be in force.
 BATCH_WINDOW_S = 0.4
-# Time in which the event loop has taken an event.
+# Time in which the event loop handles a delivered event.
 APPLY_DELAY_S = 0.02
-# Time between looks at whether to follow the store.
+# Interval of the checks whether an inactive task has become active.
 INACTIVE_POLL_INTERVAL_S = 0.1
 INITIAL_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 1.5
@@ -30,44 +30,44 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreListed(events.Event):
-    """All values of the store at a revision."""
+    """All values of the store at a revision were read."""
 
     listing: stores.Listing
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreChanged(events.Event):
-    """Changes since the last report."""
+    """The store has reported changes."""
 
     changes: stores.Changes
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreCallFailed(events.Event):
-    """A call has failed."""
+    """A call of the store has failed."""
 
     failure: failures.Failure
 
 
 @dataclasses.dataclass(frozen=True)
 class WriteFinished(events.Event):
-    """A write was made or has failed."""
+    """A write has succeeded or failed."""
 
     key: str
     result: stores.Written | stores.Conflict | stores.CallFailure
 
 
 class WatchTask(tasks.Task):
-    """Follows all changes of the store.
+    """Watches all changes of the store.
 
     Args:
         store: Client of the store.
-        deliver: Takes events; safe from any thread.
-        get_revision: Returns the revision up to which all changes are known.
-        rng: Randomises the pauses.
+        deliver: Receives the events; safe from any thread.
+        get_revision: Returns the revision up to which all changes are applied.
+        rng: Randomises the backoff.
 
     Attributes:
-        active: Whether to follow the store; a pending watch ends first.
+        active: Whether to watch the store; a pending watch is completed first.
     """
 
     def __init__(
@@ -86,19 +86,20 @@
         self._failures = 0
 
     def _wake(self) -> None:
-        """The thread ends with its process; a pending watch is not cut."""
+        """Does nothing: a pending watch ends with the process."""
 
     def _run(self) -> None:
         while not self._stopping:
             try:
                 self._follow()
             except Exception as error:
-                # The store may send anything; the node needs its news later.
-                loguru.logger.opt(exception=error).error("fault in the watch")
+                # The store may send any response, and the watch has to
+                # continue after an invalid one.
+                loguru.logger.opt(exception=error).error("error in the watch")
                 self._back_off(stores.InDoubt(f"unexpected {error!r}"))
 
     def _follow(self) -> None:
-        """Lists all values and follows their changes."""
+        """Reads all values, then watches their changes."""
         listed = False
         allow_stale = True
         while not self._stopping:
@@ -113,13 +114,13 @@
                 self._failures = 0
                 self._deliver(StoreListed(listing))
                 listed = True
-                # The listing is applied before its revision is asked for.
+                # The listing has to be applied before its revision is read.
                 time.sleep(APPLY_DELAY_S)
             after = self._get_revision()
             changes = self._store.watch("", after, WATCH_TIMEOUT_S)
             if isinstance(changes, stores.HistoryGone):
                 listed = False
-                # A late copy may lack what the watch has missed.
+                # A stale replica may lack the changes that the watch missed.
                 allow_stale = False
                 continue
             if isinstance(changes, failures.Failure):
@@ -139,18 +140,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Write:
-    """A write under the condition that the key is at a revision."""
+    """A write on the condition that the key is at a revision."""
 
     item: store_codec.KeyValue
     expected_revision: int
 
 
 class WriteTask(tasks.Task):
-    """Makes writes one after the other.
+    """Executes writes in order.
 
     Args:
         store: Client of the store.
-        deliver: Takes events; safe from any thread.
+        deliver: Receives the events; safe from any thread.
     """
 
     def __init__(
@@ -162,7 +163,7 @@
         self._queue: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
 
     def post(self, message: Write) -> None:
-        """Adds a write."""
+        """Queues a write."""
         self._queue.put(message)
 
     def _wake(self) -> None:
@@ -184,5 +185,5 @@
                 item.key, item.value, write.expected_revision
             )
         except Exception as error:
-            loguru.logger.opt(exception=error).error("fault in a write")
+            loguru.logger.opt(exception=error).error("error in a write")
             return stores.InDoubt(f"unexpected {error!r}")
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -1,4 +1,4 @@
-"""Log lines and measures of what the gateway decides."""
+"""Log lines and metrics of the gateway."""
 
 import dataclasses
 import os
@@ -13,17 +13,19 @@
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
-# Lines per second that are written at most; the others are counted.
+# Sustained rate of log lines; further lines are dropped and counted.
 MAX_LINES_PER_S = 150.0
 MAX_BURST_LINES = 600.0
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16)
 
 
 class RateLimitedSink:
-    """Writes lines to a descriptor; drops what it cannot take at once.
+    """Writes lines to a file descriptor without blocking.
+
+    Drops lines above the rate limit and while the descriptor is not writable.
 
     Args:
-        descriptor: Where the lines go.
+        descriptor: File descriptor that receives the lines.
     """
 
     def __init__(self, descriptor: int):
@@ -52,7 +54,7 @@
 
 
 def configure_logging(node: str) -> None:
-    """Sends log lines to standard output."""
+    """Configures logging to standard output."""
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node})
     loguru.logger.add(
@@ -65,12 +67,12 @@
 
 @dataclasses.dataclass
 class RequestRecord:
-    """What the log says of one request.
+    """Data for the log line and the metrics of one request.
 
     Attributes:
         started_at: Monotonic time of its arrival.
-        configuration_version: Version of the configuration that decided.
-        first_byte_s: Seconds to the first byte of the answer.
+        configuration_version: Version of the configuration that was applied.
+        first_byte_s: Seconds to the first byte of the response.
     """
 
     started_at: float
@@ -84,13 +86,13 @@
     outcome: str = steps.DELIVERED
 
     def record_first_byte(self, now: float, status: int) -> None:
-        """The first byte of the answer is written."""
+        """Records the first byte of the response."""
         self.status = status
         self.first_byte_s = now - self.started_at
 
 
 class Telemetry:
-    """Writes one line for each request and each changed belief."""
+    """Writes a log line for each request and state change, and counts them."""
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -128,89 +130,89 @@
         )
 
     def log_error(self, subject: str, error: Exception) -> None:
-        """An unexpected error ended one piece of work; the process goes on."""
-        loguru.logger.opt(exception=error).error("fault in {}", subject)
+        """Logs an unexpected error that does not end the process."""
+        loguru.logger.opt(exception=error).error("error in {}", subject)
 
     def record_request(
         self,
         record: RequestRecord,
         lifecycle: request_lifecycle.RequestLifecycle | None,
     ) -> None:
-        """A request has ended."""
+        """Records a finished request with its attempts."""
         total_s = time.monotonic() - record.started_at
         outcome = record.outcome.partition(":")[0]
         self._requests.labels(record.service, outcome).inc()
         self._response_s.labels(record.service).observe(total_s)
-        tried = ""
+        attempts = ""
         if lifecycle is not None:
             self._attempts.labels(record.service).inc(len(lifecycle.attempts))
-            tried = "; ".join(
+            attempts = "; ".join(
                 f"{attempt.state.upstream.identity}"
                 f"@{attempt.state.upstream.version}"
                 f" {attempt.model} +{attempt.sent_at - record.started_at:.3f}"
                 f" {_describe(attempt, record.started_at)}"
                 for attempt in lifecycle.attempts
             )
-        first = ""
+        first_byte = ""
         if record.first_byte_s is not None:
             self._first_byte_s.labels(record.service).observe(
                 record.first_byte_s
             )
-            first = f" first_s={record.first_byte_s:.3f}"
-        owner = record.workspace.name if record.workspace else ""
+            first_byte = f" first_s={record.first_byte_s:.3f}"
+        workspace = record.workspace.name if record.workspace else ""
         loguru.logger.info(
             "request={} route={} workspace={} config={} service={} status={}"
             "{} total_s={:.3f} outcome={!r} attempts=[{}]",
             record.request_id,
             record.route,
-            owner,
+            workspace,
             record.configuration_version,
             record.service,
             record.status,
-            first,
+            first_byte,
             total_s,
             record.outcome,
-            tried,
+            attempts,
         )
 
     def record_invalid_request(self, status: int) -> None:
-        """Bytes of a caller were no request."""
+        """Records bytes that were not a valid request."""
         self._requests.labels("", "unreadable").inc()
-        loguru.logger.info("unreadable request, status={}", status)
+        loguru.logger.info("invalid request, status={}", status)
 
     def record_state_change(
         self, subject: str, outcome: str, source: str
     ) -> None:
-        """A belief has changed.
+        """Records a change of the node's state.
 
         Args:
-            subject: What it is about.
-            outcome: What is believed now.
-            source: Where the news came from, with its revision or age.
+            subject: The object that changed, such as `upstream=a`.
+            outcome: Its new state.
+            source: Source of the update, with its revision or age.
         """
         self._state_changes.labels(subject.partition("=")[0]).inc()
         loguru.logger.info("{} {} source={}", subject, outcome, source)
 
     def log_event(self, text: str, *values: object) -> None:
-        """The process starts, stops, reloads, loses or regains something."""
+        """Logs an event of the process, such as its start or a reload."""
         loguru.logger.info(text, *values)
 
     def render_metrics(self) -> bytes:
-        """Returns the measures as text."""
+        """Returns the metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest(self.registry)
 
 
-def _describe(attempt: steps.Attempt, started: float) -> str:
-    """Returns how an attempt ended; for one that was cut short, who did it."""
+def _describe(attempt: steps.Attempt, started_at: float) -> str:
+    """Returns the outcome of an attempt and, if it was cut short, the cause."""
     text = attempt.outcome
     if attempt.end_cause is not None and text != steps.DELIVERED:
         text += (
-            f" ({attempt.end_cause.value} +{attempt.ended_at - started:.3f}"
+            f" ({attempt.end_cause.value} +{attempt.ended_at - started_at:.3f}"
             f" silent_s={attempt.silent_s:.3f})"
         )
     if attempt.keep_reason:
         text += f", kept: {attempt.keep_reason}"
     if attempt.isolated_at < attempt.sent_at:
         return text
-    cut_off_s = attempt.isolated_at - attempt.sent_at
-    return f"{text}, no upstream reachable at +{cut_off_s:.3f}"
+    isolated_s = attempt.isolated_at - attempt.sent_at
+    return f"{text}, no upstream reachable at +{isolated_s:.3f}"
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -1,4 +1,4 @@
-"""One connection to an upstream: sends requests and reads answers."""
+"""HTTP client connections: sends requests to an upstream, parses responses."""
 
 import asyncio
 import collections
@@ -13,33 +13,34 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import header_codec
 
-# Bytes that are read ahead of a slow caller.
+# Body bytes buffered for a slow caller before reading from the upstream stops.
 READ_AHEAD_BYTES = 128 * 1024
-# Bytes in a row that bring no part of an answer: heads, interim answers, late
-# copies, framing and trailers. Well above any head that a server accepts.
+# Limit of consecutive bytes without progress of the response: heads, interim
+# responses, late duplicates, chunk framing and trailers. Well above any head
+# that a server accepts.
 MAX_OVERHEAD_BYTES = 256 * 1024
-# Idle time after which a connection is not used again when the upstream does
-# not state its own.
+# Idle time after which a connection is not reused if the upstream announces no
+# timeout of its own.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
-# Upstreams close a little before or after the time that they state.
+# Upstreams close a little before or after the timeout that they announce.
 IDLE_TIMEOUT_MARGIN_S = 0.6
-# Time in milliseconds without an acknowledgement after which a peer counts as
-# gone. An upstream is given up early, since its requests can go elsewhere; the
-# time still allows for a lost packet that is sent again.
+# TCP_USER_TIMEOUT: time without an acknowledgement after which a connection is
+# closed. It is short for upstreams, whose requests can be retried elsewhere,
+# but still allows for one retransmission.
 UPSTREAM_USER_TIMEOUT_MS = 800
 CALLER_USER_TIMEOUT_MS = 3000
-# Time in seconds in which an upstream that has dropped a kept connection resets
-# what is sent on it: the way to any data centre and back, and the time in which
-# a busy process notices.
+# Time within which an upstream that has closed an idle connection resets a
+# request on it: a round trip to any data centre, and the delay until a busy
+# process handles the reset.
 STALE_RESET_WINDOW_S = 0.5
 
 
 class UpstreamConnectionError(Exception):
-    """The upstream's answer did not arrive whole.
+    """Raised when an upstream's response is missing or incomplete.
 
     Attributes:
         request_written: Whether any byte of the request was written.
-        closed_by_upstream: Whether the upstream ended the connection by itself.
+        closed_by_upstream: Whether the upstream closed the connection itself.
     """
 
     def __init__(
@@ -55,10 +56,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
-    """Status and headers of an answer.
+    """Status and headers of a response.
 
     Attributes:
-        length: Bytes of the body; `None` when it is chunked or unframed.
+        length: Bytes of the body; `None` if it is chunked or ends at EOF.
     """
 
     status: int
@@ -69,14 +70,14 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """One connection; serves one request at a time.
+    """A connection that carries one request at a time.
 
     Attributes:
-        has_sent_request: Whether a request was sent on it before.
-        idle_since: When its last answer ended.
-        idle_timeout_s: Seconds for which it may be used again.
-        was_resent: Whether the present request was sent before on a connection
-            that broke, and may have run there.
+        has_sent_request: Whether a request was sent on it.
+        idle_since: When its last response ended.
+        idle_timeout_s: Idle time for which it may be reused.
+        was_resent: Whether the current request was sent before on a connection
+            that was closed, and may have run there.
     """
 
     def __init__(
@@ -122,48 +123,48 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether requests can be sent on it."""
+        """Whether requests can be sent on the connection."""
         return not self._closed and not self._error and self._reusable
 
     @property
     def can_read_without_waiting(self) -> bool:
-        """Whether a reader need not wait."""
+        """Whether a read returns or raises at once."""
         return bool(self._chunks) or self._ended or not self.is_open
 
     def has_carried(self, request_id: str) -> bool:
-        """Tells whether its last request had this identity.
+        """Tells whether the last request had this identifier.
 
-        A late second answer to that one would pass for the next one's.
+        A late duplicate of its response could not be told from the response to
+        a repeated request with the same identifier.
         """
         return bool(request_id) and self._request_id == request_id
 
     def set_drop_callback(self, callback: Callable[[], None] | None) -> None:
-        """Calls back when the connection ends while it is idle."""
+        """Sets a callback for the loss of the connection; `None` for none."""
         self._drop_callback = callback
 
     def set_reconnect(
         self, reconnect: Callable[[], Awaitable[bool]] | None
     ) -> None:
-        """Sets what replaces a connection that turns out to be dropped.
+        """Sets how to reconnect if the upstream had closed the connection.
 
         Args:
-            reconnect: Connects again by `reset_for_reconnect` and returns
-                whether the request may be sent again; `None` if it may not
-                run twice.
+            reconnect: Reconnects with `reset_for_reconnect` and returns whether
+                the request may be resent; `None` if it must not run twice.
         """
         self._reconnect = reconnect
         self._resend_task = None
         self.was_resent = False
 
     def reset_for_reconnect(self) -> "UpstreamConnection":
-        """Takes a new transport in place of the one that was lost."""
+        """Prepares the protocol for a new transport and returns it."""
         self._parser = httptools.HttpResponseParser(self)
         self._closed = False
         self._lost_at = float("inf")
         return self
 
     def send_request(self, request_id: str, data: bytes) -> None:
-        """Starts a request."""
+        """Sends a request and starts to wait for its response."""
         assert self._transport is not None
         self._reset_response()
         self._request_id = request_id
@@ -175,18 +176,18 @@
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
-        """Waits for the head of the answer.
+        """Waits for the head of the response.
 
         Raises:
-            UpstreamConnectionError: The connection ended before.
+            UpstreamConnectionError: The connection failed before.
         """
         while self._head is None:
             if self._reconnect is not None and self._was_stale():
                 reconnect, self._reconnect = self._reconnect, None
                 self._resend_task = asyncio.create_task(self._resend(reconnect))
             if self._resend_task is not None and not self._resend_task.done():
-                # Whoever waits looks at its time now and then, which must not
-                # end the renewal.
+                # The caller waits with short timeouts, which must not cancel
+                # the resend.
                 await asyncio.shield(self._resend_task)
                 continue
             self._raise_if_failed()
@@ -194,17 +195,17 @@
         return self._head
 
     async def _resend(self, reconnect: Callable[[], Awaitable[bool]]) -> None:
-        """Sends the request on a new connection, if there is one."""
+        """Reconnects and sends the request again if that is allowed."""
         request, self._request_data = self._request_data, b""
         if await reconnect():
             self.send_request(self._request_id, request)
             self.was_resent = True
 
     async def read_body(self) -> bytes:
-        """Waits for more of the body; returns nothing at its end.
+        """Waits for more of the body; returns `b""` at its end.
 
         Raises:
-            UpstreamConnectionError: The connection ended before the body did.
+            UpstreamConnectionError: The connection failed before the end.
         """
         while not self._chunks and not self._ended:
             self._raise_if_failed()
@@ -219,14 +220,14 @@
         return data
 
     def finish_response(self) -> bool:
-        """Ends the present answer; returns whether it may be used again."""
+        """Ends the response; returns whether the connection is reusable."""
         self._has_request = False
         self._request_data = b""
         self.idle_since = time.monotonic()
         return self._ended and self.is_open
 
     def close(self) -> None:
-        """Ends the connection and with it the request."""
+        """Closes the connection, which cancels the request."""
         self._closed = True
         self._drop_callback = None
         if self._resend_task is not None:
@@ -235,9 +236,10 @@
             self._transport.abort()
 
     def _was_stale(self) -> bool:
-        """Whether the upstream had dropped the connection before the request.
+        """Tells whether the upstream had closed the connection before.
 
-        Then it resets what is sent, at once and without a byte of an answer.
+        In this case it resets the connection soon after the request, without
+        a byte of a response.
         """
         return (
             self._lost_at - self._sent_at < STALE_RESET_WINDOW_S
@@ -261,45 +263,47 @@
         await self._data_event.wait()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport."""
+        """Stores the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Parses a piece of the answer."""
+        """Parses received bytes."""
         self._received_bytes = True
         if not self._has_request or self._ended:
-            # Bytes that belong to no request.
-            self._abort("the upstream sent more than its answer")
+            # No request is waiting for these bytes.
+            self._abort("the upstream sent data after the end of its response")
             return
         progress = self._progress
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self._ended:
-                self._abort(f"the answer is no HTTP: {error}")
+                self._abort(f"the response is not valid HTTP: {error}")
             else:
                 self._reusable = False
         self._overhead_bytes = (
             0 if self._progress > progress else self._overhead_bytes + len(data)
         )
         if self._overhead_bytes > MAX_OVERHEAD_BYTES and not self._ended:
-            self._abort("the upstream sends bytes that are no answer")
+            self._abort(
+                f"no progress of the response in {MAX_OVERHEAD_BYTES} bytes"
+            )
         self._data_event.set()
 
     def eof_received(self) -> bool:
-        """Ends an answer without a length."""
+        """Ends a response whose body ends at EOF."""
         if self._ends_at_eof and not self._is_late and not self._error:
             self._ended = True
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Wakes the reader of the answer."""
+        """Records the loss and wakes the reader."""
         self._closed = True
         self._lost_at = time.monotonic()
         if error is not None and not isinstance(error, ConnectionError):
-            # No reset came from the upstream: its acknowledgements stopped.
-            self._path_error = f"the way to the upstream is lost: {error}"
+            # Not a reset by the upstream: its acknowledgements stopped.
+            self._path_error = f"lost the path to the upstream: {error}"
         self._data_event.set()
         if self._drop_callback is not None:
             self._drop_callback()
@@ -312,22 +316,22 @@
         self._data_event.set()
 
     def on_message_begin(self) -> None:
-        """Starts the next answer; a second one belongs to no request."""
+        """Marks the connection if another response follows the complete one."""
         if self._ended:
             self._reusable = False
 
     def on_status(self, status: bytes) -> None:
-        """Keeps the reason phrase."""
+        """Stores the reason phrase."""
         if not self._ended:
             self._reason_phrase += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps one header; trailers are dropped."""
+        """Stores a header; trailers are ignored."""
         if self._head is None and not self._ended:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Takes the head if it answers the present request."""
+        """Stores the head if it belongs to the current request."""
         status = self._parser.get_status_code()
         if self._ended or 100 <= status < 200:
             self._headers = []
@@ -337,7 +341,7 @@
         if b"close" in fields.get(b"connection", b"").lower():
             self._reusable = False
         if decoded.request_id and decoded.request_id != self._request_id:
-            # A late second answer to an earlier request.
+            # A late duplicate of the response to an earlier request.
             self._is_late = True
             self._reusable = False
             return
@@ -360,7 +364,7 @@
         )
 
     def on_body(self, data: bytes) -> None:
-        """Keeps a piece of the body."""
+        """Stores a part of the body."""
         if self._is_late or self._ended or self._head is None:
             return
         self._progress += 1
@@ -373,7 +377,7 @@
             self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
-        """Ends the answer, or the one that was skipped."""
+        """Ends the response, or the late duplicate that was skipped."""
         if self._is_late:
             self._is_late = False
             self._headers = []
@@ -387,7 +391,7 @@
 def set_socket_options(
     transport: asyncio.BaseTransport, user_timeout_ms: int
 ) -> None:
-    """Sends small writes at once and notices a peer that is gone."""
+    """Disables Nagle's algorithm and sets the TCP user timeout."""
     raw = transport.get_extra_info("socket")
     if raw is None:
         return
