Name the placement's list of components after them

The method follows the base class Component.

Checked: format, lint and type checks are clean; test_quarantine and test_node pass.

--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -128,7 +128,7 @@
     def _list_components(self) -> list[_TickThrottle]:
         fast = [self.router, self.billing, self.key_calls, self.ticket_calls]
         slow = [
-            *self.placement.list_parts(),
+            *self.placement.list_components(),
             self.configuration,
             self.drains,
             operator_drains.OperatorDrains(self.records),
--- a/sycamorehollow/decisions/routing/cold_start_limiter.py
+++ b/sycamorehollow/decisions/routing/cold_start_limiter.py
@@ -237,9 +237,8 @@
             if not event.cold:
                 state.cold = False
                 if first:
-                    # The upstream was warm already. Without this return a
-                    # starting process would push one delta for each upstream
-                    # to its whole data centre.
+                    # Else a starting process would push one delta for each
+                    # warm upstream to its whole data centre.
                     return []
             return [PushColdState(event.upstream)]
         if event.cold and not state.cold:
--- a/sycamorehollow/decisions/routing/peer_loads.py
+++ b/sycamorehollow/decisions/routing/peer_loads.py
@@ -48,7 +48,7 @@
     def list_newer(
         self, known: Mapping[str, int], data_centre: str
     ) -> list[tuple[str, str, int, Mapping[str, int]]]:
-        """Returns loads of peers in a data centre that are newer than `known`."""
+        """Returns loads of a data centre's peers newer than `known`."""
         newer = []
         for process, load in self._loads.items():
             if load.data_centre != data_centre:
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -98,7 +98,7 @@
         self._outbox: list[commands.Command] = []
         self._lengths: dict[tuple[str, str], float] = {}
 
-    def list_parts(self) -> list[components.Component]:
+    def list_components(self) -> list[components.Component]:
         """Returns the components that handle external events."""
         return [
             self.load_table,
@@ -120,8 +120,8 @@
         self._index(engines)
         event = upstream_events.UpstreamsConfigured(engines)
         result = []
-        for part in self.list_parts():
-            result.extend(part.handle(event, now))
+        for component in self.list_components():
+            result.extend(component.handle(event, now))
         return result
 
     def place(
@@ -385,5 +385,5 @@
         return not (load.attempts or load.peer_tokens or load.report.running)
 
     def _dispatch(self, event: events.Event, now: float) -> None:
-        for part in self.list_parts():
-            self._outbox.extend(part.handle(event, now))
+        for component in self.list_components():
+            self._outbox.extend(component.handle(event, now))
