Reword the comments of attempts, plans, retries and recovery

Comments and doc comments say what the code does in the usual terms, and local names follow the renamed attributes.

--- a/sycamorehollow/decisions/requests/active_requests.py
+++ b/sycamorehollow/decisions/requests/active_requests.py
@@ -1,4 +1,8 @@
-"""State of one request while it is served."""
+"""State of one model request from its admission to its final answer.
+
+The router holds one `ActiveRequest` per request. The functions below build the
+commands and usage records that depend on that state alone.
+"""
 
 import dataclasses
 
@@ -11,17 +15,17 @@
 from sycamorehollow.model import lifecycle
 from sycamorehollow.model import requests
 
-# Time in seconds between two looks for room; attempts end a few times a second.
+# Attempts end a few times a second, so capacity is not checked more often.
 CAPACITY_CHECK_INTERVAL_S = 0.1
 NOT_STARTED_ENDS = (lifecycle.AttemptEnd.NOT_SENT, lifecycle.AttemptEnd.REFUSED)
 
 
 @dataclasses.dataclass(frozen=True)
 class ReplicateBill(commands.Command):
-    """Make a bill survive the loss of this process.
+    """Replicates a bill, so that it survives the loss of this process.
 
     Attributes:
-        urgent: Whether the end of an answer waits for it.
+        urgent: Whether the end of the answer is held until it is replicated.
     """
 
     request_id: str
@@ -31,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RetainedAnswer:
-    """A rejected answer, whole, while a larger version runs."""
+    """A complete but rejected answer, kept while a larger version runs."""
 
     version: str
     upstream: deployment.Upstream
@@ -42,35 +46,37 @@
 
 @dataclasses.dataclass
 class ActiveRequest:
-    """One request that has not had its final answer.
+    """A request without a final answer.
 
     Attributes:
         step_index: Index of the current step in the plan.
         running_version: Version of the current attempt; empty before it.
-        attempt: Number of the current attempt; numbers only grow.
-        run_count: Attempts that were no resumes.
+        attempt: Number of the current attempt; it only increases.
+        run_count: Number of runs started; a resume continues a run.
         failed_upstreams: Upstreams on which an attempt failed.
-        is_buffered: Whether the chunks of the attempt are kept back.
-        has_output: Whether the attempt gave a chunk.
-        unanswered_resumes: Resumes in a row that no upstream answered.
-        consecutive_losses: Connections in a row that broke or were not made.
-        received_events: Events that the run has given up to its last loss.
-        is_resumed: Whether the current run was resumed.
-        in_flight: Whether an attempt is under way.
-        may_have_run: Whether an attempt that has ended may have run.
-        started_at: Monotonic time in seconds of the start of the attempt.
-        restart_at: When the next attempt starts, if one waits.
-        capacity_wait_until: Until when a retry waits for room, if it does.
-        resume_at: When the run is resumed, if that waits.
-        resume_reason: Why it is resumed, for the log.
+        is_buffered: Whether the chunks of the attempt are held back.
+        has_output: Whether the attempt has produced a chunk.
+        unanswered_resumes: Consecutive resumes without a response.
+        consecutive_losses: Consecutive connections that broke or could not be
+            established.
+        received_events: Events received from the run up to its last loss.
+        is_resumed: Whether the current run has been resumed.
+        in_flight: Whether an attempt is running.
+        may_have_run: Whether an ended attempt may have been executed.
+        started_at: Monotonic start time of the attempt in seconds.
+        restart_at: When the next attempt starts, if one is scheduled.
+        capacity_wait_until: When a retry stops waiting for capacity, if it
+            waits.
+        resume_at: When the run is resumed, if a resume is scheduled.
+        resume_reason: Why the run is resumed, for the log.
         priced_version: Version of the attempt, with its prices at the start.
-        rating_deadline: Until when a gate waits for a rating, if one waits.
-        awaits_bill: Whether the answer waits only for its bill.
-        retained_answer: The last rejected answer, if the relay still has it.
-        awaits_stop: Whether the attempt was stopped and its end is awaited.
+        rating_deadline: When the wait for a rating ends, if there is one.
+        awaits_bill: Whether only the replication of the bill is pending.
+        retained_answer: Last rejected answer, if the relay still holds it.
+        awaits_stop: Whether the attempt was cancelled and its end is pending.
         fallback_reason: Why the retained answer is delivered, else empty.
         rejected_versions: Versions whose answers were rejected.
-        unbilled_usage: Usage that is not billed.
+        unbilled_usage: Usage of rejected answers, an internal cost.
     """
 
     request: requests.ModelRequest
@@ -112,7 +118,7 @@
 
     @property
     def answer_id(self) -> str:
-        """Identity of the current run and its answer; a resume keeps it."""
+        """Identity of the current run and its answer, unchanged by a resume."""
         return f"{self.request.request_id}.{self.run_count}"
 
     @property
@@ -122,17 +128,17 @@
 
     @property
     def can_deliver(self) -> bool:
-        """Whether the relay may hand on a chunk that is not reported yet."""
+        """Whether the relay may be delivering a chunk not reported yet."""
         running = self.in_flight and self.resume_at is None
         return running and not self.is_buffered and self.request.stream
 
     @property
     def has_next_step(self) -> bool:
-        """Whether the plan has another step after the current one."""
+        """Whether the plan has a step after the current one."""
         return self.step_index + 1 < len(self.plan.steps)
 
     def list_startable_versions(self) -> list[str]:
-        """Returns the versions to start now, in the order of preference."""
+        """Returns the versions that may be started, in order of preference."""
         rest = self.plan.steps[self.step_index :]
         others = [v for v in self.plan.fallbacks if v not in rest]
         return [*rest, *others]
@@ -143,7 +149,7 @@
         upstream: deployment.Upstream,
         now: float,
     ) -> None:
-        """Starts another attempt."""
+        """Records the start of a new run on an upstream."""
         if version.name in self.plan.steps:
             self.step_index = self.plan.steps.index(version.name)
         self.running_version = version.name
@@ -162,7 +168,7 @@
         self.is_buffered = self.plan.is_gated and self.has_next_step
 
     def wait_for_capacity(self, now: float) -> bool:
-        """Lets a retry wait for room; tells whether it may wait on."""
+        """Schedules another capacity check; returns False once time is up."""
         if self.capacity_wait_until is None:
             left_s = self.request.deadline - now
             self.capacity_wait_until = now + admission.compute_max_wait_s(
@@ -174,12 +180,12 @@
         return True
 
     def end_attempt(self, end: lifecycle.AttemptEnd) -> None:
-        """Takes note of a failed attempt."""
+        """Records the failure of the current attempt."""
         self.in_flight = False
         self.may_have_run = self.may_have_run or end not in NOT_STARTED_ENDS
 
     def classify_execution(self) -> failures.Execution:
-        """Returns whether any attempt may have run."""
+        """Returns whether any attempt may have been executed."""
         if (
             self.may_have_run
             or self.in_flight
@@ -193,7 +199,7 @@
         return list(self.plan.steps[self.step_index + 1 :])
 
     def record_rejection(self) -> None:
-        """Counts the answer of the current attempt as internal cost."""
+        """Retains the rejected answer and counts it as internal cost."""
         assert self.priced_version is not None and self.upstream is not None
         usage = build_usage(
             self, self.priced_version, self.prompt_tokens, self.output_tokens
@@ -211,12 +217,12 @@
         self.may_have_run = True
 
     def undo_rejection(self) -> None:
-        """Takes the rejected answer as the one to deliver after all."""
+        """Reverts `record_rejection`, as the answer is delivered after all."""
         self.rejected_versions = self.rejected_versions[:-1]
         self.unbilled_usage = self.unbilled_usage[:-1]
 
-    def fall_back(self, why: str) -> bool:
-        """Takes the retained answer as the one to deliver, if there is one."""
+    def fall_back(self, reason: str) -> bool:
+        """Switches to the retained answer; returns False if there is none."""
         answer = self.retained_answer
         if answer is None or self.has_delivered:
             return False
@@ -229,13 +235,13 @@
         self.priced_version = answer.priced_version
         self.prompt_tokens = answer.prompt_tokens
         self.output_tokens = answer.output_tokens
-        self.fallback_reason = why
+        self.fallback_reason = reason
         return True
 
     def describe_outcome(
         self, failed: bool, now: float
     ) -> planning.AttemptOutcome:
-        """Returns how the current attempt ended."""
+        """Returns the outcome of the current attempt."""
         return planning.AttemptOutcome(
             answer_id=self.answer_id,
             version=self.version,
@@ -274,7 +280,7 @@
 def build_cancel(
     active: ActiveRequest, reason: str, report: bool = False
 ) -> lifecycle.CancelAttempt:
-    """Returns the command that cancels the current run."""
+    """Returns the command that cancels the current run at its upstream."""
     assert active.upstream is not None
     return lifecycle.CancelAttempt(
         active.request.request_id,
@@ -289,7 +295,7 @@
 def build_rating_request(
     active: ActiveRequest, answer: bytes
 ) -> lifecycle.RequestRating:
-    """Returns the command that asks for the rating of an answer."""
+    """Returns the command that requests a rating of an answer."""
     return lifecycle.RequestRating(
         active.request.request_id,
         active.answer_id,
@@ -307,7 +313,7 @@
     prompt_tokens: int,
     output_tokens: int,
 ) -> billing_messages.Usage:
-    """Returns the usage of the current attempt."""
+    """Returns a usage record; an unknown prompt length is estimated."""
     return billing_messages.Usage(
         version, prompt_tokens or active.request.prompt_tokens, output_tokens
     )
@@ -316,7 +322,7 @@
 def build_bill(
     active: ActiveRequest, delivered: billing_messages.Usage
 ) -> billing_messages.Bill | None:
-    """Returns the bill for the delivered answer of a request."""
+    """Returns the bill for a delivered answer, `None` if there is none."""
     request = active.request
     return billing_messages.make_bill(
         request.workspace,
--- a/sycamorehollow/decisions/requests/attempt_runner.py
+++ b/sycamorehollow/decisions/requests/attempt_runner.py
@@ -1,4 +1,8 @@
-"""Attempts of model requests, from their start to a whole answer or failure."""
+"""Attempts of model requests, from their start to a complete answer or failure.
+
+An attempt is one connection to an upstream. Several attempts may belong to one
+run: a resume continues the run, whereas a retry or a failover starts another.
+"""
 
 import dataclasses
 
@@ -15,7 +19,7 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 
-# Every other end is a lost connection, which may be a crash.
+# All other ends are lost connections, which may have been crashes.
 STATUS_BY_END = {
     lifecycle.AttemptEnd.REFUSED: upstream_events.AttemptStatus.REFUSED,
     lifecycle.AttemptEnd.REJECTED: upstream_events.AttemptStatus.FAILED,
@@ -24,12 +28,12 @@
 
 
 def build_attempt_result(
-    event: lifecycle.AttemptFailed, resumed: bool
+    event: lifecycle.AttemptFailed, is_resumed: bool
 ) -> placements.AttemptResult:
-    """Returns how an attempt ended, for the placement."""
-    covered = recoveries.resolve_run_end(event, resumed)
+    """Returns the result of an attempt for the placement."""
+    resolved = recoveries.get_run_end(event, is_resumed)
     return placements.AttemptResult(
-        STATUS_BY_END.get(covered.end, upstream_events.AttemptStatus.LOST),
+        STATUS_BY_END.get(resolved.end, upstream_events.AttemptStatus.LOST),
         event.code,
         event.end is lifecycle.AttemptEnd.NOT_SENT,
         event.connection_refused,
@@ -37,13 +41,13 @@
 
 
 class AttemptRunner:
-    """Runs the attempts of active requests; the base of the router.
+    """Runs the attempts of active requests; base class of the router.
 
     Args:
-        planner: Rules for versions.
-        placement: Rules for upstreams.
-        recovery: Rules after a failed attempt.
-        fairness: Rules for the admission to a saturated node.
+        planner: Chooses versions.
+        placement: Chooses upstreams.
+        recovery: Chooses the step after a failed attempt.
+        admission_control: Admits requests to a saturated node.
     """
 
     def __init__(
@@ -51,26 +55,24 @@
         planner: planning.Planner,
         placement: placements.Placement,
         recovery: recoveries.Recovery,
-        fairness: admission.Admission,
+        admission_control: admission.Admission,
     ):
         self._planner = planner
         self._placement = placement
         self._recovery = recovery
-        self._admission = fairness
+        self._admission = admission_control
         self._rating_waits = rating_waits.RatingWaits()
         self._settlement = settlement.Settlement()
         self._deployment: deployment.Deployment | None = None
         self._active: dict[str, active_requests.ActiveRequest] = {}
-        self._admission_results: list[
-            admission.AdmitWork | admission.RefuseWork
-        ] = []
+        self._admissions: list[admission.AdmitWork | admission.RefuseWork] = []
 
     def release(self, request_id: str, now: float) -> list[commands.Command]:
-        """Delivers the end of an answer whose bill is safe."""
+        """Finishes an answer once its bill survives a loss of this process."""
         active = self._active.get(request_id)
         if active is None or not active.awaits_bill:
             return []
-        self._forget(active, now)
+        self._drop(active, now)
         assert active.upstream is not None
         return [
             lifecycle.FinishRequest(
@@ -86,23 +88,22 @@
             assert isinstance(
                 command, admission.AdmitWork | admission.RefuseWork
             )
-            self._admission_results.append(command)
+            self._admissions.append(command)
 
     def _start(
         self, active: active_requests.ActiveRequest, now: float
     ) -> list[commands.Command]:
-        """Starts the current step, a fallback or the next step."""
+        """Starts an attempt on the first startable version."""
         started = self._place(active, active.list_startable_versions(), now)
         if isinstance(started, failures.UpstreamsFull) and not active.run_count:
-            # The upstreams were full before the node was; the work waits in
-            # its fair turn.
-            event = admission.PlacementFailed(
-                active.request.request_id, started
-            )
-            self._queue_admission_results(self._admission.handle(event, now))
+            # The upstreams are full although the node is not: the request
+            # goes back to the admission queue.
+            full = admission.PlacementFailed(active.request.request_id, started)
+            self._queue_admission_results(self._admission.handle(full, now))
             return []
         if isinstance(started, failures.UpstreamsFull):
-            # It was admitted, so it waits as long as other work would.
+            # It has been admitted already, so it waits no longer than the
+            # admission queue would let it.
             if active.wait_for_capacity(now):
                 return []
         if isinstance(started, failures.Failure):
@@ -112,21 +113,21 @@
     def _place(
         self,
         active: active_requests.ActiveRequest,
-        choices: list[str],
+        versions: list[str],
         now: float,
-        leaving: placements.AttemptResult | None = None,
+        replaced: placements.AttemptResult | None = None,
     ) -> lifecycle.StartAttempt | failures.Failure:
-        """Starts an attempt on the first version that an upstream takes.
+        """Starts an attempt on the first version that an upstream accepts.
 
         Args:
             active: The request.
-            choices: Versions in the order of preference.
+            versions: Versions in order of preference.
             now: Monotonic time in seconds.
-            leaving: How the running attempt ends if another one starts.
+            replaced: Result of the running attempt if another one starts.
         """
         failure: failures.Failure | None = None
-        for version in choices:
-            placed = self._try_version(active, version, now, leaving)
+        for version in versions:
+            placed = self._try_version(active, version, now, replaced)
             if isinstance(placed, placements.Assignment):
                 assert self._deployment is not None
                 active.start_attempt(
@@ -142,17 +143,17 @@
         active: active_requests.ActiveRequest,
         version: str,
         now: float,
-        leaving: placements.AttemptResult | None,
+        replaced: placements.AttemptResult | None,
     ) -> placements.Assignment | failures.Failure:
         assert self._deployment is not None
-        barred = self._planner.check_version(
+        refusal = self._planner.check_version(
             active.request, version, self._deployment
         )
-        if barred is not None:
-            return barred
-        if leaving is not None:
+        if refusal is not None:
+            return refusal
+        if replaced is not None:
             return self._placement.move(
-                active.request, version, active.failed_upstreams, leaving, now
+                active.request, version, active.failed_upstreams, replaced, now
             )
         return self._placement.place(
             active.request, version, active.failed_upstreams, now
@@ -206,10 +207,10 @@
     def _escalate(
         self, active: active_requests.ActiveRequest, now: float
     ) -> list[commands.Command]:
-        """Starts the next step, or delivers the answer when none can start.
+        """Starts the next step, or delivers the answer if none can start.
 
-        A poor answer is of more use to the caller than a refusal after the
-        wait. It is retained until the next step has something to deliver.
+        A poor answer is more useful to the caller than a failure after the
+        wait, so it is retained until the next step has output to deliver.
         """
         rest = active.list_remaining_steps()
         active.record_rejection()
@@ -254,9 +255,7 @@
         if isinstance(step, recoveries.Failover):
             return self._fail_over(active, event, run, step, now)
         end = build_attempt_result(event, active.is_resumed)
-        active.end_attempt(
-            recoveries.resolve_run_end(event, active.is_resumed).end
-        )
+        active.end_attempt(recoveries.get_run_end(event, active.is_resumed).end)
         self._placement.release(event.request_id, end, now)
         result = self._record_outcome(active, True, now)
         if isinstance(step, failures.Failure):
@@ -271,16 +270,16 @@
         active: active_requests.ActiveRequest,
         event: lifecycle.AttemptFailed,
         step: recoveries.Resume,
-        kept: str,
+        refusal: str,
         now: float,
     ) -> list[commands.Command]:
-        """Continues a run at its upstream.
+        """Resumes a run at its upstream, at once or after a delay.
 
         Args:
             active: The request.
-            event: How its last connection ended.
-            step: When it is resumed.
-            kept: The rule that lets it not start elsewhere, or empty.
+            event: How the last connection ended.
+            step: The delay before the resume.
+            refusal: Why it is not started elsewhere, or empty.
             now: Monotonic time in seconds.
         """
         active.unanswered_resumes = (
@@ -291,8 +290,8 @@
         active.is_resumed = True
         active.attempt += 1
         active.resume_reason = f"resume after it was {event.end.value}"
-        if kept:
-            active.resume_reason += f"; not elsewhere: {kept}"
+        if refusal:
+            active.resume_reason += f"; not elsewhere: {refusal}"
         if step.delay_s > 0:
             active.resume_at = now + step.delay_s
             return []
@@ -316,13 +315,13 @@
         step: recoveries.Failover,
         now: float,
     ) -> list[commands.Command]:
-        """Starts a run elsewhere, or resumes it if nothing takes it now."""
+        """Starts a run on another upstream, or resumes it if none can."""
         assert active.upstream is not None
-        kept = self._recovery.find_refusal(event.request_id, run, now)
-        if kept:
-            return self._resume(active, event, step.resume, kept, now)
-        tried = active.failed_upstreams
-        active.failed_upstreams = tried | {active.upstream.name}
+        refusal = self._recovery.find_refusal(event.request_id, run, now)
+        if refusal:
+            return self._resume(active, event, step.resume, refusal, now)
+        previous = active.failed_upstreams
+        active.failed_upstreams = previous | {active.upstream.name}
         outcome = active.describe_outcome(True, now)
         started = self._place(
             active,
@@ -334,7 +333,7 @@
             ),
         )
         if isinstance(started, failures.Failure):
-            active.failed_upstreams = tried
+            active.failed_upstreams = previous
             return self._resume(active, event, step.resume, started.reason, now)
         active.may_have_run = True
         self._recovery.record_failover(event.request_id, now)
@@ -360,7 +359,7 @@
     def _end_expired(
         self, active: active_requests.ActiveRequest, now: float
     ) -> list[commands.Command]:
-        """Ends a request whose deadline has passed."""
+        """Fails a request whose deadline has passed."""
         end = placements.AttemptResult(upstream_events.AttemptStatus.CANCELLED)
         self._placement.release(active.request.request_id, end, now)
         failure = failures.DeadlineExceeded(
@@ -375,16 +374,14 @@
         failure: failures.Failure,
         now: float,
     ) -> list[commands.Command]:
-        """Ends a request with the answer in hand, else with the failure."""
+        """Ends a request with its retained answer, else with the failure."""
         if active.fall_back(f"{failure.code}: {failure.reason}"):
             return self._start_billing(active, now)
-        self._forget(active, now)
+        self._drop(active, now)
         return self._settlement.fail(active, failure)
 
-    def _forget(
-        self, active: active_requests.ActiveRequest, now: float
-    ) -> None:
-        """Ends what is kept for a request."""
+    def _drop(self, active: active_requests.ActiveRequest, now: float) -> None:
+        """Drops the state of a request and releases its admission."""
         request_id = active.request.request_id
         self._active.pop(request_id, None)
         self._recovery.end(request_id, now)
--- a/sycamorehollow/decisions/requests/planning.py
+++ b/sycamorehollow/decisions/requests/planning.py
@@ -1,4 +1,8 @@
-"""Choice of the versions that a request may run on, in order."""
+"""Interface of the planner, which chooses the versions for a request.
+
+The router executes plans and reports outcomes and ratings back, so that a
+planner may learn from them.
+"""
 
 import abc
 import dataclasses
@@ -13,20 +17,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """What to try for a request.
+    """The versions to try for a request, in order.
 
     Attributes:
         steps: Versions in the order in which they are tried.
-        priority: Lower numbers go first at the upstream.
+        priority: Priority at the upstream; lower numbers go first.
         needs_rating: Whether answers are sent to the rating service.
-        rating_threshold: Rating in [0, 1] from which an answer is accepted.
+        rating_threshold: Lowest rating, in [0, 1], of an accepted answer.
         slow_threshold_s: Duration from which an answer counts as slow.
-        expected_duration_s: Expected duration of the first step.
+        expected_duration_s: Expected duration of the first step's answer.
         is_gated: Whether an answer is rated before it is delivered.
-        fallbacks: Versions that may take the place of a step that no
-            upstream can take now, in the order of preference.
+        fallbacks: Versions that may replace a step that no upstream can
+            accept now, in order of preference.
         arms: Roll-out arms that an answer of each version counts for.
-        rollout_shares: Share of each roll-out when the request was assigned.
+        rollout_shares: Share of each roll-out at the time of assignment.
         session: Session token to return to the caller, or empty.
         reason: Why these versions were chosen, for the log.
     """
@@ -49,14 +53,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptOutcome:
-    """How an attempt ended, for those who learn from it.
+    """How an attempt ended, as reported to the planner.
 
     Attributes:
-        answer_id: Unique per attempt; its rating follows under it.
+        answer_id: Identity of the answer; its rating refers to it.
         rejected_versions: Versions with rejected answers to this request.
-        failed: Whether it ended in an error or truncated.
-        duration_s: Seconds from the start of the attempt.
-        is_final: Whether the answer is delivered even when it is rejected.
+        failed: Whether it ended with an error or a truncated answer.
+        duration_s: Time since the start of the attempt.
+        is_final: Whether the answer is delivered whatever its rating.
     """
 
     answer_id: str
@@ -78,7 +82,7 @@
         current: deployment.Deployment,
         now: float,
     ) -> Plan | failures.Failure:
-        """Returns the plan for a request, or why there is none."""
+        """Returns the plan for a request, or the reason for having none."""
 
     @abc.abstractmethod
     def check_version(
@@ -87,7 +91,7 @@
         version: str,
         current: deployment.Deployment,
     ) -> failures.Failure | None:
-        """Returns why a version may not take the request now, if so."""
+        """Returns why a version may not serve the request now, if so."""
 
     @abc.abstractmethod
     def record_outcome(
@@ -98,14 +102,14 @@
         current: deployment.Deployment,
         now: float,
     ) -> list[commands.Command]:
-        """Takes the end of an attempt."""
+        """Records how an attempt ended."""
 
     @abc.abstractmethod
     def record_rating(
         self, event: lifecycle.AnswerRated, now: float
     ) -> list[commands.Command]:
-        """Takes the rating of an answer."""
+        """Records the rating of an answer."""
 
     @abc.abstractmethod
     def record_missing_rating(self, answer_id: str, now: float) -> None:
-        """Takes note that a rating did not arrive in time."""
+        """Records that a rating did not arrive in time."""
--- a/sycamorehollow/decisions/requests/recovery.py
+++ b/sycamorehollow/decisions/requests/recovery.py
@@ -1,4 +1,8 @@
-"""What happens after an attempt failed."""
+"""Choice of the next step after a failed attempt.
+
+A broken or silent stream is resumed at the same upstream first, so that no run
+is repeated while the first one may still be running.
+"""
 
 import dataclasses
 
@@ -7,29 +11,28 @@
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
 
-# Connections in a row that break or are not made before a run counts as lost.
+# Consecutive broken or failed connections after which a run counts as lost.
 MAX_CONSECUTIVE_LOSSES = 3
-# Resumes that an upstream may leave unanswered before a request that its caller
-# has nothing of may move; a live upstream answers each one at once.
+# Unanswered resumes after which a request without delivered output may fail
+# over; a live upstream answers each resume at once.
 MAX_UNANSWERED_RESUMES = 1
-# Time in seconds before an upstream that refused a resume is asked again,
-# unless it names one.
+# Delay after a refused resume, unless the upstream names one.
 RESUME_DELAY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Resume:
-    """Continue the stream at the same upstream after a delay in seconds."""
+    """Resume the stream at the same upstream after a delay."""
 
     delay_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Failover:
-    """Start elsewhere if another upstream takes it now, else resume.
+    """Start on another upstream if one accepts the request now, else resume.
 
     Attributes:
-        resume: How the stream continues if none does.
+        resume: The step to take if none does.
     """
 
     resume: Resume
@@ -37,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Retry:
-    """Start another attempt after a delay in seconds."""
+    """Start another attempt after a delay."""
 
     delay_s: float
 
@@ -47,14 +50,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunState:
-    """The run of a request whose connection is over.
+    """State of a run whose connection has ended.
 
     Attributes:
         has_delivered: Whether a chunk may have reached the caller.
-        is_resumed: Whether the connection was to resume it.
-        unanswered_resumes: Resumes in a row that were not answered.
-        consecutive_losses: Connections in a row that broke or were not made.
-        deadline: Monotonic time in seconds.
+        is_resumed: Whether the run has been resumed before.
+        unanswered_resumes: Consecutive resumes without a response.
+        consecutive_losses: Consecutive connections that broke or could not be
+            established.
+        deadline: Deadline of the request, monotonic time in seconds.
         expected_duration_s: Expected duration of another attempt in seconds.
     """
 
@@ -67,32 +71,32 @@
 
 
 class Recovery:
-    """Chooses between resuming, starting elsewhere and giving up.
+    """Chooses between a resume, a failover, a retry and a failure.
 
     A broken or silent stream is resumed at the same upstream first, so that
-    nothing runs twice. A model request has no effect but its answer, so it may
-    run again elsewhere until a chunk was delivered. A run that may go on is
-    given up only for one that is admitted.
+    nothing is executed twice. A model request has no effect except its answer,
+    so it may run again elsewhere until a chunk has been delivered. A run that
+    may still be executing is abandoned only when another one is admitted.
     """
 
-    def __init__(self, budget: retries.RetryBudget):
-        self._budget = budget
+    def __init__(self, retry_budget: retries.RetryBudget):
+        self._retry_budget = retry_budget
 
     def start(self, request_id: str, now: float) -> None:
-        """Counts a request as fresh work."""
-        self._budget.handle(retries.RequestStarted(request_id), now)
+        """Records a new request, which adds to the retry budget."""
+        self._retry_budget.handle(retries.RequestStarted(request_id), now)
 
     def record_failover(self, request_id: str, now: float) -> None:
-        """Counts a move, which is taken from the budget of retries."""
-        self._budget.handle(retries.AttemptReplaced(request_id), now)
+        """Records a failover, which is charged to the retry budget."""
+        self._retry_budget.handle(retries.AttemptReplaced(request_id), now)
 
     def end(self, request_id: str, now: float) -> None:
-        """Forgets a request."""
-        self._budget.handle(retries.RequestEnded(request_id), now)
+        """Drops the retry state of a request."""
+        self._retry_budget.handle(retries.RequestEnded(request_id), now)
 
     def find_refusal(self, request_id: str, run: RunState, now: float) -> str:
-        """Returns the rule that refuses another attempt now, or empty."""
-        return self._budget.find_refusal(
+        """Returns why another attempt is not allowed now, or empty."""
+        return self._retry_budget.find_refusal(
             request_id, run.deadline, run.expected_duration_s, now
         )
 
@@ -105,21 +109,21 @@
                 f"The upstream rejected the request: {event.code}."
             )
         if can_resume(event, run) and now < run.deadline:
-            resume = Resume(_find_delay_s(event))
+            resume = Resume(_get_resume_delay_s(event))
             if (
                 run.has_delivered
                 or run.unanswered_resumes < MAX_UNANSWERED_RESUMES
             ):
                 return resume
             return Failover(resume)
-        event = resolve_run_end(event, run.is_resumed)
+        event = get_run_end(event, run.is_resumed)
         outcome = retries.FailedAttempt(
             0 if event.end is lifecycle.AttemptEnd.NOT_SENT else 1,
             event.end is lifecycle.AttemptEnd.REFUSED,
             1 if run.has_delivered else 0,
             f"The attempt at the upstream ended as {event.end.value}.",
         )
-        decided = self._budget.handle(
+        results = self._retry_budget.handle(
             retries.AttemptFailed(
                 event.request_id,
                 outcome,
@@ -129,7 +133,7 @@
             ),
             now,
         )
-        for command in decided:
+        for command in results:
             if isinstance(command, retries.RetryRequest):
                 return Retry(command.delay_s)
             if isinstance(command, retries.GiveUp):
@@ -138,7 +142,7 @@
 
 
 def is_connection_loss(event: lifecycle.AttemptFailed) -> bool:
-    """Tells whether a connection broke or was not made."""
+    """Returns whether a connection broke or could not be established."""
     return event.end in (
         lifecycle.AttemptEnd.BROKEN,
         lifecycle.AttemptEnd.NOT_SENT,
@@ -146,11 +150,11 @@
 
 
 def can_resume(event: lifecycle.AttemptFailed, run: RunState) -> bool:
-    """Tells whether a run may still go on at its upstream.
+    """Returns whether a run may still be executing and can be resumed.
 
-    Silence and a refusal of the resume tell nothing about the run. A broken
-    connection, or one that was not made in time, tells little, and several in
-    a row that the upstream is lost.
+    Silence and a refused resume say nothing about the run. A single broken
+    connection, or one that was not established in time, is weak evidence;
+    several in a row mean that the upstream is lost.
     """
     match event.end:
         case lifecycle.AttemptEnd.SILENT:
@@ -166,20 +170,20 @@
     return resumable and run.consecutive_losses < MAX_CONSECUTIVE_LOSSES
 
 
-def resolve_run_end(
-    event: lifecycle.AttemptFailed, resumed: bool
+def get_run_end(
+    event: lifecycle.AttemptFailed, is_resumed: bool
 ) -> lifecycle.AttemptFailed:
-    """Returns the event with an end that holds for the whole run.
+    """Returns the event with an end that applies to the whole run.
 
-    A resume that reaches no upstream does not undo the run that it was meant
-    to continue, which may even have crashed the upstream.
+    A resume that reaches no upstream does not undo the run that it should have
+    continued; that run may even have crashed the upstream.
     """
-    if not resumed or event.end not in active_requests.NOT_STARTED_ENDS:
+    if not is_resumed or event.end not in active_requests.NOT_STARTED_ENDS:
         return event
     return dataclasses.replace(event, end=lifecycle.AttemptEnd.LOST)
 
 
-def _find_delay_s(event: lifecycle.AttemptFailed) -> float:
+def _get_resume_delay_s(event: lifecycle.AttemptFailed) -> float:
     if event.end is not lifecycle.AttemptEnd.REFUSED:
         return 0.0
     return event.retry_after_s or RESUME_DELAY_S
--- a/sycamorehollow/decisions/requests/retries.py
+++ b/sycamorehollow/decisions/requests/retries.py
@@ -1,4 +1,8 @@
-"""Retries within a budget, and whether failed work may have run."""
+"""Retry budget of the node, and whether failed work may have been executed.
+
+The budget limits retries to a share of new requests, so that retries do not
+multiply the load when everything fails.
+"""
 
 import dataclasses
 import random
@@ -9,7 +13,7 @@
 from sycamorehollow.model import failures
 
 RETRIES_PER_REQUEST = 0.1
-# Lets a node with little traffic retry at all.
+# Allows a node with little traffic to retry at all.
 MAX_BUDGET = 10.0
 MAX_RETRIES = 2
 INITIAL_BACKOFF_S = 0.05
@@ -23,7 +27,7 @@
     Attributes:
         bytes_written: Bytes of the request that were written to the upstream.
         refused: Whether the upstream stated in a typed refusal that it did
-            not run the request.
+            not execute the request.
         delivered_chunks: Chunks of the response that the caller received.
         reason: One sentence for the log.
     """
@@ -46,9 +50,9 @@
     """An attempt of a request has failed.
 
     Attributes:
-        idempotent: Whether a second run has no further effect.
-        deadline: Monotonic time in seconds.
-        expected_duration_s: Estimated duration of another attempt in seconds.
+        idempotent: Whether a second execution has no further effect.
+        deadline: Deadline of the request, monotonic time in seconds.
+        expected_duration_s: Estimated duration of another attempt.
     """
 
     request: str
@@ -60,21 +64,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptReplaced(events.Event):
-    """A running attempt was given up for another one that has started."""
+    """A running attempt was abandoned for another one that has started."""
 
     request: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RequestEnded(events.Event):
-    """A request has its final response, or its caller is gone."""
+    """A request has its final response, or its caller has disconnected."""
 
     request: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RetryRequest(commands.Command):
-    """Starts another attempt after a delay in seconds."""
+    """Starts another attempt after a delay."""
 
     request: str
     delay_s: float
@@ -90,11 +94,11 @@
 
 @dataclasses.dataclass
 class RetryState:
-    """What happened to a request so far.
+    """Retries of a request so far.
 
     Attributes:
-        retries: Retries that were started.
-        execution: `UNKNOWN` once any attempt may have run.
+        retries: Number of started retries.
+        execution: `UNKNOWN` once any attempt may have been executed.
     """
 
     retries: int = 0
@@ -102,9 +106,9 @@
 
 
 def classify_execution(outcome: FailedAttempt) -> failures.Execution:
-    """Tells whether a failed attempt may have run.
+    """Returns whether a failed attempt may have been executed.
 
-    An attempt counts as not run only when no byte of the request was written
+    An attempt counts as not executed only if no byte of the request was written
     or the upstream said so; a broken or silent connection proves nothing.
     """
     if outcome.delivered_chunks:
@@ -115,10 +119,10 @@
 
 
 class RetryBudget(components.Component):
-    """Decides about another attempt for each failed one.
+    """Decides whether a failed attempt is retried.
 
     Args:
-        rng: Source of randomness for the jitter.
+        rng: Source of random numbers for the jitter.
     """
 
     def __init__(self, rng: random.Random):
@@ -139,9 +143,9 @@
             case AttemptFailed():
                 return [self._decide(event, now)]
             case AttemptReplaced():
-                tries = self._states.setdefault(event.request, RetryState())
-                tries.execution = failures.Execution.UNKNOWN
-                tries.retries += 1
+                state = self._states.setdefault(event.request, RetryState())
+                state.execution = failures.Execution.UNKNOWN
+                state.retries += 1
                 self._budget -= 1
             case RequestEnded():
                 self._states.pop(event.request, None)
@@ -154,7 +158,7 @@
         expected_duration_s: float,
         now: float,
     ) -> str:
-        """Returns the rule that refuses another attempt now, or empty."""
+        """Returns why another attempt is not allowed now, or empty."""
         if now + expected_duration_s > deadline:
             return "no time is left"
         if self._states.get(request, RetryState()).retries >= MAX_RETRIES:
@@ -164,49 +168,51 @@
         return ""
 
     def _decide(self, event: AttemptFailed, now: float) -> commands.Command:
-        tries = self._states.setdefault(event.request, RetryState())
-        run = classify_execution(event.outcome)
-        if run is failures.Execution.UNKNOWN:
-            tries.execution = run
+        state = self._states.setdefault(event.request, RetryState())
+        execution = classify_execution(event.outcome)
+        if execution is failures.Execution.UNKNOWN:
+            state.execution = execution
         if event.outcome.delivered_chunks:
-            return self._give_up(event, tries, failures.AnswerTruncated)
-        # One attempt in doubt is enough: a later one that did not run proves
-        # nothing about it.
+            return self._give_up(event, state, failures.AnswerTruncated)
+        # One attempt with an unknown result is enough: a later attempt that was
+        # not executed proves nothing about it.
         if (
-            tries.execution is failures.Execution.UNKNOWN
+            state.execution is failures.Execution.UNKNOWN
             and not event.idempotent
         ):
-            return self._give_up(event, tries, failures.UpstreamFailed)
-        delay_s = INITIAL_BACKOFF_S * 2**tries.retries
+            return self._give_up(event, state, failures.UpstreamFailed)
+        delay_s = INITIAL_BACKOFF_S * 2**state.retries
         delay_s *= self._rng.uniform(0.5, 1.5)
         if now + delay_s + event.expected_duration_s > event.deadline:
-            return self._give_up(event, tries, failures.DeadlineExceeded)
+            return self._give_up(event, state, failures.DeadlineExceeded)
         rule = self.find_refusal(
             event.request, event.deadline, event.expected_duration_s, now
         )
         if rule:
-            return self._give_up(event, tries, failures.UpstreamFailed, rule)
+            return self._give_up(event, state, failures.UpstreamFailed, rule)
         self._budget -= 1
-        tries.retries += 1
+        state.retries += 1
         return RetryRequest(event.request, delay_s)
 
     def _give_up(
         self,
         event: AttemptFailed,
-        tries: RetryState,
+        state: RetryState,
         kind: type[failures.Failure],
         rule: str = "",
     ) -> GiveUp:
         del self._states[event.request]
-        again = (
+        retryable = (
             event.idempotent
-            or tries.execution is failures.Execution.NOT_STARTED
+            or state.execution is failures.Execution.NOT_STARTED
         )
         if kind is failures.DeadlineExceeded:
-            again = False
-        after_s = RETRY_AFTER_S * self._rng.uniform(1.0, 2.0)
+            retryable = False
+        retry_after_s = RETRY_AFTER_S * self._rng.uniform(1.0, 2.0)
         reason = event.outcome.reason
         if rule:
             reason = f"{reason} It is not retried: {rule}."
-        failure = kind(reason, tries.execution, after_s if again else None)
+        failure = kind(
+            reason, state.execution, retry_after_s if retryable else None
+        )
         return GiveUp(event.request, failure)
--- a/sycamorehollow/decisions/requests/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -27,7 +27,7 @@
         planner: Rules for versions.
         placement: Rules for upstreams.
         recovery: Rules after a failed attempt.
-        fairness: Rules for the admission to a saturated node.
+        admission_control: Admits requests to a saturated node.
         find_backlog: Returns why bills keep new work out, or `None`.
     """
 
@@ -36,10 +36,10 @@
         planner: planning.Planner,
         placement: placements.Placement,
         recovery: recoveries.Recovery,
-        fairness: admission.Admission,
+        admission_control: admission.Admission,
         find_backlog: Callable[[], failures.Failure | None],
     ):
-        super().__init__(planner, placement, recovery, fairness)
+        super().__init__(planner, placement, recovery, admission_control)
         self._find_backlog = find_backlog
         self._admitting = True
         self._handlers: dict[type, Callable] = {
@@ -130,8 +130,8 @@
     def _start_admitted(self, now: float) -> list[commands.Command]:
         """Starts what was admitted; a start that fails admits more."""
         result: list[commands.Command] = []
-        while self._admission_results:
-            command = self._admission_results.pop(0)
+        while self._admissions:
+            command = self._admissions.pop(0)
             active = self._active.get(command.request)
             if active is None:
                 continue
@@ -176,7 +176,7 @@
         active = self._active.get(event.request_id)
         if active is None:
             return []
-        self._forget(active, now)
+        self._drop(active, now)
         end = placements.AttemptResult(upstream_events.AttemptStatus.CANCELLED)
         self._placement.release(event.request_id, end, now)
         result: list[commands.Command] = []
