Reword the comments of the router, the quarantine and the buffers

Comments and doc comments use the terms of the field, and module heads say what the module decides and why. Local names follow. No statement has changed.

Checked: make lint is clean; test_router, test_answers, test_buffers, test_progress, test_sessions and test_versions pass. In test_quarantine one property test fails: Hypothesis draws other examples since a method was renamed, and the example found also fails on the code before it.

--- a/sycamorehollow/decisions/requests/buffers.py
+++ b/sycamorehollow/decisions/requests/buffers.py
@@ -1,4 +1,9 @@
-"""Bounds on the bytes held for slow callers."""
+"""Bounds on the bytes that a relay buffers for slow callers.
+
+Reading from an upstream pauses while the caller's buffer is above a high mark.
+Callers that take no bytes, or that hold the most bytes while memory is short,
+are disconnected.
+"""
 
 import dataclasses
 
@@ -9,23 +14,23 @@
 
 MAX_STREAM_BYTES = 256 * 1024
 MAX_TOTAL_BYTES = 64 * 1024 * 1024
-# Reading stops here, so that what one read returns still fits.
+# Reading pauses here, so that the result of one more read still fits.
 HIGH_WATER_BYTES = 128 * 1024
-# Well below the high mark, so that reading does not stop and start each chunk.
+# Well below the high mark, so that reading does not pause for every chunk.
 LOW_WATER_BYTES = 64 * 1024
 STALL_TIMEOUT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
 class StreamOpened(events.Event):
-    """A response to a caller has begun."""
+    """A response to a caller has started."""
 
     stream: str
 
 
 @dataclasses.dataclass(frozen=True)
 class ChunkBuffered(events.Event):
-    """The relay has read bytes of a response from the upstream."""
+    """The relay has read bytes of a response from its upstream."""
 
     stream: str
     size_bytes: int
@@ -33,7 +38,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class BytesSent(events.Event):
-    """The caller's socket has taken bytes."""
+    """The caller's socket has accepted bytes."""
 
     stream: str
     size_bytes: int
@@ -41,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StreamClosed(events.Event):
-    """The response is complete or the caller is gone; its bytes are freed."""
+    """The response ended or the caller disconnected; its buffer is freed."""
 
     stream: str
 
@@ -55,14 +60,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResumeReading(commands.Command):
-    """Reads the stream from its upstream again."""
+    """Resumes reading the stream from its upstream."""
 
     stream: str
 
 
 @dataclasses.dataclass(frozen=True)
 class DisconnectCaller(commands.Command):
-    """Ends the response with a failure, frees its bytes, cancels upstream."""
+    """Ends the response, frees its buffer and cancels the attempt."""
 
     stream: str
     failure: failures.Failure
@@ -78,7 +83,7 @@
 
 @dataclasses.dataclass
 class Stream:
-    """Bytes held for one caller.
+    """Buffer of one caller.
 
     Attributes:
         last_progress_at: When the caller last took bytes or the buffer was
@@ -91,13 +96,13 @@
 
 
 class CallerBuffers(components.Component):
-    """Bytes held for all callers of a relay.
+    """Buffers of all callers of a relay.
 
     Args:
-        stream_bytes: Bound per caller.
-        total_bytes: Bound for all callers.
-        high_bytes: Held bytes from which reading stops.
-        low_bytes: Held bytes up to which reading starts again.
+        stream_bytes: Limit per caller.
+        total_bytes: Limit for all callers together.
+        high_bytes: Buffered bytes at which reading pauses.
+        low_bytes: Buffered bytes at which reading resumes.
     """
 
     def __init__(
@@ -130,18 +135,20 @@
         return []
 
     def get_readable_bytes(self, stream: str) -> int:
-        """Returns the bytes that the relay may read next for a stream.
+        """Returns how many bytes the relay may read next for a stream.
 
-        A read of no more than this keeps the bound per caller; the bound on
-        the total is kept by disconnecting.
+        Reads of at most this size respect the limit per caller; the total
+        limit is enforced by disconnecting callers.
         """
-        held = self._streams.get(stream)
-        if held is None or held.is_paused:
+        stream_state = self._streams.get(stream)
+        if stream_state is None or stream_state.is_paused:
             return 0
-        return min(self._stream_bytes - held.buffered_bytes, self._total_bytes)
+        return min(
+            self._stream_bytes - stream_state.buffered_bytes, self._total_bytes
+        )
 
     def get_buffered_bytes(self) -> int:
-        """Returns the bytes held for all callers."""
+        """Returns the bytes buffered for all callers."""
         return self._buffered_bytes
 
     def _buffer(
@@ -154,22 +161,22 @@
             stream.last_progress_at = now
         stream.buffered_bytes += size
         self._buffered_bytes += size
-        decided: list[commands.Command] = []
+        result: list[commands.Command] = []
         if stream.buffered_bytes > self._stream_bytes:
-            decided.append(self._disconnect(name, "reads too slowly"))
+            result.append(self._disconnect(name, "reads too slowly"))
         while self._buffered_bytes > self._total_bytes:
-            decided.append(
+            result.append(
                 self._disconnect(
                     self._find_largest(now),
                     "holds the most bytes while memory is short",
                 )
             )
         if name not in self._streams or stream.is_paused:
-            return decided
+            return result
         if stream.buffered_bytes >= self._high_bytes:
             stream.is_paused = True
-            decided.append(PauseReading(name))
-        return decided
+            result.append(PauseReading(name))
+        return result
 
     def _send(self, name: str, size: int, now: float) -> list[commands.Command]:
         stream = self._streams.get(name)
@@ -185,14 +192,14 @@
         return []
 
     def _find_largest(self, now: float) -> str:
-        """Returns the stream that holds the most bytes for the longest."""
-        most = ""
+        """Returns the stream with the most bytes, ties to the longest stall."""
+        largest = ""
         highest = (-1, 0.0)
         for name, stream in self._streams.items():
             cost = (stream.buffered_bytes, now - stream.last_progress_at)
             if cost > highest:
-                most, highest = name, cost
-        return most
+                largest, highest = name, cost
+        return largest
 
     def _disconnect_stalled(self, now: float) -> list[commands.Command]:
         stalled = []
@@ -207,10 +214,10 @@
             for name in stalled
         ]
 
-    def _disconnect(self, name: str, why: str) -> DisconnectCaller:
+    def _disconnect(self, name: str, reason: str) -> DisconnectCaller:
         self._drop(name)
         failure = SlowCaller(
-            f"The caller {why}.", failures.Execution.UNKNOWN, None
+            f"The caller {reason}.", failures.Execution.UNKNOWN, None
         )
         return DisconnectCaller(name, failure)
 
--- a/sycamorehollow/decisions/requests/progress.py
+++ b/sycamorehollow/decisions/requests/progress.py
@@ -1,4 +1,8 @@
-"""Progress timeouts, which find connections that have gone silent."""
+"""Progress timeouts, which detect stalled connections.
+
+A connection has a timeout for the phase that it is in. An idle connection is
+probed before it is closed.
+"""
 
 import dataclasses
 import enum
@@ -10,10 +14,10 @@
 
 # A healthy peer acknowledges written bytes within milliseconds.
 WRITE_TIMEOUT_S = 5.0
-# Covers the prompt of a long dossier behind others at a busy upstream.
+# Long enough for a long prompt that is queued at a busy upstream.
 FIRST_BYTE_TIMEOUT_S = 60.0
-# 54 ms between tokens at the 95th percentile; two hundred times as long is no
-# slow token any more.
+# The 95th percentile of the time between tokens is 54 ms; a gap two hundred
+# times as long is not a slow token.
 NEXT_BYTE_TIMEOUT_S = 10.0
 PROBE_INTERVAL_S = 15.0
 PROBE_TIMEOUT_S = 5.0
@@ -24,11 +28,11 @@
 
     Attributes:
         IDLE: Nothing; it is kept for reuse.
-        PROBED: The answer to a probe.
-        WRITING: Bytes of the request to be taken.
+        PROBED: The response to a probe.
+        WRITING: Bytes of the request to be accepted.
         FIRST_BYTE: The first byte of the response.
         READING: More bytes of the response.
-        PAUSED: Nothing; the router itself does not read.
+        PAUSED: Nothing; the router has paused reading.
     """
 
     IDLE = "idle"
@@ -44,8 +48,8 @@
     """A connection has entered a phase; the first one opens it.
 
     Attributes:
-        timeout_s: Limit of this phase instead of the usual one, for example
-            from the estimated duration of a long prompt.
+        timeout_s: Timeout of this phase instead of the default, for example
+            for the estimated duration of a long prompt.
     """
 
     connection: str
@@ -76,7 +80,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class CloseConnection(commands.Command):
-    """Closes a silent connection; its attempt ends with the failure."""
+    """Closes a stalled connection; its attempt ends with the failure."""
 
     connection: str
     failure: failures.Failure
@@ -84,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConnectionSilent(failures.Failure):
-    """The connection stayed open and nothing came."""
+    """The connection stayed open without any progress."""
 
     code = "connection_silent"
     status = 504
@@ -109,7 +113,7 @@
 
 
 class ProgressMonitor(components.Component):
-    """Watches connections to upstreams and callers in both directions."""
+    """Monitors connections to upstreams and callers in both directions."""
 
     def __init__(self) -> None:
         self._connections: dict[str, Connection] = {}
@@ -118,40 +122,40 @@
         """Applies one event."""
         match event:
             case ProgressMade():
-                self._move(event.connection, now)
+                self._record_progress(event.connection, now)
             case PhaseChanged():
-                limit_s = event.timeout_s
-                if limit_s is None:
-                    limit_s = TIMEOUTS_S.get(event.phase, float("inf"))
+                timeout_s = event.timeout_s
+                if timeout_s is None:
+                    timeout_s = TIMEOUTS_S.get(event.phase, float("inf"))
                 self._connections[event.connection] = Connection(
-                    event.phase, limit_s, now
+                    event.phase, timeout_s, now
                 )
             case ConnectionClosed():
                 self._connections.pop(event.connection, None)
             case events.Tick():
-                return self._find_silent(now)
+                return self._handle_timeouts(now)
         return []
 
     def is_usable(self, connection: str) -> bool:
-        """Tells whether an idle connection may be used for a request."""
+        """Returns whether a connection is idle and may be reused."""
         known = self._connections.get(connection)
         return known is not None and known.phase is Phase.IDLE
 
-    def _move(self, name: str, now: float) -> None:
+    def _record_progress(self, name: str, now: float) -> None:
         connection = self._connections.get(name)
         if connection is None:
             return
         connection.last_progress_at = now
-        following = {
+        next_phase = {
             Phase.PROBED: Phase.IDLE,
             Phase.FIRST_BYTE: Phase.READING,
         }.get(connection.phase)
-        if following is not None:
-            connection.phase = following
-            connection.timeout_s = TIMEOUTS_S[following]
+        if next_phase is not None:
+            connection.phase = next_phase
+            connection.timeout_s = TIMEOUTS_S[next_phase]
 
-    def _find_silent(self, now: float) -> list[commands.Command]:
-        decided: list[commands.Command] = []
+    def _handle_timeouts(self, now: float) -> list[commands.Command]:
+        result: list[commands.Command] = []
         for name, connection in list(self._connections.items()):
             if now - connection.last_progress_at < connection.timeout_s:
                 continue
@@ -159,14 +163,14 @@
                 connection.phase = Phase.PROBED
                 connection.timeout_s = PROBE_TIMEOUT_S
                 connection.last_progress_at = now
-                decided.append(ProbeConnection(name))
+                result.append(ProbeConnection(name))
                 continue
             del self._connections[name]
-            # Written bytes may have arrived, whatever the silence means.
-            probed = connection.phase is Phase.PROBED
+            # Bytes that were written may have arrived despite the silence.
+            is_probe = connection.phase is Phase.PROBED
             run = (
                 failures.Execution.NOT_STARTED
-                if probed
+                if is_probe
                 else failures.Execution.UNKNOWN
             )
             failure = ConnectionSilent(
@@ -174,5 +178,5 @@
                 f" {connection.phase.value}.",
                 run,
             )
-            decided.append(CloseConnection(name, failure))
-        return decided
+            result.append(CloseConnection(name, failure))
+        return result
--- a/sycamorehollow/decisions/requests/quarantine.py
+++ b/sycamorehollow/decisions/requests/quarantine.py
@@ -1,4 +1,9 @@
-"""Quarantine of requests that crash upstreams."""
+"""Quarantine of requests that crash upstreams.
+
+A lost connection followed by the end of the upstream's generation is a crash.
+Every request that ran there is suspected and runs alone until it completes,
+which clears it, or causes another crash, which quarantines it.
+"""
 
 import collections
 import dataclasses
@@ -12,12 +17,12 @@
 from sycamorehollow.model import failures
 
 CRASHES_TO_QUARANTINE = 2
-# A lost connection shows a death only when the upstream refuses connections
-# or reports a new generation, within a few polls.
+# A lost connection proves a crash only if the upstream then refuses connections
+# or reports a new generation, which takes a few polls.
 CRASH_DETECTION_WINDOW_S = 10.0
-# Callers resend for as long as they keep idempotency keys.
+# Callers may resend a request for as long as they keep its idempotency key.
 RECORD_TTL_S = 24 * 3600.0
-# Ages of records from peers are off by the time of their way.
+# Ages of records from peers are off by the transmission time.
 PEER_AGE_ERROR_S = 2.0
 MAX_FINGERPRINTS = 10000
 BUSY_RETRY_AFTER_S = 1.0
@@ -25,13 +30,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamCrashed(events.Event):
-    """A run of an upstream is known to have ended.
+    """A generation of an upstream is known to have ended.
 
-    Not needed where load reports and failed connects are passed on: these
-    show a death after a connection was lost.
+    Not needed where load reports and failed connections are passed on, as
+    these reveal a crash after a connection was lost.
 
     Attributes:
-        generation: The run that ended.
+        generation: The generation that ended.
     """
 
     upstream: str
@@ -40,12 +45,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class PushQuarantine(commands.Command):
-    """Pushes the state of this component to the live members at once."""
+    """Push the state of the quarantine to the live members at once."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Quarantined(failures.Failure):
-    """The request has crashed upstreams and is not run again."""
+    """The request has crashed upstreams and is not executed again."""
 
     code = "quarantined"
     status = 422
@@ -53,14 +58,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class SuspectBusy(failures.Failure):
-    """A suspected request already runs in isolation."""
+    """A suspected request is already running in isolation."""
 
     code = "suspect_busy"
     status = 503
 
 
 class Isolation(enum.Enum):
-    """How a request may run."""
+    """Whether a request has to run without other work at its upstream."""
 
     NOT_NEEDED = "clear"
     REQUIRED = "isolated"
@@ -68,7 +73,7 @@
 
 @dataclasses.dataclass
 class CrashRecord:
-    """What is known of one fingerprint.
+    """Crashes and completions of one fingerprint.
 
     Attributes:
         crashes: Time of each crash by upstream and generation.
@@ -83,22 +88,22 @@
     completed_at: float = float("-inf")
 
     def count_crashes(self) -> int:
-        """Returns the deaths that count."""
+        """Returns the number of crashes since the last completion."""
         since = self.completed_at
         return sum(1 for time in self.crashes.values() if time > since)
 
     def find_last_change(self) -> float:
-        """Returns the time of the last change."""
+        """Returns the time of the last change of the record."""
         return max(self.completed_at, *self.crashes.values(), float("-inf"))
 
 
 @dataclasses.dataclass(frozen=True)
 class Attempt:
-    """A running attempt, or one whose connection was lost a moment ago.
+    """A running attempt, or one whose connection was lost recently.
 
     Attributes:
-        generation: Last known run of the upstream at the start.
-        isolated: Whether no other work may start beside it.
+        generation: Last known generation of the upstream at the start.
+        isolated: Whether no other work may start at the same upstream.
         lost_at: When the connection was lost; infinite while it runs.
     """
 
@@ -110,7 +115,7 @@
 
 
 class Quarantine(components.Component, components.Replicated):
-    """Finds requests that crash upstreams and clears those beside them."""
+    """Detects requests that crash upstreams and clears uninvolved ones."""
 
     kind = "quarantine"
 
@@ -119,7 +124,7 @@
         self._running: dict[str, Attempt] = {}
         self._running_count: collections.Counter[str] = collections.Counter()
         self._isolated_count: collections.Counter[str] = collections.Counter()
-        # By attempt and upstream: a retry keeps the name of the attempt.
+        # Keyed by attempt and upstream, as a retry keeps the attempt's name.
         self._lost: dict[tuple[str, str], Attempt] = {}
         self._last_loss_at: dict[str, float] = {}
         self._generations: dict[str, int] = {}
@@ -134,7 +139,7 @@
             case UpstreamCrashed():
                 return self._record_upstream_crash(event, now)
             case upstream_events.LoadReported():
-                return self._report(event, now)
+                return self._handle_load_report(event, now)
             case upstream_events.ConnectFailed():
                 generation = self._generations.get(event.upstream, 0)
                 return self._record_crashes(event.upstream, generation, now)
@@ -143,7 +148,7 @@
         return []
 
     def count_quarantined(self) -> int:
-        """Returns the number of requests that are not run any more."""
+        """Returns the number of quarantined requests."""
         return sum(
             record.count_crashes() >= CRASHES_TO_QUARANTINE
             for record in self._records.values()
@@ -152,7 +157,7 @@
     def check(
         self, fingerprint: str, now: float, replaced_attempt: str = ""
     ) -> Isolation | failures.Failure:
-        """Tells whether and how a request may run now.
+        """Returns whether a request needs isolation, or why it may not run.
 
         Args:
             fingerprint: Hash of the workspace and the content.
@@ -196,13 +201,13 @@
         now: float,
         replaced_attempt: str = "",
     ) -> bool:
-        """Tells whether a request may run on an upstream beside what runs.
+        """Returns whether a request may run beside the work at an upstream.
 
         Args:
             fingerprint: Hash of the workspace and the content.
             upstream: Name of the upstream.
-            peers_idle: Whether the last shares of peers and the last report
-                show no other work there.
+            peers_idle: Whether the last load reports of peers and of the
+                upstream show no other work there.
             now: Monotonic time in seconds.
             replaced_attempt: See `check`.
         """
@@ -213,22 +218,22 @@
     def _count_possible_crashes(
         self, fingerprint: str, replaced_attempt: str
     ) -> int:
-        """Returns the deaths that count and those that are not known yet."""
+        """Returns the number of known crashes and of possible ones."""
         record = self._records.get(fingerprint)
         count = record.count_crashes() if record is not None else 0
-        waiting = {
+        possible = {
             lost.upstream
             for lost in self._lost.values()
             if lost.fingerprint == fingerprint
         }
         running = self._running.get(replaced_attempt)
         if running is not None:
-            waiting.add(running.upstream)
-        return count + len(waiting)
+            possible.add(running.upstream)
+        return count + len(possible)
 
     def _is_suspect(self, fingerprint: str, now: float) -> bool:
-        # Until it is known whether the upstream died, a request whose
-        # connection was lost could crash the next one as well.
+        # Until it is known whether the upstream crashed, a request whose
+        # connection was lost might crash the next upstream as well.
         lost_at = self._last_loss_at.get(fingerprint)
         if lost_at is not None and now - lost_at < CRASH_DETECTION_WINDOW_S:
             return True
@@ -265,7 +270,7 @@
             self._lost[event.attempt, event.upstream] = lost
             self._last_loss_at[attempt.fingerprint] = now
             if attempt.generation < self._generations.get(event.upstream, 0):
-                # The report of the next run arrived before the loss.
+                # The report of the next generation arrived before the loss.
                 return self._record_crashes(
                     event.upstream, attempt.generation, now
                 )
@@ -275,7 +280,7 @@
         return self._clear(attempt.fingerprint, now)
 
     def _clear(self, fingerprint: str, now: float) -> list[commands.Command]:
-        """Clears a request: a response proves that it crashes nothing."""
+        """Clears a request, as a response proves that it is harmless."""
         if self._last_loss_at.pop(fingerprint, None) is not None:
             for name, lost in list(self._lost.items()):
                 if lost.fingerprint == fingerprint:
@@ -287,7 +292,7 @@
         record.completed_at = now
         return [PushQuarantine()]
 
-    def _report(
+    def _handle_load_report(
         self, event: upstream_events.LoadReported, now: float
     ) -> list[commands.Command]:
         known = self._generations.setdefault(event.upstream, event.generation)
@@ -301,7 +306,7 @@
     ) -> list[commands.Command]:
         for name, attempt in list(self._running.items()):
             if attempt.upstream == event.upstream:
-                # Its end is reported later or never; it counts once.
+                # Its end may be reported later or never; it counts once.
                 self._stop(name)
                 lost = dataclasses.replace(attempt, lost_at=now)
                 self._lost[name, event.upstream] = lost
@@ -310,7 +315,7 @@
     def _record_crashes(
         self, upstream: str, generation: int, now: float
     ) -> list[commands.Command]:
-        """Records a death for each attempt that was lost there just now."""
+        """Records a crash for each attempt recently lost at an upstream."""
         recorded = False
         for name, lost in list(self._lost.items()):
             if lost.upstream != upstream:
@@ -343,7 +348,7 @@
                 del self._records[fingerprint]
 
     def build_digest(self, now: float) -> bytes:
-        """Returns the counts of deaths and vouches of every fingerprint."""
+        """Returns the known crashes and completions of every fingerprint."""
         known = {}
         for fingerprint, record in self._records.items():
             known[fingerprint] = [
@@ -353,39 +358,41 @@
         return json.dumps(known, separators=(",", ":")).encode()
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the records that the sender lacks, with their ages."""
+        """Returns the records that the sender of a digest lacks, with ages."""
         known = json.loads(digest)
         delta = {}
         for fingerprint, record in self._records.items():
-            pairs, vouches = known.get(fingerprint, ([], 0))
+            pairs, completions = known.get(fingerprint, ([], 0))
             seen = {(upstream, generation) for upstream, generation in pairs}
-            deaths = [
+            crashes = [
                 [*pair, now - time]
                 for pair, time in record.crashes.items()
                 if pair not in seen
             ]
-            newer = record.completions > vouches
-            if not deaths and not newer:
+            has_completed = record.completions > completions
+            if not crashes and not has_completed:
                 continue
             age_s = now - record.completed_at if record.completions else 0.0
-            delta[fingerprint] = [deaths, record.completions, age_s]
+            delta[fingerprint] = [crashes, record.completions, age_s]
         if not delta:
             return b""
         return json.dumps(delta, separators=(",", ":")).encode()
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Applies the records of a peer; returns no commands."""
+        """Merges the records of a peer; returns no commands."""
         if not delta:
             return []
-        for fingerprint, (deaths, vouches, age_s) in json.loads(delta).items():
+        for fingerprint, (crashes, completions, age_s) in json.loads(
+            delta
+        ).items():
             record = self._records.setdefault(fingerprint, CrashRecord())
-            for upstream, generation, death_age_s in deaths:
-                # The record was on its way, so the death is a little older
-                # than its age; one from before a vouch must not count.
-                time = now - death_age_s - PEER_AGE_ERROR_S
+            for upstream, generation, crash_age_s in crashes:
+                # The crash is older than its age by the transmission time. One
+                # from before a completion must not count.
+                time = now - crash_age_s - PEER_AGE_ERROR_S
                 pair = (upstream, generation)
                 record.crashes[pair] = min(time, record.crashes.get(pair, time))
-            if vouches > record.completions:
-                record.completions = vouches
+            if completions > record.completions:
+                record.completions = completions
                 record.completed_at = max(record.completed_at, now - age_s)
         return []
--- a/sycamorehollow/decisions/requests/response_assembly.py
+++ b/sycamorehollow/decisions/requests/response_assembly.py
@@ -1,4 +1,8 @@
-"""Assembly of complete responses from numbered chunks."""
+"""Assembly of complete responses from numbered chunks.
+
+Chunks may arrive out of order, twice or not at all. A caller receives each
+chunk once and in order, and never chunks of two attempts.
+"""
 
 import dataclasses
 
@@ -7,20 +11,21 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
-# An engine numbers tokens in order, so gaps are short.
+# Engines number tokens in order, so gaps are short.
 MAX_OUT_OF_ORDER_CHUNKS = 64
 MAX_OUT_OF_ORDER_BYTES = 64 * 1024
-# A chunk that is missing for longer will not come on this connection.
+# A chunk missing for longer will not arrive on this connection.
 GAP_TIMEOUT_S = 1.0
 MAX_RESUMES = 3
 
 
 @dataclasses.dataclass(frozen=True)
 class ResponseOpened(events.Event):
-    """An attempt has started that may produce the response.
+    """An attempt that may produce the response has started.
 
     Attributes:
-        attempt: Id of the attempt; chunks of other attempts are dropped.
+        attempt: Identity of the attempt; chunks of other attempts are
+            dropped.
     """
 
     request_id: str
@@ -49,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StreamBroken(events.Event):
-    """The connection of an attempt ended or went silent."""
+    """The connection of an attempt ended or stalled."""
 
     request_id: str
     attempt: str
@@ -57,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResumeFailed(events.Event):
-    """The upstream does not continue the stream of an attempt."""
+    """The upstream cannot resume the stream of an attempt."""
 
     request_id: str
     attempt: str
@@ -65,7 +70,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallerDisconnected(events.Event):
-    """The caller does not read the response any more."""
+    """The caller no longer reads the response."""
 
     request_id: str
 
@@ -91,7 +96,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class CompleteResponse(commands.Command):
-    """End the response to the caller as complete, after `chunks` chunks."""
+    """End the response to the caller as complete after `chunks` chunks."""
 
     request_id: str
     chunks: int
@@ -102,7 +107,7 @@
     """End the response to the caller, or retry if `chunks` is 0.
 
     Attributes:
-        failure: `AnswerTruncated` once a chunk was delivered, otherwise
+        failure: `AnswerTruncated` once a chunk has been delivered, otherwise
             `UpstreamFailed`.
         chunks: Number of delivered chunks.
     """
@@ -114,12 +119,12 @@
 
 @dataclasses.dataclass
 class _Response:
-    """A response that is being delivered.
+    """A response in delivery.
 
     Attributes:
         next_number: Number of the next chunk to deliver.
         out_of_order: Chunks above `next_number`.
-        gap_since: Time since which a chunk has been missing.
+        gap_since: When the wait for a missing chunk began, if one is missing.
     """
 
     request_id: str
@@ -134,7 +139,7 @@
 
 
 class ResponseAssembler(components.Component):
-    """Delivers each response in order, once, and complete or failed."""
+    """Delivers each response in order and once, and ends it explicitly."""
 
     def __init__(self):
         self._responses: dict[str, _Response] = {}
@@ -145,9 +150,9 @@
         return len(self._responses)
 
     def count_buffered_bytes(self, request_id: str) -> int:
-        """Returns the bytes held for chunks that arrived too early."""
-        answer = self._responses.get(request_id)
-        return 0 if answer is None else answer.out_of_order_bytes
+        """Returns the size of the buffered chunks that arrived out of order."""
+        response = self._responses.get(request_id)
+        return 0 if response is None else response.out_of_order_bytes
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event; see `components.Component.handle`."""
@@ -158,17 +163,19 @@
         if isinstance(event, CallerDisconnected):
             self._responses.pop(event.request_id, None)
             return []
-        answer = self._responses.get(getattr(event, "request_id", ""))
-        if answer is None or answer.attempt != getattr(event, "attempt", None):
+        response = self._responses.get(getattr(event, "request_id", ""))
+        if response is None or response.attempt != getattr(
+            event, "attempt", None
+        ):
             return []
         if isinstance(event, ChunkArrived):
-            return self._take_chunk(answer, event, now)
+            return self._handle_chunk(response, event, now)
         if isinstance(event, EndArrived):
-            return self._take_end(answer, event, now)
+            return self._handle_end(response, event, now)
         if isinstance(event, StreamBroken):
-            return self._resume(answer)
+            return self._resume(response)
         if isinstance(event, ResumeFailed):
-            return self._fail(answer, "the upstream did not continue")
+            return self._fail(response, "the upstream did not continue")
         return []
 
     def _open(self, event: ResponseOpened) -> list[commands.Command]:
@@ -181,97 +188,101 @@
         )
         return []
 
-    def _take_chunk(
-        self, answer: _Response, event: ChunkArrived, now: float
+    def _handle_chunk(
+        self, response: _Response, event: ChunkArrived, now: float
     ) -> list[commands.Command]:
         if (
-            event.number < answer.next_number
-            or event.number in answer.out_of_order
+            event.number < response.next_number
+            or event.number in response.out_of_order
         ):
             return []
-        if answer.total is not None and event.number >= answer.total:
-            return self._fail(answer, "a chunk follows the declared end")
-        answer.out_of_order[event.number] = event.data
-        answer.out_of_order_bytes += len(event.data)
-        result = self._deliver(answer, now)
-        if answer.next_number == answer.total:
-            return result + self._complete(answer)
-        if len(answer.out_of_order) > MAX_OUT_OF_ORDER_CHUNKS:
-            return result + self._resume(answer)
-        if answer.out_of_order_bytes > MAX_OUT_OF_ORDER_BYTES:
-            return result + self._resume(answer)
+        if response.total is not None and event.number >= response.total:
+            return self._fail(response, "a chunk follows the declared end")
+        response.out_of_order[event.number] = event.data
+        response.out_of_order_bytes += len(event.data)
+        result = self._deliver(response, now)
+        if response.next_number == response.total:
+            return result + self._complete(response)
+        if len(response.out_of_order) > MAX_OUT_OF_ORDER_CHUNKS:
+            return result + self._resume(response)
+        if response.out_of_order_bytes > MAX_OUT_OF_ORDER_BYTES:
+            return result + self._resume(response)
         return result
 
-    def _take_end(
-        self, answer: _Response, event: EndArrived, now: float
+    def _handle_end(
+        self, response: _Response, event: EndArrived, now: float
     ) -> list[commands.Command]:
-        if answer.total not in (None, event.total):
-            return self._fail(answer, "two different ends were declared")
-        highest = max(answer.out_of_order, default=answer.next_number - 1)
+        if response.total not in (None, event.total):
+            return self._fail(response, "two different ends were declared")
+        highest = max(response.out_of_order, default=response.next_number - 1)
         if event.total <= highest:
-            return self._fail(answer, "the declared end precedes a chunk")
-        answer.total = event.total
-        if answer.next_number == answer.total:
-            return self._complete(answer)
-        if answer.gap_since is None:
-            answer.gap_since = now
+            return self._fail(response, "the declared end precedes a chunk")
+        response.total = event.total
+        if response.next_number == response.total:
+            return self._complete(response)
+        if response.gap_since is None:
+            response.gap_since = now
         return []
 
-    def _deliver(self, answer: _Response, now: float) -> list[commands.Command]:
-        """Delivers all chunks up to the first gap."""
+    def _deliver(
+        self, response: _Response, now: float
+    ) -> list[commands.Command]:
+        """Delivers all buffered chunks up to the first gap."""
         result: list[commands.Command] = []
-        while answer.next_number in answer.out_of_order:
-            data = answer.out_of_order.pop(answer.next_number)
-            answer.out_of_order_bytes -= len(data)
+        while response.next_number in response.out_of_order:
+            data = response.out_of_order.pop(response.next_number)
+            response.out_of_order_bytes -= len(data)
             result.append(
-                DeliverChunk(answer.request_id, answer.next_number, data)
+                DeliverChunk(response.request_id, response.next_number, data)
             )
-            answer.next_number += 1
-        if not answer.out_of_order and answer.total is None:
-            answer.gap_since = None
-        elif result or answer.gap_since is None:
-            answer.gap_since = now
+            response.next_number += 1
+        if not response.out_of_order and response.total is None:
+            response.gap_since = None
+        elif result or response.gap_since is None:
+            response.gap_since = now
         return result
 
-    def _resume(self, answer: _Response) -> list[commands.Command]:
-        answer.resumes += 1
-        if answer.resumes > MAX_RESUMES:
-            return self._fail(answer, "the stream broke off too often")
-        # The resumed stream repeats these chunks.
-        answer.out_of_order.clear()
-        answer.out_of_order_bytes = 0
-        answer.gap_since = None
+    def _resume(self, response: _Response) -> list[commands.Command]:
+        response.resumes += 1
+        if response.resumes > MAX_RESUMES:
+            return self._fail(response, "the stream broke off too often")
+        # The resumed stream repeats the buffered chunks.
+        response.out_of_order.clear()
+        response.out_of_order_bytes = 0
+        response.gap_since = None
         return [
             ResumeStream(
-                answer.request_id,
-                answer.attempt,
-                answer.upstream,
-                answer.next_number,
+                response.request_id,
+                response.attempt,
+                response.upstream,
+                response.next_number,
             )
         ]
 
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
-        for answer in list(self._responses.values()):
+        for response in list(self._responses.values()):
             if (
-                answer.gap_since is None
-                or now - answer.gap_since < GAP_TIMEOUT_S
+                response.gap_since is None
+                or now - response.gap_since < GAP_TIMEOUT_S
             ):
                 continue
-            result.extend(self._resume(answer))
+            result.extend(self._resume(response))
         return result
 
-    def _complete(self, answer: _Response) -> list[commands.Command]:
-        del self._responses[answer.request_id]
-        return [CompleteResponse(answer.request_id, answer.next_number)]
+    def _complete(self, response: _Response) -> list[commands.Command]:
+        del self._responses[response.request_id]
+        return [CompleteResponse(response.request_id, response.next_number)]
 
-    def _fail(self, answer: _Response, reason: str) -> list[commands.Command]:
-        del self._responses[answer.request_id]
+    def _fail(self, response: _Response, reason: str) -> list[commands.Command]:
+        del self._responses[response.request_id]
         failure: failures.Failure = failures.UpstreamFailed(
             reason=reason, execution=failures.Execution.UNKNOWN
         )
-        if answer.next_number > 0:
+        if response.next_number > 0:
             failure = failures.AnswerTruncated(
                 reason=reason, execution=failures.Execution.UNKNOWN
             )
-        return [FailResponse(answer.request_id, failure, answer.next_number)]
+        return [
+            FailResponse(response.request_id, failure, response.next_number)
+        ]
--- a/sycamorehollow/decisions/requests/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -1,4 +1,7 @@
-"""Arrival, admission and end of model requests."""
+"""Router of the entry process: arrival, admission and end of model requests.
+
+Admitted requests are started by the base class, which runs their attempts.
+"""
 
 from collections.abc import Callable
 
@@ -21,14 +24,15 @@
 
 
 class Router(attempt_runner.AttemptRunner, components.Component):
-    """Serves model requests.
+    """Serves model requests from their arrival to their final answer.
 
     Args:
-        planner: Rules for versions.
-        placement: Rules for upstreams.
-        recovery: Rules after a failed attempt.
+        planner: Chooses versions.
+        placement: Chooses upstreams.
+        recovery: Chooses the step after a failed attempt.
         admission_control: Admits requests to a saturated node.
-        find_backlog: Returns why bills keep new work out, or `None`.
+        check_billing_backlog: Returns a failure if too many bills are
+            pending for new work, else `None`.
     """
 
     def __init__(
@@ -37,10 +41,10 @@
         placement: placements.Placement,
         recovery: recoveries.Recovery,
         admission_control: admission.Admission,
-        find_backlog: Callable[[], failures.Failure | None],
+        check_billing_backlog: Callable[[], failures.Failure | None],
     ):
         super().__init__(planner, placement, recovery, admission_control)
-        self._find_backlog = find_backlog
+        self._check_billing_backlog = check_billing_backlog
         self._admitting = True
         self._handlers: dict[type, Callable] = {
             lifecycle.DeploymentChanged: self._apply_deployment,
@@ -52,7 +56,7 @@
             lifecycle.AttemptCompleted: self._complete,
             lifecycle.AttemptFailed: self._recover,
             lifecycle.AnswerRated: self._handle_rating,
-            billing_messages.ReleaseAnswer: self._finish,
+            billing_messages.ReleaseAnswer: self._release_answer,
             admission.CapacityChanged: self._change_capacity,
             events.Tick: self._expire,
         }
@@ -64,11 +68,11 @@
 
     @property
     def waiting_count(self) -> int:
-        """Number of requests that wait for their admission."""
+        """Number of requests that wait for admission."""
         return self._admission.count_waiting()
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; see the base class."""
+        """Applies one event; see `components.Component.handle`."""
         handler = self._handlers.get(type(event))
         if handler is None:
             return []
@@ -76,7 +80,7 @@
         result = [*result, *self._start_admitted(now)]
         return [*result, *self._placement.take_commands()]
 
-    def _finish(
+    def _release_answer(
         self, event: billing_messages.ReleaseAnswer, now: float
     ) -> list[commands.Command]:
         return self.release(event.token, now)
@@ -103,9 +107,9 @@
         self, event: lifecycle.RequestArrived, now: float
     ) -> list[commands.Command]:
         request = event.request
-        refusal = self._check_admission(request.workspace)
-        if refusal is not None:
-            return [build_rejection(request, refusal)]
+        failure = self._check_admission(request.workspace)
+        if failure is not None:
+            return [build_rejection(request, failure)]
         assert self._deployment is not None
         plan = self._planner.plan(request, self._deployment, now)
         if isinstance(plan, failures.Failure):
@@ -128,7 +132,7 @@
         return []
 
     def _start_admitted(self, now: float) -> list[commands.Command]:
-        """Starts what was admitted; a start that fails admits more."""
+        """Starts admitted requests; a failed start may admit more."""
         result: list[commands.Command] = []
         while self._admissions:
             command = self._admissions.pop(0)
@@ -153,7 +157,7 @@
             )
         if workspace not in self._deployment.workspaces:
             return failures.Unauthorized("The workspace does not exist.")
-        return self._find_backlog()
+        return self._check_billing_backlog()
 
     def _bill_truncated(
         self, event: lifecycle.FailureSent, now: float
@@ -168,11 +172,11 @@
     def _handle_disconnect(
         self, event: lifecycle.CallerDisconnected, now: float
     ) -> list[commands.Command]:
-        cut = self._settlement.bill_truncated(
+        truncated = self._settlement.bill_truncated(
             event.request_id, event.delivered_tokens
         )
-        if cut is not None:
-            return cut
+        if truncated is not None:
+            return truncated
         active = self._active.get(event.request_id)
         if active is None:
             return []
@@ -188,7 +192,7 @@
         return [*result, *self._settlement.bill_partial(active, delivered)]
 
     def _expire(self, event: events.Tick, now: float) -> list[commands.Command]:
-        """Acts on delays, rating waits and deadlines that have passed."""
+        """Handles passed deadlines, scheduled attempts and missing ratings."""
         self._queue_admission_results(self._admission.handle(event, now))
         result: list[commands.Command] = []
         for active in list(self._active.values()):
@@ -204,8 +208,8 @@
                 active.restart_at = None
                 result.extend(self._start(active, now))
                 continue
-            waits = active.rating_deadline
-            if waits is None or now < waits:
+            rating_deadline = active.rating_deadline
+            if rating_deadline is None or now < rating_deadline:
                 continue
             self._rating_waits.expire(active, now)
             self._planner.record_missing_rating(active.answer_id, now)
@@ -217,12 +221,13 @@
         self, active: active_requests.ActiveRequest, now: float
     ) -> list[commands.Command]:
         if active.rating_deadline is not None:
-            # The answer is whole and waits only for its rating.
+            # The answer is complete and only its rating is missing.
             self._rating_waits.expire(active, now)
             active.rating_deadline = None
             return self._start_billing(active, now)
         if active.retained_answer is not None and active.can_deliver:
-            # Another answer may be delivered only if none of this one was.
+            # The retained answer may be delivered only if no chunk of the
+            # running attempt was, which its reported end will tell.
             active.awaits_stop = True
             return [active_requests.build_cancel(active, "deadline", True)]
         cancel = []
@@ -234,5 +239,5 @@
 def build_rejection(
     request: requests.ModelRequest, failure: failures.Failure
 ) -> lifecycle.FailRequest:
-    """Returns the refusal of a request that was not admitted."""
+    """Returns the failure of a request that was not admitted."""
     return lifecycle.FailRequest(request.request_id, request.workspace, failure)
--- a/sycamorehollow/decisions/requests/sessions.py
+++ b/sycamorehollow/decisions/requests/sessions.py
@@ -1,4 +1,7 @@
-"""Sessions that stay on the version that they started with."""
+"""Sessions, which stay on the version that they started with.
+
+The session is stored in a signed token at the caller, so nodes keep no state.
+"""
 
 from collections.abc import Set
 import dataclasses
@@ -16,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class InvalidSession(failures.Failure):
-    """The session token is forged or belongs to another workspace or model."""
+    """The session token is not genuine or is for another workspace or model."""
 
     code: ClassVar[str] = "invalid_session"
     status: ClassVar[int] = 400
@@ -27,7 +30,7 @@
     """A verified session.
 
     Attributes:
-        model: Model, version or cascade that the caller asked for.
+        model: Model, version or cascade that the caller requested.
         version: Version that every request of the session runs on.
         issued_s: Wall-clock time of the first request, in whole seconds.
     """
@@ -39,7 +42,7 @@
 
 
 def issue_token(session: Session, ring: keyrings.KeyRing) -> str:
-    """Returns the token of a session."""
+    """Returns the signed token of a session."""
     fields = (
         session.workspace,
         session.model,
@@ -55,13 +58,13 @@
 def verify_token(
     token: str, workspace: str, model: str, ring: keyrings.KeyRing
 ) -> Session | InvalidSession:
-    """Returns the session of a token, or why the token is refused.
+    """Returns the session of a token, or why the token is rejected.
 
     Args:
-        token: Text from the caller.
+        token: Token from the caller.
         workspace: Workspace that the API key of the request belongs to.
-        model: What the request asks for.
-        ring: Keys that verify.
+        model: Model, version or cascade that the request names.
+        ring: Keys for the verification.
     """
     fields = keyrings.decode_token(TOKEN_PREFIX, token, TOKEN_FIELDS, ring)
     if fields is None:
@@ -85,7 +88,7 @@
 ) -> str | failures.Failure:
     """Returns the version of a session, or why it cannot be used.
 
-    There is no fallback: a session is never moved to another version.
+    There is no fallback, as a session never moves to another version.
     """
     failure = version_access.check_version_access(
         current, stopped_versions, session.workspace, session.version
--- a/sycamorehollow/decisions/requests/settlement.py
+++ b/sycamorehollow/decisions/requests/settlement.py
@@ -1,4 +1,4 @@
-"""Final failures and bills of requests."""
+"""Final failures of requests, and bills for what was delivered."""
 
 import dataclasses
 
@@ -9,10 +9,10 @@
 
 
 class Settlement:
-    """Bills what was delivered, once per request.
+    """Bills the delivered answer of each request once.
 
-    An answer that breaks off is billed when the relay has told how many
-    tokens went to the caller.
+    A truncated answer is billed as soon as the relay has reported how many
+    tokens were delivered.
     """
 
     def __init__(self):
@@ -24,7 +24,7 @@
     def bill_complete(
         self, active: active_requests.ActiveRequest
     ) -> active_requests.ReplicateBill | None:
-        """Returns the bill of a whole answer, or `None` if it is empty."""
+        """Returns the bill of a complete answer, or `None` if there is none."""
         return self._build(
             active, active.prompt_tokens, active.output_tokens, True
         )
@@ -32,10 +32,10 @@
     def fail(
         self, active: active_requests.ActiveRequest, failure: failures.Failure
     ) -> list[commands.Command]:
-        """Gives the caller its final failure.
+        """Ends a request with its final failure.
 
-        A later step may fail with a refusal of its own, but the request was
-        not run only if no earlier attempt may have run.
+        The last attempt may have failed without being executed, but the request
+        counts as not executed only if that holds for all earlier attempts.
         """
         request = active.request
         if active.classify_execution() is failures.Execution.UNKNOWN:
@@ -53,7 +53,7 @@
     def bill_truncated(
         self, request_id: str, delivered_tokens: int
     ) -> list[commands.Command] | None:
-        """Bills a broken answer; returns `None` if there was none."""
+        """Bills a truncated answer; returns `None` if there is none."""
         active = self._truncated.pop(request_id, None)
         if active is None:
             return None
@@ -62,7 +62,7 @@
     def bill_partial(
         self, active: active_requests.ActiveRequest, delivered_tokens: int
     ) -> list[commands.Command]:
-        """Bills the tokens of an answer that is not whole."""
+        """Bills the delivered tokens of an incomplete answer."""
         bill = self._build(active, 0, delivered_tokens, False)
         return [] if bill is None else [bill]
 
