Reword the platform adapter in plain terms

The comments of the adapter spoke of news and answers. They now describe the codecs, the checks of values and the client in terms of the field; local names follow. The reason that ends a connection with bytes outside of its response is a fixed text again.

Checked: test_platform, test_process_platform, test_bounded_http and test_unseen_deployments pass.

--- a/sycamorehollow/platform/__init__.py
+++ b/sycamorehollow/platform/__init__.py
@@ -1,4 +1,4 @@
 """Adapter to the users' platform: its settings, store and HTTP headers.
 
-Nothing outside this package knows a name of the platform.
+Names that the platform defines are used in this package only.
 """
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -1,4 +1,7 @@
-"""Values in the platform's store, decoded into the product's types."""
+"""Decodes and encodes the values in the platform's store.
+
+Each value is validated, as other writers may store anything.
+"""
 
 import ipaddress
 import json
@@ -18,7 +21,7 @@
 STATUS_PREFIX = "status/rollout/"
 NODE_PREFIX = "nodes/"
 
-_REPEATABILITY_BY_KIND = {
+_ROUTE_KINDS = {
     "safe": forwarding.RouteKind.SAFE,
     "unsafe": forwarding.RouteKind.UNSAFE,
     "streaming": forwarding.RouteKind.STREAM,
@@ -91,7 +94,7 @@
     version: str = pydantic.Field(strict=True)
     slots: _Count
     state: _Name
-    # Milliseconds left when the entry was written, not a point in time.
+    # Time left when the entry was written, not a point in time.
     coldRemainingMs: _Number = 0  # noqa: N815
     born: int = 0
     models: list[_Model] = []
@@ -99,7 +102,7 @@
 
 class _Rollout(pydantic.BaseModel):
     service: _Name
-    # A version of the service's software, not an address.
+    # Version of the service's software, not an address.
     target: _Name
     durationS: _Number = 0  # noqa: N815
 
@@ -116,7 +119,7 @@
 
 
 def decode_node(text: str) -> watchers.Node | failures.InvalidRequest:
-    """Decodes the entry of a node of ours."""
+    """Decodes the entry of a gateway node."""
     node = _decode(_Node, text)
     if isinstance(node, failures.InvalidRequest):
         return node
@@ -124,7 +127,7 @@
 
 
 def encode_node(node: watchers.Node) -> str:
-    """Returns the value by which a node registers itself."""
+    """Returns the value with which a node registers itself."""
     return json.dumps(
         {
             "peer": node.peer_address,
@@ -137,13 +140,11 @@
 def decode_configuration(
     text: str,
 ) -> forwarding.Configuration | failures.InvalidRequest:
-    """Decodes the whole configuration."""
+    """Decodes the configuration of routes, services and workspaces."""
     document = _decode(_Configuration, text)
     if isinstance(document, failures.InvalidRequest):
         return document
-    unknown = {route.kind for route in document.routes} - set(
-        _REPEATABILITY_BY_KIND
-    )
+    unknown = {route.kind for route in document.routes} - set(_ROUTE_KINDS)
     if unknown:
         return failures.InvalidRequest(f"unknown kinds of routes: {unknown}")
     limits = document.limits
@@ -164,7 +165,7 @@
 def decode_upstream(
     key: str, text: str
 ) -> forwarding.Upstream | failures.InvalidRequest:
-    """Decodes an upstream's entry; other writers may have left anything."""
+    """Decodes an upstream's entry."""
     entry = _decode(_Upstream, text)
     if isinstance(entry, failures.InvalidRequest):
         return entry
@@ -190,7 +191,7 @@
 def decode_rollout(
     text: str, revision: int
 ) -> forwarding.RolloutOrder | failures.InvalidRequest:
-    """Decodes an operator's order."""
+    """Decodes an operator's order of a roll-out."""
     order = _decode(_Rollout, text)
     if isinstance(order, failures.InvalidRequest):
         return order
@@ -202,7 +203,7 @@
 def decode_status(
     key: str, text: str, revision: int
 ) -> forwarding.RolloutStatus | failures.InvalidRequest:
-    """Decodes what a process stated about a roll-out."""
+    """Decodes the status of a roll-out that a node has written."""
     status = _decode(_Status, text)
     if isinstance(status, failures.InvalidRequest):
         return status
@@ -215,7 +216,7 @@
 
 
 def encode_status(target: str, state: forwarding.RolloutState) -> str:
-    """Returns the value that states how far a roll-out has come."""
+    """Returns the value with the status of a roll-out."""
     return json.dumps({"state": state.value, "target": target})
 
 
@@ -224,12 +225,12 @@
         return kind.model_validate_json(text)
     except pydantic.ValidationError as error:
         first = error.errors(include_url=False)[0]
-        place = ".".join(str(part) for part in first["loc"])
-        return failures.InvalidRequest(f"{place}: {first['msg']}")
+        location = ".".join(str(part) for part in first["loc"])
+        return failures.InvalidRequest(f"{location}: {first['msg']}")
 
 
 def _parse_address(text: str) -> tuple[str, int] | None:
-    """Reads an IP address with a port to which connections can be made."""
+    """Parses an IP address with a valid port."""
     host, _, digits = text.rpartition(":")
     try:
         ipaddress.ip_address(host)
@@ -251,7 +252,7 @@
         name=route.name,
         host=route.host.lower(),
         path_prefix=route.pathPrefix,
-        kind=_REPEATABILITY_BY_KIND[route.kind],
+        kind=_ROUTE_KINDS[route.kind],
         timeout_s=route.timeoutMs / 1000,
         objective_s=route.targetLatencyMs / 1000,
         priority=route.priority,
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -1,4 +1,4 @@
-"""The platform's HTTP headers."""
+"""Codec for the platform's HTTP headers."""
 
 import math
 import re
@@ -7,7 +7,8 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import header_codec
 
-# Set by the router only; a caller's own would steer engines or fake its key.
+# Headers set by the router only. If a caller could set them, it could control
+# engines or pass as another workspace.
 _ROUTER_HEADERS = frozenset(
     (
         b"authorization",
@@ -23,15 +24,15 @@
         b"pin-duration",
     )
 )
-# Digits of a number in a header.
+# Longer counts in a header are rejected.
 MAX_DIGITS = 15
-# Value by which a caller leaves the choice of the model open.
+# Value with which a caller leaves the choice of the model to the router.
 _OPEN_MODEL = b"*"
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
 class PlatformHeaderCodec(header_codec.HeaderCodec):
-    """Reads and writes the platform's headers."""
+    """Decodes and encodes the platform's headers."""
 
     def decode_request(
         self, method: str, target: str, headers: header_codec.Headers
@@ -97,10 +98,10 @@
     def decode_response(
         self, status: int, headers: header_codec.Headers
     ) -> forwarding.DecodedHead:
-        """Decodes the head of an upstream's answer."""
+        """Decodes the head of an upstream's response."""
         fields = _index_by_name(headers)
         confidence = _parse_number(fields.get(b"hint-confidence"))
-        idle = _KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))
+        keep_alive = _KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))
         cold_ms = _parse_number(fields.get(b"cold-remaining"))
         return forwarding.DecodedHead(
             status=status,
@@ -111,14 +112,14 @@
             encoded=b"content-encoding" in fields,
             confidence=None if confidence is None else int(confidence),
             load=_parse_load(fields.get(b"replica-load")),
-            keep_alive_s=float(idle[1]) if idle else None,
+            keep_alive_s=float(keep_alive[1]) if keep_alive else None,
             cold_s=None if cold_ms is None else cold_ms / 1000,
         )
 
     def encode_failure(
         self, request_id: str, failure: failures.Failure
     ) -> list[tuple[bytes, bytes]]:
-        """Returns the headers of an answer of our own."""
+        """Returns the headers of a response created by the gateway."""
         headers = []
         if request_id:
             headers.append((b"Request-Id", request_id.encode("latin-1")))
@@ -133,7 +134,7 @@
 
 
 def _list_connection_options(headers: header_codec.Headers) -> frozenset[bytes]:
-    """Returns the names of headers that concern one connection only."""
+    """Returns the names that the `Connection` headers list."""
     names: set[bytes] = set()
     for name, value in headers:
         if name.lower() != b"connection":
@@ -151,7 +152,7 @@
 
 
 def _parse_count(text: str) -> int | None:
-    """Reads a whole number; other digits than ASCII ones are no number."""
+    """Parses a decimal number of ASCII digits."""
     if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
         return None
     return int(text)
@@ -173,10 +174,10 @@
 
 
 def _parse_load(value: bytes | None) -> forwarding.Load | None:
-    figures = (value or b"").decode("latin-1").split(",")
-    if len(figures) != 3:
+    values = (value or b"").decode("latin-1").split(",")
+    if len(values) != 3:
         return None
-    running, waiting, slots = (_parse_count(f.strip()) for f in figures)
+    running, waiting, slots = (_parse_count(v.strip()) for v in values)
     if running is None or waiting is None or slots is None:
         return None
     return forwarding.Load(running, waiting, slots)
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform gives to a process."""
+"""Reads the settings file that the platform provides to a process."""
 
 from collections.abc import Mapping
 import pathlib
@@ -25,12 +25,12 @@
     graceS: float = pydantic.Field(gt=0)  # noqa: N815
     retryBudgetRatio: float = pydantic.Field(ge=0)  # noqa: N815
     budgetWindowS: float = pydantic.Field(gt=0)  # noqa: N815
-    # Not a minimum but a fixed addition to the ratio, over all nodes.
+    # Not a minimum: retries allowed in addition to the ratio, over all nodes.
     budgetMinRetries: float = pydantic.Field(ge=0)  # noqa: N815
     exposeShare: float = pydantic.Field(1.0, gt=0, le=1)  # noqa: N815
     coldOverage: float = pydantic.Field(1.0, gt=0)  # noqa: N815
     coldSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
-    # Time within which reading a shared part of a prompt again is priced.
+    # Time within which processing a shared part of a prompt again is billed.
     reuseWindowS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
 
 
@@ -82,13 +82,13 @@
     tree: dict[str, Any] = {}
     for key, value in values.items():
         *branches, leaf = key.split(".")
-        place = tree
+        node = tree
         for branch in branches:
-            deeper = place.setdefault(branch, {})
-            if not isinstance(deeper, dict):
-                deeper = place[branch] = {}
-            place = deeper
-        place.setdefault(leaf, value)
+            child = node.setdefault(branch, {})
+            if not isinstance(child, dict):
+                child = node[branch] = {}
+            node = child
+        node.setdefault(leaf, value)
     return tree
 
 
--- a/sycamorehollow/platform/settings_lines.py
+++ b/sycamorehollow/platform/settings_lines.py
@@ -1,6 +1,6 @@
-"""Lines of the platform's settings file.
+"""Parses the lines of the platform's settings file.
 
-Imports next to nothing, as it is used before the other modules are loaded.
+Has few imports, as it is used before the other modules are loaded.
 """
 
 import pathlib
@@ -20,11 +20,11 @@
 
 
 def read_front_address(path: pathlib.Path) -> tuple[str, int] | None:
-    """Returns the host and port for callers, if the file states them."""
+    """Returns the host and port for callers, if the file has them."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError):
-        # Whoever reads all settings tells of the fault.
+        # The error is reported when all settings are read.
         return None
     host, _, port = parse_lines(text).get(_FRONT_KEY, "").rpartition(":")
     return (host, int(port)) if host and port.isdecimal() else None
--- a/sycamorehollow/platform/store_codec.py
+++ b/sycamorehollow/platform/store_codec.py
@@ -1,4 +1,4 @@
-"""Entries of the platform's store as news for the router."""
+"""Codec for entries of the platform's store."""
 
 from collections.abc import Sequence
 
@@ -13,10 +13,10 @@
 
 
 class PlatformStoreCodec(store_codec.StoreCodec):
-    """Knows the platform's keys."""
+    """Decodes and encodes entries by the platform's keys."""
 
     def decode(self, entry: mirror.Entry) -> Sequence[events.Event]:
-        """Returns the news in an entry."""
+        """Returns the updates that an entry contains."""
         key = entry.key
         if key == documents.CONFIGURATION_KEY:
             return self._decode_configuration(entry)
@@ -37,7 +37,7 @@
     def encode_status(
         self, service: str, target: str, state: forwarding.RolloutState
     ) -> store_codec.KeyValue:
-        """Returns the entry that states how far a roll-out has come."""
+        """Returns the entry with the status of a roll-out."""
         return store_codec.KeyValue(
             documents.STATUS_PREFIX + service,
             documents.encode_status(target, state),
@@ -46,7 +46,7 @@
     def encode_node(
         self, name: str, node: watchers.Node
     ) -> store_codec.KeyValue:
-        """Returns the entry by which a node registers itself."""
+        """Returns the entry with which a node registers itself."""
         return store_codec.KeyValue(
             documents.NODE_PREFIX + name, documents.encode_node(node)
         )
@@ -74,7 +74,8 @@
             return [updates.UpstreamRemoved(identity)]
         upstream = documents.decode_upstream(entry.key, entry.value)
         if isinstance(upstream, failures.Failure):
-            # Another writer may have replaced the entry of an upstream.
+            # Another writer may have overwritten the entry, so the upstream
+            # is removed.
             return [
                 updates.UnreadableEntry(entry.key, upstream.reason),
                 updates.UpstreamRemoved(identity),
--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -47,7 +47,7 @@
     def list_range(
         self, prefix: str, allow_stale: bool = False
     ) -> stores.Listing | stores.CallFailure:
-        """Returns all values whose keys start with a prefix."""
+        """Returns all values under a prefix, page by page."""
         items: list[stores.Found] = []
         revision: int | None = None
         query: dict[str, Any] = {"pathPrefix": prefix}
@@ -62,17 +62,17 @@
             try:
                 page = [_parse_item(item) for item in answer.document["items"]]
                 at = int(answer.document["at"])
-                more = bool(answer.document.get("hasMore")) and bool(page)
+                has_more = bool(answer.document.get("hasMore")) and bool(page)
             except (KeyError, TypeError, ValueError):
                 return stores.InDoubt("the response of a range is malformed")
-            # Pages are taken one after the other; changes since the first one
-            # are found by a watch from its revision.
+            # Pages are read one after the other. A watch from the revision of
+            # the first page finds all changes made since.
             revision = at if revision is None else revision
             for item in page:
                 if isinstance(item, failures.Failure):
                     return item
                 items.append(item)
-            if not more:
+            if not has_more:
                 return stores.Listing(tuple(items), revision)
             if items[-1].key <= str(query.get("after", "")):
                 return stores.InDoubt("the pages of a range do not go on")
@@ -81,7 +81,7 @@
     def watch(
         self, prefix: str, after: int, timeout_s: float
     ) -> stores.Changes | stores.HistoryGone | stores.CallFailure:
-        """Waits for changes under a prefix."""
+        """Waits for changes under a prefix after a revision."""
         query = {
             "pathPrefix": prefix,
             "after": after,
@@ -116,7 +116,7 @@
     def renew_lease(
         self, lease: str
     ) -> stores.Lease | stores.LeaseGone | stores.CallFailure:
-        """Starts the lifetime of a lease afresh."""
+        """Extends a lease by its full lifetime."""
         answer = self._call("POST", f"/-/kv-keep/{lease}")
         if isinstance(answer, failures.Failure):
             return answer
@@ -129,7 +129,7 @@
     def release_lease(
         self, lease: str
     ) -> stores.Released | stores.LeaseGone | stores.CallFailure:
-        """Ends a lease and deletes the values that are tied to it."""
+        """Releases a lease and deletes the values attached to it."""
         answer = self._call("DELETE", f"/-/kv-lease-end/{lease}")
         if isinstance(answer, failures.Failure):
             return answer
@@ -163,7 +163,7 @@
 def _build_failure(
     answer: storeclient.Response,
 ) -> stores.RateLimited | stores.InDoubt:
-    """Returns the failure of a response that is no success."""
+    """Returns the failure that an unsuccessful response stands for."""
     reason = f"the store answered {answer.status}"
     if answer.status == 503 or 400 <= answer.status < 500:
         return stores.RateLimited(reason, retry_after_s=answer.retry_after_s)
@@ -176,11 +176,11 @@
 
 
 def _decode(value: str) -> str:
-    """Returns a value as text; bytes that are no UTF-8 are kept as escapes."""
+    """Decodes a value; bytes that are not UTF-8 become surrogate escapes."""
     try:
         data = base64.b64decode(value, validate=True)
     except binascii.Error:
-        # The reader of the value finds it unreadable and logs it.
+        # The decoder of the value rejects and logs it.
         return value
     return data.decode("utf-8", errors="surrogateescape")
 
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -286,9 +286,7 @@
             0 if self._progress > progress else self._overhead_bytes + len(data)
         )
         if self._overhead_bytes > MAX_OVERHEAD_BYTES and not self._ended:
-            self._abort(
-                f"no progress of the response in {MAX_OVERHEAD_BYTES} bytes"
-            )
+            self._abort("the upstream sends bytes outside of its response")
         self._data_event.set()
 
     def eof_received(self) -> bool:
