Put the texts of the cascading modules into plain terms

The choice of a cascade, its confidence bounds and Thompson samples, the priors and the replication of counts are described in the usual terms of statistics; reasons and figures stay.

Checked: format, lint and type checks are clean; test_cascades, test_learning and test_node pass.

--- a/sycamorehollow/decisions/cascading/__init__.py
+++ b/sycamorehollow/decisions/cascading/__init__.py
@@ -1,1 +1,1 @@
-"""Which versions a request tries, and what is learned of their answers."""
+"""Choice of the versions a request tries, and their estimated quality."""
--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -1,4 +1,9 @@
-"""Plans by session, roll-out and cascade."""
+"""Planner that combines sessions, roll-outs and cascades.
+
+A session stays on its version. Other requests get the versions that the
+roll-outs allow, and with a policy for their kind the cascade that is chosen by
+learned quality and price.
+"""
 
 import collections
 from collections.abc import Callable
@@ -20,36 +25,37 @@
 from sycamorehollow.model import lifecycle
 from sycamorehollow.model import requests
 
-# Gates count on ratings again as soon as one arrives.
+# Ratings count as unavailable after this many missing ones in sequence, until
+# the next one arrives.
 MAX_MISSED_RATINGS = 3
 EXPECTED_RATING_S = 1.0
-# An answer that needs this part of its kind's deadline counts as slow.
+# A response that takes this share of its kind's deadline counts as slow.
 SLOW_DEADLINE_SHARE = 0.5
 PENDING_ANSWERS = 20_000
 
 
 class UpstreamPools(Protocol):
-    """What the planner asks about the upstreams of a version."""
+    """Queries on the upstreams that serve a version."""
 
     def estimate_duration_s(
         self, request: requests.ModelRequest, version: str, now: float
     ) -> float:
-        """Returns the expected time of an answer in seconds."""
+        """Returns the expected duration of a response in seconds."""
 
     def has_candidate(self, version: str, now: float) -> bool:
-        """Returns whether an upstream takes new work for the version."""
+        """Returns whether any upstream accepts new work for the version."""
 
 
 class CascadePlanner(planning.Planner):
-    """Chooses versions by session, roll-out and learned quality.
+    """Plans the versions of a request by session, roll-out and quality.
 
     Args:
-        selector: Choice of sequences.
+        selector: Selector of cascades.
         estimator: Quality estimates.
         progress: Roll-outs and stop records.
-        evidence: Evidence on roll-outs.
-        pools: What the upstreams can take.
-        ring: Keys of session tokens.
+        evidence: Collected evidence on roll-outs.
+        pools: Capacity and speed of the upstreams.
+        ring: Keys that sign session tokens.
         read_clock: Returns the wall-clock time in whole seconds.
     """
 
@@ -151,7 +157,7 @@
         current: deployment.Deployment,
         now: float,
     ) -> list[commands.Command]:
-        """Takes the end of an attempt; see the base class."""
+        """Records the outcome of an attempt; see the base class."""
         if plan.needs_rating and not outcome.failed:
             self._expect_rating(request, plan, outcome, now)
         for arm in plan.arms.get(outcome.version, ()):
@@ -174,7 +180,7 @@
     def record_rating(
         self, event: lifecycle.AnswerRated, now: float
     ) -> list[commands.Command]:
-        """Takes the rating of an answer."""
+        """Records the rating of a response."""
         self._missed_ratings = 0
         threshold = self._thresholds.pop(event.answer_id, None)
         if threshold is None:
@@ -189,7 +195,7 @@
         return []
 
     def record_missing_rating(self, answer_id: str, now: float) -> None:
-        """Takes note that a rating did not arrive in time."""
+        """Records that a rating did not arrive in time."""
         self._missed_ratings += 1
 
     def _plan_session(
@@ -218,8 +224,8 @@
     def _pin(
         self, request: requests.ModelRequest, plan: planning.Plan
     ) -> planning.Plan:
-        # The token stands in the head of the answer, so the version is fixed
-        # before an upstream is chosen.
+        # The token is sent in the response head, so the version is fixed before
+        # an upstream is chosen.
         version = plan.steps[-1]
         session = sessions.Session(
             request.workspace, request.model, version, self._read_clock()
@@ -290,8 +296,8 @@
             base,
             steps=choice.steps,
             is_gated=choice.gate,
-            # A kind without trials must not run on a version that is not
-            # proven, even when the proven ones are full.
+            # A kind without trials must not run on an unproven version, even if
+            # the proven ones are full.
             fallbacks=others if policy.explore else (),
             reason=f"{found.reason}; {choice.reason}",
         )
@@ -321,7 +327,7 @@
 
 
 def build_base_plan(policy: deployment.KindPolicy | None) -> planning.Plan:
-    """Returns a plan without steps that follows a policy."""
+    """Returns a plan without steps, with the settings of a policy."""
     if policy is None:
         return planning.Plan(steps=())
     return planning.Plan(
--- a/sycamorehollow/decisions/cascading/cascade_selector.py
+++ b/sycamorehollow/decisions/cascading/cascade_selector.py
@@ -1,4 +1,8 @@
-"""Choice of the versions that a request tries, cheapest sufficient first."""
+"""Choice of the cascade of versions that a request tries.
+
+It takes the cheapest sequence that meets the quality target with enough
+certainty. A limited share of the requests may explore cheaper sequences.
+"""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -14,37 +18,36 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 
-# Longer sequences cost more time than a third rejection is worth.
+# Another step would take more time than a third rejection is worth.
 MAX_STEPS = 3
-# Own ratings from which a version counts as known in a kind.
+# Ratings in the workspace from which the quality of a version counts as known.
 MIN_RATINGS = 30
-# Where trials are allowed, fewer do: the estimate is cautious by itself.
+# Fewer suffice where trials are allowed, as the lower bound is cautious itself.
 MIN_TRIAL_RATINGS = 12
-# Standard deviations that an estimate must lie above the target.
+# Standard deviations between an estimate and its lower confidence bound.
 LOWER_SIGMAS = 0.8
-# Standard deviations above its estimate that a version may turn out to have.
+# Standard deviations between an estimate and its upper confidence bound.
 UPPER_SIGMAS = 2.0
-# Share of requests that may be used to learn. A gate catches a bad answer of
-# a trial and costs little more, so gated kinds can afford more of them.
+# Share of trials; more with a gate, which catches bad responses at little cost.
 EXPLORE_SHARE = 0.35
 EXPLORE_SHARE_GATED = 0.5
 MAX_CREDIT = 8.0
-# A draw is spent on versions that are known already, so it has to be rarer.
+# Thompson sampling also tries versions that are known, so it has to be rarer.
 THOMPSON_COST = 7.0
 THOMPSON_SHARE = 0.15
-# Largest amount by which a missed target raises the bar for the next choice.
+# Limit on the increase of the required quality after a missed target.
 MAX_TARGET_INCREASE = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
 class Conditions:
-    """What the pools look like for one request.
+    """State of the upstreams and of the rating service for one request.
 
     Attributes:
-        durations_s: Expected seconds until the answer of each version ends.
-        full: Versions that no upstream can take now.
-        rating_s: Seconds that the gate waits for a rating.
-        rating_down: Whether the rating service gives no ratings.
+        durations_s: Expected duration of a response of each version in seconds.
+        full: Versions without an upstream that has capacity.
+        rating_wait_s: Seconds that the gate waits for a rating.
+        ratings_down: Whether the rating service returns no ratings.
     """
 
     durations_s: Mapping[str, float] = dataclasses.field(default_factory=dict)
@@ -55,16 +58,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Query:
-    """A request that needs a choice.
+    """Inputs of the choice for one request.
 
     Attributes:
         workspace: Name of the workspace.
-        policy: How the workspace wants the kind handled.
-        versions: The versions to choose from, as `versions.resolve` gives
+        policy: Policy of the workspace for the kind of request.
+        versions: The versions to choose from, as `versions.resolve` returns
             them; a sequence tries them in this order.
-        prices: Expected price of one answer of each version.
+        prices: Expected price of one response of each version.
         remaining_s: Seconds until the deadline.
-        conditions: State of the pools.
+        conditions: State of the upstreams and of the rating service.
     """
 
     workspace: str
@@ -77,14 +80,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Cascade:
-    """What a request tries.
+    """The versions that a request tries.
 
     Attributes:
         steps: Versions in order; the next one runs after a rejection.
-        gate: Whether answers are rated before delivery.
-        trial: What the choice takes from the budget for trials; 0 for none.
+        gate: Whether responses are rated before delivery.
+        trial_cost: Exploration credit that the choice uses; 0 if no trial.
         expected_cost: Expected price of all attempts.
-        expected_quality: Expected share of accepted answers.
+        expected_quality: Expected share of accepted responses.
         reason: One sentence for the log.
     """
 
@@ -98,7 +101,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ChoiceMade(events.Event):
-    """A request runs on a choice."""
+    """A request runs with a chosen cascade."""
 
     workspace: str
     kind: str
@@ -106,11 +109,11 @@
 
 
 class CascadeSelector(components.Component):
-    """Chooses the sequence of versions for each request.
+    """Chooses the cascade for each request.
 
     Args:
-        estimates: Where the quality estimates come from.
-        rng: Source of the draws for trials.
+        estimates: Source of the quality estimates.
+        rng: Source of randomness for trials.
     """
 
     def __init__(
@@ -122,7 +125,7 @@
         self._forecasts = forecasts.ForecastCache(estimates)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; only choices change the budget for trials."""
+        """Applies one event and updates the exploration credit."""
         if isinstance(event, ChoiceMade):
             pair = (event.workspace, event.kind)
             share = EXPLORE_SHARE_GATED if event.choice.gate else EXPLORE_SHARE
@@ -136,7 +139,7 @@
         return []
 
     def choose(self, query: Query) -> Cascade | failures.Failure:
-        """Returns the sequence for a request, with the reason."""
+        """Returns the cascade for a request, with the reason."""
         if not query.versions:
             return failures.NotAllowed("No version is allowed for the request.")
         free = [v for v in query.versions if v not in query.conditions.full]
@@ -199,7 +202,7 @@
             choice = self._evaluate(query, best[1], gate, -LOWER_SIGMAS)
             return dataclasses.replace(choice, reason=text + note)
         assert strongest is not None
-        # Without trials, the dearest of what is left may be unproven too.
+        # Without trials, the dearest of those left may be unproven too.
         pool = timely if query.policy.explore else list(query.versions)
         dearest = _find_dearest(query, pool)
         if dearest not in timely or self._is_proven(query, (dearest,)):
@@ -211,7 +214,7 @@
     def _fall_back(
         self, query: Query, timely: list[str], note: str
     ) -> Cascade | failures.Failure:
-        """Answers when exploring is forbidden and no version is proven."""
+        """Returns the cascade if trials are off and no sequence is proven."""
         if _find_dearest(query, query.versions) in timely:
             return self._take_dearest(query, timely, "no proven version", note)
         return failures.NoUpstream(
@@ -244,18 +247,18 @@
             if price >= best.expected_cost or steps not in sequences:
                 continue
             forecast = self._forecast(query, (version,))
-            # Behind a gate, a step pays when it spares enough dear answers.
+            # With a gate a step pays off if it saves enough dear responses.
             needed = query.policy.quality_target
             if gate:
                 needed = price / max(price, query.prices.get(dearest, 0.0))
-                # Later steps matter too, so draws of whole sequences follow.
+                # Later steps matter too; `_sample_trial` draws them all.
                 if forecast.ratings >= MIN_RATINGS:
                     continue
             upper_bound = forecast.quality + UPPER_SIGMAS * forecast.deviation
             # Two early rejections must not rule a version out for good.
             if forecast.ratings >= MIN_TRIAL_RATINGS and upper_bound < needed:
                 continue
-            # A draw prefers what may be good, and does not insist on it.
+            # A random draw favours versions that are likely to be good.
             if self._rng.gauss(forecast.quality, forecast.deviation) < needed:
                 continue
             saving = best.expected_cost - price
@@ -274,7 +277,7 @@
         gate: bool,
         best: Cascade,
     ) -> Cascade | None:
-        """Draws a quality for each step and takes the best under the draw."""
+        """Returns the best trial for qualities drawn from the posteriors."""
         if self._get_credit(query) < THOMPSON_COST:
             return None
         if self._rng.random() >= THOMPSON_SHARE:
@@ -307,7 +310,7 @@
     def _evaluate(
         self, query: Query, steps: tuple[str, ...], gate: bool, sigmas: float
     ) -> Cascade:
-        """Returns expected cost and quality of a sequence."""
+        """Returns a sequence with its cost, and quality shifted by `sigmas`."""
         forecast = self._forecast(query, steps)
         quality = forecast.quality + sigmas * forecast.deviation
         cost = _sum_cost(query, steps, forecast.reaches)
@@ -325,7 +328,7 @@
         return self._credit.get((query.workspace, query.policy.name), 1.0)
 
     def _compute_quality_bar(self, query: Query) -> float:
-        """Returns the target, raised while delivered answers miss it."""
+        """Returns the target, raised while delivered responses miss it."""
         target = query.policy.quality_target
         delivered = self._forecast(query, ("",))
         if delivered.ratings < MIN_RATINGS:
@@ -363,7 +366,7 @@
 
 
 def _rank_cost(choice: Cascade) -> tuple[float, tuple[str, ...]]:
-    """Returns the cost per accepted answer; names break ties."""
+    """Returns the cost per accepted response; names break ties."""
     return choice.expected_cost / max(
         choice.expected_quality, 1e-6
     ), choice.steps
@@ -387,7 +390,7 @@
 
 
 def _describe_limits(query: Query, free: int, timely: int) -> str:
-    """Returns what the pools and the deadline ruled out."""
+    """Describes how many versions capacity and deadline ruled out."""
     notes = []
     if free < len(query.versions):
         notes.append(f"{len(query.versions) - free} at capacity")
--- a/sycamorehollow/decisions/cascading/forecasts.py
+++ b/sycamorehollow/decisions/cascading/forecasts.py
@@ -1,23 +1,24 @@
-"""What the estimates say about sequences of versions."""
+"""Forecasts of the quality of sequences of versions, with a cache."""
 
 import dataclasses
 
 from sycamorehollow.decisions.cascading import quality_estimator
 
-# Estimates are read again after this many changes of a kind.
+# Ratings of a kind after which a cached forecast is outdated.
 REFRESH_CHANGES = 24
 MAX_FORECASTS = 8192
 
 
 @dataclasses.dataclass(frozen=True)
 class Forecast:
-    """What the estimates say about a sequence.
+    """Expected quality of a sequence of versions.
 
     Attributes:
         reaches: Share of requests that reach each step.
-        quality: Expected share of accepted answers.
+        quality: Expected share of accepted responses.
         deviation: Standard deviation of the quality.
-        ratings: Own ratings of the least known step on fresh requests.
+        ratings: Ratings in the workspace of the step with the fewest, on
+            requests that no other version has tried.
     """
 
     reaches: tuple[float, ...]
@@ -27,10 +28,10 @@
 
 
 class ForecastCache:
-    """Outlooks that are cached until the estimates have moved.
+    """Caches forecasts until the estimates have changed enough.
 
     Args:
-        estimates: Where the quality estimates come from.
+        estimates: Source of the quality estimates.
     """
 
     def __init__(self, estimates: quality_estimator.QualityEstimator) -> None:
@@ -40,10 +41,10 @@
         ] = {}
 
     def get(self, workspace: str, kind: str, steps: tuple[str, ...]):
-        """Returns the forecast of a sequence; `""` is any delivered answer."""
+        """Returns the forecast; the step `""` is any delivered response."""
         changes = self._estimator.count_changes(workspace, kind)
         cached = self._cache.get((workspace, kind, steps))
-        # The first ratings move an estimate most.
+        # The first ratings change an estimate most.
         if cached is not None:
             stale = min(REFRESH_CHANGES, 1 + cached[0] // 8)
             if changes - cached[0] < stale:
@@ -55,7 +56,7 @@
         return forecast
 
     def clear(self) -> None:
-        """Forgets what is cached."""
+        """Clears the cache."""
         self._cache.clear()
 
     def _compute(
--- a/sycamorehollow/decisions/cascading/quality_estimator.py
+++ b/sycamorehollow/decisions/cascading/quality_estimator.py
@@ -1,4 +1,4 @@
-"""Estimates of answer quality, learned from ratings.
+"""Estimates of response quality, learned from ratings.
 
 Each (workspace, kind, version) has counts of accepted and rejected answers in
 epochs of about `rating_counts.EPOCH_RATINGS` ratings. A process only raises
@@ -21,39 +21,40 @@
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
 
-# Weight in ratings of a guess, and limits of that of the neighbours' mean. The
-# closer the neighbours are to each other, the more their mean weighs.
+# Weight of a prior in ratings: of one without data, and the limits of one from
+# the same key in other workspaces, the neighbours. The closer the neighbours
+# are to each other, the more their mean weighs.
 UNINFORMED_PRIOR_RATINGS = 2.0
 MIN_PRIOR_RATINGS = 4.0
-# A few neighbours of some hundred ratings each cannot show that they differ by
-# less than this weight allows. A lower limit leaves a workspace with unlucky
+# A few neighbours with some hundred ratings each can't show that they differ
+# by less than this weight allows. A lower limit leaves a workspace with unlucky
 # ratings on a dear version for thousands of requests.
 MAX_PRIOR_RATINGS = 60.0
-# Ratings from which a neighbour's mean says something about the spread.
+# Ratings from which the mean of a neighbour is used.
 MIN_NEIGHBOUR_RATINGS = 30
 PENDING_ANSWERS = 20_000
 PENDING_TTL_S = 3600.0
 MAX_KEYS = 4096
 DIGEST_KEYS = 32
-# Keeps one delta to a few kilobytes when every process has changes.
+# Limits a delta to a few kilobytes when every process has changes.
 MAX_DELTA_CELLS = 400
-# At the target scale 5,500 ratings a second change more counts than 10 KB/s
-# can carry; beyond this limit sharing becomes slower instead.
+# At the target scale 5,500 ratings per second change more counts than 10 KB/s
+# can carry; beyond this limit replication becomes slower instead.
 BYTES_PER_S = 800.0
-# An answer that follows a rejection is harder than an average one.
+# A request whose first response was rejected is harder than an average one.
 ESCALATION_FACTOR = 0.7
 
 
 class EstimateKey(NamedTuple):
-    """What an estimate is about.
+    """Key of an estimate.
 
     Attributes:
         workspace: Name of the workspace.
         kind: Kind of request.
-        version: Version that answered; empty for all delivered answers.
-        after: Versions whose answers to the request were rejected before.
-            Escalated requests are harder, so they have estimates of their own
-            and do not bias those of fresh requests.
+        version: Version of the response; empty for all delivered responses.
+        after: Versions whose responses to the request were rejected before.
+            Escalated requests are harder, so they have separate estimates and
+            don't bias those of fresh requests.
     """
 
     workspace: str
@@ -64,13 +65,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResponseProduced(events.Event):
-    """A version has answered; its rating may follow.
+    """A version has produced a response; its rating may follow.
 
     Attributes:
         answer_id: Unique per attempt.
         key: What the response counts for.
-        threshold: Rating in [0, 1] from which the answer is accepted.
-        final: Whether the answer is delivered even when it is rejected.
+        threshold: Rating in [0, 1] from which the response is accepted.
+        final: Whether the response is delivered even if it is rejected.
     """
 
     answer_id: str
@@ -81,7 +82,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RatingArrived(events.Event):
-    """The rating service has rated an answer with a score in [0, 1]."""
+    """The rating service has rated a response with a score in [0, 1]."""
 
     answer_id: str
     score: float
@@ -89,19 +90,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class DeploymentChanged(events.Event):
-    """Another configuration is in effect."""
+    """A new configuration is in force."""
 
     deployment: deployments.Deployment
 
 
 @dataclasses.dataclass(frozen=True)
 class Estimate:
-    """Beta estimate of the share of accepted answers.
+    """Beta distribution of the share of accepted responses.
 
     Attributes:
         alpha: Discounted accepted ratings plus prior.
         beta: Discounted rejected ratings plus prior.
-        ratings: Own ratings behind it, without prior and discount.
+        ratings: Number of ratings, without prior and discount.
     """
 
     alpha: float
@@ -110,7 +111,7 @@
 
     @property
     def mean(self) -> float:
-        """Expected share of accepted answers."""
+        """Expected share of accepted responses."""
         return self.alpha / (self.alpha + self.beta)
 
     @property
@@ -121,10 +122,10 @@
 
 
 class QualityEstimator(components.Component, components.Replicated):
-    """Learns how often each version's answers are accepted.
+    """Estimates how often the responses of each version are accepted.
 
     Args:
-        process: Identity of this run of the process; a restart has another.
+        process: Identity of this process, which changes with a restart.
     """
 
     kind = "learning"
@@ -142,7 +143,7 @@
         )
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; learning asks for no commands."""
+        """Applies one event; returns no commands."""
         if isinstance(event, ResponseProduced):
             self._pending[event.answer_id] = (event, now)
             self._drop_pending(now)
@@ -157,7 +158,7 @@
         return []
 
     def estimate(self, key: EstimateKey) -> Estimate:
-        """Returns the estimate of a key, from the prior without ratings."""
+        """Returns the estimate of a key; the prior if there are no ratings."""
         counts = self._counts.get(key)
         rated, accepted, ratings = (
             counts.compute_discounted() if counts else (0.0, 0.0, 0)
@@ -170,12 +171,12 @@
         )
 
     def count_ratings(self, key: EstimateKey) -> int:
-        """Returns the own ratings behind an estimate."""
+        """Returns the number of ratings of a key."""
         counts = self._counts.get(key)
         return sum(t[0] for t in counts.totals.values()) if counts else 0
 
     def count_changes(self, workspace: str, kind: str) -> int:
-        """Returns a number that grows whenever estimates of a kind change."""
+        """Returns how often the estimates of a kind have changed."""
         return self._changes[(workspace, kind)]
 
     def count_keys(self) -> int:
@@ -189,7 +190,7 @@
         return list(self._counts.items())
 
     def build_digest(self, now: float) -> bytes:
-        """Returns checksums of one slice of the keys, another each second."""
+        """Returns checksums of a slice of the keys, which rotates by second."""
         slices = max(1, math.ceil(len(self._counts) / DIGEST_KEYS))
         slice_index = int(now) % slices
         held = {}
@@ -202,7 +203,7 @@
         return compressed_json.compress_json([slices, slice_index, held])
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the epochs that differ from the digest, up to a bound."""
+        """Returns epochs that differ from the digest, up to a size limit."""
         slices, slice_index, held = compressed_json.decompress_json(digest)
         keys = self._list_slice(slices, slice_index)
         start = int(now * 7) % len(keys) if keys else 0
@@ -226,7 +227,7 @@
         return compressed_json.compress_json(updates) if updates else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Raises counts to those of another process."""
+        """Merges the counts of another process."""
         if not delta:
             return []
         for fields, floor, epochs in compressed_json.decompress_json(delta):
@@ -236,10 +237,10 @@
             counts = self._get_or_create_counts(key)
             if counts is None:
                 continue
-            # Cells first: a floor above them has to drop them again.
+            # The cells come first, so that `floor` drops outdated ones again.
             for epoch, cells in epochs.items():
                 for process, cell in cells.items():
-                    # Each delta would bring its own copy of every name.
+                    # Else each delta would add a copy of every name.
                     name = sys.intern(process)
                     counts.merge_cell(int(epoch), name, (cell[0], cell[1]))
             if counts.drop_epochs_before(floor):
@@ -248,7 +249,7 @@
         return []
 
     def _apply_rating(self, event: RatingArrived, now: float) -> None:
-        # Taking the answer out makes a repeated rating count once.
+        # Removes the response, so that a repeated rating counts once.
         entry = self._pending.pop(event.answer_id, None)
         if entry is None:
             return
@@ -265,7 +266,7 @@
         counts = (
             self._get_or_create_counts(key) if self._is_known(key) else None
         )
-        # An answer from before a drift says nothing about the time after it.
+        # A response from before a drift says nothing about the quality since.
         if counts is None or produced_at < counts.reset_at:
             return
         counts.record(self._process, accepted)
@@ -292,7 +293,7 @@
         return named <= workspace.versions
 
     def _find_prior(self, key: EstimateKey) -> tuple[float, float]:
-        """Returns the mean to start from and its weight in ratings."""
+        """Returns the mean of the prior and its weight in ratings."""
         neighbours = []
         for name in self._workspaces():
             counts = self._counts.get(EstimateKey(name, *key[1:]))
@@ -303,7 +304,7 @@
             return _pool_neighbours(neighbours)
         if not key.after:
             return 0.5, UNINFORMED_PRIOR_RATINGS
-        # One rejection less is the closest thing known.
+        # The closest known key is the one with one rejection less.
         parent = self.estimate(key._replace(after=key.after[1:]))
         return parent.mean * ESCALATION_FACTOR, MIN_PRIOR_RATINGS
 
@@ -331,17 +332,17 @@
 def _pool_neighbours(
     neighbours: list[tuple[float, float]],
 ) -> tuple[float, float]:
-    """Returns mean and weight of a Beta prior that fits the neighbours."""
+    """Returns mean and weight of a Beta prior fitted to the neighbours."""
     means = [accepted / rated for rated, accepted in neighbours]
     mean = sum(means) / len(means)
     if len(means) < 2:
         return mean, MIN_PRIOR_RATINGS
-    # Without a single rejection the spread would look like certainty.
+    # Bounded, since the noise would be 0 for neighbours without a rejection.
     smooth = min(0.98, max(0.02, mean))
     noise = smooth * (1 - smooth)
     spread = sum((m - mean) ** 2 for m in means) / (len(means) - 1)
     spread -= noise * sum(1 / rated for rated, _ in neighbours) / len(means)
-    # Few neighbours can look alike by chance.
+    # A few neighbours can be close by chance.
     spread = max(spread, noise / MAX_PRIOR_RATINGS)
     weight = noise / spread - 1
     return mean, min(MAX_PRIOR_RATINGS, max(MIN_PRIOR_RATINGS, weight))
--- a/sycamorehollow/decisions/cascading/rating_counts.py
+++ b/sycamorehollow/decisions/cascading/rating_counts.py
@@ -1,4 +1,8 @@
-"""Counts of accepted and rejected ratings, in epochs that age."""
+"""Counts of ratings in epochs, of which older ones weigh less.
+
+Each process raises only its own counts, so replicas merge by the maximum of
+each process and epoch.
+"""
 
 import functools
 import math
@@ -8,22 +12,22 @@
 KEPT_EPOCHS = 8
 HALF_LIFE_RATINGS = 384
 DRIFT_RATINGS = 48
-# Tested after every rating, so the bound is far above one test's 2 sigma.
+# The test runs after every rating, so its bound is far above 2 sigma.
 DRIFT_SIGMA = 4.0
 
 
 @functools.lru_cache(maxsize=10_000)
 def intern_cell(cell: tuple[int, int]) -> tuple[int, int]:
-    """Returns one object for equal counts.
+    """Returns the same object for equal counts.
 
-    Most counts of a large fleet are 0 or 1; a tuple each would take more than
-    half of the memory of learning.
+    Most counts of a large fleet are 0 or 1; a tuple for each would take more
+    than half of the memory of the quality estimates.
     """
     return cell
 
 
 class RatingCounts:
-    """Counts of one key: epoch → process → (rated, accepted)."""
+    """Counts of one key: epoch → process → cell of (rated, accepted)."""
 
     def __init__(self) -> None:
         self.epochs: dict[int, dict[str, tuple[int, int]]] = {}
@@ -34,11 +38,11 @@
         self.reset_at = -math.inf
 
     def get_current_epoch(self) -> int:
-        """Returns the epoch in progress."""
+        """Returns the newest epoch."""
         return max(self.totals, default=self.first_epoch)
 
     def merge_cell(self, epoch: int, process: str, cell: tuple[int, int]):
-        """Takes a count unless a higher one of that process is known."""
+        """Replaces the count of a process if the given one is higher."""
         if epoch < self.first_epoch:
             return
         cells = self.epochs.setdefault(epoch, {})
@@ -56,7 +60,7 @@
         self.drop_epochs_before(self.get_current_epoch() - KEPT_EPOCHS + 1)
 
     def drop_epochs_before(self, floor: int) -> bool:
-        """Forgets the epochs below a floor, which never falls."""
+        """Drops the epochs before `floor`; returns whether that is later."""
         if floor <= self.first_epoch:
             return False
         self.first_epoch = floor
@@ -68,7 +72,7 @@
         return True
 
     def record(self, process: str, accepted: bool) -> None:
-        """Adds one rating to this process's counts."""
+        """Adds one rating to the counts of this process."""
         epoch = self.get_current_epoch()
         if self.totals.get(epoch, (0, 0))[0] >= EPOCH_RATINGS:
             epoch += 1
@@ -76,7 +80,7 @@
         self.merge_cell(epoch, process, (rated + 1, good + int(accepted)))
 
     def compute_discounted(self) -> tuple[float, float, int]:
-        """Returns discounted rated and accepted counts, and raw ratings."""
+        """Returns discounted rated and accepted counts, and all ratings."""
         if self._discounted is not None:
             return self._discounted
         rated = accepted = 0.0
@@ -91,7 +95,7 @@
         return self._discounted
 
     def find_drift(self) -> int | None:
-        """Returns the epoch from which the quality has changed, if any."""
+        """Returns the epoch since which the quality has changed, if any."""
         recent = recent_good = 0
         start = None
         older = older_good = 0
