Reword the comments on slow versions, admission, watchers and the model

Comments and doc comments of the sequential test, the steps, the admission queue, the watchers and the data model of forwarded requests say in plain terms what the code does and why; reasons and numbers are kept.

--- a/sycamorehollow/decisions/forwarding/admission_queue.py
+++ b/sycamorehollow/decisions/forwarding/admission_queue.py
@@ -1,24 +1,24 @@
-"""Order in which waiting requests get the room of a full service.
+"""Fair queueing of requests that wait for capacity of a full service.
 
-Load pattern: upstreams are full while one workspace sends many times its usual
-share, or while urgent and patient requests meet. The most urgent request goes
-first; among equals the workspaces take turns, each in its order of arrival.
+Upstreams may be full because a single workspace sends many times its usual
+share, or while requests of different priority compete. Requests are admitted
+by priority, then in turns by workspace, then in order of arrival.
 """
 
 from collections.abc import Hashable
 import dataclasses
 
-# A request that has not asked for this long, in seconds, has left; those that
-# wait ask several times in it.
+# A waiter that has not polled for this long is gone; waiting requests poll
+# several times within it.
 WAITER_TTL_S = 0.15
 
 
 @dataclasses.dataclass(frozen=True)
 class Waiter:
-    """A request in line.
+    """A waiting request.
 
     Attributes:
-        urgency: Lower numbers go first.
+        urgency: Lower numbers are admitted first.
         arrived: Monotonic time of the request's arrival.
     """
 
@@ -29,26 +29,26 @@
 
 
 class AdmissionQueue:
-    """Keeps a line for each set of upstreams that is full."""
+    """Keeps one queue for each set of upstreams that requests compete for."""
 
     def __init__(self) -> None:
-        # When each waiting request last asked.
+        # Time of each waiter's last poll, by queue.
         self._queues: dict[Hashable, dict[Waiter, float]] = {}
-        # Requests of each workspace that went while others waited.
+        # Requests of each workspace admitted while others waited, by queue.
         self._admitted: dict[Hashable, dict[str, int]] = {}
         self._last_number = 0
 
     def create_waiter(
         self, priority: int, workspace: str, arrived_at: float
     ) -> Waiter:
-        """Returns a ticket, which is not in line yet."""
+        """Returns a waiter, which is not queued yet."""
         self._last_number += 1
         return Waiter(priority, workspace, arrived_at, self._last_number)
 
     def try_admit(
         self, waiter: Waiter, queue_key: Hashable, capacity: int, now: float
     ) -> bool:
-        """Takes room if it is this request's turn; else it stays in line.
+        """Admits a request if it is its turn, and queues it otherwise.
 
         Args:
             waiter: The request.
@@ -57,40 +57,40 @@
             capacity: Requests that these upstreams can take now.
             now: Monotonic time in seconds.
         """
-        line = self._queues.setdefault(queue_key, {})
-        for other in [t for t, at in line.items() if now - at > WAITER_TTL_S]:
-            del line[other]
-        taken = self._admitted.setdefault(queue_key, {})
-        if not line:
-            taken.clear()
-        rank = _rank(waiter, taken)
+        queue = self._queues.setdefault(queue_key, {})
+        for other in [t for t, at in queue.items() if now - at > WAITER_TTL_S]:
+            del queue[other]
+        admitted = self._admitted.setdefault(queue_key, {})
+        if not queue:
+            admitted.clear()
+        rank = _rank(waiter, admitted)
         ahead = sum(
-            other != waiter and _rank(other, taken) < rank for other in line
+            other != waiter and _rank(other, admitted) < rank for other in queue
         )
         if ahead >= capacity:
-            line[waiter] = now
+            queue[waiter] = now
             return False
-        line.pop(waiter, None)
-        if line:
-            count = taken.get(waiter.workspace, 0)
-            taken[waiter.workspace] = count + 1
+        queue.pop(waiter, None)
+        if queue:
+            count = admitted.get(waiter.workspace, 0)
+            admitted[waiter.workspace] = count + 1
         return True
 
     def remove(self, waiter: Waiter) -> None:
-        """The request waits no more."""
-        for line in self._queues.values():
-            line.pop(waiter, None)
+        """Removes a request that no longer waits."""
+        for queue in self._queues.values():
+            queue.pop(waiter, None)
 
     def evict_idle_queues(self, now: float) -> None:
-        """Forgets lines in which nobody waits."""
-        for place, line in list(self._queues.items()):
-            if all(now - at > WAITER_TTL_S for at in line.values()):
-                del self._queues[place]
-                self._admitted.pop(place, None)
+        """Evicts queues without waiters."""
+        for queue_key, queue in list(self._queues.items()):
+            if all(now - at > WAITER_TTL_S for at in queue.values()):
+                del self._queues[queue_key]
+                self._admitted.pop(queue_key, None)
 
 
 def _rank(
     waiter: Waiter, admitted: dict[str, int]
 ) -> tuple[int, int, float, int]:
-    turns = admitted.get(waiter.workspace, 0)
-    return (waiter.priority, turns, waiter.arrived_at, waiter.number)
+    count = admitted.get(waiter.workspace, 0)
+    return (waiter.priority, count, waiter.arrived_at, waiter.number)
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -41,7 +41,6 @@
 
     Attributes:
         deadline: Monotonic time at which the final response is due.
-        attempts: All attempts, the latest last.
         last_event_id: Latest event that the caller has received.
         failover: Conditions of one more attempt.
     """
@@ -228,8 +227,7 @@
         Args:
             head: Head of the response.
             now: Monotonic time in seconds.
-            was_resent: Whether the attempt was sent before on another
-                connection that broke.
+            was_resent: Whether it was sent before on a connection that broke.
         """
         attempt = self.attempts[-1]
         attempt.release_backlog()
--- a/sycamorehollow/decisions/forwarding/slowness.py
+++ b/sycamorehollow/decisions/forwarding/slowness.py
@@ -1,14 +1,15 @@
-"""Sequential test of whether a new version answers slowly.
-
-Versions are drawn by hash. If the new one is as fast, a slow answer is its own
-with the probability of its share when the request was sent, whatever makes
-answers slow. The log likelihood ratio of that against a version with several
-times the slow answers is summed up over all answers, and for each route and
-model. What counts is the rise since the lowest sum, so that a version that
-turns slow late is found as fast.
-
-An upstream that is slow by itself makes answers slow as well. A version has to
-be slow at most groups of its upstreams.
+"""Sequential test of whether a new version responds slowly.
+
+Versions are assigned by hash. If both versions are equally fast, the
+probability that a slow response comes from the new version equals its traffic
+share when the request was sent, whatever the cause of the slowness. The test
+sums up the log likelihood ratio of this hypothesis against a new version with
+several times as many slow responses, over all responses and per route and
+model. As in CUSUM, the increase since the lowest sum is evaluated, so that a
+version that degrades late is detected as fast.
+
+A single slow upstream causes slow responses as well. Therefore the version must
+be slow at most groups of its upstreams to count as slow.
 """
 
 from collections.abc import Mapping
@@ -19,20 +20,19 @@
 
 from sycamorehollow.decisions.forwarding import response_times
 
-# Groups of the new version's upstreams.
+# Number of groups into which the new version's upstreams are hashed.
 GROUPS = 8
-# Ratios of slow answers that the test looks for, and the one above which a
-# group of upstreams counts as slow.
+# Ratios of slow responses that the test is to detect, and the ratio above which
+# a group of upstreams counts as slow.
 RATIOS = (4.0, 16.0)
 GROUP_RATIO = 2.0
-# Share of slow answers that is assumed at least of the version in service.
+# Lower bound of the share of slow responses of the version in service.
 MIN_RATE = 0.02
-# Log likelihood ratio at which a version counts as slow, and the one from which
-# on it is suspected.
+# Log likelihood ratios from which a version counts as slow and as suspect.
 SLOW_LOG_RATIO = math.log(5000)
 SUSPECT_LOG_RATIO = SLOW_LOG_RATIO / 2
-# Standard deviations by which the share of the answers may exceed the one by
-# which versions are drawn.
+# Standard deviations by which the new version's observed share of responses may
+# exceed its traffic share.
 SHARE_SIGMA = 2.0
 
 _Number = TypeVar("_Number", int, float)
@@ -40,12 +40,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Counts:
-    """Answers of both versions.
+    """Counts of responses of both versions.
 
     Attributes:
-        new: Answers of the new version by group of its upstreams.
+        new: Responses of the new version by group of its upstreams.
         new_slow: Slow ones among them.
-        scores: Log likelihood ratio of a slow new version for each ratio.
+        scores: Log likelihood ratio for each of `RATIOS`.
     """
 
     old: int = 0
@@ -56,7 +56,7 @@
 
     @property
     def size(self) -> int:
-        """All answers."""
+        """Number of all responses."""
         return self.old + sum(self.new)
 
     def plus(self, other: "Counts", sign: int = 1) -> "Counts":
@@ -70,12 +70,12 @@
         )
 
     def encode(self) -> list[float]:
-        """Returns the counts as a list of numbers."""
+        """Returns the counts as a flat list of numbers."""
         scores = [round(score, 3) for score in self.scores]
         return [self.old, self.old_slow, *self.new, *self.new_slow, *scores]
 
     def describe(self) -> str:
-        """Returns the counts for the log."""
+        """Returns a description for the log."""
         return (
             f"{sum(self.new_slow)} of {sum(self.new)} answers slow against"
             f" {self.old_slow} of {self.old} in service"
@@ -83,7 +83,7 @@
 
 
 def decode(values: list[float]) -> Counts:
-    """Reads what `Counts.encode` has written.
+    """Decodes the result of `Counts.encode`.
 
     Raises:
         ValueError: The list has another length.
@@ -101,13 +101,13 @@
 
 
 def build_counts(upstream: str, new: bool, slow: bool, share: float) -> Counts:
-    """Returns the counts of one answer.
+    """Returns the counts of one response.
 
     Args:
-        upstream: Where it ran.
-        new: Whether the new version answered.
-        slow: Whether it was slow.
-        share: Share of the new version in answers that were sent with it.
+        upstream: Identity of the upstream.
+        new: Whether it runs the new version.
+        slow: Whether the response was slow.
+        share: Traffic share of the new version when the request was sent.
     """
     scores = tuple(
         (math.log(ratio) if new else 0.0) - math.log(1 - share + share * ratio)
@@ -118,13 +118,13 @@
     if not new:
         return Counts(1, int(slow), scores=scores)
     group = zlib.crc32(upstream.encode()) % GROUPS
-    ones = tuple(int(place == group) for place in range(GROUPS))
+    ones = tuple(int(index == group) for index in range(GROUPS))
     return Counts(0, 0, ones, ones if slow else (0,) * GROUPS, scores)
 
 
 @dataclasses.dataclass
 class SequentialTest:
-    """The test on one kind of answers.
+    """The test on one kind of latency.
 
     Attributes:
         latest: All counts.
@@ -135,20 +135,20 @@
     baselines: tuple[Counts, ...] = (Counts(),) * len(RATIOS)
 
     def update(self, total: Counts) -> None:
-        """Takes the present counts."""
+        """Applies the current counts."""
         self.latest = total
         self.baselines = tuple(
-            total if total.scores[place] <= low.scores[place] else low
-            for place, low in enumerate(self.baselines)
+            total if total.scores[index] <= low.scores[index] else low
+            for index, low in enumerate(self.baselines)
         )
 
     @property
     def score(self) -> float:
-        """Largest log likelihood ratio since its lowest sum."""
+        """Largest increase of a log likelihood ratio since its minimum."""
         return self._find_largest_score()[0]
 
     def is_slow(self, bound: float) -> bool:
-        """Tells whether the version is slow, and not only some upstreams."""
+        """Returns whether the version, not just some upstreams, is slow."""
         if self.score < bound:
             return False
         found = self.get_counts()
@@ -162,25 +162,25 @@
         return 2 * len(many) > len(groups)
 
     def get_counts(self) -> Counts:
-        """Returns the counts that led to the score."""
+        """Returns the counts since the minimum, which led to the score."""
         return self.latest.plus(
             self.baselines[self._find_largest_score()[1]], -1
         )
 
     def _find_largest_score(self) -> tuple[float, int]:
-        """Returns the largest score and the place of its ratio."""
+        """Returns the largest score and the index of its ratio."""
         return max(
-            (self.latest.scores[place] - low.scores[place], place)
-            for place, low in enumerate(self.baselines)
+            (self.latest.scores[index] - low.scores[index], index)
+            for index, low in enumerate(self.baselines)
         )
 
 
 class Evidence:
-    """Counts of all nodes on one roll-out, and the tests on them.
+    """Counts of all nodes for one roll-out, and the tests on them.
 
     Attributes:
-        counts: Counts by node and kind, which is a part of answers at a
-            route and model; each node only raises its own.
+        counts: Counts by node and kind, where a kind is a latency at a route
+            and model. Each node only increases its own counts.
     """
 
     def __init__(self) -> None:
@@ -196,7 +196,7 @@
         new: bool,
         slow: bool,
     ) -> None:
-        """A part of an answer was judged at this node."""
+        """Counts a latency that was classified at this node."""
         kinds = self.counts.setdefault(node, {})
         kind = f"{part.value} {timed.route.name} {timed.model}".rstrip()
         share = self._estimate_new_share(timed.share)
@@ -204,40 +204,40 @@
         kinds[kind] = kinds.get(kind, Counts()).plus(one)
 
     def merge(self, node: str, kinds: Mapping[str, Counts]) -> None:
-        """Takes another node's counts; larger ones are newer."""
+        """Merges another node's counts; of two the larger is newer."""
         known = self.counts.setdefault(node, {})
         for kind, counts in kinds.items():
             if counts.size > known.get(kind, Counts()).size:
                 known[kind] = counts
 
     def evaluate(self) -> str:
-        """Tests all kinds; returns why the version is slow, if it is."""
+        """Runs all tests; returns why the version is slow, or an empty text."""
         self._total = self.sum_counts()
         totals: dict[str, Counts] = {}
         for kinds in self.counts.values():
             for kind, counts in kinds.items():
-                # The part of the answer, for all routes and models.
+                # Also tests the latency over all routes and models.
                 for name in (kind.partition(" ")[0], kind):
                     totals[name] = totals.get(name, Counts()).plus(counts)
         for kind, total in totals.items():
-            trial = self._tests.setdefault(kind, SequentialTest())
-            trial.update(total)
-            if trial.is_slow(SLOW_LOG_RATIO):
+            test = self._tests.setdefault(kind, SequentialTest())
+            test.update(total)
+            if test.is_slow(SLOW_LOG_RATIO):
                 return (
-                    f"{kind}: {trial.get_counts().describe()}"
-                    f" (log evidence {trial.score:.1f},"
+                    f"{kind}: {test.get_counts().describe()}"
+                    f" (log evidence {test.score:.1f},"
                     f" bound {SLOW_LOG_RATIO:.1f})"
                 )
         return ""
 
     def is_possibly_slow(self) -> bool:
-        """Tells whether the version looks slow without proof yet."""
+        """Returns whether a test has reached the lower, suspect bound."""
         return any(
-            trial.is_slow(SUSPECT_LOG_RATIO) for trial in self._tests.values()
+            test.is_slow(SUSPECT_LOG_RATIO) for test in self._tests.values()
         )
 
     def sum_counts(self) -> Counts:
-        """Returns the counts of all nodes and kinds."""
+        """Returns the sum of the counts of all nodes and kinds."""
         total = Counts()
         for kinds in self.counts.values():
             for counts in kinds.values():
@@ -245,13 +245,14 @@
         return total
 
     def _estimate_new_share(self, share: float) -> float:
-        """Returns the chance that a slow answer is the new version's."""
+        """Returns the probability that a response is the new version's."""
         size = self._total.size
         if not size:
             return share
         observed = sum(self._total.new) / size
         spread = math.sqrt(share * (1 - share) / size)
-        # Some sessions send more requests than others.
+        # Sessions differ in their number of requests, so the observed share
+        # can be above the share of sessions.
         return observed if observed > share + SHARE_SIGMA * spread else share
 
 
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -1,4 +1,4 @@
-"""Steps in the course of a request, and the failures that end it."""
+"""Steps of a request, its attempts and the failures that end it."""
 
 import abc
 import dataclasses
@@ -7,13 +7,13 @@
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.model import failures
 
-# Outcome of an attempt, or a request, whose answer reached the caller whole.
+# Outcome of an attempt or request whose response was delivered completely.
 DELIVERED = "delivered"
 
 
 @dataclasses.dataclass(frozen=True)
 class Unavailable(failures.Failure):
-    """No upstream can run the request now; it has not run."""
+    """No upstream is available; the request has not run."""
 
     code = "unavailable"
     status = 503
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class BadGateway(failures.Failure):
-    """An attempt broke off; it may have run."""
+    """The connection to an upstream broke; the request may have run."""
 
     code = "upstream_broke"
     status = 502
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class TimedOut(failures.Failure):
-    """The time for the request is over; it may have run."""
+    """The deadline of the request has passed; it may have run."""
 
     code = "timed_out"
     status = 504
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Send:
-    """Sends the request to an upstream."""
+    """Step: send the request to an upstream."""
 
     state: directory.UpstreamState
     model: str
@@ -47,14 +47,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Wait:
-    """Tries again after a moment."""
+    """Step: ask for the next step again after a delay."""
 
     seconds: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Reject:
-    """Ends the request with a failure of our own."""
+    """Step: end the request with a failure of the gateway."""
 
     failure: failures.Failure
 
@@ -63,14 +63,14 @@
 
 
 class Verdict(enum.Enum):
-    """What to do with the head of an answer."""
+    """What to do with a response after its head has arrived."""
 
     DELIVER = "deliver"
     RETRY = "again"
 
 
 class EndCause(enum.Enum):
-    """Who ended an attempt."""
+    """What ended an attempt."""
 
     UPSTREAM = "upstream"
     TIMEOUT = "patience"
@@ -81,35 +81,34 @@
 
 
 class AttemptObserver(abc.ABC):
-    """Is told how an attempt goes on."""
+    """Observer of the progress of an attempt."""
 
     @abc.abstractmethod
     def record_event(self, now: float) -> None:
-        """A part of the answer has arrived."""
+        """Records the arrival of a part of the response."""
 
     @abc.abstractmethod
     def record_end(self) -> None:
-        """The attempt has ended; a second call changes nothing."""
+        """Records the end of the attempt; idempotent."""
 
 
 @dataclasses.dataclass
 class Attempt:
-    """One attempt.
+    """One attempt to run a request at an upstream.
 
     Attributes:
-        observer: Is told of its answer; `None` for nobody.
-        response_accepted: Whether the head of its answer was accepted.
+        observer: Observer of its progress, or `None`.
+        response_accepted: Whether the head of its response was accepted.
         sent_at: When it was sent.
-        uncached_tokens: Prompt tokens that the upstream probably had to read.
-        expected_s: Expected seconds until it begins to answer.
-        last_byte_at: When its last byte arrived.
-        backlog_s: Seconds for which it counts among what the upstream has to
-            read; 0 once it answers.
-        isolated_at: When a check last found that no upstream could be reached
-            from here.
-        keep_reason: Why it was not given up when its upstream was silent; empty
-            if that was not asked.
-        end_cause: Who ended it; `None` while it is open.
+        uncached_tokens: Estimated prompt tokens missing from the upstream's
+            prefix cache.
+        expected_s: Expected time to the first byte, with the backlog.
+        last_byte_at: When its last byte arrived, or when it was sent.
+        backlog_s: Its part of the upstream's backlog; 0 once it has a
+            response.
+        isolated_at: When a probe last found this node isolated.
+        keep_reason: Why it was kept when it timed out; empty if it did not.
+        end_cause: What ended it; `None` while it is open.
         ended_at: When it ended.
     """
 
@@ -129,7 +128,7 @@
     ended_at: float = float("-inf")
 
     def end(self, cause: EndCause, outcome: str, now: float) -> None:
-        """Keeps who ended the attempt and how."""
+        """Ends the attempt and records the cause and outcome."""
         self.release_backlog()
         self.end_cause = cause
         self.ended_at = now
@@ -138,22 +137,22 @@
             self.observer.record_end()
 
     def record_event(self, now: float) -> None:
-        """A part of its answer has arrived."""
+        """Records the arrival of a part of the response."""
         self.last_byte_at = now
         self.state.last_byte_at = now
         if self.observer is not None:
             self.observer.record_event(now)
 
     def end_by_upstream(self, outcome: str, now: float) -> None:
-        """Its upstream has answered."""
+        """Ends the attempt because its upstream has responded."""
         self.end(EndCause.UPSTREAM, outcome, now)
 
     def release_backlog(self) -> None:
-        """Counts no longer among what the upstream has to read."""
+        """Removes the attempt from the backlog of its upstream."""
         self.state.backlog_s -= self.backlog_s
         self.backlog_s = 0.0
 
     @property
     def silent_s(self) -> float:
-        """Seconds between the last part of its answer and its end."""
+        """Seconds from its last byte to its end."""
         return max(0.0, self.ended_at - self.last_byte_at)
--- a/sycamorehollow/decisions/forwarding/updates.py
+++ b/sycamorehollow/decisions/forwarding/updates.py
@@ -1,4 +1,4 @@
-"""News about the deployment, in the product's own types."""
+"""Events of the deployment that nodes get from the store."""
 
 import dataclasses
 
@@ -9,49 +9,49 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationSet(events.Event):
-    """The operators have written a configuration."""
+    """A configuration was written."""
 
     configuration: forwarding.Configuration
 
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamSet(events.Event):
-    """An upstream has written its entry."""
+    """The entry of an upstream was written."""
 
     upstream: forwarding.Upstream
 
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamRemoved(events.Event):
-    """The entry of an upstream has lapsed or was removed."""
+    """The entry of an upstream has expired or was deleted."""
 
     identity: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RolloutOrdered(events.Event):
-    """The operators have ordered a roll-out."""
+    """An operator has ordered a roll-out."""
 
     order: forwarding.RolloutOrder
 
 
 @dataclasses.dataclass(frozen=True)
 class RolloutWithdrawn(events.Event):
-    """The operators have removed the order of a roll-out."""
+    """An operator has withdrawn the order of a roll-out."""
 
     service: str
 
 
 @dataclasses.dataclass(frozen=True)
 class RolloutStatusSet(events.Event):
-    """A node has stated how far a roll-out has come."""
+    """A node has published the state of a roll-out."""
 
     status: forwarding.RolloutStatus
 
 
 @dataclasses.dataclass(frozen=True)
 class EvacuationSet(events.Event):
-    """A data centre gets no requests, or gets them again."""
+    """A data centre was evacuated, or returned to service if not `active`."""
 
     data_centre: str
     active: bool
@@ -67,7 +67,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class UnreadableEntry(events.Event):
-    """A value could not be decoded and is ignored."""
+    """A value could not be decoded and was ignored."""
 
     key: str
     reason: str
--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -1,15 +1,15 @@
-"""Which nodes follow the store themselves and which follow other nodes.
-
-Every call to the store is priced and every change ends the pending watches of
-all nodes, so that watching by each node costs the square of the fleet. A few
-nodes of each data centre watch, those with the fastest links; the others ask
-these. A node that hears nothing recent watches by itself, so nothing has to be
-agreed on.
-
-What nodes find out by themselves takes the same ways: each question brings the
-findings of a follower to a watcher and those of all others back, and watchers
-exchange theirs. So the messages between data centres depend on the number of
-watchers and not on that of nodes.
+"""Selection of the nodes that watch the store and of gossip peers.
+
+Each call to the store costs money, and every change completes the pending
+watches of all nodes. If all nodes watched, the cost would grow with the square
+of the fleet. So only a few nodes of each data centre watch the store, those
+with the fastest links, and the other nodes, the followers, poll these. A node
+without recent state watches by itself, so no agreement is needed.
+
+State that nodes observe themselves takes the same paths. Each poll carries the
+state of a follower to a watcher and that of all others back, and watchers
+exchange theirs with each other. The messages between data centres therefore
+depend on the number of watchers, not on that of nodes.
 """
 
 from collections.abc import Mapping
@@ -18,12 +18,12 @@
 import random
 import zlib
 
-# Two, so that the loss of one is no gap.
+# Two, so that the loss of one leaves no gap.
 WATCHERS_PER_DATA_CENTRE = 2
-# Age in seconds of the last news from which a follower watches by itself; a
-# part of the two seconds in which a change has to be in force.
+# Age of its state from which a follower watches the store by itself. Part of
+# the 2 s within which a change must take effect.
 STALE_S = 1.0
-# Time in seconds for which a node that did not answer is passed over.
+# Time for which a node that did not respond is skipped.
 UNREACHABLE_S = 5.0
 
 
@@ -41,12 +41,12 @@
 
 
 class Watchers:
-    """Decides whether this node watches and whom it asks.
+    """Decides whether this node watches the store and which peers it polls.
 
     Args:
         name: Name of this node.
-        data_centre: Its data centre.
-        source: Source of randomness.
+        data_centre: Data centre of this node.
+        rng: Random number generator.
     """
 
     def __init__(self, name: str, data_centre: str, rng: random.Random):
@@ -57,23 +57,23 @@
         self._fresh_at = float("-inf")
 
     def record_fresh(self, at: float) -> None:
-        """All changes that the store had made by then are known."""
+        """Records that the state includes all store changes until `at`."""
         self._fresh_at = max(self._fresh_at, at)
 
     def record_unreachable(self, name: str, now: float) -> None:
-        """A node did not answer."""
+        """Records that a node did not respond."""
         self._unreachable[name] = now + UNREACHABLE_S
 
     def compute_age_s(self, now: float) -> float:
-        """Returns the seconds since the store was last heard of."""
+        """Returns the age of the state relative to the store."""
         return now - self._fresh_at
 
     def list_watchers(self, nodes: Mapping[str, Node], now: float) -> list[str]:
-        """Returns the nodes of the data centre that watch."""
+        """Returns the watchers of this node's data centre."""
         return self._list_by_data_centre(nodes, now).get(self._data_centre, [])
 
     def should_watch(self, nodes: Mapping[str, Node], now: float) -> bool:
-        """Tells whether this node follows the store itself."""
+        """Returns whether this node should watch the store."""
         if self._is_watcher(nodes, now):
             return True
         return self.compute_age_s(now) > STALE_S
@@ -81,7 +81,7 @@
     def choose_watcher(
         self, nodes: Mapping[str, Node], now: float
     ) -> str | None:
-        """Returns the node to ask for news, if this node is a follower."""
+        """Returns the watcher to poll; `None` if this node is a watcher."""
         chosen = self.list_watchers(nodes, now)
         if len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen:
             return None
@@ -90,15 +90,15 @@
     def choose_gossip_peer(
         self, nodes: Mapping[str, Node], age_s: float, now: float
     ) -> str | None:
-        """Returns the node to exchange findings with, if there is a need.
+        """Returns the node to exchange state with, or `None`.
 
         Args:
             nodes: The registered nodes.
-            age_s: Age in seconds of what this node knows.
+            age_s: Age of this node's state.
             now: Monotonic time in seconds.
         """
         if age_s > STALE_S:
-            # Neither the store nor a watcher tells anything; others may know.
+            # Neither the store nor a watcher is reachable; others may be.
             others = [name for name in nodes if name != self._name]
         elif self._is_watcher(nodes, now):
             by_data_centre = self._list_by_data_centre(nodes, now)
@@ -119,7 +119,7 @@
     def _list_by_data_centre(
         self, nodes: Mapping[str, Node], now: float
     ) -> dict[str, list[str]]:
-        """Returns the watchers of each data centre, the first choice first."""
+        """Returns the watchers of each data centre in order of preference."""
         names: dict[str, list[str]] = {}
         for name, node in nodes.items():
             if name == self._name or now >= self._unreachable.get(name, 0):
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -1,4 +1,4 @@
-"""What is known of routes, upstreams and orders when requests are forwarded."""
+"""Data model of forwarded requests: routes, upstreams, roll-outs, messages."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -6,7 +6,7 @@
 
 
 class RouteKind(enum.Enum):
-    """What a route allows when an attempt has failed."""
+    """Kind of a route, which decides whether requests may be retried."""
 
     SAFE = "safe"
     UNSAFE = "unsafe"
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """A service that a route sends a share of its requests to."""
+    """A service that gets a weighted share of a route's requests."""
 
     service: str
     weight: float
@@ -23,18 +23,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Route:
-    """A host and path prefix, and how its requests are handled.
+    """Handling of the requests to a host and path prefix.
 
     Attributes:
         path_prefix: Starts and ends with a slash.
-        timeout_s: Longest time in seconds until the final answer.
-        objective_s: Seconds to the answer, or the first event of a stream,
-            for full value.
-        priority: 0 is the most urgent.
-        max_attempts: Upstreams on which one request may run.
-        auth_exempt: Whether no API key is needed.
-        resumable: Whether a broken stream may go on at another upstream.
-        session_affinity: Whether requests share parts of their prompts.
+        timeout_s: Limit on the time to the final response.
+        objective_s: Latency objective for the response, or for the first event
+            of a stream.
+        priority: Lower numbers are more urgent; 0 is the most urgent.
+        max_attempts: Maximum number of upstreams that may run a request.
+        auth_exempt: Whether requests need no API key.
+        resumable: Whether another upstream may continue a broken stream.
+        session_affinity: Whether requests share prompt prefixes.
         models: Models to choose from, smallest first; empty when the caller
             names the model.
         max_event_gap_s: Longest pause between the events of a stream that
@@ -58,7 +58,7 @@
 
     @property
     def is_retryable(self) -> bool:
-        """Whether a request may run a second time."""
+        """Whether a request may run more than once."""
         if self.kind is RouteKind.STREAM:
             return self.resumable
         return self.kind is RouteKind.SAFE
@@ -69,7 +69,7 @@
     """A set of interchangeable upstreams.
 
     Attributes:
-        max_connections: Connections that an upstream takes from all callers.
+        max_connections: Connections that an upstream accepts in total.
         cold_requests_per_s: Request rate that a cold upstream tolerates; 0 if
             the upstreams start warm.
     """
@@ -81,13 +81,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallerLimits:
-    """What a caller may send and how long it may take.
+    """Limits on requests and connections of callers.
 
     Attributes:
-        header_bytes: Longest request head.
-        body_bytes: Longest request body.
-        header_timeout_s: Seconds in which the head has to arrive.
-        idle_timeout_s: Seconds for which an idle connection is kept.
+        header_bytes: Maximum size of a request head.
+        body_bytes: Maximum size of a request body.
+        header_timeout_s: Time within which the head must arrive.
+        idle_timeout_s: Time for which an idle connection is kept open.
     """
 
     header_bytes: int = 16384
@@ -101,7 +101,7 @@
     """Owner of API keys.
 
     Attributes:
-        priority: Overrides that of the route; `None` for no override.
+        priority: Overrides the priority of routes; `None` for no override.
     """
 
     name: str
@@ -110,10 +110,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One whole configuration; a higher version replaces it.
+    """A complete configuration, which one of a higher version replaces.
 
     Attributes:
-        workspaces: Owner of each API key; `None` when no keys are needed.
+        workspaces: Owner of each API key; `None` if no keys are needed.
     """
 
     version: int
@@ -125,13 +125,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Upstream:
-    """One run of an upstream, as it registered itself.
+    """One incarnation of an upstream, as registered in the store.
 
     Attributes:
-        identity: Identifies the upstream, not always its run.
-        started_ms: Unix milliseconds of its start; 0 when unknown. A restart
-            under the same identity has another value.
-        cold_s: Seconds for which it stays cold after it reported.
+        identity: Identifies the upstream, possibly over several incarnations.
+        started_ms: Unix time of its start; 0 if unknown. Differs after a
+            restart under the same identity.
+        cold_s: Time for which it remains cold after it registered.
         models: Models that it serves; empty for a plain service.
     """
 
@@ -149,7 +149,7 @@
 
     @property
     def incarnation(self) -> tuple[str, int]:
-        """Identifies one run of the upstream."""
+        """Identifies one incarnation of the upstream."""
         return self.identity, self.started_ms
 
 
@@ -158,8 +158,8 @@
     """An operator's order to move a service to a version.
 
     Attributes:
-        duration_s: Seconds in which it is to be completed.
-        revision: Store revision of the order, which tells repeats apart.
+        duration_s: Time within which it is to be completed.
+        revision: Store revision, which distinguishes repeated orders.
     """
 
     service: str
@@ -169,7 +169,7 @@
 
 
 class RolloutState(enum.Enum):
-    """How far a roll-out has come."""
+    """State of a roll-out."""
 
     RUNNING = "running"
     COMPLETED = "completed"
@@ -178,7 +178,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RolloutStatus:
-    """What the system last stated about a roll-out."""
+    """The published state of a roll-out."""
 
     service: str
     target: str
@@ -188,7 +188,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PromptPart:
-    """A part of a prompt that requests may share."""
+    """A part of a prompt that several requests may share."""
 
     identity: str
     tokens: int
@@ -196,19 +196,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """A caller's request, decoded.
+    """A decoded request.
 
     Attributes:
         request_id: Unique per attempt of the caller.
-        deadline_s: Seconds that the caller waits; `None` when not stated.
-        api_key: Key without its scheme; empty when missing.
+        deadline_s: Time that the caller waits; `None` if not stated.
+        api_key: API key without its scheme; empty if missing.
         any_model: Whether the caller leaves the choice of the model open.
-        prompt_tokens: 0 for a request that is no generation.
-        output_tokens: Upper bound of the tokens to generate.
-        prompt_parts: Parts of the prompt in order; the last one is the
-            request's own or its session's.
-        session: Ties requests together; empty for none.
-        last_event_id: Last event of a stream that the caller already has.
+        prompt_tokens: 0 if the request generates no tokens.
+        output_tokens: Upper bound of the number of generated tokens.
+        prompt_parts: Parts of the prompt in order; the last one belongs to the
+            request itself or to its session.
+        session: Session of the request; empty for none.
+        last_event_id: Latest event of a stream that the caller has received.
     """
 
     request_id: str
@@ -225,7 +225,11 @@
     last_event_id: str = ""
 
     def get_session_key(self, route: Route) -> str:
-        """Returns what ties requests to each other, or its own identity."""
+        """Returns the key shared by the requests of a session.
+
+        Without a session this is the last prompt part on routes with session
+        affinity, and the request's own identity elsewhere.
+        """
         if self.session:
             return self.session
         if route.session_affinity and self.prompt_parts:
@@ -235,7 +239,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Load:
-    """What an upstream says of its load in an answer."""
+    """Load that an upstream reports in a response."""
 
     running: int
     waiting: int
@@ -244,18 +248,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class DecodedHead:
-    """The head of an upstream's answer, decoded.
+    """The decoded head of an upstream's response.
 
     Attributes:
-        request_id: The request it answers; empty when it does not say.
-        sealed: Whether the upstream vouches for the answer.
+        request_id: Request that it responds to; empty if not stated.
+        sealed: Whether the response carries the upstream's seal.
         not_run: Whether the upstream states that it did not run the request.
         misdirected: Whether another upstream runs at the address.
-        encoded: Whether the body was changed on its way.
-        confidence: The model's opinion of its answer, 0 to 100.
-        load: `None` when the upstream does not say.
-        keep_alive_s: Seconds for which the upstream keeps an idle connection.
-        cold_s: Seconds for which it stays cold; `None` when it does not say.
+        encoded: Whether the body was encoded in transit.
+        confidence: Confidence that the model reports, 0 to 100.
+        load: Load of the upstream; `None` if not stated.
+        keep_alive_s: Time for which the upstream keeps an idle connection.
+        cold_s: Time for which it remains cold; `None` if not stated.
     """
 
     status: int
