Put the texts of the billing modules into plain terms

The heads of the modules say where a bill is held until it is stored; events, commands and constants say what they report, do and limit.

--- a/sycamorehollow/decisions/bills/billing.py
+++ b/sycamorehollow/decisions/bills/billing.py
@@ -1,4 +1,9 @@
-"""Billing at the origin: group commit to a peer, then batches to the store."""
+"""Billing at the process that served a request, the origin.
+
+Bills are replicated to a peer by group commit before the last chunk of the
+response is released, and written to the store in batches. A bill thus survives
+the loss of its process and an outage of the store.
+"""
 
 import dataclasses
 import math
@@ -9,10 +14,10 @@
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
-# The end of each answer waits for it; 15 answers a second need no larger
-# groups to spare the peer.
+# Delays the end of each response; at 15 responses per second the load on the
+# peer needs no larger groups.
 GROUP_COMMIT_DELAY_S = 0.005
-# Without a peer every group commit is a store write, so fewer are made.
+# Without a peer each group commit is a store write, so there are fewer.
 STORE_COMMIT_DELAY_S = 0.1
 MAX_BATCH_AGE_S = 1.0
 MAX_BATCH_BILLS = 500
@@ -21,18 +26,19 @@
 STORE_RETRY_S = 1.0
 RESPOOL_DELAY_S = 1.0
 MAX_PEER_ATTEMPTS = 2
-# A store that returns after an outage is not flooded by one process.
+# Keeps one process from flooding a store that returns after an outage.
 MAX_CONCURRENT_WRITES = 4
 
 
 @dataclasses.dataclass
 class _Commit:
-    """Items that became ready within one group-commit interval.
+    """Items of one group commit, which form one part of a batch.
 
     Attributes:
-        tokens: Responses whose last chunks wait for this commit.
+        tokens: Ids of the responses whose last chunks wait for this commit.
+        asked_peer: Peer whose acknowledgement is pending.
         holder: Peer that acknowledged the part.
-        failed_peers: Peers that did not acknowledge it.
+        failed_peers: Peers that did not acknowledge the part.
         retry_at: Time from which peers are tried again.
     """
 
@@ -48,7 +54,12 @@
 
 @dataclasses.dataclass
 class _Batch:
-    """Commits that are stored under one key."""
+    """Group commits that are stored under one key.
+
+    Attributes:
+        copies: Number of keys that turned out to be taken by another writer.
+        peers: Peers that may hold a part of the batch.
+    """
 
     sequence: int
     opened_at: float
@@ -62,14 +73,14 @@
 
 
 class Billing(components.Component):
-    """Keeps each bill in two places until the store has it."""
+    """Keeps each bill at two processes until it is in the store."""
 
     def __init__(self, process: messages.Process, rng: random.Random):
-        """Creates the part without bills.
+        """Creates the component without bills.
 
         Args:
-            process: Identity of this run of the process.
-            rng: Source of the choice of a peer and of jitter.
+            process: Identity of this incarnation of the process.
+            rng: Source of randomness for the choice of a peer and for jitter.
         """
         self._process = process
         self._rng = rng
@@ -95,7 +106,7 @@
 
     @property
     def pending_count(self) -> int:
-        """Number of items that the store does not have yet."""
+        """Number of items that are not known to be stored."""
         return len(self._items) + sum(b.count for b in self._batches.values())
 
     def count_exposed(self) -> int:
@@ -108,7 +119,7 @@
         return exposed
 
     def check_backlog(self) -> messages.BillingBacklog | None:
-        """Returns why new work is refused, or `None` if it may start."""
+        """Returns why new work is rejected, or `None` if it may start."""
         if self._held_bytes < MAX_HELD_BYTES:
             return None
         return messages.BillingBacklog(
@@ -157,7 +168,7 @@
         return self._commit(now)
 
     def _commit(self, now: float) -> list[commands.Command]:
-        """Adds the waiting items to the open batch and spools them."""
+        """Adds the collected items to the open batch and spools them."""
         if not self._items:
             return []
         batch = self._open_batch(now)
@@ -189,7 +200,7 @@
     def _spool(
         self, batch: _Batch, commit: _Commit, now: float
     ) -> list[commands.Command]:
-        """Sends a commit to the next peer, or has its batch stored."""
+        """Sends a commit to the next peer, or stores its batch at once."""
         peer = self._choose_peer(batch, commit)
         if peer is None:
             commit.retry_at = now + RESPOOL_DELAY_S
@@ -197,12 +208,12 @@
             commit.failed_peers.clear()
             if self._store_failing:
                 return _release(commit, exposed=True)
-            # The store is the only other place for these bills.
+            # Without a peer, only the store can hold these bills.
             batch.sealed = True
             return self._start_writes(now)
         commit.asked_peer = peer
         commit.op = self._start_op(batch, commit)
-        # The peer is told about the end of the batch even if its
+        # The peer is notified when the batch is stored, even if its
         # acknowledgement is lost.
         batch.peers.add(peer)
         part = messages.SpoolPart(
@@ -281,20 +292,20 @@
         self._store_failing = False
         if isinstance(event, messages.BatchConflict):
             if event.value != _encode_batch(batch):
-                # Another writer has taken the key; the bills must not be lost.
+                # Another writer has taken the key, so this batch needs another.
                 batch.copies += 1
                 return self._start_writes(now)
         return self._close(batch) + self._start_writes(now)
 
     def _handle_write_failure(self, now: float) -> list[commands.Command]:
-        """Lets everything go that neither a peer nor the store can hold."""
+        """Releases the responses that no peer and not the store can secure."""
         self._store_failing = True
         jitter = self._rng.random()
         self._store_retry_at = now + STORE_RETRY_S * (1.0 + jitter)
         result: list[commands.Command] = []
         for batch in self._batches.values():
             for commit in batch.commits:
-                # While a peer is being asked, its response decides.
+                # A pending request to a peer decides by its result.
                 if not commit.op:
                     result.extend(_release(commit, exposed=True))
         return result
@@ -325,7 +336,7 @@
         return self._respool(now)
 
     def _respool(self, now: float) -> list[commands.Command]:
-        """Spools the commits again that no other process holds."""
+        """Spools commits again that no other process holds."""
         result: list[commands.Command] = []
         if not self._peers or now < self._respool_at:
             return result
@@ -371,7 +382,7 @@
 
 
 def _release(commit: _Commit, exposed: bool) -> list[commands.Command]:
-    """Lets the last chunks go that wait for a commit."""
+    """Releases the last chunks that wait for a commit."""
     result: list[commands.Command] = []
     for token in commit.tokens:
         result.append(messages.ReleaseAnswer(token, exposed))
--- a/sycamorehollow/decisions/bills/billing_encoding.py
+++ b/sycamorehollow/decisions/bills/billing_encoding.py
@@ -26,7 +26,7 @@
         document = json.loads(payload)
         items = tuple(document["items"])
         for item in items:
-            # A damaged item would make the whole batch unreadable.
+            # One damaged item would make the stored batch unreadable.
             json.loads(item)
         return messages.SpoolPart(
             messages.Process(*document["origin"]),
@@ -40,7 +40,7 @@
 
 
 def encode_advance(origin: messages.Process, oldest: int) -> bytes:
-    """Returns the payload that tells which batches are stored."""
+    """Returns the payload that tells below which sequence all is stored."""
     document = {"origin": _list_fields(origin), "oldest": oldest}
     return json.dumps(document).encode("utf-8")
 
--- a/sycamorehollow/decisions/bills/billing_messages.py
+++ b/sycamorehollow/decisions/bills/billing_messages.py
@@ -36,11 +36,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bill:
-    """What a caller pays for one request.
+    """Charge for one request.
 
     Attributes:
         workspace: Workspace that pays.
-        identity: Idempotency key of the caller, else the request id.
+        identity: Idempotency key of the caller, or else the request id.
         version: Version that produced the delivered response.
         amount: Nano-units of currency that the workspace pays.
         internal_cost: Nano-units spent on discarded attempts, not billed.
@@ -57,7 +57,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Item:
-    """A bill or, under its store key, the outcome of a ticket."""
+    """A bill, or the outcome of a ticket with its store key and value."""
 
     bill: Bill | None
     key: str = ""
@@ -76,10 +76,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class SpoolPart:
-    """Items of one group commit, on their way to the spool of a peer.
+    """Items of one group commit that are sent to the spool of a peer.
 
     Attributes:
-        origin: Process that made the batch.
+        origin: Process that created the batch.
         sequence: Number of the batch at its origin.
         part: Number of the group commit within the batch.
         items: Encoded items.
@@ -96,7 +96,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class BillingBacklog(failures.Failure):
-    """Bills that could not be stored fill the memory set aside for them."""
+    """Bills that could not be stored fill the memory reserved for them."""
 
     code: ClassVar[str] = "billing_backlog"
     status: ClassVar[int] = 503
@@ -104,10 +104,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class BillReady(events.Event):
-    """A response is complete or broken off; its last chunk is held back.
+    """A response is complete or aborted; its last chunk is held back.
 
     Attributes:
-        token: Id to release the last chunk under; empty if none is held back.
+        token: Id for the release of the last chunk; empty if none is held back.
     """
 
     token: str
@@ -116,7 +116,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OutcomeReady(events.Event):
-    """A ticket has an outcome that a peer has to keep as well."""
+    """A ticket has an outcome that must be replicated to a peer."""
 
     key: str
     value: str
@@ -124,19 +124,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeersChanged(events.Event):
-    """The live members changed; the own process is not among them."""
+    """The set of live peers, without this process, has changed."""
 
     peers: tuple[Process, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class Flush(events.Event):
-    """The process is about to leave; nothing may wait for a timer."""
+    """The process shuts down; no item may wait for a timer any longer."""
 
 
 @dataclasses.dataclass(frozen=True)
 class SpoolAcknowledged(events.Event):
-    """A peer holds a part."""
+    """A peer has acknowledged that it holds a part."""
 
     op: str
 
@@ -150,7 +150,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class BatchConflict(events.Event):
-    """The key of a batch has a value already."""
+    """The key of a batch already has a value."""
 
     op: str
     value: str
@@ -158,10 +158,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class OperationFailed(events.Event):
-    """An operation was refused, not sent or in doubt.
+    """An operation was refused, not sent, or has an unknown result.
 
-    Both operations of billing may be repeated, so the three need no separate
-    treatment here; `failure.execution` still tells them apart.
+    Both operations of billing are idempotent, so the three cases are handled
+    alike; `failure.execution` distinguishes them.
     """
 
     op: str
@@ -170,7 +170,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class SpoolReceived(events.Event):
-    """Another process asks this one to hold a part."""
+    """A peer requests that this process holds a part."""
 
     peer_request_id: str
     part: SpoolPart
@@ -178,7 +178,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class OriginAdvanced(events.Event):
-    """Another process has stored all its batches below a sequence."""
+    """An origin has stored all its batches below a sequence."""
 
     origin: Process
     oldest: int
@@ -186,21 +186,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class OriginEnded(events.Event):
-    """An incarnation of another process has ended."""
+    """An origin, which is one incarnation of a process, has ended."""
 
     origin: Process
 
 
 @dataclasses.dataclass(frozen=True)
 class OriginRevived(events.Event):
-    """An incarnation that was taken for ended is alive."""
+    """An origin that was assumed to have ended is alive."""
 
     origin: Process
 
 
 @dataclasses.dataclass(frozen=True)
 class SpoolToPeer(commands.Command):
-    """Send a part to a peer; ends in an acknowledgement or a failure."""
+    """Sends a part to a peer; ends in an acknowledgement or a failure."""
 
     op: str
     peer: Process
@@ -209,7 +209,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotifyAdvance(commands.Command):
-    """Tell a peer that batches below a sequence are stored; may be lost."""
+    """Notifies a peer that batches below a sequence are stored; best effort."""
 
     peer: Process
     oldest: int
@@ -217,7 +217,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class WriteBatch(commands.Command):
-    """Write a value to the store if its key is absent."""
+    """Writes a value to the store if its key is absent."""
 
     op: str
     key: str
@@ -226,10 +226,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReleaseAnswer(commands.Command):
-    """Send the last chunk of a response.
+    """Sends the last chunk of a response.
 
     Attributes:
-        exposed: Whether the bill is in the memory of this process only.
+        exposed: Whether only this process holds the bill.
     """
 
     token: str
@@ -238,7 +238,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplyToSpool(commands.Command):
-    """Answer a part; `failure` is `None` if it is held now."""
+    """Replies to a spool request; `failure` is `None` if the part is held."""
 
     peer_request_id: str
     failure: failures.Failure | None
@@ -268,8 +268,8 @@
 def make_identity(request_id: str, idempotency_key: str) -> str:
     """Returns the identity that a request is billed under.
 
-    The prefixes keep a caller from choosing a key that equals the id of
-    another request of the workspace.
+    The prefixes keep keys that callers choose from colliding with the ids of
+    other requests of the workspace.
     """
     if idempotency_key:
         return f"key:{idempotency_key}"
@@ -279,8 +279,8 @@
 def make_batch_key(process: Process, name: str) -> str:
     """Returns the store key of a batch.
 
-    The address is part of the key because two processes of a data centre may
-    have started at the same clock reading.
+    The key includes the address because two processes of a data centre may
+    have started at the same clock reading, which gives equal incarnations.
     """
     run = f"{process.address}-{process.incarnation}"
     return f"{BILLS_PREFIX}{process.data_centre}/{run}/{name}"
--- a/sycamorehollow/decisions/bills/billing_reader.py
+++ b/sycamorehollow/decisions/bills/billing_reader.py
@@ -1,4 +1,4 @@
-"""Reader of stored bills: removes duplicates and sums per workspace."""
+"""Reader of stored bills, which removes duplicates and sums by workspace."""
 
 import dataclasses
 
@@ -15,7 +15,7 @@
 
 
 class BillReader:
-    """Collects batches in any order, any number of times."""
+    """Collects stored batches, in any order and with repetitions."""
 
     def __init__(self):
         self._bills: dict[tuple[str, str], messages.Bill] = {}
@@ -24,8 +24,8 @@
         """Adds the stored value of one batch.
 
         Two bills of one identity differ if a caller resent a request with its
-        key and both attempts delivered something. The higher amount counts,
-        so the result does not depend on the order of the batches.
+        key and both runs delivered tokens. The higher amount counts, so that
+        the result doesn't depend on the order of the batches.
         """
         for bill in messages.decode_bills(value):
             identity = (bill.workspace, bill.identity)
--- a/sycamorehollow/decisions/bills/billing_spool.py
+++ b/sycamorehollow/decisions/bills/billing_spool.py
@@ -1,4 +1,8 @@
-"""Spool: bills and outcomes that a process holds for other processes."""
+"""Spool of the bills and outcomes that a process holds for its peers.
+
+When an origin has ended, the spool writes its batches to the store in its
+place. A batch may then be stored twice; the reader removes duplicates.
+"""
 
 import dataclasses
 import random
@@ -9,13 +13,13 @@
 from sycamorehollow.model import events
 
 MAX_SPOOL_BYTES = 32 * 1024 * 1024
-# Ended incarnations whose late parts are still recognised: several days of
-# replacements at 230 a day.
+# Ended origins whose late parts are still recognised; covers several days at
+# 230 replaced processes a day.
 MAX_ENDED_ORIGINS = 1000
-# Late parts of one batch are stored together.
+# Collects the late parts of one batch, so that they are stored together.
 LATE_PART_DELAY_S = 5.0
 STORE_RETRY_S = 1.0
-# A store that returns after an outage is not flooded by one process.
+# Keeps one process from flooding a store that returns after an outage.
 MAX_CONCURRENT_WRITES = 4
 
 _BatchId = tuple[messages.Process, int]
@@ -23,10 +27,10 @@
 
 @dataclasses.dataclass
 class _Write:
-    """A value to store because its origin has ended.
+    """A write to the store in place of an origin that has ended.
 
     Attributes:
-        size: Bytes that this write adds to the memory held.
+        size: Bytes of this write that count towards the memory held.
     """
 
     key: str
@@ -37,14 +41,14 @@
 
 
 class Spool(components.Component):
-    """Holds parts for their origins and stores them when those end."""
+    """Holds parts for their origins and stores them when an origin ends."""
 
     def __init__(self, process: messages.Process, rng: random.Random):
         """Creates an empty spool.
 
         Args:
-            process: Identity of this run of the process.
-            rng: Source of jitter.
+            process: Identity of this incarnation of the process.
+            rng: Source of randomness for jitter.
         """
         self._process = process
         self._rng = rng
@@ -100,7 +104,7 @@
             batch[part.part] = part.items
             self._held_bytes += size
         if part.origin in self._ended:
-            # The part was under way when its origin ended.
+            # The part was in transit when its origin ended.
             self._late_parts_due.setdefault(
                 (part.origin, part.sequence), now + LATE_PART_DELAY_S
             )
@@ -141,7 +145,7 @@
     def _adopt(
         self, origin: messages.Process, sequence: int, now: float
     ) -> list[commands.Command]:
-        """Turns a batch into writes under keys of this process."""
+        """Converts a batch into writes under keys of this process."""
         batch = self._batches.pop((origin, sequence))
         items: list[str] = []
         for part in sorted(batch):
@@ -179,8 +183,8 @@
                 jitter = self._rng.random()
                 write.retry_at = now + STORE_RETRY_S * (1.0 + jitter)
                 return []
-            # A conflict means an earlier write landed, or the origin itself
-            # stored the outcome.
+            # A conflict means that an earlier write took effect, or that the
+            # origin itself stored the outcome.
             self._writes.remove(write)
             self._held_bytes -= write.size
             return self._start_writes(now)
