Name the reconciler of engines and a few parameters by their role

Orders was both the messages to engines and the component that sends them; the component is an EngineReconciler now.

Checked: make lint; test_membership, test_exchange, test_drains, test_orders, test_node and test_peers pass.

--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -273,7 +273,7 @@
         self.order_lease = leases.Lease(
             f"leases/orders/{process.data_centre}", owner, ORDER_LEASE_TTL_S
         )
-        self.orders = orders.Orders(
+        self.orders = orders.EngineReconciler(
             self.order_lease,
             orders.LoadRateLimiter(WEIGHT_LOADS_PER_S, WEIGHT_LOAD_LEASES),
         )
--- a/sycamorehollow/decisions/operations/drains.py
+++ b/sycamorehollow/decisions/operations/drains.py
@@ -71,7 +71,7 @@
 class RecordsChanged(events.Event):
     """The replicated records changed."""
 
-    drained: tuple[records.ReplicatedRecord, ...]
+    drain_records: tuple[records.ReplicatedRecord, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,7 +131,7 @@
             # the list lags behind.
             self._leaving.update(event.leaving)
         elif isinstance(event, RecordsChanged):
-            self._records = event.drained
+            self._records = event.drain_records
         else:
             return []
         self._drained = frozenset(self._select_drained())
--- a/sycamorehollow/decisions/operations/orders.py
+++ b/sycamorehollow/decisions/operations/orders.py
@@ -175,7 +175,7 @@
     ordered_at: float = float("-inf")
 
 
-class Orders(components.Component):
+class EngineReconciler(components.Component):
     """Brings engines to their targets, one order per engine at a time.
 
     An order is sent only for a difference in a report that was requested after
--- a/sycamorehollow/decisions/replication/exchange.py
+++ b/sycamorehollow/decisions/replication/exchange.py
@@ -197,11 +197,11 @@
         return result
 
     def _record_contact(
-        self, sender: Process, answered: bool, now: float
+        self, sender: Process, is_reply: bool, now: float
     ) -> list[commands.Command]:
         """Reports to membership that a process is running."""
         received = membership.MessageReceived(
-            sender.address, sender.data_centre, sender.incarnation, answered
+            sender.address, sender.data_centre, sender.incarnation, is_reply
         )
         return self._translate(self._peers.handle(received, now), now)
 
--- a/sycamorehollow/decisions/replication/membership.py
+++ b/sycamorehollow/decisions/replication/membership.py
@@ -46,7 +46,7 @@
     address: str
     data_centre: str
     incarnation: int
-    answered: bool = False
+    is_reply: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,7 +107,7 @@
 
     def __init__(
         self,
-        me: members.Member,
+        self_record: members.Member,
         seeds: tuple[str, ...],
         rng: random.Random,
         now: float,
@@ -115,13 +115,15 @@
         """Starts with this process as the only member.
 
         Args:
-            me: Record of this process.
+            self_record: Record of this process.
             seeds: Addresses from the settings to probe first.
             rng: Random source.
             now: Monotonic time in seconds.
         """
-        self._self_record = me
-        self._seeds = tuple(seed for seed in seeds if seed != me.address)
+        self._self_record = self_record
+        self._seeds = tuple(
+            seed for seed in seeds if seed != self_record.address
+        )
         self._rng = rng
         self._started_at = now
         self._last_tick = now
@@ -132,7 +134,7 @@
         self._vm_leaving: Mapping[str, bool] = {}
         self._deadlines: dict[str, float] = {}
         self._table = members.MemberTable()
-        self._table.apply(me, now)
+        self._table.apply(self_record, now)
 
     @property
     def self_record(self) -> members.Member:
@@ -283,7 +285,7 @@
         if event.address == self._self_record.address:
             return []
         self._last_contact = now
-        if event.answered:
+        if event.is_reply:
             self._failed_probes = 0
         found = members.Member(
             event.address, event.data_centre, event.incarnation
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -59,7 +59,7 @@
         self.pauses, self.delays = pauses, delays
         self.lease = leases.Lease("orders", name, TTL_S)
         budget = orders.LoadRateLimiter(100.0, 1)
-        self.orders = orders.Orders(self.lease, budget)
+        self.orders = orders.EngineReconciler(self.lease, budget)
         self.orders.handle(TARGETS, 0.0)
         self.pending = []  # (exact time, event for the lease)
         self.unsent = []
@@ -169,7 +169,9 @@
         lease.handle(events.Tick(), 0.0)
         lease.handle(leases.LeaseCreated(1, "x"), 0.0)
         lease.handle(leases.LeaseRecordClaimed(2, 7), 0.0)
-        reconciler = orders.Orders(lease, orders.LoadRateLimiter(100.0, 1))
+        reconciler = orders.EngineReconciler(
+            lease, orders.LoadRateLimiter(100.0, 1)
+        )
         reconciler.handle(TARGETS, 0.0)
         return reconciler
 
