Reword the tests of the gateway and of the platform adapter

The heads of the tests and the comments of the stand-ins told stories and used pictures; they now say which failure a test guards against.

--- a/tests/floods.py
+++ b/tests/floods.py
@@ -1,4 +1,4 @@
-"""Answers that never end, as servers in trouble send them."""
+"""Endless responses, as faulty servers send them."""
 
 import time
 
@@ -6,7 +6,8 @@
 _CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _BLOCK_BYTES = 64 * 1024
 _FILL = b"x" * _BLOCK_BYTES
-# The start of an answer and what follows it until the reader closes.
+# The start of each response and the block that is repeated until the reader
+# closes the connection.
 RESPONSES_BY_KIND = {
     "endless-status": (b"HTTP/1.1 200 ", _FILL),
     "endless-header": (_HEAD + b"X-Long: ", _FILL),
@@ -17,18 +18,18 @@
     "endless-trailer": (_CHUNKED + b"2\r\nok\r\n0\r\n", b"X-T: 1\r\n" * 5000),
     "endless-body": (_HEAD + b"\r\n", _FILL),
     "endless-event": (_CHUNKED, b"%x\r\n%s\r\n" % (_BLOCK_BYTES, _FILL)),
-    # A byte now and then; none of these ends an event.
+    # Slow blocks that never complete an event with data.
     "trickle-bytes": (_CHUNKED + b"7\r\nid: 1\nd\r\n", b"1\r\nx\r\n"),
     "trickle-comments": (_CHUNKED, b"3\r\n:\n\n\r\n"),
     "trickle-head": (b"HTTP/1.1 200 OK\r\nX-Slow: ", b"x"),
 }
 TRICKLE_S = 0.1
-# Far more than a reader takes before it closes.
+# Far more than a reader accepts before it closes the connection.
 MAX_SENT_BYTES = 8 * 1024**3
 
 
 def send_without_end(handler, kind, request_id):
-    """Writes an answer until the reader closes; returns the bytes."""
+    """Writes a response until the reader closes; returns the bytes sent."""
     start, block = RESPONSES_BY_KIND[kind]
     if b"%s" in start:
         start = start.replace(b"%s", request_id.encode())
@@ -36,7 +37,7 @@
 
 
 def write_without_end(handler, kind, start, block):
-    """Writes blocks until the reader closes; returns the bytes."""
+    """Writes blocks until the reader closes; returns the bytes sent."""
     handler.close_connection = True
     sent = len(start)
     try:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,4 +1,4 @@
-"""Gateway processes in front of stand-ins of the users' platform."""
+"""Starts gateway processes together with stand-ins of the platform."""
 
 import json
 import os
@@ -18,7 +18,7 @@
 from tests import platform_standins
 from tests import processes
 
-# Processor time in seconds in which an interpreter reaches our first line.
+# Processor time that the interpreter uses before it runs the gateway's code.
 INTERPRETER_START_CPU_S = 0.08
 HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
@@ -55,7 +55,7 @@
     def __init__(self, folder, name, store, grace_s=4.0, **settings):
         self.name = name
         self._ports = [processes.find_port() for _ in range(3)]
-        # The second one is that of the measures.
+        # The port after it serves the metrics.
         self._peer_port = processes.find_port(2)
         self.front = f"127.0.0.1:{self._ports[0]}"
         self.ready_address = f"127.0.0.1:{self._ports[1]}"
@@ -98,7 +98,7 @@
 
     @property
     def pid(self):
-        """Identity of the process."""
+        """Identifier of the process."""
         return self._child.pid
 
     @property
@@ -111,7 +111,7 @@
         return self._has_bit("SigIgn", number)
 
     def is_booting(self, number):
-        """Tells whether its interpreter cannot have kept a signal off yet."""
+        """Tells whether the interpreter is too young to ignore a signal."""
         if self.ignores_signal(number) or self._has_bit("SigCgt", number):
             return False
         stat = pathlib.Path(f"/proc/{self._child.pid}/stat").read_text()
@@ -125,7 +125,7 @@
         return bool(int(masks[0], 16) >> (number - 1) & 1) if masks else False
 
     def accepts(self, address):
-        """Tells whether the process takes connections at an address."""
+        """Tells whether the process accepts connections at an address."""
         host, _, port = address.rpartition(":")
         try:
             socket.create_connection((host, int(port)), 1.0).close()
@@ -134,14 +134,14 @@
         return True
 
     def is_ready(self):
-        """Asks as the load balancer does."""
+        """Returns the result of the load balancer's readiness probe."""
         return HTTP.request("GET", self.ready).status == 200
 
     def wait_ready(self):
-        """Waits until the process serves.
+        """Waits until the process is ready.
 
         Raises:
-            RuntimeError: The process has ended.
+            RuntimeError: The process has exited.
         """
 
         def check():
@@ -156,22 +156,22 @@
         self._child.send_signal(number)
 
     def wait(self, limit_s=10.0):
-        """Waits until the process has ended and returns its status."""
+        """Waits until the process has exited; returns its exit status."""
         return self._child.wait(limit_s)
 
     def read_log(self):
-        """Returns what the process has written."""
+        """Returns the output of the process."""
         return self._log.read_text(encoding="utf-8")
 
     def stop(self):
-        """Ends the process that was started here."""
+        """Kills the process if it is running, even if it is paused."""
         if self._child.poll() is None:
             self._child.send_signal(signal.SIGCONT)
             self._child.kill()
         self._child.wait(10)
 
     def request(self, path, body=b"", **headers):
-        """Sends one request and returns the answer."""
+        """Sends one request and returns the response."""
         values = {
             "Host": "models.example",
             "Request-Id": uuid.uuid4().hex[:16],
@@ -190,7 +190,7 @@
         )
 
     def stream(self, path="/draft/1", **headers):
-        """Sends a request for a stream and returns the answer."""
+        """Sends a request for a stream and returns the response."""
         values = {
             "accept": "text/event-stream",
             "model": "*",
@@ -200,13 +200,13 @@
         return self.request(path, b"prompt", **(values | headers))
 
     def open_socket(self):
-        """Returns a connection to the front."""
+        """Opens a connection to the address for callers."""
         host, _, port = self.front.rpartition(":")
         return socket.create_connection((host, int(port)), 5)
 
 
 class World:
-    """A store, engines, a desk and gateway processes."""
+    """A store, engines, plain services and gateway processes."""
 
     def __init__(self, nodes=1, engines=2, desks=2):
         self._folder = tempfile.TemporaryDirectory()
@@ -230,13 +230,13 @@
             node.wait_ready()
 
     def add_node(self, name, store):
-        """Starts one more process, which may use a store of its own."""
+        """Starts another process with a store and waits until it is ready."""
         node = self.start_node(name, store)
         node.wait_ready()
         return node
 
     def start_node(self, name, store=None):
-        """Starts one more process and returns at once."""
+        """Starts another process without waiting."""
         node = Node(self._folder.name, name, store or self.store)
         self.nodes.append(node)
         return node
@@ -247,7 +247,7 @@
         self.store.put("op/config", json.dumps(document))
 
     def reset(self):
-        """Makes all upstreams serve again."""
+        """Resets all upstreams to their defaults."""
         for upstream in [*self.engines, *self.desks]:
             upstream.mode = "serve"
             upstream.confidences = {}
@@ -258,11 +258,11 @@
             upstream.aborted_streams = 0
 
     def count_runs(self):
-        """Returns how often upstreams began to run a request."""
+        """Returns how many requests upstreams have started to run."""
         return sum(len(u.run_requests) for u in [*self.engines, *self.desks])
 
     def close(self):
-        """Ends what was started here."""
+        """Stops all processes and servers."""
         for node in self.nodes:
             node.stop()
         for server in [self.store, *self.engines, *self.desks]:
@@ -281,13 +281,13 @@
 
     def setUp(self):
         self.world.reset()
-        # Requests of earlier tests have kept upstreams out for a moment.
+        # After failures in earlier tests upstreams are backed off for a moment.
         processes.wait_for(lambda: self.node.request("/status/x").status == 200)
         self.world.reset()
 
 
 def wait_until(check, limit_s=10.0):
-    """Waits until a check holds and returns the seconds that it took."""
+    """Waits until a check succeeds; returns the seconds that it took."""
     began = time.monotonic()
     processes.wait_for(check, limit_s)
     return time.monotonic() - began
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -1,4 +1,4 @@
-"""A store and upstreams that speak the users' platform's protocol."""
+"""Stand-ins of the platform's store and upstreams, with its protocol."""
 
 import base64
 import http.server
@@ -12,12 +12,12 @@
 from tests import floods
 
 HOST = "127.0.0.1"
-# Time in seconds in which a connection is mostly used again.
+# Delay of a duplicate response: a connection is mostly reused within it.
 DUPLICATE_DELAY_S = 0.03
 
 
 class Server:
-    """An HTTP server in threads of this process.
+    """An HTTP server with threads of this process.
 
     Args:
         port: Port to listen on; 0 for a free one.
@@ -34,7 +34,7 @@
             disable_nagle_algorithm = True
 
             def log_message(self, *_):
-                """Writes no lines."""
+                """Disables the request log."""
 
             def _run(self):
                 length = int(self.headers.get("Content-Length") or 0)
@@ -46,7 +46,7 @@
                 try:
                     super().handle()
                 except (OSError, ValueError):
-                    return  # The caller has left, or was left by `reset`.
+                    return  # The connection was closed, or reset by `reset`.
 
         self._server = http.server.ThreadingHTTPServer((HOST, port), Handler)
         self._server.daemon_threads = True
@@ -54,17 +54,17 @@
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def stop(self):
-        """Ends the server."""
+        """Stops the server."""
         self._server.shutdown()
         self._server.server_close()
 
     def handle(self, handler, body):
-        """Answers one request."""
+        """Responds to one request."""
         raise NotImplementedError
 
 
 def send(handler, status, headers, body):
-    """Writes a whole answer."""
+    """Writes a complete response."""
     handler.send_response(status)
     for name, value in headers.items():
         handler.send_header(name, value)
@@ -74,7 +74,7 @@
 
 
 def send_half(handler, headers):
-    """Writes half of a large answer and resets the connection."""
+    """Writes half of a large response and resets the connection."""
     handler.send_response(200)
     for name, value in headers.items():
         handler.send_header(name, value)
@@ -96,11 +96,11 @@
 
 
 class Store(Server):
-    """The platform's store, with conditions, watches and leases.
+    """The platform's store, with conditional writes, watches and paging.
 
     Attributes:
-        refuse: Status with which every call is refused; 0 for none.
-        calls: Paths of the calls.
+        refuse: Status with which every call is rejected; 0 for none.
+        calls: Paths of the received calls.
     """
 
     def __init__(self, port=0):
@@ -114,7 +114,7 @@
         super().__init__(port)
 
     def put(self, key, value):
-        """Writes a value as the operator or an upstream does."""
+        """Writes a value, as operators and upstreams do."""
         with self._changed:
             self._write(key, value)
 
@@ -124,13 +124,13 @@
             self._remove(key)
 
     def read(self, key):
-        """Returns a value as text, or `None`."""
+        """Returns a value as text; `None` if there is none."""
         with self._changed:
             item = self._items.get(key)
         return base64.b64decode(item["value"]).decode() if item else None
 
     def compact(self):
-        """Forgets all history."""
+        """Discards the history of changes."""
         with self._changed:
             self._compacted_revision = self._revision
             self._events.clear()
@@ -161,7 +161,7 @@
         self._changed.notify_all()
 
     def handle(self, handler, body):
-        """Answers one call."""
+        """Responds to one call."""
         parts = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(parts.query, True))
         self.calls.append(parts.path)
@@ -193,7 +193,7 @@
                 if key.startswith(query["pathPrefix"])
                 and key > query.get("after", "")
             )
-            # Short pages, so that readers have to ask for the next one.
+            # Short pages, so that clients have to request further ones.
             page = [self._items[key] for key in keys[:5]]
             more = len(keys) > 5
             return 200, {"items": page, "hasMore": more, "at": self._revision}
@@ -230,10 +230,10 @@
 
 
 class StoreProxy(Server):
-    """A way to a store that may be closed for those who use it.
+    """A proxy in front of a store that can reject its own clients.
 
     Attributes:
-        refuse: Status with which every call is refused; 0 for none.
+        refuse: Status with which every call is rejected; 0 for none.
     """
 
     def __init__(self, store):
@@ -242,7 +242,7 @@
         super().__init__()
 
     def handle(self, handler, body):
-        """Passes one call on."""
+        """Forwards one call to the store."""
         if self.refuse:
             send(handler, self.refuse, {}, b"{}")
             return
@@ -253,17 +253,18 @@
     """A model engine or a plain service.
 
     Attributes:
-        mode: What happens to requests: `serve`, `refuse`, `fail`, `reset`,
-            `hang`, `unsealed`, `extra`, `copy` (the answer again, late), `cut`
-            (within the third event), `half` (half of a large body), or a kind
-            of flood.
-        confidences: Confidence of answers by model.
-        events: Events of a stream.
+        mode: How requests are handled: `serve`, `refuse`, `fail`, `reset`,
+            `hang`, `unsealed`, `extra`, `copy` (a late duplicate of the
+            response), `cut` (within the third event), `half` (half of a large
+            body), or a kind of endless response.
+        confidences: Confidence of responses by model.
+        events: Number of events of a stream.
         pause_s: Seconds between events.
         first_gap_s: Seconds before the second event.
-        run_requests: Headers of the requests that it began to run.
-        aborted_streams: Requests whose caller has left amid a stream.
-        flood_bytes: Bytes of the last answer without end, once it was left.
+        run_requests: Method, path, headers and body of the requests that it
+            has started to run.
+        aborted_streams: Number of streams that the caller has aborted.
+        flood_bytes: Bytes sent of the last endless response that was closed.
     """
 
     def __init__(self, identity, port=0):
@@ -294,7 +295,7 @@
         store.put(f"servers/{self.identity}", json.dumps(entry))
 
     def handle(self, handler, body):
-        """Answers one request."""
+        """Responds to one request."""
         headers = dict(handler.headers.items())
         wanted = headers.get("Target-Replica", self.identity)
         if wanted != self.identity:
@@ -330,7 +331,7 @@
             self._send_plain(handler, answer, b"echo " + body)
 
     def _send_plain(self, handler, answer, body):
-        """Sends an answer, and what may follow it."""
+        """Sends a response and what the mode adds to it."""
         send(handler, 200, answer, body)
         if self.mode == "copy":
             time.sleep(DUPLICATE_DELAY_S)
@@ -342,11 +343,11 @@
             )
 
     def record_run(self, handler, headers, body):
-        """Keeps what the upstream has begun to run."""
+        """Records a request that the upstream has started to run."""
         self.run_requests.append((handler.command, handler.path, headers, body))
 
     def get_confidence(self, headers):
-        """Returns the confidence in an answer, or `None`."""
+        """Returns the confidence of a response, or `None`."""
         return self.confidences.get(headers.get("Model", ""))
 
     def build_event(self, number, headers):
@@ -385,7 +386,7 @@
 
 
 def build_configuration(version=1, keys=("key-1",), **routes):
-    """Returns the operator's configuration with a stream and two calls."""
+    """Returns a configuration with a streaming and two plain routes."""
     common = {
         "host": "models.example",
         "timeoutMs": 4000,
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -1,4 +1,4 @@
-"""Tests of connections to upstreams that break while a request is open."""
+"""Tests of connections to upstreams that are lost during a request."""
 
 import asyncio
 import contextlib
@@ -24,12 +24,12 @@
 from tests import platform_standins
 from tests import processes
 
-# More than a socket buffers while its reader is stuck.
+# More than a socket buffers while its reader is stalled.
 LARGE_BYTES = 4_000_000
 
 
 def build_upstream(listener):
-    """Returns the entry of an upstream that listens on a socket."""
+    """Returns an upstream with the address of a listening socket."""
     host, port = listener.getsockname()[:2]
     return forwarding.Upstream(
         "desk", "desk", host, port, "dc-1", "v1", 8, False
@@ -44,7 +44,11 @@
 
 
 class BreakTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against breaks whose cause is mistaken."""
+    """Guards against lost connections whose cause is mistaken.
+
+    Only a connection that the upstream itself has closed may be a crash, and
+    only a request on a connection that was closed before it may be resent.
+    """
 
     def setUp(self):
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -55,7 +59,7 @@
         )
 
     async def _send(self, body):
-        """Sends a request; returns its connection and the upstream's end."""
+        """Sends a request; returns its connection and the upstream's socket."""
         connection = await self.pool.acquire(self.upstream, "q", True)
         self.addCleanup(connection.close)
         accepted, _ = self.listener.accept()
@@ -73,7 +77,7 @@
         return caught.exception
 
     async def test_lost_way_to_an_upstream_is_no_crash(self):
-        # No acknowledgement for too long, as when packets are lost.
+        # Acknowledgements stop, as when packets are lost.
         connection, _ = await self._send(b"x" * LARGE_BYTES)
         error = await self._read_break(connection)
         self.assertFalse(error.closed_by_upstream, error)
@@ -88,12 +92,12 @@
                 self.assertTrue(error.closed_by_upstream, error)
 
     async def _send_on_kept(self, repeatable):
-        """Sends a second request on a connection; returns both ends."""
+        """Sends a second request on a connection; returns both sockets."""
         self.pool = connection_pool.ConnectionPool(
             lambda status, headers: forwarding.DecodedHead(status, ""),
-            self._spend,
+            self._reserve_retry,
         )
-        self.spent = 0
+        self.reserved = 0
         connection, accepted = await self._send(b"x")
         accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         await connection.read_head()
@@ -103,21 +107,21 @@
         connection.send_request("r", b"y")
         return connection, accepted
 
-    def _spend(self, upstream):
-        self.spent += 1
+    def _reserve_retry(self, upstream):
+        self.reserved += 1
         return True
 
     async def test_request_on_a_dropped_connection_is_sent_once_more(self):
         connection, accepted = await self._send_on_kept(True)
         reset(accepted)
         reading = asyncio.create_task(connection.read_head())
-        while not self.spent:
+        while not self.reserved:
             await asyncio.sleep(0.01)
         again, _ = await asyncio.to_thread(self.listener.accept)
         self.assertEqual(await asyncio.to_thread(again.recv, 9), b"y")
         again.sendall(b"HTTP/1.1 201 Made\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual((await reading).status, 201)
-        # The new connection is kept, and a drop of it is noticed.
+        # The new connection is pooled, and its loss is noticed.
         self.pool.release(self.upstream, connection, 1)
         self.assertIs(
             await self.pool.acquire(self.upstream, "s", True), connection
@@ -158,7 +162,7 @@
         again, _ = await asyncio.to_thread(self.listener.accept)
         reset(again)
         self.assertTrue((await reading).closed_by_upstream)
-        self.assertEqual(self.spent, 1)
+        self.assertEqual(self.reserved, 1)
 
     async def test_crash_on_a_kept_connection_is_a_crash(self):
         connection, accepted = await self._send_on_kept(True)
@@ -173,14 +177,14 @@
         connection, accepted = await self._send_on_kept(False)
         reset(accepted)
         await self._read_break(connection)
-        self.assertEqual(self.spent, 0)
+        self.assertEqual(self.reserved, 0)
 
     async def test_request_that_has_run_for_a_while_is_not_sent_again(self):
         connection, accepted = await self._send_on_kept(True)
         await asyncio.sleep(2 * upstream_connections.STALE_RESET_WINDOW_S)
         reset(accepted)
         await self._read_break(connection)
-        self.assertEqual(self.spent, 0)
+        self.assertEqual(self.reserved, 0)
 
     async def test_upstream_that_sheds_connections_is_reachable(self):
         def shed():
@@ -192,7 +196,8 @@
         shedding.start()
         probe = asyncio.create_task(self.pool.is_reachable(self.upstream))
         while not probe.done():
-            # In a busy process a new connection is reset before it is seen.
+            # In a busy process a new connection is reset before the event
+            # loop handles it.
             await asyncio.sleep(0)
             time.sleep(0.02)
         self.assertTrue(probe.result())
@@ -213,9 +218,9 @@
 
 
 class CrashCheckTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against content that is blamed for breaks that it did not cause.
+    """Guards against content that is quarantined although it crashed nothing.
 
-    Three upstreams break their connections to a request each time.
+    In each test three upstreams have closed the connection of a request.
     """
 
     def setUp(self):
@@ -238,8 +243,8 @@
             telemetry.Telemetry(),
         )
 
-    async def _is_blamed(self):
-        """Breaks all connections, lets checks run and tells who is blamed."""
+    async def _is_quarantined(self):
+        """Runs the checks after three breaks; returns if they quarantine."""
         now = time.monotonic()
         for upstream in self.upstreams:
             run = "/".join(map(str, upstream.incarnation))
@@ -250,7 +255,7 @@
         return self.router.quarantine.is_quarantined("f", time.monotonic())
 
     async def test_upstreams_that_reset_connections_and_live(self):
-        self.assertFalse(await self._is_blamed())
+        self.assertFalse(await self._is_quarantined())
 
     async def test_upstreams_that_leave_by_plan(self):
         for listener, upstream in zip(
@@ -259,7 +264,7 @@
             listener.close()
             leaving = dataclasses.replace(upstream, draining=True)
             self.router.apply_event(updates.UpstreamSet(leaving), 0.0)
-        self.assertFalse(await self._is_blamed())
+        self.assertFalse(await self._is_quarantined())
 
     async def test_upstreams_that_reset_every_connection_are_counted(self):
         def shed(listener):
@@ -270,18 +275,18 @@
         for listener in self.listeners:
             threading.Thread(target=shed, args=[listener], daemon=True).start()
             self.addCleanup(listener.shutdown, socket.SHUT_RDWR)
-        self.assertTrue(await self._is_blamed())
+        self.assertTrue(await self._is_quarantined())
 
     async def test_upstreams_that_crash_are_counted(self):
         for listener in self.listeners:
             listener.close()
-        self.assertTrue(await self._is_blamed())
+        self.assertTrue(await self._is_quarantined())
 
     async def test_upstreams_that_were_started_again_are_counted(self):
         for upstream in self.upstreams:
             later = dataclasses.replace(upstream, started_ms=9)
             self.router.apply_event(updates.UpstreamSet(later), 0.0)
-        self.assertTrue(await self._is_blamed())
+        self.assertTrue(await self._is_quarantined())
 
     async def test_check_that_fails_leaves_the_break_counted(self):
         with mock.patch.object(
@@ -289,22 +294,22 @@
             "can_hold_connection",
             side_effect=RuntimeError("no check"),
         ):
-            self.assertTrue(await self._is_blamed())
+            self.assertTrue(await self._is_quarantined())
 
 
-class FragileEngine(platform_standins.Upstream):
-    """An engine whose process ends with each request that it runs."""
+class CrashingEngine(platform_standins.Upstream):
+    """An engine whose process crashes with each request that it runs."""
 
     def record_run(self, handler, headers, body):
-        """Closes the listening socket, as the end of a process does."""
+        """Closes the listening socket, as the exit of a process does."""
         super().record_run(handler, headers, body)
         self.mode = "reset"
         self._server.socket.shutdown(socket.SHUT_RDWR)
         threading.Thread(target=self.stop, daemon=True).start()
 
 
-class BlamedContentTest(unittest.TestCase):
-    """Guards against sound content that nodes refuse, and the opposite."""
+class QuarantinedContentTest(unittest.TestCase):
+    """Guards against harmless content that is rejected, and the opposite."""
 
     def setUp(self):
         self.world = gateway_world.World(engines=4)
@@ -316,7 +321,7 @@
             engine.mode = mode
 
     def _check_served(self):
-        """Waits for checks of breaks and asks for the same content."""
+        """Waits for the crash checks and repeats the request."""
         time.sleep(1.0)
         self._set_mode("serve")
         answer = self.node.stream()
@@ -364,7 +369,7 @@
     def test_content_that_crashes_three_upstreams_is_refused(self):
         for engine in self.world.engines:
             self.world.store.remove(f"servers/{engine.identity}")
-        fragile = [FragileEngine(f"fragile-{n}") for n in range(4)]
+        fragile = [CrashingEngine(f"fragile-{n}") for n in range(4)]
         for engine in fragile:
             self.addCleanup(engine.stop)
             engine.register(self.world.store, "llm")
@@ -376,7 +381,7 @@
         )
         for _ in range(3):
             self.assertEqual(self.node.stream().status, 502)
-        # The checks have found the same.
+        # The crash checks have confirmed the crashes.
         time.sleep(1.0)
         answer = self.node.stream()
         self.assertEqual(answer.status, 502)
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -1,4 +1,4 @@
-"""Tests of changed news of the deployment, with real processes."""
+"""Tests of changes of the deployment, with real processes."""
 
 import json
 import time
@@ -8,7 +8,7 @@
 
 
 class GatewayChangeTest(unittest.TestCase):
-    """Guards against stale configurations and replicas, and lost work."""
+    """Guards against stale configurations, upstreams and roll-out states."""
 
     def setUp(self):
         self.world = gateway_world.World(nodes=2)
--- a/tests/test_gateway_dropped.py
+++ b/tests/test_gateway_dropped.py
@@ -1,4 +1,4 @@
-"""Tests of connections that upstreams drop while they are idle."""
+"""Tests of connections that upstreams close while they are idle."""
 
 from concurrent import futures
 import unittest
@@ -9,8 +9,8 @@
 from tests import platform_standins
 from tests import processes
 
-# A route whose streams are not given up while stand-ins are slow.
-PATIENT_ROUTE = {
+# A route with timeouts that slow stand-ins do not exceed.
+LONG_TIMEOUT_ROUTE = {
     "name": "r-patient",
     "host": "models.example",
     "pathPrefix": "/patient/",
@@ -25,48 +25,48 @@
 }
 
 
-class ForgetfulEngine(platform_standins.Upstream):
-    """An engine that has dropped its idle connections without notice."""
+class IdleClosingEngine(platform_standins.Upstream):
+    """An engine that resets requests on connections that were idle."""
 
-    forgetful = False
+    closes_idle = False
 
     def handle(self, handler, body):
-        """Resets what comes on a connection that rested."""
-        rested = getattr(handler, "has_answered", False)
+        """Resets a request on a connection that was idle."""
+        was_idle = getattr(handler, "has_answered", False)
         handler.has_answered = True
-        if self.forgetful and rested:
+        if self.closes_idle and was_idle:
             platform_standins.reset(handler)
             return
         super().handle(handler, body)
 
 
 class DroppedConnectionTest(unittest.TestCase):
-    """Guards against streams that are cut by connections dropped while idle.
+    """Guards against streams that fail on connections closed while idle.
 
-    A stream that is given up goes on at another upstream. It is lost if its
-    last attempt is sent on a connection that was dropped there.
+    A failed stream is resumed at another upstream. It is lost if its last
+    attempt is sent on a connection that this upstream had closed.
     """
 
     def setUp(self):
         self.world = gateway_world.World(engines=0)
         self.addCleanup(self.world.close)
         self.node = self.world.nodes[0]
-        self.world.engines = [ForgetfulEngine(f"e-{n}") for n in range(4)]
+        self.world.engines = [IdleClosingEngine(f"e-{n}") for n in range(4)]
         for engine in self.world.engines:
             engine.register(self.world.store, "llm")
             engine.pause_s = 0.05
         processes.wait_for(
             lambda: self.node.read_log().count(" service=llm ") >= 4
         )
-        # Leaves some connections to each engine.
-        self.world.configure(version=2, extra=[PATIENT_ROUTE])
+        # Leaves idle connections to each engine in the pool.
+        self.world.configure(version=2, extra=[LONG_TIMEOUT_ROUTE])
         processes.wait_for(
             lambda: "configuration=2 in force" in self.node.read_log()
         )
         self._stream_all(24)
         self.world.reset()
         for engine in self.world.engines:
-            engine.forgetful = True
+            engine.closes_idle = True
 
     def _stream_all(self, count):
         with futures.ThreadPoolExecutor(count) as pool:
@@ -80,7 +80,7 @@
                 raise AssertionError(self.node.read_log()) from error
 
     def test_streams_on_dropped_connections_are_delivered(self):
-        # One after the other: many at once only test how fast stand-ins are.
+        # In sequence, as parallel streams only test the speed of stand-ins.
         for _ in range(12):
             (answer,) = self._stream_all(1)
             self.assertEqual(answer.status, 200)
@@ -93,7 +93,7 @@
         return self.node.read_log().count("settings reloaded")
 
     def test_no_request_is_sent_again_beyond_the_budget(self):
-        # A process reads its settings once more after its start.
+        # A process reloads its settings once after its start.
         processes.wait_for(self._count_reloads)
         before = self._count_reloads()
         self.node.write_settings(
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -1,4 +1,4 @@
-"""Tests of the gateway while processes and the store fail."""
+"""Tests of the gateway during failures of processes and of the store."""
 
 from concurrent import futures
 import signal
@@ -30,7 +30,7 @@
         gate = platform_standins.StoreProxy(self.world.store)
         self.addCleanup(gate.stop)
         lone = self.world.add_node("node-9", gate)
-        # Its entry has to reach it, so that it knows the other nodes.
+        # The node has to receive the entries of the other nodes first.
         time.sleep(1.0)
         gate.refuse = 503
         processes.wait_for(lambda: "store lost" in lone.read_log(), 20.0)
@@ -78,7 +78,7 @@
             )
             answer = caller.recv(200)
             self.node.send_signal(signal.SIGSTOP)
-            # Longer than two of the pauses that the route tolerates.
+            # Longer than two of the event gaps that the route allows.
             time.sleep(1.6)
             self.node.send_signal(signal.SIGCONT)
             while data := caller.recv(4096):
@@ -97,7 +97,7 @@
         self.assertIn("Retry-After", answer.headers)
         began = time.monotonic()
         self.assertEqual(self.node.request("/status/1").status, 503)
-        # Only requests of a process that has just started wait.
+        # Requests wait only for a short time after the start of a process.
         self.assertLess(time.monotonic() - began, 0.3)
         self.assertFalse(self.node.is_ready())
         self.world.store.refuse = 0
@@ -125,7 +125,7 @@
             self.node.send_signal(signal.SIGTERM)
             processes.wait_for(lambda: "draining," in self.node.read_log())
             self.assertFalse(self.node.is_ready())
-            # New requests are served until the balancer has noticed.
+            # New requests are served until the load balancer has noticed.
             self.assertEqual(self.node.request("/status/1").status, 200)
             while data := caller.recv(4096):
                 answer += data
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -1,4 +1,4 @@
-"""Tests of the gateway before servers whose answers never end."""
+"""Tests of the gateway with endless responses and requests."""
 
 import pathlib
 import re
@@ -12,9 +12,9 @@
 from tests import gateway_world
 from tests import platform_standins
 
-# Memory in kB by which a node may grow while it reads and closes a flood.
+# Limit of the memory growth of a node during an endless response.
 GROWTH_KB = 16 * 1024
-# Floods that are no answer to a request for a whole body.
+# Endless responses that never deliver a body.
 PLAIN = [
     kind
     for kind in floods.RESPONSES_BY_KIND
@@ -24,7 +24,7 @@
 
 
 class GatewayFloodTest(gateway_world.SharedWorldTest):
-    """Guards against memory and time spent on bytes that are no answer."""
+    """Guards against unbounded memory and time for endless responses."""
 
     def setUp(self):
         super().setUp()
@@ -35,7 +35,7 @@
         self.assertLess(self._read_memory() - self.memory_kb, GROWTH_KB)
 
     def _read_memory(self):
-        """Returns the most memory that the node has used, in kB."""
+        """Returns the peak memory use of the node in kB."""
         status = pathlib.Path(f"/proc/{self.node.pid}/status").read_text()
         return int(re.findall(r"VmHWM:\s*(\d+)", status)[0])
 
@@ -164,7 +164,7 @@
 
 
 class ConnectionPoolTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against a late answer that passes for another one."""
+    """Guards against a late response that is taken for another one."""
 
     async def test_repeat_of_a_request_gets_another_connection(self):
         desk = platform_standins.Upstream("desk")
@@ -191,7 +191,7 @@
 
 
 class PeerMessagesTest(unittest.TestCase):
-    """Guards against messages that no node has sent."""
+    """Guards against malformed and oversized messages between nodes."""
 
     def test_news_that_unfolds_without_end_is_dropped(self):
         document = {"poison": "x" * (2 * peer_messages.MAX_DECODED_BYTES)}
--- a/tests/test_gateway_log.py
+++ b/tests/test_gateway_log.py
@@ -1,4 +1,4 @@
-"""Tests of what the log tells of the end of an answer."""
+"""Tests of the outcomes of responses in the log."""
 
 import re
 
@@ -7,7 +7,7 @@
 
 
 class GatewayLogTest(gateway_world.SharedWorldTest):
-    """Guards against ends of answers that the log does not tell apart."""
+    """Guards against log lines that do not show how a response ended."""
 
     def _read_line(self, request_id):
         pattern = re.compile(rf".* request={request_id} .*")
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,4 +1,4 @@
-"""Tests of the whole path on the users' platform, with real processes."""
+"""Tests of requests through a gateway process to stand-ins."""
 
 import time
 
@@ -15,7 +15,7 @@
 
 
 class GatewayPathTest(gateway_world.SharedWorldTest):
-    """Guards against changed requests and answers, and untrue refusals."""
+    """Guards against altered requests and responses, and false rejections."""
 
     def test_request_and_answer_are_passed_on(self):
         answer = self.node.request(
--- a/tests/test_gateway_stalls.py
+++ b/tests/test_gateway_stalls.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose upstreams are silent for a while."""
+"""Tests of streams whose upstreams stall for a while."""
 
 from concurrent import futures
 import signal
@@ -10,7 +10,7 @@
 
 
 class GatewayStallTest(unittest.TestCase):
-    """Guards against sound streams that are cut because they are slow."""
+    """Guards against intact streams that are cut because they are slow."""
 
     def setUp(self):
         self.world = gateway_world.World()
@@ -18,7 +18,7 @@
         self.node = self.world.nodes[0]
 
     def _limit_repeats(self, floor):
-        """Starts the node again with that floor and no ratio of repeats."""
+        """Restarts the node with a retry budget of a floor and no ratio."""
         self.node.stop()
         self.node.write_settings(
             4.0,
@@ -31,7 +31,7 @@
         self.node.wait_ready()
 
     def test_streams_that_stall_together_outlast_the_budget_of_repeats(self):
-        # Room for one repeat, since a node uses a part of the floor.
+        # Allows one retry, since a node uses a part of the floor.
         self._limit_repeats(2)
         for engine in self.world.engines:
             engine.first_gap_s = 1.8
@@ -39,7 +39,7 @@
             streams = [pool.submit(self.node.stream) for _ in range(5)]
             processes.wait_for(lambda: self.world.count_runs() == 5)
             time.sleep(0.1)
-            # After a pause of the process all of them have waited too long.
+            # After the process was paused, all streams exceed their timeouts.
             self.node.send_signal(signal.SIGSTOP)
             time.sleep(1.2)
             self.node.send_signal(signal.SIGCONT)
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -1,4 +1,4 @@
-"""Tests of how a node keeps what it knows current."""
+"""Tests of the synchronisation of a node's state."""
 
 import asyncio
 import json
@@ -35,7 +35,7 @@
 
 
 class StateSyncTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against followers that use upstreams which have left."""
+    """Guards against stale state and against malformed messages of nodes."""
 
     async def asyncSetUp(self):
         self.peers = mock.Mock()
@@ -68,7 +68,7 @@
         await asyncio.sleep(0.01)
 
     async def _answer(self, **changes):
-        """Delivers what another node knows."""
+        """Delivers a sync response of another node."""
         document = {"since": 5, "age_s": 0.0, "store_back_s": 1e6} | changes
         payload = json.dumps(document).encode()
         await self._deliver(peer_client.PeerRequestAnswered(0, PEER, payload))
@@ -127,7 +127,7 @@
         self.assertEqual(sum(known.sum_counts().new_slow), 1)
         handed_on = peer_messages.decode(await self._ask(5))["slowness"]
         self.assertEqual(handed_on, [entry | {"counts": counts}])
-        # A peer that does not know these counts yet, and a malformed one.
+        # A peer of an older version without these counts, and malformed ones.
         await self._answer()
         for wrong in (3, [{}], [entry | {"counts": {"n1": {"r": [1]}}}]):
             await self._answer(slowness=wrong)
@@ -148,7 +148,7 @@
         self.assertIs(self.router.apply_event.__func__, handle.__func__)
 
     async def _ask(self, since):
-        """Returns the answer to a node that knows changes up to `since`."""
+        """Returns the response to a node with all changes up to `since`."""
         answer = self.state_sync.handle_peer_request(
             PEER, json.dumps({"since": since}).encode()
         )
@@ -188,10 +188,10 @@
         later = time.monotonic()
         with mock.patch("time.monotonic", lambda: later):
             for _ in range(15):
-                # In all less than the age from which it watches by itself.
+                # In total less than the age from which it watches the store.
                 later += 0.04
                 self.state_sync.run_periodic_work()
-        # To the node that it follows only.
+        # The one request goes to the node that it follows.
         self.assertEqual(len(posts), 1)
         for number in tuple(posts):
             await self._deliver(
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,4 +1,4 @@
-"""Tests of a planned stop of the gateway under load."""
+"""Tests of the shutdown of the gateway under load."""
 
 import signal
 import threading
@@ -7,7 +7,7 @@
 
 from tests import gateway_world
 
-# The balancer notices within this time that the node is not ready.
+# Time within which the load balancer notices that the node is not ready.
 NOTICED_S = 2.3
 CALLERS = 12
 
@@ -21,7 +21,7 @@
 
 
 def read_answers(caller, count):
-    """Returns what a connection brings until it has so many answers."""
+    """Reads from a connection until it has received `count` responses."""
     data = b""
     while data.count(b"HTTP/1.1 ") < count or not data.endswith(b"\n"):
         piece = caller.recv(65536)
@@ -34,7 +34,7 @@
 
 
 class StopTest(unittest.TestCase):
-    """Guards against accepted requests that a stop cuts off."""
+    """Guards against requests that are cut off by a shutdown."""
 
     def setUp(self):
         self.world = gateway_world.World()
@@ -43,8 +43,8 @@
         self.cut = []
         self.answered = 0
 
-    def _press(self, number, until):
-        """Opens one connection after the other and sends a request on each."""
+    def _send_until(self, number, until):
+        """Sends requests in sequence, each on a new connection."""
         while time.monotonic() < until():
             with self.node.open_socket() as caller:
                 caller.settimeout(5)
@@ -61,7 +61,7 @@
     def test_new_connections_are_answered_until_the_end(self):
         end = [time.monotonic() + 60.0]
         callers = [
-            threading.Thread(target=self._press, args=(n, lambda: end[0]))
+            threading.Thread(target=self._send_until, args=(n, lambda: end[0]))
             for n in range(CALLERS)
         ]
         for caller in callers:
@@ -69,14 +69,15 @@
         time.sleep(0.5)
         self.node.send_signal(signal.SIGTERM)
         end[0] = time.monotonic() + NOTICED_S
-        # Two stops overlap, beside a reload.
+        # Repeated stop signals and a reload during the shutdown.
         self.node.send_signal(signal.SIGHUP)
         self.node.send_signal(signal.SIGTERM)
         time.sleep(1.0)
         self.node.send_signal(signal.SIGTERM)
         for caller in callers:
             caller.join()
-        # These arrive when the node refuses already, one half a bit later.
+        # Connections that are opened while the node rejects requests, and
+        # whose requests follow a moment later.
         late = [self.node.open_socket() for _ in range(CALLERS)]
         time.sleep(0.4)
         for number, caller in enumerate(late):
@@ -100,7 +101,7 @@
                 caller.sendall(build_request(1) * 4)
                 answer = read_answers(caller, 4)
                 self.assertEqual(answer.count(b"HTTP/1.1 "), 4)
-                # Nothing follows an answer that closes the connection.
+                # Nothing may follow a response that closes the connection.
                 closed = answer.find(b"Connection: close")
                 if closed >= 0:
                     self.assertNotIn(b"HTTP/1.1 ", answer[closed:])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -49,7 +49,7 @@
 
 
 class SettingsTest(unittest.TestCase):
-    """Guards against settings that are taken wrong."""
+    """Guards against settings that are read wrongly."""
 
     def test_known_fields_are_taken_and_others_ignored(self):
         read = settings.parse_settings(SETTINGS)
@@ -69,7 +69,7 @@
 
 
 class DocumentsTest(unittest.TestCase):
-    """Guards against entries that are taken for something else."""
+    """Guards against entries that are decoded wrongly."""
 
     def test_upstream_is_decoded(self):
         upstream = documents.decode_upstream("servers/i-1", json.dumps(ENTRY))
@@ -139,7 +139,7 @@
 
 
 class OpenModelTest(unittest.TestCase):
-    """Guards against a choice of the model that the caller has made."""
+    """Guards against overriding a model that the caller has chosen."""
 
     def test_only_a_star_leaves_the_model_open(self):
         codec = header_codec.PlatformHeaderCodec()
@@ -162,7 +162,7 @@
     b"authorization",
     b"last-event-id",
 )
-# Figures that readers of numbers take wrong or fail on.
+# Numbers that parsers misread or fail on.
 FIGURES = strategies.sampled_from(
     ("1", "-1", "1e400", "NaN", "9" * 5000, "\xb2", "\u0663", "", ":", ",")
 )
@@ -194,7 +194,7 @@
 
 
 class MalformedInputTest(unittest.TestCase):
-    """Guards against one malformed message that ends other work."""
+    """Guards against malformed input that raises an exception."""
 
     @hypothesis.given(strategies.sampled_from(HEADERS), LINES)
     @hypothesis.example(b"prompt-prefix", b"a:\xb2")
@@ -235,7 +235,7 @@
 
 
 class FeedTest(unittest.TestCase):
-    """Guards against news that are lost or made up."""
+    """Guards against updates that are lost or invented."""
 
     def test_keys_are_told_apart(self):
         codec = store_codec.PlatformStoreCodec()
@@ -362,7 +362,7 @@
 
 
 class StoreClientTest(unittest.TestCase):
-    """Guards against lost conditions, pages and changes."""
+    """Guards against lost write conditions, pages and changes."""
 
     def setUp(self):
         self.store = platform_standins.Store()
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -1,4 +1,4 @@
-"""What an entry process does with the platform's lists and orders."""
+"""Tests of VM lists and engine orders, with a real entry process."""
 
 import unittest
 import urllib.parse
@@ -7,7 +7,7 @@
 
 
 class PlatformTest(unittest.TestCase):
-    """Guards against ignoring what the platform and the operators say."""
+    """Guards against ignored VM states and configured versions."""
 
     @classmethod
     def setUpClass(cls):
