Reword the comments of roll-outs, stops and the sequential test

Comments use the terms of statistics and of replicated state, local names follow, and versions.py speaks of buckets and arms.

Checked: make lint is clean; test_rollouts, test_sequential, test_versions, test_ctl and test_node pass.

--- a/benches/bench_node.py
+++ b/benches/bench_node.py
@@ -143,9 +143,9 @@
     known = 0
     for member in fleet.members:
         node = member.node
-        tally = node.evidence.combine_tallies(
-            node.rollouts.get_rollout_id("small")
-        )[sequential_test.Metric.ERROR]
+        tally = node.evidence.combine(node.rollouts.get_rollout_id("small"))[
+            sequential_test.Metric.ERROR
+        ]
         own = node.evidence.count_own_outcomes(
             node.rollouts.get_rollout_id("small")
         )
--- a/benches/bench_rollouts.py
+++ b/benches/bench_rollouts.py
@@ -283,7 +283,7 @@
                 accepted = draws.random() >= REJECTED
                 rating = sequential_test.AnswerRated(event.answer_id, accepted)
                 evidence.handle(rating, float(second))
-        if sequential_test.evaluate(evidence.combine_tallies(run_name)).worse:
+        if sequential_test.evaluate(evidence.combine(run_name)).worse:
             return True
     return False
 
@@ -367,7 +367,7 @@
         digest = observer.build_digest(float(second))
         for evidence in processes:
             observer.merge(evidence.build_delta(digest, 0.0), float(second))
-        if sequential_test.evaluate(observer.combine_tallies(run_name)).worse:
+        if sequential_test.evaluate(observer.combine(run_name)).worse:
             spread = int(2 * lag_s * rate * STAGES[0])
             return exposed + spread, second + 2.0 * lag_s
     return exposed, float("inf")
--- a/sycamorehollow/decisions/releases/rollouts.py
+++ b/sycamorehollow/decisions/releases/rollouts.py
@@ -1,4 +1,8 @@
-"""Roll-outs in stages that are recorded in the store."""
+"""Staged roll-outs, whose stages are recorded in the store.
+
+The holder of a roll-out's lease advances it by compare-and-swap writes. Every
+process applies the recorded share and may stop the new version.
+"""
 
 import dataclasses
 import math
@@ -13,22 +17,22 @@
 from sycamorehollow.model import deployment as deployments
 from sycamorehollow.model import events
 
-# Evidence of peers arrives within this time after a process learns a stage.
+# Time after a stage is observed within which the evidence of peers arrives.
 EVIDENCE_SETTLE_S = 10.0
 LEASE_TTL_S = 15.0
-# A write has to reach the store within this rest of the lease.
+# Writes stop this long before the lease ends, to reach the store in time.
 LEASE_MARGIN_S = 5.0
 DRIVE_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Pace:
-    """What a stage needs before the next one.
+    """Conditions for the next stage.
 
     Attributes:
-        dwell_s: Seconds at the stage, as seen by the holder of the lease.
-        outcomes: Ended answers of the new version at the stage.
-        ratings: Rated answers of the new version at the stage.
+        dwell_s: Minimum time at the stage, measured by the lease holder.
+        outcomes: Minimum of ended answers of the new version at the stage.
+        ratings: Minimum of rated answers of the new version at the stage.
     """
 
     dwell_s: float = 300.0
@@ -45,14 +49,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class CoordinatorChanged(events.Event):
-    """Whether this process is one of those that may drive roll-outs."""
+    """Whether this process may drive roll-outs has been determined."""
 
     is_coordinator: bool
 
 
 @dataclasses.dataclass(frozen=True)
 class StopRequested(events.Event):
-    """An operator stops the new version of a roll-out at this process."""
+    """An operator has stopped the new version of a roll-out here."""
 
     rollout: str
     reason: str
@@ -60,7 +64,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseGranted(events.Event):
-    """The lease of a roll-out is held until a monotonic time in seconds."""
+    """The lease of a roll-out is held until a monotonic time."""
 
     rollout: str
     until: float
@@ -75,13 +79,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StageObserved(events.Event):
-    """The store has the document: read, watched, or just written.
-
-    Attributes:
-        rollout: Name of the roll-out.
-        revision: Store revision of the document; 0 when there is none.
-        value: The document; empty when there is none.
-    """
+    """A document was read, watched or written; with revision 0 it is absent."""
 
     rollout: str
     revision: int
@@ -90,12 +88,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class StageConflict(StageObserved):
-    """A write was refused; the store has this document instead."""
+    """A write was refused because the store has this other document."""
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreCallFailed(events.Event):
-    """A read or write of the document got no response."""
+    """A read or write of the document failed, with an unknown result."""
 
     rollout: str
 
@@ -121,9 +119,6 @@
     """Compare-and-swap the document of a roll-out.
 
     Attributes:
-        rollout: Name of the roll-out.
-        key: Key in the store.
-        value: The document.
         expected_revision: Revision that the store must have; 0 to create.
         not_after: Monotonic time in seconds after which it must not be sent.
     """
@@ -136,8 +131,8 @@
 
 
 @dataclasses.dataclass
-class _RolloutState:
-    """What this process knows of one roll-out's document."""
+class _State:
+    """Local state of one roll-out."""
 
     revision: int = 0
     value: bytes = b""
@@ -146,19 +141,18 @@
     outcomes: int = 0
     ratings: int = 0
     lease_until: float = -math.inf
-    # Until the store has been read, or while a write has no known result.
+    # True until the store has been read and while a write has no known result.
     in_doubt: bool = True
     next_try_at: float = -math.inf
 
 
 class Rollouts(components.Component, components.Replicated):
-    """Drives roll-outs from stage to stage.
+    """Advances roll-outs from stage to stage.
 
     Args:
-        records: The stop records.
-        evidence: Joint evidence of all processes.
+        evidence: Combined evidence of all processes.
         rng: Random source of the nonces.
-        pace: What a stage needs before the next one.
+        pace: Conditions for the next stage.
     """
 
     kind = "rollouts"
@@ -176,7 +170,7 @@
         self._pace = pace
         self._deployment = deployments.Deployment()
         self._coordinator = False
-        self._states: dict[str, _RolloutState] = {}
+        self._states: dict[str, _State] = {}
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies one event."""
@@ -206,17 +200,15 @@
         return []
 
     def get_rollout_id(self, name: str) -> str:
-        """Returns the identity under which evidence on a roll-out counts."""
+        """Returns the identity under which evidence on a roll-out is kept."""
         return stops.compute_rollout_id(self._deployment.rollouts[name])
 
     def get_shares(self) -> dict[str, float]:
-        """Returns the share in effect of each configured roll-out."""
-        return {
-            name: self._get_share(name) for name in self._deployment.rollouts
-        }
+        """Returns the effective share of each configured roll-out."""
+        return {n: self._get_share(n) for n in self._deployment.rollouts}
 
     def list_stopped_versions(self) -> frozenset[str]:
-        """Returns the versions that are stopped, or withdrawn in the store."""
+        """Returns the versions with a stop record or withdrawn in the store."""
         found = set(self._stops.list_versions())
         for name, rollout in self._deployment.rollouts.items():
             stage = self.get_stage(name)
@@ -225,45 +217,45 @@
         return frozenset(found)
 
     def get_stage(self, name: str) -> stages.Stage | None:
-        """Returns the recorded stage of the configured roll-out, if any."""
+        """Returns the recorded stage of a configured roll-out, if any."""
         rollout = self._deployment.rollouts.get(name)
-        run = self._states.get(name)
-        if rollout is None or run is None or run.stage is None:
+        state = self._states.get(name)
+        if rollout is None or state is None or state.stage is None:
             return None
-        if run.stage.rollout_id != stops.compute_rollout_id(rollout):
+        if state.stage.rollout_id != stops.compute_rollout_id(rollout):
             return None
-        return run.stage
+        return state.stage
 
     def build_digest(self, now: float) -> bytes:
         """Returns the revisions of the stage documents."""
         return compressed_json.compress_json(
-            {name: run.revision for name, run in self._states.items()}
+            {name: state.revision for name, state in self._states.items()}
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns the newer stage documents."""
-        held = compressed_json.decompress_json(digest)
-        news = [
-            [name, run.revision, run.value.decode()]
-            for name, run in self._states.items()
-            if run.revision > held.get(name, 0)
+        known = compressed_json.decompress_json(digest)
+        newer = [
+            [name, state.revision, state.value.decode()]
+            for name, state in self._states.items()
+            if state.revision > known.get(name, 0)
         ]
-        return compressed_json.compress_json(news) if news else b""
+        return compressed_json.compress_json(newer) if newer else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Takes the stage documents of another process."""
+        """Merges the stage documents of another process."""
         if not delta:
             return []
         for name, revision, value in compressed_json.decompress_json(delta):
             if name in self._deployment.rollouts:
-                self._apply_document(name, revision, value.encode(), now)
+                self._apply(name, revision, value.encode(), now)
         return []
 
-    def _get_state(self, name: str) -> _RolloutState:
-        return self._states.setdefault(name, _RolloutState())
+    def _get_state(self, name: str) -> _State:
+        return self._states.setdefault(name, _State())
 
     def _get_share(self, name: str) -> float:
-        """A share comes only from a document that the store has confirmed."""
+        """Returns the share from a document confirmed by the store, else 0."""
         rollout = self._deployment.rollouts[name]
         stage = self.get_stage(name)
         if stage is None or stage.state is stages.State.WITHDRAWN:
@@ -275,31 +267,27 @@
         return rollout.stages[stage.stage]
 
     def _apply_store_result(self, event: StageObserved, now: float) -> None:
-        run = self._get_state(event.rollout)
+        state = self._get_state(event.rollout)
         if isinstance(event, StageConflict) and event.revision == 0:
-            # The document is gone, so the share it gave is gone too.
-            run.revision, run.value, run.stage = 0, b"", None
-        self._apply_document(event.rollout, event.revision, event.value, now)
-        run.in_doubt = False
-
-    def _apply_document(
-        self, name: str, revision: int, value: bytes, now: float
-    ):
-        """Takes a document of the store unless a newer one is known."""
-        run = self._get_state(name)
-        if revision <= run.revision:
+            # The document was deleted, and with it the share.
+            state.revision, state.value, state.stage = 0, b"", None
+        self._apply(event.rollout, event.revision, event.value, now)
+        state.in_doubt = False
+
+    def _apply(self, name: str, revision: int, value: bytes, now: float):
+        """Applies a stored document unless a newer one is known."""
+        state = self._get_state(name)
+        if revision <= state.revision:
             return
-        run.revision, run.value = revision, value
-        run.stage = stages.decode(value)
-        run.observed_at = now
+        state.revision, state.value = revision, value
+        state.stage = stages.decode(value)
+        state.observed_at = now
         rollout = self._deployment.rollouts.get(name)
         if rollout is not None:
-            run.outcomes, run.ratings = self._count_outcomes(rollout)
+            state.outcomes, state.ratings = self._count_outcomes(rollout)
 
     def _count_outcomes(self, rollout: deployments.Rollout) -> tuple[int, int]:
-        tallies = self._evidence.combine_tallies(
-            stops.compute_rollout_id(rollout)
-        )
+        tallies = self._evidence.combine(stops.compute_rollout_id(rollout))
         return (
             tallies[sequential_test.Metric.ERROR].candidate,
             tallies[sequential_test.Metric.QUALITY].candidate,
@@ -308,15 +296,13 @@
     def _tick(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         for name, rollout in self._deployment.rollouts.items():
-            tallies = self._evidence.combine_tallies(
-                stops.compute_rollout_id(rollout)
-            )
-            verdict = sequential_test.evaluate(tallies)
-            if verdict.worse:
-                result.extend(self._stops.add(name, verdict.reason))
-            run = self._get_state(name)
-            if now - run.observed_at <= EVIDENCE_SETTLE_S:
-                run.outcomes, run.ratings = self._count_outcomes(rollout)
+            tallies = self._evidence.combine(stops.compute_rollout_id(rollout))
+            test_result = sequential_test.evaluate(tallies)
+            if test_result.worse:
+                result.extend(self._stops.add(name, test_result.reason))
+            state = self._get_state(name)
+            if now - state.observed_at <= EVIDENCE_SETTLE_S:
+                state.outcomes, state.ratings = self._count_outcomes(rollout)
             if self._coordinator:
                 result.extend(self._drive(name, rollout, now))
         return result
@@ -324,94 +310,87 @@
     def _drive(
         self, name: str, rollout: deployments.Rollout, now: float
     ) -> list[commands.Command]:
-        """Takes the next step towards the next stage, one call at a time."""
-        run = self._get_state(name)
-        if now < run.next_try_at:
+        """Returns the next store call towards the next stage, if any."""
+        state = self._get_state(name)
+        if now < state.next_try_at:
             return []
-        run.next_try_at = now + DRIVE_INTERVAL_S
+        state.next_try_at = now + DRIVE_INTERVAL_S
         result: list[commands.Command] = []
-        rest = run.lease_until - now
-        if rest < 2 * LEASE_MARGIN_S:
+        remaining_s = state.lease_until - now
+        if remaining_s < 2 * LEASE_MARGIN_S:
             result.append(RequestLease(name, LEASE_TTL_S))
-        if rest <= LEASE_MARGIN_S:
+        if remaining_s <= LEASE_MARGIN_S:
             return result
-        if run.in_doubt:
+        if state.in_doubt:
             return [*result, ReadStage(name, stages.KEY_PREFIX + name)]
-        target = self._choose_document(run, rollout, now)
-        if target is None:
+        document = self._choose_document(state, rollout, now)
+        if document is None:
             return result
-        run.in_doubt = True
+        state.in_doubt = True
         return [
             *result,
             WriteStage(
                 name,
                 stages.KEY_PREFIX + name,
-                stages.encode(target),
-                run.revision,
-                run.lease_until - LEASE_MARGIN_S,
+                stages.encode(document),
+                state.revision,
+                state.lease_until - LEASE_MARGIN_S,
             ),
         ]
 
     def _choose_document(
-        self, run: _RolloutState, rollout: deployments.Rollout, now: float
+        self, state: _State, rollout: deployments.Rollout, now: float
     ) -> stages.Stage | None:
-        """Returns the document to write next, if any."""
+        """Returns the next document to write, if any."""
         config = self._deployment.revisions.get(rollout.team, 0)
-        identity = stops.compute_rollout_id(rollout)
+        own_id = stops.compute_rollout_id(rollout)
         mark = f"{self._rng.getrandbits(64):016x}"
         stopped = self._stops.find(rollout.candidate) is not None
-        stage = run.stage
+        stage = state.stage
 
         def follow(index: int, state: stages.State) -> stages.Stage:
-            return stages.build_successor(
-                stage, index, state, config, identity, mark
-            )
+            return stages.build_next(stage, index, state, config, own_id, mark)
 
-        # A malformed document may be an operator's pause: leave it alone.
-        if stage is None and run.revision > 0:
+        # A malformed document may be an operator's pause and is not replaced.
+        if stage is None and state.revision > 0:
             return None
-        if stage is None or stage.rollout_id != identity:
-            # The document may belong to a configuration newer than ours.
+        if stage is None or stage.rollout_id != own_id:
+            # The document may belong to a newer configuration.
             if stopped or (stage is not None and stage.config >= config):
                 return None
             return follow(0, stages.State.RUNNING)
-        here = stage.stage
+        index = stage.stage
         if stopped and stage.state is not stages.State.WITHDRAWN:
-            return follow(here, stages.State.WITHDRAWN)
+            return follow(index, stages.State.WITHDRAWN)
         if stage.state is not stages.State.RUNNING:
             return None
-        if not 0 <= here < len(rollout.stages):
+        if not 0 <= index < len(rollout.stages):
             return None
-        if not self._can_advance(run, rollout, here, now):
+        if not self._can_advance(state, rollout, index, now):
             return None
-        if here + 1 >= len(rollout.stages):
-            return follow(here, stages.State.DONE)
-        return follow(here + 1, stages.State.RUNNING)
+        if index + 1 >= len(rollout.stages):
+            return follow(index, stages.State.DONE)
+        return follow(index + 1, stages.State.RUNNING)
 
     def _can_advance(
         self,
-        run: _RolloutState,
+        state: _State,
         rollout: deployments.Rollout,
         index: int,
         now: float,
     ) -> bool:
-        if now - run.observed_at < self._pace.dwell_s:
+        if now - state.observed_at < self._pace.dwell_s:
             return False
         outcomes, ratings = self._count_outcomes(rollout)
-        if outcomes - run.outcomes < self._pace.outcomes:
+        if outcomes - state.outcomes < self._pace.outcomes:
             return False
-        if ratings - run.ratings < self._pace.ratings:
+        if ratings - state.ratings < self._pace.ratings:
             return False
-        tallies = self._evidence.combine_tallies(
-            stops.compute_rollout_id(rollout)
-        )
-        if any(
-            sequential_test.is_possibly_worse(tally)
-            for tally in tallies.values()
-        ):
+        tallies = self._evidence.combine(stops.compute_rollout_id(rollout))
+        if any(sequential_test.is_possibly_worse(t) for t in tallies.values()):
             return False
         share = rollout.stages[min(index + 1, len(rollout.stages) - 1)]
-        # At full share nothing is left to compare with.
+        # At full share no baseline is left for a comparison.
         if share < 1.0 or rollout.stages[index] >= 1.0:
             return True
         return sequential_test.is_noninferior(
--- a/sycamorehollow/decisions/releases/sequential_test.py
+++ b/sycamorehollow/decisions/releases/sequential_test.py
@@ -1,10 +1,10 @@
 """Sequential test of a new version against the one in service.
 
-Assignment is by hash, so a failure falls on the new version with the
-probability of its share, whatever makes it fail, unless the version itself
-fails more often. The likelihood ratio of that is a martingale under equal
-quality: testing it after every answer does not add false alarms. A stratum is
-one upstream; what makes an upstream sick hits both arms there alike.
+Requests are assigned by hash, so a failure belongs to the new version with a
+probability equal to its share, whatever the cause, unless the version itself
+fails more often. Under equal quality the likelihood ratio is a martingale, so
+evaluating it after every answer adds no false positives. Each upstream is a
+stratum, because a fault of an upstream affects both arms alike.
 """
 
 import collections
@@ -21,32 +21,33 @@
 from sycamorehollow.model import commands
 from sycamorehollow.model import events
 
-# Ratios of failure rates that the test looks for.
+# Ratios of failure rates that the test is designed to detect.
 RATIOS = (1.3, 1.7, 2.5, 5.0, 12.0)
-# Chance that a version as good as the one in service is ever halted.
+# Probability that a version as good as the one in service is ever stopped.
 FALSE_POSITIVE_RATE = 0.01
-# Likelihood ratio from which a roll-out waits for more evidence.
+# Likelihood ratio above which a roll-out waits for more evidence.
 SUSPICION_RATIO = 5.0
-# Ratio that has to be unlikely before nothing is left to compare with.
+# Ratio that must be unlikely before full share, as that ends the comparison.
 NONINFERIORITY_RATIO = 1.7
-# Baseline outcomes before a stratum counts; without them an upstream that
-# serves only the new version would be taken for the version.
+# Baseline outcomes before a stratum counts; otherwise a fault of an upstream
+# that serves only the new version would be attributed to the version.
 MIN_BASELINE_OUTCOMES = 5
-# Standard deviations by which the arms of an upstream may differ from the hash.
+# Standard deviations by which the observed share of an upstream may exceed the
+# assigned one.
 MAX_SHARE_DEVIATION_SIGMA = 2.0
 MAX_PENDING_ANSWERS = 20_000
-# Enough for every process and its restarts of some days at the target scale.
+# Enough for all processes and several days of restarts at the target scale.
 MAX_RECORDS = 2_000
-# Keeps one delta to a few kilobytes when every process has news.
+# Limits a delta to a few kilobytes when every process has changes.
 MAX_DELTA_RECORDS = 64
-# At the target scale every record changes each second, so that whole digests
-# and deltas would take twice the budget of a node.
+# At the target scale every record changes each second; complete digests and
+# deltas would take twice the bandwidth budget of a node.
 DIGEST_SLICE_RECORDS = 64
 BYTES_PER_S = 1_500.0
 
 
 class Metric(enum.Enum):
-    """What an outcome says about an answer."""
+    """Aspect of an answer that an outcome refers to."""
 
     QUALITY = "quality"
     ERROR = "error"
@@ -58,14 +59,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Tally:
-    """Evidence on one metric; tallies of processes and strata add up.
+    """Evidence on one metric, additive over processes and strata.
 
     Attributes:
-        scores: Log likelihood ratio for each of `RATIOS`.
+        scores: Log-likelihood ratio for each of `RATIOS`.
         candidate: Outcomes of the new version.
-        candidate_failed: Failed ones among them.
+        candidate_failed: Failed outcomes of the new version.
         baseline: Outcomes of the version in service.
-        baseline_failed: Failed ones among them.
+        baseline_failed: Failed outcomes of the version in service.
     """
 
     scores: tuple[float, ...] = (0.0,) * len(RATIOS)
@@ -77,7 +78,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class TestResult:
-    """Result of the test so far.
+    """Result of the test on the evidence so far.
 
     Attributes:
         worse: Whether the new version fails more often.
@@ -93,13 +94,13 @@
     """An answer that counts for a roll-out has ended.
 
     Attributes:
-        answer_id: Unique per attempt; a rating may follow under it.
+        answer_id: Identity of the answer; its rating may follow.
         rollout_id: Identity from `rollouts.Rollouts.get_rollout_id`.
         candidate: Whether the new version answered.
-        upstream: Where it ran.
+        upstream: Upstream that answered.
         share: Share of the new version when the request was assigned.
-        failed: Whether it ended in an error or truncated.
-        slow: Whether it missed the latency that its kind expects.
+        failed: Whether it ended with an error or a truncated answer.
+        slow: Whether it exceeded the expected latency of its kind.
     """
 
     answer_id: str
@@ -120,7 +121,7 @@
 
 
 class Stratum:
-    """Outcome counts at one upstream, for one metric and one share."""
+    """Outcome counts of one upstream, metric and share."""
 
     def __init__(self) -> None:
         self._candidate = 0
@@ -129,13 +130,13 @@
     def count(
         self, tally: Tally, candidate: bool, failed: bool, share: float
     ) -> Tally:
-        """Returns the tally with one more outcome.
+        """Returns the tally with one outcome added.
 
         Args:
             tally: The evidence before the outcome.
             candidate: Whether the new version answered.
             failed: Whether the outcome is a failure.
-            share: Share in (0, 1] of the new version when it was assigned.
+            share: Share in (0, 1] of the new version at the assignment.
         """
         scores = tally.scores
         if failed and self._baseline >= MIN_BASELINE_OUTCOMES and share < 1.0:
@@ -157,19 +158,19 @@
         )
 
     def _expect(self, share: float) -> float:
-        """Returns the chance that a failure here is the new version's."""
-        seen = self._candidate + self._baseline
-        observed = self._candidate / seen
-        spread = math.sqrt(share * (1 - share) / seen)
-        # An upstream that serves the new version more often than the hash
-        # sends it fails it more often, too.
-        if observed > share + MAX_SHARE_DEVIATION_SIGMA * spread:
+        """Returns the probability that a failure is of the new version."""
+        total = self._candidate + self._baseline
+        observed = self._candidate / total
+        deviation = math.sqrt(share * (1 - share) / total)
+        # An upstream that serves a larger share of the new version than was
+        # assigned also sees a larger share of its failures.
+        if observed > share + MAX_SHARE_DEVIATION_SIGMA * deviation:
             return observed
         return share
 
 
 def sum_tallies(tallies: Iterable[Tally]) -> Tally:
-    """Returns the joint evidence of processes or strata."""
+    """Returns the sum of the tallies of processes or strata."""
     scores = [0.0] * len(RATIOS)
     counts = [0, 0, 0, 0]
     for tally in tallies:
@@ -183,35 +184,35 @@
 
 
 def compute_log_likelihood_ratio(tally: Tally) -> float:
-    """Returns the log of the mixed likelihood ratio."""
+    """Returns the log of the likelihood ratio, averaged over `RATIOS`."""
     top = max(tally.scores)
     mixed = sum(math.exp(score - top) for score in tally.scores)
     return top + math.log(mixed / len(tally.scores))
 
 
 def evaluate(tallies: Mapping[Metric, Tally]) -> TestResult:
-    """Tells whether the new version is worse on any metric."""
-    bound = math.log(len(METRICS) / FALSE_POSITIVE_RATE)
+    """Returns whether the new version is worse on any metric, and why."""
+    threshold = math.log(len(METRICS) / FALSE_POSITIVE_RATE)
     for metric, tally in tallies.items():
         evidence = compute_log_likelihood_ratio(tally)
-        if evidence < bound:
+        if evidence < threshold:
             continue
         return TestResult(
             True,
             f"{metric.value}: {tally.candidate_failed} of {tally.candidate}"
             f" failed against {tally.baseline_failed} of {tally.baseline}"
-            f" in service (log evidence {evidence:.1f}, bound {bound:.1f})",
+            f" in service (log evidence {evidence:.1f}, bound {threshold:.1f})",
         )
     return TestResult(False, "no evidence that the new version is worse")
 
 
 def is_possibly_worse(tally: Tally) -> bool:
-    """Tells whether the new version looks worse without proof yet."""
+    """Returns whether the new version may be worse, without proof yet."""
     return compute_log_likelihood_ratio(tally) > math.log(SUSPICION_RATIO)
 
 
 def is_noninferior(tally: Tally) -> bool:
-    """Tells whether the evidence speaks against a version clearly worse."""
+    """Returns whether a much worse version is unlikely on the evidence."""
     return tally.scores[RATIOS.index(NONINFERIORITY_RATIO)] < -math.log(
         SUSPICION_RATIO
     )
@@ -220,11 +221,11 @@
 class Evidence(components.Component, components.Replicated):
     """Evidence of all processes on the roll-outs in progress.
 
-    Each process owns one record per roll-out and numbers its changes, so that
-    copies merge by the higher number.
+    Each process owns one record per roll-out and numbers its changes; of two
+    copies the one with the higher number wins.
 
     Args:
-        process: Identity of this run of the process; a restart has another.
+        process: Identity of this process, which changes with a restart.
     """
 
     kind = "evidence"
@@ -242,7 +243,7 @@
         self._retained: frozenset[str] = frozenset()
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies one event; evidence asks for no commands."""
+        """Applies one event; returns no commands."""
         if (
             isinstance(event, AnswerEnded)
             and event.rollout_id in self._retained
@@ -254,22 +255,22 @@
             if len(self._pending) > MAX_PENDING_ANSWERS:
                 self._pending.popitem(last=False)
         elif isinstance(event, AnswerRated):
-            # Taking the answer out makes a repeated rating count once.
+            # The answer is removed, so that a repeated rating counts once.
             answer = self._pending.pop(event.answer_id, None)
             if answer is not None and answer.rollout_id in self._retained:
                 self._count(answer, Metric.QUALITY, not event.accepted)
         return []
 
     def retain_rollouts(self, rollout_ids: Collection[str]) -> None:
-        """Forgets the evidence on all other roll-outs."""
+        """Drops the evidence on all other roll-outs."""
         self._retained = frozenset(rollout_ids)
-        for run in [r for r in self._records if r not in self._retained]:
-            del self._records[run]
+        for rollout_id in [r for r in self._records if r not in self._retained]:
+            del self._records[rollout_id]
         for key in [k for k in self._strata if k[0] not in self._retained]:
             del self._strata[key]
 
-    def combine_tallies(self, rollout_id: str) -> dict[Metric, Tally]:
-        """Returns the joint evidence of all processes."""
+    def combine(self, rollout_id: str) -> dict[Metric, Tally]:
+        """Returns the combined evidence of all processes by metric."""
         records = self._records.get(rollout_id, {}).values()
         return {
             metric: sum_tallies(
@@ -279,76 +280,87 @@
         }
 
     def count_own_outcomes(self, rollout_id: str) -> int:
-        """Returns the outcomes that this process has counted itself."""
-        group = self._records.get(rollout_id, {})
-        _, tallies = group.get(self._process, (0, {}))
+        """Returns the number of outcomes counted by this process."""
+        processes = self._records.get(rollout_id, {})
+        _, tallies = processes.get(self._process, (0, {}))
         tally = tallies.get(Metric.ERROR, Tally())
         return tally.candidate + tally.baseline
 
     def build_digest(self, now: float) -> bytes:
         """Returns the change numbers of one slice of the records.
 
-        Each second has another slice, so that a digest stays small.
+        The slice rotates every second, which keeps digests small.
         """
-        count = sum(len(group) for group in self._records.values())
+        count = sum(len(processes) for processes in self._records.values())
         slices = max(1, math.ceil(count / DIGEST_SLICE_RECORDS))
-        turn = int(now) % slices
-        held = {
-            run: {
+        slice_index = int(now) % slices
+        known_numbers = {
+            rollout_id: {
                 process: record[0]
-                for process, record in group.items()
-                if _is_in_slice(process, slices, turn)
+                for process, record in processes.items()
+                if _is_in_slice(process, slices, slice_index)
             }
-            for run, group in self._records.items()
+            for rollout_id, processes in self._records.items()
         }
-        return compressed_json.compress_json([slices, turn, held])
+        return compressed_json.compress_json(
+            [slices, slice_index, known_numbers]
+        )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the newer records, up to a bound, from a rotating start."""
-        slices, turn, held = compressed_json.decompress_json(digest)
-        news = []
-        for run, group in sorted(self._records.items()):
-            known = held.get(run, {})
-            for process, (number, tallies) in sorted(group.items()):
-                if not _is_in_slice(process, slices, turn):
+        """Returns newer records up to a limit, with a rotating start."""
+        slices, slice_index, known_numbers = compressed_json.decompress_json(
+            digest
+        )
+        newer = []
+        for rollout_id, processes in sorted(self._records.items()):
+            known = known_numbers.get(rollout_id, {})
+            for process, (number, tallies) in sorted(processes.items()):
+                if not _is_in_slice(process, slices, slice_index):
                     continue
                 if number > known.get(process, 0):
-                    news.append([run, process, number, _encode(tallies)])
-        if not news:
+                    newer.append(
+                        [rollout_id, process, number, _encode(tallies)]
+                    )
+        if not newer:
             return b""
-        start = int(now * 7) % len(news)
+        start = int(now * 7) % len(newer)
         return compressed_json.compress_json(
-            (news[start:] + news[:start])[:MAX_DELTA_RECORDS]
+            (newer[start:] + newer[:start])[:MAX_DELTA_RECORDS]
         )
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Takes the records with a higher number."""
+        """Merges the records with a higher number."""
         if not delta:
             return []
-        for run, process, number, tallies in compressed_json.decompress_json(
-            delta
-        ):
-            # A restart has a new identity, so nobody else knows better.
-            if run not in self._retained or process == self._process:
+        for (
+            rollout_id,
+            process,
+            number,
+            tallies,
+        ) in compressed_json.decompress_json(delta):
+            # A restart has a new identity, so no peer has a newer own record.
+            if rollout_id not in self._retained or process == self._process:
                 continue
-            group = self._records.setdefault(run, {})
-            if number > group.get(process, (0, {}))[0]:
-                group[process] = (number, _decode(tallies))
-            if len(group) > MAX_RECORDS:
-                del group[min(group, key=lambda name: (group[name][0], name))]
+            processes = self._records.setdefault(rollout_id, {})
+            if number > processes.get(process, (0, {}))[0]:
+                processes[process] = (number, _decode(tallies))
+            if len(processes) > MAX_RECORDS:
+                del processes[
+                    min(processes, key=lambda name: (processes[name][0], name))
+                ]
         return []
 
     def _count(self, answer: AnswerEnded, metric: Metric, failed: bool) -> None:
-        group = self._records.setdefault(answer.rollout_id, {})
-        number, tallies = group.get(self._process, (0, {}))
-        # The share is part of the stratum: an upstream that is sick during
-        # one stage only would otherwise weigh more on the new version.
+        processes = self._records.setdefault(answer.rollout_id, {})
+        number, tallies = processes.get(self._process, (0, {}))
+        # The share is part of the stratum: a fault of an upstream during one
+        # stage only would otherwise weigh more on the new version.
         key = (answer.rollout_id, answer.upstream, answer.share, metric)
         stratum = self._strata.setdefault(key, Stratum())
         tally = stratum.count(
             tallies.get(metric, Tally()), answer.candidate, failed, answer.share
         )
-        group[self._process] = (number + 1, {**tallies, metric: tally})
+        processes[self._process] = (number + 1, {**tallies, metric: tally})
 
 
 def _is_in_slice(process: str, slices: int, slice_index: int) -> bool:
--- a/sycamorehollow/decisions/releases/stages.py
+++ b/sycamorehollow/decisions/releases/stages.py
@@ -1,4 +1,4 @@
-"""Document of a roll-out in the store."""
+"""Stored document with the stage of a roll-out."""
 
 import dataclasses
 import enum
@@ -24,12 +24,12 @@
 
     Attributes:
         stage: Index into the stages of the roll-out.
-        state: Whether the roll-out goes on.
-        config: Revision of the team's branch that the writer had in effect.
+        state: Whether the roll-out continues.
+        config: Revision of the team's branch in effect at the writer.
         rollout_id: Identity of the roll-out, see `compute_rollout_id`.
         nonce_suffix: Random part of the nonce; distinguishes writes.
-        earlier: Nonces of the last writes before this one, oldest first. A
-            writer whose response was lost finds its own among them.
+        earlier: Nonces of the previous writes, oldest first. A writer whose
+            response was lost recognises its own write among them.
     """
 
     stage: int
@@ -45,7 +45,7 @@
         return f"{self.config}.{self.rollout_id}.{self.nonce_suffix}"
 
 
-def build_successor(
+def build_next(
     before: Stage | None,
     stage: int,
     state: State,
@@ -53,14 +53,14 @@
     rollout_id: str,
     nonce_suffix: str,
 ) -> Stage:
-    """Returns the document that follows another one, or none."""
+    """Returns the document that follows another one, or the first one."""
     earlier = (*before.earlier, before.nonce) if before else ()
     kept = earlier[-config_writes.MAX_EARLIER_NONCES :]
     return Stage(stage, state, config, rollout_id, nonce_suffix, kept)
 
 
 def encode(stage: Stage) -> bytes:
-    """Returns the document for the store."""
+    """Returns the document as JSON."""
     return json.dumps(
         {
             "stage": stage.stage,
@@ -72,7 +72,7 @@
 
 
 def decode(value: bytes) -> Stage | None:
-    """Returns the document from the store, `None` when it is malformed."""
+    """Returns the document from JSON, `None` if it is malformed."""
     try:
         document = json.loads(value)
         config, run, mark = document["nonce"].split(".")
--- a/sycamorehollow/decisions/releases/stops.py
+++ b/sycamorehollow/decisions/releases/stops.py
@@ -1,4 +1,8 @@
-"""Stop records: versions that take no new work, known without the store."""
+"""Stop records of versions that take no new work.
+
+Records spread between processes, so that a stop takes effect without the
+store.
+"""
 
 from collections.abc import Iterable
 import dataclasses
@@ -17,11 +21,11 @@
 
     Attributes:
         version: Name of the version.
-        team: Branch that holds the roll-out.
-        revision: Revision of the branch in effect when it was stopped; only a
-            higher one lifts the stop.
+        team: Configuration branch that contains the roll-out.
+        revision: Revision of the branch in effect at the stop; only a higher
+            one lifts the stop.
         run: Identity of the roll-out that was stopped.
-        process: Who stopped it.
+        process: Process that stopped it.
         reason: One sentence for operators.
     """
 
@@ -35,16 +39,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class PushStops(commands.Command):
-    """Push stop records of this process to peers at once."""
+    """Push new stop records to all peers at once."""
 
     stops: tuple[Stop, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class ReportStops(commands.Command):
-    """Stop records of others are new here.
+    """Report stop records of other processes that are new to this one.
 
-    The receiver of a push from another data centre forwards them to its own.
+    A process that receives a push from another data centre forwards the records
+    within its own.
     """
 
     stops: tuple[Stop, ...]
@@ -52,7 +57,7 @@
 
 @functools.lru_cache(maxsize=256)
 def compute_rollout_id(rollout: deployments.Rollout) -> str:
-    """Returns an identity that changes whenever the roll-out's entry does."""
+    """Returns an identity that changes with any change of the roll-out."""
     text = repr(dataclasses.astuple(rollout))
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
@@ -61,7 +66,7 @@
     """The stop records, one per version.
 
     Args:
-        process: Identity of this run of the process.
+        process: Identity of this process, which changes with a restart.
     """
 
     kind = "stops"
@@ -72,11 +77,11 @@
         self._stops: dict[str, Stop] = {}
 
     def set_deployment(self, deployment: deployments.Deployment) -> None:
-        """Takes the configuration in effect, which may lift records."""
+        """Applies the configuration in effect, which may lift stops."""
         self._deployment = deployment
 
     def add(self, name: str, reason: str) -> list[commands.Command]:
-        """Stops the new version of a roll-out."""
+        """Records a stop of the new version of a roll-out."""
         rollout = self._deployment.rollouts.get(name)
         if rollout is None or self.find(rollout.candidate):
             return []
@@ -88,7 +93,7 @@
             self._process,
             reason,
         )
-        return [PushStops(tuple(self._take([stop])))]
+        return [PushStops(tuple(self._merge_records([stop])))]
 
     def find(self, version: str) -> Stop | None:
         """Returns the stop record in effect for a version."""
@@ -97,58 +102,60 @@
             return None
         if self._deployment.revisions.get(stop.team, 0) <= stop.revision:
             return stop
-        runs = {
+        rollout_ids = {
             compute_rollout_id(rollout)
             for rollout in self._deployment.rollouts.values()
             if rollout.candidate == version
         }
-        # An unrelated change of the branch must not bring a bad version back.
-        return stop if not runs or stop.run in runs else None
+        # An unrelated change of the branch must not lift the stop.
+        return stop if not rollout_ids or stop.run in rollout_ids else None
 
     def list_versions(self) -> frozenset[str]:
         """Returns the versions with a stop record in effect."""
         return frozenset(v for v in self._stops if self.find(v))
 
     def build_digest(self, now: float) -> bytes:
-        """Returns the order of each record."""
+        """Returns the precedence of each record."""
         return compressed_json.compress_json(
-            {v: _order(stop) for v, stop in self._stops.items()}
+            {v: _get_precedence(stop) for v, stop in self._stops.items()}
         )
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns the records that come later than those of the digest."""
-        held = compressed_json.decompress_json(digest)
+        """Returns the records that take precedence over those of a digest."""
+        known = compressed_json.decompress_json(digest)
         return self.encode(
             stop
             for version, stop in self._stops.items()
-            if _order(stop) > held.get(version, [])
+            if _get_precedence(stop) > known.get(version, [])
         )
 
     def encode(self, stops: Iterable[Stop]) -> bytes:
         """Returns a delta with the records, for a push to peers."""
-        news = [dataclasses.asdict(stop) for stop in stops]
-        return compressed_json.compress_json(news) if news else b""
+        newer = [dataclasses.asdict(stop) for stop in stops]
+        return compressed_json.compress_json(newer) if newer else b""
 
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Takes the records that come later than those held."""
+        """Merges the records that take precedence over the known ones."""
         if not delta:
             return []
-        news = self._take(
+        newer = self._merge_records(
             Stop(**stop) for stop in compressed_json.decompress_json(delta)
         )
-        return [ReportStops(tuple(news))] if news else []
+        return [ReportStops(tuple(newer))] if newer else []
 
-    def _take(self, stops: Iterable[Stop]) -> list[Stop]:
-        news = []
+    def _merge_records(self, stops: Iterable[Stop]) -> list[Stop]:
+        newer = []
         for stop in stops:
             known = self._stops.get(stop.version)
-            if known is not None and _order(known) >= _order(stop):
+            if known is not None and _get_precedence(known) >= _get_precedence(
+                stop
+            ):
                 continue
             self._stops[stop.version] = stop
-            news.append(stop)
-        return news
+            newer.append(stop)
+        return newer
 
 
-def _order(stop: Stop) -> list:
-    """A later revision wins; the rest makes the winner the same anywhere."""
+def _get_precedence(stop: Stop) -> list:
+    """Returns the sort key, the same at all processes; later revisions win."""
     return [stop.revision, stop.run, stop.process, stop.reason]
--- a/sycamorehollow/decisions/requests/versions.py
+++ b/sycamorehollow/decisions/requests/versions.py
@@ -1,4 +1,8 @@
-"""Which versions a request may run on, by the name that it asks for."""
+"""Versions that a request may run on, by the name that it requests.
+
+Roll-outs split requests by a hash of the session or request, so that every
+node decides alike without coordination.
+"""
 
 from collections.abc import Collection
 from collections.abc import Mapping
@@ -11,11 +15,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Arm:
-    """The side of a roll-out that a version stands on for a request.
+    """The arm of a roll-out that an answer of a version counts for.
 
     Attributes:
         rollout: Name of the roll-out.
-        candidate: Whether it is the new version; otherwise the one in service.
+        candidate: Whether it is the new version, not the one in service.
     """
 
     rollout: str
@@ -27,9 +31,9 @@
     """The versions that a request may run on.
 
     Attributes:
-        versions: In the order to try them: a cascade's own order, otherwise
-            by price.
-        arms: Arms that an answer of each version counts for.
+        versions: In the order of attempts: the order of the cascade,
+            otherwise by price.
+        arms: Roll-out arms that an answer of each version counts for.
         reason: One sentence for the log.
     """
 
@@ -39,10 +43,10 @@
 
 
 def compute_bucket(rollout: deployments.Rollout, assignment_key: str) -> float:
-    """Returns the place in [0, 1) of a request or session in a roll-out.
+    """Returns the bucket in [0, 1) of a request or session in a roll-out.
 
-    The place does not depend on the stage, so what is in at a small share
-    stays in at a larger one.
+    The bucket does not depend on the stage, so whatever is included at a small
+    share stays included at a larger one.
     """
     text = f"{rollout.name}\n{rollout.candidate}\n{assignment_key}"
     digest = hashlib.sha256(text.encode()).digest()
@@ -61,10 +65,10 @@
 
     Args:
         deployment: The configuration in effect.
-        workspace: Whose request it is.
+        workspace: Workspace of the request.
         name: Model, version or cascade that the request names.
         assignment_key: Session identity, or the request id without a session.
-        shares: Share in effect of each roll-out; 0 where one is missing.
+        shares: Effective share of each roll-out; 0 where one is missing.
         stopped_versions: Versions with a stop record in effect.
     """
     if name in deployment.versions:
@@ -82,8 +86,8 @@
     splits = _RolloutAssignment(
         deployment.rollouts, usable, assignment_key, shares
     )
-    picked = dict.fromkeys(splits.pick_version(version) for version in named)
-    chosen = tuple(version for version in picked if version is not None)
+    selected = dict.fromkeys(splits.pick_version(version) for version in named)
+    chosen = tuple(version for version in selected if version is not None)
     if not chosen:
         return _refuse(workspace, name, named, usable)
     arms = {v: splits.list_arms(v) for v in chosen if splits.list_arms(v)}
@@ -135,7 +139,7 @@
     name: str,
     stopped: Collection[str],
 ) -> EligibleVersions | failures.Failure:
-    """A caller that names a version gets this version or a refusal."""
+    """Returns exactly the version that the request names, or a failure."""
     if name not in workspace.versions:
         return failures.NotAllowed(
             f"Workspace {workspace.name!r} may not use version {name!r}."
@@ -147,7 +151,7 @@
 
 
 class _RolloutAssignment:
-    """The roll-outs as they look to one request."""
+    """Assignment of one request to the arms of all roll-outs."""
 
     def __init__(
         self,
@@ -165,12 +169,12 @@
         }
 
     def pick_version(self, version: str) -> str | None:
-        """Returns the version that takes the place of a named one."""
+        """Returns the version that replaces a named one, or `None`."""
         seen: set[str] = set()
         while version not in seen:
             seen.add(version)
             version = self._follow_rollout(version)
-        if version not in self._usable or self._is_barred(version):
+        if version not in self._usable or self._is_excluded(version):
             return None
         return version
 
@@ -178,7 +182,7 @@
         """Returns the arms that an answer of a version counts for."""
         arms = []
         for rollout in self._rollouts:
-            # A workspace with one side only is no evidence for either.
+            # A workspace that may use one arm only gives no comparison.
             if not {rollout.baseline, rollout.candidate} <= self._usable:
                 continue
             inside = self._is_inside[rollout.name]
@@ -187,15 +191,17 @@
                 arms.append(Arm(rollout.name, inside))
         return tuple(arms)
 
-    def _is_barred(self, version: str) -> bool:
-        """Tells whether every roll-out of a version leaves the request out."""
-        sides = [r for r in self._rollouts if r.candidate == version]
-        return bool(sides) and not any(self._is_inside[r.name] for r in sides)
+    def _is_excluded(self, version: str) -> bool:
+        """Returns whether every roll-out of a version excludes the request."""
+        own_rollouts = [r for r in self._rollouts if r.candidate == version]
+        return bool(own_rollouts) and not any(
+            self._is_inside[r.name] for r in own_rollouts
+        )
 
     def _follow_rollout(self, version: str) -> str:
-        barred = self._is_barred(version)
+        is_excluded = self._is_excluded(version)
         for rollout in self._rollouts:
-            if barred and rollout.candidate == version:
+            if is_excluded and rollout.candidate == version:
                 return rollout.baseline
             if rollout.baseline == version and self._is_inside[rollout.name]:
                 return rollout.candidate
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -95,7 +95,7 @@
     target = step(recorded.stage)
     if isinstance(target, failures.Failure):
         return target
-    written = stages.build_successor(
+    written = stages.build_next(
         recorded.found,
         *target,
         recorded.config,
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -324,7 +324,7 @@
 
         def follow():
             found = self.read_stage()
-            after = stages.build_successor(
+            after = stages.build_next(
                 found, 1, found.state, found.config, found.rollout_id, "entry"
             )
             value = stages.encode(after).decode()
--- a/tests/test_sequential.py
+++ b/tests/test_sequential.py
@@ -24,7 +24,7 @@
             str(number), "r", candidate, upstream, 0.2, draws.random() < chance
         )
         evidence.handle(event, 0.0)
-        if sequential_test.evaluate(evidence.combine_tallies("r")).worse:
+        if sequential_test.evaluate(evidence.combine("r")).worse:
             return True
     return False
 
@@ -67,9 +67,7 @@
                 str(number), "r", True, upstream, 0.9, True
             )
             evidence.handle(event, 0.0)
-        self.assertFalse(
-            sequential_test.evaluate(evidence.combine_tallies("r")).worse
-        )
+        self.assertFalse(sequential_test.evaluate(evidence.combine("r")).worse)
 
     def test_rating_counts_once_and_only_for_a_known_run(self):
         evidence = make()
@@ -79,10 +77,10 @@
             for _ in range(2):
                 rating = sequential_test.AnswerRated(run, False)
                 evidence.handle(rating, 0.0)
-        quality = evidence.combine_tallies("r")[sequential_test.Metric.QUALITY]
+        quality = evidence.combine("r")[sequential_test.Metric.QUALITY]
         self.assertEqual(quality.candidate_failed, 1)
         self.assertEqual(
-            evidence.combine_tallies("other")[sequential_test.Metric.ERROR],
+            evidence.combine("other")[sequential_test.Metric.ERROR],
             sequential_test.Tally(),
         )
 
@@ -114,8 +112,8 @@
         order.shuffle(shuffled)
         for delta in shuffled:
             two.merge(delta, 0.0)
-        for metric, tally in one.combine_tallies("r").items():
-            other = two.combine_tallies("r")[metric]
+        for metric, tally in one.combine("r").items():
+            other = two.combine("r")[metric]
             self.assertEqual(tally.candidate, other.candidate)
             self.assertEqual(tally.baseline_failed, other.baseline_failed)
             for left, right in zip(tally.scores, other.scores, strict=True):
