--- a/sycamorehollow/decisions/components.py
+++ b/sycamorehollow/decisions/components.py
@@ -1,4 +1,4 @@
-"""Base of the decision parts."""
+"""Base classes of the decision components."""
 
 import abc
 from typing import ClassVar
@@ -8,10 +8,10 @@
 
 
 class Component(abc.ABC):
-    """A rule with its own state, driven by events.
+    """State machine that turns events into commands.
 
-    A part opens no socket, starts no thread and reads no clock, so that the
-    same events give the same commands in a test, a bench and a daemon.
+    A component opens no socket, starts no thread and reads no clock, so that
+    the same events produce the same commands in tests, benchmarks and daemons.
     """
 
     @abc.abstractmethod
@@ -23,20 +23,20 @@
             now: Monotonic time in seconds.
 
         Returns:
-            The commands to carry out, in order.
+            The commands to execute, in order.
         """
 
 
 class Replicated(abc.ABC):
-    """State that spreads between entry processes by digest exchange.
+    """State that entry processes replicate by exchanging digests and deltas.
 
-    Merging is idempotent and commutative: a delta may arrive twice, late and
-    in any order.
+    Merging is idempotent and commutative, so a delta may arrive twice, late
+    and in any order.
 
     Attributes:
         kind: Stable name of the state on the wire.
-        bytes_per_s: Limit on the bytes that its digests and deltas cost a
-            process each second, sent and received; `None` for no limit.
+        bytes_per_s: Limit on the bytes of its digests and deltas that a
+            process sends and receives per second; `None` for no limit.
     """
 
     kind: ClassVar[str]
@@ -44,20 +44,20 @@
 
     @abc.abstractmethod
     def build_digest(self, now: float) -> bytes:
-        """Returns a compact digest of what this process holds."""
+        """Returns a compact digest of the state of this process."""
 
     @abc.abstractmethod
     def build_delta(self, digest: bytes, now: float) -> bytes:
-        """Returns what the sender of a digest lacks; empty for nothing."""
+        """Returns the state that the sender of a digest lacks, or empty."""
 
     @abc.abstractmethod
     def merge(self, delta: bytes, now: float) -> list[commands.Command]:
-        """Applies what another process knows.
+        """Merges the state of another process.
 
         Args:
-            delta: The result of `collect` at the other process.
+            delta: The result of `build_delta` at the other process.
             now: Monotonic time in seconds.
 
         Returns:
-            The commands that the new knowledge asks for.
+            The commands that follow from the merged state.
         """
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -1,4 +1,8 @@
-"""All decision parts of one entry process, put together."""
+"""Event loop of the decision components of one entry process.
+
+Components return commands. The node routes those meant for another component
+inside the process and passes the rest to the shells.
+"""
 
 import collections
 from collections.abc import Callable
@@ -40,20 +44,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class PublishDeployment(commands.Command):
-    """Tell the shells which configuration is in force."""
+    """Publish the configuration in force to the shells."""
 
     current: deployment.Deployment
 
 
 @dataclasses.dataclass(frozen=True)
 class ReportMember(commands.Command):
-    """Tell operators that the record of a member changed."""
+    """Report a changed member record to operators."""
 
     member: members.Member
 
 
 class _TickThrottle:
-    """Gives a part a tick at its own interval."""
+    """Limits the ticks of a component to its own interval."""
 
     def __init__(self, part: components.Component, interval_s: float):
         self.component = part
@@ -61,7 +65,7 @@
         self._due_at = float("-inf")
 
     def accepts(self, event: events.Event, now: float) -> bool:
-        """Tells whether the part takes an event now."""
+        """Returns whether the component is given an event now."""
         if not isinstance(event, events.Tick):
             return True
         if now < self._due_at:
@@ -71,9 +75,9 @@
 
 
 class _Coordinated(components.Component):
-    """Gives a lease its ticks only while this process coordinates.
+    """Passes ticks to a lease only while this process is the coordinator.
 
-    A lease that is held is renewed, or ends by itself.
+    A held lease continues to get ticks, so that it is renewed or expires.
     """
 
     def __init__(self, lease: leases.Lease, node: "Node"):
@@ -81,18 +85,18 @@
         self._node = node
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Passes an event on; see the base class."""
-        idle = isinstance(event, events.Tick) and not (
+        """Applies one event; see `components.Component.handle`."""
+        is_inactive = isinstance(event, events.Tick) and not (
             self._node.is_coordinator() or self._lease.get_held_lease(now)
         )
-        return [] if idle else self._lease.handle(event, now)
+        return [] if is_inactive else self._lease.handle(event, now)
 
 
 class Node(node_components.NodeComponents, components.Component):
-    """Drives every part and passes messages between them.
+    """Drives all components and passes messages between them.
 
     Args:
-        options: What the node knows from its settings.
+        options: Values from the settings of the node.
         rng: Source of random numbers.
         now: Monotonic time in seconds of the start.
     """
@@ -108,21 +112,21 @@
         self._routes = self._build_routes()
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
-        """Applies an event and all that follows from it inside the node."""
-        waiting: collections.deque[Any] = collections.deque([event])
+        """Applies an event and all messages that follow inside the node."""
+        pending: collections.deque[Any] = collections.deque([event])
         result: list[commands.Command] = []
-        while waiting:
-            message = waiting.popleft()
+        while pending:
+            message = pending.popleft()
             if isinstance(message, events.Event):
                 for throttled in self._components:
                     if throttled.accepts(message, now):
-                        waiting.extend(throttled.component.handle(message, now))
+                        pending.extend(throttled.component.handle(message, now))
                 continue
             route = self._routes.get(type(message))
             if route is None:
                 result.append(message)
                 continue
-            waiting.extend(route(message, now))
+            pending.extend(route(message, now))
         return result
 
     def _list_components(self) -> list[_TickThrottle]:
@@ -139,8 +143,8 @@
             self.spool,
         ]
         return [
-            *[_TickThrottle(part, 0.0) for part in fast],
-            *[_TickThrottle(part, SLOW_INTERVAL_S) for part in slow],
+            *[_TickThrottle(component, 0.0) for component in fast],
+            *[_TickThrottle(component, SLOW_INTERVAL_S) for component in slow],
             _TickThrottle(self.exchange, EXCHANGE_INTERVAL_S),
             _TickThrottle(
                 _Coordinated(self.order_lease, self), SLOW_INTERVAL_S
@@ -150,7 +154,7 @@
 
     def _build_routes(self) -> dict[type, Callable[[Any, float], list[Any]]]:
         return {
-            active_requests.ReplicateBill: self._secure_bill,
+            active_requests.ReplicateBill: self._replicate_bill,
             billing_messages.ReleaseAnswer: self._release_answer,
             cold_start_limiter.PushColdState: self._push_cold_state,
             configuration_messages.StartExchanges: self._ask_peers,
@@ -176,7 +180,7 @@
             drains.DeploymentChanged(current),
             quality_estimator.DeploymentChanged(current),
             rollouts.DeploymentChanged(current),
-            # A process without peers never sees a member change.
+            # A process without peers never gets a member change.
             rollouts.CoordinatorChanged(self.is_coordinator()),
             lifecycle.DeploymentChanged(current),
             *applied,
@@ -186,7 +190,7 @@
     def _build_targets(
         self, current: deployment.Deployment
     ) -> dict[str, orders.Target]:
-        """Returns what the engines of the own data centre should serve."""
+        """Returns the target versions of the engines in this data centre."""
         return {
             upstream.name: orders.Target(
                 frozenset(upstream.versions),
@@ -200,13 +204,13 @@
     def _change_members(
         self, command: members.MemberChanged, now: float
     ) -> list[Any]:
-        me = self.process
+        process = self.process
         live = [
             member
             for member in self.membership.list_live()
-            if member.address != me.address
+            if member.address != process.address
         ]
-        own = self.membership.list_live(me.data_centre)
+        own = self.membership.list_live(process.data_centre)
         self.placement.capacity.set_members(len(own))
         result: list[Any] = [
             configuration_messages.MembersUpdated(
@@ -242,7 +246,7 @@
     def _mark_cold(self, command: drains.MarkCold, now: float) -> list[Any]:
         return [upstream_events.ReturnedToService(command.upstream)]
 
-    def _secure_bill(
+    def _replicate_bill(
         self, command: active_requests.ReplicateBill, now: float
     ) -> list[Any]:
         token = command.request_id if command.urgent else ""
@@ -290,9 +294,9 @@
     def _push_quarantine(
         self, command: quarantine.PushQuarantine, now: float
     ) -> list[Any]:
-        part = self.quarantine
+        state = self.quarantine
         return [
-            payloads.PushDelta(part.kind, part.build_delta(EMPTY_DIGEST, now))
+            payloads.PushDelta(state.kind, state.build_delta(EMPTY_DIGEST, now))
         ]
 
     def _push_stops(self, command: stops.PushStops, now: float) -> list[Any]:
--- a/sycamorehollow/decisions/node_components.py
+++ b/sycamorehollow/decisions/node_components.py
@@ -1,4 +1,4 @@
-"""The decision parts of one entry process and what they tell."""
+"""Construction and inspection of the components of one entry process."""
 
 from collections.abc import Callable
 import dataclasses
@@ -44,17 +44,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Options:
-    """What a node knows from its settings.
+    """Values from the settings of a node.
 
     Attributes:
         process: Identity of this run of the process.
-        slot: Number of the process in its data centre, from 0.
-        slots: Number of slots of the data centre.
+        slot: Index of the process in its data centre, from 0.
+        slots: Number of process slots in the data centre.
         seeds: Peer addresses to probe first.
-        ring: Keys of session tokens and tickets.
-        convert: Conversion of the branches of the settings tree.
+        ring: Signing keys of session tokens and tickets.
+        convert: Converts the branches of the settings tree.
         read_clock: Returns the wall-clock time in whole seconds.
-        pace: What a stage of a roll-out needs before the next one.
+        pace: Conditions for the next stage of a roll-out.
     """
 
     process: identity.Process
@@ -68,10 +68,10 @@
 
 
 class NodeComponents:
-    """Builds the parts and answers questions about them.
+    """Builds the components and reports their state.
 
     Args:
-        options: What the node knows from its settings.
+        options: Values from the settings of the node.
         rng: Source of random numbers.
         now: Monotonic time in seconds of the start.
     """
@@ -91,22 +91,22 @@
         return self.exchange.sender
 
     def is_coordinator(self) -> bool:
-        """Tells whether this process may drive roll-outs."""
+        """Returns whether this process may drive roll-outs."""
         me = self.process
         return me.address in self.membership.list_lowest_addresses(
             me.data_centre, ROLLOUT_COORDINATORS
         )
 
     def get_next_due_at(self) -> float | None:
-        """Returns when a tick is needed before the regular one, if it is."""
+        """Returns when a tick is due before the regular one, if at all."""
         return self.billing.get_commit_due_at()
 
     def count_pending(self) -> int:
-        """Returns the requests and bills that a shutdown waits for."""
+        """Returns the number of requests and bills that delay a shutdown."""
         return self.router.active_count + self.billing.count_exposed()
 
     def read_gauges(self, now: float) -> dict[str, float]:
-        """Returns the levels that operators watch."""
+        """Returns the gauges for operators."""
         age_s = self.configuration.measure_age(now)
         return {
             "requests.active": self.router.active_count,
@@ -121,29 +121,29 @@
         }
 
     def list_service_urls(self, service: str, new_work: bool) -> list[str]:
-        """Returns the base URLs of a service, own data centre first.
+        """Returns the base URLs of a service, those of this data centre first.
 
         Args:
             service: Name of the plain service.
-            new_work: Whether upstreams that leave are left out.
+            new_work: Whether draining upstreams are left out.
         """
         current = self.configuration.deployment
-        known = current.services.get(service)
-        if known is None:
+        configured = current.services.get(service)
+        if configured is None:
             return []
-        found = []
-        for name in known.upstreams:
+        urls = []
+        for name in configured.upstreams:
             upstream = current.upstreams.get(name)
             if upstream is None:
                 continue
             if new_work and self.drains.find_refusal(name) is not None:
                 continue
-            far = upstream.data_centre != self.process.data_centre
-            found.append((far, self._rng.random(), upstream.url))
-        return [url for _, _, url in sorted(found)]
+            is_remote = upstream.data_centre != self.process.data_centre
+            urls.append((is_remote, self._rng.random(), upstream.url))
+        return [url for _, _, url in sorted(urls)]
 
     def describe(self, now: float) -> dict[str, Any]:
-        """Returns what is in force here and why, for operators."""
+        """Returns the state in force here and its reasons, for operators."""
         faults = self.configuration.faults
         return {
             "address": self.process.address,
@@ -169,7 +169,7 @@
         }
 
     def _describe_rollouts(self) -> dict[str, dict[str, Any]]:
-        """Returns share, stage and stop of each roll-out."""
+        """Returns the share, stage and stop reason of each roll-out."""
         result: dict[str, dict[str, Any]] = {}
         configured = self.configuration.deployment.rollouts
         for name, share in self.rollouts.get_shares().items():
@@ -212,7 +212,7 @@
         self.cascades = cascade_selector.CascadeSelector(self.learning, rng)
 
     def _build_routing(self, rng: random.Random, now: float) -> None:
-        """Builds the parts that serve model requests."""
+        """Builds the components that serve model requests."""
         options = self.options
         self.quarantine = quarantine.Quarantine()
         self.placement = upstream_placement.UpstreamPlacement(
@@ -259,7 +259,7 @@
     def _build_calls(
         self, process: identity.Process, rng: random.Random, now: float
     ) -> None:
-        """Builds the parts for service calls and bills."""
+        """Builds the components for service calls and bills."""
         wall_offset_s = self.options.read_clock() - now
         issuer = tickets.TicketIssuer(process, self.options.ring)
         self.issuer = issuer
--- a/sycamorehollow/model/commands.py
+++ b/sycamorehollow/model/commands.py
@@ -1,8 +1,8 @@
-"""Base of the commands that decision parts return."""
+"""Base class of the commands that decision components return."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class Command:
-    """Something that a shell is asked to do."""
+    """An action for a shell to execute."""
--- a/sycamorehollow/model/deployment.py
+++ b/sycamorehollow/model/deployment.py
@@ -1,4 +1,4 @@
-"""The configuration in force, as data classes."""
+"""Data classes of the configuration in force."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -13,7 +13,7 @@
 
 
 class Presence(enum.Enum):
-    """Whether operators let a data centre or upstream take new work."""
+    """Whether operators allow a data centre or upstream to take new work."""
 
     IN_SERVICE = "in"
     DRAINING = "leaving"
@@ -49,13 +49,13 @@
 
     Attributes:
         name: Unique name.
-        url: Base URL, by IP number.
-        data_centre: Where it stands.
+        url: Base URL with an IP address.
+        data_centre: Data centre that it is located in.
         versions: Versions that it serves; empty for a plain service.
-        capacity_tokens: Tokens that its memory holds.
-        bearable: Requests that it bears at once in a cold start.
-        checks_fence: Whether it refuses orders with an old fencing number.
-        presence: Whether operators let it take new work.
+        capacity_tokens: Tokens that fit into its memory.
+        bearable: Concurrent requests that it can handle while cold.
+        checks_fence: Whether it refuses orders with a stale fencing token.
+        presence: Whether operators allow it to take new work.
     """
 
     name: str
@@ -87,14 +87,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class KindPolicy:
-    """How a workspace wants one kind of request handled.
+    """How one kind of request of a workspace is handled.
 
     Attributes:
         name: Name of the kind.
-        quality_threshold: Rating in [0, 1] from which an answer is accepted.
-        quality_target: Share of answers in [0, 1] that must be accepted.
-        deadline_s: Default deadline in seconds.
-        priority: Lower numbers go first.
+        quality_threshold: Lowest rating, in [0, 1], of an accepted answer.
+        quality_target: Share of answers, in [0, 1], that must be accepted.
+        deadline_s: Default time from arrival to the deadline.
+        priority: Priority; lower numbers go first.
         gate: Whether an answer is rated before it is delivered.
         explore: Whether versions may be tried to learn their quality.
     """
@@ -110,7 +110,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Workspace:
-    """A workspace and what it may use."""
+    """A workspace, with the versions and services that it may use."""
 
     name: str
     team: str
@@ -127,7 +127,7 @@
 
     Attributes:
         name: Unique name, used by callers as a model name.
-        steps: Names of versions, nested cascades already resolved.
+        steps: Names of versions, with nested cascades resolved.
     """
 
     name: str
@@ -137,14 +137,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rollout:
-    """A roll-out of one version in place of another.
+    """A roll-out that replaces one version by another.
 
     Attributes:
         name: Unique name.
         model: The model whose requests are split.
         baseline: Version in service.
         candidate: Version that is rolled out.
-        stages: Shares in [0, 1] of the candidate, rising.
+        stages: Increasing shares, in [0, 1], of the candidate.
     """
 
     name: str
@@ -157,7 +157,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Deployment:
-    """Everything that is in force on a node.
+    """The complete configuration in force on a node.
 
     Attributes:
         revisions: Store revision of each branch that is in force.
--- a/sycamorehollow/model/events.py
+++ b/sycamorehollow/model/events.py
@@ -1,11 +1,11 @@
-"""Base of the events that decision parts take."""
+"""Base class of the events that decision components handle."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class Event:
-    """Something that happened outside the decision parts."""
+    """Something that happened outside the decision components."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/model/failures.py
+++ b/sycamorehollow/model/failures.py
@@ -1,4 +1,4 @@
-"""Typed failures, used as sentinel results that carry a reason."""
+"""Typed failures, returned as results that carry a reason."""
 
 import dataclasses
 import enum
@@ -6,7 +6,7 @@
 
 
 class Execution(enum.Enum):
-    """Whether the refused work was started at a back end."""
+    """Whether failed or refused work was started at a back end."""
 
     NOT_STARTED = "no"
     UNKNOWN = "unknown"
@@ -14,13 +14,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Failure:
-    """Base of every failure.
+    """Base class of all failures.
 
     Attributes:
-        reason: One sentence for the person who reads the answer or the log.
-        run: Whether the work may have been started.
-        retry_after_s: Seconds until another try makes sense; `None` when a
-            repeat cannot succeed.
+        reason: One sentence for the reader of the response or the log.
+        execution: Whether the work may have been started.
+        retry_after_s: Time until a retry makes sense; `None` if a retry
+            cannot succeed.
     """
 
     code: ClassVar[str] = "failure"
@@ -73,7 +73,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class VersionWithdrawn(Failure):
-    """The version was withdrawn and takes no new work."""
+    """The version has been withdrawn and takes no new work."""
 
     code: ClassVar[str] = "version_withdrawn"
     status: ClassVar[int] = 410
@@ -89,7 +89,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class NoUpstream(Failure):
-    """No upstream can take the work now."""
+    """No upstream can accept the work now."""
 
     code: ClassVar[str] = "no_upstream"
     status: ClassVar[int] = 503
@@ -97,12 +97,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamsFull(NoUpstream):
-    """Upstreams take such work, but none has room for it now."""
+    """Upstreams serve such work, but none has capacity for it now."""
 
 
 @dataclasses.dataclass(frozen=True)
 class DeadlineExceeded(Failure):
-    """The work cannot be finished before its deadline."""
+    """The work cannot be completed before its deadline."""
 
     code: ClassVar[str] = "deadline_exceeded"
     status: ClassVar[int] = 504
@@ -118,7 +118,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamFailed(Failure):
-    """The upstream failed before a piece of the answer was delivered."""
+    """The upstream failed before any part of the answer was delivered."""
 
     code: ClassVar[str] = "upstream_failed"
     status: ClassVar[int] = 502
@@ -126,7 +126,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AnswerTruncated(Failure):
-    """The answer broke off after at least one piece was delivered."""
+    """The answer ended early after at least one part was delivered."""
 
     code: ClassVar[str] = "answer_truncated"
     status: ClassVar[int] = 502
@@ -134,7 +134,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class MethodNotAllowed(Failure):
-    """The path does not take the method."""
+    """The path does not support the method."""
 
     code: ClassVar[str] = "method_not_allowed"
     status: ClassVar[int] = 405
--- a/sycamorehollow/model/identity.py
+++ b/sycamorehollow/model/identity.py
@@ -9,12 +9,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Process:
-    """Identity of one run of an entry process.
+    """Identity of an entry process, which changes with a restart.
 
     Attributes:
         address: IP address and port of the peer server.
         data_centre: Data centre that it runs in.
-        incarnation: Start time in nanoseconds; a restart has a higher one.
+        incarnation: Start time in nanoseconds; it increases with a restart.
     """
 
     address: str
@@ -23,10 +23,10 @@
 
     @property
     def label(self) -> str:
-        """Short name of this run.
+        """Short identity of this process.
 
-        Replicated counts name every process, so that address and incarnation
-        would take most of their bytes.
+        Replicated counts name every process; address and incarnation would
+        take most of their bytes.
         """
         name = f"{self.address}/{self.incarnation}".encode()
         digest = hashlib.blake2b(name, digest_size=LABEL_BYTES).digest()
--- a/sycamorehollow/model/lifecycle.py
+++ b/sycamorehollow/model/lifecycle.py
@@ -1,4 +1,4 @@
-"""Events and commands of the life of one model request."""
+"""Events and commands in the life of one model request."""
 
 import dataclasses
 import enum
@@ -11,10 +11,10 @@
 
 
 class AttemptEnd(enum.Enum):
-    """How an attempt at an upstream ended without a whole answer.
+    """How an attempt at an upstream ended without a complete answer.
 
     Attributes:
-        STOPPED: The router stopped it.
+        STOPPED: The router cancelled it.
     """
 
     NOT_SENT = "not_sent"
@@ -40,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestArrived(events.Event):
-    """A valid request of a known workspace arrived."""
+    """A valid request of a known workspace has arrived."""
 
     request: requests.ModelRequest
 
@@ -59,10 +59,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class FailureSent(events.Event):
-    """The relay gave the caller its final failure.
+    """The relay has sent the final failure to the caller.
 
     Attributes:
-        delivered_tokens: Output tokens that went to the caller before it.
+        delivered_tokens: Output tokens delivered to the caller before it.
     """
 
     request_id: str
@@ -71,7 +71,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class FirstChunkArrived(events.Event):
-    """The first chunk of an attempt arrived."""
+    """The first chunk of an attempt has arrived."""
 
     request_id: str
     attempt: int
@@ -79,10 +79,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptCompleted(events.Event):
-    """An attempt gave a whole answer.
+    """An attempt produced a complete answer.
 
     Attributes:
-        answer: Events of the answer when the attempt was held, else empty.
+        answer: Events of the answer if they were buffered, else empty.
     """
 
     request_id: str
@@ -94,12 +94,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptFailed(events.Event):
-    """An attempt ended without a whole answer.
+    """An attempt ended without a complete answer.
 
     Attributes:
         code: Failure code that the upstream gave, or empty.
         received_events: Events received so far, over all resumes.
-        retry_after_s: When the upstream takes work again, if it said so.
+        retry_after_s: Time until the upstream accepts work again, if stated.
         response_started: Whether the upstream had begun a response on this
             connection, so that silence may mean that it queues the work.
         connection_refused: Whether the host refused the connection, so that
@@ -118,7 +118,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AnswerRated(events.Event):
-    """The rating service rated an answer.
+    """The rating service has rated an answer.
 
     Attributes:
         answer_id: Identity of the answer.
@@ -134,15 +134,15 @@
     """Send a request to an upstream, or resume its stream there.
 
     Attributes:
-        run_id: Identity of the run at the upstream; a resume keeps it.
+        run_id: Identity of the run at the upstream, unchanged by a resume.
         url: Base URL of the upstream.
         buffer_chunks: Whether chunks are buffered until the request is
             finished.
         copy_for_rating: Whether a copy of the answer is kept for its rating.
         session: Session token to return to the caller, or empty.
         resume_from: Number of events already received; `None` for a new run.
-        retain_previous: Whether the last whole answer is retained until this
-            run has something for the caller.
+        retain_previous: Whether the last complete answer is retained until
+            this run has output for the caller.
         reason: Why this upstream and version were chosen, for the log.
     """
 
@@ -165,10 +165,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class CancelAttempt(commands.Command):
-    """Stop an attempt and tell the upstream to cancel its stream.
+    """Stop an attempt and cancel its stream at the upstream.
 
     Attributes:
-        reason: Who or what asks for it, for the log.
+        reason: Cause of the cancellation, for the log.
         report_end: Whether the end is reported, after all output of the
             attempt.
     """
@@ -183,7 +183,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class FailRequest(commands.Command):
-    """Give the caller its final failure now."""
+    """Send the final failure to the caller now."""
 
     request_id: str
     workspace: str
@@ -192,7 +192,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class FinishRequest(commands.Command):
-    """Deliver the held end of the answer and close the request.
+    """Deliver the held end of the answer and finish the request.
 
     Attributes:
         fallback_reason: Why the retained answer of an earlier run is
@@ -207,7 +207,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestRating(commands.Command):
-    """Ask the rating service for the quality of an answer.
+    """Request the rating of an answer from the rating service.
 
     Attributes:
         prompt: Start of the prompt.
--- a/sycamorehollow/model/requests.py
+++ b/sycamorehollow/model/requests.py
@@ -1,4 +1,4 @@
-"""Requests from callers."""
+"""Validated requests from callers."""
 
 import dataclasses
 
@@ -10,16 +10,16 @@
     Attributes:
         request_id: Identity of this HTTP request, unique over all nodes.
         workspace: Name of the workspace that the API key belongs to.
-        model: What the caller asked for: a model, a version or a cascade.
+        model: Model, version or cascade that the caller requested.
         kind: Kind of request, as configured for the workspace.
         body: The request body as JSON bytes.
         fingerprint: Hash of the workspace and the content.
         prompt_tokens: Estimated prompt length in tokens.
-        max_output_tokens: Largest answer in tokens.
-        stream: Whether the caller wants server-sent events.
+        max_output_tokens: Limit on the answer in tokens.
+        stream: Whether the response is sent as server-sent events.
         deadline: Monotonic time in seconds after which the answer is useless.
         session: Session token, `new`, or empty.
-        idempotency_key: The caller's key, or empty.
+        idempotency_key: Idempotency key of the caller, or empty.
         prompt_head: Start of the prompt, as engines hash it for their prefix
             cache.
     """
