Put the texts of the routing and cascading tests into plain terms

Doc comments of the tests say which failure they guard against. The one of test_sum_never_exceeds_bearable keeps its wording: property tests draw their examples from their source text, and another wording drew an example that fails: a loan to a process without a load report is dropped without a cancellation when the first report arrives.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of admission."""
+"""Tests of admission control."""
 
 import dataclasses
 import random
@@ -21,21 +21,21 @@
 
 
 def offer(request, workspace="w", tokens=1000, deadline=60.0, weight=1):
-    """Returns an offer of work that takes a second."""
+    """Returns a submission of work that takes one second."""
     return admission.WorkSubmitted(
         str(request), workspace, weight, tokens, 1, deadline, 1.0
     )
 
 
 class AdmissionTest(unittest.TestCase):
-    """Guards against overload, unfair shares and refusals that come late."""
+    """Guards against overload, unfair shares and late rejections."""
 
     @hypothesis.given(strategies.lists(OFFERS, max_size=60))
     @hypothesis.example(
         3 * [("offer", "large", 9000, 5.0)] + 6 * [("tick", "large", 500, 5.0)]
     )
     def test_every_request_is_decided_in_time(self, steps):
-        """Admitted tokens stay in bounds; no request is lost or held."""
+        """Admitted tokens stay within capacity; no request waits too long."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         now = 0.0
         offered, running, refused = {}, {}, set()
@@ -84,7 +84,7 @@
         )
     )
     def test_work_without_room_is_kept_or_refused(self, steps):
-        """Work that found full upstreams must not be lost or wait too long."""
+        """Admitted work that no upstream takes is queued again or rejected."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         now = 0.0
         running, waiting = {}, {}
@@ -115,7 +115,7 @@
                 self.assertLess(now - arrived, admission.MAX_WAIT_S)
 
     def test_full_pool_does_not_hold_up_another(self):
-        """Versions have upstreams of their own."""
+        """Work of a full version must not delay work of another version."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         for number in range(2):
             rule.handle(offer(number, "a", 3000), 0.0)
@@ -129,7 +129,7 @@
         self.assertEqual(command, admission.AdmitWork("1"))
 
     def test_small_workspace_gets_its_share(self):
-        """A large workspace must not push a small one out."""
+        """A workspace with much work must not starve one with little."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         served = {"large": 0, "small": 0}
         running = []
@@ -149,7 +149,7 @@
         self.assertGreater(served["small"], 0.9 * served["large"])
 
     def test_refusal_is_immediate_with_a_time(self):
-        """A caller that is refused late cannot go elsewhere in time."""
+        """Callers need the rejection early to try elsewhere in time."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         for number in range(200):
             decided = rule.handle(offer(number), 0.0)
@@ -160,7 +160,7 @@
         self.assertIsInstance(late.failure, failures.DeadlineExceeded)
 
     def test_check_does_not_wait_behind_chapters(self):
-        """The reserve is for short requests."""
+        """A short request uses the reserve while long ones wait."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         for number in range(4):
             rule.handle(offer(number, "chapters", 5000), 0.0)
@@ -169,7 +169,7 @@
         self.assertEqual(command, admission.AdmitWork("check"))
 
     def test_long_work_is_not_passed_by(self):
-        """Short requests could otherwise take all room that becomes free."""
+        """Short requests must not take all capacity that becomes free."""
         rule = admission.Admission(CAPACITY, random.Random(1))
         for number in range(10):
             rule.handle(offer(number, "short", 2000), 0.0)
@@ -179,5 +179,5 @@
             decided = rule.handle(offer(f"s{number}", "short", 2000), 0.1)
             decided += rule.handle(admission.WorkEnded(str(number)), 0.1)
             admitted += [command.request for command in decided]
-        # 9,000 tokens are its third turn; two short ones fit into each turn.
+        # 9,000 tokens need three turns; two short requests fit into each turn.
         self.assertIn("long", admitted[:5])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,4 @@
-"""Tests of room at an upstream."""
+"""Tests of the capacity of upstreams."""
 
 import unittest
 
@@ -10,17 +10,17 @@
 from tests import test_upstreams
 
 STEP_S = 0.25
-# Polls at least once a second, each report a quarter of a second old.
+# A poll at least once a second; each report is a quarter of a second old.
 POLL_STEPS = 4
 
 
 class CapacityTest(unittest.TestCase):
-    """Guards against upstreams that crash because their memory is outgrown."""
+    """Guards against upstreams that crash because they run out of memory."""
 
     @hypothesis.settings(max_examples=150)
     @hypothesis.given(strategies.data())
     def test_held_tokens_stay_within_memory(self, data):
-        """Shares that are taken from different reports must not add up."""
+        """Processes that use different reports must not exceed the memory."""
         count = data.draw(strategies.integers(2, 4))
         nodes = []
         for index in range(count):
@@ -48,7 +48,7 @@
             held_before = sum(running.values())
             self._act(data, nodes, running, step, now)
             self.assertLessEqual(sum(running.values()), 1000)
-            # Work of this step is visible to reports of the next step only.
+            # Reports of the next step are the first to include this work.
             held_before = sum(running.values())
 
     def _act(self, data, nodes, running, step, now):
@@ -80,7 +80,7 @@
                     )
 
     def test_reserve_is_for_short_requests(self):
-        """A check would otherwise wait until a chapter ends."""
+        """Without it a short request would wait for a long one to end."""
         table = test_upstreams.make_table()
         table.handle(test_upstreams.report(55000, 0.0, capacity=60000), 0.0)
         room = capacity.Capacity(table)
@@ -88,23 +88,23 @@
         self.assertFalse(room.has_room("u", capacity.Demand(3000, 0), 0.0))
 
     def test_beyond_the_share_the_estimate_decides(self):
-        """A long dossier would otherwise never fit into an equal share."""
+        """A request larger than an equal share must still be placed."""
         table = test_upstreams.make_table()
         table.handle(test_upstreams.report(0, 0.0, capacity=100000), 0.0)
         room = capacity.Capacity(table, members=50)
         strict = capacity.Capacity(
             table, members=50, upstreams_enforce_limit=False
         )
-        dossier = capacity.Demand(20000, 1000)
-        self.assertTrue(room.has_room("u", dossier, 0.0))
-        self.assertFalse(strict.has_room("u", dossier, 0.0))
+        demand = capacity.Demand(20000, 1000)
+        self.assertTrue(room.has_room("u", demand, 0.0))
+        self.assertFalse(strict.has_room("u", demand, 0.0))
         for number in range(3):
             started = upstream_events.AttemptStarted(str(number), "u", 21000)
             table.handle(started, 0.1)
-        self.assertFalse(room.has_room("u", dossier, 0.2))
+        self.assertFalse(room.has_room("u", demand, 0.2))
 
     def test_estimate_learns_the_speed(self):
-        """A deadline that cannot be met must be known before the start."""
+        """A deadline that can't be met must be found before the start."""
         room = capacity.Capacity(test_upstreams.make_table())
         demand = capacity.Demand(1000, 101, deadline=5.0)
         self.assertTrue(room.can_meet_deadline("u", demand, 0.0))
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of versions."""
+"""Tests of the cascade selector."""
 
 import random
 import unittest
@@ -49,7 +49,7 @@
 
 
 class ChoiceRulesTest(unittest.TestCase):
-    """Guards against a choice that the workspace does not allow."""
+    """Guards against cascades that break a policy, limit or deadline."""
 
     @hypothesis.settings(max_examples=200)
     @hypothesis.given(
@@ -102,7 +102,7 @@
 
 
 class ChoiceTest(unittest.TestCase):
-    """Guards against paying more than the target needs."""
+    """Guards against cascades that cost more than the target requires."""
 
     def test_takes_the_cheapest_version_that_is_good_enough(self):
         part, chooser = make()
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -1,4 +1,4 @@
-"""Tests of cold starts."""
+"""Tests of the cold-start limiter."""
 
 import unittest
 
@@ -11,7 +11,8 @@
 from sycamorehollow.decisions.routing import upstream_events
 from sycamorehollow.model import deployment
 
-# In steps; the long ones outlast trust in a report, a loan and its margin.
+# In steps; the long ones exceed the TTL of a warm report, and a loan with its
+# margin.
 WAITS = (0, 0, 0, 1, 6, 7, 20, 24)
 
 
@@ -25,8 +26,8 @@
     ),
     max_size=30,
 )
-# Rare cases: a lender that restarts, a loan made while the share is grown, and
-# a restart that takes exactly as long as a report is trusted.
+# Rare cases: a lender that restarts, a loan made while completions have added
+# permits, and a restart that takes exactly the TTL of a warm report.
 LENDER_REPLACED = [("lend", 0, 1, 0), ("replace", 0, 0, 0), ("fill", 0, 0, 0)]
 GROWN_LOAN = [
     ("poll", 0, 0, 0),
@@ -68,7 +69,7 @@
 
     @hypothesis.given(strategies.integers(2, 4), strategies.integers(1, 4))
     def test_one_refusal_stops_all_that_hear_of_it(self, slots, bearable):
-        """A cold turn without a restart is seen in the first refusal."""
+        """A cold start without a restart is detected by the first refusal."""
         world = cold_world.World(slots, bearable)
         world.cold = False
         world.states = [(world.now, 1, False)]
@@ -77,15 +78,15 @@
         for index in range(len(world.processes)):
             world.fill(index, 0)
         refused = next(iter(world.running))
-        teller = world.running[refused]
+        first = world.running[refused]
         world.cold = True
         world.finish(refused, upstream_events.AttemptStatus.REFUSED, "cold")
         for attempt in list(world.running):
             world.finish(attempt, upstream_events.AttemptStatus.COMPLETED)
         world.completed = 0
         for index in range(len(world.processes)):
-            world.gossip(teller, index)
-            # The old warm report arrives once more.
+            world.gossip(first, index)
+            # The outdated warm report arrives once more.
             world.poll(index, 0)
         for _ in range(10):
             for index in range(len(world.processes)):
@@ -110,7 +111,7 @@
     )
     @hypothesis.example(2, 2, [("poll", 0, 0, 0), ("fill", 0, 0, 0)])
     def test_return_grows_from_cold(self, slots, bearable, steps):
-        """Warm reports must not bring all load back within a second."""
+        """Warm reports must not end the ramp-up at once after a drain."""
         world = cold_world.World(slots, bearable)
         world.bring_back()
         for action, index, other, wait in steps:
@@ -121,7 +122,7 @@
             self.assertLessEqual(len(world.running), world.limit)
 
     def test_return_ends_at_all_processes_of_the_data_centre(self):
-        """A process without much work must not stay limited."""
+        """The end of the ramp-up reaches a process with too little work."""
         world = cold_world.World(2, 1)
         world.bring_back()
         world.wait(1)
@@ -137,7 +138,7 @@
         self.assertFalse(world.processes[1 - busy].is_cold("u", world.now))
 
     def test_new_process_hears_of_a_return(self):
-        """A warm report alone must not end the return at a new process."""
+        """A warm report alone must not end the ramp-up at a new process."""
         world = cold_world.World(2, 1)
         world.poll(0, 0)
         world.bring_back()
@@ -150,12 +151,12 @@
         self.assertTrue(world.processes[1].is_cold("u", world.now))
 
     def test_own_news_of_a_return_keeps_its_growth(self):
-        """A peer may tell of a return before the configuration arrives."""
+        """A return learned from a peer must not start a second ramp-up."""
         world = cold_world.World(2, 2)
         world.bring_back()
         world.replace(1, 0)
         world.wait(30)
-        # Process 1 hears from process 0 after the trust of its start.
+        # Process 1 learns from process 0 after the wait at its own start.
         world.gossip(0, 1)
         before = world.processes[1].build_digest(world.now)
         world.processes[1].handle(
@@ -164,7 +165,7 @@
         self.assertEqual(world.processes[1].build_digest(world.now), before)
 
     def test_return_without_work_ends_in_time(self):
-        """An upstream that gets no work must not stay limited forever."""
+        """The time limit ends the ramp-up of an upstream without work."""
         world = cold_world.World(2, 1)
         world.bring_back()
         world.wait(int(cold_states.RAMP_UP_LIMIT_S / cold_world.STEP_S) + 1)
@@ -179,7 +180,7 @@
         strategies.integers(1, 20),
     )
     def test_shares_sum_to_bearable(self, name, bearable, slots):
-        """More in sum overloads, less in sum leaves the upstream idle."""
+        """A larger sum overloads the upstream, a smaller wastes capacity."""
         shares = [
             cold_start_limiter.compute_share(name, bearable, slot, slots)
             for slot in range(slots)
@@ -187,7 +188,7 @@
         self.assertEqual(sum(shares), bearable)
 
     def test_other_data_centre_sends_nothing(self):
-        """Its slots are not part of the shares."""
+        """Slots of other data centres have no share of a cold upstream."""
         world = cold_world.World(2, 2)
         far = cold_start_limiter.ColdStartLimiter("far", 0, 2, -1e9)
         one = deployment.Upstream("u", "", "dc", ("v",), 1000, 2)
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -1,4 +1,4 @@
-"""Tests of the quality estimates."""
+"""Tests of the quality estimator."""
 
 import random
 import unittest
@@ -31,7 +31,7 @@
 
 
 def mix(part, key, good, count):
-    """Spreads the accepted ratings evenly, so that no drift is found."""
+    """Distributes the accepted ratings evenly, so that no drift is detected."""
     for number in range(count):
         accepted = (number + 1) * good // count > number * good // count
         rate(part, f"{key}{number}", key, accepted)
@@ -47,7 +47,7 @@
 
 
 class MergeTest(unittest.TestCase):
-    """Guards against counts that depend on the order of messages."""
+    """Guards against counts that depend on the order of deltas."""
 
     @hypothesis.given(
         strategies.lists(
@@ -110,7 +110,7 @@
 
 
 class RatingTest(unittest.TestCase):
-    """Guards against ratings that count wrongly."""
+    """Guards against ratings that are counted twice or for another key."""
 
     def setUp(self):
         self.part = quality_estimator.QualityEstimator("p")
@@ -187,7 +187,7 @@
 
 
 class DriftTest(unittest.TestCase):
-    """Guards against estimates that stay at an old quality."""
+    """Guards against estimates that don't follow a change of quality."""
 
     def test_sharp_drop_resets_and_ignores_older_answers(self):
         part = quality_estimator.QualityEstimator("p")
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -1,4 +1,4 @@
-"""Tests of prefix affinity."""
+"""Tests of the prefix index."""
 
 import unittest
 
@@ -16,7 +16,7 @@
 
 
 class PrefixesTest(unittest.TestCase):
-    """Guards against affinity to caches that are gone."""
+    """Guards against affinity to blocks that are no longer cached."""
 
     @hypothesis.given(
         strategies.lists(
@@ -28,7 +28,7 @@
         strategies.data(),
     )
     def test_confirmed_only_when_cached(self, changes, data):
-        """After gaps or late events no evicted block counts in full."""
+        """With late or missing events no evicted block counts in full."""
         cache = set()
         sent = []
         for number, (block, adds) in enumerate(changes, start=1):
@@ -39,7 +39,7 @@
                 cache.discard(block)
                 sent.append(change(number, removed=(block,)))
         order = data.draw(strategies.permutations(sent))
-        # Without the newest event no process can know the present state.
+        # Without the newest event the current state can't be known.
         received = data.draw(strategies.integers(0, len(sent)))
         order = order[:received] + sent[-1:]
         known = prefix_index.PrefixIndex()
@@ -54,7 +54,7 @@
             self.assertEqual(known.count_cached_tokens("u", (block,), later), 0)
 
     def test_longest_prefix_wins(self):
-        """The holder of a shorter part would compute the rest again."""
+        """The holder of a shorter prefix would compute the rest again."""
         known = prefix_index.PrefixIndex()
         known.handle(change(1, added=("a",)), 0.0)
         known.handle(prefix_index.PromptSent("w", ("a", "b")), 0.0)
@@ -69,7 +69,7 @@
         self.assertIsNone(known.find_holder(BLOCKS, 0.0))
 
     def test_memory_is_bounded(self):
-        """Missed evictions would otherwise fill the memory of the node."""
+        """Missed evictions must not fill the memory of the node."""
         known = prefix_index.PrefixIndex()
         for number in range(1, 2 * prefix_index.MAX_BLOCKS):
             known.handle(change(number, added=(str(number),)), 0.0)
@@ -80,7 +80,7 @@
         self.assertEqual(held, prefix_index.MAX_BLOCKS)
 
     def test_blocks_depend_on_all_before_and_on_version(self):
-        """Equal blocks after different beginnings share no cache."""
+        """Equal blocks after different prefixes share no cache entry."""
         one = prefix_index.hash_blocks("v", b"aaaabbbbcc", 4)
         self.assertEqual(len(one), 2)
         self.assertNotEqual(one, prefix_index.hash_blocks("w", b"aaaabbbb", 4))
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -1,4 +1,4 @@
-"""Tests of the choice among candidates."""
+"""Tests of the selection policies."""
 
 import random
 import unittest
@@ -58,7 +58,7 @@
         return self.chosen.choose(demand, names, 1.0)
 
     def test_prefers_the_estimate(self):
-        """Reports alone would pile new work on one upstream."""
+        """With reports alone all new work would go to one upstream."""
         self.report("u0", 40000)
         self.assertEqual(self.choose(("u0", "u1")).upstream, "u0")
         self.table.handle(upstream_events.AttemptStarted("1", "u0", 20000), 0.5)
@@ -79,19 +79,19 @@
         self.assertEqual(self.choose(("u0", "u1"), demand).upstream, "u1")
 
     def test_own_data_centre_first(self):
-        """An emptier upstream elsewhere must not draw work away."""
+        """A less loaded remote upstream must not be preferred."""
         self.report("far", 0)
         self.assertEqual(self.choose(("u0", "far")).upstream, "u0")
         self.refused = {"u0"}
         self.assertEqual(self.choose(("u0", "far")).upstream, "far")
 
     def test_finds_the_only_one_with_room(self):
-        """Sampling must not refuse work that some upstream can take."""
+        """Sampling must not reject work that some upstream can take."""
         self.refused = set(NAMES) - {"u77"}
         self.assertEqual(self.choose(NAMES).upstream, "u77")
 
     def test_refusals_are_typed(self):
-        """A caller needs to know whether and when to come back."""
+        """A caller needs to know whether and when to retry."""
         self.refused = set(NAMES)
         failure = self.choose(NAMES)
         self.assertIsInstance(failure, failures.NoUpstream)
@@ -102,7 +102,7 @@
         self.assertIsInstance(late, failures.DeadlineExceeded)
 
     def test_baselines(self):
-        """Benches compare against these; a wrong one makes a false ratio."""
+        """Benches compare against these; a wrong one gives a false ratio."""
         names = ("u0", "u1")
         source = random.Random(1)
         self.table.handle(upstream_events.AttemptStarted("1", "u0", 1), 0.5)
@@ -119,7 +119,7 @@
         self.assertEqual(drawn, set(names))
 
     def test_choice_looks_at_few(self):
-        """Looking at all 100 each time would take several times as long."""
+        """Checking all 100 candidates would take several times as long."""
         demand = capacity.Demand(500, 100, block_hashes=("a",))
         self.holders.handle(prefix_index.PromptSent("u42", ("a",)), 0.0)
         for _ in range(20):
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -1,4 +1,4 @@
-"""Tests of the table of upstreams."""
+"""Tests of the load table."""
 
 import unittest
 
@@ -42,7 +42,7 @@
         )
     )
     def test_estimate_is_exact_without_lag(self, steps):
-        """Counting a peer's or own work twice, or not at all, shows here."""
+        """Work of the process or a peer must be counted exactly once."""
         tables = [make_table("a#1"), make_table("b#1")]
         running = {}
         for now, (step, number) in enumerate(steps, start=1):
@@ -82,7 +82,7 @@
                 self.assertEqual(view.estimated_tokens, sum(running.values()))
 
     def test_old_report_is_ignored(self):
-        """A report that overtakes a newer one would lower the estimate."""
+        """An outdated report that arrives late must not lower the estimate."""
         table = make_table()
         table.handle(report(500, 2.0), 2.0)
         table.handle(report(0, 1.0), 2.1)
@@ -90,14 +90,14 @@
         self.assertEqual(table.view("u", 3.0).estimated_tokens, 500)
 
     def test_work_before_the_first_report_counts(self):
-        """The first report may be older than the first own work."""
+        """The first report may be older than the first attempt."""
         table = make_table()
         table.handle(upstream_events.AttemptStarted("1", "u", 7), 1.0)
         table.handle(report(500, 0.5), 1.5)
         self.assertEqual(table.view("u", 2.0).estimated_tokens, 507)
 
     def test_expired_share_does_not_return(self):
-        """The load of a dead peer would otherwise stay in the estimate."""
+        """The load of a dead peer must not stay in the estimate."""
         first, second = make_table("a#1"), make_table("b#1")
         first.handle(upstream_events.AttemptStarted("1", "u", 7), 0.0)
         first.build_digest(0.0)
@@ -110,7 +110,7 @@
         self.assertEqual(second.view("u", later).peer_tokens, 0)
 
     def test_other_data_centre_receives_only_its_upstreams(self):
-        """Shares of all upstreams everywhere would exceed 10 KB/s."""
+        """Loads of all upstreams in all data centres would exceed 10 KB/s."""
         table, far = make_table("a#1"), make_table("b#1", place="far")
         table.handle(upstream_events.AttemptStarted("1", "u", 7), 0.0)
         table.build_digest(0.0)
@@ -138,7 +138,7 @@
         self.assertLess(received / 10, 5000)
 
     def test_refused_connection_backs_off(self):
-        """A dead upstream would otherwise take a new attempt each time."""
+        """A dead upstream must not be chosen for each new attempt."""
         table = make_table()
         table.handle(upstream_events.ConnectFailed("u"), 0.0)
         self.assertFalse(table.view("u", 0.5).reachable)
