Reword local names of the exchange, the configuration and drains

Checked: make lint; tests.test_configuration, tests.test_drains, tests.test_exchange and tests.test_membership pass.

--- a/sycamorehollow/decisions/operations/configuration.py
+++ b/sycamorehollow/decisions/operations/configuration.py
@@ -139,7 +139,7 @@
             self._update_members(event.members)
             return self._tick(now)
         if isinstance(event, messages.StoreResponded):
-            return self._apply_answer(event, now)
+            return self._apply_response(event, now)
         if (
             isinstance(event, messages.StoreFailed)
             and event.call == self._call_number
@@ -201,10 +201,13 @@
             self._branches.list_revisions() if detailed else None,
         )
 
-    def _confirm(self, moment: float) -> bool:
-        if self._confirmed_at is not None and moment <= self._confirmed_at:
+    def _confirm(self, confirmed_at: float) -> bool:
+        if (
+            self._confirmed_at is not None
+            and confirmed_at <= self._confirmed_at
+        ):
             return False
-        self._confirmed_at = moment
+        self._confirmed_at = confirmed_at
         return True
 
     def _end_fallback(self, now: float) -> None:
@@ -258,7 +261,7 @@
         if age_s is None:
             return True
         # The delay differs by rank, so that one member reads first and its
-        # confirmation spreads before the others start.
+        # confirmation reaches the others.
         rank = self._own_members.index(self._own_peer.address)
         spread_s = math.log2(len(self._own_members) + len(self._other_members))
         return age_s > STALE_AFTER_S + spread_s + STALE_STEP_PER_RANK_S * rank
@@ -285,7 +288,7 @@
         self._retry_at = now + wait_s * self._rng.uniform(0.5, 1.0)
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
 
-    def _apply_answer(
+    def _apply_response(
         self, event: messages.StoreResponded, now: float
     ) -> list[commands.Command]:
         entries = [
--- a/sycamorehollow/decisions/operations/drains.py
+++ b/sycamorehollow/decisions/operations/drains.py
@@ -144,26 +144,31 @@
             if record.kind != DRAIN_KIND or record.is_tombstone:
                 continue
             value = record.decode_value()
-            named = value.get("revision") if isinstance(value, dict) else None
+            record_revision = (
+                value.get("revision") if isinstance(value, dict) else None
+            )
             # Without a valid revision, a record applies until it is deleted.
-            if not isinstance(named, int) or revision <= named:
+            if (
+                not isinstance(record_revision, int)
+                or revision <= record_revision
+            ):
                 yield record.key
 
     def _find_reason(self, upstream: deployment.Upstream) -> str | None:
         """Returns why an upstream is out of service, or `None`."""
-        name, place = upstream.name, upstream.data_centre
-        centre = self._deployment.data_centres.get(place)
+        name, data_centre = upstream.name, upstream.data_centre
+        centre = self._deployment.data_centres.get(data_centre)
         if upstream.presence is not deployment.Presence.IN_SERVICE:
             return f"Upstream {name} is {upstream.presence.value}."
         if (
             centre is not None
             and centre.presence is not deployment.Presence.IN_SERVICE
         ):
-            return f"Data centre {place} is {centre.presence.value}."
+            return f"Data centre {data_centre} is {centre.presence.value}."
         if make_drain_key(Scope.UPSTREAM, name) in self._drained:
             return f"Upstream {name} is drained by a record."
-        if make_drain_key(Scope.DATA_CENTRE, place) in self._drained:
-            return f"Data centre {place} is drained by a record."
+        if make_drain_key(Scope.DATA_CENTRE, data_centre) in self._drained:
+            return f"Data centre {data_centre} is drained by a record."
         if self._leaving.get(name, False):
             return f"The VM of upstream {name} is leaving."
         return None
--- a/sycamorehollow/decisions/replication/exchange.py
+++ b/sycamorehollow/decisions/replication/exchange.py
@@ -125,8 +125,8 @@
     @property
     def sender(self) -> Process:
         """The identity of this process."""
-        me = self._peers.self_record
-        return Process(me.address, me.data_centre, me.incarnation)
+        own = self._peers.self_record
+        return Process(own.address, own.data_centre, own.incarnation)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies an event.
@@ -223,9 +223,9 @@
             if component is None:
                 continue
             merged = component.merge(item.payload, now)
-            foreign = sender.data_centre != self.sender.data_centre
+            is_foreign = sender.data_centre != self.sender.data_centre
             result += self._translate(
-                merged, now, own_only=True, spread=foreign
+                merged, now, own_data_centre_only=True, push_deltas=is_foreign
             )
         return result
 
@@ -290,8 +290,8 @@
         self,
         issued: Iterable[commands.Command],
         now: float,
-        own_only: bool = False,
-        spread: bool = True,
+        own_data_centre_only: bool = False,
+        push_deltas: bool = True,
     ) -> list[commands.Command]:
         """Turns commands of components into calls; keeps other commands."""
         result: list[commands.Command] = []
@@ -303,8 +303,8 @@
                 result.append(self._request_probe(command, now))
                 continue
             if isinstance(command, payloads.PushDelta):
-                if spread:
-                    result += self._push(command, own_only)
+                if push_deltas:
+                    result += self._push(command, own_data_centre_only)
                 continue
             result.append(command)
         return result
@@ -321,10 +321,10 @@
         return SendCall(command.helper, self.sender, items)
 
     def _push(
-        self, push: payloads.PushDelta, own_only: bool
+        self, push: payloads.PushDelta, own_data_centre_only: bool
     ) -> list[commands.Command]:
         """Pushes a delta, on request only within the own data centre."""
-        if not own_only:
+        if not own_data_centre_only:
             return self.push_delta(push)
         item = Item(push.kind + DELTA_SUFFIX, push.delta)
         return [
