Say in plain terms what the tests of requests guard against

Heads of tests name the failure and how it comes about. Nothing but comments and doc comments has changed.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -15,7 +15,7 @@
 
 
 class World:
-    """Two requests whose chunks are lost, repeated, reordered or stale."""
+    """Two requests with lost, repeated, reordered and stale chunks."""
 
     def __init__(self, schedule):
         self.schedule = schedule
@@ -104,7 +104,7 @@
             self.step()
             if self.wire:
                 continue
-            # The progress rule reports a silent connection.
+            # The progress monitor reports a stalled connection.
             for request_id, count in self.attempts.items():
                 attempt = f"{request_id}{count}"
                 self.give(response_assembly.StreamBroken(request_id, attempt))
@@ -126,7 +126,7 @@
             if isinstance(end, response_assembly.CompleteResponse):
                 self.assertEqual(chunks, whole)
             else:
-                # All chunks without a declared end may still be too few.
+                # Without a declared end the chunks so far may be incomplete.
                 if attempt in world.declared:
                     self.assertLess(len(chunks), TOTAL)
                 expected = failures.UpstreamFailed
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -1,4 +1,4 @@
-"""Tests of bytes held for slow callers."""
+"""Tests of the buffers for slow callers."""
 
 import unittest
 
@@ -12,7 +12,7 @@
 
 
 def make():
-    """Returns small buffers."""
+    """Returns buffers with small limits."""
     return buffers.CallerBuffers(STREAM, TOTAL, HIGH, LOW)
 
 
@@ -31,9 +31,10 @@
         strategies.booleans(),
     )
     def test_bounds_hold(self, steps, asks):
-        """Held bytes exceed neither bound, also if the relay reads too much.
+        """Guards against exceeding the limits, also if a relay reads too much.
 
-        A relay that asks for the room loses a caller only to the total.
+        A relay that respects the readable bytes loses callers only to the total
+        limit.
         """
         rule = make()
         held = {}
@@ -70,7 +71,7 @@
         strategies.lists(strategies.integers(1, 40), max_size=40),
     )
     def test_slow_readers_stall_no_other(self, slow, sizes):
-        """A reader that keeps up is never paused for long or cut off."""
+        """Guards against slow callers that delay or disconnect fast ones."""
         rule = make()
         rule.handle(buffers.StreamOpened("fast"), 0.0)
         for number in range(slow):
@@ -86,7 +87,10 @@
             rule.handle(buffers.BytesSent("fast", size), now)
 
     def test_reading_stops_and_starts(self):
-        """Without a gap between the marks each chunk switches reading."""
+        """Guards against pausing and resuming for each chunk.
+
+        This happens without a gap between the high and the low mark.
+        """
         rule = make()
         rule.handle(buffers.StreamOpened("a"), 0.0)
         paused = rule.handle(buffers.ChunkBuffered("a", 70), 0.0)
@@ -97,7 +101,7 @@
         self.assertEqual(resumed, [buffers.ResumeReading("a")])
 
     def test_stalled_caller_is_disconnected(self):
-        """A caller that never reads holds its bytes and its upstream."""
+        """Guards against a caller that never reads and blocks its upstream."""
         rule = make()
         for name in ("idle", "stalled"):
             rule.handle(buffers.StreamOpened(name), 0.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,4 @@
-"""Tests of whole nodes."""
+"""Tests of complete nodes with simulated upstreams."""
 
 import unittest
 
@@ -24,17 +24,17 @@
 
 
 class SpreadTest(unittest.TestCase):
-    """Guards against news that stay at one node."""
+    """Guards against state changes that do not reach other nodes."""
 
     def test_cold_turn_reaches_peers_at_once(self):
-        """The push of a cold turn once raised an error in the node."""
+        """The push of a cold upstream raised an error in the node."""
         world = build_world()
         teller, peer = (a for a in world.nodes if world.centres[a] == "dc-0")
         cold = upstream_events.LoadReported(
             "u00", world.now, 2, True, 4, 0, sites.CAPACITY_TOKENS
         )
         world.give(teller, cold)
-        # Less than the interval between two exchanges.
+        # Less than the exchange interval.
         world.run(world.now + 0.1)
         placed = world.nodes[peer].placement.cold_start_limiter
         self.assertTrue(placed.is_cold("u00", world.now))
@@ -53,7 +53,7 @@
 
 
 class FloodTest(unittest.TestCase):
-    """Guards against unfair and late refusals of a saturated node."""
+    """Guards against unfair and late refusals by a saturated node."""
 
     @classmethod
     def setUpClass(cls):
@@ -61,14 +61,14 @@
         cls.flood = bench_node_overload.Flood(loads).run()
 
     def test_small_workspace_is_served(self):
-        """Full upstreams once refused work before its turn was counted."""
+        """Full upstreams refused work before the fair queue was considered."""
         self.assertGreater(self.flood.compute_served("small"), 0.9)
 
     def test_refusals_are_truthful_and_in_time(self):
-        """A caller that is refused late cannot go elsewhere in time.
+        """Guards against refusals too late for the caller to go elsewhere.
 
-        Work that was let into the queue is refused at the end of its wait;
-        everything else is refused when it arrives.
+        Queued work is refused at the end of its maximum wait, all other work
+        on arrival.
         """
         limit_s = admission.MAX_WAIT_S + node_world.TICK_S
         refusals = self.flood.list_refusals()
@@ -82,7 +82,7 @@
             self.assertLess(after_s, node_world.STEP_S)
 
     def test_full_node_refuses_at_once_with_a_time(self):
-        """A queue that has no more room must not take more callers in."""
+        """Guards against queueing more work than the queue can serve."""
         flood = bench_node_overload.Flood({"large": 0.01})
         flood.world.run(bench_node_overload.WARM_UP_S)
         first = len(flood.callers.asked)
@@ -101,7 +101,7 @@
             self.assertGreater(failure.retry_after_s, 0.0)
 
     def test_deadline_that_cannot_be_met_is_refused_at_once(self):
-        """Work that ends too late takes room from work that does not."""
+        """Guards against using capacity for work that would end too late."""
         hurried = node_callers.Kind("caption", 2500, 120, 1.0, 0.05)
         flood = bench_node_overload.Flood({"large": 0.5}, hurried).run()
         asked = flood.select()
--- a/tests/test_node_pushes.py
+++ b/tests/test_node_pushes.py
@@ -1,4 +1,4 @@
-"""Tests of whole nodes that drive each other in simulated time."""
+"""Tests of the pushes between complete nodes in simulated time."""
 
 import unittest
 
@@ -8,21 +8,21 @@
 
 
 def report(generation: int, now: float) -> upstream_events.LoadReported:
-    """Returns a report of a cold run of the first replica."""
+    """Returns a load report of a cold generation of the first replica."""
     return upstream_events.LoadReported(
         "replica-000", now, generation, True, 4, 0, 500_000
     )
 
 
 class ColdPushTest(unittest.TestCase):
-    """Guards against cold turns that only the next exchange spreads."""
+    """Guards against cold states that peers learn of only by an exchange."""
 
     def setUp(self):
         self.fleet = node_fleet.Fleet(14, seed=1)
         self.fleet.run(5.0)
 
     def test_restart_is_pushed_to_the_own_data_centre(self):
-        """A push that fails leaves peers sending to a cold upstream."""
+        """Without the push, peers keep sending work to a cold upstream."""
         finder, peer = self.fleet.members[0], self.fleet.members[7]
         for member in (finder, peer):
             warm = upstream_events.LoadReported(
@@ -45,7 +45,7 @@
         )
 
     def test_first_warm_reports_are_not_pushed(self):
-        """A start must not push one delta per upstream to all peers."""
+        """Guards against a start that pushes one delta per upstream."""
         warm = upstream_events.LoadReported(
             "replica-000", self.fleet.now, 3, False, 4, 0, 500_000
         )
--- a/tests/test_process_answers.py
+++ b/tests/test_process_answers.py
@@ -1,4 +1,4 @@
-"""Answers through real processes while engines and callers break."""
+"""Answers through real processes while engines and callers fail."""
 
 import json
 import re
@@ -18,13 +18,13 @@
 TOKENS = 150
 SLOW_CALLERS = 4
 SLOW_TOKENS = 30_000
-# An event of the engine has at least this size. The kernel takes up to about
-# 3 MB for a caller, so an unbounded buffer holds 3 MB or more for each.
+# Minimum size of an engine's event. The kernel buffers up to about 3 MB for a
+# caller, so an unbounded buffer holds 3 MB or more for each.
 EVENT_BYTES = 200
 MAX_GROWTH_KB = SLOW_CALLERS * 2048
-# Callers were seen to wait for longer.
+# Before the fix callers waited for longer.
 SILENT_LIMIT_S = 15.0
-# Longer than the silences of five connections.
+# Longer than the timeouts of five silent connections.
 PAUSE_S = 18.0
 
 
@@ -48,7 +48,7 @@
 
 
 def read_to_cut(stream):
-    """Returns the rest of a stream whose connection is cut at its end."""
+    """Returns the rest of a stream that ends with a broken connection."""
     received = b""
     try:
         while block := stream.read1(4096):
@@ -59,7 +59,7 @@
 
 
 class AnswerFaultTest(unittest.TestCase):
-    """Guards against answers that are cut, mixed up or repeated."""
+    """Guards against truncated, mixed and repeated answers."""
 
     @classmethod
     def setUpClass(cls):
@@ -76,7 +76,7 @@
         self.addCleanup(self.world.clear_faults)
 
     def test_silent_stream_is_resumed_to_its_end(self):
-        """Guards against an open connection that is silent for good."""
+        """Guards against waiting for an open connection without progress."""
         world = self.world
         plain = world.pool.submit(
             world.complete, self.first, TOKENS, stream=False
@@ -84,7 +84,7 @@
         processes.wait_for(lambda: world.count_running("a") == 1)
         stream = world.open_stream(self.first, TOKENS, prompt="silent")
         received = read_chunks(stream, 3)
-        # Both connections are open by now; new ones work.
+        # Both connections are open by now; new connections work.
         world.inject("a", "silent", value="open")
         received += read_to_cut(stream)
         mark = pacing.make_digest("user:silent").encode()
@@ -95,7 +95,7 @@
         self.assertTrue(answer.complete, answer)
 
     def test_paused_engine_does_not_cut_a_delivered_answer(self):
-        """Guards against a cut stream while its engine only stands still."""
+        """Guards against truncating the stream of an engine that is paused."""
         world = self.world
         stream = world.open_stream(self.second, TOKENS, prompt="paused")
         received = read_chunks(stream, 3)
@@ -112,9 +112,9 @@
         self.assertIn(b"data: [DONE]", received)
 
     def _are_idle(self, entry):
-        """Tells whether an entry process sees no work at the engines.
+        """Returns whether an entry process sees no work at the engines.
 
-        A request that was lost runs again only where nothing else runs.
+        A lost request runs again only where no other work runs.
         """
         known = self.world.read_status(entry)["upstreams"]
         return not any(known[name]["estimated_tokens"] for name in known)
@@ -136,7 +136,7 @@
             self.assertTrue(answer.complete, answer)
 
     def test_lost_engine_truncates_or_moves_an_answer(self):
-        """Guards against `[DONE]` after a loss, and against a lost answer."""
+        """Guards against `[DONE]` after a lost engine, and lost answers."""
         world = self.world
         entry = self.third
         processes.wait_for(lambda: self._are_idle(entry))
@@ -186,7 +186,7 @@
         return bytes(received)
 
     def test_slow_callers_hold_bounded_memory(self):
-        """Guards against unbounded buffers and streams that stand still."""
+        """Guards against unbounded buffers and stalled streams."""
         world = self.world
         self.assertTrue(world.complete(self.fourth, 200).complete)
         before = read_memory_kb(self.fourth.child)
@@ -194,7 +194,7 @@
         processes.wait_for(lambda: world.count_running("d") == SLOW_CALLERS)
         peak = before
         end = time.monotonic() + 40
-        # The engine goes on producing whether it is read or not.
+        # The engine continues to produce, whether it is read or not.
         while world.count_running("d") and time.monotonic() < end:
             answer = world.complete(self.fourth, 100)
             self.assertTrue(answer.complete, answer)
@@ -206,7 +206,7 @@
 
 
 class SilentDataCentreTest(unittest.TestCase):
-    """Guards against callers who wait for one paused engine after another."""
+    """Guards against waiting for one paused engine after another."""
 
     def test_first_request_is_served_from_elsewhere(self):
         world = fault_world.World(
--- a/tests/test_process_crashes.py
+++ b/tests/test_process_crashes.py
@@ -9,14 +9,15 @@
 ENGINES = ("a", "b", "c", "d")
 REPEAT_LIMIT_S = 30.0
 IMPATIENT_PAUSE_S = 0.02
-# Two deaths prove it; one more may start before the record has spread.
+# Two crashes quarantine a request; one more attempt may start before the
+# record reaches the other processes.
 MAX_DEATHS = 3
-# An entry process that has not heard of the others adds its own two.
+# An entry process without the records of the others adds two of its own.
 MAX_DEATHS_AT_ONCE = 6
 
 
 class CrashingRequestTest(unittest.TestCase):
-    """Guards against one request that takes down every engine."""
+    """Guards against one request that crashes every engine."""
 
     @classmethod
     def setUpClass(cls):
@@ -28,7 +29,7 @@
         cls.addClassCleanup(cls.world.close)
 
     def _count_deaths(self):
-        # An engine that has just crashed answers after its restart.
+        # An engine that has just crashed responds after its restart.
         for name in ENGINES:
             processes.wait_for(
                 lambda name=name: self.world.read_stats(name) is not None
@@ -38,7 +39,7 @@
         )
 
     def _repeat(self, prompt, stream, patient):
-        """Repeats a request at every entry until all refuse it for good."""
+        """Repeats a request at every entry until all refuse it permanently."""
         refused: set[str] = set()
         end = time.monotonic() + REPEAT_LIMIT_S
         while len(refused) < len(self.world.entries):
@@ -69,7 +70,7 @@
         return self._count_deaths() - before
 
     def test_deaths_are_bounded_while_the_caller_repeats(self):
-        """Guards against unbounded deaths, and against refusing others."""
+        """Guards against unbounded crashes, and against refusing others."""
         for tokens, stream in ((1, True), (0, False)):
             with self.subTest(tokens=tokens, stream=stream):
                 deaths = self._check_poison(
@@ -78,7 +79,7 @@
                 self.assertIn(deaths, range(1, MAX_DEATHS + 1))
 
     def test_deaths_are_bounded_for_an_impatient_caller(self):
-        """Guards against a caller that ignores when to come back."""
+        """Guards against a caller that ignores the time to retry after."""
         for tokens, stream in ((1, True), (0, False)):
             with self.subTest(tokens=tokens, stream=stream):
                 deaths = self._check_poison(
--- a/tests/test_process_rollouts.py
+++ b/tests/test_process_rollouts.py
@@ -1,4 +1,4 @@
-"""Roll-outs and their operators through separate processes."""
+"""Roll-outs and operator commands through separate processes."""
 
 from concurrent import futures
 import contextlib
@@ -20,7 +20,7 @@
 HTTP = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=SENDERS)
 TOKEN = "token-of-the-operators"
 STAGES = [0.3, 0.6, 0.9]
-# What the invariants allow until a stop or a change holds everywhere.
+# Time that the invariants allow until a stop or a change applies everywhere.
 SPREAD_S = 5.0
 SETTINGS = (
     f"[operators]\ntoken={TOKEN}\n"
@@ -163,7 +163,7 @@
         processes.wait_for(send_and_check, limit_s)
 
     def run_ctl(self, *words, team="maps", status=ctl.DONE):
-        """Runs a command of an operator and returns its output."""
+        """Runs an operator command and returns its output."""
         out, err = io.StringIO(), io.StringIO()
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
             found = ctl.main(
@@ -173,7 +173,7 @@
         return json.loads(out.getvalue())
 
     def start(self, model):
-        """Starts a roll-out; every entry process then serves its share."""
+        """Starts a roll-out and waits until every entry process applies it."""
         self.run_ctl(
             *("rollout", "start", model, "--model", model),
             *("--baseline", f"{model}-1", "--candidate", f"{model}-2"),
@@ -212,7 +212,7 @@
 
 
 class RolloutTest(RolloutCase):
-    """Guards against bad versions that stay and operators who are ignored."""
+    """Guards against bad versions that stay and operators that are ignored."""
 
     models = ("bad", "halt", "race", "idle")
 
@@ -304,9 +304,9 @@
 
 
 class CoordinatorTest(RolloutCase):
-    """Guards against a roll-out that ends with the process that drives it.
+    """Guards against a roll-out that stalls when its coordinator is lost.
 
-    It also guards against a coordinator that ignores what operators wrote.
+    It also guards against a coordinator that overrides operators.
     """
 
     models = ("pace",)
@@ -314,7 +314,7 @@
     def test_killed_coordinator_is_replaced(self):
         self.start("pace")
         self.run_ctl("rollout", "pause", "pace")
-        # More than the pace asks for must not advance a paused roll-out.
+        # More traffic than a stage needs must not advance a paused roll-out.
         self.ask_many("pace", 80)
         self.assertEqual(self.read_stage("pace"), (0, "paused"))
         self.wait_for_share("pace", STAGES[0])
@@ -331,7 +331,7 @@
             seen.append(self.read_stage("pace"))
             return seen[-1][0] == 2
 
-        # The lease of the killed process has to end first.
+        # The lease of the killed process has to expire first.
         self.wait_with_traffic("pace", is_advanced, 40.0)
         self.assertEqual(set(seen), {(1, "running"), (2, "running")})
         self.assertNotEqual(self.find_holder(), holder)
@@ -341,7 +341,7 @@
         self.assertEqual(self.read_stage("pace"), (2, "withdrawn"))
 
     def find_holder(self):
-        """Waits for the lease; returns the process that has it."""
+        """Waits for the lease and returns the process that holds it."""
         url = f"{self.store}/v1/kv/leases/rollouts/pace"
         processes.wait_for(lambda: HTTP.request("GET", url).status == 200)
         return HTTP.request("GET", url).json()["value"]
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -13,7 +13,7 @@
 
 
 class ProgressTest(unittest.TestCase):
-    """Guards against connections that are open and silent for ever."""
+    """Guards against connections that stay open without progress."""
 
     @hypothesis.given(
         strategies.lists(
@@ -25,7 +25,7 @@
         PHASES,
     )
     def test_every_silent_connection_ends(self, steps, last):
-        """Whatever happened before, silence ends within the limits."""
+        """A stalled connection is closed in time, whatever happened before."""
         rule = progress.ProgressMonitor()
         now = 0.0
         for step, phase in steps:
@@ -51,7 +51,7 @@
         self.assertEqual(closed_at, limit_s)
 
     def test_progress_keeps_a_slow_stream(self):
-        """A long response must not be cut off while tokens come."""
+        """A long response must not be aborted while tokens arrive."""
         rule = progress.ProgressMonitor()
         rule.handle(progress.PhaseChanged("c", progress.Phase.FIRST_BYTE), 0.0)
         for second in range(1, 200, 5):
@@ -59,7 +59,7 @@
             self.assertEqual(rule.handle(events.Tick(), second + 4), [])
 
     def test_silence_after_writing_is_unknown(self):
-        """The upstream may run what it has received."""
+        """The upstream may execute a request that it has received."""
         rule = progress.ProgressMonitor()
         rule.handle(progress.PhaseChanged("c", progress.Phase.WRITING), 0.0)
         [command] = rule.handle(events.Tick(), progress.WRITE_TIMEOUT_S)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -73,7 +73,7 @@
             self.since_completed[fingerprint] = 0
 
     def crash(self, index, fingerprint, upstream):
-        """An upstream with a crashing request dies."""
+        """Crashes an upstream that runs a crashing request."""
         for attempt in list(self.running.values()):
             if attempt[1] in CRASHING:
                 self.kill(index, attempt[2])
@@ -83,7 +83,7 @@
         beside = {n: o for n, o in self.running.items() if o[2] == upstream}
         for name, (node, _, _) in beside.items():
             del self.running[name]
-            # The other process learns of the death before the connection
+            # The other process learns of the crash before its connection
             # breaks.
             if node == index:
                 ended = upstream_events.AttemptEnded(
@@ -92,7 +92,7 @@
                 self.nodes[node].handle(ended, self.now)
         for one in {one[1] for one in beside.values()}:
             if one in CRASHING and not self.deaths[one]:
-                # Copies that were in flight elsewhere at the first death.
+                # Copies in flight at other upstreams at the first crash.
                 copies = [o for o in self.running.values() if o[1] == one]
                 self.allowed[one] += len(copies)
             self.deaths[one] += 1
@@ -106,13 +106,13 @@
     def gossip(self):
         for one, other in itertools.permutations(self.nodes, 2):
             delta = other.build_delta(one.build_digest(self.now), self.now)
-            # On its way for half a second.
+            # Transmitted in half a second.
             one.merge(delta, self.now + 0.5)
             one.merge(delta, self.now + 0.5)
 
 
 class QuarantineTest(unittest.TestCase):
-    """Guards upstreams against crashes and bystanders against refusal."""
+    """Guards against repeated crashes and against refusing other requests."""
 
     @hypothesis.settings(max_examples=300)
     @hypothesis.given(strategies.integers(1, 2), STEPS)
@@ -165,7 +165,7 @@
         ]
     )  # fmt: skip
     def test_suspects_run_alone(self, steps):
-        """A bystander must not be beside the same crash a second time."""
+        """Guards against other requests that run beside a suspected one."""
         world = World(1)
         first = None
         for step, _, fingerprint, upstream in steps:
@@ -180,7 +180,7 @@
                 self.assertEqual(world.deaths[innocent], first[innocent])
 
     def test_two_deaths_are_refused_everywhere(self):
-        """A record must reach other processes before the caller does."""
+        """Guards against a repeat at a process without the crash record."""
         world = World(2)
         for upstream in ("u0", "u1"):
             world.run(0, "c0", upstream)
@@ -197,7 +197,7 @@
         )
 
     def test_late_death_after_completion_does_not_count(self):
-        """Peers report deaths from before the completion afterwards."""
+        """Guards against crashes that peers report after a later completion."""
         first, second = quarantine.Quarantine(), quarantine.Quarantine()
         for number, node in ((1, first), (2, second)):
             node.handle(
@@ -216,7 +216,7 @@
         self.assertIs(first.check("i0", 3.0), quarantine.Isolation.NOT_NEEDED)
 
     def test_deaths_are_found_in_reports_and_failed_connects(self):
-        """A lost connection alone is no death; one of these makes it one."""
+        """A lost connection counts as a crash only with one of these signs."""
         for order in ("report last", "report first", "no connect", "alive"):
             rule = quarantine.Quarantine()
             signs = [upstream_events.LoadReported("u", 1.0, 2, True, 1, 0, 1)]
@@ -247,10 +247,10 @@
 
 
 class OwnEndTest(unittest.TestCase):
-    """Guards against content that is blamed for what others ended."""
+    """Guards against counting attempts that were cancelled as crashes."""
 
     def test_only_lost_attempts_can_become_deaths(self):
-        """The caller, the deadline and the cascade cancel attempts."""
+        """The caller, the deadline and the cascade may cancel an attempt."""
         for end in (
             upstream_events.AttemptStatus.CANCELLED,
             upstream_events.AttemptStatus.REFUSED,
@@ -277,7 +277,7 @@
 
 
 class RetriedAttemptTest(unittest.TestCase):
-    """Guards against deaths that a retry of the same attempt hides."""
+    """Guards against crashes that a retry under the same name hides."""
 
     def _lose(self, node, upstream, now):
         node.handle(upstream_events.AttemptStarted("r", upstream, 1, "f"), now)
@@ -306,7 +306,7 @@
 
 
 class UnconnectedTest(unittest.TestCase):
-    """Guards against content that is blamed for a broken path."""
+    """Guards against counting network failures as crashes."""
 
     def setUp(self):
         self.suspects = quarantine.Quarantine()
@@ -342,13 +342,13 @@
         return request, self.places.place(request, "v", frozenset(), 1.0)
 
     def test_refused_move_leaves_the_attempt_as_it_was(self):
-        """Guards against an attempt that is lost for one that is refused."""
+        """Guards against losing an attempt whose failover is refused."""
         self._report(1.0)
         request, placed = self._place("r", "f")
         excluded = frozenset({placed.upstream.name})
         others = [self._place(f"o{n}", f"i{n}")[1] for n in range(6)]
         end = placement.AttemptResult(upstream_events.AttemptStatus.LOST)
-        # A suspect needs an upstream of its own.
+        # A suspected request needs an upstream without other work.
         moved = self.places.move(request, "v", excluded, end, 2.0)
         self.assertIsInstance(moved, failures.NoUpstream)
         self.assertIs(
@@ -371,7 +371,7 @@
         self.assertIsInstance(verdict, quarantine.SuspectBusy)
 
     def _lose_twice(self, refused):
-        """Loses the same request at both upstreams, which take no more."""
+        """Loses the same request at both upstreams, which are then unusable."""
         request = requests.ModelRequest(
             "r", "maps", "v", "", b"", "f", 10, 20, True, 100.0
         )
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,4 +1,4 @@
-"""Tests of retries."""
+"""Tests of the retry budget."""
 
 import random
 import unittest
@@ -21,16 +21,16 @@
 
 
 def fail(outcome, idempotent=True, deadline=100.0, request="r"):
-    """Returns the event of a failed attempt that needs a second."""
+    """Returns the event of a failed attempt with a duration of 1 s."""
     return retries.AttemptFailed(request, outcome, idempotent, deadline, 1.0)
 
 
 class RetriesTest(unittest.TestCase):
-    """Guards against untrue refusals, repeated effects and retry storms."""
+    """Guards against false failures, repeated effects and retry storms."""
 
     @hypothesis.given(OUTCOMES)
     def test_not_run_needs_proof(self, outcome):
-        """A refusal that wrongly says not run makes the caller resend."""
+        """A wrong claim of no execution makes the caller repeat an effect."""
         proven = outcome.bytes_written == 0 or outcome.refused
         proven = proven and not outcome.delivered_chunks
         expected = (
@@ -46,7 +46,7 @@
         strategies.floats(0, 3),
     )
     def test_final_failure_is_true(self, outcomes, idempotent, deadline):
-        """One attempt in doubt makes the whole request unknown."""
+        """One attempt with an unknown result makes the request unknown."""
         rule = retries.RetryBudget(random.Random(1))
         rule.handle(retries.RequestStarted("r"), 0.0)
         seen = []
@@ -87,7 +87,7 @@
             self.assertLessEqual(retried, limit + 1e-6)
 
     def test_jitter_spreads_retries(self):
-        """Retries at equal times would arrive as one burst."""
+        """Retries at the same time would arrive as one burst."""
         rule = retries.RetryBudget(random.Random(1))
         delays = set()
         for number in range(5):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -30,7 +30,7 @@
 
 
 class Node:
-    """One process, and the commands that it has not carried out yet."""
+    """One process and its pending commands."""
 
     def __init__(self, name, rollout=ROLLOUT, revision=5):
         self.evidence = sequential_test.Evidence(name)
@@ -74,7 +74,7 @@
 
 
 class World:
-    """Processes and operators that share a store which loses answers."""
+    """Processes and operators with a shared store that loses responses."""
 
     def __init__(self):
         self.store = Store()
@@ -107,7 +107,7 @@
             self.operate(index % 2, value)
 
     def step(self, node, value):
-        """Lets a holder of the lease take its next step towards a stage."""
+        """Lets the lease holder take its next step towards a stage."""
         self.now += 11.0
         node.handle(rollouts.LeaseGranted("r", self.now + 60.0), self.now)
         node.handle(events.Tick(), self.now)
@@ -115,7 +115,7 @@
             self.carry_out(node, value)
 
     def carry_out(self, node, value):
-        """Sends the oldest command, late if it was queued for long."""
+        """Executes the oldest command, too late if it was queued for long."""
         if not node.queue:
             return
         command = node.queue.pop(0)
@@ -133,7 +133,7 @@
         node.handle(answer, self.now)
 
     def operate(self, operator, value):
-        """Pauses, resumes or withdraws what the operator last saw."""
+        """Pauses, resumes or withdraws the document that an operator read."""
         if value > 5:
             self.seen[operator] = self.store.revision
         if not self.store.value or self.seen[operator] != self.store.revision:
@@ -200,7 +200,7 @@
 
 
 class DriveTest(unittest.TestCase):
-    """Guards against a roll-out that is lost or goes on by itself."""
+    """Guards against a roll-out that stalls or advances without conditions."""
 
     def setUp(self):
         self.node = Node("p")
@@ -213,7 +213,7 @@
         self.node.handle(rollouts.StageObserved("r", revision, value), 0.0)
 
     def write(self, now):
-        """Returns the document that the holder of the lease writes, if any."""
+        """Returns the document that the lease holder writes, if any."""
         self.node.queue.clear()
         self.node.handle(rollouts.LeaseGranted("r", now + 60), now)
         self.node.handle(events.Tick(), now)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,4 +1,4 @@
-"""Tests of the life of a model request."""
+"""Tests of the router and of the life of a model request."""
 
 import dataclasses
 import random
@@ -150,7 +150,7 @@
 
 
 class Caller:
-    """Drives one request and keeps what the shells would have done."""
+    """Drives one request and records the commands for the shells."""
 
     def __init__(self, gated, stream):
         self.part, self.places, self.planner = build_router(gated)
@@ -264,7 +264,7 @@
 
 
 class RouterLifeTest(unittest.TestCase):
-    """Guards against lost, doubled and wrongly ended requests."""
+    """Guards against lost, repeated and wrongly ended requests."""
 
     @hypothesis.given(ACTIONS, strategies.booleans())
     def test_one_end_one_bill_and_no_second_run(self, actions, gated):
@@ -306,7 +306,7 @@
         self.assertGreater(caller.bills[0].internal_cost, 0)
 
     def _complete(self, caller, upstream):
-        """Lets the current attempt end and checks what the caller got."""
+        """Completes the current attempt and checks the result of the caller."""
         self.assertEqual(caller.finals, [])
         self.assertEqual(caller.starts[-1].upstream, upstream)
         caller.act("complete")
@@ -317,7 +317,11 @@
         self.assertEqual(caller.places.open, set())
 
     def test_silent_attempt_is_not_given_up_before_another_is_admitted(self):
-        """Guards against a refusal in place of a slow but sound answer."""
+        """Guards against a failure although the upstream is only slow.
+
+        A silent attempt may still be running, so it is abandoned only once
+        another upstream has admitted the request.
+        """
 
         def fill(caller):
             caller.places.full = True
@@ -367,7 +371,10 @@
         self._complete(caller, "c")
 
     def test_retry_waits_for_room_as_new_work_does(self):
-        """Guards against a refusal of work whose upstream has crashed."""
+        """Guards against failing a retry at once when other upstreams are full.
+
+        A retry after a crash waits for capacity as long as new work does.
+        """
         for room in (True, False):
             with self.subTest(room=room):
                 caller = Caller(False, True)
@@ -392,7 +399,7 @@
                 )
 
     def test_stop_and_reload_leave_what_runs(self):
-        """Guards against a stop or a reload that cuts a sound stream."""
+        """Guards against a shutdown or reload that ends a running stream."""
         for gated in (True, False):
             for trouble in ("silent", "broken"):
                 with self.subTest(gated=gated, trouble=trouble):
@@ -421,7 +428,7 @@
                     self.assertIsInstance(final, lifecycle.FinishRequest)
 
     def test_own_ends_are_no_losses(self):
-        """Guards against content that is blamed for a cancelled attempt."""
+        """Guards against counting a cancelled attempt as a crash."""
         for gated in (True, False):
             for actions in (
                 ("gone",),
@@ -440,7 +447,7 @@
                     self.assertEqual(caller.places.open, set())
 
     def test_silence_does_not_cut_a_delivered_answer(self):
-        """Guards against a cut stream whose engine stood still for 15 s."""
+        """Guards against truncating a stream whose engine paused for 15 s."""
         caller = Caller(False, True)
         caller.act("produce")
         for _ in range(8):
@@ -448,7 +455,10 @@
         self._complete(caller, "a")
 
     def test_refused_resume_does_not_cut_a_delivered_answer(self):
-        """Guards against a refusal of new work that ends an answer."""
+        """Guards against truncation when an upstream refuses a resume.
+
+        A saturated upstream may refuse the resume although the run goes on.
+        """
         caller = Caller(False, True)
         for action in ("produce", "silent"):
             caller.act(action)
@@ -461,14 +471,14 @@
         self._complete(caller, "a")
 
     def test_resume_without_a_connection_is_tried_again(self):
-        """Guards against a lost packet that cuts an answer."""
+        """Guards against truncation after a single failed connection."""
         caller = Caller(False, True)
         for action in ("produce", "silent", "not_sent", "not_sent"):
             caller.act(action)
         self._complete(caller, "a")
 
     def test_lost_upstream_cuts_a_delivered_answer(self):
-        """Guards against callers who wait for an upstream that is gone."""
+        """Guards against waiting for an upstream that has been lost."""
         for actions in (
             ["lost"],
             ["not_sent"] * (recovery.MAX_CONSECUTIVE_LOSSES + 1),
@@ -513,7 +523,7 @@
         self.assertEqual(caller.places.open, set())
 
     def test_answer_in_hand_is_not_lost_to_a_larger_version(self):
-        """Guards against a refusal while a whole answer is at hand."""
+        """Guards against a failure while a retained answer is available."""
         troubles = (
             ("rejected",),
             ("broken", "tick", "broken", "tick", "broken", "tick"),
@@ -538,7 +548,11 @@
         self._check_small_answer(caller)
 
     def test_two_answers_are_not_mixed(self):
-        """Guards against a small answer behind a part of the larger one."""
+        """Guards against delivering chunks of two answers.
+
+        Once a chunk of the larger version was delivered, the retained answer
+        of the smaller one may not be used.
+        """
         for action in ("lost", "late_tick"):
             with self.subTest(action=action):
                 caller = self._escalate(True)
@@ -548,7 +562,11 @@
                 self.assertIsInstance(final, lifecycle.FailRequest)
 
     def test_chunk_on_its_way_keeps_the_other_answer_back(self):
-        """Guards against a chunk that is reported after the deadline."""
+        """Guards against mixed answers when a chunk is reported late.
+
+        The relay may deliver a chunk before the router learns of it, so the
+        router waits for the end of the attempt.
+        """
         caller = self._escalate(True)
         result = caller.part.handle(events.Tick(), 101.0)
         [stop] = result
@@ -560,7 +578,7 @@
         self.assertIsInstance(final, lifecycle.FailRequest)
 
     def test_whole_answer_is_delivered_at_the_deadline(self):
-        """Guards against a refusal while only the rating is missing."""
+        """Guards against a failure while only the rating is missing."""
         for stream in (True, False):
             with self.subTest(stream=stream):
                 caller = Caller(True, stream)
@@ -587,7 +605,10 @@
                 self.assertIs(caller.finals[0].failure.execution, run)
 
     def test_failed_resume_does_not_undo_the_run(self):
-        """Guards against `run: no`, and no suspicion, after a lost run."""
+        """Guards against `run: no` after a run that a resume did not reach.
+
+        The lost run may have been executed and may have crashed the upstream.
+        """
         for end in ("not_sent", "refused"):
             with self.subTest(end=end):
                 caller = Caller(False, True)
@@ -605,7 +626,7 @@
                 )
 
     def test_retry_that_finds_no_place_does_not_deny_the_first_run(self):
-        """Guards against `run: no` after an attempt that may have run."""
+        """Guards against `run: no` when only the retry was not executed."""
         caller = Caller(False, True)
         caller.act("broken")
         caller.planner.barred = frozenset({"small", "large"})
@@ -615,7 +636,10 @@
         )
 
     def test_refusal_after_a_broken_attempt_does_not_claim_not_run(self):
-        """A placement that finds no upstream once hid the earlier attempt."""
+        """Guards against `run: no` when no upstream is left for a retry.
+
+        The failure of the placement hid the earlier attempt.
+        """
         caller = Caller(False, True)
         caller.places.full = True
         for action in ("broken", "tick", "tick", "tick"):
--- a/tests/test_sequential.py
+++ b/tests/test_sequential.py
@@ -10,7 +10,7 @@
 
 
 def play(evidence, seed, bad=0.05, good=0.05, sick=None, only=None, count=3000):
-    """Feeds outcomes; returns whether the new version was found worse."""
+    """Feeds outcomes; returns whether the new version tested as worse."""
     draws = random.Random(seed)
     for number in range(count):
         candidate = draws.random() < 0.2
@@ -36,7 +36,7 @@
 
 
 class JudgeTest(unittest.TestCase):
-    """Guards against blaming the wrong side."""
+    """Guards against blaming the wrong version, or a version for a fault."""
 
     def test_worse_version_is_found(self):
         for seed in range(5):
@@ -86,7 +86,7 @@
 
 
 class EvidenceMergeTest(unittest.TestCase):
-    """Guards against evidence that depends on the order of messages."""
+    """Guards against merges that depend on the order of messages."""
 
     @hypothesis.settings(max_examples=50)
     @hypothesis.given(
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,4 +1,4 @@
-"""Tests of the versions that a name stands for."""
+"""Tests of the resolution of names to versions."""
 
 import unittest
 
@@ -42,7 +42,7 @@
 
 
 class ResolveRulesTest(unittest.TestCase):
-    """Guards against work on a version that must not have it."""
+    """Guards against work on a version that may not serve it."""
 
     @hypothesis.settings(max_examples=300)
     @hypothesis.given(
@@ -97,7 +97,7 @@
 
 
 class ResolveTest(unittest.TestCase):
-    """Guards against a wrong split or a wrong refusal."""
+    """Guards against a wrong assignment or a wrong failure."""
 
     def test_share_of_requests_matches_the_stage(self):
         config, space = make([rollout("r", "v1", "v2")])
