Reword the tests of forwarding and a few log texts of the gateway

Log texts on the end of attempts, on slow or failing versions and on removed upstreams change: "discarded at confidence", "did not resume the stream", "response encoded or not sealed", "responses slow against", "failed responses", "removed in". The tests that match them change with them and check as much as before.

Checked: lint is clean. All test_forwarding modules and test_gateway_log passed. In test_gateway_breaks only the known red test on a full backlog failed.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -210,7 +210,7 @@
             rollout.reason = rollout.evidence.evaluate()
             for tally in (total, total.minus(base)):
                 if failure_counts.is_worse(tally):
-                    rollout.reason = f"failed answers: {tally}"
+                    rollout.reason = f"failed responses: {tally}"
             if rollout.reason:
                 rollout.worse = True
                 found.append(rollout)
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -255,10 +255,12 @@
         if self.delivering and head.status != STREAM_STATUS:
             # The caller already has the head of another response.
             self._candidates.no_failures = False
-            attempt.end_by_upstream(f"did not go on, {head.status}", now)
+            attempt.end_by_upstream(
+                f"did not resume the stream, {head.status}", now
+            )
             return steps.Verdict.RETRY
         if head.encoded or (head.status < 300 and not head.sealed):
-            attempt.end_by_upstream("not the upstream's answer", now)
+            attempt.end_by_upstream("response encoded or not sealed", now)
             return steps.Verdict.RETRY
         if head.status >= 500:
             self._candidates.no_failures = False
@@ -381,7 +383,7 @@
         )
         if not decision.model or self.failover.find_any_limit(now):
             return False
-        outcome = f"dropped at {confidence}, {decision.reason}"
+        outcome = f"discarded at confidence {confidence}, {decision.reason}"
         attempt.end(steps.EndCause.CASCADE, outcome, now)
         self._candidates.model = decision.model
         self._candidates.clear_tried()
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -220,7 +220,9 @@
         until = self.directory.remove(identity, now)
         if until is None:
             return []
-        return [Change(f"upstream={identity}", f"gone in {until - now:.1f} s")]
+        return [
+            Change(f"upstream={identity}", f"removed in {until - now:.1f} s")
+        ]
 
     def _evacuate(self, event: updates.EvacuationSet) -> list[Change]:
         if event.active:
--- a/sycamorehollow/decisions/forwarding/slowness.py
+++ b/sycamorehollow/decisions/forwarding/slowness.py
@@ -77,7 +77,7 @@
     def describe(self) -> str:
         """Returns a description for the log."""
         return (
-            f"{sum(self.new_slow)} of {sum(self.new)} answers slow against"
+            f"{sum(self.new_slow)} of {sum(self.new)} responses slow against"
             f" {self.old_slow} of {self.old} in service"
         )
 
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -85,7 +85,7 @@
 
 
 def build_request(**changes):
-    """Returns a request with an open choice of the model."""
+    """Returns a request that leaves the choice of the model open."""
     values = {
         "request_id": "q-1",
         "method": "POST",
@@ -124,6 +124,6 @@
 
 
 def build_head(status=200, **changes):
-    """Returns the head of a sealed answer."""
+    """Returns the head of a sealed response."""
     values = {"request_id": "q-1", "sealed": True}
     return forwarding.DecodedHead(status, **(values | changes))
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -1,4 +1,4 @@
-"""Tests of roll-outs of versions behind routes."""
+"""Tests of canary roll-outs of versions."""
 
 import random
 import unittest
@@ -22,8 +22,8 @@
 SYNC_S = 1.0
 
 
-def answer(rollouts, version, failed):
-    """An upstream answers, and the time that it took is judged."""
+def record_response(rollouts, version, failed):
+    """Records a response and its classified latency."""
     rollouts.record_response("s", version, failed)
     route = forwarding_world.build_route()
     timed = response_times.AttemptLabels(
@@ -35,7 +35,7 @@
 
 
 class Fleet:
-    """Nodes that exchange findings once a second, and a service."""
+    """Simulates a service, and nodes that exchange reports every second."""
 
     def __init__(
         self,
@@ -63,8 +63,8 @@
             rollouts.set_order(order, 0.0)
             self.nodes.append(rollouts)
 
-    def play(self):
-        """Plays the roll-out; returns its final state or `None`."""
+    def run(self):
+        """Runs the roll-out; returns its final state or `None`."""
         final = None
         for tick in range(int(self._duration_s * self._rate)):
             now = tick / self._rate
@@ -94,19 +94,19 @@
             self.total += 1
             self.new += int(new)
         failed = self._source.random() < rate
-        answer(node, "v2" if new else "v1", failed)
+        record_response(node, "v2" if new else "v1", failed)
 
     def _sync(self, now):
         one, other = self._source.sample(self.nodes, 2)
         for source, sink in ((one, other), (other, one)):
-            for finding in source.export(now):
-                sink.merge(finding, now)
+            for report in source.export(now):
+                sink.merge(report, now)
             for rollout in source.list_running():
                 sink.merge_slowness("s", 5, rollout.evidence.counts)
 
 
 class RolloutTest(unittest.TestCase):
-    """Guards against exposure to bad versions and good ones held back."""
+    """Guards against overexposure to bad versions and delay of good ones."""
 
     @hypothesis.given(
         strategies.integers(0, 10_000),
@@ -118,24 +118,24 @@
         self, seed, fails, gap_s
     ):
         fleet = Fleet(seed, fails, gap_s)
-        self.assertIs(fleet.play(), forwarding.RolloutState.ROLLED_BACK)
+        self.assertIs(fleet.run(), forwarding.RolloutState.ROLLED_BACK)
         allowed = EXPOSURE * DURATION_S * RATE_PER_S + FLOOR
         self.assertLessEqual(fleet.new, allowed)
 
     def test_good_versions_are_completed_in_time(self):
-        states = [Fleet(seed, 0.02).play() for seed in range(40)]
+        states = [Fleet(seed, 0.02).run() for seed in range(40)]
         completed = states.count(forwarding.RolloutState.COMPLETED)
-        # One false alarm in a hundred is the bound of the test itself.
+        # The likelihood ratio test allows one false alarm in a hundred.
         self.assertGreaterEqual(completed, 38)
 
     def test_short_orders_are_completed_in_time(self):
-        # Requests enough that the exposure allows the proof within the order.
+        # The rates are high enough for a proof within the exposure limit.
         for duration_s, rate in ((5.0, 300), (10.0, 150)):
             with self.subTest(duration_s=duration_s):
                 states = [
                     Fleet(
                         seed, 0.02, nodes=2, rate=rate, duration_s=duration_s
-                    ).play()
+                    ).run()
                     for seed in range(20)
                 ]
                 completed = states.count(forwarding.RolloutState.COMPLETED)
@@ -144,7 +144,7 @@
     def test_short_order_of_a_bad_version_stays_within_its_exposure(self):
         for seed in range(20):
             fleet = Fleet(seed, 0.5, nodes=2, rate=300, duration_s=5.0)
-            self.assertIs(fleet.play(), forwarding.RolloutState.ROLLED_BACK)
+            self.assertIs(fleet.run(), forwarding.RolloutState.ROLLED_BACK)
             allowed = EXPOSURE * 5.0 * 300 + FLOOR
             self.assertLessEqual(fleet.new, allowed)
 
@@ -175,10 +175,10 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         rollouts.set_order(order, 0.0)
         for _ in range(100):
-            answer(rollouts, "v1", False)
+            record_response(rollouts, "v1", False)
         rollouts.compute_share("s", 18.0)
         for _ in range(20):
-            answer(rollouts, "v2", False)
+            record_response(rollouts, "v2", False)
         rollouts.evaluate(18.5)
         self.assertLess(rollouts.compute_share("s", 19.0), 0.2)
         self.assertEqual(rollouts.compute_share("s", 23.9), 1.0)
@@ -188,14 +188,14 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         other.set_order(order, 0.0)
         for run in range(3):
-            # Each start of the process draws from a source of its own.
+            # Each start of the process has its own random numbers.
             settings = forwarding_world.build_settings(node="node")
             node = router.Router(settings, random.Random(run)).rollouts
             node.set_order(order, float(run))
             for _ in range(5 - run):
                 node.record_response("s", "v2", True)
-            for finding in node.export(float(run)):
-                other.merge(finding, float(run))
+            for report in node.export(float(run)):
+                other.merge(report, float(run))
         self.assertEqual(other.get("s").sum_counts().new_failed, 12)
 
     def test_restarted_node_learns_how_long_it_has_run(self):
@@ -203,41 +203,41 @@
         old, new = canary.Rollouts("a", 0.15), canary.Rollouts("b", 0.15)
         old.set_order(order, 0.0)
         new.set_order(order, 20.0)
-        for finding in old.export(20.0):
-            new.merge(finding, 20.0)
+        for report in old.export(20.0):
+            new.merge(report, 20.0)
         self.assertEqual(
             old.compute_share("s", 20.0), new.compute_share("s", 20.0)
         )
 
     def test_large_fleet_moves_few_open_sessions(self):
-        # Fifty times the rate: the share falls, the evidence stays the same.
+        # At 50 times the rate the share falls, so the responses stay as many.
         small, large = canary.Rollouts("a", 0.15), canary.Rollouts("b", 0.15)
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
-        for rollouts, answers in ((small, 4), (large, 200)):
+        for rollouts, responses in ((small, 4), (large, 200)):
             rollouts.set_node_count(9)
             rollouts.set_order(order, 0.0)
             self.assertEqual(rollouts.compute_share("s", 1.0), 0.0)
-            for _ in range(answers):
+            for _ in range(responses):
                 rollouts.record_response("s", "v1", False)
         few = large.compute_share("s", 3.0)
         self.assertLess(few * 3, small.compute_share("s", 3.0))
-        # All nodes use the smallest share that one has found.
-        for finding in large.export(3.0):
-            small.merge(finding, 3.0)
+        # All nodes use the smallest share that any of them has computed.
+        for report in large.export(3.0):
+            small.merge(report, 3.0)
         self.assertEqual(small.compute_share("s", 3.0), few)
 
     def test_first_share_brings_no_more_answers_than_the_evidence_needs(self):
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
-        for answers in (1, 4, 20, 40, 200, 1000):
+        for responses in (1, 4, 20, 40, 200, 1000):
             rollouts = canary.Rollouts("a", EXPOSURE)
             rollouts.set_node_count(9)
             rollouts.set_order(order, 0.0)
-            for _ in range(answers):
+            for _ in range(responses):
                 rollouts.record_response("s", "v1", False)
-            rate = answers * 9 / 3.0
+            rate = responses * 9 / 3.0
             share = rollouts.compute_share("s", 3.0)
             self.assertLessEqual(share, EXPOSURE)
-            # Halving stops within a factor of two of what is asked for.
+            # Halving stops within a factor of 2 of the target rate.
             self.assertLessEqual(
                 share * rate, 2 * canary.TARGET_RESPONSES_PER_S
             )
@@ -247,7 +247,7 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 50)
         rollouts.set_order(order, 0.0)
         for _ in range(50):
-            answer(rollouts, "v2", False)
+            record_response(rollouts, "v2", False)
         rollouts.evaluate(1.0)
         due = [
             at * 0.1
--- a/tests/test_forwarding_cascade.py
+++ b/tests/test_forwarding_cascade.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of larger models beside other repeats."""
+"""Tests of the retry budget that the cascade shares with other retries."""
 
 import unittest
 
@@ -11,23 +11,23 @@
 ]
 
 
-class ReserveTest(unittest.TestCase):
-    """Guards against streams that are cut since the cascade used all repeats.
+class ReservedRetriesTest(unittest.TestCase):
+    """Guards against truncated streams because the cascade used all retries.
 
-    Every answer of the small model is doubtful; at the end two streams of
-    which the callers have a part break in the same moment.
+    All responses of the small model have low confidence. At the end two
+    streams that are being delivered break at the same time.
     """
 
     def setUp(self):
-        self.dropped = 0
+        self.discarded = 0
 
     def _begin(self, built, now):
-        """Returns the course of a stream that is being delivered."""
+        """Returns the lifecycle of a stream that is being delivered."""
         lifecycle = forwarding_world.build_lifecycle(built, now=now)
         self.assertIsInstance(lifecycle.choose_next_step(now), steps.Send)
-        doubtful = forwarding_world.build_head(confidence=0)
-        if lifecycle.evaluate_head(doubtful, now) is steps.Verdict.RETRY:
-            self.dropped += 1
+        unsure = forwarding_world.build_head(confidence=0)
+        if lifecycle.evaluate_head(unsure, now) is steps.Verdict.RETRY:
+            self.discarded += 1
             self.assertIsInstance(lifecycle.choose_next_step(now), steps.Send)
             lifecycle.evaluate_head(forwarding_world.build_head(), now)
         lifecycle.delivering = True
@@ -49,5 +49,5 @@
                     self.assertIsInstance(
                         stream.choose_next_step(now), steps.Send
                     )
-        # The cascade still has most of the budget.
-        self.assertGreater(self.dropped, 300)
+        # The cascade still gets most of the budget.
+        self.assertGreater(self.discarded, 300)
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -1,4 +1,4 @@
-"""Tests of the course of a request."""
+"""Tests of the lifecycle of a request."""
 
 import dataclasses
 import unittest
@@ -27,7 +27,7 @@
 
 
 def run_request(kind, outcomes, max_attempts):
-    """Plays a request whose attempts end as given.
+    """Runs a request whose attempts end as given.
 
     Returns:
         The final failure or `None`, and the runs that upstreams made.
@@ -68,8 +68,8 @@
     return None, runs
 
 
-class CourseTest(unittest.TestCase):
-    """Guards against second runs, untrue refusals and endless attempts."""
+class RequestLifecycleTest(unittest.TestCase):
+    """Guards against duplicate runs, false refusals and endless retries."""
 
     @hypothesis.given(OUTCOMES, strategies.integers(1, 3))
     def test_unsafe_request_runs_at_most_once(self, outcomes, most):
@@ -105,13 +105,13 @@
         self.assertIs(verdict, steps.Verdict.RETRY)
         second = lifecycle.choose_next_step(0.02)
         self.assertIsNot(first.state, second.state)
-        # The last answer that may be asked for is passed on as it is.
+        # The response of the last attempt is delivered as it is.
         verdict = lifecycle.evaluate_head(
             forwarding_world.build_head(500), 0.04
         )
         self.assertIs(verdict, steps.Verdict.DELIVER)
 
-    def test_attempts_that_reach_nobody_leave_the_budget(self):
+    def test_attempts_that_reach_no_upstream_are_refunded(self):
         built = forwarding_world.build_router(*UPSTREAMS, retry_floor=3.0)
         lifecycle = forwarding_world.build_lifecycle(built)
         now = 0.0
@@ -124,7 +124,7 @@
                 )
         self.assertIsInstance(lifecycle.choose_next_step(now + 0.1), steps.Send)
 
-    def test_request_that_reaches_nobody_is_refused_before_its_deadline(self):
+    def test_request_without_reachable_upstream_is_refused_early(self):
         built = forwarding_world.build_router(*UPSTREAMS)
         lifecycle = forwarding_world.build_lifecycle(built)
         now = 0.0
@@ -140,7 +140,7 @@
         self.assertIsInstance(step.failure, steps.Unavailable)
 
     def _press(self, until, free_at):
-        """Plays a request while all upstreams are full until `free_at`.
+        """Runs a request while all upstreams are full until `free_at`.
 
         Returns:
             The final step, when it came and how many attempts were refused.
@@ -164,7 +164,7 @@
             lifecycle.evaluate_head(head, now)
         return None, now, refused
 
-    def test_request_waits_for_room_without_knocking(self):
+    def test_request_waits_for_capacity_with_few_refusals(self):
         step, _, refused = self._press(1.0, free_at=0.05)
         self.assertIsInstance(step, steps.Send)
         self.assertLessEqual(refused, 4)
@@ -256,7 +256,7 @@
             lifecycle.record_possible_crash(attempt + 0.1)
         self.assertFalse(built.quarantine.is_quarantined("fingerprint", 4.0))
 
-    def test_poisonous_request_ends(self):
+    def test_request_that_crashes_upstreams_is_rejected(self):
         built = forwarding_world.build_router(*UPSTREAMS)
         sent = 0
         for attempt in range(6):
@@ -273,8 +273,8 @@
         self.assertLessEqual(sent, 4)
 
 
-class PatienceTest(unittest.TestCase):
-    """Replays a queue in an overloaded engine, and engines that hang."""
+class AttemptTimeoutTest(unittest.TestCase):
+    """Tests time-outs at overloaded engines and at engines that hang."""
 
     def setUp(self):
         self.built = forwarding_world.build_router(*UPSTREAMS[:2])
@@ -282,13 +282,13 @@
         self.state = self.lifecycle.choose_next_step(0.0).state
 
     def _wait(self, lifecycle, until):
-        """Returns when the course gives its attempt up."""
+        """Returns when the attempt times out."""
         now = 0.0
         while now < until:
-            patience_s = lifecycle.compute_timeout(now)
-            if patience_s <= 0:
+            timeout_s = lifecycle.compute_timeout(now)
+            if timeout_s <= 0:
                 return now
-            now += patience_s
+            now += timeout_s
         return until
 
     def test_request_that_only_waits_is_not_sent_again_early(self):
@@ -319,7 +319,7 @@
             if self.lifecycle.begin_probe_if_silent(now):
                 self.lifecycle.record_unreachable(True, now)
             self.assertGreater(self.lifecycle.compute_timeout(now), 0.0, now)
-        # Once others are heard again, this one is as silent as before.
+        # Once others respond again, the silent upstream times out.
         self.state.latest_served_sent_at = now
         self.assertEqual(self.lifecycle.compute_timeout(now), 0.0)
 
@@ -350,7 +350,7 @@
 
 
 class CascadeTest(unittest.TestCase):
-    """Replays light and heavy load for the choice of a larger model."""
+    """Tests the choice of a larger model under light and heavy load."""
 
     def _ask(self, confidence, took_s, **route):
         built = forwarding_world.build_router(*UPSTREAMS)
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -1,4 +1,4 @@
-"""Tests of when a running attempt, or a ready answer, is given up."""
+"""Tests of when an open attempt or a complete response is abandoned."""
 
 import unittest
 
@@ -24,7 +24,7 @@
 
 
 def start_stream(built, now=0.0, **route):
-    """Returns a request whose caller has the first part of its answer."""
+    """Returns a request whose response was delivered in part."""
     lifecycle = forwarding_world.build_lifecycle(
         built, route=forwarding_world.build_route(**route), now=now
     )
@@ -36,11 +36,11 @@
     return lifecycle
 
 
-class GiveUpTest(unittest.TestCase):
-    """Guards against sound streams that are ended without a way to go on."""
+class TimeoutTest(unittest.TestCase):
+    """Guards against ending a stream that cannot continue elsewhere."""
 
     def assert_kept(self, lifecycle, now, reason):
-        """Asserts that the open attempt is waited for."""
+        """Asserts that the open attempt is kept."""
         self.assertEqual(lifecycle.compute_timeout(now), 0.0)
         step = lifecycle.handle_timeout(now)
         self.assertIsInstance(step, steps.Wait)
@@ -58,15 +58,15 @@
         self.assertIs(first.end_cause, steps.EndCause.TIMEOUT)
 
     def test_last_repeat_is_taken_by_one_of_two_streams(self):
-        # Each node uses a part of the floor, which leaves one repeat here.
+        # Only part of the floor is used, which leaves one retry here.
         built = build_router(retry_ratio=0.0, retry_floor=2.0)
         first, second = start_stream(built), start_stream(built)
-        # Both find that they have waited long enough before one acts.
+        # Both attempts have timed out before either fails over.
         self.assertEqual(first.compute_timeout(3.0), 0.0)
         self.assertEqual(second.compute_timeout(3.0), 0.0)
         self.assertIsInstance(first.handle_timeout(3.0), steps.Send)
         self.assert_kept(second, 3.0, "the budget of repeats is used up")
-        # The repeat leaves the window, and there is one again.
+        # The retry leaves the window, so the budget allows one again.
         self.assertIsInstance(second.handle_timeout(13.1), steps.Reject)
 
     def test_stream_is_given_up_once_a_repeat_is_left_again(self):
@@ -94,7 +94,7 @@
 
     def test_last_attempt_is_spent_on_long_silence_only(self):
         lifecycle = start_stream(build_router(), max_attempts=2)
-        # The upstream goes on with others.
+        # The upstream still serves other requests.
         lifecycle.attempts[-1].state.last_byte_at = 1.5
         self.assertGreater(lifecycle.compute_timeout(1.5), 0.0)
         self.assertEqual(lifecycle.compute_timeout(2.2), 0.0)
@@ -110,7 +110,7 @@
             if state is not current:
                 directory.record_unreachable(state, 2.9)
         self.assert_kept(lifecycle, 3.0, "no other can be reached")
-        # If the stream's own upstream cannot be reached either, any will do.
+        # If the stream's own upstream is unreachable too, any other is used.
         directory.record_unreachable(current, 3.0)
         self.assertIsInstance(lifecycle.handle_timeout(3.0), steps.Send)
 
@@ -142,10 +142,10 @@
 
 
 class ShortageTest(unittest.TestCase):
-    """Guards against callers that lose an answer to a passing shortage."""
+    """Guards against losing a response to a temporary shortage."""
 
     def _refuse(self, lifecycle, now, times):
-        """Lets upstreams refuse the request; returns the time after it."""
+        """Lets upstreams refuse the request; returns the time afterwards."""
         while times:
             step = lifecycle.choose_next_step(now)
             self.assertNotIsInstance(step, steps.Reject)
@@ -196,9 +196,9 @@
         )
         lifecycle = forwarding_world.build_lifecycle(built)
         lifecycle.choose_next_step(0.0)
-        doubtful = forwarding_world.build_head(confidence=10)
+        unsure = forwarding_world.build_head(confidence=10)
         self.assertIs(
-            lifecycle.evaluate_head(doubtful, 0.05), steps.Verdict.RETRY
+            lifecycle.evaluate_head(unsure, 0.05), steps.Verdict.RETRY
         )
         self.assertEqual(lifecycle.choose_next_step(0.05).model, "large")
         lifecycle.record_connection_failure("cannot connect", False, 0.06)
@@ -241,9 +241,9 @@
     def test_answer_that_was_dropped_for_a_larger_model_is_owed(self):
         lifecycle = forwarding_world.build_lifecycle(build_router())
         lifecycle.choose_next_step(0.0)
-        doubtful = forwarding_world.build_head(confidence=10)
+        unsure = forwarding_world.build_head(confidence=10)
         self.assertIs(
-            lifecycle.evaluate_head(doubtful, 0.05), steps.Verdict.RETRY
+            lifecycle.evaluate_head(unsure, 0.05), steps.Verdict.RETRY
         )
         now = self._refuse(lifecycle, 0.05, attempt_limits.MAX_REFUSALS + 2)
         step = lifecycle.choose_next_step(now)
@@ -253,8 +253,8 @@
         self.assertIsInstance(step, steps.Send)
 
 
-class ReadyAnswerTest(unittest.TestCase):
-    """Guards against ready answers that are dropped for nothing."""
+class CompleteResponseTest(unittest.TestCase):
+    """Guards against discarding a response without a replacement."""
 
     def _answer(self, built, head, **route):
         lifecycle = forwarding_world.build_lifecycle(
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of the upstream."""
+"""Tests of the selection of upstreams."""
 
 import random
 import unittest
@@ -14,10 +14,10 @@
 
 
 class PlacementTest(unittest.TestCase):
-    """Replays slow, failing, cold and distant upstreams."""
+    """Tests slow, failing, cold and distant upstreams."""
 
     def _spread(self, built, count=200, request=None, route=None, finish=None):
-        """Sends requests one by one and counts them by upstream."""
+        """Sends requests one after the other; returns counts by upstream."""
         counts = {}
         for number in range(count):
             now = number * 0.1
--- a/tests/test_forwarding_poison.py
+++ b/tests/test_forwarding_poison.py
@@ -1,4 +1,4 @@
-"""Tests of content that crashes upstreams."""
+"""Tests of the quarantine of content that crashes upstreams."""
 
 import random
 import unittest
@@ -6,13 +6,13 @@
 from sycamorehollow.decisions.forwarding import quarantine
 
 
-class PoisonTest(unittest.TestCase):
-    """Guards against requests that crash one upstream after the other."""
+class QuarantineTest(unittest.TestCase):
+    """Guards against requests that crash one upstream after another."""
 
     def test_third_break_ends_it_and_success_clears_it(self):
         known = quarantine.Quarantine()
-        for run in ("a/1", "b/1", "b/1"):
-            known.record_break("f", run, 0.0)
+        for incarnation in ("a/1", "b/1", "b/1"):
+            known.record_break("f", incarnation, 0.0)
         self.assertFalse(known.is_quarantined("f", 1.0))
         other = quarantine.Quarantine()
         other.merge(known.export(1.0), 1.0)
@@ -27,10 +27,10 @@
     def test_content_that_runs_elsewhere_is_not_to_blame(self):
         known, other = quarantine.Quarantine(), quarantine.Quarantine()
         known.record_completion("f", 0.0)
-        for run in ("a/1", "b/1", "c/1"):
-            known.record_break("f", run, 1.0)
-            other.record_break("f", run, 1.0)
-        # Three upstreams were cut off while each ran the popular request.
+        for incarnation in ("a/1", "b/1", "c/1"):
+            known.record_break("f", incarnation, 1.0)
+            other.record_break("f", incarnation, 1.0)
+        # Three upstreams became isolated while each ran the popular request.
         self.assertFalse(known.is_quarantined("f", 2.0))
         self.assertTrue(other.is_quarantined("f", 2.0))
         known.merge(other.export(2.0), 2.0)
@@ -43,17 +43,17 @@
         known = quarantine.Quarantine()
         known.record_completion("f", 0.0)
         later = quarantine.RETENTION_S + 1.0
-        for run in ("a/1", "b/1", "c/1"):
-            known.record_break("f", run, later)
+        for incarnation in ("a/1", "b/1", "c/1"):
+            known.record_break("f", incarnation, later)
         self.assertTrue(known.is_quarantined("f", later))
         self.assertEqual(known.export_completions(later), {})
 
     def test_break_by_an_upstream_that_lives_is_not_counted(self):
         known, other = quarantine.Quarantine(), quarantine.Quarantine()
-        for run in ("a/1", "b/1", "c/1"):
-            known.record_break("f", run, 0.0)
+        for incarnation in ("a/1", "b/1", "c/1"):
+            known.record_break("f", incarnation, 0.0)
         self.assertEqual(known.list_incarnations_to_check(0.0), [])
-        # Before the checks the breaks count here, but nowhere else.
+        # Unchecked breaks count at this node only.
         self.assertTrue(known.is_quarantined("f", 0.1))
         self.assertEqual(known.export(0.1), {})
         self.assertEqual(
@@ -63,7 +63,7 @@
         known.record_check("b/1", True, 0.1)
         self.assertFalse(known.is_quarantined("f", 0.2))
         other.merge(known.export(0.2), 0.2)
-        # The check of c/1 has failed, so it counts.
+        # The check of c/1 never ended, so its break counts.
         self.assertEqual(set(known.export(1.0)["f"]), {"b/1", "c/1"})
         self.assertEqual(set(other.export(1.0)["f"]), {"b/1"})
         self.assertEqual(known.list_incarnations_to_check(1.0), ["c/1"])
@@ -72,7 +72,7 @@
         known = quarantine.Quarantine()
         known.record_break("f", "a/1", 0.0)
         known.record_break("g", "a/1", 0.0505)
-        # The listening socket of a process that ends may still be open.
+        # The listening socket of a crashing process may still be open.
         self.assertEqual(known.record_check("a/1", False, 0.051), 1)
         self.assertEqual(known.list_incarnations_to_check(0.2), ["a/1"])
 
@@ -85,7 +85,7 @@
         known.record_check("a/1", True, 0.3)
         self.assertEqual(set(known.export(0.3)), {"g"})
 
-    def test_acquittal_keeps_what_another_node_has_checked(self):
+    def test_passed_check_keeps_breaks_of_other_nodes(self):
         known = quarantine.Quarantine()
         known.merge({"f": {"a/1": 0.0}}, 0.0)
         known.record_break("f", "a/1", 0.1)
@@ -97,10 +97,10 @@
         known = quarantine.Quarantine()
         for number in range(3 * quarantine.MAX_FINGERPRINTS):
             known.record_completion(f"f{number}", 0.0)
-        # The earliest is forgotten, the latest is not.
-        for run in ("a/1", "b/1", "c/1"):
-            known.record_break("f0", run, 1.0)
-            known.record_break(f"f{number}", run, 1.0)
+        # The least recent is evicted, the latest is not.
+        for incarnation in ("a/1", "b/1", "c/1"):
+            known.record_break("f0", incarnation, 1.0)
+            known.record_break(f"f{number}", incarnation, 1.0)
         self.assertTrue(known.is_quarantined("f0", 1.0))
         self.assertFalse(known.is_quarantined(f"f{number}", 1.0))
 
@@ -117,8 +117,8 @@
         self.source = random.Random(seed)
         self.exported = 0
 
-    def play(self, start, seconds):
-        """Plays some seconds of exchanges and returns the end."""
+    def run(self, start, seconds):
+        """Simulates some seconds of exchanges; returns the end time."""
         for tenth in range(10 * seconds):
             now = start + tenth / 10
             for number, node in enumerate(self.nodes):
@@ -131,10 +131,10 @@
         return start + seconds
 
     def _exchange(self, node, other, now):
-        self._hand_on(node, other, now)
-        self._hand_on(other, node, now)
+        self._send(node, other, now)
+        self._send(other, node, now)
 
-    def _hand_on(self, sender, receiver, now):
+    def _send(self, sender, receiver, now):
         breaks, sound = sender.export(now), sender.export_completions(now)
         self.exported += len(breaks) + len(sound)
         receiver.merge_completions(sound, now)
@@ -142,32 +142,32 @@
 
 
 class FleetTest(unittest.TestCase):
-    """Guards against a crash at a new node for each of many nodes."""
+    """Guards against one more crash for each node of a large fleet."""
 
     def test_breaks_at_different_nodes_are_counted_together(self):
         for nodes in (9, 195, 400):
             with self.subTest(nodes=nodes):
                 fleet = Fleet(nodes, seed=nodes)
                 at = 0.0
-                for number, run in enumerate(("a/1", "b/1", "c/1")):
-                    fleet.nodes[number].record_break("f", run, at)
-                    at = fleet.play(at, 1)
-                # The platform's page gives five seconds from the third crash.
-                at = fleet.play(at, 4)
+                for number, incarnation in enumerate(("a/1", "b/1", "c/1")):
+                    fleet.nodes[number].record_break("f", incarnation, at)
+                    at = fleet.run(at, 1)
+                # The platform allows 5 s from the third crash.
+                at = fleet.run(at, 4)
                 self.assertTrue(
                     all(node.is_quarantined("f", at) for node in fleet.nodes)
                 )
-                fleet.play(at, 10)
+                fleet.run(at, 10)
                 fleet.exported = 0
-                fleet.play(at + 10, 5)
+                fleet.run(at + 10, 5)
                 self.assertEqual(fleet.exported, 0)
 
     def test_content_that_one_node_has_run_is_cleared_everywhere(self):
         fleet = Fleet(195, seed=3)
         fleet.nodes[50].record_completion("f", 0.0)
-        for number, run in enumerate(("a/1", "b/1", "c/1")):
-            fleet.nodes[number].record_break("f", run, 0.0)
-        at = fleet.play(0.0, 15)
+        for number, incarnation in enumerate(("a/1", "b/1", "c/1")):
+            fleet.nodes[number].record_break("f", incarnation, 0.0)
+        at = fleet.run(0.0, 15)
         blamed = sum(node.is_quarantined("f", at) for node in fleet.nodes)
         self.assertEqual(blamed, 0)
 
@@ -175,6 +175,6 @@
         known = quarantine.Quarantine()
         for number in range(3 * quarantine.MAX_EXPORTED):
             known.record_break(f"f{number}", "a/1", number / 1000)
-        news = known.export(1.0)
-        self.assertEqual(len(news), quarantine.MAX_EXPORTED)
-        self.assertIn(f"f{3 * quarantine.MAX_EXPORTED - 1}", news)
+        exported = known.export(1.0)
+        self.assertEqual(len(exported), quarantine.MAX_EXPORTED)
+        self.assertIn(f"f{3 * quarantine.MAX_EXPORTED - 1}", exported)
--- a/tests/test_forwarding_slowness.py
+++ b/tests/test_forwarding_slowness.py
@@ -1,4 +1,4 @@
-"""Tests of how slow versions are found, in a simulated fleet."""
+"""Tests of the detection of slow versions in a simulated fleet."""
 
 import dataclasses
 import heapq
@@ -24,14 +24,14 @@
 RATE_PER_S = 70.0
 SYNC_S = 0.3
 JUDGE_S = 0.25
-PATIENCE_S = 1.0
+TIMEOUT_S = 1.0
 ROLLED_BACK = forwarding.RolloutState.ROLLED_BACK
 COMPLETED = forwarding.RolloutState.COMPLETED
 
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """A kind of request: its part of all, its prompt and its events."""
+    """A kind of request: its share, prompt length and number of events."""
 
     part: float
     tokens: int
@@ -48,20 +48,20 @@
 }
 
 
-def keep_pace(_):
-    """Returns the factors of the first event and of the pace: as usual."""
+def keep_latency(_):
+    """Returns factors of 1 for the first event and the event gaps."""
     return 1.0, 1.0
 
 
 @dataclasses.dataclass
-class Answer:
-    """An answer that is on its way."""
+class Response:
+    """A response in progress."""
 
     kind: str
     new: bool
     upstream: int
     at: float
-    watch: response_times.ResponseTimer = None
+    timer: response_times.ResponseTimer = None
     attempt: steps.Attempt = None
     left: int = 0
     gap_s: float = 0.0
@@ -69,12 +69,12 @@
 
 
 class Fleet:
-    """Nodes that exchange findings, and a service whose answers take time.
+    """Simulates nodes that exchange reports, and a service with latencies.
 
     Args:
-        slow: Returns the factors of the first event and of the pace.
+        slow: Returns the factors of the first event and the event gaps.
         rate: Requests per second at a time.
-        leave: Part of the callers that leave after a moment.
+        leave: Share of the callers that disconnect after 0.3 s.
         cold_s: Seconds for which the new upstreams are cold.
         restart_at: When a node restarts.
     """
@@ -82,7 +82,7 @@
     def __init__(
         self,
         seed,
-        slow=keep_pace,
+        slow=keep_latency,
         rate=lambda now: RATE_PER_S,
         leave=0.0,
         cold_s=0.0,
@@ -115,8 +115,8 @@
                 state.cold_until = cold_s if new else -100.0
                 self.states[new, number] = state
 
-    def play(self):
-        """Plays the roll-out, ordered at 0; returns its final state."""
+    def run(self):
+        """Runs the roll-out, ordered at 0; returns its final state."""
         self._at(-LEAD_S, self._arrive)
         self._at(0.0, self._begin)
         self._at(0.1, self._judge)
@@ -165,56 +165,62 @@
         count = NEW_UPSTREAMS if new else OLD_UPSTREAMS
         number = self._source.randrange(count)
         state = self.states[new, number]
-        answer = Answer(name, new, number, now, hard=self._source.random())
-        first, pace = self._slow(answer)
+        response = Response(name, new, number, now, hard=self._source.random())
+        first, pace = self._slow(response)
         tokens = int(kind.tokens * self._source.lognormvariate(0, 0.8))
-        answer.attempt = steps.Attempt(
+        response.attempt = steps.Attempt(
             state, kind.model, now, tokens, 0.1, now, 0.0
         )
         route = forwarding_world.build_route(name=name.partition("-")[0])
         service = forwarding_world.build_configuration().services["llm"]
-        answer.watch = times.start_timer(service, route, answer.attempt, share)
-        answer.left = max(
+        response.timer = times.start_timer(
+            service, route, response.attempt, share
+        )
+        response.left = max(
             1, int(kind.events * self._source.lognormvariate(0, 0.6))
         )
         noise = self._source.lognormvariate(0, 0.4)
-        answer.gap_s = pace * kind.pace_s * self._source.lognormvariate(0, 0.3)
+        response.gap_s = (
+            pace * kind.pace_s * self._source.lognormvariate(0, 0.3)
+        )
         first_s = first * noise * (0.05 + tokens / 100_000)
         if self._source.random() < self._leave:
-            self._at(now + 0.3, self._part, answer)
-        self._go_on(now, first_s, answer, rollouts)
+            self._at(now + 0.3, self._disconnect, response)
+        self._schedule_event(now, first_s, response, rollouts)
 
-    def _go_on(self, now, wait_s, answer, rollouts):
-        if wait_s > PATIENCE_S:
-            self._at(now + PATIENCE_S, self._give_up, answer)
+    def _schedule_event(self, now, wait_s, response, rollouts):
+        if wait_s > TIMEOUT_S:
+            self._at(now + TIMEOUT_S, self._time_out, response)
         else:
-            self._at(now + wait_s, self._hear, answer, rollouts)
+            self._at(now + wait_s, self._receive_event, response, rollouts)
 
-    def _hear(self, now, answer, rollouts):
-        attempt = answer.attempt
+    def _receive_event(self, now, response, rollouts):
+        attempt = response.attempt
         if attempt.end_cause is not None:
             return
-        if answer.left > 0 and attempt.last_byte_at == attempt.sent_at:
-            rollouts.record_response("llm", "v2" if answer.new else "v1", False)
+        if response.left > 0 and attempt.last_byte_at == attempt.sent_at:
+            rollouts.record_response(
+                "llm", "v2" if response.new else "v1", False
+            )
         attempt.last_byte_at = now
-        answer.watch.record_event(now)
-        answer.left -= 1
-        if answer.left > 0:
-            gap_s = answer.gap_s * self._source.lognormvariate(0, 0.5)
-            self._go_on(now, gap_s, answer, rollouts)
+        response.timer.record_event(now)
+        response.left -= 1
+        if response.left > 0:
+            gap_s = response.gap_s * self._source.lognormvariate(0, 0.5)
+            self._schedule_event(now, gap_s, response, rollouts)
             return
         attempt.end(steps.EndCause.UPSTREAM, steps.DELIVERED, now)
-        answer.watch.record_end()
+        response.timer.record_end()
 
-    def _give_up(self, now, answer):
-        if answer.attempt.end_cause is None:
-            answer.attempt.end(steps.EndCause.TIMEOUT, "no byte in time", now)
-            answer.watch.record_end()
+    def _time_out(self, now, response):
+        if response.attempt.end_cause is None:
+            response.attempt.end(steps.EndCause.TIMEOUT, "no byte in time", now)
+            response.timer.record_end()
 
-    def _part(self, now, answer):
-        if answer.attempt.end_cause is None:
-            answer.attempt.end(steps.EndCause.CALLER, "the caller left", now)
-            answer.watch.record_end()
+    def _disconnect(self, now, response):
+        if response.attempt.end_cause is None:
+            response.attempt.end(steps.EndCause.CALLER, "the caller left", now)
+            response.timer.record_end()
 
     def _judge(self, now):
         self._at(now + JUDGE_S, self._judge)
@@ -237,25 +243,25 @@
 
 
 class SlowVersionTest(unittest.TestCase):
-    """Guards against slow versions that are kept, sound ones that are not."""
+    """Guards against keeping slow versions and rejecting sound ones."""
 
     seeds = range(4)
 
     def check_rolled_back(self, slow, **changes):
-        """Plays a slow version, which has to be found in its exposure."""
+        """Checks that a slow version is found within the exposure limit."""
         for seed in self.seeds:
             with self.subTest(seed=seed):
                 fleet = Fleet(seed, slow, **changes)
-                self.assertIs(fleet.play(), ROLLED_BACK)
+                self.assertIs(fleet.run(), ROLLED_BACK)
                 allowed = EXPOSURE * DURATION_S * RATE_PER_S + FLOOR
                 self.assertLessEqual(fleet.new, allowed)
 
-    def check_completed(self, slow=keep_pace, **changes):
-        """Plays a sound version, which has to be completed in its time."""
+    def check_completed(self, slow=keep_latency, **changes):
+        """Checks that a sound version is completed in time."""
         for seed in self.seeds:
             with self.subTest(seed=seed):
                 fleet = Fleet(seed, slow, **changes)
-                self.assertIs(fleet.play(), COMPLETED, fleet.reason)
+                self.assertIs(fleet.run(), COMPLETED, fleet.reason)
 
     def test_version_several_times_slower_is_not_completed(self):
         self.check_rolled_back(
@@ -280,21 +286,21 @@
             )
 
     def test_version_slow_with_one_model_is_not_completed(self):
-        # A fifth of the requests; the first share may bring too few of them
-        # for a proof within the time of the order.
-        def slow(answer):
-            hit = answer.new and answer.kind == "draft-large"
+        # Only a fifth of the requests use the model, so the initial share may
+        # yield too few of them for a proof in time.
+        def slow(response):
+            hit = response.new and response.kind == "draft-large"
             return (8.0, 8.0) if hit else (1.0, 1.0)
 
         for seed in self.seeds:
             with self.subTest(seed=seed):
                 fleet = Fleet(seed, slow)
-                self.assertIsNot(fleet.play(), COMPLETED)
+                self.assertIsNot(fleet.run(), COMPLETED)
                 allowed = EXPOSURE * DURATION_S * RATE_PER_S + FLOOR
                 self.assertLessEqual(fleet.new, allowed)
 
     def test_version_that_turns_slow_late_is_rolled_back(self):
-        # Also after it was found to be sound.
+        # The later time is after the version was found to be sound.
         for late_s in (3.0, 7.0):
             self.check_rolled_back(
                 lambda a, late_s=late_s: (
@@ -322,9 +328,9 @@
         self.check_completed()
 
     def test_sound_version_with_slow_upstreams_is_completed(self):
-        # One in six upstreams of either version turns slow for some seconds.
-        def slow(answer):
-            hit = 4 < answer.at < 10 and answer.upstream % 6 == 1
+        # One in six upstreams of both versions is slow for 6 s.
+        def slow(response):
+            hit = 4 < response.at < 10 and response.upstream % 6 == 1
             return (5.0, 5.0) if hit else (1.0, 1.0)
 
         self.check_completed(slow)
@@ -332,8 +338,8 @@
     def test_sound_version_beside_a_burst_is_completed(self):
         for start_s in (2.0, 8.0, 12.0):
 
-            def slow(answer, start_s=start_s):
-                hit = start_s < answer.at < start_s + 3
+            def slow(response, start_s=start_s):
+                hit = start_s < response.at < start_s + 3
                 return (3.0, 2.5) if hit else (1.0, 1.0)
 
             def rate(now, start_s=start_s):
@@ -359,17 +365,17 @@
 
     def test_no_roll_out_is_completed_for_lack_of_evidence(self):
         fleet = Fleet(1, cold_s=100.0)
-        self.assertIsNone(fleet.play())
+        self.assertIsNone(fleet.run())
 
     def test_version_a_little_slower_is_completed(self):
         self.check_completed(lambda a: (1.15, 1.15) if a.new else (1.0, 1.0))
 
 
-class CourseTest(unittest.TestCase):
-    """Guards what the course of a request tells the test."""
+class LifecycleLatencyTest(unittest.TestCase):
+    """Tests the latencies that the request lifecycle reports."""
 
     def play(self, pace_s, give_up=False):
-        """Plays requests one after the other; returns the router."""
+        """Runs requests one after the other; returns the router."""
         built = forwarding_world.build_router(
             forwarding_world.build_upstream("a"),
             *(
@@ -387,9 +393,9 @@
         return built
 
     def serve(self, built, name, now, pace_s, give_up):
-        """Lets one request run, possibly to its end."""
-        call = forwarding_world.build_request(request_id=name)
-        lifecycle = forwarding_world.build_lifecycle(built, call, now=now)
+        """Runs one request, to completion or up to its time-out."""
+        request = forwarding_world.build_request(request_id=name)
+        lifecycle = forwarding_world.build_lifecycle(built, request, now=now)
         sent = lifecycle.choose_next_step(now)
         head = forwarding_world.build_head(confidence=100)
         lifecycle.evaluate_head(head, now + 0.05)
@@ -407,7 +413,7 @@
     def test_slow_streams_are_found(self):
         found = self.play(0.16).rollouts.get("llm")
         self.assertTrue(found.worse)
-        self.assertIn("answers slow against", found.reason)
+        self.assertIn("responses slow against", found.reason)
 
     def test_streams_that_were_given_up_are_found(self):
         self.assertTrue(self.play(0.02, True).rollouts.get("llm").worse)
@@ -419,7 +425,7 @@
 
 
 class CountsTest(unittest.TestCase):
-    """Guards the exchange of counts between nodes."""
+    """Tests the exchange of counts between nodes."""
 
     def test_counts_are_read_as_they_were_written(self):
         counts = slowness.build_counts("a", True, True, 0.25).plus(
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -1,4 +1,4 @@
-"""Tests of mirrored state, routes, upstreams, budgets and cold limits."""
+"""Tests of the store mirror, routes, upstreams and rate limits."""
 
 import random
 import unittest
@@ -17,7 +17,7 @@
 from sycamorehollow.model import forwarding
 from tests import forwarding_world
 
-# Tolerated excess over the rate of a cold upstream, and the addition to it.
+# Tolerated multiple of the rate of a cold upstream, and addition to it.
 FACTOR = 1.5
 FLOOR = 5.0
 CHANGES = strategies.lists(
@@ -30,7 +30,7 @@
 
 
 def build_history(changes):
-    """Returns the entries of a store that made the changes in order."""
+    """Returns the store entries that result from the changes in order."""
     return [
         mirror.Entry(key, value, number)
         for number, (key, value) in enumerate(changes, 1)
@@ -43,7 +43,7 @@
 
 
 class MirrorTest(unittest.TestCase):
-    """Guards against copies that go back, differ or lose a deletion."""
+    """Guards against mirrors that go back, diverge or lose a deletion."""
 
     @hypothesis.given(
         CHANGES,
@@ -113,7 +113,7 @@
 
 
 class RouteTableTest(unittest.TestCase):
-    """Guards against requests on the wrong route or with a wrong key."""
+    """Guards against wrong routes and unauthorized requests."""
 
     def setUp(self):
         routes = (
@@ -135,14 +135,14 @@
             ("/draft/ax", "short"),
             ("/draft/a", "short"),
         ):
-            call = forwarding_world.build_request(path=path)
-            self.assertEqual(self.table.find_route(call).name, name)
-        for call in (
+            request = forwarding_world.build_request(path=path)
+            self.assertEqual(self.table.find_route(request).name, name)
+        for request in (
             forwarding_world.build_request(path="/drafts/a"),
             forwarding_world.build_request(host="other.example"),
         ):
             self.assertIsInstance(
-                self.table.find_route(call), failures.NotFound
+                self.table.find_route(request), failures.NotFound
             )
 
     def test_keys_belong_to_workspaces(self):
@@ -153,17 +153,17 @@
             ("k", opened, forwarding.Workspace("maps")),
             ("", opened, None),
         ):
-            call = forwarding_world.build_request(api_key=key)
-            self.assertEqual(self.table.authorize(call, on), expected)
+            request = forwarding_world.build_request(api_key=key)
+            self.assertEqual(self.table.authorize(request, on), expected)
         for key in ("", "other"):
-            call = forwarding_world.build_request(api_key=key)
+            request = forwarding_world.build_request(api_key=key)
             self.assertIsInstance(
-                self.table.authorize(call, route), failures.Unauthorized
+                self.table.authorize(request, route), failures.Unauthorized
             )
 
 
 class DirectoryTest(unittest.TestCase):
-    """Guards against use of upstreams that left and loss of live ones."""
+    """Guards against using removed upstreams and dropping live ones."""
 
     def setUp(self):
         self.directory = directory.Directory()
@@ -203,8 +203,8 @@
         )
 
 
-class ColdLimitsTest(unittest.TestCase):
-    """Guards against more requests than cold upstreams bear."""
+class ColdStartLimiterTest(unittest.TestCase):
+    """Guards against more requests than cold upstreams tolerate."""
 
     @hypothesis.given(
         strategies.integers(1, 20),
@@ -222,7 +222,7 @@
                 limits = self._build_fleet(nodes)
                 sent = self._press(limits, 15.0, [0.1 * n for n in range(40)])
                 self._check_rate(sent, 15.0 * FACTOR + FLOOR)
-                # Half of what is tolerated is used under full load.
+                # At least half of the tolerated rate is used under full load.
                 self.assertGreater(len(sent), 4.0 * 15.0 * FACTOR / 2)
 
     def test_added_nodes_that_others_do_not_know_fit_in(self):
@@ -243,7 +243,7 @@
             sum(limit.can_send(f"u{n}", 15.0, 0.0) for n in range(39))
             for limit in limits
         ]
-        # Few nodes have no upstream that they may use while all are cold.
+        # Few nodes own no upstream while all are cold.
         self.assertLess(owners.count(0), 0.05 * len(owners))
 
     def _build_fleet(self, nodes):
@@ -256,7 +256,7 @@
         return limits
 
     def _press(self, limits, rate, times):
-        """Lets all nodes send as much as they may; returns when they did."""
+        """Lets all nodes send as much as allowed; returns the send times."""
         sent = []
         for at in times:
             for limit in limits:
@@ -272,7 +272,7 @@
 
 
 class RetryBudgetTest(unittest.TestCase):
-    """Guards against storms of repeats."""
+    """Guards against retry storms."""
 
     @hypothesis.given(
         strategies.lists(
@@ -287,19 +287,19 @@
             budget = retry_budget.RetryBudget(ratio, window_s, floor)
             budget.set_node_count(nodes)
             budgets.append(budget)
-        fresh, repeats = [], []
+        requests, retries = [], []
         source = random.Random(1)
-        for at, is_fresh in sorted(arrivals):
+        for at, is_request in sorted(arrivals):
             budget = source.choice(budgets)
-            if is_fresh:
+            if is_request:
                 budget.record_request("s", at)
-                fresh.append(at)
+                requests.append(at)
             elif budget.can_retry("s", at):
                 budget.record_retry("s", at)
-                repeats.append(at)
-        for end in repeats:
-            asked = sum(end - window_s < at <= end for at in fresh)
-            seen = sum(end - window_s < at <= end for at in repeats)
+                retries.append(at)
+        for end in retries:
+            asked = sum(end - window_s < at <= end for at in requests)
+            seen = sum(end - window_s < at <= end for at in retries)
             self.assertLessEqual(seen, asked * ratio + floor)
 
     def test_storm_of_repeats_is_bounded(self):
@@ -318,7 +318,7 @@
 
 
 class WatchersTest(unittest.TestCase):
-    """Guards against a watch by every node, and against none."""
+    """Guards against watches by all nodes and by none."""
 
     def setUp(self):
         self.nodes = {
@@ -377,8 +377,8 @@
             self.assertIsNone(each.choose_watcher(nodes, 0.1))
 
 
-class RouterNewsTest(unittest.TestCase):
-    """Guards against configurations that go back."""
+class RouterEventsTest(unittest.TestCase):
+    """Tests how the router applies events."""
 
     def test_older_version_is_ignored(self):
         built = forwarding_world.build_router()
@@ -413,11 +413,11 @@
         self.assertEqual(len(built.directory.list_usable("llm", 2.0)), 2)
 
 
-class PartnersTest(unittest.TestCase):
-    """Guards against exchanges that grow with the square of the fleet."""
+class GossipPeersTest(unittest.TestCase):
+    """Guards against exchanges that grow with the fleet."""
 
     def _count_crossings(self, fleet_size, age_s):
-        """Returns how many nodes ask one of another data centre."""
+        """Returns how many nodes poll one of another data centre."""
         nodes = {
             f"n{number}": watchers.Node(f"a:{number}", f"dc-{number % 5}")
             for number in range(fleet_size)
@@ -426,10 +426,10 @@
         crossings = 0
         for name, node in nodes.items():
             each = watchers.Watchers(name, node.data_centre, source)
-            partner = each.choose_gossip_peer(nodes, age_s, 0.0)
-            self.assertNotEqual(partner, name)
-            if partner is not None:
-                crossings += nodes[partner].data_centre != node.data_centre
+            peer = each.choose_gossip_peer(nodes, age_s, 0.0)
+            self.assertNotEqual(peer, name)
+            if peer is not None:
+                crossings += nodes[peer].data_centre != node.data_centre
         return crossings
 
     def test_exchanges_do_not_grow_with_the_fleet(self):
@@ -447,9 +447,7 @@
         first = watchers.Watchers("n0", "dc-0", random.Random(1))
         name = first.list_watchers(nodes, 0.0)[0]
         each = watchers.Watchers(name, "dc-0", random.Random(1))
-        partners = {
-            each.choose_gossip_peer(nodes, 0.0, 0.0) for _ in range(200)
-        }
-        self.assertEqual(len(partners), 9)
-        places = {nodes[partner].data_centre for partner in partners}
+        peers = {each.choose_gossip_peer(nodes, 0.0, 0.0) for _ in range(200)}
+        self.assertEqual(len(peers), 9)
+        places = {nodes[peer].data_centre for peer in peers}
         self.assertEqual(len(places), 5)
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -362,7 +362,7 @@
             engine.confidences = {"small": 1}
         for _ in range(8):
             self.assertEqual(self.node.stream().status, 200)
-        self.assertIn("dropped at", self.node.read_log())
+        self.assertIn("discarded at confidence", self.node.read_log())
         self._check_served()
         self.assertNotIn("break=", self.node.read_log())
 
@@ -376,7 +376,7 @@
         processes.wait_for(
             lambda: (
                 "upstream=fragile-3" in self.node.read_log()
-                and "upstream=engine-3 gone" in self.node.read_log()
+                and "upstream=engine-3 removed" in self.node.read_log()
             )
         )
         for _ in range(3):
--- a/tests/test_gateway_log.py
+++ b/tests/test_gateway_log.py
@@ -61,7 +61,8 @@
             engine.confidences = {"small": 10}
         self.node.stream(request_id="dropped")
         self.assertRegex(
-            self._read_line("dropped"), r"dropped at 10.*\(cascade \+"
+            self._read_line("dropped"),
+            r"discarded at confidence 10.*\(cascade \+",
         )
 
 
