Put the texts of the billing tests into plain terms

Doc comments of the tests of billing, of cascades in real processes and of unknown deployments name the failure they guard against.

--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -19,7 +19,7 @@
 
 
 class Node:
-    """One run of an entry process."""
+    """One incarnation of an entry process."""
 
     def __init__(self, number: int, incarnation: int):
         zone = f"dc{number % 2}"
@@ -45,7 +45,7 @@
 
     def __init__(self, schedule: worlds.Schedule, processes: int = 3):
         super().__init__(schedule, processes)
-        # Per bill: the processes that were given it.
+        # Per bill, the processes that received it.
         self.holders: dict[str, set[Node]] = {}
         self.origins: dict[str, Node] = {}
         self.released: dict[str, bool] = {}
@@ -71,7 +71,7 @@
         super().settle()
 
     def bill(self) -> None:
-        """Bills one response of 1,000 nano-units."""
+        """Bills one response at 1,000 nano-units."""
         node, token = self.pick_node(), self.make_id()
         self.origins[token] = node
         self.holders[token] = {node}
@@ -99,7 +99,7 @@
         return len(self.holders[token]) > 1 or token in self.read_bills()
 
     def read_bills(self) -> dict[str, messages.Bill]:
-        """Returns the bills in the reader's view by identity."""
+        """Returns the stored bills by identity, without duplicates."""
         return {b.identity: b for b in self.make_reader().list_bills()}
 
     def make_reader(self) -> billing_reader.BillReader:
@@ -156,7 +156,7 @@
         self.give(node, messages.PeersChanged(peers))
 
     def pause(self) -> None:
-        """Pauses a process, which its peers may take for ended, or resumes."""
+        """Pauses or resumes a process; peers may assume that it has ended."""
         node = self.pick_node()
         node.paused = not node.paused
         if node.paused and self.schedule.pick(2):
@@ -165,7 +165,7 @@
                     self.give(other, messages.OriginEnded(node.process))
 
     def partition(self) -> None:
-        """Takes all peers from a process, or gives them back."""
+        """Separates a process from its peers, or reconnects it."""
         node = self.pick_node()
         if self.schedule.pick(2):
             self.give(node, messages.PeersChanged(()))
@@ -174,7 +174,7 @@
 
 
 def find_fault(world: World) -> str:
-    """Returns the first broken invariant of a settled world, or ''."""
+    """Returns the first violated invariant of a settled world, or ''."""
     if world.fault:
         return world.fault
     bills = world.read_bills()
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -18,7 +18,7 @@
 
 
 class ScheduleTest(unittest.TestCase):
-    """Guards against lost, doubled and early released bills."""
+    """Guards against lost or duplicate bills and early releases."""
 
     @hypothesis.settings(max_examples=800)
     @hypothesis.given(NUMBERS)
@@ -37,7 +37,7 @@
 
 
 class LimitTest(unittest.TestCase):
-    """Guards against batches and memory without a bound."""
+    """Guards against unbounded batches and memory."""
 
     def setUp(self):
         self.process = messages.Process("p0", "dc0", 1)
@@ -101,7 +101,7 @@
 
 
 class RuleTest(unittest.TestCase):
-    """Guards against charging for anything but the delivered response."""
+    """Guards against charges for anything but the delivered response."""
 
     def test_discarded_attempts_are_internal_cost(self):
         small = deployment.Version("small", "m", 20, 80)
--- a/tests/test_process_bills.py
+++ b/tests/test_process_bills.py
@@ -1,16 +1,16 @@
-"""Bills through real processes under faults."""
+"""Tests of billing in real processes under faults."""
 
 import unittest
 
 from tests import fault_world
 from tests import processes
 
-# The death of a process is certain after missed probes and a suspicion.
+# Covers missed probes and the suspicion time, after which a process is dead.
 DEATH_LIMIT_S = 45.0
 
 
 class BillFaultTest(unittest.TestCase):
-    """Guards against answers that are billed twice, wrongly or not at all."""
+    """Guards against responses billed twice, wrongly or not at all."""
 
     @classmethod
     def setUpClass(cls):
@@ -44,7 +44,7 @@
             )
 
     def test_bill_of_a_lost_entry_comes_from_its_peer(self):
-        """Guards against a bill that is lost with the only process."""
+        """Guards against a bill that is lost with the process that made it."""
         self.world.inject("store", "down")
         answers = self._complete(self.victim, 3)
         self.victim.child.kill()
@@ -52,7 +52,7 @@
         self._check_billed(answers, DEATH_LIMIT_S)
 
     def test_store_outage_delays_bills_only(self):
-        """Guards against bills that are dropped while the store is down."""
+        """Guards against bills that are lost during a store outage."""
         self.world.inject("store", "down")
         answers = self._complete(self.first, 4) + self._complete(self.second, 4)
         processes.wait_for(
@@ -63,7 +63,7 @@
         self._wait_until_stored()
 
     def test_lost_store_answers_do_not_repeat_bills(self):
-        """Guards against a second copy under another key of the store."""
+        """Guards against a second copy under another key in the store."""
         self.world.inject(
             "store", "lose_answer", method="PUT", path="/v1/kv/bills/", count=2
         )
@@ -83,7 +83,7 @@
             )
 
     def test_repeat_at_another_entry_is_billed_once(self):
-        """Guards against a caller that pays twice for one identity."""
+        """Guards against a caller that is charged twice for one identity."""
         key = fault_world.make_key()
         for entry in (self.first, self.second):
             stream = self.world.open_stream(entry, 5, key, prompt="again")
@@ -95,7 +95,7 @@
         self.assertEqual(bill.amount, fault_world.price(bill.prompt_tokens, 5))
 
     def test_leaving_caller_pays_for_what_was_delivered(self):
-        """Guards against free answers and against bills for the rest."""
+        """Guards against charging too little or too much after a disconnect."""
         key = fault_world.make_key()
         stream = self.world.open_stream(self.first, 500, key)
         received = b""
@@ -104,7 +104,7 @@
         stream.close()
         processes.wait_for(lambda: key in self.world.read_bills())
         bill = self.world.read_bills()[key]
-        # The first event carries the role and no token.
+        # The first event contains the role and no token.
         self.assertGreaterEqual(
             bill.output_tokens, received.count(b"data: ") - 1
         )
--- a/tests/test_process_cascades.py
+++ b/tests/test_process_cascades.py
@@ -1,4 +1,4 @@
-"""Cascades and sessions through real processes."""
+"""Tests of cascades and sessions in real processes."""
 
 import concurrent.futures
 import signal
@@ -14,12 +14,12 @@
     "gate": True,
     "explore": True,
 }
-# Requests until one is a trial of the small version.
+# Requests within which one should be a trial of the small version.
 TRIES = 20
 
 
 class CascadeTest(unittest.TestCase):
-    """Guards against poor, mixed or empty answers of a cascade."""
+    """Guards against rejected, mixed or empty responses of a cascade."""
 
     @classmethod
     def setUpClass(cls):
@@ -91,7 +91,10 @@
 
 
 class LargerVersionLostTest(unittest.TestCase):
-    """Guards against a refusal in place of an answer that was ready."""
+    """Guards against an error although a complete response is available.
+
+    The larger version is paused while the request runs on the small one.
+    """
 
     def test_paused_larger_version_leaves_the_small_answer(self):
         running = processes.Processes()
@@ -135,7 +138,7 @@
     def _begin_with_small(self, pool, url, engines):
         """Returns a request that runs on the small version first.
 
-        Whether one does is a trial that the process draws.
+        The process decides at random which requests are such trials.
         """
         for _ in range(TRIES):
             answer = pool.submit(ask_chapter, url)
@@ -149,7 +152,7 @@
 
 
 def ask_chapter(url):
-    """Asks for a chapter and returns the whole response."""
+    """Requests a chapter and returns the complete response."""
     return processes.HTTP.request(
         "POST",
         f"{url}/v1/chat/completions",
@@ -168,6 +171,6 @@
 
 
 def count_running(engine):
-    """Returns the requests that run at an engine."""
+    """Returns the number of requests that run at an engine."""
     load = processes.HTTP.request("GET", f"{engine}/v1/load")
     return load.json()["running"]
--- a/tests/test_unseen_deployments.py
+++ b/tests/test_unseen_deployments.py
@@ -1,4 +1,7 @@
-"""Two deployments that differ from all known ones, without a change of code."""
+"""Tests of two deployments that differ from all known ones.
+
+They must work without a change of code.
+"""
 
 import json
 import tempfile
@@ -12,7 +15,7 @@
 from tests import platform_standins
 from tests import processes
 
-# One node, one plain upstream, no keys, no limits, no prompts; a few settings.
+# One node and one upstream without keys, limits and prompts; few settings.
 HARBOUR = {
     "zone": "pier",
     "zones.pier": "harbour",
@@ -25,7 +28,7 @@
     "limits.linkMbps": "0.5",
     "contracts": "base,tides",
 }
-# Five zones, three models, tight times, and fields that nobody knows.
+# Five zones, three models, short timeouts and unknown fields.
 ARCHIPELAGO = {
     "zone": "isle-5",
     **{f"zones.isle-{n}": "sea" for n in range(1, 6)},
@@ -42,7 +45,7 @@
 
 
 class UnseenDeploymentTest(unittest.TestCase):
-    """Guards against figures and names of the deployments that we know."""
+    """Guards against hard-coded names and figures of known deployments."""
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
