Name the local values and private methods of routing by their role

Methods that apply a report or end an attempt say so, and the groups of upstreams are local and remote. The baseline of the selection logs "outstanding attempts" instead of "own attempts".

Checked: format, lint and type checks are clean; test_admission, test_capacity, test_coldstart, test_selection, test_upstreams, test_learning, test_cascades and test_node pass.

--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -91,8 +91,10 @@
         plan = self._plan(request, current, now)
         if isinstance(plan, failures.Failure):
             return plan
-        needs_s = self._pools.estimate_duration_s(request, plan.steps[0], now)
-        return dataclasses.replace(plan, expected_duration_s=needs_s)
+        duration_s = self._pools.estimate_duration_s(
+            request, plan.steps[0], now
+        )
+        return dataclasses.replace(plan, expected_duration_s=duration_s)
 
     def _plan(
         self,
@@ -106,7 +108,7 @@
         if request.session and request.session != sessions.NEW_SESSION:
             return self._plan_session(request, current, base)
         shares = self._rollouts.get_shares()
-        found = versions.resolve(
+        eligible = versions.resolve(
             current,
             workspace,
             request.model,
@@ -114,23 +116,23 @@
             shares,
             self._rollouts.list_stopped_versions(),
         )
-        if isinstance(found, failures.Failure):
-            return found
+        if isinstance(eligible, failures.Failure):
+            return eligible
         base = dataclasses.replace(
-            base, arms=dict(found.arms), rollout_shares=shares
+            base, arms=dict(eligible.arms), rollout_shares=shares
         )
-        if policy is None or len(found.versions) == 1:
+        if policy is None or len(eligible.versions) == 1:
             plan = dataclasses.replace(
                 base,
-                steps=found.versions[:1],
-                fallbacks=found.versions[1:],
-                reason=found.reason,
+                steps=eligible.versions[:1],
+                fallbacks=eligible.versions[1:],
+                reason=eligible.reason,
             )
         else:
-            chosen = self._choose(request, current, policy, found, now)
+            chosen = self._choose(request, current, policy, eligible, now)
             if isinstance(chosen, failures.Failure):
                 return chosen
-            plan = self._apply_choice(base, policy, found, chosen)
+            plan = self._apply_choice(base, policy, eligible, chosen)
         if request.session == sessions.NEW_SESSION:
             return self._pin(request, plan)
         return plan
@@ -244,10 +246,10 @@
         request: requests.ModelRequest,
         current: deployment.Deployment,
         policy: deployment.KindPolicy,
-        found: versions.EligibleVersions,
+        eligible: versions.EligibleVersions,
         now: float,
     ) -> cascade_selector.Cascade | failures.Failure:
-        names = found.versions
+        names = eligible.versions
         conditions = cascade_selector.Conditions(
             durations_s={
                 name: self._pools.estimate_duration_s(request, name, now)
@@ -288,10 +290,10 @@
         self,
         base: planning.Plan,
         policy: deployment.KindPolicy,
-        found: versions.EligibleVersions,
+        eligible: versions.EligibleVersions,
         choice: cascade_selector.Cascade,
     ) -> planning.Plan:
-        others = tuple(v for v in found.versions if v not in choice.steps)
+        others = tuple(v for v in eligible.versions if v not in choice.steps)
         return dataclasses.replace(
             base,
             steps=choice.steps,
@@ -299,7 +301,7 @@
             # A kind without trials must not run on an unproven version, even if
             # the proven ones are full.
             fallbacks=others if policy.explore else (),
-            reason=f"{found.reason}; {choice.reason}",
+            reason=f"{eligible.reason}; {choice.reason}",
         )
 
     def _expect_rating(
--- a/sycamorehollow/decisions/cascading/rating_counts.py
+++ b/sycamorehollow/decisions/cascading/rating_counts.py
@@ -60,7 +60,7 @@
         self.drop_epochs_before(self.get_current_epoch() - KEPT_EPOCHS + 1)
 
     def drop_epochs_before(self, floor: int) -> bool:
-        """Drops the epochs before `floor`; returns whether that is later."""
+        """Drops the epochs before `floor`; returns False if that was done."""
         if floor <= self.first_epoch:
             return False
         self.first_epoch = floor
--- a/sycamorehollow/decisions/routing/admission.py
+++ b/sycamorehollow/decisions/routing/admission.py
@@ -328,8 +328,8 @@
         work, started_at = entry
         self._release_tokens(work)
         # Weighted by tokens, because the completion rate is in tokens.
-        share = min(0.5, HOLD_TIME_SMOOTHING * work.tokens / QUANTUM_TOKENS)
-        self._mean_hold_s += share * (now - started_at - self._mean_hold_s)
+        weight = min(0.5, HOLD_TIME_SMOOTHING * work.tokens / QUANTUM_TOKENS)
+        self._mean_hold_s += weight * (now - started_at - self._mean_hold_s)
 
     def _remove_waiting(self, request: str) -> None:
         queue_key = self._waiting.pop(request, None)
--- a/sycamorehollow/decisions/routing/cold_start_limiter.py
+++ b/sycamorehollow/decisions/routing/cold_start_limiter.py
@@ -135,7 +135,7 @@
             case upstream_events.UpstreamsConfigured():
                 self._configure(event.upstreams)
             case upstream_events.LoadReported():
-                return self._report(event, now)
+                return self._apply_report(event, now)
             case upstream_events.AttemptStarted():
                 state = self._states.get(event.upstream)
                 if state is not None:
@@ -145,9 +145,9 @@
                     )
                     state.running[event.attempt] = epoch if cold else None
             case upstream_events.AttemptEnded():
-                return self._end(event, now)
+                return self._end_attempt(event, now)
             case upstream_events.ReturnedToService():
-                self._return(event.upstream, now)
+                self._begin_ramp_up(event.upstream, now)
             case LoanRequested():
                 return self._lend(event, now)
             case LoanGranted():
@@ -221,7 +221,7 @@
             return permits
         return permits + max(0, state.completed - state.bearable)
 
-    def _report(
+    def _apply_report(
         self, event: upstream_events.LoadReported, now: float
     ) -> list[commands.Command]:
         state = self._states.get(event.upstream)
@@ -249,11 +249,11 @@
             state.cold = False
         return []
 
-    def _return(self, upstream: str, now: float) -> None:
+    def _begin_ramp_up(self, upstream: str, now: float) -> None:
         state = self._states.get(upstream)
         if state is None:
             return
-        # A peer may have told of the return before the configuration did.
+        # The return may be known from a peer before the configuration arrives.
         if state.ramping_up and now - state.cold_since < RETURN_PROPAGATION_S:
             return
         state.ramping_up = True
@@ -275,7 +275,7 @@
         state.cold_since = now
         state.completed = 0
 
-    def _end(
+    def _end_attempt(
         self, event: upstream_events.AttemptEnded, now: float
     ) -> list[commands.Command]:
         state = self._states.get(event.upstream)
--- a/sycamorehollow/decisions/routing/load_table.py
+++ b/sycamorehollow/decisions/routing/load_table.py
@@ -157,11 +157,11 @@
         """Applies one event; returns no commands."""
         match event:
             case upstream_events.AttemptStarted():
-                self._start(event, now)
+                self._start_attempt(event, now)
             case upstream_events.AttemptEnded():
-                self._end(event, now)
+                self._end_attempt(event, now)
             case upstream_events.LoadReported():
-                self._report(event)
+                self._apply_report(event)
             case upstream_events.UpstreamsConfigured():
                 self._configure(event.upstreams)
             case (
@@ -233,21 +233,25 @@
         for name in loads:
             self._invalidate_peer_sums(name)
 
-    def _start(self, event: upstream_events.AttemptStarted, now: float) -> None:
+    def _start_attempt(
+        self, event: upstream_events.AttemptStarted, now: float
+    ) -> None:
         load = self._loads.get(event.upstream)
         if load is None or event.attempt in load.attempts:
             return
         load.attempts[event.attempt] = (event.tokens, now)
         load.record_own_change(event.tokens, now)
 
-    def _end(self, event: upstream_events.AttemptEnded, now: float) -> None:
+    def _end_attempt(
+        self, event: upstream_events.AttemptEnded, now: float
+    ) -> None:
         load = self._loads.get(event.upstream)
         if load is None or event.attempt not in load.attempts:
             return
         tokens, _ = load.attempts.pop(event.attempt)
         load.record_own_change(-tokens, now)
 
-    def _report(self, event: upstream_events.LoadReported) -> None:
+    def _apply_report(self, event: upstream_events.LoadReported) -> None:
         load = self._loads.get(event.upstream)
         if load is None:
             return
@@ -284,7 +288,7 @@
         )
 
     def _publish(self, now: float) -> None:
-        # Some early, since waiting for the next exchange would be later.
+        # Better slightly early than late by a whole exchange interval.
         if now - self._published_at < 0.9 * self._get_publish_interval_s():
             return
         self._sequence += 1
@@ -306,9 +310,9 @@
 
     def build_delta(self, digest: bytes, now: float) -> bytes:
         """Returns newer loads of upstreams in the sender's data centre."""
-        asked = peer_loads.decompress_json(digest)
-        known = asked["known"]
-        data_centre = asked["data_centre"]
+        peer_digest = peer_loads.decompress_json(digest)
+        known = peer_digest["known"]
+        data_centre = peer_digest["data_centre"]
         newer = self._peer_loads.list_newer(known, data_centre)
         if known.get(self._process, 0) < self._sequence:
             tokens = {}
--- a/sycamorehollow/decisions/routing/selection.py
+++ b/sycamorehollow/decisions/routing/selection.py
@@ -124,7 +124,7 @@
         if not best:
             return make_full_failure()
         name = self._rng.choice(best)
-        return SelectedUpstream(name, f"{fewest} own attempts")
+        return SelectedUpstream(name, f"{fewest} outstanding attempts")
 
 
 class PowerOfTwoSelection(Selection):
@@ -202,16 +202,16 @@
         self, request: capacity.Demand, candidates: Sequence[str], now: float
     ) -> SelectedUpstream | failures.Failure:
         """Chooses by estimated load, in the own data centre if possible."""
-        own: list[str] = []
-        far: list[str] = []
+        local: list[str] = []
+        remote: list[str] = []
         for name in candidates:
             load = self._table.find_load(name)
             if load is None:
                 continue
-            near = load.configuration.data_centre == self._data_centre
-            (own if near else far).append(name)
+            is_local = load.configuration.data_centre == self._data_centre
+            (local if is_local else remote).append(name)
         late = False
-        for group in (own, far):
+        for group in (local, remote):
             if not group:
                 continue
             best = self._choose_sampled(request, group, now)
