--- a/sycamorehollow/decisions/operations/leases.py
+++ b/sycamorehollow/decisions/operations/leases.py
@@ -154,129 +154,131 @@
         self._key = key
         self._owner = owner
         self._ttl_s = ttl_s
-        self._step = LeaseState.IDLE
-        self._number = 0
-        self._issued = 0.0
+        self._state = LeaseState.IDLE
+        self._last_number = 0
+        self._issued_at = 0.0
         self._lease = ""
         self._value = ""
-        self._fence = 0
-        self._until = 0.0
-        self._renewing = False
-        self._due = float("-inf")
-        self._released = False
+        self._fencing_token = 0
+        self._valid_until = 0.0
+        self._is_renewing = False
+        self._retry_at = float("-inf")
+        self._is_release_requested = False
 
     def get_held_lease(self, now: float) -> HeldLease | None:
         """Returns the lease, or `None` if it is not valid now."""
-        if self._step is not LeaseState.HELD or now >= self._until:
+        if self._state is not LeaseState.HELD or now >= self._valid_until:
             return None
-        return HeldLease(self._fence, self._until)
+        return HeldLease(self._fencing_token, self._valid_until)
 
     def handle(self, event: events.Event, now: float) -> list[commands.Command]:
         """Applies an event; responses to earlier commands are ignored."""
         if isinstance(event, events.Tick):
             return self._tick(now)
         if isinstance(event, ReleaseRequested):
-            self._released = True
-            return self._give_up(now)
+            self._is_release_requested = True
+            return self._release(now)
         number = getattr(event, "number", None)
-        if number != self._number or self._step is LeaseState.IDLE:
+        if number != self._last_number or self._state is LeaseState.IDLE:
             return []
         if (
             isinstance(event, LeaseCreated)
-            and self._step is LeaseState.CREATING
+            and self._state is LeaseState.CREATING
         ):
             return self._claim(event.lease, now)
         if (
             isinstance(event, LeaseRecordClaimed)
-            and self._step is LeaseState.CLAIMING
+            and self._state is LeaseState.CLAIMING
         ):
-            return self._hold(event.revision, now)
+            return self._mark_held(event.revision, now)
         if (
             isinstance(event, LeaseRecordRead)
-            and self._step is LeaseState.READING
+            and self._state is LeaseState.READING
         ):
             if event.value == self._value:
-                return self._hold(event.revision, now)
-            return self._give_up(now)
-        if isinstance(event, LeaseRenewed) and self._renewing:
-            self._renewing = False
-            self._until = self._issued + self._ttl_s - CLOCK_DRIFT_MARGIN_S
+                return self._mark_held(event.revision, now)
+            return self._release(now)
+        if isinstance(event, LeaseRenewed) and self._is_renewing:
+            self._is_renewing = False
+            self._valid_until = (
+                self._issued_at + self._ttl_s - CLOCK_DRIFT_MARGIN_S
+            )
             return []
         if isinstance(event, LeaseCallRefused):
-            return self._give_up(now)
+            return self._release(now)
         if (
             isinstance(event, LeaseCallFailed)
-            and self._step is not LeaseState.READING
+            and self._state is not LeaseState.READING
         ):
-            return self._fail(now)
+            return self._handle_failure(now)
         # A failed read is retried on a tick. Retrying at once would be a tight
         # loop while the store refuses connections.
         return []
 
     def _tick(self, now: float) -> list[commands.Command]:
         """Renews, acquires or times out, whichever is due."""
-        if self._step is LeaseState.HELD:
+        if self._state is LeaseState.HELD:
             return self._renew(now)
-        if self._step is LeaseState.IDLE:
-            if self._released or now < self._due:
+        if self._state is LeaseState.IDLE:
+            if self._is_release_requested or now < self._retry_at:
                 return []
-            self._step = LeaseState.CREATING
-            self._until = now + self._ttl_s - CLOCK_DRIFT_MARGIN_S
+            self._state = LeaseState.CREATING
+            self._valid_until = now + self._ttl_s - CLOCK_DRIFT_MARGIN_S
             return [CreateLease(self._issue(now), self._ttl_s)]
-        if now >= self._until:
-            return self._give_up(now)
-        if now - self._issued >= CALL_TIMEOUT_S:
-            return self._fail(now)
+        if now >= self._valid_until:
+            return self._release(now)
+        if now - self._issued_at >= CALL_TIMEOUT_S:
+            return self._handle_failure(now)
         return []
 
     def _issue(self, now: float) -> int:
         """Returns the number for a new command."""
-        self._number += 1
-        self._issued = now
-        return self._number
+        self._last_number += 1
+        self._issued_at = now
+        return self._last_number
 
     def _claim(self, lease: str, now: float) -> list[commands.Command]:
         """Writes the record under the lease."""
         self._lease = lease
-        self._step = LeaseState.CLAIMING
+        self._state = LeaseState.CLAIMING
         number = self._issue(now)
         # The unique value shows in a read-back whether a claim without a
         # response was written, or another holder's.
         self._value = f"{self._owner}/{number}"
         return [ClaimLeaseRecord(number, self._key, self._value, lease)]
 
-    def _hold(self, revision: int, now: float) -> list[commands.Command]:
+    def _mark_held(self, revision: int, now: float) -> list[commands.Command]:
         """Marks the lease as held, unless it has ended already."""
-        if now >= self._until:
-            return self._give_up(now)
-        self._step = LeaseState.HELD
-        self._fence = revision
-        self._renewing = False
+        if now >= self._valid_until:
+            return self._release(now)
+        self._state = LeaseState.HELD
+        self._fencing_token = revision
+        self._is_renewing = False
         return []
 
     def _renew(self, now: float) -> list[commands.Command]:
         """Renews the lease when due, and releases it once invalid."""
-        if now >= self._until:
-            return self._give_up(now)
-        if now - self._issued < self._ttl_s / RENEWALS_PER_TTL:
+        if now >= self._valid_until:
+            return self._release(now)
+        if now - self._issued_at < self._ttl_s / RENEWALS_PER_TTL:
             return []
-        self._renewing = True
+        self._is_renewing = True
         return [RenewLease(self._issue(now), self._lease)]
 
-    def _fail(self, now: float) -> list[commands.Command]:
+    def _handle_failure(self, now: float) -> list[commands.Command]:
         """Handles a call without a response."""
-        if self._step is LeaseState.HELD:
-            self._renewing = False
+        if self._state is LeaseState.HELD:
+            self._is_renewing = False
             return []
-        if self._step is LeaseState.CREATING:
-            return self._give_up(now)
-        self._step = LeaseState.READING
+        if self._state is LeaseState.CREATING:
+            return self._release(now)
+        self._state = LeaseState.READING
         return [ReadLeaseRecord(self._issue(now), self._key)]
 
-    def _give_up(self, now: float) -> list[commands.Command]:
+    def _release(self, now: float) -> list[commands.Command]:
         """Stops relying on the lease and asks the store to end it."""
         lease, self._lease = self._lease, ""
-        self._step = LeaseState.IDLE
-        self._renewing = False
-        self._due = now + RETRY_DELAY_S
+        self._state = LeaseState.IDLE
+        self._is_renewing = False
+        self._retry_at = now + RETRY_DELAY_S
         return [ReleaseLease(lease)] if lease else []
--- a/sycamorehollow/decisions/replication/bandwidth.py
+++ b/sycamorehollow/decisions/replication/bandwidth.py
@@ -16,21 +16,23 @@
 
     def __init__(self, bytes_per_s: float):
         self._bytes_per_s = bytes_per_s
-        self._left = bytes_per_s * BURST_S
+        self._remaining_bytes = bytes_per_s * BURST_S
         self._counted_at: float | None = None
 
     def can_send(self, now: float) -> bool:
         """Returns whether a digest may be sent now."""
-        return self._count(now) > 0
+        return self._compute_remaining(now) > 0
 
     def consume(self, size_bytes: int, now: float) -> None:
         """Counts bytes that were sent or received."""
-        left = self._count(now) - size_bytes
-        self._left = max(left, -self._bytes_per_s * MAX_DEBT_S)
+        remaining = self._compute_remaining(now) - size_bytes
+        self._remaining_bytes = max(remaining, -self._bytes_per_s * MAX_DEBT_S)
         self._counted_at = now
 
-    def _count(self, now: float) -> float:
+    def _compute_remaining(self, now: float) -> float:
         if self._counted_at is None:
-            return self._left
-        gained = (now - self._counted_at) * self._bytes_per_s
-        return min(self._left + gained, self._bytes_per_s * BURST_S)
+            return self._remaining_bytes
+        gained_bytes = (now - self._counted_at) * self._bytes_per_s
+        return min(
+            self._remaining_bytes + gained_bytes, self._bytes_per_s * BURST_S
+        )
--- a/sycamorehollow/decisions/replication/payloads.py
+++ b/sycamorehollow/decisions/replication/payloads.py
@@ -117,6 +117,6 @@
         ordered[MAX_DELTA_ROWS // 2 :],
     )
     start = int(now * 1000) * 7919 % len(rest)
-    turned = rest[start:] + rest[:start]
-    chosen = newest + turned[: MAX_DELTA_ROWS - len(newest)]
+    rotated = rest[start:] + rest[:start]
+    chosen = newest + rotated[: MAX_DELTA_ROWS - len(newest)]
     return [row for _, row in chosen]
