Name components and upstreams in the last texts that lacked them

Some texts still spoke of decision parts and back ends. The log reason of a resume now says how the attempt ended and why there is no failover.

Checked: make lint is clean; test_router passes.

--- a/benches/bench_load.py
+++ b/benches/bench_load.py
@@ -38,7 +38,7 @@
 
 
 class Node:
-    """The decision parts of one entry process."""
+    """The decision components of one entry process."""
 
     def __init__(self, name: str, engines: list[fakes.Engine]):
         self.table = load_table.LoadTable(name, "dc")
--- a/benches/node_store.py
+++ b/benches/node_store.py
@@ -55,7 +55,7 @@
         Args:
             asker: Whom the answer of a watch goes to.
             holder: Name of the process as the holder of leases.
-            command: A command of the decision parts to the store.
+            command: A command of the decision components to the store.
             now: Simulated time in seconds.
         """
         if isinstance(command, messages.ReadRange):
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -74,7 +74,7 @@
         return True
 
 
-class _Coordinated(components.Component):
+class _CoordinatorLease(components.Component):
     """Passes ticks to a lease only while this process is the coordinator.
 
     A held lease continues to get ticks, so that it is renewed or expires.
@@ -147,7 +147,7 @@
             *[_TickThrottle(component, SLOW_INTERVAL_S) for component in slow],
             _TickThrottle(self.exchange, EXCHANGE_INTERVAL_S),
             _TickThrottle(
-                _Coordinated(self.order_lease, self), SLOW_INTERVAL_S
+                _CoordinatorLease(self.order_lease, self), SLOW_INTERVAL_S
             ),
             _TickThrottle(self.orders, EXCHANGE_INTERVAL_S),
         ]
--- a/sycamorehollow/decisions/requests/attempt_runner.py
+++ b/sycamorehollow/decisions/requests/attempt_runner.py
@@ -289,9 +289,11 @@
         active.consecutive_losses = active.consecutive_losses + 1 if loss else 0
         active.is_resumed = True
         active.attempt += 1
-        active.resume_reason = f"resume after it was {event.end.value}"
+        active.resume_reason = (
+            f"resume after attempt ended as {event.end.value}"
+        )
         if refusal:
-            active.resume_reason += f"; not elsewhere: {refusal}"
+            active.resume_reason += f"; no failover: {refusal}"
         if step.delay_s > 0:
             active.resume_at = now + step.delay_s
             return []
--- a/sycamorehollow/model/failures.py
+++ b/sycamorehollow/model/failures.py
@@ -6,7 +6,7 @@
 
 
 class Execution(enum.Enum):
-    """Whether failed or refused work was started at a back end."""
+    """Whether failed or refused work was started at an upstream."""
 
     NOT_STARTED = "no"
     UNKNOWN = "unknown"
--- a/sycamorehollow/shells/loop.py
+++ b/sycamorehollow/shells/loop.py
@@ -1,4 +1,4 @@
-"""The task that drives the decision parts of a process."""
+"""The task that drives the decision components of a process."""
 
 from collections.abc import Callable
 import queue
