Give local names in the forwarding decisions their meaning

Several functions used "known" for unlike things, and some local names kept words that the renamed classes no longer use. Name them after what they hold. The log text on a stream that was not continued is now "did not resume".

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -74,8 +74,8 @@
 
     def set_order(self, order: forwarding.RolloutOrder, now: float) -> None:
         """Starts the roll-out of an operator's order unless it is known."""
-        known = self._rollouts.get(order.service)
-        if known is not None and known.order.revision >= order.revision:
+        existing = self._rollouts.get(order.service)
+        if existing is not None and existing.order.revision >= order.revision:
             return
         self._rollouts[order.service] = rollout_records.Rollout(order, now)
 
@@ -117,19 +117,19 @@
 
     def record_latency(
         self,
-        timed: response_times.AttemptLabels,
-        part: response_times.LatencyKind,
+        labels: response_times.AttemptLabels,
+        latency: response_times.LatencyKind,
         slow: bool,
     ) -> None:
         """Counts a classified latency of a response."""
-        rollout = self._rollouts.get(timed.service)
+        rollout = self._rollouts.get(labels.service)
         if rollout is None or rollout.state in _ENDED:
             return
-        if timed.share <= 0:
+        if labels.share <= 0:
             # The cause that slows a retry may have slowed its first attempt.
             return
-        new = timed.version == rollout.order.target
-        rollout.evidence.record(self._node, timed, part, new, slow)
+        new = labels.version == rollout.order.target
+        rollout.evidence.record(self._node, labels, latency, new, slow)
 
     def is_in_service(self, service: str, version: str) -> bool:
         """Returns whether a version is in service, or was until completion."""
@@ -171,10 +171,10 @@
         # A node that restarted during the roll-out lacks its real start time.
         rollout.started_at = min(rollout.started_at, now - report.age_s)
         for node, tally in report.tallies.items():
-            known = rollout.tallies.get(node, failure_counts.Tally())
+            existing = rollout.tallies.get(node, failure_counts.Tally())
             if node == self._node:
                 continue
-            if tally.new + tally.old > known.new + known.old:
+            if tally.new + tally.old > existing.new + existing.old:
                 rollout.tallies[node] = tally
 
     def merge_slowness(
@@ -308,15 +308,15 @@
         if rollout.first_share is not None:
             return rollout.first_share
         age_s = now - rollout.started_at
-        survey_s = min(
+        sampling_s = min(
             RATE_SAMPLING_S, RATE_SAMPLING_FRACTION * rollout.order.duration_s
         )
-        if age_s < survey_s:
+        if age_s < sampling_s:
             return 0.0
         own = rollout.tallies.get(self._node, failure_counts.Tally())
         rate = (own.new + own.old) * self._node_count / max(age_s, 0.001)
         share = self._exposure * FIRST_SHARE
-        proof_s = RAMP_START_FRACTION * rollout.order.duration_s - survey_s
+        proof_s = RAMP_START_FRACTION * rollout.order.duration_s - sampling_s
         evidence = max(
             TARGET_RESPONSES_PER_S, MIN_TARGET_RESPONSES / max(proof_s, 0.001)
         )
@@ -377,16 +377,16 @@
     The assignment is a hash, so all nodes agree, and a session that has the new
     version keeps it as the share rises.
     """
-    drawn = zlib.crc32(f"{service}|{session}".encode()) / 2**32
-    return drawn < share
+    position = zlib.crc32(f"{service}|{session}".encode()) / 2**32
+    return position < share
 
 
 def split_versions(
     versions: Iterable[str], target: str
 ) -> tuple[set[str], set[str]]:
     """Splits the running versions into those in service and the new one."""
-    known = set(versions)
-    return known - {target}, known & {target}
+    running = set(versions)
+    return running - {target}, running & {target}
 
 
 _ENDED = (
--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -93,21 +93,27 @@
         return self._router.placement.choose(work, now)
 
     def _build_requirements(
-        self, model: str, sound: bool, excluded: Collection[str], now: float
+        self,
+        model: str,
+        no_failures: bool,
+        excluded: Collection[str],
+        now: float,
     ) -> placement.Requirements:
         return placement.Requirements(
             self._request,
             self._service,
             self._body_bytes,
             model,
-            self._choose_versions(sound, now),
+            self._choose_versions(no_failures, now),
             frozenset(excluded),
         )
 
-    def _choose_versions(self, sound: bool, now: float) -> set[str] | None:
+    def _choose_versions(
+        self, no_failures: bool, now: float
+    ) -> set[str] | None:
         router = self._router
         name = self._service.name
-        allowed = router.choose_versions(name, self._session, sound, now)
+        allowed = router.choose_versions(name, self._session, no_failures, now)
         if not self.delivering or allowed is None:
             return allowed
         # The version that began a response also completes it, unless it is
--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -37,10 +37,10 @@
 
     def record(self, service: str, delay: float, now: float) -> float:
         """Records a delay and returns the larger of it and the average."""
-        known, at = self._delays.get(service, (0.0, now))
+        average, at = self._delays.get(service, (0.0, now))
         weight = 0.5 ** ((now - at) / DELAY_HALF_LIFE_S)
         # A single late response may come from a slow upstream.
-        smooth = known * weight + (delay - known * weight) * SMOOTHING
+        smooth = average * weight + (delay - average * weight) * SMOOTHING
         self._delays[service] = (smooth, now)
         return max(delay, smooth)
 
@@ -97,12 +97,12 @@
         return Decision("", "largest model")
     if inputs.confidence is None:
         return Decision("", "no confidence")
-    room = min(
+    headroom = min(
         _interpolate_down(inputs.occupancy, OCCUPANCY_FROM, OCCUPANCY_TO),
         _interpolate_down(inputs.delay, DELAY_FROM, DELAY_TO),
     )
     idle = max(0.0, IDLE_CONFIDENCE_THRESHOLD - PRIORITY_STEP * route.priority)
-    threshold = idle * room
+    threshold = idle * headroom
     if inputs.confidence >= threshold:
         return Decision("", f"confidence of {threshold:.0f} or more")
     if inputs.attempts_left < 1:
--- a/sycamorehollow/decisions/forwarding/cold_start_limiter.py
+++ b/sycamorehollow/decisions/forwarding/cold_start_limiter.py
@@ -52,9 +52,9 @@
 
         A node that has become isolated may still send.
         """
-        known = self._node_names.union(names)
-        if known != self._node_names:
-            self._node_names = known
+        all_names = self._node_names.union(names)
+        if all_names != self._node_names:
+            self._node_names = all_names
             self._ranks.clear()
 
     def can_send(self, identity: str, rate: float, now: float) -> bool:
--- a/sycamorehollow/decisions/forwarding/mirror.py
+++ b/sycamorehollow/decisions/forwarding/mirror.py
@@ -97,11 +97,11 @@
         if since >= self.revision:
             return None
         whole = since < self._deletion_floor
-        known = list(self._entries.values())
+        entries = list(self._entries.values())
         if not whole:
-            known.extend(self._deleted.values())
-            known = [entry for entry in known if entry.revision > since]
-        return Delta(tuple(known), self.revision, whole)
+            entries.extend(self._deleted.values())
+            entries = [entry for entry in entries if entry.revision > since]
+        return Delta(tuple(entries), self.revision, whole)
 
     def merge(self, delta: Delta) -> list[Entry]:
         """Applies another node's delta and returns the changed entries."""
@@ -112,8 +112,8 @@
         return self.apply(delta.entries, delta.revision)
 
     def _apply_entry(self, entry: Entry) -> bool:
-        known = self._entries.get(entry.key) or self._deleted.get(entry.key)
-        if known is not None and known.revision >= entry.revision:
+        current = self._entries.get(entry.key) or self._deleted.get(entry.key)
+        if current is not None and current.revision >= entry.revision:
             return False
         self._entries.pop(entry.key, None)
         self._deleted.pop(entry.key, None)
@@ -126,4 +126,4 @@
             self._deletion_floor = max(
                 self._deletion_floor, self._deleted.pop(oldest).revision
             )
-        return known is not None and known.value is not None
+        return current is not None and current.value is not None
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -104,10 +104,10 @@
         factor = took_s / estimate_idle_first_byte_s(tokens)
         average = self._averages.get(model, factor)
         self._averages[model] = average + LATENCY_WEIGHT * (factor - average)
-        known = self._factors.get((identity, model), (average, now))[0]
+        current = self._factors.get((identity, model), (average, now))[0]
         # Caps outliers: a stalled response says little about the next one.
-        factor = min(factor, known * 4 + 1)
-        new = known + LATENCY_WEIGHT * 2 * (factor - known)
+        factor = min(factor, current * 4 + 1)
+        new = current + LATENCY_WEIGHT * 2 * (factor - current)
         self._factors[identity, model] = (new, now)
 
     def estimate(
--- a/sycamorehollow/decisions/forwarding/prefix_index.py
+++ b/sycamorehollow/decisions/forwarding/prefix_index.py
@@ -36,12 +36,12 @@
         now: float,
     ) -> None:
         """Records that an upstream processes a prompt with these parts."""
-        known = self._parts.setdefault(identity, collections.OrderedDict())
+        cached = self._parts.setdefault(identity, collections.OrderedDict())
         for part in parts:
-            known[model, part.identity] = now
-            known.move_to_end((model, part.identity))
-        while len(known) > MAX_PARTS:
-            known.popitem(last=False)
+            cached[model, part.identity] = now
+            cached.move_to_end((model, part.identity))
+        while len(cached) > MAX_PARTS:
+            cached.popitem(last=False)
 
     def count_cached_tokens(
         self,
@@ -51,12 +51,12 @@
         now: float,
     ) -> int:
         """Returns the number of leading tokens that an upstream has cached."""
-        known = self._parts.get(identity)
-        if known is None:
+        cached = self._parts.get(identity)
+        if cached is None:
             return 0
         tokens = 0
         for part in parts:
-            used_at = known.get((model, part.identity))
+            used_at = cached.get((model, part.identity))
             if used_at is None or used_at < now - self._retention_s:
                 break
             tokens += part.tokens
--- a/sycamorehollow/decisions/forwarding/quarantine.py
+++ b/sycamorehollow/decisions/forwarding/quarantine.py
@@ -129,8 +129,8 @@
     def record_completion(self, fingerprint: str, now: float) -> None:
         """Clears the fingerprint of a request that ran to completion."""
         self._records.pop(fingerprint, None)
-        known = self._completed.get(fingerprint, now)
-        self._completed[fingerprint] = max(known, now)
+        latest = self._completed.get(fingerprint, now)
+        self._completed[fingerprint] = max(latest, now)
         self._completed.move_to_end(fingerprint)
         if len(self._completed) > MAX_FINGERPRINTS:
             self._completed.popitem(last=False)
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -255,9 +255,7 @@
         if self.delivering and head.status != STREAM_STATUS:
             # The caller already has the head of another response.
             self._candidates.no_failures = False
-            attempt.end_by_upstream(
-                f"did not resume the stream, {head.status}", now
-            )
+            attempt.end_by_upstream(f"did not resume, {head.status}", now)
             return steps.Verdict.RETRY
         if head.encoded or (head.status < 300 and not head.sealed):
             attempt.end_by_upstream("response encoded or not sealed", now)
--- a/sycamorehollow/decisions/forwarding/response_times.py
+++ b/sycamorehollow/decisions/forwarding/response_times.py
@@ -132,7 +132,7 @@
                 version was assigned; 0 if it was not, as for a retry.
         """
         upstream = attempt.state.upstream
-        timed = AttemptLabels(
+        labels = AttemptLabels(
             service.name,
             upstream.version,
             route,
@@ -141,42 +141,42 @@
             attempt.uncached_tokens,
             share,
         )
-        return ResponseTimer(self, timed, attempt)
+        return ResponseTimer(self, labels, attempt)
 
-    def find_first_event_limit(self, timed: AttemptLabels) -> float:
+    def find_first_event_limit(self, labels: AttemptLabels) -> float:
         """Returns the limit in seconds for the time to the first event."""
-        for key in _list_first_event_keys(timed):
-            known = self._histograms.get(key)
-            if known is not None and known.count >= MIN_RESPONSES:
-                return known.compute_slow_limit()
-        return timed.route.objective_s
+        for key in _list_first_event_keys(labels):
+            histogram = self._histograms.get(key)
+            if histogram is not None and histogram.count >= MIN_RESPONSES:
+                return histogram.compute_slow_limit()
+        return labels.route.objective_s
 
-    def find_event_gap_limit(self, timed: AttemptLabels, events: int) -> float:
+    def find_event_gap_limit(self, labels: AttemptLabels, events: int) -> float:
         """Returns the limit in seconds for the mean gap of some events."""
-        known = self._histograms.get(_get_event_gap_key(timed, events))
-        if known is not None and known.count >= MIN_RESPONSES:
-            return known.compute_slow_limit()
-        return timed.route.max_event_gap_s or timed.route.objective_s
+        histogram = self._histograms.get(_get_event_gap_key(labels, events))
+        if histogram is not None and histogram.count >= MIN_RESPONSES:
+            return histogram.compute_slow_limit()
+        return labels.route.max_event_gap_s or labels.route.objective_s
 
-    def record_first_event(self, timed: AttemptLabels, seconds: float) -> None:
+    def record_first_event(self, labels: AttemptLabels, seconds: float) -> None:
         """Records the time to the first event or to a complete response."""
-        if self._is_reference(timed.service, timed.version):
-            for key in _list_first_event_keys(timed):
+        if self._is_reference(labels.service, labels.version):
+            for key in _list_first_event_keys(labels):
                 self._histograms.setdefault(key, Histogram()).record(seconds)
 
     def record_event_gap(
-        self, timed: AttemptLabels, seconds: float, events: int
+        self, labels: AttemptLabels, seconds: float, events: int
     ) -> None:
         """Records the mean gap in seconds between events of a stream."""
-        if self._is_reference(timed.service, timed.version):
-            key = _get_event_gap_key(timed, events)
+        if self._is_reference(labels.service, labels.version):
+            key = _get_event_gap_key(labels, events)
             self._histograms.setdefault(key, Histogram()).record(seconds)
 
     def report(
-        self, timed: AttemptLabels, part: LatencyKind, slow: bool
+        self, labels: AttemptLabels, latency: LatencyKind, slow: bool
     ) -> None:
         """Reports a classified latency."""
-        self._report(timed, part, slow)
+        self._report(labels, latency, slow)
 
 
 class ResponseTimer(steps.AttemptObserver):
@@ -187,21 +187,24 @@
 
     Args:
         times: Statistics of other responses.
-        timed: Attributes by which the attempt is grouped.
+        labels: Attributes by which the attempt is grouped.
         attempt: The attempt.
     """
 
     def __init__(
-        self, times: ResponseTimes, timed: AttemptLabels, attempt: steps.Attempt
+        self,
+        times: ResponseTimes,
+        labels: AttemptLabels,
+        attempt: steps.Attempt,
     ):
         self._times = times
-        self._timed = timed
+        self._labels = labels
         self._attempt = attempt
         state = attempt.state
         self._warm = not state.is_cold(attempt.sent_at) and (
             attempt.sent_at - state.first_seen_at >= WARM_UP_S
         )
-        self._stream = timed.route.kind is forwarding.RouteKind.STREAM
+        self._stream = labels.route.kind is forwarding.RouteKind.STREAM
         self._first_at: float | None = None
         self._events = 0
         self._early_events_at: float | None = None
@@ -224,7 +227,7 @@
             self._classify_event_gap(now - self._first_at, EARLY_EVENTS)
         elif self._events < EARLY_EVENTS:
             limit_s = self._times.find_event_gap_limit(
-                self._timed, EARLY_EVENTS
+                self._labels, EARLY_EVENTS
             )
             if now - self._first_at > limit_s * EARLY_EVENTS:
                 self._report_once(LatencyKind.EVENT_GAP, True)
@@ -235,17 +238,17 @@
         if self._ended or attempt.end_cause is None or not self._warm:
             return
         self._ended = True
-        part = (
+        latency = (
             LatencyKind.FIRST_EVENT
             if self._first_at is None
             else LatencyKind.EVENT_GAP
         )
         match attempt.end_cause:
             case steps.EndCause.TIMEOUT | steps.EndCause.DEADLINE:
-                self._report_once(part, True)
+                self._report_once(latency, True)
             case steps.EndCause.CALLER:
                 if self._is_late(attempt.ended_at):
-                    self._report_once(part, True)
+                    self._report_once(latency, True)
             case steps.EndCause.CASCADE:
                 self._classify_first_event(attempt.ended_at - attempt.sent_at)
             case steps.EndCause.UPSTREAM:
@@ -260,14 +263,14 @@
 
     def _classify_first_event(self, took_s: float) -> None:
         """Classifies the time to the first event or a complete response."""
-        limit_s = self._times.find_first_event_limit(self._timed)
-        self._times.record_first_event(self._timed, took_s)
+        limit_s = self._times.find_first_event_limit(self._labels)
+        self._times.record_first_event(self._labels, took_s)
         self._report_once(LatencyKind.FIRST_EVENT, took_s > limit_s)
 
     def _classify_event_gap(self, took_s: float, events: int) -> None:
         """Classifies the mean gap of some events."""
-        limit_s = self._times.find_event_gap_limit(self._timed, events)
-        self._times.record_event_gap(self._timed, took_s / events, events)
+        limit_s = self._times.find_event_gap_limit(self._labels, events)
+        self._times.record_event_gap(self._labels, took_s / events, events)
         self._report_once(LatencyKind.EVENT_GAP, took_s > limit_s * events)
 
     def _classify_remaining_events(self, first_at: float) -> None:
@@ -281,32 +284,32 @@
         events = self._events - EARLY_EVENTS
         if events < EARLY_EVENTS:
             return
-        pace_s = (self._latest_at - self._early_events_at) / events
-        limit_s = self._times.find_event_gap_limit(self._timed, events)
-        self._times.report(self._timed, LatencyKind.EVENT_GAP, pace_s > limit_s)
+        gap_s = (self._latest_at - self._early_events_at) / events
+        limit_s = self._times.find_event_gap_limit(self._labels, events)
+        self._times.report(self._labels, LatencyKind.EVENT_GAP, gap_s > limit_s)
 
     def _is_late(self, now: float) -> bool:
         """Returns whether the next event is overdue."""
         if self._first_at is None:
             waited_s = now - self._attempt.sent_at
-            return waited_s > self._times.find_first_event_limit(self._timed)
-        limit_s = self._times.find_event_gap_limit(self._timed, EARLY_EVENTS)
+            return waited_s > self._times.find_first_event_limit(self._labels)
+        limit_s = self._times.find_event_gap_limit(self._labels, EARLY_EVENTS)
         return now - self._latest_at > limit_s * EARLY_EVENTS
 
-    def _report_once(self, part: LatencyKind, slow: bool) -> None:
-        if part not in self._reported:
-            self._reported.add(part)
-            self._times.report(self._timed, part, slow)
+    def _report_once(self, latency: LatencyKind, slow: bool) -> None:
+        if latency not in self._reported:
+            self._reported.add(latency)
+            self._times.report(self._labels, latency, slow)
 
 
-def _list_first_event_keys(timed: AttemptLabels) -> list[tuple[str, ...]]:
+def _list_first_event_keys(labels: AttemptLabels) -> list[tuple[str, ...]]:
     """Returns keys of the groups to compare with, most specific first."""
-    length = int(math.log(max(1, timed.uncached_tokens), LENGTH_CLASS_RATIO))
-    key = ("start", timed.service, timed.route.name, timed.model)
+    length = int(math.log(max(1, labels.uncached_tokens), LENGTH_CLASS_RATIO))
+    key = ("start", labels.service, labels.route.name, labels.model)
     return [(*key, str(length)), key]
 
 
-def _get_event_gap_key(timed: AttemptLabels, events: int) -> tuple[str, ...]:
+def _get_event_gap_key(labels: AttemptLabels, events: int) -> tuple[str, ...]:
     # The mean gap of few events varies more, so it has a histogram of its own.
     size = "few" if events < EARLY_EVENTS else "many"
-    return ("pace", size, timed.service, timed.route.name, timed.model)
+    return ("pace", size, labels.service, labels.route.name, labels.model)
--- a/sycamorehollow/decisions/forwarding/route_table.py
+++ b/sycamorehollow/decisions/forwarding/route_table.py
@@ -47,13 +47,13 @@
         self, route: forwarding.Route, rng: random.Random
     ) -> forwarding.Service | failures.NotFound:
         """Returns one of the route's services, at random by weight."""
-        known = [
+        targets = [
             target
             for target in route.targets
             if target.service in self._configuration.services
         ]
-        if not known:
+        if not targets:
             return failures.NotFound(f"route {route.name} has no service")
-        weights = [target.weight for target in known]
-        target = rng.choices(known, weights)[0]
+        weights = [target.weight for target in targets]
+        target = rng.choices(targets, weights)[0]
         return self._configuration.services[target.service]
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -146,7 +146,7 @@
         return max(1, min(MAX_IDLE_CONNECTIONS, int(share)))
 
     def choose_versions(
-        self, service: str, session: str, sound: bool, now: float
+        self, service: str, session: str, no_failures: bool, now: float
     ) -> set[str] | None:
         """Returns the versions that may run an attempt; `None` for all.
 
@@ -154,7 +154,7 @@
             service: Name of the service.
             session: Affinity key; requests with the same key get the same
                 version.
-            sound: Whether no attempt of the request has failed.
+            no_failures: Whether no attempt of the request has failed.
             now: Monotonic time in seconds.
         """
         rollout = self.rollouts.get(service)
@@ -169,38 +169,38 @@
             return old
         if share >= 1:
             return new or old
-        if sound and new and canary.is_assigned(service, session, share):
+        if no_failures and new and canary.is_assigned(service, session, share):
             return new
         return old or new
 
     def _set_configuration(
         self, configuration: forwarding.Configuration
     ) -> list[Change]:
-        known = (
+        current = (
             self.route_table.configuration.version
             if self.route_table is not None
             else None
         )
-        if known is not None and configuration.version <= known:
+        if current is not None and configuration.version <= current:
             return [
                 Change(
                     f"configuration={configuration.version}",
-                    f"ignored, {known} is in force",
+                    f"ignored, {current} is in force",
                 )
             ]
         self.route_table = route_table.RouteTable(configuration)
         return [
             Change(
                 f"configuration={configuration.version}",
-                f"in force after {known}, {len(configuration.routes)} routes",
+                f"in force after {current}, {len(configuration.routes)} routes",
             )
         ]
 
     def _register(
         self, upstream: forwarding.Upstream, now: float
     ) -> list[Change]:
-        known = self.directory.get(upstream.identity)
-        before = known.upstream if known is not None else None
+        current = self.directory.get(upstream.identity)
+        before = current.upstream if current is not None else None
         if before is not None and before.incarnation != upstream.incarnation:
             self._remove_upstream(upstream.identity)
         state = self.directory.register(upstream, now)
--- a/sycamorehollow/decisions/forwarding/slowness.py
+++ b/sycamorehollow/decisions/forwarding/slowness.py
@@ -191,24 +191,24 @@
     def record(
         self,
         node: str,
-        timed: response_times.AttemptLabels,
-        part: response_times.LatencyKind,
+        labels: response_times.AttemptLabels,
+        latency: response_times.LatencyKind,
         new: bool,
         slow: bool,
     ) -> None:
         """Counts a latency that was classified at this node."""
         kinds = self.counts.setdefault(node, {})
-        kind = f"{part.value} {timed.route.name} {timed.model}".rstrip()
-        share = self._estimate_new_share(timed.share)
-        one = build_counts(timed.upstream, new, slow, share)
+        kind = f"{latency.value} {labels.route.name} {labels.model}".rstrip()
+        share = self._estimate_new_share(labels.share)
+        one = build_counts(labels.upstream, new, slow, share)
         kinds[kind] = kinds.get(kind, Counts()).plus(one)
 
     def merge(self, node: str, kinds: Mapping[str, Counts]) -> None:
         """Merges another node's counts; of two the larger is newer."""
-        known = self.counts.setdefault(node, {})
+        stored = self.counts.setdefault(node, {})
         for kind, counts in kinds.items():
-            if counts.size > known.get(kind, Counts()).size:
-                known[kind] = counts
+            if counts.size > stored.get(kind, Counts()).size:
+                stored[kind] = counts
 
     def evaluate(self) -> str:
         """Runs all tests; returns why the version is slow, or an empty text."""
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -26,11 +26,11 @@
     """Records a response and its classified latency."""
     rollouts.record_response("s", version, failed)
     route = forwarding_world.build_route()
-    timed = response_times.AttemptLabels(
+    labels = response_times.AttemptLabels(
         "s", version, route, "small", "a", 0, 0.1
     )
     rollouts.record_latency(
-        timed, response_times.LatencyKind.FIRST_EVENT, False
+        labels, response_times.LatencyKind.FIRST_EVENT, False
     )
 
 
