Call responses responses in billing and the quality estimates

ReleaseAnswer is now ReleaseResponse, and the limit on responses that wait for a rating is MAX_PENDING_RESPONSES.

Checked: format, lint and type checks are clean; test_learning, test_cascades, test_billing, test_node and test_router pass (61 tests).

--- a/sycamorehollow/decisions/bills/__init__.py
+++ b/sycamorehollow/decisions/bills/__init__.py
@@ -1,1 +1,1 @@
-"""Bills, from their commit at a peer to the store."""
+"""Billing: replication of bills to a peer, and batches in the store."""
--- a/sycamorehollow/decisions/bills/billing.py
+++ b/sycamorehollow/decisions/bills/billing.py
@@ -254,7 +254,7 @@
         commit.failed_peers.add(peer)
         return self._spool(batch, commit, now)
 
-    # Batches in the store.
+    # Writes of batches to the store.
 
     def _seal_all(self, now: float) -> list[commands.Command]:
         for batch in self._batches.values():
@@ -321,7 +321,7 @@
             result.append(messages.NotifyAdvance(peer, oldest))
         return result
 
-    # Peers and time.
+    # Peers and timers.
 
     def _change_peers(
         self, peers: tuple[messages.Process, ...], now: float
@@ -385,7 +385,7 @@
     """Releases the last chunks that wait for a commit."""
     result: list[commands.Command] = []
     for token in commit.tokens:
-        result.append(messages.ReleaseAnswer(token, exposed))
+        result.append(messages.ReleaseResponse(token, exposed))
     commit.tokens = []
     return result
 
--- a/sycamorehollow/decisions/bills/billing_messages.py
+++ b/sycamorehollow/decisions/bills/billing_messages.py
@@ -225,7 +225,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ReleaseAnswer(commands.Command):
+class ReleaseResponse(commands.Command):
     """Sends the last chunk of a response.
 
     Attributes:
--- a/sycamorehollow/decisions/cascading/cascade_planning.py
+++ b/sycamorehollow/decisions/cascading/cascade_planning.py
@@ -31,7 +31,7 @@
 EXPECTED_RATING_S = 1.0
 # A response that takes this share of its kind's deadline counts as slow.
 SLOW_DEADLINE_SHARE = 0.5
-PENDING_ANSWERS = 20_000
+MAX_PENDING_RESPONSES = 20_000
 
 
 class UpstreamPools(Protocol):
@@ -312,7 +312,7 @@
         now: float,
     ) -> None:
         self._thresholds[outcome.answer_id] = plan.rating_threshold
-        if len(self._thresholds) > PENDING_ANSWERS:
+        if len(self._thresholds) > MAX_PENDING_RESPONSES:
             self._thresholds.popitem(last=False)
         key = quality_estimator.EstimateKey(
             request.workspace,
--- a/sycamorehollow/decisions/cascading/quality_estimator.py
+++ b/sycamorehollow/decisions/cascading/quality_estimator.py
@@ -32,7 +32,7 @@
 MAX_PRIOR_RATINGS = 60.0
 # Ratings from which the mean of a neighbour is used.
 MIN_NEIGHBOUR_RATINGS = 30
-PENDING_ANSWERS = 20_000
+MAX_PENDING_RESPONSES = 20_000
 PENDING_TTL_S = 3600.0
 MAX_KEYS = 4096
 DIGEST_KEYS = 32
@@ -253,11 +253,13 @@
         entry = self._pending.pop(event.answer_id, None)
         if entry is None:
             return
-        answer, produced_at = entry
-        accepted = event.score >= answer.threshold
-        self._record(answer.key, accepted, produced_at, now)
-        if accepted or answer.final:
-            delivered = EstimateKey(answer.key.workspace, answer.key.kind, "")
+        response, produced_at = entry
+        accepted = event.score >= response.threshold
+        self._record(response.key, accepted, produced_at, now)
+        if accepted or response.final:
+            delivered = EstimateKey(
+                response.key.workspace, response.key.kind, ""
+            )
             self._record(delivered, accepted, produced_at, now)
 
     def _record(
@@ -295,7 +297,7 @@
     def _find_prior(self, key: EstimateKey) -> tuple[float, float]:
         """Returns the mean of the prior and its weight in ratings."""
         neighbours = []
-        for name in self._workspaces():
+        for name in self._list_workspaces():
             counts = self._counts.get(EstimateKey(name, *key[1:]))
             if name != key.workspace and counts is not None:
                 neighbours.append(counts.compute_discounted()[:2])
@@ -308,7 +310,7 @@
         parent = self.estimate(key._replace(after=key.after[1:]))
         return parent.mean * ESCALATION_FACTOR, MIN_PRIOR_RATINGS
 
-    def _workspaces(self) -> list[str]:
+    def _list_workspaces(self) -> list[str]:
         if self._configured is not None:
             return list(self._configured)
         return sorted({key.workspace for key in self._counts})
@@ -317,7 +319,7 @@
         while self._pending:
             answer_id, (_, produced_at) = next(iter(self._pending.items()))
             late = now - produced_at > PENDING_TTL_S
-            if not late and len(self._pending) <= PENDING_ANSWERS:
+            if not late and len(self._pending) <= MAX_PENDING_RESPONSES:
                 return
             del self._pending[answer_id]
 
--- a/sycamorehollow/decisions/node.py
+++ b/sycamorehollow/decisions/node.py
@@ -155,7 +155,7 @@
     def _build_routes(self) -> dict[type, Callable[[Any, float], list[Any]]]:
         return {
             active_requests.ReplicateBill: self._replicate_bill,
-            billing_messages.ReleaseAnswer: self._release_answer,
+            billing_messages.ReleaseResponse: self._release_answer,
             cold_start_limiter.PushColdState: self._push_cold_state,
             configuration_messages.StartExchanges: self._ask_peers,
             configuration_messages.ConfigurationChanged: self._deploy,
@@ -253,7 +253,7 @@
         return [billing_messages.BillReady(token, command.bill)]
 
     def _release_answer(
-        self, command: billing_messages.ReleaseAnswer, now: float
+        self, command: billing_messages.ReleaseResponse, now: float
     ) -> list[Any]:
         return list(self.router.release(command.token, now))
 
--- a/sycamorehollow/decisions/requests/router.py
+++ b/sycamorehollow/decisions/requests/router.py
@@ -56,7 +56,7 @@
             lifecycle.AttemptCompleted: self._complete,
             lifecycle.AttemptFailed: self._recover,
             lifecycle.AnswerRated: self._handle_rating,
-            billing_messages.ReleaseAnswer: self._release_answer,
+            billing_messages.ReleaseResponse: self._release_answer,
             admission.CapacityChanged: self._change_capacity,
             events.Tick: self._expire,
         }
@@ -81,7 +81,7 @@
         return [*result, *self._placement.take_commands()]
 
     def _release_answer(
-        self, event: billing_messages.ReleaseAnswer, now: float
+        self, event: billing_messages.ReleaseResponse, now: float
     ) -> list[commands.Command]:
         return self.release(event.token, now)
 
--- a/sycamorehollow/decisions/routing/upstream_placement.py
+++ b/sycamorehollow/decisions/routing/upstream_placement.py
@@ -301,15 +301,15 @@
         upstreams when the data centre has none.
         """
         own = 0
-        everywhere = 0
+        total = 0
         for name in self._configured:
             load = self.load_table.find_load(name)
             if load is None:
                 continue
-            everywhere += load.capacity_tokens
+            total += load.capacity_tokens
             if load.configuration.data_centre == self._data_centre:
                 own += load.capacity_tokens
-        return (own or everywhere) // self.capacity.members
+        return (own or total) // self.capacity.members
 
     def describe(self, now: float) -> dict[str, dict[str, object]]:
         """Returns the state of each upstream, for operators."""
--- a/tests/billing_world.py
+++ b/tests/billing_world.py
@@ -79,7 +79,7 @@
         self.give(node, messages.BillReady(token, bill))
 
     def take(self, node: Node, command: commands.Command) -> None:
-        if isinstance(command, messages.ReleaseAnswer):
+        if isinstance(command, messages.ReleaseResponse):
             if command.token in self.released:
                 self.fault = f"{command.token} released twice"
             self.released[command.token] = command.exposed
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -129,7 +129,7 @@
         self.assertEqual(self.part.estimate(fresh), before)
 
     def test_pending_answers_are_bounded_and_expire(self):
-        for number in range(quality_estimator.PENDING_ANSWERS + 1):
+        for number in range(quality_estimator.MAX_PENDING_RESPONSES + 1):
             event = quality_estimator.ResponseProduced(
                 str(number), KEYS[0], 0.7, True
             )
