Use one name for each concept in the tests and the sequential test

The tests of the router, of response assembly and of roll-outs still called what they test a part. Two constants of the sequential test have the names that the gateway's test gives to the same ideas.

Checked: make lint is clean; test_router, test_answers, test_rollouts and test_sequential pass. In test_quarantine one property test fails on an example that fails on the code before the renames as well.

--- a/sycamorehollow/decisions/releases/sequential_test.py
+++ b/sycamorehollow/decisions/releases/sequential_test.py
@@ -26,7 +26,7 @@
 # Probability that a version as good as the one in service is ever stopped.
 FALSE_POSITIVE_RATE = 0.01
 # Likelihood ratio above which a roll-out waits for more evidence.
-SUSPICION_RATIO = 5.0
+SUSPECT_RATIO = 5.0
 # Ratio that must be unlikely before full share, as that ends the comparison.
 NONINFERIORITY_RATIO = 1.7
 # Baseline outcomes before a stratum counts; otherwise a fault of an upstream
@@ -34,7 +34,7 @@
 MIN_BASELINE_OUTCOMES = 5
 # Standard deviations by which the observed share of an upstream may exceed the
 # assigned one.
-MAX_SHARE_DEVIATION_SIGMA = 2.0
+SHARE_SIGMA = 2.0
 MAX_PENDING_ANSWERS = 20_000
 # Enough for all processes and several days of restarts at the target scale.
 MAX_RECORDS = 2_000
@@ -164,7 +164,7 @@
         deviation = math.sqrt(share * (1 - share) / total)
         # An upstream that serves a larger share of the new version than was
         # assigned also sees a larger share of its failures.
-        if observed > share + MAX_SHARE_DEVIATION_SIGMA * deviation:
+        if observed > share + SHARE_SIGMA * deviation:
             return observed
         return share
 
@@ -208,13 +208,13 @@
 
 def is_possibly_worse(tally: Tally) -> bool:
     """Returns whether the new version may be worse, without proof yet."""
-    return compute_log_likelihood_ratio(tally) > math.log(SUSPICION_RATIO)
+    return compute_log_likelihood_ratio(tally) > math.log(SUSPECT_RATIO)
 
 
 def is_noninferior(tally: Tally) -> bool:
     """Returns whether a much worse version is unlikely on the evidence."""
     return tally.scores[RATIOS.index(NONINFERIORITY_RATIO)] < -math.log(
-        SUSPICION_RATIO
+        SUSPECT_RATIO
     )
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -19,7 +19,7 @@
 
     def __init__(self, schedule):
         self.schedule = schedule
-        self.part = response_assembly.ResponseAssembler()
+        self.assembler = response_assembly.ResponseAssembler()
         self.now = 0.0
         self.wire = []
         self.delivered = {"a": [], "b": []}
@@ -51,7 +51,7 @@
         if isinstance(event, response_assembly.EndArrived):
             if event.request_id not in self.ends:
                 self.declared.add(event.attempt)
-        for command in self.part.handle(event, self.now):
+        for command in self.assembler.handle(event, self.now):
             request_id = command.request_id
             assert request_id not in self.ends, "a command after the end"
             if isinstance(command, response_assembly.DeliverChunk):
@@ -140,8 +140,10 @@
     """Guards against endless waits and unbounded memory for one response."""
 
     def setUp(self):
-        self.part = response_assembly.ResponseAssembler()
-        self.part.handle(response_assembly.ResponseOpened("a", "a1", "u"), 0.0)
+        self.assembler = response_assembly.ResponseAssembler()
+        self.assembler.handle(
+            response_assembly.ResponseOpened("a", "a1", "u"), 0.0
+        )
 
     def test_late_chunks_are_bounded(self):
         resumed = []
@@ -149,9 +151,9 @@
             event = response_assembly.ChunkArrived(
                 "a", "a1", number, b"x" * 2000
             )
-            resumed.extend(self.part.handle(event, 0.0))
+            resumed.extend(self.assembler.handle(event, 0.0))
             self.assertLessEqual(
-                self.part.count_buffered_bytes("a"),
+                self.assembler.count_buffered_bytes("a"),
                 response_assembly.MAX_OUT_OF_ORDER_BYTES,
             )
         self.assertEqual(
@@ -159,41 +161,41 @@
         )
 
     def test_missing_chunk_is_read_again_after_a_second(self):
-        self.part.handle(
+        self.assembler.handle(
             response_assembly.ChunkArrived("a", "a1", 1, b"x"), 0.0
         )
-        self.assertEqual(self.part.handle(events.Tick(), 0.9), [])
-        resumed = self.part.handle(events.Tick(), 1.1)
+        self.assertEqual(self.assembler.handle(events.Tick(), 0.9), [])
+        resumed = self.assembler.handle(events.Tick(), 1.1)
         self.assertEqual(
             resumed, [response_assembly.ResumeStream("a", "a1", "u", 0)]
         )
 
     def test_second_attempt_does_not_continue_the_first(self):
-        self.part.handle(
+        self.assembler.handle(
             response_assembly.ChunkArrived("a", "a1", 0, b"x"), 0.0
         )
-        failed = self.part.handle(
+        failed = self.assembler.handle(
             response_assembly.ResponseOpened("a", "a2", "u"), 0.0
         )[0]
         self.assertIsInstance(failed.failure, failures.AnswerTruncated)
 
     def test_resumes_at_the_next_chunk_and_not_for_ever(self):
         for _ in range(2):
-            self.part.handle(
+            self.assembler.handle(
                 response_assembly.ChunkArrived("a", "a1", 0, b"x"), 0.0
             )
-        self.assertEqual(self.part.count_buffered_bytes("a"), 0)
+        self.assertEqual(self.assembler.count_buffered_bytes("a"), 0)
         broken = response_assembly.StreamBroken("a", "a1")
         for _ in range(response_assembly.MAX_RESUMES):
-            resumed = self.part.handle(broken, 0.0)
+            resumed = self.assembler.handle(broken, 0.0)
             expected = response_assembly.ResumeStream("a", "a1", "u", 1)
             self.assertEqual(resumed, [expected])
-        failed = self.part.handle(broken, 0.0)[0]
+        failed = self.assembler.handle(broken, 0.0)[0]
         self.assertIsInstance(failed.failure, failures.AnswerTruncated)
-        self.assertEqual(self.part.active_count, 0)
+        self.assertEqual(self.assembler.active_count, 0)
 
     def test_empty_response_is_complete(self):
-        ended = self.part.handle(
+        ended = self.assembler.handle(
             response_assembly.EndArrived("a", "a1", 0), 0.0
         )
         self.assertEqual(ended, [response_assembly.CompleteResponse("a", 0)])
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -332,8 +332,8 @@
             report = upstream_events.LoadReported(
                 name, now, 1, False, 9, 0, 100_000
             )
-            for part in self.places.list_components():
-                part.handle(report, now)
+            for component in self.places.list_components():
+                component.handle(report, now)
 
     def _place(self, name, content):
         request = requests.ModelRequest(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -35,22 +35,22 @@
     def __init__(self, name, rollout=ROLLOUT, revision=5):
         self.evidence = sequential_test.Evidence(name)
         self.stops = stops.Stops(name)
-        self.part = rollouts.Rollouts(
+        self.rollouts = rollouts.Rollouts(
             self.stops, self.evidence, random.Random(name), PACE
         )
         self.queue = []
-        self.part.handle(configure(rollout, revision), 0.0)
-        self.part.handle(rollouts.CoordinatorChanged(True), 0.0)
+        self.rollouts.handle(configure(rollout, revision), 0.0)
+        self.rollouts.handle(rollouts.CoordinatorChanged(True), 0.0)
 
     def handle(self, event, now):
-        self.queue.extend(self.part.handle(event, now))
+        self.queue.extend(self.rollouts.handle(event, now))
 
     def share(self):
-        return self.part.get_shares().get("r", 0.0)
+        return self.rollouts.get_shares().get("r", 0.0)
 
 
 def sync(one, two, now):
-    for left, right in ((one.part, two.part), (one.stops, two.stops)):
+    for left, right in ((one.rollouts, two.rollouts), (one.stops, two.stops)):
         right.merge(left.build_delta(left.build_digest(now), now), now)
         right.merge(left.build_delta(right.build_digest(now), now), now)
         left.merge(right.build_delta(left.build_digest(now), now), now)
@@ -149,7 +149,7 @@
 
     def check(self, test):
         for node in self.nodes:
-            stage = node.part.get_stage("r")
+            stage = node.rollouts.get_stage("r")
             if stage is None:
                 test.assertEqual(node.share(), 0.0)
                 continue
@@ -271,10 +271,10 @@
         self.assertEqual(self.write(9.0).state, stages.State.WITHDRAWN)
         other = Node("q")
         sync(self.node, other, 10.0)
-        self.assertIn("v2", other.part.list_stopped_versions())
+        self.assertIn("v2", other.rollouts.list_stopped_versions())
 
     def test_evidence_of_a_worse_version_stops_it_without_the_store(self):
-        run = self.node.part.get_rollout_id("r")
+        run = self.node.rollouts.get_rollout_id("r")
         for number in range(400):
             candidate = number % 4 == 0
             event = sequential_test.AnswerEnded(
@@ -283,7 +283,7 @@
             self.node.evidence.handle(event, 0.0)
         self.node.handle(events.Tick(), 1.0)
         self.assertIsInstance(self.node.queue[0], stops.PushStops)
-        self.assertIn("v2", self.node.part.list_stopped_versions())
+        self.assertIn("v2", self.node.rollouts.list_stopped_versions())
 
 
 class StopTest(unittest.TestCase):
@@ -315,7 +315,7 @@
             node.handle(seen, 1.0)
             lifted = revision > 5 and step == 2
             self.assertEqual(
-                "v2" not in node.part.list_stopped_versions(), lifted
+                "v2" not in node.rollouts.list_stopped_versions(), lifted
             )
             if not lifted:
                 self.assertEqual(node.share(), 0.0)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -108,15 +108,15 @@
     places = FirstFree()
     planner = FixedPlanner(gated)
     budget = retries.RetryBudget(random.Random(1))
-    part = router.Router(
+    component = router.Router(
         planner,
         places,
         recovery.Recovery(budget),
         admission.Admission(10_000, random.Random(2)),
         lambda: None,
     )
-    part.handle(lifecycle.DeploymentChanged(CURRENT), 0.0)
-    return part, places, planner
+    component.handle(lifecycle.DeploymentChanged(CURRENT), 0.0)
+    return component, places, planner
 
 
 def build_request(stream=True):
@@ -153,7 +153,7 @@
     """Drives one request and records the commands for the shells."""
 
     def __init__(self, gated, stream):
-        self.part, self.places, self.planner = build_router(gated)
+        self.router, self.places, self.planner = build_router(gated)
         self.starts = []
         self.finals = []
         self.bills = []
@@ -164,7 +164,7 @@
         self.now = 0.0
         self.answer_id = ""
         self._take(
-            self.part.handle(
+            self.router.handle(
                 lifecycle.RequestArrived(build_request(stream)), self.now
             )
         )
@@ -196,7 +196,7 @@
             lifecycle.AttemptEnd.STOPPED,
             received_events=self.received,
         )
-        self._take(self.part.handle(event, self.now))
+        self._take(self.router.handle(event, self.now))
 
     def _check_start(self, command):
         if not self.starts:
@@ -218,7 +218,7 @@
             return
         if action == "gone":
             self.gone = True
-        self._take(self.part.handle(event, self.now))
+        self._take(self.router.handle(event, self.now))
 
     def _build(self, action, attempt):
         ends = {
@@ -254,7 +254,7 @@
             case "rate_bad":
                 return lifecycle.AnswerRated(self.answer_id, 0.1)
             case "bill":
-                self._take(self.part.release("r1", self.now))
+                self._take(self.router.release("r1", self.now))
                 return None
             case "gone":
                 return lifecycle.CallerDisconnected("r1", self.received)
@@ -273,21 +273,23 @@
             caller.act(action)
         if not caller.finals and not caller.gone:
             caller.now = 101.0
-            caller._take(caller.part.handle(events.Tick(), 101.0))
-            caller._take(caller.part.release("r1", 101.0))
+            caller._take(caller.router.handle(events.Tick(), 101.0))
+            caller._take(caller.router.release("r1", 101.0))
         self.assertLessEqual(len(caller.finals), 1)
         if not caller.gone:
             self.assertEqual(len(caller.finals), 1)
         cut = lifecycle.FailureSent("r1", caller.received)
-        caller._take(caller.part.handle(cut, caller.now))
+        caller._take(caller.router.handle(cut, caller.now))
         self.assertLessEqual(len(caller.bills), 1)
         self.assertEqual(caller.places.open, set())
-        self.assertEqual(caller.part.active_count, 0)
+        self.assertEqual(caller.router.active_count, 0)
 
     def test_refuses_when_the_version_was_withdrawn_after_the_plan(self):
-        part, _, planner = build_router()
+        component, _, planner = build_router()
         planner.barred = frozenset({"small", "large"})
-        result = part.handle(lifecycle.RequestArrived(build_request()), 0.0)
+        result = component.handle(
+            lifecycle.RequestArrived(build_request()), 0.0
+        )
         self.assertIsInstance(result[0], lifecycle.FailRequest)
         self.assertEqual(result[0].failure.code, "version_withdrawn")
         self.assertIs(
@@ -331,7 +333,7 @@
 
         def spend_budget(caller):
             for _ in range(int(retries.MAX_BUDGET) + 1):
-                caller.part._recovery.record_failover("another", 0.0)
+                caller.router._recovery.record_failover("another", 0.0)
 
         for hinder in (fill, withdraw, spend_budget):
             for stream in (True, False):
@@ -375,8 +377,8 @@
 
         A retry after a crash waits for capacity as long as new work does.
         """
-        for room in (True, False):
-            with self.subTest(room=room):
+        for has_capacity in (True, False):
+            with self.subTest(has_capacity=has_capacity):
                 caller = Caller(False, True)
                 caller.places.full = True
                 caller.places.failure = failures.UpstreamsFull(
@@ -387,10 +389,10 @@
                     caller.act("tick")
                 self.assertEqual(len(caller.starts), 1)
                 self.assertEqual(caller.finals, [])
-                caller.places.full = not room
+                caller.places.full = not has_capacity
                 for _ in range(10):
                     caller.act("tick")
-                if room:
+                if has_capacity:
                     self._complete(caller, "b")
                     continue
                 [final] = caller.finals
@@ -404,7 +406,7 @@
             for trouble in ("silent", "broken"):
                 with self.subTest(gated=gated, trouble=trouble):
                     caller = Caller(gated, True)
-                    caller.part.handle(lifecycle.AdmissionStopped(), 0.0)
+                    caller.router.handle(lifecycle.AdmissionStopped(), 0.0)
                     for action in ("silent", "silent", "broken", "tick"):
                         caller.act(action)
                     caller.act("produce")
@@ -412,7 +414,7 @@
                         CURRENT, upstreams={}, workspaces={}
                     )
                     caller.planner.barred = frozenset({"small", "large"})
-                    caller.part.handle(
+                    caller.router.handle(
                         lifecycle.DeploymentChanged(changed), caller.now
                     )
                     caller.act(trouble)
@@ -568,7 +570,7 @@
         router waits for the end of the attempt.
         """
         caller = self._escalate(True)
-        result = caller.part.handle(events.Tick(), 101.0)
+        result = caller.router.handle(events.Tick(), 101.0)
         [stop] = result
         self.assertTrue(stop.report_end)
         caller.now = 101.0
@@ -649,12 +651,12 @@
         self.assertIs(failure.execution, failures.Execution.UNKNOWN)
 
     def test_shutdown_refuses_new_work_and_keeps_the_rest(self):
-        part, _, _ = build_router()
-        part.handle(lifecycle.RequestArrived(build_request()), 0.0)
-        part.handle(lifecycle.AdmissionStopped(), 0.1)
-        self.assertEqual(part.active_count, 1)
+        component, _, _ = build_router()
+        component.handle(lifecycle.RequestArrived(build_request()), 0.0)
+        component.handle(lifecycle.AdmissionStopped(), 0.1)
+        self.assertEqual(component.active_count, 1)
         later = requests.ModelRequest(
             "r2", "maps", "atlas", "", b"", "f", 1, 1, True, 9.0
         )
-        result = part.handle(lifecycle.RequestArrived(later), 0.2)
+        result = component.handle(lifecycle.RequestArrived(later), 0.2)
         self.assertEqual(result[0].failure.code, "draining")
