--- a/tests/test_forwarding_cascade.py
+++ b/tests/test_forwarding_cascade.py
@@ -21,9 +21,9 @@
     def setUp(self):
         self.discarded = 0
 
-    def _begin(self, built, now):
+    def _begin(self, router, now):
         """Returns the lifecycle of a stream that is being delivered."""
-        lifecycle = forwarding_world.build_lifecycle(built, now=now)
+        lifecycle = forwarding_world.build_lifecycle(router, now=now)
         self.assertIsInstance(lifecycle.choose_next_step(now), steps.Send)
         unsure = forwarding_world.build_head(confidence=0)
         if lifecycle.evaluate_head(unsure, now) is steps.Verdict.RETRY:
@@ -36,11 +36,11 @@
     def test_streams_that_break_go_on_beside_doubtful_answers(self):
         for requests in range(2, 40):
             with self.subTest(requests=requests):
-                built = forwarding_world.build_router(
+                router = forwarding_world.build_router(
                     *UPSTREAMS, retry_floor=4.0
                 )
                 streams = [
-                    self._begin(built, number / 10)
+                    self._begin(router, number / 10)
                     for number in range(requests)
                 ]
                 now = requests / 10
--- a/tests/test_forwarding_course.py
+++ b/tests/test_forwarding_course.py
@@ -32,11 +32,11 @@
     Returns:
         The final failure or `None`, and the runs that upstreams made.
     """
-    built = forwarding_world.build_router(*UPSTREAMS)
+    router = forwarding_world.build_router(*UPSTREAMS)
     route = forwarding_world.build_route(
         kind, max_attempts=max_attempts, models=()
     )
-    lifecycle = forwarding_world.build_lifecycle(built, route=route)
+    lifecycle = forwarding_world.build_lifecycle(router, route=route)
     runs = 0
     now = 0.0
     for outcome in outcomes * 3:
@@ -93,11 +93,11 @@
             self.assertIs(failure.execution, failures.Execution.UNKNOWN)
 
     def test_failed_safe_request_goes_to_another_upstream(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         route = forwarding_world.build_route(
             forwarding_world.SAFE, max_attempts=2
         )
-        lifecycle = forwarding_world.build_lifecycle(built, route=route)
+        lifecycle = forwarding_world.build_lifecycle(router, route=route)
         first = lifecycle.choose_next_step(0.0)
         verdict = lifecycle.evaluate_head(
             forwarding_world.build_head(500), 0.02
@@ -112,8 +112,8 @@
         self.assertIs(verdict, steps.Verdict.DELIVER)
 
     def test_attempts_that_reach_no_upstream_are_refunded(self):
-        built = forwarding_world.build_router(*UPSTREAMS, retry_floor=3.0)
-        lifecycle = forwarding_world.build_lifecycle(built)
+        router = forwarding_world.build_router(*UPSTREAMS, retry_floor=3.0)
+        lifecycle = forwarding_world.build_lifecycle(router)
         now = 0.0
         for _ in range(attempt_limits.MAX_CONNECT_FAILURES):
             now += 0.1
@@ -125,8 +125,8 @@
         self.assertIsInstance(lifecycle.choose_next_step(now + 0.1), steps.Send)
 
     def test_request_without_reachable_upstream_is_refused_early(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
-        lifecycle = forwarding_world.build_lifecycle(built)
+        router = forwarding_world.build_router(*UPSTREAMS)
+        lifecycle = forwarding_world.build_lifecycle(router)
         now = 0.0
         step = None
         while not isinstance(step, steps.Reject):
@@ -145,11 +145,11 @@
         Returns:
             The final step, when it came and how many attempts were refused.
         """
-        built = forwarding_world.build_router(*UPSTREAMS[:4])
+        router = forwarding_world.build_router(*UPSTREAMS[:4])
         route = forwarding_world.build_route(
             forwarding_world.UNSAFE, max_attempts=1, objective_s=0.2
         )
-        lifecycle = forwarding_world.build_lifecycle(built, route=route)
+        lifecycle = forwarding_world.build_lifecycle(router, route=route)
         now, refused = 0.0, 0
         while now < until:
             step = lifecycle.choose_next_step(now)
@@ -176,25 +176,25 @@
         self.assertLessEqual(refused, attempt_limits.MAX_REFUSALS + 1)
 
     def test_full_upstream_is_left_alone_by_other_requests(self):
-        built = forwarding_world.build_router(*UPSTREAMS[:2])
-        first = forwarding_world.build_lifecycle(built)
+        router = forwarding_world.build_router(*UPSTREAMS[:2])
+        first = forwarding_world.build_lifecycle(router)
         name = first.choose_next_step(0.0).state.upstream.identity
         head = forwarding_world.build_head(503, not_run=True, sealed=False)
         first.evaluate_head(head, 0.01)
         for _ in range(20):
-            lifecycle = forwarding_world.build_lifecycle(built, now=0.011)
+            lifecycle = forwarding_world.build_lifecycle(router, now=0.011)
             step = lifecycle.choose_next_step(0.011)
             self.assertNotEqual(step.state.upstream.identity, name)
 
     def test_nothing_registered_is_refused_at_once(self):
-        built = forwarding_world.build_router()
-        step = forwarding_world.build_lifecycle(built).choose_next_step(0.0)
+        router = forwarding_world.build_router()
+        step = forwarding_world.build_lifecycle(router).choose_next_step(0.0)
         self.assertIsInstance(step.failure, steps.Unavailable)
 
     def test_route_timeout_bounds_the_deadline(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         route = forwarding_world.build_route(timeout_s=0.8)
-        lifecycle = forwarding_world.build_lifecycle(built, route=route)
+        lifecycle = forwarding_world.build_lifecycle(router, route=route)
         self.assertAlmostEqual(lifecycle.choose_next_step(0.0).left_s, 0.8)
         lifecycle.record_connection_failure("closed", True, 0.9)
         self.assertIsInstance(
@@ -207,10 +207,10 @@
             for name in ("a", "b")
         ]
         new = forwarding_world.build_upstream("c", version="v2")
-        built = forwarding_world.build_router(*old, new)
+        router = forwarding_world.build_router(*old, new)
         order = forwarding.RolloutOrder("llm", "v2", 24.0, 5)
-        built.apply_event(updates.RolloutOrdered(order), 0.0)
-        lifecycle = forwarding_world.build_lifecycle(built)
+        router.apply_event(updates.RolloutOrdered(order), 0.0)
+        lifecycle = forwarding_world.build_lifecycle(router)
         lifecycle.choose_next_step(0.0)
         lifecycle.evaluate_head(forwarding_world.build_head(confidence=99), 0.1)
         lifecycle.delivering = True
@@ -219,14 +219,14 @@
         self.assertEqual(step.state.upstream.version, "v1")
         lifecycle.record_connection_failure("closed", True, 2.0)
         for upstream in old:
-            built.apply_event(updates.UpstreamRemoved(upstream.identity), 2.0)
+            router.apply_event(updates.UpstreamRemoved(upstream.identity), 2.0)
         step = lifecycle.choose_next_step(2.0)
         self.assertEqual(step.state.upstream.version, "v2")
 
     def test_failure_never_follows_the_start_of_an_answer(self):
         for status in (500, 503, 404, 204):
-            built = forwarding_world.build_router(*UPSTREAMS)
-            lifecycle = forwarding_world.build_lifecycle(built)
+            router = forwarding_world.build_router(*UPSTREAMS)
+            lifecycle = forwarding_world.build_lifecycle(router)
             lifecycle.choose_next_step(0.0)
             lifecycle.evaluate_head(forwarding_world.build_head(), 0.1)
             lifecycle.delivering = True
@@ -244,24 +244,24 @@
                 self.assertIs(verdict, steps.Verdict.RETRY)
 
     def test_break_by_an_upstream_that_leaves_is_no_crash(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         for attempt in range(4):
             lifecycle = forwarding_world.build_lifecycle(
-                built, now=float(attempt)
+                router, now=float(attempt)
             )
             step = lifecycle.choose_next_step(float(attempt))
             leaving = dataclasses.replace(step.state.upstream, draining=True)
-            built.apply_event(updates.UpstreamSet(leaving), attempt + 0.05)
+            router.apply_event(updates.UpstreamSet(leaving), attempt + 0.05)
             lifecycle.record_connection_failure("closed", True, attempt + 0.1)
             lifecycle.record_possible_crash(attempt + 0.1)
-        self.assertFalse(built.quarantine.is_quarantined("fingerprint", 4.0))
+        self.assertFalse(router.quarantine.is_quarantined("fingerprint", 4.0))
 
     def test_request_that_crashes_upstreams_is_rejected(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         sent = 0
         for attempt in range(6):
             lifecycle = forwarding_world.build_lifecycle(
-                built, now=float(attempt)
+                router, now=float(attempt)
             )
             step = lifecycle.choose_next_step(float(attempt))
             if isinstance(step, steps.Reject):
@@ -277,8 +277,8 @@
     """Tests time-outs at overloaded engines and at engines that hang."""
 
     def setUp(self):
-        self.built = forwarding_world.build_router(*UPSTREAMS[:2])
-        self.lifecycle = forwarding_world.build_lifecycle(self.built)
+        self.router = forwarding_world.build_router(*UPSTREAMS[:2])
+        self.lifecycle = forwarding_world.build_lifecycle(self.router)
         self.state = self.lifecycle.choose_next_step(0.0).state
 
     def _wait(self, lifecycle, until):
@@ -324,7 +324,7 @@
         self.assertEqual(self.lifecycle.compute_timeout(now), 0.0)
 
     def test_other_upstream_shows_whether_the_node_is_cut_off(self):
-        other = self.built.directory.get(
+        other = self.router.directory.get(
             "b" if self.state.upstream.identity == "a" else "a"
         )
         self.assertIs(self.lifecycle.choose_reference(0.4), other)
@@ -336,7 +336,7 @@
         request = forwarding_world.build_request(
             prompt_tokens=100_000, deadline_s=15.0
         )
-        lifecycle = forwarding_world.build_lifecycle(self.built, request)
+        lifecycle = forwarding_world.build_lifecycle(self.router, request)
         lifecycle.choose_next_step(0.0)
         self.assertGreater(self._wait(lifecycle, 20.0), 2 * short)
 
@@ -344,7 +344,7 @@
         route = forwarding_world.build_route(
             forwarding_world.UNSAFE, max_attempts=1, timeout_s=0.8
         )
-        lifecycle = forwarding_world.build_lifecycle(self.built, route=route)
+        lifecycle = forwarding_world.build_lifecycle(self.router, route=route)
         lifecycle.choose_next_step(0.0)
         self.assertAlmostEqual(lifecycle.compute_timeout(0.0), 0.8)
 
@@ -353,9 +353,9 @@
     """Tests the choice of a larger model under light and heavy load."""
 
     def _ask(self, confidence, took_s, **route):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         lifecycle = forwarding_world.build_lifecycle(
-            built, route=forwarding_world.build_route(**route)
+            router, route=forwarding_world.build_route(**route)
         )
         self.assertEqual(lifecycle.choose_next_step(0.0).model, "small")
         head = forwarding_world.build_head(confidence=confidence)
@@ -378,10 +378,10 @@
 
     def test_attempts_and_budget_bound_larger_models(self):
         self.assertEqual(self._ask(10, 0.08, max_attempts=1), "small")
-        built = forwarding_world.build_router(
+        router = forwarding_world.build_router(
             *UPSTREAMS, retry_ratio=0.0, retry_floor=0.0
         )
-        lifecycle = forwarding_world.build_lifecycle(built)
+        lifecycle = forwarding_world.build_lifecycle(router)
         lifecycle.choose_next_step(0.0)
         head = forwarding_world.build_head(confidence=0)
         self.assertIs(
--- a/tests/test_forwarding_give_up.py
+++ b/tests/test_forwarding_give_up.py
@@ -23,10 +23,10 @@
     )
 
 
-def start_stream(built, now=0.0, **route):
+def start_stream(router, now=0.0, **route):
     """Returns a request whose response was delivered in part."""
     lifecycle = forwarding_world.build_lifecycle(
-        built, route=forwarding_world.build_route(**route), now=now
+        router, route=forwarding_world.build_route(**route), now=now
     )
     lifecycle.choose_next_step(now)
     lifecycle.evaluate_head(
@@ -59,8 +59,8 @@
 
     def test_last_repeat_is_taken_by_one_of_two_streams(self):
         # Only part of the floor is used, which leaves one retry here.
-        built = build_router(retry_ratio=0.0, retry_floor=2.0)
-        first, second = start_stream(built), start_stream(built)
+        router = build_router(retry_ratio=0.0, retry_floor=2.0)
+        first, second = start_stream(router), start_stream(router)
         # Both attempts have timed out before either fails over.
         self.assertEqual(first.compute_timeout(3.0), 0.0)
         self.assertEqual(second.compute_timeout(3.0), 0.0)
@@ -70,25 +70,25 @@
         self.assertIsInstance(second.handle_timeout(13.1), steps.Reject)
 
     def test_stream_is_given_up_once_a_repeat_is_left_again(self):
-        built = build_router(retry_ratio=0.0, retry_floor=2.0)
-        first, second = start_stream(built), start_stream(built, 9.0)
+        router = build_router(retry_ratio=0.0, retry_floor=2.0)
+        first, second = start_stream(router), start_stream(router, 9.0)
         first.handle_timeout(3.0)
         self.assert_kept(second, 12.0, "the budget of repeats is used up")
         self.assertIsInstance(second.handle_timeout(13.1), steps.Send)
 
     def test_content_that_is_blamed_elsewhere_keeps_its_attempt(self):
-        built = build_router()
-        lifecycle = start_stream(built)
+        router = build_router()
+        lifecycle = start_stream(router)
         breaks = {f"r{number}": 0.1 for number in range(3)}
-        built.quarantine.merge({"fingerprint": breaks}, 1.0)
+        router.quarantine.merge({"fingerprint": breaks}, 1.0)
         self.assert_kept(
             lifecycle, 3.0, "requests like it have crashed upstreams"
         )
 
     def test_full_upstreams_leave_a_stream_where_it_is(self):
-        built = build_router()
-        lifecycle = start_stream(built)
-        for state in built.directory.list_all():
+        router = build_router()
+        lifecycle = start_stream(router)
+        for state in router.directory.list_all():
             state.full_until = 5.0
         self.assert_kept(lifecycle, 3.0, "all upstreams are full")
 
@@ -103,10 +103,10 @@
         self.assertEqual(spare.compute_timeout(1.5), 0.0)
 
     def test_unreachable_upstreams_leave_a_stream_where_it_is(self):
-        built = build_router()
-        lifecycle = start_stream(built)
+        router = build_router()
+        lifecycle = start_stream(router)
         current = lifecycle.attempts[-1].state
-        for state in built.directory.list_all():
+        for state in router.directory.list_all():
             if state is not current:
                 directory.record_unreachable(state, 2.9)
         self.assert_kept(lifecycle, 3.0, "no other can be reached")
@@ -127,9 +127,9 @@
         self.assert_kept(lifecycle, 3.0, "no upstream is registered")
 
     def test_upstream_that_would_be_too_late_is_not_asked(self):
-        built = build_router()
+        router = build_router()
         request = forwarding_world.build_request(deadline_s=3.04)
-        lifecycle = forwarding_world.build_lifecycle(built, request)
+        lifecycle = forwarding_world.build_lifecycle(router, request)
         lifecycle.choose_next_step(0.0)
         self.assert_kept(lifecycle, 3.0, "no other would be in time")
 
@@ -170,31 +170,31 @@
         self.assertIsInstance(step, steps.Send)
 
     def test_wait_for_a_shortage_ends_at_the_deadline(self):
-        built = build_router(retry_ratio=0.0, retry_floor=0.0)
-        lifecycle = start_stream(built)
+        router = build_router(retry_ratio=0.0, retry_floor=0.0)
+        lifecycle = start_stream(router)
         lifecycle.record_connection_failure("closed", True, 9.95)
         step = lifecycle.choose_next_step(9.95)
         self.assertAlmostEqual(step.seconds, 0.05)
 
     def test_broken_stream_waits_for_upstreams_that_are_gone(self):
-        built = build_router()
-        lifecycle = start_stream(built)
+        router = build_router()
+        lifecycle = start_stream(router)
         lifecycle.record_connection_failure("closed", True, 1.0)
-        for state in built.directory.list_all():
-            built.apply_event(
+        for state in router.directory.list_all():
+            router.apply_event(
                 updates.UpstreamRemoved(state.upstream.identity), 1.0
             )
         self.assertIsInstance(lifecycle.choose_next_step(1.1), steps.Wait)
         upstream = forwarding_world.build_upstream("u9")
-        built.apply_event(updates.UpstreamSet(upstream), 1.2)
+        router.apply_event(updates.UpstreamSet(upstream), 1.2)
         self.assertIsInstance(lifecycle.choose_next_step(1.3), steps.Send)
 
     def test_small_model_is_asked_again_when_the_larger_one_is_gone(self):
-        built = forwarding_world.build_router(
+        router = forwarding_world.build_router(
             forwarding_world.build_upstream("a", models=("small",)),
             forwarding_world.build_upstream("b", models=("large",)),
         )
-        lifecycle = forwarding_world.build_lifecycle(built)
+        lifecycle = forwarding_world.build_lifecycle(router)
         lifecycle.choose_next_step(0.0)
         unsure = forwarding_world.build_head(confidence=10)
         self.assertIs(
@@ -202,7 +202,7 @@
         )
         self.assertEqual(lifecycle.choose_next_step(0.05).model, "large")
         lifecycle.record_connection_failure("cannot connect", False, 0.06)
-        built.apply_event(updates.UpstreamRemoved("b"), 0.07)
+        router.apply_event(updates.UpstreamRemoved("b"), 0.07)
         now, step = 0.08, lifecycle.choose_next_step(0.08)
         while isinstance(step, steps.Wait):
             now += step.seconds
@@ -210,9 +210,9 @@
         self.assertEqual(step.model, "small")
 
     def test_refusal_of_what_was_sent_twice_does_not_say_not_run(self):
-        built = build_router()
+        router = build_router()
         lifecycle = forwarding_world.build_lifecycle(
-            built, route=forwarding_world.build_route(forwarding_world.SAFE)
+            router, route=forwarding_world.build_route(forwarding_world.SAFE)
         )
         now, step, sent_twice = 0.0, lifecycle.choose_next_step(0.0), True
         while not isinstance(step, steps.Reject):
@@ -225,8 +225,8 @@
         self.assertNotEqual(step.failure.status, 503)
 
     def test_broken_stream_waits_for_a_repeat(self):
-        built = build_router(retry_ratio=0.0, retry_floor=2.0)
-        first, second = start_stream(built), start_stream(built, 5.0)
+        router = build_router(retry_ratio=0.0, retry_floor=2.0)
+        first, second = start_stream(router), start_stream(router, 5.0)
         for lifecycle in (first, second):
             lifecycle.record_connection_failure("closed", True, 6.0)
         self.assertIsInstance(first.choose_next_step(6.0), steps.Send)
@@ -256,9 +256,9 @@
 class CompleteResponseTest(unittest.TestCase):
     """Guards against discarding a response without a replacement."""
 
-    def _answer(self, built, head, **route):
+    def _answer(self, router, head, **route):
         lifecycle = forwarding_world.build_lifecycle(
-            built, route=forwarding_world.build_route(**route)
+            router, route=forwarding_world.build_route(**route)
         )
         lifecycle.choose_next_step(0.0)
         return lifecycle.evaluate_head(head, 0.05)
@@ -269,11 +269,11 @@
         self.assertIs(verdict, steps.Verdict.DELIVER)
 
     def test_doubtful_answer_of_blamed_content_is_kept(self):
-        built = build_router()
-        lifecycle = forwarding_world.build_lifecycle(built)
+        router = build_router()
+        lifecycle = forwarding_world.build_lifecycle(router)
         lifecycle.choose_next_step(0.0)
         breaks = {f"r{number}": 0.1 for number in range(3)}
-        built.quarantine.merge({"fingerprint": breaks}, 0.04)
+        router.quarantine.merge({"fingerprint": breaks}, 0.04)
         head = forwarding_world.build_head(confidence=10)
         self.assertIs(
             lifecycle.evaluate_head(head, 0.05), steps.Verdict.DELIVER
@@ -282,12 +282,12 @@
     def test_failure_of_an_upstream_is_passed_on_while_all_others_are_full(
         self,
     ):
-        built = build_router()
+        router = build_router()
         lifecycle = forwarding_world.build_lifecycle(
-            built, route=forwarding_world.build_route(forwarding_world.SAFE)
+            router, route=forwarding_world.build_route(forwarding_world.SAFE)
         )
         lifecycle.choose_next_step(0.0)
-        for state in built.directory.list_all():
+        for state in router.directory.list_all():
             state.full_until = 1.0
         verdict = lifecycle.evaluate_head(
             forwarding_world.build_head(500), 0.05
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -16,13 +16,13 @@
 class PlacementTest(unittest.TestCase):
     """Tests slow, failing, cold and distant upstreams."""
 
-    def _spread(self, built, count=200, request=None, route=None, finish=None):
+    def _spread(self, router, count=200, request=None, route=None, finish=None):
         """Sends requests one after the other; returns counts by upstream."""
         counts = {}
         for number in range(count):
             now = number * 0.1
             lifecycle = forwarding_world.build_lifecycle(
-                built, request, route, now
+                router, request, route, now
             )
             step = lifecycle.choose_next_step(now)
             name = step.state.upstream.identity
@@ -32,17 +32,17 @@
         return counts
 
     def test_slow_upstream_gets_less(self):
-        built = forwarding_world.build_router(*UPSTREAMS[:3])
+        router = forwarding_world.build_router(*UPSTREAMS[:3])
 
         def finish(lifecycle, name, now):
             took_s = 0.4 if name == "a" else 0.06
             lifecycle.evaluate_head(forwarding_world.build_head(), now + took_s)
 
-        counts = self._spread(built, finish=finish)
+        counts = self._spread(router, finish=finish)
         self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
 
     def test_failing_upstream_gets_less(self):
-        built = forwarding_world.build_router(*UPSTREAMS[:3])
+        router = forwarding_world.build_router(*UPSTREAMS[:3])
 
         def finish(lifecycle, name, now):
             status = 500 if name == "a" else 200
@@ -51,11 +51,11 @@
             )
 
         route = forwarding_world.build_route(models=())
-        counts = self._spread(built, route=route, finish=finish)
+        counts = self._spread(router, route=route, finish=finish)
         self.assertLess(counts.get("a", 0), 0.5 * 200 / 3)
 
     def test_own_data_centre_is_preferred_for_large_bodies(self):
-        built = forwarding_world.build_router(
+        router = forwarding_world.build_router(
             forwarding_world.build_upstream("near"),
             forwarding_world.build_upstream("far", data_centre="dc-2"),
         )
@@ -63,12 +63,12 @@
         def finish(lifecycle, name, now):
             lifecycle.evaluate_head(forwarding_world.build_head(), now + 0.06)
 
-        counts = self._spread(built, finish=finish)
+        counts = self._spread(router, finish=finish)
         self.assertGreater(counts["near"], 150)
 
     def test_cold_upstream_gets_its_share_only(self):
         service = forwarding.Service("llm", 100, cold_requests_per_s=4.0)
-        built = forwarding_world.build_router(
+        router = forwarding_world.build_router(
             forwarding_world.build_upstream("cold", cold_s=100.0),
             configuration=forwarding_world.build_configuration(
                 services={"llm": service}
@@ -79,13 +79,13 @@
         sent = 0
         for number in range(50):
             now = number * 0.02
-            lifecycle = forwarding_world.build_lifecycle(built, now=now)
+            lifecycle = forwarding_world.build_lifecycle(router, now=now)
             if isinstance(lifecycle.choose_next_step(now), steps.Send):
                 sent += 1
         self.assertLessEqual(sent, 4)
 
     def test_shared_prompt_parts_stay_together(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         parts = (
             forwarding.PromptPart("shared", 8000),
             forwarding.PromptPart("own", 100),
@@ -97,11 +97,11 @@
         def finish(lifecycle, name, now):
             lifecycle.evaluate_head(forwarding_world.build_head(), now + 0.1)
 
-        counts = self._spread(built, 100, request, finish=finish)
+        counts = self._spread(router, 100, request, finish=finish)
         self.assertGreater(max(counts.values()), 80)
 
     def test_hot_prompt_part_spreads_when_its_upstream_fills(self):
-        built = forwarding_world.build_router(*UPSTREAMS)
+        router = forwarding_world.build_router(*UPSTREAMS)
         parts = (
             forwarding.PromptPart("hot", 8000),
             forwarding.PromptPart("own", 100),
@@ -113,7 +113,7 @@
         source = random.Random(3)
         for number in range(60):
             lifecycle = forwarding_world.build_lifecycle(
-                built, request, now=0.0
+                router, request, now=0.0
             )
             step = lifecycle.choose_next_step(source.random() * 0.01)
             name = step.state.upstream.identity
--- a/tests/test_forwarding_slowness.py
+++ b/tests/test_forwarding_slowness.py
@@ -376,7 +376,7 @@
 
     def play(self, pace_s, give_up=False):
         """Runs requests one after the other; returns the router."""
-        built = forwarding_world.build_router(
+        router = forwarding_world.build_router(
             forwarding_world.build_upstream("a"),
             *(
                 forwarding_world.build_upstream(f"b{n}", version="v2")
@@ -384,18 +384,18 @@
             ),
         )
         order = forwarding.RolloutOrder("llm", "v2", 60.0, 5)
-        built.apply_event(updates.RolloutOrdered(order), 0.0)
+        router.apply_event(updates.RolloutOrdered(order), 0.0)
         now = 3.0
         for number in range(400):
             now += 0.05
-            self.serve(built, f"q-{number}", now, pace_s, give_up)
-            built.rollouts.evaluate(now)
-        return built
+            self.serve(router, f"q-{number}", now, pace_s, give_up)
+            router.rollouts.evaluate(now)
+        return router
 
-    def serve(self, built, name, now, pace_s, give_up):
+    def serve(self, router, name, now, pace_s, give_up):
         """Runs one request, to completion or up to its time-out."""
         request = forwarding_world.build_request(request_id=name)
-        lifecycle = forwarding_world.build_lifecycle(built, request, now=now)
+        lifecycle = forwarding_world.build_lifecycle(router, request, now=now)
         sent = lifecycle.choose_next_step(now)
         head = forwarding_world.build_head(confidence=100)
         lifecycle.evaluate_head(head, now + 0.05)
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -381,36 +381,36 @@
     """Tests how the router applies events."""
 
     def test_older_version_is_ignored(self):
-        built = forwarding_world.build_router()
+        router = forwarding_world.build_router()
         newer = forwarding_world.build_configuration(version=9)
         older = forwarding_world.build_configuration(version=4)
-        built.apply_event(updates.ConfigurationSet(newer), 1.0)
-        built.apply_event(updates.ConfigurationSet(older), 2.0)
-        self.assertEqual(built.route_table.configuration.version, 9)
+        router.apply_event(updates.ConfigurationSet(newer), 1.0)
+        router.apply_event(updates.ConfigurationSet(older), 2.0)
+        self.assertEqual(router.route_table.configuration.version, 9)
 
     def test_idle_connections_of_all_nodes_leave_room_for_requests(self):
-        built = forwarding_world.build_router()
+        router = forwarding_world.build_router()
         service = forwarding.Service("llm", 110)
         for count in range(1, 70):
             node = watchers.Node(f"a:{count}", "dc-1")
-            built.apply_event(updates.NodeSet(f"n{count}", node), 0.0)
-            kept = built.compute_max_idle_connections(service)
+            router.apply_event(updates.NodeSet(f"n{count}", node), 0.0)
+            kept = router.compute_max_idle_connections(service)
             self.assertGreaterEqual(kept, 1)
             self.assertLessEqual(kept * count, max(55, count))
 
     def test_evacuation_holds_until_it_is_removed(self):
-        built = forwarding_world.build_router(
+        router = forwarding_world.build_router(
             forwarding_world.build_upstream("a"),
             forwarding_world.build_upstream("b", data_centre="dc-2"),
         )
-        built.apply_event(updates.EvacuationSet("dc-1", True), 1.0)
+        router.apply_event(updates.EvacuationSet("dc-1", True), 1.0)
         names = [
             state.upstream.identity
-            for state in built.directory.list_usable("llm", 1.0)
+            for state in router.directory.list_usable("llm", 1.0)
         ]
         self.assertEqual(names, ["b"])
-        built.apply_event(updates.EvacuationSet("dc-1", False), 2.0)
-        self.assertEqual(len(built.directory.list_usable("llm", 2.0)), 2)
+        router.apply_event(updates.EvacuationSet("dc-1", False), 2.0)
+        self.assertEqual(len(router.directory.list_usable("llm", 2.0)), 2)
 
 
 class GossipPeersTest(unittest.TestCase):
--- a/tests/test_forwarding_turns.py
+++ b/tests/test_forwarding_turns.py
@@ -111,18 +111,20 @@
 
     def test_new_request_goes_behind_one_that_waits(self):
         upstream = forwarding_world.build_upstream("a")
-        built = forwarding_world.build_router(upstream)
+        router = forwarding_world.build_router(upstream)
         route = forwarding_world.build_route(models=())
-        first = forwarding_world.build_lifecycle(built, route=route)
+        first = forwarding_world.build_lifecycle(router, route=route)
         self.assertIsInstance(first.choose_next_step(0.0), steps.Send)
         head = forwarding_world.build_head(503, not_run=True, sealed=False)
         first.evaluate_head(head, 0.01)
         # The upstream is full, so the first request is queued.
         self.assertIsInstance(first.choose_next_step(0.02), steps.Wait)
         self.assertIsInstance(first.choose_next_step(0.04), steps.Wait)
-        state = built.directory.get("a")
+        state = router.directory.get("a")
         later = state.full_until + 0.001
-        second = forwarding_world.build_lifecycle(built, route=route, now=later)
+        second = forwarding_world.build_lifecycle(
+            router, route=route, now=later
+        )
         self.assertIsInstance(second.choose_next_step(later), steps.Wait)
         self.assertIsInstance(first.choose_next_step(later), steps.Send)
         self.assertIsInstance(second.choose_next_step(later + 0.02), steps.Send)
