State the limits of early canary shares exactly

The comments on the first share and on the limit without a baseline did not match the code in detail.

Checked: lint is clean; only comments change.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -20,8 +20,8 @@
 
 # Share of the tolerated exposure that a version gets at most before the
 # ramp-up. Assigning the new version moves open sessions to it, so the share is
-# halved until it yields no more than about this rate of responses, which is
-# what the evaluation needs.
+# halved while it yields more than twice the rate of responses that the
+# evaluation needs.
 FIRST_SHARE = 0.55
 TARGET_RESPONSES_PER_S = 4.0
 # Responses that short orders need before the ramp-up, twice the number that
--- a/sycamorehollow/decisions/forwarding/response_times.py
+++ b/sycamorehollow/decisions/forwarding/response_times.py
@@ -23,7 +23,7 @@
 QUANTILE = 0.9
 SLOW_QUANTILE_FACTOR = 1.5
 SLOW_MEDIAN_FACTOR = 2.0
-# With fewer baseline responses than this, the route's objective is the limit.
+# With fewer baseline responses than this, the route's objectives are the limit.
 MIN_RESPONSES = 8
 # Histogram counts are halved once twice this many responses are recorded.
 HALVING_RESPONSES = 400
