--- a/sycamorehollow/decisions/releases/rollouts.py
+++ b/sycamorehollow/decisions/releases/rollouts.py
@@ -49,7 +49,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class CoordinatorChanged(events.Event):
-    """Whether this process may drive roll-outs has been determined."""
+    """This process has become or ceased to be a roll-out coordinator."""
 
     is_coordinator: bool
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -29,15 +29,15 @@
     def test_cold_turn_reaches_peers_at_once(self):
         """The push of a cold upstream raised an error in the node."""
         world = build_world()
-        teller, peer = (a for a in world.nodes if world.centres[a] == "dc-0")
+        sender, peer = (a for a in world.nodes if world.centres[a] == "dc-0")
         cold = upstream_events.LoadReported(
             "u00", world.now, 2, True, 4, 0, sites.CAPACITY_TOKENS
         )
-        world.give(teller, cold)
+        world.give(sender, cold)
         # Less than the exchange interval.
         world.run(world.now + 0.1)
-        placed = world.nodes[peer].placement.cold_start_limiter
-        self.assertTrue(placed.is_cold("u00", world.now))
+        limiter = world.nodes[peer].placement.cold_start_limiter
+        self.assertTrue(limiter.is_cold("u00", world.now))
 
     def test_drain_order_reaches_all_nodes_without_the_store(self):
         """A drained data centre must get no new work after 5 s."""
