Reword the texts of the tasks, the peer task and the store clients

Doc comments, comments and log lines were figurative in places. They now say in usual terms what the code does and why; local names follow (response for what the store sends, reply for what a peer sends).

Checked: make lint is clean; no behaviour is changed.

--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -1,4 +1,8 @@
-"""The tasks of an entry process, put together."""
+"""Builds an entry process: wires its tasks, I/O modules and HTTP handlers.
+
+The decision components run in one thread, the decision loop. All I/O runs in
+other tasks, which receive commands from the loop and post events to it.
+"""
 
 from collections.abc import Callable
 import random
@@ -51,18 +55,18 @@
 
 DRAIN_POLL_S = 0.05
 METER_INTERVAL_S = 5.0
-# Load balancers poll `/healthz` about once a second; until they have seen it
-# turn, new connections still arrive and get a truthful refusal.
+# Load balancers poll `/healthz` about once a second. Until they have seen it
+# change, new connections still arrive and have to be rejected properly.
 DRAIN_DELAY_S = 5.0
-# Time in seconds without a request after which no caller is on its way.
+# Without a request for this long, no further caller is expected.
 QUIET_PERIOD_S = 0.3
-# A process whose upstreams are all silent is healthy after this time, so that
-# callers get a refusal; a poll of one ends before.
+# If no upstream has reported its load by then, the process counts as healthy,
+# so that callers get an error response. A load poll times out earlier.
 FIRST_LOAD_REPORT_TIMEOUT_S = 5.0
 
 
 class EntryProcess:
-    """One entry process."""
+    """An entry process: the router with its chat interface."""
 
     def __init__(self, settings: process.Settings):
         self._settings = settings
@@ -78,14 +82,14 @@
         self._node = self._build_node(settings)
         self._loop = loop.DecisionLoop(self._node, self._node.get_next_due_at)
         self._peers = peers.PeerTask(
-            settings.process.peer_address, self._take_peer_event
+            settings.process.peer_address, self._route_peer_event
         )
         self._requests = peer_requests.PeerRequests(
             self._peers, lambda: self._node.process
         )
         self._relay = relay.Relay(self._loop.post)
         self._poller = polling.Poller(self._http_workers, self._rng)
-        self._build_shells()
+        self._build_io_modules()
         self._register_performers()
         host, _, port = settings.process.address.rpartition(":")
         self._front = front.Front(host, int(port), self._build_handlers())
@@ -105,19 +109,23 @@
         self._loop.start()
         self._poller.set_jobs("ratings", self._ratings.build_jobs())
         self._poller.set_jobs("vms", self._vms.build_jobs())
-        meter_job = polling.Job(METER_INTERVAL_S, self._report_levels)
+        meter_job = polling.Job(METER_INTERVAL_S, self._report_gauges)
         self._poller.set_jobs("metrics", {"metrics": meter_job})
         self._poller.start()
         self._front.start()
 
-    def drain(self, limit_s: float) -> None:
-        """Stops admission and waits until every request has its answer."""
+    def drain(self, timeout_s: float) -> None:
+        """Stops admission, waits for pending requests and leaves the fleet.
+
+        Args:
+            timeout_s: Longest wait for pending requests.
+        """
         self._draining = True
         self._front.leaving = True
         started = time.monotonic()
         self._loop.post(lifecycle.AdmissionStopped())
         self._loop.post(billing_messages.Flush())
-        while time.monotonic() < started + limit_s:
+        while time.monotonic() < started + timeout_s:
             waited_s = time.monotonic() - started
             quiet = self._front.measure_quiet() >= QUIET_PERIOD_S
             if (
@@ -131,7 +139,7 @@
         time.sleep(DRAIN_POLL_S)
 
     def stop(self) -> None:
-        """Ends all tasks."""
+        """Stops all tasks and closes the connections to the store."""
         self._front.stop()
         self._poller.stop()
         self._relay.stop()
@@ -159,7 +167,7 @@
         )
         return nodes.Node(options, self._rng, time.monotonic())
 
-    def _build_shells(self) -> None:
+    def _build_io_modules(self) -> None:
         self._bills = bill_io.BillShell(
             self._store,
             self._http_workers,
@@ -224,8 +232,8 @@
             exchange.SendCall: self._peers.post,
             exchange.SendReply: self._peers.post,
             lifecycle.CancelAttempt: self._cancel_attempt,
-            lifecycle.FinishRequest: self._finish,
-            lifecycle.FailRequest: self._refuse,
+            lifecycle.FinishRequest: self._finish_request,
+            lifecycle.FailRequest: self._fail_request,
             lifecycle.RequestRating: self._ratings.submit,
             lifecycle.StartAttempt: self._start_attempt,
             leases.ClaimLeaseRecord: self._orders.claim,
@@ -233,8 +241,8 @@
             leases.ReadLeaseRecord: self._orders.read,
             leases.ReleaseLease: self._orders.release,
             leases.RenewLease: self._orders.renew,
-            membership.ProcessReplaced: self._end_replaced,
-            nodes.ReportMember: self._note_member,
+            membership.ProcessReplaced: self._stop_replaced_process,
+            nodes.ReportMember: self._report_member,
             nodes.PublishDeployment: self._publish,
             orders.FencingTokenStale: decision_log.log_stale_fencing_token,
             orders.SendOrder: self._orders.send,
@@ -254,7 +262,7 @@
         for command_type, performer in performers.items():
             self._loop.register_performer(command_type, performer)
 
-    def _take_peer_event(self, event: events.Event) -> None:
+    def _route_peer_event(self, event: events.Event) -> None:
         if not self._requests.resolve(event):
             self._loop.post(event)
 
@@ -264,7 +272,7 @@
         self._poller.set_jobs(
             upstream_polls.PREFIX, self._upstreams.build_jobs(current)
         )
-        self._poll_stages()
+        self._update_coordinator_jobs()
         decision_log.log_deployment(current)
 
     def _start_attempt(self, command: lifecycle.StartAttempt) -> None:
@@ -272,12 +280,12 @@
         self._meter.count("attempts")
         self._relay.post(command)
 
-    def _refuse(self, command: lifecycle.FailRequest) -> None:
+    def _fail_request(self, command: lifecycle.FailRequest) -> None:
         decision_log.log_request_failure(command)
         self._meter.count(f"refusals.{command.failure.code}")
         self._relay.post(command)
 
-    def _finish(self, command: lifecycle.FinishRequest) -> None:
+    def _finish_request(self, command: lifecycle.FinishRequest) -> None:
         if command.fallback_reason:
             decision_log.log_fallback(command)
         self._relay.post(command)
@@ -293,20 +301,22 @@
         self._calls.execute(command)
 
     def _ignore(self, command: Any) -> None:
-        """A call that was given up ends at its own timeout."""
+        """Does nothing: a cancelled call ends at its own timeout."""
 
-    def _note_member(self, command: nodes.ReportMember) -> None:
+    def _report_member(self, command: nodes.ReportMember) -> None:
         decision_log.log_member(command.member)
-        self._poll_stages()
+        self._update_coordinator_jobs()
 
-    def _poll_stages(self) -> None:
+    def _update_coordinator_jobs(self) -> None:
         coordinator = self._node.is_coordinator()
         self._poller.set_jobs(
             rollout_io.JOB, self._rollouts.build_jobs(coordinator)
         )
         self._poller.set_jobs(sweeps.JOB, self._sweep.build_jobs(coordinator))
 
-    def _end_replaced(self, command: membership.ProcessReplaced) -> None:
+    def _stop_replaced_process(
+        self, command: membership.ProcessReplaced
+    ) -> None:
         decision_log.log_process_replaced(command)
         signal.raise_signal(signal.SIGTERM)
 
@@ -358,7 +368,7 @@
         engines = any(u.versions for u in current.upstreams.values())
         waited_s = time.monotonic() - self._started_at
         if engines and not self._upstreams.has_load:
-            # Without any report, all upstreams count as full.
+            # Upstreams without a load report count as full.
             return (
                 "no load reports"
                 if waited_s < FIRST_LOAD_REPORT_TIMEOUT_S
@@ -371,12 +381,12 @@
             self._waiters
         )
 
-    def _report_levels(self) -> None:
-        levels = self._loop.run_query(
+    def _report_gauges(self) -> None:
+        gauges = self._loop.run_query(
             lambda: self._node.read_gauges(time.monotonic())
         )
-        levels["relay.held_bytes"] = self._relay.held_bytes
-        for name, value in levels.items():
+        gauges["relay.held_bytes"] = self._relay.held_bytes
+        for name, value in gauges.items():
             self._meter.set_gauge(name, value)
 
     def _describe_status(self) -> dict[str, Any]:
--- a/sycamorehollow/shells/http_workers.py
+++ b/sycamorehollow/shells/http_workers.py
@@ -1,4 +1,7 @@
-"""Short HTTP calls to upstreams and the platform outside the relay."""
+"""Thread pool for short HTTP calls to upstreams and the platform.
+
+Chat streams don't pass here; the relay carries them.
+"""
 
 from collections.abc import Callable
 import concurrent.futures
@@ -14,17 +17,17 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
-# The longest responses are the list of VMs and the load of an upstream.
+# The largest responses are the list of VMs and the load of an upstream.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 THREADS = 8
 
 
 @dataclasses.dataclass(frozen=True)
 class CallFailed(failures.Failure):
-    """A call got no response.
+    """Failure of a call that got no response.
 
     Attributes:
-        refused: Whether no connection could be made.
+        refused: Whether no connection could be established.
     """
 
     code: ClassVar[str] = "call_failed"
@@ -33,7 +36,7 @@
 
 
 class HttpWorkers:
-    """Runs short calls on a few threads of its own."""
+    """Runs short HTTP calls on a fixed number of threads."""
 
     def __init__(self):
         self._http = bounded_http.open_manager(
@@ -49,13 +52,13 @@
         )
 
     def submit(self, action: Callable[[], Any]) -> None:
-        """Runs an action on a free thread."""
+        """Runs an action on the next free thread."""
         self._pool.submit(self._run, action)
 
     def request(
         self, method: str, url: str, **options: Any
     ) -> urllib3.BaseHTTPResponse | CallFailed:
-        """Makes one call."""
+        """Sends one request, without retries, and returns the response."""
         try:
             return self._http.request(method, url, **options)
         except urllib3.exceptions.NewConnectionError as error:
@@ -64,11 +67,11 @@
             return CallFailed(str(error), execution=failures.Execution.UNKNOWN)
 
     def stop(self) -> None:
-        """Ends the threads after their current calls."""
+        """Stops the threads after their current calls; drops queued ones."""
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _run(self, action: Callable[[], Any]) -> None:
         try:
             action()
         except Exception:
-            loguru.logger.exception("errands: action failed")
+            loguru.logger.exception("errands: unhandled exception")
--- a/sycamorehollow/shells/loop.py
+++ b/sycamorehollow/shells/loop.py
@@ -1,4 +1,8 @@
-"""The task that drives the decision components of a process."""
+"""Thread that drives the decision components of a process.
+
+The components take events and return commands and do no I/O. One thread owns
+them, so that they need no locks.
+"""
 
 from collections.abc import Callable
 import queue
@@ -16,15 +20,15 @@
 
 
 class DecisionLoop(tasks.Task):
-    """Owns all decision state of a process.
+    """Passes events to the decision components and executes their commands.
 
-    The commands go to the shells that were registered for their types. Only
-    this thread touches the part.
+    Each command goes to the performer that is registered for its type. Only
+    this thread accesses the component.
 
     Args:
-        part: What the loop drives.
-        get_next_due_at: Returns the monotonic time in seconds of a tick that is
-            needed before the regular one, or `None`.
+        component: Component that handles the events.
+        get_next_due_at: Returns the monotonic time in seconds at which an
+            extra tick is due before the regular one, or `None`.
     """
 
     def __init__(
@@ -41,11 +45,11 @@
     def register_performer(
         self, command_type: type, performer: Callable[[Any], None]
     ) -> None:
-        """Sets the shell that carries out a type of command."""
+        """Sets the function that executes commands of a type."""
         self._performers[command_type] = performer
 
     def post(self, message: Any) -> None:
-        """Adds an event, or a callable to run in this thread."""
+        """Queues an event, or a callable to run in this thread."""
         self._queue.put(message)
 
     def run_query(
@@ -54,11 +58,11 @@
         """Runs a query in this thread and returns its result.
 
         Raises:
-            queue.Empty: The loop did not answer in time.
+            queue.Empty: The loop did not run the query within `timeout_s`.
         """
-        answer: queue.SimpleQueue[Any] = queue.SimpleQueue()
-        self.post(lambda: answer.put(query()))
-        return answer.get(timeout=timeout_s)
+        reply: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self.post(lambda: reply.put(query()))
+        return reply.get(timeout=timeout_s)
 
     def _wake(self) -> None:
         self._queue.put(None)
@@ -80,14 +84,16 @@
             if isinstance(message, events.Event):
                 self._handle(message, time.monotonic())
             elif callable(message):
-                self._guard(message)
+                self._run_logging_errors(message)
 
     def _handle(self, event: events.Event, now: float) -> None:
         try:
             result = self._component.handle(event, now)
         except Exception:
-            # One faulty request must not stop the others.
-            loguru.logger.exception("router: {} failed", type(event))
+            # A fault in one request must not stop the others.
+            loguru.logger.exception(
+                "router: handling of {} failed", type(event)
+            )
             return
         for command in result:
             self._perform(command)
@@ -95,12 +101,14 @@
     def _perform(self, command: commands.Command) -> None:
         performer = self._performers.get(type(command))
         if performer is None:
-            loguru.logger.warning("router: nothing performs {}", command)
+            loguru.logger.warning(
+                "router: no performer is registered for {}", command
+            )
             return
-        self._guard(lambda: performer(command))
+        self._run_logging_errors(lambda: performer(command))
 
-    def _guard(self, action: Callable[[], Any]) -> None:
+    def _run_logging_errors(self, action: Callable[[], Any]) -> None:
         try:
             action()
         except Exception:
-            loguru.logger.exception("router: action failed")
+            loguru.logger.exception("router: a performer or query failed")
--- a/sycamorehollow/shells/peer_requests.py
+++ b/sycamorehollow/shells/peer_requests.py
@@ -1,4 +1,4 @@
-"""Requests of one process to another that need an answer of their own."""
+"""Requests between entry processes, each with a reply of its own."""
 
 from collections.abc import Callable
 import concurrent.futures
@@ -13,10 +13,10 @@
 
 
 class PeerRequests:
-    """Matches answers to requests, in both directions.
+    """Matches replies to requests, in both directions.
 
     Args:
-        task: Sends requests and receives those of others.
+        task: Sends requests and receives those of other processes.
         identify: Returns the identity of this process.
     """
 
@@ -39,7 +39,7 @@
         on_reply: ReplyCallback,
         timeout_s: float = peers.CALL_TIMEOUT_S,
     ) -> None:
-        """Sends a request; `take` gets the answer, or `None` without one."""
+        """Sends a request; `on_reply` gets the reply, or `None` on failure."""
         number = next(self._numbers)
         self._callbacks[number] = on_reply
         item = exchange.Item(kind, payload)
@@ -48,7 +48,7 @@
         )
 
     def resolve(self, event: events.Event) -> bool:
-        """Takes the result of a request; tells whether the event was one."""
+        """Handles the result of a request; returns whether the event is one."""
         if isinstance(event, peers.PeerRequestAnswered):
             self._callbacks.pop(event.number)(event.item.payload)
             return True
@@ -58,14 +58,14 @@
         return False
 
     def accept(self) -> tuple[str, "concurrent.futures.Future[bytes]"]:
-        """Returns the id of a received request and its future answer."""
+        """Registers a received request; returns its id and its future reply."""
         peer_request_id = f"ask-{next(self._numbers)}"
         future: concurrent.futures.Future[bytes] = concurrent.futures.Future()
         self._replies[peer_request_id] = future
         return peer_request_id, future
 
     def reply(self, peer_request_id: str, payload: bytes) -> None:
-        """Answers a received request."""
+        """Sends the reply to a received request, unless it was cancelled."""
         future = self._replies.pop(peer_request_id, None)
         if future is not None and not future.cancelled():
             future.set_result(payload)
--- a/sycamorehollow/shells/peers.py
+++ b/sycamorehollow/shells/peers.py
@@ -1,7 +1,7 @@
-"""Peer task: gRPC server and channels between entry processes.
+"""gRPC server and client channels between entry processes.
 
 One thread runs an event loop that owns the server, the channels and the calls
-in flight, so a frozen peer holds a timer and no thread.
+in flight, so a peer that does not respond costs a timer and no thread.
 """
 
 import asyncio
@@ -24,21 +24,23 @@
 
 LOG_PREFIX = "peers:"
 CALL_TIMEOUT_S = 1.0
-# An answer that is not ready by then would reach the caller after its timeout.
+# A later reply would reach the calling peer after its timeout.
 REPLY_TIMEOUT_S = 0.9
 START_TIMEOUT_S = 10.0
 STOP_GRACE_S = 1.0
-# Own data centre at 370 members in 7 data centres, and as many others again.
+# Members of the own data centre, if 370 members are spread over 7 data centres,
+# and as many members elsewhere.
 MAX_CHANNELS = 106
 MAX_CALLS_PER_PEER = 8
 MAX_CONCURRENT_RPCS = 256
 MAX_ENVELOPE_BYTES = 4 << 20
 CHANNEL_OPTIONS = (
-    # Without this, a replaced channel would share the silent connection.
+    # Without this, a replacement channel would reuse the dead connection.
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.keepalive_time_ms", 10_000),
     ("grpc.keepalive_timeout_ms", 2_000),
-    # The default backoff of up to 120 s would hide a restarted peer.
+    # With the default backoff of up to 120 s, a restarted peer would stay
+    # unreachable for that long.
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1_000),
     ("grpc.max_receive_message_length", MAX_ENVELOPE_BYTES),
@@ -50,8 +52,8 @@
     ("grpc.max_receive_message_length", MAX_ENVELOPE_BYTES),
 )
 
-# Answers an item of a registered kind. It runs on the peer task and returns at
-# once; the payload of the answer may follow through the future.
+# Handles an item of a registered kind. It runs on the thread of the peer task
+# and must not block; the future receives the payload of the reply.
 Handler = Callable[
     [exchange.Process, bytes], "concurrent.futures.Future[bytes]"
 ]
@@ -59,14 +61,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerRequest(commands.Command):
-    """Asks for a call of a registered handler at a peer.
+    """Command to call a registered handler at a peer.
 
     Attributes:
-        number: Chosen by the sender; comes back with the result.
+        number: Chosen by the sender; the resulting event carries it.
         peer: Address to call.
         sender: Identity of this process.
-        item: What to send.
-        timeout_s: Seconds until the call is given up.
+        item: Item to send.
+        timeout_s: Seconds until the call times out.
     """
 
     number: int
@@ -78,7 +80,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerRequestAnswered(events.Event):
-    """A `Request` was answered."""
+    """A `PeerRequest` received a reply."""
 
     number: int
     sender: exchange.Process
@@ -87,21 +89,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerRequestFailed(events.Event):
-    """A `Request` got no answer; the peer may still have acted on it."""
+    """A `PeerRequest` got no reply; the peer may have handled it."""
 
     number: int
     reason: str
 
 
 class PeerTask:
-    """Runs the event loop of the peer task in a thread of its own."""
+    """Runs the gRPC server and client of a process in one thread."""
 
     def __init__(self, bind: str, deliver: Callable[[events.Event], None]):
         """Prepares the task; `start` runs it.
 
         Args:
-            bind: IP address and port to listen on; port 0 picks a free one.
-            deliver: Takes events; it must return at once, as a queue's `put`.
+            bind: IP address and port to listen on; port 0 selects a free one.
+            deliver: Receives events; it must not block.
         """
         self._bind = bind
         self._deliver = deliver
@@ -109,15 +111,17 @@
         self._loop = asyncio.new_event_loop()
         self._inbox: asyncio.Queue[commands.Command | None] = asyncio.Queue()
         self._thread = threading.Thread(
-            target=self._main, name="peers", daemon=True
+            target=self._run, name="peers", daemon=True
         )
         self._started: concurrent.futures.Future[int] = (
             concurrent.futures.Future()
         )
-        self._waiting: dict[int, asyncio.Future[exchange.SendReply]] = {}
+        self._pending_replies: dict[
+            int, asyncio.Future[exchange.SendReply]
+        ] = {}
         self._calls = 0
-        # Taken from the latest command, because the incarnation may rise.
-        self._me = exchange.Process("", "", 0)
+        # Updated by each command, because the incarnation may increase.
+        self._own_process = exchange.Process("", "", 0)
         self._channels: collections.OrderedDict[str, Any] = (
             collections.OrderedDict()
         )
@@ -138,27 +142,27 @@
         return self._started.result(START_TIMEOUT_S)
 
     def post(self, command: commands.Command) -> None:
-        """Queues a `SendCall`, `SendReply` or `Request`; returns at once."""
+        """Queues a `SendCall`, `SendReply` or `PeerRequest`; never blocks."""
         self._loop.call_soon_threadsafe(self._inbox.put_nowait, command)
 
     def stop(self) -> None:
-        """Ends the server, the channels and the thread."""
+        """Stops the server, closes the channels and waits for the thread."""
         self._loop.call_soon_threadsafe(self._inbox.put_nowait, None)
         self._thread.join(START_TIMEOUT_S)
 
-    def _main(self) -> None:
+    def _run(self) -> None:
         try:
             self._loop.run_until_complete(self._serve())
         finally:
             self._loop.close()
 
     async def _serve(self) -> None:
-        """Runs the server and carries out commands until `stop`."""
+        """Runs the server and executes commands until `stop`."""
         server = grpc.aio.server(
             options=SERVER_OPTIONS, maximum_concurrent_rpcs=MAX_CONCURRENT_RPCS
         )
         peering_pb2_grpc.add_PeeringServicer_to_server(
-            Servicer(self._answer), server
+            Servicer(self._handle_call), server
         )
         try:
             port = server.add_insecure_port(self._bind)
@@ -171,21 +175,21 @@
         self._started.set_result(port)
         loguru.logger.info("{} listening on port {}.", LOG_PREFIX, port)
         while (command := await self._inbox.get()) is not None:
-            self._carry_out(command)
+            self._execute(command)
         for task in self._tasks:
             task.cancel()
         await server.stop(STOP_GRACE_S)
         for channel in self._channels.values():
             await channel.close()
 
-    def _carry_out(self, command: commands.Command) -> None:
-        """Starts one command without waiting for it."""
+    def _execute(self, command: commands.Command) -> None:
+        """Starts a command without waiting for its end."""
         if isinstance(
             command, exchange.SendCall | exchange.SendReply | PeerRequest
         ):
-            self._me = command.sender
+            self._own_process = command.sender
         if isinstance(command, exchange.SendReply):
-            waiting = self._waiting.get(command.call)
+            waiting = self._pending_replies.get(command.call)
             if waiting is not None and not waiting.done():
                 waiting.set_result(command)
             return
@@ -196,37 +200,39 @@
             self._spawn(self._request(command))
 
     def _spawn(self, work: Any) -> None:
-        """Runs a coroutine and keeps it from being collected early."""
+        """Runs a coroutine as a task and keeps a reference until it ends."""
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _call(self, command: exchange.SendCall) -> None:
-        """Carries out a call of the digest exchange."""
+        """Makes a call of the digest exchange and delivers its result."""
         started = time.monotonic()
-        answer = await self._send(
+        reply = await self._send(
             command.peer, command.sender, command.items, CALL_TIMEOUT_S
         )
-        if isinstance(answer, str):
+        if isinstance(reply, str):
             self._deliver(exchange.CallFailed(command.peer, started))
             return
-        sender, items = answer
+        sender, items = reply
         self._deliver(exchange.ReplyReceived(command.peer, sender, items))
 
     async def _request(self, command: PeerRequest) -> None:
-        """Carries out a call of a registered handler."""
-        answer = await self._send(
+        """Calls a registered handler of a peer and delivers its result."""
+        reply = await self._send(
             command.peer, command.sender, (command.item,), command.timeout_s
         )
-        if isinstance(answer, str):
-            self._deliver(PeerRequestFailed(command.number, answer))
+        if isinstance(reply, str):
+            self._deliver(PeerRequestFailed(command.number, reply))
             return
-        sender, items = answer
+        sender, items = reply
         for item in items:
             if item.kind == command.item.kind:
                 self._deliver(PeerRequestAnswered(command.number, sender, item))
                 return
-        reason = f"Peer {command.peer} does not answer {command.item.kind}."
+        reason = (
+            f"Peer {command.peer} sent no item of kind {command.item.kind}."
+        )
         self._deliver(PeerRequestFailed(command.number, reason))
 
     async def _send(
@@ -236,7 +242,7 @@
         items: tuple[exchange.Item, ...],
         timeout_s: float,
     ) -> tuple[exchange.Process, tuple[exchange.Item, ...]] | str:
-        """Makes one call; returns the answer or the reason of its failure."""
+        """Makes one call; returns the reply or the reason of its failure."""
         if self._in_flight[peer] >= MAX_CALLS_PER_PEER:
             return f"Peer {peer} has {MAX_CALLS_PER_PEER} calls in flight."
         self._in_flight[peer] += 1
@@ -256,80 +262,80 @@
                 del self._in_flight[peer]
 
     def _open_channel(self, peer: str) -> Any:
-        """Returns the channel to a peer; beyond a bound, closes the oldest."""
+        """Returns the channel to a peer; evicts the least recently used one."""
         if peer not in self._channels:
             self._channels[peer] = grpc.aio.insecure_channel(
                 f"ipv4:{peer}", options=CHANNEL_OPTIONS
             )
         self._channels.move_to_end(peer)
         if len(self._channels) > MAX_CHANNELS:
-            unused = next(iter(self._channels))
-            self._spawn(self._channels[unused].close(STOP_GRACE_S))
-            del self._channels[unused]
+            oldest = next(iter(self._channels))
+            self._spawn(self._channels[oldest].close(STOP_GRACE_S))
+            del self._channels[oldest]
         return self._channels[peer]
 
     def _replace_channel(self, peer: str, channel: Any) -> None:
-        """Drops a channel after a failed call, so that the next one is new."""
+        """Closes a channel after a failed call; the next call opens another."""
         if peer not in self._channels or self._channels[peer] is not channel:
             return
         del self._channels[peer]
-        # Other calls on the channel may still succeed within the grace time.
+        # Other calls on the channel may still succeed within the grace period.
         self._spawn(channel.close(STOP_GRACE_S))
 
-    async def _answer(self, envelope: Any) -> Any:
-        """Answers an incoming call."""
+    async def _handle_call(self, envelope: Any) -> Any:
+        """Handles an incoming call and returns the envelope of the reply."""
         sender, items = envelopes.decode(envelope)
-        rest = tuple(i for i in items if i.kind not in self._handlers)
-        answers = [
-            self._handle(sender, item)
+        unhandled = tuple(i for i in items if i.kind not in self._handlers)
+        pending = [
+            self._handle_item(sender, item)
             for item in items
             if item.kind in self._handlers
         ]
-        replied: list[exchange.Item] = list(await asyncio.gather(*answers))
-        if rest or not answers:
-            reply = await self._exchange(sender, rest)
-            replied.extend(reply.items)
-        return envelopes.encode(self._me, replied)
+        reply_items: list[exchange.Item] = list(await asyncio.gather(*pending))
+        if unhandled or not pending:
+            reply = await self._forward_to_loop(sender, unhandled)
+            reply_items.extend(reply.items)
+        return envelopes.encode(self._own_process, reply_items)
 
-    async def _handle(
+    async def _handle_item(
         self, sender: exchange.Process, item: exchange.Item
     ) -> exchange.Item:
-        """Gives an item to its handler and waits for the answer."""
+        """Passes an item to its handler and waits for the reply."""
         future = self._handlers[item.kind](sender, item.payload)
         payload = await asyncio.wrap_future(future)
         return exchange.Item(item.kind, payload)
 
-    async def _exchange(
+    async def _forward_to_loop(
         self, sender: exchange.Process, items: tuple[exchange.Item, ...]
     ) -> exchange.SendReply:
-        """Gives items to the router task and waits for its reply.
+        """Passes items to the decision loop and waits for its reply.
 
         Raises:
-            TimeoutError: The router task did not reply in time.
+            TimeoutError: The loop did not reply within `REPLY_TIMEOUT_S`.
         """
         self._calls += 1
         number = self._calls
         waiting: asyncio.Future[exchange.SendReply] = self._loop.create_future()
-        self._waiting[number] = waiting
+        self._pending_replies[number] = waiting
         try:
             self._deliver(exchange.CallReceived(number, sender, items))
             return await asyncio.wait_for(waiting, REPLY_TIMEOUT_S)
         finally:
-            del self._waiting[number]
+            del self._pending_replies[number]
 
 
 class Servicer(peering_pb2_grpc.PeeringServicer):
-    """Passes incoming calls to the peer task."""
+    """gRPC service that passes incoming calls to the peer task."""
 
-    def __init__(self, answer: Callable[[Any], Any]):
-        self._answer = answer
+    def __init__(self, handle_call: Callable[[Any], Any]):
+        self._handle_call = handle_call
 
     async def Exchange(self, request: Any, context: Any) -> Any:  # noqa: N802
-        """Answers one envelope."""
+        """Handles an incoming envelope."""
         try:
-            return await self._answer(request)
+            return await self._handle_call(request)
         except TimeoutError:
             await context.abort(
-                grpc.StatusCode.RESOURCE_EXHAUSTED, "no answer in time"
+                grpc.StatusCode.RESOURCE_EXHAUSTED, "no reply in time"
             )
             return None
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -15,17 +15,17 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 3.0
-# A watch that is overdue by more than this is on a silent connection.
+# A watch that is overdue by more than this has lost its connection.
 WATCH_MARGIN_S = 3.0
-# Idle connections that are kept; a watch holds one for its whole length.
+# A watch occupies a connection for its whole duration.
 MAX_IDLE_CONNECTIONS = 8
-# A page of a range holds about 1 MB, a watch some values of up to 1 MB each; a
-# VM has 128 MB or more for everything.
+# A page of a range holds about 1 MB, a watch response several values of up to
+# 1 MB each. A VM may have only 128 MB in all.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 CHUNK_BYTES = 256 * 1024
 RETRY_AFTER_S = 1.0
-# Without probes, a pending watch on a path that was cut would look idle; with
-# these it fails within 3 s.
+# Without keep-alive probes, a pending watch on a broken network path would look
+# idle; with these options it fails within 3 s.
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -38,7 +38,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Response:
-    """An answer of the store, whose body was JSON."""
+    """A response of the store with a JSON body."""
 
     status: int
     document: dict[str, Any]
@@ -48,8 +48,8 @@
 class HttpStore(stores.Store):
     """Base of clients that call a store over HTTP; usable from any thread.
 
-    A call is never repeated here: whether a repeat is safe is known only to
-    the caller.
+    It never retries a call, because only the caller knows whether a retry is
+    safe.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
 
 
 class StoreClient(HttpStore):
-    """Speaks the protocol of the product's own store stand-in."""
+    """Client of the store stand-in that comes with this software."""
 
     def __init__(
         self,
@@ -121,21 +121,21 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ):
         super().__init__(url, call_timeout_s, connect_timeout_s)
-        # The store does not repeat the lifetime when it renews a lease.
+        # The response to a renewal does not state the lifetime of the lease.
         self._lifetimes_s: dict[str, float] = {}
 
     def read(
         self, key: str
     ) -> stores.Found | stores.Absent | stores.CallFailure:
         """Returns the value of a key."""
-        answer = self._call("GET", _key_path(key))
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 404:
+        response = self._call("GET", _key_path(key))
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 404:
             return stores.Absent(key)
-        if answer.status != 200:
-            return _judge(answer)
-        return _read_item(answer.document | {"key": key})
+        if response.status != 200:
+            return _classify_failure(response)
+        return _read_item(response.document | {"key": key})
 
     def write(
         self,
@@ -146,24 +146,24 @@
     ) -> stores.Written | stores.Conflict | stores.CallFailure:
         """Writes a value by compare-and-swap.
 
-        A lease that has ended gives a conflict with an absent key, because
-        the value that was tied to it has ended as well.
+        If the lease has ended, the result is a conflict with an absent key,
+        because the value that was tied to it was deleted as well.
         """
         body = {
             "value": value,
             "expect": expected_revision,
             "lease": lease or None,
         }
-        answer = self._call("PUT", _key_path(key), body=body)
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 409:
-            return _read_conflict(key, answer)
-        if answer.status == 404:
+        response = self._call("PUT", _key_path(key), body=body)
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 409:
+            return _read_conflict(key, response)
+        if response.status == 404:
             return stores.Conflict(f"the lease {lease} of {key} has ended")
-        if answer.status != 200:
-            return _judge(answer)
-        revision = answer.document.get("revision")
+        if response.status != 200:
+            return _classify_failure(response)
+        revision = response.document.get("revision")
         if not isinstance(revision, int):
             return stores.InDoubt("the response of a write has no revision")
         return stores.Written(revision)
@@ -175,27 +175,27 @@
         query = (
             {} if expected_revision is None else {"expect": expected_revision}
         )
-        answer = self._call("DELETE", _key_path(key), query)
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 409:
-            return _read_conflict(key, answer)
-        if answer.status in (200, 404):
+        response = self._call("DELETE", _key_path(key), query)
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 409:
+            return _read_conflict(key, response)
+        if response.status in (200, 404):
             return stores.Deleted(key)
-        return _judge(answer)
+        return _classify_failure(response)
 
     def list_range(
         self, prefix: str, allow_stale: bool = False
     ) -> stores.Listing | stores.CallFailure:
         """Returns all values whose keys start with a prefix, never stale."""
-        answer = self._call("GET", "/v1/range", {"prefix": prefix})
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status != 200:
-            return _judge(answer)
+        response = self._call("GET", "/v1/range", {"prefix": prefix})
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status != 200:
+            return _classify_failure(response)
         try:
-            items = [_read_item(item) for item in answer.document["items"]]
-            revision = int(answer.document["revision"])
+            items = [_read_item(item) for item in response.document["items"]]
+            revision = int(response.document["revision"])
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a range is malformed")
         found = [item for item in items if isinstance(item, stores.Found)]
@@ -210,15 +210,15 @@
         """Waits for changes under a prefix.
 
         A failure may mean that the store no longer holds the changes after
-        `after`; the caller reads the range before it watches again.
+        `after`, so the caller has to read the range before it watches again.
         """
         query = {"prefix": prefix, "after": after, "timeout": timeout_s}
         limit_s = timeout_s + WATCH_MARGIN_S
-        answer = self._call("GET", "/v1/watch", query, limit_s=limit_s)
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status != 200:
-            return _judge(answer)
+        response = self._call("GET", "/v1/watch", query, limit_s=limit_s)
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status != 200:
+            return _classify_failure(response)
         try:
             changes = [
                 stores.Change(
@@ -228,9 +228,9 @@
                     else _read_text(event["value"]),
                     int(event["revision"]),
                 )
-                for event in answer.document["events"]
+                for event in response.document["events"]
             ]
-            revision = int(answer.document["revision"])
+            revision = int(response.document["revision"])
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a watch is malformed")
         changes.sort(key=lambda change: change.revision)
@@ -238,60 +238,60 @@
 
     def grant_lease(self, ttl_s: float) -> stores.Lease | stores.CallFailure:
         """Creates a lease that ends after `ttl_s` seconds unless renewed."""
-        answer = self._call("POST", "/v1/leases", body={"ttl_s": ttl_s})
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status != 200 or "lease" not in answer.document:
-            return _judge(answer)
-        lease = str(answer.document["lease"])
+        response = self._call("POST", "/v1/leases", body={"ttl_s": ttl_s})
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status != 200 or "lease" not in response.document:
+            return _classify_failure(response)
+        lease = str(response.document["lease"])
         self._lifetimes_s[lease] = ttl_s
         return stores.Lease(lease, ttl_s)
 
     def renew_lease(
         self, lease: str
     ) -> stores.Lease | stores.LeaseGone | stores.CallFailure:
-        """Starts the lifetime of a lease afresh.
+        """Renews a lease for its full lifetime.
 
-        For a lease that another client was granted, `ttl_s` is 0.
+        For a lease that another client created, the returned `ttl_s` is 0.
         """
-        answer = self._call("PUT", _lease_path(lease))
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 404:
+        response = self._call("PUT", _lease_path(lease))
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 404:
             self._lifetimes_s.pop(lease, None)
             return stores.LeaseGone(f"the lease {lease} has ended")
-        if answer.status != 200:
-            return _judge(answer)
+        if response.status != 200:
+            return _classify_failure(response)
         return stores.Lease(lease, self._lifetimes_s.get(lease, 0.0))
 
     def release_lease(
         self, lease: str
     ) -> stores.Released | stores.LeaseGone | stores.CallFailure:
         """Ends a lease and deletes the values that are tied to it."""
-        answer = self._call("DELETE", _lease_path(lease))
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status in (200, 404):
+        response = self._call("DELETE", _lease_path(lease))
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status in (200, 404):
             self._lifetimes_s.pop(lease, None)
-        if answer.status == 404:
+        if response.status == 404:
             return stores.LeaseGone(f"the lease {lease} has ended")
-        if answer.status != 200:
-            return _judge(answer)
+        if response.status != 200:
+            return _classify_failure(response)
         return stores.Released(lease)
 
 
 def _read_response(
     response: urllib3.BaseHTTPResponse, deadline: float
 ) -> Response:
-    """Reads the whole response.
+    """Reads the whole response body and parses it.
 
     Raises:
-        ValueError: If the response is late, too large or no JSON object.
+        ValueError: The response is late, too large or no JSON object.
     """
     chunks = []
     size = 0
     try:
-        # The socket timeout restarts with each byte that arrives.
+        # The socket timeout restarts with each byte, so check the total.
         while chunk := response.read1(CHUNK_BYTES):
             chunks.append(chunk)
             size += len(chunk)
@@ -313,18 +313,24 @@
     return Response(response.status, document, retry_after_s)
 
 
-def _judge(answer: Response) -> stores.RateLimited | stores.InDoubt:
-    """Returns the failure of a response that is no success."""
-    error = answer.document.get("error")
+def _classify_failure(
+    response: Response,
+) -> stores.RateLimited | stores.InDoubt:
+    """Classifies an error response by whether the call had an effect."""
+    error = response.document.get("error")
     detail = error if isinstance(error, dict) else {}
-    reason = f"the store answered {answer.status}: {detail.get('message', '')}"
-    if answer.status == 429:
-        return stores.RateLimited(reason, retry_after_s=answer.retry_after_s)
-    if detail.get("run") == "no" or 400 <= answer.status < 500:
-        # The call has no effect; a repeat of a malformed one cannot succeed.
-        again = answer.retry_after_s if answer.status >= 500 else None
-        return stores.RateLimited(reason, retry_after_s=again)
-    return stores.InDoubt(reason, retry_after_s=answer.retry_after_s)
+    reason = (
+        f"the store answered {response.status}: {detail.get('message', '')}"
+    )
+    if response.status == 429:
+        return stores.RateLimited(reason, retry_after_s=response.retry_after_s)
+    if detail.get("run") == "no" or 400 <= response.status < 500:
+        # The call has no effect; retrying a malformed one cannot succeed.
+        retry_after_s = (
+            response.retry_after_s if response.status >= 500 else None
+        )
+        return stores.RateLimited(reason, retry_after_s=retry_after_s)
+    return stores.InDoubt(reason, retry_after_s=response.retry_after_s)
 
 
 def _read_item(item: dict[str, Any]) -> stores.Found | stores.InDoubt:
@@ -336,15 +342,15 @@
 
 
 def _read_text(value: Any) -> str:
-    """Returns a value as text; other clients may store JSON as such."""
+    """Returns a value as text; other clients may store plain JSON."""
     return value if isinstance(value, str) else json.dumps(value)
 
 
 def _read_conflict(
-    key: str, answer: Response
+    key: str, response: Response
 ) -> stores.Conflict | stores.InDoubt:
-    revision = answer.document.get("revision")
-    value = answer.document.get("value")
+    revision = response.document.get("revision")
+    value = response.document.get("value")
     if not isinstance(revision, int):
         return stores.InDoubt("a conflict of the store is malformed")
     return stores.Conflict(
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -1,4 +1,8 @@
-"""Interface of a client of the platform's key-value store."""
+"""Interface of clients of the platform's key-value store.
+
+Each call returns a result or a failure. The failures distinguish calls without
+any effect from those that may have taken effect.
+"""
 
 import abc
 import dataclasses
@@ -32,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Deleted:
-    """The key has no value any more."""
+    """The key was deleted or had no value."""
 
     key: str
 
@@ -61,7 +65,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """What a watch reported; `changes` is empty when its timeout passed.
+    """Result of a watch; `changes` is empty if the watch timed out.
 
     Attributes:
         changes: Changes in the order of their revisions.
@@ -89,7 +93,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unreachable(failures.Failure):
-    """No byte of the call was sent, so it has no effect."""
+    """No connection: no byte of the call was sent, so it has no effect."""
 
     code: ClassVar[str] = "store_unreachable"
     status: ClassVar[int] = 503
@@ -97,7 +101,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class InDoubt(failures.Failure):
-    """The response is missing; a write may have taken effect."""
+    """No complete response arrived; a write may have taken effect."""
 
     code: ClassVar[str] = "store_in_doubt"
     status: ClassVar[int] = 503
@@ -123,7 +127,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RateLimited(failures.Failure):
-    """The store refused the call, so it has no effect."""
+    """The store rejected the call, so it has no effect."""
 
     code: ClassVar[str] = "store_rate_limited"
     status: ClassVar[int] = 429
@@ -149,7 +153,7 @@
 
 
 class Store(abc.ABC):
-    """A client of the store; every call returns a result or a failure."""
+    """Client of the store; calls return failures and do not raise them."""
 
     @abc.abstractmethod
     def read(self, key: str) -> Found | Absent | CallFailure:
@@ -170,7 +174,7 @@
             value: New value, at most 1 MB.
             expected_revision: Revision that the key must have; 0 creates the
                 key if it is absent and `None` writes at any revision.
-            lease: Lease that the value ends with; empty for none.
+            lease: Lease that the value is tied to; empty for none.
         """
 
     @abc.abstractmethod
@@ -187,9 +191,9 @@
 
         Args:
             prefix: Start of the keys.
-            allow_stale: Whether values that are a few seconds old will do,
-                if the store then charges less. They are consistent with the
-                returned revision.
+            allow_stale: Whether values may be a few seconds old, if the store
+                then charges less. They are consistent with the returned
+                revision.
         """
 
     @abc.abstractmethod
@@ -210,7 +214,7 @@
 
     @abc.abstractmethod
     def renew_lease(self, lease: str) -> Lease | LeaseGone | CallFailure:
-        """Starts the lifetime of a lease afresh."""
+        """Renews a lease for its full lifetime."""
 
     @abc.abstractmethod
     def release_lease(self, lease: str) -> Released | LeaseGone | CallFailure:
--- a/sycamorehollow/shells/tasks.py
+++ b/sycamorehollow/shells/tasks.py
@@ -1,4 +1,4 @@
-"""Base of the tasks of a process."""
+"""Base classes of the threads that make up a process."""
 
 import abc
 import collections
@@ -11,10 +11,10 @@
 
 
 class Task(abc.ABC):
-    """A thread that owns its state and takes messages from an inbox.
+    """A thread that owns its state and receives messages through an inbox.
 
     Attributes:
-        name: Fixed prefix of the log lines and name of the thread.
+        name: Prefix of the log lines and name of the thread.
     """
 
     def __init__(self, name: str):
@@ -30,12 +30,12 @@
         self._thread.start()
 
     def post(self, message: Any) -> None:
-        """Adds a message to the inbox; safe from any thread."""
+        """Adds a message to the inbox; may be called from any thread."""
         self._inbox.append(message)
         self._wake()
 
     def stop(self, timeout_s: float = 5.0) -> None:
-        """Ends the thread and waits for it."""
+        """Stops the thread and waits up to `timeout_s` for its end."""
         self._stopping = True
         self._wake()
         if self._thread.is_alive():
@@ -43,7 +43,7 @@
 
     @abc.abstractmethod
     def _wake(self) -> None:
-        """Interrupts the wait of the thread."""
+        """Wakes the thread if it waits for messages."""
 
     @abc.abstractmethod
     def _run(self) -> None:
@@ -67,13 +67,13 @@
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
         self._selector.register(self._wake_reader, selectors.EVENT_READ)
-        self._awake = False
+        self._wake_pending = False
 
     def _wake(self) -> None:
-        # One byte is enough for any number of messages.
-        if self._awake:
+        # One pending byte is enough for any number of messages.
+        if self._wake_pending:
             return
-        self._awake = True
+        self._wake_pending = True
         try:
             self._wake_writer.send(b"w")
         except BlockingIOError:
@@ -84,4 +84,4 @@
             self._wake_reader.recv(4096)
         except BlockingIOError:
             pass
-        self._awake = False
+        self._wake_pending = False
