--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -17,14 +17,14 @@
         self, key: str
     ) -> stores.Found | stores.Absent | stores.CallFailure:
         """Returns the value of a key."""
-        answer = self._call("GET", "/-/kv-key", {"key": key})
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 404:
+        response = self._call("GET", "/-/kv-key", {"key": key})
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 404:
             return stores.Absent(key)
-        if answer.status != 200:
-            return _build_failure(answer)
-        return _parse_item(answer.document)
+        if response.status != 200:
+            return _build_failure(response)
+        return _parse_item(response.document)
 
     def write(
         self,
@@ -62,15 +62,17 @@
         if allow_stale:
             query["allowStale"] = 1
         while True:
-            answer = self._call("GET", "/-/kv-range", query)
-            if isinstance(answer, failures.Failure):
-                return answer
-            if answer.status != 200:
-                return _build_failure(answer)
+            response = self._call("GET", "/-/kv-range", query)
+            if isinstance(response, failures.Failure):
+                return response
+            if response.status != 200:
+                return _build_failure(response)
             try:
-                page = [_parse_item(item) for item in answer.document["items"]]
-                at = int(answer.document["at"])
-                has_more = bool(answer.document.get("hasMore")) and bool(page)
+                page = [
+                    _parse_item(item) for item in response.document["items"]
+                ]
+                at = int(response.document["at"])
+                has_more = bool(response.document.get("hasMore")) and bool(page)
             except (KeyError, TypeError, ValueError):
                 return stores.InDoubt("the response of a range is malformed")
             # Pages are read one after the other. A watch from the revision of
@@ -96,55 +98,55 @@
             "waitMs": int(timeout_s * 1000),
         }
         limit_s = timeout_s + storeclient.WATCH_MARGIN_S
-        answer = self._call("GET", "/-/kv-watch", query, limit_s=limit_s)
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 410:
+        response = self._call("GET", "/-/kv-watch", query, limit_s=limit_s)
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 410:
             return stores.HistoryGone(f"no changes after revision {after}")
-        if answer.status != 200:
-            return _build_failure(answer)
+        if response.status != 200:
+            return _build_failure(response)
         try:
-            changes = [_parse_change(e) for e in answer.document["events"]]
-            return stores.Changes(tuple(changes), int(answer.document["at"]))
+            changes = [_parse_change(e) for e in response.document["events"]]
+            return stores.Changes(tuple(changes), int(response.document["at"]))
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a watch is malformed")
 
     def grant_lease(self, ttl_s: float) -> stores.Lease | stores.CallFailure:
         """Creates a lease that ends after `ttl_s` seconds unless renewed."""
-        answer = self._call(
+        response = self._call(
             "POST", "/-/kv-lease", body={"ttlMs": int(ttl_s * 1000)}
         )
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status != 200 or "lease" not in answer.document:
-            return _build_failure(answer)
-        granted_s = float(answer.document.get("ttlMs", ttl_s * 1000)) / 1000
-        return stores.Lease(str(answer.document["lease"]), granted_s)
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status != 200 or "lease" not in response.document:
+            return _build_failure(response)
+        granted_s = float(response.document.get("ttlMs", ttl_s * 1000)) / 1000
+        return stores.Lease(str(response.document["lease"]), granted_s)
 
     def renew_lease(
         self, lease: str
     ) -> stores.Lease | stores.LeaseGone | stores.CallFailure:
         """Extends a lease by its full lifetime."""
-        answer = self._call("POST", f"/-/kv-keep/{lease}")
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 404:
+        response = self._call("POST", f"/-/kv-keep/{lease}")
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 404:
             return stores.LeaseGone(f"the lease {lease} has ended")
-        if answer.status != 200:
-            return _build_failure(answer)
-        return stores.Lease(lease, float(answer.document["ttlMs"]) / 1000)
+        if response.status != 200:
+            return _build_failure(response)
+        return stores.Lease(lease, float(response.document["ttlMs"]) / 1000)
 
     def release_lease(
         self, lease: str
     ) -> stores.Released | stores.LeaseGone | stores.CallFailure:
         """Releases a lease and deletes the values attached to it."""
-        answer = self._call("DELETE", f"/-/kv-lease-end/{lease}")
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 404:
+        response = self._call("DELETE", f"/-/kv-lease-end/{lease}")
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 404:
             return stores.LeaseGone(f"the lease {lease} has ended")
-        if answer.status != 200:
-            return _build_failure(answer)
+        if response.status != 200:
+            return _build_failure(response)
         return stores.Released(lease)
 
     def _commit_transaction(
@@ -153,29 +155,29 @@
         body = {"expectedRevision": [], "writes": [], "remove": []} | change
         if expect is not None:
             body["expectedRevision"] = [{"key": key, "revision": expect}]
-        answer = self._call("POST", "/-/kv-txn", body=body)
-        if isinstance(answer, failures.Failure):
-            return answer
-        if answer.status == 412:
-            return _parse_conflict(key, answer)
-        if answer.status == 404:
+        response = self._call("POST", "/-/kv-txn", body=body)
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == 412:
+            return _parse_conflict(key, response)
+        if response.status == 404:
             return stores.Conflict(f"the lease of {key} has ended")
-        if answer.status != 200:
-            return _build_failure(answer)
+        if response.status != 200:
+            return _build_failure(response)
         try:
-            return stores.Written(int(answer.document["revision"]))
+            return stores.Written(int(response.document["revision"]))
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a write has no revision")
 
 
 def _build_failure(
-    answer: storeclient.Response,
+    response: storeclient.Response,
 ) -> stores.RateLimited | stores.InDoubt:
     """Returns the failure that an unsuccessful response stands for."""
-    reason = f"the store answered {answer.status}"
-    if answer.status == 503 or 400 <= answer.status < 500:
-        return stores.RateLimited(reason, retry_after_s=answer.retry_after_s)
-    return stores.InDoubt(reason, retry_after_s=answer.retry_after_s)
+    reason = f"the store answered {response.status}"
+    if response.status == 503 or 400 <= response.status < 500:
+        return stores.RateLimited(reason, retry_after_s=response.retry_after_s)
+    return stores.InDoubt(reason, retry_after_s=response.retry_after_s)
 
 
 def _encode(value: str) -> str:
@@ -210,10 +212,10 @@
 
 
 def _parse_conflict(
-    key: str, answer: storeclient.Response
+    key: str, response: storeclient.Response
 ) -> stores.Conflict | stores.InDoubt:
     try:
-        for item in answer.document["items"]:
+        for item in response.document["items"]:
             if item.get("key") != key:
                 continue
             revision = int(item.get("revision", 0))
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -93,7 +93,7 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or answered."""
+        """Whether a request is being read or handled."""
         return self._task is not None or self._request is not None
 
     def close_when_idle(self) -> None:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -166,24 +166,24 @@
         query = dict(urllib.parse.parse_qsl(parts.query, True))
         self.calls.append(parts.path)
         if self.refuse:
-            status, answer = self.refuse, {}
+            status, response = self.refuse, {}
         elif parts.path == "/-/kv-range":
-            status, answer = self._range(query)
+            status, response = self._range(query)
         elif parts.path == "/-/kv-watch":
-            status, answer = self._watch(query)
+            status, response = self._watch(query)
         elif parts.path == "/test/compact":
             self.compact()
-            status, answer = 200, {}
+            status, response = 200, {}
         elif parts.path == "/-/kv-txn":
-            status, answer = self._change(json.loads(body))
+            status, response = self._change(json.loads(body))
         elif parts.path == "/-/kv-key":
             with self._changed:
                 item = self._items.get(query["key"])
-            status, answer = (200, item) if item else (404, {})
+            status, response = (200, item) if item else (404, {})
         else:
-            status, answer = 404, {}
+            status, response = 404, {}
         headers = {"Content-Type": "application/json"}
-        send(handler, status, headers, json.dumps(answer).encode())
+        send(handler, status, headers, json.dumps(response).encode())
 
     def _range(self, query):
         with self._changed:
@@ -311,7 +311,7 @@
             )
             return
         self.record_run(handler, headers, body)
-        answer = {
+        response_headers = {
             "Request-Id": headers["Request-Id"],
             "Response-Seal": f"seal-of-{self.identity}",
         }
@@ -320,22 +320,22 @@
         elif self.mode == "hang":
             time.sleep(30)
         elif self.mode == "fail":
-            send(handler, 500, answer, b"failed")
+            send(handler, 500, response_headers, b"failed")
         elif self.mode == "half":
-            send_half(handler, answer)
+            send_half(handler, response_headers)
         elif self.mode == "unsealed":
             send(handler, 200, {"Request-Id": headers["Request-Id"]}, b"no")
         elif headers.get("Accept") == "text/event-stream":
-            self._stream(handler, headers, answer)
+            self._stream(handler, headers, response_headers)
         else:
-            self._send_plain(handler, answer, b"echo " + body)
+            self._send_plain(handler, response_headers, b"echo " + body)
 
-    def _send_plain(self, handler, answer, body):
+    def _send_plain(self, handler, response_headers, body):
         """Sends a response and what the mode adds to it."""
-        send(handler, 200, answer, body)
+        send(handler, 200, response_headers, body)
         if self.mode == "copy":
             time.sleep(DUPLICATE_DELAY_S)
-            send(handler, 200, answer, body)
+            send(handler, 200, response_headers, body)
         if self.mode == "extra":
             handler.wfile.write(
                 b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
@@ -355,9 +355,9 @@
         model = headers.get("Model", "").encode()
         return b"id: %d\ndata: %s\n\n" % (number, model)
 
-    def _stream(self, handler, headers, answer):
+    def _stream(self, handler, headers, response_headers):
         handler.send_response(200)
-        for name, value in answer.items():
+        for name, value in response_headers.items():
             handler.send_header(name, value)
         confidence = self.get_confidence(headers)
         if confidence is not None:
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -67,8 +67,8 @@
         connection.send_request("q", body)
         return connection, accepted
 
-    async def _read_break(self, connection):
-        """Returns the error that ends the wait for an answer."""
+    async def _read_error(self, connection):
+        """Returns the error that ends the wait for an response."""
         with self.assertRaises(
             upstream_connections.UpstreamConnectionError
         ) as caught:
@@ -79,7 +79,7 @@
     async def test_lost_way_to_an_upstream_is_no_crash(self):
         # Acknowledgements stop, as when packets are lost.
         connection, _ = await self._send(b"x" * LARGE_BYTES)
-        error = await self._read_break(connection)
+        error = await self._read_error(connection)
         self.assertFalse(error.closed_by_upstream, error)
 
     async def test_reset_and_closed_connections_may_be_crashes(self):
@@ -88,10 +88,10 @@
                 connection, accepted = await self._send(b"x")
                 accepted.recv(1)
                 end(accepted)
-                error = await self._read_break(connection)
+                error = await self._read_error(connection)
                 self.assertTrue(error.closed_by_upstream, error)
 
-    async def _send_on_kept(self, repeatable):
+    async def _send_on_pooled(self, is_retryable):
         """Sends a second request on a connection; returns both sockets."""
         self.pool = connection_pool.ConnectionPool(
             lambda status, headers: forwarding.DecodedHead(status, ""),
@@ -102,7 +102,7 @@
         accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         await connection.read_head()
         self.pool.release(self.upstream, connection, 1)
-        again = await self.pool.acquire(self.upstream, "r", repeatable)
+        again = await self.pool.acquire(self.upstream, "r", is_retryable)
         self.assertIs(again, connection)
         connection.send_request("r", b"y")
         return connection, accepted
@@ -112,7 +112,7 @@
         return True
 
     async def test_request_on_a_dropped_connection_is_sent_once_more(self):
-        connection, accepted = await self._send_on_kept(True)
+        connection, accepted = await self._send_on_pooled(True)
         reset(accepted)
         reading = asyncio.create_task(connection.read_head())
         while not self.reserved:
@@ -129,7 +129,7 @@
         again.close()
 
     async def test_renewal_outlasts_looks_at_the_time(self):
-        connection, accepted = await self._send_on_kept(True)
+        connection, accepted = await self._send_on_pooled(True)
         connect = self.pool._connect
 
         async def connect_late(*arguments):
@@ -148,42 +148,42 @@
 
     async def test_repeat_is_returned_when_a_renewal_fails(self):
         returned = []
-        connection, accepted = await self._send_on_kept(True)
+        connection, accepted = await self._send_on_pooled(True)
         self.pool._refund_retry = returned.append
         self.listener.close()
         reset(accepted)
-        await self._read_break(connection)
+        await self._read_error(connection)
         self.assertEqual(returned, [self.upstream])
 
     async def test_second_loss_of_a_connection_ends_the_attempt(self):
-        connection, accepted = await self._send_on_kept(True)
+        connection, accepted = await self._send_on_pooled(True)
         reset(accepted)
-        reading = asyncio.create_task(self._read_break(connection))
+        reading = asyncio.create_task(self._read_error(connection))
         again, _ = await asyncio.to_thread(self.listener.accept)
         reset(again)
         self.assertTrue((await reading).closed_by_upstream)
         self.assertEqual(self.reserved, 1)
 
     async def test_crash_on_a_kept_connection_is_a_crash(self):
-        connection, accepted = await self._send_on_kept(True)
+        connection, accepted = await self._send_on_pooled(True)
         self.listener.close()
         reset(accepted)
-        error = await self._read_break(connection)
+        error = await self._read_error(connection)
         self.assertTrue(
             error.closed_by_upstream and error.request_written, error
         )
 
     async def test_request_that_may_not_run_twice_is_not_sent_again(self):
-        connection, accepted = await self._send_on_kept(False)
+        connection, accepted = await self._send_on_pooled(False)
         reset(accepted)
-        await self._read_break(connection)
+        await self._read_error(connection)
         self.assertEqual(self.reserved, 0)
 
     async def test_request_that_has_run_for_a_while_is_not_sent_again(self):
-        connection, accepted = await self._send_on_kept(True)
+        connection, accepted = await self._send_on_pooled(True)
         await asyncio.sleep(2 * upstream_connections.STALE_RESET_WINDOW_S)
         reset(accepted)
-        await self._read_break(connection)
+        await self._read_error(connection)
         self.assertEqual(self.reserved, 0)
 
     async def test_upstream_that_sheds_connections_is_reachable(self):
@@ -324,8 +324,8 @@
         """Waits for the crash checks and repeats the request."""
         time.sleep(1.0)
         self._set_mode("serve")
-        answer = self.node.stream()
-        self.assertEqual(answer.status, 200, answer.data)
+        response = self.node.stream()
+        self.assertEqual(response.status, 200, response.data)
 
     def test_content_is_served_after_upstreams_reset_it(self):
         self._set_mode("reset")
@@ -383,7 +383,7 @@
             self.assertEqual(self.node.stream().status, 502)
         # The crash checks have confirmed the crashes.
         time.sleep(1.0)
-        answer = self.node.stream()
-        self.assertEqual(answer.status, 502)
-        self.assertIn(b"have crashed upstreams", answer.data)
+        response = self.node.stream()
+        self.assertEqual(response.status, 502)
+        self.assertIn(b"have crashed upstreams", response.data)
         self.assertEqual(sum(len(engine.run_requests) for engine in fragile), 3)
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -82,8 +82,8 @@
         impostor = world.engines[0]
         world.desks[1].register(world.store, "desk", address=impostor.address)
         time.sleep(1.0)
-        answer = self.node.request("/lodge/1", b"x")
-        self.assertEqual(answer.status, 503)
+        response = self.node.request("/lodge/1", b"x")
+        self.assertEqual(response.status, 503)
         self.assertEqual(impostor.run_requests, [])
 
     def test_roll_out_is_completed_by_exactly_one_status(self):
--- a/tests/test_gateway_dropped.py
+++ b/tests/test_gateway_dropped.py
@@ -82,9 +82,9 @@
     def test_streams_on_dropped_connections_are_delivered(self):
         # In sequence, as parallel streams only test the speed of stand-ins.
         for _ in range(12):
-            (answer,) = self._stream_all(1)
-            self.assertEqual(answer.status, 200)
-            self.assertIn(b"id: 4\n", answer.data)
+            (response,) = self._stream_all(1)
+            self.assertEqual(response.status, 200)
+            self.assertIn(b"id: 4\n", response.data)
         self.assertEqual(self.world.count_runs(), 12)
         self.assertIn("had closed an idle connection", self.node.read_log())
         self.assertNotIn("(upstream +", self.node.read_log())
@@ -104,6 +104,6 @@
             },
         )
         processes.wait_for(lambda: self._count_reloads() > before)
-        statuses = [answer.status for answer in self._stream_all(12)]
+        statuses = [response.status for response in self._stream_all(12)]
         self.assertIn(502, statuses)
         self.assertNotIn("request resent", self.node.read_log())
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -27,12 +27,12 @@
         self.assertTrue(self.node.is_ready())
 
     def test_node_that_the_store_turns_away_learns_from_another(self):
-        gate = platform_standins.StoreProxy(self.world.store)
-        self.addCleanup(gate.stop)
-        lone = self.world.add_node("node-9", gate)
+        proxy = platform_standins.StoreProxy(self.world.store)
+        self.addCleanup(proxy.stop)
+        lone = self.world.add_node("node-9", proxy)
         # The node has to receive the entries of the other nodes first.
         time.sleep(1.0)
-        gate.refuse = 503
+        proxy.refuse = 503
         processes.wait_for(lambda: "store lost" in lone.read_log(), 20.0)
         self.world.configure(version=9, keys=["key-9"])
         took_s = gateway_world.wait_until(
@@ -76,14 +76,14 @@
                 b"Accept: text/event-stream\r\nModel: *\r\n"
                 b"Connection: close\r\nContent-Length: 1\r\n\r\nx"
             )
-            answer = caller.recv(200)
+            response = caller.recv(200)
             self.node.send_signal(signal.SIGSTOP)
             # Longer than two of the event gaps that the route allows.
             time.sleep(1.6)
             self.node.send_signal(signal.SIGCONT)
             while data := caller.recv(4096):
-                answer += data
-        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+                response += data
+        self.assertTrue(response.endswith(b"0\r\n\r\n"), response)
         self.assertEqual(self.world.count_runs(), 1)
 
     def test_process_without_a_configuration_refuses_truthfully(self):
@@ -92,9 +92,9 @@
         self.node.wait()
         self.node.start()
         processes.wait_for(self._is_listening)
-        answer = self.node.request("/status/1")
-        self.assertEqual(answer.status, 503)
-        self.assertIn("Retry-After", answer.headers)
+        response = self.node.request("/status/1")
+        self.assertEqual(response.status, 503)
+        self.assertIn("Retry-After", response.headers)
         began = time.monotonic()
         self.assertEqual(self.node.request("/status/1").status, 503)
         # Requests wait only for a short time after the start of a process.
@@ -121,16 +121,16 @@
                 b"Accept: text/event-stream\r\nModel: *\r\n"
                 b"Content-Length: 1\r\n\r\nx"
             )
-            answer = caller.recv(200)
+            response = caller.recv(200)
             self.node.send_signal(signal.SIGTERM)
             processes.wait_for(lambda: "draining," in self.node.read_log())
             self.assertFalse(self.node.is_ready())
             # New requests are served until the load balancer has noticed.
             self.assertEqual(self.node.request("/status/1").status, 200)
             while data := caller.recv(4096):
-                answer += data
-        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
-        self.assertIn(b"id: 20\n", answer)
+                response += data
+        self.assertTrue(response.endswith(b"0\r\n\r\n"))
+        self.assertIn(b"id: 20\n", response)
         self.assertEqual(self.node.wait(), 0)
 
     def test_work_goes_on_at_an_upstream_whose_entry_has_gone(self):
@@ -141,8 +141,8 @@
             processes.wait_for(lambda: self.world.count_runs() == 1)
             for engine in self.world.engines:
                 self.world.store.remove(f"servers/{engine.identity}")
-            answer = stream.result()
-        self.assertIn(b"id: 12\n", answer.data)
+            response = stream.result()
+        self.assertIn(b"id: 12\n", response.data)
         self.assertEqual(self.world.count_runs(), 1)
 
     def test_changed_settings_are_taken_without_a_signal(self):
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -56,10 +56,10 @@
                 for desk in self.world.desks:
                     desk.mode = kind
                 began = time.monotonic()
-                answer = self.node.request(
+                response = self.node.request(
                     "/lodge/1", b"x", request_deadline="1500"
                 )
-                self.assertIn(answer.status, (502, 504))
+                self.assertIn(response.status, (502, 504))
                 self.assertLess(time.monotonic() - began, 2.0)
                 self.assertEqual(self.world.count_runs(), 1)
 
@@ -86,8 +86,8 @@
     def test_event_without_end_goes_on_elsewhere(self):
         self.world.engines[0].mode = "endless-event"
         for _ in range(4):
-            answer = self.node.stream()
-            self.assertIn(b"id: 4\n", answer.data)
+            response = self.node.stream()
+            self.assertIn(b"id: 4\n", response.data)
 
     def test_stream_that_only_trickles_goes_on_elsewhere(self):
         for kind in ("trickle-bytes", "trickle-comments"):
@@ -97,15 +97,15 @@
                     stuck.mode = kind
                     began = time.monotonic()
                     for _ in range(2):
-                        answer = self.node.stream()
-                        self.assertIn(b"id: 4\n", answer.data)
+                        response = self.node.stream()
+                        self.assertIn(b"id: 4\n", response.data)
                     self.assertLess(time.monotonic() - began, 3.5)
 
     def test_slow_but_sound_stream_is_not_cut(self):
         for engine in self.world.engines:
             engine.events, engine.pause_s = 8, 0.35
-        answer = self.node.stream()
-        self.assertIn(b"id: 8\n", answer.data)
+        response = self.node.stream()
+        self.assertIn(b"id: 8\n", response.data)
         self.assertEqual(self.world.count_runs(), 1)
 
     def test_plain_answer_that_breaks_off_is_not_started_again(self):
@@ -117,13 +117,13 @@
                 b"GET /status/1 HTTP/1.1\r\nHost: models.example\r\n"
                 b"Request-Id: q\r\nAuthorization: Bearer key-1\r\n\r\n"
             )
-            answer = b""
+            response = b""
             try:
                 while data := caller.recv(1 << 20):
-                    answer += data
+                    response += data
             except ConnectionResetError:
                 pass
-        self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertEqual(response.count(b"HTTP/1.1"), 1)
         self.assertEqual(self.world.count_runs(), 1)
 
     def test_callers_that_never_end_are_refused(self):
@@ -155,10 +155,10 @@
                 b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
                 b"2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n"
             )
-            answer = b""
+            response = b""
             while data := caller.recv(4096):
-                answer += data
-        self.assertTrue(answer.endswith(b"echo ok"), answer)
+                response += data
+        self.assertTrue(response.endswith(b"echo ok"), response)
         seen = [run for desk in self.world.desks for run in desk.run_requests]
         self.assertNotIn("X-Late", seen[0][2])
 
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -18,7 +18,7 @@
     """Guards against altered requests and responses, and false rejections."""
 
     def test_request_and_answer_are_passed_on(self):
-        answer = self.node.request(
+        response = self.node.request(
             "/lodge/a?b=%20c",
             b"body",
             x_own="kept",
@@ -27,9 +27,9 @@
             connection="x-hop",
             x_hop="dropped",
         )
-        self.assertEqual((answer.status, answer.data), (200, b"echo body"))
+        self.assertEqual((response.status, response.data), (200, b"echo body"))
         desk = next(d for d in self.world.desks if d.run_requests)
-        seal = answer.headers["Response-Seal"]
+        seal = response.headers["Response-Seal"]
         self.assertEqual(seal, f"seal-of-{desk.identity}")
         method, path, headers, body = desk.run_requests[0]
         self.assertEqual(
@@ -50,10 +50,10 @@
                 b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
                 b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
             )
-            answer = b""
+            response = b""
             while data := caller.recv(4096):
-                answer += data
-        self.assertTrue(answer.endswith(b"echo abcde"), answer)
+                response += data
+        self.assertTrue(response.endswith(b"echo abcde"), response)
 
     def test_smuggled_requests_are_refused(self):
         for framing in (
@@ -71,10 +71,10 @@
                     + b"\r\n0\r\n\r\nGET /status/smuggled HTTP/1.1\r\n"
                     b"Host: models.example\r\nRequest-Id: s\r\n\r\n"
                 )
-                answer = b""
+                response = b""
                 while data := caller.recv(4096):
-                    answer += data
-                self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+                    response += data
+                self.assertTrue(response.startswith(b"HTTP/1.1 400"), response)
         self.assertEqual(self.world.count_runs(), 0)
 
     def test_truthful_refusals(self):
@@ -85,8 +85,8 @@
             ("/status/1", {"authorization": None}, 401),
         ):
             with self.subTest(path=path, headers=headers):
-                answer = self.node.request(path, **headers)
-                self.assertEqual(answer.status, status)
+                response = self.node.request(path, **headers)
+                self.assertEqual(response.status, status)
         large = self.node.request("/lodge/1", b"x" * 100_001)
         self.assertEqual(large.status, 413)
         self.assertEqual(self.world.count_runs(), 0)
@@ -94,24 +94,24 @@
     def test_full_upstreams_give_a_refusal_with_a_time(self):
         for desk in self.world.desks:
             desk.mode = "refuse"
-        answer = self.node.request("/lodge/1", b"x")
-        self.assertEqual(answer.status, 503)
-        self.assertGreater(float(answer.headers["Retry-After"]), 0)
-        self.assertNotIn("Response-Seal", answer.headers)
+        response = self.node.request("/lodge/1", b"x")
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["Retry-After"]), 0)
+        self.assertNotIn("Response-Seal", response.headers)
 
     def test_unsafe_request_that_broke_is_not_run_again(self):
         for desk in self.world.desks:
             desk.mode = "reset"
-        answer = self.node.request("/lodge/1", b"x")
-        self.assertEqual(answer.status, 502)
+        response = self.node.request("/lodge/1", b"x")
+        self.assertEqual(response.status, 502)
         self.assertEqual(self.world.count_runs(), 1)
 
     def test_failure_of_an_upstream_keeps_its_seal(self):
         for desk in self.world.desks:
             desk.mode = "fail"
-        answer = self.node.request("/lodge/1", b"x")
-        self.assertEqual((answer.status, answer.data), (500, b"failed"))
-        self.assertIn("Response-Seal", answer.headers)
+        response = self.node.request("/lodge/1", b"x")
+        self.assertEqual((response.status, response.data), (500, b"failed"))
+        self.assertIn("Response-Seal", response.headers)
 
     def test_safe_request_is_repeated_elsewhere(self):
         for mode in ("fail", "reset", "unsealed", "refuse", "hang"):
@@ -119,25 +119,25 @@
                 with self.subTest(mode=mode, broken=broken.identity):
                     self.world.reset()
                     broken.mode = mode
-                    answer = self.node.request("/status/1")
-                    self.assertEqual(answer.status, 200)
+                    response = self.node.request("/status/1")
+                    self.assertEqual(response.status, 200)
 
     def test_second_answer_reaches_nobody(self):
         for desk in self.world.desks:
             desk.mode = "extra"
         for number in range(10):
-            answer = self.node.request("/lodge/1", b"%d" % number)
-            self.assertEqual(answer.data, b"echo %d" % number)
+            response = self.node.request("/lodge/1", b"%d" % number)
+            self.assertEqual(response.data, b"echo %d" % number)
 
     def test_doubtful_answer_is_replaced_before_the_caller_sees_it(self):
         for engine in self.world.engines:
             engine.confidences = {"small": 5, "large": 90}
-        answer = self.node.stream()
-        self.assertEqual(answer.data, build_stream(b"large", 1, 4))
+        response = self.node.stream()
+        self.assertEqual(response.data, build_stream(b"large", 1, 4))
         for engine in self.world.engines:
             engine.confidences = {"small": 95}
-        answer = self.node.stream()
-        self.assertEqual(answer.data, build_stream(b"small", 1, 4))
+        response = self.node.stream()
+        self.assertEqual(response.data, build_stream(b"small", 1, 4))
 
     def test_cut_stream_goes_on_at_another_engine(self):
         for broken in self.world.engines:
@@ -145,8 +145,10 @@
                 self.world.reset()
                 broken.mode = "cut"
                 for _ in range(4):
-                    answer = self.node.stream()
-                    self.assertEqual(answer.data, build_stream(b"small", 1, 4))
+                    response = self.node.stream()
+                    self.assertEqual(
+                        response.data, build_stream(b"small", 1, 4)
+                    )
 
     def test_stream_that_cannot_go_on_does_not_look_whole(self):
         for engine in self.world.engines:
@@ -177,13 +179,13 @@
         for desk in self.world.desks:
             desk.mode = "hang"
         began = time.monotonic()
-        answer = self.node.request("/lodge/1", b"x", request_deadline="600")
-        self.assertEqual(answer.status, 504)
+        response = self.node.request("/lodge/1", b"x", request_deadline="600")
+        self.assertEqual(response.status, 504)
         self.assertLess(time.monotonic() - began, 1.0)
 
     def test_metrics_and_log_tell_of_a_request(self):
-        answer = self.node.request("/status/1", request_id="q-log")
-        self.assertEqual(answer.status, 200)
+        response = self.node.request("/status/1", request_id="q-log")
+        self.assertEqual(response.status, 200)
         page = gateway_world.HTTP.request("GET", self.node.metrics).data
         self.assertIn(b"sycamore_requests_total", page)
         processes.wait_for(lambda: "request=q-log" in self.node.read_log())
--- a/tests/test_gateway_stalls.py
+++ b/tests/test_gateway_stalls.py
@@ -17,7 +17,7 @@
         self.addCleanup(self.world.close)
         self.node = self.world.nodes[0]
 
-    def _limit_repeats(self, floor):
+    def _limit_retries(self, floor):
         """Restarts the node with a retry budget of a floor and no ratio."""
         self.node.stop()
         self.node.write_settings(
@@ -32,7 +32,7 @@
 
     def test_streams_that_stall_together_outlast_the_budget_of_repeats(self):
         # Allows one retry, since a node uses a part of the floor.
-        self._limit_repeats(2)
+        self._limit_retries(2)
         for engine in self.world.engines:
             engine.first_gap_s = 1.8
         with futures.ThreadPoolExecutor() as pool:
@@ -43,7 +43,7 @@
             self.node.send_signal(signal.SIGSTOP)
             time.sleep(1.2)
             self.node.send_signal(signal.SIGCONT)
-            answers = [stream.result() for stream in streams]
-        for answer in answers:
-            self.assertIn(b"id: 4\n", answer.data)
+            responses = [stream.result() for stream in streams]
+        for response in responses:
+            self.assertIn(b"id: 4\n", response.data)
         self.assertLessEqual(self.world.count_runs(), 6)
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -67,7 +67,7 @@
         self.state_sync.deliver(event)
         await asyncio.sleep(0.01)
 
-    async def _answer(self, **changes):
+    async def _deliver_response(self, **changes):
         """Delivers a sync response of another node."""
         document = {"since": 5, "age_s": 0.0, "store_back_s": 1e6} | changes
         payload = json.dumps(document).encode()
@@ -80,20 +80,22 @@
     async def test_removal_counts_at_once_for_a_node_turned_away(self):
         failure = stores.RateLimited("refused")
         await self._deliver(store_tasks.StoreCallFailed(failure))
-        await self._answer()
+        await self._deliver_response()
         self.state_sync.run_periodic_work()
         gone = {"entries": [["servers/a", None, 6]], "revision": 6}
         self.assertEqual(self._count_usable(), 1)
-        await self._answer(delta=gone | {"whole": False})
+        await self._deliver_response(delta=gone | {"whole": False})
         self.assertEqual(self._count_usable(), 0)
 
     async def test_entry_that_lapsed_with_the_store_is_kept_a_while(self):
         gone = {"entries": [["servers/a", None, 6]], "revision": 6}
-        await self._answer(delta=gone | {"whole": False}, store_back_s=0.2)
+        await self._deliver_response(
+            delta=gone | {"whole": False}, store_back_s=0.2
+        )
         self.assertEqual(self._count_usable(), 1)
 
     async def test_follower_with_fresh_news_does_not_watch(self):
-        await self._answer()
+        await self._deliver_response()
         self.state_sync.run_periodic_work()
         self.assertFalse(self.watch.active)
 
@@ -111,8 +113,8 @@
         for name in ("rollouts", "sound", "poison", "delta", "age_s", "since"):
             for value in wrong:
                 with self.subTest(name=name, value=value):
-                    await self._answer(**{name: value})
-                    await self._ask(value)
+                    await self._deliver_response(**{name: value})
+                    await self._request_sync(value)
         self.assertEqual(self._count_usable(), 1)
         failed.assert_not_called()
 
@@ -122,15 +124,17 @@
         one = slowness.build_counts("b", True, True, 0.1)
         entry = {"service": "llm", "revision": 5}
         counts = {"n1": {"r-1 small": one.encode()}}
-        await self._answer(slowness=[entry | {"counts": counts}])
+        await self._deliver_response(slowness=[entry | {"counts": counts}])
         known = self.router.rollouts.get("llm").evidence
         self.assertEqual(sum(known.sum_counts().new_slow), 1)
-        handed_on = peer_messages.decode(await self._ask(5))["slowness"]
+        handed_on = peer_messages.decode(await self._request_sync(5))[
+            "slowness"
+        ]
         self.assertEqual(handed_on, [entry | {"counts": counts}])
         # A peer of an older version without these counts, and malformed ones.
-        await self._answer()
+        await self._deliver_response()
         for wrong in (3, [{}], [entry | {"counts": {"n1": {"r": [1]}}}]):
-            await self._answer(slowness=wrong)
+            await self._deliver_response(slowness=wrong)
         self.assertEqual(sum(known.sum_counts().new_slow), 1)
 
     async def test_entry_that_breaks_a_rule_does_not_stop_the_others(self):
@@ -147,12 +151,12 @@
         self.assertEqual(broken.call_count, 2)
         self.assertIs(self.router.apply_event.__func__, handle.__func__)
 
-    async def _ask(self, since):
+    async def _request_sync(self, since):
         """Returns the response to a node with all changes up to `since`."""
-        answer = self.state_sync.handle_peer_request(
+        response = self.state_sync.handle_peer_request(
             PEER, json.dumps({"since": since}).encode()
         )
-        return await asyncio.wrap_future(answer)
+        return await asyncio.wrap_future(response)
 
     async def test_large_configuration_is_handed_on_in_few_bytes(self):
         routes = [
@@ -164,7 +168,7 @@
         await self._deliver(
             store_tasks.StoreChanged(stores.Changes(changes, 6))
         )
-        payload = await self._ask(5)
+        payload = await self._request_sync(5)
         # Twenty followers fetch it within a second over 10 Mbit/s.
         self.assertLess(len(payload) * 20 * 8, 10e6)
         other = forwarding_world.build_router()
@@ -179,8 +183,8 @@
         await asyncio.sleep(0.05)
         self.assertEqual(follower.get_revision(), 6)
 
-    async def test_follower_asks_again_only_after_an_answer(self):
-        await self._answer()
+    async def test_follower_asks_again_only_after_an_deliver_response(self):
+        await self._deliver_response()
         posts = []
         self.peers.send_request.side_effect = lambda number, *_: posts.append(
             number
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -20,7 +20,7 @@
     )
 
 
-def read_answers(caller, count):
+def read_responses(caller, count):
     """Reads from a connection until it has received `count` responses."""
     data = b""
     while data.count(b"HTTP/1.1 ") < count or not data.endswith(b"\n"):
@@ -50,13 +50,13 @@
                 caller.settimeout(5)
                 try:
                     caller.sendall(build_request(number))
-                    answer = caller.recv(4096)
+                    response = caller.recv(4096)
                 except OSError as error:
-                    answer = repr(error).encode()
-            if answer.startswith(b"HTTP/1.1 "):
+                    response = repr(error).encode()
+            if response.startswith(b"HTTP/1.1 "):
                 self.answered += 1
             else:
-                self.cut.append(answer)
+                self.cut.append(response)
 
     def test_new_connections_are_answered_until_the_end(self):
         end = [time.monotonic() + 60.0]
@@ -86,8 +86,8 @@
             time.sleep(0.01)
         for caller in late:
             with caller:
-                answer = caller.recv(4096)
-                self.assertTrue(answer.startswith(b"HTTP/1.1 "), answer)
+                response = caller.recv(4096)
+                self.assertTrue(response.startswith(b"HTTP/1.1 "), response)
         self.assertEqual(self.cut, [])
         self.assertGreater(self.answered, CALLERS)
         self.assertEqual(self.node.wait(), 0)
@@ -99,12 +99,12 @@
             time.sleep(0.3)
             for _ in range(3):
                 caller.sendall(build_request(1) * 4)
-                answer = read_answers(caller, 4)
-                self.assertEqual(answer.count(b"HTTP/1.1 "), 4)
+                response = read_responses(caller, 4)
+                self.assertEqual(response.count(b"HTTP/1.1 "), 4)
                 # Nothing may follow a response that closes the connection.
-                closed = answer.find(b"Connection: close")
+                closed = response.find(b"Connection: close")
                 if closed >= 0:
-                    self.assertNotIn(b"HTTP/1.1 ", answer[closed:])
+                    self.assertNotIn(b"HTTP/1.1 ", response[closed:])
                     break
         self.assertEqual(self.node.wait(), 0)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
 from sycamorehollow.shells import stores
-from sycamorehollow.shells.gateway import header_codec as dialects
+from sycamorehollow.shells.gateway import header_codec as gateway_codec
 from tests import platform_standins
 
 SETTINGS = """
@@ -205,8 +205,8 @@
         headers = [(b"host", b"h"), (name, value)]
         call = codec.decode_request("GET", "/a", headers)
         self.assertIsInstance(call, forwarding.Request)
-        answer = codec.decode_response(200, headers)
-        self.assertEqual(answer.status, 200)
+        response = codec.decode_response(200, headers)
+        self.assertEqual(response.status, 200)
 
     @hypothesis.given(
         strategies.sampled_from(sorted(ENTRY)),
@@ -234,7 +234,7 @@
             store_codec.PlatformStoreCodec().decode(mirror.Entry(key, text, 1))
 
 
-class FeedTest(unittest.TestCase):
+class StoreCodecTest(unittest.TestCase):
     """Guards against updates that are lost or invented."""
 
     def test_keys_are_told_apart(self):
@@ -284,7 +284,7 @@
         self.assertEqual(news[1], updates.UpstreamRemoved("i"))
 
 
-class DialectTest(unittest.TestCase):
+class HeaderCodecTest(unittest.TestCase):
     """Guards against headers that are misread or passed on wrongly."""
 
     def test_request_is_decoded(self):
@@ -314,7 +314,9 @@
         )
 
     def test_upstream_gets_our_headers_in_place_of_the_callers(self):
-        attempt = dialects.AttemptHeaders("i-1", "maps", 0.75, "large", 2, "9")
+        attempt = gateway_codec.AttemptHeaders(
+            "i-1", "maps", 0.75, "large", 2, "9"
+        )
         headers = header_codec.PlatformHeaderCodec().encode_attempt(
             [
                 (b"Model", b"*"),
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -31,7 +31,7 @@
         return processes.HTTP.request("GET", url).json()
 
     def _ask(self):
-        answer = processes.HTTP.request(
+        response = processes.HTTP.request(
             "POST",
             f"{self.entry}/v1/chat/completions",
             json={
@@ -41,7 +41,7 @@
             },
             headers={"Authorization": f"Bearer {processes.API_KEY}"},
         )
-        return answer.headers.get("X-Upstream")
+        return response.headers.get("X-Upstream")
 
     def _count_loads(self, name):
         load = self._read(f"{self.engines[name]}/v1/load")
