Rename the response models and the operator requests

The models of what upstreams and platform services send were called answers, and the requests that sycamorectl posts to an entry process were called orders, which are the engines' orders elsewhere. Rename settings.answers to settings.responses, its base to Response, and post_order and order_drain to post_operator_request and request_drain.

Checked: make lint passes.

--- a/sycamorehollow/programs/ctl.py
+++ b/sycamorehollow/programs/ctl.py
@@ -194,7 +194,7 @@
     ):
         drain = parser.add(
             name,
-            ctl_rollouts.order_drain,
+            ctl_rollouts.request_drain,
             "name",
             needs_team=False,
             needs_store=False,
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -226,20 +226,20 @@
 
 def stop_rollout(args: argparse.Namespace) -> ctl_commands.Result:
     """Stops the new version at once, without the store."""
-    return post_order(
+    return post_operator_request(
         args, STOP_PATH, {"rollout": args.name, "reason": args.reason}
     )
 
 
-def order_drain(args: argparse.Namespace) -> ctl_commands.Result:
+def request_drain(args: argparse.Namespace) -> ctl_commands.Result:
     """Takes an upstream or data centre out at once, without the store."""
-    return post_order(
+    return post_operator_request(
         args, DRAIN_PATH, {"scope": args.scope, "name": args.name}
     )
 
 
-def post_order(
-    args: argparse.Namespace, path: str, order: dict[str, str]
+def post_operator_request(
+    args: argparse.Namespace, path: str, body: dict[str, str]
 ) -> ctl_commands.Result:
     """Sends an order of an operator to one entry process."""
     try:
@@ -249,16 +249,16 @@
         return failures.InvalidRequest(reason)
     pool = urllib3.PoolManager(retries=False, timeout=STOP_TIMEOUT_S)
     try:
-        answer = pool.request(
+        response = pool.request(
             "POST",
             args.entry.rstrip("/") + path,
-            json=order,
+            json=body,
             headers={"Authorization": f"Bearer {token}"},
         )
-        body = json.loads(answer.data)
-        if answer.status == 200 and isinstance(body, dict):
-            return body
-        return ctl_edits.Refused(str(body["error"]["message"]))
+        result = json.loads(response.data)
+        if response.status == 200 and isinstance(result, dict):
+            return result
+        return ctl_edits.Refused(str(result["error"]["message"]))
     except urllib3.exceptions.HTTPError as error:
         return failures.NoUpstream(
             f"{args.entry} does not answer: {error}", failures.Execution.UNKNOWN
--- a/sycamorehollow/settings/answers.py
+++ b/sycamorehollow/settings/responses.py
@@ -3,13 +3,13 @@
 import pydantic
 
 
-class Answer(pydantic.BaseModel):
+class Response(pydantic.BaseModel):
     """Base of an answer; fields that the router does not use are ignored."""
 
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
 
-class LoadReport(Answer):
+class LoadReport(Response):
     """Answer of an engine to `GET /v1/load`."""
 
     generation: int
@@ -23,7 +23,7 @@
     role: str = ""
 
 
-class CacheEvent(Answer):
+class CacheEvent(Response):
     """One event of a prefix cache."""
 
     number: int
@@ -31,14 +31,14 @@
     prefix: str
 
 
-class CacheEvents(Answer):
+class CacheEvents(Response):
     """Answer of an engine to `GET /v1/cache-events`."""
 
     events: list[CacheEvent]
     last: int
 
 
-class Rating(Answer):
+class Rating(Response):
     """One rating of an answer."""
 
     number: int
@@ -46,14 +46,14 @@
     score: float
 
 
-class Ratings(Answer):
+class Ratings(Response):
     """Answer of the rating service to `GET /v1/ratings`."""
 
     ratings: list[Rating]
     last: int
 
 
-class Vm(Answer):
+class Vm(Response):
     """One VM of the platform's list."""
 
     address: str
@@ -61,7 +61,7 @@
     state: str
 
 
-class VmList(Answer):
+class VmList(Response):
     """Answer of the platform to `GET /v1/vms`."""
 
     vms: list[Vm]
--- a/sycamorehollow/shells/ratings.py
+++ b/sycamorehollow/shells/ratings.py
@@ -7,7 +7,7 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.model import lifecycle
-from sycamorehollow.settings import answers
+from sycamorehollow.settings import responses
 from sycamorehollow.shells import completions
 from sycamorehollow.shells import http_workers
 from sycamorehollow.shells import polling
@@ -63,7 +63,7 @@
         if response.status != HTTP_OK:
             return
         try:
-            batch = answers.Ratings.model_validate_json(response.data)
+            batch = responses.Ratings.model_validate_json(response.data)
         except pydantic.ValidationError:
             return
         # A number below the previous one means that the service restarted.
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -11,7 +11,7 @@
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
-from sycamorehollow.settings import answers
+from sycamorehollow.settings import responses
 from sycamorehollow.shells import http_workers
 from sycamorehollow.shells import polling
 
@@ -76,7 +76,7 @@
                 self._report(upstream_events.PollUnanswered(upstream.name))
             return
         try:
-            report = answers.LoadReport.model_validate_json(response.data)
+            report = responses.LoadReport.model_validate_json(response.data)
         except pydantic.ValidationError:
             return
         self._generations[upstream.name] = report.generation
@@ -118,7 +118,7 @@
         if response.status != HTTP_OK:
             return
         try:
-            batch = answers.CacheEvents.model_validate_json(response.data)
+            batch = responses.CacheEvents.model_validate_json(response.data)
         except pydantic.ValidationError:
             return
         self._cursors[upstream.name] = batch.last
--- a/sycamorehollow/shells/vm_polls.py
+++ b/sycamorehollow/shells/vm_polls.py
@@ -14,7 +14,7 @@
 from sycamorehollow.model import deployment
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
-from sycamorehollow.settings import answers
+from sycamorehollow.settings import responses
 from sycamorehollow.shells import http_workers
 from sycamorehollow.shells import polling
 
@@ -54,7 +54,7 @@
         if isinstance(response, failures.Failure) or response.status != HTTP_OK:
             return
         try:
-            vm_list = answers.VmList.model_validate_json(response.data)
+            vm_list = responses.VmList.model_validate_json(response.data)
         except pydantic.ValidationError:
             return
         leaving = {vm.address: vm.state == LEAVING for vm in vm_list.vms}
