--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Tests of the peer task on loopback."""
+"""Tests of the peer task over loopback connections."""
 
 import concurrent.futures
 import queue
@@ -22,7 +22,7 @@
 
 
 def wait_for(condition):
-    """Waits until a condition holds; returns whether it did."""
+    """Waits until a condition holds; returns whether it did in time."""
     end = time.monotonic() + WAIT_S
     while time.monotonic() < end:
         if condition():
@@ -31,17 +31,17 @@
     return False
 
 
-class Entry:
-    """A router loop with a peer task, as an entry process runs it."""
+class PeerProcess:
+    """A peer task with the membership and records of an entry process."""
 
     def __init__(self, seeds=(), port=0):
         self.inbox = queue.SimpleQueue()
         self.task = peers.PeerTask(f"127.0.0.1:{port}", self.inbox.put)
         self.task.register("echo", self._echo)
         address = f"127.0.0.1:{self.task.start()}"
-        me = members.Member(address, "dc-0", time.time_ns())
+        own_process = members.Member(address, "dc-0", time.time_ns())
         self.peers = membership.Membership(
-            me, seeds, random.Random(1), time.monotonic()
+            own_process, seeds, random.Random(1), time.monotonic()
         )
         self.records = records.ReplicatedRecords()
         self.exchange = exchange.Exchange(self.peers, (self.records,))
@@ -55,7 +55,7 @@
         self.thread.join(WAIT_S)
         self.task.stop()
 
-    def sees(self, *others):
+    def has_live_members(self, *others):
         addresses = {member.address for member in self.peers.list_live()}
         return addresses == {other.address for other in (self, *others)}
 
@@ -81,10 +81,14 @@
 
 
 class PeerTaskTest(unittest.TestCase):
-    """Guards against a peer that blocks or misses the others."""
+    """Guards against peers that block or lose sight of each other.
+
+    A frozen peer or a dead connection must not delay calls to other peers, and
+    a restarted peer must be found again.
+    """
 
     def start(self, seeds=(), port=0):
-        entry = Entry(seeds, port)
+        entry = PeerProcess(seeds, port)
         self.addCleanup(entry.stop)
         return entry
 
@@ -92,8 +96,8 @@
         first = self.start()
         second = self.start((first.address,))
         third = self.start((first.address,))
-        self.assertTrue(wait_for(lambda: first.sees(second, third)))
-        self.assertTrue(wait_for(lambda: third.sees(first, second)))
+        self.assertTrue(wait_for(lambda: first.has_live_members(second, third)))
+        self.assertTrue(wait_for(lambda: third.has_live_members(first, second)))
         third.paused.set()
         began = time.monotonic()
         for command in first.records.put("stop", "v", 1, began):
@@ -105,64 +109,66 @@
         )
         self.assertTrue(known)
         self.assertLess(time.monotonic() - began, 1.0)
-        self.assertTrue(wait_for(lambda: first.sees(second)))
+        self.assertTrue(wait_for(lambda: first.has_live_members(second)))
         third.paused.clear()
-        self.assertTrue(wait_for(lambda: first.sees(second, third)))
-        self.assertTrue(wait_for(lambda: third.sees(first, second)))
+        self.assertTrue(wait_for(lambda: first.has_live_members(second, third)))
+        self.assertTrue(wait_for(lambda: third.has_live_members(first, second)))
 
     def test_restart_under_the_same_address_is_seen(self):
         first = self.start()
-        second = Entry((first.address,))
-        self.assertTrue(wait_for(lambda: first.sees(second)))
+        second = PeerProcess((first.address,))
+        self.assertTrue(wait_for(lambda: first.has_live_members(second)))
         old = second.peers.self_record.incarnation
         second.stop()
         port = int(second.address.rsplit(":", 1)[1])
         again = self.start((first.address,), port)
-        self.assertTrue(wait_for(lambda: again.sees(first)))
-        found = first.peers.find(second.address)
-        self.assertGreater(found.incarnation, old)
+        self.assertTrue(wait_for(lambda: again.has_live_members(first)))
+        member = first.peers.find(second.address)
+        self.assertGreater(member.incarnation, old)
 
     def test_silent_connection_is_replaced_after_one_failure(self):
         first = self.start()
         port = int(first.address.rsplit(":", 1)[1])
         forwarder = loopback.Forwarder(port)
         self.addCleanup(forwarder.close)
-        found = queue.SimpleQueue()
-        task = peers.PeerTask("127.0.0.1:0", found.put)
+        received = queue.SimpleQueue()
+        task = peers.PeerTask("127.0.0.1:0", received.put)
         task.start()
         self.addCleanup(task.stop)
-        me = exchange.Process("127.0.0.1:1", "dc-0", 1)
+        own_process = exchange.Process("127.0.0.1:1", "dc-0", 1)
         item = exchange.Item("echo", b"text")
         results = []
         for number in range(3):
             if number == 1:
                 forwarder.silence()
             request = peers.PeerRequest(
-                number, forwarder.address, me, item, 0.5
+                number, forwarder.address, own_process, item, 0.5
             )
             task.post(request)
-            results.append(type(found.get(timeout=WAIT_S)))
+            results.append(type(received.get(timeout=WAIT_S)))
         answered, failed = peers.PeerRequestAnswered, peers.PeerRequestFailed
         self.assertEqual(results, [answered, failed, answered])
 
     def test_handler_answers_and_silence_fails_at_its_deadline(self):
         first = self.start()
-        found = queue.SimpleQueue()
-        task = peers.PeerTask("127.0.0.1:0", found.put)
+        received = queue.SimpleQueue()
+        task = peers.PeerTask("127.0.0.1:0", received.put)
         task.start()
         self.addCleanup(task.stop)
-        me = exchange.Process("127.0.0.1:1", "dc-0", 1)
+        own_process = exchange.Process("127.0.0.1:1", "dc-0", 1)
         item = exchange.Item("echo", b"text")
-        task.post(peers.PeerRequest(1, first.address, me, item))
-        self.assertEqual(found.get(timeout=WAIT_S).item, item)
-        # It accepts connections and never answers on them.
-        with socket.create_server(("127.0.0.1", 0)) as silent:
-            address = f"127.0.0.1:{silent.getsockname()[1]}"
+        task.post(peers.PeerRequest(1, first.address, own_process, item))
+        self.assertEqual(received.get(timeout=WAIT_S).item, item)
+        # The listener accepts connections and never replies.
+        with socket.create_server(("127.0.0.1", 0)) as silent_listener:
+            address = f"127.0.0.1:{silent_listener.getsockname()[1]}"
             began = time.monotonic()
             for number in range(20):
-                task.post(peers.PeerRequest(number, address, me, item, 0.5))
-            task.post(peers.PeerRequest(99, first.address, me, item))
-            results = [found.get(timeout=WAIT_S) for _ in range(21)]
+                task.post(
+                    peers.PeerRequest(number, address, own_process, item, 0.5)
+                )
+            task.post(peers.PeerRequest(99, first.address, own_process, item))
+            results = [received.get(timeout=WAIT_S) for _ in range(21)]
         self.assertLess(time.monotonic() - began, 5.0)
         answered = [
             r for r in results if isinstance(r, peers.PeerRequestAnswered)
--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -11,14 +11,14 @@
 
 
 def reply(status, document, headers=""):
-    """Formats a response."""
+    """Returns the bytes of an HTTP response."""
     body = json.dumps(document).encode()
     head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}"
     return head.encode() + b"\r\n" + body
 
 
 class ScriptedServer:
-    """Sends one prepared response per request and records the requests."""
+    """Server that sends one prepared response per request; records requests."""
 
     def __init__(self, case):
         self.requests = []
@@ -41,11 +41,11 @@
 
     def _serve(self, connection):
         try:
-            self._answer(connection)
+            self._send_responses(connection)
         except OSError:
-            return  # The client gave the connection up.
+            return  # The client closed the connection.
 
-    def _answer(self, connection):
+    def _send_responses(self, connection):
         with connection, connection.makefile("rb") as stream:
             while line := stream.readline():
                 size = 0
@@ -70,7 +70,11 @@
 
 
 class StoreClientTest(unittest.TestCase):
-    """Guards against a lost or repeated write being reported wrongly."""
+    """Guards against writes that are sent twice or reported wrongly.
+
+    A write whose response is missing may have taken effect. The client must
+    neither retry it nor report it as rejected.
+    """
 
     def setUp(self):
         self.server = ScriptedServer(self)
@@ -92,10 +96,10 @@
         ttl = {"ttl_s": 4.0}
         watch = "/v1/watch?prefix=a&after=6&timeout=1.5"
         items = {"items": [item], "revision": 8}
-        news = {"events": [event], "revision": 9}
+        changes_body = {"events": [event], "revision": 9}
         found = stores.Found("a/b c", "v", 5)
         kv, lease = "/v1/kv/a", "/v1/leases/12"
-        for method, arguments, request, sent, answer, result in (
+        for method, arguments, request, sent, response, result in (
             ("read", ["a/b c"], f"GET {kv}/b%20c", None, item, found),
             ("read", ["a"], f"GET {kv}", None, None, stores.Absent("a")),
             ("write", ["a", "v", 0, "9"], f"PUT {kv}", put, {"revision": 6},
@@ -104,7 +108,8 @@
              stores.Deleted("a")),
             ("list_range", ["a/"], "GET /v1/range?prefix=a%2F", None, items,
              listing),
-            ("watch", ["a", 6, 1.5], f"GET {watch}", None, news, changes),
+            ("watch", ["a", 6, 1.5], f"GET {watch}", None,
+             changes_body, changes),
             ("grant_lease", [4.0], "POST /v1/leases", ttl, {"lease": 12},
              stores.Lease("12", 4.0)),
             ("renew_lease", ["12"], f"PUT {lease}", None, {},
@@ -113,8 +118,8 @@
              stores.Released("12")),
         ):  # fmt: skip
             with self.subTest(request):
-                status = 404 if answer is None else 200
-                self.server.responses.append(reply(status, answer or {}))
+                status = 404 if response is None else 200
+                self.server.responses.append(reply(status, response or {}))
                 call = getattr(self.client, method)
                 self.assertEqual(call(*arguments), result)
                 verb, path, body = self.server.requests[-1]
@@ -154,8 +159,8 @@
         began = time.monotonic()
         self.assertIsInstance(self._write(head + end), stores.InDoubt)
         self.server.pause_s = 0.02
-        trickle = reply(200, {"revision": 4, "filler": "x" * 400})
-        self.assertIsInstance(self._write(trickle), stores.InDoubt)
+        slow_response = reply(200, {"revision": 4, "filler": "x" * 400})
+        self.assertIsInstance(self._write(slow_response), stores.InDoubt)
         self.assertLess(time.monotonic() - began, 4.0)
 
     def test_refusals_have_no_effect(self):
@@ -184,11 +189,11 @@
         client = storeclient.StoreClient(self.server.url, connect_timeout_s=0.1)
         self.addCleanup(client.close)
         self.server.pause_s = 0.002
-        news = {"events": [], "revision": 9, "filler": "x" * 200}
-        self.server.responses.append(reply(200, news))
+        body = {"events": [], "revision": 9, "filler": "x" * 200}
+        self.server.responses.append(reply(200, body))
         self.assertEqual(client.watch("a", 6, 1.0), stores.Changes((), 9))
-        with socket.create_server(("127.0.0.1", 0)) as silent:
-            url = "http://127.0.0.1:%d" % silent.getsockname()[1]
+        with socket.create_server(("127.0.0.1", 0)) as silent_listener:
+            url = "http://127.0.0.1:%d" % silent_listener.getsockname()[1]
             client = storeclient.StoreClient(url, 0.6, connect_timeout_s=0.1)
             self.addCleanup(client.close)
             began = time.monotonic()
--- a/tests/test_sweeps.py
+++ b/tests/test_sweeps.py
@@ -1,4 +1,4 @@
-"""Tests of the sweep of old records."""
+"""Tests of the deletion of expired call records."""
 
 import time
 import unittest
@@ -9,7 +9,7 @@
 
 
 class ListedStore(stores.Store):
-    """Holds records and remembers what was deleted."""
+    """Store that lists fixed records and remembers deletions."""
 
     def __init__(self, items):
         self._items = items
@@ -42,7 +42,7 @@
         raise NotImplementedError
 
 
-def build_record(key, made_s, revision):
+def build_record(key, created_s, revision):
     record = call_records.CallRecord(
         call_records.CallState.CLAIMED,
         "10.0.0.1:1",
@@ -51,13 +51,13 @@
         "filing",
         "lodge",
         "digest",
-        int(made_s),
+        int(created_s),
     )
     return stores.Found(key, call_records.encode_record(record), revision)
 
 
 class RecordSweepTest(unittest.TestCase):
-    """Guards against records that stay forever or go too early."""
+    """Guards against records that are never deleted or deleted too early."""
 
     def test_deletes_only_expired_records_at_their_revision(self):
         now = time.time()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,4 +1,4 @@
-"""The whole path through separate processes, with the usual client."""
+"""Tests of the chat interface end to end, with the `openai` client."""
 
 import unittest
 
@@ -8,7 +8,7 @@
 
 
 class WholePathTest(unittest.TestCase):
-    """Guards against a router that the usual client library cannot use."""
+    """Guards against responses that the `openai` client cannot handle."""
 
     @classmethod
     def setUpClass(cls):
@@ -29,7 +29,7 @@
             max_retries=0,
         )
 
-    def _ask(self, model="atlas", **options):
+    def _complete(self, model="atlas", **options):
         return self.client.chat.completions.create(
             model=model,
             messages=[{"role": "user", "content": "Name the river."}],
@@ -38,13 +38,13 @@
         )
 
     def test_plain_answer_is_whole(self):
-        answer = self._ask()
+        answer = self._complete()
         self.assertEqual(answer.model, "small-1")
         self.assertEqual(len(answer.choices[0].message.content.split()), 5)
         self.assertEqual(answer.usage.completion_tokens, 5)
 
     def test_streamed_answer_ends_with_usage(self):
-        chunks = list(self._ask(stream=True))
+        chunks = list(self._complete(stream=True))
         text = "".join(
             chunk.choices[0].delta.content or ""
             for chunk in chunks
@@ -59,7 +59,7 @@
 
     def test_refuses_a_version_outside_the_workspace(self):
         with self.assertRaises(openai.PermissionDeniedError) as caught:
-            self._ask("large-1")
+            self._complete("large-1")
         self.assertEqual(caught.exception.body["run"], "no")
 
     def test_bad_input_gets_a_typed_refusal(self):
