Reword the texts of the settings

Comments and doc comments of the settings' models and of the conversion of the settings tree used figures of speech, and some private names told too little (_fault for two functions, stands, trail).

--- a/sycamorehollow/settings/__init__.py
+++ b/sycamorehollow/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Validated models of settings, the settings tree and request bodies."""
+"""Validated models of settings, settings branches, requests and responses."""
--- a/sycamorehollow/settings/bodies.py
+++ b/sycamorehollow/settings/bodies.py
@@ -1,4 +1,4 @@
-"""Validated models of the request bodies of callers."""
+"""Validated models of request bodies of callers and operators."""
 
 from typing import Annotated
 from typing import Any
@@ -6,13 +6,13 @@
 
 import pydantic
 
-# One token is about four characters of ordinary text.
+# A token is about four characters of ordinary text.
 CHARACTERS_PER_TOKEN = 4
 DEFAULT_MAX_OUTPUT_TOKENS = 1024
 
 
 class Message(pydantic.BaseModel):
-    """One message of a conversation."""
+    """Message of a conversation."""
 
     model_config = pydantic.ConfigDict(extra="allow")
 
@@ -21,7 +21,7 @@
 
 
 class StreamOptions(pydantic.BaseModel):
-    """Options of a streamed answer."""
+    """Options of a streamed response."""
 
     model_config = pydantic.ConfigDict(extra="allow")
 
@@ -31,7 +31,7 @@
 class ChatBody(pydantic.BaseModel):
     """Body of a chat-completions request.
 
-    Fields that the router does not use are passed on to the engine.
+    Unknown fields are accepted and passed on to the engine.
     """
 
     model_config = pydantic.ConfigDict(extra="allow")
@@ -45,7 +45,7 @@
     metadata: dict[str, str] | None = None
 
     def count_prompt_tokens(self) -> int:
-        """Returns an estimate of the prompt length in tokens."""
+        """Returns the estimated prompt length in tokens."""
         characters = 0
         for message in self.messages:
             if isinstance(message.content, str):
@@ -56,7 +56,7 @@
         return characters // CHARACTERS_PER_TOKEN + 1
 
     def join_messages(self) -> str:
-        """Returns the text that engines hash for their prefix cache."""
+        """Returns the prompt text that engines hash for their prefix cache."""
         pieces = []
         for message in self.messages:
             content = message.content or ""
@@ -66,7 +66,7 @@
         return "\n".join(pieces)
 
     def limit_output_tokens(self) -> int:
-        """Returns the largest answer in tokens."""
+        """Returns the maximum response length in tokens."""
         return (
             self.max_completion_tokens
             or self.max_tokens
@@ -75,7 +75,7 @@
 
 
 class StopBody(pydantic.BaseModel):
-    """Body of an operator's stop of a roll-out."""
+    """Body of an operator's request to stop a roll-out."""
 
     model_config = pydantic.ConfigDict(extra="forbid")
 
@@ -84,7 +84,11 @@
 
 
 class DrainBody(pydantic.BaseModel):
-    """Body of an operator's drain that needs no store."""
+    """Body of an operator's drain request.
+
+    The request goes to an entry process directly, so that it works while the
+    store is unavailable.
+    """
 
     model_config = pydantic.ConfigDict(extra="forbid")
 
@@ -93,7 +97,7 @@
 
 
 def describe_faults(error: pydantic.ValidationError) -> str:
-    """Returns one sentence that names each faulty field."""
+    """Returns one line with the path and message of each invalid field."""
     faults = []
     for fault in error.errors():
         path = ".".join(str(part) for part in fault["loc"]) or "body"
--- a/sycamorehollow/settings/documents.py
+++ b/sycamorehollow/settings/documents.py
@@ -1,4 +1,8 @@
-"""Models of the documents in the settings tree."""
+"""Pydantic models of the settings branches.
+
+Unknown keys are rejected and types are not coerced, so that a misspelt or
+mistyped setting is reported instead of ignored.
+"""
 
 import ipaddress
 from typing import Annotated
@@ -23,7 +27,10 @@
 
 
 class VersionSettings(_Document):
-    """A version; prices are micro-units of currency per 1,000 tokens."""
+    """A version of a model.
+
+    Prices are in micro-units of currency per 1,000 tokens.
+    """
 
     prompt_price: int = pydantic.Field(ge=0)
     output_price: int = pydantic.Field(ge=0)
@@ -44,7 +51,7 @@
 
 
 class UpstreamSettings(_Document):
-    """An upstream of an engine or a plain service."""
+    """An upstream: one instance of an engine or of a plain service."""
 
     url: str
     data_centre: str
@@ -81,7 +88,7 @@
 
 
 class KindSettings(_Document):
-    """How a workspace wants one kind of request handled."""
+    """Policy of a workspace for one kind of request."""
 
     quality_threshold: Share = 0.0
     quality_target: Share = 0.0
@@ -92,7 +99,7 @@
 
 
 class WorkspaceSettings(_Document):
-    """A workspace and what it may use."""
+    """A workspace, its API keys and the versions and services it may use."""
 
     key_hashes: list[KeyHash] = []
     versions: list[str] = []
@@ -102,13 +109,20 @@
 
 
 class CascadeSettings(_Document):
-    """Versions or cascades of the same branch, cheaper ones first."""
+    """A cascade; steps are versions or cascades of the same branch.
+
+    Cheaper steps come first.
+    """
 
     steps: list[str] = pydantic.Field(min_length=1)
 
 
 class RolloutSettings(_Document):
-    """A rollout of a candidate version in place of a baseline."""
+    """A roll-out that replaces a baseline version by a candidate.
+
+    Attributes:
+        stages: Share of requests for the candidate at each stage.
+    """
 
     model: str
     baseline: str
@@ -125,7 +139,8 @@
 
 class _Branch(_Document):
     nonce: str = ""
-    # Lets a writer recognise its own write after later ones replaced it.
+    # A writer whose response was lost finds its nonce here, even if later
+    # writes have replaced the document.
     earlier_nonces: list[str] = []
 
 
@@ -139,7 +154,7 @@
 
 
 class TeamBranch(_Branch):
-    """The branch of any other team."""
+    """The branch of a team other than the platform team."""
 
     deleted: bool = False
     workspaces: dict[Name, WorkspaceSettings] = {}
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -1,32 +1,33 @@
-"""Settings of a gateway process, whatever file they come from."""
+"""Settings of a gateway process, independent of the file format."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Settings of a gateway process; shares and floors are for all nodes.
+    """Settings of a gateway process.
+
+    Shares and floors are totals over all nodes.
 
     Attributes:
         node: Name of the VM.
         ip: Own IP address.
         data_centre: Data centre of the VM.
-        front: Address and port for callers.
+        front: Address and port that callers connect to.
         ready: Address and port of the readiness check.
         store: Address and port of the platform's store.
-        first_port: Port for peers, the first of those for use between
-            processes.
+        first_port: Port for peers, the first of the internal ports.
         metrics_port: Port of the metrics page.
-        drain_s: Seconds after which a leaving upstream gets no request.
-        grace_s: Seconds from SIGTERM to SIGKILL.
-        retry_ratio: Repeats per fresh request of a service.
-        retry_window_s: Window of the ratio in seconds.
-        retry_floor: Repeats in a window beyond the ratio.
-        exposure_share: Part of a service's requests that a faulty new
-            version may get.
-        cold_factor: Tolerated excess over the rate of a cold upstream.
-        cold_floor: Requests per second beyond that.
-        reuse_s: Seconds for which a prompt's parts are worth reusing.
+        drain_s: Seconds until a draining upstream gets no more requests.
+        grace_s: Seconds between SIGTERM and SIGKILL at shutdown.
+        retry_ratio: Retries allowed per first request of a service.
+        retry_window_s: Window in seconds over which the ratio is computed.
+        retry_floor: Retries allowed in a window in addition to the ratio.
+        exposure_share: Maximum share of a service's requests that a faulty
+            new version may receive.
+        cold_factor: Tolerated factor over the rate limit of a cold upstream.
+        cold_floor: Requests per second allowed in addition.
+        reuse_s: Seconds for which cached prompt prefixes stay useful.
         link_mbps: Rate of the VM's network link in Mbit/s; 0 if unknown.
     """
 
--- a/sycamorehollow/settings/process.py
+++ b/sycamorehollow/settings/process.py
@@ -1,4 +1,4 @@
-"""The INI settings of an entry process."""
+"""INI settings of an entry process: models, parsing and error reports."""
 
 from collections.abc import Mapping
 import configparser
@@ -12,22 +12,23 @@
 
 import pydantic
 
-# An HMAC-SHA256 key shorter than the hash weakens the signature.
+# An HMAC-SHA256 key that is shorter than the hash weakens the signature.
 MIN_KEY_BYTES = 32
-# A shorter token can be guessed.
+# A shorter operator token could be guessed.
 MIN_TOKEN_LENGTH = 16
+# Values of these sections are masked in faults.
 SECRET_SECTIONS = ("sessions", "operators")
 
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-    """A setting that is missing or wrong.
+    """A missing or invalid setting.
 
     Attributes:
-        section: Section of the INI file; empty for a fault of the whole file.
-        key: Key in the section; empty for a fault of the whole section.
-        value: What was found; empty for a missing setting or a secret.
-        expectation: What is expected instead.
+        section: Section of the INI file; empty if the whole file is invalid.
+        key: Key in the section; empty if the whole section is invalid.
+        value: The value found; empty if missing, masked if secret.
+        expectation: Description of the expected value.
     """
 
     section: str
@@ -41,18 +42,18 @@
 
 
 def check_address(value: str) -> str:
-    """Returns an address that has an IP address and a port.
+    """Returns the value unchanged if it is an IP address with a port.
 
     Raises:
-        ValueError: If it has not.
+        ValueError: If it is not.
     """
     host, _, port = value.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        known = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+        is_valid = port.isascii() and port.isdigit() and 0 < int(port) < 65536
     except ValueError:
-        known = False
-    if not known:
+        is_valid = False
+    if not is_valid:
         raise ValueError("expected an IP address and a port as in 10.0.0.1:80")
     return value
 
@@ -64,17 +65,17 @@
     return value.rstrip("/")
 
 
-def _split(value: Any) -> Any:
+def _split_list(value: Any) -> Any:
     if not isinstance(value, str):
         return value
     return [part.strip() for part in value.split(",") if part.strip()]
 
 
-def _read_keys(value: Any) -> Any:
+def _parse_keys(value: Any) -> Any:
     if not isinstance(value, str):
         return value
     keys: dict[str, bytes] = {}
-    for entry in _split(value):
+    for entry in _split_list(value):
         key_id, colon, digits = entry.partition(":")
         key_id = key_id.strip()
         try:
@@ -108,11 +109,11 @@
 
     Attributes:
         name: Name of the process in logs and status.
-        address: Host and port of the HTTP front end.
-        peer_address: Host and port for other entry processes.
-        data_centre: Name of the own data centre.
-        region: Name of the own region.
-        slot: Number of this process among the slots of the data centre.
+        address: IP address and port of the HTTP server for callers.
+        peer_address: IP address and port for other entry processes.
+        data_centre: Name of the data centre of this process.
+        region: Name of the region of this process.
+        slot: Index of this process among the slots of the data centre.
         slots: Number of slots of the data centre.
     """
 
@@ -132,45 +133,45 @@
 
 
 class UrlSection(_Section):
-    """A service of the platform."""
+    """Base URL of a platform service."""
 
     url: Url
 
 
 class PeersSection(_Section):
-    """Other entry processes to contact first."""
+    """Other entry processes to contact at start-up."""
 
-    seeds: Annotated[list[Address], pydantic.BeforeValidator(_split)] = []
+    seeds: Annotated[list[Address], pydantic.BeforeValidator(_split_list)] = []
 
 
 class SessionsSection(_Section):
-    """Key ring of session tokens; the first key signs."""
+    """Key ring for session tokens; the first key signs new ones."""
 
     keys: Annotated[
         dict[str, bytes],
-        pydantic.BeforeValidator(_read_keys),
+        pydantic.BeforeValidator(_parse_keys),
         pydantic.Field(min_length=1),
     ]
 
 
 class MetricsSection(_Section):
-    """The statsd server."""
+    """Address of the statsd server."""
 
     host: Name = "127.0.0.1"
     port: int = pydantic.Field(default=8125, ge=1, le=65535)
 
 
 class LogsSection(_Section):
-    """Logging."""
+    """Settings of the log output."""
 
     level: Literal["TRACE", "DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 class OperatorsSection(_Section):
-    """Requests of operators.
+    """Authentication of operators.
 
     Attributes:
-        token: Bearer token of operators; without one they are refused.
+        token: Bearer token; if empty, all operator requests are rejected.
     """
 
     token: str = pydantic.Field(
@@ -179,12 +180,12 @@
 
 
 class RolloutsSection(_Section):
-    """What a stage of a roll-out needs before the next one.
+    """Minimum requirements for advancing a roll-out to the next stage.
 
     Attributes:
         dwell_s: Seconds at the stage.
-        outcomes: Ended answers of the new version.
-        ratings: Rated answers of the new version.
+        outcomes: Ended responses of the new version.
+        ratings: Rated responses of the new version.
     """
 
     dwell_s: float = pydantic.Field(default=300.0, ge=0, allow_inf_nan=False)
@@ -193,7 +194,7 @@
 
 
 class Settings(_Section):
-    """Every setting of an entry process."""
+    """All settings of an entry process."""
 
     process: ProcessSection
     store: UrlSection
@@ -211,7 +212,7 @@
     """Reads and validates an INI file.
 
     Returns:
-        The settings, or every fault of the file.
+        The settings, or all faults of the file.
     """
     try:
         with open(path, encoding="utf-8") as file:
@@ -225,7 +226,7 @@
     """Validates the content of an INI file.
 
     Returns:
-        The settings, or every fault of the content.
+        The settings, or all faults of the content.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -240,14 +241,15 @@
         return Settings.model_validate(sections)
     except pydantic.ValidationError as error:
         return [
-            _read_fault(sections, entry) for entry in _expand(sections, error)
+            _build_fault(sections, entry)
+            for entry in _expand_missing_sections(sections, error)
         ]
 
 
-def _expand(
+def _expand_missing_sections(
     sections: Mapping[str, Mapping[str, str]], error: pydantic.ValidationError
 ) -> list[Any]:
-    """Returns the errors, with a missing section as its missing keys."""
+    """Returns the errors; replaces a missing section by its required keys."""
     entries: list[Any] = []
     for entry in error.errors(include_input=False):
         name = str(entry["loc"][0])
@@ -265,7 +267,9 @@
     return entries
 
 
-def _read_fault(sections: Mapping[str, Mapping[str, str]], entry: Any) -> Fault:
+def _build_fault(
+    sections: Mapping[str, Mapping[str, str]], entry: Any
+) -> Fault:
     location = [str(part) for part in entry["loc"]]
     section = location[0]
     key = location[1] if len(location) > 1 else ""
--- a/sycamorehollow/settings/responses.py
+++ b/sycamorehollow/settings/responses.py
@@ -1,16 +1,16 @@
-"""Validated models of what upstreams and the platform answer."""
+"""Validated models of responses of upstreams and platform services."""
 
 import pydantic
 
 
 class Response(pydantic.BaseModel):
-    """Base of an answer; fields that the router does not use are ignored."""
+    """Base of the response models; ignores unknown fields."""
 
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
 
 class LoadReport(Response):
-    """Answer of an engine to `GET /v1/load`."""
+    """Response of an engine to `GET /v1/load`."""
 
     generation: int
     cold: bool
@@ -24,7 +24,7 @@
 
 
 class CacheEvent(Response):
-    """One event of a prefix cache."""
+    """Change of an engine's prefix cache."""
 
     number: int
     type: str
@@ -32,14 +32,14 @@
 
 
 class CacheEvents(Response):
-    """Answer of an engine to `GET /v1/cache-events`."""
+    """Response of an engine to `GET /v1/cache-events`."""
 
     events: list[CacheEvent]
     last: int
 
 
 class Rating(Response):
-    """One rating of an answer."""
+    """Rating of one response."""
 
     number: int
     request: str
@@ -47,14 +47,14 @@
 
 
 class Ratings(Response):
-    """Answer of the rating service to `GET /v1/ratings`."""
+    """Response of the rating service to `GET /v1/ratings`."""
 
     ratings: list[Rating]
     last: int
 
 
 class Vm(Response):
-    """One VM of the platform's list."""
+    """Entry of the platform's VM list."""
 
     address: str
     data_centre: str
@@ -62,6 +62,6 @@
 
 
 class VmList(Response):
-    """Answer of the platform to `GET /v1/vms`."""
+    """Response of the platform to `GET /v1/vms`."""
 
     vms: list[Vm]
--- a/sycamorehollow/settings/tree.py
+++ b/sycamorehollow/settings/tree.py
@@ -1,4 +1,9 @@
-"""Conversion of the settings tree to the configuration in force."""
+"""Converts the branches of the settings tree to one deployment.
+
+A new revision of a branch that has a fault is rejected as a whole. If a team's
+revision was in force before and another branch causes a fault in it later, only
+the faulty entries are left out.
+"""
 
 from collections.abc import Collection
 from collections.abc import Mapping
@@ -14,16 +19,16 @@
 from sycamorehollow.settings import documents
 
 PLATFORM = "platform"
-# Keeps the recursion over nested cascades far below the interpreter's limit.
+# Keeps the recursion over nested cascades far below the recursion limit.
 MAX_NESTING = 16
 
-# Revision and document of each branch.
+# Branch name to revision and document.
 Branches: TypeAlias = Mapping[str, tuple[int, Mapping[str, Any]]]
 
 
 @dataclasses.dataclass(frozen=True)
 class BranchInvalid(failures.Failure):
-    """A branch, or one entry of it, cannot take effect.
+    """A branch or one of its entries is invalid.
 
     Attributes:
         branch: Name of the branch.
@@ -40,10 +45,10 @@
 def convert(
     branches: Branches, accepted: Collection[str] = ()
 ) -> tuple[deployment.Deployment, dict[str, tuple[BranchInvalid, ...]]]:
-    """Converts all branches to the configuration in force.
+    """Converts all branches to one deployment.
 
-    The platform branch is converted first, the others by rising revision, so
-    that of two branches that claim one name the later one fails.
+    The platform branch is converted first, the others by ascending revision:
+    if two branches use the same name, the fault is reported for the later one.
 
     Args:
         branches: Revision and document of each branch.
@@ -51,7 +56,7 @@
             another branch causes later removes only the faulty entries.
 
     Returns:
-        The configuration of all branches that stand, and the faults by branch.
+        The deployment of all valid branches, and the faults by branch.
     """
     converter = _Converter()
     faults: dict[str, tuple[BranchInvalid, ...]] = {}
@@ -63,13 +68,13 @@
         found = converter.add(name, document, name in accepted)
         if found:
             faults[name] = tuple(found)
-        if converter.stands(name):
+        if converter.is_applied(name):
             converter.revisions[name] = revision
     return converter.build(), faults
 
 
 class _Converter:
-    """Collects the branches that stand."""
+    """Builds a deployment from the branches that are valid."""
 
     def __init__(self) -> None:
         self.revisions: dict[str, int] = {}
@@ -82,14 +87,14 @@
         self._cascades: dict[str, deployment.Cascade] = {}
         self._rollouts: dict[str, deployment.Rollout] = {}
         self._keys: set[str] = set()
-        self._standing: set[str] = set()
+        self._applied: set[str] = set()
 
-    def stands(self, name: str) -> bool:
-        """Tells whether a branch was taken."""
-        return name in self._standing
+    def is_applied(self, name: str) -> bool:
+        """Returns whether a branch is part of the deployment."""
+        return name in self._applied
 
     def build(self) -> deployment.Deployment:
-        """Returns the configuration of the branches added so far."""
+        """Returns the deployment of the branches added so far."""
         return deployment.Deployment(
             versions=self._versions,
             data_centres=self._data_centres,
@@ -104,20 +109,27 @@
     def add(
         self, name: str, document: Mapping[str, Any], accepted: bool
     ) -> list[BranchInvalid]:
-        """Adds one branch and returns its faults."""
+        """Adds a branch and returns its faults.
+
+        Args:
+            name: Name of the branch.
+            document: Document of the branch.
+            accepted: Whether faults remove only the faulty entries instead of
+                rejecting the branch.
+        """
         try:
             if name == PLATFORM:
                 platform = documents.PlatformBranch.model_validate(document)
                 found = _check_platform(platform)
                 if not found:
                     self._add_platform(platform)
-                    self._standing.add(name)
+                    self._applied.add(name)
                 return found
             team = _TeamReader(
                 self, name, documents.TeamBranch.model_validate(document)
             )
         except pydantic.ValidationError as error:
-            return [_name_fault(name, entry) for entry in error.errors()]
+            return [_describe_error(name, entry) for entry in error.errors()]
         team.read()
         if team.faults and not accepted:
             return team.faults
@@ -125,7 +137,7 @@
         self._cascades.update(team.cascades)
         self._rollouts.update(team.rollouts)
         self._keys.update(team.keys)
-        self._standing.add(name)
+        self._applied.add(name)
         return team.faults
 
     def _add_platform(self, branch: documents.PlatformBranch) -> None:
@@ -167,14 +179,15 @@
         return [name for name in names if name not in known]
 
     def is_taken(self, kind: str, name: str) -> bool:
-        """Tells whether an earlier branch already uses a name."""
+        """Returns whether an earlier branch uses a name."""
         if kind == "workspace":
             return name in self._workspaces
         if kind == "rollout":
             return name in self._rollouts
         if kind == "key hash":
             return name in self._keys
-        # Callers use cascades, versions and models in the same field.
+        # Callers name cascades, versions and models in the same field of a
+        # request, so they share a namespace.
         return (
             name in self._cascades
             or name in self._versions
@@ -188,7 +201,7 @@
 
 
 class _TeamReader:
-    """Reads one team branch against the branches that already stand."""
+    """Validates a team branch against the branches applied before it."""
 
     def __init__(
         self, context: _Converter, team: str, branch: documents.TeamBranch
@@ -205,7 +218,7 @@
         self._depths: dict[str, int] = {}
 
     def read(self) -> None:
-        """Converts every entry that has no fault."""
+        """Converts the valid entries and records the faults of the others."""
         if self._branch.deleted:
             return
         for name, workspace in self._branch.workspaces.items():
@@ -215,34 +228,36 @@
         for name, rollout in self._branch.rollouts.items():
             self._read_rollout(name, rollout)
 
-    def _fault(self, path: str, reason: str) -> None:
-        self.faults.append(_fault(self._team, path, reason))
+    def _add_fault(self, path: str, reason: str) -> None:
+        self.faults.append(_build_fault(self._team, path, reason))
 
-    def _claim(self, kind: str, name: str, path: str) -> bool:
+    def _check_free(self, kind: str, name: str, path: str) -> bool:
         if not self._context.is_taken(kind, name):
             return True
-        self._fault(path, f"{kind} {name} is already in use")
+        self._add_fault(path, f"{kind} {name} is already in use")
         return False
 
-    def _keep_known(
+    def _filter_known(
         self, kind: str, names: Collection[str], path: str
     ) -> frozenset[str]:
         missing = self._context.find_missing(kind, names)
         for name in missing:
-            self._fault(path, f"no {kind} is named {name}")
+            self._add_fault(path, f"no {kind} is named {name}")
         return frozenset(names).difference(missing)
 
     def _read_workspace(
         self, name: str, entry: documents.WorkspaceSettings
     ) -> None:
         path = f"workspaces.{name}"
-        if not self._claim("workspace", name, path):
+        if not self._check_free("workspace", name, path):
             return
         keys = []
         for key in entry.key_hashes:
             if key in self.keys:
-                self._fault(f"{path}.key_hashes", f"key hash {key} is repeated")
-            elif self._claim("key hash", key, f"{path}.key_hashes"):
+                self._add_fault(
+                    f"{path}.key_hashes", f"key hash {key} is repeated"
+                )
+            elif self._check_free("key hash", key, f"{path}.key_hashes"):
                 keys.append(key)
                 self.keys.add(key)
         kinds = {
@@ -253,15 +268,15 @@
             name,
             self._team,
             tuple(keys),
-            self._keep_known("version", entry.versions, f"{path}.versions"),
-            self._keep_known("service", entry.services, f"{path}.services"),
+            self._filter_known("version", entry.versions, f"{path}.versions"),
+            self._filter_known("service", entry.services, f"{path}.services"),
             entry.weight,
             kinds,
         )
 
     def _read_cascade(self, name: str) -> None:
         path = f"cascades.{name}"
-        if not self._claim("cascade", name, path):
+        if not self._check_free("cascade", name, path):
             return
         steps = self._flatten(name, (name,))
         if steps:
@@ -269,20 +284,20 @@
                 name, self._team, tuple(steps)
             )
 
-    def _flatten(self, name: str, trail: tuple[str, ...]) -> list[str]:
-        # Without the memory, nested cascades take exponential time.
+    def _flatten(self, name: str, ancestors: tuple[str, ...]) -> list[str]:
+        # Without memoisation, nested cascades would take exponential time.
         if name in self._resolved:
             return self._resolved[name]
         steps: list[str] = []
         depth = 0
         for step in self._branch.cascades[name].steps:
             reason = ""
-            if step in trail:
-                cycle = " -> ".join((*trail, step))
+            if step in ancestors:
+                cycle = " -> ".join((*ancestors, step))
                 reason = f"the cascade is a cycle: {cycle}"
             elif step in self._branch.cascades:
-                if len(trail) <= MAX_NESTING:
-                    steps.extend(self._flatten(step, (*trail, step)))
+                if len(ancestors) <= MAX_NESTING:
+                    steps.extend(self._flatten(step, (*ancestors, step)))
                 depth = max(depth, self._depths.get(step, MAX_NESTING) + 1)
                 if depth > MAX_NESTING:
                     reason = f"cascades nest more than {MAX_NESTING} deep"
@@ -291,7 +306,7 @@
             else:
                 steps.append(step)
             if reason:
-                self._fault(f"cascades.{name}.steps", reason)
+                self._add_fault(f"cascades.{name}.steps", reason)
         self._depths[name] = depth
         self._resolved[name] = list(dict.fromkeys(steps))
         return self._resolved[name]
@@ -301,15 +316,17 @@
     ) -> None:
         path = f"rollouts.{name}"
         before = len(self.faults)
-        self._claim("rollout", name, path)
-        self._keep_known("model", [entry.model], f"{path}.model")
+        self._check_free("rollout", name, path)
+        self._filter_known("model", [entry.model], f"{path}.model")
         for field in ("baseline", "candidate"):
             version = getattr(entry, field)
             if self._context.find_model(version) != entry.model:
                 reason = f"model {entry.model} has no version {version}"
-                self._fault(f"{path}.{field}", reason)
+                self._add_fault(f"{path}.{field}", reason)
         if entry.baseline == entry.candidate:
-            self._fault(f"{path}.candidate", "baseline and candidate are equal")
+            self._add_fault(
+                f"{path}.candidate", "baseline and candidate are equal"
+            )
         if len(self.faults) == before:
             fields = entry.model_dump() | {"stages": tuple(entry.stages)}
             self.rollouts[name] = deployment.Rollout(
@@ -318,7 +335,7 @@
 
 
 def _check_platform(branch: documents.PlatformBranch) -> list[BranchInvalid]:
-    """Returns the references of the platform branch that lead nowhere."""
+    """Returns name clashes and unresolved references of the branch."""
     faults = []
     versions: dict[str, str] = {}
     for model_name, model in branch.models.items():
@@ -326,32 +343,34 @@
             path = f"models.{model_name}.versions.{name}"
             if name in versions or name in branch.models:
                 reason = f"the name {name} is already in use"
-                faults.append(_fault(PLATFORM, path, reason))
+                faults.append(_build_fault(PLATFORM, path, reason))
             versions[name] = model_name
     for name, upstream in branch.upstreams.items():
         path = f"upstreams.{name}"
         if upstream.data_centre not in branch.data_centres:
             reason = f"no data centre is named {upstream.data_centre}"
-            faults.append(_fault(PLATFORM, f"{path}.data_centre", reason))
+            faults.append(_build_fault(PLATFORM, f"{path}.data_centre", reason))
         for version in upstream.versions:
             if version not in versions:
                 reason = f"no version is named {version}"
-                faults.append(_fault(PLATFORM, f"{path}.versions", reason))
+                faults.append(
+                    _build_fault(PLATFORM, f"{path}.versions", reason)
+                )
     for name, service in branch.services.items():
         for replica in service.upstreams:
             if replica not in branch.upstreams:
                 path = f"services.{name}.upstreams"
                 reason = f"no upstream is named {replica}"
-                faults.append(_fault(PLATFORM, path, reason))
+                faults.append(_build_fault(PLATFORM, path, reason))
     return faults
 
 
-def _fault(branch: str, path: str, reason: str) -> BranchInvalid:
+def _build_fault(branch: str, path: str, reason: str) -> BranchInvalid:
     return BranchInvalid(
         f"config/{branch} {path}: {reason}", branch=branch, path=path
     )
 
 
-def _name_fault(branch: str, error: Any) -> BranchInvalid:
+def _describe_error(branch: str, error: Any) -> BranchInvalid:
     path = ".".join(str(part) for part in error["loc"])
-    return _fault(branch, path or ".", error["msg"])
+    return _build_fault(branch, path or ".", error["msg"])
