Rename terms of the chat interface and the relay

Names such as hold, keep, Loss or early could not be told apart or did not say what they hold. They now use the terms of the field: buffered, copied, AttemptFailure, has_pipelined_data. The comments of front, chat, callers and streams follow.

Checked: make lint passes; test_callers and test_chat pass.

--- a/sycamorehollow/shells/assembly.py
+++ b/sycamorehollow/shells/assembly.py
@@ -121,13 +121,13 @@
             timeout_s: Longest wait for pending requests.
         """
         self._draining = True
-        self._front.leaving = True
+        self._front.closing_connections = True
         started = time.monotonic()
         self._loop.post(lifecycle.AdmissionStopped())
         self._loop.post(billing_messages.Flush())
         while time.monotonic() < started + timeout_s:
             waited_s = time.monotonic() - started
-            quiet = self._front.measure_quiet() >= QUIET_PERIOD_S
+            quiet = self._front.get_idle_s() >= QUIET_PERIOD_S
             if (
                 waited_s >= DRAIN_DELAY_S
                 and quiet
@@ -175,7 +175,7 @@
             self._loop.post,
             lambda: self._node.process,
         )
-        self._waiters = services.Waiters()
+        self._pending_results = services.PendingResults()
         self._service_client = calls.ServiceClient(
             lambda service, new: self._loop.run_query(
                 lambda: self._node.list_service_urls(service, new)
@@ -228,7 +228,7 @@
             configuration_messages.CancelCall: self._ignore,
             drains.UpstreamOutOfService: decision_log.log_out_of_service,
             call_messages.ReplyToPeer: self._owners.reply,
-            call_messages.Reply: self._waiters.take,
+            call_messages.Reply: self._pending_results.deliver,
             exchange.SendCall: self._peers.post,
             exchange.SendReply: self._peers.post,
             lifecycle.CancelAttempt: self._cancel_attempt,
@@ -325,14 +325,14 @@
             chat.ChatHandler(self._snapshot, self._relay, self._loop.post),
             services.CallHandler(
                 self._snapshot,
-                self._waiters,
+                self._pending_results,
                 self._service_client,
                 self._loop.post,
                 lambda: self._draining,
             ),
             services.TicketHandler(self._snapshot, self._issue_ticket),
             services.OutcomeHandler(
-                self._snapshot, self._waiters, self._loop.post
+                self._snapshot, self._pending_results, self._loop.post
             ),
             pages.ModelsHandler(self._snapshot),
             pages.HealthHandler(self._check_health),
@@ -378,14 +378,14 @@
 
     def _count_pending(self) -> int:
         return self._loop.run_query(self._node.count_pending) + len(
-            self._waiters
+            self._pending_results
         )
 
     def _report_gauges(self) -> None:
         gauges = self._loop.run_query(
             lambda: self._node.read_gauges(time.monotonic())
         )
-        gauges["relay.held_bytes"] = self._relay.held_bytes
+        gauges["relay.held_bytes"] = self._relay.buffered_bytes
         for name, value in gauges.items():
             self._meter.set_gauge(name, value)
 
@@ -393,6 +393,6 @@
         return {
             "process": self._settings.process.name,
             "state": self._check_health() or "ok",
-            "held_bytes": self._relay.held_bytes,
+            "held_bytes": self._relay.buffered_bytes,
             **self._node.describe(time.monotonic()),
         }
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -1,4 +1,8 @@
-"""The caller side of the relay."""
+"""Non-blocking writes to the connections of callers.
+
+Each caller has a buffer, whose size is reported to the limits on buffered
+bytes (`decisions.requests.buffers`).
+"""
 
 import json
 import selectors
@@ -17,14 +21,14 @@
 
 
 class CallerWriter:
-    """Writes to callers and notices those that have gone."""
+    """Writes to callers and detects those that have disconnected."""
 
     def __init__(self, selector: selectors.BaseSelector):
         self._selector = selector
         self._buffers = buffers.CallerBuffers()
 
     def watch(self, stream: streams.Stream) -> None:
-        """Starts to watch the socket of a caller."""
+        """Registers the socket of a caller with the selector."""
         caller = stream.caller
         caller.sock.setblocking(False)
         self._set_mask(stream, selectors.EVENT_READ)
@@ -33,24 +37,24 @@
         )
 
     @property
-    def held_bytes(self) -> int:
-        """Bytes that wait for slow callers."""
+    def buffered_bytes(self) -> int:
+        """Bytes buffered for slow callers."""
         return self._buffers.get_buffered_bytes()
 
     def unwatch(self, stream: streams.Stream) -> None:
-        """Gives the socket back to the HTTP worker."""
+        """Unregisters the socket and makes it blocking for the HTTP worker."""
         self.forget(stream)
         self._set_mask(stream, 0)
         stream.caller.sock.settimeout(CALLER_TIMEOUT_S)
 
     def forget(self, stream: streams.Stream) -> None:
-        """Drops the account of a stream."""
+        """Removes a stream from the counts of buffered bytes."""
         self._buffers.handle(
             buffers.StreamClosed(stream.request_id), time.monotonic()
         )
 
-    def is_gone(self, stream: streams.Stream) -> bool:
-        """Tells whether the caller closed its connection."""
+    def is_disconnected(self, stream: streams.Stream) -> bool:
+        """Returns whether the caller closed its connection."""
         try:
             data = stream.caller.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -59,33 +63,33 @@
             return True
         if not data:
             return True
-        # The caller sent its next request early. It stays unread until this
+        # The caller has pipelined its next request. It stays unread until this
         # one ends, and must not wake the relay until then.
-        stream.caller.early = True
+        stream.caller.has_pipelined_data = True
         self._update_mask(stream)
         return False
 
     def append(self, stream: streams.Stream, block: bytes) -> None:
-        """Adds events to the buffer of the caller."""
+        """Appends events to the buffer of the caller."""
         stream.caller.buffer += framing.encode_chunk(block)
 
-    def append_end(self, stream: streams.Stream) -> None:
-        """Adds the held events and the end marker."""
+    def append_stream_end(self, stream: streams.Stream) -> None:
+        """Appends the buffered events, the usage event and the end marker."""
         end = framing.encode_event(framing.END_MARKER)
-        self.append(stream, stream.join_held() + end)
+        self.append(stream, stream.join_buffered() + end)
 
     def append_failure(
         self, stream: streams.Stream, failure: failures.Failure
     ) -> None:
-        """Adds the event that ends a truncated answer."""
+        """Appends the failure event that ends a truncated response."""
         body = json.dumps(streams.build_failure_body(failure))
         self.append(stream, framing.encode_event(body))
 
     def flush(self, stream: streams.Stream) -> bool:
-        """Writes what the socket takes.
+        """Writes as much of the buffer as the socket accepts.
 
         Returns:
-            `False` when the caller is gone.
+            `False` when the caller has disconnected.
         """
         caller = stream.caller
         if not caller.buffer:
@@ -103,14 +107,15 @@
         self._update_mask(stream)
         return True
 
-    def account(
+    def update_buffered_bytes(
         self, stream: streams.Stream, now: float
     ) -> list[commands.Command]:
-        """Counts the bytes that wait for a caller.
+        """Reports a change of the bytes that are buffered for a caller.
+
+        Nothing is reported for a caller whose buffer was written at once.
 
         Returns:
-            What the bounds on held bytes ask for. A caller that takes
-            everything at once costs nothing here.
+            Commands of the limits on buffered bytes.
         """
         caller = stream.caller
         change = len(caller.buffer) - caller.counted_bytes
@@ -124,8 +129,8 @@
             event = buffers.BytesSent(name, -change)
         return self._buffers.handle(event, now)
 
-    def find_stalled(self, now: float) -> list[commands.Command]:
-        """Returns what the time without progress asks for."""
+    def check_stalled(self, now: float) -> list[commands.Command]:
+        """Returns the commands for callers that have stopped reading."""
         return self._buffers.handle(events.Tick(), now)
 
     def _request_head(self, stream: streams.Stream) -> None:
@@ -139,7 +144,7 @@
 
     def _update_mask(self, stream: streams.Stream) -> None:
         caller = stream.caller
-        mask = 0 if caller.early else selectors.EVENT_READ
+        mask = 0 if caller.has_pipelined_data else selectors.EVENT_READ
         if caller.buffer:
             mask |= selectors.EVENT_WRITE
         self._set_mask(stream, mask)
--- a/sycamorehollow/shells/chat.py
+++ b/sycamorehollow/shells/chat.py
@@ -1,4 +1,8 @@
-"""Chat-completions requests of callers."""
+"""Handler of `POST /v1/chat/completions`.
+
+An HTTP worker reads the request, hands the socket of the caller to the relay
+and waits until the relay returns it.
+"""
 
 from collections.abc import Callable
 import hashlib
@@ -23,12 +27,13 @@
 from sycamorehollow.shells import relay as relays
 from sycamorehollow.shells import streams
 
-# Affinity gains little from the rest of a long dossier.
-MAX_HASHED_CHARACTERS = 16_384
+# Length of the prompt prefix used for affinity; the rest of a long prompt adds
+# little.
+MAX_PROMPT_HEAD_CHARS = 16_384
 DEFAULT_DEADLINE_S = 60.0
-# The router ends every request at its deadline; a slow caller may read the
-# rest of its buffer for a while longer.
-LOST_GRACE_S = 45.0
+# The router ends every request at its deadline, but a slow caller may take
+# longer to read the rest of its buffer.
+LOST_REQUEST_GRACE_S = 45.0
 MAX_DEADLINE_S = 3600.0
 SESSION_HEADER = "X-Session"
 VERSION_HEADER = "X-Model-Version"
@@ -37,7 +42,7 @@
 
 
 class ChatHandler(front.WorkspaceHandler):
-    """Answers `POST /v1/chat/completions`."""
+    """Handles `POST /v1/chat/completions`."""
 
     method = "POST"
     pattern = "/v1/chat/completions"
@@ -58,19 +63,19 @@
         match: re.Match[str],
         workspace: deployment.Workspace,
     ) -> None:
-        """Serves one request to its final answer."""
+        """Serves one request until its final response is sent."""
         arrived = time.monotonic()
         request = self._read_request(exchange, workspace, arrived)
         if isinstance(request, failures.Failure):
             exchange.send_failure(request)
             return
         reply: queue.SimpleQueue[streams.Reply] = queue.SimpleQueue()
-        caller = streams.CallerSide(
+        caller = streams.CallerConnection(
             exchange.connection.socket, reply, request.stream, request.body
         )
-        # The relay must know the caller before the router can start an
-        # attempt.
-        self._relay.post(relays.Attach(request.request_id, caller))
+        # The relay must have the caller's connection before the router starts
+        # an attempt, so this message is sent first.
+        self._relay.post(relays.AttachCaller(request.request_id, caller))
         self._report(lifecycle.RequestArrived(request))
         self._await_end(exchange, request, reply)
 
@@ -86,10 +91,10 @@
                 self._send_head(exchange, request, message)
                 continue
             if isinstance(message, streams.StreamClosed):
-                if not message.whole:
-                    exchange.cut()
+                if not message.complete:
+                    exchange.abort()
                 return
-            if isinstance(message, streams.Refusal):
+            if isinstance(message, streams.FinalFailure):
                 exchange.send_failure(message.failure)
                 return
             headers = self._build_headers(
@@ -105,20 +110,25 @@
         request: requests.ModelRequest,
         reply: "queue.SimpleQueue[streams.Reply]",
     ) -> streams.Reply:
-        """Waits for the next step; ends a request that the router has lost."""
-        left_s = request.deadline - time.monotonic() + LOST_GRACE_S
+        """Returns the next message of the relay.
+
+        Fails the request if the router has not ended it some time after its
+        deadline.
+        """
+        left_s = request.deadline - time.monotonic() + LOST_REQUEST_GRACE_S
         try:
             return reply.get(timeout=max(0.0, left_s))
         except queue.Empty:
             loguru.logger.error(
-                "front: request={} has no end after its deadline",
+                "front: request={} still open {} s after its deadline",
                 request.request_id,
+                LOST_REQUEST_GRACE_S,
             )
         failure = failures.Overloaded(
             "The router did not end the request in time.",
             failures.Execution.UNKNOWN,
         )
-        # Only the relay may give the socket back, so it ends the request.
+        # Only the relay may return the socket, so the relay ends the request.
         self._relay.post(
             lifecycle.FailRequest(
                 request.request_id, request.workspace, failure
@@ -138,10 +148,11 @@
         try:
             exchange.send_stream_head(headers)
         except OSError:
-            # The relay owns the socket, so it must notice that the caller is
-            # gone; leaving now would close the socket under it.
+            # The relay owns the socket and detects the disconnect itself.
+            # Returning here would close the socket while the relay uses it.
             loguru.logger.debug(
-                "front: request={} lost its caller", request.request_id
+                "front: request={} caller disconnected before the head",
+                request.request_id,
             )
         self._relay.post(relays.HeadSent(request.request_id))
 
@@ -188,7 +199,11 @@
 def read_deadline(
     exchange: exchanges.Exchange, workspace: deployment.Workspace, kind: str
 ) -> float | failures.Failure:
-    """Returns the time in seconds that the caller allows."""
+    """Returns the seconds until the deadline of a request.
+
+    The header `X-Deadline-Ms` has precedence over the default of the request
+    kind.
+    """
     header = exchange.get_header("X-Deadline-Ms")
     if not header:
         policy = workspace.kinds.get(kind)
@@ -207,11 +222,11 @@
     kind: str,
     deadline: float,
 ) -> requests.ModelRequest:
-    """Returns the request that the router serves."""
+    """Returns the request in the form that the router takes."""
     fields = body.model_dump(mode="json", exclude_unset=True)
     fields.pop("model")
-    # The engine always streams: progress can then be seen, and a broken
-    # answer can be resumed.
+    # The engine always streams, so that progress is visible and an interrupted
+    # response can be resumed.
     fields["stream"] = True
     fields["stream_options"] = {"include_usage": True}
     rest = json.dumps(fields).encode()[1:]
@@ -232,5 +247,5 @@
         deadline=deadline,
         session=session,
         idempotency_key=exchange.get_header("Idempotency-Key"),
-        prompt_head=body.join_messages()[:MAX_HASHED_CHARACTERS].encode(),
+        prompt_head=body.join_messages()[:MAX_PROMPT_HEAD_CHARS].encode(),
     )
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -16,7 +16,7 @@
 # A stream without a byte for this long is resumed on a new connection, which
 # is harmless when the engine is only slow.
 SILENCE_TIMEOUT_S = 3.0
-READ_BYTES = 65536
+MAX_READ_BYTES = 65536
 HTTP_OK = 200
 
 
@@ -25,7 +25,7 @@
     """What the selector returns for a socket."""
 
     stream: streams.Stream
-    side: streams.CallerSide | streams.EngineSide
+    connection: streams.CallerConnection | streams.EngineConnection
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,17 +42,17 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Loss:
+class AttemptFailure:
     """Why an attempt is over."""
 
     end: lifecycle.AttemptEnd
     code: str = ""
     retry_after_s: float | None = None
-    answered: bool = False
-    refused: bool = False
+    response_started: bool = False
+    connection_refused: bool = False
 
 
-class EngineReader:
+class EngineClient:
     """Sends requests to engines and reads their streams."""
 
     def __init__(self, selector: selectors.BaseSelector):
@@ -63,9 +63,9 @@
         stream: streams.Stream,
         command: lifecycle.StartAttempt,
         now: float,
-    ) -> Loss | None:
+    ) -> AttemptFailure | None:
         """Starts an attempt; returns why it could not start."""
-        engine = streams.EngineSide(command, now)
+        engine = streams.EngineConnection(command, now)
         stream.begin_attempt(engine)
         parts = urllib.parse.urlsplit(command.url)
         address = (parts.hostname or "", parts.port or 80)
@@ -77,7 +77,7 @@
             engine.sock = connect(address)
         except OSError as error:
             engine.connect_error = error.errno or 0
-            return self.describe_loss(stream)
+            return self.describe_failure(stream)
         self._set_mask(stream, engine, selectors.EVENT_WRITE)
         return None
 
@@ -113,7 +113,7 @@
         engine = stream.engine
         assert engine is not None and engine.sock is not None
         try:
-            data = engine.sock.recv(READ_BYTES)
+            data = engine.sock.recv(MAX_READ_BYTES)
         except BlockingIOError:
             return Batch(b"", closed=False)
         if not data:
@@ -132,7 +132,7 @@
             engine.last_progress = now
         return Batch(block, closed)
 
-    def keep(self, stream: streams.Stream, block: bytes) -> bytes:
+    def process_block(self, stream: streams.Stream, block: bytes) -> bytes:
         """Counts events and returns those that may go to the caller now.
 
         The usage chunk and the end marker stay back until the request is
@@ -141,16 +141,16 @@
         if framing.needs_parsing(block):
             block = self._keep_end(stream, block)
         else:
-            stream.received += framing.count_events(block)
+            stream.received_events += framing.count_events(block)
             stream.tokens += framing.count_tokens(block)
-        if stream.keep and block:
+        if stream.copy_for_rating and block:
             stream.copy_block(block)
-        if not stream.hold:
+        if not stream.buffer_chunks:
             if block:
                 stream.retained = None
             return block
         if block:
-            stream.hold_block(block)
+            stream.buffer_block(block)
         return b""
 
     def _keep_end(self, stream: streams.Stream, block: bytes) -> bytes:
@@ -159,7 +159,7 @@
             if item == framing.END_MARKER:
                 stream.completed = True
                 break
-            stream.received += 1
+            stream.received_events += 1
             event = framing.encode_event(item)
             usage = framing.parse_usage(item)
             if usage is None:
@@ -167,7 +167,7 @@
                 forward.append(event)
                 continue
             stream.usage = usage
-            stream.end = event
+            stream.usage_event = event
         return b"".join(forward)
 
     def pause(self, stream: streams.Stream, paused: bool, now: float) -> None:
@@ -188,7 +188,9 @@
         self._set_mask(stream, engine, 0)
         engine.sock.close()
 
-    def find_silence(self, stream: streams.Stream, now: float) -> Loss | None:
+    def find_timeout(
+        self, stream: streams.Stream, now: float
+    ) -> AttemptFailure | None:
         """Returns why an attempt without progress is over, if it is."""
         engine = stream.engine
         if engine is None or engine.paused:
@@ -196,26 +198,33 @@
         waited_s = now - engine.last_progress
         if engine.sent_bytes == 0:
             if waited_s > CONNECT_TIMEOUT_S:
-                return Loss(lifecycle.AttemptEnd.NOT_SENT)
+                return AttemptFailure(lifecycle.AttemptEnd.NOT_SENT)
             return None
         if waited_s > SILENCE_TIMEOUT_S:
-            answered = engine.response.status == HTTP_OK
-            return Loss(lifecycle.AttemptEnd.SILENT, answered=answered)
+            started = engine.response.status == HTTP_OK
+            return AttemptFailure(
+                lifecycle.AttemptEnd.SILENT, response_started=started
+            )
         return None
 
-    def describe_loss(self, stream: streams.Stream) -> Loss:
+    def describe_failure(self, stream: streams.Stream) -> AttemptFailure:
         """Returns why the connection of an attempt is over."""
         engine = stream.engine
         assert engine is not None
         if engine.sent_bytes == 0:
             refused = engine.connect_error == errno.ECONNREFUSED
-            return Loss(lifecycle.AttemptEnd.NOT_SENT, refused=refused)
+            return AttemptFailure(
+                lifecycle.AttemptEnd.NOT_SENT, connection_refused=refused
+            )
         if engine.response.status in (0, HTTP_OK):
-            return Loss(lifecycle.AttemptEnd.BROKEN)
-        return describe_refusal(engine)
+            return AttemptFailure(lifecycle.AttemptEnd.BROKEN)
+        return parse_error_response(engine)
 
     def _set_mask(
-        self, stream: streams.Stream, engine: streams.EngineSide, mask: int
+        self,
+        stream: streams.Stream,
+        engine: streams.EngineConnection,
+        mask: int,
     ) -> None:
         if engine.mask == mask or engine.sock is None:
             return
@@ -274,7 +283,7 @@
     raise OSError(error, "connection failed")
 
 
-def describe_refusal(engine: streams.EngineSide) -> Loss:
+def parse_error_response(engine: streams.EngineConnection) -> AttemptFailure:
     """Returns what a response other than 200 says about the run."""
     try:
         error = json.loads(engine.error_body)["error"]
@@ -282,11 +291,11 @@
         run = error.get("run")
         retry_after_s = error.get("retry_after_s")
     except (ValueError, KeyError, TypeError):
-        return Loss(lifecycle.AttemptEnd.BROKEN)
+        return AttemptFailure(lifecycle.AttemptEnd.BROKEN)
     if engine.response.status in (400, 404, 413, 422):
         if engine.command.resume_from is not None:
-            return Loss(lifecycle.AttemptEnd.LOST, code)
-        return Loss(lifecycle.AttemptEnd.REJECTED, code)
+            return AttemptFailure(lifecycle.AttemptEnd.LOST, code)
+        return AttemptFailure(lifecycle.AttemptEnd.REJECTED, code)
     if run == "no":
-        return Loss(lifecycle.AttemptEnd.REFUSED, code, retry_after_s)
-    return Loss(lifecycle.AttemptEnd.BROKEN, code, retry_after_s)
+        return AttemptFailure(lifecycle.AttemptEnd.REFUSED, code, retry_after_s)
+    return AttemptFailure(lifecycle.AttemptEnd.BROKEN, code, retry_after_s)
--- a/sycamorehollow/shells/exchange.py
+++ b/sycamorehollow/shells/exchange.py
@@ -105,11 +105,11 @@
         fields["Cache-Control"] = "no-store"
         self._send_head(200, fields)
 
-    def close_after(self) -> None:
+    def close_after_response(self) -> None:
         """Ends the connection after the response."""
         self._request.close_connection = True
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Ends the connection without the end of the response."""
         self._request.close_connection = True
         self._request.chunked_write = False
--- a/sycamorehollow/shells/front.py
+++ b/sycamorehollow/shells/front.py
@@ -1,4 +1,4 @@
-"""The HTTP front towards callers."""
+"""HTTP server of the chat interface: socket, workers, routing, API keys."""
 
 import abc
 import hashlib
@@ -14,19 +14,21 @@
 from sycamorehollow.model import failures
 from sycamorehollow.shells import exchange as exchanges
 
-# A worker only waits while its stream is relayed; 300 streams are the target
-# of a node, the rest are for short requests.
+# A worker blocks while the relay serves its stream. A node is sized for 300
+# concurrent streams; the other workers serve short requests.
 WORKERS = 400
 BACKLOG = 512
 IDLE_TIMEOUT_S = 30
-# Paths of callers; health checks go on while a process leaves.
+# Prefix of the paths that count as traffic of callers. Health checks, which
+# continue while the process shuts down, are outside it.
 API_PREFIX = "/v1/"
 
 
 class Snapshot:
-    """The configuration in force, as the HTTP workers see it.
+    """The configuration in force, as the HTTP workers read it.
 
-    Only the router task replaces it; readers take whole snapshots.
+    Only the router task replaces it. A reader fetches `current` once and then
+    works with that immutable deployment.
     """
 
     def __init__(self):
@@ -34,7 +36,7 @@
         self._by_key: dict[str, str] = {}
 
     def replace(self, current: deployment.Deployment) -> None:
-        """Takes another configuration."""
+        """Replaces the configuration and the index of API keys."""
         by_key = {}
         for workspace in current.workspaces.values():
             for key_hash in workspace.key_hashes:
@@ -45,7 +47,7 @@
     def authenticate(
         self, authorization: str
     ) -> deployment.Workspace | failures.Failure:
-        """Returns the workspace of an `Authorization` header."""
+        """Returns the workspace whose key an `Authorization` header holds."""
         current = self.current
         if current is None:
             return failures.NoConfiguration(
@@ -62,11 +64,11 @@
 
 
 class Handler(abc.ABC):
-    """Answers the requests of one path.
+    """Serves the requests of one path.
 
     Attributes:
-        method: The only method that the path takes.
-        pattern: Regular expression of the whole path.
+        method: The only HTTP method that the path accepts.
+        pattern: Regular expression that matches the whole path.
     """
 
     method = "GET"
@@ -80,7 +82,7 @@
 
 
 class WorkspaceHandler(Handler):
-    """Answers the requests of one path for callers with an API key."""
+    """Serves the requests of one path for callers with an API key."""
 
     def __init__(self, snapshot: Snapshot):
         self._snapshot = snapshot
@@ -88,13 +90,14 @@
     def respond(
         self, exchange: exchanges.Exchange, match: re.Match[str]
     ) -> None:
-        """Finds the workspace of the caller, or refuses."""
+        """Authenticates the caller, or sends the failure."""
         workspace = self._snapshot.authenticate(
             exchange.get_header("Authorization")
         )
         if isinstance(workspace, failures.Failure):
-            # The unread body must not be taken for the next request.
-            exchange.close_after()
+            # The body is unread; on a kept-alive connection it would be parsed
+            # as the next request.
+            exchange.close_after_response()
             exchange.send_failure(workspace)
             return
         self.respond_to(exchange, match, workspace)
@@ -110,12 +113,12 @@
 
 
 class _FrontServer(server.HTTPServer):
-    """The HTTP library's server with the log of this project."""
+    """The server of the HTTP library, which logs through loguru."""
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
-        """Logs what the HTTP library reports."""
+        """Logs an error of the HTTP library."""
         loguru.logger.opt(exception=traceback).log(level, "front: {}", msg)
 
 
@@ -123,13 +126,14 @@
     """Owns the listening socket and the HTTP workers.
 
     Attributes:
-        leaving: Whether each answer is the last one of its connection.
+        closing_connections: Whether each connection is closed after its next
+            response.
     """
 
     def __init__(self, host: str, port: int, handlers: list[Handler]):
-        self.leaving = False
+        self.closing_connections = False
         self._handlers = handlers
-        self._asked_at = time.monotonic()
+        self._last_request_at = time.monotonic()
         self._server = _FrontServer(
             (host, port), self._build_gateway(), server_name="sycamore"
         )
@@ -144,17 +148,17 @@
 
     @property
     def port(self) -> int:
-        """The port that the front listens on."""
+        """The port that the server listens on."""
         return self._server.bind_addr[1]
 
     def start(self) -> None:
-        """Listens and serves."""
+        """Starts to listen and to serve requests."""
         self._server.prepare()
         self._thread.start()
 
-    def measure_quiet(self) -> float:
-        """Returns the seconds since the last request has arrived."""
-        return time.monotonic() - self._asked_at
+    def get_idle_s(self) -> float:
+        """Returns the seconds since the last request of a caller arrived."""
+        return time.monotonic() - self._last_request_at
 
     def stop(self) -> None:
         """Stops listening."""
@@ -165,12 +169,12 @@
         compiled = [(re.compile(h.pattern), h) for h in self._handlers]
 
         class Gateway(server.Gateway):
-            """Gives a request to the handler of its path."""
+            """Dispatches a request to the handler of its path."""
 
             def respond(self) -> None:
-                """Answers one request."""
+                """Serves one request."""
                 exchange = exchanges.Exchange(self.req)
-                front.note_request(exchange)
+                front.record_request(exchange)
                 failure: failures.Failure = failures.NotFound(
                     f"There is no path {exchange.path}."
                 )
@@ -189,9 +193,12 @@
 
         return Gateway
 
-    def note_request(self, exchange: exchanges.Exchange) -> None:
-        """A request has arrived; tells its caller to leave, if it should."""
+    def record_request(self, exchange: exchanges.Exchange) -> None:
+        """Records the arrival of a request; closes its connection if asked to.
+
+        Only requests of callers reset the idle time.
+        """
         if exchange.path.startswith(API_PREFIX):
-            self._asked_at = time.monotonic()
-        if self.leaving:
-            exchange.close_after()
+            self._last_request_at = time.monotonic()
+        if self.closing_connections:
+            exchange.close_after_response()
--- a/sycamorehollow/shells/operators.py
+++ b/sycamorehollow/shells/operators.py
@@ -43,7 +43,7 @@
         self._report = report
 
     @abc.abstractmethod
-    def carry_out(
+    def execute(
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
         """Carries a request out and returns the response.
@@ -59,7 +59,7 @@
         refusal = self._authenticate(exchange.get_header("Authorization"))
         if refusal is not None:
             # The unread body must not be taken for the next request.
-            exchange.close_after()
+            exchange.close_after_response()
             exchange.send_failure(refusal)
             return
         result = self._read_and_carry_out(exchange)
@@ -80,7 +80,7 @@
                 "This node has no configuration yet.", retry_after_s=1.0
             )
         try:
-            return self.carry_out(body, current)
+            return self.execute(body, current)
         except pydantic.ValidationError as error:
             return failures.InvalidRequest(bodies.describe_faults(error))
 
@@ -122,7 +122,7 @@
         super().__init__(token, snapshot, report)
         self._read_stopped = read_stopped
 
-    def carry_out(
+    def execute(
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
         """Stops the new version of a roll-out at once."""
@@ -153,7 +153,7 @@
 
     pattern = "/v1/operator/drains"
 
-    def carry_out(
+    def execute(
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
         """Takes an upstream or a data centre out of service at once."""
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -21,10 +21,10 @@
 POLL_S = 0.25
 
 
-class Attach:
+class AttachCaller:
     """Hands a caller's socket to the relay."""
 
-    def __init__(self, request_id: str, caller: streams.CallerSide):
+    def __init__(self, request_id: str, caller: streams.CallerConnection):
         self.request_id = request_id
         self.caller = caller
 
@@ -48,20 +48,20 @@
         self._report = report
         self._streams: dict[str, streams.Stream] = {}
         self._callers = callers.CallerWriter(self._selector)
-        self._engines = engines.EngineReader(self._selector)
+        self._engines = engines.EngineClient(self._selector)
         self._handlers: dict[type, Callable[[Any], None]] = {
-            Attach: self._attach,
+            AttachCaller: self._attach,
             HeadSent: self._continue_after_head,
             lifecycle.StartAttempt: self._start_attempt,
             lifecycle.CancelAttempt: self._cancel_attempt,
-            lifecycle.FailRequest: self._refuse,
+            lifecycle.FailRequest: self._send_failure,
             lifecycle.FinishRequest: self._finish,
         }
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes that wait for slow callers."""
-        return self._callers.held_bytes
+        return self._callers.buffered_bytes
 
     def _run(self) -> None:
         next_check = time.monotonic() + POLL_S
@@ -121,20 +121,22 @@
         if stream.engine is not None and stream.engine.sock is not None:
             stream.engine.sock.close()
         self._report(lifecycle.CallerDisconnected(request_id, stream.tokens))
-        stream.caller.reply.put(streams.StreamClosed(whole=False))
+        stream.caller.reply.put(streams.StreamClosed(complete=False))
 
     def _serve(self, registration: engines.Registration, mask: int) -> None:
         stream = registration.stream
         if self._streams.get(stream.request_id) is not stream:
             return
-        if registration.side is stream.caller:
+        if registration.connection is stream.caller:
             self._serve_caller(stream, mask)
             return
-        if registration.side is stream.engine:
+        if registration.connection is stream.engine:
             self._serve_engine(stream, mask)
 
     def _serve_caller(self, stream: streams.Stream, mask: int) -> None:
-        if mask & selectors.EVENT_READ and self._callers.is_gone(stream):
+        if mask & selectors.EVENT_READ and self._callers.is_disconnected(
+            stream
+        ):
             self._drop_caller(stream)
             return
         if mask & selectors.EVENT_WRITE:
@@ -144,7 +146,9 @@
         now = time.monotonic()
         if mask & selectors.EVENT_WRITE:
             if not self._engines.send(stream, now):
-                self._fail_attempt(stream, self._engines.describe_loss(stream))
+                self._fail_attempt(
+                    stream, self._engines.describe_failure(stream)
+                )
                 return
         if not mask & selectors.EVENT_READ:
             return
@@ -162,30 +166,30 @@
                 stream.upstream,
                 error,
             )
-            self._fail_attempt(stream, self._engines.describe_loss(stream))
+            self._fail_attempt(stream, self._engines.describe_failure(stream))
             return
         self._take_events(stream, batch)
 
     def _take_events(
         self, stream: streams.Stream, batch: engines.Batch
     ) -> None:
-        if batch.block and stream.received == 0:
+        if batch.block and stream.received_events == 0:
             self._report(
                 lifecycle.FirstChunkArrived(stream.request_id, stream.attempt)
             )
         forward = b""
         if batch.block:
-            forward = self._engines.keep(stream, batch.block)
+            forward = self._engines.process_block(stream, batch.block)
         if forward:
             self._deliver(stream, forward)
         if stream.is_oversized:
-            self._fail_attempt(stream, self._engines.describe_loss(stream))
+            self._fail_attempt(stream, self._engines.describe_failure(stream))
             return
         if stream.completed:
             self._complete_attempt(stream)
             return
         if batch.closed:
-            self._fail_attempt(stream, self._engines.describe_loss(stream))
+            self._fail_attempt(stream, self._engines.describe_failure(stream))
 
     def _deliver(self, stream: streams.Stream, block: bytes) -> None:
         self._callers.append(stream, block)
@@ -196,7 +200,9 @@
             self._drop_caller(stream)
             return
         now = time.monotonic()
-        self._apply_bounds(self._callers.account(stream, now), now)
+        self._apply_bounds(
+            self._callers.update_buffered_bytes(stream, now), now
+        )
         if stream.caller.closing is None or stream.caller.buffer:
             return
         self._detach(stream, stream.caller.closing)
@@ -243,7 +249,7 @@
 
     def _complete_attempt(self, stream: streams.Stream) -> None:
         self._engines.close(stream)
-        answer = stream.join_answer()
+        answer = stream.join_rated_blocks()
         self._report(
             lifecycle.AttemptCompleted(
                 stream.request_id,
@@ -254,19 +260,21 @@
             )
         )
 
-    def _fail_attempt(self, stream: streams.Stream, loss: engines.Loss) -> None:
-        self._log_end(stream, loss.end.value, loss.code)
+    def _fail_attempt(
+        self, stream: streams.Stream, failure: engines.AttemptFailure
+    ) -> None:
+        self._log_end(stream, failure.end.value, failure.code)
         self._engines.close(stream)
         self._report(
             lifecycle.AttemptFailed(
                 stream.request_id,
                 stream.attempt,
-                loss.end,
-                loss.code,
-                stream.received,
-                loss.retry_after_s,
-                loss.answered,
-                loss.refused,
+                failure.end,
+                failure.code,
+                stream.received_events,
+                failure.retry_after_s,
+                failure.response_started,
+                failure.connection_refused,
             )
         )
 
@@ -287,12 +295,12 @@
             who,
             code,
             silent_s,
-            stream.received,
+            stream.received_events,
         )
 
     def _check_progress(self, now: float) -> None:
         try:
-            stalled = self._callers.find_stalled(now)
+            stalled = self._callers.check_stalled(now)
         except Exception as error:
             loguru.logger.opt(exception=error).error(
                 "relay: the check for stalled callers failed"
@@ -306,11 +314,11 @@
                 self._abandon(stream.request_id, error)
 
     def _check_silence(self, stream: streams.Stream, now: float) -> None:
-        loss = self._engines.find_silence(stream, now)
-        if loss is not None:
-            self._fail_attempt(stream, loss)
+        failure = self._engines.find_timeout(stream, now)
+        if failure is not None:
+            self._fail_attempt(stream, failure)
 
-    def _attach(self, message: Attach) -> None:
+    def _attach(self, message: AttachCaller) -> None:
         stream = streams.Stream(message.request_id, message.caller)
         self._streams[message.request_id] = stream
         self._callers.watch(stream)
@@ -326,22 +334,24 @@
         stream = self._streams.get(command.request_id)
         if stream is None:
             return
-        loss = self._engines.open(stream, command, time.monotonic())
-        if loss is not None:
-            self._fail_attempt(stream, loss)
+        failure = self._engines.open(stream, command, time.monotonic())
+        if failure is not None:
+            self._fail_attempt(stream, failure)
 
     def _cancel_attempt(self, command: lifecycle.CancelAttempt) -> None:
         stream = self._streams.get(command.request_id)
         if stream is None or stream.attempt != command.attempt:
             return
         if command.report_end:
-            loss = engines.Loss(lifecycle.AttemptEnd.STOPPED, command.reason)
-            self._fail_attempt(stream, loss)
+            failure = engines.AttemptFailure(
+                lifecycle.AttemptEnd.STOPPED, command.reason
+            )
+            self._fail_attempt(stream, failure)
             return
         self._log_end(stream, command.reason)
         self._engines.close(stream)
 
-    def _refuse(self, command: lifecycle.FailRequest) -> None:
+    def _send_failure(self, command: lifecycle.FailRequest) -> None:
         stream = self._streams.get(command.request_id)
         if stream is None:
             return
@@ -350,11 +360,11 @@
         if not stream.caller.head_requested:
             self._release(stream)
             self._report(lifecycle.FailureSent(stream.request_id, 0))
-            stream.caller.reply.put(streams.Refusal(command.failure))
+            stream.caller.reply.put(streams.FinalFailure(command.failure))
             return
         self._report(lifecycle.FailureSent(stream.request_id, stream.tokens))
         self._callers.append_failure(stream, command.failure)
-        stream.caller.closing = streams.StreamClosed(whole=False)
+        stream.caller.closing = streams.StreamClosed(complete=False)
         self._flush_caller(stream)
 
     def _finish(self, command: lifecycle.FinishRequest) -> None:
@@ -367,16 +377,16 @@
         if not stream.caller.streamed:
             self._release(stream)
             stream.caller.reply.put(
-                streams.WholeAnswer(
-                    stream.join_held(),
+                streams.CompleteResponse(
+                    stream.join_buffered(),
                     command.upstream,
                     command.version,
                     stream.session,
                 )
             )
             return
-        self._callers.append_end(stream)
-        stream.caller.closing = streams.StreamClosed(whole=True)
+        self._callers.append_stream_end(stream)
+        stream.caller.closing = streams.StreamClosed(complete=True)
         self._flush_caller(stream)
 
     def _drop_caller(self, stream: streams.Stream) -> None:
@@ -385,7 +395,7 @@
         self._report(
             lifecycle.CallerDisconnected(stream.request_id, stream.tokens)
         )
-        self._detach(stream, streams.StreamClosed(whole=False))
+        self._detach(stream, streams.StreamClosed(complete=False))
 
     def _detach(
         self, stream: streams.Stream, closed: streams.StreamClosed
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -22,11 +22,11 @@
 
 MAX_KEY_LENGTH = 512
 # The router answers before the caller's deadline; the rest covers the queue.
-GRACE_S = 2.0
+RESULT_GRACE_S = 2.0
 RETRY_AFTER_S = 1.0
 
 
-class Waiters:
+class PendingResults:
     """Callers that wait for the result of a call."""
 
     def __init__(self):
@@ -36,7 +36,7 @@
     def __len__(self) -> int:
         return len(self._replies)
 
-    def take(self, command: messages.Reply) -> None:
+    def deliver(self, command: messages.Reply) -> None:
         """Gives a result to the caller that waits for it."""
         with self._lock:
             reply = self._replies.get(command.request_id)
@@ -55,7 +55,7 @@
             self._replies[request_id] = reply
         try:
             start()
-            left_s = deadline - time.monotonic() + GRACE_S
+            left_s = deadline - time.monotonic() + RESULT_GRACE_S
             return reply.get(timeout=max(0.0, left_s))
         except queue.Empty:
             return messages.UnknownOutcome(
@@ -75,13 +75,13 @@
     def __init__(
         self,
         snapshot: front.Snapshot,
-        waiters: Waiters,
+        pending_results: PendingResults,
         client: calls.ServiceClient,
         report: Callable[[events.Event], None],
         is_draining: Callable[[], bool],
     ):
         super().__init__(snapshot)
-        self._waiters = waiters
+        self._pending_results = pending_results
         self._client = client
         self._report = report
         self._is_draining = is_draining
@@ -98,7 +98,7 @@
             exchange.send_failure(call)
             return
         if call.key:
-            result = self._waiters.wait(
+            result = self._pending_results.wait(
                 call.request_id,
                 call.deadline,
                 lambda: self._report(messages.CallArrived(call)),
@@ -225,11 +225,11 @@
     def __init__(
         self,
         snapshot: front.Snapshot,
-        waiters: Waiters,
+        pending_results: PendingResults,
         report: Callable[[events.Event], None],
     ):
         super().__init__(snapshot)
-        self._waiters = waiters
+        self._pending_results = pending_results
         self._report = report
 
     def respond_to(
@@ -251,7 +251,7 @@
             service=exchange.get_query("service"),
             operation=exchange.get_query("operation"),
         )
-        result = self._waiters.wait(
+        result = self._pending_results.wait(
             asked.request_id, asked.deadline, lambda: self._report(asked)
         )
         send_result(exchange, asked.request_id, result)
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -1,4 +1,4 @@
-"""State of one request in the relay: its caller side and its engine side."""
+"""State of one request in the relay: its caller and engine connections."""
 
 import dataclasses
 import json
@@ -10,16 +10,16 @@
 from sycamorehollow.model import lifecycle
 from sycamorehollow.shells import framing
 
-ERROR_BODY_LIMIT_BYTES = 64 * 1024
-# Bytes of an answer that is held back until it is whole.
-HELD_LIMIT_BYTES = 8 * 1024 * 1024
-# A rating needs a part of a long answer only.
-COPY_LIMIT_BYTES = 64 * 1024
+MAX_ERROR_BODY_BYTES = 64 * 1024
+# Limit of a response that is buffered until it is complete.
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# A rating needs only a part of a long response.
+MAX_COPIED_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
 class SendHead:
-    """Asks the HTTP worker to send the head of a streamed answer."""
+    """Asks the HTTP worker to send the head of a streamed response."""
 
     upstream: str
     version: str
@@ -28,21 +28,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class StreamClosed:
-    """Tells the HTTP worker that the stream is over.
+    """Tells the HTTP worker that the stream has ended.
 
     Attributes:
-        whole: Whether the caller received the whole answer.
+        complete: Whether the caller received the complete response.
     """
 
-    whole: bool
+    complete: bool
 
 
 @dataclasses.dataclass(frozen=True)
-class WholeAnswer:
-    """Gives the HTTP worker a whole answer that was held back.
+class CompleteResponse:
+    """Gives the HTTP worker a complete response that was buffered.
 
     Attributes:
-        block: All events of the answer but the end marker.
+        block: All events of the response except the end marker.
     """
 
     block: bytes
@@ -52,16 +52,16 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Refusal:
-    """Gives the HTTP worker the final failure."""
+class FinalFailure:
+    """Gives the HTTP worker the failure to send to the caller."""
 
     failure: failures.Failure
 
 
-Reply = SendHead | StreamClosed | WholeAnswer | Refusal
+Reply = SendHead | StreamClosed | CompleteResponse | FinalFailure
 
 
-class EngineSide:
+class EngineConnection:
     """One connection to an engine for one attempt."""
 
     def __init__(self, command: lifecycle.StartAttempt, now: float):
@@ -78,13 +78,13 @@
         self.connect_error = 0
 
     def append_error_body(self, body: bytes) -> None:
-        """Keeps the body of a refusal, up to a limit."""
-        room = ERROR_BODY_LIMIT_BYTES - len(self.error_body)
+        """Appends to the body of an error response, up to a limit."""
+        room = MAX_ERROR_BODY_BYTES - len(self.error_body)
         self.error_body += body[:room]
 
 
-class CallerSide:
-    """The connection to a caller while the relay owns it."""
+class CallerConnection:
+    """The connection to a caller while the relay owns its socket."""
 
     def __init__(
         self,
@@ -100,20 +100,20 @@
         self.buffer = bytearray()
         self.head_requested = False
         self.head_sent = False
-        self.early = False
+        self.has_pipelined_data = False
         self.mask = 0
         self.counted_bytes = 0
         self.closing: StreamClosed | None = None
 
     def build_body(self, version: str) -> bytes:
-        """Returns the request body with the version as its model."""
+        """Returns the request body, with the version as its model."""
         model = json.dumps(version).encode()
         return b'{"model": ' + model + b", " + self.body_rest
 
 
 @dataclasses.dataclass(frozen=True)
 class RetainedAnswer:
-    """A whole answer that was held back, while another run is tried."""
+    """A complete buffered response, kept while another version is tried."""
 
     upstream: str
     version: str
@@ -124,99 +124,105 @@
 class Stream:
     """One request in the relay."""
 
-    def __init__(self, request_id: str, caller: CallerSide):
+    def __init__(self, request_id: str, caller: CallerConnection):
         self.request_id = request_id
         self.caller = caller
-        self.engine: EngineSide | None = None
+        self.engine: EngineConnection | None = None
         self.attempt = 0
         self.upstream = ""
         self.version = ""
         self.session = ""
-        self.hold = False
-        self.keep = False
-        self.received = 0
+        self.buffer_chunks = False
+        self.copy_for_rating = False
+        self.received_events = 0
         self.tokens = 0
-        self.held: list[bytes] = []
-        self.held_bytes = 0
-        self.copy: list[bytes] = []
+        self.buffered_blocks: list[bytes] = []
+        self.buffered_bytes = 0
+        self.copied_blocks: list[bytes] = []
         self.copied_bytes = 0
-        self.end = b""
+        self.usage_event = b""
         self.usage: dict[str, Any] | None = None
         self.completed = False
         self.retained: RetainedAnswer | None = None
 
-    def begin_attempt(self, engine: EngineSide) -> None:
-        """Takes a new attempt; a new run forgets the chunks of the last one."""
+    def begin_attempt(self, engine: EngineConnection) -> None:
+        """Begins an attempt.
+
+        A new run discards the chunks of the last one; a resumed run keeps
+        them.
+        """
         command = engine.command
-        whole = self.completed and self.hold and not self.is_oversized
+        whole = self.completed and self.buffer_chunks and not self.is_oversized
         if command.retain_previous and whole:
             self.retained = RetainedAnswer(
-                self.upstream, self.version, self.session, self.join_held()
+                self.upstream, self.version, self.session, self.join_buffered()
             )
         self.engine = engine
         self.attempt = command.attempt
         self.upstream = command.upstream
         self.version = command.version
         self.session = command.session
-        self.hold = command.buffer_chunks or not self.caller.streamed
-        self.keep = command.copy_for_rating and not self.hold
+        self.buffer_chunks = command.buffer_chunks or not self.caller.streamed
+        self.copy_for_rating = (
+            command.copy_for_rating and not self.buffer_chunks
+        )
         self.completed = False
         if command.resume_from is None:
-            self.received = 0
+            self.received_events = 0
             self.tokens = 0
-            self.held.clear()
-            self.held_bytes = 0
-            self.copy.clear()
+            self.buffered_blocks.clear()
+            self.buffered_bytes = 0
+            self.copied_blocks.clear()
             self.copied_bytes = 0
-            self.end = b""
+            self.usage_event = b""
             self.usage = None
 
     def restore_retained(self) -> None:
-        """Takes the retained answer in place of what the last run gave.
+        """Replaces the output of the last run by the retained response.
 
         Raises:
-            LookupError: No answer is retained.
+            LookupError: No response is retained.
         """
         answer = self.retained
         if answer is None:
-            raise LookupError("no answer is retained")
+            raise LookupError("no response is retained")
         self.retained = None
         self.upstream = answer.upstream
         self.version = answer.version
         self.session = answer.session
-        self.held = [answer.block]
-        self.held_bytes = len(answer.block)
-        self.end = b""
+        self.buffered_blocks = [answer.block]
+        self.buffered_bytes = len(answer.block)
+        self.usage_event = b""
 
     @property
     def is_oversized(self) -> bool:
-        """Whether more is held back than any answer needs."""
-        return self.held_bytes > HELD_LIMIT_BYTES
+        """Whether the buffered response exceeds its size limit."""
+        return self.buffered_bytes > MAX_BUFFERED_BYTES
 
-    def hold_block(self, block: bytes) -> None:
-        """Keeps a block of an answer that is held back."""
-        self.held.append(block)
-        self.held_bytes += len(block)
+    def buffer_block(self, block: bytes) -> None:
+        """Buffers a block of a response that is sent when it is complete."""
+        self.buffered_blocks.append(block)
+        self.buffered_bytes += len(block)
 
     def copy_block(self, block: bytes) -> None:
-        """Keeps a block of a delivered answer for its rating."""
-        if self.copied_bytes > COPY_LIMIT_BYTES:
+        """Copies a block of a delivered response for its rating."""
+        if self.copied_bytes > MAX_COPIED_BYTES:
             return
-        self.copy.append(block)
+        self.copied_blocks.append(block)
         self.copied_bytes += len(block)
 
-    def join_answer(self) -> bytes:
-        """Returns the events that are kept for the rating, if any."""
-        if self.hold:
-            return self.join_held()
-        return b"".join(self.copy)
+    def join_rated_blocks(self) -> bytes:
+        """Returns the events of the response to be rated, or no bytes."""
+        if self.buffer_chunks:
+            return self.join_buffered()
+        return b"".join(self.copied_blocks)
 
-    def join_held(self) -> bytes:
-        """Returns the events that were held back, with the usage."""
-        return b"".join([*self.held, self.end])
+    def join_buffered(self) -> bytes:
+        """Returns the buffered events and the usage event."""
+        return b"".join([*self.buffered_blocks, self.usage_event])
 
     def count_output_tokens(self) -> int:
-        """Returns the output tokens of the answer as far as it is known."""
+        """Returns the output tokens: as reported, else as counted so far."""
         if self.usage is not None:
             return int(self.usage.get("completion_tokens", self.tokens))
         return self.tokens
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -18,7 +18,7 @@
         near, self.far = socket.socketpair()
         self.addCleanup(near.close)
         self.addCleanup(self.far.close)
-        caller = streams.CallerSide(near, queue.SimpleQueue(), True, b"}")
+        caller = streams.CallerConnection(near, queue.SimpleQueue(), True, b"}")
         caller.head_sent = True
         self.stream = streams.Stream("r1", caller)
         self.writer = callers.CallerWriter(self.selector)
@@ -27,7 +27,7 @@
     def test_early_next_request_does_not_wake_the_relay_again(self):
         self.far.send(b"POST /v1/chat/completions HTTP/1.1\r\n")
         self.assertEqual(len(self.selector.select(0)), 1)
-        self.assertFalse(self.writer.is_gone(self.stream))
+        self.assertFalse(self.writer.is_disconnected(self.stream))
         self.assertEqual(self.selector.select(0), [])
         self.writer.append(self.stream, b"data: x\n\n")
         self.assertTrue(self.writer.flush(self.stream))
@@ -36,7 +36,7 @@
     def test_closed_connection_is_noticed(self):
         self.far.close()
         self.assertEqual(len(self.selector.select(0)), 1)
-        self.assertTrue(self.writer.is_gone(self.stream))
+        self.assertTrue(self.writer.is_disconnected(self.stream))
 
     def test_full_socket_is_written_when_it_drains(self):
         block = b"data: " + b"x" * 100_000 + b"\n\n"
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -23,9 +23,9 @@
     def post(self, message):
         self.messages.append(message)
         if isinstance(message, relay.HeadSent):
-            self._reply.put(streams.StreamClosed(whole=False))
+            self._reply.put(streams.StreamClosed(complete=False))
         if isinstance(message, lifecycle.FailRequest):
-            self._reply.put(streams.Refusal(message.failure))
+            self._reply.put(streams.FinalFailure(message.failure))
 
 
 class ChatHandlerTest(unittest.TestCase):
@@ -50,11 +50,11 @@
         head = streams.SendHead("a", "small-1", "")
         sent = self._wait(exchange, head, time.monotonic() + 60.0)
         self.assertIsInstance(sent[0], relay.HeadSent)
-        exchange.cut.assert_called_once()
+        exchange.abort.assert_called_once()
 
     def test_request_without_an_end_gets_a_final_failure(self):
         exchange = mock.Mock()
-        late = time.monotonic() - chat.LOST_GRACE_S
+        late = time.monotonic() - chat.LOST_REQUEST_GRACE_S
         self._wait(exchange, None, late)
         failure = exchange.send_failure.call_args.args[0]
         self.assertEqual(failure.code, "overloaded")
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -64,8 +64,8 @@
         near.setblocking(False)
         self.far.settimeout(WAIT_S)
         self.reply = queue.SimpleQueue()
-        caller = streams.CallerSide(near, self.reply, streamed, b"}")
-        self.relay.post(relay.Attach("r", caller))
+        caller = streams.CallerConnection(near, self.reply, streamed, b"}")
+        self.relay.post(relay.AttachCaller("r", caller))
 
     def _start(self, attempt, version, hold):
         self.relay.post(
@@ -99,7 +99,7 @@
             return head.block
         self.relay.post(relay.HeadSent("r"))
         closed = self.reply.get(timeout=WAIT_S)
-        self.assertTrue(closed.whole)
+        self.assertTrue(closed.complete)
         return self.far.recv(65536)
 
     def test_answer_in_hand_outlasts_a_larger_version_that_breaks(self):
@@ -136,7 +136,7 @@
         self.relay.post(lifecycle.FailRequest("r", "maps", failure))
         self.assertEqual(self.reply.get(timeout=WAIT_S).version, "large")
         self.relay.post(relay.HeadSent("r"))
-        self.assertFalse(self.reply.get(timeout=WAIT_S).whole)
+        self.assertFalse(self.reply.get(timeout=WAIT_S).complete)
         received = self.far.recv(65536)
         self.assertIn(b"large ", received)
         self.assertIn(b"answer_truncated", received)
@@ -189,8 +189,8 @@
     def _start(self, version):
         near, far = socket.socketpair()
         near.setblocking(False)
-        caller = streams.CallerSide(near, queue.SimpleQueue(), True, b"}")
-        self.relay.post(relay.Attach(version, caller))
+        caller = streams.CallerConnection(near, queue.SimpleQueue(), True, b"}")
+        self.relay.post(relay.AttachCaller(version, caller))
         self.relay.post(
             lifecycle.StartAttempt(
                 request_id=version,
--- a/tests/test_relay_floods.py
+++ b/tests/test_relay_floods.py
@@ -18,7 +18,7 @@
 from tests import platform_standins
 
 # Memory in bytes that one endless answer may take; a held answer takes most.
-PEAK_BYTES = 3 * streams.HELD_LIMIT_BYTES
+PEAK_BYTES = 3 * streams.MAX_BUFFERED_BYTES
 
 
 class Engine(platform_standins.Server):
@@ -58,8 +58,10 @@
         near, far = socket.socketpair()
         self._sockets.extend((near, far))
         near.setblocking(False)
-        caller = streams.CallerSide(near, queue.SimpleQueue(), streamed, b"}")
-        self.relay.post(relay.Attach(kind, caller))
+        caller = streams.CallerConnection(
+            near, queue.SimpleQueue(), streamed, b"}"
+        )
+        self.relay.post(relay.AttachCaller(kind, caller))
         return near, far
 
     def _run(self, kind, streamed):
@@ -104,7 +106,7 @@
 
     def test_unexpected_error_ends_one_stream_only(self):
         fault = mock.Mock(side_effect=RuntimeError("a fault"))
-        with mock.patch.object(callers.CallerWriter, "is_gone", fault):
+        with mock.patch.object(callers.CallerWriter, "is_disconnected", fault):
             _, far = self._attach("lost", streamed=True)
             far.close()
             event = self.events.get(timeout=2.0)
@@ -129,8 +131,8 @@
         fault = mock.Mock(side_effect=[RuntimeError("a fault"), None, None])
         stalled = mock.Mock(side_effect=[RuntimeError("a fault"), (), ()])
         with (
-            mock.patch.object(engines.EngineReader, "find_silence", fault),
-            mock.patch.object(callers.CallerWriter, "find_stalled", stalled),
+            mock.patch.object(engines.EngineClient, "find_timeout", fault),
+            mock.patch.object(callers.CallerWriter, "check_stalled", stalled),
         ):
             self._attach("lost", streamed=True)
             event = self.events.get(timeout=2.0)
@@ -154,7 +156,7 @@
         found = mock.Mock(return_value=stalled)
         with (
             mock.patch.object(self.relay, "_drop_caller", drop),
-            mock.patch.object(callers.CallerWriter, "find_stalled", found),
+            mock.patch.object(callers.CallerWriter, "check_stalled", found),
         ):
             self.assertEqual(dropped.get(timeout=2.0), "second")
         event = self.events.get(timeout=2.0)
