Reword the texts of sycamorectl

Doc comments told what an operator experiences or were vague (a change, what became of it), and several local names said little (judged, held, answer, step, run). Describe the compare-and-swap writes, the edits and the requests to entry processes in the usual terms. Doc comments that serve as help texts keep their first line.

Checked: make lint passes; the tests of sycamorectl pass (13).

--- a/sycamorehollow/programs/__init__.py
+++ b/sycamorehollow/programs/__init__.py
@@ -1,1 +1,1 @@
-"""The binaries of the router."""
+"""Command-line programs: entry process, gateway, control and load tools."""
--- a/sycamorehollow/programs/ctl.py
+++ b/sycamorehollow/programs/ctl.py
@@ -1,4 +1,7 @@
-"""Control program for operators."""
+"""Control program of operators: the command `sycamorectl`.
+
+The first line of a command's doc comment is its help text.
+"""
 
 import argparse
 from collections.abc import Callable
@@ -14,6 +17,7 @@
 from sycamorehollow.shells import storeclient
 from sycamorehollow.shells import stores
 
+# Exit statuses.
 DONE = 0
 REFUSED = 1
 BAD_USAGE = 2
@@ -37,8 +41,8 @@
         ) from error
 
 
-class _Parser:
-    """Builds the parser, one group of commands after the other."""
+class _ParserBuilder:
+    """Builds the argument parser group by group."""
 
     def __init__(self) -> None:
         self.parser = argparse.ArgumentParser(
@@ -65,7 +69,7 @@
         self._actions: Any = None
 
     def open_group(self, name: str, help_text: str) -> None:
-        """Starts a group of commands."""
+        """Adds a group of commands; `add` adds commands to it."""
         group = self._groups.add_parser(name, help=help_text)
         self._actions = group.add_subparsers(
             dest="action", required=True, metavar="ACTION"
@@ -80,7 +84,16 @@
         needs_store: bool = True,
         **defaults: Any,
     ) -> argparse.ArgumentParser:
-        """Adds a command with positional arguments."""
+        """Adds a command with positional arguments to the current group.
+
+        Args:
+            name: Name of the command.
+            command: Function that executes it.
+            arguments: Names of the positional arguments.
+            needs_team: Whether `--team` is required.
+            needs_store: Whether `--store` is required.
+            defaults: Fixed values in the parsed arguments.
+        """
         help_text = (command.__doc__ or "").splitlines()[0]
         action = self._actions.add_parser(name, help=help_text)
         for argument in arguments:
@@ -96,7 +109,7 @@
     def add_single(
         self, name: str, command: ctl_commands.Command, needs_store: bool
     ) -> argparse.ArgumentParser:
-        """Adds a command that is a group of its own."""
+        """Adds a command without a group."""
         help_text = (command.__doc__ or "").splitlines()[0]
         single = self._groups.add_parser(name, help=help_text)
         single.set_defaults(
@@ -106,8 +119,8 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Returns the parser of the arguments."""
-    parser = _Parser()
+    """Returns the parser of the command line."""
+    parser = _ParserBuilder()
     parser.open_group("workspace", "workspaces of the team")
     create = parser.add("create", ctl_commands.create_workspace, "name")
     create.add_argument("--key-hash", action="append", default=[])
@@ -144,7 +157,7 @@
     return parser.parser
 
 
-def _add_versions(parser: _Parser) -> None:
+def _add_versions(parser: _ParserBuilder) -> None:
     parser.open_group("version", "versions of models")
     add = parser.add(
         "add", ctl_commands.add_version, "model", "version", needs_team=False
@@ -163,7 +176,7 @@
         parser.add(name, command, "version", needs_team=False)
 
 
-def _add_rollouts(parser: _Parser) -> None:
+def _add_rollouts(parser: _ParserBuilder) -> None:
     parser.open_group("rollout", "rollouts of the team")
     start = parser.add("start", ctl_rollouts.start_rollout, "name")
     start.add_argument("--model")
@@ -186,7 +199,7 @@
     stop.add_argument("--reason", default="stopped by an operator")
 
 
-def _add_drains(parser: _Parser) -> None:
+def _add_drains(parser: _ParserBuilder) -> None:
     parser.open_group("drain", "take something out without the store")
     for name, scope in (
         ("upstream", "upstream"),
@@ -204,13 +217,13 @@
 
 
 def _add_entry(action: argparse.ArgumentParser) -> None:
-    """Adds the entry process that an order goes to."""
+    """Adds the URL and token file for a request to an entry process."""
     action.add_argument("--entry", type=_read_url, required=True, metavar="URL")
     action.add_argument("--token-file", required=True, metavar="FILE")
 
 
-def _find_misuse(args: argparse.Namespace) -> str:
-    """Returns what is missing, or an empty string."""
+def _find_usage_error(args: argparse.Namespace) -> str:
+    """Returns which options are missing, or an empty string."""
     if args.needs_team and not args.team:
         return "expected --team with the name of the own branch"
     if args.needs_store and not args.store:
@@ -248,13 +261,13 @@
     arguments: list[str] | None = None,
     open_store: Callable[[str], stores.Store] = storeclient.StoreClient,
 ) -> int:
-    """Carries one command out and returns the exit status."""
+    """Runs one command and returns the exit status."""
     parser = build_parser()
     args = parser.parse_args(arguments)
-    misuse = _find_misuse(args)
-    if misuse:
+    usage_error = _find_usage_error(args)
+    if usage_error:
         parser.print_usage(sys.stderr)
-        print(f"sycamorectl: {misuse}", file=sys.stderr)
+        print(f"sycamorectl: {usage_error}", file=sys.stderr)
         return BAD_USAGE
     if args.check:
         print("the arguments are valid")
--- a/sycamorehollow/programs/ctl_changes.py
+++ b/sycamorehollow/programs/ctl_changes.py
@@ -1,4 +1,8 @@
-"""Carries out an operator's change against the store."""
+"""Reads and writes documents in the store by compare-and-swap.
+
+A write whose response was lost may have taken effect. It is therefore read back
+and recognised by its nonce before it is repeated.
+"""
 
 from collections.abc import Callable
 import json
@@ -18,12 +22,17 @@
 
 
 def draw_nonce() -> str:
-    """Returns a random name for one write."""
+    """Returns a random nonce that identifies one write."""
     return secrets.token_hex(NONCE_BYTES)
 
 
 class Changer:
-    """Reads values and changes one of them by compare-and-swap."""
+    """Reads and conditionally writes the documents of a store.
+
+    Args:
+        store: The store.
+        pause: Sleeps for some seconds between attempts.
+    """
 
     def __init__(
         self, store: stores.Store, pause: Callable[[float], None] = time.sleep
@@ -32,7 +41,7 @@
         self._pause = pause
 
     def read(self, key: str) -> tuple[int, dict[str, Any]] | failures.Failure:
-        """Returns revision and document of a key; 0 and {} if absent."""
+        """Returns the revision and document of a key; 0 and {} if absent."""
         found = self._store.read(key)
         if isinstance(found, failures.Failure):
             return found
@@ -49,12 +58,12 @@
         edit: config_writes.Edit,
         validate: Validate | None = None,
     ) -> config_writes.WriteConfirmed | failures.Failure:
-        """Changes one value, or changes nothing and tells why.
+        """Changes one value, or returns why this failed.
 
         Args:
             key: Key of the value.
-            edit: The change.
-            validate: Returns why the proposed value is refused.
+            edit: Modifies the document.
+            validate: Returns why the new value is invalid, or `None`.
         """
         found = self._store.read(key)
         if isinstance(found, failures.Failure):
@@ -72,30 +81,32 @@
     def write(
         self, proposal: config_writes.ConditionalWrite
     ) -> config_writes.WriteConfirmed | failures.Failure:
-        """Writes a proposal and finds out what became of it."""
+        """Executes a conditional write and determines its outcome."""
         attempts = 0
         in_doubt = False
         while True:
-            answer = self._store.write(
+            response = self._store.write(
                 proposal.key, proposal.text, proposal.expected_revision
             )
-            if isinstance(answer, stores.Written):
+            if isinstance(response, stores.Written):
                 return config_writes.WriteConfirmed(
-                    proposal.key, answer.revision
+                    proposal.key, response.revision
                 )
-            if isinstance(answer, stores.Conflict):
+            if isinstance(response, stores.Conflict):
                 return config_writes.resolve_conflict(
-                    proposal, answer.revision, answer.value
+                    proposal, response.revision, response.value
                 )
-            # Without effect now, but an earlier attempt may have had one.
-            if not isinstance(answer, stores.InDoubt) and not in_doubt:
-                return answer
+            # This attempt had no effect, but an earlier one may have had.
+            if not isinstance(response, stores.InDoubt) and not in_doubt:
+                return response
             in_doubt = True
             attempts += 1
             while True:
-                judged = config_writes.resolve_lost_response(proposal, attempts)
-                if isinstance(judged, failures.Failure):
-                    return judged
+                decision = config_writes.resolve_lost_response(
+                    proposal, attempts
+                )
+                if isinstance(decision, failures.Failure):
+                    return decision
                 self._pause(RETRY_PAUSE_S * attempts)
                 found = self._store.read(proposal.key)
                 if not isinstance(found, failures.Failure):
@@ -109,7 +120,7 @@
                 return outcome
 
     def read_deployment(self) -> deployment.Deployment | failures.Failure:
-        """Returns the configuration that entry processes make of the store."""
+        """Returns the deployment defined by the branches in the store."""
         listing = self._store.list_range(config_writes.PREFIX)
         if isinstance(listing, failures.Failure):
             return listing
@@ -118,17 +129,17 @@
     def validate_branch(
         self, proposal: config_writes.ConditionalWrite
     ) -> failures.Failure | None:
-        """Returns the first fault that a new branch has or causes."""
+        """Returns the first fault in a new branch or caused by it in others."""
         team = proposal.key.removeprefix(config_writes.PREFIX)
         listing = self._store.list_range(config_writes.PREFIX)
         if isinstance(listing, failures.Failure):
             return listing
-        held = _read_branches(listing)
-        _, before = tree.convert(held)
-        # The store gives the write a higher revision than all others.
+        branches = _read_branches(listing)
+        _, before = tree.convert(branches)
+        # The store assigns the write a higher revision than all earlier ones.
         revision = listing.revision + 1
         candidate = json.loads(proposal.text)
-        _, after = tree.convert({**held, team: (revision, candidate)})
+        _, after = tree.convert({**branches, team: (revision, candidate)})
         if team in after:
             return after[team][0]
         for name, faults in sorted(after.items()):
@@ -140,10 +151,10 @@
 def _read_branches(
     listing: stores.Listing,
 ) -> dict[str, tuple[int, dict[str, Any]]]:
-    held: dict[str, tuple[int, dict[str, Any]]] = {}
+    branches: dict[str, tuple[int, dict[str, Any]]] = {}
     for item in listing.items:
         name = item.key.removeprefix(config_writes.PREFIX)
         document = config_writes.read_document(item.key, item.value)
         if isinstance(document, dict):
-            held[name] = (item.revision, document)
-    return held
+            branches[name] = (item.revision, document)
+    return branches
--- a/sycamorehollow/programs/ctl_commands.py
+++ b/sycamorehollow/programs/ctl_commands.py
@@ -1,4 +1,7 @@
-"""Commands of `sycamorectl`; each returns what to print, or a failure."""
+"""Commands of `sycamorectl`; each returns its output or a failure.
+
+The first line of a command's doc comment is its help text.
+"""
 
 import argparse
 from collections.abc import Callable
@@ -22,14 +25,14 @@
 STATUS_TIMEOUT_S = 3.0
 
 Result: TypeAlias = dict[str, Any] | failures.Failure
-# Takes the store, unless the command needs none, and the arguments.
+# Called with the store, if the command needs one, and the arguments.
 Command: TypeAlias = Callable[..., Result]
 
 
 def change_branch(
     store: stores.Store, team: str, edit: config_writes.Edit
 ) -> Result:
-    """Changes the branch of a team by an edit."""
+    """Applies an edit to the branch of a team."""
     changer = ctl_changes.Changer(store)
     return report(
         changer.change(
@@ -39,7 +42,7 @@
 
 
 def report(result: config_writes.WriteConfirmed | failures.Failure) -> Result:
-    """Returns what to print of a change."""
+    """Returns the output of a write."""
     if isinstance(result, failures.Failure):
         return result
     return {"key": result.key, "revision": result.revision}
@@ -200,10 +203,10 @@
     result: dict[str, Any] = {}
     for url in args.entries:
         try:
-            answer = pool.request("GET", url.rstrip("/") + "/v1/status")
-            status = json.loads(answer.data)
-            if answer.status != 200 or not isinstance(status, dict):
-                status = {"error": f"status {answer.status}"}
+            response = pool.request("GET", url.rstrip("/") + "/v1/status")
+            status = json.loads(response.data)
+            if response.status != 200 or not isinstance(status, dict):
+                status = {"error": f"status {response.status}"}
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             status = {"error": str(error)}
         result[url] = status
--- a/sycamorehollow/programs/ctl_edits.py
+++ b/sycamorehollow/programs/ctl_edits.py
@@ -1,4 +1,7 @@
-"""Edits of branches and rollout states, one per command."""
+"""Edits of settings branches, as functions that modify a document.
+
+Each edit returns a failure if it does not apply to the document.
+"""
 
 from collections.abc import Mapping
 import copy
@@ -12,14 +15,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refused(failures.Failure):
-    """The command does not fit the current settings."""
+    """The command cannot be applied to the current settings or state."""
 
     code: ClassVar[str] = "refused"
     status: ClassVar[int] = 409
 
 
 def add_entry(section: str, name: str, entry: Any) -> config_writes.Edit:
-    """Adds a new entry to a section of a branch."""
+    """Returns an edit that adds a new entry to a section of a branch."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         document.pop("deleted", None)
@@ -33,7 +36,7 @@
 
 
 def remove_entry(section: str, name: str) -> config_writes.Edit:
-    """Removes an entry from a section of a branch."""
+    """Returns an edit that removes an entry from a section of a branch."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         if name not in document.get(section, {}):
@@ -47,7 +50,7 @@
 def set_field(
     section: str, name: str, field: str, value: Any
 ) -> config_writes.Edit:
-    """Sets one field of an entry."""
+    """Returns an edit that sets one field of an entry."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         if name not in document.get(section, {}):
@@ -59,7 +62,7 @@
 
 
 def put_branch(new: Mapping[str, Any]) -> config_writes.Edit:
-    """Replaces a whole branch."""
+    """Returns an edit that replaces a whole branch."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         document.clear()
@@ -72,7 +75,7 @@
 def add_version(
     model: str, version: str, prompt_price: int, output_price: int
 ) -> config_writes.Edit:
-    """Adds a version to a model, and the model if it is new."""
+    """Returns an edit that adds a version, and its model if it is new."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         models = document.setdefault("models", {})
@@ -90,7 +93,7 @@
 
 
 def set_version_state(version: str, state: str) -> config_writes.Edit:
-    """Withdraws or restores a version."""
+    """Returns an edit that sets the serving state of a version."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         for model in document.get("models", {}).values():
@@ -105,7 +108,7 @@
 def allow_version(
     workspace: str, version: str, allowed: bool
 ) -> config_writes.Edit:
-    """Allows or forbids a version for a workspace."""
+    """Returns an edit that allows or forbids a version for a workspace."""
 
     def edit(document: dict[str, Any]) -> failures.Failure | None:
         entry = document.get("workspaces", {}).get(workspace)
--- a/sycamorehollow/programs/ctl_rollouts.py
+++ b/sycamorehollow/programs/ctl_rollouts.py
@@ -1,4 +1,9 @@
-"""Commands of `sycamorectl` for roll-outs."""
+"""Commands of `sycamorectl` for roll-outs and operator drains.
+
+Stops and drains go to an entry process directly, so that they work while the
+store is unavailable. The first line of a command's doc comment is its help
+text.
+"""
 
 import argparse
 from collections.abc import Callable
@@ -25,23 +30,23 @@
 DRAIN_PATH = "/v1/operator/drains"
 STOP_TIMEOUT_S = 5.0
 
-# Returns the next stage and state after the recorded ones, or why there are
-# none; the argument is `None` before the roll-out has started.
-Step: TypeAlias = Callable[
+# Returns the stage and state that follow the recorded ones, or a refusal. The
+# argument is `None` before the roll-out has started.
+Transition: TypeAlias = Callable[
     [stages.Stage | None], tuple[int, stages.State] | ctl_edits.Refused
 ]
 
 
 @dataclasses.dataclass(frozen=True)
 class _Recorded:
-    """A configured roll-out and its document in the store.
+    """A configured roll-out and its stored stage document.
 
     Attributes:
         rollout: The configured roll-out.
-        config: Revision of the branch that configures it.
-        revision: Revision of the document; 0 without one.
-        text: The document, or `None`.
-        found: The decoded document; `None` when absent or malformed.
+        config: Revision of the branch that configures the roll-out.
+        revision: Revision of the document; 0 if absent.
+        text: The document; `None` if absent.
+        found: The decoded document; `None` if absent or malformed.
     """
 
     rollout: deployment.Rollout
@@ -52,18 +57,18 @@
 
     @property
     def key(self) -> str:
-        """Key of the document."""
+        """Store key of the document."""
         return stages.KEY_PREFIX + self.rollout.name
 
     @property
-    def run(self) -> str:
+    def rollout_id(self) -> str:
         """Identity of the configured roll-out."""
         return stops.compute_rollout_id(self.rollout)
 
     @property
     def stage(self) -> stages.Stage | None:
-        """The document, unless it is that of an earlier definition."""
-        if self.found is None or self.found.rollout_id != self.run:
+        """The document; `None` if it belongs to an earlier definition."""
+        if self.found is None or self.found.rollout_id != self.rollout_id:
             return None
         return self.found
 
@@ -79,27 +84,27 @@
         return ctl_edits.Refused(
             f"the branch of {args.team} has no valid rollout {args.name}"
         )
-    answer = store.read(stages.KEY_PREFIX + args.name)
-    if isinstance(answer, failures.Failure):
-        return answer
+    response = store.read(stages.KEY_PREFIX + args.name)
+    if isinstance(response, failures.Failure):
+        return response
     config = current.revisions[args.team]
-    if isinstance(answer, stores.Absent):
+    if isinstance(response, stores.Absent):
         return _Recorded(rollout, config, 0, None, None)
-    found = stages.decode(answer.value.encode())
-    return _Recorded(rollout, config, answer.revision, answer.value, found)
+    found = stages.decode(response.value.encode())
+    return _Recorded(rollout, config, response.revision, response.value, found)
 
 
 def _change(
-    store: stores.Store, recorded: _Recorded, step: Step
+    store: stores.Store, recorded: _Recorded, transition: Transition
 ) -> ctl_commands.Result:
-    target = step(recorded.stage)
+    target = transition(recorded.stage)
     if isinstance(target, failures.Failure):
         return target
     written = stages.build_next(
         recorded.found,
         *target,
         recorded.config,
-        recorded.run,
+        recorded.rollout_id,
         ctl_changes.draw_nonce(),
     )
     proposal = config_writes.ConditionalWrite(
@@ -132,7 +137,8 @@
     result = _change(store, recorded, _start)
     if args.candidate is None or not isinstance(result, failures.Failure):
         return result
-    # An entry process that sees the new definition may start it first.
+    # An entry process that has seen the new definition may have started the
+    # roll-out first.
     recorded = _read(store, args)
     if isinstance(recorded, failures.Failure) or recorded.stage is None:
         return result
@@ -153,8 +159,8 @@
     if args.action == "withdraw":
         return _change(store, recorded, _withdraw)
     count = len(recorded.rollout.stages)
-    step = functools.partial(_advance, count, args.stage)
-    return _change(store, recorded, step)
+    transition = functools.partial(_advance, count, args.stage)
+    return _change(store, recorded, transition)
 
 
 def show_rollout(
@@ -203,11 +209,11 @@
 def _advance(
     count: int, expected: int | None, stage: stages.Stage | None
 ) -> Any:
-    """Goes to the next of `count` stages.
+    """Returns the next of `count` stages, or `DONE` after the last one.
 
     Args:
         count: Number of stages.
-        expected: Stage that the operator saw, or `None` for the current one.
+        expected: Stage to advance from; `None` for the current one.
         stage: The recorded stage.
     """
     if stage is None or stage.state is not stages.State.RUNNING:
@@ -241,7 +247,7 @@
 def post_operator_request(
     args: argparse.Namespace, path: str, body: dict[str, str]
 ) -> ctl_commands.Result:
-    """Sends an order of an operator to one entry process."""
+    """Sends an operator request to one entry process."""
     try:
         token = pathlib.Path(args.token_file).read_text("utf-8").strip()
     except (OSError, UnicodeDecodeError) as error:
