Say what the check of a starting process tells

The doc comment described why the check exists only indirectly; it now names what it tells.

Checked: test_gateway_changes and test_unseen_deployments pass (10 tests); ruff reports no finding.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -111,7 +111,7 @@
         return self._has_bit("SigIgn", number)
 
     def is_booting(self, number):
-        """Tells whether the interpreter is too young to ignore a signal."""
+        """Tells whether the process has not yet run the gateway's code."""
         if self.ignores_signal(number) or self._has_bit("SigCgt", number):
             return False
         stat = pathlib.Path(f"/proc/{self._child.pid}/stat").read_text()
