Name a refused connection as in attempts that failed

CallFailed.refused didn't say what was refused; AttemptFailed already calls it connection_refused. Two local names of the peer task and of the calls follow the terms reply and request.

--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -286,7 +286,9 @@
                 self._run, command.op, self._service.look_up, command
             )
         elif isinstance(command, messages.RequestFromOwner):
-            self._peer_workers.submit(self._run, command.op, self._ask, command)
+            self._peer_workers.submit(
+                self._run, command.op, self._request_owner, command
+            )
         else:
             return False
         return True
@@ -329,7 +331,9 @@
             )
         return _convert_failure(command.op, result)
 
-    def _ask(self, command: messages.RequestFromOwner) -> events.Event:
+    def _request_owner(
+        self, command: messages.RequestFromOwner
+    ) -> events.Event:
         result = self._owners.request(command)
         if isinstance(result, stores.Unreachable | stores.InDoubt):
             return _convert_failure(command.op, result)
--- a/sycamorehollow/shells/http_workers.py
+++ b/sycamorehollow/shells/http_workers.py
@@ -27,12 +27,12 @@
     """Failure of a call that got no response.
 
     Attributes:
-        refused: Whether no connection could be established.
+        connection_refused: Whether no connection could be established.
     """
 
     code: ClassVar[str] = "call_failed"
 
-    refused: bool = False
+    connection_refused: bool = False
 
 
 class HttpWorkers:
@@ -62,7 +62,7 @@
         try:
             return self._http.request(method, url, **options)
         except urllib3.exceptions.NewConnectionError as error:
-            return CallFailed(str(error), refused=True)
+            return CallFailed(str(error), connection_refused=True)
         except urllib3.exceptions.HTTPError as error:
             return CallFailed(str(error), execution=failures.Execution.UNKNOWN)
 
--- a/sycamorehollow/shells/peers.py
+++ b/sycamorehollow/shells/peers.py
@@ -189,9 +189,9 @@
         ):
             self._own_process = command.sender
         if isinstance(command, exchange.SendReply):
-            waiting = self._pending_replies.get(command.call)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(command)
+            reply_future = self._pending_replies.get(command.call)
+            if reply_future is not None and not reply_future.done():
+                reply_future.set_result(command)
             return
         if isinstance(command, exchange.SendCall):
             self._spawn(self._call(command))
@@ -315,11 +315,13 @@
         """
         self._calls += 1
         number = self._calls
-        waiting: asyncio.Future[exchange.SendReply] = self._loop.create_future()
-        self._pending_replies[number] = waiting
+        reply_future: asyncio.Future[exchange.SendReply] = (
+            self._loop.create_future()
+        )
+        self._pending_replies[number] = reply_future
         try:
             self._deliver(exchange.CallReceived(number, sender, items))
-            return await asyncio.wait_for(waiting, REPLY_TIMEOUT_S)
+            return await asyncio.wait_for(reply_future, REPLY_TIMEOUT_S)
         finally:
             del self._pending_replies[number]
 
--- a/sycamorehollow/shells/upstream_polls.py
+++ b/sycamorehollow/shells/upstream_polls.py
@@ -70,7 +70,7 @@
         requested_at = time.monotonic()
         response = self._workers.request("GET", f"{upstream.url}/v1/load")
         if isinstance(response, http_workers.CallFailed):
-            if response.refused:
+            if response.connection_refused:
                 self._report(upstream_events.ConnectFailed(upstream.name))
             else:
                 self._report(upstream_events.PollUnanswered(upstream.name))
