Reword the texts of the entry, gateway and load programs

Doc comments and private names of these programs were figurative or vague (told to end, take, note, move, what the command line asks for). State what is imported when and why, and name the load tool's steps after what they do.

--- a/sycamorehollow/programs/entry.py
+++ b/sycamorehollow/programs/entry.py
@@ -1,4 +1,4 @@
-"""The entry router: the binary `sycamore-entry`."""
+"""Entry process: the command `sycamore-entry`."""
 
 import argparse
 import json
@@ -19,7 +19,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Runs the entry router until it is told to end."""
+    """Runs the entry process until SIGTERM or SIGINT."""
     arguments = build_parser().parse_args(argv)
     settings = process.read_settings(arguments.settings)
     if isinstance(settings, list):
@@ -54,7 +54,7 @@
 
 
 def configure_logs(settings: process.Settings) -> None:
-    """Sends structured log lines to standard error."""
+    """Configures logging of structured lines to standard error."""
     loguru.logger.remove()
     loguru.logger.configure(extra={"process": settings.process.name})
     loguru.logger.add(
@@ -66,10 +66,13 @@
 
 
 def serve(settings: process.Settings) -> int:
-    """Runs the tasks until SIGTERM, then drains and ends."""
-    ended = threading.Event()
+    """Runs the tasks until SIGTERM or SIGINT, then drains and stops them.
+
+    Prints one JSON line with the URL and process ID when it is ready.
+    """
+    stop_requested = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: ended.set())
+        signal.signal(number, lambda _number, _frame: stop_requested.set())
     entry = assembly.EntryProcess(settings)
     try:
         entry.start()
@@ -78,7 +81,7 @@
         return EXIT_FAILED
     ready = {"url": entry.url, "pid": os.getpid()}
     print(json.dumps(ready), flush=True)
-    ended.wait()
+    stop_requested.wait()
     loguru.logger.info("entry: draining")
     entry.drain(DRAIN_LIMIT_S)
     entry.stop()
--- a/sycamorehollow/programs/exchanges.py
+++ b/sycamorehollow/programs/exchanges.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges of the load tool, driven by one selector loop."""
+"""HTTP requests of the load tool, run by one selector loop."""
 
 import heapq
 import json
@@ -11,20 +11,21 @@
 
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 READ_BYTES = 65_536
-# A small receive buffer makes the sender notice a slow reader early.
+# A small receive buffer, so that the sender soon sees back-pressure from a slow
+# reader.
 SLOW_RECEIVE_BYTES = 4_096
 SLOW_PERIOD_S = 0.1
 MAX_WAIT_S = 0.05
 
 
 class Exchange:
-    """One request and its response.
+    """One HTTP request and its response.
 
     Attributes:
         outcome: `complete`, `truncated`, `refused_<code>`,
             `connection_failed`, `unfinished` or `not_sent`.
         first_token_s: Seconds from the start to the first token.
-        gaps_s: Seconds between the tokens after it.
+        gaps_s: Seconds between consecutive tokens.
     """
 
     def __init__(
@@ -57,20 +58,20 @@
         self._ended = False
 
     def on_body(self, data: bytes) -> None:
-        """Takes a piece of the body; called by the parser."""
+        """Processes a part of the body; called by the parser."""
         self._buffer += data
         if not self._is_event_stream():
             return
         *events, self._buffer = self._buffer.split(b"\n\n")
         for event in events:
-            self._take_event(event)
+            self._process_event(event)
 
     def on_message_complete(self) -> None:
-        """Notes the end of the response; called by the parser."""
+        """Records the end of the response; called by the parser."""
         self._ended = True
 
     def receive(self, data: bytes) -> bool:
-        """Takes bytes of the response; true when it has ended."""
+        """Processes bytes of the response; returns whether it has ended."""
         if not data:
             self._ended = True
         else:
@@ -81,15 +82,15 @@
         """Records the outcome and closes the connection.
 
         Args:
-            outcome: Empty if the response itself tells.
+            outcome: The outcome; if empty, it is derived from the response.
         """
-        self.outcome = outcome or self._name_outcome()
+        self.outcome = outcome or self._derive_outcome()
         self.connection.close()
 
     def _is_event_stream(self) -> bool:
         return self.stream and self._parser.get_status_code() == 200
 
-    def _take_event(self, event: bytes) -> None:
+    def _process_event(self, event: bytes) -> None:
         now = time.monotonic()
         self.events += 1
         if b"data: [DONE]" in event:
@@ -97,21 +98,21 @@
         elif event.startswith(b"event: error") or b'"error":' in event:
             self._failed = True
         elif b'"content"' in event and b'"content": ""' not in event:
-            self._note_token(now)
+            self._record_token(now)
 
-    def _note_token(self, now: float) -> None:
+    def _record_token(self, now: float) -> None:
         if self.first_token_s is None:
             self.first_token_s = now - self._start
         else:
             self.gaps_s.append(now - self._last)
         self._last = now
 
-    def _name_outcome(self) -> str:
+    def _derive_outcome(self) -> str:
         status = self._parser.get_status_code()
         if not status:
             return "connection_failed"
         if status != 200:
-            return f"refused_{self._read_code(status)}"
+            return f"refused_{self._parse_error_code(status)}"
         if self.stream:
             complete = self._done and not self._failed
             return "complete" if complete else "truncated"
@@ -121,7 +122,7 @@
             return "truncated"
         return "complete"
 
-    def _read_code(self, status: int) -> str:
+    def _parse_error_code(self, status: int) -> str:
         try:
             return str(json.loads(self._buffer)["error"]["code"])
         except (ValueError, KeyError, TypeError):
@@ -129,7 +130,7 @@
 
 
 class Loop:
-    """Selector loop that owns the connections of all exchanges."""
+    """Selector loop that runs the connections of all exchanges."""
 
     def __init__(self) -> None:
         self._selector = selectors.DefaultSelector()
@@ -137,11 +138,11 @@
         self._paused: list[tuple[float, int, Exchange]] = []
 
     def count_open(self) -> int:
-        """Returns the number of exchanges that have not ended."""
+        """Returns the number of exchanges in progress."""
         return len(self._open)
 
     def begin(self, exchange: Exchange) -> None:
-        """Connects without waiting."""
+        """Starts a non-blocking connect and registers the exchange."""
         connection = exchange.connection
         connection.setblocking(False)
         if exchange.slow:
@@ -153,7 +154,12 @@
         self._selector.register(connection, selectors.EVENT_WRITE, exchange)
 
     def run_until(self, deadline: float, stop_when_idle: bool = False) -> None:
-        """Moves exchanges forward until a monotonic time."""
+        """Runs the exchanges until a deadline on the monotonic clock.
+
+        Args:
+            deadline: Time at which to return.
+            stop_when_idle: Whether to return early if no exchange is open.
+        """
         while not (stop_when_idle and not self._open):
             now = time.monotonic()
             while self._paused and self._paused[0][0] <= now:
@@ -163,18 +169,18 @@
                 )
             wait_s = min(max(0.0, deadline - now), MAX_WAIT_S)
             for key, _ in self._selector.select(wait_s):
-                self._move(key.data)
+                self._process_ready(key.data)
             if time.monotonic() >= deadline:
                 return
 
     def close(self) -> None:
-        """Gives up the exchanges that have not ended."""
+        """Ends all open exchanges as unfinished and closes the selector."""
         for exchange in list(self._open):
             exchange.finish("unfinished")
         self._open.clear()
         self._selector.close()
 
-    def _move(self, exchange: Exchange) -> None:
+    def _process_ready(self, exchange: Exchange) -> None:
         connection = exchange.connection
         try:
             if exchange.unsent:
--- a/sycamorehollow/programs/gateway.py
+++ b/sycamorehollow/programs/gateway.py
@@ -1,4 +1,8 @@
-"""The gateway on the users' platform: the binary `sycamore-gateway`."""
+"""Gateway: the command `sycamore-gateway`.
+
+Only the modules that are needed to listen are imported at the start. The rest
+is loaded while callers can already connect.
+"""
 
 import argparse
 import gc
@@ -13,14 +17,16 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Runs the gateway until it is told to end."""
+    """Runs the gateway and returns its exit status."""
     arguments = build_parser().parse_args(argv)
-    # A signal to reload would end a process that still loads its modules. What
-    # it announces is read later, with all settings.
+    # By default SIGHUP, the request to reload the settings, would terminate the
+    # process while it is importing. Ignoring it loses nothing: all settings are
+    # read afterwards.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listener = None if arguments.check else open_listener(arguments.settings)
-    # Each of these takes a tenth of the loading: the search of all packages for
-    # plug-ins, and the search of modules, which are no garbage.
+    # pydantic's search of all packages for plug-ins and the garbage collector's
+    # scans of imported modules, which are never garbage, each take a tenth of
+    # the import time.
     os.environ.setdefault("PYDANTIC_DISABLE_PLUGINS", "1")
     gc.disable()
     from sycamorehollow.programs import gateway_command
@@ -29,14 +35,14 @@
 
 
 def open_listener(path: pathlib.Path) -> socket.socket | None:
-    """Listens for callers while the modules are loaded.
+    """Opens the listening socket for callers before the imports.
 
-    A restarted node is back for its callers that much earlier: they wait a
-    part of a second for their answer instead of finding nobody.
+    This shortens the outage at a restart: callers wait a fraction of a second
+    in the backlog instead of having their connections refused.
 
     Returns:
-        `None` if the address is not known or cannot be bound; the fault shows
-        when the settings are read.
+        The socket, or `None` if the address is unknown or cannot be bound; the
+        fault is then reported when the settings are read.
     """
     address = settings_lines.read_front_address(path)
     if address is None:
--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -1,4 +1,8 @@
-"""What the command line of the gateway asks for."""
+"""Runs the gateway, or checks its settings, as the command line requests.
+
+Separate from `gateway`, which opens the listening socket before this module and
+its imports are loaded.
+"""
 
 import argparse
 import asyncio
@@ -20,11 +24,11 @@
 
 
 def run(arguments: argparse.Namespace, listener: socket.socket | None) -> int:
-    """Runs the gateway until it is told to end.
+    """Runs the gateway and returns its exit status.
 
     Args:
         arguments: The parsed command line.
-        listener: Socket that listens for callers, if it is open already.
+        listener: Socket that already listens for callers, or `None`.
     """
     path: pathlib.Path = arguments.settings
     settings = platform_settings.read_settings(path)
--- a/sycamorehollow/programs/load.py
+++ b/sycamorehollow/programs/load.py
@@ -1,4 +1,8 @@
-"""Load tool: open-loop requests against entries, engines or both."""
+"""Load generator: open-loop requests to entry processes, engines or both.
+
+The same plan is sent to both groups at once, so that the difference of their
+latencies is what the router adds.
+"""
 
 import argparse
 from collections.abc import Iterator
@@ -22,12 +26,12 @@
 
 
 class ArgumentError(Exception):
-    """An argument is wrong; the text names it and what was expected."""
+    """Invalid argument; the text has its value and the expectation."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """One kind of request in the mix."""
+    """Kind of request in the mix."""
 
     name: str
     weight: float
@@ -37,10 +41,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """What is sent: bounded in count and in time.
+    """Parameters of a run; `count` and `seconds` both limit it.
 
     Attributes:
-        rate_per_s: Mean rate of arrivals of each lane.
+        rate_per_s: Mean arrival rate of each lane.
         slow_share: Share of callers that read slowly.
     """
 
@@ -67,7 +71,7 @@
 
 
 def parse_target(url: str) -> Target:
-    """Reads a base URL; only loopback addresses are accepted.
+    """Parses a base URL; only loopback addresses are accepted.
 
     Raises:
         ArgumentError: If the URL names another address or no port.
@@ -86,7 +90,7 @@
 
 
 def parse_mix(text: str) -> tuple[Kind, ...]:
-    """Reads `kind=weight:prompt characters:output tokens` items.
+    """Parses `kind=weight:prompt characters:output tokens` items.
 
     Raises:
         ArgumentError: If an item has another form.
@@ -106,7 +110,7 @@
 
 @dataclasses.dataclass
 class Lane:
-    """Requests to one group of targets and what became of them."""
+    """A group of targets and the finished requests to it."""
 
     name: str
     targets: list[Target]
@@ -116,13 +120,13 @@
     next_target: int = 0
 
     def choose_target(self) -> Target:
-        """Returns the targets in turn."""
+        """Returns the next target in round-robin order."""
         self.next_target += 1
         return self.targets[self.next_target % len(self.targets)]
 
 
 def draw_arrivals(plan: Plan, rng: random.Random) -> Iterator[float]:
-    """Yields arrival times in seconds from the start."""
+    """Yields Poisson arrival times in seconds from the start."""
     at = 0.0
     for _ in range(plan.count):
         at += rng.expovariate(plan.rate_per_s)
@@ -134,10 +138,11 @@
 def make_exchange(
     plan: Plan, lane: Lane, number: int, rng: random.Random
 ) -> exchanges.Exchange:
-    """Draws a request of the mix."""
+    """Builds a random request of the mix."""
     weights = [kind.weight for kind in plan.kinds]
     kind = rng.choices(plan.kinds, weights)[0]
-    # The number in front keeps prompts apart; a shared prefix is not wanted.
+    # The number comes first, so that prompts share no prefix that an engine
+    # could have cached.
     prompt = f"{plan.seed}-{number} ".ljust(kind.prompt_characters, "x")
     stream = rng.random() < plan.stream_share
     document = {
@@ -168,7 +173,7 @@
 
 
 def run_plan(plan: Plan, lanes: list[Lane]) -> None:
-    """Sends the plan to every lane at the same time."""
+    """Sends the requests of the plan to all lanes at the same time."""
     loop = exchanges.Loop()
     arrivals: list[tuple[float, int, Lane]] = []
     for index, lane in enumerate(lanes):
@@ -196,7 +201,7 @@
 
 
 def read_processor_s(pids: list[int]) -> float:
-    """Returns the processor time in seconds that processes have used."""
+    """Returns the total CPU time of processes in seconds."""
     total = 0
     for pid in pids:
         try:
@@ -209,7 +214,7 @@
 
 
 def get_percentile(values: list[float], percent: int) -> float | None:
-    """Returns a percentile by the nearest rank; `None` without values."""
+    """Returns a nearest-rank percentile; `None` without values."""
     if not values:
         return None
     ordered = sorted(values)
@@ -218,7 +223,7 @@
 
 
 def summarise(lane: Lane) -> dict:
-    """Returns the figures of a lane; times are in milliseconds."""
+    """Returns the results of a lane; latencies are in milliseconds."""
     outcomes: dict[str, int] = {}
     first: list[float] = []
     gaps: list[float] = []
@@ -247,7 +252,7 @@
 
 
 def compare(summaries: list[dict]) -> dict:
-    """Returns how much the first lane adds to the second one."""
+    """Returns the latency that the first lane adds to the second one."""
     added: dict[str, dict] = {}
     for name in ("first_token_ms", "between_tokens_ms"):
         added[name] = {}
@@ -259,7 +264,7 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Builds the argument parser."""
+    """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog="sycamore-load",
         description="Sends open-loop load to loopback targets.",
@@ -290,10 +295,10 @@
 
 
 def build_plan(arguments: argparse.Namespace) -> Plan:
-    """Validates the arguments.
+    """Builds the plan from the arguments.
 
     Raises:
-        ArgumentError: For the first argument that is wrong.
+        ArgumentError: For the first invalid argument.
     """
     limits = (
         ("--rate", arguments.rate, MAX_RATE_PER_S),
