Reword the texts of the relay, its peers in shells, and their tests

Comments and messages told stories or used private terms. They now say what the code does and why; log lines name the failure with its limit. The relay's private methods follow.

--- a/sycamorehollow/shells/bounded_http.py
+++ b/sycamorehollow/shells/bounded_http.py
@@ -1,9 +1,9 @@
-"""HTTP connections whose answers are limited in time and bytes.
+"""HTTP connections whose responses are limited in time and size.
 
-The timeouts of the HTTP library start again with each byte, and it reads lines
-of any length. A server in trouble that sends now and then a byte, interim
-answers, or a chunk size without end would keep a thread and its memory for as
-long as it likes.
+The timeouts of the HTTP library restart with each byte received, and it reads
+lines of any length. A faulty server that sends single bytes at intervals,
+endless interim responses or an endless chunk size could occupy a thread and its
+memory indefinitely.
 """
 
 import http.client
@@ -16,67 +16,67 @@
 import urllib3
 import urllib3.connection
 
-# Time in seconds for an answer on a socket that has no timeout.
+# Time for a response on a socket that has no timeout.
 DEFAULT_LIMIT_S = 30.0
 
 
 class LimitExceededError(OSError):
-    """An answer is too long or takes too long."""
+    """A response is too long or takes too long."""
 
 
 class _LimitedReader(io.RawIOBase):
-    """Reads one answer from a socket.
+    """Reads one response from a socket.
 
     Args:
-        sock: The socket; its timeout is that of the whole answer.
-        max_bytes: Bytes of the answer, its head and framing included.
+        sock: The socket; its timeout applies to the whole response.
+        max_bytes: Limit of the response, including its head and framing.
     """
 
     def __init__(self, sock: socket.socket, max_bytes: int):
         super().__init__()
         self._sock = sock
-        # Keeps the descriptor open until the answer is read.
+        # Keeps the file descriptor open until the response is read.
         self._file = sock.makefile("rb", buffering=0)
-        self._left = max_bytes
+        self._left_bytes = max_bytes
         limit_s = sock.gettimeout()
-        self._end = time.monotonic() + (limit_s or DEFAULT_LIMIT_S)
+        self._deadline = time.monotonic() + (limit_s or DEFAULT_LIMIT_S)
 
     def readable(self) -> bool:
-        """Whether the stream can be read."""
+        """Returns `True`."""
         return True
 
     def readinto(self, buffer: Any) -> int | None:
-        """Reads what has arrived.
+        """Reads the bytes that have arrived.
 
         Raises:
-            LimitExceededError: The answer exceeds a limit.
+            LimitExceededError: The response exceeds a limit.
             TimeoutError: Nothing arrives in time.
         """
-        left_s = self._end - time.monotonic()
+        left_s = self._deadline - time.monotonic()
         if left_s <= 0:
-            raise LimitExceededError("the answer takes too long")
-        if self._left <= 0:
-            raise LimitExceededError("the answer is too long")
+            raise LimitExceededError("response not complete within its timeout")
+        if self._left_bytes <= 0:
+            raise LimitExceededError("response exceeds its size limit")
         self._sock.settimeout(left_s)
         count = self._file.readinto(buffer)
-        self._left -= count or 0
+        self._left_bytes -= count or 0
         return count
 
     def close(self) -> None:
-        """Gives the socket back."""
+        """Closes the file of the socket."""
         self._file.close()
         super().close()
 
 
 class _LimitedSocket:
-    """What the library needs of a socket to read an answer."""
+    """The part of the socket interface that the library reads with."""
 
     def __init__(self, sock: socket.socket, max_bytes: int):
         self._sock = sock
         self._max_bytes = max_bytes
 
     def makefile(self, mode: str) -> io.BufferedReader:
-        """Opens the answer."""
+        """Returns a reader of the response."""
         return io.BufferedReader(_LimitedReader(self._sock, self._max_bytes))
 
 
@@ -85,11 +85,11 @@
 ) -> urllib3.HTTPConnectionPool:
     """Returns a pool of connections to the host of a URL.
 
-    The read timeout of a call is that of its whole answer.
+    The read timeout of a call applies to its whole response.
 
     Args:
         url: Address of the server.
-        max_bytes: Bytes of one answer.
+        max_bytes: Limit of one response.
         options: Passed on to `urllib3.HTTPConnectionPool`.
     """
     parts = urllib.parse.urlsplit(url)
@@ -98,10 +98,10 @@
 
 
 def open_manager(max_bytes: int, **options: Any) -> urllib3.PoolManager:
-    """Returns pools of connections to any hosts, limited alike.
+    """Returns a manager of pools whose connections have the same limit.
 
     Args:
-        max_bytes: Bytes of one answer.
+        max_bytes: Limit of one response.
         options: Passed on to `urllib3.PoolManager`.
     """
     manager = urllib3.PoolManager(**options)
@@ -110,22 +110,26 @@
 
 
 def _build_pool_class(max_bytes: int) -> type[urllib3.HTTPConnectionPool]:
-    """Returns a class of pools; the library takes the limit from the class."""
+    """Returns a pool class with the limit.
+
+    The library creates connections and responses from class attributes, so the
+    limit is bound to classes.
+    """
 
     class Response(http.client.HTTPResponse):
-        """An answer within the limits."""
+        """A response with limits."""
 
         def __init__(self, sock: Any, *args: Any, **keywords: Any):
             limited: Any = _LimitedSocket(sock, max_bytes)
             super().__init__(limited, *args, **keywords)
 
     class Connection(urllib3.connection.HTTPConnection):
-        """A connection whose answers are limited."""
+        """A connection whose responses are limited."""
 
         response_class = Response
 
     class Pool(urllib3.HTTPConnectionPool):
-        """Connections whose answers are limited."""
+        """A pool of connections whose responses are limited."""
 
         ConnectionCls = Connection
 
--- a/sycamorehollow/shells/callers.py
+++ b/sycamorehollow/shells/callers.py
@@ -53,7 +53,7 @@
             buffers.StreamClosed(stream.request_id), time.monotonic()
         )
 
-    def is_disconnected(self, stream: streams.Stream) -> bool:
+    def is_closed(self, stream: streams.Stream) -> bool:
         """Returns whether the caller closed its connection."""
         try:
             data = stream.caller.sock.recv(1, socket.MSG_PEEK)
@@ -107,7 +107,7 @@
         self._update_mask(stream)
         return True
 
-    def update_buffered_bytes(
+    def update_buffered(
         self, stream: streams.Stream, now: float
     ) -> list[commands.Command]:
         """Reports a change of the bytes that are buffered for a caller.
--- a/sycamorehollow/shells/completions.py
+++ b/sycamorehollow/shells/completions.py
@@ -1,4 +1,4 @@
-"""Whole chat completions, built from the chunks of an engine."""
+"""Conversion of streamed chunks to complete chat completions."""
 
 import json
 from typing import Any
@@ -7,7 +7,7 @@
 
 
 def join_text(block: bytes) -> str:
-    """Returns the text of the answer in a block of events."""
+    """Returns the concatenated text of a block of events."""
     parts = []
     for data in framing.parse_events(block):
         for choice in json.loads(data).get("choices", ()):
@@ -16,10 +16,10 @@
 
 
 def build_completion(block: bytes) -> dict[str, Any]:
-    """Returns the chat completion that the chunks add up to.
+    """Returns the chat completion assembled from streamed chunks.
 
     Args:
-        block: All events of the answer but the end marker.
+        block: All events of the response except the end marker.
     """
     completion: dict[str, Any] = {"object": "chat.completion", "choices": []}
     choices: dict[int, dict[str, Any]] = {}
--- a/sycamorehollow/shells/engines.py
+++ b/sycamorehollow/shells/engines.py
@@ -1,4 +1,4 @@
-"""The engine side of the relay."""
+"""Non-blocking connections of the relay to engines."""
 
 import dataclasses
 import errno
@@ -13,8 +13,8 @@
 from sycamorehollow.shells import streams
 
 CONNECT_TIMEOUT_S = 1.0
-# A stream without a byte for this long is resumed on a new connection, which
-# is harmless when the engine is only slow.
+# A stream without progress for this long is resumed on a new connection, which
+# does no harm if the engine is only slow.
 SILENCE_TIMEOUT_S = 3.0
 MAX_READ_BYTES = 65536
 HTTP_OK = 200
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Registration:
-    """What the selector returns for a socket."""
+    """The data that the selector returns with a socket."""
 
     stream: streams.Stream
     connection: streams.CallerConnection | streams.EngineConnection
@@ -33,8 +33,8 @@
     """Events that were received together.
 
     Attributes:
-        block: Whole events as they were received.
-        closed: Whether the response or the connection is over.
+        block: Complete events, as they were received.
+        closed: Whether the response or the connection has ended.
     """
 
     block: bytes
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptFailure:
-    """Why an attempt is over."""
+    """Why an attempt failed."""
 
     end: lifecycle.AttemptEnd
     code: str = ""
@@ -53,7 +53,7 @@
 
 
 class EngineClient:
-    """Sends requests to engines and reads their streams."""
+    """Sends requests to engines and reads their response streams."""
 
     def __init__(self, selector: selectors.BaseSelector):
         self._selector = selector
@@ -64,12 +64,13 @@
         command: lifecycle.StartAttempt,
         now: float,
     ) -> AttemptFailure | None:
-        """Starts an attempt; returns why it could not start."""
+        """Starts an attempt; returns the failure if it could not start."""
         engine = streams.EngineConnection(command, now)
         stream.begin_attempt(engine)
         parts = urllib.parse.urlsplit(command.url)
         address = (parts.hostname or "", parts.port or 80)
-        # A view: a long dossier is not copied for each part that is sent.
+        # A memoryview, so that a partial send does not copy the rest of a long
+        # prompt.
         engine.outgoing = memoryview(
             self._build_request(stream, command, parts.netloc)
         )
@@ -108,7 +109,7 @@
         Raises:
             OSError: The connection failed.
             httptools.HttpParserError: The engine sent no valid response.
-            framing.OversizeError: A part of the response has no end.
+            framing.OversizeError: A part of the response is too long.
         """
         engine = stream.engine
         assert engine is not None and engine.sock is not None
@@ -128,18 +129,20 @@
             return Batch(b"", closed)
         block = engine.events.feed(body) if body else b""
         if b"data:" in block:
-            # An engine that is stuck may still send comments, or parts.
+            # Comments and incomplete events are no progress: an engine that
+            # hangs may still send them.
             engine.last_progress = now
         return Batch(block, closed)
 
     def process_block(self, stream: streams.Stream, block: bytes) -> bytes:
-        """Counts events and returns those that may go to the caller now.
+        """Counts events and returns those to forward to the caller now.
 
-        The usage chunk and the end marker stay back until the request is
-        finished, so that no answer looks whole before its bill is safe.
+        The usage chunk and the end marker are withheld until the request is
+        finished, so that no response looks complete before its bill is
+        replicated.
         """
         if framing.needs_parsing(block):
-            block = self._keep_end(stream, block)
+            block = self._withhold_end(stream, block)
         else:
             stream.received_events += framing.count_events(block)
             stream.tokens += framing.count_tokens(block)
@@ -153,7 +156,7 @@
             stream.buffer_block(block)
         return b""
 
-    def _keep_end(self, stream: streams.Stream, block: bytes) -> bytes:
+    def _withhold_end(self, stream: streams.Stream, block: bytes) -> bytes:
         forward = []
         for item in framing.parse_events(block):
             if item == framing.END_MARKER:
@@ -171,7 +174,7 @@
         return b"".join(forward)
 
     def pause(self, stream: streams.Stream, paused: bool, now: float) -> None:
-        """Stops or restarts reading from the engine."""
+        """Pauses or resumes reading from the engine."""
         engine = stream.engine
         if engine is None or engine.outgoing or engine.paused == paused:
             return
@@ -180,7 +183,7 @@
         self._set_mask(stream, engine, 0 if paused else selectors.EVENT_READ)
 
     def close(self, stream: streams.Stream) -> None:
-        """Ends the engine side."""
+        """Closes the connection to the engine."""
         engine = stream.engine
         stream.engine = None
         if engine is None or engine.sock is None:
@@ -191,7 +194,7 @@
     def find_timeout(
         self, stream: streams.Stream, now: float
     ) -> AttemptFailure | None:
-        """Returns why an attempt without progress is over, if it is."""
+        """Returns the failure of an attempt that has timed out, if it has."""
         engine = stream.engine
         if engine is None or engine.paused:
             return None
@@ -208,7 +211,7 @@
         return None
 
     def describe_failure(self, stream: streams.Stream) -> AttemptFailure:
-        """Returns why the connection of an attempt is over."""
+        """Returns why the connection of an attempt failed."""
         engine = stream.engine
         assert engine is not None
         if engine.sent_bytes == 0:
@@ -265,10 +268,11 @@
 
 
 def connect(address: tuple[str, int]) -> socket.socket:
-    """Starts a connection without waiting for it.
+    """Starts a connection without waiting until it is established.
 
-    A new connection per attempt costs one round trip, and no attempt can meet
-    an idle connection that something on the path has forgotten.
+    Each attempt has a new connection. This costs one round trip, but no
+    attempt can fail on an idle connection that a device on the path has
+    dropped.
 
     Raises:
         OSError: The connection failed at once.
@@ -284,7 +288,7 @@
 
 
 def parse_error_response(engine: streams.EngineConnection) -> AttemptFailure:
-    """Returns what a response other than 200 says about the run."""
+    """Returns the failure that a response other than 200 describes."""
     try:
         error = json.loads(engine.error_body)["error"]
         code = str(error["code"])
--- a/sycamorehollow/shells/envelopes.py
+++ b/sycamorehollow/shells/envelopes.py
@@ -1,4 +1,4 @@
-"""Envelopes between entry processes, to and from protocol buffers."""
+"""Protocol buffer codec of the envelopes between entry processes."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -6,12 +6,12 @@
 from sycamorehollow.decisions.replication import exchange
 from sycamorehollow.peering import peering_pb2
 
-# The generated module adds its classes at run time, where mypy cannot see them.
+# The generated module adds its classes at run time, so mypy cannot see them.
 _pb2: Any = peering_pb2
 
 
 def encode(sender: exchange.Process, items: Iterable[exchange.Item]) -> Any:
-    """Returns the envelope message of a sender and its items."""
+    """Returns the envelope message for a sender and its items."""
     process = _pb2.Process(
         address=sender.address,
         data_centre=sender.data_centre,
--- a/sycamorehollow/shells/exchange.py
+++ b/sycamorehollow/shells/exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP request of a caller and the response to it."""
+"""HTTP request of a caller and the response to it."""
 
 import http
 import json
@@ -12,7 +12,7 @@
 from sycamorehollow.model import failures
 from sycamorehollow.shells import streams
 
-# Long dossiers fit; anything larger is refused before it is read.
+# Large enough for long prompts; a longer body is rejected before it is read.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
@@ -32,12 +32,12 @@
         return self._request.conn
 
     def get_header(self, name: str) -> str:
-        """Returns a request header, or an empty string."""
+        """Returns the value of a request header, or an empty string."""
         value = self._request.inheaders.get(name.title().encode(), b"")
         return value.decode("latin-1")
 
     def read_body(self) -> bytes | failures.Failure:
-        """Returns the request body, or why it is refused."""
+        """Returns the request body, or why it is rejected."""
         encoding = self.get_header("Content-Encoding")
         if encoding not in ("", "identity"):
             self._request.close_connection = True
@@ -50,7 +50,7 @@
             return failures.InvalidRequest("Content-Length is not a number.")
         if int(length) > MAX_BODY_BYTES:
             self._request.close_connection = True
-            return self._describe_too_large()
+            return self._build_too_large()
         try:
             body = self._request.rfile.read(MAX_BODY_BYTES + 1)
         except ValueError as error:
@@ -58,7 +58,7 @@
             return failures.InvalidRequest(f"The body is malformed: {error}.")
         if len(body) > MAX_BODY_BYTES:
             self._request.close_connection = True
-            return self._describe_too_large()
+            return self._build_too_large()
         return body
 
     def get_query(self, name: str) -> str:
@@ -74,7 +74,7 @@
     def send_bytes(
         self, status: int, data: bytes, headers: dict[str, str] | None = None
     ) -> None:
-        """Sends a response whose body is JSON already."""
+        """Sends a response whose body is encoded JSON."""
         fields = {
             "Content-Type": "application/json",
             "Content-Length": str(len(data)),
@@ -85,9 +85,9 @@
             self._request.write(data)
 
     def send_failure(self, failure: failures.Failure) -> None:
-        """Sends a failure, with the time to come back when there is one."""
+        """Sends a failure, with `Retry-After` if it has a retry time."""
         loguru.logger.debug(
-            "front: refused path={} code={} reason={!r}",
+            "front: rejected path={} code={} reason={!r}",
             self.path,
             failure.code,
             failure.reason,
@@ -100,23 +100,23 @@
         )
 
     def send_stream_head(self, headers: dict[str, str]) -> None:
-        """Sends the head of a streamed answer."""
+        """Sends the head of a streamed response."""
         fields = {"Content-Type": "text/event-stream", **headers}
         fields["Cache-Control"] = "no-store"
         self._send_head(200, fields)
 
     def close_after_response(self) -> None:
-        """Ends the connection after the response."""
+        """Closes the connection after the response."""
         self._request.close_connection = True
 
     def abort(self) -> None:
-        """Ends the connection without the end of the response."""
+        """Closes the connection without completing the response."""
         self._request.close_connection = True
         self._request.chunked_write = False
 
     def _send_head(self, status: int, fields: dict[str, str]) -> None:
-        # The HTTP library writes the status line from bytes.
-        line = f"{status} {_describe(status)}".encode()
+        # The HTTP library expects the status line as bytes.
+        line = f"{status} {_get_reason_phrase(status)}".encode()
         self._request.status = line  # type: ignore[assignment]
         for name, value in fields.items():
             self._request.outheaders.append(
@@ -124,13 +124,13 @@
             )
         self._request.ensure_headers_sent()
 
-    def _describe_too_large(self) -> failures.Failure:
+    def _build_too_large(self) -> failures.Failure:
         return failures.BodyTooLarge(
             f"The request body is over {MAX_BODY_BYTES} bytes."
         )
 
 
-def _describe(status: int) -> str:
+def _get_reason_phrase(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
     except ValueError:
--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -1,4 +1,8 @@
-"""Framing of responses and event streams that the relay reads."""
+"""HTTP/1.1 and server-sent event framing for the relay.
+
+The size limits keep an engine that sends an endless head, event or chunk size
+from filling the memory.
+"""
 
 import json
 from typing import Any
@@ -8,32 +12,32 @@
 import sseclient
 
 END_MARKER = "[DONE]"
-# Bytes of one event; an engine's events hold some tokens.
+# An event of an engine holds only a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
-# Bytes of the head of a response, and of framing and trailers between parts of
-# its body; well above any head that a server accepts.
+# Limit of a response head, and of the framing and trailers between two parts of
+# the body; well above the heads that common servers accept.
 MAX_OVERHEAD_BYTES = 256 * 1024
 
 
 class OversizeError(Exception):
-    """A response has a part without end."""
+    """A part of a response exceeds its size limit."""
 
 
 class EventReader:
-    """Cuts a byte stream after whole server-sent events."""
+    """Splits a byte stream after complete server-sent events."""
 
     def __init__(self):
         self._tail = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the events that are whole now, as they were received.
+        """Returns the events that are now complete, as they were received.
 
         Raises:
             OversizeError: An event is too long.
         """
         tail = self._tail + data
         if len(tail) > MAX_EVENT_BYTES + len(data):
-            raise OversizeError("an event without end")
+            raise OversizeError(f"event over {MAX_EVENT_BYTES} bytes")
         end = tail.rfind(b"\n\n") + 2
         if end < 2:
             end = tail.rfind(b"\r\n\r\n") + 4
@@ -51,10 +55,10 @@
 
 
 def needs_parsing(block: bytes) -> bool:
-    """Tells whether a block may hold the usage or the end marker.
+    """Returns whether a block may hold the usage or the end marker.
 
-    Other blocks are passed on as they are: parsing each of them took a third
-    of the relay's processor time.
+    Other blocks are forwarded unparsed: parsing every block took a third of
+    the processor time of the relay.
     """
     return b"[DONE]" in block or b'"usage":' in block or b"\r" in block
 
@@ -65,7 +69,7 @@
 
 
 def count_tokens(block: bytes) -> int:
-    """Returns the number of chunks that carry text; a chunk is a token."""
+    """Returns the number of chunks with text; each counts as one token."""
     found = block.count(b'"content":')
     for empty in (b'"content":""', b'"content": ""', b'"content":null'):
         found -= block.count(empty)
@@ -76,9 +80,9 @@
     """Parses one HTTP response.
 
     Attributes:
-        status: Status code, 0 before the head was read.
+        status: Status code, or 0 until the head is read.
         headers: Header fields with lower-case names.
-        complete: Whether the whole response was read.
+        complete: Whether the response was read to its end.
         keep_alive: Whether the connection can carry another request.
     """
 
@@ -96,7 +100,7 @@
 
         Raises:
             httptools.HttpParserError: The bytes are no HTTP response.
-            OversizeError: They bring no part of one.
+            OversizeError: The head, framing or trailers are too long.
         """
         status = self.status
         self._parser.feed_data(data)
@@ -104,7 +108,9 @@
             same = self.status == status and not self.complete
             self._overhead = self._overhead + len(data) if same else 0
             if self._overhead > MAX_OVERHEAD_BYTES:
-                raise OversizeError("bytes that are no answer")
+                raise OversizeError(
+                    f"head or framing over {MAX_OVERHEAD_BYTES} bytes"
+                )
             return b""
         self._overhead = 0
         body = b"".join(self._body)
@@ -112,13 +118,13 @@
         return body
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps a header field; trailers are dropped."""
+        """Stores a header field; trailers are ignored."""
         if self.status:
             return
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Keeps the status; an interim response only precedes another one."""
+        """Stores the status; an interim (1xx) response is discarded."""
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             self.headers.clear()
@@ -127,18 +133,18 @@
         self.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
-        """Keeps body bytes until `feed` returns."""
+        """Collects body bytes for the current `feed` call."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Marks the end of the response."""
+        """Records the end of the response."""
         self.complete = self.status != 0
 
 
 def build_request(
     method: str, host: str, target: str, headers: dict[str, str], body: bytes
 ) -> bytes:
-    """Returns the bytes of one HTTP/1.1 request."""
+    """Returns an encoded HTTP/1.1 request."""
     connection = h11.Connection(h11.CLIENT)
     fields = [("Host", host), *headers.items()]
     if body:
@@ -152,14 +158,14 @@
 
 
 def encode_event(data: str) -> bytes:
-    """Returns one server-sent event."""
+    """Returns an encoded server-sent event."""
     if "\n" in data:
         data = data.replace("\n", "\ndata: ")
     return b"data: " + data.encode("utf-8") + b"\n\n"
 
 
 def encode_chunk(payload: bytes) -> bytes:
-    """Returns one chunk of the chunked transfer coding."""
+    """Returns a payload as one chunk of the chunked transfer coding."""
     return b"%x\r\n%b\r\n" % (len(payload), payload)
 
 
--- a/sycamorehollow/shells/operators.py
+++ b/sycamorehollow/shells/operators.py
@@ -1,4 +1,4 @@
-"""Requests of operators that need no store."""
+"""Handlers of the operator requests that need no store."""
 
 import abc
 from collections.abc import Callable
@@ -22,10 +22,10 @@
 
 
 class OperatorHandler(front.Handler):
-    """Answers requests that carry the token of operators.
+    """Handles requests that carry the operator token.
 
     Args:
-        token: Token of operators; empty refuses every request.
+        token: Operator token; if empty, every request is rejected.
         snapshot: The configuration in force.
         report: Passes an event to the router task.
     """
@@ -46,7 +46,7 @@
     def execute(
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
-        """Carries a request out and returns the response.
+        """Executes a request and returns the body of the response.
 
         Raises:
             pydantic.ValidationError: The body is malformed.
@@ -58,17 +58,18 @@
         """Checks the token and the body and sends the response."""
         refusal = self._authenticate(exchange.get_header("Authorization"))
         if refusal is not None:
-            # The unread body must not be taken for the next request.
+            # The body is unread; on a kept-alive connection it would be parsed
+            # as the next request.
             exchange.close_after_response()
             exchange.send_failure(refusal)
             return
-        result = self._read_and_carry_out(exchange)
+        result = self._read_and_execute(exchange)
         if isinstance(result, failures.Failure):
             exchange.send_failure(result)
             return
         exchange.send_json(200, result)
 
-    def _read_and_carry_out(
+    def _read_and_execute(
         self, exchange: exchanges.Exchange
     ) -> dict[str, Any] | failures.Failure:
         body = exchange.read_body()
@@ -93,21 +94,21 @@
         given = token.strip().encode("latin-1")
         if scheme.lower() != "bearer":
             return failures.Unauthorized("The operator's token is missing.")
-        # A comparison in constant time tells nothing about the token.
+        # Compares in constant time, so that timing does not reveal the token.
         if not hmac.compare_digest(given, self._token):
             return failures.Unauthorized("The operator's token is wrong.")
         return None
 
 
 class StopHandler(OperatorHandler):
-    """Answers `POST /v1/operator/stops`.
+    """Handles `POST /v1/operator/stops`.
 
     Args:
-        token: Token of operators; empty refuses every request.
+        token: Operator token; if empty, every request is rejected.
         snapshot: The configuration in force.
         report: Passes an event to the router task.
-        read_stopped: Asks the router task, after the events before, for the
-            versions that take no new work.
+        read_stopped: Queries the router task for the versions that take no new
+            work; the events reported before are processed first.
     """
 
     pattern = "/v1/operator/stops"
@@ -125,7 +126,7 @@
     def execute(
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
-        """Stops the new version of a roll-out at once."""
+        """Stops the candidate version of a roll-out immediately."""
         asked = bodies.StopBody.model_validate_json(body)
         rollout = current.rollouts.get(asked.rollout)
         if rollout is None:
@@ -149,14 +150,14 @@
 
 
 class DrainHandler(OperatorHandler):
-    """Answers `POST /v1/operator/drains`."""
+    """Handles `POST /v1/operator/drains`."""
 
     pattern = "/v1/operator/drains"
 
     def execute(
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
-        """Takes an upstream or a data centre out of service at once."""
+        """Takes an upstream or a data centre out of service immediately."""
         asked = bodies.DrainBody.model_validate_json(body)
         scope = drains.Scope(asked.scope)
         known: Collection[str] = current.data_centres
--- a/sycamorehollow/shells/pages.py
+++ b/sycamorehollow/shells/pages.py
@@ -1,4 +1,4 @@
-"""Paths that answer from what the process knows, without an upstream."""
+"""Handlers that respond from local state, without calling an upstream."""
 
 from collections.abc import Callable
 import queue
@@ -13,7 +13,7 @@
 
 
 class ModelsHandler(front.WorkspaceHandler):
-    """Answers `GET /v1/models` with what the workspace may use."""
+    """Handles `GET /v1/models`: lists what the workspace may use."""
 
     method = "GET"
     pattern = "/v1/models"
@@ -24,7 +24,7 @@
         match: re.Match[str],
         workspace: deployment.Workspace,
     ) -> None:
-        """Lists versions, models and cascades."""
+        """Sends the names of versions, models and cascades."""
         current = self._snapshot.current
         assert current is not None
         names = set()
@@ -46,7 +46,7 @@
 
 
 class HealthHandler(front.Handler):
-    """Answers `GET /healthz` for the load balancer."""
+    """Handles `GET /healthz`, the health check of the load balancer."""
 
     method = "GET"
     pattern = "/healthz"
@@ -57,14 +57,14 @@
     def respond(
         self, exchange: exchanges.Exchange, match: re.Match[str]
     ) -> None:
-        """Sends 200 while the process admits requests, else 503."""
+        """Sends 200 while the process admits requests, otherwise 503."""
         problem = self._check()
         status = 503 if problem else 200
         exchange.send_json(status, {"state": problem or "ok"})
 
 
 class StatusHandler(front.Handler):
-    """Answers `GET /v1/status` for operators."""
+    """Handles `GET /v1/status` for operators."""
 
     method = "GET"
     pattern = "/v1/status"
@@ -75,7 +75,7 @@
     def respond(
         self, exchange: exchanges.Exchange, match: re.Match[str]
     ) -> None:
-        """Sends what is in force here and why."""
+        """Sends the state of the process: what is in force and why."""
         try:
             exchange.send_json(200, self._describe())
         except queue.Empty:
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -1,4 +1,4 @@
-"""The task that relays answers from engines to callers."""
+"""Task that relays responses from engines to callers."""
 
 from collections.abc import Callable
 import selectors
@@ -22,7 +22,7 @@
 
 
 class AttachCaller:
-    """Hands a caller's socket to the relay."""
+    """Passes the connection of a caller to the relay."""
 
     def __init__(self, request_id: str, caller: streams.CallerConnection):
         self.request_id = request_id
@@ -30,16 +30,16 @@
 
 
 class HeadSent:
-    """Tells the relay that the HTTP worker has sent the head."""
+    """Tells the relay that the HTTP worker has sent the response head."""
 
     def __init__(self, request_id: str):
         self.request_id = request_id
 
 
 class Relay(tasks.SelectingTask):
-    """Owns the sockets of all requests between their head and their end.
+    """Owns the sockets of all requests that are being relayed.
 
-    One thread serves all streams, because a thread per stream costs several
+    One thread serves all streams, because a thread per stream takes several
     times the processor time per token.
     """
 
@@ -60,7 +60,7 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes that wait for slow callers."""
+        """Bytes buffered for slow callers."""
         return self._callers.buffered_bytes
 
     def _run(self) -> None:
@@ -82,7 +82,7 @@
             self._log_end(stream, "process stop")
 
     def _handle_guarded(self, message: Any) -> None:
-        """Carries out a message; an unexpected error ends its stream only."""
+        """Handles a message; an unexpected error ends only its stream."""
         try:
             self._handlers[type(message)](message)
         except Exception as error:
@@ -92,14 +92,14 @@
     def _serve_guarded(
         self, registration: engines.Registration, mask: int
     ) -> None:
-        """Serves a socket; an unexpected error ends its stream only."""
+        """Serves a socket; an unexpected error ends only its stream."""
         try:
             self._serve(registration, mask)
         except Exception as error:
             self._abandon(registration.stream.request_id, error)
 
     def _abandon(self, request_id: str, error: Exception) -> None:
-        """Lets go of a stream in whatever state it is."""
+        """Ends a stream after an unexpected error, whatever its state."""
         loguru.logger.opt(exception=error).error(
             "relay: request={} abandoned", request_id
         )
@@ -112,9 +112,9 @@
             try:
                 self._selector.unregister(side.sock)
             except (KeyError, ValueError) as gone:
-                # It was not watched any more, or is closed.
+                # The socket was not registered, or is closed.
                 loguru.logger.debug(
-                    "relay: request={} unwatched: {!r}", request_id, gone
+                    "relay: request={} unregistered: {!r}", request_id, gone
                 )
             side.mask = 0
         self._callers.forget(stream)
@@ -134,9 +134,7 @@
             self._serve_engine(stream, mask)
 
     def _serve_caller(self, stream: streams.Stream, mask: int) -> None:
-        if mask & selectors.EVENT_READ and self._callers.is_disconnected(
-            stream
-        ):
+        if mask & selectors.EVENT_READ and self._callers.is_closed(stream):
             self._drop_caller(stream)
             return
         if mask & selectors.EVENT_WRITE:
@@ -146,9 +144,7 @@
         now = time.monotonic()
         if mask & selectors.EVENT_WRITE:
             if not self._engines.send(stream, now):
-                self._fail_attempt(
-                    stream, self._engines.describe_failure(stream)
-                )
+                self._fail(stream, self._engines.describe_failure(stream))
                 return
         if not mask & selectors.EVENT_READ:
             return
@@ -160,17 +156,17 @@
             framing.OversizeError,
         ) as error:
             loguru.logger.warning(
-                "relay: request={} attempt={} upstream={} broke off: {!r}",
+                "relay: request={} attempt={} upstream={} failed: {!r}",
                 stream.request_id,
                 stream.attempt,
                 stream.upstream,
                 error,
             )
-            self._fail_attempt(stream, self._engines.describe_failure(stream))
+            self._fail(stream, self._engines.describe_failure(stream))
             return
-        self._take_events(stream, batch)
+        self._process_batch(stream, batch)
 
-    def _take_events(
+    def _process_batch(
         self, stream: streams.Stream, batch: engines.Batch
     ) -> None:
         if batch.block and stream.received_events == 0:
@@ -183,13 +179,13 @@
         if forward:
             self._deliver(stream, forward)
         if stream.is_oversized:
-            self._fail_attempt(stream, self._engines.describe_failure(stream))
+            self._fail(stream, self._engines.describe_failure(stream))
             return
         if stream.completed:
             self._complete_attempt(stream)
             return
         if batch.closed:
-            self._fail_attempt(stream, self._engines.describe_failure(stream))
+            self._fail(stream, self._engines.describe_failure(stream))
 
     def _deliver(self, stream: streams.Stream, block: bytes) -> None:
         self._callers.append(stream, block)
@@ -200,27 +196,20 @@
             self._drop_caller(stream)
             return
         now = time.monotonic()
-        self._apply_bounds(
-            self._callers.update_buffered_bytes(stream, now), now
-        )
+        self._apply_limits(self._callers.update_buffered(stream, now), now)
         if stream.caller.closing is None or stream.caller.buffer:
             return
         self._detach(stream, stream.caller.closing)
 
-    def _apply_bounds(
-        self, decided: list[commands.Command], now: float
-    ) -> None:
-        """Carries out what the bounds on held bytes ask for.
-
-        A command may concern another stream than the one that is served.
-        """
-        for command in decided:
+    def _apply_limits(self, issued: list[commands.Command], now: float) -> None:
+        """Executes commands of the buffer limits, also for other streams."""
+        for command in issued:
             try:
-                self._apply_bound(command, now)
+                self._apply_limit(command, now)
             except Exception as error:
                 self._abandon(getattr(command, "stream", ""), error)
 
-    def _apply_bound(self, command: commands.Command, now: float) -> None:
+    def _apply_limit(self, command: commands.Command, now: float) -> None:
         match command:
             case buffers.PauseReading():
                 self._pause(command.stream, True, now)
@@ -243,7 +232,7 @@
             command.stream,
             command.failure.reason,
         )
-        # What waits is freed; the end would not reach the caller either.
+        # Frees the buffer: this caller would not read the end either.
         stream.caller.buffer.clear()
         self._drop_caller(stream)
 
@@ -260,7 +249,7 @@
             )
         )
 
-    def _fail_attempt(
+    def _fail(
         self, stream: streams.Stream, failure: engines.AttemptFailure
     ) -> None:
         self._log_end(stream, failure.end.value, failure.code)
@@ -281,7 +270,7 @@
     def _log_end(
         self, stream: streams.Stream, who: str, code: str = ""
     ) -> None:
-        """Logs who ended a running attempt, and after how long a silence."""
+        """Logs what ended a running attempt, and its time without progress."""
         if stream.engine is None:
             return
         silent_s = time.monotonic() - stream.engine.last_progress
@@ -303,20 +292,20 @@
             stalled = self._callers.check_stalled(now)
         except Exception as error:
             loguru.logger.opt(exception=error).error(
-                "relay: the check for stalled callers failed"
+                "relay: check for stalled callers failed"
             )
             stalled = []
-        self._apply_bounds(stalled, now)
+        self._apply_limits(stalled, now)
         for stream in list(self._streams.values()):
             try:
-                self._check_silence(stream, now)
+                self._check_timeout(stream, now)
             except Exception as error:
                 self._abandon(stream.request_id, error)
 
-    def _check_silence(self, stream: streams.Stream, now: float) -> None:
+    def _check_timeout(self, stream: streams.Stream, now: float) -> None:
         failure = self._engines.find_timeout(stream, now)
         if failure is not None:
-            self._fail_attempt(stream, failure)
+            self._fail(stream, failure)
 
     def _attach(self, message: AttachCaller) -> None:
         stream = streams.Stream(message.request_id, message.caller)
@@ -336,7 +325,7 @@
             return
         failure = self._engines.open(stream, command, time.monotonic())
         if failure is not None:
-            self._fail_attempt(stream, failure)
+            self._fail(stream, failure)
 
     def _cancel_attempt(self, command: lifecycle.CancelAttempt) -> None:
         stream = self._streams.get(command.request_id)
@@ -346,7 +335,7 @@
             failure = engines.AttemptFailure(
                 lifecycle.AttemptEnd.STOPPED, command.reason
             )
-            self._fail_attempt(stream, failure)
+            self._fail(stream, failure)
             return
         self._log_end(stream, command.reason)
         self._engines.close(stream)
--- a/sycamorehollow/shells/services.py
+++ b/sycamorehollow/shells/services.py
@@ -1,4 +1,4 @@
-"""Calls of plain services, tickets and outcomes for callers."""
+"""Handlers of service calls, tickets and call outcomes."""
 
 from collections.abc import Callable
 import queue
@@ -21,13 +21,14 @@
 from sycamorehollow.shells import front
 
 MAX_KEY_LENGTH = 512
-# The router answers before the caller's deadline; the rest covers the queue.
+# The router responds before the caller's deadline; this covers the time that
+# its response waits in the queue.
 RESULT_GRACE_S = 2.0
 RETRY_AFTER_S = 1.0
 
 
 class PendingResults:
-    """Callers that wait for the result of a call."""
+    """Delivers results of calls to the workers that wait for them."""
 
     def __init__(self):
         self._lock = threading.Lock()
@@ -37,7 +38,7 @@
         return len(self._replies)
 
     def deliver(self, command: messages.Reply) -> None:
-        """Gives a result to the caller that waits for it."""
+        """Delivers a result to the worker that waits for it, if any."""
         with self._lock:
             reply = self._replies.get(command.request_id)
         if reply is not None:
@@ -67,7 +68,7 @@
 
 
 class CallHandler(front.WorkspaceHandler):
-    """Answers `POST /v1/services/{service}/{operation}`."""
+    """Handles `POST /v1/services/{service}/{operation}`."""
 
     method = "POST"
     pattern = "/v1/services/([^/]+)/([^/]+)"
@@ -92,7 +93,7 @@
         match: re.Match[str],
         workspace: deployment.Workspace,
     ) -> None:
-        """Runs one call to its outcome."""
+        """Runs one call and sends its result."""
         call = self._read_call(exchange, match, workspace)
         if isinstance(call, failures.Failure):
             exchange.send_failure(call)
@@ -172,7 +173,7 @@
         if isinstance(event, messages.ServiceResponded):
             return event.outcome
         loguru.logger.info(
-            "calls: request={} has no answer: {}", call.request_id, event
+            "calls: request={} got no response: {}", call.request_id, event
         )
         sent = isinstance(event, messages.OpInDoubt)
         return failures.UpstreamFailed(
@@ -185,7 +186,7 @@
 
 
 class TicketHandler(front.WorkspaceHandler):
-    """Answers `POST /v1/tickets`."""
+    """Handles `POST /v1/tickets`."""
 
     method = "POST"
     pattern = "/v1/tickets"
@@ -217,7 +218,7 @@
 
 
 class OutcomeHandler(front.WorkspaceHandler):
-    """Answers `GET /v1/outcomes/{key}`."""
+    """Handles `GET /v1/outcomes/{key}`."""
 
     method = "GET"
     pattern = "/v1/outcomes/(.+)"
@@ -238,7 +239,7 @@
         match: re.Match[str],
         workspace: deployment.Workspace,
     ) -> None:
-        """Tells the outcome of a key and never runs the call."""
+        """Sends the outcome recorded for a key; never runs the call."""
         deadline_s = chat.read_deadline(exchange, workspace, "")
         if isinstance(deadline_s, failures.Failure):
             exchange.send_failure(deadline_s)
@@ -258,7 +259,7 @@
 
 
 def log_result(call: requests.ServiceCall, result: messages.Result) -> None:
-    """Logs how a call ended."""
+    """Logs the result of a call."""
     if isinstance(result, messages.Outcome):
         end = f"status={result.status}"
     else:
@@ -276,7 +277,7 @@
 def send_result(
     exchange: exchanges.Exchange, request_id: str, result: messages.Result
 ) -> None:
-    """Sends the response of the service, or the failure."""
+    """Sends the response of the service or the failure."""
     if isinstance(result, messages.Outcome):
         exchange.send_bytes(
             result.status, result.body, {chat.REQUEST_HEADER: request_id}
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Callers, processes and a service for tests of non-idempotent calls."""
+"""Simulated callers, processes and service for non-idempotent calls."""
 
 import dataclasses
 import random
@@ -20,7 +20,7 @@
 
 
 class Service:
-    """A service that runs whatever arrives and remembers it by key."""
+    """A service that runs every call and records its outcome by key."""
 
     def __init__(self):
         self.effects: dict[bytes, int] = {}
@@ -37,7 +37,7 @@
 
 
 class Node:
-    """One run of an entry process."""
+    """One incarnation of an entry process."""
 
     def __init__(self, number: int, incarnation: int):
         self.process = messages.Process(f"p{number}", "dc", incarnation)
@@ -51,7 +51,7 @@
 
 
 def is_not_run(result: messages.Result | None) -> bool:
-    """Tells whether a result says that the call was not run."""
+    """Returns whether a result states that the call was not run."""
     if not isinstance(result, failures.Failure):
         return False
     return result.execution is failures.Execution.NOT_STARTED
@@ -59,10 +59,10 @@
 
 @dataclasses.dataclass
 class Intent:
-    """What one caller wants to happen once, and what it was told.
+    """An operation that a caller wants run once, and its results.
 
     Attributes:
-        attempts: Result of each attempt by request id; `None` while missing.
+        attempts: Result of each attempt by request id; `None` while pending.
         nodes: Node of each attempt.
     """
 
@@ -74,7 +74,7 @@
 
     @property
     def refused(self) -> bool:
-        """Whether the caller has only seen refusals with `run: no`."""
+        """Whether every attempt was refused with `run: no`."""
         return all(is_not_run(result) for result in self.attempts.values())
 
 
@@ -132,7 +132,7 @@
         return request_id
 
     def ask_outcome(self, node: Node, key: str) -> messages.Result:
-        """Asks for an outcome in a settled world."""
+        """Returns the outcome of a key after all pending steps."""
         request_id = self.make_id()
         asked = messages.OutcomeRequested(
             request_id, "w", key, self.now + 1e6, "filing", "lodge"
@@ -162,7 +162,7 @@
             intent.attempts[reply.request_id] = reply.result
 
     def perform(self, node: Node, command: commands.Command, heard: bool):
-        """Lets a command take effect; `heard` tells whether it is answered."""
+        """Executes a command; replies to it only if `heard`."""
         event: events.Event | None = None
         if isinstance(command, messages.ReadCallRecord):
             value, revision = self.store.read(command.key)
--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -1,4 +1,4 @@
-"""Tests of calls to servers whose answers never end."""
+"""Tests of calls to servers whose responses never end."""
 
 import json
 import time
@@ -19,34 +19,34 @@
 
 
 class Flood(platform_standins.Server):
-    """A server in trouble."""
+    """A server whose responses never end."""
 
     kind = ""
 
     def handle(self, handler, body):
-        """Sends an answer without end."""
+        """Sends an endless response part."""
         floods.send_without_end(handler, self.kind, "q")
 
 
 class EndlessPages(platform_standins.Server):
-    """A store whose pages always announce the same next one."""
+    """A store that returns the same page with `hasMore` for ever."""
 
     def handle(self, handler, body):
-        """Answers with the first page."""
+        """Sends the first page."""
         item = {"key": "a", "value": "", "revision": 1}
         page = {"items": [item], "hasMore": True, "at": 1}
         platform_standins.send(handler, 200, {}, json.dumps(page).encode())
 
 
 class EndlessAnswerTest(unittest.TestCase):
-    """Guards against threads and memory that a server in trouble keeps."""
+    """Guards against endless responses that hold threads and memory."""
 
     def setUp(self):
         self.server = Flood()
         self.addCleanup(self.server.stop)
 
     def _measure(self, call):
-        """Returns the result, its seconds and the most bytes allocated."""
+        """Returns the result, the seconds taken and the peak memory bytes."""
         tracemalloc.start()
         began = time.monotonic()
         result = call()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""Tests of the caller side of the relay."""
+"""Tests of the relay's writes to callers."""
 
 import queue
 import selectors
@@ -10,7 +10,10 @@
 
 
 class CallerWriterTest(unittest.TestCase):
-    """Guards against a relay that spins or loses a caller."""
+    """Guards against a relay that busy-loops or misses a disconnect.
+
+    A pipelined request makes the socket readable until it is read.
+    """
 
     def setUp(self):
         self.selector = selectors.DefaultSelector()
@@ -27,7 +30,7 @@
     def test_early_next_request_does_not_wake_the_relay_again(self):
         self.far.send(b"POST /v1/chat/completions HTTP/1.1\r\n")
         self.assertEqual(len(self.selector.select(0)), 1)
-        self.assertFalse(self.writer.is_disconnected(self.stream))
+        self.assertFalse(self.writer.is_closed(self.stream))
         self.assertEqual(self.selector.select(0), [])
         self.writer.append(self.stream, b"data: x\n\n")
         self.assertTrue(self.writer.flush(self.stream))
@@ -36,7 +39,7 @@
     def test_closed_connection_is_noticed(self):
         self.far.close()
         self.assertEqual(len(self.selector.select(0)), 1)
-        self.assertTrue(self.writer.is_disconnected(self.stream))
+        self.assertTrue(self.writer.is_closed(self.stream))
 
     def test_full_socket_is_written_when_it_drains(self):
         block = b"data: " + b"x" * 100_000 + b"\n\n"
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP worker while the relay owns the caller's socket."""
+"""Tests of the chat handler while the relay owns the caller's socket."""
 
 import queue
 import time
@@ -14,7 +14,7 @@
 
 
 class PostedMessages:
-    """Takes the place of the relay task."""
+    """Stub of the relay task that records messages."""
 
     def __init__(self, reply):
         self.messages = []
@@ -29,7 +29,7 @@
 
 
 class ChatHandlerTest(unittest.TestCase):
-    """Guards against a worker that leaves or waits while the relay works."""
+    """Guards against a worker that returns too early or waits for ever."""
 
     def _wait(self, exchange, first, deadline):
         reply = queue.SimpleQueue()
@@ -44,7 +44,7 @@
         return posted.messages
 
     def test_lost_caller_at_the_head_leaves_the_socket_to_the_relay(self):
-        """Raising here would close a socket that the relay still watches."""
+        """An exception here would close a socket that the relay still uses."""
         exchange = mock.Mock()
         exchange.send_stream_head.side_effect = BrokenPipeError
         head = streams.SendHead("a", "small-1", "")
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -1,4 +1,4 @@
-"""Tests of the answers that the relay retains while another run is tried."""
+"""Tests of responses that the relay retains while another run is tried."""
 
 import queue
 import socket
@@ -23,10 +23,10 @@
 
 
 class Engine(platform_standins.Server):
-    """An engine whose larger version breaks off or stays silent."""
+    """An engine whose larger version truncates its response or sends none."""
 
     def handle(self, handler, body):
-        """Sends a whole answer, a part, nothing, or a refusal."""
+        """Sends a complete response, a part, nothing, or an error."""
         if b'"small"' in body:
             platform_standins.send(handler, 200, {}, WHOLE)
             return
@@ -42,7 +42,7 @@
 
 
 class RetainedAnswerTest(unittest.TestCase):
-    """Guards against answers that are lost or mixed behind a cascade."""
+    """Guards against lost or mixed responses when a cascade falls back."""
 
     def setUp(self):
         self.engine = Engine()
@@ -91,7 +91,7 @@
                 return event
 
     def _finish_small(self, streamed):
-        """Ends the request with the retained answer; returns what came."""
+        """Ends the request with the retained response; returns its events."""
         self.relay.post(lifecycle.FinishRequest("r", "u1", "small", "lost"))
         head = self.reply.get(timeout=WAIT_S)
         self.assertEqual((head.upstream, head.version), ("u1", "small"))
@@ -143,14 +143,14 @@
         self.assertNotIn(b"small ", received)
 
     def _fail_at(self, address):
-        """Returns how an attempt at an address without an engine ends."""
+        """Returns the failure of an attempt at an address without an engine."""
         self._attach(True)
         self.engine.address = "%s:%d" % address
         self._start(1, "small", False)
         return self._await_event(lifecycle.AttemptFailed)
 
     def test_only_a_refused_connection_counts_as_refused(self):
-        """Guards against a full queue of connections taken for a crash."""
+        """Guards against taking a full listen backlog for a crash."""
         closed = socket.create_server(("127.0.0.1", 0))
         address = closed.getsockname()
         closed.close()
@@ -159,7 +159,7 @@
         self.assertTrue(event.connection_refused)
         full = socket.create_server(("127.0.0.1", 0), backlog=0)
         self.addCleanup(full.close)
-        # The kernel drops further attempts to connect.
+        # With the backlog full, the kernel drops further connection attempts.
         for _ in range(2):
             waiting = socket.socket()
             waiting.setblocking(False)
@@ -171,7 +171,7 @@
 
 
 class EndLogTest(unittest.TestCase):
-    """Guards against a log that does not tell who ended an attempt."""
+    """Guards against a log that omits what ended an attempt."""
 
     def setUp(self):
         self.engine = Engine()
--- a/tests/test_relay_floods.py
+++ b/tests/test_relay_floods.py
@@ -1,4 +1,4 @@
-"""Tests of the relay before engines whose answers never end."""
+"""Tests of the relay with engines whose responses never end."""
 
 import queue
 import socket
@@ -17,17 +17,17 @@
 from tests import floods
 from tests import platform_standins
 
-# Memory in bytes that one endless answer may take; a held answer takes most.
+# Memory limit for one endless response; a buffered response takes the most.
 PEAK_BYTES = 3 * streams.MAX_BUFFERED_BYTES
 
 
 class Engine(platform_standins.Server):
-    """An engine in trouble."""
+    """An engine whose responses never end."""
 
     kind = ""
 
     def handle(self, handler, body):
-        """Sends an answer without end, or valid events without end."""
+        """Sends an endless response part or endless valid events."""
         if self.kind != "events":
             floods.send_without_end(handler, self.kind, "q")
             return
@@ -37,7 +37,7 @@
 
 
 class RelayFloodTest(unittest.TestCase):
-    """Guards against memory and time spent on bytes that are no answer."""
+    """Guards against unbounded memory and time for an endless response."""
 
     def setUp(self):
         self.engine = Engine()
@@ -54,7 +54,7 @@
             sock.close()
 
     def _attach(self, kind, streamed):
-        """Hands a caller to the relay and returns the two ends."""
+        """Attaches a caller and returns both ends of its connection."""
         near, far = socket.socketpair()
         self._sockets.extend((near, far))
         near.setblocking(False)
@@ -65,7 +65,7 @@
         return near, far
 
     def _run(self, kind, streamed):
-        """Starts an attempt and returns how it failed and after how long."""
+        """Starts an attempt; returns its failure and the seconds it took."""
         self.engine.kind = kind
         self._attach(kind, streamed)
         began = time.monotonic()
@@ -106,7 +106,7 @@
 
     def test_unexpected_error_ends_one_stream_only(self):
         fault = mock.Mock(side_effect=RuntimeError("a fault"))
-        with mock.patch.object(callers.CallerWriter, "is_disconnected", fault):
+        with mock.patch.object(callers.CallerWriter, "is_closed", fault):
             _, far = self._attach("lost", streamed=True)
             far.close()
             event = self.events.get(timeout=2.0)
@@ -115,9 +115,9 @@
         self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
 
     def test_socket_that_was_closed_ends_one_stream_only(self):
-        """Guards against a second error while a stream is abandoned."""
+        """Guards against a second error while a stream is being abandoned."""
         near, _ = self._attach("lost", streamed=True)
-        # The attempt begins after the caller was attached.
+        # Messages are handled in order, so the caller is attached by then.
         self._run("endless-status", streamed=True)
         near.close()
         failure = failures.Overloaded("lost")
