--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,4 @@
-"""A small deployment of real processes on loopback."""
+"""Runs a small deployment of real processes on loopback for tests."""
 
 import collections
 import hashlib
@@ -18,22 +18,23 @@
 API_KEY = "test-key"
 LIFETIME_S = 60
 PORTS = (15_000, 30_000)
-# Ports that are kept from others; the processes of earlier ones listen by then.
+# Number of sockets that reserve ports. When the oldest is closed, the process
+# that uses its port already listens.
 MAX_RESERVED = 200
 HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
 _reserved: collections.deque[socket.socket] = collections.deque()
 
 
 def find_port(count: int = 1) -> int:
-    """Returns the first of free loopback ports below the ephemeral ones.
+    """Reserves consecutive loopback ports and returns the first one.
 
-    Until their process listens, no outgoing connection can take them, and no
-    other call here or in another test run returns them: a bound socket that
-    does not listen keeps others out, but not a server that may reuse its
-    address.
+    The ports are below the ephemeral range, so that no outgoing connection can
+    take them. Each is held by a bound socket that does not listen: it keeps
+    other calls, also of other test runs, from returning the port, but lets a
+    server bind it with SO_REUSEADDR.
 
     Args:
-        count: How many consecutive ports.
+        count: Number of consecutive ports.
     """
     while True:
         first = random.randrange(*PORTS)
@@ -50,7 +51,7 @@
 
 
 def _reserve(port: int) -> socket.socket | None:
-    """Returns a socket that keeps a port, or `None` if the port is taken."""
+    """Returns a socket that reserves a port, or `None` if it is in use."""
     address = ("127.0.0.1", port)
     kept = socket.socket()
     try:
@@ -65,14 +66,14 @@
 
 
 class Processes:
-    """Starts binaries and ends exactly those that it started."""
+    """Starts child processes and kills exactly those that it started."""
 
     def __init__(self):
         self._children: list[subprocess.Popen] = []
         self._folder = tempfile.TemporaryDirectory()
 
     def start(self, module: str, *arguments: str) -> tuple[Any, str]:
-        """Starts a binary; returns the process and its URL."""
+        """Starts a module as a program; returns the process and its URL."""
         child = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdout=subprocess.PIPE,
@@ -94,7 +95,7 @@
     def start_entry(
         self, name: str, store: str, data_centre: str = "dc-1", **sections: str
     ) -> tuple[Any, str]:
-        """Starts an entry router and waits until it is healthy."""
+        """Starts an entry process and waits until it is healthy."""
         path = pathlib.Path(self._folder.name) / f"{name}.ini"
         address = sections.get("address", f"127.0.0.1:{find_port()}")
         path.write_text(
@@ -117,7 +118,7 @@
         return child, url
 
     def stop(self) -> None:
-        """Ends every process that was started."""
+        """Kills all processes that were started and deletes their files."""
         for child in self._children:
             if child.poll() is None:
                 child.kill()
@@ -128,10 +129,12 @@
 
 
 def wait_for(check: Any, limit_s: float = 15.0) -> None:
-    """Waits until a check holds.
+    """Waits until a check returns a true value.
+
+    Errors of HTTP requests in the check count as false.
 
     Raises:
-        TimeoutError: The check did not hold in time.
+        TimeoutError: If this takes longer than `limit_s`.
     """
     end = time.monotonic() + limit_s
     while time.monotonic() < end:
@@ -146,12 +149,12 @@
 
 def put_branch(store: str, name: str, branch: dict[str, Any]) -> int:
     """Writes a branch of the settings tree and returns its revision."""
-    answer = HTTP.request(
+    response = HTTP.request(
         "PUT",
         f"{store}/v1/kv/config/{name}",
         json={"value": json.dumps(branch), "expect": None},
     )
-    return answer.json()["revision"]
+    return response.json()["revision"]
 
 
 def build_platform(engines: dict[str, str], **changes: Any) -> dict[str, Any]:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -1,4 +1,4 @@
-"""Tests of the control program."""
+"""Tests of `sycamorectl`, the control program of operators."""
 
 import contextlib
 import dataclasses
@@ -27,7 +27,7 @@
 
 
 class MemoryStore(stores.Store):
-    """Store in memory that can lose responses and let others write first."""
+    """In-memory store that can lose responses and inject concurrent writes."""
 
     def __init__(self):
         self.items = {}
@@ -70,7 +70,10 @@
 
 
 class CtlTest(unittest.TestCase):
-    """Guards against changes that are lost, wrong or another team's."""
+    """Guards against lost, invalid or repeated writes to the settings.
+
+    Also guards against changes to the branch of another team.
+    """
 
     def setUp(self):
         self.store = MemoryStore()
@@ -89,20 +92,20 @@
         return json.loads(out.getvalue())
 
     def find_error(self, line):
-        """Runs a command that is refused; it must write nothing."""
+        """Returns the error code of a rejected command; it must not write."""
         before = dict(self.store.items)
         error = self.run_ctl(line, ctl.REFUSED)["error"]
         self.assertEqual(self.store.items, before)
         return error["code"]
 
     def convert(self):
-        """Returns the configuration in the store, which has no faults."""
-        held = {
+        """Returns the deployment in the store, which must have no faults."""
+        branches = {
             key.removeprefix("config/"): (revision, json.loads(text))
             for key, (text, revision) in self.store.items.items()
             if key.startswith("config/")
         }
-        result, faults = tree.convert(held)
+        result, faults = tree.convert(branches)
         self.assertEqual(faults, {})
         return result
 
@@ -271,7 +274,7 @@
         self.assertEqual(self.find_error("bills"), "value_unreadable")
 
     def start_rollout(self):
-        """Starts a rollout with two stages and returns its definition."""
+        """Starts a roll-out with two stages and returns its definition."""
         self.run_ctl("version add atlas v2 --prompt-price 2 --output-price 3")
         self.run_ctl(
             "--team a rollout start r --model atlas --baseline v1"
--- a/tests/test_process_fuzz.py
+++ b/tests/test_process_fuzz.py
@@ -1,4 +1,4 @@
-"""Malformed requests against a real entry process."""
+"""Sends malformed requests to a real entry process."""
 
 import json
 import socket
@@ -47,7 +47,7 @@
 
 
 class FuzzTest(unittest.TestCase):
-    """Guards against malformed input that is not answered with a typed 4xx."""
+    """Guards against malformed input that does not get a typed 4xx response."""
 
     @classmethod
     def setUpClass(cls):
--- a/tests/test_process_settings.py
+++ b/tests/test_process_settings.py
@@ -1,4 +1,4 @@
-"""Tests of the INI settings."""
+"""Tests of the INI settings of an entry process."""
 
 import unittest
 
@@ -32,7 +32,7 @@
 
 
 class ParseSettingsTest(unittest.TestCase):
-    """Guards against a process that starts with wrong settings."""
+    """Guards against starting with invalid settings and printing secrets."""
 
     def _find_faults(self, text):
         faults = process.parse_settings(text)
--- a/tests/test_settings_tree.py
+++ b/tests/test_settings_tree.py
@@ -1,4 +1,4 @@
-"""Tests of the settings tree."""
+"""Tests of the conversion of the settings tree."""
 
 import copy
 import json
@@ -38,7 +38,7 @@
 
 
 class ConvertTest(unittest.TestCase):
-    """Guards against wrong settings in force and against lost good ones."""
+    """Guards against accepting invalid settings and rejecting valid ones."""
 
     def _check_fault(self, branch, path, platform=PLATFORM, team=TEAM):
         result, faults = tree.convert(
