Name attributes in doc comments as the code does

The fields of Waiter and SequentialTest were renamed, but their Attributes sections kept the old names (urgency, arrived, since). They now name priority, arrived_at and baselines; the descriptions stay.

Checked: make lint passes; a scan of all Args and Attributes sections lists no name that the code lacks.

--- a/sycamorehollow/decisions/forwarding/admission_queue.py
+++ b/sycamorehollow/decisions/forwarding/admission_queue.py
@@ -18,8 +18,8 @@
     """A waiting request.
 
     Attributes:
-        urgency: Lower numbers are admitted first.
-        arrived: Monotonic time of the request's arrival.
+        priority: Lower numbers are admitted first.
+        arrived_at: Monotonic time of the request's arrival.
     """
 
     priority: int
--- a/sycamorehollow/decisions/forwarding/slowness.py
+++ b/sycamorehollow/decisions/forwarding/slowness.py
@@ -128,7 +128,7 @@
 
     Attributes:
         latest: All counts.
-        since: Counts at the time of the lowest sum, for each ratio.
+        baselines: Counts at the time of the lowest sum, for each ratio.
     """
 
     latest: Counts = Counts()
