--- a/sycamorehollow/shells/chat.py
+++ b/sycamorehollow/shells/chat.py
@@ -120,9 +120,8 @@
             return reply.get(timeout=max(0.0, left_s))
         except queue.Empty:
             loguru.logger.error(
-                "front: request={} still open {} s after its deadline",
+                "front: request={} not ended by the router after its deadline",
                 request.request_id,
-                LOST_REQUEST_GRACE_S,
             )
         failure = failures.Overloaded(
             "The router did not end the request in time.",
--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -37,7 +37,7 @@
         """
         tail = self._tail + data
         if len(tail) > MAX_EVENT_BYTES + len(data):
-            raise OversizeError(f"event over {MAX_EVENT_BYTES} bytes")
+            raise OversizeError("event exceeds its size limit")
         end = tail.rfind(b"\n\n") + 2
         if end < 2:
             end = tail.rfind(b"\r\n\r\n") + 4
@@ -108,9 +108,7 @@
             same = self.status == status and not self.complete
             self._overhead = self._overhead + len(data) if same else 0
             if self._overhead > MAX_OVERHEAD_BYTES:
-                raise OversizeError(
-                    f"head or framing over {MAX_OVERHEAD_BYTES} bytes"
-                )
+                raise OversizeError("head or framing exceeds its size limit")
             return b""
         self._overhead = 0
         body = b"".join(self._body)
