Name local variables of the relay and the operator requests plainly

Locals such as whole, gone or asked did not say what they hold.

Checked: make lint passes; test_relay_answers, test_chat and test_callers pass (9 tests).

--- a/sycamorehollow/shells/operators.py
+++ b/sycamorehollow/shells/operators.py
@@ -56,12 +56,12 @@
         self, exchange: exchanges.Exchange, match: re.Match[str]
     ) -> None:
         """Checks the token and the body and sends the response."""
-        refusal = self._authenticate(exchange.get_header("Authorization"))
-        if refusal is not None:
+        failure = self._authenticate(exchange.get_header("Authorization"))
+        if failure is not None:
             # The body is unread; on a kept-alive connection it would be parsed
             # as the next request.
             exchange.close_after_response()
-            exchange.send_failure(refusal)
+            exchange.send_failure(failure)
             return
         result = self._read_and_execute(exchange)
         if isinstance(result, failures.Failure):
@@ -127,11 +127,11 @@
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
         """Stops the candidate version of a roll-out immediately."""
-        asked = bodies.StopBody.model_validate_json(body)
-        rollout = current.rollouts.get(asked.rollout)
+        parsed = bodies.StopBody.model_validate_json(body)
+        rollout = current.rollouts.get(parsed.rollout)
         if rollout is None:
-            return failures.NotFound(f"There is no roll-out {asked.rollout}.")
-        self._report(rollouts.StopRequested(asked.rollout, asked.reason))
+            return failures.NotFound(f"There is no roll-out {parsed.rollout}.")
+        self._report(rollouts.StopRequested(parsed.rollout, parsed.reason))
         try:
             stopped = rollout.candidate in self._read_stopped()
         except queue.Empty:
@@ -143,7 +143,7 @@
                 1.0,
             )
         return {
-            "rollout": asked.rollout,
+            "rollout": parsed.rollout,
             "version": rollout.candidate,
             "stopped": True,
         }
@@ -158,12 +158,14 @@
         self, body: bytes, current: deployment.Deployment
     ) -> dict[str, Any] | failures.Failure:
         """Takes an upstream or a data centre out of service immediately."""
-        asked = bodies.DrainBody.model_validate_json(body)
-        scope = drains.Scope(asked.scope)
+        parsed = bodies.DrainBody.model_validate_json(body)
+        scope = drains.Scope(parsed.scope)
         known: Collection[str] = current.data_centres
         if scope is drains.Scope.UPSTREAM:
             known = current.upstreams
-        if asked.name not in known:
-            return failures.NotFound(f"There is no {asked.scope} {asked.name}.")
-        self._report(operator_drains.DrainRequested(scope, asked.name))
-        return {"scope": asked.scope, "name": asked.name, "drained": True}
+        if parsed.name not in known:
+            return failures.NotFound(
+                f"There is no {parsed.scope} {parsed.name}."
+            )
+        self._report(operator_drains.DrainRequested(scope, parsed.name))
+        return {"scope": parsed.scope, "name": parsed.name, "drained": True}
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -111,10 +111,10 @@
                 continue
             try:
                 self._selector.unregister(side.sock)
-            except (KeyError, ValueError) as gone:
+            except (KeyError, ValueError) as cause:
                 # The socket was not registered, or is closed.
                 loguru.logger.debug(
-                    "relay: request={} unregistered: {!r}", request_id, gone
+                    "relay: request={} unregistered: {!r}", request_id, cause
                 )
             side.mask = 0
         self._callers.forget(stream)
@@ -238,14 +238,14 @@
 
     def _complete_attempt(self, stream: streams.Stream) -> None:
         self._engines.close(stream)
-        answer = stream.join_rated_blocks()
+        rated_blocks = stream.join_rated_blocks()
         self._report(
             lifecycle.AttemptCompleted(
                 stream.request_id,
                 stream.attempt,
                 stream.count_prompt_tokens(),
                 stream.count_output_tokens(),
-                answer,
+                rated_blocks,
             )
         )
 
--- a/sycamorehollow/shells/streams.py
+++ b/sycamorehollow/shells/streams.py
@@ -152,8 +152,10 @@
         them.
         """
         command = engine.command
-        whole = self.completed and self.buffer_chunks and not self.is_oversized
-        if command.retain_previous and whole:
+        complete = (
+            self.completed and self.buffer_chunks and not self.is_oversized
+        )
+        if command.retain_previous and complete:
             self.retained = RetainedAnswer(
                 self.upstream, self.version, self.session, self.join_buffered()
             )
@@ -183,15 +185,15 @@
         Raises:
             LookupError: No response is retained.
         """
-        answer = self.retained
-        if answer is None:
+        retained = self.retained
+        if retained is None:
             raise LookupError("no response is retained")
         self.retained = None
-        self.upstream = answer.upstream
-        self.version = answer.version
-        self.session = answer.session
-        self.buffered_blocks = [answer.block]
-        self.buffered_bytes = len(answer.block)
+        self.upstream = retained.upstream
+        self.version = retained.version
+        self.session = retained.session
+        self.buffered_blocks = [retained.block]
+        self.buffered_bytes = len(retained.block)
         self.usage_event = b""
 
     @property
