--- a/sycamorehollow/shells/bounded_http.py
+++ b/sycamorehollow/shells/bounded_http.py
@@ -54,9 +54,9 @@
         """
         left_s = self._deadline - time.monotonic()
         if left_s <= 0:
-            raise LimitExceededError("response not complete within its timeout")
+            raise LimitExceededError("the answer takes too long")
         if self._left_bytes <= 0:
-            raise LimitExceededError("response exceeds its size limit")
+            raise LimitExceededError("the answer is too long")
         self._sock.settimeout(left_s)
         count = self._file.readinto(buffer)
         self._left_bytes -= count or 0
