Show that a prompt part crashes one upstream after another, failing

Change: stand-ins crash on a prompt part and can send streams that end with their connection.

A stream that ends inside an event or before its first one is passed on as complete.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -251,6 +251,7 @@
         for upstream in [*self.engines, *self.desks]:
             upstream.mode = "serve"
             upstream.limit = ""
+            upstream.closing = False
             upstream.leaving = False
             upstream.retry_after = ""
             upstream.confidences = {}
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's store and upstreams, with its protocol."""
 
 import base64
+import contextlib
 import http.server
 import json
 import socket
@@ -14,6 +15,10 @@
 HOST = "127.0.0.1"
 # Delay of a duplicate response: a connection is mostly reused within it.
 DUPLICATE_DELAY_S = 0.03
+# Time for which an upstream is down after a crash, and the time from the head
+# of a response to the crash.
+DOWN_S = 2.0
+CRASH_DELAY_S = 0.03
 
 
 class Server:
@@ -28,6 +33,7 @@
 
     def __init__(self, port=0):
         outer = self
+        self._open = set()
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -43,21 +49,39 @@
             do_GET = do_POST = do_DELETE = _run  # noqa: N815
 
             def handle(self):
+                outer._open.add(self.connection)
                 try:
                     super().handle()
                 except (OSError, ValueError):
                     return  # The connection was closed, or reset by `reset`.
+                finally:
+                    outer._open.discard(self.connection)
 
-        self._server = http.server.ThreadingHTTPServer((HOST, port), Handler)
+        self._handler = Handler
+        self._listen(port)
+
+    def _listen(self, port):
+        self._server = http.server.ThreadingHTTPServer(
+            (HOST, port), self._handler
+        )
         self._server.daemon_threads = True
         self.address = "%s:%d" % self._server.server_address
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.02,), daemon=True
+        ).start()
 
     def stop(self):
         """Stops the server."""
         self._server.shutdown()
         self._server.server_close()
 
+    def _stop_at_once(self):
+        """Stops listening and closes all connections."""
+        self.stop()
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def handle(self, handler, body):
         """Responds to one request."""
         raise NotImplementedError
@@ -256,7 +280,8 @@
         mode: How requests are handled: `serve`, `refuse`, `fail`, `reset`,
             `hang`, `unsealed`, `extra`, `copy` (a late duplicate of the
             response), `cut` (within the third event), `half` (half of a large
-            body), or a kind of endless response.
+            body), `empty` (a stream without an event), or a kind of endless
+            response.
         limit: Value of the `Server-Limit` header; empty for none.
         leaving: Whether all responses carry `Server-Leaving`.
         retry_after: Value of the `Retry-After` header of a refusal.
@@ -268,6 +293,12 @@
         run_requests: Method, path, headers and body of the requests that it
             has started to run.
         aborted_streams: Number of streams that the caller has aborted.
+        deadly_parts: Prompt parts on which it crashes at the first event of a
+            response; it is back after `DOWN_S`. The last part is ignored.
+        deadly_arrivals: Times at which requests with such a part arrived.
+        crashes: Times of its crashes.
+        closing: Whether streams have neither a length nor chunks and end with
+            their connection.
         flood_bytes: Bytes sent of the last endless response that was closed.
     """
 
@@ -284,7 +315,13 @@
         self.first_gap_s = 0.0
         self.run_requests = []
         self.aborted_streams = 0
+        self.deadly_parts = set()
+        self.deadly_arrivals = []
+        self.crashes = []
+        self.closing = False
         self.flood_bytes = 0
+        self._entry = ()
+        self._crash_lock = threading.Lock()
         super().__init__(port)
 
     def register(self, store, service, **changes):
@@ -301,6 +338,27 @@
             **changes,
         }
         store.put(f"servers/{self.identity}", json.dumps(entry))
+        self._entry = store, service, changes
+
+    def crash(self):
+        """Ends the server, which is back later under the same identity."""
+        with self._crash_lock:
+            if self.crashes and time.monotonic() - self.crashes[-1] < DOWN_S:
+                return
+            self.crashes.append(time.monotonic())
+            self._stop_at_once()
+        threading.Timer(DOWN_S, self._start_again).start()
+
+    def _start_again(self):
+        self._listen(int(self.address.rpartition(":")[2]))
+        store, service, changes = self._entry
+        self.register(
+            store, service, **changes | {"born": int(time.time() * 1000)}
+        )
+
+    def _is_deadly(self, headers):
+        parts = headers.get("Prompt-Prefix", "").split(",")[:-1]
+        return any(p.partition(":")[0] in self.deadly_parts for p in parts)
 
     def handle(self, handler, body):
         """Responds to one request."""
@@ -330,6 +388,10 @@
             "Response-Seal": f"seal-of-{self.identity}",
             **needs,
         }
+        self._respond(handler, headers, response_headers, body)
+
+    def _respond(self, handler, headers, response_headers, body):
+        """Responds to a request that the upstream has started to run."""
         if self.mode == "reset":
             reset(handler)
         elif self.mode == "hang":
@@ -359,6 +421,8 @@
 
     def record_run(self, handler, headers, body):
         """Records a request that the upstream has started to run."""
+        if self._is_deadly(headers):
+            self.deadly_arrivals.append(time.monotonic())
         self.run_requests.append((handler.command, handler.path, headers, body))
 
     def get_confidence(self, headers):
@@ -370,6 +434,12 @@
         model = headers.get("Model", "").encode()
         return b"id: %d\ndata: %s\n\n" % (number, model)
 
+    def _write_chunk(self, handler, data):
+        if not self.closing:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        handler.wfile.write(data)
+        handler.wfile.flush()
+
     def _stream(self, handler, headers, response_headers):
         handler.send_response(200)
         for name, value in response_headers.items():
@@ -378,23 +448,35 @@
         if confidence is not None:
             handler.send_header("Hint-Confidence", str(confidence))
         handler.send_header("Content-Type", "text/event-stream")
-        handler.send_header("Transfer-Encoding", "chunked")
+        if self.closing:
+            handler.send_header("Connection", "close")
+        else:
+            handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
+        if self._is_deadly(headers):
+            time.sleep(CRASH_DELAY_S)
+            self.crash()
+            return
+        if self.mode == "empty":
+            return
         first = int(headers.get("Last-Event-Id") or 0) + 1
         try:
             for number in range(first, self.events + 1):
                 event = self.build_event(number, headers)
                 if self.mode == "cut" and number == 3:
+                    if self.closing:
+                        handler.wfile.write(event[:7])
+                        return
                     handler.wfile.write(b"%x\r\n%s" % (len(event), event[:7]))
                     handler.wfile.flush()
                     reset(handler)
                     return
                 if number == 2:
                     time.sleep(self.first_gap_s)
-                handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-                handler.wfile.flush()
+                self._write_chunk(handler, event)
                 time.sleep(self.pause_s)
-            handler.wfile.write(b"0\r\n\r\n")
+            if not self.closing:
+                handler.wfile.write(b"0\r\n\r\n")
         except OSError:
             self.aborted_streams += 1
             raise
