Treat a stream that ends inside an event as broken off

A crash of an upstream looked like the end of a response.

Cause: the end of the connection counted as the end of the response without regard to the event that was still incomplete.

Change: a stream that ends inside an event, or without any event, is broken off: it is continued elsewhere if it may, else cut or answered with 502, and its upstream is checked for a crash. A continuation whose framing shows its end may be empty, since the first upstream may have broken off after the last event.

--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -266,10 +266,13 @@
         send comments or parts of an event.
 
         Raises:
-            upstream_connections.UpstreamConnectionError: An event is too long.
+            upstream_connections.UpstreamConnectionError: An event is too long,
+                or the stream ended early.
         """
         lifecycle = self._lifecycle
         splitter = server_sent_events.EventSplitter(lifecycle.last_event_id)
+        is_continuation = lifecycle.delivering
+        has_events = False
         while data := await self._wait_for(connection, connection.read_body):
             try:
                 complete = splitter.feed(data)
@@ -280,15 +283,21 @@
             if not complete:
                 continue
             if server_sent_events.has_data(complete):
+                has_events = True
                 lifecycle.record_bytes(time.monotonic())
             if not lifecycle.delivering:
                 await self._write_head(head, None)
             lifecycle.last_event_id = splitter.last_event_id
             await self._connection.write_body(complete)
-        if not lifecycle.delivering:
-            await self._write_head(head, None)
-        if splitter.incomplete_event:
-            await self._connection.write_body(splitter.incomplete_event)
+        # Nothing may be left of a stream that broke off after its last event.
+        may_be_empty = is_continuation and not connection.ended_at_eof
+        if splitter.incomplete_event or not (has_events or may_be_empty):
+            raise upstream_connections.UpstreamConnectionError(
+                "the stream ended inside an event"
+                if splitter.incomplete_event
+                else "the stream ended without an event",
+                closed_by_upstream=connection.ended_at_eof,
+            )
         await self._connection.write_end()
 
     async def _write_head(
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -126,6 +126,11 @@
         """Whether requests can be sent on the connection."""
         return not self._closed and not self._error and self._reusable
 
+    @property
+    def ended_at_eof(self) -> bool:
+        """Whether only the end of the connection shows that of the response."""
+        return self._ended and self._ends_at_eof
+
     @property
     def can_read_without_waiting(self) -> bool:
         """Whether a read returns or raises at once."""
