Let crash checks run without a receiver of their results

Cause: the tests of breaks build a CrashChecker without one, and failed with a TypeError since.

Change: the receiver is optional.

--- a/sycamorehollow/shells/gateway/crash_checker.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -36,7 +36,7 @@
         router: routers.Router,
         pool: connection_pool.ConnectionPool,
         telemetry_sink: telemetry.Telemetry,
-        handle_crash: Callable[[], None],
+        handle_crash: Callable[[], None] = lambda: None,
     ):
         self._router = router
         self._pool = pool
