Let the soak draw a prompt part that crashes engines

Cause: the soak had no content that crashes upstreams.

Change: for a part of a run, one in ten drafts has a part on which an engine process ends at the first event; it is started again and registered as a new incarnation. A check counts the requests with the part that reach engines 3 s after the fifth crash, from nodes and a store that nothing else disturbs.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -356,7 +356,8 @@
             store, service, **changes | {"born": int(time.time() * 1000)}
         )
 
-    def _is_deadly(self, headers):
+    def is_deadly(self, headers):
+        """Returns whether a request has a part on which it crashes."""
         parts = headers.get("Prompt-Prefix", "").split(",")[:-1]
         return any(p.partition(":")[0] in self.deadly_parts for p in parts)
 
@@ -421,7 +422,7 @@
 
     def record_run(self, handler, headers, body):
         """Records a request that the upstream has started to run."""
-        if self._is_deadly(headers):
+        if self.is_deadly(headers):
             self.deadly_arrivals.append(time.monotonic())
         self.run_requests.append((handler.command, handler.path, headers, body))
 
@@ -453,7 +454,7 @@
         else:
             handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
-        if self._is_deadly(headers):
+        if self.is_deadly(headers):
             time.sleep(CRASH_DELAY_S)
             self.crash()
             return
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,6 +27,11 @@
     parser.add_argument(
         "--needs", action="store_true", help="upstreams that state needs"
     )
+    parser.add_argument(
+        "--deadly",
+        action="store_true",
+        help="a prompt part that crashes engines",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -38,6 +43,7 @@
         callers=arguments.callers,
         trouble=arguments.trouble,
         needs=arguments.needs,
+        deadly=arguments.deadly,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -66,6 +72,8 @@
         rest.append("--trouble")
     if arguments.needs:
         rest.append("--needs")
+    if arguments.deadly:
+        rest.append("--deadly")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that keep their connections and write down what they get."""
 
+from collections.abc import Callable
 import enum
 import random
 import re
@@ -9,6 +10,7 @@
 import urllib3
 
 from tests.soak import promises
+from tests.soak import schedule
 
 # Longest pause of a caller between two requests.
 PAUSE_S = 0.12
@@ -26,8 +28,11 @@
 class Caller:
     """One caller with its own connections."""
 
-    def __init__(self, source: random.Random):
+    def __init__(
+        self, source: random.Random, is_deadly: Callable[[], bool] = bool
+    ):
         self._source = source
+        self._is_deadly = is_deadly
         self._http = urllib3.PoolManager(retries=False, maxsize=4)
 
     def ask(self, front: str, node: str, path: str) -> promises.Exchange:
@@ -41,12 +46,17 @@
         }
         body = b""
         if path == Path.DRAFT.value:
+            # Bodies of deadly requests differ, so that only the part is shared.
             body = b"prompt"
+            part = f"p{self._source.randrange(4)}:200"
+            if self._is_deadly():
+                body = request_id.encode()
+                part += f",{schedule.DEADLY_PART}:50"
             headers |= {
                 "Accept": "text/event-stream",
                 "Model": "*",
                 "Token-Counts": "400,80",
-                "Prompt-Prefix": f"p{self._source.randrange(4)}:200,own:200",
+                "Prompt-Prefix": f"{part},own:200",
             }
         elif path == Path.LODGE.value:
             body = request_id.encode()
@@ -87,17 +97,24 @@
         seed: Makes their choices repeatable.
         fronts: Addresses by name of the node.
         count: How many callers.
+
+    Attributes:
+        sends_deadly: Whether some requests have a part that crashes engines.
     """
 
     def __init__(self, seed: int, fronts: dict[str, str], count: int):
         self.exchanges: list[promises.Exchange] = []
+        self.sends_deadly = False
         self._fronts = fronts
         self._stopping = threading.Event()
         self._threads = [
             # A run that fails ends without waiting for its callers.
             threading.Thread(
                 target=self._run,
-                args=(random.Random(f"{seed}/{number}"),),
+                args=(
+                    random.Random(f"{seed}/{number}"),
+                    random.Random(f"{seed}/{number}/deadly"),
+                ),
                 daemon=True,
             )
             for number in range(count)
@@ -115,8 +132,13 @@
             thread.join()
         return self.exchanges
 
-    def _run(self, source: random.Random) -> None:
-        caller = Caller(source)
+    def _run(self, source: random.Random, draws: random.Random) -> None:
+        caller = Caller(
+            source,
+            lambda: (
+                self.sends_deadly and draws.random() < schedule.DEADLY_SHARE
+            ),
+        )
         while not self._stopping.is_set():
             node = source.choice(list(self._fronts))
             path = source.choice(list(Path)).value
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 import re
 
 from tests import limit_rule
+from tests import part_rule
 from tests.soak import schedule
 
 STREAM_EVENTS = 6
@@ -58,6 +59,7 @@
     workspace: str
     has_key: bool
     resumed_after: str
+    deadly: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,8 +86,16 @@
     exchanges: Iterable[Exchange],
     runs: Iterable[Run],
     faults: Iterable[Happened],
+    crashes: Iterable[float] = (),
 ) -> list[Violation]:
-    """Returns every broken promise."""
+    """Returns every broken promise.
+
+    Args:
+        exchanges: What callers have seen.
+        runs: What upstreams have seen.
+        faults: What was played.
+        crashes: Times of the crashes by a prompt part.
+    """
     by_request = collections.defaultdict(list)
     runs = list(runs)
     for run in runs:
@@ -94,6 +104,7 @@
     exchanges = list(exchanges)
     found = _judge_drains(runs, faults)
     found += _judge_limits(exchanges, runs, faults)
+    found += _judge_deadly(exchanges, runs, faults, crashes)
     asked = set()
     for exchange in exchanges:
         asked.add(exchange.request_id)
@@ -259,3 +270,34 @@
                 Violation("limits hold", "", f"{worst} in 4 s: {limited}")
             )
     return found
+
+
+def _judge_deadly(
+    exchanges: list[Exchange],
+    runs: list[Run],
+    faults: list[Happened],
+    crashes: Iterable[float],
+) -> list[Violation]:
+    """Returns whether a deadly part reaches upstreams long after its crashes.
+
+    Requests of nodes that were disturbed do not count, nor any beside a fault
+    of the store.
+    """
+    nodes = {exchange.request_id: exchange.node for exchange in exchanges}
+    arrivals = []
+    for run in runs:
+        node = nodes.get(run.request, "")
+        disturbed = any(
+            fault.target in ("store", node, f"store/{node}")
+            and fault.begin <= run.at
+            and fault.end + part_rule.CONTACT_S >= run.at
+            for fault in faults
+        )
+        if run.deadly and not disturbed:
+            arrivals.append(run.at)
+    crashes = list(crashes)
+    later = part_rule.count_later_arrivals(crashes, arrivals)
+    if later <= part_rule.MAX_LATER_ARRIVALS:
+        return []
+    detail = f"{later} after {len(crashes)} crashes"
+    return [Violation("deadly parts are rejected", "", detail)]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,6 +32,7 @@
 # Time in which an entry lapses after its upstream is gone.
 LAPSE_S = 0.6
 LOOK_S = 0.2
+WATCH_S = 0.02
 READY_LIMIT_S = 15.0
 # Time in which a changed configuration is in force.
 APPLY_S = 3.0
@@ -65,6 +66,7 @@
     callers: int = 16
     trouble: bool = False
     needs: bool = False
+    deadly: bool = False
 
 
 class StandIn:
@@ -95,6 +97,11 @@
         """Whether the process has not ended."""
         return self._child.poll() is None
 
+    @property
+    def has_crashed(self) -> bool:
+        """Whether a prompt part has ended the process."""
+        return self._child.poll() == standin_process.CRASH_STATUS
+
     def send_signal(self, number: int) -> None:
         """Sends a signal, if the process has not ended."""
         if self.is_running:
@@ -191,6 +198,11 @@
             self._nodes[name] = gateway_world.Node(
                 folder, name, way, GRACE_S, **(SCARCE if seed % 2 else {})
             )
+        self._crashes: list[float] = []
+        self._crashed: set[str] = set()
+        self._lock = threading.Lock()
+        self._ending = threading.Event()
+        self._watch = threading.Thread(target=self._watch_crashes, daemon=True)
         self.summary = ""
         self._found: list[promises.Violation] = []
         # When a node was told to end, until it is started again.
@@ -218,6 +230,10 @@
             faults += schedule.draw_needs(
                 self._seed, self._size.seconds, list(self._upstreams)
             )
+        if self._size.deadly:
+            faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
+        self._crowd = crowd
+        self._watch.start()
         crowd.start()
         start = time.monotonic()
         for fault in faults:
@@ -225,7 +241,11 @@
         happened = self._play(start)
         exchanges = self._recover(fronts) + crowd.stop()
         self.summary = f"{len(exchanges)} requests, {len(happened)} faults"
-        judged = promises.judge(exchanges, self._read_runs(), happened)
+        if self._crashes:
+            self.summary += f", {len(self._crashes)} crashes by a part"
+        judged = promises.judge(
+            exchanges, self._read_runs(), happened, self._crashes
+        )
         cut = promises.judge_logs(self.read_logs())
         return self._found + judged + cut
 
@@ -235,6 +255,7 @@
 
     def close(self) -> None:
         """Ends every process that was started here."""
+        self._ending.set()
         self._store.send_signal(signal.SIGCONT)
         self._operator.stop()
         for node in self._nodes.values():
@@ -271,7 +292,31 @@
             )
         return happened
 
+    def _watch_crashes(self) -> None:
+        """Starts engines again that a prompt part has crashed."""
+        while not self._ending.wait(WATCH_S):
+            for name, upstream in self._upstreams.items():
+                if name in self._crashed or not upstream.has_crashed:
+                    continue
+                self._crashes.append(time.monotonic())
+                self._crashed.add(name)
+                threading.Timer(
+                    platform_standins.DOWN_S, self._restart, (name,)
+                ).start()
+
+    def _restart(self, name: str) -> None:
+        with self._lock:
+            if self._ending.is_set():
+                return
+            if not self._upstreams[name].is_running:
+                self._upstreams[name].start()
+                self._register(name)
+        self._crashed.discard(name)
+
     def _begin(self, fault: schedule.Fault) -> None:
+        if fault.kind is schedule.Kind.DEADLY:
+            self._crowd.sends_deadly = True
+            return
         if fault.kind in MODES:
             self._modes.setdefault(fault.target, []).append(fault.kind)
             self._set_mode(fault.target)
@@ -320,6 +365,9 @@
 
     def _end(self, fault: schedule.Fault) -> bool:
         """Ends a fault; returns whether it is over."""
+        if fault.kind is schedule.Kind.DEADLY:
+            self._crowd.sends_deadly = False
+            return True
         if fault.kind in MODES:
             self._modes[fault.target].remove(fault.kind)
             self._set_mode(fault.target)
@@ -329,8 +377,9 @@
         if fault.target in self._upstreams:
             upstream = self._upstreams[fault.target]
             upstream.send_signal(signal.SIGCONT)
-            if not upstream.is_running:
-                upstream.start()
+            with self._lock:
+                if not upstream.is_running:
+                    upstream.start()
             self._register(fault.target)
             if fault.kind is schedule.Kind.TROUBLE:
                 # It may be about to listen, or frozen by another fault.
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -30,8 +30,13 @@
     COMPACT = "compact"
     TROUBLE = "trouble"
     NEED = "need"
+    DEADLY = "deadly"
 
 
+# A prompt part that crashes engines, and the mean share of such requests.
+DEADLY_PART = "dead"
+DEADLY_SHARE = 0.1
+SHORTEST_DEADLY_S = 6.0
 TROUBLE_PER_S = 0.6
 # Bodies without end, as they reach callers, would fill the memory here, and a
 # caller that cannot keep up is waited for beyond its deadline.
@@ -141,3 +146,11 @@
         free_at[target] = at + length
         faults.append(Fault(at, Kind.NEED, target, length, mode))
     return faults
+
+
+def draw_deadly(seed: int, seconds: float) -> Fault:
+    """Returns the time in which callers send a part that crashes engines."""
+    source = random.Random(f"{seed}/deadly")
+    length = source.uniform(SHORTEST_DEADLY_S, seconds - 2 * QUIET_S)
+    at = source.uniform(QUIET_S, seconds - length - QUIET_S)
+    return Fault(at, Kind.DEADLY, "callers", length)
--- a/tests/soak/standin_process.py
+++ b/tests/soak/standin_process.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import threading
 import time
@@ -15,6 +16,8 @@
 NEED_PATH = "/test/need/"
 # Some answers are doubtful, so that larger models are asked for, too.
 CONFIDENCE_STEPS = 5
+# Exit status of an engine that a prompt part has crashed.
+CRASH_STATUS = 3
 
 
 class RecordingUpstream(platform_standins.Upstream):
@@ -26,6 +29,7 @@
         super().__init__(identity, port)
         self.events = promises.STREAM_EVENTS
         self.pause_s = EVENT_PAUSE_S
+        self.deadly_parts = {schedule.DEADLY_PART}
 
     def handle(self, handler, body):
         """Answers a request, or takes the way in which it is to answer."""
@@ -45,6 +49,10 @@
         self.retry_after = value if kind == "pause" else ""
         self.mode = "refuse" if kind == "pause" else "serve"
 
+    def crash(self):
+        """Ends the process; the one who started it starts it again."""
+        os._exit(CRASH_STATUS)
+
     def record_run(self, handler, headers, body):
         """Writes one line, at once, as the process may be killed."""
         record = {
@@ -55,6 +63,7 @@
             "workspace": headers.get("Tenant-Id", ""),
             "has_key": "Authorization" in headers,
             "resumed_after": headers.get("Last-Event-Id", ""),
+            "deadly": self.is_deadly(headers),
         }
         with self._lock:
             self._file.write(json.dumps(record) + "\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,8 @@
 TROUBLE_SEEDS = (400,)
 # Beside these, upstreams state limits, ask for pauses and leave.
 NEED_SEEDS = (600,)
+# Beside these, a prompt part crashes engines.
+DEADLY_SEEDS = (800,)
 AT_ONCE = 2
 # Seeds that once failed, each with a line on its cause.
 REGRESSION_SEEDS = {
@@ -190,6 +192,25 @@
                 limits = [f for f in found if f.promise == "limits hold"]
                 self.assertEqual(len(limits), broken)
 
+    def test_deadly_part_that_goes_on_is_found(self):
+        freeze = promises.Happened(schedule.Kind.FREEZE, "node-0", 99.0, 101.0)
+        for count, faults, broken in (
+            (3, [], set()),
+            (4, [], {"deadly parts are rejected"}),
+            (4, [freeze], set()),
+        ):
+            exchanges = [
+                build_exchange(request_id=f"{number}", status=502)
+                for number in range(count)
+            ]
+            runs = [
+                build_run(request=f"{number}", deadly=True)
+                for number in range(count)
+            ]
+            crashes = [90.0 + number for number in range(5)]
+            found = promises.judge(exchanges, runs, faults, crashes)
+            self.assertEqual({v.promise for v in found}, broken)
+
 
 class ScheduleTest(unittest.TestCase):
     """Guards against schedules that cannot be repeated."""
@@ -212,6 +233,10 @@
             needs = schedule.draw_needs(seed, 12.0, names[1])
             self.assertEqual(needs, schedule.draw_needs(seed, 12.0, names[1]))
             kinds.update(fault.kind for fault in needs)
+            deadly = schedule.draw_deadly(seed, 12.0)
+            self.assertEqual(deadly, schedule.draw_deadly(seed, 12.0))
+            self.assertLessEqual(deadly.end, 12.0)
+            kinds.add(deadly.kind)
         self.assertEqual(kinds, set(schedule.Kind))
 
 
@@ -241,14 +266,24 @@
     """Plays a few schedules on real processes."""
 
     def test_promises_hold_under_faults(self):
-        seeds = (*SEEDS, *REGRESSION_SEEDS, *TROUBLE_SEEDS, *NEED_SEEDS)
+        seeds = (
+            *SEEDS,
+            *REGRESSION_SEEDS,
+            *TROUBLE_SEEDS,
+            *NEED_SEEDS,
+            *DEADLY_SEEDS,
+        )
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
             results = list(pool.map(self._run, seeds))
         for seed, (found, logs) in zip(seeds, results, strict=True):
             self.assertEqual(found, [], f"seed {seed}\n{logs}")
 
     def _run(self, seed):
-        size = run.Size(trouble=seed in TROUBLE_SEEDS, needs=seed in NEED_SEEDS)
+        size = run.Size(
+            trouble=seed in TROUBLE_SEEDS,
+            needs=seed in NEED_SEEDS,
+            deadly=seed in DEADLY_SEEDS,
+        )
         soak = run.Soak(seed, size)
         try:
             found = soak.run()
