Set the soak's stand-ins up before they listen

Cause: an upstream of the soak listened before its number of events, its pause and its deadly part were set. A request in the first milliseconds after a restart got the defaults: four events at once. Engines that a prompt part crashes are started again more often.

Change: the values are those of the class, which the server starts with.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -302,6 +302,11 @@
         flood_bytes: Bytes sent of the last endless response that was closed.
     """
 
+    # Values with which it starts to listen.
+    first_events = 4
+    first_pause_s = 0.0
+    first_deadly_parts = ()
+
     def __init__(self, identity, port=0):
         self.identity = identity
         self.mode = "serve"
@@ -310,12 +315,12 @@
         self.retry_after = ""
         self.arrivals = []
         self.confidences = {}
-        self.events = 4
-        self.pause_s = 0.0
+        self.events = self.first_events
+        self.pause_s = self.first_pause_s
         self.first_gap_s = 0.0
         self.run_requests = []
         self.aborted_streams = 0
-        self.deadly_parts = set()
+        self.deadly_parts = set(self.first_deadly_parts)
         self.deadly_arrivals = []
         self.crashes = []
         self.closing = False
--- a/tests/soak/standin_process.py
+++ b/tests/soak/standin_process.py
@@ -23,13 +23,14 @@
 class RecordingUpstream(platform_standins.Upstream):
     """Writes down each request that it begins to run."""
 
+    first_events = promises.STREAM_EVENTS
+    first_pause_s = EVENT_PAUSE_S
+    first_deadly_parts = (schedule.DEADLY_PART,)
+
     def __init__(self, identity, port, path):
         self._file = path.open("a", encoding="utf-8")
         self._lock = threading.Lock()
         super().__init__(identity, port)
-        self.events = promises.STREAM_EVENTS
-        self.pause_s = EVENT_PAUSE_S
-        self.deadly_parts = {schedule.DEADLY_PART}
 
     def handle(self, handler, body):
         """Answers a request, or takes the way in which it is to answer."""
