Send news of crashes to a node once, and blame no upstream for a verdict

Cause: found by reading and by simulated fleets. A request that was stopped by the verdict counted as a failure of its upstream, which then was backed off. A verdict that fell after a request was sent did not keep it from being resent on another connection.

Change: a node gets news when it has changed and again after 2 s; the attempt ends without an effect on its upstream; the verdict is asked before a request is resent.

--- a/sycamorehollow/decisions/forwarding/prompt_crashes.py
+++ b/sycamorehollow/decisions/forwarding/prompt_crashes.py
@@ -34,11 +34,16 @@
 MAX_IDENTITY_CHARS = 32
 # Time for which a node sends what it has learned.
 NEWS_S = 6.0
+# Time after which unchanged news is sent to a node again, as it may have missed
+# it.
+RESEND_S = 2.0
 # Crashes whose parts are sent in one message, the latest ones.
 MAX_EXPORTED = 24
 # Decimal places of durations in seconds, the same here and in messages.
 AGE_DIGITS = 3
 
+NEVER = float("-inf")
+
 # A prompt part and the model that ran it; empty for upstreams without a choice
 # of models.
 Pair = tuple[str, str]
@@ -162,6 +167,8 @@
             collections.OrderedDict()
         )
         self._has_news = False
+        # For each node the state and time at which a crash was sent to it.
+        self._sent: dict[str, dict[str, tuple[float, float]]] = {}
 
     def record_break(
         self, prompt: Prompt, incarnation: str, sent_at: float, now: float
@@ -246,20 +253,29 @@
         for crash in crashes:
             self._merge_crash(crash, now)
 
-    def export(self, now: float, everything: bool) -> list[Crash]:
+    def export(self, node: str, now: float, everything: bool) -> list[Crash]:
         """Returns the crashes to send to another node.
 
         Args:
+            node: Address of the node.
             now: Monotonic time in seconds.
             everything: Whether to include what was learned long ago, for a
                 node that may have missed it.
         """
-        due = [
-            crash
-            for crash in self._crashes.values()
-            if everything or crash.changed_at > now - NEWS_S
-        ]
-        return sorted(due, key=lambda crash: crash.at)[-MAX_EXPORTED:]
+        sent = self._sent.get(node, {})
+        due = []
+        for crash in sorted(self._crashes.values(), key=lambda c: c.at):
+            state, sent_at = sent.get(crash.incarnation, (NEVER, NEVER))
+            is_news = crash.changed_at > now - NEWS_S and (
+                state != crash.changed_at or now - sent_at >= RESEND_S
+            )
+            if everything or is_news:
+                due.append(crash)
+        due = due[-MAX_EXPORTED:]
+        if due:
+            sent = self._sent.setdefault(node, {})
+            sent.update({c.incarnation: (c.changed_at, now) for c in due})
+        return due
 
     def take_news(self) -> bool:
         """Returns whether something was learned since the last call."""
@@ -289,6 +305,9 @@
             kept: Incarnations of the crashes that verdicts rest on.
             now: Monotonic time in seconds.
         """
+        for node, sent in list(self._sent.items()):
+            if all(now - sent_at >= NEWS_S for _, sent_at in sent.values()):
+                del self._sent[node]
         for incarnation, crash in list(self._crashes.items()):
             limit_s = RETENTION_S
             if incarnation in kept:
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -130,11 +130,13 @@
         """Whether a response was delivered in part or discarded by cascade."""
         return self.delivering or self._response_discarded
 
-    def may_resend(self) -> bool:
+    def may_resend(self, now: float) -> bool:
         """Returns whether the attempt may be sent on another connection."""
         # A crash before the first byte looks like a connection that the
         # upstream had closed while it was idle.
-        return not self.guard.was_isolated
+        if self.guard.was_isolated:
+            return False
+        return not self.failover.find_quarantine(now)
 
     def choose_next_step(self, now: float) -> steps.Step:
         """Returns the next step while no attempt is open."""
@@ -202,7 +204,8 @@
         left_s = self.deadline - now
         limit = self._find_late_quarantine(now)
         if limit:
-            self._fail(steps.EndCause.QUARANTINE, limit, now)
+            # The upstream is not to blame, so its state stays what it is.
+            self.attempts[-1].end(steps.EndCause.QUARANTINE, limit, now)
             return steps.Reject(self._build_failure(limit, now))
         if left_s < MIN_REMAINING_S:
             self._fail(steps.EndCause.DEADLINE, NO_BYTE_IN_TIME, now)
--- a/sycamorehollow/shells/gateway/crash_messages.py
+++ b/sycamorehollow/shells/gateway/crash_messages.py
@@ -11,10 +11,10 @@
 
 
 def export(
-    log: prompt_crashes.CrashLog, now: float, everything: bool
+    log: prompt_crashes.CrashLog, node: str, now: float, everything: bool
 ) -> dict[str, Any]:
-    """Returns the crashes to send to another node."""
-    crashes = log.export(now, everything)
+    """Returns the crashes to send to the node at an address."""
+    crashes = log.export(node, now, everything)
     if not crashes:
         return {}
     return {CRASHES: [_encode(crash, now) for crash in crashes]}
--- a/sycamorehollow/shells/gateway/crash_sync.py
+++ b/sycamorehollow/shells/gateway/crash_sync.py
@@ -30,19 +30,23 @@
         # Numbers of the pending messages that ask for all crashes.
         self._asked: set[int] = set()
 
-    def export_request(self, now: float) -> dict[str, Any]:
-        """Returns the part of a request to another node."""
-        parts = crash_messages.export(self._quarantine.crash_log, now, False)
+    def export_request(self, address: str, now: float) -> dict[str, Any]:
+        """Returns the part of a request to the node at an address."""
+        parts = crash_messages.export(
+            self._quarantine.crash_log, address, now, False
+        )
         if now >= self._next_ask_at:
             parts[crash_messages.WANTS_ALL] = True
         return parts
 
     def export_response(
-        self, document: Mapping[str, Any], now: float
+        self, address: str, document: Mapping[str, Any], now: float
     ) -> dict[str, Any]:
-        """Returns the part of the response to a request."""
+        """Returns the part of the response to a request of a node."""
         wants_all = document.get(crash_messages.WANTS_ALL) is True
-        return crash_messages.export(self._quarantine.crash_log, now, wants_all)
+        return crash_messages.export(
+            self._quarantine.crash_log, address, now, wants_all
+        )
 
     def record_request(self, number: int, now: float) -> None:
         """Records the number of a request that is about to be sent."""
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -112,7 +112,7 @@
                 upstream,
                 self._lifecycle.request.request_id,
                 self._lifecycle.route.is_retryable,
-                self._lifecycle.may_resend,
+                lambda: self._lifecycle.may_resend(time.monotonic()),
             )
             connection.send_request(
                 self._lifecycle.request.request_id, self._encode_request(step)
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -139,7 +139,7 @@
                 now = time.monotonic()
                 parts = {
                     **self._limit_sync.handle_request(document, now),
-                    **self._crash_sync.export_response(document, now),
+                    **self._crash_sync.export_response(address, document, now),
                 }
                 response.set_result(
                     self._build_sync_message(address, known, parts)
@@ -324,7 +324,7 @@
         self._pending[self._last_request] = name
         address = self._router.nodes[name].peer_address
         now = time.monotonic()
-        parts = {**parts, **self._crash_sync.export_request(now)}
+        parts = {**parts, **self._crash_sync.export_request(address, now)}
         self._crash_sync.record_request(self._last_request, now)
         self._peer_client.send_request(
             self._last_request,
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -206,8 +206,9 @@
 
     def _message(self, sender, receiver, everything):
         log = self.routers[sender].part_quarantine.crash_log
-        data = json.dumps(crash_messages.export(log, self.now, everything))
-        self.sent_bytes += len(data)
+        document = crash_messages.export(log, receiver, self.now, everything)
+        data = json.dumps(document)
+        self.sent_bytes += len(data) if document else 0
         at = self.now + limited_fleet.MESSAGE_S
         self.at(at, self._receive, receiver, json.loads(data))
 
--- a/tests/test_forwarding_part_crashes.py
+++ b/tests/test_forwarding_part_crashes.py
@@ -231,7 +231,7 @@
             log.record_check(f"u/{number}", True, 1.0, 1.0)
         log.evict_expired(set(), 2.0)
         self.assertLessEqual(len(log.list_all()), prompt_crashes.MAX_CRASHES)
-        data = json.dumps(crash_messages.export(log, 2.0, True))
+        data = json.dumps(crash_messages.export(log, "n", 2.0, True))
         self.assertLess(len(data), 64 * 1024)
 
 
@@ -287,12 +287,12 @@
         other.record_check("u/1", True, 1.1, 1.1)
         self.log.record_event(build_prompt("a"), 1.5)
         document = json.loads(
-            json.dumps(crash_messages.export(other, 2.0, False))
+            json.dumps(crash_messages.export(other, "n", 2.0, False))
         )
         crash_messages.merge(self.log, document, 2.0)
         self.assertEqual(self.find_level(2.0, "a"), LEVEL.NONE)
         # And the other node is told so.
-        back = crash_messages.export(self.log, 2.0, False)
+        back = crash_messages.export(self.log, "n", 2.0, False)
         crash_messages.merge(other, json.loads(json.dumps(back)), 2.0)
         self.assertEqual(other.list_all()[0].suspects, {})
 
@@ -414,6 +414,24 @@
         self.quarantine.evict_expired(prompt_crashes.VERDICT_RETENTION_S + 10)
         self.assertEqual(self.log.list_all(), [])
 
+    def test_news_is_not_sent_to_a_node_at_each_exchange(self):
+        self.crash("u/0", 0.0, build_prompt("a"))
+        self.crash("u/1", 1.0, build_prompt("b"))
+        sent = [
+            [crash.incarnation for crash in self.log.export("n", at, False)]
+            for at in (1.3, 1.4, 1.5)
+        ]
+        self.assertEqual(sent, [["u/0", "u/1"], [], []])
+        self.assertEqual(len(self.log.export("other", 1.5, False)), 2)
+        self.log.record_event(build_prompt("a"), 1.6)
+        changed = self.log.export("n", 1.7, False)
+        self.assertEqual([crash.incarnation for crash in changed], ["u/0"])
+        # It may have missed the first message.
+        self.assertEqual(
+            len(self.log.export("n", 1.4 + prompt_crashes.RESEND_S, False)), 1
+        )
+        self.assertEqual(len(self.log.export("n", 1.8, True)), 2)
+
     def test_malformed_messages_are_rejected(self):
         for entry in (
             [],
