Blame no sound part for crashes of a service that is down

One of three engines had been crashed by the deadly part, others were killed and reset.

A response cleared a part for its model only. While all upstreams are down, nothing runs that could clear a part: three crashes within half a second rejected a part that had run well.

Change: a response clears a part whatever model wrote it; what remains unexplained is blamed on a part and a model together. A part that had run well is rejected from its fourth incident on, and only if 2 s lie between the first and the last; until then it is isolated.

Ruled out: fewer doublings of the trial interval only, which ends a wrong verdict sooner but does not avoid it.

--- a/sycamorehollow/decisions/forwarding/part_blame.py
+++ b/sycamorehollow/decisions/forwarding/part_blame.py
@@ -4,6 +4,9 @@
 smallest set of parts that explains the crashes: first on the part that most of
 them have in common, and among equals on those that no node has seen a response
 to. Crashes that a part explains speak against no other part.
+
+A response clears a part whatever model wrote it. What is left unexplained may
+be due to one model that crashes on the part, and is blamed on the two together.
 """
 
 from collections.abc import Iterable
@@ -20,6 +23,10 @@
 # Incidents from which a part is only sent to one upstream, and rejected.
 ISOLATION_INCIDENTS = 2
 QUARANTINE_INCIDENTS = 3
+# Time that the incidents must span, and their number must be larger, before a
+# part is rejected that had run well. While all upstreams of a service are down,
+# nothing can run that would clear it.
+PROOF_SPAN_S = 2.0
 # Interval of the trials of a part in quarantine. It doubles with each crash
 # beyond those of the verdict. A part that had run well is the likelier to be
 # blamed without reason.
@@ -27,6 +34,10 @@
 TRIAL_AFTER_RUN_S = 6.0
 
 
+# Model of a part that is blamed whatever model runs it.
+ANY_MODEL = "*"
+
+
 class Level(enum.IntEnum):
     """How much speaks against a part."""
 
@@ -45,27 +56,27 @@
         crashes: The crashes, the earliest first.
         has_run: Whether a node had seen a response to the part before.
         rivals: Parts that explain the same crashes equally well.
+        model: The model that crashes on the part, or `ANY_MODEL`.
     """
 
     part: str
     crashes: tuple[prompt_crashes.Crash, ...]
     has_run: bool
     rivals: frozenset[str] = frozenset()
+    model: str = ANY_MODEL
 
     def compute_level(self, prompt: prompt_crashes.Prompt) -> Level:
         """Returns what speaks against a prompt with the part.
 
-        A crash does not count for a model that has responded to the part since
-        then. If only requests of one workspace crashed, a part is no more than
+        If only requests of one workspace crashed, a part is no more than
         suspected for the others: nobody can have their parts rejected. A
         prompt without some of the rivals tells them apart, so it may run.
         """
-        crashes = self._list_crashes(prompt.model)
-        incidents = count_incidents(self.part, crashes)
-        workspaces = _list_workspaces(self.part, crashes)
+        incidents = self.incidents
+        workspaces = _list_workspaces(self.part, self.crashes)
         if len(workspaces) == 1 and prompt.workspace not in workspaces:
             incidents = min(1, incidents)
-        if incidents >= QUARANTINE_INCIDENTS:
+        if incidents >= QUARANTINE_INCIDENTS and self.is_proven:
             if self.rivals.issubset(prompt.parts):
                 return Level.QUARANTINED
             return Level.ISOLATED
@@ -78,6 +89,14 @@
         """Number of incidents that the part explains."""
         return count_incidents(self.part, self.crashes)
 
+    @property
+    def is_proven(self) -> bool:
+        """Whether the incidents suffice to reject requests with the part."""
+        if not self.has_run:
+            return self.incidents >= QUARANTINE_INCIDENTS
+        span_s = self.last_crash_at - self.crashes[0].at
+        return self.incidents > QUARANTINE_INCIDENTS and span_s >= PROOF_SPAN_S
+
     @property
     def last_crash_at(self) -> float:
         """When the latest crash happened."""
@@ -90,15 +109,11 @@
         further = min(16, max(0, self.incidents - QUARANTINE_INCIDENTS))
         return first_s * 2**further
 
-    def _list_crashes(self, model: str) -> list[prompt_crashes.Crash]:
-        pair = (self.part, model)
-        return [crash for crash in self.crashes if pair not in crash.cleared]
-
 
 def assign_blame(
     crashes: Iterable[prompt_crashes.Crash],
-) -> dict[str, dict[str, Blame]]:
-    """Returns the parts to blame, by service and part."""
+) -> dict[str, dict[prompt_crashes.Pair, Blame]]:
+    """Returns the parts to blame, by service, and by part and model."""
     by_service: dict[str, list[prompt_crashes.Crash]] = {}
     for crash in sorted(crashes, key=lambda c: (c.at, c.incarnation)):
         by_service.setdefault(crash.service, []).append(crash)
@@ -129,23 +144,35 @@
     return count
 
 
-def _explain(crashes: list[prompt_crashes.Crash]) -> dict[str, Blame]:
+def _explain(
+    crashes: list[prompt_crashes.Crash],
+) -> dict[prompt_crashes.Pair, Blame]:
     """Returns a small set of parts that explains the crashes of a service."""
-    blamed: dict[str, Blame] = {}
+    blamed: dict[prompt_crashes.Pair, Blame] = {}
+    remaining = _assign(crashes, ANY_MODEL, blamed)
+    models = {model for crash in remaining for _, model in crash.suspects}
+    for model in sorted(models):
+        remaining = _assign(remaining, model, blamed)
+    return blamed
+
+
+def _assign(
+    crashes: list[prompt_crashes.Crash],
+    model: str,
+    blamed: dict[prompt_crashes.Pair, Blame],
+) -> list[prompt_crashes.Crash]:
+    """Adds the parts to blame; returns the crashes that remain."""
     remaining = crashes
-    while remaining:
-        candidates = _list_candidates(remaining)
-        if not candidates:
-            break
+    while candidates := _list_candidates(remaining, model):
         best = max(candidates, key=_rank)
         chosen = [c for c in candidates if _rank(c) == _rank(best)]
         if best.incidents >= QUARANTINE_INCIDENTS:
             chosen = _list_rivals(best, chosen)
         for blame in chosen:
-            blamed[blame.part] = blame
+            blamed[blame.part, model] = blame
         explained = {c.incarnation for b in chosen for c in b.crashes}
         remaining = [c for c in remaining if c.incarnation not in explained]
-    return blamed
+    return remaining
 
 
 def _list_rivals(best: Blame, candidates: list[Blame]) -> list[Blame]:
@@ -167,22 +194,31 @@
     return blame.incidents, not blame.has_run
 
 
-def _list_candidates(crashes: list[prompt_crashes.Crash]) -> list[Blame]:
+def _list_candidates(
+    crashes: list[prompt_crashes.Crash], model: str
+) -> list[Blame]:
     """Returns each suspect with all crashes that it is suspected of."""
     by_part: dict[str, list[prompt_crashes.Crash]] = {}
     have_run: set[str] = set()
     for crash in crashes:
-        for part in dict.fromkeys(part for part, _ in crash.suspects):
+        for part in _list_suspects(crash, model):
             by_part.setdefault(part, []).append(crash)
         have_run.update(
             part for (part, _), s in crash.suspects.items() if s.has_run
         )
     return [
-        Blame(part, tuple(by_part[part]), part in have_run)
+        Blame(part, tuple(by_part[part]), part in have_run, model=model)
         for part in sorted(by_part)
     ]
 
 
+def _list_suspects(crash: prompt_crashes.Crash, model: str) -> set[str]:
+    if model == ANY_MODEL:
+        cleared = {part for part, _ in crash.cleared}
+        return {part for part, _ in crash.suspects} - cleared
+    return {part for part, m in crash.suspects if m == model}
+
+
 def _list_workspaces(
     part: str, crashes: Iterable[prompt_crashes.Crash]
 ) -> set[str]:
--- a/sycamorehollow/decisions/forwarding/part_quarantine.py
+++ b/sycamorehollow/decisions/forwarding/part_quarantine.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import itertools
 
 from sycamorehollow.decisions.forwarding import node_ranks
 from sycamorehollow.decisions.forwarding import part_blame
@@ -76,11 +77,13 @@
         self.crash_log = prompt_crashes.CrashLog()
         self._ranks = ranks
         self._version = -1
-        self._blamed: dict[str, dict[str, part_blame.Blame]] = {}
+        self._blamed: dict[
+            str, dict[prompt_crashes.Pair, part_blame.Blame]
+        ] = {}
         self._tried_at: dict[str, float] = {}
         # When the latest request with an isolated part was sent, by service.
         self._isolated_at: dict[str, float] = {}
-        self._logged: dict[tuple[str, str], int] = {}
+        self._logged: dict[tuple[str, prompt_crashes.Pair], int] = {}
         self._logged_crashes: set[str] = set()
         self._changes: list[Change] = []
 
@@ -93,14 +96,17 @@
         if not blamed:
             return NO_VERDICT
         worst = NO_VERDICT
-        for part in prompt.parts:
-            blame = blamed.get(part)
+        pairs = itertools.product(
+            prompt.parts, (part_blame.ANY_MODEL, prompt.model)
+        )
+        for pair in pairs:
+            blame = blamed.get(pair)
             if blame is None:
                 continue
             level = blame.compute_level(prompt)
             verdict = Verdict(
                 level,
-                part,
+                blame.part,
                 blame.last_crash_at,
                 level is part_blame.Level.QUARANTINED
                 and self._is_trial_due(blame, now),
@@ -159,7 +165,7 @@
             crash.incarnation
             for blamed in self._blamed.values()
             for blame in blamed.values()
-            if blame.incidents >= part_blame.QUARANTINE_INCIDENTS
+            if blame.is_proven
             for crash in blame.crashes
         }
         self.crash_log.evict_expired(kept, now)
@@ -182,17 +188,20 @@
         self._blamed = part_blame.assign_blame(crashes)
         self._log_crashes(crashes)
         levels = {
-            (service, part): len(blame.crashes)
+            (service, pair): len(blame.crashes)
             for service, blamed in self._blamed.items()
-            for part, blame in blamed.items()
+            for pair, blame in blamed.items()
             if _compute_level(blame) >= part_blame.Level.ISOLATED
         }
         for key, count in levels.items():
             if self._logged.get(key) != count:
                 blame = self._blamed[key[0]][key[1]]
-                self._record(f"part={key[1]}", _describe(blame))
-        for service, part in self._logged.keys() - levels.keys():
-            self._record(f"part={part}", f"no longer blamed service={service}")
+                self._record(f"part={blame.part}", _describe(blame))
+        for service, (part, model) in self._logged.keys() - levels.keys():
+            self._record(
+                f"part={part}",
+                f"no longer blamed model={model} service={service}",
+            )
             self._tried_at.pop(part, None)
             self._ranks.remove(part)
         self._logged = levels
@@ -215,8 +224,11 @@
 
 def _compute_level(blame: part_blame.Blame) -> part_blame.Level:
     """Returns the level for the requests that crashed upstreams."""
-    incidents = min(blame.incidents, part_blame.QUARANTINE_INCIDENTS)
-    return part_blame.Level(incidents)
+    if blame.is_proven:
+        return part_blame.Level.QUARANTINED
+    return part_blame.Level(
+        min(blame.incidents, part_blame.ISOLATION_INCIDENTS)
+    )
 
 
 def _compute_severity(verdict: Verdict) -> tuple[bool, int]:
@@ -227,7 +239,7 @@
     state = _compute_level(blame).name.lower()
     upstreams = ",".join(crash.incarnation for crash in blame.crashes[-4:])
     return (
-        f"{state} crashes={len(blame.crashes)} incidents={blame.incidents}"
-        f" has_run={blame.has_run} rivals={len(blame.rivals)}"
-        f" latest={upstreams}"
+        f"{state} model={blame.model} crashes={len(blame.crashes)}"
+        f" incidents={blame.incidents} has_run={blame.has_run}"
+        f" rivals={len(blame.rivals)} latest={upstreams}"
     )
