Let the soak wait for engines that are starting again

The check of the recovery began before the engine was back.

Change: the recovery waits until each upstream accepts connections.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -26,6 +27,7 @@
 from tests.soak import schedule
 from tests.soak import standin_process
 
+HOST = "127.0.0.1"
 GRACE_S = 4.0
 # Settings of every second seed, under which repeats are used up.
 SCARCE = {"bounds.retryBudgetRatio": "0.05", "bounds.budgetMinRetries": "10"}
@@ -75,7 +77,7 @@
     def __init__(self, folder: pathlib.Path, upstream: str, lifetime_s: float):
         self.name = upstream or "store"
         self.port = processes.find_port()
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = f"{HOST}:{self.port}"
         self.records = folder / f"{self.name}.jsonl"
         self._arguments = ["--port", str(self.port)]
         self._arguments += ["--lifetime", str(lifetime_s)]
@@ -97,6 +99,14 @@
         """Whether the process has not ended."""
         return self._child.poll() is None
 
+    def accepts(self) -> bool:
+        """Returns whether the process accepts connections."""
+        try:
+            socket.create_connection((HOST, self.port), 1.0).close()
+        except OSError:
+            return False
+        return True
+
     @property
     def has_crashed(self) -> bool:
         """Whether a prompt part has ended the process."""
@@ -447,6 +457,7 @@
 
     def _recover(self, fronts: dict[str, str]) -> list[promises.Exchange]:
         """Asks every node for everything once all faults are over."""
+        processes.wait_for(self._have_upstreams_returned, READY_LIMIT_S)
         for name, node in self._nodes.items():
             try:
                 processes.wait_for(node.is_ready, READY_LIMIT_S)
@@ -471,6 +482,13 @@
         )
         return exchanges
 
+    def _have_upstreams_returned(self) -> bool:
+        """Returns whether no upstream is down or starting after a crash."""
+        with self._lock:
+            if self._crashed:
+                return False
+            return all(u.accepts() for u in self._upstreams.values())
+
     def _check_memory(self) -> None:
         for name, node in self._nodes.items():
             status = pathlib.Path(f"/proc/{node.pid}/status").read_text()
