Log after what a connection ended a response without length

Change: attempts whose response had neither a length nor chunks carry 'ended with its connection after event N', or after N bytes.

Measured: test_answer_that_ended_with_its_connection, which finds no such words before.

--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -115,6 +115,8 @@
         is_limited: Whether its upstream limits its requests.
         is_isolated: Whether a part of its prompt is suspected of crashes.
         has_event: Whether a part of its response's body has arrived.
+        end_note: How a response ended that had neither a length nor chunks;
+            empty for others.
     """
 
     state: directory.UpstreamState
@@ -135,6 +137,7 @@
     is_limited: bool = False
     is_isolated: bool = False
     has_event: bool = False
+    end_note: str = ""
 
     def end(self, cause: EndCause, outcome: str, now: float) -> None:
         """Ends the attempt and records the cause and outcome."""
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -244,6 +244,7 @@
         while len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
             data = await self._read_body(connection)
             if not data:
+                self._note_end(connection, f"{len(body)} bytes")
                 await self._write_head(head, len(body))
                 await self._connection.write_body(bytes(body))
                 return
@@ -253,6 +254,7 @@
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
             await self._connection.write_body(data)
+        self._note_end(connection, "more than the buffered bytes")
         await self._connection.write_end()
 
     async def _relay_events(
@@ -289,6 +291,7 @@
                 await self._write_head(head, None)
             lifecycle.last_event_id = splitter.last_event_id
             await self._connection.write_body(complete)
+        self._note_end(connection, f"event {lifecycle.last_event_id or 'none'}")
         # Nothing may be left of a stream that broke off after its last event.
         may_be_empty = is_continuation and not connection.ended_at_eof
         if splitter.incomplete_event or not (has_events or may_be_empty):
@@ -300,6 +303,16 @@
             )
         await self._connection.write_end()
 
+    def _note_end(
+        self,
+        connection: upstream_connections.UpstreamConnection,
+        received: str,
+    ) -> None:
+        """Notes for the log after what a connection ended a response."""
+        if connection.ended_at_eof:
+            attempt = self._lifecycle.attempts[-1]
+            attempt.end_note = f"ended with its connection after {received}"
+
     async def _write_head(
         self, head: upstream_connections.ResponseHead, length: int | None
     ) -> None:
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -290,6 +290,8 @@
             f" ({attempt.end_cause.value} +{attempt.ended_at - started_at:.3f}"
             f" silent_s={attempt.silent_s:.3f})"
         )
+    if attempt.end_note:
+        text += f", {attempt.end_note}"
     if attempt.keep_reason:
         text += f", kept: {attempt.keep_reason}"
     if attempt.is_limited:
--- a/tests/test_gateway_log.py
+++ b/tests/test_gateway_log.py
@@ -46,6 +46,19 @@
             line, r"no byte in time \(deadline \+0\.[67]\d+ silent_s=0\.[67]"
         )
 
+    def test_answer_that_ended_with_its_connection(self):
+        for engine in self.world.engines:
+            engine.closing = True
+        with self.node.open_socket() as caller:
+            caller.sendall(build_request("closed", 4000))
+            received = b""
+            while not received.endswith(b"0\r\n\r\n"):
+                received += caller.recv(4096)
+        self.assertIn(
+            "delivered, ended with its connection after event 4",
+            self._read_line("closed"),
+        )
+
     def test_caller_that_left(self):
         for engine in self.world.engines:
             engine.events, engine.pause_s = 50, 0.1
