Show that a crash between two events is passed on as the end

Change: the stand-in of upstreams crashes after a given byte of a body, may listen a little longer than its connections live, comes back as another incarnation, and tells its own state.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -252,6 +252,13 @@
             upstream.mode = "serve"
             upstream.limit = ""
             upstream.closing = False
+            upstream.crash_offsets.clear()
+            upstream.listener_outlives_s = 0.0
+            upstream.plain_body = None
+            upstream.plain_status = 200
+            upstream.status_mode = "serve"
+            upstream.status_requests = 0
+            upstream.line_end = b"\n"
             upstream.leaving = False
             upstream.retry_after = ""
             upstream.confidences = {}
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's store and upstreams, with its protocol."""
 
 import base64
+import collections
 import contextlib
 import http.server
 import json
@@ -75,12 +76,21 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def _stop_at_once(self):
-        """Stops listening and closes all connections."""
-        self.stop()
+    def _stop_at_once(self, listener_outlives_s=0.0):
+        """Stops listening and closes all connections.
+
+        Args:
+            listener_outlives_s: Time for which it still accepts connections
+                after the open ones are closed; 0 to stop listening first.
+        """
+        if not listener_outlives_s:
+            self.stop()
         for connection in list(self._open):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
+        if listener_outlives_s:
+            time.sleep(listener_outlives_s)
+            self.stop()
 
     def handle(self, handler, body):
         """Responds to one request."""
@@ -293,12 +303,23 @@
         run_requests: Method, path, headers and body of the requests that it
             has started to run.
         aborted_streams: Number of streams that the caller has aborted.
+        status_requests: Number of requests for its own state.
         deadly_parts: Prompt parts on which it crashes at the first event of a
             response; it is back after `DOWN_S`. The last part is ignored.
         deadly_arrivals: Times at which requests with such a part arrived.
         crashes: Times of its crashes.
-        closing: Whether streams have neither a length nor chunks and end with
-            their connection.
+        closing: Whether responses have neither a length nor chunks and end
+            with their connection.
+        crash_offsets: Offsets in the bodies of the next responses, of which
+            each response takes one, after which it crashes.
+        down_s: Time for which it is down after a crash.
+        listener_outlives_s: Time for which it accepts connections after a
+            crash has closed the open ones.
+        plain_body: Body of plain responses; `None` for an echo.
+        plain_status: Status of plain responses.
+        line_end: Line end of events.
+        status_mode: How it responds to requests for its own state: `serve`,
+            `hang`, `refuse`, or `reset`.
         flood_bytes: Bytes sent of the last endless response that was closed.
     """
 
@@ -320,11 +341,20 @@
         self.first_gap_s = 0.0
         self.run_requests = []
         self.aborted_streams = 0
+        self.status_requests = 0
         self.deadly_parts = set(self.first_deadly_parts)
         self.deadly_arrivals = []
         self.crashes = []
         self.closing = False
+        self.crash_offsets = collections.deque()
+        self.down_s = DOWN_S
+        self.listener_outlives_s = 0.0
+        self.plain_body = None
+        self.plain_status = 200
+        self.line_end = b"\n"
+        self.status_mode = "serve"
         self.flood_bytes = 0
+        self._born = 0
         self._entry = ()
         self._crash_lock = threading.Lock()
         super().__init__(port)
@@ -348,18 +378,34 @@
     def crash(self):
         """Ends the server, which is back later under the same identity."""
         with self._crash_lock:
-            if self.crashes and time.monotonic() - self.crashes[-1] < DOWN_S:
-                return
+            if self.crashes:
+                if time.monotonic() - self.crashes[-1] < self.down_s:
+                    return
             self.crashes.append(time.monotonic())
-            self._stop_at_once()
-        threading.Timer(DOWN_S, self._start_again).start()
+            self._stop_at_once(self.listener_outlives_s)
+        threading.Timer(self.down_s, self._start_again).start()
 
     def _start_again(self):
+        self._born = int(time.time() * 1000)
         self._listen(int(self.address.rpartition(":")[2]))
         store, service, changes = self._entry
-        self.register(
-            store, service, **changes | {"born": int(time.time() * 1000)}
-        )
+        self.register(store, service, **changes | {"born": self._born})
+
+    def _respond_with_status(self, handler):
+        """Responds to a request for the upstream's own state."""
+        if self.status_mode == "hang":
+            time.sleep(30)
+        if self.status_mode == "reset":
+            reset(handler)
+            return
+        if self.status_mode == "refuse":
+            send(handler, 503, {"Not-Executed": "1"}, b"")
+            return
+        report = {"stage": "both", "models": [], "seq": 1}
+        if self._born:
+            report["born"] = self._born
+        headers = {"Replica-Id": self.identity}
+        send(handler, 200, headers, json.dumps(report).encode())
 
     def is_deadly(self, headers):
         """Returns whether a request has a part on which it crashes."""
@@ -368,12 +414,16 @@
 
     def handle(self, handler, body):
         """Responds to one request."""
-        self.arrivals.append(time.monotonic())
         headers = dict(handler.headers.items())
         wanted = headers.get("Target-Replica", self.identity)
         if wanted != self.identity:
             send(handler, 421, {"Replica-Id": self.identity}, b"")
             return
+        if handler.path in ("/-/report", "/health"):
+            self.status_requests += 1
+            self._respond_with_status(handler)
+            return
+        self.arrivals.append(time.monotonic())
         needs = {"Server-Limit": self.limit} if self.limit else {}
         if self.leaving:
             needs["Server-Leaving"] = "1"
@@ -411,11 +461,22 @@
         elif headers.get("Accept") == "text/event-stream":
             self._stream(handler, headers, response_headers)
         else:
-            self._send_plain(handler, response_headers, b"echo " + body)
+            body = (
+                b"echo " + body if self.plain_body is None else self.plain_body
+            )
+            self._send_plain(handler, response_headers, body)
 
     def _send_plain(self, handler, response_headers, body):
         """Sends a response and what the mode adds to it."""
-        send(handler, 200, response_headers, body)
+        if self.closing:
+            handler.send_response(self.plain_status)
+            for name, value in response_headers.items():
+                handler.send_header(name, value)
+            handler.send_header("Connection", "close")
+            handler.end_headers()
+            self._write_body(handler, body, self._take_crash_offset())
+            return
+        send(handler, self.plain_status, response_headers, body)
         if self.mode == "copy":
             time.sleep(DUPLICATE_DELAY_S)
             send(handler, 200, response_headers, body)
@@ -438,13 +499,36 @@
     def build_event(self, number, headers):
         """Returns one event of a stream."""
         model = headers.get("Model", "").encode()
-        return b"id: %d\ndata: %s\n\n" % (number, model)
+        event = b"id: %d\ndata: %s\n\n" % (number, model)
+        return event.replace(b"\n", self.line_end)
 
-    def _write_chunk(self, handler, data):
-        if not self.closing:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
+    def _take_crash_offset(self):
+        """Returns after how many bytes a response crashes, or `None`."""
+        try:
+            return self.crash_offsets.popleft()
+        except IndexError:
+            return None
+
+    def _write_body(self, handler, data, crash_offset):
+        """Writes a part of a body; returns the offset that is left.
+
+        Raises:
+            ConnectionAbortedError: The upstream has crashed.
+        """
+        if crash_offset is not None and crash_offset <= len(data):
+            handler.wfile.write(data[:crash_offset])
+            handler.wfile.flush()
+            self.crash()
+            raise ConnectionAbortedError("crashed")
         handler.wfile.write(data)
         handler.wfile.flush()
+        return None if crash_offset is None else crash_offset - len(data)
+
+    def _frame(self, data):
+        """Returns a part of a stream as it is written."""
+        if self.closing:
+            return data
+        return b"%x\r\n%s\r\n" % (len(data), data)
 
     def _stream(self, handler, headers, response_headers):
         handler.send_response(200)
@@ -466,6 +550,7 @@
         if self.mode == "empty":
             return
         first = int(headers.get("Last-Event-Id") or 0) + 1
+        crash_offset = self._take_crash_offset()
         try:
             for number in range(first, self.events + 1):
                 event = self.build_event(number, headers)
@@ -479,7 +564,9 @@
                     return
                 if number == 2:
                     time.sleep(self.first_gap_s)
-                self._write_chunk(handler, event)
+                crash_offset = self._write_body(
+                    handler, self._frame(event), crash_offset
+                )
                 time.sleep(self.pause_s)
             if not self.closing:
                 handler.wfile.write(b"0\r\n\r\n")
