Take the end of a connection for that of a response only with evidence

Cause: absence of a failure was taken for success. A crash closes the connection as the end of such a response does, and nothing asked whether the upstream was still there.

Change: after the end of the connection the upstream is asked who it is: by a report if it is an engine, by its health check if it is a plain service, by a connection alone where its requests are restricted. The response is complete if the same incarnation responds. If not, or if it does not respond within 0.8 s, the connection counts as broken: a stream is continued elsewhere, a safe request is repeated, another buffered response becomes 502, and one that has begun is cut. Its upstream is checked for a crash as after any break. One check serves all responses that ended before it began. Events are forwarded as before; only the end waits. An end without a byte no longer counts as a part of a body.

Ruled out: to hold a connection for 0.1 s alone, as it does not tell incarnations apart after a pause of the node, and delays plain responses by as much.

--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -112,6 +112,10 @@
         """Sets the data centres that get no requests."""
         self._evacuated = set(data_centres)
 
+    def is_evacuated(self, state: UpstreamState) -> bool:
+        """Returns whether the data centre of an upstream is evacuated."""
+        return state.upstream.data_centre in self._evacuated
+
     def record_store_recovery(self, now: float) -> None:
         """Records that the store is reachable again after an outage."""
         self._store_recovered_at = max(self._store_recovered_at, now)
@@ -163,7 +167,7 @@
             upstream = state.upstream
             if upstream.service != service or state.is_draining:
                 continue
-            if upstream.data_centre in self._evacuated:
+            if self.is_evacuated(state):
                 continue
             if state.expires_at is not None and now >= state.expires_at:
                 continue
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -72,11 +72,13 @@
         max_connections: Connections that an upstream accepts in total.
         cold_requests_per_s: Request rate that a cold upstream tolerates; 0 if
             the upstreams start warm.
+        health_path: Path of its health checks; empty if there are none.
     """
 
     name: str
     max_connections: int
     cold_requests_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -64,6 +64,7 @@
     name: _Name
     maxConnections: _Count = 0  # noqa: N815
     coldPerS: _Number = 0  # noqa: N815
+    healthCheckPath: str = ""  # noqa: N815
 
 
 class _Limits(pydantic.BaseModel):
@@ -271,6 +272,7 @@
         name=service.name,
         max_connections=service.maxConnections,
         cold_requests_per_s=service.coldPerS,
+        health_path=service.healthCheckPath,
     )
 
 
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from email import utils
 import functools
+import json
 import math
 import re
 
@@ -35,6 +36,7 @@
 _OPEN_MODEL = b"*"
 # Longer header values are cut in the log.
 MAX_LOGGED_BYTES = 40
+_REPORT_PATH = "/-/report"
 _LIMIT_HEADER = b"server-limit"
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -131,6 +133,34 @@
             retry_after_s=_parse_retry_after(fields),
         )
 
+    def encode_query(
+        self, upstream: forwarding.Upstream, health_path: str
+    ) -> bytes:
+        """Returns a request for an upstream's own state."""
+        target = health_path or _REPORT_PATH
+        lines = (
+            f"GET {target} HTTP/1.1",
+            f"Host: {upstream.host}:{upstream.port}",
+            f"Target-Replica: {upstream.identity}",
+            "\r\n",
+        )
+        return "\r\n".join(lines).encode("latin-1")
+
+    def is_same_incarnation(
+        self,
+        upstream: forwarding.Upstream,
+        status: int,
+        headers: header_codec.Headers,
+        body: bytes,
+    ) -> bool:
+        """Tells whether the response to a query can be the upstream's."""
+        identity = upstream.identity.encode("latin-1")
+        stated = _index_by_name(headers).get(b"replica-id", identity)
+        if status == 421 or stated.strip() != identity:
+            return False
+        born = _parse_born(body)
+        return 0 in (born, upstream.started_ms) or born == upstream.started_ms
+
     def encode_failure(
         self, request_id: str, failure: failures.Failure
     ) -> list[tuple[bytes, bytes]]:
@@ -174,6 +204,15 @@
     return None
 
 
+def _parse_born(body: bytes) -> int:
+    """Returns the start that a report states; 0 if it states none."""
+    try:
+        born = json.loads(body)["born"]
+    except (ValueError, KeyError, TypeError):
+        return 0
+    return born if isinstance(born, int) else 0
+
+
 def _parse_retry_after(fields: Mapping[bytes, bytes]) -> float | None:
     """Returns the seconds that `Retry-After` states; `None` if it is invalid.
 
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -19,6 +19,7 @@
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import crash_checker
+from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import forwarder
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import peer_client
@@ -88,6 +89,12 @@
             adapter.header_codec,
             self._pool,
             self._telemetry,
+            end_checker.EndChecker(
+                self._router,
+                self._pool,
+                adapter.header_codec,
+                self._telemetry,
+            ),
             self._send_permit_requests,
             self._crash_checker.schedule_checks,
         )
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -198,7 +198,10 @@
             )
         except (OSError, TimeoutError) as error:
             raise upstream_connections.UpstreamConnectionError(
-                f"cannot connect: {error or 'timed out'}", False, False
+                f"cannot connect: {error or 'timed out'}",
+                request_written=False,
+                closed_by_upstream=False,
+                refused=isinstance(error, ConnectionRefusedError),
             ) from error
 
     async def _connect(
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -12,6 +12,7 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import response_relay
 from sycamorehollow.shells.gateway import telemetry
@@ -34,6 +35,7 @@
         codec: Encodes and decodes headers.
         pool: Connections to upstreams.
         telemetry_sink: Records each request.
+        checker: Checks upstreams that closed the connection of a response.
         handle_wait: Called when a request waits for capacity.
         handle_break: Called when an upstream breaks a connection off.
 
@@ -47,6 +49,7 @@
         codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
         telemetry_sink: telemetry.Telemetry,
+        checker: end_checker.EndChecker,
         handle_wait: Callable[[], None] = lambda: None,
         handle_break: Callable[[], None] = lambda: None,
     ):
@@ -56,6 +59,7 @@
         self._codec = codec
         self._pool = pool
         self._telemetry = telemetry_sink
+        self._end_checker = checker
         self._handle_wait = handle_wait
         self._handle_break = handle_break
 
@@ -92,6 +96,7 @@
             record,
             self._codec,
             self._pool,
+            self._end_checker,
             self._handle_wait,
             self._handle_break,
         )
--- a/sycamorehollow/shells/gateway/header_codec.py
+++ b/sycamorehollow/shells/gateway/header_codec.py
@@ -77,6 +77,31 @@
     ) -> forwarding.DecodedHead:
         """Decodes the head of an upstream's response."""
 
+    @abc.abstractmethod
+    def encode_query(
+        self, upstream: forwarding.Upstream, health_path: str
+    ) -> bytes:
+        """Returns a request for an upstream's own state.
+
+        Args:
+            upstream: The upstream.
+            health_path: Path of its health checks; empty for a report.
+        """
+
+    @abc.abstractmethod
+    def is_same_incarnation(
+        self,
+        upstream: forwarding.Upstream,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> bool:
+        """Tells whether the response to a query can be the upstream's.
+
+        It is not if it names another upstream or another start. A response
+        that names none, as that of a full upstream, can be.
+        """
+
     @abc.abstractmethod
     def encode_failure(
         self, request_id: str, failure: failures.Failure
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -6,12 +6,14 @@
 import time
 from typing import TypeVar
 
+from sycamorehollow.decisions.forwarding import end_checks
 from sycamorehollow.decisions.forwarding import request_lifecycle
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import caller_connections
 from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import server_sent_events
 from sycamorehollow.shells.gateway import telemetry
@@ -51,6 +53,7 @@
         record: Data for the request's log line.
         codec: Encodes and decodes headers.
         pool: Connections to upstreams.
+        checker: Checks upstreams that closed the connection of a response.
         handle_wait: Called when the request begins or continues to wait.
         handle_break: Called when an upstream breaks a connection off.
     """
@@ -63,6 +66,7 @@
         record: telemetry.RequestRecord,
         codec: header_codec.HeaderCodec,
         pool: connection_pool.ConnectionPool,
+        checker: end_checker.EndChecker,
         handle_wait: Callable[[], None],
         handle_break: Callable[[], None],
     ):
@@ -72,6 +76,7 @@
         self._record = record
         self._codec = codec
         self._pool = pool
+        self._end_checker = checker
         self._handle_wait = handle_wait
         self._handle_break = handle_break
         # End of the extra time for bytes that arrived before a timeout.
@@ -244,7 +249,7 @@
         while len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
             data = await self._read_body(connection)
             if not data:
-                self._note_end(connection, f"{len(body)} bytes")
+                await self._confirm_end(connection, f"{len(body)} bytes")
                 await self._write_head(head, len(body))
                 await self._connection.write_body(bytes(body))
                 return
@@ -254,7 +259,7 @@
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
             await self._connection.write_body(data)
-        self._note_end(connection, "more than the buffered bytes")
+        await self._confirm_end(connection, "more than the buffered bytes")
         await self._connection.write_end()
 
     async def _relay_events(
@@ -291,27 +296,53 @@
                 await self._write_head(head, None)
             lifecycle.last_event_id = splitter.last_event_id
             await self._connection.write_body(complete)
-        self._note_end(connection, f"event {lifecycle.last_event_id or 'none'}")
         # Nothing may be left of a stream that broke off after its last event.
-        may_be_empty = is_continuation and not connection.ended_at_eof
-        if splitter.incomplete_event or not (has_events or may_be_empty):
+        is_empty = not (has_events or is_continuation)
+        if splitter.incomplete_event or is_empty:
             raise upstream_connections.UpstreamConnectionError(
                 "the stream ended inside an event"
                 if splitter.incomplete_event
                 else "the stream ended without an event",
                 closed_by_upstream=connection.ended_at_eof,
             )
+        await self._confirm_end(
+            connection, f"event {lifecycle.last_event_id or 'none'}"
+        )
         await self._connection.write_end()
 
-    def _note_end(
+    async def _confirm_end(
         self,
         connection: upstream_connections.UpstreamConnection,
         received: str,
     ) -> None:
-        """Notes for the log after what a connection ended a response."""
-        if connection.ended_at_eof:
-            attempt = self._lifecycle.attempts[-1]
-            attempt.end_note = f"ended with its connection after {received}"
+        """Checks that the end of a connection was that of its response.
+
+        Args:
+            connection: Connection of the response.
+            received: How much of the response was received, for the log.
+
+        Raises:
+            upstream_connections.UpstreamConnectionError: Nothing shows that
+                the response is complete.
+        """
+        if not connection.ended_at_eof:
+            return
+        attempt = self._lifecycle.attempts[-1]
+        left_s = self._lifecycle.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                evidence = await self._end_checker.check(
+                    attempt.state, self._lifecycle.service
+                )
+        except TimeoutError:
+            evidence = end_checks.Evidence.UNCLEAR
+        attempt.end_note = (
+            f"ended with its connection after {received}, {evidence.value}"
+        )
+        if evidence is not end_checks.Evidence.ALIVE:
+            raise upstream_connections.UpstreamConnectionError(
+                "the end of the connection is no sure end of the response"
+            )
 
     async def _write_head(
         self, head: upstream_connections.ResponseHead, length: int | None
@@ -337,7 +368,8 @@
             AttemptAbandonedError: Another step replaces the attempt.
         """
         data = await self._wait_for(connection, connection.read_body)
-        self._lifecycle.record_bytes(time.monotonic())
+        if data:
+            self._lifecycle.record_bytes(time.monotonic())
         return data
 
     async def _skip_body(
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -150,7 +150,12 @@
             "Upstreams that state a request limit",
             registry=self.registry,
         )
-
+        self._end_checks = prometheus_client.Counter(
+            "sycamore_end_checks",
+            "Checks of upstreams that closed the connection of a response",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
         self._blamed_parts = prometheus_client.Gauge(
             "sycamore_blamed_parts",
             "Prompt parts that are blamed for crashes of upstreams",
@@ -169,6 +174,10 @@
         for level, count in counts.items():
             self._blamed_parts.labels(level).set(count)
 
+    def count_end_check(self, service: str, outcome: str) -> None:
+        """Counts a check of an upstream after the end of a response."""
+        self._end_checks.labels(service, outcome).inc()
+
     def count_permit(self, outcome: str) -> None:
         """Counts a permit for a limited upstream by what became of it."""
         self._permits.labels(outcome).inc()
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -41,6 +41,7 @@
     Attributes:
         request_written: Whether any byte of the request was written.
         closed_by_upstream: Whether the upstream closed the connection itself.
+        refused: Whether no process accepts connections at its address.
     """
 
     def __init__(
@@ -48,10 +49,12 @@
         reason: str,
         request_written: bool = True,
         closed_by_upstream: bool = True,
+        refused: bool = False,
     ):
         super().__init__(reason)
         self.request_written = request_written
         self.closed_by_upstream = closed_by_upstream
+        self.refused = refused
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -355,6 +355,7 @@
         self.status_mode = "serve"
         self.flood_bytes = 0
         self._born = 0
+        self._is_down = False
         self._entry = ()
         self._crash_lock = threading.Lock()
         super().__init__(port)
@@ -382,11 +383,13 @@
                 if time.monotonic() - self.crashes[-1] < self.down_s:
                     return
             self.crashes.append(time.monotonic())
+            self._is_down = True
             self._stop_at_once(self.listener_outlives_s)
         threading.Timer(self.down_s, self._start_again).start()
 
     def _start_again(self):
         self._born = int(time.time() * 1000)
+        self._is_down = False
         self._listen(int(self.address.rpartition(":")[2]))
         store, service, changes = self._entry
         self.register(store, service, **changes | {"born": self._born})
@@ -414,6 +417,11 @@
 
     def handle(self, handler, body):
         """Responds to one request."""
+        if self._is_down:
+            # The kernel accepts connections that no process serves.
+            time.sleep(self.listener_outlives_s)
+            reset(handler)
+            return
         headers = dict(handler.headers.items())
         wanted = headers.get("Target-Replica", self.identity)
         if wanted != self.identity:
