Record no outcome of a call from a response that may be shortened

Change: such a response counts only if its body shows its end, as a JSON object or array does. Otherwise the outcome is in doubt and looked up.

Looked for elsewhere: the chat path needs the end marker of a stream; responses of the store, load reports, ratings and fencing errors are JSON objects; peers speak gRPC; the load tool wants the marker, or valid JSON.

Measured: test_response_that_may_be_shortened_is_in_doubt failed before on each shortened body.

--- a/sycamorehollow/shells/bounded_http.py
+++ b/sycamorehollow/shells/bounded_http.py
@@ -8,6 +8,7 @@
 
 import http.client
 import io
+import json
 import socket
 import time
 from typing import Any
@@ -18,6 +19,8 @@
 
 # Time for a response on a socket that has no timeout.
 DEFAULT_LIMIT_S = 30.0
+# Responses that never have a body.
+BODILESS_STATUSES = (204, 304)
 
 
 class LimitExceededError(OSError):
@@ -109,6 +112,22 @@
     return manager
 
 
+def may_be_shortened(response: urllib3.BaseHTTPResponse, body: bytes) -> bool:
+    """Tells whether a broken connection would look like the response's end.
+
+    Without a length and chunks only the body itself can show that it is
+    complete. No shorter part of a JSON object or array is valid.
+    """
+    if response.chunked or "Content-Length" in response.headers:
+        return False
+    if response.status in BODILESS_STATUSES:
+        return False
+    try:
+        return not isinstance(json.loads(body), dict | list)
+    except ValueError:
+        return True
+
+
 def _build_pool_class(max_bytes: int) -> type[urllib3.HTTPConnectionPool]:
     """Returns a pool class with the limit.
 
--- a/sycamorehollow/shells/calls.py
+++ b/sycamorehollow/shells/calls.py
@@ -227,6 +227,10 @@
                     return stores.InDoubt(reason="the response is too slow")
         finally:
             response.close()
+        if bounded_http.may_be_shortened(response, bytes(body)):
+            return stores.InDoubt(
+                reason="the response has neither a length nor a sure end"
+            )
         return messages.Outcome(response.status, bytes(body))
 
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -19,6 +19,10 @@
     return head.encode() + b"\r\n\r\n" + body
 
 
+def respond_until_closed(body):
+    return b"HTTP/1.1 200 x\r\nConnection: close\r\n\r\n" + body
+
+
 OK = respond(200, b"{}")
 CUT = respond(200, b"{}", missing=7)
 FAILED = respond(500)
@@ -145,6 +149,20 @@
             self.assertIsInstance(event, messages.OpInDoubt, response)
             self.assertEqual(second.heard, [], response)
 
+    def test_response_that_may_be_shortened_is_in_doubt(self):
+        whole = b'{"booking": 71}'
+        for end in range(len(whole)):
+            server = self.serve(respond_until_closed(whole[:end]))
+            event = self.dispatch(server.url)
+            self.assertIsInstance(event, messages.OpInDoubt, whole[:end])
+        event = self.dispatch(self.serve(respond_until_closed(whole)).url)
+        expected = messages.Outcome(200, whole)
+        self.assertEqual(event, messages.ServiceResponded("o", expected))
+        # A shorter text, or number, is as good a value as the whole one.
+        for body in (b"confirmed", b"71"):
+            event = self.dispatch(self.serve(respond_until_closed(body)).url)
+            self.assertIsInstance(event, messages.OpInDoubt, body)
+
     def test_typed_refusal_goes_to_the_next_upstream(self):
         first = self.serve(REFUSED)
         self.assertIsInstance(self.dispatch(first.url), messages.OpRefused)
