Let the soak draw closing responses and crashes together

Stand-ins state the same start in their entry and their report; one that was leaving is given another.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -317,6 +317,8 @@
             crash has closed the open ones.
         plain_body: Body of plain responses; `None` for an echo.
         plain_status: Status of plain responses.
+        plain_pause_s: Seconds in the middle of plain responses that end with
+            their connection.
         line_end: Line end of events.
         status_mode: How it responds to requests for its own state: `serve`,
             `hang`, `refuse`, or `reset`.
@@ -351,6 +353,7 @@
         self.listener_outlives_s = 0.0
         self.plain_body = None
         self.plain_status = 200
+        self.plain_pause_s = 0.0
         self.line_end = b"\n"
         self.status_mode = "serve"
         self.flood_bytes = 0
@@ -482,7 +485,11 @@
                 handler.send_header(name, value)
             handler.send_header("Connection", "close")
             handler.end_headers()
-            self._write_body(handler, body, self._take_crash_offset())
+            middle = len(body) // 2 if self.plain_pause_s else len(body)
+            offset = self._take_crash_offset()
+            offset = self._write_body(handler, body[:middle], offset)
+            time.sleep(self.plain_pause_s)
+            self._write_body(handler, body[middle:], offset)
             return
         send(handler, self.plain_status, response_headers, body)
         if self.mode == "copy":
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -32,6 +32,11 @@
         action="store_true",
         help="a prompt part that crashes engines",
     )
+    parser.add_argument(
+        "--closing",
+        action="store_true",
+        help="answers that end with their connection, and crashes",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -44,6 +49,7 @@
         trouble=arguments.trouble,
         needs=arguments.needs,
         deadly=arguments.deadly,
+        closing=arguments.closing,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -74,6 +80,8 @@
         rest.append("--needs")
     if arguments.deadly:
         rest.append("--deadly")
+    if arguments.closing:
+        rest.append("--closing")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -41,6 +41,8 @@
 LAST_ROUNDS = 4
 MODE_PATH = standin_process.MODE_PATH
 NEED_PATH = standin_process.NEED_PATH
+CLOSING_PATH = standin_process.CLOSING_PATH
+BORN_PATH = standin_process.BORN_PATH
 # Memory of the smallest VMs that the users run.
 MEMORY_KB = 128 * 1024
 MODES = {
@@ -69,6 +71,7 @@
     trouble: bool = False
     needs: bool = False
     deadly: bool = False
+    closing: bool = False
 
 
 class StandIn:
@@ -81,6 +84,8 @@
         self.records = folder / f"{self.name}.jsonl"
         self._arguments = ["--port", str(self.port)]
         self._arguments += ["--lifetime", str(lifetime_s)]
+        self._is_upstream = bool(upstream)
+        self.born = 0
         if upstream:
             self._arguments += ["--upstream", upstream]
             self._arguments += ["--records", str(self.records)]
@@ -88,12 +93,19 @@
 
     def start(self) -> None:
         """Starts the process."""
+        self.renew()
+        born = ["--born", str(self.born)] if self._is_upstream else []
         self._child = subprocess.Popen(
             [sys.executable, "-m", "tests.soak.standin_process"]
-            + self._arguments,
+            + self._arguments
+            + born,
             cwd=processes.ROOT,
         )
 
+    def renew(self) -> None:
+        """Gives the stand-in the time of a new start."""
+        self.born = max(self.born + 1, time.monotonic_ns() // 1_000_000)
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -240,6 +252,10 @@
             faults += schedule.draw_needs(
                 self._seed, self._size.seconds, list(self._upstreams)
             )
+        if self._size.closing:
+            faults += schedule.draw_closing(
+                self._seed, self._size.seconds, list(self._upstreams)
+            )
         if self._size.deadly:
             faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
         self._crowd = crowd
@@ -372,6 +388,8 @@
             self._call(f"{upstream.address}{MODE_PATH}{fault.mode}")
         elif fault.kind is schedule.Kind.NEED:
             self._call(f"{upstream.address}{NEED_PATH}{fault.mode}")
+        elif fault.kind is schedule.Kind.CLOSING:
+            self._call(f"{upstream.address}{CLOSING_PATH}1")
 
     def _end(self, fault: schedule.Fault) -> bool:
         """Ends a fault; returns whether it is over."""
@@ -390,7 +408,15 @@
             with self._lock:
                 if not upstream.is_running:
                     upstream.start()
+            if fault.kind is schedule.Kind.NEED:
+                # One that was leaving has to count as started again.
+                upstream.renew()
+                born = f"{BORN_PATH}{upstream.born}"
+                if not self._call(f"{upstream.address}{born}"):
+                    return False
             self._register(fault.target)
+            if fault.kind is schedule.Kind.CLOSING:
+                return self._call(f"{upstream.address}{CLOSING_PATH}0")
             if fault.kind is schedule.Kind.TROUBLE:
                 # It may be about to listen, or frozen by another fault.
                 return self._call(f"{upstream.address}{MODE_PATH}serve")
@@ -441,7 +467,7 @@
             "version": "v1",
             "slots": 8,
             "state": state,
-            "born": time.monotonic_ns() // 1_000_000,
+            "born": self._upstreams[name].born,
         }
         self._operator.put(f"servers/{name}", json.dumps(entry))
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -31,6 +31,7 @@
     TROUBLE = "trouble"
     NEED = "need"
     DEADLY = "deadly"
+    CLOSING = "closing"
 
 
 # A prompt part that crashes engines, and the mean share of such requests.
@@ -58,6 +59,9 @@
     "pause/3",
     "leaving/1",
 )
+# Upstreams that end responses with their connections, and crashes beside them.
+CLOSING_PER_S = 0.25
+CLOSING_KILLS_PER_S = 0.3
 NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
 LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
 UPSTREAM_KINDS = (Kind.KILL, Kind.FREEZE, Kind.DRAIN, *LINK_KINDS)
@@ -148,6 +152,26 @@
     return faults
 
 
+def draw_closing(
+    seed: int, seconds: float, upstreams: list[str]
+) -> list[Fault]:
+    """Returns times of responses without length and chunks, and crashes."""
+    source = random.Random(f"{seed}/closing")
+    faults = []
+    for kind, rate in (
+        (Kind.CLOSING, CLOSING_PER_S),
+        (Kind.KILL, CLOSING_KILLS_PER_S),
+    ):
+        for _ in range(max(2, round(seconds * rate))):
+            length = source.uniform(SHORTEST_S, LONGEST_S)
+            if kind is Kind.CLOSING:
+                length = source.uniform(LONGEST_S, seconds - 2 * QUIET_S)
+            latest = max(QUIET_S, seconds - length - QUIET_S)
+            at = source.uniform(QUIET_S, latest)
+            faults.append(Fault(at, kind, source.choice(upstreams), length))
+    return faults
+
+
 def draw_deadly(seed: int, seconds: float) -> Fault:
     """Returns the time in which callers send a part that crashes engines."""
     source = random.Random(f"{seed}/deadly")
--- a/tests/soak/standin_process.py
+++ b/tests/soak/standin_process.py
@@ -14,6 +14,10 @@
 EVENT_PAUSE_S = 0.12
 MODE_PATH = "/test/mode/"
 NEED_PATH = "/test/need/"
+CLOSING_PATH = "/test/closing/"
+BORN_PATH = "/test/born/"
+# Pause in plain responses that end with their connection.
+PLAIN_PAUSE_S = 0.05
 # Some answers are doubtful, so that larger models are asked for, too.
 CONFIDENCE_STEPS = 5
 # Exit status of an engine that a prompt part has crashed.
@@ -27,10 +31,11 @@
     first_pause_s = EVENT_PAUSE_S
     first_deadly_parts = (schedule.DEADLY_PART,)
 
-    def __init__(self, identity, port, path):
+    def __init__(self, identity, port, path, born):
         self._file = path.open("a", encoding="utf-8")
         self._lock = threading.Lock()
         super().__init__(identity, port)
+        self._born = born
 
     def handle(self, handler, body):
         """Answers a request, or takes the way in which it is to answer."""
@@ -38,6 +43,11 @@
             self.mode = handler.path.removeprefix(MODE_PATH)
         elif handler.path.startswith(NEED_PATH):
             self._set_need(*handler.path.removeprefix(NEED_PATH).split("/"))
+        elif handler.path.startswith(CLOSING_PATH):
+            self.closing = handler.path == f"{CLOSING_PATH}1"
+            self.plain_pause_s = PLAIN_PAUSE_S if self.closing else 0.0
+        elif handler.path.startswith(BORN_PATH):
+            self._born = int(handler.path.removeprefix(BORN_PATH))
         else:
             super().handle(handler, body)
             return
@@ -89,10 +99,16 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--upstream", help="identity; without it, a store")
     parser.add_argument("--records", type=pathlib.Path)
+    parser.add_argument("--born", type=int, default=0, help="time of its start")
     parser.add_argument("--lifetime", type=float, help="seconds")
     arguments = parser.parse_args()
     if arguments.upstream:
-        RecordingUpstream(arguments.upstream, arguments.port, arguments.records)
+        RecordingUpstream(
+            arguments.upstream,
+            arguments.port,
+            arguments.records,
+            arguments.born,
+        )
     else:
         platform_standins.Store(arguments.port)
     threading.Event().wait(arguments.lifetime)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,8 @@
 NEED_SEEDS = (600,)
 # Beside these, a prompt part crashes engines.
 DEADLY_SEEDS = (800,)
+# Beside these, answers end with their connections, and upstreams crash.
+CLOSING_SEEDS = (902,)
 AT_ONCE = 2
 # Seeds that once failed, each with a line on its cause.
 REGRESSION_SEEDS = {
@@ -233,6 +235,11 @@
             needs = schedule.draw_needs(seed, 12.0, names[1])
             self.assertEqual(needs, schedule.draw_needs(seed, 12.0, names[1]))
             kinds.update(fault.kind for fault in needs)
+            closing = schedule.draw_closing(seed, 12.0, names[1])
+            self.assertEqual(
+                closing, schedule.draw_closing(seed, 12.0, names[1])
+            )
+            kinds.update(fault.kind for fault in closing)
             deadly = schedule.draw_deadly(seed, 12.0)
             self.assertEqual(deadly, schedule.draw_deadly(seed, 12.0))
             self.assertLessEqual(deadly.end, 12.0)
@@ -272,6 +279,7 @@
             *TROUBLE_SEEDS,
             *NEED_SEEDS,
             *DEADLY_SEEDS,
+            *CLOSING_SEEDS,
         )
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
             results = list(pool.map(self._run, seeds))
@@ -283,6 +291,7 @@
             trouble=seed in TROUBLE_SEEDS,
             needs=seed in NEED_SEEDS,
             deadly=seed in DEADLY_SEEDS,
+            closing=seed in CLOSING_SEEDS,
         )
         soak = run.Soak(seed, size)
         try:
