--- a/sycamorehollow/decisions/forwarding/end_checks.py
+++ b/sycamorehollow/decisions/forwarding/end_checks.py
@@ -18,6 +18,8 @@
 # left.
 CHECK_LIMIT_S = 0.8
 INITIAL_DELAY_S = 0.03
+# Least time for a check, as a response that ends at its deadline is delivered.
+MIN_WAIT_S = 0.1
 
 
 class Evidence(enum.Enum):
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -330,7 +330,7 @@
         attempt = self._lifecycle.attempts[-1]
         left_s = self._lifecycle.deadline - time.monotonic()
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with asyncio.timeout(max(end_checks.MIN_WAIT_S, left_s)):
                 evidence = await self._end_checker.check(
                     attempt.state, self._lifecycle.service
                 )
--- a/tests/test_gateway_closing_crashes.py
+++ b/tests/test_gateway_closing_crashes.py
@@ -220,6 +220,18 @@
         threading.Timer(0.15, self.serve_status).start()
         self.assertEqual(self.ask("/lodge/x", b"y")[0], 200)
 
+    def test_response_at_its_deadline_is_delivered(self):
+        for desk in self.world.desks:
+            desk.plain_pause_s = 0.3
+        try:
+            response = self.node.request(
+                "/lodge/x", b"y", Request_Deadline="301"
+            )
+        finally:
+            for desk in self.world.desks:
+                desk.plain_pause_s = 0.0
+        self.assertEqual((response.status, response.data), (200, b"echo y"))
+
     def test_full_upstream_is_alive(self):
         for upstream in self.upstreams:
             upstream.status_mode = "refuse"
