Show that changes after a restore of the store are lost

Change: the stand-in of the store goes back to an earlier state, counts eras, states them in all responses, and answers 410 to watches from revisions that it does not have.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -16,6 +16,8 @@
 HOST = "127.0.0.1"
 # Delay of a duplicate response: a connection is mostly reused within it.
 DUPLICATE_DELAY_S = 0.03
+# States of the store that are kept for a restore.
+MAX_STATES = 2000
 # Time for which an upstream is down after a crash, and the time from the head
 # of a response to the crash.
 DOWN_S = 2.0
@@ -135,12 +137,17 @@
     Attributes:
         refuse: Status with which every call is rejected; 0 for none.
         calls: Paths of the received calls.
+        era: Number of restores, which all responses state; `None` to leave
+            the header out.
     """
 
     def __init__(self, port=0):
         self.refuse = 0
         self.calls = []
+        self.era = 1
         self._items = {}
+        # Time, revision and items after each change.
+        self._states = collections.deque(maxlen=MAX_STATES)
         self._events = []
         self._revision = 1
         self._compacted_revision = 0
@@ -169,6 +176,34 @@
             self._compacted_revision = self._revision
             self._events.clear()
 
+    def restore(self, age_s=None, changes=None):
+        """Goes back to an earlier state, which begins another era.
+
+        Args:
+            age_s: Age of that state in seconds.
+            changes: Number of changes that are lost; instead of the age.
+        """
+        with self._changed:
+            states = list(self._states)
+            if changes is None:
+                until = time.monotonic() - age_s
+                older = [state for state in states if state[0] <= until]
+            else:
+                older = states[: len(states) - changes]
+            _, self._revision, items = (older or [(0.0, 1, {})])[-1]
+            self._items = dict(items)
+            self._states.clear()
+            self._states.append((time.monotonic(), self._revision, items))
+            self._events.clear()
+            self._compacted_revision = self._revision
+            self.era += 1
+            self._changed.notify_all()
+
+    def _keep_state(self):
+        self._states.append(
+            (time.monotonic(), self._revision, dict(self._items))
+        )
+
     def _write(self, key, value, lease=0):
         self._revision += 1
         if isinstance(value, str):
@@ -183,6 +218,7 @@
         }
         self._items[key] = item
         self._events.append(item)
+        self._keep_state()
         self._changed.notify_all()
 
     def _remove(self, key):
@@ -192,6 +228,7 @@
         self._events.append(
             {"key": key, "revision": self._revision, "deleted": True}
         )
+        self._keep_state()
         self._changed.notify_all()
 
     def handle(self, handler, body):
@@ -205,6 +242,9 @@
             status, response = self._range(query)
         elif parts.path == "/-/kv-watch":
             status, response = self._watch(query)
+        elif parts.path == "/test/restore":
+            self.restore(float(query["age_s"]))
+            status, response = 200, {}
         elif parts.path == "/test/compact":
             self.compact()
             status, response = 200, {}
@@ -217,6 +257,8 @@
         else:
             status, response = 404, {}
         headers = {"Content-Type": "application/json"}
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
         send(handler, status, headers, json.dumps(response).encode())
 
     def _range(self, query):
@@ -237,7 +279,7 @@
         end = time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
             while True:
-                if after < self._compacted_revision:
+                if not self._compacted_revision <= after <= self._revision:
                     return 410, {}
                 news = [
                     event
