Order what the store says by its era, and keep what a copy contradicts

Cause: a counter was taken for time. A revision orders changes within one era only; listings, watches and other nodes' changes after the restore counted as late ones, or were continued from a revision of another meaning.

Change: the era of the store comes with listings and watches, and goes with the exchange between nodes. What contradicts what was known is held back until it is written again, at most 6 s: upstreams older by their start and number, removed ones, evacuations and orders that the copy lacks or still has; a configuration goes by its version. Missing upstreams have the two seconds in which they register again. An order that is written again goes on with its evidence. Lost states of roll-outs are written again by rank, lost entries of nodes spread over 2 s.

Ruled out: the era in the upper bits of one number, as nodes of an older build would take such revisions over during an upgrade.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -75,10 +75,24 @@
     def set_order(self, order: forwarding.RolloutOrder, now: float) -> None:
         """Starts the roll-out of an operator's order unless it is known."""
         existing = self._rollouts.get(order.service)
-        if existing is not None and existing.order.revision >= order.revision:
+        if existing is not None and existing.is_carried_over:
+            if existing.is_for(order):
+                existing.order = order
+                return
+        elif existing is not None and existing.order.revision >= order.revision:
             return
         self._rollouts[order.service] = rollout_records.Rollout(order, now)
 
+    def begin_era(self) -> None:
+        """Keeps the roll-outs, whose orders may be written again."""
+        for rollout in self._rollouts.values():
+            rollout.is_carried_over = True
+
+    def settle_era(self) -> None:
+        """Takes orders from now on for new ones."""
+        for rollout in self._rollouts.values():
+            rollout.is_carried_over = False
+
     def remove_order(self, service: str) -> None:
         """Drops the roll-out of a withdrawn order."""
         self._rollouts.pop(service, None)
@@ -86,7 +100,10 @@
     def set_status(self, status: forwarding.RolloutStatus) -> None:
         """Applies the published state of a roll-out."""
         rollout = self._rollouts.get(status.service)
-        if rollout is None or status.revision < rollout.order.revision:
+        if rollout is None or rollout.state in _ENDED:
+            return
+        is_earlier = status.revision < rollout.order.revision
+        if is_earlier and not rollout.is_carried_over:
             return
         if status.target == rollout.order.target:
             rollout.state = status.state
--- a/sycamorehollow/decisions/forwarding/mirror.py
+++ b/sycamorehollow/decisions/forwarding/mirror.py
@@ -1,24 +1,34 @@
 """Local mirror of the store's values that nodes replicate to each other.
 
-The store numbers all changes with a single revision counter. Therefore what
-one node has and another lacks is exactly what changed after the other's
-revision, regardless of where both got their data, and a mirror never goes back
-to an earlier revision.
+The store numbers all changes of an era with a single revision counter. Within
+an era, what one node has and another lacks is therefore exactly what changed
+after the other's revision, regardless of where both got their data, and a
+mirror never goes back to an earlier revision. A restore of the store begins
+another era, which replaces the contents of all earlier ones; `restores` decides
+what of them still counts.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
+from sycamorehollow.decisions.forwarding import restores
+
 # Deletions to keep. A node that lags further behind gets a snapshot.
 MAX_DELETIONS = 2000
 
+Entry = restores.Entry
+
 
 @dataclasses.dataclass(frozen=True)
-class Entry:
-    """The latest known value of a key; `None` for a deleted one."""
+class Position:
+    """How far the changes of the store are known.
+
+    Attributes:
+        era: Number of restores of the store; 0 if it does not state it.
+        revision: All changes of the era up to this revision are known.
+    """
 
-    key: str
-    value: str | None
+    era: int
     revision: int
 
 
@@ -29,38 +39,78 @@
     Attributes:
         revision: Store revision of the receiver after it applied the delta.
         is_snapshot: Whether it holds all values, so that absent keys have none.
+        era: Era of the revisions.
     """
 
     entries: tuple[Entry, ...]
     revision: int
     is_snapshot: bool
+    era: int = 0
+
+
+class _NoOrder(restores.EntryOrder):
+    """Order of values that nothing is known about."""
+
+    def compare(self, key: str, value: str, known: str) -> int | None:
+        """Returns `None`."""
+        return None
+
+    def lapses(self, key: str) -> bool:
+        """Returns `False`."""
+        return False
 
 
 class Mirror:
     """Values by key and the latest deletions.
 
+    Args:
+        order: Orders the values of a key across eras.
+
     Attributes:
+        era: Era of the contents; 0 if the store does not state it.
         revision: All changes up to this revision are known; 0 at the start.
+        is_restored: Whether an era has begun since the start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, order: restores.EntryOrder | None = None) -> None:
+        self.era = 0
         self.revision = 0
+        self.is_restored = False
+        self._guard = restores.RestoreGuard(order or _NoOrder())
         self._entries: dict[str, Entry] = {}
         self._deleted: dict[str, Entry] = {}
         # Deletions up to this revision may have been evicted.
         self._deletion_floor = 0
 
+    @property
+    def position(self) -> Position:
+        """How far the changes of the store are known."""
+        return Position(self.era, self.revision)
+
     def list_values(self) -> list[Entry]:
         """Returns the entries that have a value."""
         return list(self._entries.values())
 
+    def list_kept(self) -> list[str]:
+        """Returns the keys whose contents in the store do not count yet."""
+        return self._guard.list_kept()
+
     def get_revision(self, key: str) -> int:
         """Returns the revision of a key; 0 when it has no value."""
         entry = self._entries.get(key)
         return entry.revision if entry is not None else 0
 
+    def get_value(self, key: str) -> str | None:
+        """Returns the value of a key in the store; `None` for none."""
+        entry = self._entries.get(key)
+        return entry.value if entry is not None else None
+
+    def is_newer(self, era: int) -> bool:
+        """Tells whether an era is later than that of the known contents."""
+        return era > self.era and self.revision > 0
+
     def apply(self, entries: Iterable[Entry], revision: int) -> list[Entry]:
-        """Applies changes that follow the current revision.
+        """Applies changes of the era that follow the current revision.
 
         Returns:
             The entries that changed something, ordered by revision. Only the
@@ -71,8 +121,10 @@
         self.revision = max(self.revision, revision)
         return sorted(changed.values(), key=lambda entry: entry.revision)
 
-    def replace(self, entries: Iterable[Entry], revision: int) -> list[Entry]:
-        """Applies a snapshot of all values at a revision.
+    def replace(
+        self, entries: Iterable[Entry], revision: int, era: int = 0
+    ) -> list[Entry]:
+        """Applies a snapshot of all values at a revision of the same era.
 
         A snapshot older than the mirror changes nothing.
 
@@ -80,7 +132,7 @@
             The entries that changed something; deletions have the revision of
             the snapshot.
         """
-        if revision < self.revision:
+        if revision < self.revision or era < self.era:
             return []
         found = {entry.key: entry for entry in entries}
         gone = [
@@ -90,10 +142,39 @@
         ]
         if self.revision == 0:
             self._deletion_floor = revision
+            self.era = era
         return self.apply([*gone, *found.values()], revision)
 
+    def begin_era(
+        self, era: int, entries: Iterable[Entry], revision: int, now: float
+    ) -> list[Entry]:
+        """Replaces the contents by the first ones of a later era.
+
+        Args:
+            era: The era.
+            entries: All values at the revision.
+            revision: Revision of the era.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The entries that changed something and count at once.
+        """
+        listed = {entry.key: entry for entry in entries}
+        updates = self._guard.reconcile(self._entries, listed, revision, now)
+        self.era = era
+        self.revision = revision
+        self.is_restored = True
+        self._entries = listed
+        self._deleted = {}
+        self._deletion_floor = revision
+        return sorted(updates, key=lambda entry: entry.revision)
+
+    def settle(self, now: float) -> list[Entry] | None:
+        """Returns entries that count from now on; `None` if it is too early."""
+        return self._guard.settle(self._entries, now)
+
     def build_delta(self, since: int) -> Delta | None:
-        """Returns the changes after revision `since`, or `None`."""
+        """Returns the changes of this era after a revision, or `None`."""
         if since >= self.revision:
             return None
         whole = since < self._deletion_floor
@@ -101,20 +182,38 @@
         if not whole:
             entries.extend(self._deleted.values())
             entries = [entry for entry in entries if entry.revision > since]
-        return Delta(tuple(entries), self.revision, whole)
+        return Delta(tuple(entries), self.revision, whole, self.era)
+
+    def build_delta_for(self, position: Position) -> Delta | None:
+        """Returns the changes that a node at a position lacks, or `None`."""
+        if position.era == self.era or not position.revision:
+            return self.build_delta(position.revision)
+        if position.era > self.era:
+            return None
+        entries = tuple(self._entries.values())
+        return Delta(entries, self.revision, True, self.era)
 
-    def merge(self, delta: Delta) -> list[Entry]:
+    def merge(self, delta: Delta, now: float = 0.0) -> list[Entry]:
         """Applies another node's delta and returns the changed entries."""
+        if delta.era < self.era:
+            return []
+        if self.is_newer(delta.era):
+            if not delta.is_snapshot:
+                return []
+            return self.begin_era(delta.era, delta.entries, delta.revision, now)
         if delta.revision <= self.revision:
             return []
         if delta.is_snapshot:
-            return self.replace(delta.entries, delta.revision)
+            return self.replace(delta.entries, delta.revision, delta.era)
+        if self.revision == 0:
+            self.era = delta.era
         return self.apply(delta.entries, delta.revision)
 
     def _apply_entry(self, entry: Entry) -> bool:
         current = self._entries.get(entry.key) or self._deleted.get(entry.key)
         if current is not None and current.revision >= entry.revision:
             return False
+        self._guard.record_change(entry, current)
         self._entries.pop(entry.key, None)
         self._deleted.pop(entry.key, None)
         if entry.value is not None:
--- a/sycamorehollow/decisions/forwarding/rollout_records.py
+++ b/sycamorehollow/decisions/forwarding/rollout_records.py
@@ -43,6 +43,8 @@
             smallest that any node has computed; `None` while the response
             rate is measured.
         sound_at: When a node first found the version to be sound.
+        is_carried_over: Whether the store was restored since, so that the
+            same order may be written again, at any revision.
     """
 
     order: forwarding.RolloutOrder
@@ -61,6 +63,14 @@
     reason: str = ""
     first_share: float | None = None
     sound_at: float | None = None
+    is_carried_over: bool = False
+
+    def is_for(self, order: forwarding.RolloutOrder) -> bool:
+        """Returns whether an order asks for the same as this one's."""
+        return (order.target, order.duration_s) == (
+            self.order.target,
+            self.order.duration_s,
+        )
 
     def sum_counts(self) -> failure_counts.Tally:
         """Returns the sum of the counts of all nodes."""
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -189,6 +189,16 @@
     )
 
 
+def read_version(text: str) -> tuple[int, ...] | None:
+    """Returns the version of a configuration; `None` if it has none."""
+    return _read_numbers(text, "version")
+
+
+def read_upstream_age(text: str) -> tuple[int, ...] | None:
+    """Returns the start of an upstream and the number of its entry."""
+    return _read_numbers(text, "born", "seq")
+
+
 def decode_rollout(
     text: str, revision: int
 ) -> forwarding.RolloutOrder | failures.InvalidRequest:
@@ -221,6 +231,17 @@
     return json.dumps({"state": state.value, "target": target})
 
 
+def _read_numbers(text: str, *names: str) -> tuple[int, ...] | None:
+    try:
+        document = json.loads(text)
+        numbers = tuple(document.get(name, 0) for name in names)
+    except (ValueError, AttributeError):
+        return None
+    if not all(isinstance(number, int) for number in numbers):
+        return None
+    return numbers
+
+
 def _decode(kind: Any, text: str) -> Any:
     try:
         return kind.model_validate_json(text)
--- a/sycamorehollow/platform/store_codec.py
+++ b/sycamorehollow/platform/store_codec.py
@@ -34,6 +34,23 @@
             return self._decode_node(entry.key, entry.value)
         return []
 
+    def compare(self, key: str, value: str, known: str) -> int | None:
+        """Compares two values of a key by what they say themselves."""
+        if key == documents.CONFIGURATION_KEY:
+            read_age = documents.read_version
+        elif key.startswith(documents.UPSTREAM_PREFIX):
+            read_age = documents.read_upstream_age
+        else:
+            return None
+        age, known_age = read_age(value), read_age(known)
+        if age is None or known_age is None:
+            return None
+        return (age > known_age) - (age < known_age)
+
+    def lapses(self, key: str) -> bool:
+        """Tells whether the key is an upstream's, which writes it again."""
+        return key.startswith(documents.UPSTREAM_PREFIX)
+
     def encode_status(
         self, service: str, target: str, state: forwarding.RolloutState
     ) -> store_codec.KeyValue:
--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -9,6 +9,10 @@
 from sycamorehollow.shells import storeclient
 from sycamorehollow.shells import stores
 
+_ERA_HEADER = "Store-Era"
+# Longer numbers in the header are no eras.
+MAX_ERA_DIGITS = 15
+
 
 class PlatformStore(storeclient.HttpStore):
     """Calls the platform's store."""
@@ -58,6 +62,7 @@
         """Returns all values under a prefix, page by page."""
         items: list[stores.Found] = []
         revision: int | None = None
+        era: int | None = None
         query: dict[str, Any] = {"pathPrefix": prefix}
         if allow_stale:
             query["allowStale"] = 1
@@ -75,6 +80,9 @@
                 has_more = bool(response.document.get("hasMore")) and bool(page)
             except (KeyError, TypeError, ValueError):
                 return stores.InDoubt("the response of a range is malformed")
+            if revision is not None and _read_era(response) != era:
+                return stores.InDoubt("the store was restored between pages")
+            era = _read_era(response)
             # Pages are read one after the other. A watch from the revision of
             # the first page finds all changes made since.
             revision = at if revision is None else revision
@@ -83,7 +91,7 @@
                     return item
                 items.append(item)
             if not has_more:
-                return stores.Listing(tuple(items), revision)
+                return stores.Listing(tuple(items), revision, era)
             if items[-1].key <= str(query.get("after", "")):
                 return stores.InDoubt("the pages of a range do not go on")
             query["after"] = items[-1].key
@@ -107,7 +115,11 @@
             return _build_failure(response)
         try:
             changes = [_parse_change(e) for e in response.document["events"]]
-            return stores.Changes(tuple(changes), int(response.document["at"]))
+            return stores.Changes(
+                tuple(changes),
+                int(response.document["at"]),
+                _read_era(response),
+            )
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a watch is malformed")
 
@@ -170,6 +182,14 @@
             return stores.InDoubt("the response of a write has no revision")
 
 
+def _read_era(response: storeclient.Response) -> int | None:
+    """Returns the era that a response states; `None` if it states none."""
+    text = response.headers.get(_ERA_HEADER, "")
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return None
+    return int(text)
+
+
 def _build_failure(
     response: storeclient.Response,
 ) -> stores.RateLimited | stores.InDoubt:
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -192,7 +192,7 @@
         store = self._adapter.store
         writer = store_tasks.WriteTask(store, state.deliver)
         watch = store_tasks.WatchTask(
-            store, state.deliver, state.get_revision, self._rng
+            store, state.deliver, state.get_position, self._rng
         )
         state.set_store_tasks(watch, writer)
         writer.start()
--- a/sycamorehollow/shells/gateway/mirror_messages.py
+++ b/sycamorehollow/shells/gateway/mirror_messages.py
@@ -16,6 +16,7 @@
             "entries": entries,
             "revision": delta.revision,
             "whole": delta.is_snapshot,
+            "era": delta.era,
         }
     }
 
@@ -30,4 +31,6 @@
     if delta is None:
         return None
     entries = tuple(mirror.Entry(*entry) for entry in delta["entries"])
-    return mirror.Delta(entries, delta["revision"], delta["whole"])
+    return mirror.Delta(
+        entries, delta["revision"], delta["whole"], delta.get("era", 0)
+    )
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -13,7 +13,6 @@
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.settings import gateway
-from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import crash_sync
 from sycamorehollow.shells.gateway import limit_messages
 from sycamorehollow.shells.gateway import limit_sync
@@ -22,6 +21,7 @@
 from sycamorehollow.shells.gateway import peer_messages
 from sycamorehollow.shells.gateway import rollout_messages
 from sycamorehollow.shells.gateway import store_codec
+from sycamorehollow.shells.gateway import store_contents
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import store_writer
 from sycamorehollow.shells.gateway import telemetry
@@ -39,6 +39,8 @@
 # number of nodes that each node tells.
 NEWS_DELAY_S = 0.02
 NEWS_FANOUT = 2
+# Time over which nodes write entries that a restore of the store has lost.
+REGISTRATION_SPREAD_S = 2.0
 NO_PARTS: Mapping[str, Any] = types.MappingProxyType({})
 # Upper bound of ages in messages, as JSON has no infinity.
 MAX_AGE_S = 1e6
@@ -71,7 +73,10 @@
         self._codec = codec
         self._telemetry = telemetry_sink
         self._rng = rng
-        self._mirror = mirror.Mirror()
+        self._contents = store_contents.StoreContents(
+            router, codec, telemetry_sink
+        )
+        self._mirror = self._contents.mirror
         self._loop = asyncio.get_running_loop()
         self._store_lost = False
         self._has_listing = False
@@ -98,9 +103,9 @@
             self._router.directory.list_all()
         )
 
-    def get_revision(self) -> int:
-        """Returns the revision up to which all changes are applied."""
-        return self._mirror.revision
+    def get_position(self) -> mirror.Position:
+        """Returns how far all changes of the store are applied."""
+        return self._mirror.position
 
     def set_store_tasks(
         self,
@@ -134,8 +139,7 @@
                 document = self._merge_sync_message(
                     address, payload, is_response=False
                 )
-                since = document.get("since")
-                known = since if isinstance(since, int) else 0
+                known = self._read_position(document)
                 now = time.monotonic()
                 parts = {
                     **self._limit_sync.handle_request(document, now),
@@ -175,6 +179,7 @@
                     self._router.nodes, self._compute_staleness_s(now), now
                 )
             )
+        self._contents.settle(now)
         self._choose_state_source(now)
         self._limit_sync.record_changes(now)
         self._crash_sync.record_changes()
@@ -211,19 +216,13 @@
         match event:
             case store_tasks.StoreListed():
                 self._record_store_success()
-                updates = self._mirror.replace(
-                    _convert(event.listing.items), event.listing.revision
-                )
-                self._apply(updates, f"list {event.listing.revision}")
-                self._store_writer.register_node()
+                is_restored = self._contents.apply_listing(event.listing)
+                self._handle_contents(is_restored)
+                if not is_restored:
+                    self._store_writer.register_node()
             case store_tasks.StoreChanged():
                 self._record_store_success()
-                changes = [
-                    mirror.Entry(c.key, c.value, c.revision)
-                    for c in event.changes.changes
-                ]
-                updates = self._mirror.apply(changes, event.changes.revision)
-                self._apply(updates, f"watch {event.changes.revision}")
+                self._contents.apply_changes(event.changes)
             case store_tasks.StoreCallFailed():
                 self._record_store_failure(event.failure)
             case store_tasks.WriteFinished():
@@ -242,22 +241,14 @@
                 self._limit_sync.record_failure(event.number, time.monotonic())
                 self._crash_sync.record_failure(event.number)
 
-    def _apply(self, updates: list[mirror.Entry], source: str) -> None:
-        for entry in updates:
-            try:
-                self._apply_entry(entry, f"{source} at {entry.revision}")
-            except Exception as error:
-                # The mirror already has this entry, so it is not delivered
-                # again. The entries after it still have to be applied.
-                self._telemetry.log_error(f"entry={entry.key}", error)
-
-    def _apply_entry(self, entry: mirror.Entry, source: str) -> None:
-        now = time.monotonic()
-        for update in self._codec.decode(entry):
-            for change in self._router.apply_event(update, now):
-                self._telemetry.record_state_change(
-                    change.subject, change.outcome, source
-                )
+    def _handle_contents(self, is_restored: bool) -> None:
+        """Notes a restore of the store, and what it asks of this node."""
+        if not is_restored:
+            return
+        self._store_recovered_at = time.monotonic()
+        # Nodes that have lost their entries do not all write at once.
+        delay_s = self._rng.uniform(0.0, REGISTRATION_SPREAD_S)
+        self._loop.call_later(delay_s, self._store_writer.register_node)
 
     def _record_store_success(self) -> None:
         if self._store_lost or not self._has_listing:
@@ -334,20 +325,24 @@
         return self._last_request
 
     def _build_sync_message(
-        self, address: str, since: int | None, parts: Mapping[str, Any]
+        self,
+        address: str,
+        since: mirror.Position | None,
+        parts: Mapping[str, Any],
     ) -> bytes:
         """Encodes this node's state for the node at an address.
 
         Args:
             address: Address of the node.
-            since: Revision after which it needs the entries of the store;
+            since: Position after which it needs the entries of the store;
                 `None` if it needs none.
             parts: Further parts of the message.
         """
         now = time.monotonic()
-        delta = None if since is None else self._mirror.build_delta(since)
+        delta = None if since is None else self._mirror.build_delta_for(since)
         document = {
             "since": self._mirror.revision,
+            "era": self._mirror.era,
             "age_s": self._compute_staleness_s(now),
             "store_back_s": min(MAX_AGE_S, now - self._store_recovered_at),
             **rollout_messages.export(self._router.rollouts, now),
@@ -359,6 +354,15 @@
         }
         return peer_messages.encode(document)
 
+    def _read_position(self, document: Mapping[str, Any]) -> mirror.Position:
+        """Returns how far another node knows the changes of the store."""
+        since, era = document.get("since"), document.get("era")
+        return mirror.Position(
+            # Nodes of an older version know no eras.
+            era if isinstance(era, int) else self._mirror.era,
+            since if isinstance(since, int) else 0,
+        )
+
     def _compute_staleness_s(self, now: float) -> float:
         """Returns the age of this node's copy of the store."""
         is_watching = self._watch_task is not None and self._watch_task.active
@@ -390,7 +394,7 @@
                 document.get("sound", {}), now
             )
             self._router.quarantine.merge(document.get("poison", {}), now)
-            if is_response:
+            if is_response and document.get("era", 0) >= self._mirror.era:
                 self._watchers.record_fresh(now - float(document["age_s"]))
             # Entries may have expired while the other node had no connection
             # to the store. A loss that only this node sees proves nothing.
@@ -399,16 +403,14 @@
             self._limit_sync.merge(document, now)
             self._crash_sync.merge(document, now)
             delta = mirror_messages.decode_delta(document)
-            updates = [] if delta is None else self._mirror.merge(delta)
+            if delta is not None:
+                self._handle_contents(
+                    self._contents.merge(delta, f"peer {address}")
+                )
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             self._telemetry.record_state_change(
                 f"peer={address}", f"invalid sync message: {error!r}", "sync"
             )
             return document
         self.spread_news()
-        self._apply(updates, f"peer {address}")
         return document
-
-
-def _convert(items: tuple[stores.Found, ...]) -> list[mirror.Entry]:
-    return [mirror.Entry(i.key, i.value, i.revision) for i in items]
--- a/sycamorehollow/shells/gateway/store_codec.py
+++ b/sycamorehollow/shells/gateway/store_codec.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from sycamorehollow.decisions.forwarding import mirror
+from sycamorehollow.decisions.forwarding import restores
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import events
 from sycamorehollow.model import forwarding
@@ -18,7 +19,7 @@
     value: str
 
 
-class StoreCodec(abc.ABC):
+class StoreCodec(restores.EntryOrder):
     """Converts between entries of the store and events of the router."""
 
     @abc.abstractmethod
--- a/sycamorehollow/shells/gateway/store_tasks.py
+++ b/sycamorehollow/shells/gateway/store_tasks.py
@@ -8,6 +8,7 @@
 
 import loguru
 
+from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.model import events
 from sycamorehollow.model import failures
 from sycamorehollow.shells import stores
@@ -63,7 +64,7 @@
     Args:
         store: Client of the store.
         deliver: Receives the events; safe from any thread.
-        get_revision: Returns the revision up to which all changes are applied.
+        get_position: Returns how far all changes are applied.
         rng: Randomises the backoff.
 
     Attributes:
@@ -74,12 +75,12 @@
         self,
         store: stores.Store,
         deliver: Callable[[events.Event], None],
-        get_revision: Callable[[], int],
+        get_position: Callable[[], mirror.Position],
         rng: random.Random,
     ):
         super().__init__("watch")
         self.active = True
-        self._get_revision = get_revision
+        self._get_position = get_position
         self._store = store
         self._deliver = deliver
         self._rng = rng
@@ -102,6 +103,7 @@
         """Reads all values, then watches their changes."""
         listed = False
         allow_stale = True
+        relists = 0
         while not self._stopping:
             if not self.active:
                 time.sleep(INACTIVE_POLL_INTERVAL_S)
@@ -116,17 +118,22 @@
                 listed = True
                 # The listing has to be applied before its revision is read.
                 time.sleep(APPLY_DELAY_S)
-            after = self._get_revision()
-            changes = self._store.watch("", after, WATCH_TIMEOUT_S)
-            if isinstance(changes, stores.HistoryGone):
+            position = self._get_position()
+            changes = self._store.watch("", position.revision, WATCH_TIMEOUT_S)
+            if _needs_listing(changes, position):
                 listed = False
                 # A stale replica may lack the changes that the watch missed.
                 allow_stale = False
+                if relists:
+                    pause_s = INITIAL_BACKOFF_S * 2 ** min(relists - 1, 8)
+                    time.sleep(min(MAX_BACKOFF_S, pause_s))
+                relists += 1
                 continue
             if isinstance(changes, failures.Failure):
                 self._back_off(changes)
                 continue
             self._failures = 0
+            relists = 0
             self._deliver(StoreChanged(changes))
             if changes.changes:
                 time.sleep(BATCH_WINDOW_S)
@@ -138,6 +145,19 @@
         time.sleep(pause_s * self._rng.uniform(0.7, 1.3))
 
 
+def _needs_listing(
+    changes: stores.Changes | stores.HistoryGone | stores.CallFailure,
+    position: mirror.Position,
+) -> bool:
+    """Tells whether the result of a watch does not follow a position."""
+    if isinstance(changes, stores.HistoryGone):
+        return True
+    if not isinstance(changes, stores.Changes) or changes.era is None:
+        return False
+    # A revision of an earlier era has another meaning in this one.
+    return changes.era != position.era
+
+
 @dataclasses.dataclass(frozen=True)
 class Write:
     """A write on the condition that the key is at a revision."""
--- a/sycamorehollow/shells/gateway/store_writer.py
+++ b/sycamorehollow/shells/gateway/store_writer.py
@@ -9,6 +9,7 @@
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import failures
+from sycamorehollow.model import forwarding
 from sycamorehollow.settings import gateway
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import store_codec
@@ -59,7 +60,7 @@
     def register_node(self) -> None:
         """Writes this node's entry unless the store has it."""
         item = self._codec.encode_node(self._node, self._own_node)
-        if self._router.nodes.get(self._node) != self._own_node:
+        if self._mirror.get_value(item.key) != item.value:
             self._write(item)
 
     def write_rollout_status(
@@ -68,6 +69,7 @@
         """Writes the status of a roll-out after this node's rank delay."""
         service = rollout.order.service
         state = self._router.rollouts.find_due_state(service, now)
+        state = state or self._find_lost_state(rollout)
         if state is None:
             self._due_states.pop(service, None)
             return
@@ -81,6 +83,20 @@
             self._codec.encode_status(service, rollout.order.target, state)
         )
 
+    def _find_lost_state(
+        self, rollout: rollout_records.Rollout
+    ) -> forwarding.RolloutState | None:
+        """Returns a published state that a restore of the store has lost."""
+        if rollout.state is None or not self._mirror.is_restored:
+            return None
+        order = rollout.order
+        item = self._codec.encode_status(
+            order.service, order.target, rollout.state
+        )
+        if self._mirror.get_value(item.key) == item.value:
+            return None
+        return rollout.state
+
     def record_result(self, event: store_tasks.WriteFinished) -> None:
         """Records the result of a write."""
         self._next_write_at[event.key] = time.monotonic() + WRITE_RETRY_DELAY_S
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's key-value store."""
 
+from collections.abc import Mapping
 import dataclasses
 import json
 import socket
@@ -43,6 +44,7 @@
     status: int
     document: dict[str, Any]
     retry_after_s: float
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class HttpStore(stores.Store):
@@ -310,7 +312,7 @@
         retry_after_s = float(response.headers.get("Retry-After", ""))
     except ValueError:
         retry_after_s = RETRY_AFTER_S
-    return Response(response.status, document, retry_after_s)
+    return Response(response.status, document, retry_after_s, response.headers)
 
 
 def _classify_failure(
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -48,10 +48,13 @@
     Attributes:
         items: The values.
         revision: Store revision at which the list was taken.
+        era: Number of restores of the store, which order revisions before
+            their numbers do; `None` if it does not state it.
     """
 
     items: tuple[Found, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,10 +73,12 @@
     Attributes:
         changes: Changes in the order of their revisions.
         revision: Revision to pass as `after` in the next watch.
+        era: As of a listing.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -254,7 +254,7 @@
         )
         follower.deliver(peer_client.PeerRequestAnswered(0, PEER, payload))
         await asyncio.sleep(0.05)
-        self.assertEqual(follower.get_revision(), 6)
+        self.assertEqual(follower.get_position().revision, 6)
 
     async def test_follower_asks_again_only_after_an_deliver_response(self):
         await self._deliver_response()
