--- a/tests/test_forwarding_restores.py
+++ b/tests/test_forwarding_restores.py
@@ -130,8 +130,12 @@
 
     def test_old_delta_or_changes_without_a_base_are_ignored(self):
         new = build_mirror((CONFIG, "b", 40), era=2)
-        late = mirror.Delta((mirror.Entry(CONFIG, "a", 50),), 50, True, 1)
-        self.assertEqual(new.merge(late), [])
+        late = mirror.Entry(CONFIG, "a", 50)
+        for is_snapshot in (True, False):
+            delta = mirror.Delta((late,), 50, is_snapshot, 1)
+            self.assertEqual(new.merge(delta), [])
+        self.assertEqual(new.replace([late], 50, 1), [])
+        self.assertEqual(new.position, mirror.Position(2, 40))
         old = build_mirror((CONFIG, "a", 50))
         part = mirror.Delta((mirror.Entry(CONFIG, "b", 60),), 60, False, 2)
         self.assertEqual(old.merge(part), [])
