--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -37,6 +37,11 @@
         action="store_true",
         help="answers that end with their connection, and crashes",
     )
+    parser.add_argument(
+        "--restores",
+        action="store_true",
+        help="a store that is restored from copies",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -50,6 +55,7 @@
         needs=arguments.needs,
         deadly=arguments.deadly,
         closing=arguments.closing,
+        restores=arguments.restores,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -82,6 +88,8 @@
         rest.append("--deadly")
     if arguments.closing:
         rest.append("--closing")
+    if arguments.restores:
+        rest.append("--restores")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -72,6 +72,7 @@
     needs: bool = False
     deadly: bool = False
     closing: bool = False
+    restores: bool = False
 
 
 class StandIn:
@@ -140,6 +141,7 @@
 
     def __init__(self, address: str):
         self.version = 0
+        self._latest: dict[str, str | None] = {}
         self._client = storeclient.PlatformStore(f"http://{address}")
         self._queue: queue.SimpleQueue[tuple[str, str | None] | None] = (
             queue.SimpleQueue()
@@ -166,8 +168,14 @@
 
     def put(self, key: str, value: str | None) -> None:
         """Queues a write, or a removal without a value."""
+        self._latest[key] = value
         self._queue.put((key, value))
 
+    def write_again(self) -> None:
+        """Queues the latest writes of all keys once more."""
+        for key, value in list(self._latest.items()):
+            self._queue.put((key, value))
+
     def stop(self) -> None:
         """Ends after the writes that are queued."""
         self._queue.put(None)
@@ -256,6 +264,8 @@
             faults += schedule.draw_closing(
                 self._seed, self._size.seconds, list(self._upstreams)
             )
+        if self._size.restores:
+            faults += schedule.draw_restores(self._seed, self._size.seconds)
         if self._size.deadly:
             faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
         self._crowd = crowd
@@ -354,6 +364,8 @@
             self._store.send_signal(signal.SIGSTOP)
         elif fault.kind is schedule.Kind.CONFIGURE:
             self._operator.configure()
+        elif fault.kind is schedule.Kind.RESTORE:
+            self._call(f"{self._store.address}/test/restore?age_s={fault.mode}")
         elif fault.kind is schedule.Kind.COMPACT:
             self._call(f"{self._store.address}/test/compact")
 
@@ -423,6 +435,10 @@
             if fault.kind is schedule.Kind.NEED:
                 return self._call(f"{upstream.address}{NEED_PATH}none")
             return True
+        if fault.kind is schedule.Kind.RESTORE:
+            self._operator.write_again()
+            self._operator.configure()
+            return True
         self._store.send_signal(signal.SIGCONT)
         return True
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -32,6 +32,7 @@
     NEED = "need"
     DEADLY = "deadly"
     CLOSING = "closing"
+    RESTORE = "restore"
 
 
 # A prompt part that crashes engines, and the mean share of such requests.
@@ -62,6 +63,12 @@
 # Upstreams that end responses with their connections, and crashes beside them.
 CLOSING_PER_S = 0.25
 CLOSING_KILLS_PER_S = 0.3
+# Restores of the store, and the age of the copy. They last as long as it takes
+# the operator and the upstreams to write again what was lost.
+RESTORE_PER_S = 0.2
+SHORTEST_REWRITE_S = 0.1
+LONGEST_REWRITE_S = 1.5
+OLDEST_COPY_S = 9.0
 NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
 LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
 UPSTREAM_KINDS = (Kind.KILL, Kind.FREEZE, Kind.DRAIN, *LINK_KINDS)
@@ -172,6 +179,18 @@
     return faults
 
 
+def draw_restores(seed: int, seconds: float) -> list[Fault]:
+    """Returns restores of the store from copies; `mode` is the copy's age."""
+    source = random.Random(f"{seed}/restores")
+    faults = []
+    for _ in range(max(2, round(seconds * RESTORE_PER_S))):
+        length = source.uniform(SHORTEST_REWRITE_S, LONGEST_REWRITE_S)
+        at = source.uniform(QUIET_S, max(QUIET_S, seconds - length - QUIET_S))
+        age_s = source.uniform(0.0, OLDEST_COPY_S)
+        faults.append(Fault(at, Kind.RESTORE, "store", length, f"{age_s:.2f}"))
+    return faults
+
+
 def draw_deadly(seed: int, seconds: float) -> Fault:
     """Returns the time in which callers send a part that crashes engines."""
     source = random.Random(f"{seed}/deadly")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,8 @@
 DEADLY_SEEDS = (800,)
 # Beside these, answers end with their connections, and upstreams crash.
 CLOSING_SEEDS = (902,)
+# Beside these, the store is restored from copies.
+RESTORE_SEEDS = (951,)
 AT_ONCE = 2
 # Seeds that once failed, each with a line on its cause.
 REGRESSION_SEEDS = {
@@ -240,6 +242,9 @@
                 closing, schedule.draw_closing(seed, 12.0, names[1])
             )
             kinds.update(fault.kind for fault in closing)
+            restores = schedule.draw_restores(seed, 12.0)
+            self.assertEqual(restores, schedule.draw_restores(seed, 12.0))
+            kinds.update(fault.kind for fault in restores)
             deadly = schedule.draw_deadly(seed, 12.0)
             self.assertEqual(deadly, schedule.draw_deadly(seed, 12.0))
             self.assertLessEqual(deadly.end, 12.0)
@@ -280,6 +285,7 @@
             *NEED_SEEDS,
             *DEADLY_SEEDS,
             *CLOSING_SEEDS,
+            *RESTORE_SEEDS,
         )
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
             results = list(pool.map(self._run, seeds))
@@ -292,6 +298,7 @@
             needs=seed in NEED_SEEDS,
             deadly=seed in DEADLY_SEEDS,
             closing=seed in CLOSING_SEEDS,
+            restores=seed in RESTORE_SEEDS,
         )
         soak = run.Soak(seed, size)
         try:
