Let fencing tokens grow across restores of the store

Cause: the token was the revision of the lease record, which goes back with the store.

Change: the token has the era of the store above the revision. The stand-in of the store is restored by POST /v1/restore, without its leases, and states its era with each item and write.

--- a/sycamorehollow/decisions/operations/leases.py
+++ b/sycamorehollow/decisions/operations/leases.py
@@ -36,7 +36,8 @@
     """A valid lease.
 
     Attributes:
-        fencing_token: Store revision of the record.
+        fencing_token: Grows with each claim of the record, across restores
+            of the store.
         valid_until: Monotonic time in seconds at which it ends.
     """
 
@@ -57,7 +58,7 @@
     """The store wrote the record under the lease."""
 
     number: int
-    revision: int
+    fencing_token: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +66,7 @@
     """The record was read back; `value` is empty if it is absent."""
 
     number: int
-    revision: int
+    fencing_token: int
     value: str
 
 
@@ -190,13 +191,13 @@
             isinstance(event, LeaseRecordClaimed)
             and self._state is LeaseState.CLAIMING
         ):
-            return self._mark_held(event.revision, now)
+            return self._mark_held(event.fencing_token, now)
         if (
             isinstance(event, LeaseRecordRead)
             and self._state is LeaseState.READING
         ):
             if event.value == self._value:
-                return self._mark_held(event.revision, now)
+                return self._mark_held(event.fencing_token, now)
             return self._release(now)
         if isinstance(event, LeaseRenewed) and self._is_renewing:
             self._is_renewing = False
@@ -247,12 +248,12 @@
         self._value = f"{self._owner}/{number}"
         return [ClaimLeaseRecord(number, self._key, self._value, lease)]
 
-    def _mark_held(self, revision: int, now: float) -> list[commands.Command]:
+    def _mark_held(self, token: int, now: float) -> list[commands.Command]:
         """Marks the lease as held, unless it has ended already."""
         if now >= self._valid_until:
             return self._release(now)
         self._state = LeaseState.HELD
-        self._fencing_token = revision
+        self._fencing_token = token
         self._is_renewing = False
         return []
 
--- a/sycamorehollow/shells/order_io.py
+++ b/sycamorehollow/shells/order_io.py
@@ -74,7 +74,9 @@
         result = self._store.write(command.key, command.value, 0, command.lease)
         if isinstance(result, stores.Written):
             self._report(
-                leases.LeaseRecordClaimed(command.number, result.revision)
+                leases.LeaseRecordClaimed(
+                    command.number, stores.compute_fencing_token(result)
+                )
             )
         elif isinstance(result, stores.Conflict):
             self._report(leases.LeaseCallRefused(command.number))
@@ -86,7 +88,9 @@
         if isinstance(result, stores.Found):
             self._report(
                 leases.LeaseRecordRead(
-                    command.number, result.revision, result.value
+                    command.number,
+                    stores.compute_fencing_token(result),
+                    result.value,
                 )
             )
         elif isinstance(result, stores.Absent):
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -168,7 +168,7 @@
         revision = response.document.get("revision")
         if not isinstance(revision, int):
             return stores.InDoubt("the response of a write has no revision")
-        return stores.Written(revision)
+        return stores.Written(revision, _read_era(response.document))
 
     def delete(
         self, key: str, expected_revision: int | None = None
@@ -340,7 +340,13 @@
     revision = item.get("revision")
     if not isinstance(key, str) or not isinstance(revision, int):
         return stores.InDoubt("an item of the store is malformed")
-    return stores.Found(key, _read_text(value), revision)
+    return stores.Found(key, _read_text(value), revision, _read_era(item))
+
+
+def _read_era(document: dict[str, Any]) -> int:
+    """Returns the era of a revision; 0 if it is not stated."""
+    era = document.get("era")
+    return era if isinstance(era, int) and era > 0 else 0
 
 
 def _read_text(value: Any) -> str:
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -13,11 +13,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Found:
-    """A stored value."""
+    """A stored value.
+
+    Attributes:
+        era: As of a listing; 0 if it is not known.
+    """
 
     key: str
     value: str
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,9 +34,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Written:
-    """A write took effect at a revision."""
+    """A write took effect at a revision.
+
+    Attributes:
+        era: As of a listing; 0 if it is not known.
+    """
 
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,6 +164,15 @@
     status: ClassVar[int] = 404
 
 
+# Above all revisions of an era.
+_ERA_STEP = 2**40
+
+
+def compute_fencing_token(written: Written | Found) -> int:
+    """Returns a number that grows with each write, also after a restore."""
+    return written.era * _ERA_STEP + written.revision
+
+
 CallFailure = Unreachable | InDoubt | RateLimited
 
 
--- a/sycamorehollow/standins/store.py
+++ b/sycamorehollow/standins/store.py
@@ -12,6 +12,8 @@
 from sycamorehollow.standins import settings as standin_settings
 
 SWEEP_PERIOD_S = 0.05
+# Latest changes that a restore can undo.
+MAX_UNDONE = 10_000
 
 
 class Tree:
@@ -20,6 +22,11 @@
     def __init__(self, history: int):
         self.changed = threading.Condition()
         self.revision = 0
+        self.era = 0
+        # Time, key and previous item of each change.
+        self._undo: collections.deque[tuple[float, str, Any]] = (
+            collections.deque(maxlen=MAX_UNDONE)
+        )
         self._items: dict[str, tuple[Any, int, int | None]] = {}
         self._events: collections.deque[dict] = collections.deque(
             maxlen=history
@@ -28,6 +35,31 @@
         self._last_lease = 0
         self._wakes = 0
 
+    def restore(self, age_s: float) -> server.Reply:
+        """Goes back to an earlier state, without its leases.
+
+        Args:
+            age_s: Age of that state in seconds.
+        """
+        with self.changed:
+            until = time.monotonic() - age_s
+            while self._undo and self._undo[-1][0] > until:
+                _, key, item = self._undo.pop()
+                self.revision -= 1
+                self._items.pop(key, None)
+                if item is not None:
+                    self._items[key] = item
+            for key in [k for k, v in self._items.items() if v[2] is not None]:
+                del self._items[key]
+            self._leases.clear()
+            self._events.clear()
+            self.era += 1
+            self._wakes += 1
+            self.changed.notify_all()
+            return server.Reply(
+                200, {"revision": self.revision, "era": self.era}
+            )
+
     def get(self, key: str) -> tuple[Any, int] | None:
         """Returns value and revision of a key."""
         with self.changed:
@@ -57,7 +89,9 @@
                 return server.refuse(404, "lease_expired", "No such lease.")
             self._record("put", key, value)
             self._items[key] = (value, self.revision, lease)
-            return server.Reply(200, {"revision": self.revision})
+            return server.Reply(
+                200, {"revision": self.revision, "era": self.era}
+            )
 
     def delete(self, key: str, expect: int | None) -> server.Reply:
         """Deletes a key if its revision is the expected one."""
@@ -152,11 +186,12 @@
             self._remove(key)
 
     def _remove(self, key: str) -> None:
-        del self._items[key]
         self._record("delete", key, None)
+        del self._items[key]
 
     def _record(self, kind: str, key: str, value: Any) -> None:
         self.revision += 1
+        self._undo.append((time.monotonic(), key, self._items.get(key)))
         self._events.append(
             {
                 "type": kind,
@@ -210,6 +245,8 @@
                 server.refuse(429, "rate_limited", "Too many calls.").document,
                 {"Retry-After": "1"},
             )
+        if request.path == "/v1/restore":
+            return self.tree.restore(request.read_number("age_s", 0.0))
         if request.path.startswith("/v1/kv/"):
             return self._handle_key(request, request.path[len("/v1/kv/") :])
         if request.path == "/v1/range":
@@ -252,7 +289,14 @@
             item = self.tree.get(key)
             if item is None:
                 return server.refuse(404, "absent", "No such key.")
-            return server.Reply(200, {"value": item[0], "revision": item[1]})
+            return server.Reply(
+                200,
+                {
+                    "value": item[0],
+                    "revision": item[1],
+                    "era": self.tree.era,
+                },
+            )
         if request.method == "DELETE":
             expect = request.query.get("expect")
             number = _parse_expected(expect if expect != "" else None)
--- a/tests/test_standin_store.py
+++ b/tests/test_standin_store.py
@@ -7,6 +7,8 @@
 
 import urllib3
 
+from sycamorehollow.shells import storeclient
+from sycamorehollow.shells import stores
 from sycamorehollow.standins import settings
 from sycamorehollow.standins import store
 
@@ -127,6 +129,43 @@
         self.assertEqual((status, reply["error"]["code"]), (410, "compacted"))
 
 
+class RestoreTest(StoreCase):
+    """Guards against fencing tokens that go back with the store."""
+
+    def test_restore_undoes_changes_and_ends_leases(self):
+        self.put("a", 1)
+        time.sleep(0.2)
+        lease = self.call("POST", "/v1/leases", {"ttl_s": 9})[1]["lease"]
+        self.put("a", 2)
+        self.put("b", 1, lease=lease)
+        self.assertEqual(
+            self.call("POST", "/v1/restore?age_s=0.15"),
+            (200, {"revision": 1, "era": 1}),
+        )
+        self.assertEqual(self.call("GET", "/v1/kv/a")[1]["value"], 1)
+        self.assertEqual(self.call("GET", "/v1/kv/b")[0], 404)
+        self.assertEqual(self.call("PUT", f"/v1/leases/{lease}")[0], 404)
+        self.assertEqual(self.put("c", 1)[1], {"revision": 2, "era": 1})
+
+    def test_fencing_token_grows_across_a_restore(self):
+        client = storeclient.StoreClient(self.store.url)
+        for number in range(5):
+            self.put("other", number)
+        first = client.write("lease", "holder-1", 0)
+        self.call("POST", "/v1/restore?age_s=5")
+        second = client.write("lease", "holder-2", 0)
+        self.assertLess(second.revision, first.revision)
+        self.assertGreater(
+            stores.compute_fencing_token(second),
+            stores.compute_fencing_token(first),
+        )
+        read = client.read("lease")
+        self.assertEqual(
+            stores.compute_fencing_token(read),
+            stores.compute_fencing_token(second),
+        )
+
+
 class LeaseTest(StoreCase):
     """Guards against a lease that outlives its holder."""
 
