--- a/sycamorehollow/decisions/forwarding/part_guard.py
+++ b/sycamorehollow/decisions/forwarding/part_guard.py
@@ -15,6 +15,9 @@
 # Longest time that an isolated part waits for its upstream, which is back some
 # seconds after a crash.
 MAX_HOLD_S = 5.0
+# Share of its time that a request is held for at most: after it, too little is
+# left for a response, or for the caller to go elsewhere.
+MAX_HOLD_SHARE = 0.5
 # Interval of the checks whether an attempt may go on, while parts are blamed
 # and otherwise.
 BLAMED_RECHECK_S = 0.25
@@ -32,6 +35,7 @@
         service: Name of its service.
         workspace: Owner of its key; empty for none.
         now: Monotonic time in seconds at which it arrived.
+        deadline: Monotonic time at which its final response is due.
 
     Attributes:
         was_isolated: Whether a part was suspected when it was last sent.
@@ -44,13 +48,15 @@
         service: str,
         workspace: str,
         now: float,
+        deadline: float,
     ):
         self._router = router
         self._quarantine = router.part_quarantine
         self._prompt = prompt_crashes.build_prompt(
             request, service, "", workspace
         )
-        self._hold_until = now + MAX_HOLD_S
+        left_s = max(0.0, deadline - now)
+        self._hold_until = now + min(MAX_HOLD_S, MAX_HOLD_SHARE * left_s)
         self.was_isolated = False
         self._is_trial = False
 
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -76,7 +76,7 @@
             route, service.name, router.retry_budget
         )
         self.guard = part_guard.PartGuard(
-            router, request, service.name, workspace, now
+            router, request, service.name, workspace, now, self.deadline
         )
         self._candidates = candidates.Candidates(
             router,
