Tidy the rule for restored stores, and take unreadable values in it

Values of other writers may be nested deeper than the parser goes. The comparison of such a value with a known one raised an error, so that a node that met it in a copy would not have begun the new era (found by reading). An invalid Store-Era is logged once instead of ignored in silence.

Measured: test_unreadable_values_do_not_hinder_a_restore raises RecursionError without the change; test_era_comes_with_listings_and_watches and test_invalid_or_missing_era_is_unknown are new.

--- a/sycamorehollow/decisions/forwarding/restores.py
+++ b/sycamorehollow/decisions/forwarding/restores.py
@@ -107,15 +107,9 @@
         updates = []
         for key, entry in listed.items():
             before = known.get(key) or Entry(key, None, 0)
-            if before.value is None and key in self._removed:
-                counts = not self._is_copied(
-                    entry, self._removed[key], copied, True
-                )
-            elif before.value is None:
-                counts = True
-            else:
-                counts = not self._is_copied(entry, before, copied, False)
-            if not counts:
+            was_removed = before.value is None
+            last = self._removed.get(key) if was_removed else before
+            if last and self._is_copied(entry, last, copied, was_removed):
                 self._kept[key] = before
             elif entry != before:
                 updates.append(entry)
@@ -170,22 +164,22 @@
         )
 
     def _is_copied(
-        self, entry: Entry, before: Entry, copied: int, was_removed: bool
+        self, entry: Entry, last: Entry, copied: int, was_removed: bool
     ) -> bool:
         """Tells whether an entry is an older state than the known one.
 
         Args:
             entry: Entry of the new era.
-            before: Last known entry with a value.
+            last: Last known entry with a value.
             copied: Revision up to which all entries are the copy's.
             was_removed: Whether that entry was removed.
         """
-        if entry == before:
+        if entry == last:
             return was_removed
-        if entry.value == before.value and not was_removed:
+        if entry.value == last.value and not was_removed:
             return False
         order = self._order.compare(
-            entry.key, entry.value or "", before.value or ""
+            entry.key, entry.value or "", last.value or ""
         )
         if order is None or order == 0:
             return entry.revision <= copied
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -235,7 +235,8 @@
     try:
         document = json.loads(text)
         numbers = tuple(document.get(name, 0) for name in names)
-    except (ValueError, AttributeError):
+    except (ValueError, AttributeError, RecursionError):
+        # The decoder of the value rejects and logs it.
         return None
     if not all(isinstance(number, int) for number in numbers):
         return None
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -208,7 +208,7 @@
     """Returns the start that a report states; 0 if it states none."""
     try:
         born = json.loads(body)["born"]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return 0
     return born if isinstance(born, int) else 0
 
--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -2,9 +2,12 @@
 
 import base64
 import binascii
+import functools
 import json
 from typing import Any
 
+import loguru
+
 from sycamorehollow.model import failures
 from sycamorehollow.shells import storeclient
 from sycamorehollow.shells import stores
@@ -12,6 +15,8 @@
 _ERA_HEADER = "Store-Era"
 # Longer numbers in the header are no eras.
 MAX_ERA_DIGITS = 15
+# Longer values are cut in the log.
+MAX_LOGGED_CHARACTERS = 40
 
 
 class PlatformStore(storeclient.HttpStore):
@@ -184,12 +189,21 @@
 
 def _read_era(response: storeclient.Response) -> int | None:
     """Returns the era that a response states; `None` if it states none."""
-    text = response.headers.get(_ERA_HEADER, "")
+    text = response.headers.get(_ERA_HEADER)
+    if text is None:
+        return None
     if not text.isascii() or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        _warn_once(text[:MAX_LOGGED_CHARACTERS])
         return None
     return int(text)
 
 
+# Cached, so that a store that repeats an invalid era is logged once.
+@functools.lru_cache(maxsize=64)
+def _warn_once(text: str) -> None:
+    loguru.logger.warning("invalid {} {!r} is ignored", _ERA_HEADER, text)
+
+
 def _build_failure(
     response: storeclient.Response,
 ) -> stores.RateLimited | stores.InDoubt:
--- a/tests/test_forwarding_restores.py
+++ b/tests/test_forwarding_restores.py
@@ -99,6 +99,13 @@
         listed = [(CONFIG, '{"version": 1}', 3), (EVACUATION, "", 6)]
         self.assertEqual(restore(copy, listed, 6), {EVACUATION: ""})
 
+    def test_unreadable_values_do_not_hinder_a_restore(self):
+        unreadable = ("[" * 100_000, "null", "3", '{"born": "x"}', "\udcff")
+        for number, value in enumerate(unreadable):
+            copy = build_mirror((UPSTREAM, build_upstream(5, 2), 12))
+            listed = [(UPSTREAM, value, 20 + number)]
+            self.assertEqual(restore(copy, listed, 30), {UPSTREAM: value})
+
     def test_second_restore_from_an_older_copy(self):
         copy = build_mirror((CONFIG, '{"version": 1}', 3), (EVACUATION, "", 9))
         listed = [(CONFIG, '{"version": 1}', 3)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -427,6 +427,19 @@
         self.client = storeclient.PlatformStore(f"http://{self.store.address}")
         self.addCleanup(self.client.close)
 
+    def test_era_comes_with_listings_and_watches(self):
+        self.store.put("a", "1")
+        self.assertEqual(self.client.list_range("").era, 1)
+        at = self.client.list_range("").revision
+        self.store.restore(changes=0)
+        self.store.put("a", "2")
+        self.assertEqual(self.client.watch("", at, 1.0).era, 2)
+
+    def test_invalid_or_missing_era_is_unknown(self):
+        for era in (None, "", "-1", "1.5", "\u00b2", "9" * 40):
+            self.store.era = era
+            self.assertIsNone(self.client.list_range("").era, era)
+
     def test_writes_keep_their_condition(self):
         first = self.client.write("a", "1", 0)
         self.assertIsInstance(first, stores.Written)
