Read whole requests in the server of the calls' tests

Traced: the client sends the head and the body of a request separately; the test's server read what had come, responded and closed with the body unread, which resets the connection. A response that ends with its connection is then rightly in doubt.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,7 @@
 """Tests of the I/O of non-idempotent calls, on loopback."""
 
 import queue
+import re
 import socket
 import threading
 import time
@@ -31,6 +32,20 @@
 DONE = respond(200, b'{"state": "done", "result": 7}')
 
 
+def receive_request(connection):
+    """Returns a whole request; to close with a part unread is a reset."""
+    received = b""
+    while True:
+        head, end, body = received.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)content-length: (\d+)", head)
+        if end and len(body) >= int(length[1] if length else 0):
+            return received
+        data = connection.recv(65536)
+        if not data:
+            return received
+        received += data
+
+
 class Server:
     """Sends one raw response per connection; `None` sends nothing."""
 
@@ -46,7 +61,7 @@
     def serve(self):
         for response in self.responses:
             connection, _ = self.socket.accept()
-            self.heard.append(connection.recv(65536))
+            self.heard.append(receive_request(connection))
             if response is None:
                 self.held.append(connection)
                 continue
