State the age of a node's copy of the store in its log

What callers saw: requests that were handled by an old configuration. The line of such a request named the version, but not whether the node had been told of a later one, and between the last answer of the store and the end of a watch that was never answered a node wrote nothing about the store.

Each request's line has age_s now, the line about a lost store the time since its last answer, and sycamore_state_age_seconds the present age.

--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -161,6 +161,7 @@
                 "the node is leaving", retry_after_s=DRAINING_RETRY_AFTER_S
             )
         record.configuration_version = route_table.configuration.version
+        record.state_age_s = self._router.watchers.compute_age_s(now)
         route = route_table.find_route(decoded)
         if isinstance(route, failures.Failure):
             return route
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -180,6 +180,9 @@
                 )
             )
         self._contents.settle(now)
+        self._telemetry.set_state_age(
+            min(MAX_AGE_S, self._watchers.compute_age_s(now))
+        )
         self._choose_state_source(now)
         self._limit_sync.record_changes(now)
         self._crash_sync.record_changes()
@@ -263,8 +266,12 @@
 
     def _record_store_failure(self, failure: failures.Failure) -> None:
         if not self._store_lost:
+            age_s = self._watchers.compute_age_s(time.monotonic())
             self._telemetry.log_event(
-                "store lost: {} ({})", failure.code, failure.reason
+                "store lost: {} ({}), last answer {:.1f} s ago",
+                failure.code,
+                failure.reason,
+                age_s,
             )
         self._store_lost = True
 
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -77,6 +77,8 @@
     Attributes:
         started_at: Monotonic time of its arrival.
         configuration_version: Version of the configuration that was applied.
+        state_age_s: Seconds since the state was last known to include all
+            changes of the store.
         first_byte_s: Seconds to the first byte of the response.
     """
 
@@ -86,6 +88,7 @@
     service: str = ""
     workspace: forwarding.Workspace | None = None
     configuration_version: int = 0
+    state_age_s: float = 0.0
     status: int = 0
     first_byte_s: float | None = None
     outcome: str = steps.DELIVERED
@@ -150,6 +153,11 @@
             "Upstreams that state a request limit",
             registry=self.registry,
         )
+        self._state_age_s = prometheus_client.Gauge(
+            "sycamore_state_age_seconds",
+            "Time since the state was last known to include all changes",
+            registry=self.registry,
+        )
         self._end_checks = prometheus_client.Counter(
             "sycamore_end_checks",
             "Checks of upstreams that closed the connection of a response",
@@ -216,12 +224,13 @@
             first_byte = f" first_s={record.first_byte_s:.3f}"
         workspace = record.workspace.name if record.workspace else ""
         loguru.logger.info(
-            "request={} route={} workspace={} config={} service={} status={}"
-            "{} total_s={:.3f} outcome={!r} attempts=[{}]",
+            "request={} route={} workspace={} config={} age_s={:.1f} service={}"
+            " status={}{} total_s={:.3f} outcome={!r} attempts=[{}]",
             record.request_id,
             record.route,
             workspace,
             record.configuration_version,
+            record.state_age_s,
             record.service,
             record.status,
             first_byte,
@@ -278,6 +287,10 @@
         self._state_changes.labels(subject.partition("=")[0]).inc()
         loguru.logger.info("{} {} source={}", subject, outcome, source)
 
+    def set_state_age(self, age_s: float) -> None:
+        """Sets the age of the node's copy of the store in seconds."""
+        self._state_age_s.set(age_s)
+
     def set_limited_upstreams(self, count: int) -> None:
         """Sets the number of upstreams that state a request limit."""
         self._limited_upstreams.set(count)
