--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -139,12 +139,15 @@
         calls: Paths of the received calls.
         era: Number of restores, which all responses state; `None` to leave
             the header out.
+        rewrite: Changes the keys and values that nodes write; `None` to keep
+            them.
     """
 
     def __init__(self, port=0):
         self.refuse = 0
         self.calls = []
         self.era = 1
+        self.rewrite = None
         self._items = {}
         # Time, revision and items after each change.
         self._states = collections.deque(maxlen=MAX_STATES)
@@ -299,7 +302,10 @@
                 if row["revision"] != (item["revision"] if item else 0):
                     return 412, {"items": [item] if item else []}
             for entry in document["writes"]:
-                self._write(entry["key"], base64.b64decode(entry["value"]))
+                value = base64.b64decode(entry["value"]).decode()
+                if self.rewrite is not None:
+                    value = self.rewrite(entry["key"], value)
+                self._write(entry["key"], value)
             for key in document["remove"]:
                 self._remove(key)
             return 200, {"revision": self._revision}
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,10 +1,17 @@
 """Loopback proxies that delay, silence, cut one way or reset connections."""
 
 import asyncio
+import ctypes
 import enum
+import socket
+import struct
 import threading
 
 CHUNK_BYTES = 65536
+# Linux's option for a classic BPF program that filters what a socket receives.
+SO_ATTACH_FILTER = 26
+# The program consists of one instruction, `ret #0`, which drops each packet.
+DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
 DELAY_S = 0.25
 HELD_LOOK_S = 0.02
 
@@ -21,19 +28,36 @@
     RESET = "reset"
 
 
+def drop_packets(sock: socket.socket) -> None:
+    """Lets the kernel drop all that a TCP socket receives from now on.
+
+    Nothing is acknowledged, keep-alive probes included, as on a path that is
+    gone.
+    """
+    program = ctypes.create_string_buffer(DROP_ALL)
+    sock.setsockopt(
+        socket.SOL_SOCKET,
+        SO_ATTACH_FILTER,
+        struct.pack("HP", 1, ctypes.addressof(program)),
+    )
+
+
 class Proxy:
     """Forwards one port to an address.
 
     Attributes:
         mode: What happens to bytes; may be changed from any thread.
         address: Host and port that it listens on.
+        open_count: Number of open connections that it has accepted.
     """
 
     def __init__(self, target: str):
         self.mode = Mode.PASS
         self.address = ""
+        self.open_count = 0
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def listen(self) -> None:
         """Starts to listen on a free port."""
@@ -45,6 +69,20 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_open(self, drops_packets: bool) -> None:
+        """Silences the open connections for good; called in the loop.
+
+        New connections work. The silent ones are never answered nor closed.
+
+        Args:
+            drops_packets: Whether the kernel drops what arrives on them, as on
+                a broken path; else it acknowledges what nobody reads.
+        """
+        for writer in self._writers - self._silent:
+            self._silent.add(writer)
+            if drops_packets:
+                drop_packets(writer.get_extra_info("socket"))
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -63,10 +101,12 @@
             return
         ends = {writer, back_writer}
         self._writers |= ends
+        self.open_count += 1
         await asyncio.gather(
             self._pump(reader, back_writer, False),
             self._pump(back_reader, writer, True),
         )
+        self.open_count -= 1
         self._writers -= ends
 
     async def _pump(
@@ -83,8 +123,12 @@
                     answers and self.mode is Mode.DEAF
                 ):
                     await asyncio.sleep(HELD_LOOK_S)
+                if writer in self._silent:
+                    await asyncio.Event().wait()
                 writer.write(data)
                 await writer.drain()
+            if writer in self._silent:
+                await asyncio.Event().wait()
             # One end has closed; the other one may still have to answer.
             writer.write_eof()
         except OSError:
@@ -111,6 +155,10 @@
         if mode is Mode.RESET:
             self._loop.call_soon_threadsafe(proxy.abort_all)
 
+    def silence_open(self, proxy: Proxy, drops_packets: bool) -> None:
+        """Silences the open connections of a proxy for good."""
+        self._loop.call_soon_threadsafe(proxy.silence_open, drops_packets)
+
     def close(self) -> None:
         """Ends all proxies."""
         self._loop.call_soon_threadsafe(self._loop.stop)
