Give up watches of the store that are not answered in time

Cause: a watch that was sent before the store went away is never answered, while its connection stays open, since the store's machine acknowledges probes. A watch was waited for up to 15 s, and no news looked like no change. Only an answer shows that nothing was missed.

The first list, which may be stale, proves nothing about the age of the state any more.

Ruled out: keep-alive probes and TCP_USER_TIMEOUT alone, which do not see a connection whose machine acknowledges; a longer watch with a separate probe, which proves nothing about the connection of the watch.

--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -218,13 +218,13 @@
     def _handle(self, event: events.Event) -> None:
         match event:
             case store_tasks.StoreListed():
-                self._record_store_success()
+                self._record_store_success(event.as_of)
                 is_restored = self._contents.apply_listing(event.listing)
                 self._handle_contents(is_restored)
                 if not is_restored:
                     self._store_writer.register_node()
             case store_tasks.StoreChanged():
-                self._record_store_success()
+                self._record_store_success(event.as_of)
                 self._contents.apply_changes(event.changes)
             case store_tasks.StoreCallFailed():
                 self._record_store_failure(event.failure)
@@ -253,11 +253,14 @@
         delay_s = self._rng.uniform(0.0, REGISTRATION_SPREAD_S)
         self._loop.call_later(delay_s, self._store_writer.register_node)
 
-    def _record_store_success(self) -> None:
-        if self._store_lost or not self._has_listing:
-            self._telemetry.log_event("store available")
+    def _record_store_success(self, as_of: float) -> None:
         now = time.monotonic()
-        self._watchers.record_fresh(now)
+        if self._store_lost or not self._has_listing:
+            self._telemetry.log_event(
+                "store available, state {:.1f} s old",
+                min(MAX_AGE_S, self._watchers.compute_age_s(now)),
+            )
+        self._watchers.record_fresh(as_of)
         if self._store_lost:
             self._store_recovered_at = now
             self._router.directory.record_store_recovery(now)
@@ -268,10 +271,10 @@
         if not self._store_lost:
             age_s = self._watchers.compute_age_s(time.monotonic())
             self._telemetry.log_event(
-                "store lost: {} ({}), last answer {:.1f} s ago",
+                "store lost: {} ({}), state {:.1f} s old",
                 failure.code,
                 failure.reason,
-                age_s,
+                min(MAX_AGE_S, age_s),
             )
         self._store_lost = True
 
--- a/sycamorehollow/shells/storeclient.py
+++ b/sycamorehollow/shells/storeclient.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import socket
+import threading
 import time
 from typing import Any
 import urllib.parse
@@ -14,7 +15,8 @@
 from sycamorehollow.shells import bounded_http
 from sycamorehollow.shells import stores
 
-CONNECT_TIMEOUT_S = 1.0
+# Below the second after which the kernel sends a lost opening packet again.
+CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 3.0
 # A watch that is overdue by more than this has lost its connection.
 WATCH_MARGIN_S = 3.0
@@ -62,18 +64,35 @@
     ):
         self._call_timeout_s = call_timeout_s
         self._connect_timeout_s = connect_timeout_s
+        self._url = url
         self._path = urllib.parse.urlsplit(url).path.rstrip("/")
-        self._pool = bounded_http.open_pool(
-            url,
+        self._pool = self._open_pool()
+        self._pool_lock = threading.Lock()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+    def discard_connections(self) -> None:
+        """Closes the idle connections; busy ones are not used again."""
+        self._replace_pool(self._pool)
+
+    def _open_pool(self) -> urllib3.HTTPConnectionPool:
+        return bounded_http.open_pool(
+            self._url,
             MAX_RESPONSE_BYTES,
             maxsize=MAX_IDLE_CONNECTIONS,
             retries=False,
             socket_options=SOCKET_OPTIONS,
         )
 
-    def close(self) -> None:
-        """Closes the idle connections."""
-        self._pool.close()
+    def _replace_pool(self, pool: urllib3.HTTPConnectionPool) -> None:
+        """Closes a pool, unless another call has replaced it already."""
+        with self._pool_lock:
+            if pool is not self._pool:
+                return
+            self._pool = self._open_pool()
+        pool.close()
 
     def _call(
         self,
@@ -88,8 +107,9 @@
         target = self._path + path
         if query:
             target += "?" + urllib.parse.urlencode(query)
+        pool = self._pool
         try:
-            response = self._pool.urlopen(
+            response = pool.urlopen(
                 method,
                 target,
                 body=None if body is None else json.dumps(body).encode(),
@@ -109,6 +129,9 @@
             reason = f"the store cannot be reached: {error}"
             return stores.Unreachable(reason, retry_after_s=RETRY_AFTER_S)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            # The idle connections were opened before, so they may be as
+            # silent as this one.
+            self._replace_pool(pool)
             reason = f"the response of the store is missing: {error}"
             return stores.InDoubt(reason, retry_after_s=RETRY_AFTER_S)
 
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -179,6 +179,12 @@
 class Store(abc.ABC):
     """Client of the store; calls return failures and do not raise them."""
 
+    def discard_connections(self) -> None:  # noqa: B027
+        """Uses no connection again that was opened before.
+
+        For a caller that has found one of them silent.
+        """
+
     @abc.abstractmethod
     def read(self, key: str) -> Found | Absent | CallFailure:
         """Returns the value of a key."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -141,7 +141,10 @@
 
     def __init__(self) -> None:
         self._loop = asyncio.new_event_loop()
-        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+        self._thread.start()
 
     def open(self, target: str) -> Proxy:
         """Returns a proxy that forwards to an address."""
@@ -161,4 +164,14 @@
 
     def close(self) -> None:
         """Ends all proxies."""
+        asyncio.run_coroutine_threadsafe(_cancel_others(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+
+
+async def _cancel_others() -> None:
+    """Ends all tasks of the loop but the one that calls it."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -62,7 +62,9 @@
         items = tuple(
             stores.Found(key, value, 5) for key, value in values.items()
         )
-        await self._deliver(store_tasks.StoreListed(stores.Listing(items, 5)))
+        await self._deliver(
+            store_tasks.StoreListed(stores.Listing(items, 5), time.monotonic())
+        )
 
     async def _deliver(self, event):
         self.state_sync.deliver(event)
@@ -219,7 +221,9 @@
                 stores.Change("servers/a", None, 6),
             )
             await self._deliver(
-                store_tasks.StoreChanged(stores.Changes(changes, 6))
+                store_tasks.StoreChanged(
+                    stores.Changes(changes, 6), time.monotonic()
+                )
             )
         self.assertEqual(broken.call_count, 2)
         self.assertIs(self.router.apply_event.__func__, handle.__func__)
@@ -239,7 +243,9 @@
         large = json.dumps({"version": 9, "routes": routes})
         changes = (stores.Change("op/config", large, 6),)
         await self._deliver(
-            store_tasks.StoreChanged(stores.Changes(changes, 6))
+            store_tasks.StoreChanged(
+                stores.Changes(changes, 6), time.monotonic()
+            )
         )
         payload = await self._request_sync(5)
         # Twenty followers fetch it within a second over 10 Mbit/s.
