--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies
 
 from sycamorehollow.decisions.forwarding import mirror
@@ -163,7 +163,7 @@
 class WatchPacingTest(unittest.TestCase):
     """Guards against waits beyond the budget."""
 
-    @given(
+    @hypothesis.given(
         strategies.lists(
             strategies.one_of(strategies.none(), strategies.floats(-1.0, 5.0)),
             max_size=20,
