Let followers know how old the state of their watchers is

Cause: a watcher that had not noticed the loss of the store stated an age of 0, so its followers took silence for the absence of changes. A follower that got no response waited a second for it before it asked anyone else.

The age is the time since the node knew that it had all changes: an answer of the store shows so, a response of another node as far as that one knows, counted from the request. A follower whose age exceeds 1.3 to 1.7 s watches the store itself, spread so that not all of them do at once, and one without a response asks the second watcher after 0.4 s. StateSource holds these rules, which StateSync had among others; requests of a follower are timed on their own instead of by the periodic work, so they come every 0.3 s instead of 0.5 s.

--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -12,6 +12,7 @@
 depend on the number of watchers, not on that of nodes.
 """
 
+from collections.abc import Container
 from collections.abc import Mapping
 import dataclasses
 import heapq
@@ -20,9 +21,12 @@
 
 # Two, so that the loss of one leaves no gap.
 WATCHERS_PER_DATA_CENTRE = 2
-# Age of its state from which a follower watches the store by itself. Part of
-# the 2 s within which a change must take effect.
-STALE_S = 1.0
+# Age of its state from which a follower watches the store by itself. Watchers
+# that work keep it at about a second: an answer of the store is up to 0.7 s
+# old, and followers ask for it every 0.3 s.
+STALE_S = 1.3
+# Followers that lose their watchers together turn to the store over this time.
+STALE_SPREAD_S = 0.4
 # Time for which a node that did not respond is skipped.
 UNREACHABLE_S = 5.0
 
@@ -55,6 +59,7 @@
         self._rng = rng
         self._unreachable: dict[str, float] = {}
         self._fresh_at = float("-inf")
+        self._stale_s = STALE_S + rng.uniform(0.0, STALE_SPREAD_S)
 
     def record_fresh(self, at: float) -> None:
         """Records that the state includes all store changes until `at`."""
@@ -80,16 +85,26 @@
         """Returns whether this node should watch the store."""
         if self._is_watcher(nodes, now):
             return True
-        return self.compute_age_s(now) > STALE_S
+        return self.compute_age_s(now) > self._stale_s
 
     def choose_watcher(
-        self, nodes: Mapping[str, Node], now: float
+        self,
+        nodes: Mapping[str, Node],
+        now: float,
+        excluded: Container[str] = (),
     ) -> str | None:
-        """Returns the watcher to poll; `None` if this node is a watcher."""
+        """Returns the watcher to poll; `None` if this node is a watcher.
+
+        Args:
+            nodes: The registered nodes.
+            now: Monotonic time in seconds.
+            excluded: Names of nodes that are not to be chosen.
+        """
         chosen = self.list_watchers(nodes, now)
         if len(chosen) < WATCHERS_PER_DATA_CENTRE or self._name in chosen:
             return None
-        return self._rng.choice(chosen)
+        others = [name for name in chosen if name not in excluded]
+        return self._rng.choice(others) if others else None
 
     def choose_gossip_peer(
         self, nodes: Mapping[str, Node], age_s: float, now: float
@@ -101,7 +116,7 @@
             age_s: Age of this node's state.
             now: Monotonic time in seconds.
         """
-        if age_s > STALE_S:
+        if age_s > self._stale_s:
             # Neither the store nor a watcher is reachable; others may be.
             others = [name for name in nodes if name != self._name]
         elif self._is_watcher(nodes, now):
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -11,7 +11,6 @@
 from sycamorehollow.decisions.forwarding import mirror
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.model import events
-from sycamorehollow.model import failures
 from sycamorehollow.settings import gateway
 from sycamorehollow.shells.gateway import crash_sync
 from sycamorehollow.shells.gateway import limit_messages
@@ -20,6 +19,7 @@
 from sycamorehollow.shells.gateway import peer_client
 from sycamorehollow.shells.gateway import peer_messages
 from sycamorehollow.shells.gateway import rollout_messages
+from sycamorehollow.shells.gateway import state_source
 from sycamorehollow.shells.gateway import store_codec
 from sycamorehollow.shells.gateway import store_contents
 from sycamorehollow.shells.gateway import store_tasks
@@ -32,8 +32,6 @@
 SYNC_INTERVAL_S = 0.5
 # The same while the store is unavailable and only peers provide updates.
 STORE_LOST_SYNC_INTERVAL_S = 0.4
-# Interval of the requests to a peer that is followed instead of the store.
-FOLLOW_INTERVAL_S = 0.3
 PERIODIC_WORK_INTERVAL_S = 0.25
 # Delay of news about crashes, which collects those of the same moment, and the
 # number of nodes that each node tells.
@@ -42,8 +40,6 @@
 # Time over which nodes write entries that a restore of the store has lost.
 REGISTRATION_SPREAD_S = 2.0
 NO_PARTS: Mapping[str, Any] = types.MappingProxyType({})
-# Upper bound of ages in messages, as JSON has no infinity.
-MAX_AGE_S = 1e6
 
 
 class StateSync:
@@ -78,23 +74,21 @@
         )
         self._mirror = self._contents.mirror
         self._loop = asyncio.get_running_loop()
-        self._store_lost = False
-        self._has_listing = False
+        self._source = state_source.StateSource(
+            settings, router, telemetry_sink, rng, self._send_sync_request
+        )
         self._store_writer = store_writer.StoreWriter(
             settings, router, codec, self._mirror, telemetry_sink
         )
         self._peer_client: peer_client.PeerClient | None = None
         self._last_request = 0
         self._next_sync_at = 0.0
-        self._next_follow_at = 0.0
-        self._pending: dict[int, str] = {}
+        # Name of the node and time of each request without a response.
+        self._pending: dict[int, tuple[str, float]] = {}
         self._news_timer: asyncio.TimerHandle | None = None
-        self._follow_request: int | None = None
         self._watchers = router.watchers
         self._limit_sync = limit_sync.LimitSync(router, telemetry_sink)
         self._crash_sync = crash_sync.CrashSync(router, telemetry_sink)
-        self._watch_task: store_tasks.WatchTask | None = None
-        self._store_recovered_at = float("-inf")
 
     @property
     def is_ready(self) -> bool:
@@ -113,7 +107,7 @@
         write: store_tasks.WriteTask,
     ) -> None:
         """Sets the tasks that call the store."""
-        self._watch_task = watch
+        self._source.set_watch_task(watch)
         self._store_writer.set_task(write)
 
     def set_peer_client(self, client: peer_client.PeerClient) -> None:
@@ -137,7 +131,7 @@
         def reply() -> None:
             try:
                 document = self._merge_sync_message(
-                    address, payload, is_response=False
+                    address, payload, asked_at=None
                 )
                 known = self._read_position(document)
                 now = time.monotonic()
@@ -170,20 +164,18 @@
         if now >= self._next_sync_at:
             pause_s = (
                 STORE_LOST_SYNC_INTERVAL_S
-                if self._store_lost
+                if self._source.store_lost
                 else SYNC_INTERVAL_S
             )
             self._next_sync_at = now + pause_s * self._rng.uniform(0.8, 1.2)
             self._send_sync_request(
                 self._watchers.choose_gossip_peer(
-                    self._router.nodes, self._compute_staleness_s(now), now
+                    self._router.nodes, self._source.compute_age_s(now), now
                 )
             )
         self._contents.settle(now)
-        self._telemetry.set_state_age(
-            min(MAX_AGE_S, self._watchers.compute_age_s(now))
-        )
-        self._choose_state_source(now)
+        self._telemetry.set_state_age(self._source.compute_age_s(now))
+        self._source.choose(now)
         self._limit_sync.record_changes(now)
         self._crash_sync.record_changes()
         for change in self._router.take_changes():
@@ -192,92 +184,47 @@
             )
         return self._router.evict_expired(now)
 
-    def _choose_state_source(self, now: float) -> None:
-        """Chooses between watching the store and following a peer."""
-        if self._watch_task is None or not self._has_listing:
-            return
-        nodes = self._router.nodes
-        active = self._watchers.should_watch(nodes, now)
-        if active != self._watch_task.active:
-            self._watch_task.active = active
-            # A follower does not call the store and cannot detect its loss.
-            self._store_lost = self._store_lost and active
-            self._telemetry.record_state_change(
-                "store",
-                "watched directly" if active else "followed through a peer",
-                f"age {self._watchers.compute_age_s(now):.1f} s",
-            )
-        if now < self._next_follow_at or self._follow_request in self._pending:
-            # A second response would repeat the one that is still pending.
-            return
-        self._next_follow_at = now + FOLLOW_INTERVAL_S
-        self._follow_request = self._send_sync_request(
-            self._watchers.choose_watcher(nodes, now)
-        )
-
     def _handle(self, event: events.Event) -> None:
         match event:
             case store_tasks.StoreListed():
-                self._record_store_success(event.as_of)
+                self._source.record_store_answer(event.as_of)
                 is_restored = self._contents.apply_listing(event.listing)
                 self._handle_contents(is_restored)
                 if not is_restored:
                     self._store_writer.register_node()
             case store_tasks.StoreChanged():
-                self._record_store_success(event.as_of)
+                self._source.record_store_answer(event.as_of)
                 self._contents.apply_changes(event.changes)
             case store_tasks.StoreCallFailed():
-                self._record_store_failure(event.failure)
+                self._source.record_store_failure(event.failure)
             case store_tasks.WriteFinished():
                 self._store_writer.record_result(event)
             case peer_client.PeerRequestAnswered():
-                self._pending.pop(event.number, None)
+                now = time.monotonic()
+                _, asked_at = self._pending.pop(event.number, ("", now))
+                self._source.record_response(event.number)
                 document = self._merge_sync_message(
-                    event.address, event.payload, is_response=True
+                    event.address, event.payload, asked_at
                 )
-                now = time.monotonic()
                 self._limit_sync.record_response(event.number, document, now)
                 self._crash_sync.record_response(event.number, now)
             case peer_client.PeerRequestFailed():
-                name = self._pending.pop(event.number, "")
-                self._watchers.record_unreachable(name, time.monotonic())
-                self._limit_sync.record_failure(event.number, time.monotonic())
+                now = time.monotonic()
+                name, _ = self._pending.pop(event.number, ("", now))
+                self._watchers.record_unreachable(name, now)
+                self._source.record_failure(event.number)
+                self._limit_sync.record_failure(event.number, now)
                 self._crash_sync.record_failure(event.number)
 
     def _handle_contents(self, is_restored: bool) -> None:
         """Notes a restore of the store, and what it asks of this node."""
         if not is_restored:
             return
-        self._store_recovered_at = time.monotonic()
+        self._source.recovered_at = time.monotonic()
         # Nodes that have lost their entries do not all write at once.
         delay_s = self._rng.uniform(0.0, REGISTRATION_SPREAD_S)
         self._loop.call_later(delay_s, self._store_writer.register_node)
 
-    def _record_store_success(self, as_of: float) -> None:
-        now = time.monotonic()
-        if self._store_lost or not self._has_listing:
-            self._telemetry.log_event(
-                "store available, state {:.1f} s old",
-                min(MAX_AGE_S, self._watchers.compute_age_s(now)),
-            )
-        self._watchers.record_fresh(as_of)
-        if self._store_lost:
-            self._store_recovered_at = now
-            self._router.directory.record_store_recovery(now)
-        self._store_lost = False
-        self._has_listing = True
-
-    def _record_store_failure(self, failure: failures.Failure) -> None:
-        if not self._store_lost:
-            age_s = self._watchers.compute_age_s(time.monotonic())
-            self._telemetry.log_event(
-                "store lost: {} ({}), state {:.1f} s old",
-                failure.code,
-                failure.reason,
-                min(MAX_AGE_S, age_s),
-            )
-        self._store_lost = True
-
     def send_permit_requests(self) -> None:
         """Asks other nodes for the permits that requests wait for."""
         for request in self._router.permit_loans.take_requests():
@@ -306,7 +253,7 @@
             name = self._watchers.choose_watcher(nodes, now)
             if name is None:
                 name = self._watchers.choose_gossip_peer(
-                    nodes, self._compute_staleness_s(now), now
+                    nodes, self._source.compute_age_s(now), now
                 )
             self._send_sync_request(name)
 
@@ -322,9 +269,9 @@
         if name is None or self._peer_client is None:
             return None
         self._last_request += 1
-        self._pending[self._last_request] = name
-        address = self._router.nodes[name].peer_address
         now = time.monotonic()
+        self._pending[self._last_request] = name, now
+        address = self._router.nodes[name].peer_address
         parts = {**parts, **self._crash_sync.export_request(address, now)}
         self._crash_sync.record_request(self._last_request, now)
         self._peer_client.send_request(
@@ -353,8 +300,10 @@
         document = {
             "since": self._mirror.revision,
             "era": self._mirror.era,
-            "age_s": self._compute_staleness_s(now),
-            "store_back_s": min(MAX_AGE_S, now - self._store_recovered_at),
+            "age_s": self._source.compute_age_s(now),
+            "store_back_s": min(
+                state_source.MAX_AGE_S, now - self._source.recovered_at
+            ),
             **rollout_messages.export(self._router.rollouts, now),
             "poison": self._router.quarantine.export(now),
             "sound": self._router.quarantine.export_completions(now),
@@ -373,23 +322,16 @@
             since if isinstance(since, int) else 0,
         )
 
-    def _compute_staleness_s(self, now: float) -> float:
-        """Returns the age of this node's copy of the store."""
-        is_watching = self._watch_task is not None and self._watch_task.active
-        if is_watching and self._has_listing and not self._store_lost:
-            return 0.0
-        return min(MAX_AGE_S, self._watchers.compute_age_s(now))
-
     def _merge_sync_message(
-        self, address: str, payload: bytes, is_response: bool
+        self, address: str, payload: bytes, asked_at: float | None
     ) -> dict[str, Any]:
         """Merges a sync message of another node and returns its document.
 
         Args:
             address: Address of the node.
             payload: The encoded message.
-            is_response: Whether it is the response to a request, and so has all
-                changes since the requested revision.
+            asked_at: When it was asked for; `None` for a request, which need
+                not have all changes that this node lacks.
         """
         now = time.monotonic()
         document = peer_messages.decode(payload)
@@ -404,8 +346,10 @@
                 document.get("sound", {}), now
             )
             self._router.quarantine.merge(document.get("poison", {}), now)
-            if is_response and document.get("era", 0) >= self._mirror.era:
-                self._watchers.record_fresh(now - float(document["age_s"]))
+            is_current = document.get("era", 0) >= self._mirror.era
+            if asked_at is not None and is_current:
+                # The other node stated its age after it was asked.
+                self._watchers.record_fresh(asked_at - float(document["age_s"]))
             # Entries may have expired while the other node had no connection
             # to the store. A loss that only this node sees proves nothing.
             back_at = now - float(document["store_back_s"])
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -17,6 +17,7 @@
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import peer_client
 from sycamorehollow.shells.gateway import peer_messages
+from sycamorehollow.shells.gateway import state_source
 from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
@@ -276,11 +277,43 @@
                 self.state_sync.run_periodic_work()
         # The one request goes to the node that it follows.
         self.assertEqual(len(posts), 1)
-        for number in tuple(posts):
-            await self._deliver(
-                peer_client.PeerRequestFailed(number, "timed out")
+        # It has no response to wait for any more, so it asks another one.
+        await self._deliver(
+            peer_client.PeerRequestFailed(posts[0], "timed out")
+        )
+        self.assertEqual(len(posts), 2)
+
+    async def test_second_watcher_is_asked_when_the_first_is_silent(self):
+        await self._deliver_response()
+        self.peers.send_request.reset_mock()
+        self.state_sync.run_periodic_work()
+        await asyncio.sleep(state_source.SECOND_REQUEST_DELAY_S + 0.1)
+        calls = self.peers.send_request.call_args_list
+        self.assertEqual(len({call.args[1] for call in calls}), 2)
+        # Whoever responds first ends the search.
+        document = {"since": 5, "age_s": 0.0, "store_back_s": 1e6}
+        await self._deliver(
+            peer_client.PeerRequestAnswered(
+                calls[1].args[0], PEER, json.dumps(document).encode()
             )
-        count = len(posts)
-        with mock.patch("time.monotonic", lambda: later + 0.1):
+        )
+        await asyncio.sleep(state_source.FOLLOW_INTERVAL_S + 0.1)
+        self.assertEqual(self.peers.send_request.call_count, 3)
+
+    async def test_silent_watcher_states_a_growing_age(self):
+        # No call has failed, but nothing has shown that changes are complete.
+        await asyncio.sleep(0.4)
+        document = peer_messages.decode(await self._request_sync(5))
+        self.assertGreaterEqual(document["age_s"], 0.4)
+
+    async def test_follower_of_a_watcher_without_news_watches_the_store(self):
+        await self._deliver_response()
+        self.state_sync.run_periodic_work()
+        self.assertFalse(self.watch.active)
+        await asyncio.sleep(0.3)
+        # The watcher responds, but it has not heard of the store for long.
+        await self._deliver_response(age_s=5.0)
+        later = time.monotonic() + 1.5
+        with mock.patch("time.monotonic", lambda: later):
             self.state_sync.run_periodic_work()
-        self.assertGreater(len(posts), count)
+        self.assertTrue(self.watch.active)
