Repeat calls to peers on a new channel when the kept one is silent

Cause: a gRPC channel whose path is gone keeps its calls until they time out, a second each, and each peer had to be found silent by itself.

A call that may be repeated (an exchange of state or of digests, no request for a permit) is made again on a new channel after 0.4 s without a reply, or at once if the kept channel fails. If the peer replies there, the channels to other peers that were last heard before are not used any more either. Channels move to a module of their own, peer_channels.

test_repeatable_call_is_replied_to_in_spite_of_a_silent_channel is new, as may_repeat is; without it the call takes its full second and fails, as test_silent_connection_is_replaced_after_one_failure shows for other calls.

--- a/sycamorehollow/shells/gateway/grpc_peer_client.py
+++ b/sycamorehollow/shells/gateway/grpc_peer_client.py
@@ -41,11 +41,19 @@
         """
         self._task.start()
 
-    def send_request(self, number: int, address: str, payload: bytes) -> None:
+    def send_request(
+        self, number: int, address: str, payload: bytes, may_repeat: bool
+    ) -> None:
         """Sends a request without waiting for its response."""
         item = exchange.Item(SYNC_KIND, payload)
         self._task.post(
-            peers.PeerRequest(number, address, self._own_process, item)
+            peers.PeerRequest(
+                number,
+                address,
+                self._own_process,
+                item,
+                may_repeat=may_repeat,
+            )
         )
 
     def _handle_item(
--- a/sycamorehollow/shells/gateway/peer_client.py
+++ b/sycamorehollow/shells/gateway/peer_client.py
@@ -32,11 +32,14 @@
     """Sends requests to other nodes; results are delivered as events."""
 
     @abc.abstractmethod
-    def send_request(self, number: int, address: str, payload: bytes) -> None:
+    def send_request(
+        self, number: int, address: str, payload: bytes, may_repeat: bool
+    ) -> None:
         """Sends a request without waiting for its response.
 
         Args:
             number: Number of the request, repeated in the resulting event.
             address: Address and port of the node.
             payload: Payload of the request.
+            may_repeat: Whether the node may handle it twice.
         """
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -272,12 +272,15 @@
         now = time.monotonic()
         self._pending[self._last_request] = name, now
         address = self._router.nodes[name].peer_address
+        # A permit that is lent twice is used once.
+        may_repeat = not parts
         parts = {**parts, **self._crash_sync.export_request(address, now)}
         self._crash_sync.record_request(self._last_request, now)
         self._peer_client.send_request(
             self._last_request,
             address,
             self._build_sync_message(address, None, parts),
+            may_repeat,
         )
         return self._last_request
 
--- a/sycamorehollow/shells/peers.py
+++ b/sycamorehollow/shells/peers.py
@@ -21,6 +21,7 @@
 from sycamorehollow.model import events
 from sycamorehollow.peering import peering_pb2_grpc
 from sycamorehollow.shells import envelopes
+from sycamorehollow.shells import peer_channels
 
 LOG_PREFIX = "peers:"
 CALL_TIMEOUT_S = 1.0
@@ -28,28 +29,12 @@
 REPLY_TIMEOUT_S = 0.9
 START_TIMEOUT_S = 10.0
 STOP_GRACE_S = 1.0
-# Members of the own data centre, if 370 members are spread over 7 data centres,
-# and as many members elsewhere.
-MAX_CHANNELS = 106
 MAX_CALLS_PER_PEER = 8
 MAX_CONCURRENT_RPCS = 256
-MAX_ENVELOPE_BYTES = 4 << 20
-CHANNEL_OPTIONS = (
-    # Without this, a replacement channel would reuse the dead connection.
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.keepalive_time_ms", 10_000),
-    ("grpc.keepalive_timeout_ms", 2_000),
-    # With the default backoff of up to 120 s, a restarted peer would stay
-    # unreachable for that long.
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1_000),
-    ("grpc.max_receive_message_length", MAX_ENVELOPE_BYTES),
-    ("grpc.enable_retries", 0),
-)
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
     ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
-    ("grpc.max_receive_message_length", MAX_ENVELOPE_BYTES),
+    ("grpc.max_receive_message_length", peer_channels.MAX_ENVELOPE_BYTES),
 )
 
 # Handles an item of a registered kind. It runs on the thread of the peer task
@@ -69,6 +54,7 @@
         sender: Identity of this process.
         item: Item to send.
         timeout_s: Seconds until the call times out.
+        may_repeat: Whether the peer may handle it twice.
     """
 
     number: int
@@ -76,6 +62,7 @@
     sender: exchange.Process
     item: exchange.Item
     timeout_s: float = CALL_TIMEOUT_S
+    may_repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,9 +109,7 @@
         self._calls = 0
         # Updated by each command, because the incarnation may increase.
         self._own_process = exchange.Process("", "", 0)
-        self._channels: collections.OrderedDict[str, Any] = (
-            collections.OrderedDict()
-        )
+        self._channels = peer_channels.PeerChannels(self._spawn)
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -179,8 +164,7 @@
         for task in self._tasks:
             task.cancel()
         await server.stop(STOP_GRACE_S)
-        for channel in self._channels.values():
-            await channel.close()
+        await self._channels.close()
 
     def _execute(self, command: commands.Command) -> None:
         """Starts a command without waiting for its end."""
@@ -209,7 +193,7 @@
         """Makes a call of the digest exchange and delivers its result."""
         started = time.monotonic()
         reply = await self._send(
-            command.peer, command.sender, command.items, CALL_TIMEOUT_S
+            command.peer, command.sender, command.items, CALL_TIMEOUT_S, True
         )
         if isinstance(reply, str):
             self._deliver(exchange.CallFailed(command.peer, started))
@@ -220,7 +204,11 @@
     async def _request(self, command: PeerRequest) -> None:
         """Calls a registered handler of a peer and delivers its result."""
         reply = await self._send(
-            command.peer, command.sender, (command.item,), command.timeout_s
+            command.peer,
+            command.sender,
+            (command.item,),
+            command.timeout_s,
+            command.may_repeat,
         )
         if isinstance(reply, str):
             self._deliver(PeerRequestFailed(command.number, reply))
@@ -239,47 +227,27 @@
         sender: exchange.Process,
         items: tuple[exchange.Item, ...],
         timeout_s: float,
+        may_repeat: bool,
     ) -> tuple[exchange.Process, tuple[exchange.Item, ...]] | str:
         """Makes one call; returns the reply or the reason of its failure."""
         if self._in_flight[peer] >= MAX_CALLS_PER_PEER:
             return f"Peer {peer} has {MAX_CALLS_PER_PEER} calls in flight."
         self._in_flight[peer] += 1
-        channel = self._open_channel(peer)
         try:
-            stub = peering_pb2_grpc.PeeringStub(channel)
-            envelope = await stub.Exchange(
-                envelopes.encode(sender, items), timeout=timeout_s
+            envelope = envelopes.encode(sender, items)
+            call = (
+                self._channels.call_repeatedly
+                if may_repeat
+                else self._channels.call
             )
-            return envelopes.decode(envelope)
+            return envelopes.decode(await call(peer, envelope, timeout_s))
         except grpc.aio.AioRpcError as error:
-            self._replace_channel(peer, channel)
             return f"Peer {peer} failed with {error.code().name}."
         finally:
             self._in_flight[peer] -= 1
             if not self._in_flight[peer]:
                 del self._in_flight[peer]
 
-    def _open_channel(self, peer: str) -> Any:
-        """Returns the channel to a peer; evicts the least recently used one."""
-        if peer not in self._channels:
-            self._channels[peer] = grpc.aio.insecure_channel(
-                f"ipv4:{peer}", options=CHANNEL_OPTIONS
-            )
-        self._channels.move_to_end(peer)
-        if len(self._channels) > MAX_CHANNELS:
-            oldest = next(iter(self._channels))
-            self._spawn(self._channels[oldest].close(STOP_GRACE_S))
-            del self._channels[oldest]
-        return self._channels[peer]
-
-    def _replace_channel(self, peer: str, channel: Any) -> None:
-        """Closes a channel after a failed call; the next call opens another."""
-        if peer not in self._channels or self._channels[peer] is not channel:
-            return
-        del self._channels[peer]
-        # Other calls on the channel may still succeed within the grace period.
-        self._spawn(channel.close(STOP_GRACE_S))
-
     async def _handle_call(self, envelope: Any) -> Any:
         """Handles an incoming call and returns the envelope of the reply."""
         sender, items = envelopes.decode(envelope)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,6 +15,7 @@
 from sycamorehollow.decisions.replication import payloads
 from sycamorehollow.decisions.replication import records
 from sycamorehollow.model import events
+from sycamorehollow.shells import peer_channels
 from sycamorehollow.shells import peers
 
 TICK_S = 0.1
@@ -149,6 +150,41 @@
         answered, failed = peers.PeerRequestAnswered, peers.PeerRequestFailed
         self.assertEqual(results, [answered, failed, answered])
 
+    def test_repeatable_call_is_replied_to_in_spite_of_a_silent_channel(self):
+        ways = []
+        for _ in range(2):
+            port = int(self.start().address.rsplit(":", 1)[1])
+            ways.append(loopback.Forwarder(port))
+            self.addCleanup(ways[-1].close)
+        received = queue.SimpleQueue()
+        task = peers.PeerTask("127.0.0.1:0", received.put)
+        task.start()
+        self.addCleanup(task.stop)
+        own_process = exchange.Process("127.0.0.1:1", "dc-0", 1)
+        item = exchange.Item("echo", b"text")
+
+        def call(way, may_repeat):
+            began = time.monotonic()
+            task.post(
+                peers.PeerRequest(
+                    1,
+                    way.address,
+                    own_process,
+                    item,
+                    may_repeat=may_repeat,
+                )
+            )
+            event = received.get(timeout=WAIT_S)
+            self.assertIsInstance(event, peers.PeerRequestAnswered)
+            return time.monotonic() - began
+
+        for way in ways:
+            call(way, True)
+            way.silence()
+        self.assertLess(call(ways[0], True), 0.9)
+        # The other channel is as old, so it is not used any more.
+        self.assertLess(call(ways[1], False), peer_channels.SILENCE_S)
+
     def test_handler_answers_and_silence_fails_at_its_deadline(self):
         first = self.start()
         received = queue.SimpleQueue()
