Close connections of peers that fell silent

What operators saw: a node that others follow keeps more connections with each silence (47 open descriptors after twelve of them, 23 before): the end that found the connection silent has closed it, but the other end never hears of it.

Cause: the server asked no idle connection for a sign of life, and the library waits 60 s for the reply to a ping, whatever keepalive_timeout_ms says.

A connection in use is not pinged.

--- a/sycamorehollow/shells/peers.py
+++ b/sycamorehollow/shells/peers.py
@@ -33,6 +33,12 @@
 MAX_CONCURRENT_RPCS = 256
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
+    # Callers that are gone, or whose connection fell silent, do not close it.
+    ("grpc.keepalive_time_ms", 2_000),
+    ("grpc.keepalive_timeout_ms", 2_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.ping_timeout_ms", 2_000),
     ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
     ("grpc.max_receive_message_length", peer_channels.MAX_ENVELOPE_BYTES),
 )
