Let removals count at once after a short silence of the store

What callers would see: a request at an upstream that has left, up to two seconds after its node has learnt of it.

Cause: after each failed call of the store, removals waited for 2 s, the time in which entries come back that expired during an outage. Since a connection that falls silent is noticed within about a second, such failures are frequent and say nothing about the store, while no entry can expire in so short a time: it takes three heartbeats without a renewal.

Removals wait only if the node's state was older than one and a half heartbeats when the store answered again (heartbeatMs of the settings file).

--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -51,6 +51,7 @@
     bounds: _Bounds
     limits: _Limits = pydantic.Field(default_factory=_Limits)
     platform: _Platform
+    heartbeatMs: _Milliseconds = 0.0  # noqa: N815
 
     @pydantic.field_validator("internalPortRange", mode="before")
     @classmethod
@@ -122,4 +123,5 @@
         cold_floor=bounds.coldSlack,
         reuse_s=bounds.reuseWindowS,
         link_mbps=file.limits.linkMbps,
+        heartbeat_s=file.heartbeatMs / 1000,
     )
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -29,6 +29,8 @@
         cold_floor: Requests per second allowed in addition.
         reuse_s: Seconds for which cached prompt prefixes stay useful.
         link_mbps: Rate of the VM's network link in Mbit/s; 0 if unknown.
+        heartbeat_s: Interval at which upstreams renew their entries in the
+            store; 0 if unknown.
     """
 
     node: str
@@ -49,6 +51,7 @@
     cold_floor: float
     reuse_s: float
     link_mbps: float = 0.0
+    heartbeat_s: float = 0.0
 
     @property
     def peer_address(self) -> str:
--- a/sycamorehollow/shells/gateway/state_source.py
+++ b/sycamorehollow/shells/gateway/state_source.py
@@ -20,6 +20,10 @@
 FOLLOW_INTERVAL_S = 0.3
 # Time without a response after which another watcher is asked as well.
 SECOND_REQUEST_DELAY_S = 0.4
+# Entries of live upstreams expire after three heartbeats without a renewal, the
+# first of which may have been due just before an outage of the store. In less
+# than this many heartbeats without an answer none expires.
+LAPSE_HEARTBEATS = 1.5
 # Upper bound of ages in messages, as JSON has no infinity.
 MAX_AGE_S = 1e6
 
@@ -61,6 +65,7 @@
         self._telemetry = telemetry_sink
         self._rng = rng
         self._send_request = send_request
+        self._lapse_s = LAPSE_HEARTBEATS * settings.heartbeat_s
         self._loop = asyncio.get_running_loop()
         self._watch_task: store_tasks.WatchTask | None = None
         # Watchers that have not responded yet, by the number of the request.
@@ -78,12 +83,13 @@
     def record_store_answer(self, as_of: float) -> None:
         """Records an answer of the store with all changes until `as_of`."""
         now = time.monotonic()
+        age_s = self.compute_age_s(now)
         if self.store_lost or not self.has_listing:
             self._telemetry.log_event(
-                "store available, state {:.1f} s old", self.compute_age_s(now)
+                "store available, state {:.1f} s old", age_s
             )
         self._watchers.record_fresh(as_of)
-        if self.store_lost:
+        if self.store_lost and age_s >= self._lapse_s:
             self.record_recovery(now)
         self.store_lost = False
         self.has_listing = True
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -41,7 +41,7 @@
 
     async def asyncSetUp(self):
         self.peers = mock.Mock()
-        settings = forwarding_world.build_settings(node="n9")
+        settings = forwarding_world.build_settings(node="n9", heartbeat_s=1.2)
         self.router = forwarding_world.build_router()
         self.state_sync = state_sync.StateSync(
             settings,
@@ -91,6 +91,21 @@
         await self._deliver_response(delta=gone | {"whole": False})
         self.assertEqual(self._count_usable(), 0)
 
+    async def test_removal_counts_at_once_after_a_short_silence(self):
+        failure = stores.InDoubt("no answer within 1.05 s")
+        await self._deliver(store_tasks.StoreCallFailed(failure))
+        gone = stores.Changes((stores.Change("servers/a", None, 6),), 6)
+        await self._deliver(store_tasks.StoreChanged(gone, time.monotonic()))
+        self.assertEqual(self._count_usable(), 0)
+
+    async def test_entry_that_expired_in_an_outage_is_kept_a_while(self):
+        failure = stores.InDoubt("no answer within 1.05 s")
+        await self._deliver(store_tasks.StoreCallFailed(failure))
+        await asyncio.sleep(2.0)
+        gone = stores.Changes((stores.Change("servers/a", None, 6),), 6)
+        await self._deliver(store_tasks.StoreChanged(gone, time.monotonic()))
+        self.assertEqual(self._count_usable(), 1)
+
     async def test_entry_that_lapsed_with_the_store_is_kept_a_while(self):
         gone = {"entries": [["servers/a", None, 6]], "revision": 6}
         await self._deliver_response(
