Let open connections of the soak's nodes fall silent

--hushes silences all open connections of the store, between the nodes, or both, for good, while new ones work: half of the times the kernel drops what arrives (a socket filter), else it acknowledges what nobody reads. Nodes reach each other through proxies then, whose addresses the stand-in of the store hands out. Requests are judged as if nothing had happened, since only the news of the nodes are concerned. The proxies end their tasks and connections now.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -50,6 +50,7 @@
 
     Attributes:
         front: Address for callers.
+        peer_address: Address for other nodes.
     """
 
     def __init__(self, folder, name, store, grace_s=4.0, **settings):
@@ -60,6 +61,7 @@
         self.front = f"127.0.0.1:{self._ports[0]}"
         self.ready_address = f"127.0.0.1:{self._ports[1]}"
         self.ready = f"http://{self.ready_address}/-/ready"
+        self.peer_address = f"127.0.0.1:{self._peer_port}"
         self.metrics = f"http://127.0.0.1:{self._peer_port + 1}/metrics"
         self._path = pathlib.Path(folder) / f"{name}.conf"
         self._log = pathlib.Path(folder) / f"{name}.log"
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -139,15 +139,15 @@
         calls: Paths of the received calls.
         era: Number of restores, which all responses state; `None` to leave
             the header out.
-        rewrite: Changes the keys and values that nodes write; `None` to keep
-            them.
+        rewrite: Returns the value to store for a key and value of a node.
     """
 
     def __init__(self, port=0):
         self.refuse = 0
         self.calls = []
         self.era = 1
-        self.rewrite = None
+        self.rewrite = self._replace_addresses
+        self._replaced = {}
         self._items = {}
         # Time, revision and items after each change.
         self._states = collections.deque(maxlen=MAX_STATES)
@@ -202,6 +202,13 @@
             self.era += 1
             self._changed.notify_all()
 
+    def _replace_addresses(self, key, value):
+        """Replaces addresses of nodes by those of proxies before them."""
+        if key.startswith("nodes/"):
+            for address, proxy in self._replaced.items():
+                value = value.replace(f'"{address}"', f'"{proxy}"')
+        return value
+
     def _keep_state(self):
         self._states.append(
             (time.monotonic(), self._revision, dict(self._items))
@@ -248,6 +255,9 @@
         elif parts.path == "/test/restore":
             self.restore(float(query["age_s"]))
             status, response = 200, {}
+        elif parts.path == "/test/rewrite":
+            self._replaced[query["from"]] = query["to"]
+            status, response = 200, {}
         elif parts.path == "/test/compact":
             self.compact()
             status, response = 200, {}
@@ -303,8 +313,7 @@
                     return 412, {"items": [item] if item else []}
             for entry in document["writes"]:
                 value = base64.b64decode(entry["value"]).decode()
-                if self.rewrite is not None:
-                    value = self.rewrite(entry["key"], value)
+                value = self.rewrite(entry["key"], value)
                 self._write(entry["key"], value)
             for key in document["remove"]:
                 self._remove(key)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -42,6 +42,11 @@
         action="store_true",
         help="a store that is restored from copies",
     )
+    parser.add_argument(
+        "--hushes",
+        action="store_true",
+        help="open connections that fall silent",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -56,6 +61,7 @@
         deadly=arguments.deadly,
         closing=arguments.closing,
         restores=arguments.restores,
+        hushes=arguments.hushes,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -90,6 +96,8 @@
         rest.append("--closing")
     if arguments.restores:
         rest.append("--restores")
+    if arguments.hushes:
+        rest.append("--hushes")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -203,6 +203,9 @@
 
 def _may_concern(fault: Happened, node: str) -> bool:
     """Tells whether a fault can act on the requests of a node."""
+    if fault.kind is schedule.Kind.HUSH:
+        # Only the news of the nodes are concerned, no request.
+        return False
     elsewhere = fault.target.startswith(("node-", "store/"))
     return not elsewhere or fault.target in (node, f"store/{node}")
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -89,6 +89,7 @@
         if self.mode is Mode.RESET:
             writer.transport.abort()
             return
+        self._writers.add(writer)
         while self.mode is Mode.SILENCE:
             await asyncio.sleep(HELD_LOOK_S)
         host, _, port = self._target.rpartition(":")
@@ -141,6 +142,7 @@
 
     def __init__(self) -> None:
         self._loop = asyncio.new_event_loop()
+        self._proxies: list[Proxy] = []
         self._thread = threading.Thread(
             target=self._loop.run_forever, daemon=True
         )
@@ -149,6 +151,7 @@
     def open(self, target: str) -> Proxy:
         """Returns a proxy that forwards to an address."""
         proxy = Proxy(target)
+        self._proxies.append(proxy)
         asyncio.run_coroutine_threadsafe(proxy.listen(), self._loop).result(5)
         return proxy
 
@@ -164,6 +167,8 @@
 
     def close(self) -> None:
         """Ends all proxies."""
+        for proxy in self._proxies:
+            self._loop.call_soon_threadsafe(proxy.abort_all)
         asyncio.run_coroutine_threadsafe(_cancel_others(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -73,6 +73,7 @@
     deadly: bool = False
     closing: bool = False
     restores: bool = False
+    hushes: bool = False
 
 
 class StandIn:
@@ -228,6 +229,8 @@
             self._nodes[name] = gateway_world.Node(
                 folder, name, way, GRACE_S, **(SCARCE if seed % 2 else {})
             )
+            if size.hushes:
+                self._open_peer_way(self._nodes[name])
         self._crashes: list[float] = []
         self._crashed: set[str] = set()
         self._lock = threading.Lock()
@@ -266,6 +269,8 @@
             )
         if self._size.restores:
             faults += schedule.draw_restores(self._seed, self._size.seconds)
+        if self._size.hushes:
+            faults += schedule.draw_hushes(self._seed, self._size.seconds)
         if self._size.deadly:
             faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
         self._crowd = crowd
@@ -301,6 +306,13 @@
         self._proxies.close()
         self._folder.cleanup()
 
+    def _open_peer_way(self, node: gateway_world.Node) -> None:
+        """Lets the other nodes reach a node through a proxy."""
+        way = self._proxies.open(node.peer_address)
+        self._ways[f"peers/{node.name}"] = way
+        path = f"/test/rewrite?from={node.peer_address}&to={way.address}"
+        self._call(f"{self._store.address}{path}")
+
     def _plan(self, at: float, fault: schedule.Fault, begins: bool) -> None:
         heapq.heappush(self._agenda, (at, next(self._order), fault, begins))
 
@@ -353,7 +365,12 @@
         if fault.kind is schedule.Kind.DEADLY:
             self._crowd.sends_deadly = True
             return
-        if fault.kind in MODES:
+        if fault.kind is schedule.Kind.HUSH:
+            drops_packets = fault.mode == schedule.HUSH_DROPS
+            for name, way in self._ways.items():
+                if name.partition("/")[0] in fault.target.split("+"):
+                    self._proxies.silence_open(way, drops_packets)
+        elif fault.kind in MODES:
             self._modes.setdefault(fault.target, []).append(fault.kind)
             self._set_mode(fault.target)
         elif fault.target in self._nodes:
@@ -405,8 +422,9 @@
 
     def _end(self, fault: schedule.Fault) -> bool:
         """Ends a fault; returns whether it is over."""
-        if fault.kind is schedule.Kind.DEADLY:
-            self._crowd.sends_deadly = False
+        if fault.kind in (schedule.Kind.HUSH, schedule.Kind.DEADLY):
+            # A silence lasts, but does not concern new connections.
+            self._crowd.sends_deadly &= fault.kind is schedule.Kind.HUSH
             return True
         if fault.kind in MODES:
             self._modes[fault.target].remove(fault.kind)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -33,6 +33,8 @@
     DEADLY = "deadly"
     CLOSING = "closing"
     RESTORE = "restore"
+    # Open connections fall silent for good, while new ones work.
+    HUSH = "hush"
 
 
 # A prompt part that crashes engines, and the mean share of such requests.
@@ -69,6 +71,13 @@
 SHORTEST_REWRITE_S = 0.1
 LONGEST_REWRITE_S = 1.5
 OLDEST_COPY_S = 9.0
+# Silences of open connections: of the store, of peers, or of both, where the
+# kernel drops what arrives or acknowledges it.
+HUSH_PER_S = 0.25
+HUSH_TARGETS = ("store", "peers", "store+peers")
+HUSH_DROPS, HUSH_HOLDS = "drops", "holds"
+# Time in which a node is up to date after a silence.
+HUSH_S = 3.0
 NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
 LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
 UPSTREAM_KINDS = (Kind.KILL, Kind.FREEZE, Kind.DRAIN, *LINK_KINDS)
@@ -191,6 +200,18 @@
     return faults
 
 
+def draw_hushes(seed: int, seconds: float) -> list[Fault]:
+    """Returns times at which open connections fall silent."""
+    source = random.Random(f"{seed}/hushes")
+    faults = []
+    for _ in range(max(2, round(seconds * HUSH_PER_S))):
+        at = source.uniform(QUIET_S, max(QUIET_S, seconds - HUSH_S - QUIET_S))
+        target = source.choice(HUSH_TARGETS)
+        mode = source.choice((HUSH_DROPS, HUSH_HOLDS))
+        faults.append(Fault(at, Kind.HUSH, target, HUSH_S, mode))
+    return faults
+
+
 def draw_deadly(seed: int, seconds: float) -> Fault:
     """Returns the time in which callers send a part that crashes engines."""
     source = random.Random(f"{seed}/deadly")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,8 @@
 CLOSING_SEEDS = (902,)
 # Beside these, the store is restored from copies.
 RESTORE_SEEDS = (951,)
+# Beside these, open connections of the nodes fall silent.
+HUSH_SEEDS = (1100,)
 AT_ONCE = 2
 # Seeds that once failed, each with a line on its cause.
 REGRESSION_SEEDS = {
@@ -245,6 +247,9 @@
             restores = schedule.draw_restores(seed, 12.0)
             self.assertEqual(restores, schedule.draw_restores(seed, 12.0))
             kinds.update(fault.kind for fault in restores)
+            hushes = schedule.draw_hushes(seed, 12.0)
+            self.assertEqual(hushes, schedule.draw_hushes(seed, 12.0))
+            kinds.update(fault.kind for fault in hushes)
             deadly = schedule.draw_deadly(seed, 12.0)
             self.assertEqual(deadly, schedule.draw_deadly(seed, 12.0))
             self.assertLessEqual(deadly.end, 12.0)
@@ -286,6 +291,7 @@
             *DEADLY_SEEDS,
             *CLOSING_SEEDS,
             *RESTORE_SEEDS,
+            *HUSH_SEEDS,
         )
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
             results = list(pool.map(self._run, seeds))
@@ -299,6 +305,7 @@
             deadly=seed in DEADLY_SEEDS,
             closing=seed in CLOSING_SEEDS,
             restores=seed in RESTORE_SEEDS,
+            hushes=seed in HUSH_SEEDS,
         )
         soak = run.Soak(seed, size)
         try:
