Show that callers of nodes cut off from all upstreams are not served

Six gateways in three data centres reach each upstream through a proxy of their own, whose address the store's view for that node states. Nodes are cut off by resets, by a socket filter that lets new and open connections hang, and by resets of new connections only.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -56,8 +56,8 @@
     def __init__(self, folder, name, store, grace_s=4.0, **settings):
         self.name = name
         self._ports = [processes.find_port() for _ in range(3)]
-        # The port after it serves the metrics.
-        self._peer_port = processes.find_port(2)
+        # The ports after it serve metrics and requests of other nodes.
+        self._peer_port = processes.find_port(3)
         self.front = f"127.0.0.1:{self._ports[0]}"
         self.ready_address = f"127.0.0.1:{self._ports[1]}"
         self.ready = f"http://{self.ready_address}/-/ready"
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -243,6 +243,14 @@
 
     def handle(self, handler, body):
         """Responds to one call."""
+        status, response = self.answer(handler, body)
+        headers = {"Content-Type": "application/json"}
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
+        send(handler, status, headers, json.dumps(response).encode())
+
+    def answer(self, handler, body):
+        """Returns the status and the document of the response to a call."""
         parts = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(parts.query, True))
         self.calls.append(parts.path)
@@ -269,10 +277,7 @@
             status, response = (200, item) if item else (404, {})
         else:
             status, response = 404, {}
-        headers = {"Content-Type": "application/json"}
-        if self.era is not None:
-            headers["Store-Era"] = str(self.era)
-        send(handler, status, headers, json.dumps(response).encode())
+        return status, response
 
     def _range(self, query):
         with self._changed:
@@ -340,6 +345,42 @@
         self._store.handle(handler, body)
 
 
+class StoreView(Server):
+    """A store as one node sees it, with other addresses of the upstreams.
+
+    Args:
+        store: The store.
+        replace: Returns the address to use instead of an upstream's.
+    """
+
+    def __init__(self, store, replace):
+        self._store = store
+        self._replace = replace
+        super().__init__()
+
+    def handle(self, handler, body):
+        """Passes one call on and changes the addresses in its response."""
+        status, response = self._store.answer(handler, body)
+        entries = [
+            *response.get("items", ()),
+            *response.get("events", ()),
+        ]
+        changed = [self._change(entry) for entry in entries]
+        for name in ("items", "events"):
+            if name in response:
+                response = response | {name: changed}
+        headers = {"Store-Era": str(self._store.era)}
+        send(handler, status, headers, json.dumps(response).encode())
+
+    def _change(self, entry):
+        if not entry["key"].startswith("servers/") or "value" not in entry:
+            return entry
+        document = json.loads(base64.b64decode(entry["value"]))
+        document["address"] = self._replace(document["address"])
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        return entry | {"value": value}
+
+
 class Upstream(Server):
     """A model engine or a plain service.
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """Loopback proxies that delay, silence, cut one way or reset connections."""
 
 import asyncio
+import contextlib
 import ctypes
 import enum
 import socket
@@ -10,6 +11,7 @@
 CHUNK_BYTES = 65536
 # Linux's option for a classic BPF program that filters what a socket receives.
 SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
 # The program consists of one instruction, `ret #0`, which drops each packet.
 DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
 DELAY_S = 0.25
@@ -26,6 +28,10 @@
     DEAF = "deaf"
     # Resets what is open and each new connection.
     RESET = "reset"
+    # Resets each new connection; open ones live on.
+    REFUSE = "refuse"
+    # The kernel drops all packets, so that new connections hang.
+    HANG = "hang"
 
 
 def drop_packets(sock: socket.socket) -> None:
@@ -58,11 +64,23 @@
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
+        self._listener: socket.socket | None = None
 
     async def listen(self) -> None:
         """Starts to listen on a free port."""
         server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = "%s:%d" % server.sockets[0].getsockname()
+        self._listener = server.sockets[0]
+        self.address = "%s:%d" % self._listener.getsockname()
+
+    def set_hanging(self, hangs: bool) -> None:
+        """Lets the kernel drop all packets, or none; called in the loop."""
+        open_ones = [w.get_extra_info("socket") for w in self._writers]
+        for sock in [self._listener, *open_ones]:
+            if hangs:
+                drop_packets(sock)
+            else:
+                with contextlib.suppress(OSError):  # One without a filter.
+                    sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
 
     def abort_all(self) -> None:
         """Resets the open connections; called in the loop."""
@@ -86,7 +104,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.mode is Mode.RESET:
+        if self.mode in (Mode.RESET, Mode.REFUSE):
             writer.transport.abort()
             return
         self._writers.add(writer)
@@ -157,6 +175,10 @@
 
     def set_mode(self, proxy: Proxy, mode: Mode) -> None:
         """Changes what a proxy does."""
+        if Mode.HANG in (mode, proxy.mode):
+            self._loop.call_soon_threadsafe(
+                proxy.set_hanging, mode is Mode.HANG
+            )
         proxy.mode = mode
         if mode is Mode.RESET:
             self._loop.call_soon_threadsafe(proxy.abort_all)
