Send requests through other nodes while a node reaches no upstream

Cause: a node knew no way to an upstream but its own connections, and each request found out anew that there was none.

A failed connection starts a survey: new connections to four upstreams of different services and data centres at once. If none is reached, the node is isolated, and its requests go through another node, of its own data centre first, by HTTP on the third internal port. That node handles them like those of its callers, with its own limits and order, and never sends them to a further node. The response passes through as it comes. The mark of such a request states the attempts that may have run; what is not idempotent is sent on only if it cannot have run. A node that leaves or is isolated as well refuses, and another is asked, four in all; if none can help, requests that have not run are refused at once. The isolated node looks twice a second whether it reaches upstreams again; nobody's request is tried for that.

Weighed: gRPC between the nodes, whose messages are whole, so that streams would need a protocol of their own; readiness alone, which neither moves open connections nor serves anyone where most nodes of a data centre are cut off.

--- a/sycamorehollow/decisions/forwarding/attempt_limits.py
+++ b/sycamorehollow/decisions/forwarding/attempt_limits.py
@@ -47,6 +47,11 @@
         self._sent += 1
         self.possible_runs += 1
 
+    def record_earlier(self, attempts: int) -> None:
+        """Records attempts at another node, which may have run."""
+        self._sent += attempts
+        self.possible_runs += attempts
+
     def record_refusal(self, was_resent: bool) -> None:
         """Records that the latest attempt was refused without running.
 
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -7,6 +7,7 @@
 from sycamorehollow.decisions.forwarding import capacity_wait
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import cascade_control
+from sycamorehollow.decisions.forwarding import detour
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import failover
 from sycamorehollow.decisions.forwarding import part_guard
@@ -42,6 +43,8 @@
         body_bytes: Length of its body.
         now: Monotonic time in seconds at which it arrived.
         workspace: Name of the owner of its key; empty for none.
+        earlier_attempts: Attempts that may have run at the node that has sent
+            it on; `None` if it came from a caller.
 
     Attributes:
         deadline: Monotonic time at which the final response is due.
@@ -59,6 +62,7 @@
         body_bytes: int,
         now: float,
         workspace: str = "",
+        earlier_attempts: int | None = None,
     ):
         self.request = request
         self.route = route
@@ -75,6 +79,7 @@
         self._limits = attempt_limits.AttemptLimits(
             route, service.name, router.retry_budget
         )
+        self._limits.record_earlier(earlier_attempts or 0)
         self.guard = part_guard.PartGuard(
             router, request, service.name, workspace, now, self.deadline
         )
@@ -92,6 +97,13 @@
         self.failover = failover.Failover(
             router, self._limits, self._candidates, fingerprint, self.guard
         )
+        self._detour = detour.Detour(
+            router,
+            service,
+            self._limits,
+            self.failover,
+            is_allowed=earlier_attempts is None,
+        )
         self._starter = attempt_starter.AttemptStarter(
             router,
             request,
@@ -109,7 +121,9 @@
         self._capacity_wait = capacity_wait.CapacityWait(
             router, route, workspace, now
         )
-        router.retry_budget.record_request(service.name, now)
+        if not self._detour.is_needed:
+            # Else the node that it goes through counts it.
+            router.retry_budget.record_request(service.name, now)
 
     @property
     def max_idle_connections(self) -> int:
@@ -140,11 +154,31 @@
 
     def choose_next_step(self, now: float) -> steps.Step:
         """Returns the next step while no attempt is open."""
+        step = self._find_end(now) or self._choose_detour(now)
+        if step is not None:
+            return step
+        return self._choose_direct_step(now)
+
+    def _find_end(self, now: float) -> steps.Reject | None:
+        """Returns the end of a request that nothing can be done for."""
         if self.deadline - now < MIN_REMAINING_S:
             return steps.Reject(self._build_failure("its time is over", now))
         limit = self.failover.find_permanent_limit(now)
         if limit:
             return steps.Reject(self._build_failure(limit, now))
+        return None
+
+    def _choose_detour(self, now: float) -> steps.Step | None:
+        """Returns the step of an isolated node, if it differs."""
+        step = self._detour.choose(self.deadline - now, self._must_deliver, now)
+        if step is not None:
+            self._capacity_wait.leave()
+        if isinstance(step, steps.SendThrough):
+            self.attempts.append(self._detour.start(step, now))
+        return step
+
+    def _choose_direct_step(self, now: float) -> steps.Step:
+        """Returns the next step towards an upstream."""
         shortage = self._limits.find_temporary_limit(now)
         if shortage and self._must_deliver:
             self._limits.reset_failures()
@@ -235,6 +269,9 @@
         """Returns the seconds to wait for the next byte of the response."""
         left_s = max(0.0, self.deadline - now)
         attempt = self.attempts[-1]
+        if attempt.node:
+            # The other node decides how long it waits for its upstreams.
+            return left_s
         if not attempt.has_event:
             if self._find_late_quarantine(now):
                 return 0.0
@@ -258,9 +295,9 @@
 
     def begin_probe_if_silent(self, now: float) -> bool:
         """Returns whether to probe the upstream, and records the probe."""
-        if not self.failover.is_possible:
-            return False
         attempt = self.attempts[-1]
+        if attempt.node or not self.failover.is_possible:
+            return False
         if not attempt_timeouts.needs_probe(attempt, now):
             return False
         attempt.state.probed_at = now
@@ -339,6 +376,27 @@
             return steps.Verdict.DELIVER
         return steps.Verdict.RETRY
 
+    def evaluate_relayed_head(
+        self, status: int, refusal: str, now: float
+    ) -> steps.Verdict:
+        """Decides whether to deliver a response that came through a node.
+
+        Args:
+            status: Status of the response.
+            refusal: Why the node did not take the request; empty if it did.
+            now: Monotonic time in seconds.
+        """
+        attempt = self.attempts[-1]
+        attempt.last_byte_at = now
+        if refusal:
+            self._detour.record_refusal(attempt, refusal, now)
+            return steps.Verdict.RETRY
+        if self.delivering and status != STREAM_STATUS:
+            attempt.end_by_upstream(f"did not resume, {status}", now)
+            return steps.Verdict.RETRY
+        attempt.response_accepted = True
+        return steps.Verdict.DELIVER
+
     def record_connection_failure(
         self, reason: str, request_written: bool, now: float
     ) -> None:
@@ -349,10 +407,13 @@
             request_written: Whether any byte of the request was written.
             now: Monotonic time in seconds.
         """
+        attempt = self.attempts[-1]
+        if attempt.node:
+            self._detour.record_failure(attempt, reason, request_written, now)
+            return
         if request_written:
             self._fail(steps.EndCause.UPSTREAM, reason, now)
             return
-        attempt = self.attempts[-1]
         attempt.end(steps.EndCause.UPSTREAM, reason, now)
         self._candidates.no_failures = False
         self._limits.record_connect_failure()
@@ -368,8 +429,9 @@
 
     def record_possible_crash(self, now: float) -> None:
         """Records that the upstream closed the connection during a request."""
-        if self.attempts[-1].state.is_draining:
-            # A draining upstream closes its connections on purpose.
+        if self.attempts[-1].node or self.attempts[-1].state.is_draining:
+            # Nothing is known of another node's upstream, and one that drains
+            # closes its connections on purpose.
             return
         attempt = self.attempts[-1]
         key = "/".join(map(str, attempt.state.upstream.incarnation))
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -8,6 +8,7 @@
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import cold_start_limiter
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import isolation
 from sycamorehollow.decisions.forwarding import node_ranks
 from sycamorehollow.decisions.forwarding import part_quarantine
 from sycamorehollow.decisions.forwarding import permit_loans
@@ -54,6 +55,8 @@
         rate_limiter: Keeps the nodes within these limits.
         permit_loans: Permits that nodes lend to each other under these limits.
         watchers: Selection of the nodes to exchange state with.
+        isolation: Whether this node reaches any upstream.
+        helpers: Nodes that send on the requests of an isolated node.
         prefix_index: Prompt prefixes that upstreams have cached.
         placement: Selection of the upstream.
         retry_budget: Budget of retries per service.
@@ -85,6 +88,10 @@
         self.watchers = watchers.Watchers(
             settings.node, settings.data_centre, rng
         )
+        self.isolation = isolation.Isolation(rng)
+        self.helpers = isolation.Helpers(
+            settings.node, settings.data_centre, rng
+        )
         self.permit_loans = permit_loans.PermitLoans(
             self.rate_limiter, self._can_ask, rng
         )
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -45,6 +45,19 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class SendThrough(Send):
+    """Step: send the request through another node.
+
+    Attributes:
+        node: Name of the node.
+        attempts: Attempts that may have run before.
+    """
+
+    node: str
+    attempts: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Wait:
     """Step: ask for the next step again after a delay."""
@@ -117,6 +130,8 @@
         has_event: Whether a part of its response's body has arrived.
         end_note: How a response ended that had neither a length nor chunks;
             empty for others.
+        node: Name of the node that it was sent through; empty for an attempt
+            at an upstream.
     """
 
     state: directory.UpstreamState
@@ -138,6 +153,7 @@
     is_isolated: bool = False
     has_event: bool = False
     end_note: str = ""
+    node: str = ""
 
     def end(self, cause: EndCause, outcome: str, now: float) -> None:
         """Ends the attempt and records the cause and outcome."""
--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -19,6 +19,8 @@
 import random
 import zlib
 
+from sycamorehollow.settings import gateway
+
 # Two, so that the loss of one leaves no gap.
 WATCHERS_PER_DATA_CENTRE = 2
 # Age of its state from which a follower watches the store by itself. Watchers
@@ -43,6 +45,12 @@
     data_centre: str
     link_mbps: float = 0.0
 
+    @property
+    def relay_address(self) -> str:
+        """Host and port for requests that other nodes send on."""
+        host, _, port = self.peer_address.rpartition(":")
+        return f"{host}:{int(port) + gateway.RELAY_PORT_OFFSET}"
+
 
 class Watchers:
     """Decides whether this node watches the store and which peers it polls.
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -106,6 +106,30 @@
             result.append((b"Content-Length", b"%d" % body_bytes))
         return result
 
+    def encode_relayed(
+        self,
+        headers: header_codec.Headers,
+        body_bytes: int | None,
+        remaining_s: float,
+        last_event_id: str,
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of a request that goes through another node."""
+        dropped = (
+            header_codec.HOP_BY_HOP
+            | {b"request-deadline"}
+            | _list_connection_options(headers)
+        )
+        if last_event_id:
+            dropped |= {b"last-event-id"}
+        result = [pair for pair in headers if pair[0].lower() not in dropped]
+        result.append((b"Request-Deadline", b"%d" % (remaining_s * 1000)))
+        if last_event_id:
+            value = last_event_id.encode("latin-1")
+            result.append((b"Last-Event-Id", value))
+        if body_bytes is not None:
+            result.append((b"Content-Length", b"%d" % body_bytes))
+        return result
+
     def decode_response(
         self, status: int, headers: header_codec.Headers
     ) -> forwarding.DecodedHead:
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+# The first internal port serves the exchange between nodes, the second one the
+# metrics page, and the third one requests that other nodes send on.
+RELAY_PORT_OFFSET = 2
+
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
@@ -57,3 +61,8 @@
     def peer_address(self) -> str:
         """Address and port that peers call."""
         return f"{self.ip}:{self.first_port}"
+
+    @property
+    def relay_address(self) -> str:
+        """Address and port for requests that other nodes send on."""
+        return f"{self.ip}:{self.first_port + RELAY_PORT_OFFSET}"
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -22,6 +22,7 @@
 from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import forwarder
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import isolation_survey
 from sycamorehollow.shells.gateway import peer_client
 from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import store_codec
@@ -84,6 +85,9 @@
         self._crash_checker = crash_checker.CrashChecker(
             self._router, self._pool, self._telemetry, self._spread_news
         )
+        self._survey = isolation_survey.IsolationSurvey(
+            self._router, self._pool, self._telemetry
+        )
         self._forwarder = forwarder.Forwarder(
             self._router,
             adapter.header_codec,
@@ -97,6 +101,7 @@
             ),
             self._send_permit_requests,
             self._crash_checker.schedule_checks,
+            self._survey,
         )
         self._connections: set[caller_connections.CallerConnection] = set()
         self._probe_connections: set[caller_connections.CallerConnection] = (
@@ -127,18 +132,25 @@
                 self._probe_connections,
             ),
         ]
-        try:
-            address = f"{self._settings.ip}:{self._settings.metrics_port}"
-            servers.append(
-                await self._listen(
-                    address,
-                    self._handle_metrics_request,
-                    self._probe_connections,
-                )
-            )
-        except OSError as error:
-            # Requests are served without the metrics page.
-            self._telemetry.log_event("cannot serve metrics: {}", error)
+        for name, address, handler, registry in (
+            (
+                "metrics",
+                f"{self._settings.ip}:{self._settings.metrics_port}",
+                self._handle_metrics_request,
+                self._probe_connections,
+            ),
+            (
+                "requests of other nodes",
+                self._settings.relay_address,
+                self._forwarder.handle_relayed,
+                self._connections,
+            ),
+        ):
+            try:
+                servers.append(await self._listen(address, handler, registry))
+            except OSError as error:
+                # Requests of callers are served without them.
+                self._telemetry.log_event("cannot serve {}: {}", name, error)
         self._telemetry.log_event(
             "started node={} data_centre={} front={}",
             self._settings.node,
@@ -288,6 +300,7 @@
         assert self._state_sync is not None
         self._state_sync.run_periodic_work()
         self._crash_checker.start_due_checks()
+        self._survey.start_if_due()
         self._pool.close_expired()
 
     def _read_settings_mtime(self) -> float:
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -106,6 +106,10 @@
         idle.append(connection)
         connection.set_drop_callback(lambda: _remove_idle(idle, connection))
 
+    def has_idle(self) -> bool:
+        """Tells whether a connection to any upstream is kept."""
+        return any(self._idle.values())
+
     def close_idle(self, upstream: forwarding.Upstream) -> None:
         """Closes the idle connections to an upstream."""
         for connection in self._idle.pop((upstream.host, upstream.port), []):
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -14,6 +14,8 @@
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import isolation_survey
+from sycamorehollow.shells.gateway import relay_headers
 from sycamorehollow.shells.gateway import response_relay
 from sycamorehollow.shells.gateway import telemetry
 
@@ -38,6 +40,7 @@
         checker: Checks upstreams that closed the connection of a response.
         handle_wait: Called when a request waits for capacity.
         handle_break: Called when an upstream breaks a connection off.
+        survey: Finds out whether this node is isolated; `None` to make one.
 
     Attributes:
         rejecting: Whether new requests are rejected because the node drains.
@@ -52,6 +55,7 @@
         checker: end_checker.EndChecker,
         handle_wait: Callable[[], None] = lambda: None,
         handle_break: Callable[[], None] = lambda: None,
+        survey: isolation_survey.IsolationSurvey | None = None,
     ):
         self.rejecting = False
         self._started_at = time.monotonic()
@@ -62,13 +66,55 @@
         self._end_checker = checker
         self._handle_wait = handle_wait
         self._handle_break = handle_break
+        self._survey = survey or isolation_survey.IsolationSurvey(
+            router, pool, telemetry_sink
+        )
+        # Other nodes close idle connections like upstreams do. Sending a
+        # request to one of them again costs no attempt at an upstream.
+        self._node_pool = connection_pool.ConnectionPool(
+            codec.decode_response, lambda _: True
+        )
 
     async def handle(
         self,
         connection: caller_connections.CallerConnection,
         request: caller_connections.HttpRequest,
     ) -> None:
-        """Handles one request."""
+        """Handles one request of a caller."""
+        await self._handle(connection, request, None)
+
+    async def handle_relayed(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.HttpRequest,
+    ) -> None:
+        """Handles a request that another node has sent on."""
+        attempts = relay_headers.take_attempts(request.headers)
+        refusal = ""
+        if attempts is None and not request.error_status:
+            refusal = "not sent by a node"
+        elif self.rejecting:
+            refusal = "the node is leaving"
+        elif self._router.isolation.is_isolated:
+            refusal = "the node reaches no upstream"
+        if not refusal:
+            await self._handle(connection, request, attempts)
+            return
+        await write_response(
+            connection,
+            503,
+            relay_headers.encode_refusal(refusal),
+            b"",
+            request.keep_alive,
+        )
+
+    async def _handle(
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.HttpRequest,
+        earlier_attempts: int | None,
+    ) -> None:
+        """Handles one request; `earlier_attempts` as in its lifecycle."""
         started_at = time.monotonic()
         if request.error_status:
             await self._reject_invalid(connection, request.error_status)
@@ -83,7 +129,9 @@
             return
         record.request_id = decoded.request_id
         await self._wait_for_configuration()
-        lifecycle = self._admit(decoded, request, record, started_at)
+        lifecycle = self._admit(
+            decoded, request, record, started_at, earlier_attempts
+        )
         if isinstance(lifecycle, failures.Failure):
             await self._reject(
                 connection, request, decoded.request_id, lifecycle, record
@@ -99,6 +147,8 @@
             self._end_checker,
             self._handle_wait,
             self._handle_break,
+            self._node_pool,
+            self._survey,
         )
         try:
             failure = await relay.run()
@@ -148,6 +198,7 @@
         request: caller_connections.HttpRequest,
         record: telemetry.RequestRecord,
         now: float,
+        earlier_attempts: int | None,
     ) -> request_lifecycle.RequestLifecycle | failures.Failure:
         """Chooses the route and service of a request and authorises it."""
         route_table = self._router.route_table
@@ -184,6 +235,7 @@
             len(request.body),
             now,
             workspace.name if workspace else "",
+            earlier_attempts,
         )
 
     async def _reject(
--- a/sycamorehollow/shells/gateway/header_codec.py
+++ b/sycamorehollow/shells/gateway/header_codec.py
@@ -71,6 +71,24 @@
             attempt: Values that the gateway adds.
         """
 
+    @abc.abstractmethod
+    def encode_relayed(
+        self,
+        headers: Headers,
+        body_bytes: int | None,
+        remaining_s: float,
+        last_event_id: str,
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of a request that goes through another node.
+
+        Args:
+            headers: The caller's headers.
+            body_bytes: Length of the body; `None` for a request without one.
+            remaining_s: Seconds until the request's deadline.
+            last_event_id: Event after which the stream resumes; empty to leave
+                the caller's.
+        """
+
     @abc.abstractmethod
     def decode_response(
         self, status: int, headers: Headers
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -15,6 +15,8 @@
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import isolation_survey
+from sycamorehollow.shells.gateway import relay_headers
 from sycamorehollow.shells.gateway import server_sent_events
 from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
@@ -56,6 +58,8 @@
         checker: Checks upstreams that closed the connection of a response.
         handle_wait: Called when the request begins or continues to wait.
         handle_break: Called when an upstream breaks a connection off.
+        node_pool: Connections to other nodes.
+        survey: Finds out whether this node is isolated.
     """
 
     def __init__(
@@ -69,6 +73,8 @@
         checker: end_checker.EndChecker,
         handle_wait: Callable[[], None],
         handle_break: Callable[[], None],
+        node_pool: connection_pool.ConnectionPool,
+        survey: isolation_survey.IsolationSurvey,
     ):
         self._connection = connection
         self._request = request
@@ -79,6 +85,8 @@
         self._end_checker = checker
         self._handle_wait = handle_wait
         self._handle_break = handle_break
+        self._node_pool = node_pool
+        self._survey = survey
         # End of the extra time for bytes that arrived before a timeout.
         self._grace_ends_at: float | None = None
 
@@ -110,10 +118,12 @@
             The next step, or `None` if the response was delivered.
         """
         upstream = step.state.upstream
+        through_node = isinstance(step, steps.SendThrough)
+        pool = self._node_pool if through_node else self._pool
         step.state.running += 1
         connection = None
         try:
-            connection = await self._pool.acquire(
+            connection = await pool.acquire(
                 upstream,
                 self._lifecycle.request.request_id,
                 self._lifecycle.route.is_retryable,
@@ -123,9 +133,7 @@
                 self._lifecycle.request.request_id, self._encode_request(step)
             )
             head = await self._wait_for(connection, connection.read_head)
-            verdict = self._lifecycle.evaluate_head(
-                head.decoded, time.monotonic(), connection.was_resent
-            )
+            verdict = self._evaluate_head(step, connection, head)
             if verdict is steps.Verdict.DELIVER:
                 await self._relay_response(connection, head)
                 return None
@@ -140,7 +148,9 @@
             if error.closed_by_upstream and error.request_written:
                 self._lifecycle.record_possible_crash(now)
                 self._handle_break()
-            return self._lifecycle.choose_next_step(now)
+            if not through_node:
+                await self._survey.confirm()
+            return self._lifecycle.choose_next_step(time.monotonic())
         except AttemptAbandonedError as error:
             return error.next_step
         finally:
@@ -149,12 +159,31 @@
                 max_idle = self._lifecycle.max_idle_connections
                 if step.state.is_leaving:
                     max_idle = 0
-                    self._pool.close_idle(upstream)
-                self._pool.release(upstream, connection, max_idle)
+                    pool.close_idle(upstream)
+                pool.release(upstream, connection, max_idle)
+
+    def _evaluate_head(
+        self,
+        step: steps.Send,
+        connection: upstream_connections.UpstreamConnection,
+        head: upstream_connections.ResponseHead,
+    ) -> steps.Verdict:
+        """Decides whether to deliver a response."""
+        now = time.monotonic()
+        if isinstance(step, steps.SendThrough):
+            refusal = relay_headers.find_refusal(head.headers)
+            return self._lifecycle.evaluate_relayed_head(
+                head.status, refusal, now
+            )
+        return self._lifecycle.evaluate_head(
+            head.decoded, now, connection.was_resent
+        )
 
     def _encode_request(self, step: steps.Send) -> bytes:
-        """Encodes the request for an upstream."""
+        """Encodes the request for an upstream or another node."""
         request = self._request
+        if isinstance(step, steps.SendThrough):
+            return self._encode_lines(self._encode_relayed_headers(step))
         lifecycle = self._lifecycle
         workspace = self._record.workspace
         priority = lifecycle.route.priority
@@ -175,6 +204,25 @@
             len(request.body) if request.has_body else None,
             attempt,
         )
+        return self._encode_lines(headers)
+
+    def _encode_relayed_headers(
+        self, step: steps.SendThrough
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of the request for another node."""
+        request = self._request
+        lifecycle = self._lifecycle
+        headers = self._codec.encode_relayed(
+            request.headers,
+            len(request.body) if request.has_body else None,
+            step.left_s,
+            lifecycle.last_event_id if lifecycle.delivering else "",
+        )
+        return [*headers, *relay_headers.encode_request(step.attempts)]
+
+    def _encode_lines(self, headers: list[tuple[bytes, bytes]]) -> bytes:
+        """Returns the bytes of the request with some headers."""
+        request = self._request
         lines = [
             b"%s %s HTTP/1.1\r\n" % (request.method.encode(), request.target)
         ]
