--- a/sycamorehollow/decisions/forwarding/detour.py
+++ b/sycamorehollow/decisions/forwarding/detour.py
@@ -17,6 +17,7 @@
 # `Retry-After` while no node reaches an upstream, about the time between two
 # looks at whether this has changed.
 ISOLATED_RETRY_AFTER_S = 1.0
+RESUMED_STATUS = 200
 NO_WAY = "neither this node nor another one reaches an upstream"
 
 
@@ -101,13 +102,35 @@
             step.state, "", now, 0, 0.0, now, 0.0, node=step.node
         )
 
-    def record_refusal(
-        self, attempt: steps.Attempt, reason: str, now: float
-    ) -> None:
-        """Records that a node did not take the request."""
-        attempt.end_by_upstream(f"not taken: {reason}", now)
-        self._limits.possible_runs -= 1
-        self._router.helpers.record_failure(attempt.node, now)
+    def evaluate_head(
+        self,
+        attempt: steps.Attempt,
+        status: int,
+        refusal: str,
+        is_delivering: bool,
+        now: float,
+    ) -> steps.Verdict:
+        """Decides whether to deliver the response of another node.
+
+        Args:
+            attempt: The attempt.
+            status: Status of the response.
+            refusal: Why the node did not take the request; empty if it did.
+            is_delivering: Whether the caller has received part of a response.
+            now: Monotonic time in seconds.
+        """
+        attempt.last_byte_at = now
+        if refusal:
+            attempt.end_by_upstream(f"not taken: {refusal}", now)
+            self._limits.possible_runs -= 1
+            self._router.helpers.record_failure(attempt.node, now)
+            return steps.Verdict.RETRY
+        if is_delivering and status != RESUMED_STATUS:
+            # The caller already has the head of another response.
+            attempt.end_by_upstream(f"did not resume, {status}", now)
+            return steps.Verdict.RETRY
+        attempt.response_accepted = True
+        return steps.Verdict.DELIVER
 
     def record_failure(
         self,
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -50,6 +50,7 @@
         deadline: Monotonic time at which the final response is due.
         last_event_id: Latest event that the caller has received.
         failover: Conditions of one more attempt.
+        detour: Attempts through other nodes.
     """
 
     def __init__(
@@ -97,7 +98,7 @@
         self.failover = failover.Failover(
             router, self._limits, self._candidates, fingerprint, self.guard
         )
-        self._detour = detour.Detour(
+        self.detour = detour.Detour(
             router,
             service,
             self._limits,
@@ -121,7 +122,7 @@
         self._capacity_wait = capacity_wait.CapacityWait(
             router, route, workspace, now
         )
-        if not self._detour.is_needed:
+        if not self.detour.is_needed:
             # Else the node that it goes through counts it.
             router.retry_budget.record_request(service.name, now)
 
@@ -170,11 +171,11 @@
 
     def _choose_detour(self, now: float) -> steps.Step | None:
         """Returns the step of an isolated node, if it differs."""
-        step = self._detour.choose(self.deadline - now, self._must_deliver, now)
+        step = self.detour.choose(self.deadline - now, self._must_deliver, now)
+        if isinstance(step, steps.SendThrough):
+            self.attempts.append(self.detour.start(step, now))
         if step is not None:
             self._capacity_wait.leave()
-        if isinstance(step, steps.SendThrough):
-            self.attempts.append(self._detour.start(step, now))
         return step
 
     def _choose_direct_step(self, now: float) -> steps.Step:
@@ -376,27 +377,6 @@
             return steps.Verdict.DELIVER
         return steps.Verdict.RETRY
 
-    def evaluate_relayed_head(
-        self, status: int, refusal: str, now: float
-    ) -> steps.Verdict:
-        """Decides whether to deliver a response that came through a node.
-
-        Args:
-            status: Status of the response.
-            refusal: Why the node did not take the request; empty if it did.
-            now: Monotonic time in seconds.
-        """
-        attempt = self.attempts[-1]
-        attempt.last_byte_at = now
-        if refusal:
-            self._detour.record_refusal(attempt, refusal, now)
-            return steps.Verdict.RETRY
-        if self.delivering and status != STREAM_STATUS:
-            attempt.end_by_upstream(f"did not resume, {status}", now)
-            return steps.Verdict.RETRY
-        attempt.response_accepted = True
-        return steps.Verdict.DELIVER
-
     def record_connection_failure(
         self, reason: str, request_written: bool, now: float
     ) -> None:
@@ -409,7 +389,7 @@
         """
         attempt = self.attempts[-1]
         if attempt.node:
-            self._detour.record_failure(attempt, reason, request_written, now)
+            self.detour.record_failure(attempt, reason, request_written, now)
             return
         if request_written:
             self._fail(steps.EndCause.UPSTREAM, reason, now)
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -17,6 +17,7 @@
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import isolation_survey
 from sycamorehollow.shells.gateway import relay_headers
+from sycamorehollow.shells.gateway import request_encoder
 from sycamorehollow.shells.gateway import server_sent_events
 from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
@@ -80,7 +81,9 @@
         self._request = request
         self._lifecycle = lifecycle
         self._record = record
-        self._codec = codec
+        self._encoder = request_encoder.RequestEncoder(
+            request, lifecycle, record, codec
+        )
         self._pool = pool
         self._end_checker = checker
         self._handle_wait = handle_wait
@@ -130,7 +133,7 @@
                 lambda: self._lifecycle.may_resend(time.monotonic()),
             )
             connection.send_request(
-                self._lifecycle.request.request_id, self._encode_request(step)
+                self._lifecycle.request.request_id, self._encoder.encode(step)
             )
             head = await self._wait_for(connection, connection.read_head)
             verdict = self._evaluate_head(step, connection, head)
@@ -172,65 +175,17 @@
         now = time.monotonic()
         if isinstance(step, steps.SendThrough):
             refusal = relay_headers.find_refusal(head.headers)
-            return self._lifecycle.evaluate_relayed_head(
-                head.status, refusal, now
+            return self._lifecycle.detour.evaluate_head(
+                self._lifecycle.attempts[-1],
+                head.status,
+                refusal,
+                self._lifecycle.delivering,
+                now,
             )
         return self._lifecycle.evaluate_head(
             head.decoded, now, connection.was_resent
         )
 
-    def _encode_request(self, step: steps.Send) -> bytes:
-        """Encodes the request for an upstream or another node."""
-        request = self._request
-        if isinstance(step, steps.SendThrough):
-            return self._encode_lines(self._encode_relayed_headers(step))
-        lifecycle = self._lifecycle
-        workspace = self._record.workspace
-        priority = lifecycle.route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
-        attempt = header_codec.AttemptHeaders(
-            upstream=step.state.upstream.identity,
-            workspace=workspace.name if workspace else "",
-            remaining_s=step.left_s,
-            model=step.model,
-            priority=min(9, max(0, priority)) if step.model else None,
-            last_event_id=lifecycle.last_event_id
-            if lifecycle.delivering
-            else "",
-        )
-        headers = self._codec.encode_attempt(
-            request.headers,
-            len(request.body) if request.has_body else None,
-            attempt,
-        )
-        return self._encode_lines(headers)
-
-    def _encode_relayed_headers(
-        self, step: steps.SendThrough
-    ) -> list[tuple[bytes, bytes]]:
-        """Returns the headers of the request for another node."""
-        request = self._request
-        lifecycle = self._lifecycle
-        headers = self._codec.encode_relayed(
-            request.headers,
-            len(request.body) if request.has_body else None,
-            step.left_s,
-            lifecycle.last_event_id if lifecycle.delivering else "",
-        )
-        return [*headers, *relay_headers.encode_request(step.attempts)]
-
-    def _encode_lines(self, headers: list[tuple[bytes, bytes]]) -> bytes:
-        """Returns the bytes of the request with some headers."""
-        request = self._request
-        lines = [
-            b"%s %s HTTP/1.1\r\n" % (request.method.encode(), request.target)
-        ]
-        lines.extend(b"%s: %s\r\n" % pair for pair in headers)
-        lines.append(b"\r\n")
-        lines.append(bytes(request.body))
-        return b"".join(lines)
-
     async def _wait_for(
         self,
         connection: upstream_connections.UpstreamConnection,
