Blame no upstream for what only an isolated node cannot reach

What callers would see: content that is rejected, and sound upstreams that get no requests for up to two seconds, after a cut of the path of one node.

Cause: the check after a broken connection takes an upstream that accepts none for crashed, which an isolated node finds of all of them; and the back-offs that a cut has left are waited for after it.

A break counts as no crash if the node is isolated and another node has served a request meanwhile. Without that the upstreams may have crashed, and it counts as before. When the node reaches upstreams again, failed connections are forgotten.

--- a/sycamorehollow/decisions/forwarding/detour.py
+++ b/sycamorehollow/decisions/forwarding/detour.py
@@ -130,6 +130,8 @@
             attempt.end_by_upstream(f"did not resume, {status}", now)
             return steps.Verdict.RETRY
         attempt.response_accepted = True
+        if status < 500:
+            self._router.isolation.is_confirmed = True
         return steps.Verdict.DELIVER
 
     def record_failure(
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -152,6 +152,16 @@
         )
         return state.expires_at
 
+    def forget_connection_failures(self) -> None:
+        """Uses all upstreams again that could not be reached.
+
+        For a node that has reached none of them for reasons of its own.
+        """
+        for state in self._states.values():
+            state.connection_failures = 0
+            state.backoff_until = 0.0
+            state.unreachable_at = float("-inf")
+
     def get(self, identity: str) -> UpstreamState | None:
         """Returns the state of an upstream, or `None` if it is unknown."""
         return self._states.get(identity)
--- a/sycamorehollow/decisions/forwarding/isolation.py
+++ b/sycamorehollow/decisions/forwarding/isolation.py
@@ -33,11 +33,14 @@
     Attributes:
         is_isolated: Whether the latest survey has reached no upstream.
         has_open_connections: Whether connections from before were still open.
+        is_confirmed: Whether another node has served a request meanwhile, so
+            that upstreams are there.
     """
 
     def __init__(self, rng: random.Random):
         self.is_isolated = False
         self.has_open_connections = False
+        self.is_confirmed = False
         self._rng = rng
         self._surveyed_at = float("-inf")
 
@@ -87,6 +90,7 @@
         """
         before = self.is_isolated
         self.is_isolated = reached == 0
+        self.is_confirmed = self.is_confirmed and self.is_isolated
         self.has_open_connections = has_open_connections
         self._surveyed_at = now
         return before != self.is_isolated
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -82,12 +82,16 @@
             self._reserve_retry,
             self._refund_retry,
         )
-        self._crash_checker = crash_checker.CrashChecker(
-            self._router, self._pool, self._telemetry, self._spread_news
-        )
         self._survey = isolation_survey.IsolationSurvey(
             self._router, self._pool, self._telemetry
         )
+        self._crash_checker = crash_checker.CrashChecker(
+            self._router,
+            self._pool,
+            self._telemetry,
+            self._survey,
+            self._spread_news,
+        )
         self._forwarder = forwarder.Forwarder(
             self._router,
             adapter.header_codec,
--- a/sycamorehollow/shells/gateway/crash_checker.py
+++ b/sycamorehollow/shells/gateway/crash_checker.py
@@ -13,6 +13,7 @@
 from sycamorehollow.decisions.forwarding import quarantine
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.shells.gateway import connection_pool
+from sycamorehollow.shells.gateway import isolation_survey
 from sycamorehollow.shells.gateway import telemetry
 
 # Further checks wait for the next call of `start_due_checks`.
@@ -28,6 +29,7 @@
         router: Holds the state of the upstreams and the quarantine.
         pool: Opens the connections of the checks.
         telemetry_sink: Records the result of each check.
+        survey: Finds out whether this node is isolated.
         handle_crash: Called after a crash was found.
     """
 
@@ -36,11 +38,13 @@
         router: routers.Router,
         pool: connection_pool.ConnectionPool,
         telemetry_sink: telemetry.Telemetry,
+        survey: isolation_survey.IsolationSurvey,
         handle_crash: Callable[[], None] = lambda: None,
     ):
         self._router = router
         self._pool = pool
         self._telemetry = telemetry_sink
+        self._survey = survey
         self._handle_crash = handle_crash
         self._checks: dict[str, asyncio.Task[None]] = {}
 
@@ -77,6 +81,8 @@
                 crashed, outcome = False, "is draining"
             elif await self._pool.can_hold_connection(state.upstream):
                 crashed, outcome = False, "still accepts connections"
+            elif await self._is_isolated():
+                crashed, outcome = False, "is as unreachable as all others"
         except Exception as error:
             # Without a result the upstream counts as crashed.
             self._telemetry.log_error(f"check of {incarnation}", error)
@@ -97,6 +103,15 @@
         if crashed:
             self._handle_crash()
 
+    async def _is_isolated(self) -> bool:
+        """Tells whether this node alone reaches no upstream.
+
+        If no other node does either, the upstreams may have crashed.
+        """
+        await self._survey.confirm()
+        isolation = self._router.isolation
+        return isolation.is_isolated and isolation.is_confirmed
+
     def _find(self, incarnation: str) -> directory.UpstreamState | None:
         """Returns the upstream unless it was removed or restarted."""
         identity = incarnation.rpartition("/")[0]
--- a/sycamorehollow/shells/gateway/isolation_survey.py
+++ b/sycamorehollow/shells/gateway/isolation_survey.py
@@ -65,7 +65,10 @@
         )
         reached = sum(results)
         has_open = self._pool.has_idle()
+        was_isolated = isolation.is_isolated
         if isolation.record_survey(reached, has_open, time.monotonic()):
+            if was_isolated:
+                self._router.directory.forget_connection_failures()
             asked = ",".join(state.upstream.identity for state in sample)
             self._telemetry.record_state_change(
                 "isolation",
--- a/tests/test_forwarding_isolation.py
+++ b/tests/test_forwarding_isolation.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions.forwarding import detour
+from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import isolation
 from sycamorehollow.decisions.forwarding import request_lifecycle
 from sycamorehollow.decisions.forwarding import steps
@@ -183,6 +184,16 @@
         self.assertEqual(counts[0], 0.0)
         self.assertGreater(counts[1], 0.0)
 
+    def test_upstreams_are_used_at_once_when_they_are_reached_again(self):
+        built = forwarding_world.build_router(
+            forwarding_world.build_upstream("a")
+        )
+        state = built.directory.get("a")
+        directory.record_unreachable(state, 1.0)
+        built.directory.forget_connection_failures()
+        self.assertFalse(state.is_backing_off(1.0))
+        self.assertFalse(state.is_unreachable())
+
     def test_nothing_is_held_against_upstreams(self):
         built = build_isolated_router()
         lifecycle = build_lifecycle(built)
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -17,6 +17,7 @@
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import crash_checker
+from sycamorehollow.shells.gateway import isolation_survey
 from sycamorehollow.shells.gateway import telemetry
 from sycamorehollow.shells.gateway import upstream_connections
 from tests import forwarding_world
@@ -237,10 +238,13 @@
             )
         self.upstreams = upstreams
         self.router = forwarding_world.build_router(*upstreams)
+        pool = connection_pool.ConnectionPool(mock.Mock())
+        sink = telemetry.Telemetry()
         self.checks = crash_checker.CrashChecker(
             self.router,
-            connection_pool.ConnectionPool(mock.Mock()),
-            telemetry.Telemetry(),
+            pool,
+            sink,
+            isolation_survey.IsolationSurvey(self.router, pool, sink),
         )
 
     async def _is_quarantined(self):
@@ -282,6 +286,14 @@
             listener.close()
         self.assertTrue(await self._is_quarantined())
 
+    async def test_upstreams_that_others_reach_are_not_counted(self):
+        for listener in self.listeners:
+            listener.close()
+        self.router.isolation.record_survey(0, False, time.monotonic())
+        # A request has been served through another node meanwhile.
+        self.router.isolation.is_confirmed = True
+        self.assertFalse(await self._is_quarantined())
+
     async def test_upstreams_that_were_started_again_are_counted(self):
         for upstream in self.upstreams:
             later = dataclasses.replace(upstream, started_ms=9)
