Cut nodes of the soak off from all upstreams

--cuts gives each node ways of its own to the upstreams, by a view of the store that states other addresses, and cuts single nodes, several at once, by connections that hang, are reset, or whose open ones live on.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -361,6 +361,12 @@
     def handle(self, handler, body):
         """Passes one call on and changes the addresses in its response."""
         status, response = self._store.answer(handler, body)
+        response = self.change(response)
+        headers = {"Store-Era": str(self._store.era)}
+        send(handler, status, headers, json.dumps(response).encode())
+
+    def change(self, response):
+        """Returns the document of a response with other addresses."""
         entries = [
             *response.get("items", ()),
             *response.get("events", ()),
@@ -369,8 +375,7 @@
         for name in ("items", "events"):
             if name in response:
                 response = response | {name: changed}
-        headers = {"Store-Era": str(self._store.era)}
-        send(handler, status, headers, json.dumps(response).encode())
+        return response
 
     def _change(self, entry):
         if not entry["key"].startswith("servers/") or "value" not in entry:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,6 +47,11 @@
         action="store_true",
         help="open connections that fall silent",
     )
+    parser.add_argument(
+        "--cuts",
+        action="store_true",
+        help="nodes that are cut off from all upstreams",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -62,6 +67,7 @@
         closing=arguments.closing,
         restores=arguments.restores,
         hushes=arguments.hushes,
+        cuts=arguments.cuts,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -98,6 +104,8 @@
         rest.append("--restores")
     if arguments.hushes:
         rest.append("--hushes")
+    if arguments.cuts:
+        rest.append("--cuts")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,6 +26,7 @@
 from tests.soak import proxy
 from tests.soak import schedule
 from tests.soak import standin_process
+from tests.soak import store_views
 
 HOST = "127.0.0.1"
 GRACE_S = 4.0
@@ -51,6 +52,7 @@
     schedule.Kind.DEAF: proxy.Mode.DEAF,
     schedule.Kind.RESET: proxy.Mode.RESET,
 }
+LINK_KINDS = {*MODES, schedule.Kind.HUSH, schedule.Kind.CUT}
 NODE_SIGNALS = {
     schedule.Kind.KILL: signal.SIGKILL,
     schedule.Kind.TERMINATE: signal.SIGTERM,
@@ -74,6 +76,7 @@
     closing: bool = False
     restores: bool = False
     hushes: bool = False
+    cuts: bool = False
 
 
 class StandIn:
@@ -222,12 +225,16 @@
             self._ways[name] = self._proxies.open(self._upstreams[name].address)
             self._register(name)
         self._nodes: dict[str, gateway_world.Node] = {}
+        self._views: dict[str, store_views.StoreView] = {}
         for number in range(size.nodes):
             name = f"node-{number}"
             way = self._proxies.open(self._store.address)
             self._ways[f"store/{name}"] = way
+            if size.cuts:
+                self._views[name] = store_views.StoreView(way, self._proxies)
+            store = self._views.get(name, way)
             self._nodes[name] = gateway_world.Node(
-                folder, name, way, GRACE_S, **(SCARCE if seed % 2 else {})
+                folder, name, store, GRACE_S, **(SCARCE if seed % 2 else {})
             )
             if size.hushes:
                 self._open_peer_way(self._nodes[name])
@@ -271,6 +278,10 @@
             faults += schedule.draw_restores(self._seed, self._size.seconds)
         if self._size.hushes:
             faults += schedule.draw_hushes(self._seed, self._size.seconds)
+        if self._size.cuts:
+            faults += schedule.draw_cuts(
+                self._seed, self._size.seconds, list(self._nodes)
+            )
         if self._size.deadly:
             faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
         self._crowd = crowd
@@ -303,6 +314,8 @@
             node.stop()
         for stand_in in [self._store, *self._upstreams.values()]:
             stand_in.kill()
+        for view in self._views.values():
+            view.stop()
         self._proxies.close()
         self._folder.cleanup()
 
@@ -365,14 +378,8 @@
         if fault.kind is schedule.Kind.DEADLY:
             self._crowd.sends_deadly = True
             return
-        if fault.kind is schedule.Kind.HUSH:
-            drops_packets = fault.mode == schedule.HUSH_DROPS
-            for name, way in self._ways.items():
-                if name.partition("/")[0] in fault.target.split("+"):
-                    self._proxies.silence_open(way, drops_packets)
-        elif fault.kind in MODES:
-            self._modes.setdefault(fault.target, []).append(fault.kind)
-            self._set_mode(fault.target)
+        if fault.kind in LINK_KINDS:
+            self._begin_at_links(fault)
         elif fault.target in self._nodes:
             self._begin_at_node(fault, self._nodes[fault.target])
         elif fault.target in self._upstreams:
@@ -386,6 +393,19 @@
         elif fault.kind is schedule.Kind.COMPACT:
             self._call(f"{self._store.address}/test/compact")
 
+    def _begin_at_links(self, fault: schedule.Fault) -> None:
+        if fault.kind is schedule.Kind.CUT:
+            self._views[fault.target].set_mode(proxy.Mode(fault.mode))
+            return
+        if fault.kind is not schedule.Kind.HUSH:
+            self._modes.setdefault(fault.target, []).append(fault.kind)
+            self._set_mode(fault.target)
+            return
+        drops_packets = fault.mode == schedule.HUSH_DROPS
+        for name, way in self._ways.items():
+            if name.partition("/")[0] in fault.target.split("+"):
+                self._proxies.silence_open(way, drops_packets)
+
     def _begin_at_node(
         self, fault: schedule.Fault, node: gateway_world.Node
     ) -> None:
@@ -422,13 +442,11 @@
 
     def _end(self, fault: schedule.Fault) -> bool:
         """Ends a fault; returns whether it is over."""
-        if fault.kind in (schedule.Kind.HUSH, schedule.Kind.DEADLY):
-            # A silence lasts, but does not concern new connections.
-            self._crowd.sends_deadly &= fault.kind is schedule.Kind.HUSH
+        if fault.kind is schedule.Kind.DEADLY:
+            self._crowd.sends_deadly = False
             return True
-        if fault.kind in MODES:
-            self._modes[fault.target].remove(fault.kind)
-            self._set_mode(fault.target)
+        if fault.kind in LINK_KINDS:
+            self._end_at_links(fault)
             return True
         if fault.target in self._nodes:
             return self._end_at_node(fault, self._nodes[fault.target])
@@ -460,6 +478,14 @@
         self._store.send_signal(signal.SIGCONT)
         return True
 
+    def _end_at_links(self, fault: schedule.Fault) -> None:
+        if fault.kind is schedule.Kind.CUT:
+            self._views[fault.target].set_mode(proxy.Mode.PASS)
+        elif fault.kind is not schedule.Kind.HUSH:
+            # A silence of open connections lasts.
+            self._modes[fault.target].remove(fault.kind)
+            self._set_mode(fault.target)
+
     def _end_at_node(
         self, fault: schedule.Fault, node: gateway_world.Node
     ) -> bool:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -35,6 +35,8 @@
     RESTORE = "restore"
     # Open connections fall silent for good, while new ones work.
     HUSH = "hush"
+    # A node reaches no upstream; all others and the store reach it.
+    CUT = "cut"
 
 
 # A prompt part that crashes engines, and the mean share of such requests.
@@ -78,6 +80,11 @@
 HUSH_DROPS, HUSH_HOLDS = "drops", "holds"
 # Time in which a node is up to date after a silence.
 HUSH_S = 3.0
+# Cuts of single nodes from all upstreams, and how their connections fail.
+CUT_PER_S = 0.25
+SHORTEST_CUT_S = 1.0
+LONGEST_CUT_S = 6.0
+CUT_MODES = ("hang", "reset", "refuse")
 NODE_KINDS = (Kind.KILL, Kind.TERMINATE, Kind.FREEZE, Kind.RELOAD)
 LINK_KINDS = (Kind.DELAY, Kind.SILENCE, Kind.DEAF, Kind.RESET)
 UPSTREAM_KINDS = (Kind.KILL, Kind.FREEZE, Kind.DRAIN, *LINK_KINDS)
@@ -212,6 +219,23 @@
     return faults
 
 
+def draw_cuts(seed: int, seconds: float, nodes: list[str]) -> list[Fault]:
+    """Returns cuts of nodes from all upstreams; several may be cut at once."""
+    source = random.Random(f"{seed}/cuts")
+    faults = []
+    free_at = dict.fromkeys(nodes, QUIET_S)
+    for _ in range(max(2, round(seconds * CUT_PER_S))):
+        length = source.uniform(SHORTEST_CUT_S, LONGEST_CUT_S)
+        target = source.choice(nodes)
+        mode = source.choice(CUT_MODES)
+        at = source.uniform(QUIET_S, max(QUIET_S, seconds - length - QUIET_S))
+        if at < free_at[target]:
+            continue
+        free_at[target] = at + length
+        faults.append(Fault(at, Kind.CUT, target, length, mode))
+    return faults
+
+
 def draw_deadly(seed: int, seconds: float) -> Fault:
     """Returns the time in which callers send a part that crashes engines."""
     source = random.Random(f"{seed}/deadly")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,8 @@
 RESTORE_SEEDS = (951,)
 # Beside these, open connections of the nodes fall silent.
 HUSH_SEEDS = (1100,)
+# Beside these, nodes are cut off from all upstreams.
+CUT_SEEDS = (1200,)
 AT_ONCE = 2
 # Seeds that once failed, each with a line on its cause.
 REGRESSION_SEEDS = {
@@ -250,6 +252,9 @@
             hushes = schedule.draw_hushes(seed, 12.0)
             self.assertEqual(hushes, schedule.draw_hushes(seed, 12.0))
             kinds.update(fault.kind for fault in hushes)
+            cuts = schedule.draw_cuts(seed, 12.0, names[0])
+            self.assertEqual(cuts, schedule.draw_cuts(seed, 12.0, names[0]))
+            kinds.update(fault.kind for fault in cuts)
             deadly = schedule.draw_deadly(seed, 12.0)
             self.assertEqual(deadly, schedule.draw_deadly(seed, 12.0))
             self.assertLessEqual(deadly.end, 12.0)
@@ -292,6 +297,7 @@
             *CLOSING_SEEDS,
             *RESTORE_SEEDS,
             *HUSH_SEEDS,
+            *CUT_SEEDS,
         )
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
             results = list(pool.map(self._run, seeds))
@@ -306,6 +312,7 @@
             closing=seed in CLOSING_SEEDS,
             restores=seed in RESTORE_SEEDS,
             hushes=seed in HUSH_SEEDS,
+            cuts=seed in CUT_SEEDS,
         )
         soak = run.Soak(seed, size)
         try:
