Let removals count if only this node had lost the store

Cause: each node took its own loss of the store for an outage of the store.

A node that has the store back after a loss in which entries may expire asks another node at once. Messages state for how long a node has followed the store without such a gap; if another one did all the while, the store was not away, and removals count at once. Nodes of an older build do not state it, and change nothing.

test_removal_counts_if_only_this_node_had_lost_the_store failed before, as the entry was kept; entries that expired in an outage are kept as before.

--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -31,6 +31,7 @@
         updated_at: When the entry was last changed.
         first_seen_at: When this incarnation was first seen.
         cold_until: Until when it counts as cold.
+        removed_at: When its entry was last deleted.
         expires_at: When it stops being used; `None` while it is registered.
         backoff_until: Until when connection failures exclude it.
         full_until: Until when a refusal for lack of capacity excludes it.
@@ -55,6 +56,7 @@
     updated_at: float
     first_seen_at: float
     cold_until: float = 0.0
+    removed_at: float = float("-inf")
     expires_at: float | None = None
     backoff_until: float = 0.0
     full_until: float = 0.0
@@ -120,6 +122,19 @@
         """Records that the store is reachable again after an outage."""
         self._store_recovered_at = max(self._store_recovered_at, now)
 
+    def retract_store_recovery(self, at: float) -> None:
+        """Lets removals count at once, as the store was never away.
+
+        Args:
+            at: When its recovery was recorded; a later one still holds.
+        """
+        if self._store_recovered_at != at:
+            return
+        self._store_recovered_at = float("-inf")
+        for state in self._states.values():
+            if state.expires_at is not None:
+                state.expires_at = state.removed_at
+
     def register(
         self, upstream: forwarding.Upstream, now: float
     ) -> UpstreamState:
@@ -147,6 +162,7 @@
         state = self._states.get(identity)
         if state is None:
             return None
+        state.removed_at = now
         state.expires_at = max(
             now, self._store_recovered_at + self._reregistration_s
         )
--- a/sycamorehollow/shells/gateway/state_source.py
+++ b/sycamorehollow/shells/gateway/state_source.py
@@ -65,6 +65,10 @@
         self._telemetry = telemetry_sink
         self._rng = rng
         self._send_request = send_request
+        # When the store was back, and when it was lost, until another node
+        # tells that it was not away.
+        self._outage: tuple[float, float] | None = None
+        self._followed_since = float("inf")
         self._lapse_s = LAPSE_HEARTBEATS * settings.heartbeat_s
         self._loop = asyncio.get_running_loop()
         self._watch_task: store_tasks.WatchTask | None = None
@@ -88,9 +92,10 @@
             self._telemetry.log_event(
                 "store available, state {:.1f} s old", age_s
             )
-        self._watchers.record_fresh(as_of)
+        self.record_fresh(as_of)
         if self.store_lost and age_s >= self._lapse_s:
             self.record_recovery(now)
+            self._ask_for_outage(now, now - age_s)
         self.store_lost = False
         self.has_listing = True
 
@@ -105,6 +110,50 @@
             )
         self.store_lost = True
 
+    def record_fresh(self, as_of: float) -> None:
+        """Records that the node has all changes until `as_of`."""
+        now = time.monotonic()
+        if as_of - (now - self._watchers.compute_age_s(now)) >= self._lapse_s:
+            self._followed_since = as_of
+        self._watchers.record_fresh(as_of)
+
+    def compute_followed_s(self, now: float) -> float:
+        """Returns for how long no entry can have expired unseen."""
+        return min(MAX_AGE_S, max(0.0, now - self._followed_since))
+
+    def _ask_for_outage(self, now: float, lost_at: float) -> None:
+        """Asks a node whether it has lost the store as well."""
+        self._outage = now, lost_at
+        self._send_request(
+            self._watchers.choose_gossip_peer(
+                self._router.nodes, MAX_AGE_S, now
+            )
+        )
+
+    def record_followed(
+        self, followed_s: float, age_s: float, asked_at: float
+    ) -> None:
+        """Records for how long another node has followed the store.
+
+        If it did while this node could not, the store was not away, and what
+        was removed meanwhile has not just expired.
+
+        Args:
+            followed_s: Time for which it has, until now.
+            age_s: Age of its state.
+            asked_at: When it was asked.
+        """
+        if self._outage is None or age_s >= self._lapse_s:
+            return
+        recovered_at, lost_at = self._outage
+        if asked_at < recovered_at or asked_at - followed_s > lost_at:
+            return
+        self._outage = None
+        self._router.directory.retract_store_recovery(recovered_at)
+        self._telemetry.record_state_change(
+            "store", "was not away, removals count at once", "another node"
+        )
+
     def record_recovery(self, now: float) -> None:
         """Records that the store is back after an outage."""
         self.recovered_at = now
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -304,6 +304,7 @@
             "since": self._mirror.revision,
             "era": self._mirror.era,
             "age_s": self._source.compute_age_s(now),
+            "followed_s": self._source.compute_followed_s(now),
             "store_back_s": min(
                 state_source.MAX_AGE_S, now - self._source.recovered_at
             ),
@@ -352,7 +353,11 @@
             is_current = document.get("era", 0) >= self._mirror.era
             if asked_at is not None and is_current:
                 # The other node stated its age after it was asked.
-                self._watchers.record_fresh(asked_at - float(document["age_s"]))
+                age_s = float(document["age_s"])
+                self._source.record_fresh(asked_at - age_s)
+                # Nodes of an older version do not state it.
+                followed_s = float(document.get("followed_s", 0.0))
+                self._source.record_followed(followed_s, age_s, asked_at)
             # Entries may have expired while the other node had no connection
             # to the store. A loss that only this node sees proves nothing.
             back_at = now - float(document["store_back_s"])
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -106,6 +106,27 @@
         await self._deliver(store_tasks.StoreChanged(gone, time.monotonic()))
         self.assertEqual(self._count_usable(), 1)
 
+    async def test_removal_counts_if_only_this_node_had_lost_the_store(self):
+        failure = stores.InDoubt("no answer within 1.05 s")
+        await self._deliver(store_tasks.StoreCallFailed(failure))
+        await asyncio.sleep(2.0)
+        gone = stores.Changes((stores.Change("servers/a", None, 6),), 6)
+        await self._deliver(store_tasks.StoreChanged(gone, time.monotonic()))
+        self.assertEqual(self._count_usable(), 1)
+        for followed_s, age_s, usable in (
+            (1.0, 0.0, 1),
+            (60.0, 3.0, 1),
+            (60.0, 0.2, 0),
+        ):
+            await self._deliver_response(followed_s=followed_s, age_s=age_s)
+            self.assertEqual(self._count_usable(), usable)
+
+    async def test_age_and_continuity_are_stated(self):
+        await asyncio.sleep(0.3)
+        document = peer_messages.decode(await self._request_sync(5))
+        self.assertGreaterEqual(document["followed_s"], 0.3)
+        self.assertLess(document["followed_s"], 5.0)
+
     async def test_entry_that_lapsed_with_the_store_is_kept_a_while(self):
         gone = {"entries": [["servers/a", None, 6]], "revision": 6}
         await self._deliver_response(
