--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -21,6 +21,7 @@
     """Server that sends one prepared response per request; records requests."""
 
     def __init__(self, case):
+        self.accepted = 0
         self.requests = []
         self.responses = []
         self.pause_s = 0.0
@@ -35,6 +36,7 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            self.accepted += 1
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
             ).start()
@@ -127,6 +129,33 @@
                 if sent is not None:
                     self.assertEqual(json.loads(body), sent)
 
+    def test_connections_from_before_a_silence_are_not_used_again(self):
+        slow = reply(200, {"events": [], "revision": 9})
+        for fails in (
+            lambda: self.assertIsInstance(self._write(None), stores.InDoubt),
+            self.client.discard_connections,
+        ):
+            with self.subTest(fails):
+                # Two calls at once, so that two connections are kept.
+                self.server.responses.extend([slow, slow])
+                self.server.pause_s = 0.005
+                threads = [
+                    threading.Thread(
+                        target=self.client.watch, args=("a", 6, 1.0)
+                    )
+                    for _ in range(2)
+                ]
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+                self.server.pause_s = 0.0
+                fails()
+                accepted = self.server.accepted
+                result = self._write(reply(200, {"revision": 9}))
+                self.assertEqual(result, stores.Written(9))
+                self.assertEqual(self.server.accepted, accepted + 1)
+
     def test_refused_connection_means_nothing_was_sent(self):
         with socket.create_server(("127.0.0.1", 0)) as listener:
             url = "http://127.0.0.1:%d" % listener.getsockname()[1]
