Do not survey upstreams while new connections work

What callers would see: each request that finds its upstream dead waits up to 0.25 s for a survey before it goes elsewhere, and each crash opens 16 connections a second at every node.

Cause: any failed connection started a survey, and it waited for the slowest of its connections.

A response on a connection that was opened for it shows for 0.5 s that the node is not isolated; responses on kept connections do not, as these may live on while new ones are refused. A survey ends with the first upstream that it reaches.

--- a/sycamorehollow/decisions/forwarding/isolation.py
+++ b/sycamorehollow/decisions/forwarding/isolation.py
@@ -20,6 +20,9 @@
 SURVEY_INTERVAL_S = 0.5
 # Time for which the result of a survey is not asked for again.
 SURVEY_TTL_S = 0.25
+# Time for which a response on a new connection shows that the node is not
+# isolated, whatever has become of another upstream.
+REACHED_TTL_S = 0.5
 # Time for which a node that could not help is not asked again.
 HELPER_BACKOFF_S = 2.0
 
@@ -43,9 +46,19 @@
         self.is_confirmed = False
         self._rng = rng
         self._surveyed_at = float("-inf")
+        self._reached_at = float("-inf")
+
+    def record_reached(self, now: float) -> None:
+        """Records a response on a connection that was opened for it.
+
+        Responses on kept connections do not show that new ones work.
+        """
+        self._reached_at = now
 
     def needs_survey(self, now: float) -> bool:
         """Returns whether a failed connection calls for a survey."""
+        if now - self._reached_at < REACHED_TTL_S:
+            return False
         return now - self._surveyed_at >= SURVEY_TTL_S
 
     def is_survey_due(self, now: float) -> bool:
@@ -76,12 +89,12 @@
         return chosen
 
     def record_survey(
-        self, reached: int, has_open_connections: bool, now: float
+        self, is_reached: bool, has_open_connections: bool, now: float
     ) -> bool:
         """Records the result of a survey.
 
         Args:
-            reached: Number of upstreams that it has reached.
+            is_reached: Whether it has reached any upstream.
             has_open_connections: Whether others were open already.
             now: Monotonic time in seconds.
 
@@ -89,7 +102,7 @@
             Whether the node has become isolated or has ceased to be.
         """
         before = self.is_isolated
-        self.is_isolated = reached == 0
+        self.is_isolated = not is_reached
         self.is_confirmed = self.is_confirmed and self.is_isolated
         self.has_open_connections = has_open_connections
         self._surveyed_at = now
--- a/sycamorehollow/shells/gateway/isolation_survey.py
+++ b/sycamorehollow/shells/gateway/isolation_survey.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import telemetry
@@ -28,6 +29,10 @@
         self._telemetry = telemetry_sink
         self._task: asyncio.Task[None] | None = None
 
+    def record_reached(self) -> None:
+        """Records a response on a connection that was opened for it."""
+        self._router.isolation.record_reached(time.monotonic())
+
     async def confirm(self) -> None:
         """Finds out whether a failed connection is due to isolation."""
         if self._task is None:
@@ -60,20 +65,33 @@
         sample = isolation.choose_sample(self._router.directory.list_all())
         if not sample:
             return
-        results = await asyncio.gather(
-            *(self._pool.can_hold_connection(s.upstream) for s in sample)
-        )
-        reached = sum(results)
+        is_reached = await self._reaches_any(sample)
         has_open = self._pool.has_idle()
         was_isolated = isolation.is_isolated
-        if isolation.record_survey(reached, has_open, time.monotonic()):
+        now = time.monotonic()
+        if isolation.record_survey(is_reached, has_open, now):
             if was_isolated:
                 self._router.directory.forget_connection_failures()
             asked = ",".join(state.upstream.identity for state in sample)
             self._telemetry.record_state_change(
                 "isolation",
                 "reaches upstreams again"
-                if reached
+                if is_reached
                 else "reaches no upstream, requests go through other nodes",
-                f"survey of {asked}, {reached} reached",
+                f"survey of {asked}",
             )
+
+    async def _reaches_any(self, states: list[directory.UpstreamState]) -> bool:
+        """Tells whether any upstream keeps a new connection open."""
+        probes = [
+            asyncio.create_task(self._pool.can_hold_connection(s.upstream))
+            for s in states
+        ]
+        try:
+            for probe in asyncio.as_completed(probes):
+                if await probe:
+                    return True
+            return False
+        finally:
+            for task in probes:
+                task.cancel()
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -132,10 +132,13 @@
                 self._lifecycle.route.is_retryable,
                 lambda: self._lifecycle.may_resend(time.monotonic()),
             )
+            is_new = not connection.has_sent_request
             connection.send_request(
                 self._lifecycle.request.request_id, self._encoder.encode(step)
             )
             head = await self._wait_for(connection, connection.read_head)
+            if is_new and not through_node:
+                self._survey.record_reached()
             verdict = self._evaluate_head(step, connection, head)
             if verdict is steps.Verdict.DELIVER:
                 await self._relay_response(connection, head)
--- a/tests/test_forwarding_isolation.py
+++ b/tests/test_forwarding_isolation.py
@@ -27,7 +27,7 @@
     for number in range(nodes):
         node = watchers.Node(f"127.0.0.1:{100 + number}", f"dc-{1 + number}")
         built.apply_event(updates.NodeSet(f"n{number}", node), 0.0)
-    built.isolation.record_survey(0, False, 0.0)
+    built.isolation.record_survey(False, False, 0.0)
     return built
 
 
@@ -72,12 +72,19 @@
 
     def test_one_upstream_that_is_reached_ends_it(self):
         looked = isolation.Isolation(random.Random(1))
-        self.assertTrue(looked.record_survey(0, False, 1.0))
+        self.assertTrue(looked.record_survey(False, False, 1.0))
         self.assertFalse(looked.is_survey_due(1.1))
         self.assertTrue(looked.is_survey_due(1.0 + isolation.SURVEY_INTERVAL_S))
-        self.assertTrue(looked.record_survey(1, False, 2.0))
+        self.assertTrue(looked.record_survey(True, False, 2.0))
         self.assertFalse(looked.is_isolated)
 
+    def test_response_on_a_new_connection_makes_a_survey_needless(self):
+        looked = isolation.Isolation(random.Random(1))
+        self.assertTrue(looked.needs_survey(1.0))
+        looked.record_reached(1.0)
+        self.assertFalse(looked.needs_survey(1.1))
+        self.assertTrue(looked.needs_survey(1.0 + isolation.REACHED_TTL_S))
+
     def test_helpers_of_the_own_data_centre_come_first(self):
         nodes = {
             f"n{number}": watchers.Node("127.0.0.1:9", f"dc-{number % 2}")
@@ -176,7 +183,7 @@
         for is_isolated in (True, False):
             built = build_isolated_router()
             if not is_isolated:
-                built.isolation.record_survey(1, False, 0.0)
+                built.isolation.record_survey(True, False, 0.0)
             before = built.retry_budget.count_remaining("llm", 0.0)
             build_lifecycle(built).choose_next_step(0.0)
             after = built.retry_budget.count_remaining("llm", 0.0)
--- a/tests/test_gateway_breaks.py
+++ b/tests/test_gateway_breaks.py
@@ -289,7 +289,7 @@
     async def test_upstreams_that_others_reach_are_not_counted(self):
         for listener in self.listeners:
             listener.close()
-        self.router.isolation.record_survey(0, False, time.monotonic())
+        self.router.isolation.record_survey(False, False, time.monotonic())
         # A request has been served through another node meanwhile.
         self.router.isolation.is_confirmed = True
         self.assertFalse(await self._is_quarantined())
