Do not take changes of another era for a fresh state

What callers would see: an old configuration after a restore of the store, at nodes that state a fresh state and so do not turn to others.

Cause: an answer of a watch that begins another era is not applied, as it lacks what was lost, but it counted as proof that nothing is missing.

Such an answer changes neither the state nor its age.

test_changes_of_another_era_do_not_renew_the_state failed before.

--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -193,6 +193,8 @@
                 if not is_restored:
                     self._store_writer.register_node()
             case store_tasks.StoreChanged():
+                if not self._contents.can_apply(event.changes):
+                    return
                 self._source.record_store_answer(event.as_of)
                 self._contents.apply_changes(event.changes)
             case store_tasks.StoreCallFailed():
--- a/sycamorehollow/shells/gateway/store_contents.py
+++ b/sycamorehollow/shells/gateway/store_contents.py
@@ -51,11 +51,16 @@
         self._apply(self.mirror.replace(entries, listing.revision, era), source)
         return False
 
+    def can_apply(self, changes: stores.Changes) -> bool:
+        """Returns whether the result of a watch is of the known era.
+
+        One of a later era lacks what was lost, and one of an earlier era what
+        another node has told since.
+        """
+        return changes.era in (None, self.mirror.era)
+
     def apply_changes(self, changes: stores.Changes) -> None:
-        """Applies the result of a watch."""
-        if changes.era not in (None, self.mirror.era):
-            # Another node has told of another era since the watch began.
-            return
+        """Applies the result of a watch of the known era."""
         entries = [
             mirror.Entry(c.key, c.value, c.revision) for c in changes.changes
         ]
--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -121,6 +121,13 @@
             await self._deliver_response(followed_s=followed_s, age_s=age_s)
             self.assertEqual(self._count_usable(), usable)
 
+    async def test_changes_of_another_era_do_not_renew_the_state(self):
+        await asyncio.sleep(0.4)
+        other = stores.Changes((), 5, era=7)
+        await self._deliver(store_tasks.StoreChanged(other, time.monotonic()))
+        document = peer_messages.decode(await self._request_sync(5))
+        self.assertGreaterEqual(document["age_s"], 0.4)
+
     async def test_age_and_continuity_are_stated(self):
         await asyncio.sleep(0.3)
         document = peer_messages.decode(await self._request_sync(5))
