Write a node's entry again that the store lost right after it was written

What operators would see: a node that is not registered any more after the store was restored from a copy, so that other nodes do not ask it.

Cause: a node writes its entry once a second at most, and a restore within that second found it still waiting; the write was dropped, not put off.

The write is put off until it may be made.

--- a/sycamorehollow/shells/gateway/store_writer.py
+++ b/sycamorehollow/shells/gateway/store_writer.py
@@ -60,8 +60,14 @@
     def register_node(self) -> None:
         """Writes this node's entry unless the store has it."""
         item = self._codec.encode_node(self._node, self._own_node)
-        if self._mirror.get_value(item.key) != item.value:
-            self._write(item)
+        if self._mirror.get_value(item.key) == item.value:
+            return
+        delay_s = self._next_write_at.get(item.key, 0.0) - time.monotonic()
+        if delay_s > 0:
+            # The store may have lost the entry that was written just now.
+            self._loop.call_later(delay_s, self.register_node)
+            return
+        self._write(item)
 
     def write_rollout_status(
         self, rollout: rollout_records.Rollout, now: float
