Close kept connections to other nodes when they expire

Connections of the detour were closed only when the next request looked for one, so a node that was isolated once kept them until the other node closed them.

--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -306,6 +306,7 @@
         self._crash_checker.start_due_checks()
         self._survey.start_if_due()
         self._pool.close_expired()
+        self._forwarder.close_expired()
 
     def _read_settings_mtime(self) -> float:
         with contextlib.suppress(FileNotFoundError):
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -75,6 +75,10 @@
             codec.decode_response, lambda _: True
         )
 
+    def close_expired(self) -> None:
+        """Closes kept connections to other nodes that are not used any more."""
+        self._node_pool.close_expired()
+
     async def handle(
         self,
         connection: caller_connections.CallerConnection,
