--- a/tests/test_gateway_state_sync.py
+++ b/tests/test_gateway_state_sync.py
@@ -330,7 +330,8 @@
         await self._deliver_response()
         self.peers.send_request.reset_mock()
         self.state_sync.run_periodic_work()
-        await asyncio.sleep(state_source.SECOND_REQUEST_DELAY_S + 0.1)
+        # Half of the second after which a request has failed.
+        await asyncio.sleep(0.5)
         calls = self.peers.send_request.call_args_list
         self.assertEqual(len({call.args[1] for call in calls}), 2)
         # Whoever responds first ends the search.
