Prove a new version on each route and with each model before it is completed

Cause: failures were counted in one sum over all routes. A failure of a fifth of one of three routes raises the sum by a few percent, which the likelihood ratio test for an increase by 0.2 takes for evidence in favour of the version. Ruled out: a lack of failures on the route (nodes saw 3 to 4 of 8 to 19 responses before half of the order), messages that are lost, an upstream of its own.

Now failures are counted by route, model and eighth of the upstreams, each route and each model is tested by itself, and all of them have to be proven before the version gets all requests. What an unproven version may get is a budget of requests. Failures at one upstream no longer count as the version's, in the pooled test either. A completed version is still looked at; a failure is logged once. Nodes of older builds pass the new message part over; their proofs do not count, their requests count against the budget.

Tests that call `record_response` name the origin of the response now, and the simulated fleets exchange counts by route and know the tolerated number that their check of the exposure has always added.

--- a/sycamorehollow/decisions/forwarding/canary.py
+++ b/sycamorehollow/decisions/forwarding/canary.py
@@ -5,50 +5,26 @@
 fails more often or responds more slowly than the version in service, each node
 that detects it stops the roll-out at once. A sound version is ramped up and
 completed before the time of its order is over.
+
+A version may be bad on one route only. It is therefore tested on each route and
+with each model as well as on all responses together, and it gets all requests
+only once each of them is proven sound. A version that is not proven in time
+keeps a share that the tolerated exposure covers, and is not completed.
 """
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import math
 import zlib
 
 from sycamorehollow.decisions.forwarding import failure_counts
+from sycamorehollow.decisions.forwarding import failure_evidence
 from sycamorehollow.decisions.forwarding import response_times
+from sycamorehollow.decisions.forwarding import rollout_evaluation
+from sycamorehollow.decisions.forwarding import rollout_ramp
 from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.model import forwarding
 
-# Share of the tolerated exposure that a version gets at most before the
-# ramp-up. Assigning the new version moves open sessions to it, so the share is
-# halved while it yields more than twice the rate of responses that the
-# evaluation needs.
-FIRST_SHARE = 0.55
-TARGET_RESPONSES_PER_S = 4.0
-# Responses that short orders need before the ramp-up, twice the number that
-# proves a version sound.
-MIN_TARGET_RESPONSES = 24
-# Each node first measures the response rate for this long, limited to this
-# fraction of the order's duration.
-RATE_SAMPLING_S = 2.0
-RATE_SAMPLING_FRACTION = 0.1
-# Fraction of the duration at which the ramp-up starts.
-RAMP_START_FRACTION = 0.5
-# Fractions of the duration at which a sound version gets all requests and at
-# which the roll-out is completed. Completion stops the upstreams of the other
-# version at once, so their streams need the time in between to finish.
-RAMP_END_FRACTION = 0.7
-COMPLETION_FRACTION = 0.88
-# Traffic share at the end of the ramp-up, just before the switch to all.
-RAMP_END_SHARE = 0.5
-# Log likelihood ratio below which a version counts as sound and is ramped up;
-# takes about a dozen responses without a failure.
-SOUND_LOG_RATIO = -math.log(10)
-# Classified latencies of the new version needed before it can count as sound.
-MIN_LATENCIES = 10
-# Failures are also evaluated over the latest seconds alone, so that a version
-# that degrades late is detected as fast as one that fails from the start.
-WINDOW_S = 6.0
-
 
 class Rollouts:
     """All roll-outs that have orders.
@@ -56,11 +32,13 @@
     Args:
         node: Name of this node.
         exposure: Share of the requests that a faulty version may get.
+        slack: Requests that it may get in addition.
     """
 
-    def __init__(self, node: str, exposure: float):
+    def __init__(self, node: str, exposure: float, slack: float = 0.0):
         self._node = node
         self._exposure = exposure
+        self._slack = slack
         self._node_count = 1
         self._rollouts: dict[str, rollout_records.Rollout] = {}
 
@@ -68,9 +46,10 @@
         """Sets how many nodes serve requests."""
         self._node_count = max(1, nodes)
 
-    def configure(self, exposure: float) -> None:
-        """Applies a changed exposure limit."""
+    def configure(self, exposure: float, slack: float) -> None:
+        """Applies changed exposure limits."""
         self._exposure = exposure
+        self._slack = slack
 
     def set_order(self, order: forwarding.RolloutOrder, now: float) -> None:
         """Starts the roll-out of an operator's order unless it is known."""
@@ -120,12 +99,19 @@
         """Returns the roll-outs that have not ended."""
         return [r for r in self._rollouts.values() if r.state not in _ENDED]
 
-    def record_response(self, service: str, version: str, failed: bool) -> None:
+    def record_response(
+        self,
+        service: str,
+        version: str,
+        origin: failure_evidence.Origin,
+        failed: bool,
+    ) -> None:
         """Counts a response of a service."""
         rollout = self._rollouts.get(service)
-        if rollout is None or rollout.state in _ENDED:
+        if rollout is None or rollout.state is _ROLLED_BACK:
             return
         new = version == rollout.order.target
+        rollout.failures.record(self._node, origin, new, failed)
         one = failure_counts.Tally(
             int(new), int(new and failed), int(not new), int(failed and not new)
         )
@@ -179,12 +165,6 @@
         if report.first_share is not None:
             known_share = rollout.first_share or report.first_share
             rollout.first_share = min(known_share, report.first_share)
-        if (
-            report.sound_s is not None
-            and not rollout.evidence.is_possibly_slow()
-        ):
-            sound_at = now - report.sound_s
-            rollout.sound_at = min(rollout.sound_at or sound_at, sound_at)
         # A node that restarted during the roll-out lacks its real start time.
         rollout.started_at = min(rollout.started_at, now - report.age_s)
         for node, tally in report.tallies.items():
@@ -194,6 +174,38 @@
             if tally.new + tally.old > existing.new + existing.old:
                 rollout.tallies[node] = tally
 
+    def export_routes(self, now: float) -> list[rollout_records.RouteReport]:
+        """Returns what is known by route of all running roll-outs."""
+        return [
+            rollout_records.RouteReport(
+                rollout.order.service,
+                rollout.order.revision,
+                None if rollout.sound_at is None else now - rollout.sound_at,
+                None if rollout.proven_at is None else now - rollout.proven_at,
+                rollout.failures.counts,
+            )
+            for rollout in self.list_running()
+        ]
+
+    def merge_routes(
+        self, report: rollout_records.RouteReport, now: float
+    ) -> None:
+        """Merges what another node knows by route."""
+        rollout = self._rollouts.get(report.service)
+        if rollout is None or rollout.order.revision != report.revision:
+            return
+        for node, routes in report.counts.items():
+            if node != self._node:
+                rollout.failures.merge(node, routes)
+        if rollout.evidence.is_possibly_slow():
+            return
+        if report.sound_s is not None:
+            sound_at = now - report.sound_s
+            rollout.sound_at = min(rollout.sound_at or sound_at, sound_at)
+        if report.proven_s is not None:
+            proven_at = now - report.proven_s
+            rollout.proven_at = min(rollout.proven_at or proven_at, proven_at)
+
     def merge_slowness(
         self,
         service: str,
@@ -209,35 +221,28 @@
                 rollout.evidence.merge(node, routes)
 
     def evaluate(self, now: float) -> list[rollout_records.Rollout]:
-        """Evaluates all roll-outs; returns those newly found to be worse."""
+        """Evaluates all roll-outs; returns those newly found to be worse.
+
+        A completed version is in the result as well, although nothing is left
+        to go back to.
+        """
         found = []
         for rollout in self._rollouts.values():
-            if rollout.state in _ENDED or rollout.worse:
+            if rollout.state is _ROLLED_BACK:
+                continue
+            if rollout.worse or rollout.reason:
                 continue
             total = rollout.sum_counts()
-            rollout.history = [
-                entry for entry in rollout.history if entry[0] >= now - WINDOW_S
-            ]
-            base = (
-                rollout.history[0][1]
-                if rollout.history
-                else failure_counts.Tally()
-            )
-            rollout.history.append((now, total))
-            rollout.reason = rollout.evidence.evaluate()
-            for tally in (total, total.minus(base)):
-                if failure_counts.is_worse(tally):
-                    rollout.reason = f"failed responses: {tally}"
+            is_running = rollout.state not in _ENDED
+            rollout.reason = rollout_evaluation.find_defect(rollout, total, now)
+            if is_running and not rollout.reason:
+                rollout_evaluation.update_proofs(rollout, total, now)
+                rollout.reason = rollout_evaluation.find_overdraft(
+                    rollout, total, self._exposure, self._slack, now
+                )
             if rollout.reason:
-                rollout.worse = True
+                rollout.worse = is_running
                 found.append(rollout)
-            elif rollout.sound_at is None and _is_sound(rollout, total):
-                rollout.sound_at = now
-            elif (
-                rollout.evidence.is_possibly_slow()
-                and not _may_have_ramped_up(rollout, now)
-            ):
-                rollout.sound_at = None
         return found
 
     def compute_share(self, service: str, now: float) -> float:
@@ -251,16 +256,9 @@
             return 0.0
         if rollout.worse:
             return 0.0
-        first_share = self._find_first_share(rollout, now)
-        progress = self._compute_progress(rollout, now)
-        if progress <= RAMP_START_FRACTION:
-            return first_share
-        if progress >= RAMP_END_FRACTION:
-            return 1.0
-        ramped = (progress - RAMP_START_FRACTION) / (
-            RAMP_END_FRACTION - RAMP_START_FRACTION
-        )
-        return first_share + (RAMP_END_SHARE - first_share) * ramped
+        if not self._knows_first_share(rollout, now):
+            return 0.0
+        return rollout_ramp.compute_share(rollout, self._exposure, now)
 
     def get_assignment_share(
         self, service: str, version: str, session: str | None, now: float
@@ -292,7 +290,7 @@
             return None
         if rollout.worse:
             return forwarding.RolloutState.ROLLED_BACK
-        if self._compute_progress(rollout, now) >= COMPLETION_FRACTION:
+        if rollout_ramp.is_completion_due(rollout, now):
             return forwarding.RolloutState.COMPLETED
         if rollout.state is None:
             return forwarding.RolloutState.RUNNING
@@ -319,73 +317,21 @@
             rollout.state not in _ENDED and rollout.evidence.is_possibly_slow()
         )
 
-    def _find_first_share(
+    def _knows_first_share(
         self, rollout: rollout_records.Rollout, now: float
-    ) -> float:
+    ) -> bool:
+        """Chooses the first share once the response rate was measured."""
         if rollout.first_share is not None:
-            return rollout.first_share
+            return True
         age_s = now - rollout.started_at
-        sampling_s = min(
-            RATE_SAMPLING_S, RATE_SAMPLING_FRACTION * rollout.order.duration_s
-        )
-        if age_s < sampling_s:
-            return 0.0
+        if age_s < rollout_ramp.compute_sampling_s(rollout):
+            return False
         own = rollout.tallies.get(self._node, failure_counts.Tally())
         rate = (own.new + own.old) * self._node_count / max(age_s, 0.001)
-        share = self._exposure * FIRST_SHARE
-        proof_s = RAMP_START_FRACTION * rollout.order.duration_s - sampling_s
-        evidence = max(
-            TARGET_RESPONSES_PER_S, MIN_TARGET_RESPONSES / max(proof_s, 0.001)
+        rollout.first_share = rollout_ramp.choose_first_share(
+            rollout, self._exposure, rate
         )
-        while share * rate > 2 * evidence:
-            share /= 2
-        rollout.first_share = share
-        return share
-
-    def _compute_progress(
-        self, rollout: rollout_records.Rollout, now: float
-    ) -> float:
-        """Returns the elapsed fraction of the duration that sets the share.
-
-        Stays at `RAMP_START_FRACTION` until the version is sound, so that a
-        late proof is still followed by the complete ramp-up.
-        """
-        duration_s = max(rollout.order.duration_s, 0.001)
-        progress = (now - rollout.started_at) / duration_s
-        if progress <= RAMP_START_FRACTION:
-            return progress
-        if rollout.sound_at is None:
-            return RAMP_START_FRACTION
-        proven_at = (rollout.sound_at - rollout.started_at) / duration_s
-        return progress - max(0.0, proven_at - RAMP_START_FRACTION)
-
-
-def _may_have_ramped_up(rollout: rollout_records.Rollout, now: float) -> bool:
-    """Returns whether the ramp-up may have started."""
-    return (
-        now - rollout.started_at
-        > RAMP_START_FRACTION * rollout.order.duration_s
-    )
-
-
-def _is_sound(
-    rollout: rollout_records.Rollout, total: failure_counts.Tally
-) -> bool:
-    """Returns whether the version is proven neither to fail nor to be slow."""
-    if rollout.evidence.is_possibly_slow():
-        return False
-    if failure_counts.compute_log_likelihood_ratio(total) > SOUND_LOG_RATIO:
-        return False
-    times = rollout.evidence.sum_counts()
-    if sum(times.new) < MIN_LATENCIES:
-        return False
-    slow = failure_counts.Tally(
-        sum(times.new), sum(times.new_slow), times.old, times.old_slow
-    )
-    return (
-        min(times.scores[0], failure_counts.compute_log_likelihood_ratio(slow))
-        <= SOUND_LOG_RATIO
-    )
+        return True
 
 
 def is_assigned(service: str, session: str, share: float) -> bool:
@@ -406,7 +352,5 @@
     return running - {target}, running & {target}
 
 
-_ENDED = (
-    forwarding.RolloutState.COMPLETED,
-    forwarding.RolloutState.ROLLED_BACK,
-)
+_ROLLED_BACK = forwarding.RolloutState.ROLLED_BACK
+_ENDED = (forwarding.RolloutState.COMPLETED, _ROLLED_BACK)
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -10,6 +10,7 @@
 from sycamorehollow.decisions.forwarding import detour
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import failover
+from sycamorehollow.decisions.forwarding import failure_evidence
 from sycamorehollow.decisions.forwarding import part_guard
 from sycamorehollow.decisions.forwarding import placement
 from sycamorehollow.decisions.forwarding import rejections
@@ -346,7 +347,12 @@
             return steps.Verdict.RETRY
         upstream = attempt.state.upstream
         self._router.rollouts.record_response(
-            self.service.name, upstream.version, failed
+            self.service.name,
+            upstream.version,
+            failure_evidence.Origin(
+                self.route.name, attempt.model, upstream.identity
+            ),
+            failed,
         )
         self._router.placement.latency.record(
             upstream.identity,
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -107,7 +107,9 @@
         self.retry_budget = retry_budget.RetryBudget(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
         )
-        self.rollouts = canary.Rollouts(run, settings.exposure_share)
+        self.rollouts = canary.Rollouts(
+            run, settings.exposure_share, settings.exposure_floor
+        )
         self.response_times = response_times.ResponseTimes(
             self.rollouts.is_in_service, self.rollouts.record_latency
         )
@@ -187,7 +189,9 @@
         self.retry_budget.configure(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
         )
-        self.rollouts.configure(settings.exposure_share)
+        self.rollouts.configure(
+            settings.exposure_share, settings.exposure_floor
+        )
 
     def evict_expired(self, now: float) -> list[str]:
         """Evicts expired state; returns the identities of removed upstreams."""
--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -28,6 +28,7 @@
     # Not a minimum: retries allowed in addition to the ratio, over all nodes.
     budgetMinRetries: float = pydantic.Field(ge=0)  # noqa: N815
     exposeShare: float = pydantic.Field(1.0, gt=0, le=1)  # noqa: N815
+    exposeSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
     coldOverage: float = pydantic.Field(1.0, gt=0)  # noqa: N815
     coldSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
     # Time within which processing a shared part of a prompt again is billed.
@@ -124,4 +125,5 @@
         reuse_s=bounds.reuseWindowS,
         link_mbps=file.limits.linkMbps,
         heartbeat_s=file.heartbeatMs / 1000,
+        exposure_floor=bounds.exposeSlack,
     )
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -35,6 +35,8 @@
         link_mbps: Rate of the VM's network link in Mbit/s; 0 if unknown.
         heartbeat_s: Interval at which upstreams renew their entries in the
             store; 0 if unknown.
+        exposure_floor: Requests that a faulty new version may receive in
+            addition to its share.
     """
 
     node: str
@@ -56,6 +58,7 @@
     reuse_s: float
     link_mbps: float = 0.0
     heartbeat_s: float = 0.0
+    exposure_floor: float = 0.0
 
     @property
     def peer_address(self) -> str:
--- a/sycamorehollow/shells/gateway/rollout_messages.py
+++ b/sycamorehollow/shells/gateway/rollout_messages.py
@@ -5,6 +5,7 @@
 
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import failure_counts
+from sycamorehollow.decisions.forwarding import failure_evidence
 from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import slowness
 
@@ -40,6 +41,19 @@
             }
             for rollout in rollouts.list_running()
         ],
+        "route_failures": [
+            {
+                "service": report.service,
+                "revision": report.revision,
+                "sound_s": report.sound_s,
+                "proven_s": report.proven_s,
+                "counts": {
+                    node: _encode_routes(routes)
+                    for node, routes in report.counts.items()
+                },
+            }
+            for report in rollouts.export_routes(now)
+        ],
     }
 
 
@@ -65,3 +79,44 @@
             for node, routes in entry["counts"].items()
         }
         rollouts.merge_slowness(entry["service"], entry["revision"], counts)
+    for entry in document.get("route_failures", ()):
+        rollouts.merge_routes(
+            rollout_records.RouteReport(
+                entry["service"],
+                entry["revision"],
+                entry["sound_s"],
+                entry["proven_s"],
+                {
+                    node: _decode_routes(routes)
+                    for node, routes in entry["counts"].items()
+                },
+            ),
+            now,
+        )
+
+
+def _encode_routes(
+    routes: Mapping[str, Mapping[str, failure_evidence.Counts]],
+) -> dict[str, dict[str, list[int]]]:
+    """Returns the counts of one node by route and model."""
+    return {
+        route: {model: counts.encode() for model, counts in models.items()}
+        for route, models in routes.items()
+    }
+
+
+def _decode_routes(
+    routes: Mapping[str, Mapping[str, list[int]]],
+) -> dict[str, dict[str, failure_evidence.Counts]]:
+    """Decodes the result of `_encode_routes`.
+
+    Raises:
+        AttributeError, TypeError, ValueError: It is malformed.
+    """
+    return {
+        route: {
+            model: failure_evidence.decode(values)
+            for model, values in models.items()
+        }
+        for route, models in routes.items()
+    }
--- a/tests/test_forwarding_canary.py
+++ b/tests/test_forwarding_canary.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies
 
 from sycamorehollow.decisions.forwarding import canary
+from sycamorehollow.decisions.forwarding import failure_evidence
 from sycamorehollow.decisions.forwarding import response_times
+from sycamorehollow.decisions.forwarding import rollout_ramp
 from sycamorehollow.decisions.forwarding import rollout_records
 from sycamorehollow.decisions.forwarding import router
 from sycamorehollow.decisions.forwarding import updates
@@ -20,11 +22,12 @@
 NODES = 9
 RATE_PER_S = 30
 SYNC_S = 1.0
+ORIGIN = failure_evidence.Origin("r-1", "small", "a")
 
 
 def record_response(rollouts, version, failed):
     """Records a response and its classified latency."""
-    rollouts.record_response("s", version, failed)
+    rollouts.record_response("s", version, ORIGIN, failed)
     route = forwarding_world.build_route()
     labels = response_times.AttemptLabels(
         "s", version, route, "small", "a", 0, 0.1
@@ -58,7 +61,7 @@
         self.ended_at = None
         order = forwarding.RolloutOrder("s", "v2", duration_s, 5)
         for number in range(nodes):
-            rollouts = canary.Rollouts(f"n{number}", EXPOSURE)
+            rollouts = canary.Rollouts(f"n{number}", EXPOSURE, FLOOR)
             rollouts.set_node_count(nodes)
             rollouts.set_order(order, 0.0)
             self.nodes.append(rollouts)
@@ -103,6 +106,8 @@
                 sink.merge(report, now)
             for rollout in source.list_running():
                 sink.merge_slowness("s", 5, rollout.evidence.counts)
+            for report in source.export_routes(now):
+                sink.merge_routes(report, now)
 
 
 class RolloutTest(unittest.TestCase):
@@ -159,9 +164,10 @@
         order = forwarding.RolloutOrder("s", "v2", DURATION_S, 5)
         rollouts.set_order(order, 0.0)
         for number in range(120):
-            rollouts.record_response("s", "v1", False)
+            rollouts.record_response("s", "v1", ORIGIN, False)
             if number % 10 == 0:
-                rollouts.record_response("s", "v2", number in (40, 90))
+                failed = number in (40, 90)
+                rollouts.record_response("s", "v2", ORIGIN, failed)
         for tenth in range(240):
             now = tenth * 0.1
             self.assertLessEqual(rollouts.compute_share("s", now), EXPOSURE)
@@ -193,7 +199,7 @@
             node = router.Router(settings, random.Random(run)).rollouts
             node.set_order(order, float(run))
             for _ in range(5 - run):
-                node.record_response("s", "v2", True)
+                node.record_response("s", "v2", ORIGIN, True)
             for report in node.export(float(run)):
                 other.merge(report, float(run))
         self.assertEqual(other.get("s").sum_counts().new_failed, 12)
@@ -218,7 +224,7 @@
             rollouts.set_order(order, 0.0)
             self.assertEqual(rollouts.compute_share("s", 1.0), 0.0)
             for _ in range(responses):
-                rollouts.record_response("s", "v1", False)
+                rollouts.record_response("s", "v1", ORIGIN, False)
         few = large.compute_share("s", 3.0)
         self.assertLess(few * 3, small.compute_share("s", 3.0))
         # All nodes use the smallest share that any of them has computed.
@@ -233,13 +239,13 @@
             rollouts.set_node_count(9)
             rollouts.set_order(order, 0.0)
             for _ in range(responses):
-                rollouts.record_response("s", "v1", False)
+                rollouts.record_response("s", "v1", ORIGIN, False)
             rate = responses * 9 / 3.0
             share = rollouts.compute_share("s", 3.0)
             self.assertLessEqual(share, EXPOSURE)
             # Halving stops within a factor of 2 of the target rate.
             self.assertLessEqual(
-                share * rate, 2 * canary.TARGET_RESPONSES_PER_S
+                share * rate, 2 * rollout_ramp.TARGET_RESPONSES_PER_S
             )
 
     def test_old_version_gets_nothing_new_before_it_is_stopped(self):
--- a/tests/test_forwarding_slowness.py
+++ b/tests/test_forwarding_slowness.py
@@ -7,6 +7,7 @@
 
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import failure_evidence
 from sycamorehollow.decisions.forwarding import response_times
 from sycamorehollow.decisions.forwarding import slowness
 from sycamorehollow.decisions.forwarding import steps
@@ -131,7 +132,7 @@
         return self.final
 
     def _build_node(self, number, run):
-        rollouts = canary.Rollouts(run, EXPOSURE)
+        rollouts = canary.Rollouts(run, EXPOSURE, FLOOR)
         rollouts.set_node_count(NODES)
         times = response_times.ResponseTimes(
             rollouts.is_in_service, rollouts.record_latency
@@ -199,9 +200,13 @@
         if attempt.end_cause is not None:
             return
         if response.left > 0 and attempt.last_byte_at == attempt.sent_at:
-            rollouts.record_response(
-                "llm", "v2" if response.new else "v1", False
+            origin = failure_evidence.Origin(
+                response.kind.partition("-")[0],
+                attempt.model,
+                f"{response.new}-{response.upstream}",
             )
+            version = "v2" if response.new else "v1"
+            rollouts.record_response("llm", version, origin, False)
         attempt.last_byte_at = now
         response.timer.record_event(now)
         response.left -= 1
@@ -240,6 +245,8 @@
                 sink.merge(finding, now)
             for rollout in source.list_running():
                 sink.merge_slowness("llm", 5, rollout.evidence.counts)
+            for report in source.export_routes(now):
+                sink.merge_routes(report, now)
 
 
 class SlowVersionTest(unittest.TestCase):
