Take a list of pages of different age for as old as its oldest page

Cause: a list that may be stale is read page by page, from copies of different age. The client took the revision of the first page for all of them. The watch goes on from there, so a removal that a later, older page lacked was never found, and peers and followers, to which the node vouches for its revision, did not send it either.

Now a list counts as of the lowest revision of its pages. Values that a newer page lacks are not replayed, so no removed entry is back for a moment while the watch catches up. The log names lists whose later pages are older.

--- a/sycamorehollow/decisions/forwarding/mirror.py
+++ b/sycamorehollow/decisions/forwarding/mirror.py
@@ -8,6 +8,7 @@
 what of them still counts.
 """
 
+import bisect
 from collections.abc import Iterable
 import dataclasses
 
@@ -48,6 +49,19 @@
     era: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Segment:
+    """A range of keys whose values were read at once.
+
+    Attributes:
+        last_key: Its last key; it begins after that of the segment before.
+        revision: Revision at which it was read.
+    """
+
+    last_key: str
+    revision: int
+
+
 class _NoOrder(restores.EntryOrder):
     """Order of values that nothing is known about."""
 
@@ -81,6 +95,8 @@
         self._deleted: dict[str, Entry] = {}
         # Deletions up to this revision may have been evicted.
         self._deletion_floor = 0
+        # Parts of the latest listing that are ahead of the revision.
+        self._segments: tuple[Segment, ...] = ()
 
     @property
     def position(self) -> Position:
@@ -119,15 +135,28 @@
         """
         changed = {e.key: e for e in entries if self._apply_entry(e)}
         self.revision = max(self.revision, revision)
+        if all(s.revision <= self.revision for s in self._segments):
+            self._segments = ()
         return sorted(changed.values(), key=lambda entry: entry.revision)
 
     def replace(
-        self, entries: Iterable[Entry], revision: int, era: int = 0
+        self,
+        entries: Iterable[Entry],
+        revision: int,
+        era: int = 0,
+        segments: tuple[Segment, ...] = (),
     ) -> list[Entry]:
         """Applies a snapshot of all values at a revision of the same era.
 
         A snapshot older than the mirror changes nothing.
 
+        Args:
+            entries: The values.
+            revision: Revision whose changes, and all earlier ones, the values
+                include.
+            era: Era of the revisions.
+            segments: Ranges of keys that may be ahead of the revision.
+
         Returns:
             The entries that changed something; deletions have the revision of
             the snapshot.
@@ -143,7 +172,10 @@
         if self.revision == 0:
             self._deletion_floor = revision
             self.era = era
-        return self.apply([*gone, *found.values()], revision)
+        updates = self.apply([*gone, *found.values()], revision)
+        if any(segment.revision > revision for segment in segments):
+            self._segments = segments
+        return updates
 
     def begin_era(
         self, era: int, entries: Iterable[Entry], revision: int, now: float
@@ -167,6 +199,7 @@
         self._entries = listed
         self._deleted = {}
         self._deletion_floor = revision
+        self._segments = ()
         return sorted(updates, key=lambda entry: entry.revision)
 
     def settle(self, now: float) -> list[Entry] | None:
@@ -209,10 +242,23 @@
             self.era = delta.era
         return self.apply(delta.entries, delta.revision)
 
+    def _find_segment_revision(self, key: str) -> int:
+        """Returns the revision up to which changes of a key are included."""
+        if not self._segments:
+            return 0
+        last_keys = [segment.last_key for segment in self._segments]
+        # The last segment has no end.
+        index = bisect.bisect_left(last_keys, key, 0, len(last_keys) - 1)
+        return self._segments[index].revision
+
     def _apply_entry(self, entry: Entry) -> bool:
         current = self._entries.get(entry.key) or self._deleted.get(entry.key)
         if current is not None and current.revision >= entry.revision:
             return False
+        included = self._find_segment_revision(entry.key)
+        if entry.value is not None and entry.revision <= included:
+            # A listing lacks this value, so it was deleted later.
+            return False
         self._guard.record_change(entry, current)
         self._entries.pop(entry.key, None)
         self._deleted.pop(entry.key, None)
--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -64,9 +64,13 @@
     def list_range(
         self, prefix: str, allow_stale: bool = False
     ) -> stores.Listing | stores.CallFailure:
-        """Returns all values under a prefix, page by page."""
+        """Returns all values under a prefix, page by page.
+
+        Each page has a revision of its own. With `allow_stale` a later page
+        may be the older one.
+        """
         items: list[stores.Found] = []
-        revision: int | None = None
+        pages: list[stores.Page] = []
         era: int | None = None
         query: dict[str, Any] = {"pathPrefix": prefix}
         if allow_stale:
@@ -85,18 +89,19 @@
                 has_more = bool(response.document.get("hasMore")) and bool(page)
             except (KeyError, TypeError, ValueError):
                 return stores.InDoubt("the response of a range is malformed")
-            if revision is not None and _read_era(response) != era:
+            if pages and _read_era(response) != era:
                 return stores.InDoubt("the store was restored between pages")
             era = _read_era(response)
-            # Pages are read one after the other. A watch from the revision of
-            # the first page finds all changes made since.
-            revision = at if revision is None else revision
             for item in page:
                 if isinstance(item, failures.Failure):
                     return item
                 items.append(item)
+            pages.append(stores.Page(items[-1].key if items else "", at))
             if not has_more:
-                return stores.Listing(tuple(items), revision, era)
+                # A watch from the lowest revision finds all changes that any
+                # page lacks.
+                lowest = min(page.revision for page in pages)
+                return stores.Listing(tuple(items), lowest, era, tuple(pages))
             if items[-1].key <= str(query.get("after", "")):
                 return stores.InDoubt("the pages of a range do not go on")
             query["after"] = items[-1].key
--- a/sycamorehollow/shells/gateway/store_contents.py
+++ b/sycamorehollow/shells/gateway/store_contents.py
@@ -48,9 +48,28 @@
             snapshot = mirror.Delta(entries, listing.revision, True, era)
             self._begin_era(snapshot, source)
             return True
-        self._apply(self.mirror.replace(entries, listing.revision, era), source)
+        segments = tuple(
+            mirror.Segment(page.last_key, page.revision)
+            for page in listing.pages
+        )
+        self._log_uneven_pages(listing)
+        self._apply(
+            self.mirror.replace(entries, listing.revision, era, segments),
+            source,
+        )
         return False
 
+    def _log_uneven_pages(self, listing: stores.Listing) -> None:
+        """Logs a listing whose pages come from copies of different age."""
+        revisions = [page.revision for page in listing.pages]
+        if revisions == sorted(revisions):
+            return
+        self._telemetry.record_state_change(
+            f"list={listing.revision}",
+            f"a later page is older, pages at {revisions[:MAX_LOGGED_KEYS]}",
+            "store",
+        )
+
     def can_apply(self, changes: stores.Changes) -> bool:
         """Returns whether the result of a watch is of the known era.
 
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -51,20 +51,38 @@
     key: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """A part of a list that was read at once.
+
+    Attributes:
+        last_key: Its last key. It holds all keys up to this one that do not
+            belong to an earlier page.
+        revision: Store revision at which it was taken.
+    """
+
+    last_key: str
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Listing:
     """The values under a prefix, ordered by key.
 
     Attributes:
         items: The values.
-        revision: Store revision at which the list was taken.
+        revision: Store revision whose changes, and all earlier ones, the list
+            includes. Values may have later revisions.
         era: Number of restores of the store, which order revisions before
             their numbers do; `None` if it does not state it.
+        pages: Its parts in the order of their keys, if it was not taken at
+            once.
     """
 
     items: tuple[Found, ...]
     revision: int
     era: int | None = None
+    pages: tuple[Page, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -140,12 +140,16 @@
         era: Number of restores, which all responses state; `None` to leave
             the header out.
         rewrite: Returns the value to store for a key and value of a node.
+        page_lags_s: Ages of the copies that serve the pages of lists that may
+            be stale, in turns from the first page on.
     """
 
     def __init__(self, port=0):
         self.refuse = 0
         self.calls = []
         self.era = 1
+        self.page_lags_s = (0.0,)
+        self._stale_reads = 0
         self.rewrite = self._replace_addresses
         self._replaced = {}
         self._items = {}
@@ -179,6 +183,13 @@
             self._compacted_revision = self._revision
             self._events.clear()
 
+    def age(self, seconds):
+        """Makes all states so far older, as if time had passed."""
+        with self._changed:
+            states = [(at - seconds, *rest) for at, *rest in self._states]
+            self._states.clear()
+            self._states.extend(states)
+
     def restore(self, age_s=None, changes=None):
         """Goes back to an earlier state, which begins another era.
 
@@ -281,16 +292,32 @@
 
     def _range(self, query):
         with self._changed:
+            revision, items = self._revision, self._items
+            if query.get("allowStale") == "1":
+                revision, items = self._read_copy("after" not in query)
             keys = sorted(
                 key
-                for key in self._items
+                for key in items
                 if key.startswith(query["pathPrefix"])
                 and key > query.get("after", "")
             )
             # Short pages, so that clients have to request further ones.
-            page = [self._items[key] for key in keys[:5]]
+            page = [items[key] for key in keys[:5]]
             more = len(keys) > 5
-            return 200, {"items": page, "hasMore": more, "at": self._revision}
+            return 200, {"items": page, "hasMore": more, "at": revision}
+
+    def _read_copy(self, is_first):
+        """Returns the revision and the items of the copy whose turn it is."""
+        if is_first:
+            self._stale_reads = 0
+        lag_s = self.page_lags_s[self._stale_reads % len(self.page_lags_s)]
+        self._stale_reads += 1
+        until = time.monotonic() - lag_s
+        older = [state for state in self._states if state[0] <= until]
+        if not lag_s or not older:
+            return self._revision, self._items
+        _, revision, items = older[-1]
+        return revision, items
 
     def _watch(self, query):
         after = int(query["after"])
--- a/tests/test_forwarding_state.py
+++ b/tests/test_forwarding_state.py
@@ -76,6 +76,51 @@
             expected = {k: v for k, v in expected.items() if v is not None}
             self.assertEqual(read_values(copy), expected)
 
+    @hypothesis.given(
+        CHANGES,
+        strategies.tuples(*[strategies.integers(0, 20)] * 3),
+        strategies.lists(strategies.integers(1, 5), max_size=20),
+        strategies.integers(0, 20),
+    )
+    def test_list_of_uneven_pages_ends_up_right(
+        self, changes, revisions, steps, followed
+    ):
+        # A page that is older than another one may still hold what was
+        # removed, and a replay of what another one includes may undo it.
+        history = build_history(changes)
+        ends = ("a", "c", "")
+        pages = [min(revision, len(history)) for revision in revisions]
+        found = []
+        for key in "abcd":
+            part = next(i for i, end in enumerate(ends) if key <= (end or "z"))
+            entries = [e for e in history[: pages[part]] if e.key == key]
+            found += [e for e in entries[-1:] if e.value is not None]
+        copy, follower = mirror.Mirror(), mirror.Mirror()
+        follower.apply(history[: min(pages)], min(pages))
+        segments = tuple(map(mirror.Segment, ends, pages))
+        copy.replace(found, min(pages), 0, segments)
+        reached = {entry.key: entry.revision for entry in found}
+        while copy.revision < len(history):
+            upto = copy.revision + (steps.pop() if steps else 20)
+            upto = min(upto, len(history))
+            for update in copy.apply(history[copy.revision : upto], upto):
+                part = next(
+                    i for i, e in enumerate(ends) if update.key <= (e or "z")
+                )
+                self.assertGreater(update.revision, pages[part])
+                self.assertGreater(update.revision, reached.get(update.key, 0))
+            if copy.revision >= followed:
+                delta = copy.build_delta(follower.revision)
+                if delta is not None:
+                    follower.merge(delta)
+        delta = copy.build_delta(follower.revision)
+        if delta is not None:
+            follower.merge(delta)
+        latest = {entry.key: entry.value for entry in history}
+        expected = {k: v for k, v in latest.items() if v is not None}
+        self.assertEqual(read_values(copy), expected)
+        self.assertEqual(read_values(follower), expected)
+
     def test_watch_that_lags_behind_a_peer_changes_nothing(self):
         copy = mirror.Mirror()
         newer = mirror.Delta((mirror.Entry("a", "new", 5),), 5, False)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -462,6 +462,23 @@
         listing = self.client.list_range("p/")
         self.assertEqual(len(listing.items), 23)
 
+    def test_list_of_pages_of_different_age_is_of_the_oldest(self):
+        # A later page may lack changes that the first one includes.
+        for lags_s in ((0.0, 30.0), (30.0, 0.0), (0.0, 0.0, 30.0)):
+            with self.subTest(lags_s):
+                for number in range(17):
+                    self.store.put(f"p/{number:02}", "v")
+                self.store.age(60.0)
+                before = self.client.list_range("p/").revision
+                self.store.remove("p/11")
+                self.store.remove("p/00")
+                self.store.page_lags_s = lags_s
+                listing = self.client.list_range("p/", allow_stale=True)
+                self.assertEqual(listing.revision, before)
+                self.assertEqual(
+                    max(page.revision for page in listing.pages), before + 2
+                )
+
     def test_watch_reports_changes_and_lost_history(self):
         revision = self.client.list_range("").revision
         self.store.put("a", b"\xff")
