Ask a node for a sign of life before and while it has requests of another one

Cause: the kernel of a paused process accepts connections and takes requests for it, so neither the connect nor an acknowledgement that is missing shows the pause. The attempt through the node had all the time that was left, it was never probed, and its end by the deadline was not held against the node, so that the next request went there as well.

Now a node gets a request only after a response of its process, so what lies in the buffers of a paused one is a check and no request. A node that is silent amid a request is checked on another connection; a request that may run twice goes on through another node, with the run counted, and one that may not is waited for. A failed check keeps the node out for 2 s.

--- a/sycamorehollow/decisions/forwarding/detour.py
+++ b/sycamorehollow/decisions/forwarding/detour.py
@@ -3,6 +3,11 @@
 The other node treats it like a request of its own callers, with its own limits
 and in its own order of urgency, but sends it on to upstreams only. Its response
 is final unless it states that it did not take the request.
+
+The kernel of a process that is paused accepts connections and takes requests
+for it, and the process runs them once it goes on. So a node gets a request only
+after a sign of life, and one that falls silent is asked for another. A request
+that may run twice then goes through a different node.
 """
 
 from sycamorehollow.decisions.forwarding import attempt_limits
@@ -18,6 +23,13 @@
 # looks at whether this has changed.
 ISOLATED_RETRY_AFTER_S = 1.0
 RESUMED_STATUS = 200
+# Silence of a node after which it is asked for a sign of life, and the time in
+# which it has to give one.
+CHECK_AFTER_S = 0.3
+CHECK_TIMEOUT_S = 0.25
+# Interval of looking for another way while a silent node has the request.
+RECHECK_S = 0.1
+NO_SIGN_OF_LIFE = "the node gave no sign of life"
 NO_WAY = "neither this node nor another one reaches an upstream"
 
 
@@ -76,6 +88,48 @@
             steps.Unavailable(NO_WAY, retry_after_s=ISOLATED_RETRY_AFTER_S)
         )
 
+    def compute_timeout(
+        self, attempt: steps.Attempt, left_s: float, now: float
+    ) -> float:
+        """Returns the seconds to wait for the next byte of a node.
+
+        0 if it has given no sign of life. A node that has decides by itself how
+        long it waits for its upstreams.
+        """
+        if attempt.is_node_silent:
+            return 0.0
+        since = max(attempt.last_byte_at, attempt.checked_at)
+        return min(left_s, max(0.01, since + CHECK_AFTER_S - now))
+
+    def needs_check(self, attempt: steps.Attempt, now: float) -> bool:
+        """Returns whether to ask a silent node for a sign of life."""
+        since = max(attempt.last_byte_at, attempt.checked_at)
+        return now - since >= CHECK_AFTER_S
+
+    def record_check(
+        self, attempt: steps.Attempt, is_alive: bool, now: float
+    ) -> None:
+        """Records whether the node of a silent attempt gave a sign of life."""
+        attempt.checked_at = now
+        attempt.is_node_silent = not is_alive
+        if is_alive:
+            self._router.helpers.record_response(attempt.node, now)
+        else:
+            self._router.helpers.record_failure(attempt.node, now)
+
+    def choose_other(
+        self, attempt: steps.Attempt, left_s: float, now: float
+    ) -> steps.SendThrough | None:
+        """Returns the step through another node than a silent one, if any.
+
+        The attempt ends only if there is one.
+        """
+        step = self.choose(left_s, True, now)
+        if not isinstance(step, steps.SendThrough):
+            return None
+        attempt.end(steps.EndCause.TIMEOUT, NO_SIGN_OF_LIFE, now)
+        return step
+
     def _send(self, name: str, left_s: float) -> steps.SendThrough:
         """Returns the step that sends the request through a node."""
         self._nodes_used += 1
@@ -120,6 +174,7 @@
             now: Monotonic time in seconds.
         """
         attempt.last_byte_at = now
+        self._router.helpers.record_response(attempt.node, now)
         if refusal:
             attempt.end_by_upstream(f"not taken: {refusal}", now)
             self._limits.possible_runs -= 1
--- a/sycamorehollow/decisions/forwarding/isolation.py
+++ b/sycamorehollow/decisions/forwarding/isolation.py
@@ -25,6 +25,8 @@
 REACHED_TTL_S = 0.5
 # Time for which a node that could not help is not asked again.
 HELPER_BACKOFF_S = 2.0
+# Time for which a response of a node shows that its process runs.
+HEARD_TTL_S = 0.05
 
 
 class Isolation:
@@ -123,6 +125,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._skipped_until: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
 
     def choose(
         self, nodes: Mapping[str, watchers.Node], now: float
@@ -144,6 +147,14 @@
         chosen = near or names
         return self._rng.choice(chosen) if chosen else None
 
+    def record_response(self, name: str, now: float) -> None:
+        """Records a response of a node, which shows that its process runs."""
+        self._heard_at[name] = now
+
+    def needs_check(self, name: str, now: float) -> bool:
+        """Returns whether a node has to respond before it gets a request."""
+        return now - self._heard_at.get(name, float("-inf")) >= HEARD_TTL_S
+
     def record_failure(self, name: str, now: float) -> None:
         """Records that a node is isolated as well, or cannot be reached."""
         self._skipped_until[name] = now + HELPER_BACKOFF_S
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -247,6 +247,8 @@
             self._fail(steps.EndCause.DEADLINE, NO_BYTE_IN_TIME, now)
             return steps.Reject(self._build_failure("its time is over", now))
         attempt = self.attempts[-1]
+        if attempt.node and self.detour.is_needed:
+            return self._leave_silent_node(attempt, left_s, now)
         choice = self.failover.choose_reachable(attempt, left_s, now)
         if choice.state is None:
             attempt.keep_reason = choice.reason
@@ -254,6 +256,17 @@
         self._fail(steps.EndCause.TIMEOUT, NO_BYTE_IN_TIME, now)
         return self._send(choice, now)
 
+    def _leave_silent_node(
+        self, attempt: steps.Attempt, left_s: float, now: float
+    ) -> steps.Step:
+        """Goes on through another node, or waits on if there is no way."""
+        step = self.detour.choose_other(attempt, left_s, now)
+        if step is None:
+            # The node may go on and have a response.
+            return steps.Wait(min(detour.RECHECK_S, left_s))
+        self.attempts.append(self.detour.start(step, now))
+        return step
+
     def _is_admitted(
         self,
         needs: placement.Requirements,
@@ -272,8 +285,7 @@
         left_s = max(0.0, self.deadline - now)
         attempt = self.attempts[-1]
         if attempt.node:
-            # The other node decides how long it waits for its upstreams.
-            return left_s
+            return self.detour.compute_timeout(attempt, left_s, now)
         if not attempt.has_event:
             if self._find_late_quarantine(now):
                 return 0.0
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -132,6 +132,8 @@
             empty for others.
         node: Name of the node that it was sent through; empty for an attempt
             at an upstream.
+        checked_at: When that node was last asked for a sign of life.
+        is_node_silent: Whether it gave none.
     """
 
     state: directory.UpstreamState
@@ -154,6 +156,8 @@
     has_event: bool = False
     end_note: str = ""
     node: str = ""
+    checked_at: float = float("-inf")
+    is_node_silent: bool = False
 
     def end(self, cause: EndCause, outcome: str, now: float) -> None:
         """Ends the attempt and records the cause and outcome."""
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import isolation_survey
+from sycamorehollow.shells.gateway import node_checker
 from sycamorehollow.shells.gateway import relay_headers
 from sycamorehollow.shells.gateway import response_relay
 from sycamorehollow.shells.gateway import telemetry
@@ -74,6 +75,9 @@
         self._node_pool = connection_pool.ConnectionPool(
             codec.decode_response, lambda _: True
         )
+        self._node_checker = node_checker.NodeChecker(
+            router.helpers, self._node_pool
+        )
 
     def close_expired(self) -> None:
         """Closes kept connections to other nodes that are not used any more."""
@@ -152,6 +156,7 @@
             self._handle_wait,
             self._handle_break,
             self._node_pool,
+            self._node_checker,
             self._survey,
         )
         try:
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -16,6 +16,7 @@
 from sycamorehollow.shells.gateway import end_checker
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import isolation_survey
+from sycamorehollow.shells.gateway import node_checker
 from sycamorehollow.shells.gateway import relay_headers
 from sycamorehollow.shells.gateway import request_encoder
 from sycamorehollow.shells.gateway import server_sent_events
@@ -60,6 +61,7 @@
         handle_wait: Called when the request begins or continues to wait.
         handle_break: Called when an upstream breaks a connection off.
         node_pool: Connections to other nodes.
+        nodes: Asks other nodes for a sign of life.
         survey: Finds out whether this node is isolated.
     """
 
@@ -75,6 +77,7 @@
         handle_wait: Callable[[], None],
         handle_break: Callable[[], None],
         node_pool: connection_pool.ConnectionPool,
+        nodes: node_checker.NodeChecker,
         survey: isolation_survey.IsolationSurvey,
     ):
         self._connection = connection
@@ -89,6 +92,7 @@
         self._handle_wait = handle_wait
         self._handle_break = handle_break
         self._node_pool = node_pool
+        self._node_checker = nodes
         self._survey = survey
         # End of the extra time for bytes that arrived before a timeout.
         self._grace_ends_at: float | None = None
@@ -132,6 +136,8 @@
                 self._lifecycle.route.is_retryable,
                 lambda: self._lifecycle.may_resend(time.monotonic()),
             )
+            if isinstance(step, steps.SendThrough):
+                await self._node_checker.confirm(step.node, connection)
             is_new = not connection.has_sent_request
             connection.send_request(
                 self._lifecycle.request.request_id, self._encoder.encode(step)
@@ -229,6 +235,9 @@
         If it is not, a reference upstream is probed as well, to tell a failed
         upstream from an isolated node.
         """
+        if self._lifecycle.attempts[-1].node:
+            await self._check_node(self._lifecycle.attempts[-1])
+            return
         if not self._lifecycle.begin_probe_if_silent(time.monotonic()):
             return
         upstream = self._lifecycle.attempts[-1].state.upstream
@@ -240,6 +249,14 @@
             isolated = not await self._pool.is_reachable(reference.upstream)
         self._lifecycle.record_unreachable(isolated, time.monotonic())
 
+    async def _check_node(self, attempt: steps.Attempt) -> None:
+        """Asks the node of a silent attempt for a sign of life."""
+        detour = self._lifecycle.detour
+        if not detour.needs_check(attempt, time.monotonic()):
+            return
+        is_alive = await self._node_checker.is_alive(attempt.state.upstream)
+        detour.record_check(attempt, is_alive, time.monotonic())
+
     async def _relay_response(
         self,
         connection: upstream_connections.UpstreamConnection,
--- a/tests/cut_nodes.py
+++ b/tests/cut_nodes.py
@@ -87,8 +87,16 @@
                 wanted = mode if number in numbers else proxy.Mode.PASS
                 self._proxies.set_mode(way, wanted)
 
-    def call(self, seconds, kinds=("safe", "unsafe", "stream")):
-        """Sends requests to all nodes for a while; returns the outcomes."""
+    def call(self, seconds, kinds=("safe", "unsafe", "stream"), numbers=None):
+        """Sends requests to nodes for a while; returns the outcomes.
+
+        Args:
+            seconds: For how long.
+            kinds: Kinds of the requests, in turns.
+            numbers: Numbers of the nodes; `None` for all.
+        """
+        if numbers is None:
+            numbers = range(len(self.nodes))
         end = time.monotonic() + seconds
 
         def run(number):
@@ -99,7 +107,7 @@
                 time.sleep(PAUSE_S)
             return found
 
-        callers = [n for n in range(len(self.nodes)) for _ in range(CALLERS)]
+        callers = [n for n in numbers for _ in range(CALLERS)]
         with concurrent.futures.ThreadPoolExecutor(len(callers)) as pool:
             return [o for found in pool.map(run, callers) for o in found]
 
--- a/tests/test_forwarding_isolation.py
+++ b/tests/test_forwarding_isolation.py
@@ -98,6 +98,15 @@
         later = isolation.HELPER_BACKOFF_S
         self.assertIn(helpers.choose(nodes, later), ("n2", "n4"))
 
+    def test_node_that_has_just_responded_needs_no_check(self):
+        helpers = isolation.Helpers("n0", "dc-0", random.Random(1))
+        self.assertTrue(helpers.needs_check("n1", 0.0))
+        helpers.record_response("n1", 1.0)
+        self.assertFalse(helpers.needs_check("n1", 1.01))
+        self.assertTrue(helpers.needs_check("n2", 1.01))
+        later = 1.0 + isolation.HEARD_TTL_S
+        self.assertTrue(helpers.needs_check("n1", later))
+
 
 class DetourTest(unittest.TestCase):
     """Guards against loops, second runs and refusals that are not true."""
@@ -169,6 +178,54 @@
         self.assertNotEqual(second.node, first.node)
         self.assertEqual(second.attempts, 1)
 
+    def fall_silent(self, lifecycle, now):
+        """Lets the node of the latest attempt give no sign of life."""
+        self.assertLessEqual(
+            lifecycle.compute_timeout(now), detour.CHECK_AFTER_S
+        )
+        now += detour.CHECK_AFTER_S
+        attempt = lifecycle.attempts[-1]
+        self.assertTrue(lifecycle.detour.needs_check(attempt, now))
+        lifecycle.detour.record_check(attempt, False, now)
+        self.assertEqual(lifecycle.compute_timeout(now), 0.0)
+        return lifecycle.handle_timeout(now)
+
+    def test_safe_request_leaves_a_node_that_falls_silent(self):
+        built = build_isolated_router()
+        lifecycle = build_lifecycle(built, forwarding_world.SAFE)
+        first = lifecycle.choose_next_step(0.0)
+        second = self.fall_silent(lifecycle, 0.0)
+        self.assertIsInstance(second, steps.SendThrough)
+        self.assertNotEqual(second.node, first.node)
+        self.assertEqual(second.attempts, 1)
+
+    def test_stream_goes_on_when_its_node_falls_silent(self):
+        built = build_isolated_router()
+        lifecycle = build_lifecycle(built)
+        lifecycle.choose_next_step(0.0)
+        lifecycle.detour.evaluate_head(
+            lifecycle.attempts[-1], 200, "", False, 0.1
+        )
+        lifecycle.delivering = True
+        lifecycle.record_bytes(0.2)
+        step = self.fall_silent(lifecycle, 0.2)
+        self.assertIsInstance(step, steps.SendThrough)
+
+    def test_unsafe_request_waits_for_a_node_that_falls_silent(self):
+        built = build_isolated_router()
+        lifecycle = build_lifecycle(built, forwarding_world.UNSAFE)
+        lifecycle.choose_next_step(0.0)
+        step = self.fall_silent(lifecycle, 0.0)
+        self.assertIsInstance(step, steps.Wait)
+        self.assertIsNone(lifecycle.attempts[-1].end_cause)
+
+    def test_node_that_gives_a_sign_of_life_is_waited_for(self):
+        built = build_isolated_router()
+        lifecycle = build_lifecycle(built, forwarding_world.SAFE)
+        lifecycle.choose_next_step(0.0)
+        lifecycle.detour.record_check(lifecycle.attempts[-1], True, 0.5)
+        self.assertGreater(lifecycle.compute_timeout(0.5), 0.0)
+
     def test_nodes_that_are_asked_are_limited(self):
         built = build_isolated_router(nodes=20)
         lifecycle = build_lifecycle(built)
--- a/tests/test_gateway_cuts.py
+++ b/tests/test_gateway_cuts.py
@@ -15,6 +15,7 @@
 MAX_FAILED, MAX_FAILED_SHARE = 10, 1 / 50
 # Time within which a request that is not served is refused, of 4 s in all.
 REFUSAL_S = 1.0
+DEADLINE_S = 4.0
 NODES = set(range(len(cut_nodes.CENTRES)))
 
 
@@ -105,6 +106,57 @@
             helper.start()
             helper.wait_ready()
 
+    def check_paused_helpers(self, helpers, play):
+        """Pauses helpers of the first node; checks what its callers get.
+
+        Args:
+            helpers: Numbers of the nodes that are paused.
+            play: Sends requests to the nodes that are not paused.
+        """
+        self.world.cut({0}, proxy.Mode.HANG)
+        self.world.call(cut_nodes.CONTACT_S)
+        running = sorted(NODES - helpers)
+        for number in helpers:
+            self.world.nodes[number].send_signal(signal.SIGSTOP)
+        outcomes = play(running)
+        for number in helpers:
+            self.world.nodes[number].send_signal(signal.SIGCONT)
+        # What the helpers have taken may run now.
+        time.sleep(1.0)
+        self.assert_served(outcomes, {0})
+        self.assertLess(max(o.seconds for o in outcomes), DEADLINE_S + 0.5)
+
+    def test_paused_helper_of_the_own_data_centre_holds_nobody(self):
+        # Its kernel accepts connections and takes requests.
+        self.check_paused_helpers(
+            {3}, lambda running: self.world.call(LOAD_S, numbers=running)
+        )
+
+    def test_paused_helpers_of_two_data_centres_hold_nobody(self):
+        self.check_paused_helpers(
+            {1, 3}, lambda running: self.world.call(LOAD_S, numbers=running)
+        )
+
+    def test_helper_that_is_paused_again_and_again_holds_nobody(self):
+        def play(running):
+            outcomes = []
+            for _ in range(4):
+                outcomes += self.world.call(1.0, numbers=running)
+                self.world.nodes[3].send_signal(signal.SIGCONT)
+                outcomes += self.world.call(0.7, numbers=running)
+                self.world.nodes[3].send_signal(signal.SIGSTOP)
+            return outcomes
+
+        self.check_paused_helpers({3}, play)
+
+    def test_paused_helper_that_is_told_to_stop_holds_nobody(self):
+        def play(running):
+            outcomes = self.world.call(1.0, numbers=running)
+            self.world.nodes[3].send_signal(signal.SIGTERM)
+            return outcomes + self.world.call(LOAD_S - 1.0, numbers=running)
+
+        self.check_paused_helpers({3}, play)
+
     def test_all_nodes_are_cut_off(self):
         self.world.cut(NODES, proxy.Mode.HANG)
         self.world.call(cut_nodes.CONTACT_S)
