--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -277,6 +277,10 @@
         elif parts.path == "/test/rewrite":
             self._replaced[query["from"]] = query["to"]
             status, response = 200, {}
+        elif parts.path == "/test/lags":
+            lags = query["lags_s"].split(",")
+            self.page_lags_s = tuple(float(lag_s) for lag_s in lags)
+            status, response = 200, {}
         elif parts.path == "/test/compact":
             self.compact()
             status, response = 200, {}
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -52,6 +52,11 @@
         action="store_true",
         help="nodes that are cut off from all upstreams",
     )
+    parser.add_argument(
+        "--lags",
+        action="store_true",
+        help="a store whose lists come from copies of different age",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -68,6 +73,7 @@
         restores=arguments.restores,
         hushes=arguments.hushes,
         cuts=arguments.cuts,
+        lags=arguments.lags,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -106,6 +112,8 @@
         rest.append("--hushes")
     if arguments.cuts:
         rest.append("--cuts")
+    if arguments.lags:
+        rest.append("--lags")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -77,6 +77,7 @@
     restores: bool = False
     hushes: bool = False
     cuts: bool = False
+    lags: bool = False
 
 
 class StandIn:
@@ -284,6 +285,9 @@
             )
         if self._size.deadly:
             faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
+        if self._size.lags:
+            lags = ",".join(map(str, schedule.draw_page_lags(self._seed)))
+            self._call(f"{self._store.address}/test/lags?lags_s={lags}")
         self._crowd = crowd
         self._watch.start()
         crowd.start()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -80,6 +80,9 @@
 HUSH_DROPS, HUSH_HOLDS = "drops", "holds"
 # Time in which a node is up to date after a silence.
 HUSH_S = 3.0
+# Copies of the store that serve the pages of a list, and their age.
+MOST_PAGES = 3
+OLDEST_PAGE_S = 5.0
 # Cuts of single nodes from all upstreams, and how their connections fail.
 CUT_PER_S = 0.25
 SHORTEST_CUT_S = 1.0
@@ -117,6 +120,15 @@
         return self.at + self.for_s
 
 
+def draw_page_lags(seed: int) -> list[float]:
+    """Returns the ages of the copies that serve the pages of a list."""
+    source = random.Random(f"lags {seed}")
+    return [
+        round(source.choice((0.0, source.uniform(0.5, OLDEST_PAGE_S))), 2)
+        for _ in range(MOST_PAGES)
+    ]
+
+
 def draw(
     seed: int, seconds: float, nodes: list[str], upstreams: list[str]
 ) -> list[Fault]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -255,6 +255,8 @@
             cuts = schedule.draw_cuts(seed, 12.0, names[0])
             self.assertEqual(cuts, schedule.draw_cuts(seed, 12.0, names[0]))
             kinds.update(fault.kind for fault in cuts)
+            lags = schedule.draw_page_lags(seed)
+            self.assertEqual(lags, schedule.draw_page_lags(seed))
             deadly = schedule.draw_deadly(seed, 12.0)
             self.assertEqual(deadly, schedule.draw_deadly(seed, 12.0))
             self.assertLessEqual(deadly.end, 12.0)
@@ -313,6 +315,7 @@
             restores=seed in RESTORE_SEEDS,
             hushes=seed in HUSH_SEEDS,
             cuts=seed in CUT_SEEDS,
+            lags=seed in CUT_SEEDS,
         )
         soak = run.Soak(seed, size)
         try:
