Prove no version that is suspected of being slow, and keep idle roll-outs

What reading shows: after half of the time a suspicion of slowness no longer held the proof for all requests back, and a later proof than before may now complete a version. A suspected version is not proven any more.

--- a/sycamorehollow/decisions/forwarding/rollout_evaluation.py
+++ b/sycamorehollow/decisions/forwarding/rollout_evaluation.py
@@ -55,6 +55,8 @@
         rollout.sound_at = None
     if rollout.sound_at is None or rollout.proven_at is not None:
         return
+    if rollout.evidence.is_possibly_slow():
+        return
     if not rollout.failures.list_unproven(ROUTE_PROVEN_LOG_RATIO):
         rollout.proven_at = now
 
@@ -85,7 +87,7 @@
     rate = (total.new + total.old) / age_s
     allowed = exposure * rate * rollout.order.duration_s + slack
     share = rollout_ramp.compute_share(rollout, exposure, now)
-    if total.new + share * rate * STOP_DELAY_S < allowed:
+    if total.new + share * rate * STOP_DELAY_S <= allowed:
         return ""
     unproven = rollout.failures.list_unproven(ROUTE_PROVEN_LOG_RATIO)
     return (
--- a/tests/test_forwarding_rollout_routes.py
+++ b/tests/test_forwarding_rollout_routes.py
@@ -3,6 +3,7 @@
 import functools
 import json
 import unittest
+from unittest import mock
 
 from sycamorehollow.decisions.forwarding import canary
 from sycamorehollow.decisions.forwarding import failure_evidence
@@ -119,6 +120,19 @@
             fleet.run()
             self.assertNotIn("failed responses", fleet.reason)
 
+    def test_version_that_is_suspected_of_being_slow_is_not_proven(self):
+        rollouts = canary.Rollouts("a", EXPOSURE)
+        rollouts.set_order(forwarding.RolloutOrder("s", "v2", 16.0, 5), 0.0)
+        rollout = rollouts.get("s")
+        rollout.sound_at = 7.0
+        with mock.patch.object(
+            rollout.evidence, "is_possibly_slow", return_value=True
+        ):
+            rollouts.evaluate(9.0)
+            self.assertIsNone(rollout.proven_at)
+        rollouts.evaluate(9.5)
+        self.assertEqual(rollout.proven_at, 9.5)
+
     def test_completed_version_that_fails_is_reported_and_kept(self):
         rollouts = canary.Rollouts("a", EXPOSURE)
         order = forwarding.RolloutOrder("s", "v2", 16.0, 5)
