--- /dev/null
+++ b/sycamorehollow/decisions/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of duties that one node carries out for all."""
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -64,6 +64,19 @@
         return self.kind is RouteKind.SAFE
 
 
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """Limits on the number of a service's upstreams per data centre.
+
+    Attributes:
+        boot_time_s: Time from an order until the new upstreams serve.
+    """
+
+    min_count: int
+    max_count: int
+    boot_time_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A set of interchangeable upstreams.
@@ -73,12 +86,14 @@
         cold_requests_per_s: Request rate that a cold upstream tolerates; 0 if
             the upstreams start warm.
         health_path: Path of its health checks; empty if there are none.
+        scaling: Limits on its number of upstreams; `None` if it is not scaled.
     """
 
     name: str
     max_connections: int
     cold_requests_per_s: float = 0.0
     health_path: str = ""
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -60,11 +60,18 @@
     name: _Name
 
 
+class _Scaling(pydantic.BaseModel):
+    min: _Count | None = None
+    max: _Count | None = None
+    bootTimeS: _Number | None = None  # noqa: N815
+
+
 class _Service(pydantic.BaseModel):
     name: _Name
     maxConnections: _Count = 0  # noqa: N815
     coldPerS: _Number = 0  # noqa: N815
     healthCheckPath: str = ""  # noqa: N815
+    scaling: _Scaling | None = None
 
 
 class _Limits(pydantic.BaseModel):
@@ -295,9 +302,22 @@
         max_connections=service.maxConnections,
         cold_requests_per_s=service.coldPerS,
         health_path=service.healthCheckPath,
+        scaling=_build_scaling(service.scaling),
     )
 
 
+def _build_scaling(scaling: _Scaling | None) -> forwarding.Scaling | None:
+    """Returns `None` without all fields, or with a range that is empty.
+
+    A configuration is not rejected for it: requests do not depend on it.
+    """
+    if scaling is None or scaling.min is None or scaling.max is None:
+        return None
+    if scaling.bootTimeS is None or scaling.min > scaling.max:
+        return None
+    return forwarding.Scaling(scaling.min, scaling.max, scaling.bootTimeS)
+
+
 def _build_workspaces(
     tenants: list[_Tenant] | None,
 ) -> dict[str, forwarding.Workspace] | None:
