--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -3,6 +3,7 @@
 Each value is validated, as other writers may store anything.
 """
 
+import dataclasses
 import ipaddress
 import json
 from typing import Annotated
@@ -95,6 +96,29 @@
     tenants: list[_Tenant] | None = None
 
 
+# For the checks of a configuration before it is sent.
+ConfigurationDocument = _Configuration
+RouteDocument = _Route
+ServiceDocument = _Service
+TenantDocument = _Tenant
+LimitsDocument = _Limits
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A value that processes reject.
+
+    Attributes:
+        place: Fields and positions that lead to the value.
+        value: The value found.
+        expected: What is expected instead.
+    """
+
+    place: tuple[str | int, ...]
+    value: Any
+    expected: str
+
+
 class _Upstream(pydantic.BaseModel):
     service: _Name
     address: _Name
@@ -145,16 +169,40 @@
     )
 
 
+def validate_configuration(text: str) -> _Configuration | list[Fault]:
+    """Returns the validated document, or every fault in it."""
+    try:
+        document = _Configuration.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        return [
+            Fault(
+                entry["loc"],
+                # The input of a missing field is the entry around it.
+                None if entry["type"] == "missing" else entry["input"],
+                entry["msg"],
+            )
+            for entry in error.errors(include_url=False)
+        ]
+    kinds = ", ".join(_ROUTE_KINDS)
+    faults = [
+        Fault(
+            ("routes", i, "kind"), route.kind, f"unknown kind, not in {kinds}"
+        )
+        for i, route in enumerate(document.routes)
+        if route.kind not in _ROUTE_KINDS
+    ]
+    return faults or document
+
+
 def decode_configuration(
     text: str,
 ) -> forwarding.Configuration | failures.InvalidRequest:
     """Decodes the configuration of routes, services and workspaces."""
-    document = _decode(_Configuration, text)
-    if isinstance(document, failures.InvalidRequest):
-        return document
-    unknown = {route.kind for route in document.routes} - set(_ROUTE_KINDS)
-    if unknown:
-        return failures.InvalidRequest(f"unknown kinds of routes: {unknown}")
+    document = validate_configuration(text)
+    if isinstance(document, list):
+        first = document[0]
+        location = ".".join(str(part) for part in first.place)
+        return failures.InvalidRequest(f"{location}: {first.expected}")
     limits = document.limits
     return forwarding.Configuration(
         version=document.version,
--- a/sycamorehollow/programs/ctl.py
+++ b/sycamorehollow/programs/ctl.py
@@ -12,6 +12,7 @@
 
 import sycamorehollow
 from sycamorehollow.model import failures
+from sycamorehollow.programs import ctl_check
 from sycamorehollow.programs import ctl_commands
 from sycamorehollow.programs import ctl_rollouts
 from sycamorehollow.shells import storeclient
@@ -107,7 +108,7 @@
         return action
 
     def add_single(
-        self, name: str, command: ctl_commands.Command, needs_store: bool
+        self, name: str, command: Callable[..., Any], needs_store: bool
     ) -> argparse.ArgumentParser:
         """Adds a command without a group."""
         help_text = (command.__doc__ or "").splitlines()[0]
@@ -154,6 +155,15 @@
     status.add_argument("entries", nargs="+", type=_read_url, metavar="URL")
     bills = parser.add_single("bills", ctl_commands.sum_bills, True)
     bills.add_argument("workspace", nargs="?")
+    check = parser.add_single(
+        "check-config", ctl_check.check_configuration, False
+    )
+    check.add_argument(
+        "file", help="gateway configuration; `-`: standard input"
+    )
+    check.add_argument(
+        "--against", metavar="FILE", help="configuration that is in force"
+    )
     return parser.parser
 
 
@@ -281,6 +291,8 @@
         if args.json:
             print(json.dumps(_describe(result)))
         return REFUSED
+    if isinstance(result, ctl_check.Report):
+        return _print_report(result, args.json)
     if args.json:
         print(json.dumps(result))
     else:
@@ -288,5 +300,13 @@
     return DONE
 
 
+def _print_report(report: ctl_check.Report, as_json: bool) -> int:
+    if as_json:
+        print(json.dumps(report.build_document()))
+    else:
+        print("\n".join(report.list_lines()))
+    return report.status
+
+
 if __name__ == "__main__":
     sys.exit(main())
