--- a/sycamorehollow/decisions/duties/scaling.py
+++ b/sycamorehollow/decisions/duties/scaling.py
@@ -7,28 +7,21 @@
 
 from collections.abc import Collection
 import dataclasses
-import math
 
 from sycamorehollow.decisions.duties import demand
 from sycamorehollow.decisions.duties import replica_presence
+from sycamorehollow.decisions.duties import scaling_steps
 from sycamorehollow.model import forwarding
 
 # Age of the node's state from which no order is given.
 MAX_STATE_AGE_S = 3.0
-# Time without reason for a larger number, before each step down.
-CALM_S = 30.0
-# The same before the first step after the start of the deployment, as idle
-# upstreams are billed from the start.
+# Calm period before the first step down after the start of the deployment, as
+# idle upstreams are billed from the start.
 FIRST_CALM_S = 10.0
 # Age of the oldest upstream up to which the deployment has just started.
 START_S = 60.0
 # Time without a usable estimate after which a calm period begins anew.
 MAX_GAP_S = 5.0
-# Largest part of the upstreams that one step removes.
-STEP_SHARE = 0.25
-# Upstreams kept beyond the need by steps down, so that noise in the estimate
-# does not bring them back.
-SPARE_SHARE = 0.1
 # Share of the slots that the recent peak may use. Above it requests wait, as
 # the load of single upstreams differs from the mean.
 PEAK_SHARE = 0.8
@@ -41,9 +34,6 @@
 RESULT_TIMEOUT_S = 5.0
 # Pause after a failed order.
 RETRY_S = 2.0
-# Time beyond two boot times in which an order shows in the registered
-# upstreams; afterwards it is repeated.
-SETTLE_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,61 +87,6 @@
     reason: str
 
 
-@dataclasses.dataclass
-class _OrderState:
-    """Orders for one data centre and the calm since then.
-
-    Attributes:
-        low: Smallest number that the platform may have. Before the first
-            order it is what is registered or has just disappeared.
-        high: Largest number that it may have.
-        has_ordered: Whether an order was given.
-        pending: Order without a result.
-        ordered_at: When the latest order was given.
-        failed_at: When an order last failed.
-        calm_since: Start of the calm period.
-        calm_s: Length of the calm period.
-        negated_warm: Minus the number of warm upstreams, so that its maximum
-            shows the smallest number within the last `CALM_S`.
-    """
-
-    calm_since: float
-    calm_s: float
-    low: int = 0
-    high: int = 0
-    has_ordered: bool = False
-    pending: Order | None = None
-    ordered_at: float = -math.inf
-    failed_at: float = -math.inf
-    negated_warm: demand.SlidingMaximum = dataclasses.field(
-        default_factory=lambda: demand.SlidingMaximum(CALM_S)
-    )
-
-    def restart_calm(self, now: float) -> None:
-        """Begins a new calm period of full length."""
-        self.calm_since = now
-        self.calm_s = CALM_S
-
-    def is_calm(self, now: float) -> bool:
-        """Returns whether the calm period is over."""
-        return now - self.calm_since >= self.calm_s
-
-    def record_result(self, ok: bool, now: float) -> None:
-        """Records the outcome of the pending order.
-
-        The platform may have a failed order or the number before it.
-        """
-        if self.pending is None:
-            return
-        count, self.pending = self.pending.count, None
-        if ok:
-            self.low = self.high = count
-            return
-        self.failed_at = now
-        self.low = min(self.low, count)
-        self.high = max(self.high, count)
-
-
 class Scaling:
     """Decides on orders while this node owns the duty.
 
@@ -197,13 +132,13 @@
 
     def __init__(self) -> None:
         self._presence = replica_presence.ReplicaPresence()
-        self._history = demand.DemandHistory(CALM_S)
-        self._states: dict[str, _OrderState] = {}
+        self._history = demand.DemandHistory(scaling_steps.CALM_S)
+        self._states: dict[str, scaling_steps.OrderState] = {}
 
     def record_result(self, order: Order, ok: bool, now: float) -> None:
         """See `Scaling.record_result`."""
         state = self._states.get(order.data_centre)
-        if state is not None and state.pending == order:
+        if state is not None and state.pending == order.count:
             state.record_result(ok, now)
 
     def decide(
@@ -248,7 +183,7 @@
         found: demand.Estimate,
         serving: Collection[str],
         has_loss_headroom: bool,
-    ) -> dict[str, "_Need"]:
+    ) -> dict[str, scaling_steps.Need]:
         """Returns the needed upstreams by data centre.
 
         While a data centre is out, the others already carry its demand, and no
@@ -264,7 +199,7 @@
             if others and has_loss_headroom:
                 loss = (peak + max(others) / len(others)) / LOSS_SHARE
             burst = BURST_FACTOR * self._history.get_base(data_centre)
-            needs[data_centre] = _build_need(
+            needs[data_centre] = scaling_steps.build_need(
                 {"peak": peak / PEAK_SHARE, "burst": burst, "loss": loss},
                 own / PEAK_SHARE,
                 found.slots_per_replica,
@@ -275,7 +210,7 @@
         self,
         view: ServiceView,
         data_centre: str,
-        need: "_Need",
+        need: scaling_steps.Need,
         is_blocked: bool,
         now: float,
     ) -> Order | None:
@@ -296,95 +231,29 @@
         seen = ready + self._presence.count_lost(data_centre)
         if not state.has_ordered:
             state.low = state.high = seen
-        low = max(state.low, seen) if is_blocked else state.low
-        count, why = _find_increase(view.scaling, state, need, ready, low, now)
+        running = seen if is_blocked else 0
+        count, why = scaling_steps.find_increase(
+            view.scaling, state, need, ready, running, now
+        )
         if count is None and state.is_calm(now):
-            count, why = _find_decrease(view.scaling, state, need, ready)
+            count, why = scaling_steps.find_decrease(
+                view.scaling, state, need, ready
+            )
         if count is None:
             return None
         reason = f"{why}: {need.reason}, {ready} ready, {warm} warm"
-        state.pending = Order(view.service, data_centre, count, reason)
-        state.ordered_at = now
-        state.has_ordered = True
-        state.restart_calm(now)
-        return state.pending
+        state.give(count, now)
+        return Order(view.service, data_centre, count, reason)
 
     def _add_states(
         self, view: ServiceView, known: Collection[str], now: float
     ) -> None:
         oldest_at = min(replica.registered_at for replica in view.replicas)
-        calm_s = FIRST_CALM_S if now - oldest_at <= START_S else CALM_S
+        calm_s = (
+            FIRST_CALM_S if now - oldest_at <= START_S else scaling_steps.CALM_S
+        )
         for data_centre in known:
             if data_centre not in self._states:
-                self._states[data_centre] = _OrderState(now, calm_s)
-
-
-@dataclasses.dataclass(frozen=True)
-class _Need:
-    """Needed upstreams of a data centre.
-
-    Attributes:
-        exact: Number needed, not rounded.
-        kept: Number that steps down keep.
-    """
-
-    exact: float
-    kept: float
-    reason: str
-
-
-def _build_need(
-    slots: dict[str, float], own_slots: float, slots_per_replica: float
-) -> _Need:
-    exact = max(slots.values()) / slots_per_replica
-    kept = max(exact * (1 + SPARE_SHARE), own_slots / slots_per_replica)
-    parts = [f"{name} {value:.1f}" for name, value in slots.items()]
-    reason = f"needs {exact:.1f} for {', '.join(parts)} slots"
-    return _Need(exact, kept, reason)
-
-
-def _find_increase(
-    limits: forwarding.Scaling,
-    state: _OrderState,
-    need: _Need,
-    ready: int,
-    low: int,
-    now: float,
-) -> tuple[int | None, str]:
-    """Returns a larger or repeated number; never less than what may run.
-
-    Cold upstreams count here: a further one would serve later than they do.
-    """
-    needed = _clamp(math.ceil(need.exact), limits)
-    count = _clamp(max(needed, state.high), limits)
-    if needed > low:
-        return count, "up"
-    settle_s = SETTLE_S + 2 * limits.boot_time_s
-    if ready < needed and now - state.ordered_at >= settle_s:
-        return count, "missing"
-    return None, ""
-
-
-def _find_decrease(
-    limits: forwarding.Scaling,
-    state: _OrderState,
-    need: _Need,
-    ready: int,
-) -> tuple[int | None, str]:
-    """Returns the next smaller number, or repeats one without effect.
-
-    What was not warm throughout the calm period does not count as capacity.
-    """
-    kept = _clamp(math.ceil(need.kept), limits)
-    high = state.high
-    spare = min(high, round(-state.negated_warm.value)) - kept
-    if spare > 0:
-        step = min(max(1, math.floor(high * STEP_SHARE)), spare)
-        return _clamp(high - step, limits), "down"
-    if ready > high >= kept:
-        return high, "surplus"
-    return None, ""
-
-
-def _clamp(count: int, limits: forwarding.Scaling) -> int:
-    return min(max(count, limits.min_count), limits.max_count)
+                self._states[data_centre] = scaling_steps.OrderState(
+                    now, calm_s
+                )
