--- /dev/null
+++ b/sycamorehollow/decisions/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one node performs for all nodes."""
