--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -33,6 +33,9 @@
     coldSlack: float = pydantic.Field(0.0, ge=0)  # noqa: N815
     # Time within which processing a shared part of a prompt again is billed.
     reuseWindowS: float = pydantic.Field(0.0, ge=0)  # noqa: N815
+    leaseMs: float = pydantic.Field(3000.0, gt=0)  # noqa: N815
+    reportWindowS: float = pydantic.Field(5.0, gt=0)  # noqa: N815
+    usageLateS: float = pydantic.Field(10.0, gt=0)  # noqa: N815
 
 
 class _Limits(pydantic.BaseModel):
@@ -43,6 +46,19 @@
     address: _Address
 
 
+class _Cloud(pydantic.BaseModel):
+    address: _Address | None = None
+    duties: tuple[str, ...] = ()
+    dutyPerS: float = pydantic.Field(default=50.0, gt=0)  # noqa: N815
+
+    @pydantic.field_validator("duties", mode="before")
+    @classmethod
+    def _split_names(cls, value: Any) -> Any:
+        if not isinstance(value, str):
+            return value
+        return [name.strip() for name in value.split(",") if name.strip()]
+
+
 class _File(pydantic.BaseModel):
     nodeName: str = pydantic.Field(min_length=1)  # noqa: N815
     ip: str
@@ -52,6 +68,7 @@
     bounds: _Bounds
     limits: _Limits = pydantic.Field(default_factory=_Limits)
     platform: _Platform
+    cloud: _Cloud = pydantic.Field(default_factory=_Cloud)
     heartbeatMs: _Milliseconds = 0.0  # noqa: N815
 
     @pydantic.field_validator("internalPortRange", mode="before")
@@ -126,4 +143,10 @@
         link_mbps=file.limits.linkMbps,
         heartbeat_s=file.heartbeatMs / 1000,
         exposure_floor=bounds.exposeSlack,
+        duty_address=file.cloud.address or "",
+        duties=file.cloud.duties,
+        duty_calls_per_s=file.cloud.dutyPerS,
+        owner_lease_s=bounds.leaseMs / 1000,
+        report_window_s=bounds.reportWindowS,
+        report_delay_s=bounds.usageLateS,
     )
--- a/sycamorehollow/platform/storeclient.py
+++ b/sycamorehollow/platform/storeclient.py
@@ -19,7 +19,7 @@
 MAX_LOGGED_CHARACTERS = 40
 
 
-class PlatformStore(storeclient.HttpStore):
+class PlatformStore(storeclient.HttpStore, stores.TransactionStore):
     """Calls the platform's store."""
 
     def read(
@@ -43,24 +43,29 @@
         lease: str = "",
     ) -> stores.Written | stores.Conflict | stores.CallFailure:
         """Writes a value by compare-and-swap."""
-        entry: dict[str, Any] = {"key": key, "value": _encode(value)}
-        if lease:
-            entry["lease"] = int(lease)
-        return self._commit_transaction(
-            key, expected_revision, {"writes": [entry]}
-        )
+        write = stores.KeyWrite(key, value, lease)
+        return self._commit(key, _expect(key, expected_revision), (write,), ())
 
     def delete(
         self, key: str, expected_revision: int | None = None
     ) -> stores.Deleted | stores.Conflict | stores.CallFailure:
         """Deletes a key, at any revision if none is expected."""
-        result = self._commit_transaction(
-            key, expected_revision, {"remove": [key]}
-        )
+        result = self._commit(key, _expect(key, expected_revision), (), (key,))
         if isinstance(result, stores.Written):
             return stores.Deleted(key)
         return result
 
+    def commit(
+        self, transaction: stores.Transaction
+    ) -> stores.Written | stores.Conflict | stores.CallFailure:
+        """Makes the changes if all keys are at their expected revisions."""
+        return self._commit(
+            transaction.expected[0][0],
+            transaction.expected,
+            transaction.writes,
+            transaction.removals,
+        )
+
     def list_range(
         self, prefix: str, allow_stale: bool = False
     ) -> stores.Listing | stores.CallFailure:
@@ -143,7 +148,9 @@
         if response.status != 200 or "lease" not in response.document:
             return _build_failure(response)
         granted_s = float(response.document.get("ttlMs", ttl_s * 1000)) / 1000
-        return stores.Lease(str(response.document["lease"]), granted_s)
+        return stores.Lease(
+            str(response.document["lease"]), granted_s, _read_era(response) or 0
+        )
 
     def renew_lease(
         self, lease: str
@@ -156,7 +163,8 @@
             return stores.LeaseGone(f"the lease {lease} has ended")
         if response.status != 200:
             return _build_failure(response)
-        return stores.Lease(lease, float(response.document["ttlMs"]) / 1000)
+        granted_s = float(response.document["ttlMs"]) / 1000
+        return stores.Lease(lease, granted_s, _read_era(response) or 0)
 
     def release_lease(
         self, lease: str
@@ -171,12 +179,22 @@
             return _build_failure(response)
         return stores.Released(lease)
 
-    def _commit_transaction(
-        self, key: str, expect: int | None, change: dict[str, Any]
+    def _commit(
+        self,
+        key: str,
+        expected: tuple[tuple[str, int], ...],
+        writes: tuple[stores.KeyWrite, ...],
+        removals: tuple[str, ...],
     ) -> stores.Written | stores.Conflict | stores.CallFailure:
-        body = {"expectedRevision": [], "writes": [], "remove": []} | change
-        if expect is not None:
-            body["expectedRevision"] = [{"key": key, "revision": expect}]
+        """Makes changes; a conflict states the value of `key`."""
+        body = {
+            "expectedRevision": [
+                {"key": name, "revision": revision}
+                for name, revision in expected
+            ],
+            "writes": [_encode_write(write) for write in writes],
+            "remove": list(removals),
+        }
         response = self._call("POST", "/-/kv-txn", body=body)
         if isinstance(response, failures.Failure):
             return response
@@ -187,11 +205,23 @@
         if response.status != 200:
             return _build_failure(response)
         try:
-            return stores.Written(int(response.document["revision"]))
+            revision = int(response.document["revision"])
+            return stores.Written(revision, _read_era(response) or 0)
         except (KeyError, TypeError, ValueError):
             return stores.InDoubt("the response of a write has no revision")
 
 
+def _expect(key: str, revision: int | None) -> tuple[tuple[str, int], ...]:
+    return () if revision is None else ((key, revision),)
+
+
+def _encode_write(write: stores.KeyWrite) -> dict[str, Any]:
+    entry: dict[str, Any] = {"key": write.key, "value": _encode(write.value)}
+    if write.lease:
+        entry["lease"] = int(write.lease)
+    return entry
+
+
 def _read_era(response: storeclient.Response) -> int | None:
     """Returns the era that a response states; `None` if it states none."""
     text = response.headers.get(_ERA_HEADER)
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -37,6 +37,16 @@
             store; 0 if unknown.
         exposure_floor: Requests that a faulty new version may receive in
             addition to its share.
+        duty_address: Address and port of the platform for calls that one node
+            makes for all; empty if there is none.
+        duties: Names of these duties.
+        duty_calls_per_s: Calls per second that the platform accepts from all
+            nodes together.
+        owner_lease_s: Time in seconds within which only one node may make the
+            calls of a duty.
+        report_window_s: Length in seconds of the windows of usage reports.
+        report_delay_s: Seconds after the end of a window until its report is
+            due.
     """
 
     node: str
@@ -59,6 +69,17 @@
     link_mbps: float = 0.0
     heartbeat_s: float = 0.0
     exposure_floor: float = 0.0
+    duty_address: str = ""
+    duties: tuple[str, ...] = ()
+    duty_calls_per_s: float = 50.0
+    owner_lease_s: float = 3.0
+    report_window_s: float = 5.0
+    report_delay_s: float = 10.0
+
+    @property
+    def has_duties(self) -> bool:
+        """Whether nodes make calls to the platform for each other."""
+        return bool(self.duty_address and self.duties)
 
     @property
     def peer_address(self) -> str:
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -111,10 +111,39 @@
 
 @dataclasses.dataclass(frozen=True)
 class Lease:
-    """A granted or renewed lease."""
+    """A granted or renewed lease.
+
+    Attributes:
+        era: As of a listing; 0 if it is not known.
+    """
 
     lease: str
     ttl_s: float
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyWrite:
+    """A write of a transaction; `lease` as in `Store.write`."""
+
+    key: str
+    value: str
+    lease: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Transaction:
+    """Changes that take effect together.
+
+    Attributes:
+        expected: Revisions that keys must have; 0 for an absent key.
+        writes: Values to write.
+        removals: Keys to delete if they exist.
+    """
+
+    expected: tuple[tuple[str, int], ...]
+    writes: tuple[KeyWrite, ...] = ()
+    removals: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -194,6 +223,20 @@
 CallFailure = Unreachable | InDoubt | RateLimited
 
 
+class TransactionStore(abc.ABC):
+    """Client of a store that changes several keys at once."""
+
+    @abc.abstractmethod
+    def commit(
+        self, transaction: Transaction
+    ) -> Written | Conflict | CallFailure:
+        """Makes the changes if all keys are at their expected revisions.
+
+        A conflict states the value of the first expected key. A lease that has
+        ended is a conflict as well.
+        """
+
+
 class Store(abc.ABC):
     """Client of the store; calls return failures and do not raise them."""
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -158,8 +158,47 @@
         self._events = []
         self._revision = 1
         self._compacted_revision = 0
+        # Time at which each lease ends, and its lifetime in seconds.
+        self._leases = {}
+        self._last_lease = 0
         self._changed = threading.Condition()
         super().__init__(port)
+        threading.Thread(target=self._expire_leases, daemon=True).start()
+
+    def _expire_leases(self):
+        """Ends leases that are not renewed."""
+        while True:
+            time.sleep(0.05)
+            now = time.monotonic()
+            with self._changed:
+                ended = [n for n, (at, _) in self._leases.items() if at <= now]
+                for lease in ended:
+                    self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        del self._leases[lease]
+        keys = [k for k, i in self._items.items() if i["lease"] == lease]
+        for key in keys:
+            self._remove(key)
+
+    def _call_lease(self, path, document):
+        """Grants, renews or ends a lease."""
+        name, _, number = path.removeprefix("/-/").partition("/")
+        with self._changed:
+            if name == "kv-lease":
+                self._last_lease += 1
+                lease = self._last_lease
+                ttl_s = max(1.0, document["ttlMs"] / 1000)
+            else:
+                lease = int(number)
+                if lease not in self._leases:
+                    return 404, {}
+                _, ttl_s = self._leases[lease]
+            if name == "kv-lease-end":
+                self._end_lease(lease)
+                return 200, {}
+            self._leases[lease] = time.monotonic() + ttl_s, ttl_s
+            return 200, {"lease": lease, "ttlMs": int(ttl_s * 1000)}
 
     def put(self, key, value):
         """Writes a value, as operators and upstreams do."""
@@ -206,6 +245,10 @@
                 older = states[: len(states) - changes]
             _, self._revision, items = (older or [(0.0, 1, {})])[-1]
             self._items = dict(items)
+            # Leases of the copy begin again.
+            for lease in {item["lease"] for item in items.values()} - {0}:
+                _, ttl_s = self._leases.get(lease, (0.0, 1.0))
+                self._leases[lease] = time.monotonic() + ttl_s, ttl_s
             self._states.clear()
             self._states.append((time.monotonic(), self._revision, items))
             self._events.clear()
@@ -286,6 +329,10 @@
             status, response = 200, {}
         elif parts.path == "/-/kv-txn":
             status, response = self._change(json.loads(body))
+        elif parts.path.startswith(("/-/kv-lease", "/-/kv-keep/")):
+            status, response = self._call_lease(
+                parts.path, json.loads(body or b"{}")
+            )
         elif parts.path == "/-/kv-key":
             with self._changed:
                 item = self._items.get(query["key"])
@@ -347,10 +394,13 @@
                 item = self._items.get(row["key"])
                 if row["revision"] != (item["revision"] if item else 0):
                     return 412, {"items": [item] if item else []}
+            leases = {entry.get("lease", 0) for entry in document["writes"]}
+            if leases - {0} - self._leases.keys():
+                return 404, {}
             for entry in document["writes"]:
                 value = base64.b64decode(entry["value"]).decode()
                 value = self.rewrite(entry["key"], value)
-                self._write(entry["key"], value)
+                self._write(entry["key"], value, entry.get("lease", 0))
             for key in document["remove"]:
                 self._remove(key)
             return 200, {"revision": self._revision}
