--- a/sycamorehollow/decisions/duties/duty.py
+++ b/sycamorehollow/decisions/duties/duty.py
@@ -58,7 +58,8 @@
     REJECTED = "rejected"
     # There was no response; the platform may have acted.
     UNKNOWN = "unknown"
-    # The call was not sent, as the node does not own the duty any more.
+    # The call was not sent: the platform is unreachable, or the node does not
+    # own the duty any more.
     NOT_SENT = "not sent"
 
 
@@ -88,6 +89,30 @@
 
     name: str
 
+    def load_records(  # noqa: B027
+        self,
+        records: Mapping[str, Call],
+        recent: frozenset[str],
+        known_since: float,
+        now: float,
+    ) -> None:
+        """Takes over the records in the store; called before `begin`.
+
+        Args:
+            records: Contents of the duty's records by name.
+            recent: Names of the records written since the last restore of the
+                store; a restore may have lost others.
+            known_since: When this node first knew the store's present era.
+            now: Time in seconds.
+        """
+
+    def set_node_count(self, count: int) -> None:  # noqa: B027
+        """Sets the number of known nodes, this one included."""
+
+    def take_notes(self, now: float) -> list[str]:
+        """Returns lines for the log, each once; asked only of the owner."""
+        return []
+
     def begin(self, now: float) -> None:  # noqa: B027
         """Notes that this node may make calls from now on."""
 
@@ -146,5 +171,6 @@
         """Merges the values that another node exported.
 
         Raises:
-            AttributeError, TypeError, ValueError: The values are malformed.
+            AttributeError, KeyError, TypeError, ValueError: The values are
+                malformed.
         """
--- a/sycamorehollow/decisions/duties/ownership.py
+++ b/sycamorehollow/decisions/duties/ownership.py
@@ -22,8 +22,10 @@
 MARGIN_S = 0.2
 # Lifetime of a lease. A shorter one lets another node take over sooner; a
 # longer one outlasts longer pauses.
-TTL_S = 2.0
-RENEWALS_PER_TTL = 4
+TTL_S = 1.5
+# A call may begin while its time limit ends within the validity, so renewals
+# have to be frequent.
+RENEWALS_PER_TTL = 6
 # Longer than each store call; the result of a call is ignored after it.
 STEP_LIMIT_S = 2.0
 RETRY_DELAY_S = 1.5
@@ -127,6 +129,7 @@
         self._pending: tuple[int, float] | None = None
         self._retry_at = float("-inf")
         self._absent_since: float | None = None
+        self._started_at: float | None = None
         self._lease = ""
         self._lease_era = 0
         self._value = ""
@@ -272,15 +275,21 @@
         self, view: View, rank: int, now: float
     ) -> GrantLease | None:
         """Requests a lease when it is this candidate's turn."""
-        if not view.is_current or view.value is not None or self._is_stopping:
+        if not view.is_current or self._is_stopping:
+            self._absent_since = None
+            return None
+        if self._started_at is None:
+            self._started_at = now
+        if view.value is not None:
             self._absent_since = None
             return None
         if self._absent_since is None:
             self._absent_since = now
         delay_s = min(MAX_RANK_DELAY_S, rank * DELAY_PER_RANK_S)
-        if not self.token:
-            delay_s += FIRST_DELAY_S
-        if now < max(self._retry_at, self._absent_since + delay_s):
+        turn_at = max(
+            self._absent_since + delay_s, self._started_at + FIRST_DELAY_S
+        )
+        if now < max(self._retry_at, turn_at):
             return None
         self.state = State.ACQUIRING
         self._valid_until = float("-inf")
--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -11,15 +11,21 @@
 import pathlib
 import socket
 import sys
+from typing import TYPE_CHECKING
 
+from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.platform import header_codec
 from sycamorehollow.platform import settings as platform_settings
 from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
 from sycamorehollow.settings import gateway as gateway_settings
 from sycamorehollow.shells.gateway import assembly
+from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import telemetry
 
+if TYPE_CHECKING:
+    from sycamorehollow.shells.gateway import duty_assembly
+
 EXIT_FAULTS = 2
 
 
@@ -52,6 +58,7 @@
             open_store(settings),
             lambda: platform_settings.read_settings(path),
             path,
+            open_duties,
         ),
         listener,
     )
@@ -66,3 +73,25 @@
 ) -> storeclient.PlatformStore:
     """Returns the client of the platform's store."""
     return storeclient.PlatformStore(f"http://{settings.store}")
+
+
+def open_duties(
+    settings: gateway_settings.Settings,
+    router: routers.Router,
+    state: state_sync.StateSync,
+    telemetry_sink: telemetry.Telemetry,
+) -> "duty_assembly.Duties":
+    """Returns the duties of this node; their modules are loaded only here."""
+    from sycamorehollow.platform import duty_codec
+    from sycamorehollow.shells.gateway import duty_assembly
+    from sycamorehollow.shells.gateway import duty_store
+
+    platform = duty_assembly.DutyPlatform(
+        duty_codec.PlatformDutyCodec(),
+        storeclient.PlatformStore(
+            f"http://{settings.store}", duty_store.CALL_LIMIT_S
+        ),
+    )
+    return duty_assembly.build_duties(
+        settings, platform, router, state, telemetry_sink
+    )
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import time
+from typing import TYPE_CHECKING
 
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.model import forwarding
@@ -29,6 +30,9 @@
 from sycamorehollow.shells.gateway import store_tasks
 from sycamorehollow.shells.gateway import telemetry
 
+if TYPE_CHECKING:
+    from sycamorehollow.shells.gateway import duty_assembly
+
 # Time until the load balancer has noticed that the node is not ready. New
 # requests are still served until then.
 READINESS_PROPAGATION_S = 2.5
@@ -46,6 +50,7 @@
     Attributes:
         read_settings: Reads the settings file again.
         settings_path: The settings file, which is polled for changes.
+        open_duties: Builds the duties where the settings list some.
     """
 
     header_codec: header_codec.HeaderCodec
@@ -53,6 +58,18 @@
     store: stores.Store
     read_settings: Callable[[], gateway.Settings | list[process.Fault]]
     settings_path: pathlib.Path
+    open_duties: "OpenDuties | None" = None
+
+
+OpenDuties = Callable[
+    [
+        gateway.Settings,
+        routers.Router,
+        state_sync.StateSync,
+        telemetry.Telemetry,
+    ],
+    "duty_assembly.Duties",
+]
 
 
 class Gateway:
@@ -112,6 +129,7 @@
             set()
         )
         self._state_sync: state_sync.StateSync | None = None
+        self._duties: duty_assembly.Duties | None = None
         self._draining = False
         self._last_accepted_at = float("-inf")
 
@@ -168,9 +186,7 @@
         periodic_task.cancel()
         for server in servers:
             server.close()
-        requests_cut = sum(
-            connection.is_busy for connection in self._connections
-        )
+        requests_cut = sum(c.is_busy for c in self._connections)
         self._telemetry.log_event(
             "stopped node={} requests_cut={}", self._settings.node, requests_cut
         )
@@ -213,6 +229,11 @@
         state.set_store_tasks(watch, writer)
         writer.start()
         watch.start()
+        if self._settings.has_duties and self._adapter.open_duties is not None:
+            self._duties = self._adapter.open_duties(
+                self._settings, self._router, state, self._telemetry
+            )
+            self._forwarder.count_start = self._duties.count_start
 
     async def _connect_peers(self) -> None:
         """Starts the client for other nodes while requests are served."""
@@ -307,6 +328,8 @@
         self._survey.start_if_due()
         self._pool.close_expired()
         self._forwarder.close_expired()
+        if self._duties is not None:
+            self._duties.runner.run()
 
     def _read_settings_mtime(self) -> float:
         with contextlib.suppress(FileNotFoundError):
@@ -335,6 +358,8 @@
         started = time.monotonic()
         end = started + self._settings.grace_s - SHUTDOWN_MARGIN_S
         self._draining = True
+        if self._duties is not None:
+            self._duties.runner.stop()
         self._telemetry.log_event(
             "draining, {} connections", len(self._connections)
         )
--- /dev/null
+++ b/sycamorehollow/shells/gateway/duty_assembly.py
@@ -0,0 +1,162 @@
+"""Builds the duties of a node; loaded only where the settings list some."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import random
+import time
+
+from sycamorehollow.decisions.duties import clock_offset
+from sycamorehollow.decisions.duties import duty
+from sycamorehollow.decisions.duties import ownership
+from sycamorehollow.decisions.duties import usage
+from sycamorehollow.decisions.forwarding import router as routers
+from sycamorehollow.settings import gateway
+from sycamorehollow.shells import stores
+from sycamorehollow.shells.gateway import duty_client
+from sycamorehollow.shells.gateway import duty_codec
+from sycamorehollow.shells.gateway import duty_exchange
+from sycamorehollow.shells.gateway import duty_runner
+from sycamorehollow.shells.gateway import duty_store
+from sycamorehollow.shells.gateway import state_sync
+from sycamorehollow.shells.gateway import telemetry
+
+
+@dataclasses.dataclass(frozen=True)
+class DutyPlatform:
+    """The parts of duties that depend on the platform.
+
+    Attributes:
+        codec: Encodes calls and keys.
+        store: Client of the store with short time limits.
+    """
+
+    codec: duty_codec.DutyCodec
+    store: stores.TransactionStore
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """What a duty may be built from.
+
+    Attributes:
+        settings: Settings of the process.
+        router: Holds the state of the node.
+        clock: Estimate of true time.
+        run: Number of the process.
+    """
+
+    settings: gateway.Settings
+    router: routers.Router
+    clock: clock_offset.ClockOffset
+    run: int
+
+
+def _build_usage(context: Context) -> duty.Duty:
+    return usage.UsageDuty(
+        context.settings.node,
+        context.run,
+        context.settings.report_window_s,
+        context.settings.report_delay_s,
+        context.clock,
+    )
+
+
+BUILDERS: dict[str, Callable[[Context], duty.Duty]] = {
+    usage.UsageDuty.name: _build_usage,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Duties:
+    """The duties of a node.
+
+    Attributes:
+        runner: Runs them.
+        count_start: Counts a request of a workspace that has begun to run;
+            `None` if no duty wants to know.
+    """
+
+    runner: duty_runner.DutyRunner
+    count_start: Callable[[str], None] | None
+
+
+def build_duties(
+    settings: gateway.Settings,
+    platform: DutyPlatform,
+    router: routers.Router,
+    state: state_sync.StateSync,
+    telemetry_sink: telemetry.Telemetry,
+) -> Duties:
+    """Builds the duties that the settings list; called in the event loop.
+
+    Args:
+        settings: Settings of the process.
+        platform: The parts that depend on the platform.
+        router: Holds the state of the node.
+        state: Copy of the store and messages between nodes.
+        telemetry_sink: Records every decision.
+    """
+    loop = asyncio.get_running_loop()
+
+    def deliver(call: Callable[[], None]) -> None:
+        # The loop is closed when the process exits.
+        with contextlib.suppress(RuntimeError):
+            loop.call_soon_threadsafe(call)
+
+    clock = clock_offset.ClockOffset()
+    context = Context(settings, router, clock, time.time_ns())
+    duties = []
+    for name in settings.duties:
+        if name not in BUILDERS:
+            telemetry_sink.log_event("unknown duty {!r} is ignored", name)
+            continue
+        duties.append(BUILDERS[name](context))
+    order = duty_exchange.CandidateOrder(settings.node)
+    exchange = duty_exchange.DutyExchange(
+        settings.node,
+        duties,
+        clock,
+        order,
+        telemetry_sink,
+        random.Random(),
+        state.send_sync_request,
+    )
+    state.part = exchange
+    process = f"{settings.node} {context.run}"
+    runner = duty_runner.DutyRunner(
+        settings.node,
+        [
+            duty_runner.Entry(
+                each, ownership.Ownership(process, settings.owner_lease_s)
+            )
+            for each in duties
+        ],
+        platform.codec,
+        duty_store.StoreCalls(
+            platform.store,
+            platform.codec,
+            duty_client.Worker("duty-store", deliver),
+        ),
+        duty_client.DutyClient(settings.duty_address),
+        duty_client.Worker("duty-calls", deliver),
+        state,
+        exchange,
+        order,
+        clock,
+        settings.duty_calls_per_s,
+        telemetry_sink,
+        lambda: router.nodes,
+    )
+    return Duties(runner, _find_counter(duties))
+
+
+def _find_counter(duties: list[duty.Duty]) -> Callable[[str], None] | None:
+    for each in duties:
+        if isinstance(each, usage.UsageDuty):
+            counting = each
+            return lambda workspace: counting.count(
+                workspace, duty_client.read_boot_time()
+            )
+    return None
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -45,6 +45,8 @@
 
     Attributes:
         rejecting: Whether new requests are rejected because the node drains.
+        count_start: Counts a request of a workspace that has begun to run;
+            `None` if nothing counts them.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         survey: isolation_survey.IsolationSurvey | None = None,
     ):
         self.rejecting = False
+        self.count_start: Callable[[str], None] | None = None
         self._started_at = time.monotonic()
         self._router = router
         self._codec = codec
@@ -230,6 +233,7 @@
         if isinstance(workspace, failures.Failure):
             return workspace
         record.workspace = workspace
+        record.count_start = self.count_start
         service = route_table.choose_service(route, self._router.rng)
         if isinstance(service, failures.Failure):
             return service
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -271,6 +271,7 @@
         body = bytearray()
         while len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
             data = await self._read_body(connection)
+            self._record_start(head)
             if not data:
                 await self._confirm_end(connection, f"{len(body)} bytes")
                 await self._write_head(head, len(body))
@@ -316,6 +317,7 @@
                 has_events = True
                 lifecycle.record_bytes(time.monotonic())
             if not lifecycle.delivering:
+                self._record_start(head)
                 await self._write_head(head, None)
             lifecycle.last_event_id = splitter.last_event_id
             await self._connection.write_body(complete)
@@ -333,6 +335,12 @@
         )
         await self._connection.write_end()
 
+    def _record_start(self, head: upstream_connections.ResponseHead) -> None:
+        """Records that the request has begun to run."""
+        self._record.record_start(
+            head.status, self._lifecycle.attempts[-1].node
+        )
+
     async def _confirm_end(
         self,
         connection: upstream_connections.UpstreamConnection,
--- a/sycamorehollow/shells/gateway/state_sync.py
+++ b/sycamorehollow/shells/gateway/state_sync.py
@@ -13,6 +13,7 @@
 from sycamorehollow.model import events
 from sycamorehollow.settings import gateway
 from sycamorehollow.shells.gateway import crash_sync
+from sycamorehollow.shells.gateway import exchange_part
 from sycamorehollow.shells.gateway import limit_messages
 from sycamorehollow.shells.gateway import limit_sync
 from sycamorehollow.shells.gateway import mirror_messages
@@ -54,6 +55,9 @@
         codec: Decodes and encodes entries of the store.
         telemetry_sink: Records every change.
         rng: Randomises the intervals.
+
+    Attributes:
+        part: A further part of the messages.
     """
 
     def __init__(
@@ -75,7 +79,7 @@
         self._mirror = self._contents.mirror
         self._loop = asyncio.get_running_loop()
         self._source = state_source.StateSource(
-            settings, router, telemetry_sink, rng, self._send_sync_request
+            settings, router, telemetry_sink, rng, self.send_sync_request
         )
         self._store_writer = store_writer.StoreWriter(
             settings, router, codec, self._mirror, telemetry_sink
@@ -89,6 +93,7 @@
         self._watchers = router.watchers
         self._limit_sync = limit_sync.LimitSync(router, telemetry_sink)
         self._crash_sync = crash_sync.CrashSync(router, telemetry_sink)
+        self.part = exchange_part.ExchangePart()
 
     @property
     def is_ready(self) -> bool:
@@ -97,6 +102,15 @@
             self._router.directory.list_all()
         )
 
+    @property
+    def local_copy(self) -> mirror.Mirror:
+        """The local copy of the store."""
+        return self._mirror
+
+    def compute_age_s(self) -> float:
+        """Returns the age of the local copy of the store."""
+        return self._source.compute_age_s(time.monotonic())
+
     def get_position(self) -> mirror.Position:
         """Returns how far all changes of the store are applied."""
         return self._mirror.position
@@ -168,7 +182,7 @@
                 else SYNC_INTERVAL_S
             )
             self._next_sync_at = now + pause_s * self._rng.uniform(0.8, 1.2)
-            self._send_sync_request(
+            self.send_sync_request(
                 self._watchers.choose_gossip_peer(
                     self._router.nodes, self._source.compute_age_s(now), now
                 )
@@ -210,6 +224,7 @@
                 )
                 self._limit_sync.record_response(event.number, document, now)
                 self._crash_sync.record_response(event.number, now)
+                self.part.record_response(event.number)
             case peer_client.PeerRequestFailed():
                 now = time.monotonic()
                 name, _ = self._pending.pop(event.number, ("", now))
@@ -217,6 +232,7 @@
                 self._source.record_failure(event.number)
                 self._limit_sync.record_failure(event.number, now)
                 self._crash_sync.record_failure(event.number)
+                self.part.record_failure(event.number)
 
     def _handle_contents(self, is_restored: bool) -> None:
         """Notes a restore of the store, and what it asks of this node."""
@@ -230,7 +246,7 @@
     def send_permit_requests(self) -> None:
         """Asks other nodes for the permits that requests wait for."""
         for request in self._router.permit_loans.take_requests():
-            number = self._send_sync_request(
+            number = self.send_sync_request(
                 request.owner, limit_messages.encode_request(request)
             )
             self._limit_sync.record_request(number, request)
@@ -257,9 +273,9 @@
                 name = self._watchers.choose_gossip_peer(
                     nodes, self._source.compute_age_s(now), now
                 )
-            self._send_sync_request(name)
+            self.send_sync_request(name)
 
-    def _send_sync_request(
+    def send_sync_request(
         self, name: str | None, parts: Mapping[str, Any] = NO_PARTS
     ) -> int | None:
         """Sends a sync request to another node; returns its number.
@@ -314,6 +330,7 @@
             "poison": self._router.quarantine.export(now),
             "sound": self._router.quarantine.export_completions(now),
             **self._limit_sync.export(address, now),
+            **self.part.export(),
             **parts,
             **mirror_messages.encode_delta(delta),
         }
@@ -366,6 +383,7 @@
             self._router.directory.record_store_recovery(back_at)
             self._limit_sync.merge(document, now)
             self._crash_sync.merge(document, now)
+            self.part.merge(address, document)
             delta = mirror_messages.decode_delta(document)
             if delta is not None:
                 self._handle_contents(
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -1,5 +1,6 @@
 """Log lines and metrics of the gateway."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import os
@@ -80,6 +81,8 @@
         state_age_s: Seconds since the state was last known to include all
             changes of the store.
         first_byte_s: Seconds to the first byte of the response.
+        count_start: Counts a request of a workspace that has begun to run;
+            `None` after it has counted this one.
     """
 
     started_at: float
@@ -92,6 +95,19 @@
     status: int = 0
     first_byte_s: float | None = None
     outcome: str = steps.DELIVERED
+    count_start: Callable[[str], None] | None = None
+
+    def record_start(self, status: int, node: str) -> None:
+        """Counts the request if this node has seen it begin to run.
+
+        Args:
+            status: Status of the response.
+            node: Node that it came through, which counts it; empty for none.
+        """
+        count, self.count_start = self.count_start, None
+        if count is None or self.workspace is None or node or status >= 500:
+            return
+        count(self.workspace.name)
 
     def record_first_byte(self, now: float, status: int) -> None:
         """Records the first byte of the response."""
--- a/sycamorehollow/shells/stores.py
+++ b/sycamorehollow/shells/stores.py
@@ -223,20 +223,6 @@
 CallFailure = Unreachable | InDoubt | RateLimited
 
 
-class TransactionStore(abc.ABC):
-    """Client of a store that changes several keys at once."""
-
-    @abc.abstractmethod
-    def commit(
-        self, transaction: Transaction
-    ) -> Written | Conflict | CallFailure:
-        """Makes the changes if all keys are at their expected revisions.
-
-        A conflict states the value of the first expected key. A lease that has
-        ended is a conflict as well.
-        """
-
-
 class Store(abc.ABC):
     """Client of the store; calls return failures and do not raise them."""
 
@@ -310,3 +296,17 @@
     @abc.abstractmethod
     def release_lease(self, lease: str) -> Released | LeaseGone | CallFailure:
         """Ends a lease and deletes the values that are tied to it."""
+
+
+class TransactionStore(Store):
+    """Client of a store that changes several keys at once."""
+
+    @abc.abstractmethod
+    def commit(
+        self, transaction: Transaction
+    ) -> Written | Conflict | CallFailure:
+        """Makes the changes if all keys are at their expected revisions.
+
+        A conflict states the value of the first expected key. A lease that has
+        ended is a conflict as well.
+        """
