--- a/sycamorehollow/decisions/duties/ownership.py
+++ b/sycamorehollow/decisions/duties/ownership.py
@@ -29,6 +29,8 @@
 # Longer than each store call; the result of a call is ignored after it.
 STEP_LIMIT_S = 2.0
 RETRY_DELAY_S = 1.5
+# Time in which the node's copy of the store has to show the written key.
+CONFIRM_LIMIT_S = 2.0
 # A node that has just started does not know the other candidates yet.
 FIRST_DELAY_S = 1.0
 # Time between the attempts of successive candidates, and its bound.
@@ -264,6 +266,11 @@
                 self._give_up("the key is gone")
                 return
             self._is_confirmed = True
+        if now >= self._callable_at + CONFIRM_LIMIT_S and (
+            not self._is_confirmed
+        ):
+            # A node without a current copy would block the duty.
+            self._give_up("the copy of the store does not show the key")
         if (
             self.state is State.WAITING
             and self._is_confirmed
--- a/sycamorehollow/shells/gateway/duty_assembly.py
+++ b/sycamorehollow/shells/gateway/duty_assembly.py
@@ -18,6 +18,7 @@
 from sycamorehollow.shells.gateway import duty_codec
 from sycamorehollow.shells.gateway import duty_exchange
 from sycamorehollow.shells.gateway import duty_runner
+from sycamorehollow.shells.gateway import duty_sender
 from sycamorehollow.shells.gateway import duty_store
 from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import telemetry
@@ -89,30 +90,10 @@
     state: state_sync.StateSync,
     telemetry_sink: telemetry.Telemetry,
 ) -> Duties:
-    """Builds the duties that the settings list; called in the event loop.
-
-    Args:
-        settings: Settings of the process.
-        platform: The parts that depend on the platform.
-        router: Holds the state of the node.
-        state: Copy of the store and messages between nodes.
-        telemetry_sink: Records every decision.
-    """
-    loop = asyncio.get_running_loop()
-
-    def deliver(call: Callable[[], None]) -> None:
-        # The loop is closed when the process exits.
-        with contextlib.suppress(RuntimeError):
-            loop.call_soon_threadsafe(call)
-
+    """Builds the duties that the settings list; called in the event loop."""
     clock = clock_offset.ClockOffset()
     context = Context(settings, router, clock, time.time_ns())
-    duties = []
-    for name in settings.duties:
-        if name not in BUILDERS:
-            telemetry_sink.log_event("unknown duty {!r} is ignored", name)
-            continue
-        duties.append(BUILDERS[name](context))
+    duties = _build_listed(context, telemetry_sink)
     order = duty_exchange.CandidateOrder(settings.node)
     exchange = duty_exchange.DutyExchange(
         settings.node,
@@ -124,34 +105,77 @@
         state.send_sync_request,
     )
     state.part = exchange
-    process = f"{settings.node} {context.run}"
     runner = duty_runner.DutyRunner(
-        settings.node,
-        [
-            duty_runner.Entry(
-                each, ownership.Ownership(process, settings.owner_lease_s)
-            )
-            for each in duties
-        ],
+        _build_entries(context, duties),
         platform.codec,
         duty_store.StoreCalls(
-            platform.store,
-            platform.codec,
-            duty_client.Worker("duty-store", deliver),
+            platform.store, platform.codec, _build_worker("duty-store")
         ),
-        duty_client.DutyClient(settings.duty_address),
-        duty_client.Worker("duty-calls", deliver),
+        _build_sender(settings, platform.codec, telemetry_sink),
         state,
         exchange,
         order,
         clock,
-        settings.duty_calls_per_s,
         telemetry_sink,
         lambda: router.nodes,
     )
     return Duties(runner, _find_counter(duties))
 
 
+def _build_listed(
+    context: Context, telemetry_sink: telemetry.Telemetry
+) -> list[duty.Duty]:
+    """Returns the duties that the settings list."""
+    duties = []
+    for name in dict.fromkeys(context.settings.duties):
+        if name not in BUILDERS:
+            telemetry_sink.log_event("unknown duty {!r} is ignored", name)
+            continue
+        duties.append(BUILDERS[name](context))
+    return duties
+
+
+def _build_entries(
+    context: Context, duties: list[duty.Duty]
+) -> list[duty_sender.Entry]:
+    """Returns the duties, each with a candidacy of this process."""
+    settings = context.settings
+    process = f"{settings.node} {context.run}"
+    return [
+        duty_sender.Entry(
+            each, ownership.Ownership(process, settings.owner_lease_s)
+        )
+        for each in duties
+    ]
+
+
+def _build_sender(
+    settings: gateway.Settings,
+    codec: duty_codec.DutyCodec,
+    telemetry_sink: telemetry.Telemetry,
+) -> duty_sender.DutySender:
+    return duty_sender.DutySender(
+        settings.node,
+        codec,
+        duty_client.DutyClient(settings.duty_address),
+        _build_worker("duty-calls"),
+        settings.duty_calls_per_s,
+        telemetry_sink,
+    )
+
+
+def _build_worker(name: str) -> duty_client.Worker:
+    """Returns a thread that delivers results to the event loop."""
+    loop = asyncio.get_running_loop()
+
+    def deliver(call: Callable[[], None]) -> None:
+        # The loop is closed when the process exits.
+        with contextlib.suppress(RuntimeError):
+            loop.call_soon_threadsafe(call)
+
+    return duty_client.Worker(name, deliver)
+
+
 def _find_counter(duties: list[duty.Duty]) -> Callable[[str], None] | None:
     for each in duties:
         if isinstance(each, usage.UsageDuty):
--- a/sycamorehollow/shells/gateway/duty_exchange.py
+++ b/sycamorehollow/shells/gateway/duty_exchange.py
@@ -40,8 +40,8 @@
 
     def set_nodes(self, names: Mapping[str, Any]) -> None:
         """Sets the registered nodes; this node is always one."""
-        if len(names.keys() - {self._node}) + 1 == len(self._names):
-            # Names are added and rarely replaced, so their number tells.
+        # Names are only added, so their number tells.
+        if len(names) + (self._node not in names) == len(self._names):
             return
         self._names = frozenset((*names, self._node))
         self._orders.clear()
--- a/sycamorehollow/shells/gateway/duty_runner.py
+++ b/sycamorehollow/shells/gateway/duty_runner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-import dataclasses
 import time
 from typing import Any
 
@@ -14,95 +13,54 @@
 from sycamorehollow.shells.gateway import duty_client
 from sycamorehollow.shells.gateway import duty_codec
 from sycamorehollow.shells.gateway import duty_exchange
+from sycamorehollow.shells.gateway import duty_sender
 from sycamorehollow.shells.gateway import duty_store
 from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import telemetry
 
 # Age of the copy of the store up to which a node is a candidate.
 MAX_AGE_S = 3.0
-# Calls of one duty in flight or queued.
-MAX_CALLS = 4
-# After a call that failed, the duty makes none for this time.
-PAUSE_S = 0.5
-# Part of the platform's rate that this node uses; a former owner or the owner
-# of another duty may use the rest.
-RATE_SHARE = 0.5
-BURST_S = 0.5
-
-
-@dataclasses.dataclass
-class Entry:
-    """A duty and this node's part in it.
-
-    Attributes:
-        duty: The duty.
-        candidate: This node's candidacy.
-        state: State of the candidate as it was last logged.
-        pending: Unsent calls by subject.
-        in_flight: Subjects of the calls without a result.
-        is_writing: Whether the write of a record has no result.
-        paused_until: Boot time until which no calls are made.
-    """
-
-    duty: duties.Duty
-    candidate: ownership.Ownership
-    state: ownership.State = ownership.State.IDLE
-    pending: dict[str, duties.Call] = dataclasses.field(default_factory=dict)
-    in_flight: set[str] = dataclasses.field(default_factory=set)
-    is_writing: bool = False
-    paused_until: float = 0.0
 
 
 class DutyRunner:
     """Runs in the event loop of the gateway; other threads make the calls.
 
     Args:
-        node: Name of this node.
         entries: The duties.
         codec: Encodes calls and keys.
         store_calls: Makes the store calls.
-        client: Makes the calls to the platform.
-        worker: Thread for the calls to the platform.
+        sender: Sends the calls to the platform.
         state: The node's copy of the store and its messages.
         exchange: Passes values on to other nodes.
         order: Order of the candidates.
         clock: Estimate of true time.
-        calls_per_s: Calls per second that the platform accepts.
         telemetry_sink: Records every decision.
         get_nodes: Returns the registered nodes.
     """
 
     def __init__(
         self,
-        node: str,
-        entries: list[Entry],
+        entries: list[duty_sender.Entry],
         codec: duty_codec.DutyCodec,
         store_calls: duty_store.StoreCalls,
-        client: duty_client.DutyClient,
-        worker: duty_client.Worker,
+        sender: duty_sender.DutySender,
         state: state_sync.StateSync,
         exchange: duty_exchange.DutyExchange,
         order: duty_exchange.CandidateOrder,
         clock: clock_offset.ClockOffset,
-        calls_per_s: float,
         telemetry_sink: telemetry.Telemetry,
         get_nodes: Callable[[], Mapping[str, Any]],
     ):
-        self._node = node
         self._entries = entries
         self._codec = codec
         self._store_calls = store_calls
-        self._client = client
-        self._worker = worker
+        self._sender = sender
         self._state = state
         self._exchange = exchange
         self._order = order
         self._clock = clock
-        self._rate_per_s = calls_per_s * RATE_SHARE
-        self._credit = 1.0
         self._telemetry = telemetry_sink
         self._get_nodes = get_nodes
-        self._ran_at = duty_client.read_boot_time()
         self._node_count = 0
         self._era = -1
         self._era_known_since = 0.0
@@ -112,12 +70,6 @@
             ["duty"],
             registry=telemetry_sink.registry,
         )
-        self._calls = prometheus_client.Counter(
-            "sycamore_duty_calls",
-            "Calls of duties to the platform",
-            ["duty", "result"],
-            registry=telemetry_sink.registry,
-        )
 
     def run(self) -> None:
         """Does all work that is due."""
@@ -129,10 +81,6 @@
         if copy.era != self._era:
             self._era = copy.era
             self._era_known_since = now
-        limit = max(1.0, self._rate_per_s * BURST_S)
-        earned = (now - self._ran_at) * self._rate_per_s
-        self._credit = min(limit, self._credit + earned)
-        self._ran_at = now
         owners: dict[str, str | None] = {}
         for entry in self._entries:
             key = self._codec.build_owner_key(entry.duty.name)
@@ -153,7 +101,9 @@
         for entry in self._entries:
             entry.duty.set_node_count(count)
 
-    def _run_entry(self, entry: Entry, key: str, now: float) -> None:
+    def _run_entry(
+        self, entry: duty_sender.Entry, key: str, now: float
+    ) -> None:
         name, candidate = entry.duty.name, entry.candidate
         copy = self._state.local_copy
         view = ownership.View(
@@ -184,10 +134,11 @@
             self._write_records(entry, key, now)
             for call in entry.duty.build_calls(now):
                 entry.pending[call.subject] = call
-        if entry.pending and now >= entry.paused_until:
-            self._send_pending(entry)
+        self._sender.send(entry, now)
 
-    def _record_state(self, entry: Entry, key: str, now: float) -> None:
+    def _record_state(
+        self, entry: duty_sender.Entry, key: str, now: float
+    ) -> None:
         """Logs a changed state, and begins or ends the ownership."""
         state, previous = entry.candidate.state, entry.state
         if state is previous:
@@ -211,7 +162,7 @@
             entry.pending.clear()
             entry.duty.end(now)
 
-    def _load_records(self, entry: Entry, now: float) -> None:
+    def _load_records(self, entry: duty_sender.Entry, now: float) -> None:
         """Gives the duty the records of the node's copy of the store."""
         prefix = self._codec.build_record_key(entry.duty.name, "")
         records: dict[str, duties.Call] = {}
@@ -232,7 +183,9 @@
             records, frozenset(recent), self._era_known_since, now
         )
 
-    def _write_records(self, entry: Entry, key: str, now: float) -> None:
+    def _write_records(
+        self, entry: duty_sender.Entry, key: str, now: float
+    ) -> None:
         """Writes the next record unless a write has no result yet."""
         if entry.is_writing:
             return
@@ -257,61 +210,5 @@
                 entry.duty.name, record, owner, handle
             )
 
-    def _send_pending(self, entry: Entry) -> None:
-        """Sends calls as far as the rate and the calls in flight allow."""
-        for subject, call in list(entry.pending.items()):
-            if self._credit < 1 or len(entry.in_flight) >= MAX_CALLS:
-                return
-            if subject in entry.in_flight:
-                continue
-            if not self._send(entry, call):
-                return
-            del entry.pending[subject]
-            self._credit -= 1
-            entry.in_flight.add(subject)
-
-    def _send(self, entry: Entry, call: duties.Call) -> bool:
-        """Queues a call; returns `False` if too many wait."""
-        candidate, token = entry.candidate, entry.candidate.token
-        message = self._codec.encode_call(call, self._node, token)
-
-        def may_call(now: float, duration_s: float) -> bool:
-            if candidate.token != token:
-                return False
-            # Recorded first, so that no later ownership overlooks it.
-            candidate.record_call(now, duration_s)
-            return candidate.can_call(now, duration_s)
-
-        def run() -> Callable[[], None]:
-            try:
-                result, detail = self._client.send(message, may_call)
-            except Exception as error:
-                result, detail = duties.Result.UNKNOWN, f"error {error!r}"
-            return lambda: self._record_result(
-                entry, call, token, result, detail
-            )
-
-        return self._worker.submit(run)
-
-    def _record_result(
-        self,
-        entry: Entry,
-        call: duties.Call,
-        token: int,
-        result: duties.Result,
-        detail: str,
-    ) -> None:
-        now = duty_client.read_boot_time()
-        entry.in_flight.discard(call.subject)
-        name = entry.duty.name
-        self._calls.labels(name, result.value).inc()
-        self._log(
-            name,
-            f"call={call.subject} {result.value} token={token} {detail} {call}",
-        )
-        if result not in (duties.Result.ACCEPTED, duties.Result.REJECTED):
-            entry.paused_until = now + PAUSE_S
-        entry.duty.record_result(call, result, now)
-
     def _log(self, name: str, text: str) -> None:
         self._telemetry.record_state_change(f"duty={name}", text, "duties")
--- a/sycamorehollow/shells/gateway/duty_store.py
+++ b/sycamorehollow/shells/gateway/duty_store.py
@@ -95,18 +95,7 @@
             Whether the write was queued.
         """
         key = self._codec.build_record_key(name, record.name)
-        transaction = stores.Transaction(
-            ((key, 0), (owner.key, owner.revision)),
-            (
-                stores.KeyWrite(
-                    key, self._codec.encode_record(record.call, owner.era)
-                ),
-            ),
-            tuple(
-                self._codec.build_record_key(name, expired)
-                for expired in record.expired
-            ),
-        )
+        transaction = self._build_transaction(name, key, record, owner)
 
         def call() -> Callable[[], None]:
             try:
@@ -118,6 +107,20 @@
 
         return self._worker.submit(call)
 
+    def _build_transaction(
+        self, name: str, key: str, record: duty.Record, owner: Owner
+    ) -> stores.Transaction:
+        """Returns the write of a record, which needs the owner's key."""
+        value = self._codec.encode_record(record.call, owner.era)
+        expired = (
+            self._codec.build_record_key(name, each) for each in record.expired
+        )
+        return stores.Transaction(
+            ((key, 0), (owner.key, owner.revision)),
+            (stores.KeyWrite(key, value),),
+            tuple(expired),
+        )
+
     def _read_held(
         self,
         record: duty.Record,
--- a/tests/test_duty_ownership.py
+++ b/tests/test_duty_ownership.py
@@ -272,8 +272,11 @@
 
     def test_no_call_before_the_copy_shows_the_key(self):
         self.acquire(100.0)
-        self.keep(self.absent, 101.0, 110.0)
+        allowed_at = 101.0 + LEASE_S + ownership.MARGIN_S
+        self.keep(self.absent, 101.0, allowed_at + 1.0)
         self.assertIs(self.process.state, ownership.State.WAITING)
+        self.keep(self.absent, allowed_at + 1.0, allowed_at + 2.5)
+        self.assertIsNot(self.process.state, ownership.State.WAITING)
 
     def test_second_ownership_waits_after_the_last_call(self):
         view = self.acquire(100.0)
