--- a/sycamorehollow/decisions/forwarding/watchers.py
+++ b/sycamorehollow/decisions/forwarding/watchers.py
@@ -14,8 +14,9 @@
 
 from collections.abc import Container
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
-import heapq
+import itertools
 import random
 import zlib
 
@@ -66,6 +67,9 @@
         self._data_centre = data_centre
         self._rng = rng
         self._unreachable: dict[str, float] = {}
+        # The nodes of the latest ranking, and that ranking.
+        self._ranked_nodes: dict[str, Node] = {}
+        self._ranking: Mapping[str, Sequence[str]] = {}
         self._fresh_at = float("-inf")
         self._stale_s = STALE_S + rng.uniform(0.0, STALE_SPREAD_S)
 
@@ -147,18 +151,36 @@
         self, nodes: Mapping[str, Node], now: float
     ) -> dict[str, list[str]]:
         """Returns the watchers of each data centre in order of preference."""
-        names: dict[str, list[str]] = {}
-        for name, node in nodes.items():
-            if name == self._name or self.is_reachable(name, now):
-                names.setdefault(node.data_centre, []).append(name)
-        return {
-            data_centre: heapq.nsmallest(
-                WATCHERS_PER_DATA_CENTRE,
-                near,
-                key=lambda name: (
-                    -nodes[name].link_mbps,
-                    zlib.crc32(name.encode()),
-                ),
+        watchers = {}
+        for data_centre, names in self._rank_nodes(nodes).items():
+            reachable = (
+                name
+                for name in names
+                if name == self._name or self.is_reachable(name, now)
+            )
+            watchers[data_centre] = list(
+                itertools.islice(reachable, WATCHERS_PER_DATA_CENTRE)
             )
-            for data_centre, near in names.items()
-        }
+        return watchers
+
+    def _rank_nodes(
+        self, nodes: Mapping[str, Node]
+    ) -> Mapping[str, Sequence[str]]:
+        """Returns the nodes of each data centre in order of preference.
+
+        The order is kept until a node changes, as it is needed several times
+        per second and sorting takes time that grows with the fleet.
+        """
+        if nodes == self._ranked_nodes:
+            return self._ranking
+        names: dict[str, list[str]] = {}
+        for name in sorted(nodes, key=lambda name: _compute_key(name, nodes)):
+            names.setdefault(nodes[name].data_centre, []).append(name)
+        self._ranked_nodes = dict(nodes)
+        self._ranking = names
+        return names
+
+
+def _compute_key(name: str, nodes: Mapping[str, Node]) -> tuple[float, int]:
+    """Returns the sort key of a node; the preferred one has the lowest."""
+    return -nodes[name].link_mbps, zlib.crc32(name.encode())
