--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -90,6 +90,15 @@
     return route.models[-1]
 
 
+def may_discard(
+    route: forwarding.Route, model: str, confidence: int | None
+) -> bool:
+    """Returns whether `decide` could discard a response under any load."""
+    if confidence is None or model == choose_larger_model(route):
+        return False
+    return confidence < _compute_idle_threshold(route)
+
+
 def decide(route: forwarding.Route, inputs: CascadeInputs) -> Decision:
     """Decides whether to discard a response for a larger model's."""
     larger = choose_larger_model(route)
@@ -101,8 +110,7 @@
         _interpolate_down(inputs.occupancy, OCCUPANCY_FROM, OCCUPANCY_TO),
         _interpolate_down(inputs.delay, DELAY_FROM, DELAY_TO),
     )
-    idle = max(0.0, IDLE_CONFIDENCE_THRESHOLD - PRIORITY_STEP * route.priority)
-    threshold = idle * headroom
+    threshold = _compute_idle_threshold(route) * headroom
     if inputs.confidence >= threshold:
         return Decision("", f"confidence of {threshold:.0f} or more")
     if inputs.attempts_left < 1:
@@ -115,6 +123,11 @@
     return Decision(larger, f"confidence below {threshold:.0f}")
 
 
+def _compute_idle_threshold(route: forwarding.Route) -> float:
+    """Returns the confidence below which an idle service tries again."""
+    return max(0.0, IDLE_CONFIDENCE_THRESHOLD - PRIORITY_STEP * route.priority)
+
+
 def _interpolate_down(value: float, start: float, end: float) -> float:
     """Returns 1 up to `start`, 0 from `end`, linear in between."""
     return min(1.0, max(0.0, (end - value) / (end - start)))
--- a/sycamorehollow/decisions/forwarding/cascade_control.py
+++ b/sycamorehollow/decisions/forwarding/cascade_control.py
@@ -63,6 +63,13 @@
         delay_s = elapsed_s - placement.estimate_idle_first_byte_s(
             self._request.prompt_tokens
         )
+        delay = router.delays.record(
+            self._service, max(0.0, delay_s) / objective_s, now
+        )
+        if not cascade.may_discard(self._route, attempt.model, confidence):
+            # A choice of an upstream looks at all of them, and most responses
+            # are kept whatever it finds.
+            return cascade.Decision("", "kept under any load")
         larger = cascade.choose_larger_model(self._route)
         choice = self._candidates.choose_for_model(larger, now)
         if choice.state is None:
@@ -75,9 +82,7 @@
                 elapsed_s,
                 choice.expected_s,
                 router.placement.estimate_occupancy(self._service, now),
-                router.delays.record(
-                    self._service, max(0.0, delay_s) / objective_s, now
-                ),
+                delay,
                 self._route.max_attempts - possible_runs,
                 router.retry_budget.count_remaining(self._service, now),
             ),
