--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -107,12 +107,19 @@
     def __init__(self, reregistration_s: float = REREGISTRATION_S) -> None:
         self._reregistration_s = reregistration_s
         self._states: dict[str, UpstreamState] = {}
+        # Identities of the upstreams whose entries were deleted.
+        self._removed: set[str] = set()
+        # The registered upstreams of each service that neither drain nor are
+        # evacuated. Filled on demand and dropped when an entry changes, since
+        # each request asks for those of its service several times.
+        self._by_service: dict[str, list[UpstreamState]] = {}
         self._evacuated: set[str] = set()
         self._store_recovered_at = float("-inf")
 
     def set_evacuated(self, data_centres: Iterable[str]) -> None:
         """Sets the data centres that get no requests."""
         self._evacuated = set(data_centres)
+        self._by_service.clear()
 
     def is_evacuated(self, state: UpstreamState) -> bool:
         """Returns whether the data centre of an upstream is evacuated."""
@@ -131,9 +138,9 @@
         if self._store_recovered_at != at:
             return
         self._store_recovered_at = float("-inf")
-        for state in self._states.values():
-            if state.expires_at is not None:
-                state.expires_at = state.removed_at
+        for identity in self._removed:
+            state = self._states[identity]
+            state.expires_at = state.removed_at
 
     def register(
         self, upstream: forwarding.Upstream, now: float
@@ -149,6 +156,8 @@
         state.upstream = upstream
         state.updated_at = now
         state.expires_at = None
+        self._removed.discard(upstream.identity)
+        self._by_service.clear()
         if upstream.cold_s > 0:
             state.cold_until = max(state.cold_until, now + upstream.cold_s)
         return state
@@ -166,6 +175,7 @@
         state.expires_at = max(
             now, self._store_recovered_at + self._reregistration_s
         )
+        self._removed.add(identity)
         return state.expires_at
 
     def forget_connection_failures(self) -> None:
@@ -188,17 +198,21 @@
 
     def list_usable(self, service: str, now: float) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get requests."""
-        usable = []
-        for state in self._states.values():
-            upstream = state.upstream
-            if upstream.service != service or state.is_draining:
-                continue
-            if self.is_evacuated(state):
-                continue
-            if state.expires_at is not None and now >= state.expires_at:
-                continue
-            usable.append(state)
-        return usable
+        known = self._by_service.get(service)
+        if known is None:
+            known = self._by_service[service] = [
+                state
+                for state in self._states.values()
+                if state.upstream.service == service
+                and not state.upstream.draining
+                and not self.is_evacuated(state)
+            ]
+        return [
+            state
+            for state in known
+            if not state.is_leaving
+            and (state.expires_at is None or now < state.expires_at)
+        ]
 
     def choose_reference(
         self, silent: UpstreamState, since_s: float, now: float
@@ -225,15 +239,17 @@
 
     def evict_expired(self, now: float) -> list[str]:
         """Removes expired idle upstreams and returns their identities."""
-        expired = [
-            identity
-            for identity, state in self._states.items()
-            if state.expires_at is not None
-            and now >= state.expires_at
-            and state.running <= 0
-        ]
+        expired = []
+        for identity in self._removed:
+            state = self._states[identity]
+            if state.expires_at is None or now < state.expires_at:
+                continue
+            if state.running <= 0:
+                expired.append(identity)
         for identity in expired:
             del self._states[identity]
+            self._removed.discard(identity)
+            self._by_service.clear()
         return expired
 
 
--- a/sycamorehollow/decisions/forwarding/rate_limiter.py
+++ b/sycamorehollow/decisions/forwarding/rate_limiter.py
@@ -94,6 +94,10 @@
 
         0 if it may send one now, infinite if it owns no part of the limit.
         """
+        if self._limits.get(incarnation) is None:
+            # Each choice of an upstream asks for all candidates, and mostly
+            # none of them is limited.
+            return 0.0
         if self.count_borrowed(incarnation, now):
             return 0.0
         return self.compute_own_delay(incarnation, now)
--- a/sycamorehollow/decisions/forwarding/stated_limits.py
+++ b/sycamorehollow/decisions/forwarding/stated_limits.py
@@ -177,7 +177,8 @@
 
     def evict_expired(self, known: Iterable[Incarnation], now: float) -> None:
         """Drops old statements that concern no known upstream or no limit."""
-        kept = set(known)
+        # Mostly no upstream states a limit, and there is nothing to look up.
+        kept = set(known) if self._statements else set()
         for incarnation, statement in list(self._statements.items()):
             if now - statement.seen_at < STATEMENT_TTL_S:
                 continue
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import functools
 
 
 class RouteKind(enum.Enum):
@@ -149,7 +150,9 @@
     started_ms: int = 0
     models: tuple[str, ...] = ()
 
-    @property
+    # Cached, as each choice of an upstream reads it several times for each
+    # candidate.
+    @functools.cached_property
     def incarnation(self) -> tuple[str, int]:
         """Identifies one incarnation of the upstream."""
         return self.identity, self.started_ms
