--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -135,8 +135,22 @@
         headers: header_codec.Headers,
         length: int | None,
         keep_alive: bool,
+        body: bytes = b"",
     ) -> None:
-        """Writes the head of a response; without a length it is chunked."""
+        """Writes the head of a response; without a length it is chunked.
+
+        Args:
+            status: Status of the response.
+            reason: Reason phrase.
+            headers: Headers without those that frame the body.
+            length: Length of the body; `None` if it is not known.
+            keep_alive: Whether the caller keeps the connection open.
+            body: First part of the body. Each separate write is a system call
+                and a packet.
+
+        Raises:
+            CallerDisconnectedError: The caller has closed the connection.
+        """
         self._chunked = length is None
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
         lines.extend(b"%s: %s\r\n" % pair for pair in headers)
@@ -151,6 +165,8 @@
             self.is_closing = True
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
+        if body:
+            lines.append(self._frame(body))
         await self._write(b"".join(lines))
 
     async def write_body(self, data: bytes) -> None:
@@ -159,15 +175,17 @@
         Raises:
             CallerDisconnectedError: The caller has closed the connection.
         """
-        if self._chunked:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
-        await self._write(data)
+        await self._write(self._frame(data))
 
     async def write_end(self) -> None:
         """Ends the body."""
         if self._chunked:
             await self._write(b"0\r\n\r\n")
 
+    def _frame(self, data: bytes) -> bytes:
+        """Returns a part of the body as it is sent."""
+        return b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data
+
     async def _write(self, data: bytes) -> None:
         if self._disconnected or self._transport is None:
             raise CallerDisconnectedError
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -297,6 +297,6 @@
     keep_alive: bool,
 ) -> None:
     """Writes a complete response created by the gateway."""
-    await connection.write_head(status, b"", headers, len(body), keep_alive)
-    if body:
-        await connection.write_body(body)
+    await connection.write_head(
+        status, b"", headers, len(body), keep_alive, body
+    )
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -273,13 +273,11 @@
             data = await self._read_body(connection)
             if not data:
                 await self._confirm_end(connection, f"{len(body)} bytes")
-                await self._write_head(head, len(body))
-                await self._connection.write_body(bytes(body))
+                await self._write_head(head, len(body), bytes(body))
                 return
             body += data
         self._lifecycle.failover.resumable = False
-        await self._write_head(head, head.length)
-        await self._connection.write_body(bytes(body))
+        await self._write_head(head, head.length, bytes(body))
         while data := await self._read_body(connection):
             await self._connection.write_body(data)
         await self._confirm_end(connection, "more than the buffered bytes")
@@ -315,10 +313,11 @@
             if server_sent_events.has_data(complete):
                 has_events = True
                 lifecycle.record_bytes(time.monotonic())
-            if not lifecycle.delivering:
-                await self._write_head(head, None)
             lifecycle.last_event_id = splitter.last_event_id
-            await self._connection.write_body(complete)
+            if lifecycle.delivering:
+                await self._connection.write_body(complete)
+            else:
+                await self._write_head(head, None, complete)
         # Nothing may be left of a stream that broke off after its last event.
         is_empty = not (has_events or is_continuation)
         if splitter.incomplete_event or is_empty:
@@ -368,9 +367,12 @@
             )
 
     async def _write_head(
-        self, head: upstream_connections.ResponseHead, length: int | None
+        self,
+        head: upstream_connections.ResponseHead,
+        length: int | None,
+        body: bytes,
     ) -> None:
-        """Writes the response head; later attempts continue its body."""
+        """Writes the head and the first part of the body."""
         self._lifecycle.delivering = True
         self._record.record_first_byte(time.monotonic(), head.status)
         headers = [
@@ -379,7 +381,12 @@
             if pair[0].lower() not in header_codec.HOP_BY_HOP
         ]
         await self._connection.write_head(
-            head.status, head.reason, headers, length, self._request.keep_alive
+            head.status,
+            head.reason,
+            headers,
+            length,
+            self._request.keep_alive,
+            body,
         )
 
     async def _read_body(
--- a/tests/test_gateway_costs.py
+++ b/tests/test_gateway_costs.py
@@ -1,13 +1,16 @@
 """Tests of the work of a node that must not grow with the deployment."""
 
+import asyncio
 import random
 import sys
 import unittest
+import unittest.mock
 
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import caller_connections
 from tests import forwarding_world
 
 
@@ -131,6 +134,36 @@
                 )
 
 
+class ResponseWritesTest(unittest.IsolatedAsyncioTestCase):
+    """A response in needless parts costs a system call and a packet each."""
+
+    async def write(self, length, body):
+        connection = caller_connections.CallerConnection(
+            None, forwarding.CallerLimits, set()
+        )
+        transport = unittest.mock.create_autospec(asyncio.Transport)
+        connection.connection_made(transport)
+        await connection.write_head(200, b"OK", [], length, True, body)
+        connection.connection_lost(None)
+        (call,) = transport.write.call_args_list
+        return call.args[0]
+
+    async def test_the_head_and_the_first_part_are_one_write(self):
+        self.assertEqual(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+            await self.write(3, b"abc"),
+        )
+        self.assertEqual(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n",
+            await self.write(None, b"abc"),
+        )
+
+    async def test_no_first_part_does_not_end_a_chunked_body(self):
+        data = await self.write(None, b"")
+        self.assertTrue(data.endswith(b"chunked\r\n\r\n"))
+
+
 class IncarnationTest(unittest.TestCase):
     """A kept incarnation must not be taken over by a changed copy."""
 
