--- a/sycamorehollow/decisions/forwarding/attempt_starter.py
+++ b/sycamorehollow/decisions/forwarding/attempt_starter.py
@@ -61,7 +61,9 @@
         expected_s = self._router.placement.latency.estimate(
             upstream.identity, model, uncached, now
         )
-        waiting_s = expected_s + state.backlog_s
+        # The backlog is in usual time, since the speed will have changed.
+        waiting_s = expected_s * max(1.0, state.estimate_time_factor(now))
+        waiting_s += state.backlog_s
         state.backlog_s += expected_s
         limit = limiter.get_limit(upstream.incarnation, now)
         attempt = steps.Attempt(
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -18,6 +18,12 @@
 # Time in which a full upstream finishes a request or two. Until then it would
 # only refuse more, and each refusal counts as a retry.
 FULL_BACKOFF_S = 0.05
+# Half-life of the speed that an upstream states, which changes about every
+# 0.6 s.
+SPEED_HALF_LIFE_S = 0.3
+# Bounds of a stated speed, so that a false one decides no placement for long.
+MIN_TIME_FACTOR = 0.1
+MAX_TIME_FACTOR = 10.0
 # Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.1
 
@@ -82,6 +88,13 @@
         """Returns whether it has just refused a request as full."""
         return now < self.full_until
 
+    def estimate_time_factor(self, now: float) -> float:
+        """Returns the expected duration of work, relative to the usual one."""
+        if self.load is None or self.load.time_factor is None:
+            return 1.0
+        weight = 0.5 ** ((now - self.load_at) / SPEED_HALF_LIFE_S)
+        return 1 + (get_time_factor(self.load) - 1) * weight
+
     @property
     def is_draining(self) -> bool:
         """Whether its entry or a response says that it is about to stop."""
@@ -271,6 +284,13 @@
         state.full_until = now + FULL_BACKOFF_S
 
 
+def get_time_factor(load: forwarding.Load | None) -> float:
+    """Returns the duration of work that a report states; 1 without one."""
+    if load is None or load.time_factor is None:
+        return 1.0
+    return min(MAX_TIME_FACTOR, max(MIN_TIME_FACTOR, load.time_factor))
+
+
 def record_outcome(state: UpstreamState, failed: bool) -> None:
     """Adds the outcome of an attempt to the failure rate."""
     change = float(failed) - state.failure_rate
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -352,6 +352,7 @@
         )
         cost += CACHE_MISS_WEIGHT * uncached / PREFILL_TOKENS_PER_S
         cost += BACKLOG_WEIGHT * state.backlog_s
+        cost *= state.estimate_time_factor(now)
         cost *= 1 + load + 4 * max(0.0, load - 0.8)
         cost *= 1 + FAILURE_COST * state.failure_rate
         cost *= 1 + JITTER * self._rng.random()
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -370,7 +370,7 @@
             upstream.identity,
             attempt.model,
             attempt.uncached_tokens,
-            now - attempt.sent_at,
+            (now - attempt.sent_at) / directory.get_time_factor(head.load),
             now,
         )
         if self.delivering and head.status != STREAM_STATUS:
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -241,11 +241,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Load:
-    """Load that an upstream reports in a response."""
+    """Load that an upstream reports in a response.
+
+    Attributes:
+        time_factor: How long work takes there at this moment, relative to the
+            usual time; `None` if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    time_factor: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -290,10 +290,16 @@
 
 
 def _parse_load(value: bytes | None) -> forwarding.Load | None:
+    """Parses a load report; figures after the fourth are ignored."""
     values = (value or b"").decode("latin-1").split(",")
-    if len(values) != 3:
+    if len(values) < 3:
         return None
-    running, waiting, slots = (_parse_count(v.strip()) for v in values)
+    running, waiting, slots = (_parse_count(v.strip()) for v in values[:3])
     if running is None or waiting is None or slots is None:
         return None
-    return forwarding.Load(running, waiting, slots)
+    if len(values) == 3:
+        return forwarding.Load(running, waiting, slots)
+    # A fourth figure that is invalid does not invalidate the other three.
+    percent = _parse_count(values[3].strip())
+    time_factor = percent / 100 if percent else None
+    return forwarding.Load(running, waiting, slots, time_factor)
