--- a/sycamorehollow/decisions/forwarding/attempt_starter.py
+++ b/sycamorehollow/decisions/forwarding/attempt_starter.py
@@ -78,6 +78,9 @@
             is_limited=limit is not None,
             is_isolated=self._guard.was_isolated,
         )
+        self._router.placement.record_sent(
+            attempt, self._route, self._service, self._candidates.due_at
+        )
         share = self._candidates.get_assignment_share(upstream.version, now)
         attempt.observer = self._router.response_times.start_timer(
             self._service, self._route, attempt, share
--- a/sycamorehollow/decisions/forwarding/candidates.py
+++ b/sycamorehollow/decisions/forwarding/candidates.py
@@ -1,6 +1,7 @@
 """Candidate upstreams for the next attempt of one request."""
 
 from collections.abc import Collection
+import math
 
 from sycamorehollow.decisions.forwarding import part_guard
 from sycamorehollow.decisions.forwarding import placement
@@ -18,6 +19,7 @@
         session: Affinity key; requests with the same key get the same version.
         body_bytes: Length of the body.
         guard: Restricts prompts that may crash upstreams.
+        due_at: Monotonic time in seconds at which the first event is due.
 
     Attributes:
         model: Requested model; empty for a plain service.
@@ -34,10 +36,12 @@
         session: str,
         body_bytes: int,
         guard: part_guard.PartGuard,
+        due_at: float = math.inf,
     ):
         self.model = ""
         self.no_failures = True
         self.delivering = False
+        self.due_at = due_at
         self._router = router
         self._request = request
         self._service = service
@@ -110,6 +114,7 @@
             model,
             self._choose_versions(no_failures, now),
             frozenset(excluded),
+            self.due_at,
         )
 
     def _choose_versions(
--- a/sycamorehollow/decisions/forwarding/cascade_control.py
+++ b/sycamorehollow/decisions/forwarding/cascade_control.py
@@ -5,7 +5,7 @@
 
 from sycamorehollow.decisions.forwarding import candidates
 from sycamorehollow.decisions.forwarding import cascade
-from sycamorehollow.decisions.forwarding import placement
+from sycamorehollow.decisions.forwarding import latency_estimator
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
@@ -60,7 +60,7 @@
             return cascade.Decision("", "no choice of models")
         router = self._router
         objective_s = max(self._route.objective_s, MIN_OBJECTIVE_S)
-        delay_s = elapsed_s - placement.estimate_idle_first_byte_s(
+        delay_s = elapsed_s - latency_estimator.estimate_idle_first_byte_s(
             self._request.prompt_tokens
         )
         larger = cascade.choose_larger_model(self._route)
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -7,27 +7,21 @@
 """
 
 from collections.abc import Collection
-from collections.abc import Mapping
 import dataclasses
+import math
 import random
 
 from sycamorehollow.decisions.forwarding import cold_start_limiter
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import latency_estimator
+from sycamorehollow.decisions.forwarding import prefill_budget
 from sycamorehollow.decisions.forwarding import prefix_index
 from sycamorehollow.decisions.forwarding import rate_limiter
+from sycamorehollow.decisions.forwarding import steps
 from sycamorehollow.model import forwarding
 
-# Initial estimate of the prefill speed, which responses correct.
-PREFILL_TOKENS_PER_S = 100_000.0
-# Initial estimate of the time to the first byte without prompt tokens.
-IDLE_FIRST_BYTE_S = 0.05
-# Weight of the newest response in the moving averages.
-LATENCY_WEIGHT = 0.15
 # Half-life of the load of other nodes that an upstream reports.
 LOAD_HALF_LIFE_S = 1.5
-# Half-life of an upstream's latency estimate, so that an upstream that was slow
-# is tried again.
-LATENCY_HALF_LIFE_S = 4.0
 # A cache miss costs double, since the prefill also evicts another prefix.
 CACHE_MISS_WEIGHT = 2.0
 # Cost of sending a request to another data centre, and of each of its bytes.
@@ -66,6 +60,8 @@
         model: Requested model; empty for a plain service.
         versions: Allowed versions; `None` for all.
         excluded: Identities of upstreams that must not be selected.
+        due_at: Monotonic time at which the first event or the response is due
+            by the route's objective.
     """
 
     request: forwarding.Request
@@ -74,6 +70,7 @@
     model: str = ""
     versions: Collection[str] | None = None
     excluded: Collection[str] = ()
+    due_at: float = math.inf
 
     @property
     def queue_key(self) -> tuple[str, str, frozenset[str]]:
@@ -111,43 +108,6 @@
     is_held: bool = False
 
 
-class LatencyEstimator:
-    """Estimates of the time to the first byte, per upstream and model."""
-
-    def __init__(self) -> None:
-        self._factors: dict[tuple[str, str], tuple[float, float]] = {}
-        self._averages: dict[str, float] = {}
-
-    def record(
-        self, identity: str, model: str, tokens: int, took_s: float, now: float
-    ) -> None:
-        """Records the time to the first byte after a prefill of `tokens`."""
-        factor = took_s / estimate_idle_first_byte_s(tokens)
-        average = self._averages.get(model, factor)
-        self._averages[model] = average + LATENCY_WEIGHT * (factor - average)
-        current = self._factors.get((identity, model), (average, now))[0]
-        # Caps outliers: a stalled response says little about the next one.
-        factor = min(factor, current * 4 + 1)
-        new = current + LATENCY_WEIGHT * 2 * (factor - current)
-        self._factors[identity, model] = (new, now)
-
-    def estimate(
-        self, identity: str, model: str, tokens: int, now: float
-    ) -> float:
-        """Returns the expected seconds to the first byte."""
-        average = self._averages.get(model, 1.0)
-        factor, at = self._factors.get((identity, model), (average, now))
-        weight = 0.5 ** ((now - at) / LATENCY_HALF_LIFE_S)
-        return estimate_idle_first_byte_s(tokens) * (
-            average + (factor - average) * weight
-        )
-
-    def remove_upstream(self, identity: str) -> None:
-        """Drops the estimates of an upstream that is gone or restarted."""
-        for key in [key for key in self._factors if key[0] == identity]:
-            del self._factors[key]
-
-
 class Placement:
     """Selects upstreams.
 
@@ -169,7 +129,7 @@
         prefixes: prefix_index.PrefixIndex,
         rng: random.Random,
     ):
-        self.latency = LatencyEstimator()
+        self.latency = latency_estimator.LatencyEstimator()
         self._data_centre = data_centre
         self._directory = upstreams
         self._cold_limiter = cold_limiter
@@ -201,7 +161,7 @@
             s for s in available if not s.is_backing_off(now)
         ] or available
         preferred = self._find_preferred(reachable, requirements)
-        costs: Mapping[str, float] = {
+        costs = {
             state.upstream.identity: self._compute_cost(
                 state, requirements, preferred, now
             )
@@ -242,6 +202,39 @@
         cost = self._compute_cost(state, requirements, None, now)
         return Choice(state, "isolated", 1, 1, cost)
 
+    def record_sent(
+        self,
+        attempt: steps.Attempt,
+        route: forwarding.Route,
+        service: forwarding.Service,
+        due_at: float,
+    ) -> None:
+        """Records an attempt that is about to be sent.
+
+        Args:
+            attempt: The attempt.
+            route: Route of the request.
+            service: Service of its upstream.
+            due_at: Monotonic time in seconds at which the first event is due.
+        """
+
+    def record_response(
+        self, attempt: steps.Attempt, head: forwarding.DecodedHead, now: float
+    ) -> None:
+        """Records the time to the first byte of a response."""
+        took_s = now - attempt.sent_at
+        self.latency.record(
+            attempt.state.upstream.identity,
+            attempt.model,
+            attempt.uncached_tokens,
+            took_s / directory.get_time_factor(head.load),
+            now,
+        )
+
+    def remove_upstream(self, identity: str) -> None:
+        """Drops what is known of an upstream that is gone or restarted."""
+        self.latency.remove_upstream(identity)
+
     def may_send(self, state: directory.UpstreamState, now: float) -> bool:
         """Returns whether the upstream wants a request of this node now."""
         if state.is_draining or now < state.paused_until:
@@ -268,19 +261,7 @@
         self, requirements: Requirements, now: float
     ) -> list[directory.UpstreamState]:
         usable = self._directory.list_usable(requirements.service.name, now)
-        found = []
-        for state in usable:
-            upstream = state.upstream
-            if upstream.identity in requirements.excluded:
-                continue
-            if requirements.versions is not None:
-                if upstream.version not in requirements.versions:
-                    continue
-            if requirements.model and upstream.models:
-                if requirements.model not in upstream.models:
-                    continue
-            found.append(state)
-        return found
+        return [s for s in usable if is_suitable(s.upstream, requirements)]
 
     def _has_capacity(
         self,
@@ -337,23 +318,48 @@
         now: float,
     ) -> float:
         """Returns the expected cost of an attempt in seconds."""
+        load = estimate_running(state, now) / max(1, state.upstream.slots)
+        uncached = self._count_uncached(
+            state, requirements, preferred, load, now
+        )
+        identity = state.upstream.identity
+        cost = self.latency.estimate(
+            identity, requirements.model, uncached, now
+        )
+        miss_s = uncached / prefill_budget.PREFILL_TOKENS_PER_S
+        cost += CACHE_MISS_WEIGHT * miss_s
+        cost += BACKLOG_WEIGHT * state.backlog_s
+        cost *= state.estimate_time_factor(now)
+        cost *= 1 + load + 4 * max(0.0, load - 0.8)
+        return self._add_penalties(cost, state, requirements, now)
+
+    def _count_uncached(
+        self,
+        state: directory.UpstreamState,
+        requirements: Requirements,
+        preferred: str | None,
+        load: float,
+        now: float,
+    ) -> int:
+        """Returns the prompt tokens that an upstream has to process."""
         identity = state.upstream.identity
         request = requirements.request
         cached = self._prefixes.count_cached_tokens(
             identity, requirements.model, request.prompt_parts, now
         )
-        load = estimate_running(state, now) / max(1, state.upstream.slots)
         if identity == preferred and load < MAX_AFFINITY_LOAD:
             shared = sum(part.tokens for part in request.prompt_parts[:-1])
             cached = max(cached, shared)
-        uncached = max(0, request.prompt_tokens - cached)
-        cost = self.latency.estimate(
-            identity, requirements.model, uncached, now
-        )
-        cost += CACHE_MISS_WEIGHT * uncached / PREFILL_TOKENS_PER_S
-        cost += BACKLOG_WEIGHT * state.backlog_s
-        cost *= state.estimate_time_factor(now)
-        cost *= 1 + load + 4 * max(0.0, load - 0.8)
+        return max(0, request.prompt_tokens - cached)
+
+    def _add_penalties(
+        self,
+        cost: float,
+        state: directory.UpstreamState,
+        requirements: Requirements,
+        now: float,
+    ) -> float:
+        """Adds the costs of failures, limits and distance, and a random one."""
         cost *= 1 + FAILURE_COST * state.failure_rate
         cost *= 1 + JITTER * self._rng.random()
         age_s = self._limiter.compute_statement_age(
@@ -380,6 +386,15 @@
     return state.running + max(0, others) * weight
 
 
-def estimate_idle_first_byte_s(tokens: int) -> float:
-    """Returns the initial estimate of the time to the first byte."""
-    return IDLE_FIRST_BYTE_S + tokens / PREFILL_TOKENS_PER_S
+def is_suitable(
+    upstream: forwarding.Upstream, requirements: Requirements
+) -> bool:
+    """Returns whether an upstream meets the requirements of an attempt."""
+    if upstream.identity in requirements.excluded:
+        return False
+    if requirements.versions is not None:
+        if upstream.version not in requirements.versions:
+            return False
+    if requirements.model and upstream.models:
+        return requirements.model in upstream.models
+    return True
--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -1,5 +1,7 @@
 """State machine of one request: attempts, retries and the final response."""
 
+import math
+
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import attempt_starter
 from sycamorehollow.decisions.forwarding import attempt_timeouts
@@ -92,6 +94,7 @@
             request.get_session_key(route),
             body_bytes,
             self.guard,
+            now + route.objective_s if route.objective_s > 0 else math.inf,
         )
         self._cascade = cascade_control.CascadeController(
             router, request, route, service.name, self._candidates
@@ -366,13 +369,7 @@
             ),
             failed,
         )
-        self._router.placement.latency.record(
-            upstream.identity,
-            attempt.model,
-            attempt.uncached_tokens,
-            (now - attempt.sent_at) / directory.get_time_factor(head.load),
-            now,
-        )
+        self._router.placement.record_response(attempt, head, now)
         if self.delivering and head.status != STREAM_STATUS:
             # The caller already has the head of another response.
             self._candidates.no_failures = False
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -8,11 +8,11 @@
 from sycamorehollow.decisions.forwarding import cascade
 from sycamorehollow.decisions.forwarding import cold_start_limiter
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import engine_placement
 from sycamorehollow.decisions.forwarding import isolation
 from sycamorehollow.decisions.forwarding import node_ranks
 from sycamorehollow.decisions.forwarding import part_quarantine
 from sycamorehollow.decisions.forwarding import permit_loans
-from sycamorehollow.decisions.forwarding import placement
 from sycamorehollow.decisions.forwarding import prefix_index
 from sycamorehollow.decisions.forwarding import quarantine
 from sycamorehollow.decisions.forwarding import rate_limiter
@@ -96,7 +96,7 @@
             self.rate_limiter, self._can_ask, rng
         )
         self.prefix_index = prefix_index.PrefixIndex(settings.reuse_s)
-        self.placement = placement.Placement(
+        self.placement = engine_placement.EnginePlacement(
             settings.data_centre,
             self.directory,
             self.cold_start_limiter,
@@ -347,4 +347,4 @@
         self.node_ranks.remove(identity)
         self.cold_start_limiter.remove_upstream(identity)
         self.prefix_index.remove_upstream(identity)
-        self.placement.latency.remove_upstream(identity)
+        self.placement.remove_upstream(identity)
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -5,6 +5,7 @@
 import enum
 
 from sycamorehollow.decisions.forwarding import directory
+from sycamorehollow.decisions.forwarding import prefill_budget
 from sycamorehollow.model import failures
 
 # Outcome of an attempt or request whose response was delivered completely.
@@ -134,6 +135,8 @@
             at an upstream.
         checked_at: When that node was last asked for a sign of life.
         is_node_silent: Whether it gave none.
+        prompt: Its part of the upstream's outstanding prefill; `None` if that
+            is not tracked.
     """
 
     state: directory.UpstreamState
@@ -158,10 +161,13 @@
     node: str = ""
     checked_at: float = float("-inf")
     is_node_silent: bool = False
+    prompt: prefill_budget.Prompt | None = None
 
     def end(self, cause: EndCause, outcome: str, now: float) -> None:
         """Ends the attempt and records the cause and outcome."""
         self.release_backlog()
+        if self.prompt is not None:
+            self.prompt.record_end()
         self.end_cause = cause
         self.ended_at = now
         self.outcome = outcome
@@ -172,6 +178,8 @@
         """Records the arrival of a part of the response."""
         self.last_byte_at = now
         self.state.last_byte_at = now
+        if self.prompt is not None:
+            self.prompt.record_first_event()
         if self.observer is not None:
             self.observer.record_event(now)
 
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -64,6 +64,21 @@
         return self.kind is RouteKind.SAFE
 
 
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """Model engines that are the upstreams of a service.
+
+    Attributes:
+        slots: Requests that one runs at once; 0 if not stated.
+        cache_tokens: Tokens that its cache holds; 0 if not stated.
+        model_costs: Relative cost of each model; 0 if not stated.
+    """
+
+    slots: int = 0
+    cache_tokens: int = 0
+    model_costs: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A set of interchangeable upstreams.
@@ -73,12 +88,14 @@
         cold_requests_per_s: Request rate that a cold upstream tolerates; 0 if
             the upstreams start warm.
         health_path: Path of its health checks; empty if there are none.
+        engine: The engines that are its upstreams; `None` for a plain service.
     """
 
     name: str
     max_connections: int
     cold_requests_per_s: float = 0.0
     health_path: str = ""
+    engine: Engine | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -8,6 +8,7 @@
 from typing import Annotated
 from typing import Any
 
+import loguru
 import pydantic
 
 from sycamorehollow.decisions.forwarding import watchers
@@ -60,11 +61,24 @@
     name: _Name
 
 
+class _EngineModel(pydantic.BaseModel):
+    name: _Name
+    cost: _Number = 0
+
+
+class _Engine(pydantic.BaseModel):
+    slots: _Count = 0
+    kvCapacity: _Count = 0  # noqa: N815
+    models: list[_EngineModel] = []
+
+
 class _Service(pydantic.BaseModel):
     name: _Name
     maxConnections: _Count = 0  # noqa: N815
     coldPerS: _Number = 0  # noqa: N815
     healthCheckPath: str = ""  # noqa: N815
+    # Validated by itself: a faulty one must not reject the configuration.
+    engine: Any = None
 
 
 class _Limits(pydantic.BaseModel):
@@ -295,6 +309,22 @@
         max_connections=service.maxConnections,
         cold_requests_per_s=service.coldPerS,
         health_path=service.healthCheckPath,
+        engine=_build_engine(service.engine),
+    )
+
+
+def _build_engine(entry: Any) -> forwarding.Engine | None:
+    if entry is None:
+        return None
+    try:
+        engine = _Engine.model_validate(entry)
+    except pydantic.ValidationError as error:
+        loguru.logger.warning("invalid engine entry is ignored: {!r}", error)
+        return forwarding.Engine()
+    return forwarding.Engine(
+        slots=engine.slots,
+        cache_tokens=engine.kvCapacity,
+        model_costs={model.name: model.cost for model in engine.models},
     )
 
 
