--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -115,9 +115,13 @@
     Args:
         reregistration_s: Seconds that an expired entry has to be restored
             after an outage of the store.
+
+    Attributes:
+        generation: Number of changes of the set of known upstreams.
     """
 
     def __init__(self, reregistration_s: float = REREGISTRATION_S) -> None:
+        self.generation = 0
         self._reregistration_s = reregistration_s
         self._states: dict[str, UpstreamState] = {}
         self._evacuated: set[str] = set()
@@ -156,9 +160,12 @@
         if state is None or state.upstream.incarnation != upstream.incarnation:
             state = UpstreamState(upstream, now, now)
             self._states[upstream.identity] = state
+            self.generation += 1
         elif _is_elsewhere(state.upstream, upstream):
             state.connection_failures = 0
             state.backoff_until = 0.0
+        if _get_group(state.upstream) != _get_group(upstream):
+            self.generation += 1
         state.upstream = upstream
         state.updated_at = now
         state.expires_at = None
@@ -203,16 +210,23 @@
         """Returns the upstreams of a service that may get requests."""
         usable = []
         for state in self._states.values():
-            upstream = state.upstream
-            if upstream.service != service or state.is_draining:
-                continue
-            if self.is_evacuated(state):
-                continue
-            if state.expires_at is not None and now >= state.expires_at:
+            if state.upstream.service != service:
                 continue
-            usable.append(state)
+            if self.is_usable(state, now):
+                usable.append(state)
         return usable
 
+    def is_usable(self, state: UpstreamState, now: float) -> bool:
+        """Returns whether an upstream may get requests."""
+        if state.is_draining or self.is_evacuated(state):
+            return False
+        return state.expires_at is None or now < state.expires_at
+
+    def list_service(self, service: str) -> list[UpstreamState]:
+        """Returns all known upstreams of a service."""
+        states = self._states.values()
+        return [s for s in states if s.upstream.service == service]
+
     def choose_reference(
         self, silent: UpstreamState, since_s: float, now: float
     ) -> UpstreamState | None:
@@ -247,6 +261,7 @@
         ]
         for identity in expired:
             del self._states[identity]
+        self.generation += len(expired)
         return expired
 
 
@@ -301,3 +316,7 @@
     known: forwarding.Upstream, upstream: forwarding.Upstream
 ) -> bool:
     return (known.host, known.port) != (upstream.host, upstream.port)
+
+
+def _get_group(upstream: forwarding.Upstream) -> tuple[str, str]:
+    return upstream.service, upstream.data_centre
--- a/sycamorehollow/decisions/forwarding/engine_placement.py
+++ b/sycamorehollow/decisions/forwarding/engine_placement.py
@@ -4,6 +4,9 @@
 services keep the choice of `placement`.
 """
 
+import collections
+from collections.abc import Iterator
+import dataclasses
 import random
 
 from sycamorehollow.decisions.forwarding import cold_start_limiter
@@ -13,6 +16,7 @@
 from sycamorehollow.decisions.forwarding import prefix_index
 from sycamorehollow.decisions.forwarding import rate_limiter
 from sycamorehollow.decisions.forwarding import steps
+from sycamorehollow.decisions.forwarding import upstream_subset
 from sycamorehollow.model import forwarding
 
 # Cost of each second of prefill beyond what the requests at an upstream
@@ -24,12 +28,92 @@
 # Load from which waiting for a slot becomes likely, and its weight.
 BUSY_LOAD = 0.8
 BUSY_WEIGHT = 4.0
+# Upstreams whose cost is computed: at first, and at most. The first ones are
+# also those that this node keeps connections to.
+CANDIDATES = 8
+MAX_CANDIDATES = 24
+# A service with little more upstreams than that has all of them as candidates.
+MAX_SMALL_SERVICE = 12
+# More candidates are considered while fewer than this fit the request.
+MIN_FITTING = 2
+# An upstream that is slower at this moment does not fit.
+SLOW_FACTOR = 1.8
+# Prompt parts whose order of upstreams is remembered.
+MAX_REMEMBERED_PARTS = 256
+# Rules of a choice, for the log and the metrics.
+FITS = "fits"
+LEAST_HARM = "least harm"
+BACKING_OFF = "all are backing off"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Estimate:
+    """The cost of an attempt at an upstream.
+
+    Attributes:
+        expected_s: Expected time to the first event.
+        fits: Whether the request and those that are there keep their slack.
+    """
+
+    state: directory.UpstreamState
+    cost: float
+    expected_s: float
+    fits: bool
+
+
+@dataclasses.dataclass
+class _Search:
+    """Candidates for one attempt.
+
+    Attributes:
+        limit: Number of candidates to consider.
+        fitting: Number of those that fit.
+        passed_over: Number of upstreams that want no request now.
+        backing_off: Upstreams that could not be reached.
+        is_any_backing_off: Whether the candidates could not be reached.
+        is_widened: Whether the limit was raised.
+    """
+
+    limit: int
+    estimates: list[_Estimate] = dataclasses.field(default_factory=list)
+    fitting: int = 0
+    passed_over: int = 0
+    backing_off: list[directory.UpstreamState] = dataclasses.field(
+        default_factory=list
+    )
+    is_any_backing_off: bool = False
+    is_widened: bool = False
+
+    def add(self, estimate: _Estimate) -> None:
+        """Adds a candidate."""
+        self.estimates.append(estimate)
+        self.fitting += estimate.fits
+
+    def is_enough(self) -> bool:
+        """Returns whether no more candidates are needed; may raise the limit.
+
+        The limit is raised while too few fit the request.
+        """
+        if len(self.estimates) < self.limit:
+            return False
+        if self.fitting >= MIN_FITTING or self.limit >= MAX_CANDIDATES:
+            return True
+        self.limit = min(MAX_CANDIDATES, 2 * self.limit)
+        self.is_widened = True
+        return False
 
 
 class EnginePlacement(placement.Placement):
     """Selects upstreams by the prefill that is outstanding at them.
 
-    Args: see `placement.Placement`.
+    Args:
+        data_centre: Data centre of this process.
+        upstreams: The upstreams.
+        cold_limiter: Rate limits for cold upstreams.
+        limiter: Rate limits that upstreams state.
+        prefixes: Index of the prompt prefixes that upstreams have cached.
+        rng: Random number generator.
+        node: Name of this node.
     """
 
     def __init__(
@@ -40,12 +124,21 @@
         limiter: rate_limiter.RateLimiter,
         prefixes: prefix_index.PrefixIndex,
         rng: random.Random,
+        node: str,
     ):
         super().__init__(
             data_centre, upstreams, cold_limiter, limiter, prefixes, rng
         )
         self.budget = prefill_budget.PrefillBudget()
+        self.subset = upstream_subset.UpstreamSubset(
+            node, data_centre, upstreams
+        )
         self._services_with_speed: set[str] = set()
+        # The order of upstreams by service, model and prompt part.
+        self._ranked: collections.OrderedDict[
+            tuple[str, str, str], list[directory.UpstreamState]
+        ] = collections.OrderedDict()
+        self._ranked_generation = -1
 
     def is_enabled(self, service: forwarding.Service) -> bool:
         """Returns whether this choice is used for a service."""
@@ -92,6 +185,136 @@
         """Drops what is known of an upstream that is gone or restarted."""
         super().remove_upstream(identity)
         self.budget.remove_upstream(identity)
+        self.subset.remove_upstream(identity)
+
+    def choose(
+        self, requirements: placement.Requirements, now: float
+    ) -> placement.Choice:
+        """Returns the best of the first upstreams in this node's order."""
+        if not self.is_enabled(requirements.service):
+            return super().choose(requirements, now)
+        search = self._search(requirements, now)
+        if not search.estimates:
+            # No upstream may get the request, for which there is a reason.
+            return super().choose(requirements, now)
+        fitting = [e for e in search.estimates if e.fits]
+        best = min(fitting or search.estimates, key=lambda e: e.cost)
+        rule = FITS if fitting else LEAST_HARM
+        if search.is_any_backing_off:
+            rule = BACKING_OFF
+        count = len(search.estimates)
+        return placement.Choice(
+            best.state,
+            f"{rule}, {len(fitting)} of {count},"
+            f" {best.expected_s * 1000:.0f} ms",
+            count,
+            count,
+            best.expected_s,
+            search.passed_over,
+            rule=rule,
+            is_widened=search.is_widened,
+        )
+
+    def _search(
+        self, requirements: placement.Requirements, now: float
+    ) -> _Search:
+        """Returns as many candidates as are needed."""
+        order = self.subset.list_order(requirements.service.name)
+        is_small = len(order) <= MAX_SMALL_SERVICE
+        search = _Search(MAX_SMALL_SERVICE if is_small else CANDIDATES)
+        preferred = self._find_affine(requirements, now)
+        for state in self._list_in_order(order, requirements, preferred):
+            if search.is_enough():
+                break
+            if not self._is_eligible(state, requirements, now):
+                continue
+            if not self.may_send(state, now):
+                search.passed_over += 1
+                continue
+            if not self._has_capacity(state, requirements, now):
+                continue
+            if state.is_backing_off(now):
+                search.backing_off.append(state)
+                continue
+            search.add(self._estimate(state, requirements, preferred, now))
+        if not search.estimates:
+            # One of them may be back.
+            search.is_any_backing_off = bool(search.backing_off)
+            for state in search.backing_off[:MAX_CANDIDATES]:
+                search.add(self._estimate(state, requirements, preferred, now))
+        return search
+
+    def _list_in_order(
+        self,
+        order: list[directory.UpstreamState],
+        requirements: placement.Requirements,
+        preferred: str | None,
+    ) -> Iterator[directory.UpstreamState]:
+        """Yields those that have the prompt cached, and then the others."""
+        cached = self._prefixes.find_latest(
+            requirements.model, requirements.request.prompt_parts
+        )
+        first = (preferred, cached)
+        for name in dict.fromkeys(first):
+            state = self._directory.get(name) if name is not None else None
+            if state is None:
+                continue
+            if state.upstream.service == requirements.service.name:
+                yield state
+        for state in order:
+            if state.upstream.identity not in first:
+                yield state
+
+    def _is_eligible(
+        self,
+        state: directory.UpstreamState,
+        requirements: placement.Requirements,
+        now: float,
+    ) -> bool:
+        return self._directory.is_usable(state, now) and placement.is_suitable(
+            state.upstream, requirements
+        )
+
+    def _find_affine(
+        self, requirements: placement.Requirements, now: float
+    ) -> str | None:
+        """Returns the upstream that all nodes prefer for a shared prefix."""
+        parts = requirements.request.prompt_parts
+        if len(parts) < 2:
+            return None
+        service, model = requirements.service.name, requirements.model
+        for state in self._rank_for_part(service, model, parts[-2].identity):
+            if (
+                self._is_eligible(state, requirements, now)
+                and not state.is_backing_off(now)
+                and self.may_send(state, now)
+                and self._has_capacity(state, requirements, now)
+            ):
+                return state.upstream.identity
+        return None
+
+    def _rank_for_part(
+        self, service: str, model: str, part: str
+    ) -> list[directory.UpstreamState]:
+        """Returns the upstreams in the order of preference for a part."""
+        if self._ranked_generation != self._directory.generation:
+            self._ranked_generation = self._directory.generation
+            self._ranked.clear()
+        ranked = self._ranked.get((service, model, part))
+        if ranked is None:
+            states = {
+                state.upstream.identity: state
+                for state in self.subset.list_order(service)
+            }
+            names = prefix_index.rank_by_hash(list(states), model, part)
+            ranked = sorted(
+                (states[name] for name in names),
+                key=lambda s: s.upstream.data_centre != self._data_centre,
+            )
+            self._ranked[service, model, part] = ranked
+            if len(self._ranked) > MAX_REMEMBERED_PARTS:
+                self._ranked.popitem(last=False)
+        return ranked
 
     def _compute_cost(
         self,
@@ -103,6 +326,16 @@
         """Returns the expected cost of an attempt in seconds."""
         if not self.is_enabled(requirements.service):
             return super()._compute_cost(state, requirements, preferred, now)
+        return self._estimate(state, requirements, preferred, now).cost
+
+    def _estimate(
+        self,
+        state: directory.UpstreamState,
+        requirements: placement.Requirements,
+        preferred: str | None,
+        now: float,
+    ) -> _Estimate:
+        """Returns the expected time and cost of an attempt."""
         budget, model = self.budget, requirements.model
         others = budget.estimate_others(state, now)
         load = (state.running + others) / max(1, state.upstream.slots)
@@ -125,4 +358,12 @@
             + EXCESS_WEIGHT * excess_s
             + INTERFERENCE_WEIGHT * own_s * min(1.0, load)
         )
-        return self._add_penalties(cost, state, requirements, now)
+        return _Estimate(
+            state,
+            self._add_penalties(cost, state, requirements, now),
+            expected_s,
+            excess_s <= 0
+            and load < 1
+            and factor < SLOW_FACTOR
+            and not state.is_cold(now),
+        )
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -95,6 +95,8 @@
             without a pause.
         is_held: Whether the attempt has to wait for one upstream although
             others could take it.
+        rule: Rule of the choice, for the metrics; empty for the lowest cost.
+        is_widened: Whether the upstreams that come first were not enough.
     """
 
     state: directory.UpstreamState | None
@@ -106,6 +108,8 @@
     limited: tuple[forwarding.Upstream, ...] = ()
     pause_s: float | None = None
     is_held: bool = False
+    rule: str = ""
+    is_widened: bool = False
 
 
 class Placement:
--- a/sycamorehollow/decisions/forwarding/prefix_index.py
+++ b/sycamorehollow/decisions/forwarding/prefix_index.py
@@ -27,6 +27,10 @@
         self._parts: dict[
             str, collections.OrderedDict[tuple[str, str], float]
         ] = {}
+        # The upstream that has processed each part last.
+        self._latest: collections.OrderedDict[tuple[str, str], str] = (
+            collections.OrderedDict()
+        )
 
     def record_prefill(
         self,
@@ -40,8 +44,22 @@
         for part in parts:
             cached[model, part.identity] = now
             cached.move_to_end((model, part.identity))
+            self._latest[model, part.identity] = identity
+            self._latest.move_to_end((model, part.identity))
         while len(cached) > MAX_PARTS:
             cached.popitem(last=False)
+        while len(self._latest) > MAX_PARTS:
+            self._latest.popitem(last=False)
+
+    def find_latest(
+        self, model: str, parts: Sequence[forwarding.PromptPart]
+    ) -> str | None:
+        """Returns the upstream that has last processed most of a prompt."""
+        for part in reversed(parts):
+            identity = self._latest.get((model, part.identity))
+            if identity is not None:
+                return identity
+        return None
 
     def count_cached_tokens(
         self,
--- a/sycamorehollow/decisions/forwarding/router.py
+++ b/sycamorehollow/decisions/forwarding/router.py
@@ -103,6 +103,7 @@
             self.rate_limiter,
             self.prefix_index,
             rng,
+            settings.node,
         )
         self.retry_budget = retry_budget.RetryBudget(
             settings.retry_ratio, settings.retry_window_s, settings.retry_floor
@@ -134,6 +135,9 @@
                 return self._evacuate(event)
             case updates.NodeSet():
                 self.nodes[event.name] = event.node
+                self.placement.subset.add_node(
+                    event.name, event.node.data_centre
+                )
                 self.node_ranks.add_nodes(self.nodes)
                 self.retry_budget.set_node_count(len(self.nodes))
                 self.rollouts.set_node_count(len(self.nodes))
