--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -53,6 +53,7 @@
         load: Load that it last reported.
         load_at: When it reported that load.
         running_at_load: Value of `running` at that time.
+        sent_since_load: Requests that this node has sent since then.
         running: Requests of this node that it is running.
         backlog_s: Expected seconds until it has started to respond to all
             waiting requests of this node.
@@ -77,6 +78,7 @@
     load: forwarding.Load | None = None
     load_at: float = float("-inf")
     running_at_load: int = 0
+    sent_since_load: int = 0
     running: int = 0
     backlog_s: float = 0.0
 
@@ -291,6 +293,7 @@
         state.load = head.load
         state.load_at = now
         state.running_at_load = state.running
+        state.sent_since_load = 0
     if head.cold_s:
         state.cold_until = max(state.cold_until, now + head.cold_s)
     if not head.not_run:
--- a/sycamorehollow/decisions/forwarding/engine_placement.py
+++ b/sycamorehollow/decisions/forwarding/engine_placement.py
@@ -21,13 +21,16 @@
 
 # Cost of each second of prefill beyond what the requests at an upstream
 # tolerate, and of each second by which the first event would be late.
-EXCESS_WEIGHT = 4.0
-# Cost of a prefill for the requests that run beside it, at a full upstream. It
-# leads long prompts to where few others run.
-INTERFERENCE_WEIGHT = 2.0
+EXCESS_WEIGHT = 1.0
+# Weight of the prefill that is outstanding. It takes longer than at an idle
+# engine, as the steps of running requests come in between.
+AHEAD_WEIGHT = 4.0
 # Load from which waiting for a slot becomes likely, and its weight.
 BUSY_LOAD = 0.8
-BUSY_WEIGHT = 4.0
+BUSY_WEIGHT = 8.0
+# Random increase of a cost. Most of the spread comes from the draw among
+# near-equal candidates.
+JITTER = 0.02
 # Upstreams whose cost is computed: at first, and at most. The first ones are
 # also those that this node keeps connections to.
 CANDIDATES = 8
@@ -36,6 +39,14 @@
 MAX_SMALL_SERVICE = 12
 # More candidates are considered while fewer than this fit the request.
 MIN_FITTING = 2
+# Costs up to this multiple of the lowest one are near-equal, and the exponent
+# by which the weight of a candidate falls with its cost.
+NEAR_COST = 1.1
+COST_EXPONENT = 6.0
+# A load report is old after this time. On an old one, this node takes at most
+# this share of the free slots, as other nodes have the same view.
+OLD_REPORT_S = 0.2
+OLD_REPORT_SHARE = 0.25
 # An upstream that is slower at this moment does not fit.
 SLOW_FACTOR = 1.8
 # Prompt parts whose order of upstreams is remembered.
@@ -155,6 +166,7 @@
         due_at: float,
     ) -> None:
         """Adds an attempt to the outstanding prefill of its upstream."""
+        attempt.state.sent_since_load += 1
         if not self.is_enabled(service):
             return
         attempt.prompt = self.budget.record_sent(
@@ -198,7 +210,7 @@
             # No upstream may get the request, for which there is a reason.
             return super().choose(requirements, now)
         fitting = [e for e in search.estimates if e.fits]
-        best = min(fitting or search.estimates, key=lambda e: e.cost)
+        best = self._draw(fitting or search.estimates)
         rule = FITS if fitting else LEAST_HARM
         if search.is_any_backing_off:
             rule = BACKING_OFF
@@ -215,6 +227,15 @@
             is_widened=search.is_widened,
         )
 
+    def _draw(self, estimates: list[_Estimate]) -> _Estimate:
+        """Returns one of the cheapest, so that nodes of one view disagree."""
+        lowest = min(estimate.cost for estimate in estimates)
+        near = [e for e in estimates if e.cost <= lowest * NEAR_COST]
+        if len(near) == 1:
+            return near[0]
+        weights = [(lowest / e.cost) ** COST_EXPONENT for e in near]
+        return self._rng.choices(near, weights)[0]
+
     def _search(
         self, requirements: placement.Requirements, now: float
     ) -> _Search:
@@ -345,7 +366,7 @@
         factor = state.estimate_time_factor(now)
         own_s = budget.estimate_prefill_s(model, uncached) * factor
         ahead_s = budget.estimate_outstanding_s(state, others) * factor
-        expected_s = ahead_s + factor * self.latency.estimate(
+        expected_s = AHEAD_WEIGHT * ahead_s + factor * self.latency.estimate(
             state.upstream.identity, model, uncached, now
         )
         expected_s *= 1 + load + BUSY_WEIGHT * max(0.0, load - BUSY_LOAD)
@@ -353,17 +374,25 @@
         slack_s = budget.compute_slack_s(state, ahead_s, now)
         excess_s = max(0.0, own_s - slack_s) if load > 0 else 0.0
         excess_s += max(0.0, now + expected_s - requirements.due_at)
-        cost = (
-            expected_s
-            + EXCESS_WEIGHT * excess_s
-            + INTERFERENCE_WEIGHT * own_s * min(1.0, load)
-        )
+        cost = expected_s + EXCESS_WEIGHT * excess_s
         return _Estimate(
             state,
-            self._add_penalties(cost, state, requirements, now),
+            self._add_penalties(cost, state, requirements, now, JITTER),
             expected_s,
             excess_s <= 0
             and load < 1
             and factor < SLOW_FACTOR
-            and not state.is_cold(now),
+            and not state.is_cold(now)
+            and not _has_taken_its_part(state, others, now),
         )
+
+
+def _has_taken_its_part(
+    state: directory.UpstreamState, others: float, now: float
+) -> bool:
+    """Returns whether this node has used its part of an old load report."""
+    if state.load is None or now - state.load_at <= OLD_REPORT_S:
+        return False
+    sent = min(state.sent_since_load, state.running)
+    free = state.upstream.slots - others - (state.running - sent)
+    return sent >= max(1.0, OLD_REPORT_SHARE * free)
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -43,6 +43,7 @@
 LIMITED_WEIGHT = 1.0
 LIMITED_FADE_S = 2.0
 # Reasons if all upstreams want no request now.
+FULL = "all upstreams are full"
 LIMITED = "upstreams limit their requests"
 PAUSED = "upstreams ask for a pause"
 # Reason if a prompt may only be sent to an upstream that is not available.
@@ -60,8 +61,7 @@
         model: Requested model; empty for a plain service.
         versions: Allowed versions; `None` for all.
         excluded: Identities of upstreams that must not be selected.
-        due_at: Monotonic time at which the first event or the response is due
-            by the route's objective.
+        due_at: Monotonic time at which the first event or response is due.
     """
 
     request: forwarding.Request
@@ -154,25 +154,18 @@
             s for s in allowed if self._has_capacity(s, requirements, now)
         ]
         if not available:
-            return Choice(
-                None,
-                "all upstreams are full",
-                len(candidates),
-                passed_over=passed_over,
-            )
+            return Choice(None, FULL, len(candidates), passed_over=passed_over)
         # An upstream in backoff may be back; it is better than none.
         reachable = [
             s for s in available if not s.is_backing_off(now)
         ] or available
         preferred = self._find_preferred(reachable, requirements)
-        costs = {
-            state.upstream.identity: self._compute_cost(
-                state, requirements, preferred, now
-            )
+        costs = [
+            self._compute_cost(state, requirements, preferred, now)
             for state in reachable
-        }
-        best = min(reachable, key=lambda state: costs[state.upstream.identity])
-        expected_s = costs[best.upstream.identity]
+        ]
+        expected_s = min(costs)
+        best = reachable[costs.index(expected_s)]
         return Choice(
             best,
             f"lowest of {len(reachable)} at {expected_s * 1000:.0f} ms",
@@ -362,10 +355,11 @@
         state: directory.UpstreamState,
         requirements: Requirements,
         now: float,
+        jitter: float = JITTER,
     ) -> float:
         """Adds the costs of failures, limits and distance, and a random one."""
         cost *= 1 + FAILURE_COST * state.failure_rate
-        cost *= 1 + JITTER * self._rng.random()
+        cost *= 1 + jitter * self._rng.random()
         age_s = self._limiter.compute_statement_age(
             state.upstream.incarnation, now
         )
--- a/sycamorehollow/decisions/forwarding/prefill_budget.py
+++ b/sycamorehollow/decisions/forwarding/prefill_budget.py
@@ -21,12 +21,12 @@
 FASTER_WEIGHT = 0.2
 SLOWER_WEIGHT = 0.01
 # Weight of the newest prompt or report in the averages of a service.
-MIX_WEIGHT = 0.05
+MIX_WEIGHT = 0.1
 # Initial share of the running requests that have no first event yet.
 INITIAL_WAITING_SHARE = 0.2
 # Half-life of a load report. It fades to the mean of the service, not to an
 # idle upstream, which would draw all nodes to those not heard of lately.
-REPORT_HALF_LIFE_S = 1.5
+REPORT_HALF_LIFE_S = 3.0
 # Longest pause between events where routes state none.
 DEFAULT_PAUSE_S = 1.0
 # Part of that pause that outstanding prefill may take. The rest is left for
--- a/tests/test_forwarding_prefill.py
+++ b/tests/test_forwarding_prefill.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import prefill_budget
 from sycamorehollow.model import forwarding
 from sycamorehollow.platform import documents
@@ -100,3 +101,50 @@
         router = build_router("a", "b")
         names = {send(router, 50_000, objective_s=0.1)[1] for _ in range(9)}
         self.assertEqual(names, {"a", "b"})
+
+
+class HerdingTest(unittest.TestCase):
+    """Guards against nodes that follow one old report together."""
+
+    def _report(self, router, loads, at=0.0):
+        for name, running in loads.items():
+            state = router.directory.get(name)
+            state.load = forwarding.Load(running, 0, 8)
+            state.load_at = at
+
+    def test_one_node_takes_a_part_of_the_free_slots_only(self):
+        for now, most in ((1.0, 2), (0.1, 9)):
+            router = build_router("a", "b", "c")
+            self._report(router, {"a": 0, "b": 5, "c": 5})
+            names = [send(router, 100, now)[1] for _ in range(10)]
+            count = next(i for i, n in enumerate(names) if n != "a")
+            self.assertLessEqual(count, most)
+            self.assertGreaterEqual(count, 1)
+
+    def test_a_report_renews_the_part(self):
+        router = build_router("a", "b", "c")
+        self._report(router, {"a": 0, "b": 7, "c": 7}, 0.7)
+        while send(router, 100, 1.0)[1] == "a":
+            pass
+        state = router.directory.get("a")
+        head = forwarding_world.build_head(load=forwarding.Load(2, 0, 8))
+        directory.record_response(state, head, False, 1.0)
+        self.assertEqual(send(router, 100, 1.0)[1], "a")
+
+    def test_old_reports_fade_to_the_mean(self):
+        router = build_router("a")
+        budget, state = router.placement.budget, router.directory.get("a")
+        self._report(router, {"a": 4})
+        for _ in range(100):
+            budget.record_response(state, "m", 0, 0.0)
+        self._report(router, {"a": 0})
+        self.assertEqual(budget.estimate_others(state, 0.0), 0.0)
+        self.assertAlmostEqual(budget.estimate_others(state, 60.0), 4.0, 1)
+
+    def test_nodes_with_one_view_choose_differently(self):
+        names = set()
+        for seed in range(20):
+            router = build_router("a", "b", "c", "d")
+            router.rng.seed(seed)
+            names.add(send(router, 100)[1])
+        self.assertEqual(names, {"a", "b", "c", "d"})
