--- a/sycamorehollow/decisions/forwarding/attempt_starter.py
+++ b/sycamorehollow/decisions/forwarding/attempt_starter.py
@@ -2,6 +2,7 @@
 
 from sycamorehollow.decisions.forwarding import attempt_limits
 from sycamorehollow.decisions.forwarding import candidates
+from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import part_guard
 from sycamorehollow.decisions.forwarding import placement
 from sycamorehollow.decisions.forwarding import router as routers
@@ -58,6 +59,25 @@
         )
         prefixes.record_prefill(upstream.identity, model, parts, now)
         self._candidates.record_sent(upstream)
+        attempt = self._build_attempt(choice, state, uncached, now)
+        self._router.placement.record_sent(
+            attempt, self._route, self._service, self._candidates.due_at
+        )
+        share = self._candidates.get_assignment_share(upstream.version, now)
+        attempt.observer = self._router.response_times.start_timer(
+            self._service, self._route, attempt, share
+        )
+        return attempt
+
+    def _build_attempt(
+        self,
+        choice: placement.Choice,
+        state: directory.UpstreamState,
+        uncached: int,
+        now: float,
+    ) -> steps.Attempt:
+        """Returns the attempt and adds it to the backlog of its upstream."""
+        upstream, model = state.upstream, self._candidates.model
         expected_s = self._router.placement.latency.estimate(
             upstream.identity, model, uncached, now
         )
@@ -65,8 +85,8 @@
         waiting_s = expected_s * max(1.0, state.estimate_time_factor(now))
         waiting_s += state.backlog_s
         state.backlog_s += expected_s
-        limit = limiter.get_limit(upstream.incarnation, now)
-        attempt = steps.Attempt(
+        limit = self._router.rate_limiter.get_limit(upstream.incarnation, now)
+        return steps.Attempt(
             state,
             model,
             now,
@@ -77,12 +97,7 @@
             passed_over=choice.passed_over,
             is_limited=limit is not None,
             is_isolated=self._guard.was_isolated,
+            rule=choice.rule,
+            choice=choice.reason,
+            is_widened=choice.is_widened,
         )
-        self._router.placement.record_sent(
-            attempt, self._route, self._service, self._candidates.due_at
-        )
-        share = self._candidates.get_assignment_share(upstream.version, now)
-        attempt.observer = self._router.response_times.start_timer(
-            self._service, self._route, attempt, share
-        )
-        return attempt
--- a/sycamorehollow/decisions/forwarding/steps.py
+++ b/sycamorehollow/decisions/forwarding/steps.py
@@ -135,6 +135,9 @@
             at an upstream.
         checked_at: When that node was last asked for a sign of life.
         is_node_silent: Whether it gave none.
+        rule: Rule by which its upstream was chosen; empty for the lowest cost.
+        choice: Description of that choice, for the log.
+        is_widened: Whether more upstreams than usual were considered.
         prompt: Its part of the upstream's outstanding prefill; `None` if that
             is not tracked.
     """
@@ -161,6 +164,9 @@
     node: str = ""
     checked_at: float = float("-inf")
     is_node_silent: bool = False
+    rule: str = ""
+    choice: str = ""
+    is_widened: bool = False
     prompt: prefill_budget.Prompt | None = None
 
     def end(self, cause: EndCause, outcome: str, now: float) -> None:
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -319,7 +319,8 @@
     try:
         engine = _Engine.model_validate(entry)
     except pydantic.ValidationError as error:
-        loguru.logger.warning("invalid engine entry is ignored: {!r}", error)
+        first = error.errors(include_url=False)[0]
+        loguru.logger.warning("invalid engine entry: {}", first["msg"])
         return forwarding.Engine()
     return forwarding.Engine(
         slots=engine.slots,
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -164,6 +164,18 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self._choices = prometheus_client.Counter(
+            "sycamore_choices",
+            "Choices among engines by rule",
+            ["service", "rule"],
+            registry=self.registry,
+        )
+        self._widened_choices = prometheus_client.Counter(
+            "sycamore_widened_choices",
+            "Choices that considered more upstreams than usual",
+            ["service"],
+            registry=self.registry,
+        )
         self._blamed_parts = prometheus_client.Gauge(
             "sycamore_blamed_parts",
             "Prompt parts that are blamed for crashes of upstreams",
@@ -216,6 +228,7 @@
             )
             self._count_limited(record, lifecycle)
             self._count_blamed(record, lifecycle)
+            self._count_choices(record, lifecycle)
         first_byte = ""
         if record.first_byte_s is not None:
             self._first_byte_s.labels(record.service).observe(
@@ -269,6 +282,19 @@
         if part_guard.HAS_CRASHED in record.outcome:
             self._blamed_requests.labels(record.service, "rejected").inc()
 
+    def _count_choices(
+        self,
+        record: RequestRecord,
+        lifecycle: request_lifecycle.RequestLifecycle,
+    ) -> None:
+        """Counts the rules by which upstreams were chosen."""
+        for attempt in lifecycle.attempts:
+            if not attempt.rule:
+                continue
+            self._choices.labels(record.service, attempt.rule).inc()
+            if attempt.is_widened:
+                self._widened_choices.labels(record.service).inc()
+
     def record_invalid_request(self, status: int) -> None:
         """Records bytes that were not a valid request."""
         self._requests.labels("", "unreadable").inc()
@@ -316,6 +342,10 @@
         text += f", {attempt.end_note}"
     if attempt.keep_reason:
         text += f", kept: {attempt.keep_reason}"
+    if attempt.rule:
+        text += f", chosen: {attempt.choice}"
+    if attempt.is_widened:
+        text += ", widened"
     if attempt.is_limited:
         text += ", its upstream is limited"
     if attempt.is_isolated:
--- a/tests/test_forwarding_prefill.py
+++ b/tests/test_forwarding_prefill.py
@@ -3,10 +3,13 @@
 import json
 import unittest
 
+import loguru
+
 from sycamorehollow.decisions.forwarding import directory
 from sycamorehollow.decisions.forwarding import prefill_budget
 from sycamorehollow.model import forwarding
 from sycamorehollow.platform import documents
+from sycamorehollow.shells.gateway import telemetry
 from tests import forwarding_world
 
 
@@ -103,6 +106,25 @@
         self.assertEqual(names, {"a", "b"})
 
 
+class TelemetryTest(unittest.TestCase):
+    """Guards against choices that cannot be explained afterwards."""
+
+    def test_rule_is_counted_and_logged(self):
+        lines = []
+        sink = loguru.logger.add(lambda line: lines.append(str(line)))
+        self.addCleanup(loguru.logger.remove, sink)
+        measures = telemetry.Telemetry()
+        course, _ = send(build_router("a"), 100)
+        course.attempts[0].is_widened = True
+        record = telemetry.RequestRecord(0.0, service="llm")
+        measures.record_request(record, course)
+        text = measures.render_metrics().decode()
+        self.assertIn('choices_total{rule="fits",service="llm"} 1.0', text)
+        self.assertIn('widened_choices_total{service="llm"} 1.0', text)
+        self.assertIn("chosen: fits, 1 of 1, ", "".join(lines))
+        self.assertIn(" ms, widened", "".join(lines))
+
+
 class HerdingTest(unittest.TestCase):
     """Guards against nodes that follow one old report together."""
 
