--- a/sycamorehollow/decisions/forwarding/engine_placement.py
+++ b/sycamorehollow/decisions/forwarding/engine_placement.py
@@ -43,6 +43,8 @@
 # by which the weight of a candidate falls with its cost.
 NEAR_COST = 1.1
 COST_EXPONENT = 6.0
+# Lower costs are equal; the estimate for an upstream may even be 0.
+MIN_COST_S = 0.0001
 # A load report is old after this time. On an old one, this node takes at most
 # this share of the free slots, as other nodes have the same view.
 OLD_REPORT_S = 0.2
@@ -101,10 +103,7 @@
         self.fitting += estimate.fits
 
     def is_enough(self) -> bool:
-        """Returns whether no more candidates are needed; may raise the limit.
-
-        The limit is raised while too few fit the request.
-        """
+        """Returns whether no more are needed; may raise the limit."""
         if len(self.estimates) < self.limit:
             return False
         if self.fitting >= MIN_FITTING or self.limit >= MAX_CANDIDATES:
@@ -117,14 +116,7 @@
 class EnginePlacement(placement.Placement):
     """Selects upstreams by the prefill that is outstanding at them.
 
-    Args:
-        data_centre: Data centre of this process.
-        upstreams: The upstreams.
-        cold_limiter: Rate limits for cold upstreams.
-        limiter: Rate limits that upstreams state.
-        prefixes: Index of the prompt prefixes that upstreams have cached.
-        rng: Random number generator.
-        node: Name of this node.
+    Takes the arguments of `placement.Placement`, and the name of this node.
     """
 
     def __init__(
@@ -207,7 +199,6 @@
             return super().choose(requirements, now)
         search = self._search(requirements, now)
         if not search.estimates:
-            # No upstream may get the request, for which there is a reason.
             return super().choose(requirements, now)
         fitting = [e for e in search.estimates if e.fits]
         best = self._draw(fitting or search.estimates)
@@ -228,12 +219,22 @@
         )
 
     def _draw(self, estimates: list[_Estimate]) -> _Estimate:
-        """Returns one of the cheapest, so that nodes of one view disagree."""
-        lowest = min(estimate.cost for estimate in estimates)
-        near = [e for e in estimates if e.cost <= lowest * NEAR_COST]
-        if len(near) == 1:
-            return near[0]
-        weights = [(lowest / e.cost) ** COST_EXPONENT for e in near]
+        """Returns one of the cheapest, so that nodes of one view disagree.
+
+        Those of another data centre than the cheapest are never near-equal.
+        """
+        best = min(estimates, key=lambda estimate: estimate.cost)
+        lowest = max(MIN_COST_S, best.cost)
+        centre = best.state.upstream.data_centre
+        near = [
+            e
+            for e in estimates
+            if e.cost <= lowest * NEAR_COST
+            and e.state.upstream.data_centre == centre
+        ]
+        weights = [
+            (lowest / max(lowest, e.cost)) ** COST_EXPONENT for e in near
+        ]
         return self._rng.choices(near, weights)[0]
 
     def _search(
@@ -275,8 +276,8 @@
         cached = self._prefixes.find_latest(
             requirements.model, requirements.request.prompt_parts
         )
-        first = (preferred, cached)
-        for name in dict.fromkeys(first):
+        first = dict.fromkeys((preferred, cached))
+        for name in first:
             state = self._directory.get(name) if name is not None else None
             if state is None:
                 continue
--- a/tests/test_forwarding_load_replay.py
+++ b/tests/test_forwarding_load_replay.py
@@ -251,8 +251,7 @@
     ),
     "previous": None,
 }
-# Class of size: shortest half, next, largest tenth. Equal within the noise of
-# the replay: with 30 seeds, policies that differ in a draw only differ by 5%.
+# Classes within this factor count as equal.
 NOISE = 1.1
 
 
@@ -278,10 +277,12 @@
         policies = [(name, 3, choose) for name, choose in POLICIES.items()]
         # The previous code did not read reports of four figures.
         policies.append(("previous, without reports", 0, None))
+        worse = []
         for name, figures, choose in policies:
             others = measure(figures, choose)
-            with self.subTest(name, new=new, others=others):
-                for own, other in zip(new, others, strict=True):
-                    self.assertLess(own[0], NOISE * other[0])
-                    self.assertLess(own[1], NOISE * other[1])
-                self.assertLess(new[0][1], others[0][1])
+            for own, other in zip(new, others, strict=True):
+                if own[0] >= NOISE * other[0] or own[1] >= NOISE * other[1]:
+                    worse.append((name, own, other))
+            if new[0][1] >= others[0][1]:
+                worse.append((name, "short ones", new[0], others[0]))
+        self.assertEqual(worse, [])
--- a/tests/test_forwarding_subset.py
+++ b/tests/test_forwarding_subset.py
@@ -175,3 +175,17 @@
             prompt_tokens=8000, prompt_parts=parts[:1]
         )
         self.assertEqual(self._collect(request=single), {other})
+
+    def test_own_data_centre_wins_and_a_cost_of_zero_is_no_error(self):
+        router = forwarding_world.build_router(
+            forwarding_world.build_upstream("near"),
+            forwarding_world.build_upstream("far", data_centre="dc-2"),
+        )
+        work = placement.Requirements(
+            forwarding_world.build_request(), self.service, model="m"
+        )
+        for count in range(20):
+            state = router.placement.choose(work, count * 0.1).state
+            self.assertEqual(state.upstream.identity, "near")
+        router.placement.latency.record("near", "m", 1000, 0.0, 2.0)
+        self.assertIsNotNone(router.placement.choose(work, 2.0).state)
