--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -18,6 +18,12 @@
 # Time in which a full upstream finishes a request or two. Until then it would
 # only refuse more, and each refusal counts as a retry.
 FULL_BACKOFF_S = 0.05
+# Half-life of the speed that an upstream states, which changes about every
+# 0.6 s.
+SPEED_HALF_LIFE_S = 0.3
+# Bounds of a stated speed, so that a false one decides no placement for long.
+MIN_TIME_FACTOR = 0.1
+MAX_TIME_FACTOR = 10.0
 # Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.1
 
@@ -47,6 +53,7 @@
         load: Load that it last reported.
         load_at: When it reported that load.
         running_at_load: Value of `running` at that time.
+        sent_since_load: Requests that this node has sent since then.
         running: Requests of this node that it is running.
         backlog_s: Expected seconds until it has started to respond to all
             waiting requests of this node.
@@ -71,6 +78,7 @@
     load: forwarding.Load | None = None
     load_at: float = float("-inf")
     running_at_load: int = 0
+    sent_since_load: int = 0
     running: int = 0
     backlog_s: float = 0.0
 
@@ -82,6 +90,13 @@
         """Returns whether it has just refused a request as full."""
         return now < self.full_until
 
+    def estimate_time_factor(self, now: float) -> float:
+        """Returns the expected duration of work, relative to the usual one."""
+        if self.load is None or self.load.time_factor is None:
+            return 1.0
+        weight = 0.5 ** ((now - self.load_at) / SPEED_HALF_LIFE_S)
+        return 1 + (get_time_factor(self.load) - 1) * weight
+
     @property
     def is_draining(self) -> bool:
         """Whether its entry or a response says that it is about to stop."""
@@ -102,9 +117,13 @@
     Args:
         reregistration_s: Seconds that an expired entry has to be restored
             after an outage of the store.
+
+    Attributes:
+        generation: Number of changes of the set of known upstreams.
     """
 
     def __init__(self, reregistration_s: float = REREGISTRATION_S) -> None:
+        self.generation = 0
         self._reregistration_s = reregistration_s
         self._states: dict[str, UpstreamState] = {}
         # Identities of the upstreams whose entries were deleted.
@@ -150,9 +169,12 @@
         if state is None or state.upstream.incarnation != upstream.incarnation:
             state = UpstreamState(upstream, now, now)
             self._states[upstream.identity] = state
+            self.generation += 1
         elif _is_elsewhere(state.upstream, upstream):
             state.connection_failures = 0
             state.backoff_until = 0.0
+        if _get_group(state.upstream) != _get_group(upstream):
+            self.generation += 1
         state.upstream = upstream
         state.updated_at = now
         state.expires_at = None
@@ -214,6 +236,17 @@
             and (state.expires_at is None or now < state.expires_at)
         ]
 
+    def is_usable(self, state: UpstreamState, now: float) -> bool:
+        """Returns whether an upstream may get requests."""
+        if state.is_draining or self.is_evacuated(state):
+            return False
+        return state.expires_at is None or now < state.expires_at
+
+    def list_service(self, service: str) -> list[UpstreamState]:
+        """Returns all known upstreams of a service."""
+        states = self._states.values()
+        return [s for s in states if s.upstream.service == service]
+
     def choose_reference(
         self, silent: UpstreamState, since_s: float, now: float
     ) -> UpstreamState | None:
@@ -250,6 +283,7 @@
             del self._states[identity]
             self._removed.discard(identity)
             self._by_service.clear()
+        self.generation += len(expired)
         return expired
 
 
@@ -279,6 +313,7 @@
         state.load = head.load
         state.load_at = now
         state.running_at_load = state.running
+        state.sent_since_load = 0
     if head.cold_s:
         state.cold_until = max(state.cold_until, now + head.cold_s)
     if not head.not_run:
@@ -287,6 +322,13 @@
         state.full_until = now + FULL_BACKOFF_S
 
 
+def get_time_factor(load: forwarding.Load | None) -> float:
+    """Returns the duration of work that a report states; 1 without one."""
+    if load is None or load.time_factor is None:
+        return 1.0
+    return min(MAX_TIME_FACTOR, max(MIN_TIME_FACTOR, load.time_factor))
+
+
 def record_outcome(state: UpstreamState, failed: bool) -> None:
     """Adds the outcome of an attempt to the failure rate."""
     change = float(failed) - state.failure_rate
@@ -297,3 +339,7 @@
     known: forwarding.Upstream, upstream: forwarding.Upstream
 ) -> bool:
     return (known.host, known.port) != (upstream.host, upstream.port)
+
+
+def _get_group(upstream: forwarding.Upstream) -> tuple[str, str]:
+    return upstream.service, upstream.data_centre
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -78,6 +78,21 @@
     boot_time_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """Model engines that are the upstreams of a service.
+
+    Attributes:
+        slots: Requests that one runs at once; 0 if not stated.
+        cache_tokens: Tokens that its cache holds; 0 if not stated.
+        model_costs: Relative cost of each model; 0 if not stated.
+    """
+
+    slots: int = 0
+    cache_tokens: int = 0
+    model_costs: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A set of interchangeable upstreams.
@@ -88,6 +103,7 @@
             the upstreams start warm.
         health_path: Path of its health checks; empty if there are none.
         scaling: Limits on its number of upstreams; `None` if it is not scaled.
+        engine: The engines that are its upstreams; `None` for a plain service.
     """
 
     name: str
@@ -95,6 +111,7 @@
     cold_requests_per_s: float = 0.0
     health_path: str = ""
     scaling: Scaling | None = None
+    engine: Engine | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -259,11 +276,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Load:
-    """Load that an upstream reports in a response."""
+    """Load that an upstream reports in a response.
+
+    Attributes:
+        time_factor: How long work takes there at this moment, relative to the
+            usual time; `None` if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    time_factor: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -9,6 +9,7 @@
 from typing import Annotated
 from typing import Any
 
+import loguru
 import pydantic
 
 from sycamorehollow.decisions.forwarding import watchers
@@ -67,12 +68,25 @@
     bootTimeS: _Number | None = None  # noqa: N815
 
 
+class _EngineModel(pydantic.BaseModel):
+    name: _Name
+    cost: _Number = 0
+
+
+class _Engine(pydantic.BaseModel):
+    slots: _Count = 0
+    kvCapacity: _Count = 0  # noqa: N815
+    models: list[_EngineModel] = []
+
+
 class _Service(pydantic.BaseModel):
     name: _Name
     maxConnections: _Count = 0  # noqa: N815
     coldPerS: _Number = 0  # noqa: N815
     healthCheckPath: str = ""  # noqa: N815
     scaling: _Scaling | None = None
+    # Validated by itself: a faulty one must not reject the configuration.
+    engine: Any = None
 
 
 class _Limits(pydantic.BaseModel):
@@ -351,6 +365,23 @@
         cold_requests_per_s=service.coldPerS,
         health_path=service.healthCheckPath,
         scaling=_build_scaling(service.scaling),
+        engine=_build_engine(service.engine),
+    )
+
+
+def _build_engine(entry: Any) -> forwarding.Engine | None:
+    if entry is None:
+        return None
+    try:
+        engine = _Engine.model_validate(entry)
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        loguru.logger.warning("invalid engine entry: {}", first["msg"])
+        return forwarding.Engine()
+    return forwarding.Engine(
+        slots=engine.slots,
+        cache_tokens=engine.kvCapacity,
+        model_costs={model.name: model.cost for model in engine.models},
     )
 
 
