--- a/sycamorehollow/decisions/forwarding/cascade.py
+++ b/sycamorehollow/decisions/forwarding/cascade.py
@@ -60,6 +60,8 @@
             share of the objective.
         attempts_left: Attempts that the route still allows.
         retries_left: Retries that the budget still allows.
+        has_room: Whether an upstream is known to run the larger model in time
+            and without harm to the requests there.
     """
 
     model: str
@@ -70,6 +72,7 @@
     delay: float
     attempts_left: int
     retries_left: float
+    has_room: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,10 +109,13 @@
         return Decision("", "largest model")
     if inputs.confidence is None:
         return Decision("", "no confidence")
-    headroom = min(
-        _interpolate_down(inputs.occupancy, OCCUPANCY_FROM, OCCUPANCY_TO),
-        _interpolate_down(inputs.delay, DELAY_FROM, DELAY_TO),
-    )
+    headroom = 1.0
+    if not inputs.has_room:
+        # Without an upstream that surely has room, the means over all tell.
+        headroom = min(
+            _interpolate_down(inputs.occupancy, OCCUPANCY_FROM, OCCUPANCY_TO),
+            _interpolate_down(inputs.delay, DELAY_FROM, DELAY_TO),
+        )
     threshold = _compute_idle_threshold(route) * headroom
     if inputs.confidence >= threshold:
         return Decision("", f"confidence of {threshold:.0f} or more")
--- a/sycamorehollow/decisions/forwarding/cascade_control.py
+++ b/sycamorehollow/decisions/forwarding/cascade_control.py
@@ -85,5 +85,6 @@
                 delay,
                 self._route.max_attempts - possible_runs,
                 router.retry_budget.count_remaining(self._service, now),
+                choice.keeps_slack,
             ),
         )
--- a/sycamorehollow/decisions/forwarding/engine_placement.py
+++ b/sycamorehollow/decisions/forwarding/engine_placement.py
@@ -216,6 +216,7 @@
             search.passed_over,
             rule=rule,
             is_widened=search.is_widened,
+            keeps_slack=best.fits,
         )
 
     def _draw(self, estimates: list[_Estimate]) -> _Estimate:
@@ -367,15 +368,17 @@
         factor = state.estimate_time_factor(now)
         own_s = budget.estimate_prefill_s(model, uncached) * factor
         ahead_s = budget.estimate_outstanding_s(state, others) * factor
-        expected_s = AHEAD_WEIGHT * ahead_s + factor * self.latency.estimate(
+        # The latency that responses show includes the usual wait.
+        expected_s = ahead_s + factor * self.latency.estimate(
             state.upstream.identity, model, uncached, now
         )
-        expected_s *= 1 + load + BUSY_WEIGHT * max(0.0, load - BUSY_LOAD)
+        cost = expected_s + (AHEAD_WEIGHT - 1) * ahead_s
+        cost *= 1 + load + BUSY_WEIGHT * max(0.0, load - BUSY_LOAD)
         # The slack of others matters only where there are others.
         slack_s = budget.compute_slack_s(state, ahead_s, now)
         excess_s = max(0.0, own_s - slack_s) if load > 0 else 0.0
         excess_s += max(0.0, now + expected_s - requirements.due_at)
-        cost = expected_s + EXCESS_WEIGHT * excess_s
+        cost += EXCESS_WEIGHT * excess_s
         return _Estimate(
             state,
             self._add_penalties(cost, state, requirements, now, JITTER),
--- a/sycamorehollow/decisions/forwarding/placement.py
+++ b/sycamorehollow/decisions/forwarding/placement.py
@@ -97,6 +97,8 @@
             others could take it.
         rule: Rule of the choice, for the metrics; empty for the lowest cost.
         is_widened: Whether the upstreams that come first were not enough.
+        keeps_slack: Whether the request is expected in time there and leaves
+            those that run or wait there theirs; `False` if it is not known.
     """
 
     state: directory.UpstreamState | None
@@ -110,6 +112,7 @@
     is_held: bool = False
     rule: str = ""
     is_widened: bool = False
+    keeps_slack: bool = False
 
 
 class Placement:
