--- a/sycamorehollow/platform/settings.py
+++ b/sycamorehollow/platform/settings.py
@@ -37,6 +37,14 @@
 
 class _Limits(pydantic.BaseModel):
     linkMbps: float = pydantic.Field(default=0.0, ge=0)  # noqa: N815
+    memoryMb: float = pydantic.Field(default=0.0, ge=0)  # noqa: N815
+    maxFds: int = pydantic.Field(default=0, ge=0)  # noqa: N815
+    # Room for the largest body that the platform allows.
+    requestMemoryMb: float = pydantic.Field(default=0.0, ge=8)  # noqa: N815
+    callerConnections: int = pydantic.Field(default=0, ge=16)  # noqa: N815
+    headerLines: int = pydantic.Field(default=1024, ge=64)  # noqa: N815
+    emptyLineBytes: int = pydantic.Field(default=1024, ge=2)  # noqa: N815
+    bodyWaitMs: _Milliseconds = 5000  # noqa: N815
 
 
 class _Platform(pydantic.BaseModel):
@@ -126,4 +134,17 @@
         link_mbps=file.limits.linkMbps,
         heartbeat_s=file.heartbeatMs / 1000,
         exposure_floor=bounds.exposeSlack,
+        memory=_build_memory_limits(file.limits),
+    )
+
+
+def _build_memory_limits(limits: _Limits) -> gateway.MemoryLimits:
+    return gateway.MemoryLimits(
+        memory_mb=limits.memoryMb,
+        max_descriptors=limits.maxFds,
+        budget_mb=limits.requestMemoryMb,
+        max_connections=limits.callerConnections,
+        header_lines=limits.headerLines,
+        preamble_bytes=limits.emptyLineBytes,
+        body_wait_s=limits.bodyWaitMs / 1000,
     )
--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -17,6 +17,7 @@
 from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
 from sycamorehollow.settings import gateway as gateway_settings
+from sycamorehollow.shells.gateway import allocator
 from sycamorehollow.shells.gateway import assembly
 from sycamorehollow.shells.gateway import telemetry
 
@@ -44,6 +45,7 @@
             settings, metrics_port=arguments.metrics_port
         )
     telemetry.configure_logging(settings.node)
+    allocator.configure()
     gateway = assembly.Gateway(
         settings,
         assembly.PlatformAdapter(
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -7,6 +7,30 @@
 RELAY_PORT_OFFSET = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class MemoryLimits:
+    """Limits on what callers may make the process hold.
+
+    Attributes:
+        memory_mb: Memory of the process; 0 if unknown, for no limit.
+        max_descriptors: Descriptors of the process; 0 if unknown, for no limit.
+        budget_mb: Memory for requests; 0 to compute it from `memory_mb`.
+        max_connections: Open connections of callers; 0 to compute the number
+            from `max_descriptors`.
+        header_lines: Lines of a request head.
+        preamble_bytes: Bytes of empty lines before a request.
+        body_wait_s: Time after which a body that finds no room is refused.
+    """
+
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    budget_mb: float = 0.0
+    max_connections: int = 0
+    header_lines: int = 1024
+    preamble_bytes: int = 1024
+    body_wait_s: float = 5.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """Settings of a gateway process.
@@ -37,6 +61,7 @@
             store; 0 if unknown.
         exposure_floor: Requests that a faulty new version may receive in
             addition to its share.
+        memory: Limits on memory and connections.
     """
 
     node: str
@@ -59,6 +84,7 @@
     link_mbps: float = 0.0
     heartbeat_s: float = 0.0
     exposure_floor: float = 0.0
+    memory: MemoryLimits = MemoryLimits()
 
     @property
     def peer_address(self) -> str:
--- a/sycamorehollow/shells/gateway/assembly.py
+++ b/sycamorehollow/shells/gateway/assembly.py
@@ -17,6 +17,7 @@
 from sycamorehollow.settings import process
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import caller_memory
 from sycamorehollow.shells.gateway import connection_pool
 from sycamorehollow.shells.gateway import crash_checker
 from sycamorehollow.shells.gateway import end_checker
@@ -37,6 +38,9 @@
 # Time left before SIGKILL when the process exits by itself.
 SHUTDOWN_MARGIN_S = 0.4
 SETTINGS_POLL_INTERVAL_S = 1.0
+# Connections accepted before those over the limit are closed. The backlog of
+# the listening socket is longer.
+ACCEPT_BATCH = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +78,7 @@
         self._settings = settings
         self._adapter = adapter
         self._telemetry = telemetry.Telemetry()
+        self._memory = caller_memory.CallerMemory(settings, self._telemetry)
         rng = random.Random()
         self._rng = rng
         self._router = routers.Router(settings, rng)
@@ -236,22 +241,21 @@
     ) -> asyncio.Server:
         def build() -> caller_connections.CallerConnection:
             connection = caller_connections.CallerConnection(
-                handler, self._get_limits, registry
+                handler, self._get_limits, registry, self._memory
             )
             if registry is self._connections:
                 self._last_accepted_at = time.monotonic()
                 connection.closes_after_response = self._draining
             return connection
 
-        loop = asyncio.get_running_loop()
-        if listener is not None:
-            return await loop.create_server(
-                build, sock=listener, backlog=socket.SOMAXCONN
-            )
-        host, _, port = address.rpartition(":")
-        return await loop.create_server(
-            build, host, int(port), backlog=socket.SOMAXCONN
+        if listener is None:
+            host, _, port = address.rpartition(":")
+            listener = socket.create_server((host, int(port)))
+        server = await asyncio.get_running_loop().create_server(
+            build, sock=listener, backlog=ACCEPT_BATCH
         )
+        listener.listen(socket.SOMAXCONN)
+        return server
 
     def _get_limits(self) -> forwarding.CallerLimits:
         table = self._router.route_table
@@ -324,6 +328,7 @@
         if settings != self._settings:
             self._settings = settings
             self._router.configure(settings)
+            self._memory.configure(settings)
         self._telemetry.log_event("settings reloaded")
 
     async def _drain(self) -> None:
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -4,15 +4,16 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
-import select
 import time
 
-import httptools
 import loguru
 
+from sycamorehollow.decisions.forwarding import memory_budget
 from sycamorehollow.model import forwarding
+from sycamorehollow.shells.gateway import caller_memory
+from sycamorehollow.shells.gateway import caller_transport
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import request_parser
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Requests that a caller may pipeline before their responses.
@@ -20,42 +21,44 @@
 # Time for which a new connection is kept open while its first request may be in
 # transit. Callers expect a connection to be established within it.
 FIRST_REQUEST_TIMEOUT_S = 1.0
-# Response bytes buffered for a slow caller before reading from its upstream
-# stops.
-WRITE_BUFFER_BYTES = 256 * 1024
-
-
-@dataclasses.dataclass
-class HttpRequest:
-    """A request as received, with its complete body.
-
-    Attributes:
-        error_status: Status of the response to an invalid request; 0 if valid.
-    """
-
-    method: str = ""
-    target: bytes = b""
-    headers: list[tuple[bytes, bytes]] = dataclasses.field(default_factory=list)
-    body: bytearray = dataclasses.field(default_factory=bytearray)
-    has_body: bool = False
-    keep_alive: bool = True
-    error_status: int = 0
-
-
-class CallerDisconnectedError(Exception):
-    """Raised when the caller has closed its connection."""
-
-
+# Bytes read at once. A request that has to wait for memory holds at most this
+# much of its body.
+READ_BYTES = 64 * 1024
+# Bytes that a waiting request has usually received: what was read at once and
+# the kernel's default buffer.
+WAITING_BYTES = 192 * 1024
+# Memory of a request that is handled, in addition to its head and body: its
+# task, its attempts, and for a larger body the buffer of its upstream.
+HANDLING_BYTES = 24 * 1024
+MAX_SEND_BUFFER_BYTES = 128 * 1024
+# Time for which bytes of a refused body are read and dropped. Closing before
+# would reset the connection, and the caller might not get the response.
+LINGER_S = 1.0
+# Time for reading bytes that have already arrived when a timeout expires.
+HEAD_GRACE_S = 0.05
+# Statuses of requests that are valid but refused for lack of memory.
+REFUSED_STATUSES = (408, 503)
+
+
+HttpRequest = request_parser.HttpRequest
+
+
+CallerDisconnectedError = caller_transport.CallerDisconnectedError
 Handler = Callable[["CallerConnection", HttpRequest], Awaitable[None]]
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(
+    caller_transport.CallerTransport,
+    request_parser.RequestReceiver,
+    caller_memory.LimitedConnection,
+):
     """One connection of a caller; its requests are handled in order.
 
     Args:
         handler: Responds to a request.
         get_limits: Returns the limits in force.
         registry: The open connections; the connection adds itself.
+        memory: Account of the memory that connections hold.
 
     Attributes:
         is_closing: Whether it closes after the requests already received.
@@ -67,34 +70,38 @@
         handler: Handler,
         get_limits: Callable[[], forwarding.CallerLimits],
         registry: set["CallerConnection"],
+        memory: caller_memory.CallerMemory,
     ):
+        super().__init__(memory)
         self.is_closing = False
         self.closes_after_response = False
         self._handler = handler
         self._get_limits = get_limits
         self._registry = registry
-        self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._request: HttpRequest | None = None
+        self._parser = request_parser.RequestParser(
+            self,
+            get_limits,
+            memory.limits.header_lines,
+            memory.limits.preamble_bytes,
+        )
         self._opened_at = time.monotonic()
-        self._received_request = False
-        self._head_bytes = 0
-        # Consecutive bytes without body data: chunk framing and trailers.
-        self._overhead_bytes = 0
+        self._is_waiting = False
+        self._expects_continue = False
+        self._is_discarding = False
+        self._had_grace = False
         self._pending_requests: collections.deque[HttpRequest] = (
             collections.deque()
         )
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._can_write = asyncio.Event()
-        self._can_write.set()
-        self._disconnected = False
-        self._chunked = False
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or handled."""
-        return self._task is not None or self._request is not None
+        return (
+            self._task is not None
+            or self._parser.request is not None
+            or bool(self._parser.unparsed)
+        )
 
     def close_when_idle(self) -> None:
         """Closes after the responses to all requests that have arrived.
@@ -108,26 +115,11 @@
             return
         age_s = time.monotonic() - self._opened_at
         awaits_first = (
-            not self._received_request and age_s < FIRST_REQUEST_TIMEOUT_S
+            not self._parser.has_begun and age_s < FIRST_REQUEST_TIMEOUT_S
         )
-        if not awaits_first and not self._has_unread_bytes():
+        if not awaits_first and not self.has_unread_bytes:
             self._transport.close()
 
-    def _has_unread_bytes(self) -> bool:
-        """Tells whether the socket has bytes that were not read yet."""
-        assert self._transport is not None
-        raw = self._transport.get_extra_info("socket")
-        if raw is None or raw.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(raw.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-    def abort(self) -> None:
-        """Closes the connection at once, even during a response."""
-        if self._transport is not None:
-            self._transport.abort()
-
     async def write_head(
         self,
         status: int,
@@ -137,55 +129,30 @@
         keep_alive: bool,
     ) -> None:
         """Writes the head of a response; without a length it is chunked."""
-        self._chunked = length is None
-        lines = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
-        lines.extend(b"%s: %s\r\n" % pair for pair in headers)
-        if length is None:
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-        else:
-            lines.append(b"Content-Length: %d\r\n" % length)
         last = (
             self.is_closing or self.closes_after_response
         ) and not self._pending_requests
-        if not keep_alive or last:
+        is_last = not keep_alive or last
+        if is_last:
             self.is_closing = True
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        await self._write(b"".join(lines))
-
-    async def write_body(self, data: bytes) -> None:
-        """Writes a part of the body.
-
-        Raises:
-            CallerDisconnectedError: The caller has closed the connection.
-        """
-        if self._chunked:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
-        await self._write(data)
-
-    async def write_end(self) -> None:
-        """Ends the body."""
-        if self._chunked:
-            await self._write(b"0\r\n\r\n")
-
-    async def _write(self, data: bytes) -> None:
-        if self._disconnected or self._transport is None:
-            raise CallerDisconnectedError
-        self._transport.write(data)
-        await self._can_write.wait()
-        if self._disconnected:
-            raise CallerDisconnectedError
+        await self._write_head(status, reason, headers, length, is_last)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         upstream_connections.set_socket_options(
             transport, upstream_connections.CALLER_USER_TIMEOUT_MS
         )
+        # Without it, asyncio allocates 256 KB for each read.
+        setattr(transport, "max_size", READ_BYTES)  # noqa: B010
         self._registry.add(self)
         self._set_timer(self._get_limits().idle_timeout_s)
+        holding = self._memory.open(self)
+        if holding is None:
+            transport.abort()
+            return
+        self._holding = holding
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancels the request of a caller that has disconnected."""
@@ -193,120 +160,153 @@
         self._registry.discard(self)
         self._can_write.set()
         self._clear_timer()
+        self._parser.stop()
         if self._task is not None:
             self._task.cancel()
-
-    def eof_received(self) -> bool:
-        """Closes the connection when the caller shuts down its side."""
-        return False
-
-    def pause_writing(self) -> None:
-        """Blocks writers while the caller reads slowly."""
-        self._can_write.clear()
-
-    def resume_writing(self) -> None:
-        """Unblocks writers."""
-        self._can_write.set()
+        self._memory.close(self._holding)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
-        if self._request is None or not self._request.method:
-            self._head_bytes += len(data)
-        self._overhead_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject_invalid_request(400)
-        except httptools.HttpParserError:
-            self._reject_invalid_request(400)
-        request = self._request
-        if request is not None and not request.method:
-            if self._head_bytes > self._get_limits().header_bytes:
-                self._reject_invalid_request(431)
-        elif request is not None:
-            # The parser does not limit chunk extensions and trailers.
-            if self._overhead_bytes > self._get_limits().header_bytes:
-                self._reject_invalid_request(400)
-
-    def on_message_begin(self) -> None:
-        """Starts the next request."""
-        self._request = HttpRequest()
-        self._received_request = True
-        self._head_bytes = 0
+        if self._is_discarding:
+            return
+        self._parser.feed(data)
+        self._count_unread()
+
+    def _count_unread(self) -> None:
+        """Counts bytes that are not parsed, and stops reading if need be."""
+        if self._transport is None or self.can_parse:
+            return
+        self._transport.pause_reading()
+        size = len(self._parser.unparsed)
+        if self._is_waiting:
+            size += min(self._get_receive_buffer(), self._holding.need)
+        size -= self._holding.held[memory_budget.Kind.UNREAD]
+        self._budget.add(self._holding, memory_budget.Kind.UNREAD, size)
+
+    @property
+    def can_parse(self) -> bool:
+        """Whether more requests can be held."""
+        too_many = len(self._pending_requests) > MAX_PIPELINED_REQUESTS
+        return not self._is_waiting and not too_many
+
+    def start_head(self) -> None:
+        """Limits the time for a head."""
+        self._holding.idle_since = None
+        self._holding.head_since = time.monotonic()
+        self._had_grace = False
         self._set_timer(self._get_limits().header_timeout_s)
 
-    def on_url(self, url: bytes) -> None:
-        """Stores the request target."""
-        if self._request is not None:
-            self._request.target += url
+    def grow_head(self, request: HttpRequest, cost: int) -> bool:
+        """Counts memory of a head; returns whether there is room."""
+        kind = memory_budget.Kind.HEAD
+        if self._budget.admit(self._holding, kind, cost):
+            return True
+        self._memory.count_refusal(memory_budget.Reason.NO_ROOM)
+        return False
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header; trailers are ignored."""
-        if self._request is not None and not self._request.method:
-            self._request.headers.append((name, value))
+    def begin_body(
+        self, request: HttpRequest, cost: int, expects_continue: bool
+    ) -> None:
+        """Reads a body if there is room, or waits for it."""
+        self._holding.head_since = None
+        self._expects_continue = expects_continue
+        cost += min(cost, MAX_SEND_BUFFER_BYTES)
+        if self._take_room(request, cost):
+            self._start_reading_body(request)
+
+    def grow_body(self, request: HttpRequest, cost: int) -> None:
+        """Reads on if there is room for more of a body, or waits for it."""
+        self._take_room(request, cost)
+
+    def _take_room(self, request: HttpRequest, cost: int) -> bool:
+        """Returns whether there is room; else the request waits if it may."""
+        kind = memory_budget.Kind.BODY
+        if self._budget.admit(self._holding, kind, cost):
+            request.body_cost += cost
+            return True
+        if self._budget.may_wait(min(cost, WAITING_BYTES)):
+            self._is_waiting = True
+            self._memory.wait(self._holding, cost)
+        else:
+            reason = memory_budget.Reason.NO_ROOM
+            self._memory.count_refusal(reason)
+            self.refuse(reason)
+        return False
 
-    def on_headers_complete(self) -> None:
-        """Checks the size of the head and the framing of the body."""
-        request = self._request
+    def continue_body(self, size: int) -> None:
+        """Reads a body for which there is room now."""
+        self._is_waiting = False
+        request = self._parser.request
         if request is None:
             return
-        request.method = self._parser.get_method().decode("ascii")
-        self._overhead_bytes = 0
-        request.keep_alive = self._parser.should_keep_alive()
-        fields = [(n.lower(), v.lower()) for n, v in request.headers]
-        lengths = [value for name, value in fields if name == b"content-length"]
-        codings = [v for n, v in fields if n == b"transfer-encoding"]
-        request.has_body = bool(lengths or codings)
-        size = sum(len(n) + len(v) + 4 for n, v in request.headers)
-        limits = self._get_limits()
-        if size + len(request.target) > limits.header_bytes:
-            request.error_status = 431
-        if len(lengths) + len(codings) > 1 or codings not in ([], [b"chunked"]):
-            request.error_status = 400
-        if lengths and lengths[0].isdigit():
-            if int(lengths[0]) > limits.body_bytes:
-                request.error_status = 413
-        if request.error_status:
-            self._reject_invalid_request(request.error_status)
-            return
-        if (b"expect", b"100-continue") in fields and self._transport:
+        request.body_cost += size
+        self._start_reading_body(request)
+        self._resume_parsing()
+
+    def _start_reading_body(self, request: HttpRequest) -> None:
+        remaining = request.body_cost - len(request.body)
+        self._budget.begin_body(self._holding, remaining, time.monotonic())
+        if self._expects_continue and self._transport is not None:
+            self._expects_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, data: bytes) -> None:
-        """Stores a part of the body."""
-        request = self._request
-        if request is None:
-            return
-        self._overhead_bytes = 0
-        request.body += data
-        if len(request.body) > self._get_limits().body_bytes:
-            self._reject_invalid_request(413)
-
-    def on_message_complete(self) -> None:
-        """Queues the complete request."""
-        request = self._request
-        self._request = None
-        self._head_bytes = 0
-        if (
-            request is None
-            or self.is_closing
-            and not self._can_answer_after_close()
+    def record_body(self, size: int) -> None:
+        """Records the progress of a body."""
+        self._budget.record_progress(self._holding, size)
+
+    def _resume_parsing(self) -> None:
+        """Parses and reads on if that was stopped and may continue."""
+        if self.can_parse:
+            self._release(memory_budget.Kind.UNREAD)
+            self._parser.resume()
+            self._count_unread()
+        if self.can_parse and self._transport is not None:
+            self._transport.resume_reading()
+
+    def refuse(self, reason: memory_budget.Reason) -> None:
+        """Refuses the unfinished request, or closes the connection."""
+        self._is_waiting = False
+        request = self._parser.request
+        if reason in (
+            memory_budget.Reason.WAITED,
+            memory_budget.Reason.NO_ROOM,
+            memory_budget.Reason.NO_PROGRESS,
         ):
-            return
-        self._enqueue(request)
-
-    def _can_answer_after_close(self) -> bool:
-        """Tells whether a request that arrived during the close is handled."""
-        return not self._disconnected
+            self._parser.stop()
+            is_slow = reason is memory_budget.Reason.NO_PROGRESS
+            self.reject(408 if is_slow else 503, request)
+        elif self._transport is not None:
+            self._transport.abort()
 
-    def _reject_invalid_request(self, status: int) -> None:
-        """Rejects an invalid request and closes the connection afterwards."""
-        self._request = None
+    def complete(self, request: HttpRequest) -> None:
+        """Queues the complete request."""
+        self._is_waiting = False
+        self._holding.head_since = None
+        self._budget.end_body(self._holding)
+        if not (self.is_closing and self._disconnected):
+            self._enqueue(request)
+
+    def reject(self, status: int, request: HttpRequest | None) -> None:
+        """Rejects a request and closes the connection afterwards."""
+        self._budget.end_body(self._holding)
+        self._holding.head_since = None
+        error = HttpRequest(error_status=status, keep_alive=False)
+        if request is not None:
+            self._release_request(request)
+            if request.method and status in REFUSED_STATUSES:
+                error.method, error.target = request.method, request.target
+                error.headers = request.headers
         if self.is_closing and self._pending_requests:
             return
         self.is_closing = True
-        self._enqueue(HttpRequest(error_status=status, keep_alive=False))
-        if self._transport is not None:
+        self._is_discarding = status in REFUSED_STATUSES
+        self._enqueue(error)
+        if self._transport is None:
+            return
+        self._release(memory_budget.Kind.UNREAD)
+        if self._is_discarding:
+            self._transport.resume_reading()
+        else:
             # The end of the invalid request is unknown, so nothing after it
             # can be parsed.
             self._transport.pause_reading()
@@ -314,11 +314,6 @@
     def _enqueue(self, request: HttpRequest) -> None:
         self._clear_timer()
         self._pending_requests.append(request)
-        if (
-            len(self._pending_requests) > MAX_PIPELINED_REQUESTS
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
         if self._task is None and not self._disconnected:
             self._task = asyncio.get_running_loop().create_task(
                 self._handle_requests()
@@ -328,7 +323,7 @@
         try:
             while self._pending_requests:
                 request = self._pending_requests.popleft()
-                await self._handler(self, request)
+                await self._handle_request(request)
                 if not request.keep_alive:
                     self.is_closing = True
                     # HTTP allows no further request after `close`.
@@ -347,29 +342,57 @@
             self._task = None
         if self._transport is None or self._disconnected:
             return
-        if self.is_closing:
+        if self._is_discarding:
+            self._linger()
+        elif self.is_closing:
             self._transport.close()
-            return
-        self._transport.resume_reading()
-        if self._request is None:
-            self._set_timer(self._get_limits().idle_timeout_s)
+        else:
+            self._start_next_request()
 
-    def _set_timer(self, seconds: float) -> None:
-        self._clear_timer()
+    async def _handle_request(self, request: HttpRequest) -> None:
+        kind = memory_budget.Kind.HANDLING
+        self._budget.add(self._holding, kind, HANDLING_BYTES)
+        try:
+            await self._handler(self, request)
+        finally:
+            self._release(kind, HANDLING_BYTES)
+            self._release_request(request)
+
+    def _linger(self) -> None:
+        """Drops the rest of a refused request before the close."""
+        assert self._transport is not None
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._close_on_timeout)
+        self._timer = loop.call_later(LINGER_S, self._transport.close)
 
-    def _clear_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    def _start_next_request(self) -> None:
+        """Waits for the next request, or reads the one that has begun."""
+        self._resume_parsing()
+        if self._task is not None or self.is_closing:
+            return
+        head_since = self._holding.head_since
+        if head_since is not None:
+            late_s = time.monotonic() - head_since
+            timeout_s = self._get_limits().header_timeout_s
+            self._set_timer(max(HEAD_GRACE_S, timeout_s - late_s))
+        elif self._parser.request is None:
+            self._holding.idle_since = time.monotonic()
+            self._set_timer(self._get_limits().idle_timeout_s)
 
     def _close_on_timeout(self) -> None:
         """Closes a connection that is idle or whose head is late."""
-        request = self._request
+        request = self._parser.request
         if request is not None and request.method:
             # Only the head has a timeout; the body may take as long as the
             # caller waits.
             return
-        if self._task is None and self._transport is not None:
-            self._transport.close()
+        if self._task is not None or self._transport is None:
+            return
+        if not self._had_grace and self.has_unread_bytes:
+            # After the process was paused, its timers expire before it reads
+            # the bytes that arrived in the meantime.
+            self._had_grace = True
+            self._set_timer(HEAD_GRACE_S)
+            return
+        self._transport.close()
--- a/sycamorehollow/shells/gateway/forwarder.py
+++ b/sycamorehollow/shells/gateway/forwarder.py
@@ -28,6 +28,8 @@
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 # `Retry-After` of a draining node, as another node can serve the request soon.
 DRAINING_RETRY_AFTER_S = 0.05
+# `Retry-After` of a request that found no memory.
+MEMORY_RETRY_AFTER_S = 1.0
 
 
 class Forwarder:
@@ -101,6 +103,8 @@
         refusal = ""
         if attempts is None and not request.error_status:
             refusal = "not sent by a node"
+        elif request.error_status in caller_connections.REFUSED_STATUSES:
+            refusal = "the node has no memory for the request"
         elif self.rejecting:
             refusal = "the node is leaving"
         elif self._router.isolation.is_isolated:
@@ -125,7 +129,7 @@
         """Handles one request; `earlier_attempts` as in its lifecycle."""
         started_at = time.monotonic()
         if request.error_status:
-            await self._reject_invalid(connection, request.error_status)
+            await self._reject_invalid(connection, request)
             return
         target = request.target.decode("latin-1")
         decoded = self._codec.decode_request(
@@ -270,11 +274,28 @@
         )
 
     async def _reject_invalid(
-        self, connection: caller_connections.CallerConnection, status: int
+        self,
+        connection: caller_connections.CallerConnection,
+        request: caller_connections.HttpRequest,
     ) -> None:
-        """Responds to bytes that are not a valid request."""
+        """Responds to an invalid request, or to one without room for it."""
+        status = request.error_status
         self._telemetry.record_invalid_request(status)
-        await write_response(connection, status, [], b"", False)
+        headers: header_codec.Headers = []
+        if status in caller_connections.REFUSED_STATUSES:
+            decoded = self._codec.decode_request(
+                request.method,
+                request.target.decode("latin-1"),
+                request.headers,
+            )
+            request_id = ""
+            if not isinstance(decoded, failures.Failure):
+                request_id = decoded.request_id
+            failure = steps.Unavailable(
+                "no memory for the request", retry_after_s=MEMORY_RETRY_AFTER_S
+            )
+            headers = self._codec.encode_failure(request_id, failure)
+        await write_response(connection, status, headers, b"", False)
 
 
 def compute_fingerprint(
--- a/sycamorehollow/shells/gateway/request_encoder.py
+++ b/sycamorehollow/shells/gateway/request_encoder.py
@@ -7,6 +7,9 @@
 from sycamorehollow.shells.gateway import relay_headers
 from sycamorehollow.shells.gateway import telemetry
 
+# Bodies up to this size are sent in one piece with their head.
+MAX_JOINED_BODY_BYTES = 16 * 1024
+
 
 class RequestEncoder:
     """Encodes the attempts of one request.
@@ -30,8 +33,13 @@
         self._record = record
         self._codec = codec
 
-    def encode(self, step: steps.Send) -> bytes:
-        """Returns the bytes of the request for the receiver of a step."""
+    def encode(self, step: steps.Send) -> tuple[bytes, bytearray]:
+        """Returns the request for the receiver of a step.
+
+        Returns:
+            The head with a small body, and the body if it is larger. That one
+            is not copied.
+        """
         request = self._request
         lifecycle = self._lifecycle
         body_bytes = len(request.body) if request.has_body else None
@@ -45,13 +53,15 @@
             headers = self._codec.encode_attempt(
                 request.headers, body_bytes, self._build_values(step, resumed)
             )
-        lines = [
+        lines: list[bytes | bytearray] = [
             b"%s %s HTTP/1.1\r\n" % (request.method.encode(), request.target)
         ]
         lines.extend(b"%s: %s\r\n" % pair for pair in headers)
         lines.append(b"\r\n")
-        lines.append(bytes(request.body))
-        return b"".join(lines)
+        if len(request.body) > MAX_JOINED_BODY_BYTES:
+            return b"".join(lines), request.body
+        lines.append(request.body)
+        return b"".join(lines), bytearray()
 
     def _build_values(
         self, step: steps.Send, last_event_id: str
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -140,7 +140,7 @@
                 await self._node_checker.confirm(step.node, connection)
             is_new = not connection.has_sent_request
             connection.send_request(
-                self._lifecycle.request.request_id, self._encoder.encode(step)
+                self._lifecycle.request.request_id, *self._encoder.encode(step)
             )
             head = await self._wait_for(connection, connection.read_head)
             if is_new and not through_node:
--- a/sycamorehollow/shells/gateway/telemetry.py
+++ b/sycamorehollow/shells/gateway/telemetry.py
@@ -1,5 +1,6 @@
 """Log lines and metrics of the gateway."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import os
@@ -177,6 +178,37 @@
             registry=self.registry,
         )
 
+        self._held_bytes = prometheus_client.Gauge(
+            "sycamore_held_bytes",
+            "Memory counted for the requests of callers",
+            ["kind"],
+            registry=self.registry,
+        )
+        self._memory_waits = prometheus_client.Counter(
+            "sycamore_memory_waits",
+            "Bodies that waited for memory",
+            registry=self.registry,
+        )
+        self._memory_refusals = prometheus_client.Counter(
+            "sycamore_memory_refusals",
+            "Requests refused and connections closed by the limits on memory",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._get_held: Callable[[], Mapping[str, int]] = dict
+
+    def watch_memory(self, get_held: Callable[[], Mapping[str, int]]) -> None:
+        """Sets the source of the held bytes by kind."""
+        self._get_held = get_held
+
+    def count_memory_wait(self) -> None:
+        """Counts a body that waits for memory."""
+        self._memory_waits.inc()
+
+    def count_memory_refusal(self, reason: str) -> None:
+        """Counts a request or connection that the memory limits end."""
+        self._memory_refusals.labels(reason).inc()
+
     def set_blamed_parts(self, counts: Mapping[str, int]) -> None:
         """Sets the number of blamed prompt parts by level."""
         for level, count in counts.items():
@@ -301,6 +333,8 @@
 
     def render_metrics(self) -> bytes:
         """Returns the metrics in the text format of Prometheus."""
+        for kind, size in self._get_held().items():
+            self._held_bytes.labels(kind).set(size)
         return prometheus_client.generate_latest(self.registry)
 
 
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -15,6 +15,8 @@
 
 # Body bytes buffered for a slow caller before reading from the upstream stops.
 READ_AHEAD_BYTES = 128 * 1024
+# Part of a large body that is written at once.
+BODY_PART_BYTES = 64 * 1024
 # Limit of consecutive bytes without progress of the response: heads, interim
 # responses, late duplicates, chunk framing and trailers. Well above any head
 # that a server accepts.
@@ -108,7 +110,9 @@
         self._reconnect: Callable[[], Awaitable[bool]] | None = None
         self._resend_task: asyncio.Task[None] | None = None
         self.was_resent = False
-        self._request_data = b""
+        self._request_data: tuple[bytes, bytes | bytearray] = (b"", b"")
+        self._unsent = memoryview(b"")
+        self._can_write = True
         self._sent_at = 0.0
         self._lost_at = float("inf")
         self._received_bytes = False
@@ -168,20 +172,53 @@
         """Prepares the protocol for a new transport and returns it."""
         self._parser = httptools.HttpResponseParser(self)
         self._closed = False
+        self._can_write = True
         self._lost_at = float("inf")
         return self
 
-    def send_request(self, request_id: str, data: bytes) -> None:
-        """Sends a request and starts to wait for its response."""
+    def send_request(
+        self, request_id: str, data: bytes, body: bytes | bytearray = b""
+    ) -> None:
+        """Sends a request and starts to wait for its response.
+
+        Args:
+            request_id: Identifier of the request.
+            data: Its head, which may include the body.
+            body: A large body, which is written as the upstream reads it.
+        """
         assert self._transport is not None
         self._reset_response()
         self._request_id = request_id
         self._has_request = True
         self.has_sent_request = True
-        self._request_data = data if self._reconnect is not None else b""
+        self._request_data = (b"", b"")
+        if self._reconnect is not None:
+            self._request_data = (data, body)
         self._received_bytes = False
         self._sent_at = time.monotonic()
         self._transport.write(data)
+        self._unsent = memoryview(body)
+        self._send_body()
+
+    def _send_body(self) -> None:
+        """Writes the body until the write buffer is full.
+
+        The transport copies what it buffers.
+        """
+        while self._unsent and self._can_write and not self._closed:
+            assert self._transport is not None
+            part = self._unsent[:BODY_PART_BYTES]
+            self._unsent = self._unsent[BODY_PART_BYTES:]
+            self._transport.write(part)
+
+    def pause_writing(self) -> None:
+        """Stops writing the body."""
+        self._can_write = False
+
+    def resume_writing(self) -> None:
+        """Writes more of the body."""
+        self._can_write = True
+        self._send_body()
 
     async def read_head(self) -> ResponseHead:
         """Waits for the head of the response.
@@ -204,9 +241,9 @@
 
     async def _resend(self, reconnect: Callable[[], Awaitable[bool]]) -> None:
         """Reconnects and sends the request again if that is allowed."""
-        request, self._request_data = self._request_data, b""
+        request, self._request_data = self._request_data, (b"", b"")
         if await reconnect():
-            self.send_request(self._request_id, request)
+            self.send_request(self._request_id, *request)
             self.was_resent = True
 
     async def read_body(self) -> bytes:
@@ -230,13 +267,18 @@
     def finish_response(self) -> bool:
         """Ends the response; returns whether the connection is reusable."""
         self._has_request = False
-        self._request_data = b""
+        self._request_data = (b"", b"")
+        if self._unsent:
+            # The upstream still expects the rest of the body.
+            self._reusable = False
+            self._unsent = memoryview(b"")
         self.idle_since = time.monotonic()
         return self._ended and self.is_open
 
     def close(self) -> None:
         """Closes the connection, which cancels the request."""
         self._closed = True
+        self._unsent = memoryview(b"")
         self._drop_callback = None
         if self._resend_task is not None:
             self._resend_task.cancel()
@@ -306,6 +348,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Records the loss and wakes the reader."""
         self._closed = True
+        self._unsent = memoryview(b"")
         self._lost_at = time.monotonic()
         if error is not None and not isinstance(error, ConnectionError):
             # Not a reset by the upstream: its acknowledgements stopped.
