--- a/sycamorehollow/decisions/forwarding/memory_budget.py
+++ b/sycamorehollow/decisions/forwarding/memory_budget.py
@@ -27,10 +27,12 @@
 # Requests up to this size may use the share of the budget that is kept free of
 # larger ones.
 SMALL_REQUEST_BYTES = 64 * 1024
-SMALL_SHARE = 1 / 8
-# Share of the budget that bytes of waiting requests may take. Without it, a
-# crowd of waiting requests would leave no room for any of them.
+SMALL_SHARE = 1 / 4
+# Share of the budget that bytes of waiting requests may take, and the share
+# that has to remain free beside them. A crowd of waiting requests would
+# otherwise leave no room for themselves and for small ones.
 WAITING_SHARE = 1 / 4
+FREE_SHARE = 1 / 8
 # Bytes by which a waiting request counts as smaller per second of its wait.
 AGING_BYTES_PER_S = MB
 # Time that a request waits before another one is closed in its favour.
@@ -188,8 +190,11 @@
 
     def may_wait(self, unread: int) -> bool:
         """Tells whether a request may wait with bytes that are not read."""
-        limit = self.limit_bytes * WAITING_SHARE
-        return self.held[Kind.UNREAD] + unread <= limit
+        waiting = self.held[Kind.UNREAD] + unread
+        return (
+            waiting <= self.limit_bytes * WAITING_SHARE
+            and self.total + unread <= self.limit_bytes * (1 - FREE_SHARE)
+        )
 
     def wait(self, holding: Holding, size: int, now: float) -> None:
         """Lets a body wait for room."""
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -97,11 +97,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or handled."""
-        return (
-            self._task is not None
-            or self._parser.request is not None
-            or bool(self._parser.unparsed)
-        )
+        return self._task is not None or self._parser.has_begun_request
 
     def close_when_idle(self) -> None:
         """Closes after the responses to all requests that have arrived.
@@ -161,9 +157,11 @@
         self._can_write.set()
         self._clear_timer()
         self._parser.stop()
-        if self._task is not None:
+        if self._task is None:
+            self._memory.close(self._holding)
+        else:
+            # Its request is held until it has ended.
             self._task.cancel()
-        self._memory.close(self._holding)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -340,6 +338,8 @@
             return
         finally:
             self._task = None
+            if self._disconnected:
+                self._memory.close(self._holding)
         if self._transport is None or self._disconnected:
             return
         if self._is_discarding:
@@ -356,7 +356,8 @@
             await self._handler(self, request)
         finally:
             self._release(kind, HANDLING_BYTES)
-            self._release_request(request)
+            self.release_body(request)
+            self._release(memory_budget.Kind.HEAD, request.head_cost)
 
     def _linger(self) -> None:
         """Drops the rest of a refused request before the close."""
--- a/sycamorehollow/shells/gateway/caller_transport.py
+++ b/sycamorehollow/shells/gateway/caller_transport.py
@@ -135,6 +135,12 @@
             self._budget.add(self._holding, kind, -size)
             self._memory.release()
 
+    def release_body(self, request: request_parser.HttpRequest) -> None:
+        """Releases the body of a request that is not sent any more."""
+        request.body = bytearray()
+        cost, request.body_cost = request.body_cost, 0
+        self._release(memory_budget.Kind.BODY, cost)
+
     def _release_request(self, request: request_parser.HttpRequest) -> None:
         self._release(memory_budget.Kind.HEAD, request.head_cost)
         self._release(memory_budget.Kind.BODY, request.body_cost)
--- a/sycamorehollow/shells/gateway/request_parser.py
+++ b/sycamorehollow/shells/gateway/request_parser.py
@@ -124,6 +124,11 @@
         # Bytes that a body with a length still lacks; `None` if it is chunked.
         self._body_bytes_left: int | None = 0
 
+    @property
+    def has_begun_request(self) -> bool:
+        """Whether a request, or a part of one, has been received."""
+        return self.request is not None or bool(self.unparsed)
+
     def stop(self) -> None:
         """Ends parsing and forgets the unfinished request."""
         self._is_stopped = True
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -274,11 +274,13 @@
             if not data:
                 await self._confirm_end(connection, f"{len(body)} bytes")
                 await self._write_head(head, len(body))
+                self._connection.release_body(self._request)
                 await self._connection.write_body(bytes(body))
                 return
             body += data
         self._lifecycle.failover.resumable = False
         await self._write_head(head, head.length)
+        self._connection.release_body(self._request)
         await self._connection.write_body(bytes(body))
         while data := await self._read_body(connection):
             await self._connection.write_body(data)
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -210,6 +210,9 @@
             part = self._unsent[:BODY_PART_BYTES]
             self._unsent = self._unsent[BODY_PART_BYTES:]
             self._transport.write(part)
+        if not self._unsent:
+            # An empty part of the body would keep all of it.
+            self._unsent = memoryview(b"")
 
     def pause_writing(self) -> None:
         """Stops writing the body."""
@@ -279,6 +282,7 @@
         """Closes the connection, which cancels the request."""
         self._closed = True
         self._unsent = memoryview(b"")
+        self._request_data = (b"", b"")
         self._drop_callback = None
         if self._resend_task is not None:
             self._resend_task.cancel()
