--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from sycamorehollow.platform import settings
 from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
+from sycamorehollow.settings import gateway
 from sycamorehollow.shells import stores
 from sycamorehollow.shells.gateway import header_codec as gateway_codec
 from tests import platform_standins
@@ -57,6 +58,22 @@
         self.assertEqual(read.peer_address, "10.1.0.40:7340")
         self.assertEqual(read.drain_s, 2.0)
 
+    def test_limits_on_memory_are_read(self):
+        read = settings.parse_settings(SETTINGS)
+        self.assertEqual(read.memory, gateway.MemoryLimits())
+        text = SETTINGS + "limits.memoryMb=152\nlimits.maxFds=1535\n"
+        text += "limits.headerLines=64\nlimits.bodyWaitMs=250\n"
+        self.assertEqual(
+            settings.parse_settings(text).memory,
+            gateway.MemoryLimits(152, 1535, header_lines=64, body_wait_s=0.25),
+        )
+        text += "limits.callerConnections=0\nlimits.requestMemoryMb=1\n"
+        faults = settings.parse_settings(text)
+        self.assertEqual(
+            {fault.key for fault in faults},
+            {"callerConnections", "requestMemoryMb"},
+        )
+
     def test_every_fault_is_named(self):
         text = SETTINGS.replace("graceS=8", "graceS=soon").replace(
             "ip=10.1.0.40\n", ""
