--- a/sycamorehollow/decisions/forwarding/memory_budget.py
+++ b/sycamorehollow/decisions/forwarding/memory_budget.py
@@ -37,6 +37,8 @@
 AGING_BYTES_PER_S = MB
 # Time that a request waits before another one is closed in its favour.
 CLOSE_AFTER_S = 0.5
+# Share of the budget that is released by closing connections at one check.
+CLOSE_SHARE = 1 / 16
 # Time over which the progress of a request is measured.
 PROGRESS_WINDOW_S = 1.0
 # Time for which a caller that takes nothing keeps its response while requests
@@ -137,6 +139,8 @@
         self._holdings: dict[Holding, None] = {}
         self._waiting: dict[Holding, None] = {}
         self._checked_at: float | None = None
+        # Size of the smallest request refused since the last check.
+        self._refused_bytes = float("inf")
 
     @property
     def waiting(self) -> int:
@@ -145,8 +149,12 @@
 
     @property
     def is_short(self) -> bool:
-        """Whether a request waits or the budget is exceeded."""
-        return bool(self._waiting) or self.total > self.limit_bytes
+        """Whether a request waits or was refused, or too much is held."""
+        return (
+            bool(self._waiting)
+            or self.total > self.limit_bytes
+            or self._refused_bytes < float("inf")
+        )
 
     def open(self, size: int, now: float) -> Holding:
         """Returns the holding of a new connection of a size."""
@@ -188,6 +196,10 @@
         self.add(holding, kind, size)
         return True
 
+    def note_refusal(self, size: int) -> None:
+        """Records that a request of a size was refused without a wait."""
+        self._refused_bytes = min(self._refused_bytes, size)
+
     def may_wait(self, unread: int) -> bool:
         """Tells whether a request may wait with bytes that are not read."""
         waiting = self.held[Kind.UNREAD] + unread
@@ -240,10 +252,14 @@
         oldest = min(
             (h.waits_since for h in self._waiting), default=float("inf")
         )
-        if self.total > self.limit_bytes or now - oldest > CLOSE_AFTER_S:
-            victim = self.choose_victim(now, is_unused)
-            if victim is not None:
-                orders.append(victim)
+        is_full = (
+            self.total > self.limit_bytes
+            or self._refused_bytes <= SMALL_REQUEST_BYTES
+        )
+        was_refused = self._refused_bytes < float("inf")
+        self._refused_bytes = float("inf")
+        if is_full or was_refused or now - oldest > CLOSE_AFTER_S:
+            orders += self._close_some(now, is_full, is_unused)
         return orders
 
     def _admit_waiting(self, now: float) -> Iterator[Order]:
@@ -273,14 +289,28 @@
                 holding.rate = holding.window_bytes / elapsed_s
                 holding.window_from, holding.window_bytes = now, 0
 
-    def choose_victim(
-        self, now: float, is_unused: Callable[[Holding], bool]
-    ) -> Order | None:
-        """Returns the unfinished request that makes the least progress.
+    def _close_some(
+        self, now: float, is_full: bool, is_unused: Callable[[Holding], bool]
+    ) -> list[Order]:
+        """Closes connections until a share of the budget is released."""
+        orders: list[Order] = []
+        released = 0.0
+        for order in self._list_victims(now, is_full):
+            if released >= self.limit_bytes * CLOSE_SHARE:
+                return orders
+            orders.append(order)
+            order.holding.reads_since = order.holding.stalled_since = None
+            released += sum(order.holding.held)
+        if not orders and is_full:
+            idle = self.choose_idle(Reason.IDLE, is_unused)
+            orders = [idle] if idle is not None else []
+        return orders
+
+    def _list_victims(self, now: float, is_full: bool) -> list[Order]:
+        """Returns the unfinished requests, those of least progress first.
 
         One that will probably be complete before those that wait are refused
-        is not closed for them. After these come callers that take no response,
-        and idle connections if the budget is exceeded.
+        is not closed for them. After these come callers that take no response.
         """
         slow = [
             holding
@@ -288,24 +318,17 @@
             if holding.reads_since is not None
             and holding.rate * self.wait_s < holding.remaining
         ]
-        if slow:
-            return Order(min(slow, key=lambda h: h.rate), Reason.NO_PROGRESS)
-        is_exceeded = self.total > self.limit_bytes
-        limit_s = STALLED_READER_SHORT_S if is_exceeded else STALLED_READER_S
+        limit_s = STALLED_READER_SHORT_S if is_full else STALLED_READER_S
         stalled = [
-            holding
-            for holding in self._holdings
+            (holding.stalled_since, number, holding)
+            for number, holding in enumerate(self._holdings)
             if holding.stalled_since is not None
             and now - holding.stalled_since > limit_s
         ]
-        if stalled:
-            return Order(
-                min(stalled, key=lambda h: h.stalled_since or now),
-                Reason.STALLED_READER,
-            )
-        if is_exceeded:
-            return self.choose_idle(Reason.IDLE, is_unused)
-        return None
+        slow.sort(key=lambda h: h.rate)
+        return [Order(h, Reason.NO_PROGRESS) for h in slow] + [
+            Order(h, Reason.STALLED_READER) for _, _, h in sorted(stalled)
+        ]
 
     def choose_idle(
         self, reason: Reason, is_unused: Callable[[Holding], bool]
--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -199,7 +199,7 @@
         kind = memory_budget.Kind.HEAD
         if self._budget.admit(self._holding, kind, cost):
             return True
-        self._memory.count_refusal(memory_budget.Reason.NO_ROOM)
+        self._memory.refuse(cost)
         return False
 
     def begin_body(
@@ -226,9 +226,8 @@
             self._is_waiting = True
             self._memory.wait(self._holding, cost)
         else:
-            reason = memory_budget.Reason.NO_ROOM
-            self._memory.count_refusal(reason)
-            self.refuse(reason)
+            self._memory.refuse(cost)
+            self.refuse(memory_budget.Reason.NO_ROOM)
         return False
 
     def continue_body(self, size: int) -> None:
@@ -242,7 +241,9 @@
         self._resume_parsing()
 
     def _start_reading_body(self, request: HttpRequest) -> None:
-        remaining = request.body_cost - len(request.body)
+        remaining = self._parser.body_bytes_left
+        if remaining is None:
+            remaining = request.body_cost - len(request.body)
         self._budget.begin_body(self._holding, remaining, time.monotonic())
         if self._expects_continue and self._transport is not None:
             self._expects_continue = False
--- a/sycamorehollow/shells/gateway/caller_memory.py
+++ b/sycamorehollow/shells/gateway/caller_memory.py
@@ -161,6 +161,12 @@
             self.close(order.holding)
         connection.refuse(order.reason)
 
+    def refuse(self, size: int) -> None:
+        """Records that a request of a size is refused without a wait."""
+        self.count_refusal(memory_budget.Reason.NO_ROOM)
+        self.budget.note_refusal(size)
+        self.check_later()
+
     def count_refusal(self, reason: memory_budget.Reason) -> None:
         """Counts a refused request or closed connection."""
         self._telemetry.count_memory_refusal(reason.value)
--- a/sycamorehollow/shells/gateway/request_parser.py
+++ b/sycamorehollow/shells/gateway/request_parser.py
@@ -95,6 +95,8 @@
         request: The request that is being read; `None` between requests.
         has_begun: Whether any request has begun.
         unparsed: Bytes that wait until parsing may continue.
+        body_bytes_left: Bytes that a body with a length still lacks; `None` if
+            it is chunked.
     """
 
     def __init__(
@@ -121,8 +123,7 @@
         self._has_started = False
         # Consecutive bytes without body data: chunk framing and trailers.
         self._overhead_bytes = 0
-        # Bytes that a body with a length still lacks; `None` if it is chunked.
-        self._body_bytes_left: int | None = 0
+        self.body_bytes_left: int | None = 0
 
     @property
     def has_begun_request(self) -> bool:
@@ -165,9 +166,9 @@
         """Returns how many bytes may be parsed before the next check."""
         if self._is_in_head():
             return HEAD_SLICE_BYTES
-        if self._body_bytes_left is None:
+        if self.body_bytes_left is None:
             return CHUNKED_SLICE_BYTES
-        return max(HEAD_SLICE_BYTES, self._body_bytes_left)
+        return max(HEAD_SLICE_BYTES, self.body_bytes_left)
 
     def _is_in_head(self) -> bool:
         return self.request is None or not self.request.method
@@ -294,7 +295,7 @@
         expects_continue: bool,
     ) -> None:
         """Asks for the memory of a body."""
-        self._body_bytes_left = None if is_chunked else length
+        self.body_bytes_left = None if is_chunked else length
         cost = CHUNKED_BYTES if is_chunked else length
         if cost or expects_continue:
             self._receiver.begin_body(request, cost, expects_continue)
@@ -311,8 +312,8 @@
             self._reject(413)
             return
         self._receiver.record_body(len(data))
-        if self._body_bytes_left is not None:
-            self._body_bytes_left -= len(data)
+        if self.body_bytes_left is not None:
+            self.body_bytes_left -= len(data)
         elif len(request.body) > request.body_cost:
             more = max(len(request.body), request.body_cost)
             self._receiver.grow_body(request, min(more, limit))
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -92,6 +92,17 @@
             victims += [order.holding for order in orders]
         self.assertEqual(set(victims), {slow})
 
+    def test_refusal_closes_small_bodies_that_never_end(self):
+        stuck = [self.open(60 * KB) for _ in range(17)]
+        self.assertFalse(self.budget.admit(self.open(), BODY, 10 * KB))
+        self.assertEqual(self.check(2.0), [])
+        self.budget.note_refusal(10 * KB)
+        orders = self.budget.check(2.1, any_is_unused)
+        reason = memory_budget.Reason.NO_PROGRESS
+        self.assertEqual({order.reason for order in orders}, {reason})
+        self.assertIn(orders[0].holding, stuck)
+        self.assertEqual(self.budget.check(2.2, any_is_unused), [])
+
     def test_pause_of_the_process_closes_nothing(self):
         self.open(600 * KB)
         self.budget.wait(self.open(), 500 * KB, 0.0)
