--- a/sycamorehollow/programs/gateway_command.py
+++ b/sycamorehollow/programs/gateway_command.py
@@ -19,6 +19,7 @@
 from sycamorehollow.platform import store_codec
 from sycamorehollow.platform import storeclient
 from sycamorehollow.settings import gateway as gateway_settings
+from sycamorehollow.shells.gateway import allocator
 from sycamorehollow.shells.gateway import assembly
 from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import telemetry
@@ -50,6 +51,7 @@
             settings, metrics_port=arguments.metrics_port
         )
     telemetry.configure_logging(settings.node)
+    allocator.configure()
     gateway = assembly.Gateway(
         settings,
         assembly.PlatformAdapter(
--- a/sycamorehollow/settings/gateway.py
+++ b/sycamorehollow/settings/gateway.py
@@ -7,6 +7,30 @@
 RELAY_PORT_OFFSET = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class MemoryLimits:
+    """Limits on what callers may make the process hold.
+
+    Attributes:
+        memory_mb: Memory of the process; 0 if unknown, for no limit.
+        max_descriptors: Descriptors of the process; 0 if unknown, for no limit.
+        budget_mb: Memory for requests; 0 to compute it from `memory_mb`.
+        max_connections: Open connections of callers; 0 to compute the number
+            from `max_descriptors`.
+        header_lines: Lines of a request head.
+        preamble_bytes: Bytes of empty lines before a request.
+        body_wait_s: Time after which a body that finds no room is refused.
+    """
+
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    budget_mb: float = 0.0
+    max_connections: int = 0
+    header_lines: int = 4096
+    preamble_bytes: int = 16384
+    body_wait_s: float = 5.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """Settings of a gateway process.
@@ -47,6 +71,7 @@
         report_window_s: Length in seconds of the windows of usage reports.
         report_delay_s: Seconds after the end of a window until its report is
             due.
+        memory: Limits on memory and connections.
     """
 
     node: str
@@ -75,6 +100,7 @@
     owner_lease_s: float = 3.0
     report_window_s: float = 5.0
     report_delay_s: float = 10.0
+    memory: MemoryLimits = MemoryLimits()
 
     @property
     def has_duties(self) -> bool:
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -140,7 +140,7 @@
                 await self._node_checker.confirm(step.node, connection)
             is_new = not connection.has_sent_request
             connection.send_request(
-                self._lifecycle.request.request_id, self._encoder.encode(step)
+                self._lifecycle.request.request_id, *self._encoder.encode(step)
             )
             head = await self._wait_for(connection, connection.read_head)
             if is_new and not through_node:
@@ -274,10 +274,12 @@
             self._record_start(head)
             if not data:
                 await self._confirm_end(connection, f"{len(body)} bytes")
+                self._connection.release_body(self._request)
                 await self._write_head(head, len(body), bytes(body))
                 return
             body += data
         self._lifecycle.failover.resumable = False
+        self._connection.release_body(self._request)
         await self._write_head(head, head.length, bytes(body))
         while data := await self._read_body(connection):
             await self._connection.write_body(data)
--- a/tests/test_gateway_costs.py
+++ b/tests/test_gateway_costs.py
@@ -11,6 +11,8 @@
 from sycamorehollow.decisions.forwarding import watchers
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import caller_connections
+from sycamorehollow.shells.gateway import caller_memory
+from sycamorehollow.shells.gateway import telemetry
 from tests import forwarding_world
 
 
@@ -138,8 +140,11 @@
     """A response in needless parts costs a system call and a packet each."""
 
     async def write(self, length, body):
+        memory = caller_memory.CallerMemory(
+            forwarding_world.build_settings(), telemetry.Telemetry()
+        )
         connection = caller_connections.CallerConnection(
-            None, forwarding.CallerLimits, set()
+            None, forwarding.CallerLimits, set(), memory
         )
         transport = unittest.mock.create_autospec(asyncio.Transport)
         connection.connection_made(transport)
