--- a/sycamorehollow/decisions/forwarding/engine_placement.py
+++ b/sycamorehollow/decisions/forwarding/engine_placement.py
@@ -1,7 +1,7 @@
 """Selection among upstreams whose load and speed change faster than reports.
 
-Used for services of engines and for upstreams that state their speed. All other
-services keep the choice of `placement`.
+Used for services whose configuration asks for it and for upstreams that state
+their speed. All other services keep the choice of `placement`.
 """
 
 import collections
@@ -145,10 +145,9 @@
 
     def is_enabled(self, service: forwarding.Service) -> bool:
         """Returns whether this choice is used for a service."""
-        return (
-            service.engine is not None
-            or service.name in self._services_with_speed
-        )
+        if service.engine is not None and service.engine.prefill_budget:
+            return True
+        return service.name in self._services_with_speed
 
     def record_sent(
         self,
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -86,11 +86,14 @@
         slots: Requests that one runs at once; 0 if not stated.
         cache_tokens: Tokens that its cache holds; 0 if not stated.
         model_costs: Relative cost of each model; 0 if not stated.
+        prefill_budget: Whether upstreams are chosen by the prefill that is
+            outstanding at them, also where they do not state their speed.
     """
 
     slots: int = 0
     cache_tokens: int = 0
     model_costs: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    prefill_budget: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorehollow/platform/documents.py
+++ b/sycamorehollow/platform/documents.py
@@ -77,6 +77,7 @@
     slots: _Count = 0
     kvCapacity: _Count = 0  # noqa: N815
     models: list[_EngineModel] = []
+    prefillBudget: bool = False  # noqa: N815
 
 
 class _Service(pydantic.BaseModel):
@@ -382,6 +383,7 @@
         slots=engine.slots,
         cache_tokens=engine.kvCapacity,
         model_costs={model.name: model.cost for model in engine.models},
+        prefill_budget=engine.prefillBudget,
     )
 
 
--- a/tests/test_forwarding_load_replay.py
+++ b/tests/test_forwarding_load_replay.py
@@ -273,7 +273,7 @@
     """Guards against a choice that serves a class of size worse."""
 
     def test_no_class_is_worse_and_short_prompts_are_better(self):
-        new = measure(4, engine=forwarding.Engine())
+        new = measure(4, engine=forwarding.Engine(prefill_budget=True))
         policies = [(name, 3, choose) for name, choose in POLICIES.items()]
         # The previous code did not read reports of four figures.
         policies.append(("previous, without reports", 0, None))
--- a/tests/test_forwarding_prefill.py
+++ b/tests/test_forwarding_prefill.py
@@ -15,7 +15,11 @@
 
 def build_router(*names):
     """Returns a router to engines."""
-    services = {"llm": forwarding.Service("llm", 0, engine=forwarding.Engine())}
+    services = {
+        "llm": forwarding.Service(
+            "llm", 0, engine=forwarding.Engine(prefill_budget=True)
+        )
+    }
     return forwarding_world.build_router(
         *map(forwarding_world.build_upstream, names),
         configuration=forwarding_world.build_configuration(services=services),
--- a/tests/test_forwarding_subset.py
+++ b/tests/test_forwarding_subset.py
@@ -72,7 +72,7 @@
     """Guards against restrictions that a bounded choice does not respect."""
 
     def setUp(self):
-        engine = forwarding.Engine()
+        engine = forwarding.Engine(prefill_budget=True)
         self.service = forwarding.Service("llm", 0, engine=engine)
         services = {"llm": self.service}
         self.router = forwarding_world.build_router(
