--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -114,6 +114,10 @@
         """Sets the data centres that get no requests."""
         self._evacuated = set(data_centres)
 
+    def list_evacuated(self) -> frozenset[str]:
+        """Returns the data centres that get no requests."""
+        return frozenset(self._evacuated)
+
     def is_evacuated(self, state: UpstreamState) -> bool:
         """Returns whether the data centre of an upstream is evacuated."""
         return state.upstream.data_centre in self._evacuated
--- a/sycamorehollow/shells/gateway/duty_assembly.py
+++ b/sycamorehollow/shells/gateway/duty_assembly.py
@@ -10,6 +10,8 @@
 from sycamorehollow.decisions.duties import clock_offset
 from sycamorehollow.decisions.duties import duty
 from sycamorehollow.decisions.duties import ownership
+from sycamorehollow.decisions.duties import scaling_duty
+from sycamorehollow.decisions.duties import scaling_view
 from sycamorehollow.decisions.duties import usage
 from sycamorehollow.decisions.forwarding import router as routers
 from sycamorehollow.settings import gateway
@@ -20,6 +22,7 @@
 from sycamorehollow.shells.gateway import duty_runner
 from sycamorehollow.shells.gateway import duty_sender
 from sycamorehollow.shells.gateway import duty_store
+from sycamorehollow.shells.gateway import scaling_log
 from sycamorehollow.shells.gateway import state_sync
 from sycamorehollow.shells.gateway import telemetry
 
@@ -46,12 +49,14 @@
         router: Holds the state of the node.
         clock: Estimate of true time.
         run: Number of the process.
+        telemetry_sink: Receives log lines and metrics.
     """
 
     settings: gateway.Settings
     router: routers.Router
     clock: clock_offset.ClockOffset
     run: int
+    telemetry_sink: telemetry.Telemetry
 
 
 def _build_usage(context: Context) -> duty.Duty:
@@ -64,8 +69,17 @@
     )
 
 
+def _build_scaling(context: Context) -> duty.Duty:
+    return scaling_duty.ScalingDuty(
+        scaling_view.ViewBuilder(context.router, context.clock),
+        scaling_log.ScalingLog(context.telemetry_sink),
+        time.monotonic,
+    )
+
+
 BUILDERS: dict[str, Callable[[Context], duty.Duty]] = {
     usage.UsageDuty.name: _build_usage,
+    scaling_duty.ScalingDuty.name: _build_scaling,
 }
 
 
@@ -92,8 +106,8 @@
 ) -> Duties:
     """Builds the duties that the settings list; called in the event loop."""
     clock = clock_offset.ClockOffset()
-    context = Context(settings, router, clock, time.time_ns())
-    duties = _build_listed(context, telemetry_sink)
+    context = Context(settings, router, clock, time.time_ns(), telemetry_sink)
+    duties = _build_listed(context)
     order = duty_exchange.CandidateOrder(settings.node)
     exchange = duty_exchange.DutyExchange(
         settings.node,
@@ -122,14 +136,14 @@
     return Duties(runner, _find_counter(duties))
 
 
-def _build_listed(
-    context: Context, telemetry_sink: telemetry.Telemetry
-) -> list[duty.Duty]:
+def _build_listed(context: Context) -> list[duty.Duty]:
     """Returns the duties that the settings list."""
     duties = []
     for name in dict.fromkeys(context.settings.duties):
         if name not in BUILDERS:
-            telemetry_sink.log_event("unknown duty {!r} is ignored", name)
+            context.telemetry_sink.log_event(
+                "unknown duty {!r} is ignored", name
+            )
             continue
         duties.append(BUILDERS[name](context))
     return duties
