--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -253,6 +253,7 @@
         for upstream in [*self.engines, *self.desks]:
             upstream.mode = "serve"
             upstream.limit = ""
+            upstream.load = ""
             upstream.closing = False
             upstream.crash_offsets.clear()
             upstream.listener_outlives_s = 0.0
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -477,6 +477,7 @@
             body), `empty` (a stream without an event), or a kind of endless
             response.
         limit: Value of the `Server-Limit` header; empty for none.
+        load: Value of the `Replica-Load` header; empty for none.
         leaving: Whether all responses carry `Server-Leaving`.
         retry_after: Value of the `Retry-After` header of a refusal.
         arrivals: Monotonic times at which requests arrived.
@@ -518,6 +519,7 @@
         self.identity = identity
         self.mode = "serve"
         self.limit = ""
+        self.load = ""
         self.leaving = False
         self.retry_after = ""
         self.arrivals = []
@@ -619,6 +621,8 @@
             return
         self.arrivals.append(time.monotonic())
         needs = {"Server-Limit": self.limit} if self.limit else {}
+        if self.load:
+            needs["Replica-Load"] = self.load
         if self.leaving:
             needs["Server-Leaving"] = "1"
         if self.mode == "refuse":
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -1,11 +1,14 @@
 """Tests of singleton duties with real gateway processes."""
 
+import json
 import signal
 import time
 import unittest
+import uuid
 
 from tests import duty_platform
 from tests import gateway_world
+from tests import platform_standins
 from tests import processes
 
 WINDOW_S = 2.0
@@ -145,3 +148,63 @@
         self.assertEqual(
             sorted(reports), list(range(min(reports), max(reports) + 1))
         )
+
+
+class ScalingTest(unittest.TestCase):
+    """Guards against idle upstreams that stay and are billed."""
+
+    def setUp(self):
+        self.platform = duty_platform.DutyPlatform()
+        self.addCleanup(self.platform.stop)
+        self.world = gateway_world.World(nodes=0, engines=4)
+        self.addCleanup(self.world.close)
+        document = platform_standins.build_configuration(version=2)
+        for service in document["services"]:
+            if service["name"] == "llm":
+                service["scaling"] = {"min": 1, "max": 6, "bootTimeS": 1.0}
+        self.world.store.put("op/config", json.dumps(document))
+        for engine in self.world.engines:
+            engine.load = "1,0,8"
+        settings = {
+            "cloud.address": self.platform.address,
+            "cloud.duties": "scaling",
+        }
+        self.node = gateway_world.Node(
+            self.world._folder.name, "node-0", self.world.store, **settings
+        )
+        self.world.nodes.append(self.node)
+        self.node.wait_ready()
+
+    def is_ordered(self):
+        """Sends a request; returns whether the platform has got a call.
+
+        Requests share no prompt parts, so that all upstreams get some.
+        """
+        part = f"{uuid.uuid4().hex}:1000"
+        self.assertEqual(self.node.stream(prompt_prefix=part).status, 200)
+        return bool(self.platform.calls)
+
+    def test_idle_upstreams_above_the_minimum_are_removed(self):
+        processes.wait_for(self.is_ordered, 40.0)
+        call = self.platform.calls[0]
+        self.assertEqual(call.path, "/scale")
+        self.assertEqual(
+            call.document,
+            {"service": "llm", "zone": "dc-1", "desiredCount": 3},
+        )
+        expected = (
+            'sycamore_scale_orders_total{data_centre="dc-1",'
+            'result="accepted",service="llm"} 1.0'
+        )
+        processes.wait_for(
+            lambda: (
+                expected
+                in gateway_world.HTTP.request(
+                    "GET", self.node.metrics
+                ).data.decode()
+            )
+        )
+        self.assertRegex(
+            self.node.read_log(),
+            "duty=scaling order=llm/dc-1 count=3 reason='down: needs",
+        )
