--- a/sycamorehollow/decisions/duties/scaling_duty.py
+++ b/sycamorehollow/decisions/duties/scaling_duty.py
@@ -9,12 +9,13 @@
 
 # Interval of the decisions.
 DECISION_INTERVAL_S = 1.0
-# Calls without a result. The thread of the calls makes one after the other, of
-# up to 0.5 s each, so all of them end within `scaling.RESULT_TIMEOUT_S`.
+# Calls without a result. They are made one after the other, in up to 0.5 s
+# each, and a pause of 0.5 s follows a failed one.
 MAX_OPEN_CALLS = 4
-# Age from which an unsent order is dropped, as it may not fit the state any
-# more. With the time of open calls it ends before `scaling.RESULT_TIMEOUT_S`.
-MAX_WAIT_S = 2.0
+# Age from which an order without a call is dropped, as it may not fit the state
+# any more. With the open calls, the pause and two calls of another duty it ends
+# within `scaling.RESULT_TIMEOUT_S`.
+MAX_WAIT_S = 1.0
 
 
 class OrderLog(abc.ABC):
