--- a/sycamorehollow/decisions/duties/scaling_view.py
+++ b/sycamorehollow/decisions/duties/scaling_view.py
@@ -92,7 +92,7 @@
                 name,
                 limits,
                 self._build_replicas(states[name], now, monotonic),
-                frozenset(s.upstream.data_centre for s in states[name]),
+                self._router.directory.list_data_centres(name, monotonic),
                 evacuated,
                 name in changing,
                 sum(state.running for state in states[name]),
--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -18,6 +18,10 @@
 # Time in which a full upstream finishes a request or two. Until then it would
 # only refuse more, and each refusal counts as a retry.
 FULL_BACKOFF_S = 0.05
+# Time for which a data centre counts as one of a service after its upstream was
+# evicted. Longer than a data centre is usually lost, and short enough that one
+# that a service has left for good does not count for long.
+DATA_CENTRE_MEMORY_S = 600.0
 # Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.1
 
@@ -109,6 +113,8 @@
         self._states: dict[str, UpstreamState] = {}
         self._evacuated: set[str] = set()
         self._store_recovered_at = float("-inf")
+        # When an upstream was last evicted, by service and data centre.
+        self._evicted_at: dict[tuple[str, str], float] = {}
 
     def set_evacuated(self, data_centres: Iterable[str]) -> None:
         """Sets the data centres that get no requests."""
@@ -190,6 +196,20 @@
         """Returns all known upstreams."""
         return list(self._states.values())
 
+    def list_data_centres(self, service: str, now: float) -> frozenset[str]:
+        """Returns where a service has upstreams, or recently had some."""
+        present = {
+            state.upstream.data_centre
+            for state in self._states.values()
+            if state.upstream.service == service
+        }
+        recent = {
+            data_centre
+            for (name, data_centre), at in self._evicted_at.items()
+            if name == service and now - at <= DATA_CENTRE_MEMORY_S
+        }
+        return frozenset(present | recent)
+
     def list_usable(self, service: str, now: float) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get requests."""
         usable = []
@@ -237,7 +257,8 @@
             and state.running <= 0
         ]
         for identity in expired:
-            del self._states[identity]
+            upstream = self._states.pop(identity).upstream
+            self._evicted_at[upstream.service, upstream.data_centre] = now
         return expired
 
 
--- a/tests/test_duty_scaling.py
+++ b/tests/test_duty_scaling.py
@@ -76,6 +76,16 @@
         self.assertEqual(service.own_running, 3)
         self.assertIsNone(self.build(build_router(limits=None)))
 
+    def test_lost_data_centre_is_known_to_a_later_owner(self):
+        lost = forwarding_world.build_upstream("lost", data_centre=OTHER_DC)
+        router = build_router(*build_fleet(1), lost)
+        router.apply_event(updates.UpstreamRemoved("lost"), 1.0)
+        self.assertEqual(router.evict_expired(5.0), ["lost"])
+        service = self.build(router, 300.0).services[0]
+        self.assertEqual(service.data_centres, {DC, OTHER_DC})
+        service = self.build(router, 700.0).services[0]
+        self.assertEqual(service.data_centres, {DC})
+
     def test_changes_of_the_deployment_are_stated(self):
         router = build_router(*build_fleet(1))
         self.assertFalse(self.build(router).services[0].is_changing)
