--- a/sycamorehollow/decisions/forwarding/directory.py
+++ b/sycamorehollow/decisions/forwarding/directory.py
@@ -24,6 +24,10 @@
 # Bounds of a stated speed, so that a false one decides no placement for long.
 MIN_TIME_FACTOR = 0.1
 MAX_TIME_FACTOR = 10.0
+# Time for which a data centre counts as one of a service after its upstream was
+# evicted. Longer than a data centre is usually lost, and short enough that one
+# that a service has left for good does not count for long.
+DATA_CENTRE_MEMORY_S = 600.0
 # Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.1
 
@@ -134,12 +138,18 @@
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._evacuated: set[str] = set()
         self._store_recovered_at = float("-inf")
+        # When an upstream was last evicted, by service and data centre.
+        self._evicted_at: dict[tuple[str, str], float] = {}
 
     def set_evacuated(self, data_centres: Iterable[str]) -> None:
         """Sets the data centres that get no requests."""
         self._evacuated = set(data_centres)
         self._by_service.clear()
 
+    def list_evacuated(self) -> frozenset[str]:
+        """Returns the data centres that get no requests."""
+        return frozenset(self._evacuated)
+
     def is_evacuated(self, state: UpstreamState) -> bool:
         """Returns whether the data centre of an upstream is evacuated."""
         return state.upstream.data_centre in self._evacuated
@@ -218,6 +228,20 @@
         """Returns all known upstreams."""
         return list(self._states.values())
 
+    def list_data_centres(self, service: str, now: float) -> frozenset[str]:
+        """Returns where a service has upstreams, or recently had some."""
+        present = {
+            state.upstream.data_centre
+            for state in self._states.values()
+            if state.upstream.service == service
+        }
+        recent = {
+            data_centre
+            for (name, data_centre), at in self._evicted_at.items()
+            if name == service and now - at <= DATA_CENTRE_MEMORY_S
+        }
+        return frozenset(present | recent)
+
     def list_usable(self, service: str, now: float) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get requests."""
         known = self._by_service.get(service)
@@ -280,7 +304,8 @@
             if state.running <= 0:
                 expired.append(identity)
         for identity in expired:
-            del self._states[identity]
+            upstream = self._states.pop(identity).upstream
+            self._evicted_at[upstream.service, upstream.data_centre] = now
             self._removed.discard(identity)
             self._by_service.clear()
         self.generation += len(expired)
