--- a/sycamorehollow/decisions/forwarding/engine_placement.py
+++ b/sycamorehollow/decisions/forwarding/engine_placement.py
@@ -1,7 +1,8 @@
 """Selection among upstreams whose load and speed change faster than reports.
 
-Used for services whose configuration asks for it and for upstreams that state
-their speed. All other services keep the choice of `placement`.
+Used for services of engines whose configuration asks for it, and for plain
+services whose upstreams state their speed. All others keep the choice of
+`placement`.
 """
 
 import collections
@@ -145,9 +146,9 @@
 
     def is_enabled(self, service: forwarding.Service) -> bool:
         """Returns whether this choice is used for a service."""
-        if service.engine is not None and service.engine.prefill_budget:
-            return True
-        return service.name in self._services_with_speed
+        if service.engine is None:
+            return service.name in self._services_with_speed
+        return service.engine.prefill_budget
 
     def record_sent(
         self,
--- a/sycamorehollow/model/forwarding.py
+++ b/sycamorehollow/model/forwarding.py
@@ -87,7 +87,7 @@
         cache_tokens: Tokens that its cache holds; 0 if not stated.
         model_costs: Relative cost of each model; 0 if not stated.
         prefill_budget: Whether upstreams are chosen by the prefill that is
-            outstanding at them, also where they do not state their speed.
+            outstanding at them.
     """
 
     slots: int = 0
