Reject responses with an invalid status line

Cause: httptools takes any three digits as a status and any bytes but CR and LF as a reason phrase, and accepts the versions 0.9 and 2.0; http.client takes statuses up to 999. No reader checked them. A status below 100 was neither a failure nor a rejection, so it was delivered, and it counted as a good response in health and in roll-outs. A health or end check with such a status counted as a sign of life. In entry processes a response with status 600 whose body says that the call has not run was believed, and the call was sent to another upstream.

Changed: response_heads.check_status_line holds the rule (RFC 9110, section 15; RFC 9112, section 4) and is applied by all four readers: connections of the gateway to upstreams and nodes, engine responses, calls, polls and the store, and the load tool. A violation ends the attempt as a response that may have run. During a roll-out it counts as a failed response of its version, once. The log lines of both programs name the part that is wrong.

Why it works: the check stands before anything of the head is used, and the error is the one that each reader already treats as an unknown outcome.

--- a/sycamorehollow/decisions/forwarding/request_lifecycle.py
+++ b/sycamorehollow/decisions/forwarding/request_lifecycle.py
@@ -360,15 +360,7 @@
             attempt.end_by_upstream(f"refused with {head.status}", now)
             self._limits.record_refusal(was_resent)
             return steps.Verdict.RETRY
-        upstream = attempt.state.upstream
-        self._router.rollouts.record_response(
-            self.service.name,
-            upstream.version,
-            failure_evidence.Origin(
-                self.route.name, attempt.model, upstream.identity
-            ),
-            failed,
-        )
+        self._count_for_version(attempt, failed)
         self._router.placement.record_response(attempt, head, now)
         if self.delivering and head.status != STREAM_STATUS:
             # The caller already has the head of another response.
@@ -392,6 +384,27 @@
             return steps.Verdict.DELIVER
         return steps.Verdict.RETRY
 
+    def record_malformed_response(self) -> None:
+        """Counts a response without a valid head against its version."""
+        attempt = self.attempts[-1]
+        # The version behind another node is not known, and a response whose
+        # head was accepted has been counted.
+        if attempt.node or attempt.response_accepted:
+            return
+        self._count_for_version(attempt, failed=True)
+
+    def _count_for_version(self, attempt: steps.Attempt, failed: bool) -> None:
+        """Counts a response of the version that an upstream runs."""
+        upstream = attempt.state.upstream
+        self._router.rollouts.record_response(
+            self.service.name,
+            upstream.version,
+            failure_evidence.Origin(
+                self.route.name, attempt.model, upstream.identity
+            ),
+            failed,
+        )
+
     def record_connection_failure(
         self, reason: str, request_written: bool, now: float
     ) -> None:
--- a/sycamorehollow/programs/exchanges.py
+++ b/sycamorehollow/programs/exchanges.py
@@ -9,6 +9,8 @@
 
 import httptools
 
+from sycamorehollow.shells import response_heads
+
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 READ_BYTES = 65_536
 # A small receive buffer, so that the sender soon sees back-pressure from a slow
@@ -50,6 +52,7 @@
         if slow_bytes_per_s is not None:
             self.read_bytes = max(1, int(slow_bytes_per_s * SLOW_PERIOD_S))
         self._parser = httptools.HttpResponseParser(self)
+        self._reason = b""
         self._start = time.monotonic()
         self._last = 0.0
         self._buffer = b""
@@ -57,6 +60,23 @@
         self._failed = False
         self._ended = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Stores the reason phrase; called by the parser."""
+        self._reason += reason
+
+    def on_headers_complete(self) -> None:
+        """Checks the status line; called by the parser.
+
+        Raises:
+            response_heads.InvalidHeadError: It is invalid.
+        """
+        reason, self._reason = self._reason, b""
+        response_heads.check_status_line(
+            self._parser.get_http_version(),
+            self._parser.get_status_code(),
+            reason,
+        )
+
     def on_body(self, data: bytes) -> None:
         """Processes a part of the body; called by the parser."""
         self._buffer += data
--- a/sycamorehollow/shells/bounded_http.py
+++ b/sycamorehollow/shells/bounded_http.py
@@ -17,6 +17,8 @@
 import urllib3
 import urllib3.connection
 
+from sycamorehollow.shells import response_heads
+
 # Time for a response on a socket that has no timeout.
 DEFAULT_LIMIT_S = 30.0
 # Responses that never have a body.
@@ -142,6 +144,21 @@
             limited: Any = _LimitedSocket(sock, max_bytes)
             super().__init__(limited, *args, **keywords)
 
+        def begin(self) -> None:
+            """Reads the head.
+
+            Raises:
+                http.client.BadStatusLine: The status line is invalid.
+            """
+            super().begin()
+            version = f"{self.version // 10}.{self.version % 10}"
+            try:
+                response_heads.check_status_line(
+                    version, self.status, self.reason.encode("latin-1")
+                )
+            except response_heads.InvalidHeadError as error:
+                raise http.client.BadStatusLine(str(error)) from error
+
     class Connection(urllib3.connection.HTTPConnection):
         """A connection whose responses are limited."""
 
--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -11,6 +11,8 @@
 import httptools
 import sseclient
 
+from sycamorehollow.shells import response_heads
+
 END_MARKER = "[DONE]"
 # An event of an engine holds only a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
@@ -91,6 +93,7 @@
         self.headers: dict[str, str] = {}
         self.complete = False
         self.keep_alive = False
+        self._reason = b""
         self._body: list[bytes] = []
         self._overhead = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -115,6 +118,10 @@
         self._body.clear()
         return body
 
+    def on_status(self, reason: bytes) -> None:
+        """Stores the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field; trailers are ignored."""
         if self.status:
@@ -122,9 +129,17 @@
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Stores the status; an interim (1xx) response is discarded."""
+        """Stores the status; an interim (1xx) response is discarded.
+
+        Raises:
+            response_heads.InvalidHeadError: The status line is invalid.
+        """
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        reason, self._reason = self._reason, b""
+        response_heads.check_status_line(
+            self._parser.get_http_version(), status, reason
+        )
+        if status < response_heads.FINAL_STATUS:
             self.headers.clear()
             return
         self.status = status
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -153,13 +153,7 @@
                 await self._skip_body(connection)
             return self._lifecycle.choose_next_step(time.monotonic())
         except upstream_connections.UpstreamConnectionError as error:
-            now = time.monotonic()
-            self._lifecycle.record_connection_failure(
-                str(error), error.request_written, now
-            )
-            if error.closed_by_upstream and error.request_written:
-                self._lifecycle.record_possible_crash(now)
-                self._handle_break()
+            self._record_connection_failure(error)
             if not through_node:
                 await self._survey.confirm()
             return self._lifecycle.choose_next_step(time.monotonic())
@@ -174,6 +168,20 @@
                     pool.close_idle(upstream)
                 pool.release(upstream, connection, max_idle)
 
+    def _record_connection_failure(
+        self, error: upstream_connections.UpstreamConnectionError
+    ) -> None:
+        """Records what a missing or incomplete response shows."""
+        now = time.monotonic()
+        self._lifecycle.record_connection_failure(
+            str(error), error.request_written, now
+        )
+        if error.is_malformed:
+            self._lifecycle.record_malformed_response()
+        if error.closed_by_upstream and error.request_written:
+            self._lifecycle.record_possible_crash(now)
+            self._handle_break()
+
     def _evaluate_head(
         self,
         step: steps.Send,
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -11,6 +11,7 @@
 import httptools
 
 from sycamorehollow.model import forwarding
+from sycamorehollow.shells import response_heads
 from sycamorehollow.shells.gateway import header_codec
 
 # Body bytes buffered for a slow caller before reading from the upstream stops.
@@ -44,6 +45,7 @@
         request_written: Whether any byte of the request was written.
         closed_by_upstream: Whether the upstream closed the connection itself.
         refused: Whether no process accepts connections at its address.
+        is_malformed: Whether the upstream sent bytes that are no response.
     """
 
     def __init__(
@@ -52,11 +54,13 @@
         request_written: bool = True,
         closed_by_upstream: bool = True,
         refused: bool = False,
+        is_malformed: bool = False,
     ):
         super().__init__(reason)
         self.request_written = request_written
         self.closed_by_upstream = closed_by_upstream
         self.refused = refused
+        self.is_malformed = is_malformed
 
 
 @dataclasses.dataclass(frozen=True)
@@ -304,7 +308,9 @@
 
     def _raise_if_failed(self) -> None:
         if self._error:
-            raise UpstreamConnectionError(self._error, closed_by_upstream=False)
+            raise UpstreamConnectionError(
+                self._error, closed_by_upstream=False, is_malformed=True
+            )
         if self._path_error:
             raise UpstreamConnectionError(
                 self._path_error, closed_by_upstream=False
@@ -333,7 +339,8 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self._ended:
-                self._abort(f"the response is not valid HTTP: {error}")
+                reason = response_heads.describe_error(error)
+                self._abort(f"the response is not valid HTTP: {reason}")
             else:
                 self._reusable = False
         self._overhead_bytes = (
@@ -384,9 +391,19 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Stores the head if it belongs to the current request."""
+        """Stores the head if it belongs to the current request.
+
+        Raises:
+            response_heads.InvalidHeadError: The status line is invalid.
+        """
+        if self._ended:
+            self._headers = []
+            return
         status = self._parser.get_status_code()
-        if self._ended or 100 <= status < 200:
+        response_heads.check_status_line(
+            self._parser.get_http_version(), status, self._reason_phrase
+        )
+        if status < response_heads.FINAL_STATUS:
             self._headers = []
             return
         decoded = self._decode_head(status, self._headers)
--- a/sycamorehollow/shells/relay.py
+++ b/sycamorehollow/shells/relay.py
@@ -15,6 +15,7 @@
 from sycamorehollow.shells import callers
 from sycamorehollow.shells import engines
 from sycamorehollow.shells import framing
+from sycamorehollow.shells import response_heads
 from sycamorehollow.shells import streams
 from sycamorehollow.shells import tasks
 
@@ -156,11 +157,11 @@
             framing.OversizeError,
         ) as error:
             loguru.logger.warning(
-                "relay: request={} attempt={} upstream={} failed: {!r}",
+                "relay: request={} attempt={} upstream={} failed: {}",
                 stream.request_id,
                 stream.attempt,
                 stream.upstream,
-                error,
+                response_heads.describe_error(error),
             )
             self._fail(stream, self._engines.describe_failure(stream))
             return
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -210,15 +210,17 @@
 class World:
     """A store, engines, plain services and gateway processes."""
 
-    def __init__(self, nodes=1, engines=2, desks=2):
+    def __init__(
+        self,
+        nodes=1,
+        engines=2,
+        desks=2,
+        build_upstream=platform_standins.Upstream,
+    ):
         self._folder = tempfile.TemporaryDirectory()
         self.store = platform_standins.Store()
-        self.engines = [
-            platform_standins.Upstream(f"engine-{n}") for n in range(engines)
-        ]
-        self.desks = [
-            platform_standins.Upstream(f"desk-{n}") for n in range(desks)
-        ]
+        self.engines = [build_upstream(f"engine-{n}") for n in range(engines)]
+        self.desks = [build_upstream(f"desk-{n}") for n in range(desks)]
         self.configure()
         for engine in self.engines:
             engine.register(self.store, "llm")
@@ -305,3 +307,31 @@
     began = time.monotonic()
     processes.wait_for(check, limit_s)
     return time.monotonic() - began
+
+
+def exchange(node, line, *fields, body=b""):
+    """Sends one request and returns all bytes that its caller receives.
+
+    Args:
+        node: The node.
+        line: Method and target.
+        fields: Additional header lines.
+        body: The body.
+    """
+    lines = [
+        line + b" HTTP/1.1",
+        b"Host: models.example",
+        b"Request-Id: %s" % uuid.uuid4().hex.encode(),
+        b"Request-Deadline: 4000",
+        b"Authorization: Bearer key-1",
+        b"Connection: close",
+        b"Content-Length: %d" % len(body),
+        *fields,
+    ]
+    received = b""
+    with node.open_socket() as caller:
+        caller.settimeout(10)
+        caller.sendall(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        while data := caller.recv(4096):
+            received += data
+    return received
