Test header lines that the gateway rejects already

Held already at the gateway: httptools rejects names that are no tokens, values with control bytes, folded lines and lines without a colon. The request counts as one that may have run.

--- a/tests/test_gateway_malformed.py
+++ b/tests/test_gateway_malformed.py
@@ -156,6 +156,23 @@
         self.assertEqual(response.status, 502)
 
 
+class FieldNameTest(MalformedTest):
+    """Guards against heads with malformed lines that reach callers."""
+
+    def test_no_caller_gets_a_malformed_header(self):
+        for line in malformed_upstreams.INVALID_FIELD_LINES:
+            for is_split in (False, True):
+                with self.subTest(line, is_split=is_split):
+                    self.recover()
+                    self.check_refused(field_line=line, is_split=is_split)
+
+    def test_request_that_may_be_retried_is_served_elsewhere(self):
+        for line in malformed_upstreams.INVALID_FIELD_LINES:
+            with self.subTest(line):
+                self.recover()
+                self.check_retried(field_line=line)
+
+
 class IsolatedNodeTest(unittest.TestCase):
     """Guards against malformed responses that another node passes on."""
 
@@ -208,6 +225,11 @@
             with self.subTest(line):
                 self.check(status_line=line)
 
+    def test_malformed_header_line(self):
+        for line in malformed_upstreams.INVALID_FIELD_LINES[:2]:
+            with self.subTest(line):
+                self.check(field_line=line)
+
 
 if __name__ == "__main__":
     unittest.main()
