Pass on the reason phrase of the final response only

Cause: the gateway's reader collects the parts of a reason phrase and began anew only with the next request, so phrases of interim responses were joined with that of the final one.

Changed: an interim response takes its reason phrase along, as it does with its headers. The other readers pass no reason phrase on.

Measured: the new assertion failed on the commit before, with the response written at once and byte by byte (`ContinueOK` for `OK`), and holds now.

--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -405,6 +405,7 @@
         )
         if status < response_heads.FINAL_STATUS:
             self._headers = []
+            self._reason_phrase = b""
             return
         decoded = self._decode_head(status, self._headers)
         fields = {name.lower(): value for name, value in self._headers}
--- a/tests/test_gateway_malformed.py
+++ b/tests/test_gateway_malformed.py
@@ -135,6 +135,12 @@
                     response = self.node.request("/lodge/x", b"y")
                     self.assertEqual(response.data, malformed_upstreams.BODY)
                     self.assertIn("Response-Seal", response.headers)
+                    # Interim responses have reason phrases of their own.
+                    sent = line.rpartition(b"HTTP/1.")[2]
+                    self.assertEqual(response.status, int(sent[2:5]))
+                    self.assertEqual(
+                        response.reason.encode("latin-1"), sent[6:].strip()
+                    )
 
     def test_reason_is_logged(self):
         for desk in self.world.desks:
