Reject heads with malformed lines in calls, polls and the store

Cause: http.client stops reading a head at the first line that is no header, drops this line and all that follow, and reads the body as if there had been neither a length nor chunks. So a short body, or the era of the store, was lost without a trace, and a refusal with such a head was believed. It also takes bare CRs as line ends, any white space between the parts of a status line, and the version 0.9.

Changed: the bytes of each head that http.client reads pass through httptools first, which the other readers use (response_heads.HeadValidator), with the same rule for the status line. This replaces the check after http.client. A violation is an unknown outcome; one log line names the address and the reason. Bytes after a complete head are left to the reader.

Why it works: all four readers now accept the same heads, and those that http.client would shorten never reach it.

--- a/sycamorehollow/shells/bounded_http.py
+++ b/sycamorehollow/shells/bounded_http.py
@@ -1,9 +1,10 @@
-"""HTTP connections whose responses are limited in time and size.
+"""HTTP connections whose responses are limited and have valid heads.
 
 The timeouts of the HTTP library restart with each byte received, and it reads
 lines of any length. A faulty server that sends single bytes at intervals,
 endless interim responses or an endless chunk size could occupy a thread and its
-memory indefinitely.
+memory indefinitely. The library also reads heads with malformed lines, which it
+drops together with all lines that follow.
 """
 
 import http.client
@@ -14,6 +15,7 @@
 from typing import Any
 import urllib.parse
 
+import loguru
 import urllib3
 import urllib3.connection
 
@@ -29,6 +31,10 @@
     """A response is too long or takes too long."""
 
 
+class InvalidResponseError(OSError):
+    """The head of a response is invalid."""
+
+
 class _LimitedReader(io.RawIOBase):
     """Reads one response from a socket.
 
@@ -43,6 +49,7 @@
         # Keeps the file descriptor open until the response is read.
         self._file = sock.makefile("rb", buffering=0)
         self._left_bytes = max_bytes
+        self._validator = response_heads.HeadValidator()
         limit_s = sock.gettimeout()
         self._deadline = time.monotonic() + (limit_s or DEFAULT_LIMIT_S)
 
@@ -54,6 +61,7 @@
         """Reads the bytes that have arrived.
 
         Raises:
+            InvalidResponseError: The head of the response is invalid.
             LimitExceededError: The response exceeds a limit.
             TimeoutError: Nothing arrives in time.
         """
@@ -65,14 +73,35 @@
         self._sock.settimeout(left_s)
         count = self._file.readinto(buffer)
         self._left_bytes -= count or 0
+        if count and not self._validator.is_complete:
+            self._validate(bytes(buffer[:count]))
         return count
 
+    def _validate(self, data: bytes) -> None:
+        try:
+            self._validator.feed(data)
+        except response_heads.InvalidHeadError as error:
+            loguru.logger.warning(
+                "response of {} rejected: {}", _describe_peer(self._sock), error
+            )
+            raise InvalidResponseError(str(error)) from error
+
     def close(self) -> None:
         """Closes the file of the socket."""
         self._file.close()
         super().close()
 
 
+def _describe_peer(sock: socket.socket) -> str:
+    """Returns the address of the server for the log."""
+    try:
+        host, port = sock.getpeername()[:2]
+    except OSError:
+        # The server has reset the connection.
+        return "a lost connection"
+    return f"{host}:{port}"
+
+
 class _LimitedSocket:
     """The part of the socket interface that the library reads with."""
 
@@ -144,21 +173,6 @@
             limited: Any = _LimitedSocket(sock, max_bytes)
             super().__init__(limited, *args, **keywords)
 
-        def begin(self) -> None:
-            """Reads the head.
-
-            Raises:
-                http.client.BadStatusLine: The status line is invalid.
-            """
-            super().begin()
-            version = f"{self.version // 10}.{self.version % 10}"
-            try:
-                response_heads.check_status_line(
-                    version, self.status, self.reason.encode("latin-1")
-                )
-            except response_heads.InvalidHeadError as error:
-                raise http.client.BadStatusLine(str(error)) from error
-
     class Connection(urllib3.connection.HTTPConnection):
         """A connection whose responses are limited."""
 
--- a/sycamorehollow/shells/response_heads.py
+++ b/sycamorehollow/shells/response_heads.py
@@ -6,6 +6,8 @@
 
 import re
 
+import httptools
+
 # RFC 9110, section 15: the valid status codes.
 MIN_STATUS = 100
 MAX_STATUS = 599
@@ -44,6 +46,56 @@
         raise InvalidHeadError(f"invalid status line: reason {shown!r}")
 
 
+class HeadValidator:
+    """Validates the head of a response that a lenient parser reads as well.
+
+    Such a parser may skip malformed lines, and with them the header that states
+    where the body ends.
+
+    Attributes:
+        is_complete: Whether the head of the final response has ended.
+    """
+
+    def __init__(self):
+        self.is_complete = False
+        self._reason = b""
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Validates received bytes; those after the head are ignored.
+
+        Raises:
+            InvalidHeadError: The head is invalid.
+        """
+        if self.is_complete:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if self.is_complete:
+                return
+            raise InvalidHeadError(
+                f"invalid head: {describe_error(error)}"
+            ) from error
+
+    def on_status(self, reason: bytes) -> None:
+        """Stores the reason phrase; called by the parser."""
+        self._reason += reason
+
+    def on_headers_complete(self) -> None:
+        """Checks the status line; called by the parser.
+
+        Raises:
+            InvalidHeadError: The status line is invalid.
+        """
+        if self.is_complete:
+            return
+        status = self._parser.get_status_code()
+        reason, self._reason = self._reason, b""
+        check_status_line(self._parser.get_http_version(), status, reason)
+        self.is_complete = status >= FINAL_STATUS
+
+
 def describe_error(error: Exception) -> str:
     """Returns why a response could not be read.
 
--- a/tests/malformed_upstreams.py
+++ b/tests/malformed_upstreams.py
@@ -16,9 +16,11 @@
     b"HTTP/1.1 0 OK",
     b"HTTP/1.1 2000 OK",
     b"HTTP/1.1 +20 OK",
+    b"HTTP/1.1  200 OK",
     b"HTTP/1.1 200 O\x00K",
     b"HTTP/1.1 200 O\x01K",
     b"HTTP/1.1 200 O\x7fK",
+    b"HTTP/0.9 200 OK",
     b"HTTP/2.0 200 OK",
     b"HTTP/1.1 103 \x01\r\n\r\nHTTP/1.1 200 OK",
 )
@@ -132,11 +134,13 @@
 
     Attributes:
         response: Bytes of the response.
+        is_split: Whether the response is written byte by byte.
         requests: Number of requests received.
     """
 
     def __init__(self):
         self.response = b""
+        self.is_split = False
         self.requests = 0
         super().__init__()
 
@@ -144,4 +148,4 @@
         """Sends the response."""
         self.requests += 1
         handler.close_connection = True
-        handler.wfile.write(self.response)
+        write(handler, self.response, self.is_split)
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -100,6 +100,14 @@
                     event = self.dispatch()
                     self.assertIsInstance(event, messages.OpInDoubt)
 
+    def test_malformed_header_line(self):
+        for line in malformed_upstreams.INVALID_FIELD_LINES:
+            for body in (b"{}", NOT_RUN):
+                with self.subTest(line, body=body):
+                    self.set_response(field_line=line, body=body)
+                    event = self.dispatch()
+                    self.assertIsInstance(event, messages.OpInDoubt)
+
     def test_valid_status_line(self):
         for line in malformed_upstreams.VALID_STATUS_LINES:
             with self.subTest(line):
@@ -138,6 +146,34 @@
                 self.set_response(line, body=ITEM)
                 self.assert_rejected()
 
+    def test_malformed_header_line(self):
+        for line in malformed_upstreams.INVALID_FIELD_LINES:
+            for is_split in (False, True):
+                with self.subTest(line, is_split=is_split):
+                    self.server.is_split = is_split
+                    self.set_response(field_line=line, body=ITEM)
+                    self.assert_rejected()
+
+    def test_header_line_that_is_rare(self):
+        for line in (
+            b"X-Own:",
+            b"x!#$%&'*+-.^_`|~9: a\tb \xe4",
+            b"X-Own:\t x ",
+        ):
+            with self.subTest(line):
+                self.set_response(field_line=line, body=ITEM)
+                self.assertEqual(self.poll().data, ITEM)
+
+    def test_reason_is_logged(self):
+        lines = []
+        sink = loguru.logger.add(lines.append, format="{message}")
+        self.addCleanup(loguru.logger.remove, sink)
+        self.set_response(field_line=b"X-Own Name: x", body=ITEM)
+        self.assert_rejected()
+        found = [line for line in lines if self.server.address in line]
+        self.assertEqual(len(found), 3)
+        self.assertIn("invalid head: ", found[0])
+
     def test_valid_status_line(self):
         for line in malformed_upstreams.VALID_STATUS_LINES[:4]:
             with self.subTest(line):
@@ -147,6 +183,19 @@
                     self.assertIsInstance(result, stores.Found)
 
 
+class BytesAfterResponseTest(ServerTest):
+    """Guards against rejecting a response for the bytes that follow it."""
+
+    def test_complete_response_is_accepted(self):
+        for rest in (b"HTTP/1.1 000 OK\r\n\r\n", b"\x00\x01", b"X-Own Name: x"):
+            with self.subTest(rest):
+                self.set_response(body=ITEM)
+                self.server.response += rest
+                workers = http_workers.HttpWorkers()
+                self.addCleanup(workers.stop)
+                self.assertEqual(workers.request("GET", self.url).data, ITEM)
+
+
 class EngineTest(ServerTest):
     """Guards against malformed responses of engines that are believed."""
 
@@ -202,6 +251,14 @@
                     self.set_response(line, body=body)
                     self.assert_broken()
 
+    def test_malformed_header_line(self):
+        for line in malformed_upstreams.INVALID_FIELD_LINES:
+            for is_split in (False, True):
+                with self.subTest(line, is_split=is_split):
+                    self.server.is_split = is_split
+                    self.set_response(field_line=line, body=STREAM)
+                    self.assert_broken()
+
     def test_reason_is_logged(self):
         lines = []
         sink = loguru.logger.add(lines.append, format="{message}")
