Take no part of an early response for a complete one

Cause, gateway: the end of the stream ended a response without a length, however much of the request was still to be written, and the connection was closed at once. A reset that followed was never seen, and the check whether the upstream is alive, rightly, found it alive. A reset without an end of the stream, and a close with unread input, were recognised before. Cause, entry processes: urllib3 drops a reset that ends the writing of a body. The reset is then gone from the socket, and the next read shows the end of the stream. A call took the part as its outcome if it was a JSON document by itself, as the first line of several is.

Changed: one rule for both (uploads.UploadWatch): after the end of the stream the request has to reach the upstream's host, 0.8 s without progress end it; a response that began before all of the request was sent waits 0.2 s for a reset; and the socket must not have failed (sockets). The gateway keeps the connection open until its check of the upstream is done, and looks again after it. What is broken off takes the ways of any broken connection: 502 or a closed channel, a retry only where the route allows it. The reader of engines needs its end marker and passed all tests before.

Responses that are complete, of upstreams that read on, are delivered before and after.

What remains: once the whole request has reached the upstream's host, a reset after the check cannot be told from the close of a complete response.

--- a/sycamorehollow/shells/bounded_http.py
+++ b/sycamorehollow/shells/bounded_http.py
@@ -20,6 +20,8 @@
 import urllib3.connection
 
 from sycamorehollow.shells import response_heads
+from sycamorehollow.shells import sockets
+from sycamorehollow.shells import uploads
 
 # Time for a response on a socket that has no timeout.
 DEFAULT_LIMIT_S = 30.0
@@ -49,6 +51,8 @@
         # Keeps the file descriptor open until the response is read.
         self._file = sock.makefile("rb", buffering=0)
         self._left_bytes = max_bytes
+        self._has_begun = False
+        self._responded_early = False
         self._validator = response_heads.HeadValidator()
         limit_s = sock.gettimeout()
         self._deadline = time.monotonic() + (limit_s or DEFAULT_LIMIT_S)
@@ -64,6 +68,8 @@
             InvalidResponseError: The head of the response is invalid.
             LimitExceededError: The response exceeds a limit.
             TimeoutError: Nothing arrives in time.
+            uploads.UploadAbortedError: The connection has ended before the
+                server had read the request.
         """
         left_s = self._deadline - time.monotonic()
         if left_s <= 0:
@@ -73,19 +79,49 @@
         self._sock.settimeout(left_s)
         count = self._file.readinto(buffer)
         self._left_bytes -= count or 0
-        if count and not self._validator.is_complete:
+        if count == 0:
+            self._confirm_end()
+        if not count:
+            return count
+        if not self._has_begun:
+            self._has_begun = True
+            unsent = sockets.count_unacknowledged_bytes(self._sock)
+            self._responded_early = unsent > 0
+        if not self._validator.is_complete:
             self._validate(bytes(buffer[:count]))
         return count
 
+    def _confirm_end(self) -> None:
+        """Waits until the end of the stream is sure to be the response's."""
+        watch = uploads.UploadWatch(self._responded_early, time.monotonic())
+        while not self._is_settled(watch):
+            if time.monotonic() >= self._deadline:
+                raise LimitExceededError("the answer takes too long")
+            time.sleep(uploads.POLL_S)
+
+    def _is_settled(self, watch: uploads.UploadWatch) -> bool:
+        try:
+            return watch.is_settled(
+                sockets.count_unacknowledged_bytes(self._sock),
+                sockets.has_failed(self._sock),
+                time.monotonic(),
+            )
+        except uploads.UploadAbortedError as error:
+            self._log_rejection(error)
+            raise
+
     def _validate(self, data: bytes) -> None:
         try:
             self._validator.feed(data)
         except response_heads.InvalidHeadError as error:
-            loguru.logger.warning(
-                "response of {} rejected: {}", _describe_peer(self._sock), error
-            )
+            self._log_rejection(error)
             raise InvalidResponseError(str(error)) from error
 
+    def _log_rejection(self, error: Exception) -> None:
+        loguru.logger.warning(
+            "response of {} rejected: {}", _describe_peer(self._sock), error
+        )
+
     def close(self) -> None:
         """Closes the file of the socket."""
         self._file.close()
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -371,6 +371,7 @@
         left_s = self._lifecycle.deadline - time.monotonic()
         try:
             async with asyncio.timeout(max(end_checks.MIN_WAIT_S, left_s)):
+                await connection.wait_until_received()
                 evidence = await self._end_checker.check(
                     attempt.state, self._lifecycle.service
                 )
@@ -383,6 +384,7 @@
             raise upstream_connections.UpstreamConnectionError(
                 "the end of the connection is no sure end of the response"
             )
+        await connection.wait_until_received()
 
     async def _write_head(
         self,
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -12,6 +12,8 @@
 
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells import response_heads
+from sycamorehollow.shells import sockets
+from sycamorehollow.shells import uploads
 from sycamorehollow.shells.gateway import header_codec
 
 # Body bytes buffered for a slow caller before reading from the upstream stops.
@@ -127,10 +129,12 @@
         self._head: ResponseHead | None = None
         self._is_late = False
         self._ends_at_eof = False
+        self._responded_early = False
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._overhead_bytes = 0
         self._ended = False
+        self._eof_at: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -218,6 +222,20 @@
             # An empty part of the body would keep all of it.
             self._unsent = memoryview(b"")
 
+    def _count_unsent_bytes(self) -> int:
+        """Returns how much of the request the upstream's host still lacks."""
+        if self._closed or self._transport is None:
+            return 0
+        return (
+            len(self._unsent)
+            + self._transport.get_write_buffer_size()
+            + sockets.count_unacknowledged_bytes(self._get_socket())
+        )
+
+    def _get_socket(self) -> socket.socket:
+        assert self._transport is not None
+        return self._transport.get_extra_info("socket")
+
     def pause_writing(self) -> None:
         """Stops writing the body."""
         self._can_write = False
@@ -271,6 +289,28 @@
             self._transport.resume_reading()
         return data
 
+    async def wait_until_received(self) -> None:
+        """Waits until the upstream has received the request of a response.
+
+        Returns at once unless the response has ended at EOF.
+
+        Raises:
+            UpstreamConnectionError: The connection was reset after the EOF, or
+                the upstream does not read the request.
+        """
+        if self._eof_at is None:
+            return
+        watch = uploads.UploadWatch(self._responded_early, self._eof_at)
+        try:
+            while not watch.is_settled(
+                self._count_unsent_bytes(),
+                self._closed or sockets.has_failed(self._get_socket()),
+                time.monotonic(),
+            ):
+                await asyncio.sleep(uploads.POLL_S)
+        except uploads.UploadAbortedError as error:
+            raise UpstreamConnectionError(str(error)) from error
+
     def finish_response(self) -> bool:
         """Ends the response; returns whether the connection is reusable."""
         self._has_request = False
@@ -351,10 +391,17 @@
         self._data_event.set()
 
     def eof_received(self) -> bool:
-        """Ends a response whose body ends at EOF."""
-        if self._ends_at_eof and not self._is_late and not self._error:
+        """Ends a response whose body ends at EOF.
+
+        Returns:
+            Whether to keep the connection open, which shows a later reset.
+        """
+        ends_here = self._ends_at_eof and not self._is_late
+        if ends_here and not self._ended and not self._error:
             self._ended = True
-        return False
+            self._eof_at = time.monotonic()
+            self._data_event.set()
+        return self._eof_at is not None
 
     def connection_lost(self, error: Exception | None) -> None:
         """Records the loss and wakes the reader."""
@@ -421,6 +468,7 @@
         self._ends_at_eof = length is None and not chunked
         if self._ends_at_eof:
             self._reusable = False
+            self._responded_early = self._count_unsent_bytes() > 0
         if decoded.keep_alive_s is not None:
             self.idle_timeout_s = max(
                 0.0, decoded.keep_alive_s - IDLE_TIMEOUT_MARGIN_S
--- /dev/null
+++ b/sycamorehollow/shells/uploads.py
@@ -0,0 +1,60 @@
+"""Rules for responses that end with their connection during an upload.
+
+A server may respond before it has read the whole request, end its stream, and
+read on. If it closes the connection instead, with input that it has not read,
+the connection is reset. A reader of the response sees the end of the stream in
+both cases, but only in the first one is the response complete.
+"""
+
+# Interval of looking at the connection.
+POLL_S = 0.01
+# Time without progress after which an upload counts as given up.
+STALL_S = 0.8
+# Time after the end of an early response in which a reset may still come.
+RESET_WINDOW_S = 0.2
+
+
+class UploadAbortedError(OSError):
+    """The server has not read the request, so its response is incomplete."""
+
+
+class UploadWatch:
+    """Decides when the end of a stream counts as that of its response.
+
+    Args:
+        responded_early: Whether the response began before all of the request
+            was sent.
+        now: Monotonic time in seconds at which the stream had ended.
+    """
+
+    def __init__(self, responded_early: bool, now: float):
+        self._settled_at = now + RESET_WINDOW_S if responded_early else now
+        self._stalled_at = now + STALL_S
+        self._unsent_bytes: int | None = None
+
+    def is_settled(
+        self, unsent_bytes: int, has_failed: bool, now: float
+    ) -> bool:
+        """Returns whether the response is complete as far as can be told.
+
+        Args:
+            unsent_bytes: How much of the request the server's host lacks.
+            has_failed: Whether the connection has failed, as by a reset.
+            now: Monotonic time in seconds.
+
+        Raises:
+            UploadAbortedError: The response is incomplete.
+        """
+        if has_failed:
+            raise UploadAbortedError(
+                "the upstream reset the connection after the end of the"
+                " response"
+            )
+        if self._unsent_bytes is None or unsent_bytes < self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._stalled_at = now + STALL_S
+        if unsent_bytes and now >= self._stalled_at:
+            raise UploadAbortedError(
+                "the response ended before the upstream had read the request"
+            )
+        return not unsent_bytes and now >= self._settled_at
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -47,7 +47,7 @@
 
             def _run(self):
                 length = int(self.headers.get("Content-Length") or 0)
-                outer.handle(self, self.rfile.read(length))
+                outer.handle(self, outer.read_body(self, length))
 
             do_GET = do_POST = do_DELETE = _run  # noqa: N815
 
@@ -94,6 +94,10 @@
             time.sleep(listener_outlives_s)
             self.stop()
 
+    def read_body(self, handler, length):
+        """Returns the body of a request, or the part to read at first."""
+        return handler.rfile.read(length)
+
     def handle(self, handler, body):
         """Responds to one request."""
         raise NotImplementedError
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -1,7 +1,5 @@
 """Tests of malformed responses at the readers of entry processes and tools."""
 
-import queue
-import socket
 import time
 import unittest
 
@@ -14,23 +12,15 @@
 from sycamorehollow.programs import exchanges
 from sycamorehollow.shells import calls
 from sycamorehollow.shells import http_workers
-from sycamorehollow.shells import relay
 from sycamorehollow.shells import response_heads
 from sycamorehollow.shells import storeclient as storeclients
 from sycamorehollow.shells import stores
-from sycamorehollow.shells import streams
 from tests import malformed_upstreams
+from tests import relay_world
 
 WAIT_S = 5.0
-# Well below the time after which a silent engine is left.
-AT_ONCE_S = 1.0
 NOT_RUN = b'{"error": {"code": "full", "run": "no"}}'
 ITEM = b'{"key": "a", "value": "", "revision": 1}'
-STREAM = (
-    b'data: {"choices":[{"delta":{"content":"small "}}]}\n\n'
-    b'data: {"usage":{"prompt_tokens":7,"completion_tokens":1},"choices":[]}'
-    b"\n\ndata: [DONE]\n\n"
-)
 
 
 class RuleTest(unittest.TestCase):
@@ -196,75 +186,34 @@
                 self.assertEqual(workers.request("GET", self.url).data, ITEM)
 
 
-class EngineTest(ServerTest):
+class EngineTest(ServerTest, relay_world.RelayTest):
     """Guards against malformed responses of engines that are believed."""
 
     def setUp(self):
-        super().setUp()
-        self.events = queue.SimpleQueue()
-        self.relay = relay.Relay(self.events.put)
-        self.relay.start()
-        self.addCleanup(self.relay.stop)
-
-    def run_attempt(self, body_rest=b"}"):
-        """Returns the event that ends an attempt at the server."""
-        near, far = socket.socketpair()
-        self.addCleanup(near.close)
-        self.addCleanup(far.close)
-        near.setblocking(False)
-        caller = streams.CallerConnection(
-            near, queue.SimpleQueue(), True, body_rest
-        )
-        self.relay.post(relay.AttachCaller("r", caller))
-        self.relay.post(
-            lifecycle.StartAttempt(
-                request_id="r",
-                workspace="maps",
-                attempt=1,
-                run_id="r.1",
-                upstream="u1",
-                url=self.url,
-                version="small",
-                priority=1,
-                deadline=time.monotonic() + 60.0,
-                buffer_chunks=True,
-            )
-        )
-        ends = lifecycle.AttemptFailed | lifecycle.AttemptCompleted
-        while True:
-            event = self.events.get(timeout=WAIT_S)
-            if isinstance(event, ends):
-                return event
-
-    def assert_broken(self):
-        """Checks that an attempt counts at once as one that may have run."""
-        began = time.monotonic()
-        event = self.run_attempt()
-        self.assertIsInstance(event, lifecycle.AttemptFailed)
-        self.assertIs(event.end, lifecycle.AttemptEnd.BROKEN)
-        self.assertLess(time.monotonic() - began, AT_ONCE_S)
+        relay_world.RelayTest.setUp(self)
+        ServerTest.setUp(self)
 
     def test_invalid_status_line(self):
         for line in malformed_upstreams.INVALID_STATUS_LINES:
-            for body in (STREAM, NOT_RUN):
+            for body in (relay_world.WHOLE, NOT_RUN):
                 with self.subTest(line, body=body):
                     self.set_response(line, body=body)
-                    self.assert_broken()
+                    self.assert_broken(self.server.address)
 
     def test_malformed_header_line(self):
         for line in malformed_upstreams.INVALID_FIELD_LINES:
             for is_split in (False, True):
                 with self.subTest(line, is_split=is_split):
                     self.server.is_split = is_split
-                    self.set_response(field_line=line, body=STREAM)
-                    self.assert_broken()
+                    self.set_response(field_line=line, body=relay_world.WHOLE)
+                    self.assert_broken(self.server.address)
 
     def test_reason_is_logged(self):
         lines = []
         sink = loguru.logger.add(lines.append, format="{message}")
         self.addCleanup(loguru.logger.remove, sink)
-        self.set_response(b"HTTP/1.1 000 OK", body=STREAM)
-        self.assert_broken()
+        self.set_response(b"HTTP/1.1 000 OK", body=relay_world.WHOLE)
+        self.assert_broken(self.server.address)
         self.assertIn("invalid status line: status 0", "".join(lines))
 
     def test_valid_status_line(self):
@@ -272,8 +221,8 @@
             if b"299" in line:
                 continue
             with self.subTest(line):
-                self.set_response(line, body=STREAM)
-                event = self.run_attempt()
+                self.set_response(line, body=relay_world.WHOLE)
+                event = self.run_attempt(self.server.address)
                 self.assertIsInstance(event, lifecycle.AttemptCompleted)
 
 
