--- a/tests/malformed_upstreams.py
+++ b/tests/malformed_upstreams.py
@@ -49,6 +49,15 @@
     b"X-Own: x\x01y",
     b"X-Own: x\ry",
 )
+# Status line and header line by the name of a mode.
+HEADS_BY_MODE = {
+    "malformed-status": (b"HTTP/1.1 000 OK", b""),
+    "malformed-high-status": (b"HTTP/1.1 600 OK", b""),
+    "malformed-reason": (b"HTTP/1.1 200 O\x01K", b""),
+    "malformed-interim": (b"HTTP/1.1 103 \x01\r\n\r\nHTTP/1.1 200 OK", b""),
+    "malformed-name": (b"", b"X-Own Name: x"),
+    "malformed-control": (b"", b"X-Own\x01: x"),
+}
 
 
 class MalformedUpstream(platform_standins.Upstream):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -57,6 +57,11 @@
         action="store_true",
         help="a store whose lists come from copies of different age",
     )
+    parser.add_argument(
+        "--malformed",
+        action="store_true",
+        help="upstreams that send malformed heads",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="kept on a failure")
     arguments = parser.parse_args()
     if arguments.seeds > 1:
@@ -74,6 +79,7 @@
         hushes=arguments.hushes,
         cuts=arguments.cuts,
         lags=arguments.lags,
+        malformed=arguments.malformed,
     )
     soak = run.Soak(arguments.seed, size)
     try:
@@ -114,6 +120,8 @@
         rest.append("--cuts")
     if arguments.lags:
         rest.append("--lags")
+    if arguments.malformed:
+        rest.append("--malformed")
 
     def run_one(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", f"--seed={seed}"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -78,6 +78,7 @@
     hushes: bool = False
     cuts: bool = False
     lags: bool = False
+    malformed: bool = False
 
 
 class StandIn:
@@ -257,6 +258,29 @@
             node.wait_ready()
         fronts = {name: node.front for name, node in self._nodes.items()}
         crowd = callers.Crowd(self._seed, fronts, self._size.callers)
+        faults = self._draw_faults()
+        if self._size.lags:
+            lags = ",".join(map(str, schedule.draw_page_lags(self._seed)))
+            self._call(f"{self._store.address}/test/lags?lags_s={lags}")
+        self._crowd = crowd
+        self._watch.start()
+        crowd.start()
+        start = time.monotonic()
+        for fault in faults:
+            self._plan(start + fault.at, fault, True)
+        happened = self._play(start)
+        exchanges = self._recover(fronts) + crowd.stop()
+        self.summary = f"{len(exchanges)} requests, {len(happened)} faults"
+        if self._crashes:
+            self.summary += f", {len(self._crashes)} crashes by a part"
+        judged = promises.judge(
+            exchanges, self._read_runs(), happened, self._crashes
+        )
+        cut = promises.judge_logs(self.read_logs())
+        return self._found + judged + cut
+
+    def _draw_faults(self) -> list[schedule.Fault]:
+        """Returns the faults of the kinds that are wanted."""
         faults = schedule.draw(
             self._seed,
             self._size.seconds,
@@ -267,6 +291,10 @@
             faults += schedule.draw_trouble(
                 self._seed, self._size.seconds, list(self._upstreams)
             )
+        if self._size.malformed:
+            faults += schedule.draw_malformed(
+                self._seed, self._size.seconds, list(self._upstreams)
+            )
         if self._size.needs:
             faults += schedule.draw_needs(
                 self._seed, self._size.seconds, list(self._upstreams)
@@ -285,25 +313,7 @@
             )
         if self._size.deadly:
             faults.append(schedule.draw_deadly(self._seed, self._size.seconds))
-        if self._size.lags:
-            lags = ",".join(map(str, schedule.draw_page_lags(self._seed)))
-            self._call(f"{self._store.address}/test/lags?lags_s={lags}")
-        self._crowd = crowd
-        self._watch.start()
-        crowd.start()
-        start = time.monotonic()
-        for fault in faults:
-            self._plan(start + fault.at, fault, True)
-        happened = self._play(start)
-        exchanges = self._recover(fronts) + crowd.stop()
-        self.summary = f"{len(exchanges)} requests, {len(happened)} faults"
-        if self._crashes:
-            self.summary += f", {len(self._crashes)} crashes by a part"
-        judged = promises.judge(
-            exchanges, self._read_runs(), happened, self._crashes
-        )
-        cut = promises.judge_logs(self.read_logs())
-        return self._found + judged + cut
+        return faults
 
     def read_logs(self) -> str:
         """Returns what the nodes have written."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -5,6 +5,7 @@
 import random
 
 from tests import floods
+from tests import malformed_upstreams
 
 # Seconds before the first fault and after the end of the last one.
 QUIET_S = 1.0
@@ -53,6 +54,7 @@
     "half",
     *(kind for kind in floods.RESPONSES_BY_KIND if kind not in ENDLESS_BODIES),
 )
+MALFORMED_MODES = tuple(malformed_upstreams.HEADS_BY_MODE)
 NEED_PER_S = 0.3
 SHORTEST_NEED_S = 5.0
 LONGEST_NEED_S = 9.0
@@ -160,12 +162,29 @@
     They come beside the others, whose schedules stay what they were.
     """
     source = random.Random(f"{seed}/trouble")
+    return _draw_trouble(source, seconds, upstreams, TROUBLE_MODES)
+
+
+def draw_malformed(
+    seed: int, seconds: float, upstreams: list[str]
+) -> list[Fault]:
+    """Returns times in which upstreams send malformed heads."""
+    source = random.Random(f"{seed}/malformed")
+    return _draw_trouble(source, seconds, upstreams, MALFORMED_MODES)
+
+
+def _draw_trouble(
+    source: random.Random,
+    seconds: float,
+    upstreams: list[str],
+    modes: tuple[str, ...],
+) -> list[Fault]:
     faults = []
     for _ in range(max(2, round(seconds * TROUBLE_PER_S))):
         length = source.uniform(SHORTEST_S, LONGEST_S)
         at = source.uniform(QUIET_S, max(QUIET_S, seconds - length - QUIET_S))
         target = source.choice(upstreams)
-        mode = source.choice(TROUBLE_MODES)
+        mode = source.choice(modes)
         faults.append(Fault(at, Kind.TROUBLE, target, length, mode))
     return faults
 
--- a/tests/soak/standin_process.py
+++ b/tests/soak/standin_process.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from tests import malformed_upstreams
 from tests import platform_standins
 from tests.soak import promises
 from tests.soak import schedule
@@ -24,7 +25,7 @@
 CRASH_STATUS = 3
 
 
-class RecordingUpstream(platform_standins.Upstream):
+class RecordingUpstream(malformed_upstreams.MalformedUpstream):
     """Writes down each request that it begins to run."""
 
     first_events = promises.STREAM_EVENTS
@@ -40,7 +41,7 @@
     def handle(self, handler, body):
         """Answers a request, or takes the way in which it is to answer."""
         if handler.path.startswith(MODE_PATH):
-            self.mode = handler.path.removeprefix(MODE_PATH)
+            self._set_mode(handler.path.removeprefix(MODE_PATH))
         elif handler.path.startswith(NEED_PATH):
             self._set_need(*handler.path.removeprefix(NEED_PATH).split("/"))
         elif handler.path.startswith(CLOSING_PATH):
@@ -53,6 +54,13 @@
             return
         platform_standins.send(handler, 200, {}, b"")
 
+    def _set_mode(self, mode):
+        """Sets how the upstream responds from now on."""
+        self.mode = mode
+        self.status_line, self.field_line = (
+            malformed_upstreams.HEADS_BY_MODE.get(mode, (b"", b""))
+        )
+
     def _set_need(self, kind, value=""):
         """Sets what the upstream states; an unknown kind clears it."""
         self.limit = value if kind == schedule.LIMIT_MODE else ""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,8 @@
 HUSH_SEEDS = (1100,)
 # Beside these, nodes are cut off from all upstreams.
 CUT_SEEDS = (1200,)
+# Beside these, upstreams send malformed heads.
+MALFORMED_SEEDS = (2101,)
 AT_ONCE = 2
 # Seeds that once failed, each with a line on its cause.
 REGRESSION_SEEDS = {
@@ -238,6 +240,10 @@
                 trouble, schedule.draw_trouble(seed, 12.0, names[1])
             )
             kinds.update(fault.kind for fault in trouble)
+            malformed = schedule.draw_malformed(seed, 12.0, names[1])
+            self.assertEqual(
+                malformed, schedule.draw_malformed(seed, 12.0, names[1])
+            )
             needs = schedule.draw_needs(seed, 12.0, names[1])
             self.assertEqual(needs, schedule.draw_needs(seed, 12.0, names[1]))
             kinds.update(fault.kind for fault in needs)
@@ -300,6 +306,7 @@
             *RESTORE_SEEDS,
             *HUSH_SEEDS,
             *CUT_SEEDS,
+            *MALFORMED_SEEDS,
         )
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
             results = list(pool.map(self._run, seeds))
@@ -316,6 +323,7 @@
             hushes=seed in HUSH_SEEDS,
             cuts=seed in CUT_SEEDS,
             lags=seed in CUT_SEEDS,
+            malformed=seed in MALFORMED_SEEDS,
         )
         soak = run.Soak(seed, size)
         try:
