--- a/sycamorehollow/shells/uploads.py
+++ b/sycamorehollow/shells/uploads.py
@@ -6,6 +6,8 @@
 both cases, but only in the first one is the response complete.
 """
 
+import math
+
 # Interval of looking at the connection.
 POLL_S = 0.01
 # Time without progress after which an upload counts as given up.
@@ -29,8 +31,8 @@
 
     def __init__(self, responded_early: bool, now: float):
         self._settled_at = now + RESET_WINDOW_S if responded_early else now
-        self._stalled_at = now + STALL_S
-        self._unsent_bytes: int | None = None
+        self._stalled_at = math.inf
+        self._unsent_bytes = math.inf
 
     def is_settled(
         self, unsent_bytes: int, has_failed: bool, now: float
@@ -50,7 +52,7 @@
                 "the upstream reset the connection after the end of the"
                 " response"
             )
-        if self._unsent_bytes is None or unsent_bytes < self._unsent_bytes:
+        if unsent_bytes < self._unsent_bytes:
             self._unsent_bytes = unsent_bytes
             self._stalled_at = now + STALL_S
         if unsent_bytes and now >= self._stalled_at:
