Tests of malformed responses wait for each upstream

Cause: after a failure an upstream gets no request for 0.25 to 2 s, so a case could begin while only the upstream that was to fail was left, and a request that had not run was refused with 503, as it should be. Seen by reading; no run had failed.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -309,6 +309,21 @@
     return time.monotonic() - began
 
 
+def wait_until_used(node, world):
+    """Waits until each upstream has served a request.
+
+    After a failure an upstream gets no request for a moment.
+    """
+    for upstreams, send in (
+        (world.desks, lambda: node.request("/status/x")),
+        (world.engines, node.stream),
+    ):
+        for wanted in upstreams:
+            for upstream in upstreams:
+                upstream.mode = "serve" if upstream is wanted else "refuse"
+            processes.wait_for(lambda send=send: send().status == 200)
+
+
 def exchange(node, line, *fields, body=b""):
     """Sends one request and returns all bytes that its caller receives.
 
