--- a/tests/early_upstreams.py
+++ b/tests/early_upstreams.py
@@ -157,8 +157,7 @@
     plans = []
     for end, (first, later) in itertools.product(BROKEN_ENDS, read):
         if end is End.EOF_THEN_RESET and first == most:
-            # After the whole upload was written, nothing tells a response that
-            # is reset later from one that is complete.
+            # See `list_late_resets`.
             continue
         plans.append(Plan(end, first, later, body=body))
         if end is End.EOF_THEN_RESET:
@@ -166,6 +165,20 @@
     return plans
 
 
+def list_late_resets(upload_bytes, body):
+    """Returns responses that are reset after the whole upload was written.
+
+    Args:
+        upload_bytes: Length of the upload.
+        body: What they send of their body.
+    """
+    first = upload_bytes - UNREAD_BYTES
+    return [
+        Plan(End.EOF_THEN_RESET, first, gap_s=gap_s, body=body)
+        for gap_s in (0.0, GAP_S)
+    ]
+
+
 def describe(plan):
     """Returns the fields of a plan with the length of the body."""
     return dataclasses.astuple(plan)[:-1], len(plan.body)
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -101,6 +101,15 @@
                 result = store.write("a", UPLOAD.decode(), 0)
                 self.assertIsInstance(result, stores.InDoubt)
 
+    def test_reset_after_the_whole_upload(self):
+        taken = []
+        for plan in early_upstreams.list_late_resets(len(UPLOAD), PART):
+            self.server.plans.append(plan)
+            event = self.dispatch(self.server)
+            if isinstance(event, messages.ServiceResponded):
+                taken.append(early_upstreams.describe(plan))
+        self.assertEqual(taken, [])
+
     def test_server_that_reads_on_has_responded(self):
         end = early_upstreams.End.EOF_THEN_READ
         for first, later in ((0, 0), (0, HALF), (HALF, 0)):
--- a/tests/test_gateway_early_responses.py
+++ b/tests/test_gateway_early_responses.py
@@ -104,6 +104,17 @@
                 self.plans.append(plan)
                 self.assertEqual(self.stream(), (200, WHOLE_STREAM))
 
+    def test_reset_after_the_whole_upload(self):
+        taken = []
+        for body in (PART_BODY, LONG_PART_BODY):
+            for plan in early_upstreams.list_late_resets(len(UPLOAD), body):
+                self.recover()
+                self.plans.append(plan)
+                response = self.upload("/lodge/x")
+                if response is not None and response.status == 200:
+                    taken.append(early_upstreams.describe(plan))
+        self.assertEqual(taken, [])
+
     def test_reason_is_logged(self):
         end = early_upstreams.End.EOF_THEN_RESET
         self.plans.append(
