Count an upstream that states no start only soon after a response

What callers saw: half of a body, or some events of a stream, as a complete response.

Cause: a connection that is accepted, and a rejection of a full upstream, do not state the incarnation (`born`), yet counted as a sign of life however late they came. Where requests are restricted (limited, cold, paused) the check is only a connection, a refused one was tried again for 0.8 s, and any restart within that time passed. A pause of the node makes the gap as long as the pause. The node's log shows the end of the two streams 0.1 s after a pause of 3.2 s, with `its upstream is alive` after the check by a connection.

Changed: a query returns whom it found, and end_checks.weigh decides. Somebody without a start counts within 0.3 s of the end of the response, or of the last time a process there held a query; later the result is unclear. A refused connection means at once that the process is gone. When the response ended is taken from the kernel (time since the last segment), so that a pause of the node is seen. Where the platform does not tell, the time of the read counts, as before.

Price: a sound response without a length of a limited or full upstream that ends during a pause of the node is no longer confirmed (502, or repeated where the route allows it).

--- a/sycamorehollow/decisions/forwarding/end_checks.py
+++ b/sycamorehollow/decisions/forwarding/end_checks.py
@@ -18,6 +18,9 @@
 # left.
 CHECK_LIMIT_S = 0.8
 INITIAL_DELAY_S = 0.03
+# Least time in which an upstream that has ended is back. Before it, whoever
+# responds at its address is the same incarnation.
+MIN_RESTART_S = 0.3
 # Least time for a check, as a response that ends at its deadline is delivered.
 MIN_WAIT_S = 0.1
 
@@ -30,6 +33,34 @@
     UNCLEAR = "its upstream does not respond"
 
 
+class Finding(enum.Enum):
+    """Whom a query found at the address of an upstream."""
+
+    SAME = "the same incarnation"
+    OTHER = "another upstream or incarnation"
+    UNSTATED = "an upstream that does not state its incarnation"
+    SILENT = "a process that keeps the connection open and does not respond"
+    NOBODY = "no process"
+    NO_RESPONSE = "no response"
+
+
+def weigh(finding: Finding, age_s: float) -> Evidence:
+    """Returns what a query shows about a response.
+
+    Args:
+        finding: Whom it found.
+        age_s: Seconds from the end of the response, or from the time at which
+            its upstream was last seen, to the query.
+    """
+    if finding is Finding.SAME:
+        return Evidence.ALIVE
+    if finding in (Finding.OTHER, Finding.NOBODY):
+        return Evidence.GONE
+    if finding is Finding.UNSTATED and age_s < MIN_RESTART_S:
+        return Evidence.ALIVE
+    return Evidence.UNCLEAR
+
+
 class Query(enum.Enum):
     """How an upstream is checked."""
 
--- a/sycamorehollow/platform/header_codec.py
+++ b/sycamorehollow/platform/header_codec.py
@@ -9,6 +9,7 @@
 
 import loguru
 
+from sycamorehollow.decisions.forwarding import end_checks
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import header_codec
@@ -170,20 +171,24 @@
         )
         return "\r\n".join(lines).encode("latin-1")
 
-    def is_same_incarnation(
+    def identify(
         self,
         upstream: forwarding.Upstream,
         status: int,
         headers: header_codec.Headers,
         body: bytes,
-    ) -> bool:
-        """Tells whether the response to a query can be the upstream's."""
+    ) -> end_checks.Finding:
+        """Tells whether the response to a query is the upstream's."""
         identity = upstream.identity.encode("latin-1")
         stated = _index_by_name(headers).get(b"replica-id", identity)
         if status == 421 or stated.strip() != identity:
-            return False
+            return end_checks.Finding.OTHER
         born = _parse_born(body)
-        return 0 in (born, upstream.started_ms) or born == upstream.started_ms
+        if 0 in (born, upstream.started_ms):
+            return end_checks.Finding.UNSTATED
+        if born != upstream.started_ms:
+            return end_checks.Finding.OTHER
+        return end_checks.Finding.SAME
 
     def encode_failure(
         self, request_id: str, failure: failures.Failure
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -5,6 +5,7 @@
 import functools
 import time
 
+from sycamorehollow.decisions.forwarding import end_checks
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import upstream_connections
@@ -145,7 +146,11 @@
         return False
 
     async def can_hold_connection(self, upstream: forwarding.Upstream) -> bool:
-        """Tells whether an upstream accepts a connection and keeps it open.
+        """Tells whether an upstream accepts a connection and keeps it open."""
+        return await self.probe(upstream) is end_checks.Finding.UNSTATED
+
+    async def probe(self, upstream: forwarding.Upstream) -> end_checks.Finding:
+        """Tells whether a process accepts a connection and keeps it open.
 
         A machine may still accept connections for a process that has exited.
         """
@@ -154,20 +159,22 @@
                 reader, writer = await asyncio.open_connection(
                     upstream.host, upstream.port
                 )
+        except ConnectionRefusedError:
+            return end_checks.Finding.NOBODY
         except (OSError, TimeoutError):
-            return False
+            return end_checks.Finding.NO_RESPONSE
         try:
             async with asyncio.timeout(HOLD_PROBE_S):
                 # No request was sent: any bytes, or the end of the stream,
                 # show a fault.
                 await reader.read(1)
         except TimeoutError:
-            return True
+            return end_checks.Finding.UNSTATED
         except OSError:
-            return False
+            return end_checks.Finding.NO_RESPONSE
         finally:
             writer.transport.abort()
-        return False
+        return end_checks.Finding.NO_RESPONSE
 
     async def _reconnect(
         self,
--- a/sycamorehollow/shells/gateway/end_checker.py
+++ b/sycamorehollow/shells/gateway/end_checker.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import time
 
 from sycamorehollow.decisions.forwarding import directory
@@ -21,6 +22,7 @@
 QUERY_TIMEOUT_S = 0.25
 
 _Evidence = end_checks.Evidence
+_Finding = end_checks.Finding
 
 
 class EndChecker:
@@ -50,12 +52,24 @@
         self._next: dict[
             tuple[str, int], asyncio.Task[end_checks.Evidence]
         ] = {}
+        # Earliest end of a response that waits for the next check.
+        self._ended_at: dict[tuple[str, int], float] = {}
 
     async def check(
-        self, state: directory.UpstreamState, service: forwarding.Service
+        self,
+        state: directory.UpstreamState,
+        service: forwarding.Service,
+        ended_at: float,
     ) -> end_checks.Evidence:
-        """Returns the result of a check that begins after this call."""
+        """Returns the result of a check that begins after this call.
+
+        Args:
+            state: The upstream.
+            service: Its service.
+            ended_at: Monotonic time in seconds at which the response ended.
+        """
         key = state.upstream.incarnation
+        self._ended_at[key] = min(ended_at, self._ended_at.get(key, math.inf))
         task = self._next.get(key)
         if task is None:
             task = asyncio.create_task(
@@ -77,8 +91,9 @@
         key = state.upstream.incarnation
         task = self._next.pop(key)
         self._current[key] = task
+        ended_at = self._ended_at.pop(key)
         try:
-            evidence = await self._run(state, service)
+            evidence = await self._run(state, service, ended_at)
         except Exception as error:
             # Without a result nothing shows that the response is complete.
             self._telemetry.log_error(f"end check of {key[0]}", error)
@@ -90,7 +105,10 @@
         return evidence
 
     async def _run(
-        self, state: directory.UpstreamState, service: forwarding.Service
+        self,
+        state: directory.UpstreamState,
+        service: forwarding.Service,
+        ended_at: float,
     ) -> end_checks.Evidence:
         """Queries the upstream until the result is clear."""
         query = end_checks.choose_query(
@@ -98,33 +116,36 @@
         )
         delay_s = end_checks.INITIAL_DELAY_S
         end = time.monotonic() + end_checks.CHECK_LIMIT_S
+        seen_at = ended_at
         while True:
-            if query is end_checks.Query.CONNECTION:
-                evidence = await self._probe(state.upstream)
-            else:
-                path = (
-                    service.health_path
-                    if query is end_checks.Query.HEALTH
-                    else ""
-                )
-                evidence = await self._query(state.upstream, path)
+            age_s = time.monotonic() - seen_at
+            finding = await self._find(query, state.upstream, service)
+            evidence = end_checks.weigh(finding, age_s)
             if evidence is not _Evidence.UNCLEAR:
                 return evidence
             if time.monotonic() + delay_s >= end:
                 return evidence
+            if finding is _Finding.SILENT and age_s < end_checks.MIN_RESTART_S:
+                seen_at = time.monotonic()
             await asyncio.sleep(delay_s)
             delay_s *= 2
 
-    async def _probe(
-        self, upstream: forwarding.Upstream
-    ) -> end_checks.Evidence:
-        if await self._pool.can_hold_connection(upstream):
-            return _Evidence.ALIVE
-        return _Evidence.UNCLEAR
+    async def _find(
+        self,
+        query: end_checks.Query,
+        upstream: forwarding.Upstream,
+        service: forwarding.Service,
+    ) -> end_checks.Finding:
+        """Returns whom a query finds at the address of the upstream."""
+        if query is end_checks.Query.CONNECTION:
+            return await self._pool.probe(upstream)
+        if query is end_checks.Query.HEALTH:
+            return await self._query(upstream, service.health_path)
+        return await self._query(upstream, "")
 
     async def _query(
         self, upstream: forwarding.Upstream, health_path: str
-    ) -> end_checks.Evidence:
+    ) -> end_checks.Finding:
         """Asks the upstream who it is."""
         connection = None
         try:
@@ -140,17 +161,13 @@
                 while data := await connection.read_body():
                     body += data
         except upstream_connections.UpstreamConnectionError as error:
-            return _Evidence.GONE if error.refused else _Evidence.UNCLEAR
+            return _Finding.NOBODY if error.refused else _Finding.NO_RESPONSE
         except TimeoutError:
-            return _Evidence.UNCLEAR
+            return _Finding.SILENT
         finally:
             if connection is not None:
                 self._pool.release(upstream, connection, 1)
         if connection.ended_at_eof:
             # The end of this response proves as little as that of the other.
-            return _Evidence.UNCLEAR
-        if self._codec.is_same_incarnation(
-            upstream, head.status, head.headers, body
-        ):
-            return _Evidence.ALIVE
-        return _Evidence.GONE
+            return _Finding.NO_RESPONSE
+        return self._codec.identify(upstream, head.status, head.headers, body)
--- a/sycamorehollow/shells/gateway/header_codec.py
+++ b/sycamorehollow/shells/gateway/header_codec.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 import dataclasses
 
+from sycamorehollow.decisions.forwarding import end_checks
 from sycamorehollow.model import failures
 from sycamorehollow.model import forwarding
 
@@ -107,17 +108,17 @@
         """
 
     @abc.abstractmethod
-    def is_same_incarnation(
+    def identify(
         self,
         upstream: forwarding.Upstream,
         status: int,
         headers: Headers,
         body: bytes,
-    ) -> bool:
-        """Tells whether the response to a query can be the upstream's.
+    ) -> end_checks.Finding:
+        """Tells whether the response to a query is the upstream's.
 
         It is not if it names another upstream or another start. A response
-        that names none, as that of a full upstream, can be.
+        without a start, as that of a full upstream, may be.
         """
 
     @abc.abstractmethod
--- a/sycamorehollow/shells/gateway/response_relay.py
+++ b/sycamorehollow/shells/gateway/response_relay.py
@@ -373,7 +373,9 @@
             async with asyncio.timeout(max(end_checks.MIN_WAIT_S, left_s)):
                 await connection.wait_until_received()
                 evidence = await self._end_checker.check(
-                    attempt.state, self._lifecycle.service
+                    attempt.state,
+                    self._lifecycle.service,
+                    connection.ended_at,
                 )
         except TimeoutError:
             evidence = end_checks.Evidence.UNCLEAR
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -145,7 +145,16 @@
     @property
     def ended_at_eof(self) -> bool:
         """Whether only the end of the connection shows that of the response."""
-        return self._ended and self._ends_at_eof
+        return self._eof_at is not None
+
+    @property
+    def ended_at(self) -> float:
+        """Monotonic time in seconds at which a response ended at EOF.
+
+        After a pause of this process it is earlier than the EOF was read.
+        """
+        assert self._eof_at is not None
+        return self._eof_at
 
     @property
     def can_read_without_waiting(self) -> bool:
@@ -401,7 +410,8 @@
         ends_here = self._ends_at_eof and not self._is_late
         if ends_here and not self._ended and not self._error:
             self._ended = True
-            self._eof_at = time.monotonic()
+            silence_s = sockets.measure_silence_s(self._get_socket())
+            self._eof_at = time.monotonic() - silence_s
             self._data_event.set()
         return self._eof_at is not None
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -261,6 +261,7 @@
             upstream.listener_outlives_s = 0.0
             upstream.plain_body = None
             upstream.plain_status = 200
+            upstream.plain_pause_s = 0.0
             upstream.status_mode = "serve"
             upstream.status_requests = 0
             upstream.line_end = b"\n"
--- a/tests/test_gateway_closing_crashes.py
+++ b/tests/test_gateway_closing_crashes.py
@@ -24,6 +24,14 @@
     b"Accept: text/event-stream\r\nModel: small\r\n"
     b"Token-Counts: 1000,80\r\nContent-Length: 6\r\n\r\nprompt"
 )
+PLAIN_REQUEST = (
+    b"POST /lodge/%s HTTP/1.1\r\nHost: models.example\r\n"
+    b"Request-Id: plain-%s\r\nRequest-Deadline: 4000\r\n"
+    b"Authorization: Bearer key-1\r\nConnection: close\r\n"
+    b"Content-Length: 1\r\n\r\ny"
+)
+# Time from the first to the second half of a plain response.
+PLAIN_PAUSE_S = 0.2
 ALL_EVENTS = [b"1", b"2", b"3", b"4"]
 # Time that a check of a sound upstream may take, beside a busy machine.
 CHECK_LIMIT_S = 0.5
@@ -174,6 +182,53 @@
                 received += caller.recv(4096)
         self.assertEqual(re.findall(rb"id: (\d+)", received), ALL_EVENTS)
 
+    def pause_through_crash(self, name):
+        """Returns the response to a request whose upstream crashes meanwhile.
+
+        The node is paused from the start of the request's run until the
+        upstream has started again.
+        """
+        before = self.world.count_runs()
+        with self.node.open_socket() as caller:
+            caller.settimeout(10)
+            caller.sendall(PLAIN_REQUEST % (name, name))
+            processes.wait_for(lambda: self.world.count_runs() > before)
+            self.node.send_signal(signal.SIGSTOP)
+            time.sleep(PLAIN_PAUSE_S + 2 * DOWN_S)
+            self.node.send_signal(signal.SIGCONT)
+            received = b""
+            while data := caller.recv(4096):
+                received += data
+        return received
+
+    def test_restart_while_the_node_is_paused_is_found(self):
+        for restriction in (b"full", b"limit"):
+            with self.subTest(restriction):
+                self.restrict_desks(restriction)
+                for desk in self.world.desks:
+                    desk.plain_pause_s = PLAIN_PAUSE_S
+                # In the second half, so that the node is paused by then.
+                self.crash_after(3000)
+                received = self.pause_through_crash(restriction)
+                self.assertTrue(received.startswith(b"HTTP/1.1 502 "), received)
+
+    def test_fast_restart_of_a_limited_upstream_is_found(self):
+        self.restrict_desks(b"limit")
+        # Content that has crashed three upstreams is rejected.
+        for number in range(3):
+            self.crash_after(2000)
+            answer = self.ask(f"/lodge/restarts-{number}", b"y")
+            self.assertEqual(answer[0], 502)
+
+    def restrict_desks(self, restriction):
+        """Lets plain services respond with 4,000 bytes and a restriction."""
+        for desk in self.world.desks:
+            desk.plain_body = b"x" * 4000
+            if restriction == b"limit":
+                desk.limit = "100"
+            else:
+                desk.status_mode = "refuse"
+
     def test_crash_is_counted(self):
         pattern = re.compile(r"break=\S+ crash ")
         before = len(pattern.findall(self.node.read_log()))
@@ -214,6 +269,11 @@
         for upstream in self.upstreams:
             upstream.status_mode = "serve"
 
+    def refuse_status(self):
+        """Lets all upstreams refuse requests for their own state."""
+        for upstream in self.upstreams:
+            upstream.status_mode = "refuse"
+
     def test_responses_survive_checks_that_fail_once(self):
         for upstream in self.upstreams:
             upstream.status_mode = "reset"
@@ -238,6 +298,12 @@
         self.assertEqual(self.ask("/lodge/x", b"y")[0], 200)
         self.assertEqual(self.stream(), (200, ALL_EVENTS))
 
+    def test_full_upstream_may_respond_late(self):
+        for upstream in self.upstreams:
+            upstream.status_mode = "hang"
+        threading.Timer(0.4, self.refuse_status).start()
+        self.assertEqual(self.ask("/lodge/x", b"y")[0], 200)
+
     def test_response_without_evidence_is_not_complete(self):
         for upstream in self.upstreams:
             upstream.status_mode = "hang"
