Name the failed tests at the end of a test run

Of the long output only the end was kept: the traceback of a connection that was closed without a response, without the test's name. A test that fails once can't be traced like that.

Changed: the plugin of tools/known_red.py prints a line `failed: <test id>` for each unexpected failure, also of a subtest, after the summary.

A run whose only failures are listed prints no such line.

--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,5 +1,8 @@
 """Test runner plugin that passes over exactly the cases in KNOWN-RED.txt.
 
+It also names the other tests that failed at the end of the output, where they
+are found however long the reports are.
+
 An entry of KNOWN-RED.txt starts with a line `test: <dotted test id>`, or
 `bench: <name of the figure>` for a bench. A listed test still runs; its
 failure is printed and does not change the exit status.
@@ -35,11 +38,13 @@
 
     def __init__(self):
         self._known = read_known_red(KNOWN_RED)
+        self._failed: dict[str, None] = {}
 
     def setTestOutcome(self, event):  # noqa: N802
         """Marks the failure of a listed test as expected."""
         name = event.test.id().split("\n")[0]
         if name not in self._known:
+            self._record_failure(event)
             return
         if event.outcome not in (result.FAIL, result.ERROR):
             print(f"known red, passes now: {name}", file=sys.stderr)
@@ -47,3 +52,16 @@
         print(f"known red, still failing: {name}", file=sys.stderr)
         event.outcome = result.FAIL
         event.expected = True
+
+    def _record_failure(self, event):
+        """Stores the name of a test that failed, also in a subtest."""
+        if event.expected or event.exc_info is None:
+            return
+        if event.outcome in (result.FAIL, result.ERROR, result.SUBTEST):
+            case = getattr(event.test, "test_case", event.test)
+            self._failed[case.id().split("\n")[0]] = None
+
+    def afterSummaryReport(self, event):  # noqa: N802
+        """Names the tests whose failure was not expected."""
+        for name in self._failed:
+            event.stream.writeln(f"failed: {name}")
