Limit what the headers of a response occupy in memory

What callers saw: nothing yet.

Cause: a head without end was rejected after 256 KiB of received bytes, but its headers are kept as objects: of lines of 11 bytes they occupy more than ten times that, and a read brings up to 256 KiB at once.

Changed: response_heads.HeadMeter counts the bytes of each header and 160 more, and rejects a head above 128 KiB, for both readers that keep headers (gateway, engines of entry processes). http.client has a limit of 100 headers. All interim heads of a response count together with the final one.

A head of 300 short headers is read as before.

--- a/sycamorehollow/shells/framing.py
+++ b/sycamorehollow/shells/framing.py
@@ -94,6 +94,7 @@
         self.complete = False
         self.keep_alive = False
         self._reason = b""
+        self._meter = response_heads.HeadMeter()
         self._body: list[bytes] = []
         self._overhead = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -123,9 +124,14 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field; trailers are ignored."""
+        """Stores a header field; trailers are ignored.
+
+        Raises:
+            response_heads.InvalidHeadError: The head is too long.
+        """
         if self.status:
             return
+        self._meter.add(name, value)
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -127,6 +127,7 @@
     def _reset_response(self) -> None:
         self._reason_phrase = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._meter = response_heads.HeadMeter()
         self._head: ResponseHead | None = None
         self._is_late = False
         self._ends_at_eof = False
@@ -445,8 +446,13 @@
             self._reason_phrase += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header; trailers are ignored."""
+        """Stores a header; trailers are ignored.
+
+        Raises:
+            response_heads.InvalidHeadError: The head is too long.
+        """
         if self._head is None and not self._ended:
+            self._meter.add(name, value)
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -514,6 +520,7 @@
         if self._is_late:
             self._is_late = False
             self._headers = []
+            self._meter = response_heads.HeadMeter()
             self._reason_phrase = b""
             return
         if self._head is not None:
--- a/sycamorehollow/shells/response_heads.py
+++ b/sycamorehollow/shells/response_heads.py
@@ -19,6 +19,10 @@
 _REASON_PHRASE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 # Longer values are cut in the log.
 MAX_LOGGED_BYTES = 40
+# Limit of what the headers of one response occupy in memory, and the part of
+# it that each takes besides its bytes.
+MAX_HEAD_BYTES = 128 * 1024
+HEADER_OVERHEAD_BYTES = 160
 
 
 class InvalidHeadError(Exception):
@@ -46,6 +50,26 @@
         raise InvalidHeadError(f"invalid status line: reason {shown!r}")
 
 
+class HeadMeter:
+    """Limits what the headers of one response occupy in memory.
+
+    Many short headers occupy many times the bytes that were received.
+    """
+
+    def __init__(self):
+        self._bytes = 0
+
+    def add(self, name: bytes, value: bytes) -> None:
+        """Counts a header.
+
+        Raises:
+            InvalidHeadError: The headers occupy too much.
+        """
+        self._bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if self._bytes > MAX_HEAD_BYTES:
+            raise InvalidHeadError("the head is too long")
+
+
 class HeadValidator:
     """Validates the head of a response that a lenient parser reads as well.
 
