Read at most 64 KiB at once from upstreams

What callers saw: nothing. test_body_without_end_ends_at_the_deadline failed beside a load of 24 to 27: a node grew by 16,528 kB in one endless response, 16,384 are allowed.

Cause: asyncio allocates 256 KB for each read of a connection to an upstream, and hands it on as one block. Connections of callers have been limited to 64 KiB since their memory is bounded.

Changed: transports.configure sets the size of reads together with the socket options, for connections of callers and of upstreams. It takes these out of upstream_connections.

--- a/sycamorehollow/shells/gateway/caller_connections.py
+++ b/sycamorehollow/shells/gateway/caller_connections.py
@@ -14,16 +14,13 @@
 from sycamorehollow.shells.gateway import caller_transport
 from sycamorehollow.shells.gateway import header_codec
 from sycamorehollow.shells.gateway import request_parser
-from sycamorehollow.shells.gateway import upstream_connections
+from sycamorehollow.shells.gateway import transports
 
 # Requests that a caller may pipeline before their responses.
 MAX_PIPELINED_REQUESTS = 8
 # Time for which a new connection is kept open while its first request may be in
 # transit. Callers expect a connection to be established within it.
 FIRST_REQUEST_TIMEOUT_S = 1.0
-# Bytes read at once. A request that has to wait for memory holds at most this
-# much of its body.
-READ_BYTES = 64 * 1024
 # Bytes that a waiting request has usually received: what was read at once and
 # the kernel's default buffer.
 WAITING_BYTES = 192 * 1024
@@ -151,11 +148,7 @@
         """Starts to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        upstream_connections.set_socket_options(
-            transport, upstream_connections.CALLER_USER_TIMEOUT_MS
-        )
-        # Without it, asyncio allocates 256 KB for each read.
-        setattr(transport, "max_size", READ_BYTES)  # noqa: B010
+        transports.configure(transport, transports.CALLER_USER_TIMEOUT_MS)
         self._registry.add(self)
         self._set_timer(self._get_limits().idle_timeout_s)
         holding = self._memory.open(self)
--- a/sycamorehollow/shells/gateway/connection_pool.py
+++ b/sycamorehollow/shells/gateway/connection_pool.py
@@ -8,6 +8,7 @@
 from sycamorehollow.decisions.forwarding import end_checks
 from sycamorehollow.model import forwarding
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import transports
 from sycamorehollow.shells.gateway import upstream_connections
 
 # Well above the round trip to any data centre of a region. A lost SYN is only
@@ -232,9 +233,7 @@
             transport, connection = await loop.create_connection(
                 build, upstream.host, upstream.port
             )
-        upstream_connections.set_socket_options(
-            transport, upstream_connections.UPSTREAM_USER_TIMEOUT_MS
-        )
+        transports.configure(transport, transports.UPSTREAM_USER_TIMEOUT_MS)
         return connection
 
 
--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -29,11 +29,6 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 # Upstreams close a little before or after the timeout that they announce.
 IDLE_TIMEOUT_MARGIN_S = 0.6
-# TCP_USER_TIMEOUT: time without an acknowledgement after which a connection is
-# closed. It is short for upstreams, whose requests can be retried elsewhere,
-# but still allows for one retransmission.
-UPSTREAM_USER_TIMEOUT_MS = 800
-CALLER_USER_TIMEOUT_MS = 3000
 # Time within which an upstream that has closed an idle connection resets a
 # request on it: a round trip to any data centre, and the delay until a busy
 # process handles the reset.
@@ -526,14 +521,3 @@
         if self._head is not None:
             self._progress += 1
             self._ended = True
-
-
-def set_socket_options(
-    transport: asyncio.BaseTransport, user_timeout_ms: int
-) -> None:
-    """Disables Nagle's algorithm and sets the TCP user timeout."""
-    raw = transport.get_extra_info("socket")
-    if raw is None:
-        return
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
