Split the writing of requests from connections to upstreams

Changed: request_writer.RequestWriter writes requests and tells how much of the current one the upstream's host lacks.

--- a/sycamorehollow/shells/gateway/upstream_connections.py
+++ b/sycamorehollow/shells/gateway/upstream_connections.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import socket
 import time
 
 import httptools
@@ -15,11 +14,10 @@
 from sycamorehollow.shells import sockets
 from sycamorehollow.shells import uploads
 from sycamorehollow.shells.gateway import header_codec
+from sycamorehollow.shells.gateway import request_writer
 
 # Body bytes buffered for a slow caller before reading from the upstream stops.
 READ_AHEAD_BYTES = 128 * 1024
-# Part of a large body that is written at once.
-BODY_PART_BYTES = 64 * 1024
 # Limit of consecutive bytes without progress of the response: heads, interim
 # responses, late duplicates, chunk framing and trailers. Well above any head
 # that a server accepts.
@@ -111,10 +109,8 @@
         self._reconnect: Callable[[], Awaitable[bool]] | None = None
         self._resend_task: asyncio.Task[None] | None = None
         self.was_resent = False
+        self._writer = request_writer.RequestWriter()
         self._request_data: tuple[bytes, bytes | bytearray] = (b"", b"")
-        self._request_bytes = 0
-        self._unsent = memoryview(b"")
-        self._can_write = True
         self._sent_at = 0.0
         self._lost_at = float("inf")
         self._received_bytes = False
@@ -186,7 +182,6 @@
         """Prepares the protocol for a new transport and returns it."""
         self._parser = httptools.HttpResponseParser(self)
         self._closed = False
-        self._can_write = True
         self._lost_at = float("inf")
         return self
 
@@ -200,7 +195,6 @@
             data: Its head, which may include the body.
             body: A large body, which is written as the upstream reads it.
         """
-        assert self._transport is not None
         self._reset_response()
         self._request_id = request_id
         self._has_request = True
@@ -208,49 +202,17 @@
         self._request_data = (b"", b"")
         if self._reconnect is not None:
             self._request_data = (data, body)
-        self._request_bytes = len(data) + len(body)
         self._received_bytes = False
         self._sent_at = time.monotonic()
-        self._transport.write(data)
-        self._unsent = memoryview(body)
-        self._send_body()
-
-    def _send_body(self) -> None:
-        """Writes the body until the write buffer is full.
-
-        The transport copies what it buffers.
-        """
-        while self._unsent and self._can_write and not self._closed:
-            assert self._transport is not None
-            part = self._unsent[:BODY_PART_BYTES]
-            self._unsent = self._unsent[BODY_PART_BYTES:]
-            self._transport.write(part)
-        if not self._unsent:
-            # An empty part of the body would keep all of it.
-            self._unsent = memoryview(b"")
-
-    def _count_unsent_bytes(self) -> int:
-        """Returns how much of the request the upstream's host still lacks."""
-        if self._closed or self._transport is None:
-            return 0
-        return (
-            len(self._unsent)
-            + self._transport.get_write_buffer_size()
-            + sockets.count_unacknowledged_bytes(self._get_socket())
-        )
-
-    def _get_socket(self) -> socket.socket:
-        assert self._transport is not None
-        return self._transport.get_extra_info("socket")
+        self._writer.write(data, body)
 
     def pause_writing(self) -> None:
         """Stops writing the body."""
-        self._can_write = False
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Writes more of the body."""
-        self._can_write = True
-        self._send_body()
+        self._writer.resume()
 
     async def read_head(self) -> ResponseHead:
         """Waits for the head of the response.
@@ -310,8 +272,8 @@
         watch = uploads.UploadWatch(self._is_early, self._eof_at)
         try:
             while not watch.is_settled(
-                self._count_unsent_bytes(),
-                self._closed or sockets.has_failed(self._get_socket()),
+                0 if self._closed else self._writer.count_unsent_bytes(),
+                self._closed or sockets.has_failed(self._writer.get_socket()),
                 time.monotonic(),
             ):
                 await asyncio.sleep(uploads.POLL_S)
@@ -322,17 +284,17 @@
         """Ends the response; returns whether the connection is reusable."""
         self._has_request = False
         self._request_data = (b"", b"")
-        if self._unsent:
+        if self._writer.has_unwritten:
             # The upstream still expects the rest of the body.
             self._reusable = False
-            self._unsent = memoryview(b"")
+            self._writer.drop()
         self.idle_since = time.monotonic()
         return self._ended and self.is_open
 
     def close(self) -> None:
         """Closes the connection, which cancels the request."""
         self._closed = True
-        self._unsent = memoryview(b"")
+        self._writer.drop()
         self._request_data = (b"", b"")
         self._drop_callback = None
         if self._resend_task is not None:
@@ -373,6 +335,7 @@
         """Stores the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._writer.attach(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -406,7 +369,7 @@
         ends_here = self._ends_at_eof and not self._is_late
         if ends_here and not self._ended and not self._error:
             self._ended = True
-            silence_s = sockets.measure_silence_s(self._get_socket())
+            silence_s = sockets.measure_silence_s(self._writer.get_socket())
             self._eof_at = time.monotonic() - silence_s
             self._data_event.set()
         return self._eof_at is not None
@@ -414,7 +377,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Records the loss and wakes the reader."""
         self._closed = True
-        self._unsent = memoryview(b"")
+        self._writer.drop()
         self._lost_at = time.monotonic()
         if error is not None and not isinstance(error, ConnectionError):
             # Not a reset by the upstream: its acknowledgements stopped.
@@ -482,7 +445,7 @@
         if self._ends_at_eof:
             self._reusable = False
             self._is_early = uploads.may_be_early(
-                self._request_bytes, self._count_unsent_bytes()
+                self._writer.request_bytes, self._writer.count_unsent_bytes()
             )
         if decoded.keep_alive_s is not None:
             self.idle_timeout_s = max(
