--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +25,11 @@
 ZONES = ("levant-east-a", "levant-east-b", "levant-east-c")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 READY_LIMIT_S = 30.0
+# Ports for the gateways, and how often another place is tried for one of them
+# whose ports are taken between the look and its start.
+PORTS = (10_000, 32_000)
+START_ATTEMPTS = 3
+_taken: set[int] = set()
 # Bounds and limits of the users' sheet for a small deployment.
 SETTINGS = {
     "machineClass": "front",
@@ -179,22 +185,24 @@
 
 
 def find_ports(count):
-    """Returns free ports in a row."""
+    """Returns the first of some free ports in a row.
+
+    They lie below the range that outgoing connections use, and no two calls
+    return the same ones.
+    """
     while True:
-        sockets = []
+        first = random.randrange(*PORTS, count)
+        numbers = range(first, first + count)
+        if _taken.intersection(numbers):
+            continue
         try:
             with contextlib.ExitStack() as stack:
-                first = stack.enter_context(socket.socket())
-                first.bind((HOST, 0))
-                port = first.getsockname()[1]
-                if port + count > 65535:
-                    continue
-                for number in range(port + 1, port + count):
-                    sockets.append(stack.enter_context(socket.socket()))
-                    sockets[-1].bind((HOST, number))
-            return port
+                for number in numbers:
+                    stack.enter_context(socket.socket()).bind((HOST, number))
         except OSError:
             continue
+        _taken.update(numbers)
+        return first
 
 
 class Node:
@@ -209,6 +217,7 @@
 
     def __init__(self, deployment, number, settings=None, stdout=None):
         self._deployment = deployment
+        self.number = number
         zone = ZONES[number % len(ZONES)]
         self.name = f"front-{zone}-{number // len(ZONES) + 1}"
         port = find_ports(20)
@@ -369,8 +378,25 @@
         for _ in range(count):
             number = len(self.nodes)
             self.nodes.append(Node(self, number, settings, stdout))
-        for node in self.nodes:
-            node.wait_ready()
+        for number, node in enumerate(self.nodes):
+            self.nodes[number] = self._wait_for(node, settings, stdout)
+
+    def _wait_for(self, node, settings, stdout):
+        """Returns a node once it is ready, if need be at other ports.
+
+        Raises:
+            CannotRunError: It does not start anywhere.
+        """
+        for _ in range(START_ATTEMPTS - 1):
+            try:
+                node.wait_ready()
+                return node
+            except CannotRunError as error:
+                self.record.write(f"platform: {error}")
+                node.stop()
+                node = Node(self, node.number, settings, stdout)
+        node.wait_ready()
+        return node
 
     def close(self):
         """Ends all that was started."""
